--- /dev/null
+++ b/harriertrack/interface.py
@@ -0,0 +1,301 @@
+"""Types, events and actions of the decision module.
+
+Times are integer microseconds on the caller's clock and sizes are units. Nothing here decides
+anything: these types only carry what a head knows to the module and what it shall do back.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Effect(Enum):
+    """What repeating a request of a class can do."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Group(Enum):
+    """The nodes among which repeats of a keyed request are dropped."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class NodeState(Enum):
+    """What the node list says of a node."""
+
+    UP = "up"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    """How a piece of list news is to be read."""
+
+    CHANGES = "changes"
+    FULL = "full"
+    RESTORED = "restored"
+    FAILED = "failed"
+
+
+class Result(Enum):
+    """How an attempt ended; the flag says whether that proves that it never ran."""
+
+    OK = ("ok", False)
+    ERROR = ("error", False)
+    FULL = ("full", True)
+    TIMEOUT = ("timeout", False)
+    CONNECT_FAILED = ("connect failed", True)
+    RESET = ("reset", False)
+    CANCELLED = ("cancelled", False)
+    MOOT = ("moot", True)
+
+    @property
+    def never_ran(self) -> bool:
+        """Whether the outcome proves that the attempt had no effect."""
+        return self.value[1]
+
+
+def _at_least(owner: object, least: float, *names: str) -> None:
+    """Reject a field below its least value (or not a number) by name."""
+    for name in names:
+        value = getattr(owner, name)
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < 1e18:
+            raise ValueError(f"{type(owner).__name__}.{name} must be a number of at least {least}, not {value!r}")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A class of requests: what it is worth, by when, and whether it may run again."""
+
+    name: str
+    aim_us: int
+    deadline_us: int
+    worth: float = 1.0
+    late_worth: float = 0.0
+    effect: Effect = Effect.UNSAFE
+    group: Group = Group.CELL
+    window_us: int = 0
+    streams: bool = False
+    in_order: bool = False
+    writes: bool = False
+
+    def __post_init__(self) -> None:
+        _at_least(self, 1, "aim_us", "deadline_us")
+        _at_least(self, 0, "worth", "late_worth", "window_us")
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A service plan; every figure is per volume, in units, over all heads and nodes (0: none)."""
+
+    name: str
+    rate: float = 0.0
+    reserve: float = 0.0
+    limit: float = 0.0
+    limit_burst: float = 0.0
+    limit_slack: float = 0.0
+    weight: float = 1.0
+    price: float = 1.0
+
+    def __post_init__(self) -> None:
+        _at_least(self, 0, "rate", "reserve", "limit", "limit_burst", "limit_slack", "weight", "price")
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Everything that a head is told at its start; zero or absent means that a thing does not apply."""
+
+    heads: int
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...] = ()
+    asked_list: bool = False
+    zone: str = ""
+    max_attempts: int = 1
+    may_cancel: bool = False
+    may_probe: bool = False
+    second_copies: bool = False
+    may_hint: bool = False
+    max_hint_us: int = 0
+    drain_grace_us: int = 0
+    fall_multiple: float = 1.0
+    fall_us: int = 0
+    cold_share: float = 1.0
+    warm_us: int = 0
+    cold_units: float = 0.0
+    budget_free: float = 0.0
+    budget_share: float = 0.0
+    budget_window_us: int = 0
+    order_settle_us: int = 0
+    mean_units: float = 1.0
+    most_units: float = 1.0
+    meter_us: int = 0
+    tick_us: int = 0
+    report_fields: tuple[str, ...] = ()
+
+    def __post_init__(self) -> None:
+        _at_least(self, 1, "heads", "max_attempts")
+        _at_least(
+            self, 0, "max_hint_us", "drain_grace_us", "fall_multiple", "fall_us", "cold_share", "warm_us",
+            "cold_units", "budget_free", "budget_share", "budget_window_us", "order_settle_us", "mean_units",
+            "most_units", "meter_us", "tick_us",
+        )  # fmt: skip
+        if not self.classes:
+            raise ValueError("Settings.classes must name at least one class")
+        for what, names in (("classes", self.classes), ("plans", self.plans)):
+            if len({one.name for one in names}) != len(names):
+                raise ValueError(f"Settings.{what} names one of them twice")
+
+
+@dataclass(frozen=True, slots=True)
+class NodeEntry:
+    """One line of the node list."""
+
+    node: str
+    shard: int
+    state: NodeState = NodeState.UP
+    zone: str = ""
+    started_us: int = 0
+
+
+@dataclass(slots=True)
+class NodesChanged:
+    """News of the node list."""
+
+    kind: ListKind
+    entries: list[NodeEntry] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Arrived:
+    """A client's request; the head owes it one final answer within time_left_us."""
+
+    request: int
+    class_name: str
+    plan: str
+    volume: str
+    key: str
+    shard: int
+    units: float
+    time_left_us: int
+    hosts: int = 0
+    repeat: bool = False
+
+
+@dataclass(slots=True)
+class Begun:
+    """A streamed answer has begun; from here on no deadline counts."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Ended:
+    """An attempt's outcome, with what the node said beside it."""
+
+    request: int
+    attempt: int
+    node: str
+    result: Result
+    elapsed_us: int
+    over: bool
+    used_percent: int = 0
+    elsewhere: float = 0.0
+    load: tuple[float, ...] = ()
+
+
+@dataclass(slots=True)
+class ClientGone:
+    """The client has left; no answer is owed any more."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class Woken:
+    """A timer is due."""
+
+    token: str
+
+
+@dataclass(slots=True)
+class Probed:
+    """The result of a probe."""
+
+    node: str
+    result: Result
+    elapsed_us: int
+    load: tuple[float, ...] = ()
+
+
+Event = NodesChanged | Arrived | Begun | Ended | ClientGone | Woken | Probed
+
+
+@dataclass(slots=True)
+class Send:
+    """Start an attempt; timeout_us 0 lets it run until the client gives up."""
+
+    request: int
+    node: str
+    timeout_us: int = 0
+
+
+@dataclass(slots=True)
+class Refuse:
+    """Final answer: not done, and trying again is harmless; retry_after_us 0 gives no hint."""
+
+    request: int
+    retry_after_us: int = 0
+
+
+@dataclass(slots=True)
+class Fail:
+    """Final answer: not served; nothing is promised about its effect."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class Cancel:
+    """Give up one attempt."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Probe:
+    """Ask a node for a sign of life."""
+
+    node: str
+
+
+@dataclass(slots=True)
+class SetTimer:
+    """Wake the module at a time."""
+
+    token: str
+    at_us: int
+
+
+@dataclass(slots=True)
+class Subscribe:
+    """Ask for the list's changes from now on."""
+
+    on: bool = True
+
+
+@dataclass(slots=True)
+class Log:
+    """One line for the operators."""
+
+    text: str
+
+
+Action = Send | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | Log
--- /dev/null
+++ b/harriertrack/scheduler.py
@@ -0,0 +1,755 @@
+"""The decisions of a head: what is sent, held or refused, and where new objects go.
+
+The interface, its settings, events and actions, is harriertrack/interface.py. The mechanism is that of
+DAOS QoS (see docs/design.md): a volume is a session that pays each request with credits; at each node
+sessions under their reservation go first, then weighted turns, first in first out inside a session; a
+window bounds what is out at a node; what would wait past its aim is refused on arrival with a hint.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from typing import Callable
+
+from harriertrack.interface import (
+    Action, Arrived, Begun, Cancel, ClientGone, Effect, Ended, Event, Fail, Group, ListKind, Log, NodeEntry,
+    NodesChanged, NodeState, Plan, Refuse, RequestClass, Result, Send, SetTimer, Settings, Subscribe, Woken,
+)  # fmt: skip
+
+OPERATION_CREDITS = 128  # a session's requests out per head: the source's client figure
+PAYLOAD_LARGEST = 16  # a session's payload pool in largest requests: roomy, yet it bounds one volume's bytes
+WINDOW_START = 3.0  # a few: the other heads start at the same moment
+WINDOW_LEAST = 1.0  # a trickle: less would stop hearing from the node
+WINDOW_MOST = 32.0  # the design's ceiling
+WAIT_LOW = 0.6  # widen while the least recent wait is under this many mean requests' service
+WAIT_HIGH = 1.5  # narrow while it is above this many
+NARROW = 0.85  # one step down, at most one for each latency that has passed
+WAIT_SAMPLES = 4  # the least of so many waits counts: a flush or a pause lifts some of them, a queue all
+BEST_DOWN, BEST_UP = 0.1, 0.01  # a node's best unit time follows quick answers soon and slow ones late
+LATENCY_GAIN = 0.2  # weight of one answer in a node's mean latency
+SILENT_US = 400_000  # a node is silent when it owes answers longer than this, above pauses and flushes ...
+SILENT_TIMES = 4.0  # ... and than this many of its own mean latencies
+SWEEP_US = 50_000  # how often silence is looked for while anything is out
+TRIAL_US = 500_000  # a silent node gets one request this often, twice as rarely after each ...
+TRIAL_MOST_US = 2_000_000  # ... up to this
+COLD_GROWTH = 1.5  # a cold node gets at most this multiple of what it just proved, below any fall multiple
+BACKGROUND_AIM = 3.0  # a class whose aim is this many times the shortest, and worth less, is background
+RESUBSCRIBE_US, RESUBSCRIBE_MOST_US = 300_000, 4_000_000  # wait after a failed list call, doubled each time
+ANSWER_TICKS = 2  # final answers are given this many ticks before the client's time is up
+SPREAD = 0.3  # random part of a placement score: heads that see the same must not all pick the same node
+METER_GAIN = 0.3  # weight of one meter reading
+
+
+class _Store:
+    """A token bucket that may be overdrawn by the request that empties it."""
+
+    __slots__ = ("rate", "most", "level", "at")
+
+    def __init__(self, rate: float, most: float, level: float, now: int) -> None:
+        self.rate, self.most, self.level, self.at = rate, most, level, now
+
+    def now(self, now: int) -> float:
+        """Fill up to the present and return the level."""
+        self.level = min(self.most, self.level + self.rate * (now - self.at) / 1e6)
+        self.at = now
+        return self.level
+
+
+class _Session:
+    """One volume's work at this head (or its background part): credits, reservation, limit."""
+
+    __slots__ = ("plan", "weight", "background", "operations", "payload", "reserve", "volume")
+
+    def __init__(self, plan: Plan, weight: float, background: bool, payload: float, volume: _Volume) -> None:
+        self.plan, self.weight, self.background, self.volume = plan, weight, background, volume
+        self.operations, self.payload = OPERATION_CREDITS, payload
+
+
+class _Volume:
+    """What counts for a volume as a whole: its hosts, reserve, limit and meter."""
+
+    __slots__ = ("plan", "hosts", "reserve", "limit", "own", "own_at", "others", "sessions")
+
+    def __init__(self, plan: Plan, now: int) -> None:
+        self.plan, self.hosts = plan, 1
+        self.reserve = _Store(0.0, 0.0, 0.0, now)
+        self.limit: _Store | None = None
+        self.own, self.own_at, self.others = 0.0, now, 0.0
+        self.sessions: dict[bool, _Session] = {}
+
+
+class _Work:
+    """One request that this head has taken."""
+
+    __slots__ = (
+        "ask", "kind", "session", "aim_at", "end_at", "late", "node", "tries", "out", "risky_at",
+        "shard", "over", "begun", "charged", "wait",
+    )  # fmt: skip
+
+    def __init__(self, ask: Arrived, kind: RequestClass, session: _Session, aim_at: int, end_at: int) -> None:
+        self.ask, self.kind, self.session, self.aim_at, self.end_at = ask, kind, session, aim_at, end_at
+        self.node: _Node | None = None  # where it is held
+        self.out: dict[int, _Node] = {}  # attempts without an outcome
+        self.tries, self.shard, self.wait = 0, ask.shard, 0
+        self.risky_at: int | None = None  # when the first attempt that may have run was sent
+        self.late = self.over = self.begun = self.charged = False
+
+
+class _Node:
+    """What this head knows of one storage node."""
+
+    __slots__ = (
+        "entry", "told_at", "held", "held_units", "turn", "deficit", "out", "window", "unit_us", "latency_us",
+        "waits", "narrowed_at", "heard_at", "silent_at", "trial_at", "trial_wait", "cold_from", "cold_until",
+        "cold_sent", "cold_done", "last_key", "cold_debt",
+    )  # fmt: skip
+
+    def __init__(self, entry: NodeEntry, now: int) -> None:
+        self.entry, self.told_at = entry, now
+        self.held: dict[_Session, deque[_Work]] = {}
+        self.held_units = 0.0
+        self.turn: deque[_Session] = deque()
+        self.deficit: dict[_Session, float] = {}
+        self.out: dict[tuple[int, int], tuple[int, float, bool]] = {}  # attempt: sent at, units, window was full
+        self.window = WINDOW_START
+        self.unit_us = self.latency_us = 0.0  # 0: unheard, counts as average
+        self.waits: deque[float] = deque(maxlen=WAIT_SAMPLES)
+        self.narrowed_at = self.heard_at = now
+        self.silent_at, self.trial_at, self.trial_wait = 0, 0, TRIAL_US
+        self.cold_from = self.cold_until = 0
+        self.cold_sent: deque[tuple[int, float]] = deque()
+        self.cold_done: deque[tuple[int, float]] = deque()
+        self.last_key = ""
+        self.cold_debt = 0.0
+
+
+class Scheduler:
+    """The decision module of one head. Feed it batches of events; carry out what it returns."""
+
+    def __init__(self, settings: Settings, seed: int = 0) -> None:
+        self.settings = settings
+        self._random = random.Random(seed)
+        self._classes = {kind.name: kind for kind in settings.classes}
+        self._plans = {plan.name: plan for plan in settings.plans}
+        self._shortest = min(kind.aim_us for kind in settings.classes)
+        self._dearest = max(kind.worth for kind in settings.classes)
+        self._volumes: dict[tuple[str, str], _Volume] = {}
+        self._nodes: dict[str, _Node] = {}
+        self._works: dict[int, _Work] = {}
+        self._floating: dict[int, _Work] = {}  # held new objects, oldest first
+        self._fullest: dict[str, int] = {}  # the most time that a try of a class came with
+        self._order: dict[str, deque[_Work]] = {}
+        self._rest: dict[str, int] = {}
+        self._taken: deque[int] = deque()
+        self._further: deque[int] = deque()
+        self._heap: list[tuple[int, int, Callable[..., None], tuple]] = []
+        self._serial = 0
+        self._wake_at = 0
+        self._sweeping = False
+        self._list_wait = RESUBSCRIBE_US
+        self._mean_unit = self._mean_latency = 0.0
+        self._out: list[Action] = []
+        self._now = self._born = 0
+
+    # --- events -------------------------------------------------------------------------------------
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]:
+        """Take the events of one moment and return the actions, in order."""
+        self._now = now
+        self._born = self._born or now
+        self._out = actions = []
+        touched: dict[str, None] = {}
+        for event in events:
+            match event:
+                case Arrived():
+                    self._arrived(event, touched)
+                case Ended():
+                    self._ended(event)
+                    touched[event.node] = None
+                case NodesChanged():
+                    self._list_news(event)
+                    touched.update(dict.fromkeys(self._nodes))
+                case ClientGone():
+                    if (work := self._works.get(event.request)) is not None and not work.over:
+                        self._close(work)
+                case Begun():
+                    if (work := self._works.get(event.request)) is not None:
+                        work.begun = True
+                case Woken():
+                    self._wake_at = 0
+        while self._heap and self._heap[0][0] <= now:
+            _, _, act, arguments = heapq.heappop(self._heap)
+            act(*arguments)
+        for name in touched:
+            if name in self._nodes:
+                self._pump(self._nodes[name])
+        if self._floating:
+            self._share_out()
+        if self._heap and (not self._wake_at or self._heap[0][0] < self._wake_at):
+            self._wake_at = max(self._heap[0][0], now + 1)
+            actions.append(SetTimer("next", self._wake_at))
+        return actions
+
+    def _at(self, when: int, act: Callable[..., None], *arguments: object) -> None:
+        self._serial += 1
+        heapq.heappush(self._heap, (when, self._serial, act, arguments))
+
+    # --- the node list ------------------------------------------------------------------------------
+
+    def _list_news(self, news: NodesChanged) -> None:
+        """Follow the list; a failed call or broken subscription is asked for again, ever more rarely."""
+        if news.kind is ListKind.FAILED:
+            wait = int(self._list_wait * (1 + self._random.random()))
+            self._list_wait = min(self._list_wait * 2, RESUBSCRIBE_MOST_US)
+            self._at(self._now + wait, self._subscribe)
+            return
+        if news.kind is ListKind.RESTORED:
+            if self.settings.asked_list:
+                self._subscribe()
+        else:
+            self._list_wait = RESUBSCRIBE_US
+        for entry in news.entries:
+            node = self._nodes.get(entry.node)
+            if node is None:
+                node = self._nodes[entry.node] = _Node(entry, self._now)
+                before = 0
+            else:
+                before = node.entry.started_us
+                if entry.state is not node.entry.state:
+                    node.told_at = self._now
+                node.entry = entry
+            if entry.started_us > before and self._now - entry.started_us < self.settings.warm_us:
+                self._chill(node, entry.started_us)
+        if news.kind is not ListKind.CHANGES:
+            named = {entry.node for entry in news.entries}
+            for name, node in self._nodes.items():
+                if name not in named and node.entry.state is not NodeState.GONE:
+                    node.told_at = self._now
+                    node.entry = NodeEntry(name, node.entry.shard, NodeState.GONE, node.entry.zone)
+        for node in self._nodes.values():
+            if node.held and not self._sendable(node):
+                for work in [work for queue in node.held.values() for work in queue]:
+                    self._unhold(work)
+                    self._route(work)
+
+    def _subscribe(self) -> None:
+        self._out.append(Subscribe(True))
+
+    def _sendable(self, node: _Node) -> bool:
+        """Nothing new goes to a node that drains or is gone, but reads that only it can serve use half the grace."""
+        state = node.entry.state
+        if state is NodeState.DRAINING:
+            return self._now < node.told_at + self.settings.drain_grace_us // 2
+        return state is NodeState.UP
+
+    def _holder(self, shard: int) -> _Node | None:
+        """The node that serves a shard: one that is up, else one in the grace of its drain."""
+        best = None
+        for node in self._nodes.values():
+            if node.entry.shard == shard and self._sendable(node):
+                if node.entry.state is NodeState.UP:
+                    if best is None or best.entry.state is not NodeState.UP or (
+                        node.entry.started_us > best.entry.started_us
+                    ):
+                        best = node
+                elif best is None:
+                    best = node
+        return best
+
+    # --- cold nodes and silent nodes ----------------------------------------------------------------
+
+    def _chill(self, node: _Node, since: int) -> None:
+        """Treat a node as just started: all heads together send it little, and more only as it proves it."""
+        node.cold_from, node.cold_until = since, since + self.settings.warm_us
+        node.window = WINDOW_LEAST
+        node.cold_sent.clear()
+        node.cold_done.clear()
+        # Heads hear of a start together: a random debt keeps their first requests from coming at once.
+        node.cold_debt = self._random.random() * self.settings.cold_units / self.settings.heads
+        node.silent_at = 0
+
+    def _cold_room(self, node: _Node, units: float) -> bool:
+        """Whether a cold node can take so many units: our part of what it bears, or what it just proved."""
+        settings, now = self.settings, self._now
+        span = settings.fall_us
+        for ledger in (node.cold_sent, node.cold_done):
+            while ledger and ledger[0][0] <= now - span:
+                ledger.popleft()
+        sent = sum(amount for _, amount in node.cold_sent)
+        share = max(settings.cold_share, 0.01)
+        warmth = min(1.0, max(0, now - node.cold_from) / max(1, settings.warm_us))
+        part = settings.cold_units / settings.heads * (1 + (1 / share - 1) * warmth)
+        growth = min(COLD_GROWTH, max(1.0, settings.fall_multiple * 0.6))
+        proven = growth * sum(amount for _, amount in node.cold_done)
+        if sent + units <= max(part, proven):
+            return True
+        # A request larger than our part goes once the part has added up to it.
+        last = node.cold_sent[-1][0] if node.cold_sent else max(node.cold_from, node.told_at)
+        quiet = (now - last) / max(1, span) * part - node.cold_debt
+        return quiet >= units
+
+    def _silence(self, node: _Node) -> bool:
+        """Whether a node owes answers for longer than its pauses, flushes and usual latency explain."""
+        if not node.out:
+            return False
+        oldest = next(iter(node.out.values()))[0]
+        since = max(node.heard_at, oldest)
+        return self._now - since > max(SILENT_US, SILENT_TIMES * (node.latency_us or self._mean_latency))
+
+    def _sweep(self) -> None:
+        """Look for silent nodes while anything is out."""
+        self._sweeping = False
+        busy = False
+        for node in self._nodes.values():
+            busy = busy or bool(node.out)
+            if not node.silent_at and self._silence(node):
+                self._suspect(node, "silent")
+            if node.held:
+                self._pump(node)
+        if busy:
+            self._start_sweep()
+
+    def _start_sweep(self) -> None:
+        if not self._sweeping:
+            self._sweeping = True
+            self._at(self._now + SWEEP_US, self._sweep)
+
+    def _suspect(self, node: _Node, why: str) -> None:
+        """Send no more than a trickle to a node that is silent or unreachable until it answers."""
+        if not node.silent_at:
+            self._out.append(Log(f"node {node.entry.node} {why}"))
+            node.silent_at = self._now
+            node.trial_wait = TRIAL_US
+            node.trial_at = self._now + node.trial_wait
+        node.window = WINDOW_LEAST
+
+    def _heard(self, node: _Node, sent_at: int) -> None:
+        """A node answered. One that comes back may have restarted before the list says so: unless it
+        answers what was sent before it fell silent, it is treated as cold."""
+        if node.silent_at:
+            self._out.append(Log(f"node {node.entry.node} back"))
+            if sent_at > node.silent_at - SILENT_US and self._now - node.silent_at > SILENT_US * 5:
+                self._chill(node, self._now)
+            node.silent_at = 0
+        node.heard_at = self._now
+
+    # --- requests -----------------------------------------------------------------------------------
+
+    def _arrived(self, ask: Arrived, touched: dict[str, None]) -> None:
+        now = self._now
+        kind = self._classes.get(ask.class_name)
+        if kind is None or ask.request in self._works:
+            return
+        self._taken.append(now)
+        # A later try has less time left than a first one; its aim counts from the first.
+        full = self._fullest[kind.name] = max(self._fullest.get(kind.name, 0), ask.time_left_us)
+        aim_at = now + kind.aim_us - (full - ask.time_left_us)
+        work = _Work(ask, kind, self._session(ask, kind), aim_at, now + ask.time_left_us)
+        if aim_at <= now:
+            work.late, work.aim_at = True, work.end_at
+        self._works[ask.request] = work
+        if kind.in_order and ask.key:
+            self._order.setdefault(ask.key, deque()).append(work)
+        self._at(max(now + 1, work.end_at - ANSWER_TICKS * self.settings.tick_us), self._deadline, work)
+        self._route(work)
+        if work.node is not None:
+            touched[work.node.entry.node] = None
+
+    def _session(self, ask: Arrived, kind: RequestClass) -> _Session:
+        settings = self.settings
+        volume = self._volumes.get((ask.volume, ask.plan))
+        if volume is None:
+            plan = self._plans.get(ask.plan) or Plan(ask.plan)
+            volume = self._volumes[(ask.volume, ask.plan)] = _Volume(plan, self._now)
+            volume.reserve.level = plan.reserve
+            volume.hosts = 0
+        hosts = min(max(ask.hosts or settings.heads, 1), max(settings.heads, ask.hosts))
+        if hosts > volume.hosts:
+            volume.hosts = hosts
+            self._share(volume)
+            if volume.plan.limit > 0:
+                # What an earlier life of this head sent is unknown: the store starts empty, not full.
+                part, most = volume.plan.limit / hosts, volume.plan.limit_burst / hosts
+                level = 0.0 if volume.limit is None else min(volume.limit.now(self._now), most)
+                grown = part * (self._now - self._born) / 1e6 if volume.limit is None else 0.0
+                volume.limit = _Store(part, most, min(most, level + grown), self._now)
+        background = kind.aim_us >= BACKGROUND_AIM * self._shortest and kind.worth < self._dearest
+        session = volume.sessions.get(background)
+        if session is None:
+            weight = max(volume.plan.weight, 0.01)
+            if background:
+                weight *= max(kind.worth, 0.01) / self._dearest
+            pool = PAYLOAD_LARGEST * max(settings.most_units, 1.0)
+            session = volume.sessions[background] = _Session(volume.plan, weight, background, pool, volume)
+        return session
+
+    def _share(self, volume: _Volume) -> None:
+        """Set this head's part of a reserve: the even slice, or what the meters say the others leave."""
+        reserve = volume.plan.reserve
+        part = reserve / volume.hosts
+        if self.settings.meter_us and volume.others >= 0 and volume.own_at:
+            part = max(part, reserve - volume.others)
+        store = volume.reserve
+        store.now(self._now)
+        store.rate = part
+        store.most = part + self.settings.most_units
+
+    def _route(self, work: _Work) -> None:
+        """Hold a request at the node that must serve it, or at a chosen one; refuse what would come too late."""
+        node = self._place(work) if work.shard < 0 else self._holder(work.shard)
+        if node is None or (node.silent_at and not self._trial(node, work)):
+            self._give_up(work, self.settings.max_hint_us)
+            return
+        wait = self._wait(work, node)
+        if wait > work.aim_at - self._now or (work.late and (node.held or len(node.out) >= int(node.window))):
+            self._give_up(work, wait)
+            return
+        limit = work.session.volume.limit
+        if limit is not None and not work.charged:
+            missing = work.ask.units - limit.now(self._now)
+            if missing > limit.rate * (work.aim_at - self._now) / 1e6:
+                self._give_up(work, int(missing / max(limit.rate, 1e-9) * 1e6))
+                return
+        self._hold(work, node)
+
+    def _hold(self, work: _Work, node: _Node, first: bool = False) -> None:
+        work.node = node
+        queue = node.held.get(work.session)
+        if queue is None:
+            queue = node.held[work.session] = deque()
+            node.turn.append(work.session)
+            node.deficit[work.session] = 0.0
+        if first:
+            queue.appendleft(work)
+        else:
+            queue.append(work)
+        node.held_units += work.ask.units
+        if work.shard < 0:
+            self._floating[work.ask.request] = work
+        if not work.late:
+            self._at(max(work.aim_at, self._now + 1), self._expired, work)
+
+    def _unhold(self, work: _Work) -> None:
+        node = work.node
+        if node is None:
+            return
+        queue = node.held[work.session]
+        queue.remove(work)
+        node.held_units -= work.ask.units
+        if not queue:
+            del node.held[work.session], node.deficit[work.session]
+            node.turn.remove(work.session)
+        work.node = None
+        self._floating.pop(work.ask.request, None)
+
+    def _expired(self, work: _Work) -> None:
+        """A held request whose aim has passed can hardly earn: it makes room at once for one that can."""
+        if work.node is not None and not work.over:
+            self._give_up(work, self._wait(work, work.node))
+
+    def _deadline(self, work: _Work) -> None:
+        if not work.over and not work.begun:
+            self._give_up(work, 0)
+
+    def _may_refuse(self, work: _Work) -> bool:
+        kind = work.kind
+        if kind.effect is Effect.SAFE or (work.risky_at is None and not work.out):
+            return True
+        return kind.effect is Effect.KEYED and kind.group is Group.ALL
+
+    def _give_up(self, work: _Work, hint: int) -> None:
+        """Give the final answer: a refusal where trying again is harmless, else a failure."""
+        if self._may_refuse(work):
+            hint = min(max(0, int(hint)), self.settings.max_hint_us) if self.settings.may_hint else 0
+            self._out.append(Refuse(work.ask.request, hint))
+        else:
+            self._out.append(Fail(work.ask.request))
+        self._close(work)
+
+    def _close(self, work: _Work) -> None:
+        """The request is over: forget it, and call off what is still out."""
+        self._unhold(work)
+        work.over = True
+        if self.settings.may_cancel and not work.begun:
+            for attempt in work.out:
+                self._out.append(Cancel(work.ask.request, attempt))
+        self._settle(work)
+
+    def _settle(self, work: _Work) -> None:
+        """Drop a request that is over once all its attempts have outcomes; let its key's next one go."""
+        if work.out or not work.over:
+            return
+        self._works.pop(work.ask.request, None)
+        line = self._order.get(work.ask.key) if work.kind.in_order else None
+        if line is not None and work in line:
+            line.remove(work)
+            if line:
+                self._at(max(self._now + 1, self._rest.get(work.ask.key, 0)), self._pump_name, line[0])
+            else:
+                del self._order[work.ask.key]
+
+    def _pump_name(self, work: _Work) -> None:
+        if work.node is not None:
+            self._pump(work.node)
+
+    # --- outcomes -----------------------------------------------------------------------------------
+
+    def _ended(self, event: Ended) -> None:
+        work = self._works.get(event.request)
+        node = self._nodes.get(event.node)
+        if work is None or node is None or work.out.pop(event.attempt, None) is None:
+            return
+        sent_at, units, full = node.out.pop((event.request, event.attempt))
+        session, result, now = work.session, event.result, self._now
+        session.operations += 1
+        session.payload += units
+        if result in (Result.OK, Result.ERROR):
+            self._heard(node, sent_at)
+            if result is Result.OK:
+                self._learn(node, event, units, full)
+                self._meter(session.volume, event, units)
+        elif result is Result.FULL:
+            self._heard(node, sent_at)
+            self._narrow(node, 0.5)
+        elif result in (Result.CONNECT_FAILED, Result.RESET):
+            self._suspect(node, "unreachable")
+        if result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED) and work.kind.in_order:
+            self._rest[work.ask.key] = now + self.settings.order_settle_us
+        if not result.never_ran and work.risky_at is None:
+            work.risky_at = sent_at
+            if work.kind.effect is Effect.KEYED and work.kind.group is not Group.ALL:
+                work.shard = node.entry.shard
+        if event.over:
+            work.over = True
+        if work.over:
+            self._settle(work)
+        elif not work.out:
+            self._again(work, node, result)
+
+    def _again(self, work: _Work, node: _Node, result: Result) -> None:
+        """Send a request again where its class, its attempts and the budget allow, else end it."""
+        now, kind, settings = self._now, work.kind, self.settings
+        allowed = work.tries < settings.max_attempts and now < work.aim_at and self._budget()
+        if work.risky_at is not None:
+            if kind.effect is Effect.UNSAFE or result is Result.TIMEOUT:
+                allowed = False
+            elif kind.effect is Effect.KEYED:
+                allowed = allowed and now < work.risky_at + kind.window_us
+        if not allowed:
+            self._give_up(work, self._wait(work, node))
+            return
+        target = self._place(work) if work.shard < 0 else self._holder(work.shard)
+        if target is None or target.silent_at:
+            self._give_up(work, settings.max_hint_us)
+        else:
+            self._hold(work, target, first=True)
+
+    def _budget(self) -> bool:
+        """Whether the budget of further attempts allows one more now."""
+        span = self.settings.budget_window_us
+        if not span:
+            return True
+        while self._taken and self._taken[0] <= self._now - span:
+            self._taken.popleft()
+        while self._further and self._further[0] < self._now - span:
+            self._further.popleft()
+        most = self.settings.budget_free + self.settings.budget_share * len(self._taken)
+        return len(self._further) + 1 <= most
+
+    def _learn(self, node: _Node, event: Ended, units: float, full: bool) -> None:
+        """Follow a node's unit time and waits, and move its window."""
+        elapsed = max(1, event.elapsed_us)
+        unit = elapsed / units
+        if not node.unit_us:
+            node.unit_us = min(unit, self._mean_unit or unit)
+        node.unit_us += (BEST_DOWN if unit < node.unit_us else BEST_UP) * (unit - node.unit_us)
+        self._mean_unit += 0.02 * (node.unit_us - self._mean_unit) if self._mean_unit else node.unit_us
+        mean = self.settings.mean_units
+        latency = max(0.0, elapsed - units * node.unit_us) + mean * node.unit_us
+        node.latency_us += LATENCY_GAIN * (latency - node.latency_us) if node.latency_us else latency
+        self._mean_latency += 0.02 * (latency - self._mean_latency) if self._mean_latency else latency
+        node.waits.append(latency - mean * node.unit_us)
+        if node.cold_until > self._now:
+            node.cold_done.append((self._now, units))
+        base = mean * node.unit_us
+        wait = min(node.waits)
+        if wait < WAIT_LOW * base and full:
+            node.window = min(WINDOW_MOST, node.window + 1 / node.window)
+        elif wait > WAIT_HIGH * base and self._now - node.narrowed_at > node.latency_us:
+            self._narrow(node, NARROW)
+
+    def _narrow(self, node: _Node, by: float) -> None:
+        node.window = max(WINDOW_LEAST, node.window * by)
+        node.narrowed_at = self._now
+
+    def _meter(self, volume: _Volume, event: Ended, units: float) -> None:
+        """Learn from the meters what the volume gets through other heads."""
+        span = max(1, self._now - volume.own_at) / 1e6
+        volume.own += units  # a leaky sum over about two seconds gives our own rate
+        if span > 0.02:
+            volume.own -= volume.own * min(1.0, span / 2.0)
+            volume.own_at = self._now
+        if event.used_percent > 0:
+            total = (event.used_percent - 1) / 100 * volume.plan.rate
+            others = max(0.0, total - volume.own / 2.0)
+            volume.others += METER_GAIN * (others - volume.others)
+            self._share(volume)
+
+    # --- choosing a node for a new object -----------------------------------------------------------
+
+    def _place(self, work: _Work) -> _Node | None:
+        """Choose the node that would finish a new object first; suspect, cold and draining ones come last."""
+        best, best_score = None, (9, 0.0)
+        for node in self._nodes.values():
+            if node.entry.state is not NodeState.UP or node.silent_at:
+                continue
+            rank = 1 if node.cold_until > self._now else 0
+            latency = node.latency_us or self._mean_latency or 1.0
+            units = node.held_units + work.ask.units
+            room = max(node.window, 1.0)
+            load = (len(node.out) + units / self.settings.mean_units) / room
+            score = (rank, latency * (1 + load) * (1 + SPREAD * self._random.random()))
+            if score < best_score:
+                best, best_score = node, score
+        return best
+
+    def _share_out(self) -> None:
+        """Let nodes with room take held new objects from busier ones."""
+        for work in list(self._floating.values()):
+            if work.node is None or len(work.node.out) < int(work.node.window):
+                continue
+            node = self._place(work)
+            if node is None or node is work.node or node.held or len(node.out) >= int(node.window):
+                continue
+            if node.cold_until > self._now:
+                continue
+            self._unhold(work)
+            self._hold(work, node)
+            self._pump(node)
+
+    # --- turns --------------------------------------------------------------------------------------
+
+    def _wait(self, work: _Work, node: _Node) -> int:
+        """How long a request would wait at a node and be served, from the present backlog and rate."""
+        latency = node.latency_us or self._mean_latency
+        mean = self.settings.mean_units
+        service = latency + (work.ask.units - mean) * node.unit_us
+        if not node.held and len(node.out) < int(node.window):
+            return int(service)
+        rate = max(node.window, 1.0) * mean / max(latency, 1.0)  # units a microsecond, by Little's law
+        own = sum(held.ask.units for held in node.held.get(work.session, ()))
+        if self._reserved(work.session):
+            ahead = own + sum(
+                min(sum(held.ask.units for held in queue), session.volume.reserve.level)
+                for session, queue in node.held.items()
+                if session is not work.session and self._reserved(session)
+            )
+        else:
+            weights = sum(session.weight for session in node.held)
+            if work.session not in node.held:
+                weights += work.session.weight
+            ahead = min(own * weights / work.session.weight, node.held_units)
+        return int(ahead / rate + service)
+
+    def _reserved(self, session: _Session) -> bool:
+        """Whether a session is under its reservation at this head; background work never goes first."""
+        return not session.background and session.volume.reserve.now(self._now) > 0
+
+    def _trial(self, node: _Node, work: _Work) -> bool:
+        """A silent node gets a read now and then: it earns nothing held here, and its answer shows life."""
+        return work.kind.effect is Effect.SAFE and self._now >= node.trial_at
+
+    def _ready(self, work: _Work) -> bool:
+        """Whether a held request may go now: credits, order, limit."""
+        session, units = work.session, work.ask.units
+        if session.operations < 1 or session.payload < units:
+            return False
+        key = work.ask.key
+        if work.kind.in_order and key:
+            if self._order[key][0] is not work or (not work.tries and self._now < self._rest.get(key, 0)):
+                return False
+        limit = session.volume.limit
+        if limit is not None and not work.charged and limit.now(self._now) < units:
+            wait = (units - limit.level) / max(limit.rate, 1e-9) * 1e6
+            if work.wait <= self._now:
+                work.wait = self._now + int(wait) + 1
+                self._at(work.wait, self._pump_name, work)
+            return False
+        return not work.tries or self._budget()
+
+    def _first(self, queue: deque[_Work]) -> _Work | None:
+        """The first request that may go: strictly the oldest, but a key that must wait blocks only itself."""
+        for work in queue:
+            if self._ready(work):
+                return work
+            if not work.kind.in_order:
+                return None
+        return None
+
+    def _next(self, node: _Node) -> _Work | None:
+        """Whose turn it is: sessions under their reservation, then deficit round robin by weight."""
+        ready: dict[_Session, _Work] = {}
+        for session in node.turn:
+            if (work := self._first(node.held[session])) is not None:
+                ready[session] = work
+        if not ready:
+            return None
+        for session in node.turn:
+            if session in ready and self._reserved(session):
+                node.turn.remove(session)
+                node.turn.append(session)
+                return ready[session]
+        lightest = min(session.weight for session in ready)
+        while True:
+            session = node.turn[0]
+            work = ready.get(session)
+            if work is not None:
+                if node.deficit[session] >= work.ask.units or work.ask.key == node.last_key != "":
+                    node.deficit[session] -= work.ask.units
+                    return work
+                node.deficit[session] += self.settings.mean_units * session.weight / lightest
+            node.turn.rotate(-1)
+
+    def _pump(self, node: _Node) -> None:
+        """Send held requests while the node's window has room."""
+        while node.held and self._sendable(node):
+            if node.silent_at:
+                if self._now < node.trial_at:
+                    return
+                node.trial_wait = min(node.trial_wait * 2, TRIAL_MOST_US)
+                node.trial_at = self._now + node.trial_wait
+            elif len(node.out) >= int(node.window):
+                return
+            work = self._next(node)
+            if work is None:
+                return
+            cold = node.cold_until > self._now
+            if cold and not self._cold_room(node, work.ask.units):
+                return
+            self._send(work, node, cold)
+
+    def _send(self, work: _Work, node: _Node, cold: bool) -> None:
+        session, units, now = work.session, work.ask.units, self._now
+        self._unhold(work)
+        session.operations -= 1
+        session.payload -= units
+        session.volume.reserve.level -= units
+        if session.volume.limit is not None and not work.charged:
+            session.volume.limit.level -= units
+        work.charged = True
+        if work.tries:
+            self._further.append(now)
+        if cold:
+            node.cold_sent.append((now, units))
+            node.cold_debt = 0.0
+        node.last_key = work.ask.key
+        work.out[work.tries] = node
+        full = len(node.out) + 1 >= int(node.window)
+        node.out[(work.ask.request, work.tries)] = (now, units, full)
+        work.tries += 1
+        if work.kind.effect is not Effect.SAFE and work.kind.group is not Group.ALL:
+            work.shard = work.shard if work.shard >= 0 else -1
+        self._out.append(Send(work.ask.request, node.entry.node))
+        self._start_sweep()
--- /dev/null
+++ b/harriertrack/wirehost.py
@@ -0,0 +1,259 @@
+"""Adapter: the bench's text wire on standard input and output, many instances of the module.
+
+It translates and nothing more; every decision is the module's (harriertrack/scheduler.py).
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from typing import Any, NoReturn, TextIO
+
+from harriertrack import interface as api
+from harriertrack.scheduler import Scheduler
+
+EFFECTS = {
+    "read_like": api.Effect.SAFE,
+    "idempotency_key": api.Effect.KEYED,
+    "non_idempotent": api.Effect.UNSAFE,
+}
+GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
+STATES = {"IN": api.NodeState.UP, "LAME": api.NodeState.DRAINING, "OUT": api.NodeState.GONE}
+FORMS = {
+    "update": api.ListKind.CHANGES,
+    "replace": api.ListKind.FULL,
+    "restored": api.ListKind.RESTORED,
+    "unavailable": api.ListKind.FAILED,
+}
+RESULTS = {
+    "pass": api.Result.OK,
+    "fault": api.Result.ERROR,
+    "no_room": api.Result.FULL,
+    "too_slow": api.Result.TIMEOUT,
+    "no_route": api.Result.CONNECT_FAILED,
+    "cut": api.Result.RESET,
+    "undone": api.Result.CANCELLED,
+    "stale_send": api.Result.MOOT,
+}
+REPEAT_FLAG = 2
+
+
+class WireError(Exception):
+    """A line or a setting that cannot be read; the text says what and where."""
+
+
+def settings_of(conf: dict[str, Any]) -> api.Settings:
+    """Build the module's settings from the wire's first message; unknown keys are skipped."""
+
+    def part(name: str) -> dict[str, Any]:
+        return conf.get(name) or {}
+
+    def pick(source: dict[str, Any], **names: str) -> dict[str, Any]:
+        return {ours: source[theirs] for ours, theirs in names.items() if source.get(theirs) is not None}
+
+    allowed, rules, family = part("permissions"), part("safety"), part("familyInfo")
+    writes = family.get("classWrites") or []
+    classes = []
+    for number, lane in enumerate(conf["lanes"]):
+        classes.append(
+            api.RequestClass(
+                effect=EFFECTS[lane.get("idempotency", "non_idempotent")],
+                group=GROUPS[lane.get("group") or "cell"],
+                writes=bool(number < len(writes) and writes[number]),
+                **pick(
+                    lane, name="name", aim_us="aimUs", deadline_us="giveUpUs", worth="value",
+                    late_worth="lateShare", window_us="keyTtlUs", streams="streaming", in_order="inOrder",
+                ),
+            )  # fmt: skip
+        )
+    plans = [
+        api.Plan(
+            **pick(
+                plan, name="name", rate="baseRate", reserve="reserve", limit="ceilingRate",
+                limit_burst="mostAtOnce", limit_slack="capSlack", weight="shares", price="pays",
+            )
+        )  # fmt: skip
+        for plan in conf.get("contracts") or []
+    ]
+    return api.Settings(
+        classes=tuple(classes),
+        plans=tuple(plans),
+        asked_list=conf.get("discovery") == "on_request",
+        report_fields=tuple(part("report").get("fields") or ()),
+        **pick(conf, heads="nInstances", zone="locality", tick_us="tickUs"),
+        **pick(
+            allowed, max_attempts="sendCap", may_cancel="mayCancel", may_probe="probes",
+            second_copies="secondCopies", may_hint="retryAfter", max_hint_us="maxRetryAfterUs",
+        ),
+        **pick(
+            rules, drain_grace_us="drainGraceUs", fall_multiple="overloadFactor", fall_us="fallUs",
+            cold_share="startCapacity", warm_us="warmAfterUs", budget_free="budgetFree",
+            budget_share="repeatRatio", budget_window_us="ratioSpanUs", order_settle_us="orderSettleUs",
+        ),
+        **pick(
+            family, cold_units="coldUnits", mean_units="usualUnits", most_units="mostUnits",
+            meter_us="usePeriodUs",
+        ),
+    )  # fmt: skip
+
+
+def whole(text: str) -> int:
+    """Read a whole number that may be absent."""
+    return 0 if text == "-" else int(text)
+
+
+def number(text: str) -> float:
+    """Read a number that may be absent."""
+    return 0.0 if text == "-" else float(text)
+
+
+def load_of(text: str) -> tuple[float, ...]:
+    """Read a load report that may be absent."""
+    return () if text == "-" else tuple(number(value) for value in text.split(","))
+
+
+class WireHost:
+    """All instances of one process, and the translation of one batch after another."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Scheduler] = {}
+        self.pools: dict[int, list[api.NodeEntry]] = {}
+        self.pending: dict[int, list[api.Event]] = {}
+        self.current = -1
+        self.line_number = 0
+
+    def serve(self, lines: Iterable[str], out: TextIO) -> None:
+        """Answer batches until the input ends."""
+        rows = iter(lines)
+        for line in rows:
+            self.line_number += 1
+            if line.isspace():
+                continue
+            parts = line.split()
+            if parts[0] != "begin_batch" or len(parts) != 2:
+                raise WireError(f"expected begin_batch and a clock, not {line.strip()[:80]!r}")
+            now = int(parts[1])
+            self.read_batch(rows)
+            out.write("".join(self.answer(now)))
+            out.flush()
+
+    def read_batch(self, rows: Iterator[str]) -> None:
+        """Collect the events of one batch for each instance."""
+        self.pending = {}
+        for line in rows:
+            self.line_number += 1
+            word, _, rest = line.rstrip("\n").partition(" ")
+            if word == "req":
+                txn, hosts, left, kind, owner, options, extent, shard, plan, units = rest.split(" ")
+                self.add(
+                    api.Arrived(
+                        int(txn), kind, plan, owner, "" if extent == "-" else extent,
+                        -1 if shard == "-" else int(shard), 1.0 if units == "-" else float(units), int(left),
+                        whole(hosts), bool(whole(options) & REPEAT_FLAG),
+                    )
+                )  # fmt: skip
+            elif word == "report_back":
+                txn, trial, shelf, result, rtt, finished, used, delta, load = rest.split(" ")
+                self.add(
+                    api.Ended(
+                        int(txn), int(trial), shelf, RESULTS[result], whole(rtt), finished == "1",
+                        whole(used), number(delta), load_of(load),
+                    )
+                )  # fmt: skip
+            elif word == "wake":
+                self.add(api.Woken(rest))
+            elif word == "select":
+                self.current = int(rest)
+            elif word == "timed_out_client":
+                self.add(api.ClientGone(int(rest)))
+            elif word == "pong":
+                shelf, result, rtt, load = rest.split(" ")
+                self.add(api.Probed(shelf, RESULTS[result], whole(rtt), load_of(load)))
+            elif word == "started":
+                txn, _shelf, trial, _rtt = rest.split(" ")
+                self.add(api.Begun(int(txn), int(trial)))
+            elif word == "pool":
+                bank, count = rest.split(" ")
+                self.pools[int(bank)] = [self.read_row(rows) for _ in range(int(count))]
+            elif word == "directory_update":
+                form, _serial, bank = rest.split(" ")
+                kind = FORMS[form]
+                entries = [] if kind is api.ListKind.FAILED else self.pools[int(bank)]
+                self.add(api.NodesChanged(kind, entries))
+            elif word == "init":
+                seed, conf = rest.split(" ", 1)
+                self.instances[self.current] = Scheduler(settings_of(json.loads(conf)), int(seed))
+                self.pending[self.current] = []
+            elif word == "stop":
+                self.instances.pop(self.current, None)
+                self.pending.pop(self.current, None)
+            elif word == "eob":
+                return
+            elif word != "mail":
+                raise WireError(f"unknown message {word[:80]!r}")
+        raise WireError("the input ended inside a batch")
+
+    def add(self, event: api.Event) -> None:
+        """Hand an event to the selected instance, which must be running."""
+        if self.current not in self.instances:
+            raise WireError(f"an event for instance {self.current}, which is not running")
+        self.pending.setdefault(self.current, []).append(event)
+
+    def read_row(self, rows: Iterator[str]) -> api.NodeEntry:
+        """Read one entry of a node list."""
+        self.line_number += 1
+        word, shelf, zone, _kind, bay, state, _nominal, started = next(rows, "").split()
+        if word != "row":
+            raise WireError(f"expected row, not {word[:80]!r}")
+        return api.NodeEntry(shelf, whole(bay), STATES[state], zone, whole(started))
+
+    def answer(self, now: int) -> Iterator[str]:
+        """Let each instance with an event act, and write its actions."""
+        for index, events in self.pending.items():
+            actions = self.instances[index].handle(now, events)
+            if actions:
+                yield f"for {index}\n"
+            for action in actions:
+                match action:
+                    case api.Send():
+                        yield f"assign {action.request} {action.node} {action.timeout_us}\n"
+                    case api.SetTimer():
+                        yield f"remind {action.token} {action.at_us}\n"
+                    case api.Refuse():
+                        yield f"bounce {action.request} {action.retry_after_us}\n"
+                    case api.Fail():
+                        yield f"respond_error {action.request}\n"
+                    case api.Cancel():
+                        yield f"retract {action.request} {action.attempt}\n"
+                    case api.Probe():
+                        yield f"ask_load {action.node}\n"
+                    case api.Subscribe():
+                        yield f"track {int(action.on)}\n"
+                    case api.Log():
+                        yield f"record {action.text}\n"
+        yield "ok\n"
+
+
+def main() -> None:
+    """Serve standard input; end with one plain message if it cannot be read."""
+    host = WireHost()
+
+    def stop(what: object) -> NoReturn:
+        sys.stderr.write(f"harriertrack: input line {host.line_number}: {what}\n")
+        sys.exit(2)
+
+    sys.stdin.reconfigure(encoding="utf-8", newline="\n")
+    sys.stdout.reconfigure(encoding="utf-8", newline="\n")
+    try:
+        host.serve(sys.stdin, sys.stdout)
+    except WireError as error:
+        stop(error)
+    except KeyError as error:
+        stop(f"unknown or missing {error}")
+    except (ValueError, TypeError, AttributeError) as error:
+        stop(error)
+
+
+if __name__ == "__main__":
+    main()
