Expire held work that can't be served by its aim; narrower wait target

Cause: 10-38% of answers came late, since held work was sent at the edge of its aim and node queues stood.

--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -23,8 +23,8 @@
 WINDOW_START = 3.0  # a few: the other heads start at the same moment
 WINDOW_LEAST = 1.0  # a trickle: less would stop hearing from the node
 WINDOW_MOST = 32.0  # the design's ceiling
-WAIT_LOW = 0.6  # widen while the least recent wait is under this many mean requests' service
-WAIT_HIGH = 1.5  # narrow while it is above this many
+WAIT_LOW = 0.3  # widen while the least recent wait is under this many mean requests' service
+WAIT_HIGH = 0.8  # narrow while it is above this many
 NARROW = 0.85  # one step down, at most one for each latency that has passed
 WAIT_SAMPLES = 4  # the least of so many waits counts: a flush or a pause lifts some of them, a queue all
 BEST_DOWN, BEST_UP = 0.1, 0.01  # a node's best unit time follows quick answers soon and slow ones late
@@ -37,6 +37,7 @@
 COLD_GROWTH = 1.5  # a cold node gets at most this multiple of what it just proved, below any fall multiple
 BACKGROUND_AIM = 3.0  # a class whose aim is this many times the shortest, and worth less, is background
 RESUBSCRIBE_US, RESUBSCRIBE_MOST_US = 300_000, 4_000_000  # wait after a failed list call, doubled each time
+ADMIT = 1.3  # admit what should finish within this part of its aim: an estimate that errs must not make it late
 ANSWER_TICKS = 2  # final answers are given this many ticks before the client's time is up
 SPREAD = 0.3  # random part of a placement score: heads that see the same must not all pick the same node
 METER_GAIN = 0.3  # weight of one meter reading
@@ -403,7 +404,7 @@
             self._give_up(work, self.settings.max_hint_us)
             return
         wait = self._wait(work, node)
-        if wait > work.aim_at - self._now or (work.late and (node.held or len(node.out) >= int(node.window))):
+        if wait > ADMIT * (work.aim_at - self._now) or (work.late and (node.held or len(node.out) >= int(node.window))):
             self._give_up(work, wait)
             return
         limit = work.session.volume.limit
@@ -429,7 +430,7 @@
         if work.shard < 0:
             self._floating[work.ask.request] = work
         if not work.late:
-            self._at(max(work.aim_at, self._now + 1), self._expired, work)
+            self._at(max(work.aim_at - self._service(work, node), self._now + 1), self._expired, work)
 
     def _unhold(self, work: _Work) -> None:
         node = work.node
@@ -445,10 +446,20 @@
         self._floating.pop(work.ask.request, None)
 
     def _expired(self, work: _Work) -> None:
-        """A held request whose aim has passed can hardly earn: it makes room at once for one that can."""
-        if work.node is not None and not work.over:
+        """A held request that can't be served by its aim makes room at once for one that can."""
+        if work.node is None or work.over:
+            return
+        spare = work.aim_at - self._service(work, work.node) - self._now
+        if spare > 0:
+            self._at(self._now + spare, self._expired, work)
+        else:
             self._give_up(work, self._wait(work, work.node))
 
+    def _service(self, work: _Work, node: _Node) -> int:
+        """How long a request takes at a node from its sending on, as things stand."""
+        latency = node.latency_us or self._mean_latency
+        return int(latency + (work.ask.units - self.settings.mean_units) * node.unit_us)
+
     def _deadline(self, work: _Work) -> None:
         if not work.over and not work.begun:
             self._give_up(work, 0)
@@ -635,9 +646,9 @@
         """How long a request would wait at a node and be served, from the present backlog and rate."""
         latency = node.latency_us or self._mean_latency
         mean = self.settings.mean_units
-        service = latency + (work.ask.units - mean) * node.unit_us
+        service = self._service(work, node)
         if not node.held and len(node.out) < int(node.window):
-            return int(service)
+            return service
         rate = max(node.window, 1.0) * mean / max(latency, 1.0)  # units a microsecond, by Little's law
         own = sum(held.ask.units for held in node.held.get(work.session, ()))
         if self._reserved(work.session):
