Resets never make a node suspect; new objects avoid nodes that break attempts

Should also guard against any partial failure of a node's answers; could harm where a node resets everything.

--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -40,6 +40,7 @@
 ADMIT = 1.3  # admit what should finish within this part of its aim: an estimate that errs must not make it late
 ANSWER_TICKS = 2  # final answers are given this many ticks before the client's time is up
 SPREAD = 0.3  # random part of a placement score: heads that see the same must not all pick the same node
+BROKEN_GAIN = 0.1  # weight of one outcome in a node's share of broken attempts
 METER_GAIN = 0.3  # weight of one meter reading
 
 
@@ -104,7 +105,7 @@
     __slots__ = (
         "entry", "told_at", "held", "held_units", "turn", "deficit", "out", "window", "unit_us", "latency_us",
         "waits", "narrowed_at", "heard_at", "silent_at", "trial_at", "trial_wait", "cold_from", "cold_until",
-        "cold_sent", "cold_done", "last_key", "cold_debt",
+        "cold_sent", "cold_done", "last_key", "cold_debt", "broken",
     )  # fmt: skip
 
     def __init__(self, entry: NodeEntry, now: int) -> None:
@@ -124,6 +125,7 @@
         self.cold_done: deque[tuple[int, float]] = deque()
         self.last_key = ""
         self.cold_debt = 0.0
+        self.broken = 0.0  # share of the latest attempts that broke off
 
 
 class Scheduler:
@@ -524,8 +526,11 @@
         elif result is Result.FULL:
             self._heard(node, sent_at)
             self._narrow(node, 0.5)
-        elif result in (Result.CONNECT_FAILED, Result.RESET):
+        elif result is Result.CONNECT_FAILED:
             self._suspect(node, "unreachable")
+        # A reset alone says little: a link that breaks a part of the answers still earns with the rest, and
+        # a node that died refuses the next connection. It counts where there is a choice, in _place.
+        node.broken += BROKEN_GAIN * ((result in (Result.RESET, Result.ERROR)) - node.broken)
         if result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED) and work.kind.in_order:
             self._rest[work.ask.key] = now + self.settings.order_settle_us
         if not result.never_ran and work.risky_at is None:
@@ -621,7 +626,8 @@
             units = node.held_units + work.ask.units
             room = max(node.window, 1.0)
             load = (len(node.out) + units / self.settings.mean_units) / room
-            score = (rank, latency * (1 + load) * (1 + SPREAD * self._random.random()))
+            whole = 1 - min(node.broken, 0.9)
+            score = (rank, latency * (1 + load) / whole**3 * (1 + SPREAD * self._random.random()))
             if score < best_score:
                 best, best_score = node, score
         return best
