--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -23,11 +23,10 @@
 WINDOW_START = 3.0  # a few: the other heads start at the same moment
 WINDOW_LEAST = 1.0  # a trickle: less would stop hearing from the node
 WINDOW_MOST = 32.0  # the design's ceiling
-WAIT_LOW = 0.0  # widen while the least recent wait is under this many mean requests' service
-WAIT_HIGH = 0.2  # narrow while it is above this many
+WIDEN = 1.5  # widen while recent latency for each unit is under this multiple of its best
+NARROW_AT = 2.0  # narrow while it is above this one
 NARROW = 0.85  # one step down, at most one for each latency that has passed
-WAIT_SAMPLES = 4  # the least of so many waits counts: a flush or a pause lifts some of them, a queue all
-BEST_DOWN, BEST_UP = 0.1, 0.001  # a node's best unit time follows quick answers soon and slow ones late
+BEST_UP = 0.002  # the best rises by this part with each answer: soon enough for a node that slowed for good
 LATENCY_GAIN = 0.2  # weight of one answer in a node's mean latency
 SILENT_US = 400_000  # a node is silent when it owes answers longer than this, above pauses and flushes ...
 SILENT_TIMES = 4.0  # ... and than this many of its own mean latencies
@@ -104,7 +103,7 @@
 
     __slots__ = (
         "entry", "told_at", "held", "held_units", "turn", "deficit", "out", "window", "unit_us", "latency_us",
-        "waits", "narrowed_at", "heard_at", "silent_at", "trial_at", "trial_wait", "cold_from", "cold_until",
+        "units", "elapsed", "narrowed_at", "heard_at", "silent_at", "trial_at", "trial_wait", "cold_from", "cold_until",
         "cold_sent", "cold_done", "last_key", "cold_debt", "broken",
     )  # fmt: skip
 
@@ -117,7 +116,7 @@
         self.out: dict[tuple[int, int], tuple[int, float, bool]] = {}  # attempt: sent at, units, window was full
         self.window = WINDOW_START
         self.unit_us = self.latency_us = 0.0  # 0: unheard, counts as average
-        self.waits: deque[float] = deque(maxlen=WAIT_SAMPLES)
+        self.units = self.elapsed = 0.0  # running means of what answers had and took
         self.narrowed_at = self.heard_at = now
         self.silent_at, self.trial_at, self.trial_wait = 0, 0, TRIAL_US
         self.cold_from = self.cold_until = 0
@@ -152,7 +151,7 @@
         self._wake_at = 0
         self._sweeping = False
         self._list_wait = RESUBSCRIBE_US
-        self._mean_unit = self._mean_latency = 0.0
+        self._mean_latency = 0.0
         self._out: list[Action] = []
         self._now = self._born = 0
 
@@ -577,23 +576,22 @@
     def _learn(self, node: _Node, event: Ended, units: float, full: bool) -> None:
         """Follow a node's unit time and waits, and move its window."""
         elapsed = max(1, event.elapsed_us)
-        unit = elapsed / units
-        if not node.unit_us:
-            node.unit_us = min(unit, self._mean_unit or unit)
-        node.unit_us += (BEST_DOWN if unit < node.unit_us else BEST_UP) * (unit - node.unit_us)
-        self._mean_unit += 0.02 * (node.unit_us - self._mean_unit) if self._mean_unit else node.unit_us
         mean = self.settings.mean_units
-        latency = max(0.0, elapsed - units * node.unit_us) + mean * node.unit_us
-        node.latency_us += LATENCY_GAIN * (latency - node.latency_us) if node.latency_us else latency
-        self._mean_latency += 0.02 * (latency - self._mean_latency) if self._mean_latency else latency
-        node.waits.append(latency - mean * node.unit_us)
+        gain = LATENCY_GAIN
+        if not node.units:
+            node.units, node.elapsed = mean, (self._mean_latency or elapsed / units * mean)
+        node.units += gain * (units - node.units)
+        node.elapsed += gain * (elapsed - node.elapsed)
+        unit = node.elapsed / node.units
+        node.unit_us = min(unit, node.unit_us * (1 + BEST_UP)) if node.unit_us else unit
+        node.latency_us = unit * mean
+        self._mean_latency += 0.02 * (unit * mean - self._mean_latency) if self._mean_latency else unit * mean
         if node.cold_until > self._now:
             node.cold_done.append((self._now, units))
-        base = mean * node.unit_us
-        wait = min(node.waits)
-        if wait < WAIT_LOW * base and full:
-            node.window = min(WINDOW_MOST, node.window + 1 / node.window)
-        elif wait > WAIT_HIGH * base and self._now - node.narrowed_at > node.latency_us:
+        if unit < WIDEN * node.unit_us:
+            if full:
+                node.window = min(WINDOW_MOST, node.window + 1 / node.window)
+        elif unit > NARROW_AT * node.unit_us and self._now - node.narrowed_at > node.latency_us:
             self._narrow(node, NARROW)
 
     def _narrow(self, node: _Node, by: float) -> None:
