--- a/harriertrack/interface.py
+++ b/harriertrack/interface.py
@@ -65,8 +65,9 @@
     """Reject a field below its least value (or not a number) by name."""
     for name in names:
         value = getattr(owner, name)
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < 1e18:
-            raise ValueError(f"{type(owner).__name__}.{name} must be a number of at least {least}, not {value!r}")
+        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < 1e18:
+            where = f"{type(owner).__name__}.{name}"
+            raise ValueError(f"{where} must be a number of at least {least}, not {value!r}")
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -11,7 +11,8 @@
 import heapq
 import random
 from collections import deque
-from typing import Callable
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from harriertrack.interface import (
     Action, Arrived, Begun, Cancel, ClientGone, Effect, Ended, Event, Fail, Group, ListKind, Log, NodeEntry,
@@ -30,26 +31,27 @@
 LATENCY_GAIN = 0.2  # weight of one answer in a node's mean latency
 SILENT_US = 400_000  # a node is silent when it owes answers longer than this, above pauses and flushes ...
 SILENT_TIMES = 4.0  # ... and than this many of its own mean latencies
-SWEEP_US = 50_000  # how often silence is looked for while anything is out
+SWEEP_US = 50_000  # how often silence is looked for
 TRIAL_US = 500_000  # a silent node gets one request this often, twice as rarely after each ...
 TRIAL_MOST_US = 2_000_000  # ... up to this
 COLD_GROWTH = 1.5  # a cold node gets at most this multiple of what it just proved, below any fall multiple
 BACKGROUND_AIM = 3.0  # a class whose aim is this many times the shortest, and worth less, is background
 RESUBSCRIBE_US, RESUBSCRIBE_MOST_US = 300_000, 4_000_000  # wait after a failed list call, doubled each time
-ADMIT = 1.3  # admit what should finish within this part of its aim: an estimate that errs must not make it late
+ADMIT = 1.3  # admit what should finish within this many aims: what turns out too slow still expires
 ANSWER_TICKS = 2  # final answers are given this many ticks before the client's time is up
 SPREAD = 0.3  # random part of a placement score: heads that see the same must not all pick the same node
 BROKEN_GAIN = 0.1  # weight of one outcome in a node's share of broken attempts
 METER_GAIN = 0.3  # weight of one meter reading
 
 
+@dataclass(slots=True, eq=False)
 class _Store:
-    """A token bucket that may be overdrawn by the request that empties it."""
+    """A token bucket in units that may be overdrawn by the request that empties it."""
 
-    __slots__ = ("rate", "most", "level", "at")
-
-    def __init__(self, rate: float, most: float, level: float, now: int) -> None:
-        self.rate, self.most, self.level, self.at = rate, most, level, now
+    at: int
+    rate: float = 0.0
+    most: float = 0.0
+    level: float = 0.0
 
     def now(self, now: int) -> float:
         """Fill up to the present and return the level."""
@@ -58,73 +60,78 @@
         return self.level
 
 
-class _Session:
-    """One volume's work at this head (or its background part): credits, reservation, limit."""
-
-    __slots__ = ("plan", "weight", "background", "operations", "payload", "reserve", "volume")
-
-    def __init__(self, plan: Plan, weight: float, background: bool, payload: float, volume: _Volume) -> None:
-        self.plan, self.weight, self.background, self.volume = plan, weight, background, volume
-        self.operations, self.payload = OPERATION_CREDITS, payload
-
-
+@dataclass(slots=True, eq=False)
 class _Volume:
     """What counts for a volume as a whole: its hosts, reserve, limit and meter."""
 
-    __slots__ = ("plan", "hosts", "reserve", "limit", "own", "own_at", "others", "sessions")
-
-    def __init__(self, plan: Plan, now: int) -> None:
-        self.plan, self.hosts = plan, 1
-        self.reserve = _Store(0.0, 0.0, 0.0, now)
-        self.limit: _Store | None = None
-        self.own, self.own_at, self.others = 0.0, now, 0.0
-        self.sessions: dict[bool, _Session] = {}
+    plan: Plan
+    reserve: _Store
+    own_at: int
+    hosts: int = 0
+    limit: _Store | None = None
+    own: float = 0.0
+    others: float = 0.0
+    sessions: dict[bool, _Session] = field(default_factory=dict)
 
 
-class _Work:
-    """One request that this head has taken."""
+@dataclass(slots=True, eq=False)
+class _Session:
+    """One volume's work at this head, or its background part, and the credits that pay for it."""
 
-    __slots__ = (
-        "ask", "kind", "session", "aim_at", "end_at", "late", "node", "tries", "out", "risky_at",
-        "shard", "over", "begun", "charged", "wait",
-    )  # fmt: skip
+    volume: _Volume
+    weight: float
+    background: bool
+    payload: float
+    operations: int = OPERATION_CREDITS
 
-    def __init__(self, ask: Arrived, kind: RequestClass, session: _Session, aim_at: int, end_at: int) -> None:
-        self.ask, self.kind, self.session, self.aim_at, self.end_at = ask, kind, session, aim_at, end_at
-        self.node: _Node | None = None  # where it is held
-        self.out: dict[int, _Node] = {}  # attempts without an outcome
-        self.tries, self.shard, self.wait = 0, ask.shard, 0
-        self.risky_at: int | None = None  # when the first attempt that may have run was sent
-        self.late = self.over = self.begun = self.charged = False
 
+@dataclass(slots=True, eq=False)
+class _Work:
+    """One request that this head has taken."""
 
+    ask: Arrived
+    kind: RequestClass
+    session: _Session
+    aim_at: int
+    end_at: int
+    shard: int
+    node: _Node | None = None  # where it is held
+    out: set[int] = field(default_factory=set)  # attempts without an outcome
+    tries: int = 0
+    wait: int = 0  # when its limit lets it go
+    risky_at: int | None = None  # when the first attempt that may have run was sent
+    late: bool = False
+    over: bool = False
+    begun: bool = False
+    charged: bool = False
+
+
+@dataclass(slots=True, eq=False)
 class _Node:
     """What this head knows of one storage node."""
 
-    __slots__ = (
-        "entry", "told_at", "held", "held_units", "turn", "deficit", "out", "window", "unit_us", "latency_us",
-        "units", "elapsed", "narrowed_at", "heard_at", "silent_at", "trial_at", "trial_wait", "cold_from", "cold_until",
-        "cold_sent", "cold_done", "last_key", "cold_debt", "broken",
-    )  # fmt: skip
-
-    def __init__(self, entry: NodeEntry, now: int) -> None:
-        self.entry, self.told_at = entry, now
-        self.held: dict[_Session, deque[_Work]] = {}
-        self.held_units = 0.0
-        self.turn: deque[_Session] = deque()
-        self.deficit: dict[_Session, float] = {}
-        self.out: dict[tuple[int, int], tuple[int, float, bool]] = {}  # attempt: sent at, units, window was full
-        self.window = WINDOW_START
-        self.unit_us = self.latency_us = 0.0  # 0: unheard, counts as average
-        self.units = self.elapsed = 0.0  # running means of what answers had and took
-        self.narrowed_at = self.heard_at = now
-        self.silent_at, self.trial_at, self.trial_wait = 0, 0, TRIAL_US
-        self.cold_from = self.cold_until = 0
-        self.cold_sent: deque[tuple[int, float]] = deque()
-        self.cold_done: deque[tuple[int, float]] = deque()
-        self.last_key = ""
-        self.cold_debt = 0.0
-        self.broken = 0.0  # share of the latest attempts that broke off
+    entry: NodeEntry
+    told_at: int
+    heard_at: int
+    held: dict[_Session, deque[_Work]] = field(default_factory=dict)  # in the order of turns
+    held_units: float = 0.0
+    deficit: dict[_Session, float] = field(default_factory=dict)
+    out: dict[tuple[int, int], tuple[int, float, bool]] = field(default_factory=dict)  # sent at, units, full
+    window: float = WINDOW_START
+    units: float = 0.0  # running means of what answers had and took
+    elapsed: float = 0.0
+    unit_us: float = 0.0  # the best time for a unit; 0: unheard, counts as average
+    latency_us: float = 0.0
+    narrowed_at: int = 0
+    silent_at: int = 0  # 0: not suspect
+    trial_at: int = 0
+    trial_wait: int = TRIAL_US
+    cold_until: int = 0
+    cold_sent: deque[tuple[int, float]] = field(default_factory=deque)
+    cold_done: deque[tuple[int, float]] = field(default_factory=deque)
+    cold_debt: float = 0.0
+    last_key: str = ""
+    broken: float = 0.0  # share of the latest attempts that broke off
 
 
 class Scheduler:
@@ -149,24 +156,25 @@
         self._heap: list[tuple[int, int, Callable[..., None], tuple]] = []
         self._serial = 0
         self._wake_at = 0
-        self._sweeping = False
         self._list_wait = RESUBSCRIBE_US
         self._mean_latency = 0.0
         self._out: list[Action] = []
-        self._now = self._born = 0
-
-    # --- events -------------------------------------------------------------------------------------
+        self._touched: dict[str, None] = {}  # nodes to pump at the end of this batch
+        self._now = 0
+        self._born: int | None = None
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment and return the actions, in order."""
         self._now = now
-        self._born = self._born or now
+        if self._born is None:
+            self._born = now
+            self._sweep()
         self._out = actions = []
-        touched: dict[str, None] = {}
+        self._touched = touched = {}
         for event in events:
             match event:
                 case Arrived():
-                    self._arrived(event, touched)
+                    self._arrived(event)
                 case Ended():
                     self._ended(event)
                     touched[event.node] = None
@@ -180,48 +188,43 @@
                     if (work := self._works.get(event.request)) is not None:
                         work.begun = True
                 case Woken():
-                    self._wake_at = 0
+                    if event.token == str(self._wake_at):
+                        self._wake_at = 0
         while self._heap and self._heap[0][0] <= now:
             _, _, act, arguments = heapq.heappop(self._heap)
             act(*arguments)
-        for name in touched:
+        for name in list(touched):
             if name in self._nodes:
                 self._pump(self._nodes[name])
         if self._floating:
             self._share_out()
         if self._heap and (not self._wake_at or self._heap[0][0] < self._wake_at):
             self._wake_at = max(self._heap[0][0], now + 1)
-            actions.append(SetTimer("next", self._wake_at))
+            actions.append(SetTimer(str(self._wake_at), self._wake_at))
         return actions
 
     def _at(self, when: int, act: Callable[..., None], *arguments: object) -> None:
         self._serial += 1
         heapq.heappush(self._heap, (when, self._serial, act, arguments))
 
-    # --- the node list ------------------------------------------------------------------------------
-
     def _list_news(self, news: NodesChanged) -> None:
         """Follow the list; a failed call or broken subscription is asked for again, ever more rarely."""
         if news.kind is ListKind.FAILED:
             wait = int(self._list_wait * (1 + self._random.random()))
             self._list_wait = min(self._list_wait * 2, RESUBSCRIBE_MOST_US)
-            self._at(self._now + wait, self._subscribe)
+            self._at(self._now + wait, lambda: self._out.append(Subscribe(True)))
             return
-        if news.kind is ListKind.RESTORED:
-            if self.settings.asked_list:
-                self._subscribe()
-        else:
+        if news.kind is not ListKind.RESTORED:
             self._list_wait = RESUBSCRIBE_US
+        elif self.settings.asked_list:
+            self._out.append(Subscribe(True))
         for entry in news.entries:
-            node = self._nodes.get(entry.node)
-            if node is None:
-                node = self._nodes[entry.node] = _Node(entry, self._now)
-                before = 0
-            else:
-                before = node.entry.started_us
-                if entry.state is not node.entry.state:
-                    node.told_at = self._now
-                node.entry = entry
+            known = self._nodes.get(entry.node)
+            node = known or self._nodes.setdefault(entry.node, _Node(entry, self._now, self._now))
+            before = node.entry.started_us if known else 0
+            if entry.state is not node.entry.state:
+                node.told_at = self._now
+            node.entry = entry
             if entry.started_us > before and self._now - entry.started_us < self.settings.warm_us:
                 self._chill(node, entry.started_us)
         if news.kind is not ListKind.CHANGES:
@@ -236,11 +239,8 @@
                     self._unhold(work)
                     self._route(work)
 
-    def _subscribe(self) -> None:
-        self._out.append(Subscribe(True))
-
     def _sendable(self, node: _Node) -> bool:
-        """Nothing new goes to a node that drains or is gone, but reads that only it can serve use half the grace."""
+        """Nothing new goes to a node that is gone; of a drain's grace, half serves reads nobody else can."""
         state = node.entry.state
         if state is NodeState.DRAINING:
             return self._now < node.told_at + self.settings.drain_grace_us // 2
@@ -248,23 +248,12 @@
 
     def _holder(self, shard: int) -> _Node | None:
         """The node that serves a shard: one that is up, else one in the grace of its drain."""
-        best = None
-        for node in self._nodes.values():
-            if node.entry.shard == shard and self._sendable(node):
-                if node.entry.state is NodeState.UP:
-                    if best is None or best.entry.state is not NodeState.UP or (
-                        node.entry.started_us > best.entry.started_us
-                    ):
-                        best = node
-                elif best is None:
-                    best = node
-        return best
-
-    # --- cold nodes and silent nodes ----------------------------------------------------------------
+        able = [node for node in self._nodes.values() if node.entry.shard == shard and self._sendable(node)]
+        return max(able, key=lambda n: (n.entry.state is NodeState.UP, n.entry.started_us), default=None)
 
     def _chill(self, node: _Node, since: int) -> None:
         """Treat a node as just started: all heads together send it little, and more only as it proves it."""
-        node.cold_from, node.cold_until = since, since + self.settings.warm_us
+        node.cold_until = since + self.settings.warm_us
         node.window = WINDOW_LEAST
         node.cold_sent.clear()
         node.cold_done.clear()
@@ -274,57 +263,40 @@
 
     def _cold_room(self, node: _Node, units: float) -> bool:
         """Whether a cold node can take so many units: our part of what it bears, or what it just proved."""
-        settings, now = self.settings, self._now
-        span = settings.fall_us
+        settings, now, span = self.settings, self._now, self.settings.fall_us
         for ledger in (node.cold_sent, node.cold_done):
             while ledger and ledger[0][0] <= now - span:
                 ledger.popleft()
-        sent = sum(amount for _, amount in node.cold_sent)
-        share = max(settings.cold_share, 0.01)
-        warmth = min(1.0, max(0, now - node.cold_from) / max(1, settings.warm_us))
+        sent, share = sum(amount for _, amount in node.cold_sent), max(settings.cold_share, 0.01)
+        warmth = 1 - min(1.0, (node.cold_until - now) / max(1, settings.warm_us))
         part = settings.cold_units / settings.heads * (1 + (1 / share - 1) * warmth)
         growth = min(COLD_GROWTH, max(1.0, settings.fall_multiple * 0.6))
         proven = growth * sum(amount for _, amount in node.cold_done)
         if sent + units <= max(part, proven):
             return True
         # A request larger than our part goes once the part has added up to it.
-        last = node.cold_sent[-1][0] if node.cold_sent else max(node.cold_from, node.told_at)
+        last = node.cold_sent[-1][0] if node.cold_sent else node.cold_until - settings.warm_us
         quiet = (now - last) / max(1, span) * part - node.cold_debt
         return quiet >= units
 
-    def _silence(self, node: _Node) -> bool:
-        """Whether a node owes answers for longer than its pauses, flushes and usual latency explain."""
-        if not node.out:
-            return False
-        oldest = next(iter(node.out.values()))[0]
-        since = max(node.heard_at, oldest)
-        return self._now - since > max(SILENT_US, SILENT_TIMES * (node.latency_us or self._mean_latency))
-
     def _sweep(self) -> None:
-        """Look for silent nodes while anything is out."""
-        self._sweeping = False
-        busy = False
+        """Look for nodes that owe answers for longer than pauses, flushes and usual latency explain."""
+        self._at(self._now + SWEEP_US, self._sweep)
         for node in self._nodes.values():
-            busy = busy or bool(node.out)
-            if not node.silent_at and self._silence(node):
-                self._suspect(node, "silent")
+            if node.out:
+                since = max(node.heard_at, next(iter(node.out.values()))[0])
+                patience = max(SILENT_US, SILENT_TIMES * (node.latency_us or self._mean_latency))
+                if not node.silent_at and self._now - since > patience:
+                    self._suspect(node, "silent")
             if node.held:
                 self._pump(node)
-        if busy:
-            self._start_sweep()
-
-    def _start_sweep(self) -> None:
-        if not self._sweeping:
-            self._sweeping = True
-            self._at(self._now + SWEEP_US, self._sweep)
 
     def _suspect(self, node: _Node, why: str) -> None:
         """Send no more than a trickle to a node that is silent or unreachable until it answers."""
         if not node.silent_at:
             self._out.append(Log(f"node {node.entry.node} {why}"))
             node.silent_at = self._now
-            node.trial_wait = TRIAL_US
-            node.trial_at = self._now + node.trial_wait
+            node.trial_wait, node.trial_at = TRIAL_US, self._now + TRIAL_US
         node.window = WINDOW_LEAST
 
     def _heard(self, node: _Node, sent_at: int) -> None:
@@ -337,18 +309,19 @@
             node.silent_at = 0
         node.heard_at = self._now
 
-    # --- requests -----------------------------------------------------------------------------------
-
-    def _arrived(self, ask: Arrived, touched: dict[str, None]) -> None:
-        now = self._now
-        kind = self._classes.get(ask.class_name)
-        if kind is None or ask.request in self._works:
+    def _arrived(self, ask: Arrived) -> None:
+        now, kind = self._now, self._classes.get(ask.class_name)
+        if ask.request in self._works:
             return
-        self._taken.append(now)
+        if kind is None:
+            self._out.append(Refuse(ask.request))
+            return
+        if self.settings.budget_window_us:
+            self._taken.append(now)
         # A later try has less time left than a first one; its aim counts from the first.
         full = self._fullest[kind.name] = max(self._fullest.get(kind.name, 0), ask.time_left_us)
         aim_at = now + kind.aim_us - (full - ask.time_left_us)
-        work = _Work(ask, kind, self._session(ask, kind), aim_at, now + ask.time_left_us)
+        work = _Work(ask, kind, self._session(ask, kind), aim_at, now + ask.time_left_us, ask.shard)
         if aim_at <= now:
             work.late, work.aim_at = True, work.end_at
         self._works[ask.request] = work
@@ -356,18 +329,15 @@
             self._order.setdefault(ask.key, deque()).append(work)
         self._at(max(now + 1, work.end_at - ANSWER_TICKS * self.settings.tick_us), self._deadline, work)
         self._route(work)
-        if work.node is not None:
-            touched[work.node.entry.node] = None
 
     def _session(self, ask: Arrived, kind: RequestClass) -> _Session:
         settings = self.settings
         volume = self._volumes.get((ask.volume, ask.plan))
         if volume is None:
             plan = self._plans.get(ask.plan) or Plan(ask.plan)
-            volume = self._volumes[(ask.volume, ask.plan)] = _Volume(plan, self._now)
-            volume.reserve.level = plan.reserve
-            volume.hosts = 0
-        hosts = min(max(ask.hosts or settings.heads, 1), max(settings.heads, ask.hosts))
+            store = _Store(self._now, most=plan.reserve, level=plan.reserve)
+            volume = self._volumes[(ask.volume, ask.plan)] = _Volume(plan, store, self._now)
+        hosts = max(1, ask.hosts or settings.heads)
         if hosts > volume.hosts:
             volume.hosts = hosts
             self._share(volume)
@@ -376,7 +346,7 @@
                 part, most = volume.plan.limit / hosts, volume.plan.limit_burst / hosts
                 level = 0.0 if volume.limit is None else min(volume.limit.now(self._now), most)
                 grown = part * (self._now - self._born) / 1e6 if volume.limit is None else 0.0
-                volume.limit = _Store(part, most, min(most, level + grown), self._now)
+                volume.limit = _Store(self._now, part, most, min(most, level + grown))
         background = kind.aim_us >= BACKGROUND_AIM * self._shortest and kind.worth < self._dearest
         session = volume.sessions.get(background)
         if session is None:
@@ -384,45 +354,48 @@
             if background:
                 weight *= max(kind.worth, 0.01) / self._dearest
             pool = PAYLOAD_LARGEST * max(settings.most_units, 1.0)
-            session = volume.sessions[background] = _Session(volume.plan, weight, background, pool, volume)
+            session = volume.sessions[background] = _Session(volume, weight, background, pool)
         return session
 
     def _share(self, volume: _Volume) -> None:
         """Set this head's part of a reserve: the even slice, or what the meters say the others leave."""
         reserve = volume.plan.reserve
         part = reserve / volume.hosts
-        if self.settings.meter_us and volume.others >= 0 and volume.own_at:
+        if self.settings.meter_us:
             part = max(part, reserve - volume.others)
-        store = volume.reserve
-        store.now(self._now)
-        store.rate = part
-        store.most = part + self.settings.most_units
+        volume.reserve.now(self._now)
+        volume.reserve.rate, volume.reserve.most = part, part + self.settings.most_units
 
     def _route(self, work: _Work) -> None:
-        """Hold a request at the node that must serve it, or at a chosen one; refuse what would come too late."""
+        """Hold a request at the node that serves it, or at a chosen one; refuse what would come too late."""
         node = self._place(work) if work.shard < 0 else self._holder(work.shard)
-        if node is None or (node.silent_at and not self._trial(node, work)):
+        # A silent node gets a safe request now and then: it earns nothing here, and its answer shows life.
+        trial = node is not None and work.kind.effect is Effect.SAFE and self._now >= node.trial_at
+        if node is None or (node.silent_at and not trial):
             self._give_up(work, self.settings.max_hint_us)
             return
         wait = self._wait(work, node)
-        if wait > ADMIT * (work.aim_at - self._now) or (work.late and (node.held or len(node.out) >= int(node.window))):
+        busy = bool(node.held) or len(node.out) >= int(node.window)
+        if wait > ADMIT * (work.aim_at - self._now) or (work.late and busy):
             self._give_up(work, wait)
             return
         limit = work.session.volume.limit
         if limit is not None and not work.charged:
-            missing = work.ask.units - limit.now(self._now)
-            if missing > limit.rate * (work.aim_at - self._now) / 1e6:
-                self._give_up(work, int(missing / max(limit.rate, 1e-9) * 1e6))
+            fills = self._fills(limit, work.ask.units)
+            if fills > work.aim_at - self._now:
+                self._give_up(work, fills)
                 return
         self._hold(work, node)
 
+    def _fills(self, store: _Store, units: float) -> int:
+        """How long until a store holds so many units."""
+        return int(max(0.0, units - store.now(self._now)) / max(store.rate, 1e-9) * 1e6)
+
     def _hold(self, work: _Work, node: _Node, first: bool = False) -> None:
         work.node = node
-        queue = node.held.get(work.session)
-        if queue is None:
-            queue = node.held[work.session] = deque()
-            node.turn.append(work.session)
-            node.deficit[work.session] = 0.0
+        self._touched[node.entry.node] = None
+        queue = node.held.setdefault(work.session, deque())
+        node.deficit.setdefault(work.session, 0.0)
         if first:
             queue.appendleft(work)
         else:
@@ -434,16 +407,14 @@
             self._at(max(work.aim_at - self._service(work, node), self._now + 1), self._expired, work)
 
     def _unhold(self, work: _Work) -> None:
-        node = work.node
-        if node is None:
+        if (node := work.node) is None:
             return
-        queue = node.held[work.session]
-        queue.remove(work)
+        work.node = None
+        self._touched[node.entry.node] = None
+        node.held[work.session].remove(work)
         node.held_units -= work.ask.units
-        if not queue:
+        if not node.held[work.session]:
             del node.held[work.session], node.deficit[work.session]
-            node.turn.remove(work.session)
-        work.node = None
         self._floating.pop(work.ask.request, None)
 
     def _expired(self, work: _Work) -> None:
@@ -485,7 +456,7 @@
         self._unhold(work)
         work.over = True
         if self.settings.may_cancel and not work.begun:
-            for attempt in work.out:
+            for attempt in sorted(work.out):
                 self._out.append(Cancel(work.ask.request, attempt))
         self._settle(work)
 
@@ -494,25 +465,20 @@
         if work.out or not work.over:
             return
         self._works.pop(work.ask.request, None)
-        line = self._order.get(work.ask.key) if work.kind.in_order else None
-        if line is not None and work in line:
+        line = self._order.get(work.ask.key, ()) if work.kind.in_order else ()
+        if work in line:
             line.remove(work)
-            if line:
-                self._at(max(self._now + 1, self._rest.get(work.ask.key, 0)), self._pump_name, line[0])
-            else:
+            if not line:
                 del self._order[work.ask.key]
-
-    def _pump_name(self, work: _Work) -> None:
-        if work.node is not None:
-            self._pump(work.node)
-
-    # --- outcomes -----------------------------------------------------------------------------------
+            elif line[0].node is not None:
+                self._at(max(self._now, self._rest.get(work.ask.key, 0)), self._pump, line[0].node)
 
     def _ended(self, event: Ended) -> None:
         work = self._works.get(event.request)
         node = self._nodes.get(event.node)
-        if work is None or node is None or work.out.pop(event.attempt, None) is None:
+        if work is None or node is None or event.attempt not in work.out:
             return
+        work.out.remove(event.attempt)
         sent_at, units, full = node.out.pop((event.request, event.attempt))
         session, result, now = work.session, event.result, self._now
         session.operations += 1
@@ -545,8 +511,8 @@
 
     def _again(self, work: _Work, node: _Node, result: Result) -> None:
         """Send a request again where its class, its attempts and the budget allow, else end it."""
-        now, kind, settings = self._now, work.kind, self.settings
-        allowed = work.tries < settings.max_attempts and now < work.aim_at and self._budget()
+        now, kind = self._now, work.kind
+        allowed = work.tries < self.settings.max_attempts and now < work.aim_at and self._budget()
         if work.risky_at is not None:
             if kind.effect is Effect.UNSAFE or result is Result.TIMEOUT:
                 allowed = False
@@ -557,7 +523,7 @@
             return
         target = self._place(work) if work.shard < 0 else self._holder(work.shard)
         if target is None or target.silent_at:
-            self._give_up(work, settings.max_hint_us)
+            self._give_up(work, self.settings.max_hint_us)
         else:
             self._hold(work, target, first=True)
 
@@ -566,22 +532,19 @@
         span = self.settings.budget_window_us
         if not span:
             return True
-        while self._taken and self._taken[0] <= self._now - span:
-            self._taken.popleft()
-        while self._further and self._further[0] < self._now - span:
-            self._further.popleft()
+        for times in (self._taken, self._further):
+            while times and times[0] < self._now - span + (times is self._taken):
+                times.popleft()
         most = self.settings.budget_free + self.settings.budget_share * len(self._taken)
         return len(self._further) + 1 <= most
 
     def _learn(self, node: _Node, event: Ended, units: float, full: bool) -> None:
         """Follow a node's unit time and waits, and move its window."""
-        elapsed = max(1, event.elapsed_us)
-        mean = self.settings.mean_units
-        gain = LATENCY_GAIN
+        elapsed, mean = max(1, event.elapsed_us), self.settings.mean_units
         if not node.units:
             node.units, node.elapsed = mean, (self._mean_latency or elapsed / units * mean)
-        node.units += gain * (units - node.units)
-        node.elapsed += gain * (elapsed - node.elapsed)
+        node.units += LATENCY_GAIN * (units - node.units)
+        node.elapsed += LATENCY_GAIN * (elapsed - node.elapsed)
         unit = node.elapsed / node.units
         node.unit_us = min(unit, node.unit_us * (1 + BEST_UP)) if node.unit_us else unit
         node.latency_us = unit * mean
@@ -611,21 +574,17 @@
             volume.others += METER_GAIN * (others - volume.others)
             self._share(volume)
 
-    # --- choosing a node for a new object -----------------------------------------------------------
-
     def _place(self, work: _Work) -> _Node | None:
         """Choose the node that would finish a new object first; suspect, cold and draining ones come last."""
-        best, best_score = None, (9, 0.0)
+        best, best_score = None, (True, float("inf"))
         for node in self._nodes.values():
             if node.entry.state is not NodeState.UP or node.silent_at:
                 continue
-            rank = 1 if node.cold_until > self._now else 0
             latency = node.latency_us or self._mean_latency or 1.0
             units = node.held_units + work.ask.units
-            room = max(node.window, 1.0)
-            load = (len(node.out) + units / self.settings.mean_units) / room
-            whole = 1 - min(node.broken, 0.9)
-            score = (rank, latency * (1 + load) / whole**3 * (1 + SPREAD * self._random.random()))
+            load = (len(node.out) + units / self.settings.mean_units) / node.window
+            chance = (1 + SPREAD * self._random.random()) / (1 - min(node.broken, 0.9)) ** 3
+            score = (node.cold_until > self._now, latency * (1 + load) * chance)
             if score < best_score:
                 best, best_score = node, score
         return best
@@ -636,16 +595,12 @@
             if work.node is None or len(work.node.out) < int(work.node.window):
                 continue
             node = self._place(work)
-            if node is None or node is work.node or node.held or len(node.out) >= int(node.window):
-                continue
-            if node.cold_until > self._now:
+            if node is None or node.held or len(node.out) >= int(node.window) or node.cold_until > self._now:
                 continue
             self._unhold(work)
             self._hold(work, node)
             self._pump(node)
 
-    # --- turns --------------------------------------------------------------------------------------
-
     def _wait(self, work: _Work, node: _Node) -> int:
         """How long a request would wait at a node and be served, from the present backlog and rate."""
         latency = node.latency_us or self._mean_latency
@@ -672,25 +627,18 @@
         """Whether a session is under its reservation at this head; background work never goes first."""
         return not session.background and session.volume.reserve.now(self._now) > 0
 
-    def _trial(self, node: _Node, work: _Work) -> bool:
-        """A silent node gets a read now and then: it earns nothing held here, and its answer shows life."""
-        return work.kind.effect is Effect.SAFE and self._now >= node.trial_at
-
     def _ready(self, work: _Work) -> bool:
         """Whether a held request may go now: credits, order, limit."""
         session, units = work.session, work.ask.units
         if session.operations < 1 or session.payload < units:
             return False
-        key = work.ask.key
-        if work.kind.in_order and key:
+        if work.kind.in_order and (key := work.ask.key):
             if self._order[key][0] is not work or (not work.tries and self._now < self._rest.get(key, 0)):
                 return False
-        limit = session.volume.limit
-        if limit is not None and not work.charged and limit.now(self._now) < units:
-            wait = (units - limit.level) / max(limit.rate, 1e-9) * 1e6
+        if (limit := session.volume.limit) is not None and not work.charged and limit.now(self._now) < units:
             if work.wait <= self._now:
-                work.wait = self._now + int(wait) + 1
-                self._at(work.wait, self._pump_name, work)
+                work.wait = self._now + self._fills(limit, units) + 1
+                self._at(work.wait, self._pump, work.node)
             return False
         return not work.tries or self._budget()
 
@@ -705,27 +653,24 @@
 
     def _next(self, node: _Node) -> _Work | None:
         """Whose turn it is: sessions under their reservation, then deficit round robin by weight."""
-        ready: dict[_Session, _Work] = {}
-        for session in node.turn:
-            if (work := self._first(node.held[session])) is not None:
-                ready[session] = work
-        if not ready:
-            return None
-        for session in node.turn:
-            if session in ready and self._reserved(session):
-                node.turn.remove(session)
-                node.turn.append(session)
-                return ready[session]
-        lightest = min(session.weight for session in ready)
-        while True:
-            session = node.turn[0]
+        firsts = ((session, self._first(queue)) for session, queue in node.held.items())
+        ready = {session: work for session, work in firsts if work is not None}
+        for session, work in ready.items():
+            if self._reserved(session):
+                node.held[session] = node.held.pop(session)
+                return work
+        lightest = min((session.weight for session in ready), default=1.0)
+        while ready:
+            session = next(iter(node.held))
             work = ready.get(session)
             if work is not None:
+                # One key's consecutive requests share a turn: a node does them with less work.
                 if node.deficit[session] >= work.ask.units or work.ask.key == node.last_key != "":
                     node.deficit[session] -= work.ask.units
                     return work
                 node.deficit[session] += self.settings.mean_units * session.weight / lightest
-            node.turn.rotate(-1)
+            node.held[session] = node.held.pop(session)
+        return None
 
     def _pump(self, node: _Node) -> None:
         """Send held requests while the node's window has room."""
@@ -742,17 +687,18 @@
                 return
             cold = node.cold_until > self._now
             if cold and not self._cold_room(node, work.ask.units):
+                self._at(self._now + SWEEP_US, self._pump, node)
                 return
             self._send(work, node, cold)
 
     def _send(self, work: _Work, node: _Node, cold: bool) -> None:
-        session, units, now = work.session, work.ask.units, self._now
+        session, volume, units, now = work.session, work.session.volume, work.ask.units, self._now
         self._unhold(work)
         session.operations -= 1
         session.payload -= units
-        session.volume.reserve.level -= units
-        if session.volume.limit is not None and not work.charged:
-            session.volume.limit.level -= units
+        volume.reserve.level -= units
+        if volume.limit is not None and not work.charged:
+            volume.limit.level -= units
         work.charged = True
         if work.tries:
             self._further.append(now)
@@ -760,11 +706,8 @@
             node.cold_sent.append((now, units))
             node.cold_debt = 0.0
         node.last_key = work.ask.key
-        work.out[work.tries] = node
+        work.out.add(work.tries)
         full = len(node.out) + 1 >= int(node.window)
         node.out[(work.ask.request, work.tries)] = (now, units, full)
         work.tries += 1
-        if work.kind.effect is not Effect.SAFE and work.kind.group is not Group.ALL:
-            work.shard = work.shard if work.shard >= 0 else -1
         self._out.append(Send(work.ask.request, node.entry.node))
-        self._start_sweep()
--- a/harriertrack/wirehost.py
+++ b/harriertrack/wirehost.py
@@ -8,7 +8,7 @@
 import json
 import sys
 from collections.abc import Iterable, Iterator
-from typing import Any, NoReturn, TextIO
+from typing import Any, TextIO
 
 from harriertrack import interface as api
 from harriertrack.scheduler import Scheduler
@@ -130,14 +130,23 @@
             self.line_number += 1
             if line.isspace():
                 continue
-            parts = line.split()
-            if parts[0] != "begin_batch" or len(parts) != 2:
-                raise WireError(f"expected begin_batch and a clock, not {line.strip()[:80]!r}")
-            now = int(parts[1])
-            self.read_batch(rows)
+            try:
+                now = self.read_clock(line)
+                self.read_batch(rows)
+            except KeyError as error:
+                raise WireError(f"unknown or missing {error}") from error
+            except (ValueError, TypeError, AttributeError) as error:
+                raise WireError(error) from error
             out.write("".join(self.answer(now)))
             out.flush()
 
+    def read_clock(self, line: str) -> int:
+        """Read the line that begins a batch."""
+        word, _, clock = line.strip().partition(" ")
+        if word != "begin_batch":
+            raise WireError(f"expected begin_batch and a clock, not {line.strip()[:80]!r}")
+        return int(clock)
+
     def read_batch(self, rows: Iterator[str]) -> None:
         """Collect the events of one batch for each instance."""
         self.pending = {}
@@ -238,21 +247,13 @@
 def main() -> None:
     """Serve standard input; end with one plain message if it cannot be read."""
     host = WireHost()
-
-    def stop(what: object) -> NoReturn:
-        sys.stderr.write(f"harriertrack: input line {host.line_number}: {what}\n")
-        sys.exit(2)
-
     sys.stdin.reconfigure(encoding="utf-8", newline="\n")
     sys.stdout.reconfigure(encoding="utf-8", newline="\n")
     try:
         host.serve(sys.stdin, sys.stdout)
     except WireError as error:
-        stop(error)
-    except KeyError as error:
-        stop(f"unknown or missing {error}")
-    except (ValueError, TypeError, AttributeError) as error:
-        stop(error)
+        sys.stderr.write(f"harriertrack: input line {host.line_number}: {error}\n")
+        sys.exit(2)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_interface.py
@@ -0,0 +1,30 @@
+"""Settings that cannot be are rejected with the field's name."""
+
+import pytest
+
+from harriertrack import interface as api
+
+READ = api.RequestClass("r", 1, 1)
+
+
+@pytest.mark.parametrize(
+    ("make", "field"),
+    [
+        (lambda: api.RequestClass("r", 0, 1), "aim_us"),
+        (lambda: api.RequestClass("r", 1, -1), "deadline_us"),
+        (lambda: api.RequestClass("r", 1, 1, worth="much"), "worth"),
+        (lambda: api.Plan("p", reserve=-1), "reserve"),
+        (lambda: api.Plan("p", limit=float("nan")), "limit"),
+        (lambda: api.Settings(0, (READ,)), "heads"),
+        (lambda: api.Settings(1, ()), "classes"),
+        (lambda: api.Settings(1, (READ, READ)), "classes"),
+        (lambda: api.Settings(1, (READ,), warm_us=-1), "warm_us"),
+    ],
+)
+def test_impossible_settings_name_their_field(make, field):
+    with pytest.raises(ValueError, match=field):
+        make()
+
+
+def test_absent_settings_mean_that_a_thing_does_not_apply():
+    assert api.Settings(1, (READ,)).budget_window_us == 0
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,488 @@
+"""The rules and the mechanism, one head driven by hand-written events."""
+
+import random
+
+import pytest
+
+from harriertrack import interface as api
+from harriertrack.scheduler import WINDOW_MOST, Scheduler
+
+MS = 1000
+SECOND = 1_000_000
+READ = api.RequestClass("r", 300 * MS, 1500 * MS, 3, 0.1, api.Effect.SAFE)
+WRITE = api.RequestClass("w", 500 * MS, 2500 * MS, 2, 0.1, api.Effect.KEYED, api.Group.CELL, 2000 * MS, writes=True)
+ONCE = api.RequestClass("u", 500 * MS, 2500 * MS, 2, 0.1, api.Effect.UNSAFE)
+BULK = api.RequestClass("b", 2000 * MS, 6000 * MS, 1, 0.2, api.Effect.SAFE)
+ORDERED = api.RequestClass("o", 500 * MS, 2500 * MS, 2, 0.1, api.Effect.SAFE, in_order=True)
+STREAM = api.RequestClass("s", 300 * MS, 1500 * MS, 1, 0.1, api.Effect.SAFE, streams=True)
+GOLD = api.Plan("gold", 10, 5, weight=3)
+TIN = api.Plan("tin", 10, 0, weight=1)
+CAPPED = api.Plan("capped", 2, 1, limit=4, limit_burst=8, limit_slack=1)
+
+
+def settings(**changes):
+    values = dict(
+        heads=2, classes=(READ, WRITE, ONCE, BULK, ORDERED, STREAM), plans=(GOLD, TIN, CAPPED), max_attempts=3,
+        may_cancel=True, may_hint=True, max_hint_us=SECOND, drain_grace_us=SECOND, fall_multiple=2, fall_us=SECOND,
+        cold_share=0.2, warm_us=10 * SECOND, cold_units=4, mean_units=1, most_units=4, tick_us=2 * MS,
+        order_settle_us=400 * MS,
+    )  # fmt: skip
+    return api.Settings(**{**values, **changes})
+
+
+class Head:
+    """Drives one instance, keeps its clock and timers, and checks the rules that hold always."""
+
+    def __init__(self, nodes=("n0",), seed=1, start=1_000_000_000, **changes):
+        self.settings = settings(**changes)
+        self.unit = Scheduler(self.settings, seed)
+        self.now = start
+        self.timers, self.sent, self.answers, self.log = [], [], {}, []
+        self.attempts, self.owed, self.asked, self.serial = {}, {}, [], 0
+        entries = [api.NodeEntry(name, shard) for shard, name in enumerate(nodes)]
+        self.feed(api.NodesChanged(api.ListKind.RESTORED, entries))
+
+    def feed(self, *events):
+        actions = self.unit.handle(self.now, list(events))
+        for action in actions:
+            self.log.append((self.now, action))
+            match action:
+                case api.Send():
+                    assert action.request not in self.answers, "sent after its final answer"
+                    number = self.attempts.get(action.request, 0)
+                    assert number < self.settings.max_attempts
+                    self.attempts[action.request] = number + 1
+                    self.sent.append((self.now, action.request, number, action.node))
+                case api.Refuse() | api.Fail():
+                    assert action.request not in self.answers, "two final answers"
+                    self.answers[action.request] = action
+                case api.SetTimer():
+                    assert action.at_us > self.now
+                    self.timers.append((action.at_us, action.token))
+        return actions
+
+    def run(self, until):
+        until += self.now
+        while True:
+            due = sorted(timer for timer in self.timers if timer[0] <= until)
+            if not due:
+                break
+            self.timers.remove(due[0])
+            self.now = max(self.now, due[0][0])
+            self.feed(api.Woken(due[0][1]))
+        self.now = until
+
+    def ask(self, kind="r", plan="gold", volume="v", key="", shard=0, units=1, left=None, hosts=1):
+        self.serial += 1
+        if left is None:
+            left = next(one.deadline_us for one in self.settings.classes if one.name == kind)
+        self.owed[self.serial] = self.now + left
+        self.asked.append(self.now)
+        self.feed(api.Arrived(self.serial, kind, plan, volume, key, shard, units, left, hosts))
+        return self.serial
+
+    def end(self, request, attempt=0, node="n0", result=api.Result.OK, elapsed=20 * MS, **more):
+        over = more.pop("over", result is api.Result.OK)
+        if over:
+            assert request not in self.answers
+            self.answers[request] = "served"
+        return self.feed(api.Ended(request, attempt, node, result, elapsed, over, **more))
+
+    def requests(self):
+        return [request for _, request, _, _ in self.sent]
+
+
+def fill(head, **ask):
+    """Fill the first window with requests of a volume of its own."""
+    taken = [head.ask(volume="filler", plan="tin", **ask) for _ in range(3)]
+    assert head.requests()[-3:] == taken
+    return taken
+
+
+def test_every_request_is_answered_before_the_client_leaves():
+    head = Head()
+    first = head.ask()
+    head.run(1600 * MS)
+    assert isinstance(head.answers[first], api.Refuse)
+    at = next(at for at, action in head.log if isinstance(action, api.Refuse))
+    assert head.owed[first] - 8 * MS <= at <= head.owed[first]
+    assert any(isinstance(action, api.Cancel) for _, action in head.log)
+
+
+@pytest.mark.parametrize("kind", ["w", "u"])
+def test_what_may_have_run_is_failed_never_refused(kind):
+    head = Head()
+    request = head.ask(kind, shard=-1)
+    head.run(2600 * MS)
+    assert isinstance(head.answers[request], api.Fail)
+
+
+@pytest.mark.parametrize("result", [r for r in api.Result if r.never_ran and r is not api.Result.CONNECT_FAILED])
+def test_unsafe_goes_again_only_when_it_never_ran(result):
+    head = Head(("n0", "n1"))
+    request = head.ask("u", shard=-1)
+    head.end(request, 0, head.sent[0][3], result, over=False)
+    assert head.requests() == [request, request]
+
+
+@pytest.mark.parametrize("result", [r for r in api.Result if not r.never_ran and r is not api.Result.OK])
+def test_unsafe_that_may_have_run_ends(result):
+    head = Head(("n0", "n1"))
+    request = head.ask("u", shard=-1)
+    head.end(request, 0, head.sent[0][3], result, over=False)
+    assert head.requests() == [request]
+    assert isinstance(head.answers[request], api.Fail)
+
+
+@pytest.mark.parametrize("result", [api.Result.ERROR, api.Result.RESET])
+def test_keyed_that_may_have_run_stays_in_its_cell(result):
+    for seed in range(8):
+        head = Head(("n0", "n1", "n2"), seed=seed)
+        request = head.ask("w", shard=-1)
+        head.end(request, 0, head.sent[0][3], result, over=False)
+        assert [node for _, _, _, node in head.sent] == [head.sent[0][3]] * 2
+
+
+def test_keyed_is_not_sent_again_after_its_window():
+    short = api.RequestClass("w", 500 * MS, 2500 * MS, 2, 0.1, api.Effect.KEYED, api.Group.CELL, 50 * MS)
+    head = Head(classes=(READ, short))
+    request = head.ask("w")
+    head.run(60 * MS)
+    head.end(request, result=api.Result.RESET, over=False)
+    assert head.requests() == [request]
+    assert isinstance(head.answers[request], api.Fail)
+
+
+def test_connect_failure_makes_a_node_suspect_and_a_new_object_goes_elsewhere():
+    head = Head(("n0", "n1"))
+    request = head.ask("u", shard=-1)
+    bad = head.sent[0][3]
+    head.end(request, 0, bad, api.Result.CONNECT_FAILED, over=False)
+    assert head.sent[1][3] != bad
+    refused = head.ask(shard=int(bad[1]))
+    assert isinstance(head.answers[refused], api.Refuse)
+    head.run(600 * MS)
+    trial = head.ask(shard=int(bad[1]))
+    assert trial in head.requests()
+    assert isinstance(head.answers[head.ask(shard=int(bad[1]))], api.Refuse)
+
+
+def test_resets_leave_a_node_in_use_but_new_objects_avoid_it():
+    head = Head(("n0", "n1"))
+    for _ in range(20):
+        request = head.ask(shard=0)
+        for attempt in range(3):
+            if request not in head.answers:
+                head.end(request, attempt, "n0", api.Result.RESET, over=False)
+        head.run(50 * MS)
+    assert head.ask(shard=0) in head.requests()
+    head.end(head.ask(shard=1), 0, "n1")
+    for _ in range(3):
+        head.ask("w", shard=-1)
+        assert head.sent[-1][3] == "n1"
+
+
+def test_silent_node_gets_no_more_than_a_trickle():
+    head = Head()
+    fill(head)
+    head.run(900 * MS)
+    before = len(head.sent)
+    for _ in range(100):
+        head.ask()
+        head.run(20 * MS)
+    assert 1 <= len(head.sent) - before <= 4
+
+
+def test_short_pause_does_not_make_a_node_suspect():
+    head = Head()
+    one = head.ask()
+    head.run(300 * MS)
+    head.end(one, elapsed=300 * MS)
+    assert head.ask() in head.requests()
+
+
+def test_drain_keeps_reads_for_half_the_grace_and_new_objects_away():
+    head = Head(("n0", "n1"))
+    head.feed(api.NodesChanged(api.ListKind.CHANGES, [api.NodeEntry("n0", 0, api.NodeState.DRAINING)]))
+    for _ in range(5):
+        assert head.sent == [] or head.sent[-1][3] == "n1"
+        head.end(head.ask("w", shard=-1), node="n1")
+    assert head.ask(shard=0) in head.requests()
+    head.run(600 * MS)
+    assert isinstance(head.answers[head.ask(shard=0)], api.Refuse)
+
+
+def test_gone_node_gets_nothing_and_its_replacement_serves_the_shard():
+    head = Head(("n0", "n1"))
+    head.feed(api.NodesChanged(api.ListKind.FULL, [api.NodeEntry("n1", 1), api.NodeEntry("n9", 0)]))
+    head.ask(shard=0)
+    assert head.sent[-1][3] == "n9"
+    head.feed(api.NodesChanged(api.ListKind.CHANGES, [api.NodeEntry("n9", 0, api.NodeState.GONE)]))
+    assert isinstance(head.answers[head.ask(shard=0)], api.Refuse)
+
+
+def cold_sends(answer_after):
+    """Units sent to a cold node in each of nine seconds, answered after so many ms or (None) never."""
+    head = Head(classes=(BULK,))
+    head.feed(api.NodesChanged(api.ListKind.CHANGES, [api.NodeEntry("n0", 0, started_us=head.now)]))
+    by_second = []
+    for _ in range(9):
+        before = len(head.sent)
+        for _ in range(50):
+            head.ask("b")
+            head.run(20 * MS)
+            for at, request, _, _ in head.sent:
+                if request not in head.answers and answer_after and head.now - at >= answer_after * MS:
+                    head.end(request, elapsed=head.now - at)
+        by_second.append(len(head.sent) - before)
+    return by_second
+
+
+def test_cold_node_gets_our_part_then_grows_with_what_it_proved():
+    assert sum(cold_sends(None)[:2]) <= 3  # a part of two units a second for each of two heads
+    slow, quick = cold_sends(400), cold_sends(20)
+    assert slow[0] <= 3 and quick[0] < 30
+    assert quick[-1] > slow[-1] >= 2
+
+
+def test_limit_is_kept_and_an_earlier_life_is_not_forgotten():
+    head = Head()
+    for _ in range(100):
+        head.ask(plan="capped", hosts=2)
+        head.run(50 * MS)
+        for request in head.requests():
+            if request not in head.answers:
+                head.end(request)
+    assert 7 <= len(head.sent) <= 10  # half of 4 a second for 5 seconds, from an empty store
+    assert head.sent[0][0] > 1_000_000_000 + 400 * MS
+
+
+def test_budget_of_further_attempts():
+    head = Head(budget_free=1, budget_share=0.1, budget_window_us=5 * SECOND)
+    for _ in range(30):
+        request = head.ask()
+        head.end(request, result=api.Result.ERROR, over=False)
+        if request not in head.answers:
+            head.end(request, 1, result=api.Result.OK)
+        head.run(10 * MS)
+    further = sum(1 for _, _, number, _ in head.sent if number)
+    assert 2 <= further <= 1 + 3
+
+
+def test_order_within_a_key_with_rest_after_a_reset():
+    head = Head()
+    first, second, other = head.ask("o", key="k"), head.ask("o", key="k"), head.ask("o", key="j")
+    assert head.requests() == [first, other]
+    head.end(first, result=api.Result.RESET, over=False)
+    assert head.requests()[-1] == first
+    head.end(first, 1)
+    assert second not in head.requests()
+    head.run(399 * MS)
+    assert second not in head.requests()
+    head.run(2 * MS)
+    assert second in head.requests()
+
+
+def test_begun_stream_has_no_deadline():
+    head = Head()
+    request = head.ask("s")
+    head.feed(api.Begun(request, 0))
+    head.run(5 * SECOND)
+    assert request not in head.answers
+
+
+def test_reservation_goes_first_then_turns_by_weight():
+    head = Head(plans=(api.Plan("gold", 10, 50, weight=1), api.Plan("w3", 10, 0, weight=3), TIN))
+    fillers = fill(head)
+    held = []
+    for _ in range(8):
+        held += [(name, head.ask(plan=name, volume=name)) for name in ("tin", "w3")]
+    reserved = head.ask(plan="gold", volume="gold")
+    assert reserved not in head.requests()
+    head.end(fillers[0])
+    assert head.requests()[-1] == reserved
+    names = dict((request, name) for name, request in held)
+    for _ in range(8):
+        head.end(next(r for r in head.requests() if r not in head.answers))
+    order = [names[r] for r in head.requests() if r in names]
+    assert 2 <= order.count("w3") / max(1, order.count("tin")) <= 4
+    for name in ("tin", "w3"):
+        mine = [r for r in head.requests() if names.get(r) == name]
+        assert mine == sorted(mine)
+
+
+def test_one_keys_run_shares_a_turn():
+    head = Head(plans=(TIN, api.Plan("two", 10, 0)))
+    fillers = fill(head)
+    run = [head.ask(plan="tin", volume="a", key="same") for _ in range(3)]
+    head.ask(plan="two", volume="b", key="other")
+    for filler in fillers:
+        head.end(filler)
+    assert head.requests()[-3:] == run
+
+
+def test_background_class_waits_for_the_volumes_own_work():
+    head = Head()
+    fillers = fill(head)
+    bulk, read = head.ask("b"), head.ask("r")
+    head.end(fillers[0])
+    assert head.requests()[-1] == read
+    head.end(fillers[1])
+    assert head.requests()[-1] == bulk
+
+
+def test_overflow_is_refused_on_arrival_with_a_hint():
+    head = Head()
+    for _ in range(10):
+        request = head.ask()
+        head.run(100 * MS)
+        head.end(request, elapsed=100 * MS)
+    answers = [head.answers.get(head.ask()) for _ in range(60)]
+    refused = [answer for answer in answers if isinstance(answer, api.Refuse)]
+    assert answers[0] is None and len(refused) > 30
+    assert all(0 < answer.retry_after_us <= SECOND for answer in refused)
+
+
+def test_hopeless_held_request_is_answered_at_once():
+    head = Head()
+    fill(head)
+    request = head.ask()
+    head.run(301 * MS)
+    assert isinstance(head.answers[request], api.Refuse)
+
+
+def test_later_try_counts_its_aim_from_the_first():
+    head = Head()
+    head.end(head.ask())
+    fill(head)
+    late = head.ask(left=1000 * MS)
+    assert isinstance(head.answers[late], api.Refuse)
+
+
+def test_window_narrows_when_latency_grows_and_stays_under_the_ceiling():
+    def most_out(latency):
+        head = Head()
+        for _ in range(300):
+            for _ in range(60):
+                head.ask(shard=0, left=1500 * MS)
+            out = [r for r in head.requests() if r not in head.answers]
+            head.run(20 * MS)
+            for request in out:
+                if request not in head.answers:
+                    head.end(request, elapsed=latency(len(out)))
+        return len(out)
+
+    quick, slow = most_out(lambda out: 20 * MS), most_out(lambda out: out * 20 * MS)
+    assert slow < quick <= WINDOW_MOST
+    assert slow <= 3
+
+
+def test_operation_credits_come_back():
+    head = Head()
+    for _ in range(300):
+        head.end(head.ask())
+    session = head.unit._volumes[("v", "gold")].sessions[False]
+    assert (session.operations, session.payload) == (128, 64)
+
+
+def test_meter_gives_the_leading_head_the_whole_reserve():
+    def rate(used):
+        head = Head(meter_us=SECOND)
+        for _ in range(20):
+            head.end(head.ask(hosts=2), used_percent=used)
+            head.run(100 * MS)
+        return head.unit._volumes[("v", "gold")].reserve.rate
+
+    assert rate(used=1) == 5
+    assert rate(used=1000) == 2.5
+    assert rate(used=0) >= 2.5
+
+
+def test_list_is_asked_for_again_with_backoff():
+    head = Head(asked_list=True)
+    calls = [at for at, action in head.log if isinstance(action, api.Subscribe)]
+    assert len(calls) == 1
+    for _ in range(6):
+        head.feed(api.NodesChanged(api.ListKind.FAILED))
+        head.run(9 * SECOND)
+    calls = [at for at, action in head.log if isinstance(action, api.Subscribe)]
+    assert len(calls) == 7
+    gaps = [(b - a) % (9 * SECOND) for a, b in zip(calls, calls[1:], strict=False)]
+    assert gaps[0] < gaps[-1] or gaps[-1] == 0
+
+
+def test_unknown_and_late_events_are_tolerated():
+    head = Head()
+    request = head.ask()
+    head.end(request)
+    late = [
+        api.Ended(request, 0, "n0", api.Result.OK, 1, True), api.Ended(99, 0, "n0", api.Result.OK, 1, True),
+        api.Ended(request, 7, "gone", api.Result.RESET, 1, False), api.ClientGone(99), api.Begun(99, 0),
+        api.Woken("no such"), api.Probed("nobody", api.Result.OK, 1),
+    ]  # fmt: skip
+    for event in late:
+        assert [a for a in head.feed(event) if not isinstance(a, api.SetTimer)] == []
+    refused = Head()
+    assert refused.feed(api.Arrived(1, "nonesuch", "gold", "v", "", 0, 1, SECOND))[0] == api.Refuse(1)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_drawn_sequences_keep_the_rules(seed):
+    rng = random.Random(seed)
+    names = [f"n{i}" for i in range(4)]
+    limits = dict(budget_free=2, budget_share=0.2, budget_window_us=2 * SECOND)
+    head = Head(names, seed=seed, **limits)
+    told, settled, maybe_ran = {}, set(), {}
+    for _ in range(1500):
+        head.run(rng.choice((2, 2, 10, 40)) * MS)
+        roll = rng.random()
+        checked = len(head.sent)
+        if roll < 0.55:
+            kind = rng.choice("rwubos")
+            shard = -1 if kind in "wu" else rng.randrange(4)
+            head.ask(kind, rng.choice(("gold", "tin", "capped")), rng.choice("xyz"), rng.choice("kj"), shard,
+                     rng.randint(1, 4), hosts=2)  # fmt: skip
+        elif roll < 0.57:
+            name = rng.choice(names)
+            state = rng.choice(list(api.NodeState))
+            told[name] = (state, head.now)
+            head.feed(api.NodesChanged(api.ListKind.CHANGES, [api.NodeEntry(name, int(name[1]), state)]))
+        else:
+            open_attempts = [one for one in head.sent if (one[1], one[2]) not in settled]
+            if open_attempts:
+                _, request, number, node = rng.choice(open_attempts)
+                settled.add((request, number))
+                result = rng.choice([api.Result.OK] * 6 + [r for r in api.Result if r is not api.Result.OK])
+                if not result.never_ran:
+                    maybe_ran.setdefault(request, node)
+                over = request in head.answers or result is api.Result.OK
+                if over and request not in head.answers:
+                    head.answers[request] = "served"
+                head.feed(api.Ended(request, number, node, result, 30 * MS, over))
+        for at, request, number, node in head.sent[checked:]:
+            state, when = told.get(node, (api.NodeState.UP, 0))
+            assert state is api.NodeState.UP or at <= when + head.settings.drain_grace_us
+            assert number == 0 or request not in maybe_ran or maybe_ran[request] == node
+    head.run(10 * SECOND)
+    assert set(head.owed) == set(head.answers)
+    assert len(head.owed) > 500
+    further = [at for at, _, number, _ in head.sent if number]
+    for at in further:
+        inside = sum(1 for one in further if at - 2 * SECOND <= one <= at)
+        asked = sum(1 for one in head.asked if at - 2 * SECOND <= one <= at)
+        assert inside <= 2 + 0.2 * asked
+    assert further
+
+
+def test_same_events_and_seed_give_the_same_actions():
+    def play():
+        head = Head([f"n{i}" for i in range(5)], seed=4)
+        rng = random.Random(2)
+        for _ in range(400):
+            request = head.ask(rng.choice("rwb"), volume=rng.choice("abc"), shard=-1 if rng.random() < 0.5 else 2)
+            if request in head.requests() and rng.random() < 0.7:
+                head.end(request, 0, head.sent[-1][3])
+            head.run(5 * MS)
+        return head.log
+
+    assert play() == play()
