Lost attempts free the window and count as no silence; keyed window checked at the send

Should guard against any loss of single attempts or answers; harm: one more out at a node that only crawls. A keyed retry held past its cell's window is no longer sent.

--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -31,13 +31,13 @@
 LATENCY_GAIN = 0.2  # weight of one answer in a node's mean latency
 SILENT_US = 400_000  # a node is silent when it owes answers longer than this, above pauses and flushes ...
 SILENT_TIMES = 4.0  # ... and than this many of its own mean latencies
+LOST_US = 300_000  # an overtaken attempt is lost after this and as many mean latencies
 SWEEP_US = 50_000  # how often silence is looked for
 TRIAL_US = 500_000  # a silent node gets one request this often, twice as rarely after each ...
 TRIAL_MOST_US = 2_000_000  # ... up to this
 COLD_GROWTH = 1.5  # a cold node gets at most this multiple of what it just proved, below any fall multiple
 BACKGROUND_AIM = 3.0  # a class whose aim is this many times the shortest, and worth less, is background
 RESUBSCRIBE_US, RESUBSCRIBE_MOST_US = 300_000, 4_000_000  # wait after a failed list call, doubled each time
-ADMIT = 1.0  # admit what should finish within this many aims: what turns out too slow still expires
 ANSWER_TICKS = 2  # final answers are given this many ticks before the client's time is up
 SPREAD = 0.3  # random part of a placement score: heads that see the same must not all pick the same node
 BROKEN_GAIN = 0.1  # weight of one outcome in a node's share of broken attempts
@@ -53,6 +53,10 @@
     most: float = 0.0
     level: float = 0.0
 
+    def wait(self, now: int, units: float) -> int:
+        """How long until it holds so many units."""
+        return int(max(0.0, units - self.now(now)) / max(self.rate, 1e-9) * 1e6)
+
     def now(self, now: int) -> float:
         """Fill up to the present and return the level."""
         self.level = min(self.most, self.level + self.rate * (now - self.at) / 1e6)
@@ -123,6 +127,7 @@
     unit_us: float = 0.0  # the best time for a unit; 0: unheard, counts as average
     latency_us: float = 0.0
     narrowed_at: int = 0
+    answered_at: int = 0  # when the latest of the answered attempts was sent
     silent_at: int = 0  # 0: not suspect
     trial_at: int = 0
     trial_wait: int = TRIAL_US
@@ -154,19 +159,17 @@
         self._taken: deque[int] = deque()
         self._further: deque[int] = deque()
         self._heap: list[tuple[int, int, Callable[..., None], tuple]] = []
-        self._serial = 0
-        self._wake_at = 0
+        self._serial = self._wake_at = 0
         self._list_wait = RESUBSCRIBE_US
         self._mean_latency = 0.0
         self._out: list[Action] = []
-        self._touched: dict[str, None] = {}  # nodes to pump at the end of this batch
-        self._now = 0
-        self._born: int | None = None
+        self._touched: dict[_Node, None] = {}  # nodes to pump at the end of this batch
+        self._now, self._born = 0, -1  # the time of the first batch
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment and return the actions, in order."""
         self._now = now
-        if self._born is None:
+        if self._born < 0:
             self._born = now
             self._sweep()
         self._out = actions = []
@@ -177,10 +180,9 @@
                     self._arrived(event)
                 case Ended():
                     self._ended(event)
-                    touched[event.node] = None
                 case NodesChanged():
                     self._list_news(event)
-                    touched.update(dict.fromkeys(self._nodes))
+                    touched.update(dict.fromkeys(self._nodes.values()))
                 case ClientGone():
                     if (work := self._works.get(event.request)) is not None and not work.over:
                         self._close(work)
@@ -193,9 +195,8 @@
         while self._heap and self._heap[0][0] <= now:
             _, _, act, arguments = heapq.heappop(self._heap)
             act(*arguments)
-        for name in list(touched):
-            if name in self._nodes:
-                self._pump(self._nodes[name])
+        for node in list(touched):
+            self._pump(node)
         if self._floating:
             self._share_out()
         if self._heap and (not self._wake_at or self._heap[0][0] < self._wake_at):
@@ -283,14 +284,25 @@
         """Look for nodes that owe answers for longer than pauses, flushes and usual latency explain."""
         self._at(self._now + SWEEP_US, self._sweep)
         for node in self._nodes.values():
-            if node.out:
-                since = max(node.heard_at, next(iter(node.out.values()))[0])
-                patience = max(SILENT_US, SILENT_TIMES * (node.latency_us or self._mean_latency))
-                if not node.silent_at and self._now - since > patience:
-                    self._suspect(node, "silent")
+            # Only what was sent after the last answered attempt tells of silence: the rest was overtaken.
+            sent = next((sent for sent, _, _ in node.out.values() if sent > node.answered_at), self._now)
+            if not node.silent_at and self._now - max(node.heard_at, sent) > self._patience(node, SILENT_US):
+                self._suspect(node, "silent")
             if node.held:
                 self._pump(node)
 
+    def _patience(self, node: _Node, least: int) -> float:
+        return max(least, SILENT_TIMES * (node.latency_us or self._mean_latency))
+
+    def _full(self, node: _Node) -> bool:
+        """Whether a node's window has no room. An attempt that later ones overtook long ago is lost, whatever
+        swallowed it, and would block a narrow window for seconds. Harm: one more out if it only crawls."""
+        out = len(node.out)
+        if out >= int(node.window):
+            old = min(node.answered_at, self._now - self._patience(node, LOST_US))
+            out -= sum(sent_at < old for sent_at, _, _ in node.out.values())
+        return out >= int(node.window)
+
     def _suspect(self, node: _Node, why: str) -> None:
         """Send no more than a trickle to a node that is silent or unreachable until it answers."""
         if not node.silent_at:
@@ -307,14 +319,12 @@
             if sent_at > node.silent_at - SILENT_US and self._now - node.silent_at > SILENT_US * 5:
                 self._chill(node, self._now)
             node.silent_at = 0
-        node.heard_at = self._now
+        node.heard_at, node.answered_at = self._now, max(node.answered_at, sent_at)
 
     def _arrived(self, ask: Arrived) -> None:
         now, kind = self._now, self._classes.get(ask.class_name)
-        if ask.request in self._works:
-            return
-        if kind is None:
-            self._out.append(Refuse(ask.request))
+        if kind is None or ask.request in self._works:
+            self._out.extend([Refuse(ask.request)] if kind is None else [])
             return
         if self.settings.budget_window_us:
             self._taken.append(now)
@@ -359,10 +369,9 @@
 
     def _share(self, volume: _Volume) -> None:
         """Set this head's part of a reserve: the even slice, or what the meters say the others leave."""
-        reserve = volume.plan.reserve
-        part = reserve / volume.hosts
+        part = volume.plan.reserve / volume.hosts
         if self.settings.meter_us:
-            part = max(part, reserve - volume.others)
+            part = max(part, volume.plan.reserve - volume.others)
         volume.reserve.now(self._now)
         volume.reserve.rate, volume.reserve.most = part, part + self.settings.most_units
 
@@ -375,31 +384,23 @@
             self._give_up(work, self.settings.max_hint_us)
             return
         wait = self._wait(work, node)
-        busy = bool(node.held) or len(node.out) >= int(node.window)
-        if wait > ADMIT * (work.aim_at - self._now) or (work.late and busy):
+        busy = bool(node.held) or self._full(node)
+        if wait > work.aim_at - self._now or (work.late and busy):
             self._give_up(work, wait)
             return
         limit = work.session.volume.limit
-        if limit is not None and not work.charged:
-            fills = self._fills(limit, work.ask.units)
-            if fills > work.aim_at - self._now:
-                self._give_up(work, fills)
-                return
+        fills = limit.wait(self._now, work.ask.units) if limit is not None and not work.charged else 0
+        if fills > work.aim_at - self._now:
+            self._give_up(work, fills)
+            return
         self._hold(work, node)
 
-    def _fills(self, store: _Store, units: float) -> int:
-        """How long until a store holds so many units."""
-        return int(max(0.0, units - store.now(self._now)) / max(store.rate, 1e-9) * 1e6)
-
     def _hold(self, work: _Work, node: _Node, first: bool = False) -> None:
         work.node = node
-        self._touched[node.entry.node] = None
+        self._touched[node] = None
         queue = node.held.setdefault(work.session, deque())
         node.deficit.setdefault(work.session, 0.0)
-        if first:
-            queue.appendleft(work)
-        else:
-            queue.append(work)
+        (queue.appendleft if first else queue.append)(work)
         node.held_units += work.ask.units
         if work.shard < 0:
             self._floating[work.ask.request] = work
@@ -410,7 +411,7 @@
         if (node := work.node) is None:
             return
         work.node = None
-        self._touched[node.entry.node] = None
+        self._touched[node] = None
         node.held[work.session].remove(work)
         node.held_units -= work.ask.units
         if not node.held[work.session]:
@@ -479,8 +480,9 @@
         if work is None or node is None or event.attempt not in work.out:
             return
         work.out.remove(event.attempt)
+        self._touched[node] = None
         sent_at, units, full = node.out.pop((event.request, event.attempt))
-        session, result, now = work.session, event.result, self._now
+        session, result = work.session, event.result
         session.operations += 1
         session.payload += units
         if result in (Result.OK, Result.ERROR):
@@ -495,15 +497,14 @@
             self._suspect(node, "unreachable")
         # A reset alone says little: a link that breaks a part of the answers still earns with the rest, and
         # a node that died refuses the next connection. It counts where there is a choice, in _place.
-        node.broken += BROKEN_GAIN * ((result in (Result.RESET, Result.ERROR)) - node.broken)
+        node.broken += BROKEN_GAIN * ((not result.never_ran and result is not Result.OK) - node.broken)
         if result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED) and work.kind.in_order:
-            self._rest[work.ask.key] = now + self.settings.order_settle_us
+            self._rest[work.ask.key] = self._now + self.settings.order_settle_us
         if not result.never_ran and work.risky_at is None:
             work.risky_at = sent_at
             if work.kind.effect is Effect.KEYED and work.kind.group is not Group.ALL:
                 work.shard = node.entry.shard
-        if event.over:
-            work.over = True
+        work.over = work.over or event.over
         if work.over:
             self._settle(work)
         elif not work.out:
@@ -511,13 +512,9 @@
 
     def _again(self, work: _Work, node: _Node, result: Result) -> None:
         """Send a request again where its class, its attempts and the budget allow, else end it."""
-        now, kind = self._now, work.kind
-        allowed = work.tries < self.settings.max_attempts and now < work.aim_at and self._budget()
+        allowed = work.tries < self.settings.max_attempts and self._now < work.aim_at and self._budget()
         if work.risky_at is not None:
-            if kind.effect is Effect.UNSAFE or result is Result.TIMEOUT:
-                allowed = False
-            elif kind.effect is Effect.KEYED:
-                allowed = allowed and now < work.risky_at + kind.window_us
+            allowed = allowed and result is not Result.TIMEOUT and self._in_window(work)
         if not allowed:
             self._give_up(work, self._wait(work, node))
             return
@@ -527,6 +524,11 @@
         else:
             self._hold(work, target, first=True)
 
+    def _in_window(self, work: _Work) -> bool:
+        """Whether another attempt can do no second effect now: its class or its cell forgives it."""
+        forgets = work.kind.window_us if work.kind.effect is Effect.KEYED else 0
+        return work.risky_at is None or work.kind.effect is Effect.SAFE or self._now < work.risky_at + forgets
+
     def _budget(self) -> bool:
         """Whether the budget of further attempts allows one more now."""
         span = self.settings.budget_window_us
@@ -558,8 +560,7 @@
             self._narrow(node, NARROW)
 
     def _narrow(self, node: _Node, by: float) -> None:
-        node.window = max(WINDOW_LEAST, node.window * by)
-        node.narrowed_at = self._now
+        node.window, node.narrowed_at = max(WINDOW_LEAST, node.window * by), self._now
 
     def _meter(self, volume: _Volume, event: Ended, units: float) -> None:
         """Learn from the meters what the volume gets through other heads."""
@@ -581,8 +582,8 @@
             if node.entry.state is not NodeState.UP or node.silent_at:
                 continue
             latency = node.latency_us or self._mean_latency or 1.0
-            units = node.held_units + work.ask.units
-            load = (len(node.out) + units / self.settings.mean_units) / node.window
+            held = (node.held_units + work.ask.units) / self.settings.mean_units
+            load = (len(node.out) + held) / node.window
             chance = (1 + SPREAD * self._random.random()) / (1 - min(node.broken, 0.9)) ** 3
             score = (node.cold_until > self._now, latency * (1 + load) * chance)
             if score < best_score:
@@ -592,10 +593,10 @@
     def _share_out(self) -> None:
         """Let nodes with room take held new objects from busier ones."""
         for work in list(self._floating.values()):
-            if work.node is None or len(work.node.out) < int(work.node.window):
+            if work.node is None or not self._full(work.node):
                 continue
             node = self._place(work)
-            if node is None or node.held or len(node.out) >= int(node.window) or node.cold_until > self._now:
+            if node is None or node.held or self._full(node) or node.cold_until > self._now:
                 continue
             self._unhold(work)
             self._hold(work, node)
@@ -606,7 +607,7 @@
         latency = node.latency_us or self._mean_latency
         mean = self.settings.mean_units
         service = self._service(work, node)
-        if not node.held and len(node.out) < int(node.window):
+        if not node.held and not self._full(node):
             return service
         rate = max(node.window, 1.0) * mean / max(latency, 1.0)  # units a microsecond, by Little's law
         own = sum(held.ask.units for held in node.held.get(work.session, ()))
@@ -637,10 +638,10 @@
                 return False
         if (limit := session.volume.limit) is not None and not work.charged and limit.now(self._now) < units:
             if work.wait <= self._now:
-                work.wait = self._now + self._fills(limit, units) + 1
+                work.wait = self._now + limit.wait(self._now, units) + 1
                 self._at(work.wait, self._pump, work.node)
             return False
-        return not work.tries or self._budget()
+        return not work.tries or (self._in_window(work) and self._budget())
 
     def _first(self, queue: deque[_Work]) -> _Work | None:
         """The first request that may go: strictly the oldest, but a key that must wait blocks only itself."""
@@ -680,7 +681,7 @@
                     return
                 node.trial_wait = min(node.trial_wait * 2, TRIAL_MOST_US)
                 node.trial_at = self._now + node.trial_wait
-            elif len(node.out) >= int(node.window):
+            elif self._full(node):
                 return
             work = self._next(node)
             if work is None:
@@ -707,7 +708,6 @@
             node.cold_debt = 0.0
         node.last_key = work.ask.key
         work.out.add(work.tries)
-        full = len(node.out) + 1 >= int(node.window)
-        node.out[(work.ask.request, work.tries)] = (now, units, full)
+        node.out[(work.ask.request, work.tries)] = (now, units, len(node.out) + 1 >= int(node.window))
         work.tries += 1
         self._out.append(Send(work.ask.request, node.entry.node))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -486,3 +486,15 @@
         return head.log
 
     assert play() == play()
+
+
+def test_lost_attempt_frees_the_window_and_is_no_silence():
+    head = Head()
+    lost = head.ask()
+    for _ in range(8):
+        head.run(20 * MS)
+        head.end(head.ask())
+    head.run(500 * MS)
+    assert not any(isinstance(action, api.Log) for _, action in head.log)
+    again = [head.ask() for _ in range(3)]
+    assert all(request in head.requests() for request in again) and lost not in head.answers
