Wait in turns counts what reserved sends take of a node's rate

Cause: held work was admitted on a rate that reservations then took, and expired instead of being refused on arrival.

--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -136,6 +136,7 @@
     cold_done: deque[tuple[int, float]] = field(default_factory=deque)
     cold_debt: float = 0.0
     last_key: str = ""
+    reserved: float = 0.0  # share of the latest sends that went first: turns get only the rest of the rate
     broken: float = 0.0  # share of the latest attempts that broke off
 
 
@@ -621,7 +622,7 @@
             weights = sum(session.weight for session in node.held)
             if work.session not in node.held:
                 weights += work.session.weight
-            ahead = min(own * weights / work.session.weight, node.held_units)
+            ahead = min(own * weights / work.session.weight, node.held_units) / (1 - min(node.reserved, 0.8))
         return int(ahead / rate + service)
 
     def _reserved(self, session: _Session) -> bool:
@@ -695,6 +696,7 @@
     def _send(self, work: _Work, node: _Node, cold: bool) -> None:
         session, volume, units, now = work.session, work.session.volume, work.ask.units, self._now
         self._unhold(work)
+        node.reserved += 0.05 * (self._reserved(session) - node.reserved)
         session.operations -= 1
         session.payload -= units
         volume.reserve.level -= units
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -498,3 +498,17 @@
     assert not any(isinstance(action, api.Log) for _, action in head.log)
     again = [head.ask() for _ in range(3)]
     assert all(request in head.requests() for request in again) and lost not in head.answers
+
+
+def test_wait_in_turns_counts_what_reserved_work_takes():
+    def refused(reserved_sends):
+        head = Head(plans=(api.Plan("gold", 1000, 1000), TIN))
+        for _ in range(40):
+            request = head.ask(plan="gold" if reserved_sends else "tin", volume="first")
+            head.run(50 * MS)
+            head.end(request, elapsed=50 * MS)
+        fill(head)
+        answers = [head.answers.get(head.ask(plan="tin", volume="last")) for _ in range(40)]
+        return sum(isinstance(answer, api.Refuse) for answer in answers)
+
+    assert refused(reserved_sends=True) > refused(reserved_sends=False) > 0
