--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -40,6 +40,10 @@
 RESUBSCRIBE_US, RESUBSCRIBE_MOST_US = 300_000, 4_000_000  # wait after a failed list call, doubled each time
 ANSWER_TICKS = 2  # final answers are given this many ticks before the client's time is up
 SPREAD = 0.3  # random part of a placement score: heads that see the same must not all pick the same node
+AGE_US = 3_000_000  # half of what an answer told of a node's latency is forgotten for the head's mean
+CROWDED = (0.5, 1.2)  # of the shortest aim: latency from which reserved work is refused now and then ... mostly
+CROWDED_SPARE = (0.25, 0.7)  # the same for work beyond the reserve and background work: it yields first
+CROWDED_MOST = 0.9  # never all is refused, or the latency would never be heard again
 BROKEN_GAIN = 0.1  # weight of one outcome in a node's share of broken attempts
 METER_GAIN = 0.3  # weight of one meter reading
 
@@ -153,7 +157,6 @@
         self._volumes: dict[tuple[str, str], _Volume] = {}
         self._nodes: dict[str, _Node] = {}
         self._works: dict[int, _Work] = {}
-        self._floating: dict[int, _Work] = {}  # held new objects, oldest first
         self._fullest: dict[str, int] = {}  # the most time that a try of a class came with
         self._order: dict[str, deque[_Work]] = {}
         self._rest: dict[str, int] = {}
@@ -198,8 +201,6 @@
             act(*arguments)
         for node in list(touched):
             self._pump(node)
-        if self._floating:
-            self._share_out()
         if self._heap and (not self._wake_at or self._heap[0][0] < self._wake_at):
             self._wake_at = max(self._heap[0][0], now + 1)
             actions.append(SetTimer(str(self._wake_at), self._wake_at))
@@ -394,8 +395,27 @@
         if fills > work.aim_at - self._now:
             self._give_up(work, fills)
             return
+        if self._crowded(work, node):
+            self._give_up(work, self.settings.max_hint_us)
+            return
         self._hold(work, node)
 
+    def _latency(self, node: _Node) -> float:
+        """A node's latency as last heard, aged toward the head's mean: sparse traffic corrects it rarely."""
+        mean = self._mean_latency
+        return mean + ((node.latency_us or mean) - mean) * AGE_US / (AGE_US + self._now - node.heard_at)
+
+    def _crowded(self, work: _Work, node: _Node) -> bool:
+        """Whether to refuse on signs that all heads together overrun the node, work beyond the reserve first.
+
+        A head that sends a node less than a request a second has no backlog of its own, and a window of one
+        never fills: order among heads must come from admission. Also guards against slow nodes. Harm: after
+        one slow answer (a pause) spare work is refused for a while though the node is free.
+        """
+        low, high = CROWDED if self._reserved(work.session) else CROWDED_SPARE
+        pressure = self._latency(node) / self._shortest
+        return self._random.random() < min(CROWDED_MOST, (pressure - low) / (high - low))
+
     def _hold(self, work: _Work, node: _Node, first: bool = False) -> None:
         work.node = node
         self._touched[node] = None
@@ -403,8 +423,6 @@
         node.deficit.setdefault(work.session, 0.0)
         (queue.appendleft if first else queue.append)(work)
         node.held_units += work.ask.units
-        if work.shard < 0:
-            self._floating[work.ask.request] = work
         if not work.late:
             self._at(max(work.aim_at - self._service(work, node), self._now + 1), self._expired, work)
 
@@ -417,7 +435,6 @@
         node.held_units -= work.ask.units
         if not node.held[work.session]:
             del node.held[work.session], node.deficit[work.session]
-        self._floating.pop(work.ask.request, None)
 
     def _expired(self, work: _Work) -> None:
         """A held request that can't be served by its aim makes room at once for one that can."""
@@ -431,8 +448,7 @@
 
     def _service(self, work: _Work, node: _Node) -> int:
         """How long a request takes at a node from its sending on, as things stand."""
-        latency = node.latency_us or self._mean_latency
-        return int(latency + (work.ask.units - self.settings.mean_units) * node.unit_us)
+        return int(self._latency(node) + (work.ask.units - self.settings.mean_units) * node.unit_us)
 
     def _deadline(self, work: _Work) -> None:
         if not work.over and not work.begun:
@@ -551,7 +567,7 @@
         unit = node.elapsed / node.units
         node.unit_us = min(unit, node.unit_us * (1 + BEST_UP / node.window)) if node.unit_us else unit
         node.latency_us = unit * mean
-        self._mean_latency += 0.02 * (unit * mean - self._mean_latency) if self._mean_latency else unit * mean
+        self._mean_latency += 0.05 * (unit * mean - self._mean_latency) if self._mean_latency else unit * mean
         if node.cold_until > self._now:
             node.cold_done.append((self._now, units))
         if unit < WIDEN * node.unit_us:
@@ -591,21 +607,9 @@
                 best, best_score = node, score
         return best
 
-    def _share_out(self) -> None:
-        """Let nodes with room take held new objects from busier ones."""
-        for work in list(self._floating.values()):
-            if work.node is None or not self._full(work.node):
-                continue
-            node = self._place(work)
-            if node is None or node.held or self._full(node) or node.cold_until > self._now:
-                continue
-            self._unhold(work)
-            self._hold(work, node)
-            self._pump(node)
-
     def _wait(self, work: _Work, node: _Node) -> int:
         """How long a request would wait at a node and be served, from the present backlog and rate."""
-        latency = node.latency_us or self._mean_latency
+        latency = self._latency(node)
         mean = self.settings.mean_units
         service = self._service(work, node)
         if not node.held and not self._full(node):
