--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -29,10 +29,11 @@
 NARROW = 0.85  # one step down, at most one for each latency that has passed
 BEST_UP = 0.003  # the best rises by this part with each window answered: a node may have slowed for good
 LATENCY_GAIN = 0.2  # weight of one answer in a node's mean latency
-SILENT_US = 400_000  # a node is silent when it owes answers longer than this, above pauses and flushes ...
-SILENT_TIMES = 4.0  # ... and than this many of its own mean latencies
-LOST_US = 300_000  # an overtaken attempt is lost after this and as many mean latencies
-SWEEP_US = 50_000  # how often silence is looked for
+OVERDUE_US = 400_000  # an answer is overdue after this, above pauses and flushes ...
+OVERDUE_TIMES = 4.0  # ... and after this many of its node's mean latencies
+SILENT_AFTER = 4.0  # overdue in a row that make a node silent where answers get lost; else one is enough
+LOSSY_GAIN = 0.2  # weight of one overdue attempt in the part of them that were lost answers
+COLD_RETRY_US = 50_000  # how often a cold node with held work is looked at
 TRIAL_US = 500_000  # a silent node gets one request this often, twice as rarely after each ...
 TRIAL_MOST_US = 2_000_000  # ... up to this
 COLD_GROWTH = 1.5  # a cold node gets at most this multiple of what it just proved, below any fall multiple
@@ -41,8 +42,9 @@
 ANSWER_TICKS = 2  # final answers are given this many ticks before the client's time is up
 SPREAD = 0.3  # random part of a placement score: heads that see the same must not all pick the same node
 AGE_US = 3_000_000  # half of what an answer told of a node's latency is forgotten for the head's mean
-CROWDED = (0.5, 1.2)  # of the shortest aim: latency from which reserved work is refused now and then ... mostly
+CROWDED = (0.5, 1.2)  # latency in shortest aims at which refusals of reserved work begin, and are most
 CROWDED_SPARE = (0.25, 0.7)  # the same for work beyond the reserve and background work: it yields first
+SPARSE_US = 700_000  # a node asked for this seldom shows no backlog of ours: only these signs tell
 CROWDED_MOST = 0.9  # never all is refused, or the latency would never be heard again
 BROKEN_GAIN = 0.1  # weight of one outcome in a node's share of broken attempts
 METER_GAIN = 0.3  # weight of one meter reading
@@ -114,6 +116,16 @@
     charged: bool = False
 
 
+@dataclass(slots=True, eq=False)
+class _Attempt:
+    """One attempt that is out."""
+
+    sent_at: int
+    units: float
+    full: bool  # it filled the window
+    overdue: bool = False
+
+
 @dataclass(slots=True, eq=False)
 class _Node:
     """What this head knows of one storage node."""
@@ -124,7 +136,13 @@
     held: dict[_Session, deque[_Work]] = field(default_factory=dict)  # in the order of turns
     held_units: float = 0.0
     deficit: dict[_Session, float] = field(default_factory=dict)
-    out: dict[tuple[int, int], tuple[int, float, bool]] = field(default_factory=dict)  # sent at, units, full
+    out: dict[tuple[int, int], _Attempt] = field(default_factory=dict)
+    overdue: int = 0  # of these, so many are presumed lost and fill no window
+    unheard: int = 0  # overdue ones since the last answer
+    asked_at: int = 0
+    asked_key: str = ""
+    gap_us: float = SPARSE_US  # mean time between requests for it
+    look_at: int = 0
     window: float = WINDOW_START
     units: float = 0.0  # running means of what answers had and took
     elapsed: float = 0.0
@@ -166,18 +184,15 @@
         self._serial = self._wake_at = 0
         self._list_wait = RESUBSCRIBE_US
         self._mean_latency = 0.0
+        self._lossy = 0.0
         self._out: list[Action] = []
         self._touched: dict[_Node, None] = {}  # nodes to pump at the end of this batch
         self._now, self._born = 0, -1  # the time of the first batch
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment and return the actions, in order."""
-        self._now = now
-        if self._born < 0:
-            self._born = now
-            self._sweep()
-        self._out = actions = []
-        self._touched = touched = {}
+        self._now, self._born = now, now if self._born < 0 else self._born
+        self._out, self._touched = actions, touched = [], {}
         for event in events:
             match event:
                 case Arrived():
@@ -187,15 +202,12 @@
                 case NodesChanged():
                     self._list_news(event)
                     touched.update(dict.fromkeys(self._nodes.values()))
-                case ClientGone():
-                    if (work := self._works.get(event.request)) is not None and not work.over:
-                        self._close(work)
-                case Begun():
-                    if (work := self._works.get(event.request)) is not None:
-                        work.begun = True
-                case Woken():
-                    if event.token == str(self._wake_at):
-                        self._wake_at = 0
+                case ClientGone() if event.request in self._works:
+                    self._close(self._works[event.request])
+                case Begun() if event.request in self._works:
+                    self._works[event.request].begun = True
+                case Woken() if event.token == str(self._wake_at):
+                    self._wake_at = 0
         while self._heap and self._heap[0][0] <= now:
             _, _, act, arguments = heapq.heappop(self._heap)
             act(*arguments)
@@ -236,18 +248,16 @@
                 if name not in named and node.entry.state is not NodeState.GONE:
                     node.told_at = self._now
                     node.entry = NodeEntry(name, node.entry.shard, NodeState.GONE, node.entry.zone)
-        for node in self._nodes.values():
-            if node.held and not self._sendable(node):
-                for work in [work for queue in node.held.values() for work in queue]:
-                    self._unhold(work)
-                    self._route(work)
+        lost = [node for node in self._nodes.values() if node.held and not self._sendable(node)]
+        for work in [work for node in lost for queue in node.held.values() for work in queue]:
+            self._unhold(work)
+            self._route(work)
 
     def _sendable(self, node: _Node) -> bool:
         """Nothing new goes to a node that is gone; of a drain's grace, half serves reads nobody else can."""
+        grace_ends = node.told_at + self.settings.drain_grace_us // 2
         state = node.entry.state
-        if state is NodeState.DRAINING:
-            return self._now < node.told_at + self.settings.drain_grace_us // 2
-        return state is NodeState.UP
+        return state is NodeState.UP or (state is NodeState.DRAINING and self._now < grace_ends)
 
     def _holder(self, shard: int) -> _Node | None:
         """The node that serves a shard: one that is up, else one in the grace of its drain."""
@@ -282,45 +292,55 @@
         quiet = (now - last) / max(1, span) * part - node.cold_debt
         return quiet >= units
 
-    def _sweep(self) -> None:
-        """Look for nodes that owe answers for longer than pauses, flushes and usual latency explain."""
-        self._at(self._now + SWEEP_US, self._sweep)
-        for node in self._nodes.values():
-            # Only what was sent after the last answered attempt tells of silence: the rest was overtaken.
-            sent = next((sent for sent, _, _ in node.out.values() if sent > node.answered_at), self._now)
-            if not node.silent_at and self._now - max(node.heard_at, sent) > self._patience(node, SILENT_US):
-                self._suspect(node, "silent")
-            if node.held:
-                self._pump(node)
+    def _owed(self, node: _Node, key: tuple[int, int]) -> None:
+        """An answer is overdue: it no longer fills the window, and several in a row mean a silent node.
 
-    def _patience(self, node: _Node, least: int) -> float:
-        return max(least, SILENT_TIMES * (node.latency_us or self._mean_latency))
+        One unanswered attempt is weak evidence: answers get lost while the node works on. How many it takes
+        follows the part of the overdue ones that were lost. Harm: a crawling node gets one more for each.
+        """
+        if (attempt := node.out.get(key)) is None:
+            return
+        node.overdue += not attempt.overdue
+        attempt.overdue = True
+        if attempt.sent_at > node.answered_at:
+            node.unheard += 1
+            if node.unheard > (SILENT_AFTER - 1) * self._lossy + 0.5:
+                self._suspect(node, "silent")
+        else:
+            self._lossy += LOSSY_GAIN * (1 - self._lossy)
+        self._pump(node)
 
     def _full(self, node: _Node) -> bool:
-        """Whether a node's window has no room. An attempt that later ones overtook long ago is lost, whatever
-        swallowed it, and would block a narrow window for seconds. Harm: one more out if it only crawls."""
-        out = len(node.out)
-        if out >= int(node.window):
-            old = min(node.answered_at, self._now - self._patience(node, LOST_US))
-            out -= sum(sent_at < old for sent_at, _, _ in node.out.values())
-        return out >= int(node.window)
+        """Whether a node's window has no room."""
+        return len(node.out) - node.overdue >= int(node.window)
 
     def _suspect(self, node: _Node, why: str) -> None:
         """Send no more than a trickle to a node that is silent or unreachable until it answers."""
         if not node.silent_at:
             self._out.append(Log(f"node {node.entry.node} {why}"))
             node.silent_at = self._now
-            node.trial_wait, node.trial_at = TRIAL_US, self._now + TRIAL_US
+            node.trial_wait, node.trial_at = TRIAL_US, self._now
+        self._trial(node)
         node.window = WINDOW_LEAST
 
+    def _trial(self, node: _Node) -> None:
+        """Set the time of a suspect node's next trial, twice as far off each time."""
+        node.trial_at = self._now + node.trial_wait
+        node.trial_wait = min(node.trial_wait * 2, TRIAL_MOST_US)
+        self._at(node.trial_at, self._pump, node)
+
     def _heard(self, node: _Node, sent_at: int) -> None:
         """A node answered. One that comes back may have restarted before the list says so: unless it
         answers what was sent before it fell silent, it is treated as cold."""
         if node.silent_at:
             self._out.append(Log(f"node {node.entry.node} back"))
-            if sent_at > node.silent_at - SILENT_US and self._now - node.silent_at > SILENT_US * 5:
+            if sent_at > node.silent_at - OVERDUE_US and self._now - node.silent_at > OVERDUE_US * 5:
                 self._chill(node, self._now)
             node.silent_at = 0
+        node.unheard = 0
+        for attempt in node.out.values() if node.overdue else ():
+            if attempt.overdue and node.answered_at < attempt.sent_at < sent_at:
+                self._lossy += LOSSY_GAIN * (1 - self._lossy)
         node.heard_at, node.answered_at = self._now, max(node.answered_at, sent_at)
 
     def _arrived(self, ask: Arrived) -> None:
@@ -362,9 +382,8 @@
         background = kind.aim_us >= BACKGROUND_AIM * self._shortest and kind.worth < self._dearest
         session = volume.sessions.get(background)
         if session is None:
-            weight = max(volume.plan.weight, 0.01)
-            if background:
-                weight *= max(kind.worth, 0.01) / self._dearest
+            part = max(kind.worth, 0.01) / self._dearest if background else 1.0
+            weight = max(volume.plan.weight, 0.01) * part
             pool = PAYLOAD_LARGEST * max(settings.most_units, 1.0)
             session = volume.sessions[background] = _Session(volume, weight, background, pool)
         return session
@@ -381,24 +400,22 @@
         """Hold a request at the node that serves it, or at a chosen one; refuse what would come too late."""
         node = self._place(work) if work.shard < 0 else self._holder(work.shard)
         # A silent node gets a safe request now and then: it earns nothing here, and its answer shows life.
-        trial = node is not None and work.kind.effect is Effect.SAFE and self._now >= node.trial_at
-        if node is None or (node.silent_at and not trial):
+        trial = node is not None and self._now >= node.trial_at
+        if node is None or (node.silent_at and not (trial and work.kind.effect is Effect.SAFE)):
             self._give_up(work, self.settings.max_hint_us)
             return
-        wait = self._wait(work, node)
-        busy = bool(node.held) or self._full(node)
+        if work.ask.key != node.asked_key or not node.asked_key:  # else a client repeats, or a run goes on
+            node.gap_us += LATENCY_GAIN * (min(self._now - node.asked_at, 2 * SPARSE_US) - node.gap_us)
+            node.asked_at, node.asked_key = self._now, work.ask.key
+        limit, wait, busy = work.session.volume.limit, self._wait(work, node), node.held or self._full(node)
+        if limit is not None and not work.charged:
+            wait = max(wait, limit.wait(self._now, work.ask.units))
         if wait > work.aim_at - self._now or (work.late and busy):
             self._give_up(work, wait)
-            return
-        limit = work.session.volume.limit
-        fills = limit.wait(self._now, work.ask.units) if limit is not None and not work.charged else 0
-        if fills > work.aim_at - self._now:
-            self._give_up(work, fills)
-            return
-        if self._crowded(work, node):
+        elif self._crowded(work, node):
             self._give_up(work, self.settings.max_hint_us)
-            return
-        self._hold(work, node)
+        else:
+            self._hold(work, node)
 
     def _latency(self, node: _Node) -> float:
         """A node's latency as last heard, aged toward the head's mean: sparse traffic corrects it rarely."""
@@ -413,8 +430,8 @@
         one slow answer (a pause) spare work is refused for a while though the node is free.
         """
         low, high = CROWDED if self._reserved(work.session) else CROWDED_SPARE
-        pressure = self._latency(node) / self._shortest
-        return self._random.random() < min(CROWDED_MOST, (pressure - low) / (high - low))
+        pressure = min(CROWDED_MOST, (self._latency(node) / self._shortest - low) / (high - low))
+        return self._random.random() < pressure * min(1.0, node.gap_us / SPARSE_US) ** 2
 
     def _hold(self, work: _Work, node: _Node, first: bool = False) -> None:
         work.node = node
@@ -454,15 +471,10 @@
         if not work.over and not work.begun:
             self._give_up(work, 0)
 
-    def _may_refuse(self, work: _Work) -> bool:
-        kind = work.kind
-        if kind.effect is Effect.SAFE or (work.risky_at is None and not work.out):
-            return True
-        return kind.effect is Effect.KEYED and kind.group is Group.ALL
-
     def _give_up(self, work: _Work, hint: int) -> None:
         """Give the final answer: a refusal where trying again is harmless, else a failure."""
-        if self._may_refuse(work):
+        kind, never_ran = work.kind, work.risky_at is None and not work.out
+        if never_ran or kind.effect is Effect.SAFE or (kind.effect, kind.group) == (Effect.KEYED, Group.ALL):
             hint = min(max(0, int(hint)), self.settings.max_hint_us) if self.settings.may_hint else 0
             self._out.append(Refuse(work.ask.request, hint))
         else:
@@ -472,15 +484,14 @@
     def _close(self, work: _Work) -> None:
         """The request is over: forget it, and call off what is still out."""
         self._unhold(work)
+        if self.settings.may_cancel and not work.begun and not work.over:
+            self._out.extend(Cancel(work.ask.request, attempt) for attempt in sorted(work.out))
         work.over = True
-        if self.settings.may_cancel and not work.begun:
-            for attempt in sorted(work.out):
-                self._out.append(Cancel(work.ask.request, attempt))
         self._settle(work)
 
     def _settle(self, work: _Work) -> None:
         """Drop a request that is over once all its attempts have outcomes; let its key's next one go."""
-        if work.out or not work.over:
+        if work.out:
             return
         self._works.pop(work.ask.request, None)
         line = self._order.get(work.ask.key, ()) if work.kind.in_order else ()
@@ -492,20 +503,22 @@
                 self._at(max(self._now, self._rest.get(work.ask.key, 0)), self._pump, line[0].node)
 
     def _ended(self, event: Ended) -> None:
-        work = self._works.get(event.request)
-        node = self._nodes.get(event.node)
+        work, node = self._works.get(event.request), self._nodes.get(event.node)
         if work is None or node is None or event.attempt not in work.out:
             return
         work.out.remove(event.attempt)
         self._touched[node] = None
-        sent_at, units, full = node.out.pop((event.request, event.attempt))
-        session, result = work.session, event.result
+        attempt = node.out.pop((event.request, event.attempt))
+        node.overdue -= attempt.overdue
+        sent_at, units, session, result = attempt.sent_at, attempt.units, work.session, event.result
         session.operations += 1
         session.payload += units
         if result in (Result.OK, Result.ERROR):
+            if attempt.overdue:
+                self._lossy -= LOSSY_GAIN * self._lossy
             self._heard(node, sent_at)
             if result is Result.OK:
-                self._learn(node, event, units, full)
+                self._learn(node, event, units, attempt.full)
                 self._meter(session.volume, event, units)
         elif result is Result.FULL:
             self._heard(node, sent_at)
@@ -532,12 +545,9 @@
         allowed = work.tries < self.settings.max_attempts and self._now < work.aim_at and self._budget()
         if work.risky_at is not None:
             allowed = allowed and result is not Result.TIMEOUT and self._in_window(work)
-        if not allowed:
-            self._give_up(work, self._wait(work, node))
-            return
         target = self._place(work) if work.shard < 0 else self._holder(work.shard)
-        if target is None or target.silent_at:
-            self._give_up(work, self.settings.max_hint_us)
+        if not allowed or target is None or target.silent_at:
+            self._give_up(work, self._wait(work, node) if target else self.settings.max_hint_us)
         else:
             self._hold(work, target, first=True)
 
@@ -548,18 +558,17 @@
 
     def _budget(self) -> bool:
         """Whether the budget of further attempts allows one more now."""
-        span = self.settings.budget_window_us
-        if not span:
-            return True
+        settings = self.settings
         for times in (self._taken, self._further):
-            while times and times[0] < self._now - span + (times is self._taken):
+            while times and times[0] < self._now - settings.budget_window_us + (times is self._taken):
                 times.popleft()
-        most = self.settings.budget_free + self.settings.budget_share * len(self._taken)
-        return len(self._further) + 1 <= most
+        most = settings.budget_free + settings.budget_share * len(self._taken)
+        return not settings.budget_window_us or len(self._further) + 1 <= most
 
     def _learn(self, node: _Node, event: Ended, units: float, full: bool) -> None:
         """Follow a node's unit time and waits, and move its window."""
-        elapsed, mean = max(1, event.elapsed_us), self.settings.mean_units
+        # What a hang or a deep queue held for seconds says no more than "crowded", and is soon out of date.
+        elapsed, mean = min(max(1, event.elapsed_us), 4 * self._shortest), self.settings.mean_units
         if not node.units:
             node.units, node.elapsed = mean, (self._mean_latency or elapsed / units * mean)
         node.units += LATENCY_GAIN * (units - node.units)
@@ -582,10 +591,8 @@
     def _meter(self, volume: _Volume, event: Ended, units: float) -> None:
         """Learn from the meters what the volume gets through other heads."""
         span = max(1, self._now - volume.own_at) / 1e6
-        volume.own += units  # a leaky sum over about two seconds gives our own rate
-        if span > 0.02:
-            volume.own -= volume.own * min(1.0, span / 2.0)
-            volume.own_at = self._now
+        volume.own = volume.own * max(0.0, 1 - span / 2) + units  # a leaky sum over about two seconds
+        volume.own_at = self._now
         if event.used_percent > 0:
             total = (event.used_percent - 1) / 100 * volume.plan.rate
             others = max(0.0, total - volume.own / 2.0)
@@ -609,24 +616,18 @@
 
     def _wait(self, work: _Work, node: _Node) -> int:
         """How long a request would wait at a node and be served, from the present backlog and rate."""
-        latency = self._latency(node)
-        mean = self.settings.mean_units
-        service = self._service(work, node)
+        latency, mean, service = self._latency(node), self.settings.mean_units, self._service(work, node)
         if not node.held and not self._full(node):
             return service
         rate = max(node.window, 1.0) * mean / max(latency, 1.0)  # units a microsecond, by Little's law
-        own = sum(held.ask.units for held in node.held.get(work.session, ()))
+        backlog = {session: sum(held.ask.units for held in queue) for session, queue in node.held.items()}
+        own = backlog.pop(work.session, 0.0)
         if self._reserved(work.session):
-            ahead = own + sum(
-                min(sum(held.ask.units for held in queue), session.volume.reserve.level)
-                for session, queue in node.held.items()
-                if session is not work.session and self._reserved(session)
-            )
+            rivals = (session for session in backlog if self._reserved(session))
+            ahead = own + sum(min(backlog[rival], rival.volume.reserve.level) for rival in rivals)
         else:
-            weights = sum(session.weight for session in node.held)
-            if work.session not in node.held:
-                weights += work.session.weight
-            ahead = min(own * weights / work.session.weight, node.held_units) / (1 - min(node.reserved, 0.8))
+            turns = 1 + sum(session.weight for session in backlog) / work.session.weight
+            ahead = min(own * turns, node.held_units) / (1 - min(node.reserved, 0.8))
         return int(ahead / rate + service)
 
     def _reserved(self, session: _Session) -> bool:
@@ -668,8 +669,7 @@
         lightest = min((session.weight for session in ready), default=1.0)
         while ready:
             session = next(iter(node.held))
-            work = ready.get(session)
-            if work is not None:
+            if (work := ready.get(session)) is not None:
                 # One key's consecutive requests share a turn: a node does them with less work.
                 if node.deficit[session] >= work.ask.units or work.ask.key == node.last_key != "":
                     node.deficit[session] -= work.ask.units
@@ -681,19 +681,17 @@
     def _pump(self, node: _Node) -> None:
         """Send held requests while the node's window has room."""
         while node.held and self._sendable(node):
-            if node.silent_at:
-                if self._now < node.trial_at:
-                    return
-                node.trial_wait = min(node.trial_wait * 2, TRIAL_MOST_US)
-                node.trial_at = self._now + node.trial_wait
-            elif self._full(node):
+            if (self._now < node.trial_at) if node.silent_at else self._full(node):
                 return
-            work = self._next(node)
-            if work is None:
+            if (work := self._next(node)) is None:
                 return
+            if node.silent_at:
+                self._trial(node)
             cold = node.cold_until > self._now
             if cold and not self._cold_room(node, work.ask.units):
-                self._at(self._now + SWEEP_US, self._pump, node)
+                if node.look_at <= self._now:
+                    node.look_at = self._now + COLD_RETRY_US
+                    self._at(node.look_at, self._pump, node)
                 return
             self._send(work, node, cold)
 
@@ -714,6 +712,10 @@
             node.cold_debt = 0.0
         node.last_key = work.ask.key
         work.out.add(work.tries)
-        node.out[(work.ask.request, work.tries)] = (now, units, len(node.out) + 1 >= int(node.window))
+        full = len(node.out) - node.overdue + 1 >= int(node.window)
+        node.out[(work.ask.request, work.tries)] = _Attempt(now, units, full)
+        expected = self._latency(node)
+        self._at(now + int(max(OVERDUE_US, OVERDUE_TIMES * expected)), self._owed, node,
+                 (work.ask.request, work.tries))  # fmt: skip
         work.tries += 1
         self._out.append(Send(work.ask.request, node.entry.node))
