--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -33,10 +33,10 @@
 OVERDUE_TIMES = 4.0  # ... and after this many of its node's mean latencies
 SILENT_AFTER = 4.0  # overdue in a row that make a node silent where answers get lost; else one is enough
 LOSSY_GAIN = 0.2  # weight of one overdue attempt in the part of them that were lost answers
-COLD_RETRY_US = 50_000  # how often a cold node with held work is looked at
 TRIAL_US = 500_000  # a silent node gets one request this often, twice as rarely after each ...
 TRIAL_MOST_US = 2_000_000  # ... up to this
-COLD_GROWTH = 1.5  # a cold node gets at most this multiple of what it just proved, below any fall multiple
+COLD_SAFE = 0.6  # part of what the rules let all heads send a cold node that they use
+SERVED_US = 10_000_000  # a node's served units fade out over this time
 BACKGROUND_AIM = 3.0  # a class whose aim is this many times the shortest, and worth less, is background
 RESUBSCRIBE_US, RESUBSCRIBE_MOST_US = 300_000, 4_000_000  # wait after a failed list call, doubled each time
 ANSWER_TICKS = 2  # final answers are given this many ticks before the client's time is up
@@ -154,9 +154,9 @@
     trial_at: int = 0
     trial_wait: int = TRIAL_US
     cold_until: int = 0
-    cold_sent: deque[tuple[int, float]] = field(default_factory=deque)
-    cold_done: deque[tuple[int, float]] = field(default_factory=deque)
-    cold_debt: float = 0.0
+    cold: _Store = field(default_factory=lambda: _Store(0))  # what we may send it while it is cold
+    served: float = 0.0  # units it served us lately ...
+    served_at: int = 0  # ... as of then
     last_key: str = ""
     reserved: float = 0.0  # share of the latest sends that went first: turns get only the rest of the rate
     broken: float = 0.0  # share of the latest attempts that broke off
@@ -234,11 +234,15 @@
         elif self.settings.asked_list:
             self._out.append(Subscribe(True))
         for entry in news.entries:
-            known = self._nodes.get(entry.node)
-            node = known or self._nodes.setdefault(entry.node, _Node(entry, self._now, self._now))
-            before = node.entry.started_us if known else 0
+            node = self._nodes.get(entry.node)
+            before = node.entry.started_us if node else 0
+            if node is None:
+                former = [old.served for old in self._nodes.values() if old.entry.shard == entry.shard]
+                node = self._nodes[entry.node] = _Node(entry, self._now, self._now)
+                node.served, node.served_at = max(former, default=0.0), self._now  # it replaces that one
             if entry.state is not node.entry.state:
                 node.told_at = self._now
+                self._fade(node)
             node.entry = entry
             if entry.started_us > before and self._now - entry.started_us < self.settings.warm_us:
                 self._chill(node, entry.started_us)
@@ -267,30 +271,33 @@
     def _chill(self, node: _Node, since: int) -> None:
         """Treat a node as just started: all heads together send it little, and more only as it proves it."""
         node.cold_until = since + self.settings.warm_us
-        node.window = WINDOW_LEAST
-        node.cold_sent.clear()
-        node.cold_done.clear()
+        node.window, node.silent_at = WINDOW_LEAST, 0
+        self._fade(node)
         # Heads hear of a start together: a random debt keeps their first requests from coming at once.
-        node.cold_debt = self._random.random() * self.settings.cold_units / self.settings.heads
-        node.silent_at = 0
-
-    def _cold_room(self, node: _Node, units: float) -> bool:
-        """Whether a cold node can take so many units: our part of what it bears, or what it just proved."""
-        settings, now, span = self.settings, self._now, self.settings.fall_us
-        for ledger in (node.cold_sent, node.cold_done):
-            while ledger and ledger[0][0] <= now - span:
-                ledger.popleft()
-        sent, share = sum(amount for _, amount in node.cold_sent), max(settings.cold_share, 0.01)
-        warmth = 1 - min(1.0, (node.cold_until - now) / max(1, settings.warm_us))
-        part = settings.cold_units / settings.heads * (1 + (1 / share - 1) * warmth)
-        growth = min(COLD_GROWTH, max(1.0, settings.fall_multiple * 0.6))
-        proven = growth * sum(amount for _, amount in node.cold_done)
-        if sent + units <= max(part, proven):
-            return True
-        # A request larger than our part goes once the part has added up to it.
-        last = node.cold_sent[-1][0] if node.cold_sent else node.cold_until - settings.warm_us
-        quiet = (now - last) / max(1, span) * part - node.cold_debt
-        return quiet >= units
+        mean = self.settings.mean_units
+        node.cold = _Store(self._now, most=mean, level=-2 * mean * self._random.random())
+
+    def _fade(self, node: _Node, units: float = 0.0) -> None:
+        """Bring what a node served us lately up to date."""
+        node.served = node.served * max(0.0, 1 - (self._now - node.served_at) / SERVED_US) + units
+        node.served_at = self._now
+
+    def _cold_wait(self, node: _Node) -> int:
+        """How long until we may send a cold node a request.
+
+        All heads together served themselves no more than its full capacity, so if each keeps to a part of its
+        own former rate, together they keep to that part of the capacity; the part is what the rules allow for
+        the least warmth they promise. A head without such a past has its part of what any cold node bears.
+        """
+        settings, cold = self.settings, (node.cold_until - self._now) / max(1, self.settings.warm_us)
+        capacity = 1 - (1 - settings.cold_share) * min(1.0, cold)
+        part = COLD_SAFE * settings.fall_multiple * capacity
+        if cold <= 0 or part >= 1:
+            return 0
+        least = settings.cold_units / settings.heads / max(1.0, settings.fall_us * settings.cold_share)
+        node.cold.now(self._now)
+        node.cold.rate = 1e6 * max(part * node.served / SERVED_US, capacity * least)
+        return node.cold.wait(self._now, 0.0)
 
     def _owed(self, node: _Node, key: tuple[int, int]) -> None:
         """An answer is overdue: it no longer fills the window, and several in a row mean a silent node.
@@ -311,7 +318,6 @@
         self._pump(node)
 
     def _full(self, node: _Node) -> bool:
-        """Whether a node's window has no room."""
         return len(node.out) - node.overdue >= int(node.window)
 
     def _suspect(self, node: _Node, why: str) -> None:
@@ -355,7 +361,7 @@
         aim_at = now + kind.aim_us - (full - ask.time_left_us)
         work = _Work(ask, kind, self._session(ask, kind), aim_at, now + ask.time_left_us, ask.shard)
         if aim_at <= now:
-            work.late, work.aim_at = True, work.end_at
+            work.late, work.aim_at = ask.time_left_us > kind.aim_us, work.end_at
         self._works[ask.request] = work
         if kind.in_order and ask.key:
             self._order.setdefault(ask.key, deque()).append(work)
@@ -408,6 +414,7 @@
             node.gap_us += LATENCY_GAIN * (min(self._now - node.asked_at, 2 * SPARSE_US) - node.gap_us)
             node.asked_at, node.asked_key = self._now, work.ask.key
         limit, wait, busy = work.session.volume.limit, self._wait(work, node), node.held or self._full(node)
+        wait = max(wait, self._cold_wait(node))
         if limit is not None and not work.charged:
             wait = max(wait, limit.wait(self._now, work.ask.units))
         if wait > work.aim_at - self._now or (work.late and busy):
@@ -447,7 +454,6 @@
         if (node := work.node) is None:
             return
         work.node = None
-        self._touched[node] = None
         node.held[work.session].remove(work)
         node.held_units -= work.ask.units
         if not node.held[work.session]:
@@ -577,8 +583,7 @@
         node.unit_us = min(unit, node.unit_us * (1 + BEST_UP / node.window)) if node.unit_us else unit
         node.latency_us = unit * mean
         self._mean_latency += 0.05 * (unit * mean - self._mean_latency) if self._mean_latency else unit * mean
-        if node.cold_until > self._now:
-            node.cold_done.append((self._now, units))
+        self._fade(node, units)
         if unit < WIDEN * node.unit_us:
             if full:
                 node.window = min(WINDOW_MOST, node.window + 1 / node.window)
@@ -685,17 +690,16 @@
                 return
             if (work := self._next(node)) is None:
                 return
-            if node.silent_at:
-                self._trial(node)
-            cold = node.cold_until > self._now
-            if cold and not self._cold_room(node, work.ask.units):
+            if wait := self._cold_wait(node):
                 if node.look_at <= self._now:
-                    node.look_at = self._now + COLD_RETRY_US
+                    node.look_at = self._now + wait + 1
                     self._at(node.look_at, self._pump, node)
                 return
-            self._send(work, node, cold)
+            if node.silent_at:
+                self._trial(node)
+            self._send(work, node)
 
-    def _send(self, work: _Work, node: _Node, cold: bool) -> None:
+    def _send(self, work: _Work, node: _Node) -> None:
         session, volume, units, now = work.session, work.session.volume, work.ask.units, self._now
         self._unhold(work)
         node.reserved += 0.05 * (self._reserved(session) - node.reserved)
@@ -707,9 +711,7 @@
         work.charged = True
         if work.tries:
             self._further.append(now)
-        if cold:
-            node.cold_sent.append((now, units))
-            node.cold_debt = 0.0
+        node.cold.level -= units
         node.last_key = work.ask.key
         work.out.add(work.tries)
         full = len(node.out) - node.overdue + 1 >= int(node.window)
