--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -236,6 +236,7 @@
             for name, node in self._nodes.items():
                 if name not in named and node.entry.state is not NodeState.GONE:
                     node.told_at = self._now
+                    self._fade(node)
                     node.entry = NodeEntry(name, node.entry.shard, NodeState.GONE, node.entry.zone)
         self._index()
         lost = [node for node in self._nodes.values() if node.held and not self._sendable(node)]
@@ -274,7 +275,7 @@
         return max(able, key=lambda n: (n.entry.state is NodeState.UP, n.entry.started_us), default=None)
 
     def _chill(self, node: _Node, since: int) -> None:
-        """Treat a node as just started: all heads together send it little, and more only as it proves it."""
+        """Treat a node as just started: all heads together send it little, and more as it warms."""
         node.cold_until = since + self.settings.warm_us
         node.window, node.silent_at = WINDOW_LEAST, 0
         self._fade(node)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -721,3 +721,17 @@
     assert not [at for at, _, node, _ in sends if node == "n1" and at > restarted + SECOND]
     capped = sum(units for _, units, _, plan in sends if plan == "capped")
     assert 0 < capped <= 8 + 4 * (now - SECOND) / SECOND
+
+
+@pytest.mark.parametrize("told", [api.NodeState.DRAINING, None])
+def test_a_replacement_inherits_no_more_than_what_was_served_lately(told):
+    head = Head(("n0", "n1"))
+    for _ in range(20):
+        head.end(head.ask("b", units=4))
+    head.run(9 * SECOND)
+    if told:
+        head.feed(api.NodesChanged(api.ListKind.CHANGES, [api.NodeEntry("n0", 0, told)]))
+    new = api.NodeEntry("n9", 0, started_us=head.now)
+    head.feed(api.NodesChanged(api.ListKind.FULL, [api.NodeEntry("n1", 1)]))
+    head.feed(api.NodesChanged(api.ListKind.FULL, [api.NodeEntry("n1", 1), new]))
+    assert 0 < head.unit._nodes["n9"].served <= 0.11 * 80
