--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -735,3 +735,31 @@
     head.feed(api.NodesChanged(api.ListKind.FULL, [api.NodeEntry("n1", 1)]))
     head.feed(api.NodesChanged(api.ListKind.FULL, [api.NodeEntry("n1", 1), new]))
     assert 0 < head.unit._nodes["n9"].served <= 0.11 * 80
+
+
+@pytest.mark.parametrize("hosts", [0, 1, 10**6])
+@pytest.mark.parametrize("used", [0, 1, 10**9])
+@pytest.mark.parametrize("left", [-5, 0, 1, 10**12])
+def test_odd_host_counts_meters_reports_and_times_left_loosen_no_rule(hosts, used, left):
+    head = Head(meter_us=SECOND)
+    for turn in range(40):
+        request = head.ask(plan="capped", volume="v", hosts=2)
+        odd = head.ask(plan="capped", volume="v", left=left, hosts=hosts)
+        head.run(100 * MS)
+        for one in (request, odd):
+            if one in head.requests() and one not in head.answers:
+                head.end(one, used_percent=used, elsewhere=-3.0 if turn % 2 else 1e9, load=(1e9, -1.0))
+    head.run(10 * SECOND)
+    assert len(head.sent) <= 8 + 4 * 4
+    if left <= SECOND:
+        assert set(head.owed) == set(head.answers)
+
+
+@pytest.mark.parametrize("result", list(api.Result))
+def test_results_of_probes_change_nothing_for_unknown_and_gone_nodes(result):
+    head = Head(("n0", "n1"))
+    head.feed(api.NodesChanged(api.ListKind.CHANGES, [api.NodeEntry("n1", 1, api.NodeState.GONE)]))
+    for name in ("n1", "nobody", ""):
+        actions = head.feed(api.Probed(name, result, 5, (1.0,)))
+        assert [action for action in actions if not isinstance(action, api.SetTimer)] == []
+    assert isinstance(head.answers[head.ask(shard=1)], api.Refuse)
