--- a/harriertrack/scheduler.py
+++ b/harriertrack/scheduler.py
@@ -72,8 +72,6 @@
 
 @dataclass(slots=True, eq=False)
 class _Session:
-    """One volume's work at this head, or its background part, and the credits that pay for it."""
-
     volume: _Volume
     weight: float
     background: bool
@@ -83,8 +81,6 @@
 
 @dataclass(slots=True, eq=False)
 class _Work:
-    """One request that this head has taken."""
-
     ask: Arrived
     kind: RequestClass
     session: _Session
@@ -121,6 +117,8 @@
     out: dict[tuple[int, int], _Attempt] = field(default_factory=dict)
     overdue: int = 0  # of these, so many are presumed lost and fill no window
     unheard: int = 0  # overdue ones since the last answer
+    coin: float = 0.0
+    coin_at: int = -1_000_000_000
     asked_at: int = 0
     asked_key: str = ""
     gap_us: float = SPARSE_US  # mean time between requests for it
@@ -432,7 +430,9 @@
         guards against slow nodes. Harm: after a pause spare work is refused though the node is free again."""
         low, high = CROWDED if self._reserved(work.session) else CROWDED_SPARE
         pressure = min(CROWDED_MOST, (self._latency(node) / self._shortest - low) / (high - low))
-        return self._random.random() < pressure * min(1.0, node.gap_us / SPARSE_US) ** 2
+        if self._now > node.coin_at + self._shortest:  # one draw for an aim: repeats at once get no other
+            node.coin, node.coin_at = self._random.random(), self._now
+        return node.coin < pressure * min(1.0, node.gap_us / SPARSE_US) ** 2
 
     def _hold(self, work: _Work, node: _Node, first: bool = False) -> None:
         work.node = node
@@ -464,7 +464,6 @@
             self._give_up(work, self._wait(work, work.node))
 
     def _service(self, work: _Work, node: _Node) -> int:
-        """How long a request takes at a node from its sending on, as things stand."""
         return int(self._latency(node) + (work.ask.units - self.settings.mean_units) * node.unit_us)
 
     def _give_up(self, work: _Work, hint: int) -> None:
@@ -579,7 +578,6 @@
             self._observe(node, least, attempt.units, UNHEARD_GAIN * (1 - self._lossy) ** 3)
 
     def _learn(self, node: _Node, event: Ended, units: float, full: bool) -> None:
-        """Follow a node's unit time and waits, and move its window."""
         self._observe(node, max(1, event.elapsed_us), units, LATENCY_GAIN)
         unit = node.elapsed / node.units
         node.unit_us = min(unit, node.unit_us * (1 + BEST_UP / node.window)) if node.unit_us else unit
