--- a/harriertrack/__init__.py
+++ b/harriertrack/__init__.py
@@ -1,5 +1,1 @@
-"""harriertrack: the decisions of an I/O scheduler for heads that share storage nodes."""
-
-from harriertrack.scheduler import Scheduler
-
-__all__ = ["Scheduler"]
+"""harriertrack: a storage gateway whose heads decide when and to which storage node each request goes."""
--- /dev/null
+++ b/harriertrack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Sub-commands; no logic."""
--- /dev/null
+++ b/harriertrack/config/__init__.py
@@ -0,0 +1,1 @@
+"""S-expression settings, checked into frozen dataclasses."""
--- a/harriertrack/bucket.py
+++ b/harriertrack/decisions/bucket.py
@@ -1,4 +1,4 @@
-"""A token bucket: plain arithmetic, no decision. Rates and levels are set by harriertrack/scheduler.py."""
+"""A token bucket: plain arithmetic, no decision. Rates and levels are set by scheduler.py."""
 
 from __future__ import annotations
 
--- a/harriertrack/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -1,6 +1,6 @@
 """The decisions of a head: what is sent, held or refused, and where new objects go.
 
-The interface, its settings, events and actions, is harriertrack/interface.py. The mechanism is that of
+The interface, its settings, events and actions, is decisions/interface.py. The mechanism is that of
 DAOS QoS (see docs/design.md): a volume is a session that pays each request with credits; at each node
 sessions under their reservation go first, then weighted turns, first in first out inside a session; a
 window bounds what is out at a node; what would wait past its aim is refused on arrival with a hint.
@@ -14,10 +14,32 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from harriertrack.bucket import Bucket
-from harriertrack.interface import (
-    Action, Arrived, Begun, Cancel, ClientGone, Effect, Ended, Event, Fail, Group, ListKind, Log, NodeEntry,
-    NodesChanged, NodeState, Plan, Refuse, RequestClass, Result, Send, SetTimer, Settings, Subscribe, Woken,
+from harriertrack.decisions.bucket import Bucket
+from harriertrack.decisions.interface import (
+    Action,
+    Arrived,
+    Begun,
+    Cancel,
+    ClientGone,
+    Effect,
+    Ended,
+    Event,
+    Fail,
+    Group,
+    ListKind,
+    Log,
+    NodeEntry,
+    NodesChanged,
+    NodeState,
+    Plan,
+    Refuse,
+    RequestClass,
+    Result,
+    Send,
+    SetTimer,
+    Settings,
+    Subscribe,
+    Woken,
 )  # fmt: skip
 
 OPERATION_CREDITS = 128  # a session's requests out per head: the source's client figure
@@ -174,7 +196,9 @@
         if self._born < 0:
             self._born = now
             self._forget()
-        self._out, self._touched = actions, touched = [], {}
+        actions: list[Action] = []
+        touched: dict[_Node, None] = {}
+        self._out, self._touched = actions, touched
         self._stalled = bool(self._heap) and now - self._heap[0][0] > STALL_US
         for event in events:
             match event:
@@ -491,8 +515,8 @@
         if work.out:
             return
         self._works.pop(work.ask.request, None)
-        line = self._order.get(work.ask.key, ()) if work.kind.in_order else ()
-        if work in line:
+        line = self._order.get(work.ask.key) if work.kind.in_order else None
+        if line and work in line:
             line.remove(work)
             if not line:
                 del self._order[work.ask.key]
--- /dev/null
+++ b/harriertrack/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: the node list and how a head follows it."""
--- /dev/null
+++ b/harriertrack/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes to messages and back, without I/O."""
--- /dev/null
+++ b/harriertrack/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The rules, judged from recordings of what the sockets carried."""
--- /dev/null
+++ b/harriertrack/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The hub: greenlets over select.poll, timers, streams and signals. Knows no protocol."""
--- /dev/null
+++ b/harriertrack/runtime/hub.py
@@ -0,0 +1,504 @@
+"""The hub: tasks are greenlets, and one loop runs them, their timers and their descriptors.
+
+The loop knows two things from outside: a clock and a poller. On a real machine these are the monotonic clock
+and `select.poll`; in simulated time the clock jumps to the next timer as soon as nothing can run, and there
+are no descriptors. Tasks can't tell the difference.
+
+One round of the loop: run what is ready, run the end-of-round callbacks (where a head hands all events of the
+moment to its decision module at once), then wait for descriptors or the next timer.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import select
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, Protocol
+
+from greenlet import getcurrent, greenlet
+
+READ = select.POLLIN
+WRITE = select.POLLOUT
+BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
+PRUNE_AT = 512  # cancelled timers are swept out once they are at least this many and half of the heap
+
+
+class Cancelled(BaseException):
+    """Thrown into a task that is cancelled; not an Exception, so that no handler swallows it by mistake."""
+
+
+class DeadlineExceeded(Exception):
+    """An operation did not finish by its deadline."""
+
+
+class Deadlock(RuntimeError):
+    """In simulated time: nothing can run and no timer is left, though the main task is not done."""
+
+
+class Clock(Protocol):
+    """Where the hub's time comes from, in whole microseconds; never goes back."""
+
+    def now(self) -> int:
+        """Return the present time in microseconds."""
+
+
+class Poller(Protocol):
+    """What the hub waits on when no task is ready."""
+
+    def wait(self, until: int | None) -> list[tuple[int, int]]:
+        """Wait for descriptors, until a time in microseconds or without end; return (descriptor, events)."""
+
+    def watch(self, fd: int, events: int) -> None:
+        """Ask for these events of a descriptor; 0 forgets it."""
+
+
+class RealClock:
+    """The machine's monotonic clock: comparable between processes of one machine."""
+
+    def now(self) -> int:
+        """Return the present time in microseconds."""
+        return time.monotonic_ns() // 1000
+
+
+class PollPoller:
+    """`select.poll` with the hub's clock."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._poll = select.poll()
+        self._watched: dict[int, int] = {}
+
+    def watch(self, fd: int, events: int) -> None:
+        """Ask for these events of a descriptor; 0 forgets it."""
+        if events == self._watched.get(fd, 0):
+            return
+        if events:
+            self._poll.register(fd, events)
+            self._watched[fd] = events
+        else:
+            self._poll.unregister(fd)
+            del self._watched[fd]
+
+    def wait(self, until: int | None) -> list[tuple[int, int]]:
+        """Wait for descriptors, until a time in microseconds or without end."""
+        left = None if until is None else max(0, -((self._clock.now() - until) // 1000))
+        return self._poll.poll(left)
+
+
+class VirtualTime:
+    """Clock and poller in one: time stands still while tasks run and jumps to the next timer after."""
+
+    def __init__(self, start: int = 1_000_000_000) -> None:
+        self._now = start
+
+    def now(self) -> int:
+        """Return the simulated time in microseconds."""
+        return self._now
+
+    def watch(self, fd: int, events: int) -> None:
+        """There are no descriptors in simulated time."""
+        raise RuntimeError("descriptors do not exist in simulated time")
+
+    def wait(self, until: int | None) -> list[tuple[int, int]]:
+        """Jump to the next timer."""
+        if until is None:
+            raise Deadlock("nothing can run and no timer is left")
+        self._now = max(self._now, until)
+        return []
+
+
+class Timer:
+    """A callback due at a time; `cancel` makes it never run."""
+
+    __slots__ = ("at", "act", "_hub")
+
+    def __init__(self, hub: Hub, at: int, act: Callable[[], None]) -> None:
+        self.at = at
+        self.act: Callable[[], None] | None = act
+        self._hub = hub
+
+    def cancel(self) -> None:
+        """Forget the callback; calling it off twice, or after it ran, does nothing."""
+        if self.act is not None:
+            self.act = None
+            self._hub._timer_cancelled()
+
+
+class Task:
+    """One greenlet of the hub. It ends by returning, raising, or being cancelled."""
+
+    __slots__ = (
+        "name", "error", "result", "done", "on_done", "_glet", "_hub", "_unwait", "_cancelling", "_scheduled",
+    )  # fmt: skip
+
+    def __init__(self, hub: Hub, name: str, run: Callable[..., Any], args: tuple) -> None:
+        self.name, self._hub = name, hub
+        self.error: BaseException | None = None
+        self.result: Any = None
+        self.done = False
+        self.on_done: list[Callable[[Task], None]] = []
+        self._unwait: Callable[[], None] | None = None
+        self._cancelling = self._scheduled = False
+        self._glet = greenlet(lambda *_: self._body(run, args), parent=hub._loop_glet)
+
+    def _body(self, run: Callable[..., Any], args: tuple) -> None:
+        try:
+            if self._cancelling:
+                raise Cancelled(self.name)
+            self.result = run(*args)
+        except BaseException as error:  # the error is kept for whoever joins the task
+            self.error = error
+        self.done = True
+        self._hub._task_ended(self)
+
+    def cancel(self) -> None:
+        """Throw `Cancelled` into the task at its present or next wait; a task that is done is left alone."""
+        if self.done or self._cancelling:
+            return
+        self._cancelling = True
+        if self._glet is not getcurrent():
+            self._hub._wake(self)
+
+
+class Hub:
+    """The loop. Everything of one process that waits does so through one hub."""
+
+    def __init__(self, clock: Clock | None = None, poller: Poller | None = None, seed: int = 0,
+                 stall_us: int = 100_000) -> None:  # fmt: skip
+        self.clock = clock or RealClock()
+        self.poller = poller or PollPoller(self.clock)
+        self.random = random.Random(seed)
+        self.stall_us = stall_us
+        self.stalls = 0
+        self.longest_round_us = 0
+        self.on_stall: Callable[[int], None] | None = None
+        self.on_task_error: Callable[[Task], None] | None = None
+        self._timers: list[tuple[int, int, Timer]] = []
+        self._serial = self._cancelled = self._polls = 0
+        self._ready: deque[tuple[Task, BaseException | None]] = deque()
+        self._end_of_round: dict[Callable[[], None], None] = {}
+        self._handlers: dict[int, FdHandler] = {}
+        self._loop_glet = greenlet(self._loop)
+        self._current: Task | None = None
+        self._stop: Task | None = None
+
+    @classmethod
+    def virtual(cls, seed: int = 0, start: int = 1_000_000_000) -> Hub:
+        """Make a hub in simulated time."""
+        time_ = VirtualTime(start)
+        return cls(time_, time_, seed)
+
+    # -- running
+
+    def run(self, main: Callable[..., Any], *args: Any) -> Any:
+        """Run a task and all that it starts; return its result or raise its error."""
+        task = self.spawn("main", main, *args)
+        self._loop_glet = greenlet(self._loop)
+        task._glet.parent = self._loop_glet
+        self._stop = task
+        self._loop_glet.switch()
+        if task.error is not None:
+            raise task.error
+        return task.result
+
+    def _loop(self) -> None:
+        stop, ready = self._stop, self._ready
+        while stop is not None and not stop.done:
+            began = self.clock.now()
+            for _ in range(len(ready)):
+                task, error = ready.popleft()
+                self._resume(task, error)
+            while self._end_of_round:
+                callbacks, self._end_of_round = list(self._end_of_round), {}
+                for callback in callbacks:
+                    callback()
+            self._watch_stall(began)
+            if stop.done:
+                return
+            until = began if ready else self._next_timer()
+            self._polls += 1
+            for fd, events in self.poller.wait(until):
+                # An earlier handler of this round may have closed this descriptor and opened another of the
+                # same number: the handler of the new one is not called for the old one's events.
+                handler = self._handlers.get(fd)
+                if handler is not None and handler.added_at_poll < self._polls:
+                    handler.on_events(events)
+            self._run_timers()
+
+    def _watch_stall(self, began: int) -> None:
+        took = self.clock.now() - began
+        self.longest_round_us = max(self.longest_round_us, took)
+        if took >= self.stall_us:
+            self.stalls += 1
+            if self.on_stall is not None:
+                self.on_stall(took)
+
+    def _resume(self, task: Task, error: BaseException | None) -> None:
+        task._scheduled = False
+        if task.done:
+            return
+        if task._cancelling and error is None and task._unwait is not None:
+            error = Cancelled(task.name)
+        if task._unwait is not None:
+            unwait, task._unwait = task._unwait, None
+            unwait()
+        self._current = task
+        if task._glet.parent is not self._loop_glet and not task._glet:
+            task._glet.parent = self._loop_glet
+        try:
+            task._glet.throw(error) if error is not None and task._glet else task._glet.switch()
+        finally:
+            self._current = None
+
+    def _task_ended(self, task: Task) -> None:
+        if task.error is not None and not isinstance(task.error, Cancelled):
+            if not task.on_done and self.on_task_error is not None and task is not self._stop:
+                self.on_task_error(task)
+        for tell in task.on_done:
+            tell(task)
+
+    def spawn(self, name: str, run: Callable[..., Any], *args: Any) -> Task:
+        """Start a task; it first runs in the next round. Prefer `Scope.spawn`, which bounds its life."""
+        task = Task(self, name, run, args)
+        self._wake(task)
+        return task
+
+    def _wake(self, task: Task, error: BaseException | None = None) -> None:
+        if not task._scheduled and not task.done:
+            task._scheduled = True
+            self._ready.append((task, error))
+
+    # -- waiting
+
+    def park(self, unwait: Callable[[], None], deadline: int | None = None) -> None:
+        """Let the current task wait until `Hub.unpark`; `unwait` undoes what would wake it.
+
+        Raises DeadlineExceeded at the deadline (microseconds), Cancelled if the task is cancelled.
+        """
+        task = self._current
+        if task is None:
+            raise RuntimeError("only a task can wait")
+        if task._cancelling:
+            unwait()
+            raise Cancelled(task.name)
+        timer = None
+        if deadline is not None:
+            timer = self.at(deadline, lambda: self._wake(task, DeadlineExceeded()))
+        task._unwait = unwait
+        try:
+            self._loop_glet.switch()
+        finally:
+            if timer is not None:
+                timer.cancel()
+
+    def unpark(self, task: Task) -> None:
+        """Let a waiting task go on in this round or the next."""
+        self._wake(task)
+
+    def current(self) -> Task:
+        """Return the task that runs now."""
+        if self._current is None:
+            raise RuntimeError("no task is running")
+        return self._current
+
+    def now(self) -> int:
+        """Return the time in microseconds."""
+        return self.clock.now()
+
+    def sleep(self, us: int) -> None:
+        """Let the current task wait for so many microseconds."""
+        task = self.current()
+        timer = self.at(self.now() + us, lambda: self._wake(task))
+        self.park(timer.cancel)
+
+    def sleep_until(self, when: int) -> None:
+        """Let the current task wait until a time in microseconds."""
+        self.sleep(max(0, when - self.now()))
+
+    # -- timers and end-of-round callbacks
+
+    def at(self, when: int, act: Callable[[], None]) -> Timer:
+        """Call `act` at a time in microseconds, outside any task; it must not wait."""
+        timer = Timer(self, when, act)
+        self._serial += 1
+        heapq.heappush(self._timers, (when, self._serial, timer))
+        return timer
+
+    def _timer_cancelled(self) -> None:
+        self._cancelled += 1
+        if self._cancelled >= PRUNE_AT and self._cancelled * 2 > len(self._timers):
+            self._timers = [item for item in self._timers if item[2].act is not None]
+            heapq.heapify(self._timers)
+            self._cancelled = 0
+
+    def _next_timer(self) -> int | None:
+        timers = self._timers
+        while timers and timers[0][2].act is None:
+            heapq.heappop(timers)
+            self._cancelled -= 1
+        return timers[0][0] if timers else None
+
+    def _run_timers(self) -> None:
+        now = self.clock.now()
+        while (due := self._next_timer()) is not None and due <= now:
+            timer = heapq.heappop(self._timers)[2]
+            act, timer.act = timer.act, None
+            if act is not None:
+                act()
+
+    def at_end_of_round(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once when all tasks that are ready have run; asking twice is asking once."""
+        self._end_of_round[callback] = None
+
+    # -- descriptors
+
+    def add_handler(self, handler: FdHandler) -> None:
+        """Call a handler for its descriptor's events; one handler a descriptor."""
+        handler.added_at_poll = self._polls
+        self._handlers[handler.fd] = handler
+        self.poller.watch(handler.fd, handler.interest)
+
+    def set_interest(self, handler: FdHandler, events: int) -> None:
+        """Change which events a handler is called for; 0 for none."""
+        if events != handler.interest:
+            handler.interest = events
+            self.poller.watch(handler.fd, events)
+
+    def remove_handler(self, handler: FdHandler) -> None:
+        """Forget a handler; call it before its descriptor is closed."""
+        if self._handlers.get(handler.fd) is handler:
+            del self._handlers[handler.fd]
+            self.poller.watch(handler.fd, 0)
+
+    # -- structured lifetimes
+
+    @contextmanager
+    def scope(self, name: str = "scope") -> Iterator[Scope]:
+        """Open a scope: leaving it waits for its tasks; an error inside or in a task cancels the others."""
+        scope = Scope(self, name)
+        try:
+            yield scope
+        except BaseException as error:
+            scope.cancel()
+            scope._join(quiet=True)
+            if scope._error is not None and isinstance(error, Cancelled) and scope._stopped_owner:
+                raise scope._error from None
+            raise
+        scope._join(quiet=False)
+
+
+class FdHandler:
+    """What is called when a descriptor can be read or written."""
+
+    def __init__(self, fd: int, interest: int, on_events: Callable[[int], None]) -> None:
+        self.fd, self.interest, self.on_events = fd, interest, on_events
+        self.added_at_poll = 0  # events of this poll belong to an earlier use of the number
+
+
+class Scope:
+    """Tasks that end together."""
+
+    def __init__(self, hub: Hub, name: str) -> None:
+        self._hub, self.name = hub, name
+        self._tasks: dict[Task, None] = {}
+        self._owner = hub._current
+        self._error: BaseException | None = None
+        self._joining = False
+        self._stopped_owner = False  # the scope itself cancelled its owner: a task's error is the reason
+
+    def spawn(self, name: str, run: Callable[..., Any], *args: Any) -> Task:
+        """Start a task of this scope."""
+        task = self._hub.spawn(name, run, *args)
+        self._tasks[task] = None
+        task.on_done.append(self._ended)
+        return task
+
+    def cancel(self) -> None:
+        """Cancel all tasks of the scope."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _ended(self, task: Task) -> None:
+        del self._tasks[task]
+        if task.error is not None and not isinstance(task.error, Cancelled):
+            if self._error is None:
+                self._error = task.error
+                self.cancel()
+                if self._owner is not None and not self._joining and not self._owner._cancelling:
+                    self._stopped_owner = True
+                    self._owner.cancel()
+        if self._joining and not self._tasks and self._owner is not None:
+            self._hub.unpark(self._owner)
+
+    def _join(self, quiet: bool) -> None:
+        owner = self._owner
+        self._joining = True
+        if owner is not None and self._stopped_owner:
+            owner._cancelling = False
+        cancelled: BaseException | None = None
+        while self._tasks:
+            try:
+                if owner is not None and owner._cancelling:
+                    owner._cancelling, cancelled = False, Cancelled(owner.name)
+                    self.cancel()
+                self._hub.park(lambda: None)
+            except Cancelled as error:
+                cancelled = error
+                if owner is not None:
+                    owner._cancelling = False
+                self.cancel()
+        if owner is not None:
+            owner._cancelling = cancelled is not None or (owner._cancelling and not self._stopped_owner)
+        if self._error is not None and not quiet:
+            raise self._error
+        if cancelled is not None and not quiet:
+            raise cancelled
+
+
+class Waiters:
+    """Tasks that wait for one thing to change."""
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+        self._waiting: dict[Task, None] = {}
+
+    def wait(self, deadline: int | None = None) -> None:
+        """Wait for the next `notify`. Raises DeadlineExceeded at the deadline (microseconds)."""
+        task = self._hub.current()
+        self._waiting[task] = None
+        self._hub.park(lambda: self._waiting.pop(task, None), deadline)
+
+    def notify(self) -> None:
+        """Wake all that wait."""
+        for task in list(self._waiting):
+            self._hub.unpark(task)
+
+
+class Event:
+    """A flag that tasks can wait for."""
+
+    def __init__(self, hub: Hub) -> None:
+        self._set = False
+        self._waiters = Waiters(hub)
+
+    def is_set(self) -> bool:
+        """Return whether the flag is up."""
+        return self._set
+
+    def set(self) -> None:
+        """Raise the flag and wake all that wait."""
+        self._set = True
+        self._waiters.notify()
+
+    def clear(self) -> None:
+        """Lower the flag."""
+        self._set = False
+
+    def wait(self, deadline: int | None = None) -> None:
+        """Wait for the flag. Raises DeadlineExceeded at the deadline (microseconds)."""
+        while not self._set:
+            self._waiters.wait(deadline)
--- /dev/null
+++ b/harriertrack/runtime/signals.py
@@ -0,0 +1,41 @@
+"""Signals as events of the hub, through a wake-up pipe."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from harriertrack.runtime.hub import READ, FdHandler, Hub
+
+
+@contextmanager
+def on_signals(hub: Hub, numbers: tuple[int, ...], act: Callable[[int], None]) -> Iterator[None]:
+    """Call `act` in the hub's loop for each of these signals while the context is open (main thread only).
+
+    The interpreter's own handler writes the signal's number to a pipe, which ends the hub's poll; the
+    Python-level handler does nothing, so no task is interrupted between two of its lines.
+    """
+    receiving, sending = socket.socketpair()
+    for end in (receiving, sending):
+        end.setblocking(False)
+
+    def read(_events: int) -> None:
+        for number in receiving.recv(256):
+            if number in numbers:
+                act(number)
+
+    handler = FdHandler(receiving.fileno(), READ, read)
+    hub.add_handler(handler)
+    wakeup = signal.set_wakeup_fd(sending.fileno(), warn_on_full_buffer=False)
+    before = {number: signal.signal(number, lambda *_: None) for number in numbers}
+    try:
+        yield
+    finally:
+        for number, former in before.items():
+            signal.signal(number, former)
+        signal.set_wakeup_fd(wakeup)
+        hub.remove_handler(handler)
+        receiving.close()
+        sending.close()
--- /dev/null
+++ b/harriertrack/runtime/streams.py
@@ -0,0 +1,402 @@
+"""Byte streams and listeners over sockets, with deadlines and bounded buffers.
+
+A stream's `write` never waits: bytes gather until the end of the round and go out in one call, and what the
+peer does not take stays in the buffer. Whoever produces bytes calls `drain` before it takes on more work, so
+a peer that sends but never reads stops being read from: memory stays bounded by what was already taken.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from harriertrack.runtime.hub import READ, WRITE, DeadlineExceeded, Event, FdHandler, Hub, Waiters
+
+HIGH_WATER = 1 << 20  # bytes buffered for writing above which `drain` waits
+RECEIVE = 1 << 18  # the most bytes that one read returns
+ACCEPT_PAUSE_US = 100_000  # how long a listener rests when the process has no descriptor left
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class StreamClosed(ConnectionError):
+    """The stream is closed here, or broken."""
+
+
+class Stream(Protocol):
+    """What both kinds of streams offer."""
+
+    peer: str
+
+    def read(self, deadline: int | None = None) -> bytes:
+        """Wait for bytes; b"" means that the peer will send no more."""
+
+    def write(self, data: bytes | memoryview) -> None:
+        """Add bytes to what is to be sent; never waits, and does nothing on a closed stream."""
+
+    def drain(self, deadline: int | None = None) -> None:
+        """Wait until little enough is buffered to take on more work."""
+
+    def close(self) -> None:
+        """Send what is buffered as far as that goes at once, and close."""
+
+    def abort(self) -> None:
+        """Close with a reset: the peer sees the connection break."""
+
+
+class Listener(Protocol):
+    """A place where streams arrive."""
+
+    address: tuple[str, int]
+
+    def accept(self) -> Stream:
+        """Wait for the next stream; raises StreamClosed once the listener is closed."""
+
+    def close(self) -> None:
+        """Stop listening."""
+
+
+class Network(Protocol):
+    """How streams come about: by sockets, or in memory under simulated time."""
+
+    def connect(self, address: tuple[str, int], deadline: int | None = None, name: str = "") -> Stream:
+        """Open a stream; `name` says who calls.
+
+        Raises OSError if refused, DeadlineExceeded at the deadline (microseconds).
+        """
+
+    def listen(self, address: tuple[str, int]) -> Listener:
+        """Listen at a host and port; port 0 picks a free one."""
+
+
+class SocketStream:
+    """A connected TCP socket."""
+
+    def __init__(self, hub: Hub, sock: socket.socket, peer: str) -> None:
+        self._hub, self._sock, self.peer = hub, sock, peer
+        sock.setblocking(False)
+        if sock.family in (socket.AF_INET, socket.AF_INET6):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._out: deque[memoryview] = deque()
+        self.buffered = 0
+        self._closed = False
+        self._error: OSError | None = None
+        self._wants_read = False
+        self._readable, self._writable = Waiters(hub), Waiters(hub)
+        self._handler = FdHandler(sock.fileno(), 0, self._on_events)
+        hub.add_handler(self._handler)
+
+    def _on_events(self, events: int) -> None:
+        # POLLHUP and POLLERR come with or without data still to be read: reading tells which.
+        if events & ~WRITE:
+            self._wants_read = False
+            self._readable.notify()
+        if events & ~READ and self._out:
+            self._flush()
+        self._set_interest()
+
+    def _set_interest(self) -> None:
+        if not self._closed:
+            want = (READ if self._wants_read else 0) | (WRITE if self._out else 0)
+            self._hub.set_interest(self._handler, want)
+
+    def read(self, deadline: int | None = None) -> bytes:
+        """Wait for bytes; b"" means that the peer will send no more. Raises ConnectionError if it broke."""
+        while True:
+            if self._closed:
+                raise self._error or StreamClosed("closed")
+            try:
+                return self._sock.recv(RECEIVE)
+            except (BlockingIOError, InterruptedError):
+                self._wants_read = True
+                self._set_interest()
+                self._readable.wait(deadline)
+
+    def write(self, data: bytes | memoryview) -> None:
+        """Add bytes to what is sent at the end of this round; does nothing on a closed stream."""
+        if self._closed or not data:
+            return
+        if not self._out:
+            self._hub.at_end_of_round(self._flush)
+        self._out.append(memoryview(data))
+        self.buffered += len(data)
+
+    def _flush(self) -> None:
+        try:
+            while self._out and not self._closed:
+                sent = self._sock.sendmsg([self._out[at] for at in range(min(len(self._out), 64))])
+                self.buffered -= sent
+                while sent:
+                    first = self._out[0]
+                    if sent < len(first):
+                        self._out[0] = first[sent:]
+                        break
+                    sent -= len(first)
+                    self._out.popleft()
+        except (BlockingIOError, InterruptedError):
+            pass
+        except OSError as error:
+            self._error = error
+            self._shut()
+            return
+        if self.buffered < HIGH_WATER:
+            self._writable.notify()
+        self._set_interest()
+
+    def drain(self, deadline: int | None = None) -> None:
+        """Wait until under 1 MiB is buffered. Raises ConnectionError if the stream broke meanwhile."""
+        while self.buffered >= HIGH_WATER and not self._closed:
+            self._writable.wait(deadline)
+
+    def flush(self, deadline: int | None = None) -> None:
+        """Wait until nothing is buffered."""
+        while self._out and not self._closed:
+            self._flush()
+            if self._out and not self._closed:
+                self._writable.wait(deadline)
+
+    def _shut(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self._out.clear()
+        self.buffered = 0
+        self._hub.remove_handler(self._handler)
+        self._sock.close()
+        self._readable.notify()
+        self._writable.notify()
+
+    def close(self) -> None:
+        """Send what is buffered as far as that goes at once, and close."""
+        if self._out and not self._closed:
+            self._flush()
+        self._shut()
+
+    def abort(self) -> None:
+        """Close with a reset: the peer sees the connection break."""
+        if not self._closed:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self._shut()
+
+
+class SocketListener:
+    """A listening TCP socket."""
+
+    def __init__(self, hub: Hub, address: tuple[str, int]) -> None:
+        self._hub = hub
+        self._sock = socket.create_server(address, backlog=1024, reuse_port=False)
+        self._sock.setblocking(False)
+        self.address: tuple[str, int] = self._sock.getsockname()[:2]
+        self._closed = False
+        self.exhausted = 0  # times that no descriptor was left
+        self._waiters = Waiters(hub)
+        self._handler = FdHandler(self._sock.fileno(), 0, self._on_events)
+        hub.add_handler(self._handler)
+
+    def _on_events(self, _events: int) -> None:
+        self._hub.set_interest(self._handler, 0)
+        self._waiters.notify()
+
+    def accept(self) -> SocketStream:
+        """Wait for the next stream; without free descriptors it rests and goes on when some are free."""
+        while not self._closed:
+            try:
+                sock, peer = self._sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                self._hub.set_interest(self._handler, READ)
+                self._waiters.wait()
+            except OSError as error:
+                if error.errno not in NO_DESCRIPTOR:
+                    raise
+                self.exhausted += 1
+                self._hub.sleep(ACCEPT_PAUSE_US)
+            else:
+                return SocketStream(self._hub, sock, f"{peer[0]}:{peer[1]}")
+        raise StreamClosed("the listener is closed")
+
+    def close(self) -> None:
+        """Stop listening."""
+        if not self._closed:
+            self._closed = True
+            self._hub.remove_handler(self._handler)
+            self._sock.close()
+            self._waiters.notify()
+
+
+class SocketNetwork:
+    """TCP on this machine."""
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+
+    def connect(self, address: tuple[str, int], deadline: int | None = None, name: str = "") -> SocketStream:
+        """Open a stream. Raises OSError if refused, DeadlineExceeded at the deadline."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            code = sock.connect_ex(address)
+            if code == errno.EINPROGRESS:
+                ready = Event(self._hub)
+                handler = FdHandler(sock.fileno(), WRITE, lambda _events: ready.set())
+                self._hub.add_handler(handler)
+                try:
+                    ready.wait(deadline)
+                finally:
+                    self._hub.remove_handler(handler)
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, errno.errorcode.get(code, "connect"))
+        except BaseException:
+            sock.close()
+            raise
+        return SocketStream(self._hub, sock, f"{address[0]}:{address[1]}")
+
+    def listen(self, address: tuple[str, int]) -> SocketListener:
+        """Listen at a host and port; port 0 picks a free one."""
+        return SocketListener(self._hub, address)
+
+
+class MemoryStream:
+    """One end of a pair of streams in memory; what is written arrives after the pair's delay."""
+
+    def __init__(self, hub: Hub, peer: str, delay_us: int) -> None:
+        self._hub, self.peer, self.delay_us = hub, peer, delay_us
+        self.other: MemoryStream | None = None
+        self._in: deque[bytes] = deque()
+        self._unread = 0  # bytes that arrived and were not read: the peer's receive window
+        self._eof = self._closed = False
+        self._error: OSError | None = None
+        self.buffered = 0  # bytes on the way or unread at the other end
+        self._readable, self._writable = Waiters(hub), Waiters(hub)
+
+    def read(self, deadline: int | None = None) -> bytes:
+        """Wait for bytes; b"" means that the peer will send no more. Raises ConnectionError if it broke."""
+        while not self._in:
+            if self._closed or self._error:
+                raise self._error or StreamClosed("closed")
+            if self._eof:
+                return b""
+            self._readable.wait(deadline)
+        data = self._in.popleft()
+        if self.other is not None:
+            self.other._taken(len(data))
+        return data
+
+    def _taken(self, count: int) -> None:
+        self.buffered -= count
+        self._writable.notify()
+
+    def write(self, data: bytes | memoryview) -> None:
+        """Add bytes to what is to be sent; does nothing on a closed stream."""
+        if self._closed or not data or self.other is None:
+            return
+        self.buffered += len(data)
+        copy, other = bytes(data), self.other
+        self._hub.at(self._hub.now() + self.delay_us, lambda: other._arrive(copy))
+
+    def _arrive(self, data: bytes) -> None:
+        if not self._closed:
+            self._in.append(data)
+            self._readable.notify()
+
+    def drain(self, deadline: int | None = None) -> None:
+        """Wait until under 1 MiB is buffered."""
+        while self.buffered >= HIGH_WATER and not self._closed and not self._error:
+            self._writable.wait(deadline)
+
+    def flush(self, deadline: int | None = None) -> None:
+        """Nothing to do: what is written is on its way."""
+
+    def _end(self, error: OSError | None) -> None:
+        if error is not None:
+            self._error, self._closed = error, True
+            self._in.clear()
+        self._eof = True
+        self._readable.notify()
+        self._writable.notify()
+
+    def _leave(self, error: OSError | None) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self._readable.notify()
+        self._writable.notify()
+        if (other := self.other) is not None:
+            self._hub.at(self._hub.now() + self.delay_us, lambda: other._end(error))
+
+    def close(self) -> None:
+        """Close; the peer reads what is on its way, then the end."""
+        self._leave(None)
+
+    def abort(self) -> None:
+        """Close with a reset: the peer sees the connection break."""
+        self._leave(ConnectionResetError(errno.ECONNRESET, "reset"))
+
+
+class MemoryListener:
+    """A place in a `MemoryNetwork` where streams arrive."""
+
+    def __init__(self, network: MemoryNetwork, address: tuple[str, int]) -> None:
+        self._network, self.address = network, address
+        self._queue: deque[MemoryStream] = deque()
+        self._closed = False
+        self._waiters = Waiters(network.hub)
+
+    def arrive(self, stream: MemoryStream) -> None:
+        """Take a new stream."""
+        self._queue.append(stream)
+        self._waiters.notify()
+
+    def accept(self) -> MemoryStream:
+        """Wait for the next stream; raises StreamClosed once the listener is closed."""
+        while not self._queue:
+            if self._closed:
+                raise StreamClosed("the listener is closed")
+            self._waiters.wait()
+        return self._queue.popleft()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._closed = True
+        self._network.listeners.pop(self.address, None)
+        self._waiters.notify()
+
+
+class MemoryNetwork:
+    """Streams in memory under simulated time; `delay` says how long bytes take between two names."""
+
+    def __init__(self, hub: Hub, delay: Callable[[str, tuple[str, int]], int] | None = None) -> None:
+        self.hub = hub
+        self.listeners: dict[tuple[str, int], MemoryListener] = {}
+        self._delay = delay or (lambda _name, _address: 100)
+        self._port = 20_000
+
+    def connect(self, address: tuple[str, int], deadline: int | None = None, name: str = "") -> MemoryStream:
+        """Open a stream after one round trip. Raises ConnectionRefusedError where nobody listens."""
+        delay = self._delay(name, address)
+        when = self.hub.now() + 2 * delay
+        if deadline is not None and when > deadline:
+            self.hub.sleep_until(deadline)
+            raise DeadlineExceeded()
+        self.hub.sleep_until(when)
+        listener = self.listeners.get(address)
+        if listener is None:
+            raise ConnectionRefusedError(errno.ECONNREFUSED, f"nobody listens at {address[0]}:{address[1]}")
+        here = MemoryStream(self.hub, f"{address[0]}:{address[1]}", delay)
+        there = MemoryStream(self.hub, name, delay)
+        here.other, there.other = there, here
+        listener.arrive(there)
+        return here
+
+    def listen(self, address: tuple[str, int]) -> MemoryListener:
+        """Listen at a host and port; port 0 picks a free one."""
+        if address[1] == 0:
+            self._port += 1
+            address = (address[0], self._port)
+        if address in self.listeners:
+            raise OSError(errno.EADDRINUSE, f"{address[0]}:{address[1]} is taken")
+        listener = self.listeners[address] = MemoryListener(self, address)
+        return listener
--- /dev/null
+++ b/harriertrack/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, with faults on demand."""
--- /dev/null
+++ b/harriertrack/storage/__init__.py
@@ -0,0 +1,1 @@
+"""What survives a crash."""
--- a/harriertrack/wirehost.py
+++ b/harriertrack/wirehost.py
@@ -1,6 +1,6 @@
 """Adapter: the bench's text wire on standard input and output, many instances of the module.
 
-It translates and nothing more; every decision is the module's (harriertrack/scheduler.py).
+It translates and nothing more; every decision is the module's (harriertrack/decisions/scheduler.py).
 """
 
 from __future__ import annotations
@@ -10,8 +10,8 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, TextIO
 
-from harriertrack import interface as api
-from harriertrack.scheduler import Scheduler
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.scheduler import Scheduler
 
 EFFECTS = {
     "read_like": api.Effect.SAFE,
@@ -187,9 +187,9 @@
                 self.pools[int(bank)] = [self.read_row(rows) for _ in range(int(count))]
             elif word == "directory_update":
                 form, _serial, bank = rest.split(" ")
-                kind = FORMS[form]
-                entries = [] if kind is api.ListKind.FAILED else self.pools[int(bank)]
-                self.add(api.NodesChanged(kind, entries))
+                news = FORMS[form]
+                entries = [] if news is api.ListKind.FAILED else self.pools[int(bank)]
+                self.add(api.NodesChanged(news, entries))
             elif word == "init":
                 seed, conf = rest.split(" ", 1)
                 self.instances[self.current] = Scheduler(settings_of(json.loads(conf)), int(seed))
@@ -247,10 +247,10 @@
 def main() -> None:
     """Serve standard input; end with one plain message if it cannot be read."""
     host = WireHost()
-    sys.stdin.reconfigure(encoding="utf-8", newline="\n")
-    sys.stdout.reconfigure(encoding="utf-8", newline="\n")
+    lines = open(0, encoding="utf-8", newline="\n", closefd=False)
+    out = open(1, "w", encoding="utf-8", newline="\n", closefd=False)
     try:
-        host.serve(sys.stdin, sys.stdout)
+        host.serve(lines, out)
     except WireError as error:
         sys.stderr.write(f"harriertrack: input line {host.line_number}: {error}\n")
         sys.exit(2)
--- a/tests/test_interface.py
+++ b/tests/test_interface.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from harriertrack import interface as api
+from harriertrack.decisions import interface as api
 
 READ = api.RequestClass("r", 1, 1)
 
--- /dev/null
+++ b/tests/test_runtime.py
@@ -0,0 +1,239 @@
+"""The hub on the virtual clock and over real sockets: its hard cases."""
+
+import os
+import resource
+import socket
+
+import pytest
+
+from harriertrack.runtime.hub import Cancelled, Deadlock, DeadlineExceeded, Event, Hub
+from harriertrack.runtime.streams import HIGH_WATER, MemoryNetwork, SocketListener, SocketNetwork, SocketStream
+
+
+@pytest.fixture(params=["sockets", "virtual"])
+def on(request):
+    def run(test):
+        hub = Hub() if request.param == "sockets" else Hub.virtual()
+        return hub.run(test, hub, SocketNetwork(hub) if request.param == "sockets" else MemoryNetwork(hub))
+
+    return run
+
+
+def pair(hub, net):
+    listener = net.listen(("127.0.0.1", 0))
+    here = net.connect(listener.address, hub.now() + 1_000_000)
+    return here, listener.accept(), listener
+
+
+def test_bytes_arrive_in_order_and_end_is_seen(on):
+    def main(hub, net):
+        here, there, _ = pair(hub, net)
+        for at in range(100):
+            here.write(b"%03d" % at)
+        here.close()
+        got = b""
+        while data := there.read():
+            got += data
+        assert got == b"".join(b"%03d" % at for at in range(100))
+
+    on(main)
+
+
+def test_a_half_closed_peer_still_gets_its_answer(on):
+    def main(hub, net):
+        here, there, _ = pair(hub, net)
+        there.write(b"answer")
+        there.close()
+        hub.sleep(1000)  # the answer and the hang-up are both pending
+        assert here.read() == b"answer"
+        assert here.read() == b""
+
+    on(main)
+
+
+def test_a_reset_breaks_the_peer(on):
+    def main(hub, net):
+        here, there, _ = pair(hub, net)
+        there.abort()
+        with pytest.raises(ConnectionError):
+            here.read(hub.now() + 1_000_000)
+
+    on(main)
+
+
+def test_a_client_that_never_reads_stops_being_served(on):
+    def main(hub, net):
+        here, there, _ = pair(hub, net)
+        there.write(bytes(8 * HIGH_WATER))
+        with pytest.raises(DeadlineExceeded):
+            there.drain(hub.now() + 50_000)
+        total = 0
+        with hub.scope() as scope:
+            scope.spawn("drain", there.drain)
+            while total < 8 * HIGH_WATER:
+                total += len(here.read())
+        assert there.buffered < HIGH_WATER
+
+    on(main)
+
+
+def test_nobody_listens(on):
+    def main(hub, net):
+        listener = net.listen(("127.0.0.1", 0))
+        listener.close()
+        with pytest.raises(ConnectionRefusedError):
+            net.connect(listener.address, hub.now() + 1_000_000)
+
+    on(main)
+
+
+def test_deadlines_and_sleep_on_the_virtual_clock():
+    hub = Hub.virtual(start=0)
+
+    def main():
+        hub.sleep(3_600_000_000)
+        with pytest.raises(DeadlineExceeded):
+            Event(hub).wait(hub.now() + 5)
+        return hub.now()
+
+    assert hub.run(main) == 3_600_000_005
+
+
+def test_nothing_left_to_wait_for_is_told():
+    hub = Hub.virtual()
+    with pytest.raises(Deadlock):
+        hub.run(lambda: Event(hub).wait())
+
+
+def test_an_error_in_a_task_ends_its_scope_and_its_siblings():
+    hub, seen = Hub.virtual(), []
+
+    def sibling():
+        try:
+            hub.sleep(10_000_000)
+        except Cancelled:
+            seen.append(hub.now())
+            raise
+
+    def broken():
+        hub.sleep(10)
+        raise ValueError("broken")
+
+    def main():
+        with hub.scope() as scope:
+            scope.spawn("sibling", sibling)
+            scope.spawn("broken", broken)
+            hub.sleep(20_000_000)
+
+    start = hub.now()
+    with pytest.raises(ValueError, match="broken"):
+        hub.run(main)
+    assert seen == [start + 10]
+
+
+def test_cancelling_a_task_before_it_began_and_twice():
+    hub, ran = Hub.virtual(), []
+
+    def main():
+        with hub.scope() as scope:
+            task = scope.spawn("never", ran.append, 1)
+            task.cancel()
+            task.cancel()
+        assert isinstance(task.error, Cancelled)
+
+    hub.run(main)
+    assert not ran
+
+
+def test_ten_thousand_cancelled_timers_leave_nothing():
+    hub = Hub.virtual()
+
+    def main():
+        timers = [hub.at(hub.now() + 1_000_000 + at, lambda: pytest.fail("ran")) for at in range(10_000)]
+        for timer in timers:
+            timer.cancel()
+            timer.cancel()
+        assert len(hub._timers) < 1000
+        hub.sleep(2_000_000)
+
+    hub.run(main)
+
+
+def test_a_descriptor_used_again_in_the_same_round_gets_no_old_events():
+    hub = Hub()
+
+    def main():
+        first, second = socket.socketpair(), socket.socketpair()
+        streams = [SocketStream(hub, first[0], "a"), SocketStream(hub, second[0], "b")]
+        wrong = []
+
+        def swap(one, other):
+            # Both are readable in one poll; whichever runs first closes the other and reuses its number.
+            def act(_events):
+                number = other._handler.fd
+                other.close()
+                again = socket.socketpair()
+                stream = SocketStream(hub, again[0], "c")
+                stream._handler.on_events = lambda events: wrong.append((number, stream._handler.fd, events))
+                hub.set_interest(stream._handler, 4)
+                kept.extend([again, stream])
+                one._handler.on_events = lambda _events: None
+                hub.set_interest(one._handler, 0)
+                seen.append(len(wrong))
+
+            return act
+
+        kept, seen = [], []
+        streams[0]._handler.on_events = swap(streams[0], streams[1])
+        streams[1]._handler.on_events = swap(streams[1], streams[0])
+        for stream, (_, far) in zip(streams, (first, second), strict=True):
+            hub.set_interest(stream._handler, 1)
+            far.send(b"x")
+        hub.sleep(1000)
+        assert len(seen) == 1 and seen == [0]
+
+    hub.run(main)
+
+
+def test_no_descriptor_left_rests_and_goes_on():
+    hub, before = Hub(), resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    def main():
+        listener = SocketListener(hub, ("127.0.0.1", 0))
+        here = socket.create_connection(listener.address)
+        used = max(int(name) for name in os.listdir("/proc/self/fd"))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (used, before[1]))
+        hog = []
+        try:
+            while True:
+                hog.append(socket.socket())
+        except OSError:
+            pass
+        with hub.scope() as scope:
+            task = scope.spawn("accept", listener.accept)
+            while not listener.exhausted:
+                hub.sleep(1000)
+            for one in hog:
+                one.close()
+        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+        assert task.result.peer.startswith("127.0.0.1:")
+        here.close()
+
+    try:
+        hub.run(main)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+
+
+def test_a_stall_is_told():
+    hub, told = Hub(stall_us=20_000), []
+    hub.on_stall = told.append
+
+    def main():
+        until = hub.now() + 30_000
+        while hub.now() < until:
+            pass
+        hub.sleep(1)
+
+    hub.run(main)
+    assert hub.stalls == 1 and told[0] >= 20_000
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from harriertrack import interface as api
-from harriertrack.scheduler import WINDOW_MOST, Scheduler
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.scheduler import WINDOW_MOST, Scheduler
 
 MS = 1000
 SECOND = 1_000_000
