--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -35,11 +35,11 @@
     CACHE = "cache"
 
 
-class _Part(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class Checked(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A part of the settings: unknown fields are errors."""
 
 
-class ClassSettings(_Part, frozen=True, kw_only=True):
+class ClassSettings(Checked, frozen=True, kw_only=True):
     """A class of requests, and which requests belong to it: the first class whose kind and size fit."""
 
     name: Name
@@ -55,7 +55,7 @@
     in_order: bool = False
 
 
-class PlanSettings(_Part, frozen=True, kw_only=True):
+class PlanSettings(Checked, frozen=True, kw_only=True):
     """A service plan, per volume over all heads."""
 
     name: Name
@@ -68,7 +68,7 @@
     price: Amount = 1.0
 
 
-class VolumeSettings(_Part, frozen=True, kw_only=True):
+class VolumeSettings(Checked, frozen=True, kw_only=True):
     """A volume, which is one export. `shards` names where its extents were allocated beforehand, in turn."""
 
     name: Name
@@ -79,7 +79,7 @@
     read_only: bool = False
 
 
-class NodeSettings(_Part, frozen=True, kw_only=True):
+class NodeSettings(Checked, frozen=True, kw_only=True):
     """A storage node of a list in a file."""
 
     name: Name
@@ -90,7 +90,7 @@
     started_us: Whole = 0
 
 
-class ConsulSettings(_Part, frozen=True, kw_only=True):
+class ConsulSettings(Checked, frozen=True, kw_only=True):
     """Where the node list is asked: a health endpoint as Consul's HTTP API has it."""
 
     address: tuple[str, Port]
@@ -99,7 +99,7 @@
     timeout_us: Positive = 2_000_000
 
 
-class NodeListSettings(_Part, frozen=True, kw_only=True):
+class NodeListSettings(Checked, frozen=True, kw_only=True):
     """The node list's source: a file that is read again when it changes, or HTTP."""
 
     file: str = ""
@@ -107,7 +107,7 @@
     consul: ConsulSettings | None = None
 
 
-class RuleSettings(_Part, frozen=True, kw_only=True):
+class RuleSettings(Checked, frozen=True, kw_only=True):
     """The figures of the rules; zero means that a thing does not apply."""
 
     drain_grace_us: Whole = 2_000_000
@@ -122,7 +122,7 @@
     order_settle_us: Whole = 0
 
 
-class LimitSettings(_Part, frozen=True, kw_only=True):
+class LimitSettings(Checked, frozen=True, kw_only=True):
     """What bounds a head's memory and connections."""
 
     connections: Positive = 1024
@@ -134,7 +134,7 @@
     handshake_us: Positive = 10_000_000
 
 
-class HeadSettings(_Part, frozen=True, kw_only=True):
+class HeadSettings(Checked, frozen=True, kw_only=True):
     """Everything that a head is told at its start."""
 
     listen: tuple[str, Port] = ("127.0.0.1", 10809)
@@ -160,7 +160,7 @@
     volumes: tuple[VolumeSettings, ...]
 
 
-class ShelfSettings(_Part, frozen=True, kw_only=True):
+class ShelfSettings(Checked, frozen=True, kw_only=True):
     """A storage node stand-in: an NBD server that models a node's time."""
 
     listen: tuple[str, Port] = ("127.0.0.1", 10810)
@@ -187,7 +187,8 @@
     volumes: tuple[VolumeSettings, ...]
 
 
-def _read(path: str) -> Form:
+def read_file(path: str) -> Form:
+    """Read a file that holds one form. Raises SettingsError."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -197,7 +198,7 @@
 
 def load(path: str) -> HeadSettings | ShelfSettings:
     """Read and check a settings file. Raises SettingsError with file, line and field."""
-    return parse(_read(path), path)
+    return parse(read_file(path), path)
 
 
 def parse(form: Form, source: str) -> HeadSettings | ShelfSettings:
@@ -215,12 +216,12 @@
 def load_nodes(path: str) -> tuple[NodeSettings, ...]:
     """Read a node list file, `(node-list (node ...) ...)`. Raises SettingsError."""
 
-    class NodeListFile(_Part, frozen=True, kw_only=True):
+    class NodeListFile(Checked, frozen=True, kw_only=True):
         """The file's one form."""
 
         nodes: tuple[NodeSettings, ...] = ()
 
-    nodes = bind(_read(path), NodeListFile, path).nodes
+    nodes = bind(read_file(path), NodeListFile, path).nodes
     names = [node.name for node in nodes]
     if twice := {name for name in names if names.count(name) > 1}:
         raise SettingsError(f"{path}:1: node-list: {', '.join(sorted(twice))} is named twice")
--- a/harriertrack/config/sexp.py
+++ b/harriertrack/config/sexp.py
@@ -16,6 +16,7 @@
 _DURATIONS = {"us": 1, "ms": 1_000, "s": 1_000_000, "min": 60_000_000}
 _SIZES = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "TiB": 1 << 40}
 _QUANTITY = re.compile(r"(-?\d+(?:\.\d+)?)([A-Za-z]+)\Z")
+_STRUCT = msgspec.inspect.StructType
 T = TypeVar("T")
 
 
@@ -98,7 +99,7 @@
 def _plain(form: Form, kind: Any, source: str, path: str, lines: dict[str, int]) -> dict[str, Any]:
     word = head_word(form, source)
     lines[path] = form.line
-    fields = {_spoken(field.name): field for field in msgspec.structs.fields(kind)}
+    fields = {_spoken(field.name, field.type): field for field in msgspec.structs.fields(kind)}
     result: dict[str, Any] = {}
     for item in form[1:]:
         if not isinstance(item, Form):
@@ -112,23 +113,24 @@
             known = ", ".join(sorted(fields))
             raise SettingsError(f"{source}:{item.line}: {word}: unknown setting {name}; known are {known}")
         shape = msgspec.inspect.type_info(field.type)
-        many = isinstance(shape, msgspec.inspect.VarTupleType)
         inner = shape.item_type if isinstance(shape, msgspec.inspect.VarTupleType) else shape
         if isinstance(inner, msgspec.inspect.UnionType):
             inner = next(one for one in inner.types if not isinstance(one, msgspec.inspect.NoneType))
         where = f"{path}.{field.name}"
-        repeated = many and isinstance(inner, msgspec.inspect.StructType)
+        repeated = _is_repeated(field.type)
         if field.name in result and not repeated:
             raise SettingsError(f"{source}:{item.line}: {word}: {name} is given twice")
-        lines[f"{where}[{len(result.get(field.name, ()))}]" if repeated else where] = item.line
+        if repeated:
+            where = f"{where}[{len(result.get(field.name, ()))}]"
+        lines[where] = item.line
         try:
-            if isinstance(inner, msgspec.inspect.StructType):
+            if isinstance(inner, _STRUCT):
+                part = _plain(item, inner.cls, source, where, lines)
                 if repeated:
-                    where = f"{where}[{len(result.get(field.name, ()))}]"
-                    result.setdefault(field.name, []).append(_plain(item, inner.cls, source, where, lines))
+                    result.setdefault(field.name, []).append(part)
                 else:
-                    result[field.name] = _plain(item, inner.cls, source, where, lines)
-            elif many or isinstance(shape, msgspec.inspect.TupleType):
+                    result[field.name] = part
+            elif isinstance(shape, msgspec.inspect.VarTupleType | msgspec.inspect.TupleType):
                 result[field.name] = [_scalar(value, field.name) for value in item[1:]]
             elif len(item) != 2:
                 raise ValueError(f"expected one value, not {len(item) - 1}")
@@ -139,10 +141,15 @@
     return result
 
 
-def _spoken(name: str) -> str:
-    """Name a field as it is written in settings: no unit ending, dashes, singular for repeated parts."""
+def _is_repeated(kind: Any) -> bool:
+    shape = msgspec.inspect.type_info(kind)
+    return isinstance(shape, msgspec.inspect.VarTupleType) and isinstance(shape.item_type, _STRUCT)
+
+
+def _spoken(name: str, kind: Any) -> str:
+    """Name a field as it is written: without its unit's ending, with dashes, singular for repeated parts."""
+    if _is_repeated(kind):
+        name = {"classes": "class"}.get(name, name.removesuffix("s"))
     for ending in ("_us", "_bytes"):
         name = name.removesuffix(ending)
-    plural = {"classes": "class", "plans": "plan", "volumes": "volume", "nodes": "node", "steps": "at",
-              "heads_": "head", "shelves": "shelf", "flows": "flow"}  # fmt: skip
-    return plural.get(name, name).replace("_", "-")
+    return name.replace("_", "-")
--- a/harriertrack/gateway/core.py
+++ b/harriertrack/gateway/core.py
@@ -155,8 +155,11 @@
 class Core:
     """One head."""
 
-    def __init__(self, settings: HeadSettings, port: Port, extents: ExtentMap, seed: int) -> None:
+    def __init__(
+        self, settings: HeadSettings, port: Port, extents: ExtentMap, seed: int, head_id: int = 0
+    ) -> None:
         self.settings = settings
+        self.head_id = head_id  # how this life of the head names itself to nodes and the list service
         self.nodes = NodeList()
         self.extents = extents
         self.counts = Counts()
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -1,7 +1,7 @@
 """The NBD front: clients' connections, each request of which becomes a `ClientRequest` of the core.
 
-A front decides nothing: it parses, keeps a connection's requests within their bound by not reading on, and
-writes the core's answers. Refused and failed are told apart by the error: ENOMEM (not done, trying again is
+A front decides nothing: it parses, refuses what passes a connection's bound, and writes the core's
+answers. Refused and failed are told apart by the error: ENOMEM (not done, trying again is
 harmless, with the hint in the message) and EIO (nothing is promised).
 """
 
@@ -108,9 +108,8 @@
                             return
                 if self._nbd.state is ServerState.CLOSED:
                     break
+                # A client that does not read its answers is not read from either.
                 self._stream.drain()
-                while len(self._open) >= front.settings.limits.in_flight:
-                    self._fewer.wait()
         except (ProtocolViolation, DeadlineExceeded) as error:
             front.note("client closed", peer=self._stream.peer, why=str(error) or "too slow a handshake")
         except OSError as error:
@@ -137,12 +136,12 @@
             self._nbd.reply_block_status(event.cookie, list(self._status(event)))
             self._push()
             return
-        if front.closing or front.core.full():
-            error = Errno.ESHUTDOWN if front.closing else REFUSED
-            self._nbd.reply_error(
-                event.cookie, error, "shutting down" if front.closing else "too much is open"
-            )
-            self._push()
+        if front.closing:
+            self._turn_away(event, Errno.ESHUTDOWN, "shutting down")
+            return
+        if len(self._open) >= front.settings.limits.in_flight or front.core.full():
+            # Not reading on would let requests grow old in the socket, past what their clients wait for.
+            self._turn_away(event, REFUSED, "refused: not done; too much is open")
             return
         volume = front.core.volumes[self._volume]
         kind = KINDS[event.command]
@@ -150,6 +149,10 @@
         self._open[request] = event.cookie
         front.core.take(front.hub.now(), request)
 
+    def _turn_away(self, event: Request, error: Errno, why: str) -> None:
+        self._nbd.reply_error(event.cookie, error, why)
+        self._push()
+
     def _status(self, event: Request) -> Iterable[tuple[int, int]]:
         """Yield what is allocated: extents that were never written are holes."""
         core = self._front.core
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -39,14 +39,15 @@
     def run(self) -> None:
         """Serve until `stop` is called; raises OSError if it can't listen, ExtentMapError without its map."""
         hub, settings = self.hub, self.settings
+        hub.enter_group(self)
         listener = self._network.listen(settings.listen)
         self.address = listener.address
         extents = self._extents or ExtentMap(str(Path(settings.state_dir) / "extents"))
         try:
             with hub.scope(self._name) as scope:
                 seed = settings.seed or hub.random.getrandbits(63)
-                self.core = Core(settings, self, extents, seed)
-                self._links = Links(hub, self._network, scope, settings, self.head_id, self.core, self._note,
+                self.core = Core(settings, self, extents, seed, self.head_id)
+                self._links = Links(hub, self._network, scope, settings, self.core, self._note,
                                     self._name)  # fmt: skip
                 self._listing = Listing(
                     hub, self._network, settings, self.core, scope, self._note, self._name
--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -63,7 +63,7 @@
         offset = 0 if kind is Kind.FLUSH else part.offset
         self._nbd.request(COMMANDS[kind], cookie, offset, part.length, body, flags)
         self._push()
-        self._links.ends.sent(attempt)
+        self._links.core.sent(attempt)
 
     def call_off(self, attempt: Attempt) -> None:
         """Forget an attempt that waits for the link, or tell the node where it understands that.
@@ -113,7 +113,7 @@
         self._links.closed(self, why)
         now = self._hub.now()
         for attempt in [*self._waiting, *self._out.values()]:
-            self._links.ends.ended(now, attempt, result)
+            self._links.core.ended(now, attempt, result)
 
     def _close(self) -> None:
         self.open, self.closed = False, True
@@ -131,7 +131,7 @@
         self._await(Greeted, deadline)
         self._nbd.ask_structured()
         if not self._option(deadline).error:
-            self._nbd.ask_contexts(self.volume, [context_of(self._links.head_id)])
+            self._nbd.ask_contexts(self.volume, [context_of(self._links.core.head_id)])
             self._option(deadline)
         if not self._nbd.extended and not self._links.settings.plain_nodes:
             raise LinkError("the node drops no repeats (plain NBD), and (plain-nodes yes) is not set")
@@ -162,7 +162,7 @@
         attempt = self._out.pop(reply.cookie)
         self._orphans -= attempt.told
         result = api.Result.FULL if reply.unseen else api.Result.ERROR if reply.error else api.Result.OK
-        self._links.ends.ended(self._hub.now(), attempt, result, reply.data, reply.report)
+        self._links.core.ended(self._hub.now(), attempt, result, reply.data, reply.report)
         if not self._out:
             self._rest()
 
@@ -190,10 +190,18 @@
 class Links:
     """All links of a head."""
 
-    def __init__(self, hub: Hub, network: Network, scope: Scope, settings: HeadSettings, head_id: int,
-                 ends: Core, note: Callable[..., None], name: str = "head") -> None:  # fmt: skip
-        self.hub, self.network, self.settings, self.head_id = hub, network, settings, head_id
-        self.ends, self.name = ends, name
+    def __init__(
+        self,
+        hub: Hub,
+        network: Network,
+        scope: Scope,
+        settings: HeadSettings,
+        core: Core,
+        note: Callable[..., None],
+        name: str = "head",
+    ) -> None:
+        self.hub, self.network, self.settings = hub, network, settings
+        self.core, self.name = core, name
         self.sizes = {volume.name: volume.size_bytes for volume in settings.volumes}
         self._scope, self._note = scope, note
         self._links: dict[tuple[str, str], Link] = {}
--- a/harriertrack/gateway/listing.py
+++ b/harriertrack/gateway/listing.py
@@ -27,6 +27,10 @@
         self._core, self._scope, self._note, self._name = core, scope, note, name
         self._task: Task | None = None
         self._index = 0
+        # A start comes as wall-clock time. The difference is fixed once: a step of the wall clock must not
+        # make
+        # known nodes look newly started.
+        self._wall_ahead = hub.clock.wall() - hub.now()
 
     def subscribe(self, on: bool) -> None:
         """Follow from now on, or stop."""
@@ -48,7 +52,12 @@
             self._core.list_failed()
 
     def _told(self, members: list[Member]) -> None:
-        self._core.nodes_changed(members)
+        self._core.nodes_changed([self._localised(member) for member in members])
+
+    def _localised(self, member: Member) -> Member:
+        entry = member.entry
+        started = max(1, entry.started_us - self._wall_ahead) if entry.started_us else 0
+        return Member(NodeEntry(entry.node, entry.shard, entry.state, entry.zone, started), member.address)
 
     def _watch(self, path: str) -> None:
         known: list[Member] | None = None
@@ -70,7 +79,10 @@
             deadline = self._hub.now() + wait + asked.timeout_us
             stream = self._network.connect(asked.address, deadline, self._name)
             try:
-                get = Get(f"{asked.address[0]}:{asked.address[1]}", consul.target(asked.service, index, wait))
+                host = f"{asked.address[0]}:{asked.address[1]}"
+                get = Get(
+                    host, consul.target(asked.service, index, wait), f"harriertrack/{self._core.head_id:016x}"
+                )
                 stream.write(get.request)
                 while not get.receive(stream.read(deadline)):
                     pass
--- /dev/null
+++ b/harriertrack/lab/day.py
@@ -0,0 +1,128 @@
+"""A day: machines, load, troubles and a seed, as an S-expression.
+
+`(day "name" (about "...") (length 12s) (nodes 4) ... (trouble hang (from 3s) (for 4s) (part 0.25)))`. Days
+that come with the program lie in `lab/days/`.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from importlib import resources
+from pathlib import Path
+
+from harriertrack.config.settings import (
+    Amount,
+    Checked,
+    Name,
+    Positive,
+    RuleSettings,
+    Share,
+    Whole,
+    read_file,
+)
+from harriertrack.config.sexp import Form, SettingsError, bind, read_text
+
+
+class TroubleKind(Enum):
+    """The kinds of trouble a day can hold; docs/days.md says what each does."""
+
+    ANSWER_LOST = "answer_lost"
+    BALANCER_ROLL = "balancer_roll"
+    BALANCER_STALL = "balancer_stall"
+    DISCOVERY_DOWN = "discovery_down"
+    DRAIN = "drain"
+    GIVE_UP = "give_up"
+    HANG = "hang"
+    HOT_KEY = "hot_key"
+    MASS_RESTART = "mass_restart"
+    NEIGHBOUR = "neighbour"
+    PAUSES = "pauses"
+    PREEMPT = "preempt"
+    RECONNECT = "reconnect"
+    RETRY_ABUSE = "retry_abuse"
+    SCAN = "scan"
+    SLOW = "slow"
+    TENANT_BURST = "tenant_burst"
+    VANISH = "vanish"
+    ZONE_CUT = "zone_cut"
+
+
+class TroubleSettings(Checked, frozen=True, kw_only=True):
+    """One trouble: when, for how long, on which part of the machines, and how much."""
+
+    name: TroubleKind
+    from_us: Whole
+    for_us: Positive = 4_000_000
+    part: Share = 0.25
+    size: Amount = 2.0
+    every_us: Positive = 1_000_000
+
+
+class DaySettings(Checked, frozen=True, kw_only=True):
+    """A day."""
+
+    name: Name
+    about: str = ""
+    length_us: Positive = 12_000_000
+    heads: Positive = 2
+    nodes: Positive = 4
+    zones: tuple[str, ...] = ("here",)
+    rate: Amount = 120.0
+    volumes: Positive = 6
+    shared: Share = 0.5
+    volume_bytes: Positive = 8 << 20
+    extent_bytes: Positive = 128 << 10
+    unit_bytes: Positive = 4096
+    most_sectors: Positive = 32
+    cores: Positive = 2
+    request_us: Whole = 4_000
+    unit_us: Whole = 4_000
+    queue: Positive = 48
+    discount: Share = 0.4
+    remembers: Whole = 2
+    deferred: Share = 0.3
+    flush_us: Positive = 2_000_000
+    cold_share: Share = 0.25
+    warm_us: Whole = 8_000_000
+    notice_us: Whole = 700_000
+    retries: Whole = 1
+    backoff_us: Positive = 100_000
+    rules: RuleSettings = RuleSettings(
+        drain_grace_us=2_000_000,
+        fall_multiple=2.0,
+        fall_us=2_000_000,
+        cold_share=0.25,
+        warm_us=8_000_000,
+        cold_units=24,
+    )
+    in_order: bool = False
+    troubles: tuple[TroubleSettings, ...] = ()
+
+
+def parse(form: Form, source: str) -> DaySettings:
+    """Check a form of a day. Raises SettingsError with file, line and field."""
+    day = bind(form, DaySettings, source)
+    for trouble in day.troubles:
+        if trouble.from_us >= day.length_us:
+            raise SettingsError(
+                f"{source}:{form.line}: trouble {trouble.name.value}: begins after the day's end"
+            )
+    if day.volume_bytes % day.extent_bytes or day.extent_bytes % day.unit_bytes:
+        raise SettingsError(f"{source}:{form.line}: extent: does not divide the volume into whole units")
+    return day
+
+
+def names() -> list[str]:
+    """Return the names of the days that come with the program."""
+    folder = resources.files("harriertrack.lab") / "days"
+    return sorted(path.name.removesuffix(".sexp") for path in folder.iterdir() if path.name.endswith(".sexp"))
+
+
+def load(name: str) -> DaySettings:
+    """Read a day by its name, or by a file's path. Raises SettingsError."""
+    if name in names():
+        text = (resources.files("harriertrack.lab") / "days" / f"{name}.sexp").read_text()
+        return parse(read_text(text, f"{name}.sexp"), f"{name}.sexp")
+    if not Path(name).exists():
+        raise SettingsError(f"{name}: no such day; `harriertrack day list` names them")
+    return parse(read_file(name), name)
--- /dev/null
+++ b/harriertrack/lab/days/calm.sexp
@@ -0,0 +1,2 @@
+(day "calm"
+  (about "No trouble: the figure that the others are compared with."))
--- /dev/null
+++ b/harriertrack/lab/load.py
@@ -0,0 +1,221 @@
+"""Clients of a day: open-loop load on each volume, checked against the model of its contents.
+
+Arrivals are drawn ahead from the seed and never wait for answers. Each (volume, head) pair has one
+connection; one that breaks is opened anew, under a new name.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from harriertrack.decisions.splitting import class_of
+from harriertrack.gateway.front import REFUSED
+from harriertrack.lab.client import NbdClient, NbdClientError
+from harriertrack.lab.model import SECTOR, VolumeModel, payload
+from harriertrack.protocol.nbd.client import Reply
+from harriertrack.protocol.nbd.wire import Command, Errno, ProtocolViolation
+from harriertrack.rules import recording as rec
+from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope
+from harriertrack.runtime.streams import Network
+
+RECONNECT_US = 50_000
+OPEN_US = 1_000_000
+COMMANDS = {
+    "read": Command.READ,
+    "write": Command.WRITE,
+    "trim": Command.TRIM,
+    "write-zeroes": Command.WRITE_ZEROES,
+    "flush": Command.FLUSH,
+}
+
+
+# What is to be done with an outcome and its reply; returns whether the reply's data is right.
+Answered = Callable[[str, Reply | None], bool]
+
+
+@dataclass(slots=True)
+class Habits:
+    """How clients behave now; troubles change it."""
+
+    retries: int
+    backoff_us: int
+
+
+class Connection:
+    """One volume's connection to one head, opened again whenever it breaks."""
+
+    def __init__(self, hub: Hub, network: Network, recorder: rec.Recorder, volume: str, head: str) -> None:
+        self._hub, self._network, self._recorder = hub, network, recorder
+        self.volume, self.head = volume, head
+        self.address: tuple[str, int] | None = None  # of the head; None while it is down
+        self._client: NbdClient | None = None
+        self._lives = 0
+        self._requests = 0
+        self.open = 0
+
+    @property
+    def name(self) -> str:
+        """Name this life of the connection."""
+        return f"{self.volume}@{self.head}#{self._lives}"
+
+    @property
+    def up(self) -> bool:
+        """Whether requests can be sent."""
+        return self._client is not None
+
+    def keep(self, scope: Scope) -> None:
+        """Open the connection, and open it again after each break (the connection's task)."""
+        while True:
+            if self._client is None and self.address is not None:
+                self._lives += 1
+                client = NbdClient(self._hub, self._network, self.name)
+                try:
+                    deadline = self._hub.now() + OPEN_US
+                    client.open(self.address, deadline)
+                    client.go(scope, self.volume, deadline)
+                except (OSError, DeadlineExceeded, NbdClientError, ProtocolViolation):
+                    client.abort()
+                else:
+                    client.on_lost = self._lost
+                    self._client = client
+            self._hub.sleep(RECONNECT_US)
+
+    def _lost(self) -> None:
+        self._client = None
+
+    def leave(self) -> None:
+        """Break the connection from the client's side."""
+        if self._client is not None:
+            self._recorder.add(rec.Left(t=self._hub.now(), client=self.name))
+            client, self._client = self._client, None
+            client.abort()
+
+    def send(self, kind: str, class_name: str, start: int, length: int, data: bytes, then: Answered) -> None:
+        """Send a request; `then` gets (outcome, reply) once: served, refused, failed or left."""
+        client, name = self._client, self.name
+        assert client is not None
+        self._requests += 1
+        request = self._requests
+        self._recorder.add(
+            rec.Take(
+                t=self._hub.now(),
+                head=self.head,
+                client=name,
+                request=request,
+                volume=self.volume,
+                kind=kind,
+                class_name=class_name,
+                offset=start * SECTOR,
+                length=length * SECTOR,
+            )
+        )
+        self.open += 1
+
+        def answered(reply: Reply | None) -> None:
+            self.open -= 1
+            now = self._hub.now()
+            if reply is None:
+                then("left", None)
+                self._recorder.add(rec.Left(t=now, client=name))
+                return
+            outcome = "failed"
+            if not reply.error:
+                outcome = "served"
+            elif reply.error in (REFUSED, Errno.ESHUTDOWN):
+                outcome = "refused"
+            right = then(outcome, reply)
+            self._recorder.add(
+                rec.Answer(t=now, client=name, request=request, outcome=outcome, data_ok=right)
+            )
+
+        client.start(
+            COMMANDS[kind], start * SECTOR, length * SECTOR if kind != "write" else 0, data, answered
+        )
+
+
+class Flow:
+    """The load on one volume."""
+
+    def __init__(
+        self,
+        hub: Hub,
+        model: VolumeModel,
+        connections: list[Connection],
+        classes: list[tuple[str, frozenset[str], int]],
+        habits: Habits,
+        rate: float,
+        most: int,
+        seed: int,
+    ) -> None:
+        self._hub, self.model, self.connections = hub, model, connections
+        self._classes, self._habits = classes, habits
+        self.rate, self._most = rate, most
+        self.factor = 1.0  # of the rate, now
+        self.hot: tuple[int, int] | None = None  # sectors that all reads go to
+        self.scanning = -1  # next sector of a scan; below 0 for none
+        self.leader = 0  # which connection most requests take
+        self._random = random.Random(seed)
+        self._tags = 0
+        self.not_taken = 0  # arrivals while no head of the volume was reachable
+
+    def run(self, until: int) -> None:
+        """Send requests at their drawn times until a moment (the flow's task)."""
+        at = self._hub.now()
+        while True:
+            at += int(self._random.expovariate(1.0) * 1e6 / (self.rate * self.factor))
+            if at >= until:
+                return
+            self._hub.sleep_until(at)
+            self.ask(self._kind(), self._habits.retries)
+
+    def _kind(self) -> str:
+        drawn = self._random.random()
+        for kind, share in (("read", 0.6), ("write", 0.34), ("flush", 0.02), ("write-zeroes", 0.02)):
+            if drawn < share:
+                return kind
+            drawn -= share
+        return "trim"
+
+    def _connection(self) -> Connection | None:
+        up = [one for one in self.connections if one.up]
+        if not up:
+            return None
+        first = self.connections[self.leader % len(self.connections)]
+        return first if first.up and self._random.random() < 0.7 else self._random.choice(up)
+
+    def ask(self, kind: str, tries_left: int) -> None:
+        """Send one request; after a refusal or failure ask again, as a new one, while the habits say so."""
+        connection = self._connection()
+        if connection is None:
+            self.not_taken += 1
+            return
+        model, start, length, data, tag = self.model, 0, 0, b"", 0
+        if kind != "flush":
+            near = self._random.choice(model.written) if kind == "read" and model.written else -1
+            within = self.hot if kind == "read" else None
+            if kind == "read" and self.scanning >= 0:
+                near, self.scanning = self.scanning, (self.scanning + self._most) % model.sectors
+            start, length = model.place(kind, self._most, within, -1 if within else near)
+        if kind == "write":
+            self._tags += 1
+            tag = self._tags
+            data = payload(tag, length)
+        class_name = class_of(self._classes, kind, length * SECTOR)
+        assert class_name is not None
+        reading = model.begin_read(start, length) if kind == "read" else None
+        if kind not in ("read", "flush"):
+            model.begin_write(start, length, tag)
+
+        def then(outcome: str, reply: Reply | None) -> bool:
+            if kind not in ("read", "flush"):
+                model.end_write(start, length, tag, outcome)
+            if outcome in ("refused", "failed") and tries_left > 0:
+                wait = max(self._habits.backoff_us, 1000)
+                self._hub.at(self._hub.now() + wait, lambda: self.ask(kind, tries_left - 1))
+            if reading is None:
+                return True
+            return model.end_read(reading, reply.data if reply is not None and outcome == "served" else None)
+
+        connection.send(kind, class_name, start, length, data, then)
--- /dev/null
+++ b/harriertrack/lab/rig.py
@@ -0,0 +1,299 @@
+"""A rig: heads, storage node stand-ins, the list service and clients of one day, on one hub.
+
+The same rig runs on loopback sockets and on the virtual clock; heads are the production code. What its
+clients, nodes and list service saw is recorded, and the rules are judged from the recording alone.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from harriertrack.config.settings import (
+    ClassSettings,
+    ConsulSettings,
+    HeadSettings,
+    Kind,
+    NodeListSettings,
+    PlanSettings,
+    ShelfSettings,
+    VolumeSettings,
+    check_head,
+)
+from harriertrack.decisions.interface import Effect, NodeEntry, NodeState
+from harriertrack.gateway.head import Head, quiet
+from harriertrack.lab.day import DaySettings
+from harriertrack.lab.load import Connection, Flow, Habits
+from harriertrack.lab.model import SECTOR, VolumeModel
+from harriertrack.membership.nodes import Member
+from harriertrack.rules import recording as rec
+from harriertrack.runtime.hub import Event, Hub, Scope, Task
+from harriertrack.runtime.streams import MemoryNetwork, Network, SocketNetwork
+from harriertrack.standin.listservice import ListService
+from harriertrack.standin.shelf import Meter, Rack, Shelf
+from harriertrack.storage.extents import ExtentMap
+
+SETTLE_US = 300_000  # heads learn the node list before the first request
+METER_US = 1_000_000
+BULK_BYTES = 12 << 10
+
+
+def classes_of(day: DaySettings) -> tuple[ClassSettings, ...]:
+    """Return the classes of a day's heads."""
+    return (
+        ClassSettings(
+            name="bulk", kinds=(Kind.READ,), at_least_bytes=BULK_BYTES, aim_us=2_000_000,
+            deadline_us=6_000_000, worth=1, late_worth=0.2, effect=Effect.SAFE,
+        ),
+        ClassSettings(
+            name="read", kinds=(Kind.READ, Kind.FLUSH), aim_us=300_000, deadline_us=1_500_000, worth=3,
+            late_worth=0.1, effect=Effect.SAFE,
+        ),
+        ClassSettings(
+            name="write", kinds=(Kind.WRITE, Kind.TRIM, Kind.ZERO), aim_us=500_000, deadline_us=2_500_000,
+            worth=2, late_worth=0.15, effect=Effect.KEYED, window_us=2_500_000, in_order=day.in_order,
+        ),
+    )  # fmt: skip
+
+
+@dataclass(slots=True, eq=False)
+class HeadSlot:
+    """One head's place: its settings and what survives its restarts."""
+
+    name: str
+    settings: HeadSettings
+    extents: Callable[[], ExtentMap]
+    zone: str
+    head: Head | None = None
+    task: Task | None = None
+    connections: list[Connection] = field(default_factory=list)
+
+
+class Rig:
+    """Everything of one run."""
+
+    def __init__(self, hub: Hub, network: Network, day: DaySettings, seed: int, recorder: rec.Recorder,
+                 state_dir: str | None = None) -> None:  # fmt: skip
+        self.hub, self.network, self.day, self.recorder = hub, network, day, recorder
+        self.random = random.Random(seed)
+        self.listing = ListService(hub, network, recorder)
+        self.shelves: dict[str, Shelf] = {}
+        self.heads: list[HeadSlot] = []
+        self.flows: list[Flow] = []
+        self.habits = Habits(day.retries, day.backoff_us)
+        self.over = Event(hub)
+        self.scope: Scope
+        self._seed, self._state_dir = seed, state_dir
+        self._racks = [Rack(day.extent_bytes) for _ in range(day.nodes)]
+        self.volumes = self._volumes()
+        rate = day.rate / day.volumes * 2.5  # units a second of one volume
+        self.plans = (
+            PlanSettings(name="basic", rate=rate, reserve=0.3 * rate, weight=1, price=0.8, limit=4 * rate,
+                         limit_burst=max(64.0, 8 * rate), limit_slack=8),
+            PlanSettings(name="standard", rate=rate, reserve=rate, weight=3),
+            PlanSettings(name="priority", rate=rate, reserve=0.8 * rate, weight=4, price=1.8),
+        )  # fmt: skip
+        rates = {volume.name: rate for volume in self.volumes}
+        self._meter = Meter(METER_US, rates)
+        self.classes = classes_of(day)
+        recorder.add(self._facts())
+
+    def _volumes(self) -> list[VolumeSettings]:
+        day = self.day
+        shared = round(day.shared * day.volumes) if day.heads > 1 else 0
+        volumes = []
+        for number in range(day.volumes):
+            spread = tuple((number + step) % day.nodes for step in range(min(day.nodes, 3)))
+            volumes.append(
+                VolumeSettings(
+                    name=f"vol{number}",
+                    size_bytes=day.volume_bytes,
+                    plan=("basic", "standard", "priority")[number % 3],
+                    hosts=min(2, day.heads) if number < shared else 1,
+                    shards=spread if number < shared else (),
+                )
+            )
+        return volumes
+
+    def _facts(self) -> rec.Facts:
+        day, rules = self.day, self.day.rules
+        basic = next(plan for plan in self.plans if plan.limit)
+        limits = [
+            rec.LimitFacts(
+                volume=one.name, rate=basic.limit, burst=basic.limit_burst, slack=basic.limit_slack
+            )
+            for one in self.volumes
+            if one.plan == basic.name
+        ]
+        virtual = isinstance(self.network, MemoryNetwork)
+        return rec.Facts(
+            classes=[
+                rec.ClassFacts(
+                    name=one.name, deadline_us=one.deadline_us, effect=one.effect.value,
+                    window_us=one.window_us, in_order=one.in_order,
+                )
+                for one in self.classes
+            ],
+            limits=limits, unit_bytes=day.unit_bytes, extent_bytes=day.extent_bytes,
+            answer_slack_us=8_000 if virtual else 100_000, flight_us=2_000 if virtual else 100_000,
+            drain_grace_us=rules.drain_grace_us, fall_multiple=rules.fall_multiple, fall_us=rules.fall_us,
+            cold_units=rules.cold_units, budget_free=rules.budget_free, budget_share=rules.budget_share,
+            budget_window_us=rules.budget_window_us, order_settle_us=rules.order_settle_us,
+            seed=self._seed, day=day.name,
+        )  # fmt: skip
+
+    # -- running
+
+    def run(self) -> None:
+        """Play the day to its end (the rig's task)."""
+        from harriertrack.lab import troubles  # troubles work on rigs
+
+        day, hub = self.day, self.hub
+        with hub.scope(f"day {day.name}") as scope:
+            self.scope = scope
+            self.listing.start(scope)
+            for number in range(day.nodes):
+                self.add_node(f"node{number}", number)
+            for number in range(day.heads):
+                self._add_head(number)
+            self._add_flows()
+            hub.sleep(SETTLE_US)
+            start = hub.now()
+            for flow in self.flows:
+                scope.spawn(f"flow {flow.model.name}", flow.run, start + day.length_us)
+            for trouble in day.troubles:
+                scope.spawn(f"trouble {trouble.name.value}", troubles.run, self, trouble, start)
+            hub.sleep_until(start + day.length_us)
+            # All that was taken is answered by its deadline; what repeats it is taken a little later.
+            longest = max(one.deadline_us for one in self.classes)
+            last = hub.now() + 2 * longest
+            while hub.now() < last and any(one.open for slot in self.heads for one in slot.connections):
+                hub.sleep(50_000)
+            hub.sleep(200_000)
+            scope.cancel()
+
+    # -- nodes
+
+    def add_node(self, name: str, shard: int, cold: bool = False) -> Shelf:
+        """Start a node and list it."""
+        day = self.day
+        zone = day.zones[shard % len(day.zones)]
+        settings = ShelfSettings(
+            listen=("127.0.0.1", 0), name=name, shard=shard, zone=zone, extent_bytes=day.extent_bytes,
+            unit_bytes=day.unit_bytes, cores=day.cores, request_us=day.request_us,
+            unit_us=day.unit_us * (10 if shard % 2 == 0 else 13) // 10,
+            queue=day.queue, remembers=day.remembers, discount=day.discount, deferred=day.deferred,
+            flush_us=day.flush_us, cold_share=day.cold_share, warm_us=day.warm_us,
+            fall_multiple=day.rules.fall_multiple, fall_us=day.rules.fall_us, cold_units=day.rules.cold_units,
+            volumes=tuple(self.volumes),
+        )  # fmt: skip
+        shelf = Shelf(self.hub, self.network, settings, self._racks[shard], self.recorder, self._meter,
+                      self.random.getrandbits(32))  # fmt: skip
+        shelf.start(self.scope, cold)
+        self.shelves[name] = shelf
+        entry = NodeEntry(name, shard, NodeState.UP, zone, shelf.started_at)
+        self.listing.set(Member(entry, shelf.address))
+        return shelf
+
+    def restart_node(self, shelf: Shelf) -> None:
+        """Bring a node back cold; the list tells of it a little later."""
+        shelf.start(self.scope, cold=True)
+        started = shelf.started_at
+        self.later(
+            self.day.notice_us, lambda: self.listing.set_state(shelf.settings.name, NodeState.UP, started)
+        )
+
+    def later(self, us: int, act: Callable[[], None]) -> None:
+        """Do something after a time."""
+        self.hub.at(self.hub.now() + us, act)
+
+    def struck(self, part: float) -> list[Shelf]:
+        """Draw which nodes are struck: a part of those that are up, at least one."""
+        up = [shelf for shelf in self.shelves.values() if shelf.up]
+        return self.random.sample(up, min(len(up), max(1, round(part * len(up)))))
+
+    # -- heads
+
+    def _add_head(self, number: int) -> None:
+        day = self.day
+        zone = day.zones[number % len(day.zones)]
+        name = f"head{number}"
+        mine = [
+            volume
+            for at, volume in enumerate(self.volumes)
+            if volume.hosts > 1 or at % day.heads == number or day.heads == 1
+        ]
+        state = None if self._state_dir is None else f"{self._state_dir}/{name}"
+        consul = ConsulSettings(address=self.listing.address, wait_us=5_000_000)
+        settings = HeadSettings(
+            listen=("127.0.0.1", 0), state_dir=state or "unused", heads=day.heads, zone=zone,
+            seed=self.random.getrandbits(32) + 1, extent_bytes=day.extent_bytes, unit_bytes=day.unit_bytes,
+            mean_units=2.5, most_units=float(day.extent_bytes // day.unit_bytes), meter_us=METER_US,
+            node_list=NodeListSettings(consul=consul),
+            rules=day.rules, classes=self.classes, plans=self.plans, volumes=tuple(mine),
+        )  # fmt: skip
+        check_head(settings, f"day {day.name}")
+        kept = ExtentMap(None)
+        open_map = (lambda: ExtentMap(f"{state}/extents")) if state else (lambda: kept)
+        slot = HeadSlot(name, settings, open_map, zone)
+        self.heads.append(slot)
+        self.start_head(slot)
+
+    def start_head(self, slot: HeadSlot) -> None:
+        """Start a head with nothing but what it kept on disk."""
+        slot.head = Head(self.hub, self.network, slot.settings, quiet, slot.extents(), slot.name)
+        slot.task = self.scope.spawn(slot.name, slot.head.run)
+        slot.head.ready.wait()
+        address, number = slot.head.address, slot.head.head_id
+        self.recorder.add(rec.Head(t=self.hub.now(), head=slot.name, number=number, up=True))
+        for connection in slot.connections:
+            connection.address = address
+
+    def kill_head(self, slot: HeadSlot) -> None:
+        """Kill a head outright: nothing is answered or sent any more, and its connections break."""
+        assert slot.task is not None
+        for connection in slot.connections:
+            connection.address = None
+        self.recorder.add(rec.Head(t=self.hub.now(), head=slot.name, number=0, up=False))
+        slot.task.cancel()
+        while not slot.task.done:
+            self.hub.sleep(1_000)
+
+    # -- clients
+
+    def _add_flows(self) -> None:
+        day = self.day
+        classes = [
+            (one.name, frozenset(kind.value for kind in one.kinds), one.at_least_bytes)
+            for one in self.classes
+        ]
+        for volume in self.volumes:
+            connections = []
+            for slot in self.heads:
+                if volume in slot.settings.volumes:
+                    connection = Connection(self.hub, self.network, self.recorder, volume.name, slot.name)
+                    assert slot.head is not None
+                    connection.address = slot.head.address
+                    slot.connections.append(connection)
+                    connections.append(connection)
+                    self.scope.spawn(f"connection {connection.name}", connection.keep, self.scope)
+            model = VolumeModel(volume.name, volume.size_bytes // SECTOR, day.extent_bytes // SECTOR,
+                                random.Random(self.random.getrandbits(32)))  # fmt: skip
+            flow = Flow(self.hub, model, connections, classes, self.habits, day.rate / day.volumes,
+                        day.most_sectors, self.random.getrandbits(32))  # fmt: skip
+            self.flows.append(flow)
+
+
+def play(day: DaySettings, seed: int, virtual: bool, path: str | None = None,
+         state_dir: str | None = None) -> rec.Recorder:  # fmt: skip
+    """Play a day from a seed; return its recording, which is also written to a file if asked."""
+    hub = Hub.virtual(seed) if virtual else Hub(seed=seed)
+    network: Network = MemoryNetwork(hub) if virtual else SocketNetwork(hub)
+    recorder = rec.Recorder(path)
+    try:
+        rig = Rig(hub, network, day, seed, recorder, state_dir)
+        hub.run(rig.run)
+    finally:
+        recorder.close()
+    return recorder
--- /dev/null
+++ b/harriertrack/lab/troubles.py
@@ -0,0 +1,227 @@
+"""The troubles of a day: each is one function that does its harm to a rig for a while.
+
+docs/days.md tells for operators what each looks like.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from harriertrack.decisions.interface import NodeState
+from harriertrack.lab.day import TroubleKind, TroubleSettings
+from harriertrack.lab.rig import Rig
+from harriertrack.standin.shelf import Faults, Shelf
+
+NOTICE_US = 1_000_000  # how long before its end a node that is taken away is listed as draining
+TROUBLES: dict[TroubleKind, Callable[[Rig, TroubleSettings], None]] = {}
+
+
+def run(rig: Rig, trouble: TroubleSettings, start: int) -> None:
+    """Wait for a trouble's time and let it happen (the trouble's task)."""
+    rig.hub.sleep_until(start + trouble.from_us)
+    TROUBLES[trouble.name](rig, trouble)
+
+
+def _trouble(kind: TroubleKind) -> Callable:
+    def register(act: Callable[[Rig, TroubleSettings], None]) -> Callable[[Rig, TroubleSettings], None]:
+        TROUBLES[kind] = act
+        return act
+
+    return register
+
+
+def _for_a_while(rig: Rig, shelves: Iterable[Shelf], us: int, **faults: object) -> None:
+    struck = list(shelves)
+    for shelf in struck:
+        shelf.faults = replace(shelf.faults, **faults)  # type: ignore[arg-type]
+    rig.hub.sleep(us)
+    healthy = Faults()
+    for shelf in struck:
+        shelf.faults = replace(shelf.faults, **{name: getattr(healthy, name) for name in faults})
+        shelf.wake()
+
+
+@_trouble(TroubleKind.ANSWER_LOST)
+def answer_lost(rig: Rig, trouble: TroubleSettings) -> None:
+    """Nodes do the work, and `size` of their answers never arrive."""
+    _for_a_while(rig, rig.struck(trouble.part), trouble.for_us, lose_replies=trouble.size)
+
+
+@_trouble(TroubleKind.HANG)
+def hang(rig: Rig, trouble: TroubleSettings) -> None:
+    """Nodes take requests and answer none."""
+    _for_a_while(rig, rig.struck(trouble.part), trouble.for_us, hang=True)
+
+
+@_trouble(TroubleKind.SLOW)
+def slow(rig: Rig, trouble: TroubleSettings) -> None:
+    """Nodes work `size` times slower."""
+    _for_a_while(rig, rig.struck(trouble.part), trouble.for_us, slow=trouble.size)
+
+
+@_trouble(TroubleKind.NEIGHBOUR)
+def neighbour(rig: Rig, trouble: TroubleSettings) -> None:
+    """Another program takes a part of the nodes, on and off."""
+    struck, until = rig.struck(trouble.part), rig.hub.now() + trouble.for_us
+    while rig.hub.now() < until:
+        _for_a_while(rig, struck, trouble.every_us, slow=trouble.size)
+        rig.hub.sleep(trouble.every_us)
+
+
+@_trouble(TroubleKind.PAUSES)
+def pauses(rig: Rig, trouble: TroubleSettings) -> None:
+    """Nodes stand still for `size` milliseconds again and again."""
+    struck, until = rig.struck(trouble.part), rig.hub.now() + trouble.for_us
+    while rig.hub.now() < until:
+        for shelf in struck:
+            shelf.pause(int(trouble.size * 1000))
+            rig.hub.sleep(trouble.every_us // len(struck))
+
+
+@_trouble(TroubleKind.VANISH)
+def vanish(rig: Rig, trouble: TroubleSettings) -> None:
+    """Machines go silent, without a reset, and come back cold."""
+    struck = rig.struck(trouble.part)
+    for shelf in struck:
+        shelf.stop(silent=True)
+    rig.hub.sleep(trouble.for_us)
+    for shelf in struck:
+        rig.restart_node(shelf)
+
+
+@_trouble(TroubleKind.MASS_RESTART)
+def mass_restart(rig: Rig, trouble: TroubleSettings) -> None:
+    """A part of the nodes restarts at once and comes back cold."""
+    struck = rig.struck(trouble.part)
+    for shelf in struck:
+        shelf.stop()
+    rig.hub.sleep(trouble.for_us)
+    for shelf in struck:
+        rig.restart_node(shelf)
+
+
+@_trouble(TroubleKind.PREEMPT)
+def preempt(rig: Rig, trouble: TroubleSettings) -> None:
+    """Nodes are taken away with a second's notice; others with the same data come in their place, cold."""
+    struck = rig.struck(trouble.part)
+    for shelf in struck:
+        rig.listing.set_state(shelf.settings.name, NodeState.DRAINING)
+    rig.hub.sleep(NOTICE_US)
+    for shelf in struck:
+        shelf.stop()
+        rig.listing.set_state(shelf.settings.name, NodeState.GONE)
+    rig.hub.sleep(trouble.for_us)
+    for shelf in struck:
+        rig.add_node(f"{shelf.settings.name}b", shelf.settings.shard, cold=True)
+
+
+@_trouble(TroubleKind.DRAIN)
+def drain(rig: Rig, trouble: TroubleSettings) -> None:
+    """Nodes are listed as draining, go on for a while, and are up again."""
+    struck = rig.struck(trouble.part)
+    for shelf in struck:
+        rig.listing.set_state(shelf.settings.name, NodeState.DRAINING)
+    rig.hub.sleep(trouble.for_us)
+    for shelf in struck:
+        rig.listing.set_state(shelf.settings.name, NodeState.UP)
+
+
+@_trouble(TroubleKind.DISCOVERY_DOWN)
+def discovery_down(rig: Rig, trouble: TroubleSettings) -> None:
+    """The list service turns every call away."""
+    rig.listing.down = True
+    rig.hub.sleep(trouble.for_us)
+    rig.listing.down = False
+
+
+@_trouble(TroubleKind.ZONE_CUT)
+def zone_cut(rig: Rig, trouble: TroubleSettings) -> None:
+    """Nothing passes between one zone's nodes and the heads of the others."""
+    zone = rig.day.zones[-1]
+    far = frozenset(slot.head.head_id for slot in rig.heads if slot.zone != zone and slot.head is not None)
+    struck = [shelf for shelf in rig.shelves.values() if shelf.settings.zone == zone]
+    _for_a_while(rig, struck, trouble.for_us, cut_off=far)
+
+
+@_trouble(TroubleKind.BALANCER_ROLL)
+def balancer_roll(rig: Rig, trouble: TroubleSettings) -> None:
+    """Heads are killed one after another and come back with what they kept on disk."""
+    for slot in rig.heads:
+        rig.kill_head(slot)
+        rig.hub.sleep(trouble.every_us)
+        rig.start_head(slot)
+        rig.hub.sleep(trouble.for_us // max(1, len(rig.heads)))
+
+
+@_trouble(TroubleKind.BALANCER_STALL)
+def balancer_stall(rig: Rig, trouble: TroubleSettings) -> None:
+    """Heads stand still for `size` milliseconds, again and again."""
+    until = rig.hub.now() + trouble.for_us
+    while rig.hub.now() < until:
+        for slot in rig.heads:
+            rig.hub.freeze(slot.head, int(trouble.size * 1000))
+            rig.hub.sleep(trouble.every_us)
+
+
+@_trouble(TroubleKind.GIVE_UP)
+def give_up(rig: Rig, trouble: TroubleSettings) -> None:
+    """Clients break their connections with requests open, again and again."""
+    until = rig.hub.now() + trouble.for_us
+    connections = [one for slot in rig.heads for one in slot.connections]
+    while rig.hub.now() < until:
+        for one in connections:
+            if rig.random.random() < trouble.part:
+                one.leave()
+        rig.hub.sleep(trouble.every_us)
+
+
+@_trouble(TroubleKind.RECONNECT)
+def reconnect(rig: Rig, trouble: TroubleSettings) -> None:
+    """For a part of the volumes the busiest head changes at a stroke, over new connections."""
+    for flow in rig.random.sample(rig.flows, max(1, round(trouble.part * len(rig.flows)))):
+        flow.leader += 1
+        for one in flow.connections:
+            one.leave()
+
+
+@_trouble(TroubleKind.RETRY_ABUSE)
+def retry_abuse(rig: Rig, trouble: TroubleSettings) -> None:
+    """Clients repeat what was refused or failed at once, `size` times."""
+    habits, before = rig.habits, replace(rig.habits)
+    habits.retries, habits.backoff_us = int(trouble.size), 0
+    rig.hub.sleep(trouble.for_us)
+    habits.retries, habits.backoff_us = before.retries, before.backoff_us
+
+
+@_trouble(TroubleKind.HOT_KEY)
+def hot_key(rig: Rig, trouble: TroubleSettings) -> None:
+    """One volume asks for `size` times as much, its reads all in a few extents."""
+    flow = rig.random.choice(rig.flows)
+    extent = flow.model.extent_sectors
+    first = rig.random.randrange(flow.model.sectors // extent - 4) * extent
+    flow.factor, flow.hot = trouble.size, (first, first + 4 * extent)
+    rig.hub.sleep(trouble.for_us)
+    flow.factor, flow.hot = 1.0, None
+
+
+@_trouble(TroubleKind.SCAN)
+def scan(rig: Rig, trouble: TroubleSettings) -> None:
+    """One volume reads from end to end, `size` times its usual load, over all its nodes."""
+    flow = rig.random.choice(rig.flows)
+    flow.factor, flow.scanning = trouble.size, 0
+    rig.hub.sleep(trouble.for_us)
+    flow.factor, flow.scanning = 1.0, -1
+
+
+@_trouble(TroubleKind.TENANT_BURST)
+def tenant_burst(rig: Rig, trouble: TroubleSettings) -> None:
+    """All volumes of one plan ask for `size` times their usual load."""
+    plan = rig.random.choice(sorted({volume.plan for volume in rig.volumes}))
+    names = {volume.name for volume in rig.volumes if volume.plan == plan}
+    struck = [flow for flow in rig.flows if flow.model.name in names]
+    for flow in struck:
+        flow.factor = trouble.size
+    rig.hub.sleep(trouble.for_us)
+    for flow in struck:
+        flow.factor = 1.0
--- a/harriertrack/protocol/http.py
+++ b/harriertrack/protocol/http.py
@@ -14,12 +14,13 @@
 class Get:
     """One GET: send `request`, feed what comes to `receive` until it returns True."""
 
-    def __init__(self, host: str, target: str) -> None:
+    def __init__(self, host: str, target: str, agent: str) -> None:
         self._http = h11.Connection(h11.CLIENT)
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b""
-        asked = h11.Request(method="GET", target=target, headers=[("Host", host), ("Connection", "close")])
+        headers = [("Host", host), ("User-Agent", agent), ("Connection", "close")]
+        asked = h11.Request(method="GET", target=target, headers=headers)
         self.request = (self._http.send(asked) or b"") + (self._http.send(h11.EndOfMessage()) or b"")
 
     def receive(self, data: bytes) -> bool:
--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -131,12 +131,15 @@
             end = got.offset + got.length
             found = {id(one): one for one in starts.get((got.volume, got.kind, got.offset), ())}
             found.update((id(one), one) for one in ends.get((got.volume, got.kind, end), ()))
+            # A part is all that a request has in the extent, so a neighbour that merely covers it does not
+            # fit.
+            low = got.offset - got.offset % self.facts.extent_bytes
             fitting = [
                 one
                 for one in found.values()
-                if one.take.offset <= got.offset
-                and end <= one.take.offset + one.take.length
-                and one.take.t <= got.t
+                if one.take.t <= got.t
+                and max(one.take.offset, low) == got.offset
+                and min(one.take.offset + one.take.length, low + self.facts.extent_bytes) == end
             ]
             if len(fitting) > 1:
                 raise Ambiguous(
@@ -211,14 +214,11 @@
 
 def drains_kept(story: Story) -> Iterator[Breach]:
     """Rule 3: nothing new to a node later than the grace after the head was told."""
-    told: dict[tuple[str, str], list[rec.Told]] = defaultdict(list)
+    told: dict[tuple[int, str], list[rec.Told]] = defaultdict(list)
     for one in story.told:
         told[one.head, one.node].append(one)
     for got in story.got:
-        head = story.heads.get(got.head)
-        news = told.get((head, got.node)) if head else None
-        if not news:
-            continue
+        news = told.get((got.head, got.node), ())
         since: int | None = None
         for one in news:
             if one.t > got.t:
@@ -226,7 +226,12 @@
             since = None if one.state == "up" else one.t if since is None else since
         if since is not None and got.t > since + story.facts.drain_grace_us + story.facts.flight_us:
             late = got.t - since
-            yield Breach(3, got.t, f"{head} to {got.node}", f"sent {late} us after it was told of the drain")
+            yield Breach(
+                3,
+                got.t,
+                f"{story.heads.get(got.head, got.head)} to {got.node}",
+                f"sent {late} us after it was told of the drain",
+            )
 
 
 def cold_nodes_spared(story: Story) -> Iterator[Breach]:
@@ -260,7 +265,7 @@
             middle = max(0.0, got.t - facts.fall_us / 2 - start.t) / start.warm_us
             bears = facts.fall_multiple * start.rate * facts.fall_us / 1e6
             bears *= start.cold_share + (1 - start.cold_share) * middle
-            knew = sum(story.units(one) for one in window if story.heads.get(one.head) in informed)
+            knew = sum(story.units(one) for one in window if one.head in informed)
             if units > max(bears, facts.cold_units) * 1.1 and knew * 3 >= units * 2:
                 yield Breach(4, got.t, start.node, f"cold, got {units:.0f} units where it bears {bears:.0f}")
                 break
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -133,7 +133,7 @@
     """The list service sent a head a list that says this of a node."""
 
     t: int
-    head: str
+    head: int
     node: str
     state: str
     started_us: int
--- a/harriertrack/runtime/hub.py
+++ b/harriertrack/runtime/hub.py
@@ -45,6 +45,9 @@
     def now(self) -> int:
         """Return the present time in microseconds."""
 
+    def wall(self) -> int:
+        """Return the time since 1970 in microseconds, which machines have in common and which may step."""
+
 
 class Poller(Protocol):
     """What the hub waits on when no task is ready."""
@@ -63,6 +66,10 @@
         """Return the present time in microseconds."""
         return time.monotonic_ns() // 1000
 
+    def wall(self) -> int:
+        """Return the time since 1970 in microseconds."""
+        return time.time_ns() // 1000
+
 
 class PollPoller:
     """`select.poll` with the hub's clock."""
@@ -99,6 +106,10 @@
         """Return the simulated time in microseconds."""
         return self._now
 
+    def wall(self) -> int:
+        """Return the simulated time: all simulated machines have one clock."""
+        return self._now
+
     def watch(self, fd: int, events: int) -> None:
         """There are no descriptors in simulated time."""
         raise RuntimeError("descriptors do not exist in simulated time")
@@ -114,11 +125,12 @@
 class Timer:
     """A callback due at a time; `cancel` makes it never run."""
 
-    __slots__ = ("at", "act", "_hub")
+    __slots__ = ("at", "act", "group", "_hub")
 
     def __init__(self, hub: Hub, at: int, act: Callable[[], None]) -> None:
         self.at = at
         self.act: Callable[[], None] | None = act
+        self.group = hub._group
         self._hub = hub
 
     def cancel(self) -> None:
@@ -132,11 +144,13 @@
     """One greenlet of the hub. It ends by returning, raising, or being cancelled."""
 
     __slots__ = (
-        "name", "error", "result", "done", "on_done", "_glet", "_hub", "_unwait", "_cancelling", "_scheduled",
+        "name", "group", "error", "result", "done", "on_done",
+        "_glet", "_hub", "_unwait", "_cancelling", "_scheduled",
     )  # fmt: skip
 
     def __init__(self, hub: Hub, name: str, run: Callable[..., Any], args: tuple) -> None:
         self.name, self._hub = name, hub
+        self.group = hub._group
         self.error: BaseException | None = None
         self.result: Any = None
         self.done = False
@@ -180,7 +194,9 @@
         self._timers: list[tuple[int, int, Timer]] = []
         self._serial = self._cancelled = self._polls = 0
         self._ready: deque[tuple[Task, BaseException | None]] = deque()
-        self._end_of_round: dict[Callable[[], None], None] = {}
+        self._end_of_round: dict[Callable[[], None], object] = {}
+        self._group: object = None  # that of the task or callback that runs now
+        self._frozen: dict[object, list[Callable[[], None]]] = {}  # what is to be done when it thaws
         self._handlers: dict[int, FdHandler] = {}
         self._loop_glet = greenlet(self._loop)
         self._current: Task | None = None
@@ -213,9 +229,9 @@
                 task, error = ready.popleft()
                 self._resume(task, error)
             while self._end_of_round:
-                callbacks, self._end_of_round = list(self._end_of_round), {}
-                for callback in callbacks:
-                    callback()
+                callbacks, self._end_of_round = list(self._end_of_round.items()), {}
+                for callback, group in callbacks:
+                    self._call(group, callback)
             self._watch_stall(began)
             if stop.done:
                 return
@@ -238,6 +254,9 @@
                 self.on_stall(took)
 
     def _resume(self, task: Task, error: BaseException | None) -> None:
+        if task.group in self._frozen:
+            self._frozen[task.group].append(lambda: self._ready.append((task, error)))
+            return
         task._scheduled = False
         if task.done:
             return
@@ -246,13 +265,13 @@
         if task._unwait is not None:
             unwait, task._unwait = task._unwait, None
             unwait()
-        self._current = task
+        self._current, self._group = task, task.group
         if task._glet.parent is not self._loop_glet and not task._glet:
             task._glet.parent = self._loop_glet
         try:
             task._glet.throw(error) if error is not None and task._glet else task._glet.switch()
         finally:
-            self._current = None
+            self._current = self._group = None
 
     def _task_ended(self, task: Task) -> None:
         if task.error is not None and not isinstance(task.error, Cancelled):
@@ -328,6 +347,13 @@
         heapq.heappush(self._timers, (when, self._serial, timer))
         return timer
 
+    def at_outside(self, when: int, act: Callable[[], None]) -> Timer:
+        """Call `act` at a time though the present group be frozen then: what networks and machines do."""
+        group, self._group = self._group, None
+        timer = self.at(when, act)
+        self._group = group
+        return timer
+
     def _timer_cancelled(self) -> None:
         self._cancelled += 1
         if self._cancelled >= PRUNE_AT and self._cancelled * 2 > len(self._timers):
@@ -348,11 +374,39 @@
             timer = heapq.heappop(self._timers)[2]
             act, timer.act = timer.act, None
             if act is not None:
-                act()
+                self._call(timer.group, act)
+
+    def _call(self, group: object, act: Callable[[], None]) -> None:
+        if group in self._frozen:
+            self._frozen[group].append(lambda: self._call(group, act))
+            return
+        self._group = group
+        try:
+            act()
+        finally:
+            self._group = None
+
+    def enter_group(self, group: object) -> None:
+        """Put the current task, and all that it starts from now on, into a group that can be frozen."""
+        self._group = self.current().group = group
+
+    def freeze(self, group: object, us: int) -> None:
+        """Let a group of tasks stand still for so long, as a machine does.
+
+        Its timers come late, all at once.
+        """
+        if group in self._frozen:
+            return
+        self._frozen[group] = []
+        self.at_outside(self.now() + us, lambda: self._thaw(group))
+
+    def _thaw(self, group: object) -> None:
+        for act in self._frozen.pop(group):
+            act()
 
     def at_end_of_round(self, callback: Callable[[], None]) -> None:
         """Call `callback` once when all tasks that are ready have run; asking twice is asking once."""
-        self._end_of_round[callback] = None
+        self._end_of_round[callback] = self._group
 
     # -- descriptors
 
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -295,7 +295,7 @@
             return
         self.buffered += len(data)
         copy, other = bytes(data), self.other
-        self._hub.at(self._hub.now() + self.delay_us, lambda: other._arrive(copy))
+        self._hub.at_outside(self._hub.now() + self.delay_us, lambda: other._arrive(copy))
 
     def _arrive(self, data: bytes) -> None:
         if not self._closed:
@@ -325,7 +325,7 @@
         self._readable.notify()
         self._writable.notify()
         if (other := self.other) is not None:
-            self._hub.at(self._hub.now() + self.delay_us, lambda: other._end(error))
+            self._hub.at_outside(self._hub.now() + self.delay_us, lambda: other._end(error))
 
     def close(self) -> None:
         """Close; the peer reads what is on its way, then the end."""
--- a/harriertrack/standin/listservice.py
+++ b/harriertrack/standin/listservice.py
@@ -19,12 +19,13 @@
 
 
 class ListService:
-    """Knows nodes, and tells whoever asks; `peer_names` turns a connection's peer into a head's name."""
+    """Knows nodes, and tells whoever asks; a head names itself in its User-Agent."""
 
     def __init__(self, hub: Hub, network: Network, recorder: rec.Recorder | None = None) -> None:
         self._hub, self._network, self._recorder = hub, network, recorder
         self._members: dict[str, Member] = {}
         self._index = 1
+        self._wall_ahead = hub.clock.wall() - hub.now()
         self._changed = Waiters(hub)
         self._listener: Listener | None = None
         self.address = ("127.0.0.1", 0)
@@ -91,14 +92,21 @@
                 stream.abort()
                 return
             members = list(self._members.values())
+            wire = [self._on_wire(member) for member in members]
             headers = [("X-Consul-Index", str(self._index)), ("Content-Type", "application/json")]
-            self._record(stream.peer, members)
-            self._send(http, stream, 200, body_of(members), headers)
+            self._record(dict(asked.headers).get(b"user-agent", b"").decode(), members)
+            self._send(http, stream, 200, body_of(wire), headers)
         except (OSError, ValueError, h11.RemoteProtocolError):
             pass  # this connection alone suffers
         finally:
             stream.close()
 
+    def _on_wire(self, member: Member) -> Member:
+        """Tell starts as wall-clock time, as machines with clocks of their own must."""
+        entry = member.entry
+        started = entry.started_us + self._wall_ahead if entry.started_us else 0
+        return Member(NodeEntry(entry.node, entry.shard, entry.state, entry.zone, started), member.address)
+
     def _block(self, index: int, wait: str) -> None:
         until = self._hub.now() + int(wait.removesuffix("ms") or 0) * 1000
         try:
@@ -113,15 +121,16 @@
         for event in (response, h11.Data(data=body), h11.EndOfMessage()):
             stream.write(http.send(event) or b"")
 
-    def _record(self, peer: str, members: list[Member]) -> None:
-        if self._recorder is None:
+    def _record(self, agent: str, members: list[Member]) -> None:
+        number = agent.removeprefix("harriertrack/")
+        if self._recorder is None or number == agent:
             return
         for member in members:
             entry = member.entry
             self._recorder.add(
                 rec.Told(
                     t=self._hub.now(),
-                    head=peer,
+                    head=int(number, 16),
                     node=entry.node,
                     state=entry.state.value,
                     started_us=entry.started_us,
--- a/harriertrack/standin/shelf.py
+++ b/harriertrack/standin/shelf.py
@@ -144,7 +144,7 @@
     late_us: int = 0  # answers are sent so much later
     refuse: bool = False  # turns everything away unseen
     slow: float = 1.0  # work takes so many times as long
-    cut_off: frozenset[str] = frozenset()  # names of heads between whom and the node nothing passes
+    cut_off: frozenset[int] = frozenset()  # numbers of heads between whom and the node nothing passes
 
 
 class Shelf:
@@ -226,6 +226,10 @@
         self._stands_until = max(self._stands_until, self.hub.now() + us)
         self._pump_later(self._stands_until)
 
+    def wake(self) -> None:
+        """Go on with what waits, after a fault that held it has passed."""
+        self._pump()
+
     def _record_state(self, state: str, cold_share: float = 1.0) -> None:
         settings = self.settings
         rate = settings.cores * 1e6 / max(1, settings.unit_us)
@@ -487,7 +491,7 @@
             self.stream.close()
 
     def _cut_off(self) -> bool:
-        return self.deaf or self.stream.peer in self._shelf.faults.cut_off
+        return self.deaf or self._head in self._shelf.faults.cut_off
 
     def _push(self) -> None:
         for data in self._nbd.take_outgoing():
