--- a/harriertrack/decisions/interface.py
+++ b/harriertrack/decisions/interface.py
@@ -174,7 +174,11 @@
 
 @dataclass(slots=True)
 class Arrived:
-    """A client's request; the head owes it one final answer within time_left_us."""
+    """A client's request; the head owes it one final answer within time_left_us.
+
+    Where a head cuts a client's request into several, all but one are marked as further parts: a budget
+    counts the client's requests.
+    """
 
     request: int
     class_name: str
@@ -186,6 +190,7 @@
     time_left_us: int
     hosts: int = 0
     repeat: bool = False
+    further_part: bool = False
 
 
 @dataclass(slots=True)
--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -372,7 +372,7 @@
         if kind is None or ask.request in self._works:
             self._out.extend([Refuse(ask.request)] if kind is None else [])
             return
-        if self.settings.budget_window_us:
+        if self.settings.budget_window_us and not ask.further_part:
             self._taken.append(now)
         # A later try has less time left than a first one; its aim counts from the first.
         full = self._fullest[kind.name] = max(self._fullest.get(kind.name, 0), ask.time_left_us)
--- a/harriertrack/gateway/core.py
+++ b/harriertrack/gateway/core.py
@@ -296,6 +296,7 @@
             part.number, part.class_name, volume.plan, volume.name,
             f"{volume.name}/{part.extent}" if part.extent >= 0 else "",
             part.shard, units_of(part.length, self.settings.unit_bytes), request.deadline - now, volume.hosts,
+            further_part=part is not request.parts[0],
         ))  # fmt: skip
 
     def _served(self, part: Part, attempt: Attempt, data: bytes) -> None:
--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -46,7 +46,9 @@
         self._nbd = ClientConnection()
         self._stream: Stream | None = None
         self._idle: Timer | None = None
-        self._orphans = 0
+        self._orphans = 0  # attempts in `_out` that were called off
+        self._heard_at = 0
+        self._retired = False  # replaced by a newer link; closed once nobody waits for an answer over it
         self.open = self.closed = False
 
     def send(self, attempt: Attempt) -> None:
@@ -68,8 +70,9 @@
     def call_off(self, attempt: Attempt) -> None:
         """Forget an attempt that waits for the link, or tell the node where it understands that.
 
-        Its reply may still come, or never: a link that waits for too many such replies is dropped and opened
-        anew.
+        Its reply may still come, or never. A link that has been mute since the attempt left may be dead
+        though its node lives: the next attempt goes over a new one, and this one closes when nobody waits for
+        it any more.
         """
         cookie = cookie_of(attempt.part.number, attempt.number)
         if attempt in self._waiting:
@@ -79,8 +82,14 @@
                 self._nbd.cancel(cookie)
                 self._push()
             self._orphans += 1
-            if self._orphans > self._links.settings.limits.orphans and self._stream is not None:
-                self._stream.abort()
+            if self._heard_at < attempt.sent_at or self._orphans > self._links.settings.limits.orphans:
+                self._links.forget(self)
+                self._retired = True
+            self._close_if_retired()
+
+    def _close_if_retired(self) -> None:
+        if self._retired and self._stream is not None and self._orphans >= len(self._out):
+            self._stream.abort()
 
     def _push(self) -> None:
         if self._stream is not None:
@@ -99,6 +108,7 @@
                 self.send(attempt)
             self._rest()
             while self._stream is not None and (data := self._stream.read()):
+                self._heard_at = self._hub.now()
                 for event in self._nbd.receive(data):
                     if isinstance(event, Reply):
                         self._answered(event)
@@ -163,6 +173,7 @@
         self._orphans -= attempt.told
         result = api.Result.FULL if reply.unseen else api.Result.ERROR if reply.error else api.Result.OK
         self._links.core.ended(self._hub.now(), attempt, result, reply.data, reply.report)
+        self._close_if_retired()
         if not self._out:
             self._rest()
 
--- a/harriertrack/lab/client.py
+++ b/harriertrack/lab/client.py
@@ -27,6 +27,7 @@
         self.size = 0
         self.flags = TransmissionFlags(0)
         self.block_sizes = (1, 4096, 0)
+        self.violation = ""  # what the server did that the protocol forbids
         self.on_lost: Callable[[], None] | None = None
 
     @property
@@ -98,8 +99,10 @@
                 for event in self._nbd.receive(data):
                     if isinstance(event, Reply):
                         self._callbacks.pop(event.cookie)(event)
-        except (OSError, ProtocolViolation):
+        except OSError:
             pass
+        except ProtocolViolation as error:
+            self.violation = str(error)
         self._stream.close()
         lost, self._callbacks = self._callbacks, {}
         for callback in lost.values():
--- a/harriertrack/lab/day.py
+++ b/harriertrack/lab/day.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from importlib import resources
 from pathlib import Path
+from typing import Literal
 
 from harriertrack.config.settings import (
     Amount,
@@ -56,6 +57,8 @@
     part: Share = 0.25
     size: Amount = 2.0
     every_us: Positive = 1_000_000
+    how: Literal["silence", "reset"] = "silence"
+    plan: str = ""
 
 
 class DaySettings(Checked, frozen=True, kw_only=True):
--- a/harriertrack/lab/load.py
+++ b/harriertrack/lab/load.py
@@ -83,6 +83,10 @@
             self._hub.sleep(RECONNECT_US)
 
     def _lost(self) -> None:
+        if self._client is not None and self._client.violation:
+            # An answer that fits no open request among them: nothing a head may send.
+            now = self._hub.now()
+            self._recorder.add(rec.Answer(t=now, client=self.name, request=0, outcome="violation"))
         self._client = None
 
     def leave(self) -> None:
@@ -158,6 +162,7 @@
         self.leader = 0  # which connection most requests take
         self._random = random.Random(seed)
         self._tags = 0
+        self.closed = False  # the day is over: nothing more is asked
         self.not_taken = 0  # arrivals while no head of the volume was reachable
 
     def run(self, until: int) -> None:
@@ -187,6 +192,8 @@
 
     def ask(self, kind: str, tries_left: int) -> None:
         """Send one request; after a refusal or failure ask again, as a new one, while the habits say so."""
+        if self.closed:
+            return
         connection = self._connection()
         if connection is None:
             self.not_taken += 1
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -90,7 +90,7 @@
         rate = day.rate / day.volumes * 2.5  # units a second of one volume
         self.plans = (
             PlanSettings(name="basic", rate=rate, reserve=0.3 * rate, weight=1, price=0.8, limit=4 * rate,
-                         limit_burst=max(64.0, 8 * rate), limit_slack=8),
+                         limit_burst=max(64.0, 4 * rate), limit_slack=8),
             PlanSettings(name="standard", rate=rate, reserve=rate, weight=3),
             PlanSettings(name="priority", rate=rate, reserve=0.8 * rate, weight=4, price=1.8),
         )  # fmt: skip
@@ -165,9 +165,9 @@
             for trouble in day.troubles:
                 scope.spawn(f"trouble {trouble.name.value}", troubles.run, self, trouble, start)
             hub.sleep_until(start + day.length_us)
-            # All that was taken is answered by its deadline; what repeats it is taken a little later.
-            longest = max(one.deadline_us for one in self.classes)
-            last = hub.now() + 2 * longest
+            for flow in self.flows:
+                flow.closed = True
+            last = hub.now() + max(one.deadline_us for one in self.classes) + 2 * SETTLE_US
             while hub.now() < last and any(one.open for slot in self.heads for one in slot.connections):
                 hub.sleep(50_000)
             hub.sleep(200_000)
--- a/harriertrack/lab/troubles.py
+++ b/harriertrack/lab/troubles.py
@@ -44,8 +44,9 @@
 
 @_trouble(TroubleKind.ANSWER_LOST)
 def answer_lost(rig: Rig, trouble: TroubleSettings) -> None:
-    """Nodes do the work, and `size` of their answers never arrive."""
-    _for_a_while(rig, rig.struck(trouble.part), trouble.for_us, lose_replies=trouble.size)
+    """Nodes do the work, and `size` of their answers never arrive: nothing comes, or a reset."""
+    fault = "reset_replies" if trouble.how == "reset" else "lose_replies"
+    _for_a_while(rig, rig.struck(trouble.part), trouble.for_us, **{fault: trouble.size})
 
 
 @_trouble(TroubleKind.HANG)
@@ -217,7 +218,7 @@
 @_trouble(TroubleKind.TENANT_BURST)
 def tenant_burst(rig: Rig, trouble: TroubleSettings) -> None:
     """All volumes of one plan ask for `size` times their usual load."""
-    plan = rig.random.choice(sorted({volume.plan for volume in rig.volumes}))
+    plan = trouble.plan or rig.random.choice(sorted({volume.plan for volume in rig.volumes}))
     names = {volume.name for volume in rig.volumes if volume.plan == plan}
     struck = [flow for flow in rig.flows if flow.model.name in names]
     for flow in struck:
--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -162,7 +162,7 @@
     slack, flight = story.facts.answer_slack_us, story.facts.flight_us
     for stray in story.stray_answers:
         yield Breach(
-            1, stray.t, f"{stray.client}", f"an answer to request {stray.request}, which was never made"
+            1, stray.t, f"{stray.client}", "an answer that no open request fits"
         )
     for asked in story.asked:
         answers = asked.answers
--- a/harriertrack/standin/shelf.py
+++ b/harriertrack/standin/shelf.py
@@ -185,6 +185,8 @@
     def start(self, scope: Scope, cold: bool = False) -> None:
         """Come up and listen, cold if asked; raises OSError if the address is taken."""
         self._life += 1
+        for session, task in list(self._sessions.items()):
+            self._break(session, task)  # a machine that comes back resets connections from before
         self._listener = self._network.listen(self.address)
         self.address = self._listener.address
         self.fallen = False
@@ -211,11 +213,14 @@
             if silent:
                 session.deaf = True
             else:
-                session.stream.abort()
-                task.cancel()
-        self._sessions.clear()
+                self._break(session, task)
         self._record_state("stopped")
 
+    def _break(self, session: Session, task: Task) -> None:
+        self._sessions.pop(session, None)
+        session.stream.abort()
+        task.cancel()
+
     @property
     def up(self) -> bool:
         """Whether it listens."""
@@ -232,7 +237,7 @@
 
     def _record_state(self, state: str, cold_share: float = 1.0) -> None:
         settings = self.settings
-        rate = settings.cores * 1e6 / max(1, settings.unit_us)
+        rate = 1e6 * self._unit_rate()
         self.record(
             rec.Node(
                 t=self.hub.now(),
@@ -298,6 +303,10 @@
         self._queue.append(work)
         self._pump()
 
+    def _unit_rate(self) -> float:
+        """Return how many units a microsecond it does when warm, in requests of one unit."""
+        return self.settings.cores / max(1, self.settings.unit_us + self.settings.request_us)
+
     def _weigh(self, now: int, units: float) -> None:
         """Fall over if a cold node was sent too much.
 
@@ -310,8 +319,7 @@
         self._arrived_units += units
         while self._arrivals[0][0] <= now - settings.fall_us:
             self._arrived_units -= self._arrivals.popleft()[1]
-        rate = self.capacity() * settings.cores / max(1, settings.unit_us)
-        bears = settings.fall_multiple * rate * settings.fall_us
+        bears = settings.fall_multiple * self.capacity() * self._unit_rate() * settings.fall_us
         if self._arrived_units > max(bears * 1.2, settings.cold_units) and not self.fallen:
             self.fallen = True
             self._record_state("fell")
