--- a/harriertrack/gateway/core.py
+++ b/harriertrack/gateway/core.py
@@ -84,6 +84,13 @@
     places: bool = False  # it is the one that places its new extent
     data: bytes = b""
 
+    @property
+    def touched(self) -> bool:
+        """Whether an attempt of it ran, may have run, or may run yet."""
+        return self.may_have_run or any(
+            attempt.state in (AttemptState.SENT, AttemptState.CALLED_OFF) for attempt in self.attempts
+        )
+
     def body(self) -> bytes | memoryview:
         """Return the part's share of what the client writes."""
         request = self.request
@@ -322,9 +329,7 @@
         request = part.request
         if request.outcome is None:
             request.hint_us = hint
-            others = [
-                (one.state, one.may_have_run or one.out > 0) for one in request.parts if one is not part
-            ]
+            others = [(one.state, one.touched) for one in request.parts if one is not part]
             self._finish(request, whole_outcome(part.state, others, request.kind in CHANGING))
             self._drop_parts(request)
 
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,61 @@
+"""The node list: news from whole lists, and Consul's answers read and written."""
+
+import pytest
+
+from harriertrack.decisions.interface import ListKind, NodeEntry, NodeState
+from harriertrack.membership import consul
+from harriertrack.membership.nodes import Member, NodeList
+
+
+def member(name, shard=0, state=NodeState.UP, started=0):
+    return Member(NodeEntry(name, shard, state, "z", started), ("127.0.0.1", 1000 + shard))
+
+
+def test_news_of_whole_lists():
+    nodes = NodeList()
+    assert nodes.replace([], restored=True).kind is ListKind.RESTORED
+    first = nodes.replace([member("a"), member("b", 1)])
+    assert first.kind is ListKind.FULL and [entry.node for entry in first.entries] == ["a", "b"]
+    assert nodes.replace([member("a"), member("b", 1)]) is None
+    news = nodes.replace([member("a", state=NodeState.DRAINING), member("c", 1)])
+    assert news.kind is ListKind.CHANGES
+    assert {entry.node: entry.state for entry in news.entries} == {
+        "a": NodeState.DRAINING, "b": NodeState.GONE, "c": NodeState.UP}
+    assert nodes.find("b").address == ("127.0.0.1", 1001)  # attempts may still be out there
+    assert nodes.replace([member("a", state=NodeState.DRAINING), member("c", 1)]) is None
+    back = nodes.replace([member("a"), member("b", 1, started=5), member("c", 1)])
+    assert {entry.node for entry in back.entries} == {"a", "b"}
+
+
+def test_an_answer_is_written_and_read():
+    members = [member("a", 3, started=9), member("b", 1, NodeState.DRAINING), member("c", 2, NodeState.GONE)]
+    assert consul.members_of(consul.body_of(members)) == members
+
+
+def test_an_answer_as_the_api_documents_it():
+    body = b"""[{"Node": {"ID": "x", "Node": "foobar", "Address": "10.1.10.12", "Datacenter": "dc1"},
+      "Service": {"ID": "shelf-1", "Service": "shelf", "Tags": [], "Address": "", "Port": 8000,
+                  "Meta": {"shard": "4", "zone": "east"}, "Weights": {"Passing": 10, "Warning": 1}},
+      "Checks": [{"Node": "foobar", "CheckID": "serfHealth", "Status": "passing"},
+                 {"Node": "foobar", "CheckID": "_service_maintenance:shelf-1", "Status": "warning"}]}]"""
+    (one,) = consul.members_of(body)
+    assert one == Member(NodeEntry("shelf-1", 4, NodeState.DRAINING, "east", 0), ("10.1.10.12", 8000))
+
+
+@pytest.mark.parametrize("body", [
+    b"", b"{}", b"[1]", b'[{"Service": {}}]', b'[{"Service": {"ID": "a", "Port": 99999}}]',
+    b'[{"Service": {"ID": "a", "Meta": {}}}]', b'[{"Service": {"ID": "a", "Meta": {"shard": "x"}}}]',
+    b'[{"Service": {"ID": "a", "Meta": {"shard": "1", "state": "odd"}}}]', b"[" * 5000,
+])
+def test_what_is_no_list_is_turned_down(body):
+    with pytest.raises(consul.ListAnswerError):
+        consul.members_of(body)
+
+
+def test_indexes_and_targets():
+    assert consul.target("shelf", 0, 5_000_000) == "/v1/health/service/shelf"
+    assert consul.target("shelf", 7, 5_000_000) == "/v1/health/service/shelf?index=7&wait=5000ms"
+    assert [consul.next_index(5, text) for text in ("6", "5", "4", "0", "-1")] == [6, 5, 0, 0, 0]
+    for text in (None, "", "x"):
+        with pytest.raises(consul.ListAnswerError):
+            consul.next_index(1, text)
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,60 @@
+"""The extent map survives being killed; what it holds is what was placed."""
+
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from harriertrack.storage.extents import ExtentMap, ExtentMapError
+
+WRITER = """
+import sys
+from harriertrack.storage.extents import ExtentMap
+extents = ExtentMap(sys.argv[1])
+done = int(sys.argv[2])
+while True:
+    extents.place([("vol", done * 2, done % 7), ("vol", done * 2 + 1, done % 7)])
+    print(done, flush=True)
+    done += 1
+"""
+
+
+def test_placed_is_found_again(tmp_path):
+    path = str(tmp_path / "map")
+    one = ExtentMap(path)
+    one.place([("v", 1 << 40, 3), ("w", 0, 1), ("v", 7, 2)])
+    one.place([])
+    one.close()
+    two = ExtentMap(path)
+    assert list(two.placed("v")) == [(7, 2), (1 << 40, 3)] and two.shard_of("w", 0) == 1
+    assert two.shard_of("v", 8) is None and two.commits == 0
+    two.close()
+
+
+def test_killed_at_random_moments_it_is_never_torn(tmp_path):
+    path, begun = str(tmp_path / "map"), 0
+    for round_ in range(6):
+        writer = subprocess.Popen([sys.executable, "-c", WRITER, path, str(begun)], stdout=subprocess.PIPE, text=True)
+        for _ in range(20 + 17 * round_):
+            acknowledged = int(writer.stdout.readline())
+        os.kill(writer.pid, signal.SIGKILL)
+        rest = writer.stdout.read().split("\n")
+        acknowledged = max([acknowledged, *(int(line) for line in rest[:-1] if line)])
+        writer.wait()
+        extents = ExtentMap(path)
+        held = dict(extents.placed("vol"))
+        extents.close()
+        # Both extents of each transaction, or neither; none that was acknowledged is missing.
+        assert len(held) % 2 == 0 and set(held) == set(range(len(held)))
+        assert len(held) // 2 - 1 >= acknowledged
+        assert all(shard == extent // 2 % 7 for extent, shard in held.items())
+        begun = len(held) // 2
+
+
+def test_what_is_no_map_is_turned_down(tmp_path):
+    (tmp_path / "map").mkdir()
+    (tmp_path / "map" / "data.mdb").write_bytes(b"nonsense" * 2000)
+    with pytest.raises(ExtentMapError):
+        ExtentMap(str(tmp_path / "map"))
