--- /dev/null
+++ b/harriertrack/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m harriertrack`."""
+
+from harriertrack.cli.main import main
+
+main()
--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from enum import Enum
+from enum import StrEnum
 from pathlib import Path
 from typing import Annotated
 
@@ -24,7 +24,7 @@
 BlockSize = Annotated[int, msgspec.Meta(ge=512, multiple_of=512)]
 
 
-class Kind(Enum):
+class Kind(StrEnum):
     """What a client's request does."""
 
     READ = "read"
--- a/harriertrack/decisions/life.py
+++ b/harriertrack/decisions/life.py
@@ -1,12 +1,13 @@
 """The life of a part of a request and of an attempt: two small state machines without time or I/O.
 
 A client's request is cut at extent boundaries into parts; the module decides on parts. Each table names every
-legal step; a step that is not in it raises `IllegalStep`, for it would break a rule of the product.
+legal step; a step that is not in it raises `IllegalStep`, for it would break a rule of the product. (StrEnum:
+the hash of a plain Enum is computed in Python, and these are looked up several times a request.)
 """
 
 from __future__ import annotations
 
-from enum import Enum
+from enum import StrEnum
 
 from harriertrack.decisions.interface import Result
 
@@ -15,7 +16,7 @@
     """A step that the state does not have: the caller is wrong."""
 
 
-class PartState(Enum):
+class PartState(StrEnum):
     """Where a part of a request is."""
 
     WAITING = "waiting"  # while another request places the same new extent; the module is not told yet
@@ -35,7 +36,7 @@
 _OVER = frozenset((PartState.SERVED, PartState.REFUSED, PartState.FAILED, PartState.DROPPED))
 
 
-class PartStep(Enum):
+class PartStep(StrEnum):
     """What can happen to a part."""
 
     TELL = "tell"  # the module is told of it
@@ -64,7 +65,7 @@
 }
 
 
-class AttemptState(Enum):
+class AttemptState(StrEnum):
     """Where an attempt is."""
 
     DIALING = "dialing"  # its link is not up: nothing has left this head
@@ -73,7 +74,7 @@
     ENDED = "ended"
 
 
-class AttemptStep(Enum):
+class AttemptStep(StrEnum):
     """What can happen to an attempt."""
 
     SEND = "send"
@@ -96,7 +97,7 @@
     try:
         return PART_STEPS[state, step]
     except KeyError:
-        raise IllegalStep(f"a part that is {state.value} can't {step.value}") from None
+        raise IllegalStep(f"a part that is {state} can't {step}") from None
 
 
 def step_attempt(state: AttemptState, step: AttemptStep) -> AttemptState:
@@ -104,7 +105,7 @@
     try:
         return ATTEMPT_STEPS[state, step]
     except KeyError:
-        raise IllegalStep(f"an attempt that is {state.value} can't {step.value}") from None
+        raise IllegalStep(f"an attempt that is {state} can't {step}") from None
 
 
 def lost_result(state: AttemptState, otherwise: Result) -> Result:
--- a/harriertrack/gateway/core.py
+++ b/harriertrack/gateway/core.py
@@ -134,7 +134,7 @@
         """Follow the node list from now on; each failure is told by `Core.list_failed`."""
 
     def wake_at(self, when: int) -> None:
-        """Call `Core.flush` at a time; an earlier wish is replaced."""
+        """Call `Core.flush` at a time or before; each flush that leaves something due asks again."""
 
     def soon(self) -> None:
         """Call `Core.flush` at the end of this round."""
@@ -184,7 +184,7 @@
         self._released: list[tuple[str, int]] = []
         self._retiring: list[Part] = []  # over; forgotten at the end of a flush, if no attempt is out
         self._due: list[tuple[int, int, Part | Attempt | str]] = []  # time-outs, and the module's timers
-        self._serial = self._number = self._writes = self._woken = 0
+        self._serial = self._number = self._writes = 0
         for volume in self.volumes.values():  # what an earlier life wrote without a flush is not known
             name, fixed = volume.settings.name, volume.settings.shards
             volume.dirty = dict.fromkeys(fixed or {shard for _, shard in extents.placed(name)}, 0)
@@ -424,9 +424,8 @@
         answers, self._answers = self._answers, []
         for request in answers:
             self._port.answer(request)
-        if self._due and self._due[0][0] != self._woken:
-            self._woken = self._due[0][0]
-            self._port.wake_at(self._woken)
+        if self._due:
+            self._port.wake_at(self._due[0][0])
 
     def _expire(self, now: int) -> None:
         while self._due and self._due[0][0] <= now:
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -101,7 +101,9 @@
 
     def wake_at(self, when: int) -> None:
         """Flush the core at a time."""
-        if self._timer is not None:
+        if self._timer is not None and self._timer.act is not None:
+            if self._timer.at <= when:
+                return  # it will come, find nothing due, and ask again
             self._timer.cancel()
         self._timer = self.hub.at(when, self._flush)
 
--- a/harriertrack/protocol/nbd/server.py
+++ b/harriertrack/protocol/nbd/server.py
@@ -59,22 +59,26 @@
 
 _READ, _WRITE, _DISC, _CANCEL = int(Command.READ), int(Command.WRITE), int(Command.DISC), int(Command.CANCEL)
 # Flags that mean something on a command; any other is EINVAL. FUA may stand on all (spec: command flags).
+# Plain
+# numbers: arithmetic on IntFlag is many times dearer, and this is looked at for each request.
 _FLAGS = {
-    Command.READ: CommandFlags.FUA | CommandFlags.DF,
-    Command.WRITE: CommandFlags.FUA,
-    Command.FLUSH: CommandFlags.FUA,
-    Command.TRIM: CommandFlags.FUA,
-    Command.CACHE: CommandFlags.FUA,
-    Command.WRITE_ZEROES: CommandFlags.FUA | CommandFlags.NO_HOLE,
-    Command.BLOCK_STATUS: CommandFlags.FUA | CommandFlags.REQ_ONE,
+    Command.READ: int(CommandFlags.FUA | CommandFlags.DF),
+    Command.WRITE: int(CommandFlags.FUA),
+    Command.FLUSH: int(CommandFlags.FUA),
+    Command.TRIM: int(CommandFlags.FUA),
+    Command.CACHE: int(CommandFlags.FUA),
+    Command.WRITE_ZEROES: int(CommandFlags.FUA | CommandFlags.NO_HOLE),
+    Command.BLOCK_STATUS: int(CommandFlags.FUA | CommandFlags.REQ_ONE),
 }
 _NEEDS = {
-    Command.FLUSH: TransmissionFlags.SEND_FLUSH,
-    Command.TRIM: TransmissionFlags.SEND_TRIM,
-    Command.CACHE: TransmissionFlags.SEND_CACHE,
-    Command.WRITE_ZEROES: TransmissionFlags.SEND_WRITE_ZEROES,
+    Command.FLUSH: int(TransmissionFlags.SEND_FLUSH),
+    Command.TRIM: int(TransmissionFlags.SEND_TRIM),
+    Command.CACHE: int(TransmissionFlags.SEND_CACHE),
+    Command.WRITE_ZEROES: int(TransmissionFlags.SEND_WRITE_ZEROES),
 }
+_COMMANDS = {int(command): command for command in _FLAGS}
 _CHANGES = (Command.WRITE, Command.TRIM, Command.WRITE_ZEROES)
+_DF, _READ_ONLY = int(CommandFlags.DF), int(TransmissionFlags.READ_ONLY)
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +159,7 @@
         self.state = ServerState.FLAGS
         self.outgoing: list[bytes] = []
         self.export: ExportInfo | None = None
+        self._offered = 0  # the export's flags as a plain number
         self.structured = False
         self.contexts: dict[int, str] = {}
         self._context_export = ""
@@ -258,7 +263,7 @@
         self.outgoing.append(OPTION_REPLY.pack(OPTION_REPLY_MAGIC, option, kind, len(data)) + data)
 
     def _open(self, export: ExportInfo, events: list[ServerEvent]) -> None:
-        self.export = export
+        self.export, self._offered = export, int(export.flags)
         self.state = ServerState.TRANSMISSION
         if self._context_export != export.name:  # contexts hold for the export they were asked for
             self.contexts = {}
@@ -390,25 +395,24 @@
         if error:
             self.reply_error(cookie, error, why)
         else:
-            events.append(Request(cookie, Command(kind), flags, offset, length, data))
+            events.append(Request(cookie, _COMMANDS[kind], flags, offset, length, data))
         return True
 
     def _check(self, kind: int, flags: int, offset: int, length: int) -> tuple[Errno, str]:
         """Return EINVAL and the like for what the export or the protocol does not allow, else OK."""
-        export, known = self.export, _FLAGS.get(kind)  # type: ignore[call-overload]
+        export, offered = self.export, self._offered
         assert export is not None
-        if known is None:
+        if (command := _COMMANDS.get(kind)) is None:
             return Errno.EINVAL, f"unknown command {kind}"
-        command = Command(kind)
-        if flags & ~int(known):
+        if flags and flags & ~_FLAGS[command]:
             return Errno.EINVAL, f"flags {flags:#x} with {command.name}"
-        if flags & CommandFlags.DF and not self.structured:
+        if flags & _DF and not self.structured:
             return Errno.EINVAL, "DF needs structured replies"
-        if (need := _NEEDS.get(command)) is not None and not export.flags & need:
+        if (need := _NEEDS.get(command)) is not None and not offered & need:
             return Errno.EINVAL, f"{command.name} was not offered"
         if command is Command.FLUSH:
             return (Errno.EINVAL, "FLUSH has no offset or length") if offset or length else (Errno.OK, "")
-        if command in _CHANGES and export.flags & TransmissionFlags.READ_ONLY:
+        if offered & _READ_ONLY and command in _CHANGES:
             return Errno.EPERM, "read-only export"
         if offset + length > export.size:
             # Writes past the end are told apart (spec: ENOSPC for writes, EINVAL for the rest).
@@ -417,7 +421,7 @@
             return Errno.EOVERFLOW, f"at most {export.block_most} bytes"
         if command is Command.BLOCK_STATUS and (not self.contexts or not length):
             return Errno.EINVAL, "BLOCK_STATUS needs a negotiated context and a length"
-        if offset % export.block_least or length % export.block_least:
+        if export.block_least > 1 and (offset % export.block_least or length % export.block_least):
             return Errno.EINVAL, f"not aligned to {export.block_least} bytes"
         return Errno.OK, ""
 
@@ -426,10 +430,11 @@
         """Whether the project's extension was negotiated."""
         return any(name.startswith(extension.NODE_CONTEXT) for name in self.contexts.values())
 
-    def _chunk(self, cookie: int, flags: int, kind: Chunk, *parts: bytes) -> None:
-        length = sum(map(len, parts))
-        self.outgoing.append(CHUNK.pack(STRUCTURED_REPLY_MAGIC, flags, kind, cookie, length))
-        self.outgoing.extend(parts)
+    def _chunk(self, cookie: int, flags: int, kind: int, head: bytes = b"", data: bytes = b"") -> None:
+        length = len(head) + len(data)
+        self.outgoing.append(CHUNK.pack(STRUCTURED_REPLY_MAGIC, flags, kind, cookie, length) + head)
+        if data:
+            self.outgoing.append(data)
 
     def reply_done(self, cookie: int, report: extension.Report | None = None) -> None:
         """Answer a request without data as done."""
--- a/harriertrack/protocol/nbd/wire.py
+++ b/harriertrack/protocol/nbd/wire.py
@@ -188,7 +188,9 @@
 
     def peek(self, layout: struct.Struct) -> tuple | None:
         """Read a fixed layout at the front without taking it; None if it is not all there."""
-        return layout.unpack_from(self._data, self._at) if len(self) >= layout.size else None
+        if len(self._data) - self._at < layout.size:
+            return None
+        return layout.unpack_from(self._data, self._at)
 
     def skip(self, count: int) -> None:
         """Take bytes off the front unread."""
--- a/harriertrack/runtime/hub.py
+++ b/harriertrack/runtime/hub.py
@@ -526,9 +526,13 @@
         self._waiting[task] = None
         self._hub.park(lambda: self._waiting.pop(task, None), deadline)
 
+    def any(self) -> bool:
+        """Whether somebody waits."""
+        return bool(self._waiting)
+
     def notify(self) -> None:
         """Wake all that wait."""
-        for task in list(self._waiting):
+        for task in self._waiting:
             self._hub.unpark(task)
 
 
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -11,11 +11,13 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from itertools import islice
 from typing import Protocol
 
 from harriertrack.runtime.hub import READ, WRITE, DeadlineExceeded, Event, FdHandler, Hub, Waiters
 
 HIGH_WATER = 1 << 20  # bytes buffered for writing above which `drain` waits
+MOST_PARTS = 64  # buffers handed to one sendmsg
 RECEIVE = 1 << 18  # the most bytes that one read returns
 ACCEPT_PAUSE_US = 100_000  # how long a listener rests when the process has no descriptor left
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -79,9 +81,9 @@
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._out: deque[memoryview] = deque()
+        self._out: deque[bytes | memoryview] = deque()
         self.buffered = 0
-        self._closed = False
+        self._closed = self._drained = False  # drained: the last read took all there was
         self._error: OSError | None = None
         self._wants_read = False
         self._readable, self._writable = Waiters(hub), Waiters(hub)
@@ -91,7 +93,9 @@
     def _on_events(self, events: int) -> None:
         # POLLHUP and POLLERR come with or without data still to be read: reading tells which.
         if events & ~WRITE:
-            self._wants_read = False
+            self._drained = False
+            # While somebody reads, the interest stays: asking anew for each read would cost two calls.
+            self._wants_read = self._readable.any()
             self._readable.notify()
         if events & ~READ and self._out:
             self._flush()
@@ -107,12 +111,17 @@
         while True:
             if self._closed:
                 raise self._error or StreamClosed("closed")
-            try:
-                return self._sock.recv(RECEIVE)
-            except (BlockingIOError, InterruptedError):
-                self._wants_read = True
-                self._set_interest()
-                self._readable.wait(deadline)
+            if not self._drained:
+                try:
+                    data = self._sock.recv(RECEIVE)
+                    self._drained = 0 < len(data) < RECEIVE
+                    return data
+                except (BlockingIOError, InterruptedError):
+                    pass
+            self._wants_read = True
+            self._set_interest()
+            self._readable.wait(deadline)
+            self._drained = False
 
     def write(self, data: bytes | memoryview) -> None:
         """Add bytes to what is sent at the end of this round; does nothing on a closed stream."""
@@ -120,28 +129,32 @@
             return
         if not self._out:
             self._hub.at_end_of_round(self._flush)
-        self._out.append(memoryview(data))
+        self._out.append(data)
         self.buffered += len(data)
 
     def _flush(self) -> None:
+        out = self._out
         try:
-            while self._out and not self._closed:
-                sent = self._sock.sendmsg([self._out[at] for at in range(min(len(self._out), 64))])
+            while out and not self._closed:
+                sent = self._sock.sendmsg(out if len(out) <= MOST_PARTS else list(islice(out, MOST_PARTS)))
                 self.buffered -= sent
+                if not self.buffered:
+                    out.clear()
+                    break
                 while sent:
-                    first = self._out[0]
+                    first = out[0]
                     if sent < len(first):
-                        self._out[0] = first[sent:]
+                        out[0] = memoryview(first)[sent:]
                         break
                     sent -= len(first)
-                    self._out.popleft()
+                    out.popleft()
         except (BlockingIOError, InterruptedError):
             pass
         except OSError as error:
             self._error = error
             self._shut()
             return
-        if self.buffered < HIGH_WATER:
+        if self.buffered < HIGH_WATER and self._writable.any():
             self._writable.notify()
         self._set_interest()
 
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -29,7 +29,7 @@
 EXTENT = 1 << 16
 DISK = VolumeSettings(name="disk", size_bytes=64 * EXTENT, plan="p")
 SHARED = VolumeSettings(name="shared", size_bytes=64 * EXTENT, plan="p", shards=(0, 1))
-HEAD = [sys.executable, "-c", "from harriertrack.cli.main import main; main()"]
+HEAD = [sys.executable, "-m", "harriertrack"]
 
 
 class Site:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -93,7 +93,7 @@
     path = tmp_path / "head.sexp"
     path.write_text(GOOD.replace("300ms", "300"))
     for command in ("head", "check"):
-        done = subprocess.run([sys.executable, "-c", "from harriertrack.cli.main import main; main()", command, str(path)],
+        done = subprocess.run([sys.executable, "-m", "harriertrack", command, str(path)],
                               capture_output=True, text=True, timeout=60, check=False)  # fmt: skip
         assert done.returncode == 2 and "head.sexp:8: class: aim:" in done.stderr and "Traceback" not in done.stderr
     assert not (tmp_path / "state").exists()
