--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(BIN)/python -m pytest -q
 
 lint: venv
-	$(BIN)/ruff check harriertrack tests
+	$(BIN)/ruff check harriertrack tests benchmarks
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import re
 import sys
 import tempfile
@@ -47,6 +48,9 @@
     hub.random.seed()
     one = Head(hub, SocketNetwork(hub), checked, note)
     hub.on_stall = lambda us: note("the loop stood still", us=us)
+    # Requests and their parts refer to each other: collect such cycles in larger lots, and never what stays.
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)
     note("head starts", listen=f"{checked.listen[0]}:{checked.listen[1]}")
     run_until_signal(hub, one.run, one.stop)
     note("head stopped")
--- a/harriertrack/lab/day.py
+++ b/harriertrack/lab/day.py
@@ -25,7 +25,7 @@
 
 
 class TroubleKind(Enum):
-    """The kinds of trouble a day can hold; docs/days.md says what each does."""
+    """The kinds of trouble a day can hold; docs/operators/days.md says what each does."""
 
     ANSWER_LOST = "answer_lost"
     BALANCER_ROLL = "balancer_roll"
--- a/harriertrack/lab/troubles.py
+++ b/harriertrack/lab/troubles.py
@@ -1,6 +1,6 @@
 """The troubles of a day: each is one function that does its harm to a rig for a while.
 
-docs/days.md tells for operators what each looks like.
+docs/operators/days.md tells operators what each looks like.
 """
 
 from __future__ import annotations
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -53,8 +53,8 @@
 
     address: tuple[str, int]
 
-    def accept(self) -> Stream:
-        """Wait for the next stream; raises StreamClosed once the listener is closed."""
+    def accept(self, deadline: int | None = None) -> Stream:
+        """Wait for the next stream; raises StreamClosed once the listener is closed, or DeadlineExceeded."""
 
     def close(self) -> None:
         """Stop listening."""
@@ -212,14 +212,14 @@
         self._hub.set_interest(self._handler, 0)
         self._waiters.notify()
 
-    def accept(self) -> SocketStream:
+    def accept(self, deadline: int | None = None) -> SocketStream:
         """Wait for the next stream; without free descriptors it rests and goes on when some are free."""
         while not self._closed:
             try:
                 sock, peer = self._sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 self._hub.set_interest(self._handler, READ)
-                self._waiters.wait()
+                self._waiters.wait(deadline)
             except OSError as error:
                 if error.errno not in NO_DESCRIPTOR:
                     raise
@@ -363,12 +363,12 @@
         self._queue.append(stream)
         self._waiters.notify()
 
-    def accept(self) -> MemoryStream:
+    def accept(self, deadline: int | None = None) -> MemoryStream:
         """Wait for the next stream; raises StreamClosed once the listener is closed."""
         while not self._queue:
             if self._closed:
                 raise StreamClosed("the listener is closed")
-            self._waiters.wait()
+            self._waiters.wait(deadline)
         return self._queue.popleft()
 
     def close(self) -> None:
--- a/harriertrack/standin/shelf.py
+++ b/harriertrack/standin/shelf.py
@@ -177,6 +177,9 @@
         self._arrivals: deque[tuple[int, float]] = deque()
         self._arrived_units = 0.0
         self._put_off = 0.0
+        self._served: dict[str, float] = {}  # units, by volume
+        self._served_to: dict[tuple[int, str], float] = {}  # ... by head and volume
+        self._told_others: dict[tuple[int, str], float] = {}  # what each head was told of the others
         self._stands_until = 0
         self._life = 0
 
@@ -398,12 +401,26 @@
         settings = self.settings
         self.record(rec.Ran(t=now, node=settings.name, head=work.head, key=work.key, attempt=work.attempt))
         if self.meter is not None:
-            self.meter.add(now, work.volume, units_of(request.length, settings.unit_bytes))
+            units = units_of(request.length, settings.unit_bytes)
+            self.meter.add(now, work.volume, units)
+            self._served[work.volume] = self._served.get(work.volume, 0.0) + units
+            mine = (work.head, work.volume)
+            self._served_to[mine] = self._served_to.get(mine, 0.0) + units
         self._answer(work, "done", data)
         for repeat in work.repeats:
             self._answer(repeat, "repeat")
         self._pump()
 
+    def report(self, work: Work) -> extension.Report | None:
+        """Return what an answer tells beside itself: the meter, service through other heads, the queue."""
+        if self.meter is None or not work.head:
+            return None
+        served, mine = self._served.get(work.volume, 0.0), (work.head, work.volume)
+        others = served - self._served_to.get(mine, 0.0)
+        elsewhere, self._told_others[mine] = others - self._told_others.get(mine, 0.0), others
+        percent = self.meter.percent(self.hub.now(), work.volume)
+        return extension.Report(percent, elsewhere, (float(len(self._queue)),))
+
     def _schedule_flush(self, life: int) -> None:
         def flush() -> None:
             if life == self._life:
@@ -544,7 +561,7 @@
         )
         report = None
         if shelf.meter is not None:
-            report = extension.Report(shelf.meter.percent(now, work.volume))
+            report = shelf.report(work)
         if result == "unseen":
             self._nbd.reply_error(request.cookie, Errno.ENOMEM, "the queue is full", unseen=True)
         elif request.command is Command.READ:
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -23,7 +23,7 @@
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import MemoryNetwork, SocketNetwork
 from harriertrack.standin.listservice import ListService
-from harriertrack.standin.shelf import Rack, Shelf
+from harriertrack.standin.shelf import Meter, Rack, Shelf
 from harriertrack.storage.extents import ExtentMap
 
 EXTENT = 1 << 16
@@ -196,6 +196,25 @@
     play(used, real, extended=False, plain_nodes=True)
 
 
+def test_reports_reach_the_module():
+    def test(site):
+        ended, seen = site.head.core._module._ended, []
+        site.head.core._module._ended = lambda event: (seen.append(event), ended(event))
+        for shelf in site.shelves:
+            shelf.meter = Meter(100_000, {"shared": 10.0})
+        client = site.client("shared")
+        for _ in range(30):
+            client.call(Command.READ, 0, 512)
+            site.hub.sleep(10_000)
+        assert max(event.used_percent for event in seen) > 1
+        assert seen[-1].load == (0.0,) and seen[-1].elsewhere == 0.0
+        site.shelves[0]._served["shared"] += 7  # through another head
+        client.call(Command.READ, 0, 512)
+        assert seen[-1].elsewhere == 7.0
+
+    play(test)
+
+
 def test_clients_share_what_one_wrote_and_an_unknown_export_is_told():
     def test(site):
         site.client().call(Command.WRITE, 0, data=b"x")
@@ -396,11 +415,12 @@
     try:
         for port in ports[:2]:
             reachable(port)
-        for round_ in range(4):
+        for _ in range(4):
+            stop_at = rng.randrange(10, 60)
             head = start("head", str(tmp_path / "head.sexp"))
             reachable(ports[2])
 
-            def write(hub, client, head=head, until=rng.randrange(10, 60)):
+            def write(hub, client, head=head, until=stop_at):
                 nonlocal extent
                 acknowledged = []
                 client.on_lost = lambda: acknowledged.append(None)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -93,6 +93,16 @@
     on(main)
 
 
+def test_nobody_comes_by_the_deadline(on):
+    def main(hub, net):
+        listener = net.listen(("127.0.0.1", 0))
+        with pytest.raises(DeadlineExceeded):
+            listener.accept(hub.now() + 20_000)
+        assert net.connect(listener.address).peer and listener.accept(hub.now() + 1_000_000)
+
+    on(main)
+
+
 def test_deadlines_and_sleep_on_the_virtual_clock():
     hub = Hub.virtual(start=0)
 
