--- a/benchmarks/compare.py
+++ b/benchmarks/compare.py
@@ -90,7 +90,8 @@
                         errors = f" ({middle['errors']:.0f} refused)" if middle["errors"] else ""
                         figures = " | ".join(f"{middle[key]:.0f}" for key in ("p50", "p99", "cpu_us"))
                         rate, part = f"{middle['rate']:.0f}{errors}", f"{middle['rate'] / bare:.2f}"
-                        print(f"| {kind} | {connections} | {name} | {rate} | {figures} | {part} |", flush=True)
+                        row = (kind, str(connections), name, rate, figures, part)
+                        print(f"| {' | '.join(row)} |", flush=True)
             idle = {name: idle_memory(kinds[name], 1000) for name in ("head", "pass-through")}
             told = ", ".join(f"{name} {count:.0f} bytes" for name, count in idle.items())
             print(f"\nAn idle connection: {told}.")
