--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -14,6 +14,7 @@
 
 from harriertrack.config.sexp import Form, SettingsError, bind, head_word, read_text
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.regions import Mode
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 Whole = Annotated[int, msgspec.Meta(ge=0)]
@@ -33,6 +34,7 @@
     ZERO = "write-zeroes"
     FLUSH = "flush"
     CACHE = "cache"
+    CATCH_UP = "catch-up"  # what a region reads and writes to get what it missed
 
 
 class Checked(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -68,6 +70,31 @@
     price: Amount = 1.0
 
 
+class VolumeRegionSettings(Checked, frozen=True, kw_only=True):
+    """A volume of two regions: where it belongs, and when a write is acknowledged."""
+
+    home: Name
+    mode: Mode = Mode.BOTH
+    copy_us: Positive = 400_000
+    behind_us: Positive = 2_000_000
+    behind_writes: Positive = 1_000
+    takeover_us: Whole = 300_000
+    settle_us: Whole = 2_000_000
+
+
+class RegionSettings(Checked, frozen=True, kw_only=True):
+    """The head's region, the other one, that one's head, and the witness."""
+
+    name: Name
+    other: Name
+    peer: tuple[str, Port]
+    witness: tuple[str, Port]
+    ttl_us: Positive = 3_000_000
+    clock_error: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.01
+    tick_us: Positive = 100_000
+    fresh_us: Positive = 1_000_000
+
+
 class VolumeSettings(Checked, frozen=True, kw_only=True):
     """A volume, which is one export. `shards` names where its extents were allocated beforehand, in turn."""
 
@@ -77,6 +104,7 @@
     hosts: Positive = 1
     shards: tuple[Whole, ...] = ()
     read_only: bool = False
+    regions: VolumeRegionSettings | None = None
 
 
 class NodeSettings(Checked, frozen=True, kw_only=True):
@@ -155,6 +183,7 @@
     node_list: NodeListSettings
     rules: RuleSettings = RuleSettings()
     limits: LimitSettings = LimitSettings()
+    region: RegionSettings | None = None
     classes: tuple[ClassSettings, ...]
     plans: tuple[PlanSettings, ...]
     volumes: tuple[VolumeSettings, ...]
@@ -243,7 +272,7 @@
                 fail(f"{what} {name}", "given twice")
     for kind in Kind:
         takes_all = any(kind in one.kinds and not one.at_least_bytes for one in head.classes)
-        if kind is not Kind.CACHE and not takes_all:
+        if kind not in (Kind.CACHE, Kind.CATCH_UP) and not takes_all:
             fail("class", f"no class takes every {kind.value}")
     for one in head.classes:
         if one.aim_us > one.deadline_us:
@@ -258,6 +287,16 @@
             fail(f"volume {volume.name}: size", "not a multiple of 512 bytes")
         if volume.hosts > 1 and not volume.shards:
             fail(f"volume {volume.name}: shards", "several heads need extents allocated beforehand")
+        if (spread := volume.regions) is not None:
+            where_ = f"volume {volume.name}: regions"
+            if head.region is None:
+                fail(where_, "the head's own region is not set")
+            elif spread.home not in (head.region.name, head.region.other):
+                fail(where_, f"home {spread.home} is neither {head.region.name} nor {head.region.other}")
+            if volume.hosts > 1:
+                fail(where_, "such a volume is served by one head in each region")
+            if not any(Kind.CATCH_UP in one.kinds for one in head.classes):
+                fail(where_, "no class takes catch-up")
         if volume.hosts > head.heads:
             fail(f"volume {volume.name}: hosts", f"{volume.hosts}, but there are {head.heads} heads")
     for plan in head.plans:
--- a/harriertrack/decisions/regions.py
+++ b/harriertrack/decisions/regions.py
@@ -190,7 +190,10 @@
             self._born = now
         return (now - self._born) // TICK_US % TOKENS
 
+    def age(self, token: int, now: int) -> int:
+        """Return how old a message that names this tick can be, in microseconds (modulo 51 s)."""
+        return ((self.tick(now) - token) % TOKENS + 1) * TICK_US
+
     def fresh(self, token: int, now: int) -> bool:
         """Whether a message that names this tick is young enough to be acted on."""
-        age = (self.tick(now) - token) % TOKENS * TICK_US
-        return age <= self.most_us
+        return self.age(token, now) <= self.most_us
--- a/harriertrack/gateway/core.py
+++ b/harriertrack/gateway/core.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Protocol
 
 from harriertrack.config.settings import HeadSettings, Kind, VolumeSettings, module_settings
@@ -44,6 +45,21 @@
     dirty: dict[int, int] = field(default_factory=dict)  # shard: number of its latest write
 
 
+class Origin(Enum):
+    """Who asks: a client, or the other region's head for one (RELAY), or with a write of its own (COPY)."""
+
+    CLIENT = "client"
+    RELAY = "relay"
+    COPY = "copy"
+
+
+class Asker(Protocol):
+    """Whom a request's answer is given to."""
+
+    def answer(self, request: ClientRequest) -> None:
+        """Take the one final answer."""
+
+
 @dataclass(slots=True, eq=False)
 class ClientRequest:
     """What a client asked for.
@@ -57,13 +73,18 @@
     length: int
     data: bytes
     flags: int
-    token: object
-    deadline: int = 0
+    token: Asker
+    deadline: int = 0  # 0: its class says
+    background: bool = False  # of the class for catching up
     hint_us: int = 0
     parts: list[Part] = field(default_factory=list)
     pieces: list[bytes | int | Part] = field(default_factory=list)  # of a read, in order; numbers are holes
     open: int = 0  # parts without a final state
     outcome: Outcome | None = None
+    why: str = ""  # of a refusal or failure, where there is more to say
+    origin: Origin = Origin.CLIENT
+    epoch: int = 0  # of a copy: the holder's
+    tick: int = 0  # of the other head's: the newest tick of ours that it had
 
 
 @dataclass(slots=True, eq=False)
@@ -208,6 +229,10 @@
         counts = self.counts
         return counts.taken - counts.served - counts.refused - counts.failed - counts.left
 
+    def deadline_of(self, now: int, kind: Kind, length: int) -> int:
+        """Return when a client that asks now gives up."""
+        return now + self._deadlines[class_of(self._classes, kind, length) or self._classes[0][0]]
+
     def full(self) -> bool:
         """Return whether as many requests are open as the settings allow."""
         return len(self._parts) >= self.settings.limits.held
@@ -216,8 +241,10 @@
         """Take a request: from now on it is owed one final answer."""
         self.counts.taken += 1
         volume, kind = request.volume, request.kind
-        class_name = class_of(self._classes, kind, request.length) or self._classes[0][0]
-        request.deadline = now + self._deadlines[class_name]
+        asked = Kind.CATCH_UP if request.background else kind
+        class_name = class_of(self._classes, asked, request.length) or self._classes[0][0]
+        if not request.deadline:
+            request.deadline = now + self._deadlines[class_name]
         if kind is Kind.FLUSH:
             for dirty in volume.dirty:
                 self._part(request, class_name, -1, 0, 0, dirty)
@@ -244,6 +271,14 @@
             self.counts.left += 1
             self._drop_parts(request)
 
+    def answer_outside(self, request: ClientRequest) -> None:
+        """Give an answer that was decided around the core at the end of the next flush, as all answers are.
+
+        Ive an answer that was decided around the core at the end of the next flush, as all answers are.
+        """
+        self._answers.append(request)
+        self._soon()
+
     def sent(self, attempt: Attempt) -> None:
         """The attempt's bytes were handed to its link."""
         attempt.state = step_attempt(attempt.state, AttemptStep.SEND)
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -11,8 +11,10 @@
 
 from harriertrack.config.settings import HeadSettings, Kind
 from harriertrack.decisions.splitting import Outcome, cut
-from harriertrack.gateway.core import ClientRequest, Core, Part
+from harriertrack.gateway.core import ClientRequest, Core, Origin, Part
 from harriertrack.gateway.links import COMMANDS
+from harriertrack.gateway.regional import Regional
+from harriertrack.protocol.nbd.extension import COPY_CONTEXT, RELAY_CONTEXT, Report, identity_of
 from harriertrack.protocol.nbd.server import (
     Aborted,
     Disconnect,
@@ -48,6 +50,7 @@
         offered |= TransmissionFlags.CAN_MULTI_CONN
         if any(Kind.CACHE in one.kinds for one in settings.classes):
             offered |= TransmissionFlags.SEND_CACHE
+        self._spread = {volume.name for volume in settings.volumes if volume.regions is not None}
         self._exports = {
             volume.name: ExportInfo(
                 volume.name, volume.size_bytes,
@@ -68,8 +71,12 @@
         return self._exports.get(name)
 
     def contexts(self, export: str, query: str) -> Iterable[str]:
-        """There are no contexts beside `base:allocation`."""
-        return ()
+        """Return the context of the other region's head, if the volume is of two regions.
+
+        There are no others.
+        """
+        known = any(identity_of(query, prefix) for prefix in (RELAY_CONTEXT, COPY_CONTEXT))
+        return (query,) if known and export in self._spread else ()
 
 
 class Session:
@@ -81,6 +88,7 @@
         self._open: dict[ClientRequest, int] = {}  # requests without their answer, and their cookies
         self._fewer = Waiters(front.hub)
         self._volume = ""
+        self._origin, self._epoch = Origin.CLIENT, 0
 
     def run(self) -> None:
         """Serve the connection until it ends (the session's task)."""
@@ -97,10 +105,14 @@
                 self._push()  # error replies, which no event tells of
                 for event in events:
                     match event:
+                        case Request(command=Command.TICK | Command.CAUGHT):
+                            self._peer_news(event)
                         case Request():
                             self._request(event)
                         case Opened():
                             self._volume = event.export.name
+                            if not self._identify(event.contexts):
+                                return
                             front.note("client opened", peer=self._stream.peer, volume=self._volume)
                         case Disconnect():
                             self._finish_open()
@@ -116,7 +128,7 @@
             front.note("client broke", peer=self._stream.peer, why=str(error))
         finally:
             for request in self._open:
-                front.core.client_gone(request)
+                front.client_gone(request)
             self._push()
             self._stream.close()
 
@@ -130,8 +142,40 @@
             self._fewer.wait()
         self._stream.drain()
 
+    def _identify(self, contexts: Iterable[str]) -> bool:
+        """Tell a client from the other region's head; return False for a holder that is none any more."""
+        for context in contexts:
+            if identity_of(context, RELAY_CONTEXT):
+                self._origin = Origin.RELAY
+            elif identity := identity_of(context, COPY_CONTEXT):
+                self._origin, self._epoch = Origin.COPY, identity[1]
+                regional = self._front.regional
+                return regional is not None and regional.copy_opened(self._volume, self._epoch, self)
+        return True
+
+    def _peer_news(self, event: Request) -> None:
+        regional, report = self._front.regional, None
+        if regional is None or self._origin is not Origin.RELAY:
+            self._turn_away(event, Errno.EINVAL, "only the other region's head may say so")
+            return
+        if event.command is Command.TICK:
+            report = Report(load=(regional.tick(bool(event.length)),))
+        else:
+            regional.caught(self._volume, event.offset, event.length)
+        self._nbd.reply_done(event.cookie, report)
+        self._push()
+
     def _request(self, event: Request) -> None:
         front = self._front
+        if (
+            event.command is Command.BLOCK_STATUS
+            and self._origin is Origin.RELAY
+            and front.regional is not None
+        ):
+            told = front.regional.missing(self._volume, event.offset, event.length)
+            self._nbd.reply_block_status(event.cookie, told, RELAY_CONTEXT)
+            self._push()
+            return
         if event.command is Command.BLOCK_STATUS:
             self._nbd.reply_block_status(event.cookie, list(self._status(event)))
             self._push()
@@ -145,9 +189,12 @@
             return
         volume = front.core.volumes[self._volume]
         kind = KINDS[event.command]
-        request = ClientRequest(volume, kind, event.offset, event.length, event.data, event.flags, self)
+        request = ClientRequest(
+            volume, kind, event.offset, event.length, event.data, event.flags, self,
+            origin=self._origin, epoch=self._epoch, tick=event.token,
+        )  # fmt: skip
         self._open[request] = event.cookie
-        front.core.take(front.hub.now(), request)
+        front.take(request)
 
     def _turn_away(self, event: Request, error: Errno, why: str) -> None:
         self._nbd.reply_error(event.cookie, error, why)
@@ -179,7 +226,7 @@
                 self._nbd.reply_done(cookie)
             case Outcome.REFUSED:
                 hint = f"; retry-after-us={request.hint_us}" if request.hint_us else ""
-                self._nbd.reply_error(cookie, REFUSED, f"refused: not done{hint}")
+                self._nbd.reply_error(cookie, REFUSED, request.why or f"refused: not done{hint}")
             case _:
                 self._nbd.reply_error(cookie, FAILED, "failed: nothing is known of its effect")
         self._push()
@@ -190,14 +237,35 @@
     """Accepts clients at a listener."""
 
     def __init__(
-        self, hub: Hub, settings: HeadSettings, core: Core, scope: Scope, note: Callable[..., None]
+        self,
+        hub: Hub,
+        settings: HeadSettings,
+        core: Core,
+        scope: Scope,
+        note: Callable[..., None],
+        regional: Regional | None = None,
     ) -> None:
         self.hub, self.settings, self.core, self.note = hub, settings, core, note
+        self.regional = regional
         self.exports = VolumeExports(settings)
         self.sessions = 0
         self.closing = False
         self._scope = scope
 
+    def take(self, request: ClientRequest) -> None:
+        """Hand a request to the core, or to the layer of volumes of two regions."""
+        if self.regional is not None and request.volume.settings.regions is not None:
+            self.regional.take(request)
+        else:
+            self.core.take(self.hub.now(), request)
+
+    def client_gone(self, request: ClientRequest) -> None:
+        """The request's client left."""
+        if self.regional is not None and request.volume.settings.regions is not None:
+            self.regional.client_gone(request)
+        else:
+            self.core.client_gone(request)
+
     def serve(self, listener: Listener) -> None:
         """Accept clients until the listener is closed (the front's task)."""
         while True:
--- a/harriertrack/gateway/listing.py
+++ b/harriertrack/gateway/listing.py
@@ -13,7 +13,7 @@
 from harriertrack.gateway.core import Core
 from harriertrack.membership import consul
 from harriertrack.membership.nodes import Member
-from harriertrack.protocol.http import Get, HttpError
+from harriertrack.protocol.http import Call, HttpError
 from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Task
 from harriertrack.runtime.streams import Network
 
@@ -80,9 +80,11 @@
             stream = self._network.connect(asked.address, deadline, self._name)
             try:
                 host = f"{asked.address[0]}:{asked.address[1]}"
-                get = Get(
-                    host, consul.target(asked.service, index, wait), f"harriertrack/{self._core.head_id:016x}"
+                agent, wanted = (
+                    f"harriertrack/{self._core.head_id:016x}",
+                    consul.target(asked.service, index, wait),
                 )
+                get = Call("GET", host, wanted, agent)
                 stream.write(get.request)
                 while not get.receive(stream.read(deadline)):
                     pass
--- /dev/null
+++ b/harriertrack/gateway/peer.py
@@ -0,0 +1,148 @@
+"""The link to the other region's head: heartbeats with ticks, and requests that name the newest tick.
+
+One NBD connection a volume and purpose (`relay`: clients' requests to the holder; `copy`: the holder's writes
+to the copy), opened when needed. A call ends with a reply, or with None when the connection is lost or its
+time is up; then nothing is known of its effect.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from harriertrack.config.settings import RegionSettings
+from harriertrack.gateway.client import NbdClient, NbdClientError
+from harriertrack.protocol.nbd.client import Reply
+from harriertrack.protocol.nbd.extension import COPY_CONTEXT, RELAY_CONTEXT, TOKEN_SHIFT, context_of
+from harriertrack.protocol.nbd.wire import Command, ProtocolViolation
+from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope
+from harriertrack.runtime.streams import Network
+
+DIAL_US = 500_000
+Then = Callable[[Reply | None], None]
+
+
+class PeerLink:
+    """One connection to the other head for one volume and purpose."""
+
+    def __init__(
+        self,
+        hub: Hub,
+        network: Network,
+        scope: Scope,
+        settings: RegionSettings,
+        volume: str,
+        context: str,
+        name: str,
+    ) -> None:
+        self._hub, self._network, self._scope, self._settings = hub, network, scope, settings
+        self._volume, self._context, self._name = volume, context, name
+        self._client: NbdClient | None = None
+        self._dialing = self.closed = False
+        self._waiting: list[Callable[[], None]] = []
+
+    def call(
+        self,
+        command: Command,
+        offset: int,
+        length: int,
+        data: bytes,
+        flags: int,
+        token: int,
+        until: int,
+        then: Then,
+    ) -> None:
+        """Send a request once the link is open; `then` gets its reply, or None by `until` (microseconds)."""
+        done = False
+
+        def once(reply: Reply | None) -> None:
+            nonlocal done
+            if not done:
+                done = True
+                timer.cancel()
+                then(reply)
+
+        def send() -> None:
+            if done:
+                return
+            if self._client is None:
+                once(None)
+            else:
+                self._client.start(command, offset, length, data, once, flags | token << TOKEN_SHIFT)
+
+        timer = self._hub.at(until, lambda: once(None))
+        if self._client is not None:
+            send()
+            return
+        self._waiting.append(send)
+        if not self._dialing and not self.closed:
+            self._dialing = True
+            self._scope.spawn(f"peer {self._volume}", self._dial)
+
+    def _dial(self) -> None:
+        client = NbdClient(self._hub, self._network, self._name)
+        deadline = self._hub.now() + DIAL_US
+        try:
+            client.open(self._settings.peer, deadline)
+            client.go(self._scope, self._volume, deadline, contexts=(self._context,))
+            if not client.contexts:
+                raise NbdClientError("the other head does not know this context")
+        except (OSError, DeadlineExceeded, ProtocolViolation, NbdClientError):
+            client.abort()
+        else:
+            client.on_lost = self._lost
+            self._client = client
+        self._dialing = False
+        waiting, self._waiting = self._waiting, []
+        for send in waiting:
+            send()
+
+    def _lost(self) -> None:
+        self._client = None
+
+    def drop(self) -> None:
+        """Break the connection.
+
+        What it carried is not waited for, and what is still on its way finds nobody.
+        """
+        if self._client is not None:
+            client, self._client = self._client, None
+            client.abort()
+
+    def close(self) -> None:
+        """Use it no more."""
+        self.closed = True
+        self.drop()
+
+
+class Peer:
+    """All links to the other head."""
+
+    def __init__(
+        self, hub: Hub, network: Network, scope: Scope, settings: RegionSettings, head_id: int, name: str
+    ) -> None:
+        self._hub, self._network, self._scope, self._settings = hub, network, scope, settings
+        self._head_id, self._name = head_id, name
+        self._relays: dict[str, PeerLink] = {}
+        self._copies: dict[str, tuple[int, PeerLink]] = {}
+        self.token = 0  # the newest tick that the other head told us
+
+    def relay(self, volume: str) -> PeerLink:
+        """Return the link that passes requests on a volume to its holder."""
+        link = self._relays.get(volume)
+        if link is None:
+            link = self._relays[volume] = self._link(volume, context_of(self._head_id, 0, RELAY_CONTEXT))
+        return link
+
+    def copy(self, volume: str, epoch: int) -> PeerLink:
+        """Return the link that carries a holder's writes to the copy; each epoch has its own."""
+        known = self._copies.get(volume)
+        if known is not None and known[0] == epoch:
+            return known[1]
+        if known is not None:
+            known[1].close()
+        link = self._link(volume, context_of(self._head_id, epoch, COPY_CONTEXT))
+        self._copies[volume] = (epoch, link)
+        return link
+
+    def _link(self, volume: str, context: str) -> PeerLink:
+        return PeerLink(self._hub, self._network, self._scope, self._settings, volume, context, self._name)
--- /dev/null
+++ b/harriertrack/gateway/regional.py
@@ -0,0 +1,749 @@
+"""Volumes of two regions: the layer between a head's fronts and its core.
+
+The holder of a volume's lease does clients' requests through its core, and copies each write to the other
+region's head, which does it through its own core. Requests that come to the other head are passed on to the
+holder. Choices are made in `decisions/regions.py` and `decisions/ranges.py`; who may act, in
+`membership/leases.py`.
+
+Requests that touch the same bytes go one after another, and a write keeps its bytes until both regions agree
+on them: so both apply writes in one order, and nobody reads what a dark region could take back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from harriertrack.config.settings import HeadSettings, Kind, VolumeRegionSettings, VolumeSettings
+from harriertrack.decisions.ranges import RangeLocks, Ticket
+from harriertrack.decisions.regions import Bounds, Copying, Expiry, RegionView, Route
+from harriertrack.decisions.splitting import Outcome
+from harriertrack.gateway.core import CHANGING, ClientRequest, Core, Origin, Part
+from harriertrack.gateway.links import COMMANDS, Links
+from harriertrack.gateway.peer import Peer, PeerLink
+from harriertrack.gateway.witness import FAILURES, WitnessClient
+from harriertrack.membership.leases import Fence, Holding, Lock, Session, Standing
+from harriertrack.protocol.nbd.client import Reply
+from harriertrack.protocol.nbd.extension import RELAY_CONTEXT, context_of
+from harriertrack.protocol.nbd.wire import Command, Errno
+from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Timer, Waiters
+from harriertrack.runtime.streams import Network
+from harriertrack.storage.missed import WHOLE, MissedLog
+
+RETRY_US = 20_000  # between two tries to copy a write, or to pass a request on
+CATCH_UP_US = 200_000  # between two looks at what this region misses
+HAND_OVER_US = 1_000_000  # the longest that a hand-over waits for requests under way
+NOT_HOLDER = "refused: not done; this head does not hold the volume"
+STALE = "refused: not done; too old"
+MISSED_FLAG = 1  # in the answer to BLOCK_STATUS of the other head
+LOOK_NOW = 1  # the length of a TICK that says: the volume is free, look at the witness
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """A client's request at the holder, or a copy at the other head, until nothing of it is open any more."""
+
+    layer: Regional
+    volume: RegionalVolume
+    request: ClientRequest
+    epoch: int
+    copy: bool = False  # it is the holder's write, done here
+    number: int = 0
+    ticket: Ticket | None = None
+    timer: Timer | None = None
+    inner: ClientRequest | None = None
+    answered: bool = False
+    copying_since: int = 0
+    data: bytes | None = None  # what was read back after a write whose effect is not known
+    joins: bool = False  # its copy is not needed for an answer, but to get the other region in sync
+
+    def answer(self, inner: ClientRequest) -> None:
+        """Take the core's answer."""
+        self.layer.core_answered(self, inner)
+
+    @property
+    def extents(self) -> range:
+        """Return the extents that it touches."""
+        size = self.layer.extent_bytes
+        last = max(self.request.offset, self.request.offset + self.request.length - 1)
+        return range(self.request.offset // size, last // size + 1)
+
+
+@dataclass(slots=True, eq=False)
+class RegionalVolume:
+    """One volume of two regions, as this head sees it."""
+
+    settings: VolumeSettings
+    spread: VolumeRegionSettings
+    view: RegionView
+    locks: RangeLocks = field(default_factory=RangeLocks)
+    copying: dict[Work, None] = field(default_factory=dict)
+    dropping: bool = False
+    joining: bool = False  # the other head catches up: new writes are copied to it again
+    clean: bool = False  # the other head said that it misses nothing, and nothing was missed since
+    handing: bool = False
+    pulled: set[int] = field(default_factory=set)  # extents that the other head read and has not confirmed
+    copy_session: object = None  # the newest connection of the holder; older ones are not listened to
+    wish: str = ""
+
+    @property
+    def name(self) -> str:
+        """Return the volume's name."""
+        return self.settings.name
+
+
+class Regional:
+    """All volumes of two regions of one head."""
+
+    def __init__(
+        self,
+        hub: Hub,
+        network: Network,
+        scope: Scope,
+        settings: HeadSettings,
+        core: Core,
+        links: Links,
+        log: MissedLog,
+        note: Callable[..., None],
+        name: str,
+    ) -> None:
+        assert settings.region is not None
+        self._hub, self._scope, self._core, self._links, self._log = hub, scope, core, links, log
+        self._note, self._tick = note, settings.tick_us
+        self.region = region = settings.region
+        self.extent_bytes = settings.extent_bytes
+        self.session = Session(region.ttl_us, region.clock_error)
+        self.holding = Holding(self.session)
+        self.fence = Fence()
+        self.expiry = Expiry(region.fresh_us)
+        self._witness = WitnessClient(hub, network, region.witness, region.ttl_us // 6, name)
+        self._peer = Peer(hub, network, scope, region, core.head_id, name)
+        self.volumes: dict[str, RegionalVolume] = {}
+        for volume in settings.volumes:
+            if (spread := volume.regions) is not None:
+                bounds = Bounds(
+                    spread.mode, spread.copy_us, region.fresh_us, spread.behind_us, spread.behind_writes,
+                    spread.takeover_us, spread.settle_us,
+                )  # fmt: skip
+                view = RegionView(region.name, region.other, spread.home, bounds)
+                self.volumes[volume.name] = RegionalVolume(volume, spread, view)
+        self._number = 0
+        self.open = 0  # clients' requests without an answer
+        self._under_way: dict[ClientRequest, Work] = {}  # in the core, by the client's request
+        self._look = Waiters(hub)
+        first = next(iter(self.volumes))
+        self._heartbeat = PeerLink(
+            hub, network, scope, region, first, context_of(core.head_id, 0, RELAY_CONTEXT), name
+        )
+        scope.spawn("witness", self._follow_witness)
+        scope.spawn("heartbeat", self._beat)
+        for one in self.volumes.values():
+            scope.spawn(f"catch up {one.name}", self._catch_up, one)
+
+    # -- requests
+
+    def take(self, request: ClientRequest) -> None:
+        """Take a request on a volume of two regions, from a client or from the other head."""
+        now = self._hub.now()
+        volume = self.volumes[request.volume.settings.name]
+        request.deadline = self._core.deadline_of(now, request.kind, request.length)
+        if request.origin is Origin.RELAY:
+            # Its client waits since before it was passed on: nothing may be done for it after its time.
+            request.deadline -= self.expiry.age(request.tick, now)
+        self.open += 1
+        if request.origin is not Origin.CLIENT and not self.expiry.fresh(request.tick, now):
+            self._refuse(request, STALE)
+            return
+        if request.origin is Origin.COPY:
+            self._take_copy(volume, request)
+            return
+        epoch = 0 if volume.handing else self.holding.epoch(volume.name, now)
+        route = volume.view.route(epoch, now)
+        if route is Route.HERE:
+            self._begin(Work(self, volume, request, epoch))
+        elif route is Route.OTHER and request.origin is Origin.CLIENT:
+            self._pass_on(volume, request)
+        else:  # what was passed on is not passed on again
+            self._refuse(request, NOT_HOLDER)
+
+    def client_gone(self, request: ClientRequest) -> None:
+        """The client left. Where it may have changed the volume, both regions are made to agree again."""
+        if request.outcome is None:
+            request.outcome = Outcome.FAILED
+            self.open -= 1
+            work = self._under_way.pop(request, None)
+            if work is not None and work.inner is not None:
+                self._core.client_gone(work.inner)
+                touched = any(part.touched for part in work.inner.parts)
+                if touched and request.kind in CHANGING and not work.copy:
+                    self._after_unknown(work)
+                else:
+                    self._release(work)
+
+    def _answer(self, request: ClientRequest, outcome: Outcome, why: str = "") -> None:
+        if request.outcome is None:
+            request.outcome, request.why = outcome, why
+            self.open -= 1
+            self._core.answer_outside(request)
+
+    def _refuse(self, request: ClientRequest, why: str) -> None:
+        self._answer(request, Outcome.REFUSED, why)
+
+    def _begin(self, work: Work) -> None:
+        request = work.request
+        self._number += 1
+        work.number = self._number
+        work.timer = self._hub.at(request.deadline - self._tick, lambda: self._expire(work))
+        exclusive = request.kind in CHANGING
+        work.ticket = work.volume.locks.ask(
+            request.offset, request.offset + request.length, exclusive, lambda: self._start(work)
+        )
+
+    def _may_act(self, work: Work) -> bool:
+        """Whether the lease (or, of a copy, the holder's epoch) still stands."""
+        name = work.volume.name
+        if work.copy:
+            return self.fence.admits(name, work.epoch) and work.volume.copy_session is work.request.token
+        return self.holding.epoch(name, self._hub.now()) == work.epoch
+
+    def _start(self, work: Work) -> None:
+        """The bytes are ours: do the request in this region."""
+        request, volume = work.request, work.volume
+        if request.outcome is None:
+            self._under_way[request] = work
+        if request.outcome is not None or not self._may_act(work):
+            self._refuse(request, NOT_HOLDER)
+            self._release(work)
+            return
+        if request.kind in CHANGING and not work.copy:
+            self._log.begin_write(volume.name, work.extents)
+        if request.origin is Origin.RELAY and request.kind is Kind.READ:
+            volume.pulled.update(work.extents)
+        self._links.epochs[volume.name] = work.epoch
+        self._do(work, request.kind, request.data)
+
+    def _do(self, work: Work, kind: Kind, data: bytes, background: bool = False) -> None:
+        request = work.request
+        deadline = 0 if background or work.copy else request.deadline
+        work.inner = ClientRequest(
+            request.volume,
+            kind,
+            request.offset,
+            request.length,
+            data,
+            request.flags,
+            work,
+            deadline,
+            background,
+        )
+        self._core.take(self._hub.now(), work.inner)
+
+    def core_answered(self, work: Work, inner: ClientRequest) -> None:
+        """This region did its part, or did not."""
+        request, outcome, alive = work.request, inner.outcome, self._may_act(work)
+        self._under_way.pop(request, None)
+        assert outcome is not None
+        if inner.kind is Kind.READ and request.kind in CHANGING:
+            self._read_back(work, inner)
+        elif work.copy or request.kind not in (*CHANGING, Kind.FLUSH):
+            request.pieces, request.hint_us = inner.pieces, inner.hint_us
+            if outcome is Outcome.SERVED and not alive:
+                outcome = Outcome.FAILED if work.copy else Outcome.REFUSED
+            self._answer(request, outcome)
+            self._release(work)
+        elif outcome is Outcome.REFUSED:
+            request.hint_us = inner.hint_us
+            self._answer(request, outcome)
+            self._release(work)
+        elif outcome is Outcome.FAILED:
+            self._answer(request, outcome)
+            self._after_unknown(work)
+        elif not alive:
+            self._answer(request, Outcome.FAILED)
+            self._release(work)
+        elif request.kind in CHANGING and not inner.parts:
+            # There was nothing to trim or zero: the other region holds no more there than this one.
+            self._answer(request, outcome)
+            self._release(work)
+        else:
+            self._held(work)
+
+    def _after_unknown(self, work: Work) -> None:
+        """A write may or may not have run here.
+
+        Read back what is there, so that both regions hold the same.
+        """
+        if work.request.kind is Kind.FLUSH or not self._may_act(work):
+            self._release(work)
+        else:
+            self._do(work, Kind.READ, b"", background=True)
+
+    def _read_back(self, work: Work, inner: ClientRequest) -> None:
+        if inner.outcome is not Outcome.SERVED:
+            self._hub.at(self._hub.now() + CATCH_UP_US, lambda: self._after_unknown(work))
+            return
+        work.data = b"".join(
+            piece.data if isinstance(piece, Part) else bytes(piece) for piece in inner.pieces
+        )
+        self._held(work)
+
+    def _held(self, work: Work) -> None:
+        """The home holds the write.
+
+        Answer now or after the copy, as the mode and the witness's record say.
+        """
+        volume, now = work.volume, self._hub.now()
+        match volume.view.copying(now):
+            case Copying.WAIT:
+                self._copy_begins(work)
+            case Copying.LATER:
+                volume.view.began_behind(work.number, now)
+                self._answer(work.request, Outcome.SERVED)
+                self._copy_begins(work)
+            case _ if work.request.kind is Kind.FLUSH:
+                self._answer(work.request, Outcome.SERVED)
+                self._release(work)
+            case _:
+                missed = self._log.missed(volume.name)
+                work.joins = (
+                    volume.joining and WHOLE not in missed and not any(
+                        extent in missed and extent not in volume.pulled for extent in work.extents
+                    )
+                )  # fmt: skip
+                if work.joins:
+                    self._answer(work.request, Outcome.SERVED)
+                    self._copy_begins(work)
+                else:
+                    self._miss(work)
+                    self._answer(work.request, Outcome.SERVED)
+                    self._release(work)
+
+    def _miss(self, work: Work) -> None:
+        if work.request.kind is not Kind.FLUSH:
+            self._log.miss(work.volume.name, work.extents)
+            work.volume.pulled.difference_update(work.extents)
+            work.volume.clean = False
+
+    def _expire(self, work: Work) -> None:
+        """The client's time is up. What is under way goes on, but nobody waits for it any more."""
+        touched = work.inner is not None and work.request.kind in CHANGING
+        self._answer(work.request, Outcome.FAILED if touched else Outcome.REFUSED)
+
+    def _release(self, work: Work) -> None:
+        if work.timer is not None:
+            work.timer.cancel()
+        if work.ticket is not None:
+            work.volume.locks.release(work.ticket)
+        volume = work.volume
+        self._log.settle(volume.name, {extent for one in volume.copying for extent in one.extents})
+
+    # -- copies, at the holder
+
+    def _copy_begins(self, work: Work) -> None:
+        work.copying_since = self._hub.now()
+        work.volume.copying[work] = None
+        self._copy(work)
+
+    def _copy(self, work: Work) -> None:
+        volume, request, now = work.volume, work.request, self._hub.now()
+        if work not in volume.copying:
+            return
+        if not self._may_act(work):
+            self._copy_ends(work, Outcome.FAILED)
+            return
+        if volume.view.overdue(work.copying_since, now):
+            self._copy_failed(work)
+            return
+        kind, data = (request.kind, request.data) if work.data is None else (Kind.WRITE, work.data)
+        link = self._peer.copy(volume.name, work.epoch)
+        until = work.copying_since + volume.view.bounds.copy_us
+
+        def then(reply: Reply | None) -> None:
+            if work not in volume.copying:
+                return
+            if reply is not None and not reply.error:
+                self._copy_ends(work, Outcome.SERVED)
+                return
+            if reply is None:
+                link.drop()  # what it still carries must not arrive after what comes later
+            self._hub.at(self._hub.now() + RETRY_US, lambda: self._copy(work))
+
+        flags = request.flags & 0b01
+        offset, length = (0, 0) if kind is Kind.FLUSH else (request.offset, request.length)
+        link.call(COMMANDS[kind], offset, length, data, flags, self._peer.token, until, then)
+
+    def _copy_ends(self, work: Work, outcome: Outcome) -> None:
+        work.volume.copying.pop(work, None)
+        work.volume.view.caught_up(work.number)
+        self._answer(work.request, outcome)
+        self._release(work)
+
+    def _copy_failed(self, work: Work) -> None:
+        """The other region did not take a write in time."""
+        volume = work.volume
+        if volume.view.other not in volume.view.in_sync:
+            volume.joining = False
+            self._miss(work)
+            self._copy_ends(work, Outcome.SERVED)
+        elif not volume.dropping:
+            volume.dropping = True
+            self._scope.spawn(f"drop copy of {volume.name}", self._drop, volume, work.epoch)
+
+    def _drop(self, volume: RegionalVolume, epoch: int) -> None:
+        """Have the witness record that the other region is out of sync.
+
+        Until then nothing is acknowledged.
+        """
+        self._note("copy lost", volume=volume.name, region=volume.view.other)
+        alone = frozenset((volume.view.here,))
+        while self.holding.epoch(volume.name, self._hub.now()) == epoch:
+            for work in volume.copying:
+                self._miss(
+                    work
+                )  # on disk before the witness hears, so that a kill between the two loses nothing
+            if self._record(volume, alone):
+                break
+            self._hub.sleep(RETRY_US * 5)
+        volume.dropping = volume.joining = False
+        alive = self.holding.epoch(volume.name, self._hub.now()) == epoch and volume.view.in_sync == alone
+        for work in list(volume.copying):
+            if alive:
+                self._miss(work)
+            self._copy_ends(work, Outcome.SERVED if alive else Outcome.FAILED)
+        self._note("copy dropped" if alive else "lease lost while the copy was dropped", volume=volume.name)
+
+    def _record(self, volume: RegionalVolume, in_sync: frozenset[str]) -> bool:
+        """Write the witness's record while holding the lock; return whether it stands."""
+        standing = Standing(volume.spread.home, tuple(sorted(in_sync)))
+        try:
+            if not self._witness.acquire(volume.name, self.session.id, standing):
+                self.holding.gave(volume.name)
+                return False
+        except FAILURES:
+            return False
+        volume.view.recorded(in_sync, self._hub.now())
+        return True
+
+    # -- copies, at the other head
+
+    def copy_opened(self, volume: str, epoch: int, session: object) -> bool:
+        """The holder opened a connection for copies; older ones are not listened to from now on."""
+        if volume not in self.volumes or not self.fence.admits(volume, epoch):
+            return False
+        self.volumes[volume].copy_session = session
+        return True
+
+    def _take_copy(self, volume: RegionalVolume, request: ClientRequest) -> None:
+        work = Work(self, volume, request, request.epoch, copy=True)
+        if not self._may_act(work):
+            self._refuse(request, NOT_HOLDER)
+            return
+        end = request.offset + request.length
+        work.ticket = volume.locks.ask(request.offset, end, True, lambda: self._start(work))
+
+    # -- requests passed on to the holder
+
+    def _pass_on(self, volume: RegionalVolume, request: ClientRequest) -> None:
+        until = request.deadline - self._tick
+        changes, token = request.kind in CHANGING, self._peer.token
+
+        def then(reply: Reply | None) -> None:
+            now = self._hub.now()
+            if reply is None:
+                self._answer(request, Outcome.FAILED if changes else Outcome.REFUSED)
+            elif not reply.error:
+                request.pieces = [reply.data] if reply.data else []
+                self._answer(request, Outcome.SERVED)
+            elif reply.error != Errno.ENOMEM:
+                self._answer(request, Outcome.FAILED)
+            elif now + 2 * RETRY_US < until and reply.message in (NOT_HOLDER, STALE):
+                self._hub.at(now + RETRY_US, send)
+            else:
+                self._answer(request, Outcome.REFUSED, reply.message)
+
+        def send() -> None:
+            now = self._hub.now()
+            if request.outcome is not None:
+                return
+            if epoch := (0 if volume.handing else self.holding.epoch(volume.name, now)):
+                self._begin(Work(self, volume, request, epoch))
+                return
+            offset, length = (0, 0) if request.kind is Kind.FLUSH else (request.offset, request.length)
+            link, flags = self._peer.relay(volume.name), request.flags & 0b01
+            link.call(COMMANDS[request.kind], offset, length, request.data, flags, token, until, then)
+
+        send()
+
+    # -- the other head's news
+
+    def tick(self, look: bool) -> float:
+        """Answer a heartbeat with the present tick; `look` says that a volume became free."""
+        if look:
+            self._look.notify()
+        return float(self.expiry.tick(self._hub.now()))
+
+    def _beat(self) -> None:
+        while True:
+            self._send_tick(0)
+            self._hub.sleep(self.region.tick_us)
+
+    def _send_tick(self, length: int) -> None:
+        asked_at = self._hub.now()
+
+        def then(reply: Reply | None) -> None:
+            if reply is None:
+                self._heartbeat.drop()
+            elif not reply.error and reply.report is not None and reply.report.load:
+                self._peer.token = int(reply.report.load[0])
+                for volume in self.volumes.values():
+                    volume.view.heard(asked_at)
+
+        until = asked_at + self.region.fresh_us
+        self._heartbeat.call(Command.TICK, 0, length, b"", 0, self._peer.token, until, then)
+
+    def missing(self, volume: str, offset: int, length: int) -> list[tuple[int, int]]:
+        """Tell the other head which extents it misses, as (length, flag).
+
+        From now on it gets new writes again.
+        """
+        one, missed = self.volumes[volume], self._log.missed(volume)
+        if self.holding.epoch(volume, self._hub.now()):
+            one.joining = True
+        told: list[tuple[int, int]] = []
+        size = self.extent_bytes
+        for start in range(offset - offset % size, offset + length, size):
+            flag = MISSED_FLAG if WHOLE in missed or start // size in missed else 0
+            piece = min(start + size, offset + length) - max(start, offset)
+            if told and told[-1][1] == flag:
+                told[-1] = (told[-1][0] + piece, flag)
+            else:
+                told.append((piece, flag))
+        return told
+
+    def caught(self, volume: str, offset: int, length: int) -> None:
+        """The other head holds an extent as it last read it; with length 0, it misses nothing."""
+        one = self.volumes[volume]
+        extent = offset // self.extent_bytes
+        if not length:
+            missed = self._log.missed(volume)
+            if WHOLE in missed and not missed - {WHOLE}:
+                self._log.copied(volume, (WHOLE,))
+            one.clean = not self._log.missed(volume) and one.joining
+        elif extent in one.pulled:
+            one.pulled.discard(extent)
+            self._log.copied(volume, (extent,))
+
+    # -- the witness
+
+    def _follow_witness(self) -> None:
+        turn = 0
+        while True:
+            try:
+                self._keep_session()
+                for volume in self.volumes.values():
+                    if turn % 4 == 0:
+                        volume.wish = self._witness.wish(volume.name)
+                    self._look_at(volume)
+            except FAILURES as error:
+                self._note("witness failed", why=str(error) or type(error).__name__)
+            now = self._hub.now()
+            if self.session.id and not self.session.valid(now):
+                self._lost_session()
+            turn += 1
+            with suppress(DeadlineExceeded):
+                self._look.wait(now + self.region.ttl_us // 6)
+
+    def _lost_session(self) -> None:
+        self._note("lease over", region=self.region.name)
+        self.session.lose()
+
+    def _keep_session(self) -> None:
+        asked_at = self._hub.now()
+        if self.session.valid(asked_at):
+            if self._witness.renew(self.session.id):
+                self.session.granted(self.session.id, asked_at)
+                return
+            self._lost_session()
+        elif self.session.id:
+            self._lost_session()
+        asked_at = self._hub.now()
+        self.session.granted(self._witness.create(self.region.ttl_us), asked_at)
+
+    def _look_at(self, volume: RegionalVolume) -> None:
+        """Read a volume's key, and take, keep, or hand over the volume as that says."""
+        lock, now = self._witness.lock(volume.name), self._hub.now()
+        view, mine = volume.view, self.session.id
+        if lock is None:
+            if view.here == view.home:
+                self._acquire(volume, frozenset((view.here, view.other)))
+            return
+        view.free(not lock.session, now)
+        if lock.session != mine:
+            self.holding.gave(volume.name)
+            view.recorded(frozenset(lock.standing.in_sync), now)
+            if not lock.session and view.may_take(now):
+                self._acquire(volume, frozenset(lock.standing.in_sync))
+        elif not self.holding.epoch(volume.name, now):
+            self._took(volume, lock)
+        else:
+            self._tend(volume, now)
+
+    def _acquire(self, volume: RegionalVolume, in_sync: frozenset[str]) -> None:
+        standing = Standing(volume.spread.home, tuple(sorted(in_sync)))
+        if not self._witness.acquire(volume.name, self.session.id, standing):
+            return
+        # The record may have changed between reading it and taking the lock; now it can't any more.
+        lock = self._witness.lock(volume.name)
+        if lock is not None and lock.session == self.session.id:
+            self._took(volume, lock)
+
+    def _took(self, volume: RegionalVolume, lock: Lock) -> None:
+        view, in_sync = volume.view, frozenset(lock.standing.in_sync)
+        if view.here not in in_sync:
+            self._witness.release(volume.name, self.session.id, lock.standing)
+            return
+        opened = self._log.opened(volume.name)
+        if opened and view.other in in_sync:
+            # Writes were under way when this head last held the volume: the regions may differ there.
+            self._log.miss(volume.name, opened)
+            in_sync = frozenset((view.here,))
+            if not self._record(volume, in_sync):
+                return
+        view.behind.clear()
+        view.recorded(in_sync, self._hub.now())
+        volume.joining = volume.clean = volume.handing = False
+        volume.pulled.clear()
+        self.fence.admits(volume.name, lock.epoch)
+        self._links.epochs[volume.name] = lock.epoch
+        self.holding.took(volume.name, lock.epoch)
+        self._note("volume held", volume=volume.name, epoch=lock.epoch, in_sync=sorted(in_sync))
+
+    def _tend(self, volume: RegionalVolume, now: int) -> None:
+        """What the holder looks after: bounds, the other region's return, handing over."""
+        view = volume.view
+        late = view.next_overdue(now)
+        if late is not None and late <= now and volume.copying:
+            self._copy_failed(next(iter(volume.copying)))
+        if volume.joining and volume.clean and view.may_join(len(self._log.missed(volume.name)), now):
+            self._join(volume)
+        elif not volume.copying and view.should_hand_over(volume.wish, now):
+            self._hand_over(volume)
+
+    def _join(self, volume: RegionalVolume) -> None:
+        """The other region misses nothing: from now on writes wait for it again, and the witness may know."""
+        view = volume.view
+        both = frozenset((view.here, view.other))
+        view.recorded(both, self._hub.now())
+        if self._record(volume, both):
+            self._log.forget_open(volume.name)
+            self._note("in sync", volume=volume.name)
+        else:
+            # It may or may not stand: only a record that says otherwise lets writes go on alone.
+            volume.dropping = True
+            self._drop(volume, self.holding.epoch(volume.name, self._hub.now()))
+
+    def _hand_over(self, volume: RegionalVolume) -> None:
+        """Give the volume to the other region: finish what is under way, then let the lock go."""
+        volume.handing = True
+        until = self._hub.now() + HAND_OVER_US
+        while len(volume.locks) and self._hub.now() < until:
+            self._hub.sleep(RETRY_US // 4)
+        view = volume.view
+        if not len(volume.locks) and view.other in view.in_sync and not volume.dropping:
+            self._log.forget_open(volume.name)
+            standing = Standing(volume.spread.home, tuple(sorted(view.in_sync)))
+            self.holding.gave(volume.name)
+            if self._witness.release(volume.name, self.session.id, standing):
+                self._note("volume handed over", volume=volume.name, region=view.other)
+                self._send_tick(LOOK_NOW)
+        volume.handing = False
+
+    # -- catching up, at the other head
+
+    def _catch_up(self, volume: RegionalVolume) -> None:
+        """Get what this region misses from the holder, extent by extent (a task of each volume)."""
+        while True:
+            self._hub.sleep(CATCH_UP_US)
+            now, view = self._hub.now(), volume.view
+            if self.holding.epoch(volume.name, now) or view.here in view.in_sync or not view.reachable(now):
+                continue
+            missed = self._ask_missed(volume)
+            if missed is None:
+                continue
+            wanted = sorted(missed | (self._log.opened(volume.name) - {WHOLE}))
+            if all(self._pull(volume, extent) for extent in wanted):
+                if self._ask_peer(volume, Command.CAUGHT, 0, 0) is not None:
+                    self._log.forget_open(volume.name)
+
+    def _ask_peer(self, volume: RegionalVolume, command: Command, offset: int, length: int) -> Reply | None:
+        """Ask the holder and wait; None if it did not, or would not."""
+        answers: list[Reply | None] = []
+        waiters = Waiters(self._hub)
+
+        def then(reply: Reply | None) -> None:
+            answers.append(reply)
+            waiters.notify()
+
+        until = self._hub.now() + 4 * self.region.fresh_us
+        self._peer.relay(volume.name).call(command, offset, length, b"", 0, self._peer.token, until, then)
+        while not answers:
+            waiters.wait()
+        reply = answers[0]
+        return None if reply is None or reply.error else reply
+
+    def _ask_missed(self, volume: RegionalVolume) -> set[int] | None:
+        reply = self._ask_peer(volume, Command.BLOCK_STATUS, 0, volume.settings.size_bytes)
+        if reply is None:
+            return None
+        missed: set[int] = set()
+        at = 0
+        for length, flag in reply.extents:
+            if flag & MISSED_FLAG:
+                missed.update(range(at // self.extent_bytes, -(-(at + length) // self.extent_bytes)))
+            at += length
+        return missed
+
+    def _pull(self, volume: RegionalVolume, extent: int) -> bool:
+        """Read one extent at the holder and write it here; the holder's new writes to it wait meanwhile."""
+        start = extent * self.extent_bytes
+        length = min(self.extent_bytes, volume.settings.size_bytes - start)
+        waiters, granted = Waiters(self._hub), []
+
+        def grant() -> None:
+            granted.append(True)
+            waiters.notify()
+
+        ticket = volume.locks.ask(start, start + length, True, grant)
+        try:
+            while not granted:
+                waiters.wait()
+            reply = self._ask_peer(volume, Command.READ, start, length)
+            if reply is None:
+                return False
+            done = Background(waiters)
+            request = ClientRequest(
+                self._core.volumes[volume.name], Kind.WRITE, start, length, reply.data, 0, done, 0, True
+            )
+            self._links.epochs[volume.name] = self.fence.highest(volume.name)
+            self._core.take(self._hub.now(), request)
+            while done.outcome is None:
+                waiters.wait()
+            if done.outcome is not Outcome.SERVED:
+                return False
+            return self._ask_peer(volume, Command.CAUGHT, start, length) is not None
+        finally:
+            volume.locks.release(ticket)
+
+
+@dataclass(slots=True, eq=False)
+class Background:
+    """Who waits for a request of the layer's own."""
+
+    waiters: Waiters
+    outcome: Outcome | None = None
+
+    def answer(self, request: ClientRequest) -> None:
+        """Take the core's answer."""
+        self.outcome = request.outcome
+        self.waiters.notify()
--- /dev/null
+++ b/harriertrack/gateway/witness.py
@@ -0,0 +1,88 @@
+"""Calls to the witness, one connection each.
+
+Every call has a deadline and may fail; nothing is inferred from that.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from harriertrack.membership import leases
+from harriertrack.membership.leases import Lock, Standing, WitnessError
+from harriertrack.protocol.http import Call, HttpError
+from harriertrack.runtime.hub import DeadlineExceeded, Hub
+from harriertrack.runtime.streams import Network
+
+FAILURES = (OSError, DeadlineExceeded, HttpError, WitnessError)
+
+
+class WitnessClient:
+    """What a head asks the witness."""
+
+    def __init__(
+        self, hub: Hub, network: Network, address: tuple[str, int], timeout_us: int, name: str
+    ) -> None:
+        self._hub, self._network, self._address = hub, network, address
+        self._timeout_us, self._name = timeout_us, name
+
+    def _call(self, method: str, target: str, body: bytes = b"") -> tuple[int, bytes]:
+        deadline = self._hub.now() + self._timeout_us
+        stream = self._network.connect(self._address, deadline, self._name)
+        try:
+            host = f"{self._address[0]}:{self._address[1]}"
+            call = Call(method, host, target, f"harriertrack/{self._name}", body)
+            stream.write(call.request)
+            while not call.receive(stream.read(deadline)):
+                pass
+        finally:
+            stream.close()
+        return call.status, call.body
+
+    def _must(self, method: str, target: str, body: bytes = b"") -> bytes:
+        status, answer = self._call(method, target, body)
+        if status != 200:
+            raise WitnessError(f"{method} {target}: status {status}")
+        return answer
+
+    def create(self, ttl_us: int) -> str:
+        """Ask for a session; return its id."""
+        asked = leases.session_request(ttl_us, self._name)
+        return leases.session_id(self._must("PUT", f"{leases.SESSION_PATH}/create", asked))
+
+    def renew(self, session: str) -> bool:
+        """Renew a session; return False if the witness does not know it any more."""
+        status, _ = self._call("PUT", f"{leases.SESSION_PATH}/renew/{session}")
+        if status not in (200, 404):
+            raise WitnessError(f"renew: status {status}")
+        return status == 200
+
+    def lock(self, volume: str) -> Lock | None:
+        """Return a volume's key; None if the witness has none."""
+        status, body = self._call("GET", f"{leases.KEY_PREFIX}{volume}")
+        if status == 404:
+            return None
+        if status != 200:
+            raise WitnessError(f"status {status}")
+        return leases.lock_of(body)
+
+    def acquire(self, volume: str, session: str, standing: Standing) -> bool:
+        """Take a volume's lock, or change its record while holding it.
+
+        Return whether the session holds it now.
+        """
+        target = f"{leases.KEY_PREFIX}{volume}?acquire={session}"
+        return self._must("PUT", target, msgspec.json.encode(standing)).strip() == b"true"
+
+    def release(self, volume: str, session: str, standing: Standing) -> bool:
+        """Give a volume's lock back."""
+        target = f"{leases.KEY_PREFIX}{volume}?release={session}"
+        return self._must("PUT", target, msgspec.json.encode(standing)).strip() == b"true"
+
+    def wish(self, volume: str) -> str:
+        """Return the region that operators wish a volume to be in; "" for none."""
+        status, body = self._call("GET", f"{leases.WISH_PREFIX}{volume}?raw")
+        return body.decode("utf-8", "replace") if status == 200 else ""
+
+    def set_wish(self, volume: str, region: str) -> None:
+        """Wish a volume into a region; "" takes the wish back."""
+        self._must("PUT", f"{leases.WISH_PREFIX}{volume}", region.encode())
--- a/harriertrack/lab/day.py
+++ b/harriertrack/lab/day.py
@@ -22,6 +22,7 @@
     read_file,
 )
 from harriertrack.config.sexp import Form, SettingsError, bind, read_text
+from harriertrack.decisions.regions import Mode
 
 
 class TroubleKind(Enum):
@@ -46,6 +47,12 @@
     TENANT_BURST = "tenant_burst"
     VANISH = "vanish"
     ZONE_CUT = "zone_cut"
+    REGION_DARK = "region_dark"
+    REGION_CUT = "region_cut"
+    LINK_SLOW = "link_slow"
+    LINK_BLOCK = "link_block"
+    LINK_FLAP = "link_flap"
+    WITNESS_DOWN = "witness_down"
 
 
 class TroubleSettings(Checked, frozen=True, kw_only=True):
@@ -57,8 +64,22 @@
     part: Share = 0.25
     size: Amount = 2.0
     every_us: Positive = 1_000_000
-    how: Literal["silence", "reset"] = "silence"
+    how: Literal["silence", "reset", "there", "back"] = "silence"
     plan: str = ""
+    region: str = "a"
+
+
+class TwoRegionSettings(Checked, frozen=True, kw_only=True):
+    """A day of two regions, `a` and `b`, each with one head and the day's nodes."""
+
+    mode: Mode = Mode.BOTH
+    delay_us: Whole = 5_000
+    jitter_us: Whole = 1_000
+    ttl_us: Positive = 1_500_000
+    clock_error: Share = 0.01
+    clock_rate: Amount = 1.0  # of the witness's clock
+    copy_us: Positive = 400_000
+    behind_us: Positive = 1_000_000
 
 
 class DaySettings(Checked, frozen=True, kw_only=True):
@@ -99,6 +120,7 @@
         cold_units=24,
     )
     in_order: bool = False
+    two_regions: TwoRegionSettings | None = None
     troubles: tuple[TroubleSettings, ...] = ()
 
 
--- a/harriertrack/protocol/http.py
+++ b/harriertrack/protocol/http.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 through h11: one GET and its whole answer, without I/O."""
+"""HTTP/1.1 through h11: one call and its whole answer, without I/O."""
 
 from __future__ import annotations
 
@@ -11,17 +11,22 @@
     """The peer's HTTP is broken, or its answer too large."""
 
 
-class Get:
-    """One GET: send `request`, feed what comes to `receive` until it returns True."""
+class Call:
+    """One call: send `request`, feed what comes to `receive` until it returns True."""
 
-    def __init__(self, host: str, target: str, agent: str) -> None:
+    def __init__(self, method: str, host: str, target: str, agent: str, body: bytes = b"") -> None:
         self._http = h11.Connection(h11.CLIENT)
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b""
         headers = [("Host", host), ("User-Agent", agent), ("Connection", "close")]
-        asked = h11.Request(method="GET", target=target, headers=headers)
-        self.request = (self._http.send(asked) or b"") + (self._http.send(h11.EndOfMessage()) or b"")
+        if method != "GET":
+            headers.append(("Content-Length", str(len(body))))
+        events: list[h11.Event] = [h11.Request(method=method, target=target, headers=headers)]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        self.request = b"".join(self._http.send(event) or b"" for event in events)
 
     def receive(self, data: bytes) -> bool:
         """Take bytes (b"" for the end); return whether the answer is whole. Raises HttpError."""
--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -74,6 +74,7 @@
         by_request: dict[tuple[str, int], Asked] = {}
         open_of: dict[str, dict[int, Asked]] = defaultdict(dict)
         by_head: dict[str, set[str]] = defaultdict(set)
+        stood: dict[str, list[tuple[int, int]]] = defaultdict(list)
         for record in sorted(
             (one for one in records if not isinstance(one, rec.Facts)), key=lambda one: one.t
         ):
@@ -95,6 +96,8 @@
                 case rec.Left():
                     for asked in open_of.pop(record.client, {}).values():
                         asked.excused_at = record.t
+                case rec.Stood():
+                    stood[record.head].append((record.t, record.t + record.us))
                 case rec.Head() if record.up:
                     self.heads[record.number] = record.head
                 case rec.Head():
@@ -112,6 +115,10 @@
                     self.told.append(record)
                 case rec.Node():
                     self.nodes.append(record)
+        for asked in self.asked:
+            for since, until in stood[asked.take.head]:
+                if since <= asked.deadline < until:
+                    asked.deadline = until
         self._join()
         self.owner: dict[tuple[int, int], Asked] = {}
         for asked in self.asked:
@@ -152,6 +159,13 @@
         """Return what a request counts: whole units, at least one."""
         return float(max(1, -(-got.length // self.facts.unit_bytes)))
 
+    def for_client(self, asked: Asked, got: rec.Got) -> bool:
+        """Whether a client waits for this sending.
+
+        Of two regions, only what the first head to send it sends.
+        """
+        return not self.facts.regions or got.head == asked.got[0].head
+
     def unseen(self, got: rec.Got) -> bool:
         """Whether the node proved that this attempt never ran."""
         return any(said.result == "unseen" for said in self.said.get((got.head, got.key, got.attempt), ()))
@@ -175,7 +189,7 @@
             late = answers[0].t - asked.deadline
             yield Breach(1, answers[0].t, asked.name, f"answered {late} us after its time was up")
         for got in asked.got:
-            if over is not None and got.t > over + flight:
+            if over is not None and got.t > over + flight and story.for_client(asked, got):
                 yield Breach(1, got.t, asked.name, f"sent to {got.node} {got.t - over} us after it was over")
 
 
@@ -334,6 +348,10 @@
         for got in firsts:
             if got.volume != limit.volume or got.kind == "flush":
                 continue
+            if story.facts.regions:
+                owner = story.owner.get((got.head, got.key))
+                if owner is None or not story.for_client(owner, got):
+                    continue  # a copy: it was counted when its own region sent it
             if at is not None:
                 level = min(limit.burst, level + limit.rate * (got.t - at) / 1e6)
             at = got.t
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -51,6 +51,7 @@
     order_settle_us: int = 0
     seed: int = 0
     day: str = ""
+    regions: bool = False  # nodes also get copies of writes, and what a region catches up with
 
 
 class Head(msgspec.Struct, kw_only=True, tag="head", tag_field="what"):
@@ -62,6 +63,14 @@
     up: bool
 
 
+class Stood(msgspec.Struct, kw_only=True, tag="stood", tag_field="what"):
+    """A head's machine stood still for `us`: while it does, it is no running head."""
+
+    t: int
+    head: str
+    us: int
+
+
 class Take(msgspec.Struct, kw_only=True, tag="take", tag_field="what"):
     """A client sent a request to a head."""
 
@@ -153,7 +162,7 @@
     warm_us: int = 0
 
 
-Record = Facts | Head | Take | Answer | Left | Got | Ran | Said | Told | Node
+Record = Facts | Head | Stood | Take | Answer | Left | Got | Ran | Said | Told | Node
 _DECODER = msgspec.json.Decoder(Record)
 
 
--- /dev/null
+++ b/harriertrack/standin/witness.py
@@ -0,0 +1,120 @@
+"""A witness stand-in: the sessions and locked keys of Consul's HTTP API, as far as heads use them.
+
+Source: Consul HTTP API, "Session" (create, renew, destroy; a session ends no sooner than its TTL after the
+last renewal) and "KV Store" (`?acquire`, `?release`, `LockIndex`). Its clock may run fast or slow by
+`clock_rate`.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from dataclasses import dataclass
+from urllib.parse import parse_qs, urlsplit
+
+from harriertrack.runtime.hub import Hub, Scope
+from harriertrack.runtime.streams import Listener, Network
+from harriertrack.standin.http import Answer, Asked, serve
+
+SESSION = "/v1/session/"
+KV = "/v1/kv/"
+
+
+@dataclass(slots=True)
+class _Key:
+    value: bytes = b""
+    session: str = ""
+    lock_index: int = 0
+
+
+class Witness:
+    """Grants locks; `down` turns all calls away."""
+
+    def __init__(self, hub: Hub, network: Network, clock_rate: float = 1.0) -> None:
+        self._hub, self._network, self._rate = hub, network, clock_rate
+        self._sessions: dict[str, tuple[int, int]] = {}  # id: (TTL, when it ends by the witness's clock)
+        self._keys: dict[str, _Key] = {}
+        self._number = 0
+        self._listener: Listener | None = None
+        self.address = ("127.0.0.1", 0)
+        self.down = False
+        self.grants: list[tuple[int, str, str, int]] = []  # (time, key, session, LockIndex), for checkers
+
+    def start(self, scope: Scope, address: tuple[str, int] = ("127.0.0.1", 0)) -> None:
+        """Listen for calls."""
+        self._listener = self._network.listen(address)
+        self.address = self._listener.address
+        scope.spawn("witness", serve, self._listener, scope, "witness call", self._handle)
+
+    def _now(self) -> int:
+        return int(self._hub.now() * self._rate)
+
+    def _expire(self) -> None:
+        now = self._now()
+        for session, (_, until) in list(self._sessions.items()):
+            if now >= until:
+                self._end(session)
+
+    def _end(self, session: str) -> None:
+        self._sessions.pop(session, None)
+        for key in self._keys.values():
+            if key.session == session:
+                key.session = ""
+
+    def _handle(self, asked: Asked) -> Answer | None:
+        if self.down:
+            return None
+        self._expire()
+        target = urlsplit(asked.target)
+        query = parse_qs(target.query, keep_blank_values=True)
+        if target.path.startswith(SESSION):
+            action, _, session = target.path.removeprefix(SESSION).partition("/")
+            return self._session(action, session, asked.body)
+        if not target.path.startswith(KV):
+            return Answer(404)
+        name = target.path.removeprefix(KV)
+        if asked.method == "PUT":
+            return Answer(200, b"true" if self._put(name, query, asked.body) else b"false")
+        key = self._keys.get(name)
+        if key is None:
+            return Answer(404)
+        if "raw" in query:
+            return Answer(200, key.value)
+        shown = {"Key": name, "LockIndex": key.lock_index, "Flags": 0,
+                 "Value": base64.b64encode(key.value).decode()}  # fmt: skip
+        if key.session:
+            shown["Session"] = key.session
+        return Answer(200, json.dumps([shown]).encode())
+
+    def _session(self, action: str, session: str, body: bytes) -> Answer:
+        if action == "create":
+            self._number += 1
+            session = f"session-{self._number}"
+            ttl = int(float(json.loads(body)["TTL"].removesuffix("s")) * 1e6)
+            self._sessions[session] = (ttl, self._now() + ttl)
+        elif session not in self._sessions:
+            return Answer(404)
+        elif action == "renew":
+            ttl = self._sessions[session][0]
+            self._sessions[session] = (ttl, self._now() + ttl)
+        elif action == "destroy":
+            self._end(session)
+        return Answer(200, json.dumps({"ID": session}).encode())
+
+    def _put(self, name: str, query: dict[str, list[str]], value: bytes) -> bool:
+        key = self._keys.setdefault(name, _Key())
+        if "acquire" in query:
+            (session,) = query["acquire"]
+            if session not in self._sessions or key.session not in ("", session):
+                return False
+            if key.session != session:
+                key.session = session
+                key.lock_index += 1
+                self.grants.append((self._hub.now(), name, session, key.lock_index))
+        elif "release" in query:
+            (session,) = query["release"]
+            if key.session != session:
+                return False
+            key.session = ""
+        key.value = value
+        return True
