--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -37,6 +37,7 @@
 HAND_OVER_US = 1_000_000  # the longest that a hand-over waits for requests under way
 NOT_HOLDER = "refused: not done; this head does not hold the volume"
 STALE = "refused: not done; too old"
+ASKED_AT_ONCE = 1 << 30  # bytes of a volume asked about in one BLOCK_STATUS
 MISSED_FLAG = 1  # in the answer to BLOCK_STATUS of the other head
 LOOK_NOW = 1  # the length of a TICK that says: the volume is free, look at the witness
 
@@ -701,15 +702,18 @@
         return None if reply is None or reply.error else reply
 
     def _ask_missed(self, volume: RegionalVolume) -> set[int] | None:
-        reply = self._ask_peer(volume, Command.BLOCK_STATUS, 0, volume.settings.size_bytes)
-        if reply is None:
-            return None
+        """Ask the holder which extents this region misses; None if it did not tell of all."""
         missed: set[int] = set()
-        at = 0
-        for length, flag in reply.extents:
-            if flag & MISSED_FLAG:
-                missed.update(range(at // self.extent_bytes, -(-(at + length) // self.extent_bytes)))
-            at += length
+        for start in range(0, volume.settings.size_bytes, ASKED_AT_ONCE):
+            length = min(ASKED_AT_ONCE, volume.settings.size_bytes - start)
+            reply = self._ask_peer(volume, Command.BLOCK_STATUS, start, length)
+            if reply is None:
+                return None
+            at = start
+            for piece, flag in reply.extents:
+                if flag & MISSED_FLAG:
+                    missed.update(range(at // self.extent_bytes, -(-(at + piece) // self.extent_bytes)))
+                at += piece
         return missed
 
     def _pull(self, volume: RegionalVolume, extent: int) -> bool:
