--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from harriertrack.config.settings import HeadSettings, Kind
 from harriertrack.decisions.splitting import Outcome, cut
 from harriertrack.gateway.core import ClientRequest, Core, Origin, Part
 from harriertrack.gateway.links import COMMANDS
-from harriertrack.gateway.regional import Regional
+from harriertrack.gateway.regional import Regional, digest_of
 from harriertrack.protocol.nbd.extension import COPY_CONTEXT, RELAY_CONTEXT, Report, identity_of
 from harriertrack.protocol.nbd.server import (
     Aborted,
@@ -79,6 +80,18 @@
         return (query,) if known and export in self._spread else ()
 
 
+@dataclass(slots=True, eq=False)
+class DigestAsker:
+    """Takes the answer to the read behind a DIGEST."""
+
+    session: Session
+    cookie: int
+
+    def answer(self, request: ClientRequest) -> None:
+        """Take the one final answer."""
+        self.session.digested(self.cookie, request)
+
+
 class Session:
     """One client's connection."""
 
@@ -105,7 +118,7 @@
                 self._push()  # error replies, which no event tells of
                 for event in events:
                     match event:
-                        case Request(command=Command.TICK | Command.CAUGHT):
+                        case Request(command=Command.TICK | Command.CAUGHT | Command.DIGEST):
                             self._peer_news(event)
                         case Request():
                             self._request(event)
@@ -158,6 +171,9 @@
         if regional is None or self._origin is not Origin.RELAY:
             self._turn_away(event, Errno.EINVAL, "only the other region's head may say so")
             return
+        if event.command is Command.DIGEST:
+            self._digest(event)
+            return
         if event.command is Command.TICK:
             report = Report(load=(regional.tick(bool(event.length)),))
         else:
@@ -165,6 +181,36 @@
         self._nbd.reply_done(event.cookie, report)
         self._push()
 
+    def _digest(self, event: Request) -> None:
+        """Read a range as for a client, but answer with its digest."""
+        volume = self._front.core.volumes[self._volume]
+        if not event.length or event.offset + event.length > volume.settings.size_bytes:
+            self._turn_away(event, Errno.EINVAL, "not a range of the volume")
+            return
+        asker = DigestAsker(self, event.cookie)
+        self._front.take(
+            ClientRequest(
+                volume,
+                Kind.READ,
+                event.offset,
+                event.length,
+                b"",
+                0,
+                asker,
+                origin=self._origin,
+                tick=event.token,
+            )
+        )
+
+    def digested(self, cookie: int, request: ClientRequest) -> None:
+        """Answer a DIGEST."""
+        if request.outcome is Outcome.SERVED:
+            digest = digest_of(request)
+            self._nbd.reply_done(cookie, Report(load=(float(digest >> 32), float(digest & 0xFFFFFFFF))))
+        else:
+            self._nbd.reply_error(cookie, REFUSED, request.why or "refused: not done")
+        self._push()
+
     def _request(self, event: Request) -> None:
         front = self._front
         if (
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -15,6 +15,8 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
+import xxhash
+
 from harriertrack.config.settings import HeadSettings, Kind, VolumeRegionSettings, VolumeSettings
 from harriertrack.decisions.ranges import RangeLocks, Ticket
 from harriertrack.decisions.regions import Bounds, Copying, Expiry, RegionView, Route
@@ -27,7 +29,7 @@
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.extension import RELAY_CONTEXT, context_of
 from harriertrack.protocol.nbd.wire import Command, Errno
-from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Timer, Waiters
+from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Timer, Waiters
 from harriertrack.runtime.streams import Network
 from harriertrack.storage.missed import WHOLE, MissedLog
 
@@ -38,6 +40,7 @@
 NOT_HOLDER = "refused: not done; this head does not hold the volume"
 STALE = "refused: not done; too old"
 ASKED_AT_ONCE = 1 << 30  # bytes of a volume asked about in one BLOCK_STATUS
+COMPARE_FLAG = 2  # the same, where the log of what is missed passed its bound: it may be missed
 MISSED_FLAG = 1  # in the answer to BLOCK_STATUS of the other head
 LOOK_NOW = 1  # the length of a TICK that says: the volume is free, look at the witness
 
@@ -86,6 +89,8 @@
     clean: bool = False  # the other head said that it misses nothing, and nothing was missed since
     handing: bool = False
     pulled: set[int] = field(default_factory=set)  # extents that the other head read and has not confirmed
+    # Extents it holds, while the log says "anything may be missed".
+    confirmed: set[int] = field(default_factory=set)
     copy_session: object = None  # the newest connection of the holder; older ones are not listened to
     wish: str = ""
 
@@ -307,12 +312,9 @@
                 self._answer(work.request, Outcome.SERVED)
                 self._release(work)
             case _:
-                missed = self._log.missed(volume.name)
-                work.joins = (
-                    volume.joining and WHOLE not in missed and not any(
-                        extent in missed and extent not in volume.pulled for extent in work.extents
-                    )
-                )  # fmt: skip
+                work.joins = volume.joining and all(
+                    extent in volume.pulled or self._holds(volume, extent) for extent in work.extents
+                )
                 if work.joins:
                     self._answer(work.request, Outcome.SERVED)
                     self._copy_begins(work)
@@ -321,10 +323,16 @@
                     self._answer(work.request, Outcome.SERVED)
                     self._release(work)
 
+    def _holds(self, volume: RegionalVolume, extent: int) -> bool:
+        """Whether the other region, which catches up, misses nothing of an extent."""
+        missed = self._log.missed(volume.name)
+        return extent in volume.confirmed if WHOLE in missed else extent not in missed
+
     def _miss(self, work: Work) -> None:
         if work.request.kind is not Kind.FLUSH:
             self._log.miss(work.volume.name, work.extents)
             work.volume.pulled.difference_update(work.extents)
+            work.volume.confirmed.difference_update(work.extents)
             work.volume.clean = False
 
     def _expire(self, work: Work) -> None:
@@ -385,7 +393,8 @@
         """The other region did not take a write in time."""
         volume = work.volume
         if volume.view.other not in volume.view.in_sync:
-            volume.joining = False
+            # Only these bytes are missed; the other head goes on catching up with the rest while it is there.
+            volume.joining = volume.joining and volume.view.reachable(self._hub.now())
             self._miss(work)
             self._copy_ends(work, Outcome.SERVED)
         elif not volume.dropping:
@@ -515,7 +524,9 @@
         told: list[tuple[int, int]] = []
         size = self.extent_bytes
         for start in range(offset - offset % size, offset + length, size):
-            flag = MISSED_FLAG if WHOLE in missed or start // size in missed else 0
+            flag = 0
+            if not self._holds(one, start // size):
+                flag = COMPARE_FLAG if WHOLE in missed else MISSED_FLAG
             piece = min(start + size, offset + length) - max(start, offset)
             if told and told[-1][1] == flag:
                 told[-1] = (told[-1][0] + piece, flag)
@@ -528,12 +539,14 @@
         one = self.volumes[volume]
         extent = offset // self.extent_bytes
         if not length:
-            missed = self._log.missed(volume)
-            if WHOLE in missed and not missed - {WHOLE}:
+            if len(one.confirmed) >= -(-one.settings.size_bytes // self.extent_bytes):
                 self._log.copied(volume, (WHOLE,))
+                one.confirmed.clear()
             one.clean = not self._log.missed(volume) and one.joining
         elif extent in one.pulled:
             one.pulled.discard(extent)
+            if WHOLE in self._log.missed(volume):
+                one.confirmed.add(extent)
             self._log.copied(volume, (extent,))
 
     # -- the witness
@@ -617,6 +630,7 @@
         view.recorded(in_sync, self._hub.now())
         volume.joining = volume.clean = volume.handing = False
         volume.pulled.clear()
+        volume.confirmed.clear()
         self.fence.admits(volume.name, lock.epoch)
         self._links.epochs[volume.name] = lock.epoch
         self.holding.took(volume.name, lock.epoch)
@@ -671,16 +685,18 @@
             now, view = self._hub.now(), volume.view
             if self.holding.epoch(volume.name, now) or view.here in view.in_sync or not view.reachable(now):
                 continue
-            missed = self._ask_missed(volume)
-            if missed is None:
+            told = self._ask_missed(volume)
+            if told is None:
                 continue
+            missed, doubtful = told
             # What this region wrote alone, or was writing when it was stopped, may differ from the holder's
             # too.
             own = self._log.missed(volume.name)
             if WHOLE in own:
-                missed.update(range(-(-volume.settings.size_bytes // self.extent_bytes)))
-            wanted = sorted((missed | own | self._log.opened(volume.name)) - {WHOLE})
-            if all(self._pull(volume, extent) for extent in wanted):
+                doubtful.update(range(-(-volume.settings.size_bytes // self.extent_bytes)))
+            missed |= (own | self._log.opened(volume.name)) - {WHOLE}
+            compared = (self._pull(volume, extent, True) for extent in sorted(doubtful - missed))
+            if all(self._pull(volume, extent, False) for extent in sorted(missed)) and all(compared):
                 if self._ask_peer(volume, Command.CAUGHT, 0, 0) is not None:
                     self._log.forget_open(volume.name)
                     self._log.copied(volume.name, own)
@@ -701,9 +717,13 @@
         reply = answers[0]
         return None if reply is None or reply.error else reply
 
-    def _ask_missed(self, volume: RegionalVolume) -> set[int] | None:
-        """Ask the holder which extents this region misses; None if it did not tell of all."""
+    def _ask_missed(self, volume: RegionalVolume) -> tuple[set[int], set[int]] | None:
+        """Ask the holder which extents this region misses, and which it may miss.
+
+        None if it did not tell of all.
+        """
         missed: set[int] = set()
+        doubtful: set[int] = set()
         for start in range(0, volume.settings.size_bytes, ASKED_AT_ONCE):
             length = min(ASKED_AT_ONCE, volume.settings.size_bytes - start)
             reply = self._ask_peer(volume, Command.BLOCK_STATUS, start, length)
@@ -711,51 +731,72 @@
                 return None
             at = start
             for piece, flag in reply.extents:
-                if flag & MISSED_FLAG:
-                    missed.update(range(at // self.extent_bytes, -(-(at + piece) // self.extent_bytes)))
+                extents = range(at // self.extent_bytes, -(-(at + piece) // self.extent_bytes))
+                if flag:
+                    (missed if flag == MISSED_FLAG else doubtful).update(extents)
                 at += piece
-        return missed
+        return missed, doubtful
 
-    def _pull(self, volume: RegionalVolume, extent: int) -> bool:
-        """Read one extent at the holder and write it here; the holder's new writes to it wait meanwhile."""
+    def _pull(self, volume: RegionalVolume, extent: int, compare: bool) -> bool:
+        """Read one extent at the holder and write it here, unless it is equal by checksum where that is
+        asked.
+
+        The holder's new writes to it wait meanwhile. Return whether this region holds the extent now.
+        """
         start = extent * self.extent_bytes
         length = min(self.extent_bytes, volume.settings.size_bytes - start)
-        waiters, granted = Waiters(self._hub), []
-
-        def grant() -> None:
-            granted.append(True)
-            waiters.notify()
-
-        ticket = volume.locks.ask(start, start + length, True, grant)
+        granted = Event(self._hub)
+        ticket = volume.locks.ask(start, start + length, True, granted.set)
         try:
-            while not granted:
-                waiters.wait()
-            reply = self._ask_peer(volume, Command.READ, start, length)
-            if reply is None:
-                return False
-            done = Background(waiters)
-            request = ClientRequest(
-                self._core.volumes[volume.name], Kind.WRITE, start, length, reply.data, 0, done, 0, True
-            )
-            self._links.epochs[volume.name] = self.fence.highest(volume.name)
-            self._core.take(self._hub.now(), request)
-            while done.outcome is None:
-                waiters.wait()
-            if done.outcome is not Outcome.SERVED:
-                return False
+            granted.wait()
+            if not (compare and self._equal(volume, start, length)):
+                reply = self._ask_peer(volume, Command.READ, start, length)
+                if reply is None:
+                    return False
+                self._links.epochs[volume.name] = self.fence.highest(volume.name)
+                if self._own(volume, Kind.WRITE, start, length, reply.data).outcome is not Outcome.SERVED:
+                    return False
             return self._ask_peer(volume, Command.CAUGHT, start, length) is not None
         finally:
             volume.locks.release(ticket)
 
+    def _equal(self, volume: RegionalVolume, start: int, length: int) -> bool:
+        """Whether both regions hold the same bytes, by checksum."""
+        theirs = self._ask_peer(volume, Command.DIGEST, start, length)
+        if theirs is None or theirs.report is None or len(theirs.report.load) != 2:
+            return False
+        ours = self._own(volume, Kind.READ, start, length, b"")
+        high, low = map(int, theirs.report.load)
+        return ours.outcome is Outcome.SERVED and digest_of(ours) == high << 32 | low
+
+    def _own(self, volume: RegionalVolume, kind: Kind, start: int, length: int, data: bytes) -> ClientRequest:
+        """Do a background request in this region and wait for its end."""
+        done = Background(Event(self._hub))
+        request = ClientRequest(
+            self._core.volumes[volume.name], kind, start, length, data, 0, done, background=True
+        )
+        self._core.take(self._hub.now(), request)
+        done.ended.wait()
+        return request
+
 
 @dataclass(slots=True, eq=False)
 class Background:
     """Who waits for a request of the layer's own."""
 
-    waiters: Waiters
-    outcome: Outcome | None = None
+    ended: Event
 
     def answer(self, request: ClientRequest) -> None:
         """Take the core's answer."""
-        self.outcome = request.outcome
-        self.waiters.notify()
+        self.ended.set()
+
+
+def bytes_of(request: ClientRequest) -> bytes:
+    """Return what a served read brought."""
+    pieces = request.pieces
+    return b"".join(piece.data if isinstance(piece, Part) else bytes(piece) for piece in pieces)
+
+
+def digest_of(request: ClientRequest) -> int:
+    """Return the checksum of what a served read brought."""
+    return xxhash.xxh3_64_intdigest(bytes_of(request))
--- a/harriertrack/protocol/nbd/extension.py
+++ b/harriertrack/protocol/nbd/extension.py
@@ -19,8 +19,9 @@
 - the upper ten bits of a request's flags name the newest tick that the sender had of the receiver (the
   receiver turns down, as never run, what names one that is too old);
 - the command TICK asks for the present tick, which comes in a REPORT chunk as its first load value;
-- BLOCK_STATUS on `relay1` tells with flag 1 which extents the asking region misses, and the command CAUGHT
-  says that it holds one of them as of its last READ there.
+- the command DIGEST asks for the 64-bit XXH3 of a range; its upper and lower half come as two load values;
+- BLOCK_STATUS on `relay1` tells with flag 1 which extents the asking region misses, with flag 2 which it may
+  miss, and the command CAUGHT says that it holds one of them as of its last READ or DIGEST there.
 """
 
 from __future__ import annotations
--- a/harriertrack/protocol/nbd/server.py
+++ b/harriertrack/protocol/nbd/server.py
@@ -58,7 +58,7 @@
 )  # fmt: skip
 
 _WRITE, _DISC = int(Command.WRITE), int(Command.DISC)
-_OURS = frozenset(map(int, (Command.CANCEL, Command.TICK, Command.CAUGHT)))
+_OURS = frozenset(map(int, (Command.CANCEL, Command.TICK, Command.CAUGHT, Command.DIGEST)))
 # Flags that mean something on a command; any other is EINVAL. FUA may stand on all (spec: command flags).
 # Plain
 # numbers: arithmetic on IntFlag is many times dearer, and this is looked at for each request.
@@ -391,7 +391,8 @@
                 events.append(Disconnect())
                 return False
             if kind in _OURS and self.extended:
-                events.append(Request(cookie, Command(kind), flags, offset, length))
+                token = flags >> extension.TOKEN_SHIFT
+                events.append(Request(cookie, Command(kind), 0, offset, length, b"", token))
                 return True
         token = flags >> extension.TOKEN_SHIFT if self.extended else 0
         flags -= token << extension.TOKEN_SHIFT
--- a/harriertrack/protocol/nbd/wire.py
+++ b/harriertrack/protocol/nbd/wire.py
@@ -114,6 +114,7 @@
     CANCEL = 0x4801  # of the project's extension (extension.py), as the two below
     TICK = 0x4802
     CAUGHT = 0x4803
+    DIGEST = 0x4804
 
 
 class CommandFlags(IntFlag):
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -391,6 +391,23 @@
     )
 
 
+def test_past_the_logs_bound_regions_compare_by_checksum(monkeypatch):
+    monkeypatch.setattr(rig, "MissedLog", lambda path: MissedLog(path, most=3))
+    compared = []
+    equal = regional.Regional._equal
+    monkeypatch.setattr(regional.Regional, "_equal", lambda self, *what: compared.append(equal(self, *what)) or compared[-1])
+    hub = Hub.virtual(7)
+    day = days.load("two-regions-return")
+    day = msgspec.structs.replace(day, length_us=20 * S, unit_us=300, request_us=300, volume_bytes=4 << 20)
+    one = regions.RegionRig(hub, MemoryNetwork(hub), day, 7, rec.Recorder())
+    hub.run(one.run)
+    assert broken(one.recorder.records) == set()
+    assert compared.count(True) > 10 and compared.count(False) > 3  # most were equal, some were copied
+    for volume in one.volumes:
+        assert regions_bytes(one, "a", volume) == regions_bytes(one, "b", volume)
+    assert one.settled()
+
+
 class MovedRig(regions.RegionRig):
     """An operator wishes a volume into the other region, and takes the wish back."""
 
@@ -455,7 +472,7 @@
 
 
 def test_a_head_that_joins_without_catching_up_is_caught(monkeypatch):
-    monkeypatch.setattr(regional.Regional, "_pull", lambda self, volume, extent: True)
+    monkeypatch.setattr(regional.Regional, "_pull", lambda self, volume, extent, compare: True)
     monkeypatch.setattr(MissedLog, "missed", lambda self, volume: frozenset())
     assert 0 in broken(play("two-regions-dark")) | broken(play("two-regions-return"))
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -89,6 +89,26 @@
     assert f"head.sexp:{line}:" in said and field in said, said
 
 
+REGIONS = GOOD.replace('(plan "basic")) (', '(').replace("(kinds read flush)", "(kinds read flush catch-up)").replace(
+    '(volume "demo" (size 64MiB) (plan "basic"))',
+    '(region (name "a") (other "b") (peer "127.0.0.1" 2) (witness "127.0.0.1" 3))\n'
+    '  (volume "demo" (size 64MiB) (plan "basic") (regions (home "b") (mode home)))')  # fmt: skip
+
+
+@pytest.mark.parametrize(("before", "after", "field"), [
+    ('(home "b")', '(home "c")', "regions: home c"),
+    ("(mode home)", "(mode some)", "mode"),
+    (" catch-up)", ")", "catch-up"),
+    ('(region (name "a") (other "b") (peer "127.0.0.1" 2) (witness "127.0.0.1" 3))', "", "region is not set"),
+    ('(witness "127.0.0.1" 3)', "", "witness"),
+])
+def test_what_is_wrong_with_regions_is_named(tmp_path, before, after, field):
+    assert check(tmp_path, REGIONS).volumes[0].regions.mode.value == "home"
+    assert before in REGIONS
+    with pytest.raises(SettingsError, match=field):
+        check(tmp_path, REGIONS.replace(before, after, 1))
+
+
 def test_bad_settings_end_with_code_2_and_start_nothing(tmp_path):
     path = tmp_path / "head.sexp"
     path.write_text(GOOD.replace("300ms", "300"))
