The core of a head moves to decisions/: it knows rules, module, nodes and places, no settings or codec

The life of requests and attempts is state without I/O, to be explored exhaustively; it hung on settings, protocol and storage types. It now takes plain rules and four small protocols.

--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from pathlib import Path
 from typing import Annotated
 
@@ -15,6 +14,8 @@
 from harriertrack.config.sexp import Form, SettingsError, bind, head_word, read_text
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.regions import Mode
+from harriertrack.decisions.requests import ClassRule, RequestRules
+from harriertrack.decisions.splitting import Kind
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 Whole = Annotated[int, msgspec.Meta(ge=0)]
@@ -25,18 +26,6 @@
 BlockSize = Annotated[int, msgspec.Meta(ge=512, multiple_of=512)]
 
 
-class Kind(StrEnum):
-    """What a client's request does."""
-
-    READ = "read"
-    WRITE = "write"
-    TRIM = "trim"
-    ZERO = "write-zeroes"
-    FLUSH = "flush"
-    CACHE = "cache"
-    CATCH_UP = "catch-up"  # what a region reads and writes to get what it missed
-
-
 class Checked(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A part of the settings: unknown fields are errors."""
 
@@ -357,3 +346,17 @@
         meter_us=head.meter_us,
         tick_us=head.tick_us,
     )  # fmt: skip
+
+
+def request_rules(head: HeadSettings) -> RequestRules:
+    """Build what the core of a head is told."""
+    return RequestRules(
+        extent_bytes=head.extent_bytes,
+        unit_bytes=head.unit_bytes,
+        tick_us=head.tick_us,
+        held=head.limits.held,
+        classes=tuple(
+            ClassRule(one.name, frozenset(one.kinds), one.at_least_bytes, one.deadline_us)
+            for one in head.classes
+        ),
+    )
--- /dev/null
+++ b/harriertrack/decisions/catchup.py
@@ -0,0 +1,110 @@
+"""What the holder of a volume knows of a region that catches up: which extents it holds already.
+
+The log of what the other region misses names extents, or says `WHOLE`: anything may be missed. While the other head
+pulls extents, new writes go on; each is either copied to it (it holds the extent, or has just read it here and waits
+with later copies until it has stored what it read), or noted as missed. Pure: the log is handed in.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import IntFlag
+from typing import Protocol
+
+
+class Told(IntFlag):
+    """What the other head is told of an extent."""
+
+    HELD = 0
+    MISSED = 1
+    DOUBTFUL = 2  # it may be missed: compare
+
+
+class Log(Protocol):
+    """The log on disk (`storage/missed.py`)."""
+
+    whole: int
+
+    def missed(self, volume: str) -> frozenset[int]:
+        """Return the extents that the other region misses."""
+
+    def miss(self, volume: str, extents: Iterable[int]) -> None:
+        """Note extents as missed."""
+
+    def copied(self, volume: str, extents: Iterable[int]) -> None:
+        """The other region holds these extents now."""
+
+
+@dataclass(slots=True)
+class CatchUp:
+    """One volume, while the other region is out of sync."""
+
+    volume: str
+    extents: int  # how many the volume has
+    log: Log
+    joining: bool = False  # the other head catches up: new writes are copied to it again where it holds the rest
+    clean: bool = False  # it said that it misses nothing, and nothing was missed since
+    _read: set[int] = field(default_factory=set)  # extents that it read here and has not confirmed
+    _confirmed: set[int] = field(default_factory=set)  # what it holds, while the log says WHOLE
+
+    def begin(self) -> None:
+        """This head took the volume: nothing is known of the other one."""
+        self.joining = self.clean = False
+        self._read.clear()
+        self._confirmed.clear()
+
+    def dropped(self) -> None:
+        """The other region was recorded as out of sync, or does not answer: it has to ask anew."""
+        self.joining = self.clean = False
+
+    def asked(self) -> None:
+        """The other head asked what it misses: it catches up from now on."""
+        self.joining = True
+
+    def holds(self, extent: int) -> bool:
+        """Whether the other region misses nothing of an extent."""
+        missed = self.log.missed(self.volume)
+        return extent in self._confirmed if self.log.whole in missed else extent not in missed
+
+    def tell(self, extent: int) -> Told:
+        """Return what the other head is told of an extent."""
+        if self.holds(extent):
+            return Told.HELD
+        return Told.DOUBTFUL if self.log.whole in self.log.missed(self.volume) else Told.MISSED
+
+    def copies(self, extents: Iterable[int]) -> bool:
+        """Whether a write to these extents is copied, so that the other region goes on holding them."""
+        return self.joining and all(extent in self._read or self.holds(extent) for extent in extents)
+
+    def missed(self, extents: Iterable[int]) -> None:
+        """A write to these extents was not copied: on disk when this returns, before it is acknowledged."""
+        touched = list(extents)
+        self.log.miss(self.volume, touched)
+        self._read.difference_update(touched)
+        self._confirmed.difference_update(touched)
+        self.clean = False
+
+    def read(self, extents: Iterable[int]) -> None:
+        """The other head reads these extents here, with no write to them under way."""
+        self._read.update(extents)
+
+    def caught(self, extent: int) -> None:
+        """It stored an extent as it last read it; where a write was missed since, that does not count."""
+        if extent in self._read:
+            self._read.discard(extent)
+            if self.log.whole in self.log.missed(self.volume):
+                self._confirmed.add(extent)
+            self.log.copied(self.volume, (extent,))
+
+    def caught_all(self) -> None:
+        """It says that it holds everything; it does if nothing was missed since it asked."""
+        if len(self._confirmed) >= self.extents:
+            self.log.copied(self.volume, (self.log.whole,))
+            self._confirmed.clear()
+        self.clean = self.joining and not self.log.missed(self.volume)
+
+    @property
+    def done(self) -> bool:
+        """Whether the other region may be recorded as in sync."""
+        return self.joining and self.clean and not self.log.missed(self.volume)
--- a/harriertrack/gateway/core.py
+++ b/harriertrack/decisions/requests.py
@@ -11,12 +11,11 @@
 
 import heapq
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
-from harriertrack.config.settings import HeadSettings, Kind, VolumeSettings, module_settings
 from harriertrack.decisions import Scheduler, interface as api
 from harriertrack.decisions.life import (
     AttemptState,
@@ -27,21 +26,106 @@
     step_attempt,
     step_part,
 )  # fmt: skip
-from harriertrack.decisions.splitting import Outcome, class_of, cut, units_of, whole_outcome
-from harriertrack.membership.nodes import Member, NodeList
-from harriertrack.protocol.nbd.extension import Report
-from harriertrack.storage.extents import ExtentMap
+from harriertrack.decisions.splitting import Kind, Outcome, class_of, cut, units_of, whole_outcome
 
 CHANGING = frozenset((Kind.WRITE, Kind.TRIM, Kind.ZERO))
 # A request that the module does not know yet is answered this many ticks before its time is up.
 ANSWER_TICKS = 2
 
 
+@dataclass(frozen=True, slots=True)
+class ClassRule:
+    """Which requests belong to a class, and when their clients give up (microseconds)."""
+
+    name: str
+    kinds: frozenset[Kind]
+    at_least_bytes: int
+    deadline_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRules:
+    """What the core of a head is told at its start; sizes are bytes."""
+
+    extent_bytes: int
+    unit_bytes: int
+    tick_us: int
+    held: int  # the most parts that may be open at once
+    classes: tuple[ClassRule, ...]
+
+
+class VolumeFacts(Protocol):
+    """What the core needs to know of a volume."""
+
+    @property
+    def name(self) -> str:
+        """Return its name, which is also its export's."""
+
+    @property
+    def plan(self) -> str:
+        """Return its plan's name."""
+
+    @property
+    def hosts(self) -> int:
+        """Return through how many heads its requests come."""
+
+    @property
+    def shards(self) -> tuple[int, ...]:
+        """Return the shards that its extents were allocated to beforehand, in turn.
+
+        Empty if they are placed.
+        """
+
+
+class Listed(Protocol):
+    """A node of the list, with whatever links need to reach it."""
+
+    @property
+    def entry(self) -> api.NodeEntry:
+        """Return what the module knows of it."""
+
+
+class NodeBook(Protocol):
+    """The node list in hand."""
+
+    def find(self, node: str) -> Listed | None:
+        """Return a node that a list has named."""
+
+
+class Places(Protocol):
+    """Where extents were placed, on disk."""
+
+    def shard_of(self, volume: str, extent: int) -> int | None:
+        """Return the shard that holds an extent; None if it was never placed."""
+
+    def placed(self, volume: str) -> Iterator[tuple[int, int]]:
+        """Yield (extent, shard) of a volume."""
+
+    def place(self, placements: Iterable[tuple[str, int, int]]) -> None:
+        """Record (volume, extent, shard); on disk when this returns."""
+
+
+class Beside(Protocol):
+    """What a node told beside an answer."""
+
+    @property
+    def used_percent(self) -> int:
+        """Return the volume's meter."""
+
+    @property
+    def elsewhere(self) -> float:
+        """Return what the node served the volume through other heads."""
+
+    @property
+    def load(self) -> tuple[float, ...]:
+        """Return its load report."""
+
+
 @dataclass(slots=True, eq=False)
 class Volume:
     """An export, and which of its shards got writes that no flush has covered."""
 
-    settings: VolumeSettings
+    settings: VolumeFacts
     dirty: dict[int, int] = field(default_factory=dict)  # shard: number of its latest write
 
 
@@ -127,7 +211,7 @@
 
     part: Part
     number: int
-    member: Member
+    member: Listed
     sent_at: int
     state: AttemptState = AttemptState.DIALING
     told: bool = False  # the module has its outcome
@@ -184,18 +268,23 @@
     """One head."""
 
     def __init__(
-        self, settings: HeadSettings, port: Port, extents: ExtentMap, seed: int, head_id: int = 0
+        self,
+        rules: RequestRules,
+        module: Scheduler,
+        volumes: Iterable[VolumeFacts],
+        port: Port,
+        nodes: NodeBook,
+        places: Places,
     ) -> None:
-        self.settings = settings
-        self.head_id = head_id  # how this life of the head names itself to nodes and the list service
-        self.nodes = NodeList()
-        self.extents = extents
+        self.rules = rules
+        self.nodes = nodes
+        self.places = places
         self.counts = Counts()
-        self.volumes = {volume.name: Volume(volume) for volume in settings.volumes}
+        self.volumes = {volume.name: Volume(volume) for volume in volumes}
         self._port = port
-        self._module = Scheduler(module_settings(settings), seed)
-        self._classes = [(one.name, frozenset(one.kinds), one.at_least_bytes) for one in settings.classes]
-        self._deadlines = {one.name: one.deadline_us for one in settings.classes}
+        self._module = module
+        self._classes = [(one.name, one.kinds, one.at_least_bytes) for one in rules.classes]
+        self._deadlines = {one.name: one.deadline_us for one in rules.classes}
         self._events: list[api.Event] = []
         self._asked_soon = False
         self._parts: dict[int, Part] = {}
@@ -208,14 +297,13 @@
         self._serial = self._number = self._writes = 0
         for volume in self.volumes.values():  # what an earlier life wrote without a flush is not known
             name, fixed = volume.settings.name, volume.settings.shards
-            volume.dirty = dict.fromkeys(fixed or {shard for _, shard in extents.placed(name)}, 0)
+            volume.dirty = dict.fromkeys(fixed or {shard for _, shard in places.placed(name)}, 0)
         self._add(api.NodesChanged(api.ListKind.RESTORED, []))
 
     # -- what happens outside
 
-    def nodes_changed(self, members: Iterable[Member], restored: bool = False) -> None:
-        """Take a whole node list from its source."""
-        news = self.nodes.replace(members, restored)
+    def nodes_changed(self, news: api.NodesChanged | None) -> None:
+        """Take news of the node list; None is none."""
         if news is not None:
             self._add(news)
 
@@ -235,7 +323,7 @@
 
     def full(self) -> bool:
         """Return whether as many requests are open as the settings allow."""
-        return len(self._parts) >= self.settings.limits.held
+        return len(self._parts) >= self.rules.held
 
     def take(self, now: int, request: ClientRequest) -> None:
         """Take a request: from now on it is owed one final answer."""
@@ -249,7 +337,7 @@
             for dirty in volume.dirty:
                 self._part(request, class_name, -1, 0, 0, dirty)
         else:
-            for extent, offset, length in cut(request.offset, request.length, self.settings.extent_bytes):
+            for extent, offset, length in cut(request.offset, request.length, self.rules.extent_bytes):
                 shard = self.shard_of(volume, extent)
                 if shard is not None:
                     request.pieces.append(self._part(request, class_name, extent, offset, length, shard))
@@ -284,7 +372,7 @@
         attempt.state = step_attempt(attempt.state, AttemptStep.SEND)
 
     def ended(self, now: int, attempt: Attempt, result: api.Result, data: bytes = b"",
-              report: Report | None = None) -> None:  # fmt: skip
+              report: Beside | None = None) -> None:  # fmt: skip
         """Take an attempt's outcome from its link; one that was called off has told the module already."""
         if attempt.state is AttemptState.ENDED:
             return
@@ -299,14 +387,14 @@
                 self._served(part, attempt, data)
         elif not result.never_ran:
             part.may_have_run = True
-        self._tell(now, attempt, result, report or Report())
+        self._tell(now, attempt, result, report)
 
     # -- parts
 
     def shard_of(self, volume: Volume, extent: int) -> int | None:
         """Return the shard that holds an extent; None if it was never written."""
         fixed = volume.settings.shards
-        return fixed[extent % len(fixed)] if fixed else self.extents.shard_of(volume.settings.name, extent)
+        return fixed[extent % len(fixed)] if fixed else self.places.shard_of(volume.settings.name, extent)
 
     def _part(self, request: ClientRequest, class_name: str, extent: int, offset: int, length: int,
               shard: int) -> Part:  # fmt: skip
@@ -326,7 +414,7 @@
             line = self._placing.setdefault(key, deque())
             line.append(part)
             if line[0] is not part or key in self._released:  # the one before may just have placed it
-                self._push(part.request.deadline - ANSWER_TICKS * self.settings.tick_us, part)
+                self._push(part.request.deadline - ANSWER_TICKS * self.rules.tick_us, part)
                 return
             part.places = True
         self._arrive(part, now)
@@ -338,7 +426,7 @@
         self._add(api.Arrived(
             part.number, part.class_name, volume.plan, volume.name,
             f"{volume.name}/{part.extent}" if part.extent >= 0 else "",
-            part.shard, units_of(part.length, self.settings.unit_bytes), request.deadline - now, volume.hosts,
+            part.shard, units_of(part.length, self.rules.unit_bytes), request.deadline - now, volume.hosts,
             further_part=part is not request.parts[0],
         ))  # fmt: skip
 
@@ -395,7 +483,7 @@
         released, self._released = self._released, []
         for key in released:
             line = self._placing[key]
-            shard = self.extents.shard_of(*key)
+            shard = self.places.shard_of(*key)
             while line:
                 part = line[0]
                 if shard is None:
@@ -446,7 +534,7 @@
             if self._placements:
                 # On disk before any answer that promises them.
                 placements, self._placements = self._placements, []
-                self.extents.place(placements)
+                self.places.place(placements)
             if self._released:
                 self._release(now)
             if not self._events:
@@ -508,7 +596,7 @@
         if part.state.over or elsewhere or now >= request.deadline:
             self.counts.moot += 1
             attempt.state = AttemptState.ENDED
-            self._tell(now, attempt, api.Result.MOOT, Report())
+            self._tell(now, attempt, api.Result.MOOT, None)
             return
         part.state = step_part(part.state, PartStep.SEND)
         self.counts.sent += 1
@@ -524,9 +612,9 @@
         attempt.state = step_attempt(attempt.state, AttemptStep.CALL_OFF)
         attempt.part.may_have_run = attempt.part.may_have_run or not result.never_ran
         self._port.call_off(attempt)
-        self._tell(now, attempt, result, Report())
+        self._tell(now, attempt, result, None)
 
-    def _tell(self, now: int, attempt: Attempt, result: api.Result, report: Report) -> None:
+    def _tell(self, now: int, attempt: Attempt, result: api.Result, report: Beside | None) -> None:
         """Tell the module an attempt's one outcome."""
         part = attempt.part
         attempt.told = True
@@ -538,5 +626,5 @@
                 part.state = step_part(part.state, PartStep.LOST)
         self._add(api.Ended(
             part.number, attempt.number, attempt.member.entry.node, result, now - attempt.sent_at,
-            part.state.over, report.used_percent, report.elsewhere, report.load,
+            part.state.over, *((report.used_percent, report.elsewhere, report.load) if report else ()),
         ))  # fmt: skip
--- a/harriertrack/decisions/splitting.py
+++ b/harriertrack/decisions/splitting.py
@@ -6,11 +6,23 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from enum import Enum
+from enum import Enum, StrEnum
 
 from harriertrack.decisions.life import PartState
 
 
+class Kind(StrEnum):
+    """What a client's request does."""
+
+    READ = "read"
+    WRITE = "write"
+    TRIM = "trim"
+    ZERO = "write-zeroes"
+    FLUSH = "flush"
+    CACHE = "cache"
+    CATCH_UP = "catch-up"  # what a region reads and writes to get what it missed
+
+
 class Outcome(Enum):
     """The final answer to a client's request."""
 
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from harriertrack.config.settings import HeadSettings, Kind
-from harriertrack.decisions.splitting import Outcome, cut
-from harriertrack.gateway.core import ClientRequest, Core, Origin, Part
+from harriertrack.config.settings import HeadSettings
+from harriertrack.decisions.requests import ClientRequest, Core, Origin, Part
+from harriertrack.decisions.splitting import Kind, Outcome, cut
 from harriertrack.gateway.links import COMMANDS
 from harriertrack.gateway.regional import Regional, digest_of
 from harriertrack.protocol.nbd.extension import COPY_CONTEXT, RELAY_CONTEXT, Report, identity_of
@@ -184,7 +184,8 @@
     def _digest(self, event: Request) -> None:
         """Read a range as for a client, but answer with its digest."""
         volume = self._front.core.volumes[self._volume]
-        if not event.length or event.offset + event.length > volume.settings.size_bytes:
+        export = self._nbd.export
+        if not event.length or export is None or event.offset + event.length > export.size:
             self._turn_away(event, Errno.EINVAL, "not a range of the volume")
             return
         asker = DigestAsker(self, event.cookie)
@@ -300,14 +301,14 @@
 
     def take(self, request: ClientRequest) -> None:
         """Hand a request to the core, or to the layer of volumes of two regions."""
-        if self.regional is not None and request.volume.settings.regions is not None:
+        if self.regional is not None and request.volume.settings.name in self.regional.volumes:
             self.regional.take(request)
         else:
             self.core.take(self.hub.now(), request)
 
     def client_gone(self, request: ClientRequest) -> None:
         """The request's client left."""
-        if self.regional is not None and request.volume.settings.regions is not None:
+        if self.regional is not None and request.volume.settings.name in self.regional.volumes:
             self.regional.client_gone(request)
         else:
             self.core.client_gone(request)
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -5,12 +5,14 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from harriertrack.config.settings import HeadSettings
-from harriertrack.gateway.core import Attempt, ClientRequest, Core
+from harriertrack.config.settings import HeadSettings, module_settings, request_rules
+from harriertrack.decisions import Scheduler
+from harriertrack.decisions.requests import Attempt, ClientRequest, Core
 from harriertrack.gateway.front import NbdFront
 from harriertrack.gateway.links import Links
 from harriertrack.gateway.listing import Listing
 from harriertrack.gateway.regional import Regional
+from harriertrack.membership.nodes import NodeList
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Timer
 from harriertrack.runtime.streams import Network
 from harriertrack.storage.extents import ExtentMap
@@ -37,6 +39,7 @@
         self.ready = Event(hub)
         self.address = settings.listen
         self.core: Core
+        self.nodes = NodeList()
         self.head_id = hub.random.getrandbits(64)
 
     def run(self) -> None:
@@ -51,12 +54,11 @@
         try:
             with hub.scope(self._name) as scope:
                 seed = settings.seed or hub.random.getrandbits(63)
-                self.core = Core(settings, self, extents, seed, self.head_id)
-                self._links = Links(hub, self._network, scope, settings, self.core, self._note,
-                                    self._name)  # fmt: skip
-                self._listing = Listing(
-                    hub, self._network, settings, self.core, scope, self._note, self._name
-                )
+                module = Scheduler(module_settings(settings), seed)
+                self.core = Core(request_rules(settings), module, settings.volumes, self, self.nodes, extents)
+                known = (hub, self._network, scope, settings, self.core, self.nodes, self.head_id)
+                self._links = Links(*known, self._note, self._name)
+                self._listing = Listing(*known, self._note, self._name)
                 self.regional: Regional | None = None
                 if any(volume.regions for volume in settings.volumes):
                     assert self._log is not None
--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -9,9 +9,11 @@
 
 from collections.abc import Callable
 
-from harriertrack.config.settings import HeadSettings, Kind
+from harriertrack.config.settings import HeadSettings
 from harriertrack.decisions import interface as api
-from harriertrack.gateway.core import Attempt, Core
+from harriertrack.decisions.requests import Attempt, Core
+from harriertrack.decisions.splitting import Kind
+from harriertrack.membership.nodes import NodeList
 from harriertrack.protocol.nbd.client import ClientConnection, ClientState, Greeted, OptionDone, Reply
 from harriertrack.protocol.nbd.extension import context_of, cookie_of
 from harriertrack.protocol.nbd.wire import Command, ProtocolViolation
@@ -146,7 +148,7 @@
         self._await(Greeted, deadline)
         self._nbd.ask_structured()
         if not self._option(deadline).error:
-            self._nbd.ask_contexts(self.volume, [context_of(self._links.core.head_id, self.epoch)])
+            self._nbd.ask_contexts(self.volume, [context_of(self._links.head_id, self.epoch)])
             self._option(deadline)
         if not self._nbd.extended and not self._links.settings.plain_nodes:
             raise LinkError("the node drops no repeats (plain NBD), and (plain-nodes yes) is not set")
@@ -213,11 +215,13 @@
         scope: Scope,
         settings: HeadSettings,
         core: Core,
+        nodes: NodeList,
+        head_id: int,
         note: Callable[..., None],
         name: str = "head",
     ) -> None:
         self.hub, self.network, self.settings = hub, network, settings
-        self.core, self.name = core, name
+        self.core, self.nodes, self.head_id, self.name = core, nodes, head_id, name
         self.sizes = {volume.name: volume.size_bytes for volume in settings.volumes}
         self._scope, self._note = scope, note
         self._links: dict[tuple[str, str], Link] = {}
@@ -235,7 +239,9 @@
             link.retire()
             link = None
         if link is None or link.closed:
-            link = self._links[key] = Link(self, key[0], attempt.member.address, key[1], epoch)
+            member = self.nodes.find(key[0])
+            assert member is not None  # the core has found it in the same list
+            link = self._links[key] = Link(self, key[0], member.address, key[1], epoch)
             self._scope.spawn(f"link {key[0]} {key[1]}", link.run)
         link.send(attempt)
 
--- a/harriertrack/gateway/listing.py
+++ b/harriertrack/gateway/listing.py
@@ -10,9 +10,9 @@
 from harriertrack.config.settings import ConsulSettings, HeadSettings, load_nodes
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions.interface import NodeEntry
-from harriertrack.gateway.core import Core
+from harriertrack.decisions.requests import Core
 from harriertrack.membership import consul
-from harriertrack.membership.nodes import Member
+from harriertrack.membership.nodes import Member, NodeList
 from harriertrack.protocol.http import Call, HttpError
 from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Task
 from harriertrack.runtime.streams import Network
@@ -21,11 +21,22 @@
 class Listing:
     """Follows the list while the module wants it."""
 
-    def __init__(self, hub: Hub, network: Network, settings: HeadSettings, core: Core, scope: Scope,
-                 note: Callable[..., None], name: str = "head") -> None:  # fmt: skip
+    def __init__(
+        self,
+        hub: Hub,
+        network: Network,
+        scope: Scope,
+        settings: HeadSettings,
+        core: Core,
+        nodes: NodeList,
+        head_id: int,
+        note: Callable[..., None],
+        name: str = "head",
+    ) -> None:
         self._hub, self._network, self._settings = hub, network, settings.node_list
         self._core, self._scope, self._note, self._name = core, scope, note, name
         self._task: Task | None = None
+        self._nodes, self._head_id = nodes, head_id
         self._index = 0
         # A start comes as wall-clock time. The difference is fixed once: a step of the wall clock must not
         # make
@@ -52,7 +63,8 @@
             self._core.list_failed()
 
     def _told(self, members: list[Member]) -> None:
-        self._core.nodes_changed([self._localised(member) for member in members])
+        news = self._nodes.replace([self._localised(member) for member in members])
+        self._core.nodes_changed(news)
 
     def _localised(self, member: Member) -> Member:
         entry = member.entry
@@ -81,7 +93,7 @@
             try:
                 host = f"{asked.address[0]}:{asked.address[1]}"
                 agent, wanted = (
-                    f"harriertrack/{self._core.head_id:016x}",
+                    f"harriertrack/{self._head_id:016x}",
                     consul.target(asked.service, index, wait),
                 )
                 get = Call("GET", host, wanted, agent)
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -17,11 +17,11 @@
 
 import xxhash
 
-from harriertrack.config.settings import HeadSettings, Kind, VolumeRegionSettings, VolumeSettings
+from harriertrack.config.settings import HeadSettings, VolumeRegionSettings, VolumeSettings
 from harriertrack.decisions.ranges import RangeLocks, Ticket
 from harriertrack.decisions.regions import Bounds, Copying, Expiry, RegionView, Route
-from harriertrack.decisions.splitting import Outcome
-from harriertrack.gateway.core import CHANGING, ClientRequest, Core, Origin, Part
+from harriertrack.decisions.requests import CHANGING, ClientRequest, Core, Origin, Part
+from harriertrack.decisions.splitting import Kind, Outcome
 from harriertrack.gateway.links import COMMANDS, Links
 from harriertrack.gateway.peer import Peer, PeerLink
 from harriertrack.gateway.witness import FAILURES, WitnessClient
@@ -125,7 +125,7 @@
         self.fence = Fence()
         self.expiry = Expiry(region.fresh_us)
         self._witness = WitnessClient(hub, network, region.witness, region.ttl_us // 6, name)
-        self._peer = Peer(hub, network, scope, region, core.head_id, name)
+        self._peer = Peer(hub, network, scope, region, links.head_id, name)
         self.volumes: dict[str, RegionalVolume] = {}
         for volume in settings.volumes:
             if (spread := volume.regions) is not None:
@@ -141,7 +141,7 @@
         self._look = Waiters(hub)
         first = next(iter(self.volumes))
         self._heartbeat = PeerLink(
-            hub, network, scope, region, first, context_of(core.head_id, 0, RELAY_CONTEXT), name
+            hub, network, scope, region, first, context_of(links.head_id, 0, RELAY_CONTEXT), name
         )
         scope.spawn("witness", self._follow_witness)
         scope.spawn("heartbeat", self._beat)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,12 +4,13 @@
 
 from harriertrack.config.settings import (
     ClassSettings, HeadSettings, Kind, NodeListSettings, PlanSettings, RuleSettings, VolumeSettings, module_settings,
+    request_rules,
 )
-from harriertrack.decisions import interface as api
+from harriertrack.decisions import Scheduler, interface as api
 from harriertrack.decisions.life import PartState
 from harriertrack.decisions.splitting import Outcome, class_of, cut, units_of, whole_outcome
-from harriertrack.gateway.core import ClientRequest, Core
-from harriertrack.membership.nodes import Member
+from harriertrack.decisions.requests import ClientRequest, Core
+from harriertrack.membership.nodes import Member, NodeList
 from harriertrack.storage.extents import ExtentMap
 
 MS = 1000
@@ -60,10 +61,12 @@
         self.settings = HeadSettings(**{**values, **changes})
         self.port, self.now = Port(), 10_000_000
         self.extents = extents or ExtentMap(None)
-        self.core = Core(self.settings, self.port, self.extents, 1)
+        self.nodes = NodeList()
+        module = Scheduler(module_settings(self.settings), 1)
+        self.core = Core(request_rules(self.settings), module, self.settings.volumes, self.port, self.nodes, self.extents)
         self.members = [Member(api.NodeEntry(f"n{at}", at), ("h", at)) for at in range(nodes)]
         self.flush()
-        self.core.nodes_changed(self.members)
+        self.core.nodes_changed(self.nodes.replace(self.members))
         self.flush()
 
     def flush(self):
@@ -263,7 +266,8 @@
 def test_a_drained_node_gets_nothing_new():
     rig = Rig(nodes=1, shards=(0,))
     entry = rig.members[0].entry
-    rig.core.nodes_changed([Member(api.NodeEntry(entry.node, 0, api.NodeState.GONE), ("h", 0))])
+    gone = Member(api.NodeEntry(entry.node, 0, api.NodeState.GONE), ("h", 0))
+    rig.core.nodes_changed(rig.nodes.replace([gone]))
     rig.flush()
     assert rig.ask(Kind.READ).outcome is Outcome.REFUSED and not rig.port.sent
 
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -444,9 +444,9 @@
         day = msgspec.structs.replace(days.load("two-regions-calm"), length_us=2 * S, nodes=nodes)
         one = regions.RegionRig(hub, MemoryNetwork(hub), day, 1, rec.Recorder())
         hub.run(one.run)
-        core = one.slots["a"].head.core
-        assert {member.entry.zone for member in core.nodes.members()} == {"a"}
-        known.append(len(core.nodes))
+        listed = one.slots["a"].head.nodes
+        assert {member.entry.zone for member in listed.members()} == {"a"}
+        known.append(len(listed))
     assert known == [3, 9]  # its own region's nodes alone
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from harriertrack.decisions import interface as api, life, scheduler
-from harriertrack.gateway import core, front
+from harriertrack.decisions import interface as api, life, requests, scheduler
+from harriertrack.gateway import front, head
 from harriertrack.lab import day as days, rig
 from harriertrack.membership import nodes
 from harriertrack.rules import checker, recording as rec
@@ -165,8 +165,8 @@
 def settings_without(monkeypatch, **changes):
     import dataclasses
 
-    made = core.module_settings
-    monkeypatch.setattr(core, "module_settings", lambda head: dataclasses.replace(made(head), **changes))
+    made = head.module_settings
+    monkeypatch.setattr(head, "module_settings", lambda settings: dataclasses.replace(made(settings), **changes))
 
 
 def test_a_head_that_swallows_answers(monkeypatch):
@@ -194,7 +194,7 @@
 
 
 def test_a_head_that_takes_silence_for_proof(monkeypatch):
-    monkeypatch.setattr(core, "lost_result", lambda state, otherwise: api.Result.CONNECT_FAILED)
+    monkeypatch.setattr(requests, "lost_result", lambda state, otherwise: api.Result.CONNECT_FAILED)
     assert 2 in broken_in("answer_reset")
 
 
@@ -216,16 +216,16 @@
 
 
 def test_a_head_without_order(monkeypatch):
-    made = core.module_settings
+    made = head.module_settings
 
-    def unordered(head):
+    def unordered(settings):
         import dataclasses
 
-        settings = made(head)
-        classes = tuple(dataclasses.replace(one, in_order=False) for one in settings.classes)
-        return dataclasses.replace(settings, classes=classes)
+        made_ = made(settings)
+        classes = tuple(dataclasses.replace(one, in_order=False) for one in made_.classes)
+        return dataclasses.replace(made_, classes=classes)
 
-    monkeypatch.setattr(core, "module_settings", unordered)
+    monkeypatch.setattr(head, "module_settings", unordered)
     assert 5 in broken_in("order", rate=400.0)
 
 
@@ -240,8 +240,8 @@
 
 
 def test_a_head_that_mixes_up_data(monkeypatch):
-    part = core.Part.body
-    monkeypatch.setattr(core.Part, "body", lambda self: bytes(part(self))[::-1])
+    part = requests.Part.body
+    monkeypatch.setattr(requests.Part, "body", lambda self: bytes(part(self))[::-1])
     assert 0 in broken_in("calm", length_us=4 * S)
 
 
