What the holder knows of a region that catches up is one pure object

The sets of read, confirmed and missed extents were spread over the region layer, and two faults had come of that.

--- a/harriertrack/decisions/catchup.py
+++ b/harriertrack/decisions/catchup.py
@@ -1,8 +1,9 @@
 """What the holder of a volume knows of a region that catches up: which extents it holds already.
 
-The log of what the other region misses names extents, or says `WHOLE`: anything may be missed. While the other head
-pulls extents, new writes go on; each is either copied to it (it holds the extent, or has just read it here and waits
-with later copies until it has stored what it read), or noted as missed. Pure: the log is handed in.
+The log of what the other region misses names extents, or says `WHOLE`: anything may be missed. While the
+other head pulls extents, new writes go on; each is either copied to it (it holds the extent, or has just read
+it here and waits with later copies until it has stored what it read), or noted as missed. Pure: the log is
+handed in.
 """
 
 from __future__ import annotations
@@ -43,7 +44,8 @@
     volume: str
     extents: int  # how many the volume has
     log: Log
-    joining: bool = False  # the other head catches up: new writes are copied to it again where it holds the rest
+    # The other head catches up: new writes are copied to it again where it holds the rest.
+    joining: bool = False
     clean: bool = False  # it said that it misses nothing, and nothing was missed since
     _read: set[int] = field(default_factory=set)  # extents that it read here and has not confirmed
     _confirmed: set[int] = field(default_factory=set)  # what it holds, while the log says WHOLE
--- a/harriertrack/decisions/regions.py
+++ b/harriertrack/decisions/regions.py
@@ -161,12 +161,9 @@
             return False
         return self.both_since is not None and now - self.both_since >= self.bounds.settle_us
 
-    def may_join(self, missed: int, now: int) -> bool:
-        """Whether the witness may record that the other region is in sync again.
-
-        It misses nothing any more.
-        """
-        return self.other not in self.in_sync and not missed and self.reachable(now)
+    def may_join(self, now: int) -> bool:
+        """Whether the witness may record that the other region, which misses nothing any more, is in sync."""
+        return self.other not in self.in_sync and self.reachable(now)
 
 
 TOKENS = 1 << 10  # tick tokens count up to this and begin again
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -18,6 +18,7 @@
 import xxhash
 
 from harriertrack.config.settings import HeadSettings, VolumeRegionSettings, VolumeSettings
+from harriertrack.decisions.catchup import CatchUp, Told
 from harriertrack.decisions.ranges import RangeLocks, Ticket
 from harriertrack.decisions.regions import Bounds, Copying, Expiry, RegionView, Route
 from harriertrack.decisions.requests import CHANGING, ClientRequest, Core, Origin, Part
@@ -40,8 +41,6 @@
 NOT_HOLDER = "refused: not done; this head does not hold the volume"
 STALE = "refused: not done; too old"
 ASKED_AT_ONCE = 1 << 30  # bytes of a volume asked about in one BLOCK_STATUS
-COMPARE_FLAG = 2  # the same, where the log of what is missed passed its bound: it may be missed
-MISSED_FLAG = 1  # in the answer to BLOCK_STATUS of the other head
 LOOK_NOW = 1  # the length of a TICK that says: the volume is free, look at the witness
 
 
@@ -82,15 +81,11 @@
     settings: VolumeSettings
     spread: VolumeRegionSettings
     view: RegionView
+    catch_up: CatchUp
     locks: RangeLocks = field(default_factory=RangeLocks)
     copying: dict[Work, None] = field(default_factory=dict)
     dropping: bool = False
-    joining: bool = False  # the other head catches up: new writes are copied to it again
-    clean: bool = False  # the other head said that it misses nothing, and nothing was missed since
     handing: bool = False
-    pulled: set[int] = field(default_factory=set)  # extents that the other head read and has not confirmed
-    # Extents it holds, while the log says "anything may be missed".
-    confirmed: set[int] = field(default_factory=set)
     copy_session: object = None  # the newest connection of the holder; older ones are not listened to
     wish: str = ""
 
@@ -134,7 +129,9 @@
                     spread.takeover_us, spread.settle_us,
                 )  # fmt: skip
                 view = RegionView(region.name, region.other, spread.home, bounds)
-                self.volumes[volume.name] = RegionalVolume(volume, spread, view)
+                extents = -(-volume.size_bytes // settings.extent_bytes)
+                catch_up = CatchUp(volume.name, extents, log)
+                self.volumes[volume.name] = RegionalVolume(volume, spread, view, catch_up)
         self._number = 0
         self.open = 0  # clients' requests without an answer
         self._under_way: dict[ClientRequest, Work] = {}  # in the core, by the client's request
@@ -226,7 +223,7 @@
         if request.kind in CHANGING and not work.copy:
             self._log.begin_write(volume.name, work.extents)
         if request.origin is Origin.RELAY and request.kind is Kind.READ:
-            volume.pulled.update(work.extents)
+            volume.catch_up.read(work.extents)
         self._links.epochs[volume.name] = work.epoch
         self._do(work, request.kind, request.data)
 
@@ -312,9 +309,7 @@
                 self._answer(work.request, Outcome.SERVED)
                 self._release(work)
             case _:
-                work.joins = volume.joining and all(
-                    extent in volume.pulled or self._holds(volume, extent) for extent in work.extents
-                )
+                work.joins = volume.catch_up.copies(work.extents)
                 if work.joins:
                     self._answer(work.request, Outcome.SERVED)
                     self._copy_begins(work)
@@ -323,17 +318,9 @@
                     self._answer(work.request, Outcome.SERVED)
                     self._release(work)
 
-    def _holds(self, volume: RegionalVolume, extent: int) -> bool:
-        """Whether the other region, which catches up, misses nothing of an extent."""
-        missed = self._log.missed(volume.name)
-        return extent in volume.confirmed if WHOLE in missed else extent not in missed
-
     def _miss(self, work: Work) -> None:
         if work.request.kind is not Kind.FLUSH:
-            self._log.miss(work.volume.name, work.extents)
-            work.volume.pulled.difference_update(work.extents)
-            work.volume.confirmed.difference_update(work.extents)
-            work.volume.clean = False
+            work.volume.catch_up.missed(work.extents)
 
     def _expire(self, work: Work) -> None:
         """The client's time is up. What is under way goes on, but nobody waits for it any more."""
@@ -394,7 +381,8 @@
         volume = work.volume
         if volume.view.other not in volume.view.in_sync:
             # Only these bytes are missed; the other head goes on catching up with the rest while it is there.
-            volume.joining = volume.joining and volume.view.reachable(self._hub.now())
+            if not volume.view.reachable(self._hub.now()):
+                volume.catch_up.dropped()
             self._miss(work)
             self._copy_ends(work, Outcome.SERVED)
         elif not volume.dropping:
@@ -416,7 +404,8 @@
             if self._record(volume, alone):
                 break
             self._hub.sleep(RETRY_US * 5)
-        volume.dropping = volume.joining = False
+        volume.dropping = False
+        volume.catch_up.dropped()
         alive = self.holding.epoch(volume.name, self._hub.now()) == epoch and volume.view.in_sync == alone
         for work in list(volume.copying):
             if alive:
@@ -518,15 +507,13 @@
 
         From now on it gets new writes again.
         """
-        one, missed = self.volumes[volume], self._log.missed(volume)
+        one = self.volumes[volume]
         if self.holding.epoch(volume, self._hub.now()):
-            one.joining = True
+            one.catch_up.asked()
         told: list[tuple[int, int]] = []
         size = self.extent_bytes
         for start in range(offset - offset % size, offset + length, size):
-            flag = 0
-            if not self._holds(one, start // size):
-                flag = COMPARE_FLAG if WHOLE in missed else MISSED_FLAG
+            flag = int(one.catch_up.tell(start // size))
             piece = min(start + size, offset + length) - max(start, offset)
             if told and told[-1][1] == flag:
                 told[-1] = (told[-1][0] + piece, flag)
@@ -536,18 +523,11 @@
 
     def caught(self, volume: str, offset: int, length: int) -> None:
         """The other head holds an extent as it last read it; with length 0, it misses nothing."""
-        one = self.volumes[volume]
-        extent = offset // self.extent_bytes
-        if not length:
-            if len(one.confirmed) >= -(-one.settings.size_bytes // self.extent_bytes):
-                self._log.copied(volume, (WHOLE,))
-                one.confirmed.clear()
-            one.clean = not self._log.missed(volume) and one.joining
-        elif extent in one.pulled:
-            one.pulled.discard(extent)
-            if WHOLE in self._log.missed(volume):
-                one.confirmed.add(extent)
-            self._log.copied(volume, (extent,))
+        catch_up = self.volumes[volume].catch_up
+        if length:
+            catch_up.caught(offset // self.extent_bytes)
+        else:
+            catch_up.caught_all()
 
     # -- the witness
 
@@ -628,9 +608,8 @@
                 return
         view.behind.clear()
         view.recorded(in_sync, self._hub.now())
-        volume.joining = volume.clean = volume.handing = False
-        volume.pulled.clear()
-        volume.confirmed.clear()
+        volume.handing = False
+        volume.catch_up.begin()
         self.fence.admits(volume.name, lock.epoch)
         self._links.epochs[volume.name] = lock.epoch
         self.holding.took(volume.name, lock.epoch)
@@ -642,7 +621,7 @@
         late = view.next_overdue(now)
         if late is not None and late <= now and volume.copying:
             self._copy_failed(next(iter(volume.copying)))
-        if volume.joining and volume.clean and view.may_join(len(self._log.missed(volume.name)), now):
+        if volume.catch_up.done and view.may_join(now):
             self._join(volume)
         elif not volume.copying and view.should_hand_over(volume.wish, now):
             self._hand_over(volume)
@@ -733,7 +712,7 @@
             for piece, flag in reply.extents:
                 extents = range(at // self.extent_bytes, -(-(at + piece) // self.extent_bytes))
                 if flag:
-                    (missed if flag == MISSED_FLAG else doubtful).update(extents)
+                    (missed if flag == Told.MISSED else doubtful).update(extents)
                 at += piece
         return missed, doubtful
 
--- a/harriertrack/storage/missed.py
+++ b/harriertrack/storage/missed.py
@@ -26,6 +26,7 @@
     """The two sets of all volumes of a head. With path None they live in memory alone (simulated days)."""
 
     def __init__(self, path: str | None, most: int = 65_536, most_open: int = 256) -> None:
+        self.whole = WHOLE
         self._most, self._most_open = most, most_open
         self._missed: dict[str, set[int]] = {}
         self._open: dict[str, OrderedDict[int, None]] = {}
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -12,6 +12,7 @@
 
 from harriertrack.cli.main import main
 from harriertrack.config.settings import load
+from harriertrack.decisions.catchup import CatchUp, Told
 from harriertrack.decisions.ranges import RangeLocks
 from harriertrack.decisions.regions import Bounds, Copying, Expiry, Mode, RegionView, Route
 from harriertrack.gateway import regional
@@ -85,7 +86,7 @@
     one.recorded(BOTH, 10 * S)
     assert not one.should_hand_over("", 11 * S - 1)
     one.heard(11 * S)
-    assert one.should_hand_over("", 11 * S) and one.may_join(0, 11 * S) is False
+    assert one.should_hand_over("", 11 * S) and one.may_join(11 * S) is False
 
 
 def test_ticks_bound_a_messages_age_without_comparing_clocks():
@@ -247,6 +248,51 @@
     return load(str(settings)).region.witness
 
 
+def test_catching_up_counts_only_what_was_not_written_since():
+    log = MissedLog(None, most=3)
+    one = CatchUp("v", 4, log)
+    one.missed([0, 1])
+    assert not one.copies([2]) and one.tell(0) is Told.MISSED and one.tell(2) is Told.HELD
+    one.asked()
+    assert one.copies([2]) and not one.copies([1, 2])
+    one.read([0])
+    one.read([1])
+    one.missed([1])  # a write that was not copied, after the read
+    one.caught(0)
+    one.caught(1)
+    assert log.missed("v") == {1}
+    one.caught_all()
+    assert not one.done
+    one.read([1])
+    assert one.copies([1])  # the other head waits with it until it stored what it read
+    one.caught(1)
+    one.caught_all()
+    assert one.done
+    one.missed([3])
+    assert not one.done
+
+
+def test_past_the_bound_every_extent_has_to_be_confirmed():
+    log = MissedLog(None, most=1)
+    one = CatchUp("v", 3, log)
+    one.missed([0, 1])
+    one.asked()
+    assert {one.tell(extent) for extent in range(3)} == {Told.DOUBTFUL} and not one.copies([2])
+    for extent in range(3):
+        one.read([extent])
+        one.caught(extent)
+    assert one.copies([0, 1, 2])
+    one.missed([1])
+    one.caught_all()
+    assert not one.done and one.tell(1) is Told.DOUBTFUL and one.tell(0) is Told.HELD
+    one.read([1])
+    one.caught(1)
+    one.caught_all()
+    assert one.done and not log.missed("v")
+    one.begin()
+    assert not one.joining and not one.done
+
+
 # -- linearizability
 
 
