The witness's record changes only as it was read: transactions with check-index

A call to the witness that was under way for long could put back a record that another holder had changed: PUT ?acquire writes the value whatever it was. Lock, record and unlock are now transactions that check the key's index. Found by rereading; a test shows the late call turned down.

--- a/harriertrack/cli/regions.py
+++ b/harriertrack/cli/regions.py
@@ -106,9 +106,9 @@
             else:
                 session = witness.create(TIMEOUT_US * 2)
                 standing = Standing(lock.standing.home, (other,))
-                if not witness.acquire(volume.name, session, standing):
+                index = witness.take(volume.name, session, standing, lock.index)
+                if not index or not witness.give(volume.name, session, standing, index):
                     fail(f"{volume.name}: somebody took it meanwhile")
-                witness.release(volume.name, session, standing)
                 click.echo(f"{volume.name}: {other} may take it")
 
     _ask(path, use)
--- a/harriertrack/decisions/regions.py
+++ b/harriertrack/decisions/regions.py
@@ -40,7 +40,6 @@
     WAIT = "wait"  # copy it, and acknowledge it when the other region has it
     LATER = "later"  # acknowledge it, and copy it behind
     NOTE = "note"  # acknowledge it, and note that the other region misses it
-    DROP = "drop"  # first have the witness record that the other region is out of sync
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -88,6 +88,7 @@
     handing: bool = False
     copy_session: object = None  # the newest connection of the holder; older ones are not listened to
     wish: str = ""
+    index: int = 0  # of the volume's key at the witness, as last read or written
 
     @property
     def name(self) -> str:
@@ -417,11 +418,19 @@
         """Write the witness's record while holding the lock; return whether it stands."""
         standing = Standing(volume.spread.home, tuple(sorted(in_sync)))
         try:
-            if not self._witness.acquire(volume.name, self.session.id, standing):
-                self.holding.gave(volume.name)
+            index = self._witness.take(volume.name, self.session.id, standing, volume.index)
+            if not index:
+                # Changed meanwhile, perhaps by a call of ours whose answer was lost: look again before the
+                # next try.
+                lock = self._witness.lock(volume.name)
+                if lock is None or lock.session != self.session.id:
+                    self.holding.gave(volume.name)
+                else:
+                    volume.index = lock.index
                 return False
         except FAILURES:
             return False
+        volume.index = index
         volume.view.recorded(in_sync, self._hub.now())
         return True
 
@@ -572,32 +581,32 @@
         view, mine = volume.view, self.session.id
         if lock is None:
             if view.here == view.home:
-                self._acquire(volume, frozenset((view.here, view.other)))
+                self._acquire(volume, Standing(view.home, tuple(sorted((view.here, view.other)))), 0)
             return
+        volume.index = lock.index
         view.free(not lock.session, now)
         if lock.session != mine:
             self.holding.gave(volume.name)
             view.recorded(frozenset(lock.standing.in_sync), now)
             if not lock.session and view.may_take(now, volume.wish):
-                self._acquire(volume, frozenset(lock.standing.in_sync))
+                self._acquire(volume, lock.standing, lock.index)
         elif not self.holding.epoch(volume.name, now):
             self._took(volume, lock)
         else:
             self._tend(volume, now)
 
-    def _acquire(self, volume: RegionalVolume, in_sync: frozenset[str]) -> None:
-        standing = Standing(volume.spread.home, tuple(sorted(in_sync)))
-        if not self._witness.acquire(volume.name, self.session.id, standing):
+    def _acquire(self, volume: RegionalVolume, standing: Standing, index: int) -> None:
+        if not self._witness.take(volume.name, self.session.id, standing, index):
             return
-        # The record may have changed between reading it and taking the lock; now it can't any more.
         lock = self._witness.lock(volume.name)
         if lock is not None and lock.session == self.session.id:
+            volume.index = lock.index
             self._took(volume, lock)
 
     def _took(self, volume: RegionalVolume, lock: Lock) -> None:
         view, in_sync = volume.view, frozenset(lock.standing.in_sync)
         if view.here not in in_sync:
-            self._witness.release(volume.name, self.session.id, lock.standing)
+            self._witness.give(volume.name, self.session.id, lock.standing, lock.index)
             return
         opened = self._log.opened(volume.name)
         if opened and view.other in in_sync:
@@ -650,7 +659,7 @@
             self._log.forget_open(volume.name)
             standing = Standing(volume.spread.home, tuple(sorted(view.in_sync)))
             self.holding.gave(volume.name)
-            if self._witness.release(volume.name, self.session.id, standing):
+            if self._witness.give(volume.name, self.session.id, standing, volume.index):
                 self._note("volume handed over", volume=volume.name, region=view.other)
                 self._send_tick(LOOK_NOW)
         volume.handing = False
--- a/harriertrack/gateway/witness.py
+++ b/harriertrack/gateway/witness.py
@@ -5,8 +5,6 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from harriertrack.membership import leases
 from harriertrack.membership.leases import Lock, Standing, WitnessError
 from harriertrack.protocol.http import Call, HttpError
@@ -65,18 +63,26 @@
             raise WitnessError(f"status {status}")
         return leases.lock_of(body)
 
-    def acquire(self, volume: str, session: str, standing: Standing) -> bool:
-        """Take a volume's lock, or change its record while holding it.
+    def _change(self, verb: str, volume: str, session: str, standing: Standing, index: int) -> int:
+        asked = leases.change_request(volume, verb, session, standing, index)
+        status, body = self._call("PUT", "/v1/txn", asked)
+        if status == 409:
+            return 0
+        if status != 200:
+            raise WitnessError(f"transaction: status {status}")
+        return leases.changed_index(body)
+
+    def take(self, volume: str, session: str, standing: Standing, index: int) -> int:
+        """Take a volume's lock, or change its record while holding it, if its key is as it was read at
+        `index`.
 
-        Return whether the session holds it now.
+        Return the key's new index; 0 if it was changed meanwhile, or another session holds it.
         """
-        target = f"{leases.KEY_PREFIX}{volume}?acquire={session}"
-        return self._must("PUT", target, msgspec.json.encode(standing)).strip() == b"true"
+        return self._change("lock", volume, session, standing, index)
 
-    def release(self, volume: str, session: str, standing: Standing) -> bool:
-        """Give a volume's lock back."""
-        target = f"{leases.KEY_PREFIX}{volume}?release={session}"
-        return self._must("PUT", target, msgspec.json.encode(standing)).strip() == b"true"
+    def give(self, volume: str, session: str, standing: Standing, index: int) -> int:
+        """Give a volume's lock back, under the same condition; return the key's new index, or 0."""
+        return self._change("unlock", volume, session, standing, index)
 
     def wish(self, volume: str) -> str:
         """Return the region that operators wish a volume to be in; "" for none."""
--- a/harriertrack/membership/leases.py
+++ b/harriertrack/membership/leases.py
@@ -1,11 +1,12 @@
 """Who may act: a head's session with the witness, and the lock on each volume that the session holds.
 
-The witness is met through Consul's published HTTP API: a session with a TTL ("Sessions": the server never
-ends it before the TTL, and may do so any time after), and one key a volume that is locked by a session ("KV
-Store": `?acquire`, `?release`). `LockIndex` grows with each acquisition: it is the volume's epoch, which
-storage nodes and the other region's head remember and hold against whoever comes with an older one (Consul
-calls it a sequencer; the reasoning on leases is Gray and Cheriton, "Leases: An Efficient Fault-Tolerant
-Mechanism for Distributed File Cache Consistency", SOSP 1989, section 2).
+The witness is met through Consul's published HTTP API: a session with a TTL ("Session": the server never ends
+it before the TTL, and may do so any time after), and one key for each volume, which a session locks ("KV Store").
+Every change is a transaction on the key as it was last read, so that a call that was under way for long changes
+nothing. `LockIndex` grows with each acquisition: it is the volume's epoch, which storage nodes and the other
+region's head remember and hold against whoever comes with an older one (Consul calls it a sequencer; the
+reasoning on leases is Gray and Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for Distributed File
+Cache Consistency", SOSP 1989, section 2).
 
 A head counts its session from before it asked, and shorter than the TTL by twice the stated error of a
 clock's rate: its own clock may run slow while the witness's runs fast.
@@ -41,6 +42,7 @@
     standing: Standing
     session: str  # "" while nobody holds it
     epoch: int  # LockIndex
+    index: int = 0  # ModifyIndex: changes with every change of the key
 
 
 class WitnessError(Exception):
@@ -48,8 +50,9 @@
 
 
 class _Entry(msgspec.Struct, rename="pascal"):
-    value: str | None
     lock_index: Annotated[int, msgspec.Meta(ge=0)]
+    modify_index: Annotated[int, msgspec.Meta(ge=1)]
+    value: str | None = None
     session: str = ""
 
 
@@ -67,6 +70,37 @@
     )
 
 
+def change_request(volume: str, verb: str, session: str, standing: Standing, index: int) -> bytes:
+    """Write the transaction that locks or unlocks a volume's key if it is still as read (index 0: not there).
+
+    Source: Consul HTTP API, "Transaction": `check-index` with `lock` or `unlock` in one step. Without the
+    check a call that was under way for long could put back a record that was changed meanwhile.
+    """
+    key = KEY_PREFIX.removeprefix("/v1/kv/") + volume
+    check = {"Verb": "check-index", "Key": key, "Index": index}
+    if not index:
+        check = {"Verb": "check-not-exists", "Key": key}
+    value = base64.b64encode(msgspec.json.encode(standing)).decode()
+    change = {"Verb": verb, "Key": key, "Value": value, "Session": session}
+    return msgspec.json.encode([{"KV": check}, {"KV": change}])
+
+
+class _Result(msgspec.Struct):
+    kv: _Entry = msgspec.field(name="KV")
+
+
+class _Results(msgspec.Struct):
+    results: list[_Result] = msgspec.field(name="Results")
+
+
+def changed_index(body: bytes) -> int:
+    """Read the key's new index from a transaction's answer. Raises WitnessError."""
+    try:
+        return msgspec.json.decode(body, type=_Results).results[-1].kv.modify_index
+    except (msgspec.MsgspecError, IndexError) as error:
+        raise WitnessError(str(error)) from error
+
+
 def session_id(body: bytes) -> str:
     """Read the session's id. Raises WitnessError."""
     try:
@@ -80,7 +114,8 @@
     try:
         (entry,) = msgspec.json.decode(body, type=list[_Entry])
         value = base64.b64decode(entry.value or "", validate=True)
-        return Lock(msgspec.json.decode(value, type=Standing), entry.session, entry.lock_index)
+        standing = msgspec.json.decode(value, type=Standing)
+        return Lock(standing, entry.session, entry.lock_index, entry.modify_index)
     except (msgspec.MsgspecError, ValueError) as error:
         raise WitnessError(str(error)) from error
 
--- a/harriertrack/standin/witness.py
+++ b/harriertrack/standin/witness.py
@@ -18,6 +18,7 @@
 
 SESSION = "/v1/session/"
 KV = "/v1/kv/"
+TXN = "/v1/txn"
 
 
 @dataclass(slots=True)
@@ -25,6 +26,7 @@
     value: bytes = b""
     session: str = ""
     lock_index: int = 0
+    modify_index: int = 0
 
 
 class Witness:
@@ -34,7 +36,7 @@
         self._hub, self._network, self._rate = hub, network, clock_rate
         self._sessions: dict[str, tuple[int, int]] = {}  # id: (TTL, when it ends by the witness's clock)
         self._keys: dict[str, _Key] = {}
-        self._number = 0
+        self._number = self._index = 0
         self._listener: Listener | None = None
         self.address = ("127.0.0.1", 0)
         self.down = False
@@ -60,6 +62,7 @@
         for key in self._keys.values():
             if key.session == session:
                 key.session = ""
+                self._changed(key)
 
     def _handle(self, asked: Asked) -> Answer | None:
         if self.down:
@@ -70,21 +73,22 @@
         if target.path.startswith(SESSION):
             action, _, session = target.path.removeprefix(SESSION).partition("/")
             return self._session(action, session, asked.body)
+        if target.path == TXN and asked.method == "PUT":
+            return self._transaction(json.loads(asked.body))
         if not target.path.startswith(KV):
             return Answer(404)
         name = target.path.removeprefix(KV)
         if asked.method == "PUT":
-            return Answer(200, b"true" if self._put(name, query, asked.body) else b"false")
-        key = self._keys.get(name)
-        if key is None:
+            key = self._keys.setdefault(name, _Key())
+            key.value = asked.body
+            self._changed(key)
+            return Answer(200, b"true")
+        known = self._keys.get(name)
+        if known is None:
             return Answer(404)
         if "raw" in query:
-            return Answer(200, key.value)
-        shown = {"Key": name, "LockIndex": key.lock_index, "Flags": 0,
-                 "Value": base64.b64encode(key.value).decode()}  # fmt: skip
-        if key.session:
-            shown["Session"] = key.session
-        return Answer(200, json.dumps([shown]).encode())
+            return Answer(200, known.value)
+        return Answer(200, json.dumps([self._shown(name, known)]).encode())
 
     def _session(self, action: str, session: str, body: bytes) -> Answer:
         if action == "create":
@@ -101,20 +105,45 @@
             self._end(session)
         return Answer(200, json.dumps({"ID": session}).encode())
 
-    def _put(self, name: str, query: dict[str, list[str]], value: bytes) -> bool:
-        key = self._keys.setdefault(name, _Key())
-        if "acquire" in query:
-            (session,) = query["acquire"]
-            if session not in self._sessions or key.session not in ("", session):
-                return False
-            if key.session != session:
-                key.session = session
-                key.lock_index += 1
-                self.grants.append((self._hub.now(), name, session, key.lock_index))
-        elif "release" in query:
-            (session,) = query["release"]
-            if key.session != session:
-                return False
-            key.session = ""
-        key.value = value
-        return True
+    def _changed(self, key: _Key) -> None:
+        self._index += 1
+        key.modify_index = self._index
+
+    def _shown(self, name: str, key: _Key) -> dict[str, object]:
+        value = base64.b64encode(key.value).decode()
+        shown = {"Key": name, "LockIndex": key.lock_index, "ModifyIndex": key.modify_index, "Value": value}
+        return {**shown, "Session": key.session} if key.session else shown
+
+    def _transaction(self, operations: list[dict[str, dict]]) -> Answer:
+        """Do all operations, or none and say 409."""
+        asked = [operation["KV"] for operation in operations]
+        if not all(self._allowed(one) for one in asked):
+            return Answer(409, b'{"Results": null, "Errors": [{"OpIndex": 0, "What": "refused"}]}')
+        results = []
+        for one in asked:
+            name, session = one["Key"], one.get("Session", "")
+            if one["Verb"] in ("lock", "unlock"):
+                key = self._keys.setdefault(name, _Key())
+                key.value = base64.b64decode(one["Value"])
+                if one["Verb"] == "unlock":
+                    key.session = ""
+                elif key.session != session:
+                    key.session = session
+                    key.lock_index += 1
+                    self.grants.append((self._hub.now(), name, session, key.lock_index))
+                self._changed(key)
+                results.append({"KV": self._shown(name, key)})
+        return Answer(200, json.dumps({"Results": results, "Errors": None}).encode())
+
+    def _allowed(self, one: dict) -> bool:
+        key, session = self._keys.get(one["Key"]), one.get("Session", "")
+        match one["Verb"]:
+            case "check-not-exists":
+                return key is None
+            case "check-index":
+                return key is not None and key.modify_index == one["Index"]
+            case "lock":
+                return session in self._sessions and (key is None or key.session in ("", session))
+            case "unlock":
+                return key is not None and key.session == session
+        return False
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -125,7 +125,8 @@
 
 
 def test_witness_answers_that_cannot_be_are_turned_down():
-    for body in (b"", b"[]", b"{}", b'[{"Value": "!", "LockIndex": 1}]', b'[{"Value": null, "LockIndex": 1}]'):
+    for body in (b"", b"[]", b"{}", b'[{"Value": "!", "LockIndex": 1}]', b'[{"Value": null, "LockIndex": 1}]',
+                 b'[{"Value": "e30=", "LockIndex": 1, "ModifyIndex": 1}]'):
         with pytest.raises(leases.WitnessError):
             leases.lock_of(body)
     with pytest.raises(leases.WitnessError):
@@ -225,14 +226,19 @@
         def take(client_hub):
             client = WitnessClient(client_hub, SocketNetwork(client_hub), witness_of(settings), S, "head")
             session = client.create(30 * S)
-            assert client.acquire("v", session, leases.Standing("a", ("a",)))
-            return client, session
+            index = client.take("v", session, leases.Standing("a", ("a",)), 0)
+            # A call that was under way for long finds the key changed, and puts nothing back.
+            assert index and not client.take("v", session, leases.Standing("a", ("a", "b")), 0)
+            assert not client.give("v", session, leases.Standing("a", ("a", "b")), index - 1)
+            other = client.create(30 * S)
+            assert not client.take("v", other, leases.Standing("a", ("a",)), index)
+            return client, session, index
 
         mine = Hub()
-        client, session = mine.run(take, mine)
+        client, session, index = mine.run(take, mine)
         assert "held, epoch 1, in sync: a (ONE COPY)" in run("status").output
         assert "still held" in run("fence", "a").output
-        mine.run(client.release, "v", session, leases.Standing("a", ("a",)))
+        assert mine.run(client.give, "v", session, leases.Standing("a", ("a",)), index)
         assert "say --yes" in run("fence", "a").output
         assert "b may take it" in run("fence", "a", "--yes").output
         assert "in sync: b" in run("status").output
@@ -399,9 +405,9 @@
         for volume in self.volumes:
             lock = client.lock(volume.name)
             if "b" not in lock.standing.in_sync:
-                session = client.create(10 * S)
-                assert client.acquire(volume.name, session, leases.Standing(lock.standing.home, ("b",)))
-                assert client.release(volume.name, session, leases.Standing(lock.standing.home, ("b",)))
+                session, alone = client.create(10 * S), leases.Standing(lock.standing.home, ("b",))
+                index = client.take(volume.name, session, alone, lock.index)
+                assert client.give(volume.name, session, alone, index)
         self.hub.sleep(2 * S)
         self.after = self.layer("b")
         self.start_head(slot)
