--- a/harriertrack/membership/leases.py
+++ b/harriertrack/membership/leases.py
@@ -1,12 +1,12 @@
 """Who may act: a head's session with the witness, and the lock on each volume that the session holds.
 
 The witness is met through Consul's published HTTP API: a session with a TTL ("Session": the server never ends
-it before the TTL, and may do so any time after), and one key for each volume, which a session locks ("KV Store").
-Every change is a transaction on the key as it was last read, so that a call that was under way for long changes
-nothing. `LockIndex` grows with each acquisition: it is the volume's epoch, which storage nodes and the other
-region's head remember and hold against whoever comes with an older one (Consul calls it a sequencer; the
-reasoning on leases is Gray and Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for Distributed File
-Cache Consistency", SOSP 1989, section 2).
+it before the TTL, and may do so any time after), and one key for each volume, which a session locks ("KV
+Store"). Every change is a transaction on the key as it was last read, so that a call that was under way for
+long changes nothing. `LockIndex` grows with each acquisition: it is the volume's epoch, which storage nodes
+and the other region's head remember and hold against whoever comes with an older one (Consul calls it a
+sequencer; the reasoning on leases is Gray and Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for
+Distributed File Cache Consistency", SOSP 1989, section 2).
 
 A head counts its session from before it asked, and shorter than the TTL by twice the stated error of a
 clock's rate: its own clock may run slow while the witness's runs fast.
