Every send is stamped at the sender too; throughput of two regions

The drain rule of two regions asks for time stamps at both ends: a rig records each hand-over of an attempt to its link, and the rule holds at the sender without any allowance. The measurement of two regions gets the throughput under overload in both modes.

--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -21,6 +21,7 @@
 
 NAMES = [name for name in days.names() if name.startswith("two-regions")]
 DARK = "two-regions-dark"
+OVERLOAD = 900.0  # requests a second
 
 
 def measure(name: str, seed: int, mode: Mode) -> dict[str, float]:
@@ -52,11 +53,22 @@
     return figures
 
 
+def throughput(seed: int, mode: Mode) -> float:
+    """Return how many requests a second are served of far more than the nodes can do."""
+    day = days.load("two-regions-calm")
+    assert day.two_regions is not None
+    spread = msgspec.structs.replace(day.two_regions, mode=mode)
+    day = msgspec.structs.replace(day, two_regions=spread, rate=OVERLOAD, retries=0, length_us=8_000_000)
+    records = play(day, seed, virtual=True).records
+    return sum(isinstance(one, rec.Answer) and one.outcome == "served" for one in records) / 8
+
+
 def main(seeds: int = 20) -> None:
     """Play all days on all cores and print a table."""
     jobs = [(name, seed, mode) for name in NAMES for mode in Mode for seed in range(1, seeds + 1)]
     with ProcessPoolExecutor(max_workers=os.cpu_count()) as pool:
         results = dict(zip(jobs, pool.map(measure, *zip(*jobs, strict=True)), strict=True))
+        rates = {mode: list(pool.map(throughput, range(1, 6), [mode] * 5)) for mode in Mode}
     print("| day | mode | served | of the calm day | write p50 ms | read p50 ms | breaches | more |")
     print("| --- " * 8 + "|")
     calm = {mode: [results["two-regions-calm", seed, mode] for seed in range(1, seeds + 1)] for mode in Mode}
@@ -79,6 +91,8 @@
                 more,
             )
             print(f"| {' | '.join(cells)} |")
+    both, home = (statistics.median(rates[mode]) for mode in (Mode.BOTH, Mode.HOME))
+    print(f"\nServed a second when {OVERLOAD:.0f} are asked: both {both:.0f}, home {home:.0f}, ratio {both / home:.2f}")
 
 
 if __name__ == "__main__":
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -37,6 +37,7 @@
         self._timer: Timer | None = None
         self._stopping = Event(hub)
         self.ready = Event(hub)
+        self.trace: Callable[[Attempt], None] | None = None  # hears of every send, for rigs that stamp them
         self.address = settings.listen
         self.core: Core
         self.nodes = NodeList()
@@ -97,6 +98,8 @@
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
+        if self.trace is not None:
+            self.trace(attempt)
         self._links.send(attempt)
 
     def call_off(self, attempt: Attempt) -> None:
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from harriertrack.config.settings import (
     ClassSettings,
@@ -23,6 +24,7 @@
     check_head,
 )
 from harriertrack.decisions.interface import Effect, NodeEntry, NodeState
+from harriertrack.decisions.requests import Attempt
 from harriertrack.gateway.head import Head, quiet
 from harriertrack.lab.day import DaySettings
 from harriertrack.lab.load import Connection, Flow, Habits
@@ -284,6 +286,7 @@
         """Start a head with nothing but what it kept on disk."""
         slot.head = Head(self.hub, self.network, slot.settings, quiet, slot.extents(), slot.name,
                          slot.missed())  # fmt: skip
+        slot.head.trace = partial(self._stamp, slot.head.head_id)
         slot.task = self.scope.spawn(slot.name, slot.head.run)
         slot.head.ready.wait()
         address, number = slot.head.address, slot.head.head_id
@@ -291,6 +294,11 @@
         for connection in slot.connections:
             connection.address = address
 
+    def _stamp(self, head: int, attempt: Attempt) -> None:
+        """Record the sender's time of a send."""
+        key, node = attempt.part.number, attempt.member.entry.node
+        self.recorder.add(rec.Sent(t=self.hub.now(), head=head, key=key, attempt=attempt.number, node=node))
+
     def kill_head(self, slot: HeadSlot) -> None:
         """Kill a head outright: nothing is answered or sent any more, and its connections break."""
         assert slot.task is not None
--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -65,6 +65,7 @@
         self.classes = {one.name: one for one in self.facts.classes}
         self.asked: list[Asked] = []
         self.got: list[rec.Got] = []
+        self.sent: list[rec.Sent] = []
         self.attempts: dict[tuple[int, int], list[rec.Got]] = defaultdict(list)
         self.ran: dict[tuple[int, int], list[rec.Ran]] = defaultdict(list)
         self.said: dict[tuple[int, int, int], list[rec.Said]] = defaultdict(list)
@@ -106,6 +107,8 @@
                     for client in by_head[record.head]:
                         for asked in open_of.pop(client, {}).values():
                             asked.excused_at = record.t
+                case rec.Sent():
+                    self.sent.append(record)
                 case rec.Got():
                     self.got.append(record)
                     self.attempts[record.head, record.key].append(record)
@@ -230,24 +233,14 @@
 
 def drains_kept(story: Story) -> Iterator[Breach]:
     """Rule 3: nothing new to a node later than the grace after the head was told."""
-    told: dict[tuple[int, str], list[rec.Told]] = defaultdict(list)
+    news: dict[tuple[int, str], list[rec.Told]] = defaultdict(list)
     for one in story.told:
-        told[one.head, one.node].append(one)
-    for got in story.got:
-        news = told.get((got.head, got.node), ())
-        since: int | None = None
-        for one in news:
-            if one.t > got.t:
-                break
-            since = None if one.state == "up" else one.t if since is None else since
-        if since is not None and got.t > since + story.facts.drain_grace_us + story.facts.flight_us:
-            late = got.t - since
-            yield Breach(
-                3,
-                got.t,
-                f"{story.heads.get(got.head, got.head)} to {got.node}",
-                f"sent {late} us after it was told of the drain",
-            )
+        news[one.head, one.node].append(one)
+    for t, head, node, flight in _sends(story):
+        late = _after_drain(news.get((head, node), ()), t)
+        if late > story.facts.drain_grace_us + flight:
+            who = f"{story.heads.get(head, head)} to {node}"
+            yield Breach(3, t, who, f"sent {late} us after it was told of the drain")
 
 
 def drains_kept_by_all(story: Story) -> Iterator[Breach]:
@@ -257,14 +250,28 @@
     news: dict[str, list[rec.Told]] = defaultdict(list)
     for one in story.told:
         news[one.node].append(one)
+    for t, _, node, flight in _sends(story):
+        late = _after_drain(news[node], t)
+        if late > story.facts.drain_grace_us + flight:
+            yield Breach(3, t, node, f"sent {late} us after some head was told of the drain")
+
+
+def _sends(story: Story) -> Iterator[tuple[int, int, str, int]]:
+    """Yield (time, head, node, allowance) of each send: by the sender's stamp, and by the receiver's."""
+    for sent in story.sent:
+        yield sent.t, sent.head, sent.node, 0
     for got in story.got:
-        since: int | None = None
-        for one in news[got.node]:
-            if one.t > got.t:
-                break
-            since = None if one.state == "up" else one.t if since is None else since
-        if since is not None and got.t > since + story.facts.drain_grace_us + story.facts.flight_us:
-            yield Breach(3, got.t, got.node, f"sent {got.t - since} us after some head was told of the drain")
+        yield got.t, got.head, got.node, story.facts.flight_us
+
+
+def _after_drain(news: Iterable[rec.Told], t: int) -> int:
+    """Return how long after the news of a drain that still holds a moment is; below 0 if none does."""
+    since: int | None = None
+    for one in news:
+        if one.t > t:
+            break
+        since = None if one.state == "up" else one.t if since is None else since
+    return -1 if since is None else t - since
 
 
 def cold_nodes_spared(story: Story) -> Iterator[Breach]:
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -125,6 +125,16 @@
     value: int = 0
 
 
+class Sent(msgspec.Struct, kw_only=True, tag="sent", tag_field="what"):
+    """A head handed an attempt to its link: the sender's time stamp beside the receiver's (`Got`)."""
+
+    t: int
+    head: int
+    key: int
+    attempt: int
+    node: str
+
+
 class Got(msgspec.Struct, kw_only=True, tag="got", tag_field="what"):
     """A node received a request. `head` and `key` are 0 where the extension was not negotiated."""
 
@@ -185,7 +195,9 @@
     warm_us: int = 0
 
 
-Record = Facts | Head | Stood | Take | Answer | Left | Got | Ran | Said | Told | Node | Called | Returned
+Record = (
+    Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
+)
 _DECODER = msgspec.json.Decoder(Record)
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -87,6 +87,7 @@
     "keyed after its window": (2, lambda: good().take(9, 10, "write", "keyed").got(9, 11, "write").got(9, S + 1012, "write", 1).answer(9, S + 1013, "failed")),
     "refused though it ran": (2, lambda: good().take(9, 10, "write", "keyed").got(9, 11, "write").ran(9, 12).answer(9, 13, "refused")),
     "after a drain": (3, lambda: good().told(5).told(10, "draining").take(9, S + 900).got(9, S + 1011).answer(9, S + 1012)),
+    "after a drain, by the sender's stamp": (3, lambda: good().told(10, "draining").add(rec.Sent(t=S + 11, head=HEAD, key=9, attempt=0, node="n"))),
     "fell over": (4, lambda: good().add(rec.Node(t=9, node="n", state="fell"))),
     "out of order": (5, lambda: good().take(8, 10, name="line", place=0).take(9, 11, name="line", place=8192).got(9, 12, place=8192).got(8, 13, place=0).answer(8, 20).answer(9, 20)),
     "two of a key at once": (5, lambda: good().take(8, 10, name="line", place=0).take(9, 11, name="line", place=8192).got(8, 12, place=0).got(9, 13, place=8192).answer(8, 5000).answer(9, 5000)),
