--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -92,7 +92,8 @@
             )
             print(f"| {' | '.join(cells)} |")
     both, home = (statistics.median(rates[mode]) for mode in (Mode.BOTH, Mode.HOME))
-    print(f"\nServed a second when {OVERLOAD:.0f} are asked: both {both:.0f}, home {home:.0f}, ratio {both / home:.2f}")
+    told = f"both {both:.0f}, home {home:.0f}, ratio {both / home:.2f}"
+    print(f"\nServed a second when {OVERLOAD:.0f} are asked: {told}")
 
 
 if __name__ == "__main__":
