Catching up goes on after kills; connections of a cancelled client are closed

A test kills heads of both regions in the middle of catching up: in the end both regions are in sync and hold the same bytes. It found that a killed head's connection to the other head stayed open, so that a relayed read went on after its client was gone.

--- a/harriertrack/gateway/client.py
+++ b/harriertrack/gateway/client.py
@@ -103,7 +103,8 @@
             pass
         except ProtocolViolation as error:
             self.violation = str(error)
-        self._stream.close()
+        finally:  # also when the task is cancelled: the server must hear of it
+            self._stream.close()
         lost, self._callbacks = self._callbacks, {}
         for callback in lost.values():
             callback(None)
--- a/harriertrack/gateway/peer.py
+++ b/harriertrack/gateway/peer.py
@@ -14,7 +14,7 @@
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.extension import COPY_CONTEXT, RELAY_CONTEXT, TOKEN_SHIFT, context_of
 from harriertrack.protocol.nbd.wire import Command, ProtocolViolation
-from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope
+from harriertrack.runtime.hub import Cancelled, DeadlineExceeded, Hub, Scope
 from harriertrack.runtime.streams import Network
 
 DIAL_US = 500_000
@@ -88,6 +88,9 @@
                 raise NbdClientError("the other head does not know this context")
         except (OSError, DeadlineExceeded, ProtocolViolation, NbdClientError):
             client.abort()
+        except Cancelled:
+            client.abort()
+            raise
         else:
             client.on_lost = self._lost
             self._client = client
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -460,6 +460,39 @@
     assert one.settled()
 
 
+class InterruptedRig(regions.RegionRig):
+    """Region b is cut off and catches up, while heads of both regions are killed in the middle of it."""
+
+    def build(self):
+        super().build()
+        self.scope.spawn("fate", self.fate)
+
+    def fate(self):
+        self.hub.sleep(2 * S)
+        self.cut("b", True)
+        self.hub.sleep(3 * S)
+        self.cut("b", False)
+        for region in ("b", "a", "b", "b"):
+            self.hub.sleep(self.random.randrange(300_000, 2_500_000))
+            slot = self.slots[region]
+            self.kill_head(slot)
+            self.hub.sleep(200_000)
+            self.start_head(slot)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_catching_up_is_taken_up_again_after_kills(seed):
+    hub = Hub.virtual(seed)
+    day = msgspec.structs.replace(days.load("two-regions-calm"), length_us=26 * S, unit_us=400, request_us=400,
+                                  volume_bytes=2 << 20, rate=40.0)  # fmt: skip
+    one = InterruptedRig(hub, MemoryNetwork(hub), day, seed, rec.Recorder())
+    hub.run(one.run)
+    assert [str(breach) for breach in checker.check(one.recorder.records)] == []
+    assert one.settled()
+    for volume in one.volumes:
+        assert regions_bytes(one, "a", volume) == regions_bytes(one, "b", volume)
+
+
 class MovedRig(regions.RegionRig):
     """An operator wishes a volume into the other region, and takes the wish back."""
 
