--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -57,7 +57,6 @@
     ticket: Ticket | None = None
     timer: Timer | None = None
     inner: ClientRequest | None = None
-    answered: bool = False
     copying_since: int = 0
     data: bytes | None = None  # what was read back after a write whose effect is not known
     joins: bool = False  # its copy is not needed for an answer, but to get the other region in sync
--- a/harriertrack/runtime/hub.py
+++ b/harriertrack/runtime/hub.py
@@ -546,10 +546,6 @@
         self._set = False
         self._waiters = Waiters(hub)
 
-    def is_set(self) -> bool:
-        """Return whether the flag is up."""
-        return self._set
-
     def set(self) -> None:
         """Raise the flag and wake all that wait."""
         self._set = True
--- a/tests/test_nbd_codec.py
+++ b/tests/test_nbd_codec.py
@@ -333,6 +333,20 @@
     assert client.state is ClientState.CLOSED
 
 
+def test_both_sides_speak_export_name_with_and_without_zeroes():
+    client, one = ClientConnection(), ServerConnection(Exports())
+    client.receive(b"".join(one.take_outgoing()))
+    client.ask_export_name("disk")
+    one.receive(b"".join(client.take_outgoing()))
+    (done,) = client.receive(b"".join(one.take_outgoing()))
+    assert (done.size, done.flags) == (1 << 20, 0xD6D & ~TransmissionFlags.SEND_DF)
+    assert client.state is ClientState.TRANSMISSION
+    old = ClientConnection()
+    old.receive(b"NBDMAGICIHAVEOPT\0\x01")  # a server that knows no NO_ZEROES sends them
+    old.ask_export_name("disk")
+    assert old.receive(bytes(133)) == [] and old.receive(b"\0")[0].size == 0
+
+
 def test_an_unknown_error_chunk_is_an_error():
     client = opened_client()
     client.request(Command.READ, 1, 0, 4)
