--- a/harriertrack/cli/common.py
+++ b/harriertrack/cli/common.py
@@ -22,7 +22,8 @@
 
 def logger(form: str, quiet: bool = False) -> Callable[..., None]:
     """Set logging up; return what logs one event with its fields, to standard error."""
-    renderer: Any = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer()
+    console = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    renderer: Any = structlog.processors.JSONRenderer() if form == "json" else console
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
