Region layer: the read-back uses the one joining of pieces; unused members out

Rereading the change found the joining of a read's pieces written twice, a field that one line used, and an event nobody waited for. Behaviour as before.

--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -59,7 +59,6 @@
     inner: ClientRequest | None = None
     copying_since: int = 0
     data: bytes | None = None  # what was read back after a write whose effect is not known
-    joins: bool = False  # its copy is not needed for an answer, but to get the other region in sync
 
     def answer(self, inner: ClientRequest) -> None:
         """Take the core's answer."""
@@ -287,9 +286,7 @@
         if inner.outcome is not Outcome.SERVED:
             self._hub.at(self._hub.now() + CATCH_UP_US, lambda: self._after_unknown(work))
             return
-        work.data = b"".join(
-            piece.data if isinstance(piece, Part) else bytes(piece) for piece in inner.pieces
-        )
+        work.data = bytes_of(inner)
         self._held(work)
 
     def _held(self, work: Work) -> None:
@@ -309,8 +306,7 @@
                 self._answer(work.request, Outcome.SERVED)
                 self._release(work)
             case _:
-                work.joins = volume.catch_up.copies(work.extents)
-                if work.joins:
+                if volume.catch_up.copies(work.extents):
                     self._answer(work.request, Outcome.SERVED)
                     self._copy_begins(work)
                 else:
@@ -397,10 +393,9 @@
         self._note("copy lost", volume=volume.name, region=volume.view.other)
         alone = frozenset((volume.view.here,))
         while self.holding.epoch(volume.name, self._hub.now()) == epoch:
+            # On disk before the witness hears, so that a kill between the two loses nothing.
             for work in volume.copying:
-                self._miss(
-                    work
-                )  # on disk before the witness hears, so that a kill between the two loses nothing
+                self._miss(work)
             if self._record(volume, alone):
                 break
             self._hub.sleep(RETRY_US * 5)
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -31,7 +31,7 @@
 from harriertrack.lab.model import SECTOR, VolumeModel
 from harriertrack.membership.nodes import Member
 from harriertrack.rules import recording as rec
-from harriertrack.runtime.hub import Event, Hub, Scope, Task
+from harriertrack.runtime.hub import Hub, Scope, Task
 from harriertrack.runtime.streams import MemoryNetwork, Network, SocketNetwork
 from harriertrack.standin.listservice import ListService
 from harriertrack.standin.shelf import Meter, Rack, Shelf
@@ -92,7 +92,6 @@
         self.heads: list[HeadSlot] = []
         self.flows: list[Flow] = []
         self.habits = Habits(day.retries, day.backoff_us)
-        self.over = Event(hub)
         self.scope: Scope
         self._seed, self._state_dir, self._two = seed, state_dir, day.two_regions is not None
         self._racks = [Rack(day.extent_bytes) for _ in range(day.nodes * (2 if day.two_regions else 1))]
