One joining of neighbouring extents serves block status and what a region misses

Two loops cut a range at extents and joined equal neighbours by hand; both now use cut and runs. Answers as before: block status, catching up and checksum tests pass unchanged.

--- a/harriertrack/decisions/splitting.py
+++ b/harriertrack/decisions/splitting.py
@@ -41,6 +41,18 @@
         offset = stop
 
 
+def runs(pieces: Iterable[tuple[int, int]]) -> Iterator[tuple[int, int]]:
+    """Join neighbouring (length, flags) with the same flags."""
+    length, flags = 0, 0
+    for more, its in pieces:
+        if length and its != flags:
+            yield length, flags
+            length = 0
+        length, flags = length + more, its
+    if length:
+        yield length, flags
+
+
 def whole_outcome(given_up: PartState, others: Iterable[tuple[PartState, bool]], changes: bool) -> Outcome:
     """Return the answer to a request one part of which was given up on.
 
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -9,10 +9,11 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from itertools import islice
 
 from harriertrack.config.settings import HeadSettings
 from harriertrack.decisions.requests import ClientRequest, Core, Origin, Part
-from harriertrack.decisions.splitting import Kind, Outcome, cut
+from harriertrack.decisions.splitting import Kind, Outcome, cut, runs
 from harriertrack.gateway.links import COMMANDS
 from harriertrack.gateway.regional import Regional, digest_of
 from harriertrack.protocol.nbd.extension import COPY_CONTEXT, RELAY_CONTEXT, Report, identity_of
@@ -248,19 +249,12 @@
         self._push()
 
     def _status(self, event: Request) -> Iterable[tuple[int, int]]:
-        """Yield what is allocated: extents that were never written are holes."""
-        core = self._front.core
-        run, state = 0, 0
-        for extent, _, length in cut(event.offset, event.length, self._front.settings.extent_bytes):
-            hole = core.shard_of(core.volumes[self._volume], extent) is None
-            flags = int(ExtentFlags.HOLE | ExtentFlags.ZERO) if hole else 0
-            if run and flags != state:
-                yield run, state
-                if event.flags & CommandFlags.REQ_ONE:
-                    return
-                run = 0
-            run, state = run + length, flags
-        yield run, state
+        """Return what is allocated: extents that were never written are holes."""
+        core, hole = self._front.core, int(ExtentFlags.HOLE | ExtentFlags.ZERO)
+        volume = core.volumes[self._volume]
+        pieces = cut(event.offset, event.length, self._front.settings.extent_bytes)
+        told = runs((length, hole if core.shard_of(volume, at) is None else 0) for at, _, length in pieces)
+        return islice(told, 1) if event.flags & CommandFlags.REQ_ONE else told
 
     def answer(self, request: ClientRequest) -> None:
         """Give a request its one final answer."""
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -22,7 +22,7 @@
 from harriertrack.decisions.ranges import RangeLocks, Ticket
 from harriertrack.decisions.regions import Bounds, Copying, Expiry, RegionView, Route
 from harriertrack.decisions.requests import CHANGING, ClientRequest, Core, Origin, Part
-from harriertrack.decisions.splitting import Kind, Outcome
+from harriertrack.decisions.splitting import Kind, Outcome, cut, runs
 from harriertrack.gateway.links import COMMANDS, Links
 from harriertrack.gateway.peer import Peer, PeerLink
 from harriertrack.gateway.witness import FAILURES, WitnessClient
@@ -513,16 +513,8 @@
         one = self.volumes[volume]
         if self.holding.epoch(volume, self._hub.now()):
             one.catch_up.asked()
-        told: list[tuple[int, int]] = []
-        size = self.extent_bytes
-        for start in range(offset - offset % size, offset + length, size):
-            flag = int(one.catch_up.tell(start // size))
-            piece = min(start + size, offset + length) - max(start, offset)
-            if told and told[-1][1] == flag:
-                told[-1] = (told[-1][0] + piece, flag)
-            else:
-                told.append((piece, flag))
-        return told
+        pieces = cut(offset, length, self.extent_bytes)
+        return list(runs((piece, int(one.catch_up.tell(extent))) for extent, _, piece in pieces))
 
     def caught(self, volume: str, offset: int, length: int) -> None:
         """The other head holds an extent as it last read it; with length 0, it misses nothing."""
