--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -12,7 +12,6 @@
 
 from harriertrack.cli.common import fail, logger, run_until_signal, settings_of
 from harriertrack.cli.days import day, rules
-from harriertrack.cli.lab import lab, load as load_command
 from harriertrack.cli.regions import region
 from harriertrack.config.settings import HeadSettings, ShelfSettings, load
 from harriertrack.config.sexp import SettingsError
@@ -35,7 +34,23 @@
 )
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+class LazyGroup(click.Group):
+    """Imports the laboratory only when it is asked for: it would triple the start of every other command."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Name all commands."""
+        return sorted([*super().list_commands(ctx), "lab", "load"])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Return a command by its name."""
+        if cmd_name in ("lab", "load"):
+            from harriertrack.cli import lab
+
+            return lab.lab if cmd_name == "lab" else lab.load
+        return super().get_command(ctx, cmd_name)
+
+
+@click.group(cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
     """A storage gateway: heads that decide when and to which storage node each request goes."""
 
@@ -109,8 +124,6 @@
     click.echo("stopped")
 
 
-main.add_command(lab)
-main.add_command(load_command)
 main.add_command(day)
 main.add_command(region)
 main.add_command(rules)
--- a/harriertrack/lab/arrivals.py
+++ b/harriertrack/lab/arrivals.py
@@ -89,7 +89,8 @@
     if settings is None:
         return []
     rng = np.random.default_rng([seed, 1])
-    surges, at = [], 0.0
+    surges: list[Surge] = []
+    at = 0.0
     while True:
         at += rng.exponential(settings.every_us)
         if at >= until_us:
--- a/harriertrack/standin/service.py
+++ b/harriertrack/standin/service.py
@@ -5,10 +5,6 @@
 import math
 from typing import Any
 
-import numpy as np
-from scipy import stats
-from scipy.optimize import brentq
-
 from harriertrack.config.settings import Service
 
 BLOCK = 4096  # draws made at once: one by one, scipy would cost more than the rest of the model
@@ -22,6 +18,8 @@
     """
     if kind is Service.FIXED or not cv:
         return None
+    from scipy import stats  # takes long to import: heads and nodes without a spread don't pay for it
+
     if not 0.01 <= cv <= 10:
         raise ValueError(f"a coefficient of variation of {cv} is outside 0.01 to 10")
     match kind:
@@ -40,6 +38,8 @@
 def _weibull_shape(cv: float) -> float:
     """Find the shape that gives a coefficient of variation: it falls as the shape grows."""
 
+    from scipy.optimize import brentq
+
     def excess(shape: float) -> float:
         log_ratio = math.lgamma(1 + 2 / shape) - 2 * math.lgamma(1 + 1 / shape)
         return log_ratio - math.log1p(cv**2)
@@ -52,8 +52,11 @@
 
     def __init__(self, kind: Service, cv: float, seed: int) -> None:
         self._distribution = distribution(kind, cv)
-        self._rng = np.random.default_rng(seed)
         self._drawn: list[float] = []
+        if self._distribution is not None:
+            import numpy as np
+
+            self._rng = np.random.default_rng(seed)
 
     def next(self) -> float:
         """Return the next factor."""
