--- a/harriertrack/cli/days.py
+++ b/harriertrack/cli/days.py
@@ -11,6 +11,7 @@
 from harriertrack.cli.common import BAD_INPUT, fail
 from harriertrack.config.sexp import SettingsError
 from harriertrack.lab import day as days
+from harriertrack.lab.emulator import emulate
 from harriertrack.lab.rig import play
 from harriertrack.rules import checker, recording as rec
 
@@ -47,8 +48,8 @@
         click.echo(f"{name:16} {days.load(name).about}")
 
 
-def _judge(name: str, seed: int) -> tuple[int, dict[str, int], list[str]]:
-    records = play(days.load(name), seed, virtual=True).records
+def _judge(name: str, seed: int, emulated: bool) -> tuple[int, dict[str, int], list[str]]:
+    records = _records(days.load(name), seed, not emulated, emulated)
     return seed, checker.summary(records), [str(breach) for breach in checker.check(records)]
 
 
@@ -57,28 +58,42 @@
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="The (first) seed.")
 @click.option("--seeds", type=click.IntRange(1), default=1, help="How many seeds (virtual only).")
 @click.option("--virtual", is_flag=True, help="On the virtual clock, where the verdict repeats exactly.")
+@click.option("--emulated", is_flag=True, help="In the emulator: simulated time, any number of machines.")
 @click.option("--json", "path", type=click.Path(dir_okay=False), help="Write the recording, JSON lines.")
-def day_run(name: str, seed: int, seeds: int, virtual: bool, path: str | None) -> None:
+def day_run(name: str, seed: int, seeds: int, virtual: bool, emulated: bool, path: str | None) -> None:
     """Play the day NAME (or a file's) and judge it. Exit code 1 if a rule is broken."""
     try:
         settings = days.load(name)
     except SettingsError as error:
         fail(str(error))
+    if virtual and emulated:
+        fail("choose one of --virtual and --emulated")
     if seeds > 1:
-        if not virtual or path:
-            fail("--seeds needs --virtual and takes no --json")
-        sys.exit(_many(name, range(seed, seed + seeds)))
+        if not (virtual or emulated) or path:
+            fail("--seeds needs --virtual or --emulated and takes no --json")
+        sys.exit(_many(name, range(seed, seed + seeds), emulated))
     try:
-        recorder = play(settings, seed, virtual, path)
+        sys.exit(verdict(_records(settings, seed, virtual, emulated, path)))
     except OSError as error:
         fail(str(error))
-    sys.exit(verdict(recorder.records))
 
 
-def _many(name: str, seeds: range) -> int:
+def _records(settings: days.DaySettings, seed: int, virtual: bool, emulated: bool,
+             path: str | None = None) -> list[rec.Record]:  # fmt: skip
+    if not emulated:
+        return play(settings, seed, virtual, path).records
+    recorder = rec.Recorder(path)
+    try:
+        emulate(settings, seed, recorder)
+    finally:
+        recorder.close()
+    return recorder.records
+
+
+def _many(name: str, seeds: range, emulated: bool) -> int:
     broken = 0
     with ProcessPoolExecutor(max_workers=os.cpu_count()) as pool:
-        for job in as_completed([pool.submit(_judge, name, seed) for seed in seeds]):
+        for job in as_completed([pool.submit(_judge, name, seed, emulated) for seed in seeds]):
             seed, counts, breaches = job.result()
             broken += bool(breaches)
             click.echo(f"seed {seed}: {counts['requests']} requests, {len(breaches)} breaches")
