--- a/harriertrack/lab/emulator.py
+++ b/harriertrack/lab/emulator.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import gc
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -608,5 +609,10 @@
     rig.maker = maker
     if watch is not None:
         hub.at(hub.now(), lambda: watch(rig))
-    hub.run(rig.run)
+    before = gc.get_threshold()
+    gc.set_threshold(50_000, 20, 20)  # requests and parts refer to each other, and most live for long
+    try:
+        hub.run(rig.run)
+    finally:
+        gc.set_threshold(*before)
     return rig
