--- /dev/null
+++ b/benchmarks/generator.py
@@ -0,0 +1,98 @@
+"""The generator's percentiles against its server's own, over loopback, with a server that stalls for 10 s.
+
+    python -m benchmarks.generator
+
+A storage node stand-in in a process of its own keeps a histogram from each request's arrival to its answer;
+the generator counts from each request's intended start. Prints both, and by how much they differ.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import signal
+from multiprocessing.connection import Connection
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from harriertrack.config.settings import ShelfSettings, VolumeSettings
+from harriertrack.config.sexp import read_text
+from harriertrack.lab.generator import Generator, parse_load
+from harriertrack.lab.scores import histogram, packed, unpacked
+from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.streams import SocketNetwork
+from harriertrack.standin.node import Rack, Work
+from harriertrack.standin.shelf import Shelf
+
+LOADS = {
+    "plateau": "(phase plateau (for 20s) (rate 400))",
+    "ramp 200 to 2000": "(phase ramp (for 20s) (rate 200) (to 2000))",
+}
+STALL_AT_US, STALL_US = 4_000_000, 10_000_000
+PERCENTS = (50.0, 90.0, 99.0, 99.9, 100.0)
+
+
+class Measured(Shelf):
+    """A storage node with a histogram of its own."""
+
+    took: HdrHistogram
+
+    def said(self, work: Work, result: str) -> Any:
+        """Record how long an answer took here."""
+        self.took.record_value(max(1, self.timing.now() - work.arrived))
+        return super().said(work, result)
+
+
+def serve(pipe: Connection, stalls: bool) -> None:
+    """Run the node until asked for its histogram (a process)."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    hub = Hub()
+    volume = VolumeSettings(name="disk", size_bytes=64 << 20, plan="p")
+    settings = ShelfSettings(
+        listen=("127.0.0.1", 0), volumes=(volume,), cores=256, request_us=30_000, unit_us=0, queue=1_000_000
+    )
+
+    def main() -> None:
+        with hub.scope("node") as scope:
+            node = Measured(hub, SocketNetwork(hub), settings, Rack(settings.extent_bytes))
+            node.took = histogram()
+            node.start(scope)
+            pipe.send(node.address)
+            if stalls:
+                hub.sleep(STALL_AT_US)
+                node.pause(STALL_US)
+            while not pipe.poll():
+                hub.sleep(50_000)
+            pipe.send(packed(node.took))
+            scope.cancel()
+
+    hub.run(main)
+
+
+def main() -> None:
+    """Measure each load, with and without the stall."""
+    print("| load | stall | requests | fit | percent | generator ms | server ms | differs |")
+    print("| --- " * 8 + "|")
+    for name, phase in LOADS.items():
+        for stalls in (False, True):
+            pipe, theirs = multiprocessing.Pipe()
+            process = multiprocessing.Process(target=serve, args=(theirs, stalls))
+            process.start()
+            host, port = pipe.recv()
+            text = f'(load "b" (volume "disk" (address {host} {port}) (connections 4)) {phase})'
+            hub, load = Hub(), parse_load(read_text(text, "load"), "load")
+            result = hub.run(Generator(hub, SocketNetwork(hub), load).run)
+            pipe.send("done")
+            own, mine = unpacked(pipe.recv()), histogram()
+            process.join()
+            for kind in result.latency.values():
+                mine.add(unpacked(kind))
+            for percent in PERCENTS:
+                here, there = (one.get_value_at_percentile(percent) / 1000 for one in (mine, own))
+                stall = "10 s" if stalls else "none"
+                print(f"| {name} | {stall} | {result.served} | {result.fit} | {percent:g} | {here:.2f} | "
+                      f"{there:.2f} | {here / there - 1:+.2%} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/harriertrack/cli/lab.py
+++ b/harriertrack/cli/lab.py
@@ -163,7 +163,9 @@
         compared = None
         if plan is not None:
             compared = _comparison(_plan(plan), _done(results))
-        report.write(html, report.run_report(chosen, compared))
+        same = (run for run in runs if (run.day, run.seed) == (chosen[0].day, chosen[0].seed))
+        oracle = next((run for run in same if run.variant == experiments.ORACLE), None)
+        report.write(html, report.run_report(chosen, compared, oracle))
     except OSError as error:
         fail(str(error))
 
