Cells: what a map must keep to, and a planner that moves least and says why it can't

Groundwork for cells (decisions/cells.py, planning/): racks and tenants each in one cell, checked for capacity, reserves without the largest rack, rack spread, and blast radius; CP-SAT finds the map that moves least, a greedy baseline beside it; an impossible plan is explained by the least set of rules that clash. harriertrack cells plan | show. Heads do not read maps yet.

--- /dev/null
+++ b/harriertrack/cli/cells.py
@@ -0,0 +1,121 @@
+"""`harriertrack cells`: plan which racks and tenants belong together, and show a map."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+from harriertrack.cli.common import fail
+from harriertrack.config.sexp import SettingsError
+from harriertrack.decisions.cells import (
+    CellMap,
+    Fleet,
+    change,
+    greedy,
+    problems,
+    touched_by_rack,
+    touched_by_tenant,
+    whole,
+)
+from harriertrack.planning import cells as planner, settings as files
+
+NO_PLAN = 1
+
+
+@click.group()
+def cells() -> None:
+    """Cells: trouble of a tenant stays among its own nodes."""
+
+
+def _fleet(path: str) -> Fleet:
+    try:
+        return files.load_fleet(path)
+    except SettingsError as error:
+        fail(str(error))
+
+
+def _map(path: str) -> CellMap:
+    try:
+        return files.load_map(path)
+    except SettingsError as error:
+        fail(str(error))
+
+
+@cells.command("plan")
+@click.argument("fleet", type=click.Path())
+@click.option("--now", type=click.Path(), help="Today's map; without one everything is placed anew.")
+@click.option(
+    "--out", type=click.Path(dir_okay=False), help="Write the new map here; without it nothing is."
+)
+@click.option("--seconds", type=click.FloatRange(0.1), default=30.0, show_default=True)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+def cells_plan(fleet: str, now: str | None, out: str | None, seconds: float, seed: int) -> None:
+    """Find the map for FLEET that keeps to its rules and moves least. Exit code 1 if there is none."""
+    given, before = _fleet(fleet), _map(now) if now else CellMap(0)
+    planned = planner.plan(given, before, seconds, seed)
+    if planned.cells is None:
+        click.echo(f"harriertrack: no plan: {planned.outcome.value}", err=True)
+        for line in planned.why:
+            click.echo(f"  {line}", err=True)
+        sys.exit(NO_PLAN)
+    _tell_change(given, before, planned.cells)
+    proven = "proven the least" if planned.outcome is planner.Outcome.BEST else (
+        f"at most {planned.distance:.1%} above the least")  # fmt: skip
+    click.echo(f"cost {planned.cost} MiB, {proven}; by rules of thumb "
+               f"{_thumb(given, before)}")  # fmt: skip
+    if out is None:
+        click.echo("nothing was written; --out writes the map")
+        return
+    try:
+        files.save(out, planned.cells)
+    except OSError as error:
+        fail(f"{out}: {error.strerror}")
+
+
+def _thumb(fleet: Fleet, before: CellMap) -> str:
+    by_thumb = greedy(fleet, before)
+    broken = problems(fleet, by_thumb)
+    return f"{planner.price(fleet, before, by_thumb)} MiB" + (
+        f", with {len(broken)} rules broken" if broken else ""
+    )
+
+
+def _tell_change(fleet: Fleet, before: CellMap, after: CellMap) -> None:
+    moved = change(fleet, before, after)
+    for what, moves in (("tenant", moved.tenants), ("rack", moved.racks)):
+        for name, here, there in moves:
+            click.echo(f"{what} {name}: {here} to {there}")
+    click.echo(
+        f"{len(moved.tenants)} tenants with {moved.moved_bytes >> 20} MiB and {len(moved.racks)} racks move"
+    )
+    for name, share in (
+        ("one tenant touches", touched_by_tenant),
+        ("the loss of a rack touches", lambda one: touched_by_rack(fleet, one)),
+    ):
+        click.echo(
+            f"{name} at most {share(after):.1%} of the tenants; without cells {share(whole(fleet)):.1%}"
+        )
+
+
+@cells.command("show")
+@click.argument("fleet", type=click.Path())
+@click.argument("cell_map", type=click.Path())
+def cells_show(fleet: str, cell_map: str) -> None:
+    """Show CELL_MAP for FLEET: each cell's racks, tenants and load. Exit code 1 if it breaks a rule."""
+    given, known = _fleet(fleet), _map(cell_map)
+    click.echo(f"version {known.version}")
+    for cell in given.rules.names():
+        racks = [rack for rack in given.racks if known.racks.get(rack.name) == cell]
+        tenants = [one for one in given.tenants if known.tenants.get(one.name) == cell]
+        click.echo(f"{cell}: {len(racks)} racks, {sum(len(rack.nodes) for rack in racks)} nodes, "
+                   f"{len(tenants)} tenants")  # fmt: skip
+        for region in given.regions:
+            units = sum(rack.units for rack in racks if rack.region == region)
+            load = sum(one.load for one in tenants if region in one.regions)
+            reserve = sum(one.reserve for one in tenants if region in one.regions)
+            click.echo(f"  {region}: {units:g} units a second, load {load:g}, reserves {reserve:g}")
+    broken = problems(given, known)
+    for line in broken:
+        click.echo(line)
+    sys.exit(NO_PLAN if broken else 0)
--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -35,11 +35,11 @@
 
 
 class LazyGroup(click.Group):
-    """Imports the laboratory only when it is asked for: it would triple the start of every other command."""
+    """Imports the laboratory and the planner only when asked for: they would triple the start of the rest."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         """Name all commands."""
-        return sorted([*super().list_commands(ctx), "lab", "load"])
+        return sorted([*super().list_commands(ctx), "cells", "lab", "load"])
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
         """Return a command by its name."""
@@ -47,6 +47,10 @@
             from harriertrack.cli import lab
 
             return lab.lab if cmd_name == "lab" else lab.load
+        if cmd_name == "cells":
+            from harriertrack.cli import cells
+
+            return cells.cells
         return super().get_command(ctx, cmd_name)
 
 
--- /dev/null
+++ b/harriertrack/decisions/cells.py
@@ -0,0 +1,264 @@
+"""Cells: which racks and tenants belong together, what such a map must keep to, and what its change moves.
+
+Trouble of a tenant stays in its cell. A cell is made of whole racks, for a rack is where repeats of keyed
+writes are dropped: one that straddled two cells would drop for both or for neither. A map has a version; maps
+are compared, never merged.
+
+Pure: the search for a good map is `planning/cells.py` (a solver) or `greedy` here (the baseline); both are
+held to the same `problems`.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+TOLERANCE = 1e-6
+
+
+@dataclass(frozen=True, slots=True)
+class Rack:
+    """A rack: its region, its nodes, and what they do together in units a second."""
+
+    name: str
+    region: str
+    nodes: tuple[str, ...]
+    units: float
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A tenant: load and reserve in units a second, the bytes a move would copy, the regions that hold it."""
+
+    name: str
+    load: float
+    reserve: float
+    size_bytes: int
+    regions: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CellRules:
+    """What every cell keeps to, in each of its regions."""
+
+    cells: int
+    headroom: float = 0.7  # of its capacity that expected load may take
+    reserved: float = 0.6  # of its capacity, without its largest rack, that reserves may take
+    racks: int = 2  # the least in each region that it has tenants in
+    large: float = 0.3  # a tenant is large from this part of an even cell's capacity; two share no cell
+
+    crowd: float = 1.5  # a cell holds at most so many times its even part of all tenants, rounded up
+
+    def most_tenants(self, tenants: int) -> int:
+        """Return how many of so many tenants one cell may hold."""
+        return math.ceil(self.crowd * tenants / self.cells - TOLERANCE)
+
+    def names(self) -> tuple[str, ...]:
+        """Return the cells' names."""
+        return tuple(f"cell{number}" for number in range(self.cells))
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """What there is to be divided."""
+
+    racks: tuple[Rack, ...]
+    tenants: tuple[Tenant, ...]
+    rules: CellRules
+
+    @property
+    def regions(self) -> tuple[str, ...]:
+        """Return the regions, in order."""
+        return tuple(sorted({rack.region for rack in self.racks}))
+
+    def capacity(self, region: str) -> float:
+        """Return what all racks of a region do."""
+        return sum(rack.units for rack in self.racks if rack.region == region)
+
+    def large(self) -> tuple[Tenant, ...]:
+        """Return the tenants that count as large: by an even cell's capacity in their poorest region."""
+        rules = self.rules
+        even = {region: self.capacity(region) / rules.cells for region in self.regions}
+        return tuple(
+            one for one in self.tenants
+            if any(one.load >= rules.large * even.get(region, 0.0) for region in one.regions)
+        )  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class CellMap:
+    """Which cell each rack and tenant is in; a later version replaces an earlier one as a whole."""
+
+    version: int
+    racks: Mapping[str, str] = field(default_factory=dict)
+    tenants: Mapping[str, str] = field(default_factory=dict)
+
+    def nodes_of(self, fleet: Fleet, tenant: str) -> frozenset[str]:
+        """Return the nodes that may serve a tenant; none if the map does not know it."""
+        cell = self.tenants.get(tenant)
+        mine = (rack for rack in fleet.racks if cell is not None and self.racks.get(rack.name) == cell)
+        return frozenset(node for rack in mine for node in rack.nodes)
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What goes from one map to another."""
+
+    tenants: tuple[tuple[str, str, str], ...]  # name, from, to
+    racks: tuple[tuple[str, str, str], ...]
+    moved_bytes: int
+
+
+def change(fleet: Fleet, before: CellMap, after: CellMap) -> Change:
+    """Return what a new map moves; what the old one did not know is placed, not moved."""
+    sizes = {tenant.name: tenant.size_bytes for tenant in fleet.tenants}
+
+    def moves(old: Mapping[str, str], new: Mapping[str, str]) -> tuple[tuple[str, str, str], ...]:
+        return tuple((name, old[name], to) for name, to in sorted(new.items()) if old.get(name, to) != to)
+
+    tenants = moves(before.tenants, after.tenants)
+    return Change(tenants, moves(before.racks, after.racks), sum(sizes[name] for name, _, _ in tenants))
+
+
+def problems(fleet: Fleet, cells: CellMap) -> list[str]:
+    """Return, in words, everything in which a map does not keep to the rules; nothing if it does."""
+    rules, names = fleet.rules, set(fleet.rules.names())
+    found: list[str] = []
+    for what, known, placed in (
+        ("rack", {rack.name for rack in fleet.racks}, cells.racks),
+        ("tenant", {tenant.name for tenant in fleet.tenants}, cells.tenants),
+    ):
+        found.extend(f"{what} {name} is in no cell" for name in sorted(known - placed.keys()))
+        found.extend(f"{what} {name} is not of this fleet" for name in sorted(placed.keys() - known))
+        found.extend(f"{what} {name} is in {cell}, which does not exist"
+                     for name, cell in sorted(placed.items()) if cell not in names)  # fmt: skip
+    racks: dict[tuple[str, str], list[Rack]] = defaultdict(list)
+    for rack in fleet.racks:
+        racks[cells.racks.get(rack.name, ""), rack.region].append(rack)
+    tenants: dict[tuple[str, str], list[Tenant]] = defaultdict(list)
+    for tenant in fleet.tenants:
+        for region in tenant.regions:
+            tenants[cells.tenants.get(tenant.name, ""), region].append(tenant)
+    for cell in rules.names():
+        for region in fleet.regions:
+            found.extend(
+                _cell_problems(rules, f"{cell} in {region}", racks[cell, region], tenants[cell, region])
+            )
+        held = sum(one == cell for one in cells.tenants.values())
+        most = rules.most_tenants(len(fleet.tenants))
+        if held > most:
+            found.append(f"{cell}: {held} tenants, and {most} are the most that trouble may touch together")
+        big = [one.name for one in fleet.large() if cells.tenants.get(one.name) == cell]
+        if len(big) > 1:
+            found.append(f"{cell}: the large tenants {', '.join(sorted(big))} would share all its nodes")
+    return found
+
+
+def _cell_problems(rules: CellRules, where: str, racks: list[Rack], tenants: list[Tenant]) -> Iterable[str]:
+    if not tenants:
+        return
+    units = sum(rack.units for rack in racks)
+    load, reserve = sum(one.load for one in tenants), sum(one.reserve for one in tenants)
+    if len(racks) < rules.racks:
+        yield f"{where}: {len(racks)} racks, and {rules.racks} are needed"
+    if load > rules.headroom * units + TOLERANCE:
+        yield f"{where}: a load of {load:g} is more than {rules.headroom:g} of {units:g} units a second"
+    left = units - max((rack.units for rack in racks), default=0.0)
+    if reserve > rules.reserved * left + TOLERANCE:
+        yield f"{where}: reserves of {reserve:g} pass {rules.reserved:g} of {left:g}, its units less a rack"
+
+
+def impossible(fleet: Fleet) -> list[str]:
+    """Return, in words, what can be seen without a search to make any map impossible."""
+    rules, found = fleet.rules, []
+    for region in fleet.regions:
+        mine = [one for one in fleet.tenants if region in one.regions]
+        racks = [rack.units for rack in fleet.racks if rack.region == region]
+        units, load = sum(racks), sum(one.load for one in mine)
+        usable = rules.headroom * units
+        if load > usable + TOLERANCE:
+            found.append(f"capacity in {region}: a load of {load:g}, and {usable:g} of {units:g} may be used")
+        if mine and len(racks) < rules.racks:
+            found.append(f"racks in {region}: {len(racks)}, and a cell needs {rules.racks}")
+        reserve = sum(one.reserve for one in mine)
+        kept = rules.reserved * (units - max(racks, default=0.0))
+        if reserve > kept + TOLERANCE:
+            found.append(f"reserves in {region}: {reserve:g}, and without a rack {kept:g} can be kept")
+    strange = sorted({region for one in fleet.tenants for region in one.regions} - set(fleet.regions))
+    found.extend(f"region {region}: tenants need it, and no rack is there" for region in strange)
+    large = fleet.large()
+    if len(large) > rules.cells:
+        found.append(f"blast radius: {len(large)} large tenants, and only {rules.cells} cells")
+    return found
+
+
+def touched_by_tenant(cells: CellMap) -> float:
+    """Return the largest part of all tenants that shares its nodes with one tenant, itself among them."""
+    counts: dict[str, int] = defaultdict(int)
+    for cell in cells.tenants.values():
+        counts[cell] += 1
+    return max(counts.values(), default=0) / max(1, len(cells.tenants))
+
+
+def touched_by_rack(fleet: Fleet, cells: CellMap) -> float:
+    """Return the largest part of all tenants whose cell has one rack."""
+    return max((sum(cell == cells.racks.get(rack.name) for cell in cells.tenants.values())
+                for rack in fleet.racks), default=0) / max(1, len(cells.tenants))  # fmt: skip
+
+
+def whole(fleet: Fleet) -> CellMap:
+    """Return the map without cells: everything in one."""
+    return CellMap(
+        0, {rack.name: "cell0" for rack in fleet.racks}, {one.name: "cell0" for one in fleet.tenants}
+    )
+
+
+def greedy(fleet: Fleet, before: CellMap) -> CellMap:
+    """Divide by rules of thumb: what has a place keeps it, racks go to the poorest cell, tenants by size.
+
+    The baseline of the planner. Its map may break rules; `problems` tells.
+    """
+    rules, names = fleet.rules, fleet.rules.names()
+    racks = {name: cell for name, cell in before.racks.items() if cell in names}
+    units: dict[tuple[str, str], float] = defaultdict(float)
+    for rack in fleet.racks:
+        if rack.name in racks:
+            units[racks[rack.name], rack.region] += rack.units
+    for rack in sorted(fleet.racks, key=lambda one: (-one.units, one.name)):
+        if rack.name not in racks:
+            poorest = min(names, key=lambda cell: (units[cell, rack.region], cell))
+            racks[rack.name] = poorest
+            units[poorest, rack.region] += rack.units
+    loads: dict[tuple[str, str], float] = defaultdict(float)
+    large = {one.name for one in fleet.large()}
+    holds_large: set[str] = set()
+    held: dict[str, int] = defaultdict(int)
+    most = rules.most_tenants(len(fleet.tenants))
+    tenants: dict[str, str] = {}
+
+    def fits(one: Tenant, cell: str) -> bool:
+        if held[cell] >= most or (one.name in large and cell in holds_large):
+            return False
+        return all(
+            loads[cell, region] + one.load <= rules.headroom * units[cell, region] for region in one.regions
+        )
+
+    def fullness(one: Tenant, cell: str) -> float:
+        return max(
+            (loads[cell, region] + one.load) / max(units[cell, region], 1e-9) for region in one.regions
+        )
+
+    for one in sorted(fleet.tenants, key=lambda one: (-one.load, one.name)):
+        kept = before.tenants.get(one.name)
+        if kept in names and kept is not None and fits(one, kept):
+            cell = kept
+        else:
+            cell = min(names, key=lambda name: (not fits(one, name), fullness(one, name), name))
+        tenants[one.name] = cell
+        held[cell] += 1
+        holds_large |= {cell} if one.name in large else set()
+        for region in one.regions:
+            loads[cell, region] += one.load
+    return CellMap(before.version + 1, racks, tenants)
--- /dev/null
+++ b/harriertrack/planning/__init__.py
@@ -0,0 +1,1 @@
+"""Plans found by a solver."""
--- /dev/null
+++ b/harriertrack/planning/settings.py
@@ -0,0 +1,139 @@
+"""A fleet and its map as S-expressions: `(fleet "name" (cells 4) (rack ...) ...)`, `(cell-map ...)`."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from harriertrack.config.settings import Amount, Checked, Name, Positive, Share, Whole, read_file
+from harriertrack.config.sexp import Form, SettingsError, bind
+from harriertrack.decisions.cells import CellMap, CellRules, Fleet, Rack, Tenant
+
+Part = Annotated[float, msgspec.Meta(gt=0, le=1)]
+
+
+class CellNode(Checked, frozen=True, kw_only=True):
+    """A storage node: what it does in units a second."""
+
+    name: Name
+    units: Amount
+
+
+class RackSettings(Checked, frozen=True, kw_only=True):
+    """A rack."""
+
+    name: Name
+    region: Name
+    nodes: tuple[CellNode, ...]
+
+
+class TenantSettings(Checked, frozen=True, kw_only=True):
+    """A tenant: expected load and reserve in units a second, its size, the regions that hold it."""
+
+    name: Name
+    load: Amount
+    reserve: Amount = 0.0
+    size_bytes: Whole = 0
+    regions: tuple[Name, ...]
+
+
+class FleetSettings(Checked, frozen=True, kw_only=True):
+    """What there is to be divided, and the rules of the cells."""
+
+    name: Name
+    cells: Positive
+    headroom: Part = 0.7
+    reserved: Part = 0.6
+    least_racks: Positive = 2
+    large: Share = 0.3
+    crowd: Annotated[float, msgspec.Meta(ge=1, le=1000)] = 1.5
+    racks: tuple[RackSettings, ...]
+    tenants: tuple[TenantSettings, ...] = ()
+
+
+class Placed(Checked, frozen=True, kw_only=True):
+    """A rack or tenant and its cell."""
+
+    name: Name
+    cell: Name
+
+
+class MapSettings(Checked, frozen=True, kw_only=True):
+    """A map of cells."""
+
+    version: Whole
+    racks: tuple[Placed, ...] = ()
+    tenants: tuple[Placed, ...] = ()
+
+
+def load_fleet(path: str) -> Fleet:
+    """Read and check a fleet. Raises SettingsError with file, line and field."""
+    return parse_fleet(read_file(path), path)
+
+
+def parse_fleet(form: Form, source: str) -> Fleet:
+    """Check a form of a fleet. Raises SettingsError."""
+    given = bind(form, FleetSettings, source)
+    where = f"{source}:{form.line}"
+    nodes = [node.name for rack in given.racks for node in rack.nodes]
+    for what, names in (
+        ("rack", [rack.name for rack in given.racks]),
+        ("node", nodes),
+        ("tenant", [one.name for one in given.tenants]),
+    ):
+        if twice := sorted({name for name in names if names.count(name) > 1}):
+            raise SettingsError(f"{where}: {what} {twice[0]}: given twice")
+    for rack in given.racks:
+        if not rack.nodes:
+            raise SettingsError(f"{where}: rack {rack.name}: node: at least one is needed")
+    for one in given.tenants:
+        if not one.regions:
+            raise SettingsError(f"{where}: tenant {one.name}: regions: at least one is needed")
+    racks = tuple(
+        Rack(
+            rack.name,
+            rack.region,
+            tuple(node.name for node in rack.nodes),
+            sum(n.units for n in rack.nodes),
+        )
+        for rack in given.racks
+    )
+    tenants = tuple(
+        Tenant(one.name, one.load, one.reserve, one.size_bytes, one.regions) for one in given.tenants
+    )
+    rules = CellRules(
+        given.cells, given.headroom, given.reserved, given.least_racks, given.large, given.crowd
+    )
+    return Fleet(racks, tenants, rules)
+
+
+def load_map(path: str) -> CellMap:
+    """Read and check a map. Raises SettingsError with file, line and field."""
+    form = read_file(path)
+    given = bind(form, MapSettings, path)
+    for what, placed in (("rack", given.racks), ("tenant", given.tenants)):
+        names = [one.name for one in placed]
+        if twice := sorted({name for name in names if names.count(name) > 1}):
+            raise SettingsError(f"{path}:{form.line}: {what} {twice[0]}: given twice")
+    return CellMap(
+        given.version,
+        {one.name: one.cell for one in given.racks},
+        {one.name: one.cell for one in given.tenants},
+    )
+
+
+def written(cells: CellMap) -> str:
+    """Return a map as an S-expression."""
+    lines = [f"(cell-map (version {cells.version})"]
+    for what, placed in (("rack", cells.racks), ("tenant", cells.tenants)):
+        lines.extend(f'  ({what} "{name}" (cell "{cell}"))' for name, cell in sorted(placed.items()))
+    return "\n".join(lines) + ")\n"
+
+
+def save(path: str, cells: CellMap) -> None:
+    """Write a map; a reader sees the old one or the new one. Raises OSError."""
+    beside = Path(f"{path}.new")
+    beside.write_text(written(cells), encoding="utf-8")
+    beside.replace(path)
--- /dev/null
+++ b/tests/test_cells.py
@@ -0,0 +1,186 @@
+"""Cells: what a map must keep to, the planner against it, and why a plan can't be."""
+
+import random
+import subprocess
+import sys
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from harriertrack.config.sexp import SettingsError, read_text
+from harriertrack.decisions.cells import (
+    CellMap,
+    CellRules,
+    Fleet,
+    Rack,
+    Tenant,
+    change,
+    greedy,
+    impossible,
+    problems,
+    touched_by_rack,
+    touched_by_tenant,
+    whole,
+)
+from harriertrack.planning.cells import Outcome, explain, plan, price
+from harriertrack.planning.settings import load_map, parse_fleet, save
+
+
+def fleet(racks=8, tenants=12, cells=2, seed=1, load=0.4, **rules):
+    rng = random.Random(seed)
+    made = tuple(
+        Rack(f"r{at}", "ab"[at % 2], tuple(f"n{at}-{one}" for one in range(3)), rng.uniform(250, 350))
+        for at in range(racks)
+    )
+    capacity = sum(rack.units for rack in made if rack.region == "a")
+    parts = [rng.uniform(1, 3) for _ in range(tenants)]
+    those = tuple(
+        Tenant(f"t{at}", load * capacity * part / sum(parts), 0.5 * load * capacity * part / sum(parts),
+               int(part * (8 << 30)), ("a", "b") if at % 3 else ("ab"[at % 2],))
+        for at, part in enumerate(parts)
+    )  # fmt: skip
+    return Fleet(made, those, CellRules(cells, **rules))
+
+
+def test_a_plan_keeps_to_all_rules_and_moves_nothing_it_need_not():
+    one = fleet()
+    first = plan(one, CellMap(0), 20, workers=1)
+    assert first.outcome is Outcome.BEST and problems(one, first.cells) == [] and first.cells.version == 1
+    again = plan(one, first.cells, 20, workers=1)
+    assert again.cost == 0 and change(one, first.cells, again.cells).tenants == ()
+    for tenant in one.tenants:
+        mine = first.cells.nodes_of(one, tenant.name)
+        assert 0 < len(mine) < 24
+    assert first.cells.nodes_of(one, "nobody") == frozenset()
+
+
+def test_what_moves_is_the_least_when_a_tenant_grows():
+    """One tenant grows until its cell is too full: something small enough moves, and not more."""
+    before = fleet(load=0.55, large=1.0)
+    first = plan(before, CellMap(0), 20, workers=1).cells
+    grown = max(before.tenants, key=lambda one: one.load)
+    tenants = tuple(
+        Tenant(one.name, one.load * (3 if one is grown else 1), one.reserve, one.size_bytes, one.regions)
+        for one in before.tenants
+    )
+    after = Fleet(before.racks, tenants, CellRules(2, large=1.0))
+    assert problems(after, first)
+    found = plan(after, first, 20, workers=1)
+    assert found.outcome is Outcome.BEST and problems(after, found.cells) == []
+    assert found.cost == price(after, first, found.cells) == found.bound
+    rivals = [greedy(after, first), plan(after, CellMap(0), 20, workers=1).cells]
+    for rival in rivals:
+        if not problems(after, rival):
+            assert found.cost <= price(after, first, rival)
+
+
+@given(st.integers(0, 500))
+@settings(max_examples=8, deadline=None)
+def test_every_plan_is_held_to_the_rules(seed):
+    rng = random.Random(seed)
+    one = fleet(rng.randint(6, 12), rng.randint(4, 16), rng.randint(2, 3), seed, rng.uniform(0.2, 0.8))
+    found = plan(one, CellMap(0), 5, workers=1)
+    if found.cells is not None:
+        assert problems(one, found.cells) == []
+    else:
+        assert found.outcome in (Outcome.IMPOSSIBLE, Outcome.NOTHING_YET) and found.why
+
+
+def broken(one, cells, **changes):
+    racks, tenants = dict(cells.racks), dict(cells.tenants)
+    racks.update(changes.get("racks", {}))
+    tenants.update(changes.get("tenants", {}))
+    return " ".join(problems(one, CellMap(2, racks, tenants)))
+
+
+def test_each_rule_is_seen_when_a_map_breaks_it():
+    one = fleet(large=0.05)
+    cells = plan(one, CellMap(0), 20, workers=1)
+    crowded = {tenant.name: "cell0" for tenant in one.tenants}
+    good = fleet(load=0.65)
+    base = plan(good, CellMap(0), 20, workers=1).cells
+    text = broken(good, base, tenants=crowded)
+    assert "a load of" in text and "reserves of" in text and "12 tenants, and 9 are the most" in text
+    assert "racks, and 2 are needed" in broken(good, base, racks={rack.name: "cell0" for rack in good.racks[:7]})
+    assert "does not exist" in broken(good, base, tenants={"t0": "cell9"})
+    assert "not of this fleet" in broken(good, base, tenants={"stranger": "cell0"})
+    assert "is in no cell" in " ".join(problems(good, CellMap(1)))
+    assert cells.outcome is Outcome.IMPOSSIBLE  # every tenant is large there, and there are two cells
+    large = fleet(tenants=3, large=0.01)
+    everything = whole(large)
+    assert "would share all its nodes" in " ".join(problems(large, everything))
+
+
+def test_impossible_plans_say_why_in_words():
+    assert any("capacity in a" in line for line in plan(fleet(load=0.95), CellMap(0)).why)
+    assert any("blast radius: 12 large tenants" in line for line in impossible(fleet(large=0.0)))
+    assert any("racks in a: 1" in line for line in impossible(fleet(racks=2)))
+    assert any("region c" in line for line in impossible(
+        Fleet(fleet().racks, (Tenant("t", 1, 0, 1, ("c",)),), CellRules(2))))  # fmt: skip
+
+
+def test_what_only_a_search_can_see_is_explained_by_the_rules_that_clash():
+    """Three racks of a region for two cells that both need two there: only spread and blast radius clash."""
+    racks = tuple(Rack(f"r{at}", "a", (f"n{at}",), 100.0) for at in range(3))
+    tenants = (Tenant("big", 60.0, 0.0, 1, ("a",)), Tenant("huge", 60.0, 0.0, 1, ("a",)))
+    one = Fleet(racks, tenants, CellRules(2))
+    assert impossible(one) == []
+    found = plan(one, CellMap(0), 10, workers=1)
+    assert found.outcome is Outcome.IMPOSSIBLE
+    kinds = {line.split(":")[0] for line in found.why}
+    assert kinds == {"racks in a", "blast radius"}
+    # Without either of them there is a plan.
+    assert plan(Fleet(racks, tenants, CellRules(2, racks=1)), CellMap(0), 10, workers=1).cells is not None
+    assert plan(Fleet(racks, tenants, CellRules(2, large=1.0)), CellMap(0), 10, workers=1).cells is not None
+    assert explain(one, CellMap(0), 10) == found.why
+
+
+def test_cells_shrink_what_trouble_touches():
+    one = fleet(racks=16, tenants=24, cells=4, load=0.3)
+    cells = plan(one, CellMap(0), 20, workers=1).cells
+    assert touched_by_tenant(whole(one)) == touched_by_rack(one, whole(one)) == 1.0
+    assert touched_by_tenant(cells) <= 0.375 and touched_by_rack(one, cells) <= 0.375
+
+
+FLEET = """(fleet "f" (cells 1) (headroom 0.7)
+  (rack "r1" (region "a") (node "n1" (units 100)) (node "n2" (units 100)))
+  (rack "r2" (region "a") (node "n3" (units 200)))
+  (tenant "liga" (load 50) (reserve 20) (size 4GiB) (regions "a")))"""
+
+
+def test_files_and_commands(tmp_path):
+    path, cells = tmp_path / "fleet.sexp", tmp_path / "map.sexp"
+    path.write_text(FLEET)
+    command = [sys.executable, "-m", "harriertrack", "cells"]
+
+    def run(*words):
+        return subprocess.run([*command, *map(str, words)], capture_output=True, text=True, check=False)
+
+    dry = run("plan", path)
+    assert dry.returncode == 0 and "nothing was written" in dry.stdout and not cells.exists()
+    assert run("plan", path, "--out", cells).returncode == 0
+    assert load_map(str(cells)).tenants == {"liga": "cell0"}
+    shown = run("show", path, cells)
+    assert shown.returncode == 0 and "cell0: 2 racks, 3 nodes, 1 tenants" in shown.stdout
+    path.write_text(FLEET.replace("load 50", "load 900"))
+    none = run("plan", path, "--now", cells)
+    assert none.returncode == 1 and "capacity in a" in none.stderr
+    path.write_text("(fleet)")
+    assert run("plan", path).returncode == 2
+
+
+def test_bad_fleets(tmp_path):
+    for old, new, why in [
+        ('"n3"', '"n1"', "node n1: given twice"),
+        ('"r2"', '"r1"', "rack r1: given twice"),
+        ('(regions "a")', "(regions)", "regions"),
+        ("(headroom 0.7)", "(headroom 7)", "headroom"),
+    ]:
+        with pytest.raises(SettingsError, match=why):
+            parse_fleet(read_text(FLEET.replace(old, new), "fleet"), "fleet")
+    (tmp_path / "map").write_text('(cell-map (version 1) (tenant "a" (cell "x")) (tenant "a" (cell "y")))')
+    with pytest.raises(SettingsError, match="tenant a: given twice"):
+        load_map(str(tmp_path / "map"))
+    cells = CellMap(3, {"r1": "cell0"}, {"liga": "cell0"})
+    save(str(tmp_path / "kept"), cells)
+    assert load_map(str(tmp_path / "kept")) == cells
