--- a/harriertrack/cli/cells.py
+++ b/harriertrack/cli/cells.py
@@ -7,6 +7,7 @@
 import click
 
 from harriertrack.cli.common import fail
+from harriertrack.config import cells as maps
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions.cells import (
     CellMap,
@@ -37,7 +38,7 @@
 
 def _map(path: str) -> CellMap:
     try:
-        return files.load_map(path)
+        return maps.load_map(path)
     except SettingsError as error:
         fail(str(error))
 
@@ -68,7 +69,7 @@
         click.echo("nothing was written; --out writes the map")
         return
     try:
-        files.save(out, planned.cells)
+        maps.save(out, planned.cells, {rack.name: rack.shards for rack in given.racks})
     except OSError as error:
         fail(f"{out}: {error.strerror}")
 
--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -68,7 +68,10 @@
     note = logger(log_form)
     hub = Hub()
     hub.random.seed()
-    one = Head(hub, SocketNetwork(hub), checked, note)
+    try:
+        one = Head(hub, SocketNetwork(hub), checked, note)
+    except SettingsError as error:
+        fail(str(error))
     hub.on_stall = lambda us: note("the loop stood still", us=us)
     # Requests and their parts refer to each other: collect such cycles in larger lots, and never what stays.
     gc.freeze()
--- /dev/null
+++ b/harriertrack/config/cells.py
@@ -0,0 +1,92 @@
+"""Maps of cells: `(cell-map (version 3) (rack "r1" (cell "cell0") (shards 0 1)) (tenant ...))`."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+
+from harriertrack.config.settings import Checked, Name, VolumeSettings, Whole, read_file
+from harriertrack.config.sexp import SettingsError, bind
+from harriertrack.decisions.celled import HeadMap
+from harriertrack.decisions.cells import CellMap
+
+
+class PlacedRack(Checked, frozen=True, kw_only=True):
+    """A rack, its cell, and the shards that its nodes hold."""
+
+    name: Name
+    cell: Name
+    shards: tuple[Whole, ...] = ()
+
+
+class PlacedTenant(Checked, frozen=True, kw_only=True):
+    """A tenant and its cell."""
+
+    name: Name
+    cell: Name
+
+
+class MapSettings(Checked, frozen=True, kw_only=True):
+    """A map of cells."""
+
+    version: Whole
+    racks: tuple[PlacedRack, ...] = ()
+    tenants: tuple[PlacedTenant, ...] = ()
+
+
+def read_map(path: str) -> MapSettings:
+    """Read and check a map. Raises SettingsError with file, line and field."""
+    form = read_file(path)
+    given = bind(form, MapSettings, path)
+    shards = [str(shard) for rack in given.racks for shard in rack.shards]
+    for what, names in (
+        ("rack", [one.name for one in given.racks]),
+        ("tenant", [one.name for one in given.tenants]),
+        ("shard", shards),
+    ):
+        if twice := sorted({name for name in names if names.count(name) > 1}):
+            raise SettingsError(f"{path}:{form.line}: {what} {twice[0]}: given twice")
+    return given
+
+
+def load_map(path: str) -> CellMap:
+    """Return a map as the planner has it. Raises SettingsError."""
+    given = read_map(path)
+    racks = {one.name: one.cell for one in given.racks}
+    return CellMap(given.version, racks, {one.name: one.cell for one in given.tenants})
+
+
+def head_map(path: str, volumes: Iterable[VolumeSettings]) -> HeadMap:
+    """Return what a head needs of a map: its volumes' cells, by tenant. Raises SettingsError.
+
+    A volume whose tenant the map does not place would be served by nobody: that is an error.
+    """
+    given = read_map(path)
+    tenants = {one.name: one.cell for one in given.tenants}
+    placed: dict[str, str] = {}
+    for volume in volumes:
+        tenant = volume.tenant or volume.name
+        if tenant not in tenants:
+            raise SettingsError(
+                f"{path}:1: cell-map: tenant {tenant} of volume {volume.name} is in no cell"
+            )
+        placed[volume.name] = tenants[tenant]
+    shards = {shard: rack.cell for rack in given.racks for shard in rack.shards}
+    return HeadMap(given.version, shards, placed)
+
+
+def written(cells: CellMap, shards: Mapping[str, tuple[int, ...]]) -> str:
+    """Return a map as an S-expression; `shards` are those of each rack."""
+    lines = [f"(cell-map (version {cells.version})"]
+    for name, cell in sorted(cells.racks.items()):
+        held = "".join(f" {shard}" for shard in shards.get(name, ()))
+        lines.append(f'  (rack "{name}" (cell "{cell}")' + (f" (shards{held}))" if held else ")"))
+    lines.extend(f'  (tenant "{name}" (cell "{cell}"))' for name, cell in sorted(cells.tenants.items()))
+    return "\n".join(lines) + ")\n"
+
+
+def save(path: str, cells: CellMap, shards: Mapping[str, tuple[int, ...]]) -> None:
+    """Write a map; a reader sees the old one or the new one. Raises OSError."""
+    beside = Path(f"{path}.new")
+    beside.write_text(written(cells, shards), encoding="utf-8")
+    beside.replace(path)
--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -104,6 +104,7 @@
     hosts: Positive = 1
     shards: tuple[Whole, ...] = ()
     read_only: bool = False
+    tenant: str = ""  # whose it is, for cells; empty: the volume's own name
     regions: VolumeRegionSettings | None = None
 
 
@@ -184,6 +185,7 @@
     rules: RuleSettings = RuleSettings()
     limits: LimitSettings = LimitSettings()
     region: RegionSettings | None = None
+    cell_map: str = ""  # a file; empty: the whole fleet is one cell
     classes: tuple[ClassSettings, ...]
     plans: tuple[PlanSettings, ...]
     volumes: tuple[VolumeSettings, ...]
--- a/harriertrack/decisions/cells.py
+++ b/harriertrack/decisions/cells.py
@@ -26,6 +26,7 @@
     region: str
     nodes: tuple[str, ...]
     units: float
+    shards: tuple[int, ...] = ()  # whose data its nodes hold
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertrack/decisions/picture.py
+++ b/harriertrack/decisions/picture.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from harriertrack.decisions.baselines import Baseline
+from harriertrack.decisions.celled import Celled
 from harriertrack.decisions.scheduler import Scheduler
 
 
@@ -18,10 +19,12 @@
     silent: bool
 
 
-def picture(module: Scheduler | Baseline) -> dict[str, NodePicture]:
+def picture(module: Scheduler | Celled | Baseline) -> dict[str, NodePicture]:
     """Return each node's picture; a baseline keeps none but what is out."""
     if isinstance(module, Baseline):
         return {name: NodePicture(0.0, 0.0, out, False) for name, out in module._outstanding.items()}
+    if isinstance(module, Celled):
+        return {name: seen for one in module.modules() for name, seen in picture(one).items()}
     return {
         name: NodePicture(node.window, node.held_units, len(node.out), bool(node.silent_at))
         for name, node in module._nodes.items()
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -16,7 +16,7 @@
 from enum import Enum
 from typing import Protocol
 
-from harriertrack.decisions import Scheduler, interface as api
+from harriertrack.decisions import interface as api
 from harriertrack.decisions.life import (
     AttemptState,
     AttemptStep,
@@ -85,6 +85,13 @@
         """Return what the module knows of it."""
 
 
+class Module(Protocol):
+    """What decides: the scheduler, or one for each cell."""
+
+    def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
+        """Take the events of one moment and return the actions, in order."""
+
+
 class NodeBook(Protocol):
     """The node list in hand."""
 
@@ -270,7 +277,7 @@
     def __init__(
         self,
         rules: RequestRules,
-        module: Scheduler,
+        module: Module,
         volumes: Iterable[VolumeFacts],
         port: Port,
         nodes: NodeBook,
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from harriertrack.config.cells import head_map
 from harriertrack.config.settings import HeadSettings, module_settings, request_rules
 from harriertrack.decisions import Scheduler, interface as api
+from harriertrack.decisions.celled import Celled
 from harriertrack.decisions.requests import Attempt, ClientRequest, Core
 from harriertrack.gateway.front import NbdFront
 from harriertrack.gateway.links import Links
@@ -32,11 +34,11 @@
 
     links: Callable[..., Links] = Links
     listing: Callable[..., Listing] = Listing
-    module: Callable[[api.Settings, int], Scheduler] = Scheduler
+    module: Callable[[api.Settings, int], Scheduler | Celled] = Scheduler
 
 
 class Head:
-    """One head on a hub; `run` is its task."""
+    """One head on a hub; `run` is its task. Raises SettingsError for a map of cells that can't be."""
 
     def __init__(self, hub: Hub, network: Network, settings: HeadSettings, note: Callable[..., None] = quiet,
                  extents: ExtentMap | None = None, name: str = "head",
@@ -51,7 +53,8 @@
         self.address = settings.listen
         self.core: Core
         self.front: NbdFront
-        self.module: Scheduler
+        self.module: Scheduler | Celled
+        self._cells = head_map(settings.cell_map, settings.volumes) if settings.cell_map else None
         self.nodes = NodeList()
         self.head_id = hub.random.getrandbits(64)
 
@@ -67,7 +70,7 @@
         try:
             with hub.scope(self._name) as scope:
                 seed = settings.seed or hub.random.getrandbits(63)
-                self.module = self._wiring.module(module_settings(settings), seed)
+                self.module = self._module(module_settings(settings), seed)
                 rules = request_rules(settings)
                 self.core = Core(rules, self.module, settings.volumes, self, self.nodes, extents)
                 known = (hub, self._network, scope, settings, self.core, self.nodes, self.head_id)
@@ -94,6 +97,12 @@
             if self._log is not None:
                 self._log.close()
 
+    def _module(self, told: api.Settings, seed: int) -> Scheduler | Celled:
+        """Make the decision module, or where there is a map one for each cell."""
+        if self._cells is None:
+            return self._wiring.module(told, seed)
+        return Celled(told, seed, self._cells)
+
     def stop(self) -> None:
         """Take no more, answer what is open, and end."""
         self._stopping.set()
--- a/harriertrack/planning/cells.py
+++ b/harriertrack/planning/cells.py
@@ -166,13 +166,17 @@
     for index in search.switches:
         search.model.add(search.model.get_bool_var_from_proto_index(index) == 1)
     search.model.minimize(search.cost)
-    known = not problems(fleet, before)
-    search.hint(before if known else greedy(fleet, before))
+    start = before if not problems(fleet, before) else greedy(fleet, before)
+    search.hint(start)
     solver = _solver(seconds, seed, workers)
     status = solver.solve(search.model)
     if status == cp_model.INFEASIBLE:
         return Planned(Outcome.IMPOSSIBLE, why=explain(fleet, before, seconds, seed))
     if status not in (cp_model.OPTIMAL, cp_model.FEASIBLE):
+        if not problems(fleet, start):  # the time went before the search had even looked at its hint
+            kept = CellMap(before.version + 1, start.racks, start.tenants)
+            bound = max(0, round(solver.best_objective_bound))
+            return Planned(Outcome.FOUND, kept, price(fleet, before, kept), bound)
         return Planned(Outcome.NOTHING_YET, why=(f"no map was found in {seconds:g} s",))
     cells = search.read(solver)
     if broken := problems(fleet, cells):  # the solver's whole numbers against the rules themselves
--- a/harriertrack/planning/settings.py
+++ b/harriertrack/planning/settings.py
@@ -1,15 +1,14 @@
-"""A fleet and its map as S-expressions: `(fleet "name" (cells 4) (rack ...) ...)`, `(cell-map ...)`."""
+"""A fleet as an S-expression: `(fleet "name" (cells 4) (rack ...) (tenant ...))`."""
 
 from __future__ import annotations
 
-from pathlib import Path
 from typing import Annotated
 
 import msgspec
 
 from harriertrack.config.settings import Amount, Checked, Name, Positive, Share, Whole, read_file
 from harriertrack.config.sexp import Form, SettingsError, bind
-from harriertrack.decisions.cells import CellMap, CellRules, Fleet, Rack, Tenant
+from harriertrack.decisions.cells import CellRules, Fleet, Rack, Tenant
 
 Part = Annotated[float, msgspec.Meta(gt=0, le=1)]
 
@@ -27,6 +26,7 @@
     name: Name
     region: Name
     nodes: tuple[CellNode, ...]
+    shards: tuple[Whole, ...] = ()  # whose data its nodes hold, as heads know it
 
 
 class TenantSettings(Checked, frozen=True, kw_only=True):
@@ -53,21 +53,6 @@
     tenants: tuple[TenantSettings, ...] = ()
 
 
-class Placed(Checked, frozen=True, kw_only=True):
-    """A rack or tenant and its cell."""
-
-    name: Name
-    cell: Name
-
-
-class MapSettings(Checked, frozen=True, kw_only=True):
-    """A map of cells."""
-
-    version: Whole
-    racks: tuple[Placed, ...] = ()
-    tenants: tuple[Placed, ...] = ()
-
-
 def load_fleet(path: str) -> Fleet:
     """Read and check a fleet. Raises SettingsError with file, line and field."""
     return parse_fleet(read_file(path), path)
@@ -93,12 +78,13 @@
             raise SettingsError(f"{where}: tenant {one.name}: regions: at least one is needed")
     racks = tuple(
         Rack(
-            rack.name,
-            rack.region,
-            tuple(node.name for node in rack.nodes),
-            sum(n.units for n in rack.nodes),
+            one.name,
+            one.region,
+            tuple(node.name for node in one.nodes),
+            sum(n.units for n in one.nodes),
+            one.shards,
         )
-        for rack in given.racks
+        for one in given.racks
     )
     tenants = tuple(
         Tenant(one.name, one.load, one.reserve, one.size_bytes, one.regions) for one in given.tenants
@@ -107,33 +93,3 @@
         given.cells, given.headroom, given.reserved, given.least_racks, given.large, given.crowd
     )
     return Fleet(racks, tenants, rules)
-
-
-def load_map(path: str) -> CellMap:
-    """Read and check a map. Raises SettingsError with file, line and field."""
-    form = read_file(path)
-    given = bind(form, MapSettings, path)
-    for what, placed in (("rack", given.racks), ("tenant", given.tenants)):
-        names = [one.name for one in placed]
-        if twice := sorted({name for name in names if names.count(name) > 1}):
-            raise SettingsError(f"{path}:{form.line}: {what} {twice[0]}: given twice")
-    return CellMap(
-        given.version,
-        {one.name: one.cell for one in given.racks},
-        {one.name: one.cell for one in given.tenants},
-    )
-
-
-def written(cells: CellMap) -> str:
-    """Return a map as an S-expression."""
-    lines = [f"(cell-map (version {cells.version})"]
-    for what, placed in (("rack", cells.racks), ("tenant", cells.tenants)):
-        lines.extend(f'  ({what} "{name}" (cell "{cell}"))' for name, cell in sorted(placed.items()))
-    return "\n".join(lines) + ")\n"
-
-
-def save(path: str, cells: CellMap) -> None:
-    """Write a map; a reader sees the old one or the new one. Raises OSError."""
-    beside = Path(f"{path}.new")
-    beside.write_text(written(cells), encoding="utf-8")
-    beside.replace(path)
