--- a/harriertrack/cli/days.py
+++ b/harriertrack/cli/days.py
@@ -12,6 +12,7 @@
 from harriertrack.config.sexp import SettingsError
 from harriertrack.lab import day as days
 from harriertrack.lab.emulator import emulate
+from harriertrack.lab.model import UsedUp
 from harriertrack.lab.rig import play
 from harriertrack.rules import checker, recording as rec
 
@@ -74,7 +75,7 @@
         sys.exit(_many(name, range(seed, seed + seeds), emulated))
     try:
         sys.exit(verdict(_records(settings, seed, virtual, emulated, path)))
-    except OSError as error:
+    except (OSError, UsedUp) as error:
         fail(str(error))
 
 
--- a/harriertrack/cli/lab.py
+++ b/harriertrack/cli/lab.py
@@ -19,6 +19,7 @@
 from harriertrack.lab.experiments import Comparison, ExperimentSettings, RevisionError
 from harriertrack.lab.generator import Generator, LoadResult, LoadStep, is_void, load_settings
 from harriertrack.lab.hunting import hunt_down, load_hunt, written
+from harriertrack.lab.model import UsedUp
 from harriertrack.lab.scores import Scores
 from harriertrack.lab.traces import TraceError
 from harriertrack.protocol.nbd.wire import ProtocolViolation
@@ -59,7 +60,7 @@
         fail(str(error))
     try:
         experiments.run_all(experiments.jobs_of(plan), log, workers, _progress)
-    except RevisionError as error:
+    except (RevisionError, UsedUp) as error:
         fail(str(error))
     finally:
         log.close()
--- a/harriertrack/lab/day.py
+++ b/harriertrack/lab/day.py
@@ -50,6 +50,7 @@
     TENANT_BURST = "tenant_burst"
     VANISH = "vanish"
     ZONE_CUT = "zone_cut"
+    BAD_RELEASE = "bad_release"
     REGION_DARK = "region_dark"
     REGION_CUT = "region_cut"
     LINK_SLOW = "link_slow"
@@ -67,7 +68,7 @@
     part: Share = 0.25
     size: Amount = 2.0
     every_us: Positive = 1_000_000
-    how: Literal["silence", "reset", "there", "back"] = "silence"
+    how: Literal["silence", "reset", "kill", "there", "back"] = "silence"
     plan: str = ""
     region: str = "a"
 
@@ -107,6 +108,7 @@
     rate: Amount = 120.0
     volumes: Positive = 6
     shared: Share = 0.5
+    cells: Positive = 1  # shards and volumes are dealt to them in turn
     volume_bytes: Positive = 8 << 20
     extent_bytes: Positive = 128 << 10
     unit_bytes: Positive = 4096
@@ -148,6 +150,8 @@
             raise SettingsError(
                 f"{source}:{form.line}: trouble {trouble.name.value}: begins after the day's end"
             )
+    if day.cells > 1 and (day.shared or day.two_regions is not None):
+        raise SettingsError(f"{source}:{form.line}: cells: such a day has (shared 0) and one region")
     if day.volume_bytes % day.extent_bytes or day.extent_bytes % day.unit_bytes:
         raise SettingsError(f"{source}:{form.line}: extent: does not divide the volume into whole units")
     return day
--- a/harriertrack/lab/emulator.py
+++ b/harriertrack/lab/emulator.py
@@ -12,7 +12,7 @@
 import gc
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -559,7 +559,7 @@
             return EmulatedListing(listing, slot.head, world.air, hub, *args)
 
         if self.maker is None:
-            return Wiring(links, listed)
+            return replace(super().wiring(slot), links=links, listing=listed)
         maker = self.maker
         return Wiring(links, listed, lambda settings, seed: maker(settings, seed, self.true_wait))
 
--- a/harriertrack/lab/hunting.py
+++ b/harriertrack/lab/hunting.py
@@ -13,6 +13,7 @@
 from harriertrack.lab import day as days
 from harriertrack.lab.day import DaySettings, TroubleKind, TroubleSettings
 from harriertrack.lab.experiments import Job, VariantSettings, run_here
+from harriertrack.lab.model import UsedUp
 
 # What the size of a kind means differs: a factor, milliseconds, a share of answers, tries.
 SIZES = {
@@ -84,7 +85,10 @@
 
 
 def _play(variant: VariantSettings, day: DaySettings, seed: int) -> Outcome:
-    scores = run_here(Job(variant, day, seed))
+    try:
+        scores = run_here(Job(variant, day, seed))
+    except UsedUp:
+        return Outcome(0.0)  # no day to be found: its volumes have not the places that it asks for
     return Outcome(round(1 - scores.share, 6), tuple(sorted(int(rule) for rule in scores.broken)))
 
 
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -24,6 +24,8 @@
     VolumeSettings,
     check_head,
 )
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.celled import Celled, HeadMap
 from harriertrack.decisions.interface import Effect, NodeEntry, NodeState
 from harriertrack.decisions.requests import Attempt
 from harriertrack.gateway.head import Head, Wiring, quiet
@@ -104,6 +106,13 @@
     return volumes
 
 
+def cells_of(day: DaySettings) -> HeadMap:
+    """Return a day's cells: shards and volumes dealt in turn."""
+    shards = {shard: f"cell{shard % day.cells}" for shard in range(day.nodes)}
+    volumes = {f"vol{number}": f"cell{number % day.cells}" for number in range(day.volumes)}
+    return HeadMap(1, shards, volumes)
+
+
 @dataclass(slots=True, eq=False)
 class HeadSlot:
     """One head's place: its settings and what survives its restarts."""
@@ -151,6 +160,7 @@
             for one in self.volumes
             if one.plan == basic.name
         ]
+        cells = cells_of(day) if day.cells > 1 else HeadMap(0)
         virtual = isinstance(self.network, MemoryNetwork)
         spread = day.two_regions  # the far head hears of a broken connection one link delay later
         link = spread.delay_us + spread.jitter_us if spread is not None else 0
@@ -168,6 +178,8 @@
             cold_units=rules.cold_units, budget_free=rules.budget_free, budget_share=rules.budget_share,
             budget_window_us=rules.budget_window_us, order_settle_us=rules.order_settle_us,
             seed=self._seed, day=day.name, regions=day.two_regions is not None,
+            cell_of_volume=dict(cells.volumes),
+            cell_of_shard={str(shard): cell for shard, cell in cells.shards.items()},
         )  # fmt: skip
 
     # -- what the emulator makes otherwise
@@ -186,7 +198,11 @@
 
     def wiring(self, slot: HeadSlot) -> Wiring:
         """Return what a head is made of."""
-        return Wiring()
+        return Wiring() if self.day.cells == 1 else Wiring(module=self.celled)
+
+    def celled(self, settings: api.Settings, seed: int) -> Celled:
+        """Make a head's modules, one for each cell of the day."""
+        return Celled(settings, seed, cells_of(self.day))
 
     # -- running
 
--- a/harriertrack/lab/troubles.py
+++ b/harriertrack/lab/troubles.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from functools import partial
 
 from harriertrack.decisions.interface import NodeState
 from harriertrack.lab.day import TroubleKind, TroubleSettings
@@ -15,6 +16,7 @@
 from harriertrack.standin.node import Faults
 from harriertrack.standin.shelf import Shelf
 
+RESTART_US = 10_000  # how soon a node whose process dies is down
 NOTICE_US = 1_000_000  # how long before its end a node that is taken away is listed as draining
 TROUBLES: dict[TroubleKind, Callable[[Rig, TroubleSettings], None]] = {}
 
@@ -149,6 +151,24 @@
     _for_a_while(rig, struck, trouble.for_us, cut_off=far)
 
 
+@trouble(TroubleKind.BAD_RELEASE)
+def bad_release(rig: Rig, trouble: TroubleSettings) -> None:
+    """Every request of one volume breaks its connection to the node, or with `how` kill the node."""
+    fatal, until = trouble.how == "kill", rig.hub.now() + trouble.for_us
+    poison = frozenset((rig.random.choice(rig.volumes).name,))
+    shelves = list(rig.shelves.values())
+    for shelf in shelves:
+        shelf.faults = replace(shelf.faults, poison=poison, fatal=fatal)
+    while rig.hub.now() < until:
+        rig.hub.sleep(RESTART_US)
+        for shelf in shelves:
+            if shelf.struck_down and shelf.up:
+                shelf.stop()
+                rig.later(trouble.every_us, partial(rig.restart_node, shelf))
+    for shelf in shelves:
+        shelf.faults = replace(shelf.faults, poison=frozenset(), fatal=False)
+
+
 @trouble(TroubleKind.BALANCER_ROLL)
 def balancer_roll(rig: Rig, trouble: TroubleSettings) -> None:
     """Heads are killed one after another and come back with what they kept on disk."""
--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -1,4 +1,4 @@
-"""The seven rules, judged from a recording.
+"""The seven rules, judged from a recording, and an eighth where the fleet is divided into cells.
 
 Each rule is a function of its own from the `Story` of a run to the breaches it found; a breach names the
 rule, the moment, and the request or node. Rules 1 and 2 join clients' requests to what nodes received by
@@ -274,6 +274,15 @@
     return -1 if since is None else t - since
 
 
+def cells_kept(story: Story) -> Iterator[Breach]:
+    """Rule 8, where the fleet is divided: a request is sent to nodes of its volume's cell alone."""
+    facts = story.facts
+    for got in story.got if facts.cell_of_volume else ():
+        cell, there = facts.cell_of_volume.get(got.volume), facts.cell_of_shard.get(str(got.shard))
+        if cell != there:
+            yield Breach(8, got.t, f"{got.volume} to {got.node}", f"{cell} reached a node of {there}")
+
+
 def cold_nodes_spared(story: Story) -> Iterator[Breach]:
     """Rule 4: all heads together send a cold node no more than a multiple of what it can do just then."""
     facts = story.facts
@@ -415,6 +424,7 @@
     order_kept,
     budget_kept,
     limits_kept,
+    cells_kept,
 )
 
 
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -51,6 +51,8 @@
     order_settle_us: int = 0
     seed: int = 0
     day: str = ""
+    cell_of_volume: dict[str, str] = {}  # where the fleet is divided: a volume's cell
+    cell_of_shard: dict[str, str] = {}
     regions: bool = False  # nodes also get copies of writes, and what a region catches up with
 
 
--- a/harriertrack/standin/node.py
+++ b/harriertrack/standin/node.py
@@ -153,6 +153,8 @@
     late_us: int = 0  # answers are sent so much later
     refuse: bool = False  # turns everything away unseen
     slow: float = 1.0  # work takes so many times as long
+    poison: frozenset[str] = frozenset()  # a request of these volumes breaks its connection ...
+    fatal: bool = False  # ... or kills the node: `struck_down` tells
     cut_off: frozenset[int] = frozenset()  # numbers of heads between whom and the node nothing passes
 
 
@@ -173,6 +175,7 @@
         self.faults = Faults()
         self.started_at = 0
         self.fallen = False
+        self.struck_down = False  # a fatal request came: whoever runs the node stops it
         self.random = random.Random(seed)
         self._service = ServiceTimes(settings.service, settings.service_cv, seed)
         self._queue: deque[Work] = deque()
@@ -192,7 +195,7 @@
     def begin_life(self, cold: bool) -> None:
         """Come up with nothing waiting, cold if asked."""
         self._life += 1
-        self.fallen = False
+        self.fallen = self.struck_down = False
         self.started_at = self.timing.now() if cold else 0
         self._arrivals.clear()
         self._arrived_units = 0.0
@@ -306,6 +309,10 @@
         self._weigh(now, units)
         if self.fallen or self.faults.hang:
             return
+        if work.volume in self.faults.poison:
+            self.struck_down = self.struck_down or self.faults.fatal
+            work.session.break_off()
+            return
         changing = request.command in CHANGING
         if work.key and changing:
             first = self.rack.first(now, self.settings.window_us, (work.head, work.key), work)
--- a/tests/test_celled.py
+++ b/tests/test_celled.py
@@ -5,6 +5,7 @@
 from harriertrack.config.sexp import read_text
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.celled import Celled, HeadMap, OldMap
+from harriertrack.decisions.scheduler import Scheduler
 from harriertrack.lab import day as days
 from harriertrack.lab.emulator import emulate
 from harriertrack.rules import checker, recording as rec
@@ -119,6 +120,14 @@
     assert got and all(int(one.volume[3:]) % 2 == one.shard % 2 for one in got)
 
 
+def test_a_head_without_cells_is_caught_where_there_are_some():
+    day = days.parse(read_text(DAY.replace("(trouble TROUBLE)", "").replace("(shared 0)", "(shared 0) (cells 2)"),
+                               "cells"), "cells")  # fmt: skip
+    recorder = rec.Recorder()
+    emulate(day, 2, recorder, lambda settings, seed, _look: Scheduler(settings, seed))
+    assert {one.rule for one in checker.check(recorder.records)} == {8}
+
+
 def test_no_trace_of_a_flood_in_the_next_cell():
     """The flooded cell's neighbours suffer; the other cell's requests meet the very same fate as without."""
     calm = days.parse(read_text(DAY.replace("(trouble TROUBLE)", ""), "cells"), "cells")
