--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -283,6 +283,8 @@
             fail(f"class {one.name}: aim", "later than the deadline")
         if one.effect is api.Effect.KEYED and not one.window_us:
             fail(f"class {one.name}: window", "a keyed class needs the time for which repeats are dropped")
+    if head.cell_map and not any(Kind.CATCH_UP in one.kinds for one in head.classes):
+        fail("cell-map", "no class takes catch-up, which moves are made of")
     plans = {plan.name for plan in head.plans}
     for volume in head.volumes:
         if volume.plan not in plans:
--- /dev/null
+++ b/tests/test_moving.py
@@ -0,0 +1,276 @@
+"""Moving a volume into its cell: the decisions alone, the core's holds, and heads that do it."""
+
+import random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from harriertrack.config.settings import ClassSettings, Kind, check_head
+from harriertrack.config.sexp import SettingsError
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.moving import (
+    MOST_FAILURES, PACE_US, RETRY_MOST_US, RETRY_US, SETTLE_US, Move, MoveState, misplaced,
+)  # fmt: skip
+from harriertrack.decisions.requests import ClientRequest
+from harriertrack.decisions.splitting import Outcome
+from harriertrack.lab import day as days
+from harriertrack.lab.emulator import emulate
+from harriertrack.lab.rig import MOVED
+from harriertrack.protocol.nbd.wire import Command
+from harriertrack.rules import checker, recording as rec
+
+from test_core import EXTENT, Rig
+from test_head import CLASSES, EXTENT as HEAD_EXTENT, Site, play
+
+# -- what to move next
+
+
+def test_what_lies_outside_its_cell_is_to_be_moved():
+    placed = [(0, 0), (1, 1), (2, 0), (3, 7)]
+    assert misplaced("b", placed, {0: "a", 1: "b"}) == [0, 2, 3]
+    assert Move("v", []).state is MoveState.DONE
+
+
+def test_one_extent_after_another_at_a_pace():
+    move = Move("v", [3, 5])
+    assert move.next(0) == 3 and move.next(0) is None and move.wake_at() is None
+    move.ended(100, Outcome.SERVED)
+    assert move.next(100) is None and move.wake_at() == 100 + PACE_US
+    assert move.next(100 + PACE_US) == 5
+    move.ended(200 + PACE_US, Outcome.SERVED)
+    assert move.state is MoveState.DONE and move.moved == 2 and move.next(10**9) is None
+
+
+def test_a_refusal_is_tried_again_ever_later_and_in_the_end_stops():
+    move, now, waits = Move("v", [1]), 0, []
+    while move.state is MoveState.MOVING:
+        now = move.wake_at()
+        assert move.next(now) == 1
+        move.ended(now, Outcome.REFUSED)
+        waits.append((move.wake_at() or now) - now)
+    assert waits[:3] == [2 * RETRY_US, 4 * RETRY_US, 8 * RETRY_US] and max(waits) == RETRY_MOST_US
+    assert len(waits) == MOST_FAILURES and "1 extents are left" in move.why
+
+
+def test_an_unknown_write_rests_while_the_others_go_on():
+    move = Move("v", [1, 2])
+    assert move.next(0) == 1
+    move.ended(10, Outcome.FAILED)
+    assert move.next(10 + PACE_US) == 2
+    move.ended(20 + PACE_US, Outcome.SERVED)
+    assert move.next(20 + 2 * PACE_US) is None and move.wake_at() == 10 + SETTLE_US
+    assert move.next(10 + SETTLE_US) == 1
+
+
+@given(st.lists(st.sampled_from(list(Outcome)), max_size=60), st.integers(1, 6))
+@settings(max_examples=60, deadline=None)
+def test_a_move_ends_and_loses_no_extent(outcomes, count):
+    move, now, moved = Move("v", list(range(count))), 0, []
+    script = iter(outcomes)
+    while move.state is MoveState.MOVING:
+        now = max(now, move.wake_at())
+        extent = move.next(now)
+        if extent is None:
+            continue
+        outcome = next(script, Outcome.SERVED)
+        moved += [extent] if outcome is Outcome.SERVED else []
+        move.ended(now, outcome)
+    assert sorted(moved + move.left) == list(range(count))
+    assert (move.state is MoveState.DONE) is not move.left or move.state is MoveState.STOPPED
+
+
+# -- holds in the core
+
+
+class Holder:
+    def __init__(self):
+        self.times = 0
+
+    def held(self):
+        self.times += 1
+
+
+def placed_rig():
+    rig = Rig()
+    rig.ask(Kind.WRITE, data=b"a" * 512)
+    rig.end(rig.port.sent[-1])
+    rig.flush()
+    return rig
+
+
+def test_a_hold_waits_for_earlier_requests_and_keeps_later_ones():
+    rig, holder = placed_rig(), Holder()
+    early = rig.ask(Kind.READ)
+    sent = len(rig.port.sent)
+    rig.core.hold_extent("v", 0, holder)
+    late = rig.ask(Kind.READ)
+    assert holder.times == 0 and len(rig.port.sent) == sent
+    rig.end(rig.port.sent[sent - 1], data=b"a" * 512)
+    rig.flush()
+    assert early.outcome is Outcome.SERVED and holder.times == 1 and late.outcome is None
+    with pytest.raises(ValueError):
+        rig.core.hold_extent("v", 0, holder)
+    rig.core.free_extent("v", 0)
+    rig.flush()
+    assert len(rig.port.sent) == sent + 1 and late.outcome is None
+    rig.end(rig.port.sent[-1], data=b"a" * 512)
+    rig.flush()
+    assert late.outcome is Outcome.SERVED
+
+
+def test_an_extent_that_was_never_placed_is_not_held():
+    with pytest.raises(ValueError):
+        Rig().core.hold_extent("v", 3, Holder())
+
+
+def moving(rig, kind, data=b""):
+    request = ClientRequest(rig.core.volumes["v"], kind, 0, EXTENT, data, 0, None, background=True, moving=True)
+    rig.core.take(rig.now, request)
+    rig.flush()
+    return request
+
+
+def test_a_moving_write_is_placed_anew_and_those_who_waited_follow_it():
+    rig, holder = placed_rig(), Holder()
+    old = rig.extents.shard_of("v", 0)
+    rig.core.hold_extent("v", 0, holder)
+    rig.flush()
+    late = rig.ask(Kind.WRITE, data=b"b" * 512)
+    read = moving(rig, Kind.READ)
+    assert rig.port.sent[-1].member.entry.shard == old
+    rig.end(rig.port.sent[-1], data=b"a" * EXTENT)
+    rig.flush()
+    assert read.outcome is Outcome.SERVED and late.outcome is None
+    write = moving(rig, Kind.WRITE, b"a" * EXTENT)
+    copy = rig.port.sent[-1]
+    rig.end(copy)
+    rig.flush()
+    assert write.outcome is Outcome.SERVED
+    assert rig.extents.shard_of("v", 0) == copy.member.entry.shard
+    assert rig.port.sent[-1].part.request is late and rig.port.sent[-1].member.entry.shard == copy.member.entry.shard
+
+
+def test_a_moving_write_that_fails_leaves_the_extent_where_it_was_and_frees_it():
+    rig, holder = placed_rig(), Holder()
+    old = rig.extents.shard_of("v", 0)
+    rig.core.hold_extent("v", 0, holder)
+    rig.flush()
+    late = rig.ask(Kind.READ)
+    write = moving(rig, Kind.WRITE, b"a" * EXTENT)
+    rig.end(rig.port.sent[-1], api.Result.ERROR)
+    for _ in range(8):
+        if write.outcome is None:
+            rig.run(200_000)
+            if rig.port.sent[-1].part.request is write:
+                rig.end(rig.port.sent[-1], api.Result.ERROR)
+                rig.flush()
+    assert write.outcome is not None and write.outcome is not Outcome.SERVED
+    assert rig.extents.shard_of("v", 0) == old
+    assert rig.port.sent[-1].part.request is late and rig.port.sent[-1].member.entry.shard == old
+    rig.core.hold_extent("v", 0, holder)  # it can be held again
+
+
+def test_who_waits_too_long_is_refused_and_nothing_is_sent_for_it():
+    rig, holder = placed_rig(), Holder()
+    rig.core.hold_extent("v", 0, holder)
+    rig.flush()
+    late, sent = rig.ask(Kind.READ), len(rig.port.sent)
+    rig.run(2_000_000)
+    assert late.outcome is Outcome.REFUSED
+    rig.core.free_extent("v", 0)
+    rig.flush()
+    assert len(rig.port.sent) == sent
+
+
+# -- heads
+
+MAP = """(cell-map (version VERSION) (rack "r0" (cell "left") (shards 0 1)) (rack "r1" (cell "right") (shards 2 3))
+  (tenant "disk" (cell "HERE")) (tenant "shared" (cell "left")))"""
+MOVES = (*CLASSES, ClassSettings(name="catch-up", kinds=(Kind.CATCH_UP,), aim_us=5_000_000, deadline_us=15_000_000,
+                                 worth=0.5, effect=api.Effect.KEYED, window_us=2_500_000))  # fmt: skip
+
+
+def test_a_running_head_takes_a_new_map_and_moves_what_it_holds(tmp_path):
+    path = tmp_path / "map.sexp"
+
+    def write(version, here):
+        path.write_text(MAP.replace("VERSION", str(version)).replace("HERE", here))
+
+    def test(site):
+        rng, model = random.Random(3), bytearray(64 * HEAD_EXTENT)
+        client, places = site.client(), site.head.core.places
+
+        def work(steps):
+            for _ in range(steps):
+                offset, length = rng.randrange(12 * HEAD_EXTENT), rng.choice([512, 4096, HEAD_EXTENT])
+                if rng.random() < 0.5:
+                    data = rng.randbytes(length)
+                    assert client.call(Command.WRITE, offset, data=data).error == 0
+                    model[offset : offset + length] = data
+                else:
+                    assert client.call(Command.READ, offset, length).data == model[offset : offset + length]
+
+        work(60)
+        assert {shard for _, shard in places.placed("disk")} <= {0, 1}
+        path.write_text("(cell-map (version two))")
+        site.hub.sleep(1_000_000)
+        assert ("cell map not taken") in [event for event, _ in site.notes]
+        write(2, "right")
+        site.hub.sleep(600_000)
+        work(60)
+        for _ in range(200):
+            if site.head.mover.moves["disk"].state is MoveState.DONE:
+                break
+            site.hub.sleep(50_000)
+        assert {shard for _, shard in places.placed("disk")} <= {2, 3}
+        assert client.call(Command.READ, 0, 12 * HEAD_EXTENT).data == model[: 12 * HEAD_EXTENT]
+        assert client.call(Command.FLUSH).error == 0
+        write(1, "left")  # an older one is not followed
+        site.hub.sleep(1_000_000)
+        assert site.head.module.map.version == 2
+        write(3, "left")  # taken back
+        site.hub.sleep(3_000_000)
+        work(40)
+        assert {shard for _, shard in places.placed("disk")} <= {0, 1}
+        assert [event for event, _ in site.notes].count("cell map taken") == 2
+
+    write(1, "left")
+    play(test, nodes=4, cell_map=str(path), classes=MOVES)
+
+
+def test_moves_need_a_class_to_be_made_of():
+    kept = []
+    play(lambda site: kept.append(site.head.settings))
+    import msgspec
+
+    with pytest.raises(SettingsError, match="cell-map: no class takes catch-up"):
+        check_head(msgspec.structs.replace(kept[0], cell_map="x"), "head")
+
+
+@pytest.mark.parametrize("name", ["cell-move", "cell-move-kill"])
+@pytest.mark.parametrize("seed", [2, 3])
+def test_a_day_with_a_move_loses_and_doubles_nothing_and_gets_done(name, seed):
+    recorder = rec.Recorder()
+    rig = emulate(days.load(name), seed, recorder)
+    assert [str(one) for one in checker.check(recorder.records)] == []
+    home = rig.cells.volumes[MOVED]
+    (slot,) = [one for one in rig.heads if any(volume.name == MOVED for volume in one.settings.volumes)]
+    lies = {rig.cells.shards[shard] for _, shard in slot.extents().placed(MOVED)}
+    assert lies == {home} and rig.cells.version == 2
+
+
+def test_a_mover_that_does_not_hold_extents_is_caught(monkeypatch):
+    """The seeded fault: writes between the read and the switch are lost, and reads tell."""
+    from harriertrack.decisions.requests import Core
+
+    def no_hold(self, volume, extent, holder):
+        self._held.append(type("Hold", (), {"holder": holder, "left": set()})())
+        self._soon()
+
+    monkeypatch.setattr(Core, "hold_extent", no_hold)
+    broken = set()
+    for seed in (1, 2, 3):
+        recorder = rec.Recorder()
+        emulate(days.load("cell-move"), seed, recorder)
+        broken |= {one.why for one in checker.check(recorder.records)}
+    assert any("data" in why for why in broken)
