--- a/tests/test_moving.py
+++ b/tests/test_moving.py
@@ -20,7 +20,7 @@
 from harriertrack.rules import checker, recording as rec
 
 from test_core import EXTENT, Rig
-from test_head import CLASSES, EXTENT as HEAD_EXTENT, Site, play
+from test_head import CLASSES, EXTENT as HEAD_EXTENT, play
 
 # -- what to move next
 
