--- a/harriertrack/decisions/moving.py
+++ b/harriertrack/decisions/moving.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import InitVar, dataclass, field
 from enum import StrEnum
 
 from harriertrack.decisions.splitting import Outcome
@@ -29,6 +29,7 @@
     """Where a volume's move is."""
 
     MOVING = "moving"
+    SETTLING = "settling"  # nothing is known to be left, but writes from before the map may still land
     DONE = "done"
     STOPPED = "stopped"  # it can't go on by itself; a newer map begins anew
 
@@ -44,17 +45,31 @@
 
     volume: str
     left: list[int]  # extents to be moved, the next first
+    settle_us: int  # the longest that a write taken under an earlier map may still place an extent
+    now: InitVar[int] = 0
     state: MoveState = MoveState.MOVING
     why: str = ""  # it stopped
     moved: int = 0
     busy: int = -1  # the extent that is being moved
     _next_at: int = 0
+    _check_at: int = 0
     _failures: int = 0
     _settles: dict[int, int] = field(default_factory=dict)  # extents with an unknown write: when again
 
-    def __post_init__(self) -> None:
+    def __post_init__(self, now: int) -> None:
+        self._check_at = now + self.settle_us
+        self._look(now)
+
+    def _look(self, now: int) -> None:
+        """Nothing is left: look again once every write from before the map is over."""
         if not self.left:
-            self.state = MoveState.DONE
+            self.state = MoveState.SETTLING
+            self._next_at = max(now, self._check_at)
+
+    def checked(self, found: Iterable[int]) -> None:
+        """Take what still lies outside when `SETTLING` is over: more to move, or the end."""
+        self.left = sorted(found)
+        self.state = MoveState.MOVING if self.left else MoveState.DONE
 
     def next(self, now: int) -> int | None:
         """Return the extent to begin with now; None if it is not time, or one is under way."""
@@ -68,8 +83,9 @@
         return extent
 
     def wake_at(self) -> int | None:
-        """Return when `next` may have something; None while one is under way or all is over."""
-        return self._next_at if self.state is MoveState.MOVING and self.busy < 0 else None
+        """Return when to ask `next`, or to look again; None while one is under way or all is over."""
+        waits = self.state in (MoveState.MOVING, MoveState.SETTLING)
+        return self._next_at if waits and self.busy < 0 else None
 
     def ended(self, now: int, outcome: Outcome) -> None:
         """Take what came of the extent under way."""
@@ -79,8 +95,7 @@
             self.moved += 1
             self._failures = 0
             self._next_at = now + PACE_US
-            if not self.left:
-                self.state = MoveState.DONE
+            self._look(now)
             return
         self._failures += 1
         if outcome is Outcome.FAILED:
--- a/harriertrack/gateway/mover.py
+++ b/harriertrack/gateway/mover.py
@@ -36,6 +36,8 @@
                  note: Callable[..., None]) -> None:  # fmt: skip
         self._hub, self._scope, self._core, self._note = hub, scope, core, note
         self._extent_bytes = settings.extent_bytes
+        writes = (one.deadline_us for one in settings.classes if Kind.WRITE in one.kinds)
+        self._settle_us = max(writes, default=0)
         self._sizes = {volume.name: volume.size_bytes for volume in settings.volumes}
         self._version = -1
         self.moves: dict[str, Move] = {}
@@ -54,26 +56,29 @@
             before = self.moves.get(name)
             if before is not None and before.busy >= 0:  # that one lands where its write was sent
                 left = sorted({*left, before.busy})
-            move = self.moves[name] = Move(name, left)
-            if move.state is MoveState.MOVING:
+            move = self.moves[name] = Move(name, left, self._settle_us, self._hub.now())
+            if left:
                 self._note("move begins", volume=name, cell=home, extents=len(left))
-                self._scope.spawn(f"move {name}", self._run, move, before, cells)
+            self._scope.spawn(f"move {name}", self._run, move, before, cells)
 
     def _run(self, move: Move, before: Move | None, cells: HeadMap) -> None:
         while before is not None and before.busy >= 0:
             self._hub.sleep(10_000)
-        while move.state is MoveState.MOVING and self._version == cells.version:
+        while (when := move.wake_at()) is not None and self._version == cells.version:
+            self._hub.sleep_until(when)
+            if move.state is MoveState.SETTLING:
+                placed = self._core.places.placed(move.volume)
+                move.checked(misplaced(cells.volumes[move.volume], placed, cells.shards))
+                continue
             extent = move.next(self._hub.now())
             if extent is None:
-                when = move.wake_at()
-                self._hub.sleep_until(when if when is not None else self._hub.now() + 10_000)
                 continue
             shard = self._core.places.shard_of(move.volume, extent)
             if shard is None or cells.shards.get(shard) == cells.volumes[move.volume]:
                 move.ended(self._hub.now(), Outcome.SERVED)  # it is there, by the move before
             else:
                 move.ended(self._hub.now(), self._move(move.volume, extent))
-        if move.state is not MoveState.MOVING:
+        if move.state is MoveState.STOPPED or move.moved:
             self._note(f"move {move.state}", volume=move.volume, extents=move.moved, why=move.why)
 
     def _move(self, volume: str, extent: int) -> Outcome:
--- a/tests/test_moving.py
+++ b/tests/test_moving.py
@@ -22,27 +22,42 @@
 from test_core import EXTENT, Rig
 from test_head import CLASSES, EXTENT as HEAD_EXTENT, play
 
+SETTLED = 2_500_000  # until nothing from before the map lands any more
+
+
 # -- what to move next
 
 
 def test_what_lies_outside_its_cell_is_to_be_moved():
     placed = [(0, 0), (1, 1), (2, 0), (3, 7)]
     assert misplaced("b", placed, {0: "a", 1: "b"}) == [0, 2, 3]
-    assert Move("v", []).state is MoveState.DONE
 
 
 def test_one_extent_after_another_at_a_pace():
-    move = Move("v", [3, 5])
+    move = Move("v", [3, 5], SETTLED)
     assert move.next(0) == 3 and move.next(0) is None and move.wake_at() is None
     move.ended(100, Outcome.SERVED)
     assert move.next(100) is None and move.wake_at() == 100 + PACE_US
     assert move.next(100 + PACE_US) == 5
     move.ended(200 + PACE_US, Outcome.SERVED)
+    assert move.state is MoveState.SETTLING and move.wake_at() == SETTLED and move.next(10**9) is None
+    move.checked([])
     assert move.state is MoveState.DONE and move.moved == 2 and move.next(10**9) is None
 
 
+def test_what_lands_under_the_old_map_is_found_and_moved_too():
+    move = Move("v", [], SETTLED, 1000)
+    assert move.state is MoveState.SETTLING and move.wake_at() == 1000 + SETTLED
+    move.checked([7])
+    assert move.state is MoveState.MOVING and move.next(1000 + SETTLED) == 7
+    move.ended(2000 + SETTLED, Outcome.SERVED)
+    assert move.state is MoveState.SETTLING and move.wake_at() == 2000 + SETTLED
+    move.checked([])
+    assert move.state is MoveState.DONE
+
+
 def test_a_refusal_is_tried_again_ever_later_and_in_the_end_stops():
-    move, now, waits = Move("v", [1]), 0, []
+    move, now, waits = Move("v", [1], SETTLED), 0, []
     while move.state is MoveState.MOVING:
         now = move.wake_at()
         assert move.next(now) == 1
@@ -53,7 +68,7 @@
 
 
 def test_an_unknown_write_rests_while_the_others_go_on():
-    move = Move("v", [1, 2])
+    move = Move("v", [1, 2], SETTLED)
     assert move.next(0) == 1
     move.ended(10, Outcome.FAILED)
     assert move.next(10 + PACE_US) == 2
@@ -65,7 +80,7 @@
 @given(st.lists(st.sampled_from(list(Outcome)), max_size=60), st.integers(1, 6))
 @settings(max_examples=60, deadline=None)
 def test_a_move_ends_and_loses_no_extent(outcomes, count):
-    move, now, moved = Move("v", list(range(count))), 0, []
+    move, now, moved = Move("v", list(range(count)), SETTLED), 0, []
     script = iter(outcomes)
     while move.state is MoveState.MOVING:
         now = max(now, move.wake_at())
@@ -76,7 +91,7 @@
         moved += [extent] if outcome is Outcome.SERVED else []
         move.ended(now, outcome)
     assert sorted(moved + move.left) == list(range(count))
-    assert (move.state is MoveState.DONE) is not move.left or move.state is MoveState.STOPPED
+    assert (move.state is MoveState.STOPPED) == bool(move.left)
 
 
 # -- holds in the core
