--- a/harriertrack/cli/cells.py
+++ b/harriertrack/cli/cells.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from pathlib import Path
 
 import click
 
@@ -99,6 +100,32 @@
         )
 
 
+@cells.command("apply")
+@click.argument("fleet", type=click.Path())
+@click.argument("next_map", type=click.Path())
+@click.argument("in_force", type=click.Path())
+@click.option("--yes", is_flag=True, help="Do it; without this, only say what would move.")
+def cells_apply(fleet: str, next_map: str, in_force: str, yes: bool) -> None:
+    """Put NEXT_MAP in the place of IN_FORCE, the file that heads follow. Exit code 1 if it may not be."""
+    given, after = _fleet(fleet), _map(next_map)
+    before = _map(in_force) if Path(in_force).exists() else CellMap(0)
+    broken = problems(given, after)
+    if after.version <= before.version:
+        broken.insert(0, f"version {after.version} is not newer than {before.version}, which is in force")
+    if broken:
+        for line in broken:
+            click.echo(f"harriertrack: {line}", err=True)
+        sys.exit(NO_PLAN)
+    _tell_change(given, before, after)
+    if not yes:
+        click.echo("nothing was written; --yes puts the map in force")
+        return
+    try:
+        maps.save(in_force, after, {rack.name: rack.shards for rack in given.racks})
+    except OSError as error:
+        fail(f"{in_force}: {error.strerror}")
+
+
 @cells.command("show")
 @click.argument("fleet", type=click.Path())
 @click.argument("cell_map", type=click.Path())
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -164,6 +164,11 @@
     assert load_map(str(cells)).tenants == {"liga": "cell0"}
     shown = run("show", path, cells)
     assert shown.returncode == 0 and "cell0: 2 racks, 3 nodes, 1 tenants" in shown.stdout
+    force = tmp_path / "force.sexp"
+    assert "nothing was written" in run("apply", path, cells, force).stdout and not force.exists()
+    assert run("apply", path, cells, force, "--yes").returncode == 0 and load_map(str(force)).version == 1
+    again = run("apply", path, cells, force, "--yes")
+    assert again.returncode == 1 and "version 1 is not newer" in again.stderr
     path.write_text(FLEET.replace("load 50", "load 900"))
     none = run("plan", path, "--now", cells)
     assert none.returncode == 1 and "capacity in a" in none.stderr
