--- a/harriertrack/lab/report.py
+++ b/harriertrack/lab/report.py
@@ -17,8 +17,8 @@
 from matplotlib.figure import Figure
 
 from harriertrack.lab.experiments import Comparison
-from harriertrack.lab.generator import LoadResult, is_void
-from harriertrack.lab.scores import QUANTILES, STEP_US, Earned, Scores, histogram, unpacked
+from harriertrack.lab.generator import LoadResult, LoadStep, is_void
+from harriertrack.lab.scores import QUANTILES, STEP_US, Earned, Scores, Step, histogram, unpacked
 
 SIMULATED = (
     "All figures are of simulated machines; they compare variants, and are no promise of a real one."
@@ -80,12 +80,12 @@
         axes.legend(fontsize=8, ncols=2)
 
 
-def _latency(run: Scores) -> Callable[[Axes], None]:
+def _latency(steps: Sequence[Step] | Sequence[LoadStep]) -> Callable[[Axes], None]:
     def draw(axes: Axes) -> None:
-        steps = [step for step in run.steps if step.latency_us]
+        told = [step for step in steps if step.latency_us]
+        t = [step.t_us / 1e6 for step in told]
         for at, percent in enumerate(QUANTILES):
-            axes.plot([step.t_us / 1e6 for step in steps], [step.latency_us[at] / 1000 for step in steps],
-                      label=f"{percent:g} %")  # fmt: skip
+            axes.plot(t, [step.latency_us[at] / 1000 for step in told], label=f"{percent:g} %")
         axes.set(xlabel="seconds", ylabel="milliseconds", yscale="log")
         _legend(axes)
 
@@ -225,7 +225,7 @@
     ("Worth over time", "The part of what first tries of each half second could have earned that was earned.",
      _worth),
     ("Latency of served requests", "Quantiles of each half second, from the client's request to its answer.",
-     _latency),
+     lambda run: _latency(run.steps)),
     ("Queues at the nodes", "Requests that wait at each node, as the node knows them.",
      lambda run: _nodes(run, "queue", "requests")),
     ("Windows", "How many requests all heads together would have out at each node.",
@@ -347,14 +347,6 @@
         axes.set(xlabel="seconds", ylabel="requests a second")
         _legend(axes)
 
-    def latency(axes: Axes) -> None:
-        steps = [step for step in result.steps if step.latency_us]
-        for at, percent in enumerate(QUANTILES):
-            axes.plot([step.t_us / 1e6 for step in steps], [step.latency_us[at] / 1000 for step in steps],
-                      label=f"{percent:g} %")  # fmt: skip
-        axes.set(xlabel="seconds", ylabel="milliseconds", yscale="log")
-        _legend(axes)
-
     def distribution(axes: Axes) -> None:
         percents = 100 * (1 - np.logspace(0, -5, 120))
         for kind, text in result.latency.items():
@@ -373,7 +365,7 @@
         Section("Totals", "", totals),
         Section("Requests over time", "Planned requests leave whether or not earlier ones were answered.",
                 images=[plot(over_time)]),
-        Section("Latency over time", "Quantiles of each second's answers.", images=[plot(latency)]),
+        Section("Latency over time", "Quantiles of each second's answers.", images=[plot(_latency(result.steps))]),
         Section("Latency", "All served requests.", quantiles, [plot(distribution)]),
     ]  # fmt: skip
     return render(f"Load {result.name}", lead, sections)
