--- a/harriertrack/lab/report.py
+++ b/harriertrack/lab/report.py
@@ -365,7 +365,8 @@
         Section("Totals", "", totals),
         Section("Requests over time", "Planned requests leave whether or not earlier ones were answered.",
                 images=[plot(over_time)]),
-        Section("Latency over time", "Quantiles of each second's answers.", images=[plot(_latency(result.steps))]),
+        Section("Latency over time", "Quantiles of each second's answers.",
+                images=[plot(_latency(result.steps))]),
         Section("Latency", "All served requests.", quantiles, [plot(distribution)]),
     ]  # fmt: skip
     return render(f"Load {result.name}", lead, sections)
