--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -285,6 +285,8 @@
             fail(f"class {one.name}: window", "a keyed class needs the time for which repeats are dropped")
     if head.cell_map and not any(Kind.CATCH_UP in one.kinds for one in head.classes):
         fail("cell-map", "no class takes catch-up, which moves are made of")
+    if head.cell_map and any(volume.regions is not None for volume in head.volumes):
+        fail("cell-map", "volumes of two regions know no cells yet")
     plans = {plan.name for plan in head.plans}
     for volume in head.volumes:
         if volume.plan not in plans:
--- a/tests/test_moving.py
+++ b/tests/test_moving.py
@@ -2,10 +2,11 @@
 
 import random
 
+import msgspec
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from harriertrack.config.settings import ClassSettings, Kind, check_head
+from harriertrack.config.settings import ClassSettings, Kind, RegionSettings, VolumeRegionSettings, check_head
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.moving import (
@@ -256,10 +257,14 @@
 def test_moves_need_a_class_to_be_made_of():
     kept = []
     play(lambda site: kept.append(site.head.settings))
-    import msgspec
-
     with pytest.raises(SettingsError, match="cell-map: no class takes catch-up"):
         check_head(msgspec.structs.replace(kept[0], cell_map="x"), "head")
+    spread = VolumeRegionSettings(home="a")
+    both = msgspec.structs.replace(kept[0], cell_map="x", classes=MOVES, region=RegionSettings(
+        name="a", other="b", peer=("127.0.0.1", 1), witness=("127.0.0.1", 2)), volumes=(
+        msgspec.structs.replace(kept[0].volumes[0], regions=spread),))  # fmt: skip
+    with pytest.raises(SettingsError, match="cell-map: volumes of two regions"):
+        check_head(both, "head")
 
 
 @pytest.mark.parametrize("name", ["cell-move", "cell-move-kill"])
