--- a/tests/test_celled.py
+++ b/tests/test_celled.py
@@ -58,7 +58,7 @@
     one = celled()
     left, right = one.modules()
     left.says, right.says = [api.SetTimer("7", 50)], [api.SetTimer("7", 60)]
-    actions = one.handle(0, [asked(1), asked(2, "w")])
+    actions = one.handle(0, [asked(1), asked(2, "w", 1)])
     assert [(a.token, a.at_us) for a in actions] == [("left|7", 50), ("right|7", 60)]
     one.handle(60, [api.Woken("right|7")])
     assert right.heard[-1] == api.Woken("7") and not any(isinstance(e, api.Woken) for e in left.heard)
@@ -92,6 +92,14 @@
     assert left.heard.count(done) == 1
 
 
+def test_an_extent_is_asked_for_where_it_lies_and_new_ones_go_home():
+    one = celled(HeadMap(1, {0: "left", 1: "right"}, {"v": "right"}))
+    left, right = one.modules()
+    one.handle(0, [asked(1, "v", 0), asked(2, "v", 1), asked(3, "v", -1), asked(4, "v", 9)])
+    assert [e.request for e in left.heard] == [1]
+    assert [e.request for e in right.heard] == [2, 3, 4]  # a shard of no cell: its own module refuses
+
+
 def test_a_late_outcome_of_an_answered_request_still_finds_its_module():
     one = celled()
     left, _ = one.modules()
