--- a/harriertrack/decisions/celled.py
+++ b/harriertrack/decisions/celled.py
@@ -100,20 +100,7 @@
         self.map = cells
         for cell in cells.cells():
             self._module(cell)
-        for entry in list(self._nodes.values()):
-            self._tell_of(entry, ListKind.CHANGES)
-
-    def _tell_of(self, entry: NodeEntry, kind: ListKind) -> None:
-        """Tell the module of a node's cell of it; a cell that it left learns that it is gone."""
-        cell, before = self.map.shards.get(entry.shard, ""), self._told.get(entry.node)
-        if before is not None and before != cell:
-            gone = replace(entry, state=NodeState.GONE)
-            self._pending.append((before, NodesChanged(ListKind.CHANGES, [gone])))
-        if cell:
-            self._told[entry.node] = cell
-            self._pending.append((cell, NodesChanged(kind, [entry])))
-        else:
-            self._told.pop(entry.node, None)
+        self._pending.extend(self._split(NodesChanged(ListKind.CHANGES, list(self._nodes.values()))))
 
     # -- events
 
@@ -134,18 +121,10 @@
                         continue
                     self._of_request[event.request] = cell
                     batches.setdefault(cell, []).append(event)
-                case Ended():
-                    cell = self._of_request.get(event.request, "")
-                    if cell:
-                        batches.setdefault(cell, []).append(event)
-                        self._ended(event)
-                case ClientGone():
-                    if cell := self._of_request.get(event.request, ""):
-                        batches.setdefault(cell, []).append(event)
-                        self._finish(event.request)
-                case Begun():
+                case Ended() | ClientGone() | Begun():
                     if cell := self._of_request.get(event.request, ""):
                         batches.setdefault(cell, []).append(event)
+                        self._note(event)
                 case Woken():
                     cell, _, token = event.token.partition(MARK)
                     if cell in self._modules:
@@ -181,32 +160,36 @@
             if cell:
                 self._told[entry.node] = cell
                 parts.setdefault(cell, []).append(entry)
+            else:
+                self._told.pop(entry.node, None)
         return [(cell, NodesChanged(news.kind, entries)) for cell, entries in parts.items()]
 
     def _pass_on(self, cell: str, action: Action, actions: list[Action]) -> None:
         match action:
             case SetTimer():
-                actions.append(SetTimer(f"{cell}{MARK}{action.token}", action.at_us))
+                action = SetTimer(f"{cell}{MARK}{action.token}", action.at_us)
             case Subscribe():
-                if not self._subscribed:  # one subscription serves all
-                    actions.append(action)
+                if self._subscribed:  # one subscription serves all
+                    return
                 self._subscribed = True
             case Send():
                 self._out[action.request] = self._out.get(action.request, 0) + 1
-                actions.append(action)
             case Refuse() | Fail():
-                actions.append(action)
                 self._finish(action.request)
-            case _:
-                actions.append(action)
+        actions.append(action)
 
     # -- which module has a request
 
-    def _ended(self, event: Ended) -> None:
-        self._out[event.request] = self._out.get(event.request, 1) - 1
-        if event.over:
-            self._over.add(event.request)
-        self._forget(event.request)
+    def _note(self, event: Ended | ClientGone | Begun) -> None:
+        """Keep count of a request's attempts, and of whether it has its answer."""
+        match event:
+            case Ended():
+                self._out[event.request] = self._out.get(event.request, 1) - 1
+                if event.over:
+                    self._over.add(event.request)
+                self._forget(event.request)
+            case ClientGone():
+                self._finish(event.request)
 
     def _finish(self, request: int) -> None:
         self._over.add(request)
