One way to do a head's own requests, to read a served read's bytes, and to word an answer that is none

The mover had written again what the region layer has (wait for a background request, join a read's pieces), and the emulator the front's errors. gateway/background.py, ClientRequest.bytes_read and front.error_of serve all of them.

--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -178,6 +178,10 @@
     moving: bool = False  # the head's own, for an extent that it holds; such a write is placed anew
     tick: int = 0  # of the other head's: the newest tick of ours that it had
 
+    def bytes_read(self) -> bytes:
+        """Return what a served read brought; holes are zeroes."""
+        return b"".join(one.data if isinstance(one, Part) else bytes(one) for one in self.pieces)
+
 
 @dataclass(slots=True, eq=False)
 class Part:
--- /dev/null
+++ b/harriertrack/gateway/background.py
@@ -0,0 +1,37 @@
+"""Requests of the head's own, beside those of its clients: what copies, compares and moves extents."""
+
+from __future__ import annotations
+
+from harriertrack.decisions.requests import ClientRequest, Core
+from harriertrack.decisions.splitting import Kind
+from harriertrack.runtime.hub import Event, Hub
+
+
+class Waiter:
+    """Who waits for such a request, or for an extent to be held."""
+
+    def __init__(self, hub: Hub) -> None:
+        self._ended = Event(hub)
+
+    def answer(self, request: ClientRequest) -> None:
+        """Take the core's answer."""
+        self._ended.set()
+
+    def held(self) -> None:
+        """The extent is held."""
+        self._ended.set()
+
+    def wait(self) -> None:
+        """Let the current task wait for it."""
+        self._ended.wait()
+
+
+def do(hub: Hub, core: Core, volume: str, kind: Kind, start: int, length: int, data: bytes = b"",
+       deadline: int = 0, moving: bool = False) -> ClientRequest:  # fmt: skip
+    """Do a background request and wait for its end; `deadline` 0: its class says."""
+    waiter = Waiter(hub)
+    request = ClientRequest(core.volumes[volume], kind, start, length, data, 0, waiter, deadline,
+                            background=True, moving=moving)  # fmt: skip
+    core.take(hub.now(), request)
+    waiter.wait()
+    return request
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -41,6 +41,14 @@
 REFUSED, FAILED = Errno.ENOMEM, Errno.EIO
 
 
+def error_of(request: ClientRequest) -> tuple[Errno, str]:
+    """Return the error and its text for a request that was not served."""
+    if request.outcome is Outcome.REFUSED:
+        hint = f"; retry-after-us={request.hint_us}" if request.hint_us else ""
+        return REFUSED, request.why or f"refused: not done{hint}"
+    return FAILED, "failed: nothing is known of its effect"
+
+
 class VolumeExports:
     """The volumes as exports."""
 
@@ -261,11 +269,8 @@
                 self._nbd.reply_read(cookie, request.offset, pieces, bool(request.flags & CommandFlags.DF))
             case Outcome.SERVED:
                 self._nbd.reply_done(cookie)
-            case Outcome.REFUSED:
-                hint = f"; retry-after-us={request.hint_us}" if request.hint_us else ""
-                self._nbd.reply_error(cookie, REFUSED, request.why or f"refused: not done{hint}")
             case _:
-                self._nbd.reply_error(cookie, FAILED, "failed: nothing is known of its effect")
+                self._nbd.reply_error(cookie, *error_of(request))
         self._push()
         self._fewer.notify()
 
--- a/harriertrack/gateway/mover.py
+++ b/harriertrack/gateway/mover.py
@@ -7,28 +7,14 @@
 from harriertrack.config.settings import HeadSettings
 from harriertrack.decisions.celled import HeadMap
 from harriertrack.decisions.moving import Move, MoveState, misplaced
-from harriertrack.decisions.requests import ClientRequest, Core, Part
+from harriertrack.decisions.requests import ClientRequest, Core
 from harriertrack.decisions.splitting import Kind, Outcome
-from harriertrack.runtime.hub import Event, Hub, Scope
+from harriertrack.gateway import background
+from harriertrack.runtime.hub import Hub, Scope
 
 HOLD_US = 1_000_000  # clients of the extent wait meanwhile: a read or a write that takes longer is given up
 
 
-class _Ended:
-    """Who waits for a request of the mover's own, or for an extent."""
-
-    def __init__(self, hub: Hub) -> None:
-        self.event = Event(hub)
-
-    def answer(self, request: ClientRequest) -> None:
-        """Take the core's answer."""
-        self.event.set()
-
-    def held(self) -> None:
-        """The extent is held."""
-        self.event.set()
-
-
 class Mover:
     """All moves of a head: one task for each volume that has extents outside its cell."""
 
@@ -83,26 +69,19 @@
 
     def _move(self, volume: str, extent: int) -> Outcome:
         """Move one extent; return what came of it."""
-        held = _Ended(self._hub)
+        held = background.Waiter(self._hub)
         self._core.hold_extent(volume, extent, held)
-        held.event.wait()
+        held.wait()
         start = extent * self._extent_bytes
         length = min(self._extent_bytes, self._sizes[volume] - start)
-        read = self._do(volume, Kind.READ, start, length, b"")
+        read = self._do(volume, Kind.READ, start, length)
         if read.outcome is not Outcome.SERVED:
             self._core.free_extent(volume, extent)
             return Outcome.REFUSED  # nothing was changed anywhere
-        pieces = (one.data if isinstance(one, Part) else bytes(one) for one in read.pieces)
-        done = self._do(volume, Kind.WRITE, start, length, b"".join(pieces))  # its end frees the extent
+        done = self._do(volume, Kind.WRITE, start, length, read.bytes_read())  # its end frees the extent
         assert done.outcome is not None
         return done.outcome
 
-    def _do(self, volume: str, kind: Kind, start: int, length: int, data: bytes) -> ClientRequest:
-        ended = _Ended(self._hub)
-        request = ClientRequest(
-            self._core.volumes[volume], kind, start, length, data, 0, ended,
-            deadline=self._hub.now() + HOLD_US, background=True, moving=True,
-        )  # fmt: skip
-        self._core.take(self._hub.now(), request)
-        ended.event.wait()
-        return request
+    def _do(self, volume: str, kind: Kind, start: int, length: int, data: bytes = b"") -> ClientRequest:
+        deadline = self._hub.now() + HOLD_US
+        return background.do(self._hub, self._core, volume, kind, start, length, data, deadline, moving=True)
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -21,8 +21,9 @@
 from harriertrack.decisions.catchup import CatchUp, Told
 from harriertrack.decisions.ranges import RangeLocks, Ticket
 from harriertrack.decisions.regions import Bounds, Copying, Expiry, RegionView, Route
-from harriertrack.decisions.requests import CHANGING, ClientRequest, Core, Origin, Part
+from harriertrack.decisions.requests import CHANGING, ClientRequest, Core, Origin
 from harriertrack.decisions.splitting import Kind, Outcome, cut, runs
+from harriertrack.gateway import background
 from harriertrack.gateway.links import COMMANDS, Links
 from harriertrack.gateway.peer import Peer, PeerLink
 from harriertrack.gateway.witness import FAILURES, WitnessClient
@@ -286,7 +287,7 @@
         if inner.outcome is not Outcome.SERVED:
             self._hub.at(self._hub.now() + CATCH_UP_US, lambda: self._after_unknown(work))
             return
-        work.data = bytes_of(inner)
+        work.data = inner.bytes_read()
         self._held(work)
 
     def _held(self, work: Work) -> None:
@@ -739,38 +740,17 @@
         theirs = self._ask_peer(volume, Command.DIGEST, start, length)
         if theirs is None or theirs.report is None or len(theirs.report.load) != 2:
             return False
-        ours = self._own(volume, Kind.READ, start, length, b"")
+        ours = self._own(volume, Kind.READ, start, length)
         high, low = map(int, theirs.report.load)
         return ours.outcome is Outcome.SERVED and digest_of(ours) == high << 32 | low
 
-    def _own(self, volume: RegionalVolume, kind: Kind, start: int, length: int, data: bytes) -> ClientRequest:
+    def _own(
+        self, volume: RegionalVolume, kind: Kind, start: int, length: int, data: bytes = b""
+    ) -> ClientRequest:
         """Do a background request in this region and wait for its end."""
-        done = Background(Event(self._hub))
-        request = ClientRequest(
-            self._core.volumes[volume.name], kind, start, length, data, 0, done, background=True
-        )
-        self._core.take(self._hub.now(), request)
-        done.ended.wait()
-        return request
-
-
-@dataclass(slots=True, eq=False)
-class Background:
-    """Who waits for a request of the layer's own."""
-
-    ended: Event
-
-    def answer(self, request: ClientRequest) -> None:
-        """Take the core's answer."""
-        self.ended.set()
-
-
-def bytes_of(request: ClientRequest) -> bytes:
-    """Return what a served read brought."""
-    pieces = request.pieces
-    return b"".join(piece.data if isinstance(piece, Part) else bytes(piece) for piece in pieces)
+        return background.do(self._hub, self._core, volume.name, kind, start, length, data)
 
 
 def digest_of(request: ClientRequest) -> int:
     """Return the checksum of what a served read brought."""
-    return xxhash.xxh3_64_intdigest(bytes_of(request))
+    return xxhash.xxh3_64_intdigest(request.bytes_read())
--- a/harriertrack/lab/emulator.py
+++ b/harriertrack/lab/emulator.py
@@ -19,9 +19,9 @@
 from harriertrack.config.settings import HeadSettings, ShelfSettings
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.linklife import LinkLife
-from harriertrack.decisions.requests import Attempt, ClientRequest, Core, Part
+from harriertrack.decisions.requests import Attempt, ClientRequest, Core
 from harriertrack.decisions.splitting import Kind, Outcome
-from harriertrack.gateway.front import FAILED, KINDS, REFUSED
+from harriertrack.gateway.front import KINDS, error_of
 from harriertrack.gateway.head import Head, Wiring
 from harriertrack.gateway.links import COMMANDS, Links
 from harriertrack.gateway.listing import Listing
@@ -59,10 +59,6 @@
         """Draw the microseconds between a client and its head."""
         return max(1, int(self.net.client_us * (1 + self.net.jitter * self._random.random())))
 
-    def part(self) -> float:
-        """Draw from 0 to 1."""
-        return self._random.random()
-
 
 class EmulatedShelf(Shelf):
     """A storage node that links reach by calls instead of connections."""
@@ -464,7 +460,7 @@
                 return  # the connection broke before
             away = head.front.turns_away(len(self._open) - 1)
             if away is not None:
-                asker.give(Reply(0, int(away[0]), away[1]))
+                asker.give(Reply(0, *away))
                 return
             volume = head.core.volumes[self.volume]
             asker.request = ClientRequest(volume, KINDS[CLIENT_COMMANDS[kind]], start * SECTOR, size, data, 0,
@@ -498,18 +494,12 @@
 
     def answer(self, request: ClientRequest) -> None:
         """Take the one final answer."""
-        match request.outcome:
-            case Outcome.SERVED if request.kind is Kind.READ:
-                pieces = [piece.data if isinstance(piece, Part) else bytes(piece) if isinstance(piece, int)
-                          else piece for piece in request.pieces]  # fmt: skip
-                self.give(Reply(0, data=b"".join(pieces)))
-            case Outcome.SERVED:
-                self.give(Reply(0))
-            case Outcome.REFUSED:
-                hint = f"; retry-after-us={request.hint_us}" if request.hint_us else ""
-                self.give(Reply(0, int(REFUSED), f"refused: not done{hint}"))
-            case _:
-                self.give(Reply(0, int(FAILED), "failed"))
+        if request.outcome is not Outcome.SERVED:
+            self.give(Reply(0, *error_of(request)))
+        elif request.kind is Kind.READ:
+            self.give(Reply(0, data=request.bytes_read()))
+        else:
+            self.give(Reply(0))
 
 
 @dataclass(slots=True)
