One check for names given twice; results read once for a report; members nobody read are out

Also out: the generator's second table of commands, an unused parameter, two unused fields and a method.

--- a/harriertrack/cli/lab.py
+++ b/harriertrack/cli/lab.py
@@ -156,14 +156,13 @@
                variants: tuple[str, ...]) -> None:  # fmt: skip
     """Make one HTML file of RESULTS: a load run's file, or the results of an experiment."""
     try:
-        if Path(results).is_file() and Path(results).read_bytes()[:1] == b"{":
+        if _is_load(results):
             report.write(html, report.load_report(read_load(results)))
             return
-        runs = [msgspec.json.decode(body, type=Scores) for body in _done(results).values()]
+        done = _done(results)
+        runs = [msgspec.json.decode(body, type=Scores) for body in done.values()]
         chosen = choose(runs, day_name, seed, variants)
-        compared = None
-        if plan is not None:
-            compared = _comparison(_plan(plan), _done(results))
+        compared = _comparison(_plan(plan), done) if plan is not None else None
         same = (run for run in runs if (run.day, run.seed) == (chosen[0].day, chosen[0].seed))
         oracle = next((run for run in same if run.variant == experiments.ORACLE), None)
         report.write(html, report.run_report(chosen, compared, oracle))
@@ -171,6 +170,14 @@
         fail(str(error))
 
 
+def _is_load(path: str) -> bool:
+    """Whether a file is a load run's, which is one JSON object; results of an experiment begin otherwise."""
+    if not Path(path).is_file():
+        return False
+    with open(path, "rb") as file:
+        return file.read(1) == b"{"
+
+
 def read_load(path: str) -> LoadResult:
     """Read a load run's file, or end with what is wrong with it."""
     try:
--- a/harriertrack/config/cells.py
+++ b/harriertrack/config/cells.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 
-from harriertrack.config.settings import Checked, Name, VolumeSettings, Whole, read_file
+from harriertrack.config.settings import Checked, Name, VolumeSettings, Whole, given_twice, read_file
 from harriertrack.config.sexp import SettingsError, bind
 from harriertrack.decisions.celled import HeadMap
 from harriertrack.decisions.cells import CellMap
@@ -38,14 +38,13 @@
     """Read and check a map. Raises SettingsError with file, line and field."""
     form = read_file(path)
     given = bind(form, MapSettings, path)
-    shards = [str(shard) for rack in given.racks for shard in rack.shards]
     for what, names in (
         ("rack", [one.name for one in given.racks]),
         ("tenant", [one.name for one in given.tenants]),
-        ("shard", shards),
+        ("shard", [str(shard) for rack in given.racks for shard in rack.shards]),
     ):
-        if twice := sorted({name for name in names if names.count(name) > 1}):
-            raise SettingsError(f"{path}:{form.line}: {what} {twice[0]}: given twice")
+        if twice := given_twice(names):
+            raise SettingsError(f"{path}:{form.line}: {what} {min(twice)}: given twice")
     return given
 
 
--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Iterable
 from enum import Enum
 from pathlib import Path
 from typing import Annotated
@@ -220,6 +222,11 @@
     volumes: tuple[VolumeSettings, ...]
 
 
+def given_twice(names: Iterable[str]) -> list[str]:
+    """Return the names that are given more than once, in the order of their first appearance."""
+    return [name for name, times in Counter(names).items() if times > 1]
+
+
 def read_file(path: str) -> Form:
     """Read a file that holds one form. Raises SettingsError."""
     try:
@@ -255,8 +262,7 @@
         nodes: tuple[NodeSettings, ...] = ()
 
     nodes = bind(read_file(path), NodeListFile, path).nodes
-    names = [node.name for node in nodes]
-    if twice := {name for name in names if names.count(name) > 1}:
+    if twice := given_twice(node.name for node in nodes):
         raise SettingsError(f"{path}:1: node-list: {', '.join(sorted(twice))} is named twice")
     return nodes
 
@@ -268,12 +274,10 @@
         raise SettingsError(f"{where}: {field}: {why}")
 
     for what, items in (("class", head.classes), ("plan", head.plans), ("volume", head.volumes)):
-        names = [item.name for item in items]
-        if not names:
+        if not items:
             fail(what, "at least one is needed")
-        for name in names:
-            if names.count(name) > 1:
-                fail(f"{what} {name}", "given twice")
+        for name in given_twice(item.name for item in items):
+            fail(f"{what} {name}", "given twice")
     for kind in Kind:
         takes_all = any(kind in one.kinds and not one.at_least_bytes for one in head.classes)
         if kind not in (Kind.CACHE, Kind.CATCH_UP) and not takes_all:
--- a/harriertrack/decisions/baselines.py
+++ b/harriertrack/decisions/baselines.py
@@ -61,7 +61,6 @@
 
     ask: Arrived
     kind: RequestClass
-    came_at: int
     end_at: int
     node: str = ""
     out: set[int] = field(default_factory=set)
@@ -158,7 +157,7 @@
         if kind is None:
             self._actions.append(Refuse(ask.request))
             return
-        work = self._works[ask.request] = Waiting(ask, kind, self._now, self._now + ask.time_left_us)
+        work = self._works[ask.request] = Waiting(ask, kind, self._now + ask.time_left_us)
         last = max(self._now + 1, work.end_at - ANSWER_TICKS * self.settings.tick_us)
         self._actions.append(SetTimer(f"{GIVE_UP}{ask.request}", last))
         node = self.place() if ask.shard < 0 else self.holder(ask.shard)
--- a/harriertrack/decisions/hunting.py
+++ b/harriertrack/decisions/hunting.py
@@ -68,10 +68,6 @@
     loss: float
     broken: tuple[int, ...] = ()
 
-    def worse_than(self, other: Outcome) -> bool:
-        """Whether this is the better find: a broken rule beats any loss."""
-        return (bool(self.broken), self.loss) > (bool(other.broken), other.loss)
-
 
 class Hunt:
     """One hunt."""
--- a/harriertrack/lab/experiments.py
+++ b/harriertrack/lab/experiments.py
@@ -22,7 +22,7 @@
 
 import msgspec
 
-from harriertrack.config.settings import Amount, Checked, Name, Positive, Whole, read_file
+from harriertrack.config.settings import Amount, Checked, Name, Positive, Whole, given_twice, read_file
 from harriertrack.config.sexp import Form, SettingsError, bind
 from harriertrack.decisions import scheduler
 from harriertrack.decisions.baselines import BASELINES
@@ -120,8 +120,7 @@
     variants = variants_of(plan)
     if not variants:
         raise SettingsError(f"{where}: variant: at least one is needed")
-    names = [one.name for one in variants]
-    if len(set(names)) < len(names):
+    if given_twice(one.name for one in variants):
         raise SettingsError(f"{where}: variant: a name is given twice")
     for variant in variants:
         for constant in variant.constants:
--- a/harriertrack/lab/generator.py
+++ b/harriertrack/lab/generator.py
@@ -31,18 +31,14 @@
     draw_surges,
     length_us,
 )
+from harriertrack.lab.load import COMMANDS
 from harriertrack.lab.scores import LOWEST_US, QUANTILES, histogram, packed
 from harriertrack.protocol.nbd.client import Reply
-from harriertrack.protocol.nbd.wire import Command, Errno, ProtocolViolation
+from harriertrack.protocol.nbd.wire import Errno, ProtocolViolation
 from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope
 from harriertrack.runtime.streams import Network
 
-COMMANDS = {
-    "read": Command.READ,
-    "write": Command.WRITE,
-    "trim": Command.TRIM,
-    "flush": Command.FLUSH,
-}
+KINDS = ("read", "write", "trim", "flush")
 OPEN_US = 5_000_000
 AGAIN_US = 100_000
 SECOND_US = 1_000_000
@@ -243,9 +239,9 @@
         seed = [load.seed, 2, number]
         rng = random.Random(f"{load.seed} kinds {number}")
         blocks = Zipf(max(1, size // load.block_bytes), load.popularity, [load.seed, 3, number])
-        kinds, parts = list(COMMANDS), [mix.read, mix.write, mix.trim, mix.flush]
+        parts = [mix.read, mix.write, mix.trim, mix.flush]
         for t in arrivals(integral, load.dispersion, seed):
-            kind = rng.choices(kinds, parts)[0]
+            kind = rng.choices(KINDS, parts)[0]
             if kind == "flush":
                 yield traces.Asked(t, kind, 0, 0)
             else:
--- a/harriertrack/lab/scores.py
+++ b/harriertrack/lab/scores.py
@@ -114,7 +114,6 @@
     share: float
     worst_second: float  # the lowest share of any second in which something was asked
     sends: int
-    units: float
     by_plan: dict[str, Earned]
     by_class: dict[str, Earned]
     latency: dict[str, str]  # packed histograms of served requests, by class
@@ -145,8 +144,8 @@
 
 
 def scores_of(records: Iterable[rec.Record], day: DaySettings, variant: str = "", seed: int = 0,
-              nodes_seen: list[NodeStep] | None = None, judged: bool = True) -> Scores:  # fmt: skip
-    """Count a recording. `judged` also checks the seven rules, which takes about as long as the rest."""
+              nodes_seen: list[NodeStep] | None = None) -> Scores:  # fmt: skip
+    """Count a recording, and check the rules, which takes about as long as the rest."""
     records = list(records)
     classes: dict[str, ClassSettings] = {one.name: one for one in classes_of(day)}
     plans: dict[str, PlanSettings] = {one.name: one for one in plans_of(day)}
@@ -221,13 +220,13 @@
              if (possible := sum(one.possible for one in each))]  # fmt: skip
     possible = sum(one.possible for one in by_plan.values())
     earned = sum(one.earned for one in by_plan.values())
-    broken = Counter(str(breach.rule) for breach in checker.check(records)) if judged else Counter[str]()
+    broken = Counter(str(breach.rule) for breach in checker.check(records))
     return Scores(
         day=day.name, seed=seed, variant=variant, length_us=day.length_us,
         heads=day.heads, nodes=day.nodes, asked=totals["asked"], served=totals["served"],
         refused=totals["refused"], failed=totals["failed"], left=len(takes),
         share=earned / possible if possible else 0.0, worst_second=min(worst, default=0.0),
-        sends=totals["sends"], units=sum(map(sum, units.values())),
+        sends=totals["sends"],
         by_plan=dict(by_plan), by_class=dict(by_class),
         latency={name: packed(one) for name, one in filled.items()}, steps=steps,
         volumes=[VolumeTotal(name=name, plan=one.plan, earned=by_volume[name], units=units[name],
--- a/harriertrack/planning/settings.py
+++ b/harriertrack/planning/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from harriertrack.config.settings import Amount, Checked, Name, Positive, Share, Whole, read_file
+from harriertrack.config.settings import Amount, Checked, Name, Positive, Share, Whole, given_twice, read_file
 from harriertrack.config.sexp import Form, SettingsError, bind
 from harriertrack.decisions.cells import CellRules, Fleet, Rack, Tenant
 
@@ -62,14 +62,13 @@
     """Check a form of a fleet. Raises SettingsError."""
     given = bind(form, FleetSettings, source)
     where = f"{source}:{form.line}"
-    nodes = [node.name for rack in given.racks for node in rack.nodes]
     for what, names in (
         ("rack", [rack.name for rack in given.racks]),
-        ("node", nodes),
+        ("node", [node.name for rack in given.racks for node in rack.nodes]),
         ("tenant", [one.name for one in given.tenants]),
     ):
-        if twice := sorted({name for name in names if names.count(name) > 1}):
-            raise SettingsError(f"{where}: {what} {twice[0]}: given twice")
+        if twice := given_twice(names):
+            raise SettingsError(f"{where}: {what} {min(twice)}: given twice")
     for rack in given.racks:
         if not rack.nodes:
             raise SettingsError(f"{where}: rack {rack.name}: node: at least one is needed")
