The emulator's links share the gateway's: how attempts are sent, called off and replaced stands once

BaseLink does what a LinkLife says, Links finds or opens a link; a connection and the emulator's messages fill in how a request leaves.

--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -35,16 +35,13 @@
     """The node speaks no NBD that this head can use."""
 
 
-class Link:
-    """One connection to one node for one volume: the bytes of a `LinkLife`."""
+class BaseLink:
+    """One way to one node for one volume: does what its `LinkLife` says, by whatever carries messages."""
 
-    def __init__(self, links: Links, node: str, address: tuple[str, int], volume: str, epoch: int) -> None:
-        self.node, self.address, self.volume, self.epoch = node, address, volume, epoch
+    def __init__(self, links: Links, node: str, volume: str, epoch: int) -> None:
+        self.node, self.volume, self.epoch = node, volume, epoch
         self._links, self._hub = links, links.hub
         self.life = LinkLife(links.settings.limits.orphans)
-        self._nbd = ClientConnection()
-        self._stream: Stream | None = None
-        self._idle: Timer | None = None
 
     def send(self, attempt: Attempt) -> None:
         """Send an attempt now, or once the link is open."""
@@ -52,6 +49,43 @@
         if self.life.offer(cookie, attempt):
             self._request(cookie, attempt)
 
+    def call_off(self, attempt: Attempt) -> None:
+        """Forget an attempt that waits for the link, or tell the node where it understands that."""
+        cookie = cookie_of(attempt.part.number, attempt.number)
+        if self.life.call_off(cookie):
+            self._cancel(cookie)
+        if self.life.retired:
+            self.retire()
+
+    def retire(self) -> None:
+        """Take no more attempts; close once nobody waits for an answer."""
+        self._links.forget(self)
+        self.life.retired = True
+        self._close_if_spent()
+
+    def _request(self, cookie: int, attempt: Attempt) -> None:
+        """Send an attempt's request."""
+        raise NotImplementedError
+
+    def _cancel(self, cookie: int) -> None:
+        """Tell the node that nobody waits for a request any more."""
+        raise NotImplementedError
+
+    def _close_if_spent(self) -> None:
+        """Close if it was replaced and nobody waits for an answer."""
+        raise NotImplementedError
+
+
+class Link(BaseLink):
+    """One NBD connection to one node for one volume."""
+
+    def __init__(self, links: Links, node: str, address: tuple[str, int], volume: str, epoch: int) -> None:
+        super().__init__(links, node, volume, epoch)
+        self.address = address
+        self._nbd = ClientConnection()
+        self._stream: Stream | None = None
+        self._idle: Timer | None = None
+
     def _request(self, cookie: int, attempt: Attempt) -> None:
         part = attempt.part
         kind = part.request.kind
@@ -62,20 +96,10 @@
         self._push()
         self._links.core.sent(attempt)
 
-    def call_off(self, attempt: Attempt) -> None:
-        """Forget an attempt that waits for the link, or tell the node where it understands that."""
-        cookie = cookie_of(attempt.part.number, attempt.number)
-        if self.life.call_off(cookie) and self._nbd.extended:
+    def _cancel(self, cookie: int) -> None:
+        if self._nbd.extended:
             self._nbd.cancel(cookie)
             self._push()
-        if self.life.retired:
-            self.retire()
-
-    def retire(self) -> None:
-        """Take no more attempts; close once nobody waits for an answer."""
-        self._links.forget(self)
-        self.life.retired = True
-        self._close_if_spent()
 
     def _close_if_spent(self) -> None:
         if self.life.spent and self._stream is not None:
@@ -204,7 +228,7 @@
         self.core, self.nodes, self.head_id, self.name = core, nodes, head_id, name
         self.sizes = {volume.name: volume.size_bytes for volume in settings.volumes}
         self._scope, self._note = scope, note
-        self._links: dict[tuple[str, str], Link] = {}
+        self._links: dict[tuple[str, str], BaseLink] = {}
         self.epochs: dict[str, int] = {}  # of volumes of two regions: the lease that work is done under
 
     def flags(self, asked: int, kind: Kind) -> int:
@@ -219,24 +243,29 @@
             link.retire()
             link = None
         if link is None or link.life.closed:
-            member = self.nodes.find(key[0])
-            assert member is not None  # the core has found it in the same list
-            link = self._links[key] = Link(self, key[0], member.address, key[1], epoch)
-            self._scope.spawn(f"link {key[0]} {key[1]}", link.run)
+            link = self._links[key] = self.open(*key, epoch)
         link.send(attempt)
 
+    def open(self, node: str, volume: str, epoch: int) -> BaseLink:
+        """Begin to open a link."""
+        member = self.nodes.find(node)
+        assert member is not None  # the core has found it in the same list
+        link = Link(self, node, member.address, volume, epoch)
+        self._scope.spawn(f"link {node} {volume}", link.run)
+        return link
+
     def call_off(self, attempt: Attempt) -> None:
         """Pass a cancel on."""
         link = self._links.get((attempt.member.entry.node, attempt.volume))
         if link is not None:
             link.call_off(attempt)
 
-    def forget(self, link: Link) -> None:
+    def forget(self, link: BaseLink) -> None:
         """Let the next attempt open a new link."""
         if self._links.get((link.node, link.volume)) is link:
             del self._links[link.node, link.volume]
 
-    def closed(self, link: Link, why: str) -> None:
+    def closed(self, link: BaseLink, why: str) -> None:
         """A link is gone."""
         self.forget(link)
         self._note("link closed", node=link.node, volume=link.volume, why=why)
--- a/harriertrack/lab/emulator.py
+++ b/harriertrack/lab/emulator.py
@@ -18,12 +18,11 @@
 
 from harriertrack.config.settings import HeadSettings, ShelfSettings
 from harriertrack.decisions import interface as api
-from harriertrack.decisions.linklife import LinkLife
 from harriertrack.decisions.requests import Attempt, ClientRequest, Core
 from harriertrack.decisions.splitting import Kind, Outcome
 from harriertrack.gateway.front import KINDS, error_of
 from harriertrack.gateway.head import Head, Wiring
-from harriertrack.gateway.links import COMMANDS, Links
+from harriertrack.gateway.links import COMMANDS, BaseLink, Links
 from harriertrack.gateway.listing import Listing
 from harriertrack.lab.day import DaySettings, NetSettings
 from harriertrack.lab.load import COMMANDS as CLIENT_COMMANDS, RECONNECT_US, Connection
@@ -32,7 +31,6 @@
 from harriertrack.lab.rig import HeadSlot, Rig
 from harriertrack.membership.nodes import Member, NodeList
 from harriertrack.protocol.nbd.client import Reply
-from harriertrack.protocol.nbd.extension import cookie_of
 from harriertrack.protocol.nbd.server import Request
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.hub import Cancelled, Event, Hub, Scope
@@ -106,15 +104,16 @@
         super().left(session)
 
 
-class EmulatedLink:
-    """One link of a head to a storage node for a volume: the production life of a link, and messages."""
+class EmulatedLink(BaseLink):
+    """One link of a head to a storage node for a volume: messages in place of a connection."""
+
+    _links: EmulatedLinks
 
     def __init__(self, links: EmulatedLinks, shelf: EmulatedShelf | None, node: str, volume: str,
                  epoch: int) -> None:  # fmt: skip
-        self.node, self.volume, self.epoch = node, volume, epoch
-        self.life = LinkLife(links.settings.limits.orphans)
+        super().__init__(links, node, volume, epoch)
         self.deaf = False  # nothing passes any more, and nobody is told
-        self._links, self._shelf, self._hub = links, shelf, links.hub
+        self._shelf = shelf
         self._zone = shelf.settings.zone if shelf is not None else ""
         # One TCP connection keeps the order of its messages, however long each takes.
         self._last_there = self._last_back = 0
@@ -143,12 +142,6 @@
         for cookie, attempt in self.life.opened():
             self._request(cookie, attempt)
 
-    def send(self, attempt: Attempt) -> None:
-        """Send an attempt now, or once the link is open."""
-        cookie = cookie_of(attempt.part.number, attempt.number)
-        if self.life.offer(cookie, attempt):
-            self._request(cookie, attempt)
-
     def _request(self, cookie: int, attempt: Attempt) -> None:
         part = attempt.part
         kind = part.request.kind
@@ -159,18 +152,10 @@
         self._links.core.sent(attempt)
         self._to_node(lambda shelf: shelf.receive(self, request, self.volume, self._links.head_id, True))
 
-    def call_off(self, attempt: Attempt) -> None:
-        """Forget an attempt that waits, or tell the node."""
-        cookie = cookie_of(attempt.part.number, attempt.number)
-        if self.life.call_off(cookie):
-            self._to_node(lambda shelf: shelf.cancel(self, cookie))
-        if self.life.retired:
-            self.retire()
-
-    def retire(self) -> None:
-        """Take no more attempts; close once nobody waits for an answer."""
-        self._links.forget(self)
-        self.life.retired = True
+    def _cancel(self, cookie: int) -> None:
+        self._to_node(lambda shelf: shelf.cancel(self, cookie))
+
+    def _close_if_spent(self) -> None:
         if self.life.spent:
             self._end()
 
@@ -180,6 +165,7 @@
             return
         lost = self.life.close()
         self._links.closed(self, "")
+        self._links.living.pop(self, None)
         if self._shelf is not None:
             shelf = self._shelf
             self._hub.at_outside(self._hub.now() + 1, lambda: shelf.left(self))
@@ -199,8 +185,7 @@
         self.life.heard(self._hub.now())
         attempt = self.life.answered(cookie)
         self._links.core.ended(self._hub.now(), attempt, result, data, report)
-        if self.life.spent:
-            self._end()
+        self._close_if_spent()
 
     # -- messages
 
@@ -250,8 +235,7 @@
                  note: Callable[..., None], name: str = "head") -> None:  # fmt: skip
         super().__init__(hub, network, scope, settings, core, nodes, head_id, note, name)
         self.world, self.group, self.zone, self.air = world, group, zone, world.air
-        self._open: dict[tuple[str, str], EmulatedLink] = {}
-        self._all: dict[EmulatedLink, None] = {}
+        self.living: dict[EmulatedLink, None] = {}
         self._dead = False  # the head was killed: timers that still come find nothing to send over
         scope.spawn("links", self._until_killed)
 
@@ -260,42 +244,21 @@
             Event(self.hub).wait()
         except Cancelled:
             self._dead = True
-            for link in self._all:
+            for link in self.living:
                 link.drop()
             raise
 
     def send(self, attempt: Attempt) -> None:
-        """Send an attempt over its node's link for its volume, opening one if there is none."""
-        if self._dead:
-            return
-        key = (attempt.member.entry.node, attempt.volume)
-        link, epoch = self._open.get(key), self.epochs.get(key[1], 0)
-        if link is not None and link.epoch != epoch:
-            link.retire()
-            link = None
-        if link is None or link.life.closed:
-            link = EmulatedLink(self, self.world.shelves.get(key[0]), key[0], key[1], epoch)
-            self._open[key] = link
-            self._all[link] = None
-            link.dial()
-        link.send(attempt)
-
-    def call_off(self, attempt: Attempt) -> None:
-        """Pass a cancel on."""
-        link = self._open.get((attempt.member.entry.node, attempt.volume))
-        if link is not None:
-            link.call_off(attempt)
-
-    def forget(self, link: Any) -> None:
-        """Let the next attempt open a new link."""
-        mine = self._open.get((link.node, link.volume))
-        if mine is not None and mine is link:
-            del self._open[mine.node, mine.volume]
-
-    def closed(self, link: Any, why: str) -> None:
-        """A link is gone."""
-        self.forget(link)
-        self._all.pop(link, None)
+        """Send an attempt, while the head lives."""
+        if not self._dead:
+            super().send(attempt)
+
+    def open(self, node: str, volume: str, epoch: int) -> BaseLink:
+        """Begin to open a link."""
+        link = EmulatedLink(self, self.world.shelves.get(node), node, volume, epoch)
+        self.living[link] = None
+        link.dial()
+        return link
 
 
 class EmulatedListing(Listing):
