What links and list know of their head is one thing, not nine

The same nine arguments stood in two constructors, two of the emulator's and the head. HeadParts carries them, and a Wiring's makers are typed.

--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -16,6 +16,7 @@
 from harriertrack.gateway.links import Links
 from harriertrack.gateway.listing import Listing
 from harriertrack.gateway.mover import Mover
+from harriertrack.gateway.parts import HeadParts
 from harriertrack.gateway.regional import Regional
 from harriertrack.membership.nodes import NodeList
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Timer
@@ -35,8 +36,8 @@
 class Wiring:
     """What a head is made of; the laboratory exchanges what lies outside it, or the module for a baseline."""
 
-    links: Callable[..., Links] = Links
-    listing: Callable[..., Listing] = Listing
+    links: Callable[[HeadParts], Links] = Links
+    listing: Callable[[HeadParts], Listing] = Listing
     module: Callable[[api.Settings, int], Scheduler | Celled] = Scheduler
 
 
@@ -77,9 +78,10 @@
                 self.module = self._module(module_settings(settings), seed)
                 rules = request_rules(settings)
                 self.core = Core(rules, self.module, settings.volumes, self, self.nodes, extents)
-                known = (hub, self._network, scope, settings, self.core, self.nodes, self.head_id)
-                self._links = self._wiring.links(*known, self._note, self._name)
-                self._listing = self._wiring.listing(*known, self._note, self._name)
+                parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
+                                  self._note, self._name)  # fmt: skip
+                self._links = self._wiring.links(parts)
+                self._listing = self._wiring.listing(parts)
                 self.regional: Regional | None = None
                 if any(volume.regions for volume in settings.volumes):
                     assert self._log is not None
--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -7,19 +7,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
-from harriertrack.config.settings import HeadSettings
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.linklife import LinkLife
-from harriertrack.decisions.requests import Attempt, Core
+from harriertrack.decisions.requests import Attempt
 from harriertrack.decisions.splitting import Kind
-from harriertrack.membership.nodes import NodeList
+from harriertrack.gateway.parts import HeadParts
 from harriertrack.protocol.nbd.client import ClientConnection, ClientState, Greeted, OptionDone, Reply
 from harriertrack.protocol.nbd.extension import context_of, cookie_of
 from harriertrack.protocol.nbd.wire import Command, ProtocolViolation
-from harriertrack.runtime.hub import Cancelled, DeadlineExceeded, Hub, Scope, Timer
-from harriertrack.runtime.streams import Network, Stream
+from harriertrack.runtime.hub import Cancelled, DeadlineExceeded, Timer
+from harriertrack.runtime.streams import Stream
 
 COMMANDS = {
     Kind.READ: Command.READ,
@@ -212,22 +209,11 @@
 class Links:
     """All links of a head."""
 
-    def __init__(
-        self,
-        hub: Hub,
-        network: Network,
-        scope: Scope,
-        settings: HeadSettings,
-        core: Core,
-        nodes: NodeList,
-        head_id: int,
-        note: Callable[..., None],
-        name: str = "head",
-    ) -> None:
-        self.hub, self.network, self.settings = hub, network, settings
-        self.core, self.nodes, self.head_id, self.name = core, nodes, head_id, name
-        self.sizes = {volume.name: volume.size_bytes for volume in settings.volumes}
-        self._scope, self._note = scope, note
+    def __init__(self, head: HeadParts) -> None:
+        self.hub, self.network, self.settings = head.hub, head.network, head.settings
+        self.core, self.nodes, self.head_id, self.name = head.core, head.nodes, head.head_id, head.name
+        self.sizes = {volume.name: volume.size_bytes for volume in head.settings.volumes}
+        self._scope, self._note = head.scope, head.note
         self._links: dict[tuple[str, str], BaseLink] = {}
         self.epochs: dict[str, int] = {}  # of volumes of two regions: the lease that work is done under
 
--- a/harriertrack/gateway/listing.py
+++ b/harriertrack/gateway/listing.py
@@ -5,43 +5,28 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
-from harriertrack.config.settings import ConsulSettings, HeadSettings, load_nodes
+from harriertrack.config.settings import ConsulSettings, load_nodes
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions.interface import NodeEntry
-from harriertrack.decisions.requests import Core
+from harriertrack.gateway.parts import HeadParts
 from harriertrack.membership import consul
-from harriertrack.membership.nodes import Member, NodeList
+from harriertrack.membership.nodes import Member
 from harriertrack.protocol.http import Call, HttpError
-from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Task
-from harriertrack.runtime.streams import Network
+from harriertrack.runtime.hub import DeadlineExceeded, Task
 
 
 class Listing:
     """Follows the list while the module wants it."""
 
-    def __init__(
-        self,
-        hub: Hub,
-        network: Network,
-        scope: Scope,
-        settings: HeadSettings,
-        core: Core,
-        nodes: NodeList,
-        head_id: int,
-        note: Callable[..., None],
-        name: str = "head",
-    ) -> None:
-        self._hub, self._network, self._settings = hub, network, settings.node_list
-        self._core, self._scope, self._note, self._name = core, scope, note, name
+    def __init__(self, head: HeadParts) -> None:
+        self._hub, self._network, self._settings = head.hub, head.network, head.settings.node_list
+        self._core, self._scope, self._note, self._name = head.core, head.scope, head.note, head.name
         self._task: Task | None = None
-        self._nodes, self._head_id = nodes, head_id
+        self._nodes, self._head_id = head.nodes, head.head_id
         self._index = 0
         # A start comes as wall-clock time. The difference is fixed once: a step of the wall clock must not
-        # make
-        # known nodes look newly started.
-        self._wall_ahead = hub.clock.wall() - hub.now()
+        # make known nodes look newly started.
+        self._wall_ahead = head.hub.clock.wall() - head.hub.now()
 
     def subscribe(self, on: bool) -> None:
         """Follow from now on, or stop."""
--- /dev/null
+++ b/harriertrack/gateway/parts.py
@@ -0,0 +1,27 @@
+"""What the parts of a head know of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from harriertrack.config.settings import HeadSettings
+from harriertrack.decisions.requests import Core
+from harriertrack.membership.nodes import NodeList
+from harriertrack.runtime.hub import Hub, Scope
+from harriertrack.runtime.streams import Network
+
+
+@dataclass(frozen=True, slots=True)
+class HeadParts:
+    """One head: where it runs, what it was told, and what it logs by."""
+
+    hub: Hub
+    network: Network
+    scope: Scope
+    settings: HeadSettings
+    core: Core
+    nodes: NodeList
+    head_id: int
+    note: Callable[..., None]
+    name: str
--- a/harriertrack/lab/emulator.py
+++ b/harriertrack/lab/emulator.py
@@ -16,20 +16,21 @@
 from functools import partial
 from typing import Any
 
-from harriertrack.config.settings import HeadSettings, ShelfSettings
+from harriertrack.config.settings import ShelfSettings
 from harriertrack.decisions import interface as api
-from harriertrack.decisions.requests import Attempt, ClientRequest, Core
+from harriertrack.decisions.requests import Attempt, ClientRequest
 from harriertrack.decisions.splitting import Kind, Outcome
 from harriertrack.gateway.front import KINDS, error_of
 from harriertrack.gateway.head import Head, Wiring
 from harriertrack.gateway.links import COMMANDS, BaseLink, Links
 from harriertrack.gateway.listing import Listing
+from harriertrack.gateway.parts import HeadParts
 from harriertrack.lab.day import DaySettings, NetSettings
 from harriertrack.lab.load import COMMANDS as CLIENT_COMMANDS, RECONNECT_US, Connection
 from harriertrack.lab.model import SECTOR
 from harriertrack.lab.regions import RegionRig
 from harriertrack.lab.rig import HeadSlot, Rig
-from harriertrack.membership.nodes import Member, NodeList
+from harriertrack.membership.nodes import Member
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.server import Request
 from harriertrack.rules import recording as rec
@@ -230,14 +231,12 @@
 class EmulatedLinks(Links):
     """All links of an emulated head."""
 
-    def __init__(self, world: World, group: object, zone: str, hub: Hub, network: Any, scope: Scope,
-                 settings: HeadSettings, core: Core, nodes: NodeList, head_id: int,
-                 note: Callable[..., None], name: str = "head") -> None:  # fmt: skip
-        super().__init__(hub, network, scope, settings, core, nodes, head_id, note, name)
+    def __init__(self, world: World, group: object, zone: str, head: HeadParts) -> None:
+        super().__init__(head)
         self.world, self.group, self.zone, self.air = world, group, zone, world.air
         self.living: dict[EmulatedLink, None] = {}
         self._dead = False  # the head was killed: timers that still come find nothing to send over
-        scope.spawn("links", self._until_killed)
+        head.scope.spawn("links", self._until_killed)
 
     def _until_killed(self) -> None:
         try:
@@ -264,10 +263,8 @@
 class EmulatedListing(Listing):
     """A head's view of the node list: whole lists that arrive some time after each change."""
 
-    def __init__(self, listing: EmulatedListService, group: object, air: Air, hub: Hub, network: Any,
-                 scope: Scope, settings: HeadSettings, core: Core, nodes: NodeList, head_id: int,
-                 note: Callable[..., None], name: str = "head") -> None:  # fmt: skip
-        super().__init__(hub, network, scope, settings, core, nodes, head_id, note, name)
+    def __init__(self, listing: EmulatedListService, group: object, air: Air, head: HeadParts) -> None:
+        super().__init__(head)
         self._service, self._group, self._air = listing, group, air
         self._on = False
         self._version = 0
@@ -505,11 +502,11 @@
         """Wire a head to calls instead of connections, and to a variant of the module."""
         world, listing = self.world, self.listing_for(slot)
 
-        def links(hub: Hub, *args: Any) -> Links:
-            return EmulatedLinks(world, slot.head, slot.zone, hub, *args)
+        def links(head: HeadParts) -> Links:
+            return EmulatedLinks(world, slot.head, slot.zone, head)
 
-        def listed(hub: Hub, *args: Any) -> Listing:
-            return EmulatedListing(listing, slot.head, world.air, hub, *args)
+        def listed(head: HeadParts) -> Listing:
+            return EmulatedListing(listing, slot.head, world.air, head)
 
         if self.maker is None:
             return replace(super().wiring(slot), links=links, listing=listed)
