--- a/harriertrack/planning/cells.py
+++ b/harriertrack/planning/cells.py
@@ -64,7 +64,7 @@
         for one in fleet.tenants:
             self.model.add_exactly_one(self.tenants[one.name, cell] for cell in self.names)
         # Each kind of rule hangs on a switch, so that an impossible plan names the kinds that rule it out.
-        self.switches: dict[int, str] = {}
+        self.switches: list[tuple[cp_model.IntVar, str]] = []
         for region in fleet.regions:
             self._region(region)
         self._blast_radius()
@@ -72,7 +72,7 @@
 
     def _switch(self, words: str) -> cp_model.IntVar:
         switch = self.model.new_bool_var(words)
-        self.switches[switch.index] = words
+        self.switches.append((switch, words))
         return switch
 
     def _region(self, region: str) -> None:
@@ -163,8 +163,8 @@
     if why := impossible(fleet):
         return Planned(Outcome.IMPOSSIBLE, why=tuple(why))
     search = _Search(fleet, before)
-    for index in search.switches:
-        search.model.add(search.model.get_bool_var_from_proto_index(index) == 1)
+    for switch, _ in search.switches:
+        search.model.add(switch == 1)
     search.model.minimize(search.cost)
     start = before if not problems(fleet, before) else greedy(fleet, before)
     search.hint(start)
@@ -188,18 +188,18 @@
 def explain(fleet: Fleet, before: CellMap, seconds: float = 30.0, seed: int = 1) -> tuple[str, ...]:
     """Return the kinds of rules that rule every map out together: without any of them there would be one."""
     search = _Search(fleet, before)
-    switches = {index: search.model.get_bool_var_from_proto_index(index) for index in search.switches}
+    needed = search.switches
 
-    def possible(kinds: set[int]) -> bool:
+    def possible(kinds: list[tuple[cp_model.IntVar, str]]) -> bool:
         search.model.clear_assumptions()
-        search.model.add_assumptions([switches[index] for index in sorted(kinds)])
+        search.model.add_assumptions([switch for switch, _ in kinds])
         return _solver(seconds, seed, 1).solve(search.model) != cp_model.INFEASIBLE
 
-    needed = set(switches)
-    for index in sorted(switches):
-        if not possible(needed - {index}):
-            needed.discard(index)
-    return tuple(search.switches[index] for index in sorted(needed))
+    for kind in search.switches:
+        fewer = [one for one in needed if one is not kind]
+        if not possible(fewer):
+            needed = fewer
+    return tuple(words for _, words in needed)
 
 
 def price(fleet: Fleet, before: CellMap, after: CellMap) -> int:
