--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -240,9 +240,9 @@
         gc.collect()
         listener = SocketListener(hub, ("127.0.0.1", 0))
         here = socket.create_connection(listener.address)
+        hog = [socket.socket()]  # one at least to give back: there may be no gap below the highest descriptor
         used = max(int(name) for name in os.listdir("/proc/self/fd"))
         resource.setrlimit(resource.RLIMIT_NOFILE, (used, before[1]))
-        hog = []
         try:
             while True:
                 hog.append(socket.socket())
