--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -44,6 +44,7 @@
 
 SETTLE_US = 300_000  # heads learn the node list before the first request
 METER_US = 1_000_000
+WATCH_US, LATE_US = 10_000, 20_000  # over sockets: how often the machine is looked at, and what is a standstill
 REGISTERS = 8  # sectors at a volume's end that are left to register clients
 BULK_BYTES = 12 << 10
 MOVED = "vol0"  # the volume that days with a move move
@@ -227,6 +228,8 @@
                 scope.spawn(f"flow {flow.model.name}", flow.run, start + day.length_us)
             for trouble in day.troubles:
                 scope.spawn(f"trouble {trouble.name.value}", troubles.run, self, trouble, start)
+            if not isinstance(self.network, MemoryNetwork):
+                scope.spawn("machine", self._watch_machine)
             hub.sleep_until(start + day.length_us)
             for flow in self.flows:
                 flow.closed = True
@@ -236,6 +239,16 @@
             hub.sleep(200_000)
             scope.cancel()
 
+    def _watch_machine(self) -> None:
+        # On real time the machine below may be busy with something else: then all heads stood still with it.
+        while True:
+            due = self.hub.now() + WATCH_US
+            self.hub.sleep_until(due)
+            late = self.hub.now() - due
+            if late >= LATE_US:
+                for slot in self.heads:
+                    self.recorder.add(rec.Stood(t=due, head=slot.name, us=late))
+
     def build(self) -> None:
         """Start the machines."""
         day = self.day
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 
+import msgspec
 import pytest
 from click.testing import CliRunner
 
@@ -12,6 +13,8 @@
 from harriertrack.lab import day as days, regions, rig
 from harriertrack.lab.troubles import TROUBLES
 from harriertrack.rules import checker, recording as rec
+from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.streams import SocketNetwork
 
 DIGEST = """
 import hashlib, msgspec
@@ -37,6 +40,29 @@
     assert counts["requests"] == counts["served"] + counts["refused"] + counts["failed"] + counts["excused"]
 
 
+def test_a_machine_that_stands_still_over_loopback_is_on_record():
+    day = msgspec.structs.replace(days.load("calm"), length_us=600_000)
+    hub, recorder = Hub(seed=1), rec.Recorder()
+    played = rig.Rig(hub, SocketNetwork(hub), day, 1, recorder)
+
+    def hog():
+        hub.sleep(rig.SETTLE_US + 100_000)
+        began = hub.now()
+        while hub.now() < began + 300_000:
+            pass
+
+    def main():
+        with hub.scope("machine") as scope:
+            scope.spawn("hog", hog)
+            played.run()
+
+    hub.run(main)
+    stood = [record for record in recorder.records if isinstance(record, rec.Stood)]
+    assert max(record.us for record in stood) >= 280_000
+    assert {record.head for record in stood} == {slot.name for slot in played.heads}
+    assert checker.check(recorder.records) == []
+
+
 def test_every_kind_of_trouble_has_a_day():
     played = {trouble.name for name in days.names() for trouble in days.load(name).troubles}
     assert played == set(days.TroubleKind) == set(TROUBLES)
