A client's read passed on no longer counts as the other region's catching up

Cause: while a region catches up, its clients' reads are passed on over the same connection as its own reading of extents, and the holder took both for the latter. A client's read after a write that was missed made the holder believe the older copy that was just being stored: the extent counted as caught up, and after the volume went home acknowledged writes were gone.

Change: the region's own reads carry the flag DF, and CAUGHT counts only over the connection whose reading it follows.

--- a/harriertrack/decisions/catchup.py
+++ b/harriertrack/decisions/catchup.py
@@ -47,7 +47,8 @@
     # The other head catches up: new writes are copied to it again where it holds the rest.
     joining: bool = False
     clean: bool = False  # it said that it misses nothing, and nothing was missed since
-    _read: set[int] = field(default_factory=set)  # extents that it read here and has not confirmed
+    # Extents that it read here for its copy and has not confirmed, and over which connection it read them.
+    _read: dict[int, object] = field(default_factory=dict)
     _confirmed: set[int] = field(default_factory=set)  # what it holds, while the log says WHOLE
 
     def begin(self) -> None:
@@ -83,18 +84,22 @@
         """A write to these extents was not copied: on disk when this returns, before it is acknowledged."""
         touched = list(extents)
         self.log.miss(self.volume, touched)
-        self._read.difference_update(touched)
+        for extent in touched:
+            self._read.pop(extent, None)
         self._confirmed.difference_update(touched)
         self.clean = False
 
-    def read(self, extents: Iterable[int]) -> None:
-        """The other head reads these extents here, with no write to them under way."""
-        self._read.update(extents)
+    def read(self, extents: Iterable[int], reader: object) -> None:
+        """The other head reads these extents here for its copy, with no write to them under way."""
+        self._read.update(dict.fromkeys(extents, reader))
 
-    def caught(self, extent: int) -> None:
-        """It stored an extent as it last read it; where a write was missed since, that does not count."""
-        if extent in self._read:
-            self._read.discard(extent)
+    def caught(self, extent: int, reader: object) -> None:
+        """It stored an extent as it last read it; where a write was missed since, that does not count.
+
+        Nor does what another connection says than the one it read over: that may be word of an earlier read.
+        """
+        if extent in self._read and self._read[extent] is reader:
+            del self._read[extent]
             if self.log.whole in self.log.missed(self.volume):
                 self._confirmed.add(extent)
             self.log.copied(self.volume, (extent,))
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -177,6 +177,7 @@
     epoch: int = 0  # of a copy: the holder's
     moving: bool = False  # the head's own, for an extent that it holds; such a write is placed anew
     tick: int = 0  # of the other head's: the newest tick of ours that it had
+    reader: object = None  # the connection over which the other head reads this for its copy
 
     def bytes_read(self) -> bytes:
         """Return what a served read brought; holes are zeroes."""
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -186,7 +186,7 @@
         if event.command is Command.TICK:
             report = Report(load=(regional.tick(bool(event.length)),))
         else:
-            regional.caught(self._volume, event.offset, event.length)
+            regional.caught(self._volume, event.offset, event.length, self)
         self._nbd.reply_done(event.cookie, report)
         self._push()
 
@@ -209,6 +209,7 @@
                 asker,
                 origin=self._origin,
                 tick=event.token,
+                reader=self,
             )
         )
 
@@ -241,9 +242,10 @@
             return
         volume = front.core.volumes[self._volume]
         kind = KINDS[event.command]
+        pulled = self._origin is Origin.RELAY and kind is Kind.READ and event.flags & CommandFlags.DF
         request = ClientRequest(
             volume, kind, event.offset, event.length, event.data, event.flags, self,
-            origin=self._origin, epoch=self._epoch, tick=event.token,
+            origin=self._origin, epoch=self._epoch, tick=event.token, reader=self if pulled else None,
         )  # fmt: skip
         self._open[request] = event.cookie
         front.take(request)
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -30,7 +30,7 @@
 from harriertrack.membership.leases import Fence, Holding, Lock, Session, Standing
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.extension import RELAY_CONTEXT, context_of
-from harriertrack.protocol.nbd.wire import Command, Errno
+from harriertrack.protocol.nbd.wire import Command, CommandFlags, Errno
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Timer, Waiters
 from harriertrack.runtime.streams import Network
 from harriertrack.storage.missed import WHOLE, MissedLog
@@ -171,6 +171,10 @@
         else:  # what was passed on is not passed on again
             self._refuse(request, NOT_HOLDER)
 
+    def acts_on(self, volume: str) -> bool:
+        """Whether this head knows under which epoch it works on a volume, as holder or with the copy."""
+        return volume not in self.volumes or volume in self._links.epochs
+
     def client_gone(self, request: ClientRequest) -> None:
         """The client left. Where it may have changed the volume, both regions are made to agree again."""
         if request.outcome is None:
@@ -222,8 +226,8 @@
             return
         if request.kind in CHANGING and not work.copy:
             self._log.begin_write(volume.name, work.extents)
-        if request.origin is Origin.RELAY and request.kind is Kind.READ:
-            volume.catch_up.read(work.extents)
+        if request.reader is not None:  # not a client's read, which says nothing of the other region's copy
+            volume.catch_up.read(work.extents, request.reader)
         self._links.epochs[volume.name] = work.epoch
         self._do(work, request.kind, request.data)
 
@@ -517,11 +521,14 @@
         pieces = cut(offset, length, self.extent_bytes)
         return list(runs((piece, int(one.catch_up.tell(extent))) for extent, _, piece in pieces))
 
-    def caught(self, volume: str, offset: int, length: int) -> None:
-        """The other head holds an extent as it last read it; with length 0, it misses nothing."""
+    def caught(self, volume: str, offset: int, length: int, reader: object) -> None:
+        """The other head holds an extent as it last read it over the same connection, `reader`.
+
+        With length 0, it misses nothing.
+        """
         catch_up = self.volumes[volume].catch_up
         if length:
-            catch_up.caught(offset // self.extent_bytes)
+            catch_up.caught(offset // self.extent_bytes, reader)
         else:
             catch_up.caught_all()
 
@@ -676,7 +683,8 @@
                     self._log.forget_open(volume.name)
                     self._log.copied(volume.name, own)
 
-    def _ask_peer(self, volume: RegionalVolume, command: Command, offset: int, length: int) -> Reply | None:
+    def _ask_peer(self, volume: RegionalVolume, command: Command, offset: int, length: int,
+                  flags: int = 0) -> Reply | None:  # fmt: skip
         """Ask the holder and wait; None if it did not, or would not."""
         answers: list[Reply | None] = []
         waiters = Waiters(self._hub)
@@ -686,7 +694,7 @@
             waiters.notify()
 
         until = self._hub.now() + 4 * self.region.fresh_us
-        self._peer.relay(volume.name).call(command, offset, length, b"", 0, self._peer.token, until, then)
+        self._peer.relay(volume.name).call(command, offset, length, b"", flags, self._peer.token, until, then)
         while not answers:
             waiters.wait()
         reply = answers[0]
@@ -725,7 +733,7 @@
         try:
             granted.wait()
             if not (compare and self._equal(volume, start, length)):
-                reply = self._ask_peer(volume, Command.READ, start, length)
+                reply = self._ask_peer(volume, Command.READ, start, length, CommandFlags.DF)
                 if reply is None:
                     return False
                 self._links.epochs[volume.name] = self.fence.highest(volume.name)
--- a/harriertrack/protocol/nbd/extension.py
+++ b/harriertrack/protocol/nbd/extension.py
@@ -21,7 +21,9 @@
 - the command TICK asks for the present tick, which comes in a REPORT chunk as its first load value;
 - the command DIGEST asks for the 64-bit XXH3 of a range; its upper and lower half come as two load values;
 - BLOCK_STATUS on `relay1` tells with flag 1 which extents the asking region misses, with flag 2 which it may
-  miss, and the command CAUGHT says that it holds one of them as of its last READ or DIGEST there.
+  miss. It reads them for its copy with READ and the flag DF (a client's read that is passed on never has it),
+  or compares with DIGEST, and the command CAUGHT says that it holds one of them as of its last such reading
+  over the same connection.
 """
 
 from __future__ import annotations
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -15,6 +15,8 @@
 from harriertrack.decisions.catchup import CatchUp, Told
 from harriertrack.decisions.ranges import RangeLocks
 from harriertrack.decisions.regions import Bounds, Copying, Expiry, Mode, RegionView, Route
+from harriertrack.decisions.requests import Origin
+from harriertrack.decisions.splitting import Kind
 from harriertrack.gateway import regional
 from harriertrack.gateway.witness import WitnessClient
 from harriertrack.lab import day as days, regions, rig
@@ -207,7 +209,7 @@
             witness.start(scope)
             settings.write_text(f"""(head (state-dir "{tmp_path}") (node-list (file "none")) (most-units 256)
               (region (name "a") (other "b") (peer "127.0.0.1" 1) (witness "127.0.0.1" {witness.address[1]}))
-              (class "all" (kinds read write trim write-zeroes flush catch-up) (aim 1s) (deadline 2s))
+              (class "all" (kinds read write trim write-zeroes flush own-read catch-up) (aim 1s) (deadline 2s))
               (plan "p") (volume "v" (size 1MiB) (plan "p") (regions (home "a"))))""")
             ready.set()
             while not stop:
@@ -254,6 +256,9 @@
     return load(str(settings)).region.witness
 
 
+LINK = object()
+
+
 def test_catching_up_counts_only_what_was_not_written_since():
     log = MissedLog(None, most=3)
     one = CatchUp("v", 4, log)
@@ -261,17 +266,19 @@
     assert not one.copies([2]) and one.tell(0) is Told.MISSED and one.tell(2) is Told.HELD
     one.asked()
     assert one.copies([2]) and not one.copies([1, 2])
-    one.read([0])
-    one.read([1])
+    one.read([0], LINK)
+    one.read([1], LINK)
     one.missed([1])  # a write that was not copied, after the read
-    one.caught(0)
-    one.caught(1)
+    one.caught(0, object())  # word of an earlier reading, over a connection that broke
+    assert log.missed("v") == {0, 1}
+    one.caught(0, LINK)
+    one.caught(1, LINK)
     assert log.missed("v") == {1}
     one.caught_all()
     assert not one.done
-    one.read([1])
+    one.read([1], LINK)
     assert one.copies([1])  # the other head waits with it until it stored what it read
-    one.caught(1)
+    one.caught(1, LINK)
     one.caught_all()
     assert one.done
     one.missed([3])
@@ -285,14 +292,14 @@
     one.asked()
     assert {one.tell(extent) for extent in range(3)} == {Told.DOUBTFUL} and not one.copies([2])
     for extent in range(3):
-        one.read([extent])
-        one.caught(extent)
+        one.read([extent], LINK)
+        one.caught(extent, LINK)
     assert one.copies([0, 1, 2])
     one.missed([1])
     one.caught_all()
     assert not one.done and one.tell(1) is Told.DOUBTFUL and one.tell(0) is Told.HELD
-    one.read([1])
-    one.caught(1)
+    one.read([1], LINK)
+    one.caught(1, LINK)
     one.caught_all()
     assert one.done and not log.missed("v")
     one.begin()
@@ -562,6 +569,18 @@
     assert 0 in broken(play("two-regions-dark")) | broken(play("two-regions-return"))
 
 
+def test_a_client_s_read_that_counts_as_catching_up_is_caught(monkeypatch):
+    begin = regional.Regional._start
+
+    def start(self, work):
+        if work.request.origin is Origin.RELAY and work.request.kind is Kind.READ:
+            work.request.reader = work.request.reader or work.request.token
+        begin(self, work)
+
+    monkeypatch.setattr(regional.Regional, "_start", start)
+    assert 0 in broken(play("two-regions-small"))
+
+
 def test_messages_without_expiry_are_caught(monkeypatch):
     monkeypatch.setattr(Expiry, "fresh", lambda self, token, now: True)
     monkeypatch.setattr(Expiry, "age", lambda self, token, now: 0)
