Volumes of two regions move between cells, also while their home goes dark

Need: two regions knew no cells. Change: each region's head moves what lies in its own, under the epoch that it works under; a head that knows none waits. The head's own reads and moves have classes of their own (own-read, move): a move came with a shorter deadline than catching up in the same class, which the module takes for a late try and refused for ever; and with keyed reads nobody tried whether a silent node was back. A refused extent no longer holds the others up.

--- a/benchmarks/cell_moves.py
+++ b/benchmarks/cell_moves.py
@@ -4,7 +4,8 @@
 
 One volume moves to the other cell while its clients read and write. The head is killed when the mover holds,
 reads or writes the n-th extent, or has just switched it; or the node that it reads from, or writes to, is
-restarted then. Each run is judged by the rules and by where the extents lie in the end.
+restarted then; or, of a volume of two regions, the head's whole region goes dark or is cut off then.
+Each run is judged by the rules and by where the extents lie in the end.
 """
 
 from __future__ import annotations
@@ -21,13 +22,20 @@
 from harriertrack.decisions.splitting import Kind
 from harriertrack.lab import day as days
 from harriertrack.lab.emulator import emulate
+from harriertrack.lab.regions import RegionRig
 from harriertrack.lab.rig import MOVED, Rig
+from harriertrack.lab.troubles import TROUBLES
 from harriertrack.rules import checker, recording as rec
 
 DAY = """(day "move" (length 14s) (heads 2) (nodes 4) (volumes 4) (shared 0) (cells 2) (rate 60)
   (volume 1MiB) (most-sectors 16) (trouble cell_move (from 2s) (every 100ms)))"""
+REGION_DAY = """(day "move" (length 24s) (nodes 4) (volumes 3) (cells 2) (rate 60) (two-regions (mode both))
+  (volume 1MiB) (most-sectors 16) (trouble cell_move (from 2s) (every 100ms)))"""
+DARK = days.TroubleSettings(name=days.TroubleKind.REGION_DARK, from_us=0, region="a", for_us=3_000_000)
+CUT = days.TroubleSettings(name=days.TroubleKind.REGION_CUT, from_us=0, region="a", for_us=4_000_000)
+REGIONAL = {"region dark": DARK, "region cut off": CUT}
 STEPS = ("hold", "read", "write", "switched")
-KILLS = ("head", "source", "target")
+KILLS = ("head", "source", "target", *REGIONAL)
 EXTENTS = 5
 DOWN_US = 400_000
 
@@ -51,6 +59,10 @@
 
     def _strike(self, shard: int | None) -> None:
         rig = self.rig
+        if isinstance(rig, RegionRig):
+            trouble = REGIONAL[self.kill]
+            TROUBLES[trouble.name](rig, trouble)
+            return
         if self.kill == "head":
             rig.kill_head(rig.heads[0])
             rig.hub.sleep(DOWN_US)
@@ -66,7 +78,8 @@
 
 def run(step: str, kill: str, at: int, seed: int) -> tuple[str, str, bool, bool, list[str]]:
     """Play one case; return what it was, whether the kill struck, the move was done, and what was broken."""
-    recorder, day = rec.Recorder(), days.parse(read_text(DAY, "move"), "move")
+    text = REGION_DAY if kill in REGIONAL else DAY
+    recorder, day = rec.Recorder(), days.parse(read_text(text, "move"), "move")
     killer: list[Killer] = []
     take, hold, release = Core.take, Core.hold_extent, Core._release
 
@@ -97,7 +110,8 @@
     finally:
         Core.take, Core.hold_extent, Core._release = take, hold, release  # type: ignore[method-assign]
     home = rig.cells.volumes[MOVED]
-    done = all(rig.cells.shards[shard] == home for _, shard in rig.heads[0].extents().placed(MOVED))
+    holders = [slot for slot in rig.heads if any(volume.name == MOVED for volume in slot.settings.volumes)]
+    done = all(rig.cells.shards[shard] == home for one in holders for _, shard in one.extents().placed(MOVED))
     breaches = [str(one) for one in checker.check(recorder.records)]
     return step, kill, killer[0].struck, done, breaches
 
--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -267,12 +267,20 @@
     return nodes
 
 
+OWN = (Kind.OWN_READ, Kind.CATCH_UP, Kind.MOVE)  # kinds that no client asks
+
+
 def check_head(head: HeadSettings, where: str) -> None:
     """Check what the fields' types can't: references, doubles, sums. Raises SettingsError."""
 
     def fail(field: str, why: str) -> None:
         raise SettingsError(f"{where}: {field}: {why}")
 
+    def needs(field: str, *kinds: Kind) -> None:
+        for kind in kinds:
+            if not any(kind in one.kinds for one in head.classes):
+                fail(field, f"no class takes {kind.value}")
+
     for what, items in (("class", head.classes), ("plan", head.plans), ("volume", head.volumes)):
         if not items:
             fail(what, "at least one is needed")
@@ -280,17 +288,15 @@
             fail(f"{what} {name}", "given twice")
     for kind in Kind:
         takes_all = any(kind in one.kinds and not one.at_least_bytes for one in head.classes)
-        if kind not in (Kind.CACHE, Kind.CATCH_UP) and not takes_all:
+        if kind not in (Kind.CACHE, *OWN) and not takes_all:
             fail("class", f"no class takes every {kind.value}")
     for one in head.classes:
         if one.aim_us > one.deadline_us:
             fail(f"class {one.name}: aim", "later than the deadline")
         if one.effect is api.Effect.KEYED and not one.window_us:
             fail(f"class {one.name}: window", "a keyed class needs the time for which repeats are dropped")
-    if head.cell_map and not any(Kind.CATCH_UP in one.kinds for one in head.classes):
-        fail("cell-map", "no class takes catch-up, which moves are made of")
-    if head.cell_map and any(volume.regions is not None for volume in head.volumes):
-        fail("cell-map", "volumes of two regions know no cells yet")
+    if head.cell_map:
+        needs("cell-map", Kind.OWN_READ, Kind.MOVE)
     plans = {plan.name for plan in head.plans}
     for volume in head.volumes:
         if volume.plan not in plans:
@@ -307,8 +313,11 @@
                 fail(where_, f"home {spread.home} is neither {head.region.name} nor {head.region.other}")
             if volume.hosts > 1:
                 fail(where_, "such a volume is served by one head in each region")
-            if not any(Kind.CATCH_UP in one.kinds for one in head.classes):
-                fail(where_, "no class takes catch-up")
+            needs(where_, Kind.OWN_READ, Kind.CATCH_UP)
+            for one in head.classes if head.cell_map else ():
+                if Kind.MOVE in one.kinds and one.deadline_us > spread.copy_us:
+                    # Copies that wait for an extent to be moved would make the other region count as gone.
+                    fail(f"class {one.name}: deadline", f"longer than volume {volume.name} waits for a copy")
         if volume.hosts > head.heads:
             fail(f"volume {volume.name}: hosts", f"{volume.hosts}, but there are {head.heads} heads")
     for plan in head.plans:
--- a/harriertrack/decisions/moving.py
+++ b/harriertrack/decisions/moving.py
@@ -103,7 +103,7 @@
             self._settles[extent] = now + SETTLE_US
             self._next_at = now + PACE_US
         else:
-            self.left.insert(0, extent)
+            self.left.append(extent)  # another's node may be well
             self._next_at = now + min(RETRY_MOST_US, RETRY_US << min(self._failures, 10))
         if self._failures >= MOST_FAILURES:
             self.state = MoveState.STOPPED
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -359,7 +359,8 @@
         """Take a request: from now on it is owed one final answer."""
         self.counts.taken += 1
         volume, kind = request.volume, request.kind
-        asked = Kind.CATCH_UP if request.background else kind
+        own = Kind.OWN_READ if kind is Kind.READ else Kind.MOVE if request.moving else Kind.CATCH_UP
+        asked = own if request.background else kind
         class_name = class_of(self._classes, asked, request.length) or self._classes[0][0]
         if not request.deadline:
             request.deadline = now + self._deadlines[class_name]
--- a/harriertrack/decisions/splitting.py
+++ b/harriertrack/decisions/splitting.py
@@ -20,7 +20,10 @@
     ZERO = "write-zeroes"
     FLUSH = "flush"
     CACHE = "cache"
-    CATCH_UP = "catch-up"  # what a region reads and writes to get what it missed
+    # Of the head's own. Reads have a kind for themselves: only safe work tries whether a silent node is back.
+    OWN_READ = "own-read"
+    CATCH_UP = "catch-up"  # writes of what a region missed
+    MOVE = "move"  # writes of an extent into another cell
 
 
 class Outcome(Enum):
--- a/harriertrack/gateway/background.py
+++ b/harriertrack/gateway/background.py
@@ -27,10 +27,10 @@
 
 
 def do(hub: Hub, core: Core, volume: str, kind: Kind, start: int, length: int, data: bytes = b"",
-       deadline: int = 0, moving: bool = False) -> ClientRequest:  # fmt: skip
-    """Do a background request and wait for its end; `deadline` 0: its class says."""
+       moving: bool = False) -> ClientRequest:  # fmt: skip
+    """Do a background request and wait for its end, which its class's deadline bounds."""
     waiter = Waiter(hub)
-    request = ClientRequest(core.volumes[volume], kind, start, length, data, 0, waiter, deadline,
+    request = ClientRequest(core.volumes[volume], kind, start, length, data, 0, waiter,
                             background=True, moving=moving)  # fmt: skip
     core.take(hub.now(), request)
     waiter.wait()
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -87,7 +87,7 @@
                     assert self._log is not None
                     self.regional = Regional(hub, self._network, scope, settings, self.core, self._links,
                                              self._log, self._note, self._name)  # fmt: skip
-                self.mover = Mover(hub, scope, self.core, settings, self._note)
+                self.mover = Mover(hub, scope, self.core, settings, self._note, self._may_move)
                 if isinstance(self.module, Celled):
                     self.mover.follow(self.module.map)
                     if settings.cell_map:
@@ -114,6 +114,10 @@
             return self._wiring.module(told, seed)
         return Celled(told, seed, self._cells)
 
+    def _may_move(self, volume: str) -> bool:
+        # Without a lease's epoch, its own or the holder's, nobody else's newer work would be noticed.
+        return self.regional is None or self.regional.acts_on(volume)
+
     def take_cells(self, cells: HeadMap) -> None:
         """Follow a newer map of cells. Raises OldMap for one that is not newer."""
         assert isinstance(self.module, Celled), "a head without cells has no map"
--- a/harriertrack/gateway/mover.py
+++ b/harriertrack/gateway/mover.py
@@ -12,15 +12,15 @@
 from harriertrack.gateway import background
 from harriertrack.runtime.hub import Hub, Scope
 
-HOLD_US = 1_000_000  # clients of the extent wait meanwhile: a read or a write that takes longer is given up
+WAIT_US = 50_000  # between two looks whether this head may act on a volume of two regions
 
 
 class Mover:
     """All moves of a head: one task for each volume that has extents outside its cell."""
 
     def __init__(self, hub: Hub, scope: Scope, core: Core, settings: HeadSettings,
-                 note: Callable[..., None]) -> None:  # fmt: skip
-        self._hub, self._scope, self._core, self._note = hub, scope, core, note
+                 note: Callable[..., None], may_act: Callable[[str], bool]) -> None:  # fmt: skip
+        self._hub, self._scope, self._core, self._note, self._may_act = hub, scope, core, note, may_act
         self._extent_bytes = settings.extent_bytes
         writes = (one.deadline_us for one in settings.classes if Kind.WRITE in one.kinds)
         self._settle_us = max(writes, default=0)
@@ -52,6 +52,8 @@
             self._hub.sleep(10_000)
         while (when := move.wake_at()) is not None and self._version == cells.version:
             self._hub.sleep_until(when)
+            while not self._may_act(move.volume):
+                self._hub.sleep(WAIT_US)
             if move.state is MoveState.SETTLING:
                 placed = self._core.places.placed(move.volume)
                 move.checked(misplaced(cells.volumes[move.volume], placed, cells.shards))
@@ -83,5 +85,4 @@
         return done.outcome
 
     def _do(self, volume: str, kind: Kind, start: int, length: int, data: bytes = b"") -> ClientRequest:
-        deadline = self._hub.now() + HOLD_US
-        return background.do(self._hub, self._core, volume, kind, start, length, data, deadline, moving=True)
+        return background.do(self._hub, self._core, volume, kind, start, length, data, moving=True)
--- a/harriertrack/lab/day.py
+++ b/harriertrack/lab/day.py
@@ -151,8 +151,8 @@
             raise SettingsError(
                 f"{source}:{form.line}: trouble {trouble.name.value}: begins after the day's end"
             )
-    if day.cells > 1 and (day.shared or day.two_regions is not None):
-        raise SettingsError(f"{source}:{form.line}: cells: such a day has (shared 0) and one region")
+    if day.cells > 1 and day.shared and day.two_regions is None:
+        raise SettingsError(f"{source}:{form.line}: cells: such a day has (shared 0)")
     if day.volume_bytes % day.extent_bytes or day.extent_bytes % day.unit_bytes:
         raise SettingsError(f"{source}:{form.line}: extent: does not divide the volume into whole units")
     return day
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -44,7 +44,7 @@
 
 SETTLE_US = 300_000  # heads learn the node list before the first request
 METER_US = 1_000_000
-WATCH_US, LATE_US = 10_000, 20_000  # over sockets: how often the machine is looked at, and what is a standstill
+WATCH_US, LATE_US = 10_000, 20_000  # over sockets: how often the machine is looked at; what is a standstill
 REGISTERS = 8  # sectors at a volume's end that are left to register clients
 BULK_BYTES = 12 << 10
 MOVED = "vol0"  # the volume that days with a move move
@@ -62,6 +62,14 @@
             name="catch-up", kinds=(Kind.CATCH_UP,), aim_us=5_000_000, deadline_us=15_000_000, worth=0.5,
             effect=Effect.KEYED, window_us=2_500_000,
         ),
+        ClassSettings(
+            name="own-read", kinds=(Kind.OWN_READ,), aim_us=400_000, deadline_us=400_000, worth=0.5,
+            effect=Effect.SAFE,
+        ),
+        ClassSettings(
+            name="move", kinds=(Kind.MOVE,), aim_us=400_000, deadline_us=400_000, worth=0.5,
+            effect=Effect.KEYED, window_us=2_500_000,
+        ),
         ClassSettings(
             name="read", kinds=(Kind.READ, Kind.FLUSH), aim_us=300_000, deadline_us=1_500_000, worth=3,
             late_worth=0.1, effect=Effect.SAFE,
@@ -110,7 +118,8 @@
 
 def cells_of(day: DaySettings) -> HeadMap:
     """Return a day's cells: shards and volumes dealt in turn."""
-    shards = {shard: f"cell{shard % day.cells}" for shard in range(day.nodes)}
+    regions = 1 if day.two_regions is None else len(REGIONS)
+    shards = {shard: f"cell{shard % day.cells}" for shard in range(day.nodes * regions)}
     volumes = {f"vol{number}": f"cell{number % day.cells}" for number in range(day.volumes)}
     return HeadMap(1, shards, volumes)
 
--- a/tests/test_moving.py
+++ b/tests/test_moving.py
@@ -202,8 +202,9 @@
 
 MAP = """(cell-map (version VERSION) (rack "r0" (cell "left") (shards 0 1)) (rack "r1" (cell "right") (shards 2 3))
   (tenant "disk" (cell "HERE")) (tenant "shared" (cell "left")))"""
-MOVES = (*CLASSES, ClassSettings(name="catch-up", kinds=(Kind.CATCH_UP,), aim_us=5_000_000, deadline_us=15_000_000,
-                                 worth=0.5, effect=api.Effect.KEYED, window_us=2_500_000))  # fmt: skip
+MOVES = (*CLASSES, ClassSettings(name="own-read", kinds=(Kind.OWN_READ,), aim_us=1_000_000, deadline_us=1_000_000,
+                                 worth=0.5, effect=api.Effect.SAFE),
+         ClassSettings(name="move", kinds=(Kind.MOVE,), aim_us=1_000_000, deadline_us=1_000_000, worth=0.5, effect=api.Effect.KEYED, window_us=2_500_000))  # fmt: skip
 
 
 def test_a_running_head_takes_a_new_map_and_moves_what_it_holds(tmp_path):
@@ -257,26 +258,30 @@
 def test_moves_need_a_class_to_be_made_of():
     kept = []
     play(lambda site: kept.append(site.head.settings))
-    with pytest.raises(SettingsError, match="cell-map: no class takes catch-up"):
+    with pytest.raises(SettingsError, match="cell-map: no class takes own-read"):
         check_head(msgspec.structs.replace(kept[0], cell_map="x"), "head")
     spread = VolumeRegionSettings(home="a")
-    both = msgspec.structs.replace(kept[0], cell_map="x", classes=MOVES, region=RegionSettings(
+    kinds = (Kind.MOVE, Kind.CATCH_UP)
+    classes = (*MOVES[:-1], msgspec.structs.replace(MOVES[-1], kinds=kinds))
+    both = msgspec.structs.replace(kept[0], cell_map="x", classes=classes, region=RegionSettings(
         name="a", other="b", peer=("127.0.0.1", 1), witness=("127.0.0.1", 2)), volumes=(
         msgspec.structs.replace(kept[0].volumes[0], regions=spread),))  # fmt: skip
-    with pytest.raises(SettingsError, match="cell-map: volumes of two regions"):
+    with pytest.raises(SettingsError, match="class move: deadline: longer than volume disk waits for a copy"):
         check_head(both, "head")
 
 
-@pytest.mark.parametrize("name", ["cell-move", "cell-move-kill"])
+@pytest.mark.parametrize("name", ["cell-move", "cell-move-kill", "cell-move-region-dark"])
 @pytest.mark.parametrize("seed", [2, 3])
 def test_a_day_with_a_move_loses_and_doubles_nothing_and_gets_done(name, seed):
     recorder = rec.Recorder()
     rig = emulate(days.load(name), seed, recorder)
     assert [str(one) for one in checker.check(recorder.records)] == []
     home = rig.cells.volumes[MOVED]
-    (slot,) = [one for one in rig.heads if any(volume.name == MOVED for volume in one.settings.volumes)]
-    lies = {rig.cells.shards[shard] for _, shard in slot.extents().placed(MOVED)}
-    assert lies == {home} and rig.cells.version == 2
+    slots = [one for one in rig.heads if any(volume.name == MOVED for volume in one.settings.volumes)]
+    assert len(slots) == (2 if "region" in name else 1)  # each region's head moves what lies there
+    for slot in slots:
+        lies = {rig.cells.shards[shard] for _, shard in slot.extents().placed(MOVED)}
+        assert lies == {home} and rig.cells.version == 2
 
 
 def test_a_mover_that_does_not_hold_extents_is_caught(monkeypatch):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -89,7 +89,7 @@
     assert f"head.sexp:{line}:" in said and field in said, said
 
 
-REGIONS = GOOD.replace('(plan "basic")) (', '(').replace("(kinds read flush)", "(kinds read flush catch-up)").replace(
+REGIONS = GOOD.replace('(plan "basic")) (', '(').replace("(kinds read flush)", "(kinds read flush own-read catch-up)").replace(
     '(volume "demo" (size 64MiB) (plan "basic"))',
     '(region (name "a") (other "b") (peer "127.0.0.1" 2) (witness "127.0.0.1" 3))\n'
     '  (volume "demo" (size 64MiB) (plan "basic") (regions (home "b") (mode home)))')  # fmt: skip
@@ -99,6 +99,7 @@
     ('(home "b")', '(home "c")', "regions: home c"),
     ("(mode home)", "(mode some)", "mode"),
     (" catch-up)", ")", "catch-up"),
+    (" own-read", "", "own-read"),
     ('(region (name "a") (other "b") (peer "127.0.0.1" 2) (witness "127.0.0.1" 3))', "", "region is not set"),
     ('(witness "127.0.0.1" 3)', "", "witness"),
 ])
