--- a/benchmarks/generator.py
+++ b/benchmarks/generator.py
@@ -27,6 +27,7 @@
 CASES = (
     ("plateau 100", "(phase plateau (for 20s) (rate 100))", False),
     ("plateau 100", "(phase plateau (for 20s) (rate 100))", True),
+    ("ramp 200 to 1000", "(phase ramp (for 20s) (rate 200) (to 1000))", False),
     ("ramp 200 to 2000", "(phase ramp (for 20s) (rate 200) (to 2000))", False),
 )
 MIX = "(mix (read 1) (write 0)) (popularity 0) (block 512B)"
@@ -37,18 +38,33 @@
 class Measured(Shelf):
     """A storage node with a histogram of its own."""
 
+    hub: Hub
     took: HdrHistogram
+    leaving: list[int]
 
     def said(self, work: Work, result: str) -> Any:
-        """Record how long an answer took here."""
-        self.took.record_value(max(1, self.timing.now() - work.arrived))
+        """Note an answer; it leaves with all others at the end of the loop's round."""
+        if not self.leaving:
+            self.hub.at_end_of_round(self.hand_over)
+        self.leaving.append(work.arrived)
         return super().said(work, result)
 
+    def hand_over(self) -> None:
+        """Wait until the streams of this round have handed their bytes to the sockets."""
+        self.hub.at_end_of_round(self.count)
+
+    def count(self) -> None:
+        """Record how long the answers of this round took here."""
+        now = self.timing.now()
+        for arrived in self.leaving:
+            self.took.record_value(max(1, now - arrived))
+        self.leaving.clear()
+
 
 def serve(pipe: Connection, stalls: bool) -> None:
     """Run the node until asked for its histogram (a process)."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)
-    hub = Hub()
+    hub = Hub.exact()
     volume = VolumeSettings(name="disk", size_bytes=1 << 30, plan="p")
     settings = ShelfSettings(
         listen=("127.0.0.1", 0),
@@ -63,7 +79,7 @@
     def main() -> None:
         with hub.scope("node") as scope:
             node = Measured(hub, SocketNetwork(hub), settings, Rack(settings.extent_bytes))
-            node.took = histogram()
+            node.took, node.leaving, node.hub = histogram(), [], hub
             node.start(scope)
             pipe.send(node.address)
             if stalls:
@@ -87,7 +103,7 @@
         process.start()
         host, port = pipe.recv()
         text = f'(load "b" (volume "disk" (address {host} {port}) (connections 4)) {phase} {MIX})'
-        hub, load = Hub(), parse_load(read_text(text, "load"), "load")
+        hub, load = Hub.exact(), parse_load(read_text(text, "load"), "load")
         result = hub.run(Generator(hub, SocketNetwork(hub), load).run)
         pipe.send("done")
         own, mine = unpacked(pipe.recv()), histogram()
--- a/harriertrack/cli/lab.py
+++ b/harriertrack/cli/lab.py
@@ -232,7 +232,7 @@
         checked = load_settings(settings)
     except SettingsError as error:
         fail(str(error))
-    hub = Hub()
+    hub = Hub.exact()
     results: list[LoadResult] = []
 
     def tell(step: LoadStep, pacing: Pacing) -> None:
--- a/harriertrack/gateway/client.py
+++ b/harriertrack/gateway/client.py
@@ -27,6 +27,7 @@
         self.size = 0
         self.flags = TransmissionFlags(0)
         self.block_sizes = (1, 4096, 0)
+        self.read_at = 0  # when the bytes that ended the present reply were read
         self.violation = ""  # what the server did that the protocol forbids
         self.on_lost: Callable[[], None] | None = None
 
@@ -96,6 +97,7 @@
         assert self._stream is not None
         try:
             while data := self._stream.read():
+                self.read_at = self._hub.now()
                 for event in self._nbd.receive(data):
                     if isinstance(event, Reply):
                         self._callbacks.pop(event.cookie)(event)
--- a/harriertrack/lab/generator.py
+++ b/harriertrack/lab/generator.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import gc
 import random
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Iterator
 from contextlib import suppress
+from itertools import chain
 from typing import Annotated
 
 import msgspec
@@ -42,6 +44,7 @@
 OPEN_US = 5_000_000
 AGAIN_US = 100_000
 SECOND_US = 1_000_000
+COUNT_US, COUNT_MOST = 10_000, 100  # how often answers are counted, and how many at once
 
 
 class LoadVolume(Checked, frozen=True, kw_only=True):
@@ -147,6 +150,10 @@
     return load
 
 
+def _begun(plan: Iterator[traces.Asked]) -> Iterator[traces.Asked]:
+    return chain([first], plan) if (first := next(plan, None)) is not None else plan
+
+
 class _Line:
     """One connection, opened again whenever it breaks."""
 
@@ -190,6 +197,9 @@
         self._steps: dict[int, LoadStep] = {}
         self._of_step: dict[int, HdrHistogram] = {}
         self._totals: Counter[str] = Counter()
+        # Answers not counted yet, with their latencies: counting a burst of thousands at once would hold up
+        # the reading of the rest of it.
+        self._served: deque[tuple[str, LoadStep, int]] = deque()
         self._open = 0
         self._start = 0
 
@@ -204,21 +214,25 @@
                     line.open(scope)
                     scope.spawn("keep", line.keep, scope)
                 lines.append(mine)
+            # The first draw of each takes its time: it is made before the clock starts.
+            plans = [_begun(plan) for plan in self._plans([mine[0].size for mine in lines])]
+            gc.collect()
+            gc.freeze()  # what stands now is not looked through again and again while times are taken
             self._start = hub.now()
-            plans = self._plans([mine[0].size for mine in lines])
             tasks = [
                 scope.spawn(f"plan {volume.name}", self._play, plan, mine)
                 for volume, plan, mine in zip(load.volumes, plans, lines, strict=False)
             ]
-            telling = scope.spawn("progress", self._tell)
+            scope.spawn("progress", self._tell)
+            scope.spawn("count", self._counting)
             while not all(task.done for task in tasks):
                 hub.sleep(20_000)
             until = hub.now() + load.give_up_us
             while self._open and hub.now() < until:
                 hub.sleep(20_000)
-            telling.cancel()
             unanswered = self._open
             scope.cancel()
+        gc.unfreeze()
         return self._result(unanswered)
 
     def _plans(self, sizes: list[int]) -> list[Iterator[traces.Asked]]:
@@ -268,8 +282,7 @@
 
         def then(reply: Reply | None) -> None:
             self._open -= 1
-            now = hub.now()
-            step = self._step(now)
+            step = self._step(hub.now() if reply is None else client.read_at)
             if reply is None or (reply.error and reply.error not in (REFUSED, Errno.ESHUTDOWN)):
                 step.failed += 1
                 self._totals["failed"] += 1
@@ -277,12 +290,8 @@
                 step.refused += 1
                 self._totals["refused"] += 1
             else:
-                took = max(LOWEST_US, now - intended)
-                step.served += 1
-                step.most_us = max(step.most_us, took)
-                self._totals["served"] += 1
-                self._latency[one.kind].record_value(took)
-                self._of_step.setdefault(step.t_us, histogram()).record_value(took)
+                took = max(LOWEST_US, client.read_at - intended)
+                self._served.append((one.kind, step, took))
 
         data = body[: one.length] if one.kind == "write" else b""
         client.start(COMMANDS[one.kind], one.offset, 0 if data else one.length, data, then)
@@ -298,7 +307,23 @@
             self.hub.sleep(SECOND_US)
             self._told(self._step(self.hub.now() - SECOND_US), self.pacing)
 
+    def _counting(self) -> None:
+        # A little at a time: histograms cost some microseconds a value, and requests are due meanwhile.
+        while True:
+            self.hub.sleep(COUNT_US)
+            self._count(COUNT_MOST)
+
+    def _count(self, most: int) -> None:
+        for _ in range(min(most, len(self._served))):
+            kind, step, took = self._served.popleft()
+            step.served += 1
+            step.most_us = max(step.most_us, took)
+            self._totals["served"] += 1
+            self._latency[kind].record_value(took)
+            self._of_step.setdefault(step.t_us, histogram()).record_value(took)
+
     def _result(self, unanswered: int) -> LoadResult:
+        self._count(len(self._served))
         steps = [self._steps[at] for at in sorted(self._steps)]
         for step in steps:
             if (filled := self._of_step.get(step.t_us)) is not None:
--- a/harriertrack/runtime/hub.py
+++ b/harriertrack/runtime/hub.py
@@ -72,10 +72,14 @@
 
 
 class PollPoller:
-    """`select.poll` with the hub's clock."""
+    """`select.poll` with the hub's clock.
 
-    def __init__(self, clock: Clock) -> None:
+    `poll` knows whole milliseconds. Timers are up to one late, unless `exact`: then the last one is spun.
+    """
+
+    def __init__(self, clock: Clock, exact: bool = False) -> None:
         self._clock = clock
+        self._round_up_us = 0 if exact else 999
         self._poll = select.poll()
         self._watched: dict[int, int] = {}
 
@@ -92,7 +96,7 @@
 
     def wait(self, until: int | None) -> list[tuple[int, int]]:
         """Wait for descriptors, until a time in microseconds or without end."""
-        left = None if until is None else max(0, -((self._clock.now() - until) // 1000))
+        left = None if until is None else max(0, (until - self._clock.now() + self._round_up_us) // 1000)
         return self._poll.poll(left)
 
 
@@ -189,6 +193,7 @@
         self.stall_us = stall_us
         self.stalls = 0
         self.longest_round_us = 0
+        self.idle_us = 0  # spent waiting: the rest is the loop's own work
         self.on_stall: Callable[[int], None] | None = None
         self.on_task_error: Callable[[Task], None] | None = None
         self._timers: list[tuple[int, int, Timer]] = []
@@ -202,6 +207,12 @@
         self._current: Task | None = None
         self._stop: Task | None = None
 
+    @classmethod
+    def exact(cls) -> Hub:
+        """Make a hub whose timers are not up to a millisecond late, at the price of a busy processor."""
+        clock = RealClock()
+        return cls(clock, PollPoller(clock, exact=True))
+
     @classmethod
     def virtual(cls, seed: int = 0, start: int = 1_000_000_000) -> Hub:
         """Make a hub in simulated time."""
@@ -237,7 +248,10 @@
                 return
             until = began if ready else self._next_timer()
             self._polls += 1
-            for fd, events in self.poller.wait(until):
+            slept = self.clock.now()
+            polled = self.poller.wait(until)
+            self.idle_us += self.clock.now() - slept
+            for fd, events in polled:
                 # An earlier handler of this round may have closed this descriptor and opened another of the
                 # same number: the handler of the new one is not called for the old one's events.
                 handler = self._handlers.get(fd)
