What cells share in a head is divided: connections, open requests, bytes, processor

Need: a cell's nodes, windows and budgets are its own, a head is not; a flood of one cell could take all its connections, its memory and its processor. Change: decisions/shares.py gives each cell an even part of what is given back late, and a pool beside it if the settings say borrow (none by default); the processor is divided only while it is short, by what the loop was seen to get through. A cell whose refusals alone use its part up is not read from for 100 ms at a time.

--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -159,6 +159,8 @@
     connections: Positive = 1024
     in_flight: Positive = 128
     held: Positive = 20_000
+    held_bytes: Positive = 256 << 20  # of open writes
+    borrow: Share = 0.0  # the part of these that cells may use beyond their even parts
     orphans: Positive = 1024
     dial_us: Positive = 250_000
     idle_us: Positive = 30_000_000
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from itertools import islice
 
 from harriertrack.config.settings import HeadSettings
 from harriertrack.decisions.requests import ClientRequest, Core, Origin, Part
+from harriertrack.decisions.shares import ShareLimits, Shares
 from harriertrack.decisions.splitting import Kind, Outcome, cut, runs
 from harriertrack.gateway.links import COMMANDS
 from harriertrack.gateway.regional import Regional, digest_of
@@ -39,6 +41,7 @@
 
 KINDS = {command: kind for kind, command in COMMANDS.items()}
 REFUSED, FAILED = Errno.ENOMEM, Errno.EIO
+TICK_US = 100_000  # how often the shares hear how busy the loop is
 
 
 def error_of(request: ClientRequest) -> tuple[Errno, str]:
@@ -109,8 +112,9 @@
         self._nbd = ServerConnection(front.exports)
         self._open: dict[ClientRequest, int] = {}  # requests without their answer, and their cookies
         self._fewer = Waiters(front.hub)
-        self._volume = ""
-        self._origin, self._epoch = Origin.CLIENT, 0
+        self.volume = ""
+        self.origin, self._epoch = Origin.CLIENT, 0
+        self.chosen = self.counted = False  # it has a volume; it counts among its cell's connections
 
     def run(self) -> None:
         """Serve the connection until it ends (the session's task)."""
@@ -132,10 +136,14 @@
                         case Request():
                             self._request(event)
                         case Opened():
-                            self._volume = event.export.name
+                            self.volume = event.export.name
                             if not self._identify(event.contexts):
                                 return
-                            front.note("client opened", peer=self._stream.peer, volume=self._volume)
+                            if not front.chose(self):
+                                front.note("client turned away", peer=self._stream.peer, volume=self.volume,
+                                           why="too many connections of its cell")  # fmt: skip
+                                return
+                            front.note("client opened", peer=self._stream.peer, volume=self.volume)
                         case Disconnect():
                             self._finish_open()
                         case Aborted():
@@ -144,6 +152,8 @@
                     break
                 # A client that does not read its answers is not read from either.
                 self._stream.drain()
+                if rest := front.shares.rest_us(self.volume, front.hub.now()):
+                    front.hub.sleep(rest)
         except (ProtocolViolation, DeadlineExceeded) as error:
             front.note("client closed", peer=self._stream.peer, why=str(error) or "too slow a handshake")
         except OSError as error:
@@ -168,16 +178,16 @@
         """Tell a client from the other region's head; return False for a holder that is none any more."""
         for context in contexts:
             if identity_of(context, RELAY_CONTEXT):
-                self._origin = Origin.RELAY
+                self.origin = Origin.RELAY
             elif identity := identity_of(context, COPY_CONTEXT):
-                self._origin, self._epoch = Origin.COPY, identity[1]
+                self.origin, self._epoch = Origin.COPY, identity[1]
                 regional = self._front.regional
-                return regional is not None and regional.copy_opened(self._volume, self._epoch, self)
+                return regional is not None and regional.copy_opened(self.volume, self._epoch, self)
         return True
 
     def _peer_news(self, event: Request) -> None:
         regional, report = self._front.regional, None
-        if regional is None or self._origin is not Origin.RELAY:
+        if regional is None or self.origin is not Origin.RELAY:
             self._turn_away(event, Errno.EINVAL, "only the other region's head may say so")
             return
         if event.command is Command.DIGEST:
@@ -186,13 +196,13 @@
         if event.command is Command.TICK:
             report = Report(load=(regional.tick(bool(event.length)),))
         else:
-            regional.caught(self._volume, event.offset, event.length, self)
+            regional.caught(self.volume, event.offset, event.length, self)
         self._nbd.reply_done(event.cookie, report)
         self._push()
 
     def _digest(self, event: Request) -> None:
         """Read a range as for a client, but answer with its digest."""
-        volume = self._front.core.volumes[self._volume]
+        volume = self._front.core.volumes[self.volume]
         export = self._nbd.export
         if not event.length or export is None or event.offset + event.length > export.size:
             self._turn_away(event, Errno.EINVAL, "not a range of the volume")
@@ -207,7 +217,7 @@
                 b"",
                 0,
                 asker,
-                origin=self._origin,
+                origin=self.origin,
                 tick=event.token,
                 reader=self,
             )
@@ -226,10 +236,10 @@
         front = self._front
         if (
             event.command is Command.BLOCK_STATUS
-            and self._origin is Origin.RELAY
+            and self.origin is Origin.RELAY
             and front.regional is not None
         ):
-            told = front.regional.missing(self._volume, event.offset, event.length)
+            told = front.regional.missing(self.volume, event.offset, event.length)
             self._nbd.reply_block_status(event.cookie, told, RELAY_CONTEXT)
             self._push()
             return
@@ -237,16 +247,16 @@
             self._nbd.reply_block_status(event.cookie, list(self._status(event)))
             self._push()
             return
-        if turned_away := front.turns_away(len(self._open)):
-            self._turn_away(event, *turned_away)
-            return
-        volume = front.core.volumes[self._volume]
+        volume = front.core.volumes[self.volume]
         kind = KINDS[event.command]
-        pulled = self._origin is Origin.RELAY and kind is Kind.READ and event.flags & CommandFlags.DF
+        pulled = self.origin is Origin.RELAY and kind is Kind.READ and event.flags & CommandFlags.DF
         request = ClientRequest(
             volume, kind, event.offset, event.length, event.data, event.flags, self,
-            origin=self._origin, epoch=self._epoch, tick=event.token, reader=self if pulled else None,
+            origin=self.origin, epoch=self._epoch, tick=event.token, reader=self if pulled else None,
         )  # fmt: skip
+        if turned_away := front.turns_away(request, len(self._open)):
+            self._turn_away(event, *turned_away)
+            return
         self._open[request] = event.cookie
         front.take(request)
 
@@ -257,7 +267,7 @@
     def _status(self, event: Request) -> Iterable[tuple[int, int]]:
         """Return what is allocated: extents that were never written are holes."""
         core, hole = self._front.core, int(ExtentFlags.HOLE | ExtentFlags.ZERO)
-        volume = core.volumes[self._volume]
+        volume = core.volumes[self.volume]
         pieces = cut(event.offset, event.length, self._front.settings.extent_bytes)
         told = runs((length, hole if core.shard_of(volume, at) is None else 0) for at, _, length in pieces)
         return islice(told, 1) if event.flags & CommandFlags.REQ_ONE else told
@@ -288,16 +298,25 @@
         scope: Scope,
         note: Callable[..., None],
         regional: Regional | None = None,
+        cells: Mapping[str, str] | None = None,
     ) -> None:
         self.hub, self.settings, self.core, self.note = hub, settings, core, note
         self.regional = regional
         self.exports = VolumeExports(settings)
         self.sessions = 0
+        self._choosing = 0  # of these, so many have not chosen their volume
+        limits, cells = settings.limits, cells or {volume.name: "" for volume in settings.volumes}
+        divided = len(set(cells.values())) > 1
+        # Who has not chosen yet is of no cell: cells' parts are safe from them.
+        self._may_choose = max(1, limits.connections // 4) if divided else limits.connections
+        connections = max(1, limits.connections - self._may_choose) if divided else limits.connections
+        self.shares = Shares(ShareLimits(connections, limits.held, limits.held_bytes, limits.borrow), cells)
+        self._counted: dict[ClientRequest, int] = {}  # clients' requests, and the bytes they brought
         self.closing = False
         self._scope = scope
 
-    def turns_away(self, open_requests: int) -> tuple[Errno, str] | None:
-        """Return the error and its text for a request that is not taken.
+    def turns_away(self, request: ClientRequest, open_requests: int) -> tuple[Errno, str] | None:
+        """Return the error and its text for a request that is not taken; None: it is to be taken now.
 
         `open_requests` is how many its connection has open.
         """
@@ -306,8 +325,36 @@
         if open_requests >= self.settings.limits.in_flight or self.core.full():
             # Not reading on would let requests grow old in the socket, past what their clients wait for.
             return REFUSED, "refused: not done; too much is open"
+        if request.origin is Origin.CLIENT:  # the other head's work is bounded there
+            name, size = request.volume.settings.name, len(request.data)
+            if why := self.shares.takes(name, size, self.hub.now()):
+                return REFUSED, f"refused: not done; {why}"
+            self._counted[request] = size
         return None
 
+    def ended(self, request: ClientRequest) -> None:
+        """A request has its answer, or nobody waits for it any more: its room is free again."""
+        size = self._counted.pop(request, None)
+        if size is not None:
+            self.shares.ended(request.volume.settings.name, size)
+
+    def chose(self, session: Session) -> bool:
+        """A connection has chosen its volume; False: its cell has no room for it."""
+        self._choosing -= 1
+        session.chosen = True
+        # The other head's connections are few, and what they carry is bounded there.
+        session.counted = session.origin is Origin.CLIENT and self.shares.connects(session.volume)
+        return session.counted or session.origin is not Origin.CLIENT
+
+    def watch(self) -> None:
+        """Tell the shares how busy the loop is (a task)."""
+        hub = self.hub
+        while True:
+            began, idle = hub.now(), hub.idle_us
+            hub.sleep(TICK_US)
+            now = hub.now()
+            self.shares.ticked(now, max(0.0, 1 - (hub.idle_us - idle) / max(1, now - began)))
+
     def take(self, request: ClientRequest) -> None:
         """Hand a request to the core, or to the layer of volumes of two regions."""
         if self.regional is not None and request.volume.settings.name in self.regional.volumes:
@@ -317,6 +364,7 @@
 
     def client_gone(self, request: ClientRequest) -> None:
         """The request's client left."""
+        self.ended(request)
         if self.regional is not None and request.volume.settings.name in self.regional.volumes:
             self.regional.client_gone(request)
         else:
@@ -329,13 +377,18 @@
                 stream = listener.accept()
             except StreamClosed:
                 return
-            if self.sessions >= self.settings.limits.connections:
+            if self.sessions >= self.settings.limits.connections or self._choosing >= self._may_choose:
                 self.note("client turned away", peer=stream.peer, why="too many connections")
                 stream.close()
                 continue
             self.sessions += 1
-            task = self._scope.spawn(f"client {stream.peer}", Session(self, stream).run)
-            task.on_done.append(self._left)
+            self._choosing += 1
+            session = Session(self, stream)
+            task = self._scope.spawn(f"client {stream.peer}", session.run)
+            task.on_done.append(partial(self._left, session))
 
-    def _left(self, _task: object) -> None:
+    def _left(self, session: Session, _task: object) -> None:
         self.sessions -= 1
+        self._choosing -= not session.chosen
+        if session.counted:
+            self.shares.left(session.volume)
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -92,8 +92,11 @@
                     self.mover.follow(self.module.map)
                     if settings.cell_map:
                         scope.spawn("cell map", self._watch_map)
-                self.front = NbdFront(hub, settings, self.core, scope, self._note, self.regional)
+                cells = self.module.map.volumes if isinstance(self.module, Celled) else None
+                self.front = NbdFront(hub, settings, self.core, scope, self._note, self.regional, cells)
                 scope.spawn("front", self.front.serve, listener)
+                if cells is not None:
+                    scope.spawn("shares", self.front.watch)
                 self.ready.set()
                 self._stopping.wait()
                 self.front.closing = True
@@ -122,6 +125,7 @@
         """Follow a newer map of cells. Raises OldMap for one that is not newer."""
         assert isinstance(self.module, Celled), "a head without cells has no map"
         self.module.take_map(cells)
+        self.front.shares.follow(cells.volumes)
         self.mover.follow(cells)
 
     def _watch_map(self) -> None:
@@ -169,6 +173,7 @@
 
     def answer(self, request: ClientRequest) -> None:
         """Hand a final answer to whoever asked."""
+        self.front.ended(request)
         request.token.answer(request)
 
     def subscribe(self, on: bool) -> None:
--- a/harriertrack/lab/emulator.py
+++ b/harriertrack/lab/emulator.py
@@ -418,14 +418,15 @@
         def arrive() -> None:
             if asker not in self._open:
                 return  # the connection broke before
-            away = head.front.turns_away(len(self._open) - 1)
+            volume = head.core.volumes[self.volume]
+            command = KINDS[CLIENT_COMMANDS[kind]]
+            request = ClientRequest(volume, command, start * SECTOR, size, data, 0, asker)
+            away = head.front.turns_away(request, len(self._open) - 1)
             if away is not None:
                 asker.give(Reply(0, *away))
                 return
-            volume = head.core.volumes[self.volume]
-            asker.request = ClientRequest(volume, KINDS[CLIENT_COMMANDS[kind]], start * SECTOR, size, data, 0,
-                                          asker)  # fmt: skip
-            head.front.take(asker.request)
+            asker.request = request
+            head.front.take(request)
 
         self._hub.at_for(head, self._hub.now() + self._air.client_delay(), arrive)
 
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,256 @@
+"""What cells share in a head: parts, pool, the processor; and heads that keep to it."""
+
+import random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from harriertrack.config.settings import LimitSettings
+from harriertrack.decisions.shares import AIM, REST_US, TURNED_AWAY, ShareLimits, Shares
+from harriertrack.gateway.client import NbdClientError
+from harriertrack.protocol.nbd.wire import Command
+
+from test_head import EXTENT, play
+from test_moving import MAP, MOVES
+
+CELLS = {"a1": "a", "a2": "a", "b": "b"}
+SECOND = 1_000_000
+
+
+def shares(borrow=0.0, cells=CELLS):
+    return Shares(ShareLimits(connections=8, held=10, held_bytes=1000, borrow=borrow), cells)
+
+
+def test_a_cell_has_its_part_and_no_more():
+    one = shares()
+    assert [one.connects(name) for name in ("a1", "a2", "a1", "a2", "a1")] == [True] * 4 + [False]
+    assert [one.connects("b") for _ in range(5)] == [True] * 4 + [False]
+    one.left("a2")
+    assert one.connects("a1") and not one.connects("a1")
+    assert [one.takes("a1", 0, 0) for _ in range(5)] == [""] * 5 and "too much open" in one.takes("a2", 0, 0)
+    assert [one.takes("b", 0, 0) for _ in range(5)] == [""] * 5
+    one.ended("a1", 0)
+    assert one.takes("a2", 0, 0) == "" and one.turned_away == {"a": 1}
+
+
+def test_bytes_count_too_and_one_request_always_fits():
+    one = shares()
+    assert one.takes("a1", 5000, 0) == "" and "bytes" in one.takes("a2", 1, 0)
+    assert one.takes("b", 500, 0) == "" and "bytes" in one.takes("b", 1, 0)
+    one.ended("a1", 5000)
+    assert one.takes("a2", 500, 0) == ""
+
+
+def test_the_pool_is_for_whoever_comes_first_and_bounded():
+    one = shares(borrow=0.5)  # parts of 2, a pool of 4
+    assert [one.connects("a1") for _ in range(7)] == [True] * 6 + [False]
+    assert [one.connects("b") for _ in range(3)] == [True, True, False]  # its own part is there, the pool is gone
+    one.left("a1")
+    assert one.connects("b")
+
+
+def test_without_cells_there_is_one_part_and_the_processor_is_nobodys():
+    one = shares(cells=dict.fromkeys(CELLS, ""))
+    assert [one.connects(name) for name in ("a1", "a2", "b") * 3] == [True] * 8 + [False]
+    for now in range(0, 10 * SECOND, SECOND // 10):
+        one.takes("a1", 0, now)
+        one.ended("a1", 0)
+        one.ticked(now, 1.0)
+    assert one.takes("a1", 0, 10 * SECOND) == "" and not one.rest_us("a1", 10 * SECOND)
+
+
+def test_what_a_volume_has_goes_with_it_into_its_new_cell():
+    one = shares()
+    for _ in range(3):
+        assert one.connects("a1") and one.takes("a1", 10, 0) == ""
+    one.follow({**CELLS, "a1": "b"})
+    assert one.connects("b") and not one.connects("b")  # 3 came along, of 4
+    assert [one.connects("a2") for _ in range(5)] == [True] * 4 + [False]
+    for _ in range(3):
+        one.left("a1")
+        one.ended("a1", 10)
+    assert [one.connects("b") for _ in range(4)] == [True] * 3 + [False]
+
+
+@given(st.lists(st.tuples(st.sampled_from([*CELLS, "elsewhere"]), st.integers(0, 400), st.booleans()), max_size=80),
+       st.sampled_from([0.0, 0.3, 1.0]))  # fmt: skip
+@settings(max_examples=80, deadline=None)
+def test_whatever_is_asked_the_whole_is_never_passed_and_ones_own_part_never_taken(asked, borrow):
+    one, kept = shares(borrow), {}
+    for volume, size, ends in asked:
+        if ends and kept.get(volume):
+            one.ended(volume, kept[volume].pop())
+        elif one.takes(volume, size, 0) == "":
+            kept.setdefault(volume, []).append(size)
+    held = {cell: sum(len(kept.get(name, ())) for name in CELLS if CELLS[name] == cell) for cell in "ab"}
+    assert sum(held.values()) <= 10
+    part = (10 - int(10 * borrow)) // 2
+    for volume, cell in (("a1", "a"), ("b", "b")):
+        # Bytes aside, a cell below its part is always served.
+        assert held[cell] >= part or "open here" not in one.takes(volume, 0, 0) or sum(kept.get(volume, ())) > 0
+
+
+class Loop:
+    """A head's loop that gets `most` requests a second through; cells ask for so many each.
+
+    What it has not read yet waits in the sockets, which hold so much and no more.
+    """
+
+    SOCKETS = 4_000
+
+    def __init__(self, most, **rates):
+        self.most, self.rates, self.random = most, rates, random.Random(1)
+        self.one = shares(cells={name: name for name in rates})
+        self.waiting = dict.fromkeys(rates, 0)
+        self.now = 0
+        self.count()
+
+    def count(self):
+        """Count anew."""
+        self.asked = dict.fromkeys(self.rates, 0)
+        self.served = dict.fromkeys(self.rates, 0)
+
+    def run(self, seconds):
+        """Play, in ticks of 100 ms; the loop reads from whoever has something there, in a drawn order."""
+        for _ in range(seconds * 10):
+            for name, rate in self.rates.items():
+                more = min(rate // 10, self.SOCKETS - self.waiting[name])
+                self.waiting[name] += more
+                self.asked[name] += more
+            left = whole = self.most / 10
+            while left > 0:
+                at = self.now + int(100_000 * (1 - left / whole))
+                names = [name for name, count in self.waiting.items() if count and not self.one.rest_us(name, at)]
+                if not names:
+                    break
+                name = self.random.choice(names)
+                self.waiting[name] -= 1
+                away = self.one.takes(name, 0, at)
+                left -= TURNED_AWAY if away else 1.0
+                if not away:
+                    self.served[name] += 1
+                    self.one.ended(name, 0)
+            self.now += 100_000
+            self.one.ticked(self.now, 1 - max(0.0, left) / whole)
+
+
+def test_a_flood_takes_its_part_of_the_processor_and_the_other_cell_is_never_turned_away():
+    loop = Loop(10_000, flood=40_000, calm=2_000)
+    loop.run(3)
+    assert loop.served["flood"] and loop.one.tight
+    loop.count()
+    loop.run(10)
+    assert loop.served["calm"] == loop.asked["calm"] == 20_000 and not loop.waiting["calm"]
+    assert 0.3 * 100_000 < loop.served["flood"] < AIM / 2 * 100_000 * 1.1
+    assert set(loop.one.turned_away) == {"flood"}
+
+
+def test_both_floods_get_their_parts():
+    loop = Loop(10_000, one=30_000, other=60_000)
+    loop.run(10)
+    assert loop.served["one"] == pytest.approx(loop.served["other"], rel=0.1)
+    assert loop.served["one"] > 0.2 * 100_000
+
+
+def test_a_loop_that_is_not_short_divides_nothing():
+    loop = Loop(100_000, flood=40_000, calm=2_000)
+    loop.run(5)
+    assert loop.served == loop.asked and loop.one.turned_away == {} and not loop.one.tight
+
+
+def test_a_flood_that_ends_is_forgotten():
+    loop = Loop(10_000, flood=40_000, calm=2_000)
+    loop.run(5)
+    loop.rates["flood"] = 3_000
+    loop.run(2)
+    turned = dict(loop.one.turned_away)
+    loop.run(3)
+    assert loop.one.turned_away == turned and not loop.one.tight
+
+
+def test_who_asks_far_too_much_is_not_read_from_for_a_while():
+    one = shares(cells={"flood": "flood", "calm": "calm"})
+    now = 0
+    for _ in range(3):
+        for _ in range(200):
+            if one.takes("flood", 0, now) == "":
+                one.ended("flood", 0)
+        now += 100_000
+        one.ticked(now, 1.0)
+    for _ in range(2000):
+        if one.takes("flood", 0, now) == "":
+            one.ended("flood", 0)
+    assert one.rest_us("flood", now) == REST_US and one.rest_us("calm", now) == 0
+    assert one.takes("calm", 0, now) == ""
+
+
+# -- heads
+
+
+@pytest.fixture
+def celled(tmp_path):
+    """A head with two cells: `disk` in one, `shared` in the other, eight connections."""
+    path = tmp_path / "map.sexp"
+    path.write_text(MAP.replace("VERSION", "1").replace("HERE", "right"))
+    limits = LimitSettings(connections=8, held=8, held_bytes=4 * EXTENT, handshake_us=500_000)
+    return dict(nodes=4, cell_map=str(path), classes=MOVES, limits=limits)
+
+
+def test_one_cells_connections_do_not_keep_the_others_out(celled):
+    def test(site):
+        kept = [site.client() for _ in range(3)]  # 8, a quarter of them for who has not chosen; 3 for each cell
+        with pytest.raises((OSError, NbdClientError)):
+            site.client().call(Command.READ, 0, 512)
+        assert site.client("shared").call(Command.READ, 0, 512).error == 0
+        assert ("client turned away", "too many connections of its cell") in [
+            (event, more.get("why")) for event, more in site.notes
+        ]
+        kept[0].close()
+        site.hub.sleep(50_000)
+        assert site.client().call(Command.READ, 0, 512).error == 0
+
+    play(test, **celled)
+
+
+def test_connections_that_choose_nothing_leave_room(celled):
+    def test(site):
+        idle = [site.net.connect(site.head.address) for _ in range(6)]
+        site.hub.sleep(50_000)
+        assert site.head.front.sessions == 2  # the others were closed at once
+        site.hub.sleep(600_000)  # these took too long
+        assert site.head.front.sessions == 0
+        assert [site.client(name).call(Command.READ, 0, 512).error for name in ("disk", "shared")] == [0, 0]
+        assert idle
+
+    play(test, **celled)
+
+
+def test_open_requests_and_bytes_of_one_cell_leave_the_others_theirs(celled):
+    def test(site):
+        ours, theirs = site.client(), site.client("shared")
+        for shelf in site.shelves:
+            shelf.pause(700_000)
+        replies = []
+        for number in range(6):
+            ours.start(Command.WRITE, number * EXTENT, 0, bytes(EXTENT), replies.append)
+        site.hub.sleep(100_000)
+        assert [reply.message for reply in replies] == ["refused: not done; its cell has too many bytes open here"] * 4
+        theirs.start(Command.WRITE, 0, 0, bytes(EXTENT), replies.append)
+        site.hub.sleep(100_000)
+        assert len(replies) == 4  # taken
+        site.hub.sleep(2_000_000)
+        assert len(replies) == 7 and [reply.error for reply in replies[4:]] == [0, 0, 0]
+        used = site.head.front.shares._cells
+        assert {cell: (one.used.held, one.used.held_bytes) for cell, one in used.items()} == {
+            "left": (0, 0), "right": (0, 0)}  # fmt: skip
+        # A client that leaves with requests open gives its room back too.
+        for shelf in site.shelves:
+            shelf.pause(700_000)
+        ours.start(Command.WRITE, 0, 0, bytes(512), replies.append)
+        site.hub.sleep(1_000)
+        assert used["right"].used.held == 1
+        ours.abort()
+        site.hub.sleep(20_000)
+        assert used["right"].used.held == used["right"].used.held_bytes == used["right"].used.connections == 0
+
+    play(test, **celled)
