What a moved extent leaves behind is trimmed, also after a kill

Need: a volume's data stayed in its old cell. Change: the extent map records, with an extent's new place, that its bytes are left at the old one, until they are trimmed (format 2; older maps are taken over). A volume's next move waits for a trim that may still land.

--- a/harriertrack/decisions/moving.py
+++ b/harriertrack/decisions/moving.py
@@ -6,6 +6,9 @@
 ones end), read it where it lies, write it in the new cell as one that is placed anew, and its new place is on
 disk before anyone goes on. Whatever fails on the way leaves it where it was, and frees it.
 
+What an extent leaves behind is trimmed when its volume's move is done. A trim that may still be on its way
+must not find the extent back there: the volume's next move waits for it.
+
 A write whose outcome is unknown may still run at the node it was sent to. Its extent is not tried again
 before `SETTLE_US`, when nothing of it can be on its way any more: a late one would overwrite what clients
 wrote since.
@@ -25,6 +28,9 @@
 MOST_FAILURES = 12  # in a row, without one extent moved: then somebody must look
 
 
+TRIMS = 4  # times that a trim is tried before the next start or map tries again
+
+
 class MoveState(StrEnum):
     """Where a volume's move is."""
 
@@ -51,6 +57,8 @@
     why: str = ""  # it stopped
     moved: int = 0
     busy: int = -1  # the extent that is being moved
+    trims: bool = False  # a trim of what was left behind is under way
+    quiet_at: int = 0  # when none of them can land any more
     _next_at: int = 0
     _check_at: int = 0
     _failures: int = 0
@@ -87,6 +95,14 @@
         waits = self.state in (MoveState.MOVING, MoveState.SETTLING)
         return self._next_at if waits and self.busy < 0 else None
 
+    def may_follow(self, now: int) -> bool:
+        """Whether nothing of this move is under way, so that another move of the volume may begin."""
+        return self.busy < 0 and not self.trims and now >= self.quiet_at
+
+    def forgets(self, left: Iterable[tuple[int, int]], placed: Mapping[int, int]) -> Forgetting:
+        """Return how what was left behind, as (extent, shard), is trimmed now that the move is done."""
+        return Forgetting(self, [(extent, shard) for extent, shard in left if placed.get(extent) != shard])
+
     def ended(self, now: int, outcome: Outcome) -> None:
         """Take what came of the extent under way."""
         extent, self.busy = self.busy, -1
@@ -108,3 +124,35 @@
         if self._failures >= MOST_FAILURES:
             self.state = MoveState.STOPPED
             self.why = f"{self._failures} tries in a row came to nothing; {len(self.left)} extents are left"
+
+
+@dataclass(slots=True)
+class Forgetting:
+    """Trims what a done move left behind, one after another."""
+
+    move: Move
+    left: list[tuple[int, int]]
+    given_up: int = 0
+    _tries: int = 0
+
+    def next(self) -> tuple[int, int] | None:
+        """Return the (extent, shard) to trim now; None at the end."""
+        if not self.left:
+            return None
+        self.move.trims = True
+        return self.left[0]
+
+    def ended(self, now: int, outcome: Outcome) -> int:
+        """Take what came of it; return when to go on."""
+        self.move.trims = False
+        self._tries += 1
+        if outcome is Outcome.SERVED or self._tries >= TRIMS:
+            self.given_up += outcome is not Outcome.SERVED
+            self.left.pop(0)
+            self._tries = 0
+        if outcome is Outcome.SERVED:
+            return now + PACE_US
+        if outcome is Outcome.FAILED:
+            self.move.quiet_at = now + SETTLE_US
+            return now + SETTLE_US
+        return now + min(RETRY_MOST_US, RETRY_US << self._tries)
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -111,6 +111,12 @@
     def place(self, placements: Iterable[tuple[str, int, int]]) -> None:
         """Record (volume, extent, shard); on disk when this returns."""
 
+    def left(self, volume: str) -> list[tuple[int, int]]:
+        """Return (extent, shard) where a volume's bytes were left behind."""
+
+    def forgot(self, volume: str, extent: int, shard: int) -> None:
+        """The bytes left there are gone; on disk when this returns."""
+
 
 class Beside(Protocol):
     """What a node told beside an answer."""
@@ -176,6 +182,7 @@
     origin: Origin = Origin.CLIENT
     epoch: int = 0  # of a copy: the holder's
     moving: bool = False  # the head's own, for an extent that it holds; such a write is placed anew
+    at_shard: int = -1  # of a moving trim: where the extent was
     tick: int = 0  # of the other head's: the newest tick of ours that it had
     reader: object = None  # the connection over which the other head reads this for its copy
 
@@ -372,6 +379,8 @@
                 shard = self.shard_of(volume, extent)
                 if request.moving and kind is Kind.WRITE:
                     self._part(request, class_name, extent, offset, length, -1)
+                elif request.at_shard >= 0:
+                    self._part(request, class_name, extent, offset, length, request.at_shard)
                 elif shard is not None:
                     request.pieces.append(self._part(request, class_name, extent, offset, length, shard))
                 elif kind is Kind.WRITE:
--- a/harriertrack/gateway/background.py
+++ b/harriertrack/gateway/background.py
@@ -27,11 +27,11 @@
 
 
 def do(hub: Hub, core: Core, volume: str, kind: Kind, start: int, length: int, data: bytes = b"",
-       moving: bool = False) -> ClientRequest:  # fmt: skip
+       moving: bool = False, at_shard: int = -1) -> ClientRequest:  # fmt: skip
     """Do a background request and wait for its end, which its class's deadline bounds."""
     waiter = Waiter(hub)
     request = ClientRequest(core.volumes[volume], kind, start, length, data, 0, waiter,
-                            background=True, moving=moving)  # fmt: skip
+                            background=True, moving=moving, at_shard=at_shard)  # fmt: skip
     core.take(hub.now(), request)
     waiter.wait()
     return request
--- a/harriertrack/gateway/mover.py
+++ b/harriertrack/gateway/mover.py
@@ -48,7 +48,7 @@
             self._scope.spawn(f"move {name}", self._run, move, before, cells)
 
     def _run(self, move: Move, before: Move | None, cells: HeadMap) -> None:
-        while before is not None and before.busy >= 0:
+        while before is not None and not before.may_follow(self._hub.now()):
             self._hub.sleep(10_000)
         while (when := move.wake_at()) is not None and self._version == cells.version:
             self._hub.sleep_until(when)
@@ -68,6 +68,26 @@
                 move.ended(self._hub.now(), self._move(move.volume, extent))
         if move.state is MoveState.STOPPED or move.moved:
             self._note(f"move {move.state}", volume=move.volume, extents=move.moved, why=move.why)
+        if move.state is MoveState.DONE:
+            self._forget(move, cells)
+
+    def _forget(self, move: Move, cells: HeadMap) -> None:
+        """Trim what the volume left behind, by this move or by one that a kill kept from it."""
+        places, volume = self._core.places, move.volume
+        forgetting = move.forgets(places.left(volume), dict(places.placed(volume)))
+        count = len(forgetting.left)
+        while self._version == cells.version and (left := forgetting.next()) is not None:
+            extent, shard = left
+            start = extent * self._extent_bytes
+            length = min(self._extent_bytes, self._sizes[volume] - start)
+            done = self._do(volume, Kind.TRIM, start, length, at_shard=shard)
+            assert done.outcome is not None
+            if done.outcome is Outcome.SERVED:
+                places.forgot(volume, extent, shard)
+            self._hub.sleep_until(forgetting.ended(self._hub.now(), done.outcome))
+        if count:
+            gone = count - forgetting.given_up - len(forgetting.left)
+            self._note("left behind trimmed", volume=volume, extents=gone, given_up=forgetting.given_up)
 
     def _move(self, volume: str, extent: int) -> Outcome:
         """Move one extent; return what came of it."""
@@ -84,5 +104,6 @@
         assert done.outcome is not None
         return done.outcome
 
-    def _do(self, volume: str, kind: Kind, start: int, length: int, data: bytes = b"") -> ClientRequest:
-        return background.do(self._hub, self._core, volume, kind, start, length, data, moving=True)
+    def _do(self, volume: str, kind: Kind, start: int, length: int, data: bytes = b"",
+            at_shard: int = -1) -> ClientRequest:  # fmt: skip
+        return background.do(self._hub, self._core, volume, kind, start, length, data, True, at_shard)
--- a/harriertrack/storage/extents.py
+++ b/harriertrack/storage/extents.py
@@ -3,6 +3,9 @@
 LMDB keeps it: one write transaction for each round of placements, synced before any write to a new extent is
 acknowledged. LMDB's pages are copied on write and its root is switched last, so a kill at any moment leaves
 the map as it was after the last commit. Opening it after a kill is the normal start.
+
+An extent that is placed anew leaves its bytes behind at the shard it was at; that is recorded with the new
+place, until somebody has trimmed them (`forgot`).
 """
 
 from __future__ import annotations
@@ -13,7 +16,8 @@
 
 import lmdb
 
-FORMAT = b"1"
+FORMAT, OLDER = b"2", b"1"  # 1: without what was left behind
+LEFT = b"\xff"  # begins the keys of what was left behind; no volume's name in UTF-8 does
 MAP_BYTES = 1 << 30  # address space reserved, not disk used
 _KEY = struct.Struct(">Q")
 _SHARD = struct.Struct(">I")
@@ -23,11 +27,16 @@
     """The map can't be opened or is not ours."""
 
 
+def _left_key(volume: str, extent: int, shard: int) -> bytes:
+    return LEFT + volume.encode() + _KEY.pack(extent) + _SHARD.pack(shard)
+
+
 class ExtentMap:
     """The map, kept in memory and in LMDB. With path None it lives in memory alone (simulated days)."""
 
     def __init__(self, path: str | None) -> None:
         self._shards: dict[str, dict[int, int]] = {}
+        self._left: dict[str, set[tuple[int, int]]] = {}
         self._env = None
         self.commits = 0
         if path is None:
@@ -36,12 +45,17 @@
         try:
             self._env = lmdb.open(path, map_size=MAP_BYTES, subdir=True, max_dbs=0, sync=True)
             with self._env.begin(write=True) as change:
-                if (found := change.get(b"format")) is None:
+                if (found := change.get(b"format")) in (None, OLDER):
                     change.put(b"format", FORMAT)
                 elif found != FORMAT:
                     raise ExtentMapError(f"{path}: format {found!r}; this program knows {FORMAT!r}")
                 for key, value in change.cursor():
-                    if key != b"format":
+                    if key.startswith(LEFT):
+                        volume = bytes(key[len(LEFT) : -_KEY.size - _SHARD.size]).decode()
+                        extent = _KEY.unpack(key[-_KEY.size - _SHARD.size : -_SHARD.size])[0]
+                        shard = _SHARD.unpack(key[-_SHARD.size :])[0]
+                        self._left.setdefault(volume, set()).add((extent, shard))
+                    elif key != b"format":
                         volume = bytes(key[: -_KEY.size]).decode()
                         known = self._shards.setdefault(volume, {})
                         known[_KEY.unpack(key[-_KEY.size :])[0]] = _SHARD.unpack(value)[0]
@@ -61,13 +75,32 @@
         placements = list(placements)
         if not placements:
             return
+        olds = [(volume, extent, self.shard_of(volume, extent)) for volume, extent, _ in placements]
+        moved = [(volume, extent, old) for volume, extent, old in olds if old is not None]
         if self._env is not None:
             with self._env.begin(write=True) as change:
+                for volume, extent, old in moved:
+                    change.put(_left_key(volume, extent, old), b"")
                 for volume, extent, shard in placements:
                     change.put(volume.encode() + _KEY.pack(extent), _SHARD.pack(shard))
+                    change.delete(_left_key(volume, extent, shard))  # in use again
         self.commits += 1
+        for volume, extent, old in moved:
+            self._left.setdefault(volume, set()).add((extent, old))
         for volume, extent, shard in placements:
             self._shards.setdefault(volume, {})[extent] = shard
+            self._left.get(volume, set()).discard((extent, shard))
+
+    def left(self, volume: str) -> list[tuple[int, int]]:
+        """Return (extent, shard) of a volume where its bytes were left behind."""
+        return sorted(self._left.get(volume, ()))
+
+    def forgot(self, volume: str, extent: int, shard: int) -> None:
+        """The bytes that were left there are gone: on disk when this returns."""
+        if self._env is not None:
+            with self._env.begin(write=True) as change:
+                change.delete(_left_key(volume, extent, shard))
+        self._left.get(volume, set()).discard((extent, shard))
 
     def close(self) -> None:
         """Close the store; everything placed is on disk already."""
--- a/tests/test_moving.py
+++ b/tests/test_moving.py
@@ -10,7 +10,7 @@
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.moving import (
-    MOST_FAILURES, PACE_US, RETRY_MOST_US, RETRY_US, SETTLE_US, Move, MoveState, misplaced,
+    MOST_FAILURES, PACE_US, RETRY_MOST_US, RETRY_US, SETTLE_US, TRIMS, Move, MoveState, misplaced,
 )  # fmt: skip
 from harriertrack.decisions.requests import ClientRequest
 from harriertrack.decisions.splitting import Outcome
@@ -198,6 +198,27 @@
     assert len(rig.port.sent) == sent
 
 
+def test_what_was_left_behind_is_trimmed_one_after_another_and_tried_so_often():
+    move = Move("v", [], 0)
+    move.checked([])
+    forgetting = move.forgets([(1, 0), (2, 0), (3, 0)], {1: 5, 2: 5, 3: 0})  # the last one is back there
+    assert forgetting.next() == (1, 0) and not move.may_follow(10)
+    assert forgetting.ended(10, Outcome.SERVED) == 10 + PACE_US and move.may_follow(10)
+    for _ in range(TRIMS):
+        assert forgetting.next() == (2, 0)
+        when = forgetting.ended(20, Outcome.REFUSED)
+        assert 20 < when <= 20 + RETRY_MOST_US and move.may_follow(20)
+    assert forgetting.next() is None and forgetting.given_up == 1
+
+
+def test_the_next_move_waits_for_a_trim_that_may_still_land():
+    move = Move("v", [], 0)
+    forgetting = move.forgets([(1, 0)], {1: 5})
+    forgetting.next()
+    assert forgetting.ended(10, Outcome.FAILED) == 10 + SETTLE_US
+    assert not move.may_follow(9 + SETTLE_US) and move.may_follow(10 + SETTLE_US)
+
+
 # -- heads
 
 MAP = """(cell-map (version VERSION) (rack "r0" (cell "left") (shards 0 1)) (rack "r1" (cell "right") (shards 2 3))
@@ -282,6 +303,12 @@
     for slot in slots:
         lies = {rig.cells.shards[shard] for _, shard in slot.extents().placed(MOVED)}
         assert lies == {home} and rig.cells.version == 2
+        assert slot.extents().left(MOVED) == []  # and what they left behind is trimmed
+        for shard, cell in rig.cells.shards.items():
+            rack = rig._racks[shard]
+            kept = sum(bool(rack.read(MOVED, at, rig.day.extent_bytes).strip(b"\0"))
+                       for at in range(0, rig.day.volume_bytes, rig.day.extent_bytes))  # fmt: skip
+            assert cell == home or not kept
 
 
 def test_a_mover_that_does_not_hold_extents_is_caught(monkeypatch):
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -58,3 +58,38 @@
     (tmp_path / "map" / "data.mdb").write_bytes(b"nonsense" * 2000)
     with pytest.raises(ExtentMapError):
         ExtentMap(str(tmp_path / "map"))
+
+
+def test_what_is_placed_anew_leaves_bytes_behind_until_they_are_forgotten(tmp_path):
+    path = str(tmp_path / "map")
+    one = ExtentMap(path)
+    one.place([("v", 1, 3), ("v", 2, 3), ("w\u00ff", 1, 3)])
+    assert one.left("v") == []
+    one.place([("v", 1, 5), ("v", 2, 5), ("w\u00ff", 1, 4)])
+    one.place([("v", 1, 6)])
+    one.close()
+    two = ExtentMap(path)
+    assert two.left("v") == [(1, 3), (1, 5), (2, 3)] and two.left("w\u00ff") == [(1, 3)]
+    assert list(two.placed("v")) == [(1, 6), (2, 5)] and list(two.placed("w\u00ff")) == [(1, 4)]
+    two.forgot("v", 1, 3)
+    two.place([("v", 2, 3)])  # back where it was: in use, not left behind
+    two.place([("v", 2, 3)])
+    assert two.left("v") == [(1, 5), (2, 5)]
+    two.close()
+    three = ExtentMap(path)
+    assert three.left("v") == [(1, 5), (2, 5)] and three.shard_of("v", 2) == 3
+    three.close()
+
+
+def test_an_older_map_is_taken_over(tmp_path):
+    path = str(tmp_path / "map")
+    one = ExtentMap(path)
+    one.place([("v", 1, 3)])
+    with one._env.begin(write=True) as change:
+        change.put(b"format", b"1")
+    one.close()
+    two = ExtentMap(path)
+    assert list(two.placed("v")) == [(1, 3)]
+    with two._env.begin() as look:
+        assert look.get(b"format") == b"2"
+    two.close()
