A map of cells says who put it, and those before it, in force

Need: nobody could tell who moved a tenant when. Change: cells apply adds version, user, machine and time to the map itself, so that record and map can't part; cells show tells them. The map is synced before it takes the old one's place.

--- a/harriertrack/cli/cells.py
+++ b/harriertrack/cli/cells.py
@@ -121,7 +121,9 @@
         click.echo("nothing was written; --yes puts the map in force")
         return
     try:
-        maps.save(in_force, after, {rack.name: rack.shards for rack in given.racks})
+        changes = maps.read_map(in_force).changes if Path(in_force).exists() else ()
+        changes += (maps.change_now(after.version),)
+        maps.save(in_force, after, {rack.name: rack.shards for rack in given.racks}, changes)
     except OSError as error:
         fail(f"{in_force}: {error.strerror}")
 
@@ -133,6 +135,8 @@
     """Show CELL_MAP for FLEET: each cell's racks, tenants and load. Exit code 1 if it breaks a rule."""
     given, known = _fleet(fleet), _map(cell_map)
     click.echo(f"version {known.version}")
+    for one in maps.read_map(cell_map).changes:
+        click.echo(f"  {one.version} put in force by {one.by} on {one.on} at {one.at}")
     for cell in given.rules.names():
         racks = [rack for rack in given.racks if known.racks.get(rack.name) == cell]
         tenants = [one for one in given.tenants if known.tenants.get(one.name) == cell]
--- a/harriertrack/config/cells.py
+++ b/harriertrack/config/cells.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import getpass
+import os
+import socket
 from collections.abc import Iterable, Mapping
+from datetime import UTC, datetime
 from pathlib import Path
 
 from harriertrack.config.settings import Checked, Name, VolumeSettings, Whole, given_twice, read_file
@@ -26,10 +30,20 @@
     cell: Name
 
 
+class Change(Checked, frozen=True, kw_only=True):
+    """One time that a map was put in force."""
+
+    version: Whole
+    by: str
+    on: str  # which machine
+    at: str  # ISO 8601, UTC
+
+
 class MapSettings(Checked, frozen=True, kw_only=True):
-    """A map of cells."""
+    """A map of cells, and who put it and those before it in force."""
 
     version: Whole
+    changes: tuple[Change, ...] = ()
     racks: tuple[PlacedRack, ...] = ()
     tenants: tuple[PlacedTenant, ...] = ()
 
@@ -74,9 +88,17 @@
     return HeadMap(given.version, shards, placed)
 
 
-def written(cells: CellMap, shards: Mapping[str, tuple[int, ...]]) -> str:
+def change_now(version: int) -> Change:
+    """Return that this user puts a version in force here and now."""
+    now = datetime.now(UTC).isoformat(timespec="seconds")
+    return Change(version=version, by=getpass.getuser(), on=socket.gethostname(), at=now)
+
+
+def written(cells: CellMap, shards: Mapping[str, tuple[int, ...]], changes: Iterable[Change] = ()) -> str:
     """Return a map as an S-expression; `shards` are those of each rack."""
     lines = [f"(cell-map (version {cells.version})"]
+    for one in changes:
+        lines.append(f'  (change (version {one.version}) (by "{one.by}") (on "{one.on}") (at "{one.at}"))')
     for name, cell in sorted(cells.racks.items()):
         held = "".join(f" {shard}" for shard in shards.get(name, ()))
         lines.append(f'  (rack "{name}" (cell "{cell}")' + (f" (shards{held}))" if held else ")"))
@@ -84,8 +106,13 @@
     return "\n".join(lines) + ")\n"
 
 
-def save(path: str, cells: CellMap, shards: Mapping[str, tuple[int, ...]]) -> None:
-    """Write a map; a reader sees the old one or the new one. Raises OSError."""
+def save(
+    path: str, cells: CellMap, shards: Mapping[str, tuple[int, ...]], changes: Iterable[Change] = ()
+) -> None:
+    """Write a map; a reader sees the old one or the new one, also after a crash. Raises OSError."""
     beside = Path(f"{path}.new")
-    beside.write_text(written(cells, shards), encoding="utf-8")
+    with open(beside, "w", encoding="utf-8") as file:
+        file.write(written(cells, shards, changes))
+        file.flush()
+        os.fsync(file.fileno())
     beside.replace(path)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from harriertrack.config.cells import head_map, load_map, save
+from harriertrack.config.cells import head_map, load_map, read_map, save
 from harriertrack.config.settings import VolumeSettings
 from harriertrack.config.sexp import SettingsError, read_text
 from harriertrack.decisions.cells import (
@@ -169,6 +169,11 @@
     assert run("apply", path, cells, force, "--yes").returncode == 0 and load_map(str(force)).version == 1
     again = run("apply", path, cells, force, "--yes")
     assert again.returncode == 1 and "version 1 is not newer" in again.stderr
+    cells.write_text(cells.read_text().replace("(version 1)", "(version 2)"))
+    assert run("apply", path, cells, force, "--yes").returncode == 0
+    # Who did it stays in the file, from map to map.
+    assert [one.version for one in read_map(str(force)).changes] == [1, 2]
+    assert "  2 put in force by " in run("show", path, force).stdout
     path.write_text(FLEET.replace("load 50", "load 900"))
     none = run("plan", path, "--now", cells)
     assert none.returncode == 1 and "capacity in a" in none.stderr
