NVMe/TCP transport, both sides, without I/O: PDUs, digests, R2T, termination requests

What is wrong with a PDU ends the connection with the status that the specification asks for; what is wrong with one command, or with the digest of its data, ends that command alone. Tested against bytes written by hand from the specification, any cut of the stream, flipped bits, and peers that do it wrong. The inbox of both protocols stands beside them.

--- a/harriertrack/protocol/nbd/client.py
+++ b/harriertrack/protocol/nbd/client.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from harriertrack.protocol.inbox import Inbox
 from harriertrack.protocol.nbd import extension
 from harriertrack.protocol.nbd.wire import (
     CHUNK,
@@ -44,7 +45,6 @@
     Command,
     Errno,
     HandshakeFlags,
-    Inbox,
     Info,
     Option,
     ProtocolViolation,
--- a/harriertrack/protocol/nbd/server.py
+++ b/harriertrack/protocol/nbd/server.py
@@ -13,6 +13,7 @@
 from enum import Enum
 from typing import Protocol
 
+from harriertrack.protocol.inbox import Inbox
 from harriertrack.protocol.nbd import extension
 from harriertrack.protocol.nbd.wire import (
     BASE_ALLOCATION,
@@ -47,7 +48,6 @@
     CommandFlags,
     Errno,
     HandshakeFlags,
-    Inbox,
     Info,
     Option,
     ProtocolViolation,
--- /dev/null
+++ b/tests/test_nvme_codec.py
@@ -0,0 +1,389 @@
+"""NVMe/TCP without I/O: bytes by hand from the specification, streams split anywhere, peers that do it wrong."""
+
+import random
+import struct
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from harriertrack.protocol.nvme.transport import (
+    NO_DIGESTS, Broken, Completed, ControllerConnection, HostConnection, Initialized, Limits, Phase, Submitted,
+)  # fmt: skip
+from harriertrack.protocol.nvme.wire import Cqe, Dgst, Fes, Flags, Pdu, Sgl, Sqe, Status, aligned, crc32c
+
+WRITE, READ, FLUSH = 0x01, 0x02, 0x00
+BOTH = Dgst.HEADER | Dgst.DATA
+
+
+def pair(digests=NO_DIGESTS, host_align=0, most_r2t=1, depth=64, flow_off=False, **limits):
+    """A host and a controller that have begun."""
+    host, controller = HostConnection(host_align, most_r2t, digests), ControllerConnection(Limits(**limits))
+    host.begin()
+    (begun,) = controller.receive(b"".join(host.take_outgoing()))
+    assert begun == Initialized(bool(digests & Dgst.HEADER), bool(digests & Dgst.DATA))
+    assert host.receive(b"".join(controller.take_outgoing())) == [begun]
+    controller.depth, controller.flow_off = depth, flow_off
+    return host, controller
+
+
+def moved(sender, receiver):
+    """Bring over what one has to send; return what the other makes of it."""
+    return receiver.receive(b"".join(sender.take_outgoing()))
+
+
+# -- bytes by hand
+
+
+def test_the_check_values_of_crc32c():
+    """RFC 3720, appendix B.4."""
+    assert crc32c(bytes(32)) == 0x8A9136AA and crc32c(b"\xff" * 32) == 0x62A8AB43
+    assert crc32c(bytes(range(32))) == 0x46DD794E
+
+
+def test_icreq_and_icresp_byte_for_byte():
+    host = HostConnection(align=3, most_r2t=4, digests=BOTH)
+    host.begin()
+    (asked,) = host.take_outgoing()
+    assert asked == bytes.fromhex("00 00 80 00 80000000  0000 03 03 03000000") + bytes(112)
+    controller = ControllerConnection(Limits(align=1, most_h2c=8192))
+    controller.receive(asked)
+    (told,) = controller.take_outgoing()
+    assert told == bytes.fromhex("01 00 80 00 80000000  0000 01 03 00200000") + bytes(112)
+    assert controller.phase is Phase.READY
+
+
+def test_a_queue_entry_byte_for_byte():
+    sqe = Sqe(READ, 0x1234, 7, (0x11, 0x22, 0x33, 0x44, 0x55, 0x66), Sgl.TRANSPORT, 0, 0x2000)
+    raw = bytes.fromhex(
+        "02 40 3412 07000000 00000000 00000000 0000000000000000"
+        "0000000000000000 00200000 000000 5a"
+        "11000000 22000000 33000000 44000000 55000000 66000000"
+    )
+    assert sqe.pack() == raw and Sqe.unpack(raw) == sqe
+    assert sqe.to_host and not sqe.to_controller
+    assert Sqe(0x7F, 1, 0x01).to_controller and not Sqe(0x7F, 1, 0x04).to_host  # Connect; Property Get
+
+
+def test_a_completion_byte_for_byte():
+    cqe = Cqe(0x0A0B, Status.INTERRUPTED, dw0=0x01020304, sqhd=9, crd=2, dnr=True)
+    raw = bytes.fromhex("0403020100000000 0900 0000 0b0a") + struct.pack("<H", 0x21 << 1 | 2 << 12 | 1 << 15)
+    assert cqe.pack() == raw and Cqe.unpack(raw) == cqe
+    path = Cqe(1, 0x302)  # asymmetric access inaccessible: type 3, code 2
+    assert path.pack()[-2:] == struct.pack("<H", 0x02 << 1 | 3 << 9)
+
+
+def test_a_write_in_its_capsule_byte_for_byte_with_digests_and_alignment():
+    host, controller = pair(BOTH, align=3)  # the controller wants data at multiples of 16
+    host.submit(Sqe(WRITE, 5, 1), b"abcd", in_capsule=True)
+    (raw,) = host.take_outgoing()
+    header = bytes.fromhex("04 03 48 50 58000000") + Sqe(WRITE, 5, 1, sgl=Sgl.IN_CAPSULE, length=4).pack()
+    # 72 bytes of header, 4 of digest, to 80 for the data; 4 of it, 4 of digest.
+    digest = struct.pack("<I", crc32c(header))
+    assert raw == header + digest + bytes(4) + b"abcd" + struct.pack("<I", crc32c(b"abcd"))
+    (event,) = controller.receive(raw)
+    assert event.data == b"abcd" and event.sqe.cid == 5
+
+
+def test_r2t_and_its_data_byte_for_byte():
+    host, controller = pair(most_h2c=4096, r2t=4096)
+    host.submit(Sqe(WRITE, 0x0102, 1), b"x" * 4100)
+    assert moved(host, controller) == []
+    (r2t,) = controller.take_outgoing()
+    assert r2t == bytes.fromhex("09 00 18 00 18000000 0201 0100 00000000 00100000 00000000")
+    host.receive(r2t)
+    (data,) = host.take_outgoing()
+    assert data == bytes.fromhex("06 04 18 18 18100000 0201 0100 00000000 00100000 00000000") + b"x" * 4096
+    assert controller.receive(data) == []
+    (second,) = controller.take_outgoing()
+    assert second == bytes.fromhex("09 00 18 00 18000000 0201 0200 00100000 04000000 00000000")
+    host.receive(second)
+    (event,) = moved(host, controller)
+    assert event.data == b"x" * 4100
+
+
+def test_a_read_byte_for_byte_with_and_without_a_capsule():
+    for flow_off in (False, True):
+        host, controller = pair(flow_off=flow_off)
+        host.submit(Sqe(READ, 3, 1, length=4))
+        (event,) = moved(host, controller)
+        controller.complete_read(3, b"wxyz")
+        raw = controller.take_outgoing()
+        flags = "0c" if flow_off else "04"
+        assert raw[0] == bytes.fromhex(f"07 {flags} 18 18 1c000000 0300 0000 00000000 04000000 00000000") + b"wxyz"
+        assert len(raw) == (1 if flow_off else 2)
+        if not flow_off:
+            assert raw[1] == bytes.fromhex("05 00 18 00 18000000 0000000000000000 0100 0000 0300 0000")
+        assert host.receive(b"".join(raw)) == [Completed(Cqe(3, sqhd=0 if flow_off else 1), b"wxyz")]
+
+
+def test_a_termination_request_byte_for_byte():
+    controller = ControllerConnection(Limits())
+    bad = bytes.fromhex("0a 00 18 00 18000000")
+    (event,) = controller.receive(bad)
+    assert isinstance(event, Broken) and event.fes == Fes.INVALID_HEADER and not event.by_peer
+    assert controller.take_outgoing() == [
+        bytes.fromhex("03 00 18 00 20000000 0100 00000000 00000000000000000000") + bad
+    ]
+    assert controller.phase is Phase.CLOSED and controller.receive(bytes(500)) == []
+    host = HostConnection()
+    host.begin()
+    assert host.receive(bytes.fromhex("03 00 18 00 20000000 0100 00000000 00000000000000000000") + bad) == [
+        Broken(1, "the peer ended the connection", by_peer=True)
+    ]
+
+
+# -- anything that two right sides can do
+
+shapes = st.fixed_dictionaries({
+    "digests": st.sampled_from([Dgst(0), Dgst.HEADER, Dgst.DATA, BOTH]),
+    "host_align": st.integers(0, 31), "align": st.integers(0, 31), "most_r2t": st.integers(1, 4),
+    "most_h2c": st.sampled_from([4096, 5000, 16384]), "r2t": st.sampled_from([4096, 6000, 1 << 20]),
+    "in_capsule": st.sampled_from([0, 512, 8192]), "flow_off": st.booleans(),
+})  # fmt: skip
+
+
+@given(shapes, st.integers(0, 1 << 30))
+@settings(max_examples=60, deadline=None)
+def test_commands_arrive_whole_however_the_stream_is_cut(shape, seed):
+    rng = random.Random(seed)
+    host, controller = pair(**shape)
+    asked, served, ended = {}, [], {}
+
+    def cut(data):
+        while data:
+            size = rng.choice([1, 2, 7, 100, 5000, 1 << 20])
+            yield data[:size]
+            data = data[size:]
+
+    def carry():
+        while (out := host.take_outgoing()) or (back := controller.take_outgoing()):
+            for piece in cut(b"".join(out)):
+                served.extend(controller.receive(piece))
+            for piece in cut(b"".join(() if out else back)):
+                for event in host.receive(piece):
+                    ended[event.cqe.cid] = event
+
+    for cid in rng.sample(range(1 << 16), 12):
+        kind = rng.choice([WRITE, READ, FLUSH])
+        data = rng.randbytes(rng.choice([1, 512, 4096, 20_000])) if kind == WRITE else b""
+        length = rng.choice([1, 4096, 30_000]) if kind == READ else 0
+        asked[cid] = (kind, data, rng.randbytes(length))
+        inside = bool(data) and len(data) <= shape["in_capsule"] and rng.random() < 0.5
+        host.submit(Sqe(kind, cid, 1, length=length), data, in_capsule=inside)
+    carry()
+    assert {one.sqe.cid: one.data for one in served} == {cid: data for cid, (_, data, _) in asked.items()}
+    for one in rng.sample(served, len(served)):
+        kind, _, answer = asked[one.sqe.cid]
+        if kind == READ and rng.random() < 0.8:
+            controller.complete_read(one.sqe.cid, answer)
+        else:
+            controller.complete(Cqe(one.sqe.cid, Status.INTERNAL if kind == READ else Status.SUCCESS))
+        if rng.random() < 0.5:
+            carry()
+    carry()
+    assert set(ended) == set(asked) and not controller.open
+    for cid, event in ended.items():
+        good = event.cqe.status == Status.SUCCESS
+        assert event.data == (asked[cid][2] if good else b"") and (good or asked[cid][0] == READ)
+
+
+@given(st.binary(max_size=400), st.booleans(), st.booleans())
+@settings(max_examples=150, deadline=None)
+def test_no_bytes_do_more_than_end_the_connection(noise, begun, digests):
+    host, controller = pair(BOTH if digests else Dgst(0)) if begun else (HostConnection(), ControllerConnection(Limits()))
+    for side in (host, controller):
+        events = side.receive(noise) + side.receive(noise)
+        assert sum(isinstance(event, Broken) for event in events) <= 1
+        assert (side.phase is Phase.CLOSED) is any(isinstance(event, Broken) for event in events)
+
+
+@given(st.integers(0, 1 << 30))
+@settings(max_examples=100, deadline=None)
+def test_one_flipped_bit_is_noticed_where_digests_were_agreed_on(seed):
+    rng = random.Random(seed)
+    host, controller = pair(BOTH, align=rng.randrange(8))
+    data = rng.randbytes(600)
+    host.submit(Sqe(WRITE, 9, 1), data, in_capsule=True)
+    raw = bytearray(b"".join(host.take_outgoing()))
+    raw[rng.randrange(len(raw))] ^= 1 << rng.randrange(8)
+    for event in controller.receive(bytes(raw)):
+        # At worst the flip lies in the padding, which no digest covers and nobody reads.
+        assert isinstance(event, Broken) or event.data == data
+    if controller.phase is Phase.READY and controller.open == {} and (out := controller.take_outgoing()):
+        (completed,) = host.receive(b"".join(out))
+        assert completed.cqe.status == Status.TRANSIENT_TRANSPORT
+
+
+# -- what is wrong with one command
+
+
+def refused(host, controller):
+    (event,) = moved(controller, host)
+    return event.cqe.status
+
+
+def test_a_torn_write_ends_that_command_alone():
+    host, controller = pair(Dgst.DATA, r2t=4096, most_h2c=4096)
+    host.submit(Sqe(WRITE, 1, 1), b"a" * 8192)
+    host.submit(Sqe(WRITE, 2, 1), b"b" * 100, in_capsule=True)
+    assert [event.sqe.cid for event in moved(host, controller)] == [2]
+    moved(controller, host)
+    raw = bytearray(b"".join(host.take_outgoing()))
+    raw[-1] ^= 1  # of the digest
+    assert controller.receive(bytes(raw)) == []  # the rest is still asked for
+    moved(controller, host)
+    assert moved(host, controller) == [] and refused(host, controller) == Status.TRANSIENT_TRANSPORT
+    assert list(controller.open) == [2] and controller.phase is Phase.READY
+
+
+def test_a_torn_read_is_told_as_one():
+    host, controller = pair(Dgst.DATA)
+    host.submit(Sqe(READ, 1, 1, length=512))
+    moved(host, controller)
+    controller.complete_read(1, bytes(512))
+    raw = bytearray(b"".join(controller.take_outgoing()))
+    raw[24 + 100] ^= 1
+    assert host.receive(bytes(raw)) == [Completed(Cqe(1, Status.TRANSIENT_TRANSPORT, sqhd=1), b"")]
+
+
+def test_an_id_in_use_is_turned_down_and_the_first_command_goes_on():
+    host, controller = pair()
+    host.submit(Sqe(FLUSH, 7, 1))
+    again = host.take_outgoing()
+    controller.receive(again[0])
+    assert controller.receive(again[0]) == [] and list(controller.open) == [7]
+    assert refused(host, controller) == Status.ID_CONFLICT
+
+
+@pytest.mark.parametrize(("sqe", "data", "status"), [
+    (Sqe(WRITE, 1, 1, sgl=Sgl.IN_CAPSULE, length=5), b"abcd", Status.SGL_LENGTH),
+    (Sqe(WRITE, 1, 1, sgl=Sgl.IN_CAPSULE, length=4, sgl_address=4), b"abcd", Status.SGL_OFFSET),
+    (Sqe(WRITE, 1, 1, sgl=0x00, length=4), b"", Status.SGL_TYPE),
+    (Sqe(READ, 1, 1, sgl=Sgl.IN_CAPSULE, length=4), b"", Status.SGL_TYPE),
+    (Sqe(WRITE, 1, 1, sgl=Sgl.TRANSPORT, length=(1 << 20) + 1), b"", Status.INVALID_FIELD),
+    (Sqe(FLUSH, 1, 1, flags=0), b"", Status.INVALID_FIELD),
+])  # fmt: skip
+def test_where_the_data_is_said_to_be(sqe, data, status):
+    host, controller = pair()
+    host.submit(Sqe(FLUSH, 1, 1))
+    host.take_outgoing()
+    host._put(Pdu.CAPSULE_CMD, sqe.pack(), data)
+    assert moved(host, controller) == [] and refused(host, controller) == status
+
+
+def test_data_for_a_command_that_was_aborted_is_let_go_and_its_id_is_free():
+    host, controller = pair(r2t=4096)
+    host.submit(Sqe(WRITE, 1, 1), b"a" * 4096)
+    moved(host, controller)
+    r2t = controller.take_outgoing()
+    controller.complete(Cqe(1, Status.ABORT_REQUESTED))
+    host.receive(b"".join(r2t))
+    late = host.take_outgoing()  # was on its way when the abort was told
+    (event,) = moved(controller, host)
+    assert event.cqe.status == Status.ABORT_REQUESTED
+    host.submit(Sqe(WRITE, 1, 1), b"b" * 4096)
+    assert controller.receive(b"".join(late)) == [] and controller.phase is Phase.READY
+    moved(host, controller)
+    moved(controller, host)
+    (event,) = moved(host, controller)
+    assert event.data == b"b" * 4096
+
+
+# -- what ends a connection
+
+
+def data_pdu(cid=1, tag=1, at=0, data=b"x" * 4096, length=None, flags=Flags.LAST_PDU):
+    body = struct.pack("<HHII4x", cid, tag, at, len(data) if length is None else length)
+    return struct.pack("<BBBBI", Pdu.H2C_DATA, flags, 24, 24, 24 + len(data)) + body + data
+
+
+@pytest.mark.parametrize(("raw", "fes", "fei"), [
+    (data_pdu(tag=2), Fes.INVALID_HEADER, 10),  # data without an R2T
+    (data_pdu(cid=2), Fes.INVALID_HEADER, 8),
+    (data_pdu(length=5), Fes.INVALID_HEADER, 16),
+    (data_pdu(at=4096), Fes.OUT_OF_RANGE, 0),
+    (data_pdu(data=b"x" * 4097), Fes.OUT_OF_RANGE, 0),  # past its length
+    (data_pdu(data=b"x" * 9000), Fes.LIMIT_EXCEEDED, 0),
+    (data_pdu(flags=0), Fes.INVALID_HEADER, 1),
+    (data_pdu(data=b"x" * 100), Fes.INVALID_HEADER, 1),  # said to be the last, and is not
+    (data_pdu(flags=Flags.LAST_PDU | Flags.HDGST), Fes.INVALID_HEADER, 1),
+    (data_pdu(flags=Flags.LAST_PDU | Flags.DDGST), Fes.INVALID_HEADER, 1),
+    (bytes.fromhex("00 00 80 00 80000000"), Fes.SEQUENCE, 0),  # a second ICReq
+    (bytes.fromhex("05 00 18 00 18000000"), Fes.INVALID_HEADER, 0),  # a controller's
+    (bytes.fromhex("04 00 47 00 48000000"), Fes.INVALID_HEADER, 2),
+    (bytes.fromhex("04 00 48 4a 4c000000"), Fes.INVALID_HEADER, 3),  # not aligned
+    (bytes.fromhex("04 00 48 44 4c000000"), Fes.INVALID_HEADER, 3),  # within the header
+    (bytes.fromhex("04 00 48 00 47000000"), Fes.INVALID_HEADER, 3),
+    (bytes.fromhex("06 00 18 18 18000000"), Fes.INVALID_HEADER, 4),  # no data in it
+    (bytes.fromhex("06 00 18 18 ffffffff"), Fes.LIMIT_EXCEEDED, 0),  # is not waited for
+    (bytes.fromhex("02 00 18 00 99000000"), Fes.INVALID_HEADER, 4),
+])  # fmt: skip
+def test_a_host_that_does_it_wrong(raw, fes, fei):
+    host, controller = pair(r2t=4096, most_h2c=8192, in_capsule=8192)
+    host.submit(Sqe(WRITE, 1, 1), b"y" * 4096)
+    moved(host, controller)
+    controller.take_outgoing()
+    (event,) = controller.receive(raw)
+    assert isinstance(event, Broken) and event.fes == fes
+    (term,) = controller.take_outgoing()
+    assert term[0] == Pdu.C2H_TERM and struct.unpack_from("<HI", term, 8) == (fes, fei)
+    assert term[24:32] == raw[:8]
+
+
+@pytest.mark.parametrize(("at", "value", "fes", "fei"), [
+    (8, 1, Fes.UNSUPPORTED, 8), (10, 32, Fes.INVALID_HEADER, 10), (2, 100, Fes.INVALID_HEADER, 2),
+    (4, 127, Fes.INVALID_HEADER, 4), (0, 4, Fes.SEQUENCE, 0), (0, 0x20, Fes.INVALID_HEADER, 0),
+])  # fmt: skip
+def test_a_wrong_beginning(at, value, fes, fei):
+    host, controller = HostConnection(), ControllerConnection(Limits())
+    host.begin()
+    raw = bytearray(b"".join(host.take_outgoing()))
+    raw[at] = value
+    (event,) = controller.receive(bytes(raw))
+    assert event.fes == fes
+    assert struct.unpack_from("<HI", controller.take_outgoing()[0], 8) == (fes, fei)
+
+
+def test_a_wrong_header_digest_ends_the_connection_and_is_told():
+    host, controller = pair(Dgst.HEADER)
+    host.submit(Sqe(FLUSH, 1, 1))
+    raw = bytearray(b"".join(host.take_outgoing()))
+    raw[-4:] = b"\x01\x02\x03\x04"
+    (event,) = controller.receive(bytes(raw))
+    assert event.fes == Fes.HEADER_DIGEST
+    assert struct.unpack_from("<HI", controller.take_outgoing()[0], 8) == (Fes.HEADER_DIGEST, 0x04030201)
+
+
+def test_more_commands_than_the_queue_has_room_for():
+    host, controller = pair(depth=2)
+    for cid in range(3):
+        host.submit(Sqe(FLUSH, cid, 1))
+    events = moved(host, controller)
+    assert [type(event) for event in events] == [Submitted, Submitted, Broken] and events[-1].fes == Fes.SEQUENCE
+
+
+@pytest.mark.parametrize(("raw", "fes"), [
+    (bytes.fromhex("09 00 18 00 18000000 0100 0100 00000000 01100000 00000000"), Fes.OUT_OF_RANGE),
+    (bytes.fromhex("09 00 18 00 18000000 0100 0100 00000000 00000000 00000000"), Fes.OUT_OF_RANGE),
+    (bytes.fromhex("09 00 18 00 18000000 0900 0100 00000000 04000000 00000000"), Fes.INVALID_HEADER),
+    (bytes.fromhex("05 00 18 00 18000000 0000000000000000 0000 0000 0900 0000"), Fes.INVALID_HEADER),
+    (bytes.fromhex("07 04 18 18 1c000000 0100 0000 00000000 04000000 00000000") + b"abcd", Fes.OUT_OF_RANGE),
+    (bytes.fromhex("07 04 18 18 1c000000 0200 0000 04000000 04000000 00000000") + b"abcd", Fes.OUT_OF_RANGE),
+    (bytes.fromhex("07 08 18 18 1c000000 0200 0000 00000000 04000000 00000000") + b"abcd", Fes.INVALID_HEADER),
+    (bytes.fromhex("06 04 18 18 1c000000 0200 0000 00000000 04000000 00000000") + b"abcd", Fes.INVALID_HEADER),
+])  # fmt: skip
+def test_a_controller_that_does_it_wrong(raw, fes):
+    host, _ = pair()
+    host.submit(Sqe(WRITE, 1, 1), b"z" * 4096)
+    host.submit(Sqe(READ, 2, 1, length=8))
+    host.take_outgoing()
+    (event,) = host.receive(raw)
+    assert isinstance(event, Broken) and event.fes == fes and not event.by_peer
+    assert host.take_outgoing()[0][0] == Pdu.H2C_TERM
+
+
+def test_alignment():
+    assert [aligned(24, 0), aligned(25, 0), aligned(24, 3), aligned(72, 31)] == [24, 28, 32, 128]
+    for limits in ({"align": 32}, {"most_h2c": 4095}, {"most_h2c": 4098}):
+        with pytest.raises(ValueError, match="bounds"):
+            Limits(**limits)
