What all fronts share stands once: gateway/reception.py

Need: a second front must not need a second way to let clients in, bound what they have open, and let go of what they leave behind. The NBD front is codec and mapping now; the emulator uses the reception directly.

--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -7,17 +7,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
-from functools import partial
 from itertools import islice
 
 from harriertrack.config.settings import HeadSettings
-from harriertrack.decisions.requests import ClientRequest, Core, Origin, Part
-from harriertrack.decisions.shares import ShareLimits, Shares
+from harriertrack.decisions.requests import ClientRequest, Origin, Part
 from harriertrack.decisions.splitting import Kind, Outcome, cut, runs
 from harriertrack.gateway.links import COMMANDS
-from harriertrack.gateway.regional import Regional, digest_of
+from harriertrack.gateway.reception import Reception, TurnedAway
+from harriertrack.gateway.regional import digest_of
 from harriertrack.protocol.nbd.extension import COPY_CONTEXT, RELAY_CONTEXT, Report, identity_of
 from harriertrack.protocol.nbd.server import (
     Aborted,
@@ -36,12 +35,16 @@
     ProtocolViolation,
     TransmissionFlags,
 )  # fmt: skip
-from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Waiters
-from harriertrack.runtime.streams import Listener, Stream, StreamClosed
+from harriertrack.runtime.hub import DeadlineExceeded, Waiters
+from harriertrack.runtime.streams import Listener, Stream
 
 KINDS = {command: kind for kind, command in COMMANDS.items()}
 REFUSED, FAILED = Errno.ENOMEM, Errno.EIO
-TICK_US = 100_000  # how often the shares hear how busy the loop is
+
+
+def error_of_turned_away(one: TurnedAway) -> tuple[Errno, str]:
+    """Return the error and its text for a request that was not taken."""
+    return Errno.ESHUTDOWN if one.closing else REFUSED, one.why
 
 
 def error_of(request: ClientRequest) -> tuple[Errno, str]:
@@ -108,10 +111,10 @@
     """One client's connection."""
 
     def __init__(self, front: NbdFront, stream: Stream) -> None:
-        self._front, self._stream = front, stream
+        self._front, self._stream = front.reception, stream
         self._nbd = ServerConnection(front.exports)
         self._open: dict[ClientRequest, int] = {}  # requests without their answer, and their cookies
-        self._fewer = Waiters(front.hub)
+        self._fewer = Waiters(front.reception.hub)
         self.volume = ""
         self.origin, self._epoch = Origin.CLIENT, 0
         self.chosen = self.counted = False  # it has a volume; it counts among its cell's connections
@@ -255,7 +258,7 @@
             origin=self.origin, epoch=self._epoch, tick=event.token, reader=self if pulled else None,
         )  # fmt: skip
         if turned_away := front.turns_away(request, len(self._open)):
-            self._turn_away(event, *turned_away)
+            self._turn_away(event, *error_of_turned_away(turned_away))
             return
         self._open[request] = event.cookie
         front.take(request)
@@ -288,107 +291,12 @@
 
 
 class NbdFront:
-    """Accepts clients at a listener."""
-
-    def __init__(
-        self,
-        hub: Hub,
-        settings: HeadSettings,
-        core: Core,
-        scope: Scope,
-        note: Callable[..., None],
-        regional: Regional | None = None,
-        cells: Mapping[str, str] | None = None,
-    ) -> None:
-        self.hub, self.settings, self.core, self.note = hub, settings, core, note
-        self.regional = regional
-        self.exports = VolumeExports(settings)
-        self.sessions = 0
-        self._choosing = 0  # of these, so many have not chosen their volume
-        limits, cells = settings.limits, cells or {volume.name: "" for volume in settings.volumes}
-        divided = len(set(cells.values())) > 1
-        # Who has not chosen yet is of no cell: cells' parts are safe from them.
-        self._may_choose = max(1, limits.connections // 4) if divided else limits.connections
-        connections = max(1, limits.connections - self._may_choose) if divided else limits.connections
-        self.shares = Shares(ShareLimits(connections, limits.held, limits.held_bytes, limits.borrow), cells)
-        self._counted: dict[ClientRequest, int] = {}  # clients' requests, and the bytes they brought
-        self.closing = False
-        self._scope = scope
-
-    def turns_away(self, request: ClientRequest, open_requests: int) -> tuple[Errno, str] | None:
-        """Return the error and its text for a request that is not taken; None: it is to be taken now.
-
-        `open_requests` is how many its connection has open.
-        """
-        if self.closing:
-            return Errno.ESHUTDOWN, "shutting down"
-        if open_requests >= self.settings.limits.in_flight or self.core.full():
-            # Not reading on would let requests grow old in the socket, past what their clients wait for.
-            return REFUSED, "refused: not done; too much is open"
-        if request.origin is Origin.CLIENT:  # the other head's work is bounded there
-            name, size = request.volume.settings.name, len(request.data)
-            if why := self.shares.takes(name, size, self.hub.now()):
-                return REFUSED, f"refused: not done; {why}"
-            self._counted[request] = size
-        return None
-
-    def ended(self, request: ClientRequest) -> None:
-        """A request has its answer, or nobody waits for it any more: its room is free again."""
-        size = self._counted.pop(request, None)
-        if size is not None:
-            self.shares.ended(request.volume.settings.name, size)
-
-    def chose(self, session: Session) -> bool:
-        """A connection has chosen its volume; False: its cell has no room for it."""
-        self._choosing -= 1
-        session.chosen = True
-        # The other head's connections are few, and what they carry is bounded there.
-        session.counted = session.origin is Origin.CLIENT and self.shares.connects(session.volume)
-        return session.counted or session.origin is not Origin.CLIENT
-
-    def watch(self) -> None:
-        """Tell the shares how busy the loop is (a task)."""
-        hub = self.hub
-        while True:
-            began, idle = hub.now(), hub.idle_us
-            hub.sleep(TICK_US)
-            now = hub.now()
-            self.shares.ticked(now, max(0.0, 1 - (hub.idle_us - idle) / max(1, now - began)))
-
-    def take(self, request: ClientRequest) -> None:
-        """Hand a request to the core, or to the layer of volumes of two regions."""
-        if self.regional is not None and request.volume.settings.name in self.regional.volumes:
-            self.regional.take(request)
-        else:
-            self.core.take(self.hub.now(), request)
+    """Serves NBD clients."""
 
-    def client_gone(self, request: ClientRequest) -> None:
-        """The request's client left."""
-        self.ended(request)
-        if self.regional is not None and request.volume.settings.name in self.regional.volumes:
-            self.regional.client_gone(request)
-        else:
-            self.core.client_gone(request)
+    def __init__(self, reception: Reception) -> None:
+        self.reception = reception
+        self.exports = VolumeExports(reception.settings)
 
     def serve(self, listener: Listener) -> None:
         """Accept clients until the listener is closed (the front's task)."""
-        while True:
-            try:
-                stream = listener.accept()
-            except StreamClosed:
-                return
-            if self.sessions >= self.settings.limits.connections or self._choosing >= self._may_choose:
-                self.note("client turned away", peer=stream.peer, why="too many connections")
-                stream.close()
-                continue
-            self.sessions += 1
-            self._choosing += 1
-            session = Session(self, stream)
-            task = self._scope.spawn(f"client {stream.peer}", session.run)
-            task.on_done.append(partial(self._left, session))
-
-    def _left(self, session: Session, _task: object) -> None:
-        self.sessions -= 1
-        self._choosing -= not session.chosen
-        if session.counted:
-            self.shares.left(session.volume)
+        self.reception.serve(listener, lambda stream: Session(self, stream))
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -17,6 +17,7 @@
 from harriertrack.gateway.listing import Listing
 from harriertrack.gateway.mover import Mover
 from harriertrack.gateway.parts import HeadParts
+from harriertrack.gateway.reception import Reception
 from harriertrack.gateway.regional import Regional
 from harriertrack.membership.nodes import NodeList
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Timer
@@ -56,7 +57,7 @@
         self.trace: Callable[[Attempt], None] | None = None  # hears of every send, for rigs that stamp them
         self.address = settings.listen
         self.core: Core
-        self.front: NbdFront
+        self.reception: Reception
         self.mover: Mover
         self.module: Scheduler | Celled
         self._cells = head_map(settings.cell_map, settings.volumes) if settings.cell_map else None
@@ -93,13 +94,13 @@
                     if settings.cell_map:
                         scope.spawn("cell map", self._watch_map)
                 cells = self.module.map.volumes if isinstance(self.module, Celled) else None
-                self.front = NbdFront(hub, settings, self.core, scope, self._note, self.regional, cells)
-                scope.spawn("front", self.front.serve, listener)
+                self.reception = Reception(hub, settings, self.core, scope, self._note, self.regional, cells)
+                scope.spawn("front", NbdFront(self.reception).serve, listener)
                 if cells is not None:
-                    scope.spawn("shares", self.front.watch)
+                    scope.spawn("shares", self.reception.watch)
                 self.ready.set()
                 self._stopping.wait()
-                self.front.closing = True
+                self.reception.closing = True
                 listener.close()
                 self._drain(hub.now() + STOP_US)
                 scope.cancel()
@@ -125,7 +126,7 @@
         """Follow a newer map of cells. Raises OldMap for one that is not newer."""
         assert isinstance(self.module, Celled), "a head without cells has no map"
         self.module.take_map(cells)
-        self.front.shares.follow(cells.volumes)
+        self.reception.shares.follow(cells.volumes)
         self.mover.follow(cells)
 
     def _watch_map(self) -> None:
@@ -173,7 +174,7 @@
 
     def answer(self, request: ClientRequest) -> None:
         """Hand a final answer to whoever asked."""
-        self.front.ended(request)
+        self.reception.ended(request)
         request.token.answer(request)
 
     def subscribe(self, on: bool) -> None:
--- a/harriertrack/lab/emulator.py
+++ b/harriertrack/lab/emulator.py
@@ -20,7 +20,7 @@
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.requests import Attempt, ClientRequest
 from harriertrack.decisions.splitting import Kind, Outcome
-from harriertrack.gateway.front import KINDS, error_of
+from harriertrack.gateway.front import KINDS, error_of, error_of_turned_away
 from harriertrack.gateway.head import Head, Wiring
 from harriertrack.gateway.links import COMMANDS, BaseLink, Links
 from harriertrack.gateway.listing import Listing
@@ -404,7 +404,7 @@
             if head is not None and asker.request is not None:
                 request = asker.request
                 self._hub.at_for(head, self._hub.now() + self._air.client_delay(),
-                                 partial(head.front.client_gone, request))  # fmt: skip
+                                 partial(head.reception.client_gone, request))  # fmt: skip
             asker.then(None)
 
     def start(self, kind: str, start: int, length: int, data: bytes,
@@ -421,12 +421,12 @@
             volume = head.core.volumes[self.volume]
             command = KINDS[CLIENT_COMMANDS[kind]]
             request = ClientRequest(volume, command, start * SECTOR, size, data, 0, asker)
-            away = head.front.turns_away(request, len(self._open) - 1)
+            away = head.reception.turns_away(request, len(self._open) - 1)
             if away is not None:
-                asker.give(Reply(0, *away))
+                asker.give(Reply(0, *error_of_turned_away(away)))
                 return
             asker.request = request
-            head.front.take(request)
+            head.reception.take(request)
 
         self._hub.at_for(head, self._hub.now() + self._air.client_delay(), arrive)
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -216,9 +216,9 @@
     def test(site):
         idle = [site.net.connect(site.head.address) for _ in range(6)]
         site.hub.sleep(50_000)
-        assert site.head.front.sessions == 2  # the others were closed at once
+        assert site.head.reception.sessions == 2  # the others were closed at once
         site.hub.sleep(600_000)  # these took too long
-        assert site.head.front.sessions == 0
+        assert site.head.reception.sessions == 0
         assert [site.client(name).call(Command.READ, 0, 512).error for name in ("disk", "shared")] == [0, 0]
         assert idle
 
@@ -240,7 +240,7 @@
         assert len(replies) == 4  # taken
         site.hub.sleep(2_000_000)
         assert len(replies) == 7 and [reply.error for reply in replies[4:]] == [0, 0, 0]
-        used = site.head.front.shares._cells
+        used = site.head.reception.shares._cells
         assert {cell: (one.used.held, one.used.held_bytes) for cell, one in used.items()} == {
             "left": (0, 0), "right": (0, 0)}  # fmt: skip
         # A client that leaves with requests open gives its room back too.
