NVMe/TCP front: hosts at a running head, beside NBD clients of the same volumes

One connection is a queue; its commands become requests of the same core, through the same reception. Refusals are told as interrupted commands with a retry delay, a region that holds nothing as an inaccessible path, failed writes as not to be repeated. A host of the project's own.

--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from enum import Enum
+from enum import Enum, StrEnum
 from pathlib import Path
 from typing import Annotated
 
@@ -167,6 +167,23 @@
     handshake_us: Positive = 10_000_000
 
 
+class Digest(StrEnum):
+    """What NVMe/TCP may protect with a CRC32C."""
+
+    HEADER = "header"
+    DATA = "data"
+
+
+class NvmeSettings(Checked, frozen=True, kw_only=True):
+    """The NVMe/TCP front."""
+
+    listen: tuple[str, Port]
+    nqn: Annotated[str, msgspec.Meta(pattern=r"^nqn\.\d{4}-\d{2}\.[^\s:]+:\S+$", max_length=223)]
+    digests: tuple[Digest, ...] = (Digest.HEADER, Digest.DATA)  # granted to hosts that ask
+    queues: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 64  # for I/O, of one controller
+    entries: Annotated[int, msgspec.Meta(ge=32, le=1024)] = 128  # of one queue
+
+
 class HeadSettings(Checked, frozen=True, kw_only=True):
     """Everything that a head is told at its start."""
 
@@ -190,6 +207,7 @@
     limits: LimitSettings = LimitSettings()
     region: RegionSettings | None = None
     cell_map: str = ""  # a file; empty: the whole fleet is one cell
+    nvme: NvmeSettings | None = None
     classes: tuple[ClassSettings, ...]
     plans: tuple[PlanSettings, ...]
     volumes: tuple[VolumeSettings, ...]
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -12,6 +12,7 @@
 from harriertrack.decisions import Scheduler, interface as api
 from harriertrack.decisions.celled import Celled, HeadMap, OldMap
 from harriertrack.decisions.requests import Attempt, ClientRequest, Core
+from harriertrack.gateway import nvme
 from harriertrack.gateway.front import NbdFront
 from harriertrack.gateway.links import Links
 from harriertrack.gateway.listing import Listing
@@ -55,7 +56,7 @@
         self._stopping = Event(hub)
         self.ready = Event(hub)
         self.trace: Callable[[Attempt], None] | None = None  # hears of every send, for rigs that stamp them
-        self.address = settings.listen
+        self.address = self.nvme_address = settings.listen
         self.core: Core
         self.reception: Reception
         self.mover: Mover
@@ -68,8 +69,15 @@
         """Serve until `stop` is called; raises OSError if it can't listen, ExtentMapError without its map."""
         hub, settings = self.hub, self.settings
         hub.enter_group(self)
-        listener = self._network.listen(settings.listen)
-        self.address = listener.address
+        listeners = [self._network.listen(settings.listen)]
+        self.address = listeners[0].address
+        if settings.nvme is not None:
+            try:
+                listeners.append(self._network.listen(settings.nvme.listen))
+            except OSError:
+                listeners[0].close()
+                raise
+            self.nvme_address = listeners[1].address
         extents = self._extents or ExtentMap(str(Path(settings.state_dir) / "extents"))
         if self._log is None and any(volume.regions for volume in settings.volumes):
             self._log = MissedLog(str(Path(settings.state_dir) / "missed"))
@@ -95,17 +103,21 @@
                         scope.spawn("cell map", self._watch_map)
                 cells = self.module.map.volumes if isinstance(self.module, Celled) else None
                 self.reception = Reception(hub, settings, self.core, scope, self._note, self.regional, cells)
-                scope.spawn("front", NbdFront(self.reception).serve, listener)
+                scope.spawn("front", NbdFront(self.reception).serve, listeners[0])
+                if settings.nvme is not None:
+                    nvme.start(hub, self.reception, listeners[1], settings.nvme)
                 if cells is not None:
                     scope.spawn("shares", self.reception.watch)
                 self.ready.set()
                 self._stopping.wait()
                 self.reception.closing = True
-                listener.close()
+                for listener in listeners:
+                    listener.close()
                 self._drain(hub.now() + STOP_US)
                 scope.cancel()
         finally:
-            listener.close()
+            for listener in listeners:
+                listener.close()
             if self._timer is not None:
                 self._timer.cancel()
             extents.close()
--- /dev/null
+++ b/harriertrack/gateway/nvme.py
@@ -0,0 +1,363 @@
+"""The NVMe/TCP front: controllers and queues, each I/O command of which becomes requests of the core.
+
+One connection is one queue. Its first command is Connect, which says of which controller; a controller ends
+with its admin queue, and its I/O queues with it. What became of a request is told so: refused, "command
+interrupted" with a retry delay (trying again is harmless), or where another path is better "asymmetric access
+inaccessible"; failed, "internal error", which only a command without effect may repeat.
+"""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from importlib.metadata import version
+
+from harriertrack.config.settings import Digest, HeadSettings, NvmeSettings
+from harriertrack.decisions.regions import Route
+from harriertrack.decisions.requests import CHANGING, ClientRequest, Origin
+from harriertrack.decisions.splitting import Kind, Outcome
+from harriertrack.gateway.reception import Reception
+from harriertrack.gateway.regional import NOT_HOLDER
+from harriertrack.protocol.nvme.admin import (
+    ALL_NAMESPACES,
+    BLOCK,
+    Admin,
+    Ana,
+    Entry,
+    Fabrics,
+    Io,
+    Namespace,
+    Traits,
+)
+from harriertrack.protocol.nvme.controller import (
+    AbortAsked,
+    Asked,
+    Connect,
+    Controller,
+    Done,
+    Subsystem,
+    Told,
+    read_io,
+)
+from harriertrack.protocol.nvme.transport import Broken, ControllerConnection, Limits, Phase, Submitted
+from harriertrack.protocol.nvme.wire import Cqe, Dgst, Sqe, Status
+from harriertrack.runtime.hub import DeadlineExceeded, Hub
+from harriertrack.runtime.streams import Listener, Stream
+
+COMPARE_FAILURE, INACCESSIBLE = 0x285, 0x302
+FUA = 1 << 0  # of a request's flags, as NBD has it
+ANA_US = 100_000  # how often it is looked at who holds what
+DELAY_UNIT_US = 100_000
+DIGESTS = {Digest.HEADER: Dgst.HEADER, Digest.DATA: Dgst.DATA}
+ROUTES = {Route.HERE: Ana.OPTIMIZED, Route.OTHER: Ana.NON_OPTIMIZED, Route.REFUSE: Ana.INACCESSIBLE}
+KINDS = {
+    Io.READ: Kind.READ,
+    Io.COMPARE: Kind.READ,
+    Io.WRITE: Kind.WRITE,
+    Io.WRITE_ZEROES: Kind.ZERO,
+    Io.DATASET: Kind.TRIM,
+    Io.FLUSH: Kind.FLUSH,
+}
+
+
+def namespaces_of(settings: HeadSettings, nqn: str) -> dict[int, Namespace]:
+    """Return the volumes as namespaces, numbered in order of their names: so alike at heads of the same."""
+    root = uuid.uuid5(uuid.NAMESPACE_URL, nqn)
+    return {
+        number: Namespace(number, one.size_bytes // BLOCK, uuid.uuid5(root, one.name).bytes, one.read_only)
+        for number, one in enumerate(sorted(settings.volumes, key=lambda one: one.name), 1)
+    }
+
+
+@dataclass(slots=True, eq=False)
+class _Command:
+    """An I/O command, as the requests that it takes; all have to end."""
+
+    queue: Queue
+    asked: Asked
+    sqe: Sqe
+    data: bytes
+    open: set[ClientRequest] = field(default_factory=set)
+    worst: ClientRequest | None = None  # of those that were not served, the one that tells most
+    over: bool = False  # it was aborted: nobody waits
+
+    def answer(self, request: ClientRequest) -> None:
+        """Take one request's final answer."""
+        self.open.discard(request)
+        if request.outcome is not Outcome.SERVED and (
+            self.worst is None or request.outcome is Outcome.FAILED
+        ):
+            self.worst = request
+        if not self.open and not self.over:
+            self.queue.ended(self, request)
+
+
+class Queue:
+    """One connection."""
+
+    def __init__(self, front: NvmeFront, stream: Stream) -> None:
+        self._front, self._stream = front, stream
+        self._nvme = ControllerConnection(front.limits)
+        self.controller: Controller | None = None
+        self.number = -1
+        self.origin, self.volume, self.chosen, self.counted = Origin.CLIENT, "", False, False
+        self._commands: dict[int, _Command] = {}
+
+    def run(self) -> None:
+        """Serve the connection until it ends (its task)."""
+        front = self._front
+        try:
+            deadline = front.hub.now() + front.reception.settings.limits.handshake_us
+            while self._nvme.phase is not Phase.CLOSED:
+                data = self._stream.read(None if self.controller else deadline)
+                if not data:
+                    break
+                for event in self._nvme.receive(data):
+                    match event:
+                        case Submitted():
+                            self._submitted(event.sqe, event.data)
+                        case Broken():
+                            front.note("client closed", peer=self._stream.peer, why=event.why)
+                self.push()
+                self._stream.drain()
+        except DeadlineExceeded:
+            front.note("client closed", peer=self._stream.peer, why="too slow a handshake")
+        except OSError as error:
+            front.note("client broke", peer=self._stream.peer, why=str(error))
+        finally:
+            self._leave()
+            front.queue_ended(self)
+            self._stream.close()
+
+    def close(self) -> None:
+        """End the connection: what is open on it is void, and nothing of it is told any more."""
+        self._leave()
+        self._stream.abort()
+
+    def _leave(self) -> None:
+        commands, self._commands = self._commands, {}
+        for one in commands.values():
+            self._drop(one)
+
+    def _drop(self, one: _Command) -> None:
+        one.over = True
+        for request in list(one.open):
+            self._front.reception.client_gone(request)
+
+    def push(self) -> None:
+        """Hand what is to be sent to the stream."""
+        for data in self._nvme.take_outgoing():
+            self._stream.write(data)
+
+    def complete(self, cqe: Cqe) -> None:
+        """End a command and send what tells so."""
+        self._nvme.complete(cqe)
+        self.push()
+
+    # -- commands
+
+    def _submitted(self, sqe: Sqe, data: bytes) -> None:
+        front, now = self._front, self._front.hub.now()
+        if self.controller is None:
+            if sqe.opcode == Admin.FABRICS and sqe.nsid & 0xFF == Fabrics.CONNECT:
+                self._connect(sqe, data)
+            else:
+                self.complete(Cqe(sqe.cid, Status.SEQUENCE, dnr=True))
+            return
+        self.controller.heard(now)
+        if self.number:
+            self._io(sqe, data)
+            return
+        match self.controller.admin(sqe, now):
+            case Done(cqe):
+                self.complete(cqe)
+            case Told(told):
+                # No more than the host has room for; what is left over is asked for with an offset.
+                self._nvme.complete_read(sqe.cid, told[: sqe.length])
+            case AbortAsked() as asked:
+                queue = front.queue(self.controller, asked.queue)
+                done = queue is not None and queue.abort(asked.target)
+                self.complete(Cqe(asked.cid, dw0=0 if done else 1))
+        if self.controller.queues_end:
+            front.end_io(self.controller)
+
+    def _connect(self, sqe: Sqe, data: bytes) -> None:
+        front = self._front
+        asked = Connect.read(sqe, data)
+        got = asked if isinstance(asked, Cqe) else front.subsystem.connect(asked, front.hub.now())
+        if isinstance(got, Cqe) or isinstance(asked, Cqe):
+            assert isinstance(got, Cqe)
+            self.complete(got)
+            return
+        self.controller, self.number = got, asked.queue
+        self._nvme.depth, self._nvme.flow_off = asked.entries, asked.flow_off
+        front.queue_began(self)
+        self.complete(Cqe(sqe.cid, dw0=got.cntlid))
+        front.note("client opened", peer=self._stream.peer, host=got.host, queue=asked.queue)
+
+    def abort(self, cid: int) -> bool:
+        """End a command for an Abort; return whether it was open."""
+        assert self.controller is not None
+        if self.number:
+            one = self._commands.pop(cid, None)
+            if one is None:
+                return False
+            self._drop(one)
+        elif not self.controller.aborted_event(cid):
+            return False
+        self.complete(Cqe(cid, Status.ABORT_REQUESTED))
+        return True
+
+    def _io(self, sqe: Sqe, data: bytes) -> None:
+        front, controller = self._front, self.controller
+        assert controller is not None
+        asked = read_io(sqe, data, controller.namespaces, front.limits.most_transfer)
+        if isinstance(asked, Cqe):
+            self.complete(asked)
+            return
+        one = _Command(self, asked, sqe, data)
+        requests = front.requests_of(one)
+        if not requests:  # nothing to deallocate
+            self.complete(Cqe(sqe.cid))
+            return
+        for request in requests:
+            away = front.reception.turns_away(request, len(self._commands))
+            if away is not None:
+                for before in one.open:
+                    front.reception.ended(before)
+                status = Status.ABORT_REQUESTED if away.closing else Status.INTERRUPTED
+                self.complete(Cqe(sqe.cid, status, crd=0 if away.closing else 1))
+                return
+            one.open.add(request)
+        self._commands[sqe.cid] = one
+        for request in requests:
+            front.reception.take(request)
+
+    def ended(self, one: _Command, request: ClientRequest) -> None:
+        """All requests of a command have their answers."""
+        cid = one.sqe.cid
+        del self._commands[cid]
+        if one.worst is not None:
+            self.complete(self._front.completion_of(cid, one.worst))
+            return
+        if one.asked.opcode in (Io.READ, Io.COMPARE):
+            data = request.bytes_read()
+            if one.asked.opcode is Io.READ:
+                self._nvme.complete_read(cid, data)
+                self.push()
+                return
+            if data != one.data:
+                self.complete(Cqe(cid, COMPARE_FAILURE, dnr=True))
+                return
+        self.complete(Cqe(cid))
+
+
+class NvmeFront:
+    """Serves NVMe/TCP hosts."""
+
+    def __init__(self, reception: Reception, settings: NvmeSettings, listen: tuple[str, int]) -> None:
+        self.reception, self.hub, self.note = reception, reception.hub, reception.note
+        spread = any(volume.regions for volume in reception.settings.volumes)
+        traits = Traits(
+            settings.nqn, uuid.uuid5(uuid.NAMESPACE_URL, settings.nqn).hex[:20], version("harriertrack"),
+            ana=spread, entries=settings.entries, queues=settings.queues,
+        )  # fmt: skip
+        namespaces = namespaces_of(reception.settings, settings.nqn)
+        self.subsystem = Subsystem(traits, namespaces, (Entry(settings.nqn, *listen),))
+        granted = Dgst(0)
+        for one in settings.digests:
+            granted |= DIGESTS[one]
+        self.limits = Limits(
+            in_capsule=traits.in_capsule, most_transfer=traits.most_transfer, digests=granted
+        )
+        self._names = dict(enumerate(sorted(volume.name for volume in reception.settings.volumes), 1))
+        self._queues: dict[tuple[int, int], Queue] = {}
+
+    def serve(self, listener: Listener) -> None:
+        """Accept hosts until the listener is closed (the front's task)."""
+        self.reception.serve(listener, lambda stream: Queue(self, stream))
+
+    def watch(self) -> None:
+        """Look after Keep Alive, and tell hosts where their namespaces are best reached (a task)."""
+        while True:
+            self.hub.sleep(ANA_US)
+            now = self.hub.now()
+            for controller in list(self.subsystem.controllers.values()):
+                admin = self._queues.get((controller.cntlid, 0))
+                if admin is None:
+                    continue
+                lost_at = controller.lost_at()
+                if lost_at is not None and lost_at <= now:
+                    self.note("keep alive lost", host=controller.host)
+                    admin.close()
+                elif controller.traits.ana and (told := controller.ana_became(self._access(now))):
+                    admin.complete(told)
+
+    def _access(self, now: int) -> Mapping[int, Ana]:
+        regional = self.reception.regional
+        assert regional is not None
+        return {
+            nsid: ROUTES[regional.route(name, now)] if name in regional.volumes else Ana.OPTIMIZED
+            for nsid, name in self._names.items()
+        }
+
+    # -- queues
+
+    def queue(self, controller: Controller, number: int) -> Queue | None:
+        """Return a controller's queue."""
+        return self._queues.get((controller.cntlid, number))
+
+    def queue_began(self, queue: Queue) -> None:
+        """A queue has connected."""
+        assert queue.controller is not None
+        self._queues[queue.controller.cntlid, queue.number] = queue
+
+    def queue_ended(self, queue: Queue) -> None:
+        """A connection ended; an admin queue takes its controller and all of that one's queues along."""
+        controller = queue.controller
+        if controller is None or self._queues.get((controller.cntlid, queue.number)) is not queue:
+            return
+        del self._queues[controller.cntlid, queue.number]
+        controller.queues.discard(queue.number)
+        if not queue.number:
+            self.end_io(controller)
+            self.subsystem.end(controller)
+
+    def end_io(self, controller: Controller) -> None:
+        """A controller was reset, shut down, or is gone: its I/O queues end."""
+        for key in [key for key in self._queues if key[0] == controller.cntlid and key[1]]:
+            self._queues.pop(key).close()
+
+    # -- requests
+
+    def requests_of(self, one: _Command) -> list[ClientRequest]:
+        """Return the requests that a command takes."""
+        asked, kind = one.asked, KINDS[one.asked.opcode]
+        nsids = list(self._names) if asked.nsid == ALL_NAMESPACES else [asked.nsid]
+        volumes = [self.reception.core.volumes[self._names[nsid]] for nsid in nsids]
+        pieces = asked.ranges if asked.opcode is Io.DATASET else ((asked.offset, asked.length),)
+        data = one.data if asked.opcode is Io.WRITE else b""
+        return [
+            ClientRequest(volume, kind, offset, length, data, FUA if asked.fua else 0, one)
+            for volume in volumes
+            for offset, length in pieces
+        ]
+
+    def completion_of(self, cid: int, request: ClientRequest) -> Cqe:
+        """Return what tells that a request was not served."""
+        if request.outcome is Outcome.FAILED:
+            return Cqe(cid, Status.INTERNAL, dnr=request.kind in CHANGING)
+        if request.why == NOT_HOLDER:
+            return Cqe(cid, INACCESSIBLE)
+        delays = self.subsystem.traits.retry_delays
+        fitting = (at for at, delay in enumerate(delays, 1) if delay * DELAY_UNIT_US >= request.hint_us)
+        return Cqe(cid, Status.INTERRUPTED, crd=next(fitting, len(delays)))
+
+
+def start(hub: Hub, reception: Reception, listener: Listener, settings: NvmeSettings) -> NvmeFront:
+    """Make a front and start its tasks in the reception's scope."""
+    front = NvmeFront(reception, settings, listener.address)
+    reception.scope.spawn("nvme front", front.serve, listener)
+    reception.scope.spawn("nvme watch", front.watch)
+    return front
--- /dev/null
+++ b/harriertrack/gateway/nvme_client.py
@@ -0,0 +1,254 @@
+"""An NVMe/TCP host on the hub: for load, days, tests, and the command line."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+
+from harriertrack.protocol.nvme.admin import (
+    DISCOVERY_NQN,
+    DYNAMIC,
+    IDENTIFY_BYTES,
+    PAGE,
+    Admin,
+    Cns,
+    ConnectData,
+    ControllerInfo,
+    Entry,
+    Fabrics,
+    Feature,
+    NamespaceInfo,
+    Page,
+    Property,
+    parse_discovery,
+)
+from harriertrack.protocol.nvme.transport import NO_DIGESTS, Broken, Completed, HostConnection, Initialized
+from harriertrack.protocol.nvme.wire import Cqe, Dgst, Sqe, Status
+from harriertrack.runtime.hub import Hub, Scope, Waiters
+from harriertrack.runtime.streams import Network, Stream
+
+ENTRIES = 128
+Then = Callable[[Completed | None], None]
+
+
+class NvmeError(Exception):
+    """The controller does not do what was asked; the text says with which status."""
+
+
+class NvmeQueue:
+    """One connection. `call` waits for a command's end; `start` hands it to a callback."""
+
+    def __init__(
+        self, hub: Hub, network: Network, address: tuple[str, int], digests: Dgst, name: str
+    ) -> None:
+        self._hub, self._network, self._address, self._name = hub, network, address, name
+        self._nvme = HostConnection(digests=digests)
+        self._stream: Stream | None = None
+        self._callbacks: dict[int, Then] = {}
+        self._cid = 0
+        self.broken = ""  # why the connection ended, where the controller said so
+        self._lost = False
+        self.in_capsule = 0
+        self.on_lost: Callable[[], None] | None = None
+
+    def open(self, scope: Scope, deadline: int | None = None) -> None:
+        """Connect; from then on a task of `scope` takes what comes. Raises OSError, DeadlineExceeded."""
+        stream = self._stream = self._network.connect(self._address, deadline, self._name)
+        self._nvme.begin()
+        self._push()
+        while True:
+            data = stream.read(deadline)
+            if not data:
+                raise ConnectionError("the controller closed the connection")
+            events = self._nvme.receive(data)
+            if any(isinstance(event, Initialized) for event in events):
+                break
+        scope.spawn(f"{self._name} replies", self._replies)
+
+    def _push(self) -> None:
+        assert self._stream is not None
+        for data in self._nvme.take_outgoing():
+            self._stream.write(data)
+
+    def _replies(self) -> None:
+        assert self._stream is not None
+        try:
+            while data := self._stream.read():
+                for event in self._nvme.receive(data):
+                    match event:
+                        case Completed():
+                            self._callbacks.pop(event.cqe.cid)(event)
+                        case Broken():
+                            self.broken = event.why
+                self._push()
+                if self.broken:
+                    break
+        except OSError:
+            pass
+        finally:
+            self._stream.close()
+        self._lost = True
+        lost, self._callbacks = self._callbacks, {}
+        for callback in lost.values():
+            callback(None)
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def start(self, sqe: Sqe, data: bytes, then: Then) -> int:
+        """Send a command under an id of the queue's own, which is returned; `then` gets its end, or None."""
+        while True:
+            self._cid = (self._cid + 1) % (1 << 16)
+            if self._cid not in self._callbacks:
+                break
+        if self._lost:
+            then(None)
+            return self._cid
+        self._callbacks[self._cid] = then
+        named = Sqe(sqe.opcode, self._cid, sqe.nsid, sqe.cdw, length=sqe.length)
+        self._nvme.submit(named, data, in_capsule=0 < len(data) <= self.in_capsule)
+        self._push()
+        return self._cid
+
+    def call(self, sqe: Sqe, data: bytes = b"", deadline: int | None = None) -> Completed:
+        """Send a command and wait for its end. Raises ConnectionError if the connection is lost."""
+        ended: list[Completed | None] = []
+        waiters = Waiters(self._hub)
+
+        def then(completed: Completed | None) -> None:
+            ended.append(completed)
+            waiters.notify()
+
+        self.start(sqe, data, then)
+        while not ended:
+            waiters.wait(deadline)
+        if ended[0] is None:
+            raise ConnectionError(self.broken or "the connection was lost")
+        return ended[0]
+
+    def must(self, sqe: Sqe, data: bytes = b"", deadline: int | None = None) -> Completed:
+        """Send a command that has to succeed. Raises NvmeError, ConnectionError."""
+        done = self.call(sqe, data, deadline)
+        if done.cqe.status != Status.SUCCESS:
+            raise NvmeError(f"command {sqe.opcode:#x} ended with status {done.cqe.status:#x}")
+        return done
+
+    def close(self) -> None:
+        """End the connection."""
+        if self._stream is not None:
+            self._stream.close()
+
+    def abort(self) -> None:
+        """Break the connection."""
+        if self._stream is not None:
+            self._stream.abort()
+
+
+class NvmeClient:
+    """One controller: its admin queue, and I/O queues as they are asked for."""
+
+    def __init__(self, hub: Hub, network: Network, address: tuple[str, int], digests: Dgst = NO_DIGESTS,
+                 name: str = "host") -> None:  # fmt: skip
+        self._hub, self._network, self._address, self._digests = hub, network, address, digests
+        self._name = name
+        self._host_id = uuid.uuid5(uuid.NAMESPACE_URL, name).bytes
+        self._nqn = ""
+        self.cntlid = DYNAMIC
+        self.info: ControllerInfo
+        self.admin = NvmeQueue(hub, network, address, digests, f"{name} admin")
+        self._queues = 0
+
+    def connect(self, scope: Scope, nqn: str = DISCOVERY_NQN, keep_alive_ms: int = 0,
+                deadline: int | None = None) -> ControllerInfo:  # fmt: skip
+        """Make a controller ready. Raises OSError, DeadlineExceeded, NvmeError."""
+        self._nqn = nqn
+        self.admin.open(scope, deadline)
+        self.cntlid = self._enter(self.admin, 0, 32, keep_alive_ms, deadline)
+        self.property_set(Property.CC, 1 | 6 << 16 | 4 << 20, deadline)
+        if not self.property_get(Property.CSTS, deadline=deadline) & 1:
+            raise NvmeError("the controller did not get ready")
+        self.info = ControllerInfo.unpack(self.identify(Cns.CONTROLLER, deadline=deadline))
+        return self.info
+
+    def _enter(
+        self, queue: NvmeQueue, number: int, entries: int, keep_alive_ms: int, deadline: int | None
+    ) -> int:
+        data = ConnectData(
+            self._host_id, self.cntlid, self._nqn, f"nqn.2014-08.org.nvmexpress:uuid:{self._name}"
+        )
+        cdw = (
+            number << 16,
+            entries - 1 | 0b100 << 16,
+            keep_alive_ms,
+            0,
+            0,
+            0,
+        )  # no flow control: see SUCCESS
+        done = queue.must(Sqe(Admin.FABRICS, 0, Fabrics.CONNECT, cdw), data.pack(), deadline)
+        return done.cqe.dw0 & 0xFFFF
+
+    def io(self, scope: Scope, deadline: int | None = None) -> NvmeQueue:
+        """Connect one more I/O queue. Raises OSError, DeadlineExceeded, NvmeError."""
+        self._queues += 1
+        queue = NvmeQueue(
+            self._hub, self._network, self._address, self._digests, f"{self._name} {self._queues}"
+        )
+        queue.open(scope, deadline)
+        self._enter(queue, self._queues, ENTRIES, 0, deadline)
+        queue.in_capsule = self.info.in_capsule
+        return queue
+
+    def property_get(self, offset: Property, wide: bool = False, deadline: int | None = None) -> int:
+        """Read a property. Raises NvmeError."""
+        sqe = Sqe(Admin.FABRICS, 0, Fabrics.PROPERTY_GET, (int(wide), offset, 0, 0, 0, 0))
+        return self.admin.must(sqe, deadline=deadline).cqe.dw0
+
+    def property_set(self, offset: Property, value: int, deadline: int | None = None) -> None:
+        """Write a property. Raises NvmeError."""
+        sqe = Sqe(Admin.FABRICS, 0, Fabrics.PROPERTY_SET, (0, offset, value, 0, 0, 0))
+        self.admin.must(sqe, deadline=deadline)
+
+    def identify(self, cns: Cns, nsid: int = 0, deadline: int | None = None) -> bytes:
+        """Return Identify data. Raises NvmeError."""
+        sqe = Sqe(Admin.IDENTIFY, 0, nsid, (cns, 0, 0, 0, 0, 0), length=IDENTIFY_BYTES)
+        return self.admin.must(sqe, deadline=deadline).data
+
+    def namespaces(self, deadline: int | None = None) -> dict[int, NamespaceInfo]:
+        """Return all namespaces. Raises NvmeError."""
+        raw = self.identify(Cns.ACTIVE_LIST, deadline=deadline)
+        nsids = [int.from_bytes(raw[at : at + 4], "little") for at in range(0, PAGE, 4)]
+        return {
+            nsid: NamespaceInfo.unpack(self.identify(Cns.NAMESPACE, nsid, deadline))
+            for nsid in nsids
+            if nsid
+        }
+
+    def log(self, page: Page, length: int, offset: int = 0, deadline: int | None = None) -> bytes:
+        """Return a part of a log page. Raises NvmeError."""
+        words = length // 4 - 1
+        cdw = (page | (words & 0xFFFF) << 16, words >> 16, offset & 0xFFFFFFFF, offset >> 32, 0, 0)
+        return self.admin.must(Sqe(Admin.GET_LOG_PAGE, 0, 0, cdw, length=length), deadline=deadline).data
+
+    def discover(self, deadline: int | None = None) -> list[Entry]:
+        """Return what a discovery controller knows. Raises NvmeError, ValueError."""
+        count = int.from_bytes(self.log(Page.DISCOVERY, 1024, deadline=deadline)[8:16], "little")
+        return parse_discovery(self.log(Page.DISCOVERY, 1024 * (min(count, 1000) + 1), deadline=deadline))
+
+    def queues(self, count: int, deadline: int | None = None) -> int:
+        """Ask for so many I/O queues; return how many may be had. Raises NvmeError."""
+        sqe = Sqe(Admin.SET_FEATURES, 0, 0, (Feature.QUEUES, (count - 1) * 0x10001, 0, 0, 0, 0))
+        return (self.admin.must(sqe, deadline=deadline).cqe.dw0 & 0xFFFF) + 1
+
+    def close(self) -> None:
+        """End the admin queue, and with it the controller."""
+        self.admin.close()
+
+
+def io_sqe(opcode: int, nsid: int, block: int, blocks: int, fua: bool = False, expects: int = 0) -> Sqe:
+    """Return a read's, write's, compare's or Write Zeroes' entry; it asks for `expects` bytes of data."""
+    cdw = (block & 0xFFFFFFFF, block >> 32, blocks - 1 | fua << 30, 0, 0, 0)
+    return Sqe(opcode, 0, nsid, cdw, length=expects)
+
+
+def refused(cqe: Cqe) -> bool:
+    """Whether a command was not done, so that trying again is harmless."""
+    return cqe.status in (Status.INTERRUPTED, 0x302) and not cqe.dnr
--- a/harriertrack/gateway/reception.py
+++ b/harriertrack/gateway/reception.py
@@ -59,7 +59,7 @@
         self.shares = Shares(ShareLimits(connections, limits.held, limits.held_bytes, limits.borrow), cells)
         self._counted: dict[ClientRequest, int] = {}  # clients' requests, and the bytes they brought
         self.closing = False
-        self._scope = scope
+        self.scope = scope
 
     # -- connections
 
@@ -77,7 +77,7 @@
             self.sessions += 1
             self._choosing += 1
             guest = make(stream)
-            task = self._scope.spawn(f"client {stream.peer}", guest.run)
+            task = self.scope.spawn(f"client {stream.peer}", guest.run)
             task.on_done.append(partial(self._left, guest))
 
     def _left(self, guest: Guest, _task: object) -> None:
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -163,8 +163,7 @@
         if request.origin is Origin.COPY:
             self._take_copy(volume, request)
             return
-        epoch = 0 if volume.handing else self.holding.epoch(volume.name, now)
-        route = volume.view.route(epoch, now)
+        epoch, route = self.holding.epoch(volume.name, now), self.route(volume.name, now)
         if route is Route.HERE:
             self._begin(Work(self, volume, request, epoch))
         elif route is Route.OTHER and request.origin is Origin.CLIENT:
@@ -176,6 +175,11 @@
         """Whether this head knows under which epoch it works on a volume, as holder or with the copy."""
         return volume not in self.volumes or volume in self._links.epochs
 
+    def route(self, volume: str, now: int) -> Route:
+        """Return where a client's request on a volume would go."""
+        one = self.volumes[volume]
+        return one.view.route(0 if one.handing else self.holding.epoch(volume, now), now)
+
     def client_gone(self, request: ClientRequest) -> None:
         """The client left. Where it may have changed the volume, both regions are made to agree again."""
         if request.outcome is None:
