--- a/harriertrack/cli/days.py
+++ b/harriertrack/cli/days.py
@@ -12,6 +12,7 @@
 from harriertrack.config.sexp import SettingsError
 from harriertrack.lab import day as days
 from harriertrack.lab.emulator import emulate
+from harriertrack.lab.fronts import Front
 from harriertrack.lab.model import UsedUp
 from harriertrack.lab.rig import play
 from harriertrack.rules import checker, recording as rec
@@ -49,8 +50,8 @@
         click.echo(f"{name:16} {days.load(name).about}")
 
 
-def _judge(name: str, seed: int, emulated: bool) -> tuple[int, dict[str, int], list[str]]:
-    records = _records(days.load(name), seed, not emulated, emulated)
+def _judge(name: str, seed: int, emulated: bool, front: Front) -> tuple[int, dict[str, int], list[str]]:
+    records = _records(days.load(name), seed, not emulated, emulated, front)
     return seed, checker.summary(records), [str(breach) for breach in checker.check(records)]
 
 
@@ -60,8 +61,11 @@
 @click.option("--seeds", type=click.IntRange(1), default=1, help="How many seeds (virtual only).")
 @click.option("--virtual", is_flag=True, help="On the virtual clock, where the verdict repeats exactly.")
 @click.option("--emulated", is_flag=True, help="In the emulator: simulated time, any number of machines.")
+@click.option("--front", type=click.Choice([one.value for one in Front]), default="nbd", show_default=True,
+              help="Through which front clients come.")  # fmt: skip
 @click.option("--json", "path", type=click.Path(dir_okay=False), help="Write the recording, JSON lines.")
-def day_run(name: str, seed: int, seeds: int, virtual: bool, emulated: bool, path: str | None) -> None:
+def day_run(name: str, seed: int, seeds: int, virtual: bool, emulated: bool, front: str,
+            path: str | None) -> None:  # fmt: skip
     """Play the day NAME (or a file's) and judge it. Exit code 1 if a rule is broken."""
     try:
         settings = days.load(name)
@@ -69,20 +73,22 @@
         fail(str(error))
     if virtual and emulated:
         fail("choose one of --virtual and --emulated")
+    if emulated and front != Front.NBD:
+        fail("the emulator has no fronts; --front goes with sockets or --virtual")
     if seeds > 1:
         if not (virtual or emulated) or path:
             fail("--seeds needs --virtual or --emulated and takes no --json")
-        sys.exit(_many(name, range(seed, seed + seeds), emulated))
+        sys.exit(_many(name, range(seed, seed + seeds), emulated, Front(front)))
     try:
-        sys.exit(verdict(_records(settings, seed, virtual, emulated, path)))
+        sys.exit(verdict(_records(settings, seed, virtual, emulated, Front(front), path)))
     except (OSError, UsedUp) as error:
         fail(str(error))
 
 
-def _records(settings: days.DaySettings, seed: int, virtual: bool, emulated: bool,
+def _records(settings: days.DaySettings, seed: int, virtual: bool, emulated: bool, front: Front = Front.NBD,
              path: str | None = None) -> list[rec.Record]:  # fmt: skip
     if not emulated:
-        return play(settings, seed, virtual, path).records
+        return play(settings, seed, virtual, path, front=front).records
     recorder = rec.Recorder(path)
     try:
         emulate(settings, seed, recorder)
@@ -91,10 +97,10 @@
     return recorder.records
 
 
-def _many(name: str, seeds: range, emulated: bool) -> int:
+def _many(name: str, seeds: range, emulated: bool, front: Front) -> int:
     broken = 0
     with ProcessPoolExecutor(max_workers=os.cpu_count()) as pool:
-        for job in as_completed([pool.submit(_judge, name, seed, emulated) for seed in seeds]):
+        for job in as_completed([pool.submit(_judge, name, seed, emulated, front) for seed in seeds]):
             seed, counts, breaches = job.result()
             broken += bool(breaches)
             click.echo(f"seed {seed}: {counts['requests']} requests, {len(breaches)} breaches")
--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -12,6 +12,7 @@
 
 from harriertrack.cli.common import fail, logger, run_until_signal, settings_of
 from harriertrack.cli.days import day, rules
+from harriertrack.cli.nvme import nvme
 from harriertrack.cli.regions import region
 from harriertrack.config.settings import HeadSettings, ShelfSettings, load
 from harriertrack.config.sexp import SettingsError
@@ -132,6 +133,7 @@
 
 
 main.add_command(day)
+main.add_command(nvme)
 main.add_command(region)
 main.add_command(rules)
 
--- /dev/null
+++ b/harriertrack/cli/nvme.py
@@ -0,0 +1,138 @@
+"""`harriertrack nvme`: an NVMe/TCP host for looking and trying."""
+
+from __future__ import annotations
+
+import re
+import sys
+from collections.abc import Callable
+
+import click
+
+from harriertrack.cli.common import fail
+from harriertrack.gateway.nvme_client import NvmeClient, NvmeError, NvmeQueue, io_sqe
+from harriertrack.protocol.nvme.admin import BLOCK, DISCOVERY_NQN, Io
+from harriertrack.protocol.nvme.transport import NO_DIGESTS
+from harriertrack.protocol.nvme.wire import Dgst, Sqe, Status
+from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope
+from harriertrack.runtime.streams import SocketNetwork
+
+TIMEOUT_US = 5_000_000
+ADDRESS = re.compile(r"([^:]+)(?::(\d+))?\Z")
+MOST = 1 << 20
+address = click.argument("address", metavar="HOST[:PORT]")
+nqn_option = click.option("--nqn", required=True, help="The subsystem's name; `discover` tells it.")
+nsid_option = click.option("--nsid", type=click.IntRange(1), default=1, show_default=True)
+digests_option = click.option("--digests", is_flag=True, help="Ask for header and data digests.")
+
+
+@click.group()
+def nvme() -> None:
+    """NVMe over TCP, as a host."""
+
+
+def _with(where: str, nqn: str, digests: bool, use: Callable[[NvmeClient, Scope, int], None]) -> None:
+    match = ADDRESS.match(where)
+    if not match:
+        fail(f"{where}: expected HOST[:PORT]")
+    hub = Hub()
+    at = (match[1], int(match[2] or (8009 if nqn == DISCOVERY_NQN else 4420)))
+
+    def run() -> None:
+        asked = Dgst.HEADER | Dgst.DATA if digests else NO_DIGESTS
+        client = NvmeClient(hub, SocketNetwork(hub), at, asked)
+        deadline = hub.now() + TIMEOUT_US
+        with hub.scope("nvme") as scope:
+            client.connect(scope, nqn, deadline=deadline)
+            use(client, scope, deadline)
+            client.close()
+            scope.cancel()
+
+    try:
+        hub.run(run)
+    except (OSError, DeadlineExceeded, NvmeError, ValueError) as error:
+        fail(f"{where}: {error or 'no answer in time'}")
+
+
+@nvme.command("discover")
+@address
+def nvme_discover(address: str) -> None:
+    """List the subsystems that a discovery controller tells of."""
+
+    def use(client: NvmeClient, _scope: Scope, deadline: int) -> None:
+        for one in client.discover(deadline):
+            click.echo(f"{one.nqn} at {one.address}:{one.port}")
+
+    _with(address, DISCOVERY_NQN, False, use)
+
+
+@nvme.command("connect")
+@address
+@nqn_option
+@digests_option
+def nvme_connect(address: str, nqn: str, digests: bool) -> None:
+    """Connect, and tell what the controller and its namespaces are."""
+
+    def use(client: NvmeClient, _scope: Scope, deadline: int) -> None:
+        info = client.info
+        click.echo(f"controller {info.cntlid}, {info.model} {info.serial}")
+        click.echo(f"transfers up to {info.most_transfer} bytes, {info.in_capsule} in a capsule; "
+                   f"retry delays {info.retry_delays} x 100 ms")  # fmt: skip
+        for nsid, one in client.namespaces(deadline).items():
+            only = ", read only" if one.read_only else ""
+            click.echo(f"namespace {nsid}: {one.blocks} blocks of {one.block} bytes, {one.guid.hex()}{only}")
+
+    _with(address, nqn, digests, use)
+
+
+def _io(client: NvmeClient, scope: Scope, deadline: int, sqe: Sqe, data: bytes = b"",
+        queue: NvmeQueue | None = None) -> bytes:  # fmt: skip
+    done = (queue or client.io(scope, deadline)).call(sqe, data, deadline)
+    if done.cqe.status != Status.SUCCESS:
+        raise NvmeError(f"status {done.cqe.status:#x}" + ("" if done.cqe.dnr else "; may be tried again"))
+    return done.data
+
+
+def _blocks(offset: int, length: int) -> tuple[int, int]:
+    if offset % BLOCK or length % BLOCK or not length:
+        fail(f"offset and length have to be multiples of {BLOCK} bytes")
+    return offset // BLOCK, length // BLOCK
+
+
+@nvme.command("read")
+@address
+@click.argument("offset", type=click.IntRange(0))
+@click.argument("length", type=click.IntRange(BLOCK, MOST))
+@nqn_option
+@nsid_option
+@digests_option
+def nvme_read(address: str, offset: int, length: int, nqn: str, nsid: int, digests: bool) -> None:
+    """Write LENGTH bytes from OFFSET to standard output."""
+    block, blocks = _blocks(offset, length)
+
+    def use(client: NvmeClient, scope: Scope, deadline: int) -> None:
+        sqe = io_sqe(Io.READ, nsid, block, blocks, expects=length)
+        sys.stdout.buffer.write(_io(client, scope, deadline, sqe))
+        sys.stdout.buffer.flush()
+
+    _with(address, nqn, digests, use)
+
+
+@nvme.command("write")
+@address
+@click.argument("offset", type=click.IntRange(0))
+@click.argument("text")
+@nqn_option
+@nsid_option
+@digests_option
+def nvme_write(address: str, offset: int, text: str, nqn: str, nsid: int, digests: bool) -> None:
+    """Write TEXT at OFFSET, filled up with zeroes to whole blocks, and flush; "-" takes standard input."""
+    data = sys.stdin.buffer.read(MOST) if text == "-" else text.encode()
+    data = data.ljust(-(-len(data) // BLOCK) * BLOCK, b"\0")
+    block, blocks = _blocks(offset, len(data))
+
+    def use(client: NvmeClient, scope: Scope, deadline: int) -> None:
+        queue = client.io(scope, deadline)
+        _io(client, scope, deadline, io_sqe(Io.WRITE, nsid, block, blocks), data, queue)
+        _io(client, scope, deadline, Sqe(Io.FLUSH, 0, nsid), queue=queue)
+
+    _with(address, nqn, digests, use)
--- a/harriertrack/gateway/nvme_client.py
+++ b/harriertrack/gateway/nvme_client.py
@@ -94,6 +94,11 @@
         if self.on_lost is not None:
             self.on_lost()
 
+    @property
+    def full(self) -> bool:
+        """Whether as many commands are open as an I/O queue has room for: the host may send no more."""
+        return len(self._callbacks) >= ENTRIES - 1
+
     def start(self, sqe: Sqe, data: bytes, then: Then) -> int:
         """Send a command under an id of the queue's own, which is returned; `then` gets its end, or None."""
         while True:
--- a/harriertrack/lab/load.py
+++ b/harriertrack/lab/load.py
@@ -14,6 +14,8 @@
 from harriertrack.decisions.splitting import class_of
 from harriertrack.gateway.client import NbdClient, NbdClientError
 from harriertrack.gateway.front import REFUSED
+from harriertrack.gateway.nvme_client import NvmeError
+from harriertrack.lab.fronts import NvmeVolume
 from harriertrack.lab.model import SECTOR, VolumeModel, payload
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.wire import Command, Errno, ProtocolViolation
@@ -33,6 +35,7 @@
 }
 
 
+Client = NbdClient | NvmeVolume
 # What is to be done with an outcome and its reply; returns whether the reply's data is right.
 Answered = Callable[[str, Reply | None], bool]
 
@@ -48,11 +51,13 @@
 class Connection:
     """One volume's connection to one head, opened again whenever it breaks."""
 
-    def __init__(self, hub: Hub, network: Network, recorder: rec.Recorder, volume: str, head: str) -> None:
+    def __init__(self, hub: Hub, network: Network, recorder: rec.Recorder, volume: str, head: str,
+                 make: Callable[[str], Client] | None = None) -> None:  # fmt: skip
         self._hub, self._network, self._recorder = hub, network, recorder
+        self._make = make or (lambda name: NbdClient(hub, network, name))
         self.volume, self.head = volume, head
         self.address: tuple[str, int] | None = None  # of the head; None while it is down
-        self._client: NbdClient | None = None
+        self._client: Client | None = None
         self._lives = 0
         self._requests = 0
         self.open = 0
@@ -72,12 +77,12 @@
         while True:
             if self._client is None and self.address is not None:
                 self._lives += 1
-                client = NbdClient(self._hub, self._network, self.name)
+                client = self._make(self.name)
                 try:
                     deadline = self._hub.now() + OPEN_US
                     client.open(self.address, deadline)
                     client.go(scope, self.volume, deadline)
-                except (OSError, DeadlineExceeded, NbdClientError, ProtocolViolation):
+                except (OSError, DeadlineExceeded, NbdClientError, NvmeError, ProtocolViolation):
                     client.abort()
                 else:
                     client.on_lost = self._lost
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -30,6 +30,7 @@
 from harriertrack.decisions.requests import Attempt
 from harriertrack.gateway.head import Head, Wiring, quiet
 from harriertrack.lab.day import DaySettings, TroubleKind
+from harriertrack.lab.fronts import NVME, Front, NvmeVolume
 from harriertrack.lab.load import Connection, Flow, Habits
 from harriertrack.lab.model import SECTOR, VolumeModel
 from harriertrack.membership.nodes import Member
@@ -142,7 +143,8 @@
     """Everything of one run."""
 
     def __init__(self, hub: Hub, network: Network, day: DaySettings, seed: int, recorder: rec.Recorder,
-                 state_dir: str | None = None) -> None:  # fmt: skip
+                 state_dir: str | None = None, front: Front = Front.NBD) -> None:  # fmt: skip
+        self.front = front
         self.hub, self.network, self.day, self.recorder = hub, network, day, recorder
         self.random = random.Random(seed)
         self.listing = self.new_listing()
@@ -209,7 +211,9 @@
 
     def new_connection(self, volume: str, slot: HeadSlot) -> Connection:
         """Make a client's connection to a head."""
-        return Connection(self.hub, self.network, self.recorder, volume, slot.name)
+        make = partial(NvmeVolume, self.hub, self.network, settings=slot.settings)
+        return Connection(self.hub, self.network, self.recorder, volume, slot.name,
+                          make if self.front is Front.NVME else None)  # fmt: skip
 
     def wiring(self, slot: HeadSlot) -> Wiring:
         """Return what a head is made of."""
@@ -341,6 +345,7 @@
             seed=self.random.getrandbits(32) + 1, extent_bytes=day.extent_bytes, unit_bytes=day.unit_bytes,
             mean_units=2.5, most_units=float(day.extent_bytes // day.unit_bytes), meter_us=METER_US,
             node_list=NodeListSettings(consul=consul), region=region,
+            nvme=NVME if self.front is Front.NVME else None,
             rules=day.rules, classes=self.classes, plans=self.plans, volumes=tuple(volumes),
         )  # fmt: skip
         check_head(settings, f"day {day.name}")
@@ -365,10 +370,13 @@
         slot.head.trace = partial(self._stamp, slot.head.head_id)
         slot.task = self.scope.spawn(slot.name, slot.head.run)
         slot.head.ready.wait()
-        address, number = slot.head.address, slot.head.head_id
+        number = slot.head.head_id
         self.recorder.add(rec.Head(t=self.hub.now(), head=slot.name, number=number, up=True))
         for connection in slot.connections:
-            connection.address = address
+            connection.address = self._entrance(slot.head)
+
+    def _entrance(self, head: Head) -> tuple[str, int]:
+        return head.nvme_address if self.front is Front.NVME else head.address
 
     def _stamp(self, head: int, attempt: Attempt) -> None:
         """Record the sender's time of a send."""
@@ -400,7 +408,7 @@
                 if any(volume.name == one.name for one in slot.settings.volumes):
                     connection = self.new_connection(volume.name, slot)
                     assert slot.head is not None
-                    connection.address = slot.head.address
+                    connection.address = self._entrance(slot.head)
                     slot.connections.append(connection)
                     connections.append(connection)
                     self.scope.spawn(f"connection {connection.name}", connection.keep, self.scope)
@@ -413,7 +421,7 @@
 
 
 def play(day: DaySettings, seed: int, virtual: bool, path: str | None = None,
-         state_dir: str | None = None) -> rec.Recorder:  # fmt: skip
+         state_dir: str | None = None, front: Front = Front.NBD) -> rec.Recorder:  # fmt: skip
     """Play a day from a seed; return its recording, which is also written to a file if asked."""
     hub = Hub.virtual(seed) if virtual else Hub(seed=seed)
     network: Network = MemoryNetwork(hub) if virtual else SocketNetwork(hub)
@@ -422,7 +430,7 @@
 
     kind = RegionRig if day.two_regions is not None else Rig
     try:
-        rig = kind(hub, network, day, seed, recorder, state_dir)
+        rig = kind(hub, network, day, seed, recorder, state_dir, front)
         hub.run(rig.run)
     finally:
         recorder.close()
--- a/harriertrack/protocol/nvme/controller.py
+++ b/harriertrack/protocol/nvme/controller.py
@@ -451,3 +451,8 @@
         if blocks and deallocate:  # what else may be said of ranges is advice, which is not taken
             ranges.append((start * admin.BLOCK, blocks * admin.BLOCK))
     return Asked(admin.Io.DATASET, sqe.nsid, ranges=tuple(ranges))
+
+
+def pack_range(block: int, blocks: int) -> bytes:
+    """Write one range of Dataset Management."""
+    return _RANGE.pack(0, blocks, block)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -11,6 +11,7 @@
 
 from harriertrack.cli.main import main
 from harriertrack.lab import day as days, regions, rig
+from harriertrack.lab.fronts import Front
 from harriertrack.lab.troubles import TROUBLES
 from harriertrack.rules import checker, recording as rec
 from harriertrack.runtime.hub import Hub
@@ -32,6 +33,14 @@
     assert counts["requests"] > 900 and counts["served"] > 0.3 * counts["requests"]
 
 
+@pytest.mark.parametrize("name", days.names())
+def test_a_day_keeps_all_rules_through_nvme(name):
+    records = rig.play(days.load(name), 1, virtual=True, front=Front.NVME).records
+    assert [str(breach) for breach in checker.check(records)] == []
+    counts = checker.summary(records)
+    assert counts["requests"] > 900 and counts["served"] > 0.3 * counts["requests"]
+
+
 @pytest.mark.parametrize("name", ["answer_lost", "hang", "saturday", "two-regions-dark"])
 def test_a_day_keeps_all_rules_over_loopback(name):
     records = rig.play(days.load(name), 1, virtual=False).records
