--- a/benchmarks/cell_share.py
+++ b/benchmarks/cell_share.py
@@ -17,12 +17,12 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.rig import Process, free_port
+from benchmarks.rig import Process, free_port, start_nodes
 from harriertrack.cli.main import main as cli
 from harriertrack.decisions.shares import Shares
 from harriertrack.lab.scores import histogram, unpacked
 
-NODES, FLOODS = 4, 4
+FLOODS = 4
 CALM_RATE, FLOOD_RATE = 100, 4000
 VOLUMES = '(volume "calm" (size 8MiB) (plan "p")) (volume "flood" (size 8MiB) (plan "p"))'
 MAP = """(cell-map (version 1) (rack "r0" (cell "a") (shards 0 1)) (rack "r1" (cell "b") (shards 2 3))
@@ -39,21 +39,6 @@
     cli(["head", path])
 
 
-def start_nodes(folder: str) -> list[Process]:
-    """Start the nodes and write their list."""
-    servers, listed = [], []
-    for number in range(NODES):
-        port, path = free_port(), f"{folder}/shelf{number}.sexp"
-        Path(path).write_text(
-            f'(shelf (name "n{number}") (listen "127.0.0.1" {port}) (shard {number}) (cores 64) (unit 0)'
-            f" (request 1ms) (queue 100000) {VOLUMES})"
-        )
-        servers.append(Process(port, "-m", "harriertrack", "shelf", path))
-        listed.append(f'(node "n{number}" (address "127.0.0.1" {port}) (shard {number}))')
-    Path(f"{folder}/nodes.sexp").write_text(f"(node-list {' '.join(listed)})")
-    return servers
-
-
 def start_head(folder: str, name: str, divided: bool) -> Process:
     """Start a head."""
     port, path = free_port(), f"{folder}/{name}.sexp"
@@ -94,7 +79,7 @@
     print("| case | calm: served | p50 ms | p99 ms | flood: served/s | refused/s | CPU | RSS MiB |")
     print("| --- " * 8 + "|")
     with tempfile.TemporaryDirectory() as folder:
-        nodes = start_nodes(folder)
+        nodes = start_nodes(folder, VOLUMES, "1ms")
         try:
             for at, (case, flooded, divided) in enumerate(CASES):
                 head = start_head(folder, f"head{at}", divided)
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -53,14 +53,14 @@
         self._process.wait()
 
 
-def start_nodes(folder: str) -> list[Process]:
-    """Start the nodes and write their list to a file of the folder."""
+def start_nodes(folder: str, volumes: str = VOLUME, request: str = "0") -> list[Process]:
+    """Start the nodes and write their list to a file of the folder; `request` is what each one costs."""
     servers, listed = [], []
     for number in range(NODES):
         port, path = free_port(), f"{folder}/shelf{number}.sexp"
         Path(path).write_text(
             f'(shelf (name "n{number}") (listen "127.0.0.1" {port}) (shard {number}) (cores 64) (unit 0)'
-            f" (request 0) (queue 100000) {VOLUME})"
+            f" (request {request}) (queue 100000) {volumes})"
         )
         servers.append(Process(port, "-m", "harriertrack", "shelf", path))
         listed.append(f'(node "n{number}" (address "127.0.0.1" {port}) (shard {number}))')
@@ -68,8 +68,8 @@
     return servers
 
 
-def head_settings(folder: str, name: str, port: int) -> str:
-    """Write settings of a head over the nodes; return their path."""
+def head_settings(folder: str, name: str, port: int, more: str = "") -> str:
+    """Write settings of a head over the nodes, with more forms; return their path."""
     path = f"{folder}/{name}.sexp"
     Path(path).write_text(
         f'(head (listen "127.0.0.1" {port}) (state-dir "{folder}/{name}")'
@@ -77,6 +77,6 @@
         ' (class "r" (kinds read flush) (aim 300ms) (deadline 1.5s) (worth 3) (effect safe))'
         ' (class "w" (kinds write trim write-zeroes) (aim 500ms) (deadline 2.5s) (effect keyed)'
         " (window 2.5s))"
-        f' (plan "p" (rate 100000) (reserve 50000)) {VOLUME})'
+        f' (plan "p" (rate 100000) (reserve 50000)) {VOLUME} {more})'
     )
     return path
