--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -280,7 +280,7 @@
         ask = b"\x25\x60\x95\x13" + bytes(4) + bytes(16) + (60_000).to_bytes(4)
         stream.write(asked + ask * 400)
         site.hub.sleep(20_000_000)
-        (session,) = [task for task in site.head.reception._scope._tasks if "client" in task.name and not task.done][1:]
+        (session,) = [task for task in site.head.reception.scope._tasks if "client" in task.name and not task.done][1:]
         assert not session.done and site.head.core.counts.taken < 300
         assert writer.call(Command.READ, 0, 1).data == b"x"
 
