Three maps in quick succession no longer end a head

Cause: a volume's move waited for the one by the map before, which itself still waited and looked idle; the third held an extent that the first still held, and the error took the head along. A move waits for all before it now. Seen: two and five maps while one extent is under way failed before, and hold now.

--- a/harriertrack/decisions/moving.py
+++ b/harriertrack/decisions/moving.py
@@ -57,6 +57,7 @@
     why: str = ""  # it stopped
     moved: int = 0
     busy: int = -1  # the extent that is being moved
+    after: Move | None = None  # the volume's move by the map before, until nothing of it is under way
     trims: bool = False  # a trim of what was left behind is under way
     quiet_at: int = 0  # when none of them can land any more
     _next_at: int = 0
@@ -97,7 +98,14 @@
 
     def may_follow(self, now: int) -> bool:
         """Whether nothing of this move is under way, so that another move of the volume may begin."""
-        return self.busy < 0 and not self.trims and now >= self.quiet_at
+        if self.after is not None and self.after.may_follow(now):
+            self.after = None
+        return self.after is None and self.busy < 0 and not self.trims and now >= self.quiet_at
+
+    @property
+    def under_way(self) -> int:
+        """Return the extent that this move or one before it is at; -1 for none."""
+        return self.busy if self.busy >= 0 or self.after is None else self.after.under_way
 
     def forgets(self, left: Iterable[tuple[int, int]], placed: Mapping[int, int]) -> Forgetting:
         """Return how what was left behind, as (extent, shard), is trimmed now that the move is done."""
--- a/harriertrack/gateway/mover.py
+++ b/harriertrack/gateway/mover.py
@@ -40,15 +40,15 @@
                 continue
             left = misplaced(home, self._core.places.placed(name), cells.shards)
             before = self.moves.get(name)
-            if before is not None and before.busy >= 0:  # that one lands where its write was sent
-                left = sorted({*left, before.busy})
-            move = self.moves[name] = Move(name, left, self._settle_us, self._hub.now())
+            if before is not None and before.under_way >= 0:  # that one lands where its write was sent
+                left = sorted({*left, before.under_way})
+            move = self.moves[name] = Move(name, left, self._settle_us, self._hub.now(), after=before)
             if left:
                 self._note("move begins", volume=name, cell=home, extents=len(left))
-            self._scope.spawn(f"move {name}", self._run, move, before, cells)
+            self._scope.spawn(f"move {name}", self._run, move, cells)
 
-    def _run(self, move: Move, before: Move | None, cells: HeadMap) -> None:
-        while before is not None and not before.may_follow(self._hub.now()):
+    def _run(self, move: Move, cells: HeadMap) -> None:
+        while not move.may_follow(self._hub.now()):
             self._hub.sleep(10_000)
         while (when := move.wake_at()) is not None and self._version == cells.version:
             self._hub.sleep_until(when)
--- a/tests/test_moving.py
+++ b/tests/test_moving.py
@@ -391,14 +391,17 @@
     assert cells == {rig.cells.volumes[MOVED]} and slot.head.mover.moves[MOVED].state is MoveState.DONE
 
 
-def test_of_two_moves_at_once_the_newer_map_counts():
+@pytest.mark.parametrize("times", [1, 2, 5])
+def test_of_several_moves_at_once_the_newest_map_counts(times):
     def act(rig):
         rig.hub.sleep(3_900_000)
-        old = rig.cells
-        back = next(cell for cell in old.cells() if cell != old.volumes[MOVED])
-        rig.cells = HeadMap(old.version + 1, old.shards, {**old.volumes, MOVED: back})
-        for slot in rig.heads:
-            tell_map(rig, slot)
+        for _ in range(times):  # all while one extent is under way
+            old = rig.cells
+            back = next(cell for cell in old.cells() if cell != old.volumes[MOVED])
+            rig.cells = HeadMap(old.version + 1, old.shards, {**old.volumes, MOVED: back})
+            for slot in rig.heads:
+                tell_map(rig, slot)
+            rig.hub.sleep(3_000)
 
     rig = strike(LONG, act)
     slot, cells = where(rig)
