One way to wait for an answer; namespaces numbered and statuses named in one place each

Three callers waited for a callback each in its own words: answer_of. Status codes stood as numbers in four modules; the types' enum was never used. A volume's epoch for new requests, the divided processor of a cell, and the command line's must-succeed commands are each asked in one way; a map's file is read once. No behaviour changed, but for the words of one error of harriertrack nvme.

--- a/benchmarks/cell_blast.py
+++ b/benchmarks/cell_blast.py
@@ -49,10 +49,15 @@
     rig.wiring = other  # type: ignore[method-assign]
 
 
+def day_of(cells: int, what: str) -> days.DaySettings:
+    """Return a day with a trouble."""
+    day = days.parse(read_text(DAY.replace("TROUBLE", TROUBLES[what]), "blast"), "blast")
+    return msgspec.structs.replace(day, cells=cells)
+
+
 def play(cells: int, what: str, seed: int) -> tuple[dict[str, float], dict[str, int], int]:
     """Play a day; return each volume's share, what each asked, and the breaches of rules."""
-    day = days.parse(read_text(DAY.replace("TROUBLE", TROUBLES[what]), "blast"), "blast")
-    day = msgspec.structs.replace(day, cells=cells)
+    day = day_of(cells, what)
     recorder = rec.Recorder()
     emulate(day, seed, recorder, watch=other_luck if what == "calm again" else None)
     scores = scores_of(recorder.records, day, "", seed)
@@ -70,6 +75,7 @@
     for cells, what in product(CELLS, TROUBLES):
         if what == "calm":
             continue
+        cell_of = cells_of(day_of(cells, what)).volumes
         touched, struck, others, broken = [], [], [], 0
         for seed in range(1, seeds + 1):
             calm, before, _ = done[cells, "calm", seed]
@@ -78,8 +84,6 @@
             flooding = max(grew, key=lambda name: grew[name]) if "floods" in what else ""
             lost = {name: calm[name] - shares[name] for name in calm if name != flooding}
             touched.append(sum(one >= TOUCHED for one in lost.values()) / len(lost))
-            day = days.parse(read_text(DAY.replace("TROUBLE", ""), "blast"), "blast")
-            cell_of = cells_of(msgspec.structs.replace(day, cells=cells)).volumes
             by_cell: dict[str, list[float]] = {}
             for name, one in lost.items():
                 by_cell.setdefault(cell_of[name], []).append(one)
--- a/harriertrack/cli/cells.py
+++ b/harriertrack/cli/cells.py
@@ -37,9 +37,9 @@
         fail(str(error))
 
 
-def _map(path: str) -> CellMap:
+def _map(path: str) -> maps.MapSettings:
     try:
-        return maps.load_map(path)
+        return maps.read_map(path)
     except SettingsError as error:
         fail(str(error))
 
@@ -54,7 +54,7 @@
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
 def cells_plan(fleet: str, now: str | None, out: str | None, seconds: float, seed: int) -> None:
     """Find the map for FLEET that keeps to its rules and moves least. Exit code 1 if there is none."""
-    given, before = _fleet(fleet), _map(now) if now else CellMap(0)
+    given, before = _fleet(fleet), maps.as_planned(_map(now)) if now else CellMap(0)
     planned = planner.plan(given, before, seconds, seed)
     if planned.cells is None:
         click.echo(f"harriertrack: no plan: {planned.outcome.value}", err=True)
@@ -107,8 +107,9 @@
 @click.option("--yes", is_flag=True, help="Do it; without this, only say what would move.")
 def cells_apply(fleet: str, next_map: str, in_force: str, yes: bool) -> None:
     """Put NEXT_MAP in the place of IN_FORCE, the file that heads follow. Exit code 1 if it may not be."""
-    given, after = _fleet(fleet), _map(next_map)
-    before = _map(in_force) if Path(in_force).exists() else CellMap(0)
+    given, after = _fleet(fleet), maps.as_planned(_map(next_map))
+    standing = _map(in_force) if Path(in_force).exists() else maps.MapSettings(version=0)
+    before = maps.as_planned(standing)
     broken = problems(given, after)
     if after.version <= before.version:
         broken.insert(0, f"version {after.version} is not newer than {before.version}, which is in force")
@@ -121,8 +122,7 @@
         click.echo("nothing was written; --yes puts the map in force")
         return
     try:
-        changes = maps.read_map(in_force).changes if Path(in_force).exists() else ()
-        changes += (maps.change_now(after.version),)
+        changes = (*standing.changes, maps.change_now(after.version))
         maps.save(in_force, after, {rack.name: rack.shards for rack in given.racks}, changes)
     except OSError as error:
         fail(f"{in_force}: {error.strerror}")
@@ -133,9 +133,10 @@
 @click.argument("cell_map", type=click.Path())
 def cells_show(fleet: str, cell_map: str) -> None:
     """Show CELL_MAP for FLEET: each cell's racks, tenants and load. Exit code 1 if it breaks a rule."""
-    given, known = _fleet(fleet), _map(cell_map)
+    given, standing = _fleet(fleet), _map(cell_map)
+    known = maps.as_planned(standing)
     click.echo(f"version {known.version}")
-    for one in maps.read_map(cell_map).changes:
+    for one in standing.changes:
         click.echo(f"  {one.version} put in force by {one.by} on {one.on} at {one.at}")
     for cell in given.rules.names():
         racks = [rack for rack in given.racks if known.racks.get(rack.name) == cell]
--- a/harriertrack/cli/nvme.py
+++ b/harriertrack/cli/nvme.py
@@ -9,10 +9,10 @@
 import click
 
 from harriertrack.cli.common import fail
-from harriertrack.gateway.nvme_client import NvmeClient, NvmeError, NvmeQueue, io_sqe
+from harriertrack.gateway.nvme_client import NvmeClient, NvmeError, io_sqe
 from harriertrack.protocol.nvme.admin import BLOCK, DISCOVERY_NQN, Io
 from harriertrack.protocol.nvme.transport import NO_DIGESTS
-from harriertrack.protocol.nvme.wire import Dgst, Sqe, Status
+from harriertrack.protocol.nvme.wire import Dgst, Sqe
 from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope
 from harriertrack.runtime.streams import SocketNetwork
 
@@ -84,14 +84,6 @@
     _with(address, nqn, digests, use)
 
 
-def _io(client: NvmeClient, scope: Scope, deadline: int, sqe: Sqe, data: bytes = b"",
-        queue: NvmeQueue | None = None) -> bytes:  # fmt: skip
-    done = (queue or client.io(scope, deadline)).call(sqe, data, deadline)
-    if done.cqe.status != Status.SUCCESS:
-        raise NvmeError(f"status {done.cqe.status:#x}" + ("" if done.cqe.dnr else "; may be tried again"))
-    return done.data
-
-
 def _blocks(offset: int, length: int) -> tuple[int, int]:
     if offset % BLOCK or length % BLOCK or not length:
         fail(f"offset and length have to be multiples of {BLOCK} bytes")
@@ -111,7 +103,7 @@
 
     def use(client: NvmeClient, scope: Scope, deadline: int) -> None:
         sqe = io_sqe(Io.READ, nsid, block, blocks, expects=length)
-        sys.stdout.buffer.write(_io(client, scope, deadline, sqe))
+        sys.stdout.buffer.write(client.io(scope, deadline).must(sqe, deadline=deadline).data)
         sys.stdout.buffer.flush()
 
     _with(address, nqn, digests, use)
@@ -132,7 +124,7 @@
 
     def use(client: NvmeClient, scope: Scope, deadline: int) -> None:
         queue = client.io(scope, deadline)
-        _io(client, scope, deadline, io_sqe(Io.WRITE, nsid, block, blocks), data, queue)
-        _io(client, scope, deadline, Sqe(Io.FLUSH, 0, nsid), queue=queue)
+        queue.must(io_sqe(Io.WRITE, nsid, block, blocks), data, deadline)
+        queue.must(Sqe(Io.FLUSH, 0, nsid), deadline=deadline)
 
     _with(address, nqn, digests, use)
--- a/harriertrack/config/cells.py
+++ b/harriertrack/config/cells.py
@@ -64,7 +64,11 @@
 
 def load_map(path: str) -> CellMap:
     """Return a map as the planner has it. Raises SettingsError."""
-    given = read_map(path)
+    return as_planned(read_map(path))
+
+
+def as_planned(given: MapSettings) -> CellMap:
+    """Return a map as the planner has it."""
     racks = {one.name: one.cell for one in given.racks}
     return CellMap(given.version, racks, {one.name: one.cell for one in given.tenants})
 
--- a/harriertrack/decisions/shares.py
+++ b/harriertrack/decisions/shares.py
@@ -127,7 +127,7 @@
             why = "its cell has too much open here"
         elif not self._fits("held_bytes", self.limits.held_bytes, volume, size):
             why = "its cell has too many bytes open here"
-        elif self._short(volume, now):
+        elif (left := self._rationed(volume)) is not None and left.wait(now, 1.0) > 0:
             why = "the head is busy with its cell"
         self._spend(volume, now, TURNED_AWAY if why else 1.0)
         if why:
@@ -143,26 +143,23 @@
 
     # -- processor
 
-    def _short(self, volume: str, now: int) -> bool:
+    def _rationed(self, volume: str) -> Bucket | None:
+        """Return what is left of a volume's cell's part of the processor, while that is divided."""
         if not self.tight or len(self._cells) < 2 or volume not in self._of:
-            return False
-        return self._cells[self._of[volume]].allowed.wait(now, 1.0) > 0
+            return None
+        return self._cells[self._of[volume]].allowed
 
     def _spend(self, volume: str, now: int, cost: float) -> None:
         if volume in self._of:
-            cell = self._cells[self._of[volume]]
-            cell.spent += cost
-            if self.tight:
-                cell.allowed.now(now)
-                cell.allowed.level -= cost
+            self._cells[self._of[volume]].spent += cost
+        if (left := self._rationed(volume)) is not None:
+            left.now(now)
+            left.level -= cost
 
     def rest_us(self, volume: str, now: int) -> int:
         """Return how long a volume's connections are not to be read from; 0: not at all."""
-        if not self.tight or len(self._cells) < 2 or volume not in self._of:
-            return 0
-        allowed = self._cells[self._of[volume]].allowed
-        allowed.now(now)
-        return REST_US if allowed.level < -allowed.most else 0
+        left = self._rationed(volume)
+        return REST_US if left is not None and left.now(now) < -left.most else 0
 
     def ticked(self, now: int, busy: float) -> None:
         """Hear which part of the time since the last tick the loop was busy."""
--- a/harriertrack/gateway/client.py
+++ b/harriertrack/gateway/client.py
@@ -6,7 +6,7 @@
 
 from harriertrack.protocol.nbd.client import ClientConnection, ClientState, Greeted, OptionDone, Reply
 from harriertrack.protocol.nbd.wire import BASE_ALLOCATION, Command, ProtocolViolation, TransmissionFlags
-from harriertrack.runtime.hub import Hub, Scope, Waiters
+from harriertrack.runtime.hub import Hub, Scope, answer_of
 from harriertrack.runtime.streams import Network, Stream
 
 
@@ -141,19 +141,14 @@
         deadline: int | None = None,
     ) -> Reply:
         """Send a request and wait for its reply. Raises ConnectionError if the connection is lost."""
-        answer: list[Reply | None] = []
-        waiters = Waiters(self._hub)
 
-        def then(reply: Reply | None) -> None:
-            answer.append(reply)
-            waiters.notify()
+        def ask(then: Callable[[Reply | None], None]) -> None:
+            self.start(command, offset, length, data, then, flags)
 
-        self.start(command, offset, length, data, then, flags)
-        while not answer:
-            waiters.wait(deadline)
-        if answer[0] is None:
+        reply = answer_of(self._hub, ask, deadline)
+        if reply is None:
             raise ConnectionError("the connection was lost")
-        return answer[0]
+        return reply
 
     def close(self) -> None:
         """Say goodbye and close."""
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -105,7 +105,7 @@
                 self.reception = Reception(hub, settings, self.core, scope, self._note, self.regional, cells)
                 scope.spawn("front", NbdFront(self.reception).serve, listeners[0])
                 if settings.nvme is not None:
-                    nvme.start(hub, self.reception, listeners[1], settings.nvme)
+                    nvme.start(self.reception, listeners[1], settings.nvme)
                 if cells is not None:
                     scope.spawn("shares", self.reception.watch)
                 self.ready.set()
--- a/harriertrack/gateway/nvme.py
+++ b/harriertrack/gateway/nvme.py
@@ -9,16 +9,17 @@
 from __future__ import annotations
 
 import uuid
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from importlib.metadata import version
 
-from harriertrack.config.settings import Digest, HeadSettings, NvmeSettings
+from harriertrack.config.settings import Digest, NvmeSettings, VolumeSettings
 from harriertrack.decisions.regions import Route
 from harriertrack.decisions.requests import CHANGING, ClientRequest, Origin
 from harriertrack.decisions.splitting import Kind, Outcome
 from harriertrack.gateway.reception import Reception
 from harriertrack.gateway.regional import NOT_HOLDER
+from harriertrack.protocol.nbd.wire import CommandFlags
 from harriertrack.protocol.nvme.admin import (
     ALL_NAMESPACES,
     BLOCK,
@@ -42,11 +43,10 @@
 )
 from harriertrack.protocol.nvme.transport import Broken, ControllerConnection, Limits, Phase, Submitted
 from harriertrack.protocol.nvme.wire import Cqe, Dgst, Sqe, Status
-from harriertrack.runtime.hub import DeadlineExceeded, Hub
+from harriertrack.runtime.hub import DeadlineExceeded
 from harriertrack.runtime.streams import Listener, Stream
 
-COMPARE_FAILURE, INACCESSIBLE = 0x285, 0x302
-FUA = 1 << 0  # of a request's flags, as NBD has it
+FUA = int(CommandFlags.FUA)  # requests carry NBD's flags
 ANA_US = 100_000  # how often it is looked at who holds what
 DELAY_UNIT_US = 100_000
 DIGESTS = {Digest.HEADER: Dgst.HEADER, Digest.DATA: Dgst.DATA}
@@ -61,13 +61,14 @@
 }
 
 
-def namespaces_of(settings: HeadSettings, nqn: str) -> dict[int, Namespace]:
-    """Return the volumes as namespaces, numbered in order of their names: so alike at heads of the same."""
-    root = uuid.uuid5(uuid.NAMESPACE_URL, nqn)
-    return {
-        number: Namespace(number, one.size_bytes // BLOCK, uuid.uuid5(root, one.name).bytes, one.read_only)
-        for number, one in enumerate(sorted(settings.volumes, key=lambda one: one.name), 1)
-    }
+def guid_of(nqn: str, volume: str) -> bytes:
+    """Return a volume's NGUID: the same at every head of the subsystem."""
+    return uuid.uuid5(uuid.uuid5(uuid.NAMESPACE_URL, nqn), volume).bytes
+
+
+def numbered(volumes: Iterable[VolumeSettings]) -> dict[int, VolumeSettings]:
+    """Return the volumes by number of namespace, in order of their names: alike at heads of the same."""
+    return dict(enumerate(sorted(volumes, key=lambda one: one.name), 1))
 
 
 @dataclass(slots=True, eq=False)
@@ -248,7 +249,7 @@
                 self.push()
                 return
             if data != one.data:
-                self.complete(Cqe(cid, COMPARE_FAILURE, dnr=True))
+                self.complete(Cqe(cid, Status.COMPARE_FAILURE, dnr=True))
                 return
         self.complete(Cqe(cid))
 
@@ -263,7 +264,12 @@
             settings.nqn, uuid.uuid5(uuid.NAMESPACE_URL, settings.nqn).hex[:20], version("harriertrack"),
             ana=spread, entries=settings.entries, queues=settings.queues,
         )  # fmt: skip
-        namespaces = namespaces_of(reception.settings, settings.nqn)
+        volumes = numbered(reception.settings.volumes)
+        self._names = {nsid: one.name for nsid, one in volumes.items()}
+        namespaces = {
+            nsid: Namespace(nsid, one.size_bytes // BLOCK, guid_of(settings.nqn, one.name), one.read_only)
+            for nsid, one in volumes.items()
+        }
         self.subsystem = Subsystem(traits, namespaces, (Entry(settings.nqn, *listen),))
         granted = Dgst(0)
         for one in settings.digests:
@@ -271,7 +277,6 @@
         self.limits = Limits(
             in_capsule=traits.in_capsule, most_transfer=traits.most_transfer, digests=granted
         )
-        self._names = dict(enumerate(sorted(volume.name for volume in reception.settings.volumes), 1))
         self._queues: dict[tuple[int, int], Queue] = {}
 
     def serve(self, listener: Listener) -> None:
@@ -349,13 +354,13 @@
         if request.outcome is Outcome.FAILED:
             return Cqe(cid, Status.INTERNAL, dnr=request.kind in CHANGING)
         if request.why == NOT_HOLDER:
-            return Cqe(cid, INACCESSIBLE)
+            return Cqe(cid, Status.INACCESSIBLE)
         delays = self.subsystem.traits.retry_delays
         fitting = (at for at, delay in enumerate(delays, 1) if delay * DELAY_UNIT_US >= request.hint_us)
         return Cqe(cid, Status.INTERRUPTED, crd=next(fitting, len(delays)))
 
 
-def start(hub: Hub, reception: Reception, listener: Listener, settings: NvmeSettings) -> NvmeFront:
+def start(reception: Reception, listener: Listener, settings: NvmeSettings) -> NvmeFront:
     """Make a front and start its tasks in the reception's scope."""
     front = NvmeFront(reception, settings, listener.address)
     reception.scope.spawn("nvme front", front.serve, listener)
--- a/harriertrack/gateway/nvme_client.py
+++ b/harriertrack/gateway/nvme_client.py
@@ -24,7 +24,7 @@
 )
 from harriertrack.protocol.nvme.transport import NO_DIGESTS, Broken, Completed, HostConnection, Initialized
 from harriertrack.protocol.nvme.wire import Cqe, Dgst, Sqe, Status
-from harriertrack.runtime.hub import Hub, Scope, Waiters
+from harriertrack.runtime.hub import Hub, Scope, answer_of
 from harriertrack.runtime.streams import Network, Stream
 
 ENTRIES = 128
@@ -116,25 +116,21 @@
 
     def call(self, sqe: Sqe, data: bytes = b"", deadline: int | None = None) -> Completed:
         """Send a command and wait for its end. Raises ConnectionError if the connection is lost."""
-        ended: list[Completed | None] = []
-        waiters = Waiters(self._hub)
 
-        def then(completed: Completed | None) -> None:
-            ended.append(completed)
-            waiters.notify()
+        def ask(then: Then) -> None:
+            self.start(sqe, data, then)
 
-        self.start(sqe, data, then)
-        while not ended:
-            waiters.wait(deadline)
-        if ended[0] is None:
+        completed = answer_of(self._hub, ask, deadline)
+        if completed is None:
             raise ConnectionError(self.broken or "the connection was lost")
-        return ended[0]
+        return completed
 
     def must(self, sqe: Sqe, data: bytes = b"", deadline: int | None = None) -> Completed:
         """Send a command that has to succeed. Raises NvmeError, ConnectionError."""
         done = self.call(sqe, data, deadline)
         if done.cqe.status != Status.SUCCESS:
-            raise NvmeError(f"command {sqe.opcode:#x} ended with status {done.cqe.status:#x}")
+            again = "" if done.cqe.dnr else "; may be tried again"
+            raise NvmeError(f"command {sqe.opcode:#x} ended with status {done.cqe.status:#x}{again}")
         return done
 
     def close(self) -> None:
@@ -256,4 +252,4 @@
 
 def refused(cqe: Cqe) -> bool:
     """Whether a command was not done, so that trying again is harmless."""
-    return cqe.status in (Status.INTERRUPTED, 0x302) and not cqe.dnr
+    return cqe.status in (Status.INTERRUPTED, Status.INACCESSIBLE) and not cqe.dnr
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -32,7 +32,7 @@
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.extension import RELAY_CONTEXT, context_of
 from harriertrack.protocol.nbd.wire import Command, CommandFlags, Errno
-from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Timer, Waiters
+from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Timer, Waiters, answer_of
 from harriertrack.runtime.streams import Network
 from harriertrack.storage.missed import WHOLE, MissedLog
 
@@ -163,7 +163,8 @@
         if request.origin is Origin.COPY:
             self._take_copy(volume, request)
             return
-        epoch, route = self.holding.epoch(volume.name, now), self.route(volume.name, now)
+        epoch = self._epoch(volume, now)
+        route = volume.view.route(epoch, now)
         if route is Route.HERE:
             self._begin(Work(self, volume, request, epoch))
         elif route is Route.OTHER and request.origin is Origin.CLIENT:
@@ -178,7 +179,11 @@
     def route(self, volume: str, now: int) -> Route:
         """Return where a client's request on a volume would go."""
         one = self.volumes[volume]
-        return one.view.route(0 if one.handing else self.holding.epoch(volume, now), now)
+        return one.view.route(self._epoch(one, now), now)
+
+    def _epoch(self, volume: RegionalVolume, now: int) -> int:
+        """Return what new requests are done under; 0 if not here, or not any more."""
+        return 0 if volume.handing else self.holding.epoch(volume.name, now)
 
     def client_gone(self, request: ClientRequest) -> None:
         """The client left. Where it may have changed the volume, both regions are made to agree again."""
@@ -479,7 +484,7 @@
             now = self._hub.now()
             if request.outcome is not None:
                 return
-            if epoch := (0 if volume.handing else self.holding.epoch(volume.name, now)):
+            if epoch := self._epoch(volume, now):
                 self._begin(Work(self, volume, request, epoch))
                 return
             offset, length = (0, 0) if request.kind is Kind.FLUSH else (request.offset, request.length)
@@ -689,18 +694,13 @@
     def _ask_peer(self, volume: RegionalVolume, command: Command, offset: int, length: int,
                   flags: int = 0) -> Reply | None:  # fmt: skip
         """Ask the holder and wait; None if it did not, or would not."""
-        answers: list[Reply | None] = []
-        waiters = Waiters(self._hub)
+        link, token = self._peer.relay(volume.name), self._peer.token
+        until = self._hub.now() + 4 * self.region.fresh_us
 
-        def then(reply: Reply | None) -> None:
-            answers.append(reply)
-            waiters.notify()
+        def ask(then: Callable[[Reply | None], None]) -> None:
+            link.call(command, offset, length, b"", flags, token, until, then)
 
-        until = self._hub.now() + 4 * self.region.fresh_us
-        self._peer.relay(volume.name).call(command, offset, length, b"", flags, self._peer.token, until, then)
-        while not answers:
-            waiters.wait()
-        reply = answers[0]
+        reply = answer_of(self._hub, ask)
         return None if reply is None or reply.error else reply
 
     def _ask_missed(self, volume: RegionalVolume) -> tuple[set[int], set[int]] | None:
--- a/harriertrack/lab/fronts.py
+++ b/harriertrack/lab/fronts.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from enum import StrEnum
 
-from harriertrack.config.settings import HeadSettings, NvmeSettings
+from harriertrack.config.settings import NvmeSettings
 from harriertrack.gateway.front import FAILED, REFUSED
-from harriertrack.gateway.nvme import DELAY_UNIT_US, FUA, INACCESSIBLE, namespaces_of
+from harriertrack.gateway.nvme import DELAY_UNIT_US, FUA, guid_of
 from harriertrack.gateway.nvme_client import NvmeClient, NvmeError, NvmeQueue, io_sqe
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.wire import Command, Errno
@@ -32,8 +32,8 @@
 class NvmeVolume:
     """One volume over one I/O queue of a controller of its own, with the manners of `NbdClient`."""
 
-    def __init__(self, hub: Hub, network: Network, name: str, settings: HeadSettings) -> None:
-        self._hub, self._network, self._name, self._settings = hub, network, name, settings
+    def __init__(self, hub: Hub, network: Network, name: str) -> None:
+        self._hub, self._network, self._name = hub, network, name
         self._client: NvmeClient | None = None
         self._queue: NvmeQueue | None = None
         self._nsid = 0
@@ -47,21 +47,20 @@
 
     def go(self, scope: Scope, volume: str, deadline: int | None = None) -> None:
         """Connect to a volume. Raises OSError, DeadlineExceeded, NvmeError."""
-        names = sorted(one.name for one in self._settings.volumes)
-        self._nsid = names.index(volume) + 1
         client = self._client = NvmeClient(
             self._hub, self._network, self._address, NO_DIGESTS, f"{self._name} {self._hub.now()}"
         )
         client.connect(scope, DAY_NQN, deadline=deadline)
-        found = client.namespaces(deadline)[self._nsid]
-        if found.guid != namespaces_of(self._settings, DAY_NQN)[self._nsid].guid:
-            raise NvmeError(f"namespace {self._nsid} is not {volume}")
+        guid = guid_of(DAY_NQN, volume)
+        self._nsid = next((nsid for nsid, one in client.namespaces(deadline).items() if one.guid == guid), 0)
+        if not self._nsid:
+            raise NvmeError(f"no namespace is {volume}")
         self._queue = client.io(scope, deadline)
         self._queue.on_lost = self._lost
 
     def _lost(self) -> None:
         assert self._queue is not None and self._client is not None
-        self.violation = "" if not self._queue.broken else self._queue.broken
+        self.violation = self._queue.broken
         self._client.admin.abort()
         if self.on_lost is not None:
             self.on_lost()
@@ -108,7 +107,7 @@
         return Reply(0, data=completed.data)
     if cqe.status == Status.ABORT_REQUESTED:
         return Reply(0, Errno.ESHUTDOWN, "shutting down")
-    if cqe.status in (Status.INTERRUPTED, INACCESSIBLE):
+    if cqe.status in (Status.INTERRUPTED, Status.INACCESSIBLE):
         hint = f"; retry-after-us={delays[cqe.crd - 1] * DELAY_UNIT_US}" if cqe.crd else ""
         return Reply(0, REFUSED, f"refused: not done{hint}")
     return Reply(0, FAILED, f"status {cqe.status:#x}")
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -211,7 +211,7 @@
 
     def new_connection(self, volume: str, slot: HeadSlot) -> Connection:
         """Make a client's connection to a head."""
-        make = partial(NvmeVolume, self.hub, self.network, settings=slot.settings)
+        make = partial(NvmeVolume, self.hub, self.network)
         return Connection(self.hub, self.network, self.recorder, volume, slot.name,
                           make if self.front is Front.NVME else None)  # fmt: skip
 
--- a/harriertrack/protocol/nvme/admin.py
+++ b/harriertrack/protocol/nvme/admin.py
@@ -251,7 +251,6 @@
     out = bytearray(IDENTIFY_BYTES)
     if one is not None:
         struct.pack_into("<QQQ", out, 0, one.blocks, one.blocks, one.blocks)
-        struct.pack_into("<B", out, 24, 0)
         struct.pack_into("<B", out, 30, 1)  # may be reached through more than one controller
         struct.pack_into(
             "<B", out, 33, 0b1001
--- a/harriertrack/protocol/nvme/controller.py
+++ b/harriertrack/protocol/nvme/controller.py
@@ -36,8 +36,6 @@
 )  # fmt: skip
 from harriertrack.protocol.nvme.wire import Cqe, Sqe, Status
 
-BAD_QUEUE, EVENT_LIMIT, BAD_LOG = 0x101, 0x105, 0x109  # command specific statuses
-BAD_CONNECT, CONTROLLER_BUSY = 0x182, 0x181
 IN_DATA = 1 << 16  # in a Connect's result: the wrong field lies in its data, not in its entry
 LEAST_ENTRIES = 2
 KEEP_ALIVE_GRACE_US = 500_000  # beyond the host's own figure, for the way
@@ -101,11 +99,11 @@
         form, queue = sqe.cdw[0] & 0xFFFF, sqe.cdw[0] >> 16
         size, attributes = sqe.cdw[1] & 0xFFFF, sqe.cdw[1] >> 16 & 0xFF
         if form or len(data) != admin.CONNECT_BYTES:
-            return Cqe(sqe.cid, 0x180, dnr=True)  # incompatible format
+            return Cqe(sqe.cid, Status.CONNECT_FORMAT, dnr=True)
         try:
             who = ConnectData.unpack(data)
         except (ValueError, UnicodeDecodeError):
-            return Cqe(sqe.cid, BAD_CONNECT, 256 | IN_DATA, dnr=True)
+            return Cqe(sqe.cid, Status.CONNECT_INVALID, 256 | IN_DATA, dnr=True)
         return cls(sqe.cid, queue, size + 1, bool(attributes & 0b100), sqe.cdw[2], who)
 
 
@@ -154,7 +152,7 @@
         """Whether an I/O queue may connect; the completion says what is wrong."""
 
         def wrong(at: int, in_data: bool = False) -> Cqe:
-            return Cqe(asked.cid, BAD_CONNECT, at | (IN_DATA if in_data else 0), dnr=True)
+            return Cqe(asked.cid, Status.CONNECT_INVALID, at | (IN_DATA if in_data else 0), dnr=True)
 
         if asked.who.host != self.host or asked.who.host_id != self.host_id:
             return wrong(512 if asked.who.host != self.host else 0, in_data=True)
@@ -265,7 +263,7 @@
             case Page.DISCOVERY if self.traits.discovery:
                 whole = admin.discovery_log(self.entries, self.generation)
         if whole is None:
-            return Done(Cqe(sqe.cid, BAD_LOG, dnr=True))
+            return Done(Cqe(sqe.cid, Status.BAD_LOG, dnr=True))
         if offset > len(whole):
             return Done(Cqe(sqe.cid, Status.INVALID_FIELD, dnr=True))
         if not keeps:
@@ -309,7 +307,7 @@
 
     def _event(self, sqe: Sqe) -> Answer:
         if len(self._events) >= self.traits.events:
-            return Done(Cqe(sqe.cid, EVENT_LIMIT, dnr=True))
+            return Done(Cqe(sqe.cid, Status.EVENT_LIMIT, dnr=True))
         if self._pending:
             return Done(Cqe(sqe.cid, dw0=self._pending.pop(0)))
         self._events.append(sqe.cid)
@@ -352,21 +350,21 @@
         """Connect a queue; return its controller, or the completion that says why not."""
         who, discovery = asked.who, asked.who.subsystem == admin.DISCOVERY_NQN
         if not discovery and who.subsystem != self.traits.nqn:
-            return Cqe(asked.cid, BAD_CONNECT, 256 | IN_DATA, dnr=True)
+            return Cqe(asked.cid, Status.CONNECT_INVALID, 256 | IN_DATA, dnr=True)
         if asked.queue:
             one = self.controllers.get(who.cntlid)
             if one is None or one.traits.discovery is not discovery:
-                return Cqe(asked.cid, BAD_CONNECT, 16 | IN_DATA, dnr=True)
+                return Cqe(asked.cid, Status.CONNECT_INVALID, 16 | IN_DATA, dnr=True)
             if discovery:  # it has no I/O queues
-                return Cqe(asked.cid, BAD_CONNECT, 42, dnr=True)
+                return Cqe(asked.cid, Status.CONNECT_INVALID, 42, dnr=True)
             return one.accepts(asked) or one
         if who.cntlid != DYNAMIC:
-            return Cqe(asked.cid, BAD_CONNECT, 16 | IN_DATA, dnr=True)
+            return Cqe(asked.cid, Status.CONNECT_INVALID, 16 | IN_DATA, dnr=True)
         if not LEAST_ENTRIES <= asked.entries <= max(self.traits.entries, 32):
-            return Cqe(asked.cid, BAD_CONNECT, 44, dnr=True)
+            return Cqe(asked.cid, Status.CONNECT_INVALID, 44, dnr=True)
         cntlid = self._free()
         if cntlid is None:
-            return Cqe(asked.cid, CONTROLLER_BUSY)
+            return Cqe(asked.cid, Status.CONNECT_BUSY)
         traits = self.traits if not discovery else Traits(
             admin.DISCOVERY_NQN, self.traits.serial, self.traits.firmware, discovery=True)  # fmt: skip
         made = self.controllers[cntlid] = Controller(
--- a/harriertrack/protocol/nvme/wire.py
+++ b/harriertrack/protocol/nvme/wire.py
@@ -92,17 +92,8 @@
         self.fes, self.fei, self.header = fes, fei, header
 
 
-class Sct(IntEnum):
-    """Status code types."""
-
-    GENERIC = 0
-    COMMAND = 1
-    MEDIA = 2
-    PATH = 3
-
-
 class Status(IntEnum):
-    """Status codes with their types: type << 8 | code."""
+    """Status codes, type << 8 | code; types: 0 generic, 1 of a command, 2 of media, 3 of the path."""
 
     SUCCESS = 0x000
     INVALID_OPCODE = 0x001
@@ -122,6 +113,13 @@
     INTERRUPTED = 0x021
     TRANSIENT_TRANSPORT = 0x022
     LBA_RANGE = 0x080
+    EVENT_LIMIT = 0x105
+    BAD_LOG = 0x109
+    CONNECT_FORMAT = 0x180
+    CONNECT_BUSY = 0x181
+    CONNECT_INVALID = 0x182
+    COMPARE_FAILURE = 0x285
+    INACCESSIBLE = 0x302  # asymmetric access: take another path
 
 
 def crc32c(data: bytes) -> int:
--- a/harriertrack/runtime/hub.py
+++ b/harriertrack/runtime/hub.py
@@ -17,7 +17,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from greenlet import getcurrent, greenlet
 
@@ -27,6 +27,8 @@
 PRUNE_AT = 512  # cancelled timers are swept out once they are at least this many and half of the heap
 
 
+Answer = TypeVar("Answer")
+
 class Cancelled(BaseException):
     """Thrown into a task that is cancelled; not an Exception, so that no handler swallows it by mistake."""
 
@@ -557,6 +559,25 @@
             self._hub.unpark(task)
 
 
+def answer_of(hub: Hub, ask: Callable[[Callable[[Answer], None]], None],
+              deadline: int | None = None) -> Answer:  # fmt: skip
+    """Call `ask` with a callback and wait until that is called; return what it was called with.
+
+    Raises DeadlineExceeded at the deadline (microseconds).
+    """
+    answers: list[Answer] = []
+    waiters = Waiters(hub)
+
+    def then(answer: Answer) -> None:
+        answers.append(answer)
+        waiters.notify()
+
+    ask(then)
+    while not answers:
+        waiters.wait(deadline)
+    return answers[0]
+
+
 class Event:
     """A flag that tasks can wait for."""
 
--- a/tests/test_nvme_front.py
+++ b/tests/test_nvme_front.py
@@ -36,6 +36,16 @@
     return queue.call(io_sqe(Io.READ, nsid, block, blocks, expects=blocks * 512))
 
 
+def open_write(site, one, for_us):
+    """Have a write open while all nodes stand still; return its queue, where its end will be, and its id."""
+    queue, ended = one.io(site.scope), []
+    for shelf in site.shelves:
+        shelf.pause(for_us)
+    cid = queue.start(io_sqe(Io.WRITE, DISK, 0, 1), b"a" * 512, ended.append)
+    site.hub.sleep(10_000)
+    return queue, ended, cid
+
+
 @both
 def test_discover_connect_and_look_around(real):
     def test(site):
@@ -133,11 +143,7 @@
 def test_abort_ends_a_command_once():
     def test(site):
         one = host(site)
-        queue, ended = one.io(site.scope), []
-        for shelf in site.shelves:
-            shelf.pause(500_000)
-        cid = queue.start(io_sqe(Io.WRITE, DISK, 0, 1), b"a" * 512, ended.append)
-        site.hub.sleep(10_000)
+        queue, ended, cid = open_write(site, one, 500_000)
 
         def abort(target, number=1):
             return one.admin.call(Sqe(Admin.ABORT, 0, 0, (number | target << 16, 0, 0, 0, 0, 0))).cqe.dw0
@@ -158,11 +164,7 @@
 def test_a_reset_ends_the_queues_and_tells_nothing_of_what_was_open():
     def test(site):
         one = host(site)
-        queue, ended = one.io(site.scope), []
-        for shelf in site.shelves:
-            shelf.pause(300_000)
-        queue.start(io_sqe(Io.WRITE, DISK, 0, 1), b"a" * 512, ended.append)
-        site.hub.sleep(10_000)
+        queue, ended, _ = open_write(site, one, 300_000)
         one.property_set(Property.CC, 0)
         site.hub.sleep(1_000_000)
         assert ended == [None] and not site.head.reception._counted
@@ -238,11 +240,7 @@
 def test_stopping_answers_what_is_open():
     def test(site):
         one = host(site)
-        queue, ended = one.io(site.scope), []
-        for shelf in site.shelves:
-            shelf.pause(300_000)
-        queue.start(io_sqe(Io.WRITE, DISK, 0, 1), b"a" * 512, ended.append)
-        site.hub.sleep(10_000)
+        queue, ended, _ = open_write(site, one, 300_000)
         site.head.stop()
         site.hub.sleep(10_000)
         assert write(queue, DISK, 0, bytes(512)) == Status.ABORT_REQUESTED
