NVMe hosts without Command Retry Delay wait as plain NBD clients do

Need: a host that does not honour CRDT/CRD turns a refusal into an I/O error after its retries.

Change: Host Behavior Support (feature 16h, ACRE) says who honours it; the others wait, at most nvme's patience, below the time after which hosts reset a mute controller.

--- a/harriertrack/cli/days.py
+++ b/harriertrack/cli/days.py
@@ -7,6 +7,7 @@
 from concurrent.futures import ProcessPoolExecutor, as_completed
 
 import click
+import msgspec
 
 from harriertrack.cli.common import BAD_INPUT, fail
 from harriertrack.config.sexp import SettingsError
@@ -50,8 +51,14 @@
         click.echo(f"{name:16} {days.load(name).about}")
 
 
-def _judge(name: str, seed: int, emulated: bool, front: Front) -> tuple[int, dict[str, int], list[str]]:
-    records = _records(days.load(name), seed, not emulated, emulated, front)
+def _load(name: str, plain: bool) -> days.DaySettings:
+    settings = days.load(name)
+    return msgspec.structs.replace(settings, plain=1.0) if plain else settings
+
+
+def _judge(name: str, plain: bool, seed: int, emulated: bool,
+           front: Front) -> tuple[int, dict[str, int], list[str]]:  # fmt: skip
+    records = _records(_load(name, plain), seed, not emulated, emulated, front)
     return seed, checker.summary(records), [str(breach) for breach in checker.check(records)]
 
 
@@ -63,12 +70,13 @@
 @click.option("--emulated", is_flag=True, help="In the emulator: simulated time, any number of machines.")
 @click.option("--front", type=click.Choice([one.value for one in Front]), default="nbd", show_default=True,
               help="Through which front clients come.")  # fmt: skip
+@click.option("--plain", is_flag=True, help="No client hears hints: all wait in their heads.")
 @click.option("--json", "path", type=click.Path(dir_okay=False), help="Write the recording, JSON lines.")
-def day_run(name: str, seed: int, seeds: int, virtual: bool, emulated: bool, front: str,
+def day_run(name: str, seed: int, seeds: int, virtual: bool, emulated: bool, front: str, plain: bool,
             path: str | None) -> None:  # fmt: skip
     """Play the day NAME (or a file's) and judge it. Exit code 1 if a rule is broken."""
     try:
-        settings = days.load(name)
+        settings = _load(name, plain)
     except SettingsError as error:
         fail(str(error))
     if virtual and emulated:
@@ -78,7 +86,7 @@
     if seeds > 1:
         if not (virtual or emulated) or path:
             fail("--seeds needs --virtual or --emulated and takes no --json")
-        sys.exit(_many(name, range(seed, seed + seeds), emulated, Front(front)))
+        sys.exit(_many(name, plain, range(seed, seed + seeds), emulated, Front(front)))
     try:
         sys.exit(verdict(_records(settings, seed, virtual, emulated, Front(front), path)))
     except (OSError, UsedUp) as error:
@@ -97,10 +105,11 @@
     return recorder.records
 
 
-def _many(name: str, seeds: range, emulated: bool, front: Front) -> int:
+def _many(name: str, plain: bool, seeds: range, emulated: bool, front: Front) -> int:
     broken = 0
     with ProcessPoolExecutor(max_workers=os.cpu_count()) as pool:
-        for job in as_completed([pool.submit(_judge, name, seed, emulated, front) for seed in seeds]):
+        jobs = [pool.submit(_judge, name, plain, seed, emulated, front) for seed in seeds]
+        for job in as_completed(jobs):
             seed, counts, breaches = job.result()
             broken += bool(breaches)
             click.echo(f"seed {seed}: {counts['requests']} requests, {len(breaches)} breaches")
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -15,7 +15,7 @@
 from harriertrack.decisions.requests import ClientRequest, Origin, Part
 from harriertrack.decisions.splitting import Kind, Outcome, cut, runs
 from harriertrack.gateway.links import COMMANDS
-from harriertrack.gateway.reception import CLOSING, Knock, Reception, TurnedAway
+from harriertrack.gateway.reception import CLOSING, Reception, TurnedAway
 from harriertrack.gateway.regional import digest_of
 from harriertrack.protocol.nbd.extension import (
     COPY_CONTEXT,
@@ -42,11 +42,10 @@
     TransmissionFlags,
 )  # fmt: skip
 from harriertrack.runtime.hub import DeadlineExceeded, Waiters
-from harriertrack.runtime.streams import Listener, Stream, StreamClosed
+from harriertrack.runtime.streams import Listener, Stream
 
 KINDS = {command: kind for kind, command in COMMANDS.items()}
 REFUSED, FAILED = Errno.ENOMEM, Errno.EIO
-GONE = TurnedAway("the client left")
 
 
 def error_of_turned_away(one: TurnedAway) -> tuple[Errno, str]:
@@ -129,8 +128,7 @@
         self.volume = ""
         self.origin, self._epoch = Origin.CLIENT, 0
         self.chosen = self.counted = False  # it has a volume; it counts among its cell's connections
-        self.hears_hints = False
-        self._knock: Knock | None = None
+        self.hears_hints, self.multipath, self.most_patience_us = False, False, 0
 
     def run(self) -> None:
         """Serve the connection until it ends (the session's task)."""
@@ -176,8 +174,6 @@
         except OSError as error:
             front.note("client broke", peer=self._stream.peer, why=str(error))
         finally:
-            if self._knock is not None:
-                front.leaves_door(self._knock, GONE)
             for request in self._open:
                 front.client_gone(request)
             self._push()
@@ -276,40 +272,14 @@
             origin=self.origin, epoch=self._epoch, tick=event.token, reader=self if pulled else None,
             came=self._stream.came_at,
         )  # fmt: skip
-        if turned_away := self._enter(request):
+        if not self.hears_hints:
+            self._stream.drain()  # what waits is taken only as fast as its client takes answers
+        if turned_away := front.enter(self, request, self._stream, len(self._open)):
             self._turn_away(event, *error_of_turned_away(turned_away))
             return
         self._open[request] = event.cookie
         front.take(request)
 
-    def _enter(self, request: ClientRequest) -> TurnedAway | None:
-        """Bring a request through the door; until there is room the connection is not read from."""
-        answers: list[TurnedAway | None] = []
-        if not self.hears_hints:
-            self._stream.drain()  # what waits is taken only as fast as its client takes answers
-
-        def then(away: TurnedAway | None) -> None:
-            answers.append(away)
-            self._fewer.notify()
-
-        knock = self._front.admits(self, request, len(self._open), then)
-        if knock is not None and not answers:
-            self._knock = knock
-            self._push()
-            # Nobody reads here, and yet a client that leaves takes its requests along.
-            self._stream.watch_end(lambda: self._front.leaves_door(knock, GONE))
-            try:
-                while not answers:
-                    self._fewer.wait()
-            except BaseException:
-                self._front.ended(request)  # it may have been let in just now
-                raise
-            self._knock = None
-            self._stream.watch_end(None)
-            if answers[0] is GONE:
-                raise StreamClosed("the client left")
-        return answers[0]
-
     def _turn_away(self, event: Request, error: Errno, why: str) -> None:
         self._nbd.reply_error(event.cookie, error, why)
         self._push()
--- a/harriertrack/gateway/nvme.py
+++ b/harriertrack/gateway/nvme.py
@@ -17,7 +17,7 @@
 from harriertrack.decisions.regions import Route
 from harriertrack.decisions.requests import CHANGING, ClientRequest, Origin
 from harriertrack.decisions.splitting import Kind, Outcome
-from harriertrack.gateway.reception import Reception
+from harriertrack.gateway.reception import CLOSING, Reception
 from harriertrack.gateway.regional import NOT_HOLDER
 from harriertrack.protocol.nbd.wire import CommandFlags
 from harriertrack.protocol.nvme.admin import (
@@ -103,9 +103,14 @@
         self.controller: Controller | None = None
         self.number = -1
         self.origin, self.volume, self.chosen, self.counted = Origin.CLIENT, "", False, False
-        self.hears_hints = True
+        self.multipath, self.most_patience_us = True, front.patience_us
         self._commands: dict[int, _Command] = {}
 
+    @property
+    def hears_hints(self) -> bool:
+        """Whether the host honours Command Retry Delay."""
+        return self.controller is not None and self.controller.delays_retries
+
     def run(self) -> None:
         """Serve the connection until it ends (its task)."""
         front = self._front
@@ -171,7 +176,7 @@
         if self.number:
             self._io(sqe, data)
             return
-        match self.controller.admin(sqe, now):
+        match self.controller.admin(sqe, now, data):
             case Done(cqe):
                 self.complete(cqe)
             case Told(told):
@@ -219,19 +224,19 @@
             self.complete(asked)
             return
         one = _Command(self, asked, sqe, data)
-        requests = front.requests_of(one)
+        requests = front.requests_of(one, self._stream.came_at)
         if not requests:  # nothing to deallocate
             self.complete(Cqe(sqe.cid))
             return
+        # A command is one entrant, however many requests it takes: its queue's depth bounds commands.
+        away = front.reception.enter(self, requests[0], self._stream, len(self._commands))
+        if away is not None:
+            status = Status.ABORT_REQUESTED if away.closing else Status.INTERRUPTED
+            self.complete(Cqe(sqe.cid, status, crd=0 if away.closing else 1))
+            return
         for request in requests:
-            away = front.reception.turns_away(self, request, len(self._commands))
-            if away is not None:
-                for before in one.open:
-                    front.reception.ended(before)
-                status = Status.ABORT_REQUESTED if away.closing else Status.INTERRUPTED
-                self.complete(Cqe(sqe.cid, status, crd=0 if away.closing else 1))
-                return
-            one.open.add(request)
+            request.patience_us = requests[0].patience_us
+        one.open.update(requests)
         self._commands[sqe.cid] = one
         for request in requests:
             front.reception.take(request)
@@ -279,6 +284,7 @@
             in_capsule=traits.in_capsule, most_transfer=traits.most_transfer, digests=granted
         )
         self._queues: dict[tuple[int, int], Queue] = {}
+        self.patience_us = settings.patience_us
 
     def serve(self, listener: Listener) -> None:
         """Accept hosts until the listener is closed (the front's task)."""
@@ -337,7 +343,7 @@
 
     # -- requests
 
-    def requests_of(self, one: _Command) -> list[ClientRequest]:
+    def requests_of(self, one: _Command, came: int) -> list[ClientRequest]:
         """Return the requests that a command takes."""
         asked, kind = one.asked, KINDS[one.asked.opcode]
         nsids = list(self._names) if asked.nsid == ALL_NAMESPACES else [asked.nsid]
@@ -345,7 +351,7 @@
         pieces = asked.ranges if asked.opcode is Io.DATASET else ((asked.offset, asked.length),)
         data = one.data if asked.opcode is Io.WRITE else b""
         return [
-            ClientRequest(volume, kind, offset, length, data, FUA if asked.fua else 0, one)
+            ClientRequest(volume, kind, offset, length, data, FUA if asked.fua else 0, one, came=came)
             for volume in volumes
             for offset, length in pieces
         ]
@@ -356,6 +362,8 @@
             return Cqe(cid, Status.INTERNAL, dnr=request.kind in CHANGING)
         if request.why == NOT_HOLDER:
             return Cqe(cid, Status.INACCESSIBLE)
+        if request.why == CLOSING.why:
+            return Cqe(cid, Status.ABORT_REQUESTED)
         delays = self.subsystem.traits.retry_delays
         fitting = (at for at, delay in enumerate(delays, 1) if delay * DELAY_UNIT_US >= request.hint_us)
         return Cqe(cid, Status.INTERRUPTED, crd=next(fitting, len(delays)))
--- a/harriertrack/gateway/nvme_client.py
+++ b/harriertrack/gateway/nvme_client.py
@@ -8,6 +8,7 @@
 from harriertrack.protocol.nvme.admin import (
     DISCOVERY_NQN,
     DYNAMIC,
+    HOST_BEHAVIOR_BYTES,
     IDENTIFY_BYTES,
     PAGE,
     Admin,
@@ -239,6 +240,11 @@
         sqe = Sqe(Admin.SET_FEATURES, 0, 0, (Feature.QUEUES, (count - 1) * 0x10001, 0, 0, 0, 0))
         return (self.admin.must(sqe, deadline=deadline).cqe.dw0 & 0xFFFF) + 1
 
+    def heed_delays(self, deadline: int | None = None) -> None:
+        """Say that this host honours Command Retry Delay (ACRE). Raises NvmeError."""
+        sqe = Sqe(Admin.SET_FEATURES, 0, 0, (Feature.HOST_BEHAVIOR, 0, 0, 0, 0, 0))
+        self.admin.must(sqe, b"\1".ljust(HOST_BEHAVIOR_BYTES, b"\0"), deadline)
+
     def close(self) -> None:
         """End the admin queue, and with it the controller."""
         self.admin.close()
--- a/harriertrack/gateway/reception.py
+++ b/harriertrack/gateway/reception.py
@@ -19,7 +19,7 @@
 from harriertrack.decisions.shares import ShareLimits, Shares
 from harriertrack.gateway.regional import Regional
 from harriertrack.gateway.visits import Visits
-from harriertrack.runtime.hub import Hub, Scope, Timer
+from harriertrack.runtime.hub import Hub, Scope, Timer, Waiters
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
 
 TICK_US = 100_000  # how often the shares hear how busy the loop is
@@ -28,7 +28,12 @@
 class Visitor(Protocol):
     """Who asks over one connection."""
 
-    hears_hints: bool  # it comes again by itself after a refusal, when that says so
+    @property
+    def hears_hints(self) -> bool:
+        """Whether it comes again by itself after a refusal, when that says so."""
+
+    multipath: bool  # it knows other ways to a volume of two regions
+    most_patience_us: int  # how long it may be kept waiting; 0: whatever its volume allows
 
     def __hash__(self) -> int:
         """Tell connections apart."""
@@ -55,6 +60,7 @@
 
 
 CLOSING = TurnedAway("shutting down", closing=True)
+GONE = TurnedAway("the client left")
 TOO_MUCH = TurnedAway("refused: not done; too much is open")
 
 
@@ -160,8 +166,10 @@
         Its connection is not read from until then. Returns what waits at the door, or None.
         """
         settings = request.volume.settings
-        if request.origin is Origin.CLIENT and waits(settings.waiting, guest.hears_hints):
-            request.patience_us = settings.patience_us
+        # Where there is another path (ANA) a host is told so at once, and goes there by itself.
+        elsewhere = guest.multipath and self.regional is not None and settings.name in self.regional.volumes
+        if request.origin is Origin.CLIENT and waits(settings.waiting, guest.hears_hints) and not elsewhere:
+            request.patience_us = min(settings.patience_us, guest.most_patience_us or settings.patience_us)
         now, full = self.hub.now(), self.core.full()
         if not request.patience_us or self.closing:
             then(self.turns_away(guest, request, open_requests))
@@ -177,6 +185,36 @@
         self._knocks[knock] = None
         return knock
 
+    def enter(self, guest: Guest, request: ClientRequest, stream: Stream,
+              open_requests: int) -> TurnedAway | None:  # fmt: skip
+        """Bring a request through the door; meanwhile its connection is not read from.
+
+        Returns None (it is to be taken now), or why it is not. Raises StreamClosed if its client leaves.
+        """
+        answers: list[TurnedAway | None] = []
+        told = Waiters(self.hub)
+
+        def then(away: TurnedAway | None) -> None:
+            answers.append(away)
+            told.notify()
+
+        knock = self.admits(guest, request, open_requests, then)
+        if knock is not None:
+            # Nobody reads here, and yet a client that leaves takes its requests along.
+            stream.watch_end(lambda: self.leaves_door(knock, GONE))
+            try:
+                while not answers:
+                    told.wait()
+            except BaseException:
+                self.leaves_door(knock, GONE)
+                self.ended(request)  # it may have been let in just now
+                raise
+            finally:
+                stream.watch_end(None)
+        if answers[0] is GONE:
+            raise StreamClosed("the client left")
+        return answers[0]
+
     def leaves_door(self, knock: Knock, why: TurnedAway) -> None:
         """A request that waits at the door is not taken any more."""
         if knock in self._knocks:
--- a/harriertrack/lab/fronts.py
+++ b/harriertrack/lab/fronts.py
@@ -32,7 +32,8 @@
 class NvmeVolume:
     """One volume over one I/O queue of a controller of its own, with the manners of `NbdClient`."""
 
-    def __init__(self, hub: Hub, network: Network, name: str) -> None:
+    def __init__(self, hub: Hub, network: Network, hears_hints: bool, name: str) -> None:
+        self._hears_hints = hears_hints
         self._hub, self._network, self._name = hub, network, name
         self._client: NvmeClient | None = None
         self._queue: NvmeQueue | None = None
@@ -51,6 +52,8 @@
             self._hub, self._network, self._address, NO_DIGESTS, f"{self._name} {self._hub.now()}"
         )
         client.connect(scope, DAY_NQN, deadline=deadline)
+        if self._hears_hints:
+            client.heed_delays(deadline)
         guid = guid_of(DAY_NQN, volume)
         self._nsid = next((nsid for nsid, one in client.namespaces(deadline).items() if one.guid == guid), 0)
         if not self._nsid:
--- a/harriertrack/lab/load.py
+++ b/harriertrack/lab/load.py
@@ -56,6 +56,7 @@
                  make: Callable[[str], Client] | None = None, hears_hints: bool = True,
                  patience_us: int = 0) -> None:  # fmt: skip
         self.hears_hints, self._patience_us = hears_hints, patience_us
+        self.multipath, self.most_patience_us = False, 0
         contexts = (BASE_ALLOCATION, HINTS_CONTEXT) if hears_hints else (BASE_ALLOCATION,)
         self._hub, self._network, self._recorder = hub, network, recorder
         self._make = make or (lambda name: NbdClient(hub, network, name, contexts))
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -213,7 +213,7 @@
 
     def new_connection(self, volume: str, slot: HeadSlot) -> Connection:
         """Make a client's connection to a head."""
-        make = partial(NvmeVolume, self.hub, self.network)
+        make = partial(NvmeVolume, self.hub, self.network, self.manners(volume)[0])
         return Connection(self.hub, self.network, self.recorder, volume, slot.name,
                           make if self.front is Front.NVME else None,
                           *self.manners(volume))  # fmt: skip
--- a/harriertrack/protocol/nvme/admin.py
+++ b/harriertrack/protocol/nvme/admin.py
@@ -73,6 +73,10 @@
     QUEUES = 0x07
     ASYNC_EVENTS = 0x0B
     KEEP_ALIVE = 0x0F
+    HOST_BEHAVIOR = 0x16
+
+
+HOST_BEHAVIOR_BYTES = 512  # its first byte is ACRE: the host honours Command Retry Delay
 
 
 class Page(IntEnum):
--- a/harriertrack/protocol/nvme/controller.py
+++ b/harriertrack/protocol/nvme/controller.py
@@ -130,6 +130,7 @@
     _pending: list[int] = field(default_factory=list)  # what is to be told with the next of them
     _masked: set[int] = field(default_factory=set)  # told; not again before the page was read
     _changes: int = 0
+    delays_retries: bool = False  # the host honours Command Retry Delay
 
     # -- life
 
@@ -167,8 +168,8 @@
 
     # -- commands
 
-    def admin(self, sqe: Sqe, now: int) -> Answer:
-        """Answer a command on the admin queue."""
+    def admin(self, sqe: Sqe, now: int, data: bytes = b"") -> Answer:
+        """Answer a command on the admin queue; `data` is what came with it."""
         self.heard(now)
         try:
             opcode = Admin(sqe.opcode)
@@ -180,7 +181,8 @@
             return Done(Cqe(sqe.cid, Status.SEQUENCE))
         answers: dict[Admin, Callable[[Sqe], Answer]] = {
             Admin.IDENTIFY: self._identify, Admin.GET_LOG_PAGE: self._log, Admin.ABORT: self._abort,
-            Admin.SET_FEATURES: self._set_feature, Admin.GET_FEATURES: self._get_feature,
+            Admin.SET_FEATURES: lambda sqe: self._set_feature(sqe, data),
+            Admin.GET_FEATURES: self._get_feature,
             Admin.ASYNC_EVENT: self._event, Admin.KEEP_ALIVE: lambda sqe: Done(Cqe(sqe.cid)),
         }  # fmt: skip
         return answers[opcode](sqe)
@@ -222,6 +224,7 @@
             self._pending.clear()
             self._masked.clear()
             self._allowed, self._told_of = 0, 0xFFFFFFFF
+            self.delays_retries = False
 
     @property
     def queues_end(self) -> bool:
@@ -273,7 +276,7 @@
     def _abort(self, sqe: Sqe) -> Answer:
         return AbortAsked(sqe.cid, sqe.cdw[0] & 0xFFFF, sqe.cdw[0] >> 16)
 
-    def _set_feature(self, sqe: Sqe) -> Answer:
+    def _set_feature(self, sqe: Sqe, data: bytes) -> Answer:
         value = sqe.cdw[1]
         match sqe.cdw[0] & 0xFF:
             case Feature.QUEUES:
@@ -290,6 +293,9 @@
             case Feature.KEEP_ALIVE:
                 self.keep_alive_us = value * 1000
                 return Done(Cqe(sqe.cid))
+            case Feature.HOST_BEHAVIOR if len(data) == admin.HOST_BEHAVIOR_BYTES and data[0] <= 1:
+                self.delays_retries = bool(data[0])
+                return Done(Cqe(sqe.cid))
         return Done(Cqe(sqe.cid, Status.INVALID_FIELD, dnr=True))
 
     def _get_feature(self, sqe: Sqe) -> Answer:
@@ -299,6 +305,8 @@
             Feature.WRITE_CACHE: 1,
         }  # fmt: skip
         feature = sqe.cdw[0] & 0xFF
+        if feature == Feature.HOST_BEHAVIOR:
+            return Told(bytes([self.delays_retries]).ljust(admin.HOST_BEHAVIOR_BYTES, b"\0"))
         if feature not in known:
             return Done(Cqe(sqe.cid, Status.INVALID_FIELD, dnr=True))
         return Done(Cqe(sqe.cid, dw0=known[Feature(feature)]))
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -44,7 +44,10 @@
         """Wait until little enough is buffered to take on more work."""
 
     def watch_end(self, act: Callable[[], None] | None) -> None:
-        """Call `act` once the peer has closed or broken the stream, though nobody reads; None: no more."""
+        """Call `act` once the peer has closed or broken the stream, though nobody reads; None: no more.
+
+        Closing it here counts too.
+        """
 
     def close(self) -> None:
         """Send what is buffered as far as that goes at once, and close."""
@@ -120,7 +123,13 @@
             self._hub.set_interest(self._handler, want)
 
     def watch_end(self, act: Callable[[], None] | None) -> None:
-        """Call `act` once the peer has closed or broken the stream, though nobody reads; None: no more."""
+        """Call `act` once the peer has closed or broken the stream, though nobody reads; None: no more.
+
+        Closing it here counts too.
+        """
+        if act is not None and self._closed:
+            act()
+            return
         self._on_end = act
         self._set_interest()
 
@@ -195,6 +204,9 @@
         if self._closed:
             return
         self._closed = True
+        act, self._on_end = self._on_end, None
+        if act is not None:
+            act()
         self._out.clear()
         self.buffered = 0
         self._hub.remove_handler(self._handler)
@@ -309,8 +321,11 @@
         self._on_end: Callable[[], None] | None = None
 
     def watch_end(self, act: Callable[[], None] | None) -> None:
-        """Call `act` once the peer has closed or broken the stream, though nobody reads; None: no more."""
-        if act is not None and self._eof:
+        """Call `act` once the peer has closed or broken the stream, though nobody reads; None: no more.
+
+        Closing it here counts too.
+        """
+        if act is not None and (self._eof or self._closed):
             act()
         else:
             self._on_end = act
@@ -368,6 +383,9 @@
         if self._closed:
             return
         self._closed = True
+        act, self._on_end = self._on_end, None
+        if act is not None:
+            act()
         self._readable.notify()
         self._writable.notify()
         if (other := self.other) is not None:
