--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -414,7 +414,10 @@
         tick_us=head.tick_us,
         held=head.limits.held,
         classes=tuple(
-            ClassRule(one.name, frozenset(one.kinds), one.at_least_bytes, one.deadline_us, one.in_order)
+            ClassRule(
+                one.name, frozenset(one.kinds), one.at_least_bytes, one.deadline_us, one.in_order,
+                one.window_us if _effect(one, head.plain_nodes) is api.Effect.KEYED else 0,
+            )
             for one in head.classes
         ),
         patience=PatienceRules(head.limits.offers, 2 * head.tick_us, max(head.max_hint_us, 2 * head.tick_us)),
--- a/harriertrack/decisions/interface.py
+++ b/harriertrack/decisions/interface.py
@@ -178,7 +178,8 @@
 
     Where a head cuts a client's request into several, all but one are marked as further parts: a budget
     counts the client's requests. One that was refused and that its head kept back for a client that waits
-    comes again: `kept` says that its aim counts from now, `tried` how many attempts it has had.
+    comes again: `kept` says that its aim counts from now, `tried` how many attempts it has had, `ran_us` how
+    long ago the first one was sent that may have run.
     """
 
     request: int
@@ -194,6 +195,7 @@
     further_part: bool = False
     kept: bool = False
     tried: int = 0
+    ran_us: int = -1
 
 
 @dataclass(slots=True)
--- a/harriertrack/decisions/life.py
+++ b/harriertrack/decisions/life.py
@@ -54,14 +54,17 @@
 PART_STEPS: dict[tuple[PartState, PartStep], PartState] = {
     (PartState.WAITING, PartStep.TELL): PartState.HELD,
     (PartState.WAITING, PartStep.KEEP): PartState.KEPT,
+    (PartState.WAITING, PartStep.SERVE): PartState.SERVED,  # here and below: by an earlier offer's attempt
     (PartState.WAITING, PartStep.REFUSE): PartState.REFUSED,
     (PartState.WAITING, PartStep.DROP): PartState.DROPPED,
     (PartState.KEPT, PartStep.TELL): PartState.HELD,
     (PartState.KEPT, PartStep.PLACE): PartState.WAITING,
-    (PartState.KEPT, PartStep.SERVE): PartState.SERVED,  # an attempt that could not be called off
+    (PartState.KEPT, PartStep.SERVE): PartState.SERVED,
     (PartState.KEPT, PartStep.REFUSE): PartState.REFUSED,
+    (PartState.KEPT, PartStep.FAIL): PartState.FAILED,
     (PartState.KEPT, PartStep.DROP): PartState.DROPPED,
     (PartState.HELD, PartStep.KEEP): PartState.KEPT,
+    (PartState.HELD, PartStep.SERVE): PartState.SERVED,
     (PartState.HELD, PartStep.SEND): PartState.OUT,
     (PartState.HELD, PartStep.REFUSE): PartState.REFUSED,
     (PartState.HELD, PartStep.FAIL): PartState.FAILED,
--- a/harriertrack/decisions/linklife.py
+++ b/harriertrack/decisions/linklife.py
@@ -91,7 +91,7 @@
     @property
     def spent(self) -> bool:
         """Whether it was replaced and nobody waits for an answer over it any more: it can be closed."""
-        return self.retired and self._orphans >= len(self._out)
+        return self.retired and not any(attempt.awaited for attempt in self._out.values())
 
     def close(self) -> list[tuple[Attempt, Result]]:
         """The link is gone; return what that proves of each attempt.
--- a/harriertrack/decisions/patience.py
+++ b/harriertrack/decisions/patience.py
@@ -208,9 +208,11 @@
 
     def next_at(self, now: int) -> int | None:
         """Return when to call `due` again; None if nothing waits."""
-        if self._asked or self._ready:
+        if self._ready:
             assert self._allowed is not None
-            return now + max(1, self._allowed.wait(now, 1.0) + 1) if self._ready else now + 1
+            return now + self._allowed.wait(now, 1.0) + 1
+        if any(lane.asked for lane in self._asked):
+            return now + 1
         while self._resting:
             due, _, lane = self._resting[0]
             if lane.due == due and not lane.asked and lane.living and self._lanes.get(lane.place) is lane:
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -35,6 +35,8 @@
 ANSWER_TICKS = 2
 # A cookie has eight bits for an attempt's number: a part that had so many does not wait for more.
 MOST_ATTEMPTS = 250
+# An offer of what a rack drops repeats of lasts so many tenths of its window: the rest is for another one.
+OFFER_PARTS = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,7 @@
     at_least_bytes: int
     deadline_us: int
     in_order: bool = False
+    window_us: int = 0  # how long a rack drops repeats; 0: nothing of this class may run again
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,6 +225,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0  # attempts without an outcome
     may_have_run: bool = False
+    risky_at: int = 0  # when the first attempt that may have run was sent
     places: bool = False  # it is the one that places its new extent
     until: int = 0  # when the module's time for it ends
     kept: bool = False  # it has waited on a hint
@@ -235,6 +239,11 @@
             attempt.state in (AttemptState.SENT, AttemptState.CALLED_OFF) for attempt in self.attempts
         )
 
+    @property
+    def listens(self) -> bool:
+        """Whether an attempt that was called off may still be answered."""
+        return any(one.state in (AttemptState.SENT, AttemptState.CALLED_OFF) for one in self.attempts)
+
     def body(self) -> bytes | memoryview:
         """Return the part's share of what the client writes."""
         request = self.request
@@ -256,6 +265,14 @@
     told: bool = False  # the module has its outcome
     write_number: int = 0
 
+    @property
+    def awaited(self) -> bool:
+        """Whether its answer is still of use: the module waits, or a client that waits for what may run."""
+        request = self.part.request
+        return not self.told or (
+            request.patience_us > 0 and request.kind in CHANGING and not self.part.state.over
+        )
+
     @property
     def volume(self) -> str:
         """Return the name of the volume, which is the node's export."""
@@ -340,6 +357,7 @@
         self._module = module
         self._classes = [(one.name, one.kinds, one.at_least_bytes) for one in rules.classes]
         self._deadlines = {one.name: one.deadline_us for one in rules.classes}
+        self._windows = {one.name: one.window_us for one in rules.classes}
         self._in_order = frozenset(one.name for one in rules.classes if one.in_order)
         self._patience: Patience[Part] = Patience(rules.patience)
         self._closing = ""
@@ -443,7 +461,7 @@
         for part in [part for part in self._parts.values() if part.state is PartState.KEPT]:
             if part.state is PartState.KEPT:  # else a sibling's refusal has dropped it
                 part.request.why = why
-                self._given_up(part, PartStep.REFUSE)
+                self._time_up(part)
 
     def client_gone(self, request: ClientRequest) -> None:
         """The client left: no answer is owed any more."""
@@ -469,7 +487,8 @@
         left = {
             part.number for part in self._parts.values()
             if part.extent == extent and part.request.volume.settings.name == volume
-            and part.state not in (PartState.WAITING, PartState.KEPT) and not part.state.over
+            and part.state is not PartState.WAITING and not part.state.over
+            and (part.state is not PartState.KEPT or part.touched)
         }  # fmt: skip
         self._holds[key] = hold = Hold(holder, left)
         if not left:
@@ -494,16 +513,26 @@
         if result in (api.Result.RESET, api.Result.TIMEOUT):
             result = lost_result(attempt.state, result)
         attempt.state = step_attempt(attempt.state, AttemptStep.END)
+        part = attempt.part
         if attempt.told:
+            if part.request.patience_us and not part.state.over:
+                if result is api.Result.OK:
+                    self._served_late(part, attempt, data)
+                elif part.state is PartState.KEPT and part not in self._patience and not part.listens:
+                    self._given_up(part, PartStep.FAIL)  # nothing will be heard of it any more
             return
-        part = attempt.part
         if result is api.Result.OK:
             if not part.state.over:
                 self._served(part, attempt, data)
         elif not result.never_ran:
-            part.may_have_run = True
+            self._may_have_run(attempt)
         self._tell(now, attempt, result, report)
 
+    def _may_have_run(self, attempt: Attempt) -> None:
+        part = attempt.part
+        part.risky_at = min(part.risky_at, attempt.sent_at) if part.may_have_run else attempt.sent_at
+        part.may_have_run = True
+
     # -- parts
 
     def shard_of(self, volume: Volume, extent: int) -> int | None:
@@ -537,29 +566,66 @@
             self._queue(part, now)
 
     def _refused(self, now: int, part: Part, hint: int) -> None:
-        """The module refuses a part: the client is told, or it waits if that client waits.
-
-        What may have changed something does not wait: offered again it might be sent after the time in which
-        a rack drops repeats.
-        """
+        """The module refuses a part: the client is told, or it waits if that client waits."""
         if part.state is PartState.KEPT:
             return  # called back in this same moment
         request = part.request
-        last = request.deadline - ANSWER_TICKS * self.rules.tick_us
-        waits = request.patience_us > 0 and not self._closing and now < last
-        if not waits or len(part.attempts) >= MOST_ATTEMPTS or (request.kind in CHANGING and part.touched):
+        if not self._waits(now, part) or (request.kind in CHANGING and part.touched):
             if self._closing:
                 request.why = self._closing
             self._given_up(part, PartStep.REFUSE, hint)
             return
+        placed = part.places
         self._keep(now, part, hint)
-        if part.class_name in self._in_order:
-            # Later ones that the module still holds would be sent before it.
+        if placed:  # those that waited for its placement wait behind it now
             key = (request.volume.settings.name, part.extent)
-            for later in list(self._told_in_order.get(key, {}).values()):
-                if later.number > part.number and later.state is PartState.HELD and later.request.patience_us:
-                    self._add(api.ClientGone(later.number))
+            for later in list(self._placing.get(key, ())):
+                if later.state is PartState.WAITING and later.request.patience_us:
                     self._keep(now, later, None)
+        if part.class_name in self._in_order:
+            # Later ones that the module still holds, or that wait for its placement, would be sent before it.
+            key = (request.volume.settings.name, part.extent)
+            for later in [*self._told_in_order.get(key, {}).values(), *self._placing.get(key, ())]:
+                if later.number > part.number and later.state in (PartState.HELD, PartState.WAITING):
+                    if later.state is PartState.HELD:
+                        self._add(api.ClientGone(later.number))
+                    if later.request.patience_us:
+                        self._keep(now, later, None)
+                    else:
+                        self._given_up(later, PartStep.REFUSE, hint)
+
+    def _waits(self, now: int, part: Part) -> bool:
+        request = part.request
+        last = request.deadline - ANSWER_TICKS * self.rules.tick_us
+        waits = request.patience_us > 0 and not self._closing and now < last
+        return waits and len(part.attempts) < MOST_ATTEMPTS
+
+    def _failed(self, now: int, part: Part) -> None:
+        """The module gives up a part that may have run: it can't wait for an outcome.
+
+        A client that waits can. While the rack drops repeats the part is offered again; later its attempts
+        are listened to, as long as one of them may still be answered.
+        """
+        # A first write to an extent could not be told from one to its next place; and of a class in order
+        # the next one goes as soon as the module gave this one up.
+        repeats = self._windows[part.class_name] > 0 and part.shard >= 0 and part.request.kind in CHANGING
+        repeats = repeats and part.class_name not in self._in_order
+        if repeats and self._waits(now, part):
+            self._keep(now, part, 0)
+        else:
+            self._given_up(part, PartStep.FAIL)
+
+    def _time_up(self, part: Part) -> None:
+        """What waits can wait no longer."""
+        touched = part.request.kind in CHANGING and part.touched
+        self._given_up(part, PartStep.FAIL if touched else PartStep.REFUSE)
+
+    def _served_late(self, part: Part, attempt: Attempt, data: bytes) -> None:
+        """An attempt was answered that an earlier offer had called off: its answer is as good as any."""
+        told = part.state in (PartState.HELD, PartState.OUT)
+        self._served(part, attempt, data)
+        if told:
+            self._add(api.ClientGone(part.number))
 
     def _keep(self, now: int, part: Part, hint: int | None) -> None:
         """Let a part wait: refused with a hint, or None: behind others."""
@@ -591,6 +657,13 @@
     def _offer(self, now: int, part: Part) -> None:
         """Offer a part that waited to the module, as things are now: its extent may have moved meanwhile."""
         self._unkeep(part)
+        if part.request.kind in CHANGING and part.touched:
+            # It may run again only there, and no move of its extent begins before it is over.
+            if now < part.risky_at + self._windows[part.class_name]:
+                self._arrive(part, now)
+            elif not part.listens:
+                self._given_up(part, PartStep.FAIL)
+            return
         if part.extent >= 0:
             shard = self.shard_of(part.request.volume, part.extent)
             part.shard = -1 if shard is None else shard
@@ -625,7 +698,11 @@
         volume = request.volume.settings
         part.until = request.deadline
         if request.patience_us:  # one offer takes no longer than its class allows; then there may be another
-            part.until = min(part.until, now + self._deadlines[part.class_name])
+            length = self._deadlines[part.class_name]
+            window = self._windows[part.class_name]
+            if window and part.shard >= 0 and part.class_name not in self._in_order:
+                length = min(length, window * OFFER_PARTS // 10)
+            part.until = min(part.until, now + length)
         if part.class_name in self._in_order:
             self._told_in_order.setdefault((volume.name, part.extent), {})[part.number] = part
         self._add(api.Arrived(
@@ -633,6 +710,7 @@
             f"{volume.name}/{part.extent}" if part.extent >= 0 else "",
             part.shard, units_of(part.length, self.rules.unit_bytes), part.until - now, volume.hosts,
             further_part=part is not request.parts[0], kept=part.kept, tried=len(part.attempts),
+            ran_us=now - part.risky_at if part.may_have_run and request.kind in CHANGING else -1,
         ))  # fmt: skip
 
     def _served(self, part: Part, attempt: Attempt, data: bytes) -> None:
@@ -688,7 +766,7 @@
             if not told:
                 self._told_in_order.pop(key, None)
         hold = self._holds.get((part.request.volume.settings.name, part.extent)) if self._holds else None
-        if hold is not None and part.number in hold.left:
+        if hold is not None and part.number in hold.left and (part.state.over or not part.touched):
             hold.left.discard(part.number)
             if not hold.left:
                 self._held.append(hold)
@@ -795,7 +873,7 @@
                 if not what.told:
                     self._call_off(now, what, api.Result.TIMEOUT)
             elif what.state in (PartState.WAITING, PartState.KEPT):
-                self._given_up(what, PartStep.REFUSE)
+                self._time_up(what)
 
     def _act(self, now: int, action: api.Action) -> None:
         match action:
@@ -808,7 +886,7 @@
                     self._refused(now, part, action.retry_after_us)
             case api.Fail():
                 if not (part := self._parts[action.request]).state.over:
-                    self._given_up(part, PartStep.FAIL)
+                    self._failed(now, part)
             case api.Cancel():
                 attempt = self._parts[action.request].attempts[action.attempt]
                 if not attempt.told:
@@ -846,7 +924,8 @@
         """Stop waiting for an attempt; what its node still says of it is not listened to."""
         result = lost_result(attempt.state, result)
         attempt.state = step_attempt(attempt.state, AttemptStep.CALL_OFF)
-        attempt.part.may_have_run = attempt.part.may_have_run or not result.never_ran
+        if not result.never_ran:
+            self._may_have_run(attempt)
         self._port.call_off(attempt)
         self._tell(now, attempt, result, None)
 
--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -383,6 +383,7 @@
         aim_at = now + kind.aim_us - (0 if ask.kept else full - ask.time_left_us)
         work = _Work(ask, kind, self._session(ask, kind), aim_at, now + ask.time_left_us, ask.shard)
         work.tries, work.charged = ask.tried, ask.tried > 0
+        work.risky_at = now - ask.ran_us if ask.ran_us >= 0 else None
         if aim_at <= now:
             work.late, work.aim_at = ask.time_left_us > kind.aim_us, work.end_at
         self._works[ask.request] = work
@@ -442,7 +443,10 @@
         limit, wait, busy = work.session.volume.limit, self._wait(work, node), node.held or self._full(node)
         wait = max(wait, self._cold_wait(node))
         if limit is not None and not work.charged:
-            wait = max(wait, limit.wait(self._now, work.ask.units))
+            # What a head offers again by itself can come later at no cost: one unit's wait lets in no burst.
+            queue = node.held.get(work.session, ()) if work.ask.kept else ()
+            ahead = sum(held.ask.units for held in queue if not held.charged)
+            wait = max(wait, limit.wait(self._now, ahead + work.ask.units))
         if wait > work.aim_at - self._now or (work.late and busy):
             self._give_up(work, wait)
         elif self._crowded(work, node):
--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -58,7 +58,13 @@
         """Take no more attempts; close once nobody waits for an answer."""
         self._links.forget(self)
         self.life.retired = True
-        self._close_if_spent()
+        self._look_again()
+
+    def _look_again(self) -> None:
+        if not self.life.closed:
+            self._close_if_spent()
+        if not self.life.closed:  # a client's end tells no link: what only it waited for is found by looking
+            self._hub.at(self._hub.now() + self._links.settings.limits.idle_us, self._look_again)
 
     def _request(self, cookie: int, attempt: Attempt) -> None:
         """Send an attempt's request."""
--- a/harriertrack/lab/day.py
+++ b/harriertrack/lab/day.py
@@ -140,6 +140,7 @@
     in_order: bool = False
     plain: Share = 0.0  # of the volumes: their clients hear no hints, and wait in the head
     patience_us: Positive = 20_000_000  # of these clients
+    heeds_hints: bool = False  # the others come again when a refusal's hint says so, no sooner
     write_deadline_us: Positive = 2_500_000
     limit: Amount = 4.0  # of a volume on the plan with a limit, in its usual rate
     net: NetSettings = NetSettings()
--- a/harriertrack/lab/load.py
+++ b/harriertrack/lab/load.py
@@ -47,6 +47,7 @@
 
     retries: int
     backoff_us: int
+    heeds_hints: bool = False
 
 
 class Connection:
@@ -295,7 +296,8 @@
             if kind not in ("read", "flush"):
                 model.end_write(start, length, tag, outcome)
             if outcome in ("refused", "failed") and tries_left > 0:
-                wait = max(self._habits.backoff_us, 1000)
+                hint = HINT.search(reply.message) if reply is not None and self._habits.heeds_hints else None
+                wait = max(self._habits.backoff_us, 1000, int(hint[1]) if hint else 0)
                 self._hub.at(self._hub.now() + wait, lambda: self.ask(kind, tries_left - 1, True))
             if reading is None:
                 return True
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -153,7 +153,7 @@
         self.shelves: dict[str, Shelf] = {}
         self.heads: list[HeadSlot] = []
         self.flows: list[Flow] = []
-        self.habits = Habits(day.retries, day.backoff_us)
+        self.habits = Habits(day.retries, day.backoff_us, day.heeds_hints)
         self.scope: Scope
         self._seed, self._state_dir, self._two = seed, state_dir, day.two_regions is not None
         self._racks = [Rack(day.extent_bytes) for _ in range(day.nodes * (2 if day.two_regions else 1))]
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -37,7 +37,7 @@
 class Site:
     """A head, nodes and the list service on one hub; `client` opens one more connection."""
 
-    def __init__(self, hub, net, scope, nodes=2, extended=True, **changes):
+    def __init__(self, hub, net, scope, nodes=2, extended=True, window_us=2_500_000, **changes):
         self.hub, self.net, self.scope = hub, net, scope
         self.recorder = rec.Recorder()
         self.listing = ListService(hub, net, self.recorder)
@@ -45,7 +45,7 @@
         self.shelves = []
         for number in range(nodes):
             settings = ShelfSettings(name=f"n{number}", listen=("127.0.0.1", 0), shard=number, extent_bytes=EXTENT,
-                                     unit_us=200, extended=extended, volumes=(DISK, SHARED))  # fmt: skip
+                                     unit_us=200, extended=extended, window_us=window_us, volumes=(DISK, SHARED))  # fmt: skip
             shelf = Shelf(hub, net, settings, Rack(EXTENT), self.recorder)
             shelf.start(scope)
             self.shelves.append(shelf)
--- a/tests/test_linklife.py
+++ b/tests/test_linklife.py
@@ -15,6 +15,10 @@
     sent_at: int
     told: bool = False
 
+    @property
+    def awaited(self):
+        return not self.told
+
 
 def attempt(sent_at=0):
     return Tried(sent_at)
--- a/tests/test_nvme_front.py
+++ b/tests/test_nvme_front.py
@@ -264,7 +264,11 @@
             site.head.module.handle = listen
             rng = random.Random(5)
             nbd = site.client() if front == "nbd" else None
-            queue = host(site).io(site.scope) if front == "nvme" else None
+            queue = None
+            if front == "nvme":
+                client = host(site)
+                client.heed_delays()
+                queue = client.io(site.scope)
             for _ in range(60):
                 block, blocks, kind = rng.randrange(0, 8000), rng.choice([1, 8, 200]), rng.choice(["read", "write", "zero"])
                 data = bytes(blocks * 512) if kind == "write" else b""
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,549 @@
+"""Requests that wait on a hint, through the core and through a whole head with a client that takes no error."""
+
+import random
+
+import msgspec
+import pytest
+from test_core import MS, Rig as CoreRig
+from test_head import EXTENT, Site
+
+from harriertrack.config.settings import ClassSettings, Kind, LimitSettings, PlanSettings, VolumeSettings
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.life import PartState
+from harriertrack.decisions.patience import Waiting
+from harriertrack.decisions.requests import ClientRequest, Core
+from harriertrack.decisions.splitting import Outcome
+from harriertrack.gateway.client import NbdClient
+from harriertrack.lab import day as days, rig
+from harriertrack.lab.exercise import Exercise, Load
+from harriertrack.protocol.nbd.wire import Command, Errno
+from harriertrack.rules import checker
+from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.streams import MemoryNetwork, SocketNetwork
+
+PATIENCE = 60_000 * MS
+
+
+class Rig(CoreRig):
+    """The core with a module whose verdicts on arrival are scripted: `refuse` holds what it refuses."""
+
+    def __init__(self, **more):
+        super().__init__(**more)
+        self.module, self.refuse, self.arrived = self.core._module, set(), []
+        self.core._module = self
+
+    def handle(self, now, events):
+        passed, actions = [], []
+        for event in events:
+            if isinstance(event, api.Arrived):
+                self.arrived.append(event)
+                if event.request in self.refuse:
+                    actions.append(api.Refuse(event.request, 20 * MS))
+                    continue
+            passed.append(event)
+        return actions + self.module.handle(now, passed)
+
+    def wait(self, kind, offset=0, length=512, data=b"", patience=PATIENCE):
+        request = ClientRequest(self.core.volumes["v"], kind, offset, len(data) or length, data, 0, None,
+                                patience_us=patience)  # fmt: skip
+        self.refuse.add(self.core._number + 1)
+        self.core.take(self.now, request)
+        self.flush()
+        return request
+
+    def write(self, offset=0):
+        request = self.ask(Kind.WRITE, offset, data=b"x" * 512)
+        self.end(self.port.sent[-1])
+        assert request.outcome is Outcome.SERVED
+        return request
+
+
+def test_a_refused_request_waits_and_is_served_once_with_the_same_key():
+    rig = Rig()
+    rig.write()
+    request = rig.wait(Kind.READ)
+    (part,) = request.parts
+    assert part.state is PartState.KEPT and rig.core.waiting == 1 and rig.port.answers == rig.port.answers[:1]
+    rig.run(25 * MS)
+    assert rig.core.waiting == 1 and [one.kept for one in rig.arrived[-2:]] == [False, True]
+    rig.refuse.clear()
+    rig.run(500 * MS)
+    attempt = rig.port.sent[-1]
+    assert attempt.part is part and part.state is PartState.OUT
+    rig.end(attempt, data=b"x" * 512)
+    assert rig.port.answers[1:] == [request] and request.outcome is Outcome.SERVED
+    assert not rig.core._parts and rig.core.counts.served == 2
+
+
+def test_a_client_that_hears_hints_is_refused_on_arrival():
+    rig = Rig()
+    rig.write()
+    request = rig.wait(Kind.READ, patience=0)
+    assert request.outcome is Outcome.REFUSED and request.hint_us == 20 * MS
+
+
+def test_the_last_moment_of_an_honest_refusal():
+    rig = Rig()
+    rig.write()
+    request = rig.wait(Kind.WRITE, data=b"y", patience=3_000 * MS)
+    rig.run(2_997 * MS)
+    assert request.outcome is None
+    rig.run(2 * MS)
+    assert request.outcome is Outcome.REFUSED and rig.core.waiting == 0 and not rig.core._parts
+    assert len(rig.port.sent) == 1  # nothing was sent for it
+
+
+def test_an_offer_that_was_sent_and_not_answered_is_offered_again_as_a_further_attempt():
+    rig = Rig()
+    rig.write()
+    request = rig.wait(Kind.READ)
+    rig.refuse.clear()
+    rig.run(30 * MS)
+    first = rig.port.sent[-1]
+    rig.core.sent(first)
+    rig.run(1_600 * MS)  # an offer lasts as long as its class allows
+    assert rig.port.called_off[-1:] == [first] and request.outcome is None
+    while rig.port.sent[-1] is first:
+        rig.run(20 * MS)
+    again = rig.port.sent[-1]
+    assert again.part is first.part and again.number >= 1 and rig.arrived[-1].tried >= 1
+    rig.end(again, data=b"z" * 512)
+    assert request.outcome is Outcome.SERVED
+    rig.core.ended(rig.now, first, api.Result.OK, b"late")
+    rig.flush()
+    assert rig.port.answers.count(request) == 1
+
+
+def write_without_answer():
+    rig = Rig()
+    rig.write()
+    request = rig.wait(Kind.WRITE, data=b"y" * 512)
+    rig.refuse.clear()
+    rig.run(30 * MS)
+    attempt = rig.port.sent[-1]
+    rig.core.sent(attempt)
+    return rig, request, attempt
+
+
+def test_a_write_that_may_have_run_is_sent_again_only_while_its_rack_drops_repeats():
+    rig, request, first = write_without_answer()
+    rig.run(10_000 * MS)
+    assert request.outcome is None and rig.core.waiting == 0
+    again = [one for one in rig.port.sent if one.part is first.part and one is not first]
+    assert all(one.sent_at < first.sent_at + 2_500 * MS and one.member is first.member for one in again)
+    for one in again:
+        rig.core.ended(rig.now, one, api.Result.RESET)
+    rig.core.ended(rig.now, first, api.Result.RESET)
+    rig.flush()
+    assert request.outcome is Outcome.FAILED and not rig.core._parts  # nothing will be heard of it any more
+
+
+def test_a_late_answer_to_a_write_that_was_called_off_serves_the_client_that_waited():
+    rig, request, first = write_without_answer()
+    rig.run(10_000 * MS)
+    rig.core.ended(rig.now, first, api.Result.OK)
+    rig.flush()
+    assert request.outcome is Outcome.SERVED and rig.port.answers.count(request) == 1
+    for one in rig.port.sent[2:]:
+        rig.core.ended(rig.now, one, api.Result.RESET)
+    rig.flush()
+    assert not rig.core._parts and rig.port.answers.count(request) == 1
+
+
+def test_what_comes_later_stands_behind_what_waits_and_leaves_with_its_client():
+    rig = Rig()
+    rig.write()
+    first = rig.wait(Kind.READ)
+    later = rig.wait(Kind.READ, offset=512)
+    assert len([one for one in rig.arrived if one.request == later.parts[0].number]) == 0  # not even offered
+    rig.core.client_gone(first)
+    rig.flush()
+    rig.refuse.clear()
+    rig.run(30 * MS)
+    assert [attempt.part.request for attempt in rig.port.sent[1:]] == [later]
+    rig.core.client_gone(later)
+    rig.end(rig.port.sent[-1])
+    assert not rig.core._parts and rig.core.waiting == 0
+
+
+def test_an_extent_that_moved_while_a_request_waited_is_asked_for_where_it_is_now():
+    rig = Rig()
+    rig.write()
+    request = rig.wait(Kind.READ)
+    was = request.parts[0].shard
+    rig.extents.place([("v", 0, (was + 1) % 3)])
+    rig.refuse.clear()
+    rig.run(30 * MS)
+    assert rig.port.sent[-1].member.entry.shard == (was + 1) % 3
+
+
+def test_an_extent_that_is_kept_for_a_move_does_not_wait_for_what_waits():
+    rig, told = Rig(), []
+    rig.write()
+    rig.wait(Kind.READ)
+    rig.core.hold_extent("v", 0, type("Holder", (), {"held": lambda self: told.append(1)})())
+    rig.flush()
+    assert told == [1]
+    rig.refuse.clear()
+    rig.run(100 * MS)
+    assert len(rig.port.sent) == 1  # it waits for the move now
+    rig.core.free_extent("v", 0)
+    rig.flush()
+    assert len(rig.port.sent) == 2
+
+
+IN_ORDER = (
+    ClassSettings(name="read", kinds=(Kind.READ, Kind.FLUSH), aim_us=300 * MS, deadline_us=1500 * MS, effect=api.Effect.SAFE),
+    ClassSettings(name="write", kinds=(Kind.WRITE, Kind.TRIM, Kind.ZERO), aim_us=500 * MS, deadline_us=2500 * MS,
+                  effect=api.Effect.KEYED, window_us=2500 * MS, in_order=True),
+)  # fmt: skip
+
+
+def test_a_class_in_order_keeps_its_order_while_its_oldest_waits():
+    rig = Rig(classes=IN_ORDER)
+    rig.write()
+    first = rig.wait(Kind.WRITE, data=b"a" * 512)
+    rig.refuse = {first.parts[0].number}
+    second = ClientRequest(rig.core.volumes["v"], Kind.WRITE, 512, 512, b"b" * 512, 0, None, patience_us=PATIENCE)
+    rig.core.take(rig.now, second)
+    impatient = rig.ask(Kind.WRITE, 1024, data=b"c" * 512)
+    assert impatient.outcome is Outcome.REFUSED  # it may not overtake, and does not wait
+    rig.run(200 * MS)
+    assert len(rig.port.sent) == 1
+    rig.refuse.clear()
+    rig.run(1_000 * MS)
+    assert [one.part.request for one in rig.port.sent[1:]] == [first]
+    rig.end(rig.port.sent[-1])
+    rig.run(10 * MS)
+    assert [one.part.request for one in rig.port.sent[1:]] == [first, second]
+
+
+def test_what_the_module_holds_behind_one_that_it_refuses_is_called_back():
+    rig = Rig(classes=IN_ORDER)
+    rig.write()
+    blocker = rig.ask(Kind.WRITE, 4096, data=b"o" * 512)  # out: whatever is in order behind it is held
+    requests = []
+    for at in range(2):
+        request = ClientRequest(rig.core.volumes["v"], Kind.WRITE, at * 512, 512, b"b" * 512, 0, None, patience_us=PATIENCE)
+        rig.core.take(rig.now, request)
+        requests.append(request)
+    rig.flush()
+    assert [one.parts[0].state for one in requests] == [PartState.HELD] * 2
+    rig.core._refused(rig.now, requests[0].parts[0], 20 * MS)
+    rig.core._add(api.ClientGone(requests[0].parts[0].number))  # as if the module had given it up
+    rig.flush()
+    assert [one.parts[0].state for one in requests] == [PartState.KEPT] * 2
+    rig.end(rig.port.sent[-1])
+    assert blocker.outcome is Outcome.SERVED
+    for _ in range(2):
+        rig.run(1_000 * MS)
+        rig.end(rig.port.sent[-1])
+    assert [one.part.request for one in rig.port.sent[2:]] == requests
+    assert not rig.core._kept_in_order and not rig.core._told_in_order
+
+
+def test_at_the_end_of_a_head_nothing_waits_on():
+    rig = Rig()
+    rig.write()
+    requests = [rig.wait(Kind.READ, offset=at * 512) for at in range(3)]
+    rig.core.close("shutting down")
+    rig.flush()
+    assert [one.outcome for one in requests] == [Outcome.REFUSED] * 3 and not rig.core._parts
+    assert requests[0].why == "shutting down"
+
+
+# -- a whole head, and a client that takes no error
+
+
+def play(test, real=False, seed=1, **site):
+    hub = Hub(seed=seed) if real else Hub.virtual(seed)
+    net = SocketNetwork(hub) if real else MemoryNetwork(hub)
+
+    def main():
+        with hub.scope("site") as scope:
+            test(Site(hub, net, scope, **site))
+            scope.cancel()
+
+    hub.run(main)
+
+
+def exercise(site, load, us, export="disk", seed=1):
+    one = Exercise(site.hub, site.net, site.head.address, export, load, seed)
+    found = one.run(site.scope, us)
+    assert found.broken == [] and found.done > 50
+    return found
+
+
+PATIENT = (
+    ClassSettings(name="read", kinds=(Kind.READ, Kind.FLUSH), aim_us=300 * MS, deadline_us=1500 * MS, effect=api.Effect.SAFE),
+    ClassSettings(name="write", kinds=(Kind.WRITE, Kind.TRIM, Kind.ZERO), aim_us=500 * MS, deadline_us=30_000 * MS,
+                  effect=api.Effect.KEYED, window_us=2500 * MS),
+)  # fmt: skip
+LOADS = [Load(8, 16, 512, EXTENT), Load(1, 128, 512, EXTENT)]
+
+
+@pytest.mark.parametrize("load", LOADS, ids=["8x16", "1x128"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_strict_client_at_full_depth_meets_no_error(load, seed):
+    def test(site):
+        for shelf in site.shelves:
+            shelf.faults.slow = 20
+        exercise(site, load, 6_000 * MS, seed=seed)
+        assert site.head.core.counts.refused == 0 and site.head.core.offers > 0
+
+    play(test, seed=seed, classes=PATIENT)
+
+
+def test_a_strict_client_meets_no_error_over_sockets():
+    def test(site):
+        exercise(site, Load(4, 16, 512, EXTENT), 1_500 * MS)
+
+    play(test, real=True, classes=PATIENT)
+
+
+@pytest.mark.parametrize("trouble", ["slow", "down", "hang"])
+def test_a_strict_client_meets_no_error_on_a_bad_day(trouble):
+    def test(site):
+        def harm():
+            site.hub.sleep(2_500 * MS)
+            shelf = site.shelves[0]
+            if trouble == "slow":
+                shelf.faults.slow = 20
+                site.hub.sleep(4_000 * MS)
+                shelf.faults.slow = 1
+            elif trouble == "hang":  # longer than every class's aim, and than a read's whole time
+                shelf.faults.hang = True
+                site.hub.sleep(5_000 * MS)
+                shelf.faults.hang = False
+                shelf.wake()
+            else:
+                shelf.stop()
+                site.hub.sleep(2_000 * MS)
+                shelf.start(site.scope)
+
+        site.scope.spawn("harm", harm)
+        exercise(site, Load(4, 8, 512, EXTENT), 9_000 * MS)
+        assert site.head.core.counts.refused == 0 and site.head.core.counts.kept > 0
+
+    # What was in flight may run again while its rack drops repeats, so that has to outlast the trouble.
+    play(test, classes=(PATIENT[0], msgspec.structs.replace(PATIENT[1], window_us=20_000 * MS)), window_us=20_000 * MS)
+
+
+def test_a_volume_with_a_limit_is_slowed_to_it_and_not_broken():
+    limit = 100.0  # units of 4 KiB a second: a tenth of what this client would get
+
+    def test(site):
+        began = site.hub.now()
+        found = exercise(site, Load(2, 16, 4096, 8192, 4096, span=16 * EXTENT), 10_000 * MS)
+        took = (site.hub.now() - began) / 1e6
+        units = sum(max(1, -(-got.length // 4096)) for got in site.recorder.records if type(got).__name__ == "Got")
+        assert 0.6 * limit * took < units < limit * took + 64 and site.head.core.counts.refused == 0
+        assert found.done > 300
+
+    plan = PlanSettings(name="p", rate=100, reserve=50, limit=limit, limit_burst=16, limit_slack=1)
+    play(test, classes=PATIENT, plans=(plan,))
+
+
+def test_one_request_a_second_and_128_in_flight():
+    def test(site):
+        client = NbdClient(site.hub, site.net)
+        client.open(site.head.address)
+        client.go(site.scope, "disk")
+        replies, began = [], site.hub.now()
+        for number in range(128):
+            client.start(Command.WRITE, number * 4096, 0, b"a" * 4096, lambda reply: replies.append((site.hub.now(), reply)))
+        site.hub.sleep(60_000 * MS)
+        assert 40 <= len(replies) <= 80 and site.head.core.offers < 60 * 20  # nobody storms the module
+        site.hub.sleep(90_000 * MS)
+        assert len(replies) == 128 and not any(reply.error for _, reply in replies)
+        assert replies[-1][0] - began > 120_000 * MS
+
+    plan = PlanSettings(name="p", rate=1, reserve=1, limit=1, limit_burst=16, limit_slack=1)
+    play(test, classes=PATIENT, plans=(plan,))
+
+
+def test_a_client_that_leaves_while_its_requests_wait_takes_them_along():
+    def test(site):
+        for shelf in site.shelves:
+            shelf.faults.hang = True
+        client = NbdClient(site.hub, site.net)
+        client.open(site.head.address)
+        client.go(site.scope, "disk")
+        for number in range(300):  # more than it may have in flight: the rest is at the door and in the socket
+            client.start(Command.WRITE, number * 4096, 0, b"a" * 4096, lambda reply: None)
+        site.hub.sleep(3_000 * MS)
+        reception = site.head.reception
+        assert site.head.core.open_requests == 128 and len(reception.door) == 1
+        client.abort()
+        site.hub.sleep(5 * MS)
+        assert site.head.core.open_requests == 0 and len(reception.door) == 0 and reception.sessions == 0
+        assert not reception._counted and not site.head.core.waiting
+        got = sum(type(one).__name__ == "Got" for one in site.recorder.records)
+        for shelf in site.shelves:
+            shelf.faults.hang = False
+            shelf.wake()
+        site.hub.sleep(5_000 * MS)
+        assert sum(type(one).__name__ == "Got" for one in site.recorder.records) == got
+
+    play(test, classes=PATIENT)
+
+
+def test_a_flood_that_waits_keeps_no_neighbour_waiting_and_the_head_bounded():
+    def median(site, flooded):
+        client = NbdClient(site.hub, site.net)
+        client.open(site.head.address)
+        client.go(site.scope, "shared")
+        took = []
+        for at in range(200):
+            began = site.hub.now()
+            assert client.call(Command.READ, (at % 60) * EXTENT, 4096).error == 0
+            took.append(site.hub.now() - began)
+            site.hub.sleep(20 * MS)
+        client.close()
+        return sorted(took)[100]
+
+    def test(site):
+        calm = median(site, False)
+        flood = [NbdClient(site.hub, site.net) for _ in range(4)]
+        for client in flood:
+            client.open(site.head.address)
+            client.go(site.scope, "disk")
+
+            def again(reply, client=client):
+                if reply is not None:
+                    client.start(Command.WRITE, random.Random(1).randrange(60) * EXTENT, 0, b"f" * 4096, again)
+
+            for _ in range(1000):
+                again(0)
+        site.hub.sleep(1_000 * MS)
+        assert median(site, True) < 8 * calm
+        assert site.head.core.open_parts <= 200
+        for client in flood:
+            client.abort()
+
+    plans = (PlanSettings(name="p", rate=100, reserve=50),)
+    play(test, classes=PATIENT, plans=plans, limits=LimitSettings(held=200, in_flight=128))
+
+
+def test_a_flush_behind_waiting_writes_is_answered_and_a_stopped_head_refuses_what_waits():
+    def test(site):
+        client = NbdClient(site.hub, site.net)
+        client.open(site.head.address)
+        client.go(site.scope, "disk")
+        assert client.call(Command.WRITE, 0, data=b"a" * 4096).error == 0
+        site.shelves[0].faults.hang = site.shelves[1].faults.hang = True
+        replies = []
+        for number in range(60):
+            client.start(Command.WRITE, (number % 60) * EXTENT, 0, b"a" * 4096, replies.append)
+        client.start(Command.FLUSH, 0, 0, b"", replies.append)
+        site.hub.sleep(4_000 * MS)
+        assert not replies and site.head.core.waiting > 20
+        site.head.stop()
+        site.hub.sleep(5 * MS)
+        # What was sent and may run can't be called not done.
+        assert len(replies) > 20 and {reply.error for reply in replies} == {Errno.ESHUTDOWN, Errno.EIO}
+        site.shelves[0].faults.hang = site.shelves[1].faults.hang = False
+        for shelf in site.shelves:
+            shelf.wake()
+        site.hub.sleep(10_500 * MS)
+        assert site.task.done
+
+    play(test, classes=PATIENT)
+
+
+def test_a_volume_that_refuses_does_so_also_to_who_hears_no_hints():
+    def test(site):
+        client = NbdClient(site.hub, site.net)
+        client.open(site.head.address)
+        client.go(site.scope, "disk")
+        for shelf in site.shelves:
+            shelf.faults.hang = True
+        replies = []
+        for number in range(200):
+            client.start(Command.WRITE, number * 4096, 0, b"a" * 4096, replies.append)
+        site.hub.sleep(1_000 * MS)
+        assert {reply.error for reply in replies} == {Errno.ENOMEM} and len(replies) >= 72
+
+    volume = VolumeSettings(name="disk", size_bytes=64 * EXTENT, plan="p", waiting=Waiting.REFUSE)
+    play(test, classes=PATIENT, volumes=(volume,))
+
+
+def test_a_head_that_stood_still_counts_age_from_when_bytes_may_have_come():
+    def test(site):
+        client = NbdClient(site.hub, site.net)
+        client.open(site.head.address)
+        client.go(site.scope, "disk")
+        assert client.call(Command.WRITE, 0, data=b"a" * 4096).error == 0
+        replies, asked = [], site.hub.now()
+        site.hub.freeze(site.head, 5_000 * MS)
+        for number in range(100):
+            client.start(Command.READ, number % 8 * 512, 512, b"", replies.append)
+        site.hub.sleep(6_000 * MS)
+        assert len(replies) == 100 and not any(reply.error for reply in replies)
+        hinted = site.client()
+        site.hub.freeze(site.head, 1_400 * MS)
+        hinted.start(Command.READ, 0, 512, b"", replies.append)
+        asked = site.hub.now()
+        for shelf in site.shelves:
+            shelf.faults.hang = True
+        while len(replies) < 101:
+            site.hub.sleep(MS)
+        assert replies[-1].error == Errno.ENOMEM and site.hub.now() - asked <= 1_501 * MS
+
+    play(test, classes=PATIENT)
+
+
+# -- what the rule checker sees of it
+
+
+class AnswersTwice(Core):
+    """A head that answers again when a second offer is served."""
+
+    def _served(self, part, attempt, data):
+        super()._served(part, attempt, data)
+        if part.kept and part.request.outcome is Outcome.SERVED and len(part.request.parts) == 1:
+            self._answers.append(part.request)
+
+
+class SendsAfter(Core):
+    """A head that offers a request again though its client has its answer."""
+
+    def _given_up(self, part, step, hint=0):
+        super()._given_up(part, step, hint)
+        if part.kept and part.shard >= 0 and not part.out:
+            member = next(iter(self.nodes._members.values())) if hasattr(self.nodes, "_members") else None
+            member = member or self.nodes.find("node0")
+            from harriertrack.decisions.requests import Attempt
+
+            late = Attempt(part, len(part.attempts), member, 0)
+            part.attempts.append(late)
+            part.out += 1
+            hub = self._port.hub
+            hub.at(hub.now() + 10 * MS, lambda: self._port.send(late))
+
+
+@pytest.mark.parametrize("fault, rule", [(AnswersTwice, 1), (SendsAfter, 1)])
+def test_the_checker_catches_a_second_offers_second_answer_or_send(monkeypatch, fault, rule):
+    from harriertrack.gateway import head
+
+    if fault is AnswersTwice:
+        from harriertrack.gateway.front import Session
+
+        honest = Session.answer
+
+        def answer(self, request):
+            cookie = self._open.get(request)
+            if cookie is None:
+                self._nbd.reply_done(self.twice)
+                self._push()
+                return
+            self.twice = cookie
+            honest(self, request)
+
+        monkeypatch.setattr(Session, "answer", answer)
+    monkeypatch.setattr(head, "Core", fault)
+    day = days.load("plain-clients")
+    if fault is SendsAfter:
+        day = msgspec.structs.replace(day, patience_us=1_600 * MS, plain=1.0)
+    breaches = checker.check(rig.play(day, 1, virtual=True).records)
+    assert rule in {one.rule for one in breaches}
