--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -187,6 +187,7 @@
     digests: tuple[Digest, ...] = (Digest.HEADER, Digest.DATA)  # granted to hosts that ask
     queues: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 64  # for I/O, of one controller
     entries: Annotated[int, msgspec.Meta(ge=32, le=1024)] = 128  # of one queue
+    asked_bytes: Positive = 8 << 20  # of one queue's commands: data that was asked for and is on its way
     patience_us: Positive = 20_000_000  # hosts that wait do so no longer: theirs reset a mute controller
 
 
--- a/harriertrack/decisions/patience.py
+++ b/harriertrack/decisions/patience.py
@@ -2,10 +2,11 @@
 
 The module refuses on arrival and says when to come again. A client that hears hints comes again by itself;
 for one that doesn't, the head keeps the request and offers it to the module again. What waits stands in
-lanes, one for each volume and the shard that its requests go to: a hung node keeps nobody waiting for another
-node. In a lane only the oldest is offered, and the next one once that was taken, so a lane costs the module
-one refusal for each hint, however many wait. Volumes take turns at the head's offers, whose number a second
-is bounded; within a volume the oldest of those whose lane is due goes first.
+lanes, one for each volume, shard and class: a hung node keeps nobody waiting for another node, nor a write,
+which may not try whether a silent node is back, a read, which may. In a lane only the oldest is offered, and
+the next one once that was taken, so a lane costs the module one refusal for each hint, however many wait.
+Volumes take turns at the head's offers, whose number a second is bounded; within a volume the oldest of those
+whose lane is due goes first.
 
 Hints may be wrong. One that is too short is doubled for each refusal in a row; one that is too long is cut at
 `most_us`, for a lane must not sleep while its node idles.
@@ -51,7 +52,7 @@
 
 
 T = TypeVar("T", bound=Hashable)
-Place = tuple[str, int]  # a volume and a shard; below 0: what has no place yet
+Place = tuple[str, int, str]  # a volume, a shard (below 0: none yet), and a class
 
 
 @dataclass(slots=True, eq=False)
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -12,7 +12,6 @@
 import heapq
 from collections import deque
 from collections.abc import Iterable, Iterator
-from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -37,6 +36,7 @@
 MOST_ATTEMPTS = 250
 # An offer of what a rack drops repeats of lasts so many tenths of its window: the rest is for another one.
 OFFER_PARTS = 6
+SCOUT_US = 2_000_000  # nothing was heard of a shard for so long
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +174,16 @@
         """Take the one final answer."""
 
 
+class _Nobody:
+    """Asks for the head itself."""
+
+    def answer(self, request: ClientRequest) -> None:
+        """Take the one final answer."""
+
+
+NOBODY = _Nobody()
+
+
 @dataclass(slots=True, eq=False)
 class ClientRequest:
     """What a client asked for.
@@ -227,6 +237,7 @@
     may_have_run: bool = False
     risky_at: int = 0  # when the first attempt that may have run was sent
     places: bool = False  # it is the one that places its new extent
+    lined: bool = False  # it stands in the line for its extent's placement
     until: int = 0  # when the module's time for it ends
     kept: bool = False  # it has waited on a hint
     hint_us: int = 0  # of its latest refusal
@@ -361,6 +372,8 @@
         self._in_order = frozenset(one.name for one in rules.classes if one.in_order)
         self._patience: Patience[Part] = Patience(rules.patience)
         self._closing = ""
+        self._heard: dict[int, int] = {}  # when a shard's node last answered
+        self._scouted: dict[int, int] = {}
         # Of classes in order, by extent: what the module has, and where those wait that it refused.
         self._told_in_order: dict[tuple[str, int], dict[int, Part]] = {}
         self._kept_in_order: dict[tuple[str, int], dict[int, Place]] = {}
@@ -522,6 +535,7 @@
                     self._given_up(part, PartStep.FAIL)  # nothing will be heard of it any more
             return
         if result is api.Result.OK:
+            self._heard[attempt.member.entry.shard] = now
             if not part.state.over:
                 self._served(part, attempt, data)
         elif not result.never_ran:
@@ -554,7 +568,7 @@
         """Tell the module of a new part, or let it wait behind those that wait already."""
         key = (part.request.volume.settings.name, part.extent)
         ahead = self._kept_in_order.get(key) if part.class_name in self._in_order else None
-        place = next(iter(ahead.values())) if ahead else (key[0], part.shard)
+        place = next(iter(ahead.values())) if ahead else (key[0], part.shard, part.class_name)
         if not part.request.patience_us:
             if ahead:  # it would overtake them
                 self._given_up(part, PartStep.REFUSE, self.rules.patience.most_us)
@@ -577,6 +591,7 @@
             return
         placed = part.places
         self._keep(now, part, hint)
+        self._scout(now, part)
         if placed:  # those that waited for its placement wait behind it now
             key = (request.volume.settings.name, part.extent)
             for later in list(self._placing.get(key, ())):
@@ -600,17 +615,34 @@
         waits = request.patience_us > 0 and not self._closing and now < last
         return waits and len(part.attempts) < MOST_ATTEMPTS
 
+    def _scout(self, now: int, part: Part) -> None:
+        """Ask for a flush where only writes wait and nothing was heard for long.
+
+        The module tries whether a silent node is back with safe work alone. Where all clients write and wait
+        there would never be any.
+        """
+        quiet = now - max(self._heard.get(part.shard, 0), self._scouted.get(part.shard, 0)) >= SCOUT_US
+        if part.shard < 0 or not quiet or part.request.kind not in CHANGING:
+            return
+        self._scouted[part.shard] = now
+        scout = ClientRequest(part.request.volume, Kind.FLUSH, 0, 0, b"", 0, NOBODY, open=1)
+        class_name = class_of(self._classes, Kind.FLUSH, 0) or self._classes[0][0]
+        scout.deadline = now + self._deadlines[class_name]
+        self._arrive(self._part(scout, class_name, -1, 0, 0, part.shard), now)
+
     def _failed(self, now: int, part: Part) -> None:
         """The module gives up a part that may have run: it can't wait for an outcome.
 
         A client that waits can. While the rack drops repeats the part is offered again; later its attempts
         are listened to, as long as one of them may still be answered.
         """
-        # A first write to an extent could not be told from one to its next place; and of a class in order
-        # the next one goes as soon as the module gave this one up.
-        repeats = self._windows[part.class_name] > 0 and part.shard >= 0 and part.request.kind in CHANGING
+        # Of a class in order the next one goes as soon as the module gave this one up.
+        repeats = self._windows[part.class_name] > 0 and part.request.kind in CHANGING
         repeats = repeats and part.class_name not in self._in_order
         if repeats and self._waits(now, part):
+            if part.shard < 0:  # the rack that may have run it is where its extent will lie
+                part.shard = next(one for one in part.attempts if one.sent_at >= part.risky_at and (
+                    one.state is not AttemptState.DIALING)).member.entry.shard
             self._keep(now, part, 0)
         else:
             self._given_up(part, PartStep.FAIL)
@@ -629,14 +661,15 @@
 
     def _keep(self, now: int, part: Part, hint: int | None) -> None:
         """Let a part wait: refused with a hint, or None: behind others."""
-        self._leave_line(part)
+        if not part.places or not part.touched:  # else its extent is placed where it may have run, or not yet
+            self._leave_line(part)
         part.state = step_part(part.state, PartStep.KEEP)
         if not part.kept:
             part.kept = True
             self.counts.kept += 1
             self._push(part.request.deadline - ANSWER_TICKS * self.rules.tick_us, part)
         volume = part.request.volume.settings.name
-        place, key = (volume, part.shard), (volume, part.extent)
+        place, key = (volume, part.shard, part.class_name), (volume, part.extent)
         if part.class_name in self._in_order:
             line = self._kept_in_order.setdefault(key, {})
             place = next(iter(line.values()), place)
@@ -679,11 +712,13 @@
         if part.request.moving:
             if part.shard < 0:
                 part.places = True
+                part.lined = True
                 self._placing.setdefault(key, deque()).appendleft(part)
         elif part.extent >= 0 and (part.shard < 0 or held or key in self._placing):
             part.shard = -1
             line = self._placing.setdefault(key, deque())
             line.append(part)
+            part.lined = True
             if held or line[0] is not part or key in self._released:  # the one before may just have placed it
                 if part.state is PartState.KEPT:
                     part.state = step_part(part.state, PartStep.PLACE)
@@ -700,7 +735,7 @@
         if request.patience_us:  # one offer takes no longer than its class allows; then there may be another
             length = self._deadlines[part.class_name]
             window = self._windows[part.class_name]
-            if window and part.shard >= 0 and part.class_name not in self._in_order:
+            if window and part.class_name not in self._in_order:
                 length = min(length, window * OFFER_PARTS // 10)
             part.until = min(part.until, now + length)
         if part.class_name in self._in_order:
@@ -770,10 +805,10 @@
             hold.left.discard(part.number)
             if not hold.left:
                 self._held.append(hold)
-        if part.shard < 0 and part.state is not PartState.KEPT:
+        if part.lined:
             key = (part.request.volume.settings.name, part.extent)
-            with suppress(KeyError, ValueError):  # it never came so far
-                self._placing[key].remove(part)
+            self._placing[key].remove(part)
+            part.lined = False
             if part.places:
                 part.places = False
                 self._holds.pop(key, None)
@@ -798,12 +833,15 @@
                     break
                 part.shard = shard
                 line.popleft()
+                part.lined = False
                 self._arrive(part, now)
             if not line:
                 self._placing.pop(key, None)
 
     def _finish(self, request: ClientRequest, outcome: Outcome) -> None:
         request.outcome = outcome
+        if request.token is NOBODY:
+            return
         match outcome:
             case Outcome.SERVED:
                 self.counts.served += 1
@@ -940,7 +978,7 @@
             elif part.state is PartState.OUT:
                 part.state = step_part(part.state, PartStep.LOST)
             elif part.state is PartState.KEPT and part not in self._patience:
-                place = (part.request.volume.settings.name, part.shard)
+                place = (part.request.volume.settings.name, part.shard, part.class_name)
                 self._patience.keep(now, part, part.number, place, part.hint_us)
         self._add(api.Ended(
             part.number, attempt.number, attempt.member.entry.node, result, now - attempt.sent_at,
--- a/harriertrack/gateway/visits.py
+++ b/harriertrack/gateway/visits.py
@@ -17,7 +17,7 @@
 from harriertrack.runtime.hub import Hub, Timer
 
 VERDICT_US = 10_000  # the layer, or the other region's head, has refused by then what it refuses at once
-ANYWHERE = -1  # a volume's requests wait in one line: who holds it decides for all
+ANYWHERE = (-1, "")  # a volume's requests wait in one line: who holds it decides for all
 
 
 @dataclass(slots=True, eq=False)
@@ -59,8 +59,8 @@
         last = max(now, request.deadline - ANSWER_TICKS * self._tick)
         visit.timer = self._hub.at(last, lambda: self._time_up(visit))
         name = request.volume.settings.name
-        if self._patience.waiting((name, ANYWHERE)):
-            self._patience.keep(now, visit, visit.ticket, (name, ANYWHERE))
+        if self._patience.waiting((name, *ANYWHERE)):
+            self._patience.keep(now, visit, visit.ticket, (name, *ANYWHERE))
             self._wake()
         else:
             self._ask(visit)
@@ -79,7 +79,7 @@
         visit.inner = None
         if inner.outcome is Outcome.REFUSED and not self.closing:
             if now < request.deadline - ANSWER_TICKS * self._tick:
-                place = (request.volume.settings.name, ANYWHERE)
+                place = (request.volume.settings.name, *ANYWHERE)
                 self._patience.keep(now, visit, visit.ticket, place, inner.hint_us)
                 self._wake()
                 return
--- a/harriertrack/protocol/nvme/transport.py
+++ b/harriertrack/protocol/nvme/transport.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
@@ -259,6 +260,7 @@
     in_capsule: int = 8 << 10  # data that a command's capsule may bring
     most_transfer: int = 1 << 20  # of one command (MDTS)
     r2t: int = 128 << 10  # asked for by one R2T
+    asked: int = 8 << 20  # of all commands whose data is asked for; one is always, however large
     digests: Dgst = Dgst.HEADER | Dgst.DATA
 
     def __post_init__(self) -> None:
@@ -303,6 +305,8 @@
         self._open: dict[int, Sqe] = {}
         self._incoming: dict[int, _Incoming] = {}
         self._asked: dict[int, _Asked] = {}
+        self._unasked: deque[_Incoming] = deque()  # commands whose data is not asked for yet
+        self._granted = 0  # bytes of those whose data is
         self._tag = 0
         self._most_r2t = 1
 
@@ -314,7 +318,8 @@
     def complete(self, cqe: Cqe) -> None:
         """End a command. Raises KeyError if it is not open."""
         del self._open[cqe.cid]
-        self._incoming.pop(cqe.cid, None)
+        if (one := self._incoming.pop(cqe.cid, None)) is not None:
+            self._let_go(one)
         for asked in self._asked.values():
             if asked.cid == cqe.cid:
                 asked.into = None
@@ -368,8 +373,9 @@
         if status is not Status.SUCCESS:
             self.complete(Cqe(sqe.cid, status))
         elif sqe.to_controller and sqe.length and sqe.sgl == Sgl.TRANSPORT:
-            self._incoming[sqe.cid] = _Incoming(sqe, bytearray(sqe.length))
-            self._ask(self._incoming[sqe.cid])
+            one = self._incoming[sqe.cid] = _Incoming(sqe, bytearray())
+            self._unasked.append(one)
+            self._ask_next()
         else:
             yield Submitted(sqe, pdu.data[: sqe.length] if sqe.to_controller else b"")
 
@@ -389,6 +395,25 @@
             return Status.SGL_TYPE
         return Status.INVALID_FIELD if sqe.length > self.limits.most_transfer else Status.SUCCESS
 
+    def _ask_next(self) -> None:
+        """Ask for the data of commands in the order they came, while no more than the bound is on its way."""
+        while self._unasked:
+            one = self._unasked[0]
+            if self._granted and self._granted + one.sqe.length > self.limits.asked:
+                return
+            self._unasked.popleft()
+            self._granted += one.sqe.length
+            one.data = bytearray(one.sqe.length)
+            self._ask(one)
+
+    def _let_go(self, one: _Incoming) -> None:
+        """A command has its data, or ended without it."""
+        if one.data:
+            self._granted -= one.sqe.length
+        else:
+            self._unasked.remove(one)
+        self._ask_next()
+
     def _ask(self, one: _Incoming) -> None:
         while one.asked < len(one.data) and one.tags < self._most_r2t:
             length = min(self.limits.r2t, len(one.data) - one.asked)
@@ -430,6 +455,7 @@
             self._ask(one)
             return
         del self._incoming[cid]
+        self._let_go(one)
         if one.torn:
             self.complete(Cqe(cid, Status.TRANSIENT_TRANSPORT))
         else:
--- a/harriertrack/standin/node.py
+++ b/harriertrack/standin/node.py
@@ -208,6 +208,7 @@
         """Go down: waiting and running work is lost, and no rack remembers it as done."""
         self._life += 1
         for work in [*self._queue, *self._running]:
+            work.started = False  # what ran was cut off: a repeat runs anew
             self._forget(work)
         self._queue.clear()
         self._running.clear()
--- a/tests/test_nvme_codec.py
+++ b/tests/test_nvme_codec.py
@@ -463,3 +463,20 @@
     with pytest.raises(AssertionError):
         for steps in itertools.product(("write", "in", "out", "abort"), repeat=6):
             play_out(steps)
+
+
+def test_data_is_asked_for_within_a_bound_in_the_order_of_the_commands():
+    host, controller = pair(asked=10_000, in_capsule=0)
+    for cid, length in ((1, 20_000), (2, 4_000), (3, 5_000), (4, 6_000)):
+        host.submit(Sqe(WRITE, cid, 1), bytes([cid]) * length, in_capsule=False)
+    done = []
+    moved(host, controller)
+    assert controller._granted == 20_000 and len(controller._unasked) == 3  # one is always, however large
+    controller.complete(Cqe(3, Status.ABORT_REQUESTED))  # it ends before its data was asked for
+    for _ in range(20):
+        assert controller._granted <= 20_000
+        moved(controller, host)
+        for event in moved(host, controller):
+            done.append((event.sqe.cid, len(event.data), set(event.data)))
+    assert done == [(1, 20_000, {1}), (2, 4_000, {2}), (4, 6_000, {4})]
+    assert not controller._granted and not controller._unasked and not controller._incoming
