--- a/harriertrack/decisions/patience.py
+++ b/harriertrack/decisions/patience.py
@@ -97,10 +97,6 @@
         lane = self._lanes.get(place)
         return lane is not None and lane.living > 0
 
-    def place_of(self, item: T) -> Place:
-        """Return the place that an item waits for. Raises KeyError if it does not wait."""
-        return self._lane_of[item].place
-
     def keep(self, now: int, item: T, ticket: int, place: Place, hint_us: int | None = None) -> None:
         """Let an item wait: refused just now with a hint (0: without one), or None: behind the others."""
         if item in self._lane_of:
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -641,8 +641,11 @@
         repeats = repeats and part.class_name not in self._in_order
         if repeats and self._waits(now, part):
             if part.shard < 0:  # the rack that may have run it is where its extent will lie
-                part.shard = next(one for one in part.attempts if one.sent_at >= part.risky_at and (
-                    one.state is not AttemptState.DIALING)).member.entry.shard
+                part.shard = next(
+                    one.member.entry.shard for one in part.attempts
+                    if one.state in (AttemptState.SENT, AttemptState.CALLED_OFF)
+                    or (part.may_have_run and one.sent_at == part.risky_at)
+                )  # fmt: skip
             self._keep(now, part, 0)
         else:
             self._given_up(part, PartStep.FAIL)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -138,6 +138,27 @@
     assert request.outcome is Outcome.FAILED and not rig.core._parts  # nothing will be heard of it any more
 
 
+def test_a_first_write_that_may_have_run_is_sent_again_where_it_may_have_run_and_placed_there():
+    rig = Rig()
+    request = rig.wait(Kind.WRITE, data=b"y" * 512)
+    rig.refuse.clear()
+    rig.run(30 * MS)
+    unreached = rig.port.sent[-1]
+    rig.end(unreached, api.Result.CONNECT_FAILED, sent=False)
+    first = rig.port.sent[-1]
+    assert first is not unreached
+    rig.core.sent(first)
+    rig.core.ended(rig.now + MS, first, api.Result.RESET)
+    rig.now += 2 * MS
+    rig.flush()
+    rig.run(700 * MS)  # held for its aim at that node, given up, kept, offered again
+    again = rig.port.sent[-1]
+    assert again is not first and again.member is first.member
+    rig.end(again)
+    assert request.outcome is Outcome.SERVED and rig.extents.shard_of("v", 0) == first.member.entry.shard
+    assert not rig.core._placing
+
+
 def test_a_late_answer_to_a_write_that_was_called_off_serves_the_client_that_waited():
     rig, request, first = write_without_answer()
     rig.run(10_000 * MS)
