--- a/harriertrack/gateway/nvme.py
+++ b/harriertrack/gateway/nvme.py
@@ -41,7 +41,14 @@
     Told,
     read_io,
 )
-from harriertrack.protocol.nvme.transport import Broken, ControllerConnection, Limits, Phase, Submitted
+from harriertrack.protocol.nvme.transport import (
+    AskedBytes,
+    Broken,
+    ControllerConnection,
+    Limits,
+    Phase,
+    Submitted,
+)
 from harriertrack.protocol.nvme.wire import Cqe, Dgst, Sqe, Status
 from harriertrack.runtime.hub import DeadlineExceeded
 from harriertrack.runtime.streams import Listener, Stream
@@ -99,7 +106,7 @@
 
     def __init__(self, front: NvmeFront, stream: Stream) -> None:
         self._front, self._stream = front, stream
-        self._nvme = ControllerConnection(front.limits)
+        self._nvme = ControllerConnection(front.limits, front.asked)
         self.controller: Controller | None = None
         self.number = -1
         self.origin, self.volume, self.chosen, self.counted = Origin.CLIENT, "", False, False
@@ -133,6 +140,7 @@
         except OSError as error:
             front.note("client broke", peer=self._stream.peer, why=str(error))
         finally:
+            self._nvme.ended()
             self._leave()
             front.queue_ended(self)
             self._stream.close()
@@ -286,6 +294,7 @@
         )
         self._queues: dict[tuple[int, int], Queue] = {}
         self.patience_us = settings.patience_us
+        self.asked = AskedBytes(reception.settings.limits.held_bytes)
 
     def serve(self, listener: Listener) -> None:
         """Accept hosts until the listener is closed (the front's task)."""
--- a/harriertrack/protocol/nvme/transport.py
+++ b/harriertrack/protocol/nvme/transport.py
@@ -268,6 +268,14 @@
             raise ValueError("alignment or MAXH2CDATA are outside the specification's bounds")
 
 
+@dataclass(slots=True, eq=False)
+class AskedBytes:
+    """What all connections of one head have asked for together; each may always have one command's."""
+
+    most: int
+    used: int = 0
+
+
 @dataclass(slots=True)
 class _Incoming:
     """A command whose data is asked for."""
@@ -296,8 +304,9 @@
 
     from_host = True
 
-    def __init__(self, limits: Limits) -> None:
+    def __init__(self, limits: Limits, together: AskedBytes | None = None) -> None:
         super().__init__(max(limits.most_h2c, limits.in_capsule))
+        self._together = together or AskedBytes(limits.asked)
         self.limits = limits
         self.depth = 32  # commands at a time, until Connect says how many
         self.flow_off = False  # no submission queue flow control: then reads may end without a capsule
@@ -399,10 +408,13 @@
         """Ask for the data of commands in the order they came, while no more than the bound is on its way."""
         while self._unasked:
             one = self._unasked[0]
-            if self._granted and self._granted + one.sqe.length > self.limits.asked:
+            length, together = one.sqe.length, self._together
+            beyond = self._granted + length > self.limits.asked or together.used + length > together.most
+            if self._granted and beyond:
                 return
             self._unasked.popleft()
-            self._granted += one.sqe.length
+            self._granted += length
+            together.used += length
             one.data = bytearray(one.sqe.length)
             self._ask(one)
 
@@ -410,10 +422,18 @@
         """A command has its data, or ended without it."""
         if one.data:
             self._granted -= one.sqe.length
+            self._together.used -= one.sqe.length
         else:
             self._unasked.remove(one)
         self._ask_next()
 
+    def ended(self) -> None:
+        """The connection is gone: what it had asked for will not come."""
+        self._together.used -= self._granted
+        self._granted = 0
+        self._unasked.clear()
+        self._incoming.clear()
+
     def _ask(self, one: _Incoming) -> None:
         while one.asked < len(one.data) and one.tags < self._most_r2t:
             length = min(self.limits.r2t, len(one.data) - one.asked)
--- a/tests/test_nvme_codec.py
+++ b/tests/test_nvme_codec.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings, strategies as st
 
 from harriertrack.protocol.nvme.transport import (
-    NO_DIGESTS, Broken, Completed, ControllerConnection, HostConnection, Initialized, Limits, Phase, Submitted,
+    NO_DIGESTS, AskedBytes, Broken, Completed, ControllerConnection, HostConnection, Initialized, Limits, Phase, Submitted,
 )  # fmt: skip
 from harriertrack.protocol.nvme.wire import Cqe, Dgst, Fes, Flags, Pdu, Sgl, Sqe, Status, aligned, crc32c
 
@@ -480,3 +480,24 @@
             done.append((event.sqe.cid, len(event.data), set(event.data)))
     assert done == [(1, 20_000, {1}), (2, 4_000, {2}), (4, 6_000, {4})]
     assert not controller._granted and not controller._unasked and not controller._incoming
+
+
+def test_connections_share_a_bound_and_each_may_have_one_commands_data():
+    together = AskedBytes(6_000)
+    sides = [(pair()[0], ControllerConnection(Limits(in_capsule=0), together)) for _ in range(3)]
+    for host, controller in sides:
+        begun = HostConnection()
+        begun.begin()
+        controller.receive(b"".join(begun.take_outgoing()))
+        controller.take_outgoing()
+        for cid in range(1, 4):
+            host.submit(Sqe(WRITE, cid, 1), bytes(4_000), in_capsule=False)
+        moved(host, controller)
+    assert together.used == 12_000 and [controller._granted for _, controller in sides] == [4_000] * 3
+    sides[0][1].ended()
+    assert together.used == 8_000
+    for host, controller in sides[1:]:
+        for _ in range(10):
+            moved(controller, host)
+            moved(host, controller)
+    assert together.used == 0
