--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -468,6 +468,10 @@
         """How often a part that waited was offered to the module."""
         return self._patience.offered
 
+    def kept_parts(self) -> Iterator[Part]:
+        """Yield the open parts that wait, or have waited, on a hint."""
+        return (part for part in self._parts.values() if part.kept and not part.state.over)
+
     def close(self, why: str) -> None:
         """Let nothing wait on a hint any more: what does is refused."""
         self._closing = why
--- a/harriertrack/lab/day.py
+++ b/harriertrack/lab/day.py
@@ -58,6 +58,7 @@
     LINK_BLOCK = "link_block"
     LINK_FLAP = "link_flap"
     WITNESS_DOWN = "witness_down"
+    WAITING_KILL = "waiting_kill"
 
 
 class TroubleSettings(Checked, frozen=True, kw_only=True):
--- a/harriertrack/lab/fronts.py
+++ b/harriertrack/lab/fronts.py
@@ -61,6 +61,11 @@
         self._queue = client.io(scope, deadline)
         self._queue.on_lost = self._lost
 
+    @property
+    def full(self) -> bool:
+        """Whether the host may send no more now."""
+        return self._queue is not None and self._queue.full
+
     def _lost(self) -> None:
         assert self._queue is not None and self._client is not None
         self.violation = self._queue.broken
--- a/harriertrack/lab/load.py
+++ b/harriertrack/lab/load.py
@@ -8,6 +8,7 @@
 
 import random
 import re
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -64,6 +65,7 @@
         self.volume, self.head = volume, head
         self.address: tuple[str, int] | None = None  # of the head; None while it is down
         self._client: Client | None = None
+        self._unsent: deque[tuple[str, str, int, int, bytes, Answered, bool]] = deque()
         self._lives = 0
         self._requests = 0
         self.open = 0
@@ -101,6 +103,13 @@
             now = self._hub.now()
             self._recorder.add(rec.Answer(t=now, client=self.name, request=0, outcome="violation"))
         self._client = None
+        self.forget_unsent()
+
+    def forget_unsent(self) -> None:
+        """Ask nothing more of what has not been sent."""
+        unsent, self._unsent = self._unsent, deque()
+        for one in unsent:
+            one[5]("left", None)
 
     def leave(self) -> None:
         """Break the connection from the client's side."""
@@ -112,6 +121,10 @@
     def send(self, kind: str, class_name: str, start: int, length: int, data: bytes, then: Answered,
              again: bool = False) -> None:  # fmt: skip
         """Send a request; `then` gets (outcome, reply) once: served, refused, failed or left."""
+        if not self.hears_hints and isinstance(self._client, NvmeVolume) and self._client.full:
+            # A host keeps what its queue has no room for; the head has not got it.
+            self._unsent.append((kind, class_name, start, length, data, then, again))
+            return
         name = self.name
         self._requests += 1
         request = self._requests
@@ -149,6 +162,8 @@
                 rec.Answer(t=now, client=name, request=request, outcome=outcome, data_ok=right,
                            hint_us=int(hint[1]) if hint else 0)  # fmt: skip
             )
+            if self._unsent and self.up:
+                self.send(*self._unsent.popleft())
 
         self.start(kind, start, length, data, answered)
 
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+import msgspec
+
 from harriertrack.config.settings import (
     ClassSettings,
     ConsulSettings,
@@ -147,6 +149,8 @@
     def __init__(self, hub: Hub, network: Network, day: DaySettings, seed: int, recorder: rec.Recorder,
                  state_dir: str | None = None, front: Front = Front.NBD) -> None:  # fmt: skip
         self.front = front
+        waits = msgspec.structs.replace(NVME, patience_us=day.patience_us)
+        self._nvme = waits if front is Front.NVME else None
         self.hub, self.network, self.day, self.recorder = hub, network, day, recorder
         self.random = random.Random(seed)
         self.listing = self.new_listing()
@@ -221,6 +225,8 @@
     def manners(self, volume: str) -> tuple[bool, int]:
         """Return whether a volume's clients hear hints, and how long they wait where they don't."""
         plain = round(self.day.plain * self.day.volumes)
+        if self._two and self.front is Front.NVME:
+            plain = 0  # such hosts know another path, and are told so at once
         return int(volume.removeprefix("vol")) >= plain, self.day.patience_us
 
     def wiring(self, slot: HeadSlot) -> Wiring:
@@ -254,6 +260,9 @@
             hub.sleep_until(start + day.length_us)
             for flow in self.flows:
                 flow.closed = True
+            for slot in self.heads:
+                for connection in slot.connections:
+                    connection.forget_unsent()
             limits = [one.deadline_us for one in self.classes] + [day.patience_us if day.plain else 0]
             last = hub.now() + max(limits) + 2 * SETTLE_US
             while hub.now() < last and any(one.open for slot in self.heads for one in slot.connections):
@@ -354,7 +363,7 @@
             seed=self.random.getrandbits(32) + 1, extent_bytes=day.extent_bytes, unit_bytes=day.unit_bytes,
             mean_units=2.5, most_units=float(day.extent_bytes // day.unit_bytes), meter_us=METER_US,
             node_list=NodeListSettings(consul=consul), region=region,
-            nvme=NVME if self.front is Front.NVME else None,
+            nvme=self._nvme,
             rules=day.rules, classes=self.classes, plans=self.plans, volumes=tuple(volumes),
         )  # fmt: skip
         check_head(settings, f"day {day.name}")
--- a/harriertrack/lab/troubles.py
+++ b/harriertrack/lab/troubles.py
@@ -11,6 +11,9 @@
 
 from harriertrack.decisions.celled import Celled, HeadMap
 from harriertrack.decisions.interface import NodeState
+from harriertrack.decisions.life import PartState
+from harriertrack.decisions.requests import CHANGING, Part
+from harriertrack.decisions.splitting import Kind
 from harriertrack.lab.day import TroubleKind, TroubleSettings
 from harriertrack.lab.rig import MOVED, HeadSlot, Rig
 from harriertrack.rules import recording as rec
@@ -203,6 +206,35 @@
         rig.hub.sleep(trouble.for_us // max(1, len(rig.heads)))
 
 
+# The steps of a wait at which a head is killed.
+WAIT_STEPS: tuple[Callable[[Part], bool], ...] = (
+    lambda part: part.state is PartState.KEPT and not part.attempts,  # never sent
+    lambda part: part.state is PartState.HELD and not part.attempts,  # offered again, held by the module
+    lambda part: part.state is PartState.OUT and part.request.kind in CHANGING,  # a write, sent after a wait
+    lambda part: part.state is PartState.KEPT and bool(part.attempts),  # sent, and waiting again
+    lambda part: part.request.kind is Kind.FLUSH,
+)
+
+
+@trouble(TroubleKind.WAITING_KILL)
+def waiting_kill(rig: Rig, trouble: TroubleSettings) -> None:
+    """A head is killed in the moment in which something of it is at each step of a wait, and comes back."""
+    until = rig.hub.now() + trouble.for_us
+    for step in WAIT_STEPS:
+        struck: HeadSlot | None = None
+        while struck is None and rig.hub.now() < until:
+            rig.hub.sleep(1_000)
+            for slot in rig.heads:
+                core = getattr(slot.head, "core", None)
+                alive = slot.task is not None and not slot.task.done
+                if alive and core is not None and any(map(step, core.kept_parts())):
+                    struck = slot
+        if struck is not None:
+            rig.kill_head(struck)
+            rig.hub.sleep(trouble.every_us)
+            rig.start_head(struck)
+
+
 @trouble(TroubleKind.BALANCER_STALL)
 def balancer_stall(rig: Rig, trouble: TroubleSettings) -> None:
     """Heads stand still for `size` milliseconds, again and again."""
--- a/harriertrack/protocol/nvme/transport.py
+++ b/harriertrack/protocol/nvme/transport.py
@@ -270,7 +270,7 @@
 
 @dataclass(slots=True, eq=False)
 class AskedBytes:
-    """What all connections of one head have asked for together; each may always have one command's."""
+    """What all connections of one head have asked for; each may always have one command's."""
 
     most: int
     used: int = 0
