--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -397,6 +397,38 @@
     play(test, classes=PATIENT)
 
 
+def test_nodes_hung_for_longer_than_every_deadline_while_thousands_wait():
+    def test(site):
+        writer = site.client("shared")
+        for extent in range(60):
+            assert writer.call(Command.WRITE, extent * EXTENT, data=b"a" * 512).error == 0
+        for shelf in site.shelves:
+            shelf.faults.hang = True
+        replies, clients = [], []
+        for _ in range(16):
+            client = NbdClient(site.hub, site.net)
+            client.open(site.head.address)
+            client.go(site.scope, "shared")
+            clients.append(client)
+            for at in range(128):
+                kind = Command.READ if at % 2 else Command.WRITE
+                data = b"" if at % 2 else b"b" * 512
+                client.start(kind, at % 60 * EXTENT + 4096, 512 * (at % 2), data, replies.append)
+        site.hub.sleep(35_000 * MS)
+        assert site.head.core.waiting > 1900 and site.head.core.offers < 35 * 100
+        assert all(reply.error == Errno.EIO for reply in replies) and len(replies) < 20  # sent into the hang
+        for shelf in site.shelves:
+            shelf.faults.hang = False
+            shelf.wake()
+        site.hub.sleep(60_000 * MS)
+        assert len(replies) > 16 * 128 - 20  # what the nodes took and forgot is listened to while its client waits
+        site.hub.sleep(220_000 * MS)
+        assert len(replies) == 16 * 128 and sum(reply.error != 0 for reply in replies) < 20
+        assert not site.head.core.waiting and not site.head.core.open_requests
+
+    play(test, classes=PATIENT)
+
+
 def test_a_flood_that_waits_keeps_no_neighbour_waiting_and_the_head_bounded():
     def median(site, flooded):
         client = NbdClient(site.hub, site.net)
