A part names its own lane; the door's unread counter is gone

Three places in the core built the same lane by hand; Part.place serves them. Admission.waited was counted and read by nobody. Behaviour as before: tests of door, core, patience and waiting heads pass.

--- a/harriertrack/decisions/admission.py
+++ b/harriertrack/decisions/admission.py
@@ -50,7 +50,6 @@
 
     def __init__(self, bounds: DoorBounds, shares: Shares) -> None:
         self.bounds, self.shares = bounds, shares
-        self.waited = 0  # requests that had to wait at the door
         self._held: dict[C, _Held] = {}
         self._lines: dict[str, deque[Entrant[C]]] = {}  # by volume, in the order of turns
         self._aside: dict[C, Entrant[C]] = {}
@@ -89,7 +88,6 @@
             self.shares.takes(entrant.volume, entrant.size, now)
             self._count(entrant.connection, entrant.size)
             return True
-        self.waited += 1
         return False
 
     def _room(self, now: int, entrant: Entrant[C]) -> bool:
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -250,6 +250,11 @@
             attempt.state in (AttemptState.SENT, AttemptState.CALLED_OFF) for attempt in self.attempts
         )
 
+    @property
+    def place(self) -> Place:
+        """Return the lane that it waits in."""
+        return (self.request.volume.settings.name, self.shard, self.class_name)
+
     @property
     def listens(self) -> bool:
         """Whether an attempt that was called off may still be answered."""
@@ -572,7 +577,7 @@
         """Tell the module of a new part, or let it wait behind those that wait already."""
         key = (part.request.volume.settings.name, part.extent)
         ahead = self._kept_in_order.get(key) if part.class_name in self._in_order else None
-        place = next(iter(ahead.values())) if ahead else (key[0], part.shard, part.class_name)
+        place = next(iter(ahead.values())) if ahead else part.place
         if not part.request.patience_us:
             if ahead:  # it would overtake them
                 self._given_up(part, PartStep.REFUSE, self.rules.patience.most_us)
@@ -676,7 +681,7 @@
             self.counts.kept += 1
             self._push(part.request.deadline - ANSWER_TICKS * self.rules.tick_us, part)
         volume = part.request.volume.settings.name
-        place, key = (volume, part.shard, part.class_name), (volume, part.extent)
+        place, key = part.place, (volume, part.extent)
         if part.class_name in self._in_order:
             line = self._kept_in_order.setdefault(key, {})
             place = next(iter(line.values()), place)
@@ -986,8 +991,7 @@
             elif part.state is PartState.OUT:
                 part.state = step_part(part.state, PartStep.LOST)
             elif part.state is PartState.KEPT and part not in self._patience:
-                place = (part.request.volume.settings.name, part.shard, part.class_name)
-                self._patience.keep(now, part, part.number, place, part.hint_us)
+                self._patience.keep(now, part, part.number, part.place, part.hint_us)
         self._add(api.Ended(
             part.number, attempt.number, attempt.member.entry.node, result, now - attempt.sent_at,
             part.state.over, *((report.used_percent, report.elsewhere, report.load) if report else ()),
