The product serves on the platform: HTTP front, shelf connections, discovery, one core

The platform's protocol is another entrance and exit of the same program. Messages without I/O on h11 (protocol/platform/), front, shelf connections, discovery watch, configuration and signals (service/) around the same Core; the choices of the new parts (which connection, when the watch calls, whom to close, how to leave) are pure objects in decisions/.

--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -51,6 +51,17 @@
     window_us: int = 0  # how long a rack drops repeats; 0: nothing of this class may run again
 
 
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """What a client itself says of its request's class and place: nothing is cut, placed or looked up."""
+
+    class_name: str
+    key: str
+    shard: int  # -1: a new object
+    units: float
+    repeat: bool = False  # marked as asked again after a refusal or failure
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRules:
     """What the core of a head is told at its start; sizes are bytes."""
@@ -238,6 +249,7 @@
     risky_at: int = 0  # when the first attempt that may have run was sent
     places: bool = False  # it is the one that places its new extent
     lined: bool = False  # it stands in the line for its extent's placement
+    placed: Placed | None = None  # its client says where it lies
     until: int = 0  # when the module's time for it ends
     kept: bool = False  # it has waited on a hint
     hint_us: int = 0  # of its latest refusal
@@ -280,6 +292,7 @@
     state: AttemptState = AttemptState.DIALING
     told: bool = False  # the module has its outcome
     write_number: int = 0
+    until: int = 0  # when the module stops waiting for it
 
     @property
     def awaited(self) -> bool:
@@ -363,6 +376,7 @@
         port: Port,
         nodes: NodeBook,
         places: Places,
+        restored: Iterable[api.NodeEntry] = (),
     ) -> None:
         self.rules = rules
         self.nodes = nodes
@@ -397,7 +411,7 @@
         for volume in self.volumes.values():  # what an earlier life wrote without a flush is not known
             name, fixed = volume.settings.name, volume.settings.shards
             volume.dirty = dict.fromkeys(fixed or {shard for _, shard in places.placed(name)}, 0)
-        self._add(api.NodesChanged(api.ListKind.RESTORED, []))
+        self._add(api.NodesChanged(api.ListKind.RESTORED, list(restored)))
 
     # -- what happens outside
 
@@ -463,6 +477,20 @@
             if part.state is PartState.WAITING:  # else the one before ended the request
                 self._admit(now, part)
 
+    def take_placed(self, now: int, request: ClientRequest, placed: Placed) -> None:
+        """Take a request that is one part and says itself where it lies; its deadline is set.
+
+        Raises ValueError for one that would wait on hints: waiting goes by extents, which it has not.
+        """
+        if request.patience_us or not request.deadline:
+            raise ValueError("a request that is placed by its client has a deadline and no patience")
+        self.counts.taken += 1
+        part = self._part(request, placed.class_name, -1, 0, request.length, placed.shard)
+        part.placed = placed
+        request.pieces.append(part)
+        request.open = 1
+        self._arrive(part, now)
+
     @property
     def waiting(self) -> int:
         """How many parts wait on a hint."""
@@ -752,6 +780,12 @@
             part.until = min(part.until, now + length)
         if part.class_name in self._in_order:
             self._told_in_order.setdefault((volume.name, part.extent), {})[part.number] = part
+        if (placed := part.placed) is not None:
+            self._add(api.Arrived(
+                part.number, part.class_name, volume.plan, volume.name, placed.key, part.shard, placed.units,
+                part.until - now, volume.hosts, placed.repeat,
+            ))  # fmt: skip
+            return
         self._add(api.Arrived(
             part.number, part.class_name, volume.plan, volume.name,
             f"{volume.name}/{part.extent}" if part.extent >= 0 else "",
@@ -968,6 +1002,7 @@
         if request.kind is Kind.FLUSH:
             attempt.write_number = request.volume.dirty.get(part.shard, 0)
         until = min(now + action.timeout_us, part.until) if action.timeout_us else part.until
+        attempt.until = until
         self._push(until, attempt)
         self._port.send(attempt)
 
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -21,7 +21,8 @@
 from harriertrack.gateway.reception import Reception
 from harriertrack.gateway.regional import Regional
 from harriertrack.membership.nodes import NodeList
-from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Timer
+from harriertrack.runtime.alarm import Alarm
+from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub
 from harriertrack.runtime.streams import Network
 from harriertrack.storage.extents import ExtentMap
 from harriertrack.storage.missed import MissedLog
@@ -52,7 +53,7 @@
         self.hub, self.settings = hub, settings
         self._network, self._note, self._name = network, note, name
         self._extents, self._log, self._wiring = extents, log, wiring
-        self._timer: Timer | None = None
+        self._alarm = Alarm(hub, self._flush)
         self._stopping = Event(hub)
         self.ready = Event(hub)
         self.trace: Callable[[Attempt], None] | None = None  # hears of every send, for rigs that stamp them
@@ -118,8 +119,7 @@
         finally:
             for listener in listeners:
                 listener.close()
-            if self._timer is not None:
-                self._timer.cancel()
+            self._alarm.cancel()
             extents.close()
             if self._log is not None:
                 self._log.close()
@@ -195,15 +195,11 @@
 
     def wake_at(self, when: int) -> None:
         """Flush the core at a time."""
-        if self._timer is not None and self._timer.act is not None:
-            if self._timer.at <= when:
-                return  # it will come, find nothing due, and ask again
-            self._timer.cancel()
-        self._timer = self.hub.at(when, self._flush)
+        self._alarm.wake_at(when)
 
     def soon(self) -> None:
         """Flush the core at the end of this round."""
-        self.hub.at_end_of_round(self._flush)
+        self._alarm.soon()
 
     def note(self, text: str) -> None:
         """Log a line of the module."""
--- a/harriertrack/membership/nodes.py
+++ b/harriertrack/membership/nodes.py
@@ -38,6 +38,20 @@
         """Return all nodes, the gone ones among them."""
         return tuple(self._members.values())
 
+    def change(self, members: Iterable[Member]) -> NodesChanged:
+        """Take the entries that changed; return the news for the module."""
+        changed = list(members)
+        self._members.update((member.entry.node, member) for member in changed)
+        self._told = True
+        return NodesChanged(ListKind.CHANGES, [member.entry for member in changed])
+
+    def forget_gone(self) -> list[str]:
+        """Forget the nodes that are gone, of whom no address is needed any more; return their names."""
+        gone = [name for name, one in self._members.items() if one.entry.state is NodeState.GONE]
+        for name in gone:
+            del self._members[name]
+        return gone
+
     def replace(self, members: Iterable[Member], restored: bool = False) -> NodesChanged | None:
         """Take a whole list; return the news for the module, None if nothing changed.
 
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -49,6 +49,12 @@
         Closing it here counts too.
         """
 
+    def push(self, act: Callable[[], None]) -> None:
+        """Send what is buffered now; call `act` once its last byte has left, never if the stream breaks."""
+
+    def silent(self) -> bool:
+        """Whether the stream is open and nothing unread has come, neither bytes nor an end, as of now."""
+
     def close(self) -> None:
         """Send what is buffered as far as that goes at once, and close."""
 
@@ -96,6 +102,7 @@
         self._wants_read = False
         self.came_at = self._since = hub.now()
         self._on_end: Callable[[], None] | None = None
+        self._on_pushed: Callable[[], None] | None = None
         self._readable, self._writable = Waiters(hub), Waiters(hub)
         self._handler = FdHandler(sock.fileno(), 0, self._on_events)
         hub.add_handler(self._handler)
@@ -184,10 +191,31 @@
             self._error = error
             self._shut()
             return
+        if not out and self._on_pushed is not None:
+            act, self._on_pushed = self._on_pushed, None
+            act()
         if self.buffered < HIGH_WATER and self._writable.any():
             self._writable.notify()
         self._set_interest()
 
+    def push(self, act: Callable[[], None]) -> None:
+        """Send what is buffered now; call `act` once its last byte has left, never if the stream breaks."""
+        self._on_pushed = act
+        if not self._closed:
+            self._flush()
+
+    def silent(self) -> bool:
+        """Whether the stream is open and nothing unread has come, neither bytes nor an end, as of now."""
+        if self._closed:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
+
     def drain(self, deadline: int | None = None) -> None:
         """Wait until under 1 MiB is buffered. Raises ConnectionError if the stream broke meanwhile."""
         while self.buffered >= HIGH_WATER and not self._closed:
@@ -208,6 +236,7 @@
         if act is not None:
             act()
         self._out.clear()
+        self._on_pushed = None
         self.buffered = 0
         self._hub.remove_handler(self._handler)
         self._sock.close()
@@ -368,6 +397,15 @@
     def flush(self, deadline: int | None = None) -> None:
         """Nothing to do: what is written is on its way."""
 
+    def push(self, act: Callable[[], None]) -> None:
+        """What is written has left at once, unless the stream is broken."""
+        if not self._closed and self._error is None:
+            act()
+
+    def silent(self) -> bool:
+        """Whether the stream is open and nothing unread has come, neither bytes nor an end, as of now."""
+        return not (self._closed or self._eof or self._in or self._error)
+
     def _end(self, error: OSError | None) -> None:
         if error is not None:
             self._error, self._closed = error, True
--- /dev/null
+++ b/harriertrack/service/calls.py
@@ -0,0 +1,45 @@
+"""What the parts of the platform's head know of each other."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from harriertrack.decisions.patience import Waiting
+from harriertrack.decisions.requests import ClientRequest
+from harriertrack.protocol.platform.asked import Asked
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformVolume:
+    """A volume as one request describes it: nothing is kept of volumes between requests."""
+
+    name: str
+    plan: str
+    hosts: int
+    waiting: Waiting = Waiting.REFUSE
+    patience_us: int = 0
+    shards: tuple[int, ...] = ()
+
+
+class Session(Protocol):
+    """A client's connection."""
+
+    def give(self, call: Call, request: ClientRequest) -> None:
+        """Send the one final answer."""
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A client's request as its front knows it: what was asked, and over which connection."""
+
+    asked: Asked
+    session: Session
+
+    def answer(self, request: ClientRequest) -> None:
+        """Hand the one final answer to the connection."""
+        self.session.give(self, request)
+
+
+Note = Callable[..., None]
--- /dev/null
+++ b/harriertrack/service/discovery.py
@@ -0,0 +1,94 @@
+"""The watch over discovery: one connection, one call after another; what comes is told to the module."""
+
+from __future__ import annotations
+
+from harriertrack.decisions.requests import Core
+from harriertrack.decisions.watching import Call, Watching, Worth
+from harriertrack.membership.nodes import NodeList
+from harriertrack.membership.targets import (
+    MOST_LIST,
+    TargetsError,
+    members_of,
+    target_of,
+    targets_of,
+)  # fmt: skip
+from harriertrack.protocol.platform.exchange import Answer, Exchange, Spoilt
+from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Task
+from harriertrack.runtime.streams import Network, Stream
+from harriertrack.service.calls import Note
+from harriertrack.service.shelfs import Shelfs
+
+
+class Discovery:
+    """Follows the list while the module wants it."""
+
+    def __init__(self, hub: Hub, network: Network, scope: Scope, core: Core, nodes: NodeList, shelfs: Shelfs,
+                 watching: Watching, address: tuple[str, int], wall_ahead_us: int, name: str,
+                 note: Note) -> None:  # fmt: skip
+        self._hub, self._network, self._scope, self._core = hub, network, scope, core
+        self._nodes, self._shelfs, self._watching = nodes, shelfs, watching
+        self._address, self._wall_ahead_us = address, wall_ahead_us
+        self._name, self._note = name, note
+        self._task: Task | None = None
+
+    def subscribe(self, on: bool) -> None:
+        """Follow from now on, or stop."""
+        if self._watching.subscribe(on):
+            self._start(on)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is elsewhere now."""
+        if address != self._address:
+            self._address = address
+            self._note("discovery moved", to=f"{address[0]}:{address[1]}")
+            if self._watching.restart():
+                self._start(True)
+
+    def _start(self, on: bool) -> None:
+        if self._task is not None:
+            self._task.cancel()
+        self._task = self._scope.spawn("discovery", self._run) if on else None
+
+    def _run(self) -> None:
+        stream: Stream | None = None
+        try:
+            while True:
+                call = self._watching.call()
+                deadline = self._hub.now() + call.within_us
+                if stream is None:
+                    stream = self._network.connect(self._address, deadline, self._name)
+                answer = self._ask(stream, call, deadline)
+                worth = self._told(answer)
+                if worth is Worth.STALE:
+                    raise TargetsError("the answer is older than the list in hand")
+                if not answer.reusable:
+                    stream.close()
+                    stream = None
+        except (OSError, DeadlineExceeded, Spoilt, TargetsError) as error:
+            self._note("discovery failed", why=(str(error) or type(error).__name__)[:200])
+            self._watching.failed()
+            self._core.list_failed()
+        finally:
+            if stream is not None:
+                stream.close()
+
+    def _ask(self, stream: Stream, call: Call, deadline: int) -> Answer:
+        host = f"{self._address[0]}:{self._address[1]}".encode()
+        exchange = Exchange("GET", target_of(call.since, call.wait_us), [(b"Host", host)], b"", MOST_LIST)
+        stream.write(exchange.request)
+        while (answer := exchange.receive(stream.read(deadline))) is None:
+            pass
+        if answer.status != 200:
+            raise TargetsError(f"status {answer.status}")
+        return answer
+
+    def _told(self, answer: Answer) -> Worth:
+        targets = targets_of(answer.body)
+        members = members_of(targets, self._wall_ahead_us)  # read whole before any of it is taken
+        worth = self._watching.answered(targets.version, targets.full, len(members))
+        if worth is Worth.TAKE:
+            news = self._nodes.replace(members) if targets.full else self._nodes.change(members)
+            self._core.nodes_changed(news)
+            for node in self._nodes.forget_gone():
+                self._shelfs.gone(node)
+        return worth
--- /dev/null
+++ b/harriertrack/service/head.py
@@ -0,0 +1,143 @@
+"""The platform's head: the core that all fronts share, between the platform's clients and shelfs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+
+from harriertrack.decisions import Scheduler
+from harriertrack.decisions.leaving import Leaving, Phase
+from harriertrack.decisions.requests import Attempt, ClientRequest, Core
+from harriertrack.decisions.watching import Watching
+from harriertrack.membership.nodes import NodeList
+from harriertrack.runtime.alarm import Alarm
+from harriertrack.runtime.hub import Event, Hub
+from harriertrack.runtime.streams import Network
+from harriertrack.service.calls import Note
+from harriertrack.service.configuration import Configuration, restored
+from harriertrack.service.discovery import Discovery
+from harriertrack.service.front import Front
+from harriertrack.service.shelfs import Shelfs
+
+LOOK_US = 20_000  # how often a head that leaves looks whether it can end
+
+
+class NoPlaces:
+    """Clients say where their data lies: the head places and remembers nothing."""
+
+    def shard_of(self, volume: str, extent: int) -> int | None:
+        """Return nothing."""
+
+    def placed(self, volume: str) -> Iterator[tuple[int, int]]:
+        """Yield nothing."""
+        return iter(())
+
+    def place(self, placements: Iterable[tuple[str, int, int]]) -> None:
+        """Take nothing: a request that comes placed places nothing."""
+        raise RuntimeError("the platform's requests place no extents")
+
+    def left(self, volume: str) -> list[tuple[int, int]]:
+        """Return nothing."""
+        return []
+
+    def forgot(self, volume: str, extent: int, shard: int) -> None:
+        """Forget nothing."""
+
+
+class PlatformHead:
+    """One head on a hub; `run` is its task."""
+
+    def __init__(self, hub: Hub, network: Network, configuration: Configuration, note: Note,
+                 module: Callable[..., Scheduler] = Scheduler) -> None:  # fmt: skip
+        self.hub, self.configuration = hub, configuration
+        self._network, self._note = network, note
+        self._alarm = Alarm(hub, self._flush)
+        self._asked_to_leave = Event(hub)
+        self.ready = Event(hub)
+        self.leaving = Leaving(configuration.bounds.longest_us)
+        self.nodes = NodeList()
+        self.module = module(configuration.told, configuration.seed)
+        # A start comes as Unix time. The difference is fixed once: a step of the wall clock must not make
+        # known shelfs look newly started.
+        self._wall_ahead_us = hub.clock.wall() - hub.now()
+        news = self.nodes.replace(restored(configuration, self._wall_ahead_us), restored=True)
+        entries = news.entries if news is not None else []
+        self.core = Core(configuration.rules(), self.module, (), self, self.nodes, NoPlaces(), entries)
+
+    def run(self) -> None:
+        """Serve until `stop` is called and all is answered; raises OSError if it can't listen."""
+        hub, configuration = self.hub, self.configuration
+        hub.enter_group(self)
+        listener = self._network.listen(configuration.listen)
+        try:
+            with hub.scope(configuration.name) as scope:
+                self.shelfs = Shelfs(hub, self._network, scope, self.core, configuration.bounds,
+                                     configuration.name, self._note)  # fmt: skip
+                watching = Watching(configuration.bounds.ask_within_us, configuration.known.version)
+                self.discovery = Discovery(
+                    hub, self._network, scope, self.core, self.nodes, self.shelfs, watching,
+                    configuration.discovery, self._wall_ahead_us, configuration.name, self._note,
+                )  # fmt: skip
+                self.front = Front(hub, scope, self.core, configuration, self.leaving, self._note)
+                scope.spawn("front", self.front.serve, listener)
+                scope.spawn("callers", self.front.watch)
+                scope.spawn("shelfs", self.shelfs.watch)
+                self.ready.set()
+                self._asked_to_leave.wait()
+                while True:
+                    phase = self.leaving.look(hub.now(), self.front.callers.unfinished)
+                    if phase is Phase.DRAINING:
+                        listener.close()
+                        self.front.part()
+                    elif phase is Phase.ENDED:
+                        break
+                    hub.sleep(LOOK_US)
+                scope.cancel()
+        finally:
+            listener.close()
+            self._alarm.cancel()
+
+    def stop(self) -> None:
+        """Leave: take what still comes for a while, answer all, and end."""
+        if self.leaving.ask(self.hub.now()):
+            self._note("leaving", open=self.core.open_requests)
+            self._asked_to_leave.set()
+
+    def reconfigure(self, fresh: Configuration) -> None:
+        """Follow a new configuration as far as a running head can: where discovery is."""
+        before = self.configuration
+        if (fresh.told, fresh.listen, fresh.name) != (before.told, before.listen, before.name):
+            self._note("configuration", why="a running head follows discovery alone")
+        self.discovery.move(fresh.discovery)
+
+    # -- what the core asks for
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt."""
+        self.shelfs.send(attempt)
+
+    def call_off(self, attempt: Attempt) -> None:
+        """Give an attempt up."""
+        self.shelfs.call_off(attempt)
+
+    def answer(self, request: ClientRequest) -> None:
+        """Hand a final answer to whoever asked."""
+        request.token.answer(request)
+
+    def subscribe(self, on: bool) -> None:
+        """Follow the node list, or stop."""
+        self.discovery.subscribe(on)
+
+    def wake_at(self, when: int) -> None:
+        """Flush the core at a time."""
+        self._alarm.wake_at(when)
+
+    def soon(self) -> None:
+        """Flush the core at the end of this round."""
+        self._alarm.soon()
+
+    def note(self, text: str) -> None:
+        """Log a line of the module."""
+        self._note("module", text=text)
+
+    def _flush(self) -> None:
+        self.core.flush(self.hub.now())
--- /dev/null
+++ b/harriertrack/service/shelfs.py
@@ -0,0 +1,232 @@
+"""The shelfs' side: each attempt of the module goes over a connection of its own for as long as it lasts.
+
+What an attempt's end proves follows from how far it came: until the last byte of the request has left this
+process it never ran. Nothing is sent again here.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.requests import Attempt, Core
+from harriertrack.decisions.ways import Ways, WayState
+from harriertrack.membership.nodes import Member
+from harriertrack.protocol.platform.exchange import Answer, Exchange, Spoilt
+from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope
+from harriertrack.runtime.streams import Network, Stream
+from harriertrack.service.calls import Call, Note
+from harriertrack.service.configuration import Bounds
+
+LOOK_US = 500_000  # how often idle connections are looked through
+PERCENT = re.compile(rb"[0-9]{1,6}(?:\.[0-9]{1,6})?")
+
+
+@dataclass(slots=True)
+class Beside:
+    """What a shelf told beside its answer; `used_percent` is the meter's figure plus one, 0 for none."""
+
+    used_percent: int = 0
+    elsewhere: float = 0.0
+    load: tuple[float, ...] = ()
+
+
+@dataclass(slots=True)
+class ShelfCounts:
+    """What became of connections and answers, for operators."""
+
+    dialled: int = 0
+    spoilt: int = 0
+    surplus: int = 0
+    no_room: int = 0
+    ends: dict[api.Result, int] = field(default_factory=dict)
+
+
+def result_of(answer: Answer) -> api.Result:
+    """Return what a whole answer says of its attempt."""
+    if answer.status == 200:
+        return api.Result.OK
+    if answer.status in (503, 504) and answer.fields.get(b"x-never-ran") == b"1":
+        return api.Result.FULL
+    return api.Result.ERROR
+
+
+def beside_of(answer: Answer) -> Beside:
+    """Return what can be read of what came beside an answer."""
+    used = answer.fields.get(b"x-iops-used") or b""
+    return Beside(int(float(used)) + 1 if PERCENT.fullmatch(used) else 0)
+
+
+class Shelfs:
+    """All connections to shelfs of a head."""
+
+    def __init__(self, hub: Hub, network: Network, scope: Scope, core: Core, bounds: Bounds, name: str,
+                 note: Note) -> None:  # fmt: skip
+        self.hub, self.network, self.core, self.bounds, self.name = hub, network, core, bounds, name
+        self.ways: Ways[Way] = Ways(bounds.ways, bounds.idle_us)
+        self.counts = ShelfCounts()
+        self._scope, self._note = scope, note
+        self._way_of: dict[Attempt, Way] = {}
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt over an idle connection that is still good, else over a new one."""
+        now, member = self.hub.now(), attempt.member
+        assert isinstance(member, Member), "the core was given the list of members"
+        entry = member.entry
+        while (way := self.ways.pick(entry.node, now)) is not None:
+            if way.fit:
+                break
+            way.close()
+        if way is None and not self.ways.room:
+            self.counts.no_room += 1
+            self.hub.at_end_of_round(lambda: self.core.ended(now, attempt, api.Result.CONNECT_FAILED))
+            return
+        if way is None:
+            self.counts.dialled += 1
+            way = Way(self, entry.node, member.address)
+            victim = self.ways.dials(way, entry.node)
+            if victim is not None:
+                victim.close()
+            self._way_of[attempt] = way
+            way.offer(attempt)
+            self._scope.spawn(entry.node, way.run)
+        else:
+            self._way_of[attempt] = way
+            self.ways.step(way, WayState.BUSY, now)
+            way.start(attempt)
+
+    def call_off(self, attempt: Attempt) -> None:
+        """Nobody waits for an attempt any more: its connection is closed, or if it is not up yet kept."""
+        way = self._way_of.pop(attempt, None)
+        if way is not None:
+            way.call_off()
+
+    def ended(self, attempt: Attempt, result: api.Result, at: int, answer: Answer | None = None) -> None:
+        """Tell the core an attempt's outcome, which came at a time."""
+        self._way_of.pop(attempt, None)
+        self.counts.ends[result] = self.counts.ends.get(result, 0) + 1
+        if answer is not None and result is api.Result.OK:
+            self.core.ended(at, attempt, result, answer.body, beside_of(answer))
+        else:
+            self.core.ended(at, attempt, result)
+
+    def spoilt(self, node: str, why: str) -> None:
+        """An answer could not be read: say so now and then."""
+        self.counts.spoilt += 1
+        if self.counts.spoilt & (self.counts.spoilt - 1) == 0:
+            self._note("spoilt answer", shelf=node, why=why[:120], so_far=self.counts.spoilt)
+
+    def gone(self, node: str) -> None:
+        """A shelf is gone from the list: nothing more goes over its idle connections."""
+        for way in self.ways.idle_of(node):
+            way.close()
+
+    def watch(self) -> None:
+        """Close connections that have idled for long, for ever (a task)."""
+        while True:
+            self.hub.sleep(LOOK_US)
+            for way in self.ways.overdue(self.hub.now()):
+                way.close()
+
+
+class Way:
+    """One connection to a shelf."""
+
+    def __init__(self, shelfs: Shelfs, node: str, address: tuple[str, int]) -> None:
+        self._shelfs, self._node, self._address = shelfs, node, address
+        self._stream: Stream | None = None
+        self._attempt: Attempt | None = None
+        self._exchange: Exchange | None = None
+        self._closed = False
+
+    @property
+    def fit(self) -> bool:
+        """Whether it can carry a request: it is open, and nothing has come that belongs to none."""
+        return self._stream is not None and not self._closed and self._stream.silent()
+
+    def offer(self, attempt: Attempt) -> None:
+        """Take an attempt before the connection is up."""
+        self._attempt = attempt
+
+    def start(self, attempt: Attempt) -> None:
+        """Send an attempt's request."""
+        assert self._stream is not None
+        self._attempt = attempt
+        call = attempt.part.request.token
+        assert isinstance(call, Call)
+        asked = call.asked
+        left = max(1, (attempt.until - self._shelfs.hub.now()) // 1000)
+        headers = [
+            (b"Host", b"api.internal"), (b"X-Trace-Id", asked.trace), (b"X-Expires-In-Ms", b"%d" % left),
+        ]  # fmt: skip
+        if asked.key:
+            headers.append((b"Idempotency-Key", asked.key))
+        self._exchange = Exchange("PUT" if asked.writes else "GET", asked.target, headers, asked.body)
+        self._stream.write(self._exchange.request)
+        self._stream.push(lambda: self._shelfs.core.sent(attempt))
+
+    def run(self) -> None:
+        """Dial, then take answers until the connection ends (its task)."""
+        shelfs, hub = self._shelfs, self._shelfs.hub
+        try:
+            deadline = hub.now() + shelfs.bounds.dial_us
+            self._stream = shelfs.network.connect(self._address, deadline, shelfs.name)
+            if self._closed:
+                return
+            if self._attempt is not None:
+                shelfs.ways.step(self, WayState.BUSY, hub.now())
+                self.start(self._attempt)
+            else:
+                shelfs.ways.step(self, WayState.IDLE, hub.now())
+            while self._take(self._stream.read()):
+                pass
+        except Spoilt as error:
+            shelfs.spoilt(self._node, str(error))
+            self._lost(api.Result.ERROR)
+        except (OSError, DeadlineExceeded):
+            self._lost(api.Result.RESET)
+        finally:
+            self.close()
+            self._lost(api.Result.RESET)
+
+    def _take(self, data: bytes) -> bool:
+        """Take bytes; return whether the connection goes on."""
+        shelfs = self._shelfs
+        if self._exchange is None or self._attempt is None:  # an end, or bytes that belong to nothing
+            shelfs.counts.surplus += bool(data)
+            return False
+        assert self._stream is not None
+        if not data:  # cut off before or inside an answer
+            self._lost(api.Result.RESET)
+            return False
+        answer = self._exchange.receive(data)
+        if answer is None:
+            return True
+        attempt, self._attempt, self._exchange = self._attempt, None, None
+        at = max(attempt.sent_at, self._stream.came_at)
+        shelfs.ended(attempt, result_of(answer), at, answer)
+        if not answer.reusable:
+            shelfs.counts.surplus += 1
+            return False
+        shelfs.ways.step(self, WayState.IDLE, shelfs.hub.now())
+        return True
+
+    def _lost(self, result: api.Result) -> None:
+        """The connection is over; what that proves of its attempt, the core knows from how far it came."""
+        attempt, self._attempt, self._exchange = self._attempt, None, None
+        if attempt is not None:
+            self._shelfs.ended(attempt, result, self._shelfs.hub.now())
+
+    def call_off(self) -> None:
+        """Nobody waits for the attempt any more."""
+        self._attempt = self._exchange = None
+        if self._stream is not None:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._closed = True
+        self._shelfs.ways.gone(self)
+        if self._stream is not None:
+            self._stream.close()
