A head that is asked to leave serves on until shortly before it would be killed

Observed (reload): 28 to 39 % of requests failed in the windows with restarts, while the heads' own counts show 0 to 30 failures of 1,500: the requests found no head. The platform starts a head again some 3.5 s after it asked it to leave, however early it ends (seen: ended after 0.7 s, back after 3.5 s), and its clients have no other way. Excluded: lost answers, discovery moves, shelf errors (the same before the restarts). The cause is decisions/leaving.py: PART_US. Now a head parts for the platform's promise less 0.6 s, then asks its clients to leave, and what is open 0.2 s before the kill is answered as failed.

A line of counts is logged every 5 s, and what a head found at its start.

--- a/harriertrack/decisions/leaving.py
+++ b/harriertrack/decisions/leaving.py
@@ -1,16 +1,21 @@
-"""How a head leaves when it is asked to: it takes what still comes, answers everything, and ends.
+"""How a head leaves when it is asked to: it serves on while it may, then answers everything, and ends.
 
-No I/O and no clock. SERVING until it is asked, then PARTING: new connections are taken, each answer asks its
-client to leave. After that DRAINING: it listens no more, idle connections are closed, the rest is answered.
-ENDED when nothing is open, or when all clients have given up.
+No I/O and no clock. SERVING until it is asked, then PARTING: the platform starts it again only after the time
+at which it would kill it, and until then its clients have no other way to their volumes, so it serves on over
+the connections there are. Shortly before, it is DRAINING: it listens no more, each answer asks its client to
+leave, idle connections are closed. ENDED when nothing is open, or just before the kill: what is still open is
+answered then.
 """
 
 from __future__ import annotations
 
 from enum import StrEnum
 
-# Clients come to a head for some tenths of a second after it was asked to leave: they have not heard yet.
-PART_US = 600_000
+# The platform's promise: it kills no sooner than the longest deadline, or this if that is longer, ...
+KILL_LONGEST_US = 3_000_000
+KILL_AFTER_US = 700_000  # ... and so much more after it has asked.
+DRAIN_US = 400_000  # open requests are given so long: most are answered within it
+SPARE_US = 200_000  # the last answers leave so long before the kill: the processor may be busy
 
 
 class Phase(StrEnum):
@@ -27,7 +32,7 @@
 
     def __init__(self, longest_us: int) -> None:
         self.phase = Phase.SERVING
-        self._longest_us = longest_us
+        self._end_after_us = min(longest_us, KILL_LONGEST_US) + KILL_AFTER_US - SPARE_US
         self._asked_at = 0
 
     def ask(self, now: int) -> bool:
@@ -40,13 +45,13 @@
     def look(self, now: int, unfinished: int) -> Phase:
         """Return the phase as of now; `unfinished` is how many connections have a request read or open."""
         since = now - self._asked_at
-        if self.phase is Phase.PARTING and since >= PART_US:
+        if self.phase is Phase.PARTING and since >= self._end_after_us - DRAIN_US:
             self.phase = Phase.DRAINING
-        elif self.phase is Phase.DRAINING and (not unfinished or since >= PART_US + self._longest_us):
+        if self.phase is Phase.DRAINING and (not unfinished or since >= self._end_after_us):
             self.phase = Phase.ENDED
         return self.phase
 
     @property
     def leaves(self) -> bool:
         """Whether clients are asked to go elsewhere."""
-        return self.phase is not Phase.SERVING
+        return self.phase in (Phase.DRAINING, Phase.ENDED)
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -505,6 +505,13 @@
         """Yield the open parts that wait, or have waited, on a hint."""
         return (part for part in self._parts.values() if part.kept and not part.state.over)
 
+    def fail_open(self) -> None:
+        """The head ends now: fail whatever is open, which is true of anything that may yet run."""
+        for part in list(self._parts.values()):
+            if not part.state.over:
+                self._add(api.ClientGone(part.number))
+                self._given_up(part, PartStep.FAIL)
+
     def close(self, why: str) -> None:
         """Let nothing wait on a hint any more: what does is refused."""
         self._closing = why
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -18,6 +18,7 @@
 from harriertrack.service.front import Front
 from harriertrack.service.shelfs import Shelfs
 
+REPORT_US = 5_000_000  # how often a line of counts is logged
 LOOK_US = 20_000  # how often a head that leaves looks whether it can end
 
 
@@ -81,25 +82,52 @@
                 scope.spawn("front", self.front.serve, listener)
                 scope.spawn("callers", self.front.watch)
                 scope.spawn("shelfs", self.shelfs.watch)
+                scope.spawn("report", self._report)
                 self.ready.set()
+                bounds = configuration.bounds
+                self._note("ready", name=configuration.name, nodes=len(self.nodes), callers=bounds.callers,
+                           ways=bounds.ways, longest_us=bounds.longest_us)  # fmt: skip
                 self._asked_to_leave.wait()
                 while True:
                     phase = self.leaving.look(hub.now(), self.front.callers.unfinished)
-                    if phase is Phase.DRAINING:
+                    if self.leaving.leaves:
                         listener.close()
                         self.front.part()
-                    elif phase is Phase.ENDED:
+                    if phase is Phase.ENDED:
                         break
                     hub.sleep(LOOK_US)
+                self.core.fail_open()
+                hub.sleep(0)  # the answers leave at the end of this round
+                self.report()
                 scope.cancel()
         finally:
             listener.close()
             self._alarm.cancel()
 
+    def _report(self) -> None:
+        """Log what became of requests, attempts and connections so far, for ever (a task)."""
+        while True:
+            self.hub.sleep(REPORT_US)
+            self.report()
+
+    def report(self) -> None:
+        """Log one line of counts."""
+        core, front, shelfs = self.core.counts, self.front, self.shelfs
+        ends = {str(result.name).lower(): count for result, count in shelfs.counts.ends.items()}
+        self._note(
+            "counts", taken=core.taken, served=core.served, refused=core.refused, failed=core.failed,
+            left=core.left, open=self.core.open_requests, sent=core.sent, moot=core.moot, **ends,
+            callers=len(front.callers), came=front.counts.taken, turned_away=front.counts.turned_away,
+            bad=front.counts.bad, overdue=front.counts.overdue, ways=len(shelfs.ways),
+            dialled=shelfs.counts.dialled, spoilt=shelfs.counts.spoilt, surplus=shelfs.counts.surplus,
+            idle_us=self.hub.idle_us, longest_round_us=self.hub.longest_round_us,
+        )  # fmt: skip
+
     def stop(self) -> None:
         """Leave: take what still comes for a while, answer all, and end."""
         if self.leaving.ask(self.hub.now()):
             self._note("leaving", open=self.core.open_requests)
+            self.report()
             self._asked_to_leave.set()
 
     def reconfigure(self, fresh: Configuration) -> None:
