--- a/harriertrack/protocol/platform/asked.py
+++ b/harriertrack/protocol/platform/asked.py
@@ -128,6 +128,9 @@
     def _begin(self, head: h11.Request) -> None:
         """Check what tells a body's length before any of it is kept."""
         self._head, self._body, self._length = head, [], 0
+        # h11 bounds a head that is not whole; one that came whole in a single read may be longer.
+        if len(head.target) + sum(len(name) + len(value) for name, value in head.headers) > MOST_HEAD:
+            raise BadRequest(431, "a head of more than 16 KiB")
         lengths = [value for name, value in head.headers if name == b"content-length"]
         if any(name == b"transfer-encoding" for name, _ in head.headers):
             raise BadRequest(400, "a body is told by Content-Length alone")
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -60,9 +60,7 @@
         # A start comes as Unix time. The difference is fixed once: a step of the wall clock must not make
         # known shelfs look newly started.
         self._wall_ahead_us = hub.clock.wall() - hub.now()
-        news = self.nodes.replace(restored(configuration, self._wall_ahead_us), restored=True)
-        entries = news.entries if news is not None else []
-        self.core = Core(configuration.rules(), self.module, (), self, self.nodes, NoPlaces(), entries)
+        self.core: Core
 
     def run(self) -> None:
         """Serve until `stop` is called and all is answered; raises OSError if it can't listen."""
@@ -71,6 +69,9 @@
         listener = self._network.listen(configuration.listen)
         try:
             with hub.scope(configuration.name) as scope:
+                news = self.nodes.replace(restored(configuration, self._wall_ahead_us), restored=True)
+                entries = news.entries if news is not None else []
+                self.core = Core(configuration.rules(), self.module, (), self, self.nodes, NoPlaces(), entries)
                 self.shelfs = Shelfs(hub, self._network, scope, self.core, configuration.bounds,
                                      configuration.name, self._note)  # fmt: skip
                 watching = Watching(configuration.bounds.ask_within_us, configuration.known.version)
--- /dev/null
+++ b/harriertrack/standin/platform.py
@@ -0,0 +1,196 @@
+"""Stand-ins for the users' platform: a shelf that answers by a script, and discovery with its watch.
+
+Both speak what the platform's pages say, over streams of the hub, in memory or on loopback.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Waiters
+from harriertrack.runtime.streams import Listener, Network, Stream, StreamClosed
+
+RESET = b"\0reset"  # an answer of a script: break the connection
+MUTE = b"\0mute"  # never answer
+NEVER_RAN = b"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def answer(body: bytes, status: int = 200, extra: bytes = b"") -> bytes:
+    """Return an answer with a body."""
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s" % (status, len(body), extra, body)
+
+
+@dataclass(slots=True)
+class Got:
+    """A request that came whole; `when` is microseconds."""
+
+    when: int
+    line: str
+    fields: dict[str, str]
+    body: bytes
+    connection: int
+
+
+def read_message(stream: Stream, kept: bytes, deadline: int | None = None) -> tuple[bytes, bytes, bytes]:
+    """Read (head, body, what came behind) of one message that tells its length; empty at the end."""
+    while b"\r\n\r\n" not in kept:
+        data = stream.read(deadline)
+        if not data:
+            return b"", b"", b""
+        kept += data
+    head, _, rest = kept.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.lower().split(b"\r\n")[1:]:
+        if line.startswith(b"content-length:"):
+            length = int(line.partition(b":")[2])
+    while len(rest) < length:
+        data = stream.read(deadline)
+        if not data:
+            return b"", b"", b""
+        rest += data
+    return head, rest[:length], rest[length:]
+
+
+def fields_of(head: bytes) -> dict[str, str]:
+    """Return a head's fields by name in lower case."""
+    pairs = (line.partition(":") for line in head.decode("latin-1").split("\r\n")[1:])
+    return {name.lower(): value.strip() for name, _, value in pairs}
+
+
+class PlatformShelf:
+    """Answers each request by `script`, after `delay_us`; keeps what came and which connections ended."""
+
+    def __init__(self, hub: Hub, network: Network, script: Callable[[Got], bytes],
+                 delay_us: int = 5_000) -> None:  # fmt: skip
+        self._hub, self.script, self.delay_us = hub, script, delay_us
+        self._listener: Listener = network.listen(("127.0.0.1", 0))
+        self.address = self._listener.address
+        self.got: list[Got] = []
+        self.connections = 0
+        self.ended: list[int] = []  # connections that the head ended
+        self.streams: list[Stream] = []
+
+    def start(self, scope: Scope) -> None:
+        """Accept from now on."""
+        scope.spawn("shelf", self._accept, scope)
+
+    def close(self) -> None:
+        """Listen no more."""
+        self._listener.close()
+
+    def _accept(self, scope: Scope) -> None:
+        while True:
+            try:
+                stream = self._listener.accept()
+            except StreamClosed:
+                return
+            self.connections += 1
+            self.streams.append(stream)
+            scope.spawn("shelf connection", self._serve, stream, self.connections)
+
+    def _serve(self, stream: Stream, number: int) -> None:
+        kept = b""
+        try:
+            while True:
+                head, body, kept = read_message(stream, kept)
+                if not head:
+                    break
+                line = head.split(b"\r\n")[0].decode()
+                got = Got(self._hub.now(), line, fields_of(head), body, number)
+                self.got.append(got)
+                self._hub.sleep(self.delay_us)
+                said = self.script(got)
+                if said == RESET:
+                    stream.abort()
+                    return
+                if said != MUTE:
+                    stream.write(said)
+        except OSError:
+            pass  # the head broke it
+        self.ended.append(number)
+
+
+@dataclass(slots=True)
+class PlatformDiscovery:
+    """The list, its versions, and watches that wait for newer ones."""
+
+    hub: Hub
+    network: Network
+    version: int = 1
+    servers: dict[str, dict] = field(default_factory=dict)
+    changed: dict[str, int] = field(default_factory=dict)  # the version of each entry's latest change
+    calls: list[tuple[int, str]] = field(default_factory=list)
+    spoil: Callable[[bytes], bytes] | None = None
+    _changes: Waiters = field(init=False)
+    _listener: Listener = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._changes = Waiters(self.hub)
+        self._listener = self.network.listen(("127.0.0.1", 0))
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return where it listens."""
+        return self._listener.address
+
+    def set(self, name: str, address: tuple[str, int], cell: int, state: str = "in_service",
+            started_ms: int = 0) -> None:  # fmt: skip
+        """Add or change an entry, as a new version."""
+        self.version += 1
+        self.changed[name] = self.version
+        self.servers[name] = {
+            "id": name, "addr": f"{address[0]}:{address[1]}", "zone": "z", "kind": "k", "cell": cell,
+            "state": state, "weight": 1.0, "started_ms": started_ms,
+        }  # fmt: skip
+        self._changes.notify()
+
+    def listed(self) -> dict:
+        """Return the whole list."""
+        return {"version": self.version, "full": True, "servers": list(self.servers.values())}
+
+    def start(self, scope: Scope) -> None:
+        """Serve from now on."""
+        scope.spawn("discovery stand-in", self._accept, scope)
+
+    def close(self) -> None:
+        """Listen no more."""
+        self._listener.close()
+
+    def _accept(self, scope: Scope) -> None:
+        while True:
+            try:
+                stream = self._listener.accept()
+            except StreamClosed:
+                return
+            scope.spawn("discovery connection", self._serve, stream)
+
+    def _serve(self, stream: Stream) -> None:
+        kept = b""
+        try:
+            while True:
+                head, _, kept = read_message(stream, kept)
+                if not head:
+                    return
+                target = head.split(b" ")[1].decode()
+                self.calls.append((self.hub.now(), target))
+                query = parse_qs(urlsplit(target).query)
+                told = self.listed()
+                if "since" in query:
+                    since = int(query["since"][0])
+                    self._wait(since, self.hub.now() + 1000 * int(query["timeout_ms"][0]))
+                    news = [self.servers[name] for name, at in self.changed.items() if at > since]
+                    told = {"version": self.version, "full": False, "servers": news}
+                body = json.dumps(told).encode()
+                stream.write(answer(self.spoil(body) if self.spoil else body))
+        except OSError:
+            return  # the head broke it
+
+    def _wait(self, since: int, until: int) -> None:
+        try:
+            while self.version <= since and self.hub.now() < until:
+                self._changes.wait(until)
+        except DeadlineExceeded:
+            pass
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,508 @@
+"""The platform's head on the virtual clock: clients, shelfs and discovery in memory, played by stand-ins."""
+
+import json
+
+import pytest
+
+from harriertrack.decisions import Scheduler, interface as api
+from harriertrack.decisions.leaving import DRAIN_US, Phase
+from harriertrack.runtime.hub import DeadlineExceeded, Hub
+from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.service.configuration import ConfigurationError, read
+from harriertrack.service.head import PlatformHead
+from harriertrack.standin.platform import (
+    MUTE, NEVER_RAN, RESET, PlatformDiscovery, PlatformShelf, answer, fields_of, read_message,
+)
+
+MS = 1000
+VOLUME = "00000003b4d60021"
+SETTINGS = {
+    "nInstances": 2, "tickUs": 2000, "discovery": "on_request",
+    "lanes": [
+        {"name": "look", "aimUs": 300 * MS, "giveUpUs": 1500 * MS, "idempotency": "read_like", "value": 3.0},
+        {"name": "note", "aimUs": 500 * MS, "giveUpUs": 2500 * MS, "idempotency": "idempotency_key", "group": "cell",
+         "keyTtlUs": 2500 * MS, "value": 2.0},
+    ],
+    "contracts": [{"name": "gold", "baseRate": 500, "reserve": 300, "shares": 1}],
+    "permissions": {"sendCap": 3, "mayCancel": True, "retryAfter": True, "maxRetryAfterUs": 500 * MS, "mostHeld": 1000,
+                    "connIdleUs": 3_000_000, "dialTimeoutUs": 250 * MS, "probes": True},
+    "safety": {"drainGraceUs": 2_000_000, "fallUs": 2_000_000, "overloadFactor": 2, "startCapacity": 0.2,
+               "warmAfterUs": 10_000_000, "askWithinUs": 10_000_000},
+    "familyInfo": {"usualUnits": 2, "mostUnits": 6, "coldUnits": 8, "slotsTotal": 2, "classWrites": [False, True]},
+}  # fmt: skip
+
+
+class Hears(Scheduler):
+    """The module itself; keeps the events that it was told."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.events = []
+
+    def handle(self, now, events):
+        self.events += events
+        return super().handle(now, events)
+
+    def results(self):
+        return [event.result for event in self.events if isinstance(event, api.Ended)]
+
+
+class Site:
+    """A head, two shelfs, discovery; `run` plays a test in simulated time."""
+
+    def __init__(self, tmp_path, sockets=256, known=True, module=Hears, **settings):
+        self.hub = Hub.virtual(3)
+        self.net = MemoryNetwork(self.hub)
+        self.script = lambda got: answer(b"body of " + got.line.split("=")[1][:16].encode())
+        self.shelfs = [PlatformShelf(self.hub, self.net, lambda got: self.script(got)) for _ in range(2)]
+        self.discovery = PlatformDiscovery(self.hub, self.net)
+        for cell, shelf in enumerate(self.shelfs):
+            self.discovery.set(f"s{cell}", shelf.address, cell)
+        self.path, self.notes = tmp_path / "config.json", []
+        self.given = {
+            "name": "n1", "listen": "127.0.0.1:9000", "discovery": f"127.0.0.1:{self.discovery.address[1]}",
+            "seed": "8c1f", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+            "known": self.discovery.listed() if known else {"version": 0, "full": True, "servers": []},
+            "settings": {**SETTINGS, **settings},
+        }  # fmt: skip
+        self.module = module
+        self.head = PlatformHead(self.hub, self.net, self.configuration(), self.note, module)
+        self.number = 0
+
+    def note(self, event, **fields):
+        self.notes.append((event, fields))
+
+    def configuration(self):
+        self.path.write_text(json.dumps(self.given))
+        return read({"PROXY_NAME": "n1", "PROXY_LISTEN": "127.0.0.1:9000", "PROXY_DISCOVERY": "x:1",
+                     "PROXY_CONFIG": str(self.path)})  # fmt: skip
+
+    def run(self, act):
+        def main():
+            with self.hub.scope("test") as scope:
+                self.scope = scope
+                for shelf in self.shelfs:
+                    shelf.start(scope)
+                self.discovery.start(scope)
+                scope.spawn("head", self.head.run)
+                self.head.ready.wait()
+                self.hub.sleep(20 * MS)
+                act(self)
+                scope.cancel()
+
+        self.hub.run(main)
+
+    def connect(self):
+        return self.net.connect(("127.0.0.1", 9000), name="client")
+
+    def request(self, writes=False, trace=None, **changes):
+        self.number += 1
+        given = {
+            "method": "PUT" if writes else "GET", "path": f"/{'note' if writes else 'look'}",
+            "query": "object=7f3a9c21e0b4d655", "X-Trace-Id": trace or f"{self.number:016x}", "X-Qos-Policy": "gold",
+            "X-Expires-In-Ms": "480", "X-Placement": f"volume={VOLUME},units=2,shard=1,hosts=2", "body": "",
+            "Content-Length": None, "Idempotency-Key": f"k{self.number}" if writes else None, **changes,
+        }  # fmt: skip
+        body = given.pop("body").encode()
+        if given["Content-Length"] is None:
+            given["Content-Length"] = str(len(body)) if writes else None
+        line = f"{given.pop('method')} {given.pop('path')}?{given.pop('query')} HTTP/1.1\r\nHost: api.internal\r\n"
+        fields = "".join(f"{name}: {value}\r\n" for name, value in given.items() if value is not None)
+        return (line + fields + "\r\n").encode() + body
+
+    def ask(self, request, stream=None, within=3000 * MS):
+        """Send a request; return (status, fields, body), None for a close without an answer."""
+        stream = stream or self.connect()
+        stream.write(request)
+        return self.answered(stream, within)
+
+    def answered(self, stream, within=3000 * MS):
+        try:
+            head, body, _ = read_message(stream, b"", self.hub.now() + within)
+        except ConnectionError:
+            return None
+        return (int(head.split(b" ")[1]), fields_of(head), body) if head else None
+
+
+@pytest.fixture
+def site(tmp_path):
+    return Site(tmp_path)
+
+
+def test_a_request_goes_to_its_shard_and_the_body_back_unchanged_over_kept_connections(site):
+    site.script = lambda got: answer(bytes(range(256)), extra=b"X-Iops-Used: 85\r\n")
+
+    def act(site):
+        stream = site.connect()
+        for number in range(3):
+            status, _, body = site.ask(site.request(True, trace=f"{number + 1:016x}", body="goal"), stream)
+            assert (status, body) == (200, bytes(range(256)))
+            site.hub.sleep(10 * MS)
+        got = site.shelfs[1].got
+        assert [one.fields["x-trace-id"] for one in got] == [f"{number:016x}" for number in (1, 2, 3)]
+        assert got[0].line == "PUT /note?object=7f3a9c21e0b4d655 HTTP/1.1" and got[0].body == b"goal"
+        assert got[0].fields["idempotency-key"] == "k1" and 0 < int(got[0].fields["x-expires-in-ms"]) <= 480
+        assert site.shelfs[1].connections == 1 and not site.shelfs[0].got
+        used = [event.used_percent for event in site.head.module.events if isinstance(event, api.Ended)]
+        assert used == [86, 86, 86]
+
+    site.run(act)
+
+
+SPOILT = {
+    "noise": b"\x00\x01 noise \r\n\r\n",
+    "head that never ends": b"HTTP/1.1 200 OK\r\nX: " + b"y" * 40_000,
+    "3 GB": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nab",
+    "negative": b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nab",
+    "two lengths": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nab",
+    "no length": b"HTTP/1.1 200 OK\r\n\r\nab",
+    "1xx without end": b"HTTP/1.1 102 X\r\n\r\n" * 50,
+}
+
+
+@pytest.mark.parametrize("kind", SPOILT)
+def test_a_spoilt_answer_may_have_run_and_its_connection_is_closed_at_once(site, kind):
+    site.script = lambda got: SPOILT[kind]
+
+    def act(site):
+        status, _, _ = site.ask(site.request(True))
+        assert status == 500  # a keyed write that may have run is never called refused outside its rack's window
+        site.hub.sleep(10 * MS)
+        shelf = site.shelfs[1]
+        assert set(site.head.module.results()) == {api.Result.ERROR}
+        assert len(shelf.ended) == shelf.connections == len(shelf.got)
+
+    site.run(act)
+
+
+@pytest.mark.parametrize(("said", "result"), [
+    (answer(b"", 500), api.Result.ERROR),
+    (NEVER_RAN, api.Result.FULL),
+    (answer(b"", 503), api.Result.ERROR),
+    (answer(b"", 503, b"X-Never-Ran: 1\r\nX-Never-Ran: 0\r\n"), api.Result.ERROR),
+    (answer(b"", 404), api.Result.ERROR),
+    (RESET, api.Result.RESET),
+    (MUTE, api.Result.TIMEOUT),
+])  # fmt: skip
+def test_what_an_attempts_end_proves(site, said, result):
+    site.script = lambda got: said
+
+    def act(site):
+        status, _, _ = site.ask(site.request(True))
+        assert site.head.module.results()[0] in (result, api.Result.CANCELLED if said == MUTE else result)
+        assert status == (503 if result.never_ran else 500)
+        assert site.head.core.open_requests == 0 and not site.head.front.open
+
+    site.run(act)
+
+
+def test_a_refused_connection_proves_that_nothing_ran(site):
+    def act(site):
+        site.shelfs[1].close()
+        assert site.ask(site.request(True))[0] == 503
+        assert set(site.head.module.results()) == {api.Result.CONNECT_FAILED}
+
+    site.run(act)
+
+
+def test_good_answers_with_more_around_them_are_served_but_the_connection_is_not_used_again(site):
+    good = answer(b"good")
+
+    def act(site):
+        for number, said in enumerate((good + good, good + b"noise", b"HTTP/1.1 103 Early\r\n\r\n" + good)):
+            site.script = lambda got, said=said: said
+            assert site.ask(site.request())[2] == b"good"
+            site.hub.sleep(10 * MS)
+            assert len(site.shelfs[1].ended) == min(number + 1, 2)
+
+    site.run(act)
+
+
+def test_what_comes_late_behind_an_answer_never_answers_the_next_request(site):
+    def act(site):
+        site.script = lambda got: answer(b"first")
+        assert site.ask(site.request())[2] == b"first"
+        site.shelfs[1].streams[0].write(answer(b"first"))  # once more, in a packet of its own
+        site.script = lambda got: answer(b"second")
+        assert site.ask(site.request())[2] == b"second"
+        assert site.shelfs[1].connections == 2
+
+    site.run(act)
+
+
+def test_an_idle_connection_is_not_used_when_its_shelf_may_have_closed_it(site):
+    def act(site):
+        site.ask(site.request())
+        site.shelfs[1].streams[0].close()
+        assert site.ask(site.request())[0] == 200
+        site.hub.sleep(2_500 * MS)  # of the 3 s that the settings name
+        assert len(site.head.shelfs.ways) == 0
+        assert site.ask(site.request())[0] == 200
+        assert site.shelfs[1].connections == 3 and set(site.head.module.results()) == {api.Result.OK}
+
+    site.run(act)
+
+
+def test_unreadable_figures_beside_an_answer_are_as_if_absent(site):
+    def act(site):
+        for text in (b"nan", b"-3", b"1e9", b"99999999999", b"", b"12\r\nX-Iops-Used: 13"):
+            site.script = lambda got, text=text: answer(b"x", extra=b"X-Iops-Used: " + text + b"\r\n")
+            assert site.ask(site.request())[0] == 200
+        assert {event.used_percent for event in site.head.module.events if isinstance(event, api.Ended)} == {0}
+
+    site.run(act)
+
+
+BAD = {
+    "no class": dict(path="/nothing"),
+    "no plan": dict({"X-Qos-Policy": "tin"}),
+    "no id": dict({"X-Trace-Id": "-"}),
+    "id twice": dict({"x-trace-id": "0123456789abcdef"}),
+    "deadline no number": dict({"X-Expires-In-Ms": "soon"}),
+    "deadline negative": dict({"X-Expires-In-Ms": "-5"}),
+    "no object": dict(query="thing=1"),
+    "object short": dict(query="object=12"),
+    "object twice": dict(query="object=7f3a9c21e0b4d655&object=7f3a9c21e0b4d655"),
+    "units huge": dict({"X-Placement": f"volume={VOLUME},units=900,shard=1,hosts=2"}),
+    "units nan": dict({"X-Placement": f"volume={VOLUME},units=nan,shard=1,hosts=2"}),
+    "shard unknown": dict({"X-Placement": f"volume={VOLUME},units=2,shard=7,hosts=2"}),
+    "placement missing": dict({"X-Placement": None}),
+    "length negative": dict({"Content-Length": "-1"}),
+    "length no number": dict({"Content-Length": "many"}),
+    "length huge": dict({"Content-Length": "99999999999999999999"}),
+    "60 MB": dict({"Content-Length": str(60 << 20)}),
+    "both lengths": dict({"Content-Length": "4", "Transfer-Encoding": "chunked", "body": "0\r\n\r\nGET / HTTP/1.1\r\n\r\n"}),
+    "another right behind": dict({"Content-Length": "0", "body": "GET /look HTTP/1.1\r\n\r\n"}),
+    "wrong method": dict(method="GET"),
+    "no key": dict({"Idempotency-Key": None}),
+    "head without end": dict({"X-More": "y" * 60_000}),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", BAD)
+def test_a_bad_request_gets_an_error_at_once_and_is_never_passed_on(site, kind):
+    def act(site):
+        said = site.ask(site.request(True, **BAD[kind]), within=100 * MS)
+        assert said is not None and 400 <= said[0] < 600
+        site.hub.sleep(1000 * MS)
+        assert not site.shelfs[0].got and not site.shelfs[1].got
+        assert site.head.core.counts.taken == 0 and len(site.head.front.callers) == 0
+        assert site.ask(site.request())[0] == 200
+
+    site.run(act)
+
+
+def test_an_id_that_is_open_is_an_error_for_the_second_and_harmless_for_the_first(site):
+    def act(site):
+        first, same = site.connect(), "00000000000000aa"
+        site.shelfs[1].delay_us = 50 * MS
+        first.write(site.request(True, trace=same))
+        site.hub.sleep(10 * MS)
+        assert site.ask(site.request(True, trace=same), within=10 * MS)[0] == 409
+        assert site.answered(first)[0] == 200
+        assert len(site.shelfs[1].got) == 1
+
+    site.run(act)
+
+
+def test_silent_clients_and_half_requests_end_within_three_seconds_and_hinder_nobody(tmp_path):
+    def act(site):
+        silent = [site.connect() for _ in range(60)]
+        silent[0].write(site.request()[:40])
+        site.hub.sleep(600 * MS)
+        late = [site.connect() for _ in range(40)]  # now there are no places left: the oldest silent ones go
+        assert site.ask(site.request())[0] == 200
+        site.hub.sleep(2_400 * MS)
+        assert len(site.head.front.callers) <= 1
+        ends = [site.answered(one, 10 * MS) for one in silent + late]
+        assert all(end is None or end[0] == 408 for end in ends)
+        assert len(site.head.front.callers) <= 1 and site.head.core.counts.taken == 1
+
+    Site(tmp_path, sockets=160).run(act)
+
+
+def test_the_attempt_of_a_client_that_leaves_is_called_off(site):
+    def act(site):
+        site.script = lambda got: MUTE
+        stream = site.connect()
+        stream.write(site.request())
+        site.hub.sleep(50 * MS)
+        stream.close()
+        site.hub.sleep(50 * MS)
+        assert site.shelfs[1].ended == [1] and site.head.module.results() == [api.Result.CANCELLED]
+        assert not site.head.front.open and site.head.core.open_requests == 0
+
+    site.run(act)
+
+
+def test_time_that_bytes_waited_in_a_head_that_stood_still_is_the_clients(site):
+    def act(site):
+        stream = site.connect()
+        site.hub.sleep(10 * MS)
+        site.hub.freeze(site.head, 200 * MS)
+        stream.write(site.request())
+        assert site.answered(stream)[0] == 200
+        (ask,) = [event for event in site.head.module.events if isinstance(event, api.Arrived)]
+        assert 270 * MS < ask.time_left_us <= 281 * MS
+
+    site.run(act)
+
+
+def test_a_deadline_is_no_longer_than_its_class_allows(site):
+    def act(site):
+        site.ask(site.request(**{"X-Expires-In-Ms": "999999999"}))
+        (ask,) = [event for event in site.head.module.events if isinstance(event, api.Arrived)]
+        assert ask.time_left_us <= 1500 * MS  # the module takes the longest for what a first try has
+
+    site.run(act)
+
+
+def test_discovery_is_watched_without_a_gap_and_a_drain_reaches_the_module_at_once(site):
+    def act(site):
+        site.hub.sleep(6_000 * MS)
+        calls = site.discovery.calls
+        assert [call[1] for call in calls[:2]] == [
+            "/api/targets?since=3&timeout_ms=0", "/api/targets?since=3&timeout_ms=2500",
+        ]  # fmt: skip
+        assert calls[2][0] - calls[1][0] < 2_600 * MS  # the next follows its answer
+        site.discovery.set("s1", site.shelfs[1].address, 1, "terminating")
+        site.hub.sleep(1 * MS)
+        news = [event for event in site.head.module.events if isinstance(event, api.NodesChanged)]
+        assert [(entry.node, entry.state) for entry in news[-1].entries] == [("s1", api.NodeState.DRAINING)]
+        site.discovery.set("s1", site.shelfs[1].address, 1, "terminated")
+        site.hub.sleep(1 * MS)
+        assert site.head.nodes.find("s1") is None
+
+    site.run(act)
+
+
+def kinds(site):
+    return [event.kind for event in site.head.module.events if isinstance(event, api.NodesChanged)]
+
+
+@pytest.mark.parametrize("spoil", [lambda body: body[:-9], lambda body: b"[]", lambda body: body.replace(b"in_service", b"odd")])
+def test_a_list_that_cannot_be_read_is_a_failed_call_and_the_old_one_stays(site, spoil):
+    def act(site):
+        site.discovery.spoil = spoil
+        site.discovery.set("s0", site.shelfs[0].address, 0, started_ms=1)
+        site.hub.sleep(100 * MS)
+        assert kinds(site)[-1] is api.ListKind.FAILED and site.ask(site.request())[0] == 200
+        site.discovery.spoil = None
+        site.hub.sleep(3_000 * MS)  # the module asks again
+        assert kinds(site)[-1] is api.ListKind.CHANGES
+
+    site.run(act)
+
+
+def test_a_source_that_began_anew_is_asked_for_its_whole_list(site):
+    def act(site):
+        site.discovery.version = 1
+        site.discovery._changes.notify()
+        site.hub.sleep(6_000 * MS)
+        assert kinds(site)[-1] is api.ListKind.CHANGES or kinds(site)[-1] is api.ListKind.FULL
+        assert "/api/targets" in [call[1] for call in site.discovery.calls]
+        assert site.head.discovery._watching.version == 1
+
+    site.run(act)
+
+
+def test_a_new_configuration_moves_the_watch_at_once_and_harms_no_open_request(site):
+    def act(site):
+        fresh = PlatformDiscovery(site.hub, site.net, version=7, servers=site.discovery.servers)
+        fresh.start(site.scope)
+        site.shelfs[1].delay_us = 100 * MS
+        stream = site.connect()
+        stream.write(site.request())
+        site.hub.sleep(10 * MS)
+        site.discovery.close()
+        site.given["discovery"] = f"127.0.0.1:{fresh.address[1]}"
+        before = len(site.discovery.calls)
+        site.head.reconfigure(site.configuration())
+        site.hub.sleep(5 * MS)
+        assert [call[1] for call in fresh.calls][0].startswith("/api/targets?since=")
+        assert site.answered(stream)[0] == 200
+        site.hub.sleep(5_000 * MS)
+        assert len(site.discovery.calls) == before and api.ListKind.FAILED not in kinds(site)
+
+    site.run(act)
+
+
+def test_a_head_that_leaves_serves_until_shortly_before_the_kill_and_answers_what_is_open(site):
+    def act(site):
+        stream, began = site.connect(), site.hub.now()
+        site.ask(site.request(), stream)
+        site.head.stop()
+        site.hub.sleep(2_000 * MS)
+        status, fields, _ = site.ask(site.request(), stream)  # clients keep what is open
+        assert status == 200 and "connection" not in fields
+        site.script = lambda got: MUTE
+        while site.head.leaving.phase is Phase.PARTING:
+            site.hub.sleep(5 * MS)
+        assert site.answered(stream, 10 * MS) is None  # it was idle
+        assert site.head.leaving.phase is Phase.ENDED
+        # Longest deadline 2.5 s and 0.7 s: it has to be over before that.
+        assert site.hub.now() - began < 3_200 * MS
+
+    site.run(act)
+
+
+def test_what_is_open_when_a_head_ends_is_answered(site):
+    def act(site):
+        stream, began = site.connect(), site.hub.now()
+        site.script = lambda got: MUTE
+        site.head.stop()
+        site.hub.sleep(2_000 * MS)
+        stream.write(site.request(True, **{"X-Expires-In-Ms": "2500"}))
+        assert site.answered(stream)[0] in (500, 503)
+        assert site.hub.now() - began < 3_100 * MS
+
+    site.run(act)
+
+
+def test_a_kept_connection_is_asked_to_leave_in_the_last_moments(site):
+    def act(site):
+        site.shelfs[1].delay_us = DRAIN_US // 2
+        site.head.stop()
+        stream = site.connect()
+        site.hub.sleep(2_500 * MS)
+        stream.write(site.request())
+        assert site.answered(stream)[1].get("connection") == "close"
+
+    site.run(act)
+
+
+def test_readiness(site):
+    def act(site):
+        assert site.ask(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")[0] == 200
+
+    site.run(act)
+
+
+@pytest.mark.parametrize(("change", "said"), [
+    (lambda given: given["limits"].update(sockets="many"), "limits.sockets"),
+    (lambda given: given.update(listen="somewhere"), "listen"),
+    (lambda given: given.pop("known"), "known"),
+    (lambda given: given["known"]["servers"][0].update(state="odd"), "s0"),
+    (lambda given: given["settings"].pop("lanes"), "lanes"),
+    (lambda given: given["settings"]["lanes"][0].update(aimUs="x"), "aim_us"),
+    (lambda given: given["settings"].update(permissions={"mostHeld": 0}), "settings.permissions.mostHeld"),
+    (lambda given: given.update(discovery="host:80"), "discovery"),
+])  # fmt: skip
+def test_a_configuration_that_cannot_be_is_refused_by_its_field(site, change, said):
+    change(site.given)
+    with pytest.raises(ConfigurationError, match="config.json") as caught:
+        site.configuration()
+    assert said in str(caught.value)
+
+
+def test_no_answer_is_waited_for_after_its_time(site):
+    site.script = lambda got: MUTE
+
+    def act(site):
+        began = site.hub.now()
+        assert site.ask(site.request(**{"X-Expires-In-Ms": "200"}))[0] in (500, 503)
+        assert site.hub.now() - began <= 200 * MS
+        with pytest.raises(DeadlineExceeded):
+            site.connect().read(site.hub.now() + 10 * MS)
+
+    site.run(act)
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,124 @@
+"""The platform's head as a process on loopback sockets."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.streams import SocketNetwork
+from harriertrack.standin.platform import PlatformDiscovery, PlatformShelf, answer, read_message
+from tests.test_platform import SETTINGS, VOLUME
+
+RUN = [sys.executable, "-m", "harriertrack.service"]
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
+def start(tmp_path, given):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(given))
+    environment = {**os.environ, "PROXY_NAME": "n1", "PROXY_LISTEN": given["listen"], "PROXY_DISCOVERY": "x",
+                   "PROXY_CONFIG": str(path)}  # fmt: skip
+    return subprocess.Popen(RUN, env=environment, stderr=subprocess.PIPE, text=True)
+
+
+def config(port, discovery):
+    return {"name": "n1", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery.address[1]}",
+            "seed": "1f", "limits": {"sockets": 256}, "known": discovery.listed(), "settings": SETTINGS}  # fmt: skip
+
+
+def test_only_what_a_head_needs_is_imported():
+    code = "import sys, harriertrack.service.__main__; print(' '.join(sys.modules))"
+    loaded = set(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split())
+    assert "h11" in loaded
+    unwanted = {"numpy", "lmdb", "scipy", "matplotlib", "ortools", "hdrh", "click", "structlog", "jinja2", "sexpdata",
+                "asyncio", "threading", "harriertrack.gateway.front", "harriertrack.protocol.nbd.server",
+                "harriertrack.protocol.nvme.controller", "harriertrack.storage.extents"}  # fmt: skip
+    assert not loaded & (unwanted - {"threading"})
+
+
+@pytest.mark.parametrize(("spoil", "said"), [
+    (lambda given: given["limits"].update(sockets=3), "limits.sockets"),
+    (lambda given: given.update(settings={}), "lanes"),
+])  # fmt: skip
+def test_a_bad_configuration_is_one_line_and_status_2(tmp_path, spoil, said):
+    hub = Hub()
+    port, discovery = free_port(), PlatformDiscovery(hub, SocketNetwork(hub))
+    given = config(port, discovery)
+    spoil(given)
+    process = start(tmp_path, given)
+    _, told = process.communicate(timeout=30)
+    assert process.returncode == 2 and said in told and "config.json" in told and told.count("\n") == 1
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", port))
+
+
+def test_it_serves_follows_its_configuration_and_leaves(tmp_path):
+    hub = Hub()
+    net, port = SocketNetwork(hub), free_port()
+    shelf = PlatformShelf(hub, net, lambda got: answer(b"goal"), delay_us=1000)
+    discovery, fresh = PlatformDiscovery(hub, net), PlatformDiscovery(hub, net)
+    for one in (discovery, fresh):
+        one.set("s0", shelf.address, 0)
+    given = config(port, discovery)
+    request = (
+        f"GET /look?object=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: h\r\nX-Qos-Policy: gold\r\nX-Expires-In-Ms: 1400\r\n"
+        f"X-Placement: volume={VOLUME},units=1,shard=0,hosts=1\r\nX-Trace-Id: "
+    )
+
+    def ask(stream, text):
+        stream.write(text.encode())
+        head, body, _ = read_message(stream, b"", hub.now() + 5_000_000)
+        return int(head.split(b" ")[1]), body
+
+    def connected():
+        until = time.monotonic() + 30
+        while True:
+            try:
+                return net.connect(("127.0.0.1", port))
+            except ConnectionRefusedError:
+                assert time.monotonic() < until, "it does not listen"
+                hub.sleep(20_000)
+
+    def main():
+        with hub.scope("test") as scope:
+            for one in (shelf, discovery, fresh):
+                one.start(scope)
+            process = start(tmp_path, given)
+            try:
+                stream = connected()
+                assert ask(stream, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")[0] == 200
+                assert ask(stream, f"{request}{1:016x}\r\n\r\n") == (200, b"goal")
+                given["discovery"] = f"127.0.0.1:{fresh.address[1]}"
+                (tmp_path / "config.json").write_text("{")
+                process.send_signal(signal.SIGHUP)  # can't be read: the old one stays
+                assert ask(stream, f"{request}{2:016x}\r\n\r\n") == (200, b"goal")
+                (tmp_path / "config.json").write_text(json.dumps(given))
+                process.send_signal(signal.SIGHUP)
+                until = time.monotonic() + 30
+                while not fresh.calls:
+                    assert time.monotonic() < until, "it does not follow"
+                    hub.sleep(10_000)
+                process.send_signal(signal.SIGTERM)
+                assert ask(stream, f"{request}{3:016x}\r\n\r\n") == (200, b"goal")
+                while process.poll() is None:
+                    assert time.monotonic() < until, "it does not end"
+                    hub.sleep(20_000)
+                assert process.returncode == 0
+                told = process.stderr.read()
+                assert "configuration not taken" in told and "Traceback" not in told
+            finally:
+                process.kill()
+                process.wait()
+            scope.cancel()
+
+    hub.run(main)
--- /dev/null
+++ b/tests/test_platform_states.py
@@ -0,0 +1,126 @@
+"""The choices of the platform's head as pure objects: the watch, connections on both sides, how it leaves."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from harriertrack.decisions.callers import IDLE_US, READ_US, SPARE_US, Callers, CallerState
+from harriertrack.decisions.leaving import Leaving, Phase
+from harriertrack.decisions.life import IllegalStep
+from harriertrack.decisions.watching import Watching, Worth
+from harriertrack.decisions.ways import REST_US, Ways, WayState
+
+S = 1_000_000
+
+
+def test_the_first_answer_is_news_though_nothing_changed_and_the_next_call_waits():
+    watching = Watching(10 * S, 41)
+    with pytest.raises(IllegalStep):
+        watching.call()
+    assert watching.subscribe(True) and not watching.subscribe(True)
+    assert (watching.call().since, watching.call().wait_us) == (41, 0)
+    assert watching.answered(41, False, 0) is Worth.TAKE
+    assert watching.call().wait_us == 2.5 * S
+    assert watching.answered(41, False, 0) is Worth.SKIP
+    assert watching.answered(43, False, 1) is Worth.TAKE and watching.call().since == 43
+
+
+def test_an_older_answer_fails_the_call_and_the_next_one_takes_a_whole_list_of_any_version():
+    watching = Watching(10 * S, 41)
+    watching.subscribe(True)
+    assert watching.answered(40, False, 3) is Worth.STALE
+    watching.subscribe(True)
+    assert watching.call().since is None
+    assert watching.answered(42, False, 1) is Worth.STALE  # it asked for the whole list
+    watching.subscribe(True)
+    assert watching.answered(3, True, 9) is Worth.TAKE and watching.version == 3
+
+
+def test_a_hanging_call_is_given_up_well_before_a_silent_head_counts_as_told():
+    watching = Watching(10 * S, 41)
+    watching.subscribe(True)
+    watching.answered(41, False, 0)
+    assert watching.call().within_us < 5 * S
+
+
+def test_a_moved_source_is_asked_at_once_only_where_somebody_follows():
+    watching = Watching(10 * S, 41)
+    assert not watching.restart()
+    watching.subscribe(True)
+    watching.answered(41, False, 0)
+    assert watching.restart() and watching.call().wait_us == 0
+
+
+def test_places_go_to_newcomers_from_the_longest_idle_then_from_the_longest_silent():
+    callers = Callers(3)
+    for name in "abc":
+        assert callers.came(name, 0) is None
+    assert callers.came("d", 1) == "d"  # nobody may be closed yet
+    for name in "ba":
+        callers.step(name, CallerState.BUSY, 2)
+        callers.step(name, CallerState.IDLE, 3)
+    assert callers.came("e", 3 + SPARE_US) == "b" and callers.state("b") is None
+    assert callers.came("f", 4 + SPARE_US) == "a" and callers.came("g", 5 + SPARE_US) == "c"
+
+
+def test_what_reads_or_idles_too_long_is_overdue_what_is_busy_never():
+    callers = Callers(9)
+    for name in "abc":
+        callers.came(name, 0)
+    callers.step("b", CallerState.BUSY, 1)
+    callers.step("c", CallerState.BUSY, 1)
+    callers.step("c", CallerState.IDLE, 2)
+    assert callers.overdue(READ_US - 1) == [] and callers.overdue(READ_US) == ["a"]
+    assert callers.overdue(2 + IDLE_US) == ["a", "c"] and callers.unfinished == 2
+    with pytest.raises(IllegalStep):
+        callers.step("b", CallerState.READING, 3)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["dial", "idle", "busy", "gone"]), st.integers(0, 5)), max_size=60))
+def test_there_are_never_more_connections_to_shelfs_than_there_may_be(steps):
+    ways, now, serial = Ways(4, 30 * S), 0, 0
+    live = []
+    for step, which in steps:
+        now += REST_US
+        if step == "dial" and ways.room:
+            serial += 1
+            victim = ways.dials(serial, f"s{which % 2}")
+            assert victim is None or ways.state(victim) is None
+            live = [way for way in live if way != victim] + [serial]
+        elif step == "dial":
+            with pytest.raises(IllegalStep):
+                ways.dials(serial + 1, "s0")
+        elif live:
+            way = live[which % len(live)]
+            state = ways.state(way)
+            if step == "gone":
+                ways.gone(way)
+                live.remove(way)
+            elif step == "idle" and state is not WayState.IDLE:
+                ways.step(way, WayState.IDLE, now)
+            elif step == "busy" and state is not WayState.BUSY:
+                ways.step(way, WayState.BUSY, now)
+        assert len(ways) == len(live) <= 4
+        for shelf in ("s0", "s1"):
+            picked = ways.pick(shelf, now + REST_US)
+            assert picked is None or ways.state(picked) is WayState.IDLE
+
+
+def test_the_latest_idle_connection_is_taken_once_it_has_rested():
+    ways = Ways(9, 30 * S)
+    for way in "ab":
+        ways.dials(way, "s")
+        ways.step(way, WayState.IDLE, 10)
+    assert ways.pick("s", 10 + REST_US - 1) is None
+    assert ways.pick("s", 10 + REST_US) == "b" and ways.pick("t", 10 + REST_US) is None
+    assert ways.pick("s", 10 + 20 * S) is None and ways.overdue(10 + 20 * S) == ["a", "b"]
+
+
+def test_a_head_leaves_in_order_and_in_time():
+    leaving = Leaving(6 * S)
+    assert leaving.look(0, 3) is Phase.SERVING and leaving.ask(S) and not leaving.ask(2 * S)
+    assert leaving.look(2 * S, 0) is Phase.PARTING and not leaving.leaves
+    assert leaving.look(S + 3_200_000, 1) is Phase.DRAINING and leaving.leaves
+    assert leaving.look(S + 3_500_000, 1) is Phase.ENDED  # the kill comes at 3.7 s
+    quick = Leaving(6 * S)
+    quick.ask(0)
+    assert quick.look(3_200_000, 0) is Phase.ENDED
