--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -21,6 +21,9 @@
 # How the descriptors are shared out, in hundredths: clients may hold a third for requests, and some come that
 # mean harm; the rest is for shelfs, and a few for discovery, the listener, signals and logs.
 CLIENTS, SHELFS, LEAST_SPARE = 50, 40, 12
+# Shelfs answer with more than the protocol's page says (64 KiB): up to 400 KB were seen. One answer may take
+# such a part of the memory, so that what is out at once fits.
+LEAST_ANSWER, ANSWER_PARTS = 64 << 10, 64
 
 
 class ConfigurationError(Exception):
@@ -56,6 +59,7 @@
     idle_us: int
     ask_within_us: int
     longest_us: int
+    answer: int  # bytes of an answer's body
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +150,7 @@
             _whole(path, settings, "permissions", "dialTimeoutUs", 1_000_000, 1),
             _whole(path, settings, "permissions", "connIdleUs", 30_000_000, 1),
             _whole(path, settings, "safety", "askWithinUs", 0, 0), longest,
+            max(LEAST_ANSWER, int(given.limits.memory_mb * (1 << 20)) // ANSWER_PARTS),
         ),
         {one.name: one.deadline_us for one in told.classes},
     )  # fmt: skip
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -74,7 +74,7 @@
 
     def _ask(self, stream: Stream, call: Call, deadline: int) -> Answer:
         host = f"{self._address[0]}:{self._address[1]}".encode()
-        exchange = Exchange("GET", target_of(call.since, call.wait_us), [(b"Host", host)], b"", MOST_LIST)
+        exchange = Exchange(b"GET", target_of(call.since, call.wait_us), [(b"Host", host)], b"", MOST_LIST)
         stream.write(exchange.request)
         while (answer := exchange.receive(stream.read(deadline))) is None:
             pass
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -167,7 +167,8 @@
         if self._closed:
             return
         leaves = self._front.leaving.leaves
-        self._stream.write(self._http.answer(status, body, retry_after_us, close=leaves))
+        self._stream.write(self._http.answer(status, len(body), retry_after_us, close=leaves))
+        self._stream.write(body)
         self._front.callers.step(self, CallerState.IDLE, self._front.hub.now())
 
     def _leave(self) -> None:
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -71,7 +71,8 @@
             with hub.scope(configuration.name) as scope:
                 news = self.nodes.replace(restored(configuration, self._wall_ahead_us), restored=True)
                 entries = news.entries if news is not None else []
-                self.core = Core(configuration.rules(), self.module, (), self, self.nodes, NoPlaces(), entries)
+                rules = configuration.rules()
+                self.core = Core(rules, self.module, (), self, self.nodes, NoPlaces(), entries)
                 self.shelfs = Shelfs(hub, self._network, scope, self.core, configuration.bounds,
                                      configuration.name, self._note)  # fmt: skip
                 watching = Watching(configuration.bounds.ask_within_us, configuration.known.version)
--- a/harriertrack/service/shelfs.py
+++ b/harriertrack/service/shelfs.py
@@ -162,7 +162,9 @@
         ]  # fmt: skip
         if asked.key:
             headers.append((b"Idempotency-Key", asked.key))
-        self._exchange = Exchange("PUT" if asked.writes else "GET", asked.target, headers, asked.body)
+        self._exchange = Exchange(
+            b"PUT" if asked.writes else b"GET", asked.target, headers, asked.body, self._shelfs.bounds.answer
+        )
         self._stream.write(self._exchange.request)
         self._stream.push(lambda: self._shelfs.core.sent(attempt))
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -506,3 +506,13 @@
             site.connect().read(site.hub.now() + 10 * MS)
 
     site.run(act)
+
+
+def test_an_answer_larger_than_the_protocols_page_says_is_passed_on_within_the_memory(site):
+    def act(site):
+        site.script = lambda got: answer(b"x" * 400_000)
+        assert site.ask(site.request())[2] == b"x" * 400_000
+        site.script = lambda got: answer(b"x" * 1_100_000)  # of 64 MB
+        assert site.ask(site.request())[0] in (500, 503)
+
+    site.run(act)
