A node is unreachable after two failed connections in a row, not one

Excluded: discovery (one failed call), spoilt answers (0), time-outs (0). Now the second failure without an answer between does; the next try of the request comes at once and tells. New objects go elsewhere after the first.

--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -142,6 +142,7 @@
     out: dict[tuple[int, int], _Attempt] = field(default_factory=dict)
     overdue: int = 0  # of these, so many are presumed lost and fill no window
     unheard: int = 0  # overdue ones since the last answer
+    unreached: int = 0  # failed connections since the last answer
     coin: float = 0.0
     coin_at: int = -1_000_000_000
     asked_at: int = 0
@@ -369,7 +370,8 @@
         for attempt in node.out.values() if node.overdue else ():
             if attempt.overdue and node.answered_at < attempt.sent_at < sent_at:
                 self._lossy += LOSSY_GAIN * (1 - self._lossy)
-        node.heard_at, node.answered_at, node.unheard = self._now, max(node.answered_at, sent_at), 0
+        node.heard_at, node.answered_at = self._now, max(node.answered_at, sent_at)
+        node.unheard = node.unreached = 0
 
     def _arrived(self, ask: Arrived) -> None:
         now, kind = self._now, self._classes.get(ask.class_name)
@@ -557,7 +559,11 @@
         elif result in (Result.CANCELLED, Result.TIMEOUT):
             self._unanswered(node, attempt)
         elif result is Result.CONNECT_FAILED:
-            self._suspect(node, "unreachable")
+            # One connection may break by itself while the node serves others; the next try comes at once and
+            # tells. Harm: a node that is gone without a word costs a second time-out.
+            node.unreached += 1
+            if node.unreached > 1:
+                self._suspect(node, "unreachable")
         if result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED) and work.kind.in_order:
             self._rest[work.ask.key] = self._now + self.settings.order_settle_us
         if not result.never_ran and work.risky_at is None:
@@ -641,7 +647,8 @@
             held = (node.held_units + work.ask.units) / self.settings.mean_units
             load = (len(node.out) + held) / node.window
             chance = 1 + SPREAD * self._random.random()
-            score = (node.cold_until > self._now, (self._latency(node) or 1.0) * (1 + load) * chance)
+            last = node.unreached > 0 or node.cold_until > self._now
+            score = (last, (self._latency(node) or 1.0) * (1 + load) * chance)
             if score < best_score:
                 best, best_score = node, score
         return best
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """The platform's head on the virtual clock: clients, shelfs and discovery in memory, played by stand-ins."""
 
+import copy
 import json
 
 import pytest
@@ -63,7 +64,7 @@
             "name": "n1", "listen": "127.0.0.1:9000", "discovery": f"127.0.0.1:{self.discovery.address[1]}",
             "seed": "8c1f", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
             "known": self.discovery.listed() if known else {"version": 0, "full": True, "servers": []},
-            "settings": {**SETTINGS, **settings},
+            "settings": {**copy.deepcopy(SETTINGS), **settings},
         }  # fmt: skip
         self.module = module
         self.head = PlatformHead(self.hub, self.net, self.configuration(), self.note, module)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -153,12 +153,24 @@
     assert isinstance(head.answers[request], api.Fail)
 
 
-def test_connect_failure_makes_a_node_suspect_and_a_new_object_goes_elsewhere():
+def test_a_connection_that_failed_alone_is_tried_again_at_once_and_leaves_its_node_in_use():
+    head = Head(("n0", "n1"))
+    for _ in range(5):
+        request = head.ask(shard=0)
+        head.end(request, 0, "n0", api.Result.CONNECT_FAILED, over=False)
+        assert head.requests()[-2:] == [request, request]
+        head.end(request, 1, "n0", api.Result.OK, over=True)
+        head.run(50 * MS)
+
+
+def test_connect_failures_make_a_node_suspect_and_a_new_object_goes_elsewhere():
     head = Head(("n0", "n1"))
     request = head.ask("u", shard=-1)
     bad = head.sent[0][3]
     head.end(request, 0, bad, api.Result.CONNECT_FAILED, over=False)
     assert head.sent[1][3] != bad
+    second = head.ask(shard=int(bad[1]))
+    head.end(second, 0, bad, api.Result.CONNECT_FAILED, over=False)
     refused = head.ask(shard=int(bad[1]))
     assert isinstance(head.answers[refused], api.Refuse)
     head.run(600 * MS)
