The parser stops at a client's first mistake

Tested: rounds over 40 ms were logged with their tasks and CPU time: each is one client's connection that takes up to 180 ms of CPU (of 0.85 cores), nothing else. Excluded: accepting hundreds of connections, the processor's quota alone, the module. Cause: protocol/platform/asked.py: after a mistake was noted the parser went on through all that was read, up to 256 KB of pipelined requests, and each one's head was summed up with those before. What is wrong is raised now, which stops it; a head's size is counted as it comes. The same for what comes behind an answer.

--- a/harriertrack/protocol/platform/asked.py
+++ b/harriertrack/protocol/platform/asked.py
@@ -91,7 +91,8 @@
 class CallerConnection:
     """One client's connection. Feed `receive`; answer each `Asked` or `Ready` before the next one is read.
 
-    The methods `on_...` are called by the parser; what they find wrong is raised once it returns.
+    The methods `on_...` are called by the parser. What they find wrong they raise, which stops it: a client
+    that sends on at full speed must cost no more than what was read of it until then.
     """
 
     def __init__(self, forms: Forms) -> None:
@@ -100,7 +101,8 @@
         self._bad: BadRequest | None = None
         self._headed = self._complete = False
         self._kept = True
-        self._fed = 0  # bytes of a head that is not whole
+        self._fed = 0  # bytes of a head that is not whole ...
+        self._head = 0  # ... and of what of it was told
         self._target = b""
         self._fields: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
@@ -111,25 +113,34 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             raise self._bad or BadRequest(400, str(error)) from error
-        if self._bad is not None:
-            raise self._bad
         if not self._headed:
             self._fed += len(data)
             if self._fed > MOST_HEAD:  # the parser keeps a field until it ends
                 raise BadRequest(431, TOO_LONG)
         return self._whole() if self._complete else None
 
+    def _stop(self, status: int, why: str) -> None:
+        self._bad = BadRequest(status, why)
+        raise self._bad
+
+    def _take_head(self, size: int) -> None:
+        self._head += size
+        if self._head > MOST_HEAD:
+            self._stop(431, TOO_LONG)
+
     def on_message_begin(self) -> None:
         """A message begins: none may, before the last one has its answer."""
         if self._complete:
-            self._bad = self._bad or BadRequest(400, "bytes behind a request that has no answer yet")
+            self._stop(400, "bytes behind a request that has no answer yet")
 
     def on_url(self, target: bytes) -> None:
         """Take a part of the target."""
+        self._take_head(len(target))
         self._target += target
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a field."""
+        self._take_head(len(name) + len(value))
         self._fields.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -138,20 +149,17 @@
         method, length = self._parser.get_method(), 0
         lengths = [value for name, value in self._fields if name == b"content-length"]
         if any(name == b"transfer-encoding" for name, _ in self._fields):
-            self._bad = BadRequest(400, "a body is told by Content-Length alone")
+            self._stop(400, "a body is told by Content-Length alone")
         elif lengths and (length := int(lengths[0])) > MOST_BODY:
-            self._bad = BadRequest(413, "a body of more than 64 KiB")
+            self._stop(413, "a body of more than 64 KiB")
         elif method == b"PUT" and not lengths:
-            self._bad = BadRequest(411, "a write without Content-Length")
+            self._stop(411, "a write without Content-Length")
         elif method == b"GET" and length:
-            self._bad = BadRequest(400, "a read with a body")
-        elif len(self._target) + sum(len(name) + len(value) for name, value in self._fields) > MOST_HEAD:
-            self._bad = BadRequest(431, TOO_LONG)
+            self._stop(400, "a read with a body")
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body, which is no longer than was told."""
-        if self._bad is None:
-            self._body.append(data)
+        self._body.append(data)
 
     def on_message_complete(self) -> None:
         """A request is whole."""
@@ -221,7 +229,7 @@
     def again(self) -> bool:
         """Make ready for the next request after an answer; return whether the connection may have one."""
         self._headed = self._complete = False
-        self._fed = 0
+        self._fed = self._head = 0
         self._target = b""
         self._fields, self._body = [], []
         return self._kept
--- a/harriertrack/protocol/platform/exchange.py
+++ b/harriertrack/protocol/platform/exchange.py
@@ -31,7 +31,10 @@
 
 
 class Exchange:
-    """A request and its answer; make a new one for each. The parser calls the methods `on_...`."""
+    """A request and its answer; make a new one for each.
+
+    The parser calls the methods `on_...`; what they raise stops it.
+    """
 
     def __init__(self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes,
                  most_body: int) -> None:  # fmt: skip
@@ -42,7 +45,7 @@
         self._status = 0
         self._fields: dict[bytes, bytes | None] = {}
         self._body: list[bytes] = []
-        self._length = self._fed = self._interim = 0
+        self._length = self._fed = self._head = self._interim = 0
         lines = [b"%s %s HTTP/1.1" % (method, target), *(b"%s: %s" % header for header in headers)]
         if method != b"GET":
             lines.append(b"Content-Length: %d" % len(body))
@@ -58,8 +61,6 @@
             if not self._complete:
                 raise Spoilt(self._why or str(error)) from error
             self._surplus = True
-        if self._why:
-            raise Spoilt(self._why)
         if not self._headed:
             self._fed += len(data)
             if self._fed > MOST_HEAD:  # the parser keeps a field until it ends
@@ -71,46 +72,46 @@
 
     def on_message_begin(self) -> None:
         """A message begins; behind a whole answer it belongs to nothing."""
-        self._surplus = self._complete
+        if self._complete:
+            raise Spoilt("more than an answer")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a field."""
-        if not self._complete:
-            name = name.lower()
-            self._fields[name] = None if name in self._fields else value
+        self._head += len(name) + len(value)
+        if self._head > MOST_HEAD:
+            self._stop("a head of more than 16 KiB")
+        name = name.lower()
+        self._fields[name] = None if name in self._fields else value
+
+    def _stop(self, why: str) -> None:
+        self._why = why
+        raise Spoilt(why)
 
     def on_headers_complete(self) -> None:
         """Check the framing: an answer that only the connection's end would end proves nothing."""
-        if self._complete:
-            return
         self._status, self._headed = self._parser.get_status_code(), True
         if 100 <= self._status < 200:
             return
         length = self._fields.get(b"content-length")
         if b"transfer-encoding" not in self._fields and length is None and self._status not in (204, 304):
-            self._why = "a body without a length"
+            self._stop("a body without a length")
         elif length is not None and int(length) > self._most_body:
-            self._why = f"a body of {int(length)} bytes, more than {self._most_body}"
+            self._stop(f"a body of {int(length)} bytes, more than {self._most_body}")
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
-        if self._complete or self._why:
-            return
         self._length += len(data)
         if self._length > self._most_body:
-            self._why = f"a body of more than {self._most_body} bytes"
-        else:
-            self._body.append(data)
+            self._stop(f"a body of more than {self._most_body} bytes")
+        self._body.append(data)
 
     def on_message_complete(self) -> None:
         """A message is whole: the answer, or one of those that may come ahead of it."""
-        if self._complete or self._why:
-            return
         if 100 <= self._status < 200:
             self._interim += 1
             self._headed, self._fed = False, 0
             self._fields = {}
             if self._interim > MOST_INTERIM:
-                self._why = "too many interim answers"
+                self._stop("too many interim answers")
         else:
             self._complete, self._kept = True, self._parser.should_keep_alive()
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -74,6 +74,7 @@
     told: api.Settings
     forms: Forms
     bounds: Bounds
+    cores: float
     deadlines: dict[str, int]  # of each class, the longest that a client waits
 
     def rules(self) -> RequestRules:
@@ -152,7 +153,7 @@
             _whole(path, settings, "safety", "askWithinUs", 0, 0), longest,
             max(LEAST_ANSWER, int(given.limits.memory_mb * (1 << 20)) // ANSWER_PARTS),
         ),
-        {one.name: one.deadline_us for one in told.classes},
+        given.limits.cores, {one.name: one.deadline_us for one in told.classes},
     )  # fmt: skip
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -276,6 +276,8 @@
     "another right behind": dict({"Content-Length": "0", "body": "GET /look HTTP/1.1\r\n\r\n"}),
     "wrong method": dict(method="GET"),
     "no key": dict({"Idempotency-Key": None}),
+    "hundreds at once": dict({"Content-Length": "0", "body": "GET /look HTTP/1.1\r\nX: y\r\n\r\n" * 9000}),
+    "fields without end": dict({"Content-Length": "0", "X-More": "y\r\nX-More: y" * 20_000}),
     "head without end": dict({"X-More": "y" * 60_000}),
 }  # fmt: skip
 
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -8,6 +8,9 @@
 from harriertrack.decisions.life import IllegalStep
 from harriertrack.decisions.watching import Watching, Worth
 from harriertrack.decisions.ways import REST_US, Ways, WayState
+from harriertrack.protocol.platform import MOST_HEAD
+from harriertrack.protocol.platform.asked import BadRequest, CallerConnection, Forms
+from harriertrack.protocol.platform.exchange import Exchange
 
 S = 1_000_000
 
@@ -124,3 +127,26 @@
     quick = Leaving(6 * S)
     quick.ask(0)
     assert quick.look(3_200_000, 0) is Phase.ENDED
+
+
+def test_what_a_client_sends_behind_its_mistake_is_not_parsed():
+    """A flood costs no more than its first mistake: the parser stops there."""
+    seen = 0
+
+    class Counts(CallerConnection):
+        def on_header(self, name, value):
+            nonlocal seen
+            seen += 1
+            super().on_header(name, value)
+
+    for flood in (b"GET / HTTP/1.1\r\nA: b\r\n\r\n" * 5000, b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 50_000):
+        seen = 0
+        with pytest.raises(BadRequest):
+            Counts(Forms({}, frozenset(), 1, 1, 1)).receive(flood)
+        assert seen <= MOST_HEAD // 2
+
+
+def test_what_comes_behind_a_whole_answer_is_not_parsed():
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+    told = Exchange(b"GET", b"/", [], b"", 100).receive(answer + b"a" + answer * 5000)
+    assert told is not None and (told.body, told.reusable) == (b"a", False)
