--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -88,7 +88,8 @@
                 self.ready.set()
                 bounds = configuration.bounds
                 self._note("ready", name=configuration.name, nodes=len(self.nodes), cores=configuration.cores,
-                           callers=bounds.callers, ways=bounds.ways, longest_us=bounds.longest_us)  # fmt: skip
+                           callers=bounds.callers, ways=bounds.ways,
+                           longest_us=bounds.longest_us)  # fmt: skip
                 self._asked_to_leave.wait()
                 while True:
                     phase = self.leaving.look(hub.now(), self.front.callers.unfinished)
