--- a/harriertrack/decisions/callers.py
+++ b/harriertrack/decisions/callers.py
@@ -15,7 +15,9 @@
 
 READ_US = 2_000_000  # the longest that a request may take to be whole; senders are on the same network
 SPARE_US = 2_000_000  # an idle connection may go after this where places are short: a promise to clients
-IDLE_US = 15_000_000  # ... and goes after this: most clients that come back do so within seconds
+# ... and goes after this. Those that asked once and stay would fill all places otherwise, and clients may hold
+# only so many for requests: ten such a second were seen, half of the places are 128.
+IDLE_US = 5_000_000
 
 C = TypeVar("C", bound=Hashable)
 
--- a/harriertrack/decisions/leaving.py
+++ b/harriertrack/decisions/leaving.py
@@ -14,8 +14,8 @@
 # The platform's promise: it kills no sooner than the longest deadline, or this if that is longer, ...
 KILL_LONGEST_US = 3_000_000
 KILL_AFTER_US = 700_000  # ... and so much more after it has asked.
-DRAIN_US = 400_000  # open requests are given so long: most are answered within it
-SPARE_US = 200_000  # the last answers leave so long before the kill: the processor may be busy
+DRAIN_US = 250_000  # open requests are given so long: most are answered within it
+SPARE_US = 150_000  # the last answers leave so long before the kill: the processor may be busy
 
 
 class Phase(StrEnum):
