The longest idle client goes for a newcomer, however short it has idled

Cause: decisions/callers.py kept idle connections for 2 s before a newcomer could have their place, and the newcomer, which comes with a request, was closed. Two thirds of the descriptors are for clients now, a quarter for shelfs, of which 20 of 153 were used.

--- a/harriertrack/decisions/callers.py
+++ b/harriertrack/decisions/callers.py
@@ -14,9 +14,9 @@
 from harriertrack.decisions.life import IllegalStep
 
 READ_US = 2_000_000  # the longest that a request may take to be whole; senders are on the same network
-SPARE_US = 2_000_000  # an idle connection may go after this where places are short: a promise to clients
-# ... and goes after this. Those that asked once and stay would fill all places otherwise, and clients may hold
-# only so many for requests: ten such a second were seen, half of the places are 128.
+SILENT_US = 500_000  # one that has asked for nothing yet may go after this where places are short
+# An idle one goes after this: those that asked once and stay would fill all places otherwise, and clients may
+# hold only so many for requests. Ten such a second were seen, with 128 places.
 IDLE_US = 5_000_000
 
 C = TypeVar("C", bound=Hashable)
@@ -60,8 +60,12 @@
         return victim
 
     def _victim(self, now: int) -> C | None:
-        """The one that has been idle longest, else the one that has been reading longest."""
-        for state, least in ((CallerState.IDLE, SPARE_US), (CallerState.READING, SPARE_US // 4)):
+        """The one that has been idle longest, else the one that has been reading longest.
+
+        However short it has idled: its client can ask again on a new connection, and loses nothing where its
+        request crosses the close. A newcomer that is turned away loses the request that it came with.
+        """
+        for state, least in ((CallerState.IDLE, 0), (CallerState.READING, SILENT_US)):
             caller, since = next(iter(self._at[state].items()), (None, now))
             if caller is not None and now - since >= least:
                 return caller
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -18,9 +18,10 @@
 
 PREFIX = "PROXY_"
 MOST_FILE = 8 << 20  # bytes of the file
-# How the descriptors are shared out, in hundredths: clients may hold a third for requests, and some come that
-# mean harm; the rest is for shelfs, and a few for discovery, the listener, signals and logs.
-CLIENTS, SHELFS, LEAST_SPARE = 50, 40, 12
+# How the descriptors are shared out, in hundredths: clients may hold a third for requests, as many again ask
+# once and stay, and some mean harm; a quarter is for shelfs, of which some tens are used, and a few for
+# discovery, the listener, signals and logs.
+CLIENTS, SHELFS, LEAST_SPARE = 66, 25, 12
 # Shelfs answer with more than the protocol's page says (64 KiB): up to 400 KB were seen. One answer may take
 # such a part of the memory, so that what is out at once fits.
 LEAST_ANSWER, ANSWER_PARTS = 64 << 10, 64
