Room for who asks next: those that asked once and stay go first, silent ones before them

Later, places filled with connections that had sent nothing yet. Excluded: refusals by the module (612 of them do not explain it), lost attempts (none). decisions/callers.py: a quarter of the descriptors for those that have asked, then the longest idle goes for each newcomer; a state of its own for connections without a byte, which go first and without an answer (a request that crosses it is asked again).

--- a/harriertrack/decisions/callers.py
+++ b/harriertrack/decisions/callers.py
@@ -1,8 +1,8 @@
 """Clients' connections to a head: which of them are closed, and when.
 
-No I/O and no clock. A connection READS until a request is whole, is BUSY until that is answered, then IDLE.
-What reads for too long is ended: a client that sends half a request, or connects and says nothing, must not
-hold a place. An idle one may be closed after a while, and is where places are short.
+No I/O and no clock. A connection is NEW until its first byte, READS until a request is whole, is BUSY until
+that is answered, then IDLE. Those that say nothing or send half a request must not hold a place; nor those
+that have asked once and stay, for clients may hold only so many connections for requests.
 """
 
 from __future__ import annotations
@@ -13,11 +13,12 @@
 
 from harriertrack.decisions.life import IllegalStep
 
-READ_US = 2_000_000  # the longest that a request may take to be whole; senders are on the same network
-SILENT_US = 500_000  # one that has asked for nothing yet may go after this where places are short
-# An idle one goes after this: those that asked once and stay would fill all places otherwise, and clients may
-# hold only so many for requests. Ten such a second were seen, with 128 places.
-IDLE_US = 5_000_000
+# Clients send once they are connected: one that has not after this goes first where places are short ...
+SILENT_US = 200_000
+NEW_US = 800_000  # ... and at last after this.
+READ_US = 1_800_000  # the longest that a request may take to be whole; both together stay under the 3 s owed
+HALF_US = 500_000  # half a request may go after this where places are short and nobody idles
+IDLE_US = 5_000_000  # an idle one goes after this though there is room: most clients come back sooner
 
 C = TypeVar("C", bound=Hashable)
 
@@ -25,22 +26,30 @@
 class CallerState(StrEnum):
     """Where a client's connection is."""
 
+    NEW = "new"
     READING = "reading"
     BUSY = "busy"
     IDLE = "idle"
 
 
 CALLER_STEPS = frozenset((
+    (CallerState.NEW, CallerState.READING), (CallerState.NEW, CallerState.BUSY),
     (CallerState.READING, CallerState.BUSY), (CallerState.BUSY, CallerState.IDLE),
     (CallerState.IDLE, CallerState.READING), (CallerState.IDLE, CallerState.BUSY),
 ))  # fmt: skip
+LONGEST = ((CallerState.NEW, NEW_US), (CallerState.READING, READ_US), (CallerState.IDLE, IDLE_US))
+VICTIMS = ((CallerState.NEW, SILENT_US), (CallerState.IDLE, 0), (CallerState.READING, HALF_US))
 
 
 class Callers(Generic[C]):
-    """All clients' connections of a head, each state's in the order in which they came to it."""
+    """All clients' connections of a head, each state's in the order in which they came to it.
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    There are `most` places. Of those that have asked, `most_asked` are kept: above that, the longest idle one
+    goes for each newcomer.
+    """
+
+    def __init__(self, most: int, most_asked: int) -> None:
+        self.most, self.most_asked = most, most_asked
         self._at: dict[CallerState, dict[C, int]] = {state: {} for state in CallerState}
         self._state: dict[C, CallerState] = {}
 
@@ -54,18 +63,21 @@
             victim = self._victim(now)
             if victim is None:
                 return caller
+        elif len(self._at[CallerState.IDLE]) + len(self._at[CallerState.BUSY]) >= self.most_asked:
+            victim = next(iter(self._at[CallerState.IDLE]), None)
+        if victim is not None:
             self.gone(victim)
-        self._state[caller] = CallerState.READING
-        self._at[CallerState.READING][caller] = now
+        self._state[caller] = CallerState.NEW
+        self._at[CallerState.NEW][caller] = now
         return victim
 
     def _victim(self, now: int) -> C | None:
-        """The one that has been idle longest, else the one that has been reading longest.
+        """One that is silent, else the longest idle one, else half a request.
 
-        However short it has idled: its client can ask again on a new connection, and loses nothing where its
-        request crosses the close. A newcomer that is turned away loses the request that it came with.
+        An idle one goes however short it has idled: its client can ask again on a new connection, and loses
+        nothing where its request crosses the close. A newcomer that is turned away loses what it came with.
         """
-        for state, least in ((CallerState.IDLE, 0), (CallerState.READING, SILENT_US)):
+        for state, least in VICTIMS:
             caller, since = next(iter(self._at[state].items()), (None, now))
             if caller is not None and now - since >= least:
                 return caller
@@ -91,9 +103,9 @@
             del self._at[state][caller]
 
     def overdue(self, now: int) -> list[C]:
-        """Return those to be closed now: they read or idle for too long."""
+        """Return those to be closed now: they are silent, read or idle for too long."""
         late = []
-        for state, most in ((CallerState.READING, READ_US), (CallerState.IDLE, IDLE_US)):
+        for state, most in LONGEST:
             for caller, since in self._at[state].items():
                 if now - since < most:
                     break
@@ -101,10 +113,10 @@
         return late
 
     def idle(self) -> list[C]:
-        """Return all that are idle."""
-        return list(self._at[CallerState.IDLE])
+        """Return all over which nothing is asked."""
+        return [*self._at[CallerState.IDLE], *self._at[CallerState.NEW]]
 
     @property
     def unfinished(self) -> int:
         """How many have a request that is read or open."""
-        return len(self._state) - len(self._at[CallerState.IDLE])
+        return len(self._at[CallerState.READING]) + len(self._at[CallerState.BUSY])
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -22,6 +22,9 @@
 # once and stay, and some mean harm; a quarter is for shelfs, of which some tens are used, and a few for
 # discovery, the listener, signals and logs.
 CLIENTS, SHELFS, LEAST_SPARE = 66, 25, 12
+# Clients hold at most a third of the descriptors for requests, those that asked once and stay among them:
+# some of that third has to be free for who comes next.
+ASKED = 25
 # Shelfs answer with more than the protocol's page says (64 KiB): up to 400 KB were seen. One answer may take
 # such a part of the memory, so that what is out at once fits.
 LEAST_ANSWER, ANSWER_PARTS = 64 << 10, 64
@@ -54,6 +57,7 @@
     """How much of everything the head holds at most; times are microseconds."""
 
     callers: int
+    asked: int  # of these, those that have asked
     ways: int
     held: int
     dial_us: int
@@ -147,7 +151,7 @@
         int(given.seed, 16), given.known, told,
         Forms(classes, frozenset(one.name for one in told.plans), told.most_units, shards, told.heads),
         Bounds(
-            callers, min(sockets * SHELFS // 100, sockets - callers - LEAST_SPARE),
+            callers, sockets * ASKED // 100, min(sockets * SHELFS // 100, sockets - callers - LEAST_SPARE),
             _whole(path, settings, "permissions", "mostHeld", 1 << 20, 1),
             _whole(path, settings, "permissions", "dialTimeoutUs", 1_000_000, 1),
             _whole(path, settings, "permissions", "connIdleUs", 30_000_000, 1),
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -38,7 +38,7 @@
                  note: Note) -> None:  # fmt: skip
         self.hub, self.core, self.leaving = hub, core, leaving
         self.forms, self.deadlines = configuration.forms, configuration.deadlines
-        self.callers: Callers[Caller] = Callers(configuration.bounds.callers)
+        self.callers: Callers[Caller] = Callers(configuration.bounds.callers, configuration.bounds.asked)
         self.open: dict[bytes, Call] = {}  # by the client's id
         self.counts = FrontCounts()
         self._scope, self._note = scope, note
@@ -118,7 +118,7 @@
             if asked is not None:
                 callers.step(self, CallerState.BUSY, self._front.hub.now())
                 return asked
-            if callers.state(self) is CallerState.IDLE:
+            if callers.state(self) in (CallerState.NEW, CallerState.IDLE):
                 callers.step(self, CallerState.READING, self._front.hub.now())
         return None
 
