Given up at a suspect node, a request is told to come back after the longest hint

Seen in a test: after two failed connections the refusal's hint was the time of an answer, 0 at a node never heard, though nothing is sent there before its trial (scheduler.py, _again).

--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -582,7 +582,9 @@
         allowed = allowed and result is not Result.TIMEOUT and self._may_repeat(work)
         target = self._place(work) if work.shard < 0 else self._holder(work.shard)
         if not allowed or target is None or target.silent_at or (result is Result.FULL and target is node):
-            self._give_up(work, self._wait(work, node) if target else self.settings.max_hint_us)
+            # Back at a node that is suspect there is nothing to be had before it is tried again.
+            served = target is not None and not target.silent_at
+            self._give_up(work, self._wait(work, node) if served else self.settings.max_hint_us)
         else:
             self._hold(work, target, first=True)
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -171,6 +171,7 @@
     assert head.sent[1][3] != bad
     second = head.ask(shard=int(bad[1]))
     head.end(second, 0, bad, api.Result.CONNECT_FAILED, over=False)
+    assert head.answers[second].retry_after_us == head.settings.max_hint_us > 0
     refused = head.ask(shard=int(bad[1]))
     assert isinstance(head.answers[refused], api.Refuse)
     head.run(600 * MS)
