A moved discovery is asked at once also where the last call had failed

Found by reading: after failed calls the module waits up to 8 s, and a new address in the configuration was not asked before that (decisions/watching.py, restart), while what it has to tell counts as told after 4 s.

--- a/harriertrack/decisions/watching.py
+++ b/harriertrack/decisions/watching.py
@@ -51,19 +51,25 @@
         self.version = version
         self._wait_us = (ask_within_us or 10_000_000) // WAIT_PARTS
         self._whole = version is None
+        self._wanted = False  # the module follows, whether or not a call is under way
 
     def subscribe(self, on: bool) -> bool:
         """Follow from now on, or stop; return whether that changes anything."""
+        self._wanted = on
         if on == (self.state is not Watch.IDLE):
             return False
         self.state = Watch.CATCHING_UP if on else Watch.IDLE
         return True
 
     def restart(self) -> bool:
-        """The source has moved: whatever is under way is void; return whether to ask the new one now."""
-        if self.state is Watch.FOLLOWING:
+        """The source has moved: whatever is under way is void; return whether to ask the new one now.
+
+        Also where the last call failed and the module waits to try again: it waits for the old source, and
+        what the new one tells soon counts as told.
+        """
+        if self._wanted:
             self.state = Watch.CATCHING_UP
-        return self.state is not Watch.IDLE
+        return self._wanted
 
     def call(self) -> Call:
         """Return the call to make now. Raises IllegalStep where there is no watch."""
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -51,6 +51,11 @@
     watching.subscribe(True)
     watching.answered(41, False, 0)
     assert watching.restart() and watching.call().wait_us == 0
+    watching.failed()
+    assert watching.restart() and watching.call().wait_us == 0  # the module's wait was for the old source
+    assert not watching.subscribe(True)  # what it asks for then is under way
+    watching.subscribe(False)
+    assert not watching.restart()
 
 
 def test_places_go_to_newcomers_from_the_silent_then_the_longest_idle_then_half_requests():
