A head without a connection to spare does not call the shelf unreachable

Found by a new test: where all connections to shelfs are in use, an attempt ended as a failed connection (service/shelfs.py, send), and two of those shut the shelf for half a second though nothing was wrong with it. It ends as not sent now. Also tested: a shelf that never comes up is given up after the settings' dial time and is known not to have run.

--- a/harriertrack/service/shelfs.py
+++ b/harriertrack/service/shelfs.py
@@ -80,7 +80,8 @@
             way.close()
         if way is None and not self.ways.room:
             self.counts.no_room += 1
-            self.hub.at_end_of_round(lambda: self.core.ended(now, attempt, api.Result.CONNECT_FAILED))
+            # Not sent, for want of this head's own descriptors: that says nothing of the shelf.
+            self.hub.at_end_of_round(lambda: self.core.ended(now, attempt, api.Result.MOOT))
             return
         if way is None:
             self.counts.dialled += 1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -520,3 +520,33 @@
         assert site.ask(site.request())[0] in (500, 503)
 
     site.run(act)
+
+
+def test_a_shelf_that_never_comes_up_is_given_up_after_the_settings_time_and_never_ran(site):
+    site.net._delay = lambda name, address: 400 * MS if address == site.shelfs[1].address else 100
+
+    def act(site):
+        began = site.hub.now()
+        assert site.ask(site.request(True, **{"X-Expires-In-Ms": "2400"}))[0] == 503
+        assert set(site.head.module.results()) == {api.Result.CONNECT_FAILED}
+        assert 250 * MS <= site.hub.now() - began <= 520 * MS  # one dial of 250 ms and, once more, another
+        assert not site.shelfs[1].got
+
+    site.run(act)
+
+
+def test_where_no_connection_to_shelfs_is_left_a_request_ends_and_the_head_lives(site):
+    def act(site):
+        site.head.shelfs.ways.most = 1
+        site.script = lambda got: MUTE
+        holds = site.connect()
+        holds.write(site.request())
+        site.hub.sleep(10 * MS)
+        second = site.request(**{"X-Placement": f"volume={VOLUME},units=1,shard=0,hosts=2"})
+        assert site.ask(second, within=100 * MS)[0] == 503  # nothing was sent, and it is told at once
+        assert site.head.shelfs.counts.no_room >= 1 and not site.shelfs[0].got
+        assert site.answered(holds)[0] in (500, 503)
+        site.script = lambda got: answer(b"again")
+        assert site.ask(second.replace(b"X-Trace-Id: 0", b"X-Trace-Id: f"))[2] == b"again"
+
+    site.run(act)
