One piece where the platform's head had written twins; nothing behaves differently

- A start in Unix time is set over to the hub's clock in one place, Member.localised: gateway/listing.py had it, and membership/targets.py wrote it again.
The known list is read once, not once to check it and once to use it.
- service/shelfs.py: a connection's end told RESET in three places where its last step tells it anyway; whether it is closed was asked beside the stream, which knows.
- Which of many bad requests or spoilt answers is logged: worth_saying, in place of two copies.
- The platform's stand-ins accept by the loop that the HTTP stand-ins had.
- protocol/platform/asked.py: a check for NaN behind a pattern and a comparison that let none through.

Left as they are, with their reasons: the two heads' ports (each is the Core's port by its own parts; what can be shared is Alarm), and the shapes of unrelated small classes.

--- a/harriertrack/gateway/listing.py
+++ b/harriertrack/gateway/listing.py
@@ -48,14 +48,9 @@
             self._core.list_failed()
 
     def _told(self, members: list[Member]) -> None:
-        news = self._nodes.replace([self._localised(member) for member in members])
+        news = self._nodes.replace([member.localised(self._wall_ahead) for member in members])
         self._core.nodes_changed(news)
 
-    def _localised(self, member: Member) -> Member:
-        entry = member.entry
-        started = max(1, entry.started_us - self._wall_ahead) if entry.started_us else 0
-        return Member(NodeEntry(entry.node, entry.shard, entry.state, entry.zone, started), member.address)
-
     def _watch(self, path: str) -> None:
         known: list[Member] | None = None
         while True:
--- a/harriertrack/membership/nodes.py
+++ b/harriertrack/membership/nodes.py
@@ -19,6 +19,12 @@
     entry: NodeEntry
     address: tuple[str, int]
 
+    def localised(self, wall_ahead_us: int) -> Member:
+        """Return it with its start, told in Unix time, on a clock that Unix time is so far ahead of."""
+        entry = self.entry
+        started = max(1, entry.started_us - wall_ahead_us) if entry.started_us else 0
+        return Member(NodeEntry(entry.node, entry.shard, entry.state, entry.zone, started), self.address)
+
 
 class NodeList:
     """The list in hand. It never forgets an address while attempts may be out: a node gone stays known."""
--- a/harriertrack/membership/targets.py
+++ b/harriertrack/membership/targets.py
@@ -67,8 +67,8 @@
         raise TargetsError(str(error)) from error
 
 
-def members_of(targets: Targets, wall_ahead_us: int) -> list[Member]:
-    """Turn a list into members; `wall_ahead_us` is how far Unix time is ahead of the caller's clock.
+def members_of(targets: Targets) -> list[Member]:
+    """Turn a list into members, their starts in Unix time (microseconds).
 
     Raises TargetsError: a list with one entry that can't be read is not taken at all.
     """
@@ -81,6 +81,5 @@
             address = address_of(one.addr)
         except ValueError as error:
             raise TargetsError(f"{one.id}: {error}") from error
-        started = max(1, one.started_ms * 1000 - wall_ahead_us) if one.started_ms else 0
-        members.append(Member(NodeEntry(one.id, one.cell, state, one.zone, started), address))
+        members.append(Member(NodeEntry(one.id, one.cell, state, one.zone, one.started_ms * 1000), address))
     return members
--- a/harriertrack/protocol/platform/asked.py
+++ b/harriertrack/protocol/platform/asked.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 from dataclasses import dataclass
 
@@ -211,7 +210,7 @@
         units = float(_matched(NUMBER, given.get(b"units"), "units"))
         shard = int(_matched(SIGNED, given.get(b"shard"), "shard"))
         hosts = int(_matched(COUNT, given.get(b"hosts"), "hosts"))
-        if not 0 < units <= self._forms.most_units or not math.isfinite(units):
+        if not 0 < units <= self._forms.most_units:
             raise BadRequest(400, "units out of bounds")
         if shard >= self._forms.shards or not 1 <= hosts <= self._forms.heads:
             raise BadRequest(400, "shard or hosts out of bounds")
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -75,7 +75,8 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     seed: int
-    known: Targets
+    version: int  # of the list that the head had last ...
+    known: list[Member]  # ... and its members, their starts in Unix time
     told: api.Settings
     forms: Forms
     bounds: Bounds
@@ -132,7 +133,7 @@
     settings = given.settings
     try:
         told = settings_of(settings)
-        members_of(given.known, 0)
+        known = members_of(given.known)
     except KeyError as error:
         raise ConfigurationError(f"{path}: settings: missing or unknown {error}") from error
     except (ValueError, TypeError, AttributeError) as error:
@@ -148,7 +149,7 @@
     longest = max(one.deadline_us for one in told.classes)
     return Configuration(
         given.name, _address(path, "listen", given.listen), _address(path, "discovery", given.discovery),
-        int(given.seed, 16), given.known, told,
+        int(given.seed, 16), given.known.version, known, told,
         Forms(classes, frozenset(one.name for one in told.plans), told.most_units, shards, told.heads),
         Bounds(
             callers, sockets * ASKED // 100, min(sockets * SHELFS // 100, sockets - callers - LEAST_SPARE),
@@ -160,8 +161,3 @@
         ),
         given.limits.cores, {one.name: one.deadline_us for one in told.classes},
     )  # fmt: skip
-
-
-def restored(configuration: Configuration, wall_ahead_us: int) -> list[Member]:
-    """Return the list as this head had it last."""
-    return members_of(configuration.known, wall_ahead_us)
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -84,7 +84,8 @@
 
     def _told(self, answer: Answer) -> Worth:
         targets = targets_of(answer.body)
-        members = members_of(targets, self._wall_ahead_us)  # read whole before any of it is taken
+        # Read whole before any of it is taken.
+        members = [member.localised(self._wall_ahead_us) for member in members_of(targets)]
         worth = self._watching.answered(targets.version, targets.full, len(members))
         if worth is Worth.TAKE:
             news = self._nodes.replace(members) if targets.full else self._nodes.change(members)
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -15,7 +15,7 @@
 from harriertrack.protocol.platform.asked import Asked, BadRequest, CallerConnection, Ready, parting
 from harriertrack.runtime.hub import Hub, Scope, Waiters
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
-from harriertrack.service.calls import Call, Note, PlatformVolume
+from harriertrack.service.calls import Call, Note, PlatformVolume, worth_saying
 from harriertrack.service.configuration import Configuration
 
 LOOK_US = 250_000  # how often overdue connections are looked for
@@ -75,7 +75,7 @@
     def told_bad(self, error: BadRequest, peer: str) -> None:
         """A request could not be taken: say so now and then, a flood of them must not flood the log."""
         self.counts.bad += 1
-        if self.counts.bad & (self.counts.bad - 1) == 0:
+        if worth_saying(self.counts.bad):
             self._note("bad request", why=str(error)[:120], peer=peer, so_far=self.counts.bad)
 
 
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -13,7 +13,7 @@
 from harriertrack.runtime.hub import Event, Hub
 from harriertrack.runtime.streams import Network
 from harriertrack.service.calls import Note
-from harriertrack.service.configuration import Configuration, restored
+from harriertrack.service.configuration import Configuration
 from harriertrack.service.discovery import Discovery
 from harriertrack.service.front import Front
 from harriertrack.service.shelfs import Shelfs
@@ -69,13 +69,14 @@
         listener = self._network.listen(configuration.listen)
         try:
             with hub.scope(configuration.name) as scope:
-                news = self.nodes.replace(restored(configuration, self._wall_ahead_us), restored=True)
-                entries = news.entries if news is not None else []
+                known = [member.localised(self._wall_ahead_us) for member in configuration.known]
+                self.nodes.replace(known, restored=True)
+                entries = [member.entry for member in self.nodes.members()]
                 rules = configuration.rules()
                 self.core = Core(rules, self.module, (), self, self.nodes, NoPlaces(), entries)
                 self.shelfs = Shelfs(hub, self._network, scope, self.core, configuration.bounds,
                                      configuration.name, self._note)  # fmt: skip
-                watching = Watching(configuration.bounds.ask_within_us, configuration.known.version)
+                watching = Watching(configuration.bounds.ask_within_us, configuration.version)
                 self.discovery = Discovery(
                     hub, self._network, scope, self.core, self.nodes, self.shelfs, watching,
                     configuration.discovery, self._wall_ahead_us, configuration.name, self._note,
--- a/harriertrack/service/shelfs.py
+++ b/harriertrack/service/shelfs.py
@@ -16,7 +16,7 @@
 from harriertrack.protocol.platform.exchange import Answer, Exchange, Spoilt
 from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope
 from harriertrack.runtime.streams import Network, Stream
-from harriertrack.service.calls import Call, Note
+from harriertrack.service.calls import Call, Note, worth_saying
 from harriertrack.service.configuration import Bounds
 
 LOOK_US = 500_000  # how often idle connections are looked through
@@ -115,7 +115,7 @@
     def spoilt(self, node: str, why: str) -> None:
         """An answer could not be read: say so now and then."""
         self.counts.spoilt += 1
-        if self.counts.spoilt & (self.counts.spoilt - 1) == 0:
+        if worth_saying(self.counts.spoilt):
             self._note("spoilt answer", shelf=node, why=why[:120], so_far=self.counts.spoilt)
 
     def gone(self, node: str) -> None:
@@ -144,7 +144,7 @@
     @property
     def fit(self) -> bool:
         """Whether it can carry a request: it is open, and nothing has come that belongs to none."""
-        return self._stream is not None and not self._closed and self._stream.silent()
+        return self._stream is not None and self._stream.silent()
 
     def offer(self, attempt: Attempt) -> None:
         """Take an attempt before the connection is up."""
@@ -188,7 +188,7 @@
             shelfs.spoilt(self._node, str(error))
             self._lost(api.Result.ERROR)
         except (OSError, DeadlineExceeded):
-            self._lost(api.Result.RESET)
+            pass  # this connection alone suffers
         finally:
             self.close()
             self._lost(api.Result.RESET)
@@ -196,13 +196,10 @@
     def _take(self, data: bytes) -> bool:
         """Take bytes; return whether the connection goes on."""
         shelfs = self._shelfs
-        if self._exchange is None or self._attempt is None:  # an end, or bytes that belong to nothing
+        if not data or self._exchange is None or self._attempt is None:  # an end, or bytes of no answer
             shelfs.counts.surplus += bool(data)
             return False
         assert self._stream is not None
-        if not data:  # cut off before or inside an answer
-            self._lost(api.Result.RESET)
-            return False
         answer = self._exchange.receive(data)
         if answer is None:
             return True
--- a/harriertrack/standin/http.py
+++ b/harriertrack/standin/http.py
@@ -35,12 +35,17 @@
 
 def serve(listener: Listener, scope: Scope, name: str, handle: Handler) -> None:
     """Accept connections until the listener is closed (a task); `handle` runs in a task of each."""
+    accept(listener, scope, name, lambda stream: _one(stream, handle))
+
+
+def accept(listener: Listener, scope: Scope, name: str, run: Callable[[Stream], None]) -> None:
+    """Accept connections until the listener is closed (a task); `run` is the task of each."""
     while True:
         try:
             stream = listener.accept()
         except StreamClosed:
             return
-        scope.spawn(name, _one, stream, handle)
+        scope.spawn(name, run, stream)
 
 
 def _one(stream: Stream, handle: Handler) -> None:
--- a/harriertrack/standin/platform.py
+++ b/harriertrack/standin/platform.py
@@ -11,7 +11,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Waiters
-from harriertrack.runtime.streams import Listener, Network, Stream, StreamClosed
+from harriertrack.runtime.streams import Listener, Network, Stream
+from harriertrack.standin.http import accept
 
 RESET = b"\0reset"  # an answer of a script: break the connection
 MUTE = b"\0mute"  # never answer
@@ -75,24 +76,16 @@
 
     def start(self, scope: Scope) -> None:
         """Accept from now on."""
-        scope.spawn("shelf", self._accept, scope)
+        scope.spawn("shelf", accept, self._listener, scope, "shelf connection", self._serve)
 
     def close(self) -> None:
         """Listen no more."""
         self._listener.close()
 
-    def _accept(self, scope: Scope) -> None:
-        while True:
-            try:
-                stream = self._listener.accept()
-            except StreamClosed:
-                return
-            self.connections += 1
-            self.streams.append(stream)
-            scope.spawn("shelf connection", self._serve, stream, self.connections)
-
-    def _serve(self, stream: Stream, number: int) -> None:
-        kept = b""
+    def _serve(self, stream: Stream) -> None:
+        self.connections += 1
+        self.streams.append(stream)
+        number, kept = self.connections, b""
         try:
             while True:
                 head, body, kept = read_message(stream, kept)
@@ -153,20 +146,12 @@
 
     def start(self, scope: Scope) -> None:
         """Serve from now on."""
-        scope.spawn("discovery stand-in", self._accept, scope)
+        scope.spawn("discovery", accept, self._listener, scope, "discovery connection", self._serve)
 
     def close(self) -> None:
         """Listen no more."""
         self._listener.close()
 
-    def _accept(self, scope: Scope) -> None:
-        while True:
-            try:
-                stream = self._listener.accept()
-            except StreamClosed:
-                return
-            scope.spawn("discovery connection", self._serve, stream)
-
     def _serve(self, stream: Stream) -> None:
         kept = b""
         try:
