--- a/harriertrack/service/calls.py
+++ b/harriertrack/service/calls.py
@@ -46,5 +46,5 @@
 
 
 def worth_saying(count: int) -> bool:
-    """Whether to log the so-many-th of a kind: when their number has doubled, so that no flood fills a log."""
+    """Whether to log the so-many-th of a kind: when their number has doubled, so no flood fills a log."""
     return count & (count - 1) == 0
