The heads' own view of their fleet: a pure SWIM member with Lifeguard's refinements

This is the pure part: datagrams and time in, datagrams and news out; no head uses it yet. - membership/fleet/: one MessagePack datagram of at most 1,200 bytes, fields only appended; words in a total order of lives, incarnations and states; suspicions that shrink by agreement; news passed on least-sent first; views compared by summaries in 32 buckets; contact with the dead and with seeds; standstills; two processes of one name. - lab/fleet/swarm.py: members alone on a simulated network. - 38 tests; those that show a protection take it out once and see the fault.

--- /dev/null
+++ b/harriertrack/membership/fleet/messages.py
@@ -0,0 +1,212 @@
+"""What members of a fleet tell each other: one kind of datagram, in MessagePack.
+
+A datagram carries a question or an answer, and with it news of members and their notes as far as there is
+room. Later parts of the fleet add notes, not datagrams. Fields are only ever appended: a reader passes over
+what it does not know and takes the default of what is missing, so that two versions run side by side. A
+writer whose datagrams an older reader would misunderstand raises `READS`, and the older one drops them.
+
+Nothing is signed: whoever can send to a member's address can say anything (docs/operators/fleet.md).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import IntEnum
+from typing import Annotated
+
+import msgspec
+
+VERSION = 1  # what this program writes
+READS = 1  # the oldest version that understands it
+MOST_BYTES = 1200  # of one datagram: passes any link unfragmented
+MOST_NOTE = 256  # bytes of one member's note
+NOTE_ROOM = 400  # bytes of notes that ride on one datagram: news goes first, and traffic stays even
+BUCKETS = 32  # of a view's summary
+
+Text = Annotated[str, msgspec.Meta(max_length=64)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+PortNumber = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Address = tuple[str, int]
+
+
+class State(IntEnum):
+    """What is held of a member. Of two words on one incarnation the greater one holds."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Kind(IntEnum):
+    """What a datagram is for."""
+
+    PING = 0  # is `target` there? answered by ACK
+    PING_REQ = 1  # ask `target` at `host`, `port` for me; answered by ACK, or by NACK if it does not answer
+    ACK = 2  # `target` is there
+    NACK = 3  # I am there, `target` did not answer me
+    WORD = 4  # news alone
+    SYNC = 5  # my view's summary: send me what differs
+    STATE = 6  # news that you lack; a summary with it asks for what I lack
+
+
+class Life(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """One life of a process: when it started (ms since 1970, raised where needed), and a random number."""
+
+    started: Number
+    instance: Number
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """A word on a member: in which life and incarnation, what is held of it, and by whom if not by itself."""
+
+    name: Text
+    started: Number
+    instance: Number
+    incarnation: Number
+    state: State
+    host: Text
+    port: PortNumber
+    region: Text = ""
+    zone: Text = ""
+    cell: Text = ""
+    by: Text = ""
+
+    @property
+    def life(self) -> Life:
+        """Return which life it is about."""
+        return Life(self.started, self.instance)
+
+    @property
+    def address(self) -> Address:
+        """Return where the member is reached."""
+        return self.host, self.port
+
+    @property
+    def newness(self) -> tuple[int, int, int, int]:
+        """Return the key by which of two words on one member the newer is told. It is a total order."""
+        return self.started, self.instance, self.incarnation, self.state
+
+    @property
+    def present(self) -> bool:
+        """Whether the member counts as there: until it is held dead, a suspect does."""
+        return self.state <= State.SUSPECT
+
+
+class Note(msgspec.Struct, frozen=True, array_like=True):
+    """What a member says of itself, for other parts of the program: bytes, numbered; the newest holds."""
+
+    name: Text
+    started: Number
+    instance: Number
+    version: Number
+    about: Annotated[bytes, msgspec.Meta(max_length=MOST_NOTE)]
+
+    @property
+    def newness(self) -> tuple[int, int, int]:
+        """Return the key by which of two notes of one member the newer is told."""
+        return self.started, self.instance, self.version
+
+
+class Datagram(msgspec.Struct, frozen=True, array_like=True):
+    """One datagram as it is read."""
+
+    reads: Number
+    version: Number
+    fleet: Text
+    kind: Kind
+    sender: Text  # "" for somebody who looks on and is no member
+    started: Number
+    instance: Number
+    number: Number  # joins an answer to its question
+    digest: Number  # who the sender holds to be there
+    target: Text = ""
+    host: Text = ""
+    port: PortNumber = 0
+    summary: Annotated[tuple[Number, ...], msgspec.Meta(max_length=BUCKETS)] = ()
+    records: Annotated[list[Record], msgspec.Meta(max_length=64)] = []
+    notes: Annotated[list[Note], msgspec.Meta(max_length=64)] = []
+
+
+class _Written(msgspec.Struct, array_like=True):
+    """The same with records and notes that are bytes already."""
+
+    reads: int
+    version: int
+    fleet: str
+    kind: Kind
+    sender: str
+    started: int
+    instance: int
+    number: int
+    digest: int
+    target: str
+    host: str
+    port: int
+    summary: tuple[int, ...]
+    records: list[msgspec.Raw]
+    notes: list[msgspec.Raw]
+
+
+class MalformedDatagram(ValueError):
+    """Bytes that are no datagram of this protocol."""
+
+
+_DECODER = msgspec.msgpack.Decoder(Datagram)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def packed(one: Record | Note) -> bytes:
+    """Return a record's or note's bytes, to be put into many datagrams."""
+    return _ENCODER.encode(one)
+
+
+def decode(data: bytes) -> Datagram:
+    """Read a datagram. Raises MalformedDatagram."""
+    if len(data) > MOST_BYTES:
+        raise MalformedDatagram("too long")
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise MalformedDatagram(str(error)) from error
+
+
+class Draft:
+    """A datagram that is being filled as far as it has room."""
+
+    def __init__(self, fleet: str, kind: Kind, sender: str, life: Life, number: int, digest: int,
+                 target: str = "", address: Address = ("", 0),
+                 summary: tuple[int, ...] = ()) -> None:  # fmt: skip
+        self._written = _Written(
+            READS, VERSION, fleet, kind, sender, life.started, life.instance, number, digest, target,
+            address[0], address[1], summary, [], [],
+        )  # fmt: skip
+        # Lists of more than 15 elements take two bytes more each.
+        self._left = MOST_BYTES - len(_ENCODER.encode(self._written)) - 4
+        self._notes_left = NOTE_ROOM
+
+    def add(self, record: bytes) -> bool:
+        """Add a packed record; return whether it had room."""
+        if len(record) > self._left or len(self._written.records) >= 64:
+            return False
+        self._left -= len(record)
+        self._written.records.append(msgspec.Raw(record))
+        return True
+
+    def add_note(self, note: bytes) -> bool:
+        """Add a packed note; return whether it had room."""
+        if len(note) > min(self._left, self._notes_left) or len(self._written.notes) >= 64:
+            return False
+        self._left -= len(note)
+        self._notes_left -= len(note)
+        self._written.notes.append(msgspec.Raw(note))
+        return True
+
+    def pack(self) -> bytes:
+        """Return the datagram's bytes."""
+        return _ENCODER.encode(self._written)
+
+
+def pages(drafts: Iterable[Draft]) -> list[bytes]:
+    """Return the bytes of several datagrams."""
+    return [draft.pack() for draft in drafts]
--- /dev/null
+++ b/tests/test_fleet_view.py
@@ -0,0 +1,482 @@
+"""The heads' own view of their fleet: the pure member, many of them on a simulated network."""
+
+import random
+
+import msgspec
+import pytest
+
+from harriertrack.lab.fleet.swarm import Swarm
+from harriertrack.membership.fleet import messages
+from harriertrack.membership.fleet.messages import Draft, Kind, Life, MalformedDatagram, Note, Record, State, decode, packed
+from harriertrack.membership.fleet.spreading import Spreading, sends_of
+from harriertrack.membership.fleet.suspicion import Suspicion, least_us, most_confirmations
+from harriertrack.membership.fleet.swim import Rules, Said, Send, Standing, Swim
+from harriertrack.membership.fleet.view import View
+
+S = 1_000_000
+
+
+def record(name="m1", started=1, instance=1, incarnation=0, state=State.ALIVE, port=2, by=""):
+    return Record(name, started, instance, incarnation, state, "10.0.0.1", port, "a", "z", "", by)
+
+
+def swarm(count, seed=1, loss=0.0, **rules):
+    one = Swarm(Rules(**rules), seed)
+    for number in range(count):
+        one.start(f"m{number}")
+    assert one.settle(60 * S) >= 0
+    one.loss = loss
+    one.seen.clear()
+    return one
+
+
+def words(one, state, since=0):
+    return [seen for seen in one.seen if seen.change.after.state is state and seen.t >= since]
+
+
+# -- words and views
+
+
+def test_words_in_any_order_make_the_same_view():
+    rng = random.Random(3)
+    said = [record(f"m{rng.randrange(6)}", rng.randrange(1, 3), rng.randrange(1, 3), rng.randrange(3), State(rng.randrange(4)))
+            for _ in range(200)]
+    first = None
+    for _ in range(5):
+        rng.shuffle(said)
+        view = View()
+        for one in said:
+            view.take(0, one)
+        held = (sorted(row.record.newness for row in view), view.digest, view.summary, sorted(view.present))
+        assert first is None or held == first
+        first = held
+    assert len(view) == 6
+
+
+def test_what_is_not_newer_changes_nothing():
+    view = View()
+    assert view.take(5, record(incarnation=2)).before is None
+    for old in (record(incarnation=2), record(incarnation=1, state=State.DEAD), record(started=0, incarnation=9)):
+        assert view.take(6, old) is None
+    change = view.take(7, record(started=2, state=State.ALIVE))
+    assert change.another_life and view.find("m1").since == 7
+
+
+def test_sums_tell_who_is_there_and_where_views_differ():
+    here, there = View(), View()
+    for one in ("a", "b", "c"):
+        here.take(0, record(one))
+        there.take(0, record(one))
+    assert here.digest == there.digest and not here.differing(there.summary)
+    there.take(1, record("b", state=State.SUSPECT))
+    assert here.digest == there.digest, "a suspect is there until it is dead"
+    (bucket,) = here.differing(there.summary)
+    assert [row.record.name for row in here.within(frozenset((bucket,))) if row.record.name == "b"] == ["b"]
+    there.take(2, record("b", state=State.DEAD))
+    assert here.digest != there.digest and "b" not in there.present
+    here.take(3, record("b", state=State.LEFT))
+    assert here.digest == there.digest and not here.differing(there.summary)
+
+
+def test_a_note_is_of_a_life_and_the_newest_holds():
+    view = View()
+    assert not view.take_note(Note("m1", 1, 1, 1, b"x")), "of a stranger"
+    view.take(0, record())
+    assert view.take_note(Note("m1", 1, 1, 2, b"x")) and not view.take_note(Note("m1", 1, 1, 1, b"old"))
+    assert not view.take_note(Note("m1", 2, 1, 9, b"of a life not heard of"))
+    view.take(0, record(started=2))
+    assert view.find("m1").note is None
+
+
+# -- datagrams
+
+
+def draft(**more):
+    return Draft("fleet", Kind.PING, "m1", Life(1, 2), 7, 9, **more)
+
+
+def test_a_datagram_never_passes_its_bound():
+    full = draft(summary=tuple((1 << 32) - 1 for _ in range(messages.BUCKETS)))
+    count = 0
+    while full.add(packed(record("n" * 64, 1 << 40, 1 << 62, by="b" * 64))):
+        count += 1
+    notes = 0
+    while full.add_note(packed(Note("n", 1, 1, 1, b"z" * 60))):
+        notes += 1
+    data = full.pack()
+    told = decode(data)
+    assert len(data) <= messages.MOST_BYTES and count == len(told.records) > 2 and notes == len(told.notes)
+
+
+def test_garbage_is_counted_and_does_no_harm():
+    rng = random.Random(1)
+    one = Swim(Rules(), record("m0"), seed=1)
+    one.start(0)
+    good = draft(target="m0")
+    good.add(packed(record("m1")))
+    data = good.pack()
+    for at in range(400):
+        bad = bytearray(data)
+        for _ in range(rng.randrange(1, 4)):
+            bad[rng.randrange(len(bad))] = rng.randrange(256)
+        one.receive(1000 + at, bytes(bad[: rng.randrange(len(bad) + 1)]), ("10.9.9.9", 9))
+    for bad in (b"", b"\x00", b"[" * 500, b"\x9f" * 1300, msgspec.msgpack.encode([1] * 20)):
+        one.receive(2000, bad, ("10.9.9.9", 9))
+    assert one.counts.garbage > 300 and one.counts.came == 405
+    assert one.view.find("m0").record.state is State.ALIVE
+
+
+def test_another_fleet_and_a_version_that_can_not_be_read_are_passed_over():
+    one = Swim(Rules(), record("m0"), seed=1)
+    one.start(0)
+    other = Draft("other", Kind.PING, "m1", Life(1, 2), 7, 9, "m0")
+    one.receive(1, other.pack(), ("10.0.0.1", 2))
+    newer = msgspec.msgpack.decode(draft(target="m0").pack())
+    newer[0], newer[1] = 2, 2
+    one.receive(2, msgspec.msgpack.encode(newer), ("10.0.0.1", 2))
+    assert not [action for action in one.take_actions() if isinstance(action, Send)]
+    assert (one.counts.strangers, one.counts.too_new) == (1, 1)
+
+
+def test_a_later_version_with_more_fields_is_read_and_an_earlier_one_with_fewer():
+    told = msgspec.msgpack.decode(draft(target="m0").pack())
+    told[1] = 7
+    told.append("a field of a later version")
+    one = Swim(Rules(), record("m0"), seed=1)
+    one.start(0)
+    one.receive(1, msgspec.msgpack.encode(told), ("10.0.0.1", 2))
+    one.receive(2, msgspec.msgpack.encode(told[:10]), ("10.0.0.1", 2))
+    sent = [decode(action.data) for action in one.take_actions() if isinstance(action, Send)]
+    assert [answer.kind for answer in sent] == [Kind.ACK, Kind.ACK]
+    with pytest.raises(MalformedDatagram):
+        decode(msgspec.msgpack.encode(told[:8]))
+
+
+def test_comparisons_are_answered_at_a_bounded_rate():
+    one = Swim(Rules(pages=5), record("m0"), seed=1)
+    one.start(0)
+    asked = Draft("fleet", Kind.SYNC, "", Life(1, 2), 0, 0, summary=(1,) * 32).pack()
+    for at in range(50):
+        one.receive(1 + at, asked, ("10.9.9.9", 9))
+    assert one.counts.sent == 5 and one.counts.turned_down == 45
+
+
+def test_members_past_the_bound_are_turned_down():
+    one = Swim(Rules(members=10), record("m0"), seed=1)
+    one.start(0)
+    for number in range(1, 30):
+        told = draft()
+        told.add(packed(record(f"m{number}")))
+        one.receive(number, told.pack(), ("10.0.0.1", 2))
+    assert len(one.view) == 10 and one.counts.turned_down == 20
+
+
+# -- passing on and suspecting
+
+
+def test_news_goes_first_least_sent_first_and_so_often():
+    news = Spreading()
+    for name in ("a", "b"):
+        news.add(name, name.encode())
+    sent = []
+    take_one = [0]
+
+    def add(piece):
+        take_one[0] += 1
+        if take_one[0] > 1:
+            return False
+        sent.append(piece)
+        return True
+
+    for _ in range(4):
+        take_one[0] = 0
+        news.fill(add, 2)
+    assert sent == [b"a", b"b", b"a", b"b"] and not len(news)
+    news.add("a", b"1")
+    news.add("a", b"2")
+    out = []
+    news.fill(lambda piece: out.append(piece) is None, 1)
+    assert out == [b"2"] and "a" not in news
+    assert [sends_of(4, n) for n in (1, 9, 99, 200)] == [4, 4, 8, 12]
+
+
+def test_a_suspicion_shrinks_as_others_agree():
+    assert least_us(S, 4, 8) == 4 * S and least_us(S, 4, 100) == 8 * S
+    assert [most_confirmations(3, n) for n in (2, 4, 5, 9)] == [0, 0, 3, 3]
+    one = Suspicion(0, 4 * S, 24 * S, 3, ["a"])
+    ends = [one.ends_at]
+    assert not one.confirm("a")
+    for name in ("b", "c", "d"):
+        assert one.confirm(name)
+        ends.append(one.ends_at)
+    assert not one.confirm("e")
+    assert ends[0] == 24 * S and ends[-1] == 4 * S and ends == sorted(ends, reverse=True)
+    assert Suspicion(0, 4 * S, 24 * S, 0, ["a"]).ends_at == 4 * S
+
+
+# -- many members
+
+
+@pytest.mark.parametrize("count", [2, 5, 40])
+def test_all_start_at_once_and_agree_while_nobody_is_suspected_at_rest(count):
+    one = swarm(count)
+    one.run(120 * S)
+    assert one.agree() and not one.seen
+    assert all(member.standing is Standing.IN for member in one.members.values())
+
+
+def test_seeds_that_come_later():
+    one = Swarm(Rules(), 2)
+    for number in (2, 3, 4):
+        one.start(f"m{number}")
+    one.run(30 * S)
+    assert {member.standing for member in one.members.values()} == {Standing.ALONE}
+    for number in (0, 1):
+        one.start(f"m{number}")
+    assert one.settle(15 * S) >= 0
+
+
+def test_a_killed_member_is_held_dead_within_the_bound_and_no_other():
+    one = swarm(8)
+    one.kill("m5")
+    took = one.settle(40 * S)
+    assert 5 * S < took < 30 * S
+    assert {seen.change.after.name for seen in words(one, State.DEAD)} == {"m5"}
+    row = one.members["m1"].view.find("m5")
+    assert [heard.record.state for heard in row.history] == [State.ALIVE, State.SUSPECT, State.DEAD]
+    assert row.history[1].record.by in one.members
+
+
+def test_leaving_is_no_death_and_is_known_at_once():
+    one = swarm(8)
+    one.leave("m5")
+    assert one.settle(3 * S, [name for name in one.members if name != "m5"]) >= 0
+    one.run(3 * S, lambda: one.members["m5"].left)
+    assert one.members["m5"].left
+    one.kill("m5")
+    one.run(60 * S)
+    assert one.agree() and not words(one, State.DEAD) and not words(one, State.SUSPECT)
+
+
+def test_all_but_one_are_killed_and_come_back():
+    one = swarm(8)
+    for number in range(8):
+        if number != 6:
+            one.kill(f"m{number}")
+    # It can't tell whether it is cut off itself: it doubts itself, and takes its time.
+    assert one.run(150 * S, lambda: one.members["m6"].standing is Standing.ALONE)
+    for number in range(2, 8):  # the seeds stay away
+        if number != 6:
+            one.start(f"m{number}")
+    assert one.settle(90 * S) >= 0
+
+
+def test_a_restart_before_its_death_is_known_is_another_life_at_once():
+    one = swarm(8)
+    one.kill("m5")
+    one.run(100_000)
+    one.start("m5")
+    assert one.settle(5 * S) >= 0
+    one.run(60 * S)
+    assert not words(one, State.DEAD) and one.agree()
+
+
+def test_a_restart_with_a_clock_that_went_back_still_comes_in():
+    one = swarm(8)
+    one.kill("m5")
+    one.run(100_000)
+    one.start("m5", started=5)
+    assert one.settle(10 * S) >= 0
+    assert one.members["m5"].me.started > 1_700_000_000_000
+
+
+def test_two_processes_of_one_name_the_later_one_holds_it_until_it_is_gone():
+    one = swarm(8)
+    one.run(5 * S)
+    one.start("m5", address=("10.0.0.1", 77), process="usurper")
+    held = [name for name in one.members if name != "m5"]
+    assert one.settle(30 * S, held) >= 0
+    one.run(20 * S)
+    elder = one.members["m5"]
+    assert elder.standing is Standing.DISPLACED and any("displaced" in said.event for _, _, said in one.said)
+    sent = elder.counts.sent
+    one.run(60 * S)
+    assert elder.counts.sent - sent < 10, "it only looks on"
+    one.kill("usurper")
+    assert one.run(120 * S, lambda: elder.standing is Standing.IN) and one.settle(20 * S) >= 0
+
+
+def test_a_member_that_stood_still_for_a_minute_buries_nobody_and_returns():
+    one = swarm(8)
+    one.stop("m5")
+    one.run(60 * S)
+    assert one.agree([name for name in one.members if name != "m5"])
+    woke = one.now
+    one.go_on("m5")
+    assert one.settle(5 * S) >= 0
+    one.run(60 * S)
+    assert {seen.change.after.name for seen in words(one, State.DEAD, woke)} <= {"m5"}
+    assert one.members["m5"].counts.stood == 1 and one.members["m5"].counts.refuted == 1
+
+
+def test_without_the_care_after_a_standstill_it_would_bury_others(monkeypatch):
+    monkeypatch.setattr(Swim, "_stood", lambda self, now: None)
+    buried = 0
+    for seed in range(6):
+        one = swarm(8, seed)
+        # It suspects somebody just before it stands still.
+        one.members["m5"]._suspect(one.now, one.members["m5"].view.find("m3"), "m5")
+        one.stop("m5")
+        one.run(60 * S)
+        woke = one.now
+        one.go_on("m5")
+        one.run(5 * S)
+        buried += any(seen.member == "m5" and seen.change.after.name != "m5" for seen in words(one, State.DEAD, woke))
+    assert buried, "the test would not notice"
+
+
+def test_halves_apart_while_members_come_and_go_on_both_sides_find_together():
+    one = swarm(10)
+    left = {f"m{number}" for number in range(5)} | {"m20"}
+    one.cut = lambda a, b: (a in left) != (b in left)
+    one.run(60 * S)
+    one.kill("m2")
+    one.start("m20")  # knows the seeds, which are on its side
+    one.kill("m7")
+    one.run(120 * S)
+    one.start("m7")
+    one.run(400 * S)
+    assert one.agree([name for name in one.members if name in left])
+    healed = one.now
+    one.cut = lambda a, b: False
+    assert one.settle(40 * S) >= 0
+    one.run(60 * S)
+    assert one.agree() and not words(one, State.DEAD, healed + 5 * S)
+
+
+def test_three_parts_healed_in_two_steps():
+    one = swarm(9)
+    part = {name: int(name[1:]) // 3 for name in one.members}
+    one.cut = lambda a, b: part[a] != part[b]
+    one.run(120 * S)
+    one.cut = lambda a, b: (part[a] == 2) != (part[b] == 2)
+    assert one.settle(60 * S, [name for name in one.members if part[name] != 2]) >= 0
+    one.cut = lambda a, b: False
+    assert one.settle(60 * S) >= 0
+
+
+def test_two_that_can_not_talk_while_others_reach_both_are_not_dead():
+    one = swarm(8)
+    one.cut = lambda a, b: {a, b} == {"m1", "m2"}
+    one.run(300 * S)
+    assert one.agree() and not words(one, State.DEAD) and not words(one, State.SUSPECT)
+
+
+def test_with_no_others_to_ask_they_would_be(monkeypatch):
+    monkeypatch.setattr(Swim, "_ask_others", lambda self, now, probe: setattr(probe, "helped", 0))
+    one = swarm(8)
+    one.cut = lambda a, b: {a, b} == {"m1", "m2"}
+    one.run(60 * S)
+    assert words(one, State.SUSPECT), "the test would not notice"
+
+
+def test_a_member_that_hears_and_is_not_heard_is_dead_to_others_and_buries_few():
+    one = swarm(8)
+    one.cut = lambda a, b: a == "m5"
+    one.run(60 * S)
+    others = [name for name in one.members if name != "m5"]
+    assert one.agree(others) and "m5" not in one.members["m1"].view.present
+    assert {seen.change.after.name for seen in words(one, State.DEAD) if seen.member != "m5"} == {"m5"}
+    one.cut = lambda a, b: False
+    assert one.settle(40 * S) >= 0
+
+
+def test_a_third_lost_kills_nobody():
+    one = swarm(12, loss=1 / 3)
+    one.run(120 * S)
+    dead = words(one, State.DEAD)
+    one.loss = 0.0
+    assert one.settle(30 * S) >= 0
+    assert len({(seen.t, seen.change.after.name) for seen in dead}) == 0
+
+
+def test_a_slow_member_doubts_itself_before_it_buries_others():
+    one = swarm(12)
+    one.late_us = lambda a, b: 700_000 if "m5" in (a, b) else 0
+    one.run(120 * S)
+    slow = one.members["m5"]
+    assert slow.doubts > 0 and not [seen for seen in words(one, State.DEAD) if seen.change.after.name != "m5"]
+    one.late_us = lambda a, b: 0
+    assert one.settle(30 * S) >= 0
+
+
+def test_an_address_that_moved_to_another_member():
+    one = swarm(8)
+    one.kill("m5")
+    one.run(100_000)
+    one.start("m9", address=one.address("m5"))
+    assert one.settle(40 * S) >= 0
+    assert "m9" in one.members["m1"].view.present and "m5" not in one.members["m1"].view.present
+    assert one.members["m9"].counts.misdirected > 0
+
+
+def test_old_words_after_new_ones_are_old():
+    one = swarm(8)
+    old = one.members["m5"].me
+    one.kill("m5")
+    one.run(100_000)
+    fresh = one.start("m5").me
+    assert one.settle(5 * S) >= 0
+    for state in State:
+        told = Draft("fleet", Kind.WORD, "m6", Life(1, 2), 0, 0)
+        told.add(packed(msgspec.structs.replace(old, state=state, incarnation=99)))
+        one.members["m1"].receive(one.now, told.pack(), ("10.0.0.1", 7))
+    assert one.members["m1"].view.find("m5").record.life == fresh.life and one.agree()
+
+
+def test_notes_reach_all_and_the_newest_holds():
+    one = swarm(20)
+    for version in range(3):
+        one.members["m5"].note(one.now, b"load %d" % version)
+        one.run(3 * S)
+    one.run(20 * S)
+    assert {member.view.find("m5").note.about for member in one.members.values()} == {b"load 2"}
+    with pytest.raises(ValueError):
+        one.members["m5"].note(one.now, bytes(257))
+
+
+def test_the_gone_are_forgotten_and_do_not_come_back():
+    one = swarm(6, forget_us=60 * S)
+    one.kill("m5")
+    one.run(200 * S)
+    assert all(member.view.find("m5") is None for member in one.members.values()) and one.agree()
+
+
+def test_traffic_of_a_member_is_flat_in_the_number_of_members():
+    rates = []
+    for count in (10, 60):
+        one = swarm(count)
+        before = sum(member.counts.sent for member in one.members.values())
+        one.run(60 * S)
+        rates.append((sum(member.counts.sent for member in one.members.values()) - before) / count / 60)
+    assert 1.9 < rates[0] < 2.4 and abs(rates[1] / rates[0] - 1) < 0.1
+
+
+def test_one_seed_one_story():
+    stories = []
+    for _ in range(2):
+        one = swarm(6, seed=9, loss=0.1)
+        one.kill("m3")
+        one.run(30 * S)
+        stories.append([(seen.t, seen.member, seen.change.after) for seen in one.seen])
+    assert stories[0] == stories[1] and stories[0]
+
+
+def test_objecting_and_displacing_are_said():
+    one = Swim(Rules(), record("m0", started=5, instance=5), seed=1)
+    one.start(0)
+    told = draft()
+    told.add(packed(record("m0", 5, 5, 0, State.SUSPECT, by="m1")))
+    one.receive(1, told.pack(), ("10.0.0.1", 2))
+    assert one.me.incarnation == 1 and one.doubts == 1
+    assert [action.event for action in one.take_actions() if isinstance(action, Said)] == ["fleet: objected"]
