--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -3,18 +3,29 @@
 from __future__ import annotations
 
 import re
+import sys
+import tempfile
 import time
+from contextlib import ExitStack
+from pathlib import Path
 
 import click
+import msgspec
 
 from harriertrack.cli.common import fail, settings_of
 from harriertrack.config.settings import HeadSettings
+from harriertrack.config.sexp import SettingsError
+from harriertrack.lab.fleet import scenario
+from harriertrack.lab.fleet.processes import FleetProcessError, play_processes
+from harriertrack.lab.fleet.rig import simulate
 from harriertrack.membership.fleet.telling import Document, MalformedDocument, Told, document_from
+from harriertrack.rules import checker, fleet as fleet_rules, recording as rec
 from harriertrack.runtime.hub import DeadlineExceeded, Hub
 from harriertrack.runtime.streams import SocketNetwork
 
 ASK_US = 3_000_000
 MOST_BYTES = 16 << 20
+MOST_TOLD = 20
 PLACE = re.compile(r"\[?([0-9A-Fa-f.:]+?)\]?:(\d{1,5})\Z")
 SHOWN = (
     "name", "state", "for", "incarnation", "region", "zone", "cell", "address", "agrees", "open", "taken/s",
@@ -142,8 +153,6 @@
     if found is None:
         fail(f"{member}: {document.name} knows no such member")
     if as_json:
-        import msgspec
-
         click.echo(msgspec.json.encode(found).decode())
         return
     heard = "never heard itself" if found.heard_s is None else f"heard itself {found.heard_s:.1f} s ago"
@@ -154,3 +163,63 @@
     for word in found.history:
         by = f" by the word of {word.by}" if word.by else " by its own word"
         click.echo(f"  {word.ago_s:9.1f} s ago  {word.state}, incarnation {word.incarnation},{by}")
+
+
+@fleet.command("days")
+def days() -> None:
+    """Name the days for fleets that come with the program."""
+    for name in scenario.names():
+        click.echo(f"{name:18} {scenario.load(name).about}")
+
+
+def _tell(breaches: list[checker.Breach], told: str) -> None:
+    for breach in breaches[:MOST_TOLD]:
+        click.echo(f"{told} {breach}")
+    if len(breaches) > MOST_TOLD:
+        click.echo(f"... and {len(breaches) - MOST_TOLD} more")
+
+
+@fleet.command()
+@click.argument("name")
+@click.option("--processes", type=click.IntRange(2, 400), help="Heads; otherwise what the day says.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--virtual", is_flag=True, help="In simulated time, where the verdict repeats exactly.")
+@click.option("--without", is_flag=True, help="Heads without `(fleet ...)`, to compare.")
+@click.option("--json", "path", type=click.Path(dir_okay=False), help="Write the recording, JSON lines.")
+@click.option("--keep", type=click.Path(file_okay=False), help="A folder for settings and logs, kept.")
+def day(name: str, processes: int | None, seed: int, virtual: bool, without: bool, path: str | None,
+        keep: str | None) -> None:  # fmt: skip
+    """Play the fleet's day NAME (or a file's) and judge it. Exit code 1 unless all rules are kept."""
+    try:
+        plan = scenario.load(name)
+    except SettingsError as error:
+        fail(str(error))
+    if virtual and keep:
+        fail("--keep goes with processes; simulated heads write nothing")
+    heads = processes or plan.processes
+    if without:
+        plan = scenario.without_views(plan)
+    recorder = rec.Recorder(path)
+    try:
+        with ExitStack() as stack:
+            if virtual:
+                simulate(plan, heads, seed, recorder, not without)
+            else:
+                folder = keep or stack.enter_context(tempfile.TemporaryDirectory(prefix="harriertrack-"))
+                Path(folder).mkdir(parents=True, exist_ok=True)
+                play_processes(plan, heads, seed, recorder, Path(folder), not without)
+    except (FleetProcessError, OSError) as error:
+        fail(str(error))
+    finally:
+        recorder.close()
+    records = recorder.records
+    for one in records:
+        if isinstance(one, rec.Agreed):
+            end = f"after {one.after_us / 1e6:.2f} s" if one.reached else "NOT REACHED"
+            click.echo(f"{len(one.members)} agree {end} (within {one.within_us / 1e6:g} s)")
+    click.echo("; ".join(f"{count} {what}" for what, count in checker.summary(records).items()))
+    requests, views = checker.check(records), fleet_rules.check(records, plan.detect_us)
+    _tell(requests, "requests:")
+    _tell(views, "views:")
+    click.echo("all rules held" if not requests + views else "rules broken")
+    sys.exit(1 if requests + views else 0)
--- /dev/null
+++ b/harriertrack/lab/fleet/processes.py
@@ -0,0 +1,360 @@
+"""A fleet of processes: `harriertrack head` and `harriertrack shelf` started, struck and ended by their ids.
+
+Every process has its own address, state folder and log. Datagrams between heads pass a relay, and so do the
+streams from each head to each node and to the list: each pair can be cut. Clients are the rig's own.
+"""
+
+from __future__ import annotations
+
+import json
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from harriertrack.config.settings import (
+    FleetSeedSettings,
+    FleetSettings,
+    NodeListSettings,
+    NodeSettings,
+    ShelfSettings,
+)
+from harriertrack.config.written import written
+from harriertrack.lab.fleet.rig import LOOK_US, SEEDS, FleetRig
+from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings
+from harriertrack.lab.rig import HeadSlot
+from harriertrack.rules import recording as rec
+from harriertrack.runtime.datagrams import SocketDatagrams
+from harriertrack.runtime.hub import Cancelled, DeadlineExceeded, Hub, Task
+from harriertrack.runtime.signals import on_signals
+from harriertrack.runtime.streams import SocketNetwork
+from harriertrack.standin.link import Direction, Link
+from harriertrack.standin.node import Rack
+from harriertrack.standin.relay import Relay
+
+READY_US = 30_000_000  # the longest that a process may take to listen
+END_S = 15.0  # and to end when it is asked to
+WOKE_US = 500_000  # after a process goes on it has to read and answer what came meanwhile
+
+
+class FleetProcessError(Exception):
+    """A process did not start or ended by itself; the text says which, and where its log is."""
+
+
+def free_ports(count: int, kind: socket.SocketKind) -> list[int]:
+    """Return ports that nobody uses now, all different."""
+    socks = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    try:
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
+    finally:
+        for sock in socks:
+            sock.close()
+
+
+class Process:
+    """One child, its log as it is read, and its end."""
+
+    def __init__(self, name: str, arguments: list[str], log: Path) -> None:
+        self.name, self.log = name, log
+        self._read = log.stat().st_size if log.exists() else 0
+        self._rest = b""
+        with log.open("ab") as out:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", "harriertrack", *arguments, "--log", "json"],
+                stdin=subprocess.DEVNULL, stdout=out, stderr=out, start_new_session=True,
+            )  # fmt: skip
+
+    @property
+    def ended(self) -> bool:
+        """Whether it has ended."""
+        return self._child.poll() is not None
+
+    def signal(self, number: int) -> None:
+        """Send it a signal, by its id, if it still runs."""
+        if not self.ended:
+            self._child.send_signal(number)
+
+    def lines(self) -> list[dict[str, object]]:
+        """Return the log lines that were written since the last call."""
+        with self.log.open("rb") as file:
+            file.seek(self._read)
+            data = file.read()
+        self._read += len(data)
+        *whole, self._rest = (self._rest + data).split(b"\n")
+        found = []
+        for line in whole:
+            try:
+                one = json.loads(line)
+            except ValueError:
+                continue  # what the interpreter says when it fails: kept in the log
+            if isinstance(one, dict):
+                found.append(one)
+        return found
+
+    def end(self, within_s: float = 0.0) -> None:
+        """Take its status; end it if it has not ended by itself within a time."""
+        try:
+            self._child.wait(within_s)
+        except subprocess.TimeoutExpired:
+            self._child.kill()
+            self._child.wait()
+
+
+class ProcessFleet(FleetRig):
+    """Heads and nodes as processes on loopback."""
+
+    def __init__(self, hub: Hub, network: SocketNetwork, day: FleetDaySettings, heads: int, seed: int,
+                 recorder: rec.Recorder, folder: Path, fleet: bool = True) -> None:  # fmt: skip
+        super().__init__(hub, network, day, heads, seed, recorder, str(folder), fleet)
+        self._folder = folder
+        self._relay = Relay(hub, SocketDatagrams(hub), self.weather)
+        self._processes: dict[str, Process] = {}
+        self._leaving: list[tuple[HeadSlot, Process]] = []
+        self._links: dict[tuple[str, str], Link] = {}
+        self._there: dict[str, tuple[str, int]] = {}  # where heads are told by
+        ports = free_ports(heads, socket.SOCK_STREAM)
+        self._nbd = {f"head{number}": port for number, port in enumerate(ports)}
+        self._inner: dict[str, tuple[str, int]] = {}
+
+    def path(self, name: str) -> Path:
+        """Return where a file of this day lies."""
+        return self._folder / name
+
+    # -- building
+
+    def build(self) -> None:
+        """Start the nodes, and make places, relays and lists for the heads."""
+        day, hub = self.day, self.hub
+        names = [f"head{number}" for number in range(day.heads)]
+        for name, port in zip(names, free_ports(day.heads, socket.SOCK_DGRAM), strict=True):
+            self._inner[name] = ("127.0.0.1", port)
+            self._there[name] = self._relay.admit(name, self._inner[name])
+        for number in range(day.nodes):
+            self.add_node(f"node{number}", number)
+        for number, name in enumerate(names):
+            nodes = []
+            for node, address in self._nodes.items():
+                link = self._links[name, node] = Link(
+                    hub, self.network, address, Direction(delay_us=0), Direction(delay_us=0)
+                )
+                link.start(self.scope)
+                shard = int(node.removeprefix("node"))
+                nodes.append(NodeSettings(name=node, address=link.address, shard=shard, zone="z0"))
+            self.path(f"{name}.nodes").write_text(_node_list(nodes))
+            mine = [
+                volume
+                for at, volume in enumerate(self.volumes)
+                if (number - at) % day.heads < volume.hosts
+            ]
+            slot = self.add_head(name, day.zones[number % len(day.zones)], mine, self.listing)
+            slot.settings = msgspec.structs.replace(
+                slot.settings, listen=("127.0.0.1", self._nbd[name]),
+                node_list=NodeListSettings(file=str(self.path(f"{name}.nodes")), poll_us=200_000),
+            )  # fmt: skip
+            self.path(f"{name}.sexp").write_text(written("head", slot.settings))
+        self.scope.spawn("logs", self._follow_logs)
+
+    @property
+    def _nodes(self) -> dict[str, tuple[str, int]]:
+        return {name: shelf.address for name, shelf in self.shelves.items()}
+
+    def new_shelf(self, settings: ShelfSettings, rack: Rack, meter: object, seed: int) -> _ShelfProcess:  # type: ignore[override]
+        """Start a storage node as a process."""
+        (port,) = free_ports(1, socket.SOCK_STREAM)
+        settings = msgspec.structs.replace(settings, listen=("127.0.0.1", port))
+        return _ShelfProcess(self, settings)
+
+    def await_listening(self, process: Process, address: tuple[str, int]) -> None:
+        """Wait until a process takes connections. Raises FleetProcessError."""
+        until = self.hub.now() + READY_US
+        while True:
+            try:
+                self.network.connect(address, until).close()
+                return
+            except ConnectionRefusedError:
+                if process.ended or self.hub.now() > until:
+                    raise FleetProcessError(f"{process.name} does not listen; see {process.log}") from None
+                self.hub.sleep(LOOK_US)
+            except (OSError, DeadlineExceeded) as error:
+                raise FleetProcessError(f"{process.name}: {error}; see {process.log}") from error
+
+    def start_process(self, name: str, arguments: list[str]) -> Process:
+        """Start a child whose log lies in the day's folder."""
+        process = Process(name, arguments, self.path(f"{name}.log"))
+        self._processes[name] = process
+        return process
+
+    def fleet_of(self, name: str) -> FleetSettings | None:
+        """Return what a head is told of its fleet."""
+        if not self.with_fleet:
+            return None
+        seeds = tuple(
+            FleetSeedSettings(name=one, address=self._there[one]) for one in list(self._there)[:SEEDS]
+        )
+        return FleetSettings(
+            name=name, listen=self._inner[name], advertise=self._there[name], seeds=seeds,
+            **self.figures(),  # type: ignore[arg-type]
+        )  # fmt: skip
+
+    # -- heads
+
+    def entrance(self, slot: HeadSlot) -> tuple[str, int] | None:
+        """Return where clients find a head; None while it is not up."""
+        return ("127.0.0.1", self._nbd[slot.name]) if slot.name in self._processes else None
+
+    def launch(self, slot: HeadSlot, step: StepSettings) -> None:
+        """Start a head."""
+        if step.fresh:
+            shutil.rmtree(self.path(slot.name), ignore_errors=True)
+        self.lived(slot, "started")
+        arguments = ["head", str(self.path(f"{slot.name}.sexp"))]
+        if step.clock_rate != 1.0:
+            arguments += ["--clock-rate", str(step.clock_rate)]
+        self.start_process(slot.name, arguments)
+        for connection in slot.connections:
+            connection.address = self.entrance(slot)
+
+    def _turn_clients_away(self, slot: HeadSlot) -> Process:
+        for connection in slot.connections:
+            connection.address = None
+        return self._processes.pop(slot.name)
+
+    def kill(self, slot: HeadSlot) -> None:
+        """End a head at once."""
+        self._read_log(slot)
+        self.lived(slot, "killed")
+        process = self._turn_clients_away(slot)
+        self.recorder.add(rec.Head(t=self.hub.now(), head=slot.name, number=0, up=False))
+        process.end()
+
+    def stand(self, slot: HeadSlot, us: int) -> None:
+        """Let a head stand still for a time."""
+        process = self._processes[slot.name]
+        self._read_log(slot)
+        self.lived(slot, "stopped")
+        since = self.hub.now()
+        process.signal(signal.SIGSTOP)
+
+        def go_on() -> None:
+            stood = self.hub.now() - since + WOKE_US
+            self.recorder.add(rec.Stood(t=since, head=slot.name, us=stood))
+            if self._processes.get(slot.name) is process:
+                self.lived(slot, "went-on")
+            process.signal(signal.SIGCONT)
+
+        self.later(us, go_on)
+
+    def leave(self, slot: HeadSlot) -> None:
+        """Ask a head to end."""
+        process = self._turn_clients_away(slot)
+        process.signal(signal.SIGTERM)
+        self._leaving.append((slot, process))
+
+    def weather_changed(self) -> None:
+        """Let streams follow what was cut, or is not any more."""
+        super().weather_changed()
+        for (head, node), link in self._links.items():
+            there, back = self.weather.cut(head, node), self.weather.cut(node, head)
+            if (there, back) != (link.there.blocked, link.back.blocked):
+                link.there.blocked, link.back.blocked = there, back
+                link.changed()
+
+    # -- logs
+
+    def _follow_logs(self) -> None:
+        """Read what heads tell (a task)."""
+        while True:
+            for slot in self.heads:
+                self._read_log(slot)
+                process = self._processes.get(slot.name)
+                if process is not None and process.ended:
+                    raise FleetProcessError(f"{slot.name} ended by itself; see {process.log}")
+            for slot, process in list(self._leaving):
+                if process.ended:
+                    self._leaving.remove((slot, process))
+                    self._take(slot, process)
+                    self.recorder.add(rec.Head(t=self.hub.now(), head=slot.name, number=0, up=False))
+            self.hub.sleep(LOOK_US)
+
+    def _read_log(self, slot: HeadSlot) -> None:
+        process = self._processes.get(slot.name)
+        if process is not None:
+            self._take(slot, process)
+
+    def _take(self, slot: HeadSlot, process: Process) -> None:
+        for line in process.lines():
+            event = str(line.get("event", ""))
+            if event == "head starts":
+                number = int(str(line["head"]), 16)
+                self.recorder.add(rec.Head(t=self.hub.now(), head=slot.name, number=number, up=True))
+            self.heard(slot, event, line)
+
+    # -- the end
+
+    def close(self) -> None:
+        """End every process that this rig started, by its id, and gather what the nodes recorded."""
+        self._relay.close()
+        every = [*self._processes.values(), *(process for _, process in self._leaving)]
+        for process in every:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+        for process in every:
+            process.end(END_S)
+        self._processes.clear()
+        self._leaving.clear()
+        for name in self.shelves:
+            path = self.path(f"{name}.rec")
+            if path.exists():
+                for record in rec.read(str(path)):
+                    self.recorder.add(record)
+                path.unlink()
+
+
+class _ShelfProcess:
+    """A storage node as a process, as far as the rig knows nodes."""
+
+    def __init__(self, rig: ProcessFleet, settings: ShelfSettings) -> None:
+        self._rig, self.settings = rig, settings
+        self.address, self.started_at, self.up = settings.listen, 0, True
+
+    def start(self, _scope: object, _cold: bool = False) -> None:
+        """Come up and listen."""
+        rig, name = self._rig, self.settings.name
+        path = rig.path(f"{name}.sexp")
+        path.write_text(written("shelf", self.settings))
+        arguments = ["shelf", str(path), "--record", str(rig.path(f"{name}.rec"))]
+        rig.await_listening(rig.start_process(name, arguments), self.address)
+
+
+def _node_list(nodes: list[NodeSettings]) -> str:
+    return "(node-list\n" + "\n".join(written("node", node, 1) for node in nodes) + ")\n"
+
+
+def play_processes(day: FleetDaySettings, heads: int, seed: int, recorder: rec.Recorder, folder: Path,
+                   fleet: bool = True, started: Callable[[ProcessFleet], None] = lambda _rig: None,
+                   ) -> ProcessFleet:  # fmt: skip
+    """Play a fleet's day over processes; all is in the recorder then. Raises FleetProcessError."""
+    hub = Hub(seed=seed)
+    rig = ProcessFleet(hub, SocketNetwork(hub), day, heads, seed, recorder, folder, fleet)
+    started(rig)
+    tasks: list[Task] = []
+
+    def main() -> None:
+        tasks.append(hub.current())
+        rig.run()
+
+    try:
+        with on_signals(hub, (signal.SIGINT, signal.SIGTERM), lambda _number: tasks[0].cancel()):
+            hub.run(main)
+    except Cancelled:
+        raise FleetProcessError("interrupted") from None
+    finally:
+        rig.close()  # whatever happened: nothing that was started stays
+    return rig
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -119,6 +119,13 @@
     return parse(read_file(name), name)
 
 
+def without_views(day: FleetDaySettings) -> FleetDaySettings:
+    """Return the same day for heads that have no view: nothing is waited for, time passes instead."""
+    rest = StepSettings(name=Verb.REST, for_us=2_000_000)
+    steps = tuple(rest if step.name is Verb.AGREE else step for step in day.steps)
+    return msgspec.structs.replace(day, steps=steps)
+
+
 def chosen(words: tuple[str, ...], heads: list[str], but: tuple[str, ...] = ()) -> list[str]:
     """Return the heads that words name, in order; `rest` are those that are not in `but`."""
     found: dict[str, None] = {}
--- a/harriertrack/standin/link.py
+++ b/harriertrack/standin/link.py
@@ -29,7 +29,7 @@
     def __init__(self, hub: Hub, network: Network, target: tuple[str, int], there: Direction, back: Direction,
                  seed: int = 0) -> None:  # fmt: skip
         self._hub, self._network, self._target = hub, network, target
-        self._there, self._back = there, back
+        self.there, self.back = there, back
         self._random = random.Random(seed)
         self._listener: Listener | None = None
         self._streams: dict[Stream, None] = {}
@@ -76,8 +76,8 @@
                 near.abort()
                 continue
             self._streams.update({near: None, far: None})
-            scope.spawn("link there", self._pass, near, far, self._there, scope)
-            scope.spawn("link back", self._pass, far, near, self._back, scope)
+            scope.spawn("link there", self._pass, near, far, self.there, scope)
+            scope.spawn("link back", self._pass, far, near, self.back, scope)
 
     def _pass(self, source: Stream, sink: Stream, way: Direction, scope: Scope) -> None:
         """Read what comes, and write it when its time has come and the way is open, in order."""
