--- a/harriertrack/membership/fleet/telling.py
+++ b/harriertrack/membership/fleet/telling.py
@@ -9,8 +9,8 @@
 from harriertrack.membership.fleet.view import Row
 
 
-class About(msgspec.Struct, frozen=True, array_like=True):
-    """A member's note: what it serves and how busy it is. Later parts append to it."""
+class About(msgspec.Struct, frozen=True):
+    """A member's note: what it serves and how busy it is. What a reader does not know it passes over."""
 
     volumes: int = 0
     open: int = 0  # requests
--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -79,7 +79,7 @@
         by_request: dict[tuple[str, int], Asked] = {}
         open_of: dict[str, dict[int, Asked]] = defaultdict(dict)
         by_head: dict[str, set[str]] = defaultdict(set)
-        stood: dict[str, list[tuple[int, int]]] = defaultdict(list)
+        stood: dict[str, list[rec.Stood]] = defaultdict(list)
         for record in sorted(
             (one for one in records if not isinstance(one, rec.Facts)), key=lambda one: one.t
         ):
@@ -103,7 +103,7 @@
                     for asked in open_of.pop(record.client, {}).values():
                         asked.excused_at = record.t
                 case rec.Stood():
-                    stood[record.head].append((record.t, record.t + record.us))
+                    stood[record.head].append(record)
                 case rec.Head() if record.up:
                     self.heads[record.number] = record.head
                 case rec.Head():
@@ -124,8 +124,11 @@
                 case rec.Node():
                     self.nodes.append(record)
         for asked in self.asked:
-            for since, until in stood[asked.take.head]:
-                if since <= asked.deadline < until:
+            for still in stood[asked.take.head]:
+                until = still.t + still.us
+                if still.unread and still.t <= asked.take.t < until:
+                    asked.deadline += until - asked.take.t
+                elif still.t <= asked.deadline < until:
                     asked.deadline = until
         self._join()
         self.owner: dict[tuple[int, int], Asked] = {}
--- a/harriertrack/rules/fleet.py
+++ b/harriertrack/rules/fleet.py
@@ -44,14 +44,18 @@
     def __init__(self) -> None:
         self.held: dict[str, Held] = {}
         self.running: dict[str, bool] = {}  # who lives, and whether it is not stopped
+        self.life: dict[str, int] = {}  # which life of its own each told of last
 
     def take(self, record: rec.Record) -> None:
         """Follow a record."""
         if isinstance(record, rec.Viewed):
             self.held.setdefault(record.member, Held()).take(record)
+            if record.member == record.about:
+                self.life[record.member] = record.life
         elif isinstance(record, rec.Lived):
             if record.how == "started":
                 self.held[record.member] = Held()
+                self.life.pop(record.member, None)
             if record.how in ("killed", "ended", "leaving"):
                 self.running.pop(record.member, None)
             else:
@@ -117,12 +121,13 @@
 
 
 def nobody_buried_alive(history: History) -> Iterator[Breach]:
-    """2: at rest nobody holds a living member dead."""
+    """2: at rest nobody holds a living member dead; that an earlier life of it is dead is true."""
     views = Views()
     for one in history.records:
         views.take(one)
         if isinstance(one, rec.Viewed) and one.state == "dead" and views.running.get(one.about):
-            if views.running.get(one.member) and history.calm(one.t, one.t):
+            awake, alive = views.running.get(one.member), views.life.get(one.about) == one.life
+            if awake and alive and history.calm(one.t, one.t):
                 yield Breach(2, one.t, one.member, f"holds {one.about} dead, by {one.by}, which lives")
 
 
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -66,11 +66,16 @@
 
 
 class Stood(msgspec.Struct, kw_only=True, tag="stood", tag_field="what"):
-    """A head's machine stood still for `us`: while it does, it is no running head."""
+    """A head's machine stood still for `us`: while it does, it is no running head.
+
+    `unread`: its process was stopped, and what clients sent filled its socket: the rest lay in theirs, and
+    came only when the head read again, which can't know since when.
+    """
 
     t: int
     head: str
     us: int
+    unread: bool = False
 
 
 class Take(msgspec.Struct, kw_only=True, tag="take", tag_field="what"):
--- a/harriertrack/standin/relay.py
+++ b/harriertrack/standin/relay.py
@@ -110,15 +110,15 @@
 class Relay:
     """The relays of all members of a fleet, on one hub."""
 
-    def __init__(self, hub: Hub, network: DatagramNetwork, weather: Weather) -> None:
-        self._hub, self._network, self._weather = hub, network, weather
+    def __init__(self, hub: Hub, network: DatagramNetwork, weather: Weather, host: str = "127.0.0.1") -> None:
+        self._hub, self._network, self._weather, self._host = hub, network, weather, host
         self._parties: dict[str, _Party] = {}
         self._at: dict[Address, _Party] = {}  # by the address that a member sends from
 
     def admit(self, name: str, inner: Address) -> Address:
         """Put a relay before a member that listens at `inner`; return the address it is told by."""
         party = _Party(name, inner=inner)
-        here = ("127.0.0.1", 0)
+        here = (self._host, 0)
         party.front = self._network.bind(here, lambda data, source: self._come(party, data, source))
         self._parties[name] = self._at[inner] = party
         return party.front.address
--- a/tests/test_fleet_rules.py
+++ b/tests/test_fleet_rules.py
@@ -69,6 +69,14 @@
     assert 2 in broken([*records, viewed(200 * S, "b", "a", "dead")])
 
 
+def test_that_an_earlier_life_is_dead_is_true():
+    records = [one for one in good() if one.t < 60 * S]
+    records += [lived(60 * S, "b", "killed"), lived(61 * S, "b"), viewed(62 * S, "a", "b", "dead")]
+    assert broken(records) == []
+    records += [viewed(63 * S, "b", "b", life=2), viewed(64 * S, "a", "b", life=2)]
+    assert broken(records) == [] and broken([*records, viewed(65 * S, "a", "b", "dead", life=2)]) == [2]
+
+
 def test_a_stopped_member_may_be_buried_and_a_new_life_holds_new_words():
     records = [one for one in good() if one.t < 60 * S]
     records += [lived(60 * S, "b", "stopped"), viewed(70 * S, "a", "b", "dead"), lived(80 * S, "a", "killed")]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -135,6 +135,16 @@
     assert Tale().take(1, 10).got(1, 2000).add(rec.Left(t=20, client="c")).broken() == {1}
 
 
+def test_what_was_sent_to_a_stopped_process_may_reach_it_only_when_it_goes_on():
+    late = Tale().take(1, 2 * S).answer(1, 8 * S - 1)
+    assert late.broken() == {1}
+    late.add(rec.Stood(t=S, head="h", us=6 * S))
+    assert late.broken() == {1}, "what it had read before it stood still is due when it goes on"
+    late.records[-1].unread = True
+    assert late.broken() == set()
+    assert Tale().take(1, 2 * S).answer(1, 9 * S).add(rec.Stood(t=S, head="h", us=6 * S, unread=True)).broken() == {1}
+
+
 def test_clients_that_reuse_a_place_make_a_recording_ambiguous():
     tale = Tale().take(1, 10, place=0).take(2, 11, place=0).got(1, 12, place=0)
     with pytest.raises(checker.Ambiguous):
