A suspect that hears an old suspicion of itself objects again: none wrongly buried at 30 % loss

Traced: the member that buried had missed the objection alone; it told the suspect so in its probes (the suspect is told first), but the suspect took a word older than its own incarnation for nothing new (swim.py, _of_me) and answered without its objection. Now it puts its own word among its news again, which rides on that very answer.

--- a/harriertrack/membership/fleet/swim.py
+++ b/harriertrack/membership/fleet/swim.py
@@ -482,8 +482,11 @@
         """Somebody says something of this member's name."""
         me = self.me
         if record.life == me.life:
-            stale = record.incarnation < me.incarnation
-            if stale or record.newness == me.newness or self.standing is Standing.LEAVING:
+            if record.incarnation < me.incarnation:
+                if record.state is not State.ALIVE:
+                    self._news.add(me.name, packed(me))  # somebody missed the objection: it goes along again
+                return
+            if record.newness == me.newness or self.standing is Standing.LEAVING:
                 return
             if record.state is State.ALIVE and record.incarnation == me.incarnation:
                 return
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -400,6 +400,28 @@
     assert len({(seen.t, seen.change.after.name) for seen in dead}) == 0
 
 
+def lossy(seed):
+    one = Swarm(Rules(), seed)
+    for number in range(8):
+        one.start(f"m{number}")
+    assert one.settle(120 * S) >= 0
+    one.loss = 0.3
+    one.run(300 * S)
+    return words(one, State.DEAD)
+
+
+def test_an_objection_that_was_missed_is_made_again(monkeypatch):
+    assert not lossy(7)
+    heard = Swim._of_me
+
+    def once(self, now, told):
+        if told.life != self.me.life or told.incarnation >= self.me.incarnation:
+            heard(self, now, told)
+
+    monkeypatch.setattr(Swim, "_of_me", once)
+    assert lossy(7), "the test would not notice"
+
+
 def test_a_slow_member_doubts_itself_before_it_buries_others():
     one = swarm(12)
     one.late_us = lambda a, b: 700_000 if "m5" in (a, b) else 0
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -32,12 +32,13 @@
 DISK = VolumeSettings(name="disk", size_bytes=64 * EXTENT, plan="p")
 SHARED = VolumeSettings(name="shared", size_bytes=64 * EXTENT, plan="p", shards=(0, 1))
 HEAD = [sys.executable, "-m", "harriertrack"]
+PLAIN = Wiring()
 
 
 class Site:
     """A head, nodes and the list service on one hub; `client` opens one more connection."""
 
-    def __init__(self, hub, net, scope, nodes=2, extended=True, window_us=REMEMBERS_US, wiring=Wiring(), **changes):
+    def __init__(self, hub, net, scope, nodes=2, extended=True, window_us=REMEMBERS_US, wiring=PLAIN, **changes):
         self.hub, self.net, self.scope = hub, net, scope
         self.recorder = rec.Recorder()
         self.listing = ListService(hub, net, self.recorder)
