--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -14,6 +14,7 @@
 from harriertrack.cli.days import day, rules
 from harriertrack.cli.nvme import nvme
 from harriertrack.cli.regions import region
+from harriertrack.cli.standin import standin
 from harriertrack.config.settings import HeadSettings, ShelfSettings, load
 from harriertrack.config.sexp import SettingsError
 from harriertrack.gateway.client import NbdClient, NbdClientError
@@ -147,6 +148,7 @@
 main.add_command(nvme)
 main.add_command(region)
 main.add_command(rules)
+main.add_command(standin)
 
 
 @main.group()
--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -125,6 +125,20 @@
     started_us: Whole = 0
 
 
+class EntranceSettings(Checked, frozen=True, kw_only=True):
+    """An address of a list service stand-in, and the nodes it names there: each asker may have its own."""
+
+    name: Name
+    listen: tuple[str, Port]
+    nodes: tuple[NodeSettings, ...] = ()
+
+
+class ListServiceSettings(Checked, frozen=True, kw_only=True):
+    """A list service stand-in."""
+
+    entrances: tuple[EntranceSettings, ...]
+
+
 class ConsulSettings(Checked, frozen=True, kw_only=True):
     """Where the node list is asked: a health endpoint as Consul's HTTP API has it."""
 
@@ -335,6 +349,17 @@
     return nodes
 
 
+def load_list_service(path: str) -> ListServiceSettings:
+    """Read a list service's file, `(list-service (entrance ...) ...)`. Raises SettingsError."""
+    form = read_file(path)
+    if head_word(form, path) != "list-service":
+        raise SettingsError(f"{path}:{form.line}: expected (list-service ...)")
+    settings = bind(form, ListServiceSettings, path)
+    if twice := given_twice(one.name for one in settings.entrances):
+        raise SettingsError(f"{path}:{form.line}: entrance {twice[0]}: given twice")
+    return settings
+
+
 OWN = (Kind.OWN_READ, Kind.CATCH_UP, Kind.MOVE)  # kinds that no client asks
 
 
