--- a/benchmarks/fleet_processes.py
+++ b/benchmarks/fleet_processes.py
@@ -1,7 +1,7 @@
 """What the view costs heads over processes: `python -m benchmarks.fleet_processes [HEADS] [SECONDS]`.
 
-The same load on the same fleet at rest, with and without `(fleet ...)`, in turn: served, latency of reads as clients
-see it, and processor time of a head. Then each day for fleets, both ways, on its own seed.
+The same load on the same fleet at rest, with and without `(fleet ...)`, in turn: served, latency of reads as
+clients see it, and processor time of a head. Then each day for fleets, both ways.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 
 
 def play(day: FleetDaySettings, heads: int, seed: int, fleet: bool) -> tuple[checker.Story, float]:
-    """Play a day over processes; return its story and the share of a core that a head used while it rested."""
+    """Play a day over processes; return its story and the share of a core that a head used at rest."""
     recorder = rec.Recorder()
     shares: list[float] = []
 
@@ -64,7 +64,8 @@
     """Print Markdown rows."""
     heads = int(sys.argv[1]) if len(sys.argv) > 1 else 8
     seconds = int(sys.argv[2]) if len(sys.argv) > 2 else 20
-    print("| day | view | served | read p50 ms | p99 ms | CPU share of a head |\n| --- | --- | --- | --- | --- | --- |")
+    print("| day | view | served | read p50 ms | p99 ms | CPU share of a head |")
+    print("| --- | --- | --- | --- | --- | --- |")
     start, settle = StepSettings(name=Verb.START), StepSettings(name=Verb.REST, for_us=5_000_000)
     rest = StepSettings(name=Verb.REST, for_us=seconds * 1_000_000)
     calm = FleetDaySettings(name="rest", processes=heads, figures=FleetFigures(), steps=(start, settle, rest))
--- /dev/null
+++ b/harriertrack/lab/fleet/days/fleet-starved.sexp
@@ -0,0 +1,13 @@
+(fleet-day "fleet-starved"
+  (about "All heads get a quarter of a processor, in jerks, for 20 s: load must not look like death.")
+  (figures (probe 300ms) (answer 150ms) (gossip 60ms) (sync 5s) (reach 1s) (recent 10s))
+  (step start) (step agree (within 20s))
+  (step starve (share 0.75) (every 600ms) (for 20s))
+  (step rest (for 20s))
+  (step agree (within 10s))
+  (step kill (who "head3"))
+  (step starve (share 0.5) (every 400ms) (for 10s))
+  (step agree (within 30s))
+  (step start)
+  (step agree (within 20s))
+  (step rest (for 3s)))
--- a/harriertrack/lab/fleet/processes.py
+++ b/harriertrack/lab/fleet/processes.py
@@ -283,6 +283,13 @@
 
         self.later(us, go_on)
 
+    def pause(self, slot: HeadSlot, us: int) -> None:
+        """Let a head stand still for a moment that nobody need hear of."""
+        process = self._processes.get(slot.name)
+        if process is not None:
+            process.signal(signal.SIGSTOP)
+            self.later(us, lambda: process.signal(signal.SIGCONT))
+
     def leave(self, slot: HeadSlot) -> None:
         """Ask a head to end."""
         process = self._turn_clients_away(slot)
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -101,6 +101,10 @@
                 for slot in who:
                     if slot.name in self.views.awake():
                         self.stand(slot, step.for_us)
+            case Verb.STARVE:
+                for slot in who:
+                    if slot.name in self.views.awake():
+                        self.scope.spawn(f"starves {slot.name}", self._starve, slot, step)
             case Verb.LEAVE:
                 for slot in who:
                     if slot.name in self.views.awake():
@@ -146,6 +150,14 @@
 
             self.later(step.for_us, end)
 
+    def _starve(self, slot: HeadSlot, step: StepSettings) -> None:
+        """Let a head have the processor for a part of the time only (a task). It lives: that is no fault."""
+        until, still = self.hub.now() + step.for_us, int(step.share * step.every_us)
+        while self.hub.now() < until and slot.name in self.views.running:
+            self.pause(slot, still)
+            self.recorder.add(rec.Stood(t=self.hub.now(), head=slot.name, us=still))
+            self.hub.sleep(self._drawn.randrange(step.every_us // 2, 3 * step.every_us // 2))
+
     def _agree(self, names: list[str], within_us: int) -> None:
         began = self.hub.now()
         while not (reached := self.views.agree(names)) and self.hub.now() - began < within_us:
@@ -188,6 +200,10 @@
         """Let a head stand still for a time."""
         raise NotImplementedError
 
+    def pause(self, slot: HeadSlot, us: int) -> None:
+        """Let a head stand still for a moment that nobody need hear of."""
+        raise NotImplementedError
+
     def leave(self, slot: HeadSlot) -> None:
         """Ask a head to end."""
         raise NotImplementedError
@@ -209,6 +225,7 @@
                  fleet: bool = True) -> None:  # fmt: skip
         super().__init__(hub, network, day, heads, seed, recorder, state_dir, fleet)
         self.datagrams = MemoryDatagrams(hub, self.weather.fate)
+        self._still_until: dict[str, int] = {}
 
     def build(self) -> None:
         """Start the nodes and the list, and make places for the heads."""
@@ -252,7 +269,8 @@
         self.start_head(slot)
 
     def kill(self, slot: HeadSlot) -> None:
-        """End a head at once."""
+        """End a head at once; one that stands still, when it goes on: its tasks can't be ended before."""
+        self.hub.sleep_until(self._still_until.get(slot.name, 0))
         self.lived(slot, "killed")
         self.kill_head(slot)
 
@@ -260,9 +278,14 @@
         """Let a head stand still for a time."""
         self.lived(slot, "stopped")
         self.recorder.add(rec.Stood(t=self.hub.now(), head=slot.name, us=us))
-        self.hub.freeze(slot.head, us)
+        self.pause(slot, us)
         self.later(us, lambda: self.lived(slot, "went-on") if slot.name in self.views.running else None)
 
+    def pause(self, slot: HeadSlot, us: int) -> None:
+        """Let a head stand still for a moment that nobody need hear of."""
+        self._still_until[slot.name] = self.hub.now() + us
+        self.hub.freeze(slot.head, us)
+
     def leave(self, slot: HeadSlot) -> None:
         """Ask a head to end."""
         assert slot.head is not None
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -40,6 +40,7 @@
     START = "start"  # who is not running
     KILL = "kill"  # at once, SIGKILL
     STOP = "stop"  # stand still for `for`, SIGSTOP and SIGCONT
+    STARVE = "starve"  # for `for`, stand still for a `share` of each `every`: no processor to be had
     LEAVE = "leave"  # asked to end, SIGTERM
     WEATHER = "weather"  # a fault between `who` and `other`, for `for` or until `heal`
     HEAL = "heal"  # all faults end
@@ -55,6 +56,8 @@
     other: tuple[str, ...] = ("rest",)
     part: Share = 1.0  # of `who`, drawn from the seed
     for_us: Whole = 0
+    share: Share = 0.7
+    every_us: Positive = 200_000
     within_us: Positive = 30_000_000
     cut: bool = False
     one_way: bool = False  # what `who` sends to `other` alone is struck
@@ -89,7 +92,7 @@
                     raise SettingsError(f"{at}: {field}: {word}: no name, group or share such as 0..0.5")
         if "rest" in step.who:
             raise SettingsError(f"{at}: who: rest is the rest of who")
-        if step.name in (Verb.STOP, Verb.REST) and not step.for_us:
+        if step.name in (Verb.STOP, Verb.STARVE, Verb.REST) and not step.for_us:
             raise SettingsError(f"{at}: for: is needed")
         struck = step.cut or step.lost or step.twice or step.late_us or step.jitter_us
         if (step.name is Verb.WEATHER) != bool(struck):
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -122,6 +122,22 @@
     assert {1, 3} & {breach.rule for breach in fleet.check(records, day.detect_us)}
 
 
+@pytest.mark.parametrize(("care", "more"), [("_stood", 3), ("_doubt", 2), ("_of_me", 2)])
+def test_what_keeps_starved_members_from_suspecting_each_other(monkeypatch, care, more):
+    from harriertrack.membership.fleet.swim import Swim
+
+    def suspicions():
+        _, records, day = play("fleet-starved")
+        seen = sum(isinstance(one, rec.Viewed) and one.state == "suspect" for one in records)
+        return seen, {breach.rule for breach in fleet.check(records, day.detect_us)}
+
+    with_care, broken = suspicions()
+    assert not broken
+    monkeypatch.setattr(Swim, care, lambda self, *_: None)
+    without, broken = suspicions()
+    assert without >= more * with_care > 0 and (2 in broken) == (care == "_of_me")
+
+
 def test_the_view_costs_requests_nothing_in_simulated_time():
     answers = {}
     for with_fleet in (True, False):
