--- a/harriertrack/rules/fleet.py
+++ b/harriertrack/rules/fleet.py
@@ -82,22 +82,26 @@
         self.records = sorted((one for one in records if isinstance(one, kinds)), key=lambda one: one.t)
         self.detect_us = detect_us
         self.ends = max((one.t for one in records if not isinstance(one, rec.Facts)), default=0)
+        self._trouble = list(self._troubles())
 
-    def calm(self, since: int, until: int) -> bool:
-        """Whether nothing was at fault from some time before one moment up to another."""
-        faults, quiet_from = 0, 0
+    def _troubles(self) -> Iterator[tuple[int, int]]:
+        """Yield the times in which something was at fault, or just had been, in order of their begin."""
+        struck: int | None = None
         for one in self.records:
-            if one.t > until:
-                break
             if isinstance(one, rec.Weather):
-                if faults and not one.faults:
-                    quiet_from = one.t + CALM_US
-                faults = one.faults
+                if one.faults and struck is None:
+                    struck = one.t
+                elif not one.faults and struck is not None:
+                    yield struck, one.t + CALM_US
+                    struck = None
             elif isinstance(one, rec.Lived) and one.how in ("stopped", "went-on"):
-                quiet_from = max(quiet_from, one.t + CALM_US)
-            if faults and one.t >= since:
-                return False
-        return not faults and quiet_from <= since
+                yield one.t, one.t + CALM_US
+        if struck is not None:
+            yield struck, self.ends + CALM_US
+
+    def calm(self, since: int, until: int) -> bool:
+        """Whether nothing was at fault from some time before one moment up to another."""
+        return not any(begin <= until and since < end for begin, end in self._trouble)
 
 
 def agreed(history: History) -> Iterator[Breach]:
