--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -77,11 +77,6 @@
         """Return where the head listens for its fleet."""
         return self._port.address
 
-    @property
-    def dropped(self) -> int:
-        """Return how many datagrams could not be sent."""
-        return self._port.dropped
-
     def _hold(self, door: Listener) -> None:
         """Give back what was bound, whenever the head ends (a task)."""
         try:
--- a/harriertrack/membership/fleet/messages.py
+++ b/harriertrack/membership/fleet/messages.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from enum import IntEnum
 from typing import Annotated
 
@@ -205,8 +204,3 @@
     def pack(self) -> bytes:
         """Return the datagram's bytes."""
         return _ENCODER.encode(self._written)
-
-
-def pages(drafts: Iterable[Draft]) -> list[bytes]:
-    """Return the bytes of several datagrams."""
-    return [draft.pack() for draft in drafts]
--- a/harriertrack/standin/relay.py
+++ b/harriertrack/standin/relay.py
@@ -127,13 +127,6 @@
         self._parties[name] = self._at[inner] = party
         return party.front.address
 
-    def moved(self, name: str, inner: Address) -> None:
-        """A member came back at another address behind its relay."""
-        party = self._parties[name]
-        self._at.pop(party.inner, None)
-        party.inner = inner
-        self._at[inner] = party
-
     def close(self) -> None:
         """End all relays."""
         for party in self._parties.values():
