--- a/harriertrack/cli/days.py
+++ b/harriertrack/cli/days.py
@@ -22,6 +22,14 @@
 MOST_TOLD = 20
 
 
+def tell(breaches: list[checker.Breach], of: str = "") -> None:
+    """Tell breaches, up to some, each after what it is of."""
+    for breach in breaches[:MOST_TOLD]:
+        click.echo(f"{of}{breach}")
+    if len(breaches) > MOST_TOLD:
+        click.echo(f"... and {len(breaches) - MOST_TOLD} more")
+
+
 def verdict(records: list[rec.Record]) -> int:
     """Tell what a recording holds and which rules it breaks; return the exit code."""
     try:
@@ -30,10 +38,7 @@
         click.echo(f"harriertrack: {error}", err=True)
         return BAD_INPUT
     click.echo("; ".join(f"{count} {what}" for what, count in counts.items()))
-    for breach in breaches[:MOST_TOLD]:
-        click.echo(str(breach))
-    if len(breaches) > MOST_TOLD:
-        click.echo(f"... and {len(breaches) - MOST_TOLD} more")
+    tell(breaches)
     broken = sorted({one.rule for one in breaches})
     click.echo(f"rules broken: {broken}" if broken else "all rules held")
     return BROKEN if breaches else 0
--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from harriertrack.cli.common import fail, settings_of
+from harriertrack.cli.days import tell
 from harriertrack.config.settings import HeadSettings
 from harriertrack.config.sexp import SettingsError
 from harriertrack.lab.fleet import scenario
@@ -25,7 +26,6 @@
 
 ASK_US = 3_000_000
 MOST_BYTES = 16 << 20
-MOST_TOLD = 20
 PLACE = re.compile(r"\[?([0-9A-Fa-f.:]+?)\]?:(\d{1,5})\Z")
 SHOWN = (
     "name", "state", "for", "incarnation", "region", "zone", "cell", "address", "agrees", "open", "taken/s",
@@ -172,13 +172,6 @@
         click.echo(f"{name:18} {scenario.load(name).about}")
 
 
-def _tell(breaches: list[checker.Breach], told: str) -> None:
-    for breach in breaches[:MOST_TOLD]:
-        click.echo(f"{told} {breach}")
-    if len(breaches) > MOST_TOLD:
-        click.echo(f"... and {len(breaches) - MOST_TOLD} more")
-
-
 @fleet.command()
 @click.argument("name")
 @click.option("--processes", type=click.IntRange(2, 400), help="Heads; otherwise what the day says.")
@@ -219,7 +212,7 @@
             click.echo(f"{len(one.members)} agree {end} (within {one.within_us / 1e6:g} s)")
     click.echo("; ".join(f"{count} {what}" for what, count in checker.summary(records).items()))
     requests, views = checker.check(records), fleet_rules.check(records, plan.detect_us)
-    _tell(requests, "requests:")
-    _tell(views, "views:")
+    tell(requests, "requests: ")
+    tell(views, "views: ")
     click.echo("all rules held" if not requests + views else "rules broken")
     sys.exit(1 if requests + views else 0)
--- a/harriertrack/lab/fleet/processes.py
+++ b/harriertrack/lab/fleet/processes.py
@@ -177,12 +177,7 @@
         arguments = ["standin", "list", str(path), "--record", str(self.path("list.rec"))]
         self.await_listening(self.start_process("list", arguments), entrances[-1].listen)
         for number, (name, entrance) in enumerate(zip(names, entrances, strict=True)):
-            mine = [
-                volume
-                for at, volume in enumerate(self.volumes)
-                if (number - at) % day.heads < volume.hosts
-            ]
-            slot = self.add_head(name, day.zones[number % len(day.zones)], mine, self.listing)
+            slot = self.place_head(number)
             consul = ConsulSettings(address=self._link(name, "list", entrance.listen), wait_us=5_000_000)
             slot.settings = msgspec.structs.replace(
                 slot.settings, listen=self._nbd[name],
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -234,12 +234,7 @@
         for number in range(day.nodes):
             self.add_node(f"node{number}", number)
         for number in range(day.heads):
-            mine = [
-                volume
-                for at, volume in enumerate(self.volumes)
-                if (number - at) % day.heads < volume.hosts
-            ]
-            self.add_head(f"head{number}", day.zones[number % len(day.zones)], mine, self.listing)
+            self.place_head(number)
 
     def fleet_of(self, name: str) -> FleetSettings | None:
         """Return what a head is told of its fleet."""
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -296,13 +296,7 @@
         for number in range(day.nodes):
             self.add_node(f"node{number}", number)
         for number in range(day.heads):
-            mine = [
-                volume
-                for at, volume in enumerate(self.volumes)
-                if (number - at) % day.heads < volume.hosts
-            ]
-            zone = day.zones[number % len(day.zones)]
-            self.start_head(self.add_head(f"head{number}", zone, mine, self.listing))
+            self.start_head(self.place_head(number))
 
     def add_registers(self, until: int) -> None:
         """Start clients that write and read the same blocks at once, where a day has such."""
@@ -355,6 +349,12 @@
 
     # -- heads
 
+    def place_head(self, number: int) -> HeadSlot:
+        """Make a place for a head by its number, with the zone and the volumes that are dealt to it."""
+        day = self.day
+        mine = [one for at, one in enumerate(self.volumes) if (number - at) % day.heads < one.hosts]
+        return self.add_head(f"head{number}", day.zones[number % len(day.zones)], mine, self.listing)
+
     def add_head(
         self,
         name: str,
