--- /dev/null
+++ b/harriertrack/decisions/fleet/budgets.py
@@ -0,0 +1,188 @@
+"""Budgets of a fleet: a rate with its burst that all heads together keep to, divided among them.
+
+A part of each is fixed: every head has it, whoever else is there. The rest moves: a *ledger* (ledger.py),
+kept by one head in a *term* under the witness's lock, grants *shares* of it to *holders* (holder.py). Each
+has one *lease* on all it was granted; a *tenure* is the time for which that was renewed without a gap.
+
+Why the sum holds (docs/budgets.md has the argument in full):
+
+- a lease counts from when its holder asked, by the holder's clock less the stated error, and from when the
+  ask came, by the ledger's clock plus that error: it ends for the holder first;
+- what a share is lowered by is given to nobody before its holder said that it let go, or its lease is over;
+- a term grants nothing before all leases of former terms are over;
+- tokens are handed on with the share that they belong to, and nothing else makes any.
+
+Rates are units a second of whatever is divided; times are microseconds of the local clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from zlib import crc32
+
+from harriertrack.decisions.bucket import Bucket
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetRules:
+    """The figures of the mechanism."""
+
+    lease_us: int = 1_000_000
+    ask_us: int = 300_000  # how often a lease is renewed
+    quick_us: int = 50_000  # how soon news follows on news
+    round_us: int = 50_000  # how often a ledger divides anew, while something changed
+    clock_error: float = 0.001  # how far a clock's rate may be off, as a part of it
+    term_us: int = 10_000_000  # the witness's session
+    patience_us: int = 2_000_000  # without a word from a term, after which heads try to hold the next one
+    contenders: int = 5  # how many heads do
+    weight: float = 1.0  # of this head, when there is not enough for all
+
+    @property
+    def counted_us(self) -> int:
+        """Return how long after an ask its lease may last, by the ledger's clock."""
+        return int(self.lease_us * (1 + self.clock_error)) + 1
+
+    @property
+    def relied_us(self) -> int:
+        """Return how long after it asked a holder relies on its lease, by its own clock."""
+        return int(self.lease_us * (1 - self.clock_error))
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Term:
+    """For how long one head keeps a ledger: the witness's count of them, and a random number.
+
+    A witness that was restored from a backup counts from an earlier number.
+    """
+
+    epoch: int
+    nonce: int
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """What a holder says of one budget."""
+
+    budget: str
+    whole: float  # of it may move, as the holder is told
+    wanted: float  # by the holder, beyond its fixed part
+    version: int  # of the share that it has now
+    released: float  # tokens that it gave back when it took that version
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A holder renews its lease, and says what changed."""
+
+    ledger: int
+    term: Term
+    holder: str
+    instance: int  # the process
+    tenure: int
+    number: int
+    lease_us: int
+    weight: float
+    claims: tuple[Claim, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """What a ledger says of one budget to a holder."""
+
+    budget: str
+    version: int
+    rate: float
+    tokens: float  # that come with this version
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A ledger answers an ask, and renews the lease with it, or tells news (`answers` 0), and does not."""
+
+    ledger: int
+    term: Term
+    holder: str
+    instance: int
+    tenure: int
+    answers: int
+    lease_us: int
+    shares: tuple[Share, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A budget as a head is told it: the whole, a second and at once, over how many heads, the fixed part."""
+
+    rate: float
+    burst: float
+    hosts: int
+    fixed: float
+
+    @property
+    def moving(self) -> float:
+        """Return how much a second moves between heads."""
+        return (1 - self.fixed) * self.rate
+
+
+def ledger_of(budget: str, ledgers: int) -> int:
+    """Return which ledger keeps a budget."""
+    return crc32(budget.encode()) % ledgers
+
+
+@dataclass(slots=True)
+class Lease:
+    """Until when a holder may use what it was granted."""
+
+    until: int = 0
+
+
+class Portion(Bucket):
+    """What a head has of a budget now: its fixed part, and its share while the lease lasts.
+
+    Its store is filled by the clock less the stated error: a fast clock must not make units. It looks at the
+    lease by itself, so that a head which stood still uses nothing on waking that has ended meanwhile.
+    """
+
+    __slots__ = ("whole", "lease", "share", "slow", "came", "squared")
+
+    def __init__(self, at: int, whole: Whole, lease: Lease, clock_error: float, age_us: int = 0) -> None:
+        """Begin with the fixed part; `age_us`: for how long the head surely used none of it."""
+        super().__init__(at)
+        self.whole, self.lease, self.share, self.slow = whole, lease, 0.0, 1 - clock_error
+        self.came = self.squared = 0.0  # asked of it since it was last measured
+        self._set(0.0)
+        self.level = min(self.most, self.rate * age_us / 1e6)
+
+    def _set(self, share: float) -> None:
+        whole, self.share = self.whole, share
+        part = whole.fixed / whole.hosts + (share / whole.rate if whole.rate > 0 else 0.0)
+        self.rate, self.most = self.slow * whole.rate * part, whole.burst * part
+
+    def asked(self, units: float) -> None:
+        """Count what is asked of it, whatever becomes of that."""
+        self.came += units
+        self.squared += units * units
+
+    def now(self, now: int) -> float:
+        """Fill up to the present and return the level."""
+        if self.share and now >= self.lease.until:
+            self.lapse(now)
+        return super().now(now)
+
+    def lapse(self, now: int) -> None:
+        """Let the share go: the lease is over, or holds no more; what came with it is gone too."""
+        if self.share:
+            super().now(max(self.at, min(now, self.lease.until)))
+            self._set(0.0)
+            self.level = min(self.level, self.most)
+
+    def change(self, now: int, share: float, tokens: float) -> float:
+        """Take another share, with tokens if it is larger; return those that go if it is smaller."""
+        self.now(now)
+        before, level = self.most, self.level
+        self._set(share)
+        if self.most >= before:
+            self.level = min(self.most, level + tokens)
+            return 0.0
+        self.level = min(level, level * self.most / before)
+        return level - self.level
--- /dev/null
+++ b/harriertrack/decisions/fleet/holder.py
@@ -0,0 +1,227 @@
+"""A head's part in one ledger: what it holds of each budget, what it could use, and how it asks.
+
+It knows one term at a time, and drops everything when it turns to another or when its lease ends; dropping is
+always safe. Only budgets that are in use cost anything. Pure: `asks` says what is to be sent, `granted` takes
+answers and news.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from harriertrack.decisions.fleet.budgets import Ask, BudgetRules, Claim, Grant, Lease, Portion, Term, Whole
+
+RISE_US = 150_000  # time constants of what is asked of a budget: quickly up, as far as that is no chance,
+FALL_US = 600_000  # and slowly down, for demand that swings is to leave shares where they are
+SURE = 2.0  # standard deviations of a quick reading that are put down to chance
+NEWS = 0.1  # of what was told last: a smaller change of demand is told later
+IDLE = 1e-3  # of a whole: less demand is none
+CLAIM_ROOM = 960  # bytes of claims in one ask: it fits a datagram
+CLAIM_BYTES = 40  # of a claim beside its budget's name
+
+
+@dataclass(slots=True)
+class Held:
+    """One budget that is in use."""
+
+    portion: Portion
+    measured_at: int
+    quick: float = 0.0  # asked for a second, lately
+    steady: float = 0.0  # ... and for longer
+    spread: float = 0.0  # the sum of squares a second, lately
+    version: int = 0
+    released: float = 0.0  # tokens, by taking this version
+    told: tuple[float, int, float] = (-1.0, 0, 0.0)  # wanted, version, released: as the ledger confirmed
+    sent: tuple[float, int, float] = (-1.0, 0, 0.0)  # ... as sent last
+    sent_at: int = 0
+
+    @property
+    def wanted(self) -> float:
+        """Return what could be used a second beyond the fixed part."""
+        whole = self.portion.whole
+        # An exponential mean of arrivals at random has the variance of their squares by twice its time.
+        surely = self.quick - SURE * math.sqrt(self.spread * 1e6 / (2 * RISE_US))
+        demand = self.quick if surely > self.steady else self.steady
+        if demand < IDLE * whole.rate:
+            return 0.0
+        return max(0.0, demand - whole.rate * whole.fixed / whole.hosts)
+
+    def measure(self, now: int) -> None:
+        """Follow what is asked for."""
+        passed = now - self.measured_at
+        if passed <= 0:
+            return
+        portion, gain = self.portion, 1 - math.exp(-passed / RISE_US)
+        rate, squares = portion.came * 1e6 / passed, portion.squared * 1e6 / passed
+        portion.came, portion.squared, self.measured_at = 0.0, 0.0, now
+        self.quick += gain * (rate - self.quick)
+        self.spread += gain * (squares - self.spread)
+        self.steady += (1 - math.exp(-passed / FALL_US)) * (rate - self.steady)
+
+    def state(self) -> tuple[float, int, float]:
+        """Return what the ledger should know."""
+        return self.wanted, self.version, self.released
+
+
+class Holder:
+    """All that one head holds of one ledger."""
+
+    def __init__(self, number: int, name: str, instance: int, rules: BudgetRules, born: int) -> None:
+        self.number, self.name, self.instance, self.rules, self.born = number, name, instance, rules, born
+        self.lease = Lease()
+        self.term: Term | None = None
+        self.tenure = 1
+        self.held: dict[str, Held] = {}
+        self.heard_at = born  # when a term said something last
+        self.lapses = 0
+        self._asked: dict[int, tuple[int, list[tuple[str, tuple[float, int, float]]]]] = {}
+        self._number = 0
+        self._next_ask = self._next_quick = born
+
+    # -- use
+
+    def open(self, now: int, budget: str, whole: Whole) -> Portion:
+        """Return the head's part of a budget, for use from now on."""
+        held = self.held.get(budget)
+        if held is None:
+            portion = Portion(now, whole, self.lease, self.rules.clock_error, now - self.born)
+            held = self.held[budget] = Held(portion, now)
+        return held.portion
+
+    def live(self, now: int) -> bool:
+        """Whether the lease lasts."""
+        return now < self.lease.until
+
+    # -- terms
+
+    def hear(self, now: int, term: Term) -> bool:
+        """Hear of a term; return whether it is the one to ask now.
+
+        A later one replaces an earlier one at once. An earlier number is of a witness that was restored, or
+        of a head that does not know yet that its time is over: its turn comes once the present one is silent.
+        """
+        if term == self.term:
+            self.heard_at = now
+            return True
+        silent = now >= self.heard_at + self.rules.patience_us and not self.live(now)
+        if self.term is not None and term.epoch <= self.term.epoch and not silent:
+            return False
+        self._drop(now)
+        self.term, self.heard_at, self._next_ask = term, now, now
+        return True
+
+    def _drop(self, now: int) -> None:
+        """Let go of all that was granted."""
+        for held in self.held.values():
+            held.portion.lapse(now)
+            held.version, held.released = 0, 0.0
+            held.told = held.sent = (-1.0, 0, 0.0)
+        self.lease.until = 0
+        self.tenure += 1
+        self._asked.clear()
+
+    def _look(self, now: int) -> None:
+        """Notice that the lease is over."""
+        if self.lease.until and not self.live(now):
+            self.lapses += 1
+            self._drop(now)
+
+    # -- asks
+
+    def asks(self, now: int) -> list[Ask]:
+        """Return what is to be sent now."""
+        self._look(now)
+        for held in self.held.values():
+            held.measure(now)
+        self._forget(now)
+        if self.term is None or now < self._next_quick:
+            return []
+        due = now >= self._next_ask
+        news = [(name, held) for name, held in self.held.items() if self._is_news(now, held, due)]
+        if not news and not (due and self._holds()):
+            return []
+        pages: list[list[tuple[str, Held]]] = [[]]
+        room = CLAIM_ROOM
+        for name, held in news:
+            size = len(name.encode()) + CLAIM_BYTES
+            if size > room:
+                pages.append([])
+                room = CLAIM_ROOM
+            pages[-1].append((name, held))
+            room -= size
+        self._next_quick = now + self.rules.quick_us
+        self._next_ask = now + self.rules.ask_us
+        return [self._ask(now, self.term, page) for page in pages]
+
+    def _holds(self) -> bool:
+        return any(held.portion.share or held.version for held in self.held.values())
+
+    def _is_news(self, now: int, held: Held, due: bool) -> bool:
+        state = held.state()
+        known = held.sent if now < held.sent_at + self.rules.ask_us else held.told  # else it may be lost
+        if state[1:] != held.told[1:]:
+            return state[1:] != known[1:]
+        wanted, told = state[0], known[0]
+        if told < 0 or abs(wanted - told) <= NEWS * max(told, IDLE * held.portion.whole.rate):
+            return told < 0 < wanted
+        # Less is told with the next ask; more at once, if what is held is not enough.
+        return due or (wanted > held.portion.share and wanted > told)
+
+    def _ask(self, now: int, term: Term, page: list[tuple[str, Held]]) -> Ask:
+        self._number += 1
+        claims, told = [], []
+        for name, held in page:
+            held.sent, held.sent_at = state, _ = held.state(), now
+            told.append((name, state))
+            claims.append(Claim(name, held.portion.whole.moving, *state))
+        self._asked[self._number] = (now, told)
+        for number in [one for one, (at, _) in self._asked.items() if at < now - self.rules.lease_us]:
+            del self._asked[number]
+        return Ask(self.number, term, self.name, self.instance, self.tenure, self._number,
+                   self.rules.lease_us, self.rules.weight, tuple(claims))  # fmt: skip
+
+    def _forget(self, now: int) -> None:
+        """Drop what is idle: nobody wants it, nothing is held of it, and its store is full."""
+        idle = []
+        for name, held in self.held.items():
+            portion = held.portion
+            if held.quick < 1e-6 * portion.whole.rate and not portion.share and not held.wanted:
+                if held.state()[1:] == held.told[1:] and portion.now(now) >= portion.most:
+                    idle.append(name)
+        for name in idle:
+            del self.held[name]
+
+    # -- grants
+
+    def granted(self, now: int, grant: Grant) -> bool:
+        """Take an answer or news; return whether something is to be confirmed."""
+        self._look(now)
+        if (grant.term, grant.instance, grant.tenure) != (self.term, self.instance, self.tenure):
+            return False
+        self.heard_at = now
+        if (asked := self._asked.pop(grant.answers, None)) is not None:
+            sent_at, told = asked
+            lease_us = min(grant.lease_us, self.rules.lease_us)
+            self.lease.until = max(self.lease.until, sent_at + int(lease_us * (1 - self.rules.clock_error)))
+            for name, state in told:
+                if (held := self.held.get(name)) is not None:
+                    held.told = state
+        if not self.live(now):
+            return False
+        changed = False
+        for share in grant.shares:
+            held = self.held.get(share.budget)
+            if held is None or share.version <= held.version:
+                continue
+            held.version, changed = share.version, True
+            held.released = held.portion.change(now, share.rate, max(0.0, share.tokens))
+        if changed:
+            self._next_quick = now
+        return changed
+
+    def wake_at(self, now: int) -> int | None:
+        """Return when `asks` is to be called at the latest; None while nothing is in use."""
+        if not self.held:
+            return None
+        return max(self._next_quick, min(self._next_ask, now + self.rules.quick_us))
--- /dev/null
+++ b/harriertrack/decisions/fleet/terms.py
@@ -0,0 +1,173 @@
+"""Who keeps a ledger: heads try to hold its lock at the witness, in an order that all know without asking.
+
+A term begins when the lock was taken and ends, by the holder's own clock, before the witness can give it to
+another. Its ledger opens once all leases of former terms are over: a lease after it was taken. Who finds
+that the witness counts from an earlier number than was heard of waits for a whole session more: the witness
+was restored from a backup, and may have given the lock away under a living holder.
+
+Pure: `step` says what is to be asked of the witness, and `answered` hears how that ended.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from zlib import crc32
+
+from harriertrack.decisions.fleet.budgets import BudgetRules, Term
+from harriertrack.decisions.fleet.ledger import Ledger
+
+RENEWS = 4  # times in a session
+RANK_PARTS = 2  # of the patience: so much longer waits each next in line
+
+
+class Seat(Enum):
+    """What a head is to a ledger."""
+
+    AWAY = "away"  # somebody else keeps it, or nobody
+    TAKING = "taking"
+    KEEPING = "keeping"
+    LEFT = "left"  # it gave the lock back, or never wants it
+
+
+class Call(Enum):
+    """What is asked of the witness."""
+
+    TAKE = "take"  # a session, and the lock under it
+    RENEW = "renew"  # the session, and look whether the lock is still held under it
+    RELEASE = "release"
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """The lock was taken, as its `epoch`-th holder; its last one's leases may have been `lease_us` long."""
+
+    epoch: int
+    lease_us: int = 0
+
+
+def rank(ledger: int, me: str, present: Iterable[str]) -> int:
+    """Return how many of those who are there come before this head in a ledger's line."""
+
+    def place(name: str) -> tuple[int, str]:
+        return crc32(f"{ledger}\0{name}".encode()), name
+
+    mine = place(me)
+    return sum(place(name) < mine for name in present)
+
+
+class Candidate:
+    """One head's part in who keeps a ledger."""
+
+    def __init__(self, number: int, rules: BudgetRules, seed: int, now: int) -> None:
+        self.number, self.rules = number, rules
+        self.seat = Seat.AWAY
+        self.ledger: Ledger | None = None
+        self.valid_until = 0  # of the term
+        self.highest = 0  # epoch that was heard of
+        self.terms = 0
+        self._random = random.Random(seed)
+        self._heard_at = self._tried_at = now
+        self._next = now
+        self._calling = False
+
+    def valid(self, now: int) -> bool:
+        """Whether this head keeps the ledger, and may say so."""
+        return self.seat is Seat.KEEPING and now < self.valid_until
+
+    def heard(self, now: int, term: Term) -> None:
+        """Hear that somebody keeps it."""
+        self.highest = max(self.highest, term.epoch)
+        if self.ledger is None or term != self.ledger.term:
+            self._heard_at = now
+
+    def vacated(self, now: int) -> None:
+        """Hear that the lock was given back: the first in line need not be patient."""
+        self._heard_at = now - self.rules.patience_us
+
+    def look(self, now: int) -> bool:
+        """End the term if its time is over; return whether it ended just now."""
+        if self.seat is Seat.KEEPING and now >= self.valid_until:
+            self._end(now)
+            return True
+        return False
+
+    def _end(self, now: int) -> None:
+        self.seat, self.ledger, self.valid_until = Seat.AWAY, None, 0
+        self._heard_at = now
+
+    def step(self, now: int, rank: int) -> Call | None:
+        """Return what is to be asked of the witness now, one thing at a time."""
+        self.look(now)
+        if self._calling or self.seat is Seat.LEFT or now < self._next:
+            return None
+        if self.seat is Seat.KEEPING:
+            self._next = now + self.rules.term_us // RENEWS
+            return self._call(Call.RENEW)
+        patience = self.rules.patience_us
+        if rank >= self.rules.contenders or now < self._heard_at + patience + rank * patience // RANK_PARTS:
+            return None
+        self._next = now + int(patience * (0.25 + 0.25 * self._random.random()))
+        self.seat = Seat.TAKING
+        return self._call(Call.TAKE)
+
+    def _call(self, call: Call) -> Call:
+        self._calling = True
+        return call
+
+    def taken(self, now: int, asked_at: int, found: Taken | None) -> Ledger | None:
+        """Hear how taking ended; return the ledger of the term that begins, if one does."""
+        self._calling = False
+        if self.seat is not Seat.TAKING:
+            return None
+        self.seat = Seat.AWAY
+        if found is None:
+            return None
+        rules = self.rules
+        self.valid_until = asked_at + self._safe_us
+        if now >= self.valid_until:
+            return None
+        earlier = max(rules.counted_us, int(found.lease_us * (1 + rules.clock_error)) + 1)
+        if found.epoch <= self.highest:
+            earlier += int(rules.term_us * (1 + 2 * rules.clock_error))
+        self.seat, self.highest = Seat.KEEPING, max(self.highest, found.epoch)
+        self.terms += 1
+        term = Term(found.epoch, self._random.getrandbits(62))
+        self.ledger = Ledger(self.number, term, now + earlier, rules)
+        self._next = now + rules.term_us // RENEWS
+        return self.ledger
+
+    @property
+    def _safe_us(self) -> int:
+        return int(self.rules.term_us * (1 - 2 * self.rules.clock_error))
+
+    def renewed(self, now: int, asked_at: int, holds: bool | None) -> None:
+        """Hear whether the lock is still held; None: no answer, which proves nothing."""
+        self._calling = False
+        if self.seat is not Seat.KEEPING:
+            return
+        if holds is None:
+            self._next = now + self.rules.term_us // (4 * RENEWS)
+        elif holds:
+            self.valid_until = max(self.valid_until, asked_at + self._safe_us)
+        else:
+            self._end(now)
+        self.look(now)
+
+    def leave(self, now: int) -> bool:
+        """Keep it no longer; return whether the lock is to be given back."""
+        kept = self.seat is Seat.KEEPING
+        self._end(now)
+        self.seat = Seat.LEFT
+        return kept
+
+    def wake_at(self, now: int, rank: int) -> int:
+        """Return when `step` may have something to do."""
+        if self.seat is Seat.KEEPING:
+            return self.valid_until if self._calling else min(self._next, self.valid_until)
+        patience = self.rules.patience_us
+        if self._calling or self.seat is Seat.LEFT or rank >= self.rules.contenders:
+            return now + patience
+        return max(self._next, self._heard_at + patience + rank * patience // RANK_PARTS)
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -244,9 +244,59 @@
     reached: bool
 
 
+class BudgetFacts(msgspec.Struct, kw_only=True, tag="budget", tag_field="what"):
+    """A budget that a fleet divides: units a second and at once, and how much of it moves between heads.
+
+    `slack`: units past it that may arrive, for what the day does to heads between a decision and its socket.
+    """
+
+    t: int
+    budget: str
+    rate: float
+    burst: float
+    moving: float
+    slack: float = 0.0
+
+
+class AskedShare(msgspec.Struct, kw_only=True, tag="asked-share", tag_field="what"):
+    """A head's ask to a ledger left it; `applied`: the versions of its shares that it says to have."""
+
+    t: int
+    holder: str
+    instance: int
+    ledger: int
+    term: tuple[int, int]
+    tenure: int
+    number: int
+    applied: list[tuple[str, int]]
+
+
+class GrantedShare(msgspec.Struct, kw_only=True, tag="granted-share", tag_field="what"):
+    """A ledger's answer to an ask (`answers`), or its news (0), came to a head: budget, version, rate."""
+
+    t: int
+    holder: str
+    instance: int
+    ledger: int
+    term: tuple[int, int]
+    tenure: int
+    answers: int
+    lease_us: int
+    shares: list[tuple[str, int, float]]
+
+
+class Drawn(msgspec.Struct, kw_only=True, tag="drawn", tag_field="what"):
+    """So many units of a budget arrived where it counts, through some head."""
+
+    t: int
+    budget: str
+    holder: str
+    units: float
+
+
 Record = (
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
-    | Lived | Viewed | Weather | Agreed
+    | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
--- /dev/null
+++ b/tests/test_fleet_budgets.py
@@ -0,0 +1,516 @@
+"""Budgets divided among heads: the sum holds under random faults, and each protection is needed for that."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from harriertrack.decisions.bucket import Bucket
+from harriertrack.decisions.fleet.budgets import (
+    Ask,
+    BudgetRules,
+    Claim,
+    Lease,
+    Portion,
+    Term,
+    Whole,
+    ledger_of,
+)
+from harriertrack.decisions.fleet.dividing import Wish, divide, fair
+from harriertrack.decisions.fleet.holder import Holder
+from harriertrack.decisions.fleet.ledger import Ledger
+from harriertrack.decisions.fleet.terms import Call, Candidate, Seat, Taken, rank
+from harriertrack.lab.fleet.division import Division, Parts, Trial
+from harriertrack.rules import budgets, recording as rec
+
+S = 1_000_000
+QUICK = BudgetRules(clock_error=0.01, term_us=2 * S, patience_us=S)
+WHOLE = Whole(200.0, 40.0, 6, 0.1)
+REAL = Parts()
+
+
+def division(heads=6, seed=1, rules=QUICK, parts=REAL, clocks=0.01, fixed=0.1, budgets=("v0",), rate=200.0):
+    wholes = {name: Whole(rate, rate / 5, heads, fixed) for name in budgets}
+    return Division(heads, wholes, seed, rules, parts, clocks)
+
+
+def wants(one, budget="v0", **demand):
+    for name in one.names:
+        one.demand[name, budget] = demand.get(name, 0.0)
+
+
+# -- dividing
+
+
+amounts = st.floats(0, 100)
+wishes = st.lists(st.builds(Wish, amounts, amounts, st.sampled_from([0.5, 1.0, 3.0])), min_size=1, max_size=12)
+
+
+@given(st.floats(0.1, 200), wishes)
+@settings(max_examples=300, deadline=None)
+def test_fair_parts_are_max_min_by_weight(whole, them):
+    given = fair(whole, them)
+    assert sum(given) <= whole * (1 + 1e-9) and all(0 <= g <= w.wanted + 1e-9 for g, w in zip(given, them, strict=True))
+    full = sum(w.wanted for w in them) <= whole
+    levels = [g / w.weight for g, w in zip(given, them, strict=True) if g < w.wanted - 1e-9]
+    if full:
+        assert not levels
+    else:
+        assert sum(given) == pytest.approx(whole)
+        top = max(g / w.weight for g, w in zip(given, them, strict=True))
+        assert all(level == pytest.approx(top) for level in levels), "who lacks has the highest level"
+
+
+@given(st.floats(0.1, 200), wishes)
+@settings(max_examples=300, deadline=None)
+def test_a_division_keeps_to_the_whole_and_moves_nothing_without_need(whole, them):
+    held = sum(w.held for w in them)
+    scaled = [Wish(w.held * whole / held, w.wanted, w.weight) if held > whole else w for w in them]
+    targets = divide(whole, scaled)
+    assert sum(targets) <= whole * (1 + 1e-9) and min(targets) >= -1e-9
+    for target, need, wish in zip(targets, fair(whole, scaled), scaled, strict=True):
+        assert target >= min(need, wish.held) * (1 - 1e-9), "nobody is taken what it needs and has"
+        if not wish.wanted:
+            assert target == 0
+    settled = [Wish(t, w.wanted, w.weight) for t, w in zip(targets, scaled, strict=True)]
+    for again, before in zip(divide(whole, settled), targets, strict=True):
+        assert again == pytest.approx(before, rel=0.3, abs=1e-9), "no moves to and fro"
+
+
+def test_who_lacks_gets_from_who_has_more_than_it_needs_and_from_nobody_else():
+    assert divide(100, [Wish(60, 20), Wish(40, 40), Wish(0, 30)]) == pytest.approx([30, 40, 30])
+    assert divide(100, [Wish(50, 80), Wish(50, 80), Wish(0, 10)]) == pytest.approx([45, 45, 10])
+    assert divide(100, [Wish(50, 52), Wish(50, 49)]) == [50, 50], "a little lack moves nothing"
+    lowered = divide(50, [Wish(50, 60), Wish(50, 10)])
+    assert sum(lowered) <= 50 and lowered[1] == pytest.approx(10)
+
+
+# -- one head's portion
+
+
+def test_a_portion_ends_with_its_lease_by_itself_and_tokens_beyond_the_fixed_part_with_it():
+    lease = Lease(10 * S)
+    portion = Portion(0, WHOLE, lease, 0.01)
+    assert portion.change(0, 180.0, 30.0) == 0 and portion.level == pytest.approx(30)
+    assert portion.now(5 * S) == pytest.approx(40 * (0.1 / 6 + 0.9))
+    assert portion.now(60 * S) == pytest.approx(40 * 0.1 / 6), "it stood still meanwhile"
+    assert portion.share == 0 and portion.rate == pytest.approx(0.99 * 200 * 0.1 / 6)
+
+
+def test_tokens_go_along_with_the_part_that_goes_and_debts_stay():
+    portion = Portion(0, WHOLE, Lease(1 << 60), 0.0)
+    portion.change(0, 180.0, 20.0)
+    before = portion.level
+    gone = portion.change(0, 90.0, 0.0)
+    assert gone == pytest.approx(before * 18 / (40 * 0.1 / 6 + 36)) and portion.level == pytest.approx(before - gone)
+    portion.level = -3.0
+    assert portion.change(0, 0.0, 0.0) == 0 and portion.level == -3.0
+    assert isinstance(portion, Bucket)
+
+
+def test_what_is_idle_is_forgotten_and_comes_back_no_fuller():
+    holder = Holder(0, "a", 1, QUICK, 0)
+    for number in range(50):
+        holder.open(100 * S, f"v{number}", WHOLE).asked(1.0)
+    now = 100 * S
+    while now < 140 * S:
+        now += S
+        assert holder.asks(now) == [], "no term, no asks"
+    assert not holder.held
+    portion = holder.open(now, "v1", WHOLE)
+    assert portion.level == portion.most == pytest.approx(40 * 0.1 / 6)
+
+
+# -- a ledger
+
+
+def asked(ledger, holder, number, claims, tenure=1, lease_us=S):
+    return Ask(0, ledger.term, holder, 7, tenure, number, lease_us, 1.0,
+               tuple(Claim(*claim) for claim in claims))  # fmt: skip
+
+
+def test_a_lower_share_counts_until_it_is_confirmed_and_a_lost_word_is_said_again():
+    ledger = Ledger(0, Term(1, 1), 0, QUICK)
+    ledger.ask(0, asked(ledger, "a", 1, [("v", 100.0, 100.0, 0, 0.0)]))
+    (raised,) = ledger.round(60_000)
+    assert raised.shares[0].rate == 100 and raised.answers == 0
+    ledger.ask(70_000, asked(ledger, "a", 2, [("v", 100.0, 100.0, 1, 0.0)]))
+    ledger.ask(80_000, asked(ledger, "b", 1, [("v", 100.0, 50.0, 0, 0.0)]))
+    news = {grant.holder: grant for grant in ledger.round(160_000)}
+    assert news["a"].shares[0].rate == 50 and "b" not in news, "nothing is free yet"
+    assert ledger.accounts["v"].counted == 100
+    again = ledger.ask(200_000, asked(ledger, "a", 3, []))
+    assert again.shares[0].rate == 50 and again.answers == 3, "it was not confirmed"
+    assert ledger.ask(200_001, asked(ledger, "a", 3, [])) is None, "a repeat says nothing new"
+    ledger.ask(210_000, asked(ledger, "a", 4, [("v", 100.0, 100.0, 2, 6.0)]))
+    (moved,) = ledger.round(300_000)
+    assert (moved.holder, moved.shares[0].rate, moved.shares[0].tokens) == ("b", 50, 6.0)
+    assert ledger.round(10 * S) == [] and not ledger.tenants and not ledger.accounts, "all leases are over"
+
+
+def test_the_lowest_whole_that_a_head_was_told_holds():
+    ledger = Ledger(0, Term(1, 1), 0, QUICK)
+    for name in "ab":
+        ledger.ask(0, asked(ledger, name, 1, [("v", 100.0, 100.0, 0, 0.0)]))
+    assert sum(grant.shares[0].rate for grant in ledger.round(60_000)) == pytest.approx(100)
+    for name in "ab":
+        ledger.ask(70_000, asked(ledger, name, 2, [("v", 100.0, 100.0, 1, 0.0)]))
+    ledger.ask(80_000, asked(ledger, "a", 3, [("v", 40.0, 100.0, 1, 0.0)]))
+    lowered = {grant.holder: grant.shares[0].rate for grant in ledger.round(160_000)}
+    assert sum(lowered.values()) == pytest.approx(40) and len(lowered) == 2
+
+
+def test_bogus_claims_neither_mint_tokens_nor_break_a_ledger():
+    ledger = Ledger(0, Term(1, 1), 0, QUICK)
+    ledger.ask(0, asked(ledger, "a", 1, [("v", 100.0, 100.0, 900, 1e9)]))
+    assert ledger.accounts["v"].tokens == 0
+    assert ledger.ask(1, Ask(0, Term(2, 1), "a", 7, 1, 9, S, 1.0)) is None
+    assert ledger.ask(2, asked(ledger, "a", 5, [], tenure=0)) is None
+
+
+# -- terms
+
+
+def test_a_term_waits_for_what_former_ones_granted_and_ends_by_its_own_clock():
+    one = Candidate(0, QUICK, 1, 0)
+    assert one.step(S // 2, 0) is None
+    assert one.step(S, 3) is None, "the fourth in line is more patient"
+    assert one.step(S, 0) is Call.TAKE and one.step(S, 0) is None
+    ledger = one.taken(S + 10, S, Taken(4, 5 * S))
+    assert one.valid(S + 10) and ledger.opens_at > S + 10 + 5 * S, "a former keeper's leases were longer"
+    assert one.step(S + S // 2 + 10, 0) is Call.RENEW
+    one.renewed(2 * S, S + S // 2, None)
+    assert one.valid(S + int(1.9 * S)) and not one.valid(S + 2 * S), "no answer proves nothing"
+    assert one.look(4 * S) and one.seat is Seat.AWAY and one.ledger is None
+
+
+def test_an_older_number_than_was_heard_of_makes_a_new_keeper_wait_for_a_whole_session():
+    fresh, wary = Candidate(0, QUICK, 1, 0), Candidate(0, QUICK, 1, 0)
+    wary.heard(0, Term(9, 5))
+    opens = []
+    for one in (fresh, wary):
+        one.step(2 * S, 0)
+        opens.append(one.taken(2 * S, 2 * S, Taken(3)).opens_at)
+    assert opens[1] - opens[0] >= QUICK.term_us
+
+
+def test_all_agree_on_the_line_and_budgets_spread_over_ledgers():
+    names = [f"head{number}" for number in range(20)]
+    for ledger in range(3):
+        assert sorted(rank(ledger, name, names) for name in names) == list(range(20))
+    assert {ledger_of(f"v{number}", 4) for number in range(100)} == {0, 1, 2, 3}
+
+
+# -- many heads
+
+
+def test_demand_is_served_as_by_one_bucket_whoever_has_it():
+    one = division(12, seed=3, rate=1000.0)
+    wants(one, head0=400, head1=300, head2=100, head5=60)
+    one.run(8 * S)
+    before = replace(one.tally["v0"])
+    one.run(10 * S)
+    tally = one.tally["v0"]
+    served, ideal, even = (
+        getattr(tally, field) - getattr(before, field) for field in ("served", "ideal", "even")
+    )
+    assert served > 0.97 * ideal and even < 0.5 * ideal
+    wants(one, head7=800)  # another head has all the traffic
+    one.run(2 * S)
+    assert one.members["head7"].holder.held["v0"].portion.share > 0.8 * 900
+    for name in ("head7", "head1", "head2"):
+        one.kill(name)
+    keeper = one.keeper()
+    wants(one, head9=800)
+    one.run(2 * S)
+    if keeper is one.keeper():
+        assert one.members["head9"].holder.held["v0"].portion.share > 0.8 * 900, "lent to the dead for a lease only"
+    assert budgets.check(one.records) == []
+
+
+def test_who_reaches_nobody_keeps_its_fixed_part():
+    one = division(4, seed=2, fixed=0.5)
+    wants(one, head1=200, head2=200)
+    one.run(6 * S)
+    one.cut = lambda source, target: "head1" in (source, target)
+    one.witness.dark = True
+    one.run(6 * S)
+    before = sum(r.units for r in one.records if isinstance(r, rec.Drawn) and r.holder == "head1")
+    one.run(10 * S)
+    after = sum(r.units for r in one.records if isinstance(r, rec.Drawn) and r.holder == "head1")
+    assert after - before == pytest.approx(10 * 200 * 0.5 / 4, rel=0.05)
+    assert one.members["head1"].holder.held["v0"].portion.share == 0
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_the_sum_holds_under_random_faults_and_nobody_starves_after(seed):
+    one = division(12, seed, budgets=("v0", "v1"))
+    trial = Trial(one)
+    trial.run(25 * S)
+    trial.heal()
+    wants(one, head0=300)
+    wants(one, "v1")
+    one.run(12 * S)
+    assert budgets.check(one.records) == [], trial.happened
+    assert one.members["head0"].holder.held["v0"].portion.share > 0.8 * 180
+
+
+# -- each protection taken out once
+
+
+class Overstays(Holder):
+    def live(self, now):
+        return self.lease.until > 0
+
+    def granted(self, now, grant):
+        changed = super().granted(now, grant)
+        self.lease.until = self.lease.until and 1 << 60
+        return changed
+
+
+class CountsFromTheAnswer(Holder):
+    def granted(self, now, grant):
+        if grant.answers in self._asked:
+            self._asked[grant.answers] = (now, self._asked[grant.answers][1])
+        return super().granted(now, grant)
+
+
+class FillsUp(Holder):
+    def granted(self, now, grant):
+        changed = super().granted(now, grant)
+        for share in grant.shares:
+            if changed and share.budget in self.held:
+                self.held[share.budget].portion.level = 1e9
+        return changed
+
+
+class AnyVersion(Holder):
+    def granted(self, now, grant):
+        for share in grant.shares:
+            if share.budget in self.held:
+                self.held[share.budget].version = min(self.held[share.budget].version, share.version - 1)
+        return super().granted(now, grant)
+
+
+class AnyTenure(Holder):
+    def granted(self, now, grant):
+        return super().granted(now, replace(grant, tenure=self.tenure))
+
+
+class KeepsAcrossTerms(Holder):
+    def hear(self, now, term):
+        if self.term is not None and term.epoch > self.term.epoch:
+            self.term, self.heard_at = term, now
+            return True
+        return super().hear(now, term)
+
+
+class FillsByTheClock(Holder):
+    def open(self, now, budget, whole):
+        portion = super().open(now, budget, whole)
+        portion.slow = 1.0
+        return portion
+
+
+class FreesAtOnce(Ledger):
+    def _change(self, name, slip, rate, tokens=0.0):
+        super()._change(name, slip, rate, tokens)
+        slip.counted = slip.rate
+
+
+class TrustsClocks(Ledger):
+    def _counted_us(self, lease_us):
+        return lease_us
+
+
+class MintsTokens(Ledger):
+    def _change(self, name, slip, rate, tokens=0.0):
+        super()._change(name, slip, rate, tokens + (20.0 if rate > slip.rate else 0.0))
+
+
+class OneOfAName(Ledger):
+    def ask(self, now, ask):
+        for holder in [one for one in self.tenants if one[0] == ask.holder and one[1] != ask.instance]:
+            self._free(holder)
+        return super().ask(now, ask)
+
+
+def opens_at_once(number, term, _opens_at, rules):
+    return Ledger(number, term, 0, rules)
+
+
+class KeepsOn(Candidate):
+    def valid(self, now):
+        return self.seat is Seat.KEEPING
+
+    def look(self, now):
+        return False
+
+
+class TrustsItsSession(Candidate):
+    def renewed(self, now, asked_at, holds):
+        super().renewed(now, asked_at, True if holds is False else holds)
+
+
+def trial(one):
+    Trial(one).run(40 * S)
+
+
+def swings(one):
+    """All traffic jumps from head to head."""
+    for number in range(12):
+        wants(one, **{one.names[number % 3]: 300})
+        one.run(S)
+
+
+def late(one):
+    """A head whose messages are late by more than a lease is cut off; another wants what it had."""
+    for number in range(4):
+        wants(one, **{f"head{number}": 300})
+        one.run(3 * S)
+        one.late_us = 900_000
+        one.run(2 * S)
+        one.cut = lambda source, target, name=f"head{number}": name in (source, target)
+        one.demand["head5", "v0"] = 300
+        one.run(3 * S)
+        one.cut, one.late_us = lambda _source, _target: False, 0
+        one.run(S)
+
+
+def drift(one):
+    """A head with a slow clock is cut off from a keeper with a fast one, again and again."""
+    one.run(3 * S)
+    keeper = one.keeper()
+    keeper.rate, slow = 1.2, next(m for m in one.members.values() if m is not keeper)
+    slow.rate = 0.8
+    others = [m.name for m in one.members.values() if m not in (keeper, slow)]
+    for _ in range(6):
+        wants(one, **{slow.name: 300})
+        one.run(3 * S)
+        one.cut = lambda source, target: slow.name in (source, target)
+        one.demand[others[0], "v0"] = 300
+        one.run(2 * S)
+        one.cut = lambda _source, _target: False
+        wants(one)
+        one.run(2 * S)
+
+
+def busy(one):
+    """Fast clocks, and all in use for long."""
+    for member in one.members.values():
+        member.rate = 1.01
+    wants(one, **dict.fromkeys(one.names, 60))
+    one.run(90 * S)
+
+
+def reborn(one):
+    """A head that holds all is killed and comes back at once; others want it too."""
+    one.run(4 * S)
+    for _ in range(6):
+        keeper = one.keeper()
+        name, other = [name for name in one.names if name != keeper.name][:2]
+        wants(one, **{name: 300})
+        one.run(2 * S)
+        one.kill(name)
+        one.start(name)
+        one.members[name].holder.hear(one.clock(one.members[name]), keeper.candidate.ledger.term)
+        one.members[name].keeper = keeper.name
+        one.demand[other, "v0"] = 300
+        one.run(2 * S)
+
+
+def stormy(one):
+    """Messages come twice and overtake each other while traffic jumps."""
+    one.twice, one.late_us = 0.7, 300_000
+    swings(one)
+    swings(one)
+
+
+def lagging(one):
+    """Messages take seconds for a while, and come when their holder has begun anew and others hold its part."""
+    one.run(4 * S)
+    for turn in range(8):
+        wants(one, **{one.names[turn % 6]: 300})
+        one.run(1 * S)
+        one.late_us = 3_000_000
+        one.run(1_500_000)
+        wants(one, **{one.names[turn % 6]: 100, one.names[(turn + 1) % 6]: 300})
+        one.late_us = 0
+        one.run(3 * S)
+
+
+def apart(one):
+    """The keeper and one more are cut off from the others and from the witness; both sides are busy."""
+    one.run(4 * S)
+    wants(one, **dict.fromkeys(one.names, 100))
+    one.run(2 * S)
+    keeper = one.keeper().name
+    side = {keeper, next(name for name in one.names if name != keeper)}
+    one.cut, one.blind = lambda source, target: (source in side) != (target in side), side
+    one.run(8 * S)
+
+
+def handed(one):
+    """The keeper leaves, again and again, while all is in use."""
+    one.run(4 * S)
+    for turn in range(4):
+        wants(one, **{one.names[number]: 300 for number in range(6) if number % 2 == turn % 2})
+        one.run(3 * S)
+        left = one.keeper().name
+        one.leave(left)
+        one.run(3 * S)
+        one.start(left)
+
+
+def restored(one):
+    """The witness comes back from a backup in which another head held the lock, and the present keeper's session
+    was alive."""
+    one.run(3 * S)
+    first = one.keeper()
+    one.demand = {(name, "v0"): 100.0 for name in one.names}
+    witness = one.witness
+    one.stop(first.name, 6 * S)
+    one.run(5 * S)
+    second = one.keeper()
+    witness.restore(one.now, (witness.epoch, 10_000, {second.session: 0, 10_000: 0}))
+    side = {second.name, next(name for name in one.names if name not in (first.name, second.name))}
+    one.cut = lambda source, target: (source in side) != (target in side)
+    one.run(10 * S)
+
+
+FAULTS = {
+    "a holder goes on past its lease": (Parts(holder=Overstays), trial, 4),
+    "a lease counts from the answer": (Parts(holder=CountsFromTheAnswer), late, 4),
+    "a new share comes with a full store": (Parts(holder=FillsUp), swings, 1),
+    "a grant of a former tenure is taken": (Parts(holder=AnyTenure), lagging, 4),
+    "shares come with tokens of nobody": (Parts(ledger=MintsTokens), swings, 1),
+    "an older version is taken": (Parts(holder=AnyVersion), stormy, 4),
+    "shares outlive their term": (Parts(holder=KeepsAcrossTerms), handed, 4),
+    "stores are filled by a fast clock": (Parts(holder=FillsByTheClock), busy, 1),
+    "what is taken back is free at once": (Parts(ledger=FreesAtOnce), trial, 4),
+    "a ledger takes clocks for true": (Parts(ledger=TrustsClocks), drift, 4),
+    "a new process is taken for the old": (Parts(ledger=OneOfAName), reborn, 4),
+    "a term opens at once": (Parts(ledger=opens_at_once), trial, 4),
+    "a keeper does not look at its time": (Parts(candidate=KeepsOn), apart, 4),
+    "a keeper does not look at its lock": (Parts(candidate=TrustsItsSession), restored, 4),
+}
+PLAYS = sorted({play.__name__: play for _, play, _ in FAULTS.values()}.items())
+
+
+def played(play, parts, seed):
+    drifts = play is drift
+    rules = BudgetRules(clock_error=0.2 if drifts else 0.01, term_us=2 * S, patience_us=S)
+    one = division(6, seed, rules, parts, 0.0 if drifts else 0.01)
+    play(one)
+    return budgets.check(one.records)
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_without_one_protection_the_checker_finds_it(fault):
+    parts, play, seeds = FAULTS[fault]
+    assert any(played(play, parts, seed) for seed in range(seeds))
+
+
+@pytest.mark.parametrize("play", [play for _, play in PLAYS], ids=[name for name, _ in PLAYS])
+def test_with_all_of_them_it_finds_nothing(play):
+    assert all(played(play, Parts(), seed) == [] for seed in range(4))
