--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -213,6 +213,48 @@
     address: tuple[str, Port]
 
 
+class BudgetUse(Enum):
+    """What heads divide among themselves; decisions/fleet/portions.py tells what each is."""
+
+    LIMITS = "limits"
+    ATTEMPTS = "attempts"
+    COLD = "cold"
+    LIST_CALLS = "list-calls"
+    CONNECTIONS = "connections"
+
+
+class BudgetSettings(Checked, frozen=True, kw_only=True):
+    """One kind of budget. Plans say the wholes of limits, the rules those of cold nodes."""
+
+    name: BudgetUse
+    fixed: Share = 0.1  # the part that is divided evenly beforehand and never moves
+    whole: Amount = 0.0  # a second
+    burst: Amount = 0.0  # at once
+
+
+class BudgetFigures(Checked, frozen=True, kw_only=True):
+    """The figures of dividing; decisions/fleet/budgets.py tells what each is."""
+
+    lease_us: Positive = 1_000_000
+    ask_us: Positive = 300_000
+    quick_us: Positive = 50_000
+    round_us: Positive = 50_000
+    clock_error: Annotated[float, msgspec.Meta(ge=0, le=0.2)] = 0.001
+    term_us: Positive = 10_000_000
+    patience_us: Positive = 2_000_000
+    contenders: Positive = 5
+    weight: Annotated[float, msgspec.Meta(ge=0.01, le=100)] = 1.0
+
+
+class BudgetsSettings(BudgetFigures, frozen=True, kw_only=True):
+    """What the heads of a fleet divide anew as each needs it, and where the lock on that is."""
+
+    witness: tuple[str, Port]
+    timeout_us: Positive = 1_000_000
+    ledgers: Annotated[int, msgspec.Meta(ge=1, le=64)] = 1
+    budgets: tuple[BudgetSettings, ...]
+
+
 class FleetFigures(Checked, frozen=True, kw_only=True):
     """The figures of a fleet's protocol; membership/fleet/swim.py tells what each is."""
 
@@ -243,6 +285,7 @@
     fleet: Annotated[str, msgspec.Meta(min_length=1, max_length=64)] = "fleet"
     cell: Annotated[str, msgspec.Meta(max_length=64)] = ""
     seeds: tuple[FleetSeedSettings, ...] = ()
+    budgets: BudgetsSettings | None = None  # None: each head takes an even part
 
 
 class HeadSettings(Checked, frozen=True, kw_only=True):
@@ -418,6 +461,8 @@
             fail(f"plan {plan.name}: limit-burst", "below most-units: the largest request could never go")
     if head.fleet is not None:
         _check_fleet(head.fleet, fail)
+        if head.fleet.budgets is not None:
+            _check_budgets(head, head.fleet.budgets, fail)
     if head.extent_bytes > head.most_units * head.unit_bytes:
         fail("most-units", "smaller than a whole extent")
     if head.extent_bytes % head.unit_bytes:
@@ -444,6 +489,40 @@
         fail("fleet: answer", "must be shorter than probe, so that others can be asked in time")
 
 
+def _check_budgets(head: HeadSettings, set_: BudgetsSettings, fail: Callable[[str, str], None]) -> None:
+    if head.heads < 2:
+        fail("fleet: budgets", "there is nothing to divide: heads is 1")
+    if 2 * set_.ask_us > set_.lease_us:
+        fail("fleet: budgets: ask", "longer than half a lease: one lost message would end it")
+    if set_.term_us < 2 * set_.lease_us:
+        fail("fleet: budgets: term", "shorter than two leases")
+    for name in given_twice(one.name.value for one in set_.budgets):
+        fail(f"fleet: budget {name}", "given twice")
+    for one in set_.budgets:
+        at = f"fleet: budget {one.name.value}"
+        if one.name in (BudgetUse.LIMITS, BudgetUse.COLD):
+            if one.whole or one.burst:
+                fail(f"{at}: whole", "the plans and rules say how much that is")
+        elif one.whole <= 0 or one.burst < 1:
+            fail(f"{at}: whole", "needs a whole above 0 and a burst of at least 1")
+        if one.name is BudgetUse.ATTEMPTS and not head.rules.budget_window_us:
+            fail(at, "the rules set no budget-window")
+        if one.name is BudgetUse.COLD and not head.rules.cold_units:
+            fail(at, "the rules set no cold-units")
+        if one.name is BudgetUse.LIST_CALLS and head.node_list.consul is None:
+            fail(at, "the node list is a file")
+        if one.name is not BudgetUse.LIMITS:
+            continue
+        plans = {plan.name: plan for plan in head.plans}
+        for volume in head.volumes:
+            plan = plans[volume.plan]
+            alone = plan.limit_burst * one.fixed / volume.hosts  # what a head that reaches nobody has
+            if volume.hosts > 1 and plan.limit and alone < head.most_units:
+                fail(f"plan {plan.name}: limit-burst",
+                     f"the fixed part of each of {volume.hosts} hosts of volume {volume.name} is {alone:g}, "
+                     f"below most-units: a head alone could never send the largest request")  # fmt: skip
+
+
 def _effect(one: ClassSettings, plain_nodes: bool) -> api.Effect:
     return api.Effect.UNSAFE if plain_nodes and one.effect is api.Effect.KEYED else one.effect
 
--- a/harriertrack/decisions/celled.py
+++ b/harriertrack/decisions/celled.py
@@ -29,6 +29,7 @@
     NodeEntry,
     NodesChanged,
     NodeState,
+    Portions,
     Refuse,
     Send,
     SetTimer,
@@ -62,8 +63,10 @@
     """The decision modules of one head, with the interface of one."""
 
     def __init__(self, settings: Settings, seed: int, cells: HeadMap,
-                 make: Callable[[Settings, int, Volumes], Scheduler] = Scheduler) -> None:  # fmt: skip
-        self.settings = settings
+                 make: Callable[..., Scheduler] = Scheduler,
+                 portions: Portions | None = None) -> None:  # fmt: skip
+        """Begin with a map; `make` is called with settings, seed, volumes and portions for each cell."""
+        self.settings, self._portions = settings, portions
         self.map = cells
         self._make, self._seed = make, seed
         self._modules: dict[str, Scheduler] = {}
@@ -84,7 +87,9 @@
         if cell not in self._modules:
             parts = max(1, len(self.map.cells()))
             mine = replace(self.settings, budget_free=self.settings.budget_free / parts)
-            self._modules[cell] = self._make(mine, self._seed + len(self._modules), self._volumes)
+            self._modules[cell] = self._make(
+                mine, self._seed + len(self._modules), self._volumes, self._portions
+            )
         return self._modules[cell]
 
     def modules(self) -> list[Scheduler]:
--- a/harriertrack/decisions/fleet/holder.py
+++ b/harriertrack/decisions/fleet/holder.py
@@ -76,7 +76,7 @@
         self.heard_at = born  # when a term said something last
         self.lapses = 0
         self._asked: dict[int, tuple[int, list[tuple[str, tuple[float, int, float]]]]] = {}
-        self._number = 0
+        self._number = self._tenure_at = 0
         self._next_ask = self._next_quick = born
 
     # -- use
@@ -119,12 +119,16 @@
             held.told = held.sent = (-1.0, 0, 0.0)
         self.lease.until = 0
         self.tenure += 1
+        self._tenure_at = 0
         self._asked.clear()
 
     def _look(self, now: int) -> None:
-        """Notice that the lease is over."""
-        if self.lease.until and not self.live(now):
-            self.lapses += 1
+        """Notice that the lease is over, or that none came of this tenure: for the ledger it may be over."""
+        if self.lease.until:
+            if not self.live(now):
+                self.lapses += 1
+                self._drop(now)
+        elif self._tenure_at and now > self._tenure_at + self.rules.lease_us:
             self._drop(now)
 
     # -- asks
@@ -132,10 +136,13 @@
     def asks(self, now: int) -> list[Ask]:
         """Return what is to be sent now."""
         self._look(now)
+        if now < self._next_quick:
+            return []
+        self._next_quick = now + self.rules.quick_us
         for held in self.held.values():
             held.measure(now)
         self._forget(now)
-        if self.term is None or now < self._next_quick:
+        if self.term is None:
             return []
         due = now >= self._next_ask
         news = [(name, held) for name, held in self.held.items() if self._is_news(now, held, due)]
@@ -150,7 +157,6 @@
                 room = CLAIM_ROOM
             pages[-1].append((name, held))
             room -= size
-        self._next_quick = now + self.rules.quick_us
         self._next_ask = now + self.rules.ask_us
         return [self._ask(now, self.term, page) for page in pages]
 
@@ -170,6 +176,7 @@
 
     def _ask(self, now: int, term: Term, page: list[tuple[str, Held]]) -> Ask:
         self._number += 1
+        self._tenure_at = self._tenure_at or now
         claims, told = [], []
         for name, held in page:
             held.sent, held.sent_at = state, _ = held.state(), now
@@ -220,8 +227,6 @@
             self._next_quick = now
         return changed
 
-    def wake_at(self, now: int) -> int | None:
-        """Return when `asks` is to be called at the latest; None while nothing is in use."""
-        if not self.held:
-            return None
-        return max(self._next_quick, min(self._next_ask, now + self.rules.quick_us))
+    def wake_at(self) -> int | None:
+        """Return when `asks` is to be called next; None while nothing is in use."""
+        return self._next_quick if self.held else None
--- a/harriertrack/decisions/fleet/ledger.py
+++ b/harriertrack/decisions/fleet/ledger.py
@@ -13,6 +13,7 @@
 from harriertrack.decisions.fleet.dividing import Wish, divide
 
 MOST_SHARES = 16  # in one grant: it fits a datagram
+MOST_OVER = 4096  # holders whose leases ended that are remembered: what they say late is not believed
 LEAST = 1e-9  # of a whole: less is nothing
 
 Holder = tuple[str, int]  # name and process
@@ -71,6 +72,7 @@
         self.tenants: dict[Holder, Tenant] = {}
         self.accounts: dict[str, Account] = {}
         self.moves = 0
+        self._over: dict[Holder, int] = {}  # the tenures that ended without a word, latest last
         self._changed: dict[str, None] = {}
         self._next_round = opens_at
 
@@ -79,11 +81,11 @@
     def ask(self, now: int, ask: Ask) -> Grant | None:
         """Take what a holder says, and answer it.
 
-        None if it speaks of another term or of a tenure before, or says what was overtaken by a later ask.
+        None if it speaks of another term or of a tenure that is over, or was overtaken by a later ask.
         """
-        if ask.term != self.term:
-            return None
         holder = (ask.holder, ask.instance)
+        if ask.term != self.term or ask.tenure <= self._over.get(holder, 0):
+            return None
         tenant = self.tenants.get(holder)
         if tenant is not None and tenant.tenure != ask.tenure:
             if ask.tenure < tenant.tenure:
@@ -139,7 +141,11 @@
     def round(self, now: int) -> list[Grant]:
         """Let go of who is gone, divide anew what changed, and return what is to be told unasked."""
         for holder in [holder for holder, tenant in self.tenants.items() if tenant.until <= now]:
+            self._over.pop(holder, None)
+            self._over[holder] = self.tenants[holder].tenure
             self._free(holder)
+            if len(self._over) > MOST_OVER:
+                del self._over[next(iter(self._over))]
         if now < max(self._next_round, self.opens_at) or not self._changed:
             return []
         self._next_round = now + self.rules.round_us
--- /dev/null
+++ b/harriertrack/decisions/fleet/portions.py
@@ -0,0 +1,138 @@
+"""What one head has of all budgets, as its module and its links ask for it.
+
+A budget that is used for the first time is opened then, at its fixed part; which of them there are, and how
+much they are in all, is told at the start. Pure: time is handed in.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from harriertrack.decisions.bucket import Bucket
+from harriertrack.decisions.fleet.budgets import BudgetRules, Portion, Whole, ledger_of
+from harriertrack.decisions.fleet.holder import Holder
+from harriertrack.decisions.interface import Arrived, Plan
+
+
+class Use(Enum):
+    """What is divided."""
+
+    LIMITS = "limits"  # of volumes' plans, in units
+    ATTEMPTS = "attempts"  # further ones, beyond each head's own share of its requests
+    COLD = "cold"  # units for a node that has just started
+    LIST_CALLS = "list-calls"
+    CONNECTIONS = "connections"  # new ones, to a node
+
+
+UNITS = {
+    Use.LIMITS: "units", Use.ATTEMPTS: "attempts", Use.COLD: "units", Use.LIST_CALLS: "calls",
+    Use.CONNECTIONS: "connections",
+}  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Divided:
+    """One kind of budget: the part that is fixed, and the whole where no plan or rule says it."""
+
+    fixed: float
+    rate: float = 0.0
+    burst: float = 0.0
+
+
+def budget_name(use: Use, of: str = "") -> str:
+    """Return what a budget is called between heads."""
+    return f"{use.value}/{of}" if of else use.value
+
+
+class Portions:
+    """One head's portions."""
+
+    def __init__(self, rules: BudgetRules, ledgers: int, name: str, instance: int, heads: int,
+                 divided: Mapping[Use, Divided], now: int) -> None:  # fmt: skip
+        self.rules, self.heads, self.divided = rules, heads, dict(divided)
+        self.holders = [Holder(number, name, instance, rules, now) for number in range(ledgers)]
+        self.woken: Callable[[], None] = lambda: None  # something is in use that was not: asks are due
+
+    def __iter__(self) -> Iterator[tuple[str, Portion]]:
+        for holder in self.holders:
+            for name, held in holder.held.items():
+                yield name, held.portion
+
+    def _open(self, now: int, use: Use, of: str, rate: float, burst: float, hosts: int) -> Portion | None:
+        divided = self.divided.get(use)
+        if divided is None or hosts < 2 or rate <= 0:
+            return None
+        name = budget_name(use, of)
+        holder = self.holders[ledger_of(name, len(self.holders))]
+        fresh = name not in holder.held
+        portion = holder.open(now, name, Whole(rate, burst, hosts, divided.fixed))
+        if fresh:
+            self.woken()
+        return portion
+
+    # -- for the module
+
+    def limit(self, now: int, ask: Arrived, plan: Plan) -> Bucket | None:
+        """Count what a request asks of its volume's limit; return what this head has of that."""
+        hosts = ask.hosts or self.heads
+        portion = self._open(now, Use.LIMITS, ask.volume, plan.limit, plan.limit_burst, hosts)
+        if portion is not None and not ask.tried:
+            portion.asked(ask.units)
+        return portion
+
+    def further(self, now: int, draw: bool) -> bool:
+        """Return whether an attempt beyond the head's own share may be made; `draw`: it is."""
+        portion = self._simple(now, Use.ATTEMPTS)
+        if portion is None:
+            return False
+        if not draw:
+            portion.asked(1.0)
+        if portion.now(now) < 1.0:
+            return False
+        portion.level -= 1.0 if draw else 0.0
+        return True
+
+    def cold(self, now: int, node: str, rate: float, units: float) -> float:
+        """Count units asked of a cold node; return this head's part of what it bears, `rate` a second."""
+        portion = self._open(now, Use.COLD, node, rate, rate, self.heads)
+        if portion is None:
+            return rate / self.heads
+        portion.asked(units)
+        portion.now(now)
+        return portion.rate
+
+    # -- for the head
+
+    def _simple(self, now: int, use: Use, of: str = "") -> Portion | None:
+        divided = self.divided.get(use)
+        if divided is None:
+            return None
+        return self._open(now, use, of, divided.rate, divided.burst, self.heads)
+
+    def connection(self, now: int, node: str, again: bool = False) -> int:
+        """Return how long until a connection to a node may be opened, and count it if that is now (0).
+
+        `again`: it was asked for before, and waits.
+        """
+        return self._one(now, self._simple(now, Use.CONNECTIONS, node), again)
+
+    def list_call(self, now: int, again: bool = False) -> int:
+        """Return the same for a call for the node list."""
+        return self._one(now, self._simple(now, Use.LIST_CALLS), again)
+
+    def _one(self, now: int, portion: Portion | None, again: bool) -> int:
+        if portion is None:
+            return 0
+        if not again:
+            portion.asked(1.0)
+        wait = portion.wait(now, 1.0)
+        if not wait:
+            portion.level -= 1.0
+        return wait
+
+    @property
+    def divides_attempts(self) -> bool:
+        """Whether further attempts beyond each head's own share are divided."""
+        return Use.ATTEMPTS in self.divided
--- a/harriertrack/decisions/interface.py
+++ b/harriertrack/decisions/interface.py
@@ -8,6 +8,9 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Protocol
+
+from harriertrack.decisions.bucket import Bucket
 
 
 class Effect(Enum):
@@ -309,4 +312,17 @@
     text: str
 
 
+class Portions(Protocol):
+    """What a head has of figures that all heads divide anew as they need it; without it, an even part."""
+
+    def limit(self, now: int, ask: Arrived, plan: Plan) -> Bucket | None:
+        """Hear of a request, and return what this head has of its volume's limit; None: an even part."""
+
+    def further(self, now: int, draw: bool) -> bool:
+        """Return whether an attempt beyond the head's own share is to be had; `draw`: it is made."""
+
+    def cold(self, now: int, node: str, rate: float, units: float) -> float:
+        """Return the head's part of what a cold node bears, `rate` units a second; it has `units` for it."""
+
+
 Action = Send | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | Log
--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -32,6 +32,7 @@
     NodesChanged,
     NodeState,
     Plan,
+    Portions,
     Refuse,
     RequestClass,
     Result,
@@ -170,9 +171,10 @@
 class Scheduler:
     """The decision module of one head. Feed it batches of events; carry out what it returns."""
 
-    def __init__(self, settings: Settings, seed: int = 0, volumes: Volumes | None = None) -> None:
+    def __init__(self, settings: Settings, seed: int = 0, volumes: Volumes | None = None,
+                 portions: Portions | None = None) -> None:  # fmt: skip
         """Begin knowing nothing; modules of one head's cells share `volumes`, whose limits span the cells."""
-        self.settings = settings
+        self.settings, self._portions = settings, portions
         self._random = random.Random(seed)
         self._classes = {kind.name: kind for kind in settings.classes}
         self._plans = {plan.name: plan for plan in settings.plans}
@@ -327,7 +329,10 @@
         part = COLD_SAFE * settings.fall_multiple * capacity
         if cold <= 0 or part >= 1:
             return 0
-        least = settings.cold_units / settings.heads / max(1.0, settings.fall_us * settings.cold_share)
+        bears = settings.cold_units / max(1.0, settings.fall_us * settings.cold_share)
+        least = bears / settings.heads
+        if self._portions is not None:
+            least = self._portions.cold(self._now, node.entry.node, 1e6 * bears, settings.mean_units) / 1e6
         node.cold.now(self._now)
         node.cold.rate = 1e6 * max(part * node.served / SERVED_US, capacity * least)
         return node.cold.wait(self._now, 0.0)
@@ -411,6 +416,8 @@
                 level = 0.0 if volume.limit is None else min(volume.limit.now(self._now), most)
                 grown = part * (self._now - self._born) / 1e6 if volume.limit is None else 0.0
                 volume.limit = Bucket(self._now, part, most, min(most, level + grown))
+        if self._portions is not None and volume.plan.limit > 0:
+            volume.limit = self._portions.limit(self._now, ask, volume.plan) or volume.limit
         background = kind.aim_us >= BACKGROUND_AIM * self._shortest and kind.worth < self._dearest
         session = volume.sessions.get(background)
         if session is None:
@@ -594,11 +601,18 @@
         forgets = work.kind.window_us if kind.effect is Effect.KEYED else 0
         if work.risky_at is not None and kind.effect is not Effect.SAFE and now >= work.risky_at + forgets:
             return False
+        if not settings.budget_window_us or self._within_share():
+            return True
+        return self._portions is not None and self._portions.further(now, False)
+
+    def _within_share(self) -> bool:
+        """Whether one more further attempt keeps to this head's own share."""
+        settings = self.settings
         for times in (self._taken, self._further):
-            while times and times[0] < now - settings.budget_window_us + (times is self._taken):
+            while times and times[0] < self._now - settings.budget_window_us + (times is self._taken):
                 times.popleft()
         most = settings.budget_free + settings.budget_share * len(self._taken)
-        return not settings.budget_window_us or len(self._further) + 1 <= most
+        return len(self._further) + 1 <= most
 
     def _observe(self, node: _Node, elapsed: float, units: float, gain: float) -> None:
         """Follow what a node's answers have and take, and the mean of all nodes."""
@@ -743,7 +757,8 @@
             volume.limit.level -= units
         work.charged = True
         if work.tries:
-            self._further.append(now)
+            if self._within_share() or self._portions is None or not self._portions.further(now, True):
+                self._further.append(now)
         node.cold.level -= units
         node.last_key = work.ask.key
         work.out.add(work.tries)
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from harriertrack.config.settings import FleetSettings
@@ -19,6 +21,11 @@
 from harriertrack.runtime.hub import DeadlineExceeded, Event
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
 
+if TYPE_CHECKING:
+    from harriertrack.decisions.fleet.portions import Portions
+    from harriertrack.gateway.fleet.budgets import Budgets
+
+MARK = b"\xc1"  # what datagrams of budgets begin with (membership/fleet/budgeting.py)
 DOOR_US = 2_000_000  # how long an operator's connection may take the document
 MOST_AT_DOOR = 8  # such connections at a time; more are closed
 
@@ -37,14 +44,16 @@
 class Fleet:
     """This head as a member."""
 
-    def __init__(self, parts: HeadParts, settings: FleetSettings,
-                 datagrams: DatagramNetwork | None = None) -> None:  # fmt: skip
+    def __init__(self, parts: HeadParts, settings: FleetSettings, datagrams: DatagramNetwork | None = None,
+                 portions: Portions | None = None) -> None:  # fmt: skip
         self._parts, self._settings, self._hub = parts, settings, parts.hub
         self._network = datagrams or SocketDatagrams(parts.hub)
         self._alarm = Alarm(parts.hub, self._wake)
         self._at_door = 0
         self._closed = False
         self._taken = self._refused = 0
+        self._portions = portions
+        self.budgets: Budgets | None = None
         self.swim: Swim
 
     def start(self) -> None:
@@ -71,6 +80,12 @@
                          instance=digest_name(me.instance))  # fmt: skip
         self.swim.start(hub.now())
         self._follow()
+        if self._portions is not None and settings.budgets is not None:
+            from harriertrack.gateway.fleet.budgets import Budgets  # a fleet without does not even load it
+
+            self.budgets = Budgets(self._parts, settings.budgets, self._portions, settings.fleet, self.swim,
+                                   self._port.send)  # fmt: skip
+            self.budgets.start()
 
     @property
     def address(self) -> Address:
@@ -84,6 +99,8 @@
         finally:
             self._closed = True
             self._alarm.cancel()
+            if self.budgets is not None:
+                self.budgets.close()
             self._port.close()
             door.close()
 
@@ -91,19 +108,27 @@
         """Say goodbye."""
         self.swim.leave(self._hub.now())
         self._follow()
+        if self.budgets is not None:
+            self.budgets.leave()
 
     def wait_left(self) -> None:
         """Wait until the goodbye has been said often enough, for `leave` at most."""
         until = self._hub.now() + self._settings.leave_us
-        while not self.swim.left and self._hub.now() < until:
+        while self._hub.now() < until:
+            if self.swim.left and (self.budgets is None or self.budgets.released):
+                return
             self._hub.sleep(self._settings.gossip_us // 4)
 
     # -- datagrams and time
 
     def _come(self, data: bytes, source: Address) -> None:
-        if not self._closed:
-            self.swim.receive(self._hub.now(), data, source)
-            self._follow()
+        if self._closed:
+            return
+        if self.budgets is not None and data[:1] == MARK:
+            self.budgets.receive(data, source)
+            return
+        self.swim.receive(self._hub.now(), data, source)
+        self._follow()
 
     def _wake(self) -> None:
         if not self._closed:
@@ -165,7 +190,10 @@
     def _show(self, stream: Stream) -> None:
         sent = Event(self._hub)
         try:
-            stream.write(msgspec.json.encode(document_of(self.swim, self._hub.now())))
+            document, now = document_of(self.swim, self._hub.now()), self._hub.now()
+            if self.budgets is not None:
+                document = msgspec.structs.replace(document, budgets=self.budgets.told(now))
+            stream.write(msgspec.json.encode(document))
             stream.push(sent.set)
             stream.watch_end(sent.set)
             sent.wait(self._hub.now() + DOOR_US)
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -29,6 +29,7 @@
 from harriertrack.storage.missed import MissedLog
 
 if TYPE_CHECKING:
+    from harriertrack.decisions.fleet.portions import Portions
     from harriertrack.gateway.fleet.carrier import Fleet
     from harriertrack.runtime.datagrams import DatagramNetwork
 
@@ -92,11 +93,16 @@
         try:
             with hub.scope(self._name) as scope:
                 seed = settings.seed or hub.random.getrandbits(63)
-                self.module = self._module(module_settings(settings), seed)
+                portions = None
+                if settings.fleet is not None and settings.fleet.budgets is not None:
+                    from harriertrack.gateway.fleet.budgets import portions_of  # other heads do not load it
+
+                    portions = portions_of(settings, hub)
+                self.module = self._module(module_settings(settings), seed, portions)
                 rules = request_rules(settings)
                 self.core = Core(rules, self.module, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
-                                  self._note, self._name)  # fmt: skip
+                                  self._note, self._name, portions)  # fmt: skip
                 self._links = self._wiring.links(parts)
                 self._listing = self._wiring.listing(parts)
                 self.regional: Regional | None = None
@@ -119,7 +125,7 @@
                 if settings.fleet is not None:
                     from harriertrack.gateway.fleet.carrier import Fleet  # other heads do not even load it
 
-                    self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams)
+                    self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions)
                     self.fleet.start()
                 self.ready.set()
                 self._stopping.wait()
@@ -140,11 +146,13 @@
             if self._log is not None:
                 self._log.close()
 
-    def _module(self, told: api.Settings, seed: int) -> Scheduler | Celled:
+    def _module(self, told: api.Settings, seed: int, portions: Portions | None) -> Scheduler | Celled:
         """Make the decision module, or where there is a map one for each cell."""
-        if self._cells is None:
-            return self._wiring.module(told, seed)
-        return Celled(told, seed, self._cells)
+        if portions is not None and portions.divides_attempts:
+            told = replace(told, budget_free=0.0)  # those are drawn from what the fleet divides
+        if self._cells is not None:
+            return Celled(told, seed, self._cells, portions=portions)
+        return self._wiring.module(told, seed) if portions is None else Scheduler(told, seed, None, portions)
 
     def _may_move(self, volume: str) -> bool:
         # Without a lease's epoch, its own or the holder's, nobody else's newer work would be noticed.
--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -27,6 +27,8 @@
     Kind.CACHE: Command.CACHE,
 }
 
+PORTION_US = 10_000  # a head's part may grow while a link waits
+
 
 class LinkError(Exception):
     """The node speaks no NBD that this head can use."""
@@ -152,6 +154,7 @@
 
     def _dial(self) -> None:
         deadline = self._hub.now() + self._links.settings.limits.dial_us
+        self._links.await_connection(self.node, deadline)
         self._stream = self._links.network.connect(self.address, deadline, self._links.name)
         self._await(Greeted, deadline)
         self._nbd.ask_structured()
@@ -219,7 +222,7 @@
         self.hub, self.network, self.settings = head.hub, head.network, head.settings
         self.core, self.nodes, self.head_id, self.name = head.core, head.nodes, head.head_id, head.name
         self.sizes = {volume.name: volume.size_bytes for volume in head.settings.volumes}
-        self._scope, self._note = head.scope, head.note
+        self._scope, self._note, self._portions = head.scope, head.note, head.portions
         self._links: dict[tuple[str, str], BaseLink] = {}
         self.epochs: dict[str, int] = {}  # of volumes of two regions: the lease that work is done under
 
@@ -246,6 +249,15 @@
         self._scope.spawn(f"link {node} {volume}", link.run)
         return link
 
+    def await_connection(self, node: str, deadline: int) -> None:
+        """Wait for a connection of those that the fleet divides, if it does. Raises LinkError."""
+        again = False
+        while self._portions is not None and (us := self._portions.connection(self.hub.now(), node, again)):
+            if self.hub.now() >= deadline:
+                raise LinkError("no new connection is to be had of what the fleet may open")
+            self.hub.sleep(min(us, PORTION_US))
+            again = True
+
     def call_off(self, attempt: Attempt) -> None:
         """Pass a cancel on."""
         link = self._links.get((attempt.member.entry.node, attempt.volume))
--- a/harriertrack/gateway/listing.py
+++ b/harriertrack/gateway/listing.py
@@ -14,6 +14,8 @@
 from harriertrack.protocol.http import Call, HttpError
 from harriertrack.runtime.hub import DeadlineExceeded, Task
 
+PORTION_US = 100_000  # a head's part may grow while it waits
+
 
 class Listing:
     """Follows the list while the module wants it."""
@@ -22,7 +24,7 @@
         self._hub, self._network, self._settings = head.hub, head.network, head.settings.node_list
         self._core, self._scope, self._note, self._name = head.core, head.scope, head.note, head.name
         self._task: Task | None = None
-        self._nodes, self._head_id = head.nodes, head.head_id
+        self._nodes, self._head_id, self._portions = head.nodes, head.head_id, head.portions
         self._index = 0
         # A start comes as wall-clock time. The difference is fixed once: a step of the wall clock must not
         # make known nodes look newly started.
@@ -64,10 +66,18 @@
                 known = members
             self._hub.sleep(self._settings.poll_us)
 
+    def _await_call(self) -> None:
+        """Wait until this head has a call of those that its fleet divides, if it does."""
+        again = False
+        while self._portions is not None and (us := self._portions.list_call(self._hub.now(), again)):
+            self._hub.sleep(min(us, PORTION_US))
+            again = True
+
     def _follow(self, asked: ConsulSettings) -> None:
         while True:
             index, self._index = self._index, 0  # after a failure the whole list is asked for again
             wait = asked.wait_us if index else 0
+            self._await_call()
             deadline = self._hub.now() + wait + asked.timeout_us
             stream = self._network.connect(asked.address, deadline, self._name)
             try:
--- a/harriertrack/gateway/parts.py
+++ b/harriertrack/gateway/parts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from harriertrack.config.settings import HeadSettings
 from harriertrack.decisions.requests import Core
@@ -11,6 +12,9 @@
 from harriertrack.runtime.hub import Hub, Scope
 from harriertrack.runtime.streams import Network
 
+if TYPE_CHECKING:
+    from harriertrack.decisions.fleet.portions import Portions
+
 
 @dataclass(frozen=True, slots=True)
 class HeadParts:
@@ -25,3 +29,4 @@
     head_id: int
     note: Callable[..., None]
     name: str
+    portions: Portions | None = None  # of what its fleet divides; None: it divides nothing
--- a/harriertrack/gateway/witness.py
+++ b/harriertrack/gateway/witness.py
@@ -54,17 +54,32 @@
             raise WitnessError(f"renew: status {status}")
         return status == 200
 
-    def lock(self, volume: str) -> Lock | None:
-        """Return a volume's key; None if the witness has none."""
-        status, body = self._call("GET", f"{leases.KEY_PREFIX}{volume}")
+    def _get(self, path: str) -> bytes | None:
+        status, body = self._call("GET", path)
         if status == 404:
             return None
         if status != 200:
             raise WitnessError(f"status {status}")
-        return leases.lock_of(body)
+        return body
+
+    def lock(self, volume: str) -> Lock | None:
+        """Return a volume's key; None if the witness has none."""
+        body = self._get(f"{leases.KEY_PREFIX}{volume}")
+        return None if body is None else leases.lock_of(body)
+
+    def key(self, path: str) -> leases.Key | None:
+        """Return any key, by its path in the API; None if the witness has none."""
+        body = self._get(path)
+        return None if body is None else leases.key_of(body)
 
     def _change(self, verb: str, volume: str, session: str, standing: Standing, index: int) -> int:
-        asked = leases.change_request(volume, verb, session, standing, index)
+        return self._transact(leases.change_request(volume, verb, session, standing, index))
+
+    def change(self, path: str, verb: str, session: str, value: bytes, index: int) -> int:
+        """Lock or unlock any key if it is as read; return its new index, 0 if it could not be."""
+        return self._transact(leases.key_request(path, verb, session, value, index))
+
+    def _transact(self, asked: bytes) -> int:
         status, body = self._call("PUT", "/v1/txn", asked)
         if status == 409:
             return 0
--- /dev/null
+++ b/harriertrack/membership/fleet/budgeting.py
@@ -0,0 +1,107 @@
+"""What heads tell each other of budgets: datagrams of their own at the fleet's address, in MessagePack.
+
+The first byte is one that MessagePack never uses, so that a member which knows of no budgets counts them as
+garbage and passes on. Fields are only appended, as in messages.py; a writer that would be misunderstood by an
+older reader raises `READS`.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Annotated
+
+import msgspec
+
+from harriertrack.decisions.fleet.budgets import Ask, Claim, Grant, Share, Term
+from harriertrack.membership.fleet.messages import MOST_BYTES, MalformedDatagram, Number, Text
+
+MARK = b"\xc1"
+VERSION = 1
+READS = 1
+
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e18)]
+Budget = Annotated[str, msgspec.Meta(min_length=1, max_length=160)]
+
+
+class Kind(IntEnum):
+    """What a datagram says."""
+
+    ASK = 0
+    GRANT = 1
+    TERM = 2  # its sender keeps the ledger in this term
+    VACATED = 3  # ... and does so no longer
+
+
+class _Wire(msgspec.Struct, array_like=True):
+    reads: Number
+    version: Number
+    fleet: Text
+    kind: Kind
+    ledger: Number
+    epoch: Number
+    nonce: Number
+    holder: Text = ""
+    instance: Number = 0
+    tenure: Number = 0
+    number: Number = 0  # of an ask; of a grant: which ask it answers
+    lease_us: Number = 0
+    weight: Amount = 1.0
+    claims: Annotated[list[tuple[Budget, Amount, Amount, Number, Amount]], msgspec.Meta(max_length=64)] = []
+    shares: Annotated[list[tuple[Budget, Number, Amount, Amount]], msgspec.Meta(max_length=64)] = []
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Wire)
+
+
+class TooNew(MalformedDatagram):
+    """A datagram of a version that this program can't read."""
+
+
+class Stranger(MalformedDatagram):
+    """A datagram of another fleet."""
+
+
+Said = Ask | Grant | tuple[Kind, int, Term]
+
+
+def encode(fleet: str, said: Said) -> bytes:
+    """Write a datagram: an ask, a grant, or (TERM or VACATED, ledger, term)."""
+    match said:
+        case Ask():
+            wire = _Wire(
+                READS, VERSION, fleet, Kind.ASK, said.ledger, said.term.epoch, said.term.nonce, said.holder,
+                said.instance, said.tenure, said.number, said.lease_us, said.weight,
+                [(one.budget, one.whole, one.wanted, one.version, one.released) for one in said.claims],
+            )  # fmt: skip
+        case Grant():
+            wire = _Wire(
+                READS, VERSION, fleet, Kind.GRANT, said.ledger, said.term.epoch, said.term.nonce, said.holder,
+                said.instance, said.tenure, said.answers, said.lease_us, 1.0, [],
+                [(one.budget, one.version, one.rate, one.tokens) for one in said.shares],
+            )  # fmt: skip
+        case (kind, ledger, term):
+            wire = _Wire(READS, VERSION, fleet, kind, ledger, term.epoch, term.nonce)
+    return MARK + _ENCODER.encode(wire)
+
+
+def decode(fleet: str, data: bytes) -> Said:
+    """Read a datagram. Raises MalformedDatagram, Stranger, TooNew."""
+    if len(data) > MOST_BYTES:
+        raise MalformedDatagram("too long")
+    try:
+        wire = _DECODER.decode(memoryview(data)[len(MARK) :])
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise MalformedDatagram(str(error)) from error
+    if wire.fleet != fleet:
+        raise Stranger(wire.fleet)
+    if wire.reads > VERSION:
+        raise TooNew(str(wire.reads))
+    term = Term(wire.epoch, wire.nonce)
+    if wire.kind is Kind.ASK:
+        return Ask(wire.ledger, term, wire.holder, wire.instance, wire.tenure, wire.number, wire.lease_us,
+                   wire.weight, tuple(Claim(*one) for one in wire.claims))  # fmt: skip
+    if wire.kind is Kind.GRANT:
+        return Grant(wire.ledger, term, wire.holder, wire.instance, wire.tenure, wire.number, wire.lease_us,
+                     tuple(Share(*one) for one in wire.shares))  # fmt: skip
+    return wire.kind, wire.ledger, term
--- a/harriertrack/membership/fleet/telling.py
+++ b/harriertrack/membership/fleet/telling.py
@@ -49,6 +49,66 @@
     history: list[Word] = []
 
 
+class PortionTold(msgspec.Struct, frozen=True):
+    """What the telling head has of a budget; rates a second."""
+
+    budget: str
+    unit: str
+    whole: float
+    burst: float
+    fixed: float  # the head's part that never moves
+    share: float  # beyond that, while its lease lasts
+    wanted: float  # beyond the fixed part
+    level: float  # to be used at once
+
+
+class SlipTold(msgspec.Struct, frozen=True):
+    """What a ledger holds of one head's part of a budget."""
+
+    budget: str
+    holder: str
+    instance: str
+    granted: float  # a second, last
+    counted: float  # the most that the head may have
+    wanted: float
+    ends_s: float  # its lease, unless it asks again
+    there: bool  # whether the head is there by the view
+
+
+class LedgerTold(msgspec.Struct, frozen=True):
+    """A ledger that the telling head keeps."""
+
+    ledger: int
+    epoch: int
+    opens_s: float  # nothing is granted before; 0: open
+    valid_s: float  # unless the witness renews it
+    holders: int
+    moves: int
+    movable: dict[str, float]  # by budget: what may move of the whole
+    slips: list[SlipTold]
+
+
+class SeatTold(msgspec.Struct, frozen=True):
+    """Whom the telling head asks for its shares of a ledger."""
+
+    ledger: int
+    seat: str
+    epoch: int | None
+    keeper: str  # HOST:PORT
+    lease_s: float
+    lapses: int
+
+
+class BudgetsTold(msgspec.Struct, frozen=True):
+    """What a head tells of budgets."""
+
+    seats: list[SeatTold]
+    portions: list[PortionTold]
+    ledgers: list[LedgerTold]
+    counts: dict[str, int]
+    more: int = 0  # portions and slips beyond what one document names
+
+
 class Document(msgspec.Struct, frozen=True):
     """A head's view."""
 
@@ -61,6 +121,7 @@
     changes: int
     counts: dict[str, int]
     members: list[Told]
+    budgets: BudgetsTold | None = None
 
 
 class MalformedDocument(ValueError):
--- a/harriertrack/membership/leases.py
+++ b/harriertrack/membership/leases.py
@@ -76,12 +76,16 @@
     Source: Consul HTTP API, "Transaction": `check-index` with `lock` or `unlock` in one step. Without the
     check a call that was under way for long could put back a record that was changed meanwhile.
     """
-    key = KEY_PREFIX.removeprefix("/v1/kv/") + volume
+    return key_request(KEY_PREFIX + volume, verb, session, msgspec.json.encode(standing), index)
+
+
+def key_request(path: str, verb: str, session: str, value: bytes, index: int) -> bytes:
+    """Write the same transaction for any key, by its path in the API."""
+    key = path.removeprefix("/v1/kv/")
     check = {"Verb": "check-index", "Key": key, "Index": index}
     if not index:
         check = {"Verb": "check-not-exists", "Key": key}
-    value = base64.b64encode(msgspec.json.encode(standing)).decode()
-    change = {"Verb": verb, "Key": key, "Value": value, "Session": session}
+    change = {"Verb": verb, "Key": key, "Value": base64.b64encode(value).decode(), "Session": session}
     return msgspec.json.encode([{"KV": check}, {"KV": change}])
 
 
@@ -109,15 +113,34 @@
         raise WitnessError(str(error)) from error
 
 
-def lock_of(body: bytes) -> Lock:
-    """Read a volume's key; its value comes in base64, as the API documents. Raises WitnessError."""
+@dataclass(frozen=True, slots=True)
+class Key:
+    """A key as the witness last told it."""
+
+    value: bytes
+    session: str  # "" while nobody holds it
+    epoch: int  # LockIndex
+    index: int  # ModifyIndex
+
+
+def key_of(body: bytes) -> Key:
+    """Read a key; its value comes in base64, as the API documents. Raises WitnessError."""
     try:
         (entry,) = msgspec.json.decode(body, type=list[_Entry])
         value = base64.b64decode(entry.value or "", validate=True)
-        standing = msgspec.json.decode(value, type=Standing)
-        return Lock(standing, entry.session, entry.lock_index, entry.modify_index)
     except (msgspec.MsgspecError, ValueError) as error:
         raise WitnessError(str(error)) from error
+    return Key(value, entry.session, entry.lock_index, entry.modify_index)
+
+
+def lock_of(body: bytes) -> Lock:
+    """Read a volume's key. Raises WitnessError."""
+    key = key_of(body)
+    try:
+        standing = msgspec.json.decode(key.value, type=Standing)
+    except msgspec.MsgspecError as error:
+        raise WitnessError(str(error)) from error
+    return Lock(standing, key.session, key.epoch, key.index)
 
 
 @dataclass(slots=True)
