--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack
 from pathlib import Path
 
@@ -19,8 +20,14 @@
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.processes import FleetProcessError, play_processes
 from harriertrack.lab.fleet.rig import simulate
-from harriertrack.membership.fleet.telling import Document, MalformedDocument, Told, document_from
-from harriertrack.rules import checker, fleet as fleet_rules, recording as rec
+from harriertrack.membership.fleet.telling import (
+    BudgetsTold,
+    Document,
+    MalformedDocument,
+    Told,
+    document_from,
+)
+from harriertrack.rules import budgets as budget_rules, checker, fleet as fleet_rules, recording as rec
 from harriertrack.runtime.hub import DeadlineExceeded, Hub
 from harriertrack.runtime.streams import SocketNetwork
 
@@ -165,6 +172,66 @@
         click.echo(f"  {word.ago_s:9.1f} s ago  {word.state}, incarnation {word.incarnation},{by}")
 
 
+def _per_second(amount: float) -> str:
+    return f"{amount:.4g}"
+
+
+def _budget_lines(told: BudgetsTold, wanted: Callable[[str], bool]) -> Iterator[str]:
+    """Tell what a head has of budgets, and what it lent as who keeps a ledger."""
+    for seat in told.seats:
+        asks = f"asks {seat.keeper}, epoch {seat.epoch}" if seat.keeper else "knows nobody who keeps it"
+        lease = f"lease {seat.lease_s:.2f} s" if seat.lease_s else "no lease"
+        yield f"ledger {seat.ledger}: {seat.seat}, {asks}, {lease}, {seat.lapses} lapsed"
+    lines = [("budget", "unit", "whole/s", "burst", "fixed/s", "share/s", "wanted/s", "to use now")]
+    lines += [
+        (one.budget, one.unit, *map(_per_second, (one.whole, one.burst, one.fixed, one.share, one.wanted,
+                                                  one.level)))
+        for one in told.portions if wanted(one.budget)
+    ]  # fmt: skip
+    yield _table(lines) if len(lines) > 1 else "no such budget is in use here"
+    for ledger in told.ledgers:
+        state = f"opens in {ledger.opens_s:.2f} s" if ledger.opens_s else "open"
+        yield (
+            f"keeps ledger {ledger.ledger}, epoch {ledger.epoch}: {state}, valid for {ledger.valid_s:.2f} s, "
+            f"{ledger.holders} holders, {ledger.moves} changes so far"
+        )
+        rows = [("budget", "holder", "granted/s", "may have/s", "wanted/s", "ends in", "there")]
+        slips = [slip for slip in ledger.slips if wanted(slip.budget)]
+        for budget in dict.fromkeys(slip.budget for slip in slips):
+            mine = [slip for slip in slips if slip.budget == budget]
+            rows += [
+                (budget, slip.holder, _per_second(slip.granted), _per_second(slip.counted),
+                 _per_second(slip.wanted), f"{slip.ends_s:.2f}s", "yes" if slip.there else "no")
+                for slip in mine
+            ]  # fmt: skip
+            total, gone = sum(slip.counted for slip in mine), sum(s.counted for s in mine if not s.there)
+            movable = ledger.movable.get(budget, 0.0)
+            rows.append((f"{budget} in all", f"of {_per_second(movable)}", "", _per_second(total), "",
+                         "", f"{_per_second(gone)} lent to who is gone"))  # fmt: skip
+        if len(rows) > 1:
+            yield _table(rows)
+    if told.more:
+        yield f"and {told.more} more"
+
+
+@fleet.command()
+@settings_option
+@place_option
+@json_option
+@click.option("--volume", help="Of this volume alone.")
+def budgets(path: str | None, place: str | None, as_json: bool, volume: str | None) -> None:
+    """Tell what a head has of what its fleet divides, and, if it keeps a ledger, who has what until when."""
+    body, document = _document(_place(path, place))
+    if document.budgets is None:
+        fail(f"{document.name} divides nothing: (budgets ...) is not set")
+    if as_json:
+        click.echo(msgspec.json.encode(document.budgets).decode())
+        return
+    name = f"limits/{volume}"
+    for line in _budget_lines(document.budgets, lambda budget: volume is None or budget == name):
+        click.echo(line)
+
+
 @fleet.command("days")
 def days() -> None:
     """Name the days for fleets that come with the program."""
@@ -212,7 +279,9 @@
             click.echo(f"{len(one.members)} agree {end} (within {one.within_us / 1e6:g} s)")
     click.echo("; ".join(f"{count} {what}" for what, count in checker.summary(records).items()))
     requests, views = checker.check(records), fleet_rules.check(records, plan.detect_us)
+    shares = budget_rules.check(records)
     tell(requests, "requests: ")
     tell(views, "views: ")
-    click.echo("all rules held" if not requests + views else "rules broken")
-    sys.exit(1 if requests + views else 0)
+    tell(shares, "budgets: ")
+    click.echo("all rules held" if not requests + views + shares else "rules broken")
+    sys.exit(1 if requests + views + shares else 0)
--- a/harriertrack/lab/day.py
+++ b/harriertrack/lab/day.py
@@ -110,6 +110,7 @@
     rate: Amount = 120.0
     volumes: Positive = 6
     shared: Share = 0.5
+    hosts: Positive = 2  # of a shared volume
     cells: Positive = 1  # shards and volumes are dealt to them in turn
     volume_bytes: Positive = 8 << 20
     extent_bytes: Positive = 128 << 10
@@ -144,6 +145,8 @@
     heeds_hints: bool = False  # the others come again when a refusal's hint says so, no sooner
     write_deadline_us: Positive = 2_500_000
     limit: Amount = 4.0  # of a volume on the plan with a limit, in its usual rate
+    limit_burst: Amount = 0.0  # 0: what a second brings
+    limit_slack: Amount = 8.0  # units
     net: NetSettings = NetSettings()
     two_regions: TwoRegionSettings | None = None
     troubles: tuple[TroubleSettings, ...] = ()
--- /dev/null
+++ b/harriertrack/lab/fleet/days/budget-jump.sexp
@@ -0,0 +1,11 @@
+(fleet-day "budget-jump"
+  (about "All traffic jumps from one head to another every second, and some of the time the messages are late.")
+  (processes 6) (rate 30) (volumes 6) (hosts 5) (extent 32KiB) (limit 1) (limit-burst 200)
+  (figures (probe 300ms) (answer 150ms) (gossip 60ms) (sync 5s) (reach 1s) (recent 10s) (slack 3))
+  (budgets (clock-error 0.01) (term 2s) (patience 1s) (budget limits (fixed 0.25)))
+  (step start) (step agree (within 20s)) (step rest (for 2s))
+  (step jump (for 15s) (every 1s) (times 2))
+  (step weather (who "all") (other "all") (late 80ms) (jitter 60ms))
+  (step jump (who "head0" "head1") (for 10s) (every 1s) (times 2))
+  (step heal)
+  (step demand (times 2)) (step rest (for 3s)) (step agree (within 20s)))
--- a/harriertrack/lab/fleet/processes.py
+++ b/harriertrack/lab/fleet/processes.py
@@ -133,6 +133,8 @@
         self._folder = folder
         self.places = Places()
         self._relay = Relay(hub, SocketDatagrams(hub), self.weather, self.places.host)
+        self._relay.tap = self.passed
+        self._witness = self.places.next()
         self._processes: dict[str, Process] = {}
         self._leaving: list[tuple[HeadSlot, Process]] = []
         self._links: dict[tuple[str, str], Link] = {}
@@ -165,6 +167,8 @@
             self._there[name] = self._relay.admit(name, self._inner[name])
         for number in range(day.nodes):
             self.add_node(f"node{number}", number)
+        if self.fleet_day.budgets is not None:
+            self._start_witness()
         entrances = []
         for name in names:
             nodes = tuple(
@@ -186,6 +190,28 @@
             self.path(f"{name}.sexp").write_text(written("head", slot.settings))
         self.scope.spawn("logs", self._follow_logs)
 
+    def _start_witness(self) -> None:
+        host, port = self._witness
+        state = str(self.path("witness.state"))
+        arguments = ["standin", "witness", "--listen", f"{host}:{port}", "--state", state]
+        process = self.start_process("witness", arguments)
+        self.await_listening(process, self._witness)
+
+    def backup(self) -> None:
+        """Keep aside what the witness knows."""
+        shutil.copy(self.path("witness.state"), self.path("witness.backup"))
+
+    def dark(self, us: int, old: bool) -> None:
+        """Take the witness away for a time; `old`: it comes back as of the backup."""
+        self._processes.pop("witness").end()
+
+        def back() -> None:
+            if old:
+                shutil.copy(self.path("witness.backup"), self.path("witness.state"))
+            self.scope.spawn("witness", self._start_witness)
+
+        self.later(us, back)
+
     def _link(self, head: str, party: str, address: tuple[str, int]) -> tuple[str, int]:
         """Put a relay of streams between a head and a node or the list; return where the head finds it."""
         link = Link(self.hub, self.network, address, Direction(delay_us=0), Direction(delay_us=0))
@@ -227,6 +253,8 @@
         )
         return FleetSettings(
             name=name, listen=self._inner[name], advertise=self._there[name], seeds=seeds,
+            budgets=self.budgets_of(self._link(name, "witness", self._witness))
+            if self.fleet_day.budgets is not None else None,
             **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -12,23 +12,35 @@
 
 import msgspec
 
-from harriertrack.config.settings import FleetFigures, FleetSeedSettings, FleetSettings
+from harriertrack.config.settings import (
+    BudgetsSettings,
+    BudgetUse,
+    FleetFigures,
+    FleetSeedSettings,
+    FleetSettings,
+)
+from harriertrack.decisions.fleet.budgets import Ask, Grant
 from harriertrack.gateway.head import Wiring
 from harriertrack.lab.day import DaySettings
-from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings, Verb, chosen
+from harriertrack.lab.fleet.scenario import DayBudgets, FleetDaySettings, StepSettings, Verb, chosen
 from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
+from harriertrack.membership.fleet import budgeting
+from harriertrack.membership.fleet.budgeting import MARK
 from harriertrack.rules import recording as rec
 from harriertrack.rules.fleet import Views
 from harriertrack.runtime.datagrams import MemoryDatagrams
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import MemoryNetwork, Network
 from harriertrack.standin.relay import Fault, Weather
+from harriertrack.standin.witness import Witness
 
 LOOK_US = 20_000
 FOREVER_US = 24 * 3600 * 1_000_000
 SEEDS = 2
+OUTSIDE = ("list", "witness")  # parties that are no heads or nodes
 DELAY_US = (100, 600)  # of a datagram in simulated time
 FIRST_PORT = 40_000
+FLEET = "fleet"  # the name of the rig's
 TOLD = ("state", "life", "incarnation", "there", "digest", "by")  # of a log line
 
 
@@ -36,8 +48,9 @@
     """Return the day of clients and nodes that goes on beside a fleet's day."""
     return DaySettings(
         name=day.name, about=day.about, length_us=FOREVER_US, heads=heads, nodes=day.shelves,
-        zones=("z0", "z1", "z2"), rate=day.rate * heads, volumes=heads, shared=1.0, volume_bytes=64 << 20,
-        request_us=300, unit_us=200, cores=4, queue=256,
+        zones=("z0", "z1", "z2"), rate=day.rate * heads, volumes=day.volumes or heads, shared=1.0,
+        hosts=day.hosts, volume_bytes=64 << 20, extent_bytes=day.extent_bytes, request_us=300, unit_us=200,
+        cores=4, queue=256, limit=day.limit, limit_burst=day.limit_burst, limit_slack=day.limit_slack,
     )  # fmt: skip
 
 
@@ -52,6 +65,15 @@
         self.weather = Weather(seed, DELAY_US if isinstance(network, MemoryNetwork) else (0, 0))
         self.views = Views()
         self._drawn = random.Random(seed)
+        if day.budgets is not None and fleet:
+            fixed = {one.name: one.fixed for one in day.budgets.budgets}.get(BudgetUse.LIMITS, 1.0)
+            plans = {plan.name: plan for plan in self.plans}
+            for volume in self.volumes:
+                if (plan := plans[volume.plan]).limit:
+                    recorder.add(
+                        rec.BudgetFacts(t=0, budget=f"limits/{volume.name}", rate=plan.limit,
+                                        burst=plan.limit_burst, moving=(1 - fixed) * plan.limit)
+                    )  # fmt: skip
 
     # -- what happens
 
@@ -118,9 +140,62 @@
             case Verb.AGREE:
                 awake = self.views.awake()
                 self._agree([slot.name for slot in who if slot.name in awake], step.within_us)
+            case Verb.DEMAND:
+                self._lead([slot.name for slot in who], step.times)
+            case Verb.JUMP:
+                until = self.hub.now() + step.for_us
+                while self.hub.now() < until:
+                    for slot in who:
+                        if self.hub.now() < until:
+                            self._lead([slot.name], step.times)
+                            self.hub.sleep(step.every_us)
+            case Verb.BACKUP:
+                self.backup()
+            case Verb.DARK:
+                self.dark(step.for_us, step.old)
             case Verb.REST:
                 self.hub.sleep(step.for_us)
 
+    def _lead(self, names: list[str], times: float) -> None:
+        """Let traffic go to some heads alone; a volume that none of them serves has none."""
+        for flow in self.flows:
+            flow.heads, flow.factor = frozenset(names), times
+
+    def budgets_of(self, witness: tuple[str, int]) -> BudgetsSettings | None:
+        """Return what a head is told of budgets."""
+        plan = self.fleet_day.budgets
+        if plan is None:
+            return None
+        figures = {field: getattr(plan, field) for field in DayBudgets.__struct_fields__}
+        return BudgetsSettings(witness=witness, **figures)
+
+    def passed(self, _name: str, data: bytes, arrives: bool) -> None:
+        """Record what heads tell each other of budgets: asks as they leave, grants as they come."""
+        if data[:1] != MARK:
+            return
+        try:
+            said = budgeting.decode(FLEET, data)
+        except budgeting.MalformedDatagram:
+            return
+        now = self.hub.now()
+        if isinstance(said, Ask) and not arrives:
+            self.recorder.add(
+                rec.AskedShare(
+                    t=now, holder=said.holder, instance=said.instance, ledger=said.ledger,
+                    term=(said.term.epoch, said.term.nonce), tenure=said.tenure, number=said.number,
+                    applied=[(one.budget, one.version) for one in said.claims],
+                )
+            )  # fmt: skip
+        elif isinstance(said, Grant) and arrives:
+            self.recorder.add(
+                rec.GrantedShare(
+                    t=now, holder=said.holder, instance=said.instance, ledger=said.ledger,
+                    term=(said.term.epoch, said.term.nonce), tenure=said.tenure, answers=said.answers,
+                    lease_us=said.lease_us,
+                    shares=[(one.budget, one.version, one.rate) for one in said.shares],
+                )
+            )  # fmt: skip
+
     def _who(self, step: StepSettings) -> list[HeadSlot]:
         names = chosen(step.who, [slot.name for slot in self.heads])
         if step.part < 1.0:
@@ -134,7 +209,7 @@
             sources = self._drawn.sample(sources, max(1, round(step.part * len(sources))))
         targets = chosen(step.other, heads, tuple(sources))
         for words, found in ((step.who, sources), (step.other, targets)):
-            found += [name for name in words if name in self.shelves or name == "list"]
+            found += [name for name in words if name in self.shelves or name in OUTSIDE]
             if "shelves" in words:
                 found += list(self.shelves)
         number = self.weather.add(
@@ -208,6 +283,14 @@
         """Ask a head to end."""
         raise NotImplementedError
 
+    def backup(self) -> None:
+        """Keep aside what the witness knows."""
+        raise NotImplementedError
+
+    def dark(self, us: int, old: bool) -> None:
+        """Take the witness away for a time; `old`: it comes back as of the backup."""
+        raise NotImplementedError
+
     def close(self) -> None:
         """End all that was started."""
 
@@ -225,12 +308,17 @@
                  fleet: bool = True) -> None:  # fmt: skip
         super().__init__(hub, network, day, heads, seed, recorder, state_dir, fleet)
         self.datagrams = MemoryDatagrams(hub, self.weather.fate)
+        self.datagrams.tap = self.passed
+        self.witness = Witness(hub, network)
+        self._kept = b""
         self._still_until: dict[str, int] = {}
 
     def build(self) -> None:
         """Start the nodes and the list, and make places for the heads."""
         day = self.day
         self.listing.start(self.scope)
+        if self.fleet_day.budgets is not None:
+            self.witness.start(self.scope)
         for number in range(day.nodes):
             self.add_node(f"node{number}", number)
         for number in range(day.heads):
@@ -247,6 +335,7 @@
         )
         return FleetSettings(
             name=name, listen=("127.0.0.1", FIRST_PORT + number), seeds=seeds,
+            budgets=self.budgets_of(self.witness.address),
             **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
@@ -288,6 +377,21 @@
             connection.address = None
         slot.head.stop()
 
+    def backup(self) -> None:
+        """Keep aside what the witness knows."""
+        self._kept = self.witness.kept()
+
+    def dark(self, us: int, old: bool) -> None:
+        """Take the witness away for a time; `old`: it comes back as of the backup."""
+        self.witness.down = True
+
+        def back() -> None:
+            self.witness.down = False
+            if old and self._kept:
+                self.witness.take_up(self._kept)
+
+        self.later(us, back)
+
 
 def simulate(day: FleetDaySettings, heads: int, seed: int, recorder: rec.Recorder,
              fleet: bool = True) -> FleetRig:  # fmt: skip
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -19,6 +19,9 @@
 
 from harriertrack.config.settings import (
     Amount,
+    BlockSize,
+    BudgetFigures,
+    BudgetSettings,
     Checked,
     FleetFigures,
     Name,
@@ -30,7 +33,7 @@
 from harriertrack.config.sexp import Form, SettingsError, bind, read_text
 
 SPAN = re.compile(r"(\d+(?:\.\d+)?)\.\.(\d+(?:\.\d+)?)\Z")
-NAMED = re.compile(r"(?:head|node)\d+\Z|list\Z")
+NAMED = re.compile(r"(?:head|node)\d+\Z|list\Z|witness\Z")
 GROUPS = ("all", "seeds", "rest", "shelves")
 
 
@@ -44,6 +47,10 @@
     LEAVE = "leave"  # asked to end, SIGTERM
     WEATHER = "weather"  # a fault between `who` and `other`, for `for` or until `heal`
     HEAL = "heal"  # all faults end
+    DEMAND = "demand"  # from now on traffic goes to `who` alone, `times` as much of it as usual
+    JUMP = "jump"  # for `for`, all traffic goes to one of `who` in turn, `every` so long
+    BACKUP = "backup"  # what the witness knows is kept aside
+    DARK = "dark"  # the witness is gone for `for`; `old`: it comes back as of the backup
     AGREE = "agree"  # wait until the views of `who` agree, `within` at most
     REST = "rest"  # let time pass: `for`
 
@@ -67,9 +74,18 @@
     jitter_us: Whole = 0
     least_bytes: Whole = 0
     fresh: bool = False  # started without the state that was kept on disk
+    times: Amount = 1.0
+    old: bool = False
     clock_rate: Annotated[float, msgspec.Meta(ge=0.5, le=2)] = 1.0  # of who is started; processes only
 
 
+class DayBudgets(BudgetFigures, frozen=True, kw_only=True):
+    """What the heads of a day divide; the witness is the day's own."""
+
+    ledgers: Positive = 1
+    budgets: tuple[BudgetSettings, ...]
+
+
 class FleetDaySettings(Checked, frozen=True, kw_only=True):
     """A day for a fleet."""
 
@@ -77,6 +93,13 @@
     about: str = ""
     processes: Annotated[int, msgspec.Meta(ge=2, le=400)] = 8
     shelves: Positive = 3
+    volumes: Whole = 0  # 0: as many as heads
+    hosts: Positive = 2  # of each volume
+    extent_bytes: BlockSize = 128 << 10
+    limit: Amount = 4.0  # of each third volume, in its usual rate
+    limit_burst: Amount = 0.0  # 0: what a second brings
+    limit_slack: Amount = 8.0  # units
+    budgets: DayBudgets | None = None
     rate: Amount = 8.0  # requests a second, a head
     detect_us: Positive = 20_000_000  # the longest that a death may go unnoticed
     figures: FleetFigures = FleetFigures()
@@ -92,8 +115,10 @@
                     raise SettingsError(f"{at}: {field}: {word}: no name, group or share such as 0..0.5")
         if "rest" in step.who:
             raise SettingsError(f"{at}: who: rest is the rest of who")
-        if step.name in (Verb.STOP, Verb.STARVE, Verb.REST) and not step.for_us:
+        if step.name in (Verb.STOP, Verb.STARVE, Verb.REST, Verb.JUMP, Verb.DARK) and not step.for_us:
             raise SettingsError(f"{at}: for: is needed")
+        if step.name is Verb.DARK and day.budgets is None:
+            raise SettingsError(f"{at}: there is no witness on a day without budgets")
         struck = step.cut or step.lost or step.twice or step.late_us or step.jitter_us
         if (step.name is Verb.WEATHER) != bool(struck):
             raise SettingsError(f"{at}: a weather, and no other step, has cut, lost, twice, late or jitter")
--- a/harriertrack/lab/load.py
+++ b/harriertrack/lab/load.py
@@ -252,6 +252,7 @@
         self.hot: tuple[int, int] | None = None  # sectors that all reads go to
         self.scanning = -1  # next sector of a scan; below 0 for none
         self.leader = 0  # which connection most requests take
+        self.heads: frozenset[str] = frozenset()  # that requests go to; empty: all
         self._random = random.Random(seed)
         self._tags = 0
         self.closed = False  # the day is over: nothing more is asked
@@ -277,6 +278,8 @@
 
     def _connection(self) -> Connection | None:
         up = [one for one in self.connections if one.up]
+        if self.heads:
+            return self._random.choice([one for one in up if one.head in self.heads] or [None])
         if not up:
             return None
         first = self.connections[self.leader % len(self.connections)]
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -91,7 +91,7 @@
     rate = day.rate / day.volumes * 2.5  # units a second of one volume
     return (
         PlanSettings(name="basic", rate=rate, reserve=0.3 * rate, weight=1, price=0.8, limit=day.limit * rate,
-                     limit_burst=max(64.0, day.limit * rate), limit_slack=8),
+                     limit_burst=day.limit_burst or max(64.0, day.limit * rate), limit_slack=day.limit_slack),
         PlanSettings(name="standard", rate=rate, reserve=rate, weight=3),
         PlanSettings(name="priority", rate=rate, reserve=0.8 * rate, weight=4, price=1.8),
     )  # fmt: skip
@@ -113,7 +113,7 @@
                 name=f"vol{number}",
                 size_bytes=day.volume_bytes,
                 plan=("basic", "standard", "priority")[number % 3],
-                hosts=min(2, day.heads) if number < shared else 1,
+                hosts=min(day.hosts, day.heads) if number < shared else 1,
                 shards=spread if number < shared else (),
                 regions=regions,
                 patience_us=day.patience_us,
--- a/harriertrack/runtime/datagrams.py
+++ b/harriertrack/runtime/datagrams.py
@@ -135,6 +135,8 @@
         self.ports: dict[Address, MemoryPort] = {}
         self._fate = fate or (lambda _source, _target, _size: (100,))
         self._number = 30_000
+        # Hears of each datagram when it leaves its sender, and when it arrives: by whom, whether it arrives.
+        self.tap: Callable[[str, bytes, bool], None] = lambda _name, _data, _arrives: None
 
     def bind(self, address: Address, take: Taken, name: str = "") -> MemoryPort:
         """Bind an address; `take` is called with each datagram and its source. Raises OSError."""
@@ -150,10 +152,12 @@
         """Bring a datagram to whoever is bound there when it arrives."""
         there = self.ports.get(address)
         here, now = source.address, self.hub.now()
+        self.tap(source.name, data, False)
         for after_us in self._fate(source.name, there.name if there is not None else "", len(data)):
             self.hub.at_outside(now + after_us, lambda: self._arrive(data, here, address))
 
     def _arrive(self, data: bytes, source: Address, address: Address) -> None:
         port = self.ports.get(address)
         if port is not None:
+            self.tap(port.name, data, True)
             port.arrive(data, source)
--- a/harriertrack/standin/relay.py
+++ b/harriertrack/standin/relay.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from harriertrack.runtime.datagrams import Address, DatagramNetwork, DatagramPort
@@ -116,6 +116,8 @@
 
     def __init__(self, hub: Hub, network: DatagramNetwork, weather: Weather, host: str = "127.0.0.1") -> None:
         self._hub, self._network, self._weather, self._host = hub, network, weather, host
+        # Hears of each datagram when it leaves its sender, and when it arrives: by whom, whether it arrives.
+        self.tap: Callable[[str, bytes, bool], None] = lambda _name, _data, _arrives: None
         self._parties: dict[str, _Party] = {}
         self._at: dict[Address, _Party] = {}  # by the address that a member sends from
 
@@ -139,8 +141,14 @@
             self._weather.carried.unknown += 1
             return
         way = sender.front
+        self.tap(sender.name, data, False)
+
+        def bring() -> None:
+            self.tap(target.name, data, True)
+            way.send(data, target.inner)
+
         for after_us in self._weather.fate(sender.name, target.name, len(data)):
             if after_us < 1000:
-                way.send(data, target.inner)
+                bring()
             else:
-                self._hub.at(self._hub.now() + after_us, lambda: way.send(data, target.inner))
+                self._hub.at(self._hub.now() + after_us, bring)
--- a/harriertrack/standin/witness.py
+++ b/harriertrack/standin/witness.py
@@ -2,13 +2,15 @@
 
 Source: Consul HTTP API, "Session" (create, renew, destroy; a session ends no sooner than its TTL after the
 last renewal) and "KV Store" (`?acquire`, `?release`, `LockIndex`). Its clock may run fast or slow by
-`clock_rate`.
+`clock_rate`. What it knows can be kept and taken up again: sessions then live for a whole TTL more, as they
+do under a new leader of Consul's servers.
 """
 
 from __future__ import annotations
 
 import base64
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
 
@@ -40,6 +42,7 @@
         self._listener: Listener | None = None
         self.address = ("127.0.0.1", 0)
         self.down = False
+        self.changed: Callable[[], None] = lambda: None  # something is to be kept
         self.grants: list[tuple[int, str, str, int]] = []  # (time, key, session, LockIndex), for checkers
 
     def start(self, scope: Scope, address: tuple[str, int] = ("127.0.0.1", 0)) -> None:
@@ -48,6 +51,25 @@
         self.address = self._listener.address
         scope.spawn("witness", serve, self._listener, scope, "witness call", self._handle)
 
+    def kept(self) -> bytes:
+        """Return what a backup holds."""
+        keys = {
+            name: [base64.b64encode(key.value).decode(), key.session, key.lock_index, key.modify_index]
+            for name, key in self._keys.items()
+        }
+        ttls = {session: ttl for session, (ttl, _) in self._sessions.items()}
+        counts = {"number": self._number, "index": self._index}
+        return json.dumps({"sessions": ttls, "keys": keys, **counts}).encode()
+
+    def take_up(self, kept: bytes) -> None:
+        """Go on from what was kept, whatever was done since."""
+        state, now = json.loads(kept), self._now()
+        self._sessions = {session: (ttl, now + ttl) for session, ttl in state["sessions"].items()}
+        self._keys = {
+            name: _Key(base64.b64decode(value), *rest) for name, (value, *rest) in state["keys"].items()
+        }
+        self._number, self._index = state["number"], state["index"]
+
     def _now(self) -> int:
         return int(self._hub.now() * self._rate)
 
@@ -59,6 +81,7 @@
 
     def _end(self, session: str) -> None:
         self._sessions.pop(session, None)
+        self.changed()
         for key in self._keys.values():
             if key.session == session:
                 key.session = ""
@@ -93,9 +116,10 @@
     def _session(self, action: str, session: str, body: bytes) -> Answer:
         if action == "create":
             self._number += 1
-            session = f"session-{self._number}"
+            session = f"session-{self._number}-{self._hub.random.getrandbits(48):012x}"
             ttl = int(float(json.loads(body)["TTL"].removesuffix("s")) * 1e6)
             self._sessions[session] = (ttl, self._now() + ttl)
+            self.changed()
         elif session not in self._sessions:
             return Answer(404)
         elif action == "renew":
@@ -108,6 +132,7 @@
     def _changed(self, key: _Key) -> None:
         self._index += 1
         key.modify_index = self._index
+        self.changed()
 
     def _shown(self, name: str, key: _Key) -> dict[str, object]:
         value = base64.b64encode(key.value).decode()
