--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -6,7 +6,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack
 from pathlib import Path
 
@@ -38,6 +38,9 @@
     "name", "state", "for", "incarnation", "region", "zone", "cell", "address", "agrees", "open", "taken/s",
 )  # fmt: skip
 
+HAS = ("budget", "unit", "whole/s", "burst", "fixed/s", "share/s", "wanted/s", "to use now")
+LENT = ("budget", "holder", "granted/s", "may have/s", "wanted/s", "ends in", "there")
+
 settings_option = click.option("--settings", "path", type=click.Path(), help="The head's settings.")
 place_option = click.option("--at", "place", help="HOST:PORT at which the head listens for its fleet.")
 json_option = click.option("--json", "as_json", is_flag=True, help="JSON in place of text.")
@@ -94,7 +97,7 @@
     )  # fmt: skip
 
 
-def _table(lines: list[tuple[str, ...]]) -> str:
+def _table(lines: Sequence[tuple[str, ...]]) -> str:
     widths = [max(len(line[at]) for line in lines) for at in range(len(lines[0]))]
     pairs = [zip(line, widths, strict=True) for line in lines]
     return "\n".join("  ".join(word.ljust(width) for word, width in pair).rstrip() for pair in pairs)
@@ -182,7 +185,7 @@
         asks = f"asks {seat.keeper}, epoch {seat.epoch}" if seat.keeper else "knows nobody who keeps it"
         lease = f"lease {seat.lease_s:.2f} s" if seat.lease_s else "no lease"
         yield f"ledger {seat.ledger}: {seat.seat}, {asks}, {lease}, {seat.lapses} lapsed"
-    lines = [("budget", "unit", "whole/s", "burst", "fixed/s", "share/s", "wanted/s", "to use now")]
+    lines: list[tuple[str, ...]] = [HAS]
     lines += [
         (one.budget, one.unit, *map(_per_second, (one.whole, one.burst, one.fixed, one.share, one.wanted,
                                                   one.level)))
@@ -195,7 +198,7 @@
             f"keeps ledger {ledger.ledger}, epoch {ledger.epoch}: {state}, valid for {ledger.valid_s:.2f} s, "
             f"{ledger.holders} holders, {ledger.moves} changes so far"
         )
-        rows = [("budget", "holder", "granted/s", "may have/s", "wanted/s", "ends in", "there")]
+        rows: list[tuple[str, ...]] = [LENT]
         slips = [slip for slip in ledger.slips if wanted(slip.budget)]
         for budget in dict.fromkeys(slip.budget for slip in slips):
             mine = [slip for slip in slips if slip.budget == budget]
--- a/harriertrack/decisions/fleet/budgets.py
+++ b/harriertrack/decisions/fleet/budgets.py
@@ -17,11 +17,29 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from zlib import crc32
 
 from harriertrack.decisions.bucket import Bucket
 
+ROOM = 960  # bytes of claims or shares that fit one datagram
+ENTRY_BYTES = 44  # of one, beside its budget's name
+
+
+def pages(names: Iterable[str]) -> Iterator[list[str]]:
+    """Divide budgets over datagrams; there is one at least."""
+    page: list[str] = []
+    room = ROOM
+    for name in names:
+        size = len(name.encode()) + ENTRY_BYTES
+        if size > room and page:
+            yield page
+            page, room = [], ROOM
+        page.append(name)
+        room -= size
+    yield page
+
 
 @dataclass(frozen=True, slots=True)
 class BudgetRules:
--- a/harriertrack/decisions/fleet/holder.py
+++ b/harriertrack/decisions/fleet/holder.py
@@ -10,15 +10,23 @@
 import math
 from dataclasses import dataclass
 
-from harriertrack.decisions.fleet.budgets import Ask, BudgetRules, Claim, Grant, Lease, Portion, Term, Whole
+from harriertrack.decisions.fleet.budgets import (
+    Ask,
+    BudgetRules,
+    Claim,
+    Grant,
+    Lease,
+    Portion,
+    Term,
+    Whole,
+    pages,
+)
 
 RISE_US = 150_000  # time constants of what is asked of a budget: quickly up, as far as that is no chance,
 FALL_US = 600_000  # and slowly down, for demand that swings is to leave shares where they are
 SURE = 2.0  # standard deviations of a quick reading that are put down to chance
 NEWS = 0.1  # of what was told last: a smaller change of demand is told later
 IDLE = 1e-3  # of a whole: less demand is none
-CLAIM_ROOM = 960  # bytes of claims in one ask: it fits a datagram
-CLAIM_BYTES = 40  # of a claim beside its budget's name
 
 
 @dataclass(slots=True)
@@ -145,20 +153,11 @@
         if self.term is None:
             return []
         due = now >= self._next_ask
-        news = [(name, held) for name, held in self.held.items() if self._is_news(now, held, due)]
+        news = [name for name, held in self.held.items() if self._is_news(now, held, due)]
         if not news and not (due and self._holds()):
             return []
-        pages: list[list[tuple[str, Held]]] = [[]]
-        room = CLAIM_ROOM
-        for name, held in news:
-            size = len(name.encode()) + CLAIM_BYTES
-            if size > room:
-                pages.append([])
-                room = CLAIM_ROOM
-            pages[-1].append((name, held))
-            room -= size
         self._next_ask = now + self.rules.ask_us
-        return [self._ask(now, self.term, page) for page in pages]
+        return [self._ask(now, self.term, page) for page in pages(news)]
 
     def _holds(self) -> bool:
         return any(held.portion.share or held.version for held in self.held.values())
@@ -174,11 +173,12 @@
         # Less is told with the next ask; more at once, if what is held is not enough.
         return due or (wanted > held.portion.share and wanted > told)
 
-    def _ask(self, now: int, term: Term, page: list[tuple[str, Held]]) -> Ask:
+    def _ask(self, now: int, term: Term, page: list[str]) -> Ask:
         self._number += 1
         self._tenure_at = self._tenure_at or now
         claims, told = [], []
-        for name, held in page:
+        for name in page:
+            held = self.held[name]
             held.sent, held.sent_at = state, _ = held.state(), now
             told.append((name, state))
             claims.append(Claim(name, held.portion.whole.moving, *state))
--- a/harriertrack/decisions/fleet/ledger.py
+++ b/harriertrack/decisions/fleet/ledger.py
@@ -9,10 +9,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from harriertrack.decisions.fleet.budgets import Ask, BudgetRules, Claim, Grant, Share, Term
+from harriertrack.decisions.fleet.budgets import Ask, BudgetRules, Claim, Grant, Share, Term, pages
 from harriertrack.decisions.fleet.dividing import Wish, divide
 
-MOST_SHARES = 16  # in one grant: it fits a datagram
 MOST_OVER = 4096  # holders whose leases ended that are remembered: what they say late is not believed
 LEAST = 1e-9  # of a whole: less is nothing
 
@@ -104,7 +103,8 @@
             self._claim(holder, tenant, claim)
         news = dict.fromkeys(claim.budget for claim in ask.claims)
         news.update(tenant.untold)
-        return self._grant(holder, tenant, ask.number, lease_us, list(news)[:MOST_SHARES])
+        first = next(pages(news))  # what does not fit is told with the next
+        return self._grant(holder, tenant, ask.number, lease_us, first)
 
     def _counted_us(self, lease_us: int) -> int:
         return int(lease_us * (1 + self.rules.clock_error)) + 1
@@ -159,8 +159,8 @@
     def _pages(self, news: dict[Holder, list[str]]) -> Iterator[Grant]:
         for holder, names in news.items():
             tenant = self.tenants[holder]
-            for at in range(0, len(names), MOST_SHARES):
-                yield self._grant(holder, tenant, 0, self.rules.lease_us, names[at : at + MOST_SHARES])
+            for page in pages(names):
+                yield self._grant(holder, tenant, 0, self.rules.lease_us, page)
 
     def _free(self, holder: Holder) -> None:
         """Count nothing of a holder any more: its lease is over, or it said that it holds nothing."""
--- a/harriertrack/gateway/fleet/budgets.py
+++ b/harriertrack/gateway/fleet/budgets.py
@@ -225,6 +225,7 @@
             ledger = seat.candidate.ledger
             if ledger is not None:
                 when += [ledger.wake_at(), seat.told_at + self.portions.rules.lease_us]
+                when.append(seat.candidate.valid_until)
         due = [at for at in when if at is not None]
         if due:
             self._alarm.wake_at(max(min(due), now + 1_000))
@@ -232,9 +233,10 @@
     def _keep(self, now: int, seat: _Seat) -> None:
         """Do what is due as who keeps a ledger."""
         candidate = seat.candidate
-        if candidate.look(now):
-            self._ended(seat)
+        candidate.look(now)
         ledger = candidate.ledger
+        if ledger is None and seat.mine:
+            self._ended(seat)
         if not candidate.valid(now) or ledger is None:
             return
         self._heard(now, seat, ledger.term, None)
@@ -271,8 +273,7 @@
                 case Call.RENEW:
                     holds = self._renew(seat)
                     candidate.renewed(self._hub.now(), now, holds)
-                    if candidate.ledger is None:
-                        self._ended(seat)
+                    self._soon()
                 case _:
                     until = candidate.wake_at(now, here)
                     self._hub.sleep(max(1_000, min(until - now, LOOK_US)))
--- a/harriertrack/lab/fleet/days/budget-jump.sexp
+++ b/harriertrack/lab/fleet/days/budget-jump.sexp
@@ -5,7 +5,7 @@
   (budgets (clock-error 0.01) (term 2s) (patience 1s) (budget limits (fixed 0.25)))
   (step start) (step agree (within 20s)) (step rest (for 2s))
   (step jump (for 15s) (every 1s) (times 2))
-  (step weather (who "all") (other "all") (late 80ms) (jitter 60ms))
+  (step weather (who "all") (other "all") (late 60ms) (jitter 200ms))
   (step jump (who "head0" "head1") (for 10s) (every 1s) (times 2))
   (step heal)
   (step demand (times 2)) (step rest (for 3s)) (step agree (within 20s)))
--- a/harriertrack/lab/fleet/days/budget-partition.sexp
+++ b/harriertrack/lab/fleet/days/budget-partition.sexp
@@ -13,5 +13,5 @@
   (step weather (who "0..0.34") (cut yes) (for 700ms)) (step rest (for 1400ms))
   (step weather (who "0.34..0.67") (cut yes) (for 1100ms)) (step rest (for 1800ms))
   (step weather (who "0.67..1") (cut yes) (for 700ms)) (step rest (for 1400ms))
-  (step weather (who "all") (other "all") (lost 0.3) (twice 0.3) (jitter 300ms)) (step rest (for 5s))
-  (step heal) (step agree (within 30s)) (step rest (for 4s)))
+  (step weather (who "all") (other "all") (lost 0.3) (twice 0.3) (jitter 300ms)) (step jump (for 9s) (every 900ms) (times 2))
+  (step heal) (step demand (times 2)) (step agree (within 30s)) (step rest (for 4s)))
