--- a/harriertrack/decisions/fleet/holder.py
+++ b/harriertrack/decisions/fleet/holder.py
@@ -23,9 +23,10 @@
 )
 
 RISE_US = 150_000  # time constants of what is asked of a budget: quickly up, as far as that is no chance,
-FALL_US = 600_000  # and slowly down, for demand that swings is to leave shares where they are
+FALL_US = 500_000  # and slowly down, for demand that swings is to leave shares where they are
 SURE = 2.0  # standard deviations of a quick reading that are put down to chance
-NEWS = 0.1  # of what was told last: a smaller change of demand is told later
+MORE = 0.1  # of what was told last: so much more is wanted before it is told, and only if it is not held
+LESS = 0.3  # ... and so much less than what is needed of it
 IDLE = 1e-3  # of a whole: less demand is none
 
 
@@ -167,11 +168,12 @@
         known = held.sent if now < held.sent_at + self.rules.ask_us else held.told  # else it may be lost
         if state[1:] != held.told[1:]:
             return state[1:] != known[1:]
-        wanted, told = state[0], known[0]
-        if told < 0 or abs(wanted - told) <= NEWS * max(told, IDLE * held.portion.whole.rate):
-            return told < 0 < wanted
-        # Less is told with the next ask; more at once, if what is held is not enough.
-        return due or (wanted > held.portion.share and wanted > told)
+        wanted, told, share = state[0], known[0], held.portion.share
+        if told < 0 or wanted > told:
+            return wanted > max(share, told * (1 + MORE))
+        # Less is told with the next ask. While there is not enough for all, it changes nothing until it is
+        # less than the share.
+        return due and wanted < told and wanted <= (1 - LESS) * min(told, share)
 
     def _ask(self, now: int, term: Term, page: list[str]) -> Ask:
         self._number += 1
--- a/harriertrack/lab/fleet/division.py
+++ b/harriertrack/lab/fleet/division.py
@@ -214,6 +214,7 @@
             for other in list(self.members.values()):
                 other.candidate.vacated(self.clock(other))
         self.kill(name)
+        self._gone_at[name] = self.now - KNOWN_GONE_US  # it said so
 
     def stop(self, name: str, us: int) -> None:
         """Let a process stand still: what it decides in its next step is sent when it goes on."""
