A keeper of budgets whom most heads do not reach gives its ledger up

A head that reached the witness but hardly any other head kept the lock for ever, and all others had their fixed parts alone. Who finds the lock held and its holder silent for a session and the patience more leaves at the witness how many heads it sees; a keeper that sees fewer unlocks. Four heads, the keeper cut off from the three others but not from the witness: they had another keeper within 40 s, and it stayed.

--- a/harriertrack/decisions/fleet/terms.py
+++ b/harriertrack/decisions/fleet/terms.py
@@ -5,6 +5,10 @@
 that the witness counts from an earlier number than was heard of waits for a whole session more: the witness
 was restored from a backup, and may have given the lock away under a living holder.
 
+A keeper whom most heads do not reach would hold the lock for ever while they have their fixed parts alone. So
+who finds the lock held and hears nothing of its holder says at the witness how many heads it sees, and a
+keeper that sees fewer gives the lock back.
+
 Pure: `step` says what is to be asked of the witness, and `answered` hears how that ended.
 """
 
@@ -48,6 +52,13 @@
     lease_us: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Held:
+    """The lock is another's, as its `epoch`-th holder."""
+
+    epoch: int
+
+
 def rank(ledger: int, me: str, present: Iterable[str]) -> int:
     """Return how many of those who are there come before this head in a ledger's line."""
 
@@ -72,6 +83,7 @@
         self._heard_at = self._tried_at = now
         self._next = now
         self._calling = False
+        self._held, self._held_since = 0, now  # whose lock was found, and since when
 
     def valid(self, now: int) -> bool:
         """Whether this head keeps the ledger, and may say so."""
@@ -117,13 +129,15 @@
         self._calling = True
         return call
 
-    def taken(self, now: int, asked_at: int, found: Taken | None) -> Ledger | None:
+    def taken(self, now: int, asked_at: int, found: Taken | Held | None) -> Ledger | None:
         """Hear how taking ended; return the ledger of the term that begins, if one does."""
         self._calling = False
         if self.seat is not Seat.TAKING:
             return None
         self.seat = Seat.AWAY
-        if found is None:
+        if isinstance(found, Held) and found.epoch != self._held:
+            self._held, self._held_since = found.epoch, now
+        if not isinstance(found, Taken):
             return None
         rules = self.rules
         self.valid_until = asked_at + self._safe_us
@@ -139,6 +153,19 @@
         self._next = now + rules.term_us // RENEWS
         return self.ledger
 
+    def complains(self, now: int) -> bool:
+        """Whether the lock's holder has been silent for so long that its renewals can't be the reason."""
+        since = max(self._held_since, self._heard_at)
+        return self._held > 0 and now >= since + self.rules.term_us + self.rules.patience_us
+
+    def outnumbered(self, now: int, claimed: int, there: int) -> bool:
+        """Give the term up if somebody whom this head does not reach sees more heads than it does."""
+        if self.seat is not Seat.KEEPING or claimed <= there:
+            return False
+        self._end(now)
+        self._heard_at = now + self.rules.term_us  # others come first
+        return True
+
     @property
     def _safe_us(self) -> int:
         return int(self.rules.term_us * (1 - 2 * self.rules.clock_error))
--- a/harriertrack/gateway/fleet/budgets.py
+++ b/harriertrack/gateway/fleet/budgets.py
@@ -16,7 +16,7 @@
 from harriertrack.decisions.fleet.holder import Holder
 from harriertrack.decisions.fleet.ledger import Ledger
 from harriertrack.decisions.fleet.portions import UNITS, Divided, Portions, Use
-from harriertrack.decisions.fleet.terms import Call, Candidate, Seat, Taken, rank
+from harriertrack.decisions.fleet.terms import Call, Candidate, Held, Seat, Taken, rank
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.gateway.witness import FAILURES, WitnessClient
 from harriertrack.membership.fleet import budgeting
@@ -39,6 +39,13 @@
 MOST_TOLD = 2_000  # portions, and slips, in one document
 
 
+class Complaint(msgspec.Struct, frozen=True):
+    """What a head leaves at the witness that hears nothing of a lock's holder: how many it sees."""
+
+    epoch: int
+    there: int
+
+
 class Kept(msgspec.Struct, frozen=True):
     """What the witness keeps beside a ledger's lock."""
 
@@ -280,9 +287,14 @@
         self._release(seat)
 
     def _try_take(self, seat: _Seat, asked_at: int) -> None:
-        found: Taken | None = None
+        found: Taken | Held | None = None
         try:
             found = self._take_lock(seat)
+            if isinstance(found, Held) and seat.candidate.complains(self._hub.now()):
+                there = len(self._swim.view.present)
+                self._witness.put(f"{seat.path}/silent", msgspec.json.encode(Complaint(found.epoch, there)))
+                self._parts.note("fleet budgets: keeper is silent", ledger=seat.number, epoch=found.epoch,
+                                 there=there)  # fmt: skip
         except FAILURES as error:
             why = str(error) or type(error).__name__
             self._parts.note("fleet budgets: no witness", ledger=seat.number, why=why)
@@ -296,10 +308,10 @@
                              opens_us=opens_us)  # fmt: skip
             self._wake()
 
-    def _take_lock(self, seat: _Seat) -> Taken | None:
+    def _take_lock(self, seat: _Seat) -> Taken | Held | None:
         key = self._witness.key(seat.path)
         if key is not None and key.session:
-            return None
+            return Held(key.epoch)
         session = self._witness.create(self._settings.term_us)
         value = msgspec.json.encode(Kept(self._swim.me.name, self._settings.lease_us))
         if not self._witness.change(seat.path, "lock", session, value, key.index if key is not None else 0):
@@ -315,13 +327,26 @@
         try:
             if not self._witness.renew(seat.session):
                 return False
-            key = self._witness.key(seat.path)
+            key, heard = self._witness.key(seat.path), self._witness.key(f"{seat.path}/silent")
         except FAILURES:
             return None
+        if heard is not None and ledger is not None:
+            self._heed(seat, ledger, heard.value)
         return key is not None and ledger is not None and (
             (key.session, key.epoch) == (seat.session, ledger.term.epoch)
         )
 
+    def _heed(self, seat: _Seat, ledger: Ledger, value: bytes) -> None:
+        """Hear how many heads somebody sees that hears nothing of this one."""
+        try:
+            told = msgspec.json.decode(value, type=Complaint)
+        except msgspec.MsgspecError:
+            return  # none of ours
+        there = len(self._swim.view.present)
+        if told.epoch == ledger.term.epoch and seat.candidate.outnumbered(self._hub.now(), told.there, there):
+            self._parts.note("fleet budgets: outnumbered", ledger=seat.number, there=there, theirs=told.there)
+            self._give_back(seat, ledger)
+
     def leave(self) -> None:
         """Give back what is kept: another head need not wait for a session to end."""
         self._leaving = True
@@ -329,14 +354,17 @@
     def _release(self, seat: _Seat) -> None:
         ledger = seat.candidate.ledger
         if seat.candidate.leave(self._hub.now()) and ledger is not None:
-            try:
-                key = self._witness.key(seat.path)
-                if key is not None and key.session == seat.session:
-                    self._witness.change(seat.path, "unlock", seat.session, key.value, key.index)
-            except FAILURES:
-                pass  # its session ends by itself
-            for address in self._others():
-                self._send(address, (Kind.VACATED, seat.number, ledger.term))
+            self._give_back(seat, ledger)
+
+    def _give_back(self, seat: _Seat, ledger: Ledger) -> None:
+        try:
+            key = self._witness.key(seat.path)
+            if key is not None and key.session == seat.session:
+                self._witness.change(seat.path, "unlock", seat.session, key.value, key.index)
+        except FAILURES:
+            pass  # its session ends by itself
+        for address in self._others():
+            self._send(address, (Kind.VACATED, seat.number, ledger.term))
 
     @property
     def released(self) -> bool:
--- a/harriertrack/gateway/witness.py
+++ b/harriertrack/gateway/witness.py
@@ -106,4 +106,8 @@
 
     def set_wish(self, volume: str, region: str) -> None:
         """Wish a volume into a region; "" takes the wish back."""
-        self._must("PUT", f"{leases.WISH_PREFIX}{volume}", region.encode())
+        self.put(f"{leases.WISH_PREFIX}{volume}", region.encode())
+
+    def put(self, path: str, value: bytes) -> None:
+        """Write a key that nobody locks."""
+        self._must("PUT", path, value)
--- a/harriertrack/lab/fleet/days/budget-partition.sexp
+++ b/harriertrack/lab/fleet/days/budget-partition.sexp
@@ -8,6 +8,7 @@
   (step weather (who "0..0.5") (cut yes)) (step rest (for 4s))
   (step weather (who "0..0.5") (other "witness") (cut yes)) (step rest (for 6s))
   (step heal) (step agree (within 30s)) (step rest (for 4s))
+  (step weather (who "0..0.34") (cut yes)) (step rest (for 12s)) (step heal) (step rest (for 2s))
   (step weather (who "head2") (cut yes) (one-way yes)) (step rest (for 3s))
   (step heal) (step rest (for 1s))
   (step weather (who "0..0.34") (cut yes) (for 700ms)) (step rest (for 1400ms))
--- a/tests/test_fleet_budgets_carrier.py
+++ b/tests/test_fleet_budgets_carrier.py
@@ -553,3 +553,21 @@
     settings = BudgetsSettings(witness=("h", 1), budgets=(BudgetSettings(name=BudgetUse.LIMITS),))
     assert carrier.rules_of(settings) == BudgetRules()
     assert carrier.rules_of(msgspec.structs.replace(settings, contenders=2, weight=3.0)) == BudgetRules(contenders=2, weight=3.0)
+
+
+def test_a_keeper_whom_most_do_not_reach_gives_the_ledger_up():
+    def test(heads):
+        hub = heads.hub
+        hub.sleep(8 * S)
+        (keeper,) = heads.keepers()
+        alone = {f"h{keeper}"}  # it reaches the witness, and none of the others
+        heads.datagrams._fate = lambda source, target, _size: () if (source in alone) != (target in alone) else (100,)
+        hub.sleep(40 * S)
+        (other,) = heads.keepers()
+        assert other != keeper and "fleet budgets: outnumbered" in [event for event, _ in heads.sites[keeper].notes]
+        asks = [seat.keeper if not seat.mine else "itself" for seat in map(heads.seat, range(4))]
+        assert sum(one is not None for one in asks) >= 3, "the others have somebody to ask"
+        hub.sleep(20 * S)
+        assert heads.keepers() == [other], "the one that is alone sees fewer, and does not take it back"
+
+    run(test, count=4)
