Budgets of a number at a time: links open to a node, divided like rates

What is taken comes back when it is given back; a share goes only as far as it is free, and is confirmed then. A head whose lease ended closes what it has too much of, each link after what it carries. Random takes, gives, kills and cuts: the sum held.

--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -221,6 +221,7 @@
     COLD = "cold"
     LIST_CALLS = "list-calls"
     CONNECTIONS = "connections"
+    LINKS = "links"
 
 
 class BudgetSettings(Checked, frozen=True, kw_only=True):
@@ -228,7 +229,7 @@
 
     name: BudgetUse
     fixed: Share = 0.1  # the part that is divided evenly beforehand and never moves
-    whole: Amount = 0.0  # a second
+    whole: Amount = 0.0  # a second; of links: at a time
     burst: Amount = 0.0  # at once
 
 
@@ -503,6 +504,9 @@
         if one.name in (BudgetUse.LIMITS, BudgetUse.COLD):
             if one.whole or one.burst:
                 fail(f"{at}: whole", "the plans and rules say how much that is")
+        elif one.name is BudgetUse.LINKS:
+            if one.whole * one.fixed < head.heads or one.burst:
+                fail(f"{at}: whole", "needs no burst, and a fixed part of at least one for each head")
         elif one.whole <= 0 or one.burst < 1:
             fail(f"{at}: whole", "needs a whole above 0 and a burst of at least 1")
         if one.name is BudgetUse.ATTEMPTS and not head.rules.budget_window_us:
--- a/harriertrack/decisions/fleet/budgets.py
+++ b/harriertrack/decisions/fleet/budgets.py
@@ -1,4 +1,4 @@
-"""Budgets of a fleet: a rate with its burst that all heads together keep to, divided among them.
+"""Budgets of a fleet: what all heads together keep to, a rate with its burst or a number at a time.
 
 A part of each is fixed: every head has it, whoever else is there. The rest moves: a *ledger* (ledger.py),
 kept by one head in a *term* under the witness's lock, grants *shares* of it to *holders* (holder.py). Each
@@ -17,12 +17,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from zlib import crc32
 
 from harriertrack.decisions.bucket import Bucket
 
+EXACT = 1e-6  # of one: what floating point may add up to
 ROOM = 960  # bytes of claims or shares that fit one datagram
 ENTRY_BYTES = 44  # of one, beside its budget's name
 
@@ -131,14 +133,15 @@
 class Whole:
     """A budget as a head is told it: the whole, a second and at once, over how many heads, the fixed part."""
 
-    rate: float
+    rate: float  # or the number at a time
     burst: float
     hosts: int
     fixed: float
+    counted: bool = False  # a number at a time: what is taken comes back when it is given back, not with time
 
     @property
     def moving(self) -> float:
-        """Return how much a second moves between heads."""
+        """Return how much of it moves between heads, a second or at a time."""
         return (1 - self.fixed) * self.rate
 
 
@@ -161,20 +164,24 @@
     lease by itself, so that a head which stood still uses nothing on waking that has ended meanwhile.
     """
 
-    __slots__ = ("whole", "lease", "share", "slow", "came", "squared")
+    __slots__ = ("whole", "lease", "share", "slow", "came", "squared", "waiting")
 
     def __init__(self, at: int, whole: Whole, lease: Lease, clock_error: float, age_us: int = 0) -> None:
         """Begin with the fixed part; `age_us`: for how long the head surely used none of it."""
         super().__init__(at)
         self.whole, self.lease, self.share, self.slow = whole, lease, 0.0, 1 - clock_error
         self.came = self.squared = 0.0  # asked of it since it was last measured
+        self.waiting = 0  # of a number at a time: who would take one
         self._set(0.0)
-        self.level = min(self.most, self.rate * age_us / 1e6)
+        self.level = self.most if whole.counted else min(self.most, self.rate * age_us / 1e6)
 
     def _set(self, share: float) -> None:
         whole, self.share = self.whole, share
         part = whole.fixed / whole.hosts + (share / whole.rate if whole.rate > 0 else 0.0)
-        self.rate, self.most = self.slow * whole.rate * part, whole.burst * part
+        if whole.counted:
+            self.rate, self.most = 0.0, whole.rate * part
+        else:
+            self.rate, self.most = self.slow * whole.rate * part, whole.burst * part
 
     def asked(self, units: float) -> None:
         """Count what is asked of it, whatever becomes of that."""
@@ -191,14 +198,45 @@
         """Let the share go: the lease is over, or holds no more; what came with it is gone too."""
         if self.share:
             super().now(max(self.at, min(now, self.lease.until)))
+            before = self.most
             self._set(0.0)
-            self.level = min(self.level, self.most)
+            self.level = self.level + self.most - before if self.whole.counted else min(self.level, self.most)
+
+    # -- of a number at a time
+
+    @property
+    def used(self) -> float:
+        """Return how much is taken now."""
+        return self.most - self.level
+
+    @property
+    def over(self) -> int:
+        """Return how much is to be given back at once: its share has ended."""
+        return max(0, math.ceil(-self.level - EXACT))
+
+    def spares(self, share: float) -> bool:
+        """Whether it can let its share become this: of a number at a time only what is free can go."""
+        return not self.whole.counted or self.share - share <= self.level + EXACT
+
+    def take(self, now: int) -> bool:
+        """Take one if there is one."""
+        if self.now(now) < 1.0 - EXACT:
+            return False
+        self.level -= 1.0
+        return True
+
+    def give(self) -> None:
+        """Give one back."""
+        self.level = min(self.most, self.level + 1.0)
 
     def change(self, now: int, share: float, tokens: float) -> float:
         """Take another share, with tokens if it is larger; return those that go if it is smaller."""
         self.now(now)
         before, level = self.most, self.level
         self._set(share)
+        if self.whole.counted:
+            self.level = level + self.most - before
+            return 0.0
         if self.most >= before:
             self.level = min(self.most, level + tokens)
             return 0.0
--- a/harriertrack/decisions/fleet/holder.py
+++ b/harriertrack/decisions/fleet/holder.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from harriertrack.decisions.fleet.budgets import (
+    EXACT,
     Ask,
     BudgetRules,
     Claim,
@@ -49,6 +50,9 @@
     def wanted(self) -> float:
         """Return what could be used a second beyond the fixed part."""
         whole = self.portion.whole
+        if whole.counted:
+            now = self.portion.used + self.portion.waiting
+            return max(0.0, max(now, self.steady) - whole.rate * whole.fixed / whole.hosts)
         # An exponential mean of arrivals at random has the variance of their squares by twice its time.
         surely = self.quick - SURE * math.sqrt(self.spread * 1e6 / (2 * RISE_US))
         demand = self.quick if surely > self.steady else self.steady
@@ -63,6 +67,9 @@
             return
         portion, gain = self.portion, 1 - math.exp(-passed / RISE_US)
         rate, squares = portion.came * 1e6 / passed, portion.squared * 1e6 / passed
+        if portion.whole.counted:
+            rate = portion.used + portion.waiting
+            rate = 0.0 if rate < EXACT and self.steady < IDLE * portion.whole.rate else rate
         portion.came, portion.squared, self.measured_at = 0.0, 0.0, now
         self.quick += gain * (rate - self.quick)
         self.spread += gain * (squares - self.spread)
@@ -221,8 +228,8 @@
         changed = False
         for share in grant.shares:
             held = self.held.get(share.budget)
-            if held is None or share.version <= held.version:
-                continue
+            if held is None or share.version <= held.version or not held.portion.spares(share.rate):
+                continue  # what can't be let go of yet is told again with the next answer
             held.version, changed = share.version, True
             held.released = held.portion.change(now, share.rate, max(0.0, share.tokens))
         if changed:
--- a/harriertrack/decisions/fleet/portions.py
+++ b/harriertrack/decisions/fleet/portions.py
@@ -24,11 +24,12 @@
     COLD = "cold"  # units for a node that has just started
     LIST_CALLS = "list-calls"
     CONNECTIONS = "connections"  # new ones, to a node
+    LINKS = "links"  # connections that are open to a node at a time
 
 
 UNITS = {
     Use.LIMITS: "units", Use.ATTEMPTS: "attempts", Use.COLD: "units", Use.LIST_CALLS: "calls",
-    Use.CONNECTIONS: "connections",
+    Use.CONNECTIONS: "connections", Use.LINKS: "at a time",
 }  # fmt: skip
 
 
@@ -67,7 +68,8 @@
         name = budget_name(use, of)
         holder = self.holders[ledger_of(name, len(self.holders))]
         fresh = name not in holder.held
-        portion = holder.open(now, name, Whole(rate, burst, hosts, divided.fixed))
+        whole = Whole(rate, burst, hosts, divided.fixed, use is Use.LINKS)
+        portion = holder.open(now, name, whole)
         if fresh:
             self.woken()
         return portion
@@ -132,6 +134,33 @@
             portion.level -= 1.0
         return wait
 
+    def link(self, now: int, node: str) -> bool:
+        """Take one of the links that may be open to a node, if one is to be had."""
+        portion = self._simple(now, Use.LINKS, node)
+        return portion is None or portion.take(now)
+
+    def link_wanted(self, now: int, node: str, more: int) -> None:
+        """Hear that so many more, or fewer, wait for a link to a node."""
+        if (portion := self._simple(now, Use.LINKS, node)) is not None:
+            portion.waiting += more
+
+    def link_closed(self, now: int, node: str) -> None:
+        """Take one back."""
+        if (portion := self._simple(now, Use.LINKS, node)) is not None:
+            portion.give()
+
+    def links_over(self, now: int) -> list[tuple[str, int]]:
+        """Return to which nodes more links are open than this head has now, and how many more."""
+        if Use.LINKS not in self.divided:
+            return []
+        found = []
+        for name, portion in self:
+            if portion.whole.counted:
+                portion.now(now)
+                if portion.over:
+                    found.append((name.partition("/")[2], portion.over))
+        return found
+
     @property
     def divides_attempts(self) -> bool:
         """Whether further attempts beyond each head's own share are divided."""
--- a/harriertrack/gateway/fleet/budgets.py
+++ b/harriertrack/gateway/fleet/budgets.py
@@ -122,6 +122,7 @@
         self._witness = WitnessClient(hub, parts.network, settings.witness, settings.timeout_us, swim.me.name)
         self._alarm = Alarm(hub, self._wake)
         self._leaving = self._closed = False
+        self.shed: Callable[[str, int], None] = lambda _node, _number: None  # close so many links to a node
 
     def start(self) -> None:
         """Take part from now on."""
@@ -233,6 +234,8 @@
             if ledger is not None:
                 when += [ledger.wake_at(), seat.told_at + self.portions.rules.lease_us]
                 when.append(seat.candidate.valid_until)
+        for node, number in self.portions.links_over(now):
+            self.shed(node, number)
         due = [at for at in when if at is not None]
         if due:
             self._alarm.wake_at(max(min(due), now + 1_000))
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -127,6 +127,8 @@
 
                     self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions)
                     self.fleet.start()
+                    if self.fleet.budgets is not None:
+                        self.fleet.budgets.shed = self._links.shed
                 self.ready.set()
                 self._stopping.wait()
                 if self.fleet is not None:
--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -39,6 +39,7 @@
 
     def __init__(self, links: Links, node: str, volume: str, epoch: int) -> None:
         self.node, self.volume, self.epoch = node, volume, epoch
+        self.counted = False  # it is one of those that the fleet may have open at a time
         self._links, self._hub = links, links.hub
         self.life = LinkLife(links.settings.limits.orphans)
 
@@ -154,7 +155,7 @@
 
     def _dial(self) -> None:
         deadline = self._hub.now() + self._links.settings.limits.dial_us
-        self._links.await_connection(self.node, deadline)
+        self._links.await_connection(self, deadline)
         self._stream = self._links.network.connect(self.address, deadline, self._links.name)
         self._await(Greeted, deadline)
         self._nbd.ask_structured()
@@ -224,6 +225,7 @@
         self.sizes = {volume.name: volume.size_bytes for volume in head.settings.volumes}
         self._scope, self._note, self._portions = head.scope, head.note, head.portions
         self._links: dict[tuple[str, str], BaseLink] = {}
+        self._shed: list[BaseLink] = []  # told to close
         self.epochs: dict[str, int] = {}  # of volumes of two regions: the lease that work is done under
 
     def flags(self, asked: int, kind: Kind) -> int:
@@ -249,15 +251,36 @@
         self._scope.spawn(f"link {node} {volume}", link.run)
         return link
 
-    def await_connection(self, node: str, deadline: int) -> None:
+    def await_connection(self, link: BaseLink, deadline: int) -> None:
         """Wait for a connection of those that the fleet divides, if it does. Raises LinkError."""
-        again = False
-        while self._portions is not None and (us := self._portions.connection(self.hub.now(), node, again)):
-            if self.hub.now() >= deadline:
-                raise LinkError("no new connection is to be had of what the fleet may open")
-            self.hub.sleep(min(us, PORTION_US))
+        portions, node, now = self._portions, link.node, self.hub.now
+        if portions is None:
+            return
+        portions.link_wanted(now(), node, 1)
+        try:
+            while not portions.link(now(), node):
+                self._sleep(deadline)
+        finally:
+            portions.link_wanted(now(), node, -1)
+        link.counted, again = True, False
+        while portions.connection(now(), node, again):
+            self._sleep(deadline)
             again = True
 
+    def _sleep(self, deadline: int) -> None:
+        if self.hub.now() >= deadline:
+            raise LinkError("no connection is to be had of what the fleet may open")
+        self.hub.sleep(PORTION_US)
+
+    def shed(self, node: str, number: int) -> None:
+        """Close some links to a node, each after what it still carries."""
+        self._shed = [link for link in self._shed if link.counted]  # the others are closed
+        number -= sum(link.node == node for link in self._shed)
+        mine = [link for link in self._links.values() if link.node == node and link.counted]
+        for link in mine[: max(0, number)]:
+            self._shed.append(link)
+            link.retire()
+
     def call_off(self, attempt: Attempt) -> None:
         """Pass a cancel on."""
         link = self._links.get((attempt.member.entry.node, attempt.volume))
@@ -272,6 +295,9 @@
     def closed(self, link: BaseLink, why: str) -> None:
         """A link is gone."""
         self.forget(link)
+        if link.counted and self._portions is not None:
+            link.counted = False
+            self._portions.link_closed(self.hub.now(), link.node)
         self._note("link closed", node=link.node, volume=link.volume, why=why)
 
     def __len__(self) -> int:
--- a/tests/test_fleet_budgets.py
+++ b/tests/test_fleet_budgets.py
@@ -121,6 +121,100 @@
     assert portion.level == portion.most == pytest.approx(40 * 0.1 / 6)
 
 
+# -- a number at a time
+
+
+NUMBER = Whole(40.0, 0.0, 4, 0.2, counted=True)
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.sampled_from(["take", "take", "give", "wait", "kill", "cut"])),
+                min_size=20, max_size=150), st.integers(0, 9))  # fmt: skip
+@settings(max_examples=60, deadline=None)
+def test_a_number_at_a_time_is_never_exceeded(steps, seed):
+    """Four heads take, give back, die and lose their ledger for a while; one instant after another."""
+    ledger = Ledger(0, Term(1, 1), 0, QUICK)
+    now, instances = 0, iter(range(1, 1000))
+
+    def fresh(at):
+        one = Holder(0, f"h{at}", next(instances), QUICK, now)
+        one.hear(now, ledger.term)
+        return one
+
+    holders = [fresh(at) for at in range(4)]
+    cut: dict[int, int] = {}
+    waiting = [0] * 4
+
+    def tell(grant):
+        at = int(grant.holder[1:])
+        if holders[at].instance == grant.instance and cut.get(at, 0) <= now:
+            holders[at].granted(now, grant)
+
+    for at, what in steps:
+        for _ in range(6):
+            now += 20_000
+            for number, holder in enumerate(holders):
+                for ask in holder.asks(now):
+                    if cut.get(number, 0) <= now and (grant := ledger.ask(now, ask)) is not None:
+                        tell(grant)
+            for grant in ledger.round(now):
+                tell(grant)
+            for holder in holders:
+                portion = holder.open(now, "n", NUMBER)
+                portion.now(now)
+                for _ in range(portion.over):
+                    portion.give()
+            assert sum(holder.open(now, "n", NUMBER).used for holder in holders) <= 40 + 1e-6
+        portion = holders[at].open(now, "n", NUMBER)
+        if what == "take":
+            for _ in range(12):
+                if not portion.take(now):
+                    waiting[at] += 1
+            portion.waiting = waiting[at]
+        elif what == "give":
+            portion.waiting = waiting[at] = 0
+            for _ in range(int(portion.used)):
+                portion.give()
+        elif what == "kill":
+            holders[at], waiting[at] = fresh(at), 0
+        elif what == "cut":
+            cut[at] = now + (seed + 1) * 300_000
+
+
+def test_who_needs_more_at_a_time_gets_what_others_gave_back():
+    ledger, now = Ledger(0, Term(1, 1), 0, QUICK), 0
+    one, two = (Holder(0, name, 1, QUICK, 0) for name in "ab")
+
+    def pass_(us):
+        nonlocal now
+        until = now + us
+        while now < until:
+            now += 10_000
+            for holder in (one, two):
+                for ask in holder.asks(now):
+                    holder.granted(now, ledger.ask(now, ask))
+            for grant in ledger.round(now):
+                (one if grant.holder == "a" else two).granted(now, grant)
+
+    for holder in (one, two):
+        holder.hear(0, ledger.term)
+    mine = one.open(0, "n", NUMBER)
+    mine.waiting = 30
+    pass_(S)
+    other = two.open(now, "n", NUMBER)
+    assert sum(mine.take(now) for _ in range(30)) == 30 and mine.waiting == 30
+    mine.waiting, other.waiting = 0, 20
+    pass_(S)
+    taken = sum(other.take(now) for _ in range(20))
+    assert 2 <= taken <= 10 and mine.used == 30 and not mine.over, "what is in use stays"
+    for _ in range(25):
+        mine.give()
+    pass_(3 * S)
+    assert taken + sum(other.take(now) for _ in range(20)) >= 20
+    mine.lease.until = now
+    mine.now(now)
+    assert mine.over == 5 - 2 and mine.used == 5
+
+
 # -- a ledger
 
 
--- a/tests/test_fleet_budgets_carrier.py
+++ b/tests/test_fleet_budgets_carrier.py
@@ -40,7 +40,8 @@
 from harriertrack.runtime.streams import MemoryNetwork
 from harriertrack.standin.witness import Witness
 from tests.test_fleet_days import head
-from tests.test_head import DISK, SHARED, Site
+from harriertrack.protocol.nbd.wire import Command
+from tests.test_head import DISK, EXTENT, SHARED, Site
 
 S = 1_000_000
 COMMAND = [sys.executable, "-m", "harriertrack"]
@@ -123,6 +124,8 @@
     ("(budget attempts (whole 5) (burst 5))", "budget-window"),
     ("(budget cold)", "cold-units"),
     ("(budget sheep)", "sheep"),
+    ("(budget links (whole 8) (burst 2))", "burst"),
+    ("(budget links (whole 8) (fixed 0.1))", "one for each head"),
     ("(budget limits) (ask 900ms)", "ask"),
     ("(budget limits) (term 1s)", "term"),
     ("", "budget"),
@@ -399,6 +402,36 @@
     run(test, more=more, ledgers=2)
 
 
+def test_links_open_at_a_time_are_divided_and_closed_when_the_lease_ends():
+    more = (BudgetSettings(name=BudgetUse.LINKS, fixed=0.5, whole=8),)
+
+    def test(heads):
+        hub, head = heads.hub, heads.sites[0].head
+        hub.sleep(6 * S)
+        links, portions = head._links, head.fleet.budgets.portions
+        for export in ("disk", "shared"):
+            client = heads.sites[0].client(export)
+            for number in range(12):
+                assert not client.call(Command.WRITE, number * EXTENT, data=b"x" * 512).error
+
+        def used():
+            return {name.partition("/")[2]: round(one.used) for name, one in portions if name.startswith("links/")}
+
+        before = used()
+        assert before == {"n0": 2, "n1": 2} and len(links) == 4, "one of each node's is a share"
+        heads.datagrams._fate = lambda *_: ()
+        hub.sleep(4 * S)
+        if head.fleet.budgets._seats[0].candidate.ledger is None:
+            assert used() == {"n0": 1, "n1": 1} and len(links) == 2, "the fixed part alone"
+        heads.datagrams._fate = lambda *_: (100,)
+        hub.sleep(4 * S)
+        for export in ("disk", "shared"):
+            client = heads.sites[0].client(export)
+            assert not client.call(Command.WRITE, 0, data=b"x" * 512).error
+
+    run(test, more=more)
+
+
 # -- the rules
 
 FACTS = rec.BudgetFacts(t=0, budget="b", rate=10.0, burst=5.0, moving=8.0, slack=0.5)
