Trials of a silent node are drawn from the fleet's, and a head alone saves up for one of each thing

Each head tried a silent node up to twice a second: with 200 heads 400 tries. Budgets that are used one by one gave a head of a large fleet a fixed store below one, and alone it could never have tried, called or connected: it saves up for one now.

--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -218,6 +218,7 @@
 
     LIMITS = "limits"
     ATTEMPTS = "attempts"
+    TRIALS = "trials"
     COLD = "cold"
     LIST_CALLS = "list-calls"
     CONNECTIONS = "connections"
--- a/harriertrack/decisions/fleet/budgets.py
+++ b/harriertrack/decisions/fleet/budgets.py
@@ -137,6 +137,7 @@
     burst: float
     hosts: int
     fixed: float
+    least: float = 0.0  # of things that are used one by one: so much each head may save up whatever its part
     counted: bool = False  # a number at a time: what is taken comes back when it is given back, not with time
 
     @property
@@ -181,7 +182,7 @@
         if whole.counted:
             self.rate, self.most = 0.0, whole.rate * part
         else:
-            self.rate, self.most = self.slow * whole.rate * part, whole.burst * part
+            self.rate, self.most = self.slow * whole.rate * part, max(whole.burst * part, whole.least)
 
     def asked(self, units: float) -> None:
         """Count what is asked of it, whatever becomes of that."""
--- a/harriertrack/decisions/fleet/portions.py
+++ b/harriertrack/decisions/fleet/portions.py
@@ -21,6 +21,7 @@
 
     LIMITS = "limits"  # of volumes' plans, in units
     ATTEMPTS = "attempts"  # further ones, beyond each head's own share of its requests
+    TRIALS = "trials"  # of a node that is silent
     COLD = "cold"  # units for a node that has just started
     LIST_CALLS = "list-calls"
     CONNECTIONS = "connections"  # new ones, to a node
@@ -29,7 +30,7 @@
 
 UNITS = {
     Use.LIMITS: "units", Use.ATTEMPTS: "attempts", Use.COLD: "units", Use.LIST_CALLS: "calls",
-    Use.CONNECTIONS: "connections", Use.LINKS: "at a time",
+    Use.TRIALS: "trials", Use.CONNECTIONS: "connections", Use.LINKS: "at a time",
 }  # fmt: skip
 
 
@@ -68,7 +69,8 @@
         name = budget_name(use, of)
         holder = self.holders[ledger_of(name, len(self.holders))]
         fresh = name not in holder.held
-        whole = Whole(rate, burst, hosts, divided.fixed, use is Use.LINKS)
+        one_by_one = use not in (Use.LIMITS, Use.COLD, Use.LINKS)
+        whole = Whole(rate, burst, hosts, divided.fixed, float(one_by_one), use is Use.LINKS)
         portion = holder.open(now, name, whole)
         if fresh:
             self.woken()
@@ -96,6 +98,10 @@
         portion.level -= 1.0 if draw else 0.0
         return True
 
+    def trial(self, now: int, node: str) -> bool:
+        """Return whether this head may try a silent node now, and count it."""
+        return not self._one(now, self._simple(now, Use.TRIALS, node), False)
+
     def cold(self, now: int, node: str, rate: float, units: float) -> float:
         """Count units asked of a cold node; return this head's part of what it bears, `rate` a second."""
         portion = self._open(now, Use.COLD, node, rate, rate, self.heads)
--- a/harriertrack/decisions/interface.py
+++ b/harriertrack/decisions/interface.py
@@ -321,6 +321,9 @@
     def further(self, now: int, draw: bool) -> bool:
         """Return whether an attempt beyond the head's own share is to be had; `draw`: it is made."""
 
+    def trial(self, now: int, node: str) -> bool:
+        """Return whether this head may try a silent node now; it does."""
+
     def cold(self, now: int, node: str, rate: float, units: float) -> float:
         """Return the head's part of what a cold node bears, `rate` units a second; it has `units` for it."""
 
--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -440,6 +440,8 @@
         node = self._place(work) if work.shard < 0 else self._holder(work.shard)
         # A silent node gets a safe request now and then: it earns nothing here, and its answer shows life.
         barred = work.kind.effect is not Effect.SAFE or (node is not None and self._now < node.trial_at)
+        if node is not None and node.silent_at and not barred and self._portions is not None:
+            barred = not self._portions.trial(self._now, node.entry.node)  # some for all heads, not from each
         if node is None or (node.silent_at and barred):
             return self._give_up(work, self.settings.max_hint_us)
         if node.silent_at:
--- a/tests/test_fleet_budgets_carrier.py
+++ b/tests/test_fleet_budgets_carrier.py
@@ -168,6 +168,11 @@
         self.tokens -= draw
         return self.tokens + draw > 0
 
+    def trial(self, now, node):
+        self.asked.append(("trial", node))
+        self.tokens -= 1
+        return self.tokens >= 0
+
     def cold(self, now, node, rate, units):
         self.asked.append(("cold", node, rate))
         return self.part
@@ -227,6 +232,30 @@
     assert none < even < much and portions.asked[0][:2] == ("cold", "n0") or portions.asked[1][:2] == ("cold", "n0")
 
 
+def test_a_silent_node_is_tried_as_often_as_the_fleet_may():
+    def tries(portions):
+        one = module(portions)
+        sent = 0
+        for step in range(400):
+            now = S + step * 50_000
+            actions = one.handle(now, [arrived(step, units=1.0)])
+            sends = [action for action in actions if isinstance(action, api.Send)]
+            sent += len(sends) if step >= 40 else 0
+            for action in sends:
+                one.handle(now + 1, [api.Ended(action.request, 0, "n0", api.Result.CONNECT_FAILED, 500, True)])
+        return sent
+
+    assert tries(None) >= 8
+    assert tries(Counting(3)) <= 3 and tries(Counting(0)) == 0, "none are to be had, none are made"
+
+
+def test_a_head_alone_saves_up_for_one_thing_at_least():
+    divided = {Use.TRIALS: Divided(0.2, 4.0, 4.0)}
+    portions = Portions(BudgetRules(clock_error=0.0), 1, "a", 1, 200, divided, 0)
+    assert not portions.trial(S, "n0")
+    assert portions.trial(260 * S, "n0") and not portions.trial(261 * S, "n0")
+
+
 def test_links_and_list_calls_wait_for_their_turn():
     divided = {Use.CONNECTIONS: Divided(0.5, 8.0, 8.0), Use.LIST_CALLS: Divided(0.5, 8.0, 8.0)}
     portions = Portions(BudgetRules(clock_error=0.0), 1, "a", 1, 4, divided, 0)
