--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -254,7 +254,27 @@
     witness: tuple[str, Port]
     timeout_us: Positive = 1_000_000
     ledgers: Annotated[int, msgspec.Meta(ge=1, le=64)] = 1
-    budgets: tuple[BudgetSettings, ...]
+    budgets: tuple[BudgetSettings, ...] = ()
+
+
+class ZonesSettings(Checked, frozen=True, kw_only=True):
+    """How the fleet leaves zones and returns; decisions/fleet/evacuation.py tells what each figure is."""
+
+    gone: Share = 0.8
+    gone_us: Positive = 300_000
+    fresh_us: Positive = 1_500_000
+    heads: Positive = 2
+    wait_us: Positive = 2_000_000
+    most_wait_us: Positive = 60_000_000
+    tries: Positive = 3
+    turn_us: Positive = 3_000_000
+    answers: Share = 0.7
+    first: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
+    growth: Annotated[float, msgspec.Meta(gt=1, le=10)] = 1.6
+    step_us: Positive = 1_000_000
+    hurts: Share = 0.2
+    calm_us: Positive = 120_000_000
+    told_us: Positive = 3_000_000
 
 
 class FleetFigures(Checked, frozen=True, kw_only=True):
@@ -288,6 +308,7 @@
     cell: Annotated[str, msgspec.Meta(max_length=64)] = ""
     seeds: tuple[FleetSeedSettings, ...] = ()
     budgets: BudgetsSettings | None = None  # None: each head takes an even part
+    zones: ZonesSettings | None = None  # None: each head helps itself when a zone fails
 
 
 class HeadSettings(Checked, frozen=True, kw_only=True):
@@ -465,6 +486,8 @@
         _check_fleet(head.fleet, fail)
         if head.fleet.budgets is not None:
             _check_budgets(head, head.fleet.budgets, fail)
+        elif head.fleet.zones is not None:
+            fail("fleet: zones", "needs budgets: who keeps their first ledger decides on zones")
     if head.extent_bytes > head.most_units * head.unit_bytes:
         fail("most-units", "smaller than a whole extent")
     if head.extent_bytes % head.unit_bytes:
--- a/harriertrack/gateway/fleet/budgets.py
+++ b/harriertrack/gateway/fleet/budgets.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -20,7 +21,7 @@
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.gateway.witness import FAILURES, WitnessClient
 from harriertrack.membership.fleet import budgeting
-from harriertrack.membership.fleet.budgeting import Kind, MalformedDatagram, Said
+from harriertrack.membership.fleet.budgeting import Kind, MalformedDatagram, Said, Seen, Told
 from harriertrack.membership.fleet.swim import Swim
 from harriertrack.membership.fleet.telling import (
     BudgetsTold,
@@ -34,6 +35,9 @@
 from harriertrack.runtime.datagrams import Address
 from harriertrack.runtime.hub import Hub
 
+if TYPE_CHECKING:
+    from harriertrack.gateway.fleet.zones import Zones
+
 PATH = "/v1/kv/harriertrack/budgets/"  # at the witness, with the ledger's number
 LOOK_US = 100_000  # how often it is looked who should keep a ledger
 MOST_TOLD = 2_000  # portions, and slips, in one document
@@ -119,9 +123,10 @@
                   Candidate(holder.number, portions.rules, hub.random.getrandbits(32), hub.now()))
             for holder in portions.holders
         ]  # fmt: skip
-        self._witness = WitnessClient(hub, parts.network, settings.witness, settings.timeout_us, swim.me.name)
+        self.witness = WitnessClient(hub, parts.network, settings.witness, settings.timeout_us, swim.me.name)
         self._alarm = Alarm(hub, self._wake)
         self._leaving = self._closed = False
+        self.zones: Zones | None = None
         self.shed: Callable[[str, int], None] = lambda _node, _number: None  # close so many links to a node
 
     def start(self) -> None:
@@ -155,10 +160,19 @@
         except MalformedDatagram:
             counts.garbage += 1
         else:
+            if isinstance(said, Seen | Told):
+                self._heard_of_zones(now, said)
+                return
             number = said.ledger if isinstance(said, Ask | Grant) else said[1]
             if number < len(self._seats):
                 self._take(now, self._seats[number], said, source)
 
+    def _heard_of_zones(self, now: int, said: Seen | Told) -> None:
+        if self.zones is not None and isinstance(said, Seen):
+            self.zones.saw(now, said)
+        elif self.zones is not None and isinstance(said, Told):
+            self.zones.told(now, said)
+
     def _take(self, now: int, seat: _Seat, said: Said, source: Address) -> None:
         match said:
             case Ask():
@@ -172,7 +186,7 @@
             case (Kind.TERM, _, term):
                 self._heard(now, seat, term, source)
                 self._soon()
-            case (_, _, term):
+            case (Kind.VACATED, _, term):
                 if term == seat.holder.term:
                     seat.candidate.vacated(now)
 
@@ -212,6 +226,27 @@
         self.counts.sent_bytes += len(data)
         self._send_bytes(data, address)
 
+    # -- what else heads tell each other by the first ledger's term
+
+    def keeps(self, now: int) -> Term | None:
+        """Return the term in which this head keeps the first ledger; None if it does not."""
+        candidate = self._seats[0].candidate
+        return candidate.ledger.term if candidate.valid(now) and candidate.ledger is not None else None
+
+    def follows(self, now: int, term: Term) -> bool:
+        """Whether this is the term that this head goes by."""
+        return self._seats[0].holder.hear(now, term)
+
+    def tell_keeper(self, said: Said) -> None:
+        """Tell who keeps the first ledger, if it is known and another head."""
+        if self._seats[0].keeper is not None:
+            self._send(self._seats[0].keeper, said)
+
+    def tell_all(self, said: Said) -> None:
+        """Tell all who are there."""
+        for address in self._others():
+            self._send(address, said)
+
     # -- time
 
     def _wake(self) -> None:
@@ -295,7 +330,7 @@
             found = self._take_lock(seat)
             if isinstance(found, Held) and seat.candidate.complains(self._hub.now()):
                 there = len(self._swim.view.present)
-                self._witness.put(f"{seat.path}/silent", msgspec.json.encode(Complaint(found.epoch, there)))
+                self.witness.put(f"{seat.path}/silent", msgspec.json.encode(Complaint(found.epoch, there)))
                 self._parts.note("fleet budgets: keeper is silent", ledger=seat.number, epoch=found.epoch,
                                  there=there)  # fmt: skip
         except FAILURES as error:
@@ -312,14 +347,14 @@
             self._wake()
 
     def _take_lock(self, seat: _Seat) -> Taken | Held | None:
-        key = self._witness.key(seat.path)
+        key = self.witness.key(seat.path)
         if key is not None and key.session:
             return Held(key.epoch)
-        session = self._witness.create(self._settings.term_us)
+        session = self.witness.create(self._settings.term_us)
         value = msgspec.json.encode(Kept(self._swim.me.name, self._settings.lease_us))
-        if not self._witness.change(seat.path, "lock", session, value, key.index if key is not None else 0):
+        if not self.witness.change(seat.path, "lock", session, value, key.index if key is not None else 0):
             return None
-        mine = self._witness.key(seat.path)
+        mine = self.witness.key(seat.path)
         if mine is None or mine.session != session:
             return None
         seat.session = session
@@ -328,9 +363,9 @@
     def _renew(self, seat: _Seat) -> bool | None:
         ledger = seat.candidate.ledger
         try:
-            if not self._witness.renew(seat.session):
+            if not self.witness.renew(seat.session):
                 return False
-            key, heard = self._witness.key(seat.path), self._witness.key(f"{seat.path}/silent")
+            key, heard = self.witness.key(seat.path), self.witness.key(f"{seat.path}/silent")
         except FAILURES:
             return None
         if heard is not None and ledger is not None:
@@ -361,9 +396,9 @@
 
     def _give_back(self, seat: _Seat, ledger: Ledger) -> None:
         try:
-            key = self._witness.key(seat.path)
+            key = self.witness.key(seat.path)
             if key is not None and key.session == seat.session:
-                self._witness.change(seat.path, "unlock", seat.session, key.value, key.index)
+                self.witness.change(seat.path, "unlock", seat.session, key.value, key.index)
         except FAILURES:
             pass  # its session ends by itself
         for address in self._others():
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -22,8 +22,11 @@
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
 
 if TYPE_CHECKING:
+    from harriertrack.decisions.fleet.evidence import Evidence
     from harriertrack.decisions.fleet.portions import Portions
     from harriertrack.gateway.fleet.budgets import Budgets
+    from harriertrack.gateway.fleet.zones import Zones
+    from harriertrack.gateway.listing import Listing
 
 MARK = b"\xc1"  # what datagrams of budgets begin with (membership/fleet/budgeting.py)
 DOOR_US = 2_000_000  # how long an operator's connection may take the document
@@ -45,14 +48,16 @@
     """This head as a member."""
 
     def __init__(self, parts: HeadParts, settings: FleetSettings, datagrams: DatagramNetwork | None = None,
-                 portions: Portions | None = None) -> None:  # fmt: skip
+                 portions: Portions | None = None, evidence: Evidence | None = None,
+                 listing: Listing | None = None) -> None:  # fmt: skip
         self._parts, self._settings, self._hub = parts, settings, parts.hub
         self._network = datagrams or SocketDatagrams(parts.hub)
         self._alarm = Alarm(parts.hub, self._wake)
         self._at_door = 0
         self._closed = False
         self._taken = self._refused = 0
-        self._portions = portions
+        self._portions, self._evidence, self._listing = portions, evidence, listing
+        self.zones: Zones | None = None
         self.budgets: Budgets | None = None
         self.swim: Swim
 
@@ -86,6 +91,13 @@
             self.budgets = Budgets(self._parts, settings.budgets, self._portions, settings.fleet, self.swim,
                                    self._port.send)  # fmt: skip
             self.budgets.start()
+            if settings.zones is not None and self._evidence is not None and self._listing is not None:
+                from harriertrack.gateway.fleet.zones import Zones
+
+                self.zones = Zones(self._parts, settings.zones, self._evidence, self._listing, self.swim,
+                                   self.budgets)  # fmt: skip
+                self.budgets.zones = self.zones
+                self.zones.start()
 
     @property
     def address(self) -> Address:
@@ -193,6 +205,8 @@
             document, now = document_of(self.swim, self._hub.now()), self._hub.now()
             if self.budgets is not None:
                 document = msgspec.structs.replace(document, budgets=self.budgets.told(now))
+            if self.zones is not None:
+                document = msgspec.structs.replace(document, zones=self.zones.document(now))
             stream.write(msgspec.json.encode(document))
             stream.push(sent.set)
             stream.watch_end(sent.set)
--- /dev/null
+++ b/harriertrack/gateway/fleet/zones.py
@@ -0,0 +1,200 @@
+"""A head's part in leaving zones and returning together, on the hub.
+
+What it sees goes to who keeps the first ledger of the budgets; that one's word comes back, and shows in the
+list that the module is told. Decided is all of it in decisions/fleet (`Evidence`, `Evacuation`, `Overlay`).
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from harriertrack.config.settings import ZonesSettings
+from harriertrack.decisions.fleet.budgets import Term
+from harriertrack.decisions.fleet.evacuation import Evacuation, Overlay, Word, ZoneRules, uses
+from harriertrack.decisions.fleet.evidence import Evidence
+from harriertrack.decisions.interface import Action, Event, NodeEntry
+from harriertrack.decisions.requests import Module
+from harriertrack.gateway.fleet.budgets import Budgets
+from harriertrack.gateway.listing import Listing
+from harriertrack.gateway.parts import HeadParts
+from harriertrack.gateway.witness import FAILURES, WitnessClient
+from harriertrack.membership.fleet.budgeting import Seen, Told
+from harriertrack.membership.fleet.swim import Swim
+from harriertrack.membership.fleet.telling import ZonesTold, ZoneTold
+from harriertrack.membership.leases import WitnessError
+
+LOOK_US = 100_000
+TELL_US = 500_000  # what is seen is told so often, and each 100 ms while something is wrong
+WORD_US = 1_000_000  # the word is told so often, and at once when it changes
+WISH_US = 2_000_000  # operators' wishes are looked for so often
+PATH = "/v1/kv/harriertrack/zones"  # at the witness: what operators wish
+
+
+class Observed:
+    """A decision module, and who sees what it hears and does."""
+
+    def __init__(self, module: Module, evidence: Evidence) -> None:
+        self._module, self._evidence = module, evidence
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]:
+        """Take the events of one moment and return the actions, in order."""
+        actions = self._module.handle(now, events)
+        self._evidence.follow(now, events, actions)
+        return actions
+
+
+def wishes(witness: WitnessClient) -> dict[str, str]:
+    """Return what operators wish: zones to "out" or "in". Raises what calls raise, and WitnessError."""
+    key = witness.key(PATH)
+    if key is None:
+        return {}
+    try:
+        return msgspec.json.decode(key.value, type=dict[str, str])
+    except msgspec.MsgspecError as error:
+        raise WitnessError(str(error)) from error
+
+
+def set_wish(witness: WitnessClient, zone: str, wish: str) -> None:
+    """Wish a zone "out" or "in"; "" takes the wish back."""
+    all_ = {**wishes(witness), zone: wish}
+    witness.put(PATH, msgspec.json.encode({name: one for name, one in all_.items() if one}))
+
+
+def rules_of(settings: ZonesSettings) -> ZoneRules:
+    """Return the figures."""
+    return ZoneRules(**{name: getattr(settings, name) for name in settings.__struct_fields__})
+
+
+class Zones:
+    """This head's part."""
+
+    def __init__(self, parts: HeadParts, settings: ZonesSettings, evidence: Evidence, listing: Listing,
+                 swim: Swim, budgets: Budgets) -> None:  # fmt: skip
+        self._parts, self._hub, self._rules = parts, parts.hub, rules_of(settings)
+        self._evidence, self._listing, self._swim, self._budgets = evidence, listing, swim, budgets
+        self._overlay = Overlay()
+        self._zones: list[str] = []
+        self._words: tuple[Word, ...] = ()
+        self._heard_at = self._said_at = self._told_at = self._wished_at = 0
+        self._term: Term | None = None  # in which this head decides
+        self._decides: Evacuation | None = None
+        self._wishes: dict[str, str] = {}
+        listing.heard, listing.overlay = self._listed, self._overlay.shown
+
+    def start(self) -> None:
+        """Take part from now on."""
+        self._parts.scope.spawn("zones", self._run)
+        self._parts.scope.spawn("zones' wishes", self._follow_wishes)
+
+    def _listed(self, entries: list[NodeEntry]) -> None:
+        self._evidence.listed(entries)
+        self._zones = sorted({entry.zone for entry in entries})
+
+    def _run(self) -> None:
+        while True:
+            self._look(self._hub.now())
+            self._hub.sleep(LOOK_US)
+
+    def _look(self, now: int) -> None:
+        sights = self._evidence.report(now)
+        keeps = self._budgets.keeps(now)
+        self._decide(now, keeps)
+        if keeps is not None and self._decides is not None:
+            self._decides.saw(now, self._swim.me.name, sights)
+        elif sights and (any(one.bad for one in sights) or now >= self._said_at + TELL_US):
+            self._said_at = now
+            self._budgets.tell_keeper(Seen(self._swim.me.name, sights))
+        if self._words and now >= self._heard_at + self._rules.told_us:
+            self._parts.note("fleet zones: no word any more")
+            self._words = ()
+        self._show(now)
+
+    def _decide(self, now: int, term: Term | None) -> None:
+        """Decide if this head keeps the first ledger; begin anew with each term."""
+        if term is None:
+            self._term = self._decides = None
+            return
+        if term != self._term or self._decides is None:
+            self._term, self._decides = term, Evacuation(self._rules, now)
+            self._decides.take_up(now, self._words)
+            self._decides.hold(now, self._wishes)
+        decides, before = self._decides, self._decides.words()
+        self._decides.hold(now, self._wishes)
+        decides.decide(now, self._zones, len(self._swim.view.present))
+        words = decides.words()
+        self._heard(now, words)
+        if words != before or now >= self._told_at + WORD_US:
+            self._told_at = now
+            self._budgets.tell_all(Told(term, words))
+
+    def saw(self, now: int, seen: Seen) -> None:
+        """Another head says what it sees."""
+        if self._decides is not None:
+            self._decides.saw(now, seen.head, seen.sights)
+
+    def told(self, now: int, told: Told) -> None:
+        """The word of the one who decides."""
+        if self._budgets.follows(now, told.term):
+            self._heard(now, told.words)
+            self._show(now)
+
+    def _heard(self, now: int, words: tuple[Word, ...]) -> None:
+        self._heard_at = now
+        known = {word.zone: word for word in self._words}
+        for word in words:
+            if (before := known.pop(word.zone, None)) is None or before.stage is not word.stage:
+                self._parts.note("fleet zone", zone=word.zone, stage=word.stage.value, why=word.why)
+        for zone in known:
+            self._parts.note("fleet zone", zone=zone, stage="in", why="")
+        self._words = words
+
+    def _show(self, now: int) -> None:
+        names = list(self._swim.view.present)
+        before = self._overlay.unused
+        if self._overlay.follow(now, self._words, self._swim.me.name, names, self._rules.tries):
+            unused = self._overlay.unused
+            for zone in sorted(before ^ unused):
+                self._parts.note("zone used" if zone in before else "zone unused", zone=zone,
+                                 unused=len(unused), zones=len(self._zones))  # fmt: skip
+            self._listing.tell()
+
+    # -- operators
+
+    def _follow_wishes(self) -> None:
+        """Look what operators wish, while this head decides (a task)."""
+        while True:
+            self._hub.sleep(WISH_US)
+            if self._decides is None:
+                continue
+            try:
+                found = wishes(self._budgets.witness)
+            except FAILURES:
+                continue  # what was wished last holds
+            fresh = {zone: wish for zone, wish in found.items() if wish in ("out", "in")}
+            for zone in sorted(fresh.keys() | self._wishes.keys()):
+                if fresh.get(zone, "") != self._wishes.get(zone, ""):
+                    self._parts.note("fleet zone wish", zone=zone, wish=fresh.get(zone, "none"))
+            self._wishes = {zone: fresh.get(zone, "") for zone in fresh.keys() | self._wishes.keys()}
+
+    def document(self, now: int) -> ZonesTold:
+        """Return what this head tells of zones."""
+        names = list(self._swim.view.present)
+        words = {word.zone: word for word in self._words}
+        sights = {sight.zone: sight for sight in self._evidence.report(now)}
+        sums = self._decides.sums(now) if self._decides is not None else {}
+        told = []
+        for zone in self._zones:
+            word, sight, whole = words.get(zone), sights.get(zone), sums.get(zone)
+            told.append(
+                ZoneTold(
+                    zone, word.stage.value if word is not None else "in",
+                    word.share if word is not None else 1.0,
+                    word is None or uses(word, self._swim.me.name, names, self._rules.tries),
+                    word.why if word is not None else "",
+                    sight.good if sight is not None else 0, sight.bad if sight is not None else 0,
+                    whole.good if whole is not None else None, whole.bad if whole is not None else None,
+                    whole.heads if whole is not None else None, self._wishes.get(zone, ""),
+                )
+            )  # fmt: skip
+        heard_s = max(0, now - self._heard_at) / 1e6 if self._heard_at else None
+        return ZonesTold(self._decides is not None, heard_s, told)
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -12,7 +12,7 @@
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions import Scheduler, interface as api
 from harriertrack.decisions.celled import Celled, HeadMap, OldMap
-from harriertrack.decisions.requests import Attempt, ClientRequest, Core
+from harriertrack.decisions.requests import Attempt, ClientRequest, Core, Module
 from harriertrack.gateway import nvme
 from harriertrack.gateway.front import NbdFront
 from harriertrack.gateway.links import Links
@@ -100,7 +100,15 @@
                     portions = portions_of(settings, hub)
                 self.module = self._module(module_settings(settings), seed, portions)
                 rules = request_rules(settings)
-                self.core = Core(rules, self.module, settings.volumes, self, self.nodes, extents)
+                decides: Module = self.module
+                evidence = None
+                if portions is not None and settings.fleet is not None and settings.fleet.zones is not None:
+                    from harriertrack.decisions.fleet.evidence import Evidence
+                    from harriertrack.gateway.fleet.zones import Observed
+
+                    evidence = Evidence()
+                    decides = Observed(self.module, evidence)
+                self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
                                   self._note, self._name, portions)  # fmt: skip
                 self._links = self._wiring.links(parts)
@@ -125,7 +133,8 @@
                 if settings.fleet is not None:
                     from harriertrack.gateway.fleet.carrier import Fleet  # other heads do not even load it
 
-                    self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions)
+                    self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
+                                       self._listing)  # fmt: skip
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
--- a/harriertrack/gateway/listing.py
+++ b/harriertrack/gateway/listing.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from harriertrack.config.settings import ConsulSettings, load_nodes
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions.interface import NodeEntry
@@ -26,6 +28,9 @@
         self._task: Task | None = None
         self._nodes, self._head_id, self._portions = head.nodes, head.head_id, head.portions
         self._index = 0
+        self._latest: list[Member] = []  # as the source told
+        self.overlay: Callable[[NodeEntry], NodeEntry] | None = None  # what the module is told in its place
+        self.heard: Callable[[list[NodeEntry]], None] = lambda _entries: None  # hears what the source told
         # A start comes as wall-clock time. The difference is fixed once: a step of the wall clock must not
         # make known nodes look newly started.
         self._wall_ahead = head.hub.clock.wall() - head.hub.now()
@@ -50,8 +55,16 @@
             self._core.list_failed()
 
     def _told(self, members: list[Member]) -> None:
-        news = self._nodes.replace([member.localised(self._wall_ahead) for member in members])
-        self._core.nodes_changed(news)
+        self._latest = [member.localised(self._wall_ahead) for member in members]
+        self.heard([member.entry for member in self._latest])
+        self.tell()
+
+    def tell(self) -> None:
+        """Tell the core the latest list, as the overlay shows it now."""
+        shown = self._latest
+        if self.overlay is not None:
+            shown = [Member(self.overlay(one.entry), one.address) for one in shown]
+        self._core.nodes_changed(self._nodes.replace(shown))
 
     def _watch(self, path: str) -> None:
         known: list[Member] | None = None
--- a/harriertrack/lab/fleet/days/budget-kill.sexp
+++ b/harriertrack/lab/fleet/days/budget-kill.sexp
@@ -1,6 +1,6 @@
 (fleet-day "budget-kill"
   (about "Heads that hold shares are killed, the one that keeps the ledger among them; seven in ten at once, and back.")
-  (processes 6) (rate 30) (volumes 6) (hosts 5) (extent 32KiB) (limit 1) (limit-burst 200)
+  (processes 6) (rate 30) (hosts 5) (extent 32KiB) (limit 1) (limit-burst 200)
   (figures (probe 300ms) (answer 150ms) (gossip 60ms) (sync 5s) (reach 1s) (recent 10s) (slack 3))
   (budgets (clock-error 0.01) (term 2s) (patience 1s) (budget limits (fixed 0.25)))
   (step start) (step agree (within 20s))
--- a/harriertrack/lab/fleet/processes.py
+++ b/harriertrack/lab/fleet/processes.py
@@ -12,7 +12,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import msgspec
@@ -28,6 +28,8 @@
     ShelfSettings,
 )
 from harriertrack.config.written import written
+from harriertrack.gateway.fleet.zones import set_wish
+from harriertrack.gateway.witness import WitnessClient
 from harriertrack.lab.fleet.rig import LOOK_US, SEEDS, FleetRig
 from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings
 from harriertrack.lab.rig import HeadSlot
@@ -38,12 +40,13 @@
 from harriertrack.runtime.streams import SocketNetwork
 from harriertrack.standin.link import Direction, Link
 from harriertrack.standin.node import Rack
-from harriertrack.standin.relay import Relay
+from harriertrack.standin.relay import Fault, Relay
 
 FIRST_PORT = 20_000
 PASSING_US = 300_000  # the longest that bytes may take through this process
 READY_US = 30_000_000  # the longest that a process may take to listen
 END_S = 15.0  # and to end when it is asked to
+SLOW_US = 20_000  # what once slower takes longer on the way
 WOKE_US = 500_000  # after a process goes on it has to read and answer what came meanwhile
 
 
@@ -167,12 +170,15 @@
             self._there[name] = self._relay.admit(name, self._inner[name])
         for number in range(day.nodes):
             self.add_node(f"node{number}", number)
+        zones = {name: shelf.settings.zone for name, shelf in self.shelves.items()}
         if self.fleet_day.budgets is not None:
             self._start_witness()
         entrances = []
         for name in names:
             nodes = tuple(
-                NodeSettings(name=node, address=self._link(name, node, shelf.address), shard=shard, zone="z0")
+                NodeSettings(
+                    name=node, address=self._link(name, node, shelf.address), shard=shard, zone=zones[node]
+                )  # fmt: skip
                 for shard, (node, shelf) in enumerate(self.shelves.items())
             )
             entrances.append(EntranceSettings(name=name, listen=self.places.next(), nodes=nodes))
@@ -197,6 +203,40 @@
         process = self.start_process("witness", arguments)
         self.await_listening(process, self._witness)
 
+    def zone_dark(self, zone: str, who: list[HeadSlot], us: int) -> None:
+        """Cut the relays between some heads and a zone's nodes for a time; the nodes know nothing of it.
+
+        Connections over them break at its end: what lay in them would else arrive as late as it was long.
+        """
+        sources = frozenset(slot.name for slot in who)
+        nodes = frozenset(shelf.settings.name for shelf in self.in_zone(zone))
+        links = [link for (head, party), link in self._links.items() if head in sources and party in nodes]
+        self._for_a_while(Fault(sources, nodes, cut=True), us, links)
+
+    def zone_slow(self, zone: str, times: float, us: int) -> None:
+        """Let what passes between heads and a zone's nodes take longer: as if these were slow."""
+        sources = frozenset(slot.name for slot in self.heads)
+        nodes = frozenset(shelf.settings.name for shelf in self.in_zone(zone))
+        self._for_a_while(Fault(sources, nodes, late_us=int(times * SLOW_US)), us)
+
+    def _for_a_while(self, fault: Fault, us: int, breaking: Iterable[Link] = ()) -> None:
+        number = self.weather.add(fault)
+        self.weather_changed()
+
+        def end() -> None:
+            for link in breaking:
+                link.set_cut(True)
+            self.weather.end(number)
+            self.weather_changed()
+            for link in breaking:
+                link.set_cut(False)
+
+        self.later(us, end)
+
+    def wish(self, zone: str, wish: str) -> None:
+        """Do as an operator does who wishes a zone out or in."""
+        set_wish(WitnessClient(self.hub, self.network, self._witness, 1_000_000, "operator"), zone, wish)
+
     def backup(self) -> None:
         """Keep aside what the witness knows."""
         shutil.copy(self.path("witness.state"), self.path("witness.backup"))
@@ -255,6 +295,7 @@
             name=name, listen=self._inner[name], advertise=self._there[name], seeds=seeds,
             budgets=self.budgets_of(self._link(name, "witness", self._witness))
             if self.fleet_day.budgets is not None else None,
+            zones=self.fleet_day.zones,
             **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Callable
 
@@ -20,10 +21,12 @@
     FleetSettings,
 )
 from harriertrack.decisions.fleet.budgets import Ask, Grant
+from harriertrack.gateway.fleet.zones import set_wish
 from harriertrack.gateway.head import Wiring
+from harriertrack.gateway.witness import WitnessClient
 from harriertrack.lab.day import DaySettings
 from harriertrack.lab.fleet.later import LaterDatagrams
-from harriertrack.lab.fleet.scenario import DayBudgets, FleetDaySettings, StepSettings, Verb, chosen
+from harriertrack.lab.fleet.scenario import ZONES, DayBudgets, FleetDaySettings, StepSettings, Verb, chosen
 from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
 from harriertrack.membership.fleet import budgeting
 from harriertrack.membership.fleet.budgeting import MARK
@@ -32,7 +35,9 @@
 from harriertrack.runtime.datagrams import MemoryDatagrams
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import MemoryNetwork, Network
+from harriertrack.standin.node import Faults
 from harriertrack.standin.relay import Fault, Weather
+from harriertrack.standin.shelf import Shelf
 from harriertrack.standin.witness import Witness
 
 LOOK_US = 20_000
@@ -49,7 +54,7 @@
     """Return the day of clients and nodes that goes on beside a fleet's day."""
     return DaySettings(
         name=day.name, about=day.about, length_us=FOREVER_US, heads=heads, nodes=day.shelves,
-        zones=("z0", "z1", "z2"), rate=day.rate * heads, volumes=day.volumes or heads, shared=1.0,
+        zones=ZONES, rate=day.rate * heads, volumes=day.volumes or heads, shared=1.0,
         hosts=day.hosts, volume_bytes=64 << 20, extent_bytes=day.extent_bytes, request_us=300, unit_us=200,
         cores=4, queue=256, limit=day.limit, limit_burst=day.limit_burst, limit_slack=day.limit_slack,
     )  # fmt: skip
@@ -66,6 +71,8 @@
         self.weather = Weather(seed, DELAY_US if isinstance(network, MemoryNetwork) else (0, 0))
         self.views = Views()
         self._drawn = random.Random(seed)
+        if day.zones is not None and fleet:
+            recorder.add(rec.ZoneFacts(t=0, zones=list(ZONES), may_leave=list(day.may_leave)))
         if day.budgets is not None and fleet:
             fixed = {one.name: one.fixed for one in day.budgets.budgets}.get(BudgetUse.LIMITS, 1.0)
             plans = {plan.name: plan for plan in self.plans}
@@ -150,6 +157,12 @@
                         if self.hub.now() < until:
                             self._lead([slot.name], step.times)
                             self.hub.sleep(step.every_us)
+            case Verb.ZONE:
+                self.zone_dark(step.zone, who, step.for_us)
+            case Verb.SLOW:
+                self.zone_slow(step.zone, step.times, step.for_us)
+            case Verb.WISH:
+                self.wish(step.zone, step.wish)
             case Verb.BACKUP:
                 self.backup()
             case Verb.DARK:
@@ -255,6 +268,11 @@
 
     def heard(self, slot: HeadSlot, event: str, fields: dict[str, object]) -> None:
         """Take a line of a head's log."""
+        if event in ("zone used", "zone unused"):
+            used = event == "zone used"
+            self.recorder.add(
+                rec.ZoneUse(t=self.hub.now(), head=slot.name, zone=str(fields["zone"]), used=used)
+            )
         if event == "fleet member":
             told = {name: fields[name] for name in TOLD}
             told.update(t=self.hub.now(), member=slot.name, about=fields["member"])
@@ -284,6 +302,22 @@
         """Ask a head to end."""
         raise NotImplementedError
 
+    def in_zone(self, zone: str) -> list[Shelf]:
+        """Return the nodes of a zone."""
+        return [shelf for shelf in self.shelves.values() if shelf.settings.zone == zone]
+
+    def zone_dark(self, zone: str, who: list[HeadSlot], us: int) -> None:
+        """Let nothing pass between some heads and a zone's nodes for a time."""
+        raise NotImplementedError
+
+    def zone_slow(self, zone: str, times: float, us: int) -> None:
+        """Let a zone's nodes work slower for a time."""
+        raise NotImplementedError
+
+    def wish(self, zone: str, wish: str) -> None:
+        """Do as an operator does who wishes a zone out or in."""
+        raise NotImplementedError
+
     def backup(self) -> None:
         """Keep aside what the witness knows."""
         raise NotImplementedError
@@ -337,7 +371,7 @@
         )
         return FleetSettings(
             name=name, listen=("127.0.0.1", FIRST_PORT + number), seeds=seeds,
-            budgets=self.budgets_of(self.witness.address),
+            budgets=self.budgets_of(self.witness.address), zones=self.fleet_day.zones,
             **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
@@ -381,6 +415,46 @@
             connection.address = None
         slot.head.stop()
 
+    def zone_dark(self, zone: str, who: list[HeadSlot], us: int) -> None:
+        """Let a zone's machines go silent, and come back cold; or for some heads only, be out of reach."""
+        struck = self.in_zone(zone)
+        if len(who) == len(self.heads):
+            for shelf in struck:
+                if shelf.up:
+                    shelf.stop(silent=True)
+
+            def back() -> None:
+                for shelf in struck:
+                    if not shelf.up:
+                        self.restart_node(shelf)
+
+            self.later(us, back)
+            return
+        ids = frozenset(slot.head.head_id for slot in who if slot.head is not None)
+        self._faulty(struck, us, cut_off=ids)
+
+    def zone_slow(self, zone: str, times: float, us: int) -> None:
+        """Let a zone's nodes work slower for a time."""
+        self._faulty(self.in_zone(zone), us, slow=times)
+
+    def _faulty(self, struck: list[Shelf], us: int, **faults: object) -> None:
+        healthy = Faults()
+        for shelf in struck:
+            shelf.faults = dataclasses.replace(shelf.faults, **faults)  # type: ignore[arg-type]
+
+        def end() -> None:
+            for shelf in struck:
+                back = {name: getattr(healthy, name) for name in faults}
+                shelf.faults = dataclasses.replace(shelf.faults, **back)
+                shelf.wake()
+
+        self.later(us, end)
+
+    def wish(self, zone: str, wish: str) -> None:
+        """Do as an operator does who wishes a zone out or in."""
+        client = WitnessClient(self.hub, self.network, self.witness.address, 1_000_000, "operator")
+        set_wish(client, zone, wish)
+
     def backup(self) -> None:
         """Keep aside what the witness knows."""
         self._kept = self.witness.kept()
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -13,7 +13,7 @@
 from enum import Enum
 from importlib import resources
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -28,12 +28,14 @@
     Positive,
     Share,
     Whole,
+    ZonesSettings,
     read_file,
 )
 from harriertrack.config.sexp import Form, SettingsError, bind, read_text
 
 SPAN = re.compile(r"(\d+(?:\.\d+)?)\.\.(\d+(?:\.\d+)?)\Z")
 NAMED = re.compile(r"(?:head|node)\d+\Z|list\Z|witness\Z")
+ZONES = ("z0", "z1", "z2")
 GROUPS = ("all", "seeds", "rest", "shelves")
 
 
@@ -49,6 +51,9 @@
     HEAL = "heal"  # all faults end
     DEMAND = "demand"  # from now on traffic goes to `who` alone, `times` as much of it as usual
     JUMP = "jump"  # for `for`, all traffic goes to one of `who` in turn, `every` so long
+    ZONE = "zone"  # nothing passes between `who` and a `zone`'s nodes for `for`; all: they come back cold
+    SLOW = "slow"  # the nodes of a `zone` work `times` slower for `for`
+    WISH = "wish"  # an operator wishes a `zone` to be `out`, `in`, or has no wish
     BACKUP = "backup"  # what the witness knows is kept aside
     DARK = "dark"  # the witness is gone for `for`; `old`: it comes back as of the backup
     AGREE = "agree"  # wait until the views of `who` agree, `within` at most
@@ -76,6 +81,8 @@
     later: bool = False  # who is started speaks as a later version of the program would
     fresh: bool = False  # started without the state that was kept on disk
     times: Amount = 1.0
+    zone: str = ""
+    wish: Literal["out", "in", ""] = ""
     old: bool = False
     clock_rate: Annotated[float, msgspec.Meta(ge=0.5, le=2)] = 1.0  # of who is started; processes only
 
@@ -84,7 +91,7 @@
     """What the heads of a day divide; the witness is the day's own."""
 
     ledgers: Positive = 1
-    budgets: tuple[BudgetSettings, ...]
+    budgets: tuple[BudgetSettings, ...] = ()
 
 
 class FleetDaySettings(Checked, frozen=True, kw_only=True):
@@ -101,6 +108,8 @@
     limit_burst: Amount = 0.0  # 0: what a second brings
     limit_slack: Amount = 8.0  # units
     budgets: DayBudgets | None = None
+    zones: ZonesSettings | None = None
+    may_leave: tuple[str, ...] = ()  # zones that the fleet may leave on this day
     rate: Amount = 8.0  # requests a second, a head
     detect_us: Positive = 20_000_000  # the longest that a death may go unnoticed
     figures: FleetFigures = FleetFigures()
@@ -116,8 +125,11 @@
                     raise SettingsError(f"{at}: {field}: {word}: no name, group or share such as 0..0.5")
         if "rest" in step.who:
             raise SettingsError(f"{at}: who: rest is the rest of who")
-        if step.name in (Verb.STOP, Verb.STARVE, Verb.REST, Verb.JUMP, Verb.DARK) and not step.for_us:
+        lasting = (Verb.STOP, Verb.STARVE, Verb.REST, Verb.JUMP, Verb.DARK, Verb.ZONE, Verb.SLOW)
+        if step.name in lasting and not step.for_us:
             raise SettingsError(f"{at}: for: is needed")
+        if step.name in (Verb.ZONE, Verb.SLOW, Verb.WISH) and step.zone not in ZONES:
+            raise SettingsError(f"{at}: zone: one of {', '.join(ZONES)}")
         if step.name is Verb.DARK and day.budgets is None:
             raise SettingsError(f"{at}: there is no witness on a day without budgets")
         struck = step.cut or step.lost or step.twice or step.late_us or step.jitter_us
--- a/harriertrack/membership/fleet/budgeting.py
+++ b/harriertrack/membership/fleet/budgeting.py
@@ -1,18 +1,21 @@
-"""What heads tell each other of budgets: datagrams of their own at the fleet's address, in MessagePack.
+"""What heads tell each other of budgets and zones: datagrams of their own at the fleet's address.
 
-The first byte is one that MessagePack never uses, so that a member which knows of no budgets counts them as
-garbage and passes on. Fields are only appended, as in messages.py; a writer that would be misunderstood by an
-older reader raises `READS`.
+They are MessagePack behind a byte that MessagePack never uses, so that a member which knows of no budgets
+counts them as garbage and passes on. Fields are only appended, as in messages.py; a writer that would be
+misunderstood by an older reader raises `READS`.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import IntEnum
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
 from harriertrack.decisions.fleet.budgets import Ask, Claim, Grant, Share, Term
+from harriertrack.decisions.fleet.evacuation import Stage, Word
+from harriertrack.decisions.fleet.evidence import Sight
 from harriertrack.membership.fleet.messages import MOST_BYTES, MalformedDatagram, Number, Text
 
 MARK = b"\xc1"
@@ -20,6 +23,7 @@
 READS = 1
 
 Amount = Annotated[float, msgspec.Meta(ge=0, le=1e18)]
+Zone = Annotated[str, msgspec.Meta(max_length=32)]
 Budget = Annotated[str, msgspec.Meta(min_length=1, max_length=160)]
 
 
@@ -30,6 +34,8 @@
     GRANT = 1
     TERM = 2  # its sender keeps the ledger in this term
     VACATED = 3  # ... and does so no longer
+    SEEN = 4  # what a head sees of zones, to who keeps the first ledger
+    WORD = 5  # what that one decided
 
 
 class _Claim(msgspec.Struct, array_like=True):
@@ -47,6 +53,21 @@
     tokens: Amount
 
 
+class _Sight(msgspec.Struct, array_like=True):
+    zone: Zone
+    good: Number
+    bad: Number
+    requests: Number
+
+
+class _Word(msgspec.Struct, array_like=True):
+    zone: Zone
+    stage: Literal["in", "out", "trying", "returning"]
+    share: Amount
+    turn: Number
+    why: Annotated[str, msgspec.Meta(max_length=100)] = ""
+
+
 class _Wire(msgspec.Struct, array_like=True):
     reads: Number
     version: Number
@@ -63,6 +84,8 @@
     weight: Amount = 1.0
     claims: Annotated[list[_Claim], msgspec.Meta(max_length=64)] = []
     shares: Annotated[list[_Share], msgspec.Meta(max_length=64)] = []
+    sights: Annotated[list[_Sight], msgspec.Meta(max_length=64)] = []
+    words: Annotated[list[_Word], msgspec.Meta(max_length=64)] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -77,7 +100,23 @@
     """A datagram of another fleet."""
 
 
-Said = Ask | Grant | tuple[Kind, int, Term]
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What a head sees of zones."""
+
+    head: str
+    sights: tuple[Sight, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """The fleet's word on all zones that are not simply in use, in a term of the first ledger."""
+
+    term: Term
+    words: tuple[Word, ...]
+
+
+Said = Ask | Grant | Seen | Told | tuple[Kind, int, Term]
 
 
 def encode(fleet: str, said: Said) -> bytes:
@@ -95,6 +134,14 @@
                 said.instance, said.tenure, said.answers, said.lease_us, 1.0, [],
                 [_Share(one.budget, one.version, one.rate, one.tokens) for one in said.shares],
             )  # fmt: skip
+        case Seen():
+            sights = [_Sight(one.zone, one.good, one.bad, one.requests) for one in said.sights]
+            wire = _Wire(READS, VERSION, fleet, Kind.SEEN, 0, 0, 0, said.head, sights=sights)
+        case Told():
+            words = [
+                _Word(one.zone, one.stage.value, one.share, one.turn, one.why[:100]) for one in said.words
+            ]
+            wire = _Wire(READS, VERSION, fleet, Kind.WORD, 0, said.term.epoch, said.term.nonce, words=words)
         case (kind, ledger, term):
             wire = _Wire(READS, VERSION, fleet, kind, ledger, term.epoch, term.nonce)
     return MARK + _ENCODER.encode(wire)
@@ -121,4 +168,9 @@
         shares = tuple(Share(*msgspec.structs.astuple(one)) for one in wire.shares)
         return Grant(wire.ledger, term, wire.holder, wire.instance, wire.tenure, wire.number, wire.lease_us,
                      shares)  # fmt: skip
+    if wire.kind is Kind.SEEN:
+        return Seen(wire.holder, tuple(Sight(*msgspec.structs.astuple(one)) for one in wire.sights))
+    if wire.kind is Kind.WORD:
+        words = (Word(one.zone, Stage(one.stage), one.share, one.turn, one.why) for one in wire.words)
+        return Told(term, tuple(words))
     return wire.kind, wire.ledger, term
--- a/harriertrack/membership/fleet/telling.py
+++ b/harriertrack/membership/fleet/telling.py
@@ -109,6 +109,30 @@
     more: int = 0  # portions and slips beyond what one document names
 
 
+class ZoneTold(msgspec.Struct, frozen=True):
+    """What holds of a zone for the telling head, and what is seen of it."""
+
+    zone: str
+    stage: str
+    share: float  # of the heads that use it
+    used: bool  # by the telling head
+    why: str
+    good: int  # nodes that answer it
+    bad: int  # ... and that do not
+    all_good: int | None  # the same, all heads together, if the telling one decides
+    all_bad: int | None
+    heads: int | None  # that say so
+    wish: str  # an operator's
+
+
+class ZonesTold(msgspec.Struct, frozen=True):
+    """What a head tells of zones."""
+
+    decides: bool
+    heard_s: float | None  # since the fleet's word was heard last
+    zones: list[ZoneTold]
+
+
 class Document(msgspec.Struct, frozen=True):
     """A head's view."""
 
@@ -122,6 +146,7 @@
     counts: dict[str, int]
     members: list[Told]
     budgets: BudgetsTold | None = None
+    zones: ZonesTold | None = None
 
 
 class MalformedDocument(ValueError):
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -294,9 +294,27 @@
     units: float
 
 
+class ZoneFacts(msgspec.Struct, kw_only=True, tag="zones", tag_field="what"):
+    """The zones of a fleet's day, and which of them may be left in it."""
+
+    t: int
+    zones: list[str]
+    may_leave: list[str]
+
+
+class ZoneUse(msgspec.Struct, kw_only=True, tag="zone-use", tag_field="what"):
+    """A head uses a zone from now on, or does not."""
+
+    t: int
+    head: str
+    zone: str
+    used: bool
+
+
 Record = (
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
-    | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn
+    | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
+    | ZoneUse
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
--- a/tests/test_fleet_budgets_carrier.py
+++ b/tests/test_fleet_budgets_carrier.py
@@ -128,7 +128,6 @@
     ("(budget links (whole 8) (fixed 0.1))", "one for each head"),
     ("(budget limits) (ask 900ms)", "ask"),
     ("(budget limits) (term 1s)", "term"),
-    ("", "budget"),
 ])  # fmt: skip
 def test_budgets_that_can_not_be_are_told_with_their_field(text, why):
     with pytest.raises(SettingsError, match=why):
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -8,7 +8,7 @@
 from harriertrack.config.written import written
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.rig import simulate
-from harriertrack.rules import checker, fleet, recording as rec
+from harriertrack.rules import budgets, checker, fleet, recording as rec, zones
 from harriertrack.standin.relay import Fault, Weather
 from tests.test_settings import GOOD
 
@@ -102,6 +102,7 @@
 def test_a_fleet_day_keeps_all_rules_in_simulated_time(name):
     _, records, day = play(name)
     assert checker.check(records) == [] and fleet.check(records, day.detect_us) == []
+    assert budgets.check(records) == [] and zones.check(records) == []
     asked = [one for one in records if isinstance(one, rec.Agreed)]
     assert len(asked) == sum(step.name is scenario.Verb.AGREE for step in day.steps) and asked[-1].reached
     assert sum(isinstance(one, rec.Answer) for one in records) > 300
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -15,7 +15,7 @@
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.processes import FleetProcessError, Places, play_processes
 from harriertrack.membership.fleet.telling import document_from
-from harriertrack.rules import checker, fleet, recording as rec
+from harriertrack.rules import budgets, checker, fleet, recording as rec, zones
 
 HEADS = 6
 COMMAND = [sys.executable, "-m", "harriertrack", "fleet"]
@@ -42,6 +42,7 @@
     play_processes(day, HEADS, 1, recorder, tmp_path)
     assert checker.check(recorder.records) == []
     assert fleet.check(recorder.records, day.detect_us) == []
+    assert budgets.check(recorder.records) == [] and zones.check(recorder.records) == []
     assert any(isinstance(one, rec.Got) for one in recorder.records), "nodes' recordings are part of it"
     assert not running(tmp_path)
 
