--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-import msgspec
+from urllib.parse import quote
 
 from harriertrack.config.settings import ZonesSettings
 from harriertrack.decisions.fleet.budgets import Term
@@ -21,13 +21,12 @@
 from harriertrack.membership.fleet.budgeting import Seen, Told
 from harriertrack.membership.fleet.swim import Swim
 from harriertrack.membership.fleet.telling import ZonesTold, ZoneTold
-from harriertrack.membership.leases import WitnessError
 
 LOOK_US = 100_000
 TELL_US = 500_000  # what is seen is told so often, and each 100 ms while something is wrong
 WORD_US = 1_000_000  # the word is told so often, and at once when it changes
 WISH_US = 2_000_000  # operators' wishes are looked for so often
-PATH = "/v1/kv/harriertrack/zones"  # at the witness: what operators wish
+PATH = "/v1/kv/harriertrack/zones"  # at the witness: what operators wish, a key for each zone
 
 
 class Observed:
@@ -43,21 +42,16 @@
         return actions
 
 
-def wishes(witness: WitnessClient) -> dict[str, str]:
-    """Return what operators wish: zones to "out" or "in". Raises what calls raise, and WitnessError."""
-    key = witness.key(PATH)
-    if key is None:
-        return {}
-    try:
-        return msgspec.json.decode(key.value, type=dict[str, str])
-    except msgspec.MsgspecError as error:
-        raise WitnessError(str(error)) from error
+def wish_of(witness: WitnessClient, zone: str) -> str:
+    """Return what operators wish of a zone: "out", "in" or "". Raises what calls raise."""
+    key = witness.key(f"{PATH}/{quote(zone, safe='')}")
+    wish = key.value.decode("utf-8", "replace") if key is not None else ""
+    return wish if wish in ("out", "in") else ""
 
 
 def set_wish(witness: WitnessClient, zone: str, wish: str) -> None:
-    """Wish a zone "out" or "in"; "" takes the wish back."""
-    all_ = {**wishes(witness), zone: wish}
-    witness.put(PATH, msgspec.json.encode({name: one for name, one in all_.items() if one}))
+    """Wish a zone "out" or "in"; "" takes the wish back. A key for each: two operators do not collide."""
+    witness.put(f"{PATH}/{quote(zone, safe='')}", wish.encode())
 
 
 def rules_of(settings: ZonesSettings) -> ZoneRules:
@@ -156,7 +150,7 @@
             for zone in sorted(before ^ unused):
                 self._parts.note("zone used" if zone in before else "zone unused", zone=zone,
                                  unused=len(unused), zones=len(self._zones))  # fmt: skip
-            self._listing.tell()
+            self._listing.tell_anew()
 
     # -- operators
 
@@ -167,14 +161,13 @@
             if self._decides is None:
                 continue
             try:
-                found = wishes(self._budgets.witness)
+                fresh = {zone: wish_of(self._budgets.witness, zone) for zone in self._zones}
             except FAILURES:
                 continue  # what was wished last holds
-            fresh = {zone: wish for zone, wish in found.items() if wish in ("out", "in")}
-            for zone in sorted(fresh.keys() | self._wishes.keys()):
-                if fresh.get(zone, "") != self._wishes.get(zone, ""):
-                    self._parts.note("fleet zone wish", zone=zone, wish=fresh.get(zone, "none"))
-            self._wishes = {zone: fresh.get(zone, "") for zone in fresh.keys() | self._wishes.keys()}
+            for zone, wish in fresh.items():
+                if wish != self._wishes.get(zone, ""):
+                    self._parts.note("fleet zone wish", zone=zone, wish=wish or "none")
+            self._wishes = fresh
 
     def document(self, now: int) -> ZonesTold:
         """Return what this head tells of zones."""
--- a/harriertrack/gateway/listing.py
+++ b/harriertrack/gateway/listing.py
@@ -57,10 +57,14 @@
     def _told(self, members: list[Member]) -> None:
         self._latest = [member.localised(self._wall_ahead) for member in members]
         self.heard([member.entry for member in self._latest])
-        self.tell()
+        self._tell()
 
-    def tell(self) -> None:
-        """Tell the core the latest list, as the overlay shows it now."""
+    def tell_anew(self) -> None:
+        """Tell the core the latest list as the overlay shows it now, if one came."""
+        if self._latest:
+            self._tell()
+
+    def _tell(self) -> None:
         shown = self._latest
         if self.overlay is not None:
             shown = [Member(self.overlay(one.entry), one.address) for one in shown]
