Volumes change regions at a pace the fleet divides: reservations first, then activity

All volumes of a dark region came over at once, and went home at once. With (budget takeovers ...) a volume that is not at home, or goes home, waits for its turn; the lease's rules are untouched. Two heads, one volume a second each: the priority plan's came first, the basic one's a second later, all rules held.

--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -221,6 +221,7 @@
     TRIALS = "trials"
     COLD = "cold"
     LIST_CALLS = "list-calls"
+    TAKEOVERS = "takeovers"
     CONNECTIONS = "connections"
     LINKS = "links"
 
@@ -535,6 +536,8 @@
             fail(f"{at}: whole", "needs a whole above 0 and a burst of at least 1")
         if one.name is BudgetUse.ATTEMPTS and not head.rules.budget_window_us:
             fail(at, "the rules set no budget-window")
+        if one.name is BudgetUse.TAKEOVERS and head.region is None:
+            fail(at, "the head's own region is not set")
         if one.name is BudgetUse.COLD and not head.rules.cold_units:
             fail(at, "the rules set no cold-units")
         if one.name is BudgetUse.LIST_CALLS and head.node_list.consul is None:
--- a/harriertrack/decisions/fleet/portions.py
+++ b/harriertrack/decisions/fleet/portions.py
@@ -24,11 +24,13 @@
     TRIALS = "trials"  # of a node that is silent
     COLD = "cold"  # units for a node that has just started
     LIST_CALLS = "list-calls"
+    TAKEOVERS = "takeovers"  # of volumes by the region that is not their home, and back
     CONNECTIONS = "connections"  # new ones, to a node
     LINKS = "links"  # connections that are open to a node at a time
 
 
 UNITS = {
+    Use.TAKEOVERS: "volumes",
     Use.LIMITS: "units", Use.ATTEMPTS: "attempts", Use.COLD: "units", Use.LIST_CALLS: "calls",
     Use.TRIALS: "trials", Use.CONNECTIONS: "connections", Use.LINKS: "at a time",
 }  # fmt: skip
@@ -130,6 +132,10 @@
         """Return the same for a call for the node list."""
         return self._one(now, self._simple(now, Use.LIST_CALLS), again)
 
+    def takeover(self, now: int, again: bool = False) -> int:
+        """Return the same for a volume that is to change regions."""
+        return self._one(now, self._simple(now, Use.TAKEOVERS), again)
+
     def _one(self, now: int, portion: Portion | None, again: bool) -> int:
         if portion is None:
             return 0
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -117,7 +117,7 @@
                 if any(volume.regions for volume in settings.volumes):
                     assert self._log is not None
                     self.regional = Regional(hub, self._network, scope, settings, self.core, self._links,
-                                             self._log, self._note, self._name)  # fmt: skip
+                                             self._log, self._note, self._name, portions)  # fmt: skip
                 self.mover = Mover(hub, scope, self.core, settings, self._note, self._may_move)
                 if isinstance(self.module, Celled):
                     self.mover.follow(self.module.map)
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import xxhash
 
@@ -36,6 +37,9 @@
 from harriertrack.runtime.streams import Network
 from harriertrack.storage.missed import WHOLE, MissedLog
 
+if TYPE_CHECKING:
+    from harriertrack.decisions.fleet.portions import Portions
+
 RETRY_US = 20_000  # between two tries to copy a write, or to pass a request on
 CATCH_UP_US = 200_000  # between two looks at what this region misses
 WISH_TURNS = 4  # operators' wishes are read with every so manyth look at the witness
@@ -43,6 +47,7 @@
 NOT_HOLDER = "refused: not done; this head does not hold the volume"
 STALE = "refused: not done; too old"
 ASKED_AT_ONCE = 1 << 30  # bytes of a volume asked about in one BLOCK_STATUS
+FADES = 0.9  # of a volume's requests, with each look at the witness, in the order of who may change regions
 LOOK_NOW = 1  # the length of a TICK that says: the volume is free, look at the witness
 
 
@@ -88,6 +93,8 @@
     handing: bool = False
     copy_session: object = None  # the newest connection of the holder; older ones are not listened to
     wish: str = ""
+    asked: float = 0.0  # requests, the older the less
+    paced: bool = False  # it waits for its turn to change regions
     index: int = 0  # of the volume's key at the witness, as last read or written
 
     @property
@@ -110,8 +117,11 @@
         log: MissedLog,
         note: Callable[..., None],
         name: str,
+        portions: Portions | None = None,
     ) -> None:
         assert settings.region is not None
+        self._portions = portions  # of how many volumes change regions at a time; None: as each may
+        self._reserves = {plan.name: plan.reserve for plan in settings.plans}
         self._hub, self._scope, self._core, self._links, self._log = hub, scope, core, links, log
         self._note, self._tick = note, settings.tick_us
         self.region = region = settings.region
@@ -154,6 +164,7 @@
         volume = self.volumes[request.volume.settings.name]
         deadline = self._core.deadline_of(request.came or now, request.kind, request.length)
         request.deadline = min(deadline, request.deadline or deadline)
+        volume.asked += 1
         if request.origin is Origin.RELAY:
             # Its client waits since before it was passed on: nothing may be done for it after its time.
             request.deadline -= self.expiry.age(request.tick, now)
@@ -550,7 +561,8 @@
         while True:
             try:
                 self._keep_session()
-                for volume in self.volumes.values():
+                for volume in self._by_rank():
+                    volume.asked *= FADES
                     if turn % WISH_TURNS == 0:
                         volume.wish = self._witness.wish(volume.name)
                     self._look_at(volume)
@@ -564,6 +576,20 @@
                 self._look.wait(now + self.region.ttl_us // 6)
                 turn = 0  # a volume was handed over: see whose it is wished to be
 
+    def _by_rank(self) -> list[RegionalVolume]:
+        """Return the volumes in the order in which they may change regions: reservations, then activity."""
+        volumes = list(self.volumes.values())
+        if self._portions is not None:
+            volumes.sort(key=lambda one: (-self._reserves.get(one.settings.plan, 0.0), -one.asked))
+        return volumes
+
+    def _its_turn(self, volume: RegionalVolume) -> bool:
+        """Whether a volume may change regions now, of all that the fleet's heads have to move."""
+        if self._portions is None:
+            return True
+        volume.paced = bool(self._portions.takeover(self._hub.now(), volume.paced))
+        return not volume.paced
+
     def _lost_session(self) -> None:
         self._note("lease over", region=self.region.name)
         self.session.lose()
@@ -593,7 +619,8 @@
             case Look.CREATE, _:
                 self._acquire(volume, Standing(view.home, tuple(sorted((view.here, view.other)))), 0)
             case Look.ACQUIRE, Lock():
-                self._acquire(volume, lock.standing, lock.index)
+                if view.home == view.here or self._its_turn(volume):
+                    self._acquire(volume, lock.standing, lock.index)
             case Look.TOOK, Lock():
                 self._took(volume, lock)
             case Look.TEND, _:
@@ -636,7 +663,8 @@
             case Care.JOIN:
                 self._join(volume)
             case Care.HAND_OVER:
-                self._hand_over(volume)
+                if self._its_turn(volume):
+                    self._hand_over(volume)
 
     def _join(self, volume: RegionalVolume) -> None:
         """The other region misses nothing: from now on writes wait for it again, and the witness may know."""
--- a/tests/test_fleet_budgets_carrier.py
+++ b/tests/test_fleet_budgets_carrier.py
@@ -124,6 +124,7 @@
     ("(budget attempts (whole 5) (burst 5))", "budget-window"),
     ("(budget cold)", "cold-units"),
     ("(budget sheep)", "sheep"),
+    ("(budget takeovers (whole 8) (burst 2))", "region"),
     ("(budget links (whole 8) (burst 2))", "burst"),
     ("(budget links (whole 8) (fixed 0.1))", "one for each head"),
     ("(budget limits) (ask 900ms)", "ask"),
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -427,6 +427,47 @@
     assert len(served_after(records, "a", back + 3 * S)) > 20
 
 
+class Paced:
+    """Portions that let one volume change regions each second, and no other way."""
+
+    def __init__(self):
+        self.next, self.given = 0, []
+
+    def takeover(self, now, again=False):
+        if now < self.next:
+            return self.next - now
+        self.next = now + S
+        self.given.append(now)
+        return 0
+
+
+def test_volumes_change_regions_at_a_pace_by_reservation_then_by_activity(monkeypatch):
+    from harriertrack.gateway.regional import Regional
+
+    made, held = {}, []
+    real, took = Regional.__init__, Regional._took
+
+    def begin(self, *arguments, **more):
+        real(self, *arguments, **more)
+        self._portions = made.setdefault(self.region.name, Paced())
+
+    def taking(self, volume, lock):
+        before = self.holding.epoch(volume.name, self._hub.now())
+        took(self, volume, lock)
+        if not before and self.holding.epoch(volume.name, self._hub.now()):
+            held.append((self._hub.now(), self.region.name, volume.name, volume.view.home))
+
+    monkeypatch.setattr(Regional, "__init__", begin)
+    monkeypatch.setattr(Regional, "_took", taking)
+    records = play("two-regions-dark")
+    assert broken(records) == set(), "the lease's rules are as they were"
+    over = [one for one in held if one[1] == "b" and one[3] == "a"]
+    assert {name for _, _, name, _ in over} == {"vol0", "vol2"}
+    reserves = {"vol0": 0.3, "vol2": 0.8}  # of the plans basic and priority
+    first, second = over[0], over[1]
+    assert reserves[first[2]] > reserves[second[2]] and second[0] - first[0] >= 0.9 * S
+
+
 def test_mode_home_loses_no_more_than_its_bound():
     """After a dark home, every acknowledged write older than the bound is there."""
     records = play("two-regions-dark", mode=Mode.HOME, behind_us=500_000)
