The rig of processes lets its relays go on while it kills and starts dozens

budget-herd with 30 heads: 13 sends were told to have come 0.35 to 0.9 s after their head was killed. The rig waited for each killed process's end, and started 21 in one turn, while what others had sent lay in its relays. It yields now.

--- a/harriertrack/lab/fleet/processes.py
+++ b/harriertrack/lab/fleet/processes.py
@@ -46,6 +46,7 @@
 PASSING_US = 300_000  # the longest that bytes may take through this process
 READY_US = 30_000_000  # the longest that a process may take to listen
 END_S = 15.0  # and to end when it is asked to
+TURN_US = 1_000
 SLOW_US = 20_000  # what once slower takes longer on the way
 WOKE_US = 500_000  # after a process goes on it has to read and answer what came meanwhile
 
@@ -316,6 +317,7 @@
         if step.later:
             arguments.append("--as-later")
         self.start_process(slot.name, arguments)
+        self.hub.sleep(TURN_US)  # dozens that start together would hold the relays up
         for connection in slot.connections:
             connection.address = self.entrance(slot)
 
@@ -330,7 +332,9 @@
         self.lived(slot, "killed")
         process = self._turn_clients_away(slot)
         self.recorder.add(rec.Head(t=self.hub.now(), head=slot.name, number=0, up=False))
-        process.end()
+        process.signal(signal.SIGKILL)
+        while not process.ended:  # not waited for: what others send passes this process
+            self.hub.sleep(TURN_US)
 
     def stand(self, slot: HeadSlot, us: int) -> None:
         """Let a head stand still for a time."""
