The judge of requests knows how long the whole machine stood still

budget-herd with 30 heads, after the rig yields: 3 sends still came 0.35 to 0.43 s after their head was killed, 0.3 s being allowed on the way: 21 processes start at once, and the relays' process has no processor. That it stood still was on record (stood) and excused late answers only; it excuses what was on its way now, by as much as it stood, and only standstills of the machine.

--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -287,7 +287,7 @@
             late = self.hub.now() - due
             if late >= LATE_US:
                 for slot in self.heads:
-                    self.recorder.add(rec.Stood(t=due, head=slot.name, us=late))
+                    self.recorder.add(rec.Stood(t=due, head=slot.name, us=late, machine=True))
 
     def build(self) -> None:
         """Start the machines."""
--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -76,6 +76,7 @@
         self.heads: dict[int, str] = {}
         self.takes_of: dict[str, list[int]] = defaultdict(list)
         self.stray_answers: list[rec.Answer] = []
+        self.still: dict[int, int] = {}  # when the whole machine stood still, and for how long
         by_request: dict[tuple[str, int], Asked] = {}
         open_of: dict[str, dict[int, Asked]] = defaultdict(dict)
         by_head: dict[str, set[str]] = defaultdict(set)
@@ -104,6 +105,8 @@
                         asked.excused_at = record.t
                 case rec.Stood():
                     stood[record.head].append(record)
+                    if record.machine:
+                        self.still[record.t] = max(self.still.get(record.t, 0), record.us)
                 case rec.Head() if record.up:
                     self.heads[record.number] = record.head
                 case rec.Head():
@@ -166,6 +169,11 @@
             if fitting:
                 fitting[0].got.append(got)
 
+    def on_its_way(self, since: int, until: int) -> int:
+        """Return how long what was sent by a moment may have been on its way at another."""
+        stills = ((max(t, since), min(t + us, until)) for t, us in self.still.items())
+        return self.facts.flight_us + sum(max(0, end - begin) for begin, end in stills)
+
     def units(self, got: rec.Got) -> float:
         """Return what a request counts: whole units, at least one."""
         return float(max(1, -(-got.length // self.facts.unit_bytes)))
@@ -200,7 +208,8 @@
             late = answers[0].t - asked.deadline
             yield Breach(1, answers[0].t, asked.name, f"answered {late} us after its time was up")
         for got in asked.got:
-            if over is not None and got.t > over + flight and story.for_client(asked, got):
+            late = over is not None and got.t > over + flight and got.t > over + story.on_its_way(over, got.t)
+            if over is not None and late and story.for_client(asked, got):
                 yield Breach(1, got.t, asked.name, f"sent to {got.node} {got.t - over} us after it was over")
 
 
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -76,6 +76,7 @@
     head: str
     us: int
     unread: bool = False
+    machine: bool = False  # so did all else on this machine, relays too: what was sent took longer on its way
 
 
 class Take(msgspec.Struct, kw_only=True, tag="take", tag_field="what"):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -70,6 +70,19 @@
         .take(3, 700, "write", "once").answer(3, 710, "refused")
     )  # fmt: skip
 
+def test_what_was_sent_in_time_may_lie_as_long_as_the_machine_stood_still():
+    def tale(*stood):
+        one = Tale().take(1, 0).answer(1, 100_000).got(1, 100_000 + 400_000)
+        for t, us, machine in stood:
+            one.add(rec.Stood(t=t, head="h", us=us, machine=machine))
+        return [breach.rule for breach in checker.check(one.records)]
+
+    assert tale() == [1] and tale((150_000, 390_000, False)) == [1], "a head's standstill holds no network up"
+    assert tale((110_000, 390_000, True), (110_000, 390_000, True)) == [1], "nor twice, for two heads"
+    assert tale((110_000, 300_000, True), (420_000, 80_000, True)) == [1]
+    assert tale((90_000, 420_000, True)) == []
+
+
 
 def test_a_good_recording_breaks_nothing():
     assert good().broken() == set()
