--- a/harriertrack/lab/fleet/division.py
+++ b/harriertrack/lab/fleet/division.py
@@ -20,6 +20,7 @@
 from harriertrack.decisions.fleet.holder import Holder
 from harriertrack.decisions.fleet.ledger import Ledger
 from harriertrack.decisions.fleet.terms import Call, Candidate, Taken, rank
+from harriertrack.lab.fleet import shares
 from harriertrack.rules import recording as rec
 
 STEP_US = 10_000
@@ -250,13 +251,7 @@
         if self.measure is not None:
             self.sent_bytes += self.measure(message)
         if isinstance(message, Ask):
-            self.records.append(
-                rec.AskedShare(
-                    t=self.now, holder=source.name, instance=source.instance, ledger=LEDGER,
-                    term=(message.term.epoch, message.term.nonce), tenure=message.tenure,
-                    number=message.number, applied=[(one.budget, one.version) for one in message.claims],
-                )
-            )  # fmt: skip
+            self.records.append(shares.asked(self.now, message))
         for _ in range(2 if self.twice and self.random.random() < self.twice else 1):
             if self.cut(source.name, target) or (self.loss and self.random.random() < self.loss):
                 continue
@@ -270,14 +265,7 @@
         if member is None:
             return
         if isinstance(message, Grant) and message.instance == member.instance:
-            term = (message.term.epoch, message.term.nonce)
-            self.records.append(
-                rec.GrantedShare(
-                    t=self.now, holder=target, instance=member.instance, ledger=LEDGER, term=term,
-                    tenure=message.tenure, answers=message.answers, lease_us=message.lease_us,
-                    shares=[(one.budget, one.version, one.rate) for one in message.shares],
-                )
-            )  # fmt: skip
+            self.records.append(shares.granted(self.now, message))
         if len(member.inbox) < 2000:
             member.inbox.append((message, source))
 
@@ -362,21 +350,11 @@
                         self._send(member, name, ledger.term)
         for ask in member.holder.asks(now):
             if member.keeper == member.name:
-                self._note_own(member, ask)
+                self.records.append(shares.asked(self.now, ask))  # it needs no network for that
                 self._take(member, now, ask, member.name)
             else:
                 self._send(member, member.keeper, ask)
 
-    def _note_own(self, member: Member, ask: Ask) -> None:
-        """Record what a keeper asks of itself; it needs no network for that."""
-        self.records.append(
-            rec.AskedShare(
-                t=self.now, holder=member.name, instance=member.instance, ledger=LEDGER,
-                term=(ask.term.epoch, ask.term.nonce), tenure=ask.tenure, number=ask.number,
-                applied=[(one.budget, one.version) for one in ask.claims],
-            )
-        )  # fmt: skip
-
     def _grant(self, member: Member, grant: Grant) -> None:
         if grant.holder == member.name:
             self._arrive(member.name, member.name, grant)
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -25,6 +25,7 @@
 from harriertrack.gateway.head import Wiring
 from harriertrack.gateway.witness import WitnessClient
 from harriertrack.lab.day import DaySettings
+from harriertrack.lab.fleet import shares
 from harriertrack.lab.fleet.later import LaterDatagrams
 from harriertrack.lab.fleet.scenario import ZONES, DayBudgets, FleetDaySettings, StepSettings, Verb, chosen
 from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
@@ -191,24 +192,10 @@
             said = budgeting.decode(FLEET, data)
         except budgeting.MalformedDatagram:
             return
-        now = self.hub.now()
         if isinstance(said, Ask) and not arrives:
-            self.recorder.add(
-                rec.AskedShare(
-                    t=now, holder=said.holder, instance=said.instance, ledger=said.ledger,
-                    term=(said.term.epoch, said.term.nonce), tenure=said.tenure, number=said.number,
-                    applied=[(one.budget, one.version) for one in said.claims],
-                )
-            )  # fmt: skip
+            self.recorder.add(shares.asked(self.hub.now(), said))
         elif isinstance(said, Grant) and arrives:
-            self.recorder.add(
-                rec.GrantedShare(
-                    t=now, holder=said.holder, instance=said.instance, ledger=said.ledger,
-                    term=(said.term.epoch, said.term.nonce), tenure=said.tenure, answers=said.answers,
-                    lease_us=said.lease_us,
-                    shares=[(one.budget, one.version, one.rate) for one in said.shares],
-                )
-            )  # fmt: skip
+            self.recorder.add(shares.granted(self.hub.now(), said))
 
     def _who(self, step: StepSettings) -> list[HeadSlot]:
         names = chosen(step.who, [slot.name for slot in self.heads])
