--- a/benchmarks/fleet_zones.py
+++ b/benchmarks/fleet_zones.py
@@ -53,10 +53,12 @@
     return left, back
 
 
-def _play(arguments: tuple[str, int, int, bool]) -> Figures:
-    name, heads, seed, together = arguments
+def _play(arguments: tuple[str, int, int, float, float]) -> Figures:
+    name, heads, seed, together, rate = arguments
     day = scenario.load(name)
-    day = day if together else msgspec.structs.replace(day, zones=None)
+    day = msgspec.structs.replace(day, zones_at=together, rate=rate or day.rate)
+    if not together:
+        day = msgspec.structs.replace(day, zones=None)
     recorder = rec.Recorder()
     rig = simulate(day, heads, seed, recorder)
     records, darks = recorder.records, _darks(recorder.records)
@@ -71,7 +73,7 @@
     found["broken"] = float(len(checker.check(records)))
     found["wrong"] = float(sum(one.rule == 2 for one in wrong))
     first = min((times[0] for times in darks.values()), default=None)
-    if first is not None and together:
+    if first is not None and together == 1.0:
         struck = next(name for name in rig.shelves if first in darks.get(name, ()))
         zone = rig.shelves[struck].settings.zone
         left, back = _times(records, first, zone)
@@ -87,14 +89,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--heads", type=int, default=12)
     parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--rate", type=float, default=0.0, help="Requests a second a head, if not the day's.")
     parser.add_argument("--days", nargs="*", default=DAYS)
     chosen = parser.parse_args()
     print("day | heads | served of requests | sent to silent nodes | left after, s | "
           "used again after, s | wrong leavings | rules broken")  # fmt: skip
     with ProcessPoolExecutor() as pool:
         for name in chosen.days:
-            for together in (True, False):
-                runs = [(name, chosen.heads, seed, together) for seed in range(1, chosen.seeds + 1)]
+            for together, way in ((1.0, "together"), (0.7, "seven in ten"), (0.0, "each alone")):
+                seeds = range(1, chosen.seeds + 1)
+                runs = [(name, chosen.heads, seed, together, chosen.rate) for seed in seeds]
                 found = list(pool.map(_play, runs))
 
                 def mean(field: str, found: list[Figures] = found) -> str:
@@ -102,7 +106,7 @@
                     return f"{statistics.mean(values):.3g}" if values else "-"
 
                 broken = sum(one["broken"] + one["zones"] for one in found)
-                print(f"{name} {'together' if together else 'each alone'} | {chosen.heads} | "
+                print(f"{name} {way} | {chosen.heads} | "
                       f"{mean('served')} | {mean('spent')} | {mean('left')} | {mean('back')} | "
                       f"{mean('wrong')} | {broken:g}")  # fmt: skip
 
--- a/harriertrack/gateway/fleet/budgets.py
+++ b/harriertrack/gateway/fleet/budgets.py
@@ -38,6 +38,7 @@
 if TYPE_CHECKING:
     from harriertrack.gateway.fleet.zones import Zones
 
+ZONES = 64  # the number after all ledgers
 PATH = "/v1/kv/harriertrack/budgets/"  # at the witness, with the ledger's number
 LOOK_US = 100_000  # how often it is looked who should keep a ledger
 MOST_TOLD = 2_000  # portions, and slips, in one document
@@ -113,16 +114,23 @@
     """This head's part."""
 
     def __init__(self, parts: HeadParts, settings: BudgetsSettings, portions: Portions, fleet: str,
-                 swim: Swim, send: Callable[[bytes, Address], None]) -> None:  # fmt: skip
+                 swim: Swim, send: Callable[[bytes, Address], None],
+                 decides_zones: bool = False) -> None:  # fmt: skip
         hub = parts.hub
         self._parts, self._hub, self._settings, self._fleet = parts, hub, settings, fleet
         self.portions, self._swim, self._send_bytes = portions, swim, send
         self.counts = Counts()
-        self._seats = [
-            _Seat(holder.number, holder,
-                  Candidate(holder.number, portions.rules, hub.random.getrandbits(32), hub.now()))
-            for holder in portions.holders
-        ]  # fmt: skip
+        holders = list(portions.holders)
+        if decides_zones:  # in a term of its own: heads that have no zones keep budgets too
+            mine = holders[0]
+            holders.append(Holder(ZONES, mine.name, mine.instance, portions.rules, hub.now()))
+        self._seats = {
+            holder.number: _Seat(
+                holder.number, holder,
+                Candidate(holder.number, portions.rules, hub.random.getrandbits(32), hub.now()),
+            )
+            for holder in holders
+        }  # fmt: skip
         self.witness = WitnessClient(hub, parts.network, settings.witness, settings.timeout_us, swim.me.name)
         self._alarm = Alarm(hub, self._wake)
         self._leaving = self._closed = False
@@ -132,7 +140,7 @@
     def start(self) -> None:
         """Take part from now on."""
         self.portions.woken = self._soon
-        for seat in self._seats:
+        for seat in self._seats.values():
             self._parts.scope.spawn(f"ledger {seat.number}", self._sit, seat)
         self._soon()
 
@@ -164,8 +172,8 @@
                 self._heard_of_zones(now, said)
                 return
             number = said.ledger if isinstance(said, Ask | Grant) else said[1]
-            if number < len(self._seats):
-                self._take(now, self._seats[number], said, source)
+            if (seat := self._seats.get(number)) is not None:
+                self._take(now, seat, said, source)
 
     def _heard_of_zones(self, now: int, said: Seen | Told) -> None:
         if self.zones is not None and isinstance(said, Seen):
@@ -226,21 +234,21 @@
         self.counts.sent_bytes += len(data)
         self._send_bytes(data, address)
 
-    # -- what else heads tell each other by the first ledger's term
+    # -- what heads tell each other of zones, in terms as those of ledgers
 
     def keeps(self, now: int) -> Term | None:
-        """Return the term in which this head keeps the first ledger; None if it does not."""
-        candidate = self._seats[0].candidate
+        """Return the term in which this head decides on zones; None if it does not."""
+        candidate = self._seats[ZONES].candidate
         return candidate.ledger.term if candidate.valid(now) and candidate.ledger is not None else None
 
     def follows(self, now: int, term: Term) -> bool:
         """Whether this is the term that this head goes by."""
-        return self._seats[0].holder.hear(now, term)
+        return self._seats[ZONES].holder.hear(now, term)
 
     def tell_keeper(self, said: Said) -> None:
-        """Tell who keeps the first ledger, if it is known and another head."""
-        if self._seats[0].keeper is not None:
-            self._send(self._seats[0].keeper, said)
+        """Tell who decides on zones, if it is known and another head."""
+        if (keeper := self._seats[ZONES].keeper) is not None:
+            self._send(keeper, said)
 
     def tell_all(self, said: Said) -> None:
         """Tell all who are there."""
@@ -253,7 +261,7 @@
         if self._closed:
             return
         now, when = self._hub.now(), []
-        for seat in self._seats:
+        for seat in self._seats.values():
             self._keep(now, seat)
             asks = seat.holder.asks(now)
             if seat.holder.lapses > seat.lapses:
@@ -407,7 +415,7 @@
     @property
     def released(self) -> bool:
         """Whether nothing is kept, or will be, any more."""
-        return all(seat.candidate.seat is Seat.LEFT for seat in self._seats)
+        return all(seat.candidate.seat is Seat.LEFT for seat in self._seats.values())
 
     # -- what operators see
 
@@ -419,10 +427,10 @@
                 one.portion.whole.fixed * one.portion.whole.rate / one.portion.whole.hosts,
                 one.portion.share if seat.holder.live(now) else 0.0, one.wanted, one.portion.level,
             )
-            for seat in self._seats for name, one in seat.holder.held.items()
+            for seat in self._seats.values() for name, one in seat.holder.held.items()
         ]  # fmt: skip
         ledgers, more = [], max(0, len(portions) - MOST_TOLD)
-        for seat in self._seats:
+        for seat in self._seats.values():
             if seat.candidate.valid(now) and seat.candidate.ledger is not None:
                 told, left = self._ledger_told(now, seat, seat.candidate.ledger)
                 ledgers.append(told)
@@ -434,7 +442,7 @@
                 "itself" if seat.mine else f"{seat.keeper[0]}:{seat.keeper[1]}" if seat.keeper else "",
                 max(0, seat.holder.lease.until - now) / 1e6, seat.holder.lapses,
             )
-            for seat in self._seats
+            for seat in self._seats.values()
         ]  # fmt: skip
         counts = {name: getattr(self.counts, name) for name in Counts.__slots__}
         return BudgetsTold(seats, sorted(portions, key=lambda one: one.budget)[:MOST_TOLD], ledgers, counts,
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -89,7 +89,7 @@
             from harriertrack.gateway.fleet.budgets import Budgets  # a fleet without does not even load it
 
             self.budgets = Budgets(self._parts, settings.budgets, self._portions, settings.fleet, self.swim,
-                                   self._port.send)  # fmt: skip
+                                   self._port.send, settings.zones is not None)  # fmt: skip
             self.budgets.start()
             if settings.zones is not None and self._evidence is not None and self._listing is not None:
                 from harriertrack.gateway.fleet.zones import Zones
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -1,7 +1,8 @@
 """A head's part in leaving zones and returning together, on the hub.
 
-What it sees goes to who keeps the first ledger of the budgets; that one's word comes back, and shows in the
-list that the module is told. Decided is all of it in decisions/fleet (`Evidence`, `Evacuation`, `Overlay`).
+What it sees goes to who decides, in a term as those of the budgets' ledgers; that one's word comes back, and
+shows in the list that the module is told. Decided is all of it in decisions/fleet (`Evidence`, `Evacuation`,
+`Overlay`).
 """
 
 from __future__ import annotations
@@ -104,7 +105,7 @@
         self._show(now)
 
     def _decide(self, now: int, term: Term | None) -> None:
-        """Decide if this head keeps the first ledger; begin anew with each term."""
+        """Decide if this is the head that does; begin anew with each term."""
         if term is None:
             self._term = self._decides = None
             return
--- a/harriertrack/lab/fleet/processes.py
+++ b/harriertrack/lab/fleet/processes.py
@@ -296,7 +296,7 @@
             name=name, listen=self._inner[name], advertise=self._there[name], seeds=seeds,
             budgets=self.budgets_of(self._link(name, "witness", self._witness))
             if self.fleet_day.budgets is not None else None,
-            zones=self.fleet_day.zones,
+            zones=self.zones_of(name),
             **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -19,6 +19,7 @@
     FleetFigures,
     FleetSeedSettings,
     FleetSettings,
+    ZonesSettings,
 )
 from harriertrack.decisions.fleet.budgets import Ask, Grant
 from harriertrack.gateway.fleet.zones import set_wish
@@ -184,6 +185,11 @@
         figures = {field: getattr(plan, field) for field in DayBudgets.__struct_fields__}
         return BudgetsSettings(witness=witness, **figures)
 
+    def zones_of(self, name: str) -> ZonesSettings | None:
+        """Return what a head is told of leaving zones."""
+        day, number = self.fleet_day, int(name.removeprefix("head"))
+        return day.zones if number < day.zones_at * self.day.heads else None
+
     def passed(self, _name: str, data: bytes, arrives: bool) -> None:
         """Record what heads tell each other of budgets: asks as they leave, grants as they come."""
         if data[:1] != MARK:
@@ -358,7 +364,7 @@
         )
         return FleetSettings(
             name=name, listen=("127.0.0.1", FIRST_PORT + number), seeds=seeds,
-            budgets=self.budgets_of(self.witness.address), zones=self.fleet_day.zones,
+            budgets=self.budgets_of(self.witness.address), zones=self.zones_of(name),
             **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
--- a/harriertrack/membership/fleet/budgeting.py
+++ b/harriertrack/membership/fleet/budgeting.py
@@ -34,7 +34,7 @@
     GRANT = 1
     TERM = 2  # its sender keeps the ledger in this term
     VACATED = 3  # ... and does so no longer
-    SEEN = 4  # what a head sees of zones, to who keeps the first ledger
+    SEEN = 4  # what a head sees of zones, to who decides on them
     WORD = 5  # what that one decided
 
 
@@ -110,7 +110,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """The fleet's word on all zones that are not simply in use, in a term of the first ledger."""
+    """The fleet's word on all zones that are not simply in use, and the term of who decided."""
 
     term: Term
     words: tuple[Word, ...]
--- a/tests/test_fleet_budgets_carrier.py
+++ b/tests/test_fleet_budgets_carrier.py
@@ -422,7 +422,7 @@
     def test(heads):
         hub = heads.hub
         hub.sleep(6 * S)
-        seats = [[seat.candidate.valid(hub.now()) for seat in site.head.fleet.budgets._seats] for site in heads.sites]
+        seats = [[seat.candidate.valid(hub.now()) for seat in site.head.fleet.budgets._seats.values()] for site in heads.sites]
         assert [sum(column) for column in zip(*seats, strict=True)] == [1, 1]
         client = heads.sites[0].client("shared")
         assert client.read(0, 4096, hub.now() + S).data == bytes(4096) if hasattr(client, "read") else True
