--- a/harriertrack/membership/fleet/budgeting.py
+++ b/harriertrack/membership/fleet/budgeting.py
@@ -22,6 +22,7 @@
 VERSION = 1
 READS = 1
 
+MOST_REASONS = 300  # bytes of reasons in one datagram
 Amount = Annotated[float, msgspec.Meta(ge=0, le=1e18)]
 Zone = Annotated[str, msgspec.Meta(max_length=32)]
 Budget = Annotated[str, msgspec.Meta(min_length=1, max_length=160)]
@@ -138,8 +139,11 @@
             sights = [_Sight(one.zone, one.good, one.bad, one.requests) for one in said.sights]
             wire = _Wire(READS, VERSION, fleet, Kind.SEEN, 0, 0, 0, said.head, sights=sights)
         case Told():
+            # Reasons are for people: where there are many words, they give way to the words.
+            room = MOST_REASONS // max(1, len(said.words)) if len(said.words) <= 8 else 0
             words = [
-                _Word(one.zone, one.stage.value, one.share, one.turn, one.why[:100]) for one in said.words
+                _Word(one.zone, one.stage.value, one.share, one.turn, one.why[: min(100, room)])
+                for one in said.words
             ]
             wire = _Wire(READS, VERSION, fleet, Kind.WORD, 0, said.term.epoch, said.term.nonce, words=words)
         case (kind, ledger, term):
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -232,6 +232,14 @@
         assert budgeting.decode("f", budgeting.encode("f", said)) == said
 
 
+def test_many_words_fit_a_datagram():
+    words = tuple(Word(f"zone-{number:0>27}", Stage.RETURNING, 0.123, 1 << 20, "w" * 100) for number in range(16))
+    data = budgeting.encode("f" * 64, budgeting.Told(Term(1 << 40, 1 << 61), words))
+    assert len(budgeting.decode("f" * 64, data).words) == 16
+    sights = tuple(Sight(f"zone-{number:0>27}", 200, 200, 10**6) for number in range(16))
+    assert budgeting.decode("f" * 64, budgeting.encode("f" * 64, budgeting.Seen("h" * 64, sights))).sights == sights
+
+
 def test_settings_of_zones():
     budgets = '(budgets (witness "127.0.0.1" 8500) (budget limits))'
     place = '(heads 4) (fleet "a" (listen "127.0.0.1" 7946) %s)'
