--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -188,7 +188,7 @@
     def zones_of(self, name: str) -> ZonesSettings | None:
         """Return what a head is told of leaving zones."""
         day, number = self.fleet_day, int(name.removeprefix("head"))
-        return day.zones if number < day.zones_at * self.day.heads else None
+        return day.zones if number % 10 < round(10 * day.zones_at) else None
 
     def passed(self, _name: str, data: bytes, arrives: bool) -> None:
         """Record what heads tell each other of budgets: asks as they leave, grants as they come."""
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -109,7 +109,7 @@
     limit_slack: Amount = 8.0  # units
     budgets: DayBudgets | None = None
     zones: ZonesSettings | None = None
-    zones_at: Share = 1.0  # of the heads, by their order, have zones; the others help themselves
+    zones_at: Share = 1.0  # so many of each ten heads have zones; the others help themselves
     may_leave: tuple[str, ...] = ()  # zones that the fleet may leave on this day
     rate: Amount = 8.0  # requests a second, a head
     detect_us: Positive = 20_000_000  # the longest that a death may go unnoticed
