--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -265,7 +265,7 @@
     gone_us: Positive = 300_000
     fresh_us: Positive = 1_500_000
     heads: Positive = 2
-    wait_us: Positive = 2_000_000
+    wait_us: Positive = 1_000_000
     most_wait_us: Positive = 60_000_000
     tries: Positive = 3
     turn_us: Positive = 3_000_000
--- a/harriertrack/decisions/fleet/evacuation.py
+++ b/harriertrack/decisions/fleet/evacuation.py
@@ -43,7 +43,7 @@
     gone_us: int = 300_000  # for so long
     fresh_us: int = 1_500_000  # what a head said before counts no more
     heads: int = 2  # that must see it, where there are as many
-    wait_us: int = 2_000_000  # from out to the first tries; doubles with each relapse
+    wait_us: int = 1_000_000  # from out to the first tries; doubles with each relapse
     most_wait_us: int = 60_000_000
     tries: int = 3  # heads that try
     turn_us: int = 3_000_000  # after which others do
--- a/harriertrack/decisions/fleet/evidence.py
+++ b/harriertrack/decisions/fleet/evidence.py
@@ -81,6 +81,12 @@
             if isinstance(action, Send):
                 self.sent(now, action)
 
+    def forget(self, zone: str) -> None:
+        """Drop what was seen of a zone: it is used no more, or again, and that says nothing of it now."""
+        for name, node in self._nodes.items():
+            if node.zone == zone:
+                self._nodes[name] = _Node(zone)
+
     def report(self, now: int) -> tuple[Sight, ...]:
         """Return what is seen now, the zones with the most trouble first."""
         found: dict[str, list[int]] = {}
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -149,6 +149,7 @@
         if self._overlay.follow(now, self._words, self._swim.me.name, names, self._rules.tries):
             unused = self._overlay.unused
             for zone in sorted(before ^ unused):
+                self._evidence.forget(zone)
                 self._parts.note("zone used" if zone in before else "zone unused", zone=zone,
                                  unused=len(unused), zones=len(self._zones))  # fmt: skip
             self._listing.tell_anew()
