--- a/harriertrack/gateway/fleet/budgets.py
+++ b/harriertrack/gateway/fleet/budgets.py
@@ -18,6 +18,7 @@
 from harriertrack.decisions.fleet.ledger import Ledger
 from harriertrack.decisions.fleet.portions import UNITS, Divided, Portions, Use
 from harriertrack.decisions.fleet.terms import Call, Candidate, Held, Seat, Taken, rank
+from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.gateway.witness import FAILURES, WitnessClient
 from harriertrack.membership.fleet import budgeting
@@ -94,10 +95,7 @@
 
 def rules_of(settings: BudgetsSettings) -> BudgetRules:
     """Return the figures of dividing."""
-    return BudgetRules(
-        settings.lease_us, settings.ask_us, settings.quick_us, settings.round_us, settings.clock_error,
-        settings.term_us, settings.patience_us, settings.contenders, settings.weight,
-    )  # fmt: skip
+    return figures(BudgetRules, settings)
 
 
 def portions_of(head: HeadSettings, hub: Hub) -> Portions:
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from harriertrack.config.settings import FleetSettings
+from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.membership.fleet.messages import BUDGETS, Record, State
 from harriertrack.membership.fleet.swim import Changed, Rules, Said, Send, Swim
@@ -34,13 +35,7 @@
 
 def rules_of(settings: FleetSettings) -> Rules:
     """Return the protocol's figures."""
-    return Rules(
-        fleet=settings.fleet, probe_us=settings.probe_us, answer_us=settings.answer_us,
-        helpers=settings.helpers, suspicion=settings.suspicion, slack=settings.slack,
-        confirmations=settings.confirmations, gossip_us=settings.gossip_us, fanout=settings.fanout,
-        repeats=settings.repeats, sync_us=settings.sync_us, reach_us=settings.reach_us,
-        recent_us=settings.recent_us, forget_us=settings.forget_us, members=settings.members,
-    )  # fmt: skip
+    return figures(Rules, settings)
 
 
 class Fleet:
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -16,6 +16,7 @@
 from harriertrack.decisions.interface import Action, Event, NodeEntry
 from harriertrack.decisions.requests import Module
 from harriertrack.gateway.fleet.budgets import Budgets
+from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.listing import Listing
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.gateway.witness import FAILURES, WitnessClient
@@ -57,7 +58,7 @@
 
 def rules_of(settings: ZonesSettings) -> ZoneRules:
     """Return the figures."""
-    return ZoneRules(**{name: getattr(settings, name) for name in settings.__struct_fields__})
+    return figures(ZoneRules, settings)
 
 
 class Zones:
--- a/harriertrack/lab/fleet/processes.py
+++ b/harriertrack/lab/fleet/processes.py
@@ -12,7 +12,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -212,27 +212,19 @@
         sources = frozenset(slot.name for slot in who)
         nodes = frozenset(shelf.settings.name for shelf in self.in_zone(zone))
         links = [link for (head, party), link in self._links.items() if head in sources and party in nodes]
-        self._for_a_while(Fault(sources, nodes, cut=True), us, links)
+
+        def break_off() -> None:
+            for link in links:
+                link.set_cut(True)
+                link.set_cut(False)
+
+        self.strike(Fault(sources, nodes, cut=True), us, break_off)
 
     def zone_slow(self, zone: str, times: float, us: int) -> None:
         """Let what passes between heads and a zone's nodes take longer: as if these were slow."""
         sources = frozenset(slot.name for slot in self.heads)
         nodes = frozenset(shelf.settings.name for shelf in self.in_zone(zone))
-        self._for_a_while(Fault(sources, nodes, late_us=int(times * SLOW_US)), us)
-
-    def _for_a_while(self, fault: Fault, us: int, breaking: Iterable[Link] = ()) -> None:
-        number = self.weather.add(fault)
-        self.weather_changed()
-
-        def end() -> None:
-            for link in breaking:
-                link.set_cut(True)
-            self.weather.end(number)
-            self.weather_changed()
-            for link in breaking:
-                link.set_cut(False)
-
-        self.later(us, end)
+        self.strike(Fault(sources, nodes, late_us=int(times * SLOW_US)), us)
 
     def wish(self, zone: str, wish: str) -> None:
         """Do as an operator does who wishes a zone out or in."""
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -30,6 +30,7 @@
 from harriertrack.lab.fleet.later import LaterDatagrams
 from harriertrack.lab.fleet.scenario import ZONES, DayBudgets, FleetDaySettings, StepSettings, Verb, chosen
 from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
+from harriertrack.lab.troubles import for_a_while
 from harriertrack.membership.fleet import budgeting
 from harriertrack.membership.fleet.budgeting import MARK
 from harriertrack.rules import recording as rec
@@ -37,7 +38,6 @@
 from harriertrack.runtime.datagrams import MemoryDatagrams
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import MemoryNetwork, Network
-from harriertrack.standin.node import Faults
 from harriertrack.standin.relay import Fault, Weather
 from harriertrack.standin.shelf import Shelf
 from harriertrack.standin.witness import Witness
@@ -219,18 +219,24 @@
             found += [name for name in words if name in self.shelves or name in OUTSIDE]
             if "shelves" in words:
                 found += list(self.shelves)
-        number = self.weather.add(
-            Fault(frozenset(sources), frozenset(targets), not step.one_way, step.cut, step.lost, step.twice,
-                  step.late_us, step.jitter_us, step.least_bytes)
+        fault = Fault(
+            frozenset(sources), frozenset(targets), not step.one_way, step.cut, step.lost, step.twice,
+            step.late_us, step.jitter_us, step.least_bytes,
         )  # fmt: skip
+        self.strike(fault, step.for_us)
+
+    def strike(self, fault: Fault, us: int, ends: Callable[[], None] = lambda: None) -> None:
+        """Let a fault begin, for a time or (0) until all are healed; `ends` is called just before its end."""
+        number = self.weather.add(fault)
         self.weather_changed()
-        if step.for_us:
 
-            def end() -> None:
-                self.weather.end(number)
-                self.weather_changed()
+        def end() -> None:
+            ends()
+            self.weather.end(number)
+            self.weather_changed()
 
-            self.later(step.for_us, end)
+        if us:
+            self.later(us, end)
 
     def _starve(self, slot: HeadSlot, step: StepSettings) -> None:
         """Let a head have the processor for a part of the time only (a task). It lives: that is no fault."""
@@ -431,17 +437,7 @@
         self._faulty(self.in_zone(zone), us, slow=times)
 
     def _faulty(self, struck: list[Shelf], us: int, **faults: object) -> None:
-        healthy = Faults()
-        for shelf in struck:
-            shelf.faults = dataclasses.replace(shelf.faults, **faults)  # type: ignore[arg-type]
-
-        def end() -> None:
-            for shelf in struck:
-                back = {name: getattr(healthy, name) for name in faults}
-                shelf.faults = dataclasses.replace(shelf.faults, **back)
-                shelf.wake()
-
-        self.later(us, end)
+        self.scope.spawn("nodes at fault", partial(for_a_while, self, struck, us, **faults))
 
     def wish(self, zone: str, wish: str) -> None:
         """Do as an operator does who wishes a zone out or in."""
--- a/harriertrack/lab/troubles.py
+++ b/harriertrack/lab/troubles.py
@@ -41,7 +41,8 @@
     return register
 
 
-def _for_a_while(rig: Rig, shelves: Iterable[Shelf], us: int, **faults: object) -> None:
+def for_a_while(rig: Rig, shelves: Iterable[Shelf], us: int, **faults: object) -> None:
+    """Let nodes have faults for a time, and be healthy in these again (a task)."""
     struck = list(shelves)
     for shelf in struck:
         shelf.faults = replace(shelf.faults, **faults)  # type: ignore[arg-type]
@@ -56,19 +57,19 @@
 def answer_lost(rig: Rig, trouble: TroubleSettings) -> None:
     """Nodes do the work, and `size` of their answers never arrive: nothing comes, or a reset."""
     fault = "reset_replies" if trouble.how == "reset" else "lose_replies"
-    _for_a_while(rig, rig.struck(trouble.part), trouble.for_us, **{fault: trouble.size})
+    for_a_while(rig, rig.struck(trouble.part), trouble.for_us, **{fault: trouble.size})
 
 
 @trouble(TroubleKind.HANG)
 def hang(rig: Rig, trouble: TroubleSettings) -> None:
     """Nodes take requests and answer none."""
-    _for_a_while(rig, rig.struck(trouble.part), trouble.for_us, hang=True)
+    for_a_while(rig, rig.struck(trouble.part), trouble.for_us, hang=True)
 
 
 @trouble(TroubleKind.SLOW)
 def slow(rig: Rig, trouble: TroubleSettings) -> None:
     """Nodes work `size` times slower."""
-    _for_a_while(rig, rig.struck(trouble.part), trouble.for_us, slow=trouble.size)
+    for_a_while(rig, rig.struck(trouble.part), trouble.for_us, slow=trouble.size)
 
 
 @trouble(TroubleKind.NEIGHBOUR)
@@ -76,7 +77,7 @@
     """Another program takes a part of the nodes, on and off."""
     struck, until = rig.struck(trouble.part), rig.hub.now() + trouble.for_us
     while rig.hub.now() < until:
-        _for_a_while(rig, struck, trouble.every_us, slow=trouble.size)
+        for_a_while(rig, struck, trouble.every_us, slow=trouble.size)
         rig.hub.sleep(trouble.every_us)
 
 
@@ -152,7 +153,7 @@
     zone = rig.day.zones[-1]
     far = frozenset(slot.head.head_id for slot in rig.heads if slot.zone != zone and slot.head is not None)
     struck = [shelf for shelf in rig.shelves.values() if shelf.settings.zone == zone]
-    _for_a_while(rig, struck, trouble.for_us, cut_off=far)
+    for_a_while(rig, struck, trouble.for_us, cut_off=far)
 
 
 @trouble(TroubleKind.BAD_RELEASE)
