Every order of a few tasks: a hub that is led, and searches over its schedules

Tests run the hub's tasks in the one order that its loop takes, so races between a cancel and a wake, or a close and a read, are met by accident alone. LedHub (runtime/led.py) offers what could run to a lead that chooses; Hub itself is not touched. lab/interleaving/ explores: plain enumeration, one schedule of each kind (dynamic partial-order reduction with source and sleep sets over observed footprints), and few turns from the usual order. Scenarios over hub and streams, the latter over sockets in simulated time.

--- /dev/null
+++ b/harriertrack/lab/interleaving/__init__.py
@@ -0,0 +1,1 @@
+"""All interleavings of a few tasks of the production code, and of the events of pure machines."""
--- /dev/null
+++ b/harriertrack/lab/interleaving/naming.py
@@ -0,0 +1,103 @@
+"""Names of steps that stay the same when independent steps change places.
+
+A step is numbered within its place and kind: whatever makes steps of one place runs in that place, in an
+order that no exchange of independent steps alters. Numbers across places would differ between two schedules
+that are the same but for such exchanges.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from harriertrack.lab.interleaving.wires import Place, arrival, place_name
+from harriertrack.runtime.hub import Task, Timer
+from harriertrack.runtime.led import LedHub, Step, StepKind
+
+TIME = "time passes"
+WORDS = {"Hub.park": "deadline", "Hub.sleep": "sleep is over", "Hub.freeze": "thaw"}
+
+
+@dataclass(frozen=True, slots=True)
+class Name:
+    """What a step is called, whose it is, and which steps it keeps its order with."""
+
+    text: str
+    place: Place  # "": not known
+    channel: str = ""
+
+
+def _called(act: Callable[[], None]) -> str:
+    name = str(getattr(act, "__qualname__", type(act).__name__)).removesuffix(".<locals>.<lambda>")
+    return WORDS.get(name, name)
+
+
+class Names:
+    """Gives names to steps as they come up."""
+
+    def __init__(self, hub: LedHub) -> None:
+        self._hub = hub
+        self._counts: dict[str, int] = {}
+        self._tasks: dict[Task, Name] = {}
+        self._timers: dict[int, tuple[Timer, Name]] = {}
+        self._callbacks: dict[Callable[[], None], Name] = {}
+        self._serial = 0
+
+    def _number(self, label: str) -> str:
+        self._counts[label] = number = self._counts.get(label, 0) + 1
+        return f"{label} #{number}" if number > 1 else label
+
+    def _task(self, task: Task) -> Name:
+        if task not in self._tasks:
+            place = place_name(task.group)
+            self._tasks[task] = Name(self._number(f"{place}: {task.name}"), place)
+        return self._tasks[task]
+
+    def _timer(self, timer: Timer, maker: Place) -> Name:
+        assert timer.act is not None
+        came = arrival(timer.act)
+        if came is None:
+            place = place_name(timer.group)
+            return Name(self._number(f"{place}: {_called(timer.act)}"), place)
+        what, place, channel = came
+        return Name(self._number(f"{channel or f'from {maker}'}: {what}"), place, channel)
+
+    def learn(self, maker: Place) -> bool:
+        """Name what the step of `maker` made; return whether it made a timer."""
+        for task, _ in self._hub._ready:
+            self._task(task)
+        for callback, group in self._hub._end_of_round.items():
+            if callback not in self._callbacks:
+                place = place_name(group)
+                self._callbacks[callback] = Name(self._number(f"{place}: {_called(callback)}"), place)
+        fresh = sorted(item[1:] for item in self._hub._timers if item[1] > self._serial)
+        for serial, timer in fresh:
+            self._serial = serial
+            if timer.act is not None:
+                self._timers[id(timer)] = (timer, self._timer(timer, maker))  # kept, so that ids stay its own
+        return bool(fresh)
+
+    def of(self, step: Step) -> Name:
+        """Return a step's name."""
+        match step.what:
+            case Task() as task:
+                return self._task(task)
+            case Timer() as timer:
+                name = self._timers[id(timer)][1]
+                if not name.channel and timer.act is not None and (came := arrival(timer.act)) is not None:
+                    return Name(name.text, came[1])  # a port may be bound while a datagram is on its way
+                return name
+            case None:
+                return Name(TIME, "")
+        if step.kind is StepKind.CALLBACK:
+            return self._callbacks[step.what]  # type: ignore[index]
+        return Name(f"descriptor {step.what.fd} {step.events}", "")  # type: ignore[union-attr]
+
+    def ran(self, step: Step) -> None:
+        """A callback that is asked for again is another step."""
+        if step.kind is StepKind.CALLBACK:
+            self._callbacks.pop(step.what, None)  # type: ignore[arg-type]
+
+    def tasks(self) -> list[Task]:
+        """Return all tasks that were seen."""
+        return list(self._tasks)
--- /dev/null
+++ b/harriertrack/lab/interleaving/observed.py
@@ -0,0 +1,54 @@
+"""The clock and the random numbers of an explored hub, which tell who looked at them."""
+
+from __future__ import annotations
+
+import random
+
+from harriertrack.lab.interleaving.footprints import CLOCK, RANDOM, Touched
+from harriertrack.runtime.hub import VirtualTime
+
+START = 1_000_000_000
+
+
+class ObservedTime(VirtualTime):
+    """Simulated time; `read` and `moved` become part of a step's footprint."""
+
+    def __init__(self, touched: Touched, start: int = START) -> None:
+        super().__init__(start)
+        self._touched = touched
+
+    def now(self) -> int:
+        """Return the simulated time in microseconds."""
+        self._touched.read(CLOCK)
+        return super().now()
+
+    def wall(self) -> int:
+        """Return the simulated time."""
+        return self.now()
+
+    def peek(self) -> int:
+        """Return the time for who only watches."""
+        return self._now
+
+    def wait(self, until: int | None) -> list[tuple[int, int]]:
+        """Jump to the next timer."""
+        self._touched.write(CLOCK)
+        return super().wait(until)
+
+
+class ObservedRandom(random.Random):
+    """Random numbers, drawn in the order of the steps: two steps that draw depend on each other."""
+
+    def __init__(self, touched: Touched, seed: int) -> None:
+        super().__init__(seed)
+        self._touched = touched
+
+    def random(self) -> float:
+        """Draw from [0, 1)."""
+        self._touched.write(RANDOM)
+        return super().random()
+
+    def getrandbits(self, k: int, /) -> int:
+        """Draw so many bits."""
+        self._touched.write(RANDOM)
+        return super().getrandbits(k)
--- /dev/null
+++ b/harriertrack/lab/interleaving/registry.py
@@ -0,0 +1,8 @@
+"""All scenarios, by name."""
+
+from __future__ import annotations
+
+from harriertrack.lab.interleaving.scenarios import hub, streams
+from harriertrack.lab.interleaving.world import Scenario
+
+SCENARIOS: dict[str, Scenario] = {one.name: one for part in (hub, streams) for one in part.SCENARIOS}
--- /dev/null
+++ b/harriertrack/lab/interleaving/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Worlds of production code that are explored."""
--- /dev/null
+++ b/harriertrack/lab/interleaving/world.py
@@ -0,0 +1,115 @@
+"""A world under exploration: production code in a few places on one hub, and what is judged of it.
+
+A scenario builds its world anew for each schedule. What it judges is a *view*: a tuple of plain values, each
+read from one place. `judge` says what is wrong with a view, at every step; `finish` at the end, when nothing
+can run any more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass
+
+from harriertrack.lab.interleaving.footprints import Touched
+from harriertrack.lab.interleaving.observed import ObservedRandom, ObservedTime
+from harriertrack.lab.interleaving.wires import Place, Posts, Wires, place_name
+from harriertrack.runtime.hub import Cancelled, Task
+from harriertrack.runtime.led import Lead, LedHub
+
+View = tuple[Hashable, ...]
+
+
+@dataclass(slots=True)
+class Fault:
+    """Something that may happen once, at any time or never: a kill, a word of an operator."""
+
+    name: str
+    place: Place
+    act: Callable[[], None]
+    done: bool = False
+
+
+class World:
+    """What one schedule runs in."""
+
+    def __init__(self, lead: Lead, seed: int = 0) -> None:
+        self.touched = Touched()
+        self.time = ObservedTime(self.touched)
+        self.hub = LedHub(lead, self.time, None, seed)
+        self.hub.random = ObservedRandom(self.touched, seed)
+        self.network, self.posts = Wires(self.hub, self.touched), Posts(self.hub, self.touched)
+        self.dead: set[Place] = set()
+        self.faults: list[Fault] = []
+        self.tasks: list[Task] = []
+        self.wrong: list[str] = []  # what tasks themselves found
+        self.view: Callable[[], View] = lambda: ()
+        self.judge: Callable[[View], str | None] = lambda _view: None
+        self.finish: Callable[[], str | None] = lambda: None
+        self.ends: set[Task] = set()
+        self.hub.on_task_error = self._failed
+
+    # -- building
+
+    def spawn(self, place: Place, name: str, run: Callable[..., object], *args: object,
+              ends: bool = False) -> Task:  # fmt: skip
+        """Start a task in a place; `ends`: that it waits for ever is a breach."""
+        before = self.hub.current().group
+        self.hub.enter_group(place)
+        task = self.hub.spawn(name, run, *args)
+        self.hub.enter_group(before)
+        self.tasks.append(task)
+        if ends:
+            self.ends.add(task)
+        return task
+
+    def fault(self, name: str, place: Place, act: Callable[[], None]) -> None:
+        """Let something happen once, in a place, whenever the explorer likes."""
+        self.faults.append(Fault(name, place, act))
+
+    def may_die(self, place: Place) -> None:
+        """Let a process be killed between any two of its waits."""
+        self.fault(f"kill {place}", place, lambda: self._kill(place))
+
+    def _kill(self, place: Place) -> None:
+        self.dead.add(place)
+        self.network.break_all(place)
+        self.posts.break_all(place)
+
+    # -- judging
+
+    def _failed(self, task: Task) -> None:
+        self.wrong.append(f"{place_name(task.group)}: {task.name} failed: {task.error!r}")
+
+    def breach(self, view: View) -> str | None:
+        """Return what is wrong now."""
+        return self.wrong[0] if self.wrong else self.judge(view)
+
+    def breach_at_end(self) -> str | None:
+        """Return what is wrong when nothing can run any more."""
+        for task in self.tasks:
+            if task in self.ends and not task.done and place_name(task.group) not in self.dead:
+                return f"{place_name(task.group)}: {task.name} waits for ever"
+        return self.finish()
+
+    # -- ending
+
+    def close(self, tasks: list[Task]) -> None:
+        """End the greenlets that still wait: they would keep this world in memory."""
+        self.hub.on_task_error = None
+        for task in tasks:
+            task.on_done.clear()
+            if not task.done and task._glet:
+                task._unwait = None
+                task._glet.throw(Cancelled)
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A world, how it is built, and how far it is followed."""
+
+    name: str
+    about: str
+    build: Callable[[World], None]  # runs as a task that belongs to no place
+    lag: bool = False  # time may pass while something can run: a machine that is slow
+    until_us: int = 60_000_000  # the clock goes no further
+    most_steps: int = 400  # more is a breach: it never comes to rest
--- /dev/null
+++ b/harriertrack/runtime/led.py
@@ -0,0 +1,98 @@
+"""A hub whose next step somebody else chooses: the same tasks, timers and waiting, without the loop's order.
+
+`Hub` runs what is ready first in, first out, then the callbacks of the round's end, then descriptors and
+timers. Code must not depend on more of that than the hub promises. A `LedHub` offers all that could run now,
+one step at a time, to a `Lead` (a checker, for example), and does what that chooses. Only the loop is
+replaced: a head's own hub carries nothing for it.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from harriertrack.runtime.hub import Deadlock, FdHandler, Hub, Poller, Task, Timer, VirtualTime
+
+
+class StepKind(Enum):
+    """What a step would run."""
+
+    TASK = "task"  # a task that was woken goes on
+    CALLBACK = "callback"  # what somebody asked for at the end of the round
+    EVENT = "event"  # a descriptor's handler
+    TIMER = "timer"  # a timer that is due
+    TIME = "time"  # nothing runs: the clock moves to the next timer
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Step:
+    """Something that could happen now, in the group that it belongs to (None: outside of all)."""
+
+    kind: StepKind
+    what: Task | Callable[[], None] | FdHandler | Timer | None
+    group: object = None
+    error: BaseException | None = None  # thrown into the task
+    events: int = 0  # of the descriptor
+    at: int = 0  # of a timer, or of the next moment
+
+
+class Lead(Protocol):
+    """Who is next."""
+
+    def choose(self, steps: list[Step]) -> Step | None:
+        """Return one of the steps, which come in the order of the usual loop; None ends the hub's run."""
+
+
+class LedHub(Hub):
+    """A hub in simulated time whose steps are chosen by a lead."""
+
+    def __init__(self, lead: Lead, time: VirtualTime, poller: Poller | None = None, seed: int = 0) -> None:
+        """Take a poller for descriptors that exist in simulated time only; its `wait` must not wait."""
+        super().__init__(time, poller or time, seed)
+        self._lead, self._time = lead, time
+
+    def _loop(self) -> None:
+        stop = self._stop
+        while stop is not None and not stop.done:
+            step = self._lead.choose(self.steps())
+            if step is None:
+                raise Deadlock("nothing is chosen to run, though the main task is not done")
+            self._do(step)
+
+    def steps(self) -> list[Step]:
+        """Return all that could happen now; groups that stand still are the lead's business."""
+        now = self.now()
+        found = [Step(StepKind.TASK, task, task.group, error) for task, error in self._ready]
+        found += [Step(StepKind.CALLBACK, act, group) for act, group in self._end_of_round.items()]
+        if self.poller is not self._time:
+            self._polls += 1
+            for fd, events in self.poller.wait(now):
+                if (handler := self._handlers.get(fd)) is not None:
+                    found.append(Step(StepKind.EVENT, handler, events=events))
+        live = sorted((item for item in self._timers if item[2].act is not None), key=lambda item: item[:2])
+        found += [Step(StepKind.TIMER, timer, timer.group, at=at) for at, _, timer in live if at <= now]
+        later = next((at for at, _, _ in live if at > now), None)
+        if later is not None:
+            found.append(Step(StepKind.TIME, None, at=later))
+        return found
+
+    def _do(self, step: Step) -> None:
+        match step.what:
+            case Task() as task:
+                self._ready.remove((task, step.error))
+                self._resume(task, step.error)
+            case Timer() as timer:
+                self._timers = [item for item in self._timers if item[2] is not timer]
+                heapq.heapify(self._timers)
+                act, timer.act = timer.act, None
+                if act is not None:
+                    self._call(timer.group, act)
+            case FdHandler() as handler:
+                handler.on_events(step.events)
+            case None:
+                self._time.wait(step.at)
+            case callback:
+                self._call(self._end_of_round.pop(callback), callback)
