A cancel stands above a deadline that has come: a moved source ended the platform's head

Observed under the explorer: the call of the watch reaches its deadline, and before its task runs the source moves. The old task, cancelled, was resumed with DeadlineExceeded, told Watching.failed() after the new task's restart(), and the new one raised IllegalStep, which ends the head. On a real hub this is one round: a task woken by a descriptor moves the source, the deadline's timer ran after it. To blame: Hub._resume threw Cancelled only where no other error was waiting. Excluded: an order that the usual loop can't take. Now a cancel comes first, as it does before a plain wake.

--- /dev/null
+++ b/harriertrack/lab/interleaving/scenarios/watch.py
@@ -0,0 +1,128 @@
+"""The watch over the platform's list: silence against a late answer, a move of the source, a new list."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import cast
+
+from harriertrack.decisions.interface import NodesChanged
+from harriertrack.decisions.requests import Core
+from harriertrack.decisions.watching import Watch, Watching
+from harriertrack.lab.interleaving.world import Scenario, World
+from harriertrack.membership.nodes import NodeList
+from harriertrack.service.discovery import Discovery
+from harriertrack.service.shelfs import Shelfs
+from harriertrack.standin.platform import PlatformDiscovery
+
+HEAD, SOURCE, OTHER = "head", "source", "other source"
+AGAIN_US = 100_000  # after a failed call, as the module does
+ASK_WITHIN_US = 2_000_000  # a quarter of it is the wait of a call
+NEWS_US = 50_000
+
+
+class _Core:
+    """Hears what the core of a head would, and asks for the list again as its module does."""
+
+    def __init__(self, world: World) -> None:
+        self._world, self.discovery = world, cast(Discovery, None)
+        self.heard = 0
+        self.failures = 0
+
+    def nodes_changed(self, _news: NodesChanged) -> None:
+        self.heard += 1
+
+    def list_failed(self) -> None:
+        hub = self._world.hub
+        self.failures += 1
+        hub.at(hub.now() + AGAIN_US, lambda: self.discovery.subscribe(True))
+
+
+class _Shelfs:
+    def gone(self, _node: str) -> None:
+        """No connection is open to it."""
+
+
+def _watched(moves: bool, stops: bool) -> Callable[[World], None]:
+    def build(world: World) -> None:
+        hub, core, nodes = world.hub, _Core(world), NodeList()
+        watching = Watching(ASK_WITHIN_US, None)
+        sources: dict[str, PlatformDiscovery] = {}
+        versions: list[int] = []
+        wanted = SOURCE
+
+        def serves(name: str) -> None:
+            with hub.scope(name) as scope:
+                one = PlatformDiscovery(hub, world.network, version=1 if name == SOURCE else 3)
+                sources[name] = one
+                one.set("n1", ("127.0.0.1", 9001), 0)
+                one.start(scope)
+                hub.sleep(NEWS_US)
+                one.set("n2", ("127.0.0.1", 9002), 0)
+
+        def head() -> None:
+            with hub.scope("head") as scope:
+                hub.sleep(0)
+                core.discovery = Discovery(
+                    hub, world.network, scope, cast(Core, core), nodes, cast(Shelfs, _Shelfs()), watching,
+                    sources[SOURCE].address, 0, "head", lambda *_args, **_fields: None,
+                )  # fmt: skip
+                core.discovery.subscribe(True)
+                hub.sleep(NEWS_US + ASK_WITHIN_US // 8)
+                if moves:
+                    hub.freeze(SOURCE, 2 * END_US)  # its last call is never answered
+                if stops:
+                    core.discovery.subscribe(False)
+                    hub.sleep(0)
+                    core.discovery.subscribe(True)
+                hub.sleep(4 * ASK_WITHIN_US)
+
+        def move() -> None:
+            nonlocal wanted
+            if core.discovery is not None:
+                wanted = OTHER
+                core.discovery.move(sources[OTHER].address)
+
+        if moves:
+            world.fault("the source moves", HEAD, move)
+        for name in (SOURCE, OTHER) if moves else (SOURCE,):
+            world.spawn(name, "serves", serves, name)
+        world.spawn(HEAD, "head", head)
+
+        def view() -> tuple[int | None, tuple[str, ...], int]:
+            names = tuple(sorted(one.entry.node for one in nodes.members()))
+            if watching.version is not None and (not versions or versions[-1] != watching.version):
+                versions.append(watching.version)
+            return watching.version, names, core.heard
+
+        def judge(_view: object) -> str | None:
+            if versions != sorted(versions):
+                return f"the list in hand went back: {versions}"
+            at = next((one for one in sources.values() if one.version == watching.version), None)
+            if at is not None and len(nodes) < len(at.servers):
+                return f"version {watching.version} is in hand without its entries"
+            return None
+
+        def finish() -> str | None:
+            source = sources[wanted]
+            if moves and wanted == SOURCE:
+                return None  # which answers nothing
+            known = watching.version == source.version and len(nodes) == len(source.servers)
+            if known or watching.state is Watch.IDLE:
+                return None if known else f"nobody asks: version {watching.version} of {source.version}"
+            return f"the list is not told: version {watching.version} of {source.version}"
+
+        world.view, world.judge, world.finish = view, judge, finish
+
+    return build
+
+
+END_US = 2_200_000
+
+SCENARIOS = (
+    Scenario("watch-late", "the watch's silence against a late answer", _watched(False, False),
+             lag=True, until_us=END_US, most_steps=1500),
+    Scenario("watch-moves", "the source moves while a call is under way", _watched(True, False),
+             lag=True, until_us=END_US, most_steps=1500),
+    Scenario("watch-stops", "the module stops following, and follows again", _watched(False, True),
+             lag=True, until_us=END_US, most_steps=1500),
+)  # fmt: skip
--- a/harriertrack/lab/interleaving/wires.py
+++ b/harriertrack/lab/interleaving/wires.py
@@ -40,6 +40,23 @@
         super().drain(deadline)
 
 
+class _Apart(MemoryListener):
+    """Hands each connection to a task in a place of its own."""
+
+    def accept(self, deadline: int | None = None) -> MemoryStream:
+        """Wait for the next stream; what the caller starts next belongs to that stream's place."""
+        hub, owner = self._network.hub, self._owner
+        hub.enter_group(owner)
+        stream = super().accept(deadline)
+        assert isinstance(stream, Wire)
+        hub.enter_group(stream.place)
+        return stream
+
+    def __init__(self, network: MemoryNetwork, address: Address, owner: Place) -> None:
+        super().__init__(network, address)
+        self._owner = owner
+
+
 class Wires(MemoryNetwork):
     """Streams between places."""
 
@@ -47,15 +64,25 @@
         super().__init__(hub, lambda _name, _address: 0)
         self._touched = touched
         self._owner: dict[Address, Place] = {}
+        self._apart: set[Place] = set()
         self._count: dict[Place, int] = {}
         self.ends: list[Wire] = []
 
     def listen(self, address: Address) -> MemoryListener:
         """Listen at a host and port; port 0 picks a free one."""
-        listener = super().listen(address)
-        self._owner[listener.address] = place_name(self.hub.current().group)
+        listener, owner = super().listen(address), place_name(self.hub.current().group)
+        if owner in self._apart:
+            listener = self.listeners[listener.address] = _Apart(self, listener.address, owner)
+        self._owner[listener.address] = owner
         return listener
 
+    def apart(self, owner: Place) -> None:
+        """Let each connection to a place be a place of its own.
+
+        For a server whose tasks share nothing but what they name by themselves (`Touched.write`).
+        """
+        self._apart.add(owner)
+
     def connect(self, address: Address, deadline: int | None = None, name: str = "") -> MemoryStream:
         """Open a stream, or find at any later time that nobody listens."""
         self.hub.sleep_until(self.hub.now())
@@ -66,7 +93,8 @@
             raise ConnectionRefusedError(errno.ECONNREFUSED, f"nobody listens at {address[0]}:{address[1]}")
         number = self._count[here] = self._count.get(here, 0) + 1
         mine = Wire(self.hub, f"{address[0]}:{address[1]}", self._touched, here, f"{here}>{there}#{number}")
-        other = Wire(self.hub, name, self._touched, there, f"{there}<{here}#{number}")
+        served = f"{there}/{here}#{number}" if there in self._apart else there
+        other = Wire(self.hub, name, self._touched, served, f"{there}<{here}#{number}")
         mine.other, other.other = other, mine
         self.ends += (mine, other)
         listener.arrive(other)
--- a/harriertrack/runtime/hub.py
+++ b/harriertrack/runtime/hub.py
@@ -285,8 +285,8 @@
         task._scheduled = False
         if task.done:
             return
-        if task._cancelling and error is None and task._unwait is not None:
-            error = Cancelled(task.name)
+        if task._cancelling and task._unwait is not None:
+            error = Cancelled(task.name)  # also where its deadline has come: who cancels is done with it
         if task._unwait is not None:
             unwait, task._unwait = task._unwait, None
             unwait()
