--- a/harriertrack/lab/interleaving/scenarios/witness.py
+++ b/harriertrack/lab/interleaving/scenarios/witness.py
@@ -115,7 +115,7 @@
 
 
 def _lock_and_death(world: World) -> None:
-    """Two heads want a volume, one may be killed: never do two act for it, and the other gets it in the end."""
+    """Two heads want a volume, one may be killed: never do two act for it, and one gets it."""
     hub = world.hub
     witness = witness_of(world)
     holding = {me: Holding(Session(TTL_US, ERROR)) for me in ("a", "b")}
@@ -174,7 +174,8 @@
 SCENARIOS = (
     Scenario("witness-two-writers", "two changes of one version of a key", _two_writers(1, False)),
     Scenario("witness-killed-writer", "the same, and one may be killed", _two_writers(1, True)),
-    Scenario("witness-record", "two writers, each twice, one may be killed", _two_writers(2, True), most_steps=600),
+    Scenario("witness-record", "two writers, each twice, one may be killed", _two_writers(2, True),
+             most_steps=600),
     Scenario("witness-lock", "a volume's lock and its holder's death", _lock_and_death,
              until_us=4_000_000, most_steps=900),
     Scenario("witness-lock-slow", "the same on slow machines", _lock_and_death,
