--- /dev/null
+++ b/harriertrack/storage/changes.py
@@ -0,0 +1,35 @@
+"""A head's copy of the record of changes on disk: what it runs by when nobody can be asked."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+
+class ChangesCache:
+    """One file, replaced whole: after a kill at any moment it is the old one or the new one."""
+
+    def __init__(self, folder: str) -> None:
+        self._path = Path(folder) / "changes"
+
+    def read(self) -> bytes | None:
+        """Return what was kept last; None if nothing was."""
+        try:
+            return self._path.read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def write(self, data: bytes) -> None:
+        """Keep it; on disk when this returns. Raises OSError."""
+        self._path.parent.mkdir(parents=True, exist_ok=True)
+        fresh = self._path.with_suffix(".new")
+        with fresh.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        fresh.replace(self._path)
+        folder = os.open(self._path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
