Who decides for the fleet has a part of its own; budgets and zones know nothing of each other

gateway/fleet/budgets.py and zones.py imported each other, and a second user of the deciding term had no place. Two datagram kinds are appended; others are written byte for byte as before.

--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -17,7 +17,7 @@
 from harriertrack.cli.days import tell
 from harriertrack.config.settings import HeadSettings
 from harriertrack.config.sexp import SettingsError
-from harriertrack.gateway.fleet.budgets import ZONES
+from harriertrack.gateway.fleet.seats import DECIDES
 from harriertrack.gateway.fleet.zones import set_wish
 from harriertrack.gateway.witness import FAILURES, WitnessClient
 from harriertrack.lab.fleet import scenario
@@ -193,7 +193,7 @@
     for seat in told.seats:
         asks = f"asks {seat.keeper}, epoch {seat.epoch}" if seat.keeper else "knows nobody who keeps it"
         lease = f"lease {seat.lease_s:.2f} s" if seat.lease_s else "no lease"
-        what = "zones" if seat.ledger == ZONES else f"ledger {seat.ledger}"
+        what = "decides" if seat.ledger == DECIDES else f"ledger {seat.ledger}"
         yield f"{what}: {seat.seat}, {asks}, {lease}, {seat.lapses} lapsed"
     lines: list[tuple[str, ...]] = [HAS]
     lines += [
@@ -202,7 +202,7 @@
         for one in told.portions if wanted(one.budget)
     ]  # fmt: skip
     yield _table(lines) if len(lines) > 1 else "no such budget is in use here"
-    for ledger in (one for one in told.ledgers if one.ledger != ZONES):
+    for ledger in (one for one in told.ledgers if one.ledger != DECIDES):
         state = f"opens in {ledger.opens_s:.2f} s" if ledger.opens_s else "open"
         yield (
             f"keeps ledger {ledger.ledger}, epoch {ledger.epoch}: {state}, valid for {ledger.valid_s:.2f} s, "
--- a/harriertrack/gateway/fleet/budgets.py
+++ b/harriertrack/gateway/fleet/budgets.py
@@ -7,57 +7,26 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
-
-import msgspec
+from dataclasses import dataclass
 
 from harriertrack.config.settings import BudgetsSettings, HeadSettings
 from harriertrack.decisions.fleet.budgets import Ask, BudgetRules, Grant, Term
 from harriertrack.decisions.fleet.holder import Holder
-from harriertrack.decisions.fleet.ledger import Ledger
-from harriertrack.decisions.fleet.portions import UNITS, Divided, Portions, Use
-from harriertrack.decisions.fleet.terms import Call, Candidate, Held, Seat, Taken, rank
+from harriertrack.decisions.fleet.portions import Divided, Portions, Use
+from harriertrack.decisions.fleet.terms import Candidate, Seat as Standing
+from harriertrack.gateway.fleet import showing
 from harriertrack.gateway.fleet.figures import figures
+from harriertrack.gateway.fleet.seats import DECIDES, Locks, Seat
 from harriertrack.gateway.parts import HeadParts
-from harriertrack.gateway.witness import FAILURES, WitnessClient
+from harriertrack.gateway.witness import WitnessClient
 from harriertrack.membership.fleet import budgeting
-from harriertrack.membership.fleet.budgeting import Kind, MalformedDatagram, Said, Seen, Told
+from harriertrack.membership.fleet.budgeting import Kind, MalformedDatagram, Said
 from harriertrack.membership.fleet.swim import Swim
-from harriertrack.membership.fleet.telling import (
-    BudgetsTold,
-    LedgerTold,
-    PortionTold,
-    SeatTold,
-    SlipTold,
-    digest_name,
-)
+from harriertrack.membership.fleet.telling import BudgetsTold
 from harriertrack.runtime.alarm import Alarm
 from harriertrack.runtime.datagrams import Address
 from harriertrack.runtime.hub import Hub
 
-if TYPE_CHECKING:
-    from harriertrack.gateway.fleet.zones import Zones
-
-ZONES = 64  # the number after all ledgers
-PATH = "/v1/kv/harriertrack/budgets/"  # at the witness, with the ledger's number
-LOOK_US = 100_000  # how often it is looked who should keep a ledger
-MOST_TOLD = 2_000  # portions, and slips, in one document
-
-
-class Complaint(msgspec.Struct, frozen=True):
-    """What a head leaves at the witness that hears nothing of a lock's holder: how many it sees."""
-
-    epoch: int
-    there: int
-
-
-class Kept(msgspec.Struct, frozen=True):
-    """What the witness keeps beside a ledger's lock."""
-
-    holder: str
-    lease_us: int  # the longest that the holder grants
-
 
 @dataclass(slots=True)
 class Counts:
@@ -73,26 +42,6 @@
     unwanted: int = 0  # asks for a ledger that this head does not keep
 
 
-@dataclass(slots=True)
-class _Seat:
-    """One ledger, as this head takes part in it."""
-
-    number: int
-    holder: Holder
-    candidate: Candidate
-    keeper: Address | None = None  # whom to ask; None: nobody, or this head itself
-    mine: bool = False
-    session: str = ""
-    told_at: int = 0
-    lapses: int = 0
-    addresses: dict[tuple[str, int], Address] = field(default_factory=dict)
-    contact: dict[Address, int] = field(default_factory=dict)  # when each asked last
-
-    @property
-    def path(self) -> str:
-        return f"{PATH}{self.number}"
-
-
 def rules_of(settings: BudgetsSettings) -> BudgetRules:
     """Return the figures of dividing."""
     return figures(BudgetRules, settings)
@@ -113,33 +62,33 @@
 
     def __init__(self, parts: HeadParts, settings: BudgetsSettings, portions: Portions, fleet: str,
                  swim: Swim, send: Callable[[bytes, Address], None],
-                 decides_zones: bool = False) -> None:  # fmt: skip
+                 decides: bool = False) -> None:  # fmt: skip
         hub = parts.hub
         self._parts, self._hub, self._settings, self._fleet = parts, hub, settings, fleet
         self.portions, self._swim, self._send_bytes = portions, swim, send
         self.counts = Counts()
         holders = list(portions.holders)
-        if decides_zones:  # in a term of its own: heads that have no zones keep budgets too
+        if decides:  # in a term of its own: heads that decide nothing keep budgets too
             mine = holders[0]
-            holders.append(Holder(ZONES, mine.name, mine.instance, portions.rules, hub.now()))
+            holders.append(Holder(DECIDES, mine.name, mine.instance, portions.rules, hub.now()))
         self._seats = {
-            holder.number: _Seat(
+            holder.number: Seat(
                 holder.number, holder,
                 Candidate(holder.number, portions.rules, hub.random.getrandbits(32), hub.now()),
             )
             for holder in holders
         }  # fmt: skip
-        self.witness = WitnessClient(hub, parts.network, settings.witness, settings.timeout_us, swim.me.name)
+        self._locks = Locks(parts, settings, swim, self._soon, self._vacated)
         self._alarm = Alarm(hub, self._wake)
-        self._leaving = self._closed = False
-        self.zones: Zones | None = None
+        self._closed = False
+        self.otherwise: Callable[[Said, Address], None] = lambda _said, _source: None  # what is of no ledger
         self.shed: Callable[[str, int], None] = lambda _node, _number: None  # close so many links to a node
 
     def start(self) -> None:
         """Take part from now on."""
         self.portions.woken = self._soon
         for seat in self._seats.values():
-            self._parts.scope.spawn(f"ledger {seat.number}", self._sit, seat)
+            self._parts.scope.spawn(f"ledger {seat.number}", self._locks.sit, seat)
         self._soon()
 
     def close(self) -> None:
@@ -166,20 +115,14 @@
         except MalformedDatagram:
             counts.garbage += 1
         else:
-            if isinstance(said, Seen | Told):
-                self._heard_of_zones(now, said)
+            if not isinstance(said, Ask | Grant | tuple):
+                self.otherwise(said, source)
                 return
             number = said.ledger if isinstance(said, Ask | Grant) else said[1]
             if (seat := self._seats.get(number)) is not None:
                 self._take(now, seat, said, source)
 
-    def _heard_of_zones(self, now: int, said: Seen | Told) -> None:
-        if self.zones is not None and isinstance(said, Seen):
-            self.zones.saw(now, said)
-        elif self.zones is not None and isinstance(said, Told):
-            self.zones.told(now, said)
-
-    def _take(self, now: int, seat: _Seat, said: Said, source: Address) -> None:
+    def _take(self, now: int, seat: Seat, said: Said, source: Address) -> None:
         match said:
             case Ask():
                 self._asked(now, seat, said, source)
@@ -196,7 +139,7 @@
                 if term == seat.holder.term:
                     seat.candidate.vacated(now)
 
-    def _heard(self, now: int, seat: _Seat, term: Term, source: Address | None) -> None:
+    def _heard(self, now: int, seat: Seat, term: Term, source: Address | None) -> None:
         seat.candidate.heard(now, term)
         if seat.holder.hear(now, term):
             if seat.keeper != source or seat.mine != (source is None):
@@ -204,7 +147,7 @@
                 where = f"{source[0]}:{source[1]}" if source is not None else "this head"
                 self._parts.note("fleet budgets: asks", ledger=seat.number, epoch=term.epoch, keeper=where)
 
-    def _asked(self, now: int, seat: _Seat, ask: Ask, source: Address | None) -> None:
+    def _asked(self, now: int, seat: Seat, ask: Ask, source: Address | None) -> None:
         candidate = seat.candidate
         candidate.look(now)
         ledger = candidate.ledger
@@ -218,40 +161,30 @@
         if grant is not None:
             self._grant(now, seat, grant)
         elif ask.term != ledger.term and source is not None:
-            self._send(source, (Kind.TERM, seat.number, ledger.term))
+            self.send(source, (Kind.TERM, seat.number, ledger.term))
 
-    def _grant(self, now: int, seat: _Seat, grant: Grant) -> None:
+    def _grant(self, now: int, seat: Seat, grant: Grant) -> None:
         if grant.instance == seat.holder.instance:
             seat.holder.granted(now, grant)
         elif (address := seat.addresses.get((grant.holder, grant.instance))) is not None:
-            self._send(address, grant)
+            self.send(address, grant)
 
-    def _send(self, address: Address, said: Said) -> None:
+    def send(self, address: Address, said: Said) -> None:
+        """Send a datagram to another head."""
         data = budgeting.encode(self._fleet, said)
         self.counts.sent += 1
         self.counts.sent_bytes += len(data)
         self._send_bytes(data, address)
 
-    # -- what heads tell each other of zones, in terms as those of ledgers
-
-    def keeps(self, now: int) -> Term | None:
-        """Return the term in which this head decides on zones; None if it does not."""
-        candidate = self._seats[ZONES].candidate
-        return candidate.ledger.term if candidate.valid(now) and candidate.ledger is not None else None
-
-    def follows(self, now: int, term: Term) -> bool:
-        """Whether this is the term that this head goes by."""
-        return self._seats[ZONES].holder.hear(now, term)
-
-    def tell_keeper(self, said: Said) -> None:
-        """Tell who decides on zones, if it is known and another head."""
-        if (keeper := self._seats[ZONES].keeper) is not None:
-            self._send(keeper, said)
+    @property
+    def deciding(self) -> Seat:
+        """Return the seat under which it is decided for the whole fleet."""
+        return self._seats[DECIDES]
 
-    def tell_all(self, said: Said) -> None:
-        """Tell all who are there."""
-        for address in self._others():
-            self._send(address, said)
+    @property
+    def witness(self) -> WitnessClient:
+        """Return what asks the witness."""
+        return self._locks.witness
 
     # -- time
 
@@ -269,7 +202,7 @@
                 if seat.mine:
                     self._asked(now, seat, ask, None)
                 elif seat.keeper is not None:
-                    self._send(seat.keeper, ask)
+                    self.send(seat.keeper, ask)
             when.append(seat.holder.wake_at())
             ledger = seat.candidate.ledger
             if ledger is not None:
@@ -281,7 +214,7 @@
         if due:
             self._alarm.wake_at(max(min(due), now + 1_000))
 
-    def _keep(self, now: int, seat: _Seat) -> None:
+    def _keep(self, now: int, seat: Seat) -> None:
         """Do what is due as who keeps a ledger."""
         candidate = seat.candidate
         candidate.look(now)
@@ -296,175 +229,38 @@
         if now >= seat.told_at + self.portions.rules.lease_us:
             seat.told_at = now
             seat.addresses = {holder: at for holder, at in seat.addresses.items() if holder in ledger.tenants}
-            for address in self._others():
+            for address in self.others():
                 if seat.contact.get(address, 0) < now - self.portions.rules.lease_us:
-                    self._send(address, (Kind.TERM, seat.number, ledger.term))
+                    self.send(address, (Kind.TERM, seat.number, ledger.term))
             seat.contact = {at: when for at, when in seat.contact.items() if when > now - 60_000_000}
 
-    def _others(self) -> list[Address]:
+    def others(self) -> list[Address]:
+        """Return where the other members are that are there."""
         rows = (self._swim.view.find(name) for name in self._swim.view.present if name != self._swim.me.name)
         return [row.record.address for row in rows if row is not None]
 
-    def _ended(self, seat: _Seat) -> None:
+    def _ended(self, seat: Seat) -> None:
         seat.mine, seat.keeper, seat.session = False, None, ""
         self._parts.note("fleet budgets: term over", ledger=seat.number)
 
     # -- the witness
 
-    def _sit(self, seat: _Seat) -> None:
-        """Try to keep a ledger when it is this head's turn, and keep it (a task)."""
-        candidate = seat.candidate
-        while not self._leaving:
-            now = self._hub.now()
-            view, me = self._swim.view, self._swim.me.name
-            here = 0 if candidate.waits(now) else rank(seat.number, me, view.present)
-            match candidate.step(now, here):
-                case Call.TAKE:
-                    self._try_take(seat, now)
-                case Call.RENEW:
-                    holds = self._renew(seat)
-                    candidate.renewed(self._hub.now(), now, holds)
-                    self._soon()
-                case _:
-                    until = candidate.wake_at(now, here)
-                    self._hub.sleep(max(1_000, min(until - now, LOOK_US)))
-        self._release(seat)
-
-    def _try_take(self, seat: _Seat, asked_at: int) -> None:
-        found: Taken | Held | None = None
-        try:
-            found = self._take_lock(seat)
-            if isinstance(found, Held) and seat.candidate.complains(self._hub.now()):
-                there = len(self._swim.view.present)
-                self.witness.put(f"{seat.path}/silent", msgspec.json.encode(Complaint(found.epoch, there)))
-                self._parts.note("fleet budgets: keeper is silent", ledger=seat.number, epoch=found.epoch,
-                                 there=there)  # fmt: skip
-        except FAILURES as error:
-            why = str(error) or type(error).__name__
-            self._parts.note("fleet budgets: no witness", ledger=seat.number, why=why)
-        ledger = seat.candidate.taken(self._hub.now(), asked_at, found)
-        if ledger is not None:
-            seat.addresses.clear()
-            seat.contact.clear()
-            seat.told_at = 0
-            opens_us = ledger.opens_at - self._hub.now()
-            self._parts.note("fleet budgets: term begins", ledger=seat.number, epoch=ledger.term.epoch,
-                             opens_us=opens_us)  # fmt: skip
-            self._wake()
-
-    def _take_lock(self, seat: _Seat) -> Taken | Held | None:
-        key = self.witness.key(seat.path)
-        if key is not None and key.session:
-            return Held(key.epoch)
-        session = self.witness.create(self._settings.term_us)
-        value = msgspec.json.encode(Kept(self._swim.me.name, self._settings.lease_us))
-        if not self.witness.change(seat.path, "lock", session, value, key.index if key is not None else 0):
-            return None
-        mine = self.witness.key(seat.path)
-        if mine is None or mine.session != session:
-            return None
-        seat.session = session
-        return Taken(mine.epoch, _lease_of(key.value) if key is not None else 0)
-
-    def _renew(self, seat: _Seat) -> bool | None:
-        ledger = seat.candidate.ledger
-        try:
-            if not self.witness.renew(seat.session):
-                return False
-            key, heard = self.witness.key(seat.path), self.witness.key(f"{seat.path}/silent")
-        except FAILURES:
-            return None
-        if heard is not None and ledger is not None:
-            self._heed(seat, ledger, heard.value)
-        return key is not None and ledger is not None and (
-            (key.session, key.epoch) == (seat.session, ledger.term.epoch)
-        )
-
-    def _heed(self, seat: _Seat, ledger: Ledger, value: bytes) -> None:
-        """Hear how many heads somebody sees that hears nothing of this one."""
-        try:
-            told = msgspec.json.decode(value, type=Complaint)
-        except msgspec.MsgspecError:
-            return  # none of ours
-        there = len(self._swim.view.present)
-        if told.epoch == ledger.term.epoch and seat.candidate.outnumbered(self._hub.now(), told.there, there):
-            self._parts.note("fleet budgets: outnumbered", ledger=seat.number, there=there, theirs=told.there)
-            self._give_back(seat, ledger)
-
     def leave(self) -> None:
         """Give back what is kept: another head need not wait for a session to end."""
-        self._leaving = True
+        self._locks.leaving = True
 
-    def _release(self, seat: _Seat) -> None:
-        ledger = seat.candidate.ledger
-        if seat.candidate.leave(self._hub.now()) and ledger is not None:
-            self._give_back(seat, ledger)
-
-    def _give_back(self, seat: _Seat, ledger: Ledger) -> None:
-        try:
-            key = self.witness.key(seat.path)
-            if key is not None and key.session == seat.session:
-                self.witness.change(seat.path, "unlock", seat.session, key.value, key.index)
-        except FAILURES:
-            pass  # its session ends by itself
-        for address in self._others():
-            self._send(address, (Kind.VACATED, seat.number, ledger.term))
+    def _vacated(self, seat: Seat, term: Term) -> None:
+        for address in self.others():
+            self.send(address, (Kind.VACATED, seat.number, term))
 
     @property
     def released(self) -> bool:
         """Whether nothing is kept, or will be, any more."""
-        return all(seat.candidate.seat is Seat.LEFT for seat in self._seats.values())
+        return all(seat.candidate.seat is Standing.LEFT for seat in self._seats.values())
 
     # -- what operators see
 
     def told(self, now: int) -> BudgetsTold:
         """Return what this head tells of budgets."""
-        portions = [
-            PortionTold(
-                name, UNITS[Use(name.partition("/")[0])], one.portion.whole.rate, one.portion.whole.burst,
-                one.portion.whole.fixed * one.portion.whole.rate / one.portion.whole.hosts,
-                one.portion.share if seat.holder.live(now) else 0.0, one.wanted, one.portion.level,
-            )
-            for seat in self._seats.values() for name, one in seat.holder.held.items()
-        ]  # fmt: skip
-        ledgers, more = [], max(0, len(portions) - MOST_TOLD)
-        for seat in self._seats.values():
-            if seat.candidate.valid(now) and seat.candidate.ledger is not None:
-                told, left = self._ledger_told(now, seat, seat.candidate.ledger)
-                ledgers.append(told)
-                more += left
-        seats = [
-            SeatTold(
-                seat.number, seat.candidate.seat.value,
-                seat.holder.term.epoch if seat.holder.term is not None else None,
-                "itself" if seat.mine else f"{seat.keeper[0]}:{seat.keeper[1]}" if seat.keeper else "",
-                max(0, seat.holder.lease.until - now) / 1e6, seat.holder.lapses,
-            )
-            for seat in self._seats.values()
-        ]  # fmt: skip
         counts = {name: getattr(self.counts, name) for name in Counts.__slots__}
-        return BudgetsTold(seats, sorted(portions, key=lambda one: one.budget)[:MOST_TOLD], ledgers, counts,
-                           more)  # fmt: skip
-
-    def _ledger_told(self, now: int, seat: _Seat, ledger: Ledger) -> tuple[LedgerTold, int]:
-        present = self._swim.view.present
-        slips = [
-            SlipTold(name, holder[0], digest_name(holder[1]), slip.rate, slip.counted, slip.wanted,
-                     max(0, ledger.tenants[holder].until - now) / 1e6, holder[0] in present)
-            for name, account in sorted(ledger.accounts.items()) for holder, slip in account.slips.items()
-        ]  # fmt: skip
-        told = LedgerTold(
-            seat.number, ledger.term.epoch, max(0, ledger.opens_at - now) / 1e6,
-            (seat.candidate.valid_until - now) / 1e6, len(ledger.tenants), ledger.moves,
-            {name: account.whole for name, account in list(sorted(ledger.accounts.items()))[:MOST_TOLD]},
-            slips[:MOST_TOLD],
-        )  # fmt: skip
-        return told, max(0, len(slips) - MOST_TOLD)
-
-
-def _lease_of(value: bytes) -> int:
-    """Return how long the leases of a key's last holder were; 0 if its value is none of ours."""
-    try:
-        return msgspec.json.decode(value, type=Kept).lease_us
-    except msgspec.MsgspecError:
-        return 0
+        return showing.told(now, list(self._seats.values()), self._swim.view.present, counts)
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -85,12 +85,17 @@
             self.budgets = Budgets(self._parts, settings.budgets, self._portions, settings.fleet, self.swim,
                                    self._port.send, settings.zones is not None)  # fmt: skip
             self.budgets.start()
-            if settings.zones is not None and self._evidence is not None and self._listing is not None:
+            deciding = None
+            if settings.zones is not None:
+                from harriertrack.gateway.fleet.deciding import Deciding
+
+                deciding = Deciding(hub, settings.name, self.budgets)
+            if (settings.zones is not None and deciding is not None and self._evidence is not None
+                    and self._listing is not None):  # fmt: skip
                 from harriertrack.gateway.fleet.zones import Zones
 
                 self.zones = Zones(self._parts, settings.zones, self._evidence, self._listing, self.swim,
-                                   self.budgets)  # fmt: skip
-                self.budgets.zones = self.zones
+                                   deciding)  # fmt: skip
                 self.zones.start()
 
     @property
--- /dev/null
+++ b/harriertrack/gateway/fleet/deciding.py
@@ -0,0 +1,104 @@
+"""The one term in which it is decided for the whole fleet, and what is told to and by who decides.
+
+Zones, changes and whatever else the fleet does as one are decided under the same lock: who keeps it may,
+until its term ends by its own clock. Reports and rulings are datagrams that may be lost: what matters is repeated.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from harriertrack.decisions.fleet.budgets import Term
+from harriertrack.gateway.fleet.budgets import Budgets
+from harriertrack.gateway.witness import WitnessClient
+from harriertrack.membership.fleet.budgeting import MOST_TOPIC_BODY, Report, Ruling, Said, Seen, Told
+from harriertrack.runtime.datagrams import Address
+from harriertrack.runtime.hub import Hub
+
+
+class Deciding:
+    """This head's part: it decides, or tells and hears who does."""
+
+    def __init__(self, hub: Hub, name: str, budgets: Budgets) -> None:
+        self._hub, self._name, self._budgets = hub, name, budgets
+        self.on_seen: Callable[[int, Seen], None] = lambda _now, _seen: None  # of zones
+        self.on_told: Callable[[int, Told], None] = lambda _now, _told: None
+        self.on_report: dict[str, Callable[[int, str, bytes], None]] = {}  # by topic: (now, head, body)
+        self.on_ruling: dict[str, Callable[[int, Term, bytes], None]] = {}  # by topic: (now, term, body)
+        budgets.otherwise = self._come
+
+    @property
+    def witness(self) -> WitnessClient:
+        """Return what asks the witness."""
+        return self._budgets.witness
+
+    def keeps(self, now: int) -> Term | None:
+        """Return the term in which this head decides; None if it does not."""
+        candidate = self._budgets.deciding.candidate
+        return candidate.ledger.term if candidate.valid(now) and candidate.ledger is not None else None
+
+    def follows(self, now: int, term: Term) -> bool:
+        """Whether this is the term that this head goes by."""
+        return self._budgets.deciding.holder.hear(now, term)
+
+    def tell_keeper(self, said: Said) -> None:
+        """Tell who decides, if it is known and another head."""
+        if (keeper := self._budgets.deciding.keeper) is not None:
+            self._budgets.send(keeper, said)
+
+    def tell_all(self, said: Said) -> None:
+        """Tell all who are there."""
+        for address in self._budgets.others():
+            self._budgets.send(address, said)
+
+    # -- any other part of the fleet
+
+    def report(self, topic: str, body: bytes) -> None:
+        """Tell who decides something; at most `MOST_TOPIC_BODY` bytes, which may be lost.
+
+        Raises ValueError for more.
+        """
+        _check(body)
+        now = self._hub.now()
+        if self.keeps(now) is not None:
+            self._reported(now, topic, self._name, body)
+        else:
+            self.tell_keeper(Report(topic, self._name, body))
+
+    def rule(self, topic: str, body: bytes) -> bool:
+        """Tell everybody, oneself too, what is decided; return False if this head does not decide (any more).
+
+        Raises ValueError for more than `MOST_TOPIC_BODY` bytes.
+        """
+        _check(body)
+        now = self._hub.now()
+        term = self.keeps(now)
+        if term is None:
+            return False
+        self.tell_all(Ruling(topic, term, body))
+        if (heard := self.on_ruling.get(topic)) is not None:
+            heard(now, term, body)
+        return True
+
+    def _reported(self, now: int, topic: str, head: str, body: bytes) -> None:
+        if (heard := self.on_report.get(topic)) is not None:
+            heard(now, head, body)
+
+    def _come(self, said: Said, _source: Address) -> None:
+        now = self._hub.now()
+        match said:
+            case Seen():
+                self.on_seen(now, said)
+            case Told():
+                self.on_told(now, said)
+            case Report(topic, head, body):
+                if self.keeps(now) is not None:
+                    self._reported(now, topic, head, body)
+            case Ruling(topic, term, body):
+                if self.follows(now, term) and (heard := self.on_ruling.get(topic)) is not None:
+                    heard(now, term, body)
+
+
+def _check(body: bytes) -> None:
+    if len(body) > MOST_TOPIC_BODY:
+        raise ValueError(f"{len(body)} bytes, more than {MOST_TOPIC_BODY}")
--- /dev/null
+++ b/harriertrack/gateway/fleet/seats.py
@@ -0,0 +1,175 @@
+"""One head's seats: each a lock at the witness that one head of the fleet holds, in terms.
+
+Under the ledgers' seats budgets are divided; under the last one it is decided for the whole fleet. When to
+try for a lock and whom to believe is decided by `Candidate` and `Holder`; here is what the witness is asked.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from harriertrack.config.settings import BudgetsSettings
+from harriertrack.decisions.fleet.budgets import Term
+from harriertrack.decisions.fleet.holder import Holder
+from harriertrack.decisions.fleet.ledger import Ledger
+from harriertrack.decisions.fleet.terms import Call, Candidate, Held, Taken, rank
+from harriertrack.gateway.parts import HeadParts
+from harriertrack.gateway.witness import FAILURES, WitnessClient
+from harriertrack.membership.fleet.swim import Swim
+from harriertrack.runtime.datagrams import Address
+
+DECIDES = 64  # the number after all ledgers: who decides for the fleet
+PATH = "/v1/kv/harriertrack/budgets/"  # at the witness, with the seat's number
+LOOK_US = 100_000  # how often it is looked who should keep a ledger
+
+
+class Complaint(msgspec.Struct, frozen=True):
+    """What a head leaves at the witness that hears nothing of a lock's holder: how many it sees."""
+
+    epoch: int
+    there: int
+
+
+class Kept(msgspec.Struct, frozen=True):
+    """What the witness keeps beside a seat's lock."""
+
+    holder: str
+    lease_us: int  # the longest that the holder grants
+
+
+@dataclass(slots=True)
+class Seat:
+    """One seat, as this head takes part in it."""
+
+    number: int
+    holder: Holder
+    candidate: Candidate
+    keeper: Address | None = None  # whom to ask; None: nobody, or this head itself
+    mine: bool = False
+    session: str = ""
+    told_at: int = 0
+    lapses: int = 0
+    addresses: dict[tuple[str, int], Address] = field(default_factory=dict)
+    contact: dict[Address, int] = field(default_factory=dict)  # when each asked last
+
+    @property
+    def path(self) -> str:
+        """Return its key at the witness."""
+        return f"{PATH}{self.number}"
+
+
+class Locks:
+    """The seats' locks at the witness; a task for each seat."""
+
+    def __init__(self, parts: HeadParts, settings: BudgetsSettings, swim: Swim, soon: Callable[[], None],
+                 vacated: Callable[[Seat, Term], None]) -> None:  # fmt: skip
+        self._parts, self._hub, self._settings, self._swim = parts, parts.hub, settings, swim
+        self.witness = WitnessClient(parts.hub, parts.network, settings.witness, settings.timeout_us,
+                                     swim.me.name)  # fmt: skip
+        self._soon, self._vacated = soon, vacated
+        self.leaving = False
+
+    def sit(self, seat: Seat) -> None:
+        """Try to keep a ledger when it is this head's turn, and keep it (a task)."""
+        candidate = seat.candidate
+        while not self.leaving:
+            now = self._hub.now()
+            view, me = self._swim.view, self._swim.me.name
+            here = 0 if candidate.waits(now) else rank(seat.number, me, view.present)
+            match candidate.step(now, here):
+                case Call.TAKE:
+                    self._try_take(seat, now)
+                case Call.RENEW:
+                    holds = self._renew(seat)
+                    candidate.renewed(self._hub.now(), now, holds)
+                    self._soon()
+                case _:
+                    until = candidate.wake_at(now, here)
+                    self._hub.sleep(max(1_000, min(until - now, LOOK_US)))
+        self._release(seat)
+
+    def _try_take(self, seat: Seat, asked_at: int) -> None:
+        found: Taken | Held | None = None
+        try:
+            found = self._take_lock(seat)
+            if isinstance(found, Held) and seat.candidate.complains(self._hub.now()):
+                there = len(self._swim.view.present)
+                self.witness.put(f"{seat.path}/silent", msgspec.json.encode(Complaint(found.epoch, there)))
+                self._parts.note("fleet budgets: keeper is silent", ledger=seat.number, epoch=found.epoch,
+                                 there=there)  # fmt: skip
+        except FAILURES as error:
+            why = str(error) or type(error).__name__
+            self._parts.note("fleet budgets: no witness", ledger=seat.number, why=why)
+        ledger = seat.candidate.taken(self._hub.now(), asked_at, found)
+        if ledger is not None:
+            seat.addresses.clear()
+            seat.contact.clear()
+            seat.told_at = 0
+            opens_us = ledger.opens_at - self._hub.now()
+            self._parts.note("fleet budgets: term begins", ledger=seat.number, epoch=ledger.term.epoch,
+                             opens_us=opens_us)  # fmt: skip
+            self._soon()
+
+    def _take_lock(self, seat: Seat) -> Taken | Held | None:
+        key = self.witness.key(seat.path)
+        if key is not None and key.session:
+            return Held(key.epoch)
+        session = self.witness.create(self._settings.term_us)
+        value = msgspec.json.encode(Kept(self._swim.me.name, self._settings.lease_us))
+        if not self.witness.change(seat.path, "lock", session, value, key.index if key is not None else 0):
+            return None
+        mine = self.witness.key(seat.path)
+        if mine is None or mine.session != session:
+            return None
+        seat.session = session
+        return Taken(mine.epoch, _lease_of(key.value) if key is not None else 0)
+
+    def _renew(self, seat: Seat) -> bool | None:
+        ledger = seat.candidate.ledger
+        try:
+            if not self.witness.renew(seat.session):
+                return False
+            key, heard = self.witness.key(seat.path), self.witness.key(f"{seat.path}/silent")
+        except FAILURES:
+            return None
+        if heard is not None and ledger is not None:
+            self._heed(seat, ledger, heard.value)
+        return key is not None and ledger is not None and (
+            (key.session, key.epoch) == (seat.session, ledger.term.epoch)
+        )
+
+    def _heed(self, seat: Seat, ledger: Ledger, value: bytes) -> None:
+        """Hear how many heads somebody sees that hears nothing of this one."""
+        try:
+            told = msgspec.json.decode(value, type=Complaint)
+        except msgspec.MsgspecError:
+            return  # none of ours
+        there = len(self._swim.view.present)
+        if told.epoch == ledger.term.epoch and seat.candidate.outnumbered(self._hub.now(), told.there, there):
+            self._parts.note("fleet budgets: outnumbered", ledger=seat.number, there=there, theirs=told.there)
+            self._give_back(seat, ledger)
+
+    def _release(self, seat: Seat) -> None:
+        ledger = seat.candidate.ledger
+        if seat.candidate.leave(self._hub.now()) and ledger is not None:
+            self._give_back(seat, ledger)
+
+    def _give_back(self, seat: Seat, ledger: Ledger) -> None:
+        try:
+            key = self.witness.key(seat.path)
+            if key is not None and key.session == seat.session:
+                self.witness.change(seat.path, "unlock", seat.session, key.value, key.index)
+        except FAILURES:
+            pass  # its session ends by itself
+        self._vacated(seat, ledger.term)
+
+
+def _lease_of(value: bytes) -> int:
+    """Return how long the leases of a key's last holder were; 0 if its value is none of ours."""
+    try:
+        return msgspec.json.decode(value, type=Kept).lease_us
+    except msgspec.MsgspecError:
+        return 0
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -15,7 +15,7 @@
 from harriertrack.decisions.fleet.evidence import Evidence
 from harriertrack.decisions.interface import Action, Event, NodeEntry
 from harriertrack.decisions.requests import Module
-from harriertrack.gateway.fleet.budgets import Budgets
+from harriertrack.gateway.fleet.deciding import Deciding
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.listing import Listing
 from harriertrack.gateway.parts import HeadParts
@@ -65,9 +65,9 @@
     """This head's part."""
 
     def __init__(self, parts: HeadParts, settings: ZonesSettings, evidence: Evidence, listing: Listing,
-                 swim: Swim, budgets: Budgets) -> None:  # fmt: skip
+                 swim: Swim, deciding: Deciding) -> None:  # fmt: skip
         self._parts, self._hub, self._rules = parts, parts.hub, rules_of(settings)
-        self._evidence, self._listing, self._swim, self._budgets = evidence, listing, swim, budgets
+        self._evidence, self._listing, self._swim, self._deciding = evidence, listing, swim, deciding
         self._overlay = Overlay()
         self._zones: list[str] = []
         self._words: tuple[Word, ...] = ()
@@ -76,6 +76,7 @@
         self._decides: Evacuation | None = None
         self._wishes: dict[str, str] = {}
         listing.heard, listing.overlay = self._listed, self._overlay.shown
+        deciding.on_seen, deciding.on_told = self.saw, self.told
 
     def start(self) -> None:
         """Take part from now on."""
@@ -93,13 +94,13 @@
 
     def _look(self, now: int) -> None:
         sights = self._evidence.report(now)
-        keeps = self._budgets.keeps(now)
+        keeps = self._deciding.keeps(now)
         self._decide(now, keeps)
         if keeps is not None and self._decides is not None:
             self._decides.saw(now, self._swim.me.name, sights)
         elif sights and (any(one.bad for one in sights) or now >= self._said_at + TELL_US):
             self._said_at = now
-            self._budgets.tell_keeper(Seen(self._swim.me.name, sights))
+            self._deciding.tell_keeper(Seen(self._swim.me.name, sights))
         if self._words and now >= self._heard_at + self._rules.told_us:
             self._parts.note("fleet zones: no word any more")
             self._words = ()
@@ -120,7 +121,7 @@
         self._heard(now, words)
         if words != before or now >= self._told_at + WORD_US:
             self._told_at = now
-            self._budgets.tell_all(Told(term, words))
+            self._deciding.tell_all(Told(term, words))
 
     def saw(self, now: int, seen: Seen) -> None:
         """Another head says what it sees."""
@@ -129,7 +130,7 @@
 
     def told(self, now: int, told: Told) -> None:
         """The word of the one who decides."""
-        if self._budgets.follows(now, told.term):
+        if self._deciding.follows(now, told.term):
             self._heard(now, told.words)
             self._show(now)
 
@@ -163,7 +164,7 @@
             if self._decides is None:
                 continue
             try:
-                fresh = {zone: wish_of(self._budgets.witness, zone) for zone in self._zones}
+                fresh = {zone: wish_of(self._deciding.witness, zone) for zone in self._zones}
             except FAILURES:
                 continue  # what was wished last holds
             for zone, wish in fresh.items():
--- a/harriertrack/membership/fleet/budgeting.py
+++ b/harriertrack/membership/fleet/budgeting.py
@@ -1,4 +1,4 @@
-"""What heads tell each other of budgets and zones: datagrams of their own at the fleet's address.
+"""What heads tell each other of budgets, zones and other topics: datagrams of their own kind.
 
 They are MessagePack behind a byte that MessagePack never uses, so that a member which knows of no budgets
 counts them as garbage and passes on. Fields are only appended, as in messages.py; a writer that would be
@@ -23,6 +23,7 @@
 VERSION = 1
 READS = 1
 
+MOST_TOPIC_BODY = 1000  # bytes of a report or ruling
 MOST_REASONS = 300  # bytes of reasons in one datagram
 Amount = Annotated[float, msgspec.Meta(ge=0, le=1e18)]
 Zone = Annotated[str, msgspec.Meta(max_length=32)]
@@ -38,6 +39,8 @@
     VACATED = 3  # ... and does so no longer
     SEEN = 4  # what a head sees of zones, to who decides on them
     WORD = 5  # what that one decided
+    REPORT = 6  # a head to who decides, on a topic
+    RULING = 7  # who decides to all, on a topic
 
 
 class _Claim(msgspec.Struct, array_like=True):
@@ -90,8 +93,15 @@
     words: Annotated[list[_Word], msgspec.Meta(max_length=64)] = []
 
 
+class _Topical(_Wire, array_like=True):
+    """Reports and rulings; other datagrams are written without these fields."""
+
+    topic: Text = ""
+    body: Annotated[bytes, msgspec.Meta(max_length=MOST_TOPIC_BODY)] = b""
+
+
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(_Wire)
+_DECODER = msgspec.msgpack.Decoder(_Topical)
 
 
 class TooNew(MalformedDatagram):
@@ -118,7 +128,25 @@
     words: tuple[Word, ...]
 
 
-Said = Ask | Grant | Seen | Told | tuple[Kind, int, Term]
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a head tells who decides, on a topic whose part of the program reads the body."""
+
+    topic: str
+    head: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Ruling:
+    """What who decides tells all."""
+
+    topic: str
+    term: Term
+    body: bytes
+
+
+Said = Ask | Grant | Seen | Told | Report | Ruling | tuple[Kind, int, Term]
 
 
 def encode(fleet: str, said: Said) -> bytes:
@@ -147,6 +175,12 @@
                 for one in said.words
             ]
             wire = _Wire(READS, VERSION, fleet, Kind.WORD, 0, said.term.epoch, said.term.nonce, words=words)
+        case Report():
+            wire = _Topical(READS, VERSION, fleet, Kind.REPORT, 0, 0, 0, said.head, topic=said.topic,
+                            body=said.body)  # fmt: skip
+        case Ruling():
+            wire = _Topical(READS, VERSION, fleet, Kind.RULING, 0, said.term.epoch, said.term.nonce,
+                            topic=said.topic, body=said.body)  # fmt: skip
         case (kind, ledger, term):
             wire = _Wire(READS, VERSION, fleet, kind, ledger, term.epoch, term.nonce)
     return MARK + _ENCODER.encode(wire)
@@ -178,4 +212,8 @@
     if wire.kind is Kind.WORD:
         words = (Word(one.zone, Stage(one.stage), one.share, one.turn, one.why) for one in wire.words)
         return Told(term, tuple(words))
+    if wire.kind is Kind.REPORT:
+        return Report(wire.topic, wire.holder, wire.body)
+    if wire.kind is Kind.RULING:
+        return Ruling(wire.topic, term, wire.body)
     return wire.kind, wire.ledger, term
