--- a/harriertrack/gateway/fleet/deciding.py
+++ b/harriertrack/gateway/fleet/deciding.py
@@ -1,7 +1,7 @@
 """The one term in which it is decided for the whole fleet, and what is told to and by who decides.
 
 Zones, changes and whatever else the fleet does as one are decided under the same lock: who keeps it may,
-until its term ends by its own clock. Reports and rulings are datagrams that may be lost: what matters is repeated.
+until its term ends by its own clock. Reports and rulings may be lost: what matters is repeated.
 """
 
 from __future__ import annotations
