Settings as a folder of small modules, by concern

config/settings.py had grown to 621 lines: value types, a dozen subjects' structs, reading, cross checks and what the module and the core are told, all in one file that every new part edits. It is a package now: basis, traffic, nodes, fleet, head, shelf, checks, reading, module. The package gives all public names as before, so no importer changes; the definitions themselves are moved, not altered.

--- /dev/null
+++ b/harriertrack/config/settings/basis.py
@@ -0,0 +1,26 @@
+"""What all settings are made of: checked structs and the values in them."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Annotated
+
+import msgspec
+
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+Whole = Annotated[int, msgspec.Meta(ge=0)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9._:-]+$")]
+BlockSize = Annotated[int, msgspec.Meta(ge=512, multiple_of=512)]
+
+
+class Checked(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A part of the settings: unknown fields are errors."""
+
+
+def given_twice(names: Iterable[str]) -> list[str]:
+    """Return the names that are given more than once, in the order of their first appearance."""
+    return [name for name, times in Counter(names).items() if times > 1]
--- /dev/null
+++ b/harriertrack/config/settings/fleet.py
@@ -0,0 +1,116 @@
+"""A head as a member of a fleet: who is there, budgets that heads divide, zones that they leave together."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Annotated
+
+import msgspec
+
+from harriertrack.config.settings.basis import Amount, Checked, Name, Port, Positive, Share
+
+
+class FleetSeedSettings(Checked, frozen=True, kw_only=True):
+    """A member that is asked on joining."""
+
+    name: Name
+    address: tuple[str, Port]
+
+
+class BudgetUse(Enum):
+    """What heads divide among themselves; decisions/fleet/portions.py tells what each is."""
+
+    LIMITS = "limits"
+    ATTEMPTS = "attempts"
+    TRIALS = "trials"
+    COLD = "cold"
+    LIST_CALLS = "list-calls"
+    TAKEOVERS = "takeovers"
+    CONNECTIONS = "connections"
+    LINKS = "links"
+
+
+class BudgetSettings(Checked, frozen=True, kw_only=True):
+    """One kind of budget. Plans say the wholes of limits, the rules those of cold nodes."""
+
+    name: BudgetUse
+    fixed: Share = 0.1  # the part that is divided evenly beforehand and never moves
+    whole: Amount = 0.0  # a second; of links: at a time
+    burst: Amount = 0.0  # at once
+
+
+class BudgetFigures(Checked, frozen=True, kw_only=True):
+    """The figures of dividing; decisions/fleet/budgets.py tells what each is."""
+
+    lease_us: Positive = 1_000_000
+    ask_us: Positive = 300_000
+    quick_us: Positive = 50_000
+    round_us: Positive = 50_000
+    clock_error: Annotated[float, msgspec.Meta(ge=0, le=0.2)] = 0.001
+    term_us: Positive = 10_000_000
+    patience_us: Positive = 2_000_000
+    contenders: Positive = 5
+    weight: Annotated[float, msgspec.Meta(ge=0.01, le=100)] = 1.0
+
+
+class BudgetsSettings(BudgetFigures, frozen=True, kw_only=True):
+    """What the heads of a fleet divide anew as each needs it, and where the lock on that is."""
+
+    witness: tuple[str, Port]
+    timeout_us: Positive = 1_000_000
+    ledgers: Annotated[int, msgspec.Meta(ge=1, le=64)] = 1
+    budgets: tuple[BudgetSettings, ...] = ()
+
+
+class ZonesSettings(Checked, frozen=True, kw_only=True):
+    """How the fleet leaves zones and returns; decisions/fleet/evacuation.py tells what each figure is."""
+
+    gone: Share = 0.8
+    gone_us: Positive = 300_000
+    fresh_us: Positive = 1_500_000
+    heads: Positive = 2
+    wait_us: Positive = 1_000_000
+    most_wait_us: Positive = 60_000_000
+    tries: Positive = 3
+    turn_us: Positive = 3_000_000
+    answers: Share = 0.7
+    first: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
+    growth: Annotated[float, msgspec.Meta(gt=1, le=10)] = 1.6
+    step_us: Positive = 1_000_000
+    hurts: Share = 0.2
+    calm_us: Positive = 120_000_000
+    told_us: Positive = 3_000_000
+
+
+class FleetFigures(Checked, frozen=True, kw_only=True):
+    """The figures of a fleet's protocol; membership/fleet/swim.py tells what each is."""
+
+    probe_us: Positive = 1_000_000
+    answer_us: Positive = 500_000
+    helpers: Positive = 3
+    suspicion: Annotated[float, msgspec.Meta(ge=1, le=100)] = 5.0
+    slack: Annotated[float, msgspec.Meta(ge=1, le=100)] = 6.0
+    confirmations: Positive = 3
+    gossip_us: Positive = 200_000
+    fanout: Positive = 3
+    repeats: Annotated[float, msgspec.Meta(ge=1, le=100)] = 6.0
+    sync_us: Positive = 30_000_000
+    reach_us: Positive = 10_000_000
+    recent_us: Positive = 30_000_000
+    forget_us: Positive = 24 * 3600 * 1_000_000
+    members: Annotated[int, msgspec.Meta(ge=2, le=10_000)] = 1024
+    note_us: Positive = 5_000_000
+    leave_us: Positive = 1_000_000
+
+
+class FleetSettings(FleetFigures, frozen=True, kw_only=True):
+    """The head as a member of a fleet."""
+
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._:-]+$")]
+    listen: tuple[str, Port]  # datagrams, and over TCP whoever asks for the view
+    advertise: tuple[str, Port] = ("", 0)  # where others reach it, if elsewhere
+    fleet: Annotated[str, msgspec.Meta(min_length=1, max_length=64)] = "fleet"
+    cell: Annotated[str, msgspec.Meta(max_length=64)] = ""
+    seeds: tuple[FleetSeedSettings, ...] = ()
+    budgets: BudgetsSettings | None = None  # None: each head takes an even part
+    zones: ZonesSettings | None = None  # None: each head helps itself when a zone fails
