Heads follow one record of changes: notes tell it, the witness keeps it, operators write it

A head that reaches no witness asks another head's door; a witness restored from before is given the newest record back by who decides, above both revisions. Without (changes ...) a note's bytes are as before.

--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
-import re
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack
 from pathlib import Path
 
 import click
 import msgspec
 
+from harriertrack.cli.asking import (
+    ASK_US,
+    document_of,
+    json_option,
+    needed_settings,
+    place_of,
+    place_option,
+    settings_option,
+    table,
+)
+from harriertrack.cli.changes import COMMANDS as CHANGES
 from harriertrack.cli.common import fail, settings_of
 from harriertrack.cli.days import tell
 from harriertrack.config.settings import HeadSettings
@@ -25,24 +35,19 @@
 from harriertrack.lab.fleet.rig import simulate
 from harriertrack.membership.fleet.telling import (
     BudgetsTold,
-    Document,
-    MalformedDocument,
     Told,
-    document_from,
 )
 from harriertrack.rules import (
     budgets as budget_rules,
+    changes as change_rules,
     checker,
     fleet as fleet_rules,
     recording as rec,
     zones as zone_rules,
 )
-from harriertrack.runtime.hub import DeadlineExceeded, Hub
+from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import SocketNetwork
 
-ASK_US = 3_000_000
-MOST_BYTES = 16 << 20
-PLACE = re.compile(r"\[?([0-9A-Fa-f.:]+?)\]?:(\d{1,5})\Z")
 SHOWN = (
     "name", "state", "for", "incarnation", "region", "zone", "cell", "address", "agrees", "open", "taken/s",
 )  # fmt: skip
@@ -50,9 +55,6 @@
 HAS = ("budget", "unit", "whole/s", "burst", "fixed/s", "share/s", "wanted/s", "to use now")
 LENT = ("budget", "holder", "granted/s", "may have/s", "wanted/s", "ends in", "there")
 
-settings_option = click.option("--settings", "path", type=click.Path(), help="The head's settings.")
-place_option = click.option("--at", "place", help="HOST:PORT at which the head listens for its fleet.")
-json_option = click.option("--json", "as_json", is_flag=True, help="JSON in place of text.")
 
 
 @click.group()
@@ -60,41 +62,8 @@
     """Fleets of heads: what one holds of the others, and days for many processes."""
 
 
-def _place(path: str | None, place: str | None) -> tuple[str, int]:
-    if (path is None) == (place is None):
-        fail("name one of --settings and --at")
-    if place is not None:
-        match = PLACE.match(place)
-        if match is None or int(match[2]) > 65535:
-            fail(f"{place}: expected HOST:PORT")
-        return match[1], int(match[2])
-    assert path is not None
-    settings = settings_of(path, HeadSettings)
-    if settings.fleet is None:
-        fail(f"{path}:1: fleet: not set; this head knows of no other")
-    return settings.fleet.listen
-
-
-def ask(hub: Hub, address: tuple[str, int]) -> bytes:
-    """Return a head's view as it tells it. Raises OSError, DeadlineExceeded."""
-    deadline = hub.now() + ASK_US
-    stream = SocketNetwork(hub).connect(address, deadline)
-    body = b""
-    try:
-        while (data := stream.read(deadline)) and len(body) < MOST_BYTES:
-            body += data
-    finally:
-        stream.close()
-    return body
-
-
-def _document(address: tuple[str, int]) -> tuple[bytes, Document]:
-    hub = Hub()
-    try:
-        body = hub.run(ask, hub, address)
-        return body, document_from(body)
-    except (OSError, DeadlineExceeded, MalformedDocument) as error:
-        fail(f"{address[0]}:{address[1]}: {error or 'no answer in time'}")
+for one_command in CHANGES:
+    fleet.add_command(one_command)
 
 
 def _line(one: Told) -> tuple[str, ...]:
@@ -106,23 +75,17 @@
     )  # fmt: skip
 
 
-def _table(lines: Sequence[tuple[str, ...]]) -> str:
-    widths = [max(len(line[at]) for line in lines) for at in range(len(lines[0]))]
-    pairs = [zip(line, widths, strict=True) for line in lines]
-    return "\n".join("  ".join(word.ljust(width) for word, width in pair).rstrip() for pair in pairs)
-
-
 @fleet.command()
 @settings_option
 @place_option
 @json_option
 def members(path: str | None, place: str | None, as_json: bool) -> None:
     """Tell whom a head holds to be there, and whom not."""
-    body, document = _document(_place(path, place))
+    body, document = document_of(place_of(path, place))
     if as_json:
         click.echo(body.decode())
         return
-    click.echo(_table([SHOWN, *map(_line, document.members)]))
+    click.echo(table([SHOWN, *map(_line, document.members)]))
     agreeing = sum(one.agrees for one in document.members if one.state in ("alive", "suspect"))
     click.echo(
         f"{document.name} of {document.fleet} is {document.standing}, doubts itself {document.doubts}; "
@@ -138,11 +101,11 @@
 @click.option("--times", type=click.IntRange(1), help="End after so many looks.")
 def watch(path: str | None, place: str | None, as_json: bool, every: float, times: int | None) -> None:
     """Look again and again, and tell what changed."""
-    address = _place(path, place)
+    address = place_of(path, place)
     known: dict[str, tuple[str, int, str]] = {}
     looks = 0
     while True:
-        body, document = _document(address)
+        body, document = document_of(address)
         if as_json:
             click.echo(body.decode())
         else:
@@ -167,7 +130,7 @@
 @json_option
 def explain(member: str, path: str | None, place: str | None, as_json: bool) -> None:
     """Tell why a head holds of MEMBER what it holds, and by whose word."""
-    _, document = _document(_place(path, place))
+    _, document = document_of(place_of(path, place))
     found = next((one for one in document.members if one.name == member), None)
     if found is None:
         fail(f"{member}: {document.name} knows no such member")
@@ -201,7 +164,7 @@
                                                   one.level)))
         for one in told.portions if wanted(one.budget)
     ]  # fmt: skip
-    yield _table(lines) if len(lines) > 1 else "no such budget is in use here"
+    yield table(lines) if len(lines) > 1 else "no such budget is in use here"
     for ledger in (one for one in told.ledgers if one.ledger != DECIDES):
         state = f"opens in {ledger.opens_s:.2f} s" if ledger.opens_s else "open"
         yield (
@@ -222,7 +185,7 @@
             rows.append((f"{budget} in all", f"of {_per_second(movable)}", "", _per_second(total), "",
                          "", f"{_per_second(gone)} lent to who is gone"))  # fmt: skip
         if len(rows) > 1:
-            yield _table(rows)
+            yield table(rows)
     if told.more:
         yield f"and {told.more} more"
 
@@ -234,7 +197,7 @@
 @click.option("--volume", help="Of this volume alone.")
 def budgets(path: str | None, place: str | None, as_json: bool, volume: str | None) -> None:
     """Tell what a head has of what its fleet divides, and, if it keeps a ledger, who has what until when."""
-    body, document = _document(_place(path, place))
+    body, document = document_of(place_of(path, place))
     if document.budgets is None:
         fail(f"{document.name} divides nothing: (budgets ...) is not set")
     if as_json:
@@ -255,7 +218,7 @@
 @click.option("--explain", is_flag=True, help="Why, too.")
 def zones(path: str | None, place: str | None, as_json: bool, explain: bool) -> None:
     """Tell which zones the fleet uses, as a head knows it, and what is seen of them."""
-    _, document = _document(_place(path, place))
+    _, document = document_of(place_of(path, place))
     if document.zones is None:
         fail(f"{document.name} leaves no zones with others: (zones ...) is not set")
     if as_json:
@@ -271,7 +234,7 @@
             one.wish or "-", one.why or "-",
         )  # fmt: skip
         rows.append(row[:cells])
-    click.echo(_table(rows))
+    click.echo(table(rows))
     heard = "never heard a word" if told.heard_s is None else f"heard the word {told.heard_s:.1f} s ago"
     click.echo(f"{document.name} {'decides' if told.decides else 'does not decide'}, {heard}")
 
@@ -289,10 +252,6 @@
     click.echo(f"{zone}: {f'wished {wish}' if wish else 'no wish any more'}; who decides looks each 2 s")
 
 
-needed_settings = click.option("--settings", "path", type=click.Path(), required=True,
-                               help="The settings of any head of the fleet.")  # fmt: skip
-
-
 @fleet.command()
 @click.argument("zone")
 @needed_settings
@@ -300,7 +259,7 @@
 def leave(zone: str, path: str, dry_run: bool) -> None:
     """Wish the fleet out of ZONE, until `fleet return`."""
     if dry_run:
-        _, document = _document(_place(path, None))
+        _, document = document_of(place_of(path, None))
         known = document.zones.zones if document.zones is not None else []
         others = [one for one in known if one.zone != zone]
         for one in others:
@@ -379,6 +338,8 @@
     tell(views, "views: ")
     tell(shares, "budgets: ")
     tell(zones, "zones: ")
-    broken = requests + views + shares + zones
+    record = change_rules.check(records)
+    tell(record, "record: ")
+    broken = requests + views + shares + zones + record
     click.echo("rules broken" if broken else "all rules held")
     sys.exit(1 if broken else 0)
--- a/harriertrack/config/settings/checks.py
+++ b/harriertrack/config/settings/checks.py
@@ -74,6 +74,8 @@
             _check_budgets(head, head.fleet.budgets, fail)
         elif head.fleet.zones is not None:
             fail("fleet: zones", "needs budgets: who decides on zones does so under a lock at their witness")
+        elif head.fleet.changes is not None:
+            fail("fleet: changes", "needs budgets: the record of changes lies at their witness")
     if head.extent_bytes > head.most_units * head.unit_bytes:
         fail("most-units", "smaller than a whole extent")
     if head.extent_bytes % head.unit_bytes:
--- a/harriertrack/config/settings/fleet.py
+++ b/harriertrack/config/settings/fleet.py
@@ -82,6 +82,13 @@
     told_us: Positive = 3_000_000
 
 
+class ChangesSettings(Checked, frozen=True, kw_only=True):
+    """How a head follows the fleet's record of changes; it lies at the budgets' witness."""
+
+    look_us: Positive = 1_000_000  # who decides looks so often whether operators changed it
+    spread_us: Positive = 2_000_000  # heads that hear of a newer one fetch it within this, not all at once
+
+
 class FleetFigures(Checked, frozen=True, kw_only=True):
     """The figures of a fleet's protocol; membership/fleet/swim.py tells what each is."""
 
@@ -114,3 +121,4 @@
     seeds: tuple[FleetSeedSettings, ...] = ()
     budgets: BudgetsSettings | None = None  # None: each head takes an even part
     zones: ZonesSettings | None = None  # None: each head helps itself when a zone fails
+    changes: ChangesSettings | None = None  # None: what runs is what the head was started with
--- a/harriertrack/decisions/fleet/changes/following.py
+++ b/harriertrack/decisions/fleet/changes/following.py
@@ -39,11 +39,11 @@
     fetching: bool = False
     _pause_us: int = RETRY_US
 
-    def hear(self, now: int, revision: int) -> None:
-        """Somebody tells that there is a record of that revision."""
+    def hear(self, fetch_at: int, revision: int) -> None:
+        """Somebody tells that there is a record of that revision: fetch it by then."""
         if revision > max(self.heard, self.record.revision):
             self.heard = revision
-            self.fetch_at = min(self.fetch_at, now)
+            self.fetch_at = min(self.fetch_at, fetch_at)
 
     def fetch(self, now: int) -> bool:
         """Whether the record is to be fetched now, one try at a time."""
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -14,8 +14,8 @@
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.membership.fleet.messages import BUDGETS, Record, State
-from harriertrack.membership.fleet.swim import Changed, Rules, Said, Send, Swim
-from harriertrack.membership.fleet.telling import About, digest_name, document_of, state_name
+from harriertrack.membership.fleet.swim import Changed, Noted, Rules, Said, Send, Swim
+from harriertrack.membership.fleet.telling import About, about_of, digest_name, document_of, state_name
 from harriertrack.membership.fleet.view import Change
 from harriertrack.runtime.alarm import Alarm
 from harriertrack.runtime.datagrams import Address, DatagramNetwork, SocketDatagrams
@@ -26,8 +26,11 @@
     from harriertrack.decisions.fleet.evidence import Evidence
     from harriertrack.decisions.fleet.portions import Portions
     from harriertrack.gateway.fleet.budgets import Budgets
+    from harriertrack.gateway.fleet.changes.carrier import Changes
+    from harriertrack.gateway.fleet.deciding import Deciding
     from harriertrack.gateway.fleet.zones import Zones
     from harriertrack.gateway.listing import Listing
+    from harriertrack.storage.changes import ChangesCache
 
 DOOR_US = 2_000_000  # how long an operator's connection may take the document
 MOST_AT_DOOR = 8  # such connections at a time; more are closed
@@ -43,16 +46,19 @@
 
     def __init__(self, parts: HeadParts, settings: FleetSettings, datagrams: DatagramNetwork | None = None,
                  portions: Portions | None = None, evidence: Evidence | None = None,
-                 listing: Listing | None = None) -> None:  # fmt: skip
+                 listing: Listing | None = None, kept: ChangesCache | None = None) -> None:  # fmt: skip
         self._parts, self._settings, self._hub = parts, settings, parts.hub
         self._network = datagrams or SocketDatagrams(parts.hub)
         self._alarm = Alarm(parts.hub, self._wake)
         self._at_door = 0
         self._closed = False
         self._taken = self._refused = 0
-        self._portions, self._evidence, self._listing = portions, evidence, listing
+        self._about = About()
+        self._portions, self._evidence, self._listing, self._kept = portions, evidence, listing, kept
         self.zones: Zones | None = None
         self.budgets: Budgets | None = None
+        self.deciding: Deciding | None = None
+        self.changes: Changes | None = None
         self.swim: Swim
 
     def start(self) -> None:
@@ -83,20 +89,33 @@
             from harriertrack.gateway.fleet.budgets import Budgets  # a fleet without does not even load it
 
             self.budgets = Budgets(self._parts, settings.budgets, self._portions, settings.fleet, self.swim,
-                                   self._port.send, settings.zones is not None)  # fmt: skip
+                                   self._port.send, self._decides)  # fmt: skip
             self.budgets.start()
-            deciding = None
-            if settings.zones is not None:
-                from harriertrack.gateway.fleet.deciding import Deciding
+            if self._decides:
+                self._start_deciding(self.budgets)
 
-                deciding = Deciding(hub, settings.name, self.budgets)
-            if (settings.zones is not None and deciding is not None and self._evidence is not None
-                    and self._listing is not None):  # fmt: skip
-                from harriertrack.gateway.fleet.zones import Zones
+    @property
+    def _decides(self) -> bool:
+        return self._settings.zones is not None or self._settings.changes is not None
+
+    def _start_deciding(self, budgets: Budgets) -> None:
+        """Take part in what is decided for the whole fleet; only heads that have a part load it."""
+        from harriertrack.gateway.fleet.deciding import Deciding
+
+        settings = self._settings
+        self.deciding = Deciding(self._hub, settings.name, budgets)
+        if settings.zones is not None and self._evidence is not None and self._listing is not None:
+            from harriertrack.gateway.fleet.zones import Zones
+
+            self.zones = Zones(self._parts, settings.zones, self._evidence, self._listing, self.swim,
+                               self.deciding)  # fmt: skip
+            self.zones.start()
+        if settings.changes is not None:
+            from harriertrack.gateway.fleet.changes.carrier import Changes
 
-                self.zones = Zones(self._parts, settings.zones, self._evidence, self._listing, self.swim,
-                                   deciding)  # fmt: skip
-                self.zones.start()
+            self.changes = Changes(self._parts, settings.changes, self.swim, self.deciding, self._tell_now,
+                                   self._kept)  # fmt: skip
+            self.changes.start()
 
     @property
     def address(self) -> Address:
@@ -153,6 +172,9 @@
                     self._port.send(data, address)
                 case Changed(change):
                     self._changed(change)
+                case Noted(note):
+                    if self.changes is not None and (about := about_of(note.about)) is not None:
+                        self.changes.heard(about)
                 case Said(event, fields):
                     self._parts.note(event, **dict(fields))
         self._alarm.wake_at(self.swim.wake_at())
@@ -176,14 +198,19 @@
         while True:
             taken, refused = core.counts.taken - self._taken, core.counts.refused - self._refused
             self._taken, self._refused = core.counts.taken, core.counts.refused
-            about = About(
+            self._about = About(
                 volumes=len(self._parts.settings.volumes), open=core.open_requests,
                 taken=round(taken * 1e6 / settings.note_us), refused=100 * refused // taken if taken else 0,
             )  # fmt: skip
-            self.swim.note(self._hub.now(), msgspec.msgpack.encode(about))
-            self._follow()
+            self._tell_now()
             self._hub.sleep(settings.note_us)
 
+    def _tell_now(self) -> None:
+        about = self._about
+        told = self.changes.about(about) if self.changes is not None else msgspec.msgpack.encode(about)
+        self.swim.note(self._hub.now(), told)
+        self._follow()
+
     # -- the door
 
     def _open(self, door: Listener) -> None:
@@ -206,6 +233,8 @@
                 document = msgspec.structs.replace(document, budgets=self.budgets.told(now))
             if self.zones is not None:
                 document = msgspec.structs.replace(document, zones=self.zones.document(now))
+            if self.changes is not None:
+                document = msgspec.structs.replace(document, record=self.changes.document())
             stream.write(msgspec.json.encode(document))
             stream.push(sent.set)
             stream.watch_end(sent.set)
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -32,6 +32,7 @@
     from harriertrack.decisions.fleet.portions import Portions
     from harriertrack.gateway.fleet.carrier import Fleet
     from harriertrack.runtime.datagrams import DatagramNetwork
+    from harriertrack.storage.changes import ChangesCache
 
 MAP_US = 500_000  # how often the file of the cells' map is looked at
 STOP_US = 10_000_000  # the longest that a head waits for its open requests when it is asked to stop
@@ -49,6 +50,7 @@
     listing: Callable[[HeadParts], Listing] = Listing
     module: Callable[[api.Settings, int], Scheduler | Celled] = Scheduler
     datagrams: DatagramNetwork | None = None  # of its fleet; None: sockets
+    kept: ChangesCache | None = None  # its copy of the record of changes; None: a file
 
 
 class Head:
@@ -134,7 +136,7 @@
                     from harriertrack.gateway.fleet.carrier import Fleet  # other heads do not even load it
 
                     self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
-                                       self._listing)  # fmt: skip
+                                       self._listing, self._wiring.kept)  # fmt: skip
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
--- a/harriertrack/gateway/witness.py
+++ b/harriertrack/gateway/witness.py
@@ -79,6 +79,10 @@
         """Lock or unlock any key if it is as read; return its new index, 0 if it could not be."""
         return self._transact(leases.key_request(path, verb, session, value, index))
 
+    def replace(self, path: str, value: bytes, index: int) -> int:
+        """Set a key that nobody locks if it is as read; return its new index, 0 if it is not."""
+        return self._transact(leases.write_request(path, value, index))
+
     def _transact(self, asked: bytes) -> int:
         status, body = self._call("PUT", "/v1/txn", asked)
         if status == 409:
--- a/harriertrack/lab/fleet/processes.py
+++ b/harriertrack/lab/fleet/processes.py
@@ -277,6 +277,11 @@
         self._processes[name] = process
         return process
 
+    @property
+    def witness_address(self) -> tuple[str, int]:
+        """Return where operators find the witness."""
+        return self._witness
+
     def fleet_of(self, name: str) -> FleetSettings | None:
         """Return what a head is told of its fleet."""
         if not self.with_fleet:
@@ -288,7 +293,7 @@
             name=name, listen=self._inner[name], advertise=self._there[name], seeds=seeds,
             budgets=self.budgets_of(self._link(name, "witness", self._witness))
             if self.fleet_day.budgets is not None else None,
-            zones=self.zones_of(name),
+            zones=self.zones_of(name), changes=self.fleet_day.changes,
             **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -22,6 +22,10 @@
     ZonesSettings,
 )
 from harriertrack.decisions.fleet.budgets import Ask, Grant
+from harriertrack.decisions.fleet.changes.record import Record
+from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.decisions.fleet.changes.writing import propose, wish
+from harriertrack.gateway.fleet.changes import keeping
 from harriertrack.gateway.fleet.zones import set_wish
 from harriertrack.gateway.head import Wiring
 from harriertrack.gateway.witness import WitnessClient
@@ -41,6 +45,7 @@
 from harriertrack.standin.relay import Fault, Weather
 from harriertrack.standin.shelf import Shelf
 from harriertrack.standin.witness import Witness
+from harriertrack.storage.changes import ChangesCache
 
 LOOK_US = 20_000
 FOREVER_US = 24 * 3600 * 1_000_000
@@ -165,6 +170,8 @@
                 self.zone_slow(step.zone, step.times, step.for_us)
             case Verb.WISH:
                 self.wish(step.zone, step.wish)
+            case Verb.PROPOSE | Verb.CHANGE:
+                self._change(step)
             case Verb.BACKUP:
                 self.backup()
             case Verb.DARK:
@@ -172,6 +179,29 @@
             case Verb.REST:
                 self.hub.sleep(step.for_us)
 
+    def _change(self, step: StepSettings) -> None:
+        """Do as an operator does who proposes a version of a thing, or says what becomes of it."""
+        now_ms, thing = self.hub.clock.wall() // 1000, step.thing
+
+        def make(record: Record) -> Record:
+            if step.name is Verb.CHANGE:
+                return wish(record, thing, Standing(step.to), "operator", now_ms, "the day says so")
+            holds = record.in_force(thing)
+            base = holds.number if holds is not None else 0
+            return propose(record, thing, base, step.body, "operator", now_ms, "the day says so", step.plan)
+
+        client = WitnessClient(self.hub, self.network, self.witness_address, 1_000_000, "operator")
+        found = keeping.write(client, make)
+        last = found.record.under_way(thing) or found.record.of(thing)[-1]
+        self.recorder.add(
+            rec.Proposed(t=self.hub.now(), thing=thing, version=last.number, standing=last.standing.value)
+        )
+
+    @property
+    def witness_address(self) -> tuple[str, int]:
+        """Return where operators find the witness."""
+        raise NotImplementedError
+
     def _lead(self, names: list[str], times: float) -> None:
         """Let traffic go to some heads alone; a volume that none of them serves has none."""
         for flow in self.flows:
@@ -272,6 +302,15 @@
             self.recorder.add(
                 rec.ZoneUse(t=self.hub.now(), head=slot.name, zone=str(fields["zone"]), used=used)
             )
+        if event == "fleet changes":
+            numbers = {name: int(str(fields[name])) for name in ("revision", "digest", "epoch")}
+            latest = msgspec.convert(fields["latest"], dict[str, int])
+            self.recorder.add(rec.WentBy(t=self.hub.now(), head=slot.name, latest=latest, **numbers))
+        if event in ("fleet change taken", "fleet change turned down"):
+            self.recorder.add(
+                rec.TookVersion(t=self.hub.now(), head=slot.name, thing=str(fields["thing"]),
+                                version=int(str(fields["version"])), why=str(fields.get("why", "")))
+            )  # fmt: skip
         if event == "fleet member":
             told = {name: fields[name] for name in TOLD}
             told.update(t=self.hub.now(), member=slot.name, about=fields["member"])
@@ -346,6 +385,7 @@
         self.witness = Witness(hub, network)
         self._kept = b""
         self._later: set[str] = set()
+        self._changes: dict[str, ChangesCache] = {}  # what each head keeps of the record of changes
         self._still_until: dict[str, int] = {}
 
     def build(self) -> None:
@@ -359,6 +399,11 @@
         for number in range(day.heads):
             self.place_head(number)
 
+    @property
+    def witness_address(self) -> tuple[str, int]:
+        """Return where operators find the witness."""
+        return self.witness.address
+
     def fleet_of(self, name: str) -> FleetSettings | None:
         """Return what a head is told of its fleet."""
         if not self.with_fleet:
@@ -371,13 +416,14 @@
         return FleetSettings(
             name=name, listen=("127.0.0.1", FIRST_PORT + number), seeds=seeds,
             budgets=self.budgets_of(self.witness.address), zones=self.zones_of(name),
-            **self.figures(),  # type: ignore[arg-type]
+            changes=self.fleet_day.changes, **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
     def wiring(self, slot: HeadSlot) -> Wiring:
         """Return what a head is made of."""
         later = slot.name in self._later
-        return Wiring(datagrams=LaterDatagrams(self.datagrams) if later else self.datagrams)
+        datagrams = LaterDatagrams(self.datagrams) if later else self.datagrams
+        return Wiring(datagrams=datagrams, kept=self._changes.setdefault(slot.name, ChangesCache(None)))
 
     def note_of(self, slot: HeadSlot) -> Callable[..., None]:
         """Return what hears a head's log."""
@@ -386,6 +432,8 @@
     def launch(self, slot: HeadSlot, step: StepSettings) -> None:
         """Start a head."""
         self.lived(slot, "started")
+        if step.fresh:
+            self._changes.pop(slot.name, None)
         (self._later.add if step.later else self._later.discard)(slot.name)
         self.start_head(slot)
 
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -22,6 +22,7 @@
     BlockSize,
     BudgetFigures,
     BudgetSettings,
+    ChangesSettings,
     Checked,
     FleetFigures,
     Name,
@@ -54,6 +55,8 @@
     ZONE = "zone"  # nothing passes between `who` and a `zone`'s nodes for `for`; all: they come back cold
     SLOW = "slow"  # the nodes of a `zone` work `times` slower for `for`
     WISH = "wish"  # an operator wishes a `zone` to be `out`, `in`, or has no wish
+    PROPOSE = "propose"  # an operator proposes `body` as the next version of a `thing`
+    CHANGE = "change"  # an operator wishes what is under way for a `thing` `paused`, `going` or `aborted`
     BACKUP = "backup"  # what the witness knows is kept aside
     DARK = "dark"  # the witness is gone for `for`; `old`: it comes back as of the backup
     AGREE = "agree"  # wait until the views of `who` agree, `within` at most
@@ -83,6 +86,10 @@
     times: Amount = 1.0
     zone: str = ""
     wish: Literal["out", "in", ""] = ""
+    thing: str = ""  # that changes
+    body: str = ""
+    plan: str = ""
+    to: Literal["paused", "going", "aborted", ""] = ""
     old: bool = False
     clock_rate: Annotated[float, msgspec.Meta(ge=0.5, le=2)] = 1.0  # of who is started; processes only
 
@@ -109,6 +116,7 @@
     limit_slack: Amount = 8.0  # units
     budgets: DayBudgets | None = None
     zones: ZonesSettings | None = None
+    changes: ChangesSettings | None = None
     zones_at: Share = 1.0  # so many of each ten heads have zones; the others help themselves
     may_leave: tuple[str, ...] = ()  # zones that the fleet may leave on this day
     rate: Amount = 8.0  # requests a second, a head
@@ -131,6 +139,10 @@
             raise SettingsError(f"{at}: for: is needed")
         if step.name in (Verb.ZONE, Verb.SLOW, Verb.WISH) and step.zone not in ZONES:
             raise SettingsError(f"{at}: zone: one of {', '.join(ZONES)}")
+        if step.name in (Verb.PROPOSE, Verb.CHANGE) and (day.changes is None or not step.thing):
+            raise SettingsError(f"{at}: thing: is needed, on a day with changes")
+        if (step.name is Verb.CHANGE) != bool(step.to):
+            raise SettingsError(f"{at}: to: a change, and no other step, is paused, going or aborted")
         if step.name is Verb.DARK and day.budgets is None:
             raise SettingsError(f"{at}: there is no witness on a day without budgets")
         struck = step.cut or step.lost or step.twice or step.late_us or step.jitter_us
--- a/harriertrack/membership/fleet/telling.py
+++ b/harriertrack/membership/fleet/telling.py
@@ -18,6 +18,15 @@
     refused: int = 0  # of these, in percent
 
 
+class Telling(About, frozen=True):
+    """The note of a member that follows the fleet's record of changes."""
+
+    record: int = 0  # the revision that it goes by; 0: it follows none
+    digest: int = 0  # ... of its bytes
+    level: int = 0  # the latest that its program understands
+    runs: dict[str, int] = {}  # versions by thing, as far as there is room for them
+
+
 class Word(msgspec.Struct, frozen=True):
     """A word that changed what is held of a member, so many seconds ago."""
 
@@ -43,7 +52,7 @@
     incarnation: int
     heard_s: float | None  # seconds since it last said something itself to this head; None: never
     agrees: bool  # what it said last of who is there is what this head holds
-    about: About | None = None
+    about: Telling | None = None
     suspected_by: list[str] = []
     dead_in_s: float | None = None  # a suspect that does not object is held dead then
     history: list[Word] = []
@@ -133,6 +142,36 @@
     zones: list[ZoneTold]
 
 
+class ThingTold(msgspec.Struct, frozen=True):
+    """What holds of a thing that can change, as the telling head knows it."""
+
+    thing: str
+    in_force: int  # 0: what each head was started with
+    runs: int  # the telling head
+    under_way: int  # 0: nothing is
+    standing: str  # of what is under way
+    stage: int
+    heads: list[str]  # that are to run it
+    why: str  # it was proposed, and by whom
+    reason: str  # it stands there
+    since_s: float  # since 1970
+    turned_down: int  # by the telling head
+    turned_down_why: str
+
+
+class ChangesTold(msgspec.Struct, frozen=True):
+    """What a head tells of the record of changes."""
+
+    revision: int
+    digest: int
+    epoch: int
+    level: int
+    heard: int  # the highest revision that others told of
+    lost: bool  # the witness holds an older one
+    things: list[ThingTold]
+    record: bytes  # whole, for whoever can't ask the witness
+
+
 class Document(msgspec.Struct, frozen=True):
     """A head's view."""
 
@@ -147,6 +186,7 @@
     members: list[Told]
     budgets: BudgetsTold | None = None
     zones: ZonesTold | None = None
+    record: ChangesTold | None = None
 
 
 class MalformedDocument(ValueError):
@@ -163,10 +203,10 @@
     return f"{digest:016x}"
 
 
-def about_of(note: bytes) -> About | None:
+def about_of(note: bytes) -> Telling | None:
     """Read a member's note; None if it is of another form."""
     try:
-        return msgspec.msgpack.decode(note, type=About)
+        return msgspec.msgpack.decode(note, type=Telling)
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
 
--- a/harriertrack/membership/leases.py
+++ b/harriertrack/membership/leases.py
@@ -97,6 +97,16 @@
     results: list[_Result] = msgspec.field(name="Results")
 
 
+def write_request(path: str, value: bytes, index: int) -> bytes:
+    """Write the transaction that sets a key that nobody locks, if it is as read (index 0: not there)."""
+    key = path.removeprefix("/v1/kv/")
+    check = {"Verb": "check-index", "Key": key, "Index": index}
+    if not index:
+        check = {"Verb": "check-not-exists", "Key": key}
+    change = {"Verb": "set", "Key": key, "Value": base64.b64encode(value).decode()}
+    return msgspec.json.encode([{"KV": check}, {"KV": change}])
+
+
 def changed_index(body: bytes) -> int:
     """Read the key's new index from a transaction's answer. Raises WitnessError."""
     try:
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -312,10 +312,40 @@
     used: bool
 
 
+class Proposed(msgspec.Struct, kw_only=True, tag="proposed", tag_field="what"):
+    """An operator proposed a version of a thing, or said what becomes of it."""
+
+    t: int
+    thing: str
+    version: int
+    standing: str
+
+
+class WentBy(msgspec.Struct, kw_only=True, tag="went-by", tag_field="what"):
+    """A head goes by this record of changes from now on."""
+
+    t: int
+    head: str
+    revision: int
+    digest: int
+    epoch: int
+    latest: dict[str, int] = {}  # of each thing that has versions
+
+
+class TookVersion(msgspec.Struct, kw_only=True, tag="took-version", tag_field="what"):
+    """A head runs a version of a thing from now on (0: what it began with), or did not take it: `why`."""
+
+    t: int
+    head: str
+    thing: str
+    version: int
+    why: str = ""
+
+
 Record = (
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
-    | ZoneUse
+    | ZoneUse | Proposed | WentBy | TookVersion
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
--- a/harriertrack/standin/witness.py
+++ b/harriertrack/standin/witness.py
@@ -147,12 +147,12 @@
         results = []
         for one in asked:
             name, session = one["Key"], one.get("Session", "")
-            if one["Verb"] in ("lock", "unlock"):
+            if one["Verb"] in ("lock", "unlock", "set"):
                 key = self._keys.setdefault(name, _Key())
                 key.value = base64.b64decode(one["Value"])
                 if one["Verb"] == "unlock":
                     key.session = ""
-                elif key.session != session:
+                elif one["Verb"] == "lock" and key.session != session:
                     key.session = session
                     key.lock_index += 1
                     self.grants.append((self._hub.now(), name, session, key.lock_index))
@@ -167,6 +167,8 @@
                 return key is None
             case "check-index":
                 return key is not None and key.modify_index == one["Index"]
+            case "set":
+                return True
             case "lock":
                 return session in self._sessions and (key is None or key.session in ("", session))
             case "unlock":
--- a/harriertrack/storage/changes.py
+++ b/harriertrack/storage/changes.py
@@ -7,13 +7,19 @@
 
 
 class ChangesCache:
-    """One file, replaced whole: after a kill at any moment it is the old one or the new one."""
+    """One file, replaced whole: after a kill at any moment it is the old one or the new one.
 
-    def __init__(self, folder: str) -> None:
-        self._path = Path(folder) / "changes"
+    With folder None it lives in memory alone (simulated days).
+    """
+
+    def __init__(self, folder: str | None) -> None:
+        self._path = Path(folder) / "changes" if folder is not None else None
+        self._memory: bytes | None = None
 
     def read(self) -> bytes | None:
         """Return what was kept last; None if nothing was."""
+        if self._path is None:
+            return self._memory
         try:
             return self._path.read_bytes()
         except FileNotFoundError:
@@ -21,6 +27,9 @@
 
     def write(self, data: bytes) -> None:
         """Keep it; on disk when this returns. Raises OSError."""
+        if self._path is None:
+            self._memory = data
+            return
         self._path.parent.mkdir(parents=True, exist_ok=True)
         fresh = self._path.with_suffix(".new")
         with fresh.open("wb") as file:
--- /dev/null
+++ b/tests/changes/test_carrier.py
@@ -0,0 +1,186 @@
+"""The record of changes over heads: days in simulated time, the door, and what operators do."""
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from harriertrack.config.settings import check_head
+from harriertrack.config.sexp import SettingsError
+from harriertrack.decisions.fleet.changes.following import Follower
+from harriertrack.decisions.fleet.changes.record import Record
+from harriertrack.decisions.fleet.changes.writing import Conflict, Refused, propose
+from harriertrack.gateway.fleet.changes import keeping
+from harriertrack.gateway.fleet.changes.carrier import Changes
+from harriertrack.gateway.witness import WitnessClient
+from harriertrack.lab.fleet import scenario
+from harriertrack.lab.fleet.rig import simulate
+from harriertrack.membership.fleet.changing import PATH, DamagedRecord
+from harriertrack.rules import changes as rules, recording as rec
+from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.standin.witness import Witness
+
+
+def day(seed=1):
+    plan = scenario.load("changes-record")
+    recorder = rec.Recorder()
+    simulate(plan, plan.processes, seed, recorder)
+    return recorder.records
+
+
+def test_all_heads_come_to_one_record_through_a_cut_a_restart_and_a_restored_witness():
+    records = day()
+    assert rules.check(records) == []
+    last = {one.head: one.revision for one in records if isinstance(one, rec.WentBy)}
+    assert len(last) == 6 and len(set(last.values())) == 1
+    assert max(last.values()) >= 5, "put back above what the witness had lost, and one more"
+
+
+def test_the_rules_find_a_fleet_that_leaves_a_restored_witness_as_it_is(monkeypatch):
+    monkeypatch.setattr(keeping, "put_back", lambda *_: None)
+    assert 5 in {one.rule for one in rules.check(day())}
+
+
+def test_the_rules_find_a_head_that_follows_an_older_record(monkeypatch):
+    def any_record(self, now, found, digest=0):
+        self.fetching, changed = False, found is not None and digest != self.digest
+        if changed:
+            self.record, self.digest = found, digest
+        self.fetch_at = now + 1_000_000
+        return changed
+
+    monkeypatch.setattr(Follower, "fetched", any_record)
+    assert 2 in {one.rule for one in rules.check(day())}
+
+
+def test_the_rules_find_heads_that_take_nothing_from_each_other_or_the_keeper(monkeypatch):
+    monkeypatch.setattr(Changes, "_told", lambda *_: None)
+    monkeypatch.setattr(Changes, "heard", lambda *_: None)
+    assert 4 in {one.rule for one in rules.check(day())}
+
+
+def went(t, head, revision, digest=5, version=1):
+    return rec.WentBy(t=t, head=head, revision=revision, digest=digest, epoch=0, latest={"settings": version})
+
+
+BEGUN = [rec.Lived(t=0, member=name, how="started") for name in ("a", "b")] + [
+    rec.Proposed(t=1, thing="settings", version=1, standing="proposed"),
+    went(2, "a", 1),
+]
+
+
+@pytest.mark.parametrize(("more", "broken"), [
+    ([went(3, "b", 1)], []),
+    ([went(3, "b", 1, 6)], [1]),
+    ([went(3, "b", 2, 6)], [4]),
+    ([went(3, "b", 2, 6), went(4, "b", 1)], [2, 4, 4]),
+    ([], [4]),
+    ([rec.Lived(t=3, member="b", how="killed")], []),
+    ([went(3, "b", 1), rec.TookVersion(t=4, head="b", thing="settings", version=2)], [3]),
+    ([went(3, "b", 1), rec.TookVersion(t=4, head="b", thing="settings", version=2, why="no")], []),
+    ([went(3, "b", 1), rec.Proposed(t=4, thing="settings", version=2, standing="proposed")], [5, 5]),
+])  # fmt: skip
+def test_what_the_rules_find_and_nothing_else(more, broken):
+    assert [one.rule for one in rules.check([*BEGUN, *more])] == broken
+
+
+class World:
+    """A witness and a client of it, in simulated time."""
+
+    def __init__(self):
+        self.hub = Hub.virtual(1)
+        self.network = MemoryNetwork(self.hub)
+        self.witness = Witness(self.hub, self.network)
+
+    def play(self, main):
+        def run():
+            with self.hub.scope("world") as scope:
+                self.witness.start(scope)
+                main(WitnessClient(self.hub, self.network, self.witness.address, 1_000_000, "operator"))
+                scope.cancel()
+
+        self.hub.run(run)
+
+
+def proposal(body, base=0):
+    return lambda record: propose(record, "settings", base, body, "ann", 1, "a reason")
+
+
+def test_of_two_who_propose_at_once_one_wins_and_the_other_is_told_the_difference():
+    def main(client):
+        def first_another(record):
+            if not record.versions:
+                keeping.write(client, proposal("theirs"))
+            return proposal("mine")(record)
+
+        with pytest.raises(Conflict) as told:
+            keeping.write(client, first_another)
+        assert told.value.difference[1:] == ["-theirs", "+mine"]
+        assert keeping.read(client).record.under_way("settings").body == "theirs"
+
+    World().play(main)
+
+
+def test_a_writer_that_is_never_first_gives_up_and_says_so():
+    def main(client):
+        tries = []
+
+        def always_late(record):
+            tries.append(record.revision)
+            client.put(PATH, keeping.encode(record.replaced([])))
+            return record.replaced([])
+
+        with pytest.raises(keeping.Busy):
+            keeping.write(client, always_late)
+        assert len(tries) == keeping.TRIES
+
+    World().play(main)
+
+
+def test_a_damaged_record_is_told_and_put_back_whole_but_never_over_a_newer_one():
+    def main(client):
+        known = keeping.write(client, proposal("one")).record
+        client.put(PATH, b"rubbish")
+        with pytest.raises(DamagedRecord):
+            keeping.write(client, proposal("two"))
+        back = keeping.put_back(client, known)
+        assert back.record.versions == known.versions and back.record.revision == known.revision + 1
+        assert keeping.put_back(client, known) is None
+        with pytest.raises(Refused):
+            keeping.write(client, proposal("two", base=3))
+
+    World().play(main)
+
+
+def test_changes_need_a_witness():
+    from tests.test_fleet_zones import head
+
+    with pytest.raises(SettingsError, match="changes: needs budgets"):
+        check_head(head('(heads 4)(fleet "a" (listen "127.0.0.1" 7946) (changes))'), "x")
+
+
+def test_operators_hear_of_files_and_settings_that_can_not_be(tmp_path):
+    from harriertrack.cli.main import main
+
+    found = CliRunner().invoke(main, ["fleet", "propose", "settings", str(tmp_path / "none"), "--settings", str(tmp_path / "none"), "--why", "x"])
+    assert found.exit_code == 2 and "can't be read" in found.output
+
+
+def test_a_note_has_room_for_what_a_member_runs_and_stays_within_its_bytes():
+    from harriertrack.decisions.fleet.changes.following import Taken
+    from harriertrack.membership.fleet.messages import MOST_NOTE
+    from harriertrack.membership.fleet.telling import About, about_of
+
+    one = Changes.__new__(Changes)
+    one._follower = Follower("h")
+    one._follower.record = Record(revision=1 << 40)
+    one._follower.taken = {f"calendar/{'x' * 40}{number}": Taken(runs=7) for number in range(20)} | {"settings": Taken(runs=3)}
+    data = one.about(About(9, 9, 9, 9))
+    told = about_of(data)
+    assert len(data) <= MOST_NOTE and told.record == 1 << 40 and told.runs["settings"] == 3
+
+
+def test_a_note_of_a_member_that_follows_no_record_is_what_it_was():
+    from harriertrack.membership.fleet.telling import About
+
+    assert set(msgspec.msgpack.decode(msgspec.msgpack.encode(About()))) == {"volumes", "open", "taken", "refused"}
