Wholes of budgets change in service: less holds at once, more once the ledger knows, stores carry over

Wholes could change by restart alone, head by head. A holder now takes another rate and burst of what is in use: the lower figures at once, a higher rate when the ledger has confirmed it, and the store keeps its level up to the new most. What is opened after a change is no fuller than what was open kept.

--- a/harriertrack/decisions/fleet/budgets.py
+++ b/harriertrack/decisions/fleet/budgets.py
@@ -61,6 +61,15 @@
         """Return how long after an ask its lease may last, by the clock of who granted it."""
         return int(lease_us * (1 + self.clock_error)) + 1
 
+    @property
+    def settles_us(self) -> int:
+        """Return how long after the last head was told a lower whole all together surely keep to it.
+
+        Whoever renews its lease says so with that, and hears of its lower share with the next renewal; who
+        loses more messages than that has its lease end. Without losses it takes two datagrams and a round.
+        """
+        return self.ask_us + self.round_us + 2 * self.counted_us(self.lease_us)
+
     def relied_us(self, lease_us: int) -> int:
         """Return how long after it asked a holder relies on its lease, by its own clock."""
         return int(lease_us * (1 - self.clock_error))
@@ -137,6 +146,7 @@
     fixed: float
     least: float = 0.0  # of things that are used one by one: so much each head may save up whatever its part
     counted: bool = False  # a number at a time: what is taken comes back when it is given back, not with time
+    says: str = ""  # who says it, the same for all budgets that change together: a plan, the rules
 
     @property
     def moving(self) -> float:
@@ -176,7 +186,9 @@
 
     def _set(self, share: float) -> None:
         whole, self.share = self.whole, share
-        part = whole.fixed / whole.hosts + (share / whole.rate if whole.rate > 0 else 0.0)
+        # A share that was granted of a larger whole comes to no more than all that moves of a lowered one.
+        used = min(share, whole.moving)
+        part = whole.fixed / whole.hosts + (used / whole.rate if whole.rate > 0 else 0.0)
         if whole.counted:
             self.rate, self.most = 0.0, whole.rate * part
         else:
@@ -201,6 +213,13 @@
             self._set(0.0)
             self.level = self.level + self.most - before if self.whole.counted else min(self.level, self.most)
 
+    def retell(self, now: int, whole: Whole) -> None:
+        """Go by another whole from now on: the store keeps its level, up to what fits a smaller one."""
+        self.now(now)
+        before, self.whole = self.most, whole
+        self._set(self.share)
+        self.level = self.level + self.most - before if whole.counted else min(self.level, self.most)
+
     # -- of a number at a time
 
     @property
--- a/harriertrack/decisions/fleet/holder.py
+++ b/harriertrack/decisions/fleet/holder.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
+from harriertrack.decisions.bucket import Bucket
 from harriertrack.decisions.fleet.budgets import (
     EXACT,
     Ask,
@@ -31,6 +32,10 @@
 IDLE = 1e-3  # of a whole: less demand is none
 
 
+State = tuple[float, int, float, float]  # wanted, version, released, and how much may move
+Figures = tuple[float, float]  # of a whole: its rate and its burst
+
+
 @dataclass(slots=True)
 class Held:
     """One budget that is in use."""
@@ -42,10 +47,36 @@
     spread: float = 0.0  # the sum of squares a second, lately
     version: int = 0
     released: float = 0.0  # tokens, by taking this version
-    told: tuple[float, int, float] = (-1.0, 0, 0.0)  # wanted, version, released: as the ledger confirmed
-    sent: tuple[float, int, float] = (-1.0, 0, 0.0)  # ... as sent last
+    raised: Whole | None = None  # what is told now; its rate is not used before the ledger knows it
+    told: State = field(init=False)  # as the ledger confirmed
+    sent: State = field(init=False)  # ... as sent last
     sent_at: int = 0
 
+    def __post_init__(self) -> None:
+        self.unsaid()
+
+    def unsaid(self) -> None:
+        """Begin with a ledger that knows nothing of it."""
+        self.told = self.sent = (-1.0, 0, 0.0, self.portion.whole.moving)
+
+    @property
+    def whole(self) -> Whole:
+        """Return the whole as the head is told it."""
+        return self.raised or self.portion.whole
+
+    def retell(self, now: int, whole: Whole) -> None:
+        """Go by another whole: at once by what is less, by more once the ledger knows."""
+        at_once = replace(whole, rate=min(whole.rate, self.portion.whole.rate))
+        self.raised = whole if at_once != whole else None
+        self.portion.retell(now, at_once)
+
+    def confirmed(self, now: int, state: State) -> None:
+        """The ledger knows what was said."""
+        self.told = state
+        if self.raised is not None and state[3] == self.raised.moving:
+            self.portion.retell(now, self.raised)
+            self.raised = None
+
     @property
     def wanted(self) -> float:
         """Return what could be used a second beyond the fixed part."""
@@ -75,9 +106,9 @@
         self.spread += gain * (squares - self.spread)
         self.steady += (1 - math.exp(-passed / FALL_US)) * (rate - self.steady)
 
-    def state(self) -> tuple[float, int, float]:
+    def state(self) -> State:
         """Return what the ledger should know."""
-        return self.wanted, self.version, self.released
+        return self.wanted, self.version, self.released, self.whole.moving
 
 
 class Holder:
@@ -91,7 +122,10 @@
         self.held: dict[str, Held] = {}
         self.heard_at = born  # when a term said something last
         self.lapses = 0
-        self._asked: dict[int, tuple[int, list[tuple[str, tuple[float, int, float]]]]] = {}
+        # What the store of a whole that was changed would hold if nobody used it, by who says it: what is
+        # opened after the change gets no more than what was open kept.
+        self._idle: dict[str, Bucket] = {}
+        self._asked: dict[int, tuple[int, list[tuple[str, State]]]] = {}
         self._number = self._tenure_at = 0
         self._next_ask = self._next_quick = born
 
@@ -103,8 +137,28 @@
         if held is None:
             portion = Portion(now, whole, self.lease, self.rules.clock_error, now - self.born)
             held = self.held[budget] = Held(portion, now)
+            idle = self._idle.get(whole.says)
+            if idle is not None and not whole.counted:
+                portion.level = min(portion.level, idle.now(now) * whole.fixed / whole.hosts)
         return held.portion
 
+    def retell(self, now: int, says: str, before: Figures, after: Figures) -> None:
+        """Go by another rate and burst of all that `says` stands for: what is in use, and what will be."""
+        slow = 1 - self.rules.clock_error
+        idle = self._idle.setdefault(says, Bucket(self.born, slow * before[0], before[1]))
+        level = min(idle.now(now), after[1])
+        idle.rate, idle.most, idle.level = slow * after[0], after[1], level
+        for name, held in self.held.items():
+            if held.whole.says == says and after[0] > 0:  # else nobody asks for it, and it is forgotten
+                self.take(now, name, replace(held.whole, rate=after[0], burst=after[1]))
+
+    def take(self, now: int, budget: str, whole: Whole) -> None:
+        """Take another whole of one budget that is in use; what is told again is nothing new."""
+        held = self.held[budget]
+        if whole != held.whole:
+            held.retell(now, whole)
+            self._next_quick = min(self._next_quick, now)
+
     def live(self, now: int) -> bool:
         """Whether the lease lasts."""
         return now < self.lease.until
@@ -132,7 +186,7 @@
         for held in self.held.values():
             held.portion.lapse(now)
             held.version, held.released = 0, 0.0
-            held.told = held.sent = (-1.0, 0, 0.0)
+            held.unsaid()
         self.lease.until = 0
         self.tenure += 1
         self._tenure_at = 0
@@ -190,7 +244,8 @@
             held = self.held[name]
             held.sent, held.sent_at = state, _ = held.state(), now
             told.append((name, state))
-            claims.append(Claim(name, held.portion.whole.moving, *state))
+            wanted, version, released, moving = state
+            claims.append(Claim(name, moving, wanted, version, released))
         self._asked[self._number] = (now, told)
         for number in [one for one, (at, _) in self._asked.items() if at < now - self.rules.lease_us]:
             del self._asked[number]
@@ -222,7 +277,7 @@
             self.lease.until = max(self.lease.until, sent_at + self.rules.relied_us(lease_us))
             for name, state in told:
                 if (held := self.held.get(name)) is not None:
-                    held.told = state
+                    held.confirmed(now, state)
         if not self.live(now):
             return False
         changed = False
--- a/harriertrack/decisions/fleet/ledger.py
+++ b/harriertrack/decisions/fleet/ledger.py
@@ -183,13 +183,14 @@
         targets, changed = divide(whole, wishes), []
         settled = [slip.applied == slip.version for slip in slips]
         free = max(0.0, whole - account.counted)
+        lowered = account.counted > whole * (1 + LEAST)  # the whole was: what is under way is overtaken too
         raised: list[tuple[float, Slip]] = []
         for slip, target, still in zip(slips, targets, settled, strict=True):
-            if not still:
-                continue  # asked for again once the present change is confirmed
-            if target < slip.rate - LEAST * whole:
+            if target < slip.rate - LEAST * whole and (still or lowered):
                 self._change(name, slip, target)
                 changed.append(slip.holder)
+            elif not still:
+                continue  # asked for again once the present change is confirmed
             elif target > slip.rate + LEAST * whole:
                 raised.append((target - slip.rate, slip))
             elif not slip.wanted and not slip.rate and not slip.counted:
--- a/harriertrack/decisions/fleet/portions.py
+++ b/harriertrack/decisions/fleet/portions.py
@@ -1,7 +1,7 @@
 """What one head has of all budgets, as its module and its links ask for it.
 
 A budget that is used for the first time is opened then, at its fixed part; which of them there are, and how
-much they are in all, is told at the start. Pure: time is handed in.
+much they are in all, is told at the start, and anew in service. Pure: time is handed in.
 """
 
 from __future__ import annotations
@@ -64,7 +64,36 @@
             for name, held in holder.held.items():
                 yield name, held.portion
 
-    def _open(self, now: int, use: Use, of: str, rate: float, burst: float, hosts: int) -> Portion | None:
+    def retell(self, now: int, before: Mapping[str, Plan], plans: Mapping[str, Plan],
+               divided: Mapping[Use, Divided]) -> None:  # fmt: skip
+        """Go by other wholes from now on, those of plans and the others: of what is in use, and what will be.
+
+        The parts that are fixed can't change: larger ones would be used before shares are lowered for them.
+        Raises ValueError for that, and for another list of what is divided.
+        """
+        if {use: one.fixed for use, one in divided.items()} != self._fixed():
+            raise ValueError("what is divided, and the part of it that is fixed, can't change")
+        changed = {}
+        for name in sorted(set(before) | set(plans)) if Use.LIMITS in divided else ():
+            was, told = before.get(name, Plan(name)), plans.get(name, Plan(name))
+            says = budget_name(Use.LIMITS, name)
+            changed[says] = (was.limit, was.limit_burst), (told.limit, told.limit_burst)
+        for use, one in divided.items():
+            was_one = self.divided[use]
+            if use not in (Use.LIMITS, Use.COLD):  # told whenever it is asked for
+                changed[use.value] = (was_one.rate, was_one.burst), (one.rate, one.burst)
+        self.divided = dict(divided)
+        for holder in self.holders:
+            for says, (old, new) in changed.items():
+                if old != new:
+                    holder.retell(now, says, old, new)
+        self.woken()
+
+    def _fixed(self) -> dict[Use, float]:
+        return {use: one.fixed for use, one in self.divided.items()}
+
+    def _open(self, now: int, use: Use, of: str, rate: float, burst: float, hosts: int,
+              plan: str = "") -> Portion | None:  # fmt: skip
         divided = self.divided.get(use)
         if divided is None or hosts < 2 or rate <= 0:
             return None
@@ -72,10 +101,13 @@
         holder = self.holders[ledger_of(name, len(self.holders))]
         fresh = name not in holder.held
         one_by_one = use not in (Use.LIMITS, Use.COLD, Use.LINKS)
-        whole = Whole(rate, burst, hosts, divided.fixed, float(one_by_one), use is Use.LINKS)
+        whole = Whole(rate, burst, hosts, divided.fixed, float(one_by_one), use is Use.LINKS,
+                      budget_name(use, plan))  # fmt: skip
         portion = holder.open(now, name, whole)
         if fresh:
             self.woken()
+        elif use is Use.COLD:  # the rules say it, to whoever asks
+            holder.take(now, name, whole)
         return portion
 
     # -- for the module
@@ -83,7 +115,7 @@
     def limit(self, now: int, ask: Arrived, plan: Plan) -> Bucket | None:
         """Count what a request asks of its volume's limit; return what this head has of that."""
         hosts = ask.hosts or self.heads
-        portion = self._open(now, Use.LIMITS, ask.volume, plan.limit, plan.limit_burst, hosts)
+        portion = self._open(now, Use.LIMITS, ask.volume, plan.limit, plan.limit_burst, hosts, plan.name)
         if portion is not None and not ask.tried:
             portion.asked(ask.units)
         return portion
--- a/harriertrack/lab/fleet/division.py
+++ b/harriertrack/lab/fleet/division.py
@@ -12,7 +12,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 from harriertrack.decisions.bucket import Bucket
@@ -113,6 +113,7 @@
     announced_at: int = 0
     contact: dict[str, int] = field(default_factory=dict)  # of a keeper: when each head asked last
     waiting: dict[str, deque[int]] = field(default_factory=dict)  # units, by when they came
+    told: dict[str, Whole] = field(default_factory=dict)  # the wholes that it goes by
 
 
 @dataclass(slots=True)
@@ -153,7 +154,8 @@
     def __init__(self, heads: int, wholes: dict[str, Whole], seed: int, rules: BudgetRules = RULES,
                  parts: Parts = REAL, clocks: float = 0.0, slack: float = 0.0) -> None:  # fmt: skip
         self.random = random.Random(seed)
-        self.rules, self.parts, self.wholes = rules, parts, dict(wholes)
+        self.rules, self.parts = rules, parts
+        self.wholes = wholes = {name: replace(one, says=name) for name, one in wholes.items()}
         self.now = 0
         self.names = [f"head{number}" for number in range(heads)]
         self.members: dict[str, Member] = {}
@@ -173,11 +175,11 @@
         self._serial = 0
         self._ideal = {name: _Judge(Bucket(0, one.rate, one.burst)) for name, one in wholes.items()}
         self._even: dict[tuple[str, str], _Judge] = {}
+        self._slack = slack
+        self._facts: dict[str, Whole] = {}  # as recorded last
+        self._allowed: dict[str, list[tuple[int, Whole]]] = {name: [] for name in wholes}  # until when
         for name, one in wholes.items():
-            self.records.append(
-                rec.BudgetFacts(t=0, budget=name, rate=one.rate, burst=one.burst, moving=one.moving,
-                                slack=slack + one.rate * 2 * STEP_US / 1e6 + 1)
-            )  # fmt: skip
+            self._record(name, one)
         for name in self.names:
             self.start(name)
 
@@ -190,7 +192,7 @@
         clock = self._clock(rate)
         self.members[name] = Member(
             name, instance, rate, self.parts.holder(LEDGER, name, instance, self.rules, clock),
-            self.parts.candidate(LEDGER, self.rules, instance & 0xFFFF, clock),
+            self.parts.candidate(LEDGER, self.rules, instance & 0xFFFF, clock), told=dict(self.wholes),
         )  # fmt: skip
         self._gone_at.pop(name, None)
 
@@ -235,6 +237,50 @@
                 return member
         return None
 
+    # -- wholes that change in service
+
+    def _record(self, budget: str, whole: Whole) -> None:
+        self._facts[budget] = whole
+        self.records.append(
+            rec.BudgetFacts(t=self.now, budget=budget, rate=whole.rate, burst=whole.burst,
+                            moving=whole.moving, slack=self._slack + whole.rate * 2 * STEP_US / 1e6 + 1)
+        )  # fmt: skip
+
+    def change(self, budget: str, whole: Whole) -> None:
+        """Decide on another whole: heads go by it once they are told, or started."""
+        self.wholes[budget] = whole
+        self._ideal[budget] = _Judge(Bucket(self.now, whole.rate, whole.burst))
+
+    def tell(self, name: str) -> None:
+        """Let a head hear of the wholes as they are now, unless it stands still."""
+        member = self.members.get(name)
+        if member is None or member.stopped:
+            return
+        for budget, whole in self.wholes.items():
+            before = member.told[budget]
+            if before != whole:
+                member.told[budget] = whole
+                member.holder.retell(self.clock(member), whole.says, (before.rate, before.burst),
+                                     (whole.rate, whole.burst))  # fmt: skip
+
+    @property
+    def all_told(self) -> bool:
+        """Whether every process goes by the wholes as they are now."""
+        return all(member.told == self.wholes for member in self.members.values())
+
+    def _follow_wholes(self) -> None:
+        """Record what all together may use: the most that anybody is told, or was until lately."""
+        lately = int(self.rules.settles_us * (1 + 2 * self.rules.clock_error)) + 2 * STEP_US
+        for budget, until in self._allowed.items():
+            now = {member.told[budget] for member in self.members.values()}
+            kept = [(end, whole) for end, whole in until if end > self.now and whole not in now]
+            kept += [(self.now + lately, whole) for whole in now]
+            kept = self._allowed[budget] = kept or until
+            most = max((whole for _, whole in kept), key=lambda one: (one.rate, one.burst))
+            whole = replace(most, burst=max(whole.burst for _, whole in kept))
+            if whole != self._facts[budget]:
+                self._record(budget, whole)
+
     # -- network and witness
 
     def later(self, us: int, act: Callable[[], None]) -> None:
@@ -322,6 +368,7 @@
                         member.stopped = True
                         self.later(member.stops_for, partial(self._go_on, member))
                         member.stops_for = 0
+            self._follow_wholes()
             self._draw()
 
     def _present(self) -> list[str]:
@@ -408,19 +455,19 @@
             tally.even += even.serve(self.now, came)
             tally.came += came
             if member is not None and not member.stopped:
-                units = self._use(member, budget, whole, came)
+                units = self._use(member, budget, came)
                 tally.served += units
                 if units:
                     self.records.append(rec.Drawn(t=self.now, budget=budget, holder=name, units=units))
         for budget, came in came_of.items():
             self.tally[budget].ideal += self._ideal[budget].serve(self.now, came)
 
-    def _use(self, member: Member, budget: str, whole: Whole, came: int) -> int:
+    def _use(self, member: Member, budget: str, came: int) -> int:
         waiting = member.waiting.setdefault(budget, deque())
         if not came and not waiting:
             return 0
         clock = self.clock(member)
-        portion = member.holder.open(clock, budget, whole)
+        portion = member.holder.open(clock, budget, member.told[budget])
         for _ in range(came):
             portion.asked(1.0)
         waiting.extend([self.now] * came)
--- a/harriertrack/rules/budgets.py
+++ b/harriertrack/rules/budgets.py
@@ -4,6 +4,9 @@
    may be in use from when its grant came until its holder said that it has a later version, that it begins a
    new tenure or asks another term, or until a lease after the ask which was answered last.
 2. *Units*: in any time no more arrives than the whole's rate gives, and its burst, and the stated slack.
+
+A whole may change in service: later facts of a budget hold from when they were recorded. A lower one is
+recorded when the time is over in which the heads have to come inside it, and a store fills no faster.
 """
 
 from __future__ import annotations
@@ -17,6 +20,8 @@
 
 EXACT = 1e-6  # of a whole: what floating point may add up to
 
+Known = rec.BudgetFacts | rec.AskedShare | rec.GrantedShare | rec.Drawn
+
 
 @dataclass(slots=True)
 class _Using:
@@ -60,32 +65,44 @@
         return max(self.shares.get(budget, {}).values(), default=0.0) if now < self.until else 0.0
 
 
-def shares_within(records: Sequence[rec.Record]) -> Iterator[Breach]:
+def shares_within(records: Sequence[Known]) -> Iterator[Breach]:
     """1: shares in use never come to more than what moves."""
-    moving = {one.budget: one.moving for one in records if isinstance(one, rec.BudgetFacts)}
+    moving: dict[str, float] = {}
     using: dict[tuple[str, int, int], _Using] = defaultdict(_Using)
     holders: dict[str, dict[tuple[str, int, int], _Using]] = defaultdict(dict)
     broken: set[str] = set()
     for one in records:
-        if isinstance(one, rec.AskedShare):
+        told: list[str] = []
+        if isinstance(one, rec.BudgetFacts):
+            moving[one.budget] = one.moving
+            told = [one.budget]
+        elif isinstance(one, rec.AskedShare):
             using[one.holder, one.instance, one.ledger].ask(one)
         elif isinstance(one, rec.GrantedShare):
             key = (one.holder, one.instance, one.ledger)
-            for budget in using[key].grant(one):
+            told = using[key].grant(one)
+            for budget in told:
                 holders[budget][key] = using[key]
-                total = sum(each.most(budget, one.t) for each in holders[budget].values())
-                whole = moving.get(budget)
-                if whole is not None and total > whole * (1 + EXACT) and budget not in broken:
-                    broken.add(budget)
-                    yield Breach(1, one.t, budget, f"{total:.6g} a second in shares, {whole:.6g} may move")
+        for budget in told:
+            total = sum(each.most(budget, one.t) for each in holders[budget].values())
+            whole = moving.get(budget)
+            if whole is not None and total > whole * (1 + EXACT) and budget not in broken:
+                broken.add(budget)
+                yield Breach(1, one.t, budget, f"{total:.6g} a second in shares, {whole:.6g} may move")
 
 
-def units_within(records: Sequence[rec.Record]) -> Iterator[Breach]:
+def units_within(records: Sequence[Known]) -> Iterator[Breach]:
     """2: what arrived keeps to the rate, the burst and the slack, in any time."""
-    facts = {one.budget: one for one in records if isinstance(one, rec.BudgetFacts)}
+    facts: dict[str, rec.BudgetFacts] = {}
     level: dict[str, tuple[float, int]] = {}
     broken: set[str] = set()
     for one in records:
+        if isinstance(one, rec.BudgetFacts):
+            if (earlier := facts.get(one.budget)) is not None and one.budget in level:
+                before, at = level[one.budget]
+                held = min(earlier.burst, before + earlier.rate * (one.t - at) / 1e6)
+                level[one.budget] = (min(one.burst, held), one.t)
+            facts[one.budget] = one
         if not isinstance(one, rec.Drawn) or (fact := facts.get(one.budget)) is None:
             continue
         before, at = level.get(one.budget, (fact.burst, one.t))
@@ -96,11 +113,10 @@
             yield Breach(2, one.t, one.budget, f"{-left:.2f} units past the whole, slack {fact.slack:.2f}")
 
 
-RULES: tuple[Callable[[Sequence[rec.Record]], Iterator[Breach]], ...] = (shares_within, units_within)
+RULES: tuple[Callable[[Sequence[Known]], Iterator[Breach]], ...] = (shares_within, units_within)
 
 
 def check(records: Iterable[rec.Record]) -> list[Breach]:
     """Judge a recording's budgets, each for the first breach of a rule. In order of time."""
-    kinds = (rec.BudgetFacts, rec.AskedShare, rec.GrantedShare, rec.Drawn)
-    mine = sorted((one for one in records if isinstance(one, kinds)), key=lambda one: one.t)
+    mine = sorted((one for one in records if isinstance(one, Known)), key=lambda one: one.t)
     return sorted((breach for rule in RULES for breach in rule(mine)), key=lambda breach: breach.t)
