The module takes other figures of its classes and plans in service

There was no way: the platform's head follows discovery alone on SIGHUP. An event, SettingsChanged, comes in the order of all others: limits' and reserves' stores keep their level up to the new most, a limit that is new begins empty, requests keep the time they were taken with, what waits for a limit is looked at at once. Cells' modules follow together. Nothing sends the event yet; without it no decision differs.

--- a/harriertrack/decisions/celled.py
+++ b/harriertrack/decisions/celled.py
@@ -34,6 +34,7 @@
     Send,
     SetTimer,
     Settings,
+    SettingsChanged,
     Subscribe,
     Woken,
 )
@@ -85,13 +86,15 @@
     def _module(self, cell: str) -> Scheduler:
         """Return a cell's module; a new one's budget is its part of the head's."""
         if cell not in self._modules:
-            parts = max(1, len(self.map.cells()))
-            mine = replace(self.settings, budget_free=self.settings.budget_free / parts)
             self._modules[cell] = self._make(
-                mine, self._seed + len(self._modules), self._volumes, self._portions
+                self._own(), self._seed + len(self._modules), self._volumes, self._portions
             )
         return self._modules[cell]
 
+    def _own(self) -> Settings:
+        parts = max(1, len(self.map.cells()))
+        return replace(self.settings, budget_free=self.settings.budget_free / parts)
+
     def modules(self) -> list[Scheduler]:
         """Return the cells' modules."""
         return list(self._modules.values())
@@ -137,6 +140,10 @@
                 case NodesChanged():
                     for cell, news in self._split(event):
                         batches.setdefault(cell, []).append(news)
+                case SettingsChanged():
+                    self.settings = event.settings
+                    for cell in self._modules:
+                        batches.setdefault(cell, []).append(SettingsChanged(self._own()))
         for cell, batch in batches.items():
             for action in self._modules[cell].handle(now, batch):
                 self._pass_on(cell, action, actions)
--- a/harriertrack/decisions/interface.py
+++ b/harriertrack/decisions/interface.py
@@ -248,7 +248,17 @@
     load: tuple[float, ...] = ()
 
 
-Event = NodesChanged | Arrived | Begun | Ended | ClientGone | Woken | Probed
+@dataclass(slots=True)
+class SettingsChanged:
+    """Other figures of the same classes and plans hold from now on.
+
+    Requests that came before keep their time; what plans store is carried over, up to what fits now.
+    """
+
+    settings: Settings
+
+
+Event = NodesChanged | Arrived | Begun | Ended | ClientGone | Woken | Probed | SettingsChanged
 
 
 @dataclass(slots=True)
--- a/harriertrack/decisions/patience.py
+++ b/harriertrack/decisions/patience.py
@@ -75,9 +75,7 @@
         """Begin with nothing; what is not kept again for `verdict_us` after its offer counts as taken."""
         self.rules, self._verdict_us = rules, verdict_us
         self.offered = 0  # offers so far
-        burst = max(BURST_LEAST, rules.offers * BURST_US / 1e6)
         self._allowed: Bucket | None = None
-        self._burst = burst
         self._lanes: dict[Place, _Lane[T]] = {}
         self._ticket: dict[T, int] = {}
         self._lane_of: dict[T, _Lane[T]] = {}
@@ -86,6 +84,17 @@
         self._ready: dict[str, list[_Lane[T]]] = {}  # due lanes by volume, in the order of turns
         self._asked: list[_Lane[T]] = []
 
+    def retell(self, now: int, rules: PatienceRules) -> None:
+        """Go by other bounds from now on; lanes that rest do so for as long as they were told."""
+        self.rules = rules
+        if self._allowed is not None:
+            self._allowed.now(now)
+            self._allowed.rate, self._allowed.most = rules.offers, self._burst
+
+    @property
+    def _burst(self) -> float:
+        return max(BURST_LEAST, self.rules.offers * BURST_US / 1e6)
+
     def __len__(self) -> int:
         return len(self._lane_of)
 
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -415,6 +415,16 @@
 
     # -- what happens outside
 
+    def retell(self, now: int, rules: RequestRules, settings: api.Settings) -> None:
+        """Go by other deadlines and bounds for what is taken from now on, and let the module go by its own.
+
+        Classes, and how requests are cut, stay.
+        """
+        self.rules = rules
+        self._deadlines = {one.name: one.deadline_us for one in rules.classes}
+        self._patience.retell(now, rules.patience)
+        self._add(api.SettingsChanged(settings))
+
     def nodes_changed(self, news: api.NodesChanged | None) -> None:
         """Take news of the node list; None is none."""
         if news is not None:
--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -15,32 +15,12 @@
 from dataclasses import dataclass, field
 
 from harriertrack.decisions.bucket import Bucket
+
+# isort: off
 from harriertrack.decisions.interface import (
-    Action,
-    Arrived,
-    Begun,
-    Cancel,
-    ClientGone,
-    Effect,
-    Ended,
-    Event,
-    Fail,
-    Group,
-    ListKind,
-    Log,
-    NodeEntry,
-    NodesChanged,
-    NodeState,
-    Plan,
-    Portions,
-    Refuse,
-    RequestClass,
-    Result,
-    Send,
-    SetTimer,
-    Settings,
-    Subscribe,
-    Woken,
+    Action, Arrived, Begun, Cancel, ClientGone, Effect, Ended, Event, Fail, Group, ListKind, Log,
+    NodeEntry, NodesChanged, NodeState, Plan, Portions, Refuse, RequestClass, Result, Send, SetTimer,
+    Settings, SettingsChanged, Subscribe, Woken,
 )  # fmt: skip
 
 OPERATION_CREDITS = 128  # a session's requests out per head: the source's client figure
@@ -174,12 +154,8 @@
     def __init__(self, settings: Settings, seed: int = 0, volumes: Volumes | None = None,
                  portions: Portions | None = None) -> None:  # fmt: skip
         """Begin knowing nothing; modules of one head's cells share `volumes`, whose limits span the cells."""
-        self.settings, self._portions = settings, portions
+        self._portions = portions
         self._random = random.Random(seed)
-        self._classes = {kind.name: kind for kind in settings.classes}
-        self._plans = {plan.name: plan for plan in settings.plans}
-        self._shortest = min(kind.aim_us for kind in settings.classes)
-        self._dearest = max(kind.worth for kind in settings.classes)
         self._volumes: Volumes = {} if volumes is None else volumes
         self._nodes: dict[str, _Node] = {}
         self._index()
@@ -195,7 +171,33 @@
         self._mean_latency, self._lossy, self._stalled = 0.0, LOSSY_START, False
         self._out: list[Action] = []
         self._touched: dict[_Node, None] = {}  # nodes to pump at the end of this batch
-        self._now, self._born = 0, -1  # the time of the first batch
+        self._now, self._born = 0, -1  # the time of the first batch, or of other settings
+        self._told(settings)
+
+    def _told(self, settings: Settings) -> None:
+        """Go by these settings; what is under way keeps its time, and stores what they hold."""
+        self.settings = settings
+        self._classes = {kind.name: kind for kind in settings.classes}
+        self._plans = {plan.name: plan for plan in settings.plans}
+        self._shortest = min(kind.aim_us for kind in settings.classes)
+        self._dearest = max(kind.worth for kind in settings.classes)
+
+    def _retold(self, settings: Settings) -> None:
+        """Take other figures in service: a raise fills no store, nor one that is used for the first time."""
+        longest = max(kind.deadline_us for kind in self.settings.classes)
+        self._told(settings)
+        self._born = self._now
+        self._fullest.clear()
+        self._at(self._now + longest, self._fullest.clear)  # by then all that came before this is over
+        for volume in self._volumes.values():
+            before, volume.plan = volume.plan, self._plans.get(volume.plan.name, volume.plan)
+            self._share(volume)
+            if volume.limit is None or volume.plan.limit <= 0 or type(volume.limit) is Bucket:
+                self._limit(volume)  # else it is of what the fleet divides, and is carried over there
+            for session in volume.sessions.values():
+                session.weight *= max(volume.plan.weight, 0.01) / max(before.weight, 0.01)
+        for work in self._works.values():
+            work.wait = 0  # for its limit: that may let it go sooner now
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment and return the actions, in order."""
@@ -220,6 +222,9 @@
                     self._close(self._works[event.request])
                 case Begun() if event.request in self._works:
                     self._works[event.request].begun = True
+                case SettingsChanged():
+                    self._retold(event.settings)
+                    touched.update(dict.fromkeys(self._nodes.values()))
                 case Woken() if event.token == str(self._wake_at):
                     self._wake_at = 0
         while self._heap and self._heap[0][0] <= now:
@@ -410,12 +415,7 @@
         if hosts > volume.hosts:
             volume.hosts = hosts
             self._share(volume)
-            if volume.plan.limit > 0:
-                # What an earlier life of this head sent is unknown: the store starts empty, not full.
-                part, most = volume.plan.limit / hosts, volume.plan.limit_burst / hosts
-                level = 0.0 if volume.limit is None else min(volume.limit.now(self._now), most)
-                grown = part * (self._now - self._born) / 1e6 if volume.limit is None else 0.0
-                volume.limit = Bucket(self._now, part, most, min(most, level + grown))
+            self._limit(volume)
         if self._portions is not None and volume.plan.limit > 0:
             volume.limit = self._portions.limit(self._now, ask, volume.plan) or volume.limit
         background = kind.aim_us >= BACKGROUND_AIM * self._shortest and kind.worth < self._dearest
@@ -427,6 +427,14 @@
             session = volume.sessions[background] = _Session(volume, weight, background, pool)
         return session
 
+    def _limit(self, volume: _Volume) -> None:
+        """Set this head's even part of a limit; the store keeps its level."""
+        # What an earlier life of this head sent is unknown: the store starts empty, not full.
+        part, most = volume.plan.limit / volume.hosts, volume.plan.limit_burst / volume.hosts
+        level = 0.0 if volume.limit is None else min(volume.limit.now(self._now), most)
+        grown = part * (self._now - self._born) / 1e6 if volume.limit is None else 0.0
+        volume.limit = Bucket(self._now, part, most, min(most, level + grown)) if part > 0 else None
+
     def _share(self, volume: _Volume) -> None:
         """Set this head's part of a reserve: the even slice, or what the meters say the others leave."""
         part = volume.plan.reserve / volume.hosts
