--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -14,9 +14,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from harriertrack.decisions.bucket import Bucket
-
 # isort: off
+from harriertrack.decisions.bucket import Bucket
 from harriertrack.decisions.interface import (
     Action, Arrived, Begun, Cancel, ClientGone, Effect, Ended, Event, Fail, Group, ListKind, Log,
     NodeEntry, NodesChanged, NodeState, Plan, Portions, Refuse, RequestClass, Result, Send, SetTimer,
@@ -175,7 +174,6 @@
         self._told(settings)
 
     def _told(self, settings: Settings) -> None:
-        """Go by these settings; what is under way keeps its time, and stores what they hold."""
         self.settings = settings
         self._classes = {kind.name: kind for kind in settings.classes}
         self._plans = {plan.name: plan for plan in settings.plans}
@@ -183,12 +181,12 @@
         self._dearest = max(kind.worth for kind in settings.classes)
 
     def _retold(self, settings: Settings) -> None:
-        """Take other figures in service: a raise fills no store, nor one that is used for the first time."""
-        longest = max(kind.deadline_us for kind in self.settings.classes)
+        """Take other figures in service. A raise fills no store, nor one used for the first time; what
+        came before keeps its time, and looks at its limit again when it was to."""
+        self._born, self._fullest = self._now, {}
+        longest = max(kind.deadline_us for kind in self._classes.values())
+        self._at(self._now + longest, self._fullest.clear)  # by then all that came before is over
         self._told(settings)
-        self._born = self._now
-        self._fullest.clear()
-        self._at(self._now + longest, self._fullest.clear)  # by then all that came before this is over
         for volume in self._volumes.values():
             before, volume.plan = volume.plan, self._plans.get(volume.plan.name, volume.plan)
             self._share(volume)
@@ -196,8 +194,6 @@
                 self._limit(volume)  # else it is of what the fleet divides, and is carried over there
             for session in volume.sessions.values():
                 session.weight *= max(volume.plan.weight, 0.01) / max(before.weight, 0.01)
-        for work in self._works.values():
-            work.wait = 0  # for its limit: that may let it go sooner now
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment and return the actions, in order."""
@@ -224,7 +220,6 @@
                     self._works[event.request].begun = True
                 case SettingsChanged():
                     self._retold(event.settings)
-                    touched.update(dict.fromkeys(self._nodes.values()))
                 case Woken() if event.token == str(self._wake_at):
                     self._wake_at = 0
         while self._heap and self._heap[0][0] <= now:
@@ -405,13 +400,12 @@
         self._route(work)
 
     def _session(self, ask: Arrived, kind: RequestClass) -> _Session:
-        settings = self.settings
         volume = self._volumes.get((ask.volume, ask.plan))
         if volume is None:
             plan = self._plans.get(ask.plan) or Plan(ask.plan)
             store = Bucket(self._now, most=plan.reserve, level=plan.reserve)
             volume = self._volumes[(ask.volume, ask.plan)] = _Volume(plan, store, self._now)
-        hosts = max(1, ask.hosts or settings.heads)
+        hosts = max(1, ask.hosts or self.settings.heads)
         if hosts > volume.hosts:
             volume.hosts = hosts
             self._share(volume)
@@ -423,12 +417,11 @@
         if session is None:
             part = max(kind.worth, 0.01) / self._dearest if background else 1.0
             weight = max(volume.plan.weight, 0.01) * part
-            pool = PAYLOAD_LARGEST * max(settings.most_units, 1.0)
+            pool = PAYLOAD_LARGEST * max(self.settings.most_units, 1.0)
             session = volume.sessions[background] = _Session(volume, weight, background, pool)
         return session
 
     def _limit(self, volume: _Volume) -> None:
-        """Set this head's even part of a limit; the store keeps its level."""
         # What an earlier life of this head sent is unknown: the store starts empty, not full.
         part, most = volume.plan.limit / volume.hosts, volume.plan.limit_burst / volume.hosts
         level = 0.0 if volume.limit is None else min(volume.limit.now(self._now), most)
