Each setting declares whether a running head takes it; a form is laid over what a head was started with

On the way: in-flight and in-flight-bytes, held and held-bytes were written with one name, so that the counts could not be set at all, and the documented words held-bytes and in-flight-bytes were unknown settings (cause: the unit was always dropped). Where both are there the unit stays. Counts of classes, their worths and effects, windows, parts that are fixed and leases need a restart.

--- a/harriertrack/config/settings/basis.py
+++ b/harriertrack/config/settings/basis.py
@@ -4,10 +4,17 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
+T = TypeVar("T")
+IN_SERVICE = msgspec.Meta(extra={"in_service": True})
+# A setting that a running head can take anew (`config/settings/changing.py`). All others need a restart:
+# addresses and files, what is written down (sizes, extents), what others go by while they do not know of a
+# change (parts that are fixed, leases, the windows of racks), and what belongs to one process.
+InService = Annotated[T, IN_SERVICE]
+
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 Whole = Annotated[int, msgspec.Meta(ge=0)]
 Amount = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
--- a/harriertrack/config/settings/fleet.py
+++ b/harriertrack/config/settings/fleet.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from harriertrack.config.settings.basis import Amount, Checked, Name, Port, Positive, Share
+from harriertrack.config.settings.basis import Amount, Checked, InService, Name, Port, Positive, Share
 
 
 class FleetSeedSettings(Checked, frozen=True, kw_only=True):
@@ -35,8 +35,8 @@
 
     name: BudgetUse
     fixed: Share = 0.1  # the part that is divided evenly beforehand and never moves
-    whole: Amount = 0.0  # a second; of links: at a time
-    burst: Amount = 0.0  # at once
+    whole: InService[Amount] = 0.0  # a second; of links: at a time
+    burst: InService[Amount] = 0.0  # at once
 
 
 class BudgetFigures(Checked, frozen=True, kw_only=True):
@@ -65,42 +65,42 @@
 class ZonesSettings(Checked, frozen=True, kw_only=True):
     """How the fleet leaves zones and returns; decisions/fleet/evacuation.py tells what each figure is."""
 
-    gone: Share = 0.8
-    gone_us: Positive = 300_000
-    fresh_us: Positive = 1_500_000
-    heads: Positive = 2
-    wait_us: Positive = 1_000_000
-    most_wait_us: Positive = 60_000_000
-    tries: Positive = 3
-    turn_us: Positive = 3_000_000
-    answers: Share = 0.7
-    first: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
-    growth: Annotated[float, msgspec.Meta(gt=1, le=10)] = 1.6
-    step_us: Positive = 1_000_000
-    hurts: Share = 0.2
-    calm_us: Positive = 120_000_000
-    told_us: Positive = 3_000_000
+    gone: InService[Share] = 0.8
+    gone_us: InService[Positive] = 300_000
+    fresh_us: InService[Positive] = 1_500_000
+    heads: InService[Positive] = 2
+    wait_us: InService[Positive] = 1_000_000
+    most_wait_us: InService[Positive] = 60_000_000
+    tries: InService[Positive] = 3
+    turn_us: InService[Positive] = 3_000_000
+    answers: InService[Share] = 0.7
+    first: InService[Annotated[float, msgspec.Meta(gt=0, le=1)]] = 0.1
+    growth: InService[Annotated[float, msgspec.Meta(gt=1, le=10)]] = 1.6
+    step_us: InService[Positive] = 1_000_000
+    hurts: InService[Share] = 0.2
+    calm_us: InService[Positive] = 120_000_000
+    told_us: InService[Positive] = 3_000_000
 
 
 class FleetFigures(Checked, frozen=True, kw_only=True):
     """The figures of a fleet's protocol; membership/fleet/swim.py tells what each is."""
 
-    probe_us: Positive = 1_000_000
-    answer_us: Positive = 500_000
-    helpers: Positive = 3
-    suspicion: Annotated[float, msgspec.Meta(ge=1, le=100)] = 5.0
-    slack: Annotated[float, msgspec.Meta(ge=1, le=100)] = 6.0
-    confirmations: Positive = 3
-    gossip_us: Positive = 200_000
-    fanout: Positive = 3
-    repeats: Annotated[float, msgspec.Meta(ge=1, le=100)] = 6.0
-    sync_us: Positive = 30_000_000
-    reach_us: Positive = 10_000_000
-    recent_us: Positive = 30_000_000
-    forget_us: Positive = 24 * 3600 * 1_000_000
+    probe_us: InService[Positive] = 1_000_000
+    answer_us: InService[Positive] = 500_000
+    helpers: InService[Positive] = 3
+    suspicion: InService[Annotated[float, msgspec.Meta(ge=1, le=100)]] = 5.0
+    slack: InService[Annotated[float, msgspec.Meta(ge=1, le=100)]] = 6.0
+    confirmations: InService[Positive] = 3
+    gossip_us: InService[Positive] = 200_000
+    fanout: InService[Positive] = 3
+    repeats: InService[Annotated[float, msgspec.Meta(ge=1, le=100)]] = 6.0
+    sync_us: InService[Positive] = 30_000_000
+    reach_us: InService[Positive] = 10_000_000
+    recent_us: InService[Positive] = 30_000_000
+    forget_us: InService[Positive] = 24 * 3600 * 1_000_000
     members: Annotated[int, msgspec.Meta(ge=2, le=10_000)] = 1024
-    note_us: Positive = 5_000_000
-    leave_us: Positive = 1_000_000
+    note_us: InService[Positive] = 5_000_000
+    leave_us: InService[Positive] = 1_000_000
 
 
 class FleetSettings(FleetFigures, frozen=True, kw_only=True):
--- a/harriertrack/config/settings/head.py
+++ b/harriertrack/config/settings/head.py
@@ -7,7 +7,16 @@
 
 import msgspec
 
-from harriertrack.config.settings.basis import Amount, BlockSize, Checked, Port, Positive, Share, Whole
+from harriertrack.config.settings.basis import (
+    Amount,
+    BlockSize,
+    Checked,
+    InService,
+    Port,
+    Positive,
+    Share,
+    Whole,
+)
 from harriertrack.config.settings.fleet import FleetSettings
 from harriertrack.config.settings.nodes import NodeListSettings
 from harriertrack.config.settings.traffic import ClassSettings, PlanSettings, RegionSettings, VolumeSettings
@@ -16,32 +25,32 @@
 class RuleSettings(Checked, frozen=True, kw_only=True):
     """The figures of the rules; zero means that a thing does not apply."""
 
-    drain_grace_us: Whole = 2_000_000
-    fall_multiple: Amount = 2.0
-    fall_us: Whole = 2_000_000
-    cold_share: Share = 1.0
-    warm_us: Whole = 0
-    cold_units: Amount = 0.0
-    budget_free: Amount = 0.0
-    budget_share: Amount = 0.0
-    budget_window_us: Whole = 0
-    order_settle_us: Whole = 0
+    drain_grace_us: InService[Whole] = 2_000_000
+    fall_multiple: InService[Amount] = 2.0
+    fall_us: InService[Whole] = 2_000_000
+    cold_share: InService[Share] = 1.0
+    warm_us: InService[Whole] = 0
+    cold_units: InService[Amount] = 0.0
+    budget_free: InService[Amount] = 0.0
+    budget_share: InService[Amount] = 0.0
+    budget_window_us: InService[Whole] = 0
+    order_settle_us: InService[Whole] = 0
 
 
 class LimitSettings(Checked, frozen=True, kw_only=True):
     """What bounds a head's memory and connections."""
 
-    connections: Positive = 1024
-    in_flight: Positive = 128
-    in_flight_bytes: Positive = 32 << 20  # of the open writes of one connection
-    offers: Annotated[float, msgspec.Meta(ge=1, le=1e6)] = 2_000.0  # a second, of requests that waited
-    held: Positive = 20_000
+    connections: InService[Positive] = 1024
+    in_flight: InService[Positive] = 128
+    in_flight_bytes: InService[Positive] = 32 << 20  # of the open writes of one connection
+    offers: InService[Annotated[float, msgspec.Meta(ge=1, le=1e6)]] = 2_000.0  # a second, of what waited
+    held: InService[Positive] = 20_000
     held_bytes: Positive = 256 << 20  # of open writes
-    borrow: Share = 0.0  # the part of these that cells may use beyond their even parts
+    borrow: InService[Share] = 0.0  # the part of these that cells may use beyond their even parts
     orphans: Positive = 1024
-    dial_us: Positive = 250_000
-    idle_us: Positive = 30_000_000
-    handshake_us: Positive = 10_000_000
+    dial_us: InService[Positive] = 250_000
+    idle_us: InService[Positive] = 30_000_000
+    handshake_us: InService[Positive] = 10_000_000
 
 
 class Digest(StrEnum):
@@ -76,9 +85,9 @@
     mean_units: Amount = 1.0
     most_units: Amount = 256.0
     tick_us: Positive = 1000
-    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=255)] = 3
-    may_cancel: bool = True
-    max_hint_us: Whole = 500_000
+    max_attempts: InService[Annotated[int, msgspec.Meta(ge=1, le=255)]] = 3
+    may_cancel: InService[bool] = True
+    max_hint_us: InService[Whole] = 500_000
     meter_us: Whole = 0
     plain_nodes: bool = False
     node_list: NodeListSettings
--- a/harriertrack/config/settings/traffic.py
+++ b/harriertrack/config/settings/traffic.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from harriertrack.config.settings.basis import Amount, Checked, Name, Port, Positive, Share, Whole
+from harriertrack.config.settings.basis import Amount, Checked, InService, Name, Port, Positive, Share, Whole
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.patience import Waiting
 from harriertrack.decisions.regions import Mode
@@ -19,8 +19,8 @@
     name: Name
     kinds: tuple[Kind, ...]
     at_least_bytes: Whole = 0
-    aim_us: Positive
-    deadline_us: Positive
+    aim_us: InService[Positive]
+    deadline_us: InService[Positive]
     worth: Amount = 1.0
     late_worth: Share = 0.0
     effect: api.Effect = api.Effect.UNSAFE
@@ -33,13 +33,13 @@
     """A service plan, per volume over all heads."""
 
     name: Name
-    rate: Amount = 0.0
-    reserve: Amount = 0.0
-    limit: Amount = 0.0
-    limit_burst: Amount = 0.0
-    limit_slack: Amount = 0.0
-    weight: Amount = 1.0
-    price: Amount = 1.0
+    rate: InService[Amount] = 0.0
+    reserve: InService[Amount] = 0.0
+    limit: InService[Amount] = 0.0
+    limit_burst: InService[Amount] = 0.0
+    limit_slack: InService[Amount] = 0.0
+    weight: InService[Amount] = 1.0
+    price: InService[Amount] = 1.0
 
 
 class VolumeRegionSettings(Checked, frozen=True, kw_only=True):
--- a/harriertrack/config/sexp.py
+++ b/harriertrack/config/sexp.py
@@ -80,10 +80,16 @@
     return value
 
 
-def bind(form: Form, kind: type[T], source: str) -> T:
-    """Make a checked value of a msgspec Struct type from a form. Raises SettingsError."""
+def bind(form: Form, kind: type[T], source: str, over: T | None = None) -> T:
+    """Make a checked value of a msgspec Struct type from a form. Raises SettingsError.
+
+    `over`: a value whose fields hold where the form does not give them; parts with names are found by these.
+    """
     lines: dict[str, int] = {}
-    plain = _plain(form, kind, source, "$", lines)
+    plain: Any = _plain(form, kind, source, "$", lines)
+    if over is not None:
+        given, lines = lines, {}
+        plain = _laid_over(msgspec.to_builtins(over), plain, ("$", "$"), given, lines)
     try:
         return msgspec.convert(plain, kind)
     except msgspec.ValidationError as error:
@@ -96,10 +102,40 @@
         raise SettingsError(f"{source}:{lines.get(near, form.line)}: {field}: {message}") from error
 
 
+def _laid_over(base: Any, plain: Any, paths: tuple[str, str], given: dict[str, int],
+               lines: dict[str, int]) -> Any:  # fmt: skip
+    """Return plain values with those of a form in their place; note their lines by the path in the whole."""
+    whole_path, path = paths
+    if path in given:
+        lines[whole_path] = given[path]
+    if isinstance(base, dict) and isinstance(plain, dict):
+        laid = dict(base)
+        for name, value in plain.items():
+            inner = f"{whole_path}.{name}", f"{path}.{name}"
+            laid[name] = _laid_over(base.get(name), value, inner, given, lines)
+        return laid
+    if isinstance(base, list | tuple) and isinstance(plain, list) and _named(plain) and _named(base):
+        whole = list(base)
+        at = {one["name"]: number for number, one in enumerate(whole)}
+        for number, one in enumerate(plain):
+            place = at.setdefault(one["name"], len(whole))
+            if place == len(whole):
+                whole.append(None)
+            inner = f"{whole_path}[{place}]", f"{path}[{number}]"
+            whole[place] = _laid_over(whole[place], one, inner, given, lines)
+        return whole
+    return plain
+
+
+def _named(items: Any) -> bool:
+    return all(isinstance(one, dict) and "name" in one for one in items)
+
+
 def _plain(form: Form, kind: Any, source: str, path: str, lines: dict[str, int]) -> dict[str, Any]:
     word = head_word(form, source)
     lines[path] = form.line
-    fields = {spoken(field.name, field.type): field for field in msgspec.structs.fields(kind)}
+    words = spoken_names(kind)
+    fields = {words[field.name]: field for field in msgspec.structs.fields(kind)}
     result: dict[str, Any] = {}
     for item in form[1:]:
         if not isinstance(item, Form):
@@ -146,10 +182,20 @@
     return isinstance(shape, msgspec.inspect.VarTupleType) and isinstance(shape.item_type, _STRUCT)
 
 
-def spoken(name: str, kind: Any) -> str:
-    """Return a field's name as it is written: without its unit, with dashes, singular where repeated."""
-    if _is_repeated(kind):
-        name = {"classes": "class"}.get(name, name.removesuffix("s"))
-    for ending in ("_us", "_bytes"):
-        name = name.removesuffix(ending)
-    return name.replace("_", "-")
+def spoken_names(kind: Any) -> dict[str, str]:
+    """Return how each field of a part is written: without its unit, with dashes, singular where repeated.
+
+    The unit stays where another field has the name without it, as `held-bytes` beside `held`.
+    """
+    fields = msgspec.structs.fields(kind)
+    known = {field.name for field in fields}
+    words = {}
+    for field in fields:
+        name = field.name
+        if _is_repeated(field.type):
+            name = {"classes": "class"}.get(name, name.removesuffix("s"))
+        for ending in ("_us", "_bytes"):
+            if name.removesuffix(ending) not in known:
+                name = name.removesuffix(ending)
+        words[field.name] = name.replace("_", "-")
+    return words
--- a/harriertrack/config/written.py
+++ b/harriertrack/config/written.py
@@ -7,18 +7,19 @@
 
 import msgspec
 
-from harriertrack.config.sexp import spoken
+from harriertrack.config.sexp import spoken_names
 
 
 def written(word: str, value: msgspec.Struct, indent: int = 0) -> str:
     """Return a form of that word; fields at their defaults are left out."""
     pad = "  " * indent
     parts = [f"{pad}({word}"]
+    words = spoken_names(type(value))
     for field in msgspec.structs.fields(value):
         held = getattr(value, field.name)
         if field.default is not msgspec.NODEFAULT and held == field.default:
             continue
-        name = spoken(field.name, field.type)
+        name = words[field.name]
         if field.name == "name":
             parts[0] += f" {_atom(held, '')}"
         elif isinstance(held, msgspec.Struct):
--- /dev/null
+++ b/tests/live/test_changing.py
@@ -0,0 +1,85 @@
+"""Which settings change in service: declared with each, and what is laid over a head's own."""
+
+import re
+
+import pytest
+
+from harriertrack.config.settings import HeadSettings, LimitSettings, parse
+from harriertrack.config.settings.changing import check_change, declared, differences, laid_over
+from harriertrack.config.sexp import SettingsError, bind, read_text
+from harriertrack.config.written import written
+
+HEAD = """
+(head
+  (listen "127.0.0.1" 10809)
+  (state-dir "unused")
+  (heads 4)
+  (node-list (consul (address "127.0.0.1" 8500)))
+  (rules (budget-window 10s))
+  (limits (held 500) (held-bytes 64MiB) (in-flight 16) (in-flight-bytes 4MiB))
+  (fleet "a" (listen "127.0.0.1" 7946)
+    (budgets (witness "127.0.0.1" 8500)
+      (budget "limits")
+      (budget "links" (fixed 0.5) (whole 80))))
+  (class "read" (kinds read flush) (aim 300ms) (deadline 1500ms) (effect safe))
+  (class "write" (kinds write trim write-zeroes) (aim 500ms) (deadline 2500ms) (effect keyed) (window 2500ms))
+  (plan "gold" (limit 1000) (limit-burst 40000))
+  (plan "tin" (limit 100) (limit-burst 20000))
+  (volume "v" (size 64MiB) (plan "gold")))
+"""
+
+
+@pytest.fixture
+def head():
+    return parse(read_text(HEAD, "head.sexp"), "head.sexp")
+
+
+def test_what_two_fields_would_share_as_a_name_keeps_its_unit(head):
+    limits = head.limits
+    assert (limits.held, limits.held_bytes, limits.in_flight, limits.in_flight_bytes) == (500, 64 << 20, 16, 4 << 20)
+    assert bind(read_text(written("limits", limits), "x"), LimitSettings, "x") == limits
+
+
+def test_paths_of_settings_are_told_apart():
+    paths = [one.path for one in declared()]
+    assert len(paths) == len(set(paths)) > 100
+
+
+def test_what_is_laid_over_changes_what_it_names_and_nothing_else(head):
+    text = """(settings
+      (plan "tin" (limit 50))
+      (rules (warm 2s))
+      (fleet (budgets (budget "links" (whole 160)))))"""
+    laid = laid_over(head, text, "settings 3")
+    assert {one.path: (one.before, one.after) for one in differences(head, laid)} == {
+        "plan tin: limit": (100.0, 50.0), "rules: warm": (0, 2_000_000),
+        "fleet: budgets: budget links: whole": (80.0, 160.0),
+    }  # fmt: skip
+    assert laid_over(head, "(settings)", "x") == head
+    assert laid_over(head, '(settings (state-dir "unused"))', "x") == head  # it says the same
+
+
+@pytest.mark.parametrize("text, said", [
+    ("(head)", "x:1: head: expected (settings ...)"),
+    ("(settings\n (plan \"gold\"\n  (limit -1)))", "x:3: plans[0].limit: Expected `float` >= 0.0"),
+    ("(settings\n (plan \"tin\"\n  (limit -1)))", "x:3: plans[1].limit: Expected `float` >= 0.0"),
+    ("(settings\n (plan \"tin\" (limt 1)))", "x:2: plan: unknown setting limt"),
+    ("(settings (plan \"bronze\" (limit 1)))", "x:1: plan: can't change while the head runs"),
+    ("(settings (state-dir \"else\") (rules (warm 1s)) (zone \"b\"))",
+     "x:1: state-dir: can't change while the head runs; nor can zone"),
+    ("(settings (fleet (budgets (budget \"links\" (fixed 0.6)))))",
+     "x:1: fleet: budgets: budget links: fixed: can't change while the head runs"),
+    ("(settings (nvme (listen \"127.0.0.1\" 4420) (nqn \"nqn.2026-01.org.example:one\")))", "x:1: nvme: can't change"),
+    ("(settings (class \"read\" (aim 2s)))", "x:1: class read: aim: later than the deadline"),
+    ("(settings (plan \"tin\" (limit-burst 1)))", "x:1: plan tin: limit-burst: below most-units"),
+    ("(settings (plan \"tin\"", "x:1: brackets do not match"),
+])  # fmt: skip
+def test_what_cannot_be_is_turned_down_whole_with_its_field(head, text, said):
+    with pytest.raises(SettingsError, match=re.escape(said)):
+        laid_over(head, text, "x")
+
+
+def test_classes_do_not_change_places(head):
+    other = HeadSettings(**{**{name: getattr(head, name) for name in head.__struct_fields__}, "classes": head.classes[::-1]})
+    with pytest.raises(SettingsError, match="x: class: can't change"):
+        check_change(head, other, "x")
