A head takes other settings between two events, from the record of changes

Head.retell decides what came before as things were, then changes what the fleet divides, the core, the module, the door, links, moves and the fleet's figures together.

--- a/harriertrack/gateway/fleet/budgets.py
+++ b/harriertrack/gateway/fleet/budgets.py
@@ -47,14 +47,18 @@
     return figures(BudgetRules, settings)
 
 
+def divided_of(settings: BudgetsSettings) -> dict[Use, Divided]:
+    """Return what is divided, and how much of it there is where no plan or rule says that."""
+    return {Use(one.name.value): Divided(one.fixed, one.whole, one.burst) for one in settings.budgets}
+
+
 def portions_of(head: HeadSettings, hub: Hub) -> Portions:
     """Return what a head has of all budgets, at its start."""
     assert head.fleet is not None and head.fleet.budgets is not None
     settings = head.fleet.budgets
-    divided = {Use(one.name.value): Divided(one.fixed, one.whole, one.burst) for one in settings.budgets}
     instance = hub.random.getrandbits(62)
-    return Portions(rules_of(settings), settings.ledgers, head.fleet.name, instance, head.heads, divided,
-                    hub.now())  # fmt: skip
+    return Portions(rules_of(settings), settings.ledgers, head.fleet.name, instance, head.heads,
+                    divided_of(settings), hub.now())  # fmt: skip
 
 
 class Budgets:
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -98,6 +98,13 @@
                                    deciding)  # fmt: skip
                 self.zones.start()
 
+    def retell(self, settings: FleetSettings) -> None:
+        """Go by other figures from now on; what is due already stays so."""
+        self._settings = settings
+        self.swim.rules = rules_of(settings)
+        if self.zones is not None and settings.zones is not None:
+            self.zones.retell(settings.zones)
+
     @property
     def address(self) -> Address:
         """Return where the head listens for its fleet."""
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -83,6 +83,12 @@
         self._parts.scope.spawn("zones", self._run)
         self._parts.scope.spawn("zones' wishes", self._follow_wishes)
 
+    def retell(self, settings: ZonesSettings) -> None:
+        """Go by other figures from now on, also as who decides."""
+        self._rules = rules_of(settings)
+        if self._decides is not None:
+            self._decides.rules = self._rules
+
     def _listed(self, entries: list[NodeEntry]) -> None:
         self._evidence.listed(entries)
         self._zones = sorted({entry.zone for entry in entries})
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -70,6 +70,7 @@
         self.mover: Mover
         self.module: Scheduler | Celled
         self.fleet: Fleet | None = None
+        self._portions: Portions | None = None
         self._cells = head_map(settings.cell_map, settings.volumes) if settings.cell_map else None
         self.nodes = NodeList()
         self.head_id = hub.random.getrandbits(64)
@@ -98,7 +99,8 @@
                     from harriertrack.gateway.fleet.budgets import portions_of  # other heads do not load it
 
                     portions = portions_of(settings, hub)
-                self.module = self._module(module_settings(settings), seed, portions)
+                self._portions = portions
+                self.module = self._module(self._told(settings), seed)
                 rules = request_rules(settings)
                 decides: Module = self.module
                 evidence = None
@@ -157,14 +159,44 @@
             if self._log is not None:
                 self._log.close()
 
-    def _module(self, told: api.Settings, seed: int, portions: Portions | None) -> Scheduler | Celled:
-        """Make the decision module, or where there is a map one for each cell."""
-        if portions is not None and portions.divides_attempts:
+    def _told(self, settings: HeadSettings) -> api.Settings:
+        """Return what the decision module is told."""
+        told = module_settings(settings)
+        if self._portions is not None and self._portions.divides_attempts:
             told = replace(told, budget_free=0.0)  # those are drawn from what the fleet divides
+        return told
+
+    def _module(self, told: api.Settings, seed: int) -> Scheduler | Celled:
+        """Make the decision module, or where there is a map one for each cell."""
+        portions = self._portions
         if self._cells is not None:
             return Celled(told, seed, self._cells, portions=portions)
         return self._wiring.module(told, seed) if portions is None else Scheduler(told, seed, None, portions)
 
+    def retell(self, settings: HeadSettings) -> None:
+        """Go by other settings from now on; the caller has checked that a running head can take them.
+
+        What came before is decided as things were, and what is open keeps its time.
+        """
+        now, before, self.settings = self.hub.now(), self.settings, settings
+        self.core.flush(now)
+        told = self._told(settings)
+        if self._portions is not None and settings.fleet is not None and settings.fleet.budgets is not None:
+            from harriertrack.gateway.fleet.budgets import divided_of
+
+            plans, others = (
+                {one.name: one for one in module_settings(head).plans} for head in (before, settings)
+            )
+            self._portions.retell(now, plans, others, divided_of(settings.fleet.budgets))
+        self.core.retell(now, request_rules(settings), told)
+        self._links.settings = settings
+        self.mover.retell(settings)
+        if self.regional is not None:
+            self.regional.reserves = {plan.name: plan.reserve for plan in settings.plans}
+        self.reception.retell(settings)
+        if self.fleet is not None and settings.fleet is not None:
+            self.fleet.retell(settings.fleet)
+
     def _may_move(self, volume: str) -> bool:
         # Without a lease's epoch, its own or the holder's, nobody else's newer work would be noticed.
         return self.regional is None or self.regional.acts_on(volume)
--- a/harriertrack/gateway/mover.py
+++ b/harriertrack/gateway/mover.py
@@ -28,6 +28,11 @@
         self._version = -1
         self.moves: dict[str, Move] = {}
 
+    def retell(self, settings: HeadSettings) -> None:
+        """Go by other deadlines of writes; the longest that was in use counts for moves to come."""
+        writes = (one.deadline_us for one in settings.classes if Kind.WRITE in one.kinds)
+        self._settle_us = max(self._settle_us, *writes)
+
     def follow(self, cells: HeadMap) -> None:
         """Begin what a map asks for; moves of the map before end after the extent they are at."""
         self._version = cells.version
--- a/harriertrack/gateway/reception.py
+++ b/harriertrack/gateway/reception.py
@@ -84,19 +84,41 @@
             self.visits = Visits(hub, regional, core.rules.patience, settings.tick_us, self.ended)
         self.sessions = 0
         self._choosing = 0  # of these, so many have not chosen their volume
-        limits, cells = settings.limits, cells or {volume.name: "" for volume in settings.volumes}
-        divided = len(set(cells.values())) > 1
-        # Who has not chosen yet is of no cell: cells' parts are safe from them.
-        self._may_choose = max(1, limits.connections // 4) if divided else limits.connections
-        connections = max(1, limits.connections - self._may_choose) if divided else limits.connections
-        self.shares = Shares(ShareLimits(connections, limits.held, limits.held_bytes, limits.borrow), cells)
-        bounds = DoorBounds(limits.in_flight, limits.in_flight_bytes)
-        self.door: Admission[Visitor] = Admission(bounds, self.shares)
+        cells = cells or {volume.name: "" for volume in settings.volumes}
+        self._divided = len(set(cells.values())) > 1
+        self.shares = Shares(self._share_limits(), cells)
+        self.door: Admission[Visitor] = Admission(self._door_bounds(), self.shares)
         self._counted: dict[ClientRequest, tuple[Visitor, int]] = {}  # clients' requests, and their bytes
         self._knocks: dict[Knock, None] = {}
         self.closing = False
         self.scope = scope
 
+    # -- bounds
+
+    @property
+    def _may_choose(self) -> int:
+        # Who has not chosen yet is of no cell: cells' parts are safe from them.
+        connections = self.settings.limits.connections
+        return max(1, connections // 4) if self._divided else connections
+
+    def _share_limits(self) -> ShareLimits:
+        limits = self.settings.limits
+        connections = limits.connections
+        if self._divided:
+            connections = max(1, connections - self._may_choose)
+        return ShareLimits(connections, limits.held, limits.held_bytes, limits.borrow)
+
+    def _door_bounds(self) -> DoorBounds:
+        return DoorBounds(self.settings.limits.in_flight, self.settings.limits.in_flight_bytes)
+
+    def retell(self, settings: HeadSettings) -> None:
+        """Go by other bounds from now on; who is in stays, and nobody new comes in before there is room."""
+        self.settings = settings
+        self.shares.limits, self.door.bounds = self._share_limits(), self._door_bounds()
+        if self.visits is not None:
+            self.visits.retell(self.hub.now(), self.core.rules.patience)
+        self._let_in()
+
     # -- connections
 
     def serve(self, listener: Listener, make: Callable[[Stream], Guest]) -> None:
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -121,7 +121,7 @@
     ) -> None:
         assert settings.region is not None
         self._portions = portions  # of how many volumes change regions at a time; None: as each may
-        self._reserves = {plan.name: plan.reserve for plan in settings.plans}
+        self.reserves = {plan.name: plan.reserve for plan in settings.plans}
         self._hub, self._scope, self._core, self._links, self._log = hub, scope, core, links, log
         self._note, self._tick = note, settings.tick_us
         self.region = region = settings.region
@@ -580,7 +580,7 @@
         """Return the volumes in the order in which they may change regions: reservations, then activity."""
         volumes = list(self.volumes.values())
         if self._portions is not None:
-            volumes.sort(key=lambda one: (-self._reserves.get(one.settings.plan, 0.0), -one.asked))
+            volumes.sort(key=lambda one: (-self.reserves.get(one.settings.plan, 0.0), -one.asked))
         return volumes
 
     def _its_turn(self, volume: RegionalVolume) -> bool:
--- a/harriertrack/gateway/visits.py
+++ b/harriertrack/gateway/visits.py
@@ -65,6 +65,10 @@
         else:
             self._ask(visit)
 
+    def retell(self, now: int, rules: PatienceRules) -> None:
+        """Go by other bounds from now on."""
+        self._patience.retell(now, rules)
+
     def _ask(self, visit: Visit) -> None:
         asked = visit.request
         visit.inner = ClientRequest(
