--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -14,12 +14,34 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-# isort: off
 from harriertrack.decisions.bucket import Bucket
 from harriertrack.decisions.interface import (
-    Action, Arrived, Begun, Cancel, ClientGone, Effect, Ended, Event, Fail, Group, ListKind, Log,
-    NodeEntry, NodesChanged, NodeState, Plan, Portions, Refuse, RequestClass, Result, Send, SetTimer,
-    Settings, SettingsChanged, Subscribe, Woken,
+    Action,
+    Arrived,
+    Begun,
+    Cancel,
+    ClientGone,
+    Effect,
+    Ended,
+    Event,
+    Fail,
+    Group,
+    ListKind,
+    Log,
+    NodeEntry,
+    NodesChanged,
+    NodeState,
+    Plan,
+    Portions,
+    Refuse,
+    RequestClass,
+    Result,
+    Send,
+    SetTimer,
+    Settings,
+    SettingsChanged,
+    Subscribe,
+    Woken,
 )  # fmt: skip
 
 OPERATION_CREDITS = 128  # a session's requests out per head: the source's client figure
