--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -11,7 +11,7 @@
 
 import heapq
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -30,6 +30,7 @@
 from harriertrack.decisions.splitting import Kind, Outcome, class_of, cut, units_of, whole_outcome
 
 CHANGING = frozenset((Kind.WRITE, Kind.TRIM, Kind.ZERO))
+CLOSED = "a close may have come"
 # A request that the module does not know yet is answered this many ticks before its time is up.
 ANSWER_TICKS = 2
 # A cookie has eight bits for an attempt's number: a part that had so many does not wait for more.
@@ -321,6 +322,30 @@
 
     holder: Holder
     left: set[int]
+    purged: bool = False  # by a close: until what that left is trimmed
+
+
+class Closings(Protocol):
+    """What guards ranges that are purged at closes."""
+
+    def refuses(self, request: ClientRequest) -> int | None:
+        """Return the hint with which a request is refused now; None: it passes."""
+
+    def placing(self, volume: str, extent: int, shard: int) -> None:
+        """A first write to an extent is about to be sent to a shard."""
+
+    def awaited(self, volume: str, extent: int) -> None:
+        """Somebody waits until an extent is trimmed."""
+
+
+class _NobodyHolds:
+    """Keeps an extent for nobody who would have to hear of it."""
+
+    def held(self) -> None:
+        """Take note that no earlier request for the extent is open any more."""
+
+
+_NOBODY_HOLDS = _NobodyHolds()
 
 
 class Port(Protocol):
@@ -391,6 +416,7 @@
         self._in_order = frozenset(one.name for one in rules.classes if one.in_order)
         self._patience: Patience[Part] = Patience(rules.patience)
         self._closing = ""
+        self.closings: Closings | None = None  # of heads whose fleet has calendars
         self._heard: dict[int, int] = {}  # when a shard's node last answered
         self._scouted: dict[int, int] = {}
         # Of classes in order, by extent: what the module has, and where those wait that it refused.
@@ -453,6 +479,10 @@
         if not request.deadline:
             came = min(request.came or now, now)
             request.deadline = came + max(self._deadlines[class_name], request.patience_us)
+        if self.closings is not None and (hint := self.closings.refuses(request)) is not None:
+            request.hint_us, request.why = hint, CLOSED
+            self._finish(request, Outcome.REFUSED)
+            return
         if kind is Kind.FLUSH:
             for dirty in volume.dirty:
                 self._part(request, class_name, -1, 0, 0, dirty)
@@ -554,10 +584,64 @@
 
     def free_extent(self, volume: str, extent: int) -> None:
         """Let those that wait for an extent go on; not while a `moving` write to it is under way."""
-        if self._holds.pop((volume, extent), None) is not None:
-            self._released.append((volume, extent))
+        self._free((volume, extent), purged=False)
+
+    def _free(self, key: tuple[str, int], purged: bool) -> None:
+        hold = self._holds.get(key)
+        if hold is not None and hold.purged is purged:
+            del self._holds[key]
+            self._released.append(key)
             self._soon()
 
+    # -- closes
+
+    def close_off(self, covers: Callable[[str, int, int], bool]) -> tuple[int, int]:
+        """Give up what is open of the (volume, offset, length) that a close covers; put placements on disk.
+
+        What may have run is failed, all else is refused. Returns how many parts were refused and failed.
+        """
+        refused = failed = 0
+        for part in list(self._parts.values()):
+            request = part.request
+            if part.state.over or part.extent < 0 or request.at_shard >= 0:
+                continue
+            if not covers(request.volume.settings.name, part.offset, part.length):
+                continue
+            if part.state not in (PartState.WAITING, PartState.KEPT):
+                self._add(api.ClientGone(part.number))
+            ran = request.kind in CHANGING and part.touched
+            refused, failed = refused + (not ran), failed + ran
+            request.why = CLOSED
+            self._given_up(part, PartStep.FAIL if ran else PartStep.REFUSE, 1)
+        for request in self._answers:
+            if covers(request.volume.settings.name, request.offset, request.length):
+                refused += self._withdraw(request, 1)
+        if self._placements:
+            placements, self._placements = self._placements, []
+            self.places.place(placements)
+        return refused, failed
+
+    def _withdraw(self, request: ClientRequest, hint: int) -> bool:
+        """Refuse a read that was served and not answered."""
+        if request.kind in CHANGING or request.outcome is not Outcome.SERVED:
+            return False
+        self.counts.served -= 1
+        self.counts.refused += 1
+        request.outcome, request.hint_us, request.why = Outcome.REFUSED, hint, CLOSED
+        return True
+
+    def keep_purged(self, places: Iterable[tuple[str, int]]) -> None:
+        """Let requests for these (volume, extent) wait until `free_trimmed`; nothing of them is open."""
+        for key in places:
+            if (before := self._holds.get(key)) is not None and not before.purged:
+                self._held.append(before)  # its holder finds that the extent is nowhere
+                self._soon()
+            self._holds[key] = Hold(_NOBODY_HOLDS, set(), purged=True)
+
+    def free_trimmed(self, volume: str, extent: int) -> None:
+        """Let those that wait for a purged extent go on."""
+        self._free((volume, extent), purged=True)
+
     def sent(self, attempt: Attempt) -> None:
         """The attempt's bytes were handed to its link."""
         attempt.state = step_attempt(attempt.state, AttemptStep.SEND)
@@ -769,6 +853,8 @@
             if held or line[0] is not part or key in self._released:  # the one before may just have placed it
                 if part.state is PartState.KEPT:
                     part.state = step_part(part.state, PartStep.PLACE)
+                if held and self.closings is not None and self._holds[key].purged:
+                    self.closings.awaited(*key)
                 self._push(part.request.deadline - ANSWER_TICKS * self.rules.tick_us, part)
                 return
             part.places = True
@@ -946,6 +1032,8 @@
         self._retiring.clear()
         answers, self._answers = self._answers, []
         for request in answers:
+            if self.closings is not None and (hint := self.closings.refuses(request)) is not None:
+                self._withdraw(request, hint)
             self._port.answer(request)
         held, self._held = self._held, []
         for hold in held:
@@ -1011,6 +1099,8 @@
         until = min(now + action.timeout_us, part.until) if action.timeout_us else part.until
         attempt.until = until
         self._push(until, attempt)
+        if part.places and self.closings is not None:
+            self.closings.placing(request.volume.settings.name, part.extent, member.entry.shard)
         self._port.send(attempt)
 
     def _call_off(self, now: int, attempt: Attempt, result: api.Result) -> None:
--- /dev/null
+++ b/harriertrack/storage/closing.py
@@ -0,0 +1,80 @@
+"""What closes left to trim, and how far each calendar has come: kept beside the extent map, in its store.
+
+Three kinds of keys. A *doubt*: a first write to an extent was sent to a shard, and its placement is not on
+disk; after a kill its bytes may lie there. A *left*: bytes that a close made unreadable lie there until they
+are trimmed. A *generation*: the last close of a calendar that is done. A close is one transaction:
+placements, doubts and what moves left behind become lefts, and the generation moves on.
+
+Keys begin with bytes that no volume's name in UTF-8 does.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable
+
+import lmdb
+
+DOUBT, LEFT, GENERATION = b"\xfe", b"\xfd", b"\xfc"
+_PLACE = struct.Struct(">QI")  # extent, shard
+_CLOSE = struct.Struct(">QQ")  # number, instant
+
+Place = tuple[int, int]
+
+
+class ClosingStore:
+    """The three sets, in memory as on disk."""
+
+    def __init__(self) -> None:
+        self.doubts: dict[str, set[Place]] = {}
+        self.lefts: dict[str, set[Place]] = {}
+        self.generations: dict[str, tuple[int, int]] = {}  # number and instant (microseconds UTC)
+
+    def load(self, key: bytes, value: bytes) -> bool:
+        """Take a key as it was found; return whether it is one of these."""
+        kind = key[:1]
+        if kind == GENERATION:
+            self.generations[key[1:].decode()] = _CLOSE.unpack(value)
+            return True
+        if kind not in (DOUBT, LEFT):
+            return False
+        volume = key[1 : -_PLACE.size].decode()
+        sets = self.doubts if kind == DOUBT else self.lefts
+        sets.setdefault(volume, set()).add(_PLACE.unpack(key[-_PLACE.size :]))
+        return True
+
+    @staticmethod
+    def _key(kind: bytes, volume: str, place: Place) -> bytes:
+        return kind + volume.encode() + _PLACE.pack(*place)
+
+    def doubt(self, change: lmdb.Transaction | None, volume: str, place: Place) -> None:
+        """A first write to an extent goes to a shard."""
+        if change is not None:
+            change.put(self._key(DOUBT, volume, place), b"")
+        self.doubts.setdefault(volume, set()).add(place)
+
+    def placed(self, change: lmdb.Transaction | None, volume: str, place: Place) -> None:
+        """An extent is placed there: no doubt any more."""
+        if place in self.doubts.get(volume, ()):
+            if change is not None:
+                change.delete(self._key(DOUBT, volume, place))
+            self.doubts[volume].discard(place)
+
+    def close(self, change: lmdb.Transaction | None, calendar: str, number: int, at_us: int,
+              lefts: Iterable[tuple[str, Place]]) -> None:  # fmt: skip
+        """A close is done: these places are to be trimmed."""
+        for volume, place in lefts:
+            if change is not None:
+                change.put(self._key(LEFT, volume, place), b"")
+                change.delete(self._key(DOUBT, volume, place))
+            self.lefts.setdefault(volume, set()).add(place)
+            self.doubts.get(volume, set()).discard(place)
+        if change is not None:
+            change.put(GENERATION + calendar.encode(), _CLOSE.pack(number, at_us))
+        self.generations[calendar] = number, at_us
+
+    def trimmed(self, change: lmdb.Transaction | None, volume: str, place: Place) -> None:
+        """The bytes there are gone."""
+        if change is not None:
+            change.delete(self._key(LEFT, volume, place))
+        self.lefts.get(volume, set()).discard(place)
--- a/harriertrack/storage/extents.py
+++ b/harriertrack/storage/extents.py
@@ -11,11 +11,14 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import AbstractContextManager, nullcontext
 from pathlib import Path
 
 import lmdb
 
+from harriertrack.storage.closing import ClosingStore
+
 FORMAT, OLDER = b"2", b"1"  # 1: without what was left behind
 LEFT = b"\xff"  # begins the keys of what was left behind; no volume's name in UTF-8 does
 MAP_BYTES = 1 << 30  # address space reserved, not disk used
@@ -37,6 +40,7 @@
     def __init__(self, path: str | None) -> None:
         self._shards: dict[str, dict[int, int]] = {}
         self._left: dict[str, set[tuple[int, int]]] = {}
+        self.closing = ClosingStore()
         self._env = None
         self.commits = 0
         if path is None:
@@ -55,6 +59,8 @@
                         extent = _KEY.unpack(key[-_KEY.size - _SHARD.size : -_SHARD.size])[0]
                         shard = _SHARD.unpack(key[-_SHARD.size :])[0]
                         self._left.setdefault(volume, set()).add((extent, shard))
+                    elif self.closing.load(bytes(key), bytes(value)):
+                        pass
                     elif key != b"format":
                         volume = bytes(key[: -_KEY.size]).decode()
                         known = self._shards.setdefault(volume, {})
@@ -84,10 +90,12 @@
                 for volume, extent, shard in placements:
                     change.put(volume.encode() + _KEY.pack(extent), _SHARD.pack(shard))
                     change.delete(_left_key(volume, extent, shard))  # in use again
+                    self.closing.placed(change, volume, (extent, shard))
         self.commits += 1
         for volume, extent, old in moved:
             self._left.setdefault(volume, set()).add((extent, old))
         for volume, extent, shard in placements:
+            self.closing.placed(None, volume, (extent, shard))
             self._shards.setdefault(volume, {})[extent] = shard
             self._left.get(volume, set()).discard((extent, shard))
 
@@ -102,6 +110,50 @@
                 change.delete(_left_key(volume, extent, shard))
         self._left.get(volume, set()).discard((extent, shard))
 
+    def _change(self) -> AbstractContextManager[lmdb.Transaction | None]:
+        return nullcontext() if self._env is None else self._env.begin(write=True)
+
+    def doubt(self, volume: str, extent: int, shard: int) -> None:
+        """A first write to an extent is about to be sent to a shard: on disk when this returns."""
+        if (extent, shard) not in self.closing.doubts.get(volume, ()):
+            with self._change() as change:
+                self.closing.doubt(change, volume, (extent, shard))
+
+    def purge(self, calendar: str, number: int, at_us: int,
+              gone: Callable[[str, int], bool]) -> list[tuple[str, int, int]]:  # fmt: skip
+        """Forget where extents are of which `gone` (volume, extent) says so, as a calendar's close.
+
+        Returns (volume, extent, shard) of all that is to be trimmed; on disk, whole or not at all.
+        """
+        found = {
+            (volume, extent, shard)
+            for volume, known in self._shards.items() for extent, shard in known.items()
+            if gone(volume, extent)
+        }  # fmt: skip
+        beside = {
+            (volume, extent, shard)
+            for sets in (self._left, self.closing.doubts)
+            for volume, places in sets.items() for extent, shard in places
+            if gone(volume, extent)
+        }  # fmt: skip
+        every = sorted(found | beside)
+        with self._change() as change:
+            if change is not None:
+                for volume, extent, shard in every:
+                    change.delete(volume.encode() + _KEY.pack(extent))
+                    change.delete(_left_key(volume, extent, shard))
+            lefts = [(volume, (extent, shard)) for volume, extent, shard in every]
+            self.closing.close(change, calendar, number, at_us, lefts)
+        for volume, extent, shard in every:
+            self._shards.get(volume, {}).pop(extent, None)
+            self._left.get(volume, set()).discard((extent, shard))
+        return every
+
+    def trimmed(self, volume: str, extent: int, shard: int) -> None:
+        """What a close left there is gone: on disk when this returns."""
+        with self._change() as change:
+            self.closing.trimmed(change, volume, (extent, shard))
+
     def close(self) -> None:
         """Close the store; everything placed is on disk already."""
         if self._env is not None:
