--- /dev/null
+++ b/harriertrack/decisions/fleet/closing/arranging.py
@@ -0,0 +1,124 @@
+"""What who decides does to the record of changes for calendars: takes them up, and keeps their closes ahead.
+
+A calendar `calendar/NAME` is proposed by operators. One that can't be is taken back with the reason; one that
+would purge what no calendar of the name purged before waits for a word (paused until it is resumed). What
+heads act on is another thing, `calendar/NAME.closes`, which only who decides writes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from harriertrack.decisions.fleet.changes.record import Kind, Record, Version, kind_of
+from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.decisions.fleet.changes.writing import propose, step
+from harriertrack.decisions.fleet.closing.schedule import (
+    Plan,
+    Purge,
+    Schedule,
+    reaches_beyond,
+    stale,
+    worked_out,
+)
+
+CLOSES = ".closes"  # ends the name of what heads act on
+
+
+def is_closes(thing: str) -> bool:
+    """Whether a thing is what heads act on."""
+    return thing.endswith(CLOSES)
+
+
+def calendars(record: Record) -> list[str]:
+    """Return the things that are calendars."""
+    return [one for one in record.things() if kind_of(one) is Kind.CALENDAR and not is_closes(one)]
+
+
+class BadCalendar(ValueError):
+    """A body that is no calendar; the message says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reader:
+    """How bodies are read and written. `plan` (body, version, schedule) raises BadCalendar."""
+
+    plan: Callable[[str, int, Schedule], Plan]
+    purges: Callable[[str], tuple[Purge, ...]]  # of a calendar's body; raises BadCalendar
+    schedule: Callable[[str], Schedule]
+    written: Callable[[Schedule], str]
+
+
+def schedule_of(record: Record, calendar: str, reader: Reader) -> Schedule:
+    """Return a calendar's closes as they stand on record."""
+    holds = record.in_force(calendar + CLOSES)
+    return reader.schedule(holds.body) if holds is not None else Schedule()
+
+
+def _ever(record: Record, calendar: str, reader: Reader) -> list[Purge]:
+    done = (Standing.IN_FORCE, Standing.REPLACED)
+    bodies = [one.body for one in record.of(calendar) if one.standing in done]
+    return [purge for body in bodies for purge in reader.purges(body)]
+
+
+def _taken_up(record: Record, epoch: int, going: Version, at_ms: int, reader: Reader) -> Record:
+    """Take a proposed calendar a step further, or leave it."""
+    thing, number = going.thing, going.number
+
+    def to(before: Record, standing: Standing, why: str) -> Record:
+        return step(before, epoch, thing, number, standing, at_ms, why)
+
+    match going.standing:
+        case Standing.PROPOSED:
+            try:
+                purges = reader.purges(going.body)
+            except BadCalendar as error:
+                return to(record, Standing.ABORTED, str(error))
+            beyond = reaches_beyond(purges, _ever(record, thing, reader))
+            if not beyond:
+                return to(record, Standing.IN_FORCE, "a calendar that can be")
+            first = beyond[0]
+            until = str(first.end) if first.end else "the end"
+            why = f"would purge {first.volume} from {first.start} to {until}, as none did before: resume it"
+            return to(to(record, Standing.GOING, why), Standing.PAUSED, why)
+        case Standing.GOING:
+            return to(record, Standing.IN_FORCE, going.reason or "resumed")
+        case Standing.BACK:
+            return to(record, Standing.ABORTED, going.reason)
+    return record
+
+
+def arranged(record: Record, epoch: int, latest: int, notice_us: int, reader: Reader) -> Record:
+    """Return the record with all calendars taken up and their closes ahead; the same one if nothing is due.
+
+    `latest` is the latest instant that it may be now. Raises Outdated if a later term has decided since.
+    """
+    at_ms = latest // 1000
+    for thing in calendars(record):
+        going = record.under_way(thing)
+        if going is not None:
+            record = _taken_up(record, epoch, going, at_ms, reader)
+        holds = record.in_force(thing)
+        if holds is None:
+            continue
+        before = schedule_of(record, thing, reader)
+        try:
+            plan = reader.plan(holds.body, holds.number, before)
+        except BadCalendar:
+            continue  # it was taken up by a later program: what stands goes on
+        if stale(before, plan, latest):
+            after = worked_out(before, plan, latest, notice_us)
+            record = _put(record, epoch, thing + CLOSES, reader.written(after), at_ms, plan)
+    return record
+
+
+def _put(record: Record, epoch: int, thing: str, body: str, at_ms: int, plan: Plan) -> Record:
+    holds = record.in_force(thing)
+    base = holds.number if holds is not None else 0
+    if holds is not None and holds.body == body:
+        return record
+    why = f"closes of version {plan.version} by time zones {plan.zones}"
+    record = propose(record, thing, base, body, "who decides", at_ms, why)
+    going = record.under_way(thing)
+    assert going is not None
+    return step(record, epoch, thing, going.number, Standing.IN_FORCE, at_ms, why)
--- /dev/null
+++ b/harriertrack/decisions/fleet/closing/timekeeping.py
@@ -0,0 +1,70 @@
+"""What who decides makes of all heads' clocks: the time that most of them allow, and whose is wrong.
+
+Heads ask from time to time; each answer brings back the two stamps that who decides knows of the ask. Claims
+grow old with the drift of the clocks and are dropped when their head has not asked for long.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from harriertrack.decisions.fleet.closing.clocks import ClockRules, Interval, agreed, claims_on, liars
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A head's ask: its stamp, how far its wall clock says that true time is ahead, where our clock lies."""
+
+    at: int  # by its monotonic clock
+    wall_ahead: int
+    apart: Interval | None  # how far the decider's clock is ahead of its own; None: not known yet
+
+
+@dataclass(frozen=True, slots=True)
+class Echo:
+    """The answer to an ask: who asked at which of its stamps, and when that was heard."""
+
+    head: str
+    at: int
+    heard: int
+
+
+class Timekeeper:
+    """One term's."""
+
+    def __init__(self, rules: ClockRules, keep_us: int) -> None:
+        self.rules, self._keep_us = rules, keep_us
+        self._claims: dict[str, tuple[int, Interval, Interval]] = {}  # when, of true time, apart
+        self._echoes: list[Echo] = []
+        self.wrong: list[str] = []  # whose clock can't be true
+
+    def asked(self, now: int, head: str, ask: Asked) -> None:
+        """Take an ask."""
+        self._echoes.append(Echo(head, ask.at, now))
+        if ask.apart is not None:
+            said = Interval(ask.wall_ahead, ask.wall_ahead).wider(self.rules.error_us)
+            self._claims[head] = now, said, ask.apart
+        else:
+            self._claims.pop(head, None)  # another life of it, or it has lost count
+
+    def echoes(self, most: int) -> list[Echo]:
+        """Return answers that are due, the oldest first, each once."""
+        first, self._echoes = self._echoes[:most], self._echoes[most:]
+        return first
+
+    def truth(self, now: int, own: Interval, there: int) -> Interval | None:
+        """Return how far true time is ahead of this clock, by its own claim and the others'.
+
+        None until more than half of `there` heads are heard and most of these agree.
+        """
+        self._claims = {name: one for name, one in self._claims.items() if now - one[0] <= self._keep_us}
+        claims = claims_on(
+            (name, said, apart.wider(int(self.rules.drift * (now - at))))
+            for name, (at, said, apart) in self._claims.items()
+        )
+        claims[""] = own
+        if 2 * len(claims) <= there:
+            return None
+        truth = agreed(claims)
+        self.wrong = [] if truth is None else liars(claims, truth)
+        return truth
