--- a/harriertrack/config/settings.py
+++ b/harriertrack/config/settings.py
@@ -278,6 +278,23 @@
     told_us: Positive = 3_000_000
 
 
+class ClosingSettings(Checked, frozen=True, kw_only=True):
+    """Purges at local close; decisions/fleet/closing tells what each figure is.
+
+    `volumes` are patterns of those that calendars may touch, on this head.
+    """
+
+    volumes: tuple[str, ...]
+    notice_us: Annotated[int, msgspec.Meta(ge=1_000_000)] = 60_000_000
+    ask_us: Positive = 5_000_000
+    error_us: Positive = 250_000  # a sane machine's wall clock is at most so far from true time
+    drift: Annotated[float, msgspec.Meta(ge=0, le=0.05)] = 0.0005
+    rate: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 200.0  # trims a second, all heads together
+    burst: Annotated[float, msgspec.Meta(ge=1, le=1e4)] = 8.0
+    in_flight: Positive = 4
+    spread_us: Whole = 500_000
+
+
 class FleetFigures(Checked, frozen=True, kw_only=True):
     """The figures of a fleet's protocol; membership/fleet/swim.py tells what each is."""
 
@@ -310,6 +327,7 @@
     seeds: tuple[FleetSeedSettings, ...] = ()
     budgets: BudgetsSettings | None = None  # None: each head takes an even part
     zones: ZonesSettings | None = None  # None: each head helps itself when a zone fails
+    closing: ClosingSettings | None = None  # None: nothing is purged at closes
 
 
 class HeadSettings(Checked, frozen=True, kw_only=True):
--- a/harriertrack/decisions/fleet/closing/arranging.py
+++ b/harriertrack/decisions/fleet/closing/arranging.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from harriertrack.decisions.fleet.changes.record import Kind, Record, Version, kind_of
@@ -21,6 +21,7 @@
     stale,
     worked_out,
 )
+from harriertrack.decisions.fleet.closing.sweeps import SweepKey
 
 CLOSES = ".closes"  # ends the name of what heads act on
 
@@ -88,10 +89,12 @@
     return record
 
 
-def arranged(record: Record, epoch: int, latest: int, notice_us: int, reader: Reader) -> Record:
+def arranged(record: Record, epoch: int, latest: int, notice_us: int, reader: Reader,
+             swept: Sequence[SweepKey] = ()) -> Record:  # fmt: skip
     """Return the record with all calendars taken up and their closes ahead; the same one if nothing is due.
 
-    `latest` is the latest instant that it may be now. Raises Outdated if a later term has decided since.
+    `latest` is the latest instant that it may be now, `swept` what is proven to be swept. Raises Outdated if
+    a later term has decided since.
     """
     at_ms = latest // 1000
     for thing in calendars(record):
@@ -106,8 +109,11 @@
             plan = reader.plan(holds.body, holds.number, before)
         except BadCalendar:
             continue  # it was taken up by a later program: what stands goes on
-        if stale(before, plan, latest):
-            after = worked_out(before, plan, latest, notice_us)
+        after = worked_out(before, plan, latest, notice_us) if stale(before, plan, latest) else before
+        for key in swept:
+            if key.calendar == thing and key.number > after.swept_of(key.volume):
+                after = after.with_swept(key.volume, key.number)
+        if after is not before:
             record = _put(record, epoch, thing + CLOSES, reader.written(after), at_ms, plan)
     return record
 
--- a/harriertrack/decisions/fleet/closing/fences.py
+++ b/harriertrack/decisions/fleet/closing/fences.py
@@ -5,6 +5,7 @@
 | OPEN | the next close is surely to come | is served |
 | CLOSING | by its bounds on true time the close may have come | refused: for as long as the doubt lasts |
 | PURGING | a close has surely come, and is not on disk here | refused until it is |
+| SWEEPING | what a close left on a volume of several heads is not proven trimmed | refused until it is |
 
 A head is *blind* while true time is not bounded, or nobody confirmed for the notice that these are all the
 closes there are: then it refuses all of the volumes that its settings let calendars touch, and purges
@@ -20,7 +21,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from fnmatch import fnmatchcase
@@ -29,6 +30,7 @@
 from harriertrack.decisions.fleet.closing.schedule import Close, Purge, Schedule, merged
 
 BLIND_HINT_US = 500_000
+SWEEP_HINT_US = 500_000
 LEAST_HINT_US = 1_000
 
 
@@ -38,6 +40,7 @@
     OPEN = "open"
     CLOSING = "closing"
     PURGING = "purging"
+    SWEEPING = "sweeping"
 
 
 @dataclass(slots=True)
@@ -85,6 +88,11 @@
         after = merged(self.schedule, self.done)
         return max(LEAST_HINT_US, after[0].at_us - reading.low) if after else LEAST_HINT_US
 
+    @property
+    def next_close(self) -> Close | None:
+        """Return the next close that is known."""
+        return next(iter(merged(self.schedule, self.done)), None)
+
     def next_at(self, reading: Interval) -> int | None:
         """Return in how many microseconds, by this reading, the stance may change by itself; None: never."""
         after = merged(self.schedule, self.done)
@@ -93,6 +101,20 @@
         at = after[0].at_us
         return max(0, at - reading.high if reading.high < at else at - reading.low)
 
+    def sweeping(self, volume: str) -> list[Close]:
+        """Return the closes that are done here and left bytes of a volume of several heads, oldest first."""
+        swept = self.schedule.swept_of(volume)
+        return [
+            one for one in self.schedule.closes
+            if swept < one.number <= self.done and any(purge.names(volume) for purge in one.purges)
+        ]  # fmt: skip
+
+    def sweeps(self, volume: str, offset: int, length: int) -> bool:
+        """Whether a range of a volume of several heads is yet to be swept."""
+        return any(
+            purge.overlaps(volume, offset, length) for one in self.sweeping(volume) for purge in one.purges
+        )
+
     def purges(self) -> tuple[Purge, ...]:
         """Return what the calendar touches: of the next close, and of what it did last."""
         after = merged(self.schedule, self.done)
@@ -103,7 +125,9 @@
 class Fences:
     """All calendars' at one head; `may_touch` are patterns of the volumes that settings let them touch."""
 
-    def __init__(self, may_touch: Iterable[str], done: Mapping[str, int]) -> None:
+    def __init__(self, may_touch: Iterable[str], done: Mapping[str, int],
+                 several: Callable[[str], bool] = lambda _volume: False) -> None:  # fmt: skip
+        self._several = several  # whether a volume is one of several heads
         self._patterns = tuple(may_touch)
         self._may_touch: dict[str, bool] = {}
         self._done = dict(done)  # as found on disk
@@ -145,6 +169,9 @@
             if fence.stance(reading) is not Stance.OPEN
             and any(purge.overlaps(volume, offset, length) for purge in fence.purges())
         ]  # fmt: skip
+        if self._several(volume):
+            sweeping = any(fence.sweeps(volume, offset, length) for fence in self.fences.values())
+            hints += [SWEEP_HINT_US] if sweeping else []
         return max(hints, default=None)
 
     def next_at(self, reading: Interval) -> int | None:
--- a/harriertrack/decisions/fleet/closing/schedule.py
+++ b/harriertrack/decisions/fleet/closing/schedule.py
@@ -62,6 +62,17 @@
     version: int = 0  # of the calendar that the closes to come were worked out from
     zones: str = ""  # of which time zone data
     closes: tuple[Close, ...] = ()
+    swept: tuple[tuple[str, int], ...] = ()  # of volumes of several heads: the last close that left nothing
+
+    def swept_of(self, volume: str) -> int:
+        """Return the last close of which nothing is left of a volume of several heads."""
+        return next((number for name, number in self.swept if name == volume), 0)
+
+    def with_swept(self, volume: str, number: int) -> Schedule:
+        """Return the schedule after a sweep; it never goes back."""
+        others = [one for one in self.swept if one[0] != volume]
+        last = max(number, self.swept_of(volume))
+        return replace(self, swept=tuple(sorted([*others, (volume, last)])))
 
     @property
     def last(self) -> int:
@@ -111,7 +122,7 @@
         number += 1
         closes.append(Close(number, at, plan.purges, name))
     gone = sum(one.at_us <= latest for one in closes)
-    return Schedule(plan.version, plan.zones, tuple(closes[max(0, gone - REMEMBERED) :]))
+    return Schedule(plan.version, plan.zones, tuple(closes[max(0, gone - REMEMBERED) :]), before.swept)
 
 
 def stale(schedule: Schedule, plan: Plan, latest: int) -> bool:
--- a/harriertrack/decisions/fleet/closing/trims.py
+++ b/harriertrack/decisions/fleet/closing/trims.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 FIRST_PAUSE_US = 200_000
@@ -59,20 +59,28 @@
         self._line: list[tuple[int, int, Left]] = []  # when each may begin; outdated ones are passed over
         self._due: dict[Left, int] = {}
         self._pause: dict[Left, int] = {}
+        self._least: dict[Left, int] = {}
         self._out: set[Left] = set()
+        self._again: set[Left] = set()
         self._serial = 0
         self._tokens, self._filled_at = rules.burst, now
 
     def __len__(self) -> int:
         return len(self._due) + len(self._out)
 
-    def add(self, now: int, lefts: Iterable[Left], place: float) -> None:
-        """Take on more; `place` (0 to 1) is this head's among those that begin now."""
+    def add(self, now: int, lefts: Iterable[Left], place: float, least: Mapping[Left, int]) -> None:
+        """Take on more; `place` (0 to 1) is this head's among those that begin now.
+
+        `least`: when some may begin at the earliest, for what may still run there.
+        """
         begin = now + int(place * self.rules.spread_us)
         for left in lefts:
-            if left not in self._due and left not in self._out:
+            if left in self._out:
+                self._again.add(left)  # what is out was sent for an earlier close
+            elif left not in self._due:
                 self.progress.asked += 1
-                self._stand(left, begin)
+                self._least[left] = least.get(left, 0)
+                self._stand(left, max(begin, self._least[left]))
 
     def _stand(self, left: Left, when: int) -> None:
         self._due[left] = when
@@ -83,7 +91,8 @@
         """A client waits for an extent: what is left of it comes first."""
         for left in [one for one in self._due if (one.volume, one.extent) == (volume, extent)]:
             pause = self._pause.get(left, 0)
-            self._stand(left, min(self._due[left], now if not pause else now + min(pause, WANTED_US)))
+            soon = max(now + min(pause, WANTED_US), self._least.get(left, 0))
+            self._stand(left, min(self._due[left], soon))
 
     def next(self, now: int, heads: int) -> Left | None:
         """Return what is to be trimmed now, within this head's part of the pace; None: nothing yet."""
@@ -101,13 +110,29 @@
                 return left
         return None
 
+    def drop(self, lefts: Iterable[Left]) -> None:
+        """These need not be trimmed any more; what is out ends as it ends."""
+        for left in lefts:
+            if self._due.pop(left, None) is not None:
+                self.progress.asked -= 1
+                self._pause.pop(left, None)
+
+    def failed_before(self, left: Left) -> bool:
+        """Whether an earlier try may yet run at its shard."""
+        return left in self._pause
+
     def ended(self, now: int, left: Left, done: bool) -> None:
         """Hear how one ended."""
         self._out.discard(left)
-        if done:
+        if done and left in self._again:
+            self._again.discard(left)
+            self._stand(left, now)
+        elif done:
             self.progress.done += 1
             self._pause.pop(left, None)
-            return
-        self.progress.failed += 1
-        pause = self._pause[left] = min(2 * self._pause.get(left, FIRST_PAUSE_US // 2), MOST_PAUSE_US)
-        self._stand(left, now + pause)
+            self._least.pop(left, None)
+        else:
+            self._again.discard(left)
+            self.progress.failed += 1
+            pause = self._pause[left] = min(2 * self._pause.get(left, FIRST_PAUSE_US // 2), MOST_PAUSE_US)
+            self._stand(left, now + pause)
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -334,6 +334,9 @@
     def placing(self, volume: str, extent: int, shard: int) -> None:
         """A first write to an extent is about to be sent to a shard."""
 
+    def may_run(self, volume: str, extent: int) -> None:
+        """What was sent for an extent may still run at its node, though nobody waits for it."""
+
     def awaited(self, volume: str, extent: int) -> None:
         """Somebody waits until an extent is trimmed."""
 
@@ -610,6 +613,8 @@
             if part.state not in (PartState.WAITING, PartState.KEPT):
                 self._add(api.ClientGone(part.number))
             ran = request.kind in CHANGING and part.touched
+            if ran and self.closings is not None:
+                self.closings.may_run(request.volume.settings.name, part.extent)
             refused, failed = refused + (not ran), failed + ran
             request.why = CLOSED
             self._given_up(part, PartStep.FAIL if ran else PartStep.REFUSE, 1)
@@ -674,6 +679,8 @@
         part = attempt.part
         part.risky_at = min(part.risky_at, attempt.sent_at) if part.may_have_run else attempt.sent_at
         part.may_have_run = True
+        if self.closings is not None and part.request.kind in CHANGING:
+            self.closings.may_run(part.request.volume.settings.name, part.extent)
 
     # -- parts
 
--- /dev/null
+++ b/harriertrack/gateway/fleet/closing/carrier.py
@@ -0,0 +1,314 @@
+"""A head's part in purges at local close, on the hub.
+
+It asks who decides what time it is, hears of closes through the record of changes, steps over each close once
+it has surely come, and trims what that left. Decided is all of it in decisions/fleet/closing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from harriertrack.config.settings import ClosingSettings
+from harriertrack.decisions.fleet.budgets import Term
+from harriertrack.decisions.fleet.changes.record import Kind, Version
+from harriertrack.decisions.fleet.closing.arranging import CLOSES, is_closes
+from harriertrack.decisions.fleet.closing.clocks import ClockRules, Exchange, FleetClock, Interval
+from harriertrack.decisions.fleet.closing.fences import Fence, Fences
+from harriertrack.decisions.fleet.closing.schedule import Close, Purge
+from harriertrack.decisions.fleet.closing.timekeeping import Timekeeper
+from harriertrack.decisions.fleet.closing.trims import Left, TrimRules, Trims
+from harriertrack.decisions.splitting import Kind as DataKind
+from harriertrack.gateway.fleet.closing.guard import Guard
+from harriertrack.gateway.fleet.closing.keeping import Keeping, Surroundings
+from harriertrack.gateway.fleet.closing.messages import (
+    MOST_TOLD,
+    TOPIC,
+    Ask,
+    Done,
+    Sweeping,
+    ask_from,
+    encode,
+    ruling_from,
+)
+from harriertrack.gateway.fleet.closing.needs import Changes, Deciding
+from harriertrack.gateway.fleet.closing.reading import BadCloses, digest_of, reader_of, schedule_from
+from harriertrack.gateway.fleet.closing.showing import fence_told
+from harriertrack.gateway.fleet.closing.sweeping import Sweeps
+from harriertrack.gateway.fleet.closing.trimming import Trimming
+from harriertrack.gateway.fleet.figures import figures
+from harriertrack.gateway.parts import HeadParts
+from harriertrack.membership.fleet.swim import Swim
+from harriertrack.membership.fleet.telling import ClosingTold
+from harriertrack.storage.extents import ExtentMap
+
+T = TypeVar("T")
+
+LOOK_US = 100_000  # the longest between two looks at clock and fences
+LEAST_US = 1_000
+KEPT_ASKS = 3  # times between asks that a claim is kept
+
+
+class Closing:
+    """One head's."""
+
+    def __init__(self, parts: HeadParts, settings: ClosingSettings, swim: Swim, deciding: Deciding,
+                 changes: Changes, places: ExtentMap, epochs: dict[str, int]) -> None:  # fmt: skip
+        hub = parts.hub
+        self._parts, self._hub, self._settings, self._swim = parts, hub, settings, swim
+        self._deciding, self._changes, self._places, self._epochs = deciding, changes, places, epochs
+        self._wall: Callable[[], int] = parts.wall or hub.clock.wall
+        rules = figures(ClockRules, settings)
+        self.clock = FleetClock(rules)
+        done = {name: number for name, (number, _) in places.closing.generations.items()}
+        several = {one.name for one in parts.settings.volumes if one.shards}
+        self._several = several  # volumes of several heads: their extents are allocated beforehand
+        self.fences = Fences(settings.volumes, done, several.__contains__)
+        self._told = 0  # asks: each tells of other calendars and sweeps, if there are many
+        writes = (one.deadline_us for one in parts.settings.classes if DataKind.WRITE in one.kinds)
+        self._settle_us = max(writes, default=0)
+        self._trims = Trims(figures(TrimRules, settings), hub.now())
+        self._trimming = Trimming(parts, self._trims, places, self._there, self._settle_us)
+        self._trimming.begins, self._trimming.emptied = self._begins_trim, self._emptied
+        self._sweeps = Sweeps(hub, self.fences, self._trims, parts.settings, swim.me.name, self._settle_us)
+        self._guard = Guard(hub, self._wall, self.clock, self.fences, self._trims, places,
+                            parts.settings.extent_bytes, self._settle_us)  # fmt: skip
+        self._bodies: dict[str, str] = {}  # of the closes that were taken
+        self._extents: dict[str, int] = {}  # that each calendar's last close made unreadable
+        self._apart: tuple[int, Interval] | None = None  # epoch, how far that decider's clock is ahead
+        self._ask_at = 0
+        self._wrong = False
+        around = Surroundings(
+            hub, deciding.keeps, changes.write, lambda body: deciding.rule(TOPIC, body), self._claim,
+            self._guard.reading, lambda: sorted(swim.view.present), parts.note,
+        )  # fmt: skip
+        self._keeping = Keeping(
+            around, lambda: Timekeeper(rules, KEPT_ASKS * settings.ask_us),
+            reader_of(self._latest, self._bad), settings.notice_us,
+        )  # fmt: skip
+
+    def start(self) -> None:
+        """Guard what closes touch from now on, and go on with what an earlier life left."""
+        parts, core = self._parts, self._parts.core
+        lefts = self._trimming.known()
+        core.keep_purged({(left.volume, left.extent) for left in lefts})
+        now = self._hub.now()  # what an earlier life sent may run yet
+        self._trims.add(now, lefts, self._place(), dict.fromkeys(lefts, now + self._settle_us))
+        core.closings = self._guard
+        for calendar in self._places.closing.generations:
+            self.fences.fence(calendar)
+        self._deciding.on_report[TOPIC] = self._asked
+        self._deciding.on_ruling[TOPIC] = self._ruled
+        self._changes.use(Kind.CALENDAR, self)
+        parts.scope.spawn("closes", self._run)
+        parts.scope.spawn("trims", self._trimming.run)
+
+    # -- the record's user
+
+    def take(self, thing: str, version: Version | None) -> str:
+        """Take a version of a calendar's closes; calendars themselves are for who decides."""
+        if not is_closes(thing) or version is None:
+            return ""
+        calendar = thing.removesuffix(CLOSES)
+        try:
+            schedule = schedule_from(version.body)
+        except BadCloses as error:
+            return str(error)
+        purges = {purge for close in schedule.closes for purge in close.purges}
+        if bad := next((why for purge in sorted(purges, key=str) if (why := self._bad(purge))), ""):
+            return bad
+        if why := self.fences.fence(calendar).follow(schedule):
+            return why
+        self._bodies[calendar] = version.body
+        self._sweeps.follow(self.fences.fence(calendar))
+        self._raise_epochs()
+        return ""
+
+    def _bad(self, purge: Purge) -> str:
+        size = self._parts.settings.extent_bytes
+        if purge.start % size or purge.end % size:
+            return f"purge of {purge.volume}: not whole extents of {size} bytes"
+        return ""
+
+    # -- time
+
+    def _claim(self) -> Interval:
+        return self.clock.claim(self._hub.now(), self._wall())
+
+    def _latest(self) -> int:
+        reading = self._guard.reading()
+        return reading.high if reading is not None else self._wall()
+
+    def _there(self) -> int:
+        return len(self._swim.view.present)
+
+    def _place(self) -> float:
+        """Return this head's place, 0 to 1, among those that are there: who begins to trim when."""
+        names = sorted(self._swim.view.present)
+        name = self._swim.me.name
+        return names.index(name) / len(names) if name in names else 0.0
+
+    def _ask(self, now: int) -> None:
+        settings = self._settings
+        waits = settings.notice_us // 10 if self._sweeps.going() or not self.clock.ahead(now) else settings.ask_us
+        self._ask_at = now + waits
+        self._deciding.report(TOPIC, encode(self._tells(now)))
+
+    def _tells(self, now: int) -> Ask:
+        epoch, apart = self._apart or (0, Interval(0, 0))
+        done = [
+            Done(fence.calendar, fence.done, self._extents.get(fence.calendar, 0), len(self._trims))
+            for fence in self.fences.fences.values()
+        ]  # fmt: skip
+        sweeps = [
+            Sweeping(sweep.key.calendar, sweep.key.number, sweep.key.volume, sweep.done)
+            for sweep in self._sweeps.going()
+        ]
+        self._told += 1
+        return Ask(now, self._wall() - now, epoch, (apart.low, apart.high), self._some(done),
+                   self._some(sweeps))  # fmt: skip
+
+    def _some(self, every: list[T]) -> list[T]:
+        """Return as many as a message holds: others each time."""
+        turns = -(-len(every) // MOST_TOLD) or 1
+        at = self._told % turns * MOST_TOLD
+        return every[at : at + MOST_TOLD]
+
+    def _asked(self, now: int, head: str, body: bytes) -> None:
+        ask = ask_from(body)
+        if ask is not None and head != self._swim.me.name:
+            self._keeping.asked(now, head, ask)
+
+    def _ruled(self, now: int, term: Term, body: bytes) -> None:
+        ruling = ruling_from(body)
+        if ruling is None or self._keeping.epoch == term.epoch:
+            return
+        mine = next((one for one in ruling.answers if one.head == self._swim.me.name), None)
+        if mine is not None:
+            apart = Exchange(mine.at, mine.heard, ruling.now, now).ahead()
+            if apart is not None:
+                self._apart = term.epoch, apart
+                if ruling.truth is not None:
+                    self._heard_time(now, Interval(*ruling.truth).plus(apart))
+        self._heard_closes(ruling.said, ruling.digest)
+
+    def _heard_time(self, now: int, ahead: Interval) -> None:
+        self.clock.heard(now, ahead)
+        wrong = not self._claim().meets(ahead)
+        if wrong != self._wrong:
+            self._wrong = wrong
+            off = (ahead.low + ahead.high) // 2 - (self._wall() - now)
+            self._parts.note("closing clock wrong" if wrong else "closing clock right again", off_us=-off)
+
+    def _heard_closes(self, said: int, digest: int) -> None:
+        if said and digest == digest_of(self._bodies):
+            self.fences.confirmed(said + self._settings.notice_us)
+
+    # -- closes
+
+    def _run(self) -> None:
+        blind = True
+        while True:
+            now = self._hub.now()
+            decided = self._keeping.look(self._changes.record.revision)
+            if decided is not None:
+                self._apart = decided.epoch, Interval(0, 0)
+                self._heard_time(now, decided.truth)
+                self._heard_closes(decided.at + decided.truth.low, decided.digest)
+                self._keeping.told(self._swim.me.name, self._tells(now))
+            elif not self._keeping.decides and now >= self._ask_at:
+                self._ask(now)
+            reading = self._guard.reading()
+            if self.fences.blind(reading) != blind:
+                blind = not blind
+                self._parts.note("closes: blind" if blind else "closes: known")
+            wait = LOOK_US
+            if reading is not None:
+                self._step_over(reading)
+                if (at := self.fences.next_at(reading)) is not None:
+                    wait = max(LEAST_US, min(wait, at))
+            self._hub.sleep(wait)
+
+    def _step_over(self, reading: Interval) -> None:
+        for fence in self.fences.fences.values():
+            for close in fence.due(reading, self.fences.sure_until):
+                self._close(fence, close)
+
+    def _covers(self, close: Close, volume: str, offset: int, length: int) -> bool:
+        touched = any(one.overlaps(volume, offset, length) for one in close.purges)
+        return touched and self.fences.guards(volume)
+
+    def _close(self, fence: Fence, close: Close) -> None:
+        """Step over a close: on disk first, then everything that is held in memory follows."""
+        core, size, now = self._parts.core, self._parts.settings.extent_bytes, self._hub.now()
+        refused, failed = core.close_off(lambda *place: self._covers(close, *place))
+        lefts = self._places.purge(
+            fence.calendar, close.number, close.at_us,
+            lambda volume, extent: self._covers(close, volume, extent * size, size),
+        )  # fmt: skip
+        fence.purged(close.number)
+        core.keep_purged({(volume, extent) for volume, extent, _ in lefts if volume in core.volumes})
+        self._sweeps.follow(fence)
+        self._raise_epochs()
+        mine = [Left(*left) for left in lefts if left[0] in core.volumes]
+        least = {left: self._guard.quiet_at(left.volume, left.extent) for left in mine}
+        self._trims.add(now, mine, self._place(), least)
+        self._guard.forget_quiet()
+        self._extents[fence.calendar] = len(lefts)
+        self._parts.note("close done", calendar=fence.calendar, number=close.number, at_us=close.at_us,
+                         name=close.name, extents=len(lefts), refused=refused, failed=failed)  # fmt: skip
+        if not len(self._trims):
+            self._emptied()
+
+    def _begins_trim(self, left: Left) -> Callable[[], None]:
+        """A trim begins; what is returned is called when it is done."""
+        core, closing = self._parts.core, self._places.closing
+        sweeps = [sweep for sweep in self._sweeps.going() if sweep.key.volume == left.volume]
+
+        def trimmed() -> None:
+            for sweep in sweeps:
+                sweep.trimmed(left.extent)
+            if left.volume not in self._several:
+                self._places.trimmed(left.volume, left.extent, left.shard)
+                if not any(extent == left.extent for extent, _ in closing.lefts[left.volume]):
+                    core.free_trimmed(left.volume, left.extent)
+
+        return trimmed
+
+    def _raise_epochs(self) -> None:
+        """Let nodes turn down what comes of before the last close, once they hear of it from anybody.
+
+        Of a volume of several heads work after its sweep is of a later epoch than the sweep.
+        """
+        for volume in self._parts.core.volumes:
+            for fence in self.fences.fences.values() if self.fences.guards(volume) else ():
+                for close in fence.schedule.closes:
+                    if close.number > fence.done or not any(one.names(volume) for one in close.purges):
+                        continue
+                    swept = volume in self._several and close.number <= fence.schedule.swept_of(volume)
+                    self._epochs[volume] = max(self._epochs.get(volume, 0), close.at_us + swept)
+
+    def _emptied(self) -> None:
+        progress = self._trims.progress
+        self._parts.note("closed", trimmed=progress.done, asked=progress.asked, tries_lost=progress.failed,
+                         closes={one.calendar: one.done for one in self.fences.fences.values()})  # fmt: skip
+
+    def document(self) -> ClosingTold:
+        """Return what this head tells operators."""
+        reading = self._guard.reading()
+        told = [
+            fence_told(fence, reading, self._would_purge(fence), self._extents.get(fence.calendar, 0))
+            for fence in self.fences.fences.values()
+        ]
+        return ClosingTold(
+            self._keeping.decides, self.fences.blind(reading),
+            (reading.low, reading.high) if reading else None, self._wrong, len(self._trims),
+            self._guard.refused, told,
+        )  # fmt: skip
+
+    def _would_purge(self, fence: Fence) -> int:
+        close, size = fence.next_close, self._parts.settings.extent_bytes
+        return 0 if close is None else sum(
+            self._covers(close, volume, extent * size, size)
+            for volume in self._parts.core.volumes for extent, _ in self._places.placed(volume)
+        )  # fmt: skip
--- /dev/null
+++ b/harriertrack/gateway/fleet/closing/reading.py
@@ -0,0 +1,68 @@
+"""How calendars and their closes are written in the record: those by operators, these by who decides."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from functools import lru_cache
+from zlib import crc32
+
+import msgspec
+
+from harriertrack.config.closing import parse, plan_of, zones_version
+from harriertrack.config.sexp import SettingsError
+from harriertrack.decisions.fleet.closing.arranging import BadCalendar, Reader
+from harriertrack.decisions.fleet.closing.schedule import Plan, Purge, Schedule
+
+BACK_US = 2 * 86_400_000_000  # closes missed for longer are not made up for
+AHEAD_US = 60 * 86_400_000_000
+STEP_US = 3_600_000_000  # closes ahead are worked out anew so often
+
+
+class BadCloses(ValueError):
+    """A body that is no schedule."""
+
+
+def schedule_from(body: str) -> Schedule:
+    """Read closes. Raises BadCloses."""
+    try:
+        return msgspec.json.decode(body, type=Schedule)
+    except msgspec.MsgspecError as error:
+        raise BadCloses(str(error)) from error
+
+
+def written(schedule: Schedule) -> str:
+    """Return closes as they are kept."""
+    return msgspec.json.encode(schedule).decode()
+
+
+def digest_of(bodies: Mapping[str, str]) -> int:
+    """Return the digest of all closes in hand."""
+    return crc32("\0".join(f"{name}\0{body}" for name, body in sorted(bodies.items())).encode())
+
+
+@lru_cache(maxsize=256)
+def _plan(body: str, version: int, _zones: str, since: int, until: int) -> Plan:
+    return plan_of(parse(body, "calendar"), version, since, until)
+
+
+def reader_of(latest: Callable[[], int], check: Callable[[Purge], str]) -> Reader:
+    """Return how bodies are read at an instant; `check` says why a purge can't be ("": it can)."""
+
+    def purges(body: str) -> tuple[Purge, ...]:
+        try:
+            given = parse(body, "calendar")
+        except SettingsError as error:
+            raise BadCalendar(str(error)) from error
+        found = tuple(Purge(one.volume, one.start_bytes, one.end_bytes) for one in given.purges)
+        if bad := next((why for one in found if (why := check(one))), ""):
+            raise BadCalendar(bad)
+        return found
+
+    def plan(body: str, version: int, _before: Schedule) -> Plan:
+        now = latest() // STEP_US * STEP_US
+        try:
+            return _plan(body, version, zones_version(), now - BACK_US, now + AHEAD_US)
+        except SettingsError as error:
+            raise BadCalendar(str(error)) from error
+
+    return Reader(plan, purges, schedule_from, written)
--- /dev/null
+++ b/harriertrack/gateway/fleet/closing/sweeping.py
@@ -0,0 +1,56 @@
+"""A head's sweeps: volumes of several heads after closes."""
+
+from __future__ import annotations
+
+from harriertrack.config.settings import HeadSettings
+from harriertrack.decisions.fleet.closing.fences import Fence, Fences
+from harriertrack.decisions.fleet.closing.sweeps import SLICES, Sweep, SweepKey
+from harriertrack.decisions.fleet.closing.trims import Left, Trims
+from harriertrack.runtime.hub import Hub
+
+
+class Sweeps:
+    """All that go on at one head."""
+
+    def __init__(self, hub: Hub, fences: Fences, trims: Trims, settings: HeadSettings, head: str,
+                 settle_us: int) -> None:  # fmt: skip
+        self._hub, self._fences, self._trims = hub, fences, trims
+        self._size, self._head, self._settle_us = settings.extent_bytes, head, settle_us
+        self._volumes = {one.name: one for one in settings.volumes if one.shards}
+        self._sweeps: dict[SweepKey, Sweep] = {}
+
+    def going(self) -> list[Sweep]:
+        """Return the sweeps that go on."""
+        return list(self._sweeps.values())
+
+    def follow(self, fence: Fence) -> None:
+        """Begin the sweeps that a calendar's closes ask of this head, and end those that are on record."""
+        for key in [key for key in self._sweeps if key.calendar == fence.calendar]:
+            if fence.schedule.swept_of(key.volume) >= key.number:
+                self._end(key)
+        for volume in self._volumes:
+            if self._fences.guards(volume) and (closes := fence.sweeping(volume)):
+                self._begin(fence, SweepKey(fence.calendar, closes[-1].number, volume))
+
+    def _begin(self, fence: Fence, key: SweepKey) -> None:
+        if key in self._sweeps:
+            return
+        mine = [one for one in self._sweeps if (one.calendar, one.volume) == (key.calendar, key.volume)]
+        for older in mine:
+            self._end(older)
+        size, volume, now = self._size, self._volumes[key.volume], self._hub.now()
+        extents = range(-(-volume.size_bytes // size))
+        sweep = Sweep.of(key, (one for one in extents if fence.sweeps(key.volume, one * size, size)))
+        self._sweeps[key] = sweep
+        for turn, number in enumerate(sweep.order(self._head)):
+            lefts = self._lefts(key.volume, sweep.left[number])
+            # What any head sent before the close has run by then; nodes turn down what comes later.
+            self._trims.add(now, lefts, turn / SLICES, dict.fromkeys(lefts, now + self._settle_us))
+
+    def _lefts(self, volume: str, extents: set[int]) -> list[Left]:
+        shards = self._volumes[volume].shards
+        return [Left(volume, extent, shards[extent % len(shards)]) for extent in sorted(extents)]
+
+    def _end(self, key: SweepKey) -> None:
+        for extents in self._sweeps.pop(key).left.values():
+            self._trims.drop(self._lefts(key.volume, extents))
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -49,6 +49,7 @@
     listing: Callable[[HeadParts], Listing] = Listing
     module: Callable[[api.Settings, int], Scheduler | Celled] = Scheduler
     datagrams: DatagramNetwork | None = None  # of its fleet; None: sockets
+    wall: Callable[[], int] | None = None  # for rehearsals: another wall clock than the hub's
 
 
 class Head:
@@ -110,7 +111,7 @@
                     decides = Observed(self.module, evidence)
                 self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
-                                  self._note, self._name, portions)  # fmt: skip
+                                  self._note, self._name, portions, self._wiring.wall)  # fmt: skip
                 self._links = self._wiring.links(parts)
                 self._listing = self._wiring.listing(parts)
                 self.regional: Regional | None = None
@@ -134,7 +135,7 @@
                     from harriertrack.gateway.fleet.carrier import Fleet  # other heads do not even load it
 
                     self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
-                                       self._listing)  # fmt: skip
+                                       self._listing, extents, self._links.epochs)  # fmt: skip
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
--- a/harriertrack/gateway/parts.py
+++ b/harriertrack/gateway/parts.py
@@ -30,3 +30,4 @@
     note: Callable[..., None]
     name: str
     portions: Portions | None = None  # of what its fleet divides; None: it divides nothing
+    wall: Callable[[], int] | None = None  # for rehearsals: another wall clock than the hub's
--- a/harriertrack/membership/fleet/telling.py
+++ b/harriertrack/membership/fleet/telling.py
@@ -133,6 +133,30 @@
     zones: list[ZoneTold]
 
 
+class FenceTold(msgspec.Struct, frozen=True):
+    """One calendar, as one head is with it: the last close done, and the next with what it would purge."""
+
+    calendar: str
+    done: int
+    stance: str
+    next: str  # by the market's clock; "": none is known
+    next_us: int  # UTC, since 1970
+    would: int  # extents
+    extents: int  # that the last one made unreadable, in this life
+
+
+class ClosingTold(msgspec.Struct, frozen=True):
+    """What a head tells of closes."""
+
+    decides: bool
+    blind: bool  # it can't say what closes there may have been, and refuses what they may touch
+    between_us: tuple[int, int] | None  # between which instants it is now
+    clock_wrong: bool
+    left: int  # extents to trim
+    refused: int  # requests, since it began
+    fences: list[FenceTold]
+
+
 class Document(msgspec.Struct, frozen=True):
     """A head's view."""
 
@@ -147,6 +171,7 @@
     members: list[Told]
     budgets: BudgetsTold | None = None
     zones: ZonesTold | None = None
+    closing: ClosingTold | None = None
 
 
 class MalformedDocument(ValueError):
