--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -28,6 +28,7 @@
     from harriertrack.gateway.fleet.budgets import Budgets
     from harriertrack.gateway.fleet.zones import Zones
     from harriertrack.gateway.listing import Listing
+    from harriertrack.storage.extents import ExtentMap
 
 DOOR_US = 2_000_000  # how long an operator's connection may take the document
 MOST_AT_DOOR = 8  # such connections at a time; more are closed
@@ -43,7 +44,8 @@
 
     def __init__(self, parts: HeadParts, settings: FleetSettings, datagrams: DatagramNetwork | None = None,
                  portions: Portions | None = None, evidence: Evidence | None = None,
-                 listing: Listing | None = None) -> None:  # fmt: skip
+                 listing: Listing | None = None, extents: ExtentMap | None = None,
+                 epochs: dict[str, int] | None = None) -> None:  # fmt: skip
         self._parts, self._settings, self._hub = parts, settings, parts.hub
         self._network = datagrams or SocketDatagrams(parts.hub)
         self._alarm = Alarm(parts.hub, self._wake)
@@ -51,6 +53,7 @@
         self._closed = False
         self._taken = self._refused = 0
         self._portions, self._evidence, self._listing = portions, evidence, listing
+        self._extents, self._epochs = extents, epochs
         self.zones: Zones | None = None
         self.budgets: Budgets | None = None
         self.swim: Swim
@@ -85,12 +88,17 @@
             self.budgets = Budgets(self._parts, settings.budgets, self._portions, settings.fleet, self.swim,
                                    self._port.send, settings.zones is not None)  # fmt: skip
             self.budgets.start()
-            if settings.zones is not None and self._evidence is not None and self._listing is not None:
+            deciding = None
+            if settings.zones is not None:
+                from harriertrack.gateway.fleet.deciding import Deciding
+
+                deciding = Deciding(hub, settings.name, self.budgets)
+            if (settings.zones is not None and deciding is not None and self._evidence is not None
+                    and self._listing is not None):  # fmt: skip
                 from harriertrack.gateway.fleet.zones import Zones
 
                 self.zones = Zones(self._parts, settings.zones, self._evidence, self._listing, self.swim,
-                                   self.budgets)  # fmt: skip
-                self.budgets.zones = self.zones
+                                   deciding)  # fmt: skip
                 self.zones.start()
 
     @property
--- a/harriertrack/gateway/fleet/closing/carrier.py
+++ b/harriertrack/gateway/fleet/closing/carrier.py
@@ -150,8 +150,8 @@
 
     def _ask(self, now: int) -> None:
         settings = self._settings
-        waits = settings.notice_us // 10 if self._sweeps.going() or not self.clock.ahead(now) else settings.ask_us
-        self._ask_at = now + waits
+        soon = bool(self._sweeps.going()) or self.clock.ahead(now) is None
+        self._ask_at = now + (settings.notice_us // 10 if soon else settings.ask_us)
         self._deciding.report(TOPIC, encode(self._tells(now)))
 
     def _tells(self, now: int) -> Ask:
