--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -312,10 +312,49 @@
     used: bool
 
 
+class CloseDue(msgspec.Struct, kw_only=True, tag="close-due", tag_field="what"):
+    """A close is due at `at`, and within `bound_us` of it at every head: what it purges of which volume.
+
+    A volume of several heads lies where it was allocated, any other where its head placed it.
+    """
+
+    t: int
+    calendar: str
+    at: int
+    bound_us: int
+    volumes: list[str]
+    start: int = 0
+    end: int = 0  # 0: the volume's end
+
+
+class ClosedAt(msgspec.Struct, kw_only=True, tag="closed-at", tag_field="what"):
+    """A head told that close `number` of a calendar, which was at `at`, is done there."""
+
+    t: int
+    head: str
+    calendar: str
+    number: int
+    at: int
+
+
+class Kept(msgspec.Struct, kw_only=True, tag="kept", tag_field="what"):
+    """A client wrote `value` to a block, or read it: from `t` to `ended`, one operation a block at a time."""
+
+    t: int
+    ended: int
+    client: str
+    head: str
+    volume: str
+    offset: int
+    is_write: bool
+    outcome: Literal["served", "refused", "failed", "lost"]
+    value: int = 0
+
+
 Record = (
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
-    | ZoneUse
+    | ZoneUse | CloseDue | ClosedAt | Kept
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
