--- /dev/null
+++ b/tests/closing/test_calendar.py
@@ -0,0 +1,73 @@
+"""Calendars: what can be written, and when a market closes, whatever its clocks do."""
+
+from datetime import UTC, datetime
+
+import pytest
+
+from harriertrack.config.closing import closes, parse, plan_of, zones_version
+from harriertrack.config.sexp import SettingsError
+
+PURGE = '(purge (volume "m*"))'
+
+
+def utc(text):
+    return int(datetime.fromisoformat(text).replace(tzinfo=UTC).timestamp()) * 1_000_000
+
+
+def found(body, since, until):
+    given = parse(f'(calendar "x" {body} {PURGE})', "x")
+    return [
+        datetime.fromtimestamp(at / 1e6, UTC).strftime("%m-%d %H:%M") for at, _ in closes(given, utc(since), utc(until))
+    ]
+
+
+def test_days_of_business_holidays_and_early_closes():
+    body = '''(zone "America/New_York") (markets "XNYS") (close (at "16:00")) (early (on "2026-11-27") (at "13:00"))
+              (holidays "2026-11-30")'''
+    assert found(body, "2026-11-25", "2026-12-02") == ["11-25 21:00", "11-27 18:00", "12-01 21:00"]  # 26th: Thanksgiving
+
+
+def test_two_closes_a_day_and_days_of_their_own():
+    body = '(zone "Asia/Tokyo") (close (at "11:30")) (close (at "15:30") (days "mon"))'
+    assert found(body, "2026-12-06", "2026-12-09") == ["12-07 02:30", "12-07 06:30", "12-08 02:30"]
+
+
+@pytest.mark.parametrize(("twice", "at"), [("first", "10-25 00:30"), ("second", "10-25 01:30")])
+def test_a_time_that_comes_twice(twice, at):
+    body = f'(zone "Europe/Lisbon") (twice {twice}) (close (at "01:30") (days "sun"))'
+    assert found(body, "2026-10-24", "2026-10-26") == [at]
+
+
+@pytest.mark.parametrize("twice", ["first", "second"])
+def test_a_time_that_does_not_exist_comes_as_if_clocks_had_stayed(twice):
+    body = f'(zone "Europe/Lisbon") (twice {twice}) (close (at "01:30") (days "sun"))'
+    assert found(body, "2026-03-28", "2026-03-30") == ["03-29 01:30"]
+
+
+def test_leap_days():
+    body = '(zone "UTC") (close (at "12:00") (days "mon" "tue" "wed" "thu" "fri" "sat" "sun"))'
+    assert found(body, "2028-02-28", "2028-03-02") == ["02-28 12:00", "02-29 12:00", "03-01 12:00"]
+
+
+def test_a_plan_names_its_time_zone_data():
+    plan = plan_of(parse(f'(calendar "x" (zone "UTC") (close (at "12:00")) {PURGE})', "x"), 7, 0, 86_400_000_000 * 2)
+    assert (plan.version, plan.zones, len(plan.instants)) == (7, zones_version(), 2)
+
+
+@pytest.mark.parametrize(
+    ("body", "said"),
+    [
+        ('(zone "Mars/Base") (close (at "12:00"))', "zone: Mars/Base"),
+        ('(zone "../../etc/passwd") (close (at "12:00"))', "zone: ../../etc"),
+        ('(zone "UTC")', "close: is needed"),
+        ('(zone "UTC") (close (at "24:00"))', "close: at: 24:00"),
+        ('(zone "UTC") (close (at "12:00") (days "noday"))', "close: days: noday"),
+        ('(zone "UTC") (early (on "2027-02-29"))', "early: on: 2027-02-29"),
+        ('(zone "UTC") (markets "XX") (close (at "12:00"))', "markets: XX"),
+        ('(zone "UTC") (close (at "12:00")) (purge (volume "v") (start 8MiB) (end 4MiB))', "purge: end"),
+    ],
+)
+def test_what_can_not_be_is_told_with_its_field(body, said):
+    with pytest.raises(SettingsError, match="c.sexp:1") as error:
+        parse(f'(calendar "x" {body} {PURGE})', "c.sexp")
+    assert said in str(error.value)
--- /dev/null
+++ b/tests/closing/test_clocks.py
@@ -0,0 +1,83 @@
+"""Bounds on true time, from what heads hear of each other."""
+
+import random
+
+import pytest
+
+from harriertrack.decisions.fleet.closing.clocks import ClockRules, Exchange, FleetClock, Interval, agreed, liars
+from harriertrack.decisions.fleet.closing.timekeeping import Asked, Timekeeper
+
+RULES = ClockRules()
+
+
+def test_most_claims_win_and_liars_are_found():
+    claims = {"a": Interval(-10, 10), "b": Interval(0, 20), "c": Interval(5, 9), "d": Interval(500, 600)}
+    truth = agreed(claims)
+    assert truth == Interval(5, 9) and liars(claims, truth) == ["d"]
+
+
+def test_no_majority_is_no_time():
+    assert agreed({"a": Interval(0, 1), "b": Interval(10, 11)}) is None
+    assert agreed({"a": Interval(0, 1), "b": Interval(10, 11), "c": Interval(20, 21)}) is None
+
+
+def test_stamps_that_can_not_be_say_nothing():
+    assert Exchange(asked=100, heard=50, answered=400, came=200).ahead() is None
+
+
+def test_a_wall_clock_that_jumps_leaves_nothing_known():
+    clock = FleetClock(RULES)
+    assert not clock.looked(0, 1000)
+    clock.heard(0, Interval(990, 1010))
+    assert not clock.looked(10_000, 11_000 + RULES.step_us) and clock.reading(10_000) is not None
+    assert clock.looked(20_000, 21_000 + 3 * RULES.step_us) and clock.reading(20_000) is None
+
+
+def test_doubt_grows_with_age_and_a_narrower_word_is_kept():
+    clock = FleetClock(RULES)
+    clock.heard(0, Interval(-100, 100))
+    clock.heard(1_000_000, Interval(-5000, 0))
+    narrow = clock.ahead(1_000_000)
+    assert narrow == Interval(-100 - 500, 0)
+    assert clock.ahead(2_000_000) == narrow.wider(500)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_true_time_is_always_inside_while_most_clocks_are_sane(seed):
+    """Heads with monotonic clocks of any origin, walls off by up to the stated error, any ways; a third lie."""
+    rng = random.Random(seed)
+    names = [f"h{number}" for number in range(7)]
+    origin = {name: rng.randrange(10**9) for name in names}
+    lying = set(rng.sample(names, 2))
+    off = {
+        name: rng.choice([-1, 1]) * 10_000_000 if name in lying else rng.randint(-RULES.error_us, RULES.error_us)
+        for name in names
+    }
+    decider = names[seed % 7]
+    true, keeper = 10**15, Timekeeper(RULES, 10_000_000)
+    clocks, apart, seen = {name: FleetClock(RULES) for name in names}, {}, 0
+
+    def mono(name):
+        return true - 10**15 + origin[name]
+
+    for _round in range(6):
+        for name in names:
+            if name == decider:
+                continue
+            at, wall_ahead = mono(name), true + off[name] - mono(name)
+            true += rng.randrange(50_000)
+            keeper.asked(mono(decider), name, Asked(at, wall_ahead, apart.get(name)))
+            true += rng.randrange(50_000)
+            own = Interval(true + off[decider] - mono(decider), true + off[decider] - mono(decider)).wider(RULES.error_us)
+            truth, answered = keeper.truth(mono(decider), own, len(names)), mono(decider)
+            (echo,) = keeper.echoes(10)
+            true += rng.randrange(50_000)
+            apart[name] = Exchange(echo.at, echo.heard, answered, mono(name)).ahead()
+            assert apart[name].low <= origin[decider] - origin[name] <= apart[name].high
+            if truth is not None:
+                seen += 1
+                clocks[name].heard(mono(name), truth.plus(apart[name]))
+                reading = clocks[name].reading(mono(name))
+                assert reading.low <= true <= reading.high
+                assert reading.high - reading.low <= 2 * RULES.error_us + 200_000
+    assert seen > 20 and set(keeper.wrong) == {"" if name == decider else name for name in lying}
--- /dev/null
+++ b/tests/closing/test_core.py
@@ -0,0 +1,201 @@
+"""What a close does to requests that are open at a head's core, and to its extent map, in memory and on disk."""
+
+import importlib.util
+from pathlib import Path
+
+import pytest
+
+from harriertrack.config.settings import Kind
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.requests import ClientRequest
+from harriertrack.decisions.splitting import Outcome
+from harriertrack.storage.extents import ExtentMap
+
+_SPEC = importlib.util.spec_from_file_location("core_rig", Path(__file__).parent.parent / "test_core.py")
+_CORE = importlib.util.module_from_spec(_SPEC)
+_SPEC.loader.exec_module(_CORE)
+EXTENT = _CORE.EXTENT
+
+
+class Closings:
+    """Refuses while told to."""
+
+    def __init__(self, places):
+        self.hint, self.waited, self.risky, self._places = None, [], [], places
+
+    def refuses(self, request):
+        return self.hint if request.kind is not Kind.FLUSH and request.at_shard < 0 else None
+
+    def placing(self, volume, extent, shard):
+        self._places.doubt(volume, extent, shard)
+
+    def may_run(self, volume, extent):
+        self.risky.append((volume, extent))
+
+    def awaited(self, volume, extent):
+        self.waited.append((volume, extent))
+
+
+def everything(_volume, _offset, _length):
+    return True
+
+
+@pytest.fixture
+def rig():
+    rig = _CORE.Rig()
+    rig.core.closings = Closings(rig.extents)
+    return rig
+
+
+def close(rig, number=1):
+    """Step over a close, as a head does."""
+    counts = rig.core.close_off(everything)
+    lefts = rig.extents.purge("c", number, 1000 * number, lambda _volume, _extent: True)
+    rig.core.keep_purged({(volume, extent) for volume, extent, _ in lefts})
+    rig.flush()
+    return counts, lefts
+
+
+def written(rig, offset=0):
+    request = rig.ask(Kind.WRITE, offset=offset, data=b"a" * 512)
+    rig.end(rig.port.sent[-1])
+    assert request.outcome is Outcome.SERVED
+    return rig.port.sent[-1].member.entry.shard
+
+
+def trim(rig, extent, shard):
+    request = ClientRequest(rig.core.volumes["v"], Kind.TRIM, extent * EXTENT, EXTENT, b"", 0, None, background=True,
+                            moving=True, at_shard=shard)
+    rig.core.take(rig.now, request)
+    rig.flush()
+    rig.end(rig.port.sent[-1])
+    assert request.outcome is Outcome.SERVED
+    rig.extents.trimmed("v", extent, shard)
+    rig.core.free_trimmed("v", extent)
+    rig.flush()
+
+
+def test_old_bytes_are_not_read_and_a_new_write_waits_for_the_trim(rig):
+    shard = written(rig)
+    _, lefts = close(rig)
+    assert lefts == [("v", 0, shard)]
+    read = rig.ask(Kind.READ)
+    assert read.outcome is Outcome.SERVED and read.bytes_read() == bytes(512)
+    sent = len(rig.port.sent)
+    write = rig.ask(Kind.WRITE, data=b"n" * 512)
+    assert len(rig.port.sent) == sent and rig.core.closings.waited == [("v", 0)]
+    trim(rig, 0, shard)
+    assert rig.port.sent[-1].part.body() == b"n" * 512
+    rig.end(rig.port.sent[-1])
+    assert write.outcome is Outcome.SERVED and rig.extents.shard_of("v", 0) is not None
+
+
+def test_open_reads_and_unsent_writes_are_refused_and_sent_writes_failed(rig):
+    written(rig)
+    read = rig.ask(Kind.READ)
+    sent = rig.ask(Kind.WRITE, data=b"b" * 512)
+    rig.core.sent(rig.port.sent[-1])
+    unsent = rig.ask(Kind.WRITE, offset=512, data=b"c" * 512)
+    assert close(rig)[0] == (2, 1)
+    assert (read.outcome, sent.outcome, unsent.outcome) == (Outcome.REFUSED, Outcome.FAILED, Outcome.REFUSED)
+    assert set(rig.core.closings.risky) == {("v", 0)}
+    before = len(rig.port.answers)
+    for attempt in list(rig.port.sent[1:]):
+        if attempt.state.value in ("sent", "dialing"):
+            rig.end(attempt, data=bytes(512), sent=attempt.state.value == "dialing")
+    assert len(rig.port.answers) == before, "each got one answer"
+
+
+def test_a_read_that_was_served_and_not_answered_when_the_close_came_is_refused(rig):
+    written(rig)
+    read = rig.ask(Kind.READ)
+    rig.core.sent(rig.port.sent[-1])
+    rig.core.ended(rig.now, rig.port.sent[-1], api.Result.OK, b"a" * 512)
+    close(rig)
+    assert read.outcome is Outcome.REFUSED and rig.port.answers.count(read) == 1
+
+
+def test_nothing_is_taken_or_answered_while_a_close_may_have_come(rig):
+    written(rig)
+    read = rig.ask(Kind.READ)
+    rig.core.closings.hint = 700
+    rig.end(rig.port.sent[-1], data=b"a" * 512)
+    later = rig.ask(Kind.WRITE, data=b"x" * 512)
+    assert (read.outcome, read.hint_us) == (Outcome.REFUSED, 700) == (later.outcome, later.hint_us)
+    assert rig.ask(Kind.FLUSH, length=0).outcome is not Outcome.REFUSED
+
+
+def test_a_first_write_whose_end_is_not_known_at_the_close_is_trimmed_where_it_may_lie(rig):
+    rig.ask(Kind.WRITE, data=b"a" * 512)
+    attempt = rig.port.sent[-1]
+    rig.core.sent(attempt)
+    _, lefts = close(rig)
+    shard = attempt.member.entry.shard
+    assert lefts == [("v", 0, shard)]
+    rig.end(attempt, sent=False)
+    assert rig.extents.shard_of("v", 0) is None, "it does not place the extent any more"
+
+
+def test_a_move_under_way_ends_with_the_close(rig):
+    shard = written(rig)
+
+    class Holder:
+        held_at = 0
+
+        def held(self):
+            self.held_at += 1
+
+    holder = Holder()
+    rig.core.hold_extent("v", 0, holder)
+    rig.flush()
+    move = ClientRequest(rig.core.volumes["v"], Kind.WRITE, 0, EXTENT, bytes(EXTENT), 0, None, background=True, moving=True)
+    rig.core.take(rig.now, move)
+    rig.flush()
+    target = rig.port.sent[-1].member.entry.shard
+    rig.core.sent(rig.port.sent[-1])
+    _, lefts = close(rig)
+    assert move.outcome is Outcome.FAILED and {one[2] for one in lefts} == {shard, target}
+    rig.core.free_extent("v", 0)  # as the mover does when its read was refused
+    sent = len(rig.port.sent)
+    rig.ask(Kind.WRITE, data=b"n" * 512)
+    assert len(rig.port.sent) == sent, "still kept until it is trimmed"
+
+
+# -- on disk
+
+
+def test_a_close_is_on_disk_whole_and_a_kill_leaves_what_was_to_be_trimmed(tmp_path):
+    path = str(tmp_path / "extents")
+    one = ExtentMap(path)
+    one.place([("v", 0, 1), ("v", 1, 2), ("w", 0, 1)])
+    one.doubt("v", 2, 0)
+    one.doubt("v", 3, 0)
+    one.place([("v", 3, 0), ("v", 1, 0)])  # one is no doubt any more, one was moved
+    lefts = one.purge("c", 4, 9_000_000, lambda volume, _extent: volume == "v")
+    assert lefts == [("v", 0, 1), ("v", 1, 0), ("v", 1, 2), ("v", 2, 0), ("v", 3, 0)]
+    one.trimmed("v", 0, 1)
+    one.close()
+    again = ExtentMap(path)
+    assert again.closing.generations == {"c": (4, 9_000_000)}
+    assert again.closing.lefts == {"v": {(1, 0), (1, 2), (2, 0), (3, 0)}}
+    assert not any(again.closing.doubts.values()) and again.shard_of("v", 0) is None and again.shard_of("w", 0) == 1
+    assert again.left("v") == []
+    again.close()
+
+
+def test_a_close_that_fails_half_way_leaves_the_map_as_it_was(tmp_path, monkeypatch):
+    path = str(tmp_path / "extents")
+    one = ExtentMap(path)
+    one.place([("v", 0, 1)])
+
+    def fails(*_args):
+        raise OSError("the disk is full")
+
+    monkeypatch.setattr(type(one.closing), "close", fails)
+    with pytest.raises(OSError):
+        one.purge("c", 1, 1, lambda _volume, _extent: True)
+    assert one.shard_of("v", 0) == 1
+    one.close()
+    again = ExtentMap(path)
+    assert again.shard_of("v", 0) == 1 and again.closing.generations == {}
+    again.close()
--- /dev/null
+++ b/tests/closing/test_fences.py
@@ -0,0 +1,148 @@
+"""What a fence lets pass, and how trims are paced."""
+
+import pytest
+
+from harriertrack.decisions.fleet.closing.clocks import Interval
+from harriertrack.decisions.fleet.closing.fences import BLIND_HINT_US, SWEEP_HINT_US, Fences, Stance
+from harriertrack.decisions.fleet.closing.schedule import Close, Purge, Schedule
+from harriertrack.decisions.fleet.closing.sweeps import ALL, SLICES, Sweep, SweepKey, Swept
+from harriertrack.decisions.fleet.closing.trims import Left, Trims, TrimRules
+
+PURGES = (Purge("m*", 0, 100),)
+SCHEDULE = Schedule(1, "a", (Close(1, 1000, PURGES), Close(2, 2000, PURGES)))
+
+
+def fences(done=0, sure=10_000, several=()):
+    one = Fences(["m*"], {"c": done}, set(several).__contains__)
+    one.confirmed(sure)
+    assert one.fence("c").follow(SCHEDULE) == ""
+    return one
+
+
+def test_what_passes_before_in_and_after_a_close():
+    one = fences()
+    fence = one.fence("c")
+    assert one.refuses(Interval(800, 999), "m1", 0, 10) is None
+    assert one.refuses(Interval(900, 1000), "m1", 0, 10) == 1000 and fence.stance(Interval(900, 1000)) is Stance.CLOSING
+    assert one.refuses(Interval(900, 1000), "m1", 100, 10) is None, "beside the range"
+    assert one.refuses(Interval(900, 1000), "other", 0, 10) is None
+    assert fence.due(Interval(900, 1100), 10_000) == []
+    (close,) = fence.due(Interval(1000, 1100), 10_000)
+    assert one.refuses(Interval(1000, 1100), "m1", 0, 10) is not None, "not before it is on disk"
+    fence.purged(close.number)
+    assert one.refuses(Interval(1000, 1100), "m1", 0, 10) is None
+    with pytest.raises(ValueError):
+        fence.purged(1)
+
+
+def test_a_head_that_can_not_know_refuses_what_calendars_may_touch_and_purges_nothing():
+    one = fences(sure=1500)
+    assert one.refuses(None, "m1", 500, 10) == BLIND_HINT_US and one.refuses(None, "other", 0, 10) is None
+    assert one.refuses(Interval(1400, 1500), "m1", 500, 10) == BLIND_HINT_US
+    assert [close.number for close in one.fence("c").due(Interval(3000, 3001), one.sure_until)] == [1]
+
+
+def test_a_schedule_that_contradicts_what_was_done_is_not_taken():
+    fence = fences(done=1).fence("c")
+    assert "another time" in fence.follow(Schedule(2, "a", (Close(1, 999, PURGES), Close(2, 2000, PURGES))))
+    assert "ends with" in fence.follow(Schedule(2, "a", ()))
+    assert fence.schedule is SCHEDULE
+
+
+def test_a_volume_of_several_heads_opens_when_its_sweep_is_on_record():
+    one = fences(done=1, several=["m1"])
+    now = Interval(1500, 1501)
+    assert one.refuses(now, "m1", 0, 10) == SWEEP_HINT_US and one.refuses(now, "m2", 0, 10) is None
+    assert one.refuses(now, "m1", 100, 10) is None
+    assert one.fence("c").follow(SCHEDULE.with_swept("m1", 1)) == ""
+    assert one.refuses(now, "m1", 0, 10) is None
+
+
+def test_heads_that_did_a_part_each_have_done_the_whole():
+    key, swept = SweepKey("c", 1, "m"), Swept()
+    first, second = Sweep.of(key, range(40)), Sweep.of(key, range(40))
+    assert sorted(first.order("a")) == list(range(SLICES)) and first.order("a") != first.order("b")
+    for extent in range(40):
+        (first if extent % SLICES < 9 else second).trimmed(extent)
+    swept.heard(key, first.done)
+    assert swept.whole() == [] and first.done | second.done == ALL
+    swept.heard(key, second.done)
+    assert swept.whole() == [key]
+    swept.forget(key)
+    assert swept.whole() == []
+
+
+# -- trims
+
+RULES = TrimRules(rate=100.0, burst=2.0, in_flight=2, spread_us=0)
+LEFTS = [Left("m", extent, 0) for extent in range(6)]
+
+
+def trims():
+    one = Trims(RULES, 0)
+    one.add(0, LEFTS, 0.0, {})
+    return one
+
+
+def test_a_burst_then_a_part_of_the_fleets_pace():
+    one = trims()
+    out = [one.next(0, 1), one.next(0, 1)]
+    assert out == LEFTS[:2] and one.next(0, 1) is None
+    for left in out:
+        one.ended(0, left, True)
+    assert one.next(5_000, 1) is None and one.next(10_000, 1) == LEFTS[2]
+    assert one.next(30_000, 10) is None, "with ten heads each has a tenth"
+    assert one.next(10_000 + 100_000, 10) == LEFTS[3]
+    assert one.progress.done == 2 and len(one) == 4
+
+
+def test_what_a_client_waits_for_comes_first_but_never_before_it_may():
+    one = trims()
+    one.wanted(0, "m", 5)
+    assert one.next(0, 1) == LEFTS[0] and one.next(0, 1) == LEFTS[1], "all are due: the order stays"
+    late = Trims(RULES, 0)
+    late.add(0, LEFTS, 0.0, dict.fromkeys(LEFTS, 1_000_000))
+    late.wanted(0, "m", 5)
+    assert late.next(999_999, 1) is None and late.next(1_000_000, 1) is not None
+    spread = Trims(TrimRules(spread_us=10_000_000), 0)
+    spread.add(0, LEFTS, 0.5, {})
+    assert spread.next(0, 1) is None
+    spread.wanted(0, "m", 5)
+    assert spread.next(0, 1) == LEFTS[5]
+
+
+def test_one_that_fails_is_tried_ever_more_slowly_and_others_go_on():
+    one = trims()
+    left = one.next(0, 1)
+    one.ended(0, left, False)
+    assert one.failed_before(left) and one.next(0, 1) == LEFTS[1]
+    one.ended(0, LEFTS[1], True)
+    tried, now = [], 0
+    while len(tried) < 4:
+        now += 10_000
+        found = one.next(now, 1)
+        if found == left:
+            tried.append(now)
+        if found is not None:
+            one.ended(now, found, found != left)
+    gaps = [after - before for before, after in zip(tried, tried[1:])]
+    assert gaps == sorted(gaps) and gaps[-1] >= 2 * gaps[0] - 20_000 and len(one) == 1
+
+
+def test_what_is_out_when_another_close_comes_is_done_once_more():
+    one = trims()
+    left = one.next(0, 1)
+    one.add(0, [left], 0.0, {})
+    one.ended(0, left, True)
+    assert one.progress.done == 0
+    found = []
+    for turn in range(1, 8):
+        found.append(one.next(100_000 * turn, 1))
+        one.ended(100_000 * turn, found[-1], True)
+    assert found.count(left) == 1 and one.progress.done == one.progress.asked == 6
+
+
+def test_what_is_dropped_is_not_begun():
+    one = trims()
+    one.drop(LEFTS[:5])
+    assert one.next(0, 1) == LEFTS[5] and one.next(0, 1) is None and len(one) == 1
