--- a/harriertrack/gateway/fleet/closing/keeping.py
+++ b/harriertrack/gateway/fleet/closing/keeping.py
@@ -12,7 +12,7 @@
 
 from harriertrack.decisions.fleet.budgets import Term
 from harriertrack.decisions.fleet.changes.record import Record
-from harriertrack.decisions.fleet.changes.writing import Refused
+from harriertrack.decisions.fleet.changes.writing import Outdated, Refused
 from harriertrack.decisions.fleet.closing.arranging import CLOSES, Reader, arranged, calendars, schedule_of
 from harriertrack.decisions.fleet.closing.clocks import Interval
 from harriertrack.decisions.fleet.closing.sweeps import SweepKey, Swept
@@ -28,8 +28,10 @@
 )
 from harriertrack.gateway.fleet.closing.reading import digest_of
 from harriertrack.gateway.witness import FAILURES
+from harriertrack.membership.fleet.changing import DamagedRecord
 from harriertrack.runtime.hub import Hub
 
+AGAIN_US = 500_000  # between two tries to begin a term
 SAY_US = 500_000  # the word is told so often, and at once to who asks
 ANSWERS = (MOST_BYTES - 200) // ECHO_BYTES
 MOST_WRONG = 2
@@ -73,7 +75,7 @@
         self._term: Term | None = None  # in which the record is known
         self._record = Record()
         self._keeper = keeper()
-        self._said_at = 0
+        self._said_at = self._again_at = 0
         self._seen = 0  # the highest revision that the record was looked at
         self._wrong: list[str] = []
         self._swept = Swept()
@@ -126,7 +128,7 @@
         if term is None:
             self._term = None
             return None
-        if term != self._term and not self._begin(term):
+        if term != self._term and (now < self._again_at or not self._begin(term, revision)):
             return None
         truth = self._keeper.truth(now, around.claim(), len(around.names()))
         if self._keeper.wrong != self._wrong:
@@ -146,12 +148,24 @@
             if (holds := self._record.in_force(calendar + CLOSES)) is not None
         })  # fmt: skip
 
-    def _begin(self, term: Term) -> bool:
-        """Begin a term, or go on after a write of which nobody knows; return whether the record is known."""
+    def _begin(self, term: Term, revision: int) -> bool:
+        """Begin a term, or go on after a write of which nobody knows; return whether the record is known.
+
+        `revision` is that of the record in hand: an older one was lost, and comes back before anything else.
+        """
+
+        def make(record: Record) -> Record:
+            if record.epoch > term.epoch:
+                raise Outdated(f"term {record.epoch} has decided since term {term.epoch}")
+            if record.revision < revision:
+                raise Refused(f"the witness lost revision {revision}")
+            return record.replaced([], term.epoch)
+
         self._term, self._seen = None, 0
+        self._again_at = self._around.hub.now() + AGAIN_US
         try:
-            self._record = self._around.write(lambda record: record.replaced([], term.epoch))
-        except (Refused, *FAILURES) as error:
+            self._record = self._around.write(make)
+        except (Refused, DamagedRecord, *FAILURES) as error:
             self._around.note("closing record not known", why=str(error) or type(error).__name__)
             return False
         self._term, self._keeper = term, self._new_keeper()
@@ -170,6 +184,8 @@
         self._seen = max(self._seen, revision)
 
         def make(record: Record) -> Record:
+            if record.revision < self._record.revision:
+                raise Refused(f"the witness lost revision {self._record.revision}")
             self._record = record
             latest = self._around.reading()
             after = arranged(record, term.epoch, max(reading.high, latest.high if latest else 0),
@@ -182,7 +198,7 @@
             self._record = self._around.write(make)
         except _Nothing:
             return True
-        except (Refused, *FAILURES) as error:
+        except (Refused, DamagedRecord, *FAILURES) as error:
             self._around.note("closes not written", why=str(error) or type(error).__name__)
             self._term = None
             return False
--- /dev/null
+++ b/tests/closing/test_closing_rules.py
@@ -0,0 +1,120 @@
+"""Rule 10 finds what it is there to find, and nothing in a day that keeps it."""
+
+import pytest
+
+from harriertrack.rules import closing, recording as rec
+
+S = 1_000_000
+SIZE = 128 << 10
+BOUND = S // 2
+AT = 10 * S
+FACTS = rec.Facts(classes=[], unit_bytes=4096, extent_bytes=SIZE, answer_slack_us=0, flight_us=0, drain_grace_us=0)
+DUE = rec.CloseDue(t=S, calendar="calendar/x", at=AT, bound_us=BOUND, volumes=["v"], end=8 * SIZE)
+
+
+def kept(t, value, is_write=True, outcome="served", offset=0, took=10_000):
+    return rec.Kept(t=t, ended=t + took, client="c", head="h0", volume="v", offset=offset, is_write=is_write,
+                    outcome=outcome, value=value)  # fmt: skip
+
+
+def read(t, value, **more):
+    return kept(t, value, is_write=False, **more)
+
+
+_NUMBER = iter(range(1, 10**9))
+
+
+def did(t, kind, length=4096, offset=0, sent=True):
+    key = next(_NUMBER)
+    one = [rec.Sent(t=t, head=1, key=key, attempt=0, node="n0")] if sent else []
+    return [
+        *one,
+        rec.Got(t=t + 100, node="n0", shard=0, head=1, key=key, attempt=0, volume="v", kind=kind, offset=offset, length=length),
+        rec.Ran(t=t + 200, node="n0", head=1, key=key, attempt=0),
+    ]
+
+
+def closed(t=AT + 100_000, number=1, at=AT, head="h0"):
+    return rec.ClosedAt(t=t, head=head, calendar="calendar/x", number=number, at=at)
+
+
+LIVED = [rec.Lived(t=0, member=head, how="started") for head in ("h0", "h1")]
+CLOSED = [closed(head="h0"), closed(head="h1")]
+
+
+def broken(*records):
+    flat = [one for record in records for one in (record if isinstance(record, list) else [record])]
+    return [breach.why for breach in closing.check([FACTS, DUE, *flat])]
+
+
+def test_a_day_that_keeps_it():
+    assert broken(
+        LIVED, CLOSED, kept(5 * S, 1), read(6 * S, 1), read(AT, 0, outcome="refused"), read(AT + S, 0), kept(11 * S, 2),
+        read(12 * S, 2), did(5 * S, "write"), did(AT + S, "trim", SIZE), did(AT + 2 * S, "write"), did(AT + 3 * S, "read"),
+    ) == []  # fmt: skip
+
+
+def test_a_byte_of_before_is_found_after_the_bound_and_not_before():
+    assert broken(LIVED, CLOSED, kept(5 * S, 1), read(AT + BOUND - 20_000, 1)) == []
+    (why,) = broken(LIVED, CLOSED, kept(5 * S, 1), read(AT + BOUND, 1))
+    assert "read 1" in why
+
+
+def test_a_byte_of_after_that_is_lost():
+    (why,) = broken(LIVED, CLOSED, kept(5 * S, 1), read(AT + S, 0), kept(11 * S, 2), read(12 * S, 0))
+    assert "read 0" in why
+    (why,) = broken(LIVED, CLOSED, kept(5 * S, 1, offset=9 * SIZE), read(AT + S, 0, offset=9 * SIZE))
+    assert "may be [1]" in why, "beside the range nothing is purged"
+
+
+@pytest.mark.parametrize("seen", [0, 2])
+def test_a_write_across_the_close_ends_before_or_after_it_and_stays_there(seen):
+    across = kept(AT - 50_000, 2, took=100_000)
+    assert broken(LIVED, CLOSED, across, read(AT + S, seen), read(AT + 2 * S, seen)) == []
+    assert len(broken(LIVED, CLOSED, across, read(AT + S, seen), read(AT + 2 * S, 2 - seen))) == 1
+
+
+def test_a_write_of_unknown_end_may_not_come_back_after_the_close():
+    lost = kept(5 * S, 7, outcome="lost")
+    assert broken(LIVED, CLOSED, lost, read(6 * S, 7)) == [] == broken(LIVED, CLOSED, lost, read(AT + S, 0))
+    assert len(broken(LIVED, CLOSED, lost, read(AT + S, 7))) == 1
+    assert broken(LIVED, CLOSED, kept(5 * S, 7, outcome="refused"), read(6 * S, 0)) == []
+
+
+@pytest.mark.parametrize(
+    ("records", "said"),
+    [
+        ([closed(head="h0"), closed(head="h1", at=AT + S)], "elsewhere"),
+        ([*CLOSED, closed(t=AT + S, head="h1")], "after 1"),
+        ([closed(head="h0"), closed(head="h1", number=2)], "after 0"),
+        ([closed(head="h0"), closed(t=AT - 100_000, head="h1")], "early"),
+        ([closed(head="h0")], "not done at h1"),
+        ([], "0 generations"),
+        ([*CLOSED, closed(t=AT + S, number=2, at=AT + S), closed(t=AT + S, number=2, at=AT + S, head="h1")], "nobody asked"),
+    ],
+)
+def test_each_close_is_one_generation_everywhere(records, said):
+    assert any(said in why for why in broken(LIVED, records, rec.Left(t=20 * S, client="c")))
+
+
+def test_a_head_that_died_owes_nothing():
+    assert broken(LIVED, closed(head="h0"), rec.Lived(t=AT - S, member="h1", how="killed")) == []
+
+
+@pytest.mark.parametrize(
+    ("records", "said"),
+    [
+        ([did(5 * S, "write")], "never trimmed"),
+        ([did(5 * S, "write"), did(AT + S, "read"), did(AT + 2 * S, "trim", SIZE)], "read where"),
+        ([did(5 * S, "write"), did(AT + S, "write"), did(AT + 2 * S, "trim", SIZE)], "write where"),
+        ([did(AT + S, "write"), did(AT + 2 * S, "trim", SIZE)], "trimmed over"),
+        ([did(5 * S, "write"), did(AT + S, "trim", SIZE // 2)], "never trimmed"),
+    ],
+)
+def test_nodes_are_trimmed_before_they_are_used_again(records, said):
+    assert any(said in why for why in broken(LIVED, CLOSED, *records))
+
+
+def test_what_was_long_on_its_way_is_no_write_of_after():
+    late = did(AT + S, "write", sent=False)  # nobody knows when it left its head
+    assert broken(LIVED, CLOSED, late, did(AT + 2 * S, "trim", SIZE)) == []
