--- a/harriertrack/config/settings/checks.py
+++ b/harriertrack/config/settings/checks.py
@@ -77,6 +77,8 @@
             _check_budgets(head, head.fleet.budgets, fail)
         elif head.fleet.zones is not None:
             fail("fleet: zones", "needs budgets: who decides on zones does so under a lock at their witness")
+        elif head.fleet.changes is not None:
+            fail("fleet: changes", "needs budgets: the record of changes lies at their witness")
     if head.extent_bytes > head.most_units * head.unit_bytes:
         fail("most-units", "smaller than a whole extent")
     if head.extent_bytes % head.unit_bytes:
@@ -86,8 +88,8 @@
 
 
 def _check_closing(head: HeadSettings, closing: ClosingSettings, fail: Callable[[str, str], None]) -> None:
-    if head.fleet is not None and head.fleet.budgets is None:
-        fail("fleet: closing", "needs budgets: closes are decided under a lock at their witness")
+    if head.fleet is not None and head.fleet.changes is None:
+        fail("fleet: closing", "needs changes: calendars are on the fleet's record of them")
     if not any(Kind.MOVE in one.kinds for one in head.classes):
         fail("fleet: closing", f"no class takes {Kind.MOVE.value}, which trims are")
     for volume in head.volumes:
--- a/harriertrack/gateway/fleet/closing/carrier.py
+++ b/harriertrack/gateway/fleet/closing/carrier.py
@@ -19,6 +19,7 @@
 from harriertrack.decisions.fleet.closing.timekeeping import Timekeeper
 from harriertrack.decisions.fleet.closing.trims import Left, TrimRules, Trims
 from harriertrack.decisions.splitting import Kind as DataKind
+from harriertrack.gateway.fleet.changes.carrier import Changes
 from harriertrack.gateway.fleet.closing.guard import Guard
 from harriertrack.gateway.fleet.closing.keeping import Keeping, Surroundings
 from harriertrack.gateway.fleet.closing.messages import (
@@ -31,11 +32,11 @@
     encode,
     ruling_from,
 )
-from harriertrack.gateway.fleet.closing.needs import Changes, Deciding
 from harriertrack.gateway.fleet.closing.reading import BadCloses, digest_of, reader_of, schedule_from
 from harriertrack.gateway.fleet.closing.showing import fence_told
 from harriertrack.gateway.fleet.closing.sweeping import Sweeps
 from harriertrack.gateway.fleet.closing.trimming import Trimming
+from harriertrack.gateway.fleet.deciding import Deciding
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.membership.fleet.swim import Swim
--- a/harriertrack/gateway/fleet/closing/keeping.py
+++ b/harriertrack/gateway/fleet/closing/keeping.py
@@ -48,7 +48,7 @@
     hub: Hub
     keeps: Callable[[int], Term | None]
     write: Callable[[Callable[[Record], Record]], Record]
-    say: Callable[[bytes], None]  # to all
+    say: Callable[[bytes], object]  # to all
     claim: Callable[[], Interval]  # of the own wall clock
     reading: Callable[[], Interval | None]
     names: Callable[[], list[str]]  # of who is there
--- a/harriertrack/lab/fleet/markets.py
+++ b/harriertrack/lab/fleet/markets.py
@@ -8,14 +8,19 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import UTC, datetime
+from typing import TYPE_CHECKING
 from zoneinfo import ZoneInfo
 
 from harriertrack.config.closing import Twice
 from harriertrack.config.settings import VolumeSettings
+from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.gateway.fleet.changes import keeping
 from harriertrack.gateway.front import REFUSED
+from harriertrack.gateway.witness import FAILURES, WitnessClient
+from harriertrack.lab.fleet.scenario import StepSettings, Verb
 from harriertrack.lab.load import Connection
 from harriertrack.lab.model import SECTOR, payload
 from harriertrack.protocol.nbd.client import Reply
@@ -23,11 +28,16 @@
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.hub import Event, Hub
 
+if TYPE_CHECKING:
+    from harriertrack.lab.fleet.rig import FleetRig
+    from harriertrack.lab.rig import HeadSlot
+
 SECOND = 1_000_000
 EXTENTS = 16  # of a market's volume; the first half is purged
 BLOCK_SECTORS = 8
 MOST_SEATS = 16  # clients of one market's shared volume
 PAUSE_US = (40_000, 160_000)
+WORD_US = 15_000_000  # the longest that a proposal is waited for to be taken up
 
 
 def volumes(markets: int, heads: int, hosts: int, nodes: int, extent_bytes: int) -> list[VolumeSettings]:
@@ -133,3 +143,110 @@
                      volume=connection.volume, offset=block * SECTOR, is_write=is_write,
                      outcome=outcome, value=self._value if is_write else read)  # type: ignore[arg-type]
         )  # fmt: skip
+
+
+class Markets:
+    """All markets of one rig: true time, heads' clocks, calendars, clients, and what heads tell."""
+
+    def __init__(self, rig: FleetRig, seed: int) -> None:
+        self._rig = rig
+        day, hub = rig.fleet_day, rig.hub
+        machine = hub.clock.wall()
+        begins = datetime.fromisoformat(day.wall).replace(tzinfo=UTC).timestamp() if day.wall else 0
+        self._shift = int(begins * SECOND) - machine if begins else 0  # of true time past the machine's
+        self._true_ahead = machine + self._shift - hub.now()
+        self._drawn = random.Random(seed)
+        self._ahead: dict[str, int] = {}  # of true time, each head's wall clock
+        self._clients: list[BlockClient] = []
+
+    # -- clocks
+
+    def set_clock(self, slot: HeadSlot, step: StepSettings) -> None:
+        """Let a head's wall clock be off by what a step says."""
+        drawn = self._drawn.randint(-step.skew_us, step.skew_us)
+        if step.ahead_us or step.skew_us or slot.name not in self._ahead:
+            self._ahead[slot.name] = step.ahead_us + drawn
+
+    def ahead_us(self, slot: HeadSlot) -> int:
+        """Return how far a head's wall clock is past the machine's."""
+        return self._shift + self._ahead[slot.name]
+
+    def wall_of(self, slot: HeadSlot) -> Callable[[], int]:
+        """Return a head's wall clock."""
+        return lambda: self._rig.hub.clock.wall() + self.ahead_us(slot)
+
+    # -- what happens
+
+    def open(self) -> None:
+        """Start the clients."""
+        rig = self._rig
+        for volume in rig.volumes[rig.day.volumes :]:
+            slots = [one for one in rig.heads if volume in one.settings.volumes]
+            for seat in range(min(len(slots), MOST_SEATS)):
+                connections = []
+                for slot in slots:
+                    connection = Connection(rig.hub, rig.network, rig.recorder, volume.name, slot.name)
+                    connection.address = rig.entrance(slot)
+                    slot.connections.append(connection)
+                    connections.append(connection)
+                    rig.scope.spawn(f"connection {volume.name} {seat}", connection.keep, rig.scope)
+                client = BlockClient(rig.hub, rig.recorder, connections, seat, rig.day.extent_bytes,
+                                     self._drawn.getrandbits(32))  # fmt: skip
+                self._clients.append(client)
+                rig.scope.spawn(f"client {volume.name} {seat}", client.run)
+
+    def close(self) -> None:
+        """Let the clients look once more, and end."""
+        for client in self._clients:
+            client.closed = True
+        self._rig.hub.sleep(2 * PAUSE_US[1])
+        ends = [self._rig.scope.spawn("last look", client.last_look) for client in self._clients]
+        while not all(task.done for task in ends):
+            self._rig.hub.sleep(PAUSE_US[0])
+
+    def step(self, step: StepSettings, who: list[HeadSlot]) -> None:
+        """Do a step that is about markets or clocks."""
+        if step.name is Verb.CLOCK:
+            for slot in who:
+                self._ahead[slot.name] = step.ahead_us
+            return
+        rig = self._rig
+        hub, day = rig.hub, rig.fleet_day
+        true = hub.now() + self._true_ahead
+        market = Market(step.number, f"market{step.number}", step.local, Twice(step.of_two))
+        instants = [-(-(true + after) // SECOND) * SECOND for after in step.after_us]
+        expected = instants if step.expect_us is None else [
+            -(-(true + after) // SECOND) * SECOND for after in step.expect_us
+        ]  # fmt: skip
+        thing, body = f"calendar/{market.name}", market.body(instants, rig.day.extent_bytes)
+        rig.change(StepSettings(name=Verb.PROPOSE, thing=thing, body=body))
+        self._resume(thing)
+        for at in expected:
+            due = market.due(hub.now(), at - self._true_ahead, day.close_bound_us, rig.day.heads,
+                             rig.day.extent_bytes)  # fmt: skip
+            rig.recorder.add(due)
+
+    def _resume(self, thing: str) -> None:
+        """Give the word that a calendar waits for which purges more than any before, as soon as it does."""
+        hub, until = self._rig.hub, self._rig.hub.now() + WORD_US
+        witness = WitnessClient(hub, self._rig.network, self._rig.witness_address, SECOND, "operator")
+        while hub.now() < until:
+            hub.sleep(100_000)
+            try:
+                going = keeping.read(witness).record.under_way(thing)
+            except FAILURES:
+                continue
+            if going is None:
+                return
+            if going.standing is Standing.PAUSED:
+                self._rig.change(StepSettings(name=Verb.CHANGE, thing=thing, to="going"))
+                return
+
+    def heard(self, slot: HeadSlot, event: str, fields: dict[str, object]) -> None:
+        """Take a line of a head's log."""
+        if event == "close done":
+            at = int(str(fields["at_us"])) - self._true_ahead
+            self._rig.recorder.add(
+                rec.ClosedAt(t=self._rig.hub.now(), head=slot.name, calendar=str(fields["calendar"]),
+                             number=int(str(fields["number"])), at=at)
+            )  # fmt: skip
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -22,7 +22,9 @@
     BlockSize,
     BudgetFigures,
     BudgetSettings,
+    ChangesSettings,
     Checked,
+    ClosingSettings,
     FleetFigures,
     Name,
     Positive,
@@ -54,6 +56,10 @@
     ZONE = "zone"  # nothing passes between `who` and a `zone`'s nodes for `for`; all: they come back cold
     SLOW = "slow"  # the nodes of a `zone` work `times` slower for `for`
     WISH = "wish"  # an operator wishes a `zone` to be `out`, `in`, or has no wish
+    PROPOSE = "propose"  # an operator proposes `body` as the next version of a `thing`
+    CHANGE = "change"  # an operator wishes what is under way for a `thing` `paused`, `going` or `aborted`
+    MARKET = "market"  # an operator gives market `number` a calendar that closes `after`, and resumes it
+    CLOCK = "clock"  # the wall clocks of `who` are `ahead` from now on; simulated days only
     BACKUP = "backup"  # what the witness knows is kept aside
     DARK = "dark"  # the witness is gone for `for`; `old`: it comes back as of the backup
     AGREE = "agree"  # wait until the views of `who` agree, `within` at most
@@ -83,6 +89,17 @@
     times: Amount = 1.0
     zone: str = ""
     wish: Literal["out", "in", ""] = ""
+    thing: str = ""  # that changes
+    body: str = ""
+    plan: str = ""
+    to: Literal["paused", "going", "aborted", ""] = ""
+    number: Whole = 0  # of a market
+    local: str = "UTC"  # its time zone
+    after_us: tuple[Whole, ...] = ()  # whole seconds past now, about
+    expect_us: tuple[Whole, ...] | None = None  # which of these are to come to pass; else all
+    of_two: Literal["first", "second"] = "second"  # where a local time comes twice
+    ahead_us: int = 0  # of true time: the wall clock of who is started, or told so
+    skew_us: Whole = 0  # and up to so much more or less, drawn for each
     old: bool = False
     clock_rate: Annotated[float, msgspec.Meta(ge=0.5, le=2)] = 1.0  # of who is started; processes only
 
@@ -109,6 +126,11 @@
     limit_slack: Amount = 8.0  # units
     budgets: DayBudgets | None = None
     zones: ZonesSettings | None = None
+    changes: ChangesSettings | None = None
+    closing: ClosingSettings | None = None
+    close_bound_us: Positive = 1_000_000  # within which of a close every head has closed
+    markets: Positive = 1
+    wall: str = ""  # the instant, UTC, at which heads' clocks stand when the day begins; "": the machine's
     zones_at: Share = 1.0  # so many of each ten heads have zones; the others help themselves
     may_leave: tuple[str, ...] = ()  # zones that the fleet may leave on this day
     rate: Amount = 8.0  # requests a second, a head
@@ -131,6 +153,12 @@
             raise SettingsError(f"{at}: for: is needed")
         if step.name in (Verb.ZONE, Verb.SLOW, Verb.WISH) and step.zone not in ZONES:
             raise SettingsError(f"{at}: zone: one of {', '.join(ZONES)}")
+        if step.name in (Verb.PROPOSE, Verb.CHANGE) and (day.changes is None or not step.thing):
+            raise SettingsError(f"{at}: thing: is needed, on a day with changes")
+        if (step.name is Verb.CHANGE) != bool(step.to):
+            raise SettingsError(f"{at}: to: a change, and no other step, is paused, going or aborted")
+        if step.name is Verb.MARKET and (day.closing is None or step.number >= day.markets):
+            raise SettingsError(f"{at}: number: no such market, or no (closing ...)")
         if step.name is Verb.DARK and day.budgets is None:
             raise SettingsError(f"{at}: there is no witness on a day without budgets")
         struck = step.cut or step.lost or step.twice or step.late_us or step.jitter_us
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -119,7 +119,7 @@
                 patience_us=day.patience_us,
             )
         )
-    return volumes
+    return [*volumes, *day.beside]
 
 
 def cells_of(day: DaySettings) -> HeadMap:
@@ -433,7 +433,7 @@
             (one.name, frozenset(kind.value for kind in one.kinds), one.at_least_bytes)
             for one in self.classes
         ]
-        for volume in self.volumes:
+        for volume in self.volumes[: day.volumes]:
             connections = []
             for slot in self.heads:
                 if any(volume.name == one.name for one in slot.settings.volumes):
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -312,6 +312,36 @@
     used: bool
 
 
+class Proposed(msgspec.Struct, kw_only=True, tag="proposed", tag_field="what"):
+    """An operator proposed a version of a thing, or said what becomes of it."""
+
+    t: int
+    thing: str
+    version: int
+    standing: str
+
+
+class WentBy(msgspec.Struct, kw_only=True, tag="went-by", tag_field="what"):
+    """A head goes by this record of changes from now on."""
+
+    t: int
+    head: str
+    revision: int
+    digest: int
+    epoch: int
+    latest: dict[str, int] = {}  # of each thing that has versions
+
+
+class TookVersion(msgspec.Struct, kw_only=True, tag="took-version", tag_field="what"):
+    """A head runs a version of a thing from now on (0: what it began with), or did not take it: `why`."""
+
+    t: int
+    head: str
+    thing: str
+    version: int
+    why: str = ""
+
+
 class CloseDue(msgspec.Struct, kw_only=True, tag="close-due", tag_field="what"):
     """A close is due at `at`, and within `bound_us` of it at every head: what it purges of which volume.
 
@@ -354,7 +384,7 @@
 Record = (
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
-    | ZoneUse | CloseDue | ClosedAt | Kept
+    | ZoneUse | Proposed | WentBy | TookVersion | CloseDue | ClosedAt | Kept
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
