--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -27,10 +27,12 @@
     from harriertrack.decisions.fleet.portions import Portions
     from harriertrack.gateway.fleet.budgets import Budgets
     from harriertrack.gateway.fleet.changes.carrier import Changes
+    from harriertrack.gateway.fleet.closing.carrier import Closing
     from harriertrack.gateway.fleet.deciding import Deciding
     from harriertrack.gateway.fleet.zones import Zones
     from harriertrack.gateway.listing import Listing
     from harriertrack.storage.changes import ChangesCache
+    from harriertrack.storage.extents import ExtentMap
 
 DOOR_US = 2_000_000  # how long an operator's connection may take the document
 MOST_AT_DOOR = 8  # such connections at a time; more are closed
@@ -46,7 +48,8 @@
 
     def __init__(self, parts: HeadParts, settings: FleetSettings, datagrams: DatagramNetwork | None = None,
                  portions: Portions | None = None, evidence: Evidence | None = None,
-                 listing: Listing | None = None, kept: ChangesCache | None = None) -> None:  # fmt: skip
+                 listing: Listing | None = None, kept: ChangesCache | None = None,
+                 extents: ExtentMap | None = None, epochs: dict[str, int] | None = None) -> None:  # fmt: skip
         self._parts, self._settings, self._hub = parts, settings, parts.hub
         self._network = datagrams or SocketDatagrams(parts.hub)
         self._alarm = Alarm(parts.hub, self._wake)
@@ -55,10 +58,12 @@
         self._taken = self._refused = 0
         self._about = About()
         self._portions, self._evidence, self._listing, self._kept = portions, evidence, listing, kept
+        self._extents, self._epochs = extents, epochs
         self.zones: Zones | None = None
         self.budgets: Budgets | None = None
         self.deciding: Deciding | None = None
         self.changes: Changes | None = None
+        self.closing: Closing | None = None
         self.swim: Swim
 
     def start(self) -> None:
@@ -115,6 +120,12 @@
 
             self.changes = Changes(self._parts, settings.changes, self.swim, self.deciding, self._tell_now,
                                    self._kept)  # fmt: skip
+            if settings.closing is not None and self._extents is not None and self._epochs is not None:
+                from harriertrack.gateway.fleet.closing.carrier import Closing
+
+                self.closing = Closing(self._parts, settings.closing, self.swim, self.deciding, self.changes,
+                                       self._extents, self._epochs)  # fmt: skip
+                self.closing.start()
             self.changes.start()
 
     def retell(self, settings: FleetSettings) -> None:
@@ -242,6 +253,8 @@
                 document = msgspec.structs.replace(document, zones=self.zones.document(now))
             if self.changes is not None:
                 document = msgspec.structs.replace(document, record=self.changes.document())
+            if self.closing is not None:
+                document = msgspec.structs.replace(document, closing=self.closing.document())
             stream.write(msgspec.json.encode(document))
             stream.push(sent.set)
             stream.watch_end(sent.set)
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -30,7 +30,7 @@
 from harriertrack.gateway.head import Wiring
 from harriertrack.gateway.witness import WitnessClient
 from harriertrack.lab.day import DaySettings
-from harriertrack.lab.fleet import shares
+from harriertrack.lab.fleet import markets, shares
 from harriertrack.lab.fleet.later import LaterDatagrams
 from harriertrack.lab.fleet.scenario import ZONES, DayBudgets, FleetDaySettings, StepSettings, Verb, chosen
 from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
@@ -59,10 +59,14 @@
 
 def day_of(day: FleetDaySettings, heads: int) -> DaySettings:
     """Return the day of clients and nodes that goes on beside a fleet's day."""
+    beside = []
+    if day.closing is not None:
+        beside = markets.volumes(day.markets, heads, day.hosts, day.shelves, day.extent_bytes)
     return DaySettings(
         name=day.name, about=day.about, length_us=FOREVER_US, heads=heads, nodes=day.shelves,
         zones=ZONES, rate=day.rate * heads, volumes=day.volumes or heads, shared=1.0,
-        hosts=day.hosts, volume_bytes=64 << 20, extent_bytes=day.extent_bytes, request_us=300, unit_us=200,
+        hosts=day.hosts, beside=tuple(beside), volume_bytes=64 << 20, extent_bytes=day.extent_bytes,
+        request_us=300, unit_us=200,
         cores=4, queue=256, limit=day.limit, limit_burst=day.limit_burst, limit_slack=day.limit_slack,
     )  # fmt: skip
 
@@ -78,6 +82,7 @@
         self.weather = Weather(seed, DELAY_US if isinstance(network, MemoryNetwork) else (0, 0))
         self.views = Views()
         self._drawn = random.Random(seed)
+        self.markets = markets.Markets(self, seed) if day.closing is not None else None
         if day.zones is not None and fleet:
             recorder.add(rec.ZoneFacts(t=0, zones=list(ZONES), may_leave=list(day.may_leave)))
         if day.budgets is not None and fleet:
@@ -100,6 +105,8 @@
             try:
                 self.build()
                 self.add_flows()
+                if self.markets is not None:
+                    self.markets.open()
                 for flow in self.flows:
                     scope.spawn(f"flow {flow.model.name}", flow.run, hub.now() + FOREVER_US)
                 if not isinstance(self.network, MemoryNetwork):
@@ -114,6 +121,8 @@
     def _finish(self) -> None:
         for flow in self.flows:
             flow.closed = True
+        if self.markets is not None:
+            self.markets.close()
         connections = [one for slot in self.heads for one in slot.connections]
         for connection in connections:
             connection.forget_unsent()
@@ -171,7 +180,9 @@
             case Verb.WISH:
                 self.wish(step.zone, step.wish)
             case Verb.PROPOSE | Verb.CHANGE:
-                self._change(step)
+                self.change(step)
+            case Verb.MARKET | Verb.CLOCK if self.markets is not None:
+                self.markets.step(step, who)
             case Verb.BACKUP:
                 self.backup()
             case Verb.DARK:
@@ -179,7 +190,7 @@
             case Verb.REST:
                 self.hub.sleep(step.for_us)
 
-    def _change(self, step: StepSettings) -> None:
+    def change(self, step: StepSettings) -> None:
         """Do as an operator does who proposes a version of a thing, or says what becomes of it."""
         now_ms, thing = self.hub.clock.wall() // 1000, step.thing
 
@@ -302,6 +313,8 @@
             self.recorder.add(
                 rec.ZoneUse(t=self.hub.now(), head=slot.name, zone=str(fields["zone"]), used=used)
             )
+        if self.markets is not None:
+            self.markets.heard(slot, event, fields)
         if event == "fleet changes":
             numbers = {name: int(str(fields[name])) for name in ("revision", "digest", "epoch")}
             latest = msgspec.convert(fields["latest"], dict[str, int])
@@ -416,14 +429,17 @@
         return FleetSettings(
             name=name, listen=("127.0.0.1", FIRST_PORT + number), seeds=seeds,
             budgets=self.budgets_of(self.witness.address), zones=self.zones_of(name),
-            changes=self.fleet_day.changes, **self.figures(),  # type: ignore[arg-type]
+            changes=self.fleet_day.changes, closing=self.fleet_day.closing,
+            **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
     def wiring(self, slot: HeadSlot) -> Wiring:
         """Return what a head is made of."""
         later = slot.name in self._later
         datagrams = LaterDatagrams(self.datagrams) if later else self.datagrams
-        return Wiring(datagrams=datagrams, kept=self._changes.setdefault(slot.name, ChangesCache(None)))
+        kept = self._changes.setdefault(slot.name, ChangesCache(None))
+        wall = self.markets.wall_of(slot) if self.markets is not None else None
+        return Wiring(datagrams=datagrams, kept=kept, wall=wall)
 
     def note_of(self, slot: HeadSlot) -> Callable[..., None]:
         """Return what hears a head's log."""
@@ -434,6 +450,8 @@
         self.lived(slot, "started")
         if step.fresh:
             self._changes.pop(slot.name, None)
+        if self.markets is not None:
+            self.markets.set_clock(slot, step)
         (self._later.add if step.later else self._later.discard)(slot.name)
         self.start_head(slot)
 
--- a/harriertrack/runtime/clocks.py
+++ b/harriertrack/runtime/clocks.py
@@ -6,11 +6,15 @@
 
 
 class RatedClock(RealClock):
-    """The machine's monotonic clock at another rate; its wall clock is the machine's."""
+    """The machine's monotonic clock at another rate, and its wall clock so many microseconds ahead."""
 
-    def __init__(self, rate: float) -> None:
-        self._rate, self._began = rate, super().now()
+    def __init__(self, rate: float, ahead_us: int = 0) -> None:
+        self._rate, self._began, self._ahead_us = rate, super().now(), ahead_us
 
     def now(self) -> int:
         """Return the present time in microseconds."""
         return self._began + int((super().now() - self._began) * self._rate)
+
+    def wall(self) -> int:
+        """Return the time since 1970 in microseconds."""
+        return super().wall() + self._ahead_us
