--- a/harriertrack/rules/changes.py
+++ b/harriertrack/rules/changes.py
@@ -2,7 +2,7 @@
 
 1. *One truth*: two heads that go by the same revision go by the same bytes, once the fleet is at rest.
 2. *Forward*: no life of a head goes back to an earlier revision.
-3. *Known*: no head runs a version that nobody proposed.
+3. *Known*: no head runs a version of what operators propose that none of them proposed.
 4. *All*: at the day's end every head that lives goes by the latest revision that any head ever went by.
 5. *Kept*: and knows all that operators were told was taken.
 """
@@ -44,7 +44,8 @@
                     breaches.append(Breach(2, one.t, one.head, back))
                 goes_by[one.head], newest = one, max(newest, one.revision)
             case rec.TookVersion():
-                if one.version and not one.why and one.version not in proposed[one.thing]:
+                known = proposed.get(one.thing)  # what no operator proposes is written by who decides
+                if one.version and not one.why and known is not None and one.version not in known:
                     told = f"runs version {one.version} of {one.thing}, which nobody proposed"
                     breaches.append(Breach(3, one.t, one.head, told))
     ends = {head: goes_by[head] for head in sorted(alive & goes_by.keys())}
