Membership's protocol as small modules around one state

It is a package now. `Member` is the one state; words, suspecting, probing, comparing, notes and sending each do one thing with it, and `Swim` (core.py) is what a carrier calls, with the same names as before. The modules depend in one direction: probing on words and comparing, words on suspects and notes, all on sending and the state. Tests that take one care away do so where it lives now.

--- a/harriertrack/config/settings/fleet.py
+++ b/harriertrack/config/settings/fleet.py
@@ -83,7 +83,7 @@
 
 
 class FleetFigures(Checked, frozen=True, kw_only=True):
-    """The figures of a fleet's protocol; membership/fleet/swim.py tells what each is."""
+    """The figures of a fleet's protocol; membership/fleet/swim/rules.py tells what each is."""
 
     probe_us: Positive = 1_000_000
     answer_us: Positive = 500_000
--- /dev/null
+++ b/harriertrack/membership/fleet/swim/core.py
@@ -0,0 +1,202 @@
+"""A member as its carrier calls it: datagrams and time in, actions out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from harriertrack.membership.fleet.messages import (
+    VERSION,
+    Address,
+    Datagram,
+    Kind,
+    Life,
+    MalformedDatagram,
+    Record,
+    State,
+    decode,
+)
+from harriertrack.membership.fleet.swim.actions import Action, Said
+from harriertrack.membership.fleet.swim.comparing import Comparing
+from harriertrack.membership.fleet.swim.member import Due, Member
+from harriertrack.membership.fleet.swim.notes import Notes
+from harriertrack.membership.fleet.swim.probing import Probing
+from harriertrack.membership.fleet.swim.rules import Rules, Standing
+from harriertrack.membership.fleet.swim.sending import Sending
+from harriertrack.membership.fleet.swim.suspecting import Suspects
+from harriertrack.membership.fleet.swim.words import Words
+
+
+class Swim:
+    """One member.
+
+    The carrier calls `receive` for each datagram, `wake` at or after `wake_at`, and does what `take_actions`
+    returns.
+    """
+
+    def __init__(self, rules: Rules, me: Record, seeds: Iterable[Address] = (), seed: int = 0) -> None:
+        member = self._member = Member(rules, me, seed)
+        self.rules, self.view, self.counts = rules, member.view, member.counts
+        self._suspects, self._notes, self._sending = Suspects(member), Notes(member), Sending(member)
+        self._words = Words(member, self._suspects, self._notes)
+        others = [one for one in dict.fromkeys(seeds) if one != me.address]
+        self._comparing = Comparing(member, self._sending, others)
+        self._probing = Probing(member, self._sending, self._words, self._comparing)
+        self._wake_at = 0
+
+    @property
+    def me(self) -> Record:
+        """Return the newest word on this member itself."""
+        return self._member.me
+
+    @property
+    def standing(self) -> Standing:
+        """Return what the member is to its fleet."""
+        return self._member.standing
+
+    @property
+    def doubts(self) -> int:
+        """Return how much the member doubts itself; 0: not at all."""
+        return self._member.doubts
+
+    def start(self, now: int) -> None:
+        """Take part from now on."""
+        member, rules = self._member, self.rules
+        member.standing = Standing.ALONE
+        # Members that start together do not probe together.
+        offset = member.random.randrange(rules.probe_us)
+        member.due = Due(now + offset, now + offset % rules.gossip_us, now + member.spread(rules.sync_us),
+                         now, now)  # fmt: skip
+        self._comparing.start(now)
+        self._words.take(now, member.me)
+        self._plan()
+
+    def receive(self, now: int, data: bytes, source: Address) -> None:
+        """Take a datagram; whatever it is, it does no harm but what its words say."""
+        if self._member.standing is Standing.NEW:
+            return
+        self._stood(now)
+        counts = self.counts
+        counts.came += 1
+        counts.came_bytes += len(data)
+        try:
+            told = decode(data)
+        except MalformedDatagram:
+            counts.garbage += 1
+            return
+        if told.fleet != self.rules.fleet:
+            counts.strangers += 1
+        elif told.reads > VERSION:
+            counts.too_new += 1
+        elif told.instance != self._member.me.instance:
+            self._understand(now, told, source)
+        self._plan()
+
+    def wake(self, now: int) -> None:
+        """Do what is due."""
+        member = self._member
+        if member.standing is Standing.NEW:
+            return
+        self._stood(now)
+        due = member.due
+        if member.standing is Standing.DISPLACED:
+            if now >= due.reach:
+                self._comparing.look_on(now)
+            self._plan()
+            return
+        self._probing.tell_askers(now)
+        self._probing.wake(now)
+        self._words.run_out(now)
+        if now >= due.gossip:
+            due.gossip = now + self.rules.gossip_us
+            self._sending.gossip(now, self.rules.fanout)
+        if now >= due.sync and member.standing is Standing.IN:
+            self._comparing.compare(now)
+        if now >= due.reach:
+            self._comparing.reach(now)
+        self._plan()
+
+    def wake_at(self) -> int:
+        """Return when `wake` is to be called."""
+        return self._wake_at
+
+    def note(self, now: int, about: bytes) -> None:
+        """Say something of oneself to all; at most 256 bytes. What was said before does not hold any more."""
+        self._notes.say(about)
+
+    def leave(self, now: int) -> None:
+        """Say goodbye. `left` tells when it has been said often enough."""
+        member = self._member
+        if member.standing in (Standing.NEW, Standing.DISPLACED, Standing.LEAVING):
+            return
+        member.standing = Standing.LEAVING
+        self._words.take(now, member.renamed(state=State.LEFT))
+        self._sending.gossip(now, 3 * self.rules.fanout)
+        self._plan()
+
+    @property
+    def left(self) -> bool:
+        """Whether nothing is to be waited for any more."""
+        member = self._member
+        leaving = member.standing is Standing.LEAVING
+        return not leaving or member.me.name not in member.news or not member.others()
+
+    def take_actions(self) -> list[Action]:
+        """Return what is to be done since the last call."""
+        actions, self._member.actions = self._member.actions, []
+        return actions
+
+    def _understand(self, now: int, told: Datagram, source: Address) -> None:
+        member = self._member
+        row = member.view.find(told.sender)
+        life = Life(told.started, told.instance)
+        if row is not None and row.record.life == life:
+            row.digest, row.heard_at = told.digest, now
+        for record in told.records:
+            self._words.hear(now, record, told.kind is Kind.STATE)
+        for note in told.notes:
+            self._notes.hear(note)
+        if member.standing is Standing.DISPLACED:
+            return
+        match told.kind:
+            case Kind.PING if told.target == member.me.name:
+                self._sending.send(source, Kind.ACK, told.number, member.me.name, to=told)
+            case Kind.PING:
+                self.counts.misdirected += 1
+            case Kind.PING_REQ:
+                self._probing.relay(now, told, source)
+            case Kind.ACK:
+                self._probing.acked(now, told)
+            case Kind.NACK:
+                self._probing.nacked(told)
+            case Kind.SYNC:
+                self._comparing.asked(now, source, told.summary)
+            case Kind.STATE if told.summary:
+                self._comparing.answered(now, source, told.summary)
+
+    def _plan(self) -> None:
+        member, due = self._member, self._member.due
+        if member.standing is Standing.DISPLACED:
+            self._wake_at = due.reach
+            return
+        when = [due.probe, due.reach, *self._probing.times()]
+        if member.standing is Standing.IN:
+            when.append(due.sync)
+        if member.news:
+            when.append(due.gossip)
+        if (runs_out_at := self._suspects.next_at(due.probe)) is not None:
+            when.append(runs_out_at)
+        self._wake_at = min(when)
+
+    def _stood(self, now: int) -> None:
+        """After a standstill: what was not heard meanwhile proves nothing against anybody."""
+        member, late = self._member, now - self._wake_at
+        if late < self.rules.probe_us:
+            return
+        self.counts.stood += 1
+        member.actions.append(Said("fleet: stood still", (("us", late),)))
+        member.drop_probes()
+        self._suspects.shift(late)
+        member.doubt(1)
+        due, soon = member.due, now + member.spread(self.rules.answer_us)
+        due.probe, due.gossip, due.sync, due.reach = soon, now, soon, max(due.reach, now)
+        self._wake_at = now
--- /dev/null
+++ b/harriertrack/membership/fleet/swim/sending.py
@@ -0,0 +1,66 @@
+"""Datagrams on their way out, and the news that rides on them."""
+
+from __future__ import annotations
+
+from harriertrack.membership.fleet.messages import Address, Datagram, Draft, Kind, Life, State, packed
+from harriertrack.membership.fleet.spreading import sends_of
+from harriertrack.membership.fleet.swim.actions import Send
+from harriertrack.membership.fleet.swim.member import Member
+from harriertrack.membership.fleet.swim.rules import Standing
+
+
+class Sending:
+    """What a member sends."""
+
+    def __init__(self, member: Member) -> None:
+        self._member = member
+
+    def draft(self, kind: Kind, number: int = 0, target: str = "", address: Address = ("", 0),
+              summary: tuple[int, ...] = ()) -> Draft:  # fmt: skip
+        """Return a datagram that has room for news."""
+        member = self._member
+        me, digest = member.me, member.view.digest
+        sender = "" if member.standing is Standing.DISPLACED else me.name
+        return Draft(member.rules.fleet, kind, sender, me.life, number, digest, target, address, summary)
+
+    def out(self, address: Address, draft: Draft) -> None:
+        """Send a datagram as it is."""
+        data, counts = draft.pack(), self._member.counts
+        counts.sent += 1
+        counts.sent_bytes += len(data)
+        self._member.actions.append(Send(address, data))
+
+    def send(self, address: Address, kind: Kind, number: int, target: str,
+             about: Address = ("", 0), to: Datagram | None = None) -> None:  # fmt: skip
+        """Send a question or an answer, with as much news as has room.
+
+        Whoever is not held to be alive and well is told so first, so that it can object.
+        """
+        member = self._member
+        draft = self.draft(kind, number, target, about)
+        row = member.view.find(to.sender if to is not None else target)
+        first = ""
+        if row is not None and row.record.name != member.me.name:
+            outdated = to is not None and row.record.life > Life(to.started, to.instance)
+            if row.record.state is not State.ALIVE or outdated:
+                draft.add(packed(row.record))
+                first = row.record.name
+        most = sends_of(member.rules.repeats, len(member.view.present))
+        member.news.fill(draft.add, most, skip=first)
+        member.notes.fill(draft.add_note, most)
+        self.out(address, draft)
+
+    def gossip(self, now: int, fanout: int) -> None:
+        """Tell some members the news, while there is any."""
+        member = self._member
+        if not member.news:
+            return
+        recent = now - member.rules.recent_us
+        names = member.others()
+        names += [row.record.name for row in member.view.gone(State.DEAD) if row.since >= recent]
+        for name in member.random.sample(names, min(len(names), fanout)):
+            if not member.news:
+                return
+            self.send(member.address(name), Kind.WORD, 0, name)
+        if not names:
+            member.news.clear()  # whoever comes asks for the whole view
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -8,6 +8,10 @@
 from harriertrack.config.written import written
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.rig import simulate
+from harriertrack.membership.fleet.swim import Swim
+from harriertrack.membership.fleet.swim.member import Member
+from harriertrack.membership.fleet.swim.suspecting import Suspects
+from harriertrack.membership.fleet.swim.words import Words
 from harriertrack.rules import budgets, checker, fleet, recording as rec, zones
 from harriertrack.standin.relay import Fault, Weather
 from tests.test_settings import GOOD
@@ -115,20 +119,17 @@
 
 
 def test_a_fleet_that_never_agrees_is_found(monkeypatch):
-    from harriertrack.membership.fleet.swim import Swim
-
     def never(self, now):  # nobody is ever held dead
-        self._suspicion_at = now + 1_000_000_000
+        self.first_at = now + 1_000_000_000
+        return []
 
-    monkeypatch.setattr(Swim, "_suspicions", never)
+    monkeypatch.setattr(Suspects, "run_out", never)
     _, records, day = play("fleet-crash", 5)
     assert {1, 3} & {breach.rule for breach in fleet.check(records, day.detect_us)}
 
 
-@pytest.mark.parametrize(("care", "more"), [("_stood", 3), ("_doubt", 2), ("_of_me", 2)])
-def test_what_keeps_starved_members_from_suspecting_each_other(monkeypatch, care, more):
-    from harriertrack.membership.fleet.swim import Swim
-
+@pytest.mark.parametrize(("where", "care", "more"), [(Swim, "_stood", 3), (Member, "doubt", 2), (Words, "_of_me", 2)])
+def test_what_keeps_starved_members_from_suspecting_each_other(monkeypatch, where, care, more):
     def suspicions():
         _, records, day = play("fleet-starved")
         seen = sum(isinstance(one, rec.Viewed) and one.state == "suspect" for one in records)
@@ -136,7 +137,7 @@
 
     with_care, broken = suspicions()
     assert not broken
-    monkeypatch.setattr(Swim, care, lambda self, *_: None)
+    monkeypatch.setattr(where, care, lambda self, *_: None)
     without, broken = suspicions()
     assert without >= more * with_care > 0 and (2 in broken) == (care == "_of_me")
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -11,6 +11,8 @@
 from harriertrack.membership.fleet.spreading import Spreading, sends_of
 from harriertrack.membership.fleet.suspicion import Suspicion, least_us, most_confirmations
 from harriertrack.membership.fleet.swim import Rules, Said, Send, Standing, Swim
+from harriertrack.membership.fleet.swim.probing import Probing
+from harriertrack.membership.fleet.swim.words import Words
 from harriertrack.membership.fleet.view import View
 
 S = 1_000_000
@@ -325,7 +327,7 @@
     for seed in range(6):
         one = swarm(8, seed)
         # It suspects somebody just before it stands still.
-        one.members["m5"]._suspect(one.now, one.members["m5"].view.find("m3"), "m5")
+        one.members["m5"]._words.suspect(one.now, one.members["m5"].view.find("m3"), "m5")
         one.stop("m5")
         one.run(60 * S)
         woke = one.now
@@ -373,7 +375,7 @@
 
 
 def test_with_no_others_to_ask_they_would_be(monkeypatch):
-    monkeypatch.setattr(Swim, "_ask_others", lambda self, now, probe: setattr(probe, "helped", 0))
+    monkeypatch.setattr(Probing, "_ask_others", lambda self, probe: setattr(probe, "helped", 0))
     one = swarm(8)
     one.cut = lambda a, b: {a, b} == {"m1", "m2"}
     one.run(60 * S)
@@ -412,13 +414,14 @@
 
 def test_an_objection_that_was_missed_is_made_again(monkeypatch):
     assert not lossy(7)
-    heard = Swim._of_me
+    heard = Words._of_me
 
     def once(self, now, told):
-        if told.life != self.me.life or told.incarnation >= self.me.incarnation:
+        me = self._member.me
+        if told.life != me.life or told.incarnation >= me.incarnation:
             heard(self, now, told)
 
-    monkeypatch.setattr(Swim, "_of_me", once)
+    monkeypatch.setattr(Words, "_of_me", once)
     assert lossy(7), "the test would not notice"
 
 
