--- a/harriertrack/config/settings/fleet.py
+++ b/harriertrack/config/settings/fleet.py
@@ -107,7 +107,7 @@
 
 
 class FleetFigures(Checked, frozen=True, kw_only=True):
-    """The figures of a fleet's protocol; membership/fleet/swim.py tells what each is."""
+    """The figures of a fleet's protocol; membership/fleet/swim/rules.py tells what each is."""
 
     probe_us: InService[Positive] = 1_000_000
     answer_us: InService[Positive] = 500_000
