A pushed list is followed from the head's first moment; silence and moves have bounds of their own

Seen: with lists that are pushed the platform's head made no call to discovery in 6 s of simulated time and never heard of a drain. Examined: the module subscribes only where the list is asked for (scheduler.py, the RESTORED branch of _list_news), as on the simulator's wire pushes come by themselves; service/head.py left the watch to it alone.

watching.py now follows by itself where the list is pushed and asks anew within a part of the drains' grace, as what the agent has counts at once; a start waits up to 20 s for the agent's first word before it listens, as the last life's list does not tell what has come since. Where the list is asked for, the module's growing waits (up to 8 s) are held under the settings' time without a call, and under a second until a source named by a new configuration has answered; a watch waits 2.5 s a call at most, so that its silence is noticed before the 6 s at which what it missed counts, also where the settings' time is 30 s and more.

Each test was seen to fail with its rule taken out by hand: not following where pushed (17 fail), a quarter of the ask time however long (2), the module's waits alone (3), no bound after a move (1), no waiting at the start (3), for ever (1), or past a request to leave (1), asked lists' patience for pushed ones (2), a wait as long as the grace (4), a silent call kept (13), the old source kept (2), lists on one line only (4).

--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -1,4 +1,8 @@
-"""The watch over discovery: one connection, one call after another; what comes is told to the module."""
+"""The watch over discovery: one connection, one call after another; what comes is told to the module.
+
+What fails is told to the module too where the list is asked for: it says when to ask again. Where it is
+pushed the module has asked for nothing, and the watch asks anew by itself.
+"""
 
 from __future__ import annotations
 
@@ -13,14 +17,14 @@
     targets_of,
 )  # fmt: skip
 from harriertrack.protocol.platform.exchange import Answer, Exchange, Spoilt
-from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Task
+from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Task
 from harriertrack.runtime.streams import Network, Stream
-from harriertrack.service.calls import Note
+from harriertrack.service.calls import Note, worth_saying
 from harriertrack.service.shelfs import Shelfs
 
 
 class Discovery:
-    """Follows the list while the module wants it."""
+    """Follows the list while the module wants it, or for ever where it is pushed."""
 
     def __init__(self, hub: Hub, network: Network, scope: Scope, core: Core, nodes: NodeList, shelfs: Shelfs,
                  watching: Watching, address: tuple[str, int], wall_ahead_us: int, name: str,
@@ -30,6 +34,8 @@
         self._address, self._wall_ahead_us = address, wall_ahead_us
         self._name, self._note = name, note
         self._task: Task | None = None
+        self._failures = 0  # in a row
+        self.heard = Event(hub)  # the source has answered in this life
 
     def subscribe(self, on: bool) -> None:
         """Follow from now on, or stop."""
@@ -50,6 +56,22 @@
         self._task = self._scope.spawn("discovery", self._run) if on else None
 
     def _run(self) -> None:
+        """Follow; after a failure, until the module says when to go on or that has taken too long."""
+        while True:
+            why = self._follow()
+            self._failures += 1
+            if worth_saying(self._failures):
+                self._note("discovery failed", why=why[:200], in_a_row=self._failures)
+            again_us = self._watching.failed()
+            if not self._watching.pushed:
+                self._core.list_failed()
+            if again_us is None:
+                return
+            self._hub.sleep(again_us)
+            self._watching.subscribe(True)
+
+    def _follow(self) -> str:
+        """Make one call after another until one fails; return why."""
         stream: Stream | None = None
         try:
             while True:
@@ -58,16 +80,15 @@
                 if stream is None:
                     stream = self._network.connect(self._address, deadline, self._name)
                 answer = self._ask(stream, call, deadline)
-                worth = self._told(answer)
-                if worth is Worth.STALE:
-                    raise TargetsError("the answer is older than the list in hand")
+                if self._told(answer) is Worth.STALE:
+                    return "the answer is older than the list in hand"
+                self._failures = 0
+                self.heard.set()
                 if not answer.reusable:
                     stream.close()
                     stream = None
         except (OSError, DeadlineExceeded, Spoilt, TargetsError) as error:
-            self._note("discovery failed", why=(str(error) or type(error).__name__)[:200])
-            self._watching.failed()
-            self._core.list_failed()
+            return str(error) or type(error).__name__
         finally:
             if stream is not None:
                 stream.close()
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -10,8 +10,8 @@
 from harriertrack.decisions.watching import Watching
 from harriertrack.membership.nodes import NodeList
 from harriertrack.runtime.alarm import Alarm
-from harriertrack.runtime.hub import Event, Hub
-from harriertrack.runtime.streams import Network
+from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope
+from harriertrack.runtime.streams import Listener, Network
 from harriertrack.service.calls import Note
 from harriertrack.service.configuration import Configuration
 from harriertrack.service.discovery import Discovery
@@ -66,48 +66,72 @@
         """Serve until `stop` is called and all is answered; raises OSError if it can't listen."""
         hub, configuration = self.hub, self.configuration
         hub.enter_group(self)
-        listener = self._network.listen(configuration.listen)
         try:
             with hub.scope(configuration.name) as scope:
-                known = [member.localised(self._wall_ahead_us) for member in configuration.known]
-                self.nodes.replace(known, restored=True)
-                entries = [member.entry for member in self.nodes.members()]
-                rules = configuration.rules()
-                self.core = Core(rules, self.module, (), self, self.nodes, NoPlaces(), entries)
-                self.shelfs = Shelfs(hub, self._network, scope, self.core, configuration.bounds,
-                                     configuration.name, self._note)  # fmt: skip
-                watching = Watching(configuration.bounds.ask_within_us, configuration.version)
-                self.discovery = Discovery(
-                    hub, self._network, scope, self.core, self.nodes, self.shelfs, watching,
-                    configuration.discovery, self._wall_ahead_us, configuration.name, self._note,
-                )  # fmt: skip
-                self.front = Front(hub, scope, self.core, configuration, self.leaving, self._note)
-                scope.spawn("front", self.front.serve, listener)
-                scope.spawn("callers", self.front.watch)
-                scope.spawn("shelfs", self.shelfs.watch)
+                watching = self._set_up(scope)
                 scope.spawn("report", self._report)
-                self.ready.set()
-                bounds = configuration.bounds
-                self._note("ready", name=configuration.name, nodes=len(self.nodes), cores=configuration.cores,
-                           callers=bounds.callers, ways=bounds.ways,
-                           longest_us=bounds.longest_us)  # fmt: skip
-                self._asked_to_leave.wait()
-                while True:
-                    phase = self.leaving.look(hub.now(), self.front.callers.unfinished)
-                    if self.leaving.leaves:
-                        listener.close()
-                        self.front.part()
-                    if phase is Phase.ENDED:
-                        break
-                    hub.sleep(LOOK_US)
-                self.core.fail_open()
-                hub.sleep(0)  # the answers leave at the end of this round
-                self.report()
+                if watching.pushed:
+                    self._hear_first(watching.hold_us)
+                listener = self._network.listen(configuration.listen)
+                try:
+                    self._serve(scope, listener)
+                finally:
+                    listener.close()
                 scope.cancel()
         finally:
-            listener.close()
             self._alarm.cancel()
 
+    def _set_up(self, scope: Scope) -> Watching:
+        hub, configuration = self.hub, self.configuration
+        known = [member.localised(self._wall_ahead_us) for member in configuration.known]
+        self.nodes.replace(known, restored=True)
+        entries = [member.entry for member in self.nodes.members()]
+        self.core = Core(configuration.rules(), self.module, (), self, self.nodes, NoPlaces(), entries)
+        self.shelfs = Shelfs(hub, self._network, scope, self.core, configuration.bounds, configuration.name,
+                             self._note)  # fmt: skip
+        told = configuration.told
+        watching = Watching(configuration.bounds.ask_within_us, configuration.version, not told.asked_list,
+                            told.drain_grace_us)  # fmt: skip
+        self.discovery = Discovery(
+            hub, self._network, scope, self.core, self.nodes, self.shelfs, watching,
+            configuration.discovery, self._wall_ahead_us, configuration.name, self._note,
+        )  # fmt: skip
+        self.front = Front(hub, scope, self.core, configuration, self.leaving, self._note)
+        return watching
+
+    def _serve(self, scope: Scope, listener: Listener) -> None:
+        """Take clients until it is asked to leave and has left."""
+        hub, configuration, bounds = self.hub, self.configuration, self.configuration.bounds
+        scope.spawn("front", self.front.serve, listener)
+        scope.spawn("callers", self.front.watch)
+        scope.spawn("shelfs", self.shelfs.watch)
+        self.ready.set()
+        self._note("ready", name=configuration.name, nodes=len(self.nodes), cores=configuration.cores,
+                   callers=bounds.callers, ways=bounds.ways, longest_us=bounds.longest_us)  # fmt: skip
+        self._asked_to_leave.wait()
+        while True:
+            phase = self.leaving.look(hub.now(), self.front.callers.unfinished)
+            if self.leaving.leaves:
+                listener.close()
+                self.front.part()
+            if phase is Phase.ENDED:
+                break
+            hub.sleep(LOOK_US)
+        self.core.fail_open()
+        hub.sleep(0)  # the answers leave at the end of this round
+        self.report()
+
+    def _hear_first(self, hold_us: int) -> None:
+        """Follow a pushed list, and take no client before it is here: it counts from the first moment on.
+
+        The list that the last life had does not tell what has come to the agent since.
+        """
+        self.discovery.subscribe(True)
+        try:
+            self.discovery.heard.wait(self.hub.now() + hold_us)
+        except DeadlineExceeded:
+            self._note("list not heard", why="discovery is silent: the last life's list is used")
+
     def _report(self) -> None:
         """Log what became of requests, attempts and connections so far, for ever (a task)."""
         while True:
@@ -133,6 +157,7 @@
             self._note("leaving", open=self.core.open_requests)
             self.report()
             self._asked_to_leave.set()
+            self.discovery.heard.set()  # nobody waits for a head that leaves to be ready
 
     def reconfigure(self, fresh: Configuration) -> None:
         """Follow a new configuration as far as a running head can: where discovery is."""
--- a/harriertrack/standin/platform.py
+++ b/harriertrack/standin/platform.py
@@ -8,6 +8,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from urllib.parse import parse_qs, urlsplit
 
 from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Waiters
@@ -106,6 +107,14 @@
         self.ended.append(number)
 
 
+class Outage(Enum):
+    """How discovery fails."""
+
+    NONE = "none"
+    SILENT = "silent"  # calls are taken and never answered
+    FAILING = "failing"  # calls end in 503
+
+
 @dataclass(slots=True)
 class PlatformDiscovery:
     """The list, its versions, and watches that wait for newer ones."""
@@ -117,6 +126,10 @@
     changed: dict[str, int] = field(default_factory=dict)  # the version of each entry's latest change
     calls: list[tuple[int, str]] = field(default_factory=list)
     spoil: Callable[[bytes], bytes] | None = None
+    indent: int | None = None  # lists come on many lines
+    outage: Outage = Outage.NONE
+    _streams: dict[Stream, None] = field(default_factory=dict)
+    _quiet: set[Stream] = field(default_factory=set)  # nothing comes over these any more
     _changes: Waiters = field(init=False)
     _listener: Listener = field(init=False)
 
@@ -152,26 +165,49 @@
         """Listen no more."""
         self._listener.close()
 
+    def fall_silent(self) -> None:
+        """All open watches fall silent: their connections stay open, and nothing more comes over them."""
+        self._quiet.update(self._streams)
+
+    def reset(self) -> None:
+        """All open connections break."""
+        for stream in list(self._streams):
+            stream.abort()
+
     def _serve(self, stream: Stream) -> None:
-        kept = b""
+        self._streams[stream] = None
         try:
-            while True:
-                head, _, kept = read_message(stream, kept)
-                if not head:
-                    return
-                target = head.split(b" ")[1].decode()
-                self.calls.append((self.hub.now(), target))
-                query = parse_qs(urlsplit(target).query)
-                told = self.listed()
-                if "since" in query:
-                    since = int(query["since"][0])
-                    self._wait(since, self.hub.now() + 1000 * int(query["timeout_ms"][0]))
-                    news = [self.servers[name] for name, at in self.changed.items() if at > since]
-                    told = {"version": self.version, "full": False, "servers": news}
-                body = json.dumps(told).encode()
-                stream.write(answer(self.spoil(body) if self.spoil else body))
+            self._answer_calls(stream)
         except OSError:
-            return  # the head broke it
+            pass  # the head broke it
+        finally:
+            del self._streams[stream]
+            self._quiet.discard(stream)
+
+    def _answer_calls(self, stream: Stream) -> None:
+        kept = b""
+        while True:
+            head, _, kept = read_message(stream, kept)
+            if not head:
+                return
+            target = head.split(b" ")[1].decode()
+            self.calls.append((self.hub.now(), target))
+            query = parse_qs(urlsplit(target).query)
+            told = self.listed()
+            if "since" in query and self.outage is Outage.NONE:
+                since = int(query["since"][0])
+                self._wait(since, self.hub.now() + 1000 * int(query["timeout_ms"][0]))
+                news = [self.servers[name] for name, at in self.changed.items() if at > since]
+                told = {"version": self.version, "full": False, "servers": news}
+            if self.outage is Outage.SILENT:
+                self._quiet.add(stream)
+            if stream in self._quiet:
+                continue  # for ever: the head has to give it up
+            if self.outage is Outage.FAILING:
+                stream.write(answer(b"", 503))
+                continue
+            body = json.dumps(told, indent=self.indent).encode()
+            stream.write(answer(self.spoil(body) if self.spoil else body))
 
     def _wait(self, since: int, until: int) -> None:
         try:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -69,6 +69,7 @@
         self.module = module
         self.head = PlatformHead(self.hub, self.net, self.configuration(), self.note, module)
         self.number = 0
+        self.begin = lambda: None  # a task beside the head's start
 
     def note(self, event, **fields):
         self.notes.append((event, fields))
@@ -86,6 +87,7 @@
                     shelf.start(scope)
                 self.discovery.start(scope)
                 scope.spawn("head", self.head.run)
+                scope.spawn("begin", self.begin)
                 self.head.ready.wait()
                 self.hub.sleep(20 * MS)
                 act(self)
--- /dev/null
+++ b/tests/test_platform_clock.py
@@ -0,0 +1,285 @@
+"""The list's clock: when a change counts as told, and that nothing new goes to a drained shelf after its grace.
+
+Each play sends reads and writes for one shard all the time; the shelf that holds it begins to drain while
+discovery is in trouble. What the shelf then got is held against the platform's terms, not the head's own.
+"""
+
+import copy
+
+import pytest
+from hypothesis import given, strategies as st
+
+from harriertrack.decisions.leaving import Phase
+from harriertrack.decisions.watching import MOVED_AGAIN_US, PATIENCE_US, WAIT_MOST_US, Watching
+from harriertrack.standin.platform import Outage, PlatformDiscovery
+from tests.test_platform import MS, SETTINGS, Site
+
+S = 1_000_000
+SLACK_US = 50 * MS
+SILENCE_US = 6 * S  # what a silent watch misses counts as told so long after
+ASKED, PUSHED = "on_request", "pushed"
+BOTH = pytest.mark.parametrize("way", [ASKED, PUSHED])
+
+
+def site_of(tmp_path, way=ASKED, act=lambda given: None, **safety):
+    settings = copy.deepcopy(SETTINGS["safety"])
+    site = Site(tmp_path, discovery=way, safety={**settings, **safety})
+    act(site.given)
+    return site
+
+
+def ask_all_the_time(site, every_us=40 * MS):
+    """Send reads and writes to shard 1 for ever (a task)."""
+    while True:
+        site.scope.spawn("ask", site.ask, site.request(writes=site.number % 2 == 1))
+        site.hub.sleep(every_us)
+
+
+def drain(site, name="s1", where=None):
+    site.discovery.set(name, where or site.shelfs[1].address, 1, "terminating")
+    return site.hub.now()
+
+
+def kept_the_rule(site, told_at):
+    """Play on past the grace; say that the drained shelf got requests before, and none from then on."""
+    over = told_at + site.given["settings"]["safety"]["drainGraceUs"] + SLACK_US
+    site.hub.sleep(max(0, over - site.hub.now()) + 2 * S)
+    when = [got.when for got in site.shelfs[1].got]
+    assert when and max(when) <= over, f"{(max(when) - over) / S:.2f} s after the grace was over"
+
+
+def played(site, act):
+    def whole(site):
+        site.scope.spawn("asks", ask_all_the_time, site)
+        site.hub.sleep(1_300 * MS)
+        act(site)
+
+    site.run(whole)
+
+
+@BOTH
+@pytest.mark.parametrize("after_us", [0, 700 * MS, 2_300 * MS])  # of the watch's wait of 2.5 s
+def test_what_a_silent_watch_misses_is_acted_on_within_six_seconds_and_the_grace(tmp_path, way, after_us):
+    def act(site):
+        site.hub.sleep(after_us)
+        site.discovery.fall_silent()
+        told_at = site.hub.now() + SILENCE_US
+        site.hub.sleep(100 * MS)
+        drain(site)
+        kept_the_rule(site, told_at)
+
+    played(site_of(tmp_path, way), act)
+
+
+@BOTH
+def test_a_silent_poll_is_asked_anew_too(tmp_path, way):
+    """All watches break, and the calls that follow are taken and never answered for a second."""
+
+    def act(site):
+        site.discovery.outage = Outage.SILENT
+        site.discovery.reset()
+        site.hub.sleep(1 * S)
+        site.discovery.outage = Outage.NONE
+        returned = site.hub.now()
+        drain(site)
+        # Asked for, the poll may stay silent: 6 s. Pushed, what the agent has counts as soon as it is back.
+        kept_the_rule(site, returned + (SILENCE_US if way == ASKED else 0))
+
+    played(site_of(tmp_path, way), act)
+
+
+def test_a_long_time_to_ask_within_does_not_make_a_watch_wait_for_longer_than_silence_allows(tmp_path):
+    def act(site):
+        site.hub.sleep(20 * S)
+        site.discovery.fall_silent()
+        silent_at = site.hub.now()
+        waited = int(site.discovery.calls[-1][1].split("timeout_ms=")[1]) * MS
+        told_at = max(silent_at + SILENCE_US, site.discovery.calls[-1][0] + waited + 2 * S)
+        drain(site)
+        kept_the_rule(site, told_at)
+        assert told_at == silent_at + SILENCE_US
+
+    played(site_of(tmp_path, askWithinUs=120 * S), act)
+
+
+def test_a_pushed_list_counts_when_the_agent_has_it_though_the_watch_was_just_reset(tmp_path):
+    def act(site):
+        site.discovery.reset()
+        kept_the_rule(site, drain(site))
+
+    played(site_of(tmp_path, PUSHED), act)
+
+
+@pytest.mark.parametrize("outage", [Outage.SILENT, Outage.FAILING])
+@pytest.mark.parametrize("lasts_us", [8_100 * MS, 8_400 * MS, 8_700 * MS, 9_000 * MS])
+def test_what_the_agent_gets_at_the_end_of_a_long_outage_counts_at_once(tmp_path, outage, lasts_us):
+    def act(site):
+        site.discovery.outage = outage
+        site.discovery.reset()
+        site.hub.sleep(lasts_us)
+        site.discovery.outage = Outage.NONE
+        kept_the_rule(site, drain(site))
+
+    played(site_of(tmp_path, PUSHED), act)
+
+
+def test_a_head_that_starts_sends_nothing_to_a_shelf_that_the_agent_has_as_draining(tmp_path):
+    site = site_of(tmp_path, PUSHED)
+    site.discovery.set("s1", site.shelfs[1].address, 1, "terminating")  # after its list of the last life
+
+    def act(site):
+        played_until = site.hub.now() + 3 * S
+        while site.hub.now() < played_until:
+            site.ask(site.request())
+            site.hub.sleep(40 * MS)
+        # The grace is counted from the process's first moment; half of it may serve what nobody else can.
+        assert all(got.when <= began + 2 * S for got in site.shelfs[1].got)
+
+    began = site.hub.now()
+    site.run(act)
+
+
+def test_a_head_whose_agent_is_silent_at_its_start_is_not_ready_until_it_is_heard(tmp_path):
+    site = site_of(tmp_path, PUSHED)
+    site.discovery.set("s1", site.shelfs[1].address, 1, "terminated")
+    site.discovery.outage = Outage.SILENT
+    began = site.hub.now()
+
+    def end_of_outage():
+        site.hub.sleep(5 * S)
+        with pytest.raises(ConnectionRefusedError):
+            site.connect()
+        site.discovery.outage = Outage.NONE
+
+    def act(site):
+        assert 5 * S <= site.hub.now() - began < 6 * S
+        assert site.ask(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")[0] == 200
+        assert site.ask(site.request())[0] == 503 and not site.shelfs[1].got
+
+    site.begin = end_of_outage
+    site.run(act)
+
+
+def test_a_head_whose_agent_stays_silent_is_ready_before_the_platform_counts_it_as_crashed(tmp_path):
+    site = site_of(tmp_path, PUSHED)
+    site.discovery.outage = Outage.SILENT
+    began = site.hub.now()
+
+    def act(site):
+        assert site.hub.now() - began < 25 * S
+        assert site.ask(site.request())[0] == 200
+        assert "list not heard" in [event for event, _ in site.notes]
+
+    site.run(act)
+
+
+def test_a_head_that_is_asked_to_leave_while_its_agent_is_silent_leaves_in_time(tmp_path):
+    site = site_of(tmp_path, PUSHED)
+    site.discovery.outage = Outage.SILENT
+
+    began = site.hub.now()
+
+    def leave():
+        site.hub.sleep(1 * S)
+        site.head.stop()
+
+    def act(site):
+        while site.head.leaving.phase is not Phase.ENDED:
+            site.hub.sleep(10 * MS)
+        # The longest deadline is 2.5 s, the kill comes 0.7 s after it.
+        assert site.hub.now() - began < (1_000 + 3_200) * MS
+
+    site.begin = leave
+    site.run(act)
+
+
+@BOTH
+@pytest.mark.parametrize("trouble", [None, Outage.SILENT, Outage.FAILING])
+def test_four_seconds_after_a_new_configuration_its_source_has_been_heard(tmp_path, way, trouble):
+    """Also where the old source had failed for long, and the new one does not answer its first calls."""
+
+    def act(site):
+        fresh = PlatformDiscovery(site.hub, site.net, version=90, servers=dict(site.discovery.servers))
+        fresh.start(site.scope)
+        if trouble is not None:
+            site.discovery.outage = trouble
+            site.discovery.reset()
+            site.hub.sleep(15 * S)
+            fresh.outage = trouble
+        site.given["discovery"] = f"127.0.0.1:{fresh.address[1]}"
+        site.head.reconfigure(site.configuration())
+        told_at = site.hub.now() + 4 * S
+        fresh.set("s1", site.shelfs[1].address, 1, "terminating")
+        site.hub.sleep(1_500 * MS)
+        fresh.outage = Outage.NONE
+        kept_the_rule(site, told_at)
+
+    played(site_of(tmp_path, way, drainGraceUs=400 * MS), act)
+
+
+@pytest.mark.parametrize("within_us", [2 * S, 5 * S, 10 * S])
+def test_a_head_without_a_watch_asks_within_the_settings_time(tmp_path, within_us):
+    """Counted anew when discovery is back: the module's own waits grow to 8 s meanwhile."""
+
+    def act(site):
+        site.discovery.outage = Outage.FAILING
+        site.discovery.reset()
+        site.hub.sleep(30 * S)
+        site.discovery.outage = Outage.NONE
+        returned = site.hub.now()
+        drain(site)
+        kept_the_rule(site, returned + within_us)
+
+    played(site_of(tmp_path, askWithinUs=within_us), act)
+
+
+@BOTH
+def test_what_is_written_on_a_watch_counts_then(tmp_path, way):
+    def act(site):
+        kept_the_rule(site, drain(site))
+
+    played(site_of(tmp_path, way), act)
+
+
+@BOTH
+@pytest.mark.parametrize("indent", [0, 2])
+def test_lists_may_come_indented(tmp_path, way, indent):
+    site = site_of(tmp_path, way)
+    site.discovery.indent = indent
+    site.discovery.set("s1", site.shelfs[1].address, 1, "terminating")
+
+    def act(site):
+        site.hub.sleep(1 * S)
+        assert site.head.nodes.find("s1").entry.state.value == "draining"
+        site.discovery.set("s1", site.shelfs[1].address, 1, "terminated")
+        site.hub.sleep(10 * MS)
+        assert site.head.nodes.find("s1") is None
+
+    site.run(act)
+
+
+@given(st.integers(0, 300 * S), st.booleans(), st.integers(100 * MS, 20 * S))
+def test_every_silence_is_over_before_it_counts_whatever_the_settings(within_us, pushed, grace_us):
+    """From any moment of a call: it is given up, and one more that fails too, before the next one is due."""
+    watching = Watching(within_us, 41, pushed, grace_us)
+    watching.subscribe(True)
+    watching.answered(41, False, 0)
+    call = watching.call()
+    assert call.wait_us <= WAIT_MOST_US and call.within_us <= max(WAIT_MOST_US + PATIENCE_US, call.wait_us + grace_us)
+    again = watching.failed()
+    if pushed:
+        watching.subscribe(True)
+        assert watching.call().within_us + again < grace_us / 2
+    elif within_us >= 2 * S:
+        assert PATIENCE_US + again <= max(within_us, PATIENCE_US + 300 * MS)
+
+
+def test_until_a_new_source_has_answered_it_is_asked_every_second():
+    watching = Watching(10 * S, 41)
+    watching.subscribe(True)
+    assert watching.failed() > MOVED_AGAIN_US
+    watching.restart()
+    assert watching.failed() == MOVED_AGAIN_US
+    watching.subscribe(True)
+    watching.answered(41, False, 0)
+    assert watching.failed() > MOVED_AGAIN_US
