--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -79,13 +79,16 @@
 @click.argument("settings", type=click.Path())
 @click.option("--clock-rate", type=click.FloatRange(0.5, 2.0), default=1.0,
               help="For rehearsals: how fast the process's clock runs.")  # fmt: skip
+@click.option("--clock-ahead", type=float, default=0.0,
+              help="For rehearsals: seconds that its wall clock is off.")  # fmt: skip
 @click.option("--as-later", is_flag=True, help="For rehearsals: speak to the fleet as a later version would.")
 @log_option
-def head(settings: str, clock_rate: float, as_later: bool, log_form: str) -> None:
+def head(settings: str, clock_rate: float, clock_ahead: float, as_later: bool, log_form: str) -> None:
     """Run a head by its SETTINGS until SIGINT or SIGTERM."""
     checked = settings_of(settings, HeadSettings)
     note = logger(log_form)
-    hub = Hub() if clock_rate == 1.0 else Hub(RatedClock(clock_rate))
+    rehearsed = clock_rate != 1.0 or clock_ahead
+    hub = Hub(RatedClock(clock_rate, int(clock_ahead * 1e6))) if rehearsed else Hub()
     hub.random.seed()
     try:
         one = Head(hub, SocketNetwork(hub), checked, note, wiring=_later(hub) if as_later else Wiring())
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -312,10 +312,79 @@
     used: bool
 
 
+class Proposed(msgspec.Struct, kw_only=True, tag="proposed", tag_field="what"):
+    """An operator proposed a version of a thing, or said what becomes of it."""
+
+    t: int
+    thing: str
+    version: int
+    standing: str
+
+
+class WentBy(msgspec.Struct, kw_only=True, tag="went-by", tag_field="what"):
+    """A head goes by this record of changes from now on."""
+
+    t: int
+    head: str
+    revision: int
+    digest: int
+    epoch: int
+    latest: dict[str, int] = {}  # of each thing that has versions
+
+
+class TookVersion(msgspec.Struct, kw_only=True, tag="took-version", tag_field="what"):
+    """A head runs a version of a thing from now on (0: what it began with), or did not take it: `why`."""
+
+    t: int
+    head: str
+    thing: str
+    version: int
+    why: str = ""
+
+
+class CloseDue(msgspec.Struct, kw_only=True, tag="close-due", tag_field="what"):
+    """A close is due at `at`, and within `bound_us` of it at every head: what it purges of which volume.
+
+    A volume of several heads lies where it was allocated, any other where its head placed it.
+    """
+
+    t: int
+    calendar: str
+    at: int
+    bound_us: int
+    volumes: list[str]
+    start: int = 0
+    end: int = 0  # 0: the volume's end
+
+
+class ClosedAt(msgspec.Struct, kw_only=True, tag="closed-at", tag_field="what"):
+    """A head told that close `number` of a calendar, which was at `at`, is done there."""
+
+    t: int
+    head: str
+    calendar: str
+    number: int
+    at: int
+
+
+class Kept(msgspec.Struct, kw_only=True, tag="kept", tag_field="what"):
+    """A client wrote `value` to a block, or read it: from `t` to `ended`, one operation a block at a time."""
+
+    t: int
+    ended: int
+    client: str
+    head: str
+    volume: str
+    offset: int
+    is_write: bool
+    outcome: Literal["served", "refused", "failed", "lost"]
+    value: int = 0
+
+
 Record = (
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
-    | ZoneUse
+    | ZoneUse | Proposed | WentBy | TookVersion | CloseDue | ClosedAt | Kept
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
