Pure machines in every order of their events: leases, terms, zones, the record of changes

A breadth-first search over models of two or three heads (lab/interleaving/machines.py, models/), the first counterexample being a shortest one, and the record of changes on the explored hub: two proposals at once with a killed writer, two terms, an operator's abort against a step.

--- /dev/null
+++ b/harriertrack/lab/interleaving/machines.py
@@ -0,0 +1,119 @@
+"""Every order of the events of pure machines: breadth first, so that the first breach is a shortest one.
+
+A `Model` joins a few machines to one state (heads, what is on its way between them, time) and names the
+events that can happen in it. States are copied, and those of one canonical form are looked at once.
+"""
+
+from __future__ import annotations
+
+import pickle
+import time
+from collections import deque
+from collections.abc import Hashable, Iterable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from harriertrack.lab.interleaving.canonical import freeze
+from harriertrack.lab.interleaving.search import Limits
+
+
+class Model(Protocol):
+    """What one adapter says of its machines."""
+
+    name: str
+    about: str
+
+    def start(self) -> Any:
+        """Return the first state: plain values and machines, which can be pickled."""
+
+    def events(self, state: Any) -> Iterable[str]:
+        """Name what can happen now."""
+
+    def apply(self, state: Any, event: str) -> None:
+        """Let it happen, in place."""
+
+    def wrong(self, state: Any) -> str | None:
+        """Return what must not be."""
+
+    def canonical(self, state: Any) -> Hashable:
+        """Return what tells this state from others."""
+
+
+class PlainModel:
+    """A model whose whole state tells it from others."""
+
+    def canonical(self, state: Any) -> Hashable:
+        """Return the state's canonical form."""
+        return freeze(state)
+
+
+@dataclass(slots=True)
+class Seen:
+    """What a search over a model saw."""
+
+    states: int = 0
+    steps: int = 0
+    deepest: int = 0
+    whole: bool = False
+    breach: str = ""
+    events: tuple[str, ...] = ()  # that lead to it
+    seconds: float = 0.0
+
+
+def explore(model: Model, limits: Limits = Limits(), depth: int = 1_000) -> Seen:  # noqa: B008
+    """Look at all states of a model, up to the first breach; `limits.schedules` bounds the states."""
+    seen, began = Seen(states=1), time.process_time()
+    start = model.start()
+    ways: list[tuple[int, str]] = [(-1, "")]  # of each state: from which, by what
+    known = {hash(model.canonical(start))}
+    waiting = deque([(0, 0, pickle.dumps(start))])
+
+    def way(at: int) -> tuple[str, ...]:
+        events = []
+        while at > 0:
+            at, event = ways[at]
+            events.append(event)
+        return tuple(reversed(events))
+
+    while waiting:
+        seen.seconds = time.process_time() - began
+        if seen.states >= limits.schedules or seen.seconds >= limits.seconds:
+            return seen
+        at, deep, kept = waiting.popleft()
+        if deep >= depth:
+            continue
+        for event in list(model.events(pickle.loads(kept))):
+            state = pickle.loads(kept)
+            seen.steps += 1
+            try:
+                model.apply(state, event)
+                wrong = model.wrong(state)
+            except Exception as error:  # a machine that raises is a breach like any other
+                wrong = f"{type(error).__name__}: {error}"
+            if wrong is not None:
+                seen.breach, seen.events = wrong, (*way(at), event)
+                return seen
+            form = hash(model.canonical(state))
+            if form not in known:
+                known.add(form)
+                ways.append((at, event))
+                seen.states += 1
+                seen.deepest = max(seen.deepest, deep + 1)
+                waiting.append((len(ways) - 1, deep + 1, pickle.dumps(state)))
+    seen.whole = True
+    seen.seconds = time.process_time() - began
+    return seen
+
+
+def replay(model: Model, events: Iterable[str]) -> str | None:
+    """Let events happen in turn; return the first breach, if there is one."""
+    state = model.start()
+    for event in events:
+        try:
+            model.apply(state, event)
+            wrong = model.wrong(state)
+        except Exception as error:
+            wrong = f"{type(error).__name__}: {error}"
+        if wrong is not None:
+            return wrong
+    return None
--- /dev/null
+++ b/harriertrack/lab/interleaving/models/__init__.py
@@ -0,0 +1,1 @@
+"""Pure machines in every order of their events, with two or three heads."""
--- /dev/null
+++ b/harriertrack/lab/interleaving/models/changes.py
@@ -0,0 +1,151 @@
+"""The record of changes and those who follow it: writers, fetches in any order, a witness that goes back."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from zlib import crc32
+
+from harriertrack.decisions.fleet.changes.following import Follower
+from harriertrack.decisions.fleet.changes.record import Record
+from harriertrack.decisions.fleet.changes.standing import UNDER_WAY, IllegalStep, Standing
+from harriertrack.decisions.fleet.changes.writing import Refused, propose, step, wish
+from harriertrack.lab.interleaving.machines import PlainModel
+
+THING = "settings"
+HEADS = ("h1", "h2")
+LATER_US = 20_000_000  # more than any pause of a follower
+
+
+@dataclass(slots=True)
+class State:
+    """The record at the witness, its backup, what writers and heads read of it."""
+
+    record: Record = field(default_factory=Record)
+    backup: Record | None = None
+    read: dict[str, Record] = field(default_factory=dict)  # by writer: what it will change
+    followers: dict[str, Follower] = field(default_factory=dict)
+    answers: list[tuple[str, Record]] = field(default_factory=list)  # fetches that come back
+    left: dict[str, int] = field(default_factory=dict)  # how often a writer may still write
+    restores: int = 1
+    now: int = 0
+    highest: int = 0  # epoch that decided
+    wrong: str = ""
+
+
+def digest(record: Record) -> int:
+    """Return a digest of a record, as heads make one of its bytes."""
+    return crc32(repr(record).encode())
+
+
+class ChangesModel(PlainModel):
+    """Each record follows from the one before it, and no head goes back."""
+
+    name = "changes"
+    about = "the record of changes: an operator, two terms, two heads that follow, a restored witness"
+
+    def __init__(self, writes: int = 2, restores: int = 1) -> None:
+        self._writes, self._restores = writes, restores
+
+    def start(self) -> State:
+        """Nothing was ever changed."""
+        state = State(restores=self._restores)
+        state.followers = {name: Follower(name) for name in HEADS}
+        state.left = dict.fromkeys(("operator", "term 1", "term 2"), self._writes)
+        return state
+
+    def events(self, state: State) -> Iterator[str]:
+        """Name what can happen now."""
+        for who, left in state.left.items():
+            if who in state.read:
+                yield f"{who} writes"
+            elif left:
+                yield f"{who} reads"
+        for name, one in state.followers.items():
+            if not one.fetching:
+                yield f"{name} fetches"
+        for at, (name, _) in enumerate(state.answers):
+            yield f"answer {at} to {name}"
+        if state.restores:
+            yield "restore" if state.backup is not None else "backup"
+        if any(one.lost for one in state.followers.values()):
+            yield "put back"
+
+    def apply(self, state: State, event: str) -> None:
+        """Let it happen."""
+        match event.split():
+            case ["backup"]:
+                state.backup = state.record
+            case ["restore"]:
+                state.restores -= 1
+                state.record, state.backup = state.backup or Record(), None
+                state.read.clear()  # what was read has another index now
+            case ["put", "back"]:
+                known = max((one.record for one in state.followers.values()), key=lambda one: one.revision)
+                if state.record.revision < known.revision:
+                    state.record = known.replaced([])
+            case [name, "fetches"]:
+                state.now += LATER_US
+                if state.followers[name].fetch(state.now):
+                    state.answers.append((name, state.record))
+            case ["answer", at, *_]:
+                name, found = state.answers.pop(int(at))
+                self._fetched(state, state.followers[name], found)
+            case [*who, "reads"]:
+                state.read[" ".join(who)] = state.record
+            case [*who, "writes"]:
+                self._write(state, " ".join(who))
+
+    def _fetched(self, state: State, one: Follower, found: Record) -> None:
+        before = one.record
+        one.fetched(state.now, found, digest(found))
+        if one.record.revision < before.revision:
+            state.wrong = f"{one.name} went back from {before.revision} to {one.record.revision}"
+        for thing, version in one.due():
+            one.took(thing, version.number if version is not None else 0)
+            wanted = one.record.wanted(thing, one.name)
+            if (wanted.number if wanted is not None else 0) != one.taken[thing].runs:
+                state.wrong = f"{one.name} runs {one.taken[thing].runs} of {thing}"
+
+    def _write(self, state: State, who: str) -> None:
+        read = state.read.pop(who)
+        state.left[who] -= 1
+        try:
+            fresh = self._make(read, who)
+        except (Refused, IllegalStep):
+            return
+        if read is state.record or read == state.record:  # compare-and-set
+            if fresh.revision != read.revision + 1 or fresh.epoch < read.epoch:
+                state.wrong = f"{who} made revision {fresh.revision} of {read.revision}"
+            state.record = fresh
+
+    def _make(self, read: Record, who: str) -> Record:
+        going = read.under_way(THING)
+        if who == "operator":
+            if going is not None:
+                return wish(read, THING, Standing.ABORTED, "op", 1, "enough")
+            holds = read.in_force(THING)
+            base = holds.number if holds is not None else 0
+            return propose(read, THING, base, f"body {read.revision}", "op", 1, "wanted")
+        epoch = int(who.split()[1])
+        if going is None:
+            raise Refused("nothing to decide")
+        match going.standing:
+            case Standing.PROPOSED:
+                return step(read, epoch, THING, going.number, Standing.GOING, 1, "", 1, HEADS[:1])
+            case Standing.GOING:
+                return step(read, epoch, THING, going.number, Standing.IN_FORCE, 1, "")
+            case _:
+                return step(read, epoch, THING, going.number, Standing.ABORTED, 1, "")
+
+    def wrong(self, state: State) -> str | None:
+        """Return what must not be."""
+        for record in (state.record, *(one.record for one in state.followers.values())):
+            if sum(one.standing in UNDER_WAY for one in record.versions) > 1:
+                return "two versions of one thing are under way"
+            if sum(one.standing is Standing.IN_FORCE for one in record.versions) > 1:
+                return "two versions of one thing are in force"
+            numbers = [one.number for one in record.versions]
+            if len(set(numbers)) < len(numbers):
+                return f"a number was used twice: {numbers}"
+        return state.wrong or None
--- /dev/null
+++ b/harriertrack/lab/interleaving/models/leases.py
@@ -0,0 +1,158 @@
+"""A ledger and its holders: leases against their return, messages in any order, clocks that differ."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from harriertrack.decisions.fleet.budgets import Ask, BudgetRules, Grant, Term, Whole
+from harriertrack.decisions.fleet.holder import Holder
+from harriertrack.decisions.fleet.ledger import Ledger
+from harriertrack.lab.interleaving.machines import PlainModel
+from harriertrack.lab.interleaving.models.mail import Mail
+
+ERROR = 0.05
+RULES = BudgetRules(lease_us=400_000, ask_us=200_000, quick_us=100_000, round_us=50_000, clock_error=ERROR,
+                    patience_us=100_000)  # fmt: skip
+WHOLE = Whole(100.0, 20.0, 2, 0.1)
+BUDGET = "v"
+STEP_US = 100_000
+RATES = {"a": 1 - ERROR, "b": 1 + ERROR}  # of heads' clocks, by the ledger's
+
+
+@dataclass(slots=True)
+class State:
+    """Two heads, the ledgers of one term after another, and what is on its way; `now` is true time."""
+
+    now: int
+    holders: dict[str, Holder]
+    ledger: Ledger
+    mail: Mail
+    busy: str = "a"  # who has all the demand
+    turned: bool = False
+    terms: int = 1
+    fed_at: dict[str, int] = field(default_factory=dict)
+
+    def clock(self, name: str) -> int:
+        """Return the time by a head's own clock."""
+        return int(self.now * RATES[name])
+
+
+class LeaseModel(PlainModel):
+    """Never is more of a budget in use than there is."""
+
+    name = "leases"
+    about = "a budget's leases against their return: two heads, one ledger, a second term"
+
+    def __init__(self, until_us: int = 1_200_000, silent: bool = False, lost: int = 1,
+                 twice: int = 0) -> None:  # fmt: skip
+        """Take `silent`: begin where who holds all has been silent until its lease is about to end."""
+        self._until, self._silent, self._lost, self._twice = until_us, silent, lost, twice
+        if silent:
+            self.name, self.about = "leases-end", "the same where a lease is about to end"
+
+    def start(self) -> State:
+        """Begin where one head holds all, and its demand has just gone over to the other."""
+        ledger = Ledger(0, Term(1, 1), 0, RULES)
+        state = State(0, {}, ledger, Mail(self._lost, self._twice))
+        for name in RATES:
+            state.holders[name] = Holder(0, name, 1, RULES, state.clock(name))
+            state.holders[name].open(state.clock(name), BUDGET, WHOLE)
+            state.holders[name].hear(state.clock(name), ledger.term)
+            state.fed_at[name] = 0
+        for _ in range(3):
+            state.now += STEP_US
+            self._live(state, "a")
+            while state.mail.under_way:
+                self._arrive(state, *state.mail.under_way.pop(0))
+        state.busy = "b"
+        while self._silent and state.now < state.holders["a"].lease.until - STEP_US:
+            state.now = self._next(state)
+            self._live(state, "b")
+            while state.mail.under_way:
+                self._arrive(state, *state.mail.under_way.pop(0))
+            for grant in state.ledger.round(state.now):
+                if grant.holder == "b":
+                    self._arrive(state, "b", grant)
+        return state
+
+    def _live(self, state: State, name: str) -> None:
+        """One head looks at its clock, feels its demand, and asks."""
+        holder, now = state.holders[name], state.clock(name)
+        portion = holder.open(now, BUDGET, WHOLE)
+        if state.busy == name:
+            portion.asked(WHOLE.rate * (state.now - state.fed_at[name]) / 1e6)
+        state.fed_at[name] = state.now
+        for ask in holder.asks(now):
+            state.mail.send("ledger", ask)
+
+    def _arrive(self, state: State, to: str, what: Ask | Grant | Term) -> None:
+        if isinstance(what, Ask):
+            grant = state.ledger.ask(state.now, what)
+            if grant is not None:
+                state.mail.send(what.holder, grant)
+            elif what.term != state.ledger.term:
+                state.mail.send(what.holder, state.ledger.term)
+        elif isinstance(what, Term):
+            state.holders[to].hear(state.clock(to), what)
+        else:
+            state.holders[to].granted(state.clock(to), what)
+
+    def events(self, state: State) -> Iterator[str]:
+        """Name what can happen now."""
+        yield from state.mail.events()
+        for name, holder in state.holders.items():
+            due = holder.wake_at()
+            if due is not None and state.clock(name) >= due:
+                yield f"{name} wakes"
+        due = state.ledger.wake_at()
+        if due is not None and state.now >= due:
+            yield "ledger wakes"
+        if state.now < self._until:
+            yield "time"
+            if state.terms == 1:
+                yield "the ledger's term ends"
+
+    def apply(self, state: State, event: str) -> None:
+        """Let it happen."""
+        match event.split():
+            case ["time"]:
+                state.now = self._next(state)
+            case ["ledger", "wakes"]:
+                for grant in state.ledger.round(state.now):
+                    state.mail.send(grant.holder, grant)
+            case [name, "wakes"]:
+                self._live(state, name)
+            case ["the", *_]:
+                state.terms += 1
+                opens = state.now + RULES.counted_us(RULES.lease_us)
+                state.ledger = Ledger(0, Term(state.terms, state.terms), opens, RULES)
+                for name in state.holders:
+                    state.mail.send(name, state.ledger.term)
+            case _:
+                came = state.mail.take(event)
+                if came is not None:
+                    self._arrive(state, *came)
+
+    def _next(self, state: State) -> int:
+        """Return the next moment at which a clock says something, or a step later."""
+        moments = [state.now + STEP_US]
+        for name, holder in state.holders.items():
+            moments += [int(at / RATES[name]) + 1 for at in (holder.wake_at(), holder.lease.until) if at]
+        moments += [tenant.until for tenant in state.ledger.tenants.values()]
+        moments.append(state.ledger.opens_at)
+        return min(at for at in moments if at > state.now)
+
+    def wrong(self, state: State) -> str | None:
+        """Return whether more is in use than may move, or a share outlives its lease at the ledger."""
+        used = {}
+        for name, holder in state.holders.items():
+            held = holder.held.get(BUDGET)
+            now = state.clock(name)
+            used[name] = held.portion.share if held is not None and holder.live(now) else 0.0
+        if sum(used.values()) > WHOLE.moving * (1 + 1e-9):
+            return f"{sum(used.values()):.1f} of {WHOLE.moving:.1f} is in use: {used}"
+        for account in state.ledger.accounts.values():
+            if account.counted > WHOLE.moving * (1 + 1e-9):
+                return f"the ledger counts {account.counted:.1f} of {WHOLE.moving:.1f}"
+        return None
--- /dev/null
+++ b/harriertrack/lab/interleaving/models/registry.py
@@ -0,0 +1,14 @@
+"""All models, by name."""
+
+from __future__ import annotations
+
+from harriertrack.lab.interleaving.machines import Model
+from harriertrack.lab.interleaving.models.changes import ChangesModel
+from harriertrack.lab.interleaving.models.leases import LeaseModel
+from harriertrack.lab.interleaving.models.terms import TermModel
+from harriertrack.lab.interleaving.models.zones import ZoneModel
+
+MODELS: dict[str, Model] = {
+    one.name: one
+    for one in (LeaseModel(), LeaseModel(silent=True), TermModel(), ZoneModel(), ChangesModel())
+}
--- /dev/null
+++ b/harriertrack/lab/interleaving/models/zones.py
@@ -0,0 +1,118 @@
+"""The fleet's word on zones: what heads see comes in any order, who decides may die and be succeeded."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from harriertrack.decisions.fleet.evacuation import Evacuation, Stage, Word, ZoneRules
+from harriertrack.decisions.fleet.evidence import Sight
+from harriertrack.lab.interleaving.machines import PlainModel
+
+RULES = ZoneRules(gone_us=200_000, fresh_us=400_000, wait_us=200_000, step_us=100_000, growth=4.0, first=0.2,
+                  turn_us=400_000)  # fmt: skip
+ZONES = ("x", "y")
+STEP_US = 100_000
+GOOD, BAD = (4, 0), (0, 4)
+SIGHTS: dict[str, dict[str, tuple[int, int]]] = {
+    "sees all": {"x": GOOD, "y": GOOD},
+    "lacks x": {"x": BAD, "y": GOOD},
+    "is cut off": {"x": BAD, "y": BAD},
+}
+
+
+@dataclass(slots=True)
+class State:
+    """Who decides, what heads said last, and the words that they heard."""
+
+    now: int = 1_000_000
+    decider: Evacuation = field(default_factory=lambda: Evacuation(RULES))
+    words: tuple[Word, ...] = ()
+    said: dict[str, tuple[str, int]] = field(default_factory=dict)  # by head: what, and when
+    lacks: dict[str, int] = field(default_factory=dict)  # by head: since when it has lacked x
+    deaths: int = 1
+    left_at: int = 0
+    wrong: str = ""
+
+
+class ZoneModel(PlainModel):
+    """A zone is left for evidence alone, the last one never, and it returns through its stages."""
+
+    name = "zones"
+    about = "the fleet's word on two zones: what two heads see, in any order, and a decider that dies"
+
+    def __init__(self, until_us: int = 900_000) -> None:
+        self._until = until_us + 1_000_000
+
+    def start(self) -> State:
+        """All are in use."""
+        state = State(decider=Evacuation(RULES))
+        state.decider.decide(state.now, ZONES, 2)
+        return state
+
+    def events(self, state: State) -> Iterator[str]:
+        """Name what can happen now."""
+        for head in ("a", "b"):
+            for what in SIGHTS:
+                if state.said.get(head, ("", 0)) != (what, state.now):
+                    yield f"{head}: {what}"
+        if state.deaths:
+            yield "the decider dies"
+        if state.now < self._until:
+            yield "time"
+
+    def apply(self, state: State, event: str) -> None:
+        """Let it happen; who decides looks at all each time that time passes."""
+        if event == "time":
+            state.now += STEP_US
+            self._decide(state)
+        elif event == "the decider dies":
+            state.deaths -= 1
+            state.decider = Evacuation(RULES)
+            state.decider.take_up(state.now, state.words)
+        else:
+            head, what = event.split(": ")
+            state.said[head] = (what, state.now)
+            if what == "lacks x":
+                state.lacks.setdefault(head, state.now)
+            else:
+                state.lacks.pop(head, None)
+            sights = tuple(Sight(zone, *seen, 8) for zone, seen in SIGHTS[what].items())
+            state.decider.saw(state.now, head, sights)
+
+    def _decide(self, state: State) -> None:
+        before = {name: zone.stage for name, zone in state.decider.zones.items()}
+        state.decider.decide(state.now, ZONES, 2)
+        state.words = state.decider.words()
+        steps = {
+            Stage.IN: (Stage.IN, Stage.OUT),
+            Stage.OUT: (Stage.OUT, Stage.TRYING),
+            Stage.TRYING: (Stage.TRYING, Stage.RETURNING),
+            Stage.RETURNING: (Stage.RETURNING, Stage.IN, Stage.OUT),
+        }
+        for name, zone in state.decider.zones.items():
+            was = before.get(name, Stage.IN)
+            if zone.stage not in steps[was]:
+                state.wrong = f"{name} went from {was.value} to {zone.stage.value}"
+            if was is Stage.IN and zone.stage is Stage.OUT:
+                self._left(state, name)
+
+    def _left(self, state: State, name: str) -> None:
+        since = state.now - RULES.fresh_us
+        fresh = [head for head in ("a", "b") if state.said.get(head, ("", 0))[1] >= since]
+        lacking = [head for head in fresh if state.said[head][0] == "lacks x"]
+        seeing = [head for head in fresh if state.said[head][0] == "sees all"]
+        if name != "x" or len(lacking) < 2 or seeing:
+            state.wrong = f"{name} was left though {state.said}"
+        elif min(state.lacks[head] for head in lacking) > state.now - RULES.gone_us:
+            state.wrong = f"{name} was left before it had been gone for {RULES.gone_us} us"
+
+    def wrong(self, state: State) -> str | None:
+        """Return what must not be."""
+        zones = state.decider.zones
+        stages = [zones[name].stage if name in zones else Stage.IN for name in ZONES]  # a new decider knows none
+        if Stage.IN not in stages:
+            return "no zone is in use"
+        if any(not 0 <= zone.share <= 1 for zone in zones.values()):
+            return "a share beyond one"
+        return state.wrong or None
--- a/harriertrack/lab/interleaving/scenarios/witness.py
+++ b/harriertrack/lab/interleaving/scenarios/witness.py
@@ -40,12 +40,13 @@
         return base64.b64decode(key[0]), key[1], key[2]
 
 
-def witness_of(world: World, sessions: tuple[str, ...] = (), value: bytes | None = None) -> ApartWitness:
+def witness_of(world: World, sessions: tuple[str, ...] = (), value: bytes | None = None,
+               path: str = PATH) -> ApartWitness:  # fmt: skip
     """Start a witness that knows some sessions, and a key if it has a value."""
     one = ApartWitness(world.hub, world.network, world.touched)
     keys = {}
     if value is not None:
-        keys[PATH.removeprefix("/v1/kv/")] = [base64.b64encode(value).decode(), "", 0, 1]
+        keys[path.removeprefix("/v1/kv/")] = [base64.b64encode(value).decode(), "", 0, 1]
     kept = {"sessions": dict.fromkeys(sessions, 60 * TTL_US), "keys": keys, "number": 0, "index": 1}
     one.take_up(json.dumps(kept).encode())
 
