The head's core as small modules around one board

decisions/requests.py had grown to 1040 lines, of which 700 were one class. It is a package now: rules, facts and port (what the core is told and asks), model (requests, parts, attempts), board (the one state: what is open, what the module hears next, what is due), and arriving, placing, keeping, ending, offering, attempts, which depend in this order alone; `Core` is what fronts and links call, with the names it had. Tests that seed faults do it where the care lives now (Ending, Offering); the checker still finds them.

Nothing differs.

--- /dev/null
+++ b/harriertrack/decisions/requests/attempts.py
@@ -0,0 +1,113 @@
+"""Attempts: sent, called off, ended; the module hears of each once."""
+
+from __future__ import annotations
+
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.life import (
+    AttemptState,
+    AttemptStep,
+    PartState,
+    PartStep,
+    lost_result,
+    step_attempt,
+    step_part,
+)  # fmt: skip
+from harriertrack.decisions.requests.board import Board
+from harriertrack.decisions.requests.ending import Ending
+from harriertrack.decisions.requests.facts import Beside
+from harriertrack.decisions.requests.keeping import Keeping
+from harriertrack.decisions.requests.model import Attempt
+from harriertrack.decisions.requests.offering import Offering
+from harriertrack.decisions.requests.port import NodeBook
+from harriertrack.decisions.splitting import Kind
+
+
+class Attempts:
+    """The life of attempts, as the module and the links see it."""
+
+    def __init__(self, board: Board, nodes: NodeBook, keeping: Keeping, ending: Ending,
+                 offering: Offering) -> None:  # fmt: skip
+        self._board, self._nodes = board, nodes
+        self._keeping, self._ending, self._offering = keeping, ending, offering
+
+    def send(self, now: int, action: api.Send) -> None:
+        """Send a part to a node, as the module says; MOOT if that can't be any more."""
+        board = self._board
+        part, member = board.parts[action.request], self._nodes.find(action.node)
+        if member is None:
+            raise RuntimeError(f"the module sends to {action.node}, which no list has named")
+        request = part.request
+        attempt = Attempt(part, len(part.attempts), member, now)
+        part.attempts.append(attempt)
+        part.out += 1
+        elsewhere = part.shard >= 0 and member.entry.shard != part.shard
+        if part.state.over or part.state is PartState.KEPT or elsewhere or now >= part.until:
+            board.counts.moot += 1
+            attempt.state = AttemptState.ENDED
+            self._tell(now, attempt, api.Result.MOOT, None)
+            return
+        part.state = step_part(part.state, PartStep.SEND)
+        board.counts.sent += 1
+        if request.kind is Kind.FLUSH:
+            attempt.write_number = request.volume.dirty.get(part.shard, 0)
+        until = min(now + action.timeout_us, part.until) if action.timeout_us else part.until
+        attempt.until = until
+        board.push(until, attempt)
+        board.port.send(attempt)
+
+    def ended(self, now: int, attempt: Attempt, result: api.Result, data: bytes,
+              report: Beside | None) -> None:  # fmt: skip
+        """Take an attempt's outcome from its link; one that was called off has told the module already."""
+        if attempt.state is AttemptState.ENDED:
+            return
+        if result in (api.Result.RESET, api.Result.TIMEOUT):
+            result = lost_result(attempt.state, result)
+        attempt.state = step_attempt(attempt.state, AttemptStep.END)
+        part = attempt.part
+        if attempt.told:
+            if part.request.patience_us and not part.state.over:
+                if result is api.Result.OK:
+                    self._ending.served_late(part, attempt, data)
+                elif part.state is PartState.KEPT and part not in self._keeping.patience and not part.listens:
+                    self._ending.given_up(part, PartStep.FAIL)  # nothing will be heard of it any more
+            return
+        if result is api.Result.OK:
+            self._offering.heard[attempt.member.entry.shard] = now
+            if not part.state.over:
+                self._ending.served(part, attempt, data)
+        elif not result.never_ran:
+            self._may_have_run(attempt)
+        self._tell(now, attempt, result, report)
+
+    def call_off(self, now: int, attempt: Attempt, result: api.Result) -> None:
+        """Stop waiting for an attempt; what its node still says of it is not listened to."""
+        if attempt.told:
+            return
+        result = lost_result(attempt.state, result)
+        attempt.state = step_attempt(attempt.state, AttemptStep.CALL_OFF)
+        if not result.never_ran:
+            self._may_have_run(attempt)
+        self._board.port.call_off(attempt)
+        self._tell(now, attempt, result, None)
+
+    def _may_have_run(self, attempt: Attempt) -> None:
+        part = attempt.part
+        part.risky_at = min(part.risky_at, attempt.sent_at) if part.may_have_run else attempt.sent_at
+        part.may_have_run = True
+
+    def _tell(self, now: int, attempt: Attempt, result: api.Result, report: Beside | None) -> None:
+        """Tell the module an attempt's one outcome."""
+        part = attempt.part
+        attempt.told = True
+        part.out -= 1
+        if not part.out:
+            if part.state.over:
+                self._board.retiring.append(part)
+            elif part.state is PartState.OUT:
+                part.state = step_part(part.state, PartStep.LOST)
+            elif part.state is PartState.KEPT:
+                self._keeping.all_in(now, part)
+        self._board.add(api.Ended(
+            part.number, attempt.number, attempt.member.entry.node, result, now - attempt.sent_at,
+            part.state.over, *((report.used_percent, report.elsewhere, report.load) if report else ()),
+        ))  # fmt: skip
--- /dev/null
+++ b/harriertrack/decisions/requests/board.py
@@ -0,0 +1,111 @@
+"""What a head has open, and what it owes: the one state that the modules beside work on."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.requests.model import Attempt, ClientRequest, Part, Volume
+from harriertrack.decisions.requests.port import Places, Port
+from harriertrack.decisions.requests.rules import ANSWER_TICKS, RequestRules
+from harriertrack.decisions.splitting import Kind, class_of, cut
+
+
+@dataclass(slots=True)
+class Counts:
+    """What became of requests, for operators.
+
+    The rules are judged elsewhere, from what the sockets carried.
+    """
+
+    taken: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    left: int = 0
+    sent: int = 0
+    moot: int = 0
+    kept: int = 0  # parts that waited on a hint
+
+
+class Board:
+    """The open parts, what the module is told next, the answers that are due, and what happens in time."""
+
+    def __init__(self, rules: RequestRules, port: Port, places: Places) -> None:
+        self.rules, self.port, self.places = rules, port, places
+        self.counts = Counts()
+        self.deadlines = {one.name: one.deadline_us for one in rules.classes}
+        self.windows = {one.name: one.window_us for one in rules.classes}
+        self.in_order = frozenset(one.name for one in rules.classes if one.in_order)
+        self.closing = ""  # why nothing waits on a hint any more
+        self.events: list[api.Event] = []
+        self.parts: dict[int, Part] = {}
+        self.answers: list[ClientRequest] = []
+        self.retiring: list[Part] = []  # over; forgotten at the end of a flush, if no attempt is out
+        self.due: list[tuple[int, int, Part | Attempt | str]] = []  # time-outs, and the module's timers
+        self.number = 0  # of the latest part
+        self.asked_soon = False
+        self._serial = 0
+        self._classes = [(one.name, one.kinds, one.at_least_bytes) for one in rules.classes]
+
+    def add(self, event: api.Event) -> None:
+        """Tell the module of something at the next flush."""
+        self.events.append(event)
+        if not self.asked_soon:
+            self.asked_soon = True
+            self.port.soon()
+
+    def soon(self) -> None:
+        """Ask for a flush at the end of this round."""
+        if not self.asked_soon:
+            self.asked_soon = True
+            self.port.soon()
+
+    def push(self, when: int, what: Part | Attempt | str) -> None:
+        """Let something happen in time."""
+        self._serial += 1
+        heapq.heappush(self.due, (when, self._serial, what))
+
+    def class_of(self, kind: Kind, length: int) -> str:
+        """Return the class of a request."""
+        return class_of(self._classes, kind, length) or self._classes[0][0]
+
+    def last_answer(self, request: ClientRequest) -> int:
+        """Return when a request that the module does not know is answered at the latest."""
+        return request.deadline - ANSWER_TICKS * self.rules.tick_us
+
+    def shard_of(self, volume: Volume, extent: int) -> int | None:
+        """Return the shard that holds an extent; None if it was never written."""
+        fixed = volume.settings.shards
+        return fixed[extent % len(fixed)] if fixed else self.places.shard_of(volume.settings.name, extent)
+
+    def part(self, request: ClientRequest, class_name: str, extent: int, offset: int, length: int,
+             shard: int) -> Part:  # fmt: skip
+        """Open a part of a request."""
+        self.number += 1
+        part = Part(self.number, request, class_name, extent, offset, length, shard)
+        self.parts[part.number] = part
+        request.parts.append(part)
+        return part
+
+    def cut(self, request: ClientRequest, class_name: str) -> None:
+        """Open the parts of a request: one for each extent, of a flush one for each shard with writes."""
+        volume, kind = request.volume, request.kind
+        if kind is Kind.FLUSH:
+            for dirty in volume.dirty:
+                self.part(request, class_name, -1, 0, 0, dirty)
+            return
+        for extent, offset, length in cut(request.offset, request.length, self.rules.extent_bytes):
+            shard = self.shard_of(volume, extent)
+            if request.moving and kind is Kind.WRITE:
+                self.part(request, class_name, extent, offset, length, -1)
+            elif request.at_shard >= 0:
+                self.part(request, class_name, extent, offset, length, request.at_shard)
+            elif shard is not None:
+                request.pieces.append(self.part(request, class_name, extent, offset, length, shard))
+            elif kind is Kind.WRITE:
+                self.part(request, class_name, extent, offset, length, -1)
+            # Nothing was ever written there: it reads as zeroes, and there is nothing to zero or trim.
+            else:
+                request.pieces.append(length)
--- /dev/null
+++ b/harriertrack/decisions/requests/core.py
@@ -0,0 +1,255 @@
+"""The core as fronts and links call it, and what it does when the module has spoken."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable, Iterator
+
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.life import AttemptStep, PartState, PartStep, step_attempt
+from harriertrack.decisions.requests.arriving import Arriving
+from harriertrack.decisions.requests.attempts import Attempts
+from harriertrack.decisions.requests.board import Board
+from harriertrack.decisions.requests.ending import Ending
+from harriertrack.decisions.requests.facts import Beside, VolumeFacts
+from harriertrack.decisions.requests.keeping import Keeping
+from harriertrack.decisions.requests.model import Attempt, ClientRequest, Part, Volume
+from harriertrack.decisions.requests.offering import Offering
+from harriertrack.decisions.requests.placing import Placing
+from harriertrack.decisions.requests.port import Holder, Module, NodeBook, Places, Port
+from harriertrack.decisions.requests.rules import Placed, RequestRules
+from harriertrack.decisions.splitting import Kind, Outcome
+
+
+class Core:
+    """One head."""
+
+    def __init__(
+        self,
+        rules: RequestRules,
+        module: Module,
+        volumes: Iterable[VolumeFacts],
+        port: Port,
+        nodes: NodeBook,
+        places: Places,
+        restored: Iterable[api.NodeEntry] = (),
+    ) -> None:
+        self.rules, self.nodes, self.places = rules, nodes, places
+        self.volumes = {volume.name: Volume(volume) for volume in volumes}
+        self._module, self._port = module, port
+        board = self._board = Board(rules, port, places)
+        self.counts = board.counts
+        self._arriving = Arriving(board)
+        self._placing = Placing(board, self._arriving)
+        self._keeping = Keeping(board, self._placing)
+        self._ending = Ending(board, self._placing, self._keeping)
+        self._offering = Offering(board, self._arriving, self._placing, self._keeping, self._ending)
+        self._attempts = Attempts(board, nodes, self._keeping, self._ending, self._offering)
+        for volume in self.volumes.values():  # what an earlier life wrote without a flush is not known
+            name, fixed = volume.settings.name, volume.settings.shards
+            volume.dirty = dict.fromkeys(fixed or {shard for _, shard in places.placed(name)}, 0)
+        board.add(api.NodesChanged(api.ListKind.RESTORED, list(restored)))
+
+    # -- the node list
+
+    def nodes_changed(self, news: api.NodesChanged | None) -> None:
+        """Take news of the node list; None is none."""
+        if news is not None:
+            self._board.add(news)
+
+    def list_failed(self) -> None:
+        """The source can't be reached; the list in hand stays."""
+        self._board.add(api.NodesChanged(api.ListKind.FAILED))
+
+    # -- requests
+
+    def deadline_of(self, now: int, kind: Kind, length: int) -> int:
+        """Return when a client that asks now gives up."""
+        return now + self._board.deadlines[self._board.class_of(kind, length)]
+
+    def full(self) -> bool:
+        """Return whether as many parts are open as the settings allow."""
+        return len(self._board.parts) >= self.rules.held
+
+    def take(self, now: int, request: ClientRequest) -> None:
+        """Take a request: from now on it is owed one final answer."""
+        board, kind = self._board, request.kind
+        board.counts.taken += 1
+        own = Kind.OWN_READ if kind is Kind.READ else Kind.MOVE if request.moving else Kind.CATCH_UP
+        class_name = board.class_of(own if request.background else kind, request.length)
+        if not request.deadline:
+            came = min(request.came or now, now)
+            request.deadline = came + max(board.deadlines[class_name], request.patience_us)
+        board.cut(request, class_name)
+        request.open = len(request.parts)
+        if not request.parts:
+            self._ending.finish(request, Outcome.SERVED)
+        for part in list(request.parts):
+            if part.state is PartState.WAITING:  # else the one before ended the request
+                self._offering.admit(now, part)
+
+    def take_placed(self, now: int, request: ClientRequest, placed: Placed) -> None:
+        """Take a request that is one part and says itself where it lies; its deadline is set.
+
+        Raises ValueError for one that would wait on hints: waiting goes by extents, which it has not.
+        """
+        if request.patience_us or not request.deadline:
+            raise ValueError("a request that is placed by its client has a deadline and no patience")
+        self.counts.taken += 1
+        part = self._board.part(request, placed.class_name, -1, 0, request.length, placed.shard)
+        part.placed = placed
+        request.pieces.append(part)
+        request.open = 1
+        self._arriving.tell(now, part)
+
+    def client_gone(self, request: ClientRequest) -> None:
+        """The client left: no answer is owed any more."""
+        if request.outcome is None:
+            request.outcome = Outcome.FAILED
+            self.counts.left += 1
+            self._ending.drop_parts(request)
+
+    def answer_outside(self, request: ClientRequest) -> None:
+        """Give an answer that was decided around the core at the end of the next flush, as all are."""
+        self._board.answers.append(request)
+        self._board.soon()
+
+    # -- what is open
+
+    @property
+    def open_requests(self) -> int:
+        """How many requests were taken and have no final answer yet."""
+        counts = self.counts
+        return counts.taken - counts.served - counts.refused - counts.failed - counts.left
+
+    @property
+    def open_parts(self) -> int:
+        """How many parts are open, or have attempts out."""
+        return len(self._board.parts)
+
+    @property
+    def waiting(self) -> int:
+        """How many parts wait on a hint."""
+        return len(self._keeping.patience)
+
+    @property
+    def offers(self) -> int:
+        """How often a part that waited was offered to the module."""
+        return self._keeping.patience.offered
+
+    def kept_parts(self) -> Iterator[Part]:
+        """Yield the open parts that wait, or have waited, on a hint."""
+        return (part for part in self._board.parts.values() if part.kept and not part.state.over)
+
+    # -- the head's end
+
+    def fail_open(self) -> None:
+        """The head ends now: fail whatever is open, which is true of anything that may yet run."""
+        for part in list(self._board.parts.values()):
+            if not part.state.over:
+                self._board.add(api.ClientGone(part.number))
+                self._ending.given_up(part, PartStep.FAIL)
+
+    def close(self, why: str) -> None:
+        """Let nothing wait on a hint any more: what does is refused."""
+        self._board.closing = why
+        for part in [part for part in self._board.parts.values() if part.state is PartState.KEPT]:
+            if part.state is PartState.KEPT:  # else a sibling's refusal has dropped it
+                part.request.why = why
+                self._ending.time_up(part)
+
+    # -- extents
+
+    def shard_of(self, volume: Volume, extent: int) -> int | None:
+        """Return the shard that holds an extent; None if it was never written."""
+        return self._board.shard_of(volume, extent)
+
+    def hold_extent(self, volume: str, extent: int, holder: Holder) -> None:
+        """Let later requests for an extent wait; `holder.held` follows once no earlier one is open.
+
+        It ends with `free_extent`, or with the end of a `moving` write to the extent. Raises ValueError if it
+        is held already, or was never placed.
+        """
+        self._placing.hold(volume, extent, holder)
+
+    def free_extent(self, volume: str, extent: int) -> None:
+        """Let those that wait for an extent go on; not while a `moving` write to it is under way."""
+        self._placing.free(volume, extent)
+
+    # -- attempts
+
+    def sent(self, attempt: Attempt) -> None:
+        """The attempt's bytes were handed to its link."""
+        attempt.state = step_attempt(attempt.state, AttemptStep.SEND)
+
+    def ended(self, now: int, attempt: Attempt, result: api.Result, data: bytes = b"",
+              report: Beside | None = None) -> None:  # fmt: skip
+        """Take an attempt's outcome from its link; one that was called off has told the module already."""
+        self._attempts.ended(now, attempt, result, data, report)
+
+    # -- the module
+
+    def flush(self, now: int) -> None:
+        """Hand the module what has happened, do what it says, and give the answers that are due."""
+        board, placing, patience = self._board, self._placing, self._keeping.patience
+        while True:
+            self._expire(now)
+            if board.events:
+                events, board.events = board.events, []
+                for action in self._module.handle(now, events):
+                    self._act(now, action)
+            placing.record()
+            placing.release(now)
+            for part in patience.due(now):
+                if part.state is PartState.KEPT:  # else one before it in this list ended their request
+                    self._offering.again(now, part)
+            if not board.events:
+                break
+        board.asked_soon = False
+        for part in board.retiring:
+            if not part.out:
+                board.parts.pop(part.number, None)
+        board.retiring.clear()
+        answers, board.answers = board.answers, []
+        for request in answers:
+            self._port.answer(request)
+        placing.tell_holders()
+        times = [board.due[0][0]] if board.due else []
+        if (next_at := patience.next_at(now)) is not None:
+            times.append(next_at)
+        if times:
+            self._port.wake_at(min(times))
+
+    def _expire(self, now: int) -> None:
+        due = self._board.due
+        while due and due[0][0] <= now:
+            what = heapq.heappop(due)[2]
+            if isinstance(what, str):
+                self._board.events.append(api.Woken(what))
+            elif isinstance(what, Attempt):
+                self._attempts.call_off(now, what, api.Result.TIMEOUT)
+            elif what.state in (PartState.WAITING, PartState.KEPT):
+                self._ending.time_up(what)
+
+    def _act(self, now: int, action: api.Action) -> None:
+        parts = self._board.parts
+        match action:
+            case api.Send():
+                self._attempts.send(now, action)
+            case api.SetTimer():
+                self._board.push(action.at_us, action.token)
+            case api.Refuse():
+                if not (part := parts[action.request]).state.over:
+                    self._offering.refused(now, part, action.retry_after_us)
+            case api.Fail():
+                if not (part := parts[action.request]).state.over:
+                    self._offering.failed(now, part)
+            case api.Cancel():
+                attempt = parts[action.request].attempts[action.attempt]
+                self._attempts.call_off(now, attempt, api.Result.CANCELLED)
+            case api.Subscribe():
+                self._port.subscribe(action.on)
+            case api.Log():
+                self._port.note(action.text)
+            case api.Probe():
+                raise RuntimeError("the module probes, though it was told that it may not")
--- /dev/null
+++ b/harriertrack/decisions/requests/rules.py
@@ -0,0 +1,47 @@
+"""What the core of a head is told at its start, and its few constants."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from harriertrack.decisions.patience import PatienceRules
+from harriertrack.decisions.splitting import Kind
+
+CHANGING = frozenset((Kind.WRITE, Kind.TRIM, Kind.ZERO))
+# A request that the module does not know yet is answered this many ticks before its time is up.
+ANSWER_TICKS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ClassRule:
+    """Which requests belong to a class, and when their clients give up (microseconds)."""
+
+    name: str
+    kinds: frozenset[Kind]
+    at_least_bytes: int
+    deadline_us: int
+    in_order: bool = False
+    window_us: int = 0  # how long a rack drops repeats; 0: nothing of this class may run again
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """What a client itself says of its request's class and place: nothing is cut, placed or looked up."""
+
+    class_name: str
+    key: str
+    shard: int  # -1: a new object
+    units: float
+    repeat: bool = False  # marked as asked again after a refusal or failure
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRules:
+    """What the core of a head is told at its start; sizes are bytes."""
+
+    extent_bytes: int
+    unit_bytes: int
+    tick_us: int
+    held: int  # the most parts that may be open at once
+    classes: tuple[ClassRule, ...]
+    patience: PatienceRules = PatienceRules()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -109,7 +109,7 @@
     rig = Rig(nodes=0)
     first, second = rig.ask(Kind.WRITE, data=b"a"), rig.ask(Kind.WRITE, data=b"b")
     assert [one.outcome for one in (first, second)] == [Outcome.REFUSED] * 2 and not rig.port.sent
-    assert rig.extents.shard_of("v", 0) is None and not rig.core._placing and not rig.core._parts
+    assert rig.extents.shard_of("v", 0) is None and not rig.core._placing.lines and not rig.core._board.parts
 
 
 def test_a_write_that_comes_in_the_moment_of_the_placement_follows_it():
@@ -156,7 +156,7 @@
     rig.end(one, data=b"1" * 100)
     assert rig.port.answers == [request]
     assert b"".join(piece.data for piece in request.pieces) == b"1" * 100 + b"2" * 100
-    assert not rig.core._parts
+    assert not rig.core._board.parts
 
 
 def test_a_split_write_of_which_one_part_fails_is_failed_at_once_and_the_rest_called_off():
@@ -168,7 +168,7 @@
     assert request.outcome is Outcome.FAILED  # the other part may have run
     assert rig.port.answers == [request] and rig.port.called_off == [two]
     rig.end(two, sent=False)  # its late answer changes nothing
-    assert rig.port.answers == [request] and not rig.core._parts
+    assert rig.port.answers == [request] and not rig.core._board.parts
     assert rig.core.counts.failed == 1 and rig.core.open_requests == 0
 
 
@@ -178,7 +178,7 @@
     one, two = rig.port.sent  # the second waits for its link
     rig.end(one, api.Result.FULL)
     assert request.outcome is Outcome.REFUSED and rig.port.called_off == [two]
-    assert rig.port.answers == [request] and not rig.core._parts
+    assert rig.port.answers == [request] and not rig.core._board.parts
 
 
 def test_a_write_that_never_left_is_refused_not_failed():
@@ -215,7 +215,7 @@
     rig.flush()
     assert rig.port.called_off == rig.port.sent and not rig.port.answers
     rig.end(rig.port.sent[0], sent=False)
-    assert not rig.core._parts and rig.core.open_requests == 0
+    assert not rig.core._board.parts and rig.core.open_requests == 0
     rig.core.client_gone(request)  # twice is once
     assert rig.core.counts.left == 1
 
@@ -228,7 +228,7 @@
     rig.run(1500 * MS)
     assert request.outcome is Outcome.REFUSED and rig.now <= start + 1500 * MS
     assert rig.port.called_off == rig.port.sent
-    assert not rig.core._parts or all(part.out for part in rig.core._parts.values())
+    assert not rig.core._board.parts or all(part.out for part in rig.core._board.parts.values())
 
 
 def test_flush_goes_where_writes_went_and_is_not_needed_twice():
--- a/tests/test_moving.py
+++ b/tests/test_moving.py
@@ -318,8 +318,8 @@
     from harriertrack.decisions.requests import Core
 
     def no_hold(self, volume, extent, holder):
-        self._held.append(type("Hold", (), {"holder": holder, "left": set()})())
-        self._soon()
+        self._placing._held.append(type("Hold", (), {"holder": holder, "left": set()})())
+        self._board.soon()
 
     monkeypatch.setattr(Core, "hold_extent", no_hold)
     broken = set()
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -11,9 +11,10 @@
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.life import PartState, PartStep
 from harriertrack.decisions.patience import Waiting
-from harriertrack.decisions.requests import Attempt, ClientRequest, Core
+from harriertrack.decisions.requests import Attempt, ClientRequest, core
+from harriertrack.decisions.requests.ending import Ending
+from harriertrack.decisions.requests.offering import Offering
 from harriertrack.decisions.splitting import Outcome
-from harriertrack.gateway import head
 from harriertrack.gateway.client import NbdClient
 from harriertrack.lab import day as days, rig
 from harriertrack.lab.exercise import Exercise, Load
@@ -45,7 +46,7 @@
     def wait(self, kind, offset=0, length=512, data=b"", patience=PATIENCE):
         request = ClientRequest(self.core.volumes["v"], kind, offset, len(data) or length, data, 0, None,
                                 patience_us=patience)  # fmt: skip
-        self.refuse.add(self.core._number + 1)
+        self.refuse.add(self.core._board.number + 1)
         self.core.take(self.now, request)
         self.flush()
         return request
@@ -71,7 +72,7 @@
     assert attempt.part is part and part.state is PartState.OUT
     rig.end(attempt, data=b"x" * 512)
     assert rig.port.answers[1:] == [request] and request.outcome is Outcome.SERVED
-    assert not rig.core._parts and rig.core.counts.served == 2
+    assert not rig.core._board.parts and rig.core.counts.served == 2
 
 
 def test_a_client_that_hears_hints_is_refused_on_arrival():
@@ -90,7 +91,7 @@
     rig.run(2 * MS)
     assert request.outcome is Outcome.REFUSED and rig.core.waiting == 0
     assert not [one for one in rig.port.sent if one.part.request is request]
-    assert {one.request.kind for one in rig.core._parts.values()} <= {Kind.FLUSH}  # a scout: see below
+    assert {one.request.kind for one in rig.core._board.parts.values()} <= {Kind.FLUSH}  # a scout: see below
 
 
 def test_an_offer_that_was_sent_and_not_answered_is_offered_again_as_a_further_attempt():
@@ -135,7 +136,7 @@
         rig.core.ended(rig.now, one, api.Result.RESET)
     rig.core.ended(rig.now, first, api.Result.RESET)
     rig.flush()
-    assert request.outcome is Outcome.FAILED and not rig.core._parts  # nothing will be heard of it any more
+    assert request.outcome is Outcome.FAILED and not rig.core._board.parts  # nothing will be heard of it any more
 
 
 def test_a_first_write_that_may_have_run_is_sent_again_where_it_may_have_run_and_placed_there():
@@ -156,7 +157,7 @@
     assert again is not first and again.member is first.member
     rig.end(again)
     assert request.outcome is Outcome.SERVED and rig.extents.shard_of("v", 0) == first.member.entry.shard
-    assert not rig.core._placing
+    assert not rig.core._placing.lines
 
 
 def test_a_late_answer_to_a_write_that_was_called_off_serves_the_client_that_waited():
@@ -168,7 +169,7 @@
     for one in rig.port.sent[2:]:
         rig.core.ended(rig.now, one, api.Result.RESET)
     rig.flush()
-    assert not rig.core._parts and rig.port.answers.count(request) == 1
+    assert not rig.core._board.parts and rig.port.answers.count(request) == 1
 
 
 def test_what_comes_later_stands_behind_what_waits_and_leaves_with_its_client():
@@ -184,7 +185,7 @@
     assert [attempt.part.request for attempt in rig.port.sent[1:]] == [later]
     rig.core.client_gone(later)
     rig.end(rig.port.sent[-1])
-    assert not rig.core._parts and rig.core.waiting == 0
+    assert not rig.core._board.parts and rig.core.waiting == 0
 
 
 def test_an_extent_that_moved_while_a_request_waited_is_asked_for_where_it_is_now():
@@ -250,8 +251,8 @@
         requests.append(request)
     rig.flush()
     assert [one.parts[0].state for one in requests] == [PartState.HELD] * 2
-    rig.core._refused(rig.now, requests[0].parts[0], 20 * MS)
-    rig.core._add(api.ClientGone(requests[0].parts[0].number))  # as if the module had given it up
+    rig.core._offering.refused(rig.now, requests[0].parts[0], 20 * MS)
+    rig.core._board.add(api.ClientGone(requests[0].parts[0].number))  # as if the module had given it up
     rig.flush()
     assert [one.parts[0].state for one in requests] == [PartState.KEPT] * 2
     rig.end(rig.port.sent[-1])
@@ -260,7 +261,7 @@
         rig.run(1_000 * MS)
         rig.end(rig.port.sent[-1])
     assert [one.part.request for one in rig.port.sent[2:]] == requests
-    assert not rig.core._kept_in_order and not rig.core._told_in_order
+    assert not rig.core._keeping.in_order and not rig.core._arriving.in_order
 
 
 def test_at_the_end_of_a_head_nothing_waits_on():
@@ -269,7 +270,7 @@
     requests = [rig.wait(Kind.READ, offset=at * 512) for at in range(3)]
     rig.core.close("shutting down")
     rig.flush()
-    assert [one.outcome for one in requests] == [Outcome.REFUSED] * 3 and not rig.core._parts
+    assert [one.outcome for one in requests] == [Outcome.REFUSED] * 3 and not rig.core._board.parts
     assert requests[0].why == "shutting down"
 
 
@@ -537,44 +538,44 @@
 # -- what the rule checker sees of it
 
 
-class AnswersTwice(Core):
+class AnswersTwice(Ending):
     """A head that answers again when a second offer is served."""
 
-    def _served(self, part, attempt, data):
-        super()._served(part, attempt, data)
+    def served(self, part, attempt, data):
+        super().served(part, attempt, data)
         if part.kept and part.request.outcome is Outcome.SERVED and len(part.request.parts) == 1:
             session, cookie = part.request.token, part.request.token._open[part.request]
-            hub = self._port.hub
+            hub = self._board.port.hub
             hub.at(hub.now() + MS, lambda: (session._nbd.reply_done(cookie), session._push()))
 
 
-class SendsAfter(Core):
+class SendsAfter(Ending):
     """A head that offers a request again though its client has its answer."""
 
-    def _given_up(self, part, step, hint=0):
-        super()._given_up(part, step, hint)
+    def given_up(self, part, step, hint=0):
+        super().given_up(part, step, hint)
         if part.kept and part.shard >= 0 and not part.out:
-            late = Attempt(part, len(part.attempts), self.nodes.find("node0"), 0)
+            port = self._board.port
+            late = Attempt(part, len(part.attempts), port.core.nodes.find("node0"), 0)
             part.attempts.append(late)
             part.out += 1
-            hub = self._port.hub
-            hub.at(hub.now() + 10 * MS, lambda: self._port.send(late))
+            port.hub.at(port.hub.now() + 10 * MS, lambda: port.send(late))
 
 
-class GivesUpEarly(Core):
+class GivesUpEarly(Offering):
     """A head that refuses what has waited for half a second."""
 
-    def _offer(self, now, part):
+    def again(self, now, part):
         if now > part.request.deadline - part.request.patience_us + 500 * MS:
-            self._given_up(part, PartStep.REFUSE)
+            self._ending.given_up(part, PartStep.REFUSE)
         else:
-            super()._offer(now, part)
+            super().again(now, part)
 
 
 @pytest.mark.parametrize("fault, rule, patience", [
     (AnswersTwice, 1, 20_000), (SendsAfter, 2, 1_600), (GivesUpEarly, 9, 20_000),
 ])  # fmt: skip
 def test_the_checker_catches_what_a_second_offer_must_not_do(monkeypatch, fault, rule, patience):
-    monkeypatch.setattr(head, "Core", fault)
+    monkeypatch.setattr(core, fault.__base__.__name__, fault)
     day = msgspec.structs.replace(days.load("plain-clients"), patience_us=patience * MS, plain=1.0)
     assert rule in {one.rule for one in checker.check(rig.play(day, 1, virtual=True).records)}
