--- a/harriertrack/config/settings/checks.py
+++ b/harriertrack/config/settings/checks.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from fnmatch import fnmatchcase
 from ipaddress import ip_address
 
 from harriertrack.config.settings.basis import given_twice
-from harriertrack.config.settings.fleet import BudgetsSettings, BudgetUse, FleetSettings
+from harriertrack.config.settings.fleet import BudgetsSettings, BudgetUse, ClosingSettings, FleetSettings
 from harriertrack.config.settings.head import HeadSettings
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions import interface as api
@@ -70,10 +71,14 @@
             fail(f"plan {plan.name}: limit-burst", "below most-units: the largest request could never go")
     if head.fleet is not None:
         _check_fleet(head.fleet, fail)
+        if head.fleet.closing is not None:
+            _check_closing(head, head.fleet.closing, fail)
         if head.fleet.budgets is not None:
             _check_budgets(head, head.fleet.budgets, fail)
         elif head.fleet.zones is not None:
             fail("fleet: zones", "needs budgets: who decides on zones does so under a lock at their witness")
+        elif head.fleet.changes is not None:
+            fail("fleet: changes", "needs budgets: the record of changes lies at their witness")
     if head.extent_bytes > head.most_units * head.unit_bytes:
         fail("most-units", "smaller than a whole extent")
     if head.extent_bytes % head.unit_bytes:
@@ -82,6 +87,18 @@
         fail("node-list", "name either a file or consul")
 
 
+def _check_closing(head: HeadSettings, closing: ClosingSettings, fail: Callable[[str, str], None]) -> None:
+    if head.fleet is not None and head.fleet.changes is None:
+        fail("fleet: closing", "needs changes: calendars are on the fleet's record of them")
+    if not any(Kind.MOVE in one.kinds for one in head.classes):
+        fail("fleet: closing", f"no class takes {Kind.MOVE.value}, which trims are")
+    for volume in head.volumes:
+        if volume.regions is not None and any(fnmatchcase(volume.name, one) for one in closing.volumes):
+            fail("fleet: closing: volumes", f"{volume.name} is a volume of two regions: not purged")
+    if closing.ask_us * 4 > closing.notice_us * 3:
+        fail("fleet: closing: ask", "must be shorter than three quarters of the notice")
+
+
 def _check_fleet(fleet: FleetSettings, fail: Callable[[str, str], None]) -> None:
     shown = fleet.advertise if fleet.advertise[0] else fleet.listen
     hosts = [("listen", fleet.listen[0]), ("advertise", shown[0])]
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -32,6 +32,7 @@
     from harriertrack.decisions.fleet.portions import Portions
     from harriertrack.gateway.fleet.carrier import Fleet
     from harriertrack.runtime.datagrams import DatagramNetwork
+    from harriertrack.storage.changes import ChangesCache
 
 MAP_US = 500_000  # how often the file of the cells' map is looked at
 STOP_US = 10_000_000  # the longest that a head waits for its open requests when it is asked to stop
@@ -49,6 +50,8 @@
     listing: Callable[[HeadParts], Listing] = Listing
     module: Callable[[api.Settings, int], Scheduler | Celled] = Scheduler
     datagrams: DatagramNetwork | None = None  # of its fleet; None: sockets
+    kept: ChangesCache | None = None  # its copy of the record of changes; None: a file
+    wall: Callable[[], int] | None = None  # for rehearsals: another wall clock than the hub's
 
 
 class Head:
@@ -112,7 +115,7 @@
                     decides = Observed(self.module, evidence)
                 self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
-                                  self._note, self._name, portions)  # fmt: skip
+                                  self._note, self._name, portions, self._wiring.wall)  # fmt: skip
                 self._links = self._wiring.links(parts)
                 self._listing = self._wiring.listing(parts)
                 self.regional: Regional | None = None
@@ -136,7 +139,8 @@
                     from harriertrack.gateway.fleet.carrier import Fleet  # other heads do not even load it
 
                     self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
-                                       self._listing)  # fmt: skip
+                                       self._listing, self._wiring.kept, extents,
+                                       self._links.epochs)  # fmt: skip
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
