Heads of a fleet with changes take settings from its record

On the way: the membership's new parts hold their figures once, so that a changed one reaches all of them (the member and its core each had a reference of their own).

--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from harriertrack.config.settings import FleetSettings
+from harriertrack.config.settings import FleetSettings, HeadSettings
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.membership.fleet.messages import BUDGETS, Record, State
@@ -49,7 +50,8 @@
     def __init__(self, parts: HeadParts, settings: FleetSettings, datagrams: DatagramNetwork | None = None,
                  portions: Portions | None = None, evidence: Evidence | None = None,
                  listing: Listing | None = None, kept: ChangesCache | None = None,
-                 extents: ExtentMap | None = None, epochs: dict[str, int] | None = None) -> None:  # fmt: skip
+                 extents: ExtentMap | None = None, epochs: dict[str, int] | None = None,
+                 retell: Callable[[HeadSettings], None] | None = None) -> None:  # fmt: skip
         self._parts, self._settings, self._hub = parts, settings, parts.hub
         self._network = datagrams or SocketDatagrams(parts.hub)
         self._alarm = Alarm(parts.hub, self._wake)
@@ -58,7 +60,7 @@
         self._taken = self._refused = 0
         self._about = About()
         self._portions, self._evidence, self._listing, self._kept = portions, evidence, listing, kept
-        self._extents, self._epochs = extents, epochs
+        self._extents, self._epochs, self._retell_head = extents, epochs, retell
         self.zones: Zones | None = None
         self.budgets: Budgets | None = None
         self.deciding: Deciding | None = None
@@ -120,6 +122,12 @@
 
             self.changes = Changes(self._parts, settings.changes, self.swim, self.deciding, self._tell_now,
                                    self._kept)  # fmt: skip
+            if self._retell_head is not None:
+                from harriertrack.decisions.fleet.changes.record import Kind
+                from harriertrack.gateway.fleet.settings_user import SettingsUser
+
+                user = SettingsUser(self._parts.settings, self._retell_head, self._parts.note)
+                self.changes.use(Kind.SETTINGS, user)
             if settings.closing is not None and self._extents is not None and self._epochs is not None:
                 from harriertrack.gateway.fleet.closing.carrier import Closing
 
@@ -131,7 +139,7 @@
     def retell(self, settings: FleetSettings) -> None:
         """Go by other figures from now on; what is due already stays so."""
         self._settings = settings
-        self.swim.rules = rules_of(settings)
+        self.swim.retell(rules_of(settings))
         if self.zones is not None and settings.zones is not None:
             self.zones.retell(settings.zones)
 
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -140,7 +140,7 @@
 
                     self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
                                        self._listing, self._wiring.kept, extents,
-                                       self._links.epochs)  # fmt: skip
+                                       self._links.epochs, self.retell)  # fmt: skip
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
--- a/harriertrack/membership/fleet/swim/core.py
+++ b/harriertrack/membership/fleet/swim/core.py
@@ -35,7 +35,7 @@
 
     def __init__(self, rules: Rules, me: Record, seeds: Iterable[Address] = (), seed: int = 0) -> None:
         member = self._member = Member(rules, me, seed)
-        self.rules, self.view, self.counts = rules, member.view, member.counts
+        self.view, self.counts = member.view, member.counts
         self._suspects, self._notes, self._sending = Suspects(member), Notes(member), Sending(member)
         self._words = Words(member, self._suspects, self._notes)
         others = [one for one in dict.fromkeys(seeds) if one != me.address]
@@ -43,6 +43,15 @@
         self._probing = Probing(member, self._sending, self._words, self._comparing)
         self._wake_at = 0
 
+    @property
+    def rules(self) -> Rules:
+        """Return the protocol's figures, as it goes by them now."""
+        return self._member.rules
+
+    def retell(self, rules: Rules) -> None:
+        """Go by other figures from now on; what is due already stays so."""
+        self._member.rules = rules
+
     @property
     def me(self) -> Record:
         """Return the newest word on this member itself."""
