--- a/harriertrack/decisions/interface.py
+++ b/harriertrack/decisions/interface.py
@@ -328,4 +328,11 @@
         """Return the head's part of what a cold node bears, `rate` units a second; it has `units` for it."""
 
 
+class Weights(Protocol):
+    """How much more or less work than an even share heads agree to give a node; without it, none."""
+
+    def factor(self, node: str) -> float:
+        """Return by how much more, 1/4 to 4; 1 for a node of which nothing is known."""
+
+
 Action = Send | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | Log
