--- a/harriertrack/decisions/requests/__init__.py
+++ b/harriertrack/decisions/requests/__init__.py
@@ -9,7 +9,8 @@
 `Core` is what fronts and links call. What is open stands on one `Board`; each module beside does one thing
 with it: `arriving` tells the module of parts, `placing` gives new extents their place and keeps extents to
 somebody, `keeping` has what waits on a hint, `ending` gives parts their ends and requests their one answer,
-`offering` decides what waits and is offered again, `attempts` sends and calls off.
+`offering` decides what waits and is offered again, `attempts` sends and calls off, `closing` gives up what a
+close covers, `acting` does what the module says.
 """
 
 from harriertrack.decisions.requests.core import Core
--- a/harriertrack/decisions/requests/attempts.py
+++ b/harriertrack/decisions/requests/attempts.py
@@ -19,6 +19,7 @@
 from harriertrack.decisions.requests.model import Attempt
 from harriertrack.decisions.requests.offering import Offering
 from harriertrack.decisions.requests.port import NodeBook
+from harriertrack.decisions.requests.rules import CHANGING
 from harriertrack.decisions.splitting import Kind
 
 
@@ -53,6 +54,8 @@
         until = min(now + action.timeout_us, part.until) if action.timeout_us else part.until
         attempt.until = until
         board.push(until, attempt)
+        if part.places and board.closings is not None:
+            board.closings.placing(request.volume.settings.name, part.extent, member.entry.shard)
         board.port.send(attempt)
 
     def ended(self, now: int, attempt: Attempt, result: api.Result, data: bytes,
@@ -94,6 +97,9 @@
         part = attempt.part
         part.risky_at = min(part.risky_at, attempt.sent_at) if part.may_have_run else attempt.sent_at
         part.may_have_run = True
+        closings = self._board.closings
+        if closings is not None and part.request.kind in CHANGING:
+            closings.may_run(part.request.volume.settings.name, part.extent)
 
     def _tell(self, now: int, attempt: Attempt, result: api.Result, report: Beside | None) -> None:
         """Tell the module an attempt's one outcome."""
--- a/harriertrack/decisions/requests/board.py
+++ b/harriertrack/decisions/requests/board.py
@@ -7,7 +7,7 @@
 
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.requests.model import Attempt, ClientRequest, Part, Volume
-from harriertrack.decisions.requests.port import Places, Port
+from harriertrack.decisions.requests.port import Closings, Places, Port
 from harriertrack.decisions.requests.rules import ANSWER_TICKS, RequestRules
 from harriertrack.decisions.splitting import Kind, class_of, cut
 
@@ -34,6 +34,7 @@
 
     def __init__(self, rules: RequestRules, port: Port, places: Places) -> None:
         self.rules, self.port, self.places = rules, port, places
+        self.closings: Closings | None = None  # of heads whose fleet has calendars
         self.counts = Counts()
         self.deadlines = {one.name: one.deadline_us for one in rules.classes}
         self.windows = {one.name: one.window_us for one in rules.classes}
@@ -49,6 +50,11 @@
         self._serial = 0
         self._classes = [(one.name, one.kinds, one.at_least_bytes) for one in rules.classes]
 
+    def retell(self, rules: RequestRules) -> None:
+        """Go by other deadlines and bounds from now on; classes, and how requests are cut, stay."""
+        self.rules = rules
+        self.deadlines = {one.name: one.deadline_us for one in rules.classes}
+
     def add(self, event: api.Event) -> None:
         """Tell the module of something at the next flush."""
         self.events.append(event)
--- a/harriertrack/decisions/requests/core.py
+++ b/harriertrack/decisions/requests/core.py
@@ -2,21 +2,22 @@
 
 from __future__ import annotations
 
-import heapq
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.life import AttemptStep, PartState, PartStep, step_attempt
+from harriertrack.decisions.requests.acting import Acting
 from harriertrack.decisions.requests.arriving import Arriving
 from harriertrack.decisions.requests.attempts import Attempts
 from harriertrack.decisions.requests.board import Board
+from harriertrack.decisions.requests.closing import Closing
 from harriertrack.decisions.requests.ending import Ending
 from harriertrack.decisions.requests.facts import Beside, VolumeFacts
 from harriertrack.decisions.requests.keeping import Keeping
 from harriertrack.decisions.requests.model import Attempt, ClientRequest, Part, Volume
 from harriertrack.decisions.requests.offering import Offering
 from harriertrack.decisions.requests.placing import Placing
-from harriertrack.decisions.requests.port import Holder, Module, NodeBook, Places, Port
+from harriertrack.decisions.requests.port import Closings, Holder, Module, NodeBook, Places, Port
 from harriertrack.decisions.requests.rules import Placed, RequestRules
 from harriertrack.decisions.splitting import Kind, Outcome
 
@@ -34,7 +35,7 @@
         places: Places,
         restored: Iterable[api.NodeEntry] = (),
     ) -> None:
-        self.rules, self.nodes, self.places = rules, nodes, places
+        self.nodes, self.places = nodes, places
         self.volumes = {volume.name: Volume(volume) for volume in volumes}
         self._module, self._port = module, port
         board = self._board = Board(rules, port, places)
@@ -45,12 +46,28 @@
         self._ending = Ending(board, self._placing, self._keeping)
         self._offering = Offering(board, self._arriving, self._placing, self._keeping, self._ending)
         self._attempts = Attempts(board, nodes, self._keeping, self._ending, self._offering)
+        self._acting = Acting(board, self._ending, self._offering, self._attempts)
+        self._closing = Closing(board, self._placing, self._ending)
         for volume in self.volumes.values():  # what an earlier life wrote without a flush is not known
             name, fixed = volume.settings.name, volume.settings.shards
             volume.dirty = dict.fromkeys(fixed or {shard for _, shard in places.placed(name)}, 0)
         board.add(api.NodesChanged(api.ListKind.RESTORED, list(restored)))
 
-    # -- the node list
+    # -- what it is told
+
+    @property
+    def rules(self) -> RequestRules:
+        """Return what it goes by."""
+        return self._board.rules
+
+    def retell(self, now: int, rules: RequestRules, settings: api.Settings) -> None:
+        """Go by other deadlines and bounds for what is taken from now on, and let the module go by its own.
+
+        Classes, and how requests are cut, stay.
+        """
+        self._board.retell(rules)
+        self._keeping.patience.retell(now, rules.patience)
+        self._board.add(api.SettingsChanged(settings))
 
     def nodes_changed(self, news: api.NodesChanged | None) -> None:
         """Take news of the node list; None is none."""
@@ -69,7 +86,7 @@
 
     def full(self) -> bool:
         """Return whether as many parts are open as the settings allow."""
-        return len(self._board.parts) >= self.rules.held
+        return len(self._board.parts) >= self._board.rules.held
 
     def take(self, now: int, request: ClientRequest) -> None:
         """Take a request: from now on it is owed one final answer."""
@@ -80,6 +97,8 @@
         if not request.deadline:
             came = min(request.came or now, now)
             request.deadline = came + max(board.deadlines[class_name], request.patience_us)
+        if self._closing.turns_away(request):
+            return
         board.cut(request, class_name)
         request.open = len(request.parts)
         if not request.parts:
@@ -176,6 +195,32 @@
         """Let those that wait for an extent go on; not while a `moving` write to it is under way."""
         self._placing.free(volume, extent)
 
+    # -- closes
+
+    @property
+    def closings(self) -> Closings | None:
+        """Return what guards ranges that are purged at closes; None: the head's fleet has no calendars."""
+        return self._board.closings
+
+    @closings.setter
+    def closings(self, closings: Closings) -> None:
+        self._board.closings = closings
+
+    def close_off(self, covers: Callable[[str, int, int], bool]) -> tuple[int, int]:
+        """Give up what is open of the (volume, offset, length) that a close covers; put placements on disk.
+
+        What may have run is failed, all else is refused. Returns how many parts were refused and failed.
+        """
+        return self._closing.close_off(covers)
+
+    def keep_purged(self, places: Iterable[tuple[str, int]]) -> None:
+        """Let requests for these (volume, extent) wait until `free_trimmed`; nothing of them is open."""
+        self._placing.keep_purged(places)
+
+    def free_trimmed(self, volume: str, extent: int) -> None:
+        """Let those that wait for a purged extent go on."""
+        self._placing.free(volume, extent, purged=True)
+
     # -- attempts
 
     def sent(self, attempt: Attempt) -> None:
@@ -191,13 +236,13 @@
 
     def flush(self, now: int) -> None:
         """Hand the module what has happened, do what it says, and give the answers that are due."""
-        board, placing, patience = self._board, self._placing, self._keeping.patience
+        board, placing, acting, patience = self._board, self._placing, self._acting, self._keeping.patience
         while True:
-            self._expire(now)
+            acting.expire(now)
             if board.events:
                 events, board.events = board.events, []
                 for action in self._module.handle(now, events):
-                    self._act(now, action)
+                    acting.act(now, action)
             placing.record()
             placing.release(now)
             for part in patience.due(now):
@@ -212,6 +257,8 @@
         board.retiring.clear()
         answers, board.answers = board.answers, []
         for request in answers:
+            if board.closings is not None:
+                self._closing.check(request)
             self._port.answer(request)
         placing.tell_holders()
         times = [board.due[0][0]] if board.due else []
@@ -219,37 +266,3 @@
             times.append(next_at)
         if times:
             self._port.wake_at(min(times))
-
-    def _expire(self, now: int) -> None:
-        due = self._board.due
-        while due and due[0][0] <= now:
-            what = heapq.heappop(due)[2]
-            if isinstance(what, str):
-                self._board.events.append(api.Woken(what))
-            elif isinstance(what, Attempt):
-                self._attempts.call_off(now, what, api.Result.TIMEOUT)
-            elif what.state in (PartState.WAITING, PartState.KEPT):
-                self._ending.time_up(what)
-
-    def _act(self, now: int, action: api.Action) -> None:
-        parts = self._board.parts
-        match action:
-            case api.Send():
-                self._attempts.send(now, action)
-            case api.SetTimer():
-                self._board.push(action.at_us, action.token)
-            case api.Refuse():
-                if not (part := parts[action.request]).state.over:
-                    self._offering.refused(now, part, action.retry_after_us)
-            case api.Fail():
-                if not (part := parts[action.request]).state.over:
-                    self._offering.failed(now, part)
-            case api.Cancel():
-                attempt = parts[action.request].attempts[action.attempt]
-                self._attempts.call_off(now, attempt, api.Result.CANCELLED)
-            case api.Subscribe():
-                self._port.subscribe(action.on)
-            case api.Log():
-                self._port.note(action.text)
-            case api.Probe():
-                raise RuntimeError("the module probes, though it was told that it may not")
--- a/harriertrack/decisions/requests/placing.py
+++ b/harriertrack/decisions/requests/placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from harriertrack.decisions.life import PartState, PartStep, step_part
@@ -18,6 +19,17 @@
 
     holder: Holder
     left: set[int]
+    purged: bool = False  # by a close: until what that left is trimmed
+
+
+class _Nobody:
+    """Keeps an extent for nobody who would have to hear of it."""
+
+    def held(self) -> None:
+        """Take note that no earlier request for the extent is open any more."""
+
+
+_NOBODY = _Nobody()
 
 
 class Placing:
@@ -51,6 +63,8 @@
             if held or line[0] is not part or key in self._released:  # the one before may just have placed it
                 if part.state is PartState.KEPT:
                     part.state = step_part(part.state, PartStep.PLACE)
+                if held and self._board.closings is not None and self._holds[key].purged:
+                    self._board.closings.awaited(*key)
                 self._board.push(self._board.last_answer(part.request), part)
                 return
             part.places = True
@@ -129,12 +143,23 @@
             self._held.append(hold)
         board.soon()
 
-    def free(self, volume: str, extent: int) -> None:
-        """Keep an extent no more."""
-        if self._holds.pop((volume, extent), None) is not None:
-            self._released.append((volume, extent))
+    def free(self, volume: str, extent: int, purged: bool = False) -> None:
+        """Keep an extent no more that was kept to somebody, or was purged."""
+        key = (volume, extent)
+        hold = self._holds.get(key)
+        if hold is not None and hold.purged is purged:
+            del self._holds[key]
+            self._released.append(key)
             self._board.soon()
 
+    def keep_purged(self, places: Iterable[tuple[str, int]]) -> None:
+        """Let requests for these (volume, extent) wait until they are freed as purged."""
+        for key in places:
+            if (before := self._holds.get(key)) is not None and not before.purged:
+                self._held.append(before)  # its holder finds that the extent is nowhere
+                self._board.soon()
+            self._holds[key] = Hold(_NOBODY, set(), purged=True)
+
     def tell_holders(self) -> None:
         """Tell those whose extents have become theirs."""
         held, self._held = self._held, []
--- a/harriertrack/decisions/requests/port.py
+++ b/harriertrack/decisions/requests/port.py
@@ -50,6 +50,22 @@
         """Take note that no earlier request for the extent is open any more."""
 
 
+class Closings(Protocol):
+    """What guards ranges that are purged at closes."""
+
+    def refuses(self, request: ClientRequest) -> int | None:
+        """Return the hint with which a request is refused now; None: it passes."""
+
+    def placing(self, volume: str, extent: int, shard: int) -> None:
+        """A first write to an extent is about to be sent to a shard."""
+
+    def may_run(self, volume: str, extent: int) -> None:
+        """What was sent for an extent may still run at its node, though nobody waits for it."""
+
+    def awaited(self, volume: str, extent: int) -> None:
+        """Somebody waits until an extent is trimmed."""
+
+
 class Port(Protocol):
     """What the core asks of its surroundings; none of these may call back into the core at once."""
 
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -13,9 +13,8 @@
 from harriertrack.decisions.fleet.budgets import Term
 from harriertrack.decisions.fleet.evacuation import Evacuation, Overlay, Word, ZoneRules, uses
 from harriertrack.decisions.fleet.evidence import Evidence
-from harriertrack.decisions.interface import Action, Event, NodeEntry
-from harriertrack.decisions.requests import Module
-from harriertrack.gateway.fleet.budgets import Budgets
+from harriertrack.decisions.interface import NodeEntry
+from harriertrack.gateway.fleet.deciding import Deciding
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.listing import Listing
 from harriertrack.gateway.parts import HeadParts
@@ -31,19 +30,6 @@
 PATH = "/v1/kv/harriertrack/zones"  # at the witness: what operators wish, a key for each zone
 
 
-class Observed:
-    """A decision module, and who sees what it hears and does."""
-
-    def __init__(self, module: Module, evidence: Evidence) -> None:
-        self._module, self._evidence = module, evidence
-
-    def handle(self, now: int, events: list[Event]) -> list[Action]:
-        """Take the events of one moment and return the actions, in order."""
-        actions = self._module.handle(now, events)
-        self._evidence.follow(now, events, actions)
-        return actions
-
-
 def wish_of(witness: WitnessClient, zone: str) -> str:
     """Return what operators wish of a zone: "out", "in" or "". Raises what calls raise."""
     key = witness.key(f"{PATH}/{quote(zone, safe='')}")
@@ -65,9 +51,9 @@
     """This head's part."""
 
     def __init__(self, parts: HeadParts, settings: ZonesSettings, evidence: Evidence, listing: Listing,
-                 swim: Swim, budgets: Budgets) -> None:  # fmt: skip
+                 swim: Swim, deciding: Deciding) -> None:  # fmt: skip
         self._parts, self._hub, self._rules = parts, parts.hub, rules_of(settings)
-        self._evidence, self._listing, self._swim, self._budgets = evidence, listing, swim, budgets
+        self._evidence, self._listing, self._swim, self._deciding = evidence, listing, swim, deciding
         self._overlay = Overlay()
         self._zones: list[str] = []
         self._words: tuple[Word, ...] = ()
@@ -76,12 +62,19 @@
         self._decides: Evacuation | None = None
         self._wishes: dict[str, str] = {}
         listing.heard, listing.overlay = self._listed, self._overlay.shown
+        deciding.on_seen, deciding.on_told = self.saw, self.told
 
     def start(self) -> None:
         """Take part from now on."""
         self._parts.scope.spawn("zones", self._run)
         self._parts.scope.spawn("zones' wishes", self._follow_wishes)
 
+    def retell(self, settings: ZonesSettings) -> None:
+        """Go by other figures from now on, also as who decides."""
+        self._rules = rules_of(settings)
+        if self._decides is not None:
+            self._decides.rules = self._rules
+
     def _listed(self, entries: list[NodeEntry]) -> None:
         self._evidence.listed(entries)
         self._zones = sorted({entry.zone for entry in entries})
@@ -93,13 +86,13 @@
 
     def _look(self, now: int) -> None:
         sights = self._evidence.report(now)
-        keeps = self._budgets.keeps(now)
+        keeps = self._deciding.keeps(now)
         self._decide(now, keeps)
         if keeps is not None and self._decides is not None:
             self._decides.saw(now, self._swim.me.name, sights)
         elif sights and (any(one.bad for one in sights) or now >= self._said_at + TELL_US):
             self._said_at = now
-            self._budgets.tell_keeper(Seen(self._swim.me.name, sights))
+            self._deciding.tell_keeper(Seen(self._swim.me.name, sights))
         if self._words and now >= self._heard_at + self._rules.told_us:
             self._parts.note("fleet zones: no word any more")
             self._words = ()
@@ -120,7 +113,7 @@
         self._heard(now, words)
         if words != before or now >= self._told_at + WORD_US:
             self._told_at = now
-            self._budgets.tell_all(Told(term, words))
+            self._deciding.tell_all(Told(term, words))
 
     def saw(self, now: int, seen: Seen) -> None:
         """Another head says what it sees."""
@@ -129,7 +122,7 @@
 
     def told(self, now: int, told: Told) -> None:
         """The word of the one who decides."""
-        if self._budgets.follows(now, told.term):
+        if self._deciding.follows(now, told.term):
             self._heard(now, told.words)
             self._show(now)
 
@@ -163,7 +156,7 @@
             if self._decides is None:
                 continue
             try:
-                fresh = {zone: wish_of(self._budgets.witness, zone) for zone in self._zones}
+                fresh = {zone: wish_of(self._deciding.witness, zone) for zone in self._zones}
             except FAILURES:
                 continue  # what was wished last holds
             for zone, wish in fresh.items():
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -19,28 +19,37 @@
     FleetFigures,
     FleetSeedSettings,
     FleetSettings,
+    HeadSettings,
+    ScoringSettings,
     ZonesSettings,
 )
 from harriertrack.decisions.fleet.budgets import Ask, Grant
+from harriertrack.decisions.fleet.changes.record import Record
+from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.decisions.fleet.changes.writing import propose, wish
+from harriertrack.decisions.fleet.scoring.rules import MOST_LOG
+from harriertrack.gateway.fleet.changes import keeping
 from harriertrack.gateway.fleet.zones import set_wish
 from harriertrack.gateway.head import Wiring
 from harriertrack.gateway.witness import WitnessClient
 from harriertrack.lab.day import DaySettings
-from harriertrack.lab.fleet import shares
+from harriertrack.lab.fleet import markets, shares, weights
 from harriertrack.lab.fleet.later import LaterDatagrams
 from harriertrack.lab.fleet.scenario import ZONES, DayBudgets, FleetDaySettings, StepSettings, Verb, chosen
+from harriertrack.lab.fleet.weights import BROKEN, PLUGIN, LyingDatagrams, Tally
 from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
 from harriertrack.lab.troubles import for_a_while
 from harriertrack.membership.fleet import budgeting
 from harriertrack.membership.fleet.budgeting import MARK
 from harriertrack.rules import recording as rec
 from harriertrack.rules.fleet import Views
-from harriertrack.runtime.datagrams import MemoryDatagrams
+from harriertrack.runtime.datagrams import DatagramNetwork, MemoryDatagrams
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import MemoryNetwork, Network
 from harriertrack.standin.relay import Fault, Weather
 from harriertrack.standin.shelf import Shelf
 from harriertrack.standin.witness import Witness
+from harriertrack.storage.changes import ChangesCache
 
 LOOK_US = 20_000
 FOREVER_US = 24 * 3600 * 1_000_000
@@ -54,10 +63,14 @@
 
 def day_of(day: FleetDaySettings, heads: int) -> DaySettings:
     """Return the day of clients and nodes that goes on beside a fleet's day."""
+    beside = []
+    if day.closing is not None:
+        beside = markets.volumes(day.markets, heads, day.hosts, day.shelves, day.extent_bytes)
     return DaySettings(
         name=day.name, about=day.about, length_us=FOREVER_US, heads=heads, nodes=day.shelves,
-        zones=ZONES, rate=day.rate * heads, volumes=day.volumes or heads, shared=1.0,
-        hosts=day.hosts, volume_bytes=64 << 20, extent_bytes=day.extent_bytes, request_us=300, unit_us=200,
+        zones=ZONES, rate=day.rate * heads, volumes=day.volumes or heads, shared=day.shared,
+        hosts=day.hosts, beside=tuple(beside), volume_bytes=64 << 20, extent_bytes=day.extent_bytes,
+        request_us=300, unit_us=200,
         cores=4, queue=256, limit=day.limit, limit_burst=day.limit_burst, limit_slack=day.limit_slack,
     )  # fmt: skip
 
@@ -73,8 +86,12 @@
         self.weather = Weather(seed, DELAY_US if isinstance(network, MemoryNetwork) else (0, 0))
         self.views = Views()
         self._drawn = random.Random(seed)
+        self.markets = markets.Markets(self, seed) if day.closing is not None else None
         if day.zones is not None and fleet:
             recorder.add(rec.ZoneFacts(t=0, zones=list(ZONES), may_leave=list(day.may_leave)))
+        self.tally = Tally(recorder)
+        if day.scoring is not None and fleet:
+            recorder.add(self.weight_facts(day.scoring))
         if day.budgets is not None and fleet:
             fixed = {one.name: one.fixed for one in day.budgets.budgets}.get(BudgetUse.LIMITS, 1.0)
             plans = {plan.name: plan for plan in self.plans}
@@ -95,6 +112,8 @@
             try:
                 self.build()
                 self.add_flows()
+                if self.markets is not None:
+                    self.markets.open()
                 for flow in self.flows:
                     scope.spawn(f"flow {flow.model.name}", flow.run, hub.now() + FOREVER_US)
                 if not isinstance(self.network, MemoryNetwork):
@@ -109,6 +128,8 @@
     def _finish(self) -> None:
         for flow in self.flows:
             flow.closed = True
+        if self.markets is not None:
+            self.markets.close()
         connections = [one for slot in self.heads for one in slot.connections]
         for connection in connections:
             connection.forget_unsent()
@@ -165,6 +186,10 @@
                 self.zone_slow(step.zone, step.times, step.for_us)
             case Verb.WISH:
                 self.wish(step.zone, step.wish)
+            case Verb.PROPOSE | Verb.CHANGE:
+                self.change(step)
+            case Verb.MARKET | Verb.CLOCK if self.markets is not None:
+                self.markets.step(step, who)
             case Verb.BACKUP:
                 self.backup()
             case Verb.DARK:
@@ -172,6 +197,29 @@
             case Verb.REST:
                 self.hub.sleep(step.for_us)
 
+    def change(self, step: StepSettings) -> None:
+        """Do as an operator does who proposes a version of a thing, or says what becomes of it."""
+        now_ms, thing = self.hub.clock.wall() // 1000, step.thing
+
+        def make(record: Record) -> Record:
+            if step.name is Verb.CHANGE:
+                return wish(record, thing, Standing(step.to), "operator", now_ms, "the day says so")
+            holds = record.in_force(thing)
+            base = holds.number if holds is not None else 0
+            return propose(record, thing, base, step.body, "operator", now_ms, "the day says so", step.plan)
+
+        client = WitnessClient(self.hub, self.network, self.witness_address, 1_000_000, "operator")
+        found = keeping.write(client, make)
+        last = found.record.under_way(thing) or found.record.of(thing)[-1]
+        self.recorder.add(
+            rec.Proposed(t=self.hub.now(), thing=thing, version=last.number, standing=last.standing.value)
+        )
+
+    @property
+    def witness_address(self) -> tuple[str, int]:
+        """Return where operators find the witness."""
+        raise NotImplementedError
+
     def _lead(self, names: list[str], times: float) -> None:
         """Let traffic go to some heads alone; a volume that none of them serves has none."""
         for flow in self.flows:
@@ -190,8 +238,38 @@
         day, number = self.fleet_day, int(name.removeprefix("head"))
         return day.zones if number % 10 < round(10 * day.zones_at) else None
 
-    def passed(self, _name: str, data: bytes, arrives: bool) -> None:
-        """Record what heads tell each other of budgets: asks as they leave, grants as they come."""
+    def weight_facts(self, scoring: ScoringSettings) -> rec.WeightFacts:
+        """Return what must hold of weights on this day."""
+        day = self.fleet_day
+        names = [f"head{number}" for number in range(self.day.heads)]
+        return rec.WeightFacts(
+            t=0, most=MOST_LOG, rate=scoring.rate, fresh_us=scoring.stale_us, sway=day.sway,
+            notes_bytes=2.0 * day.figures.topic_bytes,  # what a second brings, and what was spared
+            liars=chosen(day.liars, names), broken=list(BROKEN),
+        )  # fmt: skip
+
+    def scoring_of(self, step: StepSettings | None = None) -> ScoringSettings | None:
+        """Return what a head is told of scoring; a later version may be told other things."""
+        day = self.fleet_day
+        later = step is not None and step.later and day.scoring_later is not None
+        return day.scoring_later if later else day.scoring
+
+    def told_by(self, slot: HeadSlot, step: StepSettings) -> HeadSettings:
+        """Return the settings with which a head is started."""
+        fleet = slot.settings.fleet
+        if fleet is None or self.fleet_day.scoring_later is None:
+            return slot.settings
+        told = msgspec.structs.replace(fleet, scoring=self.scoring_of(step))
+        return msgspec.structs.replace(slot.settings, fleet=told)
+
+    def lies(self, slot: HeadSlot) -> bool:
+        """Whether a head is a liar."""
+        return slot.name in chosen(self.fleet_day.liars, [one.name for one in self.heads])
+
+    def passed(self, name: str, data: bytes, arrives: bool) -> None:
+        """Record what heads tell each other: of budgets asks as they leave, grants as they come."""
+        if self.fleet_day.scoring is not None and not arrives:
+            self.tally.passed(self.hub.now(), name, data)
         if data[:1] != MARK:
             return
         try:
@@ -272,6 +350,19 @@
             self.recorder.add(
                 rec.ZoneUse(t=self.hub.now(), head=slot.name, zone=str(fields["zone"]), used=used)
             )
+        if self.markets is not None:
+            self.markets.heard(slot, event, fields)
+        if event == "fleet changes":
+            numbers = {name: int(str(fields[name])) for name in ("revision", "digest", "epoch")}
+            latest = msgspec.convert(fields["latest"], dict[str, int])
+            self.recorder.add(rec.WentBy(t=self.hub.now(), head=slot.name, latest=latest, **numbers))
+        if event in ("fleet change taken", "fleet change turned down"):
+            self.recorder.add(
+                rec.TookVersion(t=self.hub.now(), head=slot.name, thing=str(fields["thing"]),
+                                version=int(str(fields["version"])), why=str(fields.get("why", "")))
+            )  # fmt: skip
+        if (said := weights.told(self.hub.now(), slot.name, event, fields)) is not None:
+            self.recorder.add(said)
         if event == "fleet member":
             told = {name: fields[name] for name in TOLD}
             told.update(t=self.hub.now(), member=slot.name, about=fields["member"])
@@ -346,6 +437,7 @@
         self.witness = Witness(hub, network)
         self._kept = b""
         self._later: set[str] = set()
+        self._changes: dict[str, ChangesCache] = {}  # what each head keeps of the record of changes
         self._still_until: dict[str, int] = {}
 
     def build(self) -> None:
@@ -359,6 +451,11 @@
         for number in range(day.heads):
             self.place_head(number)
 
+    @property
+    def witness_address(self) -> tuple[str, int]:
+        """Return where operators find the witness."""
+        return self.witness.address
+
     def fleet_of(self, name: str) -> FleetSettings | None:
         """Return what a head is told of its fleet."""
         if not self.with_fleet:
@@ -371,13 +468,20 @@
         return FleetSettings(
             name=name, listen=("127.0.0.1", FIRST_PORT + number), seeds=seeds,
             budgets=self.budgets_of(self.witness.address), zones=self.zones_of(name),
+            changes=self.fleet_day.changes, closing=self.fleet_day.closing, scoring=self.scoring_of(),
             **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
     def wiring(self, slot: HeadSlot) -> Wiring:
         """Return what a head is made of."""
-        later = slot.name in self._later
-        return Wiring(datagrams=LaterDatagrams(self.datagrams) if later else self.datagrams)
+        datagrams: DatagramNetwork = self.datagrams
+        if slot.name in self._later:
+            datagrams = LaterDatagrams(datagrams)
+        if self.lies(slot):
+            datagrams = LyingDatagrams(datagrams)
+        kept = self._changes.setdefault(slot.name, ChangesCache(None))
+        wall = self.markets.wall_of(slot) if self.markets is not None else None
+        return Wiring(datagrams=datagrams, kept=kept, wall=wall, scorers=(PLUGIN,))
 
     def note_of(self, slot: HeadSlot) -> Callable[..., None]:
         """Return what hears a head's log."""
@@ -386,7 +490,12 @@
     def launch(self, slot: HeadSlot, step: StepSettings) -> None:
         """Start a head."""
         self.lived(slot, "started")
+        if step.fresh:
+            self._changes.pop(slot.name, None)
+        if self.markets is not None:
+            self.markets.set_clock(slot, step)
         (self._later.add if step.later else self._later.discard)(slot.name)
+        slot.settings = self.told_by(slot, step)
         self.start_head(slot)
 
     def kill(self, slot: HeadSlot) -> None:
