--- /dev/null
+++ b/tests/closing/test_closing_days.py
@@ -0,0 +1,97 @@
+"""Days of closes in simulated time, and faults in the program that rule 10 finds."""
+
+import msgspec
+import pytest
+
+from harriertrack.decisions.fleet.closing.clocks import FleetClock, Interval
+from harriertrack.decisions.fleet.closing.fences import Fence
+from harriertrack.decisions.fleet.closing.sweeps import ALL, Sweep
+from harriertrack.decisions.requests import Core
+from harriertrack.gateway.fleet.closing.guard import Guard
+from harriertrack.lab.fleet import scenario
+from harriertrack.lab.fleet.rig import simulate
+from harriertrack.rules import changes, checker, closing, recording as rec
+from harriertrack.storage.extents import ExtentMap
+
+DAYS = [name for name in scenario.names() if name.startswith("close-")]
+
+
+def play(name, heads=4, seed=2, **changed):
+    day = msgspec.structs.replace(scenario.load(name), **changed)
+    recorder = rec.Recorder()
+    simulate(day, heads, seed, recorder)
+    return recorder.records
+
+
+@pytest.mark.parametrize("name", DAYS)
+def test_a_day_of_closes_keeps_rule_10(name):
+    records = play(name)
+    assert closing.check(records) == [] and checker.check(records) == [] and changes.check(records) == []
+    due = [one for one in records if isinstance(one, rec.CloseDue)]
+    done = {(one.head, one.calendar, one.at) for one in records if isinstance(one, rec.ClosedAt)}
+    assert due and {(head, one.calendar, one.at) for one in due for head in ("head0", "head3")} <= done
+    served = [one for one in records if isinstance(one, rec.Kept) and one.outcome == "served"]
+    assert any(one.value for one in served if not one.is_write) and len(served) > 300
+
+
+def purges_nothing(monkeypatch):
+    real = ExtentMap.purge
+    monkeypatch.setattr(ExtentMap, "purge", lambda self, *args: real(self, *args[:3], lambda _volume, _extent: False))
+
+
+def skips_every_second(monkeypatch):
+    real = Fence.due
+
+    def due(self, reading, until):
+        found = real(self, reading, until)
+        for one in [one for one in found if one.number % 2]:
+            self.done = one.number
+        return [one for one in found if not one.number % 2]
+
+    monkeypatch.setattr(Fence, "due", due)
+
+
+def closes_early(monkeypatch):
+    real = FleetClock.reading
+
+    def reading(self, now):
+        found = real(self, now)
+        return found and Interval(found.low + 2_000_000, found.high + 2_000_000)
+
+    monkeypatch.setattr(FleetClock, "reading", reading)
+
+
+def does_not_wait_for_trims(monkeypatch):
+    monkeypatch.setattr(Core, "keep_purged", lambda _self, _places: None)
+
+
+def sweeps_nothing(monkeypatch):
+    monkeypatch.setattr(Sweep, "done", property(lambda _self: ALL))
+
+
+def opens_before_sweeps(monkeypatch):
+    monkeypatch.setattr(Fence, "sweeps", lambda *_args: False)
+
+
+def answers_in_doubt(monkeypatch):
+    monkeypatch.setattr(Guard, "refuses", lambda _self, _request: None)
+    monkeypatch.setattr(Core, "close_off", lambda _self, _covers: (0, 0))
+
+
+FAULTS = [
+    purges_nothing, skips_every_second, closes_early, does_not_wait_for_trims, sweeps_nothing, opens_before_sweeps,
+    answers_in_doubt,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_a_fault_is_found(fault, monkeypatch):
+    fault(monkeypatch)
+    closing_settings = scenario.load("close-plain").closing
+    slow = msgspec.structs.replace(closing_settings, rate=4.0, burst=1.0, spread_us=2_000_000)
+    assert closing.check(play("close-plain", heads=3, closing=slow))
+
+
+def test_slow_trims_are_waited_for():
+    slow = msgspec.structs.replace(scenario.load("close-plain").closing, rate=12.0, burst=1.0, spread_us=2_000_000)
+    assert closing.check(play("close-plain", heads=3, closing=slow)) == []
