--- a/harriertrack/gateway/fleet/closing/carrier.py
+++ b/harriertrack/gateway/fleet/closing/carrier.py
@@ -102,6 +102,7 @@
         self._deciding.on_ruling[TOPIC] = self._ruled
         self._changes.use(Kind.CALENDAR, self)
         parts.scope.spawn("closes", self._run)
+        parts.scope.spawn("closes decided", self._decide)
         parts.scope.spawn("trims", self._trimming.run)
 
     # -- the record's user
@@ -211,13 +212,7 @@
         blind = True
         while True:
             now = self._hub.now()
-            decided = self._keeping.look(self._changes.record.revision)
-            if decided is not None:
-                self._apart = decided.epoch, Interval(0, 0)
-                self._heard_time(now, decided.truth)
-                self._heard_closes(decided.at + decided.truth.low, decided.digest)
-                self._keeping.told(self._swim.me.name, self._tells(now))
-            elif not self._keeping.decides and now >= self._ask_at:
+            if not self._keeping.decides and now >= self._ask_at:
                 self._ask(now)
             reading = self._guard.reading()
             if self.fences.blind(reading) != blind:
@@ -230,6 +225,17 @@
                     wait = max(LEAST_US, min(wait, at))
             self._hub.sleep(wait)
 
+    def _decide(self) -> None:
+        """Decide, while this head does (a task of its own: it waits for the witness, closes do not)."""
+        while True:
+            decided = self._keeping.look(self._changes.record.revision)
+            if decided is not None:
+                self._apart = decided.epoch, Interval(0, 0)
+                self._heard_time(decided.at, decided.truth)
+                self._heard_closes(decided.at + decided.truth.low, decided.digest)
+                self._keeping.told(self._swim.me.name, self._tells(decided.at))
+            self._hub.sleep(LOOK_US)
+
     def _step_over(self, reading: Interval) -> None:
         for fence in self.fences.fences.values():
             for close in fence.due(reading, self.fences.sure_until):
--- /dev/null
+++ b/tests/closing/test_closing_cli.py
@@ -0,0 +1,60 @@
+"""What operators see of closes."""
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from harriertrack.cli import closing
+from harriertrack.config.settings import ClosingSettings
+from harriertrack.config.sexp import SettingsError
+from harriertrack.gateway.fleet.closing.messages import Ask, Done, Ruling, ask_from, encode, ruling_from
+from harriertrack.membership.fleet.telling import ClosingTold, Document, FenceTold
+
+FENCE = FenceTold("calendar/tokyo", 3, "open", "2026-12-02 15:30:00 Asia/Tokyo", 1_796_193_000_000_000, 17, 4)
+TOLD = ClosingTold(True, False, (1_796_190_000_000_000, 1_796_190_000_020_000), False, 5, 6, [FENCE])
+
+
+def asked(monkeypatch, told, *options):
+    document = Document("f", "h1", "alive", "0", 1, 0, 0, {}, [], closing=told)
+    monkeypatch.setattr(closing, "document_of", lambda _place: (b"", document))
+    return CliRunner().invoke(closing.closes, ["--at", "127.0.0.1:1", *options])
+
+
+def test_closes_are_told_with_what_they_would_purge(monkeypatch):
+    said = asked(monkeypatch, TOLD, "--dry-run")
+    assert said.exit_code == 0
+    for word in ("17 extents", "2026-12-02 15:30:00 Asia/Tokyo", "2026-12-02 06:30:00", "within 10.0 ms", "5 extents to trim"):
+        assert word in said.output
+    assert "17 extents" not in asked(monkeypatch, TOLD).output
+
+
+def test_a_head_that_can_not_know_says_so(monkeypatch):
+    said = asked(monkeypatch, ClosingTold(False, True, None, True, 0, 0, []))
+    assert "BLIND" in said.output and "does not know the time" in said.output and "CLOCK IS WRONG" in said.output
+
+
+def test_json_and_a_head_without(monkeypatch):
+    assert msgspec.json.decode(asked(monkeypatch, TOLD, "--json").output, type=ClosingTold) == TOLD
+    assert asked(monkeypatch, None).exit_code == 2
+
+
+def test_what_is_no_message_is_none():
+    ask = Ask(1, 2, 3, (4, 5), [Done("c", 1, 2, 3)])
+    assert ask_from(encode(ask)) == ask and ask_from(b"\x91\x01") is None is ruling_from(b"")
+    ruling = Ruling(1, 2, None, 3, [], [])
+    assert ruling_from(encode(ruling)) == ruling
+
+
+@pytest.mark.parametrize(
+    ("more", "why"),
+    [
+        ('(closing (volumes "v*"))', "needs changes"),
+        ('(budgets (witness "10.0.0.9" 8500)) (changes) (closing (volumes "v*"))', "no class takes move"),
+    ],
+)
+def test_settings_that_can_not_be(more, why):
+    from tests.test_fleet_days import head
+
+    with pytest.raises(SettingsError, match=why):
+        head(f'(fleet "a" (listen "127.0.0.1" 7946) {more})')
+    assert ClosingSettings(volumes=("v",)).notice_us == 60_000_000
--- a/tests/closing/test_closing_fences.py
+++ b/tests/closing/test_closing_fences.py
@@ -1,5 +1,7 @@
 """What a fence lets pass, and how trims are paced."""
 
+import random
+
 import pytest
 
 from harriertrack.decisions.fleet.closing.clocks import Interval
@@ -146,3 +148,33 @@
     one = trims()
     one.drop(LEFTS[:5])
     assert one.next(0, 1) == LEFTS[5] and one.next(0, 1) is None and len(one) == 1
+
+
+# -- heads together
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_heads_whose_clocks_keep_their_bounds_never_serve_two_generations_at_one_moment(seed):
+    """Whatever each is off by, however late it looks, loses confirmations, dies with its disk or is cut off."""
+    rng = random.Random(seed)
+    closes = tuple(Close(number, 1000 * number, PURGES) for number in range(1, 6))
+    heads = [Fences(["m*"], {}) for _ in range(4)]
+    for one in heads:
+        assert one.fence("c").follow(Schedule(1, "a", closes)) == ""
+    served = set()
+    for now in range(0, 6000, 7):
+        for number, one in enumerate(heads):
+            low, high = rng.randrange(60), rng.randrange(60)
+            reading = None if rng.random() < 0.1 else Interval(now - low, now + high)
+            if rng.random() < 0.2:
+                one.confirmed(now - rng.randrange(50) + 400)  # said a while ago: no other closes within the notice
+            if rng.random() < 0.02:  # it dies: what was on disk stays, the confirmation does not
+                heads[number] = one = Fences(["m*"], {"c": one.fence("c").done})
+                assert one.fence("c").follow(Schedule(1, "a", closes)) == ""
+            if reading is not None and rng.random() < 0.3:
+                for close in one.fence("c").due(reading, one.sure_until):
+                    one.fence("c").purged(close.number)
+            if one.refuses(reading, "m1", 0, 10) is None:
+                assert one.fence("c").done == now // 1000 if now < 6000 else 5
+                served.add((number, one.fence("c").done))
+    assert len(served) >= 18, "each head serves in nearly every generation"
