--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -24,6 +24,7 @@
     table,
 )
 from harriertrack.cli.changes import COMMANDS as CHANGES
+from harriertrack.cli.closing import closes
 from harriertrack.cli.common import fail, settings_of
 from harriertrack.cli.days import tell
 from harriertrack.config.settings import HeadSettings
@@ -42,6 +43,7 @@
     budgets as budget_rules,
     changes as change_rules,
     checker,
+    closing as closing_rules,
     fleet as fleet_rules,
     recording as rec,
     scoring as score_rules,
@@ -64,7 +66,7 @@
     """Fleets of heads: what one holds of the others, and days for many processes."""
 
 
-for one_command in CHANGES:
+for one_command in (*CHANGES, closes):
     fleet.add_command(one_command)
 
 
@@ -354,16 +356,14 @@
             end = f"after {one.after_us / 1e6:.2f} s" if one.reached else "NOT REACHED"
             click.echo(f"{len(one.members)} agree {end} (within {one.within_us / 1e6:g} s)")
     click.echo("; ".join(f"{count} {what}" for what, count in checker.summary(records).items()))
-    requests, views = checker.check(records), fleet_rules.check(records, plan.detect_us)
-    shares, zones = budget_rules.check(records), zone_rules.check(records)
-    tell(requests, "requests: ")
-    tell(views, "views: ")
-    tell(shares, "budgets: ")
-    tell(zones, "zones: ")
-    record = change_rules.check(records)
-    tell(record, "record: ")
-    scores = score_rules.check(records)
-    tell(scores, "scores: ")
-    broken = requests + views + shares + zones + record + scores
+    judged = {
+        "requests": checker.check(records), "views": fleet_rules.check(records, plan.detect_us),
+        "budgets": budget_rules.check(records), "zones": zone_rules.check(records),
+        "record": change_rules.check(records), "closes": closing_rules.check(records),
+        "scores": score_rules.check(records),
+    }  # fmt: skip
+    for what, breaches in judged.items():
+        tell(breaches, f"{what}: ")
+    broken = any(judged.values())
     click.echo("rules broken" if broken else "all rules held")
     sys.exit(1 if broken else 0)
