--- a/harriertrack/lab/day.py
+++ b/harriertrack/lab/day.py
@@ -21,6 +21,7 @@
     RuleSettings,
     Service,
     Share,
+    VolumeSettings,
     Whole,
     read_file,
 )
@@ -111,6 +112,7 @@
     volumes: Positive = 6
     shared: Share = 0.5
     hosts: Positive = 2  # of a shared volume
+    beside: tuple[VolumeSettings, ...] = ()  # further volumes, on which no flow goes
     cells: Positive = 1  # shards and volumes are dealt to them in turn
     volume_bytes: Positive = 8 << 20
     extent_bytes: Positive = 128 << 10
