--- /dev/null
+++ b/harriertrack/lab/fleet/days/settings-lowered.sexp
@@ -0,0 +1,13 @@
+(fleet-day "settings-lowered"
+  (about "A plan's limit is lowered in service, head by head, then for all, while traffic asks for more than that.")
+  (processes 5) (rate 30) (hosts 4) (extent 32KiB) (limit 1) (limit-burst 200)
+  (figures (probe 300ms) (answer 150ms) (gossip 60ms) (sync 5s) (reach 1s) (recent 10s) (slack 3) (note 1s))
+  (budgets (clock-error 0.01) (term 2s) (patience 1s) (budget limits (fixed 0.25)))
+  (changes (look 300ms) (spread 500ms))
+  (step start) (step agree (within 20s)) (step rest (for 3s))
+  (step demand (who "head0" "head1") (times 4)) (step rest (for 6s))
+  (step limit (who "head1") (times 0.4)) (step rest (for 4s))
+  (step limit (who "0..0.5") (times 0.4)) (step rest (for 4s))
+  (step limit (times 0.4)) (step rest (for 10s))
+  (step kill (who "head1" "head2")) (step rest (for 1s)) (step start (who "head1" "head2"))
+  (step demand (times 3)) (step rest (for 8s)) (step agree (within 20s)))
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -30,7 +30,7 @@
 from harriertrack.gateway.head import Wiring
 from harriertrack.gateway.witness import WitnessClient
 from harriertrack.lab.day import DaySettings
-from harriertrack.lab.fleet import markets, shares
+from harriertrack.lab.fleet import limits, markets, shares
 from harriertrack.lab.fleet.later import LaterDatagrams
 from harriertrack.lab.fleet.scenario import ZONES, DayBudgets, FleetDaySettings, StepSettings, Verb, chosen
 from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
@@ -83,6 +83,7 @@
         self.views = Views()
         self._drawn = random.Random(seed)
         self.markets = markets.Markets(self, seed) if day.closing is not None else None
+        self.limits = limits.limits_of(self) if fleet else None
         if day.zones is not None and fleet:
             recorder.add(rec.ZoneFacts(t=0, zones=list(ZONES), may_leave=list(day.may_leave)))
         if day.budgets is not None and fleet:
@@ -181,6 +182,8 @@
                 self.wish(step.zone, step.wish)
             case Verb.PROPOSE | Verb.CHANGE:
                 self.change(step)
+            case Verb.LIMIT if self.limits is not None:
+                self.limits.step(step, who)
             case Verb.MARKET | Verb.CLOCK if self.markets is not None:
                 self.markets.step(step, who)
             case Verb.BACKUP:
@@ -315,6 +318,8 @@
             )
         if self.markets is not None:
             self.markets.heard(slot, event, fields)
+        if self.limits is not None:
+            self.limits.heard(slot, event, fields)
         if event == "fleet changes":
             numbers = {name: int(str(fields[name])) for name in ("revision", "digest", "epoch")}
             latest = msgspec.convert(fields["latest"], dict[str, int])
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -58,6 +58,7 @@
     WISH = "wish"  # an operator wishes a `zone` to be `out`, `in`, or has no wish
     PROPOSE = "propose"  # an operator proposes `body` as the next version of a `thing`
     CHANGE = "change"  # an operator wishes what is under way for a `thing` `paused`, `going` or `aborted`
+    LIMIT = "limit"  # `who` go by limits `times` those of the day from now on; all: so does who comes later
     MARKET = "market"  # an operator gives market `number` a calendar that closes `after`, and resumes it
     CLOCK = "clock"  # the wall clocks of `who` are `ahead` from now on; simulated days only
     BACKUP = "backup"  # what the witness knows is kept aside
@@ -155,6 +156,8 @@
             raise SettingsError(f"{at}: zone: one of {', '.join(ZONES)}")
         if step.name in (Verb.PROPOSE, Verb.CHANGE) and (day.changes is None or not step.thing):
             raise SettingsError(f"{at}: thing: is needed, on a day with changes")
+        if step.name is Verb.LIMIT and (day.changes is None or day.budgets is None or not step.times):
+            raise SettingsError(f"{at}: times: is needed above 0, on a day with budgets and changes")
         if (step.name is Verb.CHANGE) != bool(step.to):
             raise SettingsError(f"{at}: to: a change, and no other step, is paused, going or aborted")
         if step.name is Verb.MARKET and (day.closing is None or step.number >= day.markets):
--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -73,6 +73,7 @@
         self.said: dict[tuple[int, int, int], list[rec.Said]] = defaultdict(list)
         self.told: list[rec.Told] = []
         self.nodes: list[rec.Node] = []
+        self.limits_now: list[rec.LimitNow] = []
         self.heads: dict[int, str] = {}
         self.takes_of: dict[str, list[int]] = defaultdict(list)
         self.stray_answers: list[rec.Answer] = []
@@ -126,6 +127,8 @@
                     self.told.append(record)
                 case rec.Node():
                     self.nodes.append(record)
+                case rec.LimitNow():
+                    self.limits_now.append(record)
         for asked in self.asked:
             for still in stood[asked.take.head]:
                 until = still.t + still.us
@@ -404,13 +407,18 @@
 
 
 def limits_kept(story: Story) -> Iterator[Breach]:
-    """Rule 7: what all heads together send first for a volume keeps to its limit, within the slack."""
+    """Rule 7: what all heads together send first for a volume keeps to its limit, within the slack.
+
+    A limit may change in service: its store keeps its level, up to the new most.
+    """
     firsts = sorted((attempts[0] for attempts in story.attempts.values() if attempts), key=lambda got: got.t)
     for limit in story.facts.limits:
         level, at = limit.burst, None
         # What is sent evenly may arrive in a clump: as much as fills in the time that sends may be on their
         # way.
         slack = limit.slack + limit.rate * story.facts.flight_us / 1e6
+        rate, most = limit.rate, limit.burst
+        changes = [one for one in story.limits_now if one.volume == limit.volume]
         for got in firsts:
             if got.volume != limit.volume or got.kind == "flush":
                 continue
@@ -418,8 +426,13 @@
                 owner = story.owner.get((got.head, got.key))
                 if owner is None or not story.for_client(owner, got):
                     continue  # a copy: it was counted when its own region sent it
+            while changes and changes[0].t <= got.t:
+                now = changes.pop(0)
+                level = min(most, level + rate * (now.t - (now.t if at is None else at)) / 1e6, now.burst)
+                rate, most, at = now.rate, now.burst, now.t
+                slack = max(slack, limit.slack + rate * story.facts.flight_us / 1e6)
             if at is not None:
-                level = min(limit.burst, level + limit.rate * (got.t - at) / 1e6)
+                level = min(most, level + rate * (got.t - at) / 1e6)
             at = got.t
             level -= story.units(got)
             if level < -slack:
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -381,10 +381,20 @@
     value: int = 0
 
 
+class LimitNow(msgspec.Struct, kw_only=True, tag="limit-now", tag_field="what"):
+    """From now on a volume's limit is another: units a second, units at once."""
+
+    t: int
+    volume: str
+    rate: float
+    burst: float
+
+
 Record = (
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
     | ZoneUse | Proposed | WentBy | TookVersion | CloseDue | ClosedAt | Kept
+    | LimitNow
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
