--- /dev/null
+++ b/tests/live/test_limits_day.py
@@ -0,0 +1,49 @@
+"""Limits that change in service over a fleet's heads: rule 7 at the nodes holds, and finds a head that lies."""
+
+from harriertrack.config.sexp import read_text
+from harriertrack.gateway.head import Head
+from harriertrack.lab.fleet import scenario
+from harriertrack.lab.fleet.rig import simulate
+from harriertrack.rules import budgets, changes, checker, recording as rec
+
+DAY = """(fleet-day "limits"
+  (processes 4) (rate 12) (hosts 4) (extent 32KiB) (limit 1) (limit-burst 200) (volumes 2)
+  (figures (probe 300ms) (answer 150ms) (gossip 60ms) (sync 5s) (reach 1s) (recent 10s) (slack 3) (note 1s))
+  (budgets (clock-error 0.01) (term 2s) (patience 1s) (budget limits (fixed 0.3)))
+  (changes (look 300ms) (spread 500ms))
+  (step start) (step agree (within 20s)) (step demand (times 4)) (step rest (for 4s))
+  (step limit (who "head0") (times 0.3)) (step rest (for 1s))
+  (step limit (times 0.3)) (step rest (for 8s))
+  (step limit (times 2)) (step rest (for 3s)))"""
+
+
+def play(seed=1):
+    """Return the recording of the day."""
+    recorder = rec.Recorder(None)
+    simulate(scenario.parse(read_text(DAY, "day"), "day"), 4, seed, recorder, True)
+    return recorder.records
+
+
+def test_a_limit_that_is_lowered_and_raised_in_service_is_kept_by_all_heads_together():
+    records = play()
+    assert checker.check(records) == budgets.check(records) == changes.check(records) == []
+    told = [one for one in records if isinstance(one, rec.TookVersion)]
+    assert not any(one.why for one in told) and {one.head for one in told} == {f"head{number}" for number in range(4)}
+    facts = next(one for one in records if isinstance(one, rec.Facts))
+    limit = facts.limits[0]
+    now = [one for one in records if isinstance(one, rec.LimitNow) and one.volume == limit.volume]
+    assert [round(one.rate / limit.rate, 3) for one in now] == [0.3, 2.0]
+    story = checker.Story(records)
+    firsts = [one[0] for one in story.attempts.values() if one[0].volume == limit.volume and one[0].kind != "flush"]
+
+    def sent(begin, end):
+        """Return units a second, in the limit that the day began with."""
+        return sum(story.units(one) for one in firsts if begin <= one.t < end) * 1e6 / (end - begin) / limit.rate
+
+    low, high = now[0].t, now[1].t
+    assert 0.2 < sent(low, high) <= 0.3 and 0.6 < sent(high, high + 3_000_000)
+
+
+def test_a_head_that_says_it_took_a_lower_limit_and_goes_on_as_before_is_found(monkeypatch):
+    monkeypatch.setattr(Head, "retell", lambda self, settings: None)
+    assert {one.rule for one in checker.check(play())} == {7}
