--- a/tests/live/test_changing.py
+++ b/tests/live/test_changing.py
@@ -1,6 +1,7 @@
 """Which settings change in service: declared with each, and what is laid over a head's own."""
 
 import re
+from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
@@ -97,3 +98,16 @@
     (tmp_path / "new.sexp").write_text(text)
     run = CliRunner().invoke(propose_command, ["settings", "new.sexp", "--settings", "head.sexp", "--why", "x"])
     assert run.exit_code == 2 and said in run.output
+
+
+def test_operators_read_which_settings_change_in_service():
+    page = (Path(__file__).parents[2] / "docs/operators/settings.md").read_text()
+    rows = [[cell.strip() for cell in line.strip("|").split("|")] for line in page.splitlines() if line.startswith("| `") or
+            line.startswith("| the head itself")]  # fmt: skip
+    told = {}
+    for row in rows:
+        part = "" if row[0] == "the head itself" else row[0].strip("`")
+        if len(row) == 3 and re.fullmatch(r"[a-z: -]*", part):
+            for live, names in ((True, row[1]), (False, row[2])):
+                told.update({f"{part}: {name}" if part else name: live for name in filter(None, names.split(", "))})
+    assert told == {one.path: one.in_service for one in declared()}
