--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -431,11 +431,20 @@
     bytes: int
 
 
+class LimitNow(msgspec.Struct, kw_only=True, tag="limit-now", tag_field="what"):
+    """From now on a volume's limit is another: units a second, units at once."""
+
+    t: int
+    volume: str
+    rate: float
+    burst: float
+
+
 Record = (
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
     | ZoneUse | Proposed | WentBy | TookVersion | CloseDue | ClosedAt | Kept | WeightFacts | Weights | Vote
-    | NotesSent
+    | NotesSent | LimitNow
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
--- a/tests/live/test_changing.py
+++ b/tests/live/test_changing.py
@@ -1,9 +1,12 @@
 """Which settings change in service: declared with each, and what is laid over a head's own."""
 
 import re
+from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
+from harriertrack.cli.changes import propose_command
 from harriertrack.config.settings import HeadSettings, LimitSettings, parse
 from harriertrack.config.settings.changing import check_change, declared, differences, laid_over
 from harriertrack.config.sexp import SettingsError, bind, read_text
@@ -83,3 +86,28 @@
     other = HeadSettings(**{**{name: getattr(head, name) for name in head.__struct_fields__}, "classes": head.classes[::-1]})
     with pytest.raises(SettingsError, match="x: class: can't change"):
         check_change(head, other, "x")
+
+
+@pytest.mark.parametrize("text, said", [
+    ('(settings (plan "tin" (limit 50) (weigth 2)))', "new.sexp:1: plan: unknown setting weigth"),
+    ('(settings (rules (warm 1s)) (tick 5ms))', "new.sexp:1: tick: can't change while the head runs"),
+])  # fmt: skip
+def test_what_heads_would_turn_down_is_not_proposed(tmp_path, monkeypatch, text, said):
+    monkeypatch.chdir(tmp_path)
+    (tmp_path / "head.sexp").write_text(HEAD)
+    (tmp_path / "new.sexp").write_text(text)
+    run = CliRunner().invoke(propose_command, ["settings", "new.sexp", "--settings", "head.sexp", "--why", "x"])
+    assert run.exit_code == 2 and said in run.output
+
+
+def test_operators_read_which_settings_change_in_service():
+    page = (Path(__file__).parents[2] / "docs/operators/settings.md").read_text()
+    rows = [[cell.strip() for cell in line.strip("|").split("|")] for line in page.splitlines() if line.startswith("| `") or
+            line.startswith("| the head itself")]  # fmt: skip
+    told = {}
+    for row in rows:
+        part = "" if row[0] == "the head itself" else row[0].strip("`")
+        if len(row) == 3 and re.fullmatch(r"[a-z: -]*", part):
+            for live, names in ((True, row[1]), (False, row[2])):
+                told.update({f"{part}: {name}" if part else name: live for name in filter(None, names.split(", "))})
+    assert told == {one.path: one.in_service for one in declared()}
