--- /dev/null
+++ b/tests/scoring/test_carrier.py
@@ -0,0 +1,183 @@
+"""Scorers in a head: found as packages, asked on threads, chosen by settings and record, seen by operators."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import threading
+
+import msgspec
+import pytest
+
+from harriertrack.cli.scoring import node_rows, scorer_lines
+from harriertrack.config.settings import ParameterSettings, ScorerSettings
+from harriertrack.config.sexp import SettingsError
+from harriertrack.decisions.fleet.changes.record import Version
+from harriertrack.decisions.fleet.scoring.picture import NodeSight, Picture
+from harriertrack.decisions.fleet.scoring.scorers.base import Parameter, ScorerKind
+from harriertrack.decisions.fleet.scoring.voting import Vote
+from harriertrack.gateway.fleet.scoring.asking import OnThread
+from harriertrack.gateway.fleet.scoring.carrier import scored_of
+from harriertrack.gateway.fleet.scoring.choosing import BadScorer, Choice
+from harriertrack.gateway.fleet.scoring.plugins import found, scorers
+from harriertrack.lab.fleet import scenario
+from harriertrack.lab.fleet.rig import simulate
+from harriertrack.rules import recording as rec, scoring as score_rules
+from tests.test_fleet_days import head
+
+PICTURE = Picture("z0", (NodeSight("a", evidence=9, age_us=0, latency_us=5.0),))
+
+
+class Offers:
+    """A plugin that offers what it is told to."""
+
+    def __init__(self, *kinds):
+        self.kinds = kinds
+
+    @scorers
+    def harriertrack_scorers(self):
+        return self.kinds
+
+
+class Steady:
+    def __init__(self, power=1.0):
+        self.power = power
+
+    def score(self, picture):
+        return {one.node: self.power for one in picture.nodes}
+
+
+KIND = ScorerKind("steady", 3, (Parameter("power", 1.0, 0.5, 2.0),), Steady)
+
+
+def test_plugins_are_found_and_what_can_not_be_taken_is_noted_and_left_out():
+    notes = []
+    kinds = found(lambda event, **fields: notes.append((event, fields["why"])),
+                  [Offers(KIND, "no kind"), Offers(KIND), Offers(ScorerKind("Bad Name", 1, (), Steady))])  # fmt: skip
+    assert {("steady", 3), ("least-latency", 1), ("fill-aware", 1), ("cost-by-zone", 1)} == set(kinds)
+    told = " ".join(why for _, why in notes)
+    assert "str is no ScorerKind" in told and "there already" in told and "Bad Name" in told
+
+
+def test_a_package_is_found_by_its_entry_point_and_a_broken_one_hurts_none(tmp_path):
+    for name, code in (("good", "from harriertrack.lab.fleet.weights import harriertrack_scorers"), ("bad", "1 / 0")):
+        (tmp_path / f"{name}_scorers.py").write_text(code)
+        info = tmp_path / f"{name}-1.dist-info"
+        info.mkdir()
+        (info / "METADATA").write_text(f"Metadata-Version: 2.1\nName: {name}\nVersion: 1\n")
+        (info / "entry_points.txt").write_text(f"[harriertrack.scorers]\n{name} = {name}_scorers\n")
+    run = subprocess.run([sys.executable, "-m", "harriertrack", "fleet", "scorers"], capture_output=True, text=True,
+                         env={"PYTHONPATH": str(tmp_path), "PATH": ""}, check=True)  # fmt: skip
+    assert "broken-nan 1" in run.stdout and "least-latency 1" in run.stdout and "ZeroDivisionError" in run.stdout
+
+
+def test_a_scorer_is_asked_on_a_thread_and_one_that_hangs_holds_nobody_up():
+    go = threading.Event()
+
+    class Hangs:
+        def score(self, picture):
+            go.wait(30)
+            raise LookupError("x" * 500)
+
+    asked = OnThread(Hangs(), "hangs")
+    asked.ask([PICTURE])
+    assert asked.answers() is None
+    go.set()
+    while (answers := asked.answers()) is None:
+        pass
+    assert answers[0].raised.startswith("LookupError: x") and len(answers[0].raised) < 200
+    asked.close()
+
+
+BODY = '(scorer "main" (kind "steady") (version 3) (parameter "power" (value %s)))'
+
+
+def version(number, body):
+    return Version("scorer/main", number, number - 1, body, "me", 0, "because")
+
+
+def test_the_record_puts_scorers_in_place_of_the_settings_whole_or_not_at_all():
+    kinds = found(lambda *_, **__: None, [Offers(KIND)])
+    choice = Choice(kinds, [ScorerSettings(name="main", kind="least-latency")])
+    before = choice.run()["main"].namespace
+    for body, why in ((BODY % 9, "power"), ("(scorer", "brackets"), ('(scorer "main" (kind "none"))', "none"),
+                      ('(scorer "main" (kind "steady") (version 4))', "version 4")):  # fmt: skip
+        with pytest.raises(BadScorer, match=why):
+            choice.take("scorer/main", version(1, body))
+        assert choice.run()["main"].namespace == before
+    choice.take("scorer/main", version(2, BODY % 2))
+    assert choice.run()["main"].make().power == 2.0 and choice.run()["main"].thing == "scorer/main"
+    choice.take("scorer/main", version(3, " "))
+    assert choice.run() == {}
+    choice.take("scorer/main", None)
+    assert choice.run()["main"].namespace == before
+    choice.take("scorer/two", version(1, BODY % 1))
+    with pytest.raises(BadScorer, match="more than 2"):
+        choice.take("scorer/three", version(1, BODY % 1))
+
+
+def test_settings_that_no_head_can_run_are_told_with_their_field():
+    one = head('(fleet "a" (listen "127.0.0.1" 7946) (scoring (scorer "least-latency" (parameter "power" (value 2)))))')
+    assert one.fleet.scoring.scorers[0].parameters == (ParameterSettings(name="power", value=2.0),)
+    scoring = one.fleet.scoring
+    assert scored_of(one, scoring, print).choice.run()
+    wrong = msgspec.structs.replace(scoring, scorers=(ScorerSettings(name="nobody"),))
+    with pytest.raises(SettingsError, match="fleet: scoring: no scorer nobody"):
+        scored_of(one, wrong, print)
+
+
+def short(name, seconds, **changes):
+    """Return a day's beginning."""
+    day = scenario.load(name)
+    steps = (*day.steps[:2], msgspec.structs.replace(day.steps[-1], name=scenario.Verb.REST, for_us=seconds * 1_000_000))
+    return msgspec.structs.replace(day, steps=steps, **changes)
+
+
+def test_operators_see_what_is_said_here_and_together_and_who_lost_a_vote():
+    told = []
+
+    class Looks(rec.Recorder):
+        def add(self, one):
+            super().add(one)
+            if isinstance(one, rec.Weights) and one.t > 1_009_000_000 and not told:
+                told.append(rig.heads[0].head.fleet.scoring.document(one.t))
+
+    from harriertrack.lab.fleet.rig import SimulatedFleet
+    from harriertrack.runtime.hub import Hub
+    from harriertrack.runtime.streams import MemoryNetwork
+
+    hub = Hub.virtual(1)
+    day = short("score-broken-plugin", 10)
+    rig = SimulatedFleet(hub, MemoryNetwork(hub), day, 4, 1, Looks())
+    hub.run(rig.run)
+    lines, rows = list(scorer_lines(told[0])), node_rows(told[0])
+    assert any("broken-state" in line and "no vote for" in line for line in lines)
+    assert any("answered an equal picture otherwise" in line for line in lines)
+    assert len(rows) == 7 and rows[1][0].startswith("node0") and len(rows[0]) == 10
+
+
+@pytest.mark.parametrize(("fault", "rule"), [
+    ("the mean in place of the median", 3), ("a vote is never lost", 6), ("no bound on notes", 5),
+])  # fmt: skip
+def test_a_fault_in_the_code_is_found_by_a_day(fault, rule, monkeypatch):
+    day = short("score-liar", 12)
+    if rule == 3:
+        def mean(votes):
+            votes = list(votes)
+            return sum(value * vote for value, vote in votes) / sum(vote for _, vote in votes)
+
+        monkeypatch.setattr("harriertrack.decisions.fleet.scoring.joining.weighted_median", mean)
+    elif rule == 6:
+        from harriertrack.decisions.fleet.scoring.voting import Voter
+
+        day = short("score-broken-plugin", 12)
+        monkeypatch.setattr(Voter, "_lose", lambda self, *_: setattr(self, "vote", Vote.HAS))
+    else:
+        monkeypatch.setattr("harriertrack.membership.fleet.topics.Topics.pass_time",
+                            lambda self, _now: setattr(self, "_spare", 1e9))  # fmt: skip
+        settings = msgspec.structs.replace(day.scoring, say_us=100_000, look_us=100_000, say_bytes=5000, again_us=100_000)
+        figures = msgspec.structs.replace(day.figures, topic_bytes=1000)
+        day = msgspec.structs.replace(day, scoring=settings, figures=figures)
+    recorder = rec.Recorder()
+    simulate(day, 5, 1, recorder)
+    assert rule in {one.rule for one in score_rules.check(recorder.records)}
