--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -39,16 +39,8 @@
     BudgetsTold,
     Told,
 )
-from harriertrack.rules import (
-    budgets as budget_rules,
-    changes as change_rules,
-    checker,
-    closing as closing_rules,
-    fleet as fleet_rules,
-    recording as rec,
-    scoring as score_rules,
-    zones as zone_rules,
-)
+from harriertrack.rules import checker, recording as rec
+from harriertrack.rules.everything import judge
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import SocketNetwork
 
@@ -356,12 +348,7 @@
             end = f"after {one.after_us / 1e6:.2f} s" if one.reached else "NOT REACHED"
             click.echo(f"{len(one.members)} agree {end} (within {one.within_us / 1e6:g} s)")
     click.echo("; ".join(f"{count} {what}" for what, count in checker.summary(records).items()))
-    judged = {
-        "requests": checker.check(records), "views": fleet_rules.check(records, plan.detect_us),
-        "budgets": budget_rules.check(records), "zones": zone_rules.check(records),
-        "record": change_rules.check(records), "closes": closing_rules.check(records),
-        "scores": score_rules.check(records),
-    }  # fmt: skip
+    judged = judge(records, plan.detect_us)
     for what, breaches in judged.items():
         tell(breaches, f"{what}: ")
     broken = any(judged.values())
