--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -15,7 +15,7 @@
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.processes import FleetProcessError, Places, play_processes
 from harriertrack.membership.fleet.telling import document_from
-from harriertrack.rules import recording as rec
+from harriertrack.rules import fleet, recording as rec
 from harriertrack.rules.everything import judge
 
 HEADS = 5
