Rollouts, pure: stages, who goes next, evidence old against new, a sequential verdict, and back

The record of changes names who is to run which version; nothing decided how a version gets from proposed to in force. decisions/fleet/rollout: plan (stages as data), choosing (by checksum, never two zones or all that serve a volume away), counting and evidence (answers by head, zone and class, times that say nothing left out), judging (likelihood ratio of new beside old given how each did before, divided by clumps and by how unsurely the before is known), rollout (next step from the record alone), conducting, levels.

Found on the way: plain likelihood ratios stopped good versions at single heads, for a head's own figure before is known from few bad answers and the error lasts; the ratio is a mixture over that doubt now. Ends of programs' rollouts had nobody to compare with and the decider's memory gone: the last stage is waited through, not judged, and shares below one leave a head in each zone.

--- /dev/null
+++ b/harriertrack/decisions/fleet/rollout/counting.py
@@ -0,0 +1,76 @@
+"""What a head counts of its own answers, by class: the evidence that a rollout is judged by. Pure.
+
+Counts only grow in a head's life, so a report that is lost is made up for by the next one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from harriertrack.decisions.splitting import Outcome
+
+BUCKETS = 16  # of what served requests took: below 250 us, below 500 us, and so on
+FIRST_US = 250
+
+
+@dataclass(slots=True)
+class Tally:
+    """Answers of one class. Each is in one of the first four."""
+
+    timely: int = 0  # served within the aim
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    broken: int = 0  # answered after the deadline, whatever the answer
+    took: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+
+    @property
+    def answers(self) -> int:
+        """Return how many there were."""
+        return self.timely + self.late + self.refused + self.failed
+
+    def add(self, other: Tally, times: int = 1) -> None:
+        """Add another one's, or (-1) take it away."""
+        self.timely += times * other.timely
+        self.late += times * other.late
+        self.refused += times * other.refused
+        self.failed += times * other.failed
+        self.broken += times * other.broken
+        self.took = [mine + times * one for mine, one in zip(self.took, other.took, strict=True)]
+
+    def since(self, before: Tally) -> Tally:
+        """Return what came since an earlier state of the same counts."""
+        found = Tally()
+        found.add(self)
+        found.add(before, -1)
+        return found
+
+
+def bucket_of(took_us: int) -> int:
+    """Return which bucket a time belongs to."""
+    return min(BUCKETS - 1, max(0, took_us // FIRST_US).bit_length())
+
+
+class Counting:
+    """One head's counts."""
+
+    def __init__(self, aims: Mapping[str, int]) -> None:
+        self._aims = dict(aims)
+        self.classes: dict[str, Tally] = {}
+
+    def answered(self, class_name: str, outcome: Outcome, took_us: int, overdue: bool) -> None:
+        """Count a final answer; `overdue`: it came after the request's deadline."""
+        one = self.classes.setdefault(class_name, Tally())
+        one.broken += overdue
+        match outcome:
+            case Outcome.REFUSED:
+                one.refused += 1
+            case Outcome.FAILED:
+                one.failed += 1
+            case Outcome.SERVED:
+                if took_us <= self._aims.get(class_name, took_us):
+                    one.timely += 1
+                else:
+                    one.late += 1
+                one.took[bucket_of(took_us)] += 1
--- /dev/null
+++ b/harriertrack/decisions/fleet/rollout/evidence.py
@@ -0,0 +1,160 @@
+"""What heads report to who decides, cut into ticks: by head, zone and class, old version and new.
+
+Left out is what says nothing of a version: a head's first seconds in a life or with a version, and times in
+which a head that serves the same volumes was away, for its load had moved. Kept apart is what each head did
+*before*, in one time that is the same for all: later that a whole fleet drifts changes nothing between them.
+A head that restarts starts its counts anew; what it did between its last report and its end is not known.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from harriertrack.decisions.fleet.rollout.counting import Tally
+
+TICK_US = 2_000_000  # answers of so long are looked at together
+TOGETHER_US = 30_000_000  # heads of one zone that end within so long ended of one cause
+LOOKS_MEMORY = 5  # reports after which a head's memory is taken as it is
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a head tells of itself; counts are since its process began."""
+
+    head: str
+    life: int
+    runs: Mapping[str, int]  # version by thing
+    classes: Mapping[str, Tally]
+    memory: int = 0  # bytes
+    processor_us: int = 0
+    fell: Mapping[str, tuple[int, str]] = field(default_factory=dict)  # the version not taken, and why
+    level: int = 0  # the highest feature level that its program understands
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """What a head answered in one tick in one class."""
+
+    head: str
+    zone: str
+    class_name: str
+    new: bool
+    tally: Tally
+
+
+@dataclass(slots=True)
+class Usage:
+    """What a head's process used."""
+
+    memory: int = 0
+    processor_us: int = 0
+    answers: int = 0
+    reports: int = 0
+
+
+@dataclass(slots=True)
+class _Head:
+    life: int
+    number: int
+    since: int
+    seen_at: int
+    zone: str = ""
+    last: dict[str, Tally] = field(default_factory=dict)
+    processor_us: int = 0
+    disturbed_until: int = 0
+    before: Usage = field(default_factory=Usage)
+    after: Usage = field(default_factory=Usage)
+
+
+class Evidence:
+    """All heads' reports on one version of one thing, at who decides."""
+
+    def __init__(self, thing: str, number: int, settle_us: int) -> None:
+        self.thing, self.number, self._settle_us = thing, number, settle_us
+        self.before: dict[tuple[str, str], Tally] = {}  # by head and class
+        self._begun = False
+        self._heads: dict[str, _Head] = {}
+        self._rows: dict[tuple[str, str, bool], Row] = {}
+        self._tick = -1
+        self._closed: list[list[Row]] = []
+        self._ends: dict[bool, list[tuple[int, str]]] = {True: [], False: []}
+
+    def begin(self) -> None:
+        """The first head is about to change: what was before is over."""
+        self._begun = True
+
+    def heard(self, now: int, report: Report, zone: str) -> None:
+        """Take a report."""
+        self._close(now)
+        number = report.runs.get(self.thing, 0)
+        one = self._heads.get(report.head)
+        if one is None or one.life != report.life:
+            if one is not None and one.number == number and report.life > one.life:
+                self._ended(now, zone, number == self.number)
+            fresh = _Head(report.life, number, now, now, zone)
+            if one is not None:
+                fresh.before = one.before
+            self._heads[report.head] = one = fresh
+        elif one.number != number:
+            one.number, one.since, one.after = number, now, Usage()
+        elif one.seen_at >= max(one.since + self._settle_us, one.disturbed_until):
+            self._count(report, one)
+        one.zone, one.seen_at = zone, now
+        one.last = dict(report.classes)
+        one.processor_us = report.processor_us
+
+    def _count(self, report: Report, one: _Head) -> None:
+        new, answers = one.number == self.number, 0
+        for name, tally in report.classes.items():
+            fresh = tally.since(one.last.get(name, Tally()))
+            answers += fresh.answers
+            if not fresh.answers:
+                continue
+            if not self._begun and not new:
+                self.before.setdefault((report.head, name), Tally()).add(fresh)
+            key = (report.head, name, new)
+            if key not in self._rows:
+                self._rows[key] = Row(report.head, one.zone, name, new, Tally())
+            self._rows[key].tally.add(fresh)
+        usage = one.after if self._begun else one.before
+        usage.reports += 1
+        usage.memory = report.memory
+        usage.answers += answers
+        usage.processor_us += report.processor_us - one.processor_us
+
+    def _ended(self, now: int, zone: str, new: bool) -> None:
+        ends = self._ends[new]
+        if not any(at > now - TOGETHER_US and where == zone for at, where in ends):
+            ends.append((now, zone))
+
+    def disturbed(self, heads: Collection[str], until: int) -> None:
+        """Leave out what these heads do up to a time: others' load is theirs meanwhile."""
+        for name in heads:
+            if (one := self._heads.get(name)) is not None:
+                one.disturbed_until = max(one.disturbed_until, until)
+
+    def _close(self, now: int) -> None:
+        tick = now // TICK_US
+        if tick != self._tick:
+            if self._rows and self._begun:
+                self._closed.append(list(self._rows.values()))
+            self._rows, self._tick = {}, tick
+
+    def ticks(self, now: int) -> Iterator[list[Row]]:
+        """Yield each tick that is over, once."""
+        self._close(now)
+        closed, self._closed = self._closed, []
+        yield from closed
+
+    def crashes(self) -> tuple[int, int]:
+        """Return how often heads ended unasked, of one cause each: those with the version, and the others."""
+        return len(self._ends[True]), len(self._ends[False])
+
+    def usages(self, new: bool) -> list[tuple[Usage, Usage]]:
+        """Return what heads used before and since, of those of which both are known."""
+        return [
+            (one.before, one.after) for one in self._heads.values()
+            if (one.number == self.number) is new
+            and min(one.before.reports, one.after.reports) >= LOOKS_MEMORY
+        ]  # fmt: skip
--- /dev/null
+++ b/tests/rollout/test_rollout.py
@@ -0,0 +1,205 @@
+"""Rollouts over heads that only answer: stages, stops, what is told apart, and deciders that die."""
+
+import pytest
+
+from harriertrack.decisions.fleet.changes import writing
+from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.decisions.fleet.rollout import levels
+from harriertrack.decisions.fleet.rollout.choosing import Member, next_away, staged
+from harriertrack.decisions.fleet.rollout.plan import Bounds, Plan, Stage
+from harriertrack.lab.fleet.staging import Harm, S, Staged
+
+QUICK = Plan(
+    (Stage("one", heads=1, soak_us=20 * S, least=100), Stage("most", share=0.7, soak_us=20 * S, least=100),
+     Stage("all", share=1.0, soak_us=20 * S, least=0)), before_us=60 * S, patience_us=400 * S,
+)  # fmt: skip
+
+
+def fleet(seed: int = 1, heads: int = 6, **more: object) -> Staged:
+    return Staged(heads, seed, QUICK, rate=60.0, uneven=0.1, **more)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("thing", ["settings", "program"])
+def test_a_good_version_comes_to_all_in_stages(thing: str) -> None:
+    one = fleet()
+    one.propose(thing)
+    assert one.until(thing, 1200) is Standing.IN_FORCE
+    assert [one.most_new[1, stage] for stage in (1, 2)] == [1, 3], "of two in a zone one is left"
+    assert one.most_away == (1 if thing == "program" else 0)
+    last = [version.heads[-1] for _, version in one.history if version.stage == 3 and version.heads]
+    assert last[-1] == one.decider or thing == "program", "who decides is the last of its stage"
+
+
+@pytest.mark.parametrize("harm", [
+    Harm("write", failed=0.05), Harm("read", refused=0.06), Harm("read", slower=2), Harm("list", late=0.2),
+])  # fmt: skip
+def test_a_version_that_is_worse_in_one_class_is_stopped_at_the_first_head(harm: Harm) -> None:
+    one = fleet(harms={("settings", 1): harm})
+    one.propose("settings")
+    assert one.until("settings", 600) is Standing.STOPPED
+    assert max(one.most_new.values()) == 1 and not any(head.runs.get("settings") for head in one.heads.values())
+    stopped = one.record.of("settings")[0]
+    assert harm.class_name in stopped.reason or "zone" in stopped.reason
+    with pytest.raises(writing.Refused, match="say why it is tried again"):
+        one.propose("settings")
+    one.propose("settings", although="mended beside it")
+
+
+def test_a_head_that_falls_back_stops_the_version() -> None:
+    one = fleet(harms={("program", 1): Harm(falls=True)})
+    one.propose("program")
+    assert one.until("program", 300) is Standing.STOPPED
+    assert "not ready in time" in one.record.of("program")[0].reason
+
+
+def test_what_strikes_the_whole_fleet_stops_nothing_and_lets_nothing_go_on() -> None:
+    one = fleet()
+    one.propose("settings")
+    one.run(62)
+    one.fleetwide = 8.0
+    one.run(200)
+    going = one.record.under_way("settings")
+    assert going is not None and (going.standing, going.stage) == (Standing.GOING, 1)
+    assert "worse than before" in one.conductor.told(one.record)[0]
+
+
+def test_the_load_of_those_that_are_away_is_not_held_against_the_version() -> None:
+    one = fleet()
+
+    def burdened(fleet: Staged) -> None:
+        gone = {volume for head in fleet.heads.values() if head.becomes for volume in head.volumes}
+        for head in fleet.heads.values():
+            head.clump = 6.0 if head.volumes & gone else 1.0
+
+    one.changed = burdened
+    one.propose("program")
+    assert one.until("program", 1500) is Standing.IN_FORCE
+
+
+def test_a_zone_lost_in_which_only_new_heads_are_is_no_bad_version() -> None:
+    one = fleet(heads=9)
+    one.propose("settings")
+    one.run(61)
+    [new] = one.record.under_way("settings").heads  # type: ignore[union-attr]
+    lost = [head for head in one.heads.values() if head.zone == one.heads[new].zone]
+    for head in lost:
+        head.cut = True
+    one.run(60)
+    going = one.record.under_way("settings")
+    assert going is not None and going.stage == 1 and going.heads == (new,), "none is counted, none is added"
+    for head in lost:
+        head.cut, head.life, head.classes = False, head.life + 1, {}
+    assert one.until("settings", 800) is Standing.IN_FORCE
+
+
+@pytest.mark.parametrize("every", [7, 90])
+@pytest.mark.parametrize("harm", [None, Harm("write", failed=0.1)])
+def test_deciders_that_die_in_any_step_leave_all_that_matters_in_the_record(every: int, harm: Harm | None) -> None:
+    one = fleet(seed=every, harms={("settings", 1): harm} if harm else {})
+    one.propose("settings")
+    ends = one.until("settings", 60 if every == 7 else 900, lambda second: one.new_decider() if second % every == every - 1 else None)
+    if every == 7:
+        assert ends is Standing.PROPOSED and not one.history, "none is there for long enough to see what was before"
+    elif harm is None:
+        assert ends is (Standing.IN_FORCE if every > 60 else Standing.PROPOSED)
+        assert one.most_new.get((1, 1), 0) <= 1 and one.most_new.get((1, 2), 0) <= 3
+    else:
+        assert ends in (Standing.STOPPED, Standing.PROPOSED) and max(one.most_new.values()) <= 3
+
+
+def test_not_enough_for_too_long_pauses_and_never_proceeds() -> None:
+    one = Staged(4, 2, QUICK, rate=0.2)
+    one.propose("settings")
+    one.run(520)
+    paused = one.record.under_way("settings")
+    assert paused is not None and (paused.standing, paused.stage) == (Standing.PAUSED, 1)
+    assert "answers" in paused.reason
+    one.record = writing.wish(one.record, "settings", Standing.GOING, "ann", 1, "wait on")
+    one.run(300)
+    assert one.record.under_way("settings").stage == 1  # type: ignore[union-attr]
+    one.record = writing.wish(one.record, "settings", Standing.ABORTED, "ann", 1, "enough")
+    one.run(5)
+    assert one.record.of("settings")[0].standing is Standing.ABORTED
+    assert not any(head.runs.get("settings") for head in one.heads.values())
+
+
+def test_of_two_at_once_the_second_waits_and_a_calendar_does_not() -> None:
+    one = fleet()
+    one.propose("settings")
+    one.propose("program")
+    one.propose("calendar/tokyo")
+    both = set()
+
+    def look(_second: int) -> None:
+        both.add(tuple(sorted(one.thing for one in one_record().versions if one.heads)))
+
+    def one_record():
+        return one.record
+
+    assert one.until("settings", 900, look) is Standing.IN_FORCE
+    assert one.record.in_force("calendar/tokyo") is not None
+    assert one.until("program", 1500, look) is Standing.IN_FORCE
+    assert not any({"settings", "program"} <= set(some) for some in both)
+
+
+def test_who_joins_or_wakes_in_mid_stage_runs_what_the_record_says() -> None:
+    one = fleet()
+    late, asleep = one.heads["head5"], one.heads["head2"]
+    late.dead = True
+    one.propose("settings")
+    one.run(100)
+    asleep.cut = True
+    one.run(30)
+    late.dead = False
+    assert one.until("settings", 900) is Standing.IN_FORCE, "an eighth may be missing of none; a stage of 7 is whole"
+    asleep.cut = False
+    one.run(5)
+    assert all(head.runs.get("settings") == 1 for head in one.heads.values())
+
+
+# -- who is chosen
+
+def members(*heads: Member) -> dict[str, Member]:
+    return {one.name: one for one in heads}
+
+
+def test_never_two_zones_and_never_all_that_serve_a_volume_are_away() -> None:
+    plan = Plan((Stage("all", share=1.0),), away=4)
+    some = members(
+        Member("a", "z0", volumes=frozenset({1})), Member("b", "z0", volumes=frozenset({1, 2})),
+        Member("c", "z0", volumes=frozenset({2, 3})), Member("d", "z1", volumes=frozenset({3})),
+        Member("e", "z0", volumes=None), Member("f", "z0", volumes=frozenset({9})),
+    )  # fmt: skip
+    assert next_away("abcdef", [], plan, some) == ["a", "c"], "b leaves 1 bare, d is elsewhere, e is not known, f alone"
+    assert next_away("abcdef", ["d"], plan, some) == [], "d is away: no other zone's head goes"
+    assert "f" in next_away("abcdef", [], Plan(plan.stages, away=4, alone=True), some)
+
+
+def test_every_decider_draws_the_same_heads_and_a_named_one_that_is_not_heard_keeps_its_place() -> None:
+    some = members(*(Member(f"h{number}", f"z{number % 3}") for number in range(30)))
+    first = staged((Stage("t", share=0.1),), 0, some, (), "s", "h0")
+    assert len(first) == 3 and {some[name].zone for name in first} == {"z0", "z1", "z2"}
+    assert staged((Stage("t", share=0.1),), 0, dict(reversed(some.items())), (), "s", "h0") == first
+    gone = {name: one for name, one in some.items() if name != first[0]}
+    assert staged((Stage("t", share=0.1),), 0, gone, first, "s", "h0") == []
+    assert "h0" not in staged((Stage("t", share=0.9),), 0, some, (), "s", "h0"), "who decides is last"
+    assert staged((Stage("z", share=1.0, zones=("z1",)),), 0, some, (), "s", "")[:1] != []
+    assert {some[name].zone for name in staged((Stage("z", share=1.0, zones=("z1",)),), 0, some, (), "s", "")} == {"z1"}
+
+
+def test_a_level_is_raised_by_all_who_vote_and_never_falls() -> None:
+    one = fleet()
+    assert levels.next_level(one.record, {"a": 2, "b": 3}, ["a", "b"]) == 2
+    assert levels.next_level(one.record, {"a": 2}, ["a", "b"]) == 0, "b may wake up with what it had"
+    one.propose("program")
+    assert levels.next_level(one.record, {"a": 2}, ["a"]) == 0, "while a program is under way"
+    raised = writing.raise_level(one.record, 1, 2)
+    assert levels.next_level(raised, {"a": 1}, ["a"]) == 2
+    assert "level 1" in levels.too_old(raised, 1) and not levels.too_old(raised, 2)
+
+
+def test_bounds_are_those_of_the_plan() -> None:
+    lax = Plan(QUICK.stages, before_us=60 * S, bounds=Bounds(times=20.0, more=0.3))
+    one = Staged(8, 1, lax, rate=100.0, harms={("settings", 1): Harm("write", failed=0.02)})
+    one.propose("settings")
+    assert one.until("settings", 900) is Standing.IN_FORCE
