Heads report what they answer, who decides brings versions about, and a launcher starts programs

The pure rollout needs evidence and hands. Heads with (changes (rollout)) count their answers by class and report them, with what they run and did not take, under topic rollout, at most 1000 bytes; volumes go in pages of checksums. Who decides conducts and writes steps through the record, each refused if the version has moved on since it was decided. A program is handed over by 'harriertrack launch': its state on disk with a checksum, the last good version again when another is not ready in time or ends again and again; a killed launcher finds its child by the token in its environment.

--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -44,7 +44,7 @@
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         """Name all commands."""
-        return sorted([*super().list_commands(ctx), "cells", "fleet", "lab", "load"])
+        return sorted([*super().list_commands(ctx), "cells", "fleet", "lab", "launch", "load"])
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
         """Return a command by its name."""
@@ -56,6 +56,10 @@
             from harriertrack.cli import fleet
 
             return fleet.fleet
+        if cmd_name == "launch":
+            from harriertrack.cli import rollout
+
+            return rollout.launch
         if cmd_name == "cells":
             from harriertrack.cli import cells
 
--- /dev/null
+++ b/harriertrack/config/rollout.py
@@ -0,0 +1,146 @@
+"""Plans of rollouts, bodies of programs, and the settings of a launcher, as S-expressions.
+
+`(plan (away 2) (before 2min) (stage "one" (heads 1) (soak 60s) (least 200)) (stage "half" (share 0.5)) ...)`
+lies in a version's `plan`, `(program "2.1" (folder "/opt/harriertrack/2.1") (level 2))` in the body of one of
+`program`. What a plan does not say is as usual.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from harriertrack.config.settings.basis import Amount, Checked, Positive, Share, Whole, given_twice
+from harriertrack.config.settings.reading import read_file
+from harriertrack.config.sexp import SettingsError, bind, head_word, read_text
+from harriertrack.decisions.fleet.changes.record import Kind, Version, kind_of
+from harriertrack.decisions.fleet.rollout.launching import LaunchRules, Program
+from harriertrack.decisions.fleet.rollout.plan import USUAL, Bounds, Measure, Plan, Stage, usual
+
+MOST_STAGES = 32
+_STAGE, _BOUNDS, _RULES = Stage(""), Bounds(), LaunchRules()
+Label = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+Times = Annotated[float, msgspec.Meta(gt=1, le=1000)]
+Chance = Annotated[float, msgspec.Meta(gt=0, lt=0.5)]
+
+
+class StageSettings(Checked, frozen=True, kw_only=True):
+    """One stage; decisions/fleet/rollout/plan.py tells what each figure is."""
+
+    name: Label
+    heads: Whole = 0
+    share: Share = 0.0
+    zones: tuple[str, ...] = ()
+    cells: tuple[str, ...] = ()
+    regions: tuple[str, ...] = ()
+    soak_us: Whole = _STAGE.soak_us
+    least: Whole = _STAGE.least
+
+
+class BoundsSettings(Checked, frozen=True, kw_only=True):
+    """What counts as worse."""
+
+    times: Times = _BOUNDS.times
+    more: Annotated[float, msgspec.Meta(gt=0, le=1)] = _BOUNDS.more
+    wrongly: Chance = _BOUNDS.wrongly
+    missed: Chance = _BOUNDS.missed
+    early: Chance = _BOUNDS.early
+    falls: Positive = _BOUNDS.falls
+    crashes: Whole = _BOUNDS.crashes
+    memory: Amount = _BOUNDS.memory
+    processor: Amount = _BOUNDS.processor
+
+
+class PlanSettings(Checked, frozen=True, kw_only=True):
+    """A plan."""
+
+    stages: Annotated[tuple[StageSettings, ...], msgspec.Meta(max_length=MOST_STAGES)] = ()
+    away: Positive = USUAL.away
+    away_share: Share = USUAL.away_share
+    back_away: Positive = USUAL.back_away
+    back_share: Share = USUAL.back_share
+    alone: bool = USUAL.alone
+    missing: Share = USUAL.missing
+    before_us: Whole = USUAL.before_us
+    settle_us: Whole = USUAL.settle_us
+    ready_us: Positive = USUAL.ready_us
+    patience_us: Positive = USUAL.patience_us
+    compares: tuple[Measure, ...] = tuple(Measure)
+    bounds: BoundsSettings = BoundsSettings()
+
+
+class ProgramSettings(Checked, frozen=True, kw_only=True):
+    """A version of the program."""
+
+    name: Label
+    folder: str = ""  # of its environment, with bin/harriertrack in it; empty: the launcher's own
+    arguments: tuple[str, ...] = ()  # more, after those of the launcher's settings
+    level: Whole = 0  # the highest feature level that it understands; 0: it does not say
+
+
+class LaunchSettings(Checked, frozen=True, kw_only=True):
+    """A head's launcher."""
+
+    name: Label
+    head: str  # the file of the head's settings
+    state: str  # a folder of the launcher's own
+    folders: tuple[str, ...] = ()  # below which environments of programs lie; others are not started
+    arguments: tuple[str, ...] = ()  # of every head, such as "--log" "json"
+    ready_us: Positive = _RULES.ready_us
+    prove_us: Positive = _RULES.prove_us
+    drain_us: Positive = _RULES.drain_us
+    tries: Positive = _RULES.tries
+
+
+
+def plan_of(version: Version) -> Plan:
+    """Return the plan of a version, what is usual for its kind if it names none. Raises SettingsError."""
+    usually = usual(kind_of(version.thing))
+    if not version.plan.strip():
+        return usually
+    return read_plan(version.plan, f"plan of {version.thing} {version.number}", usually)
+
+
+def read_plan(text: str, source: str, usually: Plan) -> Plan:
+    """Read a plan. Raises SettingsError with line and field."""
+    form = read_text(text, source)
+    if head_word(form, source) != "plan":
+        raise SettingsError(f"{source}:{form.line}: expected (plan ...)")
+    told = bind(form, PlanSettings, source)
+    at = f"{source}:{form.line}: plan"
+    if twice := given_twice(one.name for one in told.stages):
+        raise SettingsError(f"{at}: stage {twice[0]}: given twice")
+    for one in told.stages:
+        if bool(one.heads) == bool(one.share):
+            raise SettingsError(f"{at}: stage {one.name}: say either heads or share")
+    if told.stages and not _everywhere(told.stages[-1]):
+        raise SettingsError(f"{at}: stage {told.stages[-1].name}: the last one has (share 1), everywhere")
+    stages = tuple(Stage(**{name: getattr(one, name) for name in StageSettings.__struct_fields__})
+                   for one in told.stages)  # fmt: skip
+    bounds = Bounds(**{name: getattr(told.bounds, name) for name in BoundsSettings.__struct_fields__})
+    figures = {name: getattr(told, name) for name in PlanSettings.__struct_fields__
+               if name not in ("stages", "compares", "bounds")}  # fmt: skip
+    return Plan(stages or usually.stages, measures=told.compares, bounds=bounds, **figures)
+
+
+def _everywhere(stage: StageSettings) -> bool:
+    return stage.share == 1.0 and not (stage.zones or stage.cells or stage.regions)
+
+
+def read_program(version: Version) -> Program:
+    """Return what a version of `program` says is to be started. Raises SettingsError."""
+    source = f"{version.thing} {version.number}"
+    form = read_text(version.body, source)
+    if head_word(form, source) != Kind.PROGRAM.value:
+        raise SettingsError(f"{source}:{form.line}: expected (program ...)")
+    told = bind(form, ProgramSettings, source)
+    return Program(version.number, told.name, told.folder, told.arguments, told.level)
+
+
+def load_launcher(path: str) -> LaunchSettings:
+    """Read a launcher's file, `(launch "head7" (head ...) (state ...))`. Raises SettingsError."""
+    form = read_file(path)
+    if head_word(form, path) != "launch":
+        raise SettingsError(f"{path}:{form.line}: expected (launch ...)")
+    return bind(form, LaunchSettings, path)
--- a/harriertrack/config/settings/__init__.py
+++ b/harriertrack/config/settings/__init__.py
@@ -25,6 +25,7 @@
     FleetFigures,
     FleetSeedSettings,
     FleetSettings,
+    RolloutSettings,
     ZonesSettings,
 )
 from harriertrack.config.settings.head import Digest, HeadSettings, LimitSettings, NvmeSettings, RuleSettings
@@ -75,6 +76,7 @@
     "Port",
     "Positive",
     "RegionSettings",
+    "RolloutSettings",
     "RuleSettings",
     "Service",
     "Share",
--- a/harriertrack/config/settings/fleet.py
+++ b/harriertrack/config/settings/fleet.py
@@ -82,11 +82,19 @@
     told_us: InService[Positive] = 3_000_000
 
 
+class RolloutSettings(Checked, frozen=True, kw_only=True):
+    """A head's part in bringing versions about in stages."""
+
+    report_us: Positive = 1_000_000  # it reports so often what it answered
+    look_us: Positive = 1_000_000  # who decides looks so often what is due
+
+
 class ChangesSettings(Checked, frozen=True, kw_only=True):
     """How a head follows the fleet's record of changes; it lies at the budgets' witness."""
 
     look_us: Positive = 1_000_000  # who decides looks so often whether operators changed it
     spread_us: Positive = 2_000_000  # heads that hear of a newer one fetch it within this, not all at once
+    rollout: RolloutSettings | None = None  # None: the head takes versions, and brings none about
 
 
 class FleetFigures(Checked, frozen=True, kw_only=True):
--- a/harriertrack/decisions/fleet/rollout/conducting.py
+++ b/harriertrack/decisions/fleet/rollout/conducting.py
@@ -17,6 +17,7 @@
 from harriertrack.decisions.fleet.rollout.rollout import Rollout, Step, told
 
 HEARD_US = 6_000_000  # a head that reports no more is not heard; it reports each second
+MOST_PAST = 7  # lives of a head that are remembered to be over
 NOTHING = Finding(Verdict.NOT_YET, "no evidence yet")
 
 
@@ -39,6 +40,7 @@
     at: int
     report: Report
     volumes: frozenset[int] | None
+    past: tuple[int, ...] = ()  # lives that are over
 
 
 @dataclass(slots=True)
@@ -64,9 +66,14 @@
     def heard(self, now: int, report: Report, volumes: frozenset[int] | None, zone: str) -> None:
         """Take a head's report; `volumes`: checksums of those it serves, None if not all were told."""
         before = self._heard.get(report.head)
-        if before is not None and report.life < before.report.life:
-            return  # of a process that is over
-        self._heard[report.head] = _Heard(now, report, volumes)
+        past: tuple[int, ...] = ()
+        if before is not None:
+            past = before.past
+            if report.life in past:
+                return  # it was late
+            if report.life != before.report.life:
+                past = (*past[-MOST_PAST:], before.report.life)
+        self._heard[report.head] = _Heard(now, report, volumes, past)
         for one in self.followed.values():
             one.evidence.heard(now, report, zone)
 
--- a/harriertrack/decisions/fleet/rollout/counting.py
+++ b/harriertrack/decisions/fleet/rollout/counting.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from harriertrack.decisions.requests import ClientRequest, Origin
 from harriertrack.decisions.splitting import Outcome
 
 BUCKETS = 16  # of what served requests took: below 250 us, below 500 us, and so on
@@ -55,21 +56,29 @@
 class Counting:
     """One head's counts."""
 
-    def __init__(self, aims: Mapping[str, int]) -> None:
-        self._aims = dict(aims)
+    def __init__(self, classes: Mapping[str, tuple[int, int]]) -> None:
+        """`classes`: each one's aim and deadline at the head's start: no version moves them."""
+        self._classes = dict(classes)
         self.classes: dict[str, Tally] = {}
 
-    def answered(self, class_name: str, outcome: Outcome, took_us: int, overdue: bool) -> None:
-        """Count a final answer; `overdue`: it came after the request's deadline."""
-        one = self.classes.setdefault(class_name, Tally())
-        one.broken += overdue
-        match outcome:
+    def answered(self, now: int, request: ClientRequest) -> None:
+        """Count a final answer to a client; what the head asks for itself is nobody's."""
+        if request.origin is not Origin.CLIENT or request.background or not request.parts:
+            return
+        name = request.parts[0].class_name
+        aim_us, deadline_us = self._classes.get(name, (0, 0))
+        if not deadline_us:
+            return
+        took_us = now - (request.deadline - max(deadline_us, request.patience_us))
+        one = self.classes.setdefault(name, Tally())
+        one.broken += now > request.deadline
+        match request.outcome:
             case Outcome.REFUSED:
                 one.refused += 1
             case Outcome.FAILED:
                 one.failed += 1
             case Outcome.SERVED:
-                if took_us <= self._aims.get(class_name, took_us):
+                if took_us <= max(aim_us, request.patience_us):
                     one.timely += 1
                 else:
                     one.late += 1
--- a/harriertrack/decisions/fleet/rollout/evidence.py
+++ b/harriertrack/decisions/fleet/rollout/evidence.py
@@ -23,7 +23,7 @@
     """What a head tells of itself; counts are since its process began."""
 
     head: str
-    life: int
+    life: int  # which process, by a number of its own
     runs: Mapping[str, int]  # version by thing
     classes: Mapping[str, Tally]
     memory: int = 0  # bytes
@@ -90,7 +90,7 @@
         number = report.runs.get(self.thing, 0)
         one = self._heads.get(report.head)
         if one is None or one.life != report.life:
-            if one is not None and one.number == number and report.life > one.life:
+            if one is not None and one.number == number:
                 self._ended(now, zone, number == self.number)
             fresh = _Head(report.life, number, now, now, zone)
             if one is not None:
@@ -101,7 +101,7 @@
         elif one.seen_at >= max(one.since + self._settle_us, one.disturbed_until):
             self._count(report, one)
         one.zone, one.seen_at = zone, now
-        one.last = dict(report.classes)
+        one.last.update(report.classes)  # the least busy ones are not in every report
         one.processor_us = report.processor_us
 
     def _count(self, report: Report, one: _Head) -> None:
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from harriertrack.config.settings import FleetSettings
+from harriertrack.config.settings import FleetSettings, HeadSettings, RolloutSettings
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.membership.fleet.messages import BUDGETS, Record, State
@@ -23,11 +23,16 @@
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from harriertrack.decisions.fleet.evidence import Evidence
     from harriertrack.decisions.fleet.portions import Portions
+    from harriertrack.decisions.fleet.rollout.counting import Counting
     from harriertrack.gateway.fleet.budgets import Budgets
     from harriertrack.gateway.fleet.changes.carrier import Changes
     from harriertrack.gateway.fleet.deciding import Deciding
+    from harriertrack.gateway.fleet.rollout.carrier import Rollouts, Usage
+    from harriertrack.gateway.fleet.rollout.program_user import Handover
     from harriertrack.gateway.fleet.zones import Zones
     from harriertrack.gateway.listing import Listing
     from harriertrack.storage.changes import ChangesCache
@@ -46,7 +51,9 @@
 
     def __init__(self, parts: HeadParts, settings: FleetSettings, datagrams: DatagramNetwork | None = None,
                  portions: Portions | None = None, evidence: Evidence | None = None,
-                 listing: Listing | None = None, kept: ChangesCache | None = None) -> None:  # fmt: skip
+                 listing: Listing | None = None, kept: ChangesCache | None = None,
+                 handover: Handover | None = None, usage: Usage | None = None,
+                 retell: Callable[[HeadSettings], None] = lambda _settings: None) -> None:  # fmt: skip
         self._parts, self._settings, self._hub = parts, settings, parts.hub
         self._network = datagrams or SocketDatagrams(parts.hub)
         self._alarm = Alarm(parts.hub, self._wake)
@@ -55,10 +62,12 @@
         self._taken = self._refused = 0
         self._about = About()
         self._portions, self._evidence, self._listing, self._kept = portions, evidence, listing, kept
+        self._handover, self._usage, self._retell = handover, usage, retell
         self.zones: Zones | None = None
         self.budgets: Budgets | None = None
         self.deciding: Deciding | None = None
         self.changes: Changes | None = None
+        self.rollouts: Rollouts | None = None
         self.swim: Swim
 
     def start(self) -> None:
@@ -115,8 +124,26 @@
 
             self.changes = Changes(self._parts, settings.changes, self.swim, self.deciding, self._tell_now,
                                    self._kept)  # fmt: skip
+            if settings.changes.rollout is not None and self._parts.counting is not None:
+                self._start_rollouts(self.deciding, self.changes, settings.changes.rollout,
+                                     self._parts.counting)  # fmt: skip
             self.changes.start()
 
+    def _start_rollouts(self, deciding: Deciding, changes: Changes, settings: RolloutSettings,
+                        counting: Counting) -> None:  # fmt: skip
+        from harriertrack.decisions.fleet.changes.record import Kind
+        from harriertrack.gateway.fleet.rollout.carrier import Rollouts, no_usage
+        from harriertrack.gateway.fleet.rollout.program_user import ProgramUser
+        from harriertrack.gateway.fleet.settings_user import SettingsUser
+
+        changes.use(Kind.SETTINGS, SettingsUser(self._parts.settings, self._retell, self._parts.note))
+        changes.use(Kind.PROGRAM, ProgramUser(self._handover))
+        if self._handover is not None and self._handover.number:
+            changes.took(Kind.PROGRAM.value, self._handover.number)
+        self.rollouts = Rollouts(self._parts, settings, self.swim, deciding, changes, counting,
+                                 self._usage or no_usage)  # fmt: skip
+        self.rollouts.start()
+
     def retell(self, settings: FleetSettings) -> None:
         """Go by other figures from now on; what is due already stays so."""
         self._settings = settings
--- a/harriertrack/gateway/fleet/changes/carrier.py
+++ b/harriertrack/gateway/fleet/changes/carrier.py
@@ -239,6 +239,12 @@
         self._follower.took(thing, number)
         self._tell()
 
+    def turned_down(self) -> Mapping[str, tuple[int, str]]:
+        """Return what this head did not take, by thing: the version, and why."""
+        return {
+            thing: (one.turned_down, one.why) for thing, one in self._follower.taken.items() if one.why
+        }  # fmt: skip
+
     # -- writing
 
     def write(self, make: Callable[[Record], Record]) -> Record:
--- /dev/null
+++ b/harriertrack/gateway/fleet/rollout/carrier.py
@@ -0,0 +1,166 @@
+"""A head's part in rollouts, on the hub: it reports what it answered; if it decides, it takes the next steps.
+
+What is due is decided in decisions/fleet/rollout (`Conductor`), from reports and the record; written is it
+through the record of changes, in the term in which this head decides.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from zlib import crc32
+
+from harriertrack.config.rollout import plan_of, read_program
+from harriertrack.config.settings.fleet import RolloutSettings
+from harriertrack.config.sexp import SettingsError
+from harriertrack.decisions.fleet.budgets import Term
+from harriertrack.decisions.fleet.changes.record import Kind, Record, Version, kind_of
+from harriertrack.decisions.fleet.changes.standing import IllegalStep
+from harriertrack.decisions.fleet.changes.writing import Refused, raise_level
+from harriertrack.decisions.fleet.rollout.conducting import BadPlan, Conductor, Known
+from harriertrack.decisions.fleet.rollout.counting import Counting
+from harriertrack.decisions.fleet.rollout.evidence import Report
+from harriertrack.decisions.fleet.rollout.levels import next_level, too_old
+from harriertrack.decisions.fleet.rollout.plan import Plan
+from harriertrack.decisions.fleet.rollout.rollout import Step
+from harriertrack.gateway.fleet.changes.carrier import LEVEL, Changes
+from harriertrack.gateway.fleet.deciding import Deciding
+from harriertrack.gateway.fleet.rollout.program_user import HANDING_OVER
+from harriertrack.gateway.fleet.rollout.reports import (
+    Heard,
+    MalformedReport,
+    encode_counts,
+    encode_volumes,
+)
+from harriertrack.gateway.parts import HeadParts
+from harriertrack.gateway.witness import FAILURES
+from harriertrack.membership.fleet.changing import DamagedRecord
+from harriertrack.membership.fleet.swim import Swim
+
+TOPIC = "rollout"
+Usage = Callable[[], tuple[int, int]]  # bytes of memory, microseconds of processor
+
+
+def no_usage() -> tuple[int, int]:
+    """Tell nothing: heads that share a process use what all of them do."""
+    return 0, 0
+
+
+class Rollouts:
+    """This head's part."""
+
+    def __init__(self, parts: HeadParts, settings: RolloutSettings, swim: Swim, deciding: Deciding,
+                 changes: Changes, counting: Counting, usage: Usage) -> None:  # fmt: skip
+        self._parts, self._hub, self._settings = parts, parts.hub, settings
+        self._swim, self._deciding, self._changes = swim, deciding, changes
+        self._counting, self._usage = counting, usage
+        self._term: Term | None = None
+        self._conductor: Conductor | None = None
+        self._heard: dict[str, Heard] = {}
+        sums = sorted({crc32(one.name.encode()) for one in parts.settings.volumes})
+        self._pages = list(encode_volumes(swim.me.instance, sums))
+        self._page = 0
+        deciding.on_report[TOPIC] = self._come
+
+    def start(self) -> None:
+        """Take part from now on."""
+        self._parts.scope.spawn("rollout reports", self._tell)
+        self._parts.scope.spawn("rollouts", self._run)
+
+    # -- reporting
+
+    def _tell(self) -> None:
+        while True:
+            self._deciding.report(TOPIC, encode_counts(self._report()))
+            self._deciding.report(TOPIC, self._pages[self._page])
+            self._page = (self._page + 1) % len(self._pages)
+            self._hub.sleep(self._settings.report_us)
+
+    def _report(self) -> Report:
+        memory, processor_us = self._usage()
+        fell = {thing: told for thing, told in self._changes.turned_down().items() if told[1] != HANDING_OVER}
+        me = self._swim.me
+        return Report(me.name, me.instance, self._changes.runs(me.name), self._counting.classes, memory,
+                      processor_us, fell, LEVEL)  # fmt: skip
+
+    # -- deciding
+
+    def _come(self, now: int, head: str, body: bytes) -> None:
+        if self._conductor is None:
+            return
+        heard = self._heard.setdefault(head, Heard(head))
+        try:
+            report = heard.take(body)
+        except MalformedReport:
+            return  # that head is not heard
+        if report is not None:
+            row = self._swim.view.find(head)
+            zone = row.record.zone if row is not None else ""
+            self._conductor.heard(now, report, heard.volumes, zone)
+
+    def _run(self) -> None:
+        """Conduct what is under way, while this head decides (a task)."""
+        while True:
+            self._hub.sleep(self._settings.look_us)
+            term = self._deciding.keeps(self._hub.now())
+            if term is None:
+                self._term = self._conductor = None
+                self._heard.clear()
+                continue
+            if term != self._term or self._conductor is None:
+                self._term, self._conductor = term, Conductor(self._plan_of)
+                self._heard.clear()
+            self._look(term, self._conductor)
+
+    def _look(self, term: Term, conductor: Conductor) -> None:
+        record = self._changes.record
+        steps = conductor.look(self._hub.now(), record, self._known(), self._swim.me.name)
+        for step in steps:
+            self._write(term, step)
+        level = next_level(record, conductor.understood(), [row.record.name for row in self._swim.view])
+        if record.things() and level > record.level:
+            self._change(lambda record: raise_level(record, term.epoch, level))
+
+    def _write(self, term: Term, step: Step) -> None:
+        def make(record: Record) -> Record:
+            return step.write(record, term.epoch, self._hub.clock.wall() // 1000)
+
+        if self._deciding.keeps(self._hub.now()) == term and self._change(make):
+            self._parts.note("rollout", thing=step.before.thing, version=step.before.number,
+                             standing=step.standing.value, stage=step.stage, heads=list(step.heads),
+                             epoch=term.epoch, why=step.reason)  # fmt: skip
+
+    def _change(self, make: Callable[[Record], Record]) -> bool:
+        try:
+            self._changes.write(make)
+        except (Refused, IllegalStep, DamagedRecord, ValueError) as error:
+            self._parts.note("rollout: step not taken", why=str(error))
+        except FAILURES:
+            pass  # the next look finds out whether it was written
+        else:
+            return True
+        return False
+
+    def _known(self) -> dict[str, Known]:
+        now = self._hub.now()
+        return {
+            row.record.name: Known(
+                row.record.zone, row.record.cell, row.record.region,
+                -1 if row.record.present else max(0, now - row.since),
+            )
+            for row in self._swim.view
+        }  # fmt: skip
+
+    def _plan_of(self, version: Version) -> Plan:
+        try:
+            plan = plan_of(version)
+            if kind_of(version.thing) is Kind.PROGRAM:
+                old = too_old(self._changes.record, read_program(version).level or None)
+                if old:
+                    raise BadPlan(old)
+        except SettingsError as error:
+            raise BadPlan(str(error)) from error
+        return plan
+
+    def told(self) -> list[str]:
+        """Return where rollouts stand, for operators; nothing unless this head decides."""
+        return self._conductor.told(self._changes.record) if self._conductor is not None else []
--- /dev/null
+++ b/harriertrack/gateway/fleet/rollout/launcher/child.py
@@ -0,0 +1,56 @@
+"""A launcher's child: started, or found again by a launcher that was killed meanwhile."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+from contextlib import suppress
+from pathlib import Path
+
+from harriertrack.gateway.fleet.rollout.launcher.files import TOKEN_VARIABLE
+
+
+def start(command: list[str], environment: dict[str, str]) -> Child:
+    """Start a process in this one's group. Raises OSError."""
+    return Child(subprocess.Popen(command, stdin=subprocess.DEVNULL, env={**os.environ, **environment}))
+
+
+def find(pid: int, token: str) -> Child | None:
+    """Return the process of a number if it is the one that was started with a token, by its environment."""
+    if not pid or not token:
+        return None
+    child = Child(None, pid, token)
+    return child if child.alive else None
+
+
+class Child:
+    """A process that this one started, or (`popen` None) an earlier life of it."""
+
+    def __init__(self, popen: subprocess.Popen[bytes] | None, pid: int = 0, token: str = "") -> None:
+        self._popen, self._token = popen, token
+        self.pid = popen.pid if popen is not None else pid
+
+    @property
+    def alive(self) -> bool:
+        """Whether it has not ended, and its number is not another's."""
+        if self._popen is not None:
+            return self._popen.poll() is None
+        mark = f"{TOKEN_VARIABLE}={self._token}".encode()
+        try:
+            return mark in Path(f"/proc/{self.pid}/environ").read_bytes().split(b"\0")
+        except OSError:
+            return False
+
+    def how(self) -> str:
+        """Return how it ended, in words."""
+        code = self._popen.poll() if self._popen is not None else None
+        if code is None:
+            return "it is gone"
+        return f"it ended with status {code}" if code >= 0 else f"signal {-code} ended it"
+
+    def end(self, at_once: bool) -> None:
+        """Ask it to end, or end it."""
+        if self.alive:
+            with suppress(ProcessLookupError):
+                os.kill(self.pid, signal.SIGKILL if at_once else signal.SIGTERM)
--- /dev/null
+++ b/harriertrack/gateway/fleet/rollout/launcher/launcher.py
@@ -0,0 +1,122 @@
+"""The launcher on the hub: carries out what decisions/fleet/rollout/launching.py decides."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+from harriertrack.config.rollout import LaunchSettings
+from harriertrack.decisions.fleet.rollout.launching import (
+    Done,
+    End,
+    Keep,
+    Kept,
+    Launching,
+    LaunchRules,
+    Phase,
+    Program,
+    Start,
+)
+from harriertrack.gateway.fleet.figures import figures
+from harriertrack.gateway.fleet.rollout.launcher import child as children
+from harriertrack.gateway.fleet.rollout.launcher.files import (
+    FELL_VARIABLE,
+    FOLDER_VARIABLE,
+    NUMBER_VARIABLE,
+    TOKEN_VARIABLE,
+    Files,
+)
+from harriertrack.runtime.hub import Hub
+
+LOOK_US = 50_000
+OWN = (sys.executable, "-m", "harriertrack")  # the program that this launcher is part of
+
+
+class Unfit(Exception):
+    """A version that is not to be started here; the text says why."""
+
+
+def command_of(settings: LaunchSettings, program: Program) -> list[str]:
+    """Return how a version is started. Raises Unfit."""
+    own = list(OWN)
+    if program.folder:
+        folder = Path(program.folder).resolve()
+        if not any(folder.is_relative_to(Path(allowed).resolve()) for allowed in settings.folders):
+            raise Unfit(f"{program.folder} is not below one of this launcher's folders")
+        binary = folder / "bin" / "harriertrack"
+        if not binary.is_file():
+            raise Unfit(f"{binary} is not there")
+        own = [str(binary)]
+    return [*own, "head", settings.head, *settings.arguments, *program.arguments]
+
+
+class Launcher:
+    """One head's."""
+
+    def __init__(self, hub: Hub, settings: LaunchSettings, note: Callable[..., None]) -> None:
+        self._hub, self._settings, self._note = hub, settings, note
+        self._files = Files(settings.state)
+        kept = self._files.kept()
+        self._child = children.find(kept.child, kept.token) if kept is not None else None
+        self.machine = Launching(figures(LaunchRules, settings), kept or Kept())
+        self._done = False
+
+    def run(self) -> None:
+        """Keep a head running until `stop` was called and it has ended (a task). Raises OSError."""
+        machine = self.machine
+        machine.begin(self._hub.now(), self._child is not None)
+        self._act()
+        while not self._done:
+            self._hub.sleep(LOOK_US)
+            now = self._hub.now()
+            if self._child is not None and not self._child.alive:
+                how, self._child = self._child.how(), None
+                self._note("launch: head ended", how=how, version=machine.kept.runs,
+                           asked=machine.phase is Phase.DRAINING)  # fmt: skip
+                machine.ended(now, how)
+            elif machine.phase is Phase.STARTING and self._files.is_ready(machine.kept.token):
+                machine.ready(now)
+                self._note("launch: head serves", version=machine.kept.runs)
+            if machine.phase is not Phase.IDLE and (wanted := self._files.wanted()) is not None:
+                machine.wanted(now, wanted)
+            machine.wake(now)
+            self._act()
+
+    def stop(self) -> None:
+        """Ask the head to end, and end after it."""
+        self.machine.stop(self._hub.now())
+        self._act()
+
+    def _act(self) -> None:
+        while actions := self.machine.take_actions():
+            for action in actions:
+                match action:
+                    case Keep(kept):
+                        if kept.fell and kept.trial is None and kept.tries == 0 and not kept.child:
+                            self._note("launch: version given up", version=kept.fell, why=kept.why)
+                        self._files.keep(kept)
+                    case Start(program, fell, why):
+                        self._start(program, fell, why)
+                    case End(at_once):
+                        self._note("launch: head is to end", at_once=at_once, version=self.machine.kept.runs,
+                                   next=self.machine.kept.next.number)  # fmt: skip
+                        if self._child is not None:
+                            self._child.end(at_once)
+                    case Done():
+                        self._done = True
+
+    def _start(self, program: Program, fell: int, why: str) -> None:
+        now, token = self._hub.now(), f"{self._hub.random.getrandbits(64):016x}"
+        environment = {
+            FOLDER_VARIABLE: str(self._files.folder), TOKEN_VARIABLE: token,
+            NUMBER_VARIABLE: str(program.number), FELL_VARIABLE: f"{fell} {why}",
+        }  # fmt: skip
+        try:
+            self._child = children.start(command_of(self._settings, program), environment)
+        except (Unfit, OSError) as error:
+            self._note("launch: version can't be started", version=program.number, why=str(error))
+            self.machine.unfit(now, program.number, str(error))
+            return
+        self._note("launch: head starts", version=program.number, pid=self._child.pid)
+        self.machine.started(now, self._child.pid, token)
--- /dev/null
+++ b/harriertrack/gateway/fleet/rollout/program_user.py
@@ -0,0 +1,52 @@
+"""A head's user of `program` in the record of changes: it tells its launcher which version is wanted.
+
+A running head can't become another program: it says so, is asked to end by its launcher, drains, and leaves;
+the launcher starts the other one in its place.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from harriertrack.config.rollout import read_program
+from harriertrack.config.sexp import SettingsError
+from harriertrack.decisions.fleet.changes.record import Version
+from harriertrack.decisions.fleet.rollout.launching import Program
+
+HANDING_OVER = "handing over to another version"
+
+
+class Handover(Protocol):
+    """What started this head."""
+
+    number: int  # the version that runs
+    fell: tuple[int, str]  # the version that did not run when it was tried, and why; 0: none
+
+    def wanted(self, program: Program) -> None:
+        """Let a version run in this one's place. Raises OSError."""
+
+
+class ProgramUser:
+    """One head's; without a launcher no version is taken."""
+
+    def __init__(self, handover: Handover | None) -> None:
+        self._handover = handover
+
+    def take(self, thing: str, version: Version | None) -> str:
+        """Take a version; return "" if it runs, or why it does not (yet)."""
+        handover = self._handover
+        if handover is None:
+            return "" if version is None else "no launcher started this head"
+        try:
+            program = read_program(version) if version is not None else Program()
+        except SettingsError as error:
+            return str(error)
+        if program.number == handover.number:
+            return ""
+        if program.number and program.number == handover.fell[0]:
+            return handover.fell[1]
+        try:
+            handover.wanted(program)
+        except OSError as error:
+            return f"the launcher can't be told: {error}"
+        return HANDING_OVER
--- /dev/null
+++ b/harriertrack/gateway/fleet/rollout/reports.py
@@ -0,0 +1,111 @@
+"""Reports of heads to who decides, as bytes: counts in one, volumes in pages.
+
+At most as many bytes as a topic's body may have; of more classes than fit the least busy are left out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Annotated
+
+import msgspec
+
+from harriertrack.decisions.fleet.rollout.counting import BUCKETS, Tally
+from harriertrack.decisions.fleet.rollout.evidence import Report
+
+MOST_BYTES = 1000
+PAGE = 150  # checksums of volumes in one report
+Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+Counts = Annotated[list[Number], msgspec.Meta(min_length=5, max_length=5 + BUCKETS)]
+Name = Annotated[str, msgspec.Meta(max_length=128)]
+
+
+class _Counted(msgspec.Struct, array_like=True, tag=0):
+    life: Number
+    level: Number
+    memory: Number
+    processor_us: Number
+    runs: dict[Name, Number]
+    fell: dict[Name, tuple[Number, Name]]
+    classes: dict[Name, Counts]
+
+
+class _Volumes(msgspec.Struct, array_like=True, tag=1):
+    life: Number
+    page: Number
+    pages: Number
+    sums: Annotated[list[Number], msgspec.Meta(max_length=PAGE)]
+
+
+_DECODER = msgspec.msgpack.Decoder(_Counted | _Volumes)
+
+
+class MalformedReport(ValueError):
+    """Bytes that are no report."""
+
+
+def _flat(tally: Tally) -> list[int]:
+    took = list(tally.took)
+    while took and not took[-1]:
+        took.pop()
+    return [tally.timely, tally.late, tally.refused, tally.failed, tally.broken, *took]
+
+
+def encode_counts(report: Report) -> bytes:
+    """Return a report of counts. Raises ValueError if it does not fit even without classes."""
+    classes = sorted(report.classes.items(), key=lambda one: -one[1].answers)
+    fell = {thing: (number, why[:60]) for thing, (number, why) in report.fell.items()}
+    while True:
+        data = msgspec.msgpack.encode(
+            _Counted(report.life, report.level, report.memory, report.processor_us, dict(report.runs), fell,
+                     {name: _flat(tally) for name, tally in classes})
+        )  # fmt: skip
+        if len(data) <= MOST_BYTES:
+            return data
+        if not classes:
+            raise ValueError(f"a report of {len(data)} bytes, more than {MOST_BYTES}")
+        classes.pop()
+
+
+def encode_volumes(life: int, sums: list[int]) -> Iterator[bytes]:
+    """Yield reports of the volumes that a head serves, by checksums."""
+    pages = max(1, -(-len(sums) // PAGE))
+    for page in range(pages):
+        yield msgspec.msgpack.encode(_Volumes(life, page, pages, sums[page * PAGE : (page + 1) * PAGE]))
+
+
+class Heard:
+    """What one head reported, put together."""
+
+    def __init__(self, head: str) -> None:
+        self._head, self._life = head, -1
+        self._pages: dict[int, list[int]] = {}
+        self._of = 0
+
+    def take(self, body: bytes) -> Report | None:
+        """Take a report; return the counts, if it has such. Raises MalformedReport."""
+        try:
+            read = _DECODER.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            raise MalformedReport(str(error)) from error
+        if read.life != self._life:
+            self._life, self._pages, self._of = read.life, {}, 0
+        if isinstance(read, _Volumes):
+            if read.pages != self._of:
+                self._pages, self._of = {}, read.pages
+            self._pages[read.page] = read.sums
+            return None
+        classes = {
+            name: Tally(flat[0], flat[1], flat[2], flat[3], flat[4],
+                        [*flat[5:], *[0] * (BUCKETS + 5 - len(flat))])
+            for name, flat in read.classes.items()
+        }  # fmt: skip
+        return Report(self._head, read.life, read.runs, classes, read.memory, read.processor_us, read.fell,
+                      read.level)  # fmt: skip
+
+    @property
+    def volumes(self) -> frozenset[int] | None:
+        """Return the checksums of the volumes that the head serves; None if not all were told."""
+        if not self._of or len(self._pages) < self._of:
+            return None
+        return frozenset(one for page in self._pages.values() for one in page)
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -30,7 +30,10 @@
 
 if TYPE_CHECKING:
     from harriertrack.decisions.fleet.portions import Portions
+    from harriertrack.decisions.fleet.rollout.counting import Counting
     from harriertrack.gateway.fleet.carrier import Fleet
+    from harriertrack.gateway.fleet.rollout.carrier import Usage
+    from harriertrack.gateway.fleet.rollout.program_user import Handover
     from harriertrack.runtime.datagrams import DatagramNetwork
     from harriertrack.storage.changes import ChangesCache
 
@@ -51,6 +54,8 @@
     module: Callable[[api.Settings, int], Scheduler | Celled] = Scheduler
     datagrams: DatagramNetwork | None = None  # of its fleet; None: sockets
     kept: ChangesCache | None = None  # its copy of the record of changes; None: a file
+    handover: Handover | None = None  # what started it, and starts other versions; None: nothing does
+    usage: Usage | None = None  # what its process uses; None: it can't be told from others'
 
 
 class Head:
@@ -66,6 +71,7 @@
         self._stopping = Event(hub)
         self.ready = Event(hub)
         self.trace: Callable[[Attempt], None] | None = None  # hears of every send, for rigs that stamp them
+        self._counting: Counting | None = None  # of its answers, where versions come in stages
         self.address = self.nvme_address = settings.listen
         self.core: Core
         self.reception: Reception
@@ -112,9 +118,10 @@
 
                     evidence = Evidence()
                     decides = Observed(self.module, evidence)
+                self._counting = self._counts()
                 self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
-                                  self._note, self._name, portions)  # fmt: skip
+                                  self._note, self._name, portions, self._counting)  # fmt: skip
                 self._links = self._wiring.links(parts)
                 self._listing = self._wiring.listing(parts)
                 self.regional: Regional | None = None
@@ -138,7 +145,8 @@
                     from harriertrack.gateway.fleet.carrier import Fleet  # other heads do not even load it
 
                     self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
-                                       self._listing, self._wiring.kept)  # fmt: skip
+                                       self._listing, self._wiring.kept, self._wiring.handover,
+                                       self._wiring.usage, self.retell)  # fmt: skip
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
@@ -161,6 +169,14 @@
             if self._log is not None:
                 self._log.close()
 
+    def _counts(self) -> Counting | None:
+        fleet = self.settings.fleet
+        if fleet is None or fleet.changes is None or fleet.changes.rollout is None:
+            return None
+        from harriertrack.decisions.fleet.rollout.counting import Counting  # heads without do not load it
+
+        return Counting({one.name: (one.aim_us, one.deadline_us) for one in self.settings.classes})
+
     def _told(self, settings: HeadSettings) -> api.Settings:
         """Return what the decision module is told."""
         told = module_settings(settings)
@@ -256,6 +272,8 @@
     def answer(self, request: ClientRequest) -> None:
         """Hand a final answer to whoever asked."""
         self.reception.ended(request)
+        if self._counting is not None:
+            self._counting.answered(self.hub.now(), request)
         request.token.answer(request)
 
     def subscribe(self, on: bool) -> None:
--- a/harriertrack/gateway/parts.py
+++ b/harriertrack/gateway/parts.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from harriertrack.decisions.fleet.portions import Portions
+    from harriertrack.decisions.fleet.rollout.counting import Counting
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,3 +31,4 @@
     note: Callable[..., None]
     name: str
     portions: Portions | None = None  # of what its fleet divides; None: it divides nothing
+    counting: Counting | None = None  # of its answers, for rollouts; None: nobody asks
--- /dev/null
+++ b/tests/rollout/test_launching.py
@@ -0,0 +1,281 @@
+"""The launcher: its machine, what survives a kill at any moment, and a real head that it starts again."""
+
+import os
+import subprocess
+import sys
+import time
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from harriertrack.config.rollout import load_launcher, read_plan, read_program
+from harriertrack.config.sexp import SettingsError
+from harriertrack.decisions.fleet.changes.record import Version
+from harriertrack.decisions.fleet.rollout.launching import (
+    Done, End, IllegalPhase, Keep, Kept, Launching, LaunchRules, Phase, Program, Start,
+)  # fmt: skip
+from harriertrack.decisions.fleet.rollout.plan import USUAL, Measure
+from harriertrack.gateway.fleet.rollout.launcher.files import Files, launched
+from harriertrack.gateway.fleet.rollout.launcher.launcher import Launcher, Unfit, command_of
+from harriertrack.gateway.fleet.rollout.program_user import HANDING_OVER, ProgramUser
+from harriertrack.gateway.fleet.rollout.reports import MOST_BYTES, Heard, MalformedReport, encode_counts, encode_volumes
+from harriertrack.decisions.fleet.rollout.counting import Tally
+from harriertrack.decisions.fleet.rollout.evidence import Report
+from harriertrack.runtime.hub import Hub
+
+S = 1_000_000
+RULES = LaunchRules(ready_us=10 * S, prove_us=20 * S, drain_us=5 * S, tries=3)
+BAD = (3,)  # versions that end at once
+
+
+class Machine:
+    """A host with one child; what is on disk survives the launcher."""
+
+    def __init__(self, bad=BAD, mute=()):
+        self.bad, self.mute, self.now = bad, mute, 0
+        self.disk, self.child, self.asked, self.starts, self.want = Kept(), None, 0, [], None
+        self.launch()
+
+    def launch(self):
+        self.one = Launching(RULES, self.disk)
+        self.one.begin(self.now, self.child is not None)
+        self.act()
+
+    def act(self):
+        for action in self.one.take_actions():
+            match action:
+                case Keep(kept):
+                    self.disk = kept
+                case Start(program, fell, _):
+                    assert self.child is None, "never two children"
+                    self.child, self.asked = program.number, 0
+                    self.starts.append((program.number, fell))
+                    self.one.started(self.now, 7, "t")
+                    self.act()
+                case End(at_once):
+                    self.asked = self.now if not at_once else -1
+                case Done():
+                    self.one = None
+                    return
+
+    def run(self, seconds):
+        for _ in range(seconds * 2):
+            self.now += S // 2
+            if self.child is not None:
+                if self.asked or self.child in self.bad:
+                    self.child = None
+                    self.one.ended(self.now, "signal 11 ended it")
+                elif self.child not in self.mute:
+                    self.one.ready(self.now)
+            if self.one is not None:
+                if self.want is not None and self.one.phase is not Phase.IDLE:
+                    self.one.wanted(self.now, self.want)  # a file says so until another does
+                self.one.wake(self.now)
+                self.act()
+
+
+def test_a_version_that_ends_again_and_again_gives_way_to_the_last_good_one():
+    host = Machine()
+    host.run(30)
+    host.want = Program(2)
+    host.run(30)
+    assert (host.child, host.disk.good.number) == (2, 2)
+    host.want = Program(3)
+    host.run(30)
+    assert host.child == 2 and host.disk.fell == 3 and "3 times" in host.disk.why
+    assert [number for number, _ in host.starts] == [0, 2, 3, 3, 3, 2] and host.starts[-1] == (2, 3), "it is told so"
+    host.want = Program(3)
+    host.run(5)
+    assert host.child == 2, "what fell is not tried again"
+
+
+def test_a_version_that_does_not_become_ready_in_time_is_given_up_too():
+    host = Machine(bad=(), mute=(4,))
+    host.run(2)
+    host.want = Program(4)
+    host.run(60)
+    assert host.child == 0 and host.disk.fell == 4
+
+
+def test_a_good_one_is_started_for_ever_ever_more_slowly():
+    host = Machine(bad=(0,))
+    host.run(200)
+    assert 5 < len(host.starts) < 20 and host.disk.fell == 0
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.integers(1, 25), max_size=8), st.sampled_from([2, 3, 4]))
+def test_wherever_the_launcher_is_killed_it_comes_to_the_same(kills, version):
+    host = Machine(mute=(4,))
+    host.run(3)
+    host.want = Program(version)
+    for seconds in kills:
+        host.launch()  # another life of it: from the disk, with whatever child there is
+        host.run(seconds)
+    host.run(150)
+    assert host.child == (2 if version == 2 else 0)
+    assert host.disk.fell == (0 if version == 2 else version)
+
+
+def test_an_illegal_phase_raises():
+    with pytest.raises(IllegalPhase):
+        Launching(RULES)._go(0, Phase.RUNNING)
+
+
+def test_what_is_damaged_on_disk_counts_as_not_there(tmp_path):
+    files = Files(str(tmp_path))
+    files.keep(Kept(good=Program(5), fell=6, why="w"))
+    assert Files(str(tmp_path)).kept() == Kept(good=Program(5), fell=6, why="w")
+    data = (tmp_path / "state").read_bytes()
+    for broken in (data[:-1], b"", data.replace(b"5", b"7")):
+        (tmp_path / "state").write_bytes(broken)
+        assert files.kept() is None
+
+
+def launcher_file(tmp_path, extra=""):
+    path = tmp_path / "launch.sexp"
+    path.write_text(f'(launch "h" (head "{tmp_path}/head.sexp") (state "{tmp_path}/launch") {extra})')
+    return str(path)
+
+
+def test_only_programs_below_the_folders_of_the_launcher_are_started(tmp_path):
+    inside = tmp_path / "opt" / "2.0"
+    (inside / "bin").mkdir(parents=True)
+    (inside / "bin" / "harriertrack").touch()
+    told = load_launcher(launcher_file(tmp_path, f'(folders "{tmp_path}/opt")'))
+    assert command_of(told, Program(1, folder=str(inside)))[1:] == ["head", f"{tmp_path}/head.sexp"]
+    for folder, why in ((f"{tmp_path}/opt/../other", "not below"), (f"{tmp_path}/opt/1.0", "is not there")):
+        with pytest.raises(Unfit, match=why):
+            command_of(told, Program(1, folder=folder))
+
+
+def test_a_head_without_a_launcher_takes_no_program_and_one_with_hands_over(tmp_path):
+    two = Version("program", 2, 1, '(program "b" (arguments "--x"))', "ann", 1, "w")
+    assert ProgramUser(None).take("program", two) == "no launcher started this head"
+    of = launched({"HARRIERTRACK_LAUNCH": str(tmp_path), "HARRIERTRACK_LAUNCH_VERSION": "1",
+                   "HARRIERTRACK_LAUNCH_FELL": "3 not ready in time"})
+    assert ProgramUser(of).take("program", two) == HANDING_OVER
+    assert Files(str(tmp_path)).wanted() == read_program(two)
+    assert ProgramUser(of).take("program", Version("program", 3, 1, '(program "c")', "a", 1, "w")) == "not ready in time"
+    assert "expected (program" in ProgramUser(of).take("program", Version("program", 4, 1, "(settings)", "a", 1, "w"))
+    assert launched({}) is None
+
+
+CHILD = """import os, sys, time
+sys.path.insert(0, {root!r})
+from harriertrack.gateway.fleet.rollout.launcher.files import launched
+if "--bad" in sys.argv: sys.exit(3)
+launched(dict(os.environ)).ready()
+time.sleep(60)
+"""
+
+
+@pytest.fixture
+def host(tmp_path, monkeypatch):
+    """A launcher on a hub of its own whose programs are little scripts."""
+    from harriertrack.gateway.fleet.rollout.launcher import launcher as module
+
+    script = tmp_path / "child.py"
+    script.write_text(CHILD.format(root=os.getcwd()))
+    monkeypatch.setattr(module, "OWN", (sys.executable, str(script)))
+    told = load_launcher(launcher_file(tmp_path, "(prove 300ms) (tries 2) (drain 2s)"))
+    said = []
+    hub = Hub()
+    one = Launcher(hub, told, lambda event, **fields: said.append((event, fields)))
+
+    def play(steps):
+        def main():
+            with hub.scope("test") as scope:
+                task = scope.spawn("launcher", one.run)
+                steps(one, hub)
+                one.stop()
+                while not task.done:
+                    hub.sleep(20_000)
+
+        hub.run(main)
+        return said
+
+    return play, one, tmp_path
+
+
+def until(hub, true, most_s=20):
+    ends = time.monotonic() + most_s
+    while not true():
+        assert time.monotonic() < ends
+        hub.sleep(20_000)
+
+
+def test_a_real_child_is_replaced_found_again_and_ended(host):
+    play, one, folder = host
+    files = Files(str(folder / "launch"))
+
+    def steps(one, hub):
+        until(hub, lambda: one.machine.phase is Phase.RUNNING)
+        files.want(Program(2, arguments=("--bad",)))
+        until(hub, lambda: one.machine.kept.fell == 2 and one.machine.phase is Phase.RUNNING)
+        assert one.machine.kept.runs == 0
+        files.want(Program(4))
+        until(hub, lambda: one.machine.kept.good.number == 4)
+        found = Launcher(Hub(), load_launcher(str(folder / "launch.sexp")), lambda *_, **__: None)
+        assert found._child is not None and found._child.pid == one.machine.kept.child, "another life finds it"
+
+    said = play(steps)
+    pid = [fields["pid"] for event, fields in said if event == "launch: head starts"][-1]
+    with pytest.raises(ProcessLookupError):
+        os.kill(pid, 0)
+
+
+def test_the_command_tells_bad_settings(tmp_path):
+    path = tmp_path / "l.sexp"
+    path.write_text('(launch "h" (head "x"))')
+    done = subprocess.run([sys.executable, "-m", "harriertrack", "launch", str(path)], capture_output=True, text=True)
+    assert done.returncode == 2 and "l.sexp:1" in done.stderr and "state" in done.stderr
+
+
+# -- plans and reports
+
+@pytest.mark.parametrize(("text", "why"), [
+    ('(plan (stage "a" (heads 1)))', "the last one has"),
+    ('(plan (stage "a" (heads 1) (share 0.5)) (stage "b" (share 1)))', "either heads or share"),
+    ('(plan (stage "a" (heads 1)) (stage "a" (share 1)))', "given twice"),
+    ('(plan (bounds (times 1)))', "times"),
+    ('(plan (soak 3s))', "unknown setting soak"),
+    ('(settings)', "expected .plan"),
+])  # fmt: skip
+def test_a_plan_that_can_not_be_is_told_with_its_field(text, why):
+    with pytest.raises(SettingsError, match=why):
+        read_plan(text, "p", USUAL)
+
+
+def test_a_plan_says_what_differs_from_the_usual():
+    told = read_plan('(plan (away 3) (alone yes) (compares "failed" "slow") (stage "x" (heads 2) (soak 5s)) (stage "y" (share 1)))', "p", USUAL)
+    assert (told.away, told.alone, told.measures) == (3, True, (Measure.FAILED, Measure.SLOW))
+    assert told.stages[0].heads == 2 and told.stages[0].soak_us == 5 * S and told.bounds == USUAL.bounds
+    assert read_plan("(plan)", "p", USUAL) == USUAL
+
+
+def test_reports_fit_and_are_read_back():
+    classes = {f"class{number:03}": Tally(10**9 + number, 5, 6, 7, 8, [10**6] * 16) for number in range(40)}
+    report = Report("h", 9, {"settings": 3, "program": 4}, classes, 1 << 30, 10**9, {"program": (5, "w" * 500)}, 2)
+    data = encode_counts(report)
+    assert len(data) <= MOST_BYTES
+    heard = Heard("h")
+    read = heard.take(data)
+    assert read.runs == report.runs and set(read.classes) < set(classes) and len(read.classes) >= 5
+    assert all(read.classes[name] == classes[name] for name in read.classes)
+    assert heard.volumes is None
+    for body in encode_volumes(9, list(range(10**9, 10**9 + 400))):
+        assert len(body) <= MOST_BYTES and heard.take(body) is None
+    assert len(heard.volumes) == 400
+    next_life = next(iter(encode_volumes(10, [1] * 151)))
+    assert heard.take(next_life) is None and heard.volumes is None, "of another life nothing is known yet"
+
+
+@given(st.binary(max_size=60))
+def test_garbage_is_no_report(data):
+    heard = Heard("h")
+    try:
+        report = heard.take(data)
+    except MalformedReport:
+        report = None
+    assert report is None or report.head == "h"
