--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -43,6 +43,7 @@
     checker,
     fleet as fleet_rules,
     recording as rec,
+    rollout as rollout_rules,
     zones as zone_rules,
 )
 from harriertrack.runtime.hub import Hub
@@ -340,6 +341,8 @@
     tell(zones, "zones: ")
     record = change_rules.check(records)
     tell(record, "record: ")
-    broken = requests + views + shares + zones + record
+    stages = rollout_rules.check(records)
+    tell(stages, "rollouts: ")
+    broken = requests + views + shares + zones + record + stages
     click.echo("rules broken" if broken else "all rules held")
     sys.exit(1 if broken else 0)
--- a/harriertrack/gateway/fleet/rollout/carrier.py
+++ b/harriertrack/gateway/fleet/rollout/carrier.py
@@ -124,21 +124,21 @@
         def make(record: Record) -> Record:
             return step.write(record, term.epoch, self._hub.clock.wall() // 1000)
 
-        if self._deciding.keeps(self._hub.now()) == term and self._change(make):
-            self._parts.note("rollout", thing=step.before.thing, version=step.before.number,
-                             standing=step.standing.value, stage=step.stage, heads=list(step.heads),
-                             epoch=term.epoch, why=step.reason)  # fmt: skip
+        if self._deciding.keeps(self._hub.now()) != term:
+            return
+        # Said before: a head that dies between the two has written what nobody else would tell of.
+        self._parts.note("rollout", thing=step.before.thing, version=step.before.number,
+                         standing=step.standing.value, stage=step.stage, heads=list(step.heads),
+                         epoch=term.epoch, why=step.reason)  # fmt: skip
+        self._change(make)
 
-    def _change(self, make: Callable[[Record], Record]) -> bool:
+    def _change(self, make: Callable[[Record], Record]) -> None:
         try:
             self._changes.write(make)
         except (Refused, IllegalStep, DamagedRecord, ValueError) as error:
             self._parts.note("rollout: step not taken", why=str(error))
         except FAILURES:
             pass  # the next look finds out whether it was written
-        else:
-            return True
-        return False
 
     def _known(self) -> dict[str, Known]:
         now = self._hub.now()
--- a/harriertrack/gateway/fleet/rollout/launcher/files.py
+++ b/harriertrack/gateway/fleet/rollout/launcher/files.py
@@ -86,9 +86,19 @@
     def __init__(self, environment: dict[str, str]) -> None:
         self._files = Files(environment[FOLDER_VARIABLE])
         self._token = environment.get(TOKEN_VARIABLE, "")
-        self.number = int(environment.get(NUMBER_VARIABLE, "0"))
+        self._number = int(environment.get(NUMBER_VARIABLE, "0"))
         number, _, why = environment.get(FELL_VARIABLE, "0 ").partition(" ")
-        self.fell = int(number), why
+        self._fell = int(number), why
+
+    @property
+    def number(self) -> int:
+        """Return the version that runs."""
+        return self._number
+
+    @property
+    def fell(self) -> tuple[int, str]:
+        """Return the version that did not run when it was tried, and why; 0: none."""
+        return self._fell
 
     def wanted(self, program: Program) -> None:
         """Let a version run in this one's place. Raises OSError."""
--- a/harriertrack/gateway/fleet/rollout/program_user.py
+++ b/harriertrack/gateway/fleet/rollout/program_user.py
@@ -19,8 +19,13 @@
 class Handover(Protocol):
     """What started this head."""
 
-    number: int  # the version that runs
-    fell: tuple[int, str]  # the version that did not run when it was tried, and why; 0: none
+    @property
+    def number(self) -> int:
+        """Return the version that runs."""
+
+    @property
+    def fell(self) -> tuple[int, str]:
+        """Return the version that did not run when it was tried, and why; 0: none."""
 
     def wanted(self, program: Program) -> None:
         """Let a version run in this one's place. Raises OSError."""
--- /dev/null
+++ b/harriertrack/lab/fleet/launched.py
@@ -0,0 +1,126 @@
+"""A head's launcher in simulated time: the machine of the real one, with heads of a rig for children."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from harriertrack.decisions.fleet.rollout.launching import (
+    End,
+    Keep,
+    Kept,
+    Launching,
+    LaunchRules,
+    Phase,
+    Program,
+    Start,
+)
+from harriertrack.lab.fleet.rehearsal import Rehearsal, rehearsal_of
+from harriertrack.lab.rig import HeadSlot
+from harriertrack.rules import recording as rec
+from harriertrack.runtime.hub import Hub
+
+LOOK_US = 50_000
+FLAG = "--rehearse"
+
+
+def rehearsed(program: Program) -> Rehearsal:
+    """Return what a program's arguments say that it does wrong. Raises ValueError."""
+    words = program.arguments
+    return rehearsal_of(words[words.index(FLAG) + 1]) if FLAG in words else Rehearsal()
+
+
+class Host(Protocol):
+    """The rig, as far as a launcher needs it."""
+
+    hub: Hub
+    recorder: rec.Recorder
+
+    def start_child(self, slot: HeadSlot, rehearsal: Rehearsal) -> None:
+        """Start a head of a version; it serves when this returns, unless it is mute."""
+
+    def crash(self, slot: HeadSlot) -> None:
+        """A head ends by itself."""
+
+    def leave(self, slot: HeadSlot) -> None:
+        """Ask a head to end."""
+
+    def lived(self, slot: HeadSlot, how: str) -> None:
+        """Record what became of a head."""
+
+
+class SimulatedLauncher:
+    """One head's; `disk` keeps what it writes down."""
+
+    def __init__(self, host: Host, slot: HeadSlot, rules: LaunchRules, disk: Kept,
+                 keep: Callable[[Kept], None]) -> None:  # fmt: skip
+        self._host, self._slot, self._keep = host, slot, keep
+        self._machine = Launching(rules, disk)
+        self._wanted: Program | None = None
+        self._serves = False
+        self._crash_at = 0
+
+    @property
+    def number(self) -> int:
+        """Return the version that runs."""
+        return self._machine.kept.runs
+
+    @property
+    def fell(self) -> tuple[int, str]:
+        """Return the version that did not run when it was tried, and why."""
+        return self._machine.kept.fell, self._machine.kept.why
+
+    def wanted(self, program: Program) -> None:
+        """Let a version run in this one's place."""
+        self._wanted = program
+
+    def run(self) -> None:
+        """Keep a head running (a task)."""
+        hub, machine, slot = self._host.hub, self._machine, self._slot
+        machine.begin(hub.now(), False)
+        self._act()
+        while True:
+            hub.sleep(LOOK_US)
+            now = hub.now()
+            if self._crash_at and now >= self._crash_at:
+                self._crash_at = 0
+                self._host.crash(slot)
+            if machine.phase is not Phase.IDLE and slot.task is not None and slot.task.done:
+                machine.ended(now, "it ended")
+            elif machine.phase is Phase.STARTING and self._serves:
+                machine.ready(now)
+                self._tell(False, machine.kept.runs)
+            if machine.phase is not Phase.IDLE and self._wanted is not None:
+                machine.wanted(now, self._wanted)
+            machine.wake(now)
+            self._act()
+
+    def _tell(self, away: bool, version: int) -> None:
+        self._host.recorder.add(
+            rec.HandedOver(t=self._host.hub.now(), head=self._slot.name, away=away, version=version)
+        )
+
+    def _act(self) -> None:
+        while actions := self._machine.take_actions():
+            for action in actions:
+                match action:
+                    case Keep(kept):
+                        self._keep(kept)
+                    case Start(program):
+                        self._start(program)
+                    case End(at_once):
+                        self._crash_at = 0
+                        if at_once:
+                            self._host.crash(self._slot)
+                        else:
+                            self._tell(True, self._machine.kept.next.number)
+                            self._host.lived(self._slot, "leaving")
+                            self._host.leave(self._slot)
+
+    def _start(self, program: Program) -> None:
+        bad, now = rehearsed(program), self._host.hub.now()
+        self._machine.started(now, 1, f"{now}")
+        self._crash_at = now + bad.crash_us if bad.crash_us else 0
+        self._serves = False
+        self._host.start_child(self._slot, bad)
+        self._serves = not bad.mute
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 
 import msgspec
@@ -25,14 +26,26 @@
 from harriertrack.decisions.fleet.changes.record import Record
 from harriertrack.decisions.fleet.changes.standing import Standing
 from harriertrack.decisions.fleet.changes.writing import propose, wish
+from harriertrack.decisions.fleet.rollout.launching import Kept, LaunchRules
 from harriertrack.gateway.fleet.changes import keeping
+from harriertrack.gateway.fleet.seats import DECIDES
 from harriertrack.gateway.fleet.zones import set_wish
 from harriertrack.gateway.head import Wiring
 from harriertrack.gateway.witness import WitnessClient
 from harriertrack.lab.day import DaySettings
-from harriertrack.lab.fleet import shares
+from harriertrack.lab.fleet import shares, staging
 from harriertrack.lab.fleet.later import LaterDatagrams
-from harriertrack.lab.fleet.scenario import ZONES, DayBudgets, FleetDaySettings, StepSettings, Verb, chosen
+from harriertrack.lab.fleet.launched import SimulatedLauncher
+from harriertrack.lab.fleet.rehearsal import Rehearsal, WorseLinks
+from harriertrack.lab.fleet.scenario import (
+    ROLES,
+    ZONES,
+    DayBudgets,
+    FleetDaySettings,
+    StepSettings,
+    Verb,
+    chosen,
+)
 from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
 from harriertrack.lab.troubles import for_a_while
 from harriertrack.membership.fleet import budgeting
@@ -40,7 +53,7 @@
 from harriertrack.rules import recording as rec
 from harriertrack.rules.fleet import Views
 from harriertrack.runtime.datagrams import MemoryDatagrams
-from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.hub import Hub, Task
 from harriertrack.runtime.streams import MemoryNetwork, Network
 from harriertrack.standin.relay import Fault, Weather
 from harriertrack.standin.shelf import Shelf
@@ -48,6 +61,7 @@
 from harriertrack.storage.changes import ChangesCache
 
 LOOK_US = 20_000
+LAUNCH = LaunchRules(ready_us=5_000_000, prove_us=4_000_000, drain_us=5_000_000)  # of heads with launchers
 FOREVER_US = 24 * 3600 * 1_000_000
 SEEDS = 2
 OUTSIDE = ("list", "witness")  # parties that are no heads or nodes
@@ -78,6 +92,10 @@
         self.weather = Weather(seed, DELAY_US if isinstance(network, MemoryNetwork) else (0, 0))
         self.views = Views()
         self._drawn = random.Random(seed)
+        self._cut: list[str] = []
+        self._decider = ""  # as its log said last
+        for end in day.ends:
+            recorder.add(rec.RolloutEnd(t=0, thing=end.name, version=end.version))
         if day.zones is not None and fleet:
             recorder.add(rec.ZoneFacts(t=0, zones=list(ZONES), may_leave=list(day.may_leave)))
         if day.budgets is not None and fleet:
@@ -188,7 +206,8 @@
                 return wish(record, thing, Standing(step.to), "operator", now_ms, "the day says so")
             holds = record.in_force(thing)
             base = holds.number if holds is not None else 0
-            return propose(record, thing, base, step.body, "operator", now_ms, "the day says so", step.plan)
+            return propose(record, thing, base, step.body, "operator", now_ms, "the day says so", step.plan,
+                           step.although)  # fmt: skip
 
         client = WitnessClient(self.hub, self.network, self.witness_address, 1_000_000, "operator")
         found = keeping.write(client, make)
@@ -196,6 +215,8 @@
         self.recorder.add(
             rec.Proposed(t=self.hub.now(), thing=thing, version=last.number, standing=last.standing.value)
         )
+        if step.name is Verb.PROPOSE:
+            self.recorder.add(staging.facts_of(self.hub.now(), last, self.heads))
 
     @property
     def witness_address(self) -> tuple[str, int]:
@@ -235,10 +256,21 @@
 
     def _who(self, step: StepSettings) -> list[HeadSlot]:
         names = chosen(step.who, [slot.name for slot in self.heads])
+        names += [name for word in step.who if word in ROLES for name in self._roles(word)]
         if step.part < 1.0:
             names = self._drawn.sample(names, max(1, round(step.part * len(names))))
         return [slot for slot in self.heads if slot.name in names]
 
+    def _roles(self, word: str) -> list[str]:
+        """Return the heads that have a role now, as far as they told."""
+        if word == "decider":
+            return [self._decider] if self._decider else []
+        steps = [one for one in self.recorder.records if isinstance(one, rec.RolloutStep) and one.heads]
+        new = set(steps[-1].heads if steps else ())
+        zones = {slot.zone for slot in self.heads if slot.name in new}
+        return [slot.name for slot in self.heads
+                if slot.name in new or (word == "new-zone" and slot.zone in zones)]  # fmt: skip
+
     def _strike(self, step: StepSettings) -> None:
         heads = [slot.name for slot in self.heads]
         sources = chosen(step.who, heads)
@@ -254,6 +286,9 @@
             step.late_us, step.jitter_us, step.least_bytes,
         )  # fmt: skip
         self.strike(fault, step.for_us)
+        if step.cut and not step.one_way:
+            self._cut = [name for name in sources if name in heads]
+            self.weather_changed()
 
     def strike(self, fault: Fault, us: int, ends: Callable[[], None] = lambda: None) -> None:
         """Let a fault begin, for a time or (0) until all are healed; `ends` is called just before its end."""
@@ -288,6 +323,8 @@
     def weather_changed(self) -> None:
         """Tell that faults began or ended."""
         self.recorder.add(rec.Weather(t=self.hub.now(), faults=len(self.weather)))
+        self._cut = self._cut if len(self.weather) else []
+        self.recorder.add(rec.CutOff(t=self.hub.now(), heads=self._cut))
 
     def lived(self, slot: HeadSlot, how: str) -> None:
         """Record what became of a head."""
@@ -311,6 +348,10 @@
                 rec.TookVersion(t=self.hub.now(), head=slot.name, thing=str(fields["thing"]),
                                 version=int(str(fields["version"])), why=str(fields.get("why", "")))
             )  # fmt: skip
+        if event == "fleet budgets: term begins" and int(str(fields["ledger"])) == DECIDES:
+            self._decider = slot.name
+        if event == "rollout":
+            self.recorder.add(staging.step_of(self.hub.now(), slot.name, fields))
         if event == "fleet member":
             told = {name: fields[name] for name in TOLD}
             told.update(t=self.hub.now(), member=slot.name, about=fields["member"])
@@ -385,6 +426,10 @@
         self.witness = Witness(hub, network)
         self._kept = b""
         self._later: set[str] = set()
+        self._bad: dict[str, Rehearsal] = {}  # what runs at heads whose version is worse
+        self._launchers: dict[str, SimulatedLauncher] = {}
+        self._launching: dict[str, Task] = {}
+        self._disks: dict[str, Kept] = {}  # what launchers keep
         self._changes: dict[str, ChangesCache] = {}  # what each head keeps of the record of changes
         self._still_until: dict[str, int] = {}
 
@@ -423,7 +468,10 @@
         """Return what a head is made of."""
         later = slot.name in self._later
         datagrams = LaterDatagrams(self.datagrams) if later else self.datagrams
-        return Wiring(datagrams=datagrams, kept=self._changes.setdefault(slot.name, ChangesCache(None)))
+        made = Wiring(datagrams=datagrams, kept=self._changes.setdefault(slot.name, ChangesCache(None)),
+                      handover=self._launchers.get(slot.name))  # fmt: skip
+        bad = self._bad.get(slot.name)
+        return replace(made, links=partial(WorseLinks, rehearsal=bad)) if bad is not None else made
 
     def note_of(self, slot: HeadSlot) -> Callable[..., None]:
         """Return what hears a head's log."""
@@ -435,11 +483,40 @@
         if step.fresh:
             self._changes.pop(slot.name, None)
         (self._later.add if step.later else self._later.discard)(slot.name)
+        if not self.fleet_day.launched:
+            self.start_head(slot)
+            return
+        launcher = SimulatedLauncher(
+            self, slot, LAUNCH, self._disks.get(slot.name, Kept()),
+            lambda kept: self._disks.__setitem__(slot.name, kept),
+        )  # fmt: skip
+        self._launchers[slot.name] = launcher
+        slot.head = slot.task = None
+        self._launching[slot.name] = self.scope.spawn(f"launcher {slot.name}", launcher.run)
+        while slot.head is None:
+            self.hub.sleep(LOOK_US)
+        slot.head.ready.wait()
+
+    def start_child(self, slot: HeadSlot, rehearsal: Rehearsal) -> None:
+        """Start a head of a version; it serves when this returns, unless it is mute."""
+        if slot.name not in self.views.running:
+            self.lived(slot, "started")
+        if rehearsal.class_name:
+            self._bad[slot.name] = rehearsal
+        else:
+            self._bad.pop(slot.name, None)
         self.start_head(slot)
 
+    def crash(self, slot: HeadSlot) -> None:
+        """A head ends by itself."""
+        self.lived(slot, "killed")
+        self.kill_head(slot)
+
     def kill(self, slot: HeadSlot) -> None:
         """End a head at once; one that stands still, when it goes on: its tasks can't be ended before."""
         self.hub.sleep_until(self._still_until.get(slot.name, 0))
+        if (launching := self._launching.pop(slot.name, None)) is not None:
+            launching.cancel()
         self.lived(slot, "killed")
         self.kill_head(slot)
 
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -37,7 +37,8 @@
 SPAN = re.compile(r"(\d+(?:\.\d+)?)\.\.(\d+(?:\.\d+)?)\Z")
 NAMED = re.compile(r"(?:head|node)\d+\Z|list\Z|witness\Z")
 ZONES = ("z0", "z1", "z2")
-GROUPS = ("all", "seeds", "rest", "shelves")
+ROLES = ("decider", "new", "new-zone")  # who decides; who runs what comes in stages; all in their zones
+GROUPS = ("all", "seeds", "rest", "shelves", *ROLES)
 
 
 class Verb(Enum):
@@ -89,6 +90,7 @@
     thing: str = ""  # that changes
     body: str = ""
     plan: str = ""
+    although: str = ""  # it was stopped before
     to: Literal["paused", "going", "aborted", ""] = ""
     old: bool = False
     clock_rate: Annotated[float, msgspec.Meta(ge=0.5, le=2)] = 1.0  # of who is started; processes only
@@ -101,6 +103,13 @@
     budgets: tuple[BudgetSettings, ...] = ()
 
 
+class EndSettings(Checked, frozen=True, kw_only=True):
+    """What all heads run when the day is over: a thing, and its version; 0: what they were started with."""
+
+    name: str
+    version: Whole = 0
+
+
 class FleetDaySettings(Checked, frozen=True, kw_only=True):
     """A day for a fleet."""
 
@@ -117,6 +126,8 @@
     budgets: DayBudgets | None = None
     zones: ZonesSettings | None = None
     changes: ChangesSettings | None = None
+    ends: tuple[EndSettings, ...] = ()
+    launched: bool = False  # heads have launchers, and programs can change
     zones_at: Share = 1.0  # so many of each ten heads have zones; the others help themselves
     may_leave: tuple[str, ...] = ()  # zones that the fleet may leave on this day
     rate: Amount = 8.0  # requests a second, a head
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -342,10 +342,70 @@
     why: str = ""
 
 
+class StageFacts(msgspec.Struct, kw_only=True):
+    """How many heads run a version by a stage's end: a number, or a part of each zone."""
+
+    heads: int
+    share: float
+
+
+class RolloutFacts(msgspec.Struct, kw_only=True, tag="rollout-facts", tag_field="what"):
+    """The fleet that a version is brought about in, and its plan, as an operator proposed it."""
+
+    t: int
+    thing: str
+    version: int
+    zones: dict[str, str]  # by head
+    volumes: dict[str, list[str]]  # by head
+    stages: list[StageFacts]
+    away: int  # heads that may be away for it at once
+    back_away: int
+    missing: float  # the part of a stage's heads that need not be heard
+
+
+class RolloutEnd(msgspec.Struct, kw_only=True, tag="rollout-end", tag_field="what"):
+    """What all heads are to run at the day's end: 0 is what they were started with."""
+
+    t: int
+    thing: str
+    version: int
+
+
+class RolloutStep(msgspec.Struct, kw_only=True, tag="rollout-step", tag_field="what"):
+    """Who decides wrote in the record where a version stands from now on."""
+
+    t: int
+    by: str
+    epoch: int
+    thing: str
+    version: int
+    standing: str
+    stage: int
+    heads: list[str]
+    why: str
+
+
+class HandedOver(msgspec.Struct, kw_only=True, tag="handed-over", tag_field="what"):
+    """A head was asked to end (`away`) so that another version runs in its place, or is back."""
+
+    t: int
+    head: str
+    away: bool
+    version: int  # that is to run, or runs
+
+
+class CutOff(msgspec.Struct, kw_only=True, tag="cut-off", tag_field="what"):
+    """These heads reach no others, and no others them, from now on."""
+
+    t: int
+    heads: list[str]
+
+
 Record = (
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
-    | ZoneUse | Proposed | WentBy | TookVersion
+    | ZoneUse | Proposed | WentBy | TookVersion | RolloutFacts | RolloutEnd | RolloutStep | HandedOver
+    | CutOff
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -7,7 +7,7 @@
 from harriertrack.decisions.fleet.rollout import levels
 from harriertrack.decisions.fleet.rollout.choosing import Member, next_away, staged
 from harriertrack.decisions.fleet.rollout.plan import Bounds, Plan, Stage
-from harriertrack.lab.fleet.staging import Harm, S, Staged
+from harriertrack.lab.fleet.staged import Harm, S, Staged
 
 QUICK = Plan(
     (Stage("one", heads=1, soak_us=20 * S, least=100), Stage("most", share=0.7, soak_us=20 * S, least=100),
