--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -72,27 +72,26 @@
     """A storage gateway: heads that decide when and to which storage node each request goes."""
 
 
-def _later(hub: Hub) -> Wiring:
-    from harriertrack.lab.fleet.later import LaterDatagrams  # heads that are no rehearsal do not load it
-    from harriertrack.runtime.datagrams import SocketDatagrams
-
-    return Wiring(datagrams=LaterDatagrams(SocketDatagrams(hub)))
-
-
 @main.command()
 @click.argument("settings", type=click.Path())
 @click.option("--clock-rate", type=click.FloatRange(0.5, 2.0), default=1.0,
               help="For rehearsals: how fast the process's clock runs.")  # fmt: skip
 @click.option("--as-later", is_flag=True, help="For rehearsals: speak to the fleet as a later version would.")
+@click.option("--rehearse", default="", help="For rehearsals: refuse:CLASS:PART, crash:SECONDS or mute.")
 @log_option
-def head(settings: str, clock_rate: float, as_later: bool, log_form: str) -> None:
+def head(settings: str, clock_rate: float, as_later: bool, rehearse: str, log_form: str) -> None:
     """Run a head by its SETTINGS until SIGINT or SIGTERM."""
     checked = settings_of(settings, HeadSettings)
     note = logger(log_form)
     hub = Hub() if clock_rate == 1.0 else Hub(RatedClock(clock_rate))
     hub.random.seed()
+    wiring, serve = Wiring(), lambda _hub, head: head.run()
+    if checked.fleet is not None or as_later or rehearse:
+        from harriertrack.cli import rollout  # other heads do not load it
+
+        wiring, serve = rollout.made_of(hub, as_later, rehearse)
     try:
-        one = Head(hub, SocketNetwork(hub), checked, note, wiring=_later(hub) if as_later else Wiring())
+        one = Head(hub, SocketNetwork(hub), checked, note, wiring=wiring)
     except SettingsError as error:
         fail(str(error))
     hub.on_stall = lambda us: note("the loop stood still", us=us)
@@ -100,7 +99,7 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)
     note("head starts", listen=f"{checked.listen[0]}:{checked.listen[1]}", head=f"{one.head_id:016x}")
-    run_until_signal(hub, one.run, one.stop)
+    run_until_signal(hub, lambda: serve(hub, one), one.stop)
     note("head stopped")
 
 
--- a/harriertrack/cli/rollout.py
+++ b/harriertrack/cli/rollout.py
@@ -1,15 +1,59 @@
-"""`harriertrack launch`: keep a head running, of the version that its fleet wants."""
+"""`harriertrack launch`: keep a head running, of the version that its fleet wants; and such heads."""
 
 from __future__ import annotations
 
+import os
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
+
 import click
 
 from harriertrack.cli.common import fail, logger, run_until_signal
 from harriertrack.config.rollout import load_launcher
 from harriertrack.config.sexp import SettingsError
+from harriertrack.gateway.fleet.rollout.launcher.files import Launched, launched
 from harriertrack.gateway.fleet.rollout.launcher.launcher import Launcher
+from harriertrack.gateway.fleet.rollout.usage import usage
+from harriertrack.gateway.head import Head, Wiring
+from harriertrack.lab.fleet.later import LaterDatagrams
+from harriertrack.lab.fleet.rehearsal import Rehearsal, WorseLinks, rehearsal_of
+from harriertrack.runtime.datagrams import SocketDatagrams
 from harriertrack.runtime.hub import Hub
 
+CRASHED = 3  # the status with which a rehearsed version ends
+
+
+def made_of(hub: Hub, later: bool, rehearse: str) -> tuple[Wiring, Callable[[Hub, Head], None]]:
+    """Return what a head of a fleet is made of, and its task."""
+    try:
+        bad = rehearsal_of(rehearse) if rehearse else Rehearsal()
+    except ValueError as error:
+        fail(f"--rehearse: {error}")
+    by = launched(dict(os.environ))
+    wiring = Wiring(handover=by, usage=usage)
+    if later:
+        wiring = replace(wiring, datagrams=LaterDatagrams(SocketDatagrams(hub)))
+    if bad.class_name:
+        wiring = replace(wiring, links=partial(WorseLinks, rehearsal=bad))
+    return wiring, partial(_serve, by, bad)
+
+
+def _serve(by: Launched | None, bad: Rehearsal, hub: Hub, one: Head) -> None:
+    """Run a head, and tell the launcher once it serves (a task)."""
+
+    def tell() -> None:
+        one.ready.wait()
+        if by is not None and not bad.mute:
+            by.ready()
+
+    with hub.scope("launched") as scope:
+        scope.spawn("ready", tell)
+        if bad.crash_us:
+            hub.at(hub.now() + bad.crash_us, lambda: os._exit(CRASHED))
+        one.run()
+        scope.cancel()
+
 
 @click.command()
 @click.argument("settings", type=click.Path())
--- a/harriertrack/decisions/fleet/rollout/comparing.py
+++ b/harriertrack/decisions/fleet/rollout/comparing.py
@@ -1,9 +1,10 @@
 """One comparison of heads with a version beside heads without, and beside themselves before. Pure.
 
-`side` and `own` are logarithms of likelihood ratios: worse by the bounds, against no worse. What is expected
-is known only so well (`doubt`), and requests go badly in clumps: a ratio is divided by how much more than
-chance both let the counts scatter. In the normal approximation that is the likelihood ratio of the mixtures
-over what is not known: it stops growing where more answers tell nothing more.
+Of all requests that went badly in a tick so many fall to heads with the version by chance: a part that is
+known from what was expected of both, if the version is no worse, and a larger one if it is. What is expected
+is known only so well (`doubt`): the part has a Beta distribution around that, and the counts are
+beta-binomial; against before they are negative binomial, in the same way. Requests go badly in clumps: so
+many of them count as one as old heads scatter in time more than chance lets them.
 """
 
 from __future__ import annotations
@@ -12,6 +13,9 @@
 from dataclasses import dataclass, field
 
 PRIOR = 10.0  # pieces of evidence for no more than chance, before any is seen
+HARMS = (1.0, 4.0, 16.0)  # times the bounds: what is far worse is found though little is known of before
+LEAST_PART = 1e-6  # of what goes badly
+LEAST_DOUBT = 1e-6
 CALM = 20.0  # bad answers' worth of evidence that it goes as before
 BLOCK = 10  # ticks: clumps that last as long are seen
 
@@ -37,9 +41,10 @@
 
     new: Arm = field(default_factory=Arm)
     old: Arm = field(default_factory=Arm)
-    side: float = 0.0
-    own: float = 0.0
-    informed: float = 0.0  # Fisher's, of the logarithm by which new and old differ
+    beside: Arm = field(default_factory=Arm)  # of bad answers where both answered: all, new heads', expected
+    worse: list[float] = field(default_factory=lambda: [0.0] * len(HARMS))  # expected if it is worse
+    is_: float = 0.0  # expected of new heads by what was before
+    be: float = 0.0  # ... if it is worse
     _doubts: dict[tuple[str, bool], list[float]] = field(default_factory=dict)  # expected, and unsurely so
     _block: dict[str, float] = field(default_factory=dict)
     _before: dict[str, float] = field(default_factory=dict)
@@ -62,17 +67,16 @@
             return
         self.new.add(new)
         if old.n:
-            worse = times * new.expected + more * new.n
-            is_part = new.expected / (new.expected + old.expected)
-            be_part = worse / (worse + old.expected)
-            self.side += new.badly * math.log(be_part / is_part)
-            self.side += old.badly * math.log((1 - be_part) / (1 - is_part))
-            self.informed += (new.badly + old.badly) * is_part * (1 - is_part)
+            both = new.badly + old.badly
+            part = new.expected / (new.expected + old.expected)
+            self.beside.add(Arm(both, new.badly, both * part))
+            for at, harm in enumerate(HARMS):
+                worse = max(min(harm * (times * new.expected + more * new.n), new.n), new.expected)
+                self.worse[at] += both * worse / (worse + old.expected)
         # Where all went worse before than now, the version is measured by now.
         calmer = min(1.0, (self.old.badly + CALM) / (self.old.expected + CALM))
-        is_ = calmer * new.expected
-        be = times * is_ + more * new.n
-        self.own += new.badly * math.log(be / is_) - (be - is_)
+        self.is_ += calmer * new.expected
+        self.be += calmer * times * new.expected + more * new.n
 
     def tick(self) -> None:
         """A tick is over: see after some how unevenly in time old heads did."""
@@ -105,12 +109,43 @@
         return sum(unsure**2 for _, unsure in mine) / whole**2 if whole else 0.0
 
     def weights(self, clumps: float) -> tuple[float, float]:
-        """Return the logarithms of both ratios as they count: beside the others, and against before."""
+        """Return how much says that it is worse, and how little that it is no worse, as logarithms of ratios.
+
+        Worse: beside the others, by the bounds or several times that (a mixture of tests is one). No worse:
+        less than the bounds, beside the others or against before.
+        """
         clumps, new = max(clumps, self._scatter / self._freedom), self._unsure(True)
-        side = self.side / clumps / (1 + (new + self._unsure(False)) * self.informed)
-        return side, self.own / clumps / (1 + new * self.new.expected)
+        doubt, beside = new + self._unsure(False), self.beside
+        bad, fine = beside.badly / clumps, (beside.n - beside.badly) / clumps
+        sides = [0.0] * len(HARMS)
+        if beside.n:
+            usual = _shared(bad, fine, beside.expected / beside.n, doubt)
+            sides = [_shared(bad, fine, worse / beside.n, doubt) - usual for worse in self.worse]
+        mine = self.new.badly / clumps
+        own = _counted(mine, self.be / clumps, new) - _counted(mine, self.is_ / clumps, new)
+        return max(sides) - math.log(len(HARMS)), min(sides[0], own)
 
     def matters(self, times: float, more: float) -> bool:
         """Whether heads with the version are at least half as bad as the bounds say, beside the others."""
         is_ = self.new.expected * (self.old.badly + 1) / (self.old.expected + 1)
         return self.new.badly - is_ >= ((times - 1) * is_ + more * self.new.n) / 2
+
+
+def _shared(bad: float, fine: float, part: float, doubt: float) -> float:
+    """Return the logarithm of a beta-binomial chance, as far as it depends on the part."""
+    part = min(max(part, LEAST_PART), 1 - LEAST_PART)
+    whole = 1 / (max(doubt, LEAST_DOUBT) * part * (1 - part))
+    a, b = whole * part, whole * (1 - part)
+    return _ratio(a, bad) + _ratio(b, fine) - _ratio(whole, bad + fine)
+
+
+def _ratio(of: float, more: float) -> float:
+    return math.lgamma(of + more) - math.lgamma(of)
+
+
+def _counted(bad: float, expected: float, doubt: float) -> float:
+    """Return the logarithm of a negative binomial chance, as far as it depends on what is expected."""
+    if expected <= 0:
+        return 0.0
+    shape = 1 / max(doubt, LEAST_DOUBT)
+    return bad * math.log(expected / (expected + shape)) - shape * math.log1p(expected / shape)
--- a/harriertrack/decisions/fleet/rollout/judging.py
+++ b/harriertrack/decisions/fleet/rollout/judging.py
@@ -3,8 +3,9 @@
 Compared are, tick by tick and within each zone and class, requests that went badly at heads of the new
 version and of the old: of all that did, how many fall to the new ones? Without a difference a part that is
 known from how much they did and how each did before (so what strikes all alike, now or since then, cancels);
-if the version is worse by `times` and `more`, a larger part. The likelihood ratio of the two is a test
-martingale: under either it passes 1/p with a chance of at most p, however often one looks (Wald; Ville).
+if the version is worse by `times` and `more`, a larger part. The likelihood ratio of the two, each mixed over
+what is not known of "before", is a test martingale: under either it passes 1/p with a chance of at most p,
+however often one looks (Wald; Ville; Robbins for the mixtures).
 
 Where too little goes badly for that, a version is not worse if it goes badly too seldom for one that is,
 measured by how heads did before. Only "not worse" is ever said so. Pure.
@@ -155,7 +156,7 @@
             busy = cell.new.n + cell.old.n >= BUSY * whole
             if key[1] and busy and cell.new.n < least and key[0] is not Measure.SLOW:
                 return Finding(Verdict.NOT_YET, f"{cell.new.n} of {least} answers of class {key[1]}")
-            if cell.new.n >= least and min(weights[key]) > passes:
+            if cell.new.n >= least and weights[key][1] > passes:
                 return Finding(Verdict.NOT_YET, _told(key, cell))
         if not any(cell.new.n for cell in first):
             return Finding(Verdict.NOT_YET, "no answers yet")
--- a/harriertrack/lab/fleet/processes.py
+++ b/harriertrack/lab/fleet/processes.py
@@ -13,10 +13,12 @@
 import subprocess
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
 
+from harriertrack.config.rollout import LaunchSettings
 from harriertrack.config.settings import (
     ConsulSettings,
     EntranceSettings,
@@ -30,7 +32,7 @@
 from harriertrack.config.written import written
 from harriertrack.gateway.fleet.zones import set_wish
 from harriertrack.gateway.witness import WitnessClient
-from harriertrack.lab.fleet.rig import LOOK_US, SEEDS, FleetRig
+from harriertrack.lab.fleet.rig import LAUNCH, LOOK_US, SEEDS, FleetRig
 from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings
 from harriertrack.lab.rig import HeadSlot
 from harriertrack.rules import recording as rec
@@ -76,8 +78,9 @@
 class Process:
     """One child, its log as it is read, and its end."""
 
-    def __init__(self, name: str, arguments: list[str], log: Path) -> None:
-        self.name, self.log = name, log
+    def __init__(self, name: str, arguments: list[str], log: Path, group: bool = False) -> None:
+        """`group`: it has children of its own that are stopped and killed with it."""
+        self.name, self.log, self._group = name, log, group
         self._read = log.stat().st_size if log.exists() else 0
         self._rest = b""
         with log.open("ab") as out:
@@ -99,7 +102,10 @@
 
     def signal(self, number: int) -> None:
         """Send it a signal, by its id, if it still runs."""
-        if not self.ended:
+        if self._group and number != signal.SIGTERM:
+            with suppress(ProcessLookupError):  # it leads a group of its own
+                os.killpg(self._child.pid, number)
+        elif not self.ended:
             self._child.send_signal(number)
 
     def lines(self) -> list[dict[str, object]]:
@@ -124,7 +130,7 @@
         try:
             self._child.wait(within_s)
         except subprocess.TimeoutExpired:
-            self._child.kill()
+            self.signal(signal.SIGKILL)
             self._child.wait()
 
 
@@ -271,9 +277,9 @@
             except (OSError, DeadlineExceeded) as error:
                 raise FleetProcessError(f"{process.name}: {error}; see {process.log}") from error
 
-    def start_process(self, name: str, arguments: list[str]) -> Process:
+    def start_process(self, name: str, arguments: list[str], group: bool = False) -> Process:
         """Start a child whose log lies in the day's folder."""
-        process = Process(name, arguments, self.path(f"{name}.log"))
+        process = Process(name, arguments, self.path(f"{name}.log"), group)
         self._processes[name] = process
         return process
 
@@ -308,6 +314,9 @@
         if step.fresh:
             shutil.rmtree(self.path(slot.name), ignore_errors=True)
         self.lived(slot, "started")
+        if self.fleet_day.launched:
+            self._launch_with_launcher(slot)
+            return
         arguments = ["head", str(self.path(f"{slot.name}.sexp"))]
         if step.clock_rate != 1.0:
             arguments += ["--clock-rate", str(step.clock_rate)]
@@ -318,6 +327,36 @@
         for connection in slot.connections:
             connection.address = self.entrance(slot)
 
+    def _launch_with_launcher(self, slot: HeadSlot) -> None:
+        name, path = slot.name, self.path(f"{slot.name}.launch.sexp")
+        told = LaunchSettings(
+            name=name, head=str(self.path(f"{name}.sexp")), state=str(self.path(f"{name}.launch")),
+            arguments=("--log", "json"), ready_us=READY_US, prove_us=LAUNCH.prove_us,
+            drain_us=LAUNCH.drain_us,
+        )  # fmt: skip
+        path.write_text(written("launch", told))
+        self.start_process(name, ["launch", str(path)], group=True)
+        self.hub.sleep(TURN_US)
+
+    def _heard_launcher(self, slot: HeadSlot, event: str, line: dict[str, object]) -> None:
+        """Follow what a launcher does with its head."""
+        now, record = self.hub.now(), self.recorder.add
+        if event == "launch: head is to end" and not line["at_once"]:
+            record(rec.HandedOver(t=now, head=slot.name, away=True, version=int(str(line["next"]))))
+            self.lived(slot, "leaving")
+            for connection in slot.connections:
+                connection.address = None
+        elif event == "launch: head ended":
+            if not line["asked"]:
+                self.lived(slot, "killed")
+            record(rec.Head(t=now, head=slot.name, number=0, up=False))
+        elif event == "launch: head starts" and slot.name not in self.views.running:
+            self.lived(slot, "started")
+        elif event == "launch: head serves":
+            record(rec.HandedOver(t=now, head=slot.name, away=False, version=int(str(line["version"]))))
+            for connection in slot.connections:
+                connection.address = self.entrance(slot)
+
     def _turn_clients_away(self, slot: HeadSlot) -> Process:
         for connection in slot.connections:
             connection.address = None
@@ -400,6 +439,8 @@
             if event == "head starts":
                 number = int(str(line["head"]), 16)
                 self.recorder.add(rec.Head(t=self.hub.now(), head=slot.name, number=number, up=True))
+            if event.startswith("launch: "):
+                self._heard_launcher(slot, event, line)
             self.heard(slot, event, line)
 
     # -- the end
