Merge rollouts in stages

What the parts of a fleet know of their head lies in one place (gateway/fleet/beside.py). Calendars are brought about by who decides on closes alone: a rollout would have put one in force without its checks.

--- a/harriertrack/config/settings/__init__.py
+++ b/harriertrack/config/settings/__init__.py
@@ -26,6 +26,7 @@
     FleetFigures,
     FleetSeedSettings,
     FleetSettings,
+    RolloutSettings,
     ZonesSettings,
 )
 from harriertrack.config.settings.head import Digest, HeadSettings, LimitSettings, NvmeSettings, RuleSettings
@@ -79,6 +80,7 @@
     "Port",
     "Positive",
     "RegionSettings",
+    "RolloutSettings",
     "RuleSettings",
     "ScorerSettings",
     "ScoringSettings",
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -31,7 +31,10 @@
 
 if TYPE_CHECKING:
     from harriertrack.decisions.fleet.portions import Portions
+    from harriertrack.decisions.fleet.rollout.counting import Counting
     from harriertrack.gateway.fleet.carrier import Fleet
+    from harriertrack.gateway.fleet.rollout.carrier import Usage
+    from harriertrack.gateway.fleet.rollout.program_user import Handover
     from harriertrack.gateway.fleet.scoring.carrier import Scored
     from harriertrack.runtime.datagrams import DatagramNetwork
     from harriertrack.storage.changes import ChangesCache
@@ -55,6 +58,8 @@
     kept: ChangesCache | None = None  # its copy of the record of changes; None: a file
     wall: Callable[[], int] | None = None  # for rehearsals: another wall clock than the hub's
     scorers: tuple[object, ...] = ()  # plugins beside the installed ones
+    handover: Handover | None = None  # what started it, and starts other versions; None: nothing does
+    usage: Usage | None = None  # what its process uses; None: it can't be told from others'
 
 
 class Head:
@@ -70,6 +75,7 @@
         self._stopping = Event(hub)
         self.ready = Event(hub)
         self.trace: Callable[[Attempt], None] | None = None  # hears of every send, for rigs that stamp them
+        self._counting: Counting | None = None  # of its answers, where versions come in stages
         self.address = self.nvme_address = settings.listen
         self.core: Core
         self.reception: Reception
@@ -125,9 +131,11 @@
                     from harriertrack.gateway.fleet.observing import Observed
 
                     decides = Observed(decides, self._scored.sights)
+                self._counting = self._counts()
                 self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
-                                  self._note, self._name, portions, self._wiring.wall)  # fmt: skip
+                                  self._note, self._name, portions, self._wiring.wall,
+                                  self._counting)  # fmt: skip
                 self._links = self._wiring.links(parts)
                 self._listing = self._wiring.listing(parts)
                 self.regional: Regional | None = None
@@ -148,11 +156,14 @@
                 if cells is not None:
                     scope.spawn("shares", self.reception.watch)
                 if settings.fleet is not None:
-                    from harriertrack.gateway.fleet.carrier import Fleet  # other heads do not even load it
-
-                    self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
-                                       self._listing, self._wiring.kept, extents,
-                                       self._links.epochs, self.retell, self._scored)  # fmt: skip
+                    from harriertrack.gateway.fleet.beside import Beside  # other heads do not even load it
+                    from harriertrack.gateway.fleet.carrier import Fleet
+
+                    made = self._wiring
+                    beside = Beside(self._listing, extents, self._links.epochs, self.retell, evidence,
+                                    self._scored, made.datagrams, made.kept, made.handover,
+                                    made.usage)  # fmt: skip
+                    self.fleet = Fleet(parts, settings.fleet, beside)
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
@@ -175,6 +186,14 @@
             if self._log is not None:
                 self._log.close()
 
+    def _counts(self) -> Counting | None:
+        fleet = self.settings.fleet
+        if fleet is None or fleet.changes is None or fleet.changes.rollout is None:
+            return None
+        from harriertrack.decisions.fleet.rollout.counting import Counting  # heads without do not load it
+
+        return Counting({one.name: (one.aim_us, one.deadline_us) for one in self.settings.classes})
+
     def _told(self, settings: HeadSettings) -> api.Settings:
         """Return what the decision module is told."""
         told = module_settings(settings)
@@ -273,6 +292,8 @@
     def answer(self, request: ClientRequest) -> None:
         """Hand a final answer to whoever asked."""
         self.reception.ended(request)
+        if self._counting is not None:
+            self._counting.answered(self.hub.now(), request)
         request.token.answer(request)
 
     def subscribe(self, on: bool) -> None:
--- a/harriertrack/lab/fleet/limits.py
+++ b/harriertrack/lab/fleet/limits.py
@@ -74,8 +74,10 @@
     def heard(self, slot: HeadSlot, event: str, fields: dict[str, object]) -> None:
         """Take a line of a head's log."""
         if event == "fleet change taken" and fields.get("thing") == THING:
-            self._told[slot.name] = self._times[int(str(fields["version"]))]
-            self._follow()
+            times = self._times.get(int(str(fields["version"])))
+            if times is not None:  # else operators' settings, which leave the limits as they are
+                self._told[slot.name] = times
+                self._follow()
 
     def _watch(self) -> None:
         """Look who lives, and which time is over (a task)."""
--- a/harriertrack/rules/everything.py
+++ b/harriertrack/rules/everything.py
@@ -4,7 +4,17 @@
 
 from collections.abc import Iterable
 
-from harriertrack.rules import budgets, changes, checker, closing, fleet, recording as rec, scoring, zones
+from harriertrack.rules import (
+    budgets,
+    changes,
+    checker,
+    closing,
+    fleet,
+    recording as rec,
+    rollout,
+    scoring,
+    zones,
+)
 from harriertrack.rules.checker import Breach
 
 
@@ -15,4 +25,5 @@
         "requests": checker.check(every), "views": fleet.check(every, detect_us),
         "budgets": budgets.check(every), "zones": zones.check(every), "record": changes.check(every),
         "closes": closing.check(every), "scores": scoring.check(every),
+        "rollouts": rollout.check(every),
     }  # fmt: skip
