--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -30,6 +30,7 @@
     from harriertrack.gateway.fleet.changes.carrier import Changes
     from harriertrack.gateway.fleet.closing.carrier import Closing
     from harriertrack.gateway.fleet.deciding import Deciding
+    from harriertrack.gateway.fleet.scoring.carrier import Scored, Scoring
     from harriertrack.gateway.fleet.zones import Zones
     from harriertrack.gateway.listing import Listing
     from harriertrack.storage.changes import ChangesCache
@@ -51,7 +52,8 @@
                  portions: Portions | None = None, evidence: Evidence | None = None,
                  listing: Listing | None = None, kept: ChangesCache | None = None,
                  extents: ExtentMap | None = None, epochs: dict[str, int] | None = None,
-                 retell: Callable[[HeadSettings], None] | None = None) -> None:  # fmt: skip
+                 retell: Callable[[HeadSettings], None] | None = None,
+                 scored: Scored | None = None) -> None:  # fmt: skip
         self._parts, self._settings, self._hub = parts, settings, parts.hub
         self._network = datagrams or SocketDatagrams(parts.hub)
         self._alarm = Alarm(parts.hub, self._wake)
@@ -61,6 +63,8 @@
         self._about = About()
         self._portions, self._evidence, self._listing, self._kept = portions, evidence, listing, kept
         self._extents, self._epochs, self._retell_head = extents, epochs, retell
+        self._scored = scored
+        self.scoring: Scoring | None = None
         self.zones: Zones | None = None
         self.budgets: Budgets | None = None
         self.deciding: Deciding | None = None
@@ -92,6 +96,11 @@
                          instance=digest_name(me.instance))  # fmt: skip
         self.swim.start(hub.now())
         self._follow()
+        if self._scored is not None and settings.scoring is not None:
+            from harriertrack.gateway.fleet.scoring.carrier import Scoring
+
+            self.scoring = Scoring(self._parts, settings.scoring, self._scored, self.swim)
+            self.scoring.start()
         if self._portions is not None and settings.budgets is not None:
             from harriertrack.gateway.fleet.budgets import Budgets  # a fleet without does not even load it
 
@@ -100,7 +109,6 @@
             self.budgets.start()
             if self._decides:
                 self._start_deciding(self.budgets)
-
     @property
     def _decides(self) -> bool:
         return self._settings.zones is not None or self._settings.changes is not None
@@ -134,6 +142,8 @@
                 self.closing = Closing(self._parts, settings.closing, self.swim, self.deciding, self.changes,
                                        self._extents, self._epochs)  # fmt: skip
                 self.closing.start()
+            if self.scoring is not None:
+                self.scoring.follow(self.changes)
             self.changes.start()
 
     def retell(self, settings: FleetSettings) -> None:
@@ -155,6 +165,8 @@
         finally:
             self._closed = True
             self._alarm.cancel()
+            if self.scoring is not None:
+                self.scoring.close()
             if self.budgets is not None:
                 self.budgets.close()
             self._port.close()
@@ -263,6 +275,8 @@
                 document = msgspec.structs.replace(document, record=self.changes.document())
             if self.closing is not None:
                 document = msgspec.structs.replace(document, closing=self.closing.document())
+            if self.scoring is not None:
+                document = msgspec.structs.replace(document, scores=self.scoring.document(now))
             stream.write(msgspec.json.encode(document))
             stream.push(sent.set)
             stream.watch_end(sent.set)
