--- a/harriertrack/decisions/fleet/closing/trims.py
+++ b/harriertrack/decisions/fleet/closing/trims.py
@@ -2,19 +2,18 @@
 
 The fence makes old bytes unreadable at once; trims give their room back and let their extents be written
 again. So they need no hurry but where a client waits. Each head trims what it placed itself, at its part of
-the fleet's pace, beginning at a moment of its own; one that fails is tried again ever more slowly, for the
-shelf may be down.
+the fleet's pace, beginning at a moment of its own. A shard where one fails is left alone for a while, ever
+longer, and then tried with one at a time: its shelf may be down, and others' trims go on.
 """
 
 from __future__ import annotations
 
 import heapq
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 FIRST_PAUSE_US = 200_000
-MOST_PAUSE_US = 10_000_000
-WANTED_US = 1_000_000  # a client that waits shortens a pause to this
+MOST_PAUSE_US = 5_000_000
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -50,16 +49,26 @@
         return self.asked - self.done
 
 
+@dataclass(slots=True)
+class _Shard:
+    """What is due at one shard, and how long it is left alone after a try that brought nothing."""
+
+    line: list[tuple[int, int, Left]] = field(default_factory=list)  # outdated ones are passed over
+    rests_until: int = 0
+    pause_us: int = 0  # above 0: one try at a time
+    out: int = 0
+
+
 class Trims:
     """One head's."""
 
     def __init__(self, rules: TrimRules, now: int) -> None:
         self.rules = rules
         self.progress = Progress()
-        self._line: list[tuple[int, int, Left]] = []  # when each may begin; outdated ones are passed over
-        self._due: dict[Left, int] = {}
-        self._pause: dict[Left, int] = {}
+        self._shards: dict[int, _Shard] = {}
+        self._due: dict[Left, int] = {}  # when each may begin
         self._least: dict[Left, int] = {}
+        self._tried: set[Left] = set()
         self._out: set[Left] = set()
         self._again: set[Left] = set()
         self._serial = 0
@@ -85,14 +94,15 @@
     def _stand(self, left: Left, when: int) -> None:
         self._due[left] = when
         self._serial += 1
-        heapq.heappush(self._line, (when, self._serial, left))
+        line = self._shards.setdefault(left.shard, _Shard()).line
+        heapq.heappush(line, (when, self._serial, left))
 
     def wanted(self, now: int, volume: str, extent: int) -> None:
         """A client waits for an extent: what is left of it comes first."""
         for left in [one for one in self._due if (one.volume, one.extent) == (volume, extent)]:
-            pause = self._pause.get(left, 0)
-            soon = max(now + min(pause, WANTED_US), self._least.get(left, 0))
-            self._stand(left, min(self._due[left], soon))
+            soon = max(now, self._least.get(left, 0))
+            if soon < self._due[left]:
+                self._stand(left, soon)
 
     def next(self, now: int, heads: int) -> Left | None:
         """Return what is to be trimmed now, within this head's part of the pace; None: nothing yet."""
@@ -101,38 +111,52 @@
         self._filled_at = now
         if self._tokens < 1 or len(self._out) >= self.rules.in_flight:
             return None
-        while self._line and self._line[0][0] <= now:
-            when, _, left = heapq.heappop(self._line)
-            if self._due.get(left) == when:
-                del self._due[left]
-                self._out.add(left)
-                self._tokens -= 1
-                return left
-        return None
+        ready = [shard for shard in self._shards.values() if self._ready(now, shard)]
+        if not ready:
+            return None
+        shard = min(ready, key=lambda one: one.line[0][:2])
+        _, _, left = heapq.heappop(shard.line)
+        del self._due[left]
+        self._out.add(left)
+        shard.out += 1
+        self._tokens -= 1
+        return left
+
+    def _ready(self, now: int, shard: _Shard) -> bool:
+        while shard.line and self._due.get(shard.line[0][2]) != shard.line[0][0]:
+            heapq.heappop(shard.line)
+        if not shard.line or shard.line[0][0] > now or now < shard.rests_until:
+            return False
+        return not (shard.pause_us and shard.out)
 
     def drop(self, lefts: Iterable[Left]) -> None:
         """These need not be trimmed any more; what is out ends as it ends."""
         for left in lefts:
             if self._due.pop(left, None) is not None:
                 self.progress.asked -= 1
-                self._pause.pop(left, None)
+                self._tried.discard(left)
 
     def failed_before(self, left: Left) -> bool:
         """Whether an earlier try may yet run at its shard."""
-        return left in self._pause
+        return left in self._tried
 
     def ended(self, now: int, left: Left, done: bool) -> None:
         """Hear how one ended."""
+        shard = self._shards[left.shard]
         self._out.discard(left)
-        if done and left in self._again:
-            self._again.discard(left)
-            self._stand(left, now)
-        elif done:
-            self.progress.done += 1
-            self._pause.pop(left, None)
-            self._least.pop(left, None)
+        shard.out -= 1
+        again = left in self._again
+        self._again.discard(left)
+        if done:
+            shard.pause_us = shard.rests_until = 0
         else:
-            self._again.discard(left)
             self.progress.failed += 1
-            pause = self._pause[left] = min(2 * self._pause.get(left, FIRST_PAUSE_US // 2), MOST_PAUSE_US)
-            self._stand(left, now + pause)
+            self._tried.add(left)
+            shard.pause_us = min(max(FIRST_PAUSE_US, 2 * shard.pause_us), MOST_PAUSE_US)
+            shard.rests_until = now + shard.pause_us
+        if not done or again:
+            self._stand(left, now)
+            return
+        self.progress.done += 1
+        self._tried.discard(left)
+        self._least.pop(left, None)
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -435,7 +435,9 @@
         self._answers: list[ClientRequest] = []
         self._released: list[tuple[str, int]] = []
         self._retiring: list[Part] = []  # over; forgotten at the end of a flush, if no attempt is out
-        self._due: list[tuple[int, int, Part | Attempt | str]] = []  # time-outs, and the module's timers
+        self._closed_out: dict[ClientRequest, None] = {}  # begin anew once no close stands in their way
+        # Time-outs, and the module's timers.
+        self._due: list[tuple[int, int, Part | Attempt | ClientRequest | str]] = []
         self._serial = self._number = self._writes = 0
         for volume in self.volumes.values():  # what an earlier life wrote without a flush is not known
             name, fixed = volume.settings.name, volume.settings.shards
@@ -485,16 +487,19 @@
     def take(self, now: int, request: ClientRequest) -> None:
         """Take a request: from now on it is owed one final answer."""
         self.counts.taken += 1
-        volume, kind = request.volume, request.kind
-        own = Kind.OWN_READ if kind is Kind.READ else Kind.MOVE if request.moving else Kind.CATCH_UP
-        asked = own if request.background else kind
-        class_name = class_of(self._classes, asked, request.length) or self._classes[0][0]
         if not request.deadline:
             came = min(request.came or now, now)
-            request.deadline = came + max(self._deadlines[class_name], request.patience_us)
+            request.deadline = came + max(self._deadlines[self._class_of(request)], request.patience_us)
+        self._begin(now, request)
+
+    def _begin(self, now: int, request: ClientRequest) -> None:
+        """Cut a request and let its parts go on, unless a close stands in its way."""
+        volume, kind = request.volume, request.kind
+        class_name = self._class_of(request)
         if self.closings is not None and (hint := self.closings.refuses(request)) is not None:
-            request.hint_us, request.why = hint, CLOSED
-            self._finish(request, Outcome.REFUSED)
+            if not self._waits_for_close(now, request, hint):
+                request.hint_us, request.why = hint, CLOSED
+                self._finish(request, Outcome.REFUSED)
             return
         if kind is Kind.FLUSH:
             for dirty in volume.dirty:
@@ -520,6 +525,12 @@
             if part.state is PartState.WAITING:  # else the one before ended the request
                 self._admit(now, part)
 
+    def _class_of(self, request: ClientRequest) -> str:
+        kind = request.kind
+        own = Kind.OWN_READ if kind is Kind.READ else Kind.MOVE if request.moving else Kind.CATCH_UP
+        asked = own if request.background else kind
+        return class_of(self._classes, asked, request.length) or self._classes[0][0]
+
     def take_placed(self, now: int, request: ClientRequest, placed: Placed) -> None:
         """Take a request that is one part and says itself where it lies; its deadline is set.
 
@@ -558,6 +569,11 @@
     def close(self, why: str) -> None:
         """Let nothing wait on a hint any more: what does is refused."""
         self._closing = why
+        for request in list(self._closed_out):
+            del self._closed_out[request]
+            if request.outcome is None:
+                request.why = why
+                self._finish(request, Outcome.REFUSED)
         for part in [part for part in self._parts.values() if part.state is PartState.KEPT]:
             if part.state is PartState.KEPT:  # else a sibling's refusal has dropped it
                 part.request.why = why
@@ -608,7 +624,17 @@
 
     # -- closes
 
-    def close_off(self, covers: Callable[[str, int, int], bool]) -> tuple[int, int]:
+    def _waits_for_close(self, now: int, request: ClientRequest, hint: int) -> bool:
+        """Let a request of which nothing ran begin anew after the hint, if its client waits that long."""
+        last = request.deadline - ANSWER_TICKS * self.rules.tick_us
+        if not request.patience_us or self._closing or now + hint >= last:
+            return False
+        request.parts, request.pieces, request.open, request.outcome = [], [], 0, None
+        self._closed_out[request] = None
+        self._push(now + hint, request)
+        return True
+
+    def close_off(self, now: int, covers: Callable[[str, int, int], bool]) -> tuple[int, int]:
         """Give up what is open of the (volume, offset, length) that a close covers; put placements on disk.
 
         What may have run is failed, all else is refused. Returns how many parts were refused and failed.
@@ -628,9 +654,12 @@
             refused, failed = refused + (not ran), failed + ran
             request.why = CLOSED
             self._given_up(part, PartStep.FAIL if ran else PartStep.REFUSE, 1)
-        for request in self._answers:
+        for request in list(self._answers):
             if covers(request.volume.settings.name, request.offset, request.length):
                 refused += self._withdraw(request, 1)
+                if request.outcome is Outcome.REFUSED and self._waits_for_close(now, request, 1):
+                    self.counts.refused -= 1
+                    self._answers.remove(request)
         if self._placements:
             placements, self._placements = self._placements, []
             self.places.place(placements)
@@ -1019,7 +1048,7 @@
             self._asked_soon = True
             self._port.soon()
 
-    def _push(self, when: int, what: Part | Attempt | str) -> None:
+    def _push(self, when: int, what: Part | Attempt | ClientRequest | str) -> None:
         self._serial += 1
         heapq.heappush(self._due, (when, self._serial, what))
 
@@ -1050,7 +1079,9 @@
         answers, self._answers = self._answers, []
         for request in answers:
             if self.closings is not None and (hint := self.closings.refuses(request)) is not None:
-                self._withdraw(request, hint)
+                if self._withdraw(request, hint) and self._waits_for_close(now, request, hint):
+                    self.counts.refused -= 1
+                    continue
             self._port.answer(request)
         held, self._held = self._held, []
         for hold in held:
@@ -1066,6 +1097,9 @@
             what = heapq.heappop(self._due)[2]
             if isinstance(what, str):
                 self._events.append(api.Woken(what))
+            elif isinstance(what, ClientRequest):
+                if self._closed_out.pop(what, False) is None and what.outcome is None:
+                    self._begin(now, what)
             elif isinstance(what, Attempt):
                 if not what.told:
                     self._call_off(now, what, api.Result.TIMEOUT)
--- a/harriertrack/gateway/fleet/closing/carrier.py
+++ b/harriertrack/gateway/fleet/closing/carrier.py
@@ -248,7 +248,7 @@
     def _close(self, fence: Fence, close: Close) -> None:
         """Step over a close: on disk first, then everything that is held in memory follows."""
         core, size, now = self._parts.core, self._parts.settings.extent_bytes, self._hub.now()
-        refused, failed = core.close_off(lambda *place: self._covers(close, *place))
+        refused, failed = core.close_off(now, lambda *place: self._covers(close, *place))
         lefts = self._places.purge(
             fence.calendar, close.number, close.at_us,
             lambda volume, extent: self._covers(close, volume, extent * size, size),
--- a/harriertrack/lab/fleet/markets.py
+++ b/harriertrack/lab/fleet/markets.py
@@ -26,7 +26,7 @@
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.wire import Errno
 from harriertrack.rules import recording as rec
-from harriertrack.runtime.hub import Event, Hub
+from harriertrack.runtime.hub import Event, Hub, Task
 
 if TYPE_CHECKING:
     from harriertrack.lab.fleet.rig import FleetRig
@@ -158,6 +158,7 @@
         self._drawn = random.Random(seed)
         self._ahead: dict[str, int] = {}  # of true time, each head's wall clock
         self._clients: list[BlockClient] = []
+        self._tasks: list[Task] = []
 
     # -- clocks
 
@@ -193,15 +194,17 @@
                 client = BlockClient(rig.hub, rig.recorder, connections, seat, rig.day.extent_bytes,
                                      self._drawn.getrandbits(32))  # fmt: skip
                 self._clients.append(client)
-                rig.scope.spawn(f"client {volume.name} {seat}", client.run)
+                self._tasks.append(rig.scope.spawn(f"client {volume.name} {seat}", client.run))
 
     def close(self) -> None:
         """Let the clients look once more, and end."""
         for client in self._clients:
             client.closed = True
-        self._rig.hub.sleep(2 * PAUSE_US[1])
-        ends = [self._rig.scope.spawn("last look", client.last_look) for client in self._clients]
-        while not all(task.done for task in ends):
+        self._await(self._tasks)  # one operation a block at a time
+        self._await([self._rig.scope.spawn("last look", client.last_look) for client in self._clients])
+
+    def _await(self, tasks: list[Task]) -> None:
+        while not all(task.done for task in tasks):
             self._rig.hub.sleep(PAUSE_US[0])
 
     def step(self, step: StepSettings, who: list[HeadSlot]) -> None:
--- a/tests/closing/test_closing_core.py
+++ b/tests/closing/test_closing_core.py
@@ -49,7 +49,7 @@
 
 def close(rig, number=1):
     """Step over a close, as a head does."""
-    counts = rig.core.close_off(everything)
+    counts = rig.core.close_off(rig.now, everything)
     lefts = rig.extents.purge("c", number, 1000 * number, lambda _volume, _extent: True)
     rig.core.keep_purged({(volume, extent) for volume, extent, _ in lefts})
     rig.flush()
@@ -199,3 +199,46 @@
     again = ExtentMap(path)
     assert again.shard_of("v", 0) == 1 and again.closing.generations == {}
     again.close()
+
+
+# -- clients that wait
+
+
+def patient(rig, kind, data=b""):
+    request = ClientRequest(rig.core.volumes["v"], kind, 0, len(data) or 512, data, 0, None, patience_us=20_000_000)
+    rig.core.take(rig.now, request)
+    rig.flush()
+    return request
+
+
+def test_a_client_that_waits_is_not_refused_but_begins_anew_after_the_close(rig):
+    shard = written(rig)
+    read, write = patient(rig, Kind.READ), patient(rig, Kind.WRITE, b"b" * 512)
+    rig.core.closings.hint = 300_000
+    rig.end(rig.port.sent[-2], data=b"a" * 512)  # the read: it ends while the close may have come
+    close(rig)  # the write has not been sent: it is given up, and not refused
+    later = patient(rig, Kind.READ)
+    assert read.outcome is write.outcome is later.outcome is None
+    assert not {read, write, later} & set(rig.port.answers)
+    rig.core.closings.hint = None
+    rig.run(400_000)
+    assert read.outcome is later.outcome is Outcome.SERVED and read.bytes_read() == later.bytes_read() == bytes(512)
+    trim(rig, 0, shard)
+    rig.end(rig.port.sent[-1])
+    assert write.outcome is Outcome.SERVED
+    assert [rig.port.answers.count(one) for one in (read, write, later)] == [1, 1, 1]
+    assert rig.core.counts.refused == 0 and rig.core.open_requests == 0
+
+
+def test_waiting_for_a_close_ends_with_the_patience_the_client_or_the_head(rig):
+    rig.core.closings.hint = 300_000
+    gone, stopped, tired = (patient(rig, Kind.READ) for _ in range(3))
+    rig.core.client_gone(gone)
+    rig.run(19_000_000)
+    assert stopped.outcome is tired.outcome is None
+    rig.run(1_100_000)
+    assert tired.outcome is Outcome.REFUSED and rig.port.answers.count(tired) == 1
+    late = patient(rig, Kind.READ)
+    rig.core.close("shutting down")
+    rig.flush()
+    assert late.outcome is Outcome.REFUSED and gone not in rig.port.answers and rig.core.open_requests == 0
--- a/tests/closing/test_closing_days.py
+++ b/tests/closing/test_closing_days.py
@@ -75,7 +75,7 @@
 
 def answers_in_doubt(monkeypatch):
     monkeypatch.setattr(Guard, "refuses", lambda _self, _request: None)
-    monkeypatch.setattr(Core, "close_off", lambda _self, _covers: (0, 0))
+    monkeypatch.setattr(Core, "close_off", lambda _self, _now, _covers: (0, 0))
 
 
 FAULTS = [
--- a/tests/closing/test_closing_fences.py
+++ b/tests/closing/test_closing_fences.py
@@ -113,22 +113,24 @@
     assert spread.next(0, 1) == LEFTS[5]
 
 
-def test_one_that_fails_is_tried_ever_more_slowly_and_others_go_on():
-    one = trims()
-    left = one.next(0, 1)
-    one.ended(0, left, False)
-    assert one.failed_before(left) and one.next(0, 1) == LEFTS[1]
-    one.ended(0, LEFTS[1], True)
-    tried, now = [], 0
-    while len(tried) < 4:
+def test_a_shard_where_one_fails_is_left_alone_ever_longer_and_others_go_on():
+    one = Trims(TrimRules(rate=1000.0, burst=8.0, in_flight=2, spread_us=0), 0)
+    one.add(0, [Left("m", extent, extent % 2) for extent in range(20)], 0.0, {})
+    tried, done, now = [], 0, 0
+    while len(tried) < 5:
         now += 10_000
-        found = one.next(now, 1)
-        if found == left:
-            tried.append(now)
-        if found is not None:
-            one.ended(now, found, found != left)
+        while (found := one.next(now, 1)) is not None:
+            (tried.append(now) if found.shard == 0 else None)
+            done += found.shard
+            one.ended(now, found, found.shard == 1)
+    assert done == 10 and len(one) == 10 and one.progress.failed == 5
     gaps = [after - before for before, after in zip(tried, tried[1:], strict=False)]
-    assert gaps == sorted(gaps) and gaps[-1] >= 2 * gaps[0] - 20_000 and len(one) == 1
+    assert gaps == sorted(gaps) and gaps[-1] >= 2 * gaps[0]
+    assert one.failed_before(Left("m", 0, 0)) and not one.failed_before(Left("m", 18, 0))
+    back = one.next(now + 5_000_000, 1)
+    assert back is not None and one.next(now + 5_000_000, 1) is None, "one at a time until one is done"
+    one.ended(now + 5_000_000, back, True)
+    assert one.next(now + 5_000_000, 1) is not None is not one.next(now + 5_000_000, 1)
 
 
 def test_what_is_out_when_another_close_comes_is_done_once_more():
