--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from harriertrack.config.settings import FleetSettings
+from harriertrack.config.settings import FleetSettings, HeadSettings
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.membership.fleet.messages import BUDGETS, Record, State
@@ -29,6 +30,7 @@
     from harriertrack.gateway.fleet.changes.carrier import Changes
     from harriertrack.gateway.fleet.closing.carrier import Closing
     from harriertrack.gateway.fleet.deciding import Deciding
+    from harriertrack.gateway.fleet.scoring.carrier import Scored, Scoring
     from harriertrack.gateway.fleet.zones import Zones
     from harriertrack.gateway.listing import Listing
     from harriertrack.storage.changes import ChangesCache
@@ -49,7 +51,9 @@
     def __init__(self, parts: HeadParts, settings: FleetSettings, datagrams: DatagramNetwork | None = None,
                  portions: Portions | None = None, evidence: Evidence | None = None,
                  listing: Listing | None = None, kept: ChangesCache | None = None,
-                 extents: ExtentMap | None = None, epochs: dict[str, int] | None = None) -> None:  # fmt: skip
+                 extents: ExtentMap | None = None, epochs: dict[str, int] | None = None,
+                 retell: Callable[[HeadSettings], None] | None = None,
+                 scored: Scored | None = None) -> None:  # fmt: skip
         self._parts, self._settings, self._hub = parts, settings, parts.hub
         self._network = datagrams or SocketDatagrams(parts.hub)
         self._alarm = Alarm(parts.hub, self._wake)
@@ -58,7 +62,9 @@
         self._taken = self._refused = 0
         self._about = About()
         self._portions, self._evidence, self._listing, self._kept = portions, evidence, listing, kept
-        self._extents, self._epochs = extents, epochs
+        self._extents, self._epochs, self._retell_head = extents, epochs, retell
+        self._scored = scored
+        self.scoring: Scoring | None = None
         self.zones: Zones | None = None
         self.budgets: Budgets | None = None
         self.deciding: Deciding | None = None
@@ -90,6 +96,11 @@
                          instance=digest_name(me.instance))  # fmt: skip
         self.swim.start(hub.now())
         self._follow()
+        if self._scored is not None and settings.scoring is not None:
+            from harriertrack.gateway.fleet.scoring.carrier import Scoring
+
+            self.scoring = Scoring(self._parts, settings.scoring, self._scored, self.swim)
+            self.scoring.start()
         if self._portions is not None and settings.budgets is not None:
             from harriertrack.gateway.fleet.budgets import Budgets  # a fleet without does not even load it
 
@@ -98,7 +109,6 @@
             self.budgets.start()
             if self._decides:
                 self._start_deciding(self.budgets)
-
     @property
     def _decides(self) -> bool:
         return self._settings.zones is not None or self._settings.changes is not None
@@ -120,18 +130,26 @@
 
             self.changes = Changes(self._parts, settings.changes, self.swim, self.deciding, self._tell_now,
                                    self._kept)  # fmt: skip
+            if self._retell_head is not None:
+                from harriertrack.decisions.fleet.changes.record import Kind
+                from harriertrack.gateway.fleet.settings_user import SettingsUser
+
+                user = SettingsUser(self._parts.settings, self._retell_head, self._parts.note)
+                self.changes.use(Kind.SETTINGS, user)
             if settings.closing is not None and self._extents is not None and self._epochs is not None:
                 from harriertrack.gateway.fleet.closing.carrier import Closing
 
                 self.closing = Closing(self._parts, settings.closing, self.swim, self.deciding, self.changes,
                                        self._extents, self._epochs)  # fmt: skip
                 self.closing.start()
+            if self.scoring is not None:
+                self.scoring.follow(self.changes)
             self.changes.start()
 
     def retell(self, settings: FleetSettings) -> None:
         """Go by other figures from now on; what is due already stays so."""
         self._settings = settings
-        self.swim.rules = rules_of(settings)
+        self.swim.retell(rules_of(settings))
         if self.zones is not None and settings.zones is not None:
             self.zones.retell(settings.zones)
 
@@ -147,6 +165,8 @@
         finally:
             self._closed = True
             self._alarm.cancel()
+            if self.scoring is not None:
+                self.scoring.close()
             if self.budgets is not None:
                 self.budgets.close()
             self._port.close()
@@ -255,6 +275,8 @@
                 document = msgspec.structs.replace(document, record=self.changes.document())
             if self.closing is not None:
                 document = msgspec.structs.replace(document, closing=self.closing.document())
+            if self.scoring is not None:
+                document = msgspec.structs.replace(document, scores=self.scoring.document(now))
             stream.write(msgspec.json.encode(document))
             stream.push(sent.set)
             stream.watch_end(sent.set)
