--- a/harriertrack/lab/day.py
+++ b/harriertrack/lab/day.py
@@ -146,6 +146,7 @@
     patience_us: Positive = 20_000_000  # of these clients
     heeds_hints: bool = False  # the others come again when a refusal's hint says so, no sooner
     write_deadline_us: Positive = 2_500_000
+    move_deadline_us: Positive = 400_000
     limit: Amount = 4.0  # of a volume on the plan with a limit, in its usual rate
     limit_burst: Amount = 0.0  # 0: what a second brings
     limit_slack: Amount = 8.0  # units
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -57,6 +57,7 @@
 OUTSIDE = ("list", "witness")  # parties that are no heads or nodes
 DELAY_US = (100, 600)  # of a datagram in simulated time
 FIRST_PORT = 40_000
+TRIM_US = 2_500_000  # trims after closes hurry no more than writes do
 FLEET = "fleet"  # the name of the rig's
 TOLD = ("state", "life", "incarnation", "there", "digest", "by")  # of a log line
 
@@ -70,7 +71,7 @@
         name=day.name, about=day.about, length_us=FOREVER_US, heads=heads, nodes=day.shelves,
         zones=ZONES, rate=day.rate * heads, volumes=day.volumes or heads, shared=day.shared,
         hosts=day.hosts, beside=tuple(beside), volume_bytes=64 << 20, extent_bytes=day.extent_bytes,
-        request_us=300, unit_us=200,
+        request_us=300, unit_us=200, move_deadline_us=TRIM_US if day.closing is not None else 400_000,
         cores=4, queue=256, limit=day.limit, limit_burst=day.limit_burst, limit_slack=day.limit_slack,
     )  # fmt: skip
 
