--- a/harriertrack/decisions/fleet/closing/timekeeping.py
+++ b/harriertrack/decisions/fleet/closing/timekeeping.py
@@ -32,8 +32,9 @@
 class Timekeeper:
     """One term's."""
 
-    def __init__(self, rules: ClockRules, keep_us: int) -> None:
-        self.rules, self._keep_us = rules, keep_us
+    def __init__(self, rules: ClockRules, keep_us: int, since: int = 0) -> None:
+        self.rules, self._keep_us, self._since = rules, keep_us, since
+        self._heard: dict[str, int] = {}  # when each asked last
         self._claims: dict[str, tuple[int, Interval, Interval]] = {}  # when, of true time, apart
         self._echoes: list[Echo] = []
         self.wrong: list[str] = []  # whose clock can't be true
@@ -41,6 +42,7 @@
     def asked(self, now: int, head: str, ask: Asked) -> None:
         """Take an ask."""
         self._echoes.append(Echo(head, ask.at, now))
+        self._heard[head] = now
         if ask.apart is not None:
             said = Interval(ask.wall_ahead, ask.wall_ahead).wider(self.rules.error_us)
             self._claims[head] = now, said, ask.apart
@@ -55,15 +57,18 @@
     def truth(self, now: int, own: Interval, there: int) -> Interval | None:
         """Return how far true time is ahead of this clock, by its own claim and the others'.
 
-        None until more than half of `there` heads are heard and most of these agree.
+        None until more than half of `there` heads are heard and most of these agree. Heads that know no
+        calendars never ask: once all others had the time to, more than half of those that do are enough.
         """
+        self._heard = {name: at for name, at in self._heard.items() if now - at <= self._keep_us}
         self._claims = {name: one for name, one in self._claims.items() if now - one[0] <= self._keep_us}
         claims = claims_on(
             (name, said, apart.wider(int(self.rules.drift * (now - at))))
             for name, (at, said, apart) in self._claims.items()
         )
         claims[""] = own
-        if 2 * len(claims) <= there:
+        asking = there if now < self._since + self._keep_us else len(self._heard) + 1
+        if 2 * len(claims) <= min(there, asking):
             return None
         truth = agreed(claims)
         self.wrong = [] if truth is None else liars(claims, truth)
--- a/harriertrack/gateway/fleet/closing/carrier.py
+++ b/harriertrack/gateway/fleet/closing/carrier.py
@@ -84,7 +84,7 @@
             self._guard.reading, lambda: sorted(swim.view.present), parts.note,
         )  # fmt: skip
         self._keeping = Keeping(
-            around, lambda: Timekeeper(rules, KEPT_ASKS * settings.ask_us),
+            around, lambda: Timekeeper(rules, KEPT_ASKS * settings.ask_us, hub.now()),
             reader_of(self._latest, self._bad), settings.notice_us,
         )  # fmt: skip
 
--- a/tests/closing/test_closing_clocks.py
+++ b/tests/closing/test_closing_clocks.py
@@ -81,3 +81,17 @@
                 assert reading.low <= true <= reading.high
                 assert reading.high - reading.low <= 2 * RULES.error_us + 200_000
     assert seen > 20 and set(keeper.wrong) == {"" if name == decider else name for name in lying}
+
+
+def test_heads_that_know_no_calendars_are_not_waited_for():
+    keeper, own, there = Timekeeper(RULES, 3_000_000, since=0), Interval(-RULES.error_us, RULES.error_us), 9
+    for name in ("a", "b"):
+        keeper.asked(1_000_000, name, Asked(0, 0, Interval(0, 0)))
+    assert keeper.truth(1_000_000, own, there) is None, "others may yet ask"
+    for name in ("a", "b"):
+        keeper.asked(2_900_000, name, Asked(0, 0, Interval(0, 0)))
+    assert keeper.truth(3_000_000, own, there) is not None
+    keeper.asked(3_000_000, "c", Asked(0, 0, None))
+    for name in ("d", "e", "f"):
+        keeper.asked(3_000_000, name, Asked(0, 0, None))
+    assert keeper.truth(3_000_000, own, there) is None, "most of those that ask are not known yet"
