--- a/harriertrack/decisions/fleet/closing/timekeeping.py
+++ b/harriertrack/decisions/fleet/closing/timekeeping.py
@@ -10,6 +10,8 @@
 
 from harriertrack.decisions.fleet.closing.clocks import ClockRules, Interval, agreed, claims_on, liars
 
+STAMPS_BYTES = 24  # of an answer, beside the name
+
 
 @dataclass(frozen=True, slots=True)
 class Asked:
@@ -49,9 +51,15 @@
         else:
             self._claims.pop(head, None)  # another life of it, or it has lost count
 
-    def echoes(self, most: int) -> list[Echo]:
-        """Return answers that are due, the oldest first, each once."""
-        first, self._echoes = self._echoes[:most], self._echoes[most:]
+    def echoes(self, most_bytes: int) -> list[Echo]:
+        """Return answers that are due, the oldest first, each once, as many as have room."""
+        number = 0
+        for echo in self._echoes:
+            most_bytes -= len(echo.head.encode()) + STAMPS_BYTES
+            if most_bytes < 0:
+                break
+            number += 1
+        first, self._echoes = self._echoes[:number], self._echoes[number:]
         return first
 
     def truth(self, now: int, own: Interval, there: int) -> Interval | None:
--- a/harriertrack/gateway/fleet/closing/keeping.py
+++ b/harriertrack/gateway/fleet/closing/keeping.py
@@ -18,8 +18,7 @@
 from harriertrack.decisions.fleet.closing.sweeps import SweepKey, Swept
 from harriertrack.decisions.fleet.closing.timekeeping import Asked, Timekeeper
 from harriertrack.gateway.fleet.closing.messages import (
-    ECHO_BYTES,
-    MOST_BYTES,
+    ANSWERS_BYTES,
     Answer,
     Ask,
     Done,
@@ -33,7 +32,6 @@
 
 AGAIN_US = 500_000  # between two tries to begin a term
 SAY_US = 500_000  # the word is told so often, and at once to who asks
-ANSWERS = (MOST_BYTES - 200) // ECHO_BYTES
 MOST_WRONG = 2
 
 
@@ -211,7 +209,7 @@
 
     def _say(self, term: Term, truth: Interval | None, digest: int) -> None:
         around, now = self._around, self._around.hub.now()
-        echoes = self._keeper.echoes(ANSWERS)
+        echoes = self._keeper.echoes(ANSWERS_BYTES)
         if not echoes and now < self._said_at + SAY_US:
             return
         self._said_at = now
@@ -223,5 +221,5 @@
             answers = [Answer(one.head, one.at, one.heard) for one in echoes]
             bounds = (truth.low, truth.high) if truth is not None else None
             around.say(encode(Ruling(said, digest, bounds, now, answers, self._wrong[:MOST_WRONG])))
-            if not (echoes := self._keeper.echoes(ANSWERS)):
+            if not (echoes := self._keeper.echoes(ANSWERS_BYTES)):
                 return
--- a/harriertrack/gateway/fleet/closing/messages.py
+++ b/harriertrack/gateway/fleet/closing/messages.py
@@ -9,8 +9,7 @@
 T = TypeVar("T")
 
 TOPIC = "closing"
-MOST_BYTES = 1000
-ECHO_BYTES = 100  # an answer with the longest name
+ANSWERS_BYTES = 750  # for answers in a word: the rest of it takes up to 250
 MOST_TOLD = 4  # calendars of which an ask says how far they are done, and as many sweeps; others the next
 
 
--- a/tests/closing/test_closing_clocks.py
+++ b/tests/closing/test_closing_clocks.py
@@ -70,7 +70,7 @@
             true += rng.randrange(50_000)
             own = Interval(true + off[decider] - mono(decider), true + off[decider] - mono(decider)).wider(RULES.error_us)
             truth, answered = keeper.truth(mono(decider), own, len(names)), mono(decider)
-            (echo,) = keeper.echoes(10)
+            (echo,) = keeper.echoes(1000)
             true += rng.randrange(50_000)
             apart[name] = Exchange(echo.at, echo.heard, answered, mono(name)).ahead()
             assert apart[name].low <= origin[decider] - origin[name] <= apart[name].high
@@ -95,3 +95,17 @@
     for name in ("d", "e", "f"):
         keeper.asked(3_000_000, name, Asked(0, 0, None))
     assert keeper.truth(3_000_000, own, there) is None, "most of those that ask are not known yet"
+
+
+def test_answers_go_out_once_each_as_many_as_a_datagram_holds():
+    from harriertrack.gateway.fleet.closing.messages import ANSWERS_BYTES, Answer, Ruling, encode
+    from harriertrack.membership.fleet.budgeting import MOST_TOPIC_BODY
+
+    keeper, sent = Timekeeper(RULES, 3_000_000), []
+    for number in range(200):
+        keeper.asked(2**61, f"{number:064}" if number % 3 else f"h{number}", Asked(2**61, 0, None))
+    while echoes := keeper.echoes(ANSWERS_BYTES):
+        sent += [echo.head for echo in echoes]
+        answers = [Answer(echo.head, echo.at, echo.heard) for echo in echoes]
+        assert len(encode(Ruling(2**61, 2**32, (-(2**61), 2**61), 2**61, answers, ["x" * 64] * 2))) <= MOST_TOPIC_BODY
+    assert len(sent) == len(set(sent)) == 200
