--- /dev/null
+++ b/harriertrack/cli/rollout.py
@@ -0,0 +1,76 @@
+"""`harriertrack launch`: keep a head running, of the version that its fleet wants; and such heads."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
+
+import click
+
+from harriertrack.cli.common import fail, logger, run_until_signal
+from harriertrack.config.rollout import load_launcher
+from harriertrack.config.sexp import SettingsError
+from harriertrack.gateway.fleet.rollout.launcher.files import Launched, launched
+from harriertrack.gateway.fleet.rollout.launcher.launcher import Launcher
+from harriertrack.gateway.fleet.rollout.usage import usage
+from harriertrack.gateway.head import Head, Wiring
+from harriertrack.lab.fleet.later import LaterDatagrams
+from harriertrack.lab.fleet.rehearsal import Rehearsal, WorseLinks, rehearsal_of
+from harriertrack.lab.fleet.weights import LyingDatagrams
+from harriertrack.runtime.datagrams import DatagramNetwork, SocketDatagrams
+from harriertrack.runtime.hub import Hub
+
+CRASHED = 3  # the status with which a rehearsed version ends
+
+
+def made_of(hub: Hub, later: bool, liar: bool, rehearse: str) -> tuple[Wiring, Callable[[Hub, Head], None]]:
+    """Return what a head of a fleet is made of, and its task."""
+    try:
+        bad = rehearsal_of(rehearse) if rehearse else Rehearsal()
+    except ValueError as error:
+        fail(f"--rehearse: {error}")
+    by = launched(dict(os.environ))
+    wiring = Wiring(handover=by, usage=usage)
+    if later or liar:
+        datagrams: DatagramNetwork = SocketDatagrams(hub)
+        datagrams = LaterDatagrams(datagrams) if later else datagrams
+        wiring = replace(wiring, datagrams=LyingDatagrams(datagrams) if liar else datagrams)
+    if bad.class_name:
+        wiring = replace(wiring, links=partial(WorseLinks, rehearsal=bad))
+    return wiring, partial(_serve, by, bad)
+
+
+def _serve(by: Launched | None, bad: Rehearsal, hub: Hub, one: Head) -> None:
+    """Run a head, and tell the launcher once it serves (a task)."""
+
+    def tell() -> None:
+        one.ready.wait()
+        if by is not None and not bad.mute:
+            by.ready()
+
+    with hub.scope("launched") as scope:
+        scope.spawn("ready", tell)
+        if bad.crash_us:
+            hub.at(hub.now() + bad.crash_us, lambda: os._exit(CRASHED))
+        one.run()
+        scope.cancel()
+
+
+@click.command()
+@click.argument("settings", type=click.Path())
+@click.option("--log", "log_form", type=click.Choice(["console", "json"]), default="console",
+              help="How log lines look; of the head say it in (arguments ...).")  # fmt: skip
+def launch(settings: str, log_form: str) -> None:
+    """Run a head by the launcher's SETTINGS, and other versions of it as the fleet wants, until SIGTERM."""
+    try:
+        checked = load_launcher(settings)
+    except SettingsError as error:
+        fail(str(error))
+    note = logger(log_form)
+    hub = Hub()
+    hub.random.seed()
+    one = Launcher(hub, checked, note)
+    run_until_signal(hub, one.run, one.stop)
+    note("launch: ended")
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -40,7 +40,8 @@
 NAMED = re.compile(r"(?:head|node)\d+\Z|list\Z|witness\Z")
 ZONES = ("z0", "z1", "z2")
 AS_AFTER = (0,)  # of a market: all of its closes are to come to pass
-GROUPS = ("all", "seeds", "rest", "shelves")
+ROLES = ("decider", "new", "new-zone")  # who decides; who runs what comes in stages; all in their zones
+GROUPS = ("all", "seeds", "rest", "shelves", *ROLES)
 
 
 class Verb(Enum):
@@ -95,6 +96,7 @@
     thing: str = ""  # that changes
     body: str = ""
     plan: str = ""
+    although: str = ""  # it was stopped before
     to: Literal["paused", "going", "aborted", ""] = ""
     number: Whole = 0  # of a market
     local: str = "UTC"  # its time zone
@@ -113,6 +115,13 @@
     budgets: tuple[BudgetSettings, ...] = ()
 
 
+class EndSettings(Checked, frozen=True, kw_only=True):
+    """What all heads run when the day is over: a thing, and its version; 0: what they were started with."""
+
+    name: str
+    version: Whole = 0
+
+
 class FleetDaySettings(Checked, frozen=True, kw_only=True):
     """A day for a fleet."""
 
@@ -133,6 +142,8 @@
     close_bound_us: Positive = 1_000_000  # within which of a close every head has closed
     markets: Positive = 1
     wall: str = ""  # the instant, UTC, at which heads' clocks stand when the day begins; "": the machine's
+    ends: tuple[EndSettings, ...] = ()
+    launched: bool = False  # heads have launchers, and programs can change
     zones_at: Share = 1.0  # so many of each ten heads have zones; the others help themselves
     scoring: ScoringSettings | None = None
     scoring_later: ScoringSettings | None = None  # of who is started as a later version would be
--- a/harriertrack/lab/interleaving/models/zones.py
+++ b/harriertrack/lab/interleaving/models/zones.py
@@ -110,7 +110,8 @@
     def wrong(self, state: State) -> str | None:
         """Return what must not be."""
         zones = state.decider.zones
-        stages = [zones[name].stage if name in zones else Stage.IN for name in ZONES]  # a new decider knows none
+        # A new decider knows none.
+        stages = [zones[name].stage if name in zones else Stage.IN for name in ZONES]
         if Stage.IN not in stages:
             return "no zone is in use"
         if any(not 0 <= zone.share <= 1 for zone in zones.values()):
