--- a/harriertrack/decisions/requests/core.py
+++ b/harriertrack/decisions/requests/core.py
@@ -90,16 +90,19 @@
 
     def take(self, now: int, request: ClientRequest) -> None:
         """Take a request: from now on it is owed one final answer."""
-        board, kind = self._board, request.kind
+        board = self._board
         board.counts.taken += 1
-        own = Kind.OWN_READ if kind is Kind.READ else Kind.MOVE if request.moving else Kind.CATCH_UP
-        class_name = board.class_of(own if request.background else kind, request.length)
+        class_name = self._class_of(request)
         if not request.deadline:
             came = min(request.came or now, now)
             request.deadline = came + max(board.deadlines[class_name], request.patience_us)
-        if self._closing.turns_away(request):
+        self._begin(now, request, class_name)
+
+    def _begin(self, now: int, request: ClientRequest, class_name: str) -> None:
+        """Cut a request and let its parts go on, unless a close stands in its way."""
+        if self._closing.turns_away(now, request):
             return
-        board.cut(request, class_name)
+        self._board.cut(request, class_name)
         request.open = len(request.parts)
         if not request.parts:
             self._ending.finish(request, Outcome.SERVED)
@@ -107,6 +110,11 @@
             if part.state is PartState.WAITING:  # else the one before ended the request
                 self._offering.admit(now, part)
 
+    def _class_of(self, request: ClientRequest) -> str:
+        kind = request.kind
+        own = Kind.OWN_READ if kind is Kind.READ else Kind.MOVE if request.moving else Kind.CATCH_UP
+        return self._board.class_of(own if request.background else kind, request.length)
+
     def take_placed(self, now: int, request: ClientRequest, placed: Placed) -> None:
         """Take a request that is one part and says itself where it lies; its deadline is set.
 
@@ -172,6 +180,7 @@
     def close(self, why: str) -> None:
         """Let nothing wait on a hint any more: what does is refused."""
         self._board.closing = why
+        self._closing.stop(why)
         for part in [part for part in self._board.parts.values() if part.state is PartState.KEPT]:
             if part.state is PartState.KEPT:  # else a sibling's refusal has dropped it
                 part.request.why = why
@@ -206,12 +215,12 @@
     def closings(self, closings: Closings) -> None:
         self._board.closings = closings
 
-    def close_off(self, covers: Callable[[str, int, int], bool]) -> tuple[int, int]:
+    def close_off(self, now: int, covers: Callable[[str, int, int], bool]) -> tuple[int, int]:
         """Give up what is open of the (volume, offset, length) that a close covers; put placements on disk.
 
         What may have run is failed, all else is refused. Returns how many parts were refused and failed.
         """
-        return self._closing.close_off(covers)
+        return self._closing.close_off(now, covers)
 
     def keep_purged(self, places: Iterable[tuple[str, int]]) -> None:
         """Let requests for these (volume, extent) wait until `free_trimmed`; nothing of them is open."""
@@ -248,6 +257,8 @@
             for part in patience.due(now):
                 if part.state is PartState.KEPT:  # else one before it in this list ended their request
                     self._offering.again(now, part)
+            for request in self._closing.again(now):
+                self._begin(now, request, self._class_of(request))
             if not board.events:
                 break
         board.asked_soon = False
@@ -257,12 +268,10 @@
         board.retiring.clear()
         answers, board.answers = board.answers, []
         for request in answers:
-            if board.closings is not None:
-                self._closing.check(request)
-            self._port.answer(request)
+            if not self._closing.withholds(now, request):
+                self._port.answer(request)
         placing.tell_holders()
         times = [board.due[0][0]] if board.due else []
-        if (next_at := patience.next_at(now)) is not None:
-            times.append(next_at)
+        times += [when for when in (patience.next_at(now), self._closing.next_at()) if when is not None]
         if times:
             self._port.wake_at(min(times))
