--- a/harriertrack/config/settings/fleet.py
+++ b/harriertrack/config/settings/fleet.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from harriertrack.config.settings.basis import Amount, Checked, InService, Name, Port, Positive, Share, Whole
+from harriertrack.config.settings.scoring import ScoringSettings
 
 
 class FleetSeedSettings(Checked, frozen=True, kw_only=True):
@@ -82,11 +83,19 @@
     told_us: InService[Positive] = 3_000_000
 
 
+class RolloutSettings(Checked, frozen=True, kw_only=True):
+    """A head's part in bringing versions about in stages."""
+
+    report_us: Positive = 1_000_000  # it reports so often what it answered
+    look_us: Positive = 1_000_000  # who decides looks so often what is due
+
+
 class ChangesSettings(Checked, frozen=True, kw_only=True):
     """How a head follows the fleet's record of changes; it lies at the budgets' witness."""
 
     look_us: Positive = 1_000_000  # who decides looks so often whether operators changed it
     spread_us: Positive = 2_000_000  # heads that hear of a newer one fetch it within this, not all at once
+    rollout: RolloutSettings | None = None  # None: the head takes versions, and brings none about
 
 
 class ClosingSettings(Checked, frozen=True, kw_only=True):
@@ -124,6 +133,7 @@
     forget_us: InService[Positive] = 24 * 3600 * 1_000_000
     members: Annotated[int, msgspec.Meta(ge=2, le=10_000)] = 1024
     note_us: InService[Positive] = 5_000_000
+    topic_bytes: Annotated[int, msgspec.Meta(ge=300, le=1_000_000)] = 2000
     leave_us: InService[Positive] = 1_000_000
 
 
@@ -140,3 +150,4 @@
     zones: ZonesSettings | None = None  # None: each head helps itself when a zone fails
     changes: ChangesSettings | None = None  # None: what runs is what the head was started with
     closing: ClosingSettings | None = None  # None: nothing is purged at closes
+    scoring: ScoringSettings | None = None  # None: heads share no weights of nodes
--- a/harriertrack/decisions/fleet/closing/timekeeping.py
+++ b/harriertrack/decisions/fleet/closing/timekeeping.py
@@ -10,6 +10,8 @@
 
 from harriertrack.decisions.fleet.closing.clocks import ClockRules, Interval, agreed, claims_on, liars
 
+STAMPS_BYTES = 24  # of an answer, beside the name
+
 
 @dataclass(frozen=True, slots=True)
 class Asked:
@@ -32,8 +34,9 @@
 class Timekeeper:
     """One term's."""
 
-    def __init__(self, rules: ClockRules, keep_us: int) -> None:
-        self.rules, self._keep_us = rules, keep_us
+    def __init__(self, rules: ClockRules, keep_us: int, since: int = 0) -> None:
+        self.rules, self._keep_us, self._since = rules, keep_us, since
+        self._heard: dict[str, int] = {}  # when each asked last
         self._claims: dict[str, tuple[int, Interval, Interval]] = {}  # when, of true time, apart
         self._echoes: list[Echo] = []
         self.wrong: list[str] = []  # whose clock can't be true
@@ -41,29 +44,39 @@
     def asked(self, now: int, head: str, ask: Asked) -> None:
         """Take an ask."""
         self._echoes.append(Echo(head, ask.at, now))
+        self._heard[head] = now
         if ask.apart is not None:
             said = Interval(ask.wall_ahead, ask.wall_ahead).wider(self.rules.error_us)
             self._claims[head] = now, said, ask.apart
         else:
             self._claims.pop(head, None)  # another life of it, or it has lost count
 
-    def echoes(self, most: int) -> list[Echo]:
-        """Return answers that are due, the oldest first, each once."""
-        first, self._echoes = self._echoes[:most], self._echoes[most:]
+    def echoes(self, most_bytes: int) -> list[Echo]:
+        """Return answers that are due, the oldest first, each once, as many as have room."""
+        number = 0
+        for echo in self._echoes:
+            most_bytes -= len(echo.head.encode()) + STAMPS_BYTES
+            if most_bytes < 0:
+                break
+            number += 1
+        first, self._echoes = self._echoes[:number], self._echoes[number:]
         return first
 
     def truth(self, now: int, own: Interval, there: int) -> Interval | None:
         """Return how far true time is ahead of this clock, by its own claim and the others'.
 
-        None until more than half of `there` heads are heard and most of these agree.
+        None until more than half of `there` heads are heard and most of these agree. Heads that know no
+        calendars never ask: once all others had the time to, more than half of those that do are enough.
         """
+        self._heard = {name: at for name, at in self._heard.items() if now - at <= self._keep_us}
         self._claims = {name: one for name, one in self._claims.items() if now - one[0] <= self._keep_us}
         claims = claims_on(
             (name, said, apart.wider(int(self.rules.drift * (now - at))))
             for name, (at, said, apart) in self._claims.items()
         )
         claims[""] = own
-        if 2 * len(claims) <= there:
+        asking = there if now < self._since + self._keep_us else len(self._heard) + 1
+        if 2 * len(claims) <= min(there, asking):
             return None
         truth = agreed(claims)
         self.wrong = [] if truth is None else liars(claims, truth)
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -30,7 +31,11 @@
 
 if TYPE_CHECKING:
     from harriertrack.decisions.fleet.portions import Portions
+    from harriertrack.decisions.fleet.rollout.counting import Counting
     from harriertrack.gateway.fleet.carrier import Fleet
+    from harriertrack.gateway.fleet.rollout.carrier import Usage
+    from harriertrack.gateway.fleet.rollout.program_user import Handover
+    from harriertrack.gateway.fleet.scoring.carrier import Scored
     from harriertrack.runtime.datagrams import DatagramNetwork
     from harriertrack.storage.changes import ChangesCache
 
@@ -52,6 +57,9 @@
     datagrams: DatagramNetwork | None = None  # of its fleet; None: sockets
     kept: ChangesCache | None = None  # its copy of the record of changes; None: a file
     wall: Callable[[], int] | None = None  # for rehearsals: another wall clock than the hub's
+    scorers: tuple[object, ...] = ()  # plugins beside the installed ones
+    handover: Handover | None = None  # what started it, and starts other versions; None: nothing does
+    usage: Usage | None = None  # what its process uses; None: it can't be told from others'
 
 
 class Head:
@@ -67,6 +75,7 @@
         self._stopping = Event(hub)
         self.ready = Event(hub)
         self.trace: Callable[[Attempt], None] | None = None  # hears of every send, for rigs that stamp them
+        self._counting: Counting | None = None  # of its answers, where versions come in stages
         self.address = self.nvme_address = settings.listen
         self.core: Core
         self.reception: Reception
@@ -75,6 +84,11 @@
         self.fleet: Fleet | None = None
         self._portions: Portions | None = None
         self._cells = head_map(settings.cell_map, settings.volumes) if settings.cell_map else None
+        self._scored: Scored | None = None
+        if settings.fleet is not None and settings.fleet.scoring is not None:
+            from harriertrack.gateway.fleet.scoring.carrier import scored_of  # other heads do not load it
+
+            self._scored = scored_of(settings, settings.fleet.scoring, note, wiring.scorers)
         self.nodes = NodeList()
         self.head_id = hub.random.getrandbits(64)
 
@@ -109,13 +123,19 @@
                 evidence = None
                 if portions is not None and settings.fleet is not None and settings.fleet.zones is not None:
                     from harriertrack.decisions.fleet.evidence import Evidence
-                    from harriertrack.gateway.fleet.zones import Observed
+                    from harriertrack.gateway.fleet.observing import Observed
 
                     evidence = Evidence()
                     decides = Observed(self.module, evidence)
+                if self._scored is not None:
+                    from harriertrack.gateway.fleet.observing import Observed
+
+                    decides = Observed(decides, self._scored.sights)
+                self._counting = self._counts()
                 self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
-                                  self._note, self._name, portions, self._wiring.wall)  # fmt: skip
+                                  self._note, self._name, portions, self._wiring.wall,
+                                  self._counting)  # fmt: skip
                 self._links = self._wiring.links(parts)
                 self._listing = self._wiring.listing(parts)
                 self.regional: Regional | None = None
@@ -136,11 +156,14 @@
                 if cells is not None:
                     scope.spawn("shares", self.reception.watch)
                 if settings.fleet is not None:
-                    from harriertrack.gateway.fleet.carrier import Fleet  # other heads do not even load it
-
-                    self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
-                                       self._listing, self._wiring.kept, extents,
-                                       self._links.epochs)  # fmt: skip
+                    from harriertrack.gateway.fleet.beside import Beside  # other heads do not even load it
+                    from harriertrack.gateway.fleet.carrier import Fleet
+
+                    made = self._wiring
+                    beside = Beside(self._listing, extents, self._links.epochs, self.retell, evidence,
+                                    self._scored, made.datagrams, made.kept, made.handover,
+                                    made.usage)  # fmt: skip
+                    self.fleet = Fleet(parts, settings.fleet, beside)
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
@@ -163,6 +186,14 @@
             if self._log is not None:
                 self._log.close()
 
+    def _counts(self) -> Counting | None:
+        fleet = self.settings.fleet
+        if fleet is None or fleet.changes is None or fleet.changes.rollout is None:
+            return None
+        from harriertrack.decisions.fleet.rollout.counting import Counting  # heads without do not load it
+
+        return Counting({one.name: (one.aim_us, one.deadline_us) for one in self.settings.classes})
+
     def _told(self, settings: HeadSettings) -> api.Settings:
         """Return what the decision module is told."""
         told = module_settings(settings)
@@ -173,9 +204,12 @@
     def _module(self, told: api.Settings, seed: int) -> Scheduler | Celled:
         """Make the decision module, or where there is a map one for each cell."""
         portions = self._portions
+        weights = self._scored.shared.factors if self._scored is not None else None
         if self._cells is not None:
-            return Celled(told, seed, self._cells, portions=portions)
-        return self._wiring.module(told, seed) if portions is None else Scheduler(told, seed, None, portions)
+            return Celled(told, seed, self._cells, partial(Scheduler, weights=weights), portions)
+        if portions is None and weights is None:
+            return self._wiring.module(told, seed)
+        return Scheduler(told, seed, None, portions, weights)
 
     def retell(self, settings: HeadSettings) -> None:
         """Go by other settings from now on; the caller has checked that a running head can take them.
@@ -258,6 +292,8 @@
     def answer(self, request: ClientRequest) -> None:
         """Hand a final answer to whoever asked."""
         self.reception.ended(request)
+        if self._counting is not None:
+            self._counting.answered(self.hub.now(), request)
         request.token.answer(request)
 
     def subscribe(self, on: bool) -> None:
--- a/harriertrack/lab/fleet/markets.py
+++ b/harriertrack/lab/fleet/markets.py
@@ -20,13 +20,13 @@
 from harriertrack.gateway.fleet.changes import keeping
 from harriertrack.gateway.front import REFUSED
 from harriertrack.gateway.witness import FAILURES, WitnessClient
-from harriertrack.lab.fleet.scenario import StepSettings, Verb
+from harriertrack.lab.fleet.scenario import AS_AFTER, StepSettings, Verb
 from harriertrack.lab.load import Connection
 from harriertrack.lab.model import SECTOR, payload
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.wire import Errno
 from harriertrack.rules import recording as rec
-from harriertrack.runtime.hub import Event, Hub
+from harriertrack.runtime.hub import Event, Hub, Task
 
 if TYPE_CHECKING:
     from harriertrack.lab.fleet.rig import FleetRig
@@ -62,13 +62,13 @@
     number: int
     name: str
     zone: str
-    twice: Twice
 
     def body(self, instants: Iterable[int], extent_bytes: int) -> str:
         """Return a calendar with closes at instants (microseconds UTC, whole seconds)."""
-        zone, days = ZoneInfo(self.zone), dict[str, list[str]]()
+        zone, days, twice = ZoneInfo(self.zone), dict[str, list[str]](), Twice.FIRST
         for instant in sorted(instants):
             local = datetime.fromtimestamp(instant // SECOND, UTC).astimezone(zone)
+            twice = Twice.SECOND if local.fold else twice
             days.setdefault(local.date().isoformat(), []).append(f"{local:%H:%M:%S}")
         early = " ".join(
             f'(early (on "{day}") (at {" ".join(f"{chr(34)}{at}{chr(34)}" for at in times)}))'
@@ -79,7 +79,7 @@
             for volume in (f"market{self.number}", f"desk{self.number}-*")
         )  # fmt: skip
         return (
-            f'(calendar "{self.name}" (zone "{self.zone}") (twice {self.twice.value})\n'
+            f'(calendar "{self.name}" (zone "{self.zone}") (twice {twice.value})\n'
             f"  {early}\n  {purges})\n"
         )
 
@@ -158,6 +158,7 @@
         self._drawn = random.Random(seed)
         self._ahead: dict[str, int] = {}  # of true time, each head's wall clock
         self._clients: list[BlockClient] = []
+        self._tasks: list[Task] = []
 
     # -- clocks
 
@@ -193,15 +194,17 @@
                 client = BlockClient(rig.hub, rig.recorder, connections, seat, rig.day.extent_bytes,
                                      self._drawn.getrandbits(32))  # fmt: skip
                 self._clients.append(client)
-                rig.scope.spawn(f"client {volume.name} {seat}", client.run)
+                self._tasks.append(rig.scope.spawn(f"client {volume.name} {seat}", client.run))
 
     def close(self) -> None:
         """Let the clients look once more, and end."""
         for client in self._clients:
             client.closed = True
-        self._rig.hub.sleep(2 * PAUSE_US[1])
-        ends = [self._rig.scope.spawn("last look", client.last_look) for client in self._clients]
-        while not all(task.done for task in ends):
+        self._await(self._tasks)  # one operation a block at a time
+        self._await([self._rig.scope.spawn("last look", client.last_look) for client in self._clients])
+
+    def _await(self, tasks: list[Task]) -> None:
+        while not all(task.done for task in tasks):
             self._rig.hub.sleep(PAUSE_US[0])
 
     def step(self, step: StepSettings, who: list[HeadSlot]) -> None:
@@ -213,11 +216,10 @@
         rig = self._rig
         hub, day = rig.hub, rig.fleet_day
         true = hub.now() + self._true_ahead
-        market = Market(step.number, f"market{step.number}", step.local, Twice(step.of_two))
+        market = Market(step.number, f"market{step.number}", step.local)
         instants = [-(-(true + after) // SECOND) * SECOND for after in step.after_us]
-        expected = instants if step.expect_us is None else [
-            -(-(true + after) // SECOND) * SECOND for after in step.expect_us
-        ]  # fmt: skip
+        expect = step.after_us if step.expect_us == AS_AFTER else step.expect_us
+        expected = [-(-(true + after) // SECOND) * SECOND for after in expect]
         thing, body = f"calendar/{market.name}", market.body(instants, rig.day.extent_bytes)
         rig.change(StepSettings(name=Verb.PROPOSE, thing=thing, body=body))
         self._resume(thing)
--- a/harriertrack/membership/fleet/swim/core.py
+++ b/harriertrack/membership/fleet/swim/core.py
@@ -35,7 +35,7 @@
 
     def __init__(self, rules: Rules, me: Record, seeds: Iterable[Address] = (), seed: int = 0) -> None:
         member = self._member = Member(rules, me, seed)
-        self.rules, self.view, self.counts = rules, member.view, member.counts
+        self.view, self.counts = member.view, member.counts
         self._suspects, self._notes, self._sending = Suspects(member), Notes(member), Sending(member)
         self._words = Words(member, self._suspects, self._notes)
         others = [one for one in dict.fromkeys(seeds) if one != me.address]
@@ -43,6 +43,15 @@
         self._probing = Probing(member, self._sending, self._words, self._comparing)
         self._wake_at = 0
 
+    @property
+    def rules(self) -> Rules:
+        """Return the protocol's figures, as it goes by them now."""
+        return self._member.rules
+
+    def retell(self, rules: Rules) -> None:
+        """Go by other figures from now on; what is due already stays so."""
+        self._member.rules = rules
+
     @property
     def me(self) -> Record:
         """Return the newest word on this member itself."""
@@ -123,6 +132,10 @@
         """Say something of oneself to all; at most 256 bytes. What was said before does not hold any more."""
         self._notes.say(about)
 
+    def say(self, topic: str, about: bytes) -> None:
+        """Say something on a topic to all, in place of what was said on it before; at most 256 bytes."""
+        self._member.topics.say(self._member.me, topic, about)
+
     def leave(self, now: int) -> None:
         """Say goodbye. `left` tells when it has been said often enough."""
         member = self._member
@@ -155,6 +168,7 @@
             self._words.hear(now, record, told.kind is Kind.STATE)
         for note in told.notes:
             self._notes.hear(note)
+        member.topics.hear(member.me.name, told.topics)
         if member.standing is Standing.DISPLACED:
             return
         match told.kind:
@@ -190,6 +204,7 @@
     def _stood(self, now: int) -> None:
         """After a standstill: what was not heard meanwhile proves nothing against anybody."""
         member, late = self._member, now - self._wake_at
+        member.topics.pass_time(now)
         if late < self.rules.probe_us:
             return
         self.counts.stood += 1
