Closes at two heads in every order of their events, and four seeded faults over them

The model keeps to what the carrier does: schedules follow the record, which never goes back, and a confirmation counts for the schedule whose digest it tells. Without these two a late schedule would undo a later one (the fence itself takes any that does not contradict what it has done): seen when the model left them out.

--- a/harriertrack/lab/interleaving/models/registry.py
+++ b/harriertrack/lab/interleaving/models/registry.py
@@ -4,6 +4,7 @@
 
 from harriertrack.lab.interleaving.machines import Model
 from harriertrack.lab.interleaving.models.changes import ChangesModel
+from harriertrack.lab.interleaving.models.closing import ClosingModel
 from harriertrack.lab.interleaving.models.leases import LeaseModel
 from harriertrack.lab.interleaving.models.terms import TermModel
 from harriertrack.lab.interleaving.models.zones import ZoneModel
@@ -12,6 +13,6 @@
     one.name: one
     for one in (
         LeaseModel(), LeaseModel(silent=True), TermModel(), TermModel(cut=True), ZoneModel(),
-        ZoneModel(left=True), ChangesModel(), ChangesModel(writes=1),
+        ZoneModel(left=True), ChangesModel(), ChangesModel(writes=1), ClosingModel(), ClosingModel(cut="b"),
     )
 }  # fmt: skip
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -50,6 +50,7 @@
 KEEPING, WRITING = "gateway.fleet.changes.keeping", "decisions.fleet.changes.writing"
 WATCH, LIST = "decisions.watching:Watching", "service.discovery:Discovery"
 LEDGER, HOLDER = "decisions.fleet.ledger", "decisions.fleet.holder:Holder"
+CLOSING = "decisions.fleet.closing"
 BUDGETS, TERMS = "decisions.fleet.budgets", "decisions.fleet.terms:Candidate"
 ZONES = "decisions.fleet.evacuation:Evacuation"
 FOLLOWING = "decisions.fleet.changes.following:Follower"
@@ -127,6 +128,14 @@
     Fault("a zone is left at once", "zones", f"{ZONES}._in", "now >= zone.gone_since + self.rules.gone_us", "now >= zone.gone_since", 2),
     Fault("old sights count", "zones", f"{ZONES}.sums", "if seen.at < now - self.rules.fresh_us:", "if False:", 2),
     Fault("a new decider forgets", "zones-left", f"{ZONES}.take_up", "Zone(word.stage, now", "Zone(Stage.IN, now", 1),
+    Fault("a fence opens in doubt", "closing", f"{CLOSING}.fences:Fence.stance",
+          "reading.high < after[0].at_us", "reading.low < after[0].at_us"),
+    Fault("a close fires in doubt", "closing", f"{CLOSING}.fences:Fence.due",
+          "min(reading.low, sure_until)", "min(reading.high, sure_until)"),
+    Fault("a head that nobody tells goes on", "closing-cut", f"{CLOSING}.fences:Fences.blind",
+          "reading is None or reading.high >= self.sure_until", "reading is None", 2),
+    Fault("what is announced is changed", "closing", f"{CLOSING}.schedule:worked_out",
+          "firm_until = latest + notice_us", "firm_until = latest", 3),
     Fault("a follower goes back", "changes-once", f"{FOLLOWING}.fetched", "newer = found is not None and (found.revision, digest) > (self.record.revision, self.digest)",
           "newer = found is not None", 3),
 )
