--- a/harriertrack/lab/interleaving/registry.py
+++ b/harriertrack/lab/interleaving/registry.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from harriertrack.lab.interleaving.scenarios import changes, hub, streams, watch, witness
+from harriertrack.lab.interleaving.scenarios import changes, hub, links, streams, watch, witness
 from harriertrack.lab.interleaving.world import Scenario
 
-PARTS = (hub, streams, watch, witness, changes)
+PARTS = (hub, streams, watch, witness, changes, links)
 SCENARIOS: dict[str, Scenario] = {one.name: one for part in PARTS for one in part.SCENARIOS}
--- /dev/null
+++ b/harriertrack/lab/interleaving/scenarios/links.py
@@ -0,0 +1,128 @@
+"""A link to a storage node: attempts that are called off, a node that dies, a handshake under way."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any, cast
+
+from harriertrack.config.settings import ShelfSettings, VolumeSettings
+from harriertrack.decisions.interface import Result
+from harriertrack.decisions.requests import Attempt
+from harriertrack.decisions.splitting import Kind
+from harriertrack.gateway.links import Links
+from harriertrack.gateway.parts import HeadParts
+from harriertrack.lab.interleaving.world import Scenario, World
+from harriertrack.runtime.hub import Scope
+from harriertrack.standin.node import Rack
+from harriertrack.standin.shelf import Shelf
+
+HEAD, NODE, VOLUME = "head", "node", "v"
+EXTENT = 4096
+IDLE_US = 50_000
+
+
+@dataclass(eq=False)
+class _Tried:
+    """An attempt, as links know it, and what became of it."""
+
+    part: Any
+    number: int = 1
+    volume: str = VOLUME
+    sent_at: int = 0
+    told: bool = False
+    offered: bool = False  # to the links
+    sent: int = 0
+    dropped: bool = False  # called off before it was sent
+    ends: list[Result] = field(default_factory=list)
+    member: Any = field(default_factory=lambda: SimpleNamespace(entry=SimpleNamespace(node=NODE)))
+
+    @property
+    def awaited(self) -> bool:
+        """Whether its answer is of use."""
+        return not self.told
+
+
+def _tried(number: int) -> _Tried:
+    request = SimpleNamespace(kind=Kind.READ, flags=0)
+    return _Tried(SimpleNamespace(number=number, request=request, offset=0, length=512))
+
+
+class _Core:
+    def sent(self, one: _Tried) -> None:
+        one.sent += 1
+
+    def ended(self, _now: int, one: _Tried, result: Result, *_more: object) -> None:
+        one.ends.append(result)
+
+
+def _link(dies: bool) -> Callable[[World], None]:
+    def build(world: World) -> None:
+        hub, tried = world.hub, [_tried(1), _tried(2)]
+        found: list[Links] = []
+        volume = VolumeSettings(name=VOLUME, size_bytes=4 * EXTENT, plan="p")
+        settings = ShelfSettings(listen=(NODE, 1), extent_bytes=EXTENT, unit_us=100, volumes=(volume,))
+
+        def node() -> None:
+            with hub.scope(NODE) as scope:
+                shelf = Shelf(hub, world.network, settings, Rack(EXTENT))
+                shelf.start(scope)
+
+        def head_parts(scope: Scope) -> HeadParts:
+            limits = SimpleNamespace(orphans=4, dial_us=100_000, idle_us=IDLE_US)
+            own = SimpleNamespace(limits=limits, volumes=[volume], plain_nodes=False)
+            nodes = SimpleNamespace(find=lambda _name: SimpleNamespace(address=(NODE, 1)))
+            parts = SimpleNamespace(
+                hub=hub, network=world.network, settings=own, core=_Core(), nodes=nodes, head_id=7,
+                scope=scope, note=lambda *_args, **_fields: None, name=HEAD, portions=None,
+            )  # fmt: skip
+            return cast(HeadParts, parts)
+
+        def head() -> None:
+            with hub.scope(HEAD) as scope:
+                links = Links(head_parts(scope))
+                found.append(links)
+                hub.sleep(0)
+                for one in tried:
+                    one.offered = True
+                    links.send(cast(Attempt, one))
+                    hub.sleep(0)
+
+        def call_off() -> None:
+            one = tried[0]
+            if one.offered and not one.ends:
+                one.told, one.dropped = True, not one.sent
+                found[0].call_off(cast(Attempt, one))
+
+        world.spawn(NODE, "node", node)
+        world.spawn(HEAD, "head", head, ends=True)
+        world.fault("the first is called off", HEAD, call_off)
+        if dies:
+            world.may_die(NODE)
+
+        def judge(_view: object) -> str | None:
+            for number, one in enumerate(tried, 1):
+                if one.sent > 1 or len(one.ends) > 1:
+                    return f"attempt {number} was sent {one.sent} times and ended {len(one.ends)} times"
+                if one.sent and one.dropped:
+                    return f"attempt {number} was sent after it was called off"
+                if one.sent and Result.CONNECT_FAILED in one.ends:
+                    return f"attempt {number} was sent, and told as never run"
+            return None
+
+        def finish() -> str | None:
+            if len(tried[1].ends) != 1 or (not tried[0].told and len(tried[0].ends) != 1):
+                return f"an attempt has no end: {[one.ends for one in tried]}"
+            return f"{len(found[0])} links are left" if len(found[0]) else None
+
+        world.view = lambda: tuple((one.sent, tuple(one.ends), one.told) for one in tried)
+        world.judge, world.finish = judge, finish
+
+    return build
+
+
+SCENARIOS = (
+    Scenario("link-cancel", "a link's attempts, one called off at any time", _link(False), until_us=300_000),
+    Scenario("link-node-dies", "the same, and the node may die", _link(True), until_us=300_000),
+)
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -50,6 +50,7 @@
 KEEPING, WRITING = "gateway.fleet.changes.keeping", "decisions.fleet.changes.writing"
 WATCH, LIST = "decisions.watching:Watching", "service.discovery:Discovery"
 LEDGER, HOLDER = "decisions.fleet.ledger", "decisions.fleet.holder:Holder"
+LINK = "decisions.linklife:LinkLife"
 CLOSING = "decisions.fleet.closing"
 BUDGETS, TERMS = "decisions.fleet.budgets", "decisions.fleet.terms:Candidate"
 ZONES = "decisions.fleet.evacuation:Evacuation"
@@ -93,6 +94,13 @@
     Fault("the end overtakes bytes", "memory-all-arrives", f"{MEMORY}.read", "while not self._in:", "while self._eof or not self._in:"),
     Fault("a reset looks like an end", "memory-abort-write", f"{MEMORY}._end",
           "self._error, self._closed = error, True", "pass", 2),
+    Fault("what was called off is sent", "link-cancel", f"{LINK}.call_off",
+          "self._waiting.pop(cookie, None) is not None", "cookie in self._waiting"),
+    Fault("what was sent is told as never run", "link-node-dies", f"{LINK}.close",
+          "self.state is LinkState.DIALING", "True"),
+    Fault("what waited is told twice", "link-node-dies", f"{LINK}.opened", "self._waiting.clear()", "pass"),
+    Fault("a broken link tells nobody", "link-node-dies", "gateway.links:Link.run",
+          "for attempt, result in lost:", "for attempt, result in lost[:0]:"),
     Fault("a refused change counts as made", "witness-two-writers", f"{WITNESS}._transact", "return 0", "return 1"),
     Fault("a change without a check", "witness-two-writers", f"{LEASES}:key_request",
           "[{\"KV\": check}, {\"KV\": change}]", "[{\"KV\": change}]", newest=True),
