--- a/harriertrack/lab/fleet/days/roll-decider-killed.sexp
+++ b/harriertrack/lab/fleet/days/roll-decider-killed.sexp
@@ -16,4 +16,4 @@
   (step kill (who "decider"))
   (step rest (for 8s))
   (step start) (step agree (within 30s))
-  (step rest (for 60s)))
+  (step decided (thing "settings") (within 150s)) (step rest (for 6s)))
--- a/harriertrack/lab/fleet/days/roll-good.sexp
+++ b/harriertrack/lab/fleet/days/roll-good.sexp
@@ -8,4 +8,4 @@
   (step start) (step agree (within 20s)) (step rest (for 4s))
   (step propose (thing "program") (body "(program \"good\")")
     (plan "(plan (before 8s) (settle 2s) (ready 20s) (patience 60s) (bounds (times 3) (more 0.15)) (stage \"one\" (heads 1) (soak 5s) (least 30)) (stage \"half\" (share 0.5) (soak 5s) (least 30)) (stage \"all\" (share 1) (soak 3s) (least 0)))"))
-  (step rest (for 60s)))
+  (step decided (thing "program") (within 240s)) (step rest (for 6s)))
--- a/harriertrack/lab/fleet/days/roll-partition.sexp
+++ b/harriertrack/lab/fleet/days/roll-partition.sexp
@@ -12,4 +12,4 @@
   (step weather (who "0..0.34") (other "rest" "witness") (cut yes))
   (step rest (for 20s))
   (step heal) (step agree (within 30s))
-  (step rest (for 60s)))
+  (step decided (thing "settings") (within 150s)) (step rest (for 6s)))
--- a/harriertrack/lab/fleet/days/roll-two.sexp
+++ b/harriertrack/lab/fleet/days/roll-two.sexp
@@ -11,4 +11,5 @@
     (plan "(plan (before 8s) (settle 2s) (ready 20s) (patience 60s) (bounds (times 3) (more 0.15)) (stage \"one\" (heads 1) (soak 5s) (least 30)) (stage \"half\" (share 0.5) (soak 5s) (least 30)) (stage \"all\" (share 1) (soak 3s) (least 0)))"))
   (step propose (thing "settings") (body "(settings (plan \"standard\" (weight 4)))")
     (plan "(plan (before 8s) (settle 2s) (ready 20s) (patience 60s) (bounds (times 3) (more 0.15)) (stage \"one\" (heads 1) (soak 5s) (least 30)) (stage \"half\" (share 0.5) (soak 5s) (least 30)) (stage \"all\" (share 1) (soak 3s) (least 0)))"))
-  (step rest (for 100s)))
+  (step decided (thing "program") (within 240s)) (step rest (for 6s))
+  (step decided (thing "settings") (within 240s)) (step rest (for 6s)))
--- a/harriertrack/lab/fleet/days/roll-zone-lost.sexp
+++ b/harriertrack/lab/fleet/days/roll-zone-lost.sexp
@@ -12,4 +12,4 @@
   (step kill (who "new-zone"))
   (step rest (for 12s))
   (step start) (step agree (within 30s))
-  (step rest (for 60s)))
+  (step decided (thing "settings") (within 150s)) (step rest (for 6s)))
--- a/harriertrack/lab/fleet/staged.py
+++ b/harriertrack/lab/fleet/staged.py
@@ -89,10 +89,10 @@
     def __init__(self, heads: int, seed: int, plan: Plan | None = None, zones: int = 3, hosts: int = 3,
                  rate: float = 25.0, clumps: float = 0.0, uneven: float = 0.3, lost: float = 0.02,
                  harms: dict[tuple[str, int], Harm] | None = None, restart_s: int = 8,
-                 classes: dict[str, Habit] | None = None) -> None:  # fmt: skip
+                 classes: dict[str, Habit] | None = None, report_s: int = 1) -> None:  # fmt: skip
         self.random = np.random.default_rng(seed)
         self.plan, self.rate, self.clumps, self.lost, self.restart_s = plan, rate, clumps, lost, restart_s
-        self.habits, self.harms = classes or USUAL, harms or {}
+        self.habits, self.harms, self.report_s = classes or USUAL, harms or {}, report_s
         self.record, self.now, self.epoch = Record(), 0, 1
         serving: dict[int, set[int]] = {}
         for volume in range(heads):
@@ -161,7 +161,7 @@
             decider = self.heads[self.decider]
         for one in self.heads.values():
             heard = one.serves and not one.cut and not decider.cut
-            if heard and self.random.random() >= self.lost:
+            if heard and self.now // S % self.report_s == 0 and self.random.random() >= self.lost:
                 classes = {}
                 for name, tally in one.classes.items():
                     classes[name] = Tally()
