--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -12,6 +12,7 @@
 import click
 import msgspec
 
+from harriertrack.cli import scoring
 from harriertrack.cli.asking import (
     ASK_US,
     document_of,
@@ -23,6 +24,7 @@
     table,
 )
 from harriertrack.cli.changes import COMMANDS as CHANGES
+from harriertrack.cli.closing import closes
 from harriertrack.cli.common import fail, settings_of
 from harriertrack.cli.days import tell
 from harriertrack.config.settings import HeadSettings
@@ -37,15 +39,8 @@
     BudgetsTold,
     Told,
 )
-from harriertrack.rules import (
-    budgets as budget_rules,
-    changes as change_rules,
-    checker,
-    fleet as fleet_rules,
-    recording as rec,
-    rollout as rollout_rules,
-    zones as zone_rules,
-)
+from harriertrack.rules import checker, recording as rec
+from harriertrack.rules.everything import judge
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import SocketNetwork
 
@@ -63,7 +58,7 @@
     """Fleets of heads: what one holds of the others, and days for many processes."""
 
 
-for one_command in CHANGES:
+for one_command in (*CHANGES, closes):
     fleet.add_command(one_command)
 
 
@@ -240,6 +235,26 @@
     click.echo(f"{document.name} {'decides' if told.decides else 'does not decide'}, {heard}")
 
 
+fleet.add_command(scoring.scorers)
+
+
+@fleet.command()
+@settings_option
+@place_option
+@json_option
+def scores(path: str | None, place: str | None, as_json: bool) -> None:
+    """Tell what scorers say of nodes at a head, what all heads say together, and who lost a vote and why."""
+    _, document = document_of(place_of(path, place))
+    if document.scores is None:
+        fail(f"{document.name} scores no nodes: (scoring ...) is not set")
+    if as_json:
+        click.echo(msgspec.json.encode(document.scores).decode())
+        return
+    for line in scoring.scorer_lines(document.scores):
+        click.echo(line)
+    click.echo(table(scoring.node_rows(document.scores)))
+
+
 def _wish(path: str, zone: str, wish: str) -> None:
     settings = settings_of(path, HeadSettings)
     if settings.fleet is None or settings.fleet.zones is None or settings.fleet.budgets is None:
@@ -333,16 +348,9 @@
             end = f"after {one.after_us / 1e6:.2f} s" if one.reached else "NOT REACHED"
             click.echo(f"{len(one.members)} agree {end} (within {one.within_us / 1e6:g} s)")
     click.echo("; ".join(f"{count} {what}" for what, count in checker.summary(records).items()))
-    requests, views = checker.check(records), fleet_rules.check(records, plan.detect_us)
-    shares, zones = budget_rules.check(records), zone_rules.check(records)
-    tell(requests, "requests: ")
-    tell(views, "views: ")
-    tell(shares, "budgets: ")
-    tell(zones, "zones: ")
-    record = change_rules.check(records)
-    tell(record, "record: ")
-    stages = rollout_rules.check(records)
-    tell(stages, "rollouts: ")
-    broken = requests + views + shares + zones + record + stages
+    judged = judge(records, plan.detect_us)
+    for what, breaches in judged.items():
+        tell(breaches, f"{what}: ")
+    broken = any(judged.values())
     click.echo("rules broken" if broken else "all rules held")
     sys.exit(1 if broken else 0)
--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -76,20 +76,25 @@
 @click.argument("settings", type=click.Path())
 @click.option("--clock-rate", type=click.FloatRange(0.5, 2.0), default=1.0,
               help="For rehearsals: how fast the process's clock runs.")  # fmt: skip
+@click.option("--clock-ahead", type=float, default=0.0,
+              help="For rehearsals: seconds that its wall clock is off.")  # fmt: skip
 @click.option("--as-later", is_flag=True, help="For rehearsals: speak to the fleet as a later version would.")
+@click.option("--as-liar", is_flag=True, help="For rehearsals: say of nodes the contrary of what is seen.")
 @click.option("--rehearse", default="", help="For rehearsals: refuse:CLASS:PART, crash:SECONDS or mute.")
 @log_option
-def head(settings: str, clock_rate: float, as_later: bool, rehearse: str, log_form: str) -> None:
+def head(settings: str, clock_rate: float, clock_ahead: float, as_later: bool, as_liar: bool,
+         rehearse: str, log_form: str) -> None:  # fmt: skip
     """Run a head by its SETTINGS until SIGINT or SIGTERM."""
     checked = settings_of(settings, HeadSettings)
     note = logger(log_form)
-    hub = Hub() if clock_rate == 1.0 else Hub(RatedClock(clock_rate))
+    rehearsed = clock_rate != 1.0 or clock_ahead
+    hub = Hub(RatedClock(clock_rate, int(clock_ahead * 1e6))) if rehearsed else Hub()
     hub.random.seed()
     wiring, serve = Wiring(), lambda _hub, head: head.run()
-    if checked.fleet is not None or as_later or rehearse:
+    if checked.fleet is not None or as_later or as_liar or rehearse:
         from harriertrack.cli import rollout  # other heads do not load it
 
-        wiring, serve = rollout.made_of(hub, as_later, rehearse)
+        wiring, serve = rollout.made_of(hub, as_later, as_liar, rehearse)
     try:
         one = Head(hub, SocketNetwork(hub), checked, note, wiring=wiring)
     except SettingsError as error:
--- a/harriertrack/cli/rollout.py
+++ b/harriertrack/cli/rollout.py
@@ -18,13 +18,14 @@
 from harriertrack.gateway.head import Head, Wiring
 from harriertrack.lab.fleet.later import LaterDatagrams
 from harriertrack.lab.fleet.rehearsal import Rehearsal, WorseLinks, rehearsal_of
-from harriertrack.runtime.datagrams import SocketDatagrams
+from harriertrack.lab.fleet.weights import LyingDatagrams
+from harriertrack.runtime.datagrams import DatagramNetwork, SocketDatagrams
 from harriertrack.runtime.hub import Hub
 
 CRASHED = 3  # the status with which a rehearsed version ends
 
 
-def made_of(hub: Hub, later: bool, rehearse: str) -> tuple[Wiring, Callable[[Hub, Head], None]]:
+def made_of(hub: Hub, later: bool, liar: bool, rehearse: str) -> tuple[Wiring, Callable[[Hub, Head], None]]:
     """Return what a head of a fleet is made of, and its task."""
     try:
         bad = rehearsal_of(rehearse) if rehearse else Rehearsal()
@@ -32,8 +33,13 @@
         fail(f"--rehearse: {error}")
     by = launched(dict(os.environ))
     wiring = Wiring(handover=by, usage=usage)
+    datagrams: DatagramNetwork = SocketDatagrams(hub)
     if later:
-        wiring = replace(wiring, datagrams=LaterDatagrams(SocketDatagrams(hub)))
+        datagrams = LaterDatagrams(datagrams)
+    if liar:
+        datagrams = LyingDatagrams(datagrams)
+    if later or liar:
+        wiring = replace(wiring, datagrams=datagrams)
     if bad.class_name:
         wiring = replace(wiring, links=partial(WorseLinks, rehearsal=bad))
     return wiring, partial(_serve, by, bad)
--- /dev/null
+++ b/harriertrack/decisions/requests/closing.py
@@ -0,0 +1,73 @@
+"""Closes of business: what they cover is given up, and nothing of it is answered any more."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from harriertrack.decisions import interface as api
+from harriertrack.decisions.life import PartState, PartStep
+from harriertrack.decisions.requests.board import Board
+from harriertrack.decisions.requests.ending import Ending
+from harriertrack.decisions.requests.model import ClientRequest
+from harriertrack.decisions.requests.placing import Placing
+from harriertrack.decisions.requests.rules import CHANGING
+from harriertrack.decisions.splitting import Outcome
+
+CLOSED = "a close may have come"
+
+
+class Closing:
+    """What becomes of requests that a close covers."""
+
+    def __init__(self, board: Board, placing: Placing, ending: Ending) -> None:
+        self._board, self._placing, self._ending = board, placing, ending
+
+    def turns_away(self, request: ClientRequest) -> bool:
+        """Refuse a new request that a close may cover."""
+        closings = self._board.closings
+        if closings is None or (hint := closings.refuses(request)) is None:
+            return False
+        request.hint_us, request.why = hint, CLOSED
+        self._ending.finish(request, Outcome.REFUSED)
+        return True
+
+    def check(self, request: ClientRequest) -> None:
+        """Refuse a request that is about to be answered, if a close may have come meanwhile."""
+        closings = self._board.closings
+        if closings is not None and (hint := closings.refuses(request)) is not None:
+            self._withdraw(request, hint)
+
+    def close_off(self, covers: Callable[[str, int, int], bool]) -> tuple[int, int]:
+        """Give up what is open of the (volume, offset, length) that a close covers; put placements on disk.
+
+        What may have run is failed, all else is refused. Returns how many parts were refused and failed.
+        """
+        board, refused, failed = self._board, 0, 0
+        for part in list(board.parts.values()):
+            request = part.request
+            if part.state.over or part.extent < 0 or request.at_shard >= 0:
+                continue
+            if not covers(request.volume.settings.name, part.offset, part.length):
+                continue
+            if part.state not in (PartState.WAITING, PartState.KEPT):
+                board.add(api.ClientGone(part.number))
+            ran = request.kind in CHANGING and part.touched
+            if ran and board.closings is not None:
+                board.closings.may_run(request.volume.settings.name, part.extent)
+            refused, failed = refused + (not ran), failed + ran
+            request.why = CLOSED
+            self._ending.given_up(part, PartStep.FAIL if ran else PartStep.REFUSE, 1)
+        for request in board.answers:
+            if covers(request.volume.settings.name, request.offset, request.length):
+                refused += self._withdraw(request, 1)
+        self._placing.record()
+        return refused, failed
+
+    def _withdraw(self, request: ClientRequest, hint: int) -> bool:
+        """Refuse a read that was served and not answered."""
+        if request.kind in CHANGING or request.outcome is not Outcome.SERVED:
+            return False
+        self._board.counts.served -= 1
+        self._board.counts.refused += 1
+        request.outcome, request.hint_us, request.why = Outcome.REFUSED, hint, CLOSED
+        return True
--- a/harriertrack/gateway/parts.py
+++ b/harriertrack/gateway/parts.py
@@ -31,4 +31,5 @@
     note: Callable[..., None]
     name: str
     portions: Portions | None = None  # of what its fleet divides; None: it divides nothing
+    wall: Callable[[], int] | None = None  # for rehearsals: another wall clock than the hub's
     counting: Counting | None = None  # of its answers, for rollouts; None: nobody asks
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -24,9 +24,11 @@
     BudgetSettings,
     ChangesSettings,
     Checked,
+    ClosingSettings,
     FleetFigures,
     Name,
     Positive,
+    ScoringSettings,
     Share,
     Whole,
     ZonesSettings,
@@ -38,6 +40,7 @@
 NAMED = re.compile(r"(?:head|node)\d+\Z|list\Z|witness\Z")
 ZONES = ("z0", "z1", "z2")
 ROLES = ("decider", "new", "new-zone")  # who decides; who runs what comes in stages; all in their zones
+AS_AFTER = (0,)  # of a market: all of its closes are to come to pass
 GROUPS = ("all", "seeds", "rest", "shelves", *ROLES)
 
 
@@ -58,6 +61,9 @@
     WISH = "wish"  # an operator wishes a `zone` to be `out`, `in`, or has no wish
     PROPOSE = "propose"  # an operator proposes `body` as the next version of a `thing`
     CHANGE = "change"  # an operator wishes what is under way for a `thing` `paused`, `going` or `aborted`
+    LIMIT = "limit"  # `who` go by limits `times` those of the day from now on; all: so does who comes later
+    MARKET = "market"  # an operator gives market `number` a calendar that closes `after`, and resumes it
+    CLOCK = "clock"  # the wall clocks of `who` are `ahead` from now on; simulated days only
     BACKUP = "backup"  # what the witness knows is kept aside
     DARK = "dark"  # the witness is gone for `for`; `old`: it comes back as of the backup
     AGREE = "agree"  # wait until the views of `who` agree, `within` at most
@@ -93,6 +99,12 @@
     plan: str = ""
     although: str = ""  # it was stopped before
     to: Literal["paused", "going", "aborted", ""] = ""
+    number: Whole = 0  # of a market
+    local: str = "UTC"  # its time zone
+    after_us: tuple[Whole, ...] = ()  # whole seconds past now, about
+    expect_us: tuple[Whole, ...] = AS_AFTER  # which of these are to come to pass
+    ahead_us: int = 0  # of true time: the wall clock of who is started, or told so
+    skew_us: Whole = 0  # and up to so much more or less, drawn for each
     old: bool = False
     clock_rate: Annotated[float, msgspec.Meta(ge=0.5, le=2)] = 1.0  # of who is started; processes only
 
@@ -129,7 +141,16 @@
     changes: ChangesSettings | None = None
     ends: tuple[EndSettings, ...] = ()
     launched: bool = False  # heads have launchers, and programs can change
+    closing: ClosingSettings | None = None
+    close_bound_us: Positive = 1_000_000  # within which of a close every head has closed
+    markets: Positive = 1
+    wall: str = ""  # the instant, UTC, at which heads' clocks stand when the day begins; "": the machine's
     zones_at: Share = 1.0  # so many of each ten heads have zones; the others help themselves
+    scoring: ScoringSettings | None = None
+    scoring_later: ScoringSettings | None = None  # of who is started as a later version would be
+    liars: tuple[str, ...] = ()  # heads that say of nodes the contrary of what they see
+    sway: Amount = 3.4  # powers of two that a weight may go to and fro in ten seconds
+    shared: Share = 1.0  # of the volumes: with several hosts each, and extents whose places are settled
     may_leave: tuple[str, ...] = ()  # zones that the fleet may leave on this day
     rate: Amount = 8.0  # requests a second, a head
     detect_us: Positive = 20_000_000  # the longest that a death may go unnoticed
@@ -140,7 +161,7 @@
 def _check(day: FleetDaySettings, where: str) -> None:
     for number, step in enumerate(day.steps, start=1):
         at = f"{where}: step {number} {step.name.value}"
-        for field, words in (("who", step.who), ("other", step.other)):
+        for field, words in (("who", step.who), ("other", step.other), ("liars", day.liars)):
             for word in words:
                 if word not in GROUPS and not NAMED.match(word) and not SPAN.match(word):
                     raise SettingsError(f"{at}: {field}: {word}: no name, group or share such as 0..0.5")
@@ -153,8 +174,12 @@
             raise SettingsError(f"{at}: zone: one of {', '.join(ZONES)}")
         if step.name in (Verb.PROPOSE, Verb.CHANGE) and (day.changes is None or not step.thing):
             raise SettingsError(f"{at}: thing: is needed, on a day with changes")
+        if step.name is Verb.LIMIT and (day.changes is None or day.budgets is None or not step.times):
+            raise SettingsError(f"{at}: times: is needed above 0, on a day with budgets and changes")
         if (step.name is Verb.CHANGE) != bool(step.to):
             raise SettingsError(f"{at}: to: a change, and no other step, is paused, going or aborted")
+        if step.name is Verb.MARKET and (day.closing is None or step.number >= day.markets):
+            raise SettingsError(f"{at}: number: no such market, or no (closing ...)")
         if step.name is Verb.DARK and day.budgets is None:
             raise SettingsError(f"{at}: there is no witness on a day without budgets")
         struck = step.cut or step.lost or step.twice or step.late_us or step.jitter_us
