--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -12,7 +12,7 @@
 import click
 import msgspec
 
-from harriertrack.cli import scoring
+from harriertrack.cli import rollout, scoring
 from harriertrack.cli.asking import (
     ASK_US,
     document_of,
@@ -236,6 +236,7 @@
 
 
 fleet.add_command(scoring.scorers)
+fleet.add_command(rollout.rollout)
 
 
 @fleet.command()
--- a/harriertrack/cli/rollout.py
+++ b/harriertrack/cli/rollout.py
@@ -9,12 +9,14 @@
 
 import click
 
+from harriertrack.cli.asking import document_of, place_of, place_option, settings_option
 from harriertrack.cli.common import fail, logger, run_until_signal
 from harriertrack.config.rollout import load_launcher
 from harriertrack.config.sexp import SettingsError
 from harriertrack.gateway.fleet.rollout.launcher.files import Launched, launched
 from harriertrack.gateway.fleet.rollout.launcher.launcher import Launcher
 from harriertrack.gateway.fleet.rollout.usage import usage
+from harriertrack.gateway.fleet.seats import DECIDES
 from harriertrack.gateway.head import Head, Wiring
 from harriertrack.lab.fleet.later import LaterDatagrams
 from harriertrack.lab.fleet.rehearsal import Rehearsal, WorseLinks, rehearsal_of
@@ -61,6 +63,20 @@
         scope.cancel()
 
 
+@click.command("rollout")
+@settings_option
+@place_option
+def rollout(path: str | None, place: str | None) -> None:
+    """Tell what versions under way wait for, as the head that decides sees it; others say who that is."""
+    _, document = document_of(place_of(path, place))
+    if document.rollouts is not None:
+        click.echo("\n".join(document.rollouts) or "nothing is under way")
+        return
+    seats = document.budgets.seats if document.budgets is not None else []
+    keeper = next((seat.keeper for seat in seats if seat.ledger == DECIDES and seat.keeper), "")
+    fail(f"{document.name} does not decide" + (f"; ask --at {keeper}" if keeper else ", nor knows who does"))
+
+
 @click.command()
 @click.argument("settings", type=click.Path())
 @click.option("--log", "log_form", type=click.Choice(["console", "json"]), default="console",
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -301,6 +301,8 @@
                 document = msgspec.structs.replace(document, closing=self.closing.document())
             if self.scoring is not None:
                 document = msgspec.structs.replace(document, scores=self.scoring.document(now))
+            if self.rollouts is not None:
+                document = msgspec.structs.replace(document, rollouts=self.rollouts.told())
             stream.write(msgspec.json.encode(document))
             stream.push(sent.set)
             stream.watch_end(sent.set)
--- a/harriertrack/membership/fleet/telling.py
+++ b/harriertrack/membership/fleet/telling.py
@@ -252,6 +252,7 @@
     record: ChangesTold | None = None
     closing: ClosingTold | None = None
     scores: ScoresTold | None = None
+    rollouts: list[str] | None = None  # where each stands, a line each; None: another head decides
 
 
 class MalformedDocument(ValueError):
