--- a/harriertrack/lab/fleet/limits.py
+++ b/harriertrack/lab/fleet/limits.py
@@ -74,7 +74,8 @@
     def heard(self, slot: HeadSlot, event: str, fields: dict[str, object]) -> None:
         """Take a line of a head's log."""
         if event == "fleet change taken" and fields.get("thing") == THING:
-            self._told[slot.name] = self._times[int(str(fields["version"]))]
+            # Settings that others proposed leave limits as they were at the start.
+            self._told[slot.name] = self._times.get(int(str(fields["version"])), 1.0)
             self._follow()
 
     def _watch(self) -> None:
