--- a/tests/live/test_head_live.py
+++ b/tests/live/test_head_live.py
@@ -36,7 +36,7 @@
   (nvme (listen "127.0.0.1" 0) (nqn "nqn.2026-01.org.example:one"))
   (fleet "a" (listen "127.0.0.1" 40000) (seed "b" (address "127.0.0.1" 40001))
     (budgets (witness "127.0.0.1" 8501) (budget "limits") (budget "trials" (whole 10) (burst 4)))
-    (zones) (changes) (closing (volumes "v"))
+    (zones) (changes (rollout)) (closing (volumes "v"))
     (scoring (scorer "least-latency" (parameter "power" (value 2)))))
   (class "read" (kinds read flush) (aim 300ms) (deadline 1500ms) (effect safe))
   (class "write" (kinds write trim write-zeroes own-read catch-up move) (aim 500ms) (deadline 2500ms) (effect keyed)
