Rollouts: watching begins anew after another one; a last stage without requests ends; levels are raised by what holds when it is written

While another thing changed, a version that waits took what heads did as its time before; that is dropped now. A stage that waits for no answers had no finding where no tick ever closed, and paused.

--- a/harriertrack/decisions/fleet/rollout/conducting.py
+++ b/harriertrack/decisions/fleet/rollout/conducting.py
@@ -14,7 +14,7 @@
 from harriertrack.decisions.fleet.rollout.evidence import Evidence, Report
 from harriertrack.decisions.fleet.rollout.judging import Finding, Judge, Verdict, outgrown
 from harriertrack.decisions.fleet.rollout.plan import Plan, goes_away
-from harriertrack.decisions.fleet.rollout.rollout import Rollout, Step, told
+from harriertrack.decisions.fleet.rollout.rollout import Rollout, Step, told, waits_for
 
 HEARD_US = 6_000_000  # a head that reports no more is not heard; it reports each second
 MOST_PAST = 7  # lives of a head that are remembered to be over
@@ -125,6 +125,8 @@
             self.followed[key] = one
         members = self.members(now, known, version)
         plan = one.rollout.plan
+        if version.standing is Standing.PROPOSED and waits_for(record, version.thing) is not None:
+            one.evidence = Evidence(*key, plan.settle_us)  # while another thing changes nothing is as before
         if version.standing in RUN:
             self._disturb(now, version, one, members)
             self._judge(now, version, one, members)
@@ -147,12 +149,13 @@
         if not plan.measures:
             one.finding = Finding(Verdict.NOT_WORSE, "nothing is compared")
             return
-        if one.judge is None or one.stage != version.stage:
-            one.judge, one.stage, one.finding = Judge(plan, one.evidence.before), version.stage, NOTHING
+        fresh = one.judge is None or one.stage != version.stage
+        if one.judge is None or fresh:
+            one.judge, one.stage = Judge(plan, one.evidence.before), version.stage
         ticks = list(one.evidence.ticks(now))
         for rows in ticks:
             one.judge.take(rows)
-        if ticks:
+        if ticks or fresh:
             at = min(max(version.stage, 1), len(plan.stages)) - 1
             alone = all(name in version.heads for name, member in members.items() if member.here)
             one.finding = one.judge.finding(at, alone)
--- a/harriertrack/decisions/fleet/rollout/judging.py
+++ b/harriertrack/decisions/fleet/rollout/judging.py
@@ -128,7 +128,8 @@
     def _clumps(self, measure: Measure) -> float:
         """Return how many times more than chance old heads scatter in time, over all classes."""
         both = [cell.scatter for (of, name, _), cell in self.cells.items() if of is measure and name]
-        return max(1.0, sum(scatter for scatter, _ in both) / sum(freedom for _, freedom in both))
+        freedom = sum(freedom for _, freedom in both)
+        return max(1.0, sum(scatter for scatter, _ in both) / freedom) if freedom else 1.0
 
     def finding(self, at: int, alone: bool = False) -> Finding:
         """Say what the evidence comes to in a stage (from 0); `alone`: no head of the old version is left."""
@@ -137,7 +138,7 @@
         tests = max(1, len(self.cells)) * len(self.plan.stages)
         stops = math.log(tests / bounds.wrongly)
         passes = math.log((bounds.early if early else bounds.missed) / 2)
-        clumps = {measure: self._clumps(measure) for measure in self.plan.measures if self.cells}
+        clumps = {measure: self._clumps(measure) for measure in self.plan.measures}
         weights = {key: cell.weights(clumps[key[0]]) for key, cell in self.cells.items()}
         for key in sorted(weights, key=lambda key: -weights[key][0]):
             if weights[key][0] < stops:
--- a/harriertrack/gateway/fleet/rollout/carrier.py
+++ b/harriertrack/gateway/fleet/rollout/carrier.py
@@ -116,9 +116,11 @@
         steps = conductor.look(self._hub.now(), record, self._known(), self._swim.me.name)
         for step in steps:
             self._write(term, step)
-        level = next_level(record, conductor.understood(), [row.record.name for row in self._swim.view])
-        if record.things() and level > record.level:
-            self._change(lambda record: raise_level(record, term.epoch, level))
+        if record.things() and self._next_level(record, conductor) > record.level:
+            self._change(lambda now: raise_level(now, term.epoch, self._next_level(now, conductor)))
+
+    def _next_level(self, record: Record, conductor: Conductor) -> int:
+        return next_level(record, conductor.understood(), [row.record.name for row in self._swim.view])
 
     def _write(self, term: Term, step: Step) -> None:
         def make(record: Record) -> Record:
