--- a/harriertrack/decisions/fleet/closing/trims.py
+++ b/harriertrack/decisions/fleet/closing/trims.py
@@ -71,6 +71,7 @@
         self._tried: set[Left] = set()
         self._out: set[Left] = set()
         self._again: set[Left] = set()
+        self._dropped: set[Left] = set()
         self._serial = 0
         self._tokens, self._filled_at = rules.burst, now
 
@@ -130,11 +131,14 @@
         return not (shard.pause_us and shard.out)
 
     def drop(self, lefts: Iterable[Left]) -> None:
-        """These need not be trimmed any more; what is out ends as it ends."""
+        """These are not to be trimmed any more; what is out is called off, and not tried again."""
         for left in lefts:
             if self._due.pop(left, None) is not None:
                 self.progress.asked -= 1
                 self._tried.discard(left)
+            elif left in self._out:
+                self._dropped.add(left)
+                self._again.discard(left)
 
     def failed_before(self, left: Left) -> bool:
         """Whether an earlier try may yet run at its shard."""
@@ -147,6 +151,14 @@
         shard.out -= 1
         again = left in self._again
         self._again.discard(left)
+        if left in self._dropped:
+            self._dropped.discard(left)
+            self._tried.discard(left)
+            if again:
+                self._stand(left, now)
+            else:
+                self.progress.asked -= 1
+            return
         if done:
             shard.pause_us = shard.rests_until = 0
         else:
--- a/harriertrack/gateway/fleet/closing/carrier.py
+++ b/harriertrack/gateway/fleet/closing/carrier.py
@@ -71,7 +71,8 @@
         self._trims = Trims(figures(TrimRules, settings), hub.now())
         self._trimming = Trimming(parts, self._trims, places, self._there, self._settle_us)
         self._trimming.begins, self._trimming.emptied = self._begins_trim, self._emptied
-        self._sweeps = Sweeps(hub, self.fences, self._trims, parts.settings, swim.me.name, self._settle_us)
+        self._sweeps = Sweeps(hub, self.fences, self._trims, parts.settings, swim.me.name, self._settle_us,
+                              self._trimming.call_off)  # fmt: skip
         self._guard = Guard(hub, self._wall, self.clock, self.fences, self._trims, places,
                             parts.settings.extent_bytes, self._settle_us)  # fmt: skip
         self._bodies: dict[str, str] = {}  # of the closes that were taken
--- a/harriertrack/gateway/fleet/closing/sweeping.py
+++ b/harriertrack/gateway/fleet/closing/sweeping.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from harriertrack.config.settings import HeadSettings
 from harriertrack.decisions.fleet.closing.fences import Fence, Fences
 from harriertrack.decisions.fleet.closing.sweeps import SLICES, Sweep, SweepKey
@@ -13,8 +15,9 @@
     """All that go on at one head."""
 
     def __init__(self, hub: Hub, fences: Fences, trims: Trims, settings: HeadSettings, head: str,
-                 settle_us: int) -> None:  # fmt: skip
+                 settle_us: int, call_off: Callable[[list[Left]], None]) -> None:  # fmt: skip
         self._hub, self._fences, self._trims = hub, fences, trims
+        self._call_off = call_off
         self._size, self._head, self._settle_us = settings.extent_bytes, head, settle_us
         self._volumes = {one.name: one for one in settings.volumes if one.shards}
         self._sweeps: dict[SweepKey, Sweep] = {}
@@ -52,5 +55,7 @@
         return [Left(volume, extent, shards[extent % len(shards)]) for extent in sorted(extents)]
 
     def _end(self, key: SweepKey) -> None:
-        for extents in self._sweeps.pop(key).left.values():
-            self._trims.drop(self._lefts(key.volume, extents))
+        sweep = self._sweeps.pop(key)
+        lefts = self._lefts(key.volume, {extent for extents in sweep.left.values() for extent in extents})
+        self._trims.drop(lefts)
+        self._call_off(lefts)
--- a/harriertrack/gateway/fleet/closing/trimming.py
+++ b/harriertrack/gateway/fleet/closing/trimming.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from harriertrack.decisions.fleet.closing.trims import Left, Trims
+from harriertrack.decisions.requests import ClientRequest
 from harriertrack.decisions.splitting import Kind, Outcome
 from harriertrack.gateway import background
 from harriertrack.gateway.parts import HeadParts
@@ -21,10 +22,19 @@
         self._parts, self._trims, self._places, self._heads = parts, trims, places, heads
         self._sizes = {volume.name: volume.size_bytes for volume in parts.settings.volumes}
         self._settle_us = settle_us
+        self._requests: dict[Left, tuple[ClientRequest, background.Waiter]] = {}  # that are out
         # Called as one begins; what it returns, as it is done.
         self.begins: Callable[[Left], Callable[[], None]] = lambda _left: lambda: None
         self.emptied: Callable[[], None] = lambda: None  # nothing is left to trim
 
+    def call_off(self, lefts: Iterable[Left]) -> None:
+        """Send nothing more for these: what is out would come under the epoch of what is written next."""
+        for left in lefts:
+            if left in self._requests:
+                request, waiter = self._requests[left]
+                self._parts.core.client_gone(request)
+                waiter.answer(request)
+
     def known(self) -> list[Left]:
         """Return what is to be trimmed of volumes that this head has, as found on disk."""
         lefts = self._places.closing.lefts
@@ -45,10 +55,14 @@
         parts, size = self._parts, self._parts.settings.extent_bytes
         start = left.extent * size
         length = min(size, self._sizes[left.volume] - start)
-        trimmed = self.begins(left)
-        done = background.do(parts.hub, parts.core, left.volume, Kind.TRIM, start, length, moving=True,
-                             at_shard=left.shard)  # fmt: skip
-        gone = done.outcome is Outcome.SERVED
+        trimmed, waiter = self.begins(left), background.Waiter(parts.hub)
+        request = ClientRequest(parts.core.volumes[left.volume], Kind.TRIM, start, length, b"", 0, waiter,
+                                background=True, moving=True, at_shard=left.shard)  # fmt: skip
+        self._requests[left] = request, waiter
+        parts.core.take(parts.hub.now(), request)
+        waiter.wait()
+        del self._requests[left]
+        gone = request.outcome is Outcome.SERVED
         if gone:
             if self._trims.failed_before(left):
                 parts.hub.sleep(self._settle_us)  # an earlier try may run yet: nothing new is written before
--- a/tests/closing/test_closing_core.py
+++ b/tests/closing/test_closing_core.py
@@ -242,3 +242,37 @@
     rig.core.close("shutting down")
     rig.flush()
     assert late.outcome is Outcome.REFUSED and gone not in rig.port.answers and rig.core.open_requests == 0
+
+
+def test_a_trim_that_is_called_off_is_not_sent_under_a_later_epoch():
+    """Found by days over processes: a trim that the module still had was sent after the volume was open again."""
+    from types import SimpleNamespace
+
+    from harriertrack.decisions.fleet.closing.trims import Left, Trims, TrimRules
+    from harriertrack.gateway.fleet.closing.trimming import Trimming
+    from harriertrack.runtime.hub import Hub
+
+    rig, hub, left = _CORE.Rig(shards=(0, 1)), Hub.virtual(1), Left("v", 0, 0)
+    trims = Trims(TrimRules(spread_us=0), 0)
+    trims.add(0, [left], 0.0, {})
+    done = []
+
+    def main():
+        with hub.scope("head") as scope:
+            parts = SimpleNamespace(hub=hub, core=rig.core, scope=scope, settings=rig.settings)
+            trimming = Trimming(parts, trims, rig.extents, lambda: 1, 1000)
+            trimming.begins = lambda _left: lambda: done.append(1)
+            task = scope.spawn("trims", trimming.run)
+            hub.sleep(1000)
+            rig.flush()
+            (attempt,) = rig.port.sent
+            trims.drop([left])
+            trimming.call_off([left])
+            rig.flush()
+            assert rig.port.called_off == [attempt]
+            hub.sleep(10_000_000)
+            rig.run(10_000_000)
+            assert rig.port.sent == [attempt] and not done and len(trims) == 0
+            task.cancel()
+
+    hub.run(main)
--- a/tests/closing/test_closing_fences.py
+++ b/tests/closing/test_closing_fences.py
@@ -180,3 +180,15 @@
                 assert one.fence("c").done == now // 1000 if now < 6000 else 5
                 served.add((number, one.fence("c").done))
     assert len(served) >= 18, "each head serves in nearly every generation"
+
+
+def test_what_is_dropped_while_it_is_out_is_not_tried_again_unless_another_close_asks():
+    one = trims()
+    first, second = one.next(0, 1), one.next(0, 1)
+    one.drop(LEFTS)
+    one.add(0, [second], 0.0, {})
+    one.ended(0, first, False)
+    one.ended(0, second, False)
+    assert [one.next(100_000 * turn, 1) for turn in range(1, 3)] == [second, None]
+    one.ended(300_000, second, True)
+    assert len(one) == 0 and one.progress.asked == one.progress.done == 1 and one.progress.failed == 0
