What is shared of weights is heard in time at 200 heads: fewer pages, rarer words, a member told at a time

At 200 heads and 200 nodes 83 % of the pages were not held after 30 s, at 500 bytes a second: notes rode on probes and answers alone, on eight pages that each paid for their own head, said each second by 32 speakers and outdated before they were passed on. Now two pages of what differs by more than chance, said the more rarely the more speak, and while such notes wait one member is told each gossip period, within topic-bytes (2,000 a second). An opinion needs two answers, remembered for 8 s rather than 4: heads that ask a node seldom had none.

--- a/harriertrack/config/settings/scoring.py
+++ b/harriertrack/config/settings/scoring.py
@@ -38,9 +38,9 @@
     most_suspend_us: Positive = 1_800_000_000
     forgive_us: Positive = 600_000_000
     rate: Annotated[float, msgspec.Meta(gt=0, le=4)] = 0.5
-    evidence: Annotated[float, msgspec.Meta(ge=1, le=1000)] = 4.0
+    evidence: Annotated[float, msgspec.Meta(ge=1, le=1000)] = 2.0
     full: Annotated[float, msgspec.Meta(ge=1, le=255)] = 40.0
-    stale_us: Positive = 15_000_000
+    stale_us: Positive = 20_000_000
     reporters: Annotated[int, msgspec.Meta(ge=5, le=1024)] = 32
     turn_us: Positive = 60_000_000
     say_us: Positive = 1_000_000
--- a/harriertrack/decisions/fleet/scoring/shared.py
+++ b/harriertrack/decisions/fleet/scoring/shared.py
@@ -114,7 +114,8 @@
             names = frozenset({moment.me}) if self.alone else moment.run(one.namespace) | {moment.me}
             one.join(now, moment.me, names, moment.picture, turn)
             if len(names) > 1 and moment.me in speakers(names, turn, self.rules.reporters):
-                if (page := one.speaker.next(now, one.own)) is not None:
+                voices = min(len(names), self.rules.reporters)
+                if (page := one.speaker.next(now, one.own, voices)) is not None:
                     pages.append(page)
         self._move(now, moment.picture)
         return pages
--- a/harriertrack/decisions/fleet/scoring/sights.py
+++ b/harriertrack/decisions/fleet/scoring/sights.py
@@ -22,7 +22,7 @@
     Send,
 )
 
-FADE_US = 4_000_000  # after which an answer counts half
+FADE_US = 8_000_000  # after which an answer counts half
 BEST_UP = 0.002  # a node's best latency rises by this part with each answer: it may have slowed for good
 SILENT_US = 2_000_000  # a node that is heard again after such a silence, though asked, is returning
 MOVED = (Result.CANCELLED, Result.MOOT)  # say nothing of the node
--- a/harriertrack/decisions/fleet/scoring/spreading.py
+++ b/harriertrack/decisions/fleet/scoring/spreading.py
@@ -1,12 +1,13 @@
 """What a head says of its weights, when, and to whom it listens.
 
-Only what differs from an even share is said, in pages: a node's place is a page by a checksum of its name, so
-that a change of one node renews one page and no other. Each page is a note of its own, of which the newest of
-a life wins, with the digest of all pages: who has pages of one digest has the whole. A page is said when it
-changed, the largest change first, and again from time to time so that it does not go stale; never more than
-so many bytes a second. At any time so many heads speak as `reporters` says, drawn by checksum, others after a
-turn: what passes between heads does not grow with the fleet beyond that. Pure; as bytes it is in
-membership/fleet/weighing.py.
+Only what differs from an even share by more than chance is said, in pages: a node's place is a page by a
+checksum of its name, so that a change of one node renews one page and no other. Each page is a note of its
+own, of which the newest of a life wins, with the digest of all pages: who has pages of one digest has the
+whole. A page is said when it changed, the largest change first, and again from time to time so that it does
+not go stale; never more than so many bytes a second, and the more rarely the more heads speak: what is said
+before the last was heard by all is lost labour. At any time so many heads speak as `reporters` says, drawn by
+checksum, others after a turn: what passes between heads does not grow with the fleet beyond that. Pure; as
+bytes it is in membership/fleet/weighing.py.
 """
 
 from __future__ import annotations
@@ -18,10 +19,12 @@
 from harriertrack.decisions.fleet.scoring.joining import Opinion
 from harriertrack.decisions.fleet.scoring.rules import ScoringRules
 
-PAGES = 8
-STEP = 1 / 16  # powers of two: the least that is told, and how fine
+PAGES = 2
+STEP = 1 / 16  # powers of two: how fine weights are told
+LEAST_STEPS = 3  # what is nearer to an even share is not said: it is within what one head sees by chance
 MOST_ENTRIES = 32  # of a page; those nearest to an even share are left out of a fuller one
 MOST_EVIDENCE = 255
+VOICES = 8  # heads that may each speak as often as they like
 PAGE_BYTES = 20  # of a page without entries
 ENTRY_BYTES = 6
 
@@ -77,7 +80,7 @@
     """Return what is to be said, by page: what is no even share, within a page's bound the strongest."""
     pages: list[list[Entry]] = [[] for _ in range(PAGES)]
     for name, one in opinions.items():
-        if steps := round(one.log / STEP):
+        if abs(steps := round(one.log / STEP)) >= LEAST_STEPS:
             node = number_of(name)
             pages[page_of(node)].append(Entry(node, steps, min(MOST_EVIDENCE, int(one.evidence))))
     for at, page in enumerate(pages):
@@ -102,10 +105,10 @@
     at: int = -1
     serial: int = 0
 
-    def next(self, now: int, opinions: Mapping[str, Opinion]) -> Page | None:
-        """Return the page that is to be said now, if any is."""
+    def next(self, now: int, opinions: Mapping[str, Opinion], voices: int = 1) -> Page | None:
+        """Return the page that is to be said now, if any is, where so many heads speak."""
         rules = self.rules
-        if self.at >= 0 and now - self.at < rules.say_us:
+        if self.at >= 0 and now - self.at < rules.say_us * max(1.0, voices / VOICES):
             return None
         most = PAGE_BYTES + ENTRY_BYTES * MOST_ENTRIES
         gained = rules.say_bytes * (now - self.at) / 1e6 if self.at >= 0 else float(most)
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -78,11 +78,11 @@
         self.fleet: Fleet | None = None
         self._portions: Portions | None = None
         self._cells = head_map(settings.cell_map, settings.volumes) if settings.cell_map else None
-        self._scored: Scored | None = None
+        self.scored: Scored | None = None
         if settings.fleet is not None and settings.fleet.scoring is not None:
             from harriertrack.gateway.fleet.scoring.carrier import scored_of  # other heads do not load it
 
-            self._scored = scored_of(settings, settings.fleet.scoring, note, wiring.scorers)
+            self.scored = scored_of(settings, settings.fleet.scoring, note, wiring.scorers)
         self.nodes = NodeList()
         self.head_id = hub.random.getrandbits(64)
 
@@ -121,10 +121,10 @@
 
                     evidence = Evidence()
                     decides = Observed(self.module, evidence)
-                if self._scored is not None:
+                if self.scored is not None:
                     from harriertrack.gateway.fleet.observing import Observed
 
-                    decides = Observed(decides, self._scored.sights)
+                    decides = Observed(decides, self.scored.sights)
                 self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
                                   self._note, self._name, portions, self._wiring.wall)  # fmt: skip
@@ -152,7 +152,7 @@
 
                     self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
                                        self._listing, self._wiring.kept, extents,
-                                       self._links.epochs, self.retell, self._scored)  # fmt: skip
+                                       self._links.epochs, self.retell, self.scored)  # fmt: skip
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
@@ -185,7 +185,7 @@
     def _module(self, told: api.Settings, seed: int) -> Scheduler | Celled:
         """Make the decision module, or where there is a map one for each cell."""
         portions = self._portions
-        weights = self._scored.shared.factors if self._scored is not None else None
+        weights = self.scored.shared.factors if self.scored is not None else None
         if self._cells is not None:
             return Celled(told, seed, self._cells, partial(Scheduler, weights=weights), portions)
         if portions is None and weights is None:
--- a/harriertrack/membership/fleet/swim/core.py
+++ b/harriertrack/membership/fleet/swim/core.py
@@ -195,7 +195,7 @@
         when = [due.probe, due.reach, *self._probing.times()]
         if member.standing is Standing.IN:
             when.append(due.sync)
-        if member.news:
+        if member.news or member.topics:
             when.append(due.gossip)
         if (runs_out_at := self._suspects.next_at(due.probe)) is not None:
             when.append(runs_out_at)
--- a/harriertrack/membership/fleet/swim/sending.py
+++ b/harriertrack/membership/fleet/swim/sending.py
@@ -59,6 +59,9 @@
         """Tell some members the news, while there is any."""
         member = self._member
         if not member.news:
+            if member.topics and (others := member.others()):  # these have time: one member is told at a time
+                name = member.random.choice(others)
+                self.send(member.address(name), Kind.WORD, 0, name)
             return
         recent = now - member.rules.recent_us
         names = member.others()
--- a/harriertrack/membership/fleet/topics.py
+++ b/harriertrack/membership/fleet/topics.py
@@ -72,6 +72,9 @@
 
         self._news.fill(add, most_sends)
 
+    def __len__(self) -> int:
+        return len(self._news)
+
     def clear(self) -> None:
         """Pass nothing on any more."""
         self._news.clear()
--- a/tests/scoring/test_notes.py
+++ b/tests/scoring/test_notes.py
@@ -46,8 +46,8 @@
     notes: list[Note]
 
 
-NODES = [number for number in range(3000) if page_of(number) == 3][:MOST_ENTRIES]
-PAGE = Page(0xFFFF_FFFF, 3, 9, tuple(Entry(node, -32 + at, 255 - at) for at, node in enumerate(NODES)), 7)
+NODES = [number for number in range(3000) if page_of(number) == 1][:MOST_ENTRIES]
+PAGE = Page(0xFFFF_FFFF, 1, 9, tuple(Entry(node, -32 + at, 255 - at) for at, node in enumerate(NODES)), 7)
 
 
 def draft(topics=1):
@@ -98,9 +98,9 @@
 
 def test_a_liar_changes_its_own_notes_alone():
     both = Draft("fleet", Kind.PING, "m1", Life(1, 2), 7, 9, "m0")
-    small = weighing.encode(Page(1, 3, 9, PAGE.entries[:2], 7))
+    small = weighing.encode(Page(1, 1, 9, PAGE.entries[:2], 7))
     for name in ("m1", "m2"):
-        both.add_topic(packed(TopicNote(name, 1, 2, 1, small, "w/00000001/3")))
+        both.add_topic(packed(TopicNote(name, 1, 2, 1, small, "w/00000001/1")))
     mine, others = decode(lied(both.pack())).topics
     assert others.about == small and mine.about == contrary(small) != small
 
