--- a/tests/scoring/test_carrier.py
+++ b/tests/scoring/test_carrier.py
@@ -181,3 +181,34 @@
     recorder = rec.Recorder()
     simulate(day, 5, 1, recorder)
     assert rule in {one.rule for one in score_rules.check(recorder.records)}
+
+
+def test_a_scorer_that_the_record_names_is_run_from_the_copy_on_disk_without_anybody_to_ask():
+    from harriertrack.config.settings import ChangesSettings
+    from harriertrack.decisions.fleet.changes.record import Record
+    from harriertrack.decisions.fleet.changes.standing import Standing
+    from harriertrack.lab.fleet.rig import SimulatedFleet
+    from harriertrack.lab.fleet.scenario import DayBudgets
+    from harriertrack.membership.fleet.changing import encode
+    from harriertrack.runtime.hub import Hub
+    from harriertrack.runtime.streams import MemoryNetwork
+    from harriertrack.storage.changes import ChangesCache
+
+    body = '(scorer "main" (kind "least-latency") (parameter "power" (value %s)))'
+    told = [
+        Version(thing, number, 0, body % power, "me", 0, "because", standing=Standing.IN_FORCE)
+        for thing, number, power in (("scorer/main", 1, 2), ("scorer/other", 1, 99))
+    ]
+    hub, recorder = Hub.virtual(1), rec.Recorder()
+    day = short("score-plain", 4, budgets=DayBudgets(), changes=ChangesSettings())
+    rig = SimulatedFleet(hub, MemoryNetwork(hub), day, 3, 1, recorder)
+    for number in range(3):
+        cache = ChangesCache(None)
+        cache.write(encode(Record(1, 1, 0, tuple(told))))
+        rig._changes[f"head{number}"] = cache
+    rig.witness.down = True
+    hub.run(rig.run)
+    taken = {(one.head, one.thing, one.version, bool(one.why)) for one in recorder.records if isinstance(one, rec.TookVersion)}
+    assert {("head0", "scorer/main", 1, False), ("head0", "scorer/other", 1, True)} <= taken
+    weights = [one for one in recorder.records if isinstance(one, rec.Weights) and one.head == "head0"]
+    assert set(weights[-1].joined) == {"main", "least-latency"}
