--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -84,11 +84,11 @@
         self.fleet: Fleet | None = None
         self._portions: Portions | None = None
         self._cells = head_map(settings.cell_map, settings.volumes) if settings.cell_map else None
-        self._scored: Scored | None = None
+        self.scored: Scored | None = None
         if settings.fleet is not None and settings.fleet.scoring is not None:
             from harriertrack.gateway.fleet.scoring.carrier import scored_of  # other heads do not load it
 
-            self._scored = scored_of(settings, settings.fleet.scoring, note, wiring.scorers)
+            self.scored = scored_of(settings, settings.fleet.scoring, note, wiring.scorers)
         self.nodes = NodeList()
         self.head_id = hub.random.getrandbits(64)
 
@@ -127,10 +127,10 @@
 
                     evidence = Evidence()
                     decides = Observed(self.module, evidence)
-                if self._scored is not None:
+                if self.scored is not None:
                     from harriertrack.gateway.fleet.observing import Observed
 
-                    decides = Observed(decides, self._scored.sights)
+                    decides = Observed(decides, self.scored.sights)
                 self._counting = self._counts()
                 self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
@@ -161,7 +161,7 @@
 
                     made = self._wiring
                     beside = Beside(self._listing, extents, self._links.epochs, self.retell, evidence,
-                                    self._scored, made.datagrams, made.kept, made.handover,
+                                    self.scored, made.datagrams, made.kept, made.handover,
                                     made.usage)  # fmt: skip
                     self.fleet = Fleet(parts, settings.fleet, beside)
                     self.fleet.start()
@@ -204,7 +204,7 @@
     def _module(self, told: api.Settings, seed: int) -> Scheduler | Celled:
         """Make the decision module, or where there is a map one for each cell."""
         portions = self._portions
-        weights = self._scored.shared.factors if self._scored is not None else None
+        weights = self.scored.shared.factors if self.scored is not None else None
         if self._cells is not None:
             return Celled(told, seed, self._cells, partial(Scheduler, weights=weights), portions)
         if portions is None and weights is None:
