--- a/harriertrack/cli/rollout.py
+++ b/harriertrack/cli/rollout.py
@@ -18,9 +18,6 @@
 from harriertrack.gateway.fleet.rollout.usage import usage
 from harriertrack.gateway.fleet.seats import DECIDES
 from harriertrack.gateway.head import Head, Wiring
-from harriertrack.lab.fleet.later import LaterDatagrams
-from harriertrack.lab.fleet.rehearsal import Rehearsal, WorseLinks, rehearsal_of
-from harriertrack.lab.fleet.weights import LyingDatagrams
 from harriertrack.runtime.datagrams import DatagramNetwork, SocketDatagrams
 from harriertrack.runtime.hub import Hub
 
@@ -29,36 +26,44 @@
 
 def made_of(hub: Hub, later: bool, liar: bool, rehearse: str) -> tuple[Wiring, Callable[[Hub, Head], None]]:
     """Return what a head of a fleet is made of, and its task."""
-    try:
-        bad = rehearsal_of(rehearse) if rehearse else Rehearsal()
-    except ValueError as error:
-        fail(f"--rehearse: {error}")
     by = launched(dict(os.environ))
-    wiring = Wiring(handover=by, usage=usage)
-    datagrams: DatagramNetwork = SocketDatagrams(hub)
-    if later:
-        datagrams = LaterDatagrams(datagrams)
-    if liar:
-        datagrams = LyingDatagrams(datagrams)
+    wiring, crash_us, mute = Wiring(handover=by, usage=usage), 0, False
     if later or liar:
-        wiring = replace(wiring, datagrams=datagrams)
-    if bad.class_name:
-        wiring = replace(wiring, links=partial(WorseLinks, rehearsal=bad))
-    return wiring, partial(_serve, by, bad)
+        wiring = replace(wiring, datagrams=_datagrams(hub, later, liar))
+    if rehearse:
+        from harriertrack.lab.fleet.rehearsal import WorseLinks, rehearsal_of  # others do not load it
+
+        try:
+            bad = rehearsal_of(rehearse)
+        except ValueError as error:
+            fail(f"--rehearse: {error}")
+        crash_us, mute = bad.crash_us, bad.mute
+        if bad.class_name:
+            wiring = replace(wiring, links=partial(WorseLinks, rehearsal=bad))
+    return wiring, partial(_serve, None if mute else by, crash_us)
+
+
+def _datagrams(hub: Hub, later: bool, liar: bool) -> DatagramNetwork:
+    from harriertrack.lab.fleet.later import LaterDatagrams  # heads that are no rehearsal do not load it
+    from harriertrack.lab.fleet.weights import LyingDatagrams
+
+    datagrams: DatagramNetwork = SocketDatagrams(hub)
+    datagrams = LaterDatagrams(datagrams) if later else datagrams
+    return LyingDatagrams(datagrams) if liar else datagrams
 
 
-def _serve(by: Launched | None, bad: Rehearsal, hub: Hub, one: Head) -> None:
+def _serve(by: Launched | None, crash_us: int, hub: Hub, one: Head) -> None:
     """Run a head, and tell the launcher once it serves (a task)."""
 
     def tell() -> None:
         one.ready.wait()
-        if by is not None and not bad.mute:
+        if by is not None:
             by.ready()
 
     with hub.scope("launched") as scope:
         scope.spawn("ready", tell)
-        if bad.crash_us:
-            hub.at(hub.now() + bad.crash_us, lambda: os._exit(CRASHED))
+        if crash_us:
+            hub.at(hub.now() + crash_us, lambda: os._exit(CRASHED))
         one.run()
         scope.cancel()
 
