--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -82,8 +82,8 @@
 @click.option("--as-liar", is_flag=True, help="For rehearsals: say of nodes the contrary of what is seen.")
 @click.option("--rehearse", default="", help="For rehearsals: refuse:CLASS:PART, crash:SECONDS or mute.")
 @log_option
-def head(settings: str, clock_rate: float, clock_ahead: float, as_later: bool, as_liar: bool,
-         rehearse: str, log_form: str) -> None:  # fmt: skip
+def head(settings: str, clock_rate: float, clock_ahead: float, as_later: bool, as_liar: bool, rehearse: str,
+         log_form: str) -> None:  # fmt: skip
     """Run a head by its SETTINGS until SIGINT or SIGTERM."""
     checked = settings_of(settings, HeadSettings)
     note = logger(log_form)
--- a/harriertrack/config/rollout.py
+++ b/harriertrack/config/rollout.py
@@ -14,9 +14,9 @@
 from harriertrack.config.settings.basis import Amount, Checked, Positive, Share, Whole, given_twice
 from harriertrack.config.settings.reading import read_file
 from harriertrack.config.sexp import SettingsError, bind, head_word, read_text
-from harriertrack.decisions.fleet.changes.record import Kind, Version, kind_of
+from harriertrack.decisions.fleet.changes.record import Kind, Version
 from harriertrack.decisions.fleet.rollout.launching import LaunchRules, Program
-from harriertrack.decisions.fleet.rollout.plan import USUAL, Bounds, Measure, Plan, Stage, usual
+from harriertrack.decisions.fleet.rollout.plan import USUAL, Bounds, Measure, Plan, Stage
 
 MOST_STAGES = 32
 _STAGE, _BOUNDS, _RULES = Stage(""), Bounds(), LaunchRules()
@@ -95,11 +95,10 @@
 
 
 def plan_of(version: Version) -> Plan:
-    """Return the plan of a version, what is usual for its kind if it names none. Raises SettingsError."""
-    usually = usual(kind_of(version.thing))
+    """Return the plan of a version, what is usual if it names none. Raises SettingsError."""
     if not version.plan.strip():
-        return usually
-    return read_plan(version.plan, f"plan of {version.thing} {version.number}", usually)
+        return USUAL
+    return read_plan(version.plan, f"plan of {version.thing} {version.number}", USUAL)
 
 
 def read_plan(text: str, source: str, usually: Plan) -> Plan:
--- a/harriertrack/config/settings/changing.py
+++ b/harriertrack/config/settings/changing.py
@@ -44,10 +44,9 @@
 
 def _struct(kind: Any) -> type[msgspec.Struct] | None:
     """Return the part of settings that a field holds, or holds several of."""
-    for one in (kind, *get_args(kind)):
-        if isinstance(one, type) and issubclass(one, msgspec.Struct):
-            return one
-    return None
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+        return kind
+    return next((part for one in get_args(kind) if (part := _struct(one)) is not None), None)
 
 
 def declared(kind: type[msgspec.Struct] = HeadSettings, path: str = "") -> Iterator[Declared]:
--- a/harriertrack/decisions/fleet/rollout/conducting.py
+++ b/harriertrack/decisions/fleet/rollout/conducting.py
@@ -14,7 +14,7 @@
 from harriertrack.decisions.fleet.rollout.evidence import Evidence, Report
 from harriertrack.decisions.fleet.rollout.judging import Finding, Judge, Verdict, outgrown
 from harriertrack.decisions.fleet.rollout.plan import Plan, goes_away
-from harriertrack.decisions.fleet.rollout.rollout import Rollout, Step, told, waits_for
+from harriertrack.decisions.fleet.rollout.rollout import Rollout, Step, in_stages, told, waits_for
 
 HEARD_US = 6_000_000  # a head that reports no more is not heard; it reports each second
 MOST_PAST = 7  # lives of a head that are remembered to be over
@@ -100,7 +100,8 @@
 
     def look(self, now: int, record: Record, known: Mapping[str, Known], me: str) -> list[Step]:
         """Return what is due, for each version under way."""
-        under_way = {(one.thing, one.number): one for one in record.versions if one.standing in UNDER_WAY}
+        under_way = {(one.thing, one.number): one for one in record.versions
+                     if one.standing in UNDER_WAY and in_stages(one.thing)}  # fmt: skip
         for gone in self.followed.keys() - under_way.keys():
             del self.followed[gone]
         steps = []
--- a/harriertrack/decisions/fleet/rollout/plan.py
+++ b/harriertrack/decisions/fleet/rollout/plan.py
@@ -80,12 +80,6 @@
     Stage("one", heads=1), Stage("tenth", share=0.1), Stage("half", share=0.5), Stage("most", share=0.9),
     Stage("all", share=1.0, least=0),
 ))  # fmt: skip
-AT_ONCE = Plan((Stage("all", share=1.0, soak_us=0, least=0),), before_us=0, measures=())
-
-
-def usual(kind: Kind) -> Plan:
-    """Return the plan of a version that names none. Of a calendar all heads need the same one."""
-    return AT_ONCE if kind is Kind.CALENDAR else USUAL
 
 
 def goes_away(kind: Kind) -> bool:
--- a/harriertrack/decisions/fleet/rollout/rollout.py
+++ b/harriertrack/decisions/fleet/rollout/rollout.py
@@ -48,14 +48,14 @@
                             self.reason, self.stage, self.heads)  # fmt: skip
 
 
-def waits_for(record: Record, thing: str) -> Version | None:
-    """Return the version of another thing that goes first: one at a time, in the order of being proposed.
+def in_stages(thing: str) -> bool:
+    """Whether versions of a thing come in stages. Calendars hold for all at once, as closes decide."""
+    return kind_of(thing) is not Kind.CALENDAR
 
-    What has to hold for all heads at once waits for nothing.
-    """
-    if kind_of(thing) is Kind.CALENDAR:
-        return None
-    others = [one for one in record.versions if kind_of(one.thing) is not Kind.CALENDAR]
+
+def waits_for(record: Record, thing: str) -> Version | None:
+    """Return the version of another thing that goes first: one at a time, in the order of being proposed."""
+    others = [one for one in record.versions if in_stages(one.thing)]
     running = next((one for one in others if one.standing in RUN), None)
     if running is not None:
         return running if running.thing != thing else None
--- a/harriertrack/decisions/requests/closing.py
+++ b/harriertrack/decisions/requests/closing.py
@@ -21,23 +21,64 @@
 
     def __init__(self, board: Board, placing: Placing, ending: Ending) -> None:
         self._board, self._placing, self._ending = board, placing, ending
+        self._waiting: dict[ClientRequest, int] = {}  # when they begin anew: their clients wait
 
-    def turns_away(self, request: ClientRequest) -> bool:
-        """Refuse a new request that a close may cover."""
+    def turns_away(self, now: int, request: ClientRequest) -> bool:
+        """Refuse a request that a close may cover, or let it wait, before anything is done for it."""
         closings = self._board.closings
         if closings is None or (hint := closings.refuses(request)) is None:
             return False
-        request.hint_us, request.why = hint, CLOSED
-        self._ending.finish(request, Outcome.REFUSED)
+        if not self._waits(now, request, hint):
+            request.hint_us, request.why = hint, CLOSED
+            self._ending.finish(request, Outcome.REFUSED)
         return True
 
-    def check(self, request: ClientRequest) -> None:
-        """Refuse a request that is about to be answered, if a close may have come meanwhile."""
+    def withholds(self, now: int, request: ClientRequest) -> bool:
+        """Refuse a request that is about to be answered, if a close may have come meanwhile.
+
+        Return whether it is not answered now, for its client waits.
+        """
         closings = self._board.closings
-        if closings is not None and (hint := closings.refuses(request)) is not None:
-            self._withdraw(request, hint)
+        if closings is None or (hint := closings.refuses(request)) is None:
+            return False
+        return self._withdraw(request, hint) and self._begins_anew(now, request, hint)
+
+    def again(self, now: int) -> list[ClientRequest]:
+        """Return the requests that begin anew now."""
+        found = [request for request, when in self._waiting.items() if when <= now]
+        for request in found:
+            del self._waiting[request]
+        return [request for request in found if request.outcome is None]  # else its client left
+
+    def next_at(self) -> int | None:
+        """Return when the next one does."""
+        return min(self._waiting.values(), default=None)
+
+    def stop(self, why: str) -> None:
+        """Let nothing wait any more: what does is refused."""
+        waiting, self._waiting = self._waiting, {}
+        for request in waiting:
+            if request.outcome is None:
+                request.why = why
+                self._ending.finish(request, Outcome.REFUSED)
+
+    def _waits(self, now: int, request: ClientRequest, hint: int) -> bool:
+        """Let a request of which nothing ran begin anew after the hint, if its client waits that long."""
+        board = self._board
+        if not request.patience_us or board.closing or now + hint >= board.last_answer(request):
+            return False
+        request.parts, request.pieces, request.open, request.outcome = [], [], 0, None
+        self._waiting[request] = now + hint
+        return True
+
+    def _begins_anew(self, now: int, request: ClientRequest, hint: int) -> bool:
+        """Take a refusal back that was not answered."""
+        if request.outcome is not Outcome.REFUSED or not self._waits(now, request, hint):
+            return False
+        self._board.counts.refused -= 1
+        return True
 
-    def close_off(self, covers: Callable[[str, int, int], bool]) -> tuple[int, int]:
+    def close_off(self, now: int, covers: Callable[[str, int, int], bool]) -> tuple[int, int]:
         """Give up what is open of the (volume, offset, length) that a close covers; put placements on disk.
 
         What may have run is failed, all else is refused. Returns how many parts were refused and failed.
@@ -57,9 +98,11 @@
             refused, failed = refused + (not ran), failed + ran
             request.why = CLOSED
             self._ending.given_up(part, PartStep.FAIL if ran else PartStep.REFUSE, 1)
-        for request in board.answers:
+        for request in list(board.answers):
             if covers(request.volume.settings.name, request.offset, request.length):
                 refused += self._withdraw(request, 1)
+                if self._begins_anew(now, request, 1):
+                    board.answers.remove(request)
         self._placing.record()
         return refused, failed
 
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from harriertrack.config.settings import FleetSettings, HeadSettings, RolloutSettings
+from harriertrack.config.settings import FleetSettings, RolloutSettings
+from harriertrack.gateway.fleet.beside import Beside
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.membership.fleet.messages import BUDGETS, Record, State
@@ -19,27 +19,18 @@
 from harriertrack.membership.fleet.telling import About, about_of, digest_name, document_of, state_name
 from harriertrack.membership.fleet.view import Change
 from harriertrack.runtime.alarm import Alarm
-from harriertrack.runtime.datagrams import Address, DatagramNetwork, SocketDatagrams
+from harriertrack.runtime.datagrams import Address, SocketDatagrams
 from harriertrack.runtime.hub import DeadlineExceeded, Event
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from harriertrack.decisions.fleet.evidence import Evidence
-    from harriertrack.decisions.fleet.portions import Portions
-    from harriertrack.decisions.fleet.rollout.counting import Counting
     from harriertrack.gateway.fleet.budgets import Budgets
     from harriertrack.gateway.fleet.changes.carrier import Changes
     from harriertrack.gateway.fleet.closing.carrier import Closing
     from harriertrack.gateway.fleet.deciding import Deciding
-    from harriertrack.gateway.fleet.rollout.carrier import Rollouts, Usage
-    from harriertrack.gateway.fleet.rollout.program_user import Handover
-    from harriertrack.gateway.fleet.scoring.carrier import Scored, Scoring
+    from harriertrack.gateway.fleet.rollout.carrier import Rollouts
+    from harriertrack.gateway.fleet.scoring.carrier import Scoring
     from harriertrack.gateway.fleet.zones import Zones
-    from harriertrack.gateway.listing import Listing
-    from harriertrack.storage.changes import ChangesCache
-    from harriertrack.storage.extents import ExtentMap
 
 DOOR_US = 2_000_000  # how long an operator's connection may take the document
 MOST_AT_DOOR = 8  # such connections at a time; more are closed
@@ -53,31 +44,21 @@
 class Fleet:
     """This head as a member."""
 
-    def __init__(self, parts: HeadParts, settings: FleetSettings, datagrams: DatagramNetwork | None = None,
-                 portions: Portions | None = None, evidence: Evidence | None = None,
-                 listing: Listing | None = None, kept: ChangesCache | None = None,
-                 handover: Handover | None = None, usage: Usage | None = None,
-                 extents: ExtentMap | None = None, epochs: dict[str, int] | None = None,
-                 retell: Callable[[HeadSettings], None] | None = None,
-                 scored: Scored | None = None) -> None:  # fmt: skip
-        self._parts, self._settings, self._hub = parts, settings, parts.hub
-        self._network = datagrams or SocketDatagrams(parts.hub)
+    def __init__(self, parts: HeadParts, settings: FleetSettings, beside: Beside) -> None:
+        self._parts, self._settings, self._hub, self._beside = parts, settings, parts.hub, beside
+        self._network = beside.datagrams or SocketDatagrams(parts.hub)
         self._alarm = Alarm(parts.hub, self._wake)
         self._at_door = 0
         self._closed = False
         self._taken = self._refused = 0
         self._about = About()
-        self._portions, self._evidence, self._listing, self._kept = portions, evidence, listing, kept
-        self._handover, self._usage = handover, usage
-        self._extents, self._epochs, self._retell_head = extents, epochs, retell
-        self._scored = scored
         self.scoring: Scoring | None = None
         self.zones: Zones | None = None
         self.budgets: Budgets | None = None
         self.deciding: Deciding | None = None
         self.changes: Changes | None = None
-        self.rollouts: Rollouts | None = None
         self.closing: Closing | None = None
+        self.rollouts: Rollouts | None = None
         self.swim: Swim
 
     def start(self) -> None:
@@ -104,19 +85,21 @@
                          instance=digest_name(me.instance))  # fmt: skip
         self.swim.start(hub.now())
         self._follow()
-        if self._scored is not None and settings.scoring is not None:
+        if self._beside.scored is not None and settings.scoring is not None:
             from harriertrack.gateway.fleet.scoring.carrier import Scoring
 
-            self.scoring = Scoring(self._parts, settings.scoring, self._scored, self.swim)
+            self.scoring = Scoring(self._parts, settings.scoring, self._beside.scored, self.swim)
             self.scoring.start()
-        if self._portions is not None and settings.budgets is not None:
+        portions = self._parts.portions
+        if portions is not None and settings.budgets is not None:
             from harriertrack.gateway.fleet.budgets import Budgets  # a fleet without does not even load it
 
-            self.budgets = Budgets(self._parts, settings.budgets, self._portions, settings.fleet, self.swim,
+            self.budgets = Budgets(self._parts, settings.budgets, portions, settings.fleet, self.swim,
                                    self._port.send, self._decides)  # fmt: skip
             self.budgets.start()
             if self._decides:
                 self._start_deciding(self.budgets)
+
     @property
     def _decides(self) -> bool:
         return self._settings.zones is not None or self._settings.changes is not None
@@ -125,49 +108,53 @@
         """Take part in what is decided for the whole fleet; only heads that have a part load it."""
         from harriertrack.gateway.fleet.deciding import Deciding
 
-        settings = self._settings
+        settings, beside = self._settings, self._beside
         self.deciding = Deciding(self._hub, settings.name, budgets)
-        if settings.zones is not None and self._evidence is not None and self._listing is not None:
+        if settings.zones is not None and beside.evidence is not None:
             from harriertrack.gateway.fleet.zones import Zones
 
-            self.zones = Zones(self._parts, settings.zones, self._evidence, self._listing, self.swim,
+            self.zones = Zones(self._parts, settings.zones, beside.evidence, beside.listing, self.swim,
                                self.deciding)  # fmt: skip
             self.zones.start()
         if settings.changes is not None:
             from harriertrack.gateway.fleet.changes.carrier import Changes
 
             self.changes = Changes(self._parts, settings.changes, self.swim, self.deciding, self._tell_now,
-                                   self._kept)  # fmt: skip
-            if self._retell_head is not None:
-                from harriertrack.decisions.fleet.changes.record import Kind
-                from harriertrack.gateway.fleet.settings_user import SettingsUser
-
-                user = SettingsUser(self._parts.settings, self._retell_head, self._parts.note)
-                self.changes.use(Kind.SETTINGS, user)
-            if settings.closing is not None and self._extents is not None and self._epochs is not None:
-                from harriertrack.gateway.fleet.closing.carrier import Closing
-
-                self.closing = Closing(self._parts, settings.closing, self.swim, self.deciding, self.changes,
-                                       self._extents, self._epochs)  # fmt: skip
-                self.closing.start()
-            if self.scoring is not None:
-                self.scoring.follow(self.changes)
-            if settings.changes.rollout is not None and self._parts.counting is not None:
-                self._start_rollouts(self.deciding, self.changes, settings.changes.rollout,
-                                     self._parts.counting)  # fmt: skip
+                                   beside.kept)  # fmt: skip
+            self._start_users(self.deciding, self.changes, settings)
             self.changes.start()
 
-    def _start_rollouts(self, deciding: Deciding, changes: Changes, settings: RolloutSettings,
-                        counting: Counting) -> None:  # fmt: skip
+    def _start_users(self, deciding: Deciding, changes: Changes, settings: FleetSettings) -> None:
+        """Start what goes by the record of changes."""
+        from harriertrack.decisions.fleet.changes.record import Kind
+        from harriertrack.gateway.fleet.settings_user import SettingsUser
+
+        beside = self._beside
+        user = SettingsUser(self._parts.settings, beside.retell, self._parts.note)
+        changes.use(Kind.SETTINGS, user)
+        if settings.closing is not None:
+            from harriertrack.gateway.fleet.closing.carrier import Closing
+
+            self.closing = Closing(self._parts, settings.closing, self.swim, deciding, changes,
+                                   beside.extents, beside.epochs)  # fmt: skip
+            self.closing.start()
+        if self.scoring is not None:
+            self.scoring.follow(changes)
+        if settings.changes is not None and settings.changes.rollout is not None:
+            self._start_rollouts(deciding, changes, settings.changes.rollout)
+
+    def _start_rollouts(self, deciding: Deciding, changes: Changes, settings: RolloutSettings) -> None:
         from harriertrack.decisions.fleet.changes.record import Kind
         from harriertrack.gateway.fleet.rollout.carrier import Rollouts, no_usage
         from harriertrack.gateway.fleet.rollout.program_user import ProgramUser
 
-        changes.use(Kind.PROGRAM, ProgramUser(self._handover))
-        if self._handover is not None and self._handover.number:
-            changes.took(Kind.PROGRAM.value, self._handover.number)
+        handover, counting = self._beside.handover, self._parts.counting
+        assert counting is not None, "a head whose settings have rollouts counts its answers"
+        changes.use(Kind.PROGRAM, ProgramUser(handover))
+        if handover is not None and handover.number:
+            changes.took(Kind.PROGRAM.value, handover.number)
         self.rollouts = Rollouts(self._parts, settings, self.swim, deciding, changes, counting,
-                                 self._usage or no_usage)  # fmt: skip
+                                 self._beside.usage or no_usage)  # fmt: skip
         self.rollouts.start()
 
     def retell(self, settings: FleetSettings) -> None:
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -56,10 +56,10 @@
     module: Callable[[api.Settings, int], Scheduler | Celled] = Scheduler
     datagrams: DatagramNetwork | None = None  # of its fleet; None: sockets
     kept: ChangesCache | None = None  # its copy of the record of changes; None: a file
-    handover: Handover | None = None  # what started it, and starts other versions; None: nothing does
-    usage: Usage | None = None  # what its process uses; None: it can't be told from others'
     wall: Callable[[], int] | None = None  # for rehearsals: another wall clock than the hub's
     scorers: tuple[object, ...] = ()  # plugins beside the installed ones
+    handover: Handover | None = None  # what started it, and starts other versions; None: nothing does
+    usage: Usage | None = None  # what its process uses; None: it can't be told from others'
 
 
 class Head:
@@ -127,11 +127,11 @@
 
                     evidence = Evidence()
                     decides = Observed(self.module, evidence)
-                self._counting = self._counts()
                 if self._scored is not None:
                     from harriertrack.gateway.fleet.observing import Observed
 
                     decides = Observed(decides, self._scored.sights)
+                self._counting = self._counts()
                 self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
                                   self._note, self._name, portions, self._wiring.wall,
@@ -156,12 +156,14 @@
                 if cells is not None:
                     scope.spawn("shares", self.reception.watch)
                 if settings.fleet is not None:
-                    from harriertrack.gateway.fleet.carrier import Fleet  # other heads do not even load it
-
-                    self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
-                                       self._listing, self._wiring.kept, self._wiring.handover,
-                                       self._wiring.usage, extents, self._links.epochs, self.retell,
-                                       self._scored)  # fmt: skip
+                    from harriertrack.gateway.fleet.beside import Beside  # other heads do not even load it
+                    from harriertrack.gateway.fleet.carrier import Fleet
+
+                    made = self._wiring
+                    beside = Beside(self._listing, extents, self._links.epochs, self.retell, evidence,
+                                    self._scored, made.datagrams, made.kept, made.handover,
+                                    made.usage)  # fmt: skip
+                    self.fleet = Fleet(parts, settings.fleet, beside)
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
