--- a/harriertrack/lab/fleet/limits.py
+++ b/harriertrack/lab/fleet/limits.py
@@ -74,10 +74,9 @@
     def heard(self, slot: HeadSlot, event: str, fields: dict[str, object]) -> None:
         """Take a line of a head's log."""
         if event == "fleet change taken" and fields.get("thing") == THING:
-            times = self._times.get(int(str(fields["version"])))
-            if times is not None:  # else operators' settings, which leave the limits as they are
-                self._told[slot.name] = times
-                self._follow()
+            # Settings that others proposed leave limits as they were at the start.
+            self._told[slot.name] = self._times.get(int(str(fields["version"])), 1.0)
+            self._follow()
 
     def _watch(self) -> None:
         """Look who lives, and which time is over (a task)."""
