--- a/harriertrack/lab/fleet/days/close-in-rollout.sexp
+++ b/harriertrack/lab/fleet/days/close-in-rollout.sexp
@@ -5,7 +5,7 @@
   (budgets (clock-error 0.01) (term 2s) (patience 1s) (budget cold (fixed 0.3)))
   (changes (look 300ms) (spread 300ms) (rollout (report 500ms) (look 500ms)))
   (closing (volumes "market*" "desk*") (notice 4s) (ask 1s) (rate 400))
-  (launched yes) (end "program" (version 1))
+  (launched yes) (desks no) (end "program" (version 1))
   (step start) (step agree (within 20s)) (step rest (for 3s))
   (step market (after 17s 26s 35s 44s 53s))
   (step propose (thing "program") (body "(program \"good\")")
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -81,7 +81,8 @@
     """Return the day of clients and nodes that goes on beside a fleet's day."""
     beside = []
     if day.closing is not None:
-        beside = markets.volumes(day.markets, heads, day.hosts, day.shelves, day.extent_bytes)
+        beside = markets.volumes(day.markets, heads, day.hosts, day.shelves, day.extent_bytes,
+                                 day.desks)  # fmt: skip
     return DaySettings(
         name=day.name, about=day.about, length_us=FOREVER_US, heads=heads, nodes=day.shelves,
         zones=ZONES, rate=day.rate * heads, volumes=day.volumes or heads, shared=day.shared,
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -141,6 +141,7 @@
     closing: ClosingSettings | None = None
     close_bound_us: Positive = 1_000_000  # within which of a close every head has closed
     markets: Positive = 1
+    desks: bool = True  # each head has a volume of its own of each market; a rollout would take it away
     wall: str = ""  # the instant, UTC, at which heads' clocks stand when the day begins; "": the machine's
     ends: tuple[EndSettings, ...] = ()
     launched: bool = False  # heads have launchers, and programs can change
