--- a/harriertrack/config/sexp.py
+++ b/harriertrack/config/sexp.py
@@ -185,17 +185,18 @@
 def spoken_names(kind: Any) -> dict[str, str]:
     """Return how each field of a part is written: without its unit, with dashes, singular where repeated.
 
-    The unit stays where another field has the name without it, as `held-bytes` beside `held`.
+    Of several that would be written the same one is: that without a unit, else the last; the others keep
+    theirs, as `held-bytes` beside `held`.
     """
-    fields = msgspec.structs.fields(kind)
-    known = {field.name for field in fields}
-    words = {}
-    for field in fields:
+    bare = {}
+    for field in msgspec.structs.fields(kind):
         name = field.name
         if _is_repeated(field.type):
             name = {"classes": "class"}.get(name, name.removesuffix("s"))
-        for ending in ("_us", "_bytes"):
-            if name.removesuffix(ending) not in known:
-                name = name.removesuffix(ending)
-        words[field.name] = name.replace("_", "-")
+        bare[field.name] = name.removesuffix("_us").removesuffix("_bytes")
+    owners = {name: whole for whole, name in bare.items()}
+    owners.update({name: name for name in bare if bare[name] == name})
+    words = {}
+    for whole, name in bare.items():
+        words[whole] = (name if owners[name] == whole else whole).replace("_", "-")
     return words
