--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -44,7 +44,7 @@
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         """Name all commands."""
-        return sorted([*super().list_commands(ctx), "cells", "fleet", "lab", "load"])
+        return sorted([*super().list_commands(ctx), "cells", "fleet", "interleave", "lab", "launch", "load"])
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
         """Return a command by its name."""
@@ -52,10 +52,18 @@
             from harriertrack.cli import lab
 
             return lab.lab if cmd_name == "lab" else lab.load
+        if cmd_name == "interleave":
+            from harriertrack.cli import interleave
+
+            return interleave.interleave
         if cmd_name == "fleet":
             from harriertrack.cli import fleet
 
             return fleet.fleet
+        if cmd_name == "launch":
+            from harriertrack.cli import rollout
+
+            return rollout.launch
         if cmd_name == "cells":
             from harriertrack.cli import cells
 
@@ -68,16 +76,6 @@
     """A storage gateway: heads that decide when and to which storage node each request goes."""
 
 
-def _rehearsal(hub: Hub, later: bool, liar: bool) -> Wiring:
-    from harriertrack.lab.fleet.later import LaterDatagrams  # heads that are no rehearsal do not load it
-    from harriertrack.lab.fleet.weights import LyingDatagrams
-    from harriertrack.runtime.datagrams import DatagramNetwork, SocketDatagrams
-
-    datagrams: DatagramNetwork = SocketDatagrams(hub)
-    datagrams = LaterDatagrams(datagrams) if later else datagrams
-    return Wiring(datagrams=LyingDatagrams(datagrams) if liar else datagrams)
-
-
 @main.command()
 @click.argument("settings", type=click.Path())
 @click.option("--clock-rate", type=click.FloatRange(0.5, 2.0), default=1.0,
@@ -86,8 +84,9 @@
               help="For rehearsals: seconds that its wall clock is off.")  # fmt: skip
 @click.option("--as-later", is_flag=True, help="For rehearsals: speak to the fleet as a later version would.")
 @click.option("--as-liar", is_flag=True, help="For rehearsals: say of nodes the contrary of what is seen.")
+@click.option("--rehearse", default="", help="For rehearsals: refuse:CLASS:PART, crash:SECONDS or mute.")
 @log_option
-def head(settings: str, clock_rate: float, clock_ahead: float, as_later: bool, as_liar: bool,
+def head(settings: str, clock_rate: float, clock_ahead: float, as_later: bool, as_liar: bool, rehearse: str,
          log_form: str) -> None:  # fmt: skip
     """Run a head by its SETTINGS until SIGINT or SIGTERM."""
     checked = settings_of(settings, HeadSettings)
@@ -95,8 +94,12 @@
     rehearsed = clock_rate != 1.0 or clock_ahead
     hub = Hub(RatedClock(clock_rate, int(clock_ahead * 1e6))) if rehearsed else Hub()
     hub.random.seed()
+    wiring, serve = Wiring(), lambda _hub, head: head.run()
+    if checked.fleet is not None or as_later or as_liar or rehearse:
+        from harriertrack.cli import rollout  # other heads do not load it
+
+        wiring, serve = rollout.made_of(hub, as_later, as_liar, rehearse)
     try:
-        wiring = _rehearsal(hub, as_later, as_liar) if as_later or as_liar else Wiring()
         one = Head(hub, SocketNetwork(hub), checked, note, wiring=wiring)
     except SettingsError as error:
         fail(str(error))
@@ -105,7 +108,7 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)
     note("head starts", listen=f"{checked.listen[0]}:{checked.listen[1]}", head=f"{one.head_id:016x}")
-    run_until_signal(hub, one.run, one.stop)
+    run_until_signal(hub, lambda: serve(hub, one), one.stop)
     note("head stopped")
 
 
--- /dev/null
+++ b/harriertrack/cli/rollout.py
@@ -0,0 +1,100 @@
+"""`harriertrack launch`: keep a head running, of the version that its fleet wants; and such heads."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
+
+import click
+
+from harriertrack.cli.asking import document_of, place_of, place_option, settings_option
+from harriertrack.cli.common import fail, logger, run_until_signal
+from harriertrack.config.rollout import load_launcher
+from harriertrack.config.sexp import SettingsError
+from harriertrack.gateway.fleet.rollout.launcher.files import Launched, launched
+from harriertrack.gateway.fleet.rollout.launcher.launcher import Launcher
+from harriertrack.gateway.fleet.rollout.usage import usage
+from harriertrack.gateway.fleet.seats import DECIDES
+from harriertrack.gateway.head import Head, Wiring
+from harriertrack.runtime.datagrams import DatagramNetwork, SocketDatagrams
+from harriertrack.runtime.hub import Hub
+
+CRASHED = 3  # the status with which a rehearsed version ends
+
+
+def made_of(hub: Hub, later: bool, liar: bool, rehearse: str) -> tuple[Wiring, Callable[[Hub, Head], None]]:
+    """Return what a head of a fleet is made of, and its task."""
+    by = launched(dict(os.environ))
+    wiring, crash_us, mute = Wiring(handover=by, usage=usage), 0, False
+    if later or liar:
+        wiring = replace(wiring, datagrams=_datagrams(hub, later, liar))
+    if rehearse:
+        from harriertrack.lab.fleet.rehearsal import WorseLinks, rehearsal_of  # others do not load it
+
+        try:
+            bad = rehearsal_of(rehearse)
+        except ValueError as error:
+            fail(f"--rehearse: {error}")
+        crash_us, mute = bad.crash_us, bad.mute
+        if bad.class_name:
+            wiring = replace(wiring, links=partial(WorseLinks, rehearsal=bad))
+    return wiring, partial(_serve, None if mute else by, crash_us)
+
+
+def _datagrams(hub: Hub, later: bool, liar: bool) -> DatagramNetwork:
+    from harriertrack.lab.fleet.later import LaterDatagrams  # heads that are no rehearsal do not load it
+    from harriertrack.lab.fleet.weights import LyingDatagrams
+
+    datagrams: DatagramNetwork = SocketDatagrams(hub)
+    datagrams = LaterDatagrams(datagrams) if later else datagrams
+    return LyingDatagrams(datagrams) if liar else datagrams
+
+
+def _serve(by: Launched | None, crash_us: int, hub: Hub, one: Head) -> None:
+    """Run a head, and tell the launcher once it serves (a task)."""
+
+    def tell() -> None:
+        one.ready.wait()
+        if by is not None:
+            by.ready()
+
+    with hub.scope("launched") as scope:
+        scope.spawn("ready", tell)
+        if crash_us:
+            hub.at(hub.now() + crash_us, lambda: os._exit(CRASHED))
+        one.run()
+        scope.cancel()
+
+
+@click.command("rollout")
+@settings_option
+@place_option
+def rollout(path: str | None, place: str | None) -> None:
+    """Tell what versions under way wait for, as the head that decides sees it; others say who that is."""
+    _, document = document_of(place_of(path, place))
+    if document.rollouts is not None:
+        click.echo("\n".join(document.rollouts) or "nothing is under way")
+        return
+    seats = document.budgets.seats if document.budgets is not None else []
+    keeper = next((seat.keeper for seat in seats if seat.ledger == DECIDES and seat.keeper), "")
+    fail(f"{document.name} does not decide" + (f"; ask --at {keeper}" if keeper else ", nor knows who does"))
+
+
+@click.command()
+@click.argument("settings", type=click.Path())
+@click.option("--log", "log_form", type=click.Choice(["console", "json"]), default="console",
+              help="How log lines look; of the head say it in (arguments ...).")  # fmt: skip
+def launch(settings: str, log_form: str) -> None:
+    """Run a head by the launcher's SETTINGS, and other versions of it as the fleet wants, until SIGTERM."""
+    try:
+        checked = load_launcher(settings)
+    except SettingsError as error:
+        fail(str(error))
+    note = logger(log_form)
+    hub = Hub()
+    hub.random.seed()
+    one = Launcher(hub, checked, note)
+    run_until_signal(hub, one.run, one.stop)
+    note("launch: ended")
--- a/harriertrack/gateway/fleet/closing/carrier.py
+++ b/harriertrack/gateway/fleet/closing/carrier.py
@@ -71,7 +71,8 @@
         self._trims = Trims(figures(TrimRules, settings), hub.now())
         self._trimming = Trimming(parts, self._trims, places, self._there, self._settle_us)
         self._trimming.begins, self._trimming.emptied = self._begins_trim, self._emptied
-        self._sweeps = Sweeps(hub, self.fences, self._trims, parts.settings, swim.me.name, self._settle_us)
+        self._sweeps = Sweeps(hub, self.fences, self._trims, parts.settings, swim.me.name, self._settle_us,
+                              self._trimming.call_off)  # fmt: skip
         self._guard = Guard(hub, self._wall, self.clock, self.fences, self._trims, places,
                             parts.settings.extent_bytes, self._settle_us)  # fmt: skip
         self._bodies: dict[str, str] = {}  # of the closes that were taken
@@ -84,7 +85,7 @@
             self._guard.reading, lambda: sorted(swim.view.present), parts.note,
         )  # fmt: skip
         self._keeping = Keeping(
-            around, lambda: Timekeeper(rules, KEPT_ASKS * settings.ask_us),
+            around, lambda: Timekeeper(rules, KEPT_ASKS * settings.ask_us, hub.now()),
             reader_of(self._latest, self._bad), settings.notice_us,
         )  # fmt: skip
 
@@ -248,7 +249,7 @@
     def _close(self, fence: Fence, close: Close) -> None:
         """Step over a close: on disk first, then everything that is held in memory follows."""
         core, size, now = self._parts.core, self._parts.settings.extent_bytes, self._hub.now()
-        refused, failed = core.close_off(lambda *place: self._covers(close, *place))
+        refused, failed = core.close_off(now, lambda *place: self._covers(close, *place))
         lefts = self._places.purge(
             fence.calendar, close.number, close.at_us,
             lambda volume, extent: self._covers(close, volume, extent * size, size),
