--- a/harriertrack/decisions/fleet/rollout/comparing.py
+++ b/harriertrack/decisions/fleet/rollout/comparing.py
@@ -12,7 +12,7 @@
 import math
 from dataclasses import dataclass, field
 
-PRIOR = 10.0  # pieces of evidence for no more than chance, before any is seen
+PRIOR = 4.0  # pieces of evidence for no more than chance, before any is seen
 HARMS = (1.0, 4.0, 16.0)  # times the bounds: what is far worse is found though little is known of before
 LEAST_PART = 1e-6  # of what goes badly
 LEAST_DOUBT = 1e-6
@@ -115,7 +115,8 @@
         less than the bounds, beside the others or against before.
         """
         clumps, new = max(clumps, self._scatter / self._freedom), self._unsure(True)
-        doubt, beside = new + self._unsure(False), self.beside
+        new *= clumps  # what was before went badly in clumps too
+        doubt, beside = new + clumps * self._unsure(False), self.beside
         bad, fine = beside.badly / clumps, (beside.n - beside.badly) / clumps
         sides = [0.0] * len(HARMS)
         if beside.n:
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -26,7 +26,7 @@
 )
 from harriertrack.decisions.fleet.budgets import Ask, Grant
 from harriertrack.decisions.fleet.changes.record import Record
-from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.decisions.fleet.changes.standing import OVER, Standing
 from harriertrack.decisions.fleet.changes.writing import propose, wish
 from harriertrack.decisions.fleet.rollout.launching import Kept, LaunchRules
 from harriertrack.decisions.fleet.rollout.rollout import in_stages
@@ -66,6 +66,7 @@
 from harriertrack.storage.changes import ChangesCache
 
 LOOK_US = 20_000
+DECIDED_US = 500_000
 LAUNCH = LaunchRules(ready_us=5_000_000, prove_us=4_000_000, drain_us=5_000_000)  # of heads with launchers
 FOREVER_US = 24 * 3600 * 1_000_000
 SEEDS = 2
@@ -213,6 +214,8 @@
                 self.limits.step(step, who)
             case Verb.MARKET | Verb.CLOCK if self.markets is not None:
                 self.markets.step(step, who)
+            case Verb.DECIDED:
+                self._await_decided(step)
             case Verb.BACKUP:
                 self.backup()
             case Verb.DARK:
@@ -247,6 +250,17 @@
         """Return where operators find the witness."""
         raise NotImplementedError
 
+    def _await_decided(self, step: StepSettings) -> None:
+        until = self.hub.now() + step.within_us
+        while self.hub.now() < until:
+            told = [one for one in self.recorder.records if isinstance(one, rec.Proposed)]
+            last = next(one for one in reversed(told) if one.thing == step.thing)
+            if any(isinstance(one, rec.RolloutStep) and (one.thing, one.version) == (last.thing, last.version)
+                   and Standing(one.standing) in (*OVER, Standing.IN_FORCE)
+                   for one in reversed(self.recorder.records)):  # fmt: skip
+                return
+            self.hub.sleep(DECIDED_US)
+
     def _lead(self, names: list[str], times: float) -> None:
         """Let traffic go to some heads alone; a volume that none of them serves has none."""
         for flow in self.flows:
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -67,6 +67,7 @@
     BACKUP = "backup"  # what the witness knows is kept aside
     DARK = "dark"  # the witness is gone for `for`; `old`: it comes back as of the backup
     AGREE = "agree"  # wait until the views of `who` agree, `within` at most
+    DECIDED = "decided"  # wait until a `thing`'s newest version is in force or taken back, `within` at most
     REST = "rest"  # let time pass: `for`
 
 
