--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -31,7 +32,9 @@
 if TYPE_CHECKING:
     from harriertrack.decisions.fleet.portions import Portions
     from harriertrack.gateway.fleet.carrier import Fleet
+    from harriertrack.gateway.fleet.scoring.carrier import Scored
     from harriertrack.runtime.datagrams import DatagramNetwork
+    from harriertrack.storage.changes import ChangesCache
 
 MAP_US = 500_000  # how often the file of the cells' map is looked at
 STOP_US = 10_000_000  # the longest that a head waits for its open requests when it is asked to stop
@@ -49,6 +52,9 @@
     listing: Callable[[HeadParts], Listing] = Listing
     module: Callable[[api.Settings, int], Scheduler | Celled] = Scheduler
     datagrams: DatagramNetwork | None = None  # of its fleet; None: sockets
+    kept: ChangesCache | None = None  # its copy of the record of changes; None: a file
+    wall: Callable[[], int] | None = None  # for rehearsals: another wall clock than the hub's
+    scorers: tuple[object, ...] = ()  # plugins beside the installed ones
 
 
 class Head:
@@ -70,7 +76,13 @@
         self.mover: Mover
         self.module: Scheduler | Celled
         self.fleet: Fleet | None = None
+        self._portions: Portions | None = None
         self._cells = head_map(settings.cell_map, settings.volumes) if settings.cell_map else None
+        self._scored: Scored | None = None
+        if settings.fleet is not None and settings.fleet.scoring is not None:
+            from harriertrack.gateway.fleet.scoring.carrier import scored_of  # other heads do not load it
+
+            self._scored = scored_of(settings, settings.fleet.scoring, note, wiring.scorers)
         self.nodes = NodeList()
         self.head_id = hub.random.getrandbits(64)
 
@@ -98,19 +110,24 @@
                     from harriertrack.gateway.fleet.budgets import portions_of  # other heads do not load it
 
                     portions = portions_of(settings, hub)
-                self.module = self._module(module_settings(settings), seed, portions)
+                self._portions = portions
+                self.module = self._module(self._told(settings), seed)
                 rules = request_rules(settings)
                 decides: Module = self.module
                 evidence = None
                 if portions is not None and settings.fleet is not None and settings.fleet.zones is not None:
                     from harriertrack.decisions.fleet.evidence import Evidence
-                    from harriertrack.gateway.fleet.zones import Observed
+                    from harriertrack.gateway.fleet.observing import Observed
 
                     evidence = Evidence()
                     decides = Observed(self.module, evidence)
+                if self._scored is not None:
+                    from harriertrack.gateway.fleet.observing import Observed
+
+                    decides = Observed(decides, self._scored.sights)
                 self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
                 parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
-                                  self._note, self._name, portions)  # fmt: skip
+                                  self._note, self._name, portions, self._wiring.wall)  # fmt: skip
                 self._links = self._wiring.links(parts)
                 self._listing = self._wiring.listing(parts)
                 self.regional: Regional | None = None
@@ -134,7 +151,8 @@
                     from harriertrack.gateway.fleet.carrier import Fleet  # other heads do not even load it
 
                     self.fleet = Fleet(parts, settings.fleet, self._wiring.datagrams, portions, evidence,
-                                       self._listing)  # fmt: skip
+                                       self._listing, self._wiring.kept, extents,
+                                       self._links.epochs, self.retell, self._scored)  # fmt: skip
                     self.fleet.start()
                     if self.fleet.budgets is not None:
                         self.fleet.budgets.shed = self._links.shed
@@ -157,13 +175,46 @@
             if self._log is not None:
                 self._log.close()
 
-    def _module(self, told: api.Settings, seed: int, portions: Portions | None) -> Scheduler | Celled:
-        """Make the decision module, or where there is a map one for each cell."""
-        if portions is not None and portions.divides_attempts:
+    def _told(self, settings: HeadSettings) -> api.Settings:
+        """Return what the decision module is told."""
+        told = module_settings(settings)
+        if self._portions is not None and self._portions.divides_attempts:
             told = replace(told, budget_free=0.0)  # those are drawn from what the fleet divides
+        return told
+
+    def _module(self, told: api.Settings, seed: int) -> Scheduler | Celled:
+        """Make the decision module, or where there is a map one for each cell."""
+        portions = self._portions
+        weights = self._scored.shared.factors if self._scored is not None else None
         if self._cells is not None:
-            return Celled(told, seed, self._cells, portions=portions)
-        return self._wiring.module(told, seed) if portions is None else Scheduler(told, seed, None, portions)
+            return Celled(told, seed, self._cells, partial(Scheduler, weights=weights), portions)
+        if portions is None and weights is None:
+            return self._wiring.module(told, seed)
+        return Scheduler(told, seed, None, portions, weights)
+
+    def retell(self, settings: HeadSettings) -> None:
+        """Go by other settings from now on; the caller has checked that a running head can take them.
+
+        What came before is decided as things were, and what is open keeps its time.
+        """
+        now, before, self.settings = self.hub.now(), self.settings, settings
+        self.core.flush(now)
+        told = self._told(settings)
+        if self._portions is not None and settings.fleet is not None and settings.fleet.budgets is not None:
+            from harriertrack.gateway.fleet.budgets import divided_of
+
+            plans, others = (
+                {one.name: one for one in module_settings(head).plans} for head in (before, settings)
+            )
+            self._portions.retell(now, plans, others, divided_of(settings.fleet.budgets))
+        self.core.retell(now, request_rules(settings), told)
+        self._links.settings = settings
+        self.mover.retell(settings)
+        if self.regional is not None:
+            self.regional.reserves = {plan.name: plan.reserve for plan in settings.plans}
+        self.reception.retell(settings)
+        if self.fleet is not None and settings.fleet is not None:
+            self.fleet.retell(settings.fleet)
 
     def _may_move(self, volume: str) -> bool:
         # Without a lease's epoch, its own or the holder's, nobody else's newer work would be noticed.
--- /dev/null
+++ b/harriertrack/lab/fleet/markets.py
@@ -0,0 +1,251 @@
+"""Markets of a fleet's day: volumes whose data live until a close, clients of single blocks, calendars.
+
+Each market has a volume that several heads serve, and one of each head's own; calendars purge the first half
+of both, and the second half must stay. A client writes and reads blocks that nobody else uses, through all
+heads that serve their volume, one operation after another, and records what it saw.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING
+from zoneinfo import ZoneInfo
+
+from harriertrack.config.closing import Twice
+from harriertrack.config.settings import VolumeSettings
+from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.gateway.fleet.changes import keeping
+from harriertrack.gateway.front import REFUSED
+from harriertrack.gateway.witness import FAILURES, WitnessClient
+from harriertrack.lab.fleet.scenario import AS_AFTER, StepSettings, Verb
+from harriertrack.lab.load import Connection
+from harriertrack.lab.model import SECTOR, payload
+from harriertrack.protocol.nbd.client import Reply
+from harriertrack.protocol.nbd.wire import Errno
+from harriertrack.rules import recording as rec
+from harriertrack.runtime.hub import Event, Hub
+
+if TYPE_CHECKING:
+    from harriertrack.lab.fleet.rig import FleetRig
+    from harriertrack.lab.rig import HeadSlot
+
+SECOND = 1_000_000
+EXTENTS = 16  # of a market's volume; the first half is purged
+BLOCK_SECTORS = 8
+MOST_SEATS = 16  # clients of one market's shared volume
+PAUSE_US = (40_000, 160_000)
+WORD_US = 15_000_000  # the longest that a proposal is waited for to be taken up
+
+
+def volumes(markets: int, heads: int, hosts: int, nodes: int, extent_bytes: int) -> list[VolumeSettings]:
+    """Return the markets' volumes. `before` them are as many others as a multiple of the heads."""
+    size = EXTENTS * extent_bytes
+    found = []
+    for market in range(markets):
+        spread = tuple((market + step) % nodes for step in range(min(nodes, 3)))
+        desks = (f"desk{market}-{head}" for head in range(heads))
+        found += [VolumeSettings(name=name, size_bytes=size, plan="standard") for name in desks]
+        found.append(
+            VolumeSettings(name=f"market{market}", size_bytes=size, plan="standard", hosts=min(hosts, heads),
+                           shards=spread)
+        )  # fmt: skip
+    return found
+
+
+@dataclass(frozen=True, slots=True)
+class Market:
+    """One market's calendar as a step of a day writes it."""
+
+    number: int
+    name: str
+    zone: str
+
+    def body(self, instants: Iterable[int], extent_bytes: int) -> str:
+        """Return a calendar with closes at instants (microseconds UTC, whole seconds)."""
+        zone, days, twice = ZoneInfo(self.zone), dict[str, list[str]](), Twice.FIRST
+        for instant in sorted(instants):
+            local = datetime.fromtimestamp(instant // SECOND, UTC).astimezone(zone)
+            twice = Twice.SECOND if local.fold else twice
+            days.setdefault(local.date().isoformat(), []).append(f"{local:%H:%M:%S}")
+        early = " ".join(
+            f'(early (on "{day}") (at {" ".join(f"{chr(34)}{at}{chr(34)}" for at in times)}))'
+            for day, times in days.items()
+        )  # fmt: skip
+        purges = " ".join(
+            f'(purge (volume "{volume}") (end {EXTENTS // 2 * extent_bytes // 1024}KiB))'
+            for volume in (f"market{self.number}", f"desk{self.number}-*")
+        )  # fmt: skip
+        return (
+            f'(calendar "{self.name}" (zone "{self.zone}") (twice {twice.value})\n'
+            f"  {early}\n  {purges})\n"
+        )
+
+    def due(self, t: int, at: int, bound_us: int, heads: int, extent_bytes: int) -> rec.CloseDue:
+        """Return the record of a close, by the recorder's clock."""
+        names = [f"market{self.number}", *(f"desk{self.number}-{head}" for head in range(heads))]
+        return rec.CloseDue(t=t, calendar=f"calendar/{self.name}", at=at, bound_us=bound_us, volumes=names,
+                            end=EXTENTS // 2 * extent_bytes)  # fmt: skip
+
+
+class BlockClient:
+    """A client of a few blocks of one volume, through connections to all heads that serve it."""
+
+    def __init__(self, hub: Hub, recorder: rec.Recorder, connections: list[Connection], seat: int,
+                 extent_bytes: int, seed: int) -> None:  # fmt: skip
+        self._hub, self._recorder, self._connections = hub, recorder, connections
+        self._random = random.Random(seed)
+        half, base = EXTENTS // 2, seat % (extent_bytes // SECTOR // BLOCK_SECTORS) * BLOCK_SECTORS
+        extents = (seat % half, (seat + 3) % half, (seat + 5) % half, half + seat % half)
+        self._blocks = [extent * extent_bytes // SECTOR + base for extent in extents]
+        self._name = f"{connections[0].volume}#{seat}"
+        self._value = seat * 10_000_000
+        self.closed = False
+
+    def run(self) -> None:
+        """Do one operation after another (the client's task)."""
+        while not self.closed:
+            self._hub.sleep(self._random.randrange(*PAUSE_US))
+            up = [one for one in self._connections if one.up]
+            if up:
+                write = self._random.random() < 0.4
+                self._operate(self._random.choice(up), self._random.choice(self._blocks), write)
+
+    def last_look(self) -> None:
+        """Read every block once more, through each head."""
+        for connection in self._connections:
+            for block in self._blocks if connection.up else ():
+                self._operate(connection, block, False)
+
+    def _operate(self, connection: Connection, block: int, is_write: bool) -> None:
+        hub, began, ended = self._hub, self._hub.now(), Event(self._hub)
+        self._value += is_write
+        told: list[tuple[str, int]] = []
+
+        def then(reply: Reply | None) -> None:
+            if reply is None:
+                told.append(("lost", 0))
+            elif not reply.error:
+                told.append(("served", int.from_bytes(reply.data[:8]) if reply.data else 0))
+            else:
+                refused = reply.error in (REFUSED, Errno.ESHUTDOWN)
+                told.append(("refused" if refused else "failed", 0))
+            ended.set()
+
+        body = payload(self._value, BLOCK_SECTORS) if is_write else b""
+        connection.start("write" if is_write else "read", block, BLOCK_SECTORS, body, then)
+        ended.wait()
+        outcome, read = told[0]
+        self._recorder.add(
+            rec.Kept(t=began, ended=hub.now(), client=self._name, head=connection.head,
+                     volume=connection.volume, offset=block * SECTOR, is_write=is_write,
+                     outcome=outcome, value=self._value if is_write else read)  # type: ignore[arg-type]
+        )  # fmt: skip
+
+
+class Markets:
+    """All markets of one rig: true time, heads' clocks, calendars, clients, and what heads tell."""
+
+    def __init__(self, rig: FleetRig, seed: int) -> None:
+        self._rig = rig
+        day, hub = rig.fleet_day, rig.hub
+        machine = hub.clock.wall()
+        begins = datetime.fromisoformat(day.wall).replace(tzinfo=UTC).timestamp() if day.wall else 0
+        self._shift = int(begins * SECOND) - machine if begins else 0  # of true time past the machine's
+        self._true_ahead = machine + self._shift - hub.now()
+        self._drawn = random.Random(seed)
+        self._ahead: dict[str, int] = {}  # of true time, each head's wall clock
+        self._clients: list[BlockClient] = []
+
+    # -- clocks
+
+    def set_clock(self, slot: HeadSlot, step: StepSettings) -> None:
+        """Let a head's wall clock be off by what a step says."""
+        drawn = self._drawn.randint(-step.skew_us, step.skew_us)
+        if step.ahead_us or step.skew_us or slot.name not in self._ahead:
+            self._ahead[slot.name] = step.ahead_us + drawn
+
+    def ahead_us(self, slot: HeadSlot) -> int:
+        """Return how far a head's wall clock is past the machine's."""
+        return self._shift + self._ahead[slot.name]
+
+    def wall_of(self, slot: HeadSlot) -> Callable[[], int]:
+        """Return a head's wall clock."""
+        return lambda: self._rig.hub.clock.wall() + self.ahead_us(slot)
+
+    # -- what happens
+
+    def open(self) -> None:
+        """Start the clients."""
+        rig = self._rig
+        for volume in rig.volumes[rig.day.volumes :]:
+            slots = [one for one in rig.heads if volume in one.settings.volumes]
+            for seat in range(min(len(slots), MOST_SEATS)):
+                connections = []
+                for slot in slots:
+                    connection = Connection(rig.hub, rig.network, rig.recorder, volume.name, slot.name)
+                    connection.address = rig.entrance(slot)
+                    slot.connections.append(connection)
+                    connections.append(connection)
+                    rig.scope.spawn(f"connection {volume.name} {seat}", connection.keep, rig.scope)
+                client = BlockClient(rig.hub, rig.recorder, connections, seat, rig.day.extent_bytes,
+                                     self._drawn.getrandbits(32))  # fmt: skip
+                self._clients.append(client)
+                rig.scope.spawn(f"client {volume.name} {seat}", client.run)
+
+    def close(self) -> None:
+        """Let the clients look once more, and end."""
+        for client in self._clients:
+            client.closed = True
+        self._rig.hub.sleep(2 * PAUSE_US[1])
+        ends = [self._rig.scope.spawn("last look", client.last_look) for client in self._clients]
+        while not all(task.done for task in ends):
+            self._rig.hub.sleep(PAUSE_US[0])
+
+    def step(self, step: StepSettings, who: list[HeadSlot]) -> None:
+        """Do a step that is about markets or clocks."""
+        if step.name is Verb.CLOCK:
+            for slot in who:
+                self._ahead[slot.name] = step.ahead_us
+            return
+        rig = self._rig
+        hub, day = rig.hub, rig.fleet_day
+        true = hub.now() + self._true_ahead
+        market = Market(step.number, f"market{step.number}", step.local)
+        instants = [-(-(true + after) // SECOND) * SECOND for after in step.after_us]
+        expect = step.after_us if step.expect_us == AS_AFTER else step.expect_us
+        expected = [-(-(true + after) // SECOND) * SECOND for after in expect]
+        thing, body = f"calendar/{market.name}", market.body(instants, rig.day.extent_bytes)
+        rig.change(StepSettings(name=Verb.PROPOSE, thing=thing, body=body))
+        self._resume(thing)
+        for at in expected:
+            due = market.due(hub.now(), at - self._true_ahead, day.close_bound_us, rig.day.heads,
+                             rig.day.extent_bytes)  # fmt: skip
+            rig.recorder.add(due)
+
+    def _resume(self, thing: str) -> None:
+        """Give the word that a calendar waits for which purges more than any before, as soon as it does."""
+        hub, until = self._rig.hub, self._rig.hub.now() + WORD_US
+        witness = WitnessClient(hub, self._rig.network, self._rig.witness_address, SECOND, "operator")
+        while hub.now() < until:
+            hub.sleep(100_000)
+            try:
+                going = keeping.read(witness).record.under_way(thing)
+            except FAILURES:
+                continue
+            if going is None:
+                return
+            if going.standing is Standing.PAUSED:
+                self._rig.change(StepSettings(name=Verb.CHANGE, thing=thing, to="going"))
+                return
+
+    def heard(self, slot: HeadSlot, event: str, fields: dict[str, object]) -> None:
+        """Take a line of a head's log."""
+        if event == "close done":
+            at = int(str(fields["at_us"])) - self._true_ahead
+            self._rig.recorder.add(
+                rec.ClosedAt(t=self._rig.hub.now(), head=slot.name, calendar=str(fields["calendar"]),
+                             number=int(str(fields["number"])), at=at)
+            )  # fmt: skip
