A late connection makes no shelf slow; a client that leaves meanwhile, none unreachable

Of the dials that came up a fifth took 1.3 to 250 ms; half of a head's sends dial, and that time was told as the shelf's latency, which narrows its window and makes it look crowded.

To blame: life.lost_result, which calls whatever ends an attempt before its bytes left "could not connect", and requests.Core._tell, which counts an attempt's time from the module's send, not from when its bytes left. Excluded: refused and timed-out dials (they stay as they were), the pool's choice of connections.

Now an attempt called off while its connection comes up is MOOT, the wire's "not sent: request over", and a link that dials says when the bytes left. No decision of the module is changed; links that do not say so tell as before.

--- a/harriertrack/decisions/life.py
+++ b/harriertrack/decisions/life.py
@@ -125,6 +125,9 @@
 def lost_result(state: AttemptState, otherwise: Result) -> Result:
     """Return what the end of an attempt proves when no answer came.
 
-    One whose bytes never left this head is known not to have run, whatever ended it.
+    One whose bytes never left this head is known not to have run, whatever ended it. One that was called off
+    before, since nobody waits any more, says nothing of its node either.
     """
-    return Result.CONNECT_FAILED if state is AttemptState.DIALING else otherwise
+    if state is not AttemptState.DIALING:
+        return otherwise
+    return Result.MOOT if otherwise is Result.CANCELLED else Result.CONNECT_FAILED
--- a/harriertrack/decisions/requests.py
+++ b/harriertrack/decisions/requests.py
@@ -290,6 +290,7 @@
     number: int
     member: Listed
     sent_at: int
+    left_at: int = 0  # when its last byte left, where its link says; until then the node had no part in it
     state: AttemptState = AttemptState.DIALING
     told: bool = False  # the module has its outcome
     write_number: int = 0
@@ -657,9 +658,10 @@
         """Let those that wait for a purged extent go on."""
         self._free((volume, extent), purged=True)
 
-    def sent(self, attempt: Attempt) -> None:
-        """The attempt's bytes were handed to its link."""
+    def sent(self, attempt: Attempt, at: int = 0) -> None:
+        """The attempt's bytes were handed to its link; `at` tells when, where it was dialled first."""
         attempt.state = step_attempt(attempt.state, AttemptStep.SEND)
+        attempt.left_at = at
 
     def ended(self, now: int, attempt: Attempt, result: api.Result, data: bytes = b"",
               report: Beside | None = None) -> None:  # fmt: skip
@@ -1142,6 +1144,7 @@
             elif part.state is PartState.KEPT and part not in self._patience:
                 self._patience.keep(now, part, part.number, part.place, part.hint_us)
         self._add(api.Ended(
-            part.number, attempt.number, attempt.member.entry.node, result, now - attempt.sent_at,
+            part.number, attempt.number, attempt.member.entry.node, result,
+            max(0, now - (attempt.left_at or attempt.sent_at)),
             part.state.over, *((report.used_percent, report.elsewhere, report.load) if report else ()),
         ))  # fmt: skip
--- a/harriertrack/service/shelfs.py
+++ b/harriertrack/service/shelfs.py
@@ -167,7 +167,7 @@
             b"PUT" if asked.writes else b"GET", asked.target, headers, asked.body, self._shelfs.bounds.answer
         )
         self._stream.write(self._exchange.request)
-        self._stream.push(lambda: self._shelfs.core.sent(attempt))
+        self._stream.push(lambda: self._shelfs.core.sent(attempt, self._shelfs.hub.now()))
 
     def run(self) -> None:
         """Dial, then take answers until the connection ends (its task)."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -537,6 +537,35 @@
     site.run(act)
 
 
+def test_a_connection_that_comes_up_late_makes_no_shelf_slow(site):
+    site.net._delay = lambda name, address: 80 * MS if address == site.shelfs[1].address else 100
+
+    def act(site):
+        began = site.hub.now()
+        assert site.ask(site.request())[0] == 200
+        (took,) = [event.elapsed_us for event in site.head.module.events if isinstance(event, api.Ended)]
+        assert took < site.hub.now() - began - 60 * MS  # coming up is no time of the shelf's
+
+    site.run(act)
+
+
+def test_clients_that_leave_while_a_connection_comes_up_prove_nothing_of_the_shelf(site):
+    site.net._delay = lambda name, address: 80 * MS if address == site.shelfs[1].address else 100
+
+    def act(site):
+        for _ in range(3):
+            stream = site.connect()
+            stream.write(site.request())
+            site.hub.sleep(20 * MS)
+            stream.close()
+            site.hub.sleep(20 * MS)
+        assert site.head.module.results() == [api.Result.MOOT] * 3 and not site.shelfs[1].got
+        assert not [fields for event, fields in site.notes if event == "module"]  # none is held unreachable
+        assert site.ask(site.request())[0] == 200
+
+    site.run(act)
+
+
 def test_where_no_connection_to_shelfs_is_left_a_request_ends_and_the_head_lives(site):
     def act(site):
         site.head.shelfs.ways.most = 1
