--- a/harriertrack/decisions/requests/attempts.py
+++ b/harriertrack/decisions/requests/attempts.py
@@ -114,6 +114,7 @@
             elif part.state is PartState.KEPT:
                 self._keeping.all_in(now, part)
         self._board.add(api.Ended(
-            part.number, attempt.number, attempt.member.entry.node, result, now - attempt.sent_at,
+            part.number, attempt.number, attempt.member.entry.node, result,
+            max(0, now - (attempt.left_at or attempt.sent_at)),
             part.state.over, *((report.used_percent, report.elsewhere, report.load) if report else ()),
         ))  # fmt: skip
--- a/harriertrack/decisions/requests/core.py
+++ b/harriertrack/decisions/requests/core.py
@@ -232,9 +232,10 @@
 
     # -- attempts
 
-    def sent(self, attempt: Attempt) -> None:
-        """The attempt's bytes were handed to its link."""
+    def sent(self, attempt: Attempt, at: int = 0) -> None:
+        """The attempt's bytes were handed to its link; `at` tells when, where it was dialled first."""
         attempt.state = step_attempt(attempt.state, AttemptStep.SEND)
+        attempt.left_at = at
 
     def ended(self, now: int, attempt: Attempt, result: api.Result, data: bytes = b"",
               report: Beside | None = None) -> None:  # fmt: skip
--- a/harriertrack/decisions/requests/model.py
+++ b/harriertrack/decisions/requests/model.py
@@ -140,6 +140,7 @@
     number: int
     member: Listed
     sent_at: int
+    left_at: int = 0  # when its last byte left, where its link says; until then the node had no part in it
     state: AttemptState = AttemptState.DIALING
     told: bool = False  # the module has its outcome
     write_number: int = 0
