Clumps count as twice chance until they are seen; rollouts measured

Each stage learns anew how old heads scatter in time and has no figure for 40 s: Cell._scatter began at chance.

--- a/harriertrack/decisions/fleet/rollout/comparing.py
+++ b/harriertrack/decisions/fleet/rollout/comparing.py
@@ -12,7 +12,7 @@
 import math
 from dataclasses import dataclass, field
 
-PRIOR = 4.0  # pieces of evidence for no more than chance, before any is seen
+PRIOR = 4.0  # pieces of evidence of clumps twice as large as chance, before any are seen
 HARMS = (1.0, 4.0, 16.0)  # times the bounds: what is far worse is found though little is known of before
 LEAST_PART = 1e-6  # of what goes badly
 LEAST_DOUBT = 1e-6
@@ -49,7 +49,7 @@
     _block: dict[str, float] = field(default_factory=dict)
     _before: dict[str, float] = field(default_factory=dict)
     _ticks: int = 0
-    _scatter: float = PRIOR
+    _scatter: float = 2 * PRIOR
     _freedom: float = PRIOR
 
     def heads(self, head: str, new: bool, badly: int, expected: float, doubt: float) -> None:
