--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 import pytest
 
 from harriertrack.decisions import interface as api, life, requests, scheduler
+from harriertrack.decisions.requests import attempts
 from harriertrack.gateway import front, head
 from harriertrack.lab import day as days, rig
 from harriertrack.membership import nodes
@@ -218,7 +219,7 @@
 
 
 def test_a_head_that_takes_silence_for_proof(monkeypatch):
-    monkeypatch.setattr(requests, "lost_result", lambda state, otherwise: api.Result.CONNECT_FAILED)
+    monkeypatch.setattr(attempts, "lost_result", lambda state, otherwise: api.Result.CONNECT_FAILED)
     assert 2 in broken_in("answer_reset")
 
 
