--- a/harriertrack/gateway/fleet/changes/carrier.py
+++ b/harriertrack/gateway/fleet/changes/carrier.py
@@ -107,21 +107,9 @@
         share = min(1.0, len(self._swim.view.present) / 100)
         return self._hub.now() + int(self._settings.spread_us * share * self._hub.random.random())
 
-    def runs(self, member: str) -> Mapping[str, int]:
-        """Return what a member says it runs, by thing; what it never changed is left out."""
-        if member == self._swim.me.name:
-            return self._follower.runs()
-        row = self._swim.view.find(member)
-        about = about_of(row.note.about) if row is not None and row.note is not None else None
-        return about.runs if about is not None else {}
-
-    def level_of(self, member: str) -> int:
-        """Return the level that a member's program understands; 0: it has not said so."""
-        if member == self._swim.me.name:
-            return LEVEL
-        row = self._swim.view.find(member)
-        about = about_of(row.note.about) if row is not None and row.note is not None else None
-        return about.level if about is not None else 0
+    def runs(self) -> Mapping[str, int]:
+        """Return what this head runs, by thing; what was never changed is left out."""
+        return self._follower.runs()
 
     # -- following
 
--- a/harriertrack/gateway/fleet/rollout/carrier.py
+++ b/harriertrack/gateway/fleet/rollout/carrier.py
@@ -79,7 +79,7 @@
         memory, processor_us = self._usage()
         fell = {thing: told for thing, told in self._changes.turned_down().items() if told[1] != HANDING_OVER}
         me = self._swim.me
-        return Report(me.name, me.instance, self._changes.runs(me.name), self._counting.classes, memory,
+        return Report(me.name, me.instance, self._changes.runs(), self._counting.classes, memory,
                       processor_us, fell, LEVEL)  # fmt: skip
 
     # -- deciding
--- a/harriertrack/gateway/fleet/rollout/reports.py
+++ b/harriertrack/gateway/fleet/rollout/reports.py
@@ -12,8 +12,8 @@
 
 from harriertrack.decisions.fleet.rollout.counting import BUCKETS, Tally
 from harriertrack.decisions.fleet.rollout.evidence import Report
+from harriertrack.membership.fleet.budgeting import MOST_TOPIC_BODY
 
-MOST_BYTES = 1000
 PAGE = 150  # checksums of volumes in one report
 Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 Counts = Annotated[list[Number], msgspec.Meta(min_length=5, max_length=5 + BUCKETS)]
@@ -60,10 +60,10 @@
             _Counted(report.life, report.level, report.memory, report.processor_us, dict(report.runs), fell,
                      {name: _flat(tally) for name, tally in classes})
         )  # fmt: skip
-        if len(data) <= MOST_BYTES:
+        if len(data) <= MOST_TOPIC_BODY:
             return data
         if not classes:
-            raise ValueError(f"a report of {len(data)} bytes, more than {MOST_BYTES}")
+            raise ValueError(f"a report of {len(data)} bytes, more than {MOST_TOPIC_BODY}")
         classes.pop()
 
 
--- a/tests/rollout/test_launching.py
+++ b/tests/rollout/test_launching.py
@@ -18,7 +18,8 @@
 from harriertrack.gateway.fleet.rollout.launcher.files import Files, launched
 from harriertrack.gateway.fleet.rollout.launcher.launcher import Launcher, Unfit, command_of
 from harriertrack.gateway.fleet.rollout.program_user import HANDING_OVER, ProgramUser
-from harriertrack.gateway.fleet.rollout.reports import MOST_BYTES, Heard, MalformedReport, encode_counts, encode_volumes
+from harriertrack.gateway.fleet.rollout.reports import Heard, MalformedReport, encode_counts, encode_volumes
+from harriertrack.membership.fleet.budgeting import MOST_TOPIC_BODY
 from harriertrack.decisions.fleet.rollout.counting import Tally
 from harriertrack.decisions.fleet.rollout.evidence import Report
 from harriertrack.runtime.hub import Hub
@@ -258,14 +259,14 @@
     classes = {f"class{number:03}": Tally(10**9 + number, 5, 6, 7, 8, [10**6] * 16) for number in range(40)}
     report = Report("h", 9, {"settings": 3, "program": 4}, classes, 1 << 30, 10**9, {"program": (5, "w" * 500)}, 2)
     data = encode_counts(report)
-    assert len(data) <= MOST_BYTES
+    assert len(data) <= MOST_TOPIC_BODY
     heard = Heard("h")
     read = heard.take(data)
     assert read.runs == report.runs and set(read.classes) < set(classes) and len(read.classes) >= 5
     assert all(read.classes[name] == classes[name] for name in read.classes)
     assert heard.volumes is None
     for body in encode_volumes(9, list(range(10**9, 10**9 + 400))):
-        assert len(body) <= MOST_BYTES and heard.take(body) is None
+        assert len(body) <= MOST_TOPIC_BODY and heard.take(body) is None
     assert len(heard.volumes) == 400
     next_life = next(iter(encode_volumes(10, [1] * 151)))
     assert heard.take(next_life) is None and heard.volumes is None, "of another life nothing is known yet"
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -12,7 +12,8 @@
 from harriertrack.membership.fleet.swim.member import Member
 from harriertrack.membership.fleet.swim.suspecting import Suspects
 from harriertrack.membership.fleet.swim.words import Words
-from harriertrack.rules import budgets, checker, fleet, recording as rec, scoring, zones
+from harriertrack.rules import fleet, recording as rec
+from harriertrack.rules.everything import judge
 from harriertrack.standin.relay import Fault, Weather
 from tests.test_settings import GOOD
 
@@ -107,8 +108,7 @@
 @pytest.mark.parametrize("name", [name for name in scenario.names() if not name.startswith(("close-", "roll-", "settings-"))])
 def test_a_fleet_day_keeps_all_rules_in_simulated_time(name):
     _, records, day = play(name)
-    assert checker.check(records) == [] and fleet.check(records, day.detect_us) == []
-    assert budgets.check(records) == [] and zones.check(records) == [] and scoring.check(records) == []
+    assert {what: found for what, found in judge(records, day.detect_us).items() if found} == {}
     asked = [one for one in records if isinstance(one, rec.Agreed)]
     assert len(asked) == sum(step.name is scenario.Verb.AGREE for step in day.steps) and asked[-1].reached
     assert sum(isinstance(one, rec.Answer) for one in records) > 300
