--- a/harriertrack/lab/fleet/processes.py
+++ b/harriertrack/lab/fleet/processes.py
@@ -161,6 +161,7 @@
         self._relay = Relay(hub, SocketDatagrams(hub), self.weather, self.places.host)
         self._relay.tap = self.passed
         self._witness = self.places.next()
+        self._witness_listens = False
         self._processes: dict[str, Process] = {}
         self._leaving: list[tuple[HeadSlot, Process]] = []
         self._links: dict[tuple[str, str], Link] = {}
@@ -225,6 +226,7 @@
         arguments = ["standin", "witness", "--listen", f"{host}:{port}", "--state", state]
         process = self.start_process("witness", arguments)
         self.await_listening(process, self._witness)
+        self._witness_listens = True
 
     def zone_dark(self, zone: str, who: list[HeadSlot], us: int) -> None:
         """Cut the relays between some heads and a zone's nodes for a time; the nodes know nothing of it.
@@ -257,7 +259,13 @@
         shutil.copy(self.path("witness.state"), self.path("witness.backup"))
 
     def dark(self, us: int, old: bool) -> None:
-        """Take the witness away for a time; `old`: it comes back as of the backup."""
+        """Take the witness away for a time; `old`: it comes back as of the backup.
+
+        One that still comes back from the dark before is awaited: a busy machine takes seconds to start it.
+        """
+        while not self._witness_listens:
+            self.hub.sleep(LOOK_US)
+        self._witness_listens = False
         self._processes.pop("witness").end()
 
         def back() -> None:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -199,6 +199,26 @@
     assert not running(tmp_path)
 
 
+@pytest.mark.timeout(100)
+def test_a_witness_that_comes_back_slowly_is_awaited_before_it_goes_dark_again(tmp_path):
+    soon = SMALL.replace("(step start)", "(extent 32KiB) (limit 1) (limit-burst 200) (budgets (term 2s) (patience 1s) (budget limits (fixed 0.25))) (step start)")
+    path = tmp_path / "small.sexp"
+    path.write_text(soon % "(step dark (for 100ms)) (step rest (for 200ms)) (step dark (for 100ms)) (step rest (for 1s))")
+    starts = []
+
+    def count(rig):
+        start = rig.start_process
+
+        def counted(name, arguments, group=False):
+            starts.append(name)
+            return start(name, arguments, group)
+
+        rig.start_process = counted
+
+    play_processes(scenario.load(str(path)), 2, 1, rec.Recorder(), tmp_path, started=count)
+    assert starts.count("witness") >= 2
+
+
 def test_the_rig_ends_only_what_it_started(tmp_path):
     other = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(60)"])
     try:
