A head is put together in named steps; what a fleet does together has a module of its own

Head.run began every optional part by hand in one method of 100 lines, and Fleet tested for each of seven parts in start, close, leave, retell and the operators' document. Head.run names its steps now (listen, decide, reach nodes, serve, join, take no more). gateway/fleet/together.py starts the fleet's parts in the order in which they rest on each other; the carrier keeps datagrams, the view and the door. What operators are shown is one table by field, so each part has document(now). Budgets are handed what closes links instead of having it put in later.

--- a/harriertrack/gateway/fleet/beside.py
+++ b/harriertrack/gateway/fleet/beside.py
@@ -27,6 +27,7 @@
     extents: ExtentMap
     epochs: dict[str, int]  # of leases, by volume
     retell: Callable[[HeadSettings], None]  # lets the head go by other settings at once
+    shed: Callable[[str, int], None]  # closes so many links to a node
     evidence: Evidence | None = None  # of zones
     scored: Scored | None = None
     datagrams: DatagramNetwork | None = None  # None: sockets
--- a/harriertrack/gateway/fleet/budgets.py
+++ b/harriertrack/gateway/fleet/budgets.py
@@ -65,8 +65,9 @@
     """This head's part."""
 
     def __init__(self, parts: HeadParts, settings: BudgetsSettings, portions: Portions, fleet: str,
-                 swim: Swim, send: Callable[[bytes, Address], None],
+                 swim: Swim, send: Callable[[bytes, Address], None], shed: Callable[[str, int], None],
                  decides: bool = False) -> None:  # fmt: skip
+        """`shed`: closes so many links to a node. `decides`: a term of its own is for who decides for all."""
         hub = parts.hub
         self._parts, self._hub, self._settings, self._fleet = parts, hub, settings, fleet
         self.portions, self._swim, self._send_bytes = portions, swim, send
@@ -84,9 +85,8 @@
         }  # fmt: skip
         self._locks = Locks(parts, settings, swim, self._soon, self._vacated)
         self._alarm = Alarm(hub, self._wake)
-        self._closed = False
+        self._closed, self._shed = False, shed
         self.otherwise: Callable[[Said, Address], None] = lambda _said, _source: None  # what is of no ledger
-        self.shed: Callable[[str, int], None] = lambda _node, _number: None  # close so many links to a node
 
     def start(self) -> None:
         """Take part from now on."""
@@ -213,7 +213,7 @@
                 when += [ledger.wake_at(), seat.told_at + self.portions.rules.lease_us]
                 when.append(seat.candidate.valid_until)
         for node, number in self.portions.links_over(now):
-            self.shed(node, number)
+            self._shed(node, number)
         due = [at for at in when if at is not None]
         if due:
             self._alarm.wake_at(max(min(due), now + 1_000))
@@ -264,7 +264,7 @@
 
     # -- what operators see
 
-    def told(self, now: int) -> BudgetsTold:
+    def document(self, now: int) -> BudgetsTold:
         """Return what this head tells of budgets."""
         counts = {name: getattr(self.counts, name) for name in Counts.__slots__}
         return showing.told(now, list(self._seats.values()), self._swim.view.present, counts)
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import msgspec
 
-from harriertrack.config.settings import FleetSettings, RolloutSettings
+from harriertrack.config.settings import FleetSettings
 from harriertrack.gateway.fleet.beside import Beside
 from harriertrack.gateway.fleet.figures import figures
+from harriertrack.gateway.fleet.together import Member, Together
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.membership.fleet.messages import BUDGETS, Record, State
 from harriertrack.membership.fleet.swim import Changed, Noted, Rules, Said, Send, Swim
@@ -23,15 +22,6 @@
 from harriertrack.runtime.hub import DeadlineExceeded, Event
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
 
-if TYPE_CHECKING:
-    from harriertrack.gateway.fleet.budgets import Budgets
-    from harriertrack.gateway.fleet.changes.carrier import Changes
-    from harriertrack.gateway.fleet.closing.carrier import Closing
-    from harriertrack.gateway.fleet.deciding import Deciding
-    from harriertrack.gateway.fleet.rollout.carrier import Rollouts
-    from harriertrack.gateway.fleet.scoring.carrier import Scoring
-    from harriertrack.gateway.fleet.zones import Zones
-
 DOOR_US = 2_000_000  # how long an operator's connection may take the document
 MOST_AT_DOOR = 8  # such connections at a time; more are closed
 
@@ -52,14 +42,8 @@
         self._closed = False
         self._taken = self._refused = 0
         self._about = About()
-        self.scoring: Scoring | None = None
-        self.zones: Zones | None = None
-        self.budgets: Budgets | None = None
-        self.deciding: Deciding | None = None
-        self.changes: Changes | None = None
-        self.closing: Closing | None = None
-        self.rollouts: Rollouts | None = None
         self.swim: Swim
+        self.together: Together
 
     def start(self) -> None:
         """Bind, and take part from now on. Raises OSError if the address is taken."""
@@ -77,6 +61,8 @@
         )  # fmt: skip
         seeds = [seed.address for seed in settings.seeds]
         self.swim = Swim(rules_of(settings), me, seeds, hub.random.getrandbits(63))
+        member = Member(self._parts, self._beside, self.swim, self._port.send, self._tell_now)
+        self.together = Together(member, settings)
         scope = self._parts.scope
         scope.spawn("fleet", self._hold, door)
         scope.spawn("fleet's door", self._open, door)
@@ -85,84 +71,13 @@
                          instance=digest_name(me.instance))  # fmt: skip
         self.swim.start(hub.now())
         self._follow()
-        if self._beside.scored is not None and settings.scoring is not None:
-            from harriertrack.gateway.fleet.scoring.carrier import Scoring
-
-            self.scoring = Scoring(self._parts, settings.scoring, self._beside.scored, self.swim)
-            self.scoring.start()
-        portions = self._parts.portions
-        if portions is not None and settings.budgets is not None:
-            from harriertrack.gateway.fleet.budgets import Budgets  # a fleet without does not even load it
-
-            self.budgets = Budgets(self._parts, settings.budgets, portions, settings.fleet, self.swim,
-                                   self._port.send, self._decides)  # fmt: skip
-            self.budgets.start()
-            if self._decides:
-                self._start_deciding(self.budgets)
-
-    @property
-    def _decides(self) -> bool:
-        return self._settings.zones is not None or self._settings.changes is not None
-
-    def _start_deciding(self, budgets: Budgets) -> None:
-        """Take part in what is decided for the whole fleet; only heads that have a part load it."""
-        from harriertrack.gateway.fleet.deciding import Deciding
-
-        settings, beside = self._settings, self._beside
-        self.deciding = Deciding(self._hub, settings.name, budgets)
-        if settings.zones is not None and beside.evidence is not None:
-            from harriertrack.gateway.fleet.zones import Zones
-
-            self.zones = Zones(self._parts, settings.zones, beside.evidence, beside.listing, self.swim,
-                               self.deciding)  # fmt: skip
-            self.zones.start()
-        if settings.changes is not None:
-            from harriertrack.gateway.fleet.changes.carrier import Changes
-
-            self.changes = Changes(self._parts, settings.changes, self.swim, self.deciding, self._tell_now,
-                                   beside.kept)  # fmt: skip
-            self._start_users(self.deciding, self.changes, settings)
-            self.changes.start()
-
-    def _start_users(self, deciding: Deciding, changes: Changes, settings: FleetSettings) -> None:
-        """Start what goes by the record of changes."""
-        from harriertrack.decisions.fleet.changes.record import Kind
-        from harriertrack.gateway.fleet.settings_user import SettingsUser
-
-        beside = self._beside
-        user = SettingsUser(self._parts.settings, beside.retell, self._parts.note)
-        changes.use(Kind.SETTINGS, user)
-        if settings.closing is not None:
-            from harriertrack.gateway.fleet.closing.carrier import Closing
-
-            self.closing = Closing(self._parts, settings.closing, self.swim, deciding, changes,
-                                   beside.extents, beside.epochs)  # fmt: skip
-            self.closing.start()
-        if self.scoring is not None:
-            self.scoring.follow(changes)
-        if settings.changes is not None and settings.changes.rollout is not None:
-            self._start_rollouts(deciding, changes, settings.changes.rollout)
-
-    def _start_rollouts(self, deciding: Deciding, changes: Changes, settings: RolloutSettings) -> None:
-        from harriertrack.decisions.fleet.changes.record import Kind
-        from harriertrack.gateway.fleet.rollout.carrier import Rollouts, no_usage
-        from harriertrack.gateway.fleet.rollout.program_user import ProgramUser
-
-        handover, counting = self._beside.handover, self._parts.counting
-        assert counting is not None, "a head whose settings have rollouts counts its answers"
-        changes.use(Kind.PROGRAM, ProgramUser(handover))
-        if handover is not None and handover.number:
-            changes.took(Kind.PROGRAM.value, handover.number)
-        self.rollouts = Rollouts(self._parts, settings, self.swim, deciding, changes, counting,
-                                 self._beside.usage or no_usage)  # fmt: skip
-        self.rollouts.start()
+        self.together.start()
 
     def retell(self, settings: FleetSettings) -> None:
         """Go by other figures from now on; what is due already stays so."""
         self._settings = settings
         self.swim.retell(rules_of(settings))
-        if self.zones is not None and settings.zones is not None:
-            self.zones.retell(settings.zones)
+        self.together.retell(settings)
 
     @property
     def address(self) -> Address:
@@ -176,10 +91,7 @@
         finally:
             self._closed = True
             self._alarm.cancel()
-            if self.scoring is not None:
-                self.scoring.close()
-            if self.budgets is not None:
-                self.budgets.close()
+            self.together.close()
             self._port.close()
             door.close()
 
@@ -187,14 +99,13 @@
         """Say goodbye."""
         self.swim.leave(self._hub.now())
         self._follow()
-        if self.budgets is not None:
-            self.budgets.leave()
+        self.together.leave()
 
     def wait_left(self) -> None:
         """Wait until the goodbye has been said often enough, for `leave` at most."""
         until = self._hub.now() + self._settings.leave_us
         while self._hub.now() < until:
-            if self.swim.left and (self.budgets is None or self.budgets.released):
+            if self.swim.left and self.together.released:
                 return
             self._hub.sleep(self._settings.gossip_us // 4)
 
@@ -203,8 +114,8 @@
     def _come(self, data: bytes, source: Address) -> None:
         if self._closed:
             return
-        if self.budgets is not None and data[:1] == BUDGETS:
-            self.budgets.receive(data, source)
+        if data[:1] == BUDGETS and (budgets := self.together.budgets) is not None:
+            budgets.receive(data, source)
             return
         self.swim.receive(self._hub.now(), data, source)
         self._follow()
@@ -222,8 +133,8 @@
                 case Changed(change):
                     self._changed(change)
                 case Noted(note):
-                    if self.changes is not None and (about := about_of(note.about)) is not None:
-                        self.changes.heard(about)
+                    if (changes := self.together.changes) is not None and (about := about_of(note.about)):
+                        changes.heard(about)
                 case Said(event, fields):
                     self._parts.note(event, **dict(fields))
         self._alarm.wake_at(self.swim.wake_at())
@@ -255,8 +166,8 @@
             self._hub.sleep(settings.note_us)
 
     def _tell_now(self) -> None:
-        about = self._about
-        told = self.changes.about(about) if self.changes is not None else msgspec.msgpack.encode(about)
+        about, changes = self._about, self.together.changes
+        told = changes.about(about) if changes is not None else msgspec.msgpack.encode(about)
         self.swim.note(self._hub.now(), told)
         self._follow()
 
@@ -277,19 +188,8 @@
     def _show(self, stream: Stream) -> None:
         sent = Event(self._hub)
         try:
-            document, now = document_of(self.swim, self._hub.now()), self._hub.now()
-            if self.budgets is not None:
-                document = msgspec.structs.replace(document, budgets=self.budgets.told(now))
-            if self.zones is not None:
-                document = msgspec.structs.replace(document, zones=self.zones.document(now))
-            if self.changes is not None:
-                document = msgspec.structs.replace(document, record=self.changes.document())
-            if self.closing is not None:
-                document = msgspec.structs.replace(document, closing=self.closing.document())
-            if self.scoring is not None:
-                document = msgspec.structs.replace(document, scores=self.scoring.document(now))
-            if self.rollouts is not None:
-                document = msgspec.structs.replace(document, rollouts=self.rollouts.told())
+            now = self._hub.now()
+            document = msgspec.structs.replace(document_of(self.swim, now), **self.together.documents(now))
             stream.write(msgspec.json.encode(document))
             stream.push(sent.set)
             stream.watch_end(sent.set)
--- a/harriertrack/gateway/fleet/changes/carrier.py
+++ b/harriertrack/gateway/fleet/changes/carrier.py
@@ -258,7 +258,7 @@
                 return data
             del runs[max(runs, key=len)]
 
-    def document(self) -> ChangesTold:
+    def document(self, _now: int) -> ChangesTold:
         """Return what operators, and heads that reach no witness, are told."""
         record, follower = self.record, self._follower
         things = []
--- a/harriertrack/gateway/fleet/closing/carrier.py
+++ b/harriertrack/gateway/fleet/closing/carrier.py
@@ -301,7 +301,7 @@
         self._parts.note("closed", trimmed=progress.done, asked=progress.asked, tries_lost=progress.failed,
                          closes={one.calendar: one.done for one in self.fences.fences.values()})  # fmt: skip
 
-    def document(self) -> ClosingTold:
+    def document(self, _now: int) -> ClosingTold:
         """Return what this head tells operators."""
         reading = self._guard.reading()
         told = [
--- a/harriertrack/gateway/fleet/rollout/carrier.py
+++ b/harriertrack/gateway/fleet/rollout/carrier.py
@@ -163,6 +163,6 @@
             raise BadPlan(str(error)) from error
         return plan
 
-    def told(self) -> list[str] | None:
+    def document(self, _now: int) -> list[str] | None:
         """Return where rollouts stand, for operators; None unless this head decides."""
         return self._conductor.told(self._changes.record) if self._conductor is not None else None
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from harriertrack.config.cells import head_map
-from harriertrack.config.settings import HeadSettings, module_settings, request_rules
+from harriertrack.config.settings import FleetSettings, HeadSettings, module_settings, request_rules
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions import Scheduler, interface as api
 from harriertrack.decisions.celled import Celled, HeadMap, OldMap
@@ -24,12 +24,13 @@
 from harriertrack.gateway.regional import Regional
 from harriertrack.membership.nodes import NodeList
 from harriertrack.runtime.alarm import Alarm
-from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub
-from harriertrack.runtime.streams import Network
+from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope
+from harriertrack.runtime.streams import Listener, Network
 from harriertrack.storage.extents import ExtentMap
 from harriertrack.storage.missed import MissedLog
 
 if TYPE_CHECKING:
+    from harriertrack.decisions.fleet.evidence import Evidence
     from harriertrack.decisions.fleet.portions import Portions
     from harriertrack.decisions.fleet.rollout.counting import Counting
     from harriertrack.gateway.fleet.carrier import Fleet
@@ -82,7 +83,9 @@
         self.mover: Mover
         self.module: Scheduler | Celled
         self.fleet: Fleet | None = None
+        self.regional: Regional | None = None
         self._portions: Portions | None = None
+        self._evidence: Evidence | None = None  # of zones
         self._cells = head_map(settings.cell_map, settings.volumes) if settings.cell_map else None
         self.scored: Scored | None = None
         if settings.fleet is not None and settings.fleet.scoring is not None:
@@ -96,87 +99,20 @@
         """Serve until `stop` is called; raises OSError if it can't listen, ExtentMapError without its map."""
         hub, settings = self.hub, self.settings
         hub.enter_group(self)
-        listeners = [self._network.listen(settings.listen)]
-        self.address = listeners[0].address
-        if settings.nvme is not None:
-            try:
-                listeners.append(self._network.listen(settings.nvme.listen))
-            except OSError:
-                listeners[0].close()
-                raise
-            self.nvme_address = listeners[1].address
+        listeners = self._listen()
         extents = self._extents or ExtentMap(str(Path(settings.state_dir) / "extents"))
         if self._log is None and any(volume.regions for volume in settings.volumes):
             self._log = MissedLog(str(Path(settings.state_dir) / "missed"))
         try:
             with hub.scope(self._name) as scope:
-                seed = settings.seed or hub.random.getrandbits(63)
-                portions = None
-                if settings.fleet is not None and settings.fleet.budgets is not None:
-                    from harriertrack.gateway.fleet.budgets import portions_of  # other heads do not load it
-
-                    portions = portions_of(settings, hub)
-                self._portions = portions
-                self.module = self._module(self._told(settings), seed)
-                rules = request_rules(settings)
-                decides: Module = self.module
-                evidence = None
-                if portions is not None and settings.fleet is not None and settings.fleet.zones is not None:
-                    from harriertrack.decisions.fleet.evidence import Evidence
-                    from harriertrack.gateway.fleet.observing import Observed
-
-                    evidence = Evidence()
-                    decides = Observed(self.module, evidence)
-                if self.scored is not None:
-                    from harriertrack.gateway.fleet.observing import Observed
-
-                    decides = Observed(decides, self.scored.sights)
-                self._counting = self._counts()
-                self.core = Core(rules, decides, settings.volumes, self, self.nodes, extents)
-                parts = HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id,
-                                  self._note, self._name, portions, self._wiring.wall,
-                                  self._counting)  # fmt: skip
-                self._links = self._wiring.links(parts)
-                self._listing = self._wiring.listing(parts)
-                self.regional: Regional | None = None
-                if any(volume.regions for volume in settings.volumes):
-                    assert self._log is not None
-                    self.regional = Regional(hub, self._network, scope, settings, self.core, self._links,
-                                             self._log, self._note, self._name, portions)  # fmt: skip
-                self.mover = Mover(hub, scope, self.core, settings, self._note, self._may_move)
-                if isinstance(self.module, Celled):
-                    self.mover.follow(self.module.map)
-                    if settings.cell_map:
-                        scope.spawn("cell map", self._watch_map)
-                cells = self.module.map.volumes if isinstance(self.module, Celled) else None
-                self.reception = Reception(hub, settings, self.core, scope, self._note, self.regional, cells)
-                scope.spawn("front", NbdFront(self.reception).serve, listeners[0])
-                if settings.nvme is not None:
-                    nvme.start(self.reception, listeners[1], settings.nvme)
-                if cells is not None:
-                    scope.spawn("shares", self.reception.watch)
+                parts = self._decide(scope, extents)
+                self._reach_nodes(parts)
+                self._serve(scope, listeners)
                 if settings.fleet is not None:
-                    from harriertrack.gateway.fleet.beside import Beside  # other heads do not even load it
-                    from harriertrack.gateway.fleet.carrier import Fleet
-
-                    made = self._wiring
-                    beside = Beside(self._listing, extents, self._links.epochs, self.retell, evidence,
-                                    self.scored, made.datagrams, made.kept, made.handover,
-                                    made.usage)  # fmt: skip
-                    self.fleet = Fleet(parts, settings.fleet, beside)
-                    self.fleet.start()
-                    if self.fleet.budgets is not None:
-                        self.fleet.budgets.shed = self._links.shed
+                    self._join(parts, settings.fleet, extents)
                 self.ready.set()
                 self._stopping.wait()
-                if self.fleet is not None:
-                    self.fleet.leave()
-                self.reception.close()
-                for listener in listeners:
-                    listener.close()
-                self._drain(hub.now() + STOP_US)
-                if self.fleet is not None:
-                    self.fleet.wait_left()
+                self._take_no_more(listeners)
                 scope.cancel()
         finally:
             for listener in listeners:
@@ -186,6 +122,93 @@
             if self._log is not None:
                 self._log.close()
 
+    def _listen(self) -> list[Listener]:
+        """Return the listeners of the fronts: NBD, and NVMe where it is set. Raises OSError."""
+        listeners, settings = [self._network.listen(self.settings.listen)], self.settings
+        self.address = listeners[0].address
+        if settings.nvme is not None:
+            try:
+                listeners.append(self._network.listen(settings.nvme.listen))
+            except OSError:
+                listeners[0].close()
+                raise
+            self.nvme_address = listeners[1].address
+        return listeners
+
+    def _decide(self, scope: Scope, extents: ExtentMap) -> HeadParts:
+        """Make the module, what observes it for the fleet, and the core; return what all parts know."""
+        hub, settings, fleet = self.hub, self.settings, self.settings.fleet
+        seed = settings.seed or hub.random.getrandbits(63)
+        if fleet is not None and fleet.budgets is not None:
+            from harriertrack.gateway.fleet.budgets import portions_of  # other heads do not load it
+
+            self._portions = portions_of(settings, hub)
+        self.module = self._module(self._told(settings), seed)
+        decides: Module = self.module
+        if self._portions is not None and fleet is not None and fleet.zones is not None:
+            from harriertrack.decisions.fleet.evidence import Evidence
+            from harriertrack.gateway.fleet.observing import Observed
+
+            self._evidence = Evidence()
+            decides = Observed(self.module, self._evidence)
+        if self.scored is not None:
+            from harriertrack.gateway.fleet.observing import Observed
+
+            decides = Observed(decides, self.scored.sights)
+        self._counting = self._counts()
+        self.core = Core(request_rules(settings), decides, settings.volumes, self, self.nodes, extents)
+        return HeadParts(hub, self._network, scope, settings, self.core, self.nodes, self.head_id, self._note,
+                         self._name, self._portions, self._wiring.wall, self._counting)  # fmt: skip
+
+    def _reach_nodes(self, parts: HeadParts) -> None:
+        """Start what lies between the core and the nodes: links, list, the other region, moves."""
+        hub, settings, scope = self.hub, self.settings, parts.scope
+        self._links = self._wiring.links(parts)
+        self._listing = self._wiring.listing(parts)
+        if any(volume.regions for volume in settings.volumes):
+            assert self._log is not None
+            self.regional = Regional(hub, self._network, scope, settings, self.core, self._links, self._log,
+                                     self._note, self._name, self._portions)  # fmt: skip
+        self.mover = Mover(hub, scope, self.core, settings, self._note, self._may_move)
+        if isinstance(self.module, Celled):
+            self.mover.follow(self.module.map)
+            if settings.cell_map:
+                scope.spawn("cell map", self._watch_map)
+
+    def _serve(self, scope: Scope, listeners: list[Listener]) -> None:
+        """Start the fronts."""
+        settings = self.settings
+        cells = self.module.map.volumes if isinstance(self.module, Celled) else None
+        self.reception = Reception(self.hub, settings, self.core, scope, self._note, self.regional, cells)
+        scope.spawn("front", NbdFront(self.reception).serve, listeners[0])
+        if settings.nvme is not None:
+            nvme.start(self.reception, listeners[1], settings.nvme)
+        if cells is not None:
+            scope.spawn("shares", self.reception.watch)
+
+    def _join(self, parts: HeadParts, settings: FleetSettings, extents: ExtentMap) -> None:
+        """Take part in the fleet."""
+        from harriertrack.gateway.fleet.beside import Beside  # other heads do not even load it
+        from harriertrack.gateway.fleet.carrier import Fleet
+
+        made = self._wiring
+        beside = Beside(self._listing, extents, self._links.epochs, self.retell, self._links.shed,
+                        self._evidence, self.scored, made.datagrams, made.kept, made.handover,
+                        made.usage)  # fmt: skip
+        self.fleet = Fleet(parts, settings, beside)
+        self.fleet.start()
+
+    def _take_no_more(self, listeners: list[Listener]) -> None:
+        """Say goodbye, close the fronts, and wait for what is open."""
+        if self.fleet is not None:
+            self.fleet.leave()
+        self.reception.close()
+        for listener in listeners:
+            listener.close()
+        self._drain(self.hub.now() + STOP_US)
+        if self.fleet is not None:
+            self.fleet.wait_left()
+
     def _counts(self) -> Counting | None:
         fleet = self.settings.fleet
         if fleet is None or fleet.changes is None or fleet.changes.rollout is None:
--- a/tests/scoring/test_carrier.py
+++ b/tests/scoring/test_carrier.py
@@ -140,7 +140,7 @@
         def add(self, one):
             super().add(one)
             if isinstance(one, rec.Weights) and one.t > 1_009_000_000 and not told:
-                told.append(rig.heads[0].head.fleet.scoring.document(one.t))
+                told.append(rig.heads[0].head.fleet.together.scoring.document(one.t))
 
     from harriertrack.lab.fleet.rig import SimulatedFleet
     from harriertrack.runtime.hub import Hub
--- a/tests/test_fleet_budgets_carrier.py
+++ b/tests/test_fleet_budgets_carrier.py
@@ -294,7 +294,7 @@
                                    rules=RuleSettings(budget_window_us=S)))  # fmt: skip
 
     def seat(self, number):
-        return self.sites[number].head.fleet.budgets._seats[0]
+        return self.sites[number].head.fleet.together.budgets._seats[0]
 
     def keepers(self):
         return [number for number in range(len(self.sites)) if not self.sites[number].task.done
@@ -373,7 +373,7 @@
         hub.sleep(6 * S)
         client = heads.sites[1].client("shared")
         del client
-        portions = heads.sites[1].head.fleet.budgets.portions
+        portions = heads.sites[1].head.fleet.together.budgets.portions
         plan = api.Plan("p", limit=200.0, limit_burst=400.0)
         for step in range(100):
             portions.limit(hub.now(), api.Arrived(step, "read", "p", "shared", "", 0, 3.0, S, 2), plan)
@@ -422,7 +422,7 @@
     def test(heads):
         hub = heads.hub
         hub.sleep(6 * S)
-        seats = [[seat.candidate.valid(hub.now()) for seat in site.head.fleet.budgets._seats.values()] for site in heads.sites]
+        seats = [[seat.candidate.valid(hub.now()) for seat in site.head.fleet.together.budgets._seats.values()] for site in heads.sites]
         assert [sum(column) for column in zip(*seats, strict=True)] == [1, 1]
         client = heads.sites[0].client("shared")
         assert client.read(0, 4096, hub.now() + S).data == bytes(4096) if hasattr(client, "read") else True
@@ -437,7 +437,7 @@
     def test(heads):
         hub, head = heads.hub, heads.sites[0].head
         hub.sleep(6 * S)
-        links, portions = head._links, head.fleet.budgets.portions
+        links, portions = head._links, head.fleet.together.budgets.portions
         for export in ("disk", "shared"):
             client = heads.sites[0].client(export)
             for number in range(12):
@@ -450,7 +450,7 @@
         assert before == {"n0": 2, "n1": 2} and len(links) == 4, "one of each node's is a share"
         heads.datagrams._fate = lambda *_: ()
         hub.sleep(4 * S)
-        if head.fleet.budgets._seats[0].candidate.ledger is None:
+        if head.fleet.together.budgets._seats[0].candidate.ledger is None:
             assert used() == {"n0": 1, "n1": 1} and len(links) == 2, "the fixed part alone"
         heads.datagrams._fate = lambda *_: (100,)
         hub.sleep(4 * S)
