--- /dev/null
+++ b/harriertrack/lab/fleet/processes/streams.py
@@ -0,0 +1,40 @@
+"""Relays of streams between heads and their nodes, the list and the witness."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from harriertrack.runtime.hub import Hub, Scope
+from harriertrack.runtime.streams import Network
+from harriertrack.standin.link import Direction, Link
+from harriertrack.standin.relay import Weather
+
+
+class Streams:
+    """Those of one rig, by head and other party."""
+
+    def __init__(self, hub: Hub, network: Network) -> None:
+        self._hub, self._network = hub, network
+        self._links: dict[tuple[str, str], Link] = {}
+
+    def between(self, head: str, party: str, address: tuple[str, int], scope: Scope) -> tuple[str, int]:
+        """Put a relay between a head and a party at an address; return where the head finds it."""
+        link = Link(self._hub, self._network, address, Direction(delay_us=0), Direction(delay_us=0))
+        link.start(scope)
+        self._links[head, party] = link
+        return link.address
+
+    def follow(self, weather: Weather) -> None:
+        """Take what is cut or slow, or is not any more; TCP mends the rest."""
+        for (head, party), link in self._links.items():
+            for way, source, target in ((link.there, head, party), (link.back, party, head)):
+                way.blocked = weather.cut(source, target)
+                way.delay_us = weather.late_us(source, target)
+            link.changed()
+
+    def break_off(self, heads: Collection[str], parties: Collection[str]) -> None:
+        """Break the connections between some heads and some parties; new ones may be made at once."""
+        for (head, party), link in self._links.items():
+            if head in heads and party in parties:
+                link.set_cut(True)
+                link.set_cut(False)
--- /dev/null
+++ b/harriertrack/lab/fleet/rig/facts.py
@@ -0,0 +1,48 @@
+"""What the rules must know of a day before it begins."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from harriertrack.config.settings import BudgetUse, PlanSettings, ScoringSettings, VolumeSettings
+from harriertrack.decisions.fleet.scoring.rules import MOST_LOG
+from harriertrack.lab.fleet.scenario import ZONES, FleetDaySettings, chosen
+from harriertrack.lab.fleet.weights import BROKEN
+from harriertrack.rules import recording as rec
+
+
+def of_rollouts(day: FleetDaySettings) -> Iterator[rec.RolloutEnd]:
+    """Tell how versions are to end."""
+    for end in day.ends:
+        yield rec.RolloutEnd(t=0, thing=end.name, version=end.version)
+
+
+def of_zones(day: FleetDaySettings) -> Iterator[rec.ZoneFacts]:
+    """Tell which zones may be left."""
+    if day.zones is not None:
+        yield rec.ZoneFacts(t=0, zones=list(ZONES), may_leave=list(day.may_leave))
+
+
+def of_weights(day: FleetDaySettings, scoring: ScoringSettings, heads: int) -> rec.WeightFacts:
+    """Return what must hold of weights."""
+    names = [f"head{number}" for number in range(heads)]
+    return rec.WeightFacts(
+        t=0, most=MOST_LOG, rate=scoring.rate, fresh_us=scoring.stale_us, sway=day.sway,
+        notes_bytes=2.0 * day.figures.topic_bytes,  # what a second brings, and what was spared
+        liars=chosen(day.liars, names), broken=list(BROKEN),
+    )  # fmt: skip
+
+
+def of_budgets(day: FleetDaySettings, plans: Iterable[PlanSettings],
+               volumes: Iterable[VolumeSettings]) -> Iterator[rec.BudgetFacts]:  # fmt: skip
+    """Tell what the heads divide of each plan's limit."""
+    if day.budgets is None:
+        return
+    fixed = {one.name: one.fixed for one in day.budgets.budgets}.get(BudgetUse.LIMITS, 1.0)
+    limits = {plan.name: plan for plan in plans}
+    for volume in volumes:
+        if (plan := limits[volume.plan]).limit:
+            yield rec.BudgetFacts(
+                t=0, budget=f"limits/{volume.name}", rate=plan.limit, burst=plan.limit_burst,
+                moving=(1 - fixed) * plan.limit,
+            )  # fmt: skip
--- /dev/null
+++ b/harriertrack/lab/fleet/rig/fleet.py
@@ -0,0 +1,234 @@
+"""The rig of one day of a fleet, whatever its heads are made of."""
+
+from __future__ import annotations
+
+import random
+
+from harriertrack.decisions.fleet.rollout.launching import LaunchRules
+from harriertrack.lab.fleet import limits, markets
+from harriertrack.lab.fleet.rig import facts, operating, told
+from harriertrack.lab.fleet.rig.faults import Faults
+from harriertrack.lab.fleet.rig.hearing import Hearing
+from harriertrack.lab.fleet.rig.parties import heads_of
+from harriertrack.lab.fleet.rig.traffic import FOREVER_US, day_of
+from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings, Verb
+from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
+from harriertrack.rules import recording as rec
+from harriertrack.rules.fleet import Views
+from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.streams import MemoryNetwork, Network
+from harriertrack.standin.relay import Weather
+from harriertrack.standin.shelf import Shelf
+
+LOOK_US = 20_000
+LAUNCH = LaunchRules(ready_us=5_000_000, prove_us=4_000_000, drain_us=5_000_000)  # of heads with launchers
+SEEDS = 2
+DELAY_US = (100, 600)  # of a datagram in simulated time
+
+
+class FleetRig(Rig):
+    """Clients, the list and the steps of a day; what heads and nodes are made of, the kinds of rig say."""
+
+    def __init__(self, hub: Hub, network: Network, day: FleetDaySettings, heads: int, seed: int,
+                 recorder: rec.Recorder, state_dir: str | None = None,
+                 fleet: bool = True) -> None:  # fmt: skip
+        super().__init__(hub, network, day_of(day, heads), seed, recorder, state_dir)
+        self.fleet_day, self.with_fleet = day, fleet
+        self.faults = Faults(self, Weather(seed, DELAY_US if isinstance(network, MemoryNetwork) else (0, 0)))
+        self.views = Views()
+        self.drawn = random.Random(seed)
+        self.markets = markets.Markets(self, seed) if day.closing is not None else None
+        self.limits = limits.limits_of(self) if fleet else None
+        self.hearing = Hearing(self)
+        for end in facts.of_rollouts(day):
+            recorder.add(end)
+        if fleet:
+            self._record_facts()
+
+    def _record_facts(self) -> None:
+        day, record = self.fleet_day, self.recorder.add
+        for zones in facts.of_zones(day):
+            record(zones)
+        if day.scoring is not None:
+            record(facts.of_weights(day, day.scoring, self.day.heads))
+        for budget in facts.of_budgets(day, self.plans, self.volumes):
+            record(budget)
+
+    # -- what happens
+
+    def run(self) -> None:
+        """Play the day to its end (the rig's task)."""
+        hub = self.hub
+        with hub.scope(f"fleet day {self.day.name}") as scope:
+            self.scope = scope
+            try:
+                self.build()
+                self.add_flows()
+                if self.markets is not None:
+                    self.markets.open()
+                for flow in self.flows:
+                    scope.spawn(f"flow {flow.model.name}", flow.run, hub.now() + FOREVER_US)
+                if not isinstance(self.network, MemoryNetwork):
+                    scope.spawn("machine", self._watch_machine)
+                for step in self.fleet_day.steps:
+                    self.step(step)
+                self._finish()
+            finally:
+                self.close()
+            scope.cancel()
+
+    def _finish(self) -> None:
+        for flow in self.flows:
+            flow.closed = True
+        if self.markets is not None:
+            self.markets.close()
+        connections = [one for slot in self.heads for one in slot.connections]
+        for connection in connections:
+            connection.forget_unsent()
+        last = self.hub.now() + max(one.deadline_us for one in self.classes) + 2 * SETTLE_US
+        while self.hub.now() < last and any(one.open for one in connections):
+            self.hub.sleep(50_000)
+        self.hub.sleep(SETTLE_US)
+
+    def step(self, step: StepSettings) -> None:
+        """Do one step."""
+        who = heads_of(self, step)
+        match step.name:
+            case Verb.START:
+                for slot in who:
+                    if slot.name not in self.views.running:
+                        self.launch(slot, step)
+            case Verb.KILL:
+                for slot in who:
+                    if slot.name in self.views.running:
+                        self.kill(slot)
+            case Verb.STOP:
+                for slot in who:
+                    if slot.name in self.views.awake():
+                        self.stand(slot, step.for_us)
+            case Verb.STARVE:
+                for slot in who:
+                    if slot.name in self.views.awake():
+                        self.scope.spawn(f"starves {slot.name}", self.faults.starve, slot, step)
+            case Verb.LEAVE:
+                for slot in who:
+                    if slot.name in self.views.awake():
+                        self.lived(slot, "leaving")
+                        self.leave(slot)
+            case Verb.WEATHER:
+                self.faults.step(step)
+            case Verb.HEAL:
+                self.faults.heal()
+            case Verb.AGREE:
+                awake = self.views.awake()
+                self._agree([slot.name for slot in who if slot.name in awake], step.within_us)
+            case Verb.DEMAND:
+                self._lead([slot.name for slot in who], step.times)
+            case Verb.JUMP:
+                until = self.hub.now() + step.for_us
+                while self.hub.now() < until:
+                    for slot in who:
+                        if self.hub.now() < until:
+                            self._lead([slot.name], step.times)
+                            self.hub.sleep(step.every_us)
+            case Verb.ZONE:
+                self.zone_dark(step.zone, who, step.for_us)
+            case Verb.SLOW:
+                self.zone_slow(step.zone, step.times, step.for_us)
+            case Verb.WISH:
+                operating.wish_zone(self, step)
+            case Verb.PROPOSE | Verb.CHANGE:
+                self.change(step)
+            case Verb.LIMIT if self.limits is not None:
+                self.limits.step(step, who)
+            case Verb.MARKET | Verb.CLOCK if self.markets is not None:
+                self.markets.step(step, who)
+            case Verb.DECIDED:
+                operating.await_decided(self, step)
+            case Verb.BACKUP:
+                self.backup()
+            case Verb.DARK:
+                self.dark(step.for_us, step.old)
+            case Verb.REST:
+                self.hub.sleep(step.for_us)
+
+    @property
+    def witness_address(self) -> tuple[str, int]:
+        """Return where operators find the witness."""
+        raise NotImplementedError
+
+    def change(self, step: StepSettings) -> None:
+        """Do as an operator does who proposes a version of a thing, or says what becomes of it."""
+        operating.change(self, step)
+
+    def _lead(self, names: list[str], times: float) -> None:
+        """Let traffic go to some heads alone; a volume that none of them serves has none."""
+        for flow in self.flows:
+            flow.heads, flow.factor = frozenset(names), times
+
+    def lies(self, slot: HeadSlot) -> bool:
+        """Whether a head is a liar."""
+        return told.lies(self.fleet_day, slot.name, [one.name for one in self.heads])
+
+    def _agree(self, names: list[str], within_us: int) -> None:
+        began = self.hub.now()
+        while not (reached := self.views.agree(names)) and self.hub.now() - began < within_us:
+            self.hub.sleep(LOOK_US)
+        now = self.hub.now()
+        self.recorder.add(
+            rec.Agreed(t=now, members=names, within_us=within_us, after_us=now - began, reached=reached)
+        )
+
+    def lived(self, slot: HeadSlot, how: str) -> None:
+        """Record what became of a head."""
+        record = rec.Lived(t=self.hub.now(), member=slot.name, how=how)  # type: ignore[arg-type]
+        self.views.take(record)
+        self.recorder.add(record)
+
+    # -- what heads are made of
+
+    def launch(self, slot: HeadSlot, step: StepSettings) -> None:
+        """Start a head."""
+        raise NotImplementedError
+
+    def kill(self, slot: HeadSlot) -> None:
+        """End a head at once."""
+        raise NotImplementedError
+
+    def stand(self, slot: HeadSlot, us: int) -> None:
+        """Let a head stand still for a time."""
+        raise NotImplementedError
+
+    def pause(self, slot: HeadSlot, us: int) -> None:
+        """Let a head stand still for a moment that nobody need hear of."""
+        raise NotImplementedError
+
+    def leave(self, slot: HeadSlot) -> None:
+        """Ask a head to end."""
+        raise NotImplementedError
+
+    def in_zone(self, zone: str) -> list[Shelf]:
+        """Return the nodes of a zone."""
+        return [shelf for shelf in self.shelves.values() if shelf.settings.zone == zone]
+
+    def zone_dark(self, zone: str, who: list[HeadSlot], us: int) -> None:
+        """Let nothing pass between some heads and a zone's nodes for a time."""
+        raise NotImplementedError
+
+    def zone_slow(self, zone: str, times: float, us: int) -> None:
+        """Let a zone's nodes work slower for a time."""
+        raise NotImplementedError
+
+    def backup(self) -> None:
+        """Keep aside what the witness knows."""
+        raise NotImplementedError
+
+    def dark(self, us: int, old: bool) -> None:
+        """Take the witness away for a time; `old`: it comes back as of the backup."""
+        raise NotImplementedError
+
+    def weather_changed(self) -> None:
+        """Let what carries bytes follow the faults in force, where it does not ask at each."""
+
+    def close(self) -> None:
+        """End all that was started."""
--- /dev/null
+++ b/harriertrack/lab/fleet/rig/operating.py
@@ -0,0 +1,66 @@
+"""What an operator does on a day: proposes versions, says what becomes of them, waits for the verdict."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from harriertrack.decisions.fleet.changes.record import Record
+from harriertrack.decisions.fleet.changes.standing import OVER, Standing
+from harriertrack.decisions.fleet.changes.writing import propose, wish
+from harriertrack.decisions.fleet.rollout.rollout import in_stages
+from harriertrack.gateway.fleet.changes import keeping
+from harriertrack.gateway.fleet.zones import set_wish
+from harriertrack.gateway.witness import WitnessClient
+from harriertrack.lab.fleet import staging
+from harriertrack.lab.fleet.scenario import StepSettings, Verb
+from harriertrack.rules import recording as rec
+
+if TYPE_CHECKING:
+    from harriertrack.lab.fleet.rig.fleet import FleetRig
+
+CALL_US = 1_000_000
+DECIDED_US = 500_000
+
+
+def _witness(rig: FleetRig) -> WitnessClient:
+    return WitnessClient(rig.hub, rig.network, rig.witness_address, CALL_US, "operator")
+
+
+def change(rig: FleetRig, step: StepSettings) -> None:
+    """Propose a version of a thing, or say what becomes of it."""
+    now_ms, thing = rig.hub.clock.wall() // 1000, step.thing
+
+    def make(record: Record) -> Record:
+        if step.name is Verb.CHANGE:
+            return wish(record, thing, Standing(step.to), "operator", now_ms, "the day says so")
+        holds = record.in_force(thing)
+        base = holds.number if holds is not None else 0
+        return propose(record, thing, base, step.body, "operator", now_ms, "the day says so", step.plan,
+                       step.although)  # fmt: skip
+
+    found = keeping.write(_witness(rig), make)
+    last = found.record.under_way(thing) or found.record.of(thing)[-1]
+    rig.recorder.add(
+        rec.Proposed(t=rig.hub.now(), thing=thing, version=last.number, standing=last.standing.value)
+    )
+    staged = rig.fleet_day.changes is not None and rig.fleet_day.changes.rollout is not None
+    if step.name is Verb.PROPOSE and staged and in_stages(thing):
+        rig.recorder.add(staging.facts_of(rig.hub.now(), last, rig.heads))
+
+
+def wish_zone(rig: FleetRig, step: StepSettings) -> None:
+    """Wish a zone out or in."""
+    set_wish(_witness(rig), step.zone, step.wish)
+
+
+def await_decided(rig: FleetRig, step: StepSettings) -> None:
+    """Wait until a thing's newest version is in force or taken back, or the step's time is over."""
+    until = rig.hub.now() + step.within_us
+    while rig.hub.now() < until:
+        told = [one for one in rig.recorder.records if isinstance(one, rec.Proposed)]
+        last = next(one for one in reversed(told) if one.thing == step.thing)
+        if any(isinstance(one, rec.RolloutStep) and (one.thing, one.version) == (last.thing, last.version)
+               and Standing(one.standing) in (*OVER, Standing.IN_FORCE)
+               for one in reversed(rig.recorder.records)):  # fmt: skip
+            return
+        rig.hub.sleep(DECIDED_US)
--- /dev/null
+++ b/harriertrack/lab/fleet/rig/traffic.py
@@ -0,0 +1,25 @@
+"""The day of clients and nodes that goes on beside a fleet's day."""
+
+from __future__ import annotations
+
+from harriertrack.lab.day import DaySettings
+from harriertrack.lab.fleet import markets
+from harriertrack.lab.fleet.scenario import ZONES, FleetDaySettings
+
+FOREVER_US = 24 * 3600 * 1_000_000
+TRIM_US = 2_500_000  # trims after closes hurry no more than writes do
+
+
+def day_of(day: FleetDaySettings, heads: int) -> DaySettings:
+    """Return the day of clients and nodes that goes on beside a fleet's day."""
+    beside = []
+    if day.closing is not None:
+        beside = markets.volumes(day.markets, heads, day.hosts, day.shelves, day.extent_bytes,
+                                 day.desks)  # fmt: skip
+    return DaySettings(
+        name=day.name, about=day.about, length_us=FOREVER_US, heads=heads, nodes=day.shelves,
+        zones=ZONES, rate=day.rate * heads, volumes=day.volumes or heads, shared=day.shared,
+        hosts=day.hosts, beside=tuple(beside), volume_bytes=64 << 20, extent_bytes=day.extent_bytes,
+        request_us=300, unit_us=200, move_deadline_us=TRIM_US if day.closing is not None else 400_000,
+        cores=4, queue=256, limit=day.limit, limit_burst=day.limit_burst, limit_slack=day.limit_slack,
+    )  # fmt: skip
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -121,7 +121,7 @@
     """Write settings of a head that listens to its fleet elsewhere, behind a relay of its own."""
     (slot,) = [slot for slot in rig.heads if slot.name == name]
     inner = rig.places.next()
-    fleet_ = msgspec.structs.replace(slot.settings.fleet, listen=inner, advertise=rig._relay.admit(party, inner))
+    fleet_ = msgspec.structs.replace(slot.settings.fleet, listen=inner, advertise=rig.relay.admit(party, inner))
     settings = msgspec.structs.replace(slot.settings, fleet=fleet_, listen=rig.places.next(), state_dir=str(rig.path(party)))
     rig.path(f"{party}.sexp").write_text(written("head", settings))
     return slot
