Heads hold how it went before a version, and tell whoever decides next; asked ends are no crashes

Observed: a decider that took over in the middle of a stage knew of no time before, and compared as if heads were alike; and restarts by operators counted as crashes of the version. Heads now keep their own counts of the time between 'proposed' and the first head named (on disk: a program's coming ends the head that knew), tell them while the version is on its way, and the next decider goes by those of one time if half of the heads tell them. A new head that tells of four times as much as the others is not counted: without that rule one lying by ten let a bad version pass its stage. A life that said goodbye in the view was ended by somebody's wish.

Found by it: who took over while a head was away did not know that head's volumes, and held the load that had moved against the fleet (a program paused in its last stage); until they are known anybody may bear it. Tests: deciders that die after each step, with a program and with settings, good and bad; sleepers, liars.

--- a/harriertrack/decisions/fleet/rollout/conducting.py
+++ b/harriertrack/decisions/fleet/rollout/conducting.py
@@ -1,22 +1,26 @@
 """All rollouts of a fleet, as the head that decides conducts them: reports in, the next step out.
 
-Begins anew with each term: what is written in the record is all that one decider leaves to the next. Pure.
+Begins anew with each term. What one decider leaves to the next is written in the record, but for how it went
+before the version: that each head holds of itself, and tells. Pure.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
 from harriertrack.decisions.fleet.changes.record import Record, Version, kind_of
 from harriertrack.decisions.fleet.changes.standing import RUN, UNDER_WAY, Standing
+from harriertrack.decisions.fleet.rollout.believing import Told, believed
 from harriertrack.decisions.fleet.rollout.choosing import Member
 from harriertrack.decisions.fleet.rollout.evidence import Evidence, Report
 from harriertrack.decisions.fleet.rollout.judging import Finding, Judge, Verdict, outgrown
 from harriertrack.decisions.fleet.rollout.plan import Plan, goes_away
+from harriertrack.decisions.fleet.rollout.remembering import Before
 from harriertrack.decisions.fleet.rollout.rollout import Rollout, Step, in_stages, told, waits_for
 
 HEARD_US = 6_000_000  # a head that reports no more is not heard; it reports each second
+LATE_US = 2_000_000  # what a head tells is as old as it says, but for the way
 MOST_PAST = 7  # lives of a head that are remembered to be over
 NOTHING = Finding(Verdict.NOT_YET, "no evidence yet")
 
@@ -53,6 +57,9 @@
     finding: Finding = NOTHING
     stage: int = 0
     spoilt: str = ""
+    taken_over: bool = False  # this decider did not see the whole time of before
+    telling: dict[str, Told] = field(default_factory=dict)  # what heads told of it
+    known: int = 0  # heads, when that was weighed
 
 
 @dataclass(slots=True)
@@ -62,9 +69,24 @@
     plan_of: Callable[[Version], Plan]
     followed: dict[tuple[str, int], Followed] = field(default_factory=dict)
     _heard: dict[str, _Heard] = field(default_factory=dict)
-
-    def heard(self, now: int, report: Report, volumes: frozenset[int] | None, zone: str) -> None:
-        """Take a head's report; `volumes`: checksums of those it serves, None if not all were told."""
+    _told: dict[str, Told] = field(default_factory=dict)
+
+    def heard_before(self, now: int, head: str, before: Before) -> None:
+        """Take what a head tells of the time before a version."""
+        ended, known = now - before.ago_us, self._told.get(head)
+        key = before.thing, before.number
+        if known is not None and (known.before.thing, known.before.number) == key:
+            if abs(known.ended - ended) <= LATE_US and known.before.classes.keys() == before.classes.keys():
+                return  # the same again
+        self._told[head] = Told(ended, before)
+
+    def heard(self, now: int, report: Report, volumes: frozenset[int] | None, zone: str,
+              asked: Collection[int] = ()) -> None:  # fmt: skip
+        """Take a head's report.
+
+        `volumes`: checksums of those it serves, None if not all were told; `asked`: its lives that ended as
+        somebody wished.
+        """
         before = self._heard.get(report.head)
         past: tuple[int, ...] = ()
         if before is not None:
@@ -75,7 +97,7 @@
                 past = (*past[-MOST_PAST:], before.report.life)
         self._heard[report.head] = _Heard(now, report, volumes, past)
         for one in self.followed.values():
-            one.evidence.heard(now, report, zone)
+            one.evidence.heard(now, report, zone, asked)
 
     def understood(self) -> dict[str, int]:
         """Return the feature level that each head said last that it understands."""
@@ -122,7 +144,8 @@
             plan = self.plan_of(version)
             one = Followed(Rollout(*key, plan), Evidence(*key, plan.settle_us))
             if version.standing is not Standing.PROPOSED:
-                one.evidence.begin()  # another decider's time before is not known to this one
+                one.taken_over = True  # it was seen by another
+                one.evidence.begin()
             self.followed[key] = one
         members = self.members(now, known, version)
         plan = one.rollout.plan
@@ -142,7 +165,11 @@
             return
         away = one.rollout.away(version.heads, members)
         moved = {volume for name in away if name in members for volume in members[name].volumes or ()}
-        bears = [name for name, member in members.items() if member.volumes and member.volumes & moved]
+        # What a head serves that went before this decider heard of it is not known: any head may bear it.
+        unknown = any(members[name].volumes is None and members[name].absent_us <= one.rollout.plan.ready_us
+                      for name in away if name in members)  # fmt: skip
+        bears = [name for name, member in members.items()
+                 if unknown or (member.volumes and member.volumes & moved)]  # fmt: skip
         one.evidence.disturbed(bears, now + one.rollout.plan.settle_us)
 
     def _judge(self, now: int, version: Version, one: Followed, members: Mapping[str, Member]) -> None:
@@ -152,7 +179,9 @@
             return
         fresh = one.judge is None or one.stage != version.stage
         if one.judge is None or fresh:
-            one.judge, one.stage = Judge(plan, one.evidence.before), version.stage
+            one.judge, one.stage, one.telling = Judge(plan, one.evidence.before), version.stage, {}
+        if one.taken_over:
+            self._believe(version, one, one.judge)
         ticks = list(one.evidence.ticks(now))
         for rows in ticks:
             one.judge.take(rows)
@@ -161,6 +190,20 @@
             alone = all(name in version.heads for name, member in members.items() if member.here)
             one.finding = one.judge.finding(at, alone)
 
+    def _believe(self, version: Version, one: Followed, judge: Judge) -> None:
+        """Go by what heads tell of the time before, as far as it is to be believed."""
+        key = version.thing, version.number
+        telling = {name: told for name, told in self._told.items()
+                   if (told.before.thing, told.before.number) == key}  # fmt: skip
+        heads = one.evidence.heads
+        if telling == one.telling and len(heads) == one.known:
+            return
+        one.telling, one.known = telling, len(heads)
+        found = believed(telling, heads, one.rollout.plan.bounds.more)
+        judge.believe(found.counts, found.odd)
+        for name in {head for head, _ in found.counts}:
+            one.evidence.used(name, telling[name].before.usage)
+
     def _spoilt(self, one: Followed, plan: Plan) -> str:
         if not plan.measures:
             return ""
--- a/harriertrack/decisions/fleet/rollout/evidence.py
+++ b/harriertrack/decisions/fleet/rollout/evidence.py
@@ -84,13 +84,24 @@
         """The first head is about to change: what was before is over."""
         self._begun = True
 
-    def heard(self, now: int, report: Report, zone: str) -> None:
-        """Take a report."""
+    @property
+    def heads(self) -> Collection[str]:
+        """Return who was heard."""
+        return self._heads.keys()
+
+    def used(self, head: str, usage: Usage) -> None:
+        """Hear from a head what it used before, where this was not seen."""
+        one = self._heads.get(head)
+        if one is not None and self._begun and not one.before.reports:
+            one.before = usage
+
+    def heard(self, now: int, report: Report, zone: str, asked: Collection[int] = ()) -> None:
+        """Take a report; `asked`: lives of the head that ended as somebody wished."""
         self._close(now)
         number = report.runs.get(self.thing, 0)
         one = self._heads.get(report.head)
         if one is None or one.life != report.life:
-            if one is not None and one.number == number:
+            if one is not None and one.number == number and one.life not in asked:
                 self._ended(now, zone, number == self.number)
             fresh = _Head(report.life, number, now, now, zone)
             if one is not None:
--- a/harriertrack/decisions/fleet/rollout/judging.py
+++ b/harriertrack/decisions/fleet/rollout/judging.py
@@ -56,14 +56,20 @@
 
     plan: Plan
     before: Mapping[tuple[str, str], Tally]
+    odd: Mapping[str, str] = field(default_factory=dict)  # new heads left out, if these are new; and why
     cells: dict[Key, Cell] = field(default_factory=dict)
     _fleet: dict[Measure, tuple[float, float]] = field(default_factory=dict)  # sum, and of how many
     _seen: dict[tuple[str, str], Tally] = field(default_factory=dict)  # of old heads, meanwhile
     _usual: Usual | None = None
     _ticks: int = 0
 
+    def believe(self, before: Mapping[tuple[str, str], Tally], odd: Mapping[str, str]) -> None:
+        """Go by other figures of before from now on."""
+        self.before, self.odd, self._usual, self._ticks = before, odd, None, 0
+
     def take(self, rows: list[Row]) -> None:
         """Take what was answered in one tick."""
+        rows = [row for row in rows if not row.new or row.head not in self.odd]
         usual = self._what_is_usual(rows)
         strata: dict[tuple[str, str], list[Row]] = {}
         for row in rows:
@@ -81,7 +87,7 @@
     def _what_is_usual(self, rows: list[Row]) -> Usual:
         more = self.plan.bounds.more
         if self.before:
-            self._usual = self._usual or Usual(self.before, more)
+            self._usual = self._usual or Usual(self.before, more, self.odd)
             return self._usual
         for row in rows:
             if not row.new:
@@ -160,7 +166,8 @@
             if cell.new.n >= least and weights[key][1] > passes:
                 return Finding(Verdict.NOT_YET, _told(key, cell))
         if not any(cell.new.n for cell in first):
-            return Finding(Verdict.NOT_YET, "no answers yet")
+            odd = "; ".join(f"{head} is not believed, {why}" for head, why in sorted(self.odd.items()))
+            return Finding(Verdict.NOT_YET, f"no answers yet{odd and ': ' + odd}")
         return Finding(Verdict.NOT_WORSE, f"{sum(cell.new.n for cell in first)} answers")
 
 
--- a/harriertrack/decisions/fleet/rollout/usual.py
+++ b/harriertrack/decisions/fleet/rollout/usual.py
@@ -2,13 +2,13 @@
 
 A head's own figure is drawn to that of all heads by how much heads differ at all (Gamma and Poisson, the
 difference by the method of moments, from all classes together and at least what a class shows by itself).
-Without a time before, as for who took over in the middle, all heads are expected to be alike, as surely as
-those of the old version are. Pure.
+Without a time before, as for who took over in the middle of heads that do not tell it, all are expected to
+be alike, as surely as those of the old version are. Pure.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from harriertrack.decisions.fleet.rollout.counting import BUCKETS, Tally
@@ -64,6 +64,7 @@
 
     counts: Mapping[tuple[str, str], Tally]
     more: float  # the bound's
+    odd: Collection[str] = ()  # heads that say nothing of others
     _rates: dict[tuple[Measure, str, str], Rate] = field(default_factory=dict)
     _classes: dict[str, dict[str, Tally]] = field(default_factory=dict)
     _slow: dict[str, int] = field(default_factory=dict)
@@ -71,7 +72,8 @@
 
     def __post_init__(self) -> None:
         for (head, class_name), tally in self.counts.items():
-            self._classes.setdefault(class_name, {})[head] = tally
+            if head not in self.odd:
+                self._classes.setdefault(class_name, {})[head] = tally
 
     def slow(self, class_name: str) -> int:
         """Return from which bucket on a class's answers are slow; where nothing is known nothing is."""
@@ -87,7 +89,7 @@
         key = (measure, class_name, head)
         if key not in self._rates:
             pool, weight = self._pool(measure, class_name)
-            own = self._classes.get(class_name, {}).get(head, Tally())
+            own = self.counts.get((head, class_name), Tally())
             bad, n = badly(measure, own, self.slow(class_name)), counted(measure, own)
             part = pool * (bad + weight) / (n * pool + weight)
             self._rates[key] = Rate(max(LEAST_BADLY * self.more, part), 1 / (bad + weight))
--- a/harriertrack/gateway/fleet/changes/carrier.py
+++ b/harriertrack/gateway/fleet/changes/carrier.py
@@ -74,6 +74,11 @@
         """Return the last good one, also while nobody can be asked."""
         return self._follower.record
 
+    @property
+    def kept(self) -> ChangesCache:
+        """Return where this head keeps what it knows of changes."""
+        return self._cache
+
     def use(self, kind: Kind, user: User) -> None:
         """Name who takes versions of things of a kind; before `start`."""
         self._users[kind] = user
--- a/harriertrack/gateway/fleet/rollout/carrier.py
+++ b/harriertrack/gateway/fleet/rollout/carrier.py
@@ -21,20 +21,25 @@
 from harriertrack.decisions.fleet.rollout.evidence import Report
 from harriertrack.decisions.fleet.rollout.levels import next_level, too_old
 from harriertrack.decisions.fleet.rollout.plan import Plan
+from harriertrack.decisions.fleet.rollout.remembering import Before, Remembering
 from harriertrack.decisions.fleet.rollout.rollout import Step
 from harriertrack.gateway.fleet.changes.carrier import LEVEL, Changes
 from harriertrack.gateway.fleet.deciding import Deciding
 from harriertrack.gateway.fleet.rollout.program_user import HANDING_OVER
+from harriertrack.gateway.fleet.rollout.remembered import Remembered
 from harriertrack.gateway.fleet.rollout.reports import (
     Heard,
     MalformedReport,
+    encode_before,
     encode_counts,
     encode_volumes,
 )
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.gateway.witness import FAILURES
 from harriertrack.membership.fleet.changing import DamagedRecord
+from harriertrack.membership.fleet.messages import State
 from harriertrack.membership.fleet.swim import Swim
+from harriertrack.membership.fleet.view import Row
 
 TOPIC = "rollout"
 Usage = Callable[[], tuple[int, int]]  # bytes of memory, microseconds of processor
@@ -45,6 +50,13 @@
     return 0, 0
 
 
+def asked(row: Row | None) -> frozenset[int]:
+    """Return the lives of a member that ended as somebody wished: it said goodbye, which no crash does."""
+    if row is None:
+        return frozenset()
+    return frozenset(one.record.instance for one in row.history if one.record.state is State.LEFT)
+
+
 class Rollouts:
     """This head's part."""
 
@@ -59,10 +71,16 @@
         sums = sorted({crc32(one.name.encode()) for one in parts.settings.volumes})
         self._pages = list(encode_volumes(swim.me.instance, sums))
         self._page = 0
+        self._remembering = Remembering(parts.hub.now())
+        self._remembered = Remembered(changes.kept, parts.note)
         deciding.on_report[TOPIC] = self._come
 
     def start(self) -> None:
-        """Take part from now on."""
+        """Take part from now on; after `changes` does."""
+        if (before := self._remembered.read(self._wall())) is not None:
+            self._remembering.again(self._hub.now(), before)
+        self._changes.listeners.append(self._remember)
+        self._remember()
         self._parts.scope.spawn("rollout reports", self._tell)
         self._parts.scope.spawn("rollouts", self._run)
 
@@ -70,11 +88,24 @@
 
     def _tell(self) -> None:
         while True:
+            self._remember()
             self._deciding.report(TOPIC, encode_counts(self._report()))
+            if (before := self._remembering.told(self._hub.now())) is not None:
+                self._deciding.report(TOPIC, encode_before(self._swim.me.instance, before))
             self._deciding.report(TOPIC, self._pages[self._page])
             self._page = (self._page + 1) % len(self._pages)
             self._hub.sleep(self._settings.report_us)
 
+    def _wall(self) -> int:
+        return self._hub.clock.wall()
+
+    def _remember(self) -> None:
+        """Hold on to how it went before a version, when the first head is named."""
+        now, (memory, processor_us) = self._hub.now(), self._usage()
+        new = self._remembering.look(now, self._changes.record, self._counting.classes, memory, processor_us)
+        if new and (before := self._remembering.told(now)) is not None:
+            self._remembered.write(self._wall(), before)
+
     def _report(self) -> Report:
         memory, processor_us = self._usage()
         fell = {thing: told for thing, told in self._changes.turned_down().items() if told[1] != HANDING_OVER}
@@ -92,10 +123,12 @@
             report = heard.take(body)
         except MalformedReport:
             return  # that head is not heard
-        if report is not None:
+        if isinstance(report, Before):
+            self._conductor.heard_before(now, head, report)
+        elif report is not None:
             row = self._swim.view.find(head)
             zone = row.record.zone if row is not None else ""
-            self._conductor.heard(now, report, heard.volumes, zone)
+            self._conductor.heard(now, report, heard.volumes, zone, asked(row))
 
     def _run(self) -> None:
         """Conduct what is under way, while this head decides (a task)."""
@@ -124,7 +157,7 @@
 
     def _write(self, term: Term, step: Step) -> None:
         def make(record: Record) -> Record:
-            return step.write(record, term.epoch, self._hub.clock.wall() // 1000)
+            return step.write(record, term.epoch, self._wall() // 1000)
 
         if self._deciding.keeps(self._hub.now()) != term:
             return
--- a/harriertrack/gateway/fleet/rollout/reports.py
+++ b/harriertrack/gateway/fleet/rollout/reports.py
@@ -1,17 +1,19 @@
-"""Reports of heads to who decides, as bytes: counts in one, volumes in pages.
+"""Reports of heads to who decides, as bytes: counts, volumes in pages, and how it went before a version.
 
-At most as many bytes as a topic's body may have; of more classes than fit the least busy are left out.
+At most as many bytes as a topic's body may have; of more classes than fit the least busy are left out. A kind
+of report that a decider of an older program does not know it passes over.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Annotated
 
 import msgspec
 
 from harriertrack.decisions.fleet.rollout.counting import BUCKETS, Tally
-from harriertrack.decisions.fleet.rollout.evidence import Report
+from harriertrack.decisions.fleet.rollout.evidence import Report, Usage
+from harriertrack.decisions.fleet.rollout.remembering import Before
 from harriertrack.membership.fleet.budgeting import MOST_TOPIC_BODY
 
 PAGE = 150  # checksums of volumes in one report
@@ -37,7 +39,18 @@
     sums: Annotated[list[Number], msgspec.Meta(max_length=PAGE)]
 
 
-_DECODER = msgspec.msgpack.Decoder(_Counted | _Volumes)
+class _Before(msgspec.Struct, array_like=True, tag=2):
+    life: Number
+    thing: Name
+    number: Number
+    ago_us: Number
+    memory: Number
+    processor_us: Number
+    looks: Number
+    classes: dict[Name, Counts]
+
+
+_DECODER = msgspec.msgpack.Decoder(_Counted | _Volumes | _Before)
 
 
 class MalformedReport(ValueError):
@@ -67,6 +80,50 @@
         classes.pop()
 
 
+def encode_before(life: int, before: Before) -> bytes:
+    """Return a report of how it went before a version."""
+    classes = sorted(before.classes.items(), key=lambda one: -one[1].answers)
+    usage = before.usage
+    while True:
+        data = msgspec.msgpack.encode(
+            _Before(life, before.thing, before.number, before.ago_us, usage.memory, usage.processor_us,
+                    usage.reports, {name: _flat(tally) for name, tally in classes})
+        )  # fmt: skip
+        if len(data) <= MOST_TOPIC_BODY:
+            return data
+        classes.pop()
+
+
+def decode_before(data: bytes) -> Before:
+    """Read a report of how it went before. Raises MalformedReport."""
+    read = _decoded(data)
+    if not isinstance(read, _Before):
+        raise MalformedReport("another kind of report")
+    return _before(read)
+
+
+def _decoded(data: bytes) -> _Counted | _Volumes | _Before:
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise MalformedReport(str(error)) from error
+
+
+def _before(read: _Before) -> Before:
+    classes = _tallies(read.classes)
+    answers = sum(one.answers for one in classes.values())
+    usage = Usage(read.memory, read.processor_us, answers, read.looks)
+    return Before(read.thing, read.number, read.ago_us, classes, usage)
+
+
+def _tallies(classes: Mapping[str, list[int]]) -> dict[str, Tally]:
+    return {
+        name: Tally(flat[0], flat[1], flat[2], flat[3], flat[4],
+                    [*flat[5:], *[0] * (BUCKETS + 5 - len(flat))])
+        for name, flat in classes.items()
+    }  # fmt: skip
+
+
 def encode_volumes(life: int, sums: list[int]) -> Iterator[bytes]:
     """Yield reports of the volumes that a head serves, by checksums."""
     pages = max(1, -(-len(sums) // PAGE))
@@ -82,12 +139,9 @@
         self._pages: dict[int, list[int]] = {}
         self._of = 0
 
-    def take(self, body: bytes) -> Report | None:
-        """Take a report; return the counts, if it has such. Raises MalformedReport."""
-        try:
-            read = _DECODER.decode(body)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            raise MalformedReport(str(error)) from error
+    def take(self, body: bytes) -> Report | Before | None:
+        """Take a report; return the counts or what was before, if it has such. Raises MalformedReport."""
+        read = _decoded(body)
         if read.life != self._life:
             self._life, self._pages, self._of = read.life, {}, 0
         if isinstance(read, _Volumes):
@@ -95,13 +149,10 @@
                 self._pages, self._of = {}, read.pages
             self._pages[read.page] = read.sums
             return None
-        classes = {
-            name: Tally(flat[0], flat[1], flat[2], flat[3], flat[4],
-                        [*flat[5:], *[0] * (BUCKETS + 5 - len(flat))])
-            for name, flat in read.classes.items()
-        }  # fmt: skip
-        return Report(self._head, read.life, read.runs, classes, read.memory, read.processor_us, read.fell,
-                      read.level)  # fmt: skip
+        if isinstance(read, _Before):
+            return _before(read)
+        return Report(self._head, read.life, read.runs, _tallies(read.classes), read.memory,
+                      read.processor_us, read.fell, read.level)  # fmt: skip
 
     @property
     def volumes(self) -> frozenset[int] | None:
--- a/harriertrack/lab/fleet/staged.py
+++ b/harriertrack/lab/fleet/staged.py
@@ -20,6 +20,7 @@
 from harriertrack.decisions.fleet.rollout.counting import BUCKETS, Tally
 from harriertrack.decisions.fleet.rollout.evidence import Report
 from harriertrack.decisions.fleet.rollout.plan import USUAL as USUAL_PLAN, Plan
+from harriertrack.decisions.fleet.rollout.remembering import Before, Remembering
 
 S = 1_000_000
 TOOK = np.array([0.02, 0.10, 0.40, 0.30, 0.10, 0.05, 0.03] + [0.0] * (BUCKETS - 7))  # of served requests
@@ -72,12 +73,36 @@
     gone_at: int = -1
     becomes: tuple[str, int] | None = None
     clump: float = 1.0
+    tells: bool = True  # how it went before; a head of an older program does not
+    lies: float = 1.0  # times as often it went badly before, as it tells
+    asleep: bool = False  # it does nothing
+    remembering: Remembering = field(default_factory=lambda: Remembering(0))
     record: Record = field(default_factory=Record)
 
     @property
     def serves(self) -> bool:
         """Whether it answers requests."""
-        return not self.dead and self.becomes is None
+        return not self.dead and not self.asleep and self.becomes is None
+
+    def restarted(self, now: int) -> None:
+        """Begin another life, with what is kept on disk."""
+        kept = self.remembering.told(now)
+        self.life, self.classes, self.remembering = self.life + 1, {}, Remembering(now)
+        if kept is not None:
+            self.remembering.again(now, kept)
+
+    def before(self, now: int) -> Before | None:
+        """Return what it tells of how it went before."""
+        told = self.remembering.told(now)
+        if told is None or not self.tells:
+            return None
+        return replace(told, classes={name: _lied(one, self.lies) for name, one in told.classes.items()})
+
+
+def _lied(tally: Tally, times: float) -> Tally:
+    late, refused, failed = (round(times * one) for one in (tally.late, tally.refused, tally.failed))
+    timely = max(0, tally.answers - late - refused - failed)
+    return Tally(timely, late, refused, failed, tally.broken, list(tally.took))
 
 
 USUAL = {"read": Habit(0.6), "write": Habit(0.35), "list": Habit(0.05)}
@@ -167,6 +192,8 @@
                     classes[name].add(tally)
                 report = Report(one.name, one.life, dict(one.runs), classes, 100 << 20, 0, dict(one.fell), 1)
                 self.conductor.heard(self.now, report, one.volumes, one.zone)
+                if (before := one.before(self.now)) is not None:
+                    self.conductor.heard_before(self.now, one.name, before)
             if heard or (one is decider):
                 one.gone_at = -1
             elif one.gone_at < 0:
@@ -183,13 +210,14 @@
 
     def _changes(self, one: StagedHead) -> None:
         """Follow the record, as a head does that can reach it."""
-        if one.dead:
+        if one.dead or one.asleep:
             return
         if one.becomes is not None:
             if self.now < one.away_until:
                 return
             thing, number = one.becomes
-            one.becomes, one.life, one.classes = None, one.life + 1, {}
+            one.becomes = None
+            one.restarted(self.now)
             if self.harms.get((thing, number), Harm()).falls:
                 one.fell[thing] = (number, "not ready in time")
             else:
@@ -197,6 +225,7 @@
                 one.fell.pop(thing, None)
         if not one.cut:
             one.record = self.record
+        one.remembering.look(self.now, one.record, one.classes)
         for thing in {*one.record.things(), *one.runs}:
             wanted = one.record.wanted(thing, one.name)
             number = wanted.number if wanted is not None else 0
--- a/harriertrack/storage/changes.py
+++ b/harriertrack/storage/changes.py
@@ -1,4 +1,4 @@
-"""A head's copy of the record of changes on disk: what it runs by when nobody can be asked."""
+"""What a head keeps of changes on disk: its copy of the record, by which it runs when nobody can be asked."""
 
 from __future__ import annotations
 
@@ -12,9 +12,15 @@
     With folder None it lives in memory alone (simulated days).
     """
 
-    def __init__(self, folder: str | None) -> None:
-        self._path = Path(folder) / "changes" if folder is not None else None
+    def __init__(self, folder: str | None, name: str = "changes") -> None:
+        self._folder = folder
+        self._path = Path(folder) / name if folder is not None else None
         self._memory: bytes | None = None
+        self._beside: dict[str, ChangesCache] = {}
+
+    def beside(self, name: str) -> ChangesCache:
+        """Return another file in the same folder."""
+        return self._beside.setdefault(name, ChangesCache(self._folder, name))
 
     def read(self) -> bytes | None:
         """Return what was kept last; None if nothing was."""
--- /dev/null
+++ b/tests/rollout/test_remembering.py
@@ -0,0 +1,247 @@
+"""Heads hold how it went before a version: who decides next compares as the one before did."""
+
+from dataclasses import replace
+
+import pytest
+
+from harriertrack.decisions.fleet.changes import writing
+from harriertrack.decisions.fleet.changes.record import Record
+from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.decisions.fleet.rollout.believing import Told, believed
+from harriertrack.decisions.fleet.rollout.counting import Tally
+from harriertrack.decisions.fleet.rollout.evidence import Evidence, Report, Usage
+from harriertrack.decisions.fleet.rollout.plan import Plan, Stage
+from harriertrack.decisions.fleet.rollout.remembering import Before, Remembering
+from harriertrack.gateway.fleet.rollout.carrier import asked
+from harriertrack.gateway.fleet.rollout.remembered import Remembered
+from harriertrack.gateway.fleet.rollout.reports import Heard, MalformedReport, encode_before
+from harriertrack.lab.fleet.staged import Habit, Harm, S, Staged
+from harriertrack.membership.fleet.budgeting import MOST_TOPIC_BODY
+from harriertrack.membership.fleet.messages import Record as Member, State
+from harriertrack.membership.fleet.view import View
+from harriertrack.storage.changes import ChangesCache
+
+QUICK = Plan(
+    (Stage("one", heads=1, soak_us=20 * S, least=100), Stage("half", share=0.5, soak_us=20 * S, least=100),
+     Stage("all", share=1.0, soak_us=20 * S, least=0)), before_us=60 * S, patience_us=400 * S,
+)  # fmt: skip
+WORSE = Harm("write", failed=0.05, refused=0.05, late=0.05)
+
+
+def fleet(seed: int = 1, heads: int = 6, **more: object) -> Staged:
+    return Staged(heads, seed, QUICK, zones=1, rate=150.0, classes={"read": Habit(0.65), "write": Habit(0.35)},
+                  **{"uneven": 0.3, **more})  # type: ignore[arg-type]
+
+
+def followed(one: Staged):
+    return next(iter(one.conductor.followed.values()))
+
+
+@pytest.mark.parametrize("thing", ["settings", "program"])
+def test_a_later_decider_expects_of_each_head_what_the_first_did(thing: str) -> None:
+    one, other = fleet(uneven=0.6), fleet(uneven=0.6)
+    for each in (one, other):
+        each.propose(thing)
+        each.run(70)
+    other.new_decider()
+    for each in (one, other):
+        each.run(30)
+    mine, its = followed(one).judge.before, followed(other).judge.before
+    assert len(its) == len(mine) == 12
+    for key, tally in mine.items():
+        assert its[key].answers == pytest.approx(tally.answers, rel=0.12), "but for the settling and lost reports"
+        if tally.refused > 100:
+            assert its[key].refused / its[key].answers == pytest.approx(tally.refused / tally.answers, rel=0.2)
+    assert all(usage.reports > 40 for usage in (head.before for head in followed(other).evidence._heads.values()))
+
+
+@pytest.mark.parametrize("second", [62, 70, 85, 100, 120])
+def test_heads_that_differ_much_are_no_bad_version_for_who_takes_over_in_any_step(second: int) -> None:
+    one = fleet(seed=3, uneven=0.8)
+    one.propose("settings")
+    one.run(second)
+    one.new_decider()
+    assert one.until("settings", 900) is Standing.IN_FORCE
+
+
+@pytest.mark.parametrize("thing", ["settings", "program"])
+def test_deciders_that_die_after_each_step_change_nothing_but_the_time_that_it_takes(thing: str) -> None:
+    one, bad = fleet(seed=4), fleet(seed=4, harms={(thing, 1): WORSE})
+    for each in (one, bad):
+        each.propose(thing)
+        steps: list[int] = []
+
+        def look(_second: int, each: Staged = each, steps: list[int] = steps) -> None:
+            if len(each.history) != len(steps):
+                steps.extend([0] * (len(each.history) - len(steps)))
+                each.new_decider()
+
+        each.until(thing, 1500, look)
+    assert one.record.of(thing)[0].standing is Standing.IN_FORCE
+    assert bad.record.of(thing)[0].standing is Standing.STOPPED and max(bad.most_new.values()) == 1
+
+
+def test_fewer_than_half_that_tell_are_as_none() -> None:
+    one = fleet(seed=5)
+    for name in ("head0", "head1", "head2", "head3"):
+        one.heads[name].tells = False
+    one.propose("settings")
+    one.run(65)
+    one.new_decider()
+    one.run(40)
+    assert followed(one).judge.before == {}, "older heads: it is compared as if heads were alike"
+    assert one.until("settings", 900) in (Standing.IN_FORCE, Standing.PAUSED)
+
+
+def test_one_that_lies_by_ten_does_not_let_a_bad_version_pass() -> None:
+    ends = []
+    for seed in range(4):
+        one = fleet(seed=seed, harms={("settings", 1): Harm("write", failed=0.02)}, uneven=0.2)
+        one.propose("settings")
+        one.run(62)
+        named = one.record.under_way("settings")
+        assert named is not None and len(named.heads) == 1
+        liar = one.heads[named.heads[0]]
+        liar.lies = 10.0
+        one.new_decider()
+        one.run(90)
+        going = one.record.under_way("settings")
+        assert going is not None and going.stage == 1, "by it alone no stage ends"
+        assert set(followed(one).judge.odd) == {liar.name}
+        others = tuple(name for name in one.heads if name != one.decider)[:3]
+        one.record = writing.step(one.record, one.epoch, "settings", 1, Standing.GOING, 1, "the others show it", 2,
+                                  tuple({liar.name, *others}))  # fmt: skip
+        ends.append(one.until("settings", 280))
+    assert ends == [Standing.STOPPED] * 4
+
+
+def test_one_that_slept_tells_of_another_time() -> None:
+    one = fleet(seed=6)
+    one.propose("settings")
+    one.run(20)
+    sleeper = one.heads["head3"]
+    sleeper.asleep = True
+    one.run(60)
+    sleeper.asleep = False
+    one.run(1)
+    assert sleeper.before(one.now) is None, "it was stopped when the time of before ended"
+
+    tells = {f"head{number}": Told(100 * S, Before("settings", 1, 0, {"read": Tally(1000, 10, 10, 1)})) for number in range(5)}
+    week = Told(-600_000 * S, Before("settings", 1, 0, {"read": Tally(10, 900, 10, 1)}))
+    found = believed({**tells, "late": week}, {*tells, "late"}, 0.01)
+    assert {head for head, _ in found.counts} == set(tells) and not found.odd
+    assert believed({"late": week, "head0": tells["head0"]}, ["a", "late", "head0"], 0.01).counts == {}
+
+
+def test_who_tells_of_far_worse_than_the_others_is_its_own_measure_alone_and_few_answers_are_none() -> None:
+    def told(**rates: int) -> dict[str, Told]:
+        return {name: Told(0, Before("s", 1, 0, {"read": Tally(10_000 - bad, 0, bad, 0)})) for name, bad in rates.items()}
+
+    assert set(believed(told(a=100, b=120, c=90, d=1000), "abcd", 0.01).odd) == {"d"}
+    assert not believed(told(a=100, b=120, c=90, d=5), "abcd", 0.01).odd, "that is not in its favour"
+    assert not believed(told(a=100, b=120, c=90, d=300), "abcd", 0.01).odd
+    assert not believed(told(a=100, b=1000), "ab", 0.01).odd, "of two nobody can say which is odd"
+    few = {name: Told(0, Before("s", 1, 0, {"read": Tally(10 - bad, 0, bad, 0)})) for name, bad in (("a", 0), ("b", 0), ("c", 3))}
+    assert not believed(few, "abc", 0.01).odd
+    slow = told(a=100, b=120, c=90, d=100)
+    for name, one in slow.items():
+        one.before.classes["read"].took[:] = [0, 0, 9000, 0, 900 if name == "d" else 0] if name != "d" else [0, 0, 900, 0, 9000]
+        one.before.classes["read"].took.extend([0] * 11)
+    assert set(believed(slow, "abcd", 0.01).odd) == {"d"}
+
+
+def test_a_head_holds_the_time_between_proposed_and_named_and_nothing_else() -> None:
+    record, counts = Record(), {"read": Tally()}
+    one = Remembering(0)
+
+    def second(at: int, now: Record) -> bool:
+        counts["read"].timely += 10
+        return one.look(at * S, now, counts, 5 << 20, at * 100)
+
+    for at in range(20):
+        second(at, record)
+    proposed = writing.propose(record, "settings", 0, "b", "ann", 1, "a change")
+    for at in range(20, 50):
+        assert not second(at, proposed)
+    named = writing.step(proposed, 1, "settings", 1, Standing.GOING, 1, "stage one", 1, ("a",))
+    assert second(50, named) and not second(51, named)
+    told = one.told(60 * S)
+    assert told is not None and (told.number, told.ago_us, told.classes["read"].timely) == (1, 10 * S, 300)
+    assert told.usage == Usage(5 << 20, 3000, 300, 30)
+    assert not second(61, writing.step(named, 1, "settings", 1, Standing.IN_FORCE, 1, "all", 1))
+    assert one.told(61 * S) is None, "it is over"
+    assert not Remembering(0).look(6 * S, named, counts), "it was not there before"
+
+
+def test_who_waits_for_another_version_has_no_time_before_yet() -> None:
+    both = writing.propose(writing.propose(Record(), "program", 0, "b", "ann", 1, "w"), "settings", 0, "b", "ann", 1, "w")
+    going = writing.step(both, 1, "program", 1, Standing.GOING, 1, "one", 1, ("a",))
+    one = Remembering(0)
+    for at in range(10, 20):
+        one.look(at * S, both, {"read": Tally(at)})
+    assert one.look(20 * S, going, {"read": Tally(20)})
+    assert one.told(20 * S).thing == "program"  # type: ignore[union-attr]
+    done = writing.step(going, 1, "program", 1, Standing.IN_FORCE, 1, "all", 1)
+    assert not one.look(21 * S, done, {"read": Tally(21)}) and one.told(21 * S) is None
+    assert one.look(23 * S, writing.step(done, 1, "settings", 1, Standing.GOING, 1, "one", 1, ("a",)), {"read": Tally(29)})
+    assert one.told(23 * S).classes["read"].timely == 8  # type: ignore[union-attr]
+
+
+# -- as bytes, and on disk
+
+def test_what_is_told_fits_and_comes_back_as_it_was() -> None:
+    many = {f"class-{number}": Tally(number, 1, 2, 3, 4, [number] * 16) for number in range(40)}
+    before = Before("scorer/near", 7, 5 * S, many, Usage(1 << 30, 99, 0, 12))
+    data = encode_before(3, before)
+    assert len(data) <= MOST_TOPIC_BODY
+    back = Heard("a").take(data)
+    assert isinstance(back, Before) and (back.thing, back.number, back.ago_us) == ("scorer/near", 7, 5 * S)
+    assert set(back.classes) == {f"class-{number}" for number in range(40 - len(back.classes), 40)}, "the busiest"
+    assert all(back.classes[name] == many[name] for name in back.classes)
+    for bad in (data[:-1], b"", b"\x93\x02\x01\x01"):
+        with pytest.raises(MalformedReport):
+            Heard("a").take(bad)
+
+
+def test_it_outlives_a_restart_and_damage_is_nothing_kept(tmp_path) -> None:
+    notes: list[str] = []
+    kept = Remembered(ChangesCache(str(tmp_path)), lambda event, **_fields: notes.append(event))
+    before = Before("program", 2, 0, {"read": Tally(9, 1)}, Usage(1, 2, 10, 3))
+    assert kept.read(5) is None and not notes
+    kept.write(1000 * S, before)
+    again = Remembered(ChangesCache(str(tmp_path)), lambda event, **_fields: notes.append(event))
+    assert again.read(1030 * S) == replace(before, ago_us=30 * S)
+    one = Remembering(0)
+    one.again(5 * S, again.read(1030 * S))  # type: ignore[arg-type]
+    proposed = writing.propose(Record(), "program", 0, "b", "ann", 1, "w")
+    one.look(5 * S, Record(), {})
+    assert one.told(5 * S) is None, "another record: nothing of that is under way"
+    going = replace(proposed.versions[0], number=2, standing=Standing.GOING, heads=("a",))
+    one.again(5 * S, again.read(1030 * S))  # type: ignore[arg-type]
+    assert not one.look(6 * S, Record(versions=(going,)), {})
+    assert one.told(10 * S).ago_us == 35 * S  # type: ignore[union-attr]
+    one.again(5 * S, again.read(10 * S))  # type: ignore[arg-type]
+    assert one.told(10 * S).ago_us == 35 * S, "a clock that went back: what is kept is of no use"  # type: ignore[union-attr]
+    (tmp_path / "before").write_bytes(b"x" * 40)
+    assert again.read(1030 * S) is None and notes == ["rollout: what was kept of before is of no use"]
+
+
+# -- ends that somebody wished
+
+def test_ends_that_operators_asked_for_are_no_crashes() -> None:
+    evidence = Evidence("settings", 1, 0)
+    for at, life in ((0, 1), (60, 2), (120, 3), (180, 4)):
+        evidence.heard(at * S, Report("a", life, {"settings": 1}, {}), "z0", asked={1, 3})
+    assert evidence.crashes() == (1, 0)
+
+
+def test_who_said_goodbye_ended_as_somebody_wished_and_who_was_found_dead_did_not() -> None:
+    def word(started: int, instance: int, state: State) -> Member:
+        return Member("a", started, instance, 0, state, "127.0.0.1", 1, "", "z0", "")
+
+    view = View()
+    for record in (word(1, 11, State.ALIVE), word(1, 11, State.LEFT), word(2, 22, State.ALIVE), word(2, 22, State.DEAD),
+                   word(3, 33, State.ALIVE)):  # fmt: skip
+        view.take(0, record)
+    assert asked(view.find("a")) == {11}
+    assert asked(view.find("b")) == frozenset()
