--- a/harriertrack/decisions/fleet/rollout/conducting.py
+++ b/harriertrack/decisions/fleet/rollout/conducting.py
@@ -221,10 +221,19 @@
         for (thing, number), one in self.followed.items():
             version = record.find(thing, number)
             if version is not None:
-                lines.append(f"{thing} {number}: {told(version, one.rollout)}")
+                lines.append(f"{thing} {number}: {told(version, one.rollout)}{_before(one)}")
         return lines
 
 
+def _before(one: Followed) -> str:
+    """Return what a decider that took over goes by, for operators."""
+    if not one.taken_over or one.judge is None:
+        return ""
+    tell = len({head for head, _ in one.judge.before})
+    odd = "".join(f"; not {head}, {why}" for head, why in sorted(one.judge.odd.items()))
+    return f" (before as {tell} of {one.known} heads tell it{odd})"
+
+
 def _undo(version: Version, why: str) -> Step | None:
     """Take a version back that can't be brought about."""
     match version.standing:
--- a/harriertrack/decisions/fleet/rollout/remembering.py
+++ b/harriertrack/decisions/fleet/rollout/remembering.py
@@ -70,6 +70,8 @@
         """
         version, slept = awaited(record), now - self._looked > ASLEEP_US
         self._looked = now
+        if not record.revision:
+            return False  # nothing is heard of the record yet
         if version is None:
             self._version = self._mark = self._kept = None
             return False
@@ -96,7 +98,8 @@
     def again(self, now: int, kept: Before) -> None:
         """Take what an earlier life of this head kept; how long ago is as that says."""
         if kept.ago_us >= 0:
-            self._version, self._kept, self._ended = (kept.thing, kept.number), kept, now - kept.ago_us
+            self._version, self._mark = (kept.thing, kept.number), None
+            self._kept, self._ended = kept, now - kept.ago_us
 
     def told(self, now: int) -> Before | None:
         """Return what is to be told, if there is anything."""
--- a/harriertrack/gateway/fleet/rollout/carrier.py
+++ b/harriertrack/gateway/fleet/rollout/carrier.py
@@ -76,11 +76,10 @@
         deciding.on_report[TOPIC] = self._come
 
     def start(self) -> None:
-        """Take part from now on; after `changes` does."""
+        """Take part from now on; before `changes` does."""
         if (before := self._remembered.read(self._wall())) is not None:
             self._remembering.again(self._hub.now(), before)
         self._changes.listeners.append(self._remember)
-        self._remember()
         self._parts.scope.spawn("rollout reports", self._tell)
         self._parts.scope.spawn("rollouts", self._run)
 
