--- a/harriertrack/config/settings/fleet.py
+++ b/harriertrack/config/settings/fleet.py
@@ -64,7 +64,7 @@
 
 
 class ZonesSettings(Checked, frozen=True, kw_only=True):
-    """How the fleet leaves zones and returns; decisions/fleet/evacuation.py tells what each figure is."""
+    """How the fleet leaves zones and returns; decisions/fleet/zones/words.py tells what each figure is."""
 
     gone: InService[Share] = 0.8
     gone_us: InService[Positive] = 300_000
--- a/harriertrack/decisions/fleet/evacuation.py
+++ b/harriertrack/decisions/fleet/zones/evacuation.py
@@ -17,55 +17,9 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from enum import Enum
-from zlib import crc32
 
-from harriertrack.decisions.fleet.evidence import Sight
-from harriertrack.decisions.fleet.terms import rank
-from harriertrack.decisions.interface import NodeEntry, NodeState
-
-WHOLE = 1 << 32  # of a checksum
-
-
-class Stage(Enum):
-    """What a zone is to the fleet."""
-
-    IN = "in"
-    OUT = "out"
-    TRYING = "trying"
-    RETURNING = "returning"
-
-
-@dataclass(frozen=True, slots=True)
-class ZoneRules:
-    """The figures."""
-
-    gone: float = 0.8  # of the nodes that are asked answer nothing
-    gone_us: int = 300_000  # for so long
-    fresh_us: int = 1_500_000  # what a head said before counts no more
-    heads: int = 2  # that must see it, where there are as many
-    wait_us: int = 1_000_000  # from out to the first tries; doubles with each relapse
-    most_wait_us: int = 60_000_000
-    tries: int = 3  # heads that try
-    turn_us: int = 3_000_000  # after which others do
-    answers: float = 0.7  # of what is tried, for a return to begin
-    first: float = 0.1  # share of the heads that return first
-    growth: float = 1.6
-    step_us: int = 1_000_000
-    hurts: float = 0.2  # silent nodes, for a step back
-    calm_us: int = 120_000_000  # in use for so long, a zone's relapses are forgotten
-    told_us: int = 3_000_000  # how long a word holds after it was heard last
-
-
-@dataclass(frozen=True, slots=True)
-class Word:
-    """The fleet's word on one zone; `turn` says who tries."""
-
-    zone: str
-    stage: Stage
-    share: float
-    turn: int
-    why: str = ""
+from harriertrack.decisions.fleet.zones.evidence import Sight
+from harriertrack.decisions.fleet.zones.words import Stage, Word, ZoneRules
 
 
 @dataclass(slots=True, eq=False)
@@ -231,47 +185,3 @@
             Word(name, zone.stage, zone.share, zone.turn, zone.why)
             for name, zone in sorted(self.zones.items()) if zone.stage is not Stage.IN
         )  # fmt: skip
-
-
-def uses(word: Word, me: str, present: Iterable[str], tries: int) -> bool:
-    """Whether a head uses a zone under a word, so that all heads together keep to it."""
-    if word.stage is Stage.IN:
-        return True
-    if word.stage is Stage.OUT:
-        return False
-    if word.stage is Stage.RETURNING:
-        return crc32(f"{word.zone}\0{me}".encode()) < word.share * WHOLE
-    return rank(f"{word.zone}\0{word.turn}", me, present) < tries
-
-
-class Overlay:
-    """The list as one head's module is told it: nodes of zones that it does not use are gone for it."""
-
-    def __init__(self) -> None:
-        self._unused: set[str] = set()
-        self._again: dict[str, int] = {}  # zones that are used again, and since when
-
-    def follow(self, now: int, words: Iterable[Word], me: str, present: Iterable[str], tries: int) -> bool:
-        """Take the words that hold now; return whether the list is to be told anew."""
-        names = list(present)
-        unused = {word.zone for word in words if not uses(word, me, names, tries)}
-        if unused == self._unused:
-            return False
-        self._again = {zone: at for zone, at in self._again.items() if zone not in unused}
-        self._again.update(dict.fromkeys(self._unused - unused, now))
-        self._unused = unused
-        return True
-
-    @property
-    def unused(self) -> frozenset[str]:
-        """Return the zones that this head does not use."""
-        return frozenset(self._unused)
-
-    def shown(self, entry: NodeEntry) -> NodeEntry:
-        """Return an entry as the module is told it; a node that is used again counts as just started."""
-        if entry.zone in self._unused and entry.state is NodeState.UP:
-            return NodeEntry(entry.node, entry.shard, NodeState.GONE, entry.zone, entry.started_us)
-        started = max(entry.started_us, self._again.get(entry.zone, 0))
-        if started != entry.started_us and entry.state is NodeState.UP:
-            return NodeEntry(entry.node, entry.shard, entry.state, entry.zone, started)
-        return entry
--- /dev/null
+++ b/harriertrack/decisions/fleet/zones/words.py
@@ -0,0 +1,64 @@
+"""The fleet's word on a zone, the figures that it follows, and who uses a zone under it. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from zlib import crc32
+
+from harriertrack.decisions.fleet.terms import rank
+
+WHOLE = 1 << 32  # of a checksum
+
+
+class Stage(Enum):
+    """What a zone is to the fleet."""
+
+    IN = "in"
+    OUT = "out"
+    TRYING = "trying"
+    RETURNING = "returning"
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneRules:
+    """The figures."""
+
+    gone: float = 0.8  # of the nodes that are asked answer nothing
+    gone_us: int = 300_000  # for so long
+    fresh_us: int = 1_500_000  # what a head said before counts no more
+    heads: int = 2  # that must see it, where there are as many
+    wait_us: int = 1_000_000  # from out to the first tries; doubles with each relapse
+    most_wait_us: int = 60_000_000
+    tries: int = 3  # heads that try
+    turn_us: int = 3_000_000  # after which others do
+    answers: float = 0.7  # of what is tried, for a return to begin
+    first: float = 0.1  # share of the heads that return first
+    growth: float = 1.6
+    step_us: int = 1_000_000
+    hurts: float = 0.2  # silent nodes, for a step back
+    calm_us: int = 120_000_000  # in use for so long, a zone's relapses are forgotten
+    told_us: int = 3_000_000  # how long a word holds after it was heard last
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """The fleet's word on one zone; `turn` says who tries."""
+
+    zone: str
+    stage: Stage
+    share: float
+    turn: int
+    why: str = ""
+
+
+def uses(word: Word, me: str, present: Iterable[str], tries: int) -> bool:
+    """Whether a head uses a zone under a word, so that all heads together keep to it."""
+    if word.stage is Stage.IN:
+        return True
+    if word.stage is Stage.OUT:
+        return False
+    if word.stage is Stage.RETURNING:
+        return crc32(f"{word.zone}\0{me}".encode()) < word.share * WHOLE
+    return rank(f"{word.zone}\0{word.turn}", me, present) < tries
--- a/harriertrack/gateway/fleet/beside.py
+++ b/harriertrack/gateway/fleet/beside.py
@@ -11,7 +11,7 @@
 from harriertrack.storage.extents import ExtentMap
 
 if TYPE_CHECKING:
-    from harriertrack.decisions.fleet.evidence import Evidence
+    from harriertrack.decisions.fleet.zones.evidence import Evidence
     from harriertrack.gateway.fleet.rollout.carrier import Usage
     from harriertrack.gateway.fleet.rollout.program_user import Handover
     from harriertrack.gateway.fleet.scoring.carrier import Scored
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -11,8 +11,10 @@
 
 from harriertrack.config.settings import ZonesSettings
 from harriertrack.decisions.fleet.budgets import Term
-from harriertrack.decisions.fleet.evacuation import Evacuation, Overlay, Word, ZoneRules, uses
-from harriertrack.decisions.fleet.evidence import Evidence
+from harriertrack.decisions.fleet.zones.evacuation import Evacuation
+from harriertrack.decisions.fleet.zones.evidence import Evidence
+from harriertrack.decisions.fleet.zones.overlay import Overlay
+from harriertrack.decisions.fleet.zones.words import Word, ZoneRules, uses
 from harriertrack.decisions.interface import NodeEntry
 from harriertrack.gateway.fleet.deciding import Deciding
 from harriertrack.gateway.fleet.figures import figures
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -122,7 +122,7 @@
                 decides: Module = self.module
                 evidence = None
                 if portions is not None and settings.fleet is not None and settings.fleet.zones is not None:
-                    from harriertrack.decisions.fleet.evidence import Evidence
+                    from harriertrack.decisions.fleet.zones.evidence import Evidence
                     from harriertrack.gateway.fleet.observing import Observed
 
                     evidence = Evidence()
--- a/harriertrack/lab/interleaving/models/zones.py
+++ b/harriertrack/lab/interleaving/models/zones.py
@@ -5,8 +5,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from harriertrack.decisions.fleet.evacuation import Evacuation, Stage, Word, ZoneRules
-from harriertrack.decisions.fleet.evidence import Sight
+from harriertrack.decisions.fleet.zones.evacuation import Evacuation
+from harriertrack.decisions.fleet.zones.evidence import Sight
+from harriertrack.decisions.fleet.zones.words import Stage, Word, ZoneRules
 
 RULES = ZoneRules(gone_us=200_000, fresh_us=400_000, wait_us=200_000, step_us=100_000, growth=4.0, first=0.2,
                   turn_us=400_000)  # fmt: skip
--- a/harriertrack/membership/fleet/budgeting.py
+++ b/harriertrack/membership/fleet/budgeting.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from harriertrack.decisions.fleet.budgets import Ask, Claim, Grant, Share, Term
-from harriertrack.decisions.fleet.evacuation import Stage, Word
-from harriertrack.decisions.fleet.evidence import Sight
+from harriertrack.decisions.fleet.zones.evidence import Sight
+from harriertrack.decisions.fleet.zones.words import Stage, Word
 from harriertrack.membership.fleet import messages
 from harriertrack.membership.fleet.messages import MOST_BYTES, MalformedDatagram, Number, Text
 
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -53,7 +53,7 @@
 LINK = "decisions.linklife:LinkLife"
 CLOSING = "decisions.fleet.closing"
 BUDGETS, TERMS = "decisions.fleet.budgets", "decisions.fleet.terms:Candidate"
-ZONES = "decisions.fleet.evacuation:Evacuation"
+ZONES = "decisions.fleet.zones.evacuation:Evacuation"
 FOLLOWING = "decisions.fleet.changes.following:Follower"
 
 FAULTS = (
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -12,8 +12,10 @@
 from harriertrack.config.settings import ZonesSettings
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions.fleet.budgets import Term
-from harriertrack.decisions.fleet.evacuation import Evacuation, Overlay, Stage, Word, ZoneRules, uses
-from harriertrack.decisions.fleet.evidence import Evidence, Sight
+from harriertrack.decisions.fleet.zones.evacuation import Evacuation, Sum
+from harriertrack.decisions.fleet.zones.evidence import Evidence, Sight
+from harriertrack.decisions.fleet.zones.overlay import Overlay
+from harriertrack.decisions.fleet.zones.words import Stage, Word, ZoneRules, uses
 from harriertrack.decisions.interface import Ended, NodeEntry, NodeState, Result, Send
 from harriertrack.gateway.fleet import zones as carrier
 from harriertrack.lab.fleet import scenario
@@ -280,8 +282,6 @@
     def lax(self):
         return 1.0 if self.bad else 0.0
 
-    from harriertrack.decisions.fleet.evacuation import Sum
-
     monkeypatch.setattr(Sum, "silent", property(lax))
     day, recorder = scenario.load("zone-one-sided"), rec.Recorder()
     simulate(day, day.processes, 1, recorder)
