--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -30,7 +30,7 @@
 from harriertrack.storage.missed import MissedLog
 
 if TYPE_CHECKING:
-    from harriertrack.decisions.fleet.evidence import Evidence
+    from harriertrack.decisions.fleet.zones.evidence import Evidence
     from harriertrack.decisions.fleet.portions import Portions
     from harriertrack.decisions.fleet.rollout.counting import Counting
     from harriertrack.gateway.fleet.carrier import Fleet
@@ -146,7 +146,7 @@
         self.module = self._module(self._told(settings), seed)
         decides: Module = self.module
         if self._portions is not None and fleet is not None and fleet.zones is not None:
-            from harriertrack.decisions.fleet.evidence import Evidence
+            from harriertrack.decisions.fleet.zones.evidence import Evidence
             from harriertrack.gateway.fleet.observing import Observed
 
             self._evidence = Evidence()
