Weights against a restart, in every order: a page of the life before no longer counts beside the next life's

Observed by the new scenario weights-restart (two heads, the production carrier, view and threads' answers at their seam): a head that is killed and comes back says one page at a time, and what its last life said on the other page stood beside it in others' joins, fading over 20 s. The view forgets notes by topic when it hears of another life (View.take); Ears did not, since Scoring._hear looked only at notes. It follows lives now, and forgets a head's pages with its life. The schedule is a test; scenarios weights-swap and weights-hung (another version, a scorer that hangs, a head that stands still) found nothing. Scoring takes how a scorer is asked as an argument, so that a thread is represented at its seam.

--- a/benchmarks/fleet_scoring.py
+++ b/benchmarks/fleet_scoring.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import argparse
+import itertools
 import random
 import statistics
 from collections import defaultdict
@@ -38,6 +39,8 @@
 WAYS = ("none", "own", "shared", "oracle")
 SLOW = 3.0
 LOOK_US = 100_000
+TURN_US = 30 * S
+APART = ("third", "turn")
 ZONES = ("z0", "z1", "z2")
 
 
@@ -45,6 +48,23 @@
     """A fleet whose nodes are about half taken; its heads may be told how fast each node works."""
 
     oracle = False
+    apart: str = ""  # "third": one node works at a third of its speed; "turn": another one every 30 s
+
+    def build(self) -> None:
+        """Build the day; single nodes differ from then on."""
+        super().build()
+        if self.apart:
+            self.scope.spawn("nodes apart", self._differ)
+
+    def _differ(self) -> None:
+        names = sorted(self.shelves)
+        for turn in itertools.count():
+            for number, name in enumerate(names):
+                struck = number == (turn * 2 + 1) % len(names)
+                self.shelves[name].faults.slow = SLOW if struck else 1.0
+            if self.apart == "third":
+                return
+            self.hub.sleep(TURN_US)
 
     def load(self, taken: float, rate: float) -> None:
         """Let so many requests a second take the nodes, all of them quick, for such a part of their time."""
@@ -69,7 +89,7 @@
 
 def _steps(kind: str, seconds: int) -> tuple[StepSettings, ...]:
     rest = StepSettings(name=Verb.REST, for_us=seconds * S)
-    if kind == "same":
+    if kind == "same" or kind in APART:
         happens: tuple[StepSettings, ...] = (rest,)
     elif kind == "differ":
         happens = (StepSettings(name=Verb.SLOW, zone="z1", times=SLOW, for_us=seconds * S), rest)
@@ -106,6 +126,7 @@
     day = msgspec.structs.replace(_day(kind, way, scorer, seconds), rate=rate)
     rig = Loaded(hub, MemoryNetwork(hub), day, heads, seed, recorder)
     rig.oracle = way == "oracle"
+    rig.apart = kind if kind in APART else ""
     rig.load(taken, heads * rate)
     hub.run(rig.run)
     return _judged(rig, kind, recorder.records)
@@ -132,7 +153,10 @@
         elif isinstance(one, rec.Got):
             given[one.node] += 1
     slow = {"differ": {"z1": SLOW}}.get(kind, {})
-    able = {name: 1 / slow.get(shelf.settings.zone, 1.0) for name, shelf in rig.shelves.items()}
+    if kind == "third":
+        slow = {sorted(rig.shelves)[1]: SLOW}
+    zones = {name: shelf.settings.zone for name, shelf in rig.shelves.items()}
+    able = {name: 1 / slow.get(zone, slow.get(name, 1.0)) for name, zone in zones.items()}
     share = [given[name] / sum(given.values()) / (able[name] / sum(able.values())) for name in able]
     weights = [one for one in records if isinstance(one, rec.Weights)]
     return {
@@ -250,7 +274,8 @@
     parser.add_argument("--rate", type=float, default=25.0, help="Requests a second, a head.")
     parser.add_argument("--taken", type=float, default=0.6, help="Part of the nodes' time, none slow.")
     parser.add_argument("--seconds", type=int, default=40)
-    parser.add_argument("--days", nargs="*", default=["same", "differ", "change", "herd"])
+    parser.add_argument("--days", nargs="*", default=["same", "differ", "change", "herd"],
+                        help="Also: third, turn.")
     given = parser.parse_args()
     if "liars" in given.what:
         liars_table()
--- a/harriertrack/decisions/fleet/scoring/shared.py
+++ b/harriertrack/decisions/fleet/scoring/shared.py
@@ -105,6 +105,11 @@
                 return True
         return False
 
+    def forget(self, head: str) -> None:
+        """Forget what a head said: it is another life of itself by now."""
+        for one in self.weighings.values():
+            one.ears.forget(head)
+
     def look(self, now: int, moment: Moment) -> list[Page]:
         """Join what is thought, and move the weights; return the pages that are to be said."""
         pages: list[Page] = []
--- a/harriertrack/decisions/fleet/scoring/spreading.py
+++ b/harriertrack/decisions/fleet/scoring/spreading.py
@@ -153,6 +153,10 @@
         """Take a page."""
         self._heard.setdefault(head, {})[page.number] = now, page
 
+    def forget(self, head: str) -> None:
+        """Forget what a head said."""
+        self._heard.pop(head, None)
+
     def keep(self, names: frozenset[str], since: int) -> None:
         """Forget all heads but these, and all that was heard before a time: it has no vote any more."""
         kept = {
--- a/harriertrack/gateway/fleet/scoring/carrier.py
+++ b/harriertrack/gateway/fleet/scoring/carrier.py
@@ -13,7 +13,7 @@
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions.fleet.changes.record import Kind, Version
 from harriertrack.decisions.fleet.scoring.rules import ScoringRules
-from harriertrack.decisions.fleet.scoring.scorers.base import Namespace
+from harriertrack.decisions.fleet.scoring.scorers.base import Namespace, Scorer
 from harriertrack.decisions.fleet.scoring.shared import Moment, Shared
 from harriertrack.decisions.fleet.scoring.sights import Sights
 from harriertrack.decisions.fleet.scoring.voting import Vote
@@ -23,8 +23,10 @@
 from harriertrack.gateway.fleet.scoring.plugins import found
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.membership.fleet import weighing
+from harriertrack.membership.fleet.messages import Life
 from harriertrack.membership.fleet.swim import Swim
 from harriertrack.membership.fleet.telling import NodeScore, ScorerTold, ScoresTold
+from harriertrack.runtime.hub import Hub
 
 if TYPE_CHECKING:
     from harriertrack.gateway.fleet.changes.carrier import Changes
@@ -59,14 +61,16 @@
 class Scoring:
     """This head's part."""
 
-    def __init__(self, parts: HeadParts, settings: ScoringSettings, scored: Scored, swim: Swim) -> None:
+    def __init__(self, parts: HeadParts, settings: ScoringSettings, scored: Scored, swim: Swim,
+                 asking: Callable[[Hub, Scorer, str], Asking] = asking_of) -> None:  # fmt: skip
         self._parts, self._hub, self._settings = parts, parts.hub, settings
         self._sights, self._shared, self._choice = scored.sights, scored.shared, scored.choice
-        self._swim = swim
+        self._swim, self._asking_of = swim, asking
         self._changes: Changes | None = None
         self._asking: dict[str, Asking] = {}
         self._votes: dict[str, bool] = {}
         self._versions: dict[tuple[str, str], tuple[int, int, int]] = {}  # what was heard of each topic
+        self._lives: dict[str, Life] = {}  # of whom pages are kept
         self._told_at = 0
         self.garbage = 0
 
@@ -104,7 +108,7 @@
             self._asking.pop(name).close()
         for name, one in run.items():
             if name not in self._asking:
-                self._asking[name] = asking_of(self._hub, one.make(), name)
+                self._asking[name] = self._asking_of(self._hub, one.make(), name)
                 self._votes.pop(name, None)
                 self._parts.note("scorer runs", scorer=name, of=str(one.namespace))
 
@@ -178,9 +182,14 @@
         """Take what is new among the view's notes; who is gone is forgotten."""
         known = self._versions
         self._versions = {}
+        self._lives = {name: life for name, life in self._lives.items() if name in self._swim.view.present}
         for row in self._swim.view:
             if not row.record.present or row.record.name == self._swim.me.name:
                 continue
+            if self._lives.setdefault(row.record.name, row.record.life) != row.record.life:
+                # Of what its last life thought it may not say a word: then that would stand beside its own.
+                self._shared.forget(row.record.name)
+                self._lives[row.record.name] = row.record.life
             for topic, note in row.topics.items():
                 key = row.record.name, topic
                 self._versions[key] = note.newness
--- a/harriertrack/lab/interleaving/world.py
+++ b/harriertrack/lab/interleaving/world.py
@@ -68,9 +68,10 @@
 
     def may_die(self, place: Place) -> None:
         """Let a process be killed between any two of its waits."""
-        self.fault(f"kill {place}", place, lambda: self._kill(place))
+        self.fault(f"kill {place}", place, lambda: self.kill(place))
 
-    def _kill(self, place: Place) -> None:
+    def kill(self, place: Place) -> None:
+        """Kill a process, as part of a fault."""
         self.dead.add(place)
         self.network.break_all(place)
         self.posts.break_all(place)
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -54,6 +54,8 @@
 CLOSING = "decisions.fleet.closing"
 BUDGETS, TERMS = "decisions.fleet.budgets", "decisions.fleet.terms:Candidate"
 ZONES = "decisions.fleet.evacuation:Evacuation"
+SCORING, VIEW = "decisions.fleet.scoring", "membership.fleet.view:View"
+WEIGHTS = "gateway.fleet.scoring.carrier:Scoring"
 FOLLOWING = "decisions.fleet.changes.following:Follower"
 
 FAULTS = (
@@ -146,4 +148,20 @@
           "firm_until = latest + notice_us", "firm_until = latest", 3),
     Fault("a follower goes back", "changes-once", f"{FOLLOWING}.fetched", "newer = found is not None and (found.revision, digest) > (self.record.revision, self.digest)",
           "newer = found is not None", 3),
+    Fault("a note of a life before counts", "weights-restart", f"{VIEW}.take_topic",
+          "row.record.life != Life(note.started, note.instance)", "False", newest=True),
+    Fault("pages of two lives stand side by side", "weights-restart", f"{WEIGHTS}._hear",
+          "self._shared.forget(row.record.name)", "pass"),
+    Fault("an older note takes a newer one's place", "weights-restart", f"{VIEW}.take_topic",
+          "known is not None and note.newness <= known.newness", "False"),
+    Fault("a weight moves twice as fast", "weights-restart", f"{SCORING}.damping:Damped.move",
+          "rules.rate * self.gain", "rules.rate * 2 * self.gain"),
+    Fault("a head that stood still has a windfall", "weights-hung", f"{SCORING}.damping:Damped.move",
+          "min(us, 2 * rules.look_us)", "us"),
+    Fault("another version's scorer is asked on", "weights-swap", f"{WEIGHTS}._follow",
+          "if before.get(name) == one.namespace", "if name in before"),
+    Fault("who lost its vote is heard", "weights-hung", f"{SCORING}.voting:Voter._lose",
+          "self.scores, self._kept = {}, None", "pass"),
+    Fault("an answer that hung counts", "weights-hung", f"{SCORING}.voting:Voter.answered",
+          "self._go(Vote.LOST)\n        return False", "self.vote = Vote.ASKED"),
 )
--- a/tests/interleaving/test_found.py
+++ b/tests/interleaving/test_found.py
@@ -40,3 +40,18 @@
 
     hub.run(main)
     assert said == ["cancelled"]
+
+
+def test_what_a_head_said_in_its_last_life_does_not_stand_beside_what_it_says_in_this_one():
+    """A head that is back says one page at a time: the other of its life before counted on, for 20 s."""
+    killed = []
+
+    def pick(events, names):
+        step = "fault: b is killed and comes back"
+        if step not in names or events[-1].at < 1_010_000:
+            return names[0]
+        killed.append(step)
+        return step
+
+    one = execute(registry.SCENARIOS["weights-restart"], pick)
+    assert killed and one.outcome is Outcome.REST, one.breach
