--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -30,9 +30,9 @@
 from harriertrack.storage.missed import MissedLog
 
 if TYPE_CHECKING:
-    from harriertrack.decisions.fleet.zones.evidence import Evidence
     from harriertrack.decisions.fleet.portions import Portions
     from harriertrack.decisions.fleet.rollout.counting import Counting
+    from harriertrack.decisions.fleet.zones.evidence import Evidence
     from harriertrack.gateway.fleet.carrier import Fleet
     from harriertrack.gateway.fleet.rollout.carrier import Usage
     from harriertrack.gateway.fleet.rollout.program_user import Handover
