--- /dev/null
+++ b/harriertrack/lab/fleet/storm/figures.py
@@ -0,0 +1,112 @@
+"""What storms are drawn from, as data: which parts with which chance, which faults with which weight.
+
+`usual.sexp` beside this module holds what is used unless a file is named.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from importlib import resources
+from typing import Annotated
+
+import msgspec
+
+from harriertrack.config.settings import Checked, Positive, Share, given_twice
+from harriertrack.config.sexp import SettingsError, bind, read_text
+
+Weight = Annotated[float, msgspec.Meta(ge=0, le=1000)]
+SOURCE = "usual.sexp"
+
+
+class Part(Enum):
+    """A part of the fleet that a storm may have; the view is always there."""
+
+    BUDGETS = "budgets"
+    ZONES = "zones"
+    CHANGES = "changes"
+    ROLLOUT = "rollout"  # versions come in stages
+    LAUNCHED = "launched"  # heads have launchers, and programs change
+    CLOSING = "closing"
+    SCORING = "scoring"
+
+
+class Kind(Enum):
+    """A kind of fault, or of what operators do; `storm/faults.py` says which steps each is."""
+
+    KILL = "kill"
+    KILL_DECIDER = "kill-decider"
+    KILL_MOST = "kill-most"
+    FLAP = "flap"
+    STOP = "stop"
+    STARVE = "starve"
+    LEAVE = "leave"
+    PARTITION = "partition"
+    ONE_SIDED = "one-sided"
+    LOSS = "loss"
+    LATE = "late"
+    DARK = "dark"
+    RESTORED = "restored"
+    ZONE_LOST = "zone-lost"
+    ZONE_HIDDEN = "zone-hidden"
+    ZONE_SLOW = "zone-slow"
+    DRAIN = "drain"
+    COLD = "cold"
+    DEMAND = "demand"
+    JUMP = "jump"
+    CLOCK = "clock"
+    WISH = "wish"
+    LIMIT = "limit"
+    PROPOSE = "propose"
+    CHANGE = "change"
+    PROGRAM = "program"
+    SETTINGS = "settings"
+    LATER = "later"
+
+
+class PartChance(Checked, frozen=True, kw_only=True):
+    """How likely a part is there."""
+
+    name: Part
+    chance: Share
+
+
+class KindWeight(Checked, frozen=True, kw_only=True):
+    """How often a kind is drawn, beside the others of its storm."""
+
+    name: Kind
+    weight: Weight
+
+
+class StormFigures(Checked, frozen=True, kw_only=True):
+    """What storms are drawn from. Times are the least and the most, drawn evenly by their logarithm."""
+
+    name: str = "usual"
+    left_out: Share = 0.4  # chance that a storm does without a kind: rare mixtures come up too
+    brief_us: tuple[Positive, Positive] = (200_000, 2_000_000)  # between two faults
+    fault_us: tuple[Positive, Positive] = (400_000, 10_000_000)  # for which one lasts
+    parts: tuple[PartChance, ...]
+    kinds: tuple[KindWeight, ...]
+
+
+def usual() -> StormFigures:
+    """Return what comes with the program. Raises SettingsError."""
+    text = (resources.files("harriertrack.lab.fleet.storm") / SOURCE).read_text()
+    return parse(text, SOURCE)
+
+
+def parse(text: str, source: str) -> StormFigures:
+    """Read figures. Raises SettingsError."""
+    form = read_text(text, source)
+    figures = bind(form, StormFigures, source)
+    where = f"{source}:{form.line}"
+    for what, names in (("part", [one.name.value for one in figures.parts]),
+                        ("kind", [one.name.value for one in figures.kinds])):  # fmt: skip
+        if twice := given_twice(names):
+            raise SettingsError(f"{where}: {what} {twice[0]}: given twice")
+    if not any(one.weight for one in figures.kinds):
+        raise SettingsError(f"{where}: kind: none has a weight")
+    for field in ("brief_us", "fault_us"):
+        least, most = getattr(figures, field)
+        if least > most:
+            raise SettingsError(f"{where}: {field.removesuffix('_us')}: the least is above the most")
+    return figures
--- /dev/null
+++ b/harriertrack/lab/fleet/storm/playing.py
@@ -0,0 +1,93 @@
+"""Storms played: drawn, judged, and where they fail made small and written as a day."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from harriertrack.config.sexp import SettingsError
+from harriertrack.config.written import written
+from harriertrack.lab.fleet import scenario
+from harriertrack.lab.fleet.rig import SimulatedFleet, simulate
+from harriertrack.lab.fleet.scenario import FleetDaySettings
+from harriertrack.lab.fleet.storm.shrinking import Shrinking, Told
+from harriertrack.rules import recording as rec
+from harriertrack.rules.checker import Breach
+from harriertrack.rules.everything import judge
+from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.streams import MemoryNetwork
+
+SEED = 1  # of every play: what `fleet day FILE` plays by itself
+FELL = "play"  # the subject, before the error's name, of what ended a play by itself
+
+Rules = frozenset[tuple[str, int]]  # by subject and number
+Play = Callable[[FleetDaySettings, rec.Recorder], object]
+
+
+def check(day: FleetDaySettings) -> None:
+    """Check a day as it is checked where it is read and where its heads are made. Raises SettingsError."""
+    scenario.check(day, day.name)
+    hub = Hub.virtual(0)
+    SimulatedFleet(hub, MemoryNetwork(hub), day, day.processes, SEED, rec.Recorder()).place_head(0)
+
+
+def in_simulated_time(day: FleetDaySettings, recorder: rec.Recorder) -> object:
+    """Play a day in simulated time."""
+    return simulate(day, day.processes, SEED, recorder)
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a play showed."""
+
+    breaches: dict[str, list[Breach]]
+    end_us: int  # on the day's clock
+    requests: int
+
+    @property
+    def broken(self) -> Rules:
+        """Return which rules were broken."""
+        return frozenset((what, one.rule) for what, found in self.breaches.items() for one in found)
+
+
+def judged(day: FleetDaySettings, play: Play = in_simulated_time) -> Verdict:
+    """Play a day and judge it; what ends a play by itself is a breach of its own."""
+    recorder = rec.Recorder()
+    fell: list[Breach] = []
+    try:
+        play(day, recorder)
+    except SettingsError:
+        raise
+    except Exception as error:  # of whatever part of the program: that is what is looked for
+        fell = [Breach(0, _end(recorder.records), type(error).__name__, str(error))]
+    records = recorder.records
+    found = {f"{FELL}: {fell[0].who}": fell} if fell else judge(records, day.detect_us)
+    return Verdict(found, _end(records), sum(isinstance(one, rec.Take) for one in records))
+
+
+def _end(records: list[rec.Record]) -> int:
+    return max((one.t for one in records if not isinstance(one, rec.Facts)), default=0)
+
+
+def shrunk(day: FleetDaySettings, broken: Rules, tries: int, play: Play = in_simulated_time,
+           told: Told = lambda _day, _left: None) -> FleetDaySettings:  # fmt: skip
+    """Return the smallest day found that breaks one of the same rules, in so many plays at most."""
+
+    def fails(smaller: FleetDaySettings) -> bool:
+        try:
+            check(smaller)
+            return bool(judged(smaller, play).broken & broken)
+        except SettingsError:
+            return False
+
+    return Shrinking(day, fails, tries, told).run()
+
+
+def write(day: FleetDaySettings, path: Path, breaches: dict[str, list[Breach]]) -> None:
+    """Write a day that fails as a file that `harriertrack fleet day` plays; what fails is said in it."""
+    first = [f"{what}: {one}" for what, found in breaches.items() for one in found[:1]]
+    told = msgspec.structs.replace(day, about="; ".join(first).replace("\n", " ")[:400])
+    path.write_text(written("fleet-day", told) + "\n")
--- a/harriertrack/rules/budgets.py
+++ b/harriertrack/rules/budgets.py
@@ -4,6 +4,8 @@
    may be in use from when its grant came until its holder said that it has a later version, that it begins a
    new tenure or asks another term, or until a lease after the ask which was answered last.
 2. *Units*: in any time no more arrives than the whole's rate gives, and its burst, and the stated slack.
+3. *Whole again*: where nothing is at fault any more, at the day's end every head that lives and ever asked a
+   ledger has a lease of it, but one at most: who keeps it asks itself.
 
 A whole may change in service: later facts of a budget hold from when they were recorded. A lower one is
 recorded when the time is over in which the heads have to come inside it, and a store fills no faster.
@@ -20,7 +22,7 @@
 
 EXACT = 1e-6  # of a whole: what floating point may add up to
 
-Known = rec.BudgetFacts | rec.AskedShare | rec.GrantedShare | rec.Drawn
+Known = rec.BudgetFacts | rec.AskedShare | rec.GrantedShare | rec.Drawn | rec.Lived | rec.Quiet
 
 
 @dataclass(slots=True)
@@ -113,7 +115,37 @@
             yield Breach(2, one.t, one.budget, f"{-left:.2f} units past the whole, slack {fact.slack:.2f}")
 
 
-RULES: tuple[Callable[[Sequence[Known]], Iterator[Breach]], ...] = (shares_within, units_within)
+def whole_again(records: Sequence[Known]) -> Iterator[Breach]:
+    """3: who lives at the end of a quiet time has leases."""
+    quiet = [one.t for one in records if isinstance(one, rec.Quiet)]
+    asked: dict[int, set[str]] = defaultdict(set)
+    leased: dict[tuple[int, str], int] = {}  # until when each holder's last lease of a ledger may be used
+    using: dict[tuple[str, int, int], _Using] = defaultdict(_Using)
+    alive: set[str] = set()
+    end = lease = 0
+    for one in records:
+        end = one.t
+        if isinstance(one, rec.Lived):
+            (alive.discard if one.how in ("killed", "ended", "leaving") else alive.add)(one.member)
+        elif isinstance(one, rec.AskedShare):
+            asked[one.ledger].add(one.holder)
+            using[one.holder, one.instance, one.ledger].ask(one)
+        elif isinstance(one, rec.GrantedShare):
+            lease = one.lease_us
+            held = using[one.holder, one.instance, one.ledger]
+            held.grant(one)
+            leased[one.ledger, one.holder] = held.until
+    if not quiet:
+        return
+    for ledger, holders in sorted(asked.items()):
+        lacking = sorted(name for name in holders & alive if leased.get((ledger, name), 0) + lease < end)
+        if len(lacking) > 1:
+            yield Breach(3, end, f"ledger {ledger}", f"{', '.join(lacking)} have no lease of it")
+
+
+RULES: tuple[Callable[[Sequence[Known]], Iterator[Breach]], ...] = (
+    shares_within, units_within, whole_again,
+)  # fmt: skip
 
 
 def check(records: Iterable[rec.Record]) -> list[Breach]:
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -245,6 +245,12 @@
     reached: bool
 
 
+class Quiet(msgspec.Struct, kw_only=True, tag="quiet", tag_field="what"):
+    """From now on nothing is at fault: what has to come to pass by itself does, before the recording ends."""
+
+    t: int
+
+
 class BudgetFacts(msgspec.Struct, kw_only=True, tag="budget", tag_field="what"):
     """A budget that a fleet divides: units a second and at once, and how much of it moves between heads.
 
@@ -462,11 +468,15 @@
 
 
 class RolloutEnd(msgspec.Struct, kw_only=True, tag="rollout-end", tag_field="what"):
-    """What all heads are to run at the day's end: 0 is what they were started with."""
+    """What all heads are to run at the day's end: 0 is what they were started with.
+
+    `settled`: whatever was decided last, instead; then nothing is under way any more.
+    """
 
     t: int
     thing: str
     version: int
+    settled: bool = False
 
 
 class RolloutStep(msgspec.Struct, kw_only=True, tag="rollout-step", tag_field="what"):
@@ -503,7 +513,7 @@
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
     | ZoneUse | Proposed | WentBy | TookVersion | CloseDue | ClosedAt | Kept | WeightFacts | Weights | Vote
-    | NotesSent | LimitNow | RolloutFacts | RolloutEnd | RolloutStep | HandedOver | CutOff
+    | NotesSent | LimitNow | RolloutFacts | RolloutEnd | RolloutStep | HandedOver | CutOff | Quiet
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
--- a/harriertrack/rules/rollout.py
+++ b/harriertrack/rules/rollout.py
@@ -7,7 +7,8 @@
 4. *Heard*: no stage ends while more of its heads than the plan says have not taken the version, or are dead,
    stopped or cut off.
 5. *One*: two things never change at the same time; of one epoch there is one decider.
-6. *End*: at the day's end all heads that live run what they should.
+6. *End*: at the day's end all heads that live run what they should, or, where that is left to what is
+   decided, one and the same, and no version is under way any more.
 """
 
 from __future__ import annotations
@@ -23,6 +24,7 @@
 LAG_US = 5_000_000  # a head may take for so long what it heard of before
 LEAD_US = 1_000_000  # a head's log may be read so much earlier than that of who decided
 GOING, BACK, IN_FORCE = "going", "back", "in force"
+UNDER_WAY = (GOING, BACK, "proposed", "paused")
 Key = tuple[str, int]
 
 
@@ -39,7 +41,7 @@
     asleep: set[str] = field(default_factory=set)
     cut: set[str] = field(default_factory=set)
     away: dict[str, int] = field(default_factory=dict)
-    ends: dict[str, int] = field(default_factory=dict)
+    ends: dict[str, rec.RolloutEnd] = field(default_factory=dict)
     deciders: dict[int, str] = field(default_factory=dict)
 
     def stands(self, key: Key) -> str:
@@ -146,7 +148,7 @@
         case rec.RolloutFacts():
             now.facts[one.thing, one.version] = one
         case rec.RolloutEnd():
-            now.ends[one.thing] = one.version
+            now.ends[one.thing] = one
         case rec.RolloutStep():
             yield from _step(now, one)
             _follow(now, one)
@@ -190,8 +192,20 @@
     for one in mine:
         last = one.t
         breaches.extend(_judge(now, one, steps))
-    for thing, version in sorted(now.ends.items()):
-        odd = [name for name in sorted(now.alive) if now.runs[name].get(thing, 0) != version]
-        if odd:
-            breaches.append(Breach(6, last, thing, f"{', '.join(odd)} do not run {version} at the end"))
+    for thing, end in sorted(now.ends.items()):
+        breaches.extend(_ended(now, thing, end, last))
     return breaches
+
+
+def _ended(now: Fleet, thing: str, end: rec.RolloutEnd, last: int) -> Iterator[Breach]:
+    runs = {name: now.runs[name].get(thing, 0) for name in sorted(now.alive)}
+    if not end.settled:
+        odd = [name for name, version in runs.items() if version != end.version]
+        if odd:
+            yield Breach(6, last, thing, f"{', '.join(odd)} do not run {end.version} at the end")
+        return
+    if len(set(runs.values())) > 1:
+        yield Breach(6, last, thing, f"at the end heads run {runs}")
+    newest = max((version for other, version in now.facts if other == thing), default=0)
+    if newest and (standing := now.stands((thing, newest))) in UNDER_WAY:
+        yield Breach(6, last, thing, f"version {newest} is {standing} at the end")
