Volumes of two regions follow closes: copies carry the generation of their bytes

The connection that carries copies, and the one for catching up, now name the generation (the close's instant) beside the lease; another generation's are refused as never run.

--- a/harriertrack/decisions/catchup.py
+++ b/harriertrack/decisions/catchup.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import IntFlag
 from typing import Protocol
@@ -36,6 +36,9 @@
     def copied(self, volume: str, extents: Iterable[int]) -> None:
         """The other region holds these extents now."""
 
+    def purged(self, volume: str, gone: Callable[[int], bool]) -> None:
+        """Forget the extents of which `gone` says so: a close purged them in both regions."""
+
 
 @dataclass(slots=True)
 class CatchUp:
@@ -93,6 +96,15 @@
         """The other head reads these extents here for its copy, with no write to them under way."""
         self._read.update(dict.fromkeys(extents, reader))
 
+    def purged(self, gone: Callable[[int], bool]) -> None:
+        """A close purged the extents of which `gone` says so, here; the other region does so by itself.
+
+        Nothing of them is missed any more, and what was read of them before is not what is to be held now.
+        """
+        for extent in [one for one in self._read if gone(one)]:
+            del self._read[extent]
+        self.log.purged(self.volume, gone)
+
     def caught(self, extent: int, reader: object) -> None:
         """It stored an extent as it last read it; where a write was missed since, that does not count.
 
--- a/harriertrack/decisions/fleet/closing/fences.py
+++ b/harriertrack/decisions/fleet/closing/fences.py
@@ -158,6 +158,27 @@
         """Whether nobody can say here what closes there may have been."""
         return reading is None or reading.high >= self.sure_until
 
+    def admits(self, reading: Interval | None, volume: str, mine: int, theirs: int) -> bool:
+        """Whether bytes of a generation may be stored here, where a volume's are of `mine`.
+
+        None of before a close that is done here, and none of after one that is not. A later one whose close
+        has surely come is one of those that nobody remembers: all that are known are done, or refuse.
+        """
+        if theirs == mine or not self.guards(volume):
+            return True
+        return not self.blind(reading) and reading is not None and mine < theirs <= reading.low
+
+    def unsettled(self, reading: Interval | None, volume: str, apart_us: int) -> bool:
+        """Whether another head may stand on another side of a volume's close, as far as this one knows.
+
+        `apart_us`: the widest that another's bounds on true time can be.
+        """
+        return reading is not None and any(
+            reading.high >= close.at_us > reading.low - apart_us
+            for fence in self.fences.values() for close in fence.schedule.closes
+            if any(purge.names(volume) for purge in close.purges)
+        )  # fmt: skip
+
     def refuses(self, reading: Interval | None, volume: str, offset: int, length: int) -> int | None:
         """Return the hint with which a request for a range is refused now; None: it passes."""
         if not self.guards(volume):
--- a/harriertrack/decisions/regions.py
+++ b/harriertrack/decisions/regions.py
@@ -17,6 +17,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Protocol
 
 
 class Mode(StrEnum):
@@ -42,6 +43,19 @@
     NOTE = "note"  # acknowledge it, and note that the other region misses it
 
 
+class Generations(Protocol):
+    """Which closes a head has stepped over, as the layer of two regions asks for it."""
+
+    def generation(self, volume: str) -> int:
+        """Return of which generation a volume's bytes are here; 0: none was ever purged."""
+
+    def admits(self, volume: str, theirs: int) -> bool:
+        """Whether a copy by a holder that has this generation may be stored here now."""
+
+    def unsettled(self, volume: str) -> bool:
+        """Whether the other region's head may stand on another side of a volume's close."""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """The figures of a volume of two regions; times in microseconds."""
--- a/harriertrack/decisions/requests/model.py
+++ b/harriertrack/decisions/requests/model.py
@@ -76,6 +76,7 @@
     at_shard: int = -1  # of a moving trim: where the extent was
     tick: int = 0  # of the other head's: the newest tick of ours that it had
     reader: object = None  # the connection over which the other head reads this for its copy
+    generation: int = 0  # of such a reading: that of the bytes which the other head has
 
     def bytes_read(self) -> bytes:
         """Return what a served read brought; holes are zeroes."""
--- a/harriertrack/gateway/fleet/beside.py
+++ b/harriertrack/gateway/fleet/beside.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from harriertrack.config.settings import HeadSettings
+from harriertrack.decisions.epochs import Epochs
 from harriertrack.gateway.listing import Listing
 from harriertrack.storage.extents import ExtentMap
 
@@ -15,6 +16,7 @@
     from harriertrack.gateway.fleet.rollout.carrier import Usage
     from harriertrack.gateway.fleet.rollout.program_user import Handover
     from harriertrack.gateway.fleet.scoring.carrier import Scored
+    from harriertrack.gateway.regional import Regional
     from harriertrack.runtime.datagrams import DatagramNetwork
     from harriertrack.storage.changes import ChangesCache
 
@@ -25,7 +27,8 @@
 
     listing: Listing
     extents: ExtentMap
-    epochs: dict[str, int]  # of leases, by volume
+    epochs: Epochs
+    regional: Regional | None  # of heads with volumes of two regions
     retell: Callable[[HeadSettings], None]  # lets the head go by other settings at once
     evidence: Evidence | None = None  # of zones
     scored: Scored | None = None
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -136,7 +136,7 @@
             from harriertrack.gateway.fleet.closing.carrier import Closing
 
             self.closing = Closing(self._parts, settings.closing, self.swim, deciding, changes,
-                                   beside.extents, beside.epochs)  # fmt: skip
+                                   beside.extents, beside.epochs, beside.regional)  # fmt: skip
             self.closing.start()
         if self.scoring is not None:
             self.scoring.follow(changes)
--- a/harriertrack/gateway/fleet/closing/carrier.py
+++ b/harriertrack/gateway/fleet/closing/carrier.py
@@ -10,6 +10,7 @@
 from typing import TypeVar
 
 from harriertrack.config.settings import ClosingSettings
+from harriertrack.decisions.epochs import Epochs
 from harriertrack.decisions.fleet.budgets import Term
 from harriertrack.decisions.fleet.changes.record import Kind, Version
 from harriertrack.decisions.fleet.closing.arranging import CLOSES, is_closes
@@ -39,6 +40,7 @@
 from harriertrack.gateway.fleet.deciding import Deciding
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.parts import HeadParts
+from harriertrack.gateway.regional import Regional
 from harriertrack.membership.fleet.swim import Swim
 from harriertrack.membership.fleet.telling import ClosingTold
 from harriertrack.storage.extents import ExtentMap
@@ -54,10 +56,12 @@
     """One head's."""
 
     def __init__(self, parts: HeadParts, settings: ClosingSettings, swim: Swim, deciding: Deciding,
-                 changes: Changes, places: ExtentMap, epochs: dict[str, int]) -> None:  # fmt: skip
+                 changes: Changes, places: ExtentMap, epochs: Epochs,
+                 regional: Regional | None = None) -> None:  # fmt: skip
         hub = parts.hub
         self._parts, self._hub, self._settings, self._swim = parts, hub, settings, swim
         self._deciding, self._changes, self._places, self._epochs = deciding, changes, places, epochs
+        self._regional = regional
         self._wall: Callable[[], int] = parts.wall or hub.clock.wall
         rules = figures(ClockRules, settings)
         self.clock = FleetClock(rules)
@@ -73,7 +77,7 @@
         self._trimming.begins, self._trimming.emptied = self._begins_trim, self._emptied
         self._sweeps = Sweeps(hub, self.fences, self._trims, parts.settings, swim.me.name, self._settle_us,
                               self._trimming.call_off)  # fmt: skip
-        self._guard = Guard(hub, self._wall, self.clock, self.fences, self._trims, places,
+        self._guard = Guard(hub, self._wall, self.clock, self.fences, self._trims, places, epochs,
                             parts.settings.extent_bytes, self._settle_us)  # fmt: skip
         self._bodies: dict[str, str] = {}  # of the closes that were taken
         self._extents: dict[str, int] = {}  # that each calendar's last close made unreadable
@@ -97,6 +101,10 @@
         now = self._hub.now()  # what an earlier life sent may run yet
         self._trims.add(now, lefts, self._place(), dict.fromkeys(lefts, now + self._settle_us))
         core.closings = self._guard
+        for volume, epoch in self._places.closing.raised.items():
+            self._epochs.closed(volume, epoch)
+        if self._regional is not None:
+            self._regional.generations = self._guard
         for calendar in self._places.closing.generations:
             self.fences.fence(calendar)
         self._deciding.on_report[TOPIC] = self._asked
@@ -258,6 +266,8 @@
         core.keep_purged({(volume, extent) for volume, extent, _ in lefts if volume in core.volumes})
         self._sweeps.follow(fence)
         self._raise_epochs()
+        if self._regional is not None:
+            self._regional.closed(lambda *place: self._covers(close, *place))
         mine = [Left(*left) for left in lefts if left[0] in core.volumes]
         least = {left: self._guard.quiet_at(left.volume, left.extent) for left in mine}
         self._trims.add(now, mine, self._place(), least)
@@ -294,7 +304,8 @@
                     if close.number > fence.done or not any(one.names(volume) for one in close.purges):
                         continue
                     swept = volume in self._several and close.number <= fence.schedule.swept_of(volume)
-                    self._epochs[volume] = max(self._epochs.get(volume, 0), close.at_us + swept)
+                    if self._epochs.closed(volume, close.at_us + swept):
+                        self._places.raise_to(volume, close.at_us + swept)
 
     def _emptied(self) -> None:
         progress = self._trims.progress
--- a/harriertrack/gateway/fleet/closing/guard.py
+++ b/harriertrack/gateway/fleet/closing/guard.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from harriertrack.decisions.epochs import Epochs
 from harriertrack.decisions.fleet.closing.clocks import FleetClock, Interval
 from harriertrack.decisions.fleet.closing.fences import Fences
 from harriertrack.decisions.fleet.closing.trims import Trims
@@ -19,10 +20,10 @@
     """One head's."""
 
     def __init__(self, hub: Hub, wall: Callable[[], int], clock: FleetClock, fences: Fences, trims: Trims,
-                 places: ExtentMap, extent_bytes: int, settle_us: int) -> None:  # fmt: skip
+                 places: ExtentMap, epochs: Epochs, extent_bytes: int, settle_us: int) -> None:  # fmt: skip
         self._hub, self._wall, self._clock = hub, wall, clock
         self._fences, self._trims, self._places = fences, trims, places
-        self._extent_bytes, self._settle_us = extent_bytes, settle_us
+        self._epochs, self._extent_bytes, self._settle_us = epochs, extent_bytes, settle_us
         self._risky: dict[tuple[str, int], int] = {}  # (volume, extent): until when
         self.refused = 0
 
@@ -45,6 +46,20 @@
         self.refused += hint is not None
         return hint
 
+    def generation(self, volume: str) -> int:
+        """Return of which generation a volume's bytes are here; 0: none was ever purged."""
+        return self._epochs.generation(volume)
+
+    def admits(self, volume: str, theirs: int) -> bool:
+        """Whether a copy by a holder that has this generation may be stored here now."""
+        return self._fences.admits(self.reading(), volume, self.generation(volume), theirs)
+
+    def unsettled(self, volume: str) -> bool:
+        """Whether the other region's head may stand on another side of a volume's close."""
+        if not self._fences.guards(volume):
+            return False
+        return self._fences.unsettled(self.reading(), volume, 2 * self._clock.rules.error_us)
+
     def placing(self, volume: str, extent: int, shard: int) -> None:
         """A first write to an extent is about to be sent to a shard: on disk, should this head be killed."""
         if self._fences.guards(volume):
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -16,12 +16,13 @@
 from harriertrack.decisions.splitting import Kind, Outcome, cut, runs
 from harriertrack.gateway.links import COMMANDS
 from harriertrack.gateway.reception import CLOSING, Reception, TurnedAway
-from harriertrack.gateway.regional import digest_of
+from harriertrack.gateway.regional import CLOSED, digest_of
 from harriertrack.protocol.nbd.extension import (
     COPY_CONTEXT,
     HINTS_CONTEXT,
     RELAY_CONTEXT,
     Report,
+    generation_of,
     identity_of,
 )  # fmt: skip
 from harriertrack.protocol.nbd.server import (
@@ -126,7 +127,7 @@
         self._open: dict[ClientRequest, int] = {}  # requests without their answer, and their cookies
         self._fewer = Waiters(front.reception.hub)
         self.volume = ""
-        self.origin, self._epoch = Origin.CLIENT, 0
+        self.origin, self._epoch, self._generation = Origin.CLIENT, 0, 0
         self.chosen = self.counted = False  # it has a volume; it counts among its cell's connections
         self.hears_hints, self.multipath, self.most_patience_us = False, False, 0
 
@@ -195,11 +196,13 @@
             if context == HINTS_CONTEXT:
                 self.hears_hints = True
             elif identity_of(context, RELAY_CONTEXT):
-                self.origin = Origin.RELAY
+                self.origin, self._generation = Origin.RELAY, generation_of(context)
             elif identity := identity_of(context, COPY_CONTEXT):
                 self.origin, self._epoch = Origin.COPY, identity[1]
                 regional = self._front.regional
-                return regional is not None and regional.copy_opened(self.volume, self._epoch, self)
+                return regional is not None and regional.copy_opened(
+                    self.volume, self._epoch, generation_of(context), self
+                )
         return True
 
     def _peer_news(self, event: Request) -> None:
@@ -213,7 +216,7 @@
         if event.command is Command.TICK:
             report = Report(load=(regional.tick(bool(event.length)),))
         else:
-            regional.caught(self.volume, event.offset, event.length, self)
+            regional.caught(self.volume, event.offset, event.length, self._generation, self)
         self._nbd.reply_done(event.cookie, report)
         self._push()
 
@@ -237,6 +240,7 @@
                 origin=self.origin,
                 tick=event.token,
                 reader=self,
+                generation=self._generation,
             )
         )
 
@@ -256,7 +260,10 @@
             and self.origin is Origin.RELAY
             and front.regional is not None
         ):
-            told = front.regional.missing(self.volume, event.offset, event.length)
+            told = front.regional.missing(self.volume, event.offset, event.length, self._generation)
+            if told is None:
+                self._turn_away(event, REFUSED, CLOSED)
+                return
             self._nbd.reply_block_status(event.cookie, told, RELAY_CONTEXT)
             self._push()
             return
@@ -270,7 +277,7 @@
         request = ClientRequest(
             volume, kind, event.offset, event.length, event.data, event.flags, self,
             origin=self.origin, epoch=self._epoch, tick=event.token, reader=self if pulled else None,
-            came=self._stream.came_at,
+            generation=self._generation, came=self._stream.came_at,
         )  # fmt: skip
         if not self.hears_hints:
             self._stream.drain()  # what waits is taken only as fast as its client takes answers
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -160,9 +160,9 @@
                     from harriertrack.gateway.fleet.carrier import Fleet
 
                     made = self._wiring
-                    beside = Beside(self._listing, extents, self._links.epochs, self.retell, evidence,
-                                    self.scored, made.datagrams, made.kept, made.handover,
-                                    made.usage)  # fmt: skip
+                    beside = Beside(self._listing, extents, self._links.epochs, self.regional,
+                                    self.retell, evidence, self.scored, made.datagrams, made.kept,
+                                    made.handover, made.usage)  # fmt: skip
                     self.fleet = Fleet(parts, settings.fleet, beside)
                     self.fleet.start()
                     if self.fleet.budgets is not None:
--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.epochs import Epochs
 from harriertrack.decisions.linklife import LinkLife
 from harriertrack.decisions.requests import Attempt
 from harriertrack.decisions.splitting import Kind
@@ -226,7 +227,7 @@
         self._scope, self._note, self._portions = head.scope, head.note, head.portions
         self._links: dict[tuple[str, str], BaseLink] = {}
         self._shed: list[BaseLink] = []  # told to close
-        self.epochs: dict[str, int] = {}  # of volumes of two regions: the lease that work is done under
+        self.epochs = Epochs()
 
     def flags(self, asked: int, kind: Kind) -> int:
         """Return which of a client's flags a node is told: FUA and NO_HOLE; DF is between client and head."""
@@ -235,7 +236,7 @@
     def send(self, attempt: Attempt) -> None:
         """Send an attempt over its node's link for its volume, opening one if there is none."""
         key = (attempt.member.entry.node, attempt.volume)
-        link, epoch = self._links.get(key), self.epochs.get(key[1], 0)
+        link, epoch = self._links.get(key), self.epochs.of(key[1])
         if link is not None and link.epoch != epoch:
             link.retire()
             link = None
--- a/harriertrack/gateway/peer.py
+++ b/harriertrack/gateway/peer.py
@@ -126,25 +126,38 @@
         self._hub, self._network, self._scope, self._settings = hub, network, scope, settings
         self._head_id, self._name = head_id, name
         self._relays: dict[str, PeerLink] = {}
-        self._copies: dict[str, tuple[int, PeerLink]] = {}
+        self._pulls: dict[str, tuple[int, PeerLink]] = {}
+        self._copies: dict[str, tuple[tuple[int, int], PeerLink]] = {}
         self.token = 0  # the newest tick that the other head told us
 
-    def relay(self, volume: str) -> PeerLink:
-        """Return the link that passes requests on a volume to its holder."""
+    def relay(self, volume: str, generation: int = 0) -> PeerLink:
+        """Return the link that passes requests on a volume to its holder.
+
+        What asks for the copy says of which generation its bytes are, if any were purged: over a link of its
+        own, so that clients' requests know nothing of it.
+        """
+        if generation:
+            known = self._pulls.get(volume)
+            if known is None or known[0] != generation:
+                if known is not None:
+                    known[1].close()
+                context = context_of(self._head_id, 0, RELAY_CONTEXT, generation)
+                known = self._pulls[volume] = (generation, self._link(volume, context))
+            return known[1]
         link = self._relays.get(volume)
         if link is None:
             link = self._relays[volume] = self._link(volume, context_of(self._head_id, 0, RELAY_CONTEXT))
         return link
 
-    def copy(self, volume: str, epoch: int) -> PeerLink:
-        """Return the link that carries a holder's writes to the copy; each epoch has its own."""
-        known = self._copies.get(volume)
-        if known is not None and known[0] == epoch:
+    def copy(self, volume: str, epoch: int, generation: int = 0) -> PeerLink:
+        """Return the link that carries a holder's writes to the copy; each epoch and generation has one."""
+        known, mine = self._copies.get(volume), (epoch, generation)
+        if known is not None and known[0] == mine:
             return known[1]
         if known is not None:
             known[1].close()
-        link = self._link(volume, context_of(self._head_id, epoch, COPY_CONTEXT))
-        self._copies[volume] = (epoch, link)
+        link = self._link(volume, context_of(self._head_id, epoch, COPY_CONTEXT, generation))
+        self._copies[volume] = (mine, link)
         return link
 
     def _link(self, volume: str, context: str) -> PeerLink:
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -20,9 +20,10 @@
 
 from harriertrack.config.settings import HeadSettings, VolumeRegionSettings, VolumeSettings
 from harriertrack.decisions.catchup import CatchUp, Told
+from harriertrack.decisions.copies import Copies, Crossed, Held, Turn, crossed
 from harriertrack.decisions.holding import Care, Look, Taking, after_look, after_taking, to_tend
 from harriertrack.decisions.ranges import RangeLocks, Ticket
-from harriertrack.decisions.regions import Bounds, Copying, Expiry, RegionView, Route
+from harriertrack.decisions.regions import Bounds, Expiry, Generations, RegionView, Route
 from harriertrack.decisions.requests import CHANGING, ClientRequest, Core, Origin
 from harriertrack.decisions.splitting import Kind, Outcome, cut, runs
 from harriertrack.gateway import background
@@ -44,6 +45,7 @@
 CATCH_UP_US = 200_000  # between two looks at what this region misses
 WISH_TURNS = 4  # operators' wishes are read with every so manyth look at the witness
 HAND_OVER_US = 1_000_000  # the longest that a hand-over waits for requests under way
+CLOSED = "refused: not done; a close has come"
 NOT_HOLDER = "refused: not done; this head does not hold the volume"
 STALE = "refused: not done; too old"
 ASKED_AT_ONCE = 1 << 30  # bytes of a volume asked about in one BLOCK_STATUS
@@ -64,7 +66,7 @@
     ticket: Ticket | None = None
     timer: Timer | None = None
     inner: ClientRequest | None = None
-    copying_since: int = 0
+    crossed: Crossed = Crossed.NOT  # a close that came since it was begun in this region
     data: bytes | None = None  # what was read back after a write whose effect is not known
 
     def answer(self, inner: ClientRequest) -> None:
@@ -87,9 +89,10 @@
     spread: VolumeRegionSettings
     view: RegionView
     catch_up: CatchUp
+    copies: Copies
     locks: RangeLocks = field(default_factory=RangeLocks)
-    copying: dict[Work, None] = field(default_factory=dict)
-    dropping: bool = False
+    works: dict[int, Work] = field(default_factory=dict)  # clients' changes begun here and not over
+    passed: dict[ClientRequest, None] = field(default_factory=dict)  # on to the holder, without an answer
     handing: bool = False
     copy_session: object = None  # the newest connection of the holder; older ones are not listened to
     wish: str = ""
@@ -142,9 +145,11 @@
                 view = RegionView(region.name, region.other, spread.home, bounds)
                 extents = -(-volume.size_bytes // settings.extent_bytes)
                 catch_up = CatchUp(volume.name, extents, log)
-                self.volumes[volume.name] = RegionalVolume(volume, spread, view, catch_up)
+                copies = Copies(view, catch_up)
+                self.volumes[volume.name] = RegionalVolume(volume, spread, view, catch_up, copies)
         self._number = 0
         self.open = 0  # clients' requests without an answer
+        self.generations: Generations | None = None  # of heads whose fleet has calendars
         self._under_way: dict[ClientRequest, Work] = {}  # in the core, by the client's request
         self._look = Waiters(hub)
         first = next(iter(self.volumes))
@@ -172,6 +177,9 @@
         if request.origin is not Origin.CLIENT and not self.expiry.fresh(request.tick, now):
             self._refuse(request, STALE)
             return
+        if request.reader is not None and not self.same_generation(volume.name, request.generation):
+            self._refuse(request, CLOSED)
+            return
         if request.origin is Origin.COPY:
             self._take_copy(volume, request)
             return
@@ -186,7 +194,7 @@
 
     def acts_on(self, volume: str) -> bool:
         """Whether this head knows under which epoch it works on a volume, as holder or with the copy."""
-        return volume not in self.volumes or volume in self._links.epochs
+        return volume not in self.volumes or self._links.epochs.knows_lease(volume)
 
     def route(self, volume: str, now: int) -> Route:
         """Return where a client's request on a volume would go."""
@@ -202,6 +210,7 @@
         if request.outcome is None:
             request.outcome = Outcome.FAILED
             self.open -= 1
+            self.volumes[request.volume.settings.name].passed.pop(request, None)
             work = self._under_way.pop(request, None)
             if work is not None and work.inner is not None:
                 self._core.client_gone(work.inner)
@@ -215,6 +224,7 @@
         if request.outcome is None:
             request.outcome, request.why = outcome, why
             self.open -= 1
+            self.volumes[request.volume.settings.name].passed.pop(request, None)
             self._core.answer_outside(request)
 
     def _refuse(self, request: ClientRequest, why: str) -> None:
@@ -247,10 +257,11 @@
             self._release(work)
             return
         if request.kind in CHANGING and not work.copy:
+            volume.works[work.number] = work
             self._log.begin_write(volume.name, work.extents)
         if request.reader is not None:  # not a client's read, which says nothing of the other region's copy
             volume.catch_up.read(work.extents, request.reader)
-        self._links.epochs[volume.name] = work.epoch
+        self._links.epochs.leased(volume.name, work.epoch)
         self._do(work, request.kind, request.data)
 
     def _do(self, work: Work, kind: Kind, data: bytes, background: bool = False) -> None:
@@ -292,6 +303,9 @@
         elif not alive:
             self._answer(request, Outcome.FAILED)
             self._release(work)
+        elif work.crossed is not Crossed.NOT:  # it ran before the close: what of it is left is not known
+            self._answer(request, Outcome.FAILED)
+            self._after_unknown(work)
         elif request.kind in CHANGING and not inner.parts:
             # There was nothing to trim or zero: the other region holds no more there than this one.
             self._answer(request, outcome)
@@ -304,7 +318,7 @@
 
         Read back what is there, so that both regions hold the same.
         """
-        if work.request.kind is Kind.FLUSH or not self._may_act(work):
+        if work.request.kind is Kind.FLUSH or not self._may_act(work) or work.crossed is Crossed.WHOLE:
             self._release(work)
         else:
             self._do(work, Kind.READ, b"", background=True)
@@ -321,29 +335,17 @@
 
         Answer now or after the copy, as the mode and the witness's record say.
         """
-        volume, now = work.volume, self._hub.now()
-        match volume.view.copying(now):
-            case Copying.WAIT:
-                self._copy_begins(work)
-            case Copying.LATER:
-                volume.view.began_behind(work.number, now)
-                self._answer(work.request, Outcome.SERVED)
-                self._copy_begins(work)
-            case _ if work.request.kind is Kind.FLUSH:
-                self._answer(work.request, Outcome.SERVED)
-                self._release(work)
-            case _:
-                if volume.catch_up.copies(work.extents):
-                    self._answer(work.request, Outcome.SERVED)
-                    self._copy_begins(work)
-                else:
-                    self._miss(work)
-                    self._answer(work.request, Outcome.SERVED)
-                    self._release(work)
-
-    def _miss(self, work: Work) -> None:
-        if work.request.kind is not Kind.FLUSH:
-            work.volume.catch_up.missed(work.extents)
+        copies, extents = work.volume.copies, work.extents
+        if work.request.kind is Kind.FLUSH:
+            extents = range(0)
+        found = copies.held(self._hub.now(), work.number, extents)
+        if found is not Held.COPY:
+            self._answer(work.request, Outcome.SERVED)
+        if found is Held.ANSWER:
+            self._release(work)
+        else:
+            work.volume.works[work.number] = work
+            self._copy(work)
 
     def _expire(self, work: Work) -> None:
         """The client's time is up. What is under way goes on, but nobody waits for it any more."""
@@ -353,34 +355,35 @@
     def _release(self, work: Work) -> None:
         if work.timer is not None:
             work.timer.cancel()
-        if work.ticket is not None:
-            work.volume.locks.release(work.ticket)
         volume = work.volume
-        self._log.settle(volume.name, {extent for one in volume.copying for extent in one.extents})
+        if work.number:
+            volume.works.pop(work.number, None)
+        if work.ticket is not None:
+            volume.locks.release(work.ticket)
+        self._log.settle(volume.name, volume.copies.busy())
 
     # -- copies, at the holder
 
-    def _copy_begins(self, work: Work) -> None:
-        work.copying_since = self._hub.now()
-        work.volume.copying[work] = None
-        self._copy(work)
-
     def _copy(self, work: Work) -> None:
+        """Take a copy's turn: send it, now or again, or end it."""
         volume, request, now = work.volume, work.request, self._hub.now()
-        if work not in volume.copying:
-            return
-        if not self._may_act(work):
-            self._copy_ends(work, Outcome.FAILED)
-            return
-        if volume.view.overdue(work.copying_since, now):
-            self._copy_failed(work)
-            return
+        match volume.copies.turn(now, work.number, self._may_act(work), self._unsettled(volume)):
+            case Turn.GONE | Turn.WAIT:
+                return
+            case Turn.LOST:
+                self._copy_ends(work, Outcome.FAILED)
+                return
+            case Turn.MISSED:
+                self._copy_ends(work, Outcome.SERVED)
+                return
+            case Turn.DROP:
+                self._scope.spawn(f"drop copy of {volume.name}", self._drop, volume, work.epoch)
+                return
         kind, data = (request.kind, request.data) if work.data is None else (Kind.WRITE, work.data)
-        link = self._peer.copy(volume.name, work.epoch)
-        until = work.copying_since + volume.view.bounds.copy_us
+        link = self._peer.copy(volume.name, work.epoch, self._generation(volume.name))
 
         def then(reply: Reply | None) -> None:
-            if work not in volume.copying:
+            if work.number not in volume.copies:
                 return
             if reply is not None and not reply.error:
                 self._copy_ends(work, Outcome.SERVED)
@@ -389,28 +392,23 @@
                 link.drop()  # what it still carries must not arrive after what comes later
             self._hub.at(self._hub.now() + RETRY_US, lambda: self._copy(work))
 
-        flags = request.flags & 0b01
+        flags, until = request.flags & 0b01, volume.copies.until(work.number)
         offset, length = (0, 0) if kind is Kind.FLUSH else (request.offset, request.length)
         link.call(COMMANDS[kind], offset, length, data, flags, self._peer.token, until, then)
 
     def _copy_ends(self, work: Work, outcome: Outcome) -> None:
-        work.volume.copying.pop(work, None)
-        work.volume.view.caught_up(work.number)
+        work.volume.copies.ended(work.number)
         self._answer(work.request, outcome)
         self._release(work)
 
-    def _copy_failed(self, work: Work) -> None:
-        """The other region did not take a write in time."""
-        volume = work.volume
-        if volume.view.other not in volume.view.in_sync:
-            # Only these bytes are missed; the other head goes on catching up with the rest while it is there.
-            if not volume.view.reachable(self._hub.now()):
-                volume.catch_up.dropped()
-            self._miss(work)
-            self._copy_ends(work, Outcome.SERVED)
-        elif not volume.dropping:
-            volume.dropping = True
-            self._scope.spawn(f"drop copy of {volume.name}", self._drop, volume, work.epoch)
+    def _copies_late(self, volume: RegionalVolume) -> None:
+        """Mode HOME: the other region is behind for longer than stated."""
+        work = volume.works[next(iter(volume.copies))]
+        match volume.copies.late(self._hub.now(), work.number):
+            case Turn.MISSED:
+                self._copy_ends(work, Outcome.SERVED)
+            case Turn.DROP:
+                self._scope.spawn(f"drop copy of {volume.name}", self._drop, volume, work.epoch)
 
     def _drop(self, volume: RegionalVolume, epoch: int) -> None:
         """Have the witness record that the other region is out of sync.
@@ -421,18 +419,13 @@
         alone = frozenset((volume.view.here,))
         while self.holding.epoch(volume.name, self._hub.now()) == epoch:
             # On disk before the witness hears, so that a kill between the two loses nothing.
-            for work in volume.copying:
-                self._miss(work)
+            volume.copies.miss_all()
             if self._record(volume, alone):
                 break
             self._hub.sleep(RETRY_US * 5)
-        volume.dropping = False
-        volume.catch_up.dropped()
         alive = self.holding.epoch(volume.name, self._hub.now()) == epoch and volume.view.in_sync == alone
-        for work in list(volume.copying):
-            if alive:
-                self._miss(work)
-            self._copy_ends(work, Outcome.SERVED if alive else Outcome.FAILED)
+        for number in volume.copies.dropped(alive):
+            self._copy_ends(volume.works[number], Outcome.SERVED if alive else Outcome.FAILED)
         self._note("copy dropped" if alive else "lease lost while the copy was dropped", volume=volume.name)
 
     def _record(self, volume: RegionalVolume, in_sync: frozenset[str]) -> bool:
@@ -457,10 +450,12 @@
 
     # -- copies, at the other head
 
-    def copy_opened(self, volume: str, epoch: int, session: object) -> bool:
+    def copy_opened(self, volume: str, epoch: int, generation: int, session: object) -> bool:
         """The holder opened a connection for copies; older ones are not listened to from now on."""
         if volume not in self.volumes or not self.fence.admits(volume, epoch):
             return False
+        if self.generations is not None and not self.generations.admits(volume, generation):
+            return False
         self.volumes[volume].copy_session = session
         return True
 
@@ -497,14 +492,67 @@
             if request.outcome is not None:
                 return
             if epoch := self._epoch(volume, now):
+                volume.passed.pop(request, None)
                 self._begin(Work(self, volume, request, epoch))
                 return
             offset, length = (0, 0) if request.kind is Kind.FLUSH else (request.offset, request.length)
             link, flags = self._peer.relay(volume.name), request.flags & 0b01
             link.call(COMMANDS[request.kind], offset, length, request.data, flags, token, until, then)
 
+        volume.passed[request] = None
         send()
 
+    # -- closes
+
+    def _generation(self, volume: str) -> int:
+        """Return of which generation a volume's bytes are here."""
+        return 0 if self.generations is None else self.generations.generation(volume)
+
+    def _unsettled(self, volume: RegionalVolume) -> bool:
+        """Whether the two heads may stand on different sides of a close."""
+        return self.generations is not None and self.generations.unsettled(volume.name)
+
+    def same_generation(self, volume: str, theirs: int) -> bool:
+        """Whether the other head, which catches up, has stepped over the same closes."""
+        return theirs == self._generation(volume)
+
+    def closed(self, covers: Callable[[str, int, int], bool]) -> None:
+        """A close of what `covers` (volume, offset, length) names is on disk: all of before goes with it.
+
+        Called after the core gave up its part, and once what is begun now is of the next generation.
+        """
+        size = self.extent_bytes
+        for volume in self.volumes.values():
+            name = volume.name
+
+            def gone(extent: int, name: str = name) -> bool:
+                return covers(name, extent * size, size)
+
+            if not covers(name, 0, volume.settings.size_bytes):
+                continue
+            volume.copy_session = None  # of the generation before; the holder comes anew
+            volume.catch_up.purged(gone)
+            for request in list(volume.passed):
+                if request.kind is Kind.READ and covers(name, request.offset, request.length):
+                    self._refuse(request, CLOSED)
+            for work in list(volume.works.values()):
+                if (how := crossed(work.extents, gone)) is not Crossed.NOT:
+                    self._crossed(work, how)
+
+    def _crossed(self, work: Work, how: Crossed) -> None:
+        """A close purged what a write under way had written, or a part of that."""
+        volume, copies = work.volume, work.volume.copies
+        work.crossed = how if work.crossed is not Crossed.WHOLE else work.crossed
+        if work.number not in copies:
+            return  # the core has it; it hears of its end
+        copies.ended(work.number)
+        del volume.works[work.number]
+        self._number += 1  # what was sent under the one before is answered to nobody
+        work.number = self._number
+        volume.works[work.number] = work
+        self._answer(work.request, Outcome.FAILED)
+        self._after_unknown(work)
+
     # -- the other head's news
 
     def tick(self, look: bool) -> float:
@@ -532,23 +580,28 @@
         until = asked_at + self.region.fresh_us
         self._heartbeat.call(Command.TICK, 0, length, b"", 0, self._peer.token, until, then)
 
-    def missing(self, volume: str, offset: int, length: int) -> list[tuple[int, int]]:
-        """Tell the other head which extents it misses, as (length, flag).
+    def missing(self, volume: str, offset: int, length: int, generation: int) -> list[tuple[int, int]] | None:
+        """Tell the other head which extents it misses, as (length, flag); None if it is on the other side of
+        a close.
 
         From now on it gets new writes again.
         """
         one = self.volumes[volume]
+        if not self.same_generation(volume, generation):
+            return None
         if self.holding.epoch(volume, self._hub.now()):
             one.catch_up.asked()
         pieces = cut(offset, length, self.extent_bytes)
         return list(runs((piece, int(one.catch_up.tell(extent))) for extent, _, piece in pieces))
 
-    def caught(self, volume: str, offset: int, length: int, reader: object) -> None:
+    def caught(self, volume: str, offset: int, length: int, generation: int, reader: object) -> None:
         """The other head holds an extent as it last read it over the same connection, `reader`.
 
         With length 0, it misses nothing.
         """
         catch_up = self.volumes[volume].catch_up
+        if not self.same_generation(volume, generation):
+            return
         if length:
             catch_up.caught(offset // self.extent_bytes, reader)
         else:
@@ -614,6 +667,8 @@
             volume.index = lock.index
             if lock.session != mine:
                 self.holding.gave(volume.name)
+                if self.generations is not None:  # trims after closes wait for no copy to bring its epoch
+                    self._links.epochs.leased(volume.name, lock.epoch)
         acts = bool(self.holding.epoch(volume.name, now))
         match after_look(view, lock, mine, acts, volume.wish, now), lock:
             case Look.CREATE, _:
@@ -651,15 +706,15 @@
         volume.handing = False
         volume.catch_up.begin()
         self.fence.admits(volume.name, lock.epoch)
-        self._links.epochs[volume.name] = lock.epoch
+        self._links.epochs.leased(volume.name, lock.epoch)
         self.holding.took(volume.name, lock.epoch)
         self._note("volume held", volume=volume.name, epoch=lock.epoch, in_sync=sorted(in_sync))
 
     def _tend(self, volume: RegionalVolume, now: int) -> None:
         """What the holder looks after: bounds, the other region's return, handing over."""
-        match to_tend(volume.view, volume.catch_up.done, len(volume.copying), volume.wish, now):
+        match to_tend(volume.view, volume.catch_up.done, len(volume.copies), volume.wish, now):
             case Care.DROP:
-                self._copy_failed(next(iter(volume.copying)))
+                self._copies_late(volume)
             case Care.JOIN:
                 self._join(volume)
             case Care.HAND_OVER:
@@ -676,7 +731,7 @@
             self._note("in sync", volume=volume.name)
         else:
             # It may or may not stand: only a record that says otherwise lets writes go on alone.
-            volume.dropping = True
+            volume.copies.dropping = True
             self._drop(volume, self.holding.epoch(volume.name, self._hub.now()))
 
     def _hand_over(self, volume: RegionalVolume) -> None:
@@ -686,7 +741,7 @@
         while len(volume.locks) and self._hub.now() < until:
             self._hub.sleep(RETRY_US // 4)
         view = volume.view
-        if not len(volume.locks) and view.other in view.in_sync and not volume.dropping:
+        if not len(volume.locks) and view.other in view.in_sync and not volume.copies.dropping:
             self._log.forget_open(volume.name)
             standing = Standing(volume.spread.home, tuple(sorted(view.in_sync)))
             self.holding.gave(volume.name)
@@ -723,7 +778,8 @@
     def _ask_peer(self, volume: RegionalVolume, command: Command, offset: int, length: int,
                   flags: int = 0) -> Reply | None:  # fmt: skip
         """Ask the holder and wait; None if it did not, or would not."""
-        link, token = self._peer.relay(volume.name), self._peer.token
+        link = self._peer.relay(volume.name, self._generation(volume.name))
+        token = self._peer.token
         until = self._hub.now() + 4 * self.region.fresh_us
 
         def ask(then: Callable[[Reply | None], None]) -> None:
@@ -764,11 +820,12 @@
         ticket = volume.locks.ask(start, start + length, True, granted.set)
         try:
             granted.wait()
+            generation = self._generation(volume.name)
             if not (compare and self._equal(volume, start, length)):
                 reply = self._ask_peer(volume, Command.READ, start, length, CommandFlags.DF)
-                if reply is None:
+                if reply is None or generation != self._generation(volume.name):
                     return False
-                self._links.epochs[volume.name] = self.fence.highest(volume.name)
+                self._links.epochs.leased(volume.name, self.fence.highest(volume.name))
                 if self._own(volume, Kind.WRITE, start, length, reply.data).outcome is not Outcome.SERVED:
                     return False
             return self._ask_peer(volume, Command.CAUGHT, start, length) is not None
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -44,6 +44,15 @@
 GROUPS = ("all", "seeds", "rest", "shelves", *ROLES)
 
 
+SECOND = 1_000_000
+TAKEN_UP_US = 5 * SECOND  # a calendar is on record and taken up by then, also on a busy machine
+
+
+def lull_us(closing: ClosingSettings) -> int:
+    """Return how long before a close a calendar without it has to be proposed."""
+    return closing.notice_us + TAKEN_UP_US
+
+
 class Verb(Enum):
     """What a step does."""
 
@@ -103,6 +112,7 @@
     local: str = "UTC"  # its time zone
     after_us: tuple[Whole, ...] = ()  # whole seconds past now, about
     expect_us: tuple[Whole, ...] = AS_AFTER  # which of these are to come to pass
+    again_us: Whole = 0  # the last of these comes again so often, until the market has its next calendar
     ahead_us: int = 0  # of true time: the wall clock of who is started, or told so
     skew_us: Whole = 0  # and up to so much more or less, drawn for each
     old: bool = False
@@ -181,6 +191,8 @@
             raise SettingsError(f"{at}: to: a change, and no other step, is paused, going or aborted")
         if step.name is Verb.MARKET and (day.closing is None or step.number >= day.markets):
             raise SettingsError(f"{at}: number: no such market, or no (closing ...)")
+        if step.again_us and day.closing is not None and step.again_us < lull_us(day.closing) + SECOND:
+            raise SettingsError(f"{at}: again: leaves no time to stop it between two closes")
         if step.name is Verb.DARK and day.budgets is None:
             raise SettingsError(f"{at}: there is no witness on a day without budgets")
         struck = step.cut or step.lost or step.twice or step.late_us or step.jitter_us
--- a/harriertrack/protocol/nbd/extension.py
+++ b/harriertrack/protocol/nbd/extension.py
@@ -20,6 +20,9 @@
   receiver turns down, as never run, what names one that is too old);
 - the command TICK asks for the present tick, which comes in a REPORT chunk as its first load value;
 - the command DIGEST asks for the 64-bit XXH3 of a range; its upper and lower half come as two load values;
+- where a volume's bytes were ever purged at a close, the generation of those that the sender has follows:
+  `copy1/HEAD/EPOCH/GENERATION`, and `relay1/HEAD/0/GENERATION` for a connection that is for catching up. What
+  another generation's bytes would come of is turned down as never run;
 - BLOCK_STATUS on `relay1` tells with flag 1 which extents the asking region misses, with flag 2 which it may
   miss. It reads them for its copy with READ and the flag DF (a client's read that is passed on never has it),
   or compares with DIGEST, and the command CAUGHT says that it holds one of them as of its last such reading
@@ -43,20 +46,33 @@
 _REPORT = struct.Struct(">IdH")
 
 
-def context_of(head: int, epoch: int = 0, prefix: str = NODE_CONTEXT) -> str:
-    """Name the context that a head asks for; an epoch above 0 is that of the volume's lease."""
-    return f"{prefix}{head:016x}" + (f"/{epoch:x}" if epoch else "")
+def context_of(head: int, epoch: int = 0, prefix: str = NODE_CONTEXT, generation: int = 0) -> str:
+    """Name the context that a head asks for.
+
+    An epoch above 0 is that of the volume's lease, a generation above 0 that of its bytes.
+    """
+    named = f"{prefix}{head:016x}"
+    if generation:
+        return f"{named}/{epoch:x}/{generation:x}"
+    return named + (f"/{epoch:x}" if epoch else "")
 
 
 def identity_of(context: str, prefix: str = NODE_CONTEXT) -> tuple[int, int] | None:
     """Read head and epoch from a context's name; None if the name is not one of ours."""
     if not context.startswith(prefix):
         return None
-    head, _, epoch = context.removeprefix(prefix).partition("/")
+    head, *rest = context.removeprefix(prefix).split("/")
     try:
-        return (int(head, 16), int(epoch or "0", 16)) if len(head) == 16 else None
+        numbers = [int(one or "0", 16) for one in (head, *rest)]
     except ValueError:
         return None
+    return (numbers[0], numbers[1] if rest else 0) if len(head) == 16 and len(rest) <= 2 else None
+
+
+def generation_of(context: str) -> int:
+    """Read the generation from the name of a context that is one of ours."""
+    parts = context.rsplit("/", 2) if context.count("/") == 3 else ()
+    return int(parts[-1] or "0", 16) if parts else 0
 
 
 def head_of(context: str) -> int | None:
--- a/harriertrack/storage/extents.py
+++ b/harriertrack/storage/extents.py
@@ -154,6 +154,11 @@
         with self._change() as change:
             self.closing.trimmed(change, volume, (extent, shard))
 
+    def raise_to(self, volume: str, epoch: int) -> None:
+        """Work of a volume is sent under this epoch, for closes, from now on: on disk when this returns."""
+        with self._change() as change:
+            self.closing.raise_to(change, volume, epoch)
+
     def close(self) -> None:
         """Close the store; everything placed is on disk already."""
         if self._env is not None:
--- a/harriertrack/storage/missed.py
+++ b/harriertrack/storage/missed.py
@@ -11,7 +11,7 @@
 
 import struct
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import lmdb
@@ -109,6 +109,21 @@
             self._commit((), [(MISSED, volume, extent) for extent in done])
             known -= done
 
+    def purged(self, volume: str, gone: Callable[[int], bool]) -> None:
+        """Forget the extents of which `gone` says so, in both sets at once: a close purged them everywhere.
+
+        What says "compare everything" stays.
+        """
+        known, opened = self._missed.get(volume, set()), self._open.get(volume, OrderedDict())
+        missed = {extent for extent in known if extent != WHOLE and gone(extent)}
+        busy = [extent for extent in opened if gone(extent)]
+        if missed or busy:
+            deletes = [(MISSED, volume, extent) for extent in missed]
+            self._commit((), deletes + [(OPEN, volume, extent) for extent in busy])
+            known -= missed
+            for extent in busy:
+                del opened[extent]
+
     def forget_open(self, volume: str) -> None:
         """The regions agree: nothing is in doubt any more."""
         gone = self._open.pop(volume, OrderedDict())
