--- a/harriertrack/gateway/fleet/together.py
+++ b/harriertrack/gateway/fleet/together.py
@@ -115,7 +115,7 @@
             from harriertrack.gateway.fleet.closing.carrier import Closing
 
             closing = Closing(member.parts, settings.closing, member.swim, deciding, changes, beside.extents,
-                              beside.epochs)  # fmt: skip
+                              beside.epochs, beside.regional)  # fmt: skip
             self.shown["closing"] = closing
             closing.start()
         if self.scoring is not None:
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -192,9 +192,9 @@
         from harriertrack.gateway.fleet.carrier import Fleet
 
         made = self._wiring
-        beside = Beside(self._listing, extents, self._links.epochs, self.retell, self._links.shed,
-                        self._evidence, self.scored, made.datagrams, made.kept, made.handover,
-                        made.usage)  # fmt: skip
+        beside = Beside(self._listing, extents, self._links.epochs, self.regional, self.retell,
+                        self._links.shed, self._evidence, self.scored, made.datagrams, made.kept,
+                        made.handover, made.usage)  # fmt: skip
         self.fleet = Fleet(parts, settings, beside)
         self.fleet.start()
 
