A launcher that is killed as it starts a head finds it again: its token is on disk before the start

Observed by the new scenario launch-killed (the production launcher on the hub against its head's end, another version and a kill of itself between any two of its writes and starts): killed after Popen and before the write of number and token, the next launcher knew of no child and started a second head beside the first; that one finds its port taken and counts as a version that ends. To blame: Launching.started wrote the token with the number. Now writes the token first; a token without a number is looked for among the system's processes. The schedule is a test, the search by token alone too. Processes and files are arguments of the launcher, none of it patched.

--- a/harriertrack/decisions/fleet/rollout/launching.py
+++ b/harriertrack/decisions/fleet/rollout/launching.py
@@ -49,7 +49,7 @@
     tries: int = 0  # of the trial, that ended badly
     fell: int = 0  # the version given up last
     why: str = ""
-    child: int = 0  # process id; 0: none
+    child: int = 0  # process id; 0: none, or (with a token) not known: it may have been started
     token: str = ""  # which start of it
     runs: int = 0  # the version that the child is
 
@@ -141,18 +141,24 @@
 
     # -- events
 
-    def begin(self, now: int, alive: bool) -> None:
-        """The launcher starts; `alive`: the child of an earlier life of it still runs."""
-        if alive:
+    def begin(self, now: int, child: int) -> None:
+        """The launcher starts; `child`: the process id of an earlier life's, 0 if none runs any more."""
+        if child:
+            if child != self.kept.child:
+                self._keep(child=child)  # that life was ended before it had written it down
             self._go(now, Phase.STARTING)  # if it serves already, that is heard at once
             self._turn(now)
         else:
             self._keep(child=0, token="")
             self.wake(now)
 
-    def started(self, now: int, child: int, token: str) -> None:
+    def starting(self, token: str) -> None:
+        """The child is about to be started: by its token a later life finds it, wherever this one ends."""
+        self._keep(child=0, token=token, runs=self.kept.next.number)
+
+    def started(self, child: int) -> None:
         """The child that was to be started runs under a process id."""
-        self._keep(child=child, token=token, runs=self.kept.next.number)
+        self._keep(child=child)
 
     def ready(self, now: int) -> None:
         """The child serves."""
@@ -190,6 +196,7 @@
     def unfit(self, now: int, number: int, why: str) -> None:
         """A version that is to be started can't be: its folder is not there, or not allowed."""
         self._go(now, Phase.IDLE)
+        self._keep(child=0, token="")
         if self.kept.trial is not None and self.kept.trial.number == number:
             self._give_up(why)
             return
--- a/harriertrack/gateway/fleet/rollout/launcher/child.py
+++ b/harriertrack/gateway/fleet/rollout/launcher/child.py
@@ -17,11 +17,12 @@
 
 
 def find(pid: int, token: str) -> Child | None:
-    """Return the process of a number if it is the one that was started with a token, by its environment."""
-    if not pid or not token:
+    """Return the process that was started with a token, by its environment; `pid` 0: not known."""
+    if not token:
         return None
-    child = Child(None, pid, token)
-    return child if child.alive else None
+    numbers = [pid] if pid else sorted(int(one.name) for one in Path("/proc").iterdir() if one.name.isdigit())
+    children = (Child(None, number, token) for number in numbers)
+    return next((child for child in children if child.alive), None)
 
 
 class Child:
--- a/harriertrack/gateway/fleet/rollout/launcher/launcher.py
+++ b/harriertrack/gateway/fleet/rollout/launcher/launcher.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import Protocol
 
 from harriertrack.config.rollout import LaunchSettings
 from harriertrack.decisions.fleet.rollout.launching import (
@@ -51,21 +52,70 @@
     return [*own, "head", settings.head, *settings.arguments, *program.arguments]
 
 
+class Process(Protocol):
+    """A head that runs; `child.Child` is one of the system's."""
+
+    @property
+    def pid(self) -> int:
+        """Return its number."""
+
+    @property
+    def alive(self) -> bool:
+        """Whether it has not ended."""
+
+    def how(self) -> str:
+        """Return how it ended, in words."""
+
+    def end(self, at_once: bool) -> None:
+        """Ask it to end, or end it."""
+
+
+class Processes(Protocol):
+    """What starts heads, and finds those that an earlier life of the launcher started."""
+
+    def start(self, command: list[str], environment: dict[str, str]) -> Process:
+        """Start one. Raises OSError."""
+
+    def find(self, pid: int, token: str) -> Process | None:
+        """Return the one that was started with a token; `pid` 0: its number was not written down."""
+
+
+class Disk(Protocol):
+    """What lies between a launcher and its head; `files.Files` on disk."""
+
+    @property
+    def folder(self) -> Path:
+        """Return where."""
+
+    def kept(self) -> Kept | None:
+        """Return what an earlier life of the launcher kept."""
+
+    def keep(self, kept: Kept) -> None:
+        """Keep it."""
+
+    def wanted(self) -> Program | None:
+        """Return which version the head wants to run in its place."""
+
+    def is_ready(self, token: str) -> bool:
+        """Whether the child that was started with a token serves."""
+
+
 class Launcher:
     """One head's."""
 
-    def __init__(self, hub: Hub, settings: LaunchSettings, note: Callable[..., None]) -> None:
+    def __init__(self, hub: Hub, settings: LaunchSettings, note: Callable[..., None],
+                 files: Disk | None = None, processes: Processes = children) -> None:  # fmt: skip
         self._hub, self._settings, self._note = hub, settings, note
-        self._files = Files(settings.state)
+        self._files, self._processes = files or Files(settings.state), processes
         kept = self._files.kept()
-        self._child = children.find(kept.child, kept.token) if kept is not None else None
+        self._child: Process | None = processes.find(kept.child, kept.token) if kept is not None else None
         self.machine = Launching(figures(LaunchRules, settings), kept or Kept())
         self._done = False
 
     def run(self) -> None:
         """Keep a head running until `stop` was called and it has ended (a task). Raises OSError."""
         machine = self.machine
-        machine.begin(self._hub.now(), self._child is not None)
+        machine.begin(self._hub.now(), self._child.pid if self._child is not None else 0)
         self._act()
         while not self._done:
             self._hub.sleep(LOOK_US)
@@ -113,10 +163,13 @@
             NUMBER_VARIABLE: str(program.number), FELL_VARIABLE: f"{fell} {why}",
         }  # fmt: skip
         try:
-            self._child = children.start(command_of(self._settings, program), environment)
+            command = command_of(self._settings, program)
+            self.machine.starting(token)
+            self._act()
+            self._child = self._processes.start(command, environment)
         except (Unfit, OSError) as error:
             self._note("launch: version can't be started", version=program.number, why=str(error))
             self.machine.unfit(now, program.number, str(error))
             return
         self._note("launch: head starts", version=program.number, pid=self._child.pid)
-        self.machine.started(now, self._child.pid, token)
+        self.machine.started(self._child.pid)
--- a/harriertrack/lab/fleet/launched.py
+++ b/harriertrack/lab/fleet/launched.py
@@ -77,7 +77,7 @@
     def run(self) -> None:
         """Keep a head running (a task)."""
         hub, machine, slot = self._host.hub, self._machine, self._slot
-        machine.begin(hub.now(), False)
+        machine.begin(hub.now(), 0)
         self._act()
         while True:
             hub.sleep(LOOK_US)
@@ -119,7 +119,8 @@
 
     def _start(self, program: Program) -> None:
         bad, now = rehearsed(program), self._host.hub.now()
-        self._machine.started(now, 1, f"{now}")
+        self._machine.starting(f"{now}")
+        self._machine.started(1)
         self._crash_at = now + bad.crash_us if bad.crash_us else 0
         self._serves = False
         self._host.start_child(self._slot, bad)
--- a/harriertrack/lab/interleaving/registry.py
+++ b/harriertrack/lab/interleaving/registry.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
-from harriertrack.lab.interleaving.scenarios import changes, hub, links, streams, watch, weights, witness
+from harriertrack.lab.interleaving.scenarios import (
+    changes,
+    hub,
+    launching,
+    links,
+    streams,
+    watch,
+    weights,
+    witness,
+)
 from harriertrack.lab.interleaving.world import Scenario
 
-PARTS = (hub, streams, watch, witness, changes, links, weights)
+PARTS = (hub, streams, watch, witness, changes, links, weights, launching)
 SCENARIOS: dict[str, Scenario] = {one.name: one for part in PARTS for one in part.SCENARIOS}
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -56,6 +56,8 @@
 ZONES = "decisions.fleet.evacuation:Evacuation"
 SCORING, VIEW = "decisions.fleet.scoring", "membership.fleet.view:View"
 WEIGHTS = "gateway.fleet.scoring.carrier:Scoring"
+LAUNCHING = "decisions.fleet.rollout.launching:Launching"
+LAUNCHER = "gateway.fleet.rollout.launcher.launcher:Launcher"
 FOLLOWING = "decisions.fleet.changes.following:Follower"
 
 FAULTS = (
@@ -164,4 +166,18 @@
           "self.scores, self._kept = {}, None", "pass"),
     Fault("an answer that hung counts", "weights-hung", f"{SCORING}.voting:Voter.answered",
           "self._go(Vote.LOST)\n        return False", "self.vote = Vote.ASKED"),
+    Fault("a start is written down after it", "launch-killed", f"{LAUNCHER}._start",
+          "self.machine.starting(token)", "self.machine.kept = __import__('dataclasses').replace(self.machine.kept, token=token)"),
+    Fault("a launcher that is back forgets its head", "launch-killed", f"{LAUNCHING}.begin", "if child:", "if False:"),
+    Fault("who is asked to end counts as gone", "launch-deaf", f"{LAUNCHER}.run",
+          "not self._child.alive:", "(machine.phase is Phase.DRAINING or not self._child.alive):"),
+    Fault("a bad version is tried for ever", "launch-bad", f"{LAUNCHING}._failed",
+          "kept.tries + 1 >= self.rules.tries", "False"),
+    Fault("what fell is tried anew", "launch-bad", f"{LAUNCHING}.wanted", " or program.number == kept.fell != 0", ""),
+    Fault("good is who serves for a moment", "launch-bad", f"{LAUNCHING}.wake",
+          "proven = now >= self._since + rules.prove_us", "proven = True"),
+    Fault("a stop between two heads is not heard", "launch-stops", f"{LAUNCHING}.stop",
+          "self._actions.append(Done())", "pass", 2),
+    Fault("who does not end is never ended", "launch-deaf", f"{LAUNCHING}.wake",
+          "now >= self._since + rules.drain_us", "False"),
 )
--- a/tests/interleaving/test_found.py
+++ b/tests/interleaving/test_found.py
@@ -55,3 +55,18 @@
 
     one = execute(registry.SCENARIOS["weights-restart"], pick)
     assert killed and one.outcome is Outcome.REST, one.breach
+
+
+def test_a_launcher_that_is_killed_as_it_starts_a_head_leaves_none_that_the_next_does_not_find():
+    """The token was written down after the start: the next launcher started a second head beside the first."""
+    killed = []
+
+    def pick(_events, names):
+        step = "fault: the launcher is killed"
+        if step in names and "system: _System.start" in names:  # it runs, and that is not written down
+            killed.append(step)
+            return step
+        return names[0]
+
+    one = execute(registry.SCENARIOS["launch-killed"], pick)
+    assert killed and one.outcome is Outcome.REST, one.breach
--- a/tests/rollout/test_launching.py
+++ b/tests/rollout/test_launching.py
@@ -15,6 +15,7 @@
     Done, End, IllegalPhase, Keep, Kept, Launching, LaunchRules, Phase, Program, Start,
 )  # fmt: skip
 from harriertrack.decisions.fleet.rollout.plan import USUAL, Measure
+from harriertrack.gateway.fleet.rollout.launcher import child as children
 from harriertrack.gateway.fleet.rollout.launcher.files import Files, launched
 from harriertrack.gateway.fleet.rollout.launcher.launcher import Launcher, Unfit, command_of
 from harriertrack.gateway.fleet.rollout.program_user import HANDING_OVER, ProgramUser
@@ -39,7 +40,7 @@
 
     def launch(self):
         self.one = Launching(RULES, self.disk)
-        self.one.begin(self.now, self.child is not None)
+        self.one.begin(self.now, 7 if self.child is not None else 0)
         self.act()
 
     def act(self):
@@ -51,7 +52,8 @@
                     assert self.child is None, "never two children"
                     self.child, self.asked = program.number, 0
                     self.starts.append((program.number, fell))
-                    self.one.started(self.now, 7, "t")
+                    self.one.starting("t")
+                    self.one.started(7)
                     self.act()
                 case End(at_once):
                     self.asked = self.now if not at_once else -1
@@ -219,6 +221,10 @@
         until(hub, lambda: one.machine.kept.good.number == 4)
         found = Launcher(Hub(), load_launcher(str(folder / "launch.sexp")), lambda *_, **__: None)
         assert found._child is not None and found._child.pid == one.machine.kept.child, "another life finds it"
+        kept = one.machine.kept
+        nameless = children.find(0, kept.token)
+        assert nameless is not None and nameless.pid == kept.child, "also by its token alone"
+        assert children.find(0, "of nobody") is None and children.find(kept.child, "") is None
 
     said = play(steps)
     pid = [fields["pid"] for event, fields in said if event == "launch: head starts"][-1]
