A command loads what it needs: heads start without the laboratory, help without any command

Commands are named in a table with their line of help and imported when asked for (cli/lazily.py); a test holds the table to what commands say themselves, and what each may load. The NVMe front is loaded by heads that have one.

--- /dev/null
+++ b/harriertrack/cli/check.py
@@ -0,0 +1,20 @@
+"""`harriertrack check`: settings are checked, nothing is started."""
+
+from __future__ import annotations
+
+import click
+
+from harriertrack.cli.common import fail
+from harriertrack.config.settings import load
+from harriertrack.config.sexp import SettingsError
+
+
+@click.command()
+@click.argument("settings", type=click.Path())
+def check(settings: str) -> None:
+    """Check SETTINGS and say what is wrong: file, line and field."""
+    try:
+        load(settings)
+    except SettingsError as error:
+        fail(str(error))
+    click.echo(f"{settings}: good")
--- a/harriertrack/cli/common.py
+++ b/harriertrack/cli/common.py
@@ -19,6 +19,10 @@
 
 BAD_INPUT = 2
 
+log_option = click.option(
+    "--log", "log_form", type=click.Choice(["console", "json"]), default="console", help="How log lines look."
+)
+
 
 def logger(form: str, quiet: bool = False) -> Callable[..., None]:
     """Set logging up; return what logs one event with its fields, to standard error."""
--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-import sys
-import tempfile
 import time
 from collections.abc import Callable, Iterator
-from contextlib import ExitStack
-from pathlib import Path
+from typing import ClassVar
 
 import click
 import msgspec
 
-from harriertrack.cli import rollout, scoring
 from harriertrack.cli.asking import (
     ASK_US,
     document_of,
@@ -24,23 +20,16 @@
     table,
 )
 from harriertrack.cli.changes import COMMANDS as CHANGES
-from harriertrack.cli.closing import closes
 from harriertrack.cli.common import fail, settings_of
-from harriertrack.cli.days import tell
+from harriertrack.cli.lazily import Late, LazyGroup
 from harriertrack.config.settings import HeadSettings
-from harriertrack.config.sexp import SettingsError
 from harriertrack.gateway.fleet.seats import DECIDES
 from harriertrack.gateway.fleet.zones import set_wish
 from harriertrack.gateway.witness import FAILURES, WitnessClient
-from harriertrack.lab.fleet import scenario
-from harriertrack.lab.fleet.processes import FleetProcessError, play_processes
-from harriertrack.lab.fleet.rig import simulate
 from harriertrack.membership.fleet.telling import (
     BudgetsTold,
     Told,
 )
-from harriertrack.rules import checker, recording as rec
-from harriertrack.rules.everything import judge
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import SocketNetwork
 
@@ -52,13 +41,26 @@
 LENT = ("budget", "holder", "granted/s", "may have/s", "wanted/s", "ends in", "there")
 
 
+class _Commands(LazyGroup):
+    late: ClassVar[Late] = {
+        "closes": ("closing:closes", "Tell the calendars' closes as a head goes by them."),
+        "day": ("fleet_days:day", "Play the fleet's day NAME (or a file's) and judge it."),
+        "days": ("fleet_days:days", "Name the days for fleets that come with the program."),
+        "rollout": (
+            "rollout:rollout",
+            "Tell what versions under way wait for, as the head that decides sees it; "
+            "others say who that is.",
+        ),
+        "scorers": ("scoring:scorers", "Name the scorers that are installed here, with their parameters."),
+    }
 
-@click.group()
+
+@click.group(cls=_Commands)
 def fleet() -> None:
     """Fleets of heads: what one holds of the others, and days for many processes."""
 
 
-for one_command in (*CHANGES, closes):
+for one_command in CHANGES:
     fleet.add_command(one_command)
 
 
@@ -235,10 +237,6 @@
     click.echo(f"{document.name} {'decides' if told.decides else 'does not decide'}, {heard}")
 
 
-fleet.add_command(scoring.scorers)
-fleet.add_command(rollout.rollout)
-
-
 @fleet.command()
 @settings_option
 @place_option
@@ -246,6 +244,8 @@
 def scores(path: str | None, place: str | None, as_json: bool) -> None:
     """Tell what scorers say of nodes at a head, what all heads say together, and who lost a vote and why."""
     _, document = document_of(place_of(path, place))
+    from harriertrack.cli import scoring  # the other commands do not load it
+
     if document.scores is None:
         fail(f"{document.name} scores no nodes: (scoring ...) is not set")
     if as_json:
@@ -301,57 +301,3 @@
 def hold(zone: str, path: str) -> None:
     """Keep the fleet in ZONE, whatever is seen of it, until `fleet return`."""
     _wish(path, zone, "in")
-
-
-@fleet.command("days")
-def days() -> None:
-    """Name the days for fleets that come with the program."""
-    for name in scenario.names():
-        click.echo(f"{name:18} {scenario.load(name).about}")
-
-
-@fleet.command()
-@click.argument("name")
-@click.option("--processes", type=click.IntRange(2, 400), help="Heads; otherwise what the day says.")
-@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
-@click.option("--virtual", is_flag=True, help="In simulated time, where the verdict repeats exactly.")
-@click.option("--without", is_flag=True, help="Heads without `(fleet ...)`, to compare.")
-@click.option("--json", "path", type=click.Path(dir_okay=False), help="Write the recording, JSON lines.")
-@click.option("--keep", type=click.Path(file_okay=False), help="A folder for settings and logs, kept.")
-def day(name: str, processes: int | None, seed: int, virtual: bool, without: bool, path: str | None,
-        keep: str | None) -> None:  # fmt: skip
-    """Play the fleet's day NAME (or a file's) and judge it. Exit code 1 unless all rules are kept."""
-    try:
-        plan = scenario.load(name)
-    except SettingsError as error:
-        fail(str(error))
-    if virtual and keep:
-        fail("--keep goes with processes; simulated heads write nothing")
-    heads = processes or plan.processes
-    if without:
-        plan = scenario.without_views(plan)
-    recorder = rec.Recorder(path)
-    try:
-        with ExitStack() as stack:
-            if virtual:
-                simulate(plan, heads, seed, recorder, not without)
-            else:
-                folder = keep or stack.enter_context(tempfile.TemporaryDirectory(prefix="harriertrack-"))
-                Path(folder).mkdir(parents=True, exist_ok=True)
-                play_processes(plan, heads, seed, recorder, Path(folder), not without)
-    except (FleetProcessError, SettingsError, OSError) as error:
-        fail(str(error))
-    finally:
-        recorder.close()
-    records = recorder.records
-    for one in records:
-        if isinstance(one, rec.Agreed):
-            end = f"after {one.after_us / 1e6:.2f} s" if one.reached else "NOT REACHED"
-            click.echo(f"{len(one.members)} agree {end} (within {one.within_us / 1e6:g} s)")
-    click.echo("; ".join(f"{count} {what}" for what, count in checker.summary(records).items()))
-    judged = judge(records, plan.detect_us)
-    for what, breaches in judged.items():
-        tell(breaches, f"{what}: ")
-    broken = any(judged.values())
-    click.echo("rules broken" if broken else "all rules held")
-    sys.exit(1 if broken else 0)
--- a/harriertrack/cli/rollout.py
+++ b/harriertrack/cli/rollout.py
@@ -1,4 +1,4 @@
-"""`harriertrack launch`: keep a head running, of the version that its fleet wants; and such heads."""
+"""`harriertrack fleet rollout`: what versions under way wait for; and what heads of a fleet are made of."""
 
 from __future__ import annotations
 
@@ -10,11 +10,8 @@
 import click
 
 from harriertrack.cli.asking import document_of, place_of, place_option, settings_option
-from harriertrack.cli.common import fail, logger, run_until_signal
-from harriertrack.config.rollout import load_launcher
-from harriertrack.config.sexp import SettingsError
+from harriertrack.cli.common import fail
 from harriertrack.gateway.fleet.rollout.launcher.files import Launched, launched
-from harriertrack.gateway.fleet.rollout.launcher.launcher import Launcher
 from harriertrack.gateway.fleet.rollout.usage import usage
 from harriertrack.gateway.fleet.seats import DECIDES
 from harriertrack.gateway.head import Head, Wiring
@@ -80,21 +77,3 @@
     seats = document.budgets.seats if document.budgets is not None else []
     keeper = next((seat.keeper for seat in seats if seat.ledger == DECIDES and seat.keeper), "")
     fail(f"{document.name} does not decide" + (f"; ask --at {keeper}" if keeper else ", nor knows who does"))
-
-
-@click.command()
-@click.argument("settings", type=click.Path())
-@click.option("--log", "log_form", type=click.Choice(["console", "json"]), default="console",
-              help="How log lines look; of the head say it in (arguments ...).")  # fmt: skip
-def launch(settings: str, log_form: str) -> None:
-    """Run a head by the launcher's SETTINGS, and other versions of it as the fleet wants, until SIGTERM."""
-    try:
-        checked = load_launcher(settings)
-    except SettingsError as error:
-        fail(str(error))
-    note = logger(log_form)
-    hub = Hub()
-    hub.random.seed()
-    one = Launcher(hub, checked, note)
-    run_until_signal(hub, one.run, one.stop)
-    note("launch: ended")
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -14,7 +14,6 @@
 from harriertrack.decisions import Scheduler, interface as api
 from harriertrack.decisions.celled import Celled, HeadMap, OldMap
 from harriertrack.decisions.requests import Attempt, ClientRequest, Core, Module
-from harriertrack.gateway import nvme
 from harriertrack.gateway.front import NbdFront
 from harriertrack.gateway.links import Links
 from harriertrack.gateway.listing import Listing
@@ -152,6 +151,8 @@
                 self.reception = Reception(hub, settings, self.core, scope, self._note, self.regional, cells)
                 scope.spawn("front", NbdFront(self.reception).serve, listeners[0])
                 if settings.nvme is not None:
+                    from harriertrack.gateway import nvme  # other heads do not load it
+
                     nvme.start(self.reception, listeners[1], settings.nvme)
                 if cells is not None:
                     scope.spawn("shares", self.reception.watch)
