--- a/harriertrack/cli/list_service.py
+++ b/harriertrack/cli/list_service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import click
 
 from harriertrack.cli.common import fail, log_option, logger, run_until_signal
@@ -47,6 +49,14 @@
 @log_option
 def list_service(settings: str, record: str | None, log_form: str) -> None:
     """Run a list service (Consul's health API) by its SETTINGS, and follow them as they change."""
+
+    def written() -> bytes:
+        try:
+            return Path(settings).read_bytes()
+        except OSError:
+            return b""
+
+    before = written()
     try:
         first = load_list_service(settings)
     except SettingsError as error:
@@ -56,9 +66,12 @@
     stopping = Event(hub)
 
     def watch() -> None:
-        known = first
+        known, read = first, before
         while True:
             hub.sleep(LOOK_US)
+            if (now := written()) == read:
+                continue  # reading is cheap, taking apart is not: a file for dozens of heads is long
+            read = now
             try:
                 fresh = load_list_service(settings)
             except SettingsError as error:
--- a/harriertrack/lab/fleet/processes/fleet.py
+++ b/harriertrack/lab/fleet/processes/fleet.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Callable
 from pathlib import Path
+from typing import cast
 
 import msgspec
 
@@ -100,7 +101,12 @@
         path = self.path("list.sexp")
         path.write_text(written("list-service", ListServiceSettings(entrances=tuple(entrances))))
         arguments = ["standin", "list", str(path), "--record", str(self.path("list.rec"))]
-        self.await_listening(self.start_process("list", arguments), entrances[-1].listen)
+        listing = self.start_process("list", arguments)
+        for shelf in self.shelves.values():  # all have started: their imports take a while side by side
+            cast(ShelfProcess, shelf).await_listening()
+        if self.fleet_day.budgets is not None:
+            self._witness.await_listening()
+        self.await_listening(listing, entrances[-1].listen)
         for number, (name, entrance) in enumerate(zip(names, entrances, strict=True)):
             slot = self.place_head(number)
             consul = ConsulSettings(address=self._link(name, "list", entrance.listen), wait_us=5_000_000)
--- a/harriertrack/lab/fleet/processes/nodes.py
+++ b/harriertrack/lab/fleet/processes/nodes.py
@@ -6,6 +6,7 @@
 
 from harriertrack.config.settings import ShelfSettings
 from harriertrack.config.written import written
+from harriertrack.lab.fleet.processes.children import Process
 
 if TYPE_CHECKING:
     from harriertrack.lab.fleet.processes.fleet import ProcessFleet
@@ -17,11 +18,17 @@
     def __init__(self, rig: ProcessFleet, settings: ShelfSettings) -> None:
         self._rig, self.settings = rig, settings
         self.address, self.started_at, self.up = settings.listen, 0, True
+        self._process: Process | None = None
 
     def start(self, _scope: object, _cold: bool = False) -> None:
-        """Come up and listen."""
+        """Come up."""
         rig, name = self._rig, self.settings.name
         path = rig.path(f"{name}.sexp")
         path.write_text(written("shelf", self.settings))
         arguments = ["shelf", str(path), "--record", str(rig.path(f"{name}.rec"))]
-        rig.await_listening(rig.start_process(name, arguments), self.address)
+        self._process = rig.start_process(name, arguments)
+
+    def await_listening(self) -> None:
+        """Wait until it takes connections."""
+        assert self._process is not None
+        self._rig.await_listening(self._process, self.address)
--- a/harriertrack/lab/fleet/processes/witness.py
+++ b/harriertrack/lab/fleet/processes/witness.py
@@ -5,6 +5,7 @@
 import shutil
 from typing import TYPE_CHECKING
 
+from harriertrack.lab.fleet.processes.children import Process
 from harriertrack.lab.fleet.rig import LOOK_US
 
 if TYPE_CHECKING:
@@ -17,14 +18,19 @@
     def __init__(self, rig: ProcessFleet, address: tuple[str, int]) -> None:
         self._rig, self.address = rig, address
         self._state, self._aside = rig.path("witness.state"), rig.path("witness.backup")
+        self._process: Process | None = None
         self._listens = False
 
     def start(self) -> None:
-        """Come up with what is known on disk, and listen."""
+        """Come up with what is known on disk."""
         host, port = self.address
         arguments = ["standin", "witness", "--listen", f"{host}:{port}", "--state", str(self._state)]
-        process = self._rig.start_process("witness", arguments)
-        self._rig.await_listening(process, self.address)
+        self._process = self._rig.start_process("witness", arguments)
+
+    def await_listening(self) -> None:
+        """Wait until it takes connections."""
+        assert self._process is not None
+        self._rig.await_listening(self._process, self.address)
         self._listens = True
 
     def backup(self) -> None:
@@ -45,6 +51,7 @@
         def back() -> None:
             if old:
                 shutil.copy(self._aside, self._state)
-            rig.scope.spawn("witness", self.start)
+            self.start()
+            rig.scope.spawn("witness", self.await_listening)
 
         rig.later(us, back)
