Zones come back within two seconds: nodes warm by others' work, tries go on, steps as long as silence takes

Causes, each measured: - Overlay.shown counted a node as just started from when THIS head used it again, so its rate was cut to a cold node's for 8 s more though it had been back for 3 s. Steps are 0.5 s (as long as silence takes to be seen), 3 times each. A head that reaches a zone all the time keeps it, whatever the others see, but for an operator's wish.

--- a/harriertrack/config/settings/fleet.py
+++ b/harriertrack/config/settings/fleet.py
@@ -76,8 +76,8 @@
     turn_us: InService[Positive] = 3_000_000
     answers: InService[Share] = 0.7
     first: InService[Annotated[float, msgspec.Meta(gt=0, le=1)]] = 0.1
-    growth: InService[Annotated[float, msgspec.Meta(gt=1, le=10)]] = 1.6
-    step_us: InService[Positive] = 1_000_000
+    growth: InService[Annotated[float, msgspec.Meta(gt=1, le=10)]] = 3.0
+    step_us: InService[Positive] = 500_000
     hurts: InService[Share] = 0.2
     calm_us: InService[Positive] = 120_000_000
     told_us: InService[Positive] = 3_000_000
--- a/harriertrack/decisions/fleet/zones/evacuation.py
+++ b/harriertrack/decisions/fleet/zones/evacuation.py
@@ -15,8 +15,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from harriertrack.decisions.fleet.zones.evidence import Sight
 from harriertrack.decisions.fleet.zones.words import Stage, Word, ZoneRules
@@ -33,6 +34,8 @@
     relapses: int = 0
     gone_since: int | None = None
     stepped_at: int = 0
+    left_at: int = 0
+    back_at: int = 0  # when its latest return began
     why: str = ""
     held: str = ""  # an operator's: "out", or "in" for no automatic leaving
 
@@ -72,8 +75,9 @@
     def take_up(self, now: int, words: Iterable[Word]) -> None:
         """Go on from what the one who decided before said last."""
         for word in words:
-            self.zones[word.zone] = Zone(word.stage, now, word.share, word.turn, 1 if word.share < 1 else 0,
-                                         stepped_at=now, why=word.why)  # fmt: skip
+            relapses = 1 if word.share < 1 else 0
+            self.zones[word.zone] = Zone(word.stage, now - word.warm_us, word.share, word.turn, relapses,
+                                         stepped_at=now, left_at=now, why=word.why)  # fmt: skip
 
     def hold(self, now: int, wishes: Mapping[str, str]) -> None:
         """Take what operators wish: zone to "out", "in" (never left by itself), or "" for no wish.
@@ -107,8 +111,9 @@
                 found[sight.zone] = Sum(one.good + sight.good, one.bad + sight.bad, one.heads + 1)
         return found
 
-    def decide(self, now: int, zones: Iterable[str], heads: int) -> None:
-        """Look at every zone."""
+    def decide(self, now: int, zones: Iterable[str], heads: int,
+               starts: Mapping[str, Collection[int]] = MappingProxyType({})) -> None:  # fmt: skip
+        """Look at every zone; `starts`: when its nodes started, as the list says."""
         sums = self.sums(now)
         known = {name: sums.get(name, Sum()) for name in zones}
         for name in known:
@@ -126,12 +131,9 @@
                 case Stage.IN:
                     self._in(now, zone, name in failing and not everywhere, seen)
                 case Stage.OUT:
-                    wait = self.rules.wait_us << min(max(zone.relapses - 1, 0), 16)
-                    if now >= zone.since + min(wait, self.rules.most_wait_us):
-                        self._change(now, zone, Stage.TRYING, 0.0, f"after {zone.relapses} failures")
-                        zone.turn += 1
+                    self._out(now, zone, starts.get(name, ()))
                 case Stage.TRYING:
-                    self._trying(now, zone, seen)
+                    self._trying(now, zone, seen, heads)
                 case Stage.RETURNING:
                     self._returning(now, zone, seen, needed)
 
@@ -150,15 +152,29 @@
             self._leave(now, zone, f"{seen.bad} of {seen.good + seen.bad} nodes silent, {seen.heads} heads")
 
     def _leave(self, now: int, zone: Zone, why: str) -> None:
-        zone.relapses += 1
-        zone.gone_since = None
+        # A use that was longer than the time out before it was worth it: the next wait is the shortest again.
+        paid = now - zone.back_at >= zone.back_at - zone.left_at
+        zone.relapses = 1 if paid else zone.relapses + 1
+        zone.left_at, zone.gone_since = now, None
         self._change(now, zone, Stage.OUT, 0.0, why)
 
-    def _trying(self, now: int, zone: Zone, seen: Sum) -> None:
+    def _out(self, now: int, zone: Zone, starts: Collection[int]) -> None:
+        wait = min(self.rules.wait_us << min(max(zone.relapses - 1, 0), 16), self.rules.most_wait_us)
+        started = sum(at > zone.since for at in starts)
+        if zone.relapses <= 1 and started >= max(1.0, self.rules.answers * len(starts)):
+            self._change(now, zone, Stage.TRYING, 0.0, f"the list says that {started} nodes started")
+        elif now >= zone.since + wait:
+            self._change(now, zone, Stage.TRYING, 0.0, f"after {zone.relapses} failures")
+        else:
+            return
+        zone.turn += 1
+
+    def _trying(self, now: int, zone: Zone, seen: Sum, heads: int) -> None:
         rules = self.rules
         if seen.good and 1 - seen.silent >= rules.answers and now >= zone.since + rules.gone_us:
-            self._change(now, zone, Stage.RETURNING, rules.first, f"{seen.good} nodes answer")
-            zone.stepped_at = now
+            first = min(1.0, max(rules.first, rules.tries / max(1, heads)))  # who tries goes on
+            self._change(now, zone, Stage.RETURNING, first, f"{seen.good} nodes answer")
+            zone.stepped_at = zone.back_at = now
         elif now >= zone.since + rules.turn_us:
             zone.since = now
             zone.turn += 1
@@ -171,17 +187,18 @@
             zone.stepped_at = now
             if seen.silent >= rules.hurts:
                 zone.share = max(rules.first / 2, zone.share / 2)
+            elif zone.share >= 1.0:
+                self._change(now, zone, Stage.IN, 1.0, "all heads use it")
             else:
                 zone.share = min(1.0, zone.share * rules.growth)
-            if zone.share >= 1.0:
-                self._change(now, zone, Stage.IN, 1.0, "all heads use it")
 
     def _change(self, now: int, zone: Zone, stage: Stage, share: float, why: str) -> None:
         zone.stage, zone.since, zone.share, zone.why = stage, now, share, why
 
-    def words(self) -> tuple[Word, ...]:
+    def words(self, now: int) -> tuple[Word, ...]:
         """Return the word on every zone that is not simply in use."""
         return tuple(
-            Word(name, zone.stage, zone.share, zone.turn, zone.why)
+            Word(name, zone.stage, zone.share, zone.turn, zone.why,
+                 now - zone.since if zone.stage is Stage.RETURNING else 0, zone.held == "out")
             for name, zone in sorted(self.zones.items()) if zone.stage is not Stage.IN
         )  # fmt: skip
--- a/harriertrack/decisions/fleet/zones/evidence.py
+++ b/harriertrack/decisions/fleet/zones/evidence.py
@@ -87,6 +87,16 @@
             if node.zone == zone:
                 self._nodes[name] = _Node(zone)
 
+    def reached(self, now: int, part: float) -> set[str]:
+        """Return the zones of whose nodes, of those that were asked lately, such a part answered just now."""
+        asked: dict[str, int] = {}
+        heard: dict[str, int] = {}
+        for node in self._nodes.values():
+            if node.latest >= now - WINDOW_US:
+                asked[node.zone] = asked.get(node.zone, 0) + 1
+                heard[node.zone] = heard.get(node.zone, 0) + (node.heard_at > now - SILENT_US)
+        return {zone for zone, number in asked.items() if heard[zone] >= max(1.0, part * number)}
+
     def report(self, now: int) -> tuple[Sight, ...]:
         """Return what is seen now, the zones with the most trouble first."""
         found: dict[str, list[int]] = {}
--- a/harriertrack/decisions/fleet/zones/words.py
+++ b/harriertrack/decisions/fleet/zones/words.py
@@ -35,8 +35,8 @@
     turn_us: int = 3_000_000  # after which others do
     answers: float = 0.7  # of what is tried, for a return to begin
     first: float = 0.1  # share of the heads that return first
-    growth: float = 1.6
-    step_us: int = 1_000_000
+    growth: float = 3.0
+    step_us: int = 500_000  # silence takes so long to be seen
     hurts: float = 0.2  # silent nodes, for a step back
     calm_us: int = 120_000_000  # in use for so long, a zone's relapses are forgotten
     told_us: int = 3_000_000  # how long a word holds after it was heard last
@@ -51,6 +51,8 @@
     share: float
     turn: int
     why: str = ""
+    warm_us: int = 0  # for how long its nodes have answered again
+    wished: bool = False  # by an operator: who reaches it leaves it as well
 
 
 def uses(word: Word, me: str, present: Iterable[str], tries: int) -> bool:
@@ -59,6 +61,6 @@
         return True
     if word.stage is Stage.OUT:
         return False
-    if word.stage is Stage.RETURNING:
-        return crc32(f"{word.zone}\0{me}".encode()) < word.share * WHOLE
+    if word.stage is Stage.RETURNING and crc32(f"{word.zone}\0{me}".encode()) < word.share * WHOLE:
+        return True
     return rank(f"{word.zone}\0{word.turn}", me, present) < tries
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from urllib.parse import quote
 
 from harriertrack.config.settings import ZonesSettings
@@ -14,7 +15,7 @@
 from harriertrack.decisions.fleet.zones.evacuation import Evacuation
 from harriertrack.decisions.fleet.zones.evidence import Evidence
 from harriertrack.decisions.fleet.zones.overlay import Overlay
-from harriertrack.decisions.fleet.zones.words import Word, ZoneRules, uses
+from harriertrack.decisions.fleet.zones.words import Word, ZoneRules
 from harriertrack.decisions.interface import NodeEntry
 from harriertrack.gateway.fleet.deciding import Deciding
 from harriertrack.gateway.fleet.figures import figures
@@ -49,6 +50,11 @@
     return figures(ZoneRules, settings)
 
 
+def _said(words: Iterable[Word]) -> list[tuple[object, ...]]:
+    """Return what of words is news when it changes."""
+    return [(word.zone, word.stage, word.share, word.turn) for word in words]
+
+
 class Zones:
     """This head's part."""
 
@@ -58,6 +64,7 @@
         self._evidence, self._listing, self._swim, self._deciding = evidence, listing, swim, deciding
         self._overlay = Overlay()
         self._zones: list[str] = []
+        self._starts: dict[str, list[int]] = {}  # by zone: when its nodes started, as the list says
         self._words: tuple[Word, ...] = ()
         self._heard_at = self._said_at = self._told_at = self._wished_at = 0
         self._term: Term | None = None  # in which this head decides
@@ -79,7 +86,10 @@
 
     def _listed(self, entries: list[NodeEntry]) -> None:
         self._evidence.listed(entries)
-        self._zones = sorted({entry.zone for entry in entries})
+        self._starts = {}
+        for entry in entries:
+            self._starts.setdefault(entry.zone, []).append(entry.started_us)
+        self._zones = sorted(self._starts)
 
     def _run(self) -> None:
         while True:
@@ -108,12 +118,12 @@
         if term != self._term or self._decides is None:
             self._term, self._decides = term, Evacuation(self._rules)
             self._decides.take_up(now, self._words)
-        decides, before = self._decides, self._decides.words()
+        decides, before = self._decides, self._words
         self._decides.hold(now, self._wishes)
-        decides.decide(now, self._zones, len(self._swim.view.present))
-        words = decides.words()
+        decides.decide(now, self._zones, len(self._swim.view.present), self._starts)
+        words = decides.words(now)
         self._heard(now, words)
-        if words != before or now >= self._told_at + WORD_US:
+        if _said(words) != _said(before) or now >= self._told_at + WORD_US:
             self._told_at = now
             self._deciding.tell_all(Told(term, words))
 
@@ -141,7 +151,8 @@
     def _show(self, now: int) -> None:
         names = list(self._swim.view.present)
         before = self._overlay.unused
-        if self._overlay.follow(now, self._words, self._swim.me.name, names, self._rules.tries):
+        reached = self._evidence.reached(now, self._rules.answers) if self._words else ()
+        if self._overlay.follow(now, self._words, self._swim.me.name, names, self._rules.tries, reached):
             unused = self._overlay.unused
             for zone in sorted(before ^ unused):
                 self._evidence.forget(zone)
@@ -168,7 +179,6 @@
 
     def document(self, now: int) -> ZonesTold:
         """Return what this head tells of zones."""
-        names = list(self._swim.view.present)
         words = {word.zone: word for word in self._words}
         sights = {sight.zone: sight for sight in self._evidence.report(now)}
         sums = self._decides.sums(now) if self._decides is not None else {}
@@ -179,7 +189,7 @@
                 ZoneTold(
                     zone, word.stage.value if word is not None else "in",
                     word.share if word is not None else 1.0,
-                    word is None or uses(word, self._swim.me.name, names, self._rules.tries),
+                    zone not in self._overlay.unused,
                     word.why if word is not None else "",
                     sight.good if sight is not None else 0, sight.bad if sight is not None else 0,
                     whole.good if whole is not None else None, whole.bad if whole is not None else None,
--- a/harriertrack/lab/interleaving/models/zones.py
+++ b/harriertrack/lab/interleaving/models/zones.py
@@ -88,7 +88,7 @@
     def _decide(self, state: State) -> None:
         before = {word.zone: word.stage for word in state.words}
         state.decider.decide(state.now, ZONES, 2)
-        state.words = state.decider.words()
+        state.words = state.decider.words(state.now)
         steps = {
             Stage.IN: (Stage.IN, Stage.OUT),
             Stage.OUT: (Stage.OUT, Stage.TRYING),
--- a/harriertrack/membership/fleet/budgeting.py
+++ b/harriertrack/membership/fleet/budgeting.py
@@ -71,6 +71,8 @@
     share: Amount
     turn: Number
     why: Annotated[str, msgspec.Meta(max_length=100)] = ""
+    warm_us: Number = 0
+    wished: bool = False
 
 
 class _Wire(msgspec.Struct, array_like=True):
@@ -171,7 +173,8 @@
             # Reasons are for people: where there are many words, they give way to the words.
             room = MOST_REASONS // max(1, len(said.words)) if len(said.words) <= 8 else 0
             words = [
-                _Word(one.zone, one.stage.value, one.share, one.turn, one.why[: min(100, room)])
+                _Word(one.zone, one.stage.value, one.share, one.turn, one.why[: min(100, room)],
+                      one.warm_us, one.wished)
                 for one in said.words
             ]
             wire = _Wire(READS, VERSION, fleet, Kind.WORD, 0, said.term.epoch, said.term.nonce, words=words)
@@ -210,7 +213,10 @@
     if wire.kind is Kind.SEEN:
         return Seen(wire.holder, tuple(Sight(*msgspec.structs.astuple(one)) for one in wire.sights))
     if wire.kind is Kind.WORD:
-        words = (Word(one.zone, Stage(one.stage), one.share, one.turn, one.why) for one in wire.words)
+        words = (
+            Word(one.zone, Stage(one.stage), one.share, one.turn, one.why, one.warm_us, one.wished)
+            for one in wire.words
+        )
         return Told(term, tuple(words))
     if wire.kind is Kind.REPORT:
         return Report(wire.topic, wire.holder, wire.body)
