--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -113,8 +113,8 @@
         if settings.zones is not None and beside.evidence is not None:
             from harriertrack.gateway.fleet.zones import Zones
 
-            self.zones = Zones(self._parts, settings.zones, beside.evidence, beside.listing, self.swim,
-                               self.deciding)  # fmt: skip
+            self.zones = Zones(self._parts, settings, settings.zones, beside.evidence, beside.listing,
+                               self.swim, self.deciding)  # fmt: skip
             self.zones.start()
         if settings.changes is not None:
             from harriertrack.gateway.fleet.changes.carrier import Changes
@@ -230,6 +230,8 @@
 
     def _changed(self, change: Change) -> None:
         before, after, view = change.before, change.after, self.swim.view
+        if self.zones is not None and after.state is State.ALIVE and (before is None or change.another_life):
+            self.zones.joined(after)
         if before is not None and before.state is after.state and not change.another_life:
             return  # a suspect's objection, known before the suspicion was
         self._parts.note(
--- a/harriertrack/gateway/fleet/deciding.py
+++ b/harriertrack/gateway/fleet/deciding.py
@@ -46,6 +46,10 @@
         if (keeper := self._budgets.deciding.keeper) is not None:
             self._budgets.send(keeper, said)
 
+    def tell(self, address: Address, said: Said) -> None:
+        """Tell one head."""
+        self._budgets.send(address, said)
+
     def tell_all(self, said: Said) -> None:
         """Tell all who are there."""
         for address in self._budgets.others():
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from urllib.parse import quote
 
-from harriertrack.config.settings import ZonesSettings
+from harriertrack.config.settings import FleetSettings, ZonesSettings
 from harriertrack.decisions.fleet.budgets import Term
 from harriertrack.decisions.fleet.zones.evacuation import Evacuation
 from harriertrack.decisions.fleet.zones.evidence import Evidence
@@ -23,6 +23,7 @@
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.gateway.witness import FAILURES, WitnessClient
 from harriertrack.membership.fleet.budgeting import Seen, Told
+from harriertrack.membership.fleet.messages import Record
 from harriertrack.membership.fleet.swim import Swim
 from harriertrack.membership.fleet.telling import ZonesTold, ZoneTold
 
@@ -58,8 +59,8 @@
 class Zones:
     """This head's part."""
 
-    def __init__(self, parts: HeadParts, settings: ZonesSettings, evidence: Evidence, listing: Listing,
-                 swim: Swim, deciding: Deciding) -> None:  # fmt: skip
+    def __init__(self, parts: HeadParts, fleet: FleetSettings, settings: ZonesSettings, evidence: Evidence,
+                 listing: Listing, swim: Swim, deciding: Deciding) -> None:  # fmt: skip
         self._parts, self._hub, self._rules = parts, parts.hub, rules_of(settings)
         self._evidence, self._listing, self._swim, self._deciding = evidence, listing, swim, deciding
         self._overlay = Overlay()
@@ -67,6 +68,8 @@
         self._starts: dict[str, list[int]] = {}  # by zone: when its nodes started, as the list says
         self._words: tuple[Word, ...] = ()
         self._heard_at = self._said_at = self._told_at = self._wished_at = 0
+        self._heard_in: Term | None = None  # the term of these words
+        self._greets = any(seed.name == fleet.name for seed in fleet.seeds)
         self._term: Term | None = None  # in which this head decides
         self._decides: Evacuation | None = None
         self._wishes: dict[str, str] = {}
@@ -122,7 +125,7 @@
         self._decides.hold(now, self._wishes)
         decides.decide(now, self._zones, len(self._swim.view.present), self._starts)
         words = decides.words(now)
-        self._heard(now, words)
+        self._heard(now, term, words)
         if _said(words) != _said(before) or now >= self._told_at + WORD_US:
             self._told_at = now
             self._deciding.tell_all(Told(term, words))
@@ -135,11 +138,19 @@
     def told(self, now: int, told: Told) -> None:
         """The word of the one who decides."""
         if self._deciding.follows(now, told.term):
-            self._heard(now, told.words)
+            self._heard(now, told.term, told.words)
             self._show(now)
 
-    def _heard(self, now: int, words: tuple[Word, ...]) -> None:
-        self._heard_at = now
+    def joined(self, record: Record) -> None:
+        """Tell the words to a head that has just started, before it tries what is out: it asked a seed first.
+
+        It hears them a moment after it said that it is there; nobody else hears of it as soon as seeds do.
+        """
+        if self._words and self._heard_in is not None and (self._greets or self._decides is not None):
+            self._deciding.tell(record.address, Told(self._heard_in, self._words))
+
+    def _heard(self, now: int, term: Term, words: tuple[Word, ...]) -> None:
+        self._heard_at, self._heard_in = now, term
         known = {word.zone: word for word in self._words}
         for word in words:
             if (before := known.pop(word.zone, None)) is None or before.stage is not word.stage:
@@ -154,10 +165,13 @@
         reached = self._evidence.reached(now, self._rules.answers) if self._words else ()
         if self._overlay.follow(now, self._words, self._swim.me.name, names, self._rules.tries, reached):
             unused = self._overlay.unused
+            under = {word.zone for word in self._words}
             for zone in sorted(before ^ unused):
+                # The last step of a return is that there is no word any more.
+                word = zone in under or now < self._heard_at + WORD_US
                 self._evidence.forget(zone)
                 self._parts.note("zone used" if zone in before else "zone unused", zone=zone,
-                                 unused=len(unused), zones=len(self._zones))  # fmt: skip
+                                 unused=len(unused), zones=len(self._zones), word=word)  # fmt: skip
             self._listing.tell_anew()
 
     # -- operators
--- /dev/null
+++ b/harriertrack/lab/fleet/days/zone-restart.sexp
@@ -0,0 +1,12 @@
+(fleet-day "zone-restart"
+  (about "Seven in ten heads restart while a zone is out, and again while it returns: they hear the word before they try it.")
+  (processes 6) (shelves 6) (rate 25) (hosts 4)
+  (figures (probe 300ms) (answer 150ms) (gossip 60ms) (sync 5s) (reach 1s) (recent 10s) (slack 3))
+  (budgets (clock-error 0.01) (term 2s) (patience 1s) (budget cold (fixed 0.3)) (budget trials (whole 12) (burst 12) (fixed 0.5)))
+  (zones (wait 6s)) (hears 400ms)
+  (may-leave "z1")
+  (step start) (step agree (within 20s)) (step rest (for 5s))
+  (step zone (zone "z1") (for 8s)) (step rest (for 3s))
+  (step kill (who "0.3..1")) (step rest (for 500ms)) (step start (fresh yes)) (step agree (within 30s)) (step rest (for 16s))
+  (step zone (zone "z1") (for 5s)) (step rest (for 6500ms))
+  (step kill (who "0.3..1")) (step start (fresh yes)) (step agree (within 30s)) (step rest (for 16s)))
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -111,7 +111,11 @@
         for end in day.ends:
             recorder.add(rec.RolloutEnd(t=0, thing=end.name, version=end.version))
         if day.zones is not None and fleet:
-            recorder.add(rec.ZoneFacts(t=0, zones=list(ZONES), may_leave=list(day.may_leave)))
+            recorder.add(
+                rec.ZoneFacts(t=0, zones=list(ZONES), may_leave=list(day.may_leave), tries=day.zones.tries,
+                              first=day.zones.first, growth=day.zones.growth, step_us=day.zones.step_us,
+                              hears_us=day.hears_us)
+            )  # fmt: skip
         self.tally = Tally(recorder)
         if day.scoring is not None and fleet:
             recorder.add(self.weight_facts(day.scoring))
@@ -406,7 +410,8 @@
         if event in ("zone used", "zone unused"):
             used = event == "zone used"
             self.recorder.add(
-                rec.ZoneUse(t=self.hub.now(), head=slot.name, zone=str(fields["zone"]), used=used)
+                rec.ZoneUse(t=self.hub.now(), head=slot.name, zone=str(fields["zone"]), used=used,
+                            word=bool(fields["word"]))
             )
         if self.markets is not None:
             self.markets.heard(slot, event, fields)
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -153,6 +153,7 @@
     sway: Amount = 3.4  # powers of two that a weight may go to and fro in ten seconds
     shared: Share = 1.0  # of the volumes: with several hosts each, and extents whose places are settled
     may_leave: tuple[str, ...] = ()  # zones that the fleet may leave on this day
+    hears_us: Whole = 0  # who starts while nobody uses a zone leaves it within this; 0: not judged
     rate: Amount = 8.0  # requests a second, a head
     detect_us: Positive = 20_000_000  # the longest that a death may go unnoticed
     figures: FleetFigures = FleetFigures()
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -296,20 +296,30 @@
 
 
 class ZoneFacts(msgspec.Struct, kw_only=True, tag="zones", tag_field="what"):
-    """The zones of a fleet's day, and which of them may be left in it."""
+    """The zones of a fleet's day, which of them may be left in it, and how fast heads may come back to one.
+
+    A return begins with `first` of them, or `tries` heads where these are more; each `step_us` there may be
+    `growth` times as many. Who starts while nobody uses a zone leaves it within `hears_us`; 0: not judged.
+    """
 
     t: int
     zones: list[str]
     may_leave: list[str]
+    tries: int = 0
+    first: float = 1.0
+    growth: float = 1.0
+    step_us: int = 0
+    hears_us: int = 0
 
 
 class ZoneUse(msgspec.Struct, kw_only=True, tag="zone-use", tag_field="what"):
-    """A head uses a zone from now on, or does not."""
+    """A head uses a zone from now on, or does not; `word`: as the fleet's word says, not for want of one."""
 
     t: int
     head: str
     zone: str
     used: bool
+    word: bool = True
 
 
 class Proposed(msgspec.Struct, kw_only=True, tag="proposed", tag_field="what"):
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -303,7 +303,8 @@
 # -- rules
 
 
-FACTS = rec.ZoneFacts(t=0, zones=["a", "b"], may_leave=["a"])
+FACTS = rec.ZoneFacts(t=0, zones=["a", "b"], may_leave=["a"], tries=3, first=0.1, growth=3.0, step_us=S // 2,
+                      hears_us=S // 2)  # fmt: skip
 
 
 def use(t, zone, used, who="h"):
@@ -323,6 +324,41 @@
     assert sorted(one.rule for one in found) == sorted(broken)
 
 
+def coming_back(us, word=True, heads=40):
+    names = [f"h{number}" for number in range(heads)]
+    found = [rec.Lived(t=0, member=name, how="started") for name in names]
+    found += [use(S, "a", False, name) for name in names]
+    return found + [rec.ZoneUse(t=2 * S + number * us, head=name, zone="a", used=True, word=word)
+                    for number, name in enumerate(names)]  # fmt: skip
+
+
+def test_heads_that_come_back_faster_than_the_word_lets_them_are_found():
+    assert not rules.check([FACTS, *coming_back(50_000)])
+    assert [one.rule for one in rules.check([FACTS, *coming_back(5_000)])] == [5]
+    assert not rules.check([FACTS, *coming_back(5_000, word=False)]), "there was no word to go by"
+
+
+def test_who_starts_while_nobody_uses_a_zone_is_to_hear_of_it():
+    left = [rec.Lived(t=0, member=name, how="started") for name in "ghi"] + [use(S, "a", False, name) for name in "ghi"]
+    fresh = rec.Lived(t=2 * S, member="j", how="started")
+    back = [use(9 * S, "a", True, name) for name in "ghij"]
+    assert not rules.check([FACTS, *left, fresh, use(2 * S + 1000, "a", False, "j"), *back])
+    assert [one.rule for one in rules.check([FACTS, *left, fresh, *back])] == [4]
+    soon = use(2 * S + 1000, "a", True, "g")
+    assert not rules.check([FACTS, *left, fresh, soon, *back]), "the zone is tried: nobody need leave it again"
+
+
+def test_heads_that_restart_hear_the_word_before_they_try_and_one_that_does_not_is_found(monkeypatch):
+    def broken():
+        day, recorder = scenario.load("zone-restart"), rec.Recorder()
+        simulate(day, day.processes, 1, recorder)
+        return {one.rule for one in rules.check(recorder.records)}
+
+    assert not broken()
+    monkeypatch.setattr(carrier.Zones, "joined", lambda self, record: None)
+    assert 4 in broken()
+
+
 def test_a_fleet_that_left_too_easily_is_found(monkeypatch):
     def lax(self):
         return 1.0 if self.bad else 0.0
