Leaving a zone is weighed against what is still served there and what the others bear

Heads tell, beside nodes that answer, what a zone served in half a second, how much of it were new objects (the only work that can go elsewhere), what was lost at silent nodes and how busy its nodes are. A zone whose loss would cost more than staying loses is not left: one good node of ten was enough to be cut off with the nine. Pure, with properties: what is refused is what has no reservation first, nothing moves past the room there is.

--- /dev/null
+++ b/harriertrack/decisions/fleet/zones/bearing.py
@@ -0,0 +1,76 @@
+"""What leaving a zone would cost, and whether the others bear what would come to them.
+
+Data that lie in a zone can't move: while it is left, requests for them are refused. What can go elsewhere are
+new objects. How many more of them the other zones bear is told by what they serve and how much longer than at
+best their answers take: a node that is busy for a part b of its time serves s, and would serve s (1 - b) / b
+more. That is an estimate, and bounded: where hardly anything waits it tells little. Pure.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from harriertrack.decisions.fleet.zones.evidence import Sight
+
+LEAST_BUSY = 20  # percent; so that at most four times what a zone has served is taken to be free
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What all heads ask of a zone, in requests in half a second."""
+
+    served: int = 0
+    moved: int = 0  # of these, new objects: they could have gone elsewhere
+    reserved: int = 0  # ... of plans with a reservation
+    wasted: int = 0  # attempts at nodes that do not answer
+    waiting: int = 0  # `served`, each with the percent for which its zone was busy
+
+    def __add__(self, other: Load | Sight) -> Load:
+        """Return the load with another, or with what one more head sees."""
+        waiting = other.waiting if isinstance(other, Load) else other.served * other.busy
+        return Load(self.served + other.served, self.moved + other.moved, self.reserved + other.reserved,
+                    self.wasted + other.wasted, self.waiting + waiting)  # fmt: skip
+
+    @property
+    def free(self) -> float:
+        """Return how much more the zone would serve."""
+        busy = max(self.waiting / self.served, LEAST_BUSY) if self.served else 100.0
+        return self.served * max(0.0, 100.0 - busy) / busy
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What would come of leaving a zone, in requests in half a second."""
+
+    moves: float  # new objects, that go elsewhere
+    reserved: float  # ... of plans with a reservation
+    room: float  # that the others have
+    stays: float  # requests for data that lie there: refused
+    wasted: float  # attempts there that are lost as it is
+
+    @property
+    def borne(self) -> float:
+        """Return how much of what moves finds room."""
+        return min(self.moves, self.room)
+
+    @property
+    def borne_reserved(self) -> float:
+        """Return how much of what is reserved does: it comes first."""
+        return min(self.reserved, self.room)
+
+    @property
+    def refused(self) -> float:
+        """Return how much of what moves is refused on arrival, with a hint."""
+        return self.moves - self.borne
+
+    @property
+    def worth(self) -> bool:
+        """Whether staying loses at least as much."""
+        return self.wasted >= self.stays + self.refused
+
+
+def cost_of(leaving: Load, others: Iterable[Load]) -> Cost:
+    """Return what leaving a zone costs while the others are used."""
+    room = sum(one.free for one in others)
+    return Cost(leaving.moved, leaving.reserved, room, leaving.served - leaving.moved, leaving.wasted)
--- a/harriertrack/decisions/fleet/zones/evacuation.py
+++ b/harriertrack/decisions/fleet/zones/evacuation.py
@@ -7,6 +7,7 @@
 - a head that is cut off itself: nothing answers it anywhere, and its word does not count;
 - one bad node, lost answers everywhere, a slow or overloaded zone: most nodes there answer something;
 - heads that see a zone differently: it stays, and each head helps itself, as without a word;
+- a zone that still serves more than is lost there (bearing.py): leaving it would cost more than it saves;
 - what is everywhere: if all zones fail at once none is left, and the last one never is.
 
 A zone that is out is tried by a few heads for all, and comes back head by head, each treating its nodes as
@@ -19,6 +20,7 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
+from harriertrack.decisions.fleet.zones.bearing import Cost, Load, cost_of
 from harriertrack.decisions.fleet.zones.evidence import Sight
 from harriertrack.decisions.fleet.zones.words import Stage, Word, ZoneRules
 
@@ -53,6 +55,7 @@
     good: int = 0
     bad: int = 0
     heads: int = 0
+    load: Load = Load()
 
     @property
     def silent(self) -> float:
@@ -108,9 +111,18 @@
                 continue  # nothing answers it anywhere
             for sight in seen.sights:
                 one = found.get(sight.zone, Sum())
-                found[sight.zone] = Sum(one.good + sight.good, one.bad + sight.bad, one.heads + 1)
+                found[sight.zone] = Sum(one.good + sight.good, one.bad + sight.bad, one.heads + 1,
+                                        one.load + sight)  # fmt: skip
         return found
 
+    def cost(self, name: str, sums: Mapping[str, Sum]) -> Cost:
+        """Return what leaving a zone costs, as it is with the others now."""
+        others = (
+            other for other, zone in self.zones.items() if other != name and zone.stage is Stage.IN
+            and sums.get(other, Sum()).silent < self.rules.gone
+        )  # fmt: skip
+        return cost_of(sums.get(name, Sum()).load, [sums.get(other, Sum()).load for other in others])
+
     def decide(self, now: int, zones: Iterable[str], heads: int,
                starts: Mapping[str, Collection[int]] = MappingProxyType({})) -> None:  # fmt: skip
         """Look at every zone; `starts`: when its nodes started, as the list says."""
@@ -129,13 +141,14 @@
                 continue
             match zone.stage:
                 case Stage.IN:
-                    self._in(now, zone, name in failing and not everywhere, seen)
+                    fails = name in failing and not everywhere and self.cost(name, sums).worth
+                    self._in(now, zone, fails, seen)
                 case Stage.OUT:
                     self._out(now, zone, starts.get(name, ()))
                 case Stage.TRYING:
                     self._trying(now, zone, seen, heads)
                 case Stage.RETURNING:
-                    self._returning(now, zone, seen, needed)
+                    self._returning(now, zone, seen, name in failing and self.cost(name, sums).worth)
 
     def _others(self, zone: Zone) -> bool:
         return any(one is not zone and one.stage is Stage.IN for one in self.zones.values())
@@ -179,9 +192,9 @@
             zone.since = now
             zone.turn += 1
 
-    def _returning(self, now: int, zone: Zone, seen: Sum, needed: int) -> None:
+    def _returning(self, now: int, zone: Zone, seen: Sum, fails: bool) -> None:
         rules = self.rules
-        if seen.silent >= rules.gone and seen.heads >= needed:
+        if fails:
             self._leave(now, zone, f"again {seen.bad} of {seen.good + seen.bad} nodes silent")
         elif now >= zone.stepped_at + rules.step_us:
             zone.stepped_at = now
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -125,7 +125,7 @@
                     from harriertrack.decisions.fleet.zones.evidence import Evidence
                     from harriertrack.gateway.fleet.observing import Observed
 
-                    evidence = Evidence()
+                    evidence = Evidence({plan.name for plan in settings.plans if plan.reserve})
                     decides = Observed(self.module, evidence)
                 if self.scored is not None:
                     from harriertrack.gateway.fleet.observing import Observed
--- a/harriertrack/membership/fleet/budgeting.py
+++ b/harriertrack/membership/fleet/budgeting.py
@@ -63,6 +63,11 @@
     good: Number
     bad: Number
     requests: Number
+    served: Number = 0
+    moved: Number = 0
+    reserved: Number = 0
+    wasted: Number = 0
+    busy: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
 
 
 class _Word(msgspec.Struct, array_like=True):
@@ -167,7 +172,11 @@
                 [_Share(one.budget, one.version, one.rate, one.tokens) for one in said.shares],
             )  # fmt: skip
         case Seen():
-            sights = [_Sight(one.zone, one.good, one.bad, one.requests) for one in said.sights]
+            sights = [
+                _Sight(one.zone, one.good, one.bad, one.requests, one.served, one.moved, one.reserved,
+                       one.wasted, one.busy)
+                for one in said.sights
+            ]  # fmt: skip
             wire = _Wire(READS, VERSION, fleet, Kind.SEEN, 0, 0, 0, said.head, sights=sights)
         case Told():
             # Reasons are for people: where there are many words, they give way to the words.
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -13,10 +13,11 @@
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions.fleet.budgets import Term
 from harriertrack.decisions.fleet.zones.evacuation import Evacuation, Sum
-from harriertrack.decisions.fleet.zones.evidence import Evidence, Sight
+from harriertrack.decisions.fleet.zones.bearing import Load, cost_of
+from harriertrack.decisions.fleet.zones.evidence import SLOT_US, Evidence, Sight
 from harriertrack.decisions.fleet.zones.overlay import Overlay
 from harriertrack.decisions.fleet.zones.words import Stage, Word, ZoneRules, uses
-from harriertrack.decisions.interface import Ended, NodeEntry, NodeState, Result, Send
+from harriertrack.decisions.interface import Arrived, Ended, NodeEntry, NodeState, Result, Send
 from harriertrack.gateway.fleet import zones as carrier
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.rig import simulate
@@ -232,6 +233,59 @@
             assert 0 <= word.share <= 1 and budgeting.decode("f", budgeting.encode("f", budgeting.Told(Term(1, 1), (word,))))
 
 
+# -- what leaving costs
+
+loads = st.builds(lambda served, moved, reserved, wasted, busy: Load() + Sight(
+    "z", 4, 0, 9, served, min(served, moved), min(served, moved, reserved), wasted, busy),
+    *[st.integers(0, 500)] * 4, st.integers(0, 100))  # fmt: skip
+
+
+@given(loads, st.lists(loads, max_size=4))
+@settings(max_examples=300, deadline=None)
+def test_what_moves_is_borne_where_there_is_room_reservations_first_and_nothing_is_pushed_over(mine, others):
+    cost = cost_of(mine, others)
+    assert 0 <= cost.borne <= cost.room and cost.borne + cost.refused == cost.moves
+    assert cost.borne_reserved == min(cost.reserved, cost.borne), "what is refused is without a reservation first"
+    assert all(0 <= one.free <= 4 * one.served for one in others)
+    assert cost.worth or mine.wasted < mine.served, "to stay, more must be served there than is lost"
+    assert cost_of(mine, [*others, Load(served=50)]).refused <= cost.refused, "one more zone never bears less"
+    assert not cost.worth or mine.wasted >= mine.served - mine.moved
+
+
+def test_a_zone_that_serves_more_than_is_lost_there_is_not_left():
+    def sees(served, wasted):
+        fleet = Fleet()
+        for _ in range(20):
+            fleet.now += 100_000
+            for name in fleet.heads:
+                bad = Sight("z1", 1, 9, 9, served=served, wasted=wasted)
+                fleet.one.saw(fleet.now, name, (Sight("z0", 9, 0, 9, served=20), bad, Sight("z2", 9, 0, 9, served=20)))
+            fleet.one.decide(fleet.now, fleet.zones, 9)
+        return fleet.stage("z1")
+
+    assert sees(0, 3) is not Stage.IN and sees(2, 3) is not Stage.IN
+    assert sees(5, 3) is Stage.IN, "one node of ten serves five where three attempts are lost"
+
+
+def test_what_a_head_counts_of_a_zone_is_of_the_half_second_before():
+    one = Seer()
+    one.evidence = Evidence({"gold"})
+    one.evidence.listed(NODES)
+    one.now = 4 * SLOT_US
+    for number in range(40):  # each 25 ms
+        node, plan = NODES[number % 3].node, "gold" if number % 2 else "tin"
+        ask = Arrived(number, "write", plan, "v", "k", -1 if number % 4 < 2 else 0, 1.0, 500_000)
+        one.evidence.follow(one.now, [ask], [Send(number, node)])
+        if number % 3 != 1:
+            one.evidence.follow(one.now, [Ended(number, 0, node, Result.OK, 1000 + 500 * (number > 20), True)], [])
+        one.now += 25_000
+    sights = {sight.zone: sight for sight in one.evidence.report(one.now)}
+    assert 6 <= sights["z0"].served <= 7 and 3 <= sights["z0"].moved <= 4 and 1 <= sights["z0"].reserved <= 2
+    assert sights["z0"].busy > 0 and sights["z0"].wasted == 0
+    assert (sights["z1"].served, sights["z1"].bad) == (0, 1) and 6 <= sights["z1"].wasted <= 7
+    assert one.evidence.report(one.now + 700_000)[0].served == 0
+
+
 # -- what the module is told
 
 
@@ -277,7 +331,7 @@
 
 
 def test_the_words_datagrams_are_read_back():
-    for said in (budgeting.Seen("h1", (Sight("z0", 3, 1, 40),)),
+    for said in (budgeting.Seen("h1", (Sight("z0", 3, 1, 40, 9, 4, 2, 1, 35),)),
                  budgeting.Told(Term(2, 3), (Word("z1", Stage.RETURNING, 0.25, 4, "2 nodes answer", 7, True),))):  # fmt: skip
         assert budgeting.decode("f", budgeting.encode("f", said)) == said
 
