--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -140,7 +140,9 @@
         self._alarm.wake_at(self.swim.wake_at())
 
     def _changed(self, change: Change) -> None:
-        before, after, view = change.before, change.after, self.swim.view
+        before, after, view, zones = change.before, change.after, self.swim.view, self.together.zones
+        if zones is not None and after.state is State.ALIVE and (before is None or change.another_life):
+            zones.joined(after)
         if before is not None and before.state is after.state and not change.another_life:
             return  # a suspect's objection, known before the suspicion was
         self._parts.note(
--- a/harriertrack/gateway/fleet/together.py
+++ b/harriertrack/gateway/fleet/together.py
@@ -91,8 +91,8 @@
         if settings.zones is not None and member.beside.evidence is not None:
             from harriertrack.gateway.fleet.zones import Zones
 
-            self.zones = Zones(member.parts, settings.zones, member.beside.evidence, member.beside.listing,
-                               member.swim, deciding)  # fmt: skip
+            self.zones = Zones(member.parts, settings, settings.zones, member.beside.evidence,
+                               member.beside.listing, member.swim, deciding)  # fmt: skip
             self.shown["zones"] = self.zones
             self.zones.start()
         if settings.changes is not None:
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -148,7 +148,7 @@
             from harriertrack.decisions.fleet.zones.evidence import Evidence
             from harriertrack.gateway.fleet.observing import Observed
 
-            self._evidence = Evidence()
+            self._evidence = Evidence({plan.name for plan in settings.plans if plan.reserve})
             decides = Observed(self.module, self._evidence)
         if self.scored is not None:
             from harriertrack.gateway.fleet.observing import Observed
--- a/harriertrack/lab/fleet/rig/facts.py
+++ b/harriertrack/lab/fleet/rig/facts.py
@@ -18,9 +18,12 @@
 
 
 def of_zones(day: FleetDaySettings) -> Iterator[rec.ZoneFacts]:
-    """Tell which zones may be left."""
-    if day.zones is not None:
-        yield rec.ZoneFacts(t=0, zones=list(ZONES), may_leave=list(day.may_leave))
+    """Tell which zones may be left, and at what pace they are to come back."""
+    if (zones := day.zones) is not None:
+        yield rec.ZoneFacts(
+            t=0, zones=list(ZONES), may_leave=list(day.may_leave), tries=zones.tries, first=zones.first,
+            growth=zones.growth, step_us=zones.step_us, hears_us=day.hears_us,
+        )  # fmt: skip
 
 
 def of_weights(day: FleetDaySettings, scoring: ScoringSettings, heads: int) -> rec.WeightFacts:
--- a/harriertrack/lab/fleet/rig/hearing.py
+++ b/harriertrack/lab/fleet/rig/hearing.py
@@ -34,7 +34,8 @@
         """Take a line of a head's log."""
         rig, now, record = self._rig, self._rig.hub.now(), self._rig.recorder.add
         if event in ("zone used", "zone unused"):
-            record(rec.ZoneUse(t=now, head=slot.name, zone=str(fields["zone"]), used=event == "zone used"))
+            record(rec.ZoneUse(t=now, head=slot.name, zone=str(fields["zone"]), used=event == "zone used",
+                               word=bool(fields["word"])))  # fmt: skip
         if rig.markets is not None:
             rig.markets.heard(slot, event, fields)
         if rig.limits is not None:
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -13,10 +13,11 @@
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions.fleet.budgets import Term
 from harriertrack.decisions.fleet.zones.evacuation import Evacuation, Sum
-from harriertrack.decisions.fleet.zones.evidence import Evidence, Sight
+from harriertrack.decisions.fleet.zones.bearing import Load, cost_of
+from harriertrack.decisions.fleet.zones.evidence import SLOT_US, Evidence, Sight
 from harriertrack.decisions.fleet.zones.overlay import Overlay
 from harriertrack.decisions.fleet.zones.words import Stage, Word, ZoneRules, uses
-from harriertrack.decisions.interface import Ended, NodeEntry, NodeState, Result, Send
+from harriertrack.decisions.interface import Arrived, Ended, NodeEntry, NodeState, Result, Send
 from harriertrack.gateway.fleet import zones as carrier
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.rig import simulate
@@ -99,7 +100,7 @@
         return self.one.zones[zone].stage
 
     def users(self, zone):
-        words = {word.zone: word for word in self.one.words()}
+        words = {word.zone: word for word in self.one.words(self.now)}
         return [name for name in self.heads if zone not in words or uses(words[zone], name, self.heads, RULES.tries)]
 
 
@@ -127,7 +128,9 @@
         counts.append(len(fleet.users("z1")))
     assert counts == sorted(counts) and counts[-1] == 200
     steps = sorted(set(counts))
-    assert 10 <= steps[1] <= 35 and all(after <= 1.9 * before + 5 for before, after in zip(steps[1:], steps[2:], strict=False))
+    # A checksum draws the shares, so that they are met within a few heads.
+    assert steps[0] == 3 and 10 <= steps[1] <= 35
+    assert all(after <= 1.2 * RULES.growth * before + 5 for before, after in zip(steps[1:], steps[2:], strict=False))
 
 
 @pytest.mark.parametrize(("why", "sight"), [
@@ -158,9 +161,8 @@
             fleet.sees(100_000, fine)
         assert fleet.stage("z1") is Stage.RETURNING
     assert [wait / RULES.wait_us for wait in waits] == pytest.approx([1, 2, 4, 8], abs=0.5)
-    fleet.sees(2_500_000, fine)
     share = fleet.one.zones["z1"].share
-    fleet.sees(1_100_000, lambda name, zone: (2, 2) if zone == "z1" else (4, 0))
+    fleet.sees(RULES.step_us + 100_000, lambda name, zone: (2, 2) if zone == "z1" else (4, 0))
     assert fleet.one.zones["z1"].share == pytest.approx(share / 2)
     fleet.sees(10 * S, fine)
     assert fleet.stage("z1") is Stage.IN and fleet.one.zones["z1"].relapses == 4
@@ -168,6 +170,20 @@
     assert fleet.one.zones["z1"].relapses == 0
 
 
+def test_the_list_says_that_it_starts_and_a_use_that_paid_is_no_relapse():
+    fleet = Fleet()
+    fleet.sees(500_000, dead("z1"))
+    left = fleet.now
+    fleet.one.decide(left + 100_000, fleet.zones, 9, {"z1": [left - S, left - S, left + 1]})
+    assert fleet.stage("z1") is Stage.OUT, "one of three nodes started since"
+    fleet.one.decide(left + 200_000, fleet.zones, 9, {"z1": [left + 1, left + 2, left + 3]})
+    assert fleet.stage("z1") is Stage.TRYING, "before the wait is over"
+    fleet.sees(3 * S, fine)
+    assert fleet.stage("z1") is Stage.IN
+    fleet.sees(500_000, dead("z1"))
+    assert fleet.one.zones["z1"].relapses == 1, "it served for longer than it was out"
+
+
 def test_the_last_zone_stays_and_a_new_decider_goes_on_from_the_word():
     fleet = Fleet()
     fleet.sees(S, dead("z1"))
@@ -175,7 +191,7 @@
     assert [fleet.stage(zone) is Stage.IN for zone in fleet.zones] == [True, False, False]
     fleet.sees(S, dead("z0", "z1", "z2"))
     assert fleet.stage("z0") is Stage.IN
-    words = fleet.one.words()
+    words = fleet.one.words(fleet.now)
     fleet.one = Evacuation(RULES)
     fleet.one.take_up(fleet.now, words)
     fleet.sees(S, dead("z1", "z2"))
@@ -213,10 +229,63 @@
         one.decide(now, ("z0", "z1", "z2"), 3)
         one.hold(now, {zone: wish})
         assert any(each.stage is Stage.IN for each in one.zones.values())
-        for word in one.words():
+        for word in one.words(now):
             assert 0 <= word.share <= 1 and budgeting.decode("f", budgeting.encode("f", budgeting.Told(Term(1, 1), (word,))))
 
 
+# -- what leaving costs
+
+loads = st.builds(lambda served, moved, reserved, wasted, busy: Load() + Sight(
+    "z", 4, 0, 9, served, min(served, moved), min(served, moved, reserved), wasted, busy),
+    *[st.integers(0, 500)] * 4, st.integers(0, 100))  # fmt: skip
+
+
+@given(loads, st.lists(loads, max_size=4))
+@settings(max_examples=300, deadline=None)
+def test_what_moves_is_borne_where_there_is_room_reservations_first_and_nothing_is_pushed_over(mine, others):
+    cost = cost_of(mine, others)
+    assert 0 <= cost.borne <= cost.room and cost.borne + cost.refused == cost.moves
+    assert cost.borne_reserved == min(cost.reserved, cost.borne), "what is refused is without a reservation first"
+    assert all(0 <= one.free <= 4 * one.served for one in others)
+    assert cost.worth or mine.wasted < mine.served, "to stay, more must be served there than is lost"
+    assert cost_of(mine, [*others, Load(served=50)]).refused <= cost.refused, "one more zone never bears less"
+    assert not cost.worth or mine.wasted >= mine.served - mine.moved
+
+
+def test_a_zone_that_serves_more_than_is_lost_there_is_not_left():
+    def sees(served, wasted):
+        fleet = Fleet()
+        for _ in range(20):
+            fleet.now += 100_000
+            for name in fleet.heads:
+                bad = Sight("z1", 1, 9, 9, served=served, wasted=wasted)
+                fleet.one.saw(fleet.now, name, (Sight("z0", 9, 0, 9, served=20), bad, Sight("z2", 9, 0, 9, served=20)))
+            fleet.one.decide(fleet.now, fleet.zones, 9)
+        return fleet.stage("z1")
+
+    assert sees(0, 3) is not Stage.IN and sees(2, 3) is not Stage.IN
+    assert sees(5, 3) is Stage.IN, "one node of ten serves five where three attempts are lost"
+
+
+def test_what_a_head_counts_of_a_zone_is_of_the_half_second_before():
+    one = Seer()
+    one.evidence = Evidence({"gold"})
+    one.evidence.listed(NODES)
+    one.now = 4 * SLOT_US
+    for number in range(40):  # each 25 ms
+        node, plan = NODES[number % 3].node, "gold" if number % 2 else "tin"
+        ask = Arrived(number, "write", plan, "v", "k", -1 if number % 4 < 2 else 0, 1.0, 500_000)
+        one.evidence.follow(one.now, [ask], [Send(number, node)])
+        if number % 3 != 1:
+            one.evidence.follow(one.now, [Ended(number, 0, node, Result.OK, 1000 + 500 * (number > 20), True)], [])
+        one.now += 25_000
+    sights = {sight.zone: sight for sight in one.evidence.report(one.now)}
+    assert 6 <= sights["z0"].served <= 7 and 3 <= sights["z0"].moved <= 4 and 1 <= sights["z0"].reserved <= 2
+    assert sights["z0"].busy > 0 and sights["z0"].wasted == 0
+    assert (sights["z1"].served, sights["z1"].bad) == (0, 1) and 6 <= sights["z1"].wasted <= 7
+    assert one.evidence.report(one.now + 700_000)[0].served == 0
+
+
 # -- what the module is told
 
 
@@ -229,11 +298,41 @@
     assert overlay.follow(9 * S, (), "h0", ["h0"], 3)
     assert overlay.shown(up) == NodeEntry("a", 0, NodeState.UP, "z1", 9 * S)
     assert overlay.shown(NodeEntry("a", 0, zone="z1", started_us=10 * S)).started_us == 10 * S
+    assert overlay.shown(NodeEntry("a", 0, zone="z1", started_us=3 * S)).started_us == 3 * S, "the list knows better"
+
+
+def test_nodes_warm_by_others_work_before_a_head_comes_back():
+    overlay, old = Overlay(), NodeEntry("a", 0, zone="z1", started_us=5)
+    overlay.follow(S, (Word("z1", Stage.OUT, 0.0, 0),), "h0", ["h0"], 0)
+    overlay.follow(9 * S, (Word("z1", Stage.RETURNING, 1.0, 0, warm_us=2 * S),), "h0", ["h0"], 0)
+    assert overlay.shown(old).started_us == 7 * S, "since the first tries were answered, not since it came back"
+
+
+def test_who_reaches_a_zone_keeps_it_until_it_does_not_but_for_a_wish():
+    word, none = Word("z1", Stage.OUT, 0.0, 0), ["h0", "h1"]
+    overlay = Overlay()
+    assert not overlay.follow(S, (word,), "h0", none, 0, {"z1"}) and not overlay.unused
+    returning = Word("z1", Stage.RETURNING, 0.0, 0)
+    assert not overlay.follow(2 * S, (returning,), "h0", none, 0, {"z1"})
+    assert overlay.follow(3 * S, (returning,), "h0", none, 0, set()) and overlay.unused == {"z1"}
+    assert not overlay.follow(4 * S, (word,), "h0", none, 0, {"z1"}), "who left it comes back by the word alone"
+    wished = Overlay()
+    assert wished.follow(S, (Word("z1", Stage.OUT, 0.0, 0, wished=True),), "h0", none, 0, {"z1"})
+    tried = Overlay()
+    tried.follow(S, (Word("z1", Stage.TRYING, 0.0, 0),), "h0", none, 2, set())
+    assert tried.follow(2 * S, (word,), "h0", none, 0, {"z1"}) and tried.unused, "who only tried goes by the word"
+
+
+def test_what_a_head_reaches_is_what_answered_just_now():
+    one = Seer()
+    one.ask(lambda entry: None if entry.zone == "z1" and entry.node != "n1" else Result.OK)
+    assert one.evidence.reached(one.now, 0.7) == {"z0", "z2"}
+    assert one.evidence.reached(one.now + 600_000, 0.7) == set()
 
 
 def test_the_words_datagrams_are_read_back():
-    for said in (budgeting.Seen("h1", (Sight("z0", 3, 1, 40),)),
-                 budgeting.Told(Term(2, 3), (Word("z1", Stage.RETURNING, 0.25, 4, "2 nodes answer"),))):  # fmt: skip
+    for said in (budgeting.Seen("h1", (Sight("z0", 3, 1, 40, 9, 4, 2, 1, 35),)),
+                 budgeting.Told(Term(2, 3), (Word("z1", Stage.RETURNING, 0.25, 4, "2 nodes answer", 7, True),))):  # fmt: skip
         assert budgeting.decode("f", budgeting.encode("f", said)) == said
 
 
@@ -258,7 +357,8 @@
 # -- rules
 
 
-FACTS = rec.ZoneFacts(t=0, zones=["a", "b"], may_leave=["a"])
+FACTS = rec.ZoneFacts(t=0, zones=["a", "b"], may_leave=["a"], tries=3, first=0.1, growth=3.0, step_us=S // 2,
+                      hears_us=S // 2)  # fmt: skip
 
 
 def use(t, zone, used, who="h"):
@@ -278,6 +378,41 @@
     assert sorted(one.rule for one in found) == sorted(broken)
 
 
+def coming_back(us, word=True, heads=40):
+    names = [f"h{number}" for number in range(heads)]
+    found = [rec.Lived(t=0, member=name, how="started") for name in names]
+    found += [use(S, "a", False, name) for name in names]
+    return found + [rec.ZoneUse(t=2 * S + number * us, head=name, zone="a", used=True, word=word)
+                    for number, name in enumerate(names)]  # fmt: skip
+
+
+def test_heads_that_come_back_faster_than_the_word_lets_them_are_found():
+    assert not rules.check([FACTS, *coming_back(50_000)])
+    assert [one.rule for one in rules.check([FACTS, *coming_back(5_000)])] == [5]
+    assert not rules.check([FACTS, *coming_back(5_000, word=False)]), "there was no word to go by"
+
+
+def test_who_starts_while_nobody_uses_a_zone_is_to_hear_of_it():
+    left = [rec.Lived(t=0, member=name, how="started") for name in "ghi"] + [use(S, "a", False, name) for name in "ghi"]
+    fresh = rec.Lived(t=2 * S, member="j", how="started")
+    back = [use(9 * S, "a", True, name) for name in "ghij"]
+    assert not rules.check([FACTS, *left, fresh, use(2 * S + 1000, "a", False, "j"), *back])
+    assert [one.rule for one in rules.check([FACTS, *left, fresh, *back])] == [4]
+    soon = use(2 * S + 1000, "a", True, "g")
+    assert not rules.check([FACTS, *left, fresh, soon, *back]), "the zone is tried: nobody need leave it again"
+
+
+def test_heads_that_restart_hear_the_word_before_they_try_and_one_that_does_not_is_found(monkeypatch):
+    def broken():
+        day, recorder = scenario.load("zone-restart"), rec.Recorder()
+        simulate(day, day.processes, 1, recorder)
+        return {one.rule for one in rules.check(recorder.records)}
+
+    assert not broken()
+    monkeypatch.setattr(carrier.Zones, "joined", lambda self, record: None)
+    assert 4 in broken()
+
+
 def test_a_fleet_that_left_too_easily_is_found(monkeypatch):
     def lax(self):
         return 1.0 if self.bad else 0.0
