--- a/harriertrack/lab/fleet/limits.py
+++ b/harriertrack/lab/fleet/limits.py
@@ -56,8 +56,8 @@
             rig.scope.spawn("limits", self._watch)
         if self._times[max(self._times)] != step.times:
             body = body_of(self._plans, step.times)
-            self._times[max(self._times) + 1] = step.times
             rig.change(StepSettings(name=Verb.PROPOSE, thing=THING, body=body))
+            self._times[max(self._times) + 1] = step.times
         number, names, everybody = max(self._times), [slot.name for slot in who], "all" in step.who
         now_ms = rig.hub.clock.wall() // 1000
 
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -195,6 +195,8 @@
             raise SettingsError(f"{at}: to: a change, and no other step, is paused, going or aborted")
         if step.name is Verb.MARKET and (day.closing is None or step.number >= day.markets):
             raise SettingsError(f"{at}: number: no such market, or no (closing ...)")
+        if step.name is Verb.CLOCK and day.closing is None:
+            raise SettingsError(f"{at}: clocks are of no matter on a day without (closing ...)")
         if step.name in (Verb.DARK, Verb.WISH, Verb.BACKUP) and day.budgets is None:
             raise SettingsError(f"{at}: there is no witness on a day without budgets")
         struck = step.cut or step.lost or step.twice or step.late_us or step.jitter_us
