--- a/harriertrack/lab/fleet/processes/fleet.py
+++ b/harriertrack/lab/fleet/processes/fleet.py
@@ -165,6 +165,11 @@
         """Start a child whose log lies in the day's folder."""
         return self.children.start(name, arguments, group)
 
+    def await_witness(self) -> None:
+        """Wait until the witness is there again, where it was taken away."""
+        if self.fleet_day.budgets is not None:
+            self._witness.await_listening()
+
     @property
     def witness_address(self) -> tuple[str, int]:
         """Return where operators find the witness."""
--- a/harriertrack/lab/fleet/rig/faults.py
+++ b/harriertrack/lab/fleet/rig/faults.py
@@ -64,6 +64,7 @@
     def starve(self, slot: HeadSlot, step: StepSettings) -> None:
         """Let a head have the processor for a part of the time only (a task). It lives: that is no fault."""
         rig, hub = self._rig, self._rig.hub
+        rig.lasts(step.for_us + 2 * step.every_us)
         until, still = hub.now() + step.for_us, int(step.share * step.every_us)
         while hub.now() < until and slot.name in rig.views.running:
             rig.pause(slot, still)
--- a/harriertrack/lab/fleet/rig/hearing.py
+++ b/harriertrack/lab/fleet/rig/hearing.py
@@ -52,6 +52,9 @@
             record(said)
         if event == "fleet budgets: term begins" and int(str(fields["ledger"])) == DECIDES:
             self.decider = slot.name
+        if event in ("fleet budgets: term begins", "fleet budgets: term over"):
+            record(rec.Keeps(t=now, head=slot.name, ledger=int(str(fields["ledger"])),
+                             keeps=event.endswith("begins")))  # fmt: skip
         if event == "rollout":
             record(staging.step_of(now, slot.name, fields))
         if event == "fleet member":
--- a/harriertrack/lab/fleet/rig/simulated.py
+++ b/harriertrack/lab/fleet/rig/simulated.py
@@ -186,6 +186,7 @@
         self._faulty(self.in_zone(zone), us, slow=times)
 
     def _faulty(self, struck: list[Shelf], us: int, **faults: object) -> None:
+        self.lasts(us)
         self.scope.spawn("nodes at fault", partial(for_a_while, self, struck, us, **faults))
 
     def backup(self) -> None:
--- a/harriertrack/lab/fleet/storm/drawing.py
+++ b/harriertrack/lab/fleet/storm/drawing.py
@@ -24,7 +24,14 @@
 from harriertrack.config.settings.scoring import ScorerSettings
 from harriertrack.config.sexp import SettingsError
 from harriertrack.lab.fleet import scenario
-from harriertrack.lab.fleet.scenario import DayBudgets, EndSettings, FleetDaySettings, StepSettings, Verb
+from harriertrack.lab.fleet.scenario import (
+    ZONES,
+    DayBudgets,
+    EndSettings,
+    FleetDaySettings,
+    StepSettings,
+    Verb,
+)
 from harriertrack.lab.fleet.storm.faults import MAKE, SECOND, Draw, Steps, rest
 from harriertrack.lab.fleet.storm.figures import Part, StormFigures
 
@@ -154,8 +161,8 @@
 def _ended(day: FleetDaySettings, drawing: Draw, parts: frozenset[Part]) -> FleetDaySettings:
     staged = [thing for thing in drawing.things if Part.ROLLOUT in parts]
     steps: list[StepSettings] = [
-        *(StepSettings(name=Verb.WISH, zone=zone, perhaps=True) for zone in sorted(drawing.wished)),
         StepSettings(name=Verb.QUIET),
+        *(StepSettings(name=Verb.WISH, zone=zone, perhaps=True) for zone in sorted(drawing.wished)),
         *(StepSettings(name=Verb.CLOCK, who=(name,)) for name in sorted(drawing.off)),
         StepSettings(name=Verb.START), StepSettings(name=Verb.DEMAND),
         StepSettings(name=Verb.AGREE, within_us=AGREE_US),
@@ -174,7 +181,9 @@
 
 
 def may_leave(steps: Iterable[StepSettings]) -> tuple[str, ...]:
-    """Return the zones that steps strike, or that operators wish out."""
+    """Return the zones that steps strike, or that operators wish out; drawn nodes may be all of any zone."""
+    if any(step.name is Verb.COLD for step in steps):
+        return ZONES
     return tuple(sorted({
         step.zone for step in steps
         if step.name is Verb.ZONE or (step.name is Verb.WISH and step.wish == "out")
--- a/harriertrack/rules/budgets.py
+++ b/harriertrack/rules/budgets.py
@@ -4,8 +4,8 @@
    may be in use from when its grant came until its holder said that it has a later version, that it begins a
    new tenure or asks another term, or until a lease after the ask which was answered last.
 2. *Units*: in any time no more arrives than the whole's rate gives, and its burst, and the stated slack.
-3. *Whole again*: where nothing is at fault any more, at the day's end every head that lives and ever asked a
-   ledger has a lease of it, but one at most: who keeps it asks itself.
+3. *Whole again*: where nothing is at fault any more, at the day's end each ledger that was ever kept has one
+   keeper that lives, and whoever asks one has a lease.
 
 A whole may change in service: later facts of a budget hold from when they were recorded. A lower one is
 recorded when the time is over in which the heads have to come inside it, and a store fills no faster.
@@ -21,8 +21,9 @@
 from harriertrack.rules.checker import Breach
 
 EXACT = 1e-6  # of a whole: what floating point may add up to
+GONE = ("killed", "ended", "leaving")
 
-Known = rec.BudgetFacts | rec.AskedShare | rec.GrantedShare | rec.Drawn | rec.Lived | rec.Quiet
+Known = rec.BudgetFacts | rec.AskedShare | rec.GrantedShare | rec.Drawn | rec.Lived | rec.Quiet | rec.Keeps
 
 
 @dataclass(slots=True)
@@ -116,31 +117,39 @@
 
 
 def whole_again(records: Sequence[Known]) -> Iterator[Breach]:
-    """3: who lives at the end of a quiet time has leases."""
-    quiet = [one.t for one in records if isinstance(one, rec.Quiet)]
-    asked: dict[int, set[str]] = defaultdict(set)
-    leased: dict[tuple[int, str], int] = {}  # until when each holder's last lease of a ledger may be used
+    """3: at the end of a quiet time ledgers are kept, and asks are answered."""
     using: dict[tuple[str, int, int], _Using] = defaultdict(_Using)
+    last: dict[tuple[str, int], rec.AskedShare] = {}
+    keepers: dict[int, set[str]] = defaultdict(set)
     alive: set[str] = set()
-    end = lease = 0
+    quiet, end, lease = False, 0, 0
     for one in records:
         end = one.t
-        if isinstance(one, rec.Lived):
-            (alive.discard if one.how in ("killed", "ended", "leaving") else alive.add)(one.member)
-        elif isinstance(one, rec.AskedShare):
-            asked[one.ledger].add(one.holder)
-            using[one.holder, one.instance, one.ledger].ask(one)
-        elif isinstance(one, rec.GrantedShare):
-            lease = one.lease_us
-            held = using[one.holder, one.instance, one.ledger]
-            held.grant(one)
-            leased[one.ledger, one.holder] = held.until
+        match one:
+            case rec.Quiet():
+                quiet = True
+            case rec.Lived():
+                (alive.discard if one.how in GONE else alive.add)(one.member)
+                if one.how in GONE or one.how == "started":
+                    for heads in keepers.values():
+                        heads.discard(one.member)
+            case rec.Keeps():
+                (keepers[one.ledger].add if one.keeps else keepers[one.ledger].discard)(one.head)
+            case rec.AskedShare():
+                last[one.holder, one.ledger] = one
+                using[one.holder, one.instance, one.ledger].ask(one)
+            case rec.GrantedShare():
+                lease = one.lease_us
+                using[one.holder, one.instance, one.ledger].grant(one)
     if not quiet:
         return
-    for ledger, holders in sorted(asked.items()):
-        lacking = sorted(name for name in holders & alive if leased.get((ledger, name), 0) + lease < end)
-        if len(lacking) > 1:
-            yield Breach(3, end, f"ledger {ledger}", f"{', '.join(lacking)} have no lease of it")
+    for ledger, heads in sorted(keepers.items()):
+        if len(heads) != 1:
+            yield Breach(3, end, f"ledger {ledger}", f"{', '.join(sorted(heads)) or 'nobody'} keeps it")
+    for (name, ledger), ask in sorted(last.items()):
+        held = using[name, ask.instance, ledger]
+        if name in alive and ask.t > end - lease and held.until < end - lease:
+            yield Breach(3, end, name, f"asks ledger {ledger}, and has no lease")
 
 
 RULES: tuple[Callable[[Sequence[Known]], Iterator[Breach]], ...] = (
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -292,6 +292,15 @@
     shares: list[tuple[str, int, float]]
 
 
+class Keeps(msgspec.Struct, kw_only=True, tag="keeps", tag_field="what"):
+    """A head keeps a ledger from now on, or does not any more."""
+
+    t: int
+    head: str
+    ledger: int
+    keeps: bool
+
+
 class Drawn(msgspec.Struct, kw_only=True, tag="drawn", tag_field="what"):
     """So many units of a budget arrived where it counts, through some head."""
 
@@ -513,7 +522,7 @@
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
     | ZoneUse | Proposed | WentBy | TookVersion | CloseDue | ClosedAt | Kept | WeightFacts | Weights | Vote
-    | NotesSent | LimitNow | RolloutFacts | RolloutEnd | RolloutStep | HandedOver | CutOff | Quiet
+    | NotesSent | LimitNow | RolloutFacts | RolloutEnd | RolloutStep | HandedOver | CutOff | Quiet | Keeps
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
--- a/harriertrack/rules/rollout.py
+++ b/harriertrack/rules/rollout.py
@@ -8,7 +8,7 @@
    stopped or cut off.
 5. *One*: two things never change at the same time; of one epoch there is one decider.
 6. *End*: at the day's end all heads that live run what they should, or, where that is left to what is
-   decided, one and the same, and no version is under way any more.
+   decided, one and the same, and, where nothing is at fault any more, no version is under way.
 """
 
 from __future__ import annotations
@@ -42,6 +42,7 @@
     cut: set[str] = field(default_factory=set)
     away: dict[str, int] = field(default_factory=dict)
     ends: dict[str, rec.RolloutEnd] = field(default_factory=dict)
+    quiet: bool = False
     deciders: dict[int, str] = field(default_factory=dict)
 
     def stands(self, key: Key) -> str:
@@ -147,6 +148,8 @@
     match one:
         case rec.RolloutFacts():
             now.facts[one.thing, one.version] = one
+        case rec.Quiet():
+            now.quiet = True
         case rec.RolloutEnd():
             now.ends[one.thing] = one
         case rec.RolloutStep():
@@ -182,7 +185,7 @@
 def check(records: Iterable[rec.Record]) -> list[Breach]:
     """Judge a recording's rollouts. In order of time."""
     kinds = (rec.RolloutFacts, rec.RolloutEnd, rec.RolloutStep, rec.TookVersion, rec.HandedOver, rec.CutOff,
-             rec.Lived)  # fmt: skip
+             rec.Lived, rec.Quiet)  # fmt: skip
     mine = sorted((one for one in records if isinstance(one, kinds)), key=lambda one: one.t)
     now, last = Fleet(), 0
     breaches: list[Breach] = []
@@ -204,6 +207,8 @@
         if odd:
             yield Breach(6, last, thing, f"{', '.join(odd)} do not run {end.version} at the end")
         return
+    if not now.quiet:
+        return
     if len(set(runs.values())) > 1:
         yield Breach(6, last, thing, f"at the end heads run {runs}")
     newest = max((version for other, version in now.facts if other == thing), default=0)
