--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -208,6 +208,8 @@
             raise SettingsError(f"{at}: number: no such market, or no (closing ...)")
         if step.again_us and day.closing is not None and step.again_us < lull_us(day.closing) + SECOND:
             raise SettingsError(f"{at}: again: leaves no time to stop it between two closes")
+        if step.name is Verb.CLOCK and day.closing is None:
+            raise SettingsError(f"{at}: clocks are of no matter on a day without (closing ...)")
         if step.name in (Verb.DARK, Verb.WISH, Verb.BACKUP) and day.budgets is None:
             raise SettingsError(f"{at}: there is no witness on a day without budgets")
         struck = step.cut or step.lost or step.twice or step.late_us or step.jitter_us
