--- a/harriertrack/decisions/fleet/rollout/rollout.py
+++ b/harriertrack/decisions/fleet/rollout/rollout.py
@@ -24,6 +24,7 @@
 from harriertrack.decisions.fleet.rollout.plan import Plan, Stage, goes_away
 
 STOPPED = "worse: "  # begins the reason of a version that the evidence stopped
+WANTING = "not enough yet: "  # ... and of one that is paused for want of it
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +74,7 @@
     since: dict[str, int] = field(default_factory=dict)  # when each head was first heard to run it
     began: int = -1  # when this decider first looked at it
     moved: int = -1  # ... and since when it stands where it does
-    where: tuple[Standing, int, int] | None = None
+    where: tuple[Standing, int, int, int] | None = None
     holds: str = ""  # what the next step waits for
 
     @property
@@ -106,7 +107,8 @@
     def _follow(self, now: int, version: Version, members: Mapping[str, Member]) -> None:
         if self.began < 0:
             self.began = now
-        where = (version.standing, version.stage, len(version.heads))
+        # The last tells that somebody paused it and let it go on between two looks; it is no time here.
+        where = (version.standing, version.stage, len(version.heads), version.since_ms)
         if where != self.where:
             self.where, self.moved = where, now
         for name, one in members.items():
@@ -177,7 +179,7 @@
         everybody = all(name in named for name, one in members.items() if one.here)
         alone = finding.verdict is Verdict.TROUBLE and everybody
         if alone or now - self.moved > plan.patience_us:
-            return Step(version, Standing.PAUSED, f"not enough yet: {self.holds}", at, named)
+            return Step(version, Standing.PAUSED, f"{WANTING}{self.holds.removeprefix(WANTING)}", at, named)
         return None
 
     def _in_force(self, version: Version) -> Step:
--- a/harriertrack/gateway/fleet/carrier.py
+++ b/harriertrack/gateway/fleet/carrier.py
@@ -155,6 +155,8 @@
             changes.took(Kind.PROGRAM.value, handover.number)
         self.rollouts = Rollouts(self._parts, settings, self.swim, deciding, changes, counting,
                                  self._beside.usage or no_usage)  # fmt: skip
+        if self.scoring is not None:
+            self.rollouts.failing = self.scoring.lost
         self.rollouts.start()
 
     def retell(self, settings: FleetSettings) -> None:
--- a/harriertrack/gateway/fleet/rollout/carrier.py
+++ b/harriertrack/gateway/fleet/rollout/carrier.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from zlib import crc32
 
 from harriertrack.config.rollout import plan_of, read_program
@@ -65,6 +65,7 @@
         self._parts, self._hub, self._settings = parts, parts.hub, settings
         self._swim, self._deciding, self._changes = swim, deciding, changes
         self._counting, self._usage = counting, usage
+        self.failing: Callable[[], Mapping[str, str]] = dict  # things that run and do not work, and why
         self._term: Term | None = None
         self._conductor: Conductor | None = None
         self._heard: dict[str, Heard] = {}
@@ -108,8 +109,9 @@
     def _report(self) -> Report:
         memory, processor_us = self._usage()
         fell = {thing: told for thing, told in self._changes.turned_down().items() if told[1] != HANDING_OVER}
-        me = self._swim.me
-        return Report(me.name, me.instance, self._changes.runs(), self._counting.classes, memory,
+        runs, me = self._changes.runs(), self._swim.me
+        fell.update({thing: (runs[thing], why) for thing, why in self.failing().items() if thing in runs})
+        return Report(me.name, me.instance, runs, self._counting.classes, memory,
                       processor_us, fell, LEVEL)  # fmt: skip
 
     # -- deciding
--- a/harriertrack/gateway/fleet/scoring/carrier.py
+++ b/harriertrack/gateway/fleet/scoring/carrier.py
@@ -194,6 +194,14 @@
                 if weighing.topic_of(page) == topic:
                     self._shared.hear(now, row.record.name, page)
 
+    def lost(self) -> dict[str, str]:
+        """Return which of the record's scorers have no vote here, by thing, and why."""
+        run, votes = self._choice.run(), {name: one.voter for name, one in self._shared.weighings.items()}
+        return {
+            one.thing: f"it has no vote, {votes[name].why}" for name, one in run.items()
+            if one.thing and name in votes and votes[name].vote in (Vote.LOST, Vote.HUNG)
+        }  # fmt: skip
+
     # -- operators
 
     def document(self, now: int) -> ScoresTold:
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -67,7 +67,8 @@
     BACKUP = "backup"  # what the witness knows is kept aside
     DARK = "dark"  # the witness is gone for `for`; `old`: it comes back as of the backup
     AGREE = "agree"  # wait until the views of `who` agree, `within` at most
-    DECIDED = "decided"  # wait until a `thing`'s newest version is in force or taken back, `within` at most
+    DECIDED = "decided"  # wait until a `thing`'s newest version is in force or taken back, `within` at most;
+    # `stage`: or until heads of that stage are named
     REST = "rest"  # let time pass: `for`
 
 
@@ -99,6 +100,7 @@
     plan: str = ""
     although: str = ""  # it was stopped before
     to: Literal["paused", "going", "aborted", ""] = ""
+    stage: Whole = 0  # of a rollout, from 1
     number: Whole = 0  # of a market
     local: str = "UTC"  # its time zone
     after_us: tuple[Whole, ...] = ()  # whole seconds past now, about
--- a/harriertrack/lab/fleet/staging.py
+++ b/harriertrack/lab/fleet/staging.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
 
 from harriertrack.config.rollout import plan_of
 from harriertrack.decisions.fleet.changes.record import Version
+from harriertrack.decisions.fleet.changes.standing import OVER, Standing
+from harriertrack.decisions.fleet.rollout.rollout import WANTING
 from harriertrack.lab.rig import HeadSlot
 from harriertrack.rules import recording as rec
 
@@ -28,3 +30,24 @@
     """Return the step that a head's log line tells of."""
     told = {name: fields[name] for name in ("epoch", "thing", "version", "standing", "stage", "heads", "why")}
     return msgspec.convert({**told, "t": now, "by": by}, rec.RolloutStep)
+
+
+def latest(records: Sequence[rec.Record], thing: str, version: int) -> rec.RolloutStep | rec.Proposed | None:
+    """Return the newest that a recording tells of a version: what was decided, or an operator said."""
+    return next(
+        (one for one in reversed(records) if isinstance(one, rec.RolloutStep | rec.Proposed)
+         and (one.thing, one.version) == (thing, version)), None,
+    )  # fmt: skip
+
+
+def there(last: rec.RolloutStep | rec.Proposed, stage: int) -> bool:
+    """Whether a version is in force or taken back, or (from 1) heads of a stage are named."""
+    if Standing(last.standing) in (*OVER, Standing.IN_FORCE):
+        return True
+    return isinstance(last, rec.RolloutStep) and 0 < stage <= last.stage and bool(last.heads)
+
+
+def lacks_evidence(last: rec.RolloutStep | rec.Proposed) -> bool:
+    """Whether a version is paused for want of evidence, and of nothing else."""
+    return (isinstance(last, rec.RolloutStep) and last.standing == Standing.PAUSED.value
+            and last.why.startswith(WANTING))  # fmt: skip
