--- a/harriertrack/gateway/fleet/together.py
+++ b/harriertrack/gateway/fleet/together.py
@@ -131,6 +131,8 @@
                 changes.took(Kind.PROGRAM.value, handover.number)
             rollouts = Rollouts(member.parts, settings.changes.rollout, member.swim, deciding, changes,
                                 counting, beside.usage or no_usage)  # fmt: skip
+            if self.scoring is not None:
+                rollouts.failing = self.scoring.lost
             self.shown["rollouts"] = rollouts
             rollouts.start()
 
--- a/harriertrack/lab/fleet/rig/operating.py
+++ b/harriertrack/lab/fleet/rig/operating.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from harriertrack.decisions.fleet.changes.record import Record
-from harriertrack.decisions.fleet.changes.standing import OVER, Standing
-from harriertrack.decisions.fleet.changes.writing import propose, wish
+from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.decisions.fleet.changes.writing import Refused, propose, wish
 from harriertrack.decisions.fleet.rollout.rollout import in_stages
 from harriertrack.gateway.fleet.changes import keeping
 from harriertrack.gateway.fleet.zones import set_wish
-from harriertrack.gateway.witness import WitnessClient
+from harriertrack.gateway.witness import FAILURES, WitnessClient
 from harriertrack.lab.fleet import staging
 from harriertrack.lab.fleet.scenario import StepSettings, Verb
 from harriertrack.rules import recording as rec
@@ -62,17 +63,21 @@
 
 
 def await_decided(rig: FleetRig, step: StepSettings) -> None:
-    """Wait until a thing's newest version is in force or taken back, or the step's time is over."""
-    until, read, newest, over = rig.hub.now() + step.within_us, 0, 0, set[int]()
+    """Wait for the verdict on a thing's newest version, or for a stage, until the step's time is over.
+
+    What is paused for want of evidence goes on, as operators say.
+    """
+    until, read, last = rig.hub.now() + step.within_us, 0, None
     while rig.hub.now() < until:
         records = rig.recorder.records
         for one in records[read:]:
-            if isinstance(one, rec.Proposed) and one.thing == step.thing:
-                newest = one.version
-            elif isinstance(one, rec.RolloutStep) and one.thing == step.thing:
-                if Standing(one.standing) in (*OVER, Standing.IN_FORCE):
-                    over.add(one.version)
+            if isinstance(one, rec.Proposed | rec.RolloutStep) and one.thing == step.thing:
+                if last is None or one.version >= last.version:
+                    last = one
         read = len(records)
-        if not newest or newest in over:
+        if last is None or staging.there(last, step.stage):
             return
+        if staging.lacks_evidence(last):
+            with suppress(Refused, *FAILURES):  # who decides was first, or it is tried again
+                change(rig, StepSettings(name=Verb.CHANGE, thing=step.thing, to="going"))
         rig.hub.sleep(DECIDED_US)
