--- a/harriertrack/lab/fleet/rig/operating.py
+++ b/harriertrack/lab/fleet/rig/operating.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from harriertrack.decisions.fleet.changes.record import Record
-from harriertrack.decisions.fleet.changes.standing import OVER, Standing
-from harriertrack.decisions.fleet.changes.writing import propose, wish
+from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.decisions.fleet.changes.writing import Refused, propose, wish
 from harriertrack.decisions.fleet.rollout.rollout import in_stages
 from harriertrack.gateway.fleet.changes import keeping
 from harriertrack.gateway.fleet.zones import set_wish
-from harriertrack.gateway.witness import WitnessClient
+from harriertrack.gateway.witness import FAILURES, WitnessClient
 from harriertrack.lab.fleet import staging
 from harriertrack.lab.fleet.scenario import StepSettings, Verb
 from harriertrack.rules import recording as rec
@@ -26,8 +27,11 @@
     return WitnessClient(rig.hub, rig.network, rig.witness_address, CALL_US, "operator")
 
 
-def change(rig: FleetRig, step: StepSettings) -> None:
-    """Propose a version of a thing, or say what becomes of it."""
+def change(rig: FleetRig, step: StepSettings, again: bool = False) -> None:
+    """Propose a version of a thing, or say what becomes of it.
+
+    `again`: it may have been taken already, and the answer lost.
+    """
     now_ms, thing = rig.hub.clock.wall() // 1000, step.thing
 
     def make(record: Record) -> Record:
@@ -38,8 +42,13 @@
         return propose(record, thing, base, step.body, "operator", now_ms, "the day says so", step.plan,
                        step.although)  # fmt: skip
 
-    found = keeping.write(_witness(rig), make)
-    last = found.record.under_way(thing) or found.record.of(thing)[-1]
+    witness = _witness(rig)
+    there = keeping.read(witness).record.of(thing) if again and step.name is Verb.PROPOSE else ()
+    if there and there[-1].body == step.body:
+        last = there[-1]
+    else:
+        found = keeping.write(witness, make)
+        last = found.record.under_way(thing) or found.record.of(thing)[-1]
     rig.recorder.add(
         rec.Proposed(t=rig.hub.now(), thing=thing, version=last.number, standing=last.standing.value)
     )
@@ -54,13 +63,21 @@
 
 
 def await_decided(rig: FleetRig, step: StepSettings) -> None:
-    """Wait until a thing's newest version is in force or taken back, or the step's time is over."""
-    until = rig.hub.now() + step.within_us
+    """Wait for the verdict on a thing's newest version, or for a stage, until the step's time is over.
+
+    What is paused for want of evidence goes on, as operators say.
+    """
+    until, read, last = rig.hub.now() + step.within_us, 0, None
     while rig.hub.now() < until:
-        told = [one for one in rig.recorder.records if isinstance(one, rec.Proposed)]
-        last = next(one for one in reversed(told) if one.thing == step.thing)
-        if any(isinstance(one, rec.RolloutStep) and (one.thing, one.version) == (last.thing, last.version)
-               and Standing(one.standing) in (*OVER, Standing.IN_FORCE)
-               for one in reversed(rig.recorder.records)):  # fmt: skip
+        records = rig.recorder.records
+        for one in records[read:]:
+            if isinstance(one, rec.Proposed | rec.RolloutStep) and one.thing == step.thing:
+                if last is None or one.version >= last.version:
+                    last = one
+        read = len(records)
+        if last is None or staging.there(last, step.stage):
             return
+        if staging.lacks_evidence(last):
+            with suppress(Refused, *FAILURES):  # who decides was first, or it is tried again
+                change(rig, StepSettings(name=Verb.CHANGE, thing=step.thing, to="going"))
         rig.hub.sleep(DECIDED_US)
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -44,6 +44,15 @@
 GROUPS = ("all", "seeds", "rest", "shelves", *ROLES)
 
 
+SECOND = 1_000_000
+TAKEN_UP_US = 5 * SECOND  # a calendar is on record and taken up by then, also on a busy machine
+
+
+def lull_us(closing: ClosingSettings) -> int:
+    """Return how long before a close a calendar without it has to be proposed."""
+    return closing.notice_us + TAKEN_UP_US
+
+
 class Verb(Enum):
     """What a step does."""
 
@@ -67,8 +76,12 @@
     BACKUP = "backup"  # what the witness knows is kept aside
     DARK = "dark"  # the witness is gone for `for`; `old`: it comes back as of the backup
     AGREE = "agree"  # wait until the views of `who` agree, `within` at most
-    DECIDED = "decided"  # wait until a `thing`'s newest version is in force or taken back, `within` at most
+    DECIDED = "decided"  # wait until a `thing`'s newest version is in force or taken back, `within` at most;
+    # `stage`: or until heads of that stage are named
     REST = "rest"  # let time pass: `for`
+    DRAIN = "drain"  # a `part` of the nodes is listed as draining for `for`; simulated days only
+    COLD = "cold"  # a `part` of the nodes is dark for `for`, and comes back cold; simulated days only
+    QUIET = "quiet"  # from now on nothing is at fault: what still lasts is awaited, faults are healed
 
 
 class StepSettings(Checked, frozen=True, kw_only=True):
@@ -99,12 +112,15 @@
     plan: str = ""
     although: str = ""  # it was stopped before
     to: Literal["paused", "going", "aborted", ""] = ""
+    stage: Whole = 0  # of a rollout, from 1
     number: Whole = 0  # of a market
     local: str = "UTC"  # its time zone
     after_us: tuple[Whole, ...] = ()  # whole seconds past now, about
     expect_us: tuple[Whole, ...] = AS_AFTER  # which of these are to come to pass
+    again_us: Whole = 0  # the last of these comes again so often, until the market has its next calendar
     ahead_us: int = 0  # of true time: the wall clock of who is started, or told so
     skew_us: Whole = 0  # and up to so much more or less, drawn for each
+    perhaps: bool = False  # an operator's word that may be refused, and is repeated while nobody answers
     old: bool = False
     clock_rate: Annotated[float, msgspec.Meta(ge=0.5, le=2)] = 1.0  # of who is started; processes only
 
@@ -121,6 +137,7 @@
 
     name: str
     version: Whole = 0
+    settled: bool = False  # whatever was decided last: all run the same, and nothing is under way
 
 
 class FleetDaySettings(Checked, frozen=True, kw_only=True):
@@ -153,13 +170,15 @@
     sway: Amount = 3.4  # powers of two that a weight may go to and fro in ten seconds
     shared: Share = 1.0  # of the volumes: with several hosts each, and extents whose places are settled
     may_leave: tuple[str, ...] = ()  # zones that the fleet may leave on this day
+    hears_us: Whole = 0  # who starts while nobody uses a zone leaves it within this; 0: not judged
     rate: Amount = 8.0  # requests a second, a head
     detect_us: Positive = 20_000_000  # the longest that a death may go unnoticed
     figures: FleetFigures = FleetFigures()
     steps: tuple[StepSettings, ...] = ()
 
 
-def _check(day: FleetDaySettings, where: str) -> None:
+def check(day: FleetDaySettings, where: str) -> None:
+    """Check what the fields' types can't: what steps need. Raises SettingsError."""
     for number, step in enumerate(day.steps, start=1):
         at = f"{where}: step {number} {step.name.value}"
         for field, words in (("who", step.who), ("other", step.other), ("liars", day.liars)):
@@ -168,7 +187,8 @@
                     raise SettingsError(f"{at}: {field}: {word}: no name, group or share such as 0..0.5")
         if "rest" in step.who:
             raise SettingsError(f"{at}: who: rest is the rest of who")
-        lasting = (Verb.STOP, Verb.STARVE, Verb.REST, Verb.JUMP, Verb.DARK, Verb.ZONE, Verb.SLOW)
+        lasting = (Verb.STOP, Verb.STARVE, Verb.REST, Verb.JUMP, Verb.DARK, Verb.ZONE, Verb.SLOW,
+                   Verb.DRAIN, Verb.COLD)  # fmt: skip
         if step.name in lasting and not step.for_us:
             raise SettingsError(f"{at}: for: is needed")
         if step.name in (Verb.ZONE, Verb.SLOW, Verb.WISH) and step.zone not in ZONES:
@@ -177,11 +197,22 @@
             raise SettingsError(f"{at}: thing: is needed, on a day with changes")
         if step.name is Verb.LIMIT and (day.changes is None or day.budgets is None or not step.times):
             raise SettingsError(f"{at}: times: is needed above 0, on a day with budgets and changes")
+        if step.perhaps and step.name not in (Verb.PROPOSE, Verb.CHANGE, Verb.WISH, Verb.LIMIT, Verb.MARKET):
+            raise SettingsError(f"{at}: perhaps: is for what operators say")
+        staged = day.changes is not None and day.changes.rollout is not None
+        if step.name is Verb.LIMIT and staged:
+            raise SettingsError(f"{at}: with (rollout ...) the day does not bring settings about")
+        if step.name is Verb.PROPOSE and step.thing in ("settings", "program") and not staged:
+            raise SettingsError(f"{at}: thing: nobody brings {step.thing} about without (rollout ...)")
         if (step.name is Verb.CHANGE) != bool(step.to):
             raise SettingsError(f"{at}: to: a change, and no other step, is paused, going or aborted")
         if step.name is Verb.MARKET and (day.closing is None or step.number >= day.markets):
             raise SettingsError(f"{at}: number: no such market, or no (closing ...)")
-        if step.name is Verb.DARK and day.budgets is None:
+        if step.again_us and day.closing is not None and step.again_us < lull_us(day.closing) + SECOND:
+            raise SettingsError(f"{at}: again: leaves no time to stop it between two closes")
+        if step.name is Verb.CLOCK and day.closing is None:
+            raise SettingsError(f"{at}: clocks are of no matter on a day without (closing ...)")
+        if step.name in (Verb.DARK, Verb.WISH, Verb.BACKUP) and day.budgets is None:
             raise SettingsError(f"{at}: there is no witness on a day without budgets")
         struck = step.cut or step.lost or step.twice or step.late_us or step.jitter_us
         if (step.name is Verb.WEATHER) != bool(struck):
@@ -191,7 +222,7 @@
 def parse(form: Form, source: str) -> FleetDaySettings:
     """Check a form of a fleet's day. Raises SettingsError with file, line and field."""
     day = bind(form, FleetDaySettings, source)
-    _check(day, f"{source}:{form.line}")
+    check(day, f"{source}:{form.line}")
     return day
 
 
--- a/harriertrack/membership/fleet/budgeting.py
+++ b/harriertrack/membership/fleet/budgeting.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from harriertrack.decisions.fleet.budgets import Ask, Claim, Grant, Share, Term
-from harriertrack.decisions.fleet.evacuation import Stage, Word
-from harriertrack.decisions.fleet.evidence import Sight
+from harriertrack.decisions.fleet.zones.evidence import Sight
+from harriertrack.decisions.fleet.zones.words import Stage, Word
 from harriertrack.membership.fleet import messages
 from harriertrack.membership.fleet.messages import MOST_BYTES, MalformedDatagram, Number, Text
 
@@ -63,6 +63,11 @@
     good: Number
     bad: Number
     requests: Number
+    served: Number = 0
+    moved: Number = 0
+    reserved: Number = 0
+    wasted: Number = 0
+    busy: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
 
 
 class _Word(msgspec.Struct, array_like=True):
@@ -71,6 +76,8 @@
     share: Amount
     turn: Number
     why: Annotated[str, msgspec.Meta(max_length=100)] = ""
+    warm_us: Number = 0
+    wished: bool = False
 
 
 class _Wire(msgspec.Struct, array_like=True):
@@ -165,13 +172,18 @@
                 [_Share(one.budget, one.version, one.rate, one.tokens) for one in said.shares],
             )  # fmt: skip
         case Seen():
-            sights = [_Sight(one.zone, one.good, one.bad, one.requests) for one in said.sights]
+            sights = [
+                _Sight(one.zone, one.good, one.bad, one.requests, one.served, one.moved, one.reserved,
+                       one.wasted, one.busy)
+                for one in said.sights
+            ]  # fmt: skip
             wire = _Wire(READS, VERSION, fleet, Kind.SEEN, 0, 0, 0, said.head, sights=sights)
         case Told():
             # Reasons are for people: where there are many words, they give way to the words.
             room = MOST_REASONS // max(1, len(said.words)) if len(said.words) <= 8 else 0
             words = [
-                _Word(one.zone, one.stage.value, one.share, one.turn, one.why[: min(100, room)])
+                _Word(one.zone, one.stage.value, one.share, one.turn, one.why[: min(100, room)],
+                      one.warm_us, one.wished)
                 for one in said.words
             ]
             wire = _Wire(READS, VERSION, fleet, Kind.WORD, 0, said.term.epoch, said.term.nonce, words=words)
@@ -210,7 +222,10 @@
     if wire.kind is Kind.SEEN:
         return Seen(wire.holder, tuple(Sight(*msgspec.structs.astuple(one)) for one in wire.sights))
     if wire.kind is Kind.WORD:
-        words = (Word(one.zone, Stage(one.stage), one.share, one.turn, one.why) for one in wire.words)
+        words = (
+            Word(one.zone, Stage(one.stage), one.share, one.turn, one.why, one.warm_us, one.wished)
+            for one in wire.words
+        )
         return Told(term, tuple(words))
     if wire.kind is Kind.REPORT:
         return Report(wire.topic, wire.holder, wire.body)
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -245,6 +245,12 @@
     reached: bool
 
 
+class Quiet(msgspec.Struct, kw_only=True, tag="quiet", tag_field="what"):
+    """From now on nothing is at fault: what has to come to pass by itself does, before the recording ends."""
+
+    t: int
+
+
 class BudgetFacts(msgspec.Struct, kw_only=True, tag="budget", tag_field="what"):
     """A budget that a fleet divides: units a second and at once, and how much of it moves between heads.
 
@@ -286,6 +292,15 @@
     shares: list[tuple[str, int, float]]
 
 
+class Keeps(msgspec.Struct, kw_only=True, tag="keeps", tag_field="what"):
+    """A head keeps a ledger from now on, or does not any more."""
+
+    t: int
+    head: str
+    ledger: int
+    keeps: bool
+
+
 class Drawn(msgspec.Struct, kw_only=True, tag="drawn", tag_field="what"):
     """So many units of a budget arrived where it counts, through some head."""
 
@@ -296,20 +311,30 @@
 
 
 class ZoneFacts(msgspec.Struct, kw_only=True, tag="zones", tag_field="what"):
-    """The zones of a fleet's day, and which of them may be left in it."""
+    """The zones of a fleet's day, which of them may be left in it, and how fast heads may come back to one.
+
+    A return begins with `first` of them, or `tries` heads where these are more; each `step_us` there may be
+    `growth` times as many. Who starts while nobody uses a zone leaves it within `hears_us`; 0: not judged.
+    """
 
     t: int
     zones: list[str]
     may_leave: list[str]
+    tries: int = 0
+    first: float = 1.0
+    growth: float = 1.0
+    step_us: int = 0
+    hears_us: int = 0
 
 
 class ZoneUse(msgspec.Struct, kw_only=True, tag="zone-use", tag_field="what"):
-    """A head uses a zone from now on, or does not."""
+    """A head uses a zone from now on, or does not; `word`: as the fleet's word says, not for want of one."""
 
     t: int
     head: str
     zone: str
     used: bool
+    word: bool = True
 
 
 class Proposed(msgspec.Struct, kw_only=True, tag="proposed", tag_field="what"):
@@ -462,11 +487,15 @@
 
 
 class RolloutEnd(msgspec.Struct, kw_only=True, tag="rollout-end", tag_field="what"):
-    """What all heads are to run at the day's end: 0 is what they were started with."""
+    """What all heads are to run at the day's end: 0 is what they were started with.
+
+    `settled`: whatever was decided last, instead; then nothing is under way any more.
+    """
 
     t: int
     thing: str
     version: int
+    settled: bool = False
 
 
 class RolloutStep(msgspec.Struct, kw_only=True, tag="rollout-step", tag_field="what"):
@@ -503,7 +532,7 @@
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
     | ZoneUse | Proposed | WentBy | TookVersion | CloseDue | ClosedAt | Kept | WeightFacts | Weights | Vote
-    | NotesSent | LimitNow | RolloutFacts | RolloutEnd | RolloutStep | HandedOver | CutOff
+    | NotesSent | LimitNow | RolloutFacts | RolloutEnd | RolloutStep | HandedOver | CutOff | Quiet | Keeps
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
 
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -53,7 +53,11 @@
 LINK = "decisions.linklife:LinkLife"
 CLOSING = "decisions.fleet.closing"
 BUDGETS, TERMS = "decisions.fleet.budgets", "decisions.fleet.terms:Candidate"
-ZONES = "decisions.fleet.evacuation:Evacuation"
+ZONES = "decisions.fleet.zones.evacuation:Evacuation"
+SCORING, VIEW = "decisions.fleet.scoring", "membership.fleet.view:View"
+WEIGHTS = "gateway.fleet.scoring.carrier:Scoring"
+LAUNCHING = "decisions.fleet.rollout.launching:Launching"
+LAUNCHER = "gateway.fleet.rollout.launcher.launcher:Launcher"
 FOLLOWING = "decisions.fleet.changes.following:Follower"
 
 FAULTS = (
@@ -146,4 +150,34 @@
           "firm_until = latest + notice_us", "firm_until = latest", 3),
     Fault("a follower goes back", "changes-once", f"{FOLLOWING}.fetched", "newer = found is not None and (found.revision, digest) > (self.record.revision, self.digest)",
           "newer = found is not None", 3),
+    Fault("a note of a life before counts", "weights-restart", f"{VIEW}.take_topic",
+          "row.record.life != Life(note.started, note.instance)", "False", newest=True),
+    Fault("pages of two lives stand side by side", "weights-restart", f"{WEIGHTS}._hear",
+          "self._shared.forget(row.record.name)", "pass"),
+    Fault("an older note takes a newer one's place", "weights-restart", f"{VIEW}.take_topic",
+          "known is not None and note.newness <= known.newness", "False"),
+    Fault("a weight moves twice as fast", "weights-restart", f"{SCORING}.damping:Damped.move",
+          "rules.rate * self.gain", "rules.rate * 2 * self.gain"),
+    Fault("a head that stood still has a windfall", "weights-hung", f"{SCORING}.damping:Damped.move",
+          "min(us, 2 * rules.look_us)", "us"),
+    Fault("another version's scorer is asked on", "weights-swap", f"{WEIGHTS}._follow",
+          "if before.get(name) == one.namespace", "if name in before"),
+    Fault("who lost its vote is heard", "weights-hung", f"{SCORING}.voting:Voter._lose",
+          "self.scores, self._kept = {}, None", "pass"),
+    Fault("an answer that hung counts", "weights-hung", f"{SCORING}.voting:Voter.answered",
+          "self._go(Vote.LOST)\n        return False", "self.vote = Vote.ASKED"),
+    Fault("a start is written down after it", "launch-killed", f"{LAUNCHER}._start",
+          "self.machine.starting(token)", "self.machine.kept = __import__('dataclasses').replace(self.machine.kept, token=token)"),
+    Fault("a launcher that is back forgets its head", "launch-killed", f"{LAUNCHING}.begin", "if child:", "if False:"),
+    Fault("who is asked to end counts as gone", "launch-deaf", f"{LAUNCHER}.run",
+          "not self._child.alive:", "(machine.phase is Phase.DRAINING or not self._child.alive):"),
+    Fault("a bad version is tried for ever", "launch-bad", f"{LAUNCHING}._failed",
+          "kept.tries + 1 >= self.rules.tries", "False"),
+    Fault("what fell is tried anew", "launch-bad", f"{LAUNCHING}.wanted", " or program.number == kept.fell != 0", ""),
+    Fault("good is who serves for a moment", "launch-bad", f"{LAUNCHING}.wake",
+          "proven = now >= self._since + rules.prove_us", "proven = True"),
+    Fault("a stop between two heads is not heard", "launch-stops", f"{LAUNCHING}.stop",
+          "self._actions.append(Done())", "pass", 2),
+    Fault("who does not end is never ended", "launch-deaf", f"{LAUNCHING}.wake",
+          "now >= self._since + rules.drain_us", "False"),
 )
