--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -14,10 +14,8 @@
 
 from harriertrack.cli import rollout, scoring
 from harriertrack.cli.asking import (
-    ASK_US,
     document_of,
     json_option,
-    needed_settings,
     place_of,
     place_option,
     settings_option,
@@ -25,13 +23,11 @@
 )
 from harriertrack.cli.changes import COMMANDS as CHANGES
 from harriertrack.cli.closing import closes
-from harriertrack.cli.common import fail, settings_of
+from harriertrack.cli.common import fail
 from harriertrack.cli.days import tell
-from harriertrack.config.settings import HeadSettings
+from harriertrack.cli.zones import COMMANDS as ZONES
 from harriertrack.config.sexp import SettingsError
 from harriertrack.gateway.fleet.seats import DECIDES
-from harriertrack.gateway.fleet.zones import set_wish
-from harriertrack.gateway.witness import FAILURES, WitnessClient
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.processes import FleetProcessError, play_processes
 from harriertrack.lab.fleet.rig import simulate
@@ -41,8 +37,6 @@
 )
 from harriertrack.rules import checker, recording as rec
 from harriertrack.rules.everything import judge
-from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import SocketNetwork
 
 SHOWN = (
     "name", "state", "for", "incarnation", "region", "zone", "cell", "address", "agrees", "open", "taken/s",
@@ -58,7 +52,7 @@
     """Fleets of heads: what one holds of the others, and days for many processes."""
 
 
-for one_command in (*CHANGES, closes):
+for one_command in (*CHANGES, *ZONES, closes):
     fleet.add_command(one_command)
 
 
@@ -204,37 +198,6 @@
         click.echo(line)
 
 
-ZONE_WORDS = ("zone", "stage", "share", "used here", "seen here", "all heads", "wish", "why")
-
-
-@fleet.command()
-@settings_option
-@place_option
-@json_option
-@click.option("--explain", is_flag=True, help="Why, too.")
-def zones(path: str | None, place: str | None, as_json: bool, explain: bool) -> None:
-    """Tell which zones the fleet uses, as a head knows it, and what is seen of them."""
-    _, document = document_of(place_of(path, place))
-    if document.zones is None:
-        fail(f"{document.name} leaves no zones with others: (zones ...) is not set")
-    if as_json:
-        click.echo(msgspec.json.encode(document.zones).decode())
-        return
-    told, cells = document.zones, len(ZONE_WORDS) if explain else len(ZONE_WORDS) - 1
-    rows: list[tuple[str, ...]] = [ZONE_WORDS[:cells]]
-    for one in told.zones:
-        whole = f"{one.all_bad} silent of {(one.all_bad or 0) + (one.all_good or 0)}, {one.heads} heads"
-        row = (
-            one.zone, one.stage, f"{one.share:.2f}", "yes" if one.used else "no",
-            f"{one.bad} silent of {one.good + one.bad}", whole if one.heads is not None else "-",
-            one.wish or "-", one.why or "-",
-        )  # fmt: skip
-        rows.append(row[:cells])
-    click.echo(table(rows))
-    heard = "never heard a word" if told.heard_s is None else f"heard the word {told.heard_s:.1f} s ago"
-    click.echo(f"{document.name} {'decides' if told.decides else 'does not decide'}, {heard}")
-
-
 fleet.add_command(scoring.scorers)
 fleet.add_command(rollout.rollout)
 
@@ -256,53 +219,6 @@
     click.echo(table(scoring.node_rows(document.scores)))
 
 
-def _wish(path: str, zone: str, wish: str) -> None:
-    settings = settings_of(path, HeadSettings)
-    if settings.fleet is None or settings.fleet.zones is None or settings.fleet.budgets is None:
-        fail(f"{path}:1: fleet: zones: not set; there is nobody to ask")
-    hub, where = Hub(), settings.fleet.budgets.witness
-    witness = WitnessClient(hub, SocketNetwork(hub), where, ASK_US, "operator")
-    try:
-        hub.run(set_wish, witness, zone, wish)
-    except FAILURES as error:
-        fail(f"witness {where[0]}:{where[1]}: {error or 'no answer in time'}")
-    click.echo(f"{zone}: {f'wished {wish}' if wish else 'no wish any more'}; who decides looks each 2 s")
-
-
-@fleet.command()
-@click.argument("zone")
-@needed_settings
-@click.option("--dry-run", is_flag=True, help="Only tell what the fleet sees of the other zones.")
-def leave(zone: str, path: str, dry_run: bool) -> None:
-    """Wish the fleet out of ZONE, until `fleet return`."""
-    if dry_run:
-        _, document = document_of(place_of(path, None))
-        known = document.zones.zones if document.zones is not None else []
-        others = [one for one in known if one.zone != zone]
-        for one in others:
-            click.echo(f"{one.zone}: {one.stage}, {one.good} nodes answer {document.name}, {one.bad} do not")
-        if not any(one.stage == "in" for one in others):
-            fail(f"{zone}: no other zone is in use; the fleet would have none left")
-        return
-    _wish(path, zone, "out")
-
-
-@fleet.command("return")
-@click.argument("zone")
-@needed_settings
-def return_(zone: str, path: str) -> None:
-    """Take the wish on ZONE back: it is tried by a few, and used again by ever more."""
-    _wish(path, zone, "")
-
-
-@fleet.command()
-@click.argument("zone")
-@needed_settings
-def hold(zone: str, path: str) -> None:
-    """Keep the fleet in ZONE, whatever is seen of it, until `fleet return`."""
-    _wish(path, zone, "in")
-
-
 @fleet.command("days")
 def days() -> None:
     """Name the days for fleets that come with the program."""
--- a/harriertrack/gateway/fleet/deciding.py
+++ b/harriertrack/gateway/fleet/deciding.py
@@ -37,6 +37,11 @@
         candidate = self._budgets.deciding.candidate
         return candidate.ledger.term if candidate.valid(now) and candidate.ledger is not None else None
 
+    @property
+    def keeper(self) -> Address | None:
+        """Return who decides, if it is known and another head."""
+        return self._budgets.deciding.keeper
+
     def follows(self, now: int, term: Term) -> bool:
         """Whether this is the term that this head goes by."""
         return self._budgets.deciding.holder.hear(now, term)
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -12,6 +12,7 @@
 
 from harriertrack.config.settings import FleetSettings, ZonesSettings
 from harriertrack.decisions.fleet.budgets import Term
+from harriertrack.decisions.fleet.zones.bearing import Cost
 from harriertrack.decisions.fleet.zones.evacuation import Evacuation
 from harriertrack.decisions.fleet.zones.evidence import Evidence
 from harriertrack.decisions.fleet.zones.overlay import Overlay
@@ -25,7 +26,7 @@
 from harriertrack.membership.fleet.budgeting import Seen, Told
 from harriertrack.membership.fleet.messages import Record
 from harriertrack.membership.fleet.swim import Swim
-from harriertrack.membership.fleet.telling import ZonesTold, ZoneTold
+from harriertrack.membership.fleet.telling import LeavingTold, ZonesTold, ZoneTold
 
 LOOK_US = 100_000
 TELL_US = 500_000  # what is seen is told so often, and each 100 ms while something is wrong
@@ -56,6 +57,12 @@
     return [(word.zone, word.stage, word.share, word.turn) for word in words]
 
 
+def _leaving_told(cost: Cost) -> LeavingTold:
+    halves = (cost.stays + cost.moves, cost.stays, cost.moves, cost.reserved, cost.room, cost.borne,
+              cost.borne_reserved, cost.refused)  # fmt: skip
+    return LeavingTold(*(2.0 * one for one in halves))  # counted is in half a second
+
+
 class Zones:
     """This head's part."""
 
@@ -208,7 +215,10 @@
                     sight.good if sight is not None else 0, sight.bad if sight is not None else 0,
                     whole.good if whole is not None else None, whole.bad if whole is not None else None,
                     whole.heads if whole is not None else None, self._wishes.get(zone, ""),
+                    _leaving_told(self._decides.cost(zone, sums)) if self._decides is not None else None,
                 )
             )  # fmt: skip
         heard_s = max(0, now - self._heard_at) / 1e6 if self._heard_at else None
-        return ZonesTold(self._decides is not None, heard_s, told)
+        keeper = self._deciding.keeper
+        decider = f"{keeper[0]}:{keeper[1]}" if keeper is not None and self._decides is None else ""
+        return ZonesTold(self._decides is not None, heard_s, told, decider)
--- a/harriertrack/membership/fleet/telling.py
+++ b/harriertrack/membership/fleet/telling.py
@@ -118,6 +118,19 @@
     more: int = 0  # portions and slips beyond what one document names
 
 
+class LeavingTold(msgspec.Struct, frozen=True):
+    """What leaving a zone would cost now, in requests a second, as all heads see it."""
+
+    served: float  # there
+    stays: float  # of these, for data that lie there: they would be refused
+    moves: float  # ... and new objects, that would go elsewhere
+    reserved: float  # of what moves, of plans with a reservation
+    room: float  # that the other zones have, about
+    borne: float
+    borne_reserved: float
+    refused: float
+
+
 class ZoneTold(msgspec.Struct, frozen=True):
     """What holds of a zone for the telling head, and what is seen of it."""
 
@@ -132,6 +145,7 @@
     all_bad: int | None
     heads: int | None  # that say so
     wish: str  # an operator's
+    leaving: LeavingTold | None = None  # if the telling head decides
 
 
 class ZonesTold(msgspec.Struct, frozen=True):
@@ -140,6 +154,7 @@
     decides: bool
     heard_s: float | None  # since the fleet's word was heard last
     zones: list[ZoneTold]
+    decider: str = ""  # where who decides is asked, if that is another head
 
 
 class ThingTold(msgspec.Struct, frozen=True):
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -457,10 +457,8 @@
     )
     kept = tmp_path / "kept"
     playing = subprocess.Popen([*COMMAND, "fleet", "day", str(path), "--keep", str(kept)], stderr=subprocess.PIPE)
-    settings_of_head = str(kept / "head1.sexp")
-
-    def ask(*arguments):
-        return subprocess.run([*COMMAND, "fleet", *arguments, "--settings", settings_of_head], capture_output=True, text=True,
+    def ask(*arguments, head="head1"):
+        return subprocess.run([*COMMAND, "fleet", *arguments, "--settings", str(kept / f"{head}.sexp")], capture_output=True, text=True,
                               timeout=30)  # fmt: skip
 
     def wait(stages):
@@ -476,7 +474,11 @@
     try:
         fine_ = {"z0": "in", "z1": "in", "z2": "in"}
         wait(fine_)
-        assert ask("leave", "z2", "--dry-run").returncode == 0
+        # What all see is known to who decides; whose address, as others see it here, is the relay's.
+        each = [ask("leave", "z2", "--dry-run", head=f"head{number}") for number in range(3)]
+        told = "".join(one.stdout for one in each)
+        assert "z2 serves" in told and "z0, z1 have room for about" in told, each
+        assert any("no such zone" in ask("leave", "z9", "--dry-run", head=f"head{number}").stderr for number in range(3))
         assert "wished out" in ask("leave", "z2").stdout
         told = wait({**fine_, "z2": "out"})
         assert [one["used"] for one in told["zones"]] == [True, True, False]
