--- a/harriertrack/gateway/fleet/changes/carrier.py
+++ b/harriertrack/gateway/fleet/changes/carrier.py
@@ -74,6 +74,11 @@
         """Return the last good one, also while nobody can be asked."""
         return self._follower.record
 
+    @property
+    def kept(self) -> ChangesCache:
+        """Return where this head keeps what it knows of changes."""
+        return self._cache
+
     def use(self, kind: Kind, user: User) -> None:
         """Name who takes versions of things of a kind; before `start`."""
         self._users[kind] = user
@@ -258,7 +263,7 @@
                 return data
             del runs[max(runs, key=len)]
 
-    def document(self) -> ChangesTold:
+    def document(self, _now: int) -> ChangesTold:
         """Return what operators, and heads that reach no witness, are told."""
         record, follower = self.record, self._follower
         things = []
