A head that starts while a zone is out believes the list since the fleet left the zone

Such a head took its own start for the leaving, so that nodes the list had told to be 2 s old were just started for it, and stayed cold 4 s longer. The word tells how long ago the zone was left.

--- a/harriertrack/decisions/fleet/zones/evacuation.py
+++ b/harriertrack/decisions/fleet/zones/evacuation.py
@@ -78,9 +78,9 @@
     def take_up(self, now: int, words: Iterable[Word]) -> None:
         """Go on from what the one who decided before said last."""
         for word in words:
-            relapses = 1 if word.share < 1 else 0
+            relapses, left_at = 1 if word.share < 1 else 0, now - word.left_us
             self.zones[word.zone] = Zone(word.stage, now - word.warm_us, word.share, word.turn, relapses,
-                                         stepped_at=now, left_at=now, why=word.why)  # fmt: skip
+                                         stepped_at=now, left_at=left_at, why=word.why)  # fmt: skip
 
     def hold(self, now: int, wishes: Mapping[str, str]) -> None:
         """Take what operators wish: zone to "out", "in" (never left by itself), or "" for no wish.
@@ -168,7 +168,7 @@
         # A use that was longer than the time out before it was worth it: the next wait is the shortest again.
         paid = now - zone.back_at >= zone.back_at - zone.left_at
         zone.relapses = 1 if paid else zone.relapses + 1
-        zone.left_at, zone.gone_since = now, None
+        zone.gone_since = None
         self._change(now, zone, Stage.OUT, 0.0, why)
 
     def _out(self, now: int, zone: Zone, starts: Collection[int]) -> None:
@@ -207,11 +207,14 @@
 
     def _change(self, now: int, zone: Zone, stage: Stage, share: float, why: str) -> None:
         zone.stage, zone.since, zone.share, zone.why = stage, now, share, why
+        if stage is Stage.OUT:
+            zone.left_at = now
 
     def words(self, now: int) -> tuple[Word, ...]:
         """Return the word on every zone that is not simply in use."""
         return tuple(
             Word(name, zone.stage, zone.share, zone.turn, zone.why,
-                 now - zone.since if zone.stage is Stage.RETURNING else 0, zone.held == "out")
+                 now - zone.since if zone.stage is Stage.RETURNING else 0, zone.held == "out",
+                 now - zone.left_at)
             for name, zone in sorted(self.zones.items()) if zone.stage is not Stage.IN
         )  # fmt: skip
--- a/harriertrack/decisions/fleet/zones/overlay.py
+++ b/harriertrack/decisions/fleet/zones/overlay.py
@@ -21,7 +21,7 @@
         self._unused: set[str] = set()
         self._kept: set[str] = set()  # zones that are left, and that this head reached all the time
         self._under: set[str] = set()  # zones that had a word
-        self._left: dict[str, int] = {}  # zones that this head left, and when
+        self._left: dict[str, int] = {}  # zones that this head does not use, and when the fleet left them
         self._again: dict[str, int] = {}  # zones that are used again, and since when their nodes warm
 
     def follow(self, now: int, words: Iterable[Word], me: str, present: Iterable[str], tries: int,
@@ -37,7 +37,7 @@
         if unused == self._unused:
             return False
         for zone in unused - self._unused:
-            self._left[zone] = now
+            self._left[zone] = now - told[zone].left_us
             self._again.pop(zone, None)
         for zone in self._unused - unused:
             self._again[zone] = now - (told[zone].warm_us if zone in told else 0)
--- a/harriertrack/decisions/fleet/zones/words.py
+++ b/harriertrack/decisions/fleet/zones/words.py
@@ -53,6 +53,7 @@
     why: str = ""
     warm_us: int = 0  # for how long its nodes have answered again
     wished: bool = False  # by an operator: who reaches it leaves it as well
+    left_us: int = 0  # how long ago it was left
 
 
 def uses(word: Word, me: str, present: Iterable[str], tries: int) -> bool:
--- a/harriertrack/membership/fleet/budgeting.py
+++ b/harriertrack/membership/fleet/budgeting.py
@@ -78,6 +78,7 @@
     why: Annotated[str, msgspec.Meta(max_length=100)] = ""
     warm_us: Number = 0
     wished: bool = False
+    left_us: Number = 0
 
 
 class _Wire(msgspec.Struct, array_like=True):
@@ -183,7 +184,7 @@
             room = MOST_REASONS // max(1, len(said.words)) if len(said.words) <= 8 else 0
             words = [
                 _Word(one.zone, one.stage.value, one.share, one.turn, one.why[: min(100, room)],
-                      one.warm_us, one.wished)
+                      one.warm_us, one.wished, one.left_us)
                 for one in said.words
             ]
             wire = _Wire(READS, VERSION, fleet, Kind.WORD, 0, said.term.epoch, said.term.nonce, words=words)
@@ -223,8 +224,8 @@
         return Seen(wire.holder, tuple(Sight(*msgspec.structs.astuple(one)) for one in wire.sights))
     if wire.kind is Kind.WORD:
         words = (
-            Word(one.zone, Stage(one.stage), one.share, one.turn, one.why, one.warm_us, one.wished)
-            for one in wire.words
+            Word(zone, Stage(stage), *rest)
+            for zone, stage, *rest in (msgspec.structs.astuple(one) for one in wire.words)
         )
         return Told(term, tuple(words))
     if wire.kind is Kind.REPORT:
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -308,6 +308,13 @@
     assert overlay.shown(old).started_us == 7 * S, "since the first tries were answered, not since it came back"
 
 
+def test_a_head_that_starts_while_a_zone_is_out_believes_the_list_since_the_fleet_left_it():
+    overlay, started = Overlay(), NodeEntry("a", 0, zone="z1", started_us=8 * S)
+    overlay.follow(10 * S, (Word("z1", Stage.TRYING, 0.0, 0, left_us=5 * S),), "h0", ["h0", "h1"], 0)
+    overlay.follow(11 * S, (), "h0", ["h0", "h1"], 0)
+    assert overlay.shown(started).started_us == 8 * S, "it started after the fleet left, before this head came"
+
+
 def test_who_reaches_a_zone_keeps_it_until_it_does_not_but_for_a_wish():
     word, none = Word("z1", Stage.OUT, 0.0, 0), ["h0", "h1"]
     overlay = Overlay()
@@ -332,7 +339,7 @@
 
 def test_the_words_datagrams_are_read_back():
     for said in (budgeting.Seen("h1", (Sight("z0", 3, 1, 40, 9, 4, 2, 1, 35),)),
-                 budgeting.Told(Term(2, 3), (Word("z1", Stage.RETURNING, 0.25, 4, "2 nodes answer", 7, True),))):  # fmt: skip
+                 budgeting.Told(Term(2, 3), (Word("z1", Stage.RETURNING, 0.25, 4, "2 nodes answer", 7, True, 9),))):  # fmt: skip
         assert budgeting.decode("f", budgeting.encode("f", said)) == said
 
 
