--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -308,6 +308,13 @@
     assert overlay.shown(old).started_us == 7 * S, "since the first tries were answered, not since it came back"
 
 
+def test_a_head_that_starts_while_a_zone_is_out_believes_the_list_since_the_fleet_left_it():
+    overlay, started = Overlay(), NodeEntry("a", 0, zone="z1", started_us=8 * S)
+    overlay.follow(10 * S, (Word("z1", Stage.TRYING, 0.0, 0, left_us=5 * S),), "h0", ["h0", "h1"], 0)
+    overlay.follow(11 * S, (), "h0", ["h0", "h1"], 0)
+    assert overlay.shown(started).started_us == 8 * S, "it started after the fleet left, before this head came"
+
+
 def test_who_reaches_a_zone_keeps_it_until_it_does_not_but_for_a_wish():
     word, none = Word("z1", Stage.OUT, 0.0, 0), ["h0", "h1"]
     overlay = Overlay()
@@ -332,7 +339,7 @@
 
 def test_the_words_datagrams_are_read_back():
     for said in (budgeting.Seen("h1", (Sight("z0", 3, 1, 40, 9, 4, 2, 1, 35),)),
-                 budgeting.Told(Term(2, 3), (Word("z1", Stage.RETURNING, 0.25, 4, "2 nodes answer", 7, True),))):  # fmt: skip
+                 budgeting.Told(Term(2, 3), (Word("z1", Stage.RETURNING, 0.25, 4, "2 nodes answer", 7, True, 9),))):  # fmt: skip
         assert budgeting.decode("f", budgeting.encode("f", said)) == said
 
 
@@ -458,10 +465,8 @@
     )
     kept = tmp_path / "kept"
     playing = subprocess.Popen([*COMMAND, "fleet", "day", str(path), "--keep", str(kept)], stderr=subprocess.PIPE)
-    settings_of_head = str(kept / "head1.sexp")
-
-    def ask(*arguments):
-        return subprocess.run([*COMMAND, "fleet", *arguments, "--settings", settings_of_head], capture_output=True, text=True,
+    def ask(*arguments, head="head1"):
+        return subprocess.run([*COMMAND, "fleet", *arguments, "--settings", str(kept / f"{head}.sexp")], capture_output=True, text=True,
                               timeout=30)  # fmt: skip
 
     def wait(stages):
@@ -477,7 +482,11 @@
     try:
         fine_ = {"z0": "in", "z1": "in", "z2": "in"}
         wait(fine_)
-        assert ask("leave", "z2", "--dry-run").returncode == 0
+        # What all see is known to who decides; whose address, as others see it here, is the relay's.
+        each = [ask("leave", "z2", "--dry-run", head=f"head{number}") for number in range(3)]
+        told = "".join(one.stdout for one in each)
+        assert "z2 serves" in told and "z0, z1 have room for about" in told, each
+        assert any("no such zone" in ask("leave", "z9", "--dry-run", head=f"head{number}").stderr for number in range(3))
         assert "wished out" in ask("leave", "z2").stdout
         told = wait({**fine_, "z2": "out"})
         assert [one["used"] for one in told["zones"]] == [True, True, False]
