All orders of a rollout's steps and of a close against writes in flight, on the production hub

New scenarios: rollout-decider, -restart, -falls (conductor, its carrier, the record with its followers and the witness's client at two heads; the term passes or its holder dies, a named head comes back or turns the version down) and close-write, -changes, -late (core with its module, guard, carriers of closes and trims at one head; a node that slows, a client's word at any moment, a calendar that changes and whose record is late). Judged: that nothing is in force unheard, that no head runs what it was never named for, rule 10 as it is read from requests.

--- a/harriertrack/lab/interleaving/registry.py
+++ b/harriertrack/lab/interleaving/registry.py
@@ -4,9 +4,11 @@
 
 from harriertrack.lab.interleaving.scenarios import (
     changes,
+    closes,
     hub,
     launching,
     links,
+    rollouts,
     streams,
     watch,
     weights,
@@ -14,5 +16,5 @@
 )
 from harriertrack.lab.interleaving.world import Scenario
 
-PARTS = (hub, streams, watch, witness, changes, links, weights, launching)
+PARTS = (hub, streams, watch, witness, changes, links, weights, launching, rollouts, closes)
 SCENARIOS: dict[str, Scenario] = {one.name: one for part in PARTS for one in part.SCENARIOS}
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -58,6 +58,8 @@
 WEIGHTS = "gateway.fleet.scoring.carrier:Scoring"
 LAUNCHING = "decisions.fleet.rollout.launching:Launching"
 LAUNCHER = "gateway.fleet.rollout.launcher.launcher:Launcher"
+CLOSES, CLOSE_OFF = "gateway.fleet.closing.carrier:Closing", "decisions.requests.closing:Closing"
+ROLLOUT = "decisions.fleet.rollout.rollout:Rollout"
 FOLLOWING = "decisions.fleet.changes.following:Follower"
 
 FAULTS = (
@@ -180,4 +182,26 @@
           "self._actions.append(Done())", "pass", 2),
     Fault("who does not end is never ended", "launch-deaf", f"{LAUNCHING}.wake",
           "now >= self._since + rules.drain_us", "False"),
+    Fault("a new write overtakes a trim", "close-write", f"{CLOSES}._close",
+          "core.keep_purged({(volume, extent) for volume, extent, _ in lefts if volume in core.volumes})", "pass"),
+    Fault("what is asked in doubt passes", "close-write", f"{CLOSING}.fences:Fences.refuses",
+          "is not Stance.OPEN", "is Stance.PURGING"),
+    Fault("a guard lets all pass", "close-write", "gateway.fleet.closing.guard:Guard.refuses",
+          "or not self._fences.guards(volume)", "or True"),
+    Fault("a close that may have come purges", "close-write", f"{CLOSING}.fences:Fence.due",
+          "min(reading.low, sure_until)", "min(reading.high, sure_until)"),
+    Fault("a close purges nothing", "close-write", f"{CLOSES}._covers", "return touched and", "return False and"),
+    Fault("what is open at a close goes on", "close-write", f"{CLOSE_OFF}.close_off",
+          "if not covers(request.volume.settings.name, part.offset, part.length):", "if True:"),
+    Fault("a word for another list confirms this one", "close-late", f"{CLOSES}._heard_closes",
+          "and digest == digest_of(self._bodies)", ""),
+    Fault("a stage ends unheard", "rollout-decider", f"{ROLLOUT}._unripe",
+          "if missing > int(self.plan.missing * len(named)) or not heard:", "if not named:"),
+    Fault("who is not named runs it", "rollout-decider", "decisions.fleet.changes.record:Record.wanted",
+          " and going.names(head)", ""),
+    Fault("the first stage is the last", "rollout-decider", f"{ROLLOUT}._go", "if at == len(plan.stages):", "if at >= 1:"),
+    Fault("what was turned down counts as run", "rollout-falls", f"{FOLLOWING}.turned_down",
+          "mine.turned_down, mine.why = number, why", "mine.runs = number"),
+    Fault("a head that does not take it stops nothing", "rollout-falls", f"{ROLLOUT}._worse",
+          "if len(fell) >= self.plan.bounds.falls:", "if False:"),
 )
