--- a/harriertrack/decisions/copies.py
+++ b/harriertrack/decisions/copies.py
@@ -109,19 +109,19 @@
         """Return by when the other region has to have a write."""
         return self._open[number].since + self.view.bounds.copy_us
 
-    def turn(self, now: int, number: int, alive: bool, unsettled: bool = False) -> Turn:
+    def turn(self, now: int, number: int, alive: bool, unsettled_us: int = 0) -> Turn:
         """Take a copy's next turn.
 
-        `alive`: the lease under which it was written stands. `unsettled`: a close is about, and the two heads
-        may stand on different sides of it; then the time that it takes is not held against the other region.
+        `alive`: the lease under which it was written stands. `unsettled_us`: for so long the two heads may
+        stand on different sides of a close; the other region's time begins when that is over.
         """
         copy = self._open.get(number)
         if copy is None:
             return Turn.GONE
         if not alive:
             return Turn.LOST
-        if unsettled:
-            copy.since = now
+        if unsettled_us:
+            copy.since = now + unsettled_us
         return self.late(now, number) if self.view.overdue(copy.since, now) else Turn.SEND
 
     def late(self, now: int, number: int) -> Turn:
--- a/harriertrack/decisions/fleet/closing/fences.py
+++ b/harriertrack/decisions/fleet/closing/fences.py
@@ -168,16 +168,19 @@
             return True
         return not self.blind(reading) and reading is not None and mine < theirs <= reading.low
 
-    def unsettled(self, reading: Interval | None, volume: str, apart_us: int) -> bool:
-        """Whether another head may stand on another side of a volume's close, as far as this one knows.
+    def unsettled_us(self, reading: Interval | None, volume: str, apart_us: int) -> int:
+        """Return for how long another head may stand on another side of a volume's close; 0: it does not.
 
         `apart_us`: the widest that another's bounds on true time can be.
         """
-        return reading is not None and any(
-            reading.high >= close.at_us > reading.low - apart_us
+        if reading is None:
+            return 0
+        left = (
+            close.at_us + apart_us - reading.low
             for fence in self.fences.values() for close in fence.schedule.closes
-            if any(purge.names(volume) for purge in close.purges)
+            if reading.high >= close.at_us and any(purge.names(volume) for purge in close.purges)
         )  # fmt: skip
+        return max(0, *left, 0)
 
     def refuses(self, reading: Interval | None, volume: str, offset: int, length: int) -> int | None:
         """Return the hint with which a request for a range is refused now; None: it passes."""
--- a/harriertrack/decisions/regions.py
+++ b/harriertrack/decisions/regions.py
@@ -52,8 +52,8 @@
     def admits(self, volume: str, theirs: int) -> bool:
         """Whether a copy by a holder that has this generation may be stored here now."""
 
-    def unsettled(self, volume: str) -> bool:
-        """Whether the other region's head may stand on another side of a volume's close."""
+    def unsettled_us(self, volume: str) -> int:
+        """Return for how long the other region's head may stand on another side of a volume's close."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertrack/gateway/fleet/closing/guard.py
+++ b/harriertrack/gateway/fleet/closing/guard.py
@@ -54,11 +54,11 @@
         """Whether a copy by a holder that has this generation may be stored here now."""
         return self._fences.admits(self.reading(), volume, self.generation(volume), theirs)
 
-    def unsettled(self, volume: str) -> bool:
-        """Whether the other region's head may stand on another side of a volume's close."""
+    def unsettled_us(self, volume: str) -> int:
+        """Return for how long the other region's head may stand on another side of a volume's close."""
         if not self._fences.guards(volume):
-            return False
-        return self._fences.unsettled(self.reading(), volume, 2 * self._clock.rules.error_us)
+            return 0
+        return self._fences.unsettled_us(self.reading(), volume, 2 * self._clock.rules.error_us)
 
     def placing(self, volume: str, extent: int, shard: int) -> None:
         """A first write to an extent is about to be sent to a shard: on disk, should this head be killed."""
--- a/harriertrack/gateway/peer.py
+++ b/harriertrack/gateway/peer.py
@@ -74,7 +74,11 @@
             send()
             return
         self._waiting.append(send)
-        if not self._dialing and not self.closed:
+        self.open()
+
+    def open(self) -> None:
+        """Open the connection, if it is not, ahead of the first call."""
+        if self._client is None and not self._dialing and not self.closed:
             self._dialing = True
             self._scope.spawn(f"peer {self._volume}", self._dial)
 
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -367,7 +367,7 @@
     def _copy(self, work: Work) -> None:
         """Take a copy's turn: send it, now or again, or end it."""
         volume, request, now = work.volume, work.request, self._hub.now()
-        match volume.copies.turn(now, work.number, self._may_act(work), self._unsettled(volume)):
+        match volume.copies.turn(now, work.number, self._may_act(work), self._unsettled_us(volume)):
             case Turn.GONE | Turn.WAIT:
                 return
             case Turn.LOST:
@@ -508,9 +508,9 @@
         """Return of which generation a volume's bytes are here."""
         return 0 if self.generations is None else self.generations.generation(volume)
 
-    def _unsettled(self, volume: RegionalVolume) -> bool:
-        """Whether the two heads may stand on different sides of a close."""
-        return self.generations is not None and self.generations.unsettled(volume.name)
+    def _unsettled_us(self, volume: RegionalVolume) -> int:
+        """Return for how long the two heads may stand on different sides of a close."""
+        return 0 if self.generations is None else self.generations.unsettled_us(volume.name)
 
     def same_generation(self, volume: str, theirs: int) -> bool:
         """Whether the other head, which catches up, has stepped over the same closes."""
@@ -535,6 +535,8 @@
             for request in list(volume.passed):
                 if request.kind is Kind.READ and covers(name, request.offset, request.length):
                     self._refuse(request, CLOSED)
+            if epoch := self.holding.epoch(name, self._hub.now()):  # what is written next finds it open
+                self._peer.copy(name, epoch, self._generation(name)).open()
             for work in list(volume.works.values()):
                 if (how := crossed(work.extents, gone)) is not Crossed.NOT:
                     self._crossed(work, how)
--- a/harriertrack/lab/fleet/markets.py
+++ b/harriertrack/lab/fleet/markets.py
@@ -20,6 +20,7 @@
 from harriertrack.gateway.fleet.changes import keeping
 from harriertrack.gateway.front import REFUSED
 from harriertrack.gateway.witness import FAILURES, WitnessClient
+from harriertrack.lab.fleet import regions
 from harriertrack.lab.fleet.scenario import AS_AFTER, SECOND, StepSettings, Verb, lull_us
 from harriertrack.lab.load import Connection
 from harriertrack.lab.model import SECTOR, payload
@@ -41,11 +42,19 @@
 
 
 def volumes(markets: int, heads: int, hosts: int, nodes: int, extent_bytes: int,
-            desks: bool) -> list[VolumeSettings]:  # fmt: skip
-    """Return the markets' volumes. `before` them are as many others as a multiple of the heads."""
+            desks: bool, two_regions: bool = False) -> list[VolumeSettings]:  # fmt: skip
+    """Return the markets' volumes. `before` them are as many others as a multiple of the heads.
+
+    Where heads are in pairs of two regions, each pair has one of each market, and there are no others.
+    """
     size = EXTENTS * extent_bytes
     found = []
     for market in range(markets):
+        if two_regions:
+            for pair in range(regions.pairs(heads)):
+                desk = VolumeSettings(name=f"desk{market}-{pair}", size_bytes=size, plan="standard")
+                found.append(regions.spread(desk, pair))
+            continue
         spread = tuple((market + step) % nodes for step in range(min(nodes, 3)))
         names = (f"desk{market}-{head}" for head in range(heads if desks else 0))
         found += [VolumeSettings(name=name, size_bytes=size, plan="standard") for name in names]
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -37,7 +37,7 @@
 from harriertrack.gateway.head import Wiring
 from harriertrack.gateway.witness import WitnessClient
 from harriertrack.lab.day import DaySettings
-from harriertrack.lab.fleet import limits, markets, shares, staging, weights
+from harriertrack.lab.fleet import limits, markets, regions, shares, staging, weights
 from harriertrack.lab.fleet.later import LaterDatagrams
 from harriertrack.lab.fleet.launched import SimulatedLauncher
 from harriertrack.lab.fleet.rehearsal import Rehearsal, WorseLinks
@@ -51,7 +51,7 @@
     chosen,
 )
 from harriertrack.lab.fleet.weights import BROKEN, PLUGIN, LyingDatagrams, Tally
-from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
+from harriertrack.lab.rig import REGIONS, SETTLE_US, HeadSlot, Rig
 from harriertrack.lab.troubles import for_a_while
 from harriertrack.membership.fleet import budgeting
 from harriertrack.membership.fleet.budgeting import MARK
@@ -60,6 +60,8 @@
 from harriertrack.runtime.datagrams import DatagramNetwork, MemoryDatagrams
 from harriertrack.runtime.hub import Hub, Task
 from harriertrack.runtime.streams import MemoryNetwork, Network
+from harriertrack.standin.link import Link
+from harriertrack.standin.listservice import ListService
 from harriertrack.standin.relay import Fault, Weather
 from harriertrack.standin.shelf import Shelf
 from harriertrack.standin.witness import Witness
@@ -83,7 +85,7 @@
     beside = []
     if day.closing is not None:
         beside = markets.volumes(day.markets, heads, day.hosts, day.shelves, day.extent_bytes,
-                                 day.desks)  # fmt: skip
+                                 day.desks, day.regions)  # fmt: skip
     return DaySettings(
         name=day.name, about=day.about, length_us=FOREVER_US, heads=heads, nodes=day.shelves,
         zones=ZONES, rate=day.rate * heads, volumes=day.volumes or heads, shared=day.shared,
@@ -99,12 +101,14 @@
     def __init__(self, hub: Hub, network: Network, day: FleetDaySettings, heads: int, seed: int,
                  recorder: rec.Recorder, state_dir: str | None = None,
                  fleet: bool = True) -> None:  # fmt: skip
-        super().__init__(hub, network, day_of(day, heads), seed, recorder, state_dir)
         self.fleet_day, self.with_fleet = day, fleet
+        super().__init__(hub, network, day_of(day, heads), seed, recorder, state_dir)
         self.weather = Weather(seed, DELAY_US if isinstance(network, MemoryNetwork) else (0, 0))
         self.views = Views()
         self._drawn = random.Random(seed)
         self.markets = markets.Markets(self, seed) if day.closing is not None else None
+        self.between = regions.Between(self) if day.regions else None
+        self.links: dict[tuple[str, str], Link] = {}  # streams from heads to others, which weather moves
         self.limits = limits.limits_of(self) if fleet else None
         self._cut: list[str] = []
         self._decider = ""  # as its log said last
@@ -394,6 +398,35 @@
         self.recorder.add(rec.Weather(t=self.hub.now(), faults=len(self.weather)))
         self._cut = self._cut if len(self.weather) else []
         self.recorder.add(rec.CutOff(t=self.hub.now(), heads=self._cut))
+        for (head, party), link in self.links.items():
+            for way, source, target in ((link.there, head, party), (link.back, party, head)):
+                way.blocked = self.weather.cut(source, target)
+                way.delay_us = self.weather.late_us(source, target)
+            link.changed()
+
+    def place_head(self, number: int) -> HeadSlot:
+        """Make a place for a head by its number."""
+        if self.between is None:
+            return super().place_head(number)
+        day, name = self.day, f"head{number}"
+        mine = [one for at, one in enumerate(self.volumes) if regions.serves(one, at, number, day.heads)]
+        region = self.between.settings_of(name, self.witness_of(name))
+        return self.add_head(name, day.zones[number % len(day.zones)], mine, self.listing_at(name), region)
+
+    def listing_at(self, name: str) -> ListService:
+        """Return the list service of a head or node."""
+        return self.listing
+
+    def listing_of(self, shelf: Shelf) -> ListService:
+        """Return the list service that names a node."""
+        return self.listing_at(shelf.settings.name)
+
+    def witness_of(self, name: str) -> tuple[str, int]:
+        """Return where a head finds the witness."""
+        return self.witness_address
+
+    def _facts(self) -> rec.Facts:
+        return msgspec.structs.replace(super()._facts(), regions=self.fleet_day.regions)
 
     def lived(self, slot: HeadSlot, how: str) -> None:
         """Record what became of a head."""
@@ -499,6 +532,7 @@
         self.datagrams = MemoryDatagrams(hub, self.weather.fate)
         self.datagrams.tap = self.passed
         self.witness = Witness(hub, network)
+        self._listings = {name: self.new_listing() for name in REGIONS} if day.regions else {}
         self._kept = b""
         self._later: set[str] = set()
         self._bad: dict[str, Rehearsal] = {}  # what runs at heads whose version is worse
@@ -511,7 +545,8 @@
     def build(self) -> None:
         """Start the nodes and the list, and make places for the heads."""
         day = self.day
-        self.listing.start(self.scope)
+        for listing in self._listings.values() or [self.listing]:
+            listing.start(self.scope)
         if self.fleet_day.budgets is not None:
             self.witness.start(self.scope)
         for number in range(day.nodes):
@@ -535,11 +570,29 @@
         )
         return FleetSettings(
             name=name, listen=("127.0.0.1", FIRST_PORT + number), seeds=seeds,
-            budgets=self.budgets_of(self.witness.address), zones=self.zones_of(name),
+            budgets=self.budgets_of(self.witness_of(name)), zones=self.zones_of(name),
             changes=self.fleet_day.changes, closing=self.fleet_day.closing, scoring=self.scoring_of(),
             **self.figures(),  # type: ignore[arg-type]
         )  # fmt: skip
 
+    def listing_at(self, name: str) -> ListService:
+        """Return the list service of a head or node."""
+        return self._listings[regions.region_of(name)] if self._listings else self.listing
+
+    def witness_of(self, name: str) -> tuple[str, int]:
+        """Return where a head finds the witness; on days of two regions through a relay."""
+        if self.between is None or not self.with_fleet:
+            return self.witness.address
+        link = self.between.link(name, "witness")
+        link.set_target(self.witness.address)
+        return link.address
+
+    def start_head(self, slot: HeadSlot) -> None:
+        """Start a head, and let its partner's relay lead to it."""
+        super().start_head(slot)
+        if self.between is not None and slot.head is not None:
+            self.between.link(regions.partner_of(slot.name), slot.name).set_target(slot.head.address)
+
     def wiring(self, slot: HeadSlot) -> Wiring:
         """Return what a head is made of."""
         datagrams: DatagramNetwork = self.datagrams
