--- a/harriertrack/lab/interleaving/scenarios/closes.py
+++ b/harriertrack/lab/interleaving/scenarios/closes.py
@@ -25,6 +25,7 @@
     request_rules,
 )
 from harriertrack.decisions import Scheduler, interface as api
+from harriertrack.decisions.epochs import Epochs
 from harriertrack.decisions.fleet.budgets import Term
 from harriertrack.decisions.fleet.changes.record import Version
 from harriertrack.decisions.fleet.closing.arranging import CLOSES
@@ -102,14 +103,14 @@
         self._world, self._hub = world, world.hub
         self.core: Core
         self.alarm = Alarm(world.hub, lambda: self.core.flush(world.hub.now()))
-        self.epochs: dict[str, int] = {}
+        self.epochs = Epochs()
         self.bytes: dict[int, int] = {}  # at the node: by extent, the tag that was written
         self._epoch = 0  # the newest that the node heard of
         self.slow = self.struck = False  # now, ever
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
-        epoch, now = self.epochs.get(VOLUME, 0), self._hub.now()
+        epoch, now = self.epochs.of(VOLUME), self._hub.now()
         self._hub.at_for(HEAD, now, lambda: self._leaves(attempt, epoch))
 
     def _leaves(self, attempt: Attempt, epoch: int) -> None:
