What went badly too seldom to be counted before is no longer as unsure as if nothing were known

A figure below the least that is taken was raised to it and kept the relative doubt of a head of which nothing is known, however many answers there were: its own deviation stays now.

--- a/harriertrack/decisions/fleet/rollout/usual.py
+++ b/harriertrack/decisions/fleet/rollout/usual.py
@@ -92,7 +92,9 @@
             own = self.counts.get((head, class_name), Tally())
             bad, n = badly(measure, own, self.slow(class_name)), counted(measure, own)
             part = pool * (bad + weight) / (n * pool + weight)
-            self._rates[key] = Rate(max(LEAST_BADLY * self.more, part), 1 / (bad + weight))
+            least = max(LEAST_BADLY * self.more, part)
+            # Raised to the least, a figure is no less sure than it was: its own deviation stays.
+            self._rates[key] = Rate(least, (part / least) ** 2 / (bad + weight))
         return self._rates[key]
 
     def _pool(self, measure: Measure, class_name: str) -> tuple[float, float]:
--- a/harriertrack/lab/fleet/days/roll-crashing.sexp
+++ b/harriertrack/lab/fleet/days/roll-crashing.sexp
@@ -7,5 +7,5 @@
   (launched yes) (end "program" (version 0))
   (step start) (step agree (within 60s)) (step rest (for 4s))
   (step propose (thing "program") (body "(program \"broken\" (arguments \"--rehearse\" \"crash:1.5\"))")
-    (plan "(plan (before 8s) (settle 2s) (ready 20s) (patience 60s) (bounds (times 3) (more 0.15)) (stage \"one\" (heads 1) (soak 5s) (least 30)) (stage \"half\" (share 0.5) (soak 5s) (least 30)) (stage \"all\" (share 1) (soak 3s) (least 0)))"))
+    (plan "(plan (before 25s) (settle 2s) (ready 20s) (patience 60s) (compares worth failed refused broken) (bounds (times 3) (more 0.15)) (stage \"one\" (heads 1) (soak 5s) (least 30)) (stage \"half\" (share 0.5) (soak 5s) (least 30)) (stage \"all\" (share 1) (soak 3s) (least 0)))"))
   (step decided (thing "program") (within 600s)) (step rest (for 6s)))
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -14,7 +14,7 @@
 from harriertrack.decisions.fleet.rollout.judging import outgrown
 from harriertrack.decisions.fleet.rollout.plan import Bounds, Plan, Stage
 from harriertrack.decisions.fleet.rollout.rollout import Step
-from harriertrack.lab.fleet.staged import Harm, S, Staged
+from harriertrack.lab.fleet.staged import Habit, Harm, S, Staged
 
 QUICK = Plan(
     (Stage("one", heads=1, soak_us=20 * S, least=100), Stage("most", share=0.7, soak_us=20 * S, least=100),
@@ -52,6 +52,16 @@
     one.propose("settings", although="mended beside it")
 
 
+def test_where_nothing_went_badly_before_little_is_enough_to_stop_a_version_and_to_pass_one() -> None:
+    flawless = {"read": Habit(0.65, 0, 0, 0), "write": Habit(0.35, 0, 0, 0)}
+    bad = Staged(6, 1, QUICK, rate=50.0, classes=flawless, harms={("settings", 1): Harm("write", failed=0.3)})
+    good = Staged(6, 1, QUICK, rate=50.0, classes=flawless)
+    for one in (bad, good):
+        one.propose("settings")
+    assert bad.until("settings", 100) is Standing.STOPPED, "before, the figure stayed as unsure as if nothing were known"
+    assert good.until("settings", 180) is Standing.IN_FORCE
+
+
 def test_a_head_that_falls_back_stops_the_version() -> None:
     one = fleet(harms={("program", 1): Harm(falls=True)})
     one.propose("program")
