--- a/harriertrack/lab/fleet/days/zone-restart.sexp
+++ b/harriertrack/lab/fleet/days/zone-restart.sexp
@@ -1,6 +1,6 @@
 (fleet-day "zone-restart"
   (about "Seven in ten heads restart while a zone is out, and again while it returns: they hear the word before they try it.")
-  (processes 6) (shelves 6) (rate 25) (hosts 4)
+  (processes 6) (shelves 6) (rate 25) (hosts 4) (unit 8ms)
   (figures (probe 300ms) (answer 150ms) (gossip 60ms) (sync 5s) (reach 1s) (recent 10s) (slack 3))
   (budgets (clock-error 0.01) (term 2s) (patience 1s) (budget cold (fixed 0.3)) (budget trials (whole 12) (burst 12) (fixed 0.5)))
   (zones (wait 6s)) (hears 400ms)
--- a/harriertrack/lab/fleet/rig/traffic.py
+++ b/harriertrack/lab/fleet/rig/traffic.py
@@ -20,6 +20,6 @@
         name=day.name, about=day.about, length_us=FOREVER_US, heads=heads, nodes=day.shelves,
         zones=ZONES, rate=day.rate * heads, volumes=day.volumes or heads, shared=day.shared,
         hosts=day.hosts, beside=tuple(beside), volume_bytes=64 << 20, extent_bytes=day.extent_bytes,
-        request_us=300, unit_us=200, move_deadline_us=TRIM_US if day.closing is not None else 400_000,
+        request_us=300, unit_us=day.unit_us, move_deadline_us=TRIM_US if day.closing is not None else 400_000,
         cores=4, queue=256, limit=day.limit, limit_burst=day.limit_burst, limit_slack=day.limit_slack,
     )  # fmt: skip
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -150,6 +150,7 @@
     volumes: Whole = 0  # 0: as many as heads
     hosts: Positive = 2  # of each volume
     extent_bytes: BlockSize = 128 << 10
+    unit_us: Positive = 200  # that a node works for a unit, on one of its four cores
     limit: Amount = 4.0  # of each third volume, in its usual rate
     limit_burst: Amount = 0.0  # 0: what a second brings
     limit_slack: Amount = 8.0  # units
