--- a/harriertrack/lab/fleet/processes/fleet.py
+++ b/harriertrack/lab/fleet/processes/fleet.py
@@ -21,12 +21,12 @@
     ShelfSettings,
 )
 from harriertrack.config.written import written
+from harriertrack.lab.fleet import regions
 from harriertrack.lab.fleet.processes import launchers
 from harriertrack.lab.fleet.processes.children import Children, FleetProcessError, Process
 from harriertrack.lab.fleet.processes.logs import Logs
 from harriertrack.lab.fleet.processes.nodes import ShelfProcess
 from harriertrack.lab.fleet.processes.places import Places
-from harriertrack.lab.fleet.processes.streams import Streams
 from harriertrack.lab.fleet.processes.waits import PASSING_US, READY_US, TURN_US, WOKE_US
 from harriertrack.lab.fleet.processes.witness import WitnessProcess
 from harriertrack.lab.fleet.rig import LOOK_US, SEEDS, FleetRig, told
@@ -56,7 +56,6 @@
         self.children = Children(folder, day.scoring is not None)
         self._logs = Logs(self)
         self._witness = WitnessProcess(self, self.places.next())
-        self._streams = Streams(hub, network)
         self._there: dict[str, tuple[str, int]] = {}  # where heads are told by
         self._nbd = {f"head{number}": self.places.next() for number in range(heads)}
         self._inner: dict[str, tuple[str, int]] = {}
@@ -96,6 +95,7 @@
                     name=node, address=self._link(name, node, shelf.address), shard=shard, zone=zones[node]
                 )  # fmt: skip
                 for shard, (node, shelf) in enumerate(self.shelves.items())
+                if not self.fleet_day.regions or regions.region_of(node) == regions.region_of(name)
             )
             entrances.append(EntranceSettings(name=name, listen=self.places.next(), nodes=nodes))
         path = self.path("list.sexp")
@@ -115,6 +115,9 @@
                 node_list=NodeListSettings(consul=consul),
             )  # fmt: skip
             self.path(f"{name}.sexp").write_text(written("head", slot.settings))
+        if self.fleet_day.regions:
+            for name in names:
+                regions.reach(self, name, self._nbd[name])
         self.scope.spawn("logs", self._logs.follow)
 
     def zone_dark(self, zone: str, who: list[HeadSlot], us: int) -> None:
@@ -126,7 +129,7 @@
         nodes = frozenset(shelf.settings.name for shelf in self.in_zone(zone))
 
         def break_off() -> None:
-            self._streams.break_off(sources, nodes)
+            self.streams.break_off(sources, nodes)
 
         self.faults.strike(Fault(sources, nodes, cut=True), us, break_off)
 
@@ -146,7 +149,7 @@
 
     def _link(self, head: str, party: str, address: tuple[str, int]) -> tuple[str, int]:
         """Put a relay of streams between a head and a node or the list; return where the head finds it."""
-        return self._streams.between(head, party, address, self.scope)
+        return self.streams.between(head, party, address, self.scope)
 
     def new_shelf(self, settings: ShelfSettings, rack: Rack, meter: object, seed: int) -> ShelfProcess:  # type: ignore[override]
         """Start a storage node as a process."""
@@ -181,6 +184,10 @@
         """Return where operators find the witness."""
         return self._witness.address
 
+    def witness_of(self, name: str) -> tuple[str, int]:
+        """Return where a head finds the witness."""
+        return self._link(name, "witness", self._witness.address)
+
     def fleet_of(self, name: str) -> FleetSettings | None:
         """Return what a head is told of its fleet."""
         if not self.with_fleet:
@@ -191,7 +198,7 @@
         )
         return FleetSettings(
             name=name, listen=self._inner[name], advertise=self._there[name], seeds=seeds,
-            budgets=told.budgets_of(day, self._link(name, "witness", self._witness.address))
+            budgets=told.budgets_of(day, self.witness_of(name))
             if day.budgets is not None else None,
             zones=told.zones_of(day, name), changes=day.changes, closing=day.closing,
             scoring=told.scoring_of(day),
@@ -275,10 +282,6 @@
         for connection in slot.connections:
             connection.address = None
 
-    def weather_changed(self) -> None:
-        """Let streams follow the faults in force; datagrams ask at each."""
-        self._streams.follow(self.faults.weather)
-
     # -- the end
 
     def close(self) -> None:
--- a/harriertrack/lab/fleet/rig/simulated.py
+++ b/harriertrack/lab/fleet/rig/simulated.py
@@ -9,6 +9,7 @@
 from harriertrack.config.settings import FleetSeedSettings, FleetSettings
 from harriertrack.decisions.fleet.rollout.launching import Kept
 from harriertrack.gateway.head import Wiring
+from harriertrack.lab.fleet import regions
 from harriertrack.lab.fleet.later import LaterDatagrams
 from harriertrack.lab.fleet.launched import SimulatedLauncher
 from harriertrack.lab.fleet.rehearsal import Rehearsal, WorseLinks
@@ -16,12 +17,13 @@
 from harriertrack.lab.fleet.rig.fleet import LAUNCH, LOOK_US, SEEDS, FleetRig
 from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings
 from harriertrack.lab.fleet.weights import PLUGIN, LyingDatagrams
-from harriertrack.lab.rig import HeadSlot
+from harriertrack.lab.rig import REGIONS, HeadSlot
 from harriertrack.lab.troubles import for_a_while
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.datagrams import DatagramNetwork, MemoryDatagrams
 from harriertrack.runtime.hub import Hub, Task
 from harriertrack.runtime.streams import MemoryNetwork, Network
+from harriertrack.standin.listservice import ListService
 from harriertrack.standin.shelf import Shelf
 from harriertrack.standin.witness import Witness
 from harriertrack.storage.changes import ChangesCache
@@ -39,6 +41,7 @@
         self.datagrams = MemoryDatagrams(hub, self.faults.weather.fate)
         self.datagrams.tap = self.hearing.datagram
         self.witness = Witness(hub, network)
+        self._listings = {name: self.new_listing() for name in REGIONS} if day.regions else {}
         self._kept = b""
         self._later: set[str] = set()
         self._bad: dict[str, Rehearsal] = {}  # what runs at heads whose version is worse
@@ -51,7 +54,8 @@
     def build(self) -> None:
         """Start the nodes and the list, and make places for the heads."""
         day = self.day
-        self.listing.start(self.scope)
+        for listing in self._listings.values() or [self.listing]:
+            listing.start(self.scope)
         if self.fleet_day.budgets is not None:
             self.witness.start(self.scope)
         for number in range(day.nodes):
@@ -75,11 +79,27 @@
         )
         return FleetSettings(
             name=name, listen=("127.0.0.1", FIRST_PORT + number), seeds=seeds,
-            budgets=told.budgets_of(day, self.witness.address), zones=told.zones_of(day, name),
+            budgets=told.budgets_of(day, self.witness_of(name)), zones=told.zones_of(day, name),
             changes=day.changes, closing=day.closing, scoring=told.scoring_of(day),
             **told.figures(day),  # type: ignore[arg-type]
         )  # fmt: skip
 
+    def listing_at(self, name: str) -> ListService:
+        """Return the list service of a head or node."""
+        return self._listings[regions.region_of(name)] if self._listings else self.listing
+
+    def witness_of(self, name: str) -> tuple[str, int]:
+        """Return where a head finds the witness; on days of two regions through a relay."""
+        if not self.fleet_day.regions or not self.with_fleet:
+            return self.witness.address
+        return self.streams.between(name, "witness", self.witness.address, self.scope)
+
+    def start_head(self, slot: HeadSlot) -> None:
+        """Start a head, and let its partner's relay lead to it."""
+        super().start_head(slot)
+        if self.fleet_day.regions and slot.head is not None:
+            regions.reach(self, slot.name, slot.head.address)
+
     def wiring(self, slot: HeadSlot) -> Wiring:
         """Return what a head is made of."""
         datagrams: DatagramNetwork = self.datagrams
--- a/harriertrack/lab/fleet/rig/traffic.py
+++ b/harriertrack/lab/fleet/rig/traffic.py
@@ -15,7 +15,7 @@
     beside = []
     if day.closing is not None:
         beside = markets.volumes(day.markets, heads, day.hosts, day.shelves, day.extent_bytes,
-                                 day.desks)  # fmt: skip
+                                 day.desks, day.regions)  # fmt: skip
     return DaySettings(
         name=day.name, about=day.about, length_us=FOREVER_US, heads=heads, nodes=day.shelves,
         zones=ZONES, rate=day.rate * heads, volumes=day.volumes or heads, shared=day.shared,
