--- a/harriertrack/lab/fleet/regions.py
+++ b/harriertrack/lab/fleet/regions.py
@@ -17,6 +17,7 @@
     from harriertrack.lab.fleet.rig import FleetRig
 
 SPLIT = len(REGIONS)
+PLANS = ("basic", "priority", "standard")  # the least reserved first: by order of names nothing comes right
 
 
 def region_of(name: str) -> str:
@@ -40,6 +41,16 @@
     return msgspec.structs.replace(volume, regions=VolumeRegionSettings(home=REGIONS[pair % SPLIT]))
 
 
+def moving(number: int, heads: int, size_bytes: int) -> list[VolumeSettings]:
+    """Return so many volumes of two regions for each pair, of all plans, whose homes are region `a`."""
+    home = VolumeRegionSettings(home=REGIONS[0])
+    return [
+        VolumeSettings(name=f"moving{one}-{pair}", size_bytes=size_bytes, plan=PLANS[one % len(PLANS)],
+                       regions=home)
+        for pair in range(pairs(heads)) for one in range(number)
+    ]  # fmt: skip
+
+
 def serves(volume: VolumeSettings, at: int, number: int, heads: int) -> bool:
     """Whether a head has a volume, the `at`th of the day."""
     if volume.regions is not None:
--- a/harriertrack/lab/fleet/rig/facts.py
+++ b/harriertrack/lab/fleet/rig/facts.py
@@ -26,6 +26,20 @@
         )  # fmt: skip
 
 
+def of_regions(day: FleetDaySettings, plans: Iterable[PlanSettings],
+               volumes: Iterable[VolumeSettings]) -> Iterator[rec.MoveFacts]:  # fmt: skip
+    """Tell at what pace volumes may change regions, where they belong, and who comes first."""
+    paces = [one for one in day.budgets.budgets if one.name is BudgetUse.TAKEOVERS] if day.budgets else []
+    reserves = {plan.name: plan.reserve for plan in plans}
+    spread = [one for one in volumes if one.regions is not None]
+    for pace in paces:
+        yield rec.MoveFacts(
+            t=0, rate=pace.whole, burst=pace.burst,
+            homes={one.name: one.regions.home for one in spread if one.regions is not None},
+            reserves={one.name: reserves[one.plan] for one in spread},
+        )  # fmt: skip
+
+
 def of_weights(day: FleetDaySettings, scoring: ScoringSettings, heads: int) -> rec.WeightFacts:
     """Return what must hold of weights."""
     names = [f"head{number}" for number in range(heads)]
--- a/harriertrack/lab/fleet/rig/fleet.py
+++ b/harriertrack/lab/fleet/rig/fleet.py
@@ -59,6 +59,8 @@
             record(zones)
         if day.scoring is not None:
             record(facts.of_weights(day, day.scoring, self.day.heads))
+        for pace in facts.of_regions(day, self.plans, self.volumes):
+            record(pace)
         for budget in facts.of_budgets(day, self.plans, self.volumes):
             record(budget)
 
@@ -224,6 +226,18 @@
         region = regions.settings_of(self, name, self.witness_of(name))
         return self.add_head(name, day.zones[number % len(day.zones)], mine, self.listing_at(name), region)
 
+    def add_flows(self) -> None:
+        """Start the clients of each volume; of those of two regions most ask at home."""
+        super().add_flows()
+        moving = [one for one in self.volumes if one.regions is not None and one.name.startswith("moving")]
+        for at, volume in enumerate(moving):
+            flow = self.add_flow(volume, self.fleet_day.rate * (1 + at % 2) / 2)
+            flow.leader = 0
+
+    def manners(self, volume: str) -> tuple[bool, int]:
+        """Return how a volume's clients wait; those of two regions hear hints."""
+        return super().manners(volume) if volume.startswith("vol") else (True, self.day.patience_us)
+
     def listing_at(self, name: str) -> ListService:
         """Return the list service of a head or node."""
         return self.listing
--- a/harriertrack/lab/fleet/rig/hearing.py
+++ b/harriertrack/lab/fleet/rig/hearing.py
@@ -8,7 +8,7 @@
 
 from harriertrack.decisions.fleet.budgets import Ask, Grant
 from harriertrack.gateway.fleet.seats import DECIDES
-from harriertrack.lab.fleet import shares, staging, weights
+from harriertrack.lab.fleet import regions, shares, staging, weights
 from harriertrack.lab.fleet.weights import Tally
 from harriertrack.lab.rig import HeadSlot
 from harriertrack.membership.fleet import budgeting
@@ -36,6 +36,10 @@
         if event in ("zone used", "zone unused"):
             record(rec.ZoneUse(t=now, head=slot.name, zone=str(fields["zone"]), used=event == "zone used",
                                word=bool(fields["word"])))  # fmt: skip
+        if event in ("volume held", "volume handed over"):
+            region = regions.region_of(slot.name)
+            record(rec.VolumeMoved(t=now, head=slot.name, volume=str(fields["volume"]), region=region,
+                                   held=event == "volume held"))  # fmt: skip
         if rig.markets is not None:
             rig.markets.heard(slot, event, fields)
         if rig.limits is not None:
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -151,6 +151,7 @@
     volumes: Whole = 0  # 0: as many as heads
     hosts: Positive = 2  # of each volume
     extent_bytes: BlockSize = 128 << 10
+    moving: Whole = 0  # volumes of two regions that each pair of heads has, with home in region a
     unit_us: Positive = 200  # that a node works for a unit, on one of its four cores
     limit: Amount = 4.0  # of each third volume, in its usual rate
     limit_burst: Amount = 0.0  # 0: what a second brings
@@ -182,8 +183,10 @@
 
 def check(day: FleetDaySettings, where: str) -> None:
     """Check what the fields' types can't: what steps need. Raises SettingsError."""
-    if day.regions and (day.budgets is None or day.closing is None or day.shared):
-        raise SettingsError(f"{where}: regions: such a day has budgets and closing, and (shared 0)")
+    if day.regions and (day.budgets is None or not (day.closing or day.moving) or day.shared):
+        raise SettingsError(f"{where}: regions: such a day has budgets, closing or moving, and (shared 0)")
+    if day.moving and not day.regions:
+        raise SettingsError(f"{where}: moving: only on a day of two regions")
     for number, step in enumerate(day.steps, start=1):
         at = f"{where}: step {number} {step.name.value}"
         for field, words in (("who", step.who), ("other", step.other), ("liars", day.liars)):
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -429,26 +429,31 @@
 
     def add_flows(self) -> None:
         """Start the clients of each volume."""
-        day = self.day
+        for volume in self.volumes[: self.day.volumes]:
+            self.add_flow(volume, self.day.rate / self.day.volumes)
+
+    def add_flow(self, volume: VolumeSettings, rate: float) -> Flow:
+        """Start the clients of a volume, at each head that has it."""
         classes = [
             (one.name, frozenset(kind.value for kind in one.kinds), one.at_least_bytes)
             for one in self.classes
         ]
-        for volume in self.volumes[: day.volumes]:
-            connections = []
-            for slot in self.heads:
-                if any(volume.name == one.name for one in slot.settings.volumes):
-                    connection = self.new_connection(volume.name, slot)
-                    connection.address = self.entrance(slot)
-                    slot.connections.append(connection)
-                    connections.append(connection)
-                    self.scope.spawn(f"connection {connection.name}", connection.keep, self.scope)
-            rng = random.Random(self.random.getrandbits(32))
-            sectors = volume.size_bytes // SECTOR - REGISTERS
-            model = VolumeModel(volume.name, sectors, day.extent_bytes // SECTOR, rng, self._two)
-            flow = Flow(self.hub, model, connections, classes, self.habits, day.rate / day.volumes,
-                        day.most_sectors, self.random.getrandbits(32))  # fmt: skip
-            self.flows.append(flow)
+        connections = []
+        for slot in self.heads:
+            if any(volume.name == one.name for one in slot.settings.volumes):
+                connection = self.new_connection(volume.name, slot)
+                connection.address = self.entrance(slot)
+                slot.connections.append(connection)
+                connections.append(connection)
+                self.scope.spawn(f"connection {connection.name}", connection.keep, self.scope)
+        rng = random.Random(self.random.getrandbits(32))
+        sectors = volume.size_bytes // SECTOR - REGISTERS
+        apart = self._two or volume.regions is not None
+        model = VolumeModel(volume.name, sectors, self.day.extent_bytes // SECTOR, rng, apart)
+        flow = Flow(self.hub, model, connections, classes, self.habits, rate,
+                    self.day.most_sectors, self.random.getrandbits(32))  # fmt: skip
+        self.flows.append(flow)
+        return flow
 
 
 def play(day: DaySettings, seed: int, virtual: bool, path: str | None = None,
--- a/harriertrack/rules/everything.py
+++ b/harriertrack/rules/everything.py
@@ -11,6 +11,7 @@
     closing,
     fleet,
     recording as rec,
+    regions,
     rollout,
     scoring,
     zones,
@@ -23,7 +24,8 @@
     every = list(records)
     return {
         "requests": checker.check(every), "views": fleet.check(every, detect_us),
-        "budgets": budgets.check(every), "zones": zones.check(every), "record": changes.check(every),
+        "budgets": budgets.check(every), "zones": zones.check(every), "regions": regions.check(every),
+        "record": changes.check(every),
         "closes": closing.check(every), "scores": scoring.check(every),
         "rollouts": rollout.check(every),
     }  # fmt: skip
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -337,6 +337,29 @@
     word: bool = True
 
 
+class MoveFacts(msgspec.Struct, kw_only=True, tag="moves", tag_field="what"):
+    """Volumes of two regions: how many may change regions in a second, `burst` more at once, by all heads.
+
+    `homes`: the region of each; `reserves`: what its plan reserves, by which volumes have their turns.
+    """
+
+    t: int
+    rate: float
+    burst: float
+    homes: dict[str, str]
+    reserves: dict[str, float]
+
+
+class VolumeMoved(msgspec.Struct, kw_only=True, tag="volume-moved", tag_field="what"):
+    """A head holds a volume of two regions from now on, or gave it to the other region."""
+
+    t: int
+    head: str
+    volume: str
+    region: str  # the head's
+    held: bool
+
+
 class Proposed(msgspec.Struct, kw_only=True, tag="proposed", tag_field="what"):
     """An operator proposed a version of a thing, or said what becomes of it."""
 
@@ -531,7 +554,8 @@
 Record = (
     Facts | Head | Stood | Take | Answer | Left | Sent | Got | Ran | Said | Told | Node | Called | Returned
     | Lived | Viewed | Weather | Agreed | BudgetFacts | AskedShare | GrantedShare | Drawn | ZoneFacts
-    | ZoneUse | Proposed | WentBy | TookVersion | CloseDue | ClosedAt | Kept | WeightFacts | Weights | Vote
+    | ZoneUse | MoveFacts | VolumeMoved | Proposed | WentBy | TookVersion | CloseDue | ClosedAt | Kept
+    | WeightFacts | Weights | Vote
     | NotesSent | LimitNow | RolloutFacts | RolloutEnd | RolloutStep | HandedOver | CutOff | Quiet | Keeps
 )  # fmt: skip
 _DECODER = msgspec.json.Decoder(Record)
