A volume that waits to change regions is counted at each look: the fleet's pace is used, not a fifth of it

A head asked for its turn once and never again; what it needs is measured over half a second, so the ledger gave it nothing beyond the fixed part, one volume in 9 s a head. Excluded: the region's session (free after 3 s at all heads alike), the witness (0.5 s a look).

--- a/harriertrack/decisions/fleet/portions.py
+++ b/harriertrack/decisions/fleet/portions.py
@@ -164,9 +164,13 @@
         """Return the same for a call for the node list."""
         return self._one(now, self._simple(now, Use.LIST_CALLS), again)
 
-    def takeover(self, now: int, again: bool = False) -> int:
-        """Return the same for a volume that is to change regions."""
-        return self._one(now, self._simple(now, Use.TAKEOVERS), again)
+    def takeover(self, now: int) -> int:
+        """Return the same for a volume that is to change regions.
+
+        One that waits is counted each time: it waits for seconds, and what a head asked for is forgotten
+        within one.
+        """
+        return self._one(now, self._simple(now, Use.TAKEOVERS), False)
 
     def _one(self, now: int, portion: Portion | None, again: bool) -> int:
         if portion is None:
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -97,7 +97,6 @@
     copy_session: object = None  # the newest connection of the holder; older ones are not listened to
     wish: str = ""
     asked: float = 0.0  # requests, the older the less
-    paced: bool = False  # it waits for its turn to change regions
     index: int = 0  # of the volume's key at the witness, as last read or written
 
     @property
@@ -642,8 +641,7 @@
         """Whether a volume may change regions now, of all that the fleet's heads have to move."""
         if self._portions is None:
             return True
-        volume.paced = bool(self._portions.takeover(self._hub.now(), volume.paced))
-        return not volume.paced
+        return not self._portions.takeover(self._hub.now())
 
     def _lost_session(self) -> None:
         self._note("lease over", region=self.region.name)
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -434,7 +434,7 @@
     def __init__(self):
         self.next, self.given = 0, []
 
-    def takeover(self, now, again=False):
+    def takeover(self, now):
         if now < self.next:
             return self.next - now
         self.next = now + S
