--- a/harriertrack/lab/fleet/later.py
+++ b/harriertrack/lab/fleet/later.py
@@ -15,6 +15,7 @@
 MORE = ["later", 1]  # appended to everything that is a list of fields
 LISTS = (13, 14)  # fields that are lists of such: records and notes, or claims and shares
 TOPICS = 15  # the same of the view, though it may be left out
+SHORT, REST = 17, ["", b""]  # what is of no topic is written without these two; a later field follows them
 
 
 def later(data: bytes) -> bytes:
@@ -24,6 +25,8 @@
     fields[1] += 1
     for at in LISTS:
         fields[at] = [[*one, *MORE] for one in fields[at]]
+    if mark and len(fields) == SHORT:
+        fields += REST
     if not mark:
         fields[TOPICS:] = [[[*one, *MORE] for one in (fields[TOPICS] if len(fields) > TOPICS else [])]]
     written = (MARK if mark else b"") + msgspec.msgpack.encode([*fields, *MORE])
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -391,10 +391,14 @@
         self.heads.append(slot)
         return slot
 
+    def network_of(self, slot: HeadSlot) -> Network:
+        """Return what a head's streams go over."""
+        return self.network
+
     def start_head(self, slot: HeadSlot) -> None:
         """Start a head with nothing but what it kept on disk."""
         note = self.note_of(slot)
-        slot.head = Head(self.hub, self.network, slot.settings, note, slot.extents(), slot.name,
+        slot.head = Head(self.hub, self.network_of(slot), slot.settings, note, slot.extents(), slot.name,
                          slot.missed(), self.wiring(slot))  # fmt: skip
         slot.head.trace = partial(self._stamp, slot.head.head_id)
         slot.task = self.scope.spawn(slot.name, slot.head.run)
--- a/harriertrack/rules/scoring.py
+++ b/harriertrack/rules/scoring.py
@@ -2,7 +2,8 @@
 
 1. *Bounds*: no weight is beyond a quarter or four.
 2. *Rate*: no weight moves faster than so much a second.
-3. *Liars*: what a truthful head joins lies among what truthful heads thought of late, an even share included.
+3. *Liars*: what a truthful head joins lies among what truthful heads thought of late, an even share included,
+   as long as at most a fifth of the heads that live and hear each other lie.
 4. *Sway*: a weight goes to and fro by no more than so much in ten seconds.
 5. *Bytes*: no more than so many bytes of such notes leave a head in any second.
 6. *Votes*: a scorer that is broken loses its vote at each head that runs it, and no other scorer does.
@@ -17,11 +18,12 @@
 from harriertrack.rules import recording as rec
 from harriertrack.rules.checker import Breach
 
-_Judged = rec.WeightFacts | rec.Weights | rec.Vote | rec.NotesSent | rec.Lived
+_Judged = rec.WeightFacts | rec.Weights | rec.Vote | rec.NotesSent | rec.Lived | rec.Weather
 ROUNDED = 1e-3  # of a power of two: what is told is rounded
 LATE_US = 1_000_000  # told once a second at worst: what a head thought in between is not on record
 SWAY_US = 10_000_000
 VOTE_US = 10_000_000  # a head that runs for so long has asked its scorers often enough
+MOST_LIARS = 0.2  # of the heads that live and hear each other
 STEP = 1 / 16  # what is said is rounded to that
 
 
@@ -59,13 +61,21 @@
     """3. What truthful heads thought in the time in which it has a vote, by scorer and node."""
     window = facts.fresh_us + 2 * LATE_US
     thought: dict[tuple[str, str], deque[tuple[int, float]]] = defaultdict(deque)
+    awake: set[str] = set()
+    struck, too_many_until = False, 0
     for one in records:
+        if isinstance(one, rec.Weather):
+            struck = bool(one.faults)
+        elif isinstance(one, rec.Lived):
+            (awake.add if one.how in ("started", "went-on") else awake.discard)(one.member)
+        if struck or MOST_LIARS * len(awake) < len(awake & set(facts.liars)):
+            too_many_until = one.t + window
         if not isinstance(one, rec.Weights) or one.head in facts.liars:
             continue
         for scorer, logs in one.own.items():
             for node, log in logs.items():
                 thought[scorer, node].append((one.t, log))
-        for scorer, logs in one.joined.items():
+        for scorer, logs in one.joined.items() if one.t > too_many_until else ():
             for node, log in logs.items():
                 said = thought[scorer, node]
                 while said and said[0][0] < one.t - window:
@@ -138,7 +148,7 @@
 
 def check(records: Iterable[rec.Record]) -> list[Breach]:
     """Judge a recording's weights. In order of time; nothing is judged of a day without any."""
-    kinds = (rec.WeightFacts, rec.Weights, rec.Vote, rec.NotesSent, rec.Lived)
+    kinds = (rec.WeightFacts, rec.Weights, rec.Vote, rec.NotesSent, rec.Lived, rec.Weather)
     mine = sorted((one for one in records if isinstance(one, kinds)), key=lambda one: one.t)
     facts = next((one for one in mine if isinstance(one, rec.WeightFacts)), None)
     if facts is None:
--- a/tests/test_fleet_budgets_carrier.py
+++ b/tests/test_fleet_budgets_carrier.py
@@ -28,6 +28,7 @@
 from harriertrack.gateway.fleet import budgets as carrier
 from harriertrack.gateway.head import Wiring
 from harriertrack.lab.fleet import scenario
+from harriertrack.lab.fleet.later import later
 from harriertrack.lab.fleet.processes import Places
 from harriertrack.lab.fleet.rig import simulate
 from harriertrack.membership.fleet import budgeting
@@ -84,6 +85,15 @@
         budgeting.decode("f", budgeting.MARK + msgspec.msgpack.encode([9, *raw[1:]]))
 
 
+@pytest.mark.parametrize("said", [
+    ASK, GRANT, (Kind.TERM, 4, TERM), budgeting.Seen("a", ()), budgeting.Told(TERM, ()),
+    budgeting.Report("t", "a", b"x"), budgeting.Ruling("t", TERM, b"x"),
+])  # fmt: skip
+def test_what_the_later_version_of_rehearsals_says_is_read_by_this_one(said):
+    data = later(budgeting.encode("f", said))
+    assert data != budgeting.encode("f", said) and budgeting.decode("f", data) == said
+
+
 def test_asks_and_grants_of_many_long_names_fit_datagrams():
     portions = Portions(BudgetRules(), 1, "n" * 64, 1 << 61, 9, {Use.LIMITS: Divided(0.1)}, 0)
     (holder,) = portions.holders
