--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -12,7 +12,7 @@
 import click
 import msgspec
 
-from harriertrack.cli import rollout, scoring
+from harriertrack.cli import rollout, scoring, storm
 from harriertrack.cli.asking import (
     ASK_US,
     document_of,
@@ -237,6 +237,7 @@
 
 fleet.add_command(scoring.scorers)
 fleet.add_command(rollout.rollout)
+fleet.add_command(storm.storm)
 
 
 @fleet.command()
--- a/harriertrack/lab/fleet/processes/__init__.py
+++ b/harriertrack/lab/fleet/processes/__init__.py
@@ -5,7 +5,14 @@
 """
 
 from harriertrack.lab.fleet.processes.children import FleetProcessError
-from harriertrack.lab.fleet.processes.fleet import WOKE_US, ProcessFleet, play_processes
+from harriertrack.lab.fleet.processes.fleet import (
+    WOKE_US,
+    Interrupted,
+    ProcessFleet,
+    check_for_processes,
+    play_processes,
+)
 from harriertrack.lab.fleet.processes.places import Places
 
-__all__ = ["WOKE_US", "FleetProcessError", "Places", "ProcessFleet", "play_processes"]
+__all__ = ["WOKE_US", "FleetProcessError", "Interrupted", "Places", "ProcessFleet",
+           "check_for_processes", "play_processes"]  # fmt: skip
--- a/harriertrack/lab/fleet/processes/fleet.py
+++ b/harriertrack/lab/fleet/processes/fleet.py
@@ -19,6 +19,7 @@
     NodeSettings,
     ShelfSettings,
 )
+from harriertrack.config.sexp import SettingsError
 from harriertrack.config.written import written
 from harriertrack.lab.fleet.processes import launchers
 from harriertrack.lab.fleet.processes.children import Children, FleetProcessError, Process
@@ -29,7 +30,7 @@
 from harriertrack.lab.fleet.processes.waits import PASSING_US, READY_US, TURN_US, WOKE_US
 from harriertrack.lab.fleet.processes.witness import WitnessProcess
 from harriertrack.lab.fleet.rig import LOOK_US, SEEDS, FleetRig, told
-from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings
+from harriertrack.lab.fleet.scenario import SIMULATED, FleetDaySettings, StepSettings, check
 from harriertrack.lab.rig import HeadSlot
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.datagrams import SocketDatagrams
@@ -287,6 +288,18 @@
                 path.unlink()
 
 
+class Interrupted(FleetProcessError):
+    """Somebody asked this process to end."""
+
+
+def check_for_processes(day: FleetDaySettings) -> None:
+    """Check that a day can be played over processes. Raises SettingsError."""
+    check(day, day.name)
+    for number, step in enumerate(day.steps, start=1):
+        if step.name in SIMULATED:
+            raise SettingsError(f"{day.name}: step {number} {step.name.value}: in simulated time only")
+
+
 def play_processes(day: FleetDaySettings, heads: int, seed: int, recorder: rec.Recorder, folder: Path,
                    fleet: bool = True, started: Callable[[ProcessFleet], None] = lambda _rig: None,
                    ) -> ProcessFleet:  # fmt: skip
@@ -304,7 +317,7 @@
         with on_signals(hub, (signal.SIGINT, signal.SIGTERM), lambda _number: tasks[0].cancel()):
             hub.run(main)
     except Cancelled:
-        raise FleetProcessError("interrupted") from None
+        raise Interrupted("interrupted") from None
     finally:
         rig.close()  # whatever happened: nothing that was started stays
     return rig
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -204,6 +204,9 @@
             raise SettingsError(f"{at}: a weather, and no other step, has cut, lost, twice, late or jitter")
 
 
+SIMULATED = (Verb.CLOCK, Verb.DRAIN, Verb.COLD)  # steps that only simulated days have
+
+
 def parse(form: Form, source: str) -> FleetDaySettings:
     """Check a form of a fleet's day. Raises SettingsError with file, line and field."""
     day = bind(form, FleetDaySettings, source)
--- a/harriertrack/lab/fleet/storm/drawing.py
+++ b/harriertrack/lab/fleet/storm/drawing.py
@@ -1,4 +1,4 @@
-"""A storm drawn from a seed: a day for a fleet like any other. Pure; who calls checks heads' settings.
+"""A storm drawn from a seed: a day for a fleet like any other. Pure; the checks of days are handed in.
 
 What can't be together is not known here: parts are drawn until the checks take them all, and a fault whose
 steps they turn down is drawn anew.
@@ -23,7 +23,6 @@
 )
 from harriertrack.config.settings.scoring import ScorerSettings
 from harriertrack.config.sexp import SettingsError
-from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.scenario import (
     ZONES,
     DayBudgets,
@@ -67,7 +66,7 @@
         steps = (*MAKE[kind](after), rest(after.brief()))  # a fault may last while the next ones come
         tried = msgspec.structs.replace(day, steps=(*day.steps, *steps))
         try:
-            scenario.check(tried, tried.name)
+            check(tried)
         except SettingsError:
             del weights[kind]  # nothing of that kind on this day
             continue
--- a/harriertrack/lab/fleet/storm/figures.py
+++ b/harriertrack/lab/fleet/storm/figures.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from harriertrack.config.settings import Checked, Positive, Share, given_twice
-from harriertrack.config.sexp import SettingsError, bind, read_text
+from harriertrack.config.settings import Checked, Positive, Share, given_twice, read_file
+from harriertrack.config.sexp import Form, SettingsError, bind, read_text
 
 Weight = Annotated[float, msgspec.Meta(ge=0, le=1000)]
 SOURCE = "usual.sexp"
@@ -94,9 +94,17 @@
     return parse(text, SOURCE)
 
 
+def read(path: str) -> StormFigures:
+    """Read figures from a file. Raises SettingsError."""
+    return _checked(read_file(path), path)
+
+
 def parse(text: str, source: str) -> StormFigures:
     """Read figures. Raises SettingsError."""
-    form = read_text(text, source)
+    return _checked(read_text(text, source), source)
+
+
+def _checked(form: Form, source: str) -> StormFigures:
     figures = bind(form, StormFigures, source)
     where = f"{source}:{form.line}"
     for what, names in (("part", [one.name.value for one in figures.parts]),
--- a/harriertrack/lab/fleet/storm/playing.py
+++ b/harriertrack/lab/fleet/storm/playing.py
@@ -44,7 +44,7 @@
     """What a play showed."""
 
     breaches: dict[str, list[Breach]]
-    end_us: int  # on the day's clock
+    length_us: int  # of what was recorded
     requests: int
 
     @property
@@ -65,7 +65,9 @@
         fell = [Breach(0, _end(recorder.records), type(error).__name__, str(error))]
     records = recorder.records
     found = {f"{FELL}: {fell[0].who}": fell} if fell else judge(records, day.detect_us)
-    return Verdict(found, _end(records), sum(isinstance(one, rec.Take) for one in records))
+    took = sum(isinstance(one, rec.Take) for one in records)
+    first = min((one.t for one in records if isinstance(one, rec.Lived)), default=0)
+    return Verdict(found, _end(records) - first, took)
 
 
 def _end(records: list[rec.Record]) -> int:
