--- a/harriertrack/cli/fleet.py
+++ b/harriertrack/cli/fleet.py
@@ -51,6 +51,7 @@
             "Take the wish on ZONE back: it is tried by a few, and used again by ever more.",
         ),
         "scorers": ("scoring:scorers", "Name the scorers that are installed here, with their parameters."),
+        "storm": ("storm:storm", "Draw a random day from each seed, play and judge it."),
         "zones": (
             "zones:zones_command",
             "Tell which zones the fleet uses, as a head knows it, and what is seen of them.",
