--- a/tests/rollout/test_remembering.py
+++ b/tests/rollout/test_remembering.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from harriertrack.config.sexp import read_text
 from harriertrack.decisions.fleet.changes import writing
 from harriertrack.decisions.fleet.changes.record import Record
 from harriertrack.decisions.fleet.changes.standing import Standing
-from harriertrack.decisions.fleet.rollout.believing import Told, believed
+from harriertrack.decisions.fleet.rollout import conducting
+from harriertrack.decisions.fleet.rollout.believing import Believed, Told, believed
 from harriertrack.decisions.fleet.rollout.counting import Tally
 from harriertrack.decisions.fleet.rollout.evidence import Evidence, Report, Usage
 from harriertrack.decisions.fleet.rollout.plan import Plan, Stage
@@ -15,10 +17,13 @@
 from harriertrack.gateway.fleet.rollout.carrier import asked
 from harriertrack.gateway.fleet.rollout.remembered import Remembered
 from harriertrack.gateway.fleet.rollout.reports import Heard, MalformedReport, encode_before
+from harriertrack.lab.fleet import scenario
+from harriertrack.lab.fleet.rig import simulate
 from harriertrack.lab.fleet.staged import Habit, Harm, S, Staged
 from harriertrack.membership.fleet.budgeting import MOST_TOPIC_BODY
 from harriertrack.membership.fleet.messages import Record as Member, State
 from harriertrack.membership.fleet.view import View
+from harriertrack.rules import recording as rec, rollout
 from harriertrack.storage.changes import ChangesCache
 
 QUICK = Plan(
@@ -247,3 +252,31 @@
         view.take(0, record)
     assert asked(view.find("a")) == {11}
     assert asked(view.find("b")) == frozenset()
+
+
+DAY = """(fleet-day "successor"
+  (processes 4) (shelves 3) (rate 6) (hosts 3)
+  (figures (probe 600ms) (answer 300ms) (gossip 100ms) (sync 5s) (reach 1s) (recent 10s) (slack 4) (note 1s))
+  (budgets (clock-error 0.01) (term 4s) (patience 1s) (budget cold (fixed 0.3)))
+  (changes (look 300ms) (spread 300ms) (rollout (report 500ms) (look 500ms)))
+  (launched yes) (end "program" (version 1))
+  (step start) (step agree (within 20s)) (step rest (for 8s))
+  (step propose (thing "program") (body "(program \\"good\\")")
+    (plan "(plan (before 6s) (settle 1s) (ready 20s) (stage \\"all\\" (share 1) (soak 8s) (least 0)))"))
+  (step decided (thing "program") (within 200s)) (step rest (for 2s)))"""
+
+
+def test_heads_that_came_back_with_the_program_tell_who_decides_next_what_they_did_before_it(monkeypatch) -> None:
+    found, weigh = [], conducting.believed
+
+    def weighed(*told: object) -> Believed:
+        found.append(weigh(*told))  # type: ignore[arg-type]
+        return found[-1]
+
+    monkeypatch.setattr(conducting, "believed", weighed)
+    recorder = rec.Recorder()
+    simulate(scenario.parse(read_text(DAY, "day"), "day"), 4, 1, recorder)
+    assert rollout.check(recorder.records) == []
+    deciders = {one.by for one in recorder.records if isinstance(one, rec.RolloutStep)}
+    assert len(deciders) == 2, "who decides restarts last, and another one ends it"
+    assert {head for head, _ in found[-1].counts} == {"head0", "head1", "head2", "head3"}
