--- /dev/null
+++ b/harriertrack/lab/interleaving/models/sweeps.py
@@ -0,0 +1,164 @@
+"""Sweeps of a volume that two heads serve: trims on their way, words to who decides, a head that dies."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from harriertrack.decisions.fleet.closing.clocks import Interval
+from harriertrack.decisions.fleet.closing.fences import Fences
+from harriertrack.decisions.fleet.closing.schedule import Close, Purge, Schedule
+from harriertrack.decisions.fleet.closing.sweeps import Sweep, SweepKey, Swept
+from harriertrack.lab.interleaving.models.mail import Mail
+
+CALENDAR, VOLUME, HEADS, EXTENTS, SIZE = "tokyo", "v", ("a", "b"), 2, 4096
+AT_US = 1_000_000
+KEY = SweepKey(CALENDAR, 1, VOLUME)
+CLOSED = Schedule(1, "tz", (Close(1, AT_US, (Purge(VOLUME),)),))
+NOW = Interval(AT_US + 1, AT_US + 2)
+OLD, NEW = "old", "new"
+
+
+def several(_volume: str) -> bool:
+    """Every volume is one of several heads."""
+    return True
+
+
+@dataclass(slots=True)
+class State:
+    """Two heads after a close, the node with its bytes, and who decides."""
+
+    fences: dict[str, Fences] = field(default_factory=dict)
+    sweeps: dict[str, Sweep] = field(default_factory=dict)
+    lives: dict[str, int] = field(default_factory=lambda: dict.fromkeys(HEADS, 1))
+    told: dict[str, int] = field(default_factory=lambda: dict.fromkeys(HEADS, -1))
+    byte: dict[int, str] = field(default_factory=lambda: dict.fromkeys(range(EXTENTS), OLD))
+    epoch: int = 0  # the newest that the node has heard of
+    swept: Swept = field(default_factory=Swept)
+    schedule: Schedule = CLOSED
+    mail: Mail = field(default_factory=lambda: Mail(lost=1))
+    kills: int = 1
+    terms: int = 1
+    uses: int = 2
+    wrong: str = ""
+
+
+class SweepModel:
+    """No old byte is read after a close, no new one is trimmed, and what is open was trimmed whole."""
+
+    name = "sweeps"
+    about = "sweeps of a volume of two heads after a close: late trims, a head that dies, another term"
+
+    def start(self) -> State:
+        """Nobody has stepped over the close."""
+        state = State()
+        for name in HEADS:
+            state.fences[name] = Fences((VOLUME,), {}, several)
+            state.fences[name].fence(CALENDAR).follow(CLOSED)
+            state.fences[name].confirmed(10 * AT_US)
+        return state
+
+    def events(self, state: State) -> Iterator[str]:
+        """Name what can happen now."""
+        yield from state.mail.events()
+        for name in HEADS:
+            fence = state.fences[name].fence(CALENDAR)
+            if not fence.done:
+                yield f"{name} purges"
+                continue
+            if name in state.sweeps:
+                sweep = state.sweeps[name]
+                yield from (f"{name} trims {at}" for left in sweep.left.values() for at in sorted(left))
+                if state.told[name] != sweep.done:
+                    yield f"{name} tells"
+        if state.swept.whole():
+            yield "decide"
+        if state.kills:
+            yield from (f"{name} dies" for name in HEADS if state.fences[name].fence(CALENDAR).done)
+        if state.terms:
+            yield "another term"
+        if state.uses:
+            for name in HEADS:
+                yield from (f"{name} {use} {at}" for use in ("reads", "writes") for at in range(EXTENTS))
+        yield from state.mail.late()
+
+    def _epoch(self, state: State, name: str) -> int:
+        return AT_US + (state.fences[name].fence(CALENDAR).schedule.swept_of(VOLUME) >= 1)
+
+    def _passes(self, state: State, name: str, extent: int) -> bool:
+        return state.fences[name].refuses(NOW, VOLUME, extent * SIZE, SIZE) is None
+
+    def apply(self, state: State, event: str) -> None:
+        """Let it happen."""
+        match event.split():
+            case ["decide"]:
+                for key in state.swept.whole():
+                    state.schedule = state.schedule.with_swept(key.volume, key.number)
+                    state.swept.forget(key)
+                for name in HEADS:
+                    state.mail.send(name, state.schedule)
+                if any(one == OLD for one in state.byte.values()):
+                    state.wrong = f"on record is that all is trimmed, and there is {state.byte}"
+            case ["another", "term"]:
+                state.terms -= 1
+                state.swept = Swept()
+                state.told = dict.fromkeys(HEADS, -1)
+            case [name, "purges"]:
+                state.fences[name].fence(CALENDAR).purged(1)
+                self._begin(state, name)
+            case [name, "trims", at]:
+                state.mail.send("node", (name, state.lives[name], int(at), self._epoch(state, name)))
+            case [name, "tells"]:
+                state.told[name] = state.sweeps[name].done
+                state.mail.send("decider", state.sweeps[name].done)
+            case [name, "dies"]:
+                state.kills -= 1
+                state.lives[name] += 1
+                self._begin(state, name)  # from the start: what an earlier life trimmed is not on its disk
+            case [name, "reads", at]:
+                state.uses -= 1
+                if self._passes(state, name, int(at)) and state.byte.get(int(at)) == OLD:
+                    state.wrong = f"{name} reads what was written before the close"
+            case [name, "writes", at]:
+                state.uses -= 1
+                if self._passes(state, name, int(at)):
+                    self._reaches(state, self._epoch(state, name), int(at), NEW)
+            case _:
+                self._came(state, state.mail.take(event))
+
+    def _begin(self, state: State, name: str) -> None:
+        fence = state.fences[name].fence(CALENDAR)
+        state.told[name] = -1
+        state.sweeps.pop(name, None)
+        if fence.sweeping(VOLUME):
+            extents = (at for at in range(EXTENTS) if fence.sweeps(VOLUME, at * SIZE, SIZE))
+            state.sweeps[name] = Sweep.of(KEY, extents)
+
+    def _reaches(self, state: State, epoch: int, extent: int, byte: str) -> bool:
+        if epoch < state.epoch:
+            return False
+        state.epoch = epoch
+        if byte:
+            state.byte[extent] = byte
+        elif state.byte.pop(extent, OLD) == NEW:
+            state.wrong = f"what was written to extent {extent} after the close is trimmed"
+        return True
+
+    def _came(self, state: State, what: tuple[str, object] | None) -> None:
+        match what:
+            case ("node", (str(name), int(life), int(extent), int(epoch))):
+                if self._reaches(state, epoch, extent, "") and life == state.lives[name]:
+                    if name in state.sweeps:
+                        state.sweeps[name].trimmed(extent)
+            case ("decider", int(done)):
+                state.swept.heard(KEY, done)
+            case (str(name), Schedule() as schedule):
+                fence = state.fences[name].fence(CALENDAR)
+                if schedule.swept_of(VOLUME) >= fence.schedule.swept_of(VOLUME):  # the record never goes back
+                    fence.follow(schedule)
+                    if fence.schedule.swept_of(VOLUME):
+                        state.sweeps.pop(name, None)
+
+    def wrong(self, state: State) -> str | None:
+        """Return what must not be."""
+        return state.wrong or None
