--- /dev/null
+++ b/tests/storms/faults.py
@@ -0,0 +1,83 @@
+"""Small wrong changes over the fleet's machines, each to be found by a bounded number of storms.
+
+`python -m tests.storms.faults [NAME ...]` plays storms with each, and tells which seed found it by which rule.
+"""
+
+import sys
+import time
+from dataclasses import dataclass
+
+from harriertrack.lab.fleet.storm import drawing, figures, playing
+from tests.interleaving.faults import BUDGETS, CLOSING, FOLLOWING, HOLDER, KEEPING, LEDGER, TERMS, ZONES, Fault
+
+HEADS, LENGTH_US, MOST = 5, 25_000_000, 40
+SWIM = "membership.fleet.swim"
+ROLLOUT = "decisions.fleet.rollout"
+SCORING = "decisions.fleet.scoring"
+
+
+@dataclass(frozen=True)
+class Found:
+    """By which storm a fault was found first, of those from seed 0 on."""
+
+    seed: int
+    rules: tuple[str, ...]
+
+
+FAULTS = (
+    Fault("the dead are never found", "views", f"{SWIM}.suspecting:Suspects.run_out", "now >= row.suspicion.ends_at", "False"),
+    Fault("nobody objects", "views", f"{SWIM}.words:Words._of_me", "self.take(now, member.renamed(incarnation=record.incarnation + 1))", "pass"),
+    Fault("a share is lent before it is back", "budgets", f"{LEDGER}:Account.counted", "slip.counted", "slip.rate"),
+    Fault("a term opens at once", "budgets", f"{TERMS}.taken", "now + earlier", "now"),
+    Fault("a ledger ends leases early", "budgets", f"{BUDGETS}:BudgetRules.counted_us", "lease_us * (1 + self.clock_error)", "lease_us * 0.2"),
+    Fault("a share never lapses", "budgets", f"{HOLDER}._drop", "held.portion.lapse(now)", "pass"),
+    Fault("a restored record is left", "record", f"{KEEPING}:put_back", "there.revision >= known.revision", "True"),
+    Fault("a follower goes back", "record", f"{FOLLOWING}.fetched",
+          "newer = found is not None and (found.revision, digest) > (self.record.revision, self.digest)",
+          "newer = found is not None"),
+    Fault("what is newer is not fetched", "record", f"{FOLLOWING}.hear", "if revision > max(self.heard, self.record.revision):", "if False:"),
+    Fault("a zone that is out stays out", "zones", f"{ZONES}.take_up", "Zone(word.stage, now", "Zone(word.stage, now + 10**9"),
+    Fault("a head alone leaves a zone", "zones", f"{ZONES}.sums", "if not any(sight.good for sight in seen.sights) and len(seen.sights) != 1:", "if False:"),
+    Fault("a fence opens in doubt", "closes", f"{CLOSING}.fences:Fence.stance", "reading.high < after[0].at_us", "reading.low < after[0].at_us"),
+    Fault("a close fires in doubt", "closes", f"{CLOSING}.fences:Fence.due", "min(reading.low, sure_until)", "min(reading.high, sure_until)"),
+    Fault("slices are done untrimmed", "closes", f"{CLOSING}.sweeps:Sweep.done", "if not extents", "if True"),
+    Fault("one clock moves all", "closes", f"{CLOSING}.clocks:agreed", "if depth == enough and low is None:", "if depth >= enough:"),
+    Fault("any number may be away", "rollouts", f"{ROLLOUT}.rollout:Rollout._name", "next_away(wanted, self.away(named, members), self.plan, members)", "wanted"),
+    Fault("a stage ends unheard", "rollouts", f"{ROLLOUT}.rollout:Rollout._unripe", "if missing > int(self.plan.missing * len(named)) or not heard:", "if not heard:"),
+    Fault("two versions change at once", "rollouts", f"{ROLLOUT}.rollout:waits_for", "if running is not None:", "if False:"),
+    Fault("a version is never taken back", "rollouts", f"{ROLLOUT}.rollout:Rollout._back", "Standing.BACK", "Standing.GOING"),
+    Fault("weights have no bound on bytes", "scores", "membership.fleet.topics:Topics.pass_time", "min(self._rate, self._spare + self._rate * max(0, now - self._at) / 1e6)", "10.0**9"),
+)  # fmt: skip
+
+
+def storm(seed, heads=HEADS):
+    return drawing.draw(seed, heads, LENGTH_US, figures.usual(), playing.check)
+
+
+def search(fault, most=MOST):
+    """Return what found a fault first; None if nothing of the first so many storms does."""
+    for seed in range(most):
+        day = storm(seed)
+        if not concerns(day, fault.by):
+            continue
+        with fault.made():
+            verdict = playing.judged(day)
+        if verdict.broken:
+            return Found(seed, tuple(sorted(f"{what} {rule}" for what, rule in verdict.broken)))
+    return None
+
+
+def concerns(day, by):
+    """Whether a storm has the part that a fault lies in: without it the play is the same."""
+    parts = {"views": True, "budgets": day.budgets, "record": day.changes, "zones": day.zones,
+             "closes": day.closing, "scores": day.scoring,
+             "rollouts": day.changes is not None and day.changes.rollout}  # fmt: skip
+    return bool(parts[by])
+
+
+if __name__ == "__main__":
+    for one in FAULTS:
+        if len(sys.argv) > 1 and one.name not in sys.argv[1:]:
+            continue
+        began = time.monotonic()
+        print(f"{one.name}: {search(one)} in {time.monotonic() - began:.0f} s", flush=True)
