--- /dev/null
+++ b/tests/storms/test_playing.py
@@ -0,0 +1,140 @@
+"""Storms that are played: a few seeds, a fault that is found, shrunk and written, and the command."""
+
+import subprocess
+import sys
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from harriertrack.cli.main import main
+from harriertrack.config.sexp import SettingsError
+from harriertrack.lab.fleet import scenario
+from harriertrack.lab.fleet.processes import check_for_processes
+from harriertrack.lab.fleet.rig import simulate
+from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings, Verb
+from harriertrack.lab.fleet.storm import playing
+from harriertrack.rules import budgets, recording as rec, rollout
+from harriertrack.runtime.streams import MemoryNetwork
+from tests.interleaving.faults import LEDGER, Fault
+from tests.storms import faults
+
+SECOND = 1_000_000
+S = SECOND
+
+
+@pytest.mark.parametrize("seed", [3, 6])
+def test_storms_keep_all_rules(seed):
+    verdict = playing.judged(faults.storm(seed))
+    assert verdict.broken == frozenset() and verdict.requests > 100
+    assert verdict.length_us > faults.LENGTH_US
+
+
+def test_one_seed_is_one_play():
+    day = FleetDaySettings(name="x", processes=3, rate=4, steps=(
+        StepSettings(name=Verb.START), StepSettings(name=Verb.AGREE), StepSettings(name=Verb.KILL, part=0.4),
+        StepSettings(name=Verb.START), StepSettings(name=Verb.QUIET), StepSettings(name=Verb.AGREE),
+    ))  # fmt: skip
+    recorders = [rec.Recorder() for _ in range(2)]
+    for one in recorders:
+        simulate(day, 3, playing.SEED, one)
+    assert recorders[0].records == recorders[1].records
+
+
+def test_a_play_that_ends_by_itself_is_a_breach(monkeypatch):
+    day = FleetDaySettings(name="x", processes=2, steps=(StepSettings(name=Verb.START),))
+
+    def breaks(*_args):
+        raise ValueError("no such thing")
+
+    monkeypatch.setattr(MemoryNetwork, "connect", breaks)
+    assert playing.judged(day).broken == {("play: ValueError", 0)}
+
+
+def test_what_only_simulated_days_have_is_told_before_processes_start():
+    day = FleetDaySettings(name="x", steps=(StepSettings(name=Verb.COLD, for_us=S),))
+    with pytest.raises(SettingsError, match="step 1 cold: in simulated time only"):
+        check_for_processes(day)
+
+
+# -- the quiet time, and what is judged at its end
+
+LIVED = [rec.Lived(t=1, member=name, how="started") for name in ("a", "b")]
+KEPT = rec.Keeps(t=2, head="a", ledger=0, keeps=True)
+QUIET = rec.Quiet(t=3)
+
+
+def ask(t, number):
+    return rec.AskedShare(t=t, holder="b", instance=1, ledger=0, term=(1, 1), tenure=1, number=number, applied=[])
+
+
+def grant(t, number):
+    return rec.GrantedShare(t=t, holder="b", instance=1, ledger=0, term=(1, 1), tenure=1, answers=number,
+                            lease_us=S, shares=[])  # fmt: skip
+
+
+@pytest.mark.parametrize(("records", "why"), [
+    ([KEPT, QUIET, ask(8 * S, 1), grant(8 * S + 1, 1), ask(9 * S, 2)], ""),
+    ([KEPT, ask(8 * S, 1)], ""),  # nobody said that it was quiet
+    ([KEPT, grant(5, 0), QUIET, ask(8 * S, 1)], "asks ledger 0, and has no lease"),
+    ([KEPT, QUIET, rec.Lived(t=4, member="a", how="killed")], "nobody keeps it"),
+    ([KEPT, QUIET, rec.Keeps(t=4, head="b", ledger=0, keeps=True)], "a, b keeps it"),
+])  # fmt: skip
+def test_budgets_are_whole_again_after_quiet(records, why):
+    first = grant(4 * S, 0)  # which tells how long leases are
+    found = budgets.check([*LIVED, *records, *([first] if KEPT in records and "ask" in why else [])])
+    assert [one.why for one in found] == ([why] if why else [])
+
+
+def test_versions_are_settled_after_quiet():
+    facts = rec.RolloutFacts(t=1, thing="settings", version=1, zones={"a": "z0", "b": "z1"}, volumes={},
+                             stages=[rec.StageFacts(heads=1, share=0)], away=1, back_away=1, missing=0)  # fmt: skip
+    end = rec.RolloutEnd(t=0, thing="settings", version=0, settled=True)
+    going = rec.RolloutStep(t=5, by="a", epoch=1, thing="settings", version=1, standing="going", stage=1, heads=["a"], why="")
+    took = rec.TookVersion(t=6, head="a", thing="settings", version=1)
+    told = [one.why for one in rollout.check([facts, end, *LIVED, going, took, QUIET])]
+    assert told == ["at the end heads run {'a': 1, 'b': 0}", "version 1 is going at the end"]
+    assert rollout.check([facts, end, *LIVED, going, took]) == []
+    done = msgspec.structs.replace(going, t=7, standing="stopped", heads=[])
+    back = msgspec.structs.replace(took, t=8, version=0)
+    assert rollout.check([facts, end, *LIVED, going, took, done, back, QUIET]) == []
+
+
+# -- faults found, and made small
+
+LENT_TWICE = Fault("a term's shares are lent before they are back", "budgets", f"{LEDGER}:Account.counted",
+                   "slip.counted", "0.0")  # fmt: skip
+DAY = """(fleet-day "x" (processes 4) (rate 16) (hosts 4) (extent 32KiB) (limit 1) (limit-burst 200)
+  (figures (probe 300ms) (answer 150ms) (gossip 60ms) (reach 1s) (slack 3))
+  (budgets (clock-error 0.01) (term 2s) (patience 1s) (budget limits (fixed 0.25)) (budget cold (fixed 0.3)))
+  (step start) (step agree) (step slow (zone "z1") (times 2) (for 1s)) (step demand (times 3)) (step rest (for 2s))
+  (step stop (who "head1") (for 400ms)) (step demand (who "head2") (times 3)) (step rest (for 2s)) (step backup)
+  (step quiet) (step demand) (step agree (within 20s)))"""
+
+
+def test_a_fault_is_found_shrunk_and_written_as_a_day_that_fails_again(tmp_path):
+    from harriertrack.config.sexp import read_text
+
+    day = scenario.parse(read_text(DAY, "x"), "x")
+    with LENT_TWICE.made():
+        verdict = playing.judged(day)
+        assert ("budgets", 1) in verdict.broken
+        least = playing.shrunk(day, frozenset({("budgets", 1)}), 9)
+        again = playing.judged(least)
+        playing.write(least, tmp_path / "least.sexp", again.breaches)
+        assert len(least.steps) < len(day.steps) and Verb.DEMAND in {step.name for step in least.steps}
+        read = scenario.load(str(tmp_path / "least.sexp"))
+        assert "budgets: rule 1" in read.about
+        assert ("budgets", 1) in playing.judged(read).broken
+    assert not playing.judged(least).broken
+
+
+def test_the_command_tells_each_seed_and_what_can_not_be(tmp_path):
+    runner = CliRunner()
+    said = runner.invoke(main, ["fleet", "storm", "--virtual", "--heads", "3", "--minutes", "0.1", "--seed", "3",
+                                "--keep", str(tmp_path)])  # fmt: skip
+    assert said.exit_code == 0 and "seed 3: 3 heads" in said.output and "all rules held" in said.output
+    assert not list(tmp_path.iterdir())
+    for words, why in ((["--seeds", "5..5"], "FROM..TO"), (["--from", "no.sexp"], "no.sexp")):
+        done = subprocess.run([sys.executable, "-m", "harriertrack", "fleet", "storm", *words], capture_output=True, text=True)
+        assert done.returncode == 2 and why in done.stderr and done.stderr.count("\n") == 1
