A budget's lease against its return on the production hub, with its ledger's lock and a head that stands still

budgets-return, -stands, -dies: carrier, locks, holder, ledger and candidate at two heads with the witness's client; demand goes over in mid-schedule, who has most stands still for longer than its lease, either may die. Never more in use than there is, never two keepers.

--- a/harriertrack/lab/interleaving/registry.py
+++ b/harriertrack/lab/interleaving/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from harriertrack.lab.interleaving.scenarios import (
+    budgets,
     changes,
     closes,
     hub,
@@ -16,5 +17,5 @@
 )
 from harriertrack.lab.interleaving.world import Scenario
 
-PARTS = (hub, streams, watch, witness, changes, links, weights, launching, rollouts, closes)
+PARTS = (hub, streams, watch, witness, changes, links, weights, launching, rollouts, closes, budgets)
 SCENARIOS: dict[str, Scenario] = {one.name: one for part in PARTS for one in part.SCENARIOS}
--- /dev/null
+++ b/harriertrack/lab/interleaving/scenarios/budgets.py
@@ -0,0 +1,149 @@
+"""A budget's lease against its return at two heads: the ledger's lock, asks, grants, a head that stands still.
+
+Production code are the carrier of budgets, the locks at the witness, holder, ledger and candidate; demand
+goes over from one head to the other while datagrams come in any order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, cast
+
+from harriertrack.config.settings import BudgetsSettings
+from harriertrack.decisions.fleet.budgets import Whole
+from harriertrack.decisions.fleet.portions import Portions
+from harriertrack.gateway.fleet.budgets import Budgets, rules_of
+from harriertrack.gateway.parts import HeadParts
+from harriertrack.lab.interleaving.observed import START
+from harriertrack.lab.interleaving.scenarios.witness import WITNESS, witness_of
+from harriertrack.lab.interleaving.world import Scenario, World
+from harriertrack.membership.fleet.messages import Record, State
+from harriertrack.membership.fleet.swim import Rules, Swim
+from harriertrack.runtime.hub import Scope
+
+NAMES = ("a", "b")
+BUDGET, WHOLE = "limits/v", Whole(100.0, 20.0, 2, 0.1)
+SETTINGS = BudgetsSettings(
+    witness=(WITNESS, 8500), timeout_us=300_000, lease_us=400_000, ask_us=200_000, quick_us=100_000,
+    round_us=50_000, clock_error=0.05, patience_us=100_000, term_us=1_000_000,
+)  # fmt: skip
+TURNS_US, UNTIL_US = 900_000, 1_500_000
+DEMAND_US = 100_000
+STANDS_AT_US, STANDS_US = TURNS_US - 20_000, 600_000  # longer than a lease
+
+
+class _Head:
+    """One head's part."""
+
+    def __init__(self, world: World, name: str) -> None:
+        hub = world.hub
+        self._world, self.name = world, name
+        self.portions = Portions(rules_of(SETTINGS), 1, name, 10 + NAMES.index(name), 2, {}, hub.now())
+        self.budgets: Budgets | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether all the demand is here: first at a, later at b."""
+        return (self._world.hub.now() < START + TURNS_US) == (self.name == NAMES[0])
+
+    def run(self) -> None:
+        """Take part until the end (a task)."""
+        world, hub = self._world, self._world.hub
+        with hub.scope(self.name) as scope:
+            swim = Swim(Rules(fleet="f"), _member(self.name), (), 1)
+            swim.start(hub.now())
+            for other in NAMES:
+                swim.view.take(hub.now(), _member(other))
+            port = world.posts.bind(
+                ("x", 1 + NAMES.index(self.name)), lambda data, source: self._come(data, source)
+            )
+            self.budgets = Budgets(self._parts(scope), SETTINGS, self.portions, "f", swim, port.send)
+            self.budgets.start()
+            scope.spawn("demand", self._demand)
+
+    def _come(self, data: bytes, source: tuple[str, int]) -> None:
+        if self.budgets is not None:
+            self.budgets.receive(data, source)
+
+    def _parts(self, scope: Scope) -> HeadParts:
+        world = self._world
+        parts: Any = SimpleNamespace(hub=world.hub, network=world.network, scope=scope,
+                                     note=lambda *_args, **_fields: None)  # fmt: skip
+        return cast(HeadParts, parts)
+
+    def _demand(self) -> None:
+        hub, (holder,) = self._world.hub, self.portions.holders
+        while True:
+            portion = holder.open(hub.now(), BUDGET, WHOLE)
+            if self.busy:
+                portion.asked(WHOLE.rate * DEMAND_US / 1e6)
+            hub.sleep(DEMAND_US)
+
+    def share(self, now: int) -> float:
+        """Return what it may use now beyond its fixed part."""
+        (holder,) = self.portions.holders
+        held = holder.held.get(BUDGET)
+        return held.portion.share if held is not None and holder.live(now) else 0.0
+
+    def keeps(self, now: int) -> int:
+        """Return the epoch of the term in which it keeps the ledger; 0: it does not."""
+        if self.budgets is None:
+            return 0
+        candidate = self.budgets._seats[0].candidate
+        return candidate.ledger.term.epoch if candidate.valid(now) and candidate.ledger is not None else 0
+
+
+def _budgets(stands: bool = False, dies: bool = False) -> Callable[[World], None]:
+    def build(world: World) -> None:
+        hub = world.hub
+        witness_of(world)
+        heads = [_Head(world, name) for name in NAMES]
+        most = [0.0, 0.0]  # that each ever had
+
+        for one in heads:
+            world.spawn(one.name, "head", one.run)
+        def stand_still() -> None:
+            hub.sleep_until(START + STANDS_AT_US)
+            hub.freeze("a", STANDS_US)
+
+        if stands:
+            world.spawn("machine", "a stands still", stand_still)
+            world.fault("b stands still", "b", lambda: hub.freeze("b", STANDS_US))
+        if dies:
+            world.may_die("a")
+            world.may_die("b")
+
+        def judge(_view: object) -> str | None:
+            now = hub.now()
+            shares = [one.share(now) if one.name not in world.dead else 0.0 for one in heads]
+            most[:] = [max(pair) for pair in zip(most, shares, strict=True)]
+            if sum(shares) > WHOLE.moving * (1 + 1e-9):
+                return f"{sum(shares):.1f} of {WHOLE.moving:.1f} are in use: {shares}"
+            keepers = [one.name for one in heads if one.name not in world.dead and one.keeps(now)]
+            return f"{keepers} keep the ledger at one time" if len(keepers) > 1 else None
+
+        def finish() -> str | None:
+            if stands or world.dead or min(most) > WHOLE.moving / 2:
+                return None
+            return f"the heads never had more than {most[0]:.1f} and {most[1]:.1f}"
+
+        world.view = lambda: tuple((round(one.share(hub.now()), 6), one.keeps(hub.now())) for one in heads)
+        world.judge, world.finish = judge, finish
+
+    return build
+
+
+def _member(name: str) -> Record:
+    number = 1 + NAMES.index(name)
+    return Record(name, 1, number, 0, State.ALIVE, "x", number)
+
+
+SCENARIOS = (
+    Scenario("budgets-return", "a budget's lease goes from one head to the other", _budgets(),
+             until_us=UNTIL_US, most_steps=1500),
+    Scenario("budgets-stands", "the same, and who has most stands still for longer than its lease",
+             _budgets(stands=True), until_us=UNTIL_US, most_steps=1500),
+    Scenario("budgets-dies", "the same, and a head may be killed, the ledger's keeper too",
+             _budgets(dies=True), until_us=UNTIL_US, most_steps=1500),
+)  # fmt: skip
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -214,4 +214,8 @@
     Fault("a relapse costs no more", "weights", f"{SCORING}.voting:Voter._lose", "2 ** min(self.lost, 20)", "1", 2),
     Fault("a cold node is a favourite", "weights", f"{SCORING}.damping:ceiling", "sight.cold or ", "", 2),
     Fault("who has no vote is asked", "weights", f"{SCORING}.voting:Voter.questions", "self.vote is Vote.LOST and now >= self.until", "self.vote is Vote.LOST", 2),
+    Fault("a share is lent on while it is in use", "budgets-stands", f"{LEDGER}:Account.counted", "slip.counted", "slip.rate"),
+    Fault("a lease that is over is used", "budgets-stands", f"{HOLDER}.live", "now < self.lease.until", "True"),
+    Fault("a share goes down unheard", "budgets-return", f"{HOLDER}.granted", "held.portion.change(now, share.rate, max(0.0, share.tokens))",
+          "held.portion.change(now, max(share.rate, held.portion.share), 0.0)"),
 )
