--- a/harriertrack/lab/interleaving/scenarios/budgets.py
+++ b/harriertrack/lab/interleaving/scenarios/budgets.py
@@ -1,4 +1,4 @@
-"""A budget's lease against its return at two heads: the ledger's lock, asks, grants, a head that stands still.
+"""A budget's lease against its return at two heads: the lock, asks and grants, a head that stands still.
 
 Production code are the carrier of budgets, the locks at the witness, holder, ledger and candidate; demand
 goes over from one head to the other while datagrams come in any order.
