--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -97,7 +97,6 @@
     copy_session: object = None  # the newest connection of the holder; older ones are not listened to
     wish: str = ""
     asked: float = 0.0  # requests, the older the less
-    paced: bool = False  # it waits for its turn to change regions
     index: int = 0  # of the volume's key at the witness, as last read or written
 
     @property
@@ -367,7 +366,7 @@
     def _copy(self, work: Work) -> None:
         """Take a copy's turn: send it, now or again, or end it."""
         volume, request, now = work.volume, work.request, self._hub.now()
-        match volume.copies.turn(now, work.number, self._may_act(work), self._unsettled(volume)):
+        match volume.copies.turn(now, work.number, self._may_act(work), self._unsettled_us(volume)):
             case Turn.GONE | Turn.WAIT:
                 return
             case Turn.LOST:
@@ -508,9 +507,9 @@
         """Return of which generation a volume's bytes are here."""
         return 0 if self.generations is None else self.generations.generation(volume)
 
-    def _unsettled(self, volume: RegionalVolume) -> bool:
-        """Whether the two heads may stand on different sides of a close."""
-        return self.generations is not None and self.generations.unsettled(volume.name)
+    def _unsettled_us(self, volume: RegionalVolume) -> int:
+        """Return for how long the two heads may stand on different sides of a close."""
+        return 0 if self.generations is None else self.generations.unsettled_us(volume.name)
 
     def same_generation(self, volume: str, theirs: int) -> bool:
         """Whether the other head, which catches up, has stepped over the same closes."""
@@ -535,6 +534,8 @@
             for request in list(volume.passed):
                 if request.kind is Kind.READ and covers(name, request.offset, request.length):
                     self._refuse(request, CLOSED)
+            if epoch := self.holding.epoch(name, self._hub.now()):  # what is written next finds it open
+                self._peer.copy(name, epoch, self._generation(name)).open()
             for work in list(volume.works.values()):
                 if (how := crossed(work.extents, gone)) is not Crossed.NOT:
                     self._crossed(work, how)
@@ -640,8 +641,7 @@
         """Whether a volume may change regions now, of all that the fleet's heads have to move."""
         if self._portions is None:
             return True
-        volume.paced = bool(self._portions.takeover(self._hub.now(), volume.paced))
-        return not volume.paced
+        return not self._portions.takeover(self._hub.now())
 
     def _lost_session(self) -> None:
         self._note("lease over", region=self.region.name)
--- a/harriertrack/lab/fleet/rig/fleet.py
+++ b/harriertrack/lab/fleet/rig/fleet.py
@@ -5,13 +5,16 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from harriertrack.decisions.fleet.rollout.launching import LaunchRules
-from harriertrack.lab.fleet import limits, markets
+from harriertrack.lab.fleet import limits, markets, regions
 from harriertrack.lab.fleet.rig import facts, nodes, operating, told
 from harriertrack.lab.fleet.rig.faults import Faults
 from harriertrack.lab.fleet.rig.hearing import Hearing
 from harriertrack.lab.fleet.rig.insisting import insist
 from harriertrack.lab.fleet.rig.parties import heads_of
+from harriertrack.lab.fleet.rig.streams import Streams
 from harriertrack.lab.fleet.rig.traffic import FOREVER_US, day_of
 from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings, Verb
 from harriertrack.lab.rig import SETTLE_US, HeadSlot, Rig
@@ -19,6 +22,7 @@
 from harriertrack.rules.fleet import Views
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import MemoryNetwork, Network
+from harriertrack.standin.listservice import ListService
 from harriertrack.standin.relay import Weather
 from harriertrack.standin.shelf import Shelf
 
@@ -34,9 +38,10 @@
     def __init__(self, hub: Hub, network: Network, day: FleetDaySettings, heads: int, seed: int,
                  recorder: rec.Recorder, state_dir: str | None = None,
                  fleet: bool = True) -> None:  # fmt: skip
-        super().__init__(hub, network, day_of(day, heads), seed, recorder, state_dir)
         self.fleet_day, self.with_fleet = day, fleet
+        super().__init__(hub, network, day_of(day, heads), seed, recorder, state_dir)
         self.faults = Faults(self, Weather(seed, DELAY_US if isinstance(network, MemoryNetwork) else (0, 0)))
+        self.streams = Streams(hub, network)
         self.views = Views()
         self.drawn = random.Random(seed)
         self._last_until = 0  # when what the day did to the fleet is over
@@ -54,6 +59,8 @@
             record(zones)
         if day.scoring is not None:
             record(facts.of_weights(day, day.scoring, self.day.heads))
+        for pace in facts.of_regions(day, self.plans, self.volumes):
+            record(pace)
         for budget in facts.of_budgets(day, self.plans, self.volumes):
             record(budget)
 
@@ -210,6 +217,42 @@
             rec.Agreed(t=now, members=names, within_us=within_us, after_us=now - began, reached=reached)
         )
 
+    def place_head(self, number: int) -> HeadSlot:
+        """Make a place for a head by its number."""
+        if not self.fleet_day.regions:
+            return super().place_head(number)
+        day, name = self.day, f"head{number}"
+        mine = [one for at, one in enumerate(self.volumes) if regions.serves(one, at, number, day.heads)]
+        region = regions.settings_of(self, name, self.witness_of(name))
+        return self.add_head(name, day.zones[number % len(day.zones)], mine, self.listing_at(name), region)
+
+    def add_flows(self) -> None:
+        """Start the clients of each volume; of those of two regions most ask at home."""
+        super().add_flows()
+        moving = [one for one in self.volumes if one.regions is not None and one.name.startswith("moving")]
+        for at, volume in enumerate(moving):
+            flow = self.add_flow(volume, self.fleet_day.rate * (1 + at % 2) / 2)
+            flow.leader = 0
+
+    def manners(self, volume: str) -> tuple[bool, int]:
+        """Return how a volume's clients wait; those of two regions hear hints."""
+        return super().manners(volume) if volume.startswith("vol") else (True, self.day.patience_us)
+
+    def listing_at(self, name: str) -> ListService:
+        """Return the list service of a head or node."""
+        return self.listing
+
+    def listing_of(self, shelf: Shelf) -> ListService:
+        """Return the list service that names a node."""
+        return self.listing_at(shelf.settings.name)
+
+    def witness_of(self, name: str) -> tuple[str, int]:
+        """Return where a head finds the witness."""
+        return self.witness_address
+
+    def _facts(self) -> rec.Facts:
+        return msgspec.structs.replace(super()._facts(), regions=self.fleet_day.regions)
+
     def lived(self, slot: HeadSlot, how: str) -> None:
         """Record what became of a head."""
         record = rec.Lived(t=self.hub.now(), member=slot.name, how=how)  # type: ignore[arg-type]
@@ -259,7 +302,8 @@
         raise NotImplementedError
 
     def weather_changed(self) -> None:
-        """Let what carries bytes follow the faults in force, where it does not ask at each."""
+        """Let streams follow the faults in force; datagrams ask at each."""
+        self.streams.follow(self.faults.weather)
 
     def close(self) -> None:
         """End all that was started."""
--- a/harriertrack/lab/fleet/processes/streams.py
+++ b/harriertrack/lab/fleet/rig/streams.py
@@ -1,4 +1,4 @@
-"""Relays of streams between heads and their nodes, the list and the witness."""
+"""Relays of streams from heads to other parties: nodes, the list, the witness, a head of the other region."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 from harriertrack.standin.link import Direction, Link
 from harriertrack.standin.relay import Weather
 
+NOWHERE = ("127.0.0.1", 1)
+
 
 class Streams:
     """Those of one rig, by head and other party."""
@@ -17,11 +19,19 @@
         self._hub, self._network = hub, network
         self._links: dict[tuple[str, str], Link] = {}
 
+    def link(self, head: str, party: str, scope: Scope) -> Link:
+        """Return the relay from a head to a party; one that is new leads nowhere yet."""
+        link = self._links.get((head, party))
+        if link is None:
+            link = Link(self._hub, self._network, NOWHERE, Direction(delay_us=0), Direction(delay_us=0))
+            link.start(scope)
+            self._links[head, party] = link
+        return link
+
     def between(self, head: str, party: str, address: tuple[str, int], scope: Scope) -> tuple[str, int]:
-        """Put a relay between a head and a party at an address; return where the head finds it."""
-        link = Link(self._hub, self._network, address, Direction(delay_us=0), Direction(delay_us=0))
-        link.start(scope)
-        self._links[head, party] = link
+        """Let the relay from a head to a party lead to an address; return where the head finds it."""
+        link = self.link(head, party, scope)
+        link.set_target(address)
         return link.address
 
     def follow(self, weather: Weather) -> None:
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -41,7 +41,8 @@
 ZONES = ("z0", "z1", "z2")
 AS_AFTER = (0,)  # of a market: all of its closes are to come to pass
 ROLES = ("decider", "new", "new-zone")  # who decides; who runs what comes in stages; all in their zones
-GROUPS = ("all", "seeds", "rest", "shelves", *ROLES)
+IN_REGION = {"region-a": 0, "region-b": 1}  # the heads of a region, on days of two
+GROUPS = ("all", "seeds", "rest", "shelves", *IN_REGION, *ROLES)
 
 
 SECOND = 1_000_000
@@ -150,6 +151,8 @@
     volumes: Whole = 0  # 0: as many as heads
     hosts: Positive = 2  # of each volume
     extent_bytes: BlockSize = 128 << 10
+    moving: Whole = 0  # volumes of two regions that each pair of heads has, with home in region a
+    unit_us: Positive = 200  # that a node works for a unit, on one of its four cores
     limit: Amount = 4.0  # of each third volume, in its usual rate
     limit_burst: Amount = 0.0  # 0: what a second brings
     limit_slack: Amount = 8.0  # units
@@ -160,6 +163,7 @@
     close_bound_us: Positive = 1_000_000  # within which of a close every head has closed
     markets: Positive = 1
     desks: bool = True  # each head has a volume of its own of each market; a rollout would take it away
+    regions: bool = False  # heads in pairs, one in each region; markets' own volumes are of two regions
     wall: str = ""  # the instant, UTC, at which heads' clocks stand when the day begins; "": the machine's
     ends: tuple[EndSettings, ...] = ()
     launched: bool = False  # heads have launchers, and programs can change
@@ -179,6 +183,10 @@
 
 def check(day: FleetDaySettings, where: str) -> None:
     """Check what the fields' types can't: what steps need. Raises SettingsError."""
+    if day.regions and (day.budgets is None or not (day.closing or day.moving) or day.shared):
+        raise SettingsError(f"{where}: regions: such a day has budgets, closing or moving, and (shared 0)")
+    if day.moving and not day.regions:
+        raise SettingsError(f"{where}: moving: only on a day of two regions")
     for number, step in enumerate(day.steps, start=1):
         at = f"{where}: step {number} {step.name.value}"
         for field, words in (("who", step.who), ("other", step.other), ("liars", day.liars)):
@@ -219,6 +227,9 @@
             raise SettingsError(f"{at}: a weather, and no other step, has cut, lost, twice, late or jitter")
 
 
+SIMULATED = (Verb.CLOCK, Verb.DRAIN, Verb.COLD)  # steps that only simulated days have
+
+
 def parse(form: Form, source: str) -> FleetDaySettings:
     """Check a form of a fleet's day. Raises SettingsError with file, line and field."""
     day = bind(form, FleetDaySettings, source)
@@ -263,6 +274,8 @@
         elif span is not None:
             least, most = (round(float(part) * len(heads)) for part in span.groups())
             found.update(dict.fromkeys(heads[least:most]))
+        elif word in IN_REGION:
+            found.update(dict.fromkeys(heads[IN_REGION[word] :: len(IN_REGION)]))
         elif word in heads:
             found[word] = None
     return list(found)
--- a/harriertrack/lab/fleet/storm/drawing.py
+++ b/harriertrack/lab/fleet/storm/drawing.py
@@ -1,4 +1,4 @@
-"""A storm drawn from a seed: a day for a fleet like any other. Pure; who calls checks heads' settings.
+"""A storm drawn from a seed: a day for a fleet like any other. Pure; the checks of days are handed in.
 
 What can't be together is not known here: parts are drawn until the checks take them all, and a fault whose
 steps they turn down is drawn anew.
@@ -23,7 +23,6 @@
 )
 from harriertrack.config.settings.scoring import ScorerSettings
 from harriertrack.config.sexp import SettingsError
-from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.scenario import (
     ZONES,
     DayBudgets,
@@ -41,7 +40,7 @@
 FIRST_CLOSE_US = 8 * SECOND
 CLOSES = 4  # of a market: so many are on record from the start, whatever becomes of who decides
 AGREE_US = 60 * SECOND
-DECIDED_US = 150 * SECOND
+DECIDED_US = 60 * SECOND
 QUIET_US, ZONES_QUIET_US = 6 * SECOND, 30 * SECOND
 MOST_VOLUMES = 24
 NO_SWAY = 64.0  # how far weights go to and fro is a matter of days made for it
@@ -67,7 +66,7 @@
         steps = (*MAKE[kind](after), rest(after.brief()))  # a fault may last while the next ones come
         tried = msgspec.structs.replace(day, steps=(*day.steps, *steps))
         try:
-            scenario.check(tried, tried.name)
+            check(tried)
         except SettingsError:
             del weights[kind]  # nothing of that kind on this day
             continue
@@ -127,7 +126,7 @@
 
 
 def _rate(rng: random.Random, heads: int) -> float:
-    return rng.choice((4.0, 8.0, 16.0)) if heads <= 16 else max(0.5, round(40 / heads, 1))
+    return rng.choice((2.0, 4.0, 8.0)) if heads <= 12 else max(0.5, round(60 / heads, 1))
 
 
 def _budgets(rng: random.Random) -> DayBudgets:
