--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -64,7 +64,7 @@
 LOSSY_GAIN = 0.3  # weight of one overdue attempt in the part of them that were lost answers
 TRIAL_US = 500_000  # a silent node gets one request this often, twice as rarely after each ...
 TRIAL_MOST_US = 2_000_000  # ... up to this
-COLD_SAFE = 0.6  # part of what the rules let all heads send a cold node that they use
+COLD_SAFE = 0.6  # no pace is needed once this part of what the rules allow is the full capacity
 SERVED_US = 10_000_000  # a node's served units fade out over this time
 BACKGROUND_AIM = 3.0  # a class whose aim is this many times the shortest, and worth less, is background
 RESUBSCRIBE_US, RESUBSCRIBE_MOST_US = 300_000, 4_000_000  # wait after a failed list call, doubled each time
@@ -351,21 +351,28 @@
         """How long until we may send a cold node a request.
 
         All heads together got no more than its full capacity, so if each keeps to a part of its own former
-        rate, together they keep to that part of the capacity: what the rules allow for the least warmth they
-        promise. A head without such a past has its part of what any cold node bears.
+        rate, together they keep to that part of the capacity: what the rules allow in the mean for the least
+        warmth they promise. Chance is allowed for beside it, three deviations of a count: from where they
+        have their whole former rate, a head may save up as much. A head without such a past has its part of
+        what any cold node bears.
         """
-        settings, cold = self.settings, (node.cold_until - self._now) / max(1, self.settings.warm_us)
-        capacity = 1 - (1 - settings.cold_share) * min(1.0, cold)
-        part = COLD_SAFE * settings.fall_multiple * capacity
-        if cold <= 0 or part >= 1:
+        settings, cold, growth = self.settings, node.cold, 1 - self.settings.cold_share
+        before, capacity = (1 - growth * min(1.0, (node.cold_until - at) / max(1, settings.warm_us))
+                            for at in (cold.at, self._now))  # fmt: skip
+        part = settings.fall_multiple * capacity
+        if self._now >= node.cold_until or COLD_SAFE * part >= 1:
             return 0
         bears = settings.cold_units / max(1.0, settings.fall_us * settings.cold_share)
         least = bears / settings.heads
         if self._portions is not None:
             least = self._portions.cold(self._now, node.entry.node, 1e6 * bears, settings.mean_units) / 1e6
-        node.cold.now(self._now)
-        node.cold.rate = 1e6 * max(part * node.past, capacity * least)
-        return node.cold.wait(self._now, 0.0)
+        warm = max(settings.fall_multiple * node.past, least)
+        window = warm * capacity * settings.fall_us / settings.mean_units
+        cold.most = settings.mean_units * max(1.0, window + 3 * window**0.5 if part >= 1 else 0.0)
+        cold.rate = 1e6 * warm * (before + capacity) / 2  # of the time since it was looked at last
+        cold.now(self._now)
+        cold.rate = 1e6 * warm * capacity
+        return cold.wait(self._now, 0.0)
 
     def _owed(self, node: _Node, key: tuple[int, int]) -> None:
         """An answer is overdue: it no longer fills the window, and several in a row mean a silent node. One
