--- a/benchmarks/fleet_zones.py
+++ b/benchmarks/fleet_zones.py
@@ -105,10 +105,11 @@
     return found | ({"lost after": lost_after / after} if after else {})
 
 
-def _play(arguments: tuple[str, int, int, str, float]) -> Figures:
-    name, heads, seed, way, rate = arguments
+def _play(arguments: tuple[str, int, int, str, float, int]) -> Figures:
+    name, heads, seed, way, rate, shelves = arguments
     day = scenario.load(name)
-    day = msgspec.structs.replace(day, zones_at=WAYS[way], rate=rate or day.rate)
+    day = msgspec.structs.replace(day, zones_at=WAYS[way], rate=rate or day.rate,
+                                  shelves=shelves or day.shelves)  # fmt: skip
     if not WAYS[way]:
         day = msgspec.structs.replace(day, zones=None)
     recorder = rec.Recorder()
@@ -155,6 +156,7 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--processes", type=int, default=2, help="Runs at a time.")
     parser.add_argument("--rate", type=float, default=0.0, help="Requests a second a head, if not the day's.")
+    parser.add_argument("--shelves", type=int, default=0, help="Nodes, if not the day's.")
     parser.add_argument("--days", nargs="*", default=DAYS)
     parser.add_argument("--ways", nargs="*", default=list(WAYS), choices=list(WAYS))
     chosen = parser.parse_args()
@@ -163,7 +165,7 @@
         for name in chosen.days:
             for way in chosen.ways:
                 seeds = range(1, chosen.seeds + 1)
-                runs = [(name, chosen.heads, seed, way, chosen.rate) for seed in seeds]
+                runs = [(name, chosen.heads, seed, way, chosen.rate, chosen.shelves) for seed in seeds]
                 found = list(pool.map(_play, runs))
                 cells = " | ".join(_told(field, found) for field in COLUMNS)
                 print(f"{name} {way} | {chosen.heads} | {chosen.seeds} | {cells}", flush=True)
