--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -233,6 +233,28 @@
             assert 0 <= word.share <= 1 and budgeting.decode("f", budgeting.encode("f", budgeting.Told(Term(1, 1), (word,))))
 
 
+@given(st.lists(st.tuples(st.integers(0, 59), st.integers(0, 10), st.booleans()), min_size=30, max_size=30), st.integers(0, 30))
+@settings(max_examples=60, deadline=None)
+def test_heads_that_disagree_by_a_words_age_and_come_and_go_keep_to_the_pace_together(chances, hurts_at):
+    fleet, said = Fleet(heads=60), []
+    fleet.sees(S, fine)
+    fleet.sees(500_000, dead("z1"))
+    lags = dict.fromkeys(fleet.heads, 0)
+    for number, lag, lives in chances:  # each a tenth of a second
+        fleet.sees(100_000, (lambda _name, zone: (3, 1) if zone == "z1" else (4, 0)) if len(said) == hurts_at else fine)
+        said.append({word.zone: word for word in fleet.one.words(fleet.now)}.get("z1"))
+        name = f"h{number}"
+        if lives:
+            lags[name] = lag  # it hears late from now on, or has just started and was told
+        else:
+            lags.pop(name, None)  # it died
+        held = {one: said[max(0, len(said) - 1 - lag)] for one, lag in lags.items()}
+        users = [one for one, word in held.items() if word is None or uses(word, one, lags, RULES.tries)]
+        latest = [1.0 if word is None else word.share for word in said[-11:]]
+        # Of who tries there may be the sets of two turns, and heads whose views differ.
+        assert len(users) <= rules.CROWD * max(latest) * 60 + 2 * RULES.tries + rules.MORE
+
+
 # -- what leaving costs
 
 loads = st.builds(lambda served, moved, reserved, wasted, busy: Load() + Sight(
