--- a/harriertrack/lab/fleet/rig/simulated.py
+++ b/harriertrack/lab/fleet/rig/simulated.py
@@ -15,6 +15,7 @@
 from harriertrack.lab.fleet.rehearsal import Rehearsal, WorseLinks
 from harriertrack.lab.fleet.rig import told
 from harriertrack.lab.fleet.rig.fleet import LAUNCH, LOOK_US, SEEDS, FleetRig
+from harriertrack.lab.fleet.rig.reached import Reached
 from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings
 from harriertrack.lab.fleet.weights import PLUGIN, LyingDatagrams
 from harriertrack.lab.rig import REGIONS, HeadSlot
@@ -24,6 +25,7 @@
 from harriertrack.runtime.hub import Hub, Task
 from harriertrack.runtime.streams import MemoryNetwork, Network
 from harriertrack.standin.listservice import ListService
+from harriertrack.standin.relay import Fault
 from harriertrack.standin.shelf import Shelf
 from harriertrack.standin.witness import Witness
 from harriertrack.storage.changes import ChangesCache
@@ -94,12 +96,6 @@
             return self.witness.address
         return self.streams.between(name, "witness", self.witness.address, self.scope)
 
-    def start_head(self, slot: HeadSlot) -> None:
-        """Start a head, and let its partner's relay lead to it."""
-        super().start_head(slot)
-        if self.fleet_day.regions and slot.head is not None:
-            regions.reach(self, slot.name, slot.head.address)
-
     def wiring(self, slot: HeadSlot) -> Wiring:
         """Return what a head is made of."""
         datagrams: DatagramNetwork = self.datagrams
@@ -198,8 +194,38 @@
 
             self.later(us, back)
             return
-        ids = frozenset(slot.head.head_id for slot in who if slot.head is not None)
-        self._faulty(struck, us, cut_off=ids)
+        names = frozenset(slot.name for slot in who)
+        self.faults.strike(Fault(names, frozenset(one.settings.name for one in struck), cut=True), us)
+
+    def network_of(self, slot: HeadSlot) -> Network:
+        """Return what a head's streams go over: it may be cut off from the witness."""
+        return Reached(
+            self.hub, self.network,
+            lambda address: address == self.witness.address and self._apart(slot.name, "witness"),
+        )  # fmt: skip
+
+    def _apart(self, head: str, party: str) -> bool:
+        """Whether no stream comes about, or goes on, between two: what passes one way alone is none."""
+        weather = self.faults.weather
+        return bool(len(weather)) and (weather.cut(head, party) or weather.cut(party, head))
+
+    def weather_changed(self) -> None:
+        """Let streams follow the faults in force, and nodes from whom they are cut off."""
+        super().weather_changed()
+        for name, shelf in self.shelves.items():
+            apart = frozenset(slot.head.head_id for slot in self.heads
+                              if slot.head is not None and self._apart(slot.name, name))  # fmt: skip
+            if apart != shelf.faults.cut_off:
+                shelf.faults = replace(shelf.faults, cut_off=apart)
+                shelf.wake()
+
+    def start_head(self, slot: HeadSlot) -> None:
+        """Start a head with nothing but what it kept on disk, and let others find it."""
+        super().start_head(slot)
+        if self.fleet_day.regions and slot.head is not None:
+            regions.reach(self, slot.name, slot.head.address)
+        if len(self.faults.weather):
+            self.weather_changed()
 
     def zone_slow(self, zone: str, times: float, us: int) -> None:
         """Let a zone's nodes work slower for a time."""
