--- a/harriertrack/lab/interleaving/scenarios/budgets.py
+++ b/harriertrack/lab/interleaving/scenarios/budgets.py
@@ -58,7 +58,8 @@
             port = world.posts.bind(
                 ("x", 1 + NAMES.index(self.name)), lambda data, source: self._come(data, source)
             )
-            self.budgets = Budgets(self._parts(scope), SETTINGS, self.portions, "f", swim, port.send)
+            self.budgets = Budgets(self._parts(scope), SETTINGS, self.portions, "f", swim, port.send,
+                                   lambda _node, _number: None)  # fmt: skip
             self.budgets.start()
             scope.spawn("demand", self._demand)
 
