Tests of two regions over a close; reading back after an unknown write works again

Cause: Regional._do gave background by its place among the fields; came and patience were put before it, so a read back had a deadline of 1970, was refused at once each time, and its bytes stayed locked for good: 'Arrived ... time_left_us=-'. Found by the test of a write that a close cuts in two; fields are named now. Nine scripts with real heads, nodes and links, nine faults seeded that they find.

--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -268,16 +268,9 @@
         request = work.request
         deadline = 0 if background or work.copy else request.deadline
         work.inner = ClientRequest(
-            request.volume,
-            kind,
-            request.offset,
-            request.length,
-            data,
-            request.flags,
-            work,
-            deadline,
-            background,
-        )
+            request.volume, kind, request.offset, request.length, data, request.flags, work,
+            deadline=deadline, background=background,
+        )  # fmt: skip
         self._core.take(self._hub.now(), work.inner)
 
     def core_answered(self, work: Work, inner: ClientRequest) -> None:
--- a/harriertrack/lab/fleet/markets.py
+++ b/harriertrack/lab/fleet/markets.py
@@ -36,6 +36,7 @@
 EXTENTS = 16  # of a market's volume; the first half is purged
 BLOCK_SECTORS = 8
 MOST_SEATS = 16  # clients of one market's shared volume
+SEATS_OF_TWO = 10  # of a volume of two regions: its writes take as long as the link, and closes meet some
 PAUSE_US = (40_000, 160_000)
 WORD_US = 15_000_000  # the longest that a proposal is waited for to be taken up
 MOST_CLOSES = 60  # of a calendar whose closes come again and again
@@ -194,7 +195,8 @@
         rig = self._rig
         for volume in rig.volumes[rig.day.volumes :]:
             slots = [one for one in rig.heads if volume in one.settings.volumes]
-            for seat in range(min(len(slots), MOST_SEATS)):
+            seats = len(slots) if volume.regions is None else SEATS_OF_TWO
+            for seat in range(min(seats, MOST_SEATS)):
                 connections = []
                 for slot in slots:
                     connection = Connection(rig.hub, rig.network, rig.recorder, volume.name, slot.name)
@@ -225,6 +227,9 @@
                 self._ahead[slot.name] = step.ahead_us
             return
         rig = self._rig
+        if step.name is Verb.NEAR_CLOSE:
+            rig.hub.sleep_until(self._next_close() + step.ahead_us)
+            return
         if step.number in self._again:
             self._await_lull(step.number)
         true = rig.hub.now() + self._true_ahead
@@ -246,6 +251,11 @@
             self._again[step.number] = rest = instants[len(step.after_us) :]
             rig.scope.spawn(f"closes of {market.name}", self._go_on, market, rest)
 
+    def _next_close(self) -> int:
+        """Return when the next close is due; now, if none is."""
+        now, records = self._rig.hub.now(), self._rig.recorder.records
+        return min((one.at for one in records if isinstance(one, rec.CloseDue) and one.at > now), default=now)
+
     def _expect(self, market: Market, at: int) -> None:
         rig = self._rig
         due = market.due(rig.hub.now(), at - self._true_ahead, rig.fleet_day.close_bound_us, rig.day.heads,
--- a/harriertrack/lab/fleet/rig.py
+++ b/harriertrack/lab/fleet/rig.py
@@ -217,7 +217,7 @@
                 self.change(step)
             case Verb.LIMIT if self.limits is not None:
                 self.limits.step(step, who)
-            case Verb.MARKET | Verb.CLOCK if self.markets is not None:
+            case Verb.MARKET | Verb.CLOCK | Verb.NEAR_CLOSE if self.markets is not None:
                 self.markets.step(step, who)
             case Verb.DECIDED:
                 self._await_decided(step)
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -73,6 +73,7 @@
     CHANGE = "change"  # an operator wishes what is under way for a `thing` `paused`, `going` or `aborted`
     LIMIT = "limit"  # `who` go by limits `times` those of the day from now on; all: so does who comes later
     MARKET = "market"  # an operator gives market `number` a calendar that closes `after`, and resumes it
+    NEAR_CLOSE = "near-close"  # wait until `ahead` past the next close that is due; below 0: before it
     CLOCK = "clock"  # the wall clocks of `who` are `ahead` from now on; simulated days only
     BACKUP = "backup"  # what the witness knows is kept aside
     DARK = "dark"  # the witness is gone for `for`; `old`: it comes back as of the backup
@@ -114,7 +115,7 @@
     after_us: tuple[Whole, ...] = ()  # whole seconds past now, about
     expect_us: tuple[Whole, ...] = AS_AFTER  # which of these are to come to pass
     again_us: Whole = 0  # the last of these comes again so often, until the market has its next calendar
-    ahead_us: int = 0  # of true time: the wall clock of who is started, or told so
+    ahead_us: int = 0  # of true time: the wall clock of who is started, or told so; of a close
     skew_us: Whole = 0  # and up to so much more or less, drawn for each
     old: bool = False
     clock_rate: Annotated[float, msgspec.Meta(ge=0.5, le=2)] = 1.0  # of who is started; processes only
@@ -195,6 +196,8 @@
             raise SettingsError(f"{at}: to: a change, and no other step, is paused, going or aborted")
         if step.name is Verb.MARKET and (day.closing is None or step.number >= day.markets):
             raise SettingsError(f"{at}: number: no such market, or no (closing ...)")
+        if step.name is Verb.NEAR_CLOSE and day.closing is None:
+            raise SettingsError(f"{at}: there are no closes on this day")
         if step.again_us and day.closing is not None and step.again_us < lull_us(day.closing) + SECOND:
             raise SettingsError(f"{at}: again: leaves no time to stop it between two closes")
         if step.name is Verb.DARK and day.budgets is None:
--- /dev/null
+++ b/tests/closing/test_closing_regions.py
@@ -0,0 +1,337 @@
+"""Volumes of two regions over a close: real heads, nodes and links, closes at moments that each test chooses.
+
+Each test ends with what the two regions hold; with one line of the program changed it finds that they hold
+bytes of before, or lost bytes of after.
+"""
+
+import importlib.util
+import sys
+from functools import partial
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from harriertrack.decisions.splitting import Kind, Outcome
+from harriertrack.gateway import background
+from harriertrack.gateway.client import NbdClient
+from harriertrack.lab import day as days, regions
+from harriertrack.protocol.nbd.wire import Command
+from harriertrack.rules import recording as rec
+from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.streams import MemoryNetwork
+
+_SPEC = importlib.util.spec_from_file_location("faults", Path(__file__).parent.parent / "interleaving" / "faults.py")
+_FAULTS = importlib.util.module_from_spec(_SPEC)
+sys.modules["faults"] = _FAULTS
+_SPEC.loader.exec_module(_FAULTS)
+
+S, MS, VOLUME = 1_000_000, 1_000, "vol0"  # its home is region a
+OLD, NEW = b"o" * 4096, b"n" * 4096
+
+
+class Closes:
+    """What a head knows of closes, in place of a fleet's: which it has stepped over, and that it is sure."""
+
+    def __init__(self):
+        self.done, self.settled_at = 0, 0
+
+    def refuses(self, request):
+        return None
+
+    def placing(self, *where):
+        pass
+
+    may_run = awaited = placing
+
+    def generation(self, volume):
+        return self.done
+
+    def admits(self, volume, theirs):
+        return theirs == self.done
+
+    def unsettled_us(self, volume):
+        return 0
+
+
+class ClosingRig(regions.RegionRig):
+    """One volume, no load; `script` says what happens."""
+
+    def __init__(self, *args, script, **more):
+        super().__init__(*args, **more)
+        self.script, self.closes, self.ended = script, {}, False
+
+    def run(self):
+        with self.hub.scope("day") as scope:
+            self.scope, self.extent = scope, self.day.extent_bytes
+            self.build()
+            self.wait_until(self.settled)
+            self.hub.sleep(S)  # the heads have heard of each other
+            self.script(self)
+            self.ended = True
+            scope.cancel()
+
+    def start_head(self, slot):
+        super().start_head(slot)
+        closes = self.closes.setdefault(slot.name, Closes())
+        slot.head.core.closings = slot.head.regional.generations = closes
+        slot.head._links.epochs.closed(VOLUME, closes.done)
+
+    def head(self, region):
+        return self.slots[region].head
+
+    def client(self, region):
+        client = NbdClient(self.hub, self.network, "test")
+        client.open(self.head(region).address, self.hub.now() + S)
+        client.go(self.scope, VOLUME, self.hub.now() + S)
+        return client
+
+    def write(self, region, data, extent=0, offset=0):
+        """Begin a write; what is returned has its reply once there is one."""
+        found = []
+        self.client(region).start(Command.WRITE, extent * self.extent + offset, len(data), data, found.append)
+        return found
+
+    def wait(self, found):
+        until = self.hub.now() + 10 * S
+        while not found and self.hub.now() < until:
+            self.hub.sleep(MS)
+        return found[0]
+
+    def close(self, region, at, extents=range(8)):
+        """Let a head step over a close of some extents, as the carrier does."""
+        slot, head, size = self.slots[region], self.head(region), self.extent
+        end = extents.stop * size
+
+        def covers(volume, offset, length):
+            return volume == VOLUME and offset < end
+
+        head.core.close_off(self.hub.now(), covers)
+        lefts = slot.extents().purge("c", at, at, lambda volume, extent: covers(volume, extent * size, size))
+        self.closes[slot.name].done = at
+        head.core.keep_purged({(volume, extent) for volume, extent, _ in lefts})
+        head._links.epochs.closed(VOLUME, at)
+        head.regional.closed(covers)
+        for _, extent, shard in lefts:
+            self.scope.spawn("trim", self._trim, head, slot.extents(), extent, shard)
+
+    def _trim(self, head, places, extent, shard):
+        do = partial(background.do, self.hub, head.core, VOLUME, Kind.TRIM, extent * self.extent, self.extent)
+        while do(moving=True, at_shard=shard).outcome is not Outcome.SERVED:
+            self.hub.sleep(50 * MS)
+        places.trimmed(VOLUME, extent, shard)
+        head.core.free_trimmed(VOLUME, extent)
+
+    def slow(self, us):
+        for way in self.ways.values():
+            way.delay_us = us
+
+    def split(self, cut):
+        for link in self.links.values():
+            link.set_cut(cut)
+
+    def in_sync(self):
+        return self.head("a").regional.volumes[VOLUME].view.in_sync
+
+    def wait_until(self, so):
+        until = self.hub.now() + 20 * S
+        while not so():
+            assert self.hub.now() < until, "not in time"
+            self.hub.sleep(10 * MS)
+
+    def holds(self, region, extent=0, length=4096):
+        """Return the first bytes of an extent as a region holds them."""
+        places = dict(self.slots[region].extents().placed(VOLUME))
+        if extent not in places:
+            return bytes(length)
+        return self._racks[places[extent]].read(VOLUME, extent * self.extent, length)
+
+    def both(self, extent=0, length=4096):
+        return [self.holds(region, extent, length) for region in "ab"]
+
+
+def play(script):
+    hub = Hub.virtual(3)
+    day = msgspec.structs.replace(days.load("two-regions-calm"), volumes=1)
+    one = ClosingRig(hub, MemoryNetwork(hub), day, 3, rec.Recorder(), script=script)
+    hub.run(one.run)
+    assert one.ended
+
+
+def a_copy_on_its_way(rig):
+    """The home holds a write and the link carries its copy while both heads step over the close."""
+    rig.slow(40 * MS)
+    reply = rig.write("a", OLD)
+    rig.hub.sleep(50 * MS)
+    assert rig.holds("a") == OLD and len(rig.head("a").regional.volumes[VOLUME].copies) == 1
+    for region in "ab":
+        rig.close(region, 100)
+    assert rig.wait(reply).error, "it may have run: it is failed"
+    rig.hub.sleep(2 * S)
+    assert rig.both() == [bytes(4096)] * 2
+    assert rig.wait(rig.write("b", NEW)).error == 0 and rig.both() == [NEW] * 2
+    assert len(rig.in_sync()) == 2, "none of it cost the copy"
+
+
+def a_write_over_the_edge(rig):
+    """Half of a write's bytes are purged: the other half stays, and is the same in both regions."""
+    rig.slow(40 * MS)
+    reply = rig.write("a", OLD, offset=rig.extent - 2048)
+    rig.hub.sleep(50 * MS)
+    assert rig.holds("a", 1) == OLD[:2048] + bytes(2048)
+    for region in "ab":
+        rig.close(region, 100, range(1))
+    assert rig.wait(reply).error
+    rig.hub.sleep(S)
+    assert rig.both(1) == [OLD[:2048] + bytes(2048)] * 2
+    last = [rig.holds(region, 0, rig.extent)[-2048:] for region in "ab"]
+    assert last == [bytes(2048)] * 2
+
+
+def the_copy_is_behind(rig):
+    """The home has stepped over the close and the other head has not: what is written now is not purged there."""
+    assert rig.wait(rig.write("a", OLD)).error == 0 and rig.both() == [OLD] * 2
+    rig.close("a", 100)
+    reply = rig.write("a", NEW)
+    rig.hub.sleep(200 * MS)
+    assert not reply and rig.holds("b") == OLD
+    rig.close("b", 100)
+    assert rig.wait(reply).error == 0 and rig.both() == [NEW] * 2
+
+
+def the_copy_is_ahead(rig):
+    """The other head has stepped over the close: what the home wrote before it does not come there."""
+    reply = rig.write("a", OLD)
+    rig.close("b", 100)
+    rig.hub.sleep(100 * MS)
+    assert rig.holds("b") == bytes(4096) and not reply
+    rig.close("a", 100)
+    rig.hub.sleep(S)
+    assert rig.wait(reply).error and rig.both() == [bytes(4096)] * 2
+
+
+def missed(rig, data=OLD):
+    """Let a region miss a write, and come back over a slow link."""
+    rig.split(True)
+    assert rig.wait(rig.write("a", data)).error == 0
+    rig.wait_until(lambda: len(rig.in_sync()) == 1)
+    rig.slow(40 * MS)
+
+
+def an_extent_is_read_for_the_copy(rig):
+    """The other region catches up, and has read an extent at the home when the close comes to both."""
+    missed(rig)
+    rig.split(False)
+    real, read = rig.head("b").regional._ask_peer, []
+
+    def ask(volume, command, *what):
+        reply = real(volume, command, *what)
+        if command is Command.READ and not read:
+            read.append(reply.data[:4096])
+            for region in "ab":
+                rig.close(region, 100)
+        return reply
+
+    rig.head("b").regional._ask_peer = ask
+    rig.wait_until(lambda: len(rig.in_sync()) == 2)
+    assert read == [OLD] and rig.both() == [bytes(4096)] * 2
+
+
+def a_region_is_behind_and_catches_up(rig):
+    """The home has stepped over the close and written anew, and the region that missed both comes back.
+
+    It gets nothing of after before it has stepped over the close itself.
+    """
+    missed(rig)
+    rig.close("a", 100)
+    assert rig.wait(rig.write("a", NEW)).error == 0
+    rig.split(False)
+    rig.hub.sleep(3 * S)
+    rig.close("b", 100)
+    rig.wait_until(lambda: len(rig.in_sync()) == 2)
+    assert rig.both() == [NEW] * 2
+
+
+def a_region_was_dark(rig):
+    """A region dies, misses writes and the close, and steps over it before it takes part again."""
+    assert rig.wait(rig.write("a", OLD)).error == 0 and rig.both() == [OLD] * 2
+    rig.kill_head(rig.slots["b"])
+    assert rig.wait(rig.write("a", OLD, extent=1)).error == 0
+    rig.close("a", 100)
+    log = rig.head("a").regional._log
+    assert not log.missed(VOLUME) and not log.opened(VOLUME), "nothing of it is owed any more"
+    rig.start_head(rig.slots["b"])
+    rig.close("b", 100)
+    rig.wait_until(lambda: len(rig.in_sync()) == 2)
+    assert rig.both() == rig.both(1) == [bytes(4096)] * 2
+    assert rig.wait(rig.write("b", NEW)).error == 0 and rig.both() == [NEW] * 2
+
+
+def the_home_dies_at_the_close(rig):
+    """The home steps over the close and dies; who takes over serves nothing of before, and keeps what is new."""
+    assert rig.wait(rig.write("a", OLD)).error == 0
+    rig.close("a", 100)
+    rig.kill_head(rig.slots["a"])
+    rig.close("b", 100)
+    regional = rig.head("b").regional
+    rig.wait_until(lambda: regional.holding.epoch(VOLUME, rig.hub.now()))
+    assert rig.wait(rig.write("b", NEW, extent=1)).error == 0
+    rig.start_head(rig.slots["a"])
+    rig.wait_until(lambda: len(regional.volumes[VOLUME].view.in_sync) == 2)
+    assert rig.both() == [bytes(4096)] * 2 and rig.both(1) == [NEW] * 2
+
+
+def a_read_that_was_passed_on(rig):
+    """A read passed on to the home is answered there before the close, and comes back after it."""
+    assert rig.wait(rig.write("a", OLD)).error == 0
+    client, reply = rig.client("b"), []
+    assert client.call(Command.READ, 0, 4096).data == OLD
+    rig.slow(40 * MS)
+    client.start(Command.READ, 0, 4096, b"", reply.append)
+    rig.hub.sleep(60 * MS)
+    for region in "ab":
+        rig.close(region, 100)
+    assert not rig.wait(reply).error and reply[0].data == bytes(4096), "its client waits: it is asked anew"
+    rig.hub.sleep(S)
+    assert len(reply) == 1
+
+
+SCRIPTS = [
+    a_copy_on_its_way, a_write_over_the_edge, the_copy_is_behind, the_copy_is_ahead, an_extent_is_read_for_the_copy,
+    a_region_is_behind_and_catches_up, a_region_was_dark, the_home_dies_at_the_close, a_read_that_was_passed_on,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("script", SCRIPTS, ids=lambda script: script.__name__)
+def test_over_a_close(script):
+    play(script)
+
+
+REGIONAL, COPIES = "gateway.regional:Regional", "decisions.copies:Copies"
+fault = partial(_FAULTS.Fault, by="")
+FAULTS = [
+    (a_copy_on_its_way, fault("a copy is kept over a close", where=f"{REGIONAL}._crossed",
+                              right="if work.number not in copies:", wrong="if True:")),
+    (a_write_over_the_edge, fault("a copy is kept that a close cut", where=f"{REGIONAL}._crossed",
+                                  right="if work.number not in copies:", wrong="if True:")),
+    (a_write_over_the_edge, fault("what a close left of a write is not read back", where=f"{REGIONAL}._after_unknown",
+                                  right="work.crossed is Crossed.WHOLE", wrong="work.crossed is not Crossed.NOT")),
+    (the_copy_is_behind, fault("a region's generation is skipped", where=f"{REGIONAL}.copy_opened",
+                               right="not self.generations.admits(volume, generation)", wrong="False")),
+    (the_copy_is_ahead, fault("a copy's generation is not looked at", where=f"{REGIONAL}.copy_opened",
+                              right="not self.generations.admits(volume, generation)", wrong="False")),
+    (an_extent_is_read_for_the_copy, fault("what was read is stored over a close", where=f"{REGIONAL}._pull",
+                                           right=" or generation != self._generation(volume.name)", wrong="")),
+    (a_region_is_behind_and_catches_up, fault("who is behind catches up", where=f"{REGIONAL}.same_generation",
+                                              right="theirs == self._generation(volume)", wrong="True")),
+    (a_region_was_dark, fault("the log is not dropped", where="decisions.catchup:CatchUp.purged",
+                              right="self.log.purged(self.volume, gone)", wrong="pass")),
+    (a_read_that_was_passed_on, fault("a read is passed back over a close", where=f"{REGIONAL}.closed",
+                                      right="self._refuse(request, CLOSED)", wrong="pass")),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("found_by, wrong", FAULTS, ids=lambda one: getattr(one, "name", ""))
+def test_a_fault_is_found(found_by, wrong):
+    with wrong.made(), pytest.raises(AssertionError):
+        play(found_by)
