--- /dev/null
+++ b/tests/closing/test_closing_copies.py
@@ -0,0 +1,169 @@
+"""Copies of two regions, epochs of leases and closes, and what of them is on disk: the pure parts by hand."""
+
+from types import SimpleNamespace
+
+from harriertrack.config.settings import ClosingSettings, Kind, VolumeRegionSettings
+from harriertrack.config.settings.checks import _check_closing
+from harriertrack.decisions.catchup import CatchUp
+from harriertrack.decisions.copies import Copies, Crossed, Held, Turn, crossed
+from harriertrack.decisions.epochs import Epochs
+from harriertrack.decisions.fleet.closing.clocks import Interval
+from harriertrack.decisions.fleet.closing.fences import Fences
+from harriertrack.decisions.fleet.closing.schedule import Close, Purge, Schedule
+from harriertrack.decisions.regions import Bounds, Mode, RegionView
+from harriertrack.protocol.nbd.extension import COPY_CONTEXT, RELAY_CONTEXT, context_of, generation_of, identity_of
+from harriertrack.storage.extents import ExtentMap
+from harriertrack.storage.missed import WHOLE, MissedLog
+
+BOTH = frozenset("ab")
+
+
+def copies(mode=Mode.BOTH, in_sync=BOTH, **bounds):
+    log = MissedLog(None)
+    view = RegionView("a", "b", "a", Bounds(mode, **bounds))
+    view.recorded(in_sync, 0)
+    return Copies(view, CatchUp("v", 16, log)), log
+
+
+def test_a_write_is_copied_before_it_is_acknowledged_and_dropped_when_late():
+    one, log = copies(copy_us=100)
+    assert one.held(0, 1, range(2)) is Held.COPY and one.held(5, 2, range(0)) is Held.COPY
+    assert one.turn(50, 1, True) is Turn.SEND and one.until(1) == 100 and one.busy() == {0, 1}
+    assert one.turn(100, 1, True) is Turn.DROP and one.turn(101, 1, True) is Turn.WAIT
+    one.miss_all()
+    assert log.missed("v") == {0, 1}
+    assert one.turn(102, 2, False) is Turn.LOST
+    assert one.dropped(True) == [1, 2] and not one.dropping
+    one.ended(1)
+    assert one.turn(103, 1, True) is Turn.GONE and list(one) == [2]
+
+
+def test_while_the_other_region_is_out_of_sync_a_write_is_missed_or_copied_behind():
+    one, log = copies(in_sync=frozenset("a"), copy_us=100)
+    assert one.held(0, 1, range(1)) is Held.ANSWER and log.missed("v") == {0}
+    assert one.held(0, 2, range(0)) is Held.ANSWER
+    one.catch_up.asked()
+    assert one.held(0, 3, range(4, 5)) is Held.COPY_BEHIND and one.turn(100, 3, True) is Turn.MISSED
+    assert log.missed("v") == {0, 4} and not one.dropping
+
+
+def test_mode_home_counts_what_is_behind_until_it_ends():
+    one, _ = copies(Mode.HOME, behind_writes=1)
+    assert one.held(0, 1, range(1)) is Held.COPY_BEHIND and one.held(0, 2, range(1)) is Held.COPY
+    one.ended(1)
+    assert one.held(0, 3, range(1)) is Held.COPY_BEHIND
+
+
+def test_around_a_close_the_other_regions_time_begins_when_both_are_over_it():
+    one, _ = copies(copy_us=100)
+    one.held(0, 1, range(1))
+    assert one.turn(90, 1, True, unsettled_us=50) is Turn.SEND and one.until(1) == 240
+    assert one.turn(239, 1, True) is Turn.SEND and one.turn(240, 1, True) is Turn.DROP
+
+
+def test_how_a_write_stands_to_a_close():
+    gone = {0, 1}.__contains__
+    assert [crossed(one, gone) for one in (range(2), range(1, 3), range(2, 4), range(0))] == [
+        Crossed.WHOLE, Crossed.PART, Crossed.NOT, Crossed.NOT]  # fmt: skip
+
+
+def test_a_close_takes_what_was_read_for_the_copy_and_what_is_missed():
+    one, log = copies(in_sync=frozenset("a"))
+    one.catch_up.missed((0, 1, 2))
+    one.catch_up.read((0, 2), "reader")
+    log.begin_write("v", (1, 2))
+    one.catch_up.purged({0, 1}.__contains__)
+    assert log.missed("v") == {2} == log.opened("v")
+    one.catch_up.missed((0,))  # written anew
+    one.catch_up.caught(0, "reader")
+    assert log.missed("v") == {0, 2}, "what was read before the close is not what is missed now"
+    one.catch_up.caught(2, "reader")
+    assert log.missed("v") == {0}
+
+
+def test_the_log_forgets_what_was_purged_on_disk_and_keeps_what_says_everything(tmp_path):
+    log = MissedLog(str(tmp_path), most=3)
+    log.miss("v", (0, 5))
+    log.begin_write("v", (0, 6))
+    log.miss("w", (0,))
+    log.purged("v", lambda extent: extent < 4)
+    log.close()
+    log = MissedLog(str(tmp_path), most=3)
+    assert (log.missed("v"), log.opened("v"), log.missed("w")) == ({5}, {6}, {0})
+    log.miss("v", range(9))
+    log.purged("v", lambda _extent: True)
+    assert log.missed("v") == {WHOLE}
+    log.close()
+
+
+def test_epochs_grow_with_lease_and_close_and_never_back():
+    one = Epochs()
+    seen = [one.of("v")]
+    for step in (lambda: one.leased("v", 3), lambda: one.closed("v", 1000), lambda: one.leased("v", 4),
+                 lambda: one.closed("v", 2000)):  # fmt: skip
+        step()
+        seen.append(one.of("v"))
+    assert seen == sorted(set(seen)) and one.generation("v") == 2000
+    one.leased("v", 2)
+    assert not one.closed("v", 1500) and one.of("v") == seen[-1]
+    assert one.of("w") == 0 and not one.knows_lease("w") and one.knows_lease("v")
+    one.closed("w", 5)
+    assert not one.knows_lease("w"), "a close is no lease: nothing is moved by it"
+
+
+def test_under_which_epoch_work_is_sent_outlives_the_closes_that_are_remembered(tmp_path):
+    one = ExtentMap(str(tmp_path))
+    one.raise_to("v", 7_000_000)
+    one.raise_to("v", 9_000_001)
+    one.close()
+    again = ExtentMap(str(tmp_path))
+    assert again.closing.raised == {"v": 9_000_001}
+    again.close()
+
+
+def test_a_generation_goes_with_the_name_of_a_connection():
+    plain, copy = context_of(7, 0, RELAY_CONTEXT), context_of(7, 3, COPY_CONTEXT, 1_796_193_000_000_000)
+    assert identity_of(copy, COPY_CONTEXT) == (7, 3) and generation_of(copy) == 1_796_193_000_000_000
+    pulls = context_of(7, 0, RELAY_CONTEXT, 255)
+    assert identity_of(pulls, RELAY_CONTEXT) == (7, 0) and generation_of(pulls) == 255
+    assert plain == f"{RELAY_CONTEXT}{7:016x}" and generation_of(plain) == 0
+    assert generation_of(context_of(7, 3, COPY_CONTEXT)) == 0
+    for bad in ("", "7", f"{7:016x}/x", f"{7:016x}/1/2/3", f"{7:016x}/1/x"):
+        assert identity_of(COPY_CONTEXT + bad, COPY_CONTEXT) is None
+
+
+def fences(*instants):
+    one = Fences(("v",), {})
+    one.fence("c").follow(Schedule(1, "tz", tuple(Close(at, number, (Purge("v"),)) for at, number in instants)))
+    one.confirmed(10_000)
+    return one
+
+
+def test_bytes_of_another_generation_are_not_admitted():
+    one = fences((1, 1000), (2, 2000))
+    sure = Interval(1500, 1600)
+    assert one.admits(sure, "v", 1000, 1000) and not one.admits(sure, "v", 1000, 0)
+    assert not one.admits(sure, "v", 1000, 2000), "its close has not come here"
+    assert one.admits(sure, "v", 0, 1000), "a close that nobody remembers"
+    assert not one.admits(None, "v", 0, 1000) and not one.admits(Interval(20_000, 20_001), "v", 0, 1000)
+    assert one.admits(None, "v", 1000, 1000) and one.admits(None, "w", 0, 9)
+
+
+def test_how_long_another_head_may_be_on_another_side_of_a_close():
+    one = fences((1, 1000), (2, 2000))
+    assert one.unsettled_us(Interval(900, 999), "v", 50) == 0
+    assert one.unsettled_us(Interval(950, 1050), "v", 50) == 100
+    assert one.unsettled_us(Interval(1020, 1120), "v", 50) == 30
+    assert one.unsettled_us(Interval(1050, 1150), "v", 50) == 0
+    assert one.unsettled_us(None, "v", 50) == 0 and one.unsettled_us(Interval(950, 1050), "w", 50) == 0
+
+
+def test_settings_turn_down_volumes_of_two_regions_only_where_sweeps_would_be_needed():
+    kinds = [SimpleNamespace(kinds=(Kind.MOVE,))]
+    closing = ClosingSettings(volumes=("desk*",))
+    said = []
+    for shards in ((), (0, 1)):
+        volume = SimpleNamespace(name="desk1", regions=VolumeRegionSettings(home="a"), shards=shards)
+        head = SimpleNamespace(classes=kinds, volumes=[volume], fleet=None)
+        _check_closing(head, closing, lambda field, why: said.append((field, why)))
+    assert said == [("fleet: closing: volumes", "desk1 is of two regions, with extents allocated beforehand: not purged")]
