Heads pool what they saw of a node before they judge whether it is enough

Of the slow node each head remembered 0.7 to 1.0 answers (the module avoids it itself), 37 to 40 of 40 heads were below the two answers from which an opinion counted, so all voted for an even share; what was said of it was cut to a whole number, 0. To blame: joining.vote_of and spreading.entries_of.

--- a/harriertrack/decisions/fleet/scoring/rules.py
+++ b/harriertrack/decisions/fleet/scoring/rules.py
@@ -20,7 +20,7 @@
     most_suspend_us: int = 1_800_000_000  # ... up to this
     forgive_us: int = 600_000_000  # relapses are forgotten after so long without one
     rate: float = 0.5  # powers of two that a weight moves in a second at most
-    evidence: float = 2.0  # answers from which a head has an opinion at all
+    evidence: float = 2.0  # answers, of all heads that are heard, from which they have an opinion
     full: float = 40.0  # answers from which its opinion counts whole
     stale_us: int = 20_000_000  # an opinion fades over this time, and is none then
     reporters: int = 32  # heads that tell their opinions at a time, whatever the fleet
--- a/harriertrack/decisions/fleet/scoring/spreading.py
+++ b/harriertrack/decisions/fleet/scoring/spreading.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -82,7 +83,7 @@
     for name, one in opinions.items():
         if abs(steps := round(one.log / STEP)) >= LEAST_STEPS:
             node = number_of(name)
-            pages[page_of(node)].append(Entry(node, steps, min(MOST_EVIDENCE, int(one.evidence))))
+            pages[page_of(node)].append(Entry(node, steps, min(MOST_EVIDENCE, math.ceil(one.evidence))))
     for at, page in enumerate(pages):
         strongest = sorted(page, key=lambda entry: (-abs(entry.steps), entry.node))[:MOST_ENTRIES]
         pages[at] = sorted(strongest, key=lambda entry: entry.node)
