--- a/harriertrack/lab/interleaving/scenarios/launching.py
+++ b/harriertrack/lab/interleaving/scenarios/launching.py
@@ -220,7 +220,7 @@
              _launch(dies=True), until_us=UNTIL, most_steps=900),
     Scenario("launch-bad", "the same, and the other version ends soon after it serves",
              _launch(bad=True, dies=True), until_us=UNTIL, most_steps=900),
-    Scenario("launch-stops", "a launcher that is told to stop, a head that ends, perhaps twice, another version",
+    Scenario("launch-stops", "a launcher that is told to stop, a head that ends, or twice, another version",
              _launch(stops=True, crashes=True), until_us=UNTIL, most_steps=900),
     Scenario("launch-deaf", "the same, and heads do not end when they are asked",
              _launch(stops=True, deaf=True), until_us=UNTIL, most_steps=900),
