A head that had no processor stood still: the rig over processes asks the kernel, as it watches itself

The recording knew only when the rig's own loop was not run (LATE_US), not when a head's process was not. The kernel counts for how long a process was ready and had no processor (schedstat); a head that waited for most of a look, 20 ms at least, stood still in the recording. A head that is late by its own work, or runs for half of the time, is not excused.

--- a/harriertrack/lab/fleet/processes/children.py
+++ b/harriertrack/lab/fleet/processes/children.py
@@ -48,6 +48,11 @@
                 env=_with_plugins(plugins),
             )  # fmt: skip
 
+    @property
+    def pid(self) -> int:
+        """Return its id."""
+        return self._child.pid
+
     @property
     def ended(self) -> bool:
         """Whether it has ended."""
@@ -59,6 +64,14 @@
         fields = Path(f"/proc/{self._child.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    @property
+    def waited_us(self) -> int:
+        """Return for how long it was ready to run and had no processor (Linux, proc: schedstat)."""
+        try:
+            return int(Path(f"/proc/{self.pid}/schedstat").read_text().split()[1]) // 1000
+        except (OSError, IndexError):
+            return 0  # it has ended, or the kernel does not count
+
     def signal(self, number: int) -> None:
         """Send it a signal, by its id, if it still runs."""
         if self._group and number != signal.SIGTERM:
--- a/harriertrack/lab/fleet/processes/fleet.py
+++ b/harriertrack/lab/fleet/processes/fleet.py
@@ -26,6 +26,7 @@
 from harriertrack.lab.fleet.processes import launchers
 from harriertrack.lab.fleet.processes.children import Children, FleetProcessError, Process
 from harriertrack.lab.fleet.processes.logs import Logs
+from harriertrack.lab.fleet.processes.machine import Machine
 from harriertrack.lab.fleet.processes.nodes import ShelfProcess
 from harriertrack.lab.fleet.processes.places import Places
 from harriertrack.lab.fleet.processes.waits import PASSING_US, READY_US, TURN_US, WOKE_US
@@ -120,6 +121,7 @@
             for name in names:
                 regions.reach(self, name, self._nbd[name])
         self.scope.spawn("logs", self._logs.follow)
+        self.scope.spawn("processors", Machine(self).watch)
 
     def zone_dark(self, zone: str, who: list[HeadSlot], us: int) -> None:
         """Cut the relays between some heads and a zone's nodes for a time; the nodes know nothing of it.
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -14,6 +14,8 @@
 from harriertrack.config.written import written
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.processes import FleetProcessError, Places, play_processes
+from harriertrack.lab.fleet.processes.children import Process
+from harriertrack.lab.fleet.processes.machine import stood
 from harriertrack.membership.fleet.telling import document_from
 from harriertrack.rules import fleet, recording as rec
 from harriertrack.rules.everything import judge
@@ -232,6 +234,39 @@
     assert starts.count("witness") >= 2
 
 
+@pytest.mark.parametrize(("waited_us", "found"), [
+    (0, None),  # it ran, or had nothing to do: what it is late by is its own
+    (15_000, None),
+    (25_000, (1_000_000, 30_000)),
+    (400_000, (630_000, 400_000)),  # counted when it ended: it began before the last look
+])  # fmt: skip
+def test_a_head_without_a_processor_stood_still(waited_us, found):
+    assert stood(1_000_000, 1_030_000, waited_us) == found
+
+
+def test_a_head_that_ran_for_most_of_a_long_look_did_not_stand_still():
+    assert stood(1_000_000, 1_100_000, 40_000) is None
+
+
+def test_how_long_a_process_had_no_processor_is_what_the_kernel_counts(tmp_path):
+    core = {min(os.sched_getaffinity(0))}
+    busy = [subprocess.Popen([sys.executable, "-c", "while True: pass"], preexec_fn=lambda: os.sched_setaffinity(0, core))
+            for _ in range(2)]  # fmt: skip
+    one = Process("x", ["standin", "witness", "--listen", "{}:{}".format(*Places().next())], tmp_path / "x.log")
+    try:
+        os.sched_setaffinity(one.pid, core)
+        until = time.monotonic() + 60
+        while one.waited_us < 100_000:  # three want one core while it imports
+            assert time.monotonic() < until and not one.ended
+            time.sleep(0.01)
+    finally:
+        for process in busy:
+            process.kill()
+            process.wait()
+        one.end()
+    assert one.waited_us == 0, "nothing is known of one that has ended"
+
+
 def test_the_rig_ends_only_what_it_started(tmp_path):
     other = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(60)"])
     try:
--- a/tests/test_generator.py
+++ b/tests/test_generator.py
@@ -201,9 +201,12 @@
         port = json.loads(node.stderr.readline())["listen"].rpartition(":")[2]
         load, run, html = tmp_path / "load.sexp", tmp_path / "run.json", tmp_path / "run.html"
         load.write_text(LOAD.replace("PORT", port).replace("15s", "2s"))
-        done = subprocess.run(
-            [*command, "load", str(run), str(load)], capture_output=True, text=True, check=False
-        )
+        for _ in range(10):  # on a busy machine the generator falls behind, says so, and the run is void: another one
+            done = subprocess.run(
+                [*command, "load", str(run), str(load)], capture_output=True, text=True, check=False
+            )
+            if done.returncode != 3:
+                break
         assert done.returncode == 0, done.stderr
         assert "0 s:" in done.stderr and "served" in done.stdout
         result = msgspec.json.decode(run.read_bytes(), type=LoadResult)
