--- a/harriertrack/decisions/fleet/zones/words.py
+++ b/harriertrack/decisions/fleet/zones/words.py
@@ -39,7 +39,7 @@
     step_us: int = 500_000  # silence takes so long to be seen
     hurts: float = 0.2  # silent nodes, for a step back
     calm_us: int = 120_000_000  # in use for so long, a zone's relapses are forgotten
-    told_us: int = 3_000_000  # how long a word holds after it was heard last
+    told_us: int = 3_000_000  # how long a word holds after it was heard last; half as long in a return
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +56,17 @@
     left_us: int = 0  # how long ago it was left
 
 
+def holding(words: Iterable[Word], age_us: int, told_us: int) -> tuple[Word, ...]:
+    """Return the words that still hold so long after they were heard last.
+
+    That a zone returns holds half as long: its nodes answer, and who said so may have died meanwhile.
+    """
+    return tuple(
+        word for word in words
+        if age_us < (told_us // 2 if word.stage is Stage.RETURNING else told_us)
+    )  # fmt: skip
+
+
 def uses(word: Word, me: str, present: Iterable[str], tries: int) -> bool:
     """Whether a head uses a zone under a word, so that all heads together keep to it."""
     if word.stage is Stage.IN:
--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -16,7 +16,7 @@
 from harriertrack.decisions.fleet.zones.evacuation import Evacuation
 from harriertrack.decisions.fleet.zones.evidence import Evidence
 from harriertrack.decisions.fleet.zones.overlay import Overlay
-from harriertrack.decisions.fleet.zones.words import Word, ZoneRules
+from harriertrack.decisions.fleet.zones.words import Word, ZoneRules, holding
 from harriertrack.decisions.interface import NodeEntry
 from harriertrack.gateway.fleet.deciding import Deciding
 from harriertrack.gateway.fleet.figures import figures
@@ -115,9 +115,9 @@
         elif sights and (any(one.bad for one in sights) or now >= self._said_at + TELL_US):
             self._said_at = now
             self._deciding.tell_keeper(Seen(self._swim.me.name, sights))
-        if self._words and now >= self._heard_at + self._rules.told_us:
+        if (held := holding(self._words, now - self._heard_at, self._rules.told_us)) != self._words:
             self._parts.note("fleet zones: no word any more")
-            self._words = ()
+            self._words = held
         self._show(now)
 
     def _decide(self, now: int, term: Term | None) -> None:
--- a/harriertrack/rules/zones.py
+++ b/harriertrack/rules/zones.py
@@ -41,16 +41,22 @@
     alive: set[str] = field(default_factory=set)
     unused: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))  # by head: zones
     returns: dict[str, _Return] = field(default_factory=dict)  # by zone
-    newcomers: dict[tuple[str, str], int] = field(default_factory=dict)  # head and zone: since when
+    newcomers: dict[tuple[str, str], int] = field(default_factory=dict)  # head, zone: up since; -1: not yet
     breaches: list[Breach] = field(default_factory=list)
 
-    def started(self, t: int, head: str) -> None:
+    def started(self, head: str) -> None:
         """A head knows of nothing, and uses all zones until it hears."""
         others = self.alive - {head}
         self.unused[head].clear()
         self.alive.add(head)
         for zone in self.facts.zones:
             if self.facts.hears_us and others and all(zone in self.unused[one] for one in others):
+                self.newcomers[head, zone] = -1
+
+    def up(self, t: int, head: str) -> None:
+        """A head that was started listens: a process takes its time until then."""
+        for zone in self.facts.zones:
+            if self.newcomers.get((head, zone)) == -1:
                 self.newcomers[head, zone] = t
 
     def gone(self, head: str) -> None:
@@ -102,14 +108,14 @@
             back = self.returns.get(zone)
             if back is None or back.began >= 0:
                 del self.newcomers[head, zone]
-            elif t > since + self.facts.hears_us:
+            elif 0 <= since < t - self.facts.hears_us:
                 del self.newcomers[head, zone]
                 self.breaches.append(Breach(4, t, head, f"started, and uses {zone}, which all others left"))
 
 
 def check(records: Iterable[rec.Record]) -> list[Breach]:
     """Judge a recording's zones. In order of time."""
-    kinds = (rec.ZoneFacts, rec.ZoneUse, rec.Lived)
+    kinds = (rec.ZoneFacts, rec.ZoneUse, rec.Lived, rec.Head)
     mine = sorted((one for one in records if isinstance(one, kinds)), key=lambda one: one.t)
     facts = next((one for one in mine if isinstance(one, rec.ZoneFacts)), None)
     if facts is None:
@@ -120,9 +126,12 @@
         fleet.passed(one.t)
         if isinstance(one, rec.ZoneUse):
             fleet.used(one)
+        elif isinstance(one, rec.Head):
+            if one.up:
+                fleet.up(one.t, one.head)
         elif isinstance(one, rec.Lived):
             if one.how == "started":
-                fleet.started(one.t, one.member)
+                fleet.started(one.member)
             elif one.how in ("killed", "ended", "leaving"):
                 fleet.gone(one.member)
     for head in sorted(fleet.alive):
