--- a/harriertrack/decisions/fleet/zones/evacuation.py
+++ b/harriertrack/decisions/fleet/zones/evacuation.py
@@ -78,9 +78,11 @@
     def take_up(self, now: int, words: Iterable[Word]) -> None:
         """Go on from what the one who decided before said last."""
         for word in words:
-            relapses, left_at = 1 if word.share < 1 else 0, now - word.left_us
-            self.zones[word.zone] = Zone(word.stage, now - word.warm_us, word.share, word.turn, relapses,
-                                         stepped_at=now, left_at=left_at, why=word.why)  # fmt: skip
+            back_at = now - word.warm_us
+            self.zones[word.zone] = Zone(
+                word.stage, back_at, word.share, word.turn, relapses=1, stepped_at=now,
+                left_at=now - word.left_us, back_at=back_at, why=word.why,
+            )  # fmt: skip
 
     def hold(self, now: int, wishes: Mapping[str, str]) -> None:
         """Take what operators wish: zone to "out", "in" (never left by itself), or "" for no wish.
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -141,7 +141,7 @@
     Fault("one head's word is enough", "zones", f"{ZONES}.decide", "min(self.rules.heads, max(1, heads))", "1"),
     Fault("a zone is left at once", "zones", f"{ZONES}._in", "now >= zone.gone_since + self.rules.gone_us", "now >= zone.gone_since", 2),
     Fault("old sights count", "zones", f"{ZONES}.sums", "if seen.at < now - self.rules.fresh_us:", "if False:", 2),
-    Fault("a new decider forgets", "zones-left", f"{ZONES}.take_up", "Zone(word.stage, now", "Zone(Stage.IN, now", 1),
+    Fault("a new decider forgets", "zones-left", f"{ZONES}.take_up", "word.stage, back_at, word.share", "Stage.IN, back_at, word.share", 1),
     Fault("a fence opens in doubt", "closing", f"{CLOSING}.fences:Fence.stance",
           "reading.high < after[0].at_us", "reading.low < after[0].at_us"),
     Fault("a close fires in doubt", "closing", f"{CLOSING}.fences:Fence.due",
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -198,6 +198,17 @@
     assert [fleet.stage(zone) is Stage.IN for zone in fleet.zones] == [True, False, False]
 
 
+def test_a_relapse_under_a_new_decider_is_one():
+    fleet = Fleet()
+    fleet.sees(500_000, dead("z1"))
+    fleet.sees(RULES.wait_us + 700_000, fine)
+    assert fleet.stage("z1") is Stage.RETURNING
+    words, fleet.one = fleet.one.words(fleet.now), Evacuation(RULES)
+    fleet.one.take_up(fleet.now, words)
+    fleet.sees(500_000, dead("z1"))
+    assert fleet.stage("z1") is Stage.OUT and fleet.one.zones["z1"].relapses == 2, "used for less than it was out"
+
+
 def test_operators_wish_zones_out_and_in():
     fleet = Fleet()
     fleet.sees(S, fine)
