--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -17,7 +17,7 @@
 from harriertrack.decisions.fleet.zones.evidence import Evidence
 from harriertrack.decisions.fleet.zones.overlay import Overlay
 from harriertrack.decisions.fleet.zones.words import Word, ZoneRules, holding
-from harriertrack.decisions.interface import NodeEntry
+from harriertrack.decisions.interface import NodeEntry, NodeState
 from harriertrack.gateway.fleet.deciding import Deciding
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.listing import Listing
@@ -98,7 +98,9 @@
         self._evidence.listed(entries)
         self._starts = {}
         for entry in entries:
-            self._starts.setdefault(entry.zone, []).append(entry.started_us)
+            starts = self._starts.setdefault(entry.zone, [])
+            if entry.state is NodeState.UP:
+                starts.append(entry.started_us)
         self._zones = sorted(self._starts)
 
     def _run(self) -> None:
