--- a/harriertrack/cli/storm.py
+++ b/harriertrack/cli/storm.py
@@ -31,6 +31,11 @@
     return range(int(match[1]), int(match[2]))
 
 
+def _check_for_processes(day: FleetDaySettings) -> None:
+    playing.check(day)
+    check_for_processes(day)
+
+
 def _over_processes(folder: Path, day: FleetDaySettings, recorder: rec.Recorder) -> object:
     with tempfile.TemporaryDirectory(prefix="harriertrack-", dir=folder) as place:
         try:
@@ -64,7 +69,7 @@
     except (SettingsError, OSError) as error:
         fail(str(error))
     play = playing.in_simulated_time if virtual else partial(_over_processes, folder)
-    checks = playing.check if virtual else check_for_processes
+    checks = playing.check if virtual else _check_for_processes
     failed = 0
     for one in _seeds(seeds, seed):
         began = time.monotonic()
--- a/harriertrack/lab/fleet/rig/hearing.py
+++ b/harriertrack/lab/fleet/rig/hearing.py
@@ -29,6 +29,7 @@
         self._rig = rig
         self._tally = Tally(rig.recorder)
         self.decider = ""  # as its log said last; "" as long as nobody did
+        self.keepers: dict[int, str] = {}  # of each ledger, likewise
 
     def log_line(self, slot: HeadSlot, event: str, fields: dict[str, object]) -> None:
         """Take a line of a head's log."""
@@ -55,6 +56,8 @@
         if event in ("fleet budgets: term begins", "fleet budgets: term over"):
             record(rec.Keeps(t=now, head=slot.name, ledger=int(str(fields["ledger"])),
                              keeps=event.endswith("begins")))  # fmt: skip
+            if event.endswith("begins"):
+                self.keepers[int(str(fields["ledger"]))] = slot.name
         if event == "rollout":
             record(staging.step_of(now, slot.name, fields))
         if event == "fleet member":
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -40,7 +40,8 @@
 NAMED = re.compile(r"(?:head|node)\d+\Z|list\Z|witness\Z")
 ZONES = ("z0", "z1", "z2")
 AS_AFTER = (0,)  # of a market: all of its closes are to come to pass
-ROLES = ("decider", "new", "new-zone")  # who decides; who runs what comes in stages; all in their zones
+# Who decides; who keeps a ledger; who runs what comes in stages; all in the zones of these.
+ROLES = ("decider", "keeper", "new", "new-zone")
 GROUPS = ("all", "seeds", "rest", "shelves", *ROLES)
 
 
