Over processes connections to nodes break where any cut ends; no fresh disks where closes purge

A head that was cut off from its nodes for 7 s had bytes in the relay that arrived after the cut, long after their requests were over: as a zone's darkness already did, every cut from nodes breaks its connections at its end now, in the one place that follows the weather. A kind that the checks turn down is drawn anew four times. Storms propose around a restored witness.

--- a/harriertrack/lab/fleet/processes/fleet.py
+++ b/harriertrack/lab/fleet/processes/fleet.py
@@ -113,17 +113,10 @@
         self.scope.spawn("logs", self._logs.follow)
 
     def zone_dark(self, zone: str, who: list[HeadSlot], us: int) -> None:
-        """Cut the relays between some heads and a zone's nodes for a time; the nodes know nothing of it.
-
-        Connections over them break at its end: what lay in them would else arrive as late as it was long.
-        """
+        """Cut the relays between some heads and a zone's nodes for a time; the nodes know nothing of it."""
         sources = frozenset(slot.name for slot in who)
         nodes = frozenset(shelf.settings.name for shelf in self.in_zone(zone))
-
-        def break_off() -> None:
-            self._streams.break_off(sources, nodes)
-
-        self.faults.strike(Fault(sources, nodes, cut=True), us, break_off)
+        self.faults.strike(Fault(sources, nodes, cut=True), us)
 
     def zone_slow(self, zone: str, times: float, us: int) -> None:
         """Let what passes between heads and a zone's nodes take longer: as if these were slow."""
@@ -272,7 +265,7 @@
 
     def weather_changed(self) -> None:
         """Let streams follow the faults in force; datagrams ask at each."""
-        self._streams.follow(self.faults.weather)
+        self._streams.follow(self.faults.weather, self.shelves)
 
     # -- the end
 
--- a/harriertrack/lab/fleet/processes/streams.py
+++ b/harriertrack/lab/fleet/processes/streams.py
@@ -24,17 +24,25 @@
         self._links[head, party] = link
         return link.address
 
-    def follow(self, weather: Weather) -> None:
-        """Take what is cut or slow, or is not any more; TCP mends the rest."""
+    def follow(self, weather: Weather, nodes: Collection[str]) -> None:
+        """Take what is cut or slow, or is not any more; TCP mends the rest.
+
+        Connections to nodes break where a cut ends: what lay in them would arrive as late as it was long, and
+        no recording could tell it from what was sent so late.
+        """
         for (head, party), link in self._links.items():
+            if party in nodes and self._was_cut(link) and not _cut(weather, head, party):
+                link.set_cut(True)
+                link.set_cut(False)
             for way, source, target in ((link.there, head, party), (link.back, party, head)):
                 way.blocked = weather.cut(source, target)
                 way.delay_us = weather.late_us(source, target)
             link.changed()
 
-    def break_off(self, heads: Collection[str], parties: Collection[str]) -> None:
-        """Break the connections between some heads and some parties; new ones may be made at once."""
-        for (head, party), link in self._links.items():
-            if head in heads and party in parties:
-                link.set_cut(True)
-                link.set_cut(False)
+    @staticmethod
+    def _was_cut(link: Link) -> bool:
+        return link.there.blocked or link.back.blocked
+
+
+def _cut(weather: Weather, head: str, party: str) -> bool:
+    return weather.cut(head, party) or weather.cut(party, head)
--- a/harriertrack/lab/fleet/rig/faults.py
+++ b/harriertrack/lab/fleet/rig/faults.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from harriertrack.lab.fleet.rig.parties import ends_of
@@ -35,13 +34,12 @@
             self._cut = [name for name in sources if name in heads]
             self._changed()
 
-    def strike(self, fault: Fault, us: int, ends: Callable[[], None] = lambda: None) -> None:
-        """Let a fault begin, for a time or (0) until all are healed; `ends` is called just before its end."""
+    def strike(self, fault: Fault, us: int) -> None:
+        """Let a fault begin, for a time or (0) until all are healed."""
         number = self.weather.add(fault)
         self._changed()
 
         def end() -> None:
-            ends()
             self.weather.end(number)
             self._changed()
 
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -196,6 +196,8 @@
             raise SettingsError(f"{at}: to: a change, and no other step, is paused, going or aborted")
         if step.name is Verb.MARKET and (day.closing is None or step.number >= day.markets):
             raise SettingsError(f"{at}: number: no such market, or no (closing ...)")
+        if step.fresh and day.closing is not None:
+            raise SettingsError(f"{at}: fresh: what was written and what closes purged is on a head's disk")
         if step.name is Verb.CLOCK and day.closing is None:
             raise SettingsError(f"{at}: clocks are of no matter on a day without (closing ...)")
         if step.name in (Verb.DARK, Verb.WISH, Verb.BACKUP) and day.budgets is None:
--- a/harriertrack/lab/fleet/storm/drawing.py
+++ b/harriertrack/lab/fleet/storm/drawing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -32,10 +33,10 @@
     Verb,
 )
 from harriertrack.lab.fleet.storm.faults import MAKE, SECOND, Draw, Steps, rest
-from harriertrack.lab.fleet.storm.figures import Part, StormFigures
+from harriertrack.lab.fleet.storm.figures import Kind, Part, StormFigures
 
 Check = Callable[[FleetDaySettings], None]  # raises SettingsError
-TRIES = 200
+TRIES, MOST_REFUSED = 200, 5  # of mixtures of parts; of drawings of one kind
 NOTICE_US = 4 * SECOND
 FIRST_CLOSE_US = 8 * SECOND
 CLOSES = 4  # of a market: so many are on record from the start, whatever becomes of who decides
@@ -60,7 +61,7 @@
     weights = {one.name: one.weight for one in figures.kinds if one.weight and one.name not in left}
     drawing = Draw(rng, figures, heads)
     day = msgspec.structs.replace(day, steps=_opening(rng, day, parts, length_us))
-    spent = 0
+    spent, refused = 0, Counter[Kind]()
     while spent < length_us and weights:
         kind = rng.choices(list(weights), list(weights.values()))[0]
         after = drawing.copy()
@@ -69,7 +70,9 @@
         try:
             check(tried)
         except SettingsError:
-            del weights[kind]  # nothing of that kind on this day
+            refused[kind] += 1
+            if refused[kind] == MOST_REFUSED:
+                del weights[kind]  # nothing of that kind on this day
             continue
         day, drawing = tried, after
         spent += sum(step.for_us for step in steps if step.name in (Verb.REST, Verb.JUMP))
--- a/harriertrack/lab/fleet/storm/faults.py
+++ b/harriertrack/lab/fleet/storm/faults.py
@@ -16,6 +16,7 @@
 
 SECOND = 1_000_000
 ROUND_US = 100_000
+AFTER_US = 4 * SECOND  # until all heads know of a change, and until a restored record is put back
 WORSE = 0.35  # of proposals of programs and settings
 Steps = tuple[StepSettings, ...]
 
@@ -148,8 +149,12 @@
 
 
 def _restored(draw: Draw) -> Steps:
-    return (StepSettings(name=Verb.BACKUP), rest(draw.lasting()),
-            StepSettings(name=Verb.DARK, for_us=draw.lasting(), old=True))  # fmt: skip
+    dark = StepSettings(name=Verb.DARK, for_us=draw.lasting(), old=True)
+    if draw.rng.random() < 0.5:
+        return StepSettings(name=Verb.BACKUP), rest(draw.lasting()), dark
+    # What the witness forgets has reached the heads; what is written after it came back is not on top of that.
+    return (StepSettings(name=Verb.BACKUP), *_propose(draw), rest(AFTER_US), dark,
+            rest(dark.for_us + AFTER_US), *_propose(draw))  # fmt: skip
 
 
 def _zone_lost(draw: Draw) -> Steps:
