--- a/harriertrack/lab/fleet/storm/faults.py
+++ b/harriertrack/lab/fleet/storm/faults.py
@@ -152,7 +152,7 @@
     dark = StepSettings(name=Verb.DARK, for_us=draw.lasting(), old=True)
     if draw.rng.random() < 0.5:
         return StepSettings(name=Verb.BACKUP), rest(draw.lasting()), dark
-    # What the witness forgets has reached the heads; what is written after it came back is not on top of that.
+    # What the witness forgets has reached the heads; what is written later is to come on top of that.
     return (StepSettings(name=Verb.BACKUP), *_propose(draw), rest(AFTER_US), dark,
             rest(dark.for_us + AFTER_US), *_propose(draw))  # fmt: skip
 
