--- a/harriertrack/lab/fleet/rig/fleet.py
+++ b/harriertrack/lab/fleet/rig/fleet.py
@@ -303,7 +303,7 @@
 
     def weather_changed(self) -> None:
         """Let streams follow the faults in force; datagrams ask at each."""
-        self.streams.follow(self.faults.weather)
+        self.streams.follow(self.faults.weather, self.shelves)
 
     def close(self) -> None:
         """End all that was started."""
--- a/harriertrack/lab/fleet/scenario.py
+++ b/harriertrack/lab/fleet/scenario.py
@@ -40,7 +40,8 @@
 NAMED = re.compile(r"(?:head|node)\d+\Z|list\Z|witness\Z")
 ZONES = ("z0", "z1", "z2")
 AS_AFTER = (0,)  # of a market: all of its closes are to come to pass
-ROLES = ("decider", "new", "new-zone")  # who decides; who runs what comes in stages; all in their zones
+# Who decides; who keeps a ledger; who runs what comes in stages; all in the zones of these.
+ROLES = ("decider", "keeper", "new", "new-zone")
 IN_REGION = {"region-a": 0, "region-b": 1}  # the heads of a region, on days of two
 GROUPS = ("all", "seeds", "rest", "shelves", *IN_REGION, *ROLES)
 
@@ -221,6 +222,8 @@
             raise SettingsError(f"{at}: there are no closes on this day")
         if step.again_us and day.closing is not None and step.again_us < lull_us(day.closing) + SECOND:
             raise SettingsError(f"{at}: again: leaves no time to stop it between two closes")
+        if step.fresh and day.closing is not None:
+            raise SettingsError(f"{at}: fresh: what was written and what closes purged is on a head's disk")
         if step.name is Verb.CLOCK and day.closing is None:
             raise SettingsError(f"{at}: clocks are of no matter on a day without (closing ...)")
         if step.name in (Verb.DARK, Verb.WISH, Verb.BACKUP) and day.budgets is None:
