--- a/benchmarks/fleet_settings.py
+++ b/benchmarks/fleet_settings.py
@@ -1,6 +1,6 @@
 """How soon all heads together are inside a whole that was lowered, and use one that was raised.
 
-Simulated heads that only divide (lab/fleet/division.py), each with its own clock; all are told at one moment,
+Simulated heads that only divide (lab/fleet/division/), each with its own clock; all are told at one moment,
 or one after the other. Times are from when the last head was told.
 """
 
--- a/harriertrack/lab/fleet/division.py
+++ b/harriertrack/lab/fleet/division/division.py
@@ -1,9 +1,4 @@
-"""Heads that divide budgets, without the rest of a head: what holds under any faults, and what is served.
-
-Time moves in steps; every head has a clock of its own rate, and all that passes between heads or arrives
-where a budget counts is recorded for rules/budgets.py. Demand is in units; a head serves what its portion
-lets it, and turns away what waited past its patience, as a module does with requests past their aim.
-"""
+"""Heads that only divide, their network and their clocks, in steps of time."""
 
 from __future__ import annotations
 
@@ -12,15 +7,16 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
 
 from harriertrack.decisions.bucket import Bucket
 from harriertrack.decisions.fleet.budgets import Ask, BudgetRules, Grant, Term, Whole
-from harriertrack.decisions.fleet.holder import Holder
-from harriertrack.decisions.fleet.ledger import Ledger
-from harriertrack.decisions.fleet.terms import Call, Candidate, Taken, rank
+from harriertrack.decisions.fleet.terms import Call, Taken, rank
 from harriertrack.lab.fleet import shares
+from harriertrack.lab.fleet.division.members import REAL, Member, Parts
+from harriertrack.lab.fleet.division.use import Judge, Tally, serve
+from harriertrack.lab.fleet.division.witness import WitnessModel
 from harriertrack.rules import recording as rec
 
 STEP_US = 10_000
@@ -28,124 +24,8 @@
 CALL_US = 3_000  # a call to the witness
 DARK_US = 500_000  # after which one to a dark witness fails
 KNOWN_GONE_US = 8_000_000  # after which all know that a head is dead
-WAITS_US = 300_000  # what waits longer for a portion is turned away
 LEDGER = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Parts:
-    """What heads are made of; a test exchanges one for a faulty one."""
-
-    holder: Callable[[int, str, int, BudgetRules, int], Holder] = Holder
-    ledger: Callable[[int, Term, int, BudgetRules], Ledger] = Ledger
-    candidate: Callable[[int, BudgetRules, int, int], Candidate] = Candidate
-
-
-RULES, REAL = BudgetRules(), Parts()
-
-
-@dataclass(slots=True)
-class WitnessModel:
-    """One lock with sessions, by the witness's own clock, and what a restored backup makes of it."""
-
-    term_us: int
-    dark: bool = False
-    epoch: int = 0
-    session: int = 0  # that holds the lock; 0: none
-    lease_us: int = 0
-    sessions: dict[int, int] = field(default_factory=dict)  # until when
-    _number: int = 0
-
-    def _expire(self, now: int) -> None:
-        self.sessions = {one: until for one, until in self.sessions.items() if until > now}
-        if self.session not in self.sessions:
-            self.session = 0
-
-    def take(self, now: int, lease_us: int) -> tuple[int, int, int] | None:
-        """Return the new session, its epoch and the last holder's lease; None if another holds the lock."""
-        self._expire(now)
-        if self.session:
-            return None
-        self._number += 1
-        self.sessions[self._number] = now + self.term_us
-        before, self.lease_us = self.lease_us, lease_us
-        self.session, self.epoch = self._number, self.epoch + 1
-        return self.session, self.epoch, before
-
-    def renew(self, now: int, session: int, epoch: int) -> bool:
-        """Renew a session; return whether it holds the lock, as the holder of this epoch."""
-        self._expire(now)
-        if session not in self.sessions:
-            return False
-        self.sessions[session] = now + self.term_us
-        return (self.session, self.epoch) == (session, epoch)
-
-    def release(self, session: int) -> None:
-        """Give the lock back."""
-        if self.session == session:
-            self.session = 0
-
-    def backup(self) -> tuple[int, int, dict[int, int]]:
-        """Return what a backup holds."""
-        return self.epoch, self.session, dict(self.sessions)
-
-    def restore(self, now: int, kept: tuple[int, int, dict[int, int]]) -> None:
-        """Go back to a backup; sessions in it live for a whole time more."""
-        self.epoch, self.session, sessions = kept
-        self.sessions = dict.fromkeys(sessions, now + self.term_us)
-
-
-@dataclass(slots=True, eq=False)
-class Member:
-    """One process."""
-
-    name: str
-    instance: int
-    rate: float  # of its clock
-    holder: Holder
-    candidate: Candidate
-    session: int = 0
-    stopped: bool = False
-    stops_for: int = 0  # it is about to be stopped, between what it decides next and its socket
-    unsent: list[tuple[str, Ask | Grant | Term]] = field(default_factory=list)
-    inbox: list[tuple[Ask | Grant | Term, str]] = field(default_factory=list)
-    keeper: str = ""  # who keeps the ledger, as far as it heard
-    announced_at: int = 0
-    contact: dict[str, int] = field(default_factory=dict)  # of a keeper: when each head asked last
-    waiting: dict[str, deque[int]] = field(default_factory=dict)  # units, by when they came
-    told: dict[str, Whole] = field(default_factory=dict)  # the wholes that it goes by
-
-
-@dataclass(slots=True)
-class Tally:
-    """What became of demand for a budget."""
-
-    came: float = 0.0
-    served: float = 0.0
-    ideal: float = 0.0  # one bucket for all
-    even: float = 0.0  # each head an even part
-
-
-@dataclass(slots=True)
-class _Judge:
-    """The same demand at one bucket, or at one for each head."""
-
-    bucket: Bucket
-    waiting: deque[int] = field(default_factory=deque)
-
-    def serve(self, now: int, came: int) -> int:
-        self.waiting.extend([now] * came)
-        return _serve(self.bucket, now, self.waiting, now)
-
-
-def _serve(bucket: Bucket, clock: int, waiting: deque[int], now: int) -> int:
-    while waiting and waiting[0] < now - WAITS_US:
-        waiting.popleft()
-    units = min(len(waiting), int(max(0.0, bucket.now(clock))))
-    bucket.level -= units
-    for _ in range(units):
-        waiting.popleft()
-    return units
+RULES = BudgetRules()
 
 
 class Division:
@@ -173,8 +53,8 @@
         self._gone_at: dict[str, int] = {}
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
         self._serial = 0
-        self._ideal = {name: _Judge(Bucket(0, one.rate, one.burst)) for name, one in wholes.items()}
-        self._even: dict[tuple[str, str], _Judge] = {}
+        self._ideal = {name: Judge(Bucket(0, one.rate, one.burst)) for name, one in wholes.items()}
+        self._even: dict[tuple[str, str], Judge] = {}
         self._slack = slack
         self._facts: dict[str, Whole] = {}  # as recorded last
         self._allowed: dict[str, list[tuple[int, Whole]]] = {name: [] for name in wholes}  # until when
@@ -249,7 +129,7 @@
     def change(self, budget: str, whole: Whole) -> None:
         """Decide on another whole: heads go by it once they are told, or started."""
         self.wholes[budget] = whole
-        self._ideal[budget] = _Judge(Bucket(self.now, whole.rate, whole.burst))
+        self._ideal[budget] = Judge(Bucket(self.now, whole.rate, whole.burst))
 
     def tell(self, name: str) -> None:
         """Let a head hear of the wholes as they are now, unless it stands still."""
@@ -447,7 +327,7 @@
             even = self._even.get((name, budget))
             if even is None:
                 part = 1 / whole.hosts
-                even = self._even[name, budget] = _Judge(
+                even = self._even[name, budget] = Judge(
                     Bucket(0, whole.rate * part, whole.burst * part, whole.burst * part)
                 )
             if member is None or member.stopped:
@@ -471,118 +351,4 @@
         for _ in range(came):
             portion.asked(1.0)
         waiting.extend([self.now] * came)
-        return _serve(portion, clock, waiting, self.now)
-
-
-class Trial:
-    """Random faults on a division, from its seed: what can happen to heads, network and witness."""
-
-    def __init__(self, division: Division) -> None:
-        self.division = division
-        self._random = random.Random(division.random.getrandbits(32))
-        self._kept = division.witness.backup()
-        self._dark_since = 0
-        self.happened: list[str] = []
-
-    def run(self, us: int) -> None:
-        """Let things happen for a time."""
-        division, rng = self.division, self._random
-        end = division.now + us
-        while division.now < end:
-            self._demand()
-            act = rng.choice((
-                self._kill, self._start, self._stop, self._part, self._heal, self._weather, self._jump,
-                self._dark, self._light, self._herd, self._leave, self._rest,
-            ))  # fmt: skip
-            act()
-            self.happened.append(f"{division.now / 1e6:.2f} {act.__name__.strip('_')}")
-            division.run(rng.choice((50_000, 300_000, 1_000_000, 2_500_000)))
-
-    def heal(self) -> None:
-        """End all that is at fault."""
-        self._heal()
-        self._light()
-        for name in self.division.names:
-            if name not in self.division.members:
-                self.division.start(name)
-
-    def _some(self, share: float = 0.3) -> list[str]:
-        alive = list(self.division.members)
-        return self._random.sample(alive, max(1, round(share * len(alive)))) if alive else []
-
-    def _demand(self) -> None:
-        division, rng = self.division, self._random
-        for budget, whole in division.wholes.items():
-            name = rng.choice(division.names)
-            division.demand[name, budget] = rng.choice((0.0, 0.02, 0.1, 0.5, 1.2)) * whole.rate
-
-    def _kill(self) -> None:
-        for name in self._some(0.15):
-            self.division.kill(name)
-
-    def _start(self) -> None:
-        for name in self.division.names:
-            if name not in self.division.members and self._random.random() < 0.5:
-                self.division.start(name)
-
-    def _stop(self) -> None:
-        who = self._some(0.15)
-        if (keeper := self.division.keeper()) is not None and self._random.random() < 0.5:
-            who.append(keeper.name)
-        for name in who:
-            self.division.stop(name, self._random.choice((100_000, 700_000, 1_100_000, 4_000_000)))
-
-    def _part(self) -> None:
-        side = set(self._some(self._random.choice((0.1, 0.5))))
-        one_way = self._random.random() < 0.3
-        self.division.blind = side if self._random.random() < 0.5 else set()
-        self.division.cut = lambda source, target: (source in side) != (target in side) and (
-            not one_way or source in side
-        )
-
-    def _heal(self) -> None:
-        division = self.division
-        division.cut = lambda _source, _target: False
-        division.loss = division.twice = 0.0
-        division.late_us, division.blind = 0, set()
-
-    def _weather(self) -> None:
-        division, rng = self.division, self._random
-        division.loss, division.twice = rng.choice((0.0, 0.1, 0.4)), rng.choice((0.0, 0.3))
-        division.late_us = rng.choice((0, 20_000, 400_000, 2_500_000))
-
-    def _jump(self) -> None:
-        """One head gets all the traffic."""
-        division = self.division
-        for budget, whole in division.wholes.items():
-            for name in division.names:
-                division.demand[name, budget] = 0.0
-            division.demand[self._random.choice(division.names), budget] = 1.2 * whole.rate
-
-    def _dark(self) -> None:
-        witness = self.division.witness
-        if not witness.dark:
-            witness.dark, self._dark_since = True, self.division.now
-            self._kept = witness.backup() if self._random.random() < 0.3 else self._kept
-
-    def _light(self) -> None:
-        """The witness is back, from a backup if it was away for longer than a session."""
-        division = self.division
-        if division.witness.dark:
-            division.witness.dark = False
-            away = division.now - self._dark_since
-            if away > 2 * division.rules.term_us and self._random.random() < 0.5:
-                division.witness.restore(division.now, self._kept)
-
-    def _herd(self) -> None:
-        """Most heads are killed and come back at once, under their names, without their state."""
-        for name in self._some(0.7):
-            self.division.kill(name)
-            self.division.start(name)
-
-    def _leave(self) -> None:
-        if (keeper := self.division.keeper()) is not None and not keeper.stopped:
-            self.division.leave(keeper.name)
-
-    def _rest(self) -> None:
-        pass
+        return serve(portion, clock, waiting, self.now)
--- /dev/null
+++ b/harriertrack/lab/fleet/division/trial.py
@@ -0,0 +1,121 @@
+"""Random faults on heads that only divide."""
+
+from __future__ import annotations
+
+import random
+
+from harriertrack.lab.fleet.division.division import Division
+
+
+class Trial:
+    """Random faults on a division, from its seed: what can happen to heads, network and witness."""
+
+    def __init__(self, division: Division) -> None:
+        self.division = division
+        self._random = random.Random(division.random.getrandbits(32))
+        self._kept = division.witness.backup()
+        self._dark_since = 0
+        self.happened: list[str] = []
+
+    def run(self, us: int) -> None:
+        """Let things happen for a time."""
+        division, rng = self.division, self._random
+        end = division.now + us
+        while division.now < end:
+            self._demand()
+            act = rng.choice((
+                self._kill, self._start, self._stop, self._part, self._heal, self._weather, self._jump,
+                self._dark, self._light, self._herd, self._leave, self._rest,
+            ))  # fmt: skip
+            act()
+            self.happened.append(f"{division.now / 1e6:.2f} {act.__name__.strip('_')}")
+            division.run(rng.choice((50_000, 300_000, 1_000_000, 2_500_000)))
+
+    def heal(self) -> None:
+        """End all that is at fault."""
+        self._heal()
+        self._light()
+        for name in self.division.names:
+            if name not in self.division.members:
+                self.division.start(name)
+
+    def _some(self, share: float = 0.3) -> list[str]:
+        alive = list(self.division.members)
+        return self._random.sample(alive, max(1, round(share * len(alive)))) if alive else []
+
+    def _demand(self) -> None:
+        division, rng = self.division, self._random
+        for budget, whole in division.wholes.items():
+            name = rng.choice(division.names)
+            division.demand[name, budget] = rng.choice((0.0, 0.02, 0.1, 0.5, 1.2)) * whole.rate
+
+    def _kill(self) -> None:
+        for name in self._some(0.15):
+            self.division.kill(name)
+
+    def _start(self) -> None:
+        for name in self.division.names:
+            if name not in self.division.members and self._random.random() < 0.5:
+                self.division.start(name)
+
+    def _stop(self) -> None:
+        who = self._some(0.15)
+        if (keeper := self.division.keeper()) is not None and self._random.random() < 0.5:
+            who.append(keeper.name)
+        for name in who:
+            self.division.stop(name, self._random.choice((100_000, 700_000, 1_100_000, 4_000_000)))
+
+    def _part(self) -> None:
+        side = set(self._some(self._random.choice((0.1, 0.5))))
+        one_way = self._random.random() < 0.3
+        self.division.blind = side if self._random.random() < 0.5 else set()
+        self.division.cut = lambda source, target: (source in side) != (target in side) and (
+            not one_way or source in side
+        )
+
+    def _heal(self) -> None:
+        division = self.division
+        division.cut = lambda _source, _target: False
+        division.loss = division.twice = 0.0
+        division.late_us, division.blind = 0, set()
+
+    def _weather(self) -> None:
+        division, rng = self.division, self._random
+        division.loss, division.twice = rng.choice((0.0, 0.1, 0.4)), rng.choice((0.0, 0.3))
+        division.late_us = rng.choice((0, 20_000, 400_000, 2_500_000))
+
+    def _jump(self) -> None:
+        """One head gets all the traffic."""
+        division = self.division
+        for budget, whole in division.wholes.items():
+            for name in division.names:
+                division.demand[name, budget] = 0.0
+            division.demand[self._random.choice(division.names), budget] = 1.2 * whole.rate
+
+    def _dark(self) -> None:
+        witness = self.division.witness
+        if not witness.dark:
+            witness.dark, self._dark_since = True, self.division.now
+            self._kept = witness.backup() if self._random.random() < 0.3 else self._kept
+
+    def _light(self) -> None:
+        """The witness is back, from a backup if it was away for longer than a session."""
+        division = self.division
+        if division.witness.dark:
+            division.witness.dark = False
+            away = division.now - self._dark_since
+            if away > 2 * division.rules.term_us and self._random.random() < 0.5:
+                division.witness.restore(division.now, self._kept)
+
+    def _herd(self) -> None:
+        """Most heads are killed and come back at once, under their names, without their state."""
+        for name in self._some(0.7):
+            self.division.kill(name)
+            self.division.start(name)
+
+    def _leave(self) -> None:
+        if (keeper := self.division.keeper()) is not None and not keeper.stopped:
+            self.division.leave(keeper.name)
+
+    def _rest(self) -> None:
+        pass
