--- a/harriertrack/gateway/fleet/zones.py
+++ b/harriertrack/gateway/fleet/zones.py
@@ -16,8 +16,8 @@
 from harriertrack.decisions.fleet.zones.evacuation import Evacuation
 from harriertrack.decisions.fleet.zones.evidence import Evidence
 from harriertrack.decisions.fleet.zones.overlay import Overlay
-from harriertrack.decisions.fleet.zones.words import Word, ZoneRules
-from harriertrack.decisions.interface import NodeEntry
+from harriertrack.decisions.fleet.zones.words import Word, ZoneRules, holding
+from harriertrack.decisions.interface import NodeEntry, NodeState
 from harriertrack.gateway.fleet.deciding import Deciding
 from harriertrack.gateway.fleet.figures import figures
 from harriertrack.gateway.listing import Listing
@@ -98,7 +98,9 @@
         self._evidence.listed(entries)
         self._starts = {}
         for entry in entries:
-            self._starts.setdefault(entry.zone, []).append(entry.started_us)
+            starts = self._starts.setdefault(entry.zone, [])
+            if entry.state is NodeState.UP:
+                starts.append(entry.started_us)
         self._zones = sorted(self._starts)
 
     def _run(self) -> None:
@@ -115,9 +117,9 @@
         elif sights and (any(one.bad for one in sights) or now >= self._said_at + TELL_US):
             self._said_at = now
             self._deciding.tell_keeper(Seen(self._swim.me.name, sights))
-        if self._words and now >= self._heard_at + self._rules.told_us:
+        if (held := holding(self._words, now - self._heard_at, self._rules.told_us)) != self._words:
             self._parts.note("fleet zones: no word any more")
-            self._words = ()
+            self._words = held
         self._show(now)
 
     def _decide(self, now: int, term: Term | None) -> None:
--- a/harriertrack/lab/fleet/rig/fleet.py
+++ b/harriertrack/lab/fleet/rig/fleet.py
@@ -152,7 +152,7 @@
             case Verb.LIMIT if self.limits is not None:
                 changing = self.limits
                 insist(self.hub, step, lambda _again: changing.step(step, who))
-            case Verb.MARKET | Verb.CLOCK if self.markets is not None:
+            case Verb.MARKET | Verb.CLOCK | Verb.NEAR_CLOSE if self.markets is not None:
                 trading = self.markets
                 insist(self.hub, step, lambda _again: trading.step(step, who))
             case Verb.DRAIN:
