--- a/benchmarks/fleet_scoring.py
+++ b/benchmarks/fleet_scoring.py
@@ -40,6 +40,7 @@
 SLOW = 3.0
 LOOK_US = 100_000
 TURN_US = 30 * S
+BEFORE = 20  # seconds before heads are killed and come back
 APART = ("third", "turn")
 ZONES = ("z0", "z1", "z2")
 
@@ -66,9 +67,9 @@
                 return
             self.hub.sleep(TURN_US)
 
-    def load(self, taken: float, rate: float) -> None:
+    def load(self, taken: float, rate: float, cores: int = 4) -> None:
         """Let so many requests a second take the nodes, all of them quick, for such a part of their time."""
-        day = self.day
+        day = self.day = msgspec.structs.replace(self.day, cores=cores)
         took = taken * 1e6 * day.nodes * day.cores / rate  # of a request, on one core
         self.day = msgspec.structs.replace(day, request_us=round(took * 0.45), unit_us=round(took * 0.2))
 
@@ -93,6 +94,11 @@
         happens: tuple[StepSettings, ...] = (rest,)
     elif kind == "differ":
         happens = (StepSettings(name=Verb.SLOW, zone="z1", times=SLOW, for_us=seconds * S), rest)
+    elif kind == "returned":  # heads that know are joined by as many that have just started
+        slow = StepSettings(name=Verb.SLOW, zone="z1", times=SLOW, for_us=(seconds + BEFORE) * S)
+        known = StepSettings(name=Verb.REST, for_us=BEFORE * S)
+        back = (StepSettings(name=Verb.KILL, who=("0..0.5",)), StepSettings(name=Verb.START))
+        happens = (slow, known, *back, rest)
     elif kind == "change":
         half = StepSettings(name=Verb.REST, for_us=seconds * S // 2)
         us = seconds * S // 2
@@ -116,18 +122,18 @@
                                    scoring=None if way == "none" else scoring)  # fmt: skip
 
 
-Run = tuple[str, str, str, int, int, int, float, float, int]
+Run = tuple[str, str, str, int, int, int, float, float, int, int]
 
 
 def _play(arguments: Run) -> dict[str, float]:
-    kind, way, scorer, heads, seed, seconds, rate, taken, after = arguments
+    kind, way, scorer, heads, seed, seconds, rate, taken, after, cores = arguments
     recorder = rec.Recorder()
     hub = Hub.virtual(seed)
     day = msgspec.structs.replace(_day(kind, way, scorer, seconds), rate=rate)
     rig = Loaded(hub, MemoryNetwork(hub), day, heads, seed, recorder)
     rig.oracle = way == "oracle"
     rig.apart = kind if kind in APART else ""
-    rig.load(taken, heads * rate)
+    rig.load(taken, heads * rate, cores)
     hub.run(rig.run)
     return _judged(rig, kind, recorder.records, after * S)
 
@@ -157,7 +163,7 @@
             took.append(one.t - take.t)
         elif isinstance(one, rec.Got):
             given[one.node] += 1
-    slow = {"differ": {"z1": SLOW}}.get(kind, {})
+    slow = {"differ": {"z1": SLOW}, "returned": {"z1": SLOW}}.get(kind, {})
     if kind == "third":
         slow = {sorted(rig.shelves)[1]: SLOW}
     zones = {name: shelf.settings.zone for name, shelf in rig.shelves.items()}
@@ -171,8 +177,8 @@
     }  # fmt: skip
 
 
-def days(heads: int, seeds: int, seconds: int, kinds: list[str], rate: float, taken: float,
-         after: int = 0, scorers: tuple[str, ...] = ("fill-aware", "least-latency")) -> None:  # fmt: skip
+def days(heads: int, seeds: int, seconds: int, kinds: list[str], rate: float, taken: float, after: int,
+         cores: int, scorers: tuple[str, ...]) -> None:  # fmt: skip
     """Measure days."""
     print("day | scorer | way | worth | p99, ms | most given | farthest weight | rules broken")
     with ProcessPoolExecutor(2) as pool:
@@ -182,7 +188,7 @@
                     if scorer != scorers[0] and way in ("none", "oracle"):
                         continue  # no scorer is asked there
                     runs = [
-                        (kind, way, scorer, heads, seed, seconds, rate, taken, after)
+                        (kind, way, scorer, heads, seed, seconds, rate, taken, after, cores)
                         for seed in range(1, seeds + 1)
                     ]
                     found = list(pool.map(_play, runs))
@@ -282,9 +288,10 @@
     parser.add_argument("--taken", type=float, default=0.6, help="Part of the nodes' time, none slow.")
     parser.add_argument("--seconds", type=int, default=40)
     parser.add_argument("--after", type=int, default=0, help="Judge what is asked so many seconds later.")
+    parser.add_argument("--cores", type=int, default=4, help="Of a node: with few, few requests take it.")
     parser.add_argument("--scorers", nargs="*", default=["fill-aware", "least-latency"])
     parser.add_argument("--days", nargs="*", default=["same", "differ", "change", "herd"],
-                        help="Also: third, turn.")
+                        help="Also: third, turn, returned.")
     given = parser.parse_args()
     if "liars" in given.what:
         liars_table()
@@ -292,7 +299,7 @@
         bytes_table(given.seconds)
     if "days" in given.what:
         days(given.heads, given.seeds, given.seconds, given.days, given.rate, given.taken,
-             given.after, tuple(given.scorers))  # fmt: skip
+             given.after, given.cores, tuple(given.scorers))  # fmt: skip
 
 
 if __name__ == "__main__":
