--- a/tests/closing/test_closing_days.py
+++ b/tests/closing/test_closing_days.py
@@ -7,7 +7,9 @@
 from harriertrack.decisions.fleet.closing.fences import Fence
 from harriertrack.decisions.fleet.closing.sweeps import ALL, Sweep
 from harriertrack.decisions.requests import Core
+from harriertrack.gateway.fleet.closing.carrier import Closing
 from harriertrack.gateway.fleet.closing.guard import Guard
+from harriertrack.gateway.regional import Regional
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.rig import simulate
 from harriertrack.rules import changes, checker, closing, recording as rec
@@ -92,6 +94,35 @@
     assert closing.check(play("close-plain", heads=3, closing=slow))
 
 
+def passes_reads_back_over_a_close(monkeypatch):
+    real = Regional.closed
+
+    def closed(self, covers):
+        for volume in self.volumes.values():
+            volume.passed.clear()
+        real(self, covers)
+
+    monkeypatch.setattr(Regional, "closed", closed)
+
+
+def skips_a_close_in_one_region(monkeypatch):
+    real = Closing._close
+
+    def close(self, fence, close):
+        if self._regional.region.name == "b" and close.number == 2:
+            fence.purged(close.number)
+        else:
+            real(self, fence, close)
+
+    monkeypatch.setattr(Closing, "_close", close)
+
+
+@pytest.mark.parametrize("fault, heads, seed", [(passes_reads_back_over_a_close, 4, 3), (skips_a_close_in_one_region, 2, 1)])
+def test_a_fault_of_two_regions_is_found(fault, heads, seed, monkeypatch):
+    fault(monkeypatch)
+    assert closing.check(play("close-regions", heads, seed))
+
+
 def test_slow_trims_are_waited_for():
     slow = msgspec.structs.replace(scenario.load("close-plain").closing, rate=12.0, burst=1.0, spread_us=2_000_000)
     assert closing.check(play("close-plain", heads=3, closing=slow)) == []
