--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -13,28 +13,27 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import xxhash
 
-from harriertrack.config.settings import HeadSettings, VolumeRegionSettings, VolumeSettings
+from harriertrack.config.settings import HeadSettings
 from harriertrack.decisions.catchup import CatchUp, Told
 from harriertrack.decisions.copies import Copies, Crossed, Held, Turn, crossed
 from harriertrack.decisions.holding import Care, Look, Taking, after_look, after_taking, to_tend
-from harriertrack.decisions.ranges import RangeLocks, Ticket
 from harriertrack.decisions.regions import Bounds, Expiry, Generations, RegionView, Route
 from harriertrack.decisions.requests import CHANGING, ClientRequest, Core, Origin
 from harriertrack.decisions.splitting import Kind, Outcome, cut, runs
 from harriertrack.gateway import background
 from harriertrack.gateway.links import COMMANDS, Links
 from harriertrack.gateway.peer import Peer, PeerLink
+from harriertrack.gateway.regional_volume import RegionalVolume, Work
 from harriertrack.gateway.witness import FAILURES, WitnessClient
 from harriertrack.membership.leases import Fence, Holding, Lock, Session, Standing
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.extension import RELAY_CONTEXT, context_of
 from harriertrack.protocol.nbd.wire import Command, CommandFlags, Errno
-from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Timer, Waiters, answer_of
+from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Waiters, answer_of
 from harriertrack.runtime.streams import Network
 from harriertrack.storage.missed import WHOLE, MissedLog
 
@@ -53,59 +52,6 @@
 LOOK_NOW = 1  # the length of a TICK that says: the volume is free, look at the witness
 
 
-@dataclass(slots=True, eq=False)
-class Work:
-    """A client's request at the holder, or a copy at the other head, until nothing of it is open any more."""
-
-    layer: Regional
-    volume: RegionalVolume
-    request: ClientRequest
-    epoch: int
-    copy: bool = False  # it is the holder's write, done here
-    number: int = 0
-    ticket: Ticket | None = None
-    timer: Timer | None = None
-    inner: ClientRequest | None = None
-    crossed: Crossed = Crossed.NOT  # a close that came since it was begun in this region
-    data: bytes | None = None  # what was read back after a write whose effect is not known
-
-    def answer(self, inner: ClientRequest) -> None:
-        """Take the core's answer."""
-        self.layer.core_answered(self, inner)
-
-    @property
-    def extents(self) -> range:
-        """Return the extents that it touches."""
-        size = self.layer.extent_bytes
-        last = max(self.request.offset, self.request.offset + self.request.length - 1)
-        return range(self.request.offset // size, last // size + 1)
-
-
-@dataclass(slots=True, eq=False)
-class RegionalVolume:
-    """One volume of two regions, as this head sees it."""
-
-    settings: VolumeSettings
-    spread: VolumeRegionSettings
-    view: RegionView
-    catch_up: CatchUp
-    copies: Copies
-    locks: RangeLocks = field(default_factory=RangeLocks)
-    works: dict[int, Work] = field(default_factory=dict)  # clients' changes begun here and not over
-    passed: dict[ClientRequest, None] = field(default_factory=dict)  # on to the holder, without an answer
-    handing: bool = False
-    copy_session: object = None  # the newest connection of the holder; older ones are not listened to
-    wish: str = ""
-    asked: float = 0.0  # requests, the older the less
-    paced: bool = False  # it waits for its turn to change regions
-    index: int = 0  # of the volume's key at the witness, as last read or written
-
-    @property
-    def name(self) -> str:
-        """Return the volume's name."""
-        return self.settings.name
-
-
 class Regional:
     """All volumes of two regions of one head."""
 
