--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -13,28 +13,27 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import xxhash
 
-from harriertrack.config.settings import HeadSettings, VolumeRegionSettings, VolumeSettings
+from harriertrack.config.settings import HeadSettings
 from harriertrack.decisions.catchup import CatchUp, Told
 from harriertrack.decisions.copies import Copies, Crossed, Held, Turn, crossed
 from harriertrack.decisions.holding import Care, Look, Taking, after_look, after_taking, to_tend
-from harriertrack.decisions.ranges import RangeLocks, Ticket
 from harriertrack.decisions.regions import Bounds, Expiry, Generations, RegionView, Route
 from harriertrack.decisions.requests import CHANGING, ClientRequest, Core, Origin
 from harriertrack.decisions.splitting import Kind, Outcome, cut, runs
 from harriertrack.gateway import background
 from harriertrack.gateway.links import COMMANDS, Links
 from harriertrack.gateway.peer import Peer, PeerLink
+from harriertrack.gateway.regional_volume import RegionalVolume, Work
 from harriertrack.gateway.witness import FAILURES, WitnessClient
 from harriertrack.membership.leases import Fence, Holding, Lock, Session, Standing
 from harriertrack.protocol.nbd.client import Reply
 from harriertrack.protocol.nbd.extension import RELAY_CONTEXT, context_of
 from harriertrack.protocol.nbd.wire import Command, CommandFlags, Errno
-from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Timer, Waiters, answer_of
+from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Waiters, answer_of
 from harriertrack.runtime.streams import Network
 from harriertrack.storage.missed import WHOLE, MissedLog
 
@@ -53,6 +52,7 @@
 LOOK_NOW = 1  # the length of a TICK that says: the volume is free, look at the witness
 
 
+<<<<<<< HEAD
 @dataclass(slots=True, eq=False)
 class Work:
     """A client's request at the holder, or a copy at the other head, until nothing of it is open any more."""
@@ -105,6 +105,8 @@
         return self.settings.name
 
 
+=======
+>>>>>>> closing
 class Regional:
     """All volumes of two regions of one head."""
 
