--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -52,61 +52,6 @@
 LOOK_NOW = 1  # the length of a TICK that says: the volume is free, look at the witness
 
 
-<<<<<<< HEAD
-@dataclass(slots=True, eq=False)
-class Work:
-    """A client's request at the holder, or a copy at the other head, until nothing of it is open any more."""
-
-    layer: Regional
-    volume: RegionalVolume
-    request: ClientRequest
-    epoch: int
-    copy: bool = False  # it is the holder's write, done here
-    number: int = 0
-    ticket: Ticket | None = None
-    timer: Timer | None = None
-    inner: ClientRequest | None = None
-    crossed: Crossed = Crossed.NOT  # a close that came since it was begun in this region
-    data: bytes | None = None  # what was read back after a write whose effect is not known
-
-    def answer(self, inner: ClientRequest) -> None:
-        """Take the core's answer."""
-        self.layer.core_answered(self, inner)
-
-    @property
-    def extents(self) -> range:
-        """Return the extents that it touches."""
-        size = self.layer.extent_bytes
-        last = max(self.request.offset, self.request.offset + self.request.length - 1)
-        return range(self.request.offset // size, last // size + 1)
-
-
-@dataclass(slots=True, eq=False)
-class RegionalVolume:
-    """One volume of two regions, as this head sees it."""
-
-    settings: VolumeSettings
-    spread: VolumeRegionSettings
-    view: RegionView
-    catch_up: CatchUp
-    copies: Copies
-    locks: RangeLocks = field(default_factory=RangeLocks)
-    works: dict[int, Work] = field(default_factory=dict)  # clients' changes begun here and not over
-    passed: dict[ClientRequest, None] = field(default_factory=dict)  # on to the holder, without an answer
-    handing: bool = False
-    copy_session: object = None  # the newest connection of the holder; older ones are not listened to
-    wish: str = ""
-    asked: float = 0.0  # requests, the older the less
-    index: int = 0  # of the volume's key at the witness, as last read or written
-
-    @property
-    def name(self) -> str:
-        """Return the volume's name."""
-        return self.settings.name
-
-
-=======
->>>>>>> closing
 class Regional:
     """All volumes of two regions of one head."""
 
--- a/harriertrack/gateway/regional_volume.py
+++ b/harriertrack/gateway/regional_volume.py
@@ -61,7 +61,6 @@
     copy_session: object = None  # the newest connection of the holder; older ones are not listened to
     wish: str = ""
     asked: float = 0.0  # requests, the older the less
-    paced: bool = False  # it waits for its turn to change regions
     index: int = 0  # of the volume's key at the witness, as last read or written
 
     @property
