--- a/harriertrack/config/settings/fleet.py
+++ b/harriertrack/config/settings/fleet.py
@@ -64,7 +64,7 @@
 
 
 class ZonesSettings(Checked, frozen=True, kw_only=True):
-    """How the fleet leaves zones and returns; decisions/fleet/evacuation.py tells what each figure is."""
+    """How the fleet leaves zones and returns; decisions/fleet/zones/words.py tells what each figure is."""
 
     gone: InService[Share] = 0.8
     gone_us: InService[Positive] = 300_000
@@ -76,8 +76,8 @@
     turn_us: InService[Positive] = 3_000_000
     answers: InService[Share] = 0.7
     first: InService[Annotated[float, msgspec.Meta(gt=0, le=1)]] = 0.1
-    growth: InService[Annotated[float, msgspec.Meta(gt=1, le=10)]] = 1.6
-    step_us: InService[Positive] = 1_000_000
+    growth: InService[Annotated[float, msgspec.Meta(gt=1, le=10)]] = 3.0
+    step_us: InService[Positive] = 500_000
     hurts: InService[Share] = 0.2
     calm_us: InService[Positive] = 120_000_000
     told_us: InService[Positive] = 3_000_000
--- a/harriertrack/decisions/fleet/closing/fences.py
+++ b/harriertrack/decisions/fleet/closing/fences.py
@@ -158,6 +158,30 @@
         """Whether nobody can say here what closes there may have been."""
         return reading is None or reading.high >= self.sure_until
 
+    def admits(self, reading: Interval | None, volume: str, mine: int, theirs: int) -> bool:
+        """Whether bytes of a generation may be stored here, where a volume's are of `mine`.
+
+        None of before a close that is done here, and none of after one that is not. A later one whose close
+        has surely come is one of those that nobody remembers: all that are known are done, or refuse.
+        """
+        if theirs == mine or not self.guards(volume):
+            return True
+        return not self.blind(reading) and reading is not None and mine < theirs <= reading.low
+
+    def unsettled_us(self, reading: Interval | None, volume: str, apart_us: int) -> int:
+        """Return for how long another head may stand on another side of a volume's close; 0: it does not.
+
+        `apart_us`: the widest that another's bounds on true time can be.
+        """
+        if reading is None:
+            return 0
+        left = (
+            close.at_us + apart_us - reading.low
+            for fence in self.fences.values() for close in fence.schedule.closes
+            if reading.high >= close.at_us and any(purge.names(volume) for purge in close.purges)
+        )  # fmt: skip
+        return max(0, *left, 0)
+
     def refuses(self, reading: Interval | None, volume: str, offset: int, length: int) -> int | None:
         """Return the hint with which a request for a range is refused now; None: it passes."""
         if not self.guards(volume):
--- a/harriertrack/decisions/fleet/evacuation.py
+++ b/harriertrack/decisions/fleet/zones/evacuation.py
@@ -7,6 +7,7 @@
 - a head that is cut off itself: nothing answers it anywhere, and its word does not count;
 - one bad node, lost answers everywhere, a slow or overloaded zone: most nodes there answer something;
 - heads that see a zone differently: it stays, and each head helps itself, as without a word;
+- a zone that still serves more than is lost there (bearing.py): leaving it would cost more than it saves;
 - what is everywhere: if all zones fail at once none is left, and the last one never is.
 
 A zone that is out is tried by a few heads for all, and comes back head by head, each treating its nodes as
@@ -15,57 +16,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
-from enum import Enum
-from zlib import crc32
+from types import MappingProxyType
 
-from harriertrack.decisions.fleet.evidence import Sight
-from harriertrack.decisions.fleet.terms import rank
-from harriertrack.decisions.interface import NodeEntry, NodeState
-
-WHOLE = 1 << 32  # of a checksum
-
-
-class Stage(Enum):
-    """What a zone is to the fleet."""
-
-    IN = "in"
-    OUT = "out"
-    TRYING = "trying"
-    RETURNING = "returning"
-
-
-@dataclass(frozen=True, slots=True)
-class ZoneRules:
-    """The figures."""
-
-    gone: float = 0.8  # of the nodes that are asked answer nothing
-    gone_us: int = 300_000  # for so long
-    fresh_us: int = 1_500_000  # what a head said before counts no more
-    heads: int = 2  # that must see it, where there are as many
-    wait_us: int = 1_000_000  # from out to the first tries; doubles with each relapse
-    most_wait_us: int = 60_000_000
-    tries: int = 3  # heads that try
-    turn_us: int = 3_000_000  # after which others do
-    answers: float = 0.7  # of what is tried, for a return to begin
-    first: float = 0.1  # share of the heads that return first
-    growth: float = 1.6
-    step_us: int = 1_000_000
-    hurts: float = 0.2  # silent nodes, for a step back
-    calm_us: int = 120_000_000  # in use for so long, a zone's relapses are forgotten
-    told_us: int = 3_000_000  # how long a word holds after it was heard last
-
-
-@dataclass(frozen=True, slots=True)
-class Word:
-    """The fleet's word on one zone; `turn` says who tries."""
-
-    zone: str
-    stage: Stage
-    share: float
-    turn: int
-    why: str = ""
+from harriertrack.decisions.fleet.zones.bearing import Cost, Load, cost_of
+from harriertrack.decisions.fleet.zones.evidence import Sight
+from harriertrack.decisions.fleet.zones.words import Stage, Word, ZoneRules
 
 
 @dataclass(slots=True, eq=False)
@@ -79,6 +36,8 @@
     relapses: int = 0
     gone_since: int | None = None
     stepped_at: int = 0
+    left_at: int = 0
+    back_at: int = 0  # when its latest return began
     why: str = ""
     held: str = ""  # an operator's: "out", or "in" for no automatic leaving
 
@@ -96,6 +55,7 @@
     good: int = 0
     bad: int = 0
     heads: int = 0
+    load: Load = Load()
 
     @property
     def silent(self) -> float:
@@ -118,8 +78,11 @@
     def take_up(self, now: int, words: Iterable[Word]) -> None:
         """Go on from what the one who decided before said last."""
         for word in words:
-            self.zones[word.zone] = Zone(word.stage, now, word.share, word.turn, 1 if word.share < 1 else 0,
-                                         stepped_at=now, why=word.why)  # fmt: skip
+            back_at = now - word.warm_us
+            self.zones[word.zone] = Zone(
+                word.stage, back_at, word.share, word.turn, relapses=1, stepped_at=now,
+                left_at=now - word.left_us, back_at=back_at, why=word.why,
+            )  # fmt: skip
 
     def hold(self, now: int, wishes: Mapping[str, str]) -> None:
         """Take what operators wish: zone to "out", "in" (never left by itself), or "" for no wish.
@@ -150,11 +113,21 @@
                 continue  # nothing answers it anywhere
             for sight in seen.sights:
                 one = found.get(sight.zone, Sum())
-                found[sight.zone] = Sum(one.good + sight.good, one.bad + sight.bad, one.heads + 1)
+                found[sight.zone] = Sum(one.good + sight.good, one.bad + sight.bad, one.heads + 1,
+                                        one.load + sight)  # fmt: skip
         return found
 
-    def decide(self, now: int, zones: Iterable[str], heads: int) -> None:
-        """Look at every zone."""
+    def cost(self, name: str, sums: Mapping[str, Sum]) -> Cost:
+        """Return what leaving a zone costs, as it is with the others now."""
+        others = (
+            other for other, zone in self.zones.items() if other != name and zone.stage is Stage.IN
+            and sums.get(other, Sum()).silent < self.rules.gone
+        )  # fmt: skip
+        return cost_of(sums.get(name, Sum()).load, [sums.get(other, Sum()).load for other in others])
+
+    def decide(self, now: int, zones: Iterable[str], heads: int,
+               starts: Mapping[str, Collection[int]] = MappingProxyType({})) -> None:  # fmt: skip
+        """Look at every zone; `starts`: when its nodes started, as the list says."""
         sums = self.sums(now)
         known = {name: sums.get(name, Sum()) for name in zones}
         for name in known:
@@ -170,16 +143,14 @@
                 continue
             match zone.stage:
                 case Stage.IN:
-                    self._in(now, zone, name in failing and not everywhere, seen)
+                    fails = name in failing and not everywhere and self.cost(name, sums).worth
+                    self._in(now, zone, fails, seen)
                 case Stage.OUT:
-                    wait = self.rules.wait_us << min(max(zone.relapses - 1, 0), 16)
-                    if now >= zone.since + min(wait, self.rules.most_wait_us):
-                        self._change(now, zone, Stage.TRYING, 0.0, f"after {zone.relapses} failures")
-                        zone.turn += 1
+                    self._out(now, zone, starts.get(name, ()))
                 case Stage.TRYING:
-                    self._trying(now, zone, seen)
+                    self._trying(now, zone, seen, heads)
                 case Stage.RETURNING:
-                    self._returning(now, zone, seen, needed)
+                    self._returning(now, zone, seen, name in failing and self.cost(name, sums).worth)
 
     def _others(self, zone: Zone) -> bool:
         return any(one is not zone and one.stage is Stage.IN for one in self.zones.values())
@@ -196,82 +167,56 @@
             self._leave(now, zone, f"{seen.bad} of {seen.good + seen.bad} nodes silent, {seen.heads} heads")
 
     def _leave(self, now: int, zone: Zone, why: str) -> None:
-        zone.relapses += 1
+        # A use that was longer than the time out before it was worth it: the next wait is the shortest again.
+        paid = now - zone.back_at >= zone.back_at - zone.left_at
+        zone.relapses = 1 if paid else zone.relapses + 1
         zone.gone_since = None
         self._change(now, zone, Stage.OUT, 0.0, why)
 
-    def _trying(self, now: int, zone: Zone, seen: Sum) -> None:
+    def _out(self, now: int, zone: Zone, starts: Collection[int]) -> None:
+        wait = min(self.rules.wait_us << min(max(zone.relapses - 1, 0), 16), self.rules.most_wait_us)
+        started = sum(at > zone.since for at in starts)
+        if zone.relapses <= 1 and started >= max(1.0, self.rules.answers * len(starts)):
+            self._change(now, zone, Stage.TRYING, 0.0, f"the list says that {started} nodes started")
+        elif now >= zone.since + wait:
+            self._change(now, zone, Stage.TRYING, 0.0, f"after {zone.relapses} failures")
+        else:
+            return
+        zone.turn += 1
+
+    def _trying(self, now: int, zone: Zone, seen: Sum, heads: int) -> None:
         rules = self.rules
         if seen.good and 1 - seen.silent >= rules.answers and now >= zone.since + rules.gone_us:
-            self._change(now, zone, Stage.RETURNING, rules.first, f"{seen.good} nodes answer")
-            zone.stepped_at = now
+            first = min(1.0, max(rules.first, rules.tries / max(1, heads)))  # who tries goes on
+            self._change(now, zone, Stage.RETURNING, first, f"{seen.good} nodes answer")
+            zone.stepped_at = zone.back_at = now
         elif now >= zone.since + rules.turn_us:
             zone.since = now
             zone.turn += 1
 
-    def _returning(self, now: int, zone: Zone, seen: Sum, needed: int) -> None:
+    def _returning(self, now: int, zone: Zone, seen: Sum, fails: bool) -> None:
         rules = self.rules
-        if seen.silent >= rules.gone and seen.heads >= needed:
+        if fails:
             self._leave(now, zone, f"again {seen.bad} of {seen.good + seen.bad} nodes silent")
         elif now >= zone.stepped_at + rules.step_us:
             zone.stepped_at = now
             if seen.silent >= rules.hurts:
                 zone.share = max(rules.first / 2, zone.share / 2)
+            elif zone.share >= 1.0:
+                self._change(now, zone, Stage.IN, 1.0, "all heads use it")
             else:
                 zone.share = min(1.0, zone.share * rules.growth)
-            if zone.share >= 1.0:
-                self._change(now, zone, Stage.IN, 1.0, "all heads use it")
 
     def _change(self, now: int, zone: Zone, stage: Stage, share: float, why: str) -> None:
         zone.stage, zone.since, zone.share, zone.why = stage, now, share, why
+        if stage is Stage.OUT:
+            zone.left_at = now
 
-    def words(self) -> tuple[Word, ...]:
+    def words(self, now: int) -> tuple[Word, ...]:
         """Return the word on every zone that is not simply in use."""
         return tuple(
-            Word(name, zone.stage, zone.share, zone.turn, zone.why)
+            Word(name, zone.stage, zone.share, zone.turn, zone.why,
+                 now - zone.since if zone.stage is Stage.RETURNING else 0, zone.held == "out",
+                 now - zone.left_at)
             for name, zone in sorted(self.zones.items()) if zone.stage is not Stage.IN
         )  # fmt: skip
-
-
-def uses(word: Word, me: str, present: Iterable[str], tries: int) -> bool:
-    """Whether a head uses a zone under a word, so that all heads together keep to it."""
-    if word.stage is Stage.IN:
-        return True
-    if word.stage is Stage.OUT:
-        return False
-    if word.stage is Stage.RETURNING:
-        return crc32(f"{word.zone}\0{me}".encode()) < word.share * WHOLE
-    return rank(f"{word.zone}\0{word.turn}", me, present) < tries
-
-
-class Overlay:
-    """The list as one head's module is told it: nodes of zones that it does not use are gone for it."""
-
-    def __init__(self) -> None:
-        self._unused: set[str] = set()
-        self._again: dict[str, int] = {}  # zones that are used again, and since when
-
-    def follow(self, now: int, words: Iterable[Word], me: str, present: Iterable[str], tries: int) -> bool:
-        """Take the words that hold now; return whether the list is to be told anew."""
-        names = list(present)
-        unused = {word.zone for word in words if not uses(word, me, names, tries)}
-        if unused == self._unused:
-            return False
-        self._again = {zone: at for zone, at in self._again.items() if zone not in unused}
-        self._again.update(dict.fromkeys(self._unused - unused, now))
-        self._unused = unused
-        return True
-
-    @property
-    def unused(self) -> frozenset[str]:
-        """Return the zones that this head does not use."""
-        return frozenset(self._unused)
-
-    def shown(self, entry: NodeEntry) -> NodeEntry:
-        """Return an entry as the module is told it; a node that is used again counts as just started."""
-        if entry.zone in self._unused and entry.state is NodeState.UP:
-            return NodeEntry(entry.node, entry.shard, NodeState.GONE, entry.zone, entry.started_us)
-        started = max(entry.started_us, self._again.get(entry.zone, 0))
-        if started != entry.started_us and entry.state is NodeState.UP:
-            return NodeEntry(entry.node, entry.shard, entry.state, entry.zone, started)
-        return entry
--- /dev/null
+++ b/harriertrack/lab/fleet/rig/operating.py
@@ -0,0 +1,83 @@
+"""What an operator does on a day: proposes versions, says what becomes of them, waits for the verdict."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from harriertrack.decisions.fleet.changes.record import Record
+from harriertrack.decisions.fleet.changes.standing import Standing
+from harriertrack.decisions.fleet.changes.writing import Refused, propose, wish
+from harriertrack.decisions.fleet.rollout.rollout import in_stages
+from harriertrack.gateway.fleet.changes import keeping
+from harriertrack.gateway.fleet.zones import set_wish
+from harriertrack.gateway.witness import FAILURES, WitnessClient
+from harriertrack.lab.fleet import staging
+from harriertrack.lab.fleet.scenario import StepSettings, Verb
+from harriertrack.rules import recording as rec
+
+if TYPE_CHECKING:
+    from harriertrack.lab.fleet.rig.fleet import FleetRig
+
+CALL_US = 1_000_000
+DECIDED_US = 500_000
+
+
+def _witness(rig: FleetRig) -> WitnessClient:
+    return WitnessClient(rig.hub, rig.network, rig.witness_address, CALL_US, "operator")
+
+
+def change(rig: FleetRig, step: StepSettings, again: bool = False) -> None:
+    """Propose a version of a thing, or say what becomes of it.
+
+    `again`: it may have been taken already, and the answer lost.
+    """
+    now_ms, thing = rig.hub.clock.wall() // 1000, step.thing
+
+    def make(record: Record) -> Record:
+        if step.name is Verb.CHANGE:
+            return wish(record, thing, Standing(step.to), "operator", now_ms, "the day says so")
+        holds = record.in_force(thing)
+        base = holds.number if holds is not None else 0
+        return propose(record, thing, base, step.body, "operator", now_ms, "the day says so", step.plan,
+                       step.although)  # fmt: skip
+
+    witness = _witness(rig)
+    there = keeping.read(witness).record.of(thing) if again and step.name is Verb.PROPOSE else ()
+    if there and there[-1].body == step.body:
+        last = there[-1]
+    else:
+        found = keeping.write(witness, make)
+        last = found.record.under_way(thing) or found.record.of(thing)[-1]
+    rig.recorder.add(
+        rec.Proposed(t=rig.hub.now(), thing=thing, version=last.number, standing=last.standing.value)
+    )
+    staged = rig.fleet_day.changes is not None and rig.fleet_day.changes.rollout is not None
+    if step.name is Verb.PROPOSE and staged and in_stages(thing):
+        rig.recorder.add(staging.facts_of(rig.hub.now(), last, rig.heads))
+
+
+def wish_zone(rig: FleetRig, step: StepSettings) -> None:
+    """Wish a zone out or in."""
+    set_wish(_witness(rig), step.zone, step.wish)
+
+
+def await_decided(rig: FleetRig, step: StepSettings) -> None:
+    """Wait for the verdict on a thing's newest version, or for a stage, until the step's time is over.
+
+    What is paused for want of evidence goes on, as operators say.
+    """
+    until, read, last = rig.hub.now() + step.within_us, 0, None
+    while rig.hub.now() < until:
+        records = rig.recorder.records
+        for one in records[read:]:
+            if isinstance(one, rec.Proposed | rec.RolloutStep) and one.thing == step.thing:
+                if last is None or one.version >= last.version:
+                    last = one
+        read = len(records)
+        if last is None or staging.there(last, step.stage):
+            return
+        if staging.lacks_evidence(last):
+            with suppress(Refused, *FAILURES):  # who decides was first, or it is tried again
+                change(rig, StepSettings(name=Verb.CHANGE, thing=step.thing, to="going"))
+        rig.hub.sleep(DECIDED_US)
--- a/tests/test_generator.py
+++ b/tests/test_generator.py
@@ -92,6 +92,7 @@
     assert not any(step.served for step in result.steps if 3_000_000 <= step.t_us < 11_000_000)
 
 
+@pytest.mark.real_time
 def test_percentiles_over_real_sockets():
     text = LOAD.replace("15s", "3s")
     result, own = play(text, virtual=False, trouble=lambda hub, shelf: stall(hub, shelf, 500_000, 1_000_000),
@@ -188,6 +189,7 @@
             parse_load(read_text(text, "load"), "load")
 
 
+@pytest.mark.real_time
 def test_the_command_loads_a_node_and_its_report_is_made(tmp_path):
     shelf = tmp_path / "shelf.sexp"
     shelf.write_text('(shelf (listen 127.0.0.1 0) (volume "disk" (size 1MiB) (plan "p")))')
@@ -199,9 +201,12 @@
         port = json.loads(node.stderr.readline())["listen"].rpartition(":")[2]
         load, run, html = tmp_path / "load.sexp", tmp_path / "run.json", tmp_path / "run.html"
         load.write_text(LOAD.replace("PORT", port).replace("15s", "2s"))
-        done = subprocess.run(
-            [*command, "load", str(run), str(load)], capture_output=True, text=True, check=False
-        )
+        for _ in range(10):  # on a busy machine the generator falls behind, says so, and the run is void: another one
+            done = subprocess.run(
+                [*command, "load", str(run), str(load)], capture_output=True, text=True, check=False
+            )
+            if done.returncode != 3:
+                break
         assert done.returncode == 0, done.stderr
         assert "0 s:" in done.stderr and "served" in done.stdout
         result = msgspec.json.decode(run.read_bytes(), type=LoadResult)
