A head whose launcher changes it just now is not started a second time; who leaves takes its launcher along

In the rig alone: a launcher at work counts as started, a head that is asked to leave ends with its launcher, in simulated time as over processes, and who still leaves is awaited before it starts again.

--- a/harriertrack/lab/fleet/launched.py
+++ b/harriertrack/lab/fleet/launched.py
@@ -42,7 +42,7 @@
     def crash(self, slot: HeadSlot) -> None:
         """A head ends by itself."""
 
-    def leave(self, slot: HeadSlot) -> None:
+    def end_child(self, slot: HeadSlot) -> None:
         """Ask a head to end."""
 
     def lived(self, slot: HeadSlot, how: str) -> None:
@@ -115,7 +115,7 @@
                         else:
                             self._tell(True, self._machine.kept.next.number)
                             self._host.lived(self._slot, "leaving")
-                            self._host.leave(self._slot)
+                            self._host.end_child(self._slot)
 
     def _start(self, program: Program) -> None:
         bad, now = rehearsed(program), self._host.hub.now()
--- a/harriertrack/lab/fleet/processes/fleet.py
+++ b/harriertrack/lab/fleet/processes/fleet.py
@@ -192,8 +192,14 @@
         """Return where clients find a head; None while it is not up."""
         return self._nbd[slot.name] if slot.name in self.children.running else None
 
+    def launched(self, slot: HeadSlot) -> bool:
+        """Whether a launcher is at work for a head."""
+        return self.fleet_day.launched and slot.name in self.children.running
+
     def launch(self, slot: HeadSlot, step: StepSettings) -> None:
-        """Start a head."""
+        """Start a head; one that still leaves is awaited, for it holds its addresses."""
+        while self._logs.still_leaves(slot):
+            self.hub.sleep(LOOK_US)
         if step.fresh:
             shutil.rmtree(self.path(slot.name), ignore_errors=True)
         self.lived(slot, "started")
--- a/harriertrack/lab/fleet/processes/logs.py
+++ b/harriertrack/lab/fleet/processes/logs.py
@@ -47,6 +47,10 @@
         """Read on until a head has ended that was asked to."""
         self._leaving.append((slot, process))
 
+    def still_leaves(self, slot: HeadSlot) -> bool:
+        """Whether a process of a head that was asked to end still runs."""
+        return any(one is slot for one, _ in self._leaving)
+
     def _take(self, slot: HeadSlot, process: Process) -> None:
         rig = self._rig
         for line in process.lines():
--- a/harriertrack/lab/fleet/rig/fleet.py
+++ b/harriertrack/lab/fleet/rig/fleet.py
@@ -99,7 +99,7 @@
         match step.name:
             case Verb.START:
                 for slot in who:
-                    if slot.name not in self.views.running:
+                    if slot.name not in self.views.running and not self.launched(slot):
                         self.launch(slot, step)
             case Verb.KILL:
                 for slot in who:
@@ -218,6 +218,10 @@
 
     # -- what heads are made of
 
+    def launched(self, slot: HeadSlot) -> bool:
+        """Whether a launcher is at work for a head, which is to start the next version of it just now."""
+        raise NotImplementedError
+
     def launch(self, slot: HeadSlot, step: StepSettings) -> None:
         """Start a head."""
         raise NotImplementedError
--- a/harriertrack/lab/fleet/rig/simulated.py
+++ b/harriertrack/lab/fleet/rig/simulated.py
@@ -100,8 +100,14 @@
         """Return what hears a head's log."""
         return lambda event, **fields: self.hearing.log_line(slot, event, fields)
 
+    def launched(self, slot: HeadSlot) -> bool:
+        """Whether a launcher is at work for a head."""
+        return slot.name in self._launching
+
     def launch(self, slot: HeadSlot, step: StepSettings) -> None:
-        """Start a head."""
+        """Start a head; one that still leaves is awaited, for it holds its addresses."""
+        while slot.task is not None and not slot.task.done:
+            self.hub.sleep(LOOK_US)
         self.lived(slot, "started")
         if step.fresh:
             self._changes.pop(slot.name, None)
@@ -159,6 +165,12 @@
         self.hub.freeze(slot.head, us)
 
     def leave(self, slot: HeadSlot) -> None:
+        """Ask a head to end; its launcher ends with it, and starts none in its place."""
+        if (launching := self._launching.pop(slot.name, None)) is not None:
+            launching.cancel()
+        self.end_child(slot)
+
+    def end_child(self, slot: HeadSlot) -> None:
         """Ask a head to end."""
         assert slot.head is not None
         for connection in slot.connections:
