--- a/harriertrack/lab/fleet/storm/drawing.py
+++ b/harriertrack/lab/fleet/storm/drawing.py
@@ -44,7 +44,6 @@
 DECIDED_US = 60 * SECOND
 QUIET_US, ZONES_QUIET_US = 12 * SECOND, 30 * SECOND
 LEAST_HEADS, STAYS_DEAD = 2, 0.5  # beyond so many heads one stays dead, with this chance
-MOST_VOLUMES = 24
 NO_SWAY = 64.0  # how far weights go to and fro is a matter of days made for it
 SCORERS = ("least-latency", "fill-aware")
 
@@ -105,7 +104,7 @@
         liars = tuple(sorted(rng.sample([f"head{one}" for one in range(heads)], heads // 5)))
     programs = Part.LAUNCHED in parts
     return FleetDaySettings(
-        name=name, processes=heads, shelves=rng.choice((3, 6)), volumes=min(heads, MOST_VOLUMES),
+        name=name, processes=heads, shelves=rng.choice((3, 6)), volumes=heads,
         hosts=min(heads, rng.randint(2, 5)), extent_bytes=rng.choice((32 << 10, 128 << 10)),
         limit=rng.choice((0.5, 1.0, 4.0)), limit_burst=rng.choice((200.0, 400.0)),
         rate=_rate(rng, heads), shared=1.0 if programs else rng.choice((0.0, 0.5, 1.0)),
--- a/harriertrack/lab/fleet/storm/playing.py
+++ b/harriertrack/lab/fleet/storm/playing.py
@@ -31,7 +31,9 @@
     """Check a day as it is checked where it is read and where its heads are made. Raises SettingsError."""
     scenario.check(day, day.name)
     hub = Hub.virtual(0)
-    SimulatedFleet(hub, MemoryNetwork(hub), day, day.processes, SEED, rec.Recorder()).place_head(0)
+    rig = SimulatedFleet(hub, MemoryNetwork(hub), day, day.processes, SEED, rec.Recorder())
+    for number in (0, day.processes - 1):  # who has most of the volumes, and who has least
+        rig.place_head(number)
 
 
 def in_simulated_time(day: FleetDaySettings, recorder: rec.Recorder) -> object:
