--- a/harriertrack/lab/fleet/storm/faults.py
+++ b/harriertrack/lab/fleet/storm/faults.py
@@ -16,7 +16,8 @@
 
 SECOND = 1_000_000
 ROUND_US = 100_000
-AFTER_US = 4 * SECOND  # until all heads know of a change, and until a restored record is put back
+AFTER_US = 4 * SECOND  # until all heads know of a change
+PUT_BACK_US = 16 * SECOND  # two sessions of the longest kind: until somebody decides and has put a record back
 WORSE = 0.35  # of proposals of programs and settings
 Steps = tuple[StepSettings, ...]
 
@@ -150,11 +151,13 @@
 
 def _restored(draw: Draw) -> Steps:
     dark = StepSettings(name=Verb.DARK, for_us=draw.lasting(), old=True)
+    # What operators write before who decides has put the record back is lost, as docs/changes.md says.
+    until_back = rest(dark.for_us + PUT_BACK_US)
     if draw.rng.random() < 0.5:
-        return StepSettings(name=Verb.BACKUP), rest(draw.lasting()), dark
+        return StepSettings(name=Verb.BACKUP), rest(draw.lasting()), dark, until_back
     # What the witness forgets has reached the heads; what is written later is to come on top of that.
-    return (StepSettings(name=Verb.BACKUP), *_propose(draw), rest(AFTER_US), dark,
-            rest(dark.for_us + AFTER_US), *_propose(draw))  # fmt: skip
+    return (StepSettings(name=Verb.BACKUP), *_propose(draw), rest(AFTER_US), dark, until_back,
+            *_propose(draw))  # fmt: skip
 
 
 def _zone_lost(draw: Draw) -> Steps:
