--- a/harriertrack/lab/fleet/storm/drawing.py
+++ b/harriertrack/lab/fleet/storm/drawing.py
@@ -170,7 +170,8 @@
         StepSettings(name=Verb.AGREE, within_us=AGREE_US),
     ]
     if day.closing is None and drawing.heads > LEAST_HEADS and drawing.rng.random() < STAYS_DEAD:
-        # Where closes are due nobody but that head trims what it alone served. All others are there: that one is dead has to be found, and what it kept and had to be let go.
+        # That one is dead has to be found by all others, and what it kept and had to be let go. Not where
+        # closes are due: nobody but that head trims what it alone served.
         steps += [StepSettings(name=Verb.KILL, who=(drawing.head(),)),
                   StepSettings(name=Verb.AGREE, within_us=AGREE_US)]  # fmt: skip
     for thing in staged:
--- a/harriertrack/lab/fleet/storm/faults.py
+++ b/harriertrack/lab/fleet/storm/faults.py
@@ -17,7 +17,7 @@
 SECOND = 1_000_000
 ROUND_US = 100_000
 AFTER_US = 4 * SECOND  # until all heads know of a change
-PUT_BACK_US = 16 * SECOND  # two sessions of the longest kind: until somebody decides and has put a record back
+PUT_BACK_US = 16 * SECOND  # two of the longest sessions: until somebody has put a restored record back
 WORSE = 0.35  # of proposals of programs and settings
 Steps = tuple[StepSettings, ...]
 
