--- a/harriertrack/lab/fleet/storm/drawing.py
+++ b/harriertrack/lab/fleet/storm/drawing.py
@@ -39,6 +39,7 @@
 TRIES, MOST_REFUSED = 200, 5  # of mixtures of parts; of drawings of one kind
 NOTICE_US = 4 * SECOND
 FIRST_CLOSE_US = 8 * SECOND
+APART_S = 3  # closes of a market
 CLOSES = 4  # of a market: so many are on record from the start, whatever becomes of who decides
 AGREE_US = 60 * SECOND
 DECIDED_US = 60 * SECOND
@@ -150,9 +151,9 @@
     skew = 100_000 if day.closing is not None else 0
     steps = [StepSettings(name=Verb.START, skew_us=skew), StepSettings(name=Verb.AGREE), rest(3 * SECOND)]
     for market in range(day.markets if day.closing is not None else 0):
-        # At least two seconds apart, and far enough away that all of them are on record beforehand.
-        last = max(length_us, FIRST_CLOSE_US + 2 * CLOSES * SECOND) // SECOND
-        moments = sorted(rng.sample(range(FIRST_CLOSE_US // SECOND, last, 3), rng.randint(1, CLOSES)))
+        # Some seconds apart, and far enough away that all of them are on record beforehand.
+        last = max(length_us, FIRST_CLOSE_US + CLOSES * APART_S * SECOND) // SECOND
+        moments = sorted(rng.sample(range(FIRST_CLOSE_US // SECOND, last, APART_S), rng.randint(1, CLOSES)))
         after = tuple(one * SECOND for one in moments)
         steps.append(StepSettings(name=Verb.MARKET, number=market, after_us=after))
     if len(steps) > 3:
--- a/tests/storms/test_drawing.py
+++ b/tests/storms/test_drawing.py
@@ -42,6 +42,12 @@
     assert all(of_faults - drawn for drawn in kinds)
 
 
+def test_the_shortest_storms_have_room_for_their_closes():
+    days = [storm(seed, 4, 6_000_000) for seed in range(60)]
+    told = {len(step.after_us) for day in days for step in day.steps if step.name is Verb.MARKET}
+    assert told == {1, 2, 3, 4}
+
+
 def test_a_storm_ends_in_quiet_with_all_heads_back():
     day = storm(5)
     quiet = next(at for at, step in enumerate(day.steps) if step.name is Verb.QUIET)
