Where who tries a zone asks nothing there, more heads try, up to the first share of a return

Observed (zone-restart, 200 heads, 30 nodes, 2 requests a second each): the list told of the return after 0.7 s, and the three heads that tried took 5.6 s until one of their requests was answered; alone all were back at once. Now their number doubles each step while nothing was asked, never where what was asked is silent.

--- a/harriertrack/decisions/fleet/zones/evacuation.py
+++ b/harriertrack/decisions/fleet/zones/evacuation.py
@@ -193,6 +193,10 @@
         elif now >= zone.since + rules.turn_us:
             zone.since = now
             zone.turn += 1
+        elif not seen.good + seen.bad and now >= max(zone.since, zone.stepped_at) + rules.step_us:
+            # Nobody has asked there: of heads that ask seldom it takes more to try.
+            zone.stepped_at = now
+            zone.share = min(rules.first, max(2 * zone.share, rules.tries / max(1, heads)))
 
     def _returning(self, now: int, zone: Zone, seen: Sum, fails: bool) -> None:
         rules = self.rules
--- a/harriertrack/decisions/fleet/zones/words.py
+++ b/harriertrack/decisions/fleet/zones/words.py
@@ -73,6 +73,6 @@
         return True
     if word.stage is Stage.OUT:
         return False
-    if word.stage is Stage.RETURNING and crc32(f"{word.zone}\0{me}".encode()) < word.share * WHOLE:
+    if crc32(f"{word.zone}\0{me}".encode()) < word.share * WHOLE:
         return True
     return rank(f"{word.zone}\0{word.turn}", me, present) < tries
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -198,6 +198,20 @@
     assert [fleet.stage(zone) is Stage.IN for zone in fleet.zones] == [True, False, False]
 
 
+def test_where_who_tries_asks_nothing_more_heads_try_up_to_the_first_share():
+    fleet = Fleet(heads=200)
+    fleet.sees(500_000, dead("z1"))
+    fleet.sees(RULES.wait_us + 100_000, lambda name, zone: None if zone == "z1" else (4, 0))
+    assert fleet.stage("z1") is Stage.TRYING and len(fleet.users("z1")) == 3
+    fleet.sees(2 * S, lambda name, zone: None if zone == "z1" else (4, 0))
+    assert fleet.stage("z1") is Stage.TRYING and 10 <= len(fleet.users("z1")) <= 35
+    silent = Fleet(heads=200)
+    silent.sees(500_000, dead("z1"))
+    silent.sees(RULES.wait_us + 100_000, dead("z1"))
+    silent.sees(2 * S, dead("z1"))
+    assert len(silent.users("z1")) == 3, "what they ask is not answered: that is no reason for more"
+
+
 def test_a_relapse_under_a_new_decider_is_one():
     fleet = Fleet()
     fleet.sees(500_000, dead("z1"))
