--- a/harriertrack/lab/fleet/rig/operating.py
+++ b/harriertrack/lab/fleet/rig/operating.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from harriertrack.lab.fleet.rig.fleet import FleetRig
 
-CALL_US = 1_000_000
+CALL_US = 10_000_000  # an operator is patient: the witness shares the machine with all that a day starts
 DECIDED_US = 500_000
 
 
