--- a/harriertrack/decisions/fleet/closing/schedule.py
+++ b/harriertrack/decisions/fleet/closing/schedule.py
@@ -79,10 +79,6 @@
         """Return the number of the last close that is known."""
         return self.closes[-1].number if self.closes else 0
 
-    def gone_by(self, instant: int) -> int:
-        """Return the number of the last close at or before an instant; 0 if there was none."""
-        return max((one.number for one in self.closes if one.at_us <= instant), default=0)
-
     def ahead(self, instant: int) -> list[Close]:
         """Return the closes after an instant."""
         return [one for one in self.closes if one.at_us > instant]
--- a/harriertrack/lab/fleet/rig/fleet.py
+++ b/harriertrack/lab/fleet/rig/fleet.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from harriertrack.decisions.fleet.rollout.launching import LaunchRules
+from harriertrack.gateway.witness import WitnessClient
 from harriertrack.lab.fleet import limits, markets, regions
 from harriertrack.lab.fleet.rig import facts, nodes, operating, told
 from harriertrack.lab.fleet.rig.faults import Faults
@@ -195,6 +196,10 @@
         """Return where operators find the witness."""
         raise NotImplementedError
 
+    def operator(self) -> WitnessClient:
+        """Return the operator's way to the witness."""
+        return operating.operator(self)
+
     def change(self, step: StepSettings) -> None:
         """Do as an operator does who proposes a version of a thing, or says what becomes of it."""
         operating.change(self, step)
