--- /dev/null
+++ b/tests/endings/loopback.py
@@ -0,0 +1,103 @@
+"""The platform's head with its nodes and discovery over loopback sockets, all on one hub.
+
+A client is a plain socket that the test holds itself. What a test does to it between two waits of its own lies
+within one turn of the hub: the head sees all of it at once, and no sleep is needed to force an instant.
+"""
+
+import socket
+
+from harriertrack.lab.fleet.processes import Places
+from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.streams import SocketNetwork
+from tests.test_platform import MS, Site
+
+PATIENCE_US = 10_000_000  # the longest that a test waits for a condition
+
+
+class LoopbackSite(Site):
+    """A head, two storage nodes and discovery over TCP on this machine, in real time."""
+
+    def surroundings(self):
+        hub = Hub(seed=3)
+        return hub, SocketNetwork(hub), Places().next()
+
+    def until(self, holds, within=PATIENCE_US):
+        """Wait until a condition holds; fail after a time that no healthy run needs."""
+        deadline = self.hub.now() + within
+        while not holds():
+            assert self.hub.now() < deadline, "the condition never held"
+            self.hub.sleep(1 * MS)
+
+
+class RawClient:
+    """A client's socket: connects, sends and ends at once, without a turn of the hub in between."""
+
+    def __init__(self, site, receive_buffer=0):
+        self.site, self.received, self.ended, self.broken = site, b"", False, False
+        self.socket = socket.socket()
+        if receive_buffer:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.socket.connect(site.place)  # loopback: the kernel completes it though nobody has accepted yet
+        self.socket.setblocking(False)
+
+    def send(self, data):
+        """Send bytes; return how many the kernel took."""
+        return self.socket.send(data)
+
+    def receive(self, most=1 << 16):
+        """Take what has come; return whether anything new was seen."""
+        try:
+            data = self.socket.recv(most)
+        except BlockingIOError:
+            return False
+        except ConnectionError:
+            self.broken = self.ended = True
+            return True
+        self.received += data
+        self.ended = self.ended or not data
+        return True
+
+    def until_ended(self):
+        """Read up to the end of the connection; return all that came."""
+        self.site.until(lambda: self.receive() and self.ended)
+        return self.received
+
+    def until_answered(self):
+        """Read one whole answer; return (status, head in lower case, body)."""
+
+        def whole():
+            while not self.ended and self.receive():
+                pass
+            return self.ended or self._answer() is not None
+
+        self.site.until(whole)
+        found = self._answer()
+        assert found is not None, f"the connection ended without a whole answer: {self.received[:200]!r}"
+        answer, self.received = found
+        return answer
+
+    def _answer(self):
+        head, mark, rest = self.received.partition(b"\r\n\r\n")
+        if not mark:
+            return None
+        head = head.lower()
+        lengths = [
+            line.partition(b":")[2] for line in head.split(b"\r\n") if line.startswith(b"content-length:")
+        ]
+        length = int(lengths[0]) if lengths else 0
+        if len(rest) < length:
+            return None
+        return (int(head.split(b" ")[1]), head, rest[:length]), rest[length:]
+
+    def half_close(self):
+        """Send no more."""
+        self.socket.shutdown(socket.SHUT_WR)
+
+    def close(self):
+        """Close as a client that goes away does."""
+        self.socket.close()
+
+    def reset(self):
+        """Break the connection."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self.socket.close()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -59,8 +59,7 @@
     """A head, two shelfs, discovery; `run` plays a test in simulated time."""
 
     def __init__(self, tmp_path, sockets=256, known=True, module=Hears, **settings):
-        self.hub = Hub.virtual(3)
-        self.net = MemoryNetwork(self.hub)
+        self.hub, self.net, self.place = self.surroundings()
         self.script = lambda got: answer(b"body of " + got.line.split("=")[1][:16].encode())
         self.shelfs = [PlatformShelf(self.hub, self.net, lambda got: self.script(got)) for _ in range(2)]
         self.discovery = PlatformDiscovery(self.hub, self.net)
@@ -68,7 +67,7 @@
             self.discovery.set(f"s{cell}", shelf.address, cell)
         self.path, self.notes = tmp_path / "config.json", []
         self.given = {
-            "name": "n1", "listen": "127.0.0.1:9000", "discovery": f"127.0.0.1:{self.discovery.address[1]}",
+            "name": "n1", "listen": "{}:{}".format(*self.place), "discovery": f"127.0.0.1:{self.discovery.address[1]}",
             "seed": "8c1f", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
             "known": self.discovery.listed() if known else {"version": 0, "full": True, "servers": []},
             "settings": {**copy.deepcopy(SETTINGS), **settings},
@@ -78,12 +77,17 @@
         self.number = 0
         self.begin = lambda: None  # a task beside the head's start
 
+    def surroundings(self):
+        """Return the hub, the network and the address that the head listens on."""
+        hub = Hub.virtual(3)
+        return hub, MemoryNetwork(hub), ("127.0.0.1", 9000)
+
     def note(self, event, **fields):
         self.notes.append((event, fields))
 
     def configuration(self):
         self.path.write_text(json.dumps(self.given))
-        return read({"PROXY_NAME": "n1", "PROXY_LISTEN": "127.0.0.1:9000", "PROXY_DISCOVERY": "x:1",
+        return read({"PROXY_NAME": "n1", "PROXY_LISTEN": self.given["listen"], "PROXY_DISCOVERY": "x:1",
                      "PROXY_CONFIG": str(self.path)})  # fmt: skip
 
     def run(self, act):
@@ -103,7 +107,7 @@
         self.hub.run(main)
 
     def connect(self):
-        return self.net.connect(("127.0.0.1", 9000), name="client")
+        return self.net.connect(self.place, name="client")
 
     def request(self, writes=False, trace=None, **changes):
         self.number += 1
