--- a/tests/storms/test_playing.py
+++ b/tests/storms/test_playing.py
@@ -16,6 +16,7 @@
 from harriertrack.lab.fleet.storm import playing
 from harriertrack.rules import budgets, recording as rec, rollout
 from harriertrack.runtime.streams import MemoryNetwork
+from tests.known_red import ROOT
 from tests.storms import faults
 
 S = 1_000_000
@@ -139,3 +140,9 @@
             [sys.executable, "-m", "harriertrack", "fleet", "storm", *words], capture_output=True, text=True
         )
         assert done.returncode == 2 and why in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_a_head_that_stood_still_sends_nothing_to_a_node_that_drained_meanwhile():
+    day = scenario.load(str(ROOT / "docs/measurements/storm-drain.sexp"))
+    verdict = playing.judged(day)
+    assert verdict.requests > 100 and verdict.broken == frozenset()
