--- a/harriertrack/decisions/requests/acting.py
+++ b/harriertrack/decisions/requests/acting.py
@@ -27,7 +27,7 @@
             if isinstance(what, str):
                 self._board.events.append(api.Woken(what))
             elif isinstance(what, Attempt):
-                self._attempts.call_off(now, what, api.Result.TIMEOUT)
+                self._attempts.time_up(now, what)
             elif what.state in (PartState.WAITING, PartState.KEPT):
                 self._ending.time_up(what)
 
--- a/harriertrack/decisions/requests/attempts.py
+++ b/harriertrack/decisions/requests/attempts.py
@@ -16,7 +16,7 @@
 from harriertrack.decisions.requests.ending import Ending
 from harriertrack.decisions.requests.facts import Beside
 from harriertrack.decisions.requests.keeping import Keeping
-from harriertrack.decisions.requests.model import Attempt
+from harriertrack.decisions.requests.model import Attempt, Part
 from harriertrack.decisions.requests.offering import Offering
 from harriertrack.decisions.requests.port import NodeBook
 from harriertrack.decisions.requests.rules import CHANGING
@@ -54,10 +54,33 @@
         until = min(now + action.timeout_us, part.until) if action.timeout_us else part.until
         attempt.until = until
         board.push(until, attempt)
+        attempt.begin_before = self._begin_before(part, until)
+        if attempt.begin_before < until:
+            board.push(attempt.begin_before, attempt)
         if part.places and board.closings is not None:
             board.closings.placing(request.volume.settings.name, part.extent, member.entry.shard)
         board.port.send(attempt)
 
+    def _begin_before(self, part: Part, until: int) -> int:
+        """Return from when on an attempt may not begin: its rack may have forgotten an earlier one."""
+        window = self._board.windows[part.class_name]
+        # A read has no effect, though its class be keyed; what a placed request does, its class alone tells.
+        changes = part.placed is not None or part.request.kind in CHANGING
+        if not window or not changes or not part.may_have_run:
+            return until
+        return min(until, part.risky_at + window)
+
+    def may_begin(self, now: int, attempt: Attempt) -> bool:
+        """Return whether an attempt that waited for its connection may still be sent."""
+        return not attempt.part.state.over and now < attempt.begin_before
+
+    def time_up(self, now: int, attempt: Attempt) -> None:
+        """An attempt can't be waited for any longer, or can't begin any more."""
+        if now >= attempt.until:
+            self.call_off(now, attempt, api.Result.TIMEOUT)
+        elif attempt.state is AttemptState.DIALING:  # it would come too late, which says nothing of its node
+            self.call_off(now, attempt, api.Result.CANCELLED)
+
     def ended(self, now: int, attempt: Attempt, result: api.Result, data: bytes,
               report: Beside | None) -> None:  # fmt: skip
         """Take an attempt's outcome from its link; one that was called off has told the module already."""
--- a/harriertrack/decisions/requests/core.py
+++ b/harriertrack/decisions/requests/core.py
@@ -232,6 +232,13 @@
 
     # -- attempts
 
+    def may_begin(self, now: int, attempt: Attempt) -> bool:
+        """Return whether an attempt that waited for its connection may still be sent.
+
+        If not it is MOOT: nothing was sent, which says nothing of its node.
+        """
+        return self._attempts.may_begin(now, attempt)
+
     def sent(self, attempt: Attempt, at: int = 0) -> None:
         """The attempt's bytes were handed to its link; `at` tells when, where it was dialled first."""
         attempt.state = step_attempt(attempt.state, AttemptStep.SEND)
--- a/harriertrack/decisions/requests/model.py
+++ b/harriertrack/decisions/requests/model.py
@@ -146,6 +146,7 @@
     told: bool = False  # the module has its outcome
     write_number: int = 0
     until: int = 0  # when the module stops waiting for it
+    begin_before: int = 0  # its last byte leaves before this time, or never
 
     @property
     def awaited(self) -> bool:
--- a/harriertrack/decisions/requests/port.py
+++ b/harriertrack/decisions/requests/port.py
@@ -70,7 +70,10 @@
     """What the core asks of its surroundings; none of these may call back into the core at once."""
 
     def send(self, attempt: Attempt) -> None:
-        """Start an attempt; `Core.sent` follows when its bytes leave, and `Core.ended` when it is over."""
+        """Start an attempt; `Core.sent` follows when its bytes leave, and `Core.ended` when it is over.
+
+        Where it has to wait for a connection, `Core.may_begin` is asked before anything of it is sent.
+        """
 
     def call_off(self, attempt: Attempt) -> None:
         """Tell the node that nobody waits for this attempt any more, as far as it understands that."""
--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -50,6 +50,15 @@
         if self.life.offer(cookie, attempt):
             self._request(cookie, attempt)
 
+    def _send_waiting(self) -> None:
+        """The link is open: send what waited for it, as far as that may still begin."""
+        core, now = self._links.core, self._hub.now()
+        for cookie, attempt in self.life.opened():
+            if core.may_begin(now, attempt):
+                self._request(cookie, attempt)
+            else:
+                core.ended(now, self.life.answered(cookie), api.Result.MOOT)
+
     def call_off(self, attempt: Attempt) -> None:
         """Forget an attempt that waits for the link, or tell the node where it understands that."""
         cookie = cookie_of(attempt.part.number, attempt.number)
@@ -121,8 +130,7 @@
         """Dial, shake hands, and take replies until the link breaks (the link's task)."""
         try:
             self._dial()
-            for cookie, attempt in self.life.opened():
-                self._request(cookie, attempt)
+            self._send_waiting()
             self._close_if_spent()
             self._rest()
             while self._stream is not None and (data := self._stream.read()):
--- a/harriertrack/lab/emulator.py
+++ b/harriertrack/lab/emulator.py
@@ -142,8 +142,7 @@
             self._end()
             return
         self._shelf.came(self)
-        for cookie, attempt in self.life.opened():
-            self._request(cookie, attempt)
+        self._send_waiting()
 
     def _request(self, cookie: int, attempt: Attempt) -> None:
         part = attempt.part
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -85,8 +85,12 @@
 
     def rules(self) -> RequestRules:
         """Return what the core is told: requests come placed, so nothing is cut."""
+        # The settings name a window for classes of every effect; it binds keyed ones alone.
+        windows = {
+            one.name: one.window_us if one.effect is api.Effect.KEYED else 0 for one in self.told.classes
+        }
         classes = tuple(
-            ClassRule(one.name, frozenset(), 0, one.deadline_us, one.in_order, one.window_us)
+            ClassRule(one.name, frozenset(), 0, one.deadline_us, one.in_order, windows[one.name])
             for one in self.told.classes
         )
         return RequestRules(1, 1, self.told.tick_us, self.bounds.held, classes)
--- a/harriertrack/service/shelfs.py
+++ b/harriertrack/service/shelfs.py
@@ -140,6 +140,7 @@
         self._attempt: Attempt | None = None
         self._exchange: Exchange | None = None
         self._closed = False
+        self._half_sent = False  # the last byte of a request has not left
 
     @property
     def fit(self) -> bool:
@@ -166,8 +167,14 @@
         self._exchange = Exchange(
             b"PUT" if asked.writes else b"GET", asked.target, headers, asked.body, self._shelfs.bounds.answer
         )
+        self._half_sent = True
         self._stream.write(self._exchange.request)
-        self._stream.push(lambda: self._shelfs.core.sent(attempt, self._shelfs.hub.now()))
+        self._stream.push(lambda: self._sent(attempt))
+
+    def _sent(self, attempt: Attempt) -> None:
+        """The last byte of a request has left."""
+        self._half_sent = False
+        self._shelfs.core.sent(attempt, self._shelfs.hub.now())
 
     def run(self) -> None:
         """Dial, then take answers until the connection ends (its task)."""
@@ -177,11 +184,7 @@
             self._stream = shelfs.network.connect(self._address, deadline, shelfs.name)
             if self._closed:
                 return
-            if self._attempt is not None:
-                shelfs.ways.step(self, WayState.BUSY, hub.now())
-                self.start(self._attempt)
-            else:
-                shelfs.ways.step(self, WayState.IDLE, hub.now())
+            self._up()
             while self._take(self._stream.read()):
                 pass
         except Spoilt as error:
@@ -193,6 +196,17 @@
             self.close()
             self._lost(api.Result.RESET)
 
+    def _up(self) -> None:
+        """The connection is up: send its attempt if that may still begin, else keep the connection."""
+        shelfs, now = self._shelfs, self._shelfs.hub.now()
+        if self._attempt is not None and not shelfs.core.may_begin(now, self._attempt):
+            self._lost(api.Result.MOOT)
+        if self._attempt is None:
+            shelfs.ways.step(self, WayState.IDLE, now)
+        else:
+            shelfs.ways.step(self, WayState.BUSY, now)
+            self.start(self._attempt)
+
     def _take(self, data: bytes) -> bool:
         """Take bytes; return whether the connection goes on."""
         shelfs = self._shelfs
@@ -225,8 +239,10 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; of a request that was not sent whole, nothing more is sent."""
         self._closed = True
         self._shelfs.ways.gone(self)
-        if self._stream is not None:
+        if self._stream is not None and self._half_sent:
+            self._stream.abort()
+        elif self._stream is not None:
             self._stream.close()
--- a/tests/endings/loopback.py
+++ b/tests/endings/loopback.py
@@ -7,19 +7,64 @@
 import socket
 
 from harriertrack.lab.fleet.processes import Places
-from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.hub import Event, Hub, RealClock
 from harriertrack.runtime.streams import SocketNetwork
 from tests.test_platform import MS, Site
 
+SMALL = 2048  # bytes that a small buffer holds
 PATIENCE_US = 10_000_000  # the longest that a test waits for a condition
 
 
+class LeapClock(RealClock):
+    """Real time that a test can let pass at once."""
+
+    ahead_us = 0
+
+    def now(self):
+        return super().now() + self.ahead_us
+
+    def leap(self, us):
+        self.ahead_us += us
+
+
+class HeldNetwork(SocketNetwork):
+    """TCP on this machine, over which connections to some addresses come up when the test says so."""
+
+    def __init__(self, hub):
+        super().__init__(hub)
+        self.held, self.waiting, self.up = set(), 0, Event(hub)
+        self.send_buffer = 0  # bytes that the kernel takes, of connections made from now on; 0: as it likes
+
+    def connect(self, address, deadline=None, name=""):
+        stream = super().connect(address, deadline, name)
+        if self.send_buffer:
+            stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_buffer)
+        if address in self.held:
+            self.waiting += 1
+            try:
+                self.up.wait(deadline)
+            except BaseException:
+                stream.close()
+                raise
+            finally:
+                self.waiting -= 1
+        return stream
+
+
 class LoopbackSite(Site):
     """A head, two storage nodes and discovery over TCP on this machine, in real time."""
 
     def surroundings(self):
-        hub = Hub(seed=3)
-        return hub, SocketNetwork(hub), Places().next()
+        hub = Hub(LeapClock(), seed=3)
+        return hub, HeldNetwork(hub), Places().next()
+
+    def hold_dials(self):
+        """Connections to nodes come up at `net.up.set()` from now on."""
+        self.net.held = {shelf.address for shelf in self.shelfs}
+
+    def leap_first(self, us):
+        """Let so much time pass in the hub's next round, before tasks that are woken after this call."""
+        self.scope.spawn("leap", self.hub.clock.leap, us)
 
     def until(self, holds, within=PATIENCE_US):
         """Wait until a condition holds; fail after a time that no healthy run needs."""
@@ -101,3 +146,48 @@
         """Break the connection."""
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
         self.socket.close()
+
+
+class RawNode:
+    """A storage node's listening socket, in place of one of the site's; the test accepts and answers itself."""
+
+    def __init__(self, site, cell=1):
+        self.site, self.socket = site, socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.socket.listen()
+        self.socket.setblocking(False)
+        address = self.socket.getsockname()
+        site.discovery.set(f"s{cell}", address, cell)
+        site.until(lambda: site.head.nodes.find(f"s{cell}").address == address)
+
+    def small_buffers(self):
+        """What is sent over connections made from now on does not leave before it is read here."""
+        self.site.net.send_buffer = SMALL
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL)
+
+    def accept(self):
+        """Wait for a connection of the head; return its end here."""
+        found = []
+
+        def comes():
+            try:
+                found.append(self.socket.accept()[0])
+            except BlockingIOError:
+                return False
+            return True
+
+        self.site.until(comes)
+        return NodeEnd(self.site, found[0])
+
+
+class NodeEnd(RawClient):
+    """The node's end of a connection."""
+
+    def __init__(self, site, accepted):
+        self.site, self.received, self.ended, self.broken = site, b"", False, False
+        self.socket = accepted
+        accepted.setblocking(False)
+
+    def until_asked(self):
+        """Read up to the end of a request's head."""
+        self.site.until(lambda: self.receive() and b"\r\n\r\n" in self.received)
--- /dev/null
+++ b/tests/endings/test_attempt_ends.py
@@ -0,0 +1,92 @@
+"""An attempt that is about to begin, or that ends, forced at each instant over loopback sockets."""
+
+import pytest
+
+from harriertrack.decisions import interface as api
+from tests.endings.loopback import SMALL, LoopbackSite, RawClient, RawNode
+from tests.test_platform import MS
+
+ENDS = pytest.mark.parametrize("end", [RawClient.close, RawClient.reset, RawClient.half_close])
+LARGE = "x" * 65_536  # a body that small buffers can't hold
+
+
+def served_over_the_kept_connection(site):
+    """Ask once more; nothing came to the node before, and no other connection did."""
+    site.hub.sleep(10 * MS)  # a connection rests before it is used
+    client = RawClient(site)
+    client.send(site.request(trace="00000000000000ff"))
+    assert client.until_answered()[0] == 200
+    assert [got.fields["x-trace-id"] for got in site.shelfs[1].got] == ["00000000000000ff"]
+    assert site.shelfs[1].connections == 1
+    assert site.head.module.results() == [api.Result.MOOT, api.Result.OK]
+
+
+@ENDS
+def test_nothing_begins_for_a_client_that_ends_as_its_connection_comes_up(tmp_path, end):
+    def act(site):
+        site.hold_dials()
+        client = RawClient(site)
+        client.send(site.request())
+        site.until(lambda: site.net.waiting)
+        end(client)
+        site.net.up.set()
+        site.until(lambda: site.head.core.counts.left)
+        served_over_the_kept_connection(site)
+
+    LoopbackSite(tmp_path).run(act)
+
+
+def test_nothing_begins_after_its_time_though_its_connection_comes_up_in_the_same_turn(tmp_path):
+    def act(site):
+        site.hold_dials()
+        client = RawClient(site)
+        client.send(site.request())
+        site.until(lambda: site.net.waiting)
+        site.leap_first(481 * MS)
+        site.net.up.set()
+        assert client.until_answered()[0] == 503
+        served_over_the_kept_connection(site)
+
+    LoopbackSite(tmp_path).run(act)
+
+
+def stuck(site):
+    """Send a request whose last byte can't leave; return (client, the node's end)."""
+    node = RawNode(site)
+    node.small_buffers()
+    client = RawClient(site)
+    client.send(site.request(True, body=LARGE))
+    there = node.accept()
+    there.until_asked()
+    return client, there
+
+
+@ENDS
+def test_the_last_byte_of_a_request_never_leaves_after_its_client_ended(tmp_path, end):
+    def act(site):
+        client, there = stuck(site)
+        end(client)
+        site.until(lambda: site.head.core.counts.left)
+        there.until_ended()
+        assert there.broken and len(there.received) < len(LARGE)
+        assert site.head.module.results() == [api.Result.MOOT] and len(site.head.shelfs.ways) == 0
+
+    LoopbackSite(tmp_path).run(act)
+
+
+def test_what_is_called_off_before_its_last_byte_left_never_comes_whole(tmp_path):
+    """It is told as never run: closing its connection may not send the rest, though there is room for it."""
+
+    def act(site):
+        _, there = stuck(site)
+        (way,), (part,) = site.head.shelfs._way_of.values(), site.head.core._board.parts.values()
+        site.until(lambda: there.receive(512) and way._stream.buffered <= SMALL)
+        assert way._stream.buffered
+        while there.receive():
+            pass
+        site.head.core.client_gone(part.request)
+        there.until_ended()
+        assert there.broken and len(there.received) < len(LARGE)
+        assert site.head.module.results() == [api.Result.MOOT]
+
+    LoopbackSite(tmp_path).run(act)
--- /dev/null
+++ b/tests/endings/test_keyed_windows.py
@@ -0,0 +1,145 @@
+"""Keyed work goes again only inside its cell and its window, however late its connection comes up."""
+
+import copy
+
+import pytest
+
+from harriertrack.decisions import interface as api
+from harriertrack.standin.platform import RESET, answer
+from tests.endings.loopback import LoopbackSite, RawClient, RawNode
+from tests.endings.test_attempt_ends import LARGE
+from tests.test_platform import MS, SETTINGS
+
+WINDOW_US = 200 * MS  # shorter than the aim of 500 ms, up to which the module tries again
+LATE = pytest.mark.parametrize("late", [False, True], ids=["before", "after"])
+
+
+@pytest.fixture
+def site(tmp_path):
+    lanes = copy.deepcopy(SETTINGS["lanes"])
+    for lane in lanes:
+        lane["keyTtlUs"] = WINDOW_US  # the settings name one for safe classes too
+    return LoopbackSite(tmp_path, lanes=lanes)
+
+
+def keys(site, cell=1):
+    return [got.fields.get("idempotency-key") for got in site.shelfs[cell].got]
+
+
+def ask_with_a_lost_answer(site, then=lambda: None, **changes):
+    """Send a request whose first attempt is reset once it has come; call `then` in that same turn."""
+
+    def script(got):
+        site.script = lambda got: answer(b"done")
+        then()
+        return RESET
+
+    site.script = script
+    client = RawClient(site)
+    client.send(site.request(**changes))
+    return client
+
+
+@LATE
+def test_a_repeat_goes_out_inside_the_window_alone(site, late):
+    def act(site):
+        client = ask_with_a_lost_answer(
+            site, lambda: site.hub.clock.leap(WINDOW_US if late else WINDOW_US // 2), writes=True
+        )
+        assert client.until_answered()[0] == (500 if late else 200)
+        assert keys(site) == ["k1"] * (1 if late else 2)
+        first, last = site.shelfs[1].got[0].when, site.shelfs[1].got[-1].when
+        assert last - first < WINDOW_US
+
+    site.run(act)
+
+
+@pytest.mark.parametrize("turn", ["same", "later"])
+def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_sent(site, turn):
+    def act(site):
+        client = ask_with_a_lost_answer(site, site.hold_dials, writes=True)
+        site.until(lambda: site.net.waiting)
+        if turn == "same":
+            site.leap_first(WINDOW_US)
+        else:
+            site.hub.clock.leap(WINDOW_US)
+            assert client.until_answered()[0] == 500  # nobody waits for the connection: nothing is to come
+        site.net.up.set()
+        if turn == "same":
+            assert client.until_answered()[0] == 500
+        site.until(lambda: not site.net.waiting)
+        site.hub.sleep(10 * MS)
+        assert site.head.module.results() == [api.Result.RESET, api.Result.MOOT]
+        assert len(site.head.shelfs.ways) == 1
+        again = RawClient(site)
+        again.send(site.request(True))
+        assert again.until_answered()[0] == 200 and keys(site) == ["k1", "k2"]  # over the kept connection
+        assert site.shelfs[1].connections == 2
+
+    site.run(act)
+
+
+def test_the_window_does_not_bind_safe_work(site):
+    def act(site):
+        client = ask_with_a_lost_answer(site, site.hold_dials)
+        site.until(lambda: site.net.waiting)
+        site.hub.clock.leap(WINDOW_US)
+        site.hub.sleep(10 * MS)
+        site.net.up.set()
+        assert client.until_answered()[0] == 200 and len(site.shelfs[1].got) == 2
+        assert site.head.module.results() == [api.Result.RESET, api.Result.OK]
+
+    site.run(act)
+
+
+def test_the_window_does_not_bind_a_first_attempt(site):
+    def act(site):
+        site.hold_dials()
+        client = RawClient(site)
+        client.send(site.request(True))
+        site.until(lambda: site.net.waiting)
+        site.hub.clock.leap(WINDOW_US)
+        site.hub.sleep(10 * MS)
+        site.net.up.set()
+        assert client.until_answered()[0] == 200 and keys(site) == ["k1"]
+
+    site.run(act)
+
+
+def test_the_last_byte_of_a_repeat_does_not_leave_after_the_window(site):
+    def act(site):
+        node = RawNode(site)
+        client = RawClient(site)
+        client.send(site.request(True, body=LARGE))
+        first = node.accept()
+        site.until(lambda: first.receive() and len(first.received) > len(LARGE))
+        node.small_buffers()
+        first.reset()
+        second = node.accept()
+        second.until_asked()
+        site.hub.clock.leap(WINDOW_US)
+        assert client.until_answered()[0] == 500
+        second.until_ended()
+        assert second.broken and len(second.received) < len(LARGE)
+        assert site.head.module.results() == [api.Result.RESET, api.Result.MOOT]
+
+    site.run(act)
+
+
+@pytest.mark.parametrize("shard", [1, -1])
+def test_a_repeat_never_goes_to_another_cell(site, shard):
+    def act(site):
+        def drained():
+            first = 0 if site.shelfs[0].got else 1
+            site.discovery.set(f"s{first}", site.shelfs[first].address, first, "terminated")
+            site.shelfs[first].close()
+
+        placement = f"volume=00000003b4d60021,units=2,shard={shard},hosts=2"
+        client = ask_with_a_lost_answer(site, drained, writes=True, **{"X-Placement": placement})
+        assert client.until_answered()[0] == 500
+        assert len(keys(site, 0) + keys(site, 1)) == 1
+        new = RawClient(site)
+        new.send(site.request(True, **{"X-Placement": placement.replace("shard=1", "shard=-1")}))
+        assert new.until_answered()[0] == 200  # the other cell could have served it
+
+    site.run(act)
