--- a/harriertrack/service/shelfs.py
+++ b/harriertrack/service/shelfs.py
@@ -140,7 +140,7 @@
         self._attempt: Attempt | None = None
         self._exchange: Exchange | None = None
         self._closed = False
-        self._half_sent = False  # the last byte of a request has not left
+        self._open = False  # a request went out over it, of which the answer is not whole
 
     @property
     def fit(self) -> bool:
@@ -167,14 +167,9 @@
         self._exchange = Exchange(
             b"PUT" if asked.writes else b"GET", asked.target, headers, asked.body, self._shelfs.bounds.answer
         )
-        self._half_sent = True
+        self._open = True
         self._stream.write(self._exchange.request)
-        self._stream.push(lambda: self._sent(attempt))
-
-    def _sent(self, attempt: Attempt) -> None:
-        """The last byte of a request has left."""
-        self._half_sent = False
-        self._shelfs.core.sent(attempt, self._shelfs.hub.now())
+        self._stream.push(lambda: self._shelfs.core.sent(attempt, self._shelfs.hub.now()))
 
     def run(self) -> None:
         """Dial, then take answers until the connection ends (its task)."""
@@ -217,6 +212,7 @@
         answer = self._exchange.receive(data)
         if answer is None:
             return True
+        self._open = False
         attempt, self._attempt, self._exchange = self._attempt, None, None
         at = max(attempt.sent_at, self._stream.came_at)
         shelfs.ended(attempt, result_of(answer), at, answer)
@@ -239,10 +235,12 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection; of a request that was not sent whole, nothing more is sent."""
+        """Close the connection, with a reset where a request is open: nothing of that may come any more.
+
+        What this process or its system still holds of it would reach the shelf whenever that reads, or once
+        a cut between them is over.
+        """
         self._closed = True
         self._shelfs.ways.gone(self)
-        if self._stream is not None and self._half_sent:
-            self._stream.abort()
-        elif self._stream is not None:
-            self._stream.close()
+        if self._stream is not None:
+            self._stream.abort() if self._open else self._stream.close()
--- a/tests/endings/loopback.py
+++ b/tests/endings/loopback.py
@@ -160,9 +160,12 @@
         site.discovery.set(f"s{cell}", address, cell)
         site.until(lambda: site.head.nodes.find(f"s{cell}").address == address)
 
-    def small_buffers(self):
-        """What is sent over connections made from now on does not leave before it is read here."""
-        self.site.net.send_buffer = SMALL
+    def small_buffers(self, kept=SMALL):
+        """What is sent over connections made from now on does not come before it is read here.
+
+        The head's system takes `kept` bytes, 0: as many as it likes.
+        """
+        self.site.net.send_buffer = kept
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL)
 
     def accept(self):
--- a/tests/endings/test_attempt_ends.py
+++ b/tests/endings/test_attempt_ends.py
@@ -50,10 +50,13 @@
     LoopbackSite(tmp_path).run(act)
 
 
-def stuck(site):
-    """Send a request whose last byte can't leave; return (client, the node's end)."""
+def stuck(site, kept=SMALL):
+    """Send a request that its node does not read, of which the head's system keeps so much (0: all).
+
+    Return (client, the node's end).
+    """
     node = RawNode(site)
-    node.small_buffers()
+    node.small_buffers(kept)
     client = RawClient(site)
     client.send(site.request(True, body=LARGE))
     there = node.accept()
@@ -62,14 +65,16 @@
 
 
 @ENDS
-def test_the_last_byte_of_a_request_never_leaves_after_its_client_ended(tmp_path, end):
+@pytest.mark.parametrize("kept", [SMALL, 0], ids=["in the process", "in the system"])
+def test_the_last_byte_of_a_request_never_comes_after_its_client_ended(tmp_path, end, kept):
     def act(site):
-        client, there = stuck(site)
+        client, there = stuck(site, kept)
         end(client)
         site.until(lambda: site.head.core.counts.left)
         there.until_ended()
         assert there.broken and len(there.received) < len(LARGE)
-        assert site.head.module.results() == [api.Result.MOOT] and len(site.head.shelfs.ways) == 0
+        assert site.head.module.results() == [api.Result.MOOT if kept else api.Result.CANCELLED]
+        assert len(site.head.shelfs.ways) == 0
 
     LoopbackSite(tmp_path).run(act)
 
