--- a/harriertrack/service/shelfs.py
+++ b/harriertrack/service/shelfs.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.life import AttemptState
 from harriertrack.decisions.requests import Attempt, Core
 from harriertrack.decisions.ways import Ways, WayState
 from harriertrack.membership.nodes import Member
@@ -212,6 +213,9 @@
         answer = self._exchange.receive(data)
         if answer is None:
             return True
+        if self._attempt.state is AttemptState.DIALING:  # before its request has left: it never ran
+            self._lost(api.Result.FULL if result_of(answer) is api.Result.FULL else api.Result.RESET)
+            return False
         self._open = False
         attempt, self._attempt, self._exchange = self._attempt, None, None
         at = max(attempt.sent_at, self._stream.came_at)
--- a/tests/endings/loopback.py
+++ b/tests/endings/loopback.py
@@ -11,6 +11,7 @@
 from harriertrack.runtime.streams import SocketNetwork
 from tests.test_platform import MS, Site
 
+PLACES = Places()  # each site listens elsewhere: what one that failed left open hinders no other
 SMALL = 2048  # bytes that a small buffer holds
 PATIENCE_US = 10_000_000  # the longest that a test waits for a condition
 
@@ -56,7 +57,7 @@
 
     def surroundings(self):
         hub = Hub(LeapClock(), seed=3)
-        return hub, HeldNetwork(hub), Places().next()
+        return hub, HeldNetwork(hub), PLACES.next()
 
     def hold_dials(self):
         """Connections to nodes come up at `net.up.set()` from now on."""
--- a/tests/endings/test_attempt_ends.py
+++ b/tests/endings/test_attempt_ends.py
@@ -3,6 +3,7 @@
 import pytest
 
 from harriertrack.decisions import interface as api
+from harriertrack.standin.platform import NEVER_RAN, answer
 from tests.endings.loopback import SMALL, LoopbackSite, RawClient, RawNode
 from tests.test_platform import MS
 
@@ -95,3 +96,24 @@
         assert site.head.module.results() == [api.Result.MOOT]
 
     LoopbackSite(tmp_path).run(act)
+
+
+EARLY = {"full": NEVER_RAN, "failed": answer(b"", 500), "stray": answer(b"of another request")}
+
+
+@pytest.mark.parametrize("said", EARLY)
+def test_an_answer_before_the_last_byte_of_its_request_proves_that_it_never_ran(tmp_path, said):
+    """What is served was not made for this request, and the rest of it is not sent."""
+
+    def act(site):
+        client, there = stuck(site)
+        there.send(EARLY[said])
+        assert client.until_answered()[0] == 503
+        there.until_ended()
+        assert there.broken and len(there.received) < len(LARGE)
+        assert site.head.module.results()[0] is (
+            api.Result.FULL if said == "full" else api.Result.CONNECT_FAILED
+        )
+        assert len(site.head.shelfs.ways) <= 1  # the one of the next attempt
+
+    LoopbackSite(tmp_path).run(act)
