--- a/harriertrack/service/shelfs.py
+++ b/harriertrack/service/shelfs.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.life import AttemptState
 from harriertrack.decisions.requests import Attempt, Core
 from harriertrack.decisions.ways import Ways, WayState
 from harriertrack.membership.nodes import Member
@@ -140,6 +141,7 @@
         self._attempt: Attempt | None = None
         self._exchange: Exchange | None = None
         self._closed = False
+        self._open = False  # a request went out over it, of which the answer is not whole
 
     @property
     def fit(self) -> bool:
@@ -166,6 +168,7 @@
         self._exchange = Exchange(
             b"PUT" if asked.writes else b"GET", asked.target, headers, asked.body, self._shelfs.bounds.answer
         )
+        self._open = True
         self._stream.write(self._exchange.request)
         self._stream.push(lambda: self._shelfs.core.sent(attempt, self._shelfs.hub.now()))
 
@@ -177,11 +180,7 @@
             self._stream = shelfs.network.connect(self._address, deadline, shelfs.name)
             if self._closed:
                 return
-            if self._attempt is not None:
-                shelfs.ways.step(self, WayState.BUSY, hub.now())
-                self.start(self._attempt)
-            else:
-                shelfs.ways.step(self, WayState.IDLE, hub.now())
+            self._up()
             while self._take(self._stream.read()):
                 pass
         except Spoilt as error:
@@ -193,6 +192,17 @@
             self.close()
             self._lost(api.Result.RESET)
 
+    def _up(self) -> None:
+        """The connection is up: send its attempt if that may still begin, else keep the connection."""
+        shelfs, now = self._shelfs, self._shelfs.hub.now()
+        if self._attempt is not None and not shelfs.core.may_begin(now, self._attempt):
+            self._lost(api.Result.MOOT)
+        if self._attempt is None:
+            shelfs.ways.step(self, WayState.IDLE, now)
+        else:
+            shelfs.ways.step(self, WayState.BUSY, now)
+            self.start(self._attempt)
+
     def _take(self, data: bytes) -> bool:
         """Take bytes; return whether the connection goes on."""
         shelfs = self._shelfs
@@ -203,6 +213,10 @@
         answer = self._exchange.receive(data)
         if answer is None:
             return True
+        if self._attempt.state is AttemptState.DIALING:  # before its request has left: it never ran
+            self._lost(api.Result.FULL if result_of(answer) is api.Result.FULL else api.Result.RESET)
+            return False
+        self._open = False
         attempt, self._attempt, self._exchange = self._attempt, None, None
         at = max(attempt.sent_at, self._stream.came_at)
         shelfs.ended(attempt, result_of(answer), at, answer)
@@ -225,8 +239,12 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, with a reset where a request is open: nothing of that may come any more.
+
+        What this process or its system still holds of it would reach the shelf whenever that reads, or once
+        a cut between them is over.
+        """
         self._closed = True
         self._shelfs.ways.gone(self)
         if self._stream is not None:
-            self._stream.close()
+            self._stream.abort() if self._open else self._stream.close()
