--- a/harriertrack/decisions/callers.py
+++ b/harriertrack/decisions/callers.py
@@ -1,14 +1,21 @@
 """Clients' connections to a head: which of them are closed, and when.
 
-No I/O and no clock. A connection is NEW until its first byte, READS until a request is whole, is BUSY until
-that is answered, then IDLE. Those that say nothing or send half a request must not hold a place; nor those
-that have asked once and stay, for clients may hold only so many connections for requests.
+No I/O and no clock. A connection is NEW until its first byte, READING until a request is whole, BUSY until
+that is answered, SENDING until the answer's last byte has left, then IDLE; or LINGERING after a last answer:
+the sending side is shut, and what still comes is discarded until the client ends it too, for a close over
+unread bytes resets a connection and takes the answer along. Those that say nothing or send half a request
+must not hold a place; nor those that have asked once and stay, for clients may hold only so many connections
+for requests; nor those that linger.
+
+What has come over a connection may not have been read yet. `silent` looks, and is asked only of those that
+are about to be closed.
 """
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from enum import StrEnum
+from itertools import islice
 from typing import Generic, TypeVar
 
 from harriertrack.decisions.life import IllegalStep
@@ -19,6 +26,15 @@
 READ_US = 1_800_000  # the longest that a request may take to be whole; both together stay under the 3 s owed
 HALF_US = 500_000  # half a request may go after this where places are short and nobody idles
 IDLE_US = 5_000_000  # an idle one goes after this though there is room: most clients come back sooner
+LATE_US = 500_000  # an answer is worth nothing so long after its client's time: then nobody waits for it
+LINGER_US = 500_000  # a client that reads what it is sent has the last answer by then
+LINGER_BYTES = 1 << 20  # discarded at most meanwhile: the largest request, many times over
+ACCEPTS = 16  # connections taken in a row, before what came over others has its turn
+MOST_WAITING = 1024  # connections that the system holds for a listener at most, about
+MOST_LOOKS = 8  # connections of one state looked at for one newcomer: a flood of them must not cost more
+# A client's end shows when its connection is looked at. An attempt may begin so long after the last look: it
+# has to begin within 0.1 s of the end.
+END_KNOWN_US = 30_000
 
 C = TypeVar("C", bound=Hashable)
 
@@ -29,18 +45,32 @@
     NEW = "new"
     READING = "reading"
     BUSY = "busy"
+    SENDING = "sending"
     IDLE = "idle"
+    LINGERING = "lingering"
 
 
 CALLER_STEPS = frozenset((
     (CallerState.NEW, CallerState.READING), (CallerState.NEW, CallerState.BUSY),
-    (CallerState.READING, CallerState.BUSY), (CallerState.BUSY, CallerState.IDLE),
+    (CallerState.READING, CallerState.BUSY), (CallerState.BUSY, CallerState.SENDING),
+    (CallerState.SENDING, CallerState.IDLE), (CallerState.SENDING, CallerState.LINGERING),
     (CallerState.IDLE, CallerState.READING), (CallerState.IDLE, CallerState.BUSY),
+    # What can't be read, or not in time, is answered without having been a request.
+    (CallerState.NEW, CallerState.SENDING), (CallerState.READING, CallerState.SENDING),
+    (CallerState.IDLE, CallerState.SENDING),
 ))  # fmt: skip
-LONGEST = ((CallerState.NEW, NEW_US), (CallerState.READING, READ_US), (CallerState.IDLE, IDLE_US))
+LONGEST = (
+    (CallerState.NEW, NEW_US), (CallerState.READING, READ_US), (CallerState.IDLE, IDLE_US),
+    (CallerState.LINGERING, LINGER_US),
+)  # fmt: skip
 VICTIMS = ((CallerState.NEW, SILENT_US), (CallerState.IDLE, 0), (CallerState.READING, HALF_US))
 
 
+def _never_looks(_caller: object) -> bool:
+    """Without a look, nothing unread is known of."""
+    return True
+
+
 class Callers(Generic[C]):
     """All clients' connections of a head, each state's in the order in which they came to it.
 
@@ -52,34 +82,50 @@
         self.most, self.most_asked = most, most_asked
         self._at: dict[CallerState, dict[C, int]] = {state: {} for state in CallerState}
         self._state: dict[C, CallerState] = {}
+        self._sends_until: dict[C, int] = {}
 
     def __len__(self) -> int:
         return len(self._state)
 
-    def came(self, caller: C, now: int) -> C | None:
+    def came(self, caller: C, now: int, silent: Callable[[C], bool] = _never_looks) -> C | None:
         """Take a new connection; return one to close for it, itself perhaps, if there are too many."""
         victim: C | None = None
         if len(self._state) >= self.most:
-            victim = self._victim(now)
+            victim = next(iter(self._at[CallerState.LINGERING]), None)
+            if victim is None:
+                victim = self._victim(now, silent)
             if victim is None:
                 return caller
-        elif len(self._at[CallerState.IDLE]) + len(self._at[CallerState.BUSY]) >= self.most_asked:
-            victim = next(iter(self._at[CallerState.IDLE]), None)
+        elif self._asked >= self.most_asked:
+            victim = self._first(CallerState.IDLE, now, silent)
         if victim is not None:
             self.gone(victim)
         self._state[caller] = CallerState.NEW
         self._at[CallerState.NEW][caller] = now
         return victim
 
-    def _victim(self, now: int) -> C | None:
+    @property
+    def _asked(self) -> int:
+        states = (CallerState.IDLE, CallerState.BUSY, CallerState.SENDING)
+        return sum(len(self._at[state]) for state in states)
+
+    def _victim(self, now: int, silent: Callable[[C], bool]) -> C | None:
         """One that is silent, else the longest idle one, else half a request.
 
         An idle one goes however short it has idled: its client can ask again on a new connection, and loses
         nothing where its request crosses the close. A newcomer that is turned away loses what it came with.
         """
         for state, least in VICTIMS:
-            caller, since = next(iter(self._at[state].items()), (None, now))
-            if caller is not None and now - since >= least:
+            if (caller := self._first(state, now - least, silent)) is not None:
+                return caller
+        return None
+
+    def _first(self, state: CallerState, until: int, silent: Callable[[C], bool]) -> C | None:
+        """The one that has been in a state for longest, since a time at the latest, and is silent."""
+        for caller, since in islice(self._at[state].items(), MOST_LOOKS):
+            if since > until:
+                break
+            if silent(caller):
                 return caller
         return None
 
@@ -91,6 +137,12 @@
         del self._at[before][caller]
         self._state[caller] = state
         self._at[state][caller] = now
+        self._sends_until.pop(caller, None)
+
+    def sends(self, caller: C, until: int, now: int) -> None:
+        """An answer is on its way over a connection; nobody waits for it any more at a time."""
+        self.step(caller, CallerState.SENDING, now)
+        self._sends_until[caller] = until
 
     def state(self, caller: C) -> CallerState | None:
         """Return where a connection is; None for one that is gone."""
@@ -101,10 +153,11 @@
         state = self._state.pop(caller, None)
         if state is not None:
             del self._at[state][caller]
+        self._sends_until.pop(caller, None)
 
     def overdue(self, now: int) -> list[C]:
-        """Return those to be closed now: they are silent, read or idle for too long."""
-        late = []
+        """Return those to be closed now: they are silent, read, idle, send or linger for too long."""
+        late = [caller for caller, until in self._sends_until.items() if now >= until]
         for state, most in LONGEST:
             for caller, since in self._at[state].items():
                 if now - since < most:
@@ -112,11 +165,11 @@
                 late.append(caller)
         return late
 
-    def idle(self) -> list[C]:
-        """Return all over which nothing is asked."""
-        return [*self._at[CallerState.IDLE], *self._at[CallerState.NEW]]
+    def idle(self, now: int) -> list[C]:
+        """Return all over which nothing is asked; new ones are given the time in which clients send."""
+        late = [caller for caller, since in self._at[CallerState.NEW].items() if now - since >= SILENT_US]
+        return [*self._at[CallerState.IDLE], *late]
 
-    @property
-    def unfinished(self) -> int:
-        """How many have a request that is read or open."""
-        return len(self._at[CallerState.READING]) + len(self._at[CallerState.BUSY])
+    def half_read(self) -> list[C]:
+        """Return those over which a part of a request has come."""
+        return list(self._at[CallerState.READING])
--- a/harriertrack/decisions/leaving.py
+++ b/harriertrack/decisions/leaving.py
@@ -3,8 +3,8 @@
 No I/O and no clock. SERVING until it is asked, then PARTING: the platform starts it again only after the time
 at which it would kill it, and until then its clients have no other way to their volumes, so it serves on over
 the connections there are. Shortly before, it is DRAINING: it listens no more, each answer asks its client to
-leave, idle connections are closed. ENDED when nothing is open, or just before the kill: what is still open is
-answered then.
+leave, idle connections are closed. Just before the kill it is CLOSING: what is still open is answered.
+ENDED when no connection is left, or when the last answers have had their time to leave.
 """
 
 from __future__ import annotations
@@ -15,7 +15,8 @@
 KILL_LONGEST_US = 3_000_000
 KILL_AFTER_US = 700_000  # ... and so much more after it has asked.
 DRAIN_US = 250_000  # open requests are given so long: most are answered within it
-SPARE_US = 150_000  # the last answers leave so long before the kill: the processor may be busy
+SPARE_US = 150_000  # the last answers leave so long before the kill: the processor may be busy ...
+LAST_US = 100_000  # ... and have so long until the process ends: it takes along what has not left
 
 
 class Phase(StrEnum):
@@ -24,6 +25,7 @@
     SERVING = "serving"
     PARTING = "parting"
     DRAINING = "draining"
+    CLOSING = "closing"
     ENDED = "ended"
 
 
@@ -42,16 +44,18 @@
         self.phase, self._asked_at = Phase.PARTING, now
         return True
 
-    def look(self, now: int, unfinished: int) -> Phase:
-        """Return the phase as of now; `unfinished` is how many connections have a request read or open."""
+    def look(self, now: int, connections: int) -> Phase:
+        """Return the phase as of now; `connections` is how many clients' connections there are."""
         since = now - self._asked_at
         if self.phase is Phase.PARTING and since >= self._end_after_us - DRAIN_US:
-            self.phase = Phase.DRAINING
-        if self.phase is Phase.DRAINING and (not unfinished or since >= self._end_after_us):
+            self.phase = Phase.DRAINING  # for a look at least: what waits at the listener is taken first
+        elif self.phase is Phase.DRAINING and since >= self._end_after_us:
+            self.phase = Phase.CLOSING
+        elif self.leaves and (not connections or since >= self._end_after_us + LAST_US):
             self.phase = Phase.ENDED
         return self.phase
 
     @property
     def leaves(self) -> bool:
         """Whether clients are asked to go elsewhere."""
-        return self.phase in (Phase.DRAINING, Phase.ENDED)
+        return self.phase in (Phase.DRAINING, Phase.CLOSING, Phase.ENDED)
--- a/harriertrack/runtime/hub.py
+++ b/harriertrack/runtime/hub.py
@@ -203,7 +203,7 @@
         self.on_task_error: Callable[[Task], None] | None = None
         self._timers: list[tuple[int, int, Timer]] = []
         self._serial = self._cancelled = self._polls = 0
-        self.found_since = self._looked_at = self.clock.now()  # what is readable now came no earlier
+        self.found_since = self.looked_at = self.clock.now()  # what is readable now came no earlier
         self._ready: deque[tuple[Task, BaseException | None]] = deque()
         self._end_of_round: dict[Callable[[], None], object] = {}
         self._group: object = None  # that of the task or callback that runs now
@@ -259,10 +259,10 @@
             now = self.clock.now()
             self.idle_us += now - slept
             if now - slept < WAITED_US:  # it was there already: it came at some time since the last look
-                self.found_since = self._looked_at
+                self.found_since = self.looked_at
             else:  # it came just now, or while the process stood still
                 self.found_since = now if until is None or now < until + OVERSLEPT_US else until
-            self._looked_at = now
+            self.looked_at = now
             for fd, events in polled:
                 # An earlier handler of this round may have closed this descriptor and opened another of the
                 # same number: the handler of the new one is not called for the old one's events.
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import select
 import socket
@@ -21,6 +22,7 @@
 MOST_PARTS = 64  # buffers handed to one sendmsg
 RECEIVE = 1 << 18  # the most bytes that one read returns
 ACCEPT_PAUSE_US = 100_000  # how long a listener rests when the process has no descriptor left
+ENDS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # events of a stream that its peer has ended
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -55,6 +57,16 @@
     def silent(self) -> bool:
         """Whether the stream is open and nothing unread has come, neither bytes nor an end, as of now."""
 
+    def ended(self, since: int) -> bool:
+        """Whether the peer's end has come, also behind unread bytes, or the stream is closed.
+
+        Looks anew if the last look was before `since` (microseconds). Only for streams that are read or
+        whose end is watched.
+        """
+
+    def shut_sending(self) -> None:
+        """Tell the peer that nothing more is sent; it can still be read. Nothing may be buffered."""
+
     def close(self) -> None:
         """Send what is buffered as far as that goes at once, and close."""
 
@@ -70,6 +82,9 @@
     def accept(self, deadline: int | None = None) -> Stream:
         """Wait for the next stream; raises StreamClosed once the listener is closed, or DeadlineExceeded."""
 
+    def accept_now(self) -> Stream | None:
+        """Return the next stream if one is there, and a descriptor is left for it."""
+
     def close(self) -> None:
         """Stop listening."""
 
@@ -90,14 +105,17 @@
 class SocketStream:
     """A connected TCP socket."""
 
-    def __init__(self, hub: Hub, sock: socket.socket, peer: str) -> None:
+    def __init__(self, hub: Hub, sock: socket.socket, peer: str, accepted: bool = False) -> None:
         self._hub, self._sock, self.peer = hub, sock, peer
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._out: deque[bytes | memoryview] = deque()
         self.buffered = 0
-        self._closed = self._drained = False  # drained: the last read took all there was
+        self._closed = self._end_seen = False
+        # The last read took all there was. What was accepted is first polled: that tells of an end behind
+        # the first bytes, and as a rule nothing has come yet.
+        self._drained = accepted
         self._error: OSError | None = None
         self._wants_read = False
         self.came_at = self._since = hub.now()
@@ -109,9 +127,11 @@
 
     def _on_events(self, events: int) -> None:
         # POLLHUP and POLLERR come with or without data still to be read: reading tells which.
-        if self._on_end is not None and events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
+        if events & ENDS:
+            self._end_seen = True
             act, self._on_end = self._on_end, None
-            act()
+            if act is not None:
+                act()
         if events & ~WRITE:
             self._drained = False
             if self._wants_read:  # at the last look there was nothing
@@ -125,7 +145,7 @@
 
     def _set_interest(self) -> None:
         if not self._closed:
-            want = (READ if self._wants_read else 0) | (WRITE if self._out else 0)
+            want = (READ | select.POLLRDHUP if self._wants_read else 0) | (WRITE if self._out else 0)
             want |= select.POLLRDHUP if self._on_end is not None else 0
             self._hub.set_interest(self._handler, want)
 
@@ -216,6 +236,24 @@
             pass
         return False
 
+    def ended(self, since: int) -> bool:
+        """Whether the peer's end has come, also behind unread bytes, or the stream is closed.
+
+        Looks anew if the last look was before `since` (microseconds). Only for streams that are read or
+        whose end is watched.
+        """
+        if not (self._closed or self._end_seen) and self._hub.looked_at < since:
+            look = select.poll()
+            look.register(self._sock.fileno(), select.POLLRDHUP)
+            self._end_seen = bool(look.poll(0))
+        return self._closed or self._end_seen
+
+    def shut_sending(self) -> None:
+        """Tell the peer that nothing more is sent; it can still be read. Nothing may be buffered."""
+        if not self._closed:
+            with contextlib.suppress(OSError):  # it is broken: reading tells
+                self._sock.shutdown(socket.SHUT_WR)
+
     def drain(self, deadline: int | None = None) -> None:
         """Wait until under 1 MiB is buffered. Raises ConnectionError if the stream broke meanwhile."""
         while self.buffered >= HIGH_WATER and not self._closed:
@@ -278,19 +316,39 @@
         """Wait for the next stream; without free descriptors it rests and goes on when some are free."""
         while not self._closed:
             try:
-                sock, peer = self._sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                self._hub.set_interest(self._handler, READ)
-                self._waiters.wait(deadline)
+                stream = self._accept()
             except OSError as error:
                 if error.errno not in NO_DESCRIPTOR:
                     raise
                 self.exhausted += 1
                 self._hub.sleep(ACCEPT_PAUSE_US)
-            else:
-                return SocketStream(self._hub, sock, f"{peer[0]}:{peer[1]}")
+                continue
+            if stream is not None:
+                return stream
+            self._hub.set_interest(self._handler, READ)
+            self._waiters.wait(deadline)
         raise StreamClosed("the listener is closed")
 
+    def accept_now(self) -> SocketStream | None:
+        """Return the next stream if one is there, and a descriptor is left for it."""
+        try:
+            return None if self._closed else self._accept()
+        except OSError as error:
+            if error.errno not in NO_DESCRIPTOR:
+                raise
+            self.exhausted += 1
+            return None
+
+    def _accept(self) -> SocketStream | None:
+        while True:
+            try:
+                sock, peer = self._sock.accept()
+            except (InterruptedError, ConnectionAbortedError):
+                continue
+            except BlockingIOError:
+                return None
+            return SocketStream(self._hub, sock, f"{peer[0]}:{peer[1]}", accepted=True)
+
     def close(self) -> None:
         """Stop listening."""
         if not self._closed:
@@ -406,6 +464,15 @@
         """Whether the stream is open and nothing unread has come, neither bytes nor an end, as of now."""
         return not (self._closed or self._eof or self._in or self._error)
 
+    def ended(self, _since: int) -> bool:
+        """Whether the peer's end has come, also behind unread bytes, or the stream is closed."""
+        return self._eof or self._closed
+
+    def shut_sending(self) -> None:
+        """Tell the peer that nothing more is sent; it can still be read."""
+        if not self._closed and (other := self.other) is not None:
+            self._hub.at_outside(self._hub.now() + self.delay_us, lambda: other._end(None))
+
     def _end(self, error: OSError | None) -> None:
         if error is not None:
             self._error, self._closed = error, True
@@ -460,6 +527,10 @@
             self._waiters.wait(deadline)
         return self._queue.popleft()
 
+    def accept_now(self) -> MemoryStream | None:
+        """Return the next stream if one is there."""
+        return self._queue.popleft() if self._queue else None
+
     def close(self) -> None:
         """Stop listening."""
         self._closed = True
--- a/harriertrack/service/calls.py
+++ b/harriertrack/service/calls.py
@@ -29,6 +29,12 @@
     def give(self, call: Call, request: ClientRequest) -> None:
         """Send the one final answer."""
 
+    def left(self, since: int) -> bool:
+        """Whether the client has gone; looks anew if the last look was before `since` (microseconds)."""
+
+    def leave(self) -> None:
+        """The client has gone: if a request of it is open, nobody waits for its answer."""
+
 
 @dataclass(slots=True, eq=False)
 class Call:
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -1,14 +1,25 @@
 """The clients' side: connections are taken, requests read and handed to the core, answers sent.
 
-Bounds, parsing and framing only. One request at a time on a connection: while one is open nothing more is
-read, and what a client sends behind it is not passed on.
+Bounds, parsing and framing only. One request at a time on a connection: while one is open, or its answer has
+not left, nothing more is read, and what a client sends behind it is not passed on. After a last answer what
+still comes is discarded.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import count
 
-from harriertrack.decisions.callers import Callers, CallerState
+from harriertrack.decisions.callers import (
+    ACCEPTS,
+    END_KNOWN_US,
+    LATE_US,
+    LINGER_BYTES,
+    LINGER_US,
+    MOST_WAITING,
+    Callers,
+    CallerState,
+)
 from harriertrack.decisions.leaving import Leaving
 from harriertrack.decisions.requests import ClientRequest, Core, Placed, Volume
 from harriertrack.decisions.splitting import Kind, Outcome
@@ -46,36 +57,58 @@
 
     def serve(self, listener: Listener) -> None:
         """Take connections until the listener is closed (a task)."""
-        while True:
+        for taken in count(1):
             try:
-                stream = listener.accept()
+                self._take(listener.accept())
             except StreamClosed:
                 return
-            caller = Caller(self, stream)
-            self.counts.taken += 1
-            victim = self.callers.came(caller, self.hub.now())
-            if victim is not None:
-                self.counts.turned_away += 1
-                self._close(victim)
-            if victim is not caller:
-                self._scope.spawn("caller", caller.run)
+            if taken % ACCEPTS == 0:
+                self.hub.sleep(0)  # a flood waits while what came over others has its turn
+
+    def take_waiting(self, listener: Listener) -> None:
+        """Take the connections that the system has made: closing the listener would reset them."""
+        for _ in range(MOST_WAITING):
+            if (stream := listener.accept_now()) is None:
+                return
+            self._take(stream)
+
+    def _take(self, stream: Stream) -> None:
+        caller = Caller(self, stream)
+        self.counts.taken += 1
+        victim = self.callers.came(caller, self.hub.now(), Caller.silent)
+        if victim is not None:
+            self.counts.turned_away += 1
+            self._close(victim)
+        if victim is not caller:
+            self._scope.spawn("caller", caller.run)
 
     def watch(self) -> None:
         """End overdue connections, for ever (a task)."""
         while True:
             self.hub.sleep(LOOK_US)
+            if not all(caller.silent() for caller in self.callers.overdue(self.hub.now())):
+                self.hub.sleep(0)  # what has come is read first
             for caller in self.callers.overdue(self.hub.now()):
                 self.counts.overdue += 1
-                self._close(caller, 408, "no whole request came in time")
+                if self.callers.state(caller) is CallerState.READING:
+                    caller.refuse(408, "no whole request came in time")
+                else:
+                    self._close(caller)
 
     def part(self) -> None:
-        """Close the connections over which nothing is asked."""
-        for caller in self.callers.idle():
-            self._close(caller)
+        """Close the connections over which nothing is asked; where something has come it is read first."""
+        for caller in self.callers.idle(self.hub.now()):
+            if caller.silent():
+                self._close(caller)
+
+    def refuse_half_read(self) -> None:
+        """Refuse the requests of which a part has come: the rest would come too late."""
+        for caller in self.callers.half_read():
+            caller.refuse(503, "the head is leaving")
 
-    def _close(self, caller: Caller, status: int = 0, why: str = "") -> None:
+    def _close(self, caller: Caller) -> None:
         self.counts.unanswered += not caller.answered
-        caller.end(status, why)
+        caller.end()
 
     def told_bad(self, error: BadRequest, peer: str) -> None:
         """A request could not be taken: say so now and then, a flood of them must not flood the log."""
@@ -91,35 +124,48 @@
         self._front, self._stream = front, stream
         self._http = CallerConnection(front.forms)
         self._request: ClientRequest | None = None
-        self._answered = Waiters(front.hub)
-        self._closed = False
+        self._changed = Waiters(front.hub)  # the answer has left, or the connection is closed
+        self._last = self._closed = False  # last: nothing more is taken over it
         self.answered = False  # something was answered over it
 
     def run(self) -> None:
         """Serve the connection until it ends (its task)."""
         try:
-            while (asked := self._read()) is not None:
+            self._serve()
+            if self._last:
+                self._discard()
+        except OSError:
+            pass  # this connection alone suffers
+        finally:
+            self.leave()
+            self.end()
+
+    def _serve(self) -> None:
+        """Take one request after another until the client ends, or its last answer is given."""
+        try:
+            while not self._closed and (asked := self._read()) is not None:
                 if isinstance(asked, Ready):
                     self._tell_ready()
                 else:
                     self._take(asked)
-                    while self._request is not None:
-                        self._answered.wait()
-                if self._closed or not self._http.again():
-                    break
+                while self._occupied:
+                    self._changed.wait()
         except BadRequest as error:
             self._front.told_bad(error, self._stream.peer)
-            self._stream.write(parting(error.status, str(error)))
-        except OSError:
-            pass  # this connection alone suffers
-        finally:
-            self._leave()
-            self.end()
+            self.refuse(error.status, str(error))
+
+    @property
+    def _occupied(self) -> bool:
+        """Whether a request is open, or its answer has not left; a client that has gone waits for neither."""
+        state = self._front.callers.state(self)
+        return not self._closed and state in (CallerState.BUSY, CallerState.SENDING)
 
     def _read(self) -> Asked | Ready | None:
         """Wait for a request that is whole; None for the end of the connection."""
         callers = self._front.callers
         while data := self._stream.read():
+            if self._last:  # what comes behind a last answer is not even parsed
+                return None
             asked = self._http.receive(data)
             if asked is not None:
                 callers.step(self, CallerState.BUSY, self._front.hub.now())
@@ -128,16 +174,32 @@
                 callers.step(self, CallerState.READING, self._front.hub.now())
         return None
 
+    def _discard(self) -> None:
+        """Read on without use until the client ends too: closing over unread bytes takes the answer along."""
+        left = LINGER_BYTES
+        while left > 0 and (data := self._stream.read()):
+            left -= len(data)
+        if left <= 0:  # it sends without end: the time that it may linger is up soon
+            self._stream.watch_end(self.end)
+            while not self._closed:
+                self._changed.wait()
+
     def _tell_ready(self) -> None:
         leaves = self._front.leaving.leaves
         status, body = (503, b"leaving\n") if leaves else (200, b"ready\n")
-        self._send(status, body)
+        self._send(self._front.hub.now(), status, body)
 
     def _take(self, asked: Asked) -> None:
         front = self._front
-        if asked.trace in front.open:
-            raise BadRequest(409, "a request with this id is open")
         now = front.hub.now()
+        if self.left(now - END_KNOWN_US):
+            self._closed = True
+            return
+        other = front.open.get(asked.trace)
+        if other is not None:
+            if not other.session.left(now):
+                raise BadRequest(409, "a request with this id is open")
+            other.session.leave()
         left = min(asked.expires_ms * 1000, front.deadlines[asked.class_name])
         call = Call(asked, self)
         volume = Volume(PlatformVolume(asked.volume, asked.plan, asked.hosts))
@@ -150,7 +212,7 @@
         front.core.take_placed(
             now, request, Placed(asked.class_name, asked.object, asked.shard, asked.units, asked.repeat)
         )
-        self._stream.watch_end(self._leave)
+        self._stream.watch_end(self.leave)
 
     def give(self, call: Call, request: ClientRequest) -> None:
         """Send the one final answer."""
@@ -161,37 +223,69 @@
         self._stream.watch_end(None)
         match request.outcome:
             case Outcome.SERVED:
-                self._send(200, request.bytes_read())
+                self._send(request.deadline, 200, request.bytes_read())
             case Outcome.REFUSED:
-                self._send(503, b"", request.hint_us)
+                self._send(request.deadline, 503, b"", request.hint_us)
             case _:
-                self._send(500, b"")
-        self._answered.notify()
+                self._send(request.deadline, 500, b"")
 
-    def _send(self, status: int, body: bytes, retry_after_us: int = 0) -> None:
-        """Send an answer; the connection idles from now on, or ends if the head leaves."""
-        if self._closed:
-            return
-        leaves, self.answered = self._front.leaving.leaves, True
+    def _send(self, deadline: int, status: int, body: bytes, retry_after_us: int = 0) -> None:
+        """Send an answer that is awaited until a time; it is the last one if the head leaves."""
+        leaves = self._front.leaving.leaves
         self._stream.write(self._http.answer(status, len(body), retry_after_us, close=leaves))
         self._stream.write(body)
-        self._front.callers.step(self, CallerState.IDLE, self._front.hub.now())
+        kept = self._http.again()
+        self._send_off(deadline + LATE_US, last=leaves or not kept)
+
+    def refuse(self, status: int, why: str) -> None:
+        """Say why nothing more is taken over the connection."""
+        self._stream.write(parting(status, why))
+        self._send_off(self._front.hub.now() + LINGER_US, last=True)
+
+    def _send_off(self, until: int, last: bool) -> None:
+        """Let what is written leave, until a time at most."""
+        callers = self._front.callers
+        if callers.state(self) is None:
+            return
+        self.answered, self._last = True, last
+        callers.sends(self, until, self._front.hub.now())
+        self._stream.push(self._sent)
+        if callers.state(self) is CallerState.SENDING:
+            self._stream.watch_end(self.end)
+
+    def _sent(self) -> None:
+        """The last byte of an answer has left this process."""
+        if self._closed:  # as far as that went when it was closed
+            return
+        self._stream.watch_end(None)
+        if self._last:
+            self._stream.shut_sending()
+        state = CallerState.LINGERING if self._last else CallerState.IDLE
+        self._front.callers.step(self, state, self._front.hub.now())
+        self._changed.notify()
+
+    def left(self, since: int) -> bool:
+        """Whether the client has gone; looks anew if the last look was before `since` (microseconds)."""
+        return self._stream.ended(since)
+
+    def silent(self) -> bool:
+        """Whether nothing has come over the connection that was not read, as of now."""
+        return self._stream.silent()
 
-    def _leave(self) -> None:
-        """The client is gone: if a request of it is open, nobody waits for its answer."""
+    def leave(self) -> None:
+        """The client has gone: if a request of it is open, nobody waits for its answer."""
         request, self._request = self._request, None
         if request is not None:
             call = request.token
             assert isinstance(call, Call)
             self._front.open.pop(call.asked.trace, None)
             self._front.core.client_gone(request)
-            self._answered.notify()
             self._closed = True
+            self._changed.notify()
 
-    def end(self, status: int = 0, why: str = "") -> None:
-        """Close the connection; where something of a request was read, say why."""
-        if status and self._front.callers.state(self) is CallerState.READING:
-            self._stream.write(parting(status, why))
+    def end(self) -> None:
+        """Close the connection."""
         self._closed = True
         self._front.callers.gone(self)
         self._stream.close()
+        self._changed.notify()
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from harriertrack.decisions import Scheduler
+from harriertrack.decisions import Scheduler, interface as api
+from harriertrack.decisions.callers import END_KNOWN_US
 from harriertrack.decisions.leaving import Leaving, Phase
 from harriertrack.decisions.requests import Attempt, ClientRequest, Core
 from harriertrack.decisions.watching import Watching
@@ -12,7 +13,7 @@
 from harriertrack.runtime.alarm import Alarm
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope
 from harriertrack.runtime.streams import Listener, Network
-from harriertrack.service.calls import Note
+from harriertrack.service.calls import Call, Note
 from harriertrack.service.configuration import Configuration
 from harriertrack.service.discovery import Discovery
 from harriertrack.service.front import Front
@@ -109,18 +110,24 @@
         self._note("ready", name=configuration.name, nodes=len(self.nodes), cores=configuration.cores,
                    callers=bounds.callers, ways=bounds.ways, longest_us=bounds.longest_us)  # fmt: skip
         self._asked_to_leave.wait()
-        while True:
-            phase = self.leaving.look(hub.now(), self.front.callers.unfinished)
-            if self.leaving.leaves:
-                listener.close()
-                self.front.part()
-            if phase is Phase.ENDED:
-                break
+        while not self._part(listener):
             hub.sleep(LOOK_US)
-        self.core.fail_open()
-        hub.sleep(0)  # the answers leave at the end of this round
         self.report()
 
+    def _part(self, listener: Listener) -> bool:
+        """Do what is due while it leaves; return whether it has left."""
+        front, leaving = self.front, self.leaving
+        phase = leaving.look(self.hub.now(), len(front.callers))
+        if leaving.leaves:
+            front.take_waiting(listener)
+            listener.close()
+            front.part()
+            phase = leaving.look(self.hub.now(), len(front.callers))
+        if phase is Phase.CLOSING:
+            self.core.fail_open()
+            front.refuse_half_read()
+        return phase is Phase.ENDED
+
     def _hear_first(self, hold_us: int) -> None:
         """Follow a pushed list, and take no client before it is here: it counts from the first moment on.
 
@@ -170,8 +177,17 @@
     # -- what the core asks for
 
     def send(self, attempt: Attempt) -> None:
-        """Start an attempt."""
-        self.shelfs.send(attempt)
+        """Start an attempt, unless its client has gone since its connection was last polled."""
+        call, now = attempt.part.request.token, self.hub.now()
+        assert isinstance(call, Call)
+        if call.session.left(now - END_KNOWN_US):
+            self.hub.at_end_of_round(lambda: self._client_left(now, call, attempt))
+        else:
+            self.shelfs.send(attempt)
+
+    def _client_left(self, now: int, call: Call, attempt: Attempt) -> None:
+        call.session.leave()
+        self.core.ended(now, attempt, api.Result.MOOT)
 
     def call_off(self, attempt: Attempt) -> None:
         """Give an attempt up."""
--- a/tests/endings/loopback.py
+++ b/tests/endings/loopback.py
@@ -101,3 +101,18 @@
         """Break the connection."""
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
         self.socket.close()
+
+
+def caller_states(site):
+    """Return the states of all clients' connections."""
+    callers = site.head.front.callers
+    return [callers.state(caller) for caller in callers._state]
+
+
+def slow_reader(site):
+    """Return the first client of a head, connected with small buffers on both sides."""
+    client = RawClient(site, receive_buffer=4096)
+    site.until(lambda: len(site.head.front.callers))
+    (caller,) = site.head.front.callers._state
+    caller._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return client
