--- a/tests/endings/loopback.py
+++ b/tests/endings/loopback.py
@@ -195,3 +195,18 @@
     def until_asked(self):
         """Read up to the end of a request's head."""
         self.site.until(lambda: self.receive() and b"\r\n\r\n" in self.received)
+
+
+def caller_states(site):
+    """Return the states of all clients' connections."""
+    callers = site.head.front.callers
+    return [callers.state(caller) for caller in callers._state]
+
+
+def slow_reader(site):
+    """Return the first client of a head, connected with small buffers on both sides."""
+    client = RawClient(site, receive_buffer=4096)
+    site.until(lambda: len(site.head.front.callers))
+    (caller,) = site.head.front.callers._state
+    caller._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return client
