--- a/harriertrack/decisions/watching.py
+++ b/harriertrack/decisions/watching.py
@@ -21,18 +21,38 @@
 WAIT_MOST_US = 2_500_000
 # A call's answer may come so long after its wait: discovery serves its callers in turn.
 PATIENCE_US = 1_200_000
+# A change counts as told so long after discovery had it and could be reached, whatever failed before, and so
+# long after the watch that missed it fell silent; ...
+TOLD_US = 6_000_000
+# ... less what a busy head needs to find an answer, read it and act on it.
+MARGIN_US = 300_000
+# The latest that a call may begin for its answer to be in hand by then.
+LAST_CALL_US = TOLD_US - MARGIN_US - PATIENCE_US
+# Discovery may come back just after a call began, and one more may fail: the third one's answer has to be in
+# hand. So calls that fail begin at most so far apart, however they fail.
+CYCLE_US = LAST_CALL_US // 2
+# A call that took up its time is followed so soon at the earliest: at most ten a second, never a busy loop.
+AGAIN_SOONEST_US = 100_000
 # Of the time without a call, so much may pass after one that failed, less what the next may take; ...
 AGAIN_PARTS = (3, 4)
 AGAIN_LEAST_US = 300_000  # ... but the module's shortest wait is always its own.
-# What a new source has to tell counts 4 s after it was named: until it has answered, no wait is longer.
+# What a new source has to tell counts 4 s after it was named: until it has answered, calls that fail begin at
+# most so far apart, or the module's shortest wait after one that was given up: the third is answered in time.
 MOVED_AGAIN_US = 1_000_000
 # The agent answers on this machine, and the module goes on sending a drained node its reads for half of the
 # grace: a silent call and the wait after it together stay under that half.
 PUSHED_PATIENCE_PARTS, PUSHED_AGAIN_PARTS = 4, 8
-GRACE_US = 2_000_000  # where the rules name none
-# A head whose agent is silent is not ready: what the agent has counts from the head's first moment. The
-# platform gives a head 30 s to be ready; a silent agent must not take all of them.
-HOLD_US = 20_000_000
+# Time limits are longer by 50 ms, half of this: with a shorter grace, or none, the head is no quicker.
+PUSHED_GRACE_LEAST_US = 100_000
+# Failures in a row double such short waits up to these: a busy agent needs some time to answer at all, and a
+# call each 40 ms costs little and still ends within the 50 ms.
+PUSHED_PATIENCE_US, PUSHED_AGAIN_US = 100_000, 40_000
+# A watch that is late has not fallen silent yet: its time to count is 6 s, not the grace.
+PUSHED_WATCH_PATIENCE_US = 300_000
+# A head whose agent is silent is not ready: what the agent had counts from the head's first moment. Outages
+# last 8 s, and the agent learns nothing in them: one that was there at the start is over by then. The rest of
+# the 10 s in which nine in ten restarted heads have to be ready is for the imports and the first call.
+HOLD_US = 8_000_000
 
 
 class Watch(StrEnum):
@@ -48,7 +68,7 @@
 
     TAKE = "take"  # tell the module, and ask on at once
     SKIP = "skip"  # nothing new: ask on at once
-    STALE = "stale"  # older than what is held: a failed call; the next one asks for the whole list
+    STALE = "stale"  # older than what is held: the whole list is asked for at once; if it was: a failed call
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,8 +84,8 @@
     """The state of the watch.
 
     `ask_within_us`, where the list is asked for: how long the rules let a head go without a call (0: they set
-    no such time). `pushed`: what the agent has counts; `grace_us` is then how long after it nothing new may
-    go to a drained node (0: no such rule).
+    no such time). `pushed`: what the agent has counts; `grace_us` is then how long after it something new may
+    still go to a drained node.
     """
 
     def __init__(self, ask_within_us: int, version: int | None, pushed: bool = False,
@@ -74,8 +94,9 @@
         self.version = version
         self.pushed = pushed
         self.hold_us = HOLD_US if pushed else 0  # how long a start waits for the first answer
-        self._ask_within_us, self._grace_us = ask_within_us, grace_us or GRACE_US
-        self._patience_us = self._grace_us // PUSHED_PATIENCE_PARTS if pushed else PATIENCE_US
+        self._ask_within_us, self._grace_us = ask_within_us, max(grace_us, PUSHED_GRACE_LEAST_US)
+        self._failures = 0  # in a row
+        self._silent_from: int | None = None  # when the call began with which the last watch ended
         self._wait_us = min(WAIT_MOST_US, (ask_within_us or 4 * WAIT_MOST_US) // WAIT_PARTS)
         self._whole = version is None
         self._wanted = False  # the list is followed, whether or not a call is under way
@@ -95,7 +116,7 @@
         Also where the last call failed and the module waits to try again: it waits for the old source, and
         what the new one tells soon counts as told.
         """
-        self._moved = True
+        self._moved, self._failures, self._silent_from = True, 0, None
         if self._wanted:
             self.state = Watch.CATCHING_UP
         return self._wanted
@@ -105,7 +126,18 @@
         if self.state is Watch.IDLE:
             raise IllegalStep("nobody follows the list")
         wait = 0 if self.state is Watch.CATCHING_UP else self._wait_us
-        return Call(None if self._whole else self.version, wait, wait + self._patience_us)
+        return Call(None if self._whole else self.version, wait, wait + self._patience(wait))
+
+    def _patience(self, wait_us: int) -> int:
+        if not self.pushed:
+            return PATIENCE_US
+        patience = self._doubled(self._grace_us // PUSHED_PATIENCE_PARTS, PUSHED_PATIENCE_US)
+        return min(PATIENCE_US, max(patience, PUSHED_WATCH_PATIENCE_US) if wait_us else patience)
+
+    def _doubled(self, least_us: int, most_us: int) -> int:
+        """Double a time with each failure after the first, up to a bound; what is above that stays."""
+        doublings = min(8, max(0, self._failures - 1))
+        return max(least_us, min(most_us, least_us << doublings))
 
     def answered(self, version: int, full: bool, entries: int) -> Worth:
         """Take an answer's version; return what it is worth. Raises IllegalStep where there is no watch."""
@@ -113,23 +145,32 @@
             raise IllegalStep("an answer without a watch")
         if not self._whole and self.version is not None and version < self.version:
             # A source that began anew, or one that lags: only a whole list says what is true there.
-            self.state, self._whole = Watch.IDLE, True
+            self.state, self._whole = Watch.CATCHING_UP, True
             return Worth.STALE
         if self._whole and not full:
             self.state = Watch.IDLE
             return Worth.STALE
         news = entries > 0 or full or self.state is Watch.CATCHING_UP
         self.version, self._whole, self.state = version, False, Watch.FOLLOWING
-        self._moved = False
+        self._moved, self._failures, self._silent_from = False, 0, None
         return Worth.TAKE if news else Worth.SKIP
 
-    def failed(self) -> int | None:
-        """A call failed; return after how long to ask anew if nobody has said so before (None: never)."""
+    def failed(self, now: int, began: int) -> int:
+        """A call has failed; return after how long to ask anew, unless somebody asks for it before."""
+        if self.state is Watch.FOLLOWING:
+            self._silent_from = began
         self.state = Watch.IDLE
+        self._failures += 1
+        took = now - began
+        bounds = [CYCLE_US - took]
+        if self._silent_from is not None and began - self._silent_from < LAST_CALL_US:
+            bounds.append(LAST_CALL_US - (now - self._silent_from))
+        if self._moved:
+            bounds.append(max(AGAIN_LEAST_US, MOVED_AGAIN_US - took))
         if self.pushed:
-            return self._grace_us // PUSHED_AGAIN_PARTS
-        if not self._ask_within_us:
-            return MOVED_AGAIN_US if self._moved else None
-        more, parts = AGAIN_PARTS
-        again = max(AGAIN_LEAST_US, self._ask_within_us * more // parts - PATIENCE_US)
-        return min(again, MOVED_AGAIN_US) if self._moved else again
+            bounds.append(self._doubled(self._grace_us // PUSHED_AGAIN_PARTS, PUSHED_AGAIN_US))
+            return max(min(AGAIN_SOONEST_US, bounds[-1]), min(bounds))
+        if self._ask_within_us:
+            more, parts = AGAIN_PARTS
+            bounds.append(max(AGAIN_LEAST_US, self._ask_within_us * more // parts - PATIENCE_US))
+        return max(AGAIN_SOONEST_US, min(bounds))
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from harriertrack.decisions.requests import Core
-from harriertrack.decisions.watching import Call, Watching, Worth
+from harriertrack.decisions.watching import Call, Watch, Watching, Worth
 from harriertrack.membership.nodes import NodeList
 from harriertrack.membership.targets import (
     MOST_LIST,
@@ -35,10 +35,13 @@
         self._name, self._note = name, note
         self._task: Task | None = None
         self._failures = 0  # in a row
+        self._called_at = 0  # when the last call began
+        self._module_waits = False  # it was told of a failure, and will say when to ask anew
         self.heard = Event(hub)  # the source has answered in this life
 
     def subscribe(self, on: bool) -> None:
-        """Follow from now on, or stop."""
+        """Follow from now on, or stop: the module says so."""
+        self._module_waits = False
         if self._watching.subscribe(on):
             self._start(on)
 
@@ -62,11 +65,11 @@
             self._failures += 1
             if worth_saying(self._failures):
                 self._note("discovery failed", why=why[:200], in_a_row=self._failures)
-            again_us = self._watching.failed()
-            if not self._watching.pushed:
+            again_us = self._watching.failed(self._hub.now(), self._called_at)
+            if not self._watching.pushed and not self._module_waits:
+                # One failure at a time: each makes the module ask anew, on top of the watch's own calls.
+                self._module_waits = True
                 self._core.list_failed()
-            if again_us is None:
-                return
             self._hub.sleep(again_us)
             self._watching.subscribe(True)
 
@@ -76,14 +79,16 @@
         try:
             while True:
                 call = self._watching.call()
-                deadline = self._hub.now() + call.within_us
+                self._called_at = self._hub.now()
+                deadline = self._called_at + call.within_us
                 if stream is None:
                     stream = self._network.connect(self._address, deadline, self._name)
                 answer = self._ask(stream, call, deadline)
-                if self._told(answer) is Worth.STALE:
-                    return "the answer is older than the list in hand"
-                self._failures = 0
-                self.heard.set()
+                if self._told(answer) is not Worth.STALE:
+                    self._failures = 0
+                    self.heard.set()
+                elif self._watching.state is Watch.IDLE:
+                    return "the whole list was asked for, and changes came"
                 if not answer.reusable:
                     stream.close()
                     stream = None
--- a/tests/test_platform_clock.py
+++ b/tests/test_platform_clock.py
@@ -5,12 +5,21 @@
 """
 
 import copy
+import json
 
 import pytest
 from hypothesis import given, strategies as st
 
 from harriertrack.decisions.leaving import Phase
-from harriertrack.decisions.watching import MOVED_AGAIN_US, PATIENCE_US, WAIT_MOST_US, Watching
+from harriertrack.decisions.watching import (
+    HOLD_US,
+    MARGIN_US,
+    MOVED_AGAIN_US,
+    PATIENCE_US,
+    TOLD_US,
+    WAIT_MOST_US,
+    Watching,
+)
 from harriertrack.standin.platform import Outage, PlatformDiscovery
 from tests.test_platform import MS, SETTINGS, Site
 
@@ -139,20 +148,21 @@
     site.run(act)
 
 
-def test_a_head_whose_agent_is_silent_at_its_start_is_not_ready_until_it_is_heard(tmp_path):
+@pytest.mark.parametrize("lasts_us", [5 * S, 7_500 * MS])
+def test_a_head_whose_agent_is_silent_at_its_start_is_not_ready_until_it_is_heard(tmp_path, lasts_us):
     site = site_of(tmp_path, PUSHED)
     site.discovery.set("s1", site.shelfs[1].address, 1, "terminated")
     site.discovery.outage = Outage.SILENT
     began = site.hub.now()
 
     def end_of_outage():
-        site.hub.sleep(5 * S)
+        site.hub.sleep(lasts_us)
         with pytest.raises(ConnectionRefusedError):
             site.connect()
         site.discovery.outage = Outage.NONE
 
     def act(site):
-        assert 5 * S <= site.hub.now() - began < 6 * S
+        assert lasts_us <= site.hub.now() - began < lasts_us + 1 * S
         assert site.ask(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")[0] == 200
         assert site.ask(site.request())[0] == 503 and not site.shelfs[1].got
 
@@ -166,7 +176,8 @@
     began = site.hub.now()
 
     def act(site):
-        assert site.hub.now() - began < 25 * S
+        # Nine in ten restarted heads have to be ready within 10 s: 1.5 s are left for the imports.
+        assert HOLD_US <= site.hub.now() - began <= 8_500 * MS
         assert site.ask(site.request())[0] == 200
         assert "list not heard" in [event for event, _ in site.notes]
 
@@ -194,12 +205,17 @@
 
 
 @BOTH
+@pytest.mark.parametrize("version", [90, 1])
 @pytest.mark.parametrize("trouble", [None, Outage.SILENT, Outage.FAILING])
-def test_four_seconds_after_a_new_configuration_its_source_has_been_heard(tmp_path, way, trouble):
-    """Also where the old source had failed for long, and the new one does not answer its first calls."""
+def test_four_seconds_after_a_new_configuration_its_source_has_been_heard(tmp_path, way, trouble, version):
+    """Also where the old source had failed for long, the new one does not answer its first calls, or counts
+    its versions anew."""
 
     def act(site):
-        fresh = PlatformDiscovery(site.hub, site.net, version=90, servers=dict(site.discovery.servers))
+        site.discovery.version = 50
+        site.discovery.set("s0", site.shelfs[0].address, 0)
+        site.hub.sleep(10 * MS)
+        fresh = PlatformDiscovery(site.hub, site.net, version, dict(site.discovery.servers))
         fresh.start(site.scope)
         if trouble is not None:
             site.discovery.outage = trouble
@@ -217,6 +233,53 @@
     played(site_of(tmp_path, way, drainGraceUs=400 * MS), act)
 
 
+@BOTH
+@pytest.mark.parametrize("whole", [False, True])  # whole lists come where changes are expected
+@pytest.mark.parametrize("lasts_us", [0, 8 * S, 20 * S])
+def test_a_source_that_counts_its_versions_anew_is_asked_for_the_whole_list_at_once(
+    tmp_path, way, whole, lasts_us
+):
+    def act(site):
+        site.discovery.version = 500
+        site.discovery.set("s0", site.shelfs[0].address, 0)
+        site.hub.sleep(10 * MS)
+        site.discovery.outage = Outage.FAILING
+        site.discovery.reset()
+        site.hub.sleep(lasts_us)
+        site.discovery.outage, site.discovery.version, site.discovery.changed = Outage.NONE, 2, {}
+        if whole:
+            site.discovery.spoil = lambda _body: json.dumps(site.discovery.listed()).encode()
+        returned = drain(site)
+        kept_the_rule(site, returned + (TOLD_US if way == ASKED else 0))
+        calls = [call for call in site.discovery.calls if call[0] >= returned]
+        assert "since=501" in calls[0][1] and "since" not in calls[1][1]
+        assert calls[1][0] - calls[0][0] <= 10 * MS and "since=3&" in calls[2][1]
+
+    played(site_of(tmp_path, way), act)
+
+
+def test_a_late_answer_of_the_old_source_does_not_undo_the_list_of_the_new_one(tmp_path):
+    """It comes at each moment around the new configuration."""
+
+    def act(site):
+        for late_us in range(-300, 301, 50):
+            old, fresh = site.discovery, PlatformDiscovery(site.hub, site.net, version=300)
+            fresh.servers, site.discovery = copy.deepcopy(old.servers), fresh
+            fresh.start(site.scope)
+            fresh.set("s1", site.shelfs[1].address, 1)
+            site.given["discovery"] = f"127.0.0.1:{fresh.address[1]}"
+            configuration, now = site.configuration(), site.hub.now()
+            site.hub.at(now + 1_000, lambda given=configuration: site.head.reconfigure(given))
+            site.hub.at(
+                now + 1_000 + late_us, lambda old=old: old.set("s1", ("127.0.0.1", 1), 1, "terminated")
+            )
+            site.hub.sleep(1 * S)
+            assert site.head.nodes.find("s1").address == site.shelfs[1].address, late_us
+        assert site.ask(site.request())[0] == 200
+
+    played(site_of(tmp_path), act)
+
+
 @pytest.mark.parametrize("within_us", [2 * S, 5 * S, 10 * S])
 def test_a_head_without_a_watch_asks_within_the_settings_time(tmp_path, within_us):
     """Counted anew when discovery is back: the module's own waits grow to 8 s meanwhile."""
@@ -233,6 +296,45 @@
     played(site_of(tmp_path, askWithinUs=within_us), act)
 
 
+@pytest.mark.parametrize("lasts_us", [8 * S, 29 * S, 31 * S])
+@pytest.mark.parametrize("outage", [Outage.SILENT, Outage.FAILING])
+@pytest.mark.parametrize("settings", [{}, {"askWithinUs": 0}, {"askWithinUs": 120 * S}, {"drainGraceUs": 0}])
+def test_six_seconds_after_discovery_is_back_it_has_told_though_one_more_call_fails(
+    tmp_path, settings, outage, lasts_us
+):
+    """However long it was away, and whatever the settings allow without a call."""
+
+    def act(site):
+        site.discovery.outage = outage
+        site.discovery.reset()
+        site.hub.sleep(lasts_us)
+        site.discovery.outage, site.discovery.spoil = Outage.NONE, spoil_once
+        returned = drain(site)
+        kept_the_rule(site, returned + TOLD_US)
+        assert site.head.nodes.find("s1").entry.state.value == "draining"
+
+    def spoil_once(_body):
+        site.discovery.spoil = None
+        return b"{"
+
+    site = site_of(tmp_path, **settings)
+    played(site, act)
+
+
+@pytest.mark.parametrize("outage", [Outage.SILENT, Outage.FAILING])
+def test_an_outage_of_thirty_seconds_takes_a_bounded_number_of_calls(tmp_path, outage):
+    """Each failure that the module hears of makes it ask once more: it must not add up with the watch's own."""
+
+    def act(site):
+        before = len(site.discovery.calls)
+        site.discovery.outage = outage
+        site.discovery.reset()
+        site.hub.sleep(30 * S)
+        assert len(site.discovery.calls) - before <= 20
+
+    played(site_of(tmp_path), act)
+
+
 @BOTH
 def test_what_is_written_on_a_watch_counts_then(tmp_path, way):
     def act(site):
@@ -268,7 +370,7 @@
     assert call.wait_us <= WAIT_MOST_US and call.within_us <= max(
         WAIT_MOST_US + PATIENCE_US, call.wait_us + grace_us
     )
-    again = watching.failed()
+    again = watching.failed(call.within_us, 0)
     if pushed:
         watching.subscribe(True)
         assert watching.call().within_us + again < grace_us / 2
@@ -276,12 +378,60 @@
         assert PATIENCE_US + again <= max(within_us, PATIENCE_US + 300 * MS)
 
 
+SETTINGS_OF_WATCHES = (st.integers(0, 300 * S), st.booleans(), st.integers(0, 20 * S))
+SHARES = st.floats(0, 1)  # of the time that a call may take at most, after which it fails
+
+
+class FailingCalls:
+    """A watch whose calls fail; `now` is when the next one begins if nobody asks for it before."""
+
+    def __init__(self, within_us, pushed, grace_us, follows):
+        self.now, self.watching = 0, Watching(within_us, 41, pushed, grace_us)
+        self.watching.subscribe(True)
+        if follows:
+            self.watching.answered(41, False, 0)
+
+    def fail(self, share):
+        began, call = self.now, self.watching.call()
+        self.now += int(call.within_us * share)
+        self.now += self.watching.failed(self.now, began)
+        assert self.watching.subscribe(True)
+
+    def answered_at(self):
+        return self.now + self.watching.call().within_us
+
+
+@given(*SETTINGS_OF_WATCHES, st.booleans(), st.lists(SHARES, min_size=1, max_size=9), SHARES, SHARES)
+def test_from_any_moment_at_which_discovery_is_back_its_answer_comes_in_time_though_one_more_call_fails(
+    within_us, pushed, grace_us, follows, before, under_way, one_more
+):
+    calls = FailingCalls(within_us, pushed, grace_us, follows)
+    for share in before:
+        calls.fail(share)
+    returned = calls.now
+    calls.fail(under_way)
+    calls.fail(one_more)
+    assert calls.answered_at() - returned <= TOLD_US - MARGIN_US
+
+
+@given(*SETTINGS_OF_WATCHES, SHARES, SHARES)
+def test_what_a_silent_watch_misses_is_asked_for_in_time_though_the_call_after_it_fails(
+    within_us, pushed, grace_us, silent, one_more
+):
+    calls = FailingCalls(within_us, pushed, grace_us, True)
+    calls.fail(silent)
+    assert calls.answered_at() <= TOLD_US - MARGIN_US
+    calls.fail(one_more)
+    # The second call may take all of its patience: the third's answer has half of its own then.
+    assert calls.now + PATIENCE_US // 2 <= TOLD_US - MARGIN_US
+
+
 def test_until_a_new_source_has_answered_it_is_asked_every_second():
     watching = Watching(10 * S, 41)
     watching.subscribe(True)
-    assert watching.failed() > MOVED_AGAIN_US
+    assert watching.failed(0, 0) > MOVED_AGAIN_US
     watching.restart()
-    assert watching.failed() == MOVED_AGAIN_US
+    assert watching.failed(0, 0) == MOVED_AGAIN_US
     watching.subscribe(True)
     watching.answered(41, False, 0)
-    assert watching.failed() > MOVED_AGAIN_US
+    assert watching.failed(0, 0) > MOVED_AGAIN_US
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -51,7 +51,7 @@
     watching.subscribe(True)
     watching.answered(41, False, 0)
     assert watching.restart() and watching.call().wait_us == 0
-    watching.failed()
+    watching.failed(0, 0)
     assert watching.restart() and watching.call().wait_us == 0  # the module's wait was for the old source
     assert not watching.subscribe(True)  # what it asks for then is under way
     watching.subscribe(False)
