--- a/harriertrack/decisions/ways.py
+++ b/harriertrack/decisions/ways.py
@@ -15,9 +15,11 @@
 
 # A shelf closes what idles for the settings' time "at the latest": what is written after that is lost.
 IDLE_PARTS = (2, 3)
-# What belongs to no answer may come right behind one: a connection rests so long before it is used again, and
-# one over which something comes meanwhile is closed. Longer than two packets of one send lie apart.
-REST_US = 3_000
+# What belongs to no answer may come behind one, and would answer the next request: a connection rests so long
+# before it is used again, and one over which something comes meanwhile is closed. Where a shelf does
+# not set TCP_NODELAY a second small write waits until the first is acknowledged, which systems delay by 40 ms.
+REST_US = 50_000
+REST_PART = 4  # where connections are kept for a short time, they rest for this part of it at most
 
 W = TypeVar("W", bound=Hashable)
 
@@ -42,6 +44,7 @@
     def __init__(self, most: int, idle_us: int) -> None:
         self.most = most
         self._idle_us = idle_us * IDLE_PARTS[0] // IDLE_PARTS[1]
+        self._rest_us = min(REST_US, self._idle_us // REST_PART)
         self._state: dict[W, tuple[str, WayState]] = {}
         self._idle: dict[str, dict[W, int]] = {}  # of each shelf, the latest last
 
@@ -53,7 +56,7 @@
         for way, since in reversed(self._idle.get(shelf, {}).items()):
             if now - since >= self._idle_us:
                 return None  # all before it have idled for longer
-            if now - since >= REST_US:
+            if now - since >= self._rest_us:
                 return way
         return None
 
--- a/tests/endings/test_attempt_ends.py
+++ b/tests/endings/test_attempt_ends.py
@@ -3,9 +3,10 @@
 import pytest
 
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.ways import REST_US
 from harriertrack.standin.platform import NEVER_RAN, answer
 from tests.endings.loopback import SMALL, LoopbackSite, RawClient, RawNode
-from tests.test_platform import MS
+from tests.test_platform import MS, Site
 
 ENDS = pytest.mark.parametrize("end", [RawClient.close, RawClient.reset, RawClient.half_close])
 LARGE = "x" * 65_536  # a body that small buffers can't hold
@@ -13,7 +14,7 @@
 
 def served_over_the_kept_connection(site):
     """Ask once more; nothing came to the node before, and no other connection did."""
-    site.hub.sleep(10 * MS)  # a connection rests before it is used
+    site.hub.sleep(REST_US)
     client = RawClient(site)
     client.send(site.request(trace="00000000000000ff"))
     assert client.until_answered()[0] == 200
@@ -117,3 +118,19 @@
         assert len(site.head.shelfs.ways) <= 1  # the one of the next attempt
 
     LoopbackSite(tmp_path).run(act)
+
+
+@pytest.mark.parametrize("rested_us", [0, 5 * MS, 40 * MS])
+def test_a_second_answer_that_comes_late_answers_nobody(tmp_path, rested_us):
+    """In simulated time, for the next request has to come so long after the first answer."""
+
+    def act(site):
+        site.script = lambda got: answer(got.fields["x-trace-id"].encode())
+        site.ask(site.request(trace="00000000000000aa"))
+        site.hub.sleep(rested_us)
+        site.hub.at(site.hub.now() + 1 * MS, lambda: site.shelfs[1].streams[0].write(answer(b"aa")))
+        _, _, body = site.ask(site.request(trace="00000000000000bb"))
+        assert body == b"00000000000000bb"
+        assert site.shelfs[1].connections == 2 and site.shelfs[1].ended == [1]
+
+    Site(tmp_path).run(act)
--- a/tests/endings/test_keyed_windows.py
+++ b/tests/endings/test_keyed_windows.py
@@ -5,6 +5,7 @@
 import pytest
 
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.ways import REST_US
 from harriertrack.standin.platform import RESET, answer
 from tests.endings.loopback import LoopbackSite, RawClient, RawNode
 from tests.endings.test_attempt_ends import LARGE
@@ -68,7 +69,7 @@
         if turn == "same":
             assert client.until_answered()[0] == 500
         site.until(lambda: not site.net.waiting)
-        site.hub.sleep(10 * MS)
+        site.hub.sleep(REST_US)
         assert site.head.module.results() == [api.Result.RESET, api.Result.MOOT]
         assert len(site.head.shelfs.ways) == 1
         again = RawClient(site)
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -140,6 +140,13 @@
     assert ways.pick("s", 10 + 20 * S) is None and ways.overdue(10 + 20 * S) == ["a", "b"]
 
 
+def test_connections_that_are_kept_for_a_short_time_are_used_within_it():
+    ways = Ways(9, REST_US)
+    ways.dials("a", "s")
+    ways.step("a", WayState.IDLE, 10)
+    assert ways.pick("s", 10 + REST_US // 3) == "a" and ways.pick("s", 10 + REST_US) is None
+
+
 def test_a_head_leaves_in_order_and_in_time():
     leaving = Leaving(6 * S)
     assert leaving.look(0, 3) is Phase.SERVING and leaving.ask(S) and not leaving.ask(2 * S)
