--- a/harriertrack/config/settings/module.py
+++ b/harriertrack/config/settings/module.py
@@ -77,5 +77,6 @@
             )
             for one in head.classes
         ),
+        drain_grace_us=head.rules.drain_grace_us,
         patience=PatienceRules(head.limits.offers, 2 * head.tick_us, max(head.max_hint_us, 2 * head.tick_us)),
     )
--- a/harriertrack/decisions/requests/attempts.py
+++ b/harriertrack/decisions/requests/attempts.py
@@ -16,7 +16,7 @@
 from harriertrack.decisions.requests.ending import Ending
 from harriertrack.decisions.requests.facts import Beside
 from harriertrack.decisions.requests.keeping import Keeping
-from harriertrack.decisions.requests.model import Attempt, Part
+from harriertrack.decisions.requests.model import Attempt
 from harriertrack.decisions.requests.offering import Offering
 from harriertrack.decisions.requests.port import NodeBook
 from harriertrack.decisions.requests.rules import CHANGING
@@ -54,25 +54,35 @@
         until = min(now + action.timeout_us, part.until) if action.timeout_us else part.until
         attempt.until = until
         board.push(until, attempt)
-        attempt.begin_before = self._begin_before(part, until)
+        attempt.begin_before = self._begin_before(now, attempt)
         if attempt.begin_before < until:
             board.push(attempt.begin_before, attempt)
         if part.places and board.closings is not None:
             board.closings.placing(request.volume.settings.name, part.extent, member.entry.shard)
         board.port.send(attempt)
 
-    def _begin_before(self, part: Part, until: int) -> int:
-        """Return from when on an attempt may not begin: its rack may have forgotten an earlier one."""
+    def _begin_before(self, now: int, attempt: Attempt) -> int:
+        """Return from when on an attempt may not begin, though its time is not up."""
+        part, before = attempt.part, attempt.until
+        if attempt.member.entry.state is not api.NodeState.UP:
+            # The module sends to a node that drains in the first half of the grace: it begins in the second.
+            before = min(before, now + self._board.rules.drain_grace_us // 2)
         window = self._board.windows[part.class_name]
         # A read has no effect, though its class be keyed; what a placed request does, its class alone tells.
         changes = part.placed is not None or part.request.kind in CHANGING
-        if not window or not changes or not part.may_have_run:
-            return until
-        return min(until, part.risky_at + window)
+        if window and changes and part.may_have_run:  # later its rack may have forgotten what ran
+            before = min(before, part.risky_at + window)
+        return before
 
     def may_begin(self, now: int, attempt: Attempt) -> bool:
-        """Return whether an attempt that waited for its connection may still be sent."""
-        return not attempt.part.state.over and now < attempt.begin_before
+        """Return whether an attempt that waited for its connection may still be sent.
+
+        Not to a node that drains or is gone since the module chose it: that has to choose again.
+        """
+        if attempt.part.state.over or now >= attempt.begin_before:
+            return False
+        chosen, listed = attempt.member.entry, self._nodes.find(attempt.member.entry.node)
+        return listed is not None and listed.entry.state is chosen.state
 
     def time_up(self, now: int, attempt: Attempt) -> None:
         """An attempt can't be waited for any longer, or can't begin any more."""
--- a/harriertrack/decisions/requests/rules.py
+++ b/harriertrack/decisions/requests/rules.py
@@ -44,4 +44,5 @@
     tick_us: int
     held: int  # the most parts that may be open at once
     classes: tuple[ClassRule, ...]
+    drain_grace_us: int  # how long after it was told of a drain a node may still be sent to
     patience: PatienceRules = PatienceRules()
--- a/harriertrack/decisions/ways.py
+++ b/harriertrack/decisions/ways.py
@@ -16,8 +16,8 @@
 # A shelf closes what idles for the settings' time "at the latest": what is written after that is lost.
 IDLE_PARTS = (2, 3)
 # What belongs to no answer may come behind one, and would answer the next request: a connection rests so long
-# before it is used again, and one over which something comes meanwhile is closed. Where a shelf does
-# not set TCP_NODELAY a second small write waits until the first is acknowledged, which systems delay by 40 ms.
+# before it is used again, and one over which something comes meanwhile is closed. A shelf that does not set
+# TCP_NODELAY has a second small write held back until the first is acknowledged; that may take 40 ms.
 REST_US = 50_000
 REST_PART = 4  # where connections are kept for a short time, they rest for this part of it at most
 
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -93,7 +93,7 @@
             ClassRule(one.name, frozenset(), 0, one.deadline_us, one.in_order, windows[one.name])
             for one in self.told.classes
         )
-        return RequestRules(1, 1, self.told.tick_us, self.bounds.held, classes)
+        return RequestRules(1, 1, self.told.tick_us, self.bounds.held, classes, self.told.drain_grace_us)
 
 
 def _address(path: str, field: str, text: str) -> tuple[str, int]:
--- a/tests/endings/test_attempt_ends.py
+++ b/tests/endings/test_attempt_ends.py
@@ -6,10 +6,11 @@
 from harriertrack.decisions.ways import REST_US
 from harriertrack.standin.platform import NEVER_RAN, answer
 from tests.endings.loopback import SMALL, LoopbackSite, RawClient, RawNode
-from tests.test_platform import MS, Site
+from tests.test_platform import MS, SETTINGS, Site
 
 ENDS = pytest.mark.parametrize("end", [RawClient.close, RawClient.reset, RawClient.half_close])
 LARGE = "x" * 65_536  # a body that small buffers can't hold
+GRACE_US = 200 * MS  # shorter than a connection may take to come up, and than the aim
 
 
 def served_over_the_kept_connection(site):
@@ -134,3 +135,46 @@
         assert site.shelfs[1].connections == 2 and site.shelfs[1].ended == [1]
 
     Site(tmp_path).run(act)
+
+
+def is_up(site, node):
+    known = site.head.nodes.find(node)
+    return known is not None and known.entry.state is api.NodeState.UP
+
+
+@pytest.mark.parametrize("state", ["terminating", "terminated"])
+def test_nothing_begins_at_a_node_that_drained_while_its_connection_came_up(tmp_path, state):
+    """The module chose it before; the connection comes up when the grace of the drain is over."""
+
+    def act(site):
+        site.hold_dials()
+        client = RawClient(site)
+        client.send(site.request())
+        site.until(lambda: site.net.waiting)
+        new = site.shelfs[0]
+        site.discovery.set("s2", new.address, 1)
+        site.discovery.set("s1", site.shelfs[1].address, 1, state)
+        site.until(lambda: site.head.nodes.find("s2") and not is_up(site, "s1"))
+        site.hub.clock.leap(GRACE_US)
+        site.net.up.set()
+        assert client.until_answered()[0] == 200
+        assert len(new.got) == 1 and not site.shelfs[1].got
+        assert site.head.module.results() == [api.Result.MOOT, api.Result.OK]
+
+    LoopbackSite(tmp_path, safety={**SETTINGS["safety"], "drainGraceUs": GRACE_US}).run(act)
+
+
+def test_what_was_sent_in_the_grace_of_a_drain_does_not_begin_after_it(tmp_path):
+    def act(site):
+        site.discovery.set("s1", site.shelfs[1].address, 1, "terminating")
+        site.until(lambda: not is_up(site, "s1"))
+        site.hold_dials()
+        client = RawClient(site)
+        client.send(site.request())
+        site.until(lambda: site.net.waiting)
+        site.leap_first(GRACE_US)
+        site.net.up.set()
+        assert client.until_answered()[0] == 503  # nobody else serves its cell
+        assert not site.shelfs[1].got and len(site.head.shelfs.ways) == 1
+
+    LoopbackSite(tmp_path, safety={**SETTINGS["safety"], "drainGraceUs": GRACE_US}).run(act)
