--- a/tests/endings/test_attempt_ends.py
+++ b/tests/endings/test_attempt_ends.py
@@ -3,17 +3,19 @@
 import pytest
 
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.ways import REST_US
 from harriertrack.standin.platform import NEVER_RAN, answer
 from tests.endings.loopback import SMALL, LoopbackSite, RawClient, RawNode
-from tests.test_platform import MS
+from tests.test_platform import MS, SETTINGS, Site
 
 ENDS = pytest.mark.parametrize("end", [RawClient.close, RawClient.reset, RawClient.half_close])
 LARGE = "x" * 65_536  # a body that small buffers can't hold
+GRACE_US = 200 * MS  # shorter than a connection may take to come up, and than the aim
 
 
 def served_over_the_kept_connection(site):
     """Ask once more; nothing came to the node before, and no other connection did."""
-    site.hub.sleep(10 * MS)  # a connection rests before it is used
+    site.hub.sleep(REST_US)
     client = RawClient(site)
     client.send(site.request(trace="00000000000000ff"))
     assert client.until_answered()[0] == 200
@@ -117,3 +119,62 @@
         assert len(site.head.shelfs.ways) <= 1  # the one of the next attempt
 
     LoopbackSite(tmp_path).run(act)
+
+
+@pytest.mark.parametrize("rested_us", [0, 5 * MS, 40 * MS])
+def test_a_second_answer_that_comes_late_answers_nobody(tmp_path, rested_us):
+    """In simulated time, for the next request has to come so long after the first answer."""
+
+    def act(site):
+        site.script = lambda got: answer(got.fields["x-trace-id"].encode())
+        site.ask(site.request(trace="00000000000000aa"))
+        site.hub.sleep(rested_us)
+        site.hub.at(site.hub.now() + 1 * MS, lambda: site.shelfs[1].streams[0].write(answer(b"aa")))
+        _, _, body = site.ask(site.request(trace="00000000000000bb"))
+        assert body == b"00000000000000bb"
+        assert site.shelfs[1].connections == 2 and site.shelfs[1].ended == [1]
+
+    Site(tmp_path).run(act)
+
+
+def is_up(site, node):
+    known = site.head.nodes.find(node)
+    return known is not None and known.entry.state is api.NodeState.UP
+
+
+@pytest.mark.parametrize("state", ["terminating", "terminated"])
+def test_nothing_begins_at_a_node_that_drained_while_its_connection_came_up(tmp_path, state):
+    """The module chose it before; the connection comes up when the grace of the drain is over."""
+
+    def act(site):
+        site.hold_dials()
+        client = RawClient(site)
+        client.send(site.request())
+        site.until(lambda: site.net.waiting)
+        new = site.shelfs[0]
+        site.discovery.set("s2", new.address, 1)
+        site.discovery.set("s1", site.shelfs[1].address, 1, state)
+        site.until(lambda: site.head.nodes.find("s2") and not is_up(site, "s1"))
+        site.hub.clock.leap(GRACE_US)
+        site.net.up.set()
+        assert client.until_answered()[0] == 200
+        assert len(new.got) == 1 and not site.shelfs[1].got
+        assert site.head.module.results() == [api.Result.MOOT, api.Result.OK]
+
+    LoopbackSite(tmp_path, safety={**SETTINGS["safety"], "drainGraceUs": GRACE_US}).run(act)
+
+
+def test_what_was_sent_in_the_grace_of_a_drain_does_not_begin_after_it(tmp_path):
+    def act(site):
+        site.discovery.set("s1", site.shelfs[1].address, 1, "terminating")
+        site.until(lambda: not is_up(site, "s1"))
+        site.hold_dials()
+        client = RawClient(site)
+        client.send(site.request())
+        site.until(lambda: site.net.waiting)
+        site.leap_first(GRACE_US)
+        site.net.up.set()
+        assert client.until_answered()[0] == 503  # nobody else serves its cell
+        assert not site.shelfs[1].got and len(site.head.shelfs.ways) == 1
+
+    LoopbackSite(tmp_path, safety={**SETTINGS["safety"], "drainGraceUs": GRACE_US}).run(act)
