--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -179,10 +179,8 @@
         left = LINGER_BYTES
         while left > 0 and (data := self._stream.read()):
             left -= len(data)
-        if left <= 0:  # it sends without end: the time that it may linger is up soon
-            self._stream.watch_end(self.end)
-            while not self._closed:
-                self._changed.wait()
+        while left <= 0 and not self._closed:  # it sends without end: its time to linger is up soon
+            self._changed.wait()
 
     def _tell_ready(self) -> None:
         leaves = self._front.leaving.leaves
