--- a/tests/endings/loopback.py
+++ b/tests/endings/loopback.py
@@ -135,6 +135,10 @@
             return None
         return (int(head.split(b" ")[1]), head, rest[:length]), rest[length:]
 
+    def was_reset(self):
+        """Whether the connection was reset, also behind bytes and an end that can still be read."""
+        return self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
     def half_close(self):
         """Send no more."""
         self.socket.shutdown(socket.SHUT_WR)
