--- a/harriertrack/membership/targets.py
+++ b/harriertrack/membership/targets.py
@@ -31,8 +31,8 @@
     addr: str
     cell: Whole
     state: str
-    zone: str = ""
-    started_ms: Whole = 0
+    zone: str | None = None
+    started_ms: Whole | None = None
 
 
 class Targets(msgspec.Struct, frozen=True):
@@ -81,5 +81,6 @@
             address = address_of(one.addr)
         except ValueError as error:
             raise TargetsError(f"{one.id}: {error}") from error
-        members.append(Member(NodeEntry(one.id, one.cell, state, one.zone, one.started_ms * 1000), address))
+        entry = NodeEntry(one.id, one.cell, state, one.zone or "", (one.started_ms or 0) * 1000)
+        members.append(Member(entry, address))
     return members
--- a/harriertrack/service/__main__.py
+++ b/harriertrack/service/__main__.py
@@ -1,18 +1,28 @@
-"""`python -m harriertrack.service`: one head on the users' platform, in the foreground."""
+"""`python -m harriertrack.service`: one head on the users' platform, in the foreground.
+
+SIGTERM and SIGHUP are blocked before the long imports and let through once their handlers stand: what comes
+in between stays pending, and is answered then as at any other time.
+"""
 
 from __future__ import annotations
 
-import contextlib
-import gc
-import os
 import signal
-import sys
 
-from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.signals import on_signals
-from harriertrack.runtime.streams import SocketNetwork
-from harriertrack.service.configuration import ConfigurationError, read
-from harriertrack.service.head import PlatformHead
+SIGNALS = (signal.SIGTERM, signal.SIGHUP)
+if __name__ == "__main__":
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+
+import contextlib  # noqa: E402
+import gc  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+from collections.abc import Iterator  # noqa: E402
+
+from harriertrack.runtime.hub import Hub  # noqa: E402
+from harriertrack.runtime.signals import on_signals  # noqa: E402
+from harriertrack.runtime.streams import SocketNetwork  # noqa: E402
+from harriertrack.service.configuration import ConfigurationError, read  # noqa: E402
+from harriertrack.service.head import PlatformHead  # noqa: E402
 
 
 def note(event: str, **fields: object) -> None:
@@ -22,6 +32,16 @@
         os.write(2, line.encode("utf-8", "replace") + b"\n")
 
 
+@contextlib.contextmanager
+def let_through() -> Iterator[None]:
+    """Let the signals through meanwhile; after it none ends the process before it has ended by itself."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+
+
 def main() -> int:
     """Run the head until it is asked to leave; return the exit status."""
     try:
@@ -43,7 +63,7 @@
 
     gc.collect()
     gc.freeze()
-    with on_signals(hub, (signal.SIGTERM, signal.SIGHUP), heard):
+    with on_signals(hub, SIGNALS, heard), let_through():
         try:
             hub.run(head.run)
         except OSError as error:
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -11,13 +11,14 @@
 
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.requests import ClassRule, RequestRules
-from harriertrack.decisions.told import settings_of
+from harriertrack.decisions.told import figure, part_of, settings_of
 from harriertrack.membership.nodes import Member
 from harriertrack.membership.targets import Targets, TargetsError, address_of, members_of
 from harriertrack.protocol.platform.asked import ClassForm, Forms
 
 PREFIX = "PROXY_"
 MOST_FILE = 8 << 20  # bytes of the file
+MOST_WHY = 300  # characters of what is said of a mistake: one line of the log
 # How the descriptors are shared out, in hundredths: clients may hold a third for requests, as many again ask
 # once and stay, and some mean harm; a quarter is for shelfs, of which some tens are used, and a few for
 # discovery, the listener, signals and logs.
@@ -38,8 +39,13 @@
     """What the platform allows a head."""
 
     sockets: Annotated[int, msgspec.Meta(ge=64, le=1 << 20)]
-    cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
-    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 192.0
+    cores: Annotated[float, msgspec.Meta(gt=0, le=1 << 20)] | None = None
+    memory_mb: Annotated[float, msgspec.Meta(gt=0, le=1 << 30)] | None = None
+
+
+CORES, MEMORY_MB = 1.0, 192.0  # where the limits name none: a small machine
+# Where the settings name no largest request: the module holds no larger one (PAYLOAD_LARGEST).
+MOST_UNITS = 16
 
 
 class _File(msgspec.Struct, frozen=True):
@@ -92,72 +98,95 @@
         return RequestRules(1, 1, self.told.tick_us, self.bounds.held, classes)
 
 
-def _address(path: str, field: str, text: str) -> tuple[str, int]:
+def _address(field: str, text: str) -> tuple[str, int]:
     try:
         return address_of(text)
     except ValueError as error:
-        raise ConfigurationError(f"{path}: {field}: {error}") from error
+        raise ValueError(f"{field}: {error}") from error
 
 
-def _whole(path: str, settings: dict[str, Any], group: str, key: str, default: int, least: int) -> int:
-    value = (settings.get(group) or {}).get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < 1 << 53:
-        raise ConfigurationError(f"{path}: settings.{group}.{key} must be a number of at least {least}")
-    return int(value)
+def _whole(settings: dict[str, Any], group: str, key: str, default: int, least: int = 0) -> int:
+    """Return a figure; absent, null, and 0 where that may be, say that there is none. Raises ValueError."""
+    value = part_of("", settings, group).get(key)
+    if value is None:
+        return default
+    return int(figure(f"{group}.{key}", value, least)) or default
 
 
 def read(environment: Mapping[str, str]) -> Configuration:
-    """Read the configuration that the environment names. Raises ConfigurationError."""
+    """Read the configuration that the environment names. Raises ConfigurationError and nothing else."""
     for name in ("NAME", "LISTEN", "DISCOVERY", "CONFIG"):
         if not environment.get(PREFIX + name):
             raise ConfigurationError(f"{PREFIX + name} is not set")
     path = environment[PREFIX + "CONFIG"]
     try:
-        with Path(path).open("rb") as file:
-            text = file.read(MOST_FILE + 1)
+        given = _file(path)
+        for field, value in (("NAME", given.name), ("LISTEN", given.listen)):
+            if environment[PREFIX + field] != value:
+                raise ValueError(f"{field.lower()} is {value!r}, but {PREFIX + field} is not")
+        return _checked(given)
     except OSError as error:
         raise ConfigurationError(f"{path}: {error.strerror}") from error
+    except Exception as error:  # whatever the file holds, a running head goes on without it
+        why = " ".join(str(error).split()) or type(error).__name__
+        raise ConfigurationError(f"{path}: {why[:MOST_WHY]}") from error
+
+
+def _file(path: str) -> _File:
+    with Path(path).open("rb") as file:
+        text = file.read(MOST_FILE + 1)
     if len(text) > MOST_FILE:
-        raise ConfigurationError(f"{path}: more than {MOST_FILE} bytes")
-    try:
-        given = msgspec.json.decode(text, type=_File)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ConfigurationError(f"{path}: {error}") from error
-    for field, value in (("NAME", given.name), ("LISTEN", given.listen)):
-        if environment[PREFIX + field] != value:
-            raise ConfigurationError(f"{path}: {field.lower()} is {value!r}, but {PREFIX + field} is not")
-    return _checked(path, given)
+        raise ValueError(f"more than {MOST_FILE} bytes")
+    return msgspec.json.decode(text, type=_File)
 
 
-def _checked(path: str, given: _File) -> Configuration:
-    settings = given.settings
+def _settings(settings: dict[str, Any]) -> api.Settings:
     try:
-        told = settings_of(settings)
-        known = members_of(given.known)
-    except KeyError as error:
-        raise ConfigurationError(f"{path}: settings: missing or unknown {error}") from error
-    except (ValueError, TypeError, AttributeError) as error:
-        raise ConfigurationError(f"{path}: settings: {error}") from error
-    except TargetsError as error:
-        raise ConfigurationError(f"{path}: known: {error}") from error
-    shards = _whole(path, settings, "familyInfo", "slotsTotal", 1 << 20, 1)
+        return settings_of(settings)
+    except ValueError as error:
+        raise ValueError(f"settings.{error}") from error
+
+
+def _forms(settings: dict[str, Any], told: api.Settings) -> Forms:
     classes = {
         one.name: ClassForm(one.writes, one.effect is api.Effect.KEYED) for one in told.classes
     }  # fmt: skip
-    sockets = given.limits.sockets
+    # Where there are no plans, volumes have none.
+    plans = frozenset(one.name for one in told.plans) or frozenset(("",))
+    named = part_of("", settings, "familyInfo").get("mostUnits")
+    most_units = told.most_units if named else MOST_UNITS
+    return Forms(
+        classes, plans, most_units, _whole(settings, "familyInfo", "slotsTotal", 1 << 20), told.heads
+    )
+
+
+def _bounds(given: _File, told: api.Settings) -> Bounds:
+    settings, sockets = given.settings, given.limits.sockets
     callers = sockets * CLIENTS // 100
-    longest = max(one.deadline_us for one in told.classes)
+    memory = int((given.limits.memory_mb or MEMORY_MB) * (1 << 20))
+    return Bounds(
+        callers, sockets * ASKED // 100, min(sockets * SHELFS // 100, sockets - callers - LEAST_SPARE),
+        _whole(settings, "permissions", "mostHeld", 1 << 20, least=1),
+        _whole(settings, "permissions", "dialTimeoutUs", 1_000_000),
+        _whole(settings, "permissions", "connIdleUs", 30_000_000),
+        _whole(settings, "safety", "askWithinUs", 0),
+        max(one.deadline_us for one in told.classes), max(LEAST_ANSWER, memory // ANSWER_PARTS),
+    )  # fmt: skip
+
+
+def _checked(given: _File) -> Configuration:
+    """Turn the file into a configuration. Raises ValueError or TargetsError, which name the field."""
+    told = _settings(given.settings)
+    try:
+        known = members_of(given.known)
+    except TargetsError as error:
+        raise ValueError(f"known: {error}") from error
+    try:
+        forms, bounds = _forms(given.settings, told), _bounds(given, told)
+    except ValueError as error:
+        raise ValueError(f"settings.{error}") from error
     return Configuration(
-        given.name, _address(path, "listen", given.listen), _address(path, "discovery", given.discovery),
-        int(given.seed, 16), given.known.version, known, told,
-        Forms(classes, frozenset(one.name for one in told.plans), told.most_units, shards, told.heads),
-        Bounds(
-            callers, sockets * ASKED // 100, min(sockets * SHELFS // 100, sockets - callers - LEAST_SPARE),
-            _whole(path, settings, "permissions", "mostHeld", 1 << 20, 1),
-            _whole(path, settings, "permissions", "dialTimeoutUs", 1_000_000, 1),
-            _whole(path, settings, "permissions", "connIdleUs", 30_000_000, 1),
-            _whole(path, settings, "safety", "askWithinUs", 0, 0), longest,
-            max(LEAST_ANSWER, int(given.limits.memory_mb * (1 << 20)) // ANSWER_PARTS),
-        ),
-        given.limits.cores, {one.name: one.deadline_us for one in told.classes},
+        given.name, _address("listen", given.listen), _address("discovery", given.discovery),
+        int(given.seed, 16), given.known.version, known, told, forms, bounds,
+        given.limits.cores or CORES, {one.name: one.deadline_us for one in told.classes},
     )  # fmt: skip
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -507,7 +507,7 @@
     (lambda given: given.pop("known"), "known"),
     (lambda given: given["known"]["servers"][0].update(state="odd"), "s0"),
     (lambda given: given["settings"].pop("lanes"), "lanes"),
-    (lambda given: given["settings"]["lanes"][0].update(aimUs="x"), "aim_us"),
+    (lambda given: given["settings"]["lanes"][0].update(aimUs="x"), "settings.lanes[0].aimUs"),
     (lambda given: given["settings"].update(permissions={"mostHeld": 0}), "settings.permissions.mostHeld"),
     (lambda given: given.update(discovery="host:80"), "discovery"),
 ])  # fmt: skip
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -69,7 +69,7 @@
         ("begin_batch 1\nselect 0\nreq 1 2\neob\n", "line 3"),
         ("begin_batch 1\nselect 0\nwake x\neob\n", "not running"),
         ("begin_batch 1\nselect 0\ninit 1 {}\neob\n", "lanes"),
-        (f"begin_batch 1\n{start(0, {**CONF, 'nInstances': 0})}eob\n", "heads"),
+        (f"begin_batch 1\n{start(0, {**CONF, 'nInstances': 0})}eob\n", "nInstances"),
         ("begin_batch 1\n", "ended inside"),
         (f"begin_batch 1\n{start(0)}report_back 1 0 shelf-a odd 1 1 - - -\neob\n", "odd"),
     ],
