--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -148,7 +148,8 @@
     def report(self) -> None:
         """Log one line of counts."""
         core, front, shelfs = self.core.counts, self.front, self.shelfs
-        ends = {str(result.name).lower(): count for result, count in shelfs.counts.ends.items()}
+        # With a prefix: an end that is new must not bear the name of another count.
+        ends = {f"ended_{result.name.lower()}": count for result, count in shelfs.counts.ends.items()}
         self._note(
             "counts", taken=core.taken, served=core.served, refused=core.refused, failed=core.failed,
             left=core.left, open=self.core.open_requests, sent=core.sent, moot=core.moot, **ends,
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -2,6 +2,7 @@
 
 import copy
 
+from harriertrack.decisions.interface import Result
 from harriertrack.decisions.leaving import KILL_AFTER_US, Phase
 from harriertrack.standin.platform import MUTE, answer
 from harriertrack.standin.platform_clients import End, Kind, PlatformClients
@@ -115,6 +116,19 @@
     Site(tmp_path).run(act)
 
 
+def test_the_line_of_counts_tells_every_end_of_an_attempt(tmp_path):
+    def act(site):
+        site.head.shelfs.counts.ends = {result: 7 for result in Result}
+        site.head.report()
+        event, fields = site.notes[-1]
+        assert event == "counts" and [fields[f"ended_{result.name.lower()}"] for result in Result] == [
+            7
+        ] * len(Result)
+        assert fields["moot"] == 0
+
+    Site(tmp_path).run(act)
+
+
 def test_each_class_and_each_tenant_has_its_floor_while_shelfs_hang_and_fail(tmp_path):
     """One shard's shelf hangs for a time, then the other's fails: half of what could be served, for each."""
 
