--- a/harriertrack/service/calls.py
+++ b/harriertrack/service/calls.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from harriertrack.decisions.callers import END_KNOWN_US
 from harriertrack.decisions.patience import Waiting
 from harriertrack.decisions.requests import ClientRequest
 from harriertrack.protocol.platform.asked import Asked
@@ -47,6 +48,10 @@
         """Hand the one final answer to the connection."""
         self.session.give(self, request)
 
+    def client_left(self, now: int) -> bool:
+        """Whether the client has gone, as known recently enough for an attempt to begin now."""
+        return self.session.left(now - END_KNOWN_US)
+
 
 Note = Callable[..., None]
 
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from harriertrack.decisions import Scheduler, interface as api
-from harriertrack.decisions.callers import END_KNOWN_US
 from harriertrack.decisions.leaving import Leaving, Phase
 from harriertrack.decisions.requests import Attempt, ClientRequest, Core
 from harriertrack.decisions.watching import Watching
@@ -181,7 +180,7 @@
         """Start an attempt, unless its client has gone since its connection was last polled."""
         call, now = attempt.part.request.token, self.hub.now()
         assert isinstance(call, Call)
-        if call.session.left(now - END_KNOWN_US):
+        if call.client_left(now):
             self.hub.at_end_of_round(lambda: self._client_left(now, call, attempt))
         else:
             self.shelfs.send(attempt)
--- a/harriertrack/service/shelfs.py
+++ b/harriertrack/service/shelfs.py
@@ -195,7 +195,7 @@
     def _up(self) -> None:
         """The connection is up: send its attempt if that may still begin, else keep the connection."""
         shelfs, now = self._shelfs, self._shelfs.hub.now()
-        if self._attempt is not None and not shelfs.core.may_begin(now, self._attempt):
+        if self._attempt is not None and not self._may_begin(now, self._attempt):
             self._lost(api.Result.MOOT)
         if self._attempt is None:
             shelfs.ways.step(self, WayState.IDLE, now)
@@ -203,6 +203,14 @@
             shelfs.ways.step(self, WayState.BUSY, now)
             self.start(self._attempt)
 
+    def _may_begin(self, now: int, attempt: Attempt) -> bool:
+        """Whether an attempt may still be sent; its client may have gone while the connection came up."""
+        call = attempt.part.request.token
+        assert isinstance(call, Call)
+        if call.client_left(now):
+            call.session.leave()
+        return self._shelfs.core.may_begin(now, attempt)
+
     def _take(self, data: bytes) -> bool:
         """Take bytes; return whether the connection goes on."""
         shelfs = self._shelfs
--- a/tests/endings/test_attempt_ends.py
+++ b/tests/endings/test_attempt_ends.py
@@ -39,6 +39,24 @@
     LoopbackSite(tmp_path).run(act)
 
 
+@ENDS
+def test_nothing_begins_for_a_client_that_ended_since_a_busy_head_last_looked(tmp_path, end):
+    """It ends in the very round in which its connection comes up, behind the poll of a round of 40 ms."""
+
+    def act(site):
+        site.hold_dials()
+        client = RawClient(site)
+        client.send(site.request())
+        site.until(lambda: site.net.waiting)
+        site.scope.spawn("end", end, client)
+        site.leap_first(40 * MS)
+        site.net.up.set()
+        site.until(lambda: site.head.core.counts.left)
+        served_over_the_kept_connection(site)
+
+    LoopbackSite(tmp_path).run(act)
+
+
 def test_nothing_begins_after_its_time_though_its_connection_comes_up_in_the_same_turn(tmp_path):
     def act(site):
         site.hold_dials()
