--- a/tests/endings/loopback.py
+++ b/tests/endings/loopback.py
@@ -4,7 +4,10 @@
 within one turn of the hub: the head sees all of it at once, and no sleep is needed to force an instant.
 """
 
+import fcntl
 import socket
+import sys
+import termios
 
 from harriertrack.lab.fleet.processes import Places
 from harriertrack.runtime.hub import Event, Hub, RealClock
@@ -135,6 +138,10 @@
             return None
         return (int(head.split(b" ")[1]), head, rest[:length]), rest[length:]
 
+    def unacknowledged(self):
+        """Return how many bytes the system still has of what was sent."""
+        return int.from_bytes(fcntl.ioctl(self.socket, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+
     def was_reset(self):
         """Whether the connection was reset, also behind bytes and an end that can still be read."""
         return self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
--- a/tests/endings/test_client_ends.py
+++ b/tests/endings/test_client_ends.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from harriertrack.decisions import interface as api
+from harriertrack.decisions import callers, interface as api
 from harriertrack.decisions.callers import ACCEPTS, LINGER_BYTES, CallerState
 from harriertrack.service.front import Caller
 from harriertrack.runtime.hub import Hub
@@ -199,15 +199,22 @@
 
 
 @pytest.mark.parametrize("kind", BAD)
-def test_the_error_for_a_client_that_sends_on_arrives_though_it_reads_only_then(tmp_path, kind):
+def test_the_error_for_a_client_that_sends_on_arrives_though_it_reads_only_then(tmp_path, kind, monkeypatch):
+    """The time to linger is over once the test says so: a machine that stands still must not end it."""
     said, status = BAD[kind]
+    lingers = {**dict(callers.LONGEST), CallerState.LINGERING: 100 * S}
+    monkeypatch.setattr(callers, "LONGEST", tuple(lingers.items()))
 
     def act(site):
         client = RawClient(site)
         client.send(said)
-        pump(client, LINGER_BYTES // 2)
-        site.hub.sleep(20 * MS)
-        pump(client, LINGER_BYTES // 4)
+        for part in (2, 4):
+            pump(client, LINGER_BYTES // part)
+            site.until(lambda: client.unacknowledged() == 0)
+        site.until(lambda: caller_states(site) == [CallerState.LINGERING])
+        (caller,) = site.head.front.callers._state
+        site.until(caller.silent)
+        site.hub.clock.leap(100 * S)
         site.until(lambda: site.head.front.counts.bad and not len(site.head.front.callers))
         assert not client.was_reset()
         assert client.until_answered()[0] == status
