--- a/harriertrack/decisions/interface.py
+++ b/harriertrack/decisions/interface.py
@@ -169,10 +169,11 @@
 
 @dataclass(slots=True)
 class NodesChanged:
-    """News of the node list."""
+    """News of the node list; `told_at`: when they came to this head, which may have stood still (0: now)."""
 
     kind: ListKind
     entries: list[NodeEntry] = field(default_factory=list)
+    told_at: int = 0
 
 
 @dataclass(slots=True)
--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -270,17 +270,18 @@
             self._list_wait = RESUBSCRIBE_US
         elif self.settings.asked_list:
             self._out.append(Subscribe(True))
+        told_at = min(news.told_at or self._now, self._now)
         for entry in news.entries:
             node = self._nodes.get(entry.node)
             before = node.entry.started_us if node else 0
             if node is None:
                 former = [self._was(old) for old in self._nodes.values() if old.entry.shard == entry.shard]
-                node = self._nodes[entry.node] = _Node(entry, self._now, self._now, self._fresh())
+                node = self._nodes[entry.node] = _Node(entry, told_at, self._now, self._fresh())
                 node.past = max(former, default=0.0)  # it replaces that one
             elif entry.state is not node.entry.state or entry.started_us > before:
                 self._was(node)
                 if entry.state is not node.entry.state:
-                    node.told_at, node.served = self._now, self._fresh()
+                    node.told_at, node.served = told_at, self._fresh()
             node.entry = entry
             if entry.started_us > before and self._now - entry.started_us < self.settings.warm_us:
                 self._chill(node, entry.started_us)
@@ -289,7 +290,7 @@
             for name, node in self._nodes.items():
                 if name not in named and node.entry.state is not NodeState.GONE:
                     self._was(node)
-                    node.told_at, node.served = self._now, self._fresh()
+                    node.told_at, node.served = told_at, self._fresh()
                     node.entry = NodeEntry(name, node.entry.shard, NodeState.GONE, node.entry.zone)
         self._index()
         lost = [node for node in self._nodes.values() if node.held and not self._sendable(node)]
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -84,7 +84,7 @@
                 if stream is None:
                     stream = self._network.connect(self._address, deadline, self._name)
                 answer = self._ask(stream, call, deadline)
-                if self._told(answer) is not Worth.STALE:
+                if self._told(answer, stream.came_at) is not Worth.STALE:
                     self._failures = 0
                     self.heard.set()
                 elif self._watching.state is Watch.IDLE:
@@ -108,13 +108,16 @@
             raise TargetsError(f"status {answer.status}")
         return answer
 
-    def _told(self, answer: Answer) -> Worth:
+    def _told(self, answer: Answer, came_at: int) -> Worth:
         targets = targets_of(answer.body)
         # Read whole before any of it is taken.
         members = [member.localised(self._wall_ahead_us) for member in members_of(targets)]
         worth = self._watching.answered(targets.version, targets.full, len(members))
         if worth is Worth.TAKE:
             news = self._nodes.replace(members) if targets.full else self._nodes.change(members)
+            if news is not None:
+                # It counts from when it came, not from when a head that stood still reads it.
+                news.told_at = came_at
             self._core.nodes_changed(news)
             for node in self._nodes.forget_gone():
                 self._shelfs.gone(node)
--- a/tests/endings/test_start_and_reload.py
+++ b/tests/endings/test_start_and_reload.py
@@ -39,12 +39,12 @@
 
     def __init__(self, tmp_path, hub, scope):
         self.hub, self.net, self.place, self.number = hub, SocketNetwork(hub), Places().next(), 0
-        shelf = PlatformShelf(hub, self.net, lambda got: answer(b"goal"), delay_us=1000)
+        self.shelf = PlatformShelf(hub, self.net, lambda got: answer(b"goal"), delay_us=1000)
         self.old, self.fresh = PlatformDiscovery(hub, self.net), PlatformDiscovery(hub, self.net)
-        for one in (shelf, self.old, self.fresh):
+        for one in (self.shelf, self.old, self.fresh):
             one.start(scope)
         for one in (self.old, self.fresh):
-            one.set("s0", shelf.address, 0)
+            one.set("s0", self.shelf.address, 0)
         self.path, self.log = tmp_path / "config.json", tmp_path / "log"
         self.process = None
         settings = json.loads(json.dumps(SETTINGS))
@@ -82,6 +82,10 @@
         text = Path(f"/proc/{self.process.pid}/status").read_text()
         return int(re.search(rf"^{name}:\s*([0-9a-f]+)", text, re.MULTILINE)[1], 16)
 
+    def state(self):
+        """Return the process's state, T where it is stopped."""
+        return Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()[0]
+
     def replaced(self):
         """Whether the program has taken the shell's place."""
         return b"harriertrack.service" in Path(f"/proc/{self.process.pid}/cmdline").read_bytes().split(b"\0")
