--- a/tests/endings/test_list_ends.py
+++ b/tests/endings/test_list_ends.py
@@ -163,7 +163,10 @@
 @pytest.mark.real_time
 @BOTH
 def test_a_stopped_process_sends_nothing_to_a_node_that_was_drained_meanwhile(tmp_path, way):
-    """On waking the list's bytes and the clients' are all in its sockets."""
+    """On waking the list's bytes and the clients' are all in its sockets.
+
+    It is idle as it is stopped: one that is stopped in the middle of a round goes on with what it had found.
+    """
     grace_us = 200 * MS
 
     def act(site):
