--- a/harriertrack/runtime/alarm.py
+++ b/harriertrack/runtime/alarm.py
@@ -19,12 +19,16 @@
         self._hub.at_end_of_round(self._act)
 
     def wake_at(self, when: int) -> None:
-        """Call at a time or before; whoever is called asks again for what is still to come."""
+        """Call at the end of a time's round, or before; whoever is called asks again for what is to come.
+
+        Timers run before the tasks whose bytes came in the same round: a process that stood still is told all
+        of it, then acts.
+        """
         if self._timer is not None and self._timer.act is not None:
             if self._timer.at <= when:
                 return  # it will come, find nothing due, and ask again
             self._timer.cancel()
-        self._timer = self._hub.at(when, self._act)
+        self._timer = self._hub.at(when, self.soon)
 
     def cancel(self) -> None:
         """Forget the time that was asked for."""
--- a/tests/endings/test_attempt_ends.py
+++ b/tests/endings/test_attempt_ends.py
@@ -6,7 +6,7 @@
 from harriertrack.decisions.ways import REST_US
 from harriertrack.standin.platform import NEVER_RAN, answer
 from tests.endings.loopback import SMALL, LoopbackSite, RawClient, RawNode
-from tests.test_platform import MS, SETTINGS, Site
+from tests.test_platform import MS, SETTINGS, VOLUME, Site
 
 ENDS = pytest.mark.parametrize("end", [RawClient.close, RawClient.reset, RawClient.half_close])
 LARGE = "x" * 65_536  # a body that small buffers can't hold
@@ -196,3 +196,32 @@
         assert not site.shelfs[1].got and len(site.head.shelfs.ways) == 1
 
     LoopbackSite(tmp_path, safety={**SETTINGS["safety"], "drainGraceUs": GRACE_US}).run(act)
+
+
+def test_what_is_held_as_a_head_stands_still_does_not_begin_before_the_list_is_read(tmp_path):
+    """The module's time to send it, and the news that its node drained, come in one round; the grace is over."""
+    limited = {
+        "name": "gold",
+        "baseRate": 500,
+        "reserve": 300,
+        "shares": 1,
+        "ceilingRate": 20,
+        "mostAtOnce": 2,
+    }
+    safety = {**SETTINGS["safety"], "drainGraceUs": GRACE_US}
+
+    def act(site):
+        site.until(lambda: len(site.discovery.calls) > 1)  # the watch is open
+        placed = {"X-Placement": f"volume={VOLUME},units=2,shard=1,hosts=1"}
+        client = RawClient(site)
+        client.send(site.request(**placed))
+        assert client.until_answered()[0] == 200
+        site.hub.sleep(REST_US)
+        client.send(site.request(**placed))
+        site.until(lambda: site.head.core.open_requests)
+        assert len(site.shelfs[1].got) == 1  # held behind the limit of its plan
+        site.discovery.set("s1", site.shelfs[1].address, 1, "terminating")
+        site.leap_first(GRACE_US + 50 * MS)
+        assert client.until_answered()[0] == 503 and len(site.shelfs[1].got) == 1
+
+    LoopbackSite(tmp_path, contracts=[limited], safety=safety).run(act)
