--- a/tests/endings/loopback.py
+++ b/tests/endings/loopback.py
@@ -9,6 +9,7 @@
 from harriertrack.lab.fleet.processes import Places
 from harriertrack.runtime.hub import Event, Hub, RealClock
 from harriertrack.runtime.streams import SocketNetwork
+from harriertrack.standin.platform import RESET, answer
 from tests.test_platform import MS, Site
 
 PLACES = Places()  # each site listens elsewhere: what one that failed left open hinders no other
@@ -34,6 +35,7 @@
     def __init__(self, hub):
         super().__init__(hub)
         self.held, self.waiting, self.up = set(), 0, Event(hub)
+        self.sockets = []  # of the connections that were held up
         self.send_buffer = 0  # bytes that the kernel takes, of connections made from now on; 0: as it likes
 
     def connect(self, address, deadline=None, name=""):
@@ -41,6 +43,7 @@
         if self.send_buffer:
             stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_buffer)
         if address in self.held:
+            self.sockets.append(stream._sock)
             self.waiting += 1
             try:
                 self.up.wait(deadline)
@@ -149,6 +152,20 @@
         self.socket.close()
 
 
+def ask_with_a_lost_answer(site, then=lambda: None, **changes):
+    """Send a request whose first attempt is reset once it has come; call `then` in that same turn."""
+
+    def script(got):
+        site.script = lambda got: answer(b"done")
+        then()
+        return RESET
+
+    site.script = script
+    client = RawClient(site)
+    client.send(site.request(**changes))
+    return client
+
+
 class RawNode:
     """A storage node's listening socket, in place of one of the site's; the test accepts and answers itself."""
 
@@ -192,6 +209,18 @@
         self.socket = accepted
         accepted.setblocking(False)
 
-    def until_asked(self):
-        """Read up to the end of a request's head."""
-        self.site.until(lambda: self.receive() and b"\r\n\r\n" in self.received)
+    def until_asked(self, body=0):
+        """Read up to the end of a request's head, and so many bytes behind it."""
+
+        def asked():
+            self.receive()
+            _, mark, rest = self.received.partition(b"\r\n\r\n")
+            return mark and len(rest) >= body
+
+        self.site.until(asked)
+
+    def serve(self, body=b"done"):
+        """Answer what was asked."""
+        self.until_asked()
+        self.received = b""
+        self.send(answer(body))
--- a/tests/endings/test_attempt_ends.py
+++ b/tests/endings/test_attempt_ends.py
@@ -5,7 +5,7 @@
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.ways import REST_US
 from harriertrack.standin.platform import NEVER_RAN, answer
-from tests.endings.loopback import SMALL, LoopbackSite, RawClient, RawNode
+from tests.endings.loopback import SMALL, LoopbackSite, RawClient, RawNode, ask_with_a_lost_answer
 from tests.test_platform import MS, SETTINGS, Site
 
 ENDS = pytest.mark.parametrize("end", [RawClient.close, RawClient.reset, RawClient.half_close])
@@ -178,3 +178,224 @@
         assert not site.shelfs[1].got and len(site.head.shelfs.ways) == 1
 
     LoopbackSite(tmp_path, safety={**SETTINGS["safety"], "drainGraceUs": GRACE_US}).run(act)
+
+
+def once(tmp_path):
+    """Return a site whose requests have one attempt each."""
+    return LoopbackSite(tmp_path, permissions={**SETTINGS["permissions"], "sendCap": 1})
+
+
+def answered_once(site, client, status, *results):
+    """The client gets one answer and nothing behind it, the module these outcomes."""
+    assert client.until_answered()[0] == status
+    site.hub.sleep(5 * MS)
+    client.receive()
+    assert not client.received and site.head.module.results() == list(results)
+    assert site.head.core.open_requests == site.head.core.open_parts == 0
+
+
+BEGUN = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"
+CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+ENDLESS = b"HTTP/1.1 200 OK\r\n\r\nabc"  # no length: only the connection's end would end it
+BROKEN = {"nothing": b"", "half a head": BEGUN[:20], "a part": BEGUN, "chunks": CHUNKS, "no length": ENDLESS}
+
+
+@pytest.mark.parametrize("end", [RawClient.close, RawClient.reset])
+@pytest.mark.parametrize("said", BROKEN)
+def test_an_answer_that_breaks_off_may_have_run_and_is_never_served(tmp_path, said, end):
+    def act(site):
+        node, client = RawNode(site), RawClient(site)
+        client.send(site.request(True))
+        there = node.accept()
+        there.until_asked()
+        if BROKEN[said]:
+            there.send(BROKEN[said])
+        end(there)
+        result = api.Result.ERROR if said == "no length" else api.Result.RESET
+        if said == "no length" and end is RawClient.reset:  # what the head's system saw first
+            site.until(lambda: site.head.module.results())
+            (result,) = site.head.module.results()
+            assert not result.never_ran
+        answered_once(site, client, 500, result)
+
+    once(tmp_path).run(act)
+
+
+def test_an_answer_that_never_ends_ends_with_its_requests_time(tmp_path):
+    def act(site):
+        node, client = RawNode(site), RawClient(site)
+        client.send(site.request(True))
+        there = node.accept()
+        there.until_asked()
+        there.send(BEGUN[:-3])
+        for _ in range(6):
+            there.send(b"x")
+            site.hub.sleep(2 * MS)
+            assert not client.receive()
+        site.hub.clock.leap(481 * MS)
+        answered_once(site, client, 500, api.Result.TIMEOUT)
+        there.until_ended()
+
+    once(tmp_path).run(act)
+
+
+@pytest.mark.parametrize("first", ["answer", "time"])
+def test_an_answer_in_the_turn_in_which_time_is_up_is_one_of_the_two(tmp_path, first):
+    def act(site):
+        node, client = RawNode(site), RawClient(site)
+        client.send(site.request(True))
+        there = node.accept()
+        there.until_asked()
+        there.send(answer(b"done"))
+        if first == "time":  # timers run before the task that reads
+            site.hub.clock.leap(481 * MS)
+            answered_once(site, client, 500, api.Result.TIMEOUT)
+        else:
+            site.leap_first(481 * MS)
+            answered_once(site, client, 200, api.Result.OK)
+
+    once(tmp_path).run(act)
+
+
+@ENDS
+def test_an_answer_in_the_turn_in_which_its_client_ends_is_one_outcome(tmp_path, end):
+    def act(site):
+        node, client = RawNode(site), RawClient(site)
+        client.send(site.request(True))
+        there = node.accept()
+        there.until_asked()
+        there.send(answer(b"done"))
+        end(client)
+        site.until(lambda: site.head.module.results())
+        site.hub.sleep(5 * MS)
+        assert site.head.module.results() in ([api.Result.OK], [api.Result.CANCELLED])
+        counts = site.head.core.counts
+        assert (counts.left, counts.served) in ((1, 0), (0, 1))
+        assert site.head.core.open_requests == site.head.core.open_parts == 0
+
+    once(tmp_path).run(act)
+
+
+@pytest.mark.parametrize("instant", ["before", "inside", "after"])
+def test_a_reset_before_the_last_byte_of_a_request_proves_that_it_never_ran(tmp_path, instant):
+    def act(site):
+        if instant == "before":
+            node, client = RawNode(site), RawClient(site)
+            site.net.held = {node.socket.getsockname()}
+            client.send(site.request(True, body=LARGE))
+            site.until(lambda: site.net.waiting)
+            node.accept().reset()
+            site.net.up.set()
+        elif instant == "inside":
+            client, there = stuck(site)
+            there.reset()
+        else:
+            node, client = RawNode(site), RawClient(site)
+            client.send(site.request(True, body=LARGE))
+            there = node.accept()
+            there.until_asked(len(LARGE))
+            there.reset()
+        if instant == "after":
+            answered_once(site, client, 500, api.Result.RESET)
+        else:
+            answered_once(site, client, 503, api.Result.CONNECT_FAILED)
+
+    once(tmp_path).run(act)
+
+
+@pytest.mark.parametrize("round_", ["same turn", "last moment"])
+@pytest.mark.parametrize("end", [
+    RawClient.close, RawClient.reset, RawClient.half_close, lambda there: there.send(b"HTTP/1.1 2"),
+], ids=["close", "reset", "half close", "half a line"])  # fmt: skip
+def test_an_idle_connection_that_ends_as_a_request_comes_is_not_used(tmp_path, end, round_):
+    def act(site):
+        node, client = RawNode(site), RawClient(site)
+        client.send(site.request())
+        there = node.accept()
+        there.serve()
+        assert client.until_answered()[0] == 200
+        site.hub.sleep(REST_US)
+        client.send(site.request())
+        if round_ == "last moment":  # the head has read the request; its module sends at this round's end
+            site.hub.sleep(0)
+        end(there)
+        node.accept().serve()
+        assert client.until_answered()[0] == 200
+        assert site.head.module.results() == [api.Result.OK] * 2 and not there.received
+
+    once(tmp_path).run(act)
+
+
+def test_each_attempt_tells_no_more_time_than_its_client_has_left(tmp_path):
+    def act(site):
+        client = ask_with_a_lost_answer(site, site.hold_dials)
+        site.until(lambda: site.net.waiting)
+        site.hub.clock.leap(150 * MS)
+        site.net.up.set()
+        assert client.until_answered()[0] == 200
+        first, last = (int(got.fields["x-expires-in-ms"]) for got in site.shelfs[1].got)
+        assert last <= first - 150
+
+    LoopbackSite(tmp_path).run(act)
+
+
+DIAL_US = 20_000 * MS  # longer than the test may take
+
+
+@pytest.mark.parametrize("end", ["up", "time-out", "reset"])
+def test_dials_that_were_called_off_leave_nothing_and_say_nothing_of_their_node(tmp_path, end):
+    def act(site):
+        node = RawNode(site)
+        site.net.held = {node.socket.getsockname()}
+        ways = site.head.configuration.bounds.ways
+        for _ in range(4):
+            site.net.up.clear()
+            theirs = []
+            while len(theirs) < ways:
+                client = RawClient(site)
+                client.send(site.request())
+                theirs.append(node.accept())
+                site.until(lambda theirs=theirs: site.net.waiting == len(theirs))
+                client.close()
+                site.until(lambda: not site.head.core.open_requests)
+            client = RawClient(site)
+            client.send(site.request())
+            assert client.until_answered()[0] == 503 and len(site.head.shelfs.ways) == ways  # no room
+            client.close()
+            for there in theirs:
+                there.reset() if end == "reset" else None
+            if end == "time-out":
+                site.hub.clock.leap(DIAL_US)
+            else:
+                site.net.up.set()
+            site.until(lambda: not site.net.waiting)
+            site.hub.clock.leap(3_000 * MS)  # what idles is closed
+            site.until(lambda: not len(site.head.shelfs.ways))
+            for there in theirs:
+                there.close()
+        assert len(site.net.sockets) == 4 * ways and all(one.fileno() < 0 for one in site.net.sockets)
+        assert set(site.head.module.results()) == {api.Result.MOOT}
+        site.net.held = set()
+        client = RawClient(site)
+        client.send(site.request())
+        node.accept().serve()
+        assert client.until_answered()[0] == 200
+
+    LoopbackSite(tmp_path, permissions={**SETTINGS["permissions"], "dialTimeoutUs": DIAL_US}).run(act)
+
+
+@pytest.mark.parametrize("said", [ENDLESS, b"noise\r\n\r\n"])
+def test_a_further_attempt_begins_once_the_connection_of_the_one_before_is_closed(tmp_path, said):
+    def act(site):
+        node, client = RawNode(site), RawClient(site)
+        client.send(site.request(True))
+        first = node.accept()
+        first.until_asked()
+        first.send(said)
+        second = node.accept()
+        first.receive()
+        assert first.ended
+        second.serve()
+        answered_once(site, client, 200, api.Result.ERROR, api.Result.OK)
+
+    LoopbackSite(tmp_path).run(act)
--- a/tests/endings/test_keyed_windows.py
+++ b/tests/endings/test_keyed_windows.py
@@ -6,8 +6,7 @@
 
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.ways import REST_US
-from harriertrack.standin.platform import RESET, answer
-from tests.endings.loopback import LoopbackSite, RawClient, RawNode
+from tests.endings.loopback import LoopbackSite, RawClient, RawNode, ask_with_a_lost_answer
 from tests.endings.test_attempt_ends import LARGE
 from tests.test_platform import MS, SETTINGS
 
@@ -27,20 +26,6 @@
     return [got.fields.get("idempotency-key") for got in site.shelfs[cell].got]
 
 
-def ask_with_a_lost_answer(site, then=lambda: None, **changes):
-    """Send a request whose first attempt is reset once it has come; call `then` in that same turn."""
-
-    def script(got):
-        site.script = lambda got: answer(b"done")
-        then()
-        return RESET
-
-    site.script = script
-    client = RawClient(site)
-    client.send(site.request(**changes))
-    return client
-
-
 @LATE
 def test_a_repeat_goes_out_inside_the_window_alone(site, late):
     def act(site):
