--- a/harriertrack/decisions/callers.py
+++ b/harriertrack/decisions/client_connections.py
@@ -39,7 +39,7 @@
 C = TypeVar("C", bound=Hashable)
 
 
-class CallerState(StrEnum):
+class ClientState(StrEnum):
     """Where a client's connection is."""
 
     NEW = "new"
@@ -50,28 +50,28 @@
     LINGERING = "lingering"
 
 
-CALLER_STEPS = frozenset((
-    (CallerState.NEW, CallerState.READING), (CallerState.NEW, CallerState.BUSY),
-    (CallerState.READING, CallerState.BUSY), (CallerState.BUSY, CallerState.SENDING),
-    (CallerState.SENDING, CallerState.IDLE), (CallerState.SENDING, CallerState.LINGERING),
-    (CallerState.IDLE, CallerState.READING), (CallerState.IDLE, CallerState.BUSY),
+CLIENT_STEPS = frozenset((
+    (ClientState.NEW, ClientState.READING), (ClientState.NEW, ClientState.BUSY),
+    (ClientState.READING, ClientState.BUSY), (ClientState.BUSY, ClientState.SENDING),
+    (ClientState.SENDING, ClientState.IDLE), (ClientState.SENDING, ClientState.LINGERING),
+    (ClientState.IDLE, ClientState.READING), (ClientState.IDLE, ClientState.BUSY),
     # What can't be read, or not in time, is answered without having been a request.
-    (CallerState.NEW, CallerState.SENDING), (CallerState.READING, CallerState.SENDING),
-    (CallerState.IDLE, CallerState.SENDING),
+    (ClientState.NEW, ClientState.SENDING), (ClientState.READING, ClientState.SENDING),
+    (ClientState.IDLE, ClientState.SENDING),
 ))  # fmt: skip
 LONGEST = (
-    (CallerState.NEW, NEW_US), (CallerState.READING, READ_US), (CallerState.IDLE, IDLE_US),
-    (CallerState.LINGERING, LINGER_US),
+    (ClientState.NEW, NEW_US), (ClientState.READING, READ_US), (ClientState.IDLE, IDLE_US),
+    (ClientState.LINGERING, LINGER_US),
 )  # fmt: skip
-VICTIMS = ((CallerState.NEW, SILENT_US), (CallerState.IDLE, 0), (CallerState.READING, HALF_US))
+VICTIMS = ((ClientState.NEW, SILENT_US), (ClientState.IDLE, 0), (ClientState.READING, HALF_US))
 
 
-def _never_looks(_caller: object) -> bool:
+def _never_looks(_connection: object) -> bool:
     """Without a look, nothing unread is known of."""
     return True
 
 
-class Callers(Generic[C]):
+class ClientConnections(Generic[C]):
     """All clients' connections of a head, each state's in the order in which they came to it.
 
     There are `most` places. Of those that have asked, `most_asked` are kept: above that, the longest idle one
@@ -80,33 +80,33 @@
 
     def __init__(self, most: int, most_asked: int) -> None:
         self.most, self.most_asked = most, most_asked
-        self._at: dict[CallerState, dict[C, int]] = {state: {} for state in CallerState}
-        self._state: dict[C, CallerState] = {}
+        self._at: dict[ClientState, dict[C, int]] = {state: {} for state in ClientState}
+        self._state: dict[C, ClientState] = {}
         self._sends_until: dict[C, int] = {}
 
     def __len__(self) -> int:
         return len(self._state)
 
-    def came(self, caller: C, now: int, silent: Callable[[C], bool] = _never_looks) -> C | None:
+    def accepted(self, connection: C, now: int, silent: Callable[[C], bool] = _never_looks) -> C | None:
         """Take a new connection; return one to close for it, itself perhaps, if there are too many."""
         victim: C | None = None
         if len(self._state) >= self.most:
-            victim = next(iter(self._at[CallerState.LINGERING]), None)
+            victim = next(iter(self._at[ClientState.LINGERING]), None)
             if victim is None:
                 victim = self._victim(now, silent)
             if victim is None:
-                return caller
+                return connection
         elif self._asked >= self.most_asked:
-            victim = self._first(CallerState.IDLE, now, silent)
+            victim = self._first(ClientState.IDLE, now, silent)
         if victim is not None:
             self.gone(victim)
-        self._state[caller] = CallerState.NEW
-        self._at[CallerState.NEW][caller] = now
+        self._state[connection] = ClientState.NEW
+        self._at[ClientState.NEW][connection] = now
         return victim
 
     @property
     def _asked(self) -> int:
-        states = (CallerState.IDLE, CallerState.BUSY, CallerState.SENDING)
+        states = (ClientState.IDLE, ClientState.BUSY, ClientState.SENDING)
         return sum(len(self._at[state]) for state in states)
 
     def _victim(self, now: int, silent: Callable[[C], bool]) -> C | None:
@@ -116,60 +116,62 @@
         nothing where its request crosses the close. A newcomer that is turned away loses what it came with.
         """
         for state, least in VICTIMS:
-            if (caller := self._first(state, now - least, silent)) is not None:
-                return caller
+            if (connection := self._first(state, now - least, silent)) is not None:
+                return connection
         return None
 
-    def _first(self, state: CallerState, until: int, silent: Callable[[C], bool]) -> C | None:
+    def _first(self, state: ClientState, until: int, silent: Callable[[C], bool]) -> C | None:
         """The one that has been in a state for longest, since a time at the latest, and is silent."""
-        for caller, since in islice(self._at[state].items(), MOST_LOOKS):
+        for connection, since in islice(self._at[state].items(), MOST_LOOKS):
             if since > until:
                 break
-            if silent(caller):
-                return caller
+            if silent(connection):
+                return connection
         return None
 
-    def step(self, caller: C, state: CallerState, now: int) -> None:
+    def step(self, connection: C, state: ClientState, now: int) -> None:
         """A connection comes to a state. Raises IllegalStep, or KeyError for one that is gone."""
-        before = self._state[caller]
-        if (before, state) not in CALLER_STEPS:
+        before = self._state[connection]
+        if (before, state) not in CLIENT_STEPS:
             raise IllegalStep(f"a connection that is {before} can't become {state}")
-        del self._at[before][caller]
-        self._state[caller] = state
-        self._at[state][caller] = now
-        self._sends_until.pop(caller, None)
+        del self._at[before][connection]
+        self._state[connection] = state
+        self._at[state][connection] = now
+        self._sends_until.pop(connection, None)
 
-    def sends(self, caller: C, until: int, now: int) -> None:
+    def sends(self, connection: C, until: int, now: int) -> None:
         """An answer is on its way over a connection; nobody waits for it any more at a time."""
-        self.step(caller, CallerState.SENDING, now)
-        self._sends_until[caller] = until
+        self.step(connection, ClientState.SENDING, now)
+        self._sends_until[connection] = until
 
-    def state(self, caller: C) -> CallerState | None:
+    def state(self, connection: C) -> ClientState | None:
         """Return where a connection is; None for one that is gone."""
-        return self._state.get(caller)
+        return self._state.get(connection)
 
-    def gone(self, caller: C) -> None:
+    def gone(self, connection: C) -> None:
         """Forget a connection, if it is known."""
-        state = self._state.pop(caller, None)
+        state = self._state.pop(connection, None)
         if state is not None:
-            del self._at[state][caller]
-        self._sends_until.pop(caller, None)
+            del self._at[state][connection]
+        self._sends_until.pop(connection, None)
 
     def overdue(self, now: int) -> list[C]:
         """Return those to be closed now: they are silent, read, idle, send or linger for too long."""
-        late = [caller for caller, until in self._sends_until.items() if now >= until]
+        late = [connection for connection, until in self._sends_until.items() if now >= until]
         for state, most in LONGEST:
-            for caller, since in self._at[state].items():
+            for connection, since in self._at[state].items():
                 if now - since < most:
                     break
-                late.append(caller)
+                late.append(connection)
         return late
 
     def idle(self, now: int) -> list[C]:
         """Return all over which nothing is asked; new ones are given the time in which clients send."""
-        late = [caller for caller, since in self._at[CallerState.NEW].items() if now - since >= SILENT_US]
-        return [*self._at[CallerState.IDLE], *late]
+        late = [
+            connection for connection, since in self._at[ClientState.NEW].items() if now - since >= SILENT_US
+        ]
+        return [*self._at[ClientState.IDLE], *late]
 
     def half_read(self) -> list[C]:
         """Return those over which a part of a request has come."""
-        return list(self._at[CallerState.READING])
+        return list(self._at[ClientState.READING])
--- /dev/null
+++ b/harriertrack/decisions/connection_pool.py
@@ -0,0 +1,121 @@
+"""Connections to storage nodes: which one a request takes, when a new one is made, and which are closed.
+
+No I/O and no clock. One request at a time goes over a connection, so a node has as many as there are
+requests out to it at once. A new one costs the node work and its first request time: they are kept while the
+node keeps them, and the one used last is taken first, so that what a burst needed falls idle and ends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from enum import StrEnum
+from typing import Generic, TypeVar
+
+from harriertrack.decisions.life import IllegalStep
+
+# A node closes what idles for the settings' time "at the latest": what is written after that is lost.
+IDLE_PARTS = (2, 3)
+# What belongs to no answer may come behind one, and would answer the next request: a connection rests so long
+# before it is used again, and one over which something comes meanwhile is closed. A node that does not set
+# TCP_NODELAY has a second small write held back until the first is acknowledged; that may take 40 ms.
+REST_US = 50_000
+REST_PART = 4  # where connections are kept for a short time, they rest for this part of it at most
+
+W = TypeVar("W", bound=Hashable)
+
+
+class ConnectionState(StrEnum):
+    """Where a connection to a node is."""
+
+    DIALING = "dialing"
+    BUSY = "busy"
+    IDLE = "idle"
+
+
+CONNECTION_STEPS = frozenset((
+    (ConnectionState.DIALING, ConnectionState.BUSY), (ConnectionState.DIALING, ConnectionState.IDLE),
+    (ConnectionState.BUSY, ConnectionState.IDLE), (ConnectionState.IDLE, ConnectionState.BUSY),
+))  # fmt: skip
+
+
+class ConnectionPool(Generic[W]):
+    """All connections to nodes of a head, by the node's name."""
+
+    def __init__(self, most: int, idle_us: int) -> None:
+        self.most = most
+        self._idle_us = idle_us * IDLE_PARTS[0] // IDLE_PARTS[1]
+        self._rest_us = min(REST_US, self._idle_us // REST_PART)
+        self._state: dict[W, tuple[str, ConnectionState]] = {}
+        self._idle: dict[str, dict[W, int]] = {}  # of each node, the latest last
+
+    def __len__(self) -> int:
+        return len(self._state)
+
+    def pick(self, node: str, now: int) -> W | None:
+        """Return the idle connection to take, None to dial; the caller then says `step` or `dials`."""
+        for connection, since in reversed(self._idle.get(node, {}).items()):
+            if now - since >= self._idle_us:
+                return None  # all before it have idled for longer
+            if now - since >= self._rest_us:
+                return connection
+        return None
+
+    def dials(self, connection: W, node: str) -> W | None:
+        """A new connection is made; return one to close for it if there are too many.
+
+        Raises IllegalStep where all are in use: see `room`.
+        """
+        victim: W | None = None
+        if len(self._state) >= self.most:
+            victim = self._longest_idle()
+            if victim is None:
+                raise IllegalStep("as many connections to nodes are in use as there may be")
+            self.gone(victim)
+        self._state[connection] = (node, ConnectionState.DIALING)
+        return victim
+
+    @property
+    def room(self) -> bool:
+        """Whether a new connection may be made."""
+        return len(self._state) < self.most or self._longest_idle() is not None
+
+    def _longest_idle(self) -> W | None:
+        firsts = [next(iter(idle.items())) for idle in self._idle.values()]
+        return min(firsts, key=lambda first: first[1])[0] if firsts else None
+
+    def step(self, connection: W, state: ConnectionState, now: int) -> None:
+        """A connection comes to a state. Raises IllegalStep, or KeyError for one that is gone."""
+        node, before = self._state[connection]
+        if (before, state) not in CONNECTION_STEPS:
+            raise IllegalStep(f"a connection that is {before} can't become {state}")
+        self._leave(connection, node, before)
+        self._state[connection] = (node, state)
+        if state is ConnectionState.IDLE:
+            self._idle.setdefault(node, {})[connection] = now
+
+    def _leave(self, connection: W, node: str, state: ConnectionState) -> None:
+        if state is ConnectionState.IDLE:
+            idle = self._idle[node]
+            del idle[connection]
+            if not idle:
+                del self._idle[node]
+
+    def state(self, connection: W) -> ConnectionState | None:
+        """Return where a connection is; None for one that is gone."""
+        known = self._state.get(connection)
+        return known[1] if known else None
+
+    def gone(self, connection: W) -> None:
+        """Forget a connection, if it is known."""
+        known = self._state.pop(connection, None)
+        if known is not None:
+            self._leave(connection, *known)
+
+    def overdue(self, now: int) -> list[W]:
+        """Return the idle ones that their node may close any moment."""
+        return [connection for idle in self._idle.values() for connection, since in idle.items()
+                if now - since >= self._idle_us]  # fmt: skip
+
+    def idle_of(self, node: str) -> list[W]:
+        """Return the idle ones of a node, which is gone."""
+        return list(self._idle.get(node, ()))
--- a/harriertrack/decisions/watching.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -63,7 +63,7 @@
     FOLLOWING = "following"
 
 
-class Worth(StrEnum):
+class UpdateOutcome(StrEnum):
     """What to do with an answer."""
 
     TAKE = "take"  # tell the module, and ask on at once
@@ -80,7 +80,7 @@
     within_us: int
 
 
-class Watching:
+class DiscoveryWatch:
     """The state of the watch.
 
     `ask_within_us`, where the list is asked for: how long the rules let a head go without a call (0: they set
@@ -139,21 +139,21 @@
         doublings = min(8, max(0, self._failures - 1))
         return max(least_us, min(most_us, least_us << doublings))
 
-    def answered(self, version: int, full: bool, entries: int) -> Worth:
+    def answered(self, version: int, full: bool, entries: int) -> UpdateOutcome:
         """Take an answer's version; return what it is worth. Raises IllegalStep where there is no watch."""
         if self.state is Watch.IDLE:
             raise IllegalStep("an answer without a watch")
         if not self._whole and self.version is not None and version < self.version:
             # A source that began anew, or one that lags: only a whole list says what is true there.
             self.state, self._whole = Watch.CATCHING_UP, True
-            return Worth.STALE
+            return UpdateOutcome.STALE
         if self._whole and not full:
             self.state = Watch.IDLE
-            return Worth.STALE
+            return UpdateOutcome.STALE
         news = entries > 0 or full or self.state is Watch.CATCHING_UP
         self.version, self._whole, self.state = version, False, Watch.FOLLOWING
         self._moved, self._failures, self._silent_from = False, 0, None
-        return Worth.TAKE if news else Worth.SKIP
+        return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
 
     def failed(self, now: int, began: int) -> int:
         """A call has failed; return after how long to ask anew, unless somebody asks for it before."""
--- a/harriertrack/decisions/leaving.py
+++ b/harriertrack/decisions/graceful_shutdown.py
@@ -1,10 +1,10 @@
 """How a head leaves when it is asked to: it serves on while it may, then answers everything, and ends.
 
-No I/O and no clock. SERVING until it is asked, then PARTING: the platform starts it again only after the time
-at which it would kill it, and until then its clients have no other way to their volumes, so it serves on over
-the connections there are. Shortly before, it is DRAINING: it listens no more, each answer asks its client to
-leave, idle connections are closed. Just before the kill it is CLOSING: what is still open is answered.
-ENDED when no connection is left, or when the last answers have had their time to leave.
+No I/O and no clock. SERVING until it is asked, then LAME_DUCK: the platform starts it again only after the
+time at which it would kill it, and until then its clients have no other way to their volumes, so it serves on
+over the connections there are. Shortly before, it is DRAINING: it listens no more, each answer asks its
+client to leave, idle connections are closed. Just before the kill it is CLOSING: what is still open is
+answered. ENDED when no connection is left, or when the last answers have had their time to leave.
 """
 
 from __future__ import annotations
@@ -23,13 +23,13 @@
     """Where a head is in its life."""
 
     SERVING = "serving"
-    PARTING = "parting"
+    LAME_DUCK = "lame duck"
     DRAINING = "draining"
     CLOSING = "closing"
     ENDED = "ended"
 
 
-class Leaving:
+class GracefulShutdown:
     """The phase of a head; `longest_us` is the longest that a client waits for an answer."""
 
     def __init__(self, longest_us: int) -> None:
@@ -37,25 +37,25 @@
         self._end_after_us = min(longest_us, KILL_LONGEST_US) + KILL_AFTER_US - SPARE_US
         self._asked_at = 0
 
-    def ask(self, now: int) -> bool:
+    def begin(self, now: int) -> bool:
         """It is asked to leave; return whether that is news."""
         if self.phase is not Phase.SERVING:
             return False
-        self.phase, self._asked_at = Phase.PARTING, now
+        self.phase, self._asked_at = Phase.LAME_DUCK, now
         return True
 
-    def look(self, now: int, connections: int) -> Phase:
+    def advance(self, now: int, connections: int) -> Phase:
         """Return the phase as of now; `connections` is how many clients' connections there are."""
         since = now - self._asked_at
-        if self.phase is Phase.PARTING and since >= self._end_after_us - DRAIN_US:
+        if self.phase is Phase.LAME_DUCK and since >= self._end_after_us - DRAIN_US:
             self.phase = Phase.DRAINING  # for a look at least: what waits at the listener is taken first
         elif self.phase is Phase.DRAINING and since >= self._end_after_us:
             self.phase = Phase.CLOSING
-        elif self.leaves and (not connections or since >= self._end_after_us + LAST_US):
+        elif self.is_draining and (not connections or since >= self._end_after_us + LAST_US):
             self.phase = Phase.ENDED
         return self.phase
 
     @property
-    def leaves(self) -> bool:
+    def is_draining(self) -> bool:
         """Whether clients are asked to go elsewhere."""
         return self.phase in (Phase.DRAINING, Phase.CLOSING, Phase.ENDED)
--- a/harriertrack/decisions/told.py
+++ b/harriertrack/decisions/settings_parser.py
@@ -126,7 +126,7 @@
     )  # fmt: skip
 
 
-def settings_of(conf: dict[str, Any]) -> api.Settings:
+def parse_settings(conf: dict[str, Any]) -> api.Settings:
     """Build the module's settings from such an object; unknown keys are skipped.
 
     Raises ValueError, which names the field, for what can't be read.
--- a/harriertrack/lab/interleaving/scenarios/watch.py
+++ b/harriertrack/lab/interleaving/scenarios/watch.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable
 from typing import cast
 
+from harriertrack.decisions.discovery_watch import DiscoveryWatch, Watch
 from harriertrack.decisions.interface import NodesChanged
 from harriertrack.decisions.requests import Core
-from harriertrack.decisions.watching import Watch, Watching
 from harriertrack.lab.interleaving.world import Scenario, World
 from harriertrack.membership.nodes import NodeList
 from harriertrack.runtime.hub import Event
 from harriertrack.service.discovery import Discovery
-from harriertrack.service.shelfs import Shelfs
+from harriertrack.service.storage_nodes import StorageNodes
 from harriertrack.standin.platform import PlatformDiscovery
 
 HEAD, SOURCE, OTHER = "head", "source", "other source"
@@ -47,7 +47,7 @@
 def _watched(moves: bool, stops: bool) -> Callable[[World], None]:
     def build(world: World) -> None:
         hub, core, nodes = world.hub, _Core(world), NodeList()
-        watching = Watching(ASK_WITHIN_US, None)
+        watching = DiscoveryWatch(ASK_WITHIN_US, None)
         sources: dict[str, PlatformDiscovery] = {}
         versions: list[int] = []
         frozen: list[int] = []
@@ -70,9 +70,18 @@
                 for flag in up.values():
                     flag.wait()
                 core.discovery = Discovery(
-                    hub, world.network, scope, cast(Core, core), nodes, cast(Shelfs, _Shelfs()), watching,
-                    sources[SOURCE].address, 0, "head", lambda *_args, **_fields: None,
-                )  # fmt: skip
+                    hub,
+                    world.network,
+                    scope,
+                    cast(Core, core),
+                    nodes,
+                    cast(StorageNodes, _Shelfs()),
+                    watching,
+                    sources[SOURCE].address,
+                    0,
+                    "head",
+                    lambda *_args, **_fields: None,
+                )
                 core.discovery.subscribe(True)
                 hub.sleep(NEWS_US + ASK_WITHIN_US // 8)
                 if moves:
@@ -128,10 +137,28 @@
 END_US = 2_400_000
 
 SCENARIOS = (
-    Scenario("watch-late", "the watch's silence against a late answer", _watched(False, False),
-             lag=True, until_us=END_US, most_steps=1500),
-    Scenario("watch-moves", "the source moves while a call is under way", _watched(True, False),
-             lag=True, until_us=END_US, most_steps=1500),
-    Scenario("watch-stops", "the module stops following, and follows again", _watched(False, True),
-             lag=True, until_us=END_US, most_steps=1500),
-)  # fmt: skip
+    Scenario(
+        "watch-late",
+        "the watch's silence against a late answer",
+        _watched(False, False),
+        lag=True,
+        until_us=END_US,
+        most_steps=1500,
+    ),
+    Scenario(
+        "watch-moves",
+        "the source moves while a call is under way",
+        _watched(True, False),
+        lag=True,
+        until_us=END_US,
+        most_steps=1500,
+    ),
+    Scenario(
+        "watch-stops",
+        "the module stops following, and follows again",
+        _watched(False, True),
+        lag=True,
+        until_us=END_US,
+        most_steps=1500,
+    ),
+)
--- a/harriertrack/protocol/platform/asked.py
+++ b/harriertrack/protocol/platform/asked.py
@@ -87,7 +87,7 @@
     return value
 
 
-class CallerConnection:
+class RequestParser:
     """One client's connection. Feed `receive`; answer each `Asked` or `Ready` before the next one is read.
 
     The methods `on_...` are called by the parser. What they find wrong they raise, which stops it: a client
--- a/harriertrack/service/__init__.py
+++ b/harriertrack/service/__init__.py
@@ -1,1 +1,1 @@
-"""The head on the users' platform: HTTP fronts and shelfs around the same core that the other fronts have."""
+"""The head on the users' platform: an HTTP front and connections to nodes around the core of all fronts."""
--- a/harriertrack/service/calls.py
+++ b/harriertrack/service/calls.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from harriertrack.decisions.callers import END_KNOWN_US
+from harriertrack.decisions.client_connections import END_KNOWN_US
 from harriertrack.decisions.patience import Waiting
 from harriertrack.decisions.requests import ClientRequest
 from harriertrack.protocol.platform.asked import Asked
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -11,7 +11,7 @@
 
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.requests import ClassRule, RequestRules
-from harriertrack.decisions.told import figure, part_of, settings_of
+from harriertrack.decisions.settings_parser import figure, parse_settings, part_of
 from harriertrack.membership.nodes import Member
 from harriertrack.membership.targets import Targets, TargetsError, address_of, members_of
 from harriertrack.protocol.platform.asked import ClassForm, Forms
@@ -20,13 +20,13 @@
 MOST_FILE = 8 << 20  # bytes of the file
 MOST_WHY = 300  # characters of what is said of a mistake: one line of the log
 # How the descriptors are shared out, in hundredths: clients may hold a third for requests, as many again ask
-# once and stay, and some mean harm; a quarter is for shelfs, of which some tens are used, and a few for
+# once and stay, and some mean harm; a quarter is for nodes, of which some tens are used, and a few for
 # discovery, the listener, signals and logs.
-CLIENTS, SHELFS, LEAST_SPARE = 66, 25, 12
+CLIENTS, NODES, LEAST_SPARE = 66, 25, 12
 # Clients hold at most a third of the descriptors for requests, those that asked once and stay among them:
 # some of that third has to be free for who comes next.
 ASKED = 25
-# Shelfs answer with more than the protocol's page says (64 KiB): up to 400 KB were seen. One answer may take
+# Nodes answer with more than the protocol's page says (64 KiB): up to 400 KB were seen. One answer may take
 # such a part of the memory, so that what is out at once fits.
 LEAST_ANSWER, ANSWER_PARTS = 64 << 10, 64
 
@@ -146,7 +146,7 @@
 
 def _settings(settings: dict[str, Any]) -> api.Settings:
     try:
-        return settings_of(settings)
+        return parse_settings(settings)
     except ValueError as error:
         raise ValueError(f"settings.{error}") from error
 
@@ -169,7 +169,7 @@
     callers = sockets * CLIENTS // 100
     memory = int((given.limits.memory_mb or MEMORY_MB) * (1 << 20))
     return Bounds(
-        callers, sockets * ASKED // 100, min(sockets * SHELFS // 100, sockets - callers - LEAST_SPARE),
+        callers, sockets * ASKED // 100, min(sockets * NODES // 100, sockets - callers - LEAST_SPARE),
         _whole(settings, "permissions", "mostHeld", 1 << 20, least=1),
         _whole(settings, "permissions", "dialTimeoutUs", 1_000_000),
         _whole(settings, "permissions", "connIdleUs", 30_000_000),
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
+from harriertrack.decisions.discovery_watch import Call, DiscoveryWatch, UpdateOutcome, Watch
 from harriertrack.decisions.requests import Core
-from harriertrack.decisions.watching import Call, Watch, Watching, Worth
 from harriertrack.membership.nodes import NodeList
 from harriertrack.membership.targets import (
     MOST_LIST,
@@ -20,17 +20,28 @@
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Task
 from harriertrack.runtime.streams import Network, Stream
 from harriertrack.service.calls import Note, worth_saying
-from harriertrack.service.shelfs import Shelfs
+from harriertrack.service.storage_nodes import StorageNodes
 
 
 class Discovery:
     """Follows the list while the module wants it, or for ever where it is pushed."""
 
-    def __init__(self, hub: Hub, network: Network, scope: Scope, core: Core, nodes: NodeList, shelfs: Shelfs,
-                 watching: Watching, address: tuple[str, int], wall_ahead_us: int, name: str,
-                 note: Note) -> None:  # fmt: skip
+    def __init__(
+        self,
+        hub: Hub,
+        network: Network,
+        scope: Scope,
+        core: Core,
+        nodes: NodeList,
+        storage_nodes: StorageNodes,
+        watching: DiscoveryWatch,
+        address: tuple[str, int],
+        wall_ahead_us: int,
+        name: str,
+        note: Note,
+    ) -> None:
         self._hub, self._network, self._scope, self._core = hub, network, scope, core
-        self._nodes, self._shelfs, self._watching = nodes, shelfs, watching
+        self._nodes, self._storage_nodes, self._watching = nodes, storage_nodes, watching
         self._address, self._wall_ahead_us = address, wall_ahead_us
         self._name, self._note = name, note
         self._task: Task | None = None
@@ -84,7 +95,7 @@
                 if stream is None:
                     stream = self._network.connect(self._address, deadline, self._name)
                 answer = self._ask(stream, call, deadline)
-                if self._told(answer, stream.came_at) is not Worth.STALE:
+                if self._told(answer, stream.came_at) is not UpdateOutcome.STALE:
                     self._failures = 0
                     self.heard.set()
                 elif self._watching.state is Watch.IDLE:
@@ -108,17 +119,17 @@
             raise TargetsError(f"status {answer.status}")
         return answer
 
-    def _told(self, answer: Answer, came_at: int) -> Worth:
+    def _told(self, answer: Answer, came_at: int) -> UpdateOutcome:
         targets = targets_of(answer.body)
         # Read whole before any of it is taken.
         members = [member.localised(self._wall_ahead_us) for member in members_of(targets)]
         worth = self._watching.answered(targets.version, targets.full, len(members))
-        if worth is Worth.TAKE:
+        if worth is UpdateOutcome.TAKE:
             news = self._nodes.replace(members) if targets.full else self._nodes.change(members)
             if news is not None:
                 # It counts from when it came, not from when a head that stood still reads it.
                 news.told_at = came_at
             self._core.nodes_changed(news)
             for node in self._nodes.forget_gone():
-                self._shelfs.gone(node)
+                self._storage_nodes.gone(node)
         return worth
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -10,20 +10,20 @@
 from dataclasses import dataclass
 from itertools import count
 
-from harriertrack.decisions.callers import (
+from harriertrack.decisions.client_connections import (
     ACCEPTS,
     END_KNOWN_US,
     LATE_US,
     LINGER_BYTES,
     LINGER_US,
     MOST_WAITING,
-    Callers,
-    CallerState,
+    ClientConnections,
+    ClientState,
 )
-from harriertrack.decisions.leaving import Leaving
+from harriertrack.decisions.graceful_shutdown import GracefulShutdown
 from harriertrack.decisions.requests import ClientRequest, Core, Placed, Volume
 from harriertrack.decisions.splitting import Kind, Outcome
-from harriertrack.protocol.platform.asked import Asked, BadRequest, CallerConnection, Ready, parting
+from harriertrack.protocol.platform.asked import Asked, BadRequest, Ready, RequestParser, parting
 from harriertrack.runtime.hub import Hub, Scope, Waiters
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
 from harriertrack.service.calls import Call, Note, PlatformVolume, worth_saying
@@ -46,11 +46,20 @@
 class Front:
     """All clients of a head."""
 
-    def __init__(self, hub: Hub, scope: Scope, core: Core, configuration: Configuration, leaving: Leaving,
-                 note: Note) -> None:  # fmt: skip
+    def __init__(
+        self,
+        hub: Hub,
+        scope: Scope,
+        core: Core,
+        configuration: Configuration,
+        leaving: GracefulShutdown,
+        note: Note,
+    ) -> None:
         self.hub, self.core, self.leaving = hub, core, leaving
         self.forms, self.deadlines = configuration.forms, configuration.deadlines
-        self.callers: Callers[Caller] = Callers(configuration.bounds.callers, configuration.bounds.asked)
+        self.connections: ClientConnections[ClientConnection] = ClientConnections(
+            configuration.bounds.callers, configuration.bounds.asked
+        )
         self.open: dict[bytes, Call] = {}  # by the client's id
         self.counts = FrontCounts()
         self._scope, self._note = scope, note
@@ -73,43 +82,43 @@
             self._take(stream)
 
     def _take(self, stream: Stream) -> None:
-        caller = Caller(self, stream)
+        connection = ClientConnection(self, stream)
         self.counts.taken += 1
-        victim = self.callers.came(caller, self.hub.now(), Caller.silent)
+        victim = self.connections.accepted(connection, self.hub.now(), ClientConnection.silent)
         if victim is not None:
             self.counts.turned_away += 1
             self._close(victim)
-        if victim is not caller:
-            self._scope.spawn("caller", caller.run)
+        if victim is not connection:
+            self._scope.spawn("client", connection.run)
 
     def watch(self) -> None:
         """End overdue connections, for ever (a task)."""
         while True:
             self.hub.sleep(LOOK_US)
-            if not all(caller.silent() for caller in self.callers.overdue(self.hub.now())):
+            if not all(connection.silent() for connection in self.connections.overdue(self.hub.now())):
                 self.hub.sleep(0)  # what has come is read first
-            for caller in self.callers.overdue(self.hub.now()):
-                state = self.callers.state(caller)
-                self.counts.overdue += state is not CallerState.LINGERING
-                if state is CallerState.READING:
-                    caller.refuse(408, "no whole request came in time")
+            for connection in self.connections.overdue(self.hub.now()):
+                state = self.connections.state(connection)
+                self.counts.overdue += state is not ClientState.LINGERING
+                if state is ClientState.READING:
+                    connection.refuse(408, "no whole request came in time")
                 else:
-                    self._close(caller)
+                    self._close(connection)
 
     def part(self) -> None:
         """Close the connections over which nothing is asked; where something has come it is read first."""
-        for caller in self.callers.idle(self.hub.now()):
-            if caller.silent():
-                self._close(caller)
+        for connection in self.connections.idle(self.hub.now()):
+            if connection.silent():
+                self._close(connection)
 
     def refuse_half_read(self) -> None:
         """Refuse the requests of which a part has come: the rest would come too late."""
-        for caller in self.callers.half_read():
-            caller.refuse(503, "the head is leaving")
+        for connection in self.connections.half_read():
+            connection.refuse(503, "the head is leaving")
 
-    def _close(self, caller: Caller) -> None:
-        self.counts.unanswered += not caller.answered
-        caller.end()
+    def _close(self, connection: ClientConnection) -> None:
+        self.counts.unanswered += not connection.answered
+        connection.end()
 
     def told_bad(self, error: BadRequest, peer: str) -> None:
         """A request could not be taken: say so now and then, a flood of them must not flood the log."""
@@ -118,12 +127,12 @@
             self._note("bad request", why=str(error)[:120], peer=peer, so_far=self.counts.bad)
 
 
-class Caller:
+class ClientConnection:
     """One client's connection."""
 
     def __init__(self, front: Front, stream: Stream) -> None:
         self._front, self._stream = front, stream
-        self._http = CallerConnection(front.forms)
+        self._http = RequestParser(front.forms)
         self._request: ClientRequest | None = None
         self._changed = Waiters(front.hub)  # the answer has left, or the connection is closed
         self._last = self._closed = False  # last: nothing more is taken over it
@@ -158,21 +167,21 @@
     @property
     def _occupied(self) -> bool:
         """Whether a request is open, or its answer has not left; a client that has gone waits for neither."""
-        state = self._front.callers.state(self)
-        return not self._closed and state in (CallerState.BUSY, CallerState.SENDING)
+        state = self._front.connections.state(self)
+        return not self._closed and state in (ClientState.BUSY, ClientState.SENDING)
 
     def _read(self) -> Asked | Ready | None:
         """Wait for a request that is whole; None for the end of the connection."""
-        callers = self._front.callers
+        connections = self._front.connections
         while data := self._stream.read():
             if self._last:  # what comes behind a last answer is not even parsed
                 return None
             asked = self._http.receive(data)
             if asked is not None:
-                callers.step(self, CallerState.BUSY, self._front.hub.now())
+                connections.step(self, ClientState.BUSY, self._front.hub.now())
                 return asked
-            if callers.state(self) in (CallerState.NEW, CallerState.IDLE):
-                callers.step(self, CallerState.READING, self._front.hub.now())
+            if connections.state(self) in (ClientState.NEW, ClientState.IDLE):
+                connections.step(self, ClientState.READING, self._front.hub.now())
         return None
 
     def _discard(self) -> None:
@@ -184,7 +193,7 @@
             self._changed.wait()
 
     def _tell_ready(self) -> None:
-        leaves = self._front.leaving.leaves
+        leaves = self._front.leaving.is_draining
         status, body = (503, b"leaving\n") if leaves else (200, b"ready\n")
         self._send(self._front.hub.now(), status, body)
 
@@ -230,7 +239,7 @@
 
     def _send(self, deadline: int, status: int, body: bytes, retry_after_us: int = 0) -> None:
         """Send an answer that is awaited until a time; it is the last one if the head leaves."""
-        leaves = self._front.leaving.leaves
+        leaves = self._front.leaving.is_draining
         self._stream.write(self._http.answer(status, len(body), retry_after_us, close=leaves))
         self._stream.write(body)
         kept = self._http.again()
@@ -243,13 +252,13 @@
 
     def _send_off(self, until: int, last: bool) -> None:
         """Let what is written leave, until a time at most."""
-        callers = self._front.callers
-        if callers.state(self) is None:
+        connections = self._front.connections
+        if connections.state(self) is None:
             return
         self.answered, self._last = True, last
-        callers.sends(self, until, self._front.hub.now())
+        connections.sends(self, until, self._front.hub.now())
         self._stream.push(self._sent)
-        if callers.state(self) is CallerState.SENDING:
+        if connections.state(self) is ClientState.SENDING:
             self._stream.watch_end(self.end)
 
     def _sent(self) -> None:
@@ -259,8 +268,8 @@
         self._stream.watch_end(None)
         if self._last:
             self._stream.shut_sending()
-        state = CallerState.LINGERING if self._last else CallerState.IDLE
-        self._front.callers.step(self, state, self._front.hub.now())
+        state = ClientState.LINGERING if self._last else ClientState.IDLE
+        self._front.connections.step(self, state, self._front.hub.now())
         self._changed.notify()
 
     def left(self, since: int) -> bool:
@@ -285,6 +294,6 @@
     def end(self) -> None:
         """Close the connection."""
         self._closed = True
-        self._front.callers.gone(self)
+        self._front.connections.gone(self)
         self._stream.close()
         self._changed.notify()
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -1,13 +1,13 @@
-"""The platform's head: the core that all fronts share, between the platform's clients and shelfs."""
+"""The platform's head: the core that all fronts share, between the platform's clients and storage_nodes."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
 
 from harriertrack.decisions import Scheduler, interface as api
-from harriertrack.decisions.leaving import Leaving, Phase
+from harriertrack.decisions.discovery_watch import DiscoveryWatch
+from harriertrack.decisions.graceful_shutdown import GracefulShutdown, Phase
 from harriertrack.decisions.requests import Attempt, ClientRequest, Core
-from harriertrack.decisions.watching import Watching
 from harriertrack.membership.nodes import NodeList
 from harriertrack.runtime.alarm import Alarm
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope
@@ -16,7 +16,7 @@
 from harriertrack.service.configuration import Configuration
 from harriertrack.service.discovery import Discovery
 from harriertrack.service.front import Front
-from harriertrack.service.shelfs import Shelfs
+from harriertrack.service.storage_nodes import StorageNodes
 
 REPORT_US = 5_000_000  # how often a line of counts is logged
 LOOK_US = 20_000  # how often a head that leaves looks whether it can end
@@ -54,11 +54,11 @@
         self._alarm = Alarm(hub, self._flush)
         self._asked_to_leave = Event(hub)
         self.ready = Event(hub)
-        self.leaving = Leaving(configuration.bounds.longest_us)
+        self.leaving = GracefulShutdown(configuration.bounds.longest_us)
         self.nodes = NodeList()
         self.module = module(configuration.told, configuration.seed)
         # A start comes as Unix time. The difference is fixed once: a step of the wall clock must not make
-        # known shelfs look newly started.
+        # known storage_nodes look newly started.
         self._wall_ahead_us = hub.clock.wall() - hub.now()
         self.core: Core
 
@@ -81,21 +81,35 @@
         finally:
             self._alarm.cancel()
 
-    def _set_up(self, scope: Scope) -> Watching:
+    def _set_up(self, scope: Scope) -> DiscoveryWatch:
         hub, configuration = self.hub, self.configuration
         known = [member.localised(self._wall_ahead_us) for member in configuration.known]
         self.nodes.replace(known, restored=True)
         entries = [member.entry for member in self.nodes.members()]
         self.core = Core(configuration.rules(), self.module, (), self, self.nodes, NoPlaces(), entries)
-        self.shelfs = Shelfs(hub, self._network, scope, self.core, configuration.bounds, configuration.name,
-                             self._note)  # fmt: skip
+        self.storage_nodes = StorageNodes(
+            hub, self._network, scope, self.core, configuration.bounds, configuration.name, self._note
+        )
         told = configuration.told
-        watching = Watching(configuration.bounds.ask_within_us, configuration.version, not told.asked_list,
-                            told.drain_grace_us)  # fmt: skip
+        watching = DiscoveryWatch(
+            configuration.bounds.ask_within_us,
+            configuration.version,
+            not told.asked_list,
+            told.drain_grace_us,
+        )
         self.discovery = Discovery(
-            hub, self._network, scope, self.core, self.nodes, self.shelfs, watching,
-            configuration.discovery, self._wall_ahead_us, configuration.name, self._note,
-        )  # fmt: skip
+            hub,
+            self._network,
+            scope,
+            self.core,
+            self.nodes,
+            self.storage_nodes,
+            watching,
+            configuration.discovery,
+            self._wall_ahead_us,
+            configuration.name,
+            self._note,
+        )
         self.front = Front(hub, scope, self.core, configuration, self.leaving, self._note)
         return watching
 
@@ -104,7 +118,7 @@
         hub, configuration, bounds = self.hub, self.configuration, self.configuration.bounds
         scope.spawn("front", self.front.serve, listener)
         scope.spawn("callers", self.front.watch)
-        scope.spawn("shelfs", self.shelfs.watch)
+        scope.spawn("storage_nodes", self.storage_nodes.watch)
         self.ready.set()
         self._note("ready", name=configuration.name, nodes=len(self.nodes), cores=configuration.cores,
                    callers=bounds.callers, ways=bounds.ways, longest_us=bounds.longest_us)  # fmt: skip
@@ -116,12 +130,12 @@
     def _part(self, listener: Listener) -> bool:
         """Do what is due while it leaves; return whether it has left."""
         front, leaving = self.front, self.leaving
-        phase = leaving.look(self.hub.now(), len(front.callers))
-        if leaving.leaves:
+        phase = leaving.advance(self.hub.now(), len(front.connections))
+        if leaving.is_draining:
             front.take_waiting(listener)
             listener.close()
             front.part()
-            phase = leaving.look(self.hub.now(), len(front.callers))
+            phase = leaving.advance(self.hub.now(), len(front.connections))
         if phase is Phase.CLOSING:
             self.core.fail_open()
             front.refuse_half_read()
@@ -146,22 +160,37 @@
 
     def report(self) -> None:
         """Log one line of counts."""
-        core, front, shelfs = self.core.counts, self.front, self.shelfs
+        core, front, storage_nodes = self.core.counts, self.front, self.storage_nodes
         # With a prefix: an end that is new must not bear the name of another count.
-        ends = {f"ended_{result.name.lower()}": count for result, count in shelfs.counts.ends.items()}
+        ends = {f"ended_{result.name.lower()}": count for result, count in storage_nodes.counts.ends.items()}
         self._note(
-            "counts", taken=core.taken, served=core.served, refused=core.refused, failed=core.failed,
-            left=core.left, open=self.core.open_requests, sent=core.sent, moot=core.moot, **ends,
-            callers=len(front.callers), came=front.counts.taken, turned_away=front.counts.turned_away,
-            bad=front.counts.bad, overdue=front.counts.overdue, unanswered=front.counts.unanswered,
-            ways=len(shelfs.ways), dialled=shelfs.counts.dialled, spoilt=shelfs.counts.spoilt,
-            surplus=shelfs.counts.surplus, idle_us=self.hub.idle_us,
+            "counts",
+            taken=core.taken,
+            served=core.served,
+            refused=core.refused,
+            failed=core.failed,
+            left=core.left,
+            open=self.core.open_requests,
+            sent=core.sent,
+            moot=core.moot,
+            **ends,
+            callers=len(front.connections),
+            came=front.counts.taken,
+            turned_away=front.counts.turned_away,
+            bad=front.counts.bad,
+            overdue=front.counts.overdue,
+            unanswered=front.counts.unanswered,
+            ways=len(storage_nodes.pool),
+            dialled=storage_nodes.counts.dialled,
+            spoilt=storage_nodes.counts.spoilt,
+            surplus=storage_nodes.counts.surplus,
+            idle_us=self.hub.idle_us,
             longest_round_us=self.hub.longest_round_us,
-        )  # fmt: skip
+        )
 
     def stop(self) -> None:
         """Leave: take what still comes for a while, answer all, and end."""
-        if self.leaving.ask(self.hub.now()):
+        if self.leaving.begin(self.hub.now()):
             self._note("leaving", open=self.core.open_requests)
             self.report()
             self._asked_to_leave.set()
@@ -183,7 +212,7 @@
         if call.client_left(now):
             self.hub.at_end_of_round(lambda: self._client_left(now, call, attempt))
         else:
-            self.shelfs.send(attempt)
+            self.storage_nodes.send(attempt)
 
     def _client_left(self, now: int, call: Call, attempt: Attempt) -> None:
         call.session.leave()
@@ -191,7 +220,7 @@
 
     def call_off(self, attempt: Attempt) -> None:
         """Give an attempt up."""
-        self.shelfs.call_off(attempt)
+        self.storage_nodes.call_off(attempt)
 
     def answer(self, request: ClientRequest) -> None:
         """Hand a final answer to whoever asked."""
--- a/harriertrack/service/shelfs.py
+++ b/harriertrack/service/storage_nodes.py
@@ -1,4 +1,4 @@
-"""The shelfs' side: each attempt of the module goes over a connection of its own for as long as it lasts.
+"""The nodes' side: each attempt of the module goes over a connection of its own for as long as it lasts.
 
 What an attempt's end proves follows from how far it came: until the last byte of the request has left this
 process it never ran. Nothing is sent again here.
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, field
 
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.connection_pool import ConnectionPool, ConnectionState
 from harriertrack.decisions.life import AttemptState
 from harriertrack.decisions.requests import Attempt, Core
-from harriertrack.decisions.ways import Ways, WayState
 from harriertrack.membership.nodes import Member
 from harriertrack.protocol.platform.exchange import Answer, Exchange, Spoilt
 from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class Beside:
-    """What a shelf told beside its answer; `used_percent` is the meter's figure plus one, 0 for none."""
+    """What a node told beside its answer; `used_percent` is the meter's figure plus one, 0 for none."""
 
     used_percent: int = 0
     elsewhere: float = 0.0
@@ -34,7 +34,7 @@
 
 
 @dataclass(slots=True)
-class ShelfCounts:
+class NodeCounts:
     """What became of connections and answers, for operators."""
 
     dialled: int = 0
@@ -59,54 +59,54 @@
     return Beside(int(float(used)) + 1 if PERCENT.fullmatch(used) else 0)
 
 
-class Shelfs:
-    """All connections to shelfs of a head."""
+class StorageNodes:
+    """All connections of a head to storage nodes."""
 
     def __init__(self, hub: Hub, network: Network, scope: Scope, core: Core, bounds: Bounds, name: str,
                  note: Note) -> None:  # fmt: skip
         self.hub, self.network, self.core, self.bounds, self.name = hub, network, core, bounds, name
-        self.ways: Ways[Way] = Ways(bounds.ways, bounds.idle_us)
-        self.counts = ShelfCounts()
+        self.pool: ConnectionPool[NodeConnection] = ConnectionPool(bounds.ways, bounds.idle_us)
+        self.counts = NodeCounts()
         self._scope, self._note = scope, note
-        self._way_of: dict[Attempt, Way] = {}
+        self._connection_of: dict[Attempt, NodeConnection] = {}
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt over an idle connection that is still good, else over a new one."""
         now, member = self.hub.now(), attempt.member
         assert isinstance(member, Member), "the core was given the list of members"
         entry = member.entry
-        while (way := self.ways.pick(entry.node, now)) is not None:
-            if way.fit:
+        while (connection := self.pool.pick(entry.node, now)) is not None:
+            if connection.fit:
                 break
-            way.close()
-        if way is None and not self.ways.room:
+            connection.close()
+        if connection is None and not self.pool.room:
             self.counts.no_room += 1
-            # Not sent, for want of this head's own descriptors: that says nothing of the shelf.
+            # Not sent, for want of this head's own descriptors: that says nothing of the node.
             self.hub.at_end_of_round(lambda: self.core.ended(now, attempt, api.Result.MOOT))
             return
-        if way is None:
+        if connection is None:
             self.counts.dialled += 1
-            way = Way(self, entry.node, member.address)
-            victim = self.ways.dials(way, entry.node)
+            connection = NodeConnection(self, entry.node, member.address)
+            victim = self.pool.dials(connection, entry.node)
             if victim is not None:
                 victim.close()
-            self._way_of[attempt] = way
-            way.offer(attempt)
-            self._scope.spawn(entry.node, way.run)
+            self._connection_of[attempt] = connection
+            connection.offer(attempt)
+            self._scope.spawn(entry.node, connection.run)
         else:
-            self._way_of[attempt] = way
-            self.ways.step(way, WayState.BUSY, now)
-            way.start(attempt)
+            self._connection_of[attempt] = connection
+            self.pool.step(connection, ConnectionState.BUSY, now)
+            connection.start(attempt)
 
     def call_off(self, attempt: Attempt) -> None:
         """Nobody waits for an attempt any more: its connection is closed, or if it is not up yet kept."""
-        way = self._way_of.pop(attempt, None)
-        if way is not None:
-            way.call_off()
+        connection = self._connection_of.pop(attempt, None)
+        if connection is not None:
+            connection.call_off()
 
     def ended(self, attempt: Attempt, result: api.Result, at: int, answer: Answer | None = None) -> None:
         """Tell the core an attempt's outcome, which came at a time."""
-        self._way_of.pop(attempt, None)
+        self._connection_of.pop(attempt, None)
         self.counts.ends[result] = self.counts.ends.get(result, 0) + 1
         if answer is not None and result is api.Result.OK:
             self.core.ended(at, attempt, result, answer.body, beside_of(answer))
@@ -120,23 +120,23 @@
             self._note("spoilt answer", shelf=node, why=why[:120], so_far=self.counts.spoilt)
 
     def gone(self, node: str) -> None:
-        """A shelf is gone from the list: nothing more goes over its idle connections."""
-        for way in self.ways.idle_of(node):
-            way.close()
+        """A node is gone from the list: nothing more goes over its idle connections."""
+        for connection in self.pool.idle_of(node):
+            connection.close()
 
     def watch(self) -> None:
         """Close connections that have idled for long, for ever (a task)."""
         while True:
             self.hub.sleep(LOOK_US)
-            for way in self.ways.overdue(self.hub.now()):
-                way.close()
+            for connection in self.pool.overdue(self.hub.now()):
+                connection.close()
 
 
-class Way:
-    """One connection to a shelf."""
+class NodeConnection:
+    """One connection to a node."""
 
-    def __init__(self, shelfs: Shelfs, node: str, address: tuple[str, int]) -> None:
-        self._shelfs, self._node, self._address = shelfs, node, address
+    def __init__(self, owner: StorageNodes, node: str, address: tuple[str, int]) -> None:
+        self._owner, self._node, self._address = owner, node, address
         self._stream: Stream | None = None
         self._attempt: Attempt | None = None
         self._exchange: Exchange | None = None
@@ -159,32 +159,32 @@
         call = attempt.part.request.token
         assert isinstance(call, Call)
         asked = call.asked
-        left = max(1, (attempt.until - self._shelfs.hub.now()) // 1000)
+        left = max(1, (attempt.until - self._owner.hub.now()) // 1000)
         headers = [
             (b"Host", b"api.internal"), (b"X-Trace-Id", asked.trace), (b"X-Expires-In-Ms", b"%d" % left),
         ]  # fmt: skip
         if asked.key:
             headers.append((b"Idempotency-Key", asked.key))
         self._exchange = Exchange(
-            b"PUT" if asked.writes else b"GET", asked.target, headers, asked.body, self._shelfs.bounds.answer
+            b"PUT" if asked.writes else b"GET", asked.target, headers, asked.body, self._owner.bounds.answer
         )
         self._open = True
         self._stream.write(self._exchange.request)
-        self._stream.push(lambda: self._shelfs.core.sent(attempt, self._shelfs.hub.now()))
+        self._stream.push(lambda: self._owner.core.sent(attempt, self._owner.hub.now()))
 
     def run(self) -> None:
         """Dial, then take answers until the connection ends (its task)."""
-        shelfs, hub = self._shelfs, self._shelfs.hub
+        owner, hub = self._owner, self._owner.hub
         try:
-            deadline = hub.now() + shelfs.bounds.dial_us
-            self._stream = shelfs.network.connect(self._address, deadline, shelfs.name)
+            deadline = hub.now() + owner.bounds.dial_us
+            self._stream = owner.network.connect(self._address, deadline, owner.name)
             if self._closed:
                 return
             self._up()
             while self._take(self._stream.read()):
                 pass
         except Spoilt as error:
-            shelfs.spoilt(self._node, str(error))
+            owner.spoilt(self._node, str(error))
             self._lost(api.Result.ERROR)
         except (OSError, DeadlineExceeded):
             pass  # this connection alone suffers
@@ -194,13 +194,13 @@
 
     def _up(self) -> None:
         """The connection is up: send its attempt if that may still begin, else keep the connection."""
-        shelfs, now = self._shelfs, self._shelfs.hub.now()
+        owner, now = self._owner, self._owner.hub.now()
         if self._attempt is not None and not self._may_begin(now, self._attempt):
             self._lost(api.Result.MOOT)
         if self._attempt is None:
-            shelfs.ways.step(self, WayState.IDLE, now)
+            owner.pool.step(self, ConnectionState.IDLE, now)
         else:
-            shelfs.ways.step(self, WayState.BUSY, now)
+            owner.pool.step(self, ConnectionState.BUSY, now)
             self.start(self._attempt)
 
     def _may_begin(self, now: int, attempt: Attempt) -> bool:
@@ -209,13 +209,13 @@
         assert isinstance(call, Call)
         if call.client_left(now):
             call.session.leave()
-        return self._shelfs.core.may_begin(now, attempt)
+        return self._owner.core.may_begin(now, attempt)
 
     def _take(self, data: bytes) -> bool:
         """Take bytes; return whether the connection goes on."""
-        shelfs = self._shelfs
+        owner = self._owner
         if not data or self._exchange is None or self._attempt is None:  # an end, or bytes of no answer
-            shelfs.counts.surplus += bool(data)
+            owner.counts.surplus += bool(data)
             return False
         assert self._stream is not None
         answer = self._exchange.receive(data)
@@ -227,18 +227,18 @@
         self._open = False
         attempt, self._attempt, self._exchange = self._attempt, None, None
         at = max(attempt.sent_at, self._stream.came_at)
-        shelfs.ended(attempt, result_of(answer), at, answer)
+        owner.ended(attempt, result_of(answer), at, answer)
         if not answer.reusable:
-            shelfs.counts.surplus += 1
+            owner.counts.surplus += 1
             return False
-        shelfs.ways.step(self, WayState.IDLE, shelfs.hub.now())
+        owner.pool.step(self, ConnectionState.IDLE, owner.hub.now())
         return True
 
     def _lost(self, result: api.Result) -> None:
         """The connection is over; what that proves of its attempt, the core knows from how far it came."""
         attempt, self._attempt, self._exchange = self._attempt, None, None
         if attempt is not None:
-            self._shelfs.ended(attempt, result, self._shelfs.hub.now())
+            self._owner.ended(attempt, result, self._owner.hub.now())
 
     def call_off(self) -> None:
         """Nobody waits for the attempt any more."""
@@ -249,10 +249,10 @@
     def close(self) -> None:
         """Close the connection, with a reset where a request is open: nothing of that may come any more.
 
-        What this process or its system still holds of it would reach the shelf whenever that reads, or once
+        What this process or its system still holds of it would reach the node whenever that reads, or once
         a cut between them is over.
         """
         self._closed = True
-        self._shelfs.ways.gone(self)
+        self._owner.pool.gone(self)
         if self._stream is not None:
             self._stream.abort() if self._open else self._stream.close()
--- a/harriertrack/wirehost.py
+++ b/harriertrack/wirehost.py
@@ -12,7 +12,7 @@
 
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.scheduler import Scheduler
-from harriertrack.decisions.told import settings_of
+from harriertrack.decisions.settings_parser import parse_settings
 
 STATES = {"IN": api.NodeState.UP, "LAME": api.NodeState.DRAINING, "OUT": api.NodeState.GONE}
 FORMS = {
@@ -132,7 +132,7 @@
                 self.add(api.NodesChanged(news, entries))
             elif word == "init":
                 seed, conf = rest.split(" ", 1)
-                self.instances[self.current] = Scheduler(settings_of(json.loads(conf)), int(seed))
+                self.instances[self.current] = Scheduler(parse_settings(json.loads(conf)), int(seed))
                 self.pending[self.current] = []
             elif word == "stop":
                 self.instances.pop(self.current, None)
--- a/tests/endings/loopback.py
+++ b/tests/endings/loopback.py
@@ -239,14 +239,14 @@
 
 def caller_states(site):
     """Return the states of all clients' connections."""
-    callers = site.head.front.callers
+    callers = site.head.front.connections
     return [callers.state(caller) for caller in callers._state]
 
 
 def slow_reader(site):
     """Return the first client of a head, connected with small buffers on both sides."""
     client = RawClient(site, receive_buffer=4096)
-    site.until(lambda: len(site.head.front.callers))
-    (caller,) = site.head.front.callers._state
+    site.until(lambda: len(site.head.front.connections))
+    (caller,) = site.head.front.connections._state
     caller._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     return client
--- a/tests/endings/test_attempt_ends.py
+++ b/tests/endings/test_attempt_ends.py
@@ -5,7 +5,7 @@
 import pytest
 
 from harriertrack.decisions import interface as api
-from harriertrack.decisions.ways import REST_US
+from harriertrack.decisions.connection_pool import REST_US
 from harriertrack.standin.platform import NEVER_RAN, answer
 from tests.endings.loopback import SMALL, LoopbackSite, RawClient, RawNode, ask_with_a_lost_answer
 from tests.test_platform import MS, SETTINGS, VOLUME, Site
@@ -98,7 +98,7 @@
         there.until_ended()
         assert there.broken and len(there.received) < len(LARGE)
         assert site.head.module.results() == [api.Result.MOOT if kept else api.Result.CANCELLED]
-        assert len(site.head.shelfs.ways) == 0
+        assert len(site.head.storage_nodes.pool) == 0
 
     LoopbackSite(tmp_path).run(act)
 
@@ -108,7 +108,7 @@
 
     def act(site):
         _, there = stuck(site)
-        (way,), (part,) = site.head.shelfs._way_of.values(), site.head.core._board.parts.values()
+        (way,), (part,) = site.head.storage_nodes._way_of.values(), site.head.core._board.parts.values()
         site.until(lambda: there.receive(512) and way._stream.buffered <= SMALL)
         assert way._stream.buffered
         while there.receive():
@@ -137,7 +137,7 @@
         assert site.head.module.results()[0] is (
             api.Result.FULL if said == "full" else api.Result.CONNECT_FAILED
         )
-        assert len(site.head.shelfs.ways) <= 1  # the one of the next attempt
+        assert len(site.head.storage_nodes.pool) <= 1  # the one of the next attempt
 
     LoopbackSite(tmp_path).run(act)
 
@@ -196,7 +196,7 @@
         site.leap_first(GRACE_US)
         site.net.up.set()
         assert client.until_answered()[0] == 503  # nobody else serves its cell
-        assert not site.shelfs[1].got and len(site.head.shelfs.ways) == 1
+        assert not site.shelfs[1].got and len(site.head.storage_nodes.pool) == 1
 
     LoopbackSite(tmp_path, safety={**SETTINGS["safety"], "drainGraceUs": GRACE_US}).run(act)
 
@@ -417,7 +417,7 @@
                 site.until(lambda: not site.head.core.open_requests)
             client = RawClient(site)
             client.send(site.request())
-            assert client.until_answered()[0] == 503 and len(site.head.shelfs.ways) == ways  # no room
+            assert client.until_answered()[0] == 503 and len(site.head.storage_nodes.pool) == ways  # no room
             client.close()
             for there in theirs:
                 there.reset() if end == "reset" else None
@@ -427,7 +427,7 @@
                 site.net.up.set()
             site.until(lambda: not site.net.waiting)
             site.hub.clock.leap(3_000 * MS)  # what idles is closed
-            site.until(lambda: not len(site.head.shelfs.ways))
+            site.until(lambda: not len(site.head.storage_nodes.pool))
             for there in theirs:
                 there.close()
         assert len(site.net.sockets) == 4 * ways and all(one.fileno() < 0 for one in site.net.sockets)
--- a/tests/endings/test_client_ends.py
+++ b/tests/endings/test_client_ends.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from harriertrack.decisions import callers, interface as api
-from harriertrack.decisions.callers import ACCEPTS, LINGER_BYTES, CallerState
-from harriertrack.service.front import Caller
+from harriertrack.decisions import client_connections, interface as api
+from harriertrack.decisions.client_connections import ACCEPTS, LINGER_BYTES, ClientState
+from harriertrack.service.front import ClientConnection
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import SocketNetwork
 from harriertrack.standin.platform import MUTE, RESET, Outage, PlatformDiscovery, PlatformShelf, answer
@@ -91,7 +91,7 @@
             client = RawClient(site)
             client.send(site.request() + behind)
             end(client)
-        site.until(lambda: site.head.front.counts.taken == 20 and not len(site.head.front.callers))
+        site.until(lambda: site.head.front.counts.taken == 20 and not len(site.head.front.connections))
         assert site.head.core.counts.taken == site.head.core.counts.sent == 0
         assert not site.shelfs[1].got
 
@@ -137,7 +137,7 @@
             client.send(site.request())
         for client in clients:
             assert client.until_answered()[0] == 200
-        site.until(lambda: site.head.shelfs.ways.pick("s1", site.hub.now()) is not None)
+        site.until(lambda: site.head.storage_nodes.pool.pick("s1", site.hub.now()) is not None)
 
         def leave():
             while clients:
@@ -163,13 +163,13 @@
         old, fresh, same = RawClient(site), RawClient(site), site.request(trace="00000000000000aa")
         old.send(same)
         site.until(lambda: site.shelfs[1].got)
-        site.script, take = (lambda got: answer(b"fresh")), Caller._take
+        site.script, take = (lambda got: answer(b"fresh")), ClientConnection._take
 
         def takes(caller, asked):
             end(old)
             take(caller, asked)
 
-        monkeypatch.setattr(Caller, "_take", takes)
+        monkeypatch.setattr(ClientConnection, "_take", takes)
         fresh.send(same)
         assert fresh.until_answered()[2] == b"fresh"
         assert site.head.core.counts.left == 1 and not site.head.front.open
@@ -202,8 +202,8 @@
 def test_the_error_for_a_client_that_sends_on_arrives_though_it_reads_only_then(tmp_path, kind, monkeypatch):
     """The time to linger is over once the test says so: a machine that stands still must not end it."""
     said, status = BAD[kind]
-    lingers = {**dict(callers.LONGEST), CallerState.LINGERING: 100 * S}
-    monkeypatch.setattr(callers, "LONGEST", tuple(lingers.items()))
+    lingers = {**dict(client_connections.LONGEST), ClientState.LINGERING: 100 * S}
+    monkeypatch.setattr(client_connections, "LONGEST", tuple(lingers.items()))
 
     def act(site):
         client = RawClient(site)
@@ -211,11 +211,11 @@
         for part in (2, 4):
             pump(client, LINGER_BYTES // part)
             site.until(lambda: client.unacknowledged() == 0)
-        site.until(lambda: caller_states(site) == [CallerState.LINGERING])
-        (caller,) = site.head.front.callers._state
+        site.until(lambda: caller_states(site) == [ClientState.LINGERING])
+        (caller,) = site.head.front.connections._state
         site.until(caller.silent)
         site.hub.clock.leap(100 * S)
-        site.until(lambda: site.head.front.counts.bad and not len(site.head.front.callers))
+        site.until(lambda: site.head.front.counts.bad and not len(site.head.front.connections))
         assert not client.was_reset()
         assert client.until_answered()[0] == status
         assert client.until_ended() == b"" and not client.broken
@@ -232,7 +232,7 @@
             client.receive()
             site.hub.sleep(1 * MS)
         assert client.received.startswith(b"HTTP/1.1 413") and client.received.endswith(b"64 KiB\n")
-        site.until(lambda: not len(site.head.front.callers))
+        site.until(lambda: not len(site.head.front.connections))
         assert sent < 30_000_000 and site.hub.now() - began < 3_000 * MS
 
     LoopbackSite(tmp_path).run(act)
@@ -251,18 +251,18 @@
 
 
 def test_half_a_request_is_answered_in_time_though_more_of_it_lies_unread(tmp_path, monkeypatch):
-    longest = ((CallerState.READING, 50 * MS), (CallerState.LINGERING, 50 * MS))
-    monkeypatch.setattr("harriertrack.decisions.callers.LONGEST", longest)
+    longest = ((ClientState.READING, 50 * MS), (ClientState.LINGERING, 50 * MS))
+    monkeypatch.setattr("harriertrack.decisions.client_connections.LONGEST", longest)
 
     def act(site):
         client = RawClient(site)
         for byte in site.request():
             client.send(bytes([byte]))
             site.hub.sleep(5 * MS)
-            if caller_states(site) == [CallerState.LINGERING]:
+            if caller_states(site) == [ClientState.LINGERING]:
                 break
         pump(client, LINGER_BYTES // 2)
-        site.until(lambda: not len(site.head.front.callers))
+        site.until(lambda: not len(site.head.front.connections))
         assert not client.was_reset()
         assert client.until_answered()[0] == 408 and not site.shelfs[1].got
 
@@ -271,23 +271,23 @@
 
 def test_connections_that_linger_keep_no_newcomer_out(tmp_path):
     def act(site):
-        most = site.head.front.callers.most
+        most = site.head.front.connections.most
         bad = [RawClient(site) for _ in range(most)]
         for client in bad:
             client.send(BAD["unreadable"][0])
-        site.until(lambda: caller_states(site) == [CallerState.LINGERING] * most)
+        site.until(lambda: caller_states(site) == [ClientState.LINGERING] * most)
         fresh = [RawClient(site) for _ in range(8)]
         for client in fresh:
             client.send(site.request())
         assert [client.until_answered()[0] for client in fresh] == [200] * 8
-        assert len(site.head.front.callers) == most
+        assert len(site.head.front.connections) == most
         assert all(client.until_answered()[0] == 400 for client in bad)
 
     LoopbackSite(tmp_path, sockets=SMALL).run(act)
 
 
 def test_an_answer_that_is_read_slowly_is_neither_evicted_nor_closed_as_idle(tmp_path, monkeypatch):
-    monkeypatch.setattr("harriertrack.decisions.callers.LONGEST", ((CallerState.IDLE, 20 * MS),))
+    monkeypatch.setattr("harriertrack.decisions.client_connections.LONGEST", ((ClientState.IDLE, 20 * MS),))
     monkeypatch.setattr("harriertrack.service.front.LOOK_US", 10 * MS)
     site = LoopbackSite(tmp_path, sockets=SMALL)
     site.script = lambda got: answer(LARGE)
@@ -295,12 +295,12 @@
     def act(site):
         client = slow_reader(site)
         client.send(site.request(**{"X-Expires-In-Ms": "1400"}))
-        site.until(lambda: CallerState.SENDING in caller_states(site))
+        site.until(lambda: ClientState.SENDING in caller_states(site))
         others = [RawClient(site) for _ in range(60)]
         site.hub.sleep(50 * MS)
-        assert CallerState.SENDING in caller_states(site) and len(others) == 60
+        assert ClientState.SENDING in caller_states(site) and len(others) == 60
         assert client.until_answered()[2] == LARGE
-        site.until(lambda: CallerState.SENDING not in caller_states(site))
+        site.until(lambda: ClientState.SENDING not in caller_states(site))
 
     site.run(act)
 
@@ -313,8 +313,8 @@
     def act(site):
         client, began = slow_reader(site), site.hub.now()
         client.send(site.request(**{"X-Expires-In-Ms": "100"}))
-        site.until(lambda: CallerState.SENDING in caller_states(site))
-        site.until(lambda: not len(site.head.front.callers))
+        site.until(lambda: ClientState.SENDING in caller_states(site))
+        site.until(lambda: not len(site.head.front.connections))
         assert site.hub.now() - began > 150 * MS
         assert LARGE not in client.until_ended()
 
@@ -332,8 +332,8 @@
 
     def act(site):
         client = RawClient(site)
-        site.until(lambda: len(site.head.front.callers))
-        (caller,) = site.head.front.callers._state
+        site.until(lambda: len(site.head.front.connections))
+        (caller,) = site.head.front.connections._state
         counted = caller._stream._sock = Counted(caller._stream._sock)
         for _ in range(3):
             client.send(site.request())
@@ -345,11 +345,11 @@
 
 @pytest.mark.parametrize("kind", ["new", "reading", "idle"])
 def test_what_has_just_come_is_read_before_its_connection_is_closed_as_overdue(tmp_path, kind, monkeypatch):
-    longest = tuple((state, 50 * MS) for state in (CallerState.NEW, CallerState.READING, CallerState.IDLE))
-    monkeypatch.setattr("harriertrack.decisions.callers.LONGEST", longest)
+    longest = tuple((state, 50 * MS) for state in (ClientState.NEW, ClientState.READING, ClientState.IDLE))
+    monkeypatch.setattr("harriertrack.decisions.client_connections.LONGEST", longest)
 
     def act(site):
-        client, callers = RawClient(site), site.head.front.callers
+        client, callers = RawClient(site), site.head.front.connections
         rest, overdue = site.request(), callers.overdue
         if kind == "idle":
             client.send(site.request())
@@ -372,18 +372,18 @@
 
 def test_a_connection_over_which_a_request_has_come_is_not_closed_for_a_newcomer(tmp_path):
     def act(site):
-        clients = [RawClient(site) for _ in range(site.head.front.callers.most_asked)]
+        clients = [RawClient(site) for _ in range(site.head.front.connections.most_asked)]
         for client in clients:
             client.send(site.request())
             assert client.until_answered()[0] == 200
-        first, callers = clients[0], site.head.front.callers
-        came = callers.came
+        first, callers = clients[0], site.head.front.connections
+        came = callers.accepted
 
         def comes(*args):
             first.send(site.request())
             return came(*args)
 
-        callers.came = comes
+        callers.accepted = comes
         fresh = RawClient(site)
         fresh.send(site.request())
         assert first.until_answered()[0] == fresh.until_answered()[0] == 200
@@ -397,13 +397,13 @@
         client, seen = RawClient(site), []
         client.send(READY)
         assert client.until_answered()[0] == 200
-        send, counts = site.head.shelfs.send, site.head.front.counts
+        send, counts = site.head.storage_nodes.send, site.head.front.counts
 
         def sends(attempt):
             seen.append(counts.taken)
             send(attempt)
 
-        site.head.shelfs.send = sends
+        site.head.storage_nodes.send = sends
         flood = [RawClient(site) for _ in range(200)]
         client.send(site.request())
         assert client.until_answered()[0] == 200 and seen[0] <= 3 * ACCEPTS
--- a/tests/endings/test_head_shutdown.py
+++ b/tests/endings/test_head_shutdown.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from harriertrack.decisions import leaving
-from harriertrack.decisions.callers import CallerState
-from harriertrack.decisions.leaving import Phase
+from harriertrack.decisions import graceful_shutdown
+from harriertrack.decisions.client_connections import ClientState
+from harriertrack.decisions.graceful_shutdown import Phase
 from harriertrack.standin.platform import MUTE, answer
 from tests.endings.loopback import LoopbackSite, RawClient, caller_states, slow_reader
 from tests.test_platform import MS
@@ -15,8 +15,8 @@
 @pytest.fixture(autouse=True)
 def patience(monkeypatch):
     """Time enough on a busy machine: a head that has nothing left to do ends before."""
-    monkeypatch.setattr(leaving, "DRAIN_US", 1_500 * MS)
-    monkeypatch.setattr(leaving, "LAST_US", 5_000 * MS)
+    monkeypatch.setattr(graceful_shutdown, "DRAIN_US", 1_500 * MS)
+    monkeypatch.setattr(graceful_shutdown, "LAST_US", 5_000 * MS)
 
 
 class LeavingSite(LoopbackSite):
@@ -26,10 +26,10 @@
         super().__init__(tmp_path, **settings)
         self.phases, self.acts, begins = [], {}, {}
         begins[Phase.DRAINING] = 50 * MS
-        begins[Phase.CLOSING] = begins[Phase.DRAINING] + leaving.DRAIN_US
-        longest = begins[Phase.CLOSING] + leaving.SPARE_US - leaving.KILL_AFTER_US
-        state = self.head.leaving = leaving.Leaving(longest)
-        look = state.look
+        begins[Phase.CLOSING] = begins[Phase.DRAINING] + graceful_shutdown.DRAIN_US
+        longest = begins[Phase.CLOSING] + graceful_shutdown.SPARE_US - graceful_shutdown.KILL_AFTER_US
+        state = self.head.leaving = graceful_shutdown.GracefulShutdown(longest)
+        look = state.advance
 
         def looks(now, connections):
             for phase in list(self.acts):
@@ -39,7 +39,7 @@
             self.phases += [found] if self.phases[-1:] != [found] else []
             return found
 
-        state.look = looks
+        state.advance = looks
 
     def leave(self, **acts):
         """Ask the head to leave; call an act in the turn in which it is about to come to a phase."""
@@ -94,14 +94,14 @@
 
 
 def test_an_answer_that_its_client_reads_slowly_leaves_whole_before_the_head_ends(tmp_path, monkeypatch):
-    monkeypatch.setattr(leaving, "DRAIN_US", 50 * MS)
+    monkeypatch.setattr(graceful_shutdown, "DRAIN_US", 50 * MS)
     site = LeavingSite(tmp_path)
     site.script = lambda got: answer(LARGE)
 
     def act(site):
         client = slow_reader(site)
         client.send(site.request(**{"X-Expires-In-Ms": "1400"}))
-        site.until(lambda: CallerState.SENDING in caller_states(site))
+        site.until(lambda: ClientState.SENDING in caller_states(site))
         site.leave()
         site.until_phase(Phase.CLOSING)
         status, _, body = client.until_answered()
@@ -113,7 +113,7 @@
 def test_what_is_open_or_half_read_as_the_head_closes_is_answered_though_bytes_lie_unread(
     tmp_path, monkeypatch
 ):
-    monkeypatch.setattr(leaving, "DRAIN_US", 200 * MS)
+    monkeypatch.setattr(graceful_shutdown, "DRAIN_US", 200 * MS)
     site = LeavingSite(tmp_path)
     site.script = lambda got: MUTE
 
--- a/tests/endings/test_keyed_windows.py
+++ b/tests/endings/test_keyed_windows.py
@@ -5,7 +5,7 @@
 import pytest
 
 from harriertrack.decisions import interface as api
-from harriertrack.decisions.ways import REST_US
+from harriertrack.decisions.connection_pool import REST_US
 from tests.endings.loopback import LoopbackSite, RawClient, RawNode, ask_with_a_lost_answer
 from tests.endings.test_attempt_ends import LARGE
 from tests.test_platform import MS, SETTINGS
@@ -56,7 +56,7 @@
         site.until(lambda: not site.net.waiting)
         site.hub.sleep(REST_US)
         assert site.head.module.results() == [api.Result.RESET, api.Result.MOOT]
-        assert len(site.head.shelfs.ways) == 1
+        assert len(site.head.storage_nodes.pool) == 1
         again = RawClient(site)
         again.send(site.request(True))
         assert again.until_answered()[0] == 200 and keys(site) == ["k1", "k2"]  # over the kept connection
--- a/tests/endings/test_list_ends.py
+++ b/tests/endings/test_list_ends.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from harriertrack.decisions.watching import TOLD_US
+from harriertrack.decisions.discovery_watch import TOLD_US
 from harriertrack.standin.platform import Outage, PlatformDiscovery, answer
 from tests.endings.test_start_and_reload import REQUEST, play
 from tests.test_platform import MS
--- a/tests/endings/test_settings_of_others.py
+++ b/tests/endings/test_settings_of_others.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from harriertrack.decisions.leaving import Phase
+from harriertrack.decisions.graceful_shutdown import Phase
 from harriertrack.service.configuration import ConfigurationError, read
 from harriertrack.service.head import PlatformHead
 from tests.test_platform import MS, Site
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -50,7 +50,7 @@
 SOCKET, MEMORY = f"{STREAMS}:SocketStream", f"{STREAMS}:MemoryStream"
 WITNESS, LEASES = "gateway.witness:WitnessClient", "membership.leases"
 KEEPING, WRITING = "gateway.fleet.changes.keeping", "decisions.fleet.changes.writing"
-WATCH, LIST = "decisions.watching:Watching", "service.discovery:Discovery"
+WATCH, LIST = "decisions.discovery_watch:DiscoveryWatch", "service.discovery:Discovery"
 LEDGER, HOLDER = "decisions.fleet.ledger", "decisions.fleet.holder:Holder"
 LINK = "decisions.linklife:LinkLife"
 CLOSING = "decisions.fleet.closing"
@@ -274,7 +274,13 @@
         "if False:",
     ),
     Fault("the old watch is not cancelled", "watch-moves", f"{LIST}._start", "self._task.cancel()", "pass"),
-    Fault("news are not taken", "watch-late", f"{LIST}._told", "if worth is Worth.TAKE:", "if targets.full:"),
+    Fault(
+        "news are not taken",
+        "watch-late",
+        f"{LIST}._told",
+        "if worth is UpdateOutcome.TAKE:",
+        "if targets.full:",
+    ),
     Fault("a call has no end", "watch-moves", f"{LIST}._ask", "stream.read(deadline)", "stream.read()"),
     Fault(
         "a head that moved goes by the old state",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,8 +6,8 @@
 import pytest
 
 from harriertrack.decisions import Scheduler, interface as api
-from harriertrack.decisions.leaving import DRAIN_US, Phase
-from harriertrack.decisions.ways import REST_US
+from harriertrack.decisions.graceful_shutdown import DRAIN_US, Phase
+from harriertrack.decisions.connection_pool import REST_US
 from harriertrack.runtime.hub import DeadlineExceeded, Hub
 from harriertrack.runtime.streams import MemoryNetwork
 from harriertrack.service.configuration import ConfigurationError, read
@@ -253,7 +253,7 @@
         site.shelfs[1].streams[0].close()
         assert site.ask(site.request())[0] == 200
         site.hub.sleep(2_500 * MS)  # of the 3 s that the settings name
-        assert len(site.head.shelfs.ways) == 0
+        assert len(site.head.storage_nodes.pool) == 0
         assert site.ask(site.request())[0] == 200
         assert site.shelfs[1].connections == 3 and set(site.head.module.results()) == {api.Result.OK}
 
@@ -307,7 +307,7 @@
         assert said is not None and 400 <= said[0] < 600
         site.hub.sleep(1000 * MS)
         assert not site.shelfs[0].got and not site.shelfs[1].got
-        assert site.head.core.counts.taken == 0 and len(site.head.front.callers) == 0
+        assert site.head.core.counts.taken == 0 and len(site.head.front.connections) == 0
         assert site.ask(site.request())[0] == 200
 
     site.run(act)
@@ -334,10 +334,10 @@
         late = [site.connect() for _ in range(40)]  # now there are no places left: the oldest silent ones go
         assert site.ask(site.request())[0] == 200
         site.hub.sleep(2_400 * MS)
-        assert len(site.head.front.callers) <= 1
+        assert len(site.head.front.connections) <= 1
         ends = [site.answered(one, 10 * MS) for one in silent + late]
         assert all(end is None or end[0] == 408 for end in ends)
-        assert len(site.head.front.callers) <= 1 and site.head.core.counts.taken == 1
+        assert len(site.head.front.connections) <= 1 and site.head.core.counts.taken == 1
 
     Site(tmp_path, sockets=160).run(act)
 
@@ -459,7 +459,7 @@
         status, fields, _ = site.ask(site.request(), stream)  # clients keep what is open
         assert status == 200 and "connection" not in fields
         site.script = lambda got: MUTE
-        while site.head.leaving.phase is Phase.PARTING:
+        while site.head.leaving.phase is Phase.LAME_DUCK:
             site.hub.sleep(5 * MS)
         assert site.answered(stream, 10 * MS) is None  # it was idle
         assert site.head.leaving.phase is Phase.ENDED
@@ -586,14 +586,14 @@
 
 def test_where_no_connection_to_shelfs_is_left_a_request_ends_and_the_head_lives(site):
     def act(site):
-        site.head.shelfs.ways.most = 1
+        site.head.storage_nodes.pool.most = 1
         site.script = lambda got: MUTE
         holds = site.connect()
         holds.write(site.request())
         site.hub.sleep(10 * MS)
         second = site.request(**{"X-Placement": f"volume={VOLUME},units=1,shard=0,hosts=2"})
         assert site.ask(second, within=100 * MS)[0] == 503  # nothing was sent, and it is told at once
-        assert site.head.shelfs.counts.no_room >= 1 and not site.shelfs[0].got
+        assert site.head.storage_nodes.counts.no_room >= 1 and not site.shelfs[0].got
         assert site.answered(holds)[0] in (500, 503)
         site.script = lambda got: answer(b"again")
         assert site.ask(second.replace(b"X-Trace-Id: 0", b"X-Trace-Id: f"))[2] == b"again"
--- a/tests/test_platform_clock.py
+++ b/tests/test_platform_clock.py
@@ -10,15 +10,15 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from harriertrack.decisions.leaving import Phase
-from harriertrack.decisions.watching import (
+from harriertrack.decisions.graceful_shutdown import Phase
+from harriertrack.decisions.discovery_watch import (
     HOLD_US,
     MARGIN_US,
     MOVED_AGAIN_US,
     PATIENCE_US,
     TOLD_US,
     WAIT_MOST_US,
-    Watching,
+    DiscoveryWatch,
 )
 from harriertrack.standin.platform import Outage, PlatformDiscovery
 from tests.test_platform import MS, SETTINGS, Site
@@ -363,7 +363,7 @@
 @given(st.integers(0, 300 * S), st.booleans(), st.integers(100 * MS, 20 * S))
 def test_every_silence_is_over_before_it_counts_whatever_the_settings(within_us, pushed, grace_us):
     """From any moment of a call: it is given up, and one more that fails too, before the next one is due."""
-    watching = Watching(within_us, 41, pushed, grace_us)
+    watching = DiscoveryWatch(within_us, 41, pushed, grace_us)
     watching.subscribe(True)
     watching.answered(41, False, 0)
     call = watching.call()
@@ -386,7 +386,7 @@
     """A watch whose calls fail; `now` is when the next one begins if nobody asks for it before."""
 
     def __init__(self, within_us, pushed, grace_us, follows):
-        self.now, self.watching = 0, Watching(within_us, 41, pushed, grace_us)
+        self.now, self.watching = 0, DiscoveryWatch(within_us, 41, pushed, grace_us)
         self.watching.subscribe(True)
         if follows:
             self.watching.answered(41, False, 0)
@@ -427,7 +427,7 @@
 
 
 def test_until_a_new_source_has_answered_it_is_asked_every_second():
-    watching = Watching(10 * S, 41)
+    watching = DiscoveryWatch(10 * S, 41)
     watching.subscribe(True)
     assert watching.failed(0, 0) > MOVED_AGAIN_US
     watching.restart()
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -3,7 +3,7 @@
 import copy
 
 from harriertrack.decisions.interface import Result
-from harriertrack.decisions.leaving import KILL_AFTER_US, Phase
+from harriertrack.decisions.graceful_shutdown import KILL_AFTER_US, Phase
 from harriertrack.standin.platform import MUTE, answer
 from harriertrack.standin.platform_clients import End, Kind, PlatformClients
 from tests.test_platform import MS, SETTINGS, VOLUME, Site
@@ -118,7 +118,7 @@
 
 def test_the_line_of_counts_tells_every_end_of_an_attempt(tmp_path):
     def act(site):
-        site.head.shelfs.counts.ends = {result: 7 for result in Result}
+        site.head.storage_nodes.counts.ends = {result: 7 for result in Result}
         site.head.report()
         event, fields = site.notes[-1]
         assert event == "counts" and [fields[f"ended_{result.name.lower()}"] for result in Result] == [
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -3,59 +3,59 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from harriertrack.decisions.callers import (
+from harriertrack.decisions.client_connections import (
     HALF_US,
     IDLE_US,
     LINGER_US,
     NEW_US,
     READ_US,
     SILENT_US,
-    Callers,
-    CallerState,
+    ClientConnections,
+    ClientState,
 )
-from harriertrack.decisions.leaving import Leaving, Phase
+from harriertrack.decisions.graceful_shutdown import GracefulShutdown, Phase
 from harriertrack.decisions.life import IllegalStep
-from harriertrack.decisions.watching import Watching, Worth
-from harriertrack.decisions.ways import REST_US, Ways, WayState
+from harriertrack.decisions.discovery_watch import DiscoveryWatch, UpdateOutcome
+from harriertrack.decisions.connection_pool import REST_US, ConnectionPool, ConnectionState
 from harriertrack.protocol.platform import MOST_HEAD
-from harriertrack.protocol.platform.asked import BadRequest, CallerConnection, Forms
+from harriertrack.protocol.platform.asked import BadRequest, RequestParser, Forms
 from harriertrack.protocol.platform.exchange import Exchange
 
 S = 1_000_000
 
 
 def test_the_first_answer_is_news_though_nothing_changed_and_the_next_call_waits():
-    watching = Watching(10 * S, 41)
+    watching = DiscoveryWatch(10 * S, 41)
     with pytest.raises(IllegalStep):
         watching.call()
     assert watching.subscribe(True) and not watching.subscribe(True)
     assert (watching.call().since, watching.call().wait_us) == (41, 0)
-    assert watching.answered(41, False, 0) is Worth.TAKE
+    assert watching.answered(41, False, 0) is UpdateOutcome.TAKE
     assert watching.call().wait_us == 2.5 * S
-    assert watching.answered(41, False, 0) is Worth.SKIP
-    assert watching.answered(43, False, 1) is Worth.TAKE and watching.call().since == 43
+    assert watching.answered(41, False, 0) is UpdateOutcome.SKIP
+    assert watching.answered(43, False, 1) is UpdateOutcome.TAKE and watching.call().since == 43
 
 
 def test_an_older_answer_fails_the_call_and_the_next_one_takes_a_whole_list_of_any_version():
-    watching = Watching(10 * S, 41)
+    watching = DiscoveryWatch(10 * S, 41)
     watching.subscribe(True)
-    assert watching.answered(40, False, 3) is Worth.STALE
+    assert watching.answered(40, False, 3) is UpdateOutcome.STALE
     watching.subscribe(True)
     assert watching.call().since is None
-    assert watching.answered(42, False, 1) is Worth.STALE  # it asked for the whole list
+    assert watching.answered(42, False, 1) is UpdateOutcome.STALE  # it asked for the whole list
     watching.subscribe(True)
-    assert watching.answered(3, True, 9) is Worth.TAKE and watching.version == 3
+    assert watching.answered(3, True, 9) is UpdateOutcome.TAKE and watching.version == 3
 
 
 def test_a_hanging_call_is_given_up_well_before_a_silent_head_counts_as_told():
-    watching = Watching(10 * S, 41)
+    watching = DiscoveryWatch(10 * S, 41)
     watching.subscribe(True)
     watching.answered(41, False, 0)
     assert watching.call().within_us < 5 * S
 
 
 def test_a_moved_source_is_asked_at_once_only_where_somebody_follows():
-    watching = Watching(10 * S, 41)
+    watching = DiscoveryWatch(10 * S, 41)
     assert not watching.restart()
     watching.subscribe(True)
     watching.answered(41, False, 0)
@@ -70,77 +70,80 @@
 def idles(callers, name, now):
     """The answer to a connection's request has left."""
     callers.sends(name, now, now)
-    callers.step(name, CallerState.IDLE, now)
+    callers.step(name, ClientState.IDLE, now)
 
 
 def test_places_go_to_newcomers_from_the_silent_then_the_longest_idle_then_half_requests():
-    callers = Callers(3, 9)
+    callers = ClientConnections(3, 9)
     for name in "abc":
-        assert callers.came(name, 0) is None
-    assert callers.came("d", 1) == "d"  # nobody may be closed yet
+        assert callers.accepted(name, 0) is None
+    assert callers.accepted("d", 1) == "d"  # nobody may be closed yet
     for name in "ba":
-        callers.step(name, CallerState.BUSY, 2)
+        callers.step(name, ClientState.BUSY, 2)
         idles(callers, name, 3)
-    assert callers.came("e", 4) == "b" and callers.state("b") is None  # however short it has idled
-    assert callers.came("f", SILENT_US) == "c"
-    callers.step("e", CallerState.READING, SILENT_US)
-    callers.step("f", CallerState.READING, SILENT_US)
-    assert callers.came("g", SILENT_US) == "a"
-    callers.step("g", CallerState.BUSY, SILENT_US)
-    assert callers.came("h", SILENT_US + HALF_US - 1) == "h" and callers.came("h", SILENT_US + HALF_US) == "e"
+    assert callers.accepted("e", 4) == "b" and callers.state("b") is None  # however short it has idled
+    assert callers.accepted("f", SILENT_US) == "c"
+    callers.step("e", ClientState.READING, SILENT_US)
+    callers.step("f", ClientState.READING, SILENT_US)
+    assert callers.accepted("g", SILENT_US) == "a"
+    callers.step("g", ClientState.BUSY, SILENT_US)
+    assert (
+        callers.accepted("h", SILENT_US + HALF_US - 1) == "h"
+        and callers.accepted("h", SILENT_US + HALF_US) == "e"
+    )
 
 
 def test_those_that_ask_once_and_stay_leave_room_for_who_asks_next():
-    callers = Callers(100, 3)
+    callers = ClientConnections(100, 3)
     for name in "abc":
-        callers.came(name, 0)
-        callers.step(name, CallerState.BUSY, 1)
-    assert callers.came("d", 2) is None  # all are open
+        callers.accepted(name, 0)
+        callers.step(name, ClientState.BUSY, 1)
+    assert callers.accepted("d", 2) is None  # all are open
     idles(callers, "b", 3)
-    assert callers.came("e", 4) == "b" and len(callers) == 4
+    assert callers.accepted("e", 4) == "b" and len(callers) == 4
 
 
 def test_what_reads_or_idles_too_long_is_overdue_what_is_busy_never():
-    callers = Callers(9, 9)
+    callers = ClientConnections(9, 9)
     for name in "abcd":
-        callers.came(name, 0)
-    callers.step("b", CallerState.BUSY, 1)
-    callers.step("c", CallerState.BUSY, 1)
+        callers.accepted(name, 0)
+    callers.step("b", ClientState.BUSY, 1)
+    callers.step("c", ClientState.BUSY, 1)
     idles(callers, "c", 2)
-    callers.step("d", CallerState.READING, NEW_US - 1)
+    callers.step("d", ClientState.READING, NEW_US - 1)
     assert callers.overdue(NEW_US - 1) == [] and callers.overdue(NEW_US) == ["a"]
     assert callers.overdue(NEW_US - 1 + READ_US) == ["a", "d"] and NEW_US + READ_US < 3 * S
     assert callers.overdue(2 + IDLE_US) == ["a", "d", "c"] and len(callers) == 4
-    for state in (CallerState.READING, CallerState.IDLE, CallerState.LINGERING):
+    for state in (ClientState.READING, ClientState.IDLE, ClientState.LINGERING):
         with pytest.raises(IllegalStep):
             callers.step("b", state, 3)
 
 
 def test_an_answer_on_its_way_holds_its_place_while_it_is_worth_something_and_what_lingers_holds_none():
-    callers = Callers(2, 9)
+    callers = ClientConnections(2, 9)
     for name in "ab":
-        callers.came(name, 0)
-        callers.step(name, CallerState.BUSY, 0)
+        callers.accepted(name, 0)
+        callers.step(name, ClientState.BUSY, 0)
         callers.sends(name, 9 * S, 0)
-    assert callers.came("c", 8 * S) == "c" and callers.overdue(9 * S - 1) == []  # both are sent still
-    callers.step("b", CallerState.LINGERING, 8 * S)
+    assert callers.accepted("c", 8 * S) == "c" and callers.overdue(9 * S - 1) == []  # both are sent still
+    callers.step("b", ClientState.LINGERING, 8 * S)
     assert callers.overdue(9 * S) == ["a", "b"] and callers.overdue(8 * S + LINGER_US) == ["b"]
-    assert callers.came("d", 8 * S) == "b" and callers.overdue(9 * S) == ["a", "d"]
+    assert callers.accepted("d", 8 * S) == "b" and callers.overdue(9 * S) == ["a", "d"]
 
 
 def test_a_connection_over_which_something_has_come_is_not_closed_for_a_newcomer():
-    callers = Callers(2, 9)
+    callers = ClientConnections(2, 9)
     for name in "ab":
-        callers.came(name, 0)
-        callers.step(name, CallerState.BUSY, 0)
+        callers.accepted(name, 0)
+        callers.step(name, ClientState.BUSY, 0)
         idles(callers, name, 0)
-    assert callers.came("c", 1, lambda name: name == "b") == "b"
-    assert callers.came("d", 2, lambda name: False) == "d"
+    assert callers.accepted("c", 1, lambda name: name == "b") == "b"
+    assert callers.accepted("d", 2, lambda name: False) == "d"
 
 
 @given(st.lists(st.tuples(st.sampled_from(["dial", "idle", "busy", "gone"]), st.integers(0, 5)), max_size=60))
 def test_there_are_never_more_connections_to_shelfs_than_there_may_be(steps):
-    ways, now, serial = Ways(4, 30 * S), 0, 0
+    ways, now, serial = ConnectionPool(4, 30 * S), 0, 0
     live = []
     for step, which in steps:
         now += REST_US
@@ -158,52 +161,52 @@
             if step == "gone":
                 ways.gone(way)
                 live.remove(way)
-            elif step == "idle" and state is not WayState.IDLE:
-                ways.step(way, WayState.IDLE, now)
-            elif step == "busy" and state is not WayState.BUSY:
-                ways.step(way, WayState.BUSY, now)
+            elif step == "idle" and state is not ConnectionState.IDLE:
+                ways.step(way, ConnectionState.IDLE, now)
+            elif step == "busy" and state is not ConnectionState.BUSY:
+                ways.step(way, ConnectionState.BUSY, now)
         assert len(ways) == len(live) <= 4
         for shelf in ("s0", "s1"):
             picked = ways.pick(shelf, now + REST_US)
-            assert picked is None or ways.state(picked) is WayState.IDLE
+            assert picked is None or ways.state(picked) is ConnectionState.IDLE
 
 
 def test_the_latest_idle_connection_is_taken_once_it_has_rested():
-    ways = Ways(9, 30 * S)
+    ways = ConnectionPool(9, 30 * S)
     for way in "ab":
         ways.dials(way, "s")
-        ways.step(way, WayState.IDLE, 10)
+        ways.step(way, ConnectionState.IDLE, 10)
     assert ways.pick("s", 10 + REST_US - 1) is None
     assert ways.pick("s", 10 + REST_US) == "b" and ways.pick("t", 10 + REST_US) is None
     assert ways.pick("s", 10 + 20 * S) is None and ways.overdue(10 + 20 * S) == ["a", "b"]
 
 
 def test_connections_that_are_kept_for_a_short_time_are_used_within_it():
-    ways = Ways(9, REST_US)
+    ways = ConnectionPool(9, REST_US)
     ways.dials("a", "s")
-    ways.step("a", WayState.IDLE, 10)
+    ways.step("a", ConnectionState.IDLE, 10)
     assert ways.pick("s", 10 + REST_US // 3) == "a" and ways.pick("s", 10 + REST_US) is None
 
 
 def test_a_head_leaves_in_order_and_in_time():
-    leaving = Leaving(6 * S)
-    assert leaving.look(0, 3) is Phase.SERVING and leaving.ask(S) and not leaving.ask(2 * S)
-    assert leaving.look(2 * S, 0) is Phase.PARTING and not leaving.leaves
-    assert leaving.look(S + 3_400_000, 1) is Phase.DRAINING and leaving.leaves
-    assert leaving.look(S + 3_549_999, 1) is Phase.DRAINING
-    assert leaving.look(S + 3_550_000, 1) is Phase.CLOSING  # all is answered now
-    assert leaving.look(S + 3_650_000, 1) is Phase.ENDED  # the kill comes at 3.7 s
-    quick = Leaving(6 * S)
-    quick.ask(0)
-    assert quick.look(3_400_000, 0) is Phase.DRAINING  # what waits at its listener is not counted yet
-    assert quick.look(3_400_000, 0) is Phase.ENDED
+    leaving = GracefulShutdown(6 * S)
+    assert leaving.advance(0, 3) is Phase.SERVING and leaving.begin(S) and not leaving.begin(2 * S)
+    assert leaving.advance(2 * S, 0) is Phase.LAME_DUCK and not leaving.is_draining
+    assert leaving.advance(S + 3_400_000, 1) is Phase.DRAINING and leaving.is_draining
+    assert leaving.advance(S + 3_549_999, 1) is Phase.DRAINING
+    assert leaving.advance(S + 3_550_000, 1) is Phase.CLOSING  # all is answered now
+    assert leaving.advance(S + 3_650_000, 1) is Phase.ENDED  # the kill comes at 3.7 s
+    quick = GracefulShutdown(6 * S)
+    quick.begin(0)
+    assert quick.advance(3_400_000, 0) is Phase.DRAINING  # what waits at its listener is not counted yet
+    assert quick.advance(3_400_000, 0) is Phase.ENDED
 
 
 @pytest.mark.parametrize("longest", [300_000, 1_200_000, 3 * S, 6 * S])
 def test_the_last_answers_have_time_to_leave_before_the_kill(longest):
-    leaving, kill = Leaving(longest), min(longest, 3 * S) + 700_000
-    leaving.ask(0)
-    looks = {at: leaving.look(at, 1) for at in range(0, kill, 10_000)}
+    leaving, kill = GracefulShutdown(longest), min(longest, 3 * S) + 700_000
+    leaving.begin(0)
+    looks = {at: leaving.advance(at, 1) for at in range(0, kill, 10_000)}
     assert min(at for at in looks if looks[at] is Phase.DRAINING) == kill - 400_000
     assert min(at for at in looks if looks[at] is Phase.CLOSING) == kill - 150_000
     assert min(at for at in looks if looks[at] is Phase.ENDED) == kill - 50_000
@@ -213,7 +216,7 @@
     """A flood costs no more than its first mistake: the parser stops there."""
     seen = 0
 
-    class Counts(CallerConnection):
+    class Counts(RequestParser):
         def on_header(self, name, value):
             nonlocal seen
             seen += 1
