--- a/harriertrack/decisions/connection_pool.py
+++ b/harriertrack/decisions/connection_pool.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Hashable
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Generic, TypeVar
 
@@ -38,6 +39,14 @@
 ))  # fmt: skip
 
 
+@dataclass(frozen=True, slots=True)
+class Idle:
+    """Since when a connection is idle, and from when on it may be used."""
+
+    since: int
+    usable_at: int
+
+
 class ConnectionPool(Generic[W]):
     """All connections to nodes of a head, by the node's name."""
 
@@ -46,17 +55,17 @@
         self._idle_us = idle_us * IDLE_PARTS[0] // IDLE_PARTS[1]
         self._rest_us = min(REST_US, self._idle_us // REST_PART)
         self._state: dict[W, tuple[str, ConnectionState]] = {}
-        self._idle: dict[str, dict[W, int]] = {}  # of each node, the latest last
+        self._idle: dict[str, dict[W, Idle]] = {}  # of each node, the latest last
 
     def __len__(self) -> int:
         return len(self._state)
 
     def pick(self, node: str, now: int) -> W | None:
         """Return the idle connection to take, None to dial; the caller then says `step` or `dials`."""
-        for connection, since in reversed(self._idle.get(node, {}).items()):
-            if now - since >= self._idle_us:
+        for connection, idle in reversed(self._idle.get(node, {}).items()):
+            if now - idle.since >= self._idle_us:
                 return None  # all before it have idled for longer
-            if now - since >= self._rest_us:
+            if now >= idle.usable_at:
                 return connection
         return None
 
@@ -81,7 +90,7 @@
 
     def _longest_idle(self) -> W | None:
         firsts = [next(iter(idle.items())) for idle in self._idle.values()]
-        return min(firsts, key=lambda first: first[1])[0] if firsts else None
+        return min(firsts, key=lambda first: first[1].since)[0] if firsts else None
 
     def step(self, connection: W, state: ConnectionState, now: int) -> None:
         """A connection comes to a state. Raises IllegalStep, or KeyError for one that is gone."""
@@ -91,7 +100,9 @@
         self._leave(connection, node, before)
         self._state[connection] = (node, state)
         if state is ConnectionState.IDLE:
-            self._idle.setdefault(node, {})[connection] = now
+            # Over a connection that has just come up nothing was asked: nothing can come late.
+            rest_us = self._rest_us if before is ConnectionState.BUSY else 0
+            self._idle.setdefault(node, {})[connection] = Idle(now, now + rest_us)
 
     def _leave(self, connection: W, node: str, state: ConnectionState) -> None:
         if state is ConnectionState.IDLE:
@@ -113,8 +124,12 @@
 
     def overdue(self, now: int) -> list[W]:
         """Return the idle ones that their node may close any moment."""
-        return [connection for idle in self._idle.values() for connection, since in idle.items()
-                if now - since >= self._idle_us]  # fmt: skip
+        return [
+            connection
+            for connections in self._idle.values()
+            for connection, idle in connections.items()
+            if now - idle.since >= self._idle_us
+        ]
 
     def idle_of(self, node: str) -> list[W]:
         """Return the idle ones of a node, which is gone."""
