--- a/harriertrack/lab/interleaving/scenarios/links.py
+++ b/harriertrack/lab/interleaving/scenarios/links.py
@@ -50,6 +50,9 @@
 
 
 class _Core:
+    def may_begin(self, _now: int, one: _Tried) -> bool:
+        return not one.told
+
     def sent(self, one: _Tried) -> None:
         one.sent += 1
 
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -51,7 +51,7 @@
                  module: Callable[..., Scheduler] = Scheduler) -> None:  # fmt: skip
         self.hub, self.configuration = hub, configuration
         self._network, self._note = network, note
-        self._alarm = Alarm(hub, self._flush)
+        self._alarm = Alarm(hub, self._flush, at_round_end=True)
         self._asked_to_leave = Event(hub)
         self.ready = Event(hub)
         self.leaving = GracefulShutdown(configuration.bounds.longest_us)
