--- a/tests/endings/test_cold_fleet.py
+++ b/tests/endings/test_cold_fleet.py
@@ -290,3 +290,8 @@
     largest = [Fleet(CASES[name], seed).run().largest() for seed in SEEDS]
     assert max(largest) <= 1.0
     assert min(largest) >= 0.2  # the nodes are used while they are cold
+
+
+def test_a_replacement_far_slower_than_its_predecessor_gets_no_more_than_it_bears():
+    """Heads give it the rates that they had at the former node, and are told nothing of its size."""
+    assert Fleet(Case(load=0.95, slower=0.5, **NEW), 9).run().largest() <= 1.0
--- a/tests/test_platform_clock.py
+++ b/tests/test_platform_clock.py
@@ -435,3 +435,14 @@
     watching.subscribe(True)
     watching.answered(41, False, 0)
     assert watching.failed(0, 0) > MOVED_AGAIN_US
+
+
+def test_without_a_grace_what_the_agent_gets_at_the_end_of_a_silent_outage_counts_at_once(tmp_path):
+    def act(site):
+        site.discovery.outage = Outage.SILENT
+        site.discovery.reset()
+        site.hub.sleep(8_700 * MS)
+        site.discovery.outage = Outage.NONE
+        kept_the_rule(site, drain(site))
+
+    played(site_of(tmp_path, PUSHED, drainGraceUs=0), act)
