--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -12,7 +12,6 @@
 
 from harriertrack.decisions.client_connections import (
     ACCEPTS,
-    END_KNOWN_US,
     LATE_US,
     LINGER_BYTES,
     LINGER_US,
@@ -200,7 +199,8 @@
     def _take(self, asked: Asked) -> None:
         front = self._front
         now = front.hub.now()
-        if self.left(now - END_KNOWN_US):
+        call = Call(asked, self)
+        if call.client_left(now):
             self._closed = True
             return
         other = front.open.get(asked.trace)
@@ -209,7 +209,6 @@
                 raise BadRequest(409, "a request with this id is open")
             other.session.leave()
         left = min(asked.expires_ms * 1000, front.deadlines[asked.class_name])
-        call = Call(asked, self)
         volume = Volume(PlatformVolume(asked.volume, asked.plan, asked.hosts))
         kind = Kind.WRITE if asked.writes else Kind.READ
         # The client counts from its sending: bytes that waited here unread have used up some of its time.
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -1,4 +1,4 @@
-"""The platform's head: the core that all fronts share, between the platform's clients and storage_nodes."""
+"""The platform's head: the core that all fronts share, between the platform's clients and storage nodes."""
 
 from __future__ import annotations
 
@@ -58,7 +58,7 @@
         self.nodes = NodeList()
         self.module = module(configuration.told, configuration.seed)
         # A start comes as Unix time. The difference is fixed once: a step of the wall clock must not make
-        # known storage_nodes look newly started.
+        # known nodes look newly started.
         self._wall_ahead_us = hub.clock.wall() - hub.now()
         self.core: Core
 
