Each failed call to discovery is logged with its time, the wait after it and the list's version

The log told only why a call failed, at 1, 2, 4, 8 in a row: it could not tell a call given up by this head from one that discovery turned down, nor when a head heard again. At most one line a second.

--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -22,6 +22,8 @@
 from harriertrack.service.calls import Note, worth_saying
 from harriertrack.service.storage_nodes import StorageNodes
 
+LOG_EACH_US = 1_000_000  # failures in a row are logged so often at most
+
 
 class Discovery:
     """Follows the list while the module wants it, or for ever where it is pushed."""
@@ -47,6 +49,7 @@
         self._task: Task | None = None
         self._failures = 0  # in a row
         self._called_at = 0  # when the last call began
+        self._logged_at = -LOG_EACH_US  # when a failure was logged last
         self._module_waits = False  # it was told of a failure, and will say when to ask anew
         self.heard = Event(hub)  # the source has answered in this life
 
@@ -74,9 +77,8 @@
         while True:
             why = self._follow()
             self._failures += 1
-            if worth_saying(self._failures):
-                self._note("discovery failed", why=why[:200], in_a_row=self._failures)
             again_us = self._watching.failed(self._hub.now(), self._called_at)
+            self._log_failure(why, again_us)
             if not self._watching.pushed and not self._module_waits:
                 # One failure at a time: each makes the module ask anew, on top of the watch's own calls.
                 self._module_waits = True
@@ -84,6 +86,31 @@
             self._hub.sleep(again_us)
             self._watching.subscribe(True)
 
+    def _log_failure(self, why: str, again_us: int) -> None:
+        """Log a call that failed; where calls fail many times a second, one line a second at the most."""
+        now = self._hub.now()
+        if not worth_saying(self._failures) and now - self._logged_at < LOG_EACH_US:
+            return
+        self._logged_at = now
+        self._note(
+            "discovery failed",
+            why=why[:200],
+            in_a_row=self._failures,
+            took_us=now - self._called_at,
+            again_us=again_us,
+            version=self._watching.version,
+        )
+
+    def _log_recovery(self) -> None:
+        """Log the first answer after calls that failed."""
+        if self._failures:
+            self._note(
+                "discovery answered",
+                after_failures=self._failures,
+                took_us=self._hub.now() - self._called_at,
+                version=self._watching.version,
+            )
+
     def _follow(self) -> str:
         """Make one call after another until one fails; return why."""
         stream: Stream | None = None
@@ -96,6 +123,7 @@
                     stream = self._network.connect(self._address, deadline, self._name)
                 answer = self._ask(stream, call, deadline)
                 if self._told(answer, stream.came_at) is not UpdateOutcome.STALE:
+                    self._log_recovery()
                     self._failures = 0
                     self.heard.set()
                 elif self._watching.state is Watch.IDLE:
