A call to a silent agent stays open beside the next one, which begins after 25 ms

Cause: a call to the agent was given up before the next began, so its patience had to serve two ends at once: a busy agent wants a long one, an agent that is back after a silent outage a short one. It was doubled to 0.1 s; what the agent had at its return was read 0.10 s after it, and without a grace 0.05 s are allowed (DiscoveryWatch._patience and failed).

Change: each call is a task of its own (service/discovery_call.py). One that is overdue stays open while the next is made; of four the oldest goes (decisions/open_calls.py). An answer that comes late is taken if it is newer than the list in hand, and ends the calls that began before it. Patience is not doubled any more. So far for pushed lists alone.

The seeded fault 'a deadline above a cancel' of the hub was found through the watch's old shape; a scenario of the hub's own finds it now. A seeded call without an end is looked for where the wait is now.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -44,9 +44,9 @@
 PUSHED_PATIENCE_PARTS, PUSHED_AGAIN_PARTS = 4, 8
 # Time limits are longer by 50 ms, half of this: with a shorter grace, or none, the head is no quicker.
 PUSHED_GRACE_LEAST_US = 100_000
-# Failures in a row double such short waits up to these: a busy agent needs some time to answer at all, and a
-# call each 40 ms costs little and still ends within the 50 ms.
-PUSHED_PATIENCE_US, PUSHED_AGAIN_US = 100_000, 40_000
+# Failures in a row double a shorter wait until calls begin so far apart: a call each 40 ms costs little, and
+# its answer still comes within the 50 ms. A busy agent has more time: calls that are overdue stay open.
+PUSHED_CYCLE_US = 40_000
 # A watch that is late has not fallen silent yet: its time to count is 6 s, not the grace.
 PUSHED_WATCH_PATIENCE_US = 300_000
 # A head whose agent is silent is not ready: what the agent had counts from the head's first moment. Outages
@@ -68,7 +68,9 @@
 
     TAKE = "take"  # tell the module, and ask on at once
     SKIP = "skip"  # nothing new: ask on at once
-    STALE = "stale"  # older than what is held: the whole list is asked for at once; if it was: a failed call
+    # Older than what is held: the whole list is asked for at once; if it was, it is a failed call. Nothing
+    # follows where the answer is late.
+    STALE = "stale"
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,16 +133,27 @@
     def _patience(self, wait_us: int) -> int:
         if not self.pushed:
             return PATIENCE_US
-        patience = self._doubled(self._grace_us // PUSHED_PATIENCE_PARTS, PUSHED_PATIENCE_US)
+        patience = self._grace_us // PUSHED_PATIENCE_PARTS
         return min(PATIENCE_US, max(patience, PUSHED_WATCH_PATIENCE_US) if wait_us else patience)
 
-    def _doubled(self, least_us: int, most_us: int) -> int:
-        """Double a time with each failure after the first, up to a bound; what is above that stays."""
+    def _pushed_again(self, took_us: int) -> int:
+        """Return the wait after a call to the agent, doubled with each failure after the first to a bound."""
+        least_us = self._grace_us // PUSHED_AGAIN_PARTS
         doublings = min(8, max(0, self._failures - 1))
-        return max(least_us, min(most_us, least_us << doublings))
+        return max(least_us, min(PUSHED_CYCLE_US - took_us, least_us << doublings))
 
-    def answered(self, version: int, full: bool, entries: int) -> UpdateOutcome:
-        """Take an answer's version; return what it is worth. Raises IllegalStep where there is no watch."""
+    @property
+    def keeps_overdue(self) -> bool:
+        """Whether a call that is overdue stays open beside the next one."""
+        return self.pushed
+
+    def answered(self, version: int, full: bool, entries: int, late: bool = False) -> UpdateOutcome:
+        """Take an answer's version; return what it is worth. Raises IllegalStep where there is no watch.
+
+        `late`: the call was overdue, and another one has followed it or will.
+        """
+        if late:
+            return self._answered_late(version, full)
         if self.state is Watch.IDLE:
             raise IllegalStep("an answer without a watch")
         if not self._whole and self.version is not None and version < self.version:
@@ -155,6 +168,17 @@
         self._moved, self._failures, self._silent_from = False, 0, None
         return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
 
+    def _answered_late(self, version: int, full: bool) -> UpdateOutcome:
+        """Take what is newer than the list in hand; the calls go on as they would."""
+        if self._whole and not full:
+            return UpdateOutcome.STALE
+        if not self._whole and self.version is not None and version < self.version:
+            return UpdateOutcome.STALE
+        news = self._whole or version != self.version
+        self.version, self._whole = version, False
+        self._moved, self._failures, self._silent_from = False, 0, None
+        return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
+
     def failed(self, now: int, began: int) -> int:
         """A call has failed; return after how long to ask anew, unless somebody asks for it before."""
         if self.state is Watch.FOLLOWING:
@@ -168,7 +192,7 @@
         if self._moved:
             bounds.append(max(AGAIN_LEAST_US, MOVED_AGAIN_US - took))
         if self.pushed:
-            bounds.append(self._doubled(self._grace_us // PUSHED_AGAIN_PARTS, PUSHED_AGAIN_US))
+            bounds.append(self._pushed_again(took))
             return max(min(AGAIN_SOONEST_US, bounds[-1]), min(bounds))
         if self._ask_within_us:
             more, parts = AGAIN_PARTS
--- a/harriertrack/lab/interleaving/scenarios/hub.py
+++ b/harriertrack/lab/interleaving/scenarios/hub.py
@@ -88,6 +88,26 @@
     world.view = lambda: (tuple(ended), mine.done)
 
 
+def _deadline_against_cancel(world: World) -> None:
+    """A wait whose deadline comes as its task is cancelled: who cancels is done with the task."""
+    hub, said = world.hub, list[str]()
+
+    def waits() -> None:
+        try:
+            Event(hub).wait(hub.now() + SOON)
+        except DeadlineExceeded:
+            said.append("late")
+            if waiter._cancelling:
+                world.wrong.append("a task that is cancelled went on by its deadline")
+
+    def cancels() -> None:
+        hub.at(hub.now() + SOON, waiter.cancel)
+
+    waiter = world.spawn(HERE, "waits", waits, ends=True)
+    world.spawn(HERE, "cancels", cancels, ends=True)
+    world.view = lambda: (tuple(said), waiter.done, repr(waiter.error))
+
+
 def _deadline_against_wake(world: World) -> None:
     """A deadline and a wake at the same moment: the wait ends once, and leaves nothing behind."""
     hub, said = world.hub, list[str]()
@@ -221,6 +241,7 @@
 SCENARIOS = (
     Scenario("hub-cancel-wake", "cancel against wake", _cancel_against_wake),
     Scenario("hub-deadline-wake", "deadline against wake", _deadline_against_wake, lag=True, until_us=40),
+    Scenario("hub-deadline-cancel", "deadline against cancel", _deadline_against_cancel, until_us=40),
     Scenario("hub-answer-late", "answer against deadline", _answer_against_deadline, lag=True, until_us=40),
     Scenario("hub-two-wait", "two tasks that wait for one flag", _two_wait, until_us=100),
     Scenario("hub-late-starter", "a task started while its scope ends", _late_starter, until_us=100),
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -1,4 +1,6 @@
-"""The watch over discovery: one connection, one call after another; what comes is told to the module.
+"""The watch over discovery: one call after another; what comes is told to the module.
+
+A call that is overdue is followed by another, and stays open beside it where the watch says so.
 
 What fails is told to the module too where the list is asked for: it says when to ask again. Where it is
 pushed the module has asked for nothing, and the watch asks anew by itself.
@@ -6,22 +8,18 @@
 
 from __future__ import annotations
 
-from harriertrack.decisions.discovery_watch import Call, DiscoveryWatch, UpdateOutcome, Watch
+from harriertrack.decisions.discovery_watch import DiscoveryWatch, UpdateOutcome, Watch
+from harriertrack.decisions.open_calls import OpenCalls
 from harriertrack.decisions.requests import Core
-from harriertrack.membership.nodes import NodeList
-from harriertrack.membership.targets import (
-    MOST_LIST,
-    TargetsError,
-    members_of,
-    target_of,
-    targets_of,
-)  # fmt: skip
-from harriertrack.protocol.platform.exchange import Answer, Exchange, Spoilt
+from harriertrack.membership.nodes import Member, NodeList
+from harriertrack.membership.targets import TargetsError, members_of, targets_of
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Task
 from harriertrack.runtime.streams import Network, Stream
 from harriertrack.service.calls import Note, worth_saying
+from harriertrack.service.discovery_call import DiscoveryCall
 from harriertrack.service.storage_nodes import StorageNodes
 
+OVERDUE = "overdue"  # why a call is followed by another though it has not ended
 LOG_EACH_US = 1_000_000  # failures in a row are logged so often at most
 
 
@@ -51,18 +49,23 @@
         self._called_at = 0  # when the last call began
         self._logged_at = -LOG_EACH_US  # when a failure was logged last
         self._module_waits = False  # it was told of a failure, and will say when to ask anew
+        self._open: OpenCalls[DiscoveryCall] = OpenCalls()
+        self._current: DiscoveryCall | None = None  # the call that is waited for
         self.heard = Event(hub)  # the source has answered in this life
 
     def subscribe(self, on: bool) -> None:
         """Follow from now on, or stop: the module says so."""
         self._module_waits = False
         if self._watching.subscribe(on):
+            if not on:
+                self._give_up_all()
             self._start(on)
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere now."""
         if address != self._address:
             self._address = address
+            self._give_up_all()
             self._note("discovery moved", to=f"{address[0]}:{address[1]}")
             if self._watching.restart():
                 self._start(True)
@@ -72,6 +75,10 @@
             self._task.cancel()
         self._task = self._scope.spawn("discovery", self._run) if on else None
 
+    def _give_up_all(self) -> None:
+        for made in self._open.clear():
+            made.give_up()
+
     def _run(self) -> None:
         """Follow; after a failure, until the module says when to go on or that has taken too long."""
         while True:
@@ -101,63 +108,88 @@
             version=self._watching.version,
         )
 
-    def _log_recovery(self) -> None:
-        """Log the first answer after calls that failed."""
+    def _log_recovery(self, made: DiscoveryCall) -> None:
+        """Log the first answer after calls that failed or were overdue."""
         if self._failures:
             self._note(
                 "discovery answered",
                 after_failures=self._failures,
-                took_us=self._hub.now() - self._called_at,
+                took_us=self._hub.now() - made.began,
                 version=self._watching.version,
             )
 
     def _follow(self) -> str:
-        """Make one call after another until one fails; return why."""
+        """Make one call after another until one fails or is overdue; return why."""
         stream: Stream | None = None
-        try:
-            while True:
-                call = self._watching.call()
-                self._called_at = self._hub.now()
-                deadline = self._called_at + call.within_us
-                if stream is None:
-                    stream = self._network.connect(self._address, deadline, self._name)
-                answer = self._ask(stream, call, deadline)
-                if self._told(answer, stream.came_at) is not UpdateOutcome.STALE:
-                    self._log_recovery()
-                    self._failures = 0
-                    self.heard.set()
-                elif self._watching.state is Watch.IDLE:
-                    return "the whole list was asked for, and changes came"
-                if not answer.reusable:
+        while True:
+            made = self._begin(stream)
+            try:
+                made.ended.wait(made.began + made.call.within_us)
+            except DeadlineExceeded:
+                if not made.over:
+                    self._let_be(made)
+                    return OVERDUE
+            except BaseException:
+                made.give_up()
+                raise
+            finally:
+                self._current = None
+            stream = made.take_stream()
+            if made.failure:
+                return made.failure
+            if self._watching.state is Watch.IDLE:
+                if stream is not None:
                     stream.close()
-                    stream = None
-        except (OSError, DeadlineExceeded, Spoilt, TargetsError) as error:
-            return str(error) or type(error).__name__
-        finally:
-            if stream is not None:
-                stream.close()
-
-    def _ask(self, stream: Stream, call: Call, deadline: int) -> Answer:
-        host = f"{self._address[0]}:{self._address[1]}".encode()
-        exchange = Exchange(b"GET", target_of(call.since, call.wait_us), [(b"Host", host)], b"", MOST_LIST)
-        stream.write(exchange.request)
-        while (answer := exchange.receive(stream.read(deadline))) is None:
-            pass
-        if answer.status != 200:
-            raise TargetsError(f"status {answer.status}")
-        return answer
-
-    def _told(self, answer: Answer, came_at: int) -> UpdateOutcome:
-        targets = targets_of(answer.body)
+                return "the whole list was asked for, and changes came"
+
+    def _let_be(self, made: DiscoveryCall) -> None:
+        """Wait no longer for a call that is overdue."""
+        if not self._watching.keeps_overdue:
+            self._open.failed(made)
+            made.give_up()
+
+    def _begin(self, stream: Stream | None) -> DiscoveryCall:
+        made = self._current = DiscoveryCall(self._hub, self._watching.call(), self._address)
+        self._called_at = made.began
+        for surplus in self._open.begin(made):
+            surplus.give_up()
+        made.start(self._scope, self._network, self._name, stream, self._ended)
+        return made
+
+    def _ended(self, made: DiscoveryCall) -> None:
+        """Take what a call has brought, also one that another has followed."""
+        late = made is not self._current
+        if not made.failure:
+            try:
+                self._take(made, late)
+            except TargetsError as error:
+                made.failure = str(error)
+        if made.failure:
+            self._open.failed(made)
+        if late:
+            made.close()
+
+    def _take(self, made: DiscoveryCall, late: bool) -> None:
+        assert made.answer is not None
+        targets = targets_of(made.answer.body)
         # Read whole before any of it is taken.
         members = [member.localised(self._wall_ahead_us) for member in members_of(targets)]
-        worth = self._watching.answered(targets.version, targets.full, len(members))
-        if worth is UpdateOutcome.TAKE:
-            news = self._nodes.replace(members) if targets.full else self._nodes.change(members)
-            if news is not None:
-                # It counts from when it came, not from when a head that stood still reads it.
-                news.told_at = came_at
-            self._core.nodes_changed(news)
-            for node in self._nodes.forget_gone():
-                self._storage_nodes.gone(node)
-        return worth
+        outcome = self._watching.answered(targets.version, targets.full, len(members), late)
+        for older in self._open.answered(made):
+            older.give_up()
+        if outcome is not UpdateOutcome.STALE:
+            self._log_recovery(made)
+            self._failures = 0
+            self.heard.set()
+        if outcome is UpdateOutcome.TAKE:
+            self._tell(members, targets.full, made.came_at)
+
+    def _tell(self, members: list[Member], whole: bool, came_at: int) -> None:
+        """Hand what changed to the module."""
+        news = self._nodes.replace(members) if whole else self._nodes.change(members)
+        if news is not None:
+            # It counts from when it came, not from when a head that stood still reads it.
+            news.told_at = came_at
+        self._core.nodes_changed(news)
+        for node in self._nodes.forget_gone():
+            self._storage_nodes.gone(node)
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -68,7 +68,7 @@
     Fault("a cancel wakes nobody", "hub-cancel-wake", f"{HUB}:Task.cancel", "self._hub._wake(self)", "pass"),
     Fault(
         "a deadline above a cancel",
-        "watch-moves",
+        "hub-deadline-cancel",
         f"{HUB}:Hub._resume",
         "if task._cancelling and task._unwait",
         "if task._cancelling and error is None and task._unwait",
@@ -277,11 +277,17 @@
     Fault(
         "news are not taken",
         "watch-late",
-        f"{LIST}._told",
-        "if worth is UpdateOutcome.TAKE:",
+        f"{LIST}._take",
+        "if outcome is UpdateOutcome.TAKE:",
         "if targets.full:",
     ),
-    Fault("a call has no end", "watch-moves", f"{LIST}._ask", "stream.read(deadline)", "stream.read()"),
+    Fault(
+        "a call has no end",
+        "watch-moves",
+        f"{LIST}._follow",
+        "made.ended.wait(made.began + made.call.within_us)",
+        "made.ended.wait()",
+    ),
     Fault(
         "a head that moved goes by the old state",
         "watch-moves",
