Known red: heads that restart while discovery is crowded send to a node that is gone

Three head processes over loopback are killed and started at once while each call to the stand-in of discovery waits 1.7 s for its turn; a node ends. The log shows each call given up after 1.20 s, with the same version.

The stand-in serves its calls in turn where a test gives it a queue.

--- a/harriertrack/standin/platform.py
+++ b/harriertrack/standin/platform.py
@@ -115,6 +115,31 @@
     FAILING = "failing"  # calls end in 503
 
 
+@dataclass(slots=True)
+class Queue:
+    """How a source with many callers serves them: one after another, in the order in which they came.
+
+    A call that is given up meanwhile is served all the same: who answers notices that only as it writes.
+    """
+
+    hub: Hub
+    service_us: int = 0  # the time that one call takes
+    others_us: int = 0  # the work of other callers ahead of each call
+    most_wait_us: int | None = None  # a call whose turn comes later ends in 503 then
+    _free_at: int = 0
+
+    def wait(self) -> bool:
+        """Wait until a call has been served; return whether it was."""
+        now = self.hub.now()
+        begins = max(now, self._free_at) + self.others_us
+        if self.most_wait_us is not None and begins - now > self.most_wait_us:
+            self.hub.sleep(self.most_wait_us)
+            return False
+        self._free_at = max(now, self._free_at) + self.service_us
+        self.hub.sleep_until(begins + self.service_us)
+        return True
+
+
 @dataclass(slots=True)
 class PlatformDiscovery:
     """The list, its versions, and watches that wait for newer ones."""
@@ -128,6 +153,7 @@
     spoil: Callable[[bytes], bytes] | None = None
     indent: int | None = None  # lists come on many lines
     outage: Outage = Outage.NONE
+    queue: Queue | None = None  # it has so many callers; None: each is served at once
     _streams: dict[Stream, None] = field(default_factory=dict)
     _quiet: set[Stream] = field(default_factory=set)  # nothing comes over these any more
     _changes: Waiters = field(init=False)
@@ -157,6 +183,11 @@
         """Return the whole list."""
         return {"version": self.version, "full": True, "servers": list(self.servers.values())}
 
+    def changes(self, since: int) -> dict:
+        """Return what has changed since a version."""
+        news = [self.servers[name] for name, at in self.changed.items() if at > since]
+        return {"version": self.version, "full": False, "servers": news}
+
     def start(self, scope: Scope) -> None:
         """Serve from now on."""
         scope.spawn("discovery", accept, self._listener, scope, "discovery connection", self._serve)
@@ -193,12 +224,13 @@
             target = head.split(b" ")[1].decode()
             self.calls.append((self.hub.now(), target))
             query = parse_qs(urlsplit(target).query)
-            told = self.listed()
-            if "since" in query and self.outage is Outage.NONE:
-                since = int(query["since"][0])
+            since = int(query["since"][0]) if "since" in query else None
+            if since is not None and self.outage is Outage.NONE:
                 self._wait(since, self.hub.now() + 1000 * int(query["timeout_ms"][0]))
-                news = [self.servers[name] for name, at in self.changed.items() if at > since]
-                told = {"version": self.version, "full": False, "servers": news}
+            if self.queue is not None and not self.queue.wait():
+                stream.write(answer(b"", 503))
+                continue
+            told = self.listed() if since is None else self.changes(since)
             if self.outage is Outage.SILENT:
                 self._quiet.add(stream)
             if stream in self._quiet:
--- /dev/null
+++ b/tests/endings/test_crowded_discovery.py
@@ -0,0 +1,108 @@
+"""Heads that restart while discovery is crowded go on sending to nodes that are gone.
+
+Symptom: heads of a large fleet sent hundreds of requests to nodes 2.09 s and more after these counted as gone, where
+2 s are allowed (rule `drain`). All else was answered, and most heads did nothing wrong.
+
+Sequence: discovery is down for some seconds, most heads are killed and start again at once, and a release changes
+the list each 0.35 s. Discovery serves its callers in turn, and a turn comes after about 2 s. Nodes end; 6 s later
+that counts as told. They start again under their names, the starved heads find them answering, and send.
+
+Cause: a call for the list was given up after 1.2 s, before its turn, and made anew at the end of the queue. Heads
+whose watch was open had 1.2 s beyond the wait of 2.5 s, and were answered; the others never.
+
+What settled it: on the heads that sent wrongly `discovery failed why=overdue in_a_row=3 took_us=1200550 version=2`,
+over and over with the same version, while every answer to the other heads came 1.9 to 2.0 s after its call.
+"""
+
+import signal
+from contextlib import ExitStack
+
+import pytest
+
+from harriertrack.decisions.discovery_watch import TOLD_US
+from harriertrack.lab.fleet.processes import Places
+from harriertrack.runtime.hub import Hub
+from harriertrack.standin.platform import Queue
+from tests.endings.test_start_and_reload import REQUEST, ProcessSite, ended
+from tests.test_platform import MS
+from tests.test_platform_clock import S, SLACK_US
+
+HEADS = 3
+GRACE_US = 200 * MS
+TURN_US = 1_700 * MS  # a call's turn comes so long after it: the patience of a call was 1.2 s
+
+
+class Fleet:
+    """Head processes with one node and one source of the list; clients ask every head all the time."""
+
+    def __init__(self, tmp_path, hub, scope):
+        self.hub, self.scope, self.sites = hub, scope, []
+        for number in range(HEADS):
+            folder = tmp_path / f"head{number}"
+            folder.mkdir()
+            self.sites.append(ProcessSite(folder, hub, scope))
+        first = self.sites[0]
+        self.discovery, self.node, self.number = first.old, first.shelf, 0
+        places = Places()
+        for site in self.sites:
+            site.place = places.next()
+            site.given |= {"listen": "{}:{}".format(*site.place), "known": first.given["known"]}
+            site.given["discovery"] = first.given["discovery"]
+            site.given["settings"]["safety"]["drainGraceUs"] = GRACE_US
+
+    def ask_all_the_time(self, site):
+        """Send a request each 50 ms for ever, each over a connection of its own (a task)."""
+        while True:
+            self.number += 1
+            try:
+                stream = site.net.connect(site.place)
+                stream.write(f"{REQUEST}{self.number:016x}\r\n\r\n".encode())
+                stream.read(self.hub.now() + 1 * S)
+                stream.close()
+            except OSError:
+                pass  # it is being restarted
+            self.hub.sleep(50 * MS)
+
+    def restart(self):
+        """Kill all heads at once, and start them at once."""
+        for site in self.sites:
+            site.send(signal.SIGKILL)
+        for site in self.sites:
+            site.process.wait()
+            site.start()
+
+
+def play(tmp_path, act):
+    hub = Hub()
+
+    def main():
+        with hub.scope("test") as scope, ExitStack() as stack:
+            fleet = Fleet(tmp_path, hub, scope)
+            for site in fleet.sites:
+                stack.enter_context(ended(site))
+                site.start()
+            for site in fleet.sites:
+                site.until(site.ready)
+                scope.spawn("asks", fleet.ask_all_the_time, site)
+            act(fleet)
+            scope.cancel()
+
+    hub.run(main)
+
+
+@pytest.mark.real_time
+def test_heads_that_restart_while_discovery_is_crowded_send_nothing_to_a_node_that_is_gone(tmp_path):
+    def act(fleet):
+        fleet.discovery.queue = Queue(fleet.hub, service_us=10 * MS, others_us=TURN_US)
+        fleet.restart()
+        for site in fleet.sites:
+            site.until(site.ready)
+        asked_before = len(fleet.node.got)
+        fleet.sites[0].until(lambda: len(fleet.node.got) > asked_before)
+        fleet.discovery.set("s0", fleet.node.address, 0, "terminated")
+        over = fleet.hub.now() + TOLD_US + GRACE_US + SLACK_US
+        fleet.sites[0].until(lambda: fleet.hub.now() > over + 500 * MS)
+        late = [got for got in fleet.node.got if got.when > over]
+        assert not late, f"{len(late)} requests came after the grace; {fleet.sites[0].logged()}"
+
+    play(tmp_path, act)
