A call for the list that is overdue stays open until its turn, beside the next one

Cause: discovery serves its callers in turn. A call was given up after 1.2 s and made anew at the end of the queue; where a turn comes later than that, a head whose watch is not open is never answered (Discovery._follow closed the connection at the deadline; lines to blame: the deadline handed to connect and read). Excluded: answers lost on the way (none was written), a list that is read and not acted on (the other heads act), a head that stood still (longest round 2.7 ms).

Change: what pushed lists have now holds for asked ones. The next call still begins 2.25 s after the last at the latest; a call that is overdue is not told to the module as failed, for it has not. After a late answer the head asks nothing for as long as that took, within what the 6 s allow. A late answer that is older than the list in hand makes the next call ask for the whole list.

In simulated time: turns of 0.5 to 4.5 s, calls that are never answered, late answers that are older.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -68,8 +68,8 @@
 
     TAKE = "take"  # tell the module, and ask on at once
     SKIP = "skip"  # nothing new: ask on at once
-    # Older than what is held: the whole list is asked for at once; if it was, it is a failed call. Nothing
-    # follows where the answer is late.
+    # Older than what is held: the whole list is asked for at once, or by the next call where the answer is
+    # late; if the whole list was asked for, it is a failed call.
     STALE = "stale"
 
 
@@ -142,18 +142,8 @@
         doublings = min(8, max(0, self._failures - 1))
         return max(least_us, min(PUSHED_CYCLE_US - took_us, least_us << doublings))
 
-    @property
-    def keeps_overdue(self) -> bool:
-        """Whether a call that is overdue stays open beside the next one."""
-        return self.pushed
-
-    def answered(self, version: int, full: bool, entries: int, late: bool = False) -> UpdateOutcome:
-        """Take an answer's version; return what it is worth. Raises IllegalStep where there is no watch.
-
-        `late`: the call was overdue, and another one has followed it or will.
-        """
-        if late:
-            return self._answered_late(version, full)
+    def answered(self, version: int, full: bool, entries: int) -> UpdateOutcome:
+        """Take an answer's version; return what it is worth. Raises IllegalStep where there is no watch."""
         if self.state is Watch.IDLE:
             raise IllegalStep("an answer without a watch")
         if not self._whole and self.version is not None and version < self.version:
@@ -168,17 +158,27 @@
         self._moved, self._failures, self._silent_from = False, 0, None
         return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
 
-    def _answered_late(self, version: int, full: bool) -> UpdateOutcome:
-        """Take what is newer than the list in hand; the calls go on as they would."""
-        if self._whole and not full:
-            return UpdateOutcome.STALE
+    def answered_late(self, version: int, full: bool) -> UpdateOutcome:
+        """Take the answer of a call that was overdue: what is newer than the list in hand. Calls go on."""
         if not self._whole and self.version is not None and version < self.version:
+            self._whole = True  # as in `answered`: the next call asks for the whole list
+            return UpdateOutcome.STALE
+        if self._whole and not full:
             return UpdateOutcome.STALE
         news = self._whole or version != self.version
         self.version, self._whole = version, False
         self._moved, self._failures, self._silent_from = False, 0, None
         return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
 
+    def rest_us(self, now: int, began: int) -> int:
+        """Return how long to ask nothing after a late answer: its call waited for its turn among others.
+
+        Those who had no answer yet come first then, and the source has less to do. What is new by then is in
+        hand before it counts, though the next call fails and the one after it waits as long as this one.
+        """
+        took = now - began
+        return 0 if self.pushed else max(0, min(took, TOLD_US - MARGIN_US - CYCLE_US - took))
+
     def failed(self, now: int, began: int) -> int:
         """A call has failed; return after how long to ask anew, unless somebody asks for it before."""
         if self.state is Watch.FOLLOWING:
--- a/harriertrack/lab/interleaving/scenarios/watch.py
+++ b/harriertrack/lab/interleaving/scenarios/watch.py
@@ -28,14 +28,16 @@
     def __init__(self, world: World) -> None:
         self._world, self.discovery = world, cast(Discovery, None)
         self.heard = 0
-        self.failures = 0
+        self.given_up = 0  # calls that failed or were overdue
 
     def nodes_changed(self, _news: NodesChanged) -> None:
         self.heard += 1
 
+    def log(self, event: str, **_fields: object) -> None:
+        self.given_up += event == "discovery failed"
+
     def list_failed(self) -> None:
         hub = self._world.hub
-        self.failures += 1
         hub.at(hub.now() + AGAIN_US, lambda: self.discovery.subscribe(True))
 
 
@@ -80,7 +82,7 @@
                     sources[SOURCE].address,
                     0,
                     "head",
-                    lambda *_args, **_fields: None,
+                    core.log,
                 )
                 core.discovery.subscribe(True)
                 hub.sleep(NEWS_US + ASK_WITHIN_US // 8)
@@ -122,7 +124,7 @@
         def finish() -> str | None:
             source = sources[wanted]
             if moves and wanted == SOURCE:
-                given_up = core.failures or not frozen or hub.now() < frozen[0] + GIVEN_UP_US
+                given_up = core.given_up or not frozen or hub.now() < frozen[0] + GIVEN_UP_US
                 return None if given_up else "a call that is never answered is not given up"
             known = watching.version == source.version and len(nodes) == len(source.servers)
             if known or watching.state is Watch.IDLE:
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -1,6 +1,6 @@
 """The watch over discovery: one call after another; what comes is told to the module.
 
-A call that is overdue is followed by another, and stays open beside it where the watch says so.
+A call that is overdue is followed by another, and stays open beside it: its turn may come yet.
 
 What fails is told to the module too where the list is asked for: it says when to ask again. Where it is
 pushed the module has asked for nothing, and the watch asks anew by itself.
@@ -48,6 +48,7 @@
         self._failures = 0  # in a row
         self._called_at = 0  # when the last call began
         self._logged_at = -LOG_EACH_US  # when a failure was logged last
+        self._next_call_at = 0  # when the next call is due, while none is waited for
         self._module_waits = False  # it was told of a failure, and will say when to ask anew
         self._open: OpenCalls[DiscoveryCall] = OpenCalls()
         self._current: DiscoveryCall | None = None  # the call that is waited for
@@ -86,13 +87,26 @@
             self._failures += 1
             again_us = self._watching.failed(self._hub.now(), self._called_at)
             self._log_failure(why, again_us)
-            if not self._watching.pushed and not self._module_waits:
-                # One failure at a time: each makes the module ask anew, on top of the watch's own calls.
-                self._module_waits = True
-                self._core.list_failed()
-            self._hub.sleep(again_us)
+            if why != OVERDUE:
+                self._tell_failure()
+            self._rest(again_us)
             self._watching.subscribe(True)
 
+    def _tell_failure(self) -> None:
+        """Tell the module, where it follows the list, of one failure at a time.
+
+        Each makes it ask anew, on top of the watch's own calls.
+        """
+        if not self._watching.pushed and not self._module_waits:
+            self._module_waits = True
+            self._core.list_failed()
+
+    def _rest(self, again_us: int) -> None:
+        """Wait until the next call is due; a late answer that comes meanwhile puts it off."""
+        self._next_call_at = self._hub.now() + again_us
+        while self._hub.now() < self._next_call_at:
+            self._hub.sleep_until(self._next_call_at)
+
     def _log_failure(self, why: str, again_us: int) -> None:
         """Log a call that failed; where calls fail many times a second, one line a second at the most."""
         now = self._hub.now()
@@ -127,8 +141,7 @@
                 made.ended.wait(made.began + made.call.within_us)
             except DeadlineExceeded:
                 if not made.over:
-                    self._let_be(made)
-                    return OVERDUE
+                    return OVERDUE  # it stays open: who begins anew waits at the end of the source's queue
             except BaseException:
                 made.give_up()
                 raise
@@ -142,12 +155,6 @@
                     stream.close()
                 return "the whole list was asked for, and changes came"
 
-    def _let_be(self, made: DiscoveryCall) -> None:
-        """Wait no longer for a call that is overdue."""
-        if not self._watching.keeps_overdue:
-            self._open.failed(made)
-            made.give_up()
-
     def _begin(self, stream: Stream | None) -> DiscoveryCall:
         made = self._current = DiscoveryCall(self._hub, self._watching.call(), self._address)
         self._called_at = made.began
@@ -174,7 +181,12 @@
         targets = targets_of(made.answer.body)
         # Read whole before any of it is taken.
         members = [member.localised(self._wall_ahead_us) for member in members_of(targets)]
-        outcome = self._watching.answered(targets.version, targets.full, len(members), late)
+        if late:
+            outcome = self._watching.answered_late(targets.version, targets.full)
+            now = self._hub.now()
+            self._next_call_at = max(self._next_call_at, now + self._watching.rest_us(now, made.began))
+        else:
+            outcome = self._watching.answered(targets.version, targets.full, len(members))
         for older in self._open.answered(made):
             older.give_up()
         if outcome is not UpdateOutcome.STALE:
--- a/tests/endings/test_crowded_discovery.py
+++ b/tests/endings/test_crowded_discovery.py
@@ -25,7 +25,7 @@
 from harriertrack.standin.platform import Queue
 from tests.endings.test_start_and_reload import REQUEST, ProcessSite, ended
 from tests.test_platform import MS
-from tests.test_platform_clock import S, SLACK_US
+from tests.test_platform_clock import S, SLACK_US, drain, kept_the_rule, played, site_of
 
 HEADS = 3
 GRACE_US = 200 * MS
@@ -106,3 +106,74 @@
         assert not late, f"{len(late)} requests came after the grace; {fleet.sites[0].logged()}"
 
     play(tmp_path, act)
+
+
+@pytest.mark.parametrize("turn_us", [500 * MS, 1_300 * MS, 1_700 * MS, 2_300 * MS, 3 * S, 4_500 * MS])
+def test_however_late_a_call_has_its_turn_its_answer_is_taken(tmp_path, turn_us):
+    """In simulated time; the node drains while the head has been crowded out for a while, and as it starts."""
+
+    def act(site):
+        kept_the_rule(site, drain(site) + TOLD_US)
+        assert site.head.nodes.find("s1").entry.state.value == "draining"
+
+    def act_later(site):
+        site.hub.sleep(10 * S)
+        act(site)
+
+    for play_of in (act, act_later):
+        site = site_of(tmp_path, drainGraceUs=0)
+        site.discovery.queue = Queue(site.hub, service_us=10 * MS, others_us=turn_us)
+        played(site, play_of)
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+def test_a_call_that_is_never_answered_hinders_none_that_comes_after_it(tmp_path, lost):
+    def act(site):
+        site.discovery.queue = Queue(site.hub, others_us=1_300 * MS)
+        site.discovery.reset()
+        for _ in range(lost):
+            calls = len(site.discovery.calls)
+            while len(site.discovery.calls) == calls:
+                site.hub.sleep(10 * MS)
+            site.discovery.fall_silent()
+        kept_the_rule(site, drain(site) + TOLD_US)
+
+    played(site_of(tmp_path, drainGraceUs=0), act)
+
+
+def test_a_late_answer_that_is_older_than_the_list_in_hand_is_not_taken(tmp_path):
+    """The first call's answer is held back while the calls after it are answered, with a newer version."""
+
+    def act(site):
+        held = []
+
+        def spoil(body):
+            if not held:
+                held.append(body)
+                site.hub.sleep(2 * S)
+                site.discovery.set("s1", site.shelfs[1].address, 1, "terminated")
+                site.hub.sleep(1 * S)
+            return body
+
+        site.discovery.spoil = spoil
+        site.discovery.set("s0", site.shelfs[0].address, 0)
+        site.hub.sleep(8 * S)
+        assert held and site.head.nodes.find("s1") is None
+        assert all("since" in target for _, target in site.discovery.calls)  # nothing was asked for again
+
+    played(site_of(tmp_path), act)
+
+
+def test_a_crowded_source_that_counts_its_versions_anew_is_asked_for_the_whole_list(tmp_path):
+    def act(site):
+        site.discovery.version = 500
+        site.discovery.set("s0", site.shelfs[0].address, 0)
+        site.hub.sleep(10 * MS)
+        site.discovery.queue = Queue(site.hub, others_us=1_700 * MS)
+        site.discovery.reset()
+        site.discovery.version, site.discovery.changed = 2, {}
+        drain(site)
+        site.hub.sleep(9 * S)
+        assert site.head.nodes.find("s1").entry.state.value == "draining"
+
+    played(site_of(tmp_path), act)
