News that is heard only after it counted begins no new grace

A head that starts counts from its start.

Simulated test: the first answer takes 8 s, the node drained at the start, the grace is 2 s; without the change requests come after it.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -99,7 +99,7 @@
     """
 
     def __init__(self, ask_within_us: int, version: int | None, pushed: bool = False,
-                 grace_us: int = 0) -> None:  # fmt: skip
+                 grace_us: int = 0, started: int | None = None) -> None:  # fmt: skip
         self.state = Watch.IDLE
         self.version = version
         self.pushed = pushed
@@ -111,6 +111,7 @@
         self._whole = version is None
         self._wanted = False  # the list is followed, whether or not a call is under way
         self._moved = False  # and its present source has not answered yet
+        self._heard_from = started  # when the last answered call began, or this head
         self.rest_us = 0  # how long to ask nothing after the latest answer
 
     def subscribe(self, on: bool) -> bool:
@@ -198,6 +199,18 @@
         self._took(version)
         return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
 
+    def counted_at(self, began: int, came_at: int) -> int:
+        """Return since when the news of an answer counts, at the latest; go on from its call.
+
+        What has changed since the last answered call began counts 6 s after that at the earliest, though this
+        head hears it only now.
+        """
+        counts_at = came_at
+        if not self.pushed and self._heard_from is not None:
+            counts_at = min(came_at, self._heard_from + TOLD_US)
+        self._heard_from = began
+        return counts_at
+
     def failed(self, now: int, began: int) -> int:
         """A call has failed; return after how long to ask anew, unless somebody asks for it before."""
         if self.state is Watch.FOLLOWING:
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -194,19 +194,21 @@
             outcome = self._watching.answered(targets.version, targets.full, len(members), turn_us)
         for older in self._open.answered(made):
             older.give_up()
+        counts_at = made.came_at
         if outcome is not UpdateOutcome.STALE:
+            # A head that was not heard for long, or stood still, begins no grace that is over already.
+            counts_at = self._watching.counted_at(made.began, made.came_at)
             self._log_recovery(made)
             self._failures = 0
             self.heard.set()
         if outcome is UpdateOutcome.TAKE:
-            self._tell(members, targets.full, made.came_at)
+            self._tell(members, targets.full, counts_at)
 
-    def _tell(self, members: list[Member], whole: bool, came_at: int) -> None:
+    def _tell(self, members: list[Member], whole: bool, counts_at: int) -> None:
         """Hand what changed to the module."""
         news = self._nodes.replace(members) if whole else self._nodes.change(members)
         if news is not None:
-            # It counts from when it came, not from when a head that stood still reads it.
-            news.told_at = came_at
+            news.told_at = counts_at
         self._core.nodes_changed(news)
         for node in self._nodes.forget_gone():
             self._storage_nodes.gone(node)
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -96,6 +96,7 @@
             configuration.version,
             not told.asked_list,
             told.drain_grace_us,
+            hub.now(),
         )
         self.discovery = Discovery(
             hub,
--- a/tests/endings/test_crowded_discovery.py
+++ b/tests/endings/test_crowded_discovery.py
@@ -177,3 +177,12 @@
         assert site.head.nodes.find("s1").entry.state.value == "draining"
 
     played(site_of(tmp_path), act)
+
+
+def test_what_is_heard_only_after_it_counts_begins_no_new_grace(tmp_path):
+    """The first answer of a head that started takes 8 s; a node that drained as it started counts after 6 s."""
+    site = site_of(tmp_path, drainGraceUs=2 * S)
+    site.discovery.queue = Queue(site.hub, others_us=8 * S)
+    drained_at = []
+    site.begin = lambda: drained_at.append(drain(site))
+    played(site, lambda site: kept_the_rule(site, drained_at[0] + TOLD_US))
