Take back: heads that find the source crowded ask without a watch

A head that had its answer late gave its watch up and asked again as a new caller, so nobody left the queue; a watch that goes on costs that source little.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -33,13 +33,6 @@
 CYCLE_US = LAST_CALL_US // 2
 # A call that took up its time is followed so soon at the earliest: at most ten a second, never a busy loop.
 AGAIN_SOONEST_US = 100_000
-# How long an answer took beyond its call's wait tells how crowded the source is. Above this the head does not
-# watch, which would have all heads answered at every change, but asks, and rests after each answer ...
-CROWDED_US = 300_000
-# ... so many times as long as that took, so that those who wait for their turn get it, ...
-REST_TIMES = 3
-# ... but no longer than that the next answer, as late as this one and so much more, is in hand in time.
-REST_MARGIN_US = 1_000_000
 # Of the time without a call, so much may pass after one that failed, less what the next may take; ...
 AGAIN_PARTS = (3, 4)
 AGAIN_LEAST_US = 300_000  # ... but the module's shortest wait is always its own.
@@ -68,7 +61,6 @@
     IDLE = "idle"  # not followed, or a call failed
     CATCHING_UP = "catching up"  # the first call since: its answer is news even if nothing changed
     FOLLOWING = "following"
-    PROBING = "probing"  # calls that do not wait: how long an answer takes tells how crowded the source is
 
 
 class UpdateOutcome(StrEnum):
@@ -112,7 +104,6 @@
         self._wanted = False  # the list is followed, whether or not a call is under way
         self._moved = False  # and its present source has not answered yet
         self._heard_from = started  # when the last answered call began, or this head
-        self.rest_us = 0  # how long to ask nothing after the latest answer
 
     def subscribe(self, on: bool) -> bool:
         """Follow from now on, or stop; return whether that changes anything."""
@@ -137,7 +128,7 @@
         """Return the call to make now. Raises IllegalStep where there is no watch."""
         if self.state is Watch.IDLE:
             raise IllegalStep("nobody follows the list")
-        wait = self._wait_us if self.state is Watch.FOLLOWING else 0
+        wait = 0 if self.state is Watch.CATCHING_UP else self._wait_us
         return Call(None if self._whole else self.version, wait, wait + self._patience(wait))
 
     def _patience(self, wait_us: int) -> int:
@@ -152,12 +143,8 @@
         doublings = min(8, max(0, self._failures - 1))
         return max(least_us, min(PUSHED_CYCLE_US - took_us, least_us << doublings))
 
-    def answered(self, version: int, full: bool, entries: int, turn_us: int = 0) -> UpdateOutcome:
-        """Take an answer's version; return what it is worth. Raises IllegalStep where there is no watch.
-
-        `turn_us`: how long the answer took beyond its call's wait.
-        """
-        waits = self.state is Watch.FOLLOWING
+    def answered(self, version: int, full: bool, entries: int) -> UpdateOutcome:
+        """Take an answer's version; return what it is worth. Raises IllegalStep where there is no watch."""
         if self.state is Watch.IDLE:
             raise IllegalStep("an answer without a watch")
         if not self._whole and self.version is not None and version < self.version:
@@ -168,26 +155,11 @@
             self.state = Watch.IDLE
             return UpdateOutcome.STALE
         news = entries > 0 or full or self.state is Watch.CATCHING_UP
-        self.state = Watch.PROBING if self._may_be_crowded(waits, entries, turn_us) else Watch.FOLLOWING
-        self.rest_us = 0 if waits else self._rest_us(turn_us)
-        self._took(version)
-        return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
-
-    def _may_be_crowded(self, waits: bool, entries: int, turn_us: int) -> bool:
-        """Whether the next call does not wait: a change may have come at any time of a call that does."""
-        return not self.pushed and (turn_us > CROWDED_US or (waits and entries > 0))
-
-    def _rest_us(self, turn_us: int) -> int:
-        if self.pushed:
-            return 0
-        most_us = TOLD_US - MARGIN_US - REST_MARGIN_US - turn_us
-        return max(0, min(REST_TIMES * turn_us, most_us, (self._ask_within_us or TOLD_US) // 2))
-
-    def _took(self, version: int) -> None:
-        self.version, self._whole = version, False
+        self.version, self._whole, self.state = version, False, Watch.FOLLOWING
         self._moved, self._failures, self._silent_from = False, 0, None
+        return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
 
-    def answered_late(self, version: int, full: bool, turn_us: int = 0) -> UpdateOutcome:
+    def answered_late(self, version: int, full: bool) -> UpdateOutcome:
         """Take the answer of a call that was overdue: what is newer than the list in hand. Calls go on."""
         if not self._whole and self.version is not None and version < self.version:
             self._whole = True  # as in `answered`: the next call asks for the whole list
@@ -195,8 +167,8 @@
         if self._whole and not full:
             return UpdateOutcome.STALE
         news = self._whole or version != self.version
-        self.rest_us = self._rest_us(turn_us)
-        self._took(version)
+        self.version, self._whole = version, False
+        self._moved, self._failures, self._silent_from = False, 0, None
         return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
 
     def counted_at(self, began: int, came_at: int) -> int:
@@ -211,6 +183,15 @@
         self._heard_from = began
         return counts_at
 
+    def rest_us(self, now: int, began: int) -> int:
+        """Return how long to ask nothing after a late answer: its call waited for its turn among others.
+
+        Those who had no answer yet come first then, and the source has less to do. What is new by then is in
+        hand before it counts, though the next call fails and the one after it waits as long as this one.
+        """
+        took = now - began
+        return 0 if self.pushed else max(0, min(took, TOLD_US - MARGIN_US - CYCLE_US - took))
+
     def failed(self, now: int, began: int) -> int:
         """A call has failed; return after how long to ask anew, unless somebody asks for it before."""
         if self.state is Watch.FOLLOWING:
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -154,10 +154,6 @@
                 if stream is not None:
                     stream.close()
                 return "the whole list was asked for, and changes came"
-            self._rest(self._watching.rest_us)
-            if stream is not None and not stream.silent():
-                stream.close()
-                stream = None
 
     def _begin(self, stream: Stream | None) -> DiscoveryCall:
         made = self._current = DiscoveryCall(self._hub, self._watching.call(), self._address)
@@ -185,13 +181,12 @@
         targets = targets_of(made.answer.body)
         # Read whole before any of it is taken.
         members = [member.localised(self._wall_ahead_us) for member in members_of(targets)]
-        now = self._hub.now()
-        turn_us = max(0, now - made.began - made.call.wait_us)
         if late:
-            outcome = self._watching.answered_late(targets.version, targets.full, turn_us)
-            self._next_call_at = max(self._next_call_at, now + self._watching.rest_us)
+            outcome = self._watching.answered_late(targets.version, targets.full)
+            now = self._hub.now()
+            self._next_call_at = max(self._next_call_at, now + self._watching.rest_us(now, made.began))
         else:
-            outcome = self._watching.answered(targets.version, targets.full, len(members), turn_us)
+            outcome = self._watching.answered(targets.version, targets.full, len(members))
         for older in self._open.answered(made):
             older.give_up()
         counts_at = made.came_at
--- a/tests/interleaving/test_found.py
+++ b/tests/interleaving/test_found.py
@@ -10,7 +10,7 @@
     moved = []
 
     def pick(events, names):
-        at_deadline = events and events[-1].step == "head: deadline #4"
+        at_deadline = events and events[-1].step == "head: deadline #3"
         step = "fault: the source moves" if at_deadline else names[0]
         moved.extend([step] if at_deadline else [])
         assert step in names
