The watch goes on from a late answer, and heads that were crowded out do not come back in step

Change: an answer that comes late, while no other call is under way, is followed by the watch on its connection at once. The wait before a call beside one that is overdue is up to a fifth shorter, drawn from the head's seed; calls still begin at most 2.25 s apart. How an overdue call ended is logged.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from random import Random
 
 from harriertrack.decisions.life import IllegalStep
 
@@ -33,6 +34,8 @@
 CYCLE_US = LAST_CALL_US // 2
 # A call that took up its time is followed so soon at the earliest: at most ten a second, never a busy loop.
 AGAIN_SOONEST_US = 100_000
+# The wait before a call beside one that is overdue is shorter by up to such a part of it.
+JITTER_SHARE = 0.2
 # Of the time without a call, so much may pass after one that failed, less what the next may take; ...
 AGAIN_PARTS = (3, 4)
 AGAIN_LEAST_US = 300_000  # ... but the module's shortest wait is always its own.
@@ -91,7 +94,7 @@
     """
 
     def __init__(self, ask_within_us: int, version: int | None, pushed: bool = False,
-                 grace_us: int = 0, started: int | None = None) -> None:  # fmt: skip
+                 grace_us: int = 0, started: int | None = None, seed: int = 0) -> None:  # fmt: skip
         self.state = Watch.IDLE
         self.version = version
         self.pushed = pushed
@@ -103,6 +106,7 @@
         self._whole = version is None
         self._wanted = False  # the list is followed, whether or not a call is under way
         self._moved = False  # and its present source has not answered yet
+        self._random = Random(seed)
         self._heard_from = started  # when the last answered call began, or this head
 
     def subscribe(self, on: bool) -> bool:
@@ -160,7 +164,10 @@
         return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
 
     def answered_late(self, version: int, full: bool) -> UpdateOutcome:
-        """Take the answer of a call that was overdue: what is newer than the list in hand. Calls go on."""
+        """Take the answer of a call that was overdue: what is newer than the list in hand.
+
+        Where no other call is under way the watch goes on from it: a new one would wait for its turn again.
+        """
         if not self._whole and self.version is not None and version < self.version:
             self._whole = True  # as in `answered`: the next call asks for the whole list
             return UpdateOutcome.STALE
@@ -168,6 +175,8 @@
             return UpdateOutcome.STALE
         news = self._whole or version != self.version
         self.version, self._whole = version, False
+        if self.state is Watch.IDLE:
+            self.state = Watch.FOLLOWING
         self._moved, self._failures, self._silent_from = False, 0, None
         return UpdateOutcome.TAKE if news else UpdateOutcome.SKIP
 
@@ -183,14 +192,16 @@
         self._heard_from = began
         return counts_at
 
-    def rest_us(self, now: int, began: int) -> int:
-        """Return how long to ask nothing after a late answer: its call waited for its turn among others.
+    def overdue(self, now: int, began: int) -> int:
+        """A call takes longer than it should; return after how long to make another one beside it.
 
-        Those who had no answer yet come first then, and the source has less to do. What is new by then is in
-        hand before it counts, though the next call fails and the one after it waits as long as this one.
+        Heads that began together would come together each time, in the same order, and the last of them would
+        never have their turn.
         """
-        took = now - began
-        return 0 if self.pushed else max(0, min(took, TOLD_US - MARGIN_US - CYCLE_US - took))
+        again_us = self.failed(now, began)
+        if self.pushed:
+            return again_us
+        return again_us - int(again_us * JITTER_SHARE * self._random.random())
 
     def failed(self, now: int, began: int) -> int:
         """A call has failed; return after how long to ask anew, unless somebody asks for it before."""
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -48,8 +48,11 @@
         self._failures = 0  # in a row
         self._called_at = 0  # when the last call began
         self._logged_at = -LOG_EACH_US  # when a failure was logged last
-        self._next_call_at = 0  # when the next call is due, while none is waited for
+        self._resting = False  # no call is waited for: the next one is due later
+        self._resumed = Event(hub)
+        self._resumed_by: DiscoveryCall | None = None  # an answer that came late
         self._module_waits = False  # it was told of a failure, and will say when to ask anew
+        self._late_logged_at = -LOG_EACH_US
         self._open: OpenCalls[DiscoveryCall] = OpenCalls()
         self._current: DiscoveryCall | None = None  # the call that is waited for
         self.heard = Event(hub)  # the source has answered in this life
@@ -82,14 +85,17 @@
 
     def _run(self) -> None:
         """Follow; after a failure, until the module says when to go on or that has taken too long."""
+        stream: Stream | None = None
         while True:
-            why = self._follow()
+            why = self._follow(stream)
             self._failures += 1
-            again_us = self._watching.failed(self._hub.now(), self._called_at)
-            self._log_failure(why, again_us)
-            if why != OVERDUE:
+            if why == OVERDUE:
+                again_us = self._watching.overdue(self._hub.now(), self._called_at)
+            else:
+                again_us = self._watching.failed(self._hub.now(), self._called_at)
                 self._tell_failure()
-            self._rest(again_us)
+            self._log_failure(why, again_us)
+            stream = self._rest(again_us)
             self._watching.subscribe(True)
 
     def _tell_failure(self) -> None:
@@ -101,11 +107,19 @@
             self._module_waits = True
             self._core.list_failed()
 
-    def _rest(self, again_us: int) -> None:
-        """Wait until the next call is due; a late answer that comes meanwhile puts it off."""
-        self._next_call_at = self._hub.now() + again_us
-        while self._hub.now() < self._next_call_at:
-            self._hub.sleep_until(self._next_call_at)
+    def _rest(self, again_us: int) -> Stream | None:
+        """Wait until the next call is due, or a late answer comes; return the connection to make it on."""
+        self._resting = True
+        self._resumed.clear()
+        try:
+            self._resumed.wait(self._hub.now() + again_us)
+        except DeadlineExceeded:
+            pass
+        finally:
+            self._resting = False
+            made, self._resumed_by = self._resumed_by, None
+            stream = made.take_stream() if made is not None else None
+        return stream
 
     def _log_failure(self, why: str, again_us: int) -> None:
         """Log a call that failed; where calls fail many times a second, one line a second at the most."""
@@ -122,6 +136,20 @@
             version=self._watching.version,
         )
 
+    def _log_late(self, made: DiscoveryCall) -> None:
+        """Log how a call that was overdue has ended; as often as failures at the most."""
+        now = self._hub.now()
+        if now - self._late_logged_at < LOG_EACH_US:
+            return
+        self._late_logged_at = now
+        self._note(
+            "discovery late",
+            why=made.failure[:200] or "answered",
+            took_us=now - made.began,
+            open=len(self._open),
+            version=self._watching.version,
+        )
+
     def _log_recovery(self, made: DiscoveryCall) -> None:
         """Log the first answer after calls that failed or were overdue."""
         if self._failures:
@@ -132,9 +160,8 @@
                 version=self._watching.version,
             )
 
-    def _follow(self) -> str:
+    def _follow(self, stream: Stream | None) -> str:
         """Make one call after another until one fails or is overdue; return why."""
-        stream: Stream | None = None
         while True:
             made = self._begin(stream)
             try:
@@ -174,6 +201,15 @@
         if made.failure:
             self._open.failed(made)
         if late:
+            self._log_late(made)
+            self._go_on_from(made)
+
+    def _go_on_from(self, made: DiscoveryCall) -> None:
+        """Follow on the connection of an answer that came late, if no other call is under way."""
+        if self._resting and self._watching.state is Watch.FOLLOWING:
+            self._resting, self._resumed_by = False, made
+            self._resumed.set()
+        else:
             made.close()
 
     def _take(self, made: DiscoveryCall, late: bool) -> None:
@@ -183,8 +219,6 @@
         members = [member.localised(self._wall_ahead_us) for member in members_of(targets)]
         if late:
             outcome = self._watching.answered_late(targets.version, targets.full)
-            now = self._hub.now()
-            self._next_call_at = max(self._next_call_at, now + self._watching.rest_us(now, made.began))
         else:
             outcome = self._watching.answered(targets.version, targets.full, len(members))
         for older in self._open.answered(made):
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -97,6 +97,7 @@
             not told.asked_list,
             told.drain_grace_us,
             hub.now(),
+            configuration.seed,
         )
         self.discovery = Discovery(
             hub,
--- a/harriertrack/standin/platform.py
+++ b/harriertrack/standin/platform.py
@@ -17,6 +17,7 @@
 
 RESET = b"\0reset"  # an answer of a script: break the connection
 MUTE = b"\0mute"  # never answer
+WATCH_LASTS_US = 200_000  # a call that comes so soon after the last answer continues its watch
 NEVER_RAN = b"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -123,20 +124,22 @@
     """
 
     hub: Hub
-    service_us: int = 0  # the time that one call takes
+    service_us: int = 0  # the time that one call takes ...
+    watch_share: float = 1.0  # ... and the part of it where it goes on with a watch
     others_us: int = 0  # the work of other callers ahead of each call
     most_wait_us: int | None = None  # a call whose turn comes later ends in 503 then
     _free_at: int = 0
 
-    def wait(self) -> bool:
-        """Wait until a call has been served; return whether it was."""
+    def wait(self, goes_on: bool) -> bool:
+        """Wait until a call has been served; return whether it was. `goes_on`: it continues a watch."""
+        service_us = int(self.service_us * self.watch_share) if goes_on else self.service_us
         now = self.hub.now()
         begins = max(now, self._free_at) + self.others_us
         if self.most_wait_us is not None and begins - now > self.most_wait_us:
             self.hub.sleep(self.most_wait_us)
             return False
-        self._free_at = max(now, self._free_at) + self.service_us
-        self.hub.sleep_until(begins + self.service_us)
+        self._free_at = max(now, self._free_at) + service_us
+        self.hub.sleep_until(begins + service_us)
         return True
 
 
@@ -216,20 +219,22 @@
             self._quiet.discard(stream)
 
     def _answer_calls(self, stream: Stream) -> None:
-        kept = b""
+        kept, answered_at = b"", self.hub.now() - WATCH_LASTS_US
         while True:
             head, _, kept = read_message(stream, kept)
             if not head:
                 return
+            came_at = self.hub.now()
             target = head.split(b" ")[1].decode()
             self.calls.append((self.hub.now(), target))
             query = parse_qs(urlsplit(target).query)
             since = int(query["since"][0]) if "since" in query else None
             if since is not None and self.outage is Outage.NONE:
                 self._wait(since, self.hub.now() + 1000 * int(query["timeout_ms"][0]))
-            if self.queue is not None and not self.queue.wait():
+            if self.queue is not None and not self.queue.wait(came_at - answered_at < WATCH_LASTS_US):
                 stream.write(answer(b"", 503))
                 continue
+            answered_at = self.hub.now()
             told = self.listed() if since is None else self.changes(since)
             if self.outage is Outage.SILENT:
                 self._quiet.add(stream)
