--- a/tests/endings/test_crowded_discovery.py
+++ b/tests/endings/test_crowded_discovery.py
@@ -14,15 +14,17 @@
 over and over with the same version, while every answer to the other heads came 1.9 to 2.0 s after its call.
 """
 
+import copy
 import signal
 from contextlib import ExitStack
 
 import pytest
 
-from harriertrack.decisions.discovery_watch import TOLD_US
+from harriertrack.decisions.discovery_watch import CYCLE_US, PATIENCE_US, TOLD_US, DiscoveryWatch
+from harriertrack.decisions.open_calls import MOST_OPEN_CALLS, OpenCalls
 from harriertrack.lab.fleet.processes import Places
 from harriertrack.runtime.hub import Hub
-from harriertrack.standin.platform import Queue
+from harriertrack.standin.platform import PlatformDiscovery, Queue
 from tests.endings.test_start_and_reload import REQUEST, ProcessSite, ended
 from tests.test_platform import MS
 from tests.test_platform_clock import S, SLACK_US, drain, kept_the_rule, played, site_of
@@ -186,3 +188,58 @@
     drained_at = []
     site.begin = lambda: drained_at.append(drain(site))
     played(site, lambda site: kept_the_rule(site, drained_at[0] + TOLD_US))
+
+
+def test_the_watch_goes_on_from_a_late_answer(tmp_path):
+    """A new caller would wait for its turn again: the call after a late answer is one that waits, over the same
+    connection."""
+
+    def act(site):
+        site.discovery.queue = Queue(site.hub, others_us=1_700 * MS)
+        site.discovery.reset()
+        asked = len(site.discovery.calls)
+        site.hub.sleep(3 * S)
+        (called_at, first), (next_at, following) = site.discovery.calls[asked:]
+        assert "timeout_ms=0" in first and "timeout_ms=2500" in following
+        assert 1_700 * MS <= next_at - called_at <= 1_710 * MS and len(site.discovery._streams) == 1
+
+    played(site_of(tmp_path), act)
+
+
+def test_an_overdue_call_of_the_old_source_is_given_up_as_it_moves(tmp_path):
+    def act(site):
+        old = site.discovery
+        old.queue = Queue(site.hub, others_us=3 * S)
+        old.reset()
+        site.hub.sleep(2 * S)
+        assert site.head.discovery._open  # it is overdue, and open
+        site.discovery = PlatformDiscovery(
+            site.hub, site.net, version=300, servers=copy.deepcopy(old.servers)
+        )
+        site.discovery.start(site.scope)
+        old.version = 900
+        old.set("s1", site.shelfs[1].address, 1, "terminated")
+        site.given["discovery"] = f"127.0.0.1:{site.discovery.address[1]}"
+        site.head.reconfigure(site.configuration())
+        site.hub.sleep(5 * S)
+        assert not old._streams and site.head.nodes.find("s1") is not None
+
+    played(site_of(tmp_path), act)
+
+
+def test_of_the_calls_under_way_the_oldest_goes_and_what_began_before_an_answer():
+    calls = OpenCalls()
+    assert [calls.begin(number) for number in range(MOST_OPEN_CALLS + 1)] == [[]] * MOST_OPEN_CALLS + [[0]]
+    calls.failed(2)
+    assert calls.answered(3) == [1] and len(calls) == 1
+    assert calls.answered(3) == [] and calls.clear() == [4] and not calls
+
+
+def test_heads_that_were_crowded_out_together_do_not_call_together_again():
+    watches = [DiscoveryWatch(10 * S, 41, seed=seed) for seed in range(100)]
+    for watch in watches:
+        watch.subscribe(True)
+    waits = [watch.overdue(PATIENCE_US, 0) for watch in watches]
+    assert (
+        max(waits) <= CYCLE_US - PATIENCE_US and max(waits) - min(waits) > 150 * MS and len(set(waits)) > 90
+    )
