Names in the platform's head: Log, first_update; what is logged of discovery is a module of its own

From the table of the issue on names: Note and note become Log, worth_saying has_doubled, heard first_update. service/log.py and service/discovery_log.py take the log out of calls.py and discovery.py. The log's lines are the same. Found as it was read: a connection that a late answer handed over as the source moved was dropped without a close; it is closed now.

--- a/harriertrack/service/__main__.py
+++ b/harriertrack/service/__main__.py
@@ -25,7 +25,7 @@
 from harriertrack.service.head import PlatformHead  # noqa: E402
 
 
-def note(event: str, **fields: object) -> None:
+def log(event: str, **fields: object) -> None:
     """Log one line; a log that can't be written is no reason to stop."""
     line = " ".join((event, *(f"{name}={value}" for name, value in fields.items())))
     with contextlib.suppress(OSError):
@@ -47,10 +47,10 @@
     try:
         configuration = read(os.environ)
     except ConfigurationError as error:
-        note(f"harriertrack: {error}")
+        log(f"harriertrack: {error}")
         return 2
     hub = Hub(seed=configuration.seed)
-    head = PlatformHead(hub, SocketNetwork(hub), configuration, note)
+    head = PlatformHead(hub, SocketNetwork(hub), configuration, log)
 
     def heard(number: int) -> None:
         if number == signal.SIGTERM:
@@ -59,7 +59,7 @@
         try:
             head.reconfigure(read(os.environ))
         except ConfigurationError as error:
-            note("configuration not taken", why=error)
+            log("configuration not taken", why=error)
 
     gc.collect()
     gc.freeze()
@@ -67,7 +67,7 @@
         try:
             hub.run(head.run)
         except OSError as error:
-            note(f"harriertrack: {configuration.listen}: {error}")
+            log(f"harriertrack: {configuration.listen}: {error}")
             return 1
     return 0
 
--- a/harriertrack/service/calls.py
+++ b/harriertrack/service/calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -51,11 +50,3 @@
     def client_left(self, now: int) -> bool:
         """Whether the client has gone, as known recently enough for an attempt to begin now."""
         return self.session.left(now - END_KNOWN_US)
-
-
-Note = Callable[..., None]
-
-
-def worth_saying(count: int) -> bool:
-    """Whether to log the so-many-th of a kind: when their number has doubled, so no flood fills a log."""
-    return count & (count - 1) == 0
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -15,12 +15,12 @@
 from harriertrack.membership.targets import TargetsError, members_of, targets_of
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope, Task
 from harriertrack.runtime.streams import Network, Stream
-from harriertrack.service.calls import Note, worth_saying
 from harriertrack.service.discovery_call import DiscoveryCall
+from harriertrack.service.discovery_log import DiscoveryLog
+from harriertrack.service.log import Log
 from harriertrack.service.storage_nodes import StorageNodes
 
 OVERDUE = "overdue"  # why a call is followed by another though it has not ended
-LOG_EACH_US = 1_000_000  # failures in a row are logged so often at most
 
 
 class Discovery:
@@ -34,33 +34,31 @@
         core: Core,
         nodes: NodeList,
         storage_nodes: StorageNodes,
-        watching: DiscoveryWatch,
+        watch: DiscoveryWatch,
         address: tuple[str, int],
         wall_ahead_us: int,
         name: str,
-        note: Note,
+        log: Log,
     ) -> None:
         self._hub, self._network, self._scope, self._core = hub, network, scope, core
-        self._nodes, self._storage_nodes, self._watching = nodes, storage_nodes, watching
+        self._nodes, self._storage_nodes, self._watch = nodes, storage_nodes, watch
         self._address, self._wall_ahead_us = address, wall_ahead_us
-        self._name, self._note = name, note
+        self._name, self._log = name, DiscoveryLog(hub, log)
+        self._log_event = log
         self._task: Task | None = None
-        self._failures = 0  # in a row
         self._called_at = 0  # when the last call began
-        self._logged_at = -LOG_EACH_US  # when a failure was logged last
         self._resting = False  # no call is waited for: the next one is due later
         self._resumed = Event(hub)
         self._resumed_by: DiscoveryCall | None = None  # an answer that came late
         self._module_waits = False  # it was told of a failure, and will say when to ask anew
-        self._late_logged_at = -LOG_EACH_US
         self._open: OpenCalls[DiscoveryCall] = OpenCalls()
         self._current: DiscoveryCall | None = None  # the call that is waited for
-        self.heard = Event(hub)  # the source has answered in this life
+        self.first_update = Event(hub)  # the source has answered in this life
 
     def subscribe(self, on: bool) -> None:
         """Follow from now on, or stop: the module says so."""
         self._module_waits = False
-        if self._watching.subscribe(on):
+        if self._watch.subscribe(on):
             if not on:
                 self._give_up_all()
             self._start(on)
@@ -70,13 +68,16 @@
         if address != self._address:
             self._address = address
             self._give_up_all()
-            self._note("discovery moved", to=f"{address[0]}:{address[1]}")
-            if self._watching.restart():
+            self._log_event("discovery moved", to=f"{address[0]}:{address[1]}")
+            if self._watch.restart():
                 self._start(True)
 
     def _start(self, on: bool) -> None:
         if self._task is not None:
             self._task.cancel()
+        if self._resumed_by is not None:
+            self._resumed_by.close()
+            self._resumed_by = None
         self._task = self._scope.spawn("discovery", self._run) if on else None
 
     def _give_up_all(self) -> None:
@@ -88,22 +89,21 @@
         stream: Stream | None = None
         while True:
             why = self._follow(stream)
-            self._failures += 1
             if why == OVERDUE:
-                again_us = self._watching.overdue(self._hub.now(), self._called_at)
+                again_us = self._watch.overdue(self._hub.now(), self._called_at)
             else:
-                again_us = self._watching.failed(self._hub.now(), self._called_at)
+                again_us = self._watch.failed(self._hub.now(), self._called_at)
                 self._tell_failure()
-            self._log_failure(why, again_us)
+            self._log.failed(why, self._called_at, again_us, self._watch.version)
             stream = self._rest(again_us)
-            self._watching.subscribe(True)
+            self._watch.subscribe(True)
 
     def _tell_failure(self) -> None:
         """Tell the module, where it follows the list, of one failure at a time.
 
         Each makes it ask anew, on top of the watch's own calls.
         """
-        if not self._watching.pushed and not self._module_waits:
+        if not self._watch.pushed and not self._module_waits:
             self._module_waits = True
             self._core.list_failed()
 
@@ -117,48 +117,8 @@
             pass
         finally:
             self._resting = False
-            made, self._resumed_by = self._resumed_by, None
-            stream = made.take_stream() if made is not None else None
-        return stream
-
-    def _log_failure(self, why: str, again_us: int) -> None:
-        """Log a call that failed; where calls fail many times a second, one line a second at the most."""
-        now = self._hub.now()
-        if not worth_saying(self._failures) and now - self._logged_at < LOG_EACH_US:
-            return
-        self._logged_at = now
-        self._note(
-            "discovery failed",
-            why=why[:200],
-            in_a_row=self._failures,
-            took_us=now - self._called_at,
-            again_us=again_us,
-            version=self._watching.version,
-        )
-
-    def _log_late(self, made: DiscoveryCall) -> None:
-        """Log how a call that was overdue has ended; as often as failures at the most."""
-        now = self._hub.now()
-        if now - self._late_logged_at < LOG_EACH_US:
-            return
-        self._late_logged_at = now
-        self._note(
-            "discovery late",
-            why=made.failure[:200] or "answered",
-            took_us=now - made.began,
-            open=len(self._open),
-            version=self._watching.version,
-        )
-
-    def _log_recovery(self, made: DiscoveryCall) -> None:
-        """Log the first answer after calls that failed or were overdue."""
-        if self._failures:
-            self._note(
-                "discovery answered",
-                after_failures=self._failures,
-                took_us=self._hub.now() - made.began,
-                version=self._watching.version,
-            )
+        made, self._resumed_by = self._resumed_by, None
+        return made.take_stream() if made is not None else None
 
     def _follow(self, stream: Stream | None) -> str:
         """Make one call after another until one fails or is overdue; return why."""
@@ -177,13 +137,13 @@
             stream = made.take_stream()
             if made.failure:
                 return made.failure
-            if self._watching.state is Watch.IDLE:
+            if self._watch.state is Watch.IDLE:
                 if stream is not None:
                     stream.close()
                 return "the whole list was asked for, and changes came"
 
     def _begin(self, stream: Stream | None) -> DiscoveryCall:
-        made = self._current = DiscoveryCall(self._hub, self._watching.call(), self._address)
+        made = self._current = DiscoveryCall(self._hub, self._watch.call(), self._address)
         self._called_at = made.began
         for surplus in self._open.begin(made):
             surplus.give_up()
@@ -201,12 +161,12 @@
         if made.failure:
             self._open.failed(made)
         if late:
-            self._log_late(made)
+            self._log.ended_late(made, len(self._open), self._watch.version)
             self._go_on_from(made)
 
     def _go_on_from(self, made: DiscoveryCall) -> None:
         """Follow on the connection of an answer that came late, if no other call is under way."""
-        if self._resting and self._watching.state is Watch.FOLLOWING:
+        if self._resting and self._watch.state is Watch.FOLLOWING:
             self._resting, self._resumed_by = False, made
             self._resumed.set()
         else:
@@ -218,18 +178,17 @@
         # Read whole before any of it is taken.
         members = [member.localised(self._wall_ahead_us) for member in members_of(targets)]
         if late:
-            outcome = self._watching.answered_late(targets.version, targets.full)
+            outcome = self._watch.answered_late(targets.version, targets.full)
         else:
-            outcome = self._watching.answered(targets.version, targets.full, len(members))
+            outcome = self._watch.answered(targets.version, targets.full, len(members))
         for older in self._open.answered(made):
             older.give_up()
         counts_at = made.came_at
         if outcome is not UpdateOutcome.STALE:
             # A head that was not heard for long, or stood still, begins no grace that is over already.
-            counts_at = self._watching.counted_at(made.began, made.came_at)
-            self._log_recovery(made)
-            self._failures = 0
-            self.heard.set()
+            counts_at = self._watch.counted_at(made.began, made.came_at)
+            self._log.answered(made, self._watch.version)
+            self.first_update.set()
         if outcome is UpdateOutcome.TAKE:
             self._tell(members, targets.full, counts_at)
 
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -25,8 +25,9 @@
 from harriertrack.protocol.platform.asked import Asked, BadRequest, Ready, RequestParser, parting
 from harriertrack.runtime.hub import Hub, Scope, Waiters
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
-from harriertrack.service.calls import Call, Note, PlatformVolume, worth_saying
+from harriertrack.service.calls import Call, PlatformVolume
 from harriertrack.service.configuration import Configuration
+from harriertrack.service.log import Log, has_doubled
 
 LOOK_US = 250_000  # how often overdue connections are looked for
 
@@ -52,7 +53,7 @@
         core: Core,
         configuration: Configuration,
         leaving: GracefulShutdown,
-        note: Note,
+        log: Log,
     ) -> None:
         self.hub, self.core, self.leaving = hub, core, leaving
         self.forms, self.deadlines = configuration.forms, configuration.deadlines
@@ -61,7 +62,7 @@
         )
         self.open: dict[bytes, Call] = {}  # by the client's id
         self.counts = FrontCounts()
-        self._scope, self._note = scope, note
+        self._scope, self._log = scope, log
 
     def serve(self, listener: Listener) -> None:
         """Take connections until the listener is closed (a task)."""
@@ -122,8 +123,8 @@
     def told_bad(self, error: BadRequest, peer: str) -> None:
         """A request could not be taken: say so now and then, a flood of them must not flood the log."""
         self.counts.bad += 1
-        if worth_saying(self.counts.bad):
-            self._note("bad request", why=str(error)[:120], peer=peer, so_far=self.counts.bad)
+        if has_doubled(self.counts.bad):
+            self._log("bad request", why=str(error)[:120], peer=peer, so_far=self.counts.bad)
 
 
 class ClientConnection:
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -12,10 +12,11 @@
 from harriertrack.runtime.alarm import Alarm
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope
 from harriertrack.runtime.streams import Listener, Network
-from harriertrack.service.calls import Call, Note
+from harriertrack.service.calls import Call
 from harriertrack.service.configuration import Configuration
 from harriertrack.service.discovery import Discovery
 from harriertrack.service.front import Front
+from harriertrack.service.log import Log
 from harriertrack.service.storage_nodes import StorageNodes
 
 REPORT_US = 5_000_000  # how often a line of counts is logged
@@ -47,10 +48,10 @@
 class PlatformHead:
     """One head on a hub; `run` is its task."""
 
-    def __init__(self, hub: Hub, network: Network, configuration: Configuration, note: Note,
+    def __init__(self, hub: Hub, network: Network, configuration: Configuration, log: Log,
                  module: Callable[..., Scheduler] = Scheduler) -> None:  # fmt: skip
         self.hub, self.configuration = hub, configuration
-        self._network, self._note = network, note
+        self._network, self._log = network, log
         self._alarm = Alarm(hub, self._flush, at_round_end=True)
         self._asked_to_leave = Event(hub)
         self.ready = Event(hub)
@@ -71,7 +72,7 @@
                 watching = self._set_up(scope)
                 scope.spawn("report", self._report)
                 if watching.pushed:
-                    self._hear_first(watching.hold_us)
+                    self._await_first_update(watching.hold_us)
                 listener = self._network.listen(configuration.listen)
                 try:
                     self._serve(scope, listener)
@@ -88,7 +89,7 @@
         entries = [member.entry for member in self.nodes.members()]
         self.core = Core(configuration.rules(), self.module, (), self, self.nodes, NoPlaces(), entries)
         self.storage_nodes = StorageNodes(
-            hub, self._network, scope, self.core, configuration.bounds, configuration.name, self._note
+            hub, self._network, scope, self.core, configuration.bounds, configuration.name, self._log
         )
         told = configuration.told
         watching = DiscoveryWatch(
@@ -110,9 +111,9 @@
             configuration.discovery,
             self._wall_ahead_us,
             configuration.name,
-            self._note,
+            self._log,
         )
-        self.front = Front(hub, scope, self.core, configuration, self.leaving, self._note)
+        self.front = Front(hub, scope, self.core, configuration, self.leaving, self._log)
         return watching
 
     def _serve(self, scope: Scope, listener: Listener) -> None:
@@ -122,7 +123,7 @@
         scope.spawn("callers", self.front.watch)
         scope.spawn("storage_nodes", self.storage_nodes.watch)
         self.ready.set()
-        self._note("ready", name=configuration.name, nodes=len(self.nodes), cores=configuration.cores,
+        self._log("ready", name=configuration.name, nodes=len(self.nodes), cores=configuration.cores,
                    callers=bounds.callers, ways=bounds.ways, longest_us=bounds.longest_us)  # fmt: skip
         self._asked_to_leave.wait()
         while not self._part(listener):
@@ -143,16 +144,16 @@
             front.refuse_half_read()
         return phase is Phase.ENDED
 
-    def _hear_first(self, hold_us: int) -> None:
+    def _await_first_update(self, hold_us: int) -> None:
         """Follow a pushed list, and take no client before it is here: it counts from the first moment on.
 
         The list that the last life had does not tell what has come to the agent since.
         """
         self.discovery.subscribe(True)
         try:
-            self.discovery.heard.wait(self.hub.now() + hold_us)
+            self.discovery.first_update.wait(self.hub.now() + hold_us)
         except DeadlineExceeded:
-            self._note("list not heard", why="discovery is silent: the last life's list is used")
+            self._log("list not heard", why="discovery is silent: the last life's list is used")
 
     def _report(self) -> None:
         """Log what became of requests, attempts and connections so far, for ever (a task)."""
@@ -165,7 +166,7 @@
         core, front, storage_nodes = self.core.counts, self.front, self.storage_nodes
         # With a prefix: an end that is new must not bear the name of another count.
         ends = {f"ended_{result.name.lower()}": count for result, count in storage_nodes.counts.ends.items()}
-        self._note(
+        self._log(
             "counts",
             taken=core.taken,
             served=core.served,
@@ -193,16 +194,16 @@
     def stop(self) -> None:
         """Leave: take what still comes for a while, answer all, and end."""
         if self.leaving.begin(self.hub.now()):
-            self._note("leaving", open=self.core.open_requests)
+            self._log("leaving", open=self.core.open_requests)
             self.report()
             self._asked_to_leave.set()
-            self.discovery.heard.set()  # nobody waits for a head that leaves to be ready
+            self.discovery.first_update.set()  # nobody waits for a head that leaves to be ready
 
     def reconfigure(self, fresh: Configuration) -> None:
         """Follow a new configuration as far as a running head can: where discovery is."""
         before = self.configuration
         if (fresh.told, fresh.listen, fresh.name) != (before.told, before.listen, before.name):
-            self._note("configuration", why="a running head follows discovery alone")
+            self._log("configuration", why="a running head follows discovery alone")
         self.discovery.move(fresh.discovery)
 
     # -- what the core asks for
@@ -242,7 +243,7 @@
 
     def note(self, text: str) -> None:
         """Log a line of the module."""
-        self._note("module", text=text)
+        self._log("module", text=text)
 
     def _flush(self) -> None:
         self.core.flush(self.hub.now())
--- a/harriertrack/service/storage_nodes.py
+++ b/harriertrack/service/storage_nodes.py
@@ -17,8 +17,9 @@
 from harriertrack.protocol.platform.exchange import Answer, Exchange, Spoilt
 from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope
 from harriertrack.runtime.streams import Network, Stream
-from harriertrack.service.calls import Call, Note, worth_saying
+from harriertrack.service.calls import Call
 from harriertrack.service.configuration import Bounds
+from harriertrack.service.log import Log, has_doubled
 
 LOOK_US = 500_000  # how often idle connections are looked through
 PERCENT = re.compile(rb"[0-9]{1,6}(?:\.[0-9]{1,6})?")
@@ -63,11 +64,11 @@
     """All connections of a head to storage nodes."""
 
     def __init__(self, hub: Hub, network: Network, scope: Scope, core: Core, bounds: Bounds, name: str,
-                 note: Note) -> None:  # fmt: skip
+                 log: Log) -> None:  # fmt: skip
         self.hub, self.network, self.core, self.bounds, self.name = hub, network, core, bounds, name
         self.pool: ConnectionPool[NodeConnection] = ConnectionPool(bounds.ways, bounds.idle_us)
         self.counts = NodeCounts()
-        self._scope, self._note = scope, note
+        self._scope, self._log = scope, log
         self._connection_of: dict[Attempt, NodeConnection] = {}
 
     def send(self, attempt: Attempt) -> None:
@@ -116,8 +117,8 @@
     def spoilt(self, node: str, why: str) -> None:
         """An answer could not be read: say so now and then."""
         self.counts.spoilt += 1
-        if worth_saying(self.counts.spoilt):
-            self._note("spoilt answer", shelf=node, why=why[:120], so_far=self.counts.spoilt)
+        if has_doubled(self.counts.spoilt):
+            self._log("spoilt answer", shelf=node, why=why[:120], so_far=self.counts.spoilt)
 
     def gone(self, node: str) -> None:
         """A node is gone from the list: nothing more goes over its idle connections."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -424,7 +424,7 @@
         site.hub.sleep(6_000 * MS)
         assert kinds(site)[-1] is api.ListKind.CHANGES or kinds(site)[-1] is api.ListKind.FULL
         assert "/api/targets" in [call[1] for call in site.discovery.calls]
-        assert site.head.discovery._watching.version == 1
+        assert site.head.discovery._watch.version == 1
 
     site.run(act)
 
