News of a new source that are heard after they count begin no new grace

The same mistake beside the one of late news: after a new configuration what its source tells counts 4 s later, and the bound was 6 s after the last answered call. The new test (first answer after 5.5 s, grace 2 s) fails without the change, seen by hand; 456 tests of the list, platform and interleavings pass.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -39,8 +39,10 @@
 # Of the time without a call, so much may pass after one that failed, less what the next may take; ...
 AGAIN_PARTS = (3, 4)
 AGAIN_LEAST_US = 300_000  # ... but the module's shortest wait is always its own.
-# What a new source has to tell counts 4 s after it was named: until it has answered, calls that fail begin at
-# most so far apart, or the module's shortest wait after one that was given up: the third is answered in time.
+# What a new source has to tell counts 4 s after it was named ...
+MOVED_TOLD_US = 4_000_000
+# ... so until it has answered, calls that fail begin at most so far apart, or the module's shortest wait
+# after one that was overdue: the third is answered in time.
 MOVED_AGAIN_US = 1_000_000
 # The agent answers on this machine, and the module goes on sending a drained node its reads for half of the
 # grace: a silent call and the wait after it together stay under that half.
@@ -117,13 +119,15 @@
         self.state = Watch.CATCHING_UP if on else Watch.IDLE
         return True
 
-    def restart(self) -> bool:
+    def restart(self, now: int) -> bool:
         """The source has moved: whatever is under way is void; return whether to ask the new one now.
 
         Also where the last call failed and the module waits to try again: it waits for the old source, and
         what the new one tells soon counts as told.
         """
         self._moved, self._failures, self._silent_from = True, 0, None
+        if self._heard_from is not None:
+            self._heard_from = min(self._heard_from, now + MOVED_TOLD_US - TOLD_US)
         if self._wanted:
             self.state = Watch.CATCHING_UP
         return self._wanted
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -69,7 +69,7 @@
             self._address = address
             self._give_up_all()
             self._log_event("discovery moved", to=f"{address[0]}:{address[1]}")
-            if self._watch.restart():
+            if self._watch.restart(self._hub.now()):
                 self._start(True)
 
     def _start(self, on: bool) -> None:
--- a/tests/endings/test_crowded_discovery.py
+++ b/tests/endings/test_crowded_discovery.py
@@ -190,6 +190,27 @@
     played(site, lambda site: kept_the_rule(site, drained_at[0] + TOLD_US))
 
 
+def test_what_a_new_source_tells_after_it_counts_begins_no_new_grace(tmp_path):
+    """Its first answer takes 5.5 s, and a node that drained before counts 4 s after the new configuration."""
+
+    def act(site):
+        for _ in range(2):  # the old source has answered a call that has just begun
+            site.discovery.set("s0", site.shelfs[0].address, 0)
+            site.hub.sleep(10 * MS)
+        moved_at, old = site.hub.now(), site.discovery
+        site.discovery = PlatformDiscovery(
+            site.hub, site.net, version=300, servers=copy.deepcopy(old.servers)
+        )
+        site.discovery.queue = Queue(site.hub, others_us=5_500 * MS)
+        site.discovery.start(site.scope)
+        drain(site)
+        site.given["discovery"] = f"127.0.0.1:{site.discovery.address[1]}"
+        site.head.reconfigure(site.configuration())
+        kept_the_rule(site, moved_at + 4 * S)
+
+    played(site_of(tmp_path, drainGraceUs=2 * S), act)
+
+
 def test_the_watch_goes_on_from_a_late_answer(tmp_path):
     """A new caller would wait for its turn again: the call after a late answer is one that waits, over the same
     connection."""
--- a/tests/test_platform_clock.py
+++ b/tests/test_platform_clock.py
@@ -432,7 +432,7 @@
     watching = DiscoveryWatch(10 * S, 41)
     watching.subscribe(True)
     assert watching.failed(0, 0) > MOVED_AGAIN_US
-    watching.restart()
+    watching.restart(0)
     assert watching.failed(0, 0) == MOVED_AGAIN_US
     watching.subscribe(True)
     watching.answered(41, False, 0)
--- a/tests/test_platform_states.py
+++ b/tests/test_platform_states.py
@@ -56,15 +56,15 @@
 
 def test_a_moved_source_is_asked_at_once_only_where_somebody_follows():
     watching = DiscoveryWatch(10 * S, 41)
-    assert not watching.restart()
+    assert not watching.restart(0)
     watching.subscribe(True)
     watching.answered(41, False, 0)
-    assert watching.restart() and watching.call().wait_us == 0
+    assert watching.restart(0) and watching.call().wait_us == 0
     watching.failed(0, 0)
-    assert watching.restart() and watching.call().wait_us == 0  # the module's wait was for the old source
+    assert watching.restart(0) and watching.call().wait_us == 0  # the module's wait was for the old source
     assert not watching.subscribe(True)  # what it asks for then is under way
     watching.subscribe(False)
-    assert not watching.restart()
+    assert not watching.restart(0)
 
 
 def idles(callers, name, now):
