An answer may be late by as long as the machine stood still after its time

Change: the 100 ms that an answer may be late over loopback are counted without standstills of the machine, as what is on its way already was (checker.Story.stood_still). A head's own standstill excuses nothing more than before. On the virtual clock there are no standstills of the machine: nothing changes there.

--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -174,8 +174,12 @@
 
     def on_its_way(self, since: int, until: int) -> int:
         """Return how long what was sent by a moment may have been on its way at another."""
+        return self.facts.flight_us + self.stood_still(since, until)
+
+    def stood_still(self, since: int, until: int) -> int:
+        """Return how long the whole machine stood still between two moments."""
         stills = ((max(t, since), min(t + us, until)) for t, us in self.still.items())
-        return self.facts.flight_us + sum(max(0, end - begin) for begin, end in stills)
+        return sum(max(0, end - begin) for begin, end in stills)
 
     def units(self, got: rec.Got) -> float:
         """Return what a request counts: whole units, at least one."""
@@ -205,9 +209,9 @@
         if not answers and asked.excused_at is None:
             yield Breach(1, asked.deadline, asked.name, "no final answer")
         over = asked.excused_at if not answers else answers[0].t
-        if answers and answers[0].t > asked.deadline + slack:
-            late = answers[0].t - asked.deadline
-            yield Breach(1, answers[0].t, asked.name, f"answered {late} us after its time was up")
+        late_us = answers[0].t - asked.deadline if answers else 0
+        if late_us > slack and late_us > slack + story.stood_still(asked.deadline, answers[0].t):
+            yield Breach(1, answers[0].t, asked.name, f"answered {late_us} us after its time was up")
         for got in asked.got:
             late = over is not None and got.t > over + flight and got.t > over + story.on_its_way(over, got.t)
             if over is not None and late and story.for_client(asked, got):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -85,6 +85,20 @@
     assert tale((90_000, 420_000, True)) == []
 
 
+def test_an_answer_may_be_late_by_as_long_as_the_machine_stood_still_after_its_time():
+    """Two standstills with a moment between them: no head answers all that was due in the first in that moment."""
+    late_us = facts().answer_slack_us + 130_000
+
+    def tale(*stood):
+        one = Tale().take(1, 0).answer(1, S + late_us)
+        for after_us, us, machine in stood:
+            one.add(rec.Stood(t=S + after_us, head="h", us=us, machine=machine))
+        return one.broken()
+
+    assert tale() == {1} and tale((1_000, 130_000, False)) == {1}, "a head's own standstill is its own"
+    assert tale((1_000, 120_000, True)) == {1} and tale((1_000, 130_000, True)) == set()
+
+
 def test_a_good_recording_breaks_nothing():
     assert good().broken() == set()
 
