An error of one new connection that accept hands over no longer ends the process

Callers saw: a head that ends with status 1 within seconds, and with it all their open requests. Cause: Linux hands an error that is pending on a new connection to accept; SocketListener passed on all but EMFILE and its like, and the fronts catch StreamClosed alone, so the error reached the top of their task. Change: the listener knows the errors that accept(2) says are the connection's and calls again, 16 times in a row at most before it rests; every front (platform, NBD, NVMe, fleet, stand-ins) accepts through it. The look at a draining head's backlog goes on behind a failed connection, too. EBADF, EINVAL, ENOTSOCK still raise.

--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -22,8 +22,15 @@
 MOST_PARTS = 64  # buffers handed to one sendmsg
 RECEIVE = 1 << 18  # the most bytes that one read returns
 ACCEPT_PAUSE_US = 100_000  # how long a listener rests when the process has no descriptor left
+ACCEPT_TRIES = 16  # calls that fail in a row before it rests all the same
 ENDS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # events of a stream that its peer has ended
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+# What accept(2) says of one new connection, which is gone, and not of the listener: the next one is there.
+CONNECTION_FAILED = (
+    errno.ECONNABORTED, errno.ECONNRESET, errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.EINTR, errno.ENETDOWN,
+    errno.ENETUNREACH, errno.ENONET, errno.ENOPROTOOPT, errno.ENOSR, errno.EOPNOTSUPP, errno.EPERM,
+    errno.EPROTO, errno.EPROTONOSUPPORT, errno.ESOCKTNOSUPPORT, errno.ETIMEDOUT,
+)  # fmt: skip
 
 
 class StreamClosed(ConnectionError):
@@ -303,7 +310,8 @@
         self._sock.setblocking(False)
         self.address: tuple[str, int] = self._sock.getsockname()[:2]
         self._closed = False
-        self.exhausted = 0  # times that no descriptor was left
+        self.exhausted = 0  # times that no descriptor was left, or nothing but failures came
+        self._must_rest = False  # the last look ended so
         self._waiters = Waiters(hub)
         self._handler = FdHandler(self._sock.fileno(), 0, self._on_events)
         hub.add_handler(self._handler)
@@ -315,39 +323,36 @@
     def accept(self, deadline: int | None = None) -> SocketStream:
         """Wait for the next stream; without free descriptors it rests and goes on when some are free."""
         while not self._closed:
-            try:
-                stream = self._accept()
-            except OSError as error:
-                if error.errno not in NO_DESCRIPTOR:
-                    raise
-                self.exhausted += 1
-                self._hub.sleep(ACCEPT_PAUSE_US)
-                continue
+            stream = self.accept_now()
             if stream is not None:
                 return stream
+            if self._must_rest:
+                self._hub.sleep(ACCEPT_PAUSE_US)
+                continue
             self._hub.set_interest(self._handler, READ)
             self._waiters.wait(deadline)
         raise StreamClosed("the listener is closed")
 
     def accept_now(self) -> SocketStream | None:
         """Return the next stream if one is there, and a descriptor is left for it."""
-        try:
-            return None if self._closed else self._accept()
-        except OSError as error:
-            if error.errno not in NO_DESCRIPTOR:
-                raise
-            self.exhausted += 1
+        self._must_rest = False
+        if self._closed:
             return None
-
-    def _accept(self) -> SocketStream | None:
-        while True:
+        for _ in range(ACCEPT_TRIES):
             try:
                 sock, peer = self._sock.accept()
-            except (InterruptedError, ConnectionAbortedError):
-                continue
             except BlockingIOError:
                 return None
+            except OSError as error:
+                if error.errno in NO_DESCRIPTOR:
+                    break
+                if error.errno not in CONNECTION_FAILED:
+                    raise
+                continue
             return SocketStream(self._hub, sock, f"{peer[0]}:{peer[1]}", accepted=True)
+        self._must_rest = True
+        self.exhausted += 1
+        return None
 
     def close(self) -> None:
         """Stop listening."""
--- a/tests/endings/test_system_calls.py
+++ b/tests/endings/test_system_calls.py
@@ -4,6 +4,7 @@
 EHOSTUNREACH, EPROTO or ENETUNREACH, two seeds of two; its log's last line is `harriertrack: ADDRESS: [Errno 113]
 EHOSTUNREACH`. Linux hands an error that is pending on a new connection to `accept`; accept(2) says to take it as
 EAGAIN. The listener passed on all errors but the four of a process without room, and nobody above it caught them.
+Now the listener itself tells a connection that failed from a listener that is none, and makes the call again.
 """
 
 import errno
