A poll that fails for want of memory no longer ends the process

Callers saw: a head that ends with status 1, and with it all their open requests. Cause: poll(2) may fail with ENOMEM; the hub's loop and the look whether a client has gone let it pass. Change: the loop rests for a millisecond and polls again; a client's look that fails leaves what was known. Poll tells of states, not of changes, so nothing is missed.

--- a/harriertrack/runtime/hub.py
+++ b/harriertrack/runtime/hub.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import errno
 import heapq
 import random
 import select
@@ -25,6 +26,7 @@
 WRITE = select.POLLOUT
 BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
 WAITED_US = 500  # a poll that took less found what was there already
+POLL_PAUSE_S = 0.001  # how long the loop rests where the system has no memory for a poll
 OVERSLEPT_US = 20_000  # one that comes back so late tells that the process stood still
 PRUNE_AT = 512  # cancelled timers are swept out once they are at least this many and half of the heap
 
@@ -102,7 +104,13 @@
     def wait(self, until: int | None) -> list[tuple[int, int]]:
         """Wait for descriptors, until a time in microseconds or without end."""
         left = None if until is None else max(0, (until - self._clock.now() + self._round_up_us) // 1000)
-        return self._poll.poll(left)
+        try:
+            return self._poll.poll(left)
+        except OSError as error:
+            if error.errno != errno.ENOMEM:  # any other tells that the descriptors are wrong
+                raise
+            time.sleep(POLL_PAUSE_S)
+            return []  # what has come is still there at the next look
 
 
 class VirtualTime:
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -252,7 +252,8 @@
         if not (self._closed or self._end_seen) and self._hub.looked_at < since:
             look = select.poll()
             look.register(self._sock.fileno(), select.POLLRDHUP)
-            self._end_seen = bool(look.poll(0))
+            with contextlib.suppress(OSError):  # for want of memory: the hub's next poll tells
+                self._end_seen = bool(look.poll(0))
         return self._closed or self._end_seen
 
     def shut_sending(self) -> None:
--- a/tests/endings/test_system_calls.py
+++ b/tests/endings/test_system_calls.py
@@ -7,7 +7,8 @@
 Now the listener itself tells a connection that failed from a listener that is none, and makes the call again.
 
 Seen: the same with one in twenty calls of `poll` that fail with ENOMEM, on two seeds of two. Neither the hub's loop
-nor the look whether a client has gone took poll(2) to fail.
+nor the look whether a client has gone took poll(2) to fail. Now the loop rests for a
+millisecond and looks again: poll tells of states, so nothing is missed.
 """
 
 import errno
