--- a/tests/endings/test_system_calls.py
+++ b/tests/endings/test_system_calls.py
@@ -9,6 +9,10 @@
 Seen: the same with one in twenty calls of `poll` that fail with ENOMEM, on two seeds of two. Neither the hub's loop
 nor the look whether a client has gone took poll(2) to fail. Now the loop rests for a
 millisecond and looks again: poll tells of states, so nothing is missed.
+
+Seen: the same with `close` that fails with EINTR, EIO or ENOSPC (two seeds of two), and with all calls of
+FAILURES together; `harriertrack: ADDRESS: [Errno 5] EIO`. Streams closed and set options as if that never failed, in
+callbacks that nobody guards.
 """
 
 import errno
@@ -22,9 +26,10 @@
 import pytest
 
 from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.signals import on_signals
 from harriertrack.runtime.streams import SocketListener
 from harriertrack.standin.platform import read_message
-from tests.endings.faulty_head import ACCEPT
+from tests.endings.faulty_head import ACCEPT, FAILURES
 from tests.endings.test_start_and_reload import PATIENCE_US, REQUEST, ROOT, play
 from tests.test_platform import MS
 
@@ -88,6 +93,28 @@
         hub.run(main)
 
 
+def test_a_signal_is_heard_though_its_pipe_can_not_be_read_at_once(monkeypatch):
+    class Pipe(socket.socket):
+        fails = 2
+
+        def recv(self, *args):
+            if self.fails:
+                self.fails -= 1
+                raise OSError(errno.ENOMEM, "no memory")
+            return super().recv(*args)
+
+    def main():
+        with on_signals(hub, (signal.SIGUSR1,), heard.append):
+            os.kill(os.getpid(), signal.SIGUSR1)
+            hub.sleep(50 * MS)
+
+    ends = socket.socketpair()
+    monkeypatch.setattr(socket, "socketpair", lambda: tuple(Pipe(fileno=end.detach()) for end in ends))
+    hub, heard = Hub(), []
+    hub.run(main)
+    assert heard == [signal.SIGUSR1]
+
+
 @pytest.mark.parametrize("code", ["EBADF", "EINVAL", "ENOTSOCK"])
 def test_a_listener_that_is_none_is_an_error(code):
     with listening([code]) as (hub, listener), pytest.raises(OSError):
@@ -118,7 +145,7 @@
 
 @pytest.mark.real_time
 @pytest.mark.parametrize("seed", [1, 2])
-@pytest.mark.parametrize("calls", [["accept"], ["poll"]], ids="+".join)
+@pytest.mark.parametrize("calls", [[call] for call in FAILURES] + [list(FAILURES)], ids="+".join)
 def test_a_head_whose_calls_fail_now_and_then_serves_on(tmp_path, calls, seed):
     """Clients ask over a connection each, so that each request meets several of the head's calls."""
 
