A close, an option or a signal's pipe that fails no longer ends the process

Callers saw: a head that ends with status 1 (close: EINTR, EIO, ENOSPC; setsockopt: ENOBUFS, ENOMEM), or at its orderly end; a signal whose pipe could not be read did the same. Cause: streams, datagrams and the signals' pipe called these as if they could not fail, in callbacks of the loop. Change: close_socket and set_option, used by all of them; a pipe that can't be read is read at the next poll. Nothing can be done about these errors: Linux frees the descriptor whatever close returns, and the options are for speed.

--- a/harriertrack/runtime/datagrams.py
+++ b/harriertrack/runtime/datagrams.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from harriertrack.runtime.hub import READ, FdHandler, Hub
+from harriertrack.runtime.streams import close_socket
 
 MOST_BYTES = 2048  # of one datagram that is read; what is longer is cut
 MOST_AT_ONCE = 64  # read in one round: the loop does other things between
@@ -47,7 +48,7 @@
             self._sock.setblocking(False)
             self._sock.bind(address)
         except OSError:
-            self._sock.close()
+            close_socket(self._sock)
             raise
         self.address: Address = self._sock.getsockname()[:2]
         self._closed = False
@@ -78,7 +79,7 @@
         if not self._closed:
             self._closed = True
             self._hub.remove_handler(self._handler)
-            self._sock.close()
+            close_socket(self._sock)
 
 
 class SocketDatagrams:
--- a/harriertrack/runtime/signals.py
+++ b/harriertrack/runtime/signals.py
@@ -8,6 +8,7 @@
 from contextlib import contextmanager
 
 from harriertrack.runtime.hub import READ, FdHandler, Hub
+from harriertrack.runtime.streams import close_socket
 
 
 @contextmanager
@@ -22,7 +23,11 @@
         end.setblocking(False)
 
     def read(_events: int) -> None:
-        for number in receiving.recv(256):
+        try:
+            came = receiving.recv(256)
+        except OSError:  # for want of memory: the hub's next poll finds it again
+            return
+        for number in came:
             if number in numbers:
                 act(number)
 
@@ -37,5 +42,5 @@
             signal.signal(number, former)
         signal.set_wakeup_fd(wakeup)
         hub.remove_handler(handler)
-        receiving.close()
-        sending.close()
+        for end in (receiving, sending):
+            close_socket(end)
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -109,6 +109,18 @@
         """Listen at a host and port; port 0 picks a free one."""
 
 
+def close_socket(sock: socket.socket) -> None:
+    """Close a socket. Linux frees its descriptor whatever close(2) returns: there is nothing to repeat."""
+    with contextlib.suppress(OSError):
+        sock.close()
+
+
+def set_option(sock: socket.socket, level: int, option: int, value: int | bytes) -> None:
+    """Set an option that a connection can do without: the system may have no memory for it."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(level, option, value)
+
+
 class SocketStream:
     """A connected TCP socket."""
 
@@ -116,7 +128,7 @@
         self._hub, self._sock, self.peer = hub, sock, peer
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._out: deque[bytes | memoryview] = deque()
         self.buffered = 0
         self._closed = self._end_seen = False
@@ -285,7 +297,7 @@
         self._on_pushed = None
         self.buffered = 0
         self._hub.remove_handler(self._handler)
-        self._sock.close()
+        close_socket(self._sock)
         self._readable.notify()
         self._writable.notify()
 
@@ -298,7 +310,7 @@
     def abort(self) -> None:
         """Close with a reset: the peer sees the connection break."""
         if not self._closed:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            set_option(self._sock, socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
         self._shut()
 
 
@@ -360,7 +372,7 @@
         if not self._closed:
             self._closed = True
             self._hub.remove_handler(self._handler)
-            self._sock.close()
+            close_socket(self._sock)
             self._waiters.notify()
 
 
@@ -389,7 +401,7 @@
             if code:
                 raise OSError(code, errno.errorcode.get(code, "connect"))
         except BaseException:
-            sock.close()
+            close_socket(sock)
             raise
         return SocketStream(self._hub, sock, f"{address[0]}:{address[1]}")
 
--- a/tests/endings/test_system_calls.py
+++ b/tests/endings/test_system_calls.py
@@ -12,7 +12,9 @@
 
 Seen: the same with `close` that fails with EINTR, EIO or ENOSPC (two seeds of two), and with all calls of
 FAILURES together; `harriertrack: ADDRESS: [Errno 5] EIO`. Streams closed and set options as if that never failed, in
-callbacks that nobody guards.
+callbacks that nobody guards. `setsockopt` that fails with ENOBUFS does so, too, and a signal's pipe that can't be
+read (`recv` ENOMEM, a test alone). Now a stream closes and sets options whatever these calls return, for it can do
+nothing about them, and a pipe is read again at the next poll.
 """
 
 import errno
