A cold replacement of another size gets no more than it bears, where the list tells its size

Cause: heads gave it the former node's rate whatever its size; the list's kind and weight were dropped. Change: entries carry kind and size. The rate is scaled by the sizes' ratio, never up, where the settings say that weights are sizes; else it holds for an equal kind; else only what the settings promise of any cold node. Why it holds: the bound follows the new node's size by the same ratio. Kinds are compared, sizes divided, no more.

--- a/harriertrack/config/settings/nodes.py
+++ b/harriertrack/config/settings/nodes.py
@@ -15,6 +15,7 @@
     zone: str = ""
     state: api.NodeState = api.NodeState.UP
     started_us: Whole = 0
+    kind: str = ""  # of machine: a cold replacement of the same kind gets its predecessor's rate
 
 
 class EntranceSettings(Checked, frozen=True, kw_only=True):
--- a/harriertrack/decisions/fleet/zones/overlay.py
+++ b/harriertrack/decisions/fleet/zones/overlay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
+from dataclasses import replace
 
 from harriertrack.decisions.fleet.zones.words import Word, uses
 from harriertrack.decisions.interface import NodeEntry, NodeState
@@ -55,7 +56,7 @@
         if entry.state is not NodeState.UP or (zone not in self._unused and zone not in self._again):
             return entry
         if zone in self._unused:
-            return NodeEntry(entry.node, entry.shard, NodeState.GONE, zone, entry.started_us)
+            return replace(entry, state=NodeState.GONE)
         if entry.started_us > self._left[zone] or entry.started_us >= self._again[zone]:
             return entry
-        return NodeEntry(entry.node, entry.shard, entry.state, zone, self._again[zone])
+        return replace(entry, started_us=self._again[zone])
--- a/harriertrack/decisions/interface.py
+++ b/harriertrack/decisions/interface.py
@@ -119,6 +119,7 @@
     classes: tuple[RequestClass, ...]
     plans: tuple[Plan, ...] = ()
     asked_list: bool = False
+    sizes_told: bool = False
     zone: str = ""
     max_attempts: int = 1
     may_cancel: bool = False
@@ -165,6 +166,8 @@
     state: NodeState = NodeState.UP
     zone: str = ""
     started_us: int = 0
+    kind: str = ""  # of machine; compared for being equal, never read (empty: not told)
+    size: float = 0.0  # as it is registered, where `Settings.sizes_told` (0: not told)
 
 
 @dataclass(slots=True)
--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -12,7 +12,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from harriertrack.decisions.bucket import Bucket, Fading
 from harriertrack.decisions.interface import (
@@ -165,7 +165,8 @@
     trial_wait: int = TRIAL_US
     cold_until: int = 0
     cold: Bucket = field(default_factory=lambda: Bucket(0))  # what we may send it while it is cold
-    past: float = 0.0  # units a microsecond that it served us while it was last well
+    past: float = 0.0  # units a microsecond that it served us while it was last well, or the node it replaces
+    scale: float = 1.0  # its size against the one of that time, 1 at most; 0: not known
     last_key: str = ""
     reserved: float = 0.0  # share of the latest sends that went first: turns get only the rest of the rate
 
@@ -275,9 +276,9 @@
             node = self._nodes.get(entry.node)
             before = node.entry.started_us if node else 0
             if node is None:
-                former = [self._was(old) for old in self._nodes.values() if old.entry.shard == entry.shard]
+                former = [old for old in self._nodes.values() if old.entry.shard == entry.shard]
                 node = self._nodes[entry.node] = _Node(entry, told_at, self._now, self._fresh())
-                node.past = max(former, default=0.0)  # it replaces that one
+                self._succeed(node, max(former, key=self._was, default=None))
             elif entry.state is not node.entry.state or entry.started_us > before:
                 self._was(node)
                 if entry.state is not node.entry.state:
@@ -291,7 +292,7 @@
                 if name not in named and node.entry.state is not NodeState.GONE:
                     self._was(node)
                     node.told_at, node.served = told_at, self._fresh()
-                    node.entry = NodeEntry(name, node.entry.shard, NodeState.GONE, node.entry.zone)
+                    node.entry = replace(node.entry, state=NodeState.GONE)
         self._index()
         lost = [node for node in self._nodes.values() if node.held and not self._sendable(node)]
         for work in [work for node in lost for queue in node.held.values() for work in queue]:
@@ -345,9 +346,22 @@
         """Keep the rate at which a node served us up to now if it was well: what it gets while it is cold,
         silent or draining says nothing of what it bears."""
         if node.entry.state is NodeState.UP and not node.silent_at and self._now >= node.cold_until:
-            node.past = node.served.rate(self._now, self.settings.fall_us)
+            node.past, node.scale = node.served.rate(self._now, self.settings.fall_us), 1.0
         return node.past
 
+    def _succeed(self, node: _Node, former: _Node | None) -> None:
+        """Go by what the former node of its shard served us, scaled to the size of this one: a smaller one
+        bears less, and of one whose size nothing tells only what any cold node bears is known, if that is."""
+        if former is None:
+            return
+        new, old = node.entry, former.entry
+        if self.settings.sizes_told and new.size > 0 and old.size > 0:
+            scale = min(1.0, new.size / old.size)
+        else:
+            same_kind = new.kind != "" and new.kind == old.kind
+            scale = 1.0 if same_kind or not self.settings.cold_units else 0.0
+        node.past, node.scale = former.past, former.scale * scale
+
     def _cold_wait(self, node: _Node) -> int:
         """How long until we may send a cold node a request.
 
@@ -360,14 +374,14 @@
         settings, cold, growth = self.settings, node.cold, 1 - self.settings.cold_share
         before, capacity = (1 - growth * min(1.0, (node.cold_until - at) / max(1, settings.warm_us))
                             for at in (cold.at, self._now))  # fmt: skip
-        part = settings.fall_multiple * capacity
+        part = settings.fall_multiple * capacity * node.scale
         if self._now >= node.cold_until or COLD_SAFE * part >= 1:
             return 0
         bears = settings.cold_units / max(1.0, settings.fall_us * settings.cold_share)
         least = bears / settings.heads
         if self._portions is not None:
             least = self._portions.cold(self._now, node.entry.node, 1e6 * bears, settings.mean_units) / 1e6
-        warm = max(settings.fall_multiple * node.past, least)
+        warm = max(settings.fall_multiple * node.past * node.scale, least)
         window = warm * capacity * settings.fall_us / settings.mean_units
         cold.most = settings.mean_units * max(1.0, window + 3 * window**0.5 if part >= 1 else 0.0)
         cold.rate = 1e6 * warm * (before + capacity) / 2  # of the time since it was looked at last
--- a/harriertrack/decisions/settings_parser.py
+++ b/harriertrack/decisions/settings_parser.py
@@ -17,6 +17,7 @@
     "non_idempotent": api.Effect.UNSAFE,
 }
 GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
+SIZES = ("nominal", "rough")  # what the list's weights tell; others follow the load, or tell nothing
 FROM_ONE = frozenset(("aim_us", "deadline_us", "heads", "max_attempts"))  # other figures may be 0
 UNNAMED_AT_ZERO = frozenset(("mean_units", "most_units"))  # no request has none: 0 says nothing
 MOST = 1e18  # no figure comes near it; above it sums of times are no whole microseconds any more
@@ -158,6 +159,7 @@
         classes=classes,
         plans=_plans(conf),
         asked_list=conf.get("discovery") == "on_request",
+        sizes_told=conf.get("weights") in SIZES,
         report_fields=tuple(str(field) for field in reports),
         **picked,
     )
--- a/harriertrack/gateway/listing.py
+++ b/harriertrack/gateway/listing.py
@@ -21,7 +21,8 @@
 
 def member_of(node: NodeSettings) -> Member:
     """Return a node of a file as one of a list."""
-    return Member(NodeEntry(node.name, node.shard, node.state, node.zone, node.started_us), node.address)
+    entry = NodeEntry(node.name, node.shard, node.state, node.zone, node.started_us, node.kind)
+    return Member(entry, node.address)
 
 
 class Listing:
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -51,6 +51,7 @@
 WATCH_US, LATE_US = 10_000, 20_000  # over sockets: how often the machine is looked at; what is a standstill
 REGISTERS = 8  # sectors at a volume's end that are left to register clients
 BULK_BYTES = 12 << 10
+NODE_KIND = "node"  # a replacement is like its predecessor
 MOVED = "vol0"  # the volume that days with a move move
 REGIONS = ("a", "b")
 
@@ -322,7 +323,7 @@
         shelf = self.new_shelf(settings, self._racks[shard], self._meter, self.random.getrandbits(32))
         shelf.start(self.scope, cold)
         self.shelves[name] = shelf
-        entry = NodeEntry(name, shard, NodeState.UP, zone, shelf.started_at)
+        entry = NodeEntry(name, shard, NodeState.UP, zone, shelf.started_at, NODE_KIND)
         self.listing_of(shelf).set(Member(entry, shelf.address))
         return shelf
 
--- a/harriertrack/membership/consul.py
+++ b/harriertrack/membership/consul.py
@@ -5,7 +5,8 @@
 `X-Consul-Index` names the answer's version; an index that goes backwards, or is not above zero, means
 starting over from 0.
 
-Shard, zone, state and start of a node come in the service's `Meta` (`shard`, `zone`, `state`, `started_us`);
+Shard, zone, state, start and kind of a node come in the service's `Meta` (`shard`, `zone`, `state`,
+`started_us`, `kind`);
 a node whose checks are `critical` is gone, one in `Meta.state` "draining" or with a check in maintenance is
 draining.
 """
@@ -82,7 +83,9 @@
     elif any(check.check_id.startswith(_MAINTENANCE) for check in entry.checks):
         state = NodeState.DRAINING
     started = int(meta.get("started_us", 0))
-    listed = NodeEntry(service.id, int(meta["shard"]), state, meta.get("zone", ""), started)
+    listed = NodeEntry(
+        service.id, int(meta["shard"]), state, meta.get("zone", ""), started, meta.get("kind", "")
+    )
     return Member(listed, (service.address or entry.node.address, service.port))
 
 
@@ -93,6 +96,8 @@
         entry = member.entry
         status = "critical" if entry.state is NodeState.GONE else "passing"
         meta = {"shard": str(entry.shard), "zone": entry.zone, "started_us": str(entry.started_us)}
+        if entry.kind:
+            meta["kind"] = entry.kind
         if entry.state is NodeState.DRAINING:
             meta["state"] = "draining"
         service = {"ID": entry.node, "Address": member.address[0], "Port": member.address[1], "Meta": meta}
--- a/harriertrack/membership/nodes.py
+++ b/harriertrack/membership/nodes.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from harriertrack.decisions.interface import ListKind, NodeEntry, NodesChanged, NodeState
 
@@ -23,7 +23,7 @@
         """Return it with its start, told in Unix time, on a clock that Unix time is so far ahead of."""
         entry = self.entry
         started = max(1, entry.started_us - wall_ahead_us) if entry.started_us else 0
-        return Member(NodeEntry(entry.node, entry.shard, entry.state, entry.zone, started), self.address)
+        return Member(replace(entry, started_us=started), self.address)
 
 
 class NodeList:
@@ -71,8 +71,7 @@
         changes: list[NodeEntry] = []
         for name, before in list(self._members.items()):
             if name not in fresh and before.entry.state is not NodeState.GONE:
-                entry = before.entry
-                gone = NodeEntry(name, entry.shard, NodeState.GONE, entry.zone, entry.started_us)
+                gone = replace(before.entry, state=NodeState.GONE)
                 self._members[name] = Member(gone, before.address)
                 changes.append(gone)
         for name, member in fresh.items():
--- a/harriertrack/membership/targets.py
+++ b/harriertrack/membership/targets.py
@@ -33,6 +33,8 @@
     state: str
     zone: str | None = None
     started_ms: Whole | None = None
+    kind: object = None  # these two help where they can be read, and hurt no list where they can't
+    weight: object = None
 
 
 class Targets(msgspec.Struct, frozen=True):
@@ -81,6 +83,9 @@
             address = address_of(one.addr)
         except ValueError as error:
             raise TargetsError(f"{one.id}: {error}") from error
-        entry = NodeEntry(one.id, one.cell, state, one.zone or "", (one.started_ms or 0) * 1000)
+        started_us = (one.started_ms or 0) * 1000
+        kind = one.kind if isinstance(one.kind, str) else ""
+        size = float(one.weight) if isinstance(one.weight, int | float) else 0.0
+        entry = NodeEntry(one.id, one.cell, state, one.zone or "", started_us, kind, size)
         members.append(Member(entry, address))
     return members
--- a/harriertrack/standin/listservice.py
+++ b/harriertrack/standin/listservice.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from urllib.parse import parse_qs, urlsplit
 
-from harriertrack.decisions.interface import NodeEntry, NodeState
+from harriertrack.decisions.interface import NodeState
 from harriertrack.membership.consul import body_of
 from harriertrack.membership.nodes import Member
 from harriertrack.rules import recording as rec
@@ -53,7 +54,7 @@
         before = self._members[node]
         entry = before.entry
         started = entry.started_us if started_us is None else started_us
-        self.set(Member(NodeEntry(node, entry.shard, state, entry.zone, started), before.address))
+        self.set(Member(replace(entry, state=state, started_us=started), before.address))
 
     def _handle(self, asked: Asked) -> Answer | None:
         if self.down:
@@ -76,7 +77,7 @@
         """Tell starts as wall-clock time, as machines with clocks of their own must."""
         entry = member.entry
         started = entry.started_us + self._wall_ahead if entry.started_us else 0
-        return Member(NodeEntry(entry.node, entry.shard, entry.state, entry.zone, started), member.address)
+        return Member(replace(entry, started_us=started), member.address)
 
     def _block(self, index: int, wait: str) -> None:
         until = self._hub.now() + int(wait.removesuffix("ms") or 0) * 1000
--- a/harriertrack/wirehost.py
+++ b/harriertrack/wirehost.py
@@ -152,10 +152,10 @@
     def read_row(self, rows: Iterator[str]) -> api.NodeEntry:
         """Read one entry of a node list."""
         self.line_number += 1
-        word, shelf, zone, _kind, bay, state, _nominal, started = next(rows, "").split()
+        word, shelf, zone, kind, bay, state, nominal, started = next(rows, "").split()
         if word != "row":
             raise WireError(f"expected row, not {word[:80]!r}")
-        return api.NodeEntry(shelf, whole(bay), STATES[state], zone, whole(started))
+        return api.NodeEntry(shelf, whole(bay), STATES[state], zone, whole(started), kind, number(nominal))
 
     def answer(self, now: int) -> Iterator[str]:
         """Let each instance with an event act, and write its actions."""
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -1,5 +1,6 @@
 """The adapter as a process, on a transcript written for it."""
 
+import io
 import json
 import subprocess
 import sys
@@ -7,6 +8,8 @@
 
 import pytest
 
+from harriertrack import wirehost
+
 CONF = {
     "nInstances": 2, "tickUs": 2000, "discovery": "on_request", "future": {"unknown": 1},
     "lanes": [{"name": "read", "aimUs": 300000, "giveUpUs": 1500000, "idempotency": "read_like", "value": 2}],
@@ -53,6 +56,19 @@
     assert "for 3" not in replies[4] and "track 1\n" in replies[4] and "assign 78 shelf-a 0\n" in replies[4]
 
 
+@pytest.mark.parametrize(("weights", "told"), [
+    ("nominal", True), ("rough", True), ("live", False), ("silent", False), (None, False), (3, False),
+])  # fmt: skip
+def test_rows_tell_kinds_and_settings_whether_their_sizes_are_meant(weights, told):
+    served = wirehost.WireHost()
+    conf = {**CONF, "weights": weights}
+    out = io.StringIO()
+    served.serve(f"begin_batch 1000\n{start(3, conf)}eob\n".splitlines(keepends=True), out)
+    unit = served.instances[3]
+    assert unit.settings.sizes_told is told
+    assert [(node.entry.kind, node.entry.size) for node in unit._nodes.values()] == [("k", 1.0), ("k", 1.5)]
+
+
 def test_refusal_and_failure_on_the_wire():
     done = play(
         f"begin_batch 1000\n{start(0)}eob\n"
