--- a/harriertrack/standin/listservice.py
+++ b/harriertrack/standin/listservice.py
@@ -1,7 +1,8 @@
 """A list service stand-in: the part of Consul's health API that heads use, with blocking queries.
 
 Source: Consul HTTP API, /v1/health/service/:service and "Blocking Queries". Faults: `down` (turns calls
-away), `slow_us` (answers late). Each list that goes out is recorded as told to the head that asked.
+away), `slow_us` (answers late), `queue` (serves many callers in turn). Each list that goes out is recorded as
+told to the head that asked.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 from harriertrack.runtime.hub import DeadlineExceeded, Hub, Scope, Waiters
 from harriertrack.runtime.streams import Listener, Network
 from harriertrack.standin.http import Answer, Asked, serve
+from harriertrack.standin.queue import Queue
 
 
 class ListService:
@@ -31,6 +33,7 @@
         self.address = ("127.0.0.1", 0)
         self.down = False
         self.slow_us = 0
+        self.queue: Queue | None = None
 
     def start(self, scope: Scope, address: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         """Listen for questions."""
@@ -64,6 +67,8 @@
             return Answer(404)
         query = parse_qs(target.query)
         self._block(int(query.get("index", ["0"])[0]), query.get("wait", ["0ms"])[0])
+        if self.queue is not None and not self.queue.wait(goes_on=False):
+            return Answer(503)
         if self.slow_us:
             self._hub.sleep(self.slow_us)
         if self.down:
