A call for the gateway's list that is overdue stays open beside the next one

Callers saw: a head whose list service is crowded went on by an old list for as long as the crowd lasted; requests for a node that had been replaced waited or were refused. Cause: a call was given up after its timeout and made anew, at the end of the service's queue.

--- /dev/null
+++ b/harriertrack/gateway/list_call.py
@@ -0,0 +1,61 @@
+"""One call to the source of the node list: a task of its own, so that a late one hinders none after it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from harriertrack.config.settings import ConsulSettings
+from harriertrack.membership import consul
+from harriertrack.membership.nodes import Member
+from harriertrack.protocol.http import Call, HttpError
+from harriertrack.runtime.hub import Event, Hub, Scope, Task
+from harriertrack.runtime.streams import Network
+
+
+class ListCall:
+    """A call under way; `ended` is set once it was answered, has failed or was given up."""
+
+    def __init__(self, hub: Hub, source: ConsulSettings, index: int) -> None:
+        self._source, self._index = source, index
+        self._wait_us = source.wait_us if index else 0  # how long it may wait for something new
+        self.began = hub.now()
+        self.overdue_at = self.began + self._wait_us + source.timeout_us
+        self.ended = Event(hub)
+        self.members: list[Member] = []  # of its answer ...
+        self.next_index = 0  # ... which is of this version
+        self.failure = ""  # why there is no answer that can be used
+        self._task: Task | None = None
+
+    def start(self, scope: Scope, network: Network, name: str, agent: str,
+              then: Callable[[ListCall], None]) -> None:  # fmt: skip
+        """Make the call; call `then` once it has ended by itself."""
+        self._task = scope.spawn("node list call", self._run, network, name, agent, then)
+
+    def give_up(self) -> None:
+        """End without an answer if there is none yet."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _run(self, network: Network, name: str, agent: str, then: Callable[[ListCall], None]) -> None:
+        try:
+            self._ask(network, name, agent)
+        except (OSError, HttpError, consul.ListAnswerError) as error:
+            self.failure = str(error) or type(error).__name__
+        then(self)
+        self.ended.set()
+
+    def _ask(self, network: Network, name: str, agent: str) -> None:
+        address = self._source.address
+        stream = network.connect(address, None, name)
+        try:
+            target = consul.target(self._source.service, self._index, self._wait_us)
+            get = Call("GET", f"{address[0]}:{address[1]}", target, agent)
+            stream.write(get.request)
+            while not get.receive(stream.read()):
+                pass
+        finally:
+            stream.close()
+        if get.status != 200:
+            raise HttpError(f"status {get.status}")
+        self.members = consul.members_of(get.body)
+        self.next_index = consul.next_index(self._index, get.headers.get("x-consul-index"))
--- a/harriertrack/gateway/listing.py
+++ b/harriertrack/gateway/listing.py
@@ -10,10 +10,10 @@
 from harriertrack.config.settings import ConsulSettings, NodeSettings, load_nodes
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions.interface import NodeEntry
+from harriertrack.decisions.open_calls import OpenCalls
+from harriertrack.gateway.list_call import ListCall
 from harriertrack.gateway.parts import HeadParts
-from harriertrack.membership import consul
 from harriertrack.membership.nodes import Member
-from harriertrack.protocol.http import Call, HttpError
 from harriertrack.runtime.hub import DeadlineExceeded, Task
 
 PORTION_US = 100_000  # a head's part may grow while it waits
@@ -25,6 +25,10 @@
     return Member(entry, node.address)
 
 
+class ListCallFailed(Exception):
+    """A call to the list's source has brought nothing."""
+
+
 class Listing:
     """Follows the list while the module wants it."""
 
@@ -34,7 +38,8 @@
         self._task: Task | None = None
         self._nodes, self._head_id, self._portions = head.nodes, head.head_id, head.portions
         self._index = 0
-        self._asked_at = 0  # when the last call began
+        self._open: OpenCalls[ListCall] = OpenCalls()
+        self._current: ListCall | None = None  # the call that is waited for
         self._latest: list[Member] = []  # as the source told
         self.overlay: Callable[[NodeEntry], NodeEntry] | None = None  # what the module is told in its place
         self.heard: Callable[[list[NodeEntry]], None] = lambda _entries: None  # hears what the source told
@@ -48,6 +53,9 @@
             if on:
                 return
             self._task.cancel()
+        if not on:
+            for call in self._open.clear():
+                call.give_up()
         if on:
             self._task = self._scope.spawn("node list", self._run)
 
@@ -64,10 +72,9 @@
                 self._follow(self._settings.consul)
             else:
                 self._watch(self._settings.file)
-        except (OSError, DeadlineExceeded, HttpError, consul.ListAnswerError, SettingsError) as error:
+        except (OSError, DeadlineExceeded, ListCallFailed, SettingsError) as error:
             self._note("node list failed", why=str(error) or type(error).__name__)
             self._core.list_failed()
-            self._core.list_heard(self._asked_at)
 
     def _told(self, members: list[Member]) -> None:
         self._latest = [member.localised(self._wall_ahead) for member in members]
@@ -89,12 +96,14 @@
         known: list[Member] | None = None
         while True:
             # A small file, read whole: its time stamp may stand still across two quick changes.
-            self._asked_at = self._hub.now()
-            members = [member_of(node) for node in load_nodes(path)]
-            if members != known:
-                self._told(members)
-                known = members
-            self._core.list_heard(self._asked_at)
+            asked_at = self._hub.now()
+            try:
+                members = [member_of(node) for node in load_nodes(path)]
+                if members != known:
+                    self._told(members)
+                    known = members
+            finally:
+                self._core.list_heard(asked_at)
             self._hub.sleep(self._settings.poll_us)
 
     def _await_call(self) -> None:
@@ -104,31 +113,41 @@
             self._hub.sleep(min(us, PORTION_US))
             again = True
 
-    def _follow(self, asked: ConsulSettings) -> None:
+    def _follow(self, source: ConsulSettings) -> None:
+        """Make one call after another until one fails or is overdue.
+
+        One that is overdue stays open: its turn may come yet, and a call made anew begins at the queue's end.
+        """
         while True:
-            index, self._index = self._index, 0  # after a failure the whole list is asked for again
-            wait = asked.wait_us if index else 0
-            self._await_call()
-            self._asked_at = self._hub.now()
-            deadline = self._hub.now() + wait + asked.timeout_us
-            stream = self._network.connect(asked.address, deadline, self._name)
+            call = self._begin(source)
             try:
-                host = f"{asked.address[0]}:{asked.address[1]}"
-                agent, wanted = (
-                    f"harriertrack/{self._head_id:016x}",
-                    consul.target(asked.service, index, wait),
-                )
-                get = Call("GET", host, wanted, agent)
-                stream.write(get.request)
-                while not get.receive(stream.read(deadline)):
-                    pass
+                call.ended.wait(call.overdue_at)
             finally:
-                stream.close()
-            if get.status != 200:
-                raise HttpError(f"status {get.status}")
-            members = consul.members_of(get.body)
-            self._index = consul.next_index(index, get.headers.get("x-consul-index"))
-            self._told(members)
-            self._core.list_heard(self._asked_at)
+                self._current = None
+            if call.failure:
+                raise ListCallFailed(call.failure)
             if not self._index:
-                self._hub.sleep(asked.timeout_us)  # a server without indexes would be asked without a pause
+                self._hub.sleep(source.timeout_us)  # a server without indexes would be asked without a pause
+
+    def _begin(self, source: ConsulSettings) -> ListCall:
+        index, self._index = self._index, 0  # after a failure the whole list is asked for again
+        self._await_call()
+        call = self._current = ListCall(self._hub, source, index)
+        for surplus in self._open.begin(call):
+            surplus.give_up()
+        agent = f"harriertrack/{self._head_id:016x}"
+        call.start(self._scope, self._network, self._name, agent, self._ended)
+        return call
+
+    def _ended(self, call: ListCall) -> None:
+        """Take what a call has brought, also one that was overdue; follow on from it if nothing does."""
+        if call.failure:
+            self._open.failed(call)
+        else:
+            for older in self._open.answered(call):
+                older.give_up()
+            self._index = call.next_index
+            self._told(call.members)
+        self._core.list_heard(call.began)
+        if call is not self._current and not call.failure:
+            self.subscribe(True)
--- a/tests/endings/test_crowded_list.py
+++ b/tests/endings/test_crowded_list.py
@@ -5,7 +5,8 @@
 
 Cause: the call was given up after `timeout` and made anew, at the end of the queue (the same as
 test_crowded_discovery.py for the platform's head). The head's log: `node list failed why=DeadlineExceeded`, over and
-over, while the service wrote no answer that anybody still waited for.
+over, while the service wrote no answer that anybody still waited for. Now a call that is overdue stays open beside the
+next one (decisions/open_calls.py), and the head follows on from its answer.
 """
 
 import subprocess
