A start tells its first step before it sets anything up

Looked at: six starts under strace up to ready, one futex call each, a wake, and no thread; nothing in the head can wait for a lock there, so what is loaded beside it is suspected, not shown. Change: a line once the imports are done and the configuration is read; a bad file still gives one line and status 2.

--- a/harriertrack/service/__main__.py
+++ b/harriertrack/service/__main__.py
@@ -49,6 +49,8 @@
     except ConfigurationError as error:
         log(f"harriertrack: {error}")
         return 2
+    # The first step that a start tells: one that stands still before it does so in Python or in an import.
+    log("starting", name=configuration.name, known=len(configuration.known))
     hub = Hub(seed=configuration.seed)
     head = PlatformHead(hub, SocketNetwork(hub), configuration, log)
 
--- a/tests/endings/test_start_and_reload.py
+++ b/tests/endings/test_start_and_reload.py
@@ -170,6 +170,20 @@
     play(tmp_path, act)
 
 
+@pytest.mark.real_time
+def test_a_start_tells_its_first_step_and_has_one_thread(tmp_path):
+    """Seen twice: a process that stood in a futex at its start, with no line in its log. One thread waits for no other."""
+
+    def act(site):
+        site.start()
+        site.until(site.ready)
+        first, second = site.logged().split("\n")[:2]
+        assert first.startswith("starting name=n1 ") and second.startswith("ready ")
+        assert os.listdir(f"/proc/{site.process.pid}/task") == [str(site.process.pid)]
+
+    play(tmp_path, act)
+
+
 @pytest.mark.real_time
 @pytest.mark.parametrize(
     "signals", [(signal.SIGTERM,), (signal.SIGTERM,) * 2, (signal.SIGHUP, signal.SIGTERM)]
