A head that asks anew after a standstill keeps the open watch, whose answer may have come

Seen by a test, in the mend of standstills: the watch's answer lay in the socket as the head woke, was given up with the call, and where the next call was turned down the head sent to the drained node, in both ways of telling. Cause: ask_now cancelled the call under way.

--- a/harriertrack/decisions/requests/core.py
+++ b/harriertrack/decisions/requests/core.py
@@ -97,9 +97,9 @@
         self.look(now)
         return self._attempts.standstill.holds(now)
 
-    def list_heard(self, began: int) -> None:
+    def list_heard(self, began: int, answered: bool) -> None:
         """A call for the list that began then was answered, or failed at its source."""
-        self._attempts.standstill.heard(began)
+        self._attempts.standstill.heard(began, answered)
         self._board.soon()
 
     # -- requests
--- a/harriertrack/decisions/standstill.py
+++ b/harriertrack/decisions/standstill.py
@@ -26,9 +26,8 @@
     def __init__(self) -> None:
         self._looked_at: int | None = None  # None: nobody looks regularly
         self._asked_at: int | None = None  # since when an answer is awaited
-        self.stood_from: int | None = (
-            None  # the last look before it, until an answer tells what has come since
-        )
+        # The last look before a standstill, until an answer has told what came since.
+        self.stood_from: int | None = None
         self._awaited_from = 0  # when the last standstill was found
         self._held: dict[Held, None] = {}
 
@@ -52,10 +51,13 @@
         self._asked_at = self._awaited_from = now
         return True
 
-    def heard(self, began: int) -> None:
+    def heard(self, began: int, answered: bool) -> None:
         """A call for the list that began then was answered, or failed at its source."""
-        if began >= self._awaited_from:
-            self._asked_at = self.stood_from = None
+        if began < self._awaited_from:
+            return
+        self._asked_at = None
+        if answered:
+            self.stood_from = None
 
     def until(self) -> int | None:
         """Return when the list is waited for no longer; None if it is not waited for."""
--- a/harriertrack/lab/emulator.py
+++ b/harriertrack/lab/emulator.py
@@ -286,7 +286,7 @@
 
     def _asked(self, asked_at: int) -> None:
         self._fetch()
-        self._core.list_heard(asked_at)
+        self._core.list_heard(asked_at, answered=True)
 
     def _later(self, act: Callable[[], None]) -> None:
         trip = 2 * self._air.delay("", "list") + self._service.slow_us
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -76,11 +76,13 @@
                 self._start(True)
 
     def ask_now(self) -> None:
-        """Call for what has changed, whatever call is under way: it may wait for news, or be silent."""
+        """Call for what has changed, whatever call is under way: it may wait for news, or be silent.
+
+        That one stays open: its answer may have come already, and counts.
+        """
         if not self._watch.verify():
             return
-        if self._current is not None:
-            self._open.failed(self._current)
+        self._current = None
         self._log_event("discovery asked", why="the head stood still")
         self._start(True)
 
@@ -146,7 +148,8 @@
                 if not made.over:
                     return OVERDUE  # it stays open: who begins anew waits at the end of the source's queue
             except BaseException:
-                made.give_up()
+                if made is self._current:
+                    made.give_up()
                 raise
             finally:
                 self._current = None
@@ -177,7 +180,7 @@
         if made.failure:
             self._open.failed(made)
             self._put_off(made, late)
-        self._core.list_heard(made.began)
+        self._core.list_heard(made.began, not made.failure)
         if late:
             self._log.ended_late(made, len(self._open), self._watch.version)
             self._go_on_from(made)
--- a/tests/endings/test_standstill.py
+++ b/tests/endings/test_standstill.py
@@ -109,6 +109,23 @@
     site_of(tmp_path, way, drainGraceUs=2 * S).run(act)
 
 
+@BOTH
+def test_what_the_watch_was_told_meanwhile_counts_though_the_call_after_waking_fails(tmp_path, way):
+    """Its answer lies in the socket as the head wakes; discovery turns the next calls away for a while."""
+
+    def act(site):
+        site.hub.freeze(site.head, 3 * S)
+        site.hub.sleep(50 * MS)
+        told_at = drain(site)
+        site.hub.sleep(20 * MS)
+        site.discovery.outage = Outage.FAILING
+        site.hub.sleep(4 * S)
+        site.discovery.outage = Outage.NONE
+        kept_the_rule(site, told_at)
+
+    played(site_of(tmp_path, way, drainGraceUs=GRACE_US), act)
+
+
 class Standing(Hears):
     """The module; while it handles the next events the process stands still."""
 
