A weight in the platform's list that is no float hurts no head

Found on reading the change over: a whole number beyond a float's range (1 followed by 400 zeroes) raised OverflowError where a list is read, which nobody catches. It counts as not told now, as a negative one does.

--- a/harriertrack/membership/targets.py
+++ b/harriertrack/membership/targets.py
@@ -11,6 +11,7 @@
 from harriertrack.membership.nodes import Member
 
 MOST_LIST = 4 << 20  # bytes of a list
+MOST_SIZE = 1e18  # no machine's registered size comes near it; above it a whole number may be no float
 STATES = {
     "in_service": NodeState.UP, "terminating": NodeState.DRAINING, "terminated": NodeState.GONE,
 }  # fmt: skip
@@ -85,7 +86,7 @@
             raise TargetsError(f"{one.id}: {error}") from error
         started_us = (one.started_ms or 0) * 1000
         kind = one.kind if isinstance(one.kind, str) else ""
-        size = float(one.weight) if isinstance(one.weight, int | float) else 0.0
-        entry = NodeEntry(one.id, one.cell, state, one.zone or "", started_us, kind, size)
+        size = one.weight if isinstance(one.weight, int | float) and 0 < one.weight < MOST_SIZE else 0.0
+        entry = NodeEntry(one.id, one.cell, state, one.zone or "", started_us, kind, float(size))
         members.append(Member(entry, address))
     return members
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -41,7 +41,7 @@
 
 @pytest.mark.parametrize(("kind", "weight", "read"), [
     ("m2", 1.5, ("m2", 1.5)), ("m2", 2, ("m2", 2.0)), (None, None, ("", 0.0)), (7, "large", ("", 0.0)),
-    ([], {}, ("", 0.0)),
+    ([], {}, ("", 0.0)), ("m2", 10**400, ("m2", 0.0)), ("m2", -1, ("m2", 0.0)),
 ])  # fmt: skip
 def test_a_platform_s_list_tells_kinds_and_sizes_where_they_can_be_read(kind, weight, read):
     server = {
