--- a/harriertrack/decisions/requests/attempts.py
+++ b/harriertrack/decisions/requests/attempts.py
@@ -72,6 +72,11 @@
             self._board.port.ask_list()
             self._board.soon()
 
+    def must_ask(self, now: int) -> bool:
+        """Look; return whether the list has to be asked for before anything is sent."""
+        self.look(now)
+        return self.standstill.holds(now)
+
     def release(self, now: int) -> None:
         """Send what waited for the list, if that is waited for no longer, as far as it may still begin."""
         for attempt in self.standstill.release(now):
@@ -99,8 +104,7 @@
         Not to a node that drains or is gone since the module chose it: that has to choose again. Nor while
         the list has to be asked for: the process may stand still in the middle of a decision, too.
         """
-        self.look(now)
-        if self.standstill.holds(now):
+        if self.must_ask(now):
             return False
         if attempt.part.state.over or now >= attempt.begin_before:
             return False
--- a/harriertrack/decisions/requests/core.py
+++ b/harriertrack/decisions/requests/core.py
@@ -94,8 +94,7 @@
 
     def must_ask(self, now: int) -> bool:
         """Look; return whether the list has to be asked for before anything is sent."""
-        self.look(now)
-        return self._attempts.standstill.holds(now)
+        return self._attempts.must_ask(now)
 
     def list_heard(self, began: int, answered: bool) -> None:
         """A call for the list that began then was answered, or failed at its source."""
--- a/tests/endings/test_start_and_reload.py
+++ b/tests/endings/test_start_and_reload.py
@@ -56,12 +56,12 @@
             "seed": "1f", "limits": {"sockets": 256}, "known": self.old.listed(), "settings": settings,
         }  # fmt: skip
 
-    def start(self):
+    def start(self, command=("/bin/sh", "-c", RUN)):
         self.write()
         environment = {**os.environ, "PROXY_NAME": "n1", "PROXY_LISTEN": self.given["listen"],
                        "PROXY_DISCOVERY": "x", "PROXY_CONFIG": str(self.path)}  # fmt: skip
         with self.log.open("wb") as log:
-            self.process = subprocess.Popen(["/bin/sh", "-c", RUN], cwd=ROOT, env=environment, stderr=log)
+            self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stderr=log)
 
     def write(self, text=None):
         """Replace the file as a whole: the process may be reading it."""
--- a/tests/endings/test_system_calls.py
+++ b/tests/endings/test_system_calls.py
@@ -21,7 +21,6 @@
 import os
 import signal
 import socket
-import subprocess
 import sys
 from contextlib import contextmanager
 
@@ -32,7 +31,7 @@
 from harriertrack.runtime.streams import SocketListener
 from harriertrack.standin.platform import read_message
 from tests.endings.faulty_head import ACCEPT, FAILURES
-from tests.endings.test_start_and_reload import PATIENCE_US, REQUEST, ROOT, play
+from tests.endings.test_start_and_reload import PATIENCE_US, REQUEST, play
 from tests.test_platform import MS
 
 REQUESTS = 200
@@ -123,16 +122,6 @@
         hub.run(listener.accept, hub.now() + 1_000 * MS)
 
 
-def starts_with_faults(site, seed, calls):
-    """Start the site's head with calls that fail."""
-    site.write()
-    environment = {**os.environ, "PROXY_NAME": "n1", "PROXY_LISTEN": site.given["listen"],
-                   "PROXY_DISCOVERY": "x", "PROXY_CONFIG": str(site.path)}  # fmt: skip
-    command = [sys.executable, "-m", "tests.endings.faulty_head", str(seed), str(RATE), *calls]
-    with site.log.open("wb") as log:
-        site.process = subprocess.Popen(command, cwd=ROOT, env=environment, stderr=log)
-
-
 def asked(site, number):
     """Ask over a new connection; return the answer's status, 0 where the connection broke."""
     try:
@@ -152,7 +141,7 @@
     """Clients ask over a connection each, so that each request meets several of the head's calls."""
 
     def act(site):
-        starts_with_faults(site, seed, calls)
+        site.start([sys.executable, "-m", "tests.endings.faulty_head", str(seed), str(RATE), *calls])
         site.until(site.ready)
         statuses = [asked(site, number) for number in range(1, REQUESTS + 1)]
         assert site.process.poll() is None, site.logged()[-2000:]
