--- a/tests/endings/test_standstill.py
+++ b/tests/endings/test_standstill.py
@@ -13,6 +13,7 @@
 """
 
 import signal
+from functools import partial
 
 import pytest
 
@@ -21,6 +22,7 @@
 from harriertrack.standin.platform import Outage
 from tests.endings.loopback import LoopbackSite, RawClient
 from tests.endings.test_start_and_reload import REQUEST, play
+from tests import test_platform_clock as platform_clock
 from tests.test_platform import MS, SETTINGS, Hears
 from tests.test_platform_clock import ASKED, BOTH, S, drain, kept_the_rule, site_of
 
@@ -28,21 +30,8 @@
 CLIENTS = 24
 
 
-def ask_patiently(site):
-    """Send reads and writes to shard 1 for ever, and wait for as long as a head stands still (a task)."""
-    while True:
-        request = site.request(writes=site.number % 2 == 1)
-        site.scope.spawn("ask", site.ask, request, None, 60 * S)
-        site.hub.sleep(40 * MS)
-
-
-def played(site, act):
-    def whole(site):
-        site.scope.spawn("asks", ask_patiently, site)
-        site.hub.sleep(1_300 * MS)
-        act(site)
-
-    site.run(whole)
+# Clients wait for as long as a head stands still.
+played = partial(platform_clock.played, within=60 * S)
 
 
 @BOTH
--- a/tests/test_platform_clock.py
+++ b/tests/test_platform_clock.py
@@ -37,10 +37,10 @@
     return site
 
 
-def ask_all_the_time(site, every_us=40 * MS):
+def ask_all_the_time(site, every_us=40 * MS, within=3 * S):
     """Send reads and writes to shard 1 for ever (a task)."""
     while True:
-        site.scope.spawn("ask", site.ask, site.request(writes=site.number % 2 == 1))
+        site.scope.spawn("ask", site.ask, site.request(writes=site.number % 2 == 1), None, within)
         site.hub.sleep(every_us)
 
 
@@ -57,9 +57,11 @@
     assert when and max(when) <= over, f"{(max(when) - over) / S:.2f} s after the grace was over"
 
 
-def played(site, act):
+def played(site, act, within=3 * S):
+    """Play a test beside clients that ask all the time, and wait so long for each answer."""
+
     def whole(site):
-        site.scope.spawn("asks", ask_all_the_time, site)
+        site.scope.spawn("asks", ask_all_the_time, site, 40 * MS, within)
         site.hub.sleep(1_300 * MS)
         act(site)
 
