--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -327,12 +327,13 @@
     def running(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
-    def resident_mb(self) -> float:
+    def memory_mb(self) -> float:
+        """Return the process's own memory, in MiB: without pages of files, which the platform counts too."""
         assert self.process is not None
         for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
+            if line.startswith("RssAnon:"):
                 return int(line.split()[1]) / 1024
-        return 0.0
+        raise NotRun("this system does not tell a process's own memory")
 
     async def end(self) -> None:
         if self.process is not None and self.process.poll() is None:
