--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 )
 
 WRITES = 3
-WINDOW_MS, GIVE_UP_MS, AIM_MS = 2500, 2500, 500  # event-write of lisboa-scores
+WINDOW_MS, GIVE_UP_MS, AIM_MS = 5000, 5000, 750  # new-record of brno-main
 
 
 async def case(record: Record) -> str:
@@ -46,10 +46,16 @@
         return True
 
     discovery = await Discovery(record).start()
-    first = await Shelf("s-5be2a07c", 0, record, old, zone="zone-a").start()
-    second = await Shelf("s-9d10c3f2", 0, record, new, zone="zone-b").start()
+    first = await Shelf("s-5be2a07c", 0, record, old, zone="hall-a").start()
+    second = await Shelf("s-9d10c3f2", 0, record, new, zone="hall-b").start()
     await discovery.put(first)
-    content = settings([lane("event-write", "idempotency_key", AIM_MS, GIVE_UP_MS, "zone", WINDOW_MS)], [True])
+    content = settings(
+        [lane("new-record", "idempotency_key", AIM_MS, GIVE_UP_MS, "zone", WINDOW_MS, 3.0)], [True],
+        localities=["hall-a", "hall-b", "hall-c"], locality="hall-a",
+        permissions={"sendCap": 4},
+        safety={"drainGraceUs": 500000, "fallUs": 1500000, "overloadFactor": 2.5, "startCapacity": 0.17,
+                "warmAfterUs": 15000000, "budgetFree": 3, "repeatRatio": 0.15, "ratioSpanUs": 5000000},
+    )
     head = Head(record, discovery, content)
     try:
         await (await head.start()).ready()
@@ -57,7 +63,7 @@
         clients = []
         for number in range(WRITES):
             trace = trace_id()
-            data = request_bytes(trace, "event-write", "PUT", GIVE_UP_MS, 0, key=f"goal-{number}", body=b"goal" * 50)
+            data = request_bytes(trace, "new-record", "PUT", GIVE_UP_MS, 0, key=f"shift-{number}", body=b"tips" * 50)
             clients.append(asyncio.create_task(ask(record, head, trace, data, GIVE_UP_MS / 1000 + 1)))
         for _ in range(WRITES):
             await asyncio.wait_for(begun.acquire(), 2)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -38,15 +38,16 @@
     discovery = await Discovery(record).start()
     shelves = [await Shelf(f"s-{number}", number, record, behave).start() for number in range(3)]
     await discovery.put(*shelves)
-    lanes = [lane("new-booking", "non_idempotent", 1000, GIVE_UP_MS), lane("trip-read", "read_like", 1000, GIVE_UP_MS)]
-    head = Head(record, discovery, settings(lanes, [True, False]))
+    lanes = [lane("new-booking", "non_idempotent", 400, GIVE_UP_MS), lane("trip-read", "read_like", 400, 2500)]  # regina-main
+    head = Head(record, discovery, settings(lanes, [True, False], discovery="pushed", safety={"drainGraceUs": 1000000}))
     try:
         await (await head.start()).ready()
         await asyncio.sleep(0.5)
         answers = []
         for number in range(REQUESTS):
             trace, booking = trace_id(), number % 2 == 0
-            data = request_bytes(trace, "new-booking" if booking else "trip-read", "PUT" if booking else "GET", GIVE_UP_MS,
+            data = request_bytes(trace, "new-booking" if booking else "trip-read", "PUT" if booking else "GET",
+                                 GIVE_UP_MS if booking else 2500,
                                  number % 3, body=b"seat" if booking else b"")
             answers.append(asyncio.create_task(ask(record, head, trace, data, GIVE_UP_MS / 1000 + 1)))
             await asyncio.sleep(0.05)
