--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 from stand import (
-    TROUBLE, Answer, Discovery, Head, Record, Shelf, ask, lane, play, request_bytes, response, settings, trace_id,
+    TROUBLE, Answer, Discovery, Head, Record, Shelf, ask, lane, play, request_bytes, response, settings, tell, trace_id,
 )
 
 SECONDS, RATE = 60, 100  # a head gets up to 200 requests a second
@@ -92,7 +92,7 @@
         answers = await asyncio.gather(*tasks)
         counts = Counter(answer.status for answer in answers)
         record.say("counted", statuses=dict(counts), spoilt=spoilt, most_open=most_open, most_mb=round(most, 1))
-        print(f"most memory {most:.0f} MB of {LIMITS['memory_mb']}; {spoilt} spoilt answers, {most_open} at most at a "
+        tell(f"most memory {most:.0f} MB of {LIMITS['memory_mb']}; {spoilt} spoilt answers, {most_open} at most at a "
               f"time; statuses {dict(counts)}")
         watcher.cancel()
         if killed_at:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 from stand import (
-    TROUBLE, Discovery, Head, Record, Shelf, ask, lane, play, request_bytes, response, settings, trace_id,
+    TROUBLE, Discovery, Head, Record, Shelf, ask, lane, play, request_bytes, response, settings, tell, trace_id,
 )
 
 REQUESTS, SHARE = 60, 1 / 3  # the share of the answers that have no length
@@ -57,7 +57,7 @@
         forwarded = sum(body in {answer.body for answer in got if answer.status == 200} for body in whole)
         statuses = {status: sum(answer.status == status for answer in got) for status in {one.status for one in got}}
         record.say("counted", whole_without_length=len(whole), forwarded=forwarded, statuses=statuses)
-        print(f"{len(whole)} answers without a length came whole, {forwarded} were forwarded; statuses {statuses}")
+        tell(f"{len(whole)} answers without a length came whole, {forwarded} were forwarded; statuses {statuses}")
         if statuses.get(0):
             return "a request got no answer"
         if 2 * forwarded < len(whole):
--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import secrets
@@ -24,6 +25,12 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+def tell(text: str) -> None:
+    """Print a line; a reader that has gone changes no result."""
+    with contextlib.suppress(OSError):
+        os.write(1, text.encode() + b"\n")
+
+
 class NotRun(Exception):
     """The case could not be played."""
 
@@ -413,8 +420,8 @@
         broken = asyncio.run(bounded())
     except Exception as error:  # of the case or its stand-ins: it says nothing about the head
         record.say("could not run", why=repr(error))
-        print(f"could not run: {error!r}")
+        tell(f"could not run: {error!r}")
         return NOT_RUN
     record.say("result", broken=broken or "no")
-    print(f"broken: {broken}" if broken else "held")
+    tell(f"broken: {broken}" if broken else "held")
     return BROKEN if broken else HELD
