Failing tests: a restarted head sends to nodes that drained before it started

The log of the platform's head now shows what could not be told from the records: the saved list's version and nodes not in service, each change of state with the time from which it counts, and requests to draining nodes by their id.

--- a/harriertrack/service/__main__.py
+++ b/harriertrack/service/__main__.py
@@ -23,6 +23,7 @@
 from harriertrack.runtime.streams import SocketNetwork  # noqa: E402
 from harriertrack.service.configuration import ConfigurationError, read_configuration  # noqa: E402
 from harriertrack.service.head import PlatformHead  # noqa: E402
+from harriertrack.service.node_list_log import format_not_up  # noqa: E402
 
 
 def log(event: str, **fields: object) -> None:
@@ -50,7 +51,13 @@
         log(f"harriertrack: {error}")
         return 2
     # The first log line of a start: a start that hangs without it hangs in the interpreter or an import.
-    log("starting", name=configuration.name, known=len(configuration.known))
+    log(
+        "starting",
+        name=configuration.name,
+        known=len(configuration.known),
+        version=configuration.version,
+        not_up=format_not_up(member.entry for member in configuration.known),
+    )
     hub = Hub(seed=configuration.seed)
     head = PlatformHead(hub, SocketNetwork(hub), configuration, log)
 
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -20,6 +20,7 @@
 from harriertrack.service.discovery_call import DiscoveryCall
 from harriertrack.service.discovery_log import DiscoveryLog
 from harriertrack.service.log import Log
+from harriertrack.service.node_list_log import NodeListLog
 from harriertrack.service.storage_nodes import StorageNodes
 
 OVERDUE = "overdue"  # the reason logged when a call is followed by another before it has ended
@@ -46,7 +47,7 @@
         self._nodes, self._storage_nodes, self._watch = nodes, storage_nodes, watch
         self._address, self._wall_ahead_us = address, wall_ahead_us
         self._name, self._log = name, DiscoveryLog(hub, log)
-        self._log_event = log
+        self._nodes_log, self._log_event = NodeListLog(hub, log), log
         self._task: Task | None = None
         self._called_at = 0  # when the last call began
         self._waiting = False  # between two calls: the next one is due ...
@@ -224,6 +225,7 @@
         change = self._nodes.replace(members) if full else self._nodes.apply_changes(members)
         if change is not None:
             change.announced_at = effective_at
+            self._nodes_log.log_changes(change, self._watch.version, effective_at)
         self._core.nodes_changed(change)
         for node in self._nodes.forget_gone():
             self._storage_nodes.node_removed(node)
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -18,6 +18,7 @@
 from harriertrack.service.discovery import Discovery
 from harriertrack.service.front import Front
 from harriertrack.service.log import Log
+from harriertrack.service.node_list_log import NodeListLog
 from harriertrack.service.pending import PendingRequest
 from harriertrack.service.storage_nodes import StorageNodes
 
@@ -54,6 +55,7 @@
                  module: Callable[..., Scheduler] = Scheduler) -> None:  # fmt: skip
         self.hub, self.configuration = hub, configuration
         self._network, self._log = network, log
+        self._nodes_log = NodeListLog(hub, log)
         self._alarm = Alarm(hub, self._flush, at_round_end=True)
         self._heartbeat = Heartbeat(hub, standstill.CHECK_PERIOD_US, self._check_standstill)
         self._stop_requested = Event(hub)
@@ -236,6 +238,7 @@
         if pending.client_has_left(now):
             self.hub.at_end_of_round(lambda: self._client_left(now, pending, attempt))
         else:
+            self._nodes_log.log_send(attempt)
             self.storage_nodes.send(attempt)
 
     def _client_left(self, now: int, pending: PendingRequest, attempt: Attempt) -> None:
--- /dev/null
+++ b/tests/endings/test_drain_across_restart.py
@@ -0,0 +1,154 @@
+"""A restarted head sent requests to nodes that drained before its process started.
+
+What an earlier process of a head was told of a drain holds against the next one, which does not know when that was.
+"""
+
+import signal
+
+import pytest
+
+from harriertrack.standin.platform import Outage, PlatformNode, answer, read_message
+from tests.endings.test_start_and_reload import REQUEST, ProcessSite, play
+from tests.test_platform import MS
+from tests.test_platform_clock import BOTH, S, SLACK_US, drain, site_of
+
+GRACE_US = 2 * S
+SLOW_START_US = 1_300 * MS  # of a head with a tenth of a core
+REQUEST_EVERY_US = 10 * MS
+
+
+def draining_list(site):
+    """Let the node drain; return the list that names it so."""
+    site.old.set_server("s0", site.shelf.address, 0, "terminating")
+    return site.old.full_list()
+
+
+def send_reads(site):
+    """Send reads for the shard of the node continuously, each on a connection of its own (a task)."""
+    while True:
+        site.scope.spawn("read", read_once, site)
+        site.hub.sleep(REQUEST_EVERY_US)
+
+
+def read_once(site):
+    site.number += 1
+    try:
+        stream = site.net.connect(site.place)
+        stream.write(f"{REQUEST}{site.number:016x}\r\n\r\n".encode())
+        read_message(stream, b"", site.hub.now() + 5 * S)
+        stream.close()
+    except OSError:
+        pass  # the head does not listen yet, or not any more
+
+
+def start_slowly(site, startup_us):
+    """Start a process that is stopped in the middle of its start, until `startup_us` after it began."""
+    began_at = site.hub.now()
+    site.start()
+    site.until(site.blocks_signals)
+    site.send(signal.SIGSTOP)
+    site.hub.sleep(max(0, began_at + startup_us - site.hub.now()))
+    site.send(signal.SIGCONT)
+    site.until(site.ready)
+    return began_at
+
+
+def requests_after(site, when):
+    """Return how late the node's requests came that came after a time, in microseconds."""
+    return [got.received_at_us - when for got in site.shelf.requests if got.received_at_us > when]
+
+
+@pytest.mark.real_time
+@pytest.mark.parametrize("startup_us", [0, SLOW_START_US])
+@pytest.mark.parametrize("ending", [signal.SIGTERM, signal.SIGKILL])
+def test_a_restarted_head_keeps_the_grace_of_a_drain_that_its_earlier_process_was_told_of(
+    tmp_path, ending, startup_us
+):
+    """The drain begins during the shutdown, or just before the kill; the list is saved as the process had it."""
+
+    def act(site):
+        site.start()
+        site.until(site.ready)
+        site.scope.spawn("reads", send_reads, site)
+        site.until(lambda: site.shelf.requests and site.old.calls)
+        if ending is signal.SIGTERM:
+            site.send(ending)
+        site.given["known"] = draining_list(site)
+        told_at = site.hub.now()
+        site.hub.sleep(100 * MS)
+        if ending is signal.SIGKILL:
+            site.send(ending)
+        site.until(lambda: site.process.poll() is not None)
+        start_slowly(site, startup_us)
+        site.hub.sleep(1_500 * MS)
+        late = requests_after(site, told_at + GRACE_US + SLACK_US)
+        assert not late, f"{len(late)} requests, up to {max(late) / S:.2f} s late; {site.logged()}"
+
+    play(tmp_path, act)
+
+
+@pytest.mark.real_time
+@pytest.mark.parametrize("saved", ["in_service", "terminating"])
+def test_a_restarted_head_sends_nothing_to_a_node_that_drained_while_it_was_away(tmp_path, saved):
+    """The saved list may be older than what the earlier process was told; the new one can't know."""
+
+    def act(site):
+        older = site.given["known"]
+        newer = draining_list(site)
+        site.given["known"] = newer if saved == "terminating" else older
+        start_slowly(site, 0)
+        site.scope.spawn("reads", send_reads, site)
+        site.hub.sleep(2 * S)
+        assert not site.shelf.requests, f"{len(site.shelf.requests)} requests; {site.logged()}"
+        site.old.set_server("s0", site.shelf.address, 0)
+        site.until(lambda: site.shelf.requests)
+
+    play(tmp_path, act)
+
+
+@BOTH
+def test_a_new_process_waits_for_the_list_before_it_sends(tmp_path, way):
+    """Its first call takes a while: until then it knows only the saved list."""
+    site = site_of(tmp_path, way)
+    site.discovery.set_server("s1", site.shelfs[1].address, 1, "terminated")
+    site.discovery.outage = Outage.SILENT
+
+    def end_of_outage():
+        site.hub.sleep(300 * MS)
+        site.discovery.outage = Outage.NONE
+        site.discovery.reset_connections()
+
+    def act(site):
+        assert site.ask(site.request())[0] == 503
+        assert not site.shelfs[1].requests
+
+    site.begin = end_of_outage
+    site.run(act)
+
+
+@BOTH
+@pytest.mark.parametrize("outage", [Outage.SILENT, Outage.FAILING])
+def test_a_new_process_serves_by_the_saved_list_if_discovery_does_not_answer(tmp_path, way, outage):
+    site = site_of(tmp_path, way)
+    site.discovery.outage = outage
+
+    def act(site):
+        site.hub.sleep(1_300 * MS)
+        assert site.ask(site.request())[0] == 200
+
+    site.run(act)
+
+
+@BOTH
+def test_a_drain_after_the_first_list_has_its_grace(tmp_path, way):
+    """What this process followed from its beginning serves its clients for half of the grace, as before."""
+
+    def act(site):
+        site.hub.sleep(1 * S)
+        told_at = drain(site)
+        site.hub.sleep(50 * MS)
+        assert site.ask(site.request())[0] == 200
+        site.hub.sleep(told_at + GRACE_US // 2 - site.hub.now())
+        assert site.ask(site.request())[0] == 503
+
+    site_of(tmp_path, way).run(act)
