Each cell's module is told since when an update of the list counts

Callers of a gateway head with cells saw: after a standstill, requests to a node that had drained meanwhile, for half of a grace that was over. Cause: CellScheduler built the update for each cell's module anew and left announced_at out, so the grace began with the answer. Change: it is passed on. The new test failed before ([0, 0] in place of the time). Also removes three unused imports of the tests of restarts.

--- a/harriertrack/decisions/cell_scheduler.py
+++ b/harriertrack/decisions/cell_scheduler.py
@@ -174,7 +174,10 @@
                 by_cell.setdefault(cell, []).append(entry)
             else:
                 self._announced.pop(entry.node, None)
-        return [(cell, NodesChanged(update.kind, entries)) for cell, entries in by_cell.items()]
+        return [
+            (cell, NodesChanged(update.kind, entries, update.announced_at))
+            for cell, entries in by_cell.items()
+        ]
 
     def _forward(self, cell: str, action: Action, actions: list[Action]) -> None:
         match action:
--- a/tests/endings/test_drain_across_restart.py
+++ b/tests/endings/test_drain_across_restart.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from harriertrack.standin.platform import Outage, PlatformNode, answer, read_message
-from tests.endings.test_start_and_reload import REQUEST, ProcessSite, play
+from harriertrack.standin.platform import Outage, read_message
+from tests.endings.test_start_and_reload import REQUEST, play
 from tests.test_platform import MS
 from tests.test_platform_clock import BOTH, S, SLACK_US, drain, site_of
 
--- a/tests/test_cell_scheduler.py
+++ b/tests/test_cell_scheduler.py
@@ -174,3 +174,13 @@
     other = [name for name in cells.volumes if int(name[3:]) % 2 != int(hot[3:]) % 2]
     assert shares[1][hot] < 0.9
     assert all(shares[1][name] >= shares[0][name] - 0.01 for name in other)
+
+
+def test_an_update_that_counted_earlier_reaches_each_module_with_that_time():
+    one = cell_scheduler()
+    listed = [entry("n0", 0, api.NodeState.DRAINING), entry("n1", 1)]
+    one.handle(1_000_000, [api.NodesChanged(api.ListKind.CHANGES, listed, announced_at=400_000)])
+    updates = [
+        event for module in one.modules() for event in module.events if isinstance(event, api.NodesChanged)
+    ]
+    assert [update.announced_at for update in updates] == [400_000, 400_000]
