A drain's grace begins once, for a node that this process had as up

Cause: the module began a grace whenever an entry's state differed from the one in hand, also where there was none: a draining node of the saved list or of the first answer got half of the grace from the moment at which the new process first read it, a whole start (1.1 to 1.4 s at a tenth of a core) after the process began, and any time after an earlier process of the same head was told. The same line gave a new grace to a node that went from gone to draining, and to one that was forgotten and came back.

Change: decisions/drain_grace.py. The grace runs from when the node ceased to be up; a node that this process never had as up has none. The module and the baselines use it; the baselines now also heed the time from which an update counts, and nodes that a full list names no more.

--- a/harriertrack/decisions/baselines.py
+++ b/harriertrack/decisions/baselines.py
@@ -16,9 +16,10 @@
 
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 
+from harriertrack.decisions.drain_grace import DrainGrace
 from harriertrack.decisions.interface import (
     Action,
     AttemptEnded,
@@ -78,7 +79,7 @@
         self._classes = {one.name: one for one in settings.classes}
         self._plans = {plan.name: plan for plan in settings.plans}
         self._nodes: dict[str, NodeEntry] = {}
-        self._state_since: dict[str, int] = {}
+        self._graces: dict[str, DrainGrace] = {}
         self._works: dict[int, PendingRequest] = {}
         self._outstanding: dict[str, int] = {}
         self._actions: list[Action] = []
@@ -126,12 +127,22 @@
             return
         if change.kind is ListKind.RESTORED and self.settings.list_on_request:
             self._actions.append(Subscribe(True))
-        for entry in change.entries:
+        announced_at = min(change.announced_at or self._now, self._now)
+        for entry in self._changed_entries(change):
             before = self._nodes.get(entry.node)
-            if before is None or before.state is not entry.state:
-                self._state_since[entry.node] = self._now
+            grace = self._graces.setdefault(entry.node, DrainGrace())
+            if before is not None:
+                grace.note_change(before.state, entry.state, announced_at)
             self._nodes[entry.node] = entry
 
+    def _changed_entries(self, change: NodesChanged) -> list[NodeEntry]:
+        """Return the entries of an update, with those that a full list names no more as gone."""
+        if change.kind is ListKind.CHANGES:
+            return change.entries
+        named = {entry.node for entry in change.entries}
+        absent = [entry for entry in self._nodes.values() if entry.node not in named]
+        return [*change.entries, *(replace(entry, state=NodeState.GONE) for entry in absent)]
+
     def nodes_up(self) -> list[str]:
         """Return the nodes that are up, in the order of the list."""
         return [entry.node for entry in self._nodes.values() if entry.state is NodeState.UP]
@@ -142,14 +153,17 @@
         for entry in self._nodes.values():
             if entry.shard != shard:
                 continue
-            grace = self._state_since[entry.node] + self.settings.drain_grace_us // 2
             if entry.state is NodeState.UP:
                 if best is None or best.state is not NodeState.UP or entry.started_us > best.started_us:
                     best = entry
-            elif entry.state is NodeState.DRAINING and self._now < grace and best is None:
+            elif best is None and self._accepts_requests(entry):
                 best = entry
         return best.node if best is not None else None
 
+    def _accepts_requests(self, entry: NodeEntry) -> bool:
+        grace_us = self.settings.drain_grace_us
+        return self._graces[entry.node].accepts_requests(entry.state, self._now, grace_us)
+
     # -- requests
 
     def _on_request_arrived(self, event: RequestArrived) -> None:
--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field, replace
 
 from harriertrack.decisions.bucket import Bucket, DecayingSum
+from harriertrack.decisions.drain_grace import DrainGrace
 from harriertrack.decisions.interface import (
     Action,
     AttemptEnded,
@@ -174,6 +175,7 @@
     size_ratio: float = 1.0  # its size relative to the node of that time, at most 1; 0: unknown
     last_key: str = ""
     reserved_share: float = 0.0  # share of recent sends under a reservation: round robin has the rest
+    grace: DrainGrace = field(default_factory=DrainGrace)
 
 
 class Scheduler:
@@ -288,6 +290,7 @@
             elif entry.state is not node.entry.state or entry.started_us > before:
                 self._update_past_rate(node)
                 if entry.state is not node.entry.state:
+                    node.grace.note_change(node.entry.state, entry.state, announced_at)
                     node.state_since, node.served = announced_at, self._new_served_sum()
             node.entry = entry
             if entry.started_us > before and self._now - entry.started_us < self.settings.warm_us:
@@ -297,6 +300,7 @@
             for name, node in self._nodes.items():
                 if name not in named and node.entry.state is not NodeState.GONE:
                     self._update_past_rate(node)
+                    node.grace.note_change(node.entry.state, NodeState.GONE, announced_at)
                     node.state_since, node.served = announced_at, self._new_served_sum()
                     node.entry = replace(node.entry, state=NodeState.GONE)
         self._index_nodes()
@@ -339,8 +343,7 @@
 
     def _accepts_requests(self, node: _Node) -> bool:
         """Whether a node may get new requests: it is up, or draining and in the first half of the grace."""
-        state, grace = node.entry.state, self.settings.drain_grace_us // 2
-        return state is NodeState.UP or (state is NodeState.DRAINING and self._now < node.state_since + grace)
+        return node.grace.accepts_requests(node.entry.state, self._now, self.settings.drain_grace_us)
 
     def _serving_node(self, work: _Work) -> _Node | None:
         """Return the node that serves a request's shard: one that is up, else one in its drain's grace."""
