--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -176,6 +176,10 @@
             if matching:
                 matching[0].received.append(attempt)
 
+    def head_name(self, number: int) -> str:
+        """Return the name of the head that one of its processes has as its number; the number if unknown."""
+        return self.heads.get(number, str(number))
+
     def max_flight_us(self, sent_at_us: int, received_at_us: int) -> int:
         """Return how long an attempt sent at one time may take if it is received at another."""
         return self.facts.flight_us + self.machine_paused_us(sent_at_us, received_at_us)
@@ -274,15 +278,18 @@
 
 
 def drains_kept(run: RunHistory) -> Iterator[Breach]:
-    """Rule 3: a head sends a draining node nothing new after the grace, counted from the list it received."""
-    listings: dict[tuple[int, str], list[rec.NodeListed]] = defaultdict(list)
+    """Rule 3: a head sends a draining node nothing new after the grace, counted from the list it received.
+
+    What one process of a head received holds against its later processes too: a restart begins no new grace.
+    """
+    listings: dict[tuple[str, str], list[rec.NodeListed]] = defaultdict(list)
     for listing in run.node_listings:
-        listings[listing.head, listing.node].append(listing)
+        listings[run.head_name(listing.head), listing.node].append(listing)
     for t, head, node, flight in _sends(run):
-        late = _since_drain_us(listings.get((head, node), ()), t)
+        name = run.head_name(head)
+        late = _since_drain_us(listings.get((name, node), ()), t)
         if late > run.facts.drain_grace_us + flight:
-            who = f"{run.heads.get(head, head)} to {node}"
-            yield Breach(3, t, who, f"sent {late} us after it was told of the drain")
+            yield Breach(3, t, f"{name} to {node}", f"sent {late} us after it was told of the drain")
 
 
 def drains_kept_by_all(run: RunHistory) -> Iterator[Breach]:
@@ -349,7 +356,10 @@
 
 
 def cold_nodes_spared(run: RunHistory) -> Iterator[Breach]:
-    """Rule 4: all heads together send a cold node at most a multiple of its capacity at the time."""
+    """Rule 4: all heads together send a cold node at most a multiple of its capacity at the time.
+
+    A head that was told of the node's start knows it in its later processes too.
+    """
     facts = run.facts
     for event in run.node_events:
         if event.state == "fell":
@@ -365,7 +375,7 @@
         warm_at_us = start.t + start.warm_us
         attempts = [attempt for attempt in by_node[start.node] if start.t <= attempt.t < warm_at_us]
         informed = {
-            one.head
+            run.head_name(one.head)
             for one in run.node_listings
             if one.node == start.node and one.state == "up" and one.started_us >= start.t
         }
@@ -379,7 +389,7 @@
             warmed = max(0.0, attempt.t - facts.fall_us / 2 - start.t) / start.warm_us
             capacity = facts.fall_multiple * start.rate * facts.fall_us / 1e6
             capacity *= start.cold_share + (1 - start.cold_share) * warmed
-            informed_units = sum(run.units(one) for one in window if one.head in informed)
+            informed_units = sum(run.units(one) for one in window if run.head_name(one.head) in informed)
             if units > max(capacity, facts.cold_units) * 1.1 and informed_units * 3 >= units * 2:
                 yield Breach(
                     4, attempt.t, start.node, f"cold, got {units:.0f} units where it bears {capacity:.0f}"
@@ -432,7 +442,7 @@
             retries[attempt.head].append(attempt.t)
     for head, times in retries.items():
         times.sort()
-        request_times = run.request_times[run.heads.get(head, "")]
+        request_times = run.request_times[run.head_name(head)]
         for position, t in enumerate(times):
             window_start = t - facts.budget_window_us
             count = position + 1 - bisect_left(times, window_start + facts.flight_us)
@@ -440,7 +450,7 @@
                 request_times, window_start - facts.flight_us
             )
             if count > facts.budget_free + facts.budget_share * requests:
-                who = run.heads.get(head, str(head))
+                who = run.head_name(head)
                 yield Breach(6, t, who, f"{count} further attempts, {requests} requests taken in the window")
                 break
 
@@ -516,7 +526,7 @@
 
 def _name(run: RunHistory, key: tuple[int, int]) -> str:
     request = run.request_of_key.get(key)
-    return request.name if request is not None else f"key {key[1]} of {run.heads.get(key[0], key[0])}"
+    return request.name if request is not None else f"key {key[1]} of {run.head_name(key[0])}"
 
 
 def check(records: Iterable[rec.Record]) -> list[Breach]:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 import pytest
 
 from harriertrack.decisions import interface as api, lifecycle, requests, scheduler
+from harriertrack.decisions.drain_grace import DrainGrace
 from harriertrack.decisions.requests import attempts
 from harriertrack.gateway import front, head
 from harriertrack.lab import day as days, rig
@@ -161,6 +162,32 @@
     return run.broken_rules()
 
 
+@pytest.mark.parametrize(("returned", "broken"), [(False, {3}), (True, set())])
+def test_a_drain_that_a_head_was_told_of_counts_for_its_next_process_too(returned, broken):
+    run = RecordingBuilder().listed(100, "draining")
+    later = HEAD + 1
+    run.add(rec.HeadLifecycle(t=200, head="h", number=0, up=False))
+    run.add(rec.HeadLifecycle(t=S, head="h", number=later, up=True))
+    for state in ("up", "draining") if returned else ("draining",):
+        run.add(rec.NodeListed(t=S + 500, head=later, node="n", state=state, started_us=0))
+    run.add(rec.AttemptSent(t=S + 2000, head=later, key=1, attempt=0, node="n"))
+    assert run.broken_rules() == broken
+
+
+def test_a_cold_start_that_a_head_was_told_of_counts_for_its_next_process_too():
+    run = RecordingBuilder().listed(100, started=100)
+    run.add(rec.NodeLifecycle(t=100, node="n", state="started", rate=10.0, cold_share=0.2, warm_us=10 * S))
+    later = HEAD + 1
+    run.add(rec.HeadLifecycle(t=200, head="h", number=later, up=True))
+    for number in range(1, 12):
+        offset = number * 65536
+        run.request(number, 1000 * number).add(
+            rec.AttemptReceived(t=1000 * number + 5, node="n", shard=0, head=later, key=number, attempt=0, volume="v",
+                                kind="read", offset=offset, length=4096)
+        ).answer(number, 1000 * number + 10)  # fmt: skip
+    assert 4 in run.broken_rules()
+
+
 def test_an_exceeded_limit_is_found():
     assert limit_rules([0] * 5) == set()
     assert limit_rules([0] * 6) == {7}
@@ -275,6 +302,18 @@
     assert 3 in rules_broken_in_day("drain")
 
 
+def test_a_head_whose_restart_begins_the_grace_of_a_drain_anew(monkeypatch):
+    accepts_requests = DrainGrace.accepts_requests
+
+    def accepts_in_first_list(self, state, now, grace_us):
+        if state is api.NodeState.DRAINING and self.left_service_at is None:
+            self.left_service_at = now
+        return accepts_requests(self, state, now, grace_us)
+
+    monkeypatch.setattr(DrainGrace, "accepts_requests", accepts_in_first_list)
+    assert 3 in rules_broken_in_day("drain-restart")
+
+
 def test_a_head_that_treats_cold_nodes_as_warm(monkeypatch):
     change_module_settings(monkeypatch, warm_us=0)
     monkeypatch.setattr(scheduler, "WINDOW_MIN", 32.0)  # a small window alone would protect cold nodes
