--- /dev/null
+++ b/harriertrack/lab/soak/playing.py
@@ -0,0 +1,207 @@
+"""Plays a soak plan: starts all parties, carries out the timeline, and returns the recording."""
+
+from __future__ import annotations
+
+import tempfile
+from dataclasses import dataclass
+from itertools import count
+from pathlib import Path
+from random import Random
+from typing import Any, assert_never
+
+from harriertrack.lab.fleet.processes import LoopbackAddresses
+from harriertrack.lab.soak.clients import SoakClients
+from harriertrack.lab.soak.heads import SoakHead
+from harriertrack.lab.soak.parties import DRAINING, GONE, IN_SERVICE, SoakDiscovery, SoakNode, head_name
+from harriertrack.lab.soak.plan import (
+    MS,
+    SECOND,
+    DiscoveryOutage,
+    Drain,
+    HeadPause,
+    HeadRestart,
+    NodeHang,
+    Plan,
+    Return,
+    SlowDiscovery,
+    Step,
+    WatchReset,
+)
+from harriertrack.rules import platform, platform_recording as rec
+from harriertrack.runtime.hub import Hub, Scope
+from harriertrack.runtime.streams import SocketNetwork
+from harriertrack.standin.platform import Outage
+
+CHECK_US = 5 * MS  # how often the recorder notes that it runs
+DELAYED_US = 15 * MS  # a longer gap is noted: records of that time are late
+LAST_ANSWERS_US = 1 * SECOND  # beyond the longest deadline, at the end of a run
+CAPACITY_TIMES = 2.5  # a node's warm capacity, as a multiple of its mean demand
+EFFECTS = {"read_like": "safe", "idempotency_key": "keyed", "non_idempotent": "unsafe"}
+
+
+@dataclass(frozen=True, slots=True)
+class SoakResult:
+    """What a run recorded, what it broke, and the heads' logs by name."""
+
+    plan: Plan
+    records: list[rec.Record]
+    breaches: list[platform.Breach]
+    logs: dict[str, str]
+
+    def counts(self) -> dict[str, int]:
+        """Return how many requests were sent, answered with which status, or ended otherwise."""
+        counts = {"sent": len({one.trace for one in self.records if isinstance(one, rec.RequestSent)})}
+        for one in self.records:
+            if isinstance(one, rec.RequestEnded):
+                outcome = str(one.status) if one.status else one.how
+                counts[outcome] = counts.get(outcome, 0) + 1
+        return counts
+
+
+class SoakRun:
+    """One run of a plan."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan, self.records = plan, list[rec.Record]()
+        self.hub = Hub(seed=plan.seed)
+        network, numbers, serial = SocketNetwork(self.hub), count(1), count(1)
+        self.records.append(_facts(plan))
+        self._discovery = SoakDiscovery(self.hub, network, plan, self.records.append)
+        self._nodes = [
+            SoakNode(self.hub, network, f"s-{shard}", shard, Random(plan.seed * 100 + shard), serial,
+                     self.records.append)
+            for shard in range(plan.nodes)
+        ]  # fmt: skip
+        addresses = LoopbackAddresses()
+        self.heads = [
+            SoakHead(self.hub, network, head_name(number), addresses.next(), plan, self._discovery, folder,
+                     self.records.append)
+            for number in range(plan.heads)
+        ]  # fmt: skip
+        self._clients = [
+            SoakClients(self.hub, network, head, plan, numbers, self.records.append) for head in self.heads
+        ]
+
+    def play(self) -> None:
+        """Play the whole timeline."""
+        self.hub.run(self._main)
+
+    def _main(self) -> None:
+        with self.hub.scope("soak") as scope:
+            try:
+                self._start(scope)
+                begin = self.hub.now()
+                until = begin + self.plan.length_us
+                for clients in self._clients:
+                    clients.start(scope, until)
+                for step in self.plan.steps:
+                    scope.spawn("step", self._carry_out, begin, step)
+                self.hub.sleep_until(until + max(self._waits()) + LAST_ANSWERS_US)
+                for head in self.heads:
+                    head.check_running()
+            finally:
+                for head in self.heads:
+                    head.end()
+            scope.cancel()
+
+    def _waits(self) -> list[int]:
+        return [lane["giveUpUs"] for lane in self.plan.settings["lanes"]]
+
+    def _start(self, scope: Scope) -> None:
+        scope.spawn("recorder", self._note_delays)
+        self._discovery.start(scope)
+        for node in self._nodes:
+            node.start(scope)
+            self._discovery.publish(node)
+        with self.hub.scope("starts") as starts:
+            for head in self.heads:
+                starts.spawn("start", head.start)
+
+    def _note_delays(self) -> None:
+        """Note when this process did not run in time (a task)."""
+        while True:
+            began_at = self.hub.now()
+            self.hub.sleep(CHECK_US)
+            gap_us = self.hub.now() - began_at
+            if gap_us > DELAYED_US:
+                self.records.append(rec.RecorderDelayed(t=began_at, us=gap_us))
+
+    def _carry_out(self, begin: int, step: Step) -> None:
+        self.hub.sleep_until(begin + step.at)
+        match step:
+            case Drain():
+                self._drain(self._nodes[step.node], step)
+            case DiscoveryOutage():
+                self._discovery.set_outage(Outage(step.how.value))
+                self.hub.sleep(step.for_us)
+                self._discovery.set_outage(Outage.NONE)
+            case SlowDiscovery():
+                self._discovery.set_service_us(step.service_us)
+                self.hub.sleep(step.for_us)
+                self._discovery.set_service_us(0)
+            case WatchReset():
+                self._discovery.reset_connections()
+            case NodeHang():
+                self._nodes[step.node].hanging = True
+                self.hub.sleep(step.for_us)
+                self._nodes[step.node].hanging = False
+            case HeadPause():
+                self.heads[step.head].pause(step.for_us)
+            case HeadRestart():
+                self.heads[step.head].restart(step)
+            case _:
+                assert_never(step)
+
+    def _drain(self, node: SoakNode, step: Drain) -> None:
+        node.state = DRAINING
+        self._discovery.publish(node)
+        self.hub.sleep(step.gone_after_us or step.for_us)
+        if step.gone_after_us:
+            node.state = GONE
+            self._discovery.publish(node)
+            self.hub.sleep(step.for_us - step.gone_after_us)
+        node.state = IN_SERVICE
+        cold = step.back is Return.COLD
+        if cold:
+            node.started_ms = self.hub.clock.wall() // 1000
+        self._discovery.publish(node, self._capacity() if cold else 0.0)
+
+    def _capacity(self) -> float:
+        """Return the warm capacity of a node, in requests a second."""
+        demand = self.plan.heads * self.plan.clients * SECOND / self.plan.gap_us / self.plan.nodes
+        return CAPACITY_TIMES * demand
+
+
+def _class_facts(lane: dict[str, Any]) -> rec.ClassFacts:
+    return rec.ClassFacts(lane["name"], EFFECTS[lane["idempotency"]], lane.get("keyTtlUs", 0))
+
+
+def _facts(plan: Plan) -> rec.RunFacts:
+    safety, lanes = plan.settings["safety"], plan.settings["lanes"]
+    capped = plan.settings["contracts"][1]
+    limit = rec.LimitFacts("c" * 16, capped["ceilingRate"], capped["mostAtOnce"], capped["capSlack"])
+    return rec.RunFacts(
+        seed=plan.seed,
+        classes=[
+            rec.ClassFacts(lane["name"], EFFECTS[lane["idempotency"]], lane.get("keyTtlUs", 0))
+            for lane in lanes
+        ],
+        limits=[limit],
+        pushed=plan.settings["discovery"] == "pushed",
+        crowd=plan.crowd > 0,
+        drain_grace_us=safety["drainGraceUs"],
+        max_attempts=plan.settings["permissions"]["sendCap"],
+        fall_us=safety["fallUs"],
+        fall_multiple=safety["overloadFactor"],
+        cold_share=safety["startCapacity"],
+        warm_us=safety["warmAfterUs"],
+    )
+
+
+def play(plan: Plan) -> SoakResult:
+    """Play a plan in a temporary folder, check its recording, and return the result."""
+    with tempfile.TemporaryDirectory(prefix="harriertrack-soak-") as folder:
+        run = SoakRun(plan, Path(folder))
+        run.play()
+        logs = {head.name: head.log for head in run.heads}
+    return SoakResult(plan, run.records, platform.check(run.records), logs)
--- /dev/null
+++ b/harriertrack/rules/platform_recording.py
@@ -0,0 +1,187 @@
+"""Recordings of runs of the platform's heads: what clients, storage nodes and discovery saw, as JSON lines.
+
+Times are microseconds on the recorder's monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+
+class ClassFacts(msgspec.Struct, frozen=True):
+    """A class of requests: `effect` is safe, keyed or unsafe; keyed repeats belong into `window_us`."""
+
+    name: str
+    effect: str
+    window_us: int = 0
+
+
+class LimitFacts(msgspec.Struct, frozen=True):
+    """The limit of a volume over all heads: units a second, burst and slack in units."""
+
+    volume: str
+    rate: float
+    burst: float
+    slack: float
+
+
+class RunFacts(msgspec.Struct, kw_only=True, tag="facts", tag_field="what"):
+    """The parameters that a run is checked against; the first line of a recording."""
+
+    seed: int
+    classes: list[ClassFacts]
+    limits: list[LimitFacts] = []
+    pushed: bool  # what discovery has counts as announced at once
+    crowd: bool  # idle clients fill the descriptors: new connections may be closed unread
+    drain_grace_us: int
+    max_attempts: int
+    fall_us: int  # the period over which a cold node's requests are counted
+    fall_multiple: float
+    cold_share: float
+    warm_us: int
+
+
+class NodeChanged(msgspec.Struct, kw_only=True, tag="node", tag_field="what"):
+    """Discovery has a node's new state. `rate`: if it restarted, its warm capacity in requests a second."""
+
+    t: int
+    node: str
+    state: str
+    rate: float = 0.0
+
+
+class ListWritten(msgspec.Struct, kw_only=True, tag="written", tag_field="what"):
+    """Discovery wrote an answer to a head: the states that it names."""
+
+    t: int
+    head: str
+    version: int
+    full: bool
+    states: dict[str, str]
+
+
+class OutageChanged(msgspec.Struct, kw_only=True, tag="outage", tag_field="what"):
+    """Discovery can't be reached from now on, or can again."""
+
+    t: int
+    begins: bool
+
+
+class ProcessStarted(msgspec.Struct, kw_only=True, tag="started", tag_field="what"):
+    """A process of a head was started, with the states of the saved list."""
+
+    t: int
+    head: str
+    states: dict[str, str]
+
+
+class ProcessSignalled(msgspec.Struct, kw_only=True, tag="signal", tag_field="what"):
+    """A process was sent a signal."""
+
+    t: int
+    head: str
+    signal: str
+
+
+class ProcessEnded(msgspec.Struct, kw_only=True, tag="ended", tag_field="what"):
+    """A process ended: its status, negative for a signal. `planned`: it had been asked to (SIGTERM)."""
+
+    t: int
+    head: str
+    status: int
+    planned: bool
+
+
+class RequestSent(msgspec.Struct, kw_only=True, tag="request", tag_field="what"):
+    """A client wrote a whole request to a connection; `fresh`: the first one on it.
+
+    A request whose connection was closed before it was read is sent a second time, with the same id.
+    """
+
+    t: int
+    head: str
+    trace: str
+    class_name: str
+    wait_us: int
+    volume: str
+    units: float
+    fresh: bool
+
+
+class RequestEnded(msgspec.Struct, kw_only=True, tag="answer", tag_field="what"):
+    """What a client got: an HTTP status, or 0 and `how` it ended (closed, reset, silent, left, not taken)."""
+
+    t: int
+    trace: str
+    status: int
+    how: str = ""
+
+
+class AttemptReceived(msgspec.Struct, kw_only=True, tag="attempt", tag_field="what"):
+    """A node received a whole request; `serial` numbers the attempts of a run."""
+
+    t: int
+    serial: int
+    node: str
+    trace: str
+
+
+class AttemptAnswered(msgspec.Struct, kw_only=True, tag="attempt-answer", tag_field="what"):
+    """A node answered an attempt; `never_ran`: with the proof that it was not executed."""
+
+    t: int
+    serial: int
+    node: str
+    trace: str
+    never_ran: bool
+
+
+class RecorderDelayed(msgspec.Struct, kw_only=True, tag="delayed", tag_field="what"):
+    """The recorder did not run for `us` microseconds from `t` on: what it noted then may be older."""
+
+    t: int
+    us: int
+
+
+Record = (
+    RunFacts
+    | NodeChanged
+    | ListWritten
+    | OutageChanged
+    | ProcessStarted
+    | ProcessSignalled
+    | ProcessEnded
+    | RequestSent
+    | RequestEnded
+    | AttemptReceived
+    | AttemptAnswered
+    | RecorderDelayed
+)
+_DECODER = msgspec.json.Decoder(Record)
+
+
+class RecordingError(Exception):
+    """A recording that can't be read; the message names the file and line."""
+
+
+def write(path: Path, records: Iterable[Record]) -> None:
+    """Write a recording."""
+    path.write_bytes(b"".join(msgspec.json.encode(record) + b"\n" for record in records))
+
+
+def read(path: Path) -> list[Record]:
+    """Read a recording. Raises RecordingError."""
+    records: list[Record] = []
+    try:
+        lines = path.read_bytes().splitlines()
+    except OSError as error:
+        raise RecordingError(f"{path}: {error.strerror}") from error
+    for number, line in enumerate(lines, start=1):
+        try:
+            records.append(_DECODER.decode(line))
+        except msgspec.MsgspecError as error:
+            raise RecordingError(f"{path}:{number}: {error}") from error
+    return records
--- a/tests/test_settings_heeded.py
+++ b/tests/test_settings_heeded.py
@@ -13,6 +13,7 @@
 ROOT = Path(__file__).parent.parent
 DECISIONS = [
     ROOT / "harriertrack" / "decisions" / "scheduler.py",
+    ROOT / "harriertrack" / "decisions" / "drain_grace.py",
     ROOT / "harriertrack" / "service" / "configuration.py",  # passes deadlines and windows on to the core
     *(ROOT / "harriertrack" / "decisions" / "requests").glob("*.py"),
 ]
