--- a/harriertrack/cli/common.py
+++ b/harriertrack/cli/common.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 import signal
 import sys
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 from harriertrack.storage.extents import ExtentMapError
 
 EXIT_BAD_INPUT = 2
+SEED_RANGE = re.compile(r"(\d+)\.\.(\d+)\Z")
 
 log_option = click.option(
     "--log",
@@ -51,6 +53,16 @@
     sys.exit(EXIT_BAD_INPUT)
 
 
+def seed_range(text: str | None, seed: int) -> range:
+    """Return the seeds of an option `--seeds FROM..TO`, or the single one if it was not given."""
+    if text is None:
+        return range(seed, seed + 1)
+    match = SEED_RANGE.match(text)
+    if match is None or int(match[1]) >= int(match[2]):
+        fail(f"--seeds {text}: expected FROM..TO, such as 0..100 for 0 to 99")
+    return range(int(match[1]), int(match[2]))
+
+
 def load_settings(path: str, settings_type: type) -> Any:
     """Load settings of one type; exit with an error if they are invalid or of another type."""
     try:
--- a/harriertrack/cli/main.py
+++ b/harriertrack/cli/main.py
@@ -45,6 +45,10 @@
             "shelf:shelf",
             "Run a storage node stand-in with its SETTINGS until SIGINT or SIGTERM; its data is in memory.",
         ),
+        "soak": (
+            "soak:soak",
+            "Soak heads of the platform: processes under drains, restarts and faults drawn from seeds.",
+        ),
         "standin": ("standin:standin", "Stand-ins for outside systems."),
     }
 
--- a/harriertrack/cli/storm.py
+++ b/harriertrack/cli/storm.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import sys
 import tempfile
 import time
@@ -11,26 +10,16 @@
 
 import click
 
-from harriertrack.cli.common import fail
+from harriertrack.cli.common import fail, seed_range
 from harriertrack.config.sexp import SettingsError
 from harriertrack.lab.fleet.processes import Interrupted, check_for_processes, play_processes
 from harriertrack.lab.fleet.scenario import FleetDaySettings
 from harriertrack.lab.fleet.storm import drawing, figures, playing
 from harriertrack.rules import recording as rec
 
-SEED_RANGE = re.compile(r"(\d+)\.\.(\d+)\Z")
 MINUTE_US = 60_000_000
 
 
-def _seed_range(text: str | None, seed: int) -> range:
-    if text is None:
-        return range(seed, seed + 1)
-    match = SEED_RANGE.match(text)
-    if match is None or int(match[1]) >= int(match[2]):
-        fail(f"--seeds {text}: expected FROM..TO, such as 0..100 for 0 to 99")
-    return range(int(match[1]), int(match[2]))
-
-
 def _check_for_processes(day: FleetDaySettings) -> None:
     playing.check(day)
     check_for_processes(day)
@@ -88,7 +77,7 @@
     play = playing.play_simulated if virtual else partial(_play_with_processes, folder)
     check = playing.check if virtual else _check_for_processes
     failed_seeds = 0
-    for day_seed in _seed_range(seeds, seed):
+    for day_seed in seed_range(seeds, seed):
         started = time.monotonic()
         try:
             day = drawing.draw(day_seed, heads, int(minutes * MINUTE_US), distributions, check)
--- a/harriertrack/lab/soak/heads.py
+++ b/harriertrack/lab/soak/heads.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Sequence
 from contextlib import suppress
 from pathlib import Path
 
@@ -29,15 +30,25 @@
 class SoakHead:
     """One head through all its processes."""
 
-    def __init__(self, hub: Hub, network: Network, name: str, address: tuple[str, int], plan: Plan,
-                 discovery: SoakDiscovery, folder: Path, add: Add) -> None:  # fmt: skip
+    def __init__(
+        self,
+        hub: Hub,
+        network: Network,
+        name: str,
+        address: tuple[str, int],
+        plan: Plan,
+        discovery: SoakDiscovery,
+        folder: Path,
+        command: Sequence[str],
+        add: Add,
+    ) -> None:
         self.name, self.address = name, address
         self.accepts_new_connections = False  # whether clients may open connections now
         self._hub, self._network, self._plan, self._discovery = hub, network, plan, discovery
         self._path, self._log, self._add = folder / f"{name}.json", folder / f"{name}.log", add
         self._moved, self._planned = False, False
         self._process: subprocess.Popen[bytes] | None = None
-        self._seed = plan.seed << 8
+        self._seed, self._command = plan.seed << 8, command
 
     def start(self, startup_us: int = 0, older_list: bool = False) -> None:
         """Start a process and wait until it is ready; a slow start is stopped for a while."""
@@ -52,7 +63,9 @@
             "PROXY_CONFIG": str(self._path),
         }
         with self._log.open("ab") as log:
-            self._process = subprocess.Popen(RUN, env=environment, stdin=subprocess.DEVNULL, stderr=log)
+            self._process = subprocess.Popen(
+                self._command, env=environment, stdin=subprocess.DEVNULL, stderr=log
+            )
         states = {entry["id"]: entry["state"] for entry in saved["servers"]}
         self._add(rec.ProcessStarted(t=began_at, head=self.name, states=states))
         if startup_us > INTERPRETER_US:
--- a/harriertrack/lab/soak/parties.py
+++ b/harriertrack/lab/soak/parties.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
+from functools import partial
 from itertools import count
 from random import Random
 
@@ -25,7 +25,7 @@
 
 IN_SERVICE, DRAINING, GONE = "in_service", "terminating", "terminated"
 MIN_DELAY_US, MAX_DELAY_US = 2 * MS, 20 * MS
-RESET_SHARE = 0.004  # of the attempts, by a reset in place of an answer
+RESET_SHARE = 0.02  # of the attempts, by a reset in place of an answer
 TURNED_AWAY_SHARE = 0.3  # of the attempts at a draining node
 Add = Callable[[rec.Record], None]
 
@@ -84,7 +84,7 @@
             name = head_name(number)
             self._sources[name] = [_HeadDiscovery(hub, network) for _ in range(2)]
             for source in self._sources[name]:
-                source.corrupt = self._recording(name)
+                source.on_answer = partial(self._note_answer, name)
         self.version = 1
 
     def start(self, scope: Scope) -> None:
@@ -130,24 +130,13 @@
         for source in self._all():
             source.reset_connections()
 
-    def _recording(self, head: str) -> Callable[[bytes], bytes]:
-        def record(body: bytes) -> bytes:
-            content = json.loads(body)
-            states = {entry["id"]: entry["state"] for entry in content["servers"]}
-            self._add(
-                rec.ListWritten(
-                    t=self._hub.now(),
-                    head=head,
-                    version=content["version"],
-                    full=content["full"],
-                    states=states,
-                )
-            )
-            if states:
-                self._keep(head, content)
-            return body
-
-        return record
+    def _note_answer(self, head: str, content: dict) -> None:
+        """Record an answer that discovery writes to a head."""
+        states = {entry["id"]: entry["state"] for entry in content["servers"]}
+        version, full = content["version"], content["full"]
+        self._add(rec.ListWritten(t=self._hub.now(), head=head, version=version, full=full, states=states))
+        if states:
+            self._keep(head, content)
 
     def _keep(self, head: str, content: dict) -> None:
         """Keep what a head now has, as a complete list."""
--- a/harriertrack/lab/soak/playing.py
+++ b/harriertrack/lab/soak/playing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tempfile
+from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import count
 from pathlib import Path
@@ -11,7 +12,7 @@
 
 from harriertrack.lab.fleet.processes import LoopbackAddresses
 from harriertrack.lab.soak.clients import SoakClients
-from harriertrack.lab.soak.heads import SoakHead
+from harriertrack.lab.soak.heads import RUN, SoakHead
 from harriertrack.lab.soak.parties import DRAINING, GONE, IN_SERVICE, SoakDiscovery, SoakNode, head_name
 from harriertrack.lab.soak.plan import (
     MS,
@@ -61,7 +62,7 @@
 class SoakRun:
     """One run of a plan."""
 
-    def __init__(self, plan: Plan, folder: Path) -> None:
+    def __init__(self, plan: Plan, folder: Path, command: Sequence[str]) -> None:
         self.plan, self.records = plan, list[rec.Record]()
         self.hub = Hub(seed=plan.seed)
         network, numbers, serial = SocketNetwork(self.hub), count(1), count(1)
@@ -75,7 +76,7 @@
         addresses = LoopbackAddresses()
         self.heads = [
             SoakHead(self.hub, network, head_name(number), addresses.next(), plan, self._discovery, folder,
-                     self.records.append)
+                     command, self.records.append)
             for number in range(plan.heads)
         ]  # fmt: skip
         self._clients = [
@@ -198,10 +199,10 @@
     )
 
 
-def play(plan: Plan) -> SoakResult:
-    """Play a plan in a temporary folder, check its recording, and return the result."""
+def play(plan: Plan, command: Sequence[str] = RUN) -> SoakResult:
+    """Play a plan with heads started by a command, check its recording, and return the result."""
     with tempfile.TemporaryDirectory(prefix="harriertrack-soak-") as folder:
-        run = SoakRun(plan, Path(folder))
+        run = SoakRun(plan, Path(folder), command)
         run.play()
         logs = {head.name: head.log for head in run.heads}
     return SoakResult(plan, run.records, platform.check(run.records), logs)
--- a/harriertrack/rules/platform.py
+++ b/harriertrack/rules/platform.py
@@ -67,6 +67,7 @@
         self.written: dict[str, list[rec.ListWritten]] = defaultdict(list)
         self.starts: dict[str, list[rec.ProcessStarted]] = defaultdict(list)
         self.reloads: dict[str, list[int]] = defaultdict(list)
+        self.stops: dict[str, list[rec.ProcessSignalled]] = defaultdict(list)  # SIGSTOP and SIGCONT in turn
         self.ends: dict[str, list[rec.ProcessEnded]] = defaultdict(list)
         self.outages: list[rec.OutageChanged] = []
         self.delays: list[rec.RecorderDelayed] = []
@@ -87,6 +88,8 @@
                 self.starts[record.head].append(record)
             case rec.ProcessSignalled() if record.signal == "SIGHUP":
                 self.reloads[record.head].append(record.t)
+            case rec.ProcessSignalled() if record.signal in ("SIGSTOP", "SIGCONT"):
+                self.stops[record.head].append(record)
             case rec.ProcessEnded():
                 self.ends[record.head].append(record)
             case rec.OutageChanged():
@@ -108,6 +111,15 @@
         overlaps = (min(one.t + one.us, end_us) - max(one.t, begin_us) for one in self.delays)
         return SLACK_US + sum(max(0, overlap) for overlap in overlaps)
 
+    def stopped_us(self, head: str, begin_us: int, end_us: int) -> int:
+        """Return for how long between two times a head's process was stopped, and could answer nothing."""
+        stops = self.stops[head]
+        overlaps = (
+            min(resumed.t, end_us) - max(stopped.t, begin_us)
+            for stopped, resumed in zip(stops[::2], stops[1::2], strict=False)
+        )
+        return sum(max(0, overlap) for overlap in overlaps)
+
     def reachable_from(self, t: int) -> int:
         """Return when discovery can be reached at, or first after, a time."""
         for outage, end in zip(self.outages[::2], self.outages[1::2], strict=False):
@@ -142,17 +154,15 @@
             continue
         if len(history.ended) > 1:
             yield Breach(1, ended.t, history.name, f"{len(history.ended)} answers")
-        latest = sent.t + sent.wait_us + LATE_ANSWER_US
+        latest = sent.t + sent.wait_us + LATE_ANSWER_US + run.stopped_us(sent.head, sent.t, ended.t)
         if ended.status and ended.t > latest + run.slack_us(sent.t, ended.t):
             yield Breach(1, ended.t, history.name, f"answered {ended.t - latest} us too late")
-        if (
-            not ended.status
-            and ended.how not in ("left", "not taken")
-            and not _may_end_unanswered(run, ended, sent)
-        ):
+        unanswered = not ended.status and ended.how not in ("left", "not taken")
+        given_up = ended.how == "silent" and ended.t <= latest  # while the head's process was stopped
+        if unanswered and not given_up and not _may_end_unanswered(run, ended, sent):
             yield Breach(1, ended.t, history.name, f"not answered: {ended.how}")
-        if len(history.sent) > 1 and history.attempts and history.attempts[0].t < sent.t:
-            yield Breach(1, sent.t, history.name, "forwarded, and its connection closed without an answer")
+        if _closed_after_forwarding(history) and not _may_end_unanswered(run, ended, history.sent[0]):
+            yield Breach(1, ended.t, history.name, "forwarded, and its connection closed without an answer")
         over_us = CLIENT_LEFT_US if ended.how == "left" else 0
         for attempt in history.attempts:
             if attempt.t > ended.t + over_us + run.slack_us(ended.t, attempt.t):
@@ -160,6 +170,14 @@
                 yield Breach(1, attempt.t, history.name, why)
 
 
+def _closed_after_forwarding(history: RequestHistory) -> bool:
+    """Whether the head closed a connection over a request that it had read and forwarded."""
+    if not history.attempts:
+        return False
+    sent_again = len(history.sent) > 1 and history.attempts[0].t < history.sent[1].t
+    return sent_again or history.ended[-1].how == "not taken"
+
+
 def _may_end_unanswered(run: PlatformRun, ended: rec.RequestEnded, sent: rec.RequestSent) -> bool:
     """Whether a head was killed without notice while it had the request, or shut a connection of a crowd."""
     if run.facts.crowd and sent.fresh and ended.how != "silent":
--- a/harriertrack/standin/platform.py
+++ b/harriertrack/standin/platform.py
@@ -128,6 +128,7 @@
     changed_in_version: dict[str, int] = field(default_factory=dict)  # the latest change, by entry
     calls: list[tuple[int, str]] = field(default_factory=list)
     corrupt: Callable[[bytes], bytes] | None = None  # replaces the body of each answer
+    on_answer: Callable[[dict], None] | None = None  # called with the content of each that reaches its caller
     indent: int | None = None  # of the JSON; the list then has many lines
     outage: Outage = Outage.NONE
     queue: CallQueue | None = None  # None: each call is served at once
@@ -221,6 +222,8 @@
             if self.outage is Outage.FAILING:
                 stream.write(answer(b"", 503))
                 continue
+            if self.on_answer is not None and stream.silent():
+                self.on_answer(content)
             body = json.dumps(content, indent=self.indent).encode()
             stream.write(answer(self.corrupt(body) if self.corrupt else body))
 
