--- a/harriertrack/lab/soak/playing.py
+++ b/harriertrack/lab/soak/playing.py
@@ -101,10 +101,14 @@
                 for head in self.heads:
                     head.check_running()
             finally:
-                for head in self.heads:
-                    head.end()
+                self.end_heads()
             scope.cancel()
 
+    def end_heads(self) -> None:
+        """Kill the heads that still run."""
+        for head in self.heads:
+            head.end()
+
     def _waits(self) -> list[int]:
         return [lane["giveUpUs"] for lane in self.plan.settings["lanes"]]
 
@@ -203,6 +207,9 @@
     """Play a plan with heads started by a command, check its recording, and return the result."""
     with tempfile.TemporaryDirectory(prefix="harriertrack-soak-") as folder:
         run = SoakRun(plan, Path(folder), command)
-        run.play()
+        try:
+            run.play()
+        finally:
+            run.end_heads()
         logs = {head.name: head.log for head in run.heads}
     return SoakResult(plan, run.records, platform.check(run.records), logs)
--- /dev/null
+++ b/tests/soak/test_plan.py
@@ -0,0 +1,67 @@
+"""Plans of soak runs: drawn from seeds alone, within what the platform's page allows."""
+
+import msgspec
+import pytest
+
+from harriertrack.decisions.settings_parser import parse_settings
+from harriertrack.lab.soak.plan import (
+    MAX_KILL_DEADLINE_US,
+    MS,
+    QUIET_US,
+    SECOND,
+    DiscoveryOutage,
+    Drain,
+    HeadPause,
+    HeadRestart,
+    NodeHang,
+    Plan,
+    SlowDiscovery,
+    WatchReset,
+    draw,
+)
+
+SEEDS = range(60)
+
+
+def test_a_seed_determines_the_plan():
+    assert draw(3) == draw(3) != draw(4)
+
+
+@pytest.mark.parametrize("seed", [0, 1, 2])
+def test_a_plan_round_trips_through_json(seed):
+    plan = draw(seed)
+    assert msgspec.json.decode(msgspec.json.encode(plan), type=Plan) == plan
+
+
+def test_all_kinds_of_steps_crowds_and_both_ways_of_discovery_are_drawn():
+    plans = [draw(seed) for seed in SEEDS]
+    kinds = {type(step) for plan in plans for step in plan.steps}
+    assert kinds == {Drain, DiscoveryOutage, SlowDiscovery, WatchReset, NodeHang, HeadPause, HeadRestart}
+    assert {plan.crowd > 0 for plan in plans} == {True, False}
+    assert {plan.settings["discovery"] for plan in plans} == {"on_request", "pushed"}
+    restarts = [step for plan in plans for step in plan.steps if isinstance(step, HeadRestart)]
+    assert {step.planned for step in restarts} == {step.older_list for step in restarts} == {True, False}
+
+
+def test_the_kill_comes_at_the_earliest_that_the_page_allows():
+    for plan in map(draw, SEEDS):
+        longest_us = max(lane["giveUpUs"] for lane in plan.settings["lanes"])
+        assert plan.kill_after_us == min(longest_us, 3 * SECOND) + 700 * MS <= MAX_KILL_DEADLINE_US + 700 * MS
+
+
+def test_settings_are_valid_and_the_end_is_quiet():
+    for plan in map(draw, SEEDS):
+        parse_settings(plan.settings)
+        assert all(step.at <= plan.length_us - QUIET_US for step in plan.steps)
+        assert len({step.head for step in plan.steps if isinstance(step, HeadRestart | HeadPause)}) == sum(
+            isinstance(step, HeadRestart | HeadPause) for step in plan.steps
+        )
+
+
+def test_a_node_drains_again_only_after_it_was_back():
+    for plan in map(draw, SEEDS):
+        back_at = dict.fromkeys(range(plan.nodes), 0)
+        for step in plan.steps:
+            if isinstance(step, Drain):
+                assert step.at >= back_at[step.node]
+                back_at[step.node] = step.at + step.for_us
