One ending for answers in time and late ones; the platform's rules share the breach's type

Clean-up: the watch noted a usable answer in two places by the same lines, and the new rules had a copy of Breach.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -173,9 +173,8 @@
             self.state = WatchState.IDLE
             return UpdateOutcome.STALE
         changed = entries > 0 or full or self.state is WatchState.CATCHING_UP
-        self.version, self._needs_full, self.state = version, False, WatchState.FOLLOWING
-        self._moved, self._failures, self._silent_since = False, 0, None
-        return UpdateOutcome.APPLY if changed else UpdateOutcome.SKIP
+        self.state = WatchState.FOLLOWING
+        return self._accept(version, changed)
 
     def handle_late_answer(self, version: int, full: bool) -> UpdateOutcome:
         """Handle the answer of a call that was overdue: it counts if it is newer than the list in hand.
@@ -189,9 +188,13 @@
         if self._needs_full and not full:
             return UpdateOutcome.STALE
         changed = self._needs_full or version != self.version
-        self.version, self._needs_full = version, False
         if self.state is WatchState.IDLE:
             self.state = WatchState.FOLLOWING
+        return self._accept(version, changed)
+
+    def _accept(self, version: int, changed: bool) -> UpdateOutcome:
+        """Note a usable answer: the source has answered, and its list is now the one in hand."""
+        self.version, self._needs_full = version, False
         self._moved, self._failures, self._silent_since = False, 0, None
         return UpdateOutcome.APPLY if changed else UpdateOutcome.SKIP
 
--- a/harriertrack/rules/platform.py
+++ b/harriertrack/rules/platform.py
@@ -2,7 +2,7 @@
 
 A drain counts for a head, not for a process: what an earlier process was told, or a saved list says, holds
 against the later one. Sources: the platform's protocol page, "The rules on sockets" and "Figures", and its
-standing terms for drains, clients that leave and cold nodes.
+standing terms for drains, clients that leave and cold nodes. Rule 0: no crash.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from math import sqrt
 
 from harriertrack.rules import platform_recording as rec
+from harriertrack.rules.checker import Breach
 
 SLACK_US = 50_000  # every time limit is longer by this
 LATE_ANSWER_US = 500_000  # an answer this late earns nothing; later it is lost
@@ -25,19 +26,6 @@
 REFUSALS = (429, 503)
 
 
-@dataclass(frozen=True, slots=True)
-class Breach:
-    """One broken rule; rule 0 is a crash."""
-
-    rule: int
-    t: int
-    who: str
-    why: str
-
-    def __str__(self) -> str:
-        return f"rule {self.rule} at {self.t} us: {self.who}: {self.why}"
-
-
 @dataclass(slots=True, eq=False)
 class RequestHistory:
     """A request: when it was sent (twice where a close crossed it), how it ended, its attempts."""
