--- a/harriertrack/lab/soak/parties.py
+++ b/harriertrack/lab/soak/parties.py
@@ -125,6 +125,12 @@
         for source in self._all():
             source.queue = CallQueue(self._hub, service_us) if service_us else None
 
+    def silence_watches(self) -> None:
+        """Write nothing more on any open connection, and leave the connections open."""
+        self._add(rec.WatchesSilenced(t=self._hub.now()))
+        for source in self._all():
+            source.silence_watches()
+
     def reset_connections(self) -> None:
         """Reset all open connections."""
         for source in self._all():
--- a/harriertrack/lab/soak/playing.py
+++ b/harriertrack/lab/soak/playing.py
@@ -27,6 +27,7 @@
     SlowDiscovery,
     Step,
     WatchReset,
+    WatchSilence,
 )
 from harriertrack.rules import platform, platform_recording as rec
 from harriertrack.runtime.hub import Hub, Scope
@@ -146,6 +147,8 @@
                 self._discovery.set_service_us(0)
             case WatchReset():
                 self._discovery.reset_connections()
+            case WatchSilence():
+                self._discovery.silence_watches()
             case NodeHang():
                 self._nodes[step.node].hanging = True
                 self.hub.sleep(step.for_us)
--- a/harriertrack/rules/platform.py
+++ b/harriertrack/rules/platform.py
@@ -58,6 +58,7 @@
         self.stops: dict[str, list[rec.ProcessSignalled]] = defaultdict(list)  # SIGSTOP and SIGCONT in turn
         self.ends: dict[str, list[rec.ProcessEnded]] = defaultdict(list)
         self.outages: list[rec.OutageChanged] = []
+        self.silences: list[int] = []
         self.delays: list[rec.RecorderDelayed] = []
         self.facts: rec.RunFacts
         for record in records:
@@ -82,6 +83,8 @@
                 self.ends[record.head].append(record)
             case rec.OutageChanged():
                 self.outages.append(record)
+            case rec.WatchesSilenced():
+                self.silences.append(record.t)
             case rec.RequestSent():
                 self.requests[record.trace].sent.append(record)
             case rec.RequestEnded():
@@ -115,13 +118,25 @@
                 return end.t
         return t
 
+    def _silent_from(self, head: str, t: int) -> int | None:
+        """Return when a head's watch fell silent, if nothing was written to the head from then to `t`."""
+        silences = [at for at in self.silences if at <= t]
+        if not silences or any(silences[-1] <= one.t <= t for one in self.written[head]):
+            return None
+        return silences[-1]
+
     def announced_at(self, head: str, change: rec.NodeChanged) -> int:
         """Return from when a node's drain or end counts as announced to a head, whichever process it has."""
         reachable_at = self.reachable_from(change.t)
-        if self.facts.pushed:
+        silent_from = self._silent_from(head, change.t)
+        if silent_from is not None:
+            latest = max(reachable_at, silent_from + ANNOUNCED_AFTER_US)
+        elif self.facts.pushed:
             moved = [t + MOVED_ANNOUNCED_US for t in self.reloads[head] if t <= reachable_at]
-            return max([reachable_at, *moved[-1:]])
-        times = [reachable_at + ANNOUNCED_AFTER_US]
+            latest = max([reachable_at, *moved[-1:]])
+        else:
+            latest = reachable_at + ANNOUNCED_AFTER_US
+        times = [latest]
         states = [(one.t, one.states) for one in self.written[head]]
         states += [(one.t, one.states) for one in self.starts[head]]
         times += [
--- a/harriertrack/rules/platform_recording.py
+++ b/harriertrack/rules/platform_recording.py
@@ -70,6 +70,12 @@
     begins: bool
 
 
+class WatchesSilenced(msgspec.Struct, kw_only=True, tag="silenced", tag_field="what"):
+    """Nothing more is written on any open connection of discovery; they stay open."""
+
+    t: int
+
+
 class ProcessStarted(msgspec.Struct, kw_only=True, tag="started", tag_field="what"):
     """A process of a head was started, with the states of the saved list."""
 
@@ -151,6 +157,7 @@
     | NodeChanged
     | ListWritten
     | OutageChanged
+    | WatchesSilenced
     | ProcessStarted
     | ProcessSignalled
     | ProcessEnded
--- a/tests/soak/test_platform_rules.py
+++ b/tests/soak/test_platform_rules.py
@@ -151,6 +151,10 @@
     "told again": (lambda run: run.told(5, "terminating").told(S, "terminating"), 5),
     "gone meanwhile": (lambda run: run.told(5, "terminating").state(S, "terminated").told(S, "terminated"), 5),
     "never told": (lambda run: run, 6 * S),
+    "never told, watches silent": (lambda run: run.add(rec.WatchesSilenced, -4 * S), 2 * S),
+    "a watch opened after a silence": (
+        lambda run: run.add(rec.WatchesSilenced, -4 * S).told(-1 * S, "in_service"), 6 * S
+    ),
     "never told, after an outage": (
         lambda run: run.add(rec.OutageChanged, -9, begins=True).add(rec.OutageChanged, S, begins=False), 7 * S
     ),
