Soak: connections are closed when they are done with, and crowds arrive one after another

They are closed now, listeners too; one of a crowd comes every 30 ms in the mean, and all crowds of a run have 400 connections at most.

--- a/harriertrack/lab/soak/clients.py
+++ b/harriertrack/lab/soak/clients.py
@@ -18,7 +18,7 @@
 CAPPED_SHARE = 0.05
 RECONNECT_US = 40 * MS  # how long a client waits after a connection was refused
 CLASSES = ((READS, 0.6), (WRITES, 0.85), (POSTS, 1.0))  # with the cumulative share of each
-CROWD_GAP_US = 150 * MS  # between the arrivals of two of a crowd
+CROWD_GAP_US = 30 * MS  # between the arrivals of two of a crowd
 
 
 class SoakClients:
@@ -40,9 +40,13 @@
 
     def _run_client(self, until: int) -> None:
         stream: Stream | None = None
-        while self._hub.now() < until:
-            self._hub.sleep(int(self._random.expovariate(1 / self._plan.gap_us)))
-            stream = self._send_request(stream)
+        try:
+            while self._hub.now() < until:
+                self._hub.sleep(int(self._random.expovariate(1 / self._plan.gap_us)))
+                stream = self._send_request(stream)
+        finally:
+            if stream is not None:
+                stream.close()
 
     def _connect(self) -> Stream | None:
         if not self._head.accepts_new_connections:
@@ -67,6 +71,7 @@
         sent, message = self._request(number)
         outcome = self._exchange(stream, sent, message, fresh)
         if outcome in ("closed", "reset") and not fresh:
+            stream.close()
             stream = self._connect()  # the close crossed the request: once more, on a new connection
             outcome = "not taken" if stream is None else self._exchange(stream, sent, message, True)
         if outcome:
@@ -133,13 +138,28 @@
     def _run_crowd(self, scope: Scope, until: int) -> None:
         """Open connections that send nothing, or half a request, and keep them until the head ends them."""
         streams: list[Stream] = []
-        while self._hub.now() < until:
-            self._hub.sleep(int(self._random.expovariate(1 / CROWD_GAP_US)))
-            streams = [stream for stream in streams if stream.silent()]
-            while len(streams) < self._plan.crowd and (stream := self._connect()) is not None:
-                if self._random.random() < 0.5:
-                    stream.write(b"GET /look?object=")
-                streams.append(stream)
+        try:
+            while self._hub.now() < until:
+                self._hub.sleep(int(self._random.expovariate(1 / CROWD_GAP_US)))
+                streams = _still_open(streams)
+                if len(streams) < self._plan.crowd and (stream := self._connect()) is not None:
+                    if self._random.random() < 0.5:
+                        stream.write(b"GET /look?object=")
+                    streams.append(stream)
+        finally:
+            for stream in streams:
+                stream.close()
+
+
+def _still_open(streams: list[Stream]) -> list[Stream]:
+    """Close the streams that their head has closed; return the others."""
+    still_open = []
+    for stream in streams:
+        if stream.silent():
+            still_open.append(stream)
+        else:
+            stream.close()
+    return still_open
 
 
 def hash_of(name: str) -> int:
--- a/harriertrack/lab/soak/parties.py
+++ b/harriertrack/lab/soak/parties.py
@@ -45,6 +45,10 @@
         """Start to serve."""
         self._server.start(scope)
 
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
     def _respond(self, request: ReceivedRequest) -> bytes:
         """Record a request and return its answer; runs in the task of its connection."""
         trace, serial = request.fields.get("x-trace-id", ""), next(self._serial)
@@ -92,6 +96,11 @@
         for source in self._all():
             source.start(scope)
 
+    def close(self) -> None:
+        """Stop listening."""
+        for source in self._all():
+            source.close()
+
     def _all(self) -> list[_HeadDiscovery]:
         return [source for sources in self._sources.values() for source in sources]
 
--- a/harriertrack/lab/soak/plan.py
+++ b/harriertrack/lab/soak/plan.py
@@ -18,6 +18,7 @@
 KILL_MARGIN_US = 700 * MS
 QUIET_US = 4 * SECOND  # without faults, at the end of a run
 MIN_HEADS, MAX_HEADS = 2, 30
+MAX_CROWD = 400  # connections of the crowds of all heads: one process holds them all, and may have 1,024
 READS, WRITES, POSTS = "look", "note", "post"
 
 
@@ -155,7 +156,7 @@
             heads=self._heads,
             nodes=self._nodes,
             clients=clients,
-            crowd=self._random.randint(20, 120) if crowded else 0,
+            crowd=min(self._random.randint(20, 120), MAX_CROWD // self._heads) if crowded else 0,
             gap_us=self._random.randint(60, 160) * MS,
             sockets=128 if crowded else 256,
             length_us=self._length_us,
--- a/harriertrack/lab/soak/playing.py
+++ b/harriertrack/lab/soak/playing.py
@@ -103,6 +103,7 @@
                     head.check_running()
             finally:
                 self.end_heads()
+                self._stop_listening()
             scope.cancel()
 
     def end_heads(self) -> None:
@@ -110,6 +111,11 @@
         for head in self.heads:
             head.end()
 
+    def _stop_listening(self) -> None:
+        self._discovery.close()
+        for node in self._nodes:
+            node.close()
+
     def _waits(self) -> list[int]:
         return [lane["giveUpUs"] for lane in self.plan.settings["lanes"]]
 
--- a/harriertrack/standin/platform.py
+++ b/harriertrack/standin/platform.py
@@ -106,6 +106,8 @@
                     stream.write(response)
         except OSError:
             pass  # the head reset the connection
+        finally:
+            stream.close()
         self.closed_connections.append(number)
 
 
@@ -192,6 +194,7 @@
         except OSError:
             pass  # the head reset the connection
         finally:
+            stream.close()
             del self._streams[stream]
             self._silenced.discard(stream)
 
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -7,6 +7,8 @@
 
 from harriertrack.decisions.settings_parser import parse_settings
 from harriertrack.lab.soak.plan import (
+    MAX_CROWD,
+    MAX_HEADS,
     MAX_KILL_DEADLINE_US,
     MS,
     QUIET_US,
@@ -42,6 +44,12 @@
     assert {step.planned for step in restarts} == {step.older_list for step in restarts} == {True, False}
 
 
+@pytest.mark.parametrize("heads", [None, MAX_HEADS])
+def test_crowds_fit_into_the_descriptors_of_one_process(heads):
+    plans = [draw(seed, heads) for seed in SEEDS]
+    assert 0 < max(plan.heads * plan.crowd for plan in plans) <= MAX_CROWD
+
+
 def test_the_kill_comes_at_the_earliest_that_the_page_allows():
     for plan in map(draw, SEEDS):
         longest_us = max(lane["giveUpUs"] for lane in plan.settings["lanes"])
--- a/tests/soak/test_playing.py
+++ b/tests/soak/test_playing.py
@@ -1,5 +1,6 @@
 """Short soak runs with fixed seeds: heads keep all rules, and a seeded fault in them is found."""
 
+import os
 import sys
 
 import msgspec
@@ -26,7 +27,9 @@
 @pytest.mark.parametrize("seed", [1, 2, 3, 7])
 def test_heads_keep_all_rules(seed):
     plan = draw(seed, seconds=SECONDS)
+    descriptors = len(os.listdir("/proc/self/fd"))
     result = play(plan)
+    assert len(os.listdir("/proc/self/fd")) <= descriptors
     assert not result.breaches, described(result)
     assert result.counts()["200"] > 100
     restarts = sum(isinstance(step, HeadRestart) for step in plan.steps)
