--- a/harriertrack/rules/checker.py
+++ b/harriertrack/rules/checker.py
@@ -76,6 +76,7 @@
         self.node_events: list[rec.NodeLifecycle] = []
         self.limit_changes: list[rec.LimitChanged] = []
         self.heads: dict[int, str] = {}
+        self.started_at: dict[int, int] = {}  # by the number of a head's process
         self.request_times: dict[str, list[int]] = defaultdict(list)
         self.stray_answers: list[rec.FinalAnswer] = []
         self.machine_pauses: dict[int, int] = {}  # start and length of pauses of the whole machine
@@ -110,7 +111,7 @@
                     if record.machine:
                         self.machine_pauses[record.t] = max(self.machine_pauses.get(record.t, 0), record.us)
                 case rec.HeadLifecycle() if record.up:
-                    self.heads[record.number] = record.head
+                    self.heads[record.number], self.started_at[record.number] = record.head, record.t
                 case rec.HeadLifecycle():
                     for client in clients_by_head[record.head]:
                         for request in open_by_client.pop(client, {}).values():
@@ -432,7 +433,7 @@
 
 
 def budget_kept(run: RunHistory) -> Iterator[Breach]:
-    """Rule 6: in any window a head's retries stay within its retry budget."""
+    """Rule 6: in any window a process's retries stay within its budget, which counts from its start."""
     facts = run.facts
     if not facts.budget_window_us:
         return
@@ -446,9 +447,8 @@
         for position, t in enumerate(times):
             window_start = t - facts.budget_window_us
             count = position + 1 - bisect_left(times, window_start + facts.flight_us)
-            requests = bisect_right(request_times, t) - bisect_left(
-                request_times, window_start - facts.flight_us
-            )
+            counted_from = max(window_start - facts.flight_us, run.started_at.get(head, 0))
+            requests = bisect_right(request_times, t) - bisect_left(request_times, counted_from)
             if count > facts.budget_free + facts.budget_share * requests:
                 who = run.head_name(head)
                 yield Breach(6, t, who, f"{count} further attempts, {requests} requests taken in the window")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -188,6 +188,23 @@
     assert 4 in run.broken_rules()
 
 
+def test_requests_of_an_earlier_process_add_nothing_to_the_budget_of_the_next():
+    """Each process counts from its start: what an earlier one took allows it no further attempts."""
+    run, later = RecordingBuilder(), HEAD + 1
+    for number in range(1, 21):
+        run.request(number, number).received(number, number + 1).answer(number, number + 2)
+    run.add(rec.HeadLifecycle(t=100, head="h", number=later, up=True))
+    for number in (21, 22):
+        run.request(number, number * 10)
+        for attempt in range(3):
+            run.add(
+                rec.AttemptReceived(t=number * 10 + attempt, node="n", shard=0, head=later, key=number, attempt=attempt,
+                                    volume="v", kind="read", offset=number * 65536, length=4096)
+            )  # fmt: skip
+        run.answer(number, number * 10 + 3)
+    assert run.broken_rules() == {6}
+
+
 def test_an_exceeded_limit_is_found():
     assert limit_rules([0] * 5) == set()
     assert limit_rules([0] * 6) == {7}
