Soak: a run that is ended leaves no heads behind, and strays at a node do not end the checker

Heads of a run that SIGTERM had ended went on calling for their list, and a node of this run had got the port (a listener at such a port got 155 calls for the list in 8 s from one of them). SIGTERM now ends a run like an interrupt does, with its heads; attempts that no client sent are named as such.

--- a/harriertrack/cli/soak.py
+++ b/harriertrack/cli/soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 import time
 from pathlib import Path
@@ -80,6 +81,7 @@
         keep.mkdir(parents=True, exist_ok=True)
     except OSError as error:
         fail(f"--keep {keep}: {error.strerror}")
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # heads end with an interrupted run
     failed_seeds = 0
     for one in seed_range(seeds, seed):
         began = time.monotonic()
--- a/harriertrack/rules/platform.py
+++ b/harriertrack/rules/platform.py
@@ -37,7 +37,9 @@
 
     @property
     def name(self) -> str:
-        """Describe the request."""
+        """Describe the request; one that no client sent by its attempts."""
+        if not self.sent:
+            return f"request {self.attempts[0].trace!r} that no client sent"
         return f"request {self.sent[0].trace} of {self.sent[0].head} ({self.sent[0].class_name})"
 
     def may_have_run(self, attempt: rec.AttemptReceived) -> bool:
--- a/tests/soak/test_platform_rules.py
+++ b/tests/soak/test_platform_rules.py
@@ -126,6 +126,14 @@
     assert run.broken() == {1}
 
 
+def test_attempts_without_a_request_are_found_however_many():
+    """Heads of another run, left behind, once called for their list where this run had a node."""
+    run = Recording()
+    for t in range(5):
+        run.attempt("", t)
+    assert run.broken() == {1, 6}
+
+
 RULE_2 = {
     "unsafe twice": lambda run: run.sent(1, 0, "post").attempt(1, 5).attempt(1, 9).answered(1, 20),
     "keyed at another node": lambda run: (
