--- a/benchmarks/fleet_processes.py
+++ b/benchmarks/fleet_processes.py
@@ -17,7 +17,8 @@
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.processes import ProcessFleet, play_processes
 from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings, Verb
-from harriertrack.rules import checker, recording as rec
+from harriertrack.rules import recording as rec
+from harriertrack.rules.run_history import RunHistory
 
 TURNS = 3
 
@@ -27,7 +28,7 @@
     return sorted(values)[min(len(values) - 1, int(part * len(values)))]
 
 
-def play(day: FleetDaySettings, heads: int, seed: int, fleet: bool) -> tuple[checker.RunHistory, float]:
+def play(day: FleetDaySettings, heads: int, seed: int, fleet: bool) -> tuple[RunHistory, float]:
     """Play a day over processes; return its story and the share of a core that a head used at rest."""
     recorder = rec.Recorder()
     shares: list[float] = []
@@ -47,10 +48,10 @@
 
     with tempfile.TemporaryDirectory(prefix="harriertrack-") as folder:
         play_processes(day, heads, seed, recorder, Path(folder), fleet, watch)
-    return checker.RunHistory(recorder.records), statistics.fmean(shares) if shares else 0.0
+    return RunHistory(recorder.records), statistics.fmean(shares) if shares else 0.0
 
 
-def row(name: str, fleet: bool, story: checker.RunHistory, share: float) -> str:
+def row(name: str, fleet: bool, story: RunHistory, share: float) -> str:
     """Return a line of a table."""
     served = [asked for asked in story.requests if asked.answers and asked.answers[0].outcome == "served"]
     reads = [(one.answers[0].t - one.sent.t) / 1000 for one in served if one.sent.kind == "read"]
--- a/harriertrack/cli/days.py
+++ b/harriertrack/cli/days.py
@@ -17,12 +17,15 @@
 from harriertrack.lab.model import VolumeExhausted
 from harriertrack.lab.rig import play
 from harriertrack.rules import checker, recording as rec
+from harriertrack.rules.breach import Breach
+from harriertrack.rules.recording_file import RecordingError
+from harriertrack.rules.run_history import AmbiguousRecording
 
 EXIT_RULES_BROKEN = 1
 MAX_PRINTED_BREACHES = 20
 
 
-def print_breaches(breaches: list[checker.Breach], prefix: str = "") -> None:
+def print_breaches(breaches: list[Breach], prefix: str = "") -> None:
     """Print the first MAX_PRINTED_BREACHES breaches, each after a prefix, and how many more there are."""
     for breach in breaches[:MAX_PRINTED_BREACHES]:
         click.echo(f"{prefix}{breach}")
@@ -34,7 +37,7 @@
     """Print a recording's summary and the rules that it breaks; return the exit code."""
     try:
         counts, breaches = checker.summary(records), checker.check(records)
-    except checker.AmbiguousRecording as error:
+    except AmbiguousRecording as error:
         click.echo(f"harriertrack: {error}", err=True)
         return EXIT_BAD_INPUT
     click.echo("; ".join(f"{count} {kind}" for kind, count in counts.items()))
@@ -137,7 +140,7 @@
     """Check a RECORDING against the rules. Exit code 1 if one is broken."""
     try:
         records = rec.read(recording)
-    except rec.RecordingError as error:
+    except RecordingError as error:
         fail(str(error))
     if not any(isinstance(record, rec.Facts) for record in records):
         fail(f"{recording}:1: the facts record, which holds the parameters of the rules, is missing")
--- a/harriertrack/cli/soak.py
+++ b/harriertrack/cli/soak.py
@@ -14,6 +14,7 @@
 from harriertrack.lab.soak import plan as plans
 from harriertrack.lab.soak.playing import SoakResult, play
 from harriertrack.rules import platform, platform_recording as rec
+from harriertrack.rules.recording_file import RecordingError, write_records
 
 EXIT_RULES_BROKEN = 1
 MAX_PRINTED_BREACHES = 5
@@ -37,7 +38,7 @@
     """Write a failed run's plan, recording and logs."""
     seed = result.plan.seed
     (folder / f"soak-{seed}.plan.json").write_bytes(msgspec.json.format(msgspec.json.encode(result.plan)))
-    rec.write(folder / f"soak-{seed}.recording", result.records)
+    write_records(folder / f"soak-{seed}.recording", result.records)
     for head, log in result.logs.items():
         (folder / f"soak-{seed}.{head}.log").write_text(log)
     click.echo(f"  kept as soak-{seed}.* in {folder}")
@@ -96,7 +97,7 @@
 def _judge(path: Path) -> int:
     try:
         breaches = platform.check(rec.read(path))
-    except rec.RecordingError as error:
+    except RecordingError as error:
         fail(str(error))
     for breach in breaches:
         click.echo(str(breach))
--- a/harriertrack/lab/fleet/storm/playing.py
+++ b/harriertrack/lab/fleet/storm/playing.py
@@ -16,7 +16,7 @@
 from harriertrack.lab.fleet.storm.shrinking import ProgressCallback, Shrinker
 from harriertrack.rules import recording as rec
 from harriertrack.rules.all_rules import check_all
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import MemoryNetwork
 
--- a/harriertrack/lab/soak/playing.py
+++ b/harriertrack/lab/soak/playing.py
@@ -30,6 +30,7 @@
     WatchSilence,
 )
 from harriertrack.rules import platform, platform_recording as rec
+from harriertrack.rules.breach import Breach
 from harriertrack.runtime.hub import Hub, Scope
 from harriertrack.runtime.streams import SocketNetwork
 from harriertrack.standin.platform import Outage
@@ -47,7 +48,7 @@
 
     plan: Plan
     records: list[rec.Record]
-    breaches: list[platform.Breach]
+    breaches: list[Breach]
     logs: dict[str, str]
 
     def counts(self) -> dict[str, int]:
@@ -196,10 +197,7 @@
     limit = rec.LimitFacts("c" * 16, capped["ceilingRate"], capped["mostAtOnce"], capped["capSlack"])
     return rec.RunFacts(
         seed=plan.seed,
-        classes=[
-            rec.ClassFacts(lane["name"], EFFECTS[lane["idempotency"]], lane.get("keyTtlUs", 0))
-            for lane in lanes
-        ],
+        classes=[_class_facts(lane) for lane in lanes],
         limits=[limit],
         pushed=plan.settings["discovery"] == "pushed",
         crowd=plan.crowd > 0,
--- a/harriertrack/rules/all_rules.py
+++ b/harriertrack/rules/all_rules.py
@@ -16,7 +16,7 @@
     scoring,
     zones,
 )
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 
 
 def check_all(records: Iterable[rec.Record], detect_us: int) -> dict[str, list[Breach]]:
--- a/harriertrack/rules/budgets.py
+++ b/harriertrack/rules/budgets.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 
 from harriertrack.rules import recording as rec
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 
 EXACT = 1e-6  # relative error of sums of floating point numbers
 ENDED_STATES = ("killed", "ended", "leaving")
--- a/harriertrack/rules/changes.py
+++ b/harriertrack/rules/changes.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 
 from harriertrack.rules import recording as rec
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 
 
 def check(records: Iterable[rec.Record]) -> list[Breach]:
--- a/harriertrack/rules/closing.py
+++ b/harriertrack/rules/closing.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 
 from harriertrack.rules import recording as rec
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 
 RULE = 10
 MAX_FLIGHT_US = 3_000_000  # of attempts whose sending time is not recorded
--- a/harriertrack/rules/fleet.py
+++ b/harriertrack/rules/fleet.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from harriertrack.rules import recording as rec
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 
 RANK = {"alive": 0, "suspect": 1, "dead": 2, "left": 3}
 PRESENT = ("alive", "suspect")
--- a/harriertrack/rules/platform.py
+++ b/harriertrack/rules/platform.py
@@ -14,7 +14,7 @@
 from math import sqrt
 
 from harriertrack.rules import platform_recording as rec
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 
 SLACK_US = 50_000  # every time limit is longer by this
 LATE_ANSWER_US = 500_000  # an answer this late earns nothing; later it is lost
--- a/harriertrack/rules/platform_recording.py
+++ b/harriertrack/rules/platform_recording.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from pathlib import Path
 
 import msgspec
 
+from harriertrack.rules.recording_file import read_records
+
 
 class ClassFacts(msgspec.Struct, frozen=True):
     """A class of requests: `effect` is safe, keyed or unsafe; keyed repeats belong into `window_us`."""
@@ -167,28 +168,9 @@
     | AttemptAnswered
     | RecorderDelayed
 )
-_DECODER = msgspec.json.Decoder(Record)
-
-
-class RecordingError(Exception):
-    """A recording that can't be read; the message names the file and line."""
-
-
-def write(path: Path, records: Iterable[Record]) -> None:
-    """Write a recording."""
-    path.write_bytes(b"".join(msgspec.json.encode(record) + b"\n" for record in records))
+_DECODER: msgspec.json.Decoder[Record] = msgspec.json.Decoder(Record)
 
 
 def read(path: Path) -> list[Record]:
     """Read a recording. Raises RecordingError."""
-    records: list[Record] = []
-    try:
-        lines = path.read_bytes().splitlines()
-    except OSError as error:
-        raise RecordingError(f"{path}: {error.strerror}") from error
-    for number, line in enumerate(lines, start=1):
-        try:
-            records.append(_DECODER.decode(line))
-        except msgspec.MsgspecError as error:
-            raise RecordingError(f"{path}:{number}: {error}") from error
-    return records
+    return read_records(path, _DECODER)
--- a/harriertrack/rules/recording.py
+++ b/harriertrack/rules/recording.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
-from pathlib import Path
 from typing import IO, Literal
 
 import msgspec
 
+from harriertrack.rules.recording_file import encode_line, read_records
+
 
 class ClassFacts(msgspec.Struct, kw_only=True):
     """The properties of a class of requests that the rules use."""
@@ -567,11 +567,7 @@
     | WeightFacts | Weights | ScorerVote | NotesSent | LimitChanged | RolloutFacts | RolloutExpected
     | RolloutStep | HeadHandover | HeadsPartitioned | FaultsOver | LedgerOwnership
 )  # fmt: skip
-_DECODER = msgspec.json.Decoder(Record)
-
-
-class RecordingError(Exception):
-    """A recording is unreadable; the text gives file and line."""
+_DECODER: msgspec.json.Decoder[Record] = msgspec.json.Decoder(Record)
 
 
 class Recorder:
@@ -586,7 +582,7 @@
         """Add a record."""
         self.records.append(record)
         if self._file is not None:
-            self._file.write(msgspec.json.encode(record) + b"\n")
+            self._file.write(encode_line(record))
 
     def close(self) -> None:
         """Close the file."""
@@ -596,16 +592,4 @@
 
 def read(path: str) -> list[Record]:
     """Read a recording. Raises RecordingError."""
-    try:
-        lines = Path(path).read_bytes().splitlines()
-    except OSError as error:
-        raise RecordingError(f"{path}: {error.strerror}") from error
-    return list(_decode(path, lines))
-
-
-def _decode(path: str, lines: Iterable[bytes]) -> Iterator[Record]:
-    for number, line in enumerate(lines, start=1):
-        try:
-            yield _DECODER.decode(line)
-        except msgspec.MsgspecError as error:
-            raise RecordingError(f"{path}:{number}: {error}") from error
+    return read_records(path, _DECODER)
--- a/harriertrack/rules/regions.py
+++ b/harriertrack/rules/regions.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 
 from harriertrack.rules import recording as rec
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 
 TAKEOVER_GAP_US = 3_000_000  # after this time without a takeover a head begins a new sequence
 REPORT_DELAY_US = 200_000  # a head may log a move this long after its turn
--- a/harriertrack/rules/rollout.py
+++ b/harriertrack/rules/rollout.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass, field
 
 from harriertrack.rules import recording as rec
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 
 STALE_RECORD_US = 5_000_000  # a head may act this long on an older change record
 LOG_SKEW_US = 1_000_000  # a head's log may be read this much earlier than the decider's
--- a/harriertrack/rules/scoring.py
+++ b/harriertrack/rules/scoring.py
@@ -19,7 +19,7 @@
 from itertools import pairwise
 
 from harriertrack.rules import recording as rec
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 
 _Checked = (
     rec.WeightFacts | rec.Weights | rec.ScorerVote | rec.NotesSent | rec.MemberLifecycle | rec.ActiveFaults
--- a/harriertrack/rules/zones.py
+++ b/harriertrack/rules/zones.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 
 from harriertrack.rules import recording as rec
-from harriertrack.rules.checker import Breach
+from harriertrack.rules.breach import Breach
 
 DECISION_DELAY_US = 100_000  # heads receive a decision at different times: a step may seem this much shorter
 SHARE_TOLERANCE = 1.3  # shares are drawn by checksums, so they may be larger by this factor
--- a/tests/live/test_limits_day.py
+++ b/tests/live/test_limits_day.py
@@ -5,6 +5,7 @@
 from harriertrack.lab.fleet import scenario
 from harriertrack.lab.fleet.rig import simulate
 from harriertrack.rules import budgets, changes, checker, recording as rec
+from harriertrack.rules.run_history import RunHistory
 
 DAY = """(fleet-day "limits"
   (processes 4) (rate 12) (hosts 4) (extent 32KiB) (limit 1) (limit-burst 200) (volumes 2)
@@ -37,7 +38,7 @@
         one for one in records if isinstance(one, rec.LimitChanged) and one.volume == limit.volume
     ]
     assert [round(one.rate / limit.rate, 3) for one in changes_of_limit] == [0.3, 2.0]
-    story = checker.RunHistory(records)
+    story = RunHistory(records)
     first_attempts = [
         one[0] for one in story.attempts.values() if one[0].volume == limit.volume and one[0].kind != "flush"
     ]
--- a/tests/soak/test_command.py
+++ b/tests/soak/test_command.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from harriertrack.rules import platform_recording as rec
+from harriertrack.rules.recording_file import write_records
 from tests.soak.test_platform_rules import Recording
 
 COMMAND = (sys.executable, "-B", "-c", "from harriertrack.cli.main import main; main()", "soak")
@@ -33,7 +33,7 @@
 @pytest.mark.parametrize(("status", "code"), [(0, 0), (1, 1)])
 def test_a_recording_is_judged(tmp_path, status, code):
     path = tmp_path / "one.recording"
-    rec.write(path, Recording().request(1, 0).ended(S, status).records)
+    write_records(path, Recording().request(1, 0).ended(S, status).records)
     result = soak("--judge", path)
     assert (result.returncode, result.stdout.splitlines()[-1]) == (code, f"{code} breaches")
 
--- a/tests/soak/test_platform_rules.py
+++ b/tests/soak/test_platform_rules.py
@@ -3,6 +3,7 @@
 import pytest
 
 from harriertrack.rules import platform, platform_recording as rec
+from harriertrack.rules.recording_file import RecordingError, write_records
 
 MS, S = 1_000, 1_000_000
 GRACE_US = 2 * S
@@ -232,8 +233,8 @@
 
 def test_recordings_are_written_and_read(tmp_path):
     records = Recording().request(1, 0).records
-    rec.write(tmp_path / "one", records)
+    write_records(tmp_path / "one", records)
     assert rec.read(tmp_path / "one") == records
     (tmp_path / "one").write_text('{"what":"unknown"}\n')
-    with pytest.raises(rec.RecordingError, match="one:1"):
+    with pytest.raises(RecordingError, match="one:1"):
         rec.read(tmp_path / "one")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,6 +9,8 @@
 from harriertrack.lab import day as days, rig
 from harriertrack.membership import nodes
 from harriertrack.rules import checker, recording as rec
+from harriertrack.rules.run_history import AmbiguousRecording
+from harriertrack.rules.recording_file import RecordingError
 
 S = 1_000_000
 HEAD = 77
@@ -239,7 +241,7 @@
 
 def test_clients_that_reuse_an_offset_make_a_recording_ambiguous():
     run = RecordingBuilder().request(1, 10, offset=0).request(2, 11, offset=0).received(1, 12, offset=0)
-    with pytest.raises(checker.AmbiguousRecording):
+    with pytest.raises(AmbiguousRecording):
         checker.check(run.records)
 
 
@@ -251,7 +253,7 @@
     recorder.close()
     assert rec.read(path) == correct_run().records
     (tmp_path / "bad").write_text('{"what":"take"}\n')
-    with pytest.raises(rec.RecordingError, match="bad:1"):
+    with pytest.raises(RecordingError, match="bad:1"):
         rec.read(str(tmp_path / "bad"))
 
 
