What a silent watch missed is asked for within its grace when discovery returns

A watch had fallen silent, a node began to drain, then discovery was down for 4.2 s. What the watch missed counts 6 s after the silence, within the outage; the next call came 1.7 s after the return, as calls that fail were up to 2.25 s apart.

Cause: the pace of failing calls covers changes that count 6 s after the return, not those that count already. Change: from 6 s after the start of the last watch's call until the grace of all that it can have missed is over, a failed call is repeated after the grace less 0.3 s, and after 0.3 s at least.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -107,7 +107,8 @@
         self._ask_within_us, self._grace_us = ask_within_us, max(grace_us, PUSHED_MIN_GRACE_US)
         self._late_grace_us = 0 if pushed else grace_us  # how late an answer may be without missing the grace
         self._failures = 0  # consecutive
-        self._silent_since: int | None = None  # when the call began that ended the last watch
+        self._silent_since: int | None = None  # when the call began that ended the last watch ...
+        self._watch_ended_at = 0  # ... and when that call failed
         self._wait_us = min(MAX_WAIT_US, (ask_within_us or 4 * MAX_WAIT_US) // WAIT_PARTS)
         self._needs_full = version is None  # the next call requests the full list
         self._followed = False  # the list is followed, whether or not a call is in progress
@@ -216,7 +217,7 @@
         The jitter keeps heads that started together from calling together each time in the same order, which
         would never let the last of them be served.
         """
-        retry_us = self.handle_failure(now, started_at)
+        retry_us = self._retry_delay(now, started_at)
         if self.pushed:
             return retry_us
         return retry_us - int(retry_us * JITTER_SHARE * self._random.random())
@@ -232,8 +233,28 @@
 
     def handle_failure(self, now: int, started_at: int) -> int:
         """A call has failed; return after how long to retry, unless a call is requested before."""
+        retry_us = self._retry_delay(now, started_at)
+        bound_us = self._missed_changes_bound(now, started_at)
+        return retry_us if bound_us is None else min(retry_us, bound_us)
+
+    def _missed_changes_bound(self, now: int, started_at: int) -> int | None:
+        """Return how long a retry may wait while the grace of what a silent watch missed may run.
+
+        Such a change counts as announced 6 s after the silence, even if the source is out of reach then, so
+        the first answer after its return has to come within the grace. None: no answer can still help, or
+        calls are made often enough for it anyway.
+        """
+        if self.pushed or self._silent_since is None or started_at - self._silent_since < LATEST_CALL_US:
+            return None
+        if now >= self._watch_ended_at + ANNOUNCED_AFTER_US + self._late_grace_us:
+            return None
+        pace_us = self._late_grace_us - MARGIN_US - (now - started_at)
+        return max(MODULE_RETRY_US, pace_us, self._silent_since + ANNOUNCED_AFTER_US - now)
+
+    def _retry_delay(self, now: int, started_at: int) -> int:
+        """Record a call without an answer; return after how long to make the next one at the latest."""
         if self.state is WatchState.FOLLOWING:
-            self._silent_since = started_at
+            self._silent_since, self._watch_ended_at = started_at, now
         self.state = WatchState.IDLE
         self._failures += 1
         elapsed = now - started_at
--- a/tests/test_platform_clock.py
+++ b/tests/test_platform_clock.py
@@ -84,6 +84,28 @@
     played(site_of(tmp_path, way), act)
 
 
+@pytest.mark.parametrize("grace_us", [400 * MS, 1 * S, 2 * S])
+@pytest.mark.parametrize("lasts_us", [3_700 * MS, 4_000 * MS, 4_300 * MS])
+def test_a_change_missed_by_a_silent_watch_is_applied_even_if_discovery_goes_down_until_it_counts(
+    tmp_path, lasts_us, grace_us
+):
+    """A soak's seed 34: the calls that failed were 2.2 s apart, so that the next one came after the grace."""
+
+    def act(site):
+        site.discovery.silence_watches()
+        announced_at = site.hub.now() + SILENCE_US
+        site.hub.sleep(1_500 * MS)
+        drain(site)
+        site.hub.sleep(300 * MS)
+        site.discovery.outage = Outage.FAILING
+        site.discovery.reset_connections()
+        site.hub.sleep(lasts_us)
+        site.discovery.outage = Outage.NONE
+        kept_the_rule(site, announced_at)
+
+    played(site_of(tmp_path, drainGraceUs=grace_us), act)
+
+
 @BOTH
 def test_a_silent_poll_is_retried_too(tmp_path, way):
     """All watches break, and for a second new calls are accepted but never answered."""
