--- a/harriertrack/lab/soak/parties.py
+++ b/harriertrack/lab/soak/parties.py
@@ -130,9 +130,10 @@
             source.reset_connections()
 
     def set_service_us(self, service_us: int) -> None:
-        """Let each call take a while; 0: none."""
+        """Let each call take a while, all heads' calls one after another; 0: none."""
+        queue = CallQueue(self._hub, service_us) if service_us else None
         for source in self._all():
-            source.queue = CallQueue(self._hub, service_us) if service_us else None
+            source.queue = queue
 
     def silence_watches(self) -> None:
         """Write nothing more on any open connection, and leave the connections open."""
--- a/harriertrack/lab/soak/plan.py
+++ b/harriertrack/lab/soak/plan.py
@@ -55,7 +55,7 @@
 
 
 class SlowDiscovery(msgspec.Struct, frozen=True, kw_only=True, tag="slow-discovery"):
-    """Each call to discovery takes a while."""
+    """Each call to discovery takes a while, one after another."""
 
     at: int
     for_us: int
