--- a/tests/endings/test_drain_across_restart.py
+++ b/tests/endings/test_drain_across_restart.py
@@ -123,6 +123,21 @@
     site.run(act)
 
 
+def test_a_new_process_with_an_older_list_waits_for_a_slow_source(tmp_path):
+    """An earlier process of the head was told of the drain; calls for the list take longer than the hold of a start."""
+    site = site_of(tmp_path)
+    drain(site)
+    site.discovery.queue = CallQueue(site.hub, 2 * MAX_START_HOLD_US)
+
+    def act(site):
+        for _ in range(50):
+            site.scope.spawn("read", site.ask, site.request())
+            site.hub.sleep(20 * MS)
+        assert not site.shelfs[1].requests, f"{len(site.shelfs[1].requests)} requests"
+
+    site.run(act)
+
+
 @BOTH
 def test_a_drain_in_the_full_list_after_an_unusable_first_answer_has_no_grace(tmp_path, way):
     """The source's versions have started over: its first answer is older than the saved list."""
