A new process asks as often as after a silent watch: its predecessor's may have been silent

The watch that missed the drain was that of a process killed meanwhile; the next one started while discovery was down and called every 2.25 s.

Change: the watch of a new process begins in the state that follows a watch which ended as the process began.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -107,8 +107,10 @@
         self._ask_within_us, self._grace_us = ask_within_us, max(grace_us, PUSHED_MIN_GRACE_US)
         self._late_grace_us = 0 if pushed else grace_us  # how late an answer may be without missing the grace
         self._failures = 0  # consecutive
-        self._silent_since: int | None = None  # when the call began that ended the last watch ...
-        self._watch_ended_at = 0  # ... and when that call failed
+        # When the call began that ended the last watch, and when that call failed. A new process may follow
+        # one whose watch was silent.
+        self._silent_since = None if started is None else started - ANNOUNCED_AFTER_US
+        self._watch_ended_at = started or 0
         self._wait_us = min(MAX_WAIT_US, (ask_within_us or 4 * MAX_WAIT_US) // WAIT_PARTS)
         self._needs_full = version is None  # the next call requests the full list
         self._followed = False  # the list is followed, whether or not a call is in progress
--- a/tests/endings/test_drain_across_restart.py
+++ b/tests/endings/test_drain_across_restart.py
@@ -13,7 +13,7 @@
 from harriertrack.standin.queue import CallQueue
 from tests.endings.test_start_and_reload import REQUEST, play
 from tests.test_platform import MS
-from tests.test_platform_clock import BOTH, S, SLACK_US, drain, site_of
+from tests.test_platform_clock import BOTH, S, SLACK_US, drain, kept_the_rule, send_requests, site_of
 
 GRACE_US = 2 * S
 SLOW_START_US = 1_300 * MS  # of a head with a tenth of a core
@@ -155,6 +155,26 @@
     site.run(act)
 
 
+@pytest.mark.parametrize("grace_us", [400 * MS, 1 * S, 2 * S])
+@pytest.mark.parametrize("returns_after_us", [1_900 * MS, 3_300 * MS, 5_800 * MS])
+def test_what_a_silent_watch_of_an_earlier_process_missed_is_applied_within_its_grace(
+    tmp_path, returns_after_us, grace_us
+):
+    """A soak's seed 34: it counts 6 s after the silence, here just as discovery returns; the process began meanwhile."""
+    site = site_of(tmp_path, drainGraceUs=grace_us)
+    drain(site)
+    site.discovery.outage = Outage.FAILING
+    announced_at = site.hub.now() + returns_after_us
+
+    def act(site):
+        site.scope.spawn("requests", send_requests, site)
+        site.hub.sleep(announced_at - site.hub.now())
+        site.discovery.outage = Outage.NONE
+        kept_the_rule(site, announced_at)
+
+    site.run(act)
+
+
 @pytest.mark.parametrize("outage", [Outage.SILENT, Outage.FAILING])
 def test_a_new_process_soon_serves_by_the_saved_list_if_discovery_does_not_answer(tmp_path, outage):
     """A request of an aim of 0.3 s that arrives at once is served; a pushed list has its own hold, of 8 s."""
