A new configuration does not make a head forget that its watch may have been silent

Callers would see: with a grace of 0.4 s, requests to a draining node up to 0.5 s past it, where a watch fell silent, the node began to drain, and the new source of a SIGHUP was out of reach until that counted. Found by going through the ways in which a list comes a second time (another source); not seen in a run with processes.

Cause: a moved source reset what the watch knew of the last answered call. Now a watch that follows when the source moves counts as ended then, and as silent since its last answered call.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -130,9 +130,12 @@
         """The source has moved and calls in progress are void; return whether to call the new one now.
 
         That is so even while the module waits to retry after a failed call: its wait was for the old source,
-        and what the new one has soon counts as announced.
+        and what the new one has soon counts as announced. What a silent watch of the old one missed still
+        counts when it would have.
         """
-        self._moved, self._failures, self._silent_since = True, 0, None
+        if self.state is WatchState.FOLLOWING and self._answered_from is not None:
+            self._silent_since, self._watch_ended_at = self._answered_from, now
+        self._moved, self._failures = True, 0
         if self._answered_from is not None:
             self._answered_from = min(self._answered_from, now + MOVED_ANNOUNCED_US - ANNOUNCED_AFTER_US)
         if self._followed:
--- a/tests/test_platform_clock.py
+++ b/tests/test_platform_clock.py
@@ -259,6 +259,30 @@
     played(site_of(tmp_path, way, drainGraceUs=400 * MS), act)
 
 
+@pytest.mark.parametrize("grace_us", [400 * MS, 1 * S, 2 * S])
+@pytest.mark.parametrize("moved_after_us", [600 * MS, 1_200 * MS, 2_200 * MS, 3_000 * MS, 5_700 * MS])
+def test_what_a_silent_watch_missed_counts_though_the_head_asks_a_new_source_meanwhile(
+    tmp_path, moved_after_us, grace_us
+):
+    """The new source can't be reached until then."""
+
+    def act(site):
+        site.discovery.silence_watches()
+        silent_since = site.hub.now()
+        fresh = PlatformDiscovery(site.hub, site.net, 50, dict(site.discovery.servers))
+        fresh.start(site.scope)
+        fresh.set_server("s1", site.shelfs[1].address, 1, "terminating")
+        fresh.outage = site.discovery.outage = Outage.FAILING
+        site.hub.sleep(moved_after_us)
+        site.given["discovery"] = f"127.0.0.1:{fresh.address[1]}"
+        site.head.reconfigure(site.configuration())
+        site.hub.sleep(silent_since + SILENCE_US - site.hub.now())
+        fresh.outage = Outage.NONE
+        kept_the_rule(site, silent_since + SILENCE_US)
+
+    played(site_of(tmp_path, drainGraceUs=grace_us), act)
+
+
 @BOTH
 @pytest.mark.parametrize("full", [False, True])  # full lists are returned where changes are expected
 @pytest.mark.parametrize("lasts_us", [0, 8 * S, 20 * S])
