A standstill does not make a head forget that its watch may have been silent

Callers would see: requests to a draining node past a grace of 0.4 s, where a watch fell silent, the process stood still for a while and discovery was down as it went on. The third way to the same fault (after a new process and a new source): the call after the standstill replaced the watch, which was then not remembered as silent. An interrupted watch now counts as ended, in one place for both.

--- a/harriertrack/decisions/discovery_watch.py
+++ b/harriertrack/decisions/discovery_watch.py
@@ -133,8 +133,7 @@
         and what the new one has soon counts as announced. What a silent watch of the old one missed still
         counts when it would have.
         """
-        if self.state is WatchState.FOLLOWING and self._answered_from is not None:
-            self._silent_since, self._watch_ended_at = self._answered_from, now
+        self._interrupt_watch(now)
         self._moved, self._failures = True, 0
         if self._answered_from is not None:
             self._answered_from = min(self._answered_from, now + MOVED_ANNOUNCED_US - ANNOUNCED_AFTER_US)
@@ -142,12 +141,18 @@
             self.state = WatchState.CATCHING_UP
         return self._followed
 
-    def refresh(self) -> bool:
+    def refresh(self, now: int) -> bool:
         """Make the next call ask for an immediate answer (after a standstill); return whether to call."""
+        self._interrupt_watch(now)
         if self._followed:
             self.state = WatchState.CATCHING_UP
         return self._followed
 
+    def _interrupt_watch(self, now: int) -> None:
+        """Note that the watch ends without an answer: it may have been silent since its last one."""
+        if self.state is WatchState.FOLLOWING and self._answered_from is not None:
+            self._silent_since, self._watch_ended_at = self._answered_from, now
+
     def next_call(self) -> Call:
         """Return the call to make now. Raises IllegalTransition if the list is not followed."""
         if self.state is WatchState.IDLE:
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -81,7 +81,7 @@
 
         It stays open, as its answer may already have been received and is then valid.
         """
-        if not self._watch.refresh():
+        if not self._watch.refresh(self._hub.now()):
             return
         self._current = None
         self._log_event("discovery asked", why="the process was paused")
--- a/tests/endings/test_standstill.py
+++ b/tests/endings/test_standstill.py
@@ -28,6 +28,7 @@
 
 GRACE_US = 400 * MS
 CLIENTS = 24
+STANDSTILLS_US = [300 * MS, 1_200 * MS, 2_200 * MS, 3_500 * MS, 4_400 * MS, 5_300 * MS]
 
 
 # Clients wait as long as a standstill lasts.
@@ -51,6 +52,22 @@
     played(site_of(tmp_path, way, drainGraceUs=GRACE_US), act)
 
 
+@pytest.mark.parametrize("standstill_us", STANDSTILLS_US)
+def test_what_a_silent_watch_missed_before_a_standstill_is_applied_within_its_grace(tmp_path, standstill_us):
+    """Discovery is down when the head continues, and returns just as the drain counts."""
+
+    def act(site):
+        site.discovery.silence_watches()
+        announced_at = drain(site) + ANNOUNCED_AFTER_US
+        site.discovery.outage = Outage.FAILING
+        site.hub.freeze(site.head, standstill_us)
+        site.hub.sleep(ANNOUNCED_AFTER_US)
+        site.discovery.outage = Outage.NONE
+        kept_the_rule(site, announced_at)
+
+    played(site_of(tmp_path, drainGraceUs=GRACE_US), act)
+
+
 @BOTH
 @pytest.mark.parametrize("standstill_us", [300 * MS, 7 * S])
 @pytest.mark.parametrize("outage", [Outage.SILENT, Outage.FAILING])
