--- a/harriertrack/cli/soak.py
+++ b/harriertrack/cli/soak.py
@@ -72,9 +72,10 @@
 def soak(
     seed: int, seeds: str | None, heads: int | None, seconds: int, keep: Path, judge: Path | None
 ) -> None:
-    """Play the plan of each seed in real time on loopback, and check its recording against the rules.
+    """Soak heads of the platform: processes under drains, restarts and faults drawn from seeds.
 
-    Exit code 1 if a rule is broken.
+    Plays the plan of each seed in real time on loopback, and checks its recording against the rules. Exit
+    code 1 if one is broken.
     """
     if judge is not None:
         sys.exit(_judge(judge))
