A silent node is tried by a request that is not safe where no safe one comes for 10 s

Callers saw: a node that was silent once refused writes for good, at each head to which only writes for its shard came: trials were for safe requests alone, and without one nothing showed that the node was up.

Change: a trial that has been due for 10 s may be any request; such a one may be lost, so safe ones have their time first.

--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -65,6 +65,7 @@
 LOST_SHARE_GAIN = 0.3  # weight of one overdue attempt in that share
 TRIAL_US = 500_000  # interval between requests to a silent node, doubled after each ...
 TRIAL_MAX_US = 2_000_000  # ... up to this
+UNSAFE_TRIAL_US = 10_000_000  # how long a trial that is due waits for a safe request, which may be lost
 COLD_UNPACED = 0.6  # pacing of a cold node ends once this share of the permitted rate is its full capacity
 SERVED_DECAY_US = 10_000_000  # decay time of the sum of units that a node served
 BACKGROUND_AIM = 3.0  # a class is background if its aim is this many times the shortest and its worth is less
@@ -73,9 +74,7 @@
 ANSWER_TICKS = 2  # final answers are given this many ticks before the client's deadline
 CANDIDATES = 16  # nodes compared for a new object: the cost must not grow with the fleet
 IDLE_STATE_US = 60_000_000  # nodes that left and volumes that were idle for this long are dropped
-MAX_IDLE_VOLUMES = (
-    4096  # from this many, volumes are dropped once none of their requests can be open any more
-)
+MAX_IDLE_VOLUMES = 4096  # from this many, volumes are dropped once none of their requests can be open
 SCORE_JITTER = 0.3  # random share of a placement score: heads with equal data must not all pick one node
 AGING_US = 3_000_000  # at this age a node's latency counts half, the mean of all nodes the other half
 CROWDED = (0.6, 1.3)  # latency, in shortest aims, at which refusals of reserved work begin and peak
@@ -520,8 +519,9 @@
         """Queue a request at the node that serves it, or at a chosen one; refuse it if it would be late."""
         node = self._choose_node(work) if work.shard < 0 else self._serving_node(work)
         # A silent node gets a safe request now and then: a refusal earns nothing either, and an answer would
-        # show that the node is up.
-        barred = work.kind.effect is not Effect.SAFE or (node is not None and self._now < node.trial_at)
+        # show that the node is up. Where none comes for long, another one is its trial.
+        patience = 0 if work.kind.effect is Effect.SAFE else UNSAFE_TRIAL_US
+        barred = node is not None and self._now < node.trial_at + patience
         if node is not None and node.silent_at and not barred and self._shares is not None:
             # the heads share one budget of trials
             barred = not self._shares.trial(self._now, node.entry.node)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -274,6 +274,42 @@
     assert 1 <= len(head.sent) - before <= 4
 
 
+def silenced(kind):
+    """Return a head whose node is silent: three requests of a class timed out there."""
+    head = Head()
+    requests = [head.submit(kind) for _ in range(3)]
+    head.run(3 * SECOND)
+    for request in requests:
+        head.end(request, result=api.Result.TIMEOUT, over=False)
+    return head
+
+
+@pytest.mark.parametrize("kind", ["w", "u"])
+def test_requests_that_are_not_safe_try_a_silent_node_where_no_others_come(kind):
+    """They were refused for as long as no safe request came, also long after the node was back."""
+    head = silenced(kind)
+    sent = len(head.sent)
+    for _ in range(30 * SECOND // (50 * MS)):
+        head.submit(kind)
+        head.run(50 * MS)
+    assert 2 <= len(head.sent) - sent <= 4
+    while (trial := head.submit(kind)) not in head.requests():
+        head.run(50 * MS)
+    head.end(trial)
+    assert any(isinstance(action, api.Log) and action.text == "node n0 back" for _, action in head.log)
+
+
+@pytest.mark.parametrize("kind", ["w", "u"])
+def test_requests_that_are_not_safe_do_not_try_a_silent_node_where_safe_ones_come(kind):
+    head, others = silenced(kind), []
+    head.submit("r")
+    for _ in range(600):
+        others.append(head.submit(kind))
+        head.submit("r")
+        head.run(50 * MS)
+    assert not set(others) & set(head.requests())
+
+
 def test_a_short_pause_does_not_make_a_node_suspect():
     head = Head()
     one = head.submit()
