A write to a new extent whose connection never opens is offered again, and ends no head

Callers would see: a gateway head that ends with StopIteration. The platform's head has no clients that wait, so it does not come there.

--- a/harriertrack/decisions/requests/admission.py
+++ b/harriertrack/decisions/requests/admission.py
@@ -105,16 +105,20 @@
         repeats = state.windows[part.class_name] > 0 and part.request.kind in MODIFYING_KINDS
         repeats = repeats and part.class_name not in state.in_order
         if repeats and self._may_wait(now, part):
-            if part.shard < 0:  # its extent will lie on the shard whose rack may have run it
-                part.shard = next(
-                    one.member.entry.shard for one in part.attempts
-                    if one.state in (AttemptState.SENT, AttemptState.CALLED_OFF)
-                    or (part.may_have_run and one.sent_at == part.may_have_run_since)
-                )  # fmt: skip
+            if part.shard < 0:
+                part.shard = self._shard_of_extent(part)
             self._retry_queue.enqueue(now, part, 0)
         else:
             self._completion.give_up(part, PartStep.FAIL)
 
+    def _shard_of_extent(self, part: Part) -> int:
+        """Return the shard on which a part may have placed its extent; -1 if no attempt of it has left."""
+        for attempt in part.attempts:
+            placed = part.may_have_run and attempt.sent_at == part.may_have_run_since
+            if placed or attempt.state in (AttemptState.SENT, AttemptState.CALLED_OFF):
+                return attempt.member.entry.shard
+        return part.shard
+
     def _may_wait(self, now: int, part: Part) -> bool:
         request, state = part.request, self._state
         waits = request.patience_us > 0 and not state.stop_reason and now < state.last_answer(request)
@@ -123,8 +127,8 @@
     def _send_test_flush(self, now: int, part: Part) -> None:
         """Send a flush to a shard where only writes wait and no node has answered for long.
 
-        The module tests an unresponsive node with safe requests only. If all clients write and wait, there
-        would be no such request.
+        The module tests an unresponsive node with safe requests, and with others only if none comes for
+        long. If all clients write and wait, there would be no safe request.
         """
         quiet = (
             now - max(self.last_answer_at.get(part.shard, 0), self._test_flush_at.get(part.shard, 0))
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -131,6 +131,21 @@
     return rig, request, attempt
 
 
+def test_a_write_to_a_new_extent_whose_connection_never_opens_is_offered_again():
+    """Day waiting-kill, seed 3, in the emulator: the head ended with StopIteration, as nothing may have run anywhere."""
+    rig = Rig()
+    request = rig.submit_refused(Kind.WRITE, data=b"y" * 512)
+    rig.refuse.clear()
+    rig.run(30 * MS)
+    (first,) = rig.port.sent
+    rig.run(3_000 * MS)
+    assert request.outcome is None and rig.port.called_off[0] is first
+    again = rig.port.sent[-1]
+    assert again is not first and again.part is first.part
+    rig.end(again)
+    assert request.outcome is Outcome.SERVED
+
+
 def test_a_write_that_may_have_run_is_repeated_only_while_its_rack_drops_duplicates():
     rig, request, first = write_without_answer()
     rig.run(10_000 * MS)
