Soak: a signal ends a run between two steps of its tasks, and no head can slip away

SIGTERM raised KeyboardInterrupt wherever the process was, also between the start of a head and the note of it. Signals go through the hub now, as they do for the other commands. On the way out as before: exit code not 0.

--- a/harriertrack/cli/soak.py
+++ b/harriertrack/cli/soak.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 import time
 from pathlib import Path
@@ -83,7 +82,6 @@
         keep.mkdir(parents=True, exist_ok=True)
     except OSError as error:
         fail(f"--keep {keep}: {error.strerror}")
-    signal.signal(signal.SIGTERM, signal.default_int_handler)  # heads end with an interrupted run
     failed_seeds = 0
     for one in seed_range(seeds, seed):
         began = time.monotonic()
--- a/harriertrack/lab/soak/playing.py
+++ b/harriertrack/lab/soak/playing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import tempfile
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -31,7 +32,8 @@
 )
 from harriertrack.rules import platform, platform_recording as rec
 from harriertrack.rules.breach import Breach
-from harriertrack.runtime.hub import Hub, Scope
+from harriertrack.runtime.hub import Cancelled, Event, Hub, Scope
+from harriertrack.runtime.signals import on_signals
 from harriertrack.runtime.streams import SocketNetwork
 from harriertrack.standin.platform import Outage
 
@@ -86,26 +88,35 @@
         ]
 
     def play(self) -> None:
-        """Play the whole timeline."""
+        """Play the whole timeline; a signal ends it with KeyboardInterrupt, once no head runs any more."""
         self.hub.run(self._main)
 
     def _main(self) -> None:
+        ended = Event(self.hub)
         with self.hub.scope("soak") as scope:
-            try:
-                self._start(scope)
-                begin = self.hub.now()
-                until = begin + self.plan.length_us
-                for clients in self._clients:
-                    clients.start(scope, until)
-                for step in self.plan.steps:
-                    scope.spawn("step", self._carry_out, begin, step)
-                self.hub.sleep_until(until + max(self._waits()) + LAST_ANSWERS_US)
-                for head in self.heads:
-                    head.check_running()
-            finally:
-                self.end_heads()
-                self._stop_listening()
+            plan = scope.spawn("plan", self._play_plan, scope)
+            plan.on_done.append(lambda _task: ended.set())
+            with on_signals(self.hub, (signal.SIGINT, signal.SIGTERM), lambda _number: plan.cancel()):
+                ended.wait()
             scope.cancel()
+        if isinstance(plan.error, Cancelled):
+            raise KeyboardInterrupt
+
+    def _play_plan(self, scope: Scope) -> None:
+        try:
+            self._start(scope)
+            begin = self.hub.now()
+            until = begin + self.plan.length_us
+            for clients in self._clients:
+                clients.start(scope, until)
+            for step in self.plan.steps:
+                scope.spawn("step", self._carry_out, begin, step)
+            self.hub.sleep_until(until + max(self._waits()) + LAST_ANSWERS_US)
+            for head in self.heads:
+                head.check_running()
+        finally:
+            self.end_heads()
+            self._stop_listening()
 
     def end_heads(self) -> None:
         """Kill the heads that still run."""
--- a/tests/soak/test_command.py
+++ b/tests/soak/test_command.py
@@ -1,5 +1,7 @@
 """The command `harriertrack soak`: its options, its exit codes, and what it leaves behind."""
 
+import contextlib
+import os
 import signal
 import subprocess
 import sys
@@ -38,20 +40,26 @@
     assert (result.returncode, result.stdout.splitlines()[-1]) == (code, f"{code} breaches")
 
 
-def heads_of(process):
-    """Return the ids of the processes that a process has started."""
-    children = Path(f"/proc/{process.pid}/task/{process.pid}/children")
-    return [int(number) for number in children.read_text().split()]
+def heads_in(folder):
+    """Return the processes of heads whose configuration is in a folder."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/environ"):
+        with contextlib.suppress(OSError):
+            found += [path] if f"PROXY_CONFIG={folder}".encode() in path.read_bytes() else []
+    return found
 
 
 @pytest.mark.real_time
-def test_a_run_that_is_ended_leaves_no_heads_behind(tmp_path):
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("count", [1, 2, 3])
+def test_a_run_that_is_ended_leaves_no_heads_behind(tmp_path, number, count):
     """Heads that went on called for their list where a later run had a node."""
-    process = subprocess.Popen([*COMMAND, "--keep", str(tmp_path)], stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)  # fmt: skip
+    environment = {**os.environ, "TMPDIR": str(tmp_path)}
+    process = subprocess.Popen([*COMMAND, "--keep", str(tmp_path)], env=environment, stdout=subprocess.DEVNULL,
+                               stderr=subprocess.DEVNULL)  # fmt: skip
     deadline = time.monotonic() + 20
-    while len(heads_of(process)) < 2 and time.monotonic() < deadline:
-        time.sleep(0.02)
-    heads = heads_of(process)
-    process.send_signal(signal.SIGTERM)
-    assert heads and process.wait(20) != 0
-    assert not [head for head in heads if Path(f"/proc/{head}").exists()]
+    while len(heads_in(tmp_path)) < count and time.monotonic() < deadline:
+        time.sleep(0.002)
+    assert heads_in(tmp_path)
+    process.send_signal(number)
+    assert process.wait(20) != 0 and not heads_in(tmp_path)
