The head's line of counts tells the process's resident memory

Heads passed their memory limit while request_bytes and answer_bytes stood near nothing: the log could not tell what a process holds against what it counts. counts has resident_kib now, read from /proc/self/statm; 0 where the system doesn't tell.

--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -13,6 +13,7 @@
 from harriertrack.runtime.alarm import Alarm
 from harriertrack.runtime.heartbeat import Heartbeat
 from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope
+from harriertrack.runtime.process_memory import resident_bytes
 from harriertrack.runtime.streams import Listener, Network
 from harriertrack.service.configuration import Configuration
 from harriertrack.service.discovery import Discovery
@@ -210,6 +211,7 @@
             answer_bytes=self.memory.answers.held_bytes,
             requests_given_up=self.memory.requests.given_up,
             answers_given_up=self.memory.answers.given_up,
+            resident_kib=resident_bytes() >> 10,
             idle_us=self.hub.idle_us,
             longest_round_us=self.hub.longest_round_us,
         )
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -8,6 +8,7 @@
 import pytest
 
 from harriertrack.runtime.hub import Cancelled, Deadlock, DeadlineExceeded, Event, Hub
+from harriertrack.runtime.process_memory import resident_bytes
 from harriertrack.runtime.streams import (
     HIGH_WATER,
     MemoryNetwork,
@@ -280,3 +281,10 @@
 
     hub.run(main)
     assert hub.stalls == 1 and stalls[0] >= 20_000
+
+
+def test_the_resident_memory_counts_what_is_allocated(tmp_path):
+    before, held = resident_bytes(), b"x" * (64 << 20)
+    assert resident_bytes() - before > len(held) // 2
+    (tmp_path / "statm").write_text("nonsense")
+    assert resident_bytes(str(tmp_path / "statm")) == resident_bytes("/no/such/file") == 0
