Half requests are counted by what they take: fields are bounded, bodies are one array

Callers saw heads killed for memory under heads of very many short fields. Each field was kept as a tuple and two objects, some 130 bytes for four on the wire, and each chunk of a body as an object; bytes on the wire were counted. A head has at most 100 fields now (431), of which those are kept that are used or may not be given twice; a body is one array; the budget counts bytes, a kept field's overhead and the array's spare. Where a field is given twice, the request ends at that field.

--- a/harriertrack/protocol/platform/request_parser.py
+++ b/harriertrack/protocol/platform/request_parser.py
@@ -21,6 +21,9 @@
 VISIBLE = re.compile(rb"[!-~]{1,200}")
 TARGET = re.compile(rb"/[!-~]*")
 HEAD_TOO_LONG = "a head of more than 16 KiB"
+MAX_FIELDS = 100  # of a head; clients send about ten
+KEPT_FIELD_BYTES = 200  # what the interpreter needs for a kept field beside its bytes
+FRAMING_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
 READY_PATH = b"/-/ready"
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -108,14 +111,23 @@
         self._keep_alive = True
         self._head_fed = 0  # bytes passed to the parser while the head is incomplete ...
         self._head_bytes = 0  # ... and bytes of it that the parser has reported
+        self._received = 0  # bytes of the request so far
         self._target = b""
-        self._fields: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._field_count = 0
+        self._fields: dict[bytes, bytes] = {}  # those that are used, or may not be given twice
+        self._body = bytearray()
+
+    @property
+    def held_bytes(self) -> int:
+        """Return what is held of the request that is being received, or was received last."""
+        spare = len(self._body) >> 3  # of an array that grows
+        return self._received + spare + KEPT_FIELD_BYTES * len(self._fields)
 
     def receive(self, data: bytes) -> PlatformRequest | ReadinessCheck | None:
         """Parse received bytes; return a request once it is complete and valid. Raises BadRequest."""
         if self._parser is None:
             raise BadRequest(400, "the connection accepts no further request")
+        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -146,28 +158,36 @@
         self._target += target
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a field."""
+        """Store a field that is used, or that may not be given twice."""
         self._count_head(len(name) + len(value))
-        self._fields.append((name.lower(), value))
+        self._field_count += 1
+        if self._field_count > MAX_FIELDS:
+            self._stop(431, f"more than {MAX_FIELDS} fields")
+        name = name.lower()
+        if name.startswith(b"x-") or name == b"idempotency-key":
+            if name in self._fields:
+                self._stop(400, "a field is given twice")
+            self._fields[name] = value
+        elif name in FRAMING_FIELDS:
+            self._fields.setdefault(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the fields that define the body's length before any of the body is stored."""
         assert self._parser is not None, "called by the parser"
         self._head_complete = True
-        method, length = self._parser.get_method(), 0
-        lengths = [value for name, value in self._fields if name == b"content-length"]
-        if any(name == b"transfer-encoding" for name, _ in self._fields):
+        method, length = self._parser.get_method(), self._fields.get(b"content-length")
+        if b"transfer-encoding" in self._fields:
             self._stop(400, "a body is told by Content-Length alone")
-        elif lengths and (length := int(lengths[0])) > MAX_BODY_BYTES:
+        elif length is not None and int(length) > MAX_BODY_BYTES:
             self._stop(413, "a body of more than 64 KiB")
-        elif method == b"PUT" and not lengths:
+        elif method == b"PUT" and length is None:
             self._stop(411, "a write without Content-Length")
-        elif method == b"GET" and length:
+        elif method == b"GET" and length is not None and int(length):
             self._stop(400, "a read with a body")
 
     def on_body(self, data: bytes) -> None:
         """Store a chunk of the body; its total length was checked with the fields."""
-        self._body.append(data)
+        self._body += data  # one array: an object for each chunk would take many times a short chunk's bytes
 
     def on_message_complete(self) -> None:
         """Handle the end of a request."""
@@ -181,11 +201,7 @@
         path, _, query = target.partition(b"?")
         if path == READY_PATH and method == b"GET":
             return ReadinessCheck()
-        fields: dict[bytes, bytes] = {}
-        for name, value in self._fields:
-            if name in fields and (name.startswith(b"x-") or name == b"idempotency-key"):
-                raise BadRequest(400, "a field is given twice")
-            fields[name] = value
+        fields = self._fields
         class_name = path[1:].partition(b"/")[0].decode("latin-1")
         form = schema.classes.get(class_name)
         if form is None:
@@ -202,7 +218,7 @@
         if form.keyed:
             _match(VISIBLE, idempotency_key, "Idempotency-Key")
         volume, units, shard, hosts = self._placement(fields.get(b"x-placement", b""))
-        body, self._body = b"".join(self._body), []
+        body, self._body = bytes(self._body), bytearray()
         return PlatformRequest(
             form.writes, target, _match(ID, fields.get(b"x-trace-id"), "X-Trace-Id"),
             idempotency_key if form.keyed else b"", body, class_name, plan,
@@ -240,15 +256,16 @@
     def start_next(self) -> bool:
         """Reset for the next request after an answer; return whether the connection may carry one."""
         self._head_complete = self._complete = False
-        self._head_fed = self._head_bytes = 0
+        self._head_fed = self._head_bytes = self._received = self._field_count = 0
         self._target = b""
-        self._fields, self._body = [], []
+        self._fields, self._body = {}, bytearray()
         return self._keep_alive
 
     def close(self) -> None:
         """Free what was received of a request; nothing more is parsed."""
         self._parser = self._error = None
-        self._fields, self._body = [], []
+        self._received = 0
+        self._fields, self._body = {}, bytearray()
 
 
 def closing_answer(status: int, why: str) -> bytes:
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -192,10 +192,10 @@
         while data := self._stream.read():
             if self._final:  # bytes behind a final answer are not even parsed
                 return None
+            held = self._http.held_bytes
             parsed = self._http.receive(data)
-            size = len(data)
             del data  # the parser has its copy
-            if not self._has_memory_for(size, parsed is not None):
+            if not self._has_memory_for(self._http.held_bytes - held, parsed is not None):
                 return None
             if parsed is not None:
                 connections.transition(self, ClientState.BUSY, self._front.hub.now())
--- /dev/null
+++ b/tests/test_held_memory.py
@@ -0,0 +1,48 @@
+"""What parsers hold of messages that are not whole, against what they count."""
+
+import gc
+import tracemalloc
+
+import pytest
+
+from harriertrack.protocol.platform.request_parser import (
+    BadRequest,
+    ClassSchema,
+    RequestParser,
+    RequestSchema,
+)
+
+SCHEMA = RequestSchema({"note": ClassSchema(True, True)}, frozenset(("gold",)), 4.0, 4, 2)
+PARSER_BYTES = 4_000  # of a parser that has received nothing
+UNCOUNTED = 1.25  # the most that may be held, as a multiple of what is counted
+LINE = b"PUT /note?object=7f3a9c21e0b4d655 HTTP/1.1\r\n"
+HALF_REQUESTS = {
+    "fields of two letters": [LINE + b"a:b\r\n" * 3_000],
+    "fields of two letters in pieces": [LINE, *[b"a:b\r\n"] * 3_000],
+    "distinct fields": [LINE + b"".join(b"x-%x:%x\r\n" % (number, number) for number in range(99))],
+    "one field without end": [LINE + b"x-" + b"y" * 15_000],
+    "a line byte by byte": [bytes([byte]) for byte in b"PUT /" + b"z" * 12_000],
+    "a body byte by byte": [LINE + b"Content-Length: 65536\r\n\r\n", *[b"x"] * 20_000],
+    "a body at once": [LINE + b"Content-Length: 65536\r\n\r\n" + b"x" * 65_535],
+}
+
+
+@pytest.mark.parametrize("pieces", HALF_REQUESTS.values(), ids=HALF_REQUESTS)
+def test_half_a_request_takes_no_more_than_is_counted_or_is_refused(pieces):
+    """Guards against fields and chunks that take many times the bytes that are counted."""
+    RequestParser(SCHEMA)  # what is made only once
+    gc.collect()
+    tracemalloc.start()
+    try:
+        parser = RequestParser(SCHEMA)
+        for piece in pieces:
+            parser.receive(piece)
+        held, _ = tracemalloc.get_traced_memory()
+    except BadRequest as error:
+        assert error.status == 431
+        parser.close()
+        assert parser.held_bytes == 0
+    else:
+        assert held < UNCOUNTED * parser.held_bytes + PARSER_BYTES
+    finally:
+        tracemalloc.stop()
