Client connections take turns in one task, and a closed stream is freed at once

A silent client connection took 12.9 KiB: a task with its stack, and after its end a cycle of stream and handler until the collector came. One task reads all client connections in turn now: at most 80 KiB of one and 64 of them in a round, so that nodes and timers are handled in between; a stream lets go of its handler as it is closed. A connection whose turn has yet to come is not closed as idle over what it has sent. The seeded faults of the interleavings are the same ones, at the lines where their code is now.

--- a/harriertrack/decisions/client_connections.py
+++ b/harriertrack/decisions/client_connections.py
@@ -29,6 +29,8 @@
 MAX_LATENESS_US = 500_000  # after this long past the client's deadline an answer is worthless, and abandoned
 LINGER_US = 500_000  # a client that reads what it is sent has the final answer by then
 LINGER_BYTES = 1 << 20  # at most this much is discarded meanwhile: many times the largest request
+READ_BYTES = 80 << 10  # the most that is read of a connection in one round: a whole request
+TURNS_PER_ROUND = 64  # connections that are read in a row before nodes and timers are handled
 ACCEPTS_PER_ROUND = 16  # connections accepted in a row before data on other connections is handled
 MAX_BACKLOG = 1024  # about the most connections that the system queues for a listener
 MAX_EXAMINED = 8  # connections of one state examined for one newcomer: bounds the cost under a flood of them
@@ -178,6 +180,10 @@
         ]
         return [*self._entered_at[ClientState.IDLE], *late]
 
+    def all(self) -> list[Client]:
+        """Return all connections."""
+        return list(self._state)
+
     def partially_read(self) -> list[Client]:
         """Return those that have received part of a request."""
         return list(self._entered_at[ClientState.READING])
--- a/harriertrack/runtime/hub.py
+++ b/harriertrack/runtime/hub.py
@@ -257,9 +257,7 @@
                 task, error = ready.popleft()
                 self._resume(task, error)
             while self._end_of_round:
-                callbacks, self._end_of_round = list(self._end_of_round.items()), {}
-                for callback, group in callbacks:
-                    self._call(group, callback)
+                self._run_end_of_round()
             self._check_stall(began)
             if stop.done:
                 return
@@ -282,6 +280,11 @@
                     handler.on_events(events)
             self._run_timers()
 
+    def _run_end_of_round(self) -> None:
+        callbacks, self._end_of_round = self._end_of_round, {}
+        for callback, group in callbacks.items():
+            self._call(group, callback)
+
     def _check_stall(self, began: int) -> None:
         took = self.clock.now() - began
         self.longest_round_us = max(self.longest_round_us, took)
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -47,6 +47,15 @@
     def read(self, deadline: int | None = None) -> bytes:
         """Wait for bytes; b"" means that the peer sends no more."""
 
+    def read_now(self, most: int) -> bytes | None:
+        """Return up to `most` available bytes, b"" at the peer's end, or None if there is nothing yet.
+
+        Raises ConnectionError if the stream broke or is closed.
+        """
+
+    def on_readable(self, act: Callable[[], None]) -> None:
+        """Call `act` once, as soon as `read_now` may return something: at once if it may now."""
+
     def write(self, data: bytes | memoryview) -> None:
         """Add bytes to the send buffer; never waits, and does nothing on a closed stream."""
 
@@ -116,6 +125,10 @@
         sock.close()
 
 
+def ignore_events(_events: int) -> None:
+    """Handle the events of a descriptor that is closed."""
+
+
 def set_option(sock: socket.socket, level: int, option: int, value: int | bytes) -> None:
     """Set an option that a connection can do without: this may fail for lack of memory."""
     with contextlib.suppress(OSError):
@@ -140,6 +153,7 @@
         self._wants_read = False
         self.came_at = self._since = hub.now()
         self._on_end: Callable[[], None] | None = None
+        self._on_readable: Callable[[], None] | None = None
         self._on_pushed: Callable[[], None] | None = None
         self._readable, self._writable = Waiters(hub), Waiters(hub)
         self._handler = FdHandler(sock.fileno(), 0, self._on_events)
@@ -157,8 +171,8 @@
             if self._wants_read:  # the last read found no data
                 self._since = max(self._since, self._hub.found_since)
             # The interest stays while a reader waits: setting it for each read would cost two calls.
-            self._wants_read = self._readable.any()
-            self._readable.notify()
+            self._wants_read = self._readable.any() or self._on_readable is not None
+            self._notify_reader()
         if events & ~READ and self._out:
             self._flush()
         self._set_interest()
@@ -182,24 +196,44 @@
 
     def read(self, deadline: int | None = None) -> bytes:
         """Wait for bytes; b"" means that the peer sends no more. Raises ConnectionError if it broke."""
-        while True:
-            if self._closed:
-                error, self._error = self._error, None  # kept, its traceback would keep the readers' locals
-                raise error or StreamClosed("closed")
-            if not self._drained:
-                try:
-                    data = self._sock.recv(MAX_READ_BYTES)
-                    self._drained = 0 < len(data) < MAX_READ_BYTES
-                    self.came_at = self._since
-                    if self._drained:
-                        self._since = self._hub.now()
-                    return data
-                except (BlockingIOError, InterruptedError):
-                    pass
+        while (data := self.read_now(MAX_READ_BYTES)) is None:
             self._wants_read = True
             self._set_interest()
             self._readable.wait(deadline)
             self._drained = False
+        return data
+
+    def read_now(self, most: int) -> bytes | None:
+        """Return up to `most` available bytes, b"" at the peer's end, or None if there is nothing yet."""
+        if self._closed:
+            error, self._error = self._error, None  # kept, its traceback would keep the readers' locals
+            raise error or StreamClosed("closed")
+        if self._drained:
+            return None
+        try:
+            data = self._sock.recv(most)
+        except (BlockingIOError, InterruptedError):
+            self._drained = True
+            return None
+        self._drained = 0 < len(data) < most
+        self.came_at = self._since
+        if self._drained:
+            self._since = self._hub.now()
+        return data
+
+    def on_readable(self, act: Callable[[], None]) -> None:
+        """Call `act` once, as soon as `read_now` may return something: at once if it may now."""
+        if self._closed or not self._drained:
+            act()
+            return
+        self._on_readable, self._wants_read = act, True
+        self._set_interest()
+
+    def _notify_reader(self) -> None:
+        act, self._on_readable = self._on_readable, None
+        if act is not None:
+            act()
+        self._readable.notify()
 
     def write(self, data: bytes | memoryview) -> None:
         """Add bytes to the buffer sent at the end of this round; does nothing on a closed stream."""
@@ -299,8 +333,9 @@
         self._on_pushed = None
         self.buffered = 0
         self._hub.remove_handler(self._handler)
+        self._handler.on_events = ignore_events  # the handler and the stream keep each other no longer
         close_socket(self._sock)
-        self._readable.notify()
+        self._notify_reader()
         self._writable.notify()
 
     def close(self) -> None:
@@ -426,6 +461,7 @@
         self.buffered = 0  # bytes in flight or unread at the other end
         self._readable, self._writable = Waiters(hub), Waiters(hub)
         self._on_end: Callable[[], None] | None = None
+        self._on_readable: Callable[[], None] | None = None
 
     def watch_end(self, act: Callable[[], None] | None) -> None:
         """Call `act` once the peer has closed or broken the stream, even without a reader; None to stop.
@@ -439,17 +475,37 @@
 
     def read(self, deadline: int | None = None) -> bytes:
         """Wait for bytes; b"" means that the peer sends no more. Raises ConnectionError if it broke."""
-        while not self._in:
+        while (data := self.read_now(MAX_READ_BYTES)) is None:
+            self._readable.wait(deadline)
+        return data
+
+    def read_now(self, most: int) -> bytes | None:
+        """Return up to `most` available bytes, b"" at the peer's end, or None if there is nothing yet."""
+        if not self._in:
             if self._closed or self._error:
                 raise self._error or StreamClosed("closed")
-            if self._eof:
-                return b""
-            self._readable.wait(deadline)
+            return b"" if self._eof else None
         data, self.came_at = self._in.popleft()
+        if len(data) > most:
+            self._in.appendleft((data[most:], self.came_at))
+            data = data[:most]
         if self.other is not None:
             self.other._taken(len(data))
         return data
 
+    def on_readable(self, act: Callable[[], None]) -> None:
+        """Call `act` once, as soon as `read_now` may return something: at once if it may now."""
+        if self._in or self._eof or self._closed or self._error:
+            act()
+        else:
+            self._on_readable = act
+
+    def _notify_reader(self) -> None:
+        act, self._on_readable = self._on_readable, None
+        if act is not None:
+            act()
+        self._readable.notify()
+
     def _taken(self, count: int) -> None:
         self.buffered -= count
         self._writable.notify()
@@ -465,7 +521,7 @@
     def _arrive(self, data: bytes) -> None:
         if not self._closed:
             self._in.append((data, self._hub.now()))
-            self._readable.notify()
+            self._notify_reader()
 
     def drain(self, deadline: int | None = None) -> None:
         """Wait until under 1 MiB is buffered."""
@@ -501,7 +557,7 @@
         act, self._on_end = self._on_end, None
         if act is not None:
             act()
-        self._readable.notify()
+        self._notify_reader()
         self._writable.notify()
 
     def _leave(self, error: OSError | None) -> None:
@@ -511,7 +567,7 @@
         act, self._on_end = self._on_end, None
         if act is not None:
             act()
-        self._readable.notify()
+        self._notify_reader()
         self._writable.notify()
         if (other := self.other) is not None:
             self._hub.at_outside(self._hub.now() + self.delay_us, lambda: other._end(error))
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -16,6 +16,8 @@
     LINGER_US,
     MAX_BACKLOG,
     MAX_LATENESS_US,
+    READ_BYTES,
+    TURNS_PER_ROUND,
     ClientConnections,
     ClientState,
 )
@@ -30,8 +32,9 @@
     RequestParser,
     closing_answer,
 )
-from harriertrack.runtime.hub import Hub, Scope, Waiters
+from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
+from harriertrack.runtime.turns import TurnQueue
 from harriertrack.service.configuration import Configuration
 from harriertrack.service.log import Log, is_power_of_two
 from harriertrack.service.pending import PendingRequest, PlatformVolume
@@ -56,7 +59,6 @@
     def __init__(
         self,
         hub: Hub,
-        scope: Scope,
         core: Core,
         configuration: Configuration,
         shutdown: GracefulShutdown,
@@ -70,7 +72,8 @@
         )
         self.open_requests: dict[bytes, PendingRequest] = {}  # by the client's trace id
         self.counts = FrontCounts()
-        self._scope, self._log = scope, log
+        self.turns = TurnQueue(hub, TURNS_PER_ROUND)
+        self._log = log
 
     def serve(self, listener: Listener) -> None:
         """Accept connections until the listener is closed (a task)."""
@@ -97,7 +100,7 @@
             self.counts.evicted += 1
             self._close(victim)
         if victim is not connection:
-            self._scope.spawn("client", connection.run)
+            connection.open()
 
     def close_expired(self) -> None:
         """Close overdue connections periodically (a task)."""
@@ -106,12 +109,22 @@
             if not all(connection.silent() for connection in self.connections.expired(self.hub.now())):
                 self.hub.sleep(0)  # received bytes are read first
             for connection in self.connections.expired(self.hub.now()):
-                state = self.connections.state(connection)
-                self.counts.overdue += state is not ClientState.LINGERING
-                if state is ClientState.READING:
-                    connection.refuse(408, "no whole request came in time")
-                else:
-                    self._close(connection)
+                self._expire(connection)
+
+    def _expire(self, connection: ClientConnection) -> None:
+        state = self.connections.state(connection)
+        if state in (ClientState.NEW, ClientState.IDLE) and not connection.silent():
+            return  # its turn to be read has yet to come
+        self.counts.overdue += state is not ClientState.LINGERING
+        if state is ClientState.READING:
+            connection.refuse(408, "no whole request came in time")
+        else:
+            self._close(connection)
+
+    def close_all(self) -> None:
+        """Close all connections: the head ends."""
+        for connection in self.connections.all():
+            connection.close()
 
     def close_idle(self) -> None:
         """Close the connections without a request; where bytes have been received they are read first."""
@@ -142,67 +155,68 @@
         self._front, self._stream = front, stream
         self._http = RequestParser(front.schema)
         self._request: ClientRequest | None = None
-        self._changed = Waiters(front.hub)  # notified when the answer is sent or the connection is closed
         self._final = self._closed = False  # final: no further request is accepted over it
+        self._discarded = 0  # bytes behind the final answer
         self.answered = False  # an answer was sent over it
 
-    def run(self) -> None:
-        """Serve the connection until it ends (its task)."""
+    def open(self) -> None:
+        """Begin to read."""
+        self._await_bytes()
+
+    def _await_bytes(self) -> None:
+        self._stream.on_readable(self._ask_for_turn)
+
+    def _ask_for_turn(self) -> None:
+        if not self._closed:
+            self._front.turns.add(self)
+
+    def take_turn(self) -> None:
+        """Read once, and do what follows from it; errors affect this connection only."""
+        if self._closed:
+            return
         try:
-            self._serve()
-            if self._final:
-                self._discard()
+            data = self._stream.read_now(READ_BYTES)
         except OSError:
-            pass  # affects this connection only
-        finally:
-            self.abandon()
             self.close()
+            return
+        if data is None:
+            self._await_bytes()
+        elif not data:
+            self.close()
+        elif self._final:
+            self._discard(len(data))
+        else:
+            self._receive(data)
 
-    def _serve(self) -> None:
-        """Handle one request after another until the client closes or the final answer is sent."""
+    def _receive(self, data: bytes) -> None:
+        """Parse received bytes, and hand over the request if it is whole."""
         try:
-            while not self._closed and self._accept_request():
-                while self._is_busy:
-                    self._changed.wait()
+            if (parsed := self._parse(data)) is not None:
+                self._accept_request(parsed)
         except BadRequest as error:
             self._front.report_bad_request(error, self._stream.peer)
             self.refuse(error.status, str(error))
 
-    def _accept_request(self) -> bool:
-        """Wait for a request and hand it over; return False at the end of the connection.
-
-        The request is referenced by the core alone afterwards: a connection that idles keeps no body.
-        """
-        parsed = self._read()
+    def _accept_request(self, parsed: PlatformRequest | ReadinessCheck) -> None:
+        """Hand a request over; it is referenced by the core alone afterwards."""
+        self._front.connections.transition(self, ClientState.BUSY, self._front.hub.now())
         if isinstance(parsed, ReadinessCheck):
             self._answer_readiness()
-        elif parsed is not None:
+        else:
             self._admit(parsed)
-        return parsed is not None
-
-    @property
-    def _is_busy(self) -> bool:
-        """Whether a request is open or its answer is not sent yet; false once the client has disconnected."""
-        state = self._front.connections.state(self)
-        return not self._closed and state in (ClientState.BUSY, ClientState.SENDING)
 
-    def _read(self) -> PlatformRequest | ReadinessCheck | None:
-        """Wait for a complete request; return None at the end of the connection."""
+    def _parse(self, data: bytes) -> PlatformRequest | ReadinessCheck | None:
+        """Return the request that is complete with these bytes, if the head has the memory for it."""
         connections = self._front.connections
-        while data := self._stream.read():
-            if self._final:  # bytes behind a final answer are not even parsed
-                return None
-            held = self._http.held_bytes
-            parsed = self._http.receive(data)
-            del data  # the parser has its copy
-            if not self._has_memory_for(self._http.held_bytes - held, parsed is not None):
-                return None
-            if parsed is not None:
-                connections.transition(self, ClientState.BUSY, self._front.hub.now())
-                return parsed
+        held = self._http.held_bytes
+        parsed = self._http.receive(data)
+        if not self._has_memory_for(self._http.held_bytes - held, parsed is not None):
+            return None
+        if parsed is None:
             if connections.state(self) in (ClientState.NEW, ClientState.IDLE):
                 connections.transition(self, ClientState.READING, self._front.hub.now())
-        return None
+            self._await_bytes()
+        return parsed
 
     def _has_memory_for(self, size: int, is_complete: bool) -> bool:
         """Count received bytes; return whether this request is kept. Another's may be given up for it."""
@@ -216,16 +230,13 @@
         """Refuse the request that is being received, as the requests of all clients take too much memory."""
         self.refuse(503, "too many bytes of requests are held")
 
-    def _discard(self) -> None:
-        """Read and discard until the client closes too: closing with unread bytes would reset the connection
-        and lose the answer.
+    def _discard(self, size: int) -> None:
+        """Discard until the client closes too: closing with unread bytes would reset the connection and lose
+        the answer. A client that keeps sending is closed soon, by the linger timeout.
         """
-        remaining = LINGER_BYTES
-        while remaining > 0 and (data := self._stream.read()):
-            remaining -= len(data)
-        # The client keeps sending: the linger timeout closes it soon.
-        while remaining <= 0 and not self._closed:
-            self._changed.wait()
+        self._discarded += size
+        if self._discarded < LINGER_BYTES:
+            self._await_bytes()
 
     def _answer_readiness(self) -> None:
         draining = self._front.shutdown.is_draining
@@ -237,7 +248,7 @@
         now = front.hub.now()
         pending, body = PendingRequest(parsed, self), parsed.take_body()
         if pending.client_has_left(now):
-            self._closed = True
+            self.close()
             return
         other = front.open_requests.get(parsed.trace_id)
         if other is not None:
@@ -312,7 +323,7 @@
             self._stream.shut_sending()
         state = ClientState.LINGERING if self._final else ClientState.IDLE
         self._front.connections.transition(self, state, self._front.hub.now())
-        self._changed.notify()
+        self._await_bytes()
 
     def has_left(self, since: int) -> bool:
         """Whether the client has disconnected; polls if the last poll was before `since` (microseconds)."""
@@ -323,23 +334,27 @@
         return self._stream.silent()
 
     def abandon(self) -> None:
-        """Abandon the open request, if there is one, as the client has disconnected."""
-        request, self._request = self._request, None
-        if request is not None:
-            pending = request.requester
-            assert isinstance(pending, PendingRequest)
-            self._front.open_requests.pop(pending.parsed.trace_id, None)
-            self._front.core.client_left(request)
-            request.release()
-            self._closed = True
-            self._changed.notify()
+        """End the connection, whose client has disconnected; its open request is dropped."""
+        self.close()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, and drop its open request, if there is one."""
+        if self._closed:
+            return
         self._closed = True
+        self._drop_request()
         self._http.close()
+        self._front.turns.discard(self)
         self._front.memory.requests.release(self)
         self._front.memory.answers.release(self)
         self._front.connections.remove(self)
         self._stream.close()
-        self._changed.notify()
+
+    def _drop_request(self) -> None:
+        request, self._request = self._request, None
+        if request is not None:
+            pending = request.requester
+            assert isinstance(pending, PendingRequest)
+            self._front.open_requests.pop(pending.parsed.trace_id, None)
+            self._front.core.client_left(request)
+            request.release()
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -85,6 +85,7 @@
                     self._serve(scope, listener)
                 finally:
                     listener.close()
+                    self.front.close_all()
                 scope.cancel()
         finally:
             self._alarm.cancel()
@@ -130,7 +131,7 @@
             configuration.name,
             self._log,
         )
-        self.front = Front(hub, scope, self.core, configuration, self.shutdown, self.memory, self._log)
+        self.front = Front(hub, self.core, configuration, self.shutdown, self.memory, self._log)
         self.core.begin_standstill_checks(hub.now())
         self._heartbeat.start()
         return watch
@@ -139,6 +140,7 @@
         """Accept clients until `stop` is called and the shutdown is complete."""
         hub, configuration, bounds = self.hub, self.configuration, self.configuration.bounds
         scope.spawn("front", self.front.serve, listener)
+        scope.spawn("clients", self.front.turns.run)
         scope.spawn("callers", self.front.close_expired)
         scope.spawn("storage_nodes", self.storage_nodes.close_expired)
         self.ready.set()
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -127,7 +127,7 @@
         "a closed stream's reader waits",
         "socket-close-read",
         f"{SOCKET}._shut",
-        "self._readable.notify()",
+        "self._notify_reader()",
         "pass",
     ),
     Fault(
@@ -137,7 +137,9 @@
         "self._hub.remove_handler(self._handler)",
         "pass",
     ),
-    Fault("a closed stream is read", "socket-close-read", f"{SOCKET}.read", "if self._closed:", "if False:"),
+    Fault(
+        "a closed stream is read", "socket-close-read", f"{SOCKET}.read_now", "if self._closed:", "if False:"
+    ),
     Fault(
         "what the peer did not take is forgotten",
         "socket-all-arrives",
@@ -175,23 +177,21 @@
         "pass",
         2,
     ),
-    Fault(
-        "bytes come unheard", "witness-two-writers", f"{MEMORY}._arrive", "self._readable.notify()", "pass"
-    ),
-    Fault("an end comes unheard", "memory-all-arrives", f"{MEMORY}._end", "self._readable.notify()", "pass"),
+    Fault("bytes come unheard", "witness-two-writers", f"{MEMORY}._arrive", "self._notify_reader()", "pass"),
+    Fault("an end comes unheard", "memory-all-arrives", f"{MEMORY}._end", "self._notify_reader()", "pass"),
     Fault(
         "who closes leaves its own reader",
         "memory-close-alone",
         f"{MEMORY}._leave",
-        "self._readable.notify()",
+        "self._notify_reader()",
         "pass",
     ),
     Fault(
         "the end overtakes bytes",
         "memory-all-arrives",
-        f"{MEMORY}.read",
-        "while not self._in:",
-        "while self._eof or not self._in:",
+        f"{MEMORY}.read_now",
+        "if not self._in:",
+        "if self._eof or not self._in:",
     ),
     Fault(
         "a reset looks like an end",
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -4,11 +4,13 @@
 import os
 import resource
 import socket
+import weakref
 
 import pytest
 
 from harriertrack.runtime.hub import Cancelled, Deadlock, DeadlineExceeded, Event, Hub
 from harriertrack.runtime.process_memory import resident_bytes
+from harriertrack.runtime.turns import TurnQueue
 from harriertrack.runtime.streams import (
     HIGH_WATER,
     MemoryNetwork,
@@ -288,3 +290,86 @@
     assert resident_bytes() - before > len(held) // 2
     (tmp_path / "statm").write_text("nonsense")
     assert resident_bytes(str(tmp_path / "statm")) == resident_bytes("/no/such/file") == 0
+
+
+class Taker:
+    def __init__(self, queue, log, again=0):
+        self.queue, self.log, self.again = queue, log, again
+
+    def take_turn(self):
+        self.log.append(self)
+        if self.again:
+            self.again -= 1
+            self.queue.add(self)
+
+
+def test_turns_are_taken_in_order_and_others_run_in_between():
+    """Guards against a crowd of connections that delays nodes and timers for as long as it is there."""
+    hub, log = Hub.virtual(), []
+
+    def main():
+        queue = TurnQueue(hub, per_round=4)
+        takers = [Taker(queue, log, again=2) for _ in range(10)]
+        for taker in takers:
+            queue.add(taker)
+        with hub.scope() as scope:
+            scope.spawn("turns", queue.run)
+            for _ in range(2):  # a task that is ready runs between any two lots
+                hub.sleep(0)
+            assert len(log) <= 8
+            hub.sleep(1_000)
+            assert log == takers * 3
+            queue.add(takers[0])
+            queue.discard(takers[0])
+            hub.sleep(1_000)
+            assert len(log) == 30
+            scope.cancel()
+
+    hub.run(main)
+
+
+@pytest.mark.real_time
+def test_a_closed_stream_is_freed_without_the_garbage_collector():
+    """Guards against connections that stay in memory until the collector comes to them."""
+    hub = Hub()
+
+    def main():
+        here, there, _ = pair(hub, SocketNetwork(hub))
+        here.write(b"x")
+        assert there.read() == b"x"
+        gc.collect()
+        gc.disable()
+        try:
+            here.close()
+            there.close()
+            hub.sleep(0)
+            left = [weakref.ref(here), weakref.ref(there)]
+            del here, there
+            assert [one() for one in left] == [None, None]
+        finally:
+            gc.enable()
+
+    hub.run(main)
+
+
+def test_what_can_be_read_now_is_read_in_pieces_and_announced_once(on):
+    def main(hub, net):
+        here, there, _ = pair(hub, net)
+        called = []
+        there.on_readable(lambda: called.append(1))
+        hub.sleep(1_000)
+        assert not called and there.read_now(10) is None
+        here.write(b"abc")
+        hub.sleep(10_000)
+        assert called == [1] and there.read_now(2) == b"ab"
+        there.on_readable(lambda: called.append(2))
+        assert called == [1, 2] and there.read_now(2) == b"c"
+        here.close()
+        there.on_readable(lambda: called.append(3))
+        hub.sleep(10_000)
+        assert called == [1, 2, 3] and there.read_now(2) == b""
+        there.close()
+        with pytest.raises(ConnectionError):
+            there.read_now(1)
+
+    on(main)
