An id that reached a node is not sent again when it comes again

Callers saw a request run twice that came again with its id after its client had left: the head knew open requests alone, and dropped one at its client's end. decisions/forwarded_requests.py keeps the ids whose last byte has left for a node, 30 to 60 s where there is room, the longest deadline at least, in a number that follows the memory; while it is full of young ones new requests get 503.

--- a/harriertrack/protocol/platform/request_parser.py
+++ b/harriertrack/protocol/platform/request_parser.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+from binascii import unhexlify
 from dataclasses import dataclass
 
 import httptools
@@ -83,6 +84,11 @@
     expires_ms: int
     second_try: bool
 
+    @property
+    def identity(self) -> bytes:
+        """Return the id as a number, in whatever case its digits came."""
+        return unhexlify(self.trace_id)
+
     def take_body(self) -> bytes:
         """Return the body, and keep it no longer."""
         body, self.body = self.body, b""
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.forwarded_requests import forwarded_ids
 from harriertrack.decisions.payload_memory import MemoryLimits
 from harriertrack.decisions.requests import ClassRule, RequestRules
 from harriertrack.decisions.settings_parser import parse_settings, read_number, read_object
@@ -68,6 +69,7 @@
     idle_timeout_us: int
     ask_within_us: int
     longest_deadline_us: int
+    forwarded_ids: int  # of requests that were sent to nodes
     memory: MemoryLimits
 
 
@@ -175,7 +177,8 @@
         _integer(settings, "permissions", "dialTimeoutUs", 1_000_000),
         _integer(settings, "permissions", "connIdleUs", 30_000_000),
         _integer(settings, "safety", "askWithinUs", 0),
-        max(one.deadline_us for one in parsed.classes), MemoryLimits.of_process(memory),
+        max(one.deadline_us for one in parsed.classes),
+        forwarded_ids(memory), MemoryLimits.of_process(memory),
     )  # fmt: skip
 
 
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -21,6 +21,7 @@
     ClientConnections,
     ClientState,
 )
+from harriertrack.decisions.forwarded_requests import ForwardedRequests
 from harriertrack.decisions.graceful_shutdown import GracefulShutdown
 from harriertrack.decisions.payload_memory import PayloadMemory
 from harriertrack.decisions.requests import ClientPlacement, ClientRequest, Core, Volume
@@ -63,14 +64,16 @@
         configuration: Configuration,
         shutdown: GracefulShutdown,
         memory: PayloadMemory,
+        forwarded: ForwardedRequests,
         log: Log,
     ) -> None:
         self.hub, self.core, self.shutdown, self.memory = hub, core, shutdown, memory
+        self.forwarded = forwarded
         self.schema, self.deadlines = configuration.schema, configuration.deadlines
         self.connections: ClientConnections[ClientConnection] = ClientConnections(
             configuration.bounds.client_connections, configuration.bounds.used_client_connections
         )
-        self.open_requests: dict[bytes, PendingRequest] = {}  # by the client's trace id
+        self.open_requests: dict[bytes, PendingRequest] = {}  # by their identity
         self.counts = FrontCounts()
         self.turns = TurnQueue(hub, TURNS_PER_ROUND)
         self._log = log
@@ -246,15 +249,14 @@
     def _admit(self, parsed: PlatformRequest) -> None:
         front = self._front
         now = front.hub.now()
-        pending, body = PendingRequest(parsed, self), parsed.take_body()
+        pending, body = PendingRequest(parsed, self, parsed.identity), parsed.take_body()
         if pending.client_has_left(now):
             self.close()
             return
-        other = front.open_requests.get(parsed.trace_id)
-        if other is not None:
-            if not other.session.has_left(now):
-                raise BadRequest(409, "a request with this id is open")
-            other.session.abandon()
+        self._check_identity(pending.identity, now)
+        if front.forwarded.is_full(now):
+            self.refuse(503, "too many requests were sent to nodes")
+            return
         time_left_us = min(parsed.expires_ms * 1000, front.deadlines[parsed.class_name])
         volume = Volume(PlatformVolume(parsed.volume, parsed.plan, parsed.hosts))
         kind = Kind.WRITE if parsed.writes else Kind.READ
@@ -262,7 +264,7 @@
         deadline = min(self._stream.came_at, now) + time_left_us
         request = ClientRequest(volume, kind, 0, len(body), body, 0, pending, deadline)
         self._request = request
-        front.open_requests[parsed.trace_id] = pending
+        front.open_requests[pending.identity] = pending
         front.core.accept_placed(
             now,
             request,
@@ -270,12 +272,22 @@
         )
         self._stream.watch_end(self.abandon)
 
+    def _check_identity(self, identity: bytes, now: int) -> None:
+        """Let a request pass whose id is not open and has not reached a node, else raise BadRequest."""
+        other = self._front.open_requests.get(identity)
+        if other is not None:
+            if not other.session.has_left(now):
+                raise BadRequest(409, "a request with this id is open")
+            other.session.abandon()
+        if identity in self._front.forwarded:
+            raise BadRequest(409, "a request with this id was sent to a node")
+
     def send_answer(self, pending: PendingRequest, request: ClientRequest) -> None:
         """Send the final answer."""
         if self._request is not request:
             return
         self._request = None
-        self._front.open_requests.pop(pending.parsed.trace_id, None)
+        self._front.open_requests.pop(pending.identity, None)
         self._stream.watch_end(None)
         match request.outcome:
             case Outcome.SERVED:
@@ -355,6 +367,6 @@
         if request is not None:
             pending = request.requester
             assert isinstance(pending, PendingRequest)
-            self._front.open_requests.pop(pending.parsed.trace_id, None)
+            self._front.open_requests.pop(pending.identity, None)
             self._front.core.client_left(request)
             request.release()
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -6,6 +6,7 @@
 
 from harriertrack.decisions import Scheduler, interface as api, standstill
 from harriertrack.decisions.discovery_watch import DiscoveryWatch
+from harriertrack.decisions.forwarded_requests import ForwardedRequests
 from harriertrack.decisions.graceful_shutdown import GracefulShutdown, Phase
 from harriertrack.decisions.payload_memory import PayloadMemory
 from harriertrack.decisions.requests import Attempt, ClientRequest, Core
@@ -64,6 +65,9 @@
         self.shutdown = GracefulShutdown(configuration.bounds.longest_deadline_us)
         self.nodes = NodeList()
         self.memory = PayloadMemory(configuration.bounds.memory)
+        self.forwarded = ForwardedRequests(
+            configuration.bounds.forwarded_ids, configuration.bounds.longest_deadline_us
+        )
         self.module = module(configuration.settings, configuration.seed)
         # Start times of nodes are Unix times. The offset is fixed once: a step of the wall clock must not
         # make known nodes look newly started.
@@ -106,6 +110,7 @@
             self.core,
             configuration.bounds,
             self.memory,
+            self.forwarded,
             configuration.name,
             self._log,
         )
@@ -131,7 +136,9 @@
             configuration.name,
             self._log,
         )
-        self.front = Front(hub, self.core, configuration, self.shutdown, self.memory, self._log)
+        self.front = Front(
+            hub, self.core, configuration, self.shutdown, self.memory, self.forwarded, self._log
+        )
         self.core.begin_standstill_checks(hub.now())
         self._heartbeat.start()
         return watch
@@ -213,6 +220,7 @@
             answer_bytes=self.memory.answers.held_bytes,
             requests_given_up=self.memory.requests.given_up,
             answers_given_up=self.memory.answers.given_up,
+            ids=len(self.forwarded),
             resident_kib=resident_bytes() >> 10,
             idle_us=self.hub.idle_us,
             longest_round_us=self.hub.longest_round_us,
--- a/harriertrack/service/pending.py
+++ b/harriertrack/service/pending.py
@@ -42,6 +42,7 @@
 
     parsed: PlatformRequest  # without its body, which the core has until the request is over
     session: Session
+    identity: bytes  # of the request, whichever connection it comes over
 
     def answer(self, request: ClientRequest) -> None:
         """Hand the final answer to the connection."""
--- a/harriertrack/service/storage_nodes.py
+++ b/harriertrack/service/storage_nodes.py
@@ -11,6 +11,7 @@
 
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.connection_pool import ConnectionPool, ConnectionState
+from harriertrack.decisions.forwarded_requests import ForwardedRequests
 from harriertrack.decisions.lifecycle import AttemptState
 from harriertrack.decisions.payload_memory import PayloadMemory
 from harriertrack.decisions.requests import Attempt, Core
@@ -72,11 +73,12 @@
         core: Core,
         bounds: Bounds,
         memory: PayloadMemory,
+        forwarded: ForwardedRequests,
         name: str,
         log: Log,
     ) -> None:
         self.hub, self.network, self.core, self.bounds, self.name = hub, network, core, bounds, name
-        self.memory = memory
+        self.memory, self.forwarded = memory, forwarded
         self.pool: ConnectionPool[NodeConnection] = ConnectionPool(
             bounds.node_connections, bounds.idle_timeout_us
         )
@@ -203,8 +205,12 @@
 
     def _request_sent(self, attempt: Attempt) -> None:
         """Handle that the last byte of a request has left this process."""
-        self._owner.memory.requests.release(self)
-        self._owner.core.attempt_sent(attempt, self._owner.hub.now())
+        owner, now = self._owner, self._owner.hub.now()
+        pending = attempt.part.request.requester
+        assert isinstance(pending, PendingRequest)
+        owner.memory.requests.release(self)
+        owner.forwarded.add(pending.identity, now)
+        owner.core.attempt_sent(attempt, now)
 
     def _return_unused(self, attempt: Attempt) -> None:
         """Drop an attempt that may not begin: nothing was sent, so the connection can carry another."""
--- a/tests/endings/test_returning_requests.py
+++ b/tests/endings/test_returning_requests.py
@@ -6,6 +6,7 @@
 import pytest
 
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.forwarded_requests import ForwardedRequests
 from harriertrack.standin.platform import NEVER_RAN, NO_RESPONSE, RESET, answer
 from tests.endings.loopback import LoopbackSite, RawClient
 from tests.endings.test_client_ends import ENDS, HoldingScheduler
@@ -92,6 +93,25 @@
     LoopbackSite(tmp_path, module=HoldingScheduler).run(act)
 
 
+def test_a_head_that_can_remember_no_more_ids_refuses_until_old_ones_may_be_dropped(tmp_path):
+    """Guards against ids that are forgotten to make room."""
+
+    def act(site):
+        site.head.forwarded = site.head.front.forwarded = site.head.storage_nodes.forwarded = (
+            ForwardedRequests(2, 10_000 * MS)
+        )
+        statuses = []
+        for leap_us in (0, 0, 10_000 * MS, 0):
+            site.hub.clock.leap(leap_us)
+            client = RawClient(site)
+            client.send(site.request())
+            statuses.append(client.until_answered()[0])
+            client.close()
+        assert statuses == [200, 503, 200, 503]
+
+    LoopbackSite(tmp_path).run(act)
+
+
 def leave_behind_unread_bytes(client, data):
     """Close a connection while the system still has to send much of what was written to it."""
     client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, UNREAD_BYTES)
