A client that leaves behind more than its system could send counts as gone

Callers saw requests sent on after their client had closed its connection: behind bytes that the head does not read while a request is open, the end of the connection can't arrive.

--- a/harriertrack/decisions/client_connections.py
+++ b/harriertrack/decisions/client_connections.py
@@ -31,6 +31,9 @@
 LINGER_BYTES = 1 << 20  # at most this much is discarded meanwhile: many times the largest request
 READ_BYTES = 80 << 10  # the most that is read of a connection in one round: a whole request
 TURNS_PER_ROUND = 64  # connections that are read in a row before nodes and timers are handled
+# Unread bytes behind an open request from which its client counts as gone: clients send one request at a
+# time, and behind so many the end of the connection may not even have arrived.
+MAX_UNREAD_BYTES = 16 << 10
 ACCEPTS_PER_ROUND = 16  # connections accepted in a row before data on other connections is handled
 MAX_BACKLOG = 1024  # about the most connections that the system queues for a listener
 MAX_EXAMINED = 8  # connections of one state examined for one newcomer: bounds the cost under a flood of them
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -81,6 +81,12 @@
         whose end is watched.
         """
 
+    def unread(self, most: int, since: int) -> int:
+        """Return how many received bytes have not been read, at most `most`.
+
+        Looks again if the last poll was before `since` (microseconds).
+        """
+
     def shut_sending(self) -> None:
         """Close the sending direction; the peer can still be read. The send buffer must be empty."""
 
@@ -304,6 +310,18 @@
                 self._end_seen = bool(poll.poll(0))
         return self._closed or self._end_seen
 
+    def unread(self, most: int, since: int) -> int:
+        """Return how many received bytes have not been read, at most `most`.
+
+        Looks again if the last poll was before `since` (microseconds).
+        """
+        if self._closed or (self._drained and self._hub.polled_at >= since):
+            return 0
+        try:
+            return len(self._sock.recv(most, socket.MSG_PEEK))
+        except OSError:  # nothing to read, or broken: the next read tells
+            return 0
+
     def shut_sending(self) -> None:
         """Close the sending direction; the peer can still be read. The send buffer must be empty."""
         if not self._closed:
@@ -544,6 +562,10 @@
         """Whether the peer has ended the stream, also behind unread bytes, or the stream is closed."""
         return self._eof or self._closed
 
+    def unread(self, most: int, _since: int) -> int:
+        """Return how many received bytes have not been read, at most `most`."""
+        return min(most, sum(len(data) for data, _ in self._in))
+
     def shut_sending(self) -> None:
         """Close the sending direction; the peer can still be read."""
         if not self._closed and (other := self.other) is not None:
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -16,6 +16,7 @@
     LINGER_US,
     MAX_BACKLOG,
     MAX_LATENESS_US,
+    MAX_UNREAD_BYTES,
     READ_BYTES,
     TURNS_PER_ROUND,
     ClientConnections,
@@ -338,8 +339,13 @@
         self._await_bytes()
 
     def has_left(self, since: int) -> bool:
-        """Whether the client has disconnected; polls if the last poll was before `since` (microseconds)."""
-        return self._stream.ended(since)
+        """Whether the client has disconnected; polls if the last poll was before `since` (microseconds).
+
+        It may have left, too, where so much is unread that the end of its connection can't arrive.
+        """
+        if self._stream.ended(since):
+            return True
+        return self._stream.unread(MAX_UNREAD_BYTES, since) >= MAX_UNREAD_BYTES
 
     def silent(self) -> bool:
         """Whether the connection holds no received bytes that are still unread."""
