Refused requests leave no volumes and timers behind

Callers saw memory grow without end while one client sent small requests of ever new names. Each left a volume, which was kept for the longest deadline, 4,096 of them or twice as many as were young in any case, and a timer at its deadline that kept the request, its session and its names; a volume and its sessions were a cycle for the collector. A volume is dropped now, from 1,024 on, as soon as it has no open request and its reserve, limit and meter are what a new one starts with; timers of answered requests are removed where they are many, in the module and in the core. The times of requests for the retry budget were trimmed on retries alone; now on each arrival. Only what there is nothing to remember of goes: no limit and no used reserve starts anew. Why in the module: it alone knows what a volume has to remember.

--- a/harriertrack/decisions/bucket.py
+++ b/harriertrack/decisions/bucket.py
@@ -19,9 +19,13 @@
         """Return how long until it holds so many units."""
         return int(max(0.0, units - self.refill(now)) / max(self.rate, 1e-9) * 1e6)
 
+    def level_at(self, now: int) -> float:
+        """Return the level that a refill would bring it to."""
+        return min(self.capacity, self.level + self.rate * (now - self.updated_at) / 1e6)
+
     def refill(self, now: int) -> float:
         """Refill it up to the present and return the level."""
-        self.level = min(self.capacity, self.level + self.rate * (now - self.updated_at) / 1e6)
+        self.level = self.level_at(now)
         self.updated_at = now
         return self.level
 
--- a/harriertrack/decisions/cell_scheduler.py
+++ b/harriertrack/decisions/cell_scheduler.py
@@ -38,7 +38,8 @@
     Subscribe,
     TimerFired,
 )
-from harriertrack.decisions.scheduler import Scheduler, Volumes
+from harriertrack.decisions.scheduler import Scheduler
+from harriertrack.decisions.volume_accounts import Volumes
 
 TIMER_SEPARATOR = "|"  # between a cell and a timer token of its module
 
--- a/harriertrack/decisions/requests/state.py
+++ b/harriertrack/decisions/requests/state.py
@@ -27,6 +27,7 @@
     attempt: int
 
 
+MIN_PRUNED_TIMERS = 1024  # fewer timers are not looked through for obsolete ones
 Timeout = PartTimeout | AttemptTimeout | str  # a text is the token of a timer of the module
 
 
@@ -65,7 +66,7 @@
         self.timers: list[tuple[int, int, Timeout]] = []
         self.last_part_number = 0
         self.flush_requested = False
-        self._serial = 0
+        self._serial, self._prune_timers_at = 0, MIN_PRUNED_TIMERS
         self._classes = [(one.name, one.kinds, one.min_bytes) for one in rules.classes]
 
     def apply_rules(self, rules: RequestRules) -> None:
@@ -90,6 +91,17 @@
         """Add a timer: a time-out of a part or attempt, or a timer of the module."""
         self._serial += 1
         heapq.heappush(self.timers, (when, self._serial, what))
+        if len(self.timers) >= self._prune_timers_at:
+            self._prune_timers()
+
+    def _prune_timers(self) -> None:
+        """Remove the timers of parts that are over: they are due as late as if nothing had come."""
+        self.timers[:] = [timer for timer in self.timers if self._is_needed(timer[2])]
+        heapq.heapify(self.timers)
+        self._prune_timers_at = max(MIN_PRUNED_TIMERS, 2 * len(self.timers))
+
+    def _is_needed(self, what: Timeout) -> bool:
+        return isinstance(what, str) or what.part in self.parts
 
     def class_of(self, kind: Kind, length: int) -> str:
         """Return the class of a request."""
--- a/harriertrack/decisions/scheduler.py
+++ b/harriertrack/decisions/scheduler.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import deque
 from collections.abc import Callable
@@ -45,8 +44,16 @@
     TimerFired,
     Weights,
 )  # fmt: skip
+from harriertrack.decisions.module_timers import ModuleTimers
+from harriertrack.decisions.volume_accounts import (
+    MAX_IDLE_VOLUMES,
+    Session,
+    Volume,
+    Volumes,
+    drop_forgettable,
+    drop_idle,
+)
 
-OPERATION_CREDITS = 128  # a session's requests in flight per head: the client figure of the DAOS design
 PAYLOAD_LARGEST = 16  # a session's payload pool, in requests of the largest size: ample, but bounds its bytes
 WINDOW_START = 3.0  # small: the other heads start at the same moment
 WINDOW_MIN = 1.0  # still a trickle: with less, the node's recovery would go unnoticed
@@ -74,7 +81,6 @@
 ANSWER_TICKS = 2  # final answers are given this many ticks before the client's deadline
 CANDIDATES = 16  # nodes compared for a new object: the cost must not grow with the fleet
 IDLE_STATE_US = 60_000_000  # nodes that left and volumes that were idle for this long are dropped
-MAX_IDLE_VOLUMES = 4096  # from this many, volumes are dropped once none of their requests can be open
 SCORE_JITTER = 0.3  # random share of a placement score: heads with equal data must not all pick one node
 AGING_US = 3_000_000  # at this age a node's latency counts half, the mean of all nodes the other half
 CROWDED = (0.6, 1.3)  # latency, in shortest aims, at which refusals of reserved work begin and peak
@@ -84,37 +90,11 @@
 METER_GAIN = 0.3  # weight of one meter reading
 
 
-@dataclass(slots=True, eq=False)
-class _Volume:
-    """State that all sessions of a volume share: hosts, reserve, limit and meter."""
-
-    plan: Plan
-    reserve: Bucket
-    own_updated_at: int
-    hosts: int = 0  # heads that serve it
-    limit: Bucket | None = None
-    own_units: float = 0.0  # decaying sum of units that this head sent
-    others_rate: float = 0.0  # what other heads get, by the meters
-    sessions: dict[bool, _Session] = field(default_factory=dict)  # by whether it is background
-
-
-Volumes = dict[tuple[str, str], _Volume]  # by name and plan
-
-
-@dataclass(slots=True, eq=False)
-class _Session:
-    volume: _Volume
-    weight: float
-    background: bool
-    payload_credits: float
-    operation_credits: int = OPERATION_CREDITS
-
-
 @dataclass(slots=True, eq=False)
 class _Work:
     arrival: RequestArrived
     kind: RequestClass
-    session: _Session
+    session: Session
     aim_at: int
     deadline: int
     shard: int
@@ -145,9 +125,9 @@
     state_since: int  # when its state was announced to this head
     last_seen: int
     served: DecayingSum  # units that it served this head
-    held: dict[_Session, deque[_Work]] = field(default_factory=dict)  # queues, in round-robin order
+    held: dict[Session, deque[_Work]] = field(default_factory=dict)  # queues, in round-robin order
     held_units: float = 0.0
-    deficit: dict[_Session, float] = field(default_factory=dict)
+    deficit: dict[Session, float] = field(default_factory=dict)
     out: dict[tuple[int, int], _Attempt] = field(default_factory=dict)  # attempts in flight
     overdue: int = 0  # attempts in flight that are presumed lost and don't count against the window
     unanswered: int = 0  # attempts that became overdue since the last answer
@@ -177,6 +157,11 @@
     grace: DrainGrace = field(default_factory=DrainGrace)
 
 
+def _is_obsolete(arguments: tuple) -> bool:
+    """Whether a timer with these arguments concerns a request that has its final answer."""
+    return bool(arguments) and isinstance(arguments[0], _Work) and arguments[0].done
+
+
 class Scheduler:
     """The decision module of one head: takes batches of events and returns the actions to carry out."""
 
@@ -195,8 +180,8 @@
         self._settled: dict[str, int] = {}  # by key: when an attempt without an answer has taken effect
         self._request_times: deque[int] = deque()  # of clients' requests in the budget's window
         self._extra_times: deque[int] = deque()  # of further attempts in the budget's window
-        self._timers: list[tuple[int, int, Callable[..., None], tuple]] = []
-        self._timer_serial = self._wake_at = 0
+        self._timers = ModuleTimers(_is_obsolete)
+        self._wake_at = 0
         self._resubscribe_wait = RESUBSCRIBE_US
         self._mean_latency, self._lost_share, self._stalled = 0.0, LOST_SHARE_START, False
         self._actions: list[Action] = []
@@ -235,7 +220,8 @@
         actions: list[Action] = []
         to_pump: dict[_Node, None] = {}
         self._actions, self._to_pump = actions, to_pump
-        self._stalled = bool(self._timers) and now - self._timers[0][0] > STALL_US
+        next_timer = self._timers.next_at()
+        self._stalled = next_timer is not None and now - next_timer > STALL_US
         for event in events:
             match event:
                 case RequestArrived():
@@ -253,19 +239,18 @@
                     self._change_settings(event.settings)
                 case TimerFired() if event.token == str(self._wake_at):
                     self._wake_at = 0
-        while self._timers and self._timers[0][0] <= now:
-            _, _, act, arguments = heapq.heappop(self._timers)
-            act(*arguments)
+        while (due := self._timers.take_due(now)) is not None:
+            due.act(*due.arguments)
         for node in list(to_pump):
             self._pump(node)
-        if self._timers and (not self._wake_at or self._timers[0][0] < self._wake_at):
-            self._wake_at = max(self._timers[0][0], now + 1)
+        next_timer = self._timers.next_at()
+        if next_timer is not None and (not self._wake_at or next_timer < self._wake_at):
+            self._wake_at = max(next_timer, now + 1)
             actions.append(SetTimer(str(self._wake_at), self._wake_at))
         return actions
 
     def _at(self, when: int, act: Callable[..., None], *arguments: object) -> None:
-        self._timer_serial += 1
-        heapq.heappush(self._timers, (when, self._timer_serial, act, arguments))
+        self._timers.add(when, act, arguments)
 
     def _on_nodes_changed(self, change: NodesChanged) -> None:
         """Apply the node list; a failed list call is repeated with exponential backoff and jitter."""
@@ -322,22 +307,17 @@
         for node in [node for node in self._nodes.values() if node.entry.state is NodeState.GONE]:
             if not node.out and node.state_since < before:
                 del self._nodes[node.entry.node]
-        self._drop_idle_volumes(before)
+        drop_idle(self._volumes, self._now, before)
         self._settled = {key: until for key, until in self._settled.items() if until > self._now}
         self._index_nodes()
 
-    def _drop_idle_volumes(self, before: int) -> None:
-        """Drop the volumes that had no request since the time `before`, and whose limit is full again."""
-        for name, volume in list(self._volumes.items()):
-            if volume.reserve.updated_at < before and (volume.limit is None
-                    or volume.limit.refill(self._now) >= volume.limit.capacity):  # fmt: skip
-                del self._volumes[name]
-
     def _bound_volumes(self) -> None:
-        """Drop volumes early where there are many, so that their number follows the rate of requests."""
+        """Drop volumes early where there are many, so that their number follows that of open requests."""
         if len(self._volumes) < self._crowded_at:
             return
-        self._drop_idle_volumes(self._now - max(kind.deadline_us for kind in self._classes.values()))
+        longest_us = max(kind.deadline_us for kind in self._classes.values())
+        drop_idle(self._volumes, self._now, self._now - longest_us)
+        drop_forgettable(self._volumes, self._now)
         self._crowded_at = max(MAX_IDLE_VOLUMES, 2 * len(self._volumes))
 
     def _accepts_requests(self, node: _Node) -> bool:
@@ -462,6 +442,7 @@
             return
         if self.settings.budget_window_us and not (event.further_part or event.reoffered):
             self._request_times.append(now)
+            self._trim_budget_times()
         # A client's retry has less time left; its aim counts from the first try, or from the latest re-offer.
         full = self._longest_left[kind.name] = max(self._longest_left.get(kind.name, 0), event.time_left_us)
         aim_at = now + kind.aim_us - (0 if event.reoffered else full - event.time_left_us)
@@ -472,18 +453,19 @@
         if aim_at <= now:
             work.late, work.aim_at = event.time_left_us > kind.aim_us, work.deadline
         self._works[event.request] = work
+        work.session.volume.open_requests += 1
         if kind.in_order and event.key:
             self._lines.setdefault(event.key, deque()).append(work)
         self._at(max(now + 1, work.deadline - ANSWER_TICKS * self.settings.tick_us), self._give_up, work, 0)
         self._route(work)
 
-    def _session(self, arrival: RequestArrived, kind: RequestClass) -> _Session:
+    def _session(self, arrival: RequestArrived, kind: RequestClass) -> Session:
         volume = self._volumes.get((arrival.volume, arrival.plan))
         if volume is None:
             self._bound_volumes()
             plan = self._plans.get(arrival.plan) or Plan(arrival.plan)
             store = Bucket(self._now, capacity=plan.reserve, level=plan.reserve)
-            volume = self._volumes[(arrival.volume, arrival.plan)] = _Volume(plan, store, self._now)
+            volume = self._volumes[(arrival.volume, arrival.plan)] = Volume(plan, store, self._now)
         hosts = max(1, arrival.hosts or self.settings.heads)
         if hosts > volume.hosts:
             volume.hosts = hosts
@@ -497,17 +479,17 @@
             part = max(kind.worth, 0.01) / self._highest_worth if background else 1.0
             weight = max(volume.plan.weight, 0.01) * part
             pool = PAYLOAD_LARGEST * max(self.settings.most_units, 1.0)
-            session = volume.sessions[background] = _Session(volume, weight, background, pool)
+            session = volume.sessions[background] = Session(volume, weight, background, pool)
         return session
 
-    def _set_limit(self, volume: _Volume) -> None:
+    def _set_limit(self, volume: Volume) -> None:
         # What an earlier incarnation of this head sent is unknown: the bucket starts empty, not full.
         part, most = volume.plan.limit / volume.hosts, volume.plan.limit_burst / volume.hosts
         level = 0.0 if volume.limit is None else min(volume.limit.refill(self._now), most)
         grown = part * (self._now - self._started_at) / 1e6 if volume.limit is None else 0.0
         volume.limit = Bucket(self._now, part, most, min(most, level + grown)) if part > 0 else None
 
-    def _set_reserve_share(self, volume: _Volume) -> None:
+    def _set_reserve_share(self, volume: Volume) -> None:
         """Set this head's share of a reserve: an even share, or what other heads leave by the meters."""
         part = volume.plan.reserve / volume.hosts
         if self.settings.meter_us:
@@ -622,7 +604,8 @@
         """Drop an ended request once no attempt is in flight, and let the next one of its key go."""
         if work.out:
             return
-        self._works.pop(work.arrival.request, None)
+        if self._works.pop(work.arrival.request, None) is not None:
+            work.session.volume.open_requests -= 1
         line = self._lines.get(work.arrival.key) if work.kind.in_order else None
         if line and work in line:
             line.remove(work)
@@ -705,12 +688,15 @@
 
     def _within_own_budget(self) -> bool:
         """Whether one more repeated attempt is within this head's own share of the budget."""
-        settings = self.settings
+        self._trim_budget_times()
+        most = self.settings.budget_free + self.settings.budget_share * len(self._request_times)
+        return len(self._extra_times) + 1 <= most
+
+    def _trim_budget_times(self) -> None:
         for times in (self._request_times, self._extra_times):
-            while times and times[0] < self._now - settings.budget_window_us + (times is self._request_times):
+            begin = self._now - self.settings.budget_window_us + (times is self._request_times)
+            while times and times[0] < begin:
                 times.popleft()
-        most = settings.budget_free + settings.budget_share * len(self._request_times)
-        return len(self._extra_times) + 1 <= most
 
     def _update_latency(self, node: _Node, elapsed: float, units: float, gain: float) -> None:
         """Update a node's running means of size and latency, and the mean latency of all nodes."""
@@ -743,7 +729,7 @@
         elif unit > NARROW_AT * node.best_us and self._now - node.narrowed_at > node.latency_us:
             node.window, node.narrowed_at = max(WINDOW_MIN, node.window * NARROW), self._now
 
-    def _on_meter_reading(self, volume: _Volume, event: AttemptEnded, units: float) -> None:
+    def _on_meter_reading(self, volume: Volume, event: AttemptEnded, units: float) -> None:
         """Derive from the node's meter what the volume gets through other heads."""
         # A leaky sum over about two seconds gives this head's own rate.
         volume.own_units = volume.own_units * max(0.0, 1 - (self._now - volume.own_updated_at) / 2e6) + units
@@ -784,7 +770,7 @@
             ahead = min(own * turns, node.held_units) / (1 - min(node.reserved_share, 0.8))
         return int(ahead / rate + service)
 
-    def _under_reservation(self, session: _Session) -> bool:
+    def _under_reservation(self, session: Session) -> bool:
         """Whether a session is under its reservation at this head; background work never goes first."""
         return not session.background and session.volume.reserve.refill(self._now) > 0
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -16,6 +16,7 @@
 from harriertrack.decisions import Scheduler, interface as api
 from harriertrack.decisions.lifecycle import PartState
 from harriertrack.decisions.splitting import Outcome, class_of, split_at_extents, units_of, request_outcome
+from harriertrack.decisions.requests.state import MIN_PRUNED_TIMERS
 from harriertrack.decisions.requests import ClientRequest, Core
 from harriertrack.membership.nodes import Member, NodeList
 from harriertrack.storage.extents import ExtentMap
@@ -352,3 +353,15 @@
 )
 def test_request_outcome_from_parts(given_up, others, changes, outcome):
     assert request_outcome(given_up, others, changes) is outcome
+
+
+def test_the_timers_of_parts_that_are_over_are_removed_long_before_they_are_due():
+    """Guards against memory that grows with answered requests for as long as their deadline."""
+    rig, timers = Rig(), []
+    for _ in range(3 * MIN_PRUNED_TIMERS):
+        rig.ask(Kind.READ)
+        rig.ask(Kind.WRITE, data=b"a" * 512)
+        rig.end(rig.port.sent[-1])
+        rig.now -= 5 * MS
+        timers.append(len(rig.core._state.timers))
+    assert max(timers) <= 2 * MIN_PRUNED_TIMERS
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,7 +5,9 @@
 import pytest
 
 from harriertrack.decisions import interface as api, scheduler
+from harriertrack.decisions.module_timers import MIN_PRUNED
 from harriertrack.decisions.scheduler import WINDOW_MAX, Scheduler
+from harriertrack.decisions.volume_accounts import MAX_IDLE_VOLUMES
 
 MS = 1000
 SECOND = 1_000_000
@@ -991,3 +993,47 @@
         head.run(20 * MS)
         head.submit(volume=f"v{number}")
     assert head.unit._volumes["held", "slow"] is before and len(head.unit._volumes) < 500
+
+
+def flood(head, count, **options):
+    """Submit requests of ever new volumes that are refused at once: nobody serves their shard."""
+    for number in range(count):
+        head.now += 100
+        request = head.submit(volume=f"new{number}", shard=9, **options)
+        assert isinstance(head.answers[request], api.Refuse)
+
+
+@pytest.mark.parametrize("plan", ["gold", "tin", "capped"])
+def test_requests_that_are_refused_at_once_leave_nothing_behind(plan):
+    """Guards against a head whose memory grows with refused requests, by their volumes and their timers."""
+    head = Head(classes=(READ, BULK))
+    head.run(10 * SECOND)  # so that a new volume's limit is full
+    fill(head, left=30 * SECOND)
+    flood(head, 10_000, kind="b", plan=plan)
+    assert len(head.unit._volumes) <= MAX_IDLE_VOLUMES + 1
+    assert len(head.unit._timers) <= 2 * MIN_PRUNED
+    assert len(head.unit._works) == 3
+
+
+def test_a_volume_with_open_requests_or_a_reserve_in_use_is_kept_under_a_flood_of_new_ones():
+    """Guards against a volume that gets its reserve anew as often as others crowd it out."""
+    head = Head(classes=(READ, BULK))
+    opened = head.submit("b", "gold", "opened", left=30 * SECOND)
+    used = head.submit("b", "gold", "used", units=4, left=30 * SECOND)
+    head.end(used)
+    before = dict(head.unit._volumes)
+    flood(head, 5_000, kind="b")
+    assert set(head.unit._volumes.items()) >= set(before.items())
+    head.end(opened)
+    head.run(10 * SECOND)
+    flood(head, 5_000, kind="b")
+    assert not set(head.unit._volumes) & set(before)
+
+
+def test_the_times_of_requests_are_kept_for_the_window_of_the_budget_alone():
+    """Guards against a list of times that grows for as long as nothing is repeated."""
+    head = Head(budget_window_us=SECOND)
+    for _ in range(300):
+        head.run(100 * MS)
+        head.submit(shard=9)
+    assert len(head.unit._request_times) <= 11
