Connections are bounded by memory as well as by descriptors

Connections were counted by descriptors alone: 4,096 of them with 32 MB would fill the memory with connections that say nothing. decisions/connection_limits.py, where the shares of the descriptors are now, gives clients and nodes half of what the memory leaves beyond a bare process: with 32 MB and 1,024 descriptors 675 and 172 (256 before). Beside little memory requests and answers have 1 MiB each in place of 2, and at least 8,192 ids are kept.

--- a/harriertrack/decisions/payload_memory.py
+++ b/harriertrack/decisions/payload_memory.py
@@ -14,7 +14,7 @@
 # Requests and answers have a quarter each of the rest; the other half is for the allocator and for the pieces
 # of an answer that are joined.
 BUDGET_PARTS = 4
-MIN_BUDGET_BYTES = 2 << 20
+MIN_BUDGET_BYTES = 1 << 20
 # Nodes send larger answers than the protocol specifies (64 KiB): up to 400 KB were observed.
 MIN_ANSWER_BYTES, ANSWER_MEMORY_PARTS = 64 << 10, 64
 
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from harriertrack.decisions import interface as api
+from harriertrack.decisions.connection_limits import ConnectionLimits
 from harriertrack.decisions.forwarded_requests import forwarded_ids
 from harriertrack.decisions.payload_memory import MemoryLimits
 from harriertrack.decisions.requests import ClassRule, RequestRules
@@ -21,13 +22,6 @@
 PREFIX = "PROXY_"
 MAX_FILE_BYTES = 8 << 20  # of the configuration file
 MAX_MESSAGE_LENGTH = 300  # characters of an error message: it has to fit one line of the log
-# Shares of the file descriptors, in percent. Clients hold up to a third for requests; as many connections
-# again send one request and stay open, and some clients are malicious. A quarter is for nodes, of which some
-# tens are used. At least MIN_SPARE descriptors remain for discovery, the listener, signals and logs.
-CLIENT_PERCENT, NODE_PERCENT, MIN_SPARE = 66, 25, 12
-# Clients hold at most a third of the descriptors for requests, including connections that stay open after one
-# request: part of that third has to stay free for new clients.
-USED_CLIENT_PERCENT = 25
 
 
 class ConfigurationError(Exception):
@@ -61,9 +55,7 @@
 class Bounds:
     """Limits of the head's connections, requests and answers; times are in microseconds."""
 
-    client_connections: int
-    used_client_connections: int  # of these, those that have sent a request
-    node_connections: int
+    connections: ConnectionLimits
     open_requests: int
     dial_timeout_us: int
     idle_timeout_us: int
@@ -168,11 +160,9 @@
 
 def _bounds(file: _File, parsed: api.Settings) -> Bounds:
     settings, sockets = file.settings, file.limits.sockets
-    clients = sockets * CLIENT_PERCENT // 100
     memory = int((file.limits.memory_mb or DEFAULT_MEMORY_MB) * (1 << 20))
     return Bounds(
-        clients, sockets * USED_CLIENT_PERCENT // 100,
-        min(sockets * NODE_PERCENT // 100, sockets - clients - MIN_SPARE),
+        ConnectionLimits.of_process(sockets, memory),
         _integer(settings, "permissions", "mostHeld", 1 << 20, minimum=1),
         _integer(settings, "permissions", "dialTimeoutUs", 1_000_000),
         _integer(settings, "permissions", "connIdleUs", 30_000_000),
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -72,7 +72,7 @@
         self.forwarded = forwarded
         self.schema, self.deadlines = configuration.schema, configuration.deadlines
         self.connections: ClientConnections[ClientConnection] = ClientConnections(
-            configuration.bounds.client_connections, configuration.bounds.used_client_connections
+            configuration.bounds.connections.clients, configuration.bounds.connections.used_clients
         )
         self.open_requests: dict[bytes, PendingRequest] = {}  # by their identity
         self.counts = FrontCounts()
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -152,7 +152,7 @@
         scope.spawn("storage_nodes", self.storage_nodes.close_expired)
         self.ready.set()
         self._log("ready", name=configuration.name, nodes=len(self.nodes), cores=configuration.cores,
-                  callers=bounds.client_connections, ways=bounds.node_connections,
+                  callers=bounds.connections.clients, ways=bounds.connections.nodes,
                   longest_us=bounds.longest_deadline_us)  # fmt: skip
         self._stop_requested.wait()
         while not self._advance_shutdown(listener):
--- a/harriertrack/service/storage_nodes.py
+++ b/harriertrack/service/storage_nodes.py
@@ -80,7 +80,7 @@
         self.hub, self.network, self.core, self.bounds, self.name = hub, network, core, bounds, name
         self.memory, self.forwarded = memory, forwarded
         self.pool: ConnectionPool[NodeConnection] = ConnectionPool(
-            bounds.node_connections, bounds.idle_timeout_us
+            bounds.connections.nodes, bounds.idle_timeout_us
         )
         self.counts = NodeCounts()
         self._scope, self._log = scope, log
--- a/tests/endings/test_attempt_ends.py
+++ b/tests/endings/test_attempt_ends.py
@@ -453,7 +453,7 @@
     def act(site):
         node = RawNode(site)
         site.net.held = {node.socket.getsockname()}
-        limit = site.head.configuration.bounds.node_connections
+        limit = site.head.configuration.bounds.connections.nodes
         for _ in range(4):
             site.net.up.clear()
             node_ends = []
--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -42,6 +42,8 @@
     assert identity(1) not in forwarded and identity(2) in forwarded
 
 
-@pytest.mark.parametrize(("memory_mb", "ids"), [(1, MIN_IDS), (32, MIN_IDS), (192, 65_536), (2048, MAX_IDS)])
+@pytest.mark.parametrize(
+    ("memory_mb", "ids"), [(1, MIN_IDS), (24, MIN_IDS), (32, 10_922), (192, 65_536), (2048, MAX_IDS)]
+)
 def test_the_number_of_ids_follows_the_memory(memory_mb, ids):
     assert forwarded_ids(memory_mb << 20) == ids
