The gateway's fronts bound half-sent requests, and what one connection takes of a round

(a) The bytes of a write that is not whole, up to 32 MiB for each connection, were counted nowhere: 16 clients held 16.8 MB where held_bytes is 4 MiB. All together may hold as many as open writes now; beyond that the connection that holds most is closed, with a note of the reason. What was received and waits unparsed counts too. (b) Whatever came in a read was parsed and answered at once: up to 40,000 unsound commands in one round, or 16,384 lists of exports, before anybody else had a turn. 16 KiB are parsed at once now, and after 64 commands others have their turn; a client that does not read is waited for after each slice.

--- a/harriertrack/decisions/payload_memory.py
+++ b/harriertrack/decisions/payload_memory.py
@@ -57,6 +57,11 @@
         self.held_bytes += size
         return self._choose_victim(holder)
 
+    def update(self, holder: PayloadHolder, held: int) -> PayloadHolder | None:
+        """Count what a holder holds in part now; return the holder to give up if the limit is passed."""
+        self.release(holder)
+        return self.receive(holder, held) if held else None
+
     def complete(self, holder: PayloadHolder, size: int) -> PayloadHolder | None:
         """Count the last bytes of what is whole now; return the holder to give up if the limit is passed."""
         self.hold(holder, self._partial.get(holder, 0) + size)
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -12,10 +12,11 @@
 from itertools import islice
 
 from harriertrack.config.settings import HeadSettings
+from harriertrack.decisions.command_turns import CommandTurn, slices_of
 from harriertrack.decisions.requests import ClientRequest, Origin, Part
 from harriertrack.decisions.splitting import Kind, Outcome, merge_runs, split_at_extents
 from harriertrack.gateway.links import COMMANDS
-from harriertrack.gateway.reception import CLOSING, Reception, Rejection
+from harriertrack.gateway.reception import CLOSING, HALF_SENT, Reception, Rejection
 from harriertrack.gateway.regional import CLOSED, digest_of
 from harriertrack.protocol.nbd.extension import (
     COPY_CONTEXT,
@@ -32,6 +33,7 @@
     HandshakeAborted,
     Request,
     ServerConnection,
+    ServerEvent,
     ServerState,
 )  # fmt: skip
 from harriertrack.protocol.nbd.wire import (
@@ -126,6 +128,7 @@
         self._nbd = ServerConnection(front.exports)
         self._open: dict[ClientRequest, int] = {}  # unanswered requests and their cookies
         self._answered = Waiters(front.reception.hub)
+        self._turn = CommandTurn()
         self.volume = ""
         self.origin, self._epoch, self._generation = Origin.CLIENT, 0, 0
         self.chosen = self.counted = False  # it has a volume; it counts towards its cell's connections
@@ -135,41 +138,7 @@
         """Serve the connection until it ends (the session's task)."""
         front = self._front
         try:
-            self._push()
-            deadline = front.hub.now() + front.settings.limits.handshake_us
-            while True:
-                opened = self._nbd.state is ServerState.TRANSMISSION
-                data = self._stream.read(None if opened else deadline)
-                if not data:
-                    break
-                events = self._nbd.receive(data)
-                self._push()  # error replies, which come without an event
-                for event in events:
-                    match event:
-                        case Request(command=Command.TICK | Command.CAUGHT_UP | Command.DIGEST):
-                            self._peer_command(event)
-                        case Request():
-                            self._request(event)
-                        case ExportOpened():
-                            self.volume = event.export.name
-                            if not self._identify(event.contexts):
-                                return
-                            if not front.register_volume(self):
-                                front.note("client turned away", peer=self._stream.peer, volume=self.volume,
-                                           why="too many connections of its cell")  # fmt: skip
-                                return
-                            front.note("client opened", peer=self._stream.peer, volume=self.volume,
-                                       hears_hints=self.supports_hints)  # fmt: skip
-                        case Disconnect():
-                            self._finish_open()
-                        case HandshakeAborted():
-                            return
-                if self._nbd.state is ServerState.CLOSED:
-                    break
-                # Stop reading from a client that does not read its answers.
-                self._stream.drain()
-                if pause := front.shares.read_pause_us(self.volume, front.hub.now()):
-                    front.hub.sleep(pause)
+            self._serve()
         except (ProtocolViolation, DeadlineExceeded) as error:
             front.note("client closed", peer=self._stream.peer, why=str(error) or "too slow a handshake")
         except OSError as error:
@@ -180,9 +149,84 @@
             self._push()
             self._stream.close()
 
-    def _push(self) -> None:
-        for data in self._nbd.take_outgoing():
+    def _serve(self) -> None:
+        """Handle what the client sends, until either side ends the connection."""
+        front = self._front
+        self._push()
+        deadline = front.hub.now() + front.settings.limits.handshake_us
+        while data := self._read(deadline):
+            unparsed = len(data)
+            for piece in slices_of(data):
+                unparsed -= len(piece)
+                if not self._receive(piece, unparsed):
+                    return
+                # Stop reading from a client that does not read its answers.
+                self._stream.drain()
+            if pause := front.shares.read_pause_us(self.volume, front.hub.now()):
+                front.hub.sleep(pause)
+
+    def _read(self, handshake_deadline: int) -> bytes:
+        opened = self._nbd.state is ServerState.TRANSMISSION
+        return self._stream.read(None if opened else handshake_deadline)
+
+    def _receive(self, data: memoryview, unparsed: int) -> bool:
+        """Parse bytes and handle what they contain; return whether the connection goes on.
+
+        `unparsed` bytes behind them are held meanwhile: requests may have to wait.
+        """
+        front = self._front
+        events = self._nbd.receive(data)
+        replies = self._push()  # error replies, which come without an event
+        if not front.count_partial(self, self._nbd.partial_bytes + unparsed):
+            return False
+        for event in events:
+            if not self._handle(event):
+                return False
+        if self._nbd.state is ServerState.CLOSED:
+            return False
+        if self._turn.is_over(len(events) + replies):
+            front.hub.sleep(0)
+        return True
+
+    def _handle(self, event: ServerEvent) -> bool:
+        """Handle an event; return whether the connection goes on."""
+        match event:
+            case Request(command=Command.TICK | Command.CAUGHT_UP | Command.DIGEST):
+                self._peer_command(event)
+            case Request():
+                self._request(event)
+            case ExportOpened():
+                return self._open_export(event)
+            case Disconnect():
+                self._finish_open()
+            case HandshakeAborted():
+                return False
+        return True
+
+    def _open_export(self, event: ExportOpened) -> bool:
+        front = self._front
+        self.volume = event.export.name
+        if not self._identify(event.contexts):
+            return False
+        if not front.register_volume(self):
+            front.note("client turned away", peer=self._stream.peer, volume=self.volume,
+                       why="too many connections of its cell")  # fmt: skip
+            return False
+        front.note("client opened", peer=self._stream.peer, volume=self.volume,
+                   hears_hints=self.supports_hints)  # fmt: skip
+        return True
+
+    def give_up(self) -> None:
+        """Break the connection, whose incomplete request takes too much memory."""
+        self._front.note("client closed", peer=self._stream.peer, why=HALF_SENT)
+        self._stream.abort()
+
+    def _push(self) -> int:
+        """Write what is to be sent; return in how many pieces."""
+        outgoing = self._nbd.take_outgoing()
+        for data in outgoing:
             self._stream.write(data)
+        return len(outgoing)
 
     def _finish_open(self) -> None:
         """After DISC, answer requests in flight before the connection closes (spec: NBD_CMD_DISC)."""
--- a/harriertrack/gateway/nvme.py
+++ b/harriertrack/gateway/nvme.py
@@ -14,10 +14,11 @@
 from importlib.metadata import version
 
 from harriertrack.config.settings import Digest, NvmeSettings, VolumeSettings
+from harriertrack.decisions.command_turns import CommandTurn, slices_of
 from harriertrack.decisions.regions import Route
 from harriertrack.decisions.requests import MODIFYING_KINDS, ClientRequest, Origin
 from harriertrack.decisions.splitting import Kind, Outcome
-from harriertrack.gateway.reception import CLOSING, Reception
+from harriertrack.gateway.reception import CLOSING, HALF_SENT, Reception
 from harriertrack.gateway.regional import NOT_HOLDER
 from harriertrack.protocol.nbd.wire import CommandFlags
 from harriertrack.protocol.nvme.admin import (
@@ -116,6 +117,7 @@
         self.origin, self.volume, self.chosen, self.counted = Origin.CLIENT, "", False, False
         self.multipath, self.max_patience_us = True, front.patience_us
         self._commands: dict[int, _Command] = {}
+        self._turn = CommandTurn()
 
     @property
     def supports_hints(self) -> bool:
@@ -127,18 +129,12 @@
         front = self._front
         try:
             deadline = front.hub.now() + front.reception.settings.limits.handshake_us
-            while self._nvme.state is not ConnectionState.CLOSED:
-                data = self._stream.read(None if self.controller else deadline)
-                if not data:
-                    break
-                for event in self._nvme.receive(data):
-                    match event:
-                        case CommandSubmitted():
-                            self._handle_command(event.sqe, event.data)
-                        case ConnectionTerminated():
-                            front.note("client closed", peer=self._stream.peer, why=event.reason)
-                self.push()
-                self._stream.drain()
+            while data := self._stream.read(None if self.controller else deadline):
+                unparsed = len(data)
+                for piece in slices_of(data):
+                    unparsed -= len(piece)
+                    if not self._receive(piece, unparsed):
+                        return
         except DeadlineExceeded:
             front.note("client closed", peer=self._stream.peer, why="too slow a handshake")
         except OSError as error:
@@ -149,6 +145,34 @@
             front.remove_queue(self)
             self._stream.close()
 
+    def _receive(self, data: memoryview, unparsed: int) -> bool:
+        """Parse bytes and handle the commands in them; return whether the connection goes on.
+
+        `unparsed` bytes behind them are held meanwhile: commands may have to wait.
+        """
+        front = self._front
+        events = self._nvme.receive(data)
+        if not front.reception.count_partial(self, self._nvme.partial_bytes + unparsed):
+            return False
+        for event in events:
+            match event:
+                case CommandSubmitted():
+                    self._handle_command(event.sqe, event.data)
+                case ConnectionTerminated():
+                    front.note("client closed", peer=self._stream.peer, why=event.reason)
+        self.push()
+        self._stream.drain()
+        if self._nvme.state is ConnectionState.CLOSED:
+            return False
+        if self._turn.is_over(len(events)):
+            front.hub.sleep(0)
+        return True
+
+    def give_up(self) -> None:
+        """Break the connection, whose incomplete request takes too much memory."""
+        self._front.note("client closed", peer=self._stream.peer, why=HALF_SENT)
+        self._stream.abort()
+
     def close(self) -> None:
         """End the connection, and drop its open commands without completions."""
         self._leave()
--- a/harriertrack/gateway/reception.py
+++ b/harriertrack/gateway/reception.py
@@ -13,6 +13,7 @@
 
 from harriertrack.config.settings import HeadSettings
 from harriertrack.decisions.admission import Admission, ConnectionBounds, WaitingRequest
+from harriertrack.decisions.payload_memory import MemoryBudget
 from harriertrack.decisions.requests import ANSWER_TICKS, ClientRequest, Core, Origin
 from harriertrack.decisions.retry_queue import waits_in_head
 from harriertrack.decisions.shares import ShareLimits, Shares
@@ -49,6 +50,9 @@
     def run(self) -> None:
         """Serve the connection until it ends (its task)."""
 
+    def give_up(self) -> None:
+        """Break the connection, whose incomplete request takes too much memory."""
+
 
 @dataclass(frozen=True, slots=True)
 class Rejection:
@@ -59,6 +63,7 @@
 
 
 CLOSING = Rejection("shutting down", closing=True)
+HALF_SENT = "too many bytes of half-sent requests are held"
 CLIENT_LEFT = Rejection("the client left")
 OVERLOADED = Rejection("refused: not done; too much is open")
 
@@ -92,6 +97,8 @@
         # Clients' admitted requests, their connections and their bytes.
         self._counted: dict[ClientRequest, tuple[AdmissionClient, int]] = {}
         self._queued: dict[QueuedRequest, None] = {}
+        # Bytes of requests that are not whole, by connection: each may be as long as the longest request.
+        self.partial_requests = MemoryBudget(settings.limits.held_bytes)
         self.closing = False
         self.scope = scope
 
@@ -142,6 +149,7 @@
 
     def _session_ended(self, session: FrontSession, _task: object) -> None:
         self.sessions -= 1
+        self.partial_requests.release(session)
         self._choosing -= not session.chosen
         if session.counted:
             self.shares.disconnect(session.volume)
@@ -164,6 +172,16 @@
             self.shares.update_load(now, max(0.0, 1 - (hub.idle_us - idle) / max(1, now - started_at)))
             self._admit_queued()
 
+    def count_partial(self, session: FrontSession, held: int) -> bool:
+        """Count the bytes of an incomplete request that a connection holds; return whether it is kept.
+
+        Where all together are too many, the connection that holds most is closed.
+        """
+        victim = self.partial_requests.update(session, held)
+        if victim is not None:
+            victim.give_up()
+        return victim is not session
+
     # -- requests
 
     def try_admit(
--- a/harriertrack/protocol/nbd/server.py
+++ b/harriertrack/protocol/nbd/server.py
@@ -168,12 +168,17 @@
         flags = HandshakeFlags.FIXED_NEWSTYLE | HandshakeFlags.NO_ZEROES
         self.outgoing.append(GREETING.pack(NBD_MAGIC, OPTION_MAGIC, flags))
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return how many bytes of an incomplete request or option are held."""
+        return len(self._inbox)
+
     def take_outgoing(self) -> list[bytes]:
         """Return the bytes to send and clear the queue."""
         outgoing, self.outgoing = self.outgoing, []
         return outgoing
 
-    def receive(self, data: bytes) -> list[ServerEvent]:
+    def receive(self, data: bytes | memoryview) -> list[ServerEvent]:
         """Parse received bytes; return events. Raises ProtocolViolation if the connection must be closed."""
         self._inbox.add(data)
         events: list[ServerEvent] = []
--- a/harriertrack/protocol/nvme/transport.py
+++ b/harriertrack/protocol/nvme/transport.py
@@ -128,7 +128,12 @@
         outgoing, self._outgoing = self._outgoing, []
         return outgoing
 
-    def receive(self, data: bytes) -> list[Event]:
+    @property
+    def partial_bytes(self) -> int:
+        """Return how many bytes of an incomplete PDU are held."""
+        return len(self._inbox)
+
+    def receive(self, data: bytes | memoryview) -> list[Event]:
         """Parse bytes received from the peer; return events."""
         events: list[Event] = []
         if self.state is ConnectionState.CLOSED:
--- a/harriertrack/protocol/receive_buffer.py
+++ b/harriertrack/protocol/receive_buffer.py
@@ -15,7 +15,7 @@
     def __len__(self) -> int:
         return len(self._data) - self._offset
 
-    def add(self, data: bytes) -> None:
+    def add(self, data: bytes | memoryview) -> None:
         """Append received bytes."""
         if self._offset:
             del self._data[: self._offset]
