A list of nodes is bounded by the head's memory

A list may have a 32nd of the memory now, 1 MiB at least, which is some thousands of nodes, and 4 MiB at most, as before from 128 MB on.

--- a/harriertrack/decisions/payload_memory.py
+++ b/harriertrack/decisions/payload_memory.py
@@ -17,6 +17,8 @@
 MIN_BUDGET_BYTES = 1 << 20
 # Nodes send larger answers than the protocol specifies (64 KiB): up to 400 KB were observed.
 MIN_ANSWER_BYTES, ANSWER_MEMORY_PARTS = 64 << 10, 64
+# Of a list of nodes: some thousands of them have a megabyte. Several calls may hold one each, in part.
+MIN_LIST_BYTES, MAX_LIST_BYTES, LIST_MEMORY_PARTS = 1 << 20, 4 << 20, 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,12 +28,15 @@
     requests: int  # of all requests, received or not yet sent to a node
     answers: int  # of all answers, received in part or not yet sent to a client
     answer: int  # of one answer's body
+    node_list: int  # of one list of nodes
 
     @classmethod
     def of_process(cls, memory_bytes: int) -> MemoryLimits:
         """Return the limits of a head whose process may use so much memory."""
         budget = max(MIN_BUDGET_BYTES, (memory_bytes - PROCESS_BYTES) // BUDGET_PARTS)
-        return cls(budget, budget, max(MIN_ANSWER_BYTES, memory_bytes // ANSWER_MEMORY_PARTS))
+        answer = max(MIN_ANSWER_BYTES, memory_bytes // ANSWER_MEMORY_PARTS)
+        node_list = max(MIN_LIST_BYTES, min(MAX_LIST_BYTES, memory_bytes // LIST_MEMORY_PARTS))
+        return cls(budget, budget, answer, node_list)
 
 
 class PayloadHolder(Protocol):
--- a/harriertrack/membership/targets.py
+++ b/harriertrack/membership/targets.py
@@ -10,7 +10,6 @@
 from harriertrack.decisions.interface import NodeEntry, NodeState
 from harriertrack.membership.nodes import Member
 
-MAX_LIST_BYTES = 4 << 20
 MAX_NODE_SIZE = 1e18  # far above any registered machine size; a larger integer may not convert to float
 STATES = {
     "in_service": NodeState.UP, "terminating": NodeState.DRAINING, "terminated": NodeState.GONE,
--- a/harriertrack/service/discovery.py
+++ b/harriertrack/service/discovery.py
@@ -39,6 +39,7 @@
         storage_nodes: StorageNodes,
         watch: DiscoveryWatch,
         address: tuple[str, int],
+        max_list_bytes: int,
         wall_ahead_us: int,
         name: str,
         log: Log,
@@ -46,6 +47,7 @@
         self._hub, self._network, self._scope, self._core = hub, network, scope, core
         self._nodes, self._storage_nodes, self._watch = nodes, storage_nodes, watch
         self._address, self._wall_ahead_us = address, wall_ahead_us
+        self._max_list_bytes = max_list_bytes
         self._name, self._log = name, DiscoveryLog(hub, log)
         self._nodes_log, self._log_event = NodeListLog(hub, log), log
         self._task: Task | None = None
@@ -163,7 +165,9 @@
                 return "requested the full list but received changes"
 
     def _start_call(self, stream: Stream | None) -> DiscoveryCall:
-        call = self._current = DiscoveryCall(self._hub, self._watch.next_call(), self._address)
+        call = self._current = DiscoveryCall(
+            self._hub, self._watch.next_call(), self._address, self._max_list_bytes
+        )
         self._called_at = call.started_at
         for surplus in self._open.add(call):
             surplus.abandon()
--- a/harriertrack/service/discovery_call.py
+++ b/harriertrack/service/discovery_call.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from harriertrack.decisions.discovery_watch import Call
-from harriertrack.membership.targets import MAX_LIST_BYTES, request_target
+from harriertrack.membership.targets import request_target
 from harriertrack.protocol.platform.exchange import Answer, Exchange, InvalidAnswer
 from harriertrack.runtime.hub import Event, Hub, Scope, Task
 from harriertrack.runtime.streams import Network, Stream
@@ -14,14 +14,14 @@
 class DiscoveryCall:
     """A call in progress; `done` is set once it was answered, failed or was abandoned."""
 
-    def __init__(self, hub: Hub, spec: Call, address: tuple[str, int]) -> None:
+    def __init__(self, hub: Hub, spec: Call, address: tuple[str, int], max_list_bytes: int) -> None:
         self.spec, self.started_at = spec, hub.now()
         self.done = Event(hub)
         self.answer: Answer | None = None
         self.answered_at = 0  # when the answer's last bytes were received
         self.failure = ""  # why there is no usable answer
         self.finished = False
-        self._address = address
+        self._address, self._max_list_bytes = address, max_list_bytes
         self._stream: Stream | None = None
         self._task: Task | None = None
 
@@ -69,7 +69,7 @@
             self._stream = network.connect(self._address, None, name)
         host = f"{self._address[0]}:{self._address[1]}".encode()
         target = request_target(self.spec.since, self.spec.wait_us)
-        exchange = Exchange(b"GET", target, [(b"Host", host)], 0, MAX_LIST_BYTES)
+        exchange = Exchange(b"GET", target, [(b"Host", host)], 0, self._max_list_bytes)
         self._stream.write(exchange.request_head)
         try:
             while (answer := exchange.receive(self._stream.read())) is None:
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -132,6 +132,7 @@
             self.storage_nodes,
             watch,
             configuration.discovery,
+            configuration.bounds.memory.node_list,
             self._wall_ahead_us,
             configuration.name,
             self._log,
--- a/tests/test_payload_memory.py
+++ b/tests/test_payload_memory.py
@@ -106,3 +106,4 @@
     assert payload <= max(2 * MIB, (memory_mib - 32) * MIB // 2)
     assert limits.answer <= limits.answers
     assert limits.requests >= 16 * 65_536
+    assert limits.node_list == min(4, max(1, memory_mib // 32)) * MIB or memory_mib % 32
