--- a/harriertrack/lab/interleaving/scenarios/watch.py
+++ b/harriertrack/lab/interleaving/scenarios/watch.py
@@ -7,6 +7,7 @@
 
 from harriertrack.decisions.discovery_watch import DiscoveryWatch, WatchState
 from harriertrack.decisions.interface import NodesChanged
+from harriertrack.decisions.payload_memory import MAX_LIST_BYTES
 from harriertrack.decisions.requests import Core
 from harriertrack.lab.interleaving.world import Scenario, World
 from harriertrack.membership.nodes import NodeList
@@ -83,6 +84,7 @@
                     cast(StorageNodes, _StorageNodes()),
                     watch,
                     sources[SOURCE].address,
+                    MAX_LIST_BYTES,
                     0,
                     "head",
                     core.log,
