Accepts of a round and members of a fleet's view are bounded

A fleet's view kept every name that a datagram brought; it takes 8,192 names, and known members go on changing.

--- a/harriertrack/membership/fleet/view.py
+++ b/harriertrack/membership/fleet/view.py
@@ -25,6 +25,7 @@
 )
 from harriertrack.membership.fleet.suspicion import Suspicion
 
+MAX_MEMBERS = 8192  # present and gone ones: names come in datagrams, from whoever sends them
 MAX_HISTORY = 12  # records of a member that are stored to explain its present state
 _MASK_63_BITS = (1 << 63) - 1
 _MASK_32_BITS = (1 << 32) - 1
@@ -111,9 +112,11 @@
         return [row for row in self._rows.values() if row.bucket in buckets]
 
     def apply(self, now: int, record: Record) -> Change | None:
-        """Apply a record; return the change, None if the stored record is as new."""
+        """Apply a record; return the change, None if the stored record is as new, or there is no room."""
         row = self._rows.get(record.name)
         if row is None:
+            if len(self._rows) >= MAX_MEMBERS:
+                return None
             bucket = xxh64_intdigest(record.name.encode()) % BUCKETS
             row = self._rows[record.name] = Row(record, now, bucket)
             change = Change(None, record)
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -21,6 +21,7 @@
 HIGH_WATER = 1 << 20  # bytes buffered for writing above which `drain` waits
 MAX_BUFFERS = 64  # buffers handed to one sendmsg
 MAX_READ_BYTES = 1 << 18  # the most bytes that one read returns
+ACCEPTS_PER_ROUND = 64  # after so many in a row, whoever accepts lets everything else have its turn
 ACCEPT_PAUSE_US = 100_000  # how long a listener pauses when the process has no free descriptor
 MAX_ACCEPT_FAILURES = 16  # failed calls in a row after which it pauses as well
 END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the peer ended the stream
@@ -384,6 +385,7 @@
         self._closed = False
         self.exhausted = 0  # number of pauses for lack of descriptors or after failed calls only
         self._must_pause = False  # the last `accept_now` ended with such a pause due
+        self._accepted = (-1, 0)  # the round of the hub, and how many were accepted in it
         self._waiters = Waiters(hub)
         self._handler = FdHandler(self._sock.fileno(), 0, self._on_events)
         hub.add_handler(self._handler)
@@ -394,9 +396,13 @@
 
     def accept(self, deadline: int | None = None) -> SocketStream:
         """Wait for the next stream; without a free descriptor, pause and try again."""
+        if self._accepted == (self._hub.round, ACCEPTS_PER_ROUND):
+            self._hub.sleep(0)
         while not self._closed:
             stream = self.accept_now()
             if stream is not None:
+                round_, accepted = self._accepted
+                self._accepted = (self._hub.round, accepted + 1 if round_ == self._hub.round else 1)
                 return stream
             if self._must_pause:
                 self._hub.sleep(ACCEPT_PAUSE_US)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -548,3 +548,14 @@
     assert [action.event for action in one.take_actions() if isinstance(action, LogEvent)] == [
         "fleet: objected"
     ]
+
+
+def test_members_that_datagrams_name_are_bounded_and_known_ones_go_on_changing(monkeypatch):
+    """Guards against a view that grows with every name that anybody sends."""
+    monkeypatch.setattr("harriertrack.membership.fleet.view.MAX_MEMBERS", 5)
+    view = View()
+    for number in range(20):
+        view.apply(1, record(f"m{number}"))
+    assert len(view) == 5
+    assert view.apply(2, record("m4", incarnation=3)) is not None
+    assert view.apply(2, record("m9")) is None and view.find("m9") is None
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -5,6 +5,7 @@
 import resource
 import socket
 import weakref
+from collections import Counter
 
 import pytest
 
@@ -12,6 +13,7 @@
 from harriertrack.runtime.process_memory import resident_bytes
 from harriertrack.runtime.turns import TurnQueue
 from harriertrack.runtime.streams import (
+    ACCEPTS_PER_ROUND,
     HIGH_WATER,
     MemoryNetwork,
     SocketListener,
@@ -373,3 +375,28 @@
             there.read_now(1)
 
     on(main)
+
+
+@pytest.mark.real_time
+def test_a_flood_of_connections_is_accepted_in_lots_and_others_run_in_between():
+    """Guards against a listener that accepts for as long as clients connect, while everything else waits."""
+    hub, accepted = Hub(), Counter()
+
+    def accept(listener):
+        while True:
+            listener.accept().close()
+            accepted[hub.round] += 1
+
+    def main():
+        listener = SocketNetwork(hub).listen(("127.0.0.1", 0))
+        clients = [socket.create_connection(listener.address) for _ in range(300)]
+        with hub.scope() as scope:
+            scope.spawn("accept", accept, listener)
+            while accepted.total() < len(clients):
+                hub.sleep(0)
+            scope.cancel()
+        for client in clients:
+            client.close()
+
+    hub.run(main)
+    assert max(accepted.values()) == ACCEPTS_PER_ROUND
