--- a/benchmarks/fleet_scoring.py
+++ b/benchmarks/fleet_scoring.py
@@ -33,7 +33,7 @@
 from harriertrack.membership.fleet.swim import Rules, Send
 from harriertrack.rules import checker, recording as rec, scoring as score_rules
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 
 S = 1_000_000
 WAYS = ("none", "own", "shared", "oracle")
--- a/benchmarks/zone_oracle.py
+++ b/benchmarks/zone_oracle.py
@@ -13,7 +13,7 @@
 from harriertrack.lab.rig import HeadSlot
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 
 
 class Oracle(SimulatedFleet):
--- a/harriertrack/lab/emulator.py
+++ b/harriertrack/lab/emulator.py
@@ -37,7 +37,7 @@
 from harriertrack.protocol.nbd.server import Request
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.hub import Cancelled, Event, Hub, Scope
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 from harriertrack.standin.list_service import ListService
 from harriertrack.standin.node import ReceivedRequest, ShardStorage, UsageMeter
 from harriertrack.standin.node_server import NodeServer
--- a/harriertrack/lab/fleet/rig/fleet.py
+++ b/harriertrack/lab/fleet/rig/fleet.py
@@ -22,7 +22,8 @@
 from harriertrack.rules import recording as rec
 from harriertrack.rules.fleet import FleetViews
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork, Network
+from harriertrack.runtime.memory_streams import MemoryNetwork
+from harriertrack.runtime.streams import Network
 from harriertrack.standin.list_service import ListService
 from harriertrack.standin.node_server import NodeServer
 from harriertrack.standin.relay import NetworkFaults
--- a/harriertrack/lab/fleet/rig/simulated.py
+++ b/harriertrack/lab/fleet/rig/simulated.py
@@ -23,7 +23,8 @@
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.datagrams import DatagramNetwork, MemoryDatagrams
 from harriertrack.runtime.hub import Hub, Task
-from harriertrack.runtime.streams import MemoryNetwork, Network
+from harriertrack.runtime.memory_streams import MemoryNetwork
+from harriertrack.runtime.streams import Network
 from harriertrack.standin.list_service import ListService
 from harriertrack.standin.node_server import NodeServer
 from harriertrack.standin.relay import NetworkFault
--- a/harriertrack/lab/fleet/storm/playing.py
+++ b/harriertrack/lab/fleet/storm/playing.py
@@ -18,7 +18,7 @@
 from harriertrack.rules.all_rules import check_all
 from harriertrack.rules.breach import Breach
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 
 SEED = 1  # of every run: the default of `fleet day FILE`, which thus repeats it
 ERROR_SUBJECT = "play"  # of a breach for an exception that ended the run; the error's name follows
--- a/harriertrack/lab/interleaving/wires.py
+++ b/harriertrack/lab/interleaving/wires.py
@@ -12,7 +12,7 @@
 from harriertrack.lab.interleaving.footprints import FootprintRecorder
 from harriertrack.runtime.datagrams import Address, DatagramHandler, MemoryDatagrams, MemoryPort
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryListener, MemoryNetwork, MemoryStream
+from harriertrack.runtime.memory_streams import MemoryListener, MemoryNetwork, MemoryStream
 
 Place = str
 
--- a/harriertrack/lab/rig.py
+++ b/harriertrack/lab/rig.py
@@ -39,7 +39,8 @@
 from harriertrack.membership.nodes import Member
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.hub import Hub, Scope, Task
-from harriertrack.runtime.streams import MemoryNetwork, Network, SocketNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
+from harriertrack.runtime.streams import Network, SocketNetwork
 from harriertrack.standin.list_service import ListService
 from harriertrack.standin.node import ShardStorage, UsageMeter
 from harriertrack.standin.node_server import NodeServer
--- a/tests/changes/test_changes_carrier.py
+++ b/tests/changes/test_changes_carrier.py
@@ -17,7 +17,7 @@
 from harriertrack.membership.fleet.change_record import PATH, DamagedRecord
 from harriertrack.rules import changes as rules, recording as rec
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 from harriertrack.standin.witness import Witness
 
 
--- a/tests/closing/test_closing_regions.py
+++ b/tests/closing/test_closing_regions.py
@@ -19,7 +19,7 @@
 from harriertrack.protocol.nbd.wire import Command
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 
 _SPEC = importlib.util.spec_from_file_location(
     "faults", Path(__file__).parent.parent / "interleaving" / "faults.py"
--- a/tests/endings/test_client_ends.py
+++ b/tests/endings/test_client_ends.py
@@ -98,6 +98,22 @@
     LoopbackSite(tmp_path).run(act)
 
 
+def client_whose_request_is_held(site, tried):
+    """Return a client whose request the module holds: before its first attempt, or after one that was reset."""
+    module = site.head.module
+
+    def hold_and_reset(_got):
+        module.holding = True
+        return RESET
+
+    site.script, module.holding = hold_and_reset, not tried
+    client = RawClient(site)
+    client.send(site.request())
+    awaited = [api.RequestArrived, api.AttemptEnded][tried]
+    site.until(lambda: any(isinstance(event, awaited) for event in module.withheld))
+    return client
+
+
 @ENDS
 @pytest.mark.parametrize("tried", [0, 1])
 @pytest.mark.parametrize("behind", [0, 4096])
@@ -105,17 +121,7 @@
     """Before the first attempt, and between two attempts."""
 
     def act(site):
-        module = site.head.module
-
-        def hold_and_reset(_got):
-            module.holding = True
-            return RESET
-
-        site.script, module.holding = hold_and_reset, not tried
-        client = RawClient(site)
-        client.send(site.request())
-        awaited = [api.RequestArrived, api.AttemptEnded][tried]
-        site.until(lambda: any(isinstance(event, awaited) for event in module.withheld))
+        module, client = site.head.module, client_whose_request_is_held(site, tried)
         client.send(b"x" * behind)
         end(client)
         site.until(lambda: any(isinstance(event, api.ClientLeft) for event in module.withheld))
--- a/tests/endings/test_crowded_fleet.py
+++ b/tests/endings/test_crowded_fleet.py
@@ -11,7 +11,7 @@
 from harriertrack.decisions.discovery_watch import ANNOUNCED_AFTER_US, DiscoveryWatch
 from harriertrack.membership.nodes import NodeList
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 from harriertrack.service.discovery import Discovery
 from harriertrack.standin.platform import PlatformDiscovery, CallQueue
 from tests.test_platform import MS
--- a/tests/endings/test_returning_requests.py
+++ b/tests/endings/test_returning_requests.py
@@ -9,7 +9,7 @@
 from harriertrack.decisions.forwarded_requests import ForwardedRequests
 from harriertrack.standin.platform import NEVER_RAN, NO_RESPONSE, RESET, answer
 from tests.endings.loopback import LoopbackSite, RawClient
-from tests.endings.test_client_ends import ENDS, HoldingScheduler
+from tests.endings.test_client_ends import ENDS, HoldingScheduler, client_whose_request_is_held
 from tests.test_platform import MS
 
 TRACE = "00000000000000aa"
@@ -133,17 +133,7 @@
     """Guards against an end of the connection that can't arrive, as the head reads nothing behind a request."""
 
     def act(site):
-        module = site.head.module
-
-        def hold_and_reset(_got):
-            module.holding = True
-            return RESET
-
-        site.script, module.holding = hold_and_reset, not tried
-        client = RawClient(site)
-        client.send(site.request())
-        awaited = [api.RequestArrived, api.AttemptEnded][tried]
-        site.until(lambda: any(isinstance(event, awaited) for event in module.withheld))
+        module, client = site.head.module, client_whose_request_is_held(site, tried)
         leave_behind_unread_bytes(client, behind)
         site.hub.sleep(50 * MS)
         module.release(site.head)
--- a/tests/interleaving/faults.py
+++ b/tests/interleaving/faults.py
@@ -49,7 +49,7 @@
 
 
 HUB, STREAMS = "runtime.hub", "runtime.streams"
-SOCKET, MEMORY = f"{STREAMS}:SocketStream", f"{STREAMS}:MemoryStream"
+SOCKET, MEMORY = f"{STREAMS}:SocketStream", "runtime.memory_streams:MemoryStream"
 WITNESS, LEASES = "gateway.witness:WitnessClient", "membership.leases"
 STORED_RECORD, WRITING = "gateway.fleet.changes.stored_record", "decisions.fleet.changes.operations"
 WATCH, DISCOVERY = "decisions.discovery_watch:DiscoveryWatch", "service.discovery:Discovery"
--- a/tests/live/test_head_live.py
+++ b/tests/live/test_head_live.py
@@ -26,7 +26,7 @@
 from harriertrack.protocol.nbd.wire import Command, Errno
 from harriertrack.runtime.datagrams import MemoryDatagrams
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 from harriertrack.standin.list_service import ListService
 from harriertrack.standin.node import ShardStorage
 from harriertrack.standin.node_server import NodeServer
--- a/tests/scoring/test_carrier.py
+++ b/tests/scoring/test_carrier.py
@@ -157,7 +157,7 @@
 
     from harriertrack.lab.fleet.rig import SimulatedFleet
     from harriertrack.runtime.hub import Hub
-    from harriertrack.runtime.streams import MemoryNetwork
+    from harriertrack.runtime.memory_streams import MemoryNetwork
 
     hub = Hub.virtual(1)
     day = short("score-broken-plugin", 10)
@@ -209,7 +209,7 @@
     from harriertrack.lab.fleet.scenario import DayBudgets
     from harriertrack.membership.fleet.change_record import encode
     from harriertrack.runtime.hub import Hub
-    from harriertrack.runtime.streams import MemoryNetwork
+    from harriertrack.runtime.memory_streams import MemoryNetwork
     from harriertrack.storage.changes import ChangesCache
 
     body = '(scorer "main" (kind "least-latency") (parameter "power" (value %s)))'
--- a/tests/storms/test_playing.py
+++ b/tests/storms/test_playing.py
@@ -15,7 +15,7 @@
 from harriertrack.lab.fleet.scenario import FleetDaySettings, StepSettings, Verb
 from harriertrack.lab.fleet.storm import playing
 from harriertrack.rules import budgets, recording as rec, rollout
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 from tests.known_red import ROOT
 from tests.storms import faults
 
--- a/tests/test_fleet_budgets_carrier.py
+++ b/tests/test_fleet_budgets_carrier.py
@@ -44,7 +44,7 @@
 from harriertrack.rules import budgets as rules, checker, recording as rec
 from harriertrack.runtime.datagrams import MemoryDatagrams
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 from harriertrack.standin.witness import Witness
 from tests.test_fleet_days import head
 from harriertrack.protocol.nbd.wire import Command
--- a/tests/test_fleet_carrier.py
+++ b/tests/test_fleet_carrier.py
@@ -16,7 +16,8 @@
 from harriertrack.membership.fleet.status_document import MalformedDocument, parse_document
 from harriertrack.runtime.datagrams import MOST_WAITING, MemoryDatagrams, SocketDatagrams
 from harriertrack.runtime.hub import DeadlineExceeded, Hub
-from harriertrack.runtime.streams import MemoryNetwork, SocketNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
+from harriertrack.runtime.streams import SocketNetwork
 from tests.test_head import Site
 
 ADDRESS = ("127.0.0.1", 0)
--- a/tests/test_generator.py
+++ b/tests/test_generator.py
@@ -14,7 +14,8 @@
 from harriertrack.lab.generator import Generator, LoadResult, is_void, parse_load
 from harriertrack.lab.scores import histogram, decode_histogram
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork, SocketNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
+from harriertrack.runtime.streams import SocketNetwork
 from harriertrack.standin.node import ShardStorage
 from harriertrack.standin.node_server import NodeServer
 
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -29,7 +29,8 @@
 from harriertrack.protocol.nbd.wire import BASE_ALLOCATION, Command, CommandFlags, Errno
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork, SocketNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
+from harriertrack.runtime.streams import SocketNetwork
 from harriertrack.standin.list_service import ListService
 from harriertrack.standin.node import UsageMeter, ShardStorage
 from harriertrack.standin.node_server import NodeServer
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,7 +9,7 @@
 from harriertrack.decisions.graceful_shutdown import DRAIN_US, Phase
 from harriertrack.decisions.connection_pool import REUSE_DELAY_US
 from harriertrack.runtime.hub import DeadlineExceeded, Hub
-from harriertrack.runtime.streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
 from harriertrack.service.configuration import ConfigurationError, read_configuration
 from harriertrack.service.head import PlatformHead
 from harriertrack.standin.platform import (
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -32,7 +32,8 @@
 from harriertrack.rules import checker, recording as rec
 from harriertrack.rules.linearizability import NEVER, Operation, linearizable
 from harriertrack.runtime.hub import Hub
-from harriertrack.runtime.streams import MemoryNetwork, SocketNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork
+from harriertrack.runtime.streams import SocketNetwork
 from harriertrack.standin.witness import Witness
 from harriertrack.storage.missed import WHOLE, MissedLog
 
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -12,10 +12,10 @@
 from harriertrack.runtime.hub import Cancelled, Deadlock, DeadlineExceeded, Event, Hub
 from harriertrack.runtime.process_memory import resident_bytes
 from harriertrack.runtime.turns import TurnQueue
+from harriertrack.runtime.memory_streams import MemoryNetwork
 from harriertrack.runtime.streams import (
     ACCEPTS_PER_ROUND,
     HIGH_WATER,
-    MemoryNetwork,
     SocketListener,
     SocketNetwork,
     SocketStream,
