What a crowd has sent is read before any of it is called overdue

With turns of 64 connections a round, one look at the next round no longer covered all that had come: beside a crowd a request that had come whole could get 408. Before connections are called overdue, all that wait have their turn (found by reading).

--- a/harriertrack/runtime/turns.py
+++ b/harriertrack/runtime/turns.py
@@ -31,6 +31,12 @@
         self._queue[taker] = None
         self._added.notify()
 
+    def wait_for_all(self) -> None:
+        """Let everybody have a turn who waits for one, or whose bytes have just come."""
+        self._hub.sleep(0)
+        for _ in range(0, len(self._queue), self._per_round):
+            self._hub.sleep(0)
+
     def discard(self, taker: TurnTaker) -> None:
         """Withdraw: there is no turn to take any more."""
         self._queue.pop(taker, None)
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -111,7 +111,7 @@
         while True:
             self.hub.sleep(EXPIRY_CHECK_PERIOD_US)
             if not all(connection.silent() for connection in self.connections.expired(self.hub.now())):
-                self.hub.sleep(0)  # received bytes are read first
+                self.turns.wait_for_all()  # received bytes are read first
             for connection in self.connections.expired(self.hub.now()):
                 self._expire(connection)
 
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -321,10 +321,14 @@
             assert len(log) <= 8
             hub.sleep(1_000)
             assert log == takers * 3
+            for taker in takers:
+                queue.add(taker)
+            queue.wait_for_all()
+            assert log == takers * 4
             queue.add(takers[0])
             queue.discard(takers[0])
             hub.sleep(1_000)
-            assert len(log) == 30
+            assert len(log) == 40
             scope.cancel()
 
     hub.run(main)
