--- a/harriertrack/protocol/platform/exchange.py
+++ b/harriertrack/protocol/platform/exchange.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from harriertrack.protocol.piece_buffer import PieceBuffer
 from harriertrack.protocol.platform import KEPT_FIELD_BYTES, MAX_FIELDS, MAX_HEAD_BYTES
 
 MAX_INTERIM = 8  # 1xx answers before the final one
@@ -54,7 +55,7 @@
         self._status = 0
         self._fields: dict[bytes, bytes | None] = {}
         self._field_count = 0
-        self._body = bytearray()
+        self._body = PieceBuffer()
         self._received = self._head_fed = self._head_bytes = self._interim = 0
         lines = [b"%s %s HTTP/1.1" % (method, target), *(b"%s: %s" % header for header in headers)]
         if method != b"GET":
@@ -66,8 +67,7 @@
         """Return what is held of the answer that is being received; 0 once it is complete."""
         if self._parser is None:
             return 0
-        spare = len(self._body) >> 3  # of an array that grows
-        return self._received + spare + KEPT_FIELD_BYTES * len(self._fields)
+        return self._received + self._body.overhead_bytes + KEPT_FIELD_BYTES * len(self._fields)
 
     def receive(self, data: bytes) -> Answer | None:
         """Parse bytes, b"" for the end; return the answer once it is complete. Raises InvalidAnswer."""
@@ -92,7 +92,7 @@
 
     def _take_answer(self) -> Answer:
         reusable = self._keep_alive and not self._surplus
-        body = bytes(self._body)
+        body = self._body.take()
         self.close()
         return Answer(self._status, self._fields, body, reusable)
 
@@ -100,7 +100,7 @@
         """Free what was received; nothing more is parsed."""
         self._parser = None
         self._ends_with_connection = False
-        self._body = bytearray()
+        self._body.clear()
 
     def on_message_begin(self) -> None:
         """Reject a message that follows the complete answer: it belongs to no request."""
@@ -138,7 +138,7 @@
         """Store a chunk of the body."""
         if len(self._body) + len(data) > self._max_body_bytes:
             self._stop(f"a body of more than {self._max_body_bytes} bytes")
-        self._body += data  # one array: an object for each chunk would take many times a short chunk's bytes
+        self._body.add(data)
 
     def on_message_complete(self) -> None:
         """Handle the end of a message: the final answer, or an interim one before it."""
--- a/harriertrack/protocol/platform/request_parser.py
+++ b/harriertrack/protocol/platform/request_parser.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from harriertrack.protocol.piece_buffer import PieceBuffer
 from harriertrack.protocol.platform import KEPT_FIELD_BYTES, MAX_BODY_BYTES, MAX_FIELDS, MAX_HEAD_BYTES
 
 ID = re.compile(rb"[0-9a-fA-F]{16}")
@@ -119,13 +120,12 @@
         self._target = b""
         self._field_count = 0
         self._fields: dict[bytes, bytes] = {}  # those that are used, or may not be given twice
-        self._body = bytearray()
+        self._body = PieceBuffer()
 
     @property
     def held_bytes(self) -> int:
         """Return what is held of the request that is being received, or was received last."""
-        spare = len(self._body) >> 3  # of an array that grows
-        return self._received + spare + KEPT_FIELD_BYTES * len(self._fields)
+        return self._received + self._body.overhead_bytes + KEPT_FIELD_BYTES * len(self._fields)
 
     def receive(self, data: bytes) -> PlatformRequest | ReadinessCheck | None:
         """Parse received bytes; return a request once it is complete and valid. Raises BadRequest."""
@@ -191,7 +191,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Store a chunk of the body; its total length was checked with the fields."""
-        self._body += data  # one array: an object for each chunk would take many times a short chunk's bytes
+        self._body.add(data)
 
     def on_message_complete(self) -> None:
         """Handle the end of a request."""
@@ -222,7 +222,7 @@
         if form.keyed:
             _match(VISIBLE, idempotency_key, "Idempotency-Key")
         volume, units, shard, hosts = self._placement(fields.get(b"x-placement", b""))
-        body, self._body = bytes(self._body), bytearray()
+        body = self._body.take()
         return PlatformRequest(
             form.writes, target, _match(ID, fields.get(b"x-trace-id"), "X-Trace-Id"),
             idempotency_key if form.keyed else b"", body, class_name, plan,
@@ -262,14 +262,16 @@
         self._head_complete = self._complete = False
         self._head_fed = self._head_bytes = self._received = self._field_count = 0
         self._target = b""
-        self._fields, self._body = {}, bytearray()
+        self._fields = {}
+        self._body.clear()
         return self._keep_alive
 
     def close(self) -> None:
         """Free what was received of a request; nothing more is parsed."""
         self._parser = self._error = None
         self._received = 0
-        self._fields, self._body = {}, bytearray()
+        self._fields = {}
+        self._body.clear()
 
 
 def closing_answer(status: int, why: str) -> bytes:
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -37,6 +37,7 @@
     "chunks of a byte": [CHUNKED, b"1\r\nx\r\n" * 20_000],
     "chunks of a byte, one by one": [CHUNKED, *[b"1\r\nx\r\n"] * 20_000],
     "a body byte by byte": [STATUS + b"Content-Length: 65536\r\n\r\n", *[b"x"] * 20_000],
+    "long and short chunks in turn": [CHUNKED, *[b"1000\r\n" + b"x" * 4_096 + b"\r\n1\r\nx\r\n"] * 200],
     "interim answers": [b"HTTP/1.1 103 Early\r\nx-a: b\r\n\r\n" * 8 + STATUS],
 }
 
