A leased limit that has lapsed is judged by what is left of it before its volume is dropped

Of the early drop of volumes in this work (found by reading): it looked at a limit's level without a refill, which is where a leased share finds that its lease is over. Judged by the rate of the lease it could count as full, and its volume be dropped. The platform's head has no leases. The new test failed before.

--- a/harriertrack/decisions/volume_accounts.py
+++ b/harriertrack/decisions/volume_accounts.py
@@ -34,7 +34,7 @@
         """Whether it would start with the same reserve and limit if it came again."""
         if self.open_requests or (self.own_units and now - self.own_updated_at < OWN_UNITS_US):
             return False
-        if self.limit is not None and self.limit.level_at(now) < self.limit.capacity:
+        if self.limit is not None and self.limit.refill(now) < self.limit.capacity:
             return False
         return self.reserve.level_at(now) >= min(self.plan.reserve, self.reserve.capacity)
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,9 +5,11 @@
 import pytest
 
 from harriertrack.decisions import interface as api, scheduler
+from harriertrack.decisions.bucket import Bucket
+from harriertrack.decisions.fleet.budgets import BudgetShare, BudgetTotal, Lease
 from harriertrack.decisions.module_timers import MIN_PRUNED
 from harriertrack.decisions.scheduler import WINDOW_MAX, Scheduler
-from harriertrack.decisions.volume_accounts import MAX_IDLE_VOLUMES
+from harriertrack.decisions.volume_accounts import MAX_IDLE_VOLUMES, Volume
 
 MS = 1000
 SECOND = 1_000_000
@@ -1037,3 +1039,13 @@
         head.run(100 * MS)
         head.submit(shard=9)
     assert len(head.unit._request_times) <= 11
+
+
+def test_a_volume_whose_leased_limit_has_lapsed_is_judged_by_what_is_left_of_it():
+    """Guards against a share that counts as full by the rate of a lease that is over."""
+    share = BudgetShare(0, BudgetTotal(rate=100.0, burst=50.0, hosts=1, fixed=0.1), Lease(SECOND), 0.0)
+    share._resize(50.0)  # 60 units a second with the lease, 10 without
+    share.level = -90.0
+    volume = Volume(GOLD, Bucket(0, capacity=GOLD.reserve, level=GOLD.reserve), 0, limit=share)
+    assert not volume.may_be_forgotten(2 * SECOND)
+    assert volume.may_be_forgotten(10 * SECOND)
