--- a/tests/endings/test_crowded_fleet.py
+++ b/tests/endings/test_crowded_fleet.py
@@ -9,6 +9,7 @@
 import pytest
 
 from harriertrack.decisions.discovery_watch import ANNOUNCED_AFTER_US, DiscoveryWatch
+from harriertrack.decisions.payload_memory import MAX_LIST_BYTES
 from harriertrack.membership.nodes import NodeList
 from harriertrack.runtime.hub import Hub
 from harriertrack.runtime.memory_streams import MemoryNetwork
@@ -31,8 +32,8 @@
         self.hub, self.received_at_us = hub, {}
         self.watching = DiscoveryWatch(10 * S, source.version, seed=number)
         self.discovery = Discovery(
-            hub, network, scope, cast("object", self), NodeList(), self, self.watching, source.address, 0,
-            f"head {number}", lambda *_args, **_fields: None,
+            hub, network, scope, cast("object", self), NodeList(), self, self.watching, source.address,
+            MAX_LIST_BYTES, 0, f"head {number}", lambda *_args, **_fields: None,
         )  # fmt: skip
 
     def nodes_changed(self, _changes):
