The end of a generation of ids is counted once, whatever comes before the next is sent

Of the ids kept in this work (found by reading): as a generation ended after 30 s, its begin stayed, so that the next request that was looked at before an id was added ended an empty generation too, and all ids were forgotten, those of the last moment with them; such an id would have run again. The begin is set as a generation ends. The new test failed before; the drawn one lets several requests come before one is sent, over longer gaps, and asks for as much as before.

--- a/harriertrack/decisions/forwarded_requests.py
+++ b/harriertrack/decisions/forwarded_requests.py
@@ -45,6 +45,6 @@
         age_us = now - self._began_at
         crowded = len(self._current) >= self._generation_limit
         if age_us >= KEPT_US or (crowded and age_us >= self._shortest_us):
-            self._previous, self._current = self._current, set()
+            self._previous, self._current, self._began_at = self._current, set(), now
             return False
         return crowded
--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -18,13 +18,15 @@
     return number.to_bytes(8, "big")
 
 
-@given(st.lists(st.integers(0, SHORTEST_US), max_size=200), st.integers(1, 40))
-def test_no_id_is_forgotten_before_its_time_and_their_number_is_bounded(gaps, limit):
+@given(
+    st.lists(st.tuples(st.integers(0, 2 * SHORTEST_US), st.integers(1, 4)), max_size=200), st.integers(1, 40)
+)
+def test_no_id_is_forgotten_before_its_time_and_their_number_is_bounded(steps, limit):
     """Guards against a flood of requests that makes a head forget what it has sent."""
     forwarded, now, added = ForwardedRequests(limit, SHORTEST_US), 0, {}
-    for number, gap in enumerate(gaps):
+    for number, (gap, asked) in enumerate(steps):
         now += gap
-        if not forwarded.is_full(now):
+        if not any([forwarded.is_full(now) for _ in range(asked)]):  # several come before the first is sent
             forwarded.add(identity(number), now)
             added[number] = now
         assert len(forwarded) <= limit + 1
@@ -32,6 +34,16 @@
             assert identity(one) in forwarded or now - at >= SHORTEST_US
 
 
+def test_requests_that_come_before_the_first_of_a_new_generation_is_sent_make_nothing_forgotten():
+    """Guards against a generation that ends twice, and takes ids with it that were added just before."""
+    forwarded = ForwardedRequests(MIN_IDS, SHORTEST_US)
+    forwarded.add(identity(1), 0)
+    forwarded.add(identity(2), KEPT_US - 1)
+    for later_us in range(5):
+        assert not forwarded.is_full(KEPT_US + later_us)
+        assert identity(1) in forwarded and identity(2) in forwarded
+
+
 def test_ids_are_kept_for_a_generation_where_there_is_room_and_dropped_after_two():
     forwarded = ForwardedRequests(MIN_IDS, SHORTEST_US)
     forwarded.add(identity(1), 0)
