Soak: memory that passes the limit by little is recorded

Growth of under 256 KiB since the last sample was not recorded, also where it passed the limit: such a breach was not seen (found by reading; the new test failed before).

--- a/harriertrack/lab/soak/heads.py
+++ b/harriertrack/lab/soak/heads.py
@@ -169,7 +169,8 @@
         held = resident_bytes(f"/proc/{self._process.pid}/statm")
         if self._sampled_pid != self._process.pid:
             self._sampled_pid, self._highest_bytes = self._process.pid, 0
-        if held >= self._highest_bytes + SAMPLE_STEP_BYTES:
+        over_limit = held > self._plan.memory_mb << 20 >= self._highest_bytes
+        if over_limit or held >= self._highest_bytes + SAMPLE_STEP_BYTES:
             self._highest_bytes = held
             self._add(rec.MemorySampled(t=self._hub.now(), head=self.name, held_bytes=held))
 
--- a/tests/soak/test_playing.py
+++ b/tests/soak/test_playing.py
@@ -2,11 +2,13 @@
 
 import os
 import sys
+from pathlib import Path
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 
-from harriertrack.lab.soak.heads import RUN
+from harriertrack.lab.soak.heads import RUN, SoakHead
 from harriertrack.lab.soak.plan import (
     HOSTILE_CROWDS,
     HOSTILE_SOCKETS,
@@ -20,6 +22,7 @@
     draw,
 )
 from harriertrack.lab.soak.playing import play
+from harriertrack.runtime.hub import Hub
 from tests.soak.faulty_head import FAULTS
 
 SECONDS = 16
@@ -93,3 +96,15 @@
     result = play(provoking_plan(), command)
     broken = {breach.rule for breach in result.breaches}
     assert BROKEN[fault] in broken if fault else not broken, described(result)
+
+
+def test_memory_that_passes_the_limit_by_little_is_recorded(monkeypatch):
+    """Guards against a breach that is smaller than the growth that is recorded."""
+    plan, records, held = draw(1), [], [0]
+    head = SoakHead(Hub.virtual(), None, "n0", ("", 0), plan, None, Path(), (), records.append)
+    head._process = SimpleNamespace(pid=1, poll=lambda: None)
+    monkeypatch.setattr("harriertrack.lab.soak.heads.resident_bytes", lambda _path: held[0])
+    limit = plan.memory_mb << 20
+    for held[0] in (limit - 10, limit + 1, limit + 2):
+        head.sample_memory()
+    assert [record.held_bytes for record in records] == [limit - 10, limit + 1]
