A readiness check may repeat a field, as before

Since fields are checked as they come, a field that is given twice ended a readiness check with 400, where proxies repeat X-Forwarded-For; before this work it got its answer. It is noted and judged with the request again (found by reading; the new test failed before). Two lines of volume_accounts.py stand apart.

--- a/harriertrack/decisions/volume_accounts.py
+++ b/harriertrack/decisions/volume_accounts.py
@@ -69,6 +69,5 @@
 
 
 def _drop(volumes: Volumes, name: tuple[str, str]) -> None:
-    volumes.pop(
-        name
-    ).sessions.clear()  # they refer to it: else both would stay until the garbage collector comes
+    volume = volumes.pop(name)
+    volume.sessions.clear()  # they refer to it: else both would stay until the garbage collector comes
--- a/harriertrack/protocol/platform/request_parser.py
+++ b/harriertrack/protocol/platform/request_parser.py
@@ -120,6 +120,7 @@
         self._target = b""
         self._field_count = 0
         self._fields: dict[bytes, bytes] = {}  # those that are used, or may not be given twice
+        self._is_repeated = False  # one of the latter is
         self._body = PieceBuffer()
 
     @property
@@ -169,8 +170,7 @@
             self._stop(431, f"more than {MAX_FIELDS} fields")
         name = name.lower()
         if name.startswith(b"x-") or name == b"idempotency-key":
-            if name in self._fields:
-                self._stop(400, "a field is given twice")
+            self._is_repeated |= name in self._fields
             self._fields[name] = value
         elif name in FRAMING_FIELDS:
             self._fields.setdefault(name, value)
@@ -205,6 +205,8 @@
         path, _, query = target.partition(b"?")
         if path == READY_PATH and method == b"GET":
             return ReadinessCheck()
+        if self._is_repeated:
+            raise BadRequest(400, "a field is given twice")
         fields = self._fields
         class_name = path[1:].partition(b"/")[0].decode("latin-1")
         form = schema.classes.get(class_name)
@@ -259,7 +261,7 @@
 
     def start_next(self) -> bool:
         """Reset for the next request after an answer; return whether the connection may carry one."""
-        self._head_complete = self._complete = False
+        self._head_complete = self._complete = self._is_repeated = False
         self._head_fed = self._head_bytes = self._received = self._field_count = 0
         self._target = b""
         self._fields = {}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -611,3 +611,18 @@
         assert site.ask(second.replace(b"X-Trace-Id: 0", b"X-Trace-Id: f"))[2] == b"again"
 
     site.run(act)
+
+
+def test_a_readiness_check_may_repeat_a_field_and_a_request_may_not(site):
+    """Proxies in front of a head repeat X-Forwarded-For."""
+    repeated = "X-Forwarded-For: a\r\nX-Forwarded-For: b\r\n"
+
+    def act(site):
+        assert site.ask(f"GET /-/ready HTTP/1.1\r\nHost: h\r\n{repeated}\r\n".encode())[0] == 200
+        stream = site.connect()
+        assert site.ask(f"GET /-/ready HTTP/1.1\r\nHost: h\r\n{repeated}\r\n".encode(), stream)[0] == 200
+        assert site.ask(site.request(), stream)[0] == 200
+        twice = site.request().replace(b"\r\n\r\n", b"\r\n" + repeated.encode() + b"\r\n")
+        assert site.ask(twice)[0] == 400
+
+    site.run(act)
