--- a/harriertrack/decisions/standstill.py
+++ b/harriertrack/decisions/standstill.py
@@ -12,10 +12,12 @@
 
 from typing import Generic, TypeVar
 
+from harriertrack.decisions.process_pause import MAX_PAUSE_US
+
 CHECK_PERIOD_US = 50_000  # how often an idle head checks the clock
-# A head may be delayed by 0.15 s, and each time limit allows for that. A longer gap is a standstill unless it
-# is within the half of the drain grace that is kept free: then a drain at its start is still handled in time.
-STANDSTILL_US = 150_000 + CHECK_PERIOD_US
+# Each time limit allows for a pause of the process. A longer gap is a standstill, unless it is within the
+# half of the drain grace that is kept free: then a drain at its start is still handled in time.
+STANDSTILL_US = MAX_PAUSE_US + CHECK_PERIOD_US
 # If a call is not answered by then, discovery itself is too late: the list in hand is all there is.
 MAX_HOLD_US = 1_200_000
 # The same at a start, so short that a request that arrives then is still served in time if discovery is down.
--- a/harriertrack/runtime/hub.py
+++ b/harriertrack/runtime/hub.py
@@ -202,7 +202,7 @@
     """The event loop. All waits of a process go through one hub."""
 
     def __init__(self, clock: Clock | None = None, poller: Poller | None = None, seed: int = 0,
-                 stall_us: int = 100_000) -> None:  # fmt: skip
+                 stall_us: int = 100_000, input_since: int | None = None) -> None:  # fmt: skip
         self.clock = clock or RealClock()
         self.poller = poller or PollPoller(self.clock)
         self.random = random.Random(seed)
@@ -214,7 +214,9 @@
         self.on_task_error: Callable[[Task], None] | None = None
         self._timers: list[tuple[int, int, Timer]] = []
         self._serial = self._cancelled = self._polls = 0
-        self.found_since = self.polled_at = self.clock.now()  # readable data arrived no earlier
+        # What the last poll has found arrived no earlier; `input_since`: the same for the first poll, whose
+        # input may have arrived before there was a hub.
+        self.found_since = self.polled_at = self.clock.now() if input_since is None else input_since
         self._ready: deque[tuple[Task, BaseException | None]] = deque()
         self._end_of_round: dict[Callable[[], None], object] = {}
         self._group: object = None  # group of the running task or callback
--- a/harriertrack/service/__main__.py
+++ b/harriertrack/service/__main__.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import signal
+import time
 
 SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 if __name__ == "__main__":
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+SIGNALS_PENDING_SINCE_US = time.monotonic_ns() // 1000  # a signal may have waited since
 
 import contextlib  # noqa: E402
 import gc  # noqa: E402
@@ -58,7 +60,7 @@
         version=configuration.version,
         not_up=format_not_up(member.entry for member in configuration.known),
     )
-    hub = Hub(seed=configuration.seed)
+    hub = Hub(seed=configuration.seed, input_since=SIGNALS_PENDING_SINCE_US)
     head = PlatformHead(hub, SocketNetwork(hub), configuration, log)
 
     def handle_signal(number: int) -> None:
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -25,7 +25,6 @@
 from harriertrack.service.storage_nodes import StorageNodes
 
 REPORT_US = 5_000_000  # how often a line of counts is logged
-CHECK_PERIOD_US = 20_000  # how often a head that is shutting down checks whether it can end
 
 
 class NoPlacements:
@@ -157,7 +156,7 @@
                   longest_us=bounds.longest_deadline_us)  # fmt: skip
         self._stop_requested.wait()
         while not self._advance_shutdown(listener):
-            hub.sleep(CHECK_PERIOD_US)
+            hub.sleep_until(self.shutdown.next_check_at(hub.now()))
         self.report()
 
     def _advance_shutdown(self, listener: Listener) -> bool:
@@ -229,7 +228,7 @@
 
     def stop(self) -> None:
         """Shut down: accept requests for a while longer, answer all of them, and end."""
-        if self.shutdown.begin(self.hub.now()):
+        if self.shutdown.begin(self.hub.found_since):
             self._log("leaving", open=self.core.open_requests)
             self.report()
             self._stop_requested.set()
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -2,6 +2,8 @@
 
 import copy
 
+import pytest
+
 from harriertrack.decisions.interface import Result
 from harriertrack.decisions.graceful_shutdown import KILL_AFTER_US, Phase
 from harriertrack.standin.platform import NO_RESPONSE, answer
@@ -10,6 +12,7 @@
 
 S = 1_000_000
 LONGEST_US = 1200 * MS
+PAUSE_US = 150 * MS  # the longest that the pages allow
 PLANS = ("gold", "tin")
 
 
@@ -99,6 +102,27 @@
     Site(tmp_path, **settings()).run(act)
 
 
+@pytest.mark.parametrize("before_kill_us", range(105 * MS, 600 * MS, 20 * MS))
+def test_requests_open_at_a_planned_restart_are_answered_despite_a_pause(tmp_path, before_kill_us):
+    """Guards against requests that are lost where the process is paused just before its final answers."""
+    site = Site(tmp_path, **settings())
+    site.script = lambda got: NO_RESPONSE
+
+    def act(site):
+        kill_at = site.hub.now() + LONGEST_US + KILL_AFTER_US
+        site.head.stop()
+        site.hub.sleep_until(kill_at - 700 * MS)
+        streams = [site.connect() for _ in range(3)]
+        for stream, writes in zip(streams, (False, True, True), strict=True):
+            stream.write(site.request(writes, **{"X-Expires-In-Ms": "1200"}))
+        site.hub.sleep_until(kill_at - before_kill_us)
+        site.hub.freeze(site.head, PAUSE_US)
+        site.hub.sleep_until(kill_at)
+        assert all(site.answered(stream, 1) is not None for stream in streams)
+
+    site.run(act)
+
+
 def test_new_connection_closed_without_an_answer_is_counted(tmp_path):
     def act(site):
         silent = site.connect()
