A stopping gateway answers what is open, and its answers leave before it ends

Callers: at SIGTERM a request open at a node that hangs lost its connection after 10 s with no answer at all, at the NBD and the NVMe front and on volumes of two regions; a client that reads slowly lost answers that were written already.

Cause: the same as at the platform's head: the end of the process was due, but no answers were due before it. After 10 s the head closed what was open, unsent bytes and unread requests included; closing over unread bytes resets a connection.

Change: phases as a pure object (gateway_shutdown.py). Core.fail_open knows parts that the module has not got.

--- a/harriertrack/decisions/requests/core.py
+++ b/harriertrack/decisions/requests/core.py
@@ -204,9 +204,12 @@
     # -- shutdown
 
     def fail_open(self) -> None:
-        """Fail all open requests because the head stops now; any of them may still run."""
+        """Answer all open requests because the head stops now: what the module has may still run."""
         for part in list(self._state.parts.values()):
-            if not part.state.is_final:
+            if part.state in (PartState.AWAITING_PLACEMENT, PartState.QUEUED):
+                part.request.reason = self._state.stop_reason
+                self._completion.expire(part)
+            elif not part.state.is_final:
                 self._state.queue_event(api.ClientLeft(part.number))
                 self._completion.give_up(part, PartStep.FAIL)
 
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -129,6 +129,7 @@
         self._open: dict[ClientRequest, int] = {}  # unanswered requests and their cookies
         self._answered = Waiters(front.reception.hub)
         self._turn = CommandTurn()
+        self._parting = False
         self.volume = ""
         self.origin, self._epoch, self._generation = Origin.CLIENT, 0, 0
         self.chosen = self.counted = False  # it has a volume; it counts towards its cell's connections
@@ -174,6 +175,8 @@
 
         `unparsed` bytes behind them are held meanwhile: requests may have to wait.
         """
+        if self._parting:
+            return True
         front = self._front
         events = self._nbd.receive(data)
         replies = self._push()  # error replies, which come without an event
@@ -221,6 +224,15 @@
         self._front.note("client closed", peer=self._stream.peer, why=HALF_SENT)
         self._stream.abort()
 
+    def is_quiet(self) -> bool:
+        """Whether all its answers have been sent, and all that has arrived was read."""
+        return not self._stream.buffered and self._stream.silent()
+
+    def part(self) -> None:
+        """Send no more, and discard what arrives until the client closes too."""
+        self._parting = True
+        self._stream.shut_sending()
+
     def _push(self) -> int:
         """Write what is to be sent; return in how many pieces."""
         outgoing = self._nbd.take_outgoing()
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -13,6 +13,12 @@
 from harriertrack.config.sexp import SettingsError
 from harriertrack.decisions import Scheduler, interface as api, standstill
 from harriertrack.decisions.cell_scheduler import CellScheduler, HeadCellMap, StaleMapError
+from harriertrack.decisions.gateway_shutdown import (
+    CHECK_PERIOD_US,
+    GatewayShutdown,
+    OpenWork,
+    StopPhase,
+)
 from harriertrack.decisions.requests import Attempt, ClientRequest, Core, DecisionModule
 from harriertrack.gateway.front import NbdFront
 from harriertrack.gateway.links import Links
@@ -24,7 +30,7 @@
 from harriertrack.membership.nodes import NodeList
 from harriertrack.runtime.alarm import Alarm
 from harriertrack.runtime.heartbeat import Heartbeat
-from harriertrack.runtime.hub import DeadlineExceeded, Event, Hub, Scope
+from harriertrack.runtime.hub import Event, Hub, Scope
 from harriertrack.runtime.streams import Listener, Network
 from harriertrack.storage.extents import ExtentMap
 from harriertrack.storage.missed import MissedLog
@@ -41,7 +47,6 @@
     from harriertrack.storage.changes import ChangesCache
 
 MAP_US = 500_000  # how often the file of the cell map is checked
-STOP_US = 10_000_000  # the longest that a stopping head waits for its open requests
 
 
 def log_nothing(_event: str, **_fields: object) -> None:
@@ -76,6 +81,7 @@
         self._alarm = Alarm(hub, self._flush)
         self._heartbeat = Heartbeat(hub, standstill.CHECK_PERIOD_US, self._check_standstill)
         self._stopping = Event(hub)
+        self._stop_asked_at = 0
         self.ready = Event(hub)
         self.trace: Callable[[Attempt], None] | None = None  # called for each send, for test harnesses
         self._answer_counter: AnswerCounter | None = None  # for rollouts of versions in stages
@@ -210,16 +216,42 @@
         self.fleet.start()
 
     def _shut_down(self, listeners: list[Listener]) -> None:
-        """Announce the departure, close the fronts, and wait for open requests."""
+        """Announce the departure, close the fronts, answer open requests, and let the clients go."""
         if self.fleet is not None:
             self.fleet.leave()
         self.reception.close()
         for listener in listeners:
             listener.close()
-        self._drain(self.hub.now() + STOP_US)
+        self._finish(GatewayShutdown(self._stop_asked_at))
         if self.fleet is not None:
             self.fleet.wait_left()
 
+    def _finish(self, shutdown: GatewayShutdown) -> None:
+        """Go through the phases of the end."""
+        phase = shutdown.phase
+        while phase is not StopPhase.ENDED:
+            if phase is not (phase := shutdown.advance(self.hub.now(), self._open_work())):
+                self._enter_stop_phase(phase)
+            self.hub.sleep(CHECK_PERIOD_US)  # also lets the answers of this phase be written
+
+    def _enter_stop_phase(self, phase: StopPhase) -> None:
+        if phase is StopPhase.SENDING:
+            self._fail_open()
+        elif phase is StopPhase.PARTING:
+            self.reception.part()
+
+    def _open_work(self) -> OpenWork:
+        requests = self.core.open_requests + (self.regional.open if self.regional is not None else 0)
+        return OpenWork(requests, self.reception.unquiet_sessions(), self.reception.sessions)
+
+    def _fail_open(self) -> None:
+        """Answer what is still open when the time is up: nothing is known of its effect."""
+        if self.core.open_requests:
+            self._note("stopped with open requests", open=self.core.open_requests)
+        if self.regional is not None:
+            self.regional.fail_open()
+        self.core.fail_open()
+
     def _make_answer_counter(self) -> AnswerCounter | None:
         fleet = self.settings.fleet
         if fleet is None or fleet.changes is None or fleet.changes.rollout is None:
@@ -306,17 +338,9 @@
 
     def stop(self) -> None:
         """Admit no more requests, answer open ones, and end."""
+        self._stop_asked_at = self._stop_asked_at or self.hub.found_since
         self._stopping.set()
 
-    def _drain(self, deadline: int) -> None:
-        try:
-            while self.core.open_requests or (self.regional is not None and self.regional.open):
-                self.hub.sleep(10_000)
-                if self.hub.now() > deadline:
-                    raise DeadlineExceeded()
-        except DeadlineExceeded:
-            self._note("stopped with open requests", open=self.core.open_requests)
-
     # -- calls from the core
 
     def send(self, attempt: Attempt) -> None:
--- a/harriertrack/gateway/nvme.py
+++ b/harriertrack/gateway/nvme.py
@@ -118,6 +118,7 @@
         self.multipath, self.max_patience_us = True, front.patience_us
         self._commands: dict[int, _Command] = {}
         self._turn = CommandTurn()
+        self._parting = False
 
     @property
     def supports_hints(self) -> bool:
@@ -150,6 +151,8 @@
 
         `unparsed` bytes behind them are held meanwhile: commands may have to wait.
         """
+        if self._parting:
+            return True
         front = self._front
         events = self._nvme.receive(data)
         if not front.reception.count_partial(self, self._nvme.partial_bytes + unparsed):
@@ -173,6 +176,15 @@
         self._front.note("client closed", peer=self._stream.peer, why=HALF_SENT)
         self._stream.abort()
 
+    def is_quiet(self) -> bool:
+        """Whether all its completions have been sent, and all that has arrived was read."""
+        return not self._stream.buffered and self._stream.silent()
+
+    def part(self) -> None:
+        """Send no more, and discard what arrives until the host closes too."""
+        self._parting = True
+        self._stream.shut_sending()
+
     def close(self) -> None:
         """End the connection, and drop its open commands without completions."""
         self._leave()
--- a/harriertrack/gateway/reception.py
+++ b/harriertrack/gateway/reception.py
@@ -53,6 +53,12 @@
     def give_up(self) -> None:
         """Break the connection, whose incomplete request takes too much memory."""
 
+    def is_quiet(self) -> bool:
+        """Whether all its answers have been sent, and all that has arrived was read."""
+
+    def part(self) -> None:
+        """Send no more, and discard what arrives until the client closes too."""
+
 
 @dataclass(frozen=True, slots=True)
 class Rejection:
@@ -88,7 +94,7 @@
             self.regional_retries = RegionalRetries(
                 hub, regional, core.rules.patience, settings.tick_us, self.release
             )
-        self.sessions = 0
+        self._sessions: dict[FrontSession, None] = {}
         self._choosing = 0  # how many sessions have not chosen their volume yet
         cells = cells or {volume.name: "" for volume in settings.volumes}
         self._divided = len(set(cells.values())) > 1
@@ -130,6 +136,11 @@
 
     # -- connections
 
+    @property
+    def sessions(self) -> int:
+        """Return how many connections of clients are open."""
+        return len(self._sessions)
+
     def serve(self, listener: Listener, make: Callable[[Stream], FrontSession]) -> None:
         """Accept clients until the listener is closed (a front's task)."""
         while True:
@@ -141,14 +152,14 @@
                 self.note("client turned away", peer=stream.peer, why="too many connections")
                 stream.close()
                 continue
-            self.sessions += 1
             self._choosing += 1
             session = make(stream)
+            self._sessions[session] = None
             task = self.scope.spawn(f"client {stream.peer}", session.run)
             task.on_done.append(partial(self._session_ended, session))
 
     def _session_ended(self, session: FrontSession, _task: object) -> None:
-        self.sessions -= 1
+        del self._sessions[session]
         self.partial_requests.release(session)
         self._choosing -= not session.chosen
         if session.counted:
@@ -295,6 +306,15 @@
         if self.regional_retries is not None:
             self.regional_retries.close(CLOSING.why)
 
+    def unquiet_sessions(self) -> int:
+        """Return how many connections have unsent answers or unread requests."""
+        return sum(not session.is_quiet() for session in self._sessions)
+
+    def part(self) -> None:
+        """End all connections in order: their clients read to the end of what they were sent."""
+        for session in list(self._sessions):
+            session.part()
+
     def submit(self, request: ClientRequest) -> None:
         """Pass a request to the core, or to the layer for volumes of two regions."""
         if self.regional is not None and request.volume.settings.name in self.regional.volumes:
--- a/harriertrack/gateway/regional.py
+++ b/harriertrack/gateway/regional.py
@@ -101,7 +101,7 @@
                 copies = Copies(view, catch_up)
                 self.volumes[volume.name] = RegionalVolume(volume, spread, view, catch_up, copies)
         self._number = 0
-        self.open = 0  # requests without an answer
+        self._open: dict[ClientRequest, None] = {}  # requests without an answer
         self.generations: Generations | None = None  # set if the head's fleet has calendars
         self._in_core: dict[ClientRequest, Work] = {}  # by the client's request
         self._check_requested = Waiters(hub)
@@ -126,7 +126,7 @@
         if request.origin is Origin.RELAY:
             # Its client has waited since before the relay: nothing may be done for it after its deadline.
             request.deadline -= self.expiry.age(request.tick, now)
-        self.open += 1
+        self._open[request] = None
         if request.origin is not Origin.CLIENT and not self.expiry.fresh(request.tick, now):
             self._refuse(request, STALE)
             return
@@ -145,6 +145,16 @@
         else:  # a relayed request is not relayed again
             self._refuse(request, NOT_HOLDER)
 
+    @property
+    def open(self) -> int:
+        """Return how many requests have no answer yet."""
+        return len(self._open)
+
+    def fail_open(self) -> None:
+        """Fail all open requests because the head stops now; any of them may still run."""
+        for request in list(self._open):
+            self._answer(request, Outcome.FAILED)
+
     def acts_on(self, volume: str) -> bool:
         """Whether this head has an epoch under which it works on a volume, as holder or with the copy."""
         return volume not in self.volumes or self._links.epochs.has_lease(volume)
@@ -162,7 +172,7 @@
         """Drop a request whose client left; where it may have changed the volume, make both regions agree."""
         if request.outcome is None:
             request.outcome = Outcome.FAILED
-            self.open -= 1
+            self._open.pop(request, None)
             self.volumes[request.volume.settings.name].relayed.pop(request, None)
             work = self._in_core.pop(request, None)
             if work is not None and work.inner is not None:
@@ -176,7 +186,7 @@
     def _answer(self, request: ClientRequest, outcome: Outcome, why: str = "") -> None:
         if request.outcome is None:
             request.outcome, request.reason = outcome, why
-            self.open -= 1
+            self._open.pop(request, None)
             self.volumes[request.volume.settings.name].relayed.pop(request, None)
             self._core.queue_answer(request)
 
--- a/tests/endings/test_head_shutdown.py
+++ b/tests/endings/test_head_shutdown.py
@@ -1,10 +1,15 @@
 """A head's shutdown at each instant: connections not yet accepted, requests half read, answers half sent."""
 
+import signal
+import time
+
 import pytest
 
 from harriertrack.decisions import graceful_shutdown
 from harriertrack.decisions.client_connections import ClientState
 from harriertrack.decisions.graceful_shutdown import Phase
+from harriertrack.runtime.hub import Hub, RealClock
+from harriertrack.runtime.signals import on_signals
 from harriertrack.standin.platform import NO_RESPONSE, answer
 from tests.endings.loopback import LoopbackSite, RawClient, client_states, slow_reader
 from tests.test_platform import MS
@@ -144,6 +149,29 @@
     site.run(act)
 
 
+def test_the_kill_is_counted_from_the_earliest_moment_at_which_the_head_was_told_to_stop(tmp_path):
+    """Guards against answers that come too late where the process was paused as it was told."""
+
+    def act(site):
+        site.hub.sleep(5 * MS)
+        paused_at = site.hub.now()
+        time.sleep(0.05)
+        site.head.stop()
+        assert paused_at - 5 * MS <= site.head.shutdown._asked_at <= paused_at
+        site.until_phase(Phase.ENDED)
+
+    StoppingSite(tmp_path).run(act)
+
+
+def test_a_signal_that_waited_for_the_start_of_the_process_counts_from_before_it():
+    hub, told = Hub(input_since=RealClock().now() - 300 * MS), []
+    began = hub.now()
+    with on_signals(hub, (signal.SIGUSR1,), lambda _number: told.append(hub.found_since)):
+        signal.raise_signal(signal.SIGUSR1)
+        hub.run(hub.sleep, 1 * MS)
+    assert len(told) == 1 and told[0] <= began - 300 * MS
+
+
 def test_a_second_stop_and_a_new_configuration_do_not_change_a_shutdown(tmp_path):
     def act(site):
         client = RawClient(site)
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -19,6 +19,7 @@
     NodeStandInSettings,
     VolumeSettings,
 )
+from harriertrack.decisions import gateway_shutdown
 from harriertrack.decisions.interface import NodeEntry, NodeState
 from harriertrack.gateway.head import Head, Wiring
 from harriertrack.gateway.client import NbdClient, NbdClientError
@@ -28,7 +29,7 @@
 from harriertrack.protocol.nbd.extension import HINTS_CONTEXT
 from harriertrack.protocol.nbd.wire import BASE_ALLOCATION, Command, CommandFlags, Errno
 from harriertrack.rules import recording as rec
-from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.hub import Event, Hub
 from harriertrack.runtime.memory_streams import MemoryNetwork
 from harriertrack.runtime.streams import SocketNetwork
 from harriertrack.standin.list_service import ListService
@@ -358,6 +359,60 @@
     play(test)
 
 
+HANGING_US = 60_000_000  # longer than a stopping head waits
+
+
+@both
+def test_stopping_head_answers_what_its_nodes_never_answer(real, monkeypatch):
+    """Guards against connections that are closed with requests open: their clients got no answer at all."""
+    if real:
+        monkeypatch.setattr(gateway_shutdown, "WAIT_US", 300_000)
+
+    def test(site):
+        client, replies, placing = site.client("shared"), [], []
+        for shelf in site.shelves:
+            shelf.pause(HANGING_US)
+        other = site.client()  # of a volume whose first write waits for another one's placement
+        for _ in range(2):
+            other.start(Command.WRITE, 0, 1, b"x", placing.append)
+        client.start(Command.WRITE, 0, 1, b"x", replies.append)
+        site.hub.sleep(100_000)
+        began = site.hub.now()
+        site.head.stop()
+        while not site.task.done:
+            site.hub.sleep(1_000)
+        assert site.task.error is None and site.hub.now() - began <= 10_000_000
+        assert [reply and reply.error for reply in replies] == [Errno.EIO]
+        assert sorted(reply and reply.error for reply in placing) == [Errno.EIO, Errno.ESHUTDOWN]
+
+    play(test, real)
+
+
+@pytest.mark.real_time
+def test_answers_that_a_client_reads_late_reach_it_before_the_head_ends():
+    """Guards against answers that are dropped with a connection that holds unread requests or unsent bytes."""
+    requests = 400
+
+    def test(site):
+        client, replies = site.client("shared"), []
+        assert client.call(Command.WRITE, 0, data=bytes(EXTENT)).error == 0
+        resumed, stream = Event(site.hub), client._stream
+        read = stream.read
+        stream.read = lambda: resumed.wait() or read()
+        for _ in range(requests):
+            client.start(Command.READ, 0, EXTENT, b"", replies.append)
+        site.hub.sleep(300_000)
+        site.head.stop()
+        site.hub.sleep(100_000)
+        assert len(replies) < requests
+        resumed.set()
+        while not site.task.done:
+            site.hub.sleep(1_000)
+        assert len(replies) == requests and None not in replies
+
+    play(test, True, limits=LimitSettings(in_flight=requests))
+
+
 # -- as processes
 
 
--- a/tests/test_nvme_front.py
+++ b/tests/test_nvme_front.py
@@ -268,6 +268,20 @@
     play(test, nvme=NVME)
 
 
+def test_stopping_head_completes_what_its_nodes_never_answer():
+    """Guards against hosts whose connections end with commands open: they got no completion at all."""
+
+    def test(site):
+        client = host(site)
+        _, ended, _ = open_write(site, client, 60_000_000)
+        site.head.stop()
+        site.hub.sleep(10_000_000)
+        assert site.task.done and site.task.error is None
+        assert [done and done.cqe.status for done in ended] == [Status.INTERNAL]
+
+    play(test, nvme=NVME)
+
+
 def test_module_receives_the_same_requests_through_either_front():
     def arrivals(front):
         received = []
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -12,6 +12,7 @@
 
 from harriertrack.cli.main import main
 from harriertrack.config.settings import load
+from harriertrack.decisions import gateway_shutdown
 from harriertrack.decisions.catchup import CatchUp, CatchUpStatus
 from harriertrack.decisions.volume_locks import (
     HolderDuty,
@@ -580,6 +581,41 @@
         assert held["a"] == held["b"], volume.name
 
 
+class StoppedRig(regions.RegionRig):
+    """All nodes of both regions hang, then the head of a is told to stop."""
+
+    def build(self):
+        super().build()
+        self.scope.spawn("fate", self.fate)
+
+    def fate(self):
+        self.hub.sleep(3 * S)
+        for node in self.nodes.values():
+            node.pause(60 * S)
+        self.hub.sleep(S // 4)
+        head = self.slots["a"].head
+        part = head.reception.part
+        self.open_before, self.open_at_end = head.regional.open, None
+
+        def parted():
+            self.open_at_end = sum(len(session._open) for session in head.reception._sessions)
+            part()
+
+        head.reception.part = parted
+        head.stop()
+        self.hub.sleep(S)
+
+
+def test_a_stopping_head_answers_open_requests_on_volumes_of_two_regions(monkeypatch):
+    """Guards against connections that are closed with relayed or copied requests open."""
+    monkeypatch.setattr(gateway_shutdown, "WAIT_US", S // 10)
+    hub = Hub.virtual(5)
+    day = msgspec.structs.replace(days.load("two-regions-calm"), length_us=5 * S)
+    one = StoppedRig(hub, MemoryNetwork(hub), day, 5, rec.Recorder())
+    hub.run(one.run)
+    assert one.open_before > 0 and one.open_at_end == 0
+
+
 def regions_bytes(one, region, volume):
     """Return a volume's bytes in a region's racks, at the placements recorded by its head."""
     extents = dict(one.slots[region].extents().placements_of(volume.name))
