Ordered requests are admitted in the order in which they arrived, not were read

Cause: requests reached the module in the order in which their connections were read. A connection that had yet to be accepted is read a round after an open one, and among the open ones the poll's order counts, not the bytes'.

Other classes, and settings without such classes, take the way as before.

--- a/harriertrack/runtime/memory_streams.py
+++ b/harriertrack/runtime/memory_streams.py
@@ -17,7 +17,7 @@
         self._hub, self.peer, self.delay_us = hub, peer, delay_us
         self.other: MemoryStream | None = None
         self._in: deque[tuple[bytes, int]] = deque()
-        self.came_at = hub.now()
+        self.came_at = self.last_byte_at = hub.now()
         self._unread = 0  # bytes that arrived and were not read: the peer's receive window
         self._eof = self._closed = False
         self._error: OSError | None = None
@@ -49,6 +49,7 @@
                 raise self._error or StreamClosed("closed")
             return b"" if self._eof else None
         data, self.came_at = self._in.popleft()
+        self.last_byte_at = self.came_at
         if len(data) > most:
             self._in.appendleft((data[most:], self.came_at))
             data = data[:most]
@@ -174,6 +175,9 @@
         """Return the next stream if one is pending."""
         return self._queue.popleft() if self._queue else None
 
+    def record_arrivals(self) -> None:
+        """Do nothing: every stream in memory knows when its bytes arrived."""
+
     def close(self) -> None:
         """Stop listening."""
         self._closed = True
--- a/harriertrack/runtime/streams.py
+++ b/harriertrack/runtime/streams.py
@@ -11,6 +11,7 @@
 import errno
 import select
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from itertools import islice
@@ -23,6 +24,11 @@
 MAX_READ_BYTES = 1 << 18  # the most bytes that one read returns
 ACCEPTS_PER_ROUND = 64  # after so many in a row, whoever accepts lets everything else have its turn
 ACCEPT_PAUSE_US = 100_000  # how long a listener pauses when the process has no free descriptor
+# A socket option of Linux, which Python does not name: each read comes with the time at which its last byte
+# arrived, as a timespec of two 64-bit numbers. Accepted sockets take it over from their listener.
+SO_TIMESTAMPNS = 35
+TIMESPEC = struct.Struct("qq")
+TIMESTAMP_SPACE = socket.CMSG_SPACE(TIMESPEC.size)
 MAX_ACCEPT_FAILURES = 16  # failed calls in a row after which it pauses as well
 END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the peer ended the stream
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -43,6 +49,10 @@
 
     peer: str
     came_at: int  # the earliest time at which the bytes of the last read arrived (microseconds)
+    # When the last byte of the last read arrived at this machine (microseconds, wall clock): one clock for
+    # all streams, to compare them; the time of the read where the system does not say. Only for streams of
+    # a listener that records arrivals.
+    last_byte_at: int
     buffered: int  # bytes written that have not been sent
 
     def read(self, deadline: int | None = None) -> bytes:
@@ -109,6 +119,9 @@
     def accept_now(self) -> Stream | None:
         """Return the next stream if one is pending and a descriptor is free for it."""
 
+    def record_arrivals(self) -> None:
+        """Have the system record when bytes arrive on the streams that come from now on."""
+
     def close(self) -> None:
         """Stop listening."""
 
@@ -136,6 +149,15 @@
     """Handle the events of a descriptor that is closed."""
 
 
+def arrival_of(ancillary: list[tuple[int, int, bytes]]) -> int:
+    """Return when a read's last byte arrived (microseconds, wall clock), by its ancillary data, or 0."""
+    for level, kind, data in ancillary:
+        if (level, kind) == (socket.SOL_SOCKET, SO_TIMESTAMPNS) and len(data) >= TIMESPEC.size:
+            seconds, nanoseconds = TIMESPEC.unpack_from(data)
+            return seconds * 1_000_000 + nanoseconds // 1000
+    return 0
+
+
 def set_option(sock: socket.socket, level: int, option: int, value: int | bytes) -> None:
     """Set an option that a connection can do without: this may fail for lack of memory."""
     with contextlib.suppress(OSError):
@@ -145,8 +167,9 @@
 class SocketStream:
     """A connected TCP socket."""
 
-    def __init__(self, hub: Hub, sock: socket.socket, peer: str, accepted: bool = False) -> None:
-        self._hub, self._sock, self.peer = hub, sock, peer
+    def __init__(self, hub: Hub, sock: socket.socket, peer: str, accepted: bool = False,
+                 records_arrivals: bool = False) -> None:  # fmt: skip
+        self._hub, self._sock, self.peer, self._records_arrivals = hub, sock, peer, records_arrivals
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -160,6 +183,7 @@
         self._wants_read = False
         self._read_in_round = -1  # the round of the hub in which bytes were read last
         self.came_at = self._since = hub.now()
+        self.last_byte_at = 0
         self._on_end: Callable[[], None] | None = None
         self._on_readable: Callable[[], None] | None = None
         self._on_pushed: Callable[[], None] | None = None
@@ -221,7 +245,7 @@
         if self._drained:
             return None
         try:
-            data = self._sock.recv(most)
+            data = self._receive(most)
         except (BlockingIOError, InterruptedError):
             self._drained = True
             return None
@@ -232,6 +256,13 @@
             self._since = self._hub.now()
         return data
 
+    def _receive(self, most: int) -> bytes:
+        if not self._records_arrivals:
+            return self._sock.recv(most)
+        data, ancillary, _, _ = self._sock.recvmsg(most, TIMESTAMP_SPACE)
+        self.last_byte_at = arrival_of(ancillary) or self._hub.clock.wall()
+        return data
+
     def on_readable(self, act: Callable[[], None]) -> None:
         """Call `act` once, as soon as `read_now` may return something: at once if it may now."""
         if self._closed or not self._drained:
@@ -382,7 +413,7 @@
         self._sock = socket.create_server(address, backlog=1024, reuse_port=False)
         self._sock.setblocking(False)
         self.address: tuple[str, int] = self._sock.getsockname()[:2]
-        self._closed = False
+        self._closed = self._records_arrivals = False
         self.exhausted = 0  # number of pauses for lack of descriptors or after failed calls only
         self._must_pause = False  # the last `accept_now` ended with such a pause due
         self._accepted = (-1, 0)  # the round of the hub, and how many were accepted in it
@@ -427,11 +458,16 @@
                 if error.errno not in CONNECTION_FAILED:
                     raise
                 continue
-            return SocketStream(self._hub, sock, f"{peer[0]}:{peer[1]}", accepted=True)
+            return SocketStream(self._hub, sock, f"{peer[0]}:{peer[1]}", True, self._records_arrivals)
         self._must_pause = True
         self.exhausted += 1
         return None
 
+    def record_arrivals(self) -> None:
+        """Have the system record when bytes arrive on the streams that come from now on."""
+        self._records_arrivals = True
+        set_option(self._sock, socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+
     def close(self) -> None:
         """Stop listening."""
         if not self._closed:
--- a/harriertrack/service/configuration.py
+++ b/harriertrack/service/configuration.py
@@ -81,6 +81,11 @@
     cores: float
     deadlines: dict[str, int]  # of each class, the longest time that a client waits
 
+    @property
+    def ordered_classes(self) -> frozenset[str]:
+        """Return the classes whose requests run in the order in which they arrived."""
+        return frozenset(one.name for one in self.settings.classes if one.in_order)
+
     def request_rules(self) -> RequestRules:
         """Return the rules for the core: requests carry their placement, so they are never split."""
         # The settings give a window for classes of every effect; it applies to keyed ones only.
--- a/harriertrack/service/front.py
+++ b/harriertrack/service/front.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from itertools import count
 
+from harriertrack.decisions.arrival_order import ArrivalOrder
 from harriertrack.decisions.client_connections import (
     ACCEPTS_PER_ROUND,
     LINGER_BYTES,
@@ -34,7 +35,7 @@
     RequestParser,
     closing_answer,
 )
-from harriertrack.runtime.hub import Hub
+from harriertrack.runtime.hub import Hub, Waiters
 from harriertrack.runtime.streams import Listener, Stream, StreamClosed
 from harriertrack.runtime.turns import TurnQueue
 from harriertrack.service.configuration import Configuration
@@ -71,6 +72,9 @@
         self.hub, self.core, self.shutdown, self.memory = hub, core, shutdown, memory
         self.forwarded = forwarded
         self.schema, self.deadlines = configuration.schema, configuration.deadlines
+        self.ordered_classes = configuration.ordered_classes
+        self._arrivals: ArrivalOrder[ClientConnection] = ArrivalOrder()  # connections with an ordered request
+        self._request_held = Waiters(hub)
         self.connections: ClientConnections[ClientConnection] = ClientConnections(
             configuration.bounds.connections.clients, configuration.bounds.connections.used_clients
         )
@@ -89,6 +93,34 @@
             if number % ACCEPTS_PER_ROUND == 0:
                 self.hub.sleep(0)  # during a flood of connections, let the open ones be served in between
 
+    def hold(self, connection: ClientConnection, arrived_at: int) -> None:
+        """Hold a connection's ordered request until all that arrived before it has been read."""
+        self._arrivals.hold(connection, arrived_at)
+        self._request_held.notify()
+
+    def release(self, connection: ClientConnection) -> None:
+        """Forget a connection, which ends."""
+        self._arrivals.discard(connection)
+
+    def admit_in_order(self, listener: Listener) -> None:
+        """Admit ordered requests in the order in which they arrived (a task)."""
+        while True:
+            while not self._arrivals.begin_sweep():
+                self._request_held.wait()
+            self._accept_arrived(listener)
+            self.turns.wait_for_all()
+            for connection in self._arrivals.end_sweep():
+                connection.admit_held()
+
+    def _accept_arrived(self, listener: Listener) -> None:
+        """Accept the connections that have arrived by now, with a round for the others in between."""
+        for number in range(1, MAX_BACKLOG + 1):
+            if (stream := listener.accept_now()) is None:
+                return
+            self._accept(stream)
+            if number % ACCEPTS_PER_ROUND == 0:
+                self.hub.sleep(0)
+
     def accept_pending(self, listener: Listener) -> None:
         """Accept the connections in the system's backlog: closing the listener would reset them."""
         for _ in range(MAX_BACKLOG):
@@ -159,6 +191,7 @@
         self._front, self._stream = front, stream
         self._http = RequestParser(front.schema)
         self._request: ClientRequest | None = None
+        self._held: PlatformRequest | None = None  # an ordered request, until its turn
         self._final = self._closed = False  # final: no further request is accepted over it
         self._discarded = 0  # bytes behind the final answer
         self.answered = False  # an answer was sent over it
@@ -198,17 +231,32 @@
             if (parsed := self._parse(data)) is not None:
                 self._accept_request(parsed)
         except BadRequest as error:
-            self._front.report_bad_request(error, self._stream.peer)
-            self.refuse(error.status, str(error))
+            self._reject(error)
+
+    def _reject(self, error: BadRequest) -> None:
+        self._front.report_bad_request(error, self._stream.peer)
+        self.refuse(error.status, str(error))
 
     def _accept_request(self, parsed: PlatformRequest | ReadinessCheck) -> None:
         """Hand a request over; it is referenced by the core alone afterwards."""
         self._front.connections.transition(self, ClientState.BUSY, self._front.hub.now())
         if isinstance(parsed, ReadinessCheck):
             self._answer_readiness()
+        elif parsed.class_name in self._front.ordered_classes:
+            self._held = parsed
+            self._front.hold(self, self._stream.last_byte_at)
         else:
             self._admit(parsed)
 
+    def admit_held(self) -> None:
+        """Hand over the ordered request: nothing that arrived before it is unread."""
+        parsed, self._held = self._held, None
+        try:
+            if parsed is not None:
+                self._admit(parsed)
+        except BadRequest as error:
+            self._reject(error)
+
     def _parse(self, data: bytes) -> PlatformRequest | ReadinessCheck | None:
         """Return the request that is complete with these bytes, if the head has the memory for it."""
         connections = self._front.connections
@@ -360,6 +408,8 @@
         if self._closed:
             return
         self._closed = True
+        self._held = None
+        self._front.release(self)
         self._drop_request()
         self._http.close()
         self._front.turns.discard(self)
--- a/harriertrack/service/head.py
+++ b/harriertrack/service/head.py
@@ -84,6 +84,8 @@
                 if watch.pushed:
                     self._await_first_update(watch.startup_hold_us)
                 listener = self._network.listen(configuration.listen)
+                if configuration.ordered_classes:
+                    listener.record_arrivals()
                 try:
                     self._serve(scope, listener)
                 finally:
@@ -148,6 +150,8 @@
         hub, configuration, bounds = self.hub, self.configuration, self.configuration.bounds
         scope.spawn("front", self.front.serve, listener)
         scope.spawn("clients", self.front.turns.run)
+        if configuration.ordered_classes:
+            scope.spawn("ordered requests", self.front.admit_in_order, listener)
         scope.spawn("callers", self.front.close_expired)
         scope.spawn("storage_nodes", self.storage_nodes.close_expired)
         self.ready.set()
