Gateway connections handle what they have read in the order in which it arrived

Callers: with a class that asks for order, writes over several connections of the gateway that one poll found ran in the order of the poll: of two acknowledged writes the earlier could be the one that stayed.

Heads without such a class do as before.

--- a/harriertrack/config/settings/head.py
+++ b/harriertrack/config/settings/head.py
@@ -101,3 +101,8 @@
     classes: tuple[ClassSettings, ...]
     plans: tuple[PlanSettings, ...]
     volumes: tuple[VolumeSettings, ...]
+
+    @property
+    def has_ordered_classes(self) -> bool:
+        """Whether a class asks that its requests run in the order in which they arrive."""
+        return any(one.in_order for one in self.classes)
--- a/harriertrack/decisions/arrival_order.py
+++ b/harriertrack/decisions/arrival_order.py
@@ -40,10 +40,10 @@
         self._latest = max(self._arrived_at.values(), default=0)
         return bool(self._arrived_at)
 
-    def end_sweep(self) -> list[Item]:
-        """Release the items that nothing unread can precede, in the order of arrival."""
+    def end_sweep(self, most: int | None = None) -> list[Item]:
+        """Release the items that nothing unread can precede, at most `most`, in the order of arrival."""
         due = [item for item, arrived_at in self._arrived_at.items() if arrived_at <= self._latest]
-        due.sort(key=self._arrived_at.__getitem__)
-        for item in due:
+        released = sorted(due, key=self._arrived_at.__getitem__)[:most]
+        for item in released:
             del self._arrived_at[item]
-        return due
+        return released
--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -156,13 +156,16 @@
         self._push()
         deadline = front.hub.now() + front.settings.limits.handshake_us
         while data := self._read(deadline):
+            if self._nbd.state is ServerState.TRANSMISSION:
+                front.take_turn(self, self._stream)
             unparsed = len(data)
             for piece in slices_of(data):
                 unparsed -= len(piece)
                 if not self._receive(piece, unparsed):
                     return
                 # Stop reading from a client that does not read its answers.
-                self._stream.drain()
+                front.drain(self, self._stream)
+            front.pass_on(self)
             if pause := front.shares.read_pause_us(self.volume, front.hub.now()):
                 front.hub.sleep(pause)
 
@@ -242,6 +245,7 @@
 
     def _finish_open(self) -> None:
         """After DISC, answer requests in flight before the connection closes (spec: NBD_CMD_DISC)."""
+        self._front.pass_on(self)
         while self._open:
             self._answered.wait()
         self._stream.drain()
@@ -336,7 +340,8 @@
             generation=self._generation, arrived_at=self._stream.came_at,
         )  # fmt: skip
         if not self.supports_hints:
-            self._stream.drain()  # accept waiting requests only as fast as the client reads answers
+            # Accept waiting requests only as fast as the client reads answers.
+            front.drain(self, self._stream)
         if rejection := front.wait_for_admission(self, request, self._stream, len(self._open)):
             self._reject(event, *error_of_rejection(rejection))
             return
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -137,17 +137,23 @@
 
     def _listen(self) -> list[Listener]:
         """Return the listeners of the fronts: NBD, and NVMe if configured. Raises OSError."""
-        listeners, settings = [self._network.listen(self.settings.listen)], self.settings
+        listeners, settings = [self._listen_at(self.settings.listen)], self.settings
         self.address = listeners[0].address
         if settings.nvme is not None:
             try:
-                listeners.append(self._network.listen(settings.nvme.listen))
+                listeners.append(self._listen_at(settings.nvme.listen))
             except OSError:
                 listeners[0].close()
                 raise
             self.nvme_address = listeners[1].address
         return listeners
 
+    def _listen_at(self, address: tuple[str, int]) -> Listener:
+        listener = self._network.listen(address)
+        if self.settings.has_ordered_classes:
+            listener.record_arrivals()
+        return listener
+
     def _make_core(self, scope: Scope, extents: ExtentMap) -> HeadParts:
         """Create the decision module, its observers for the fleet, and the core; return the shared parts."""
         hub, settings, fleet = self.hub, self.settings, self.settings.fleet
--- a/harriertrack/gateway/nvme.py
+++ b/harriertrack/gateway/nvme.py
@@ -131,11 +131,14 @@
         try:
             deadline = front.hub.now() + front.reception.settings.limits.handshake_us
             while data := self._stream.read(None if self.controller else deadline):
+                if self.controller is not None:
+                    front.reception.take_turn(self, self._stream)
                 unparsed = len(data)
                 for piece in slices_of(data):
                     unparsed -= len(piece)
                     if not self._receive(piece, unparsed):
                         return
+                front.reception.pass_on(self)
         except DeadlineExceeded:
             front.note("client closed", peer=self._stream.peer, why="too slow a handshake")
         except OSError as error:
@@ -164,7 +167,7 @@
                 case ConnectionTerminated():
                     front.note("client closed", peer=self._stream.peer, why=event.reason)
         self.push()
-        self._stream.drain()
+        front.reception.drain(self, self._stream)
         if self._nvme.state is ConnectionState.CLOSED:
             return False
         if self._turn.is_over(len(events)):
--- a/harriertrack/gateway/reception.py
+++ b/harriertrack/gateway/reception.py
@@ -17,10 +17,11 @@
 from harriertrack.decisions.requests import ANSWER_TICKS, ClientRequest, Core, Origin
 from harriertrack.decisions.retry_queue import waits_in_head
 from harriertrack.decisions.shares import ShareLimits, Shares
+from harriertrack.gateway.ordered_reads import OrderedReads
 from harriertrack.gateway.regional import Regional
 from harriertrack.gateway.regional_retries import RegionalRetries
 from harriertrack.runtime.hub import Hub, Scope, Timer, Waiters
-from harriertrack.runtime.streams import Listener, Stream, StreamClosed
+from harriertrack.runtime.streams import HIGH_WATER, Listener, Stream, StreamClosed
 
 LOAD_CHECK_US = 100_000  # how often the load of the event loop is reported to the shares
 
@@ -107,6 +108,9 @@
         self.partial_requests = MemoryBudget(settings.limits.held_bytes)
         self.closing = False
         self.scope = scope
+        self._ordered_reads = OrderedReads(hub) if settings.has_ordered_classes else None
+        if self._ordered_reads is not None:
+            scope.spawn("ordered reads", self._ordered_reads.run)
 
     # -- bounds
 
@@ -160,6 +164,7 @@
 
     def _session_ended(self, session: FrontSession, _task: object) -> None:
         del self._sessions[session]
+        self.pass_on(session)
         self.partial_requests.release(session)
         self._choosing -= not session.chosen
         if session.counted:
@@ -193,6 +198,24 @@
             victim.give_up()
         return victim is not session
 
+    # -- the order of reads
+
+    def take_turn(self, session: FrontSession, stream: Stream) -> None:
+        """Wait until a connection may handle its last read: in order of arrival if a class asks for it."""
+        if self._ordered_reads is not None:
+            self._ordered_reads.take_turn(session, stream.last_byte_at)
+
+    def pass_on(self, session: FrontSession) -> None:
+        """Let other connections handle theirs: this one has handled its read, or has to wait."""
+        if self._ordered_reads is not None:
+            self._ordered_reads.pass_on(session)
+
+    def drain(self, session: FrontSession, stream: Stream) -> None:
+        """Wait until a client has read enough of its answers for its requests to be handled."""
+        if stream.buffered >= HIGH_WATER:
+            self.pass_on(session)
+            stream.drain()
+
     # -- requests
 
     def try_admit(
@@ -264,6 +287,7 @@
             # The stream is not read meanwhile: watch its end, to drop the request of a client that left.
             stream.watch_end(lambda: self.reject_queued(queued, CLIENT_LEFT))
             try:
+                self.pass_on(session)
                 while not decisions:
                     decided.wait()
             except BaseException:
