Answers and list changes that are in hand count before time limits and requests

Callers: a gateway head that was paused over a request's deadline reported a write as failed whose node had answered in time. A request that was read with the list that drains its node went to that node, as it happened to be read first.

Cause: as with the order of requests: what a pause lets pile up reached the module in the order of reading.

Change: the gateway's flush is due at the end of the round, too; a change of the list is queued before the requests of its round.

Evidence: one test each, both failed before. tests/test_head.py, tests/endings/test_arrival_order.py.

--- a/harriertrack/decisions/requests/core.py
+++ b/harriertrack/decisions/requests/core.py
@@ -88,7 +88,7 @@
             paused_since = self._attempts.standstill.paused_since
             if paused_since is not None:
                 news.announced_at = min(news.announced_at or paused_since, paused_since)
-            self._state.queue_event(news)
+            self._state.queue_list_change(news)
 
     def list_failed(self) -> None:
         """The source of the list can't be reached; the current list stays in use."""
--- a/harriertrack/decisions/requests/state.py
+++ b/harriertrack/decisions/requests/state.py
@@ -81,6 +81,16 @@
             self.flush_requested = True
             self.port.soon()
 
+    def queue_list_change(self, change: api.NodesChanged) -> None:
+        """Queue a change of the list before the requests that are queued.
+
+        They were read in the same round, in no known order: none may go to a node that has just been listed
+        as draining because it happened to be read first.
+        """
+        requests = (at for at, event in enumerate(self.events) if isinstance(event, api.RequestArrived))
+        self.events.insert(next(requests, len(self.events)), change)
+        self.request_flush()
+
     def request_flush(self) -> None:
         """Request a flush at the end of this round of the event loop."""
         if not self.flush_requested:
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -78,7 +78,7 @@
         self.hub, self.settings = hub, settings
         self._network, self._note, self._name = network, note, name
         self._extents, self._log, self._wiring = extents, log, wiring
-        self._alarm = Alarm(hub, self._flush)
+        self._alarm = Alarm(hub, self._flush, at_round_end=True)
         self._heartbeat = Heartbeat(hub, standstill.CHECK_PERIOD_US, self._check_standstill)
         self._stopping = Event(hub)
         self._stop_asked_at = 0
--- a/tests/endings/test_arrival_order.py
+++ b/tests/endings/test_arrival_order.py
@@ -89,6 +89,24 @@
     site.run(act)
 
 
+def test_a_change_of_the_list_is_applied_before_the_requests_that_are_read_with_it(tmp_path):
+    """Guards against requests to a node whose drain is in hand, as they happened to be read before it."""
+    site = Site(tmp_path)
+
+    def act(site):
+        kept = site.connect()
+        assert site.ask(site.request(), kept)[0] == 200
+        served = len(site.shelfs[1].requests)
+        site.hub.freeze(site.head, PAUSE_US)
+        kept.write(site.request())
+        site.hub.sleep(40 * MS)
+        site.discovery.set_server("s2", site.shelfs[0].address, 1)
+        site.discovery.set_server("s1", site.shelfs[1].address, 1, "terminating")
+        assert site.answered(kept)[0] == 200 and len(site.shelfs[1].requests) == served
+
+    site.run(act)
+
+
 def test_a_held_request_is_dropped_with_its_connection_and_one_with_its_id_is_rejected(tmp_path):
     site = ordered_site(LoopbackSite, tmp_path)
 
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -8,6 +8,7 @@
 import sys
 import time
 
+import msgspec
 import pytest
 
 from harriertrack.config.settings import (
@@ -359,6 +360,25 @@
     play(test)
 
 
+def test_an_answer_that_arrived_during_a_pause_counts_before_the_time_limits_that_fell_into_it():
+    """Guards against a write that a node has run and answered in time, and that is reported as failed."""
+
+    def test(site):
+        deadline_us, pause_us = 1_000_000, 140_000
+        client, replies = site.client("shared"), []
+        assert client.call(Command.WRITE, 0, data=b"x").error == 0
+        for shelf in site.shelves:
+            shelf.pause(deadline_us - pause_us // 2)
+        client.start(Command.WRITE, 0, 1, b"y", replies.append)
+        site.hub.sleep(deadline_us - pause_us)
+        site.hub.freeze(site.head, pause_us + 5_000)
+        site.hub.sleep(pause_us + 50_000)
+        assert [reply.error for reply in replies] == [0]
+
+    write = msgspec.structs.replace(CLASSES[1], deadline_us=1_000_000)
+    play(test, classes=(CLASSES[0], write))
+
+
 HANGING_US = 60_000_000  # longer than a stopping head waits
 
 
