An ordered request that waits for room is not overtaken by a later one

Callers: at the gateway, of six writes of one extent over four connections the third ran last, as it waited at its connection's bound while the later ones of other connections were admitted.

Cause: one more way on which requests reach the module in another order than that of their arrival: admission holds up no other request of the volume for one at its connection's bound, and an admitted one was submitted only when its connection's task came to run.

Change: requests of classes that ask for order keep their order in the queue; who would overtake is queued, or refused where its client hears hints. Others as before.

Evidence: test_writes_that_wait_for_room_are_not_overtaken and one of the pure queue failed before.

--- a/harriertrack/decisions/admission.py
+++ b/harriertrack/decisions/admission.py
@@ -4,7 +4,7 @@
 that wait are not refused at a bound: the request stays in the admission queue and its connection is not read
 from, so TCP slows the client down. Volumes get capacity that becomes free in round robin, first in first out
 inside a volume. A request that only exceeds its own connection's bound is set aside and doesn't hold up the
-others of its volume.
+others of its volume, unless both belong to classes that ask for order: none of these overtakes another.
 
 A connection has at most one request in the queue: it is not read from until that one is admitted.
 
@@ -15,7 +15,8 @@
 
 from collections import deque
 from collections.abc import Hashable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from itertools import count
 from typing import Generic, TypeVar
 
 from harriertrack.decisions.shares import Shares
@@ -38,6 +39,13 @@
     connection: C
     volume: str
     size: int
+    is_ordered: bool = field(default=False, kw_only=True)  # of a class that asks for order
+    number: int = field(default=0, kw_only=True)  # set by the queue, in the order of arrival
+
+    def is_behind(self, other: WaitingRequest[C]) -> bool:
+        """Whether this request must not overtake another one."""
+        same_order = self.is_ordered and other.is_ordered and self.volume == other.volume
+        return same_order and other.number < self.number
 
 
 @dataclass(slots=True)
@@ -54,6 +62,7 @@
         self._open: dict[C, _Open] = {}
         self._queues: dict[str, deque[WaitingRequest[C]]] = {}  # by volume, in round-robin order
         self._aside: dict[C, WaitingRequest[C]] = {}  # over their connection's bounds
+        self._numbers = count(1)
 
     def __len__(self) -> int:
         return len(self._aside) + sum(len(queue) for queue in self._queues.values())
@@ -65,10 +74,12 @@
         bounds = self.bounds
         return opened.requests < bounds.requests and opened.request_bytes + size <= bounds.request_bytes
 
-    def try_admit(self, now: int, connection: C, volume: str, size: int) -> str:
+    def try_admit(self, now: int, connection: C, volume: str, size: int, is_ordered: bool = False) -> str:
         """Admit a request and return "", or the reason why it can't be admitted now."""
         if not self._within_connection_bounds(connection, size):
             return "too much is open on its connection"
+        if is_ordered and self._has_ordered(volume):
+            return "earlier requests wait"
         if reason := self.shares.admit(volume, size, now):
             return reason
         self._count(connection, size)
@@ -81,9 +92,10 @@
 
     def admit_or_queue(self, now: int, request: WaitingRequest[C], full: bool) -> bool:
         """Admit a request of a client that waits, or queue it; return whether it was admitted."""
+        request.number = next(self._numbers)
         if not self._within_connection_bounds(request.connection, request.size):
             self._aside[request.connection] = request
-        elif full or request.volume in self._queues or not self._within_shares(now, request):
+        elif full or request.volume in self._queues or not self._is_due(now, request):
             self._queues.setdefault(request.volume, deque()).append(request)
         else:
             self.shares.admit(request.volume, request.size, now)
@@ -91,6 +103,15 @@
             return True
         return False
 
+    def _has_ordered(self, volume: str) -> bool:
+        """Whether an ordered request of a volume waits."""
+        waiting = (*self._queues.get(volume, ()), *self._aside.values())
+        return any(one.is_ordered and one.volume == volume for one in waiting)
+
+    def _is_due(self, now: int, request: WaitingRequest[C]) -> bool:
+        overtakes = any(request.is_behind(one) for one in self._aside.values())
+        return not overtakes and self._within_shares(now, request)
+
     def _within_shares(self, now: int, request: WaitingRequest[C]) -> bool:
         volume, size = request.volume, request.size
         return self.shares.leaves_equal_room(volume, size) and not self.shares.refusal_reason(
@@ -117,7 +138,9 @@
         aside = self._aside.get(connection)
         if aside is not None and self._within_connection_bounds(connection, aside.size):
             del self._aside[connection]
-            self._queues.setdefault(aside.volume, deque()).append(aside)
+            queue = self._queues.setdefault(aside.volume, deque())
+            later = (at for at, one in enumerate(queue) if one.is_behind(aside))
+            queue.insert(next(later, len(queue)), aside)
 
     def admit_waiting(self, now: int, free: int) -> list[WaitingRequest[C]]:
         """Admit and return up to `free` queued requests: one of each volume in turn."""
@@ -127,7 +150,7 @@
             volume = next(name for name in self._queues if name not in blocked)
             queue = self._queues.pop(volume)
             first = queue[0]
-            if not self._within_shares(now, first):
+            if not self._is_due(now, first):
                 blocked[volume] = None
             else:
                 queue.popleft()
--- a/harriertrack/decisions/requests/core.py
+++ b/harriertrack/decisions/requests/core.py
@@ -148,6 +148,10 @@
         own = Kind.OWN_READ if kind is Kind.READ else Kind.MOVE if request.moving else Kind.CATCH_UP
         return self._state.class_of(own if request.background else kind, request.length)
 
+    def is_ordered(self, request: ClientRequest) -> bool:
+        """Return whether a request's class asks for order."""
+        return self._class_of(request) in self._state.in_order
+
     def accept_placed(self, now: int, request: ClientRequest, placed: ClientPlacement) -> None:
         """Accept a request that is one part and whose client names its shard; its deadline is set.
 
--- a/harriertrack/gateway/reception.py
+++ b/harriertrack/gateway/reception.py
@@ -104,6 +104,8 @@
         # Clients' admitted requests, their connections and their bytes.
         self._counted: dict[ClientRequest, tuple[AdmissionClient, int]] = {}
         self._queued: dict[QueuedRequest, None] = {}
+        # Admitted ordered requests whose connections have yet to submit them: none may overtake them.
+        self._resuming: dict[QueuedRequest, None] = {}
         # Bytes of requests that are not whole, by connection: each may be as long as the longest request.
         self.partial_requests = MemoryBudget(settings.limits.held_bytes)
         self.closing = False
@@ -231,14 +233,19 @@
         if request.origin is not Origin.CLIENT:  # admission of these is the other region's head's task
             return OVERLOADED if open_requests >= limits.in_flight or self.core.at_capacity() else None
         size = len(request.data)
-        why = "too much is open" if self.core.at_capacity() else ""
+        is_ordered = self.core.is_ordered(request)
+        why = "too much is open" if self._must_queue(is_ordered) else ""
         if why := why or self.admission.try_admit(
-            self.hub.now(), session, request.volume.settings.name, size
+            self.hub.now(), session, request.volume.settings.name, size, is_ordered
         ):
             return Rejection(f"refused: not done; {why}")
         self._counted[request] = session, size
         return None
 
+    def _must_queue(self, is_ordered: bool) -> bool:
+        """Whether no request, or no ordered one, can be admitted at once."""
+        return self.core.at_capacity() or (is_ordered and bool(self._resuming))
+
     def admit_or_queue(self, session: AdmissionClient, request: ClientRequest, open_requests: int,
                        then: Callable[[Rejection | None], None]) -> QueuedRequest | None:  # fmt: skip
         """Call `then` with the decision on a request: at once, or once capacity is free if it may wait.
@@ -254,12 +261,14 @@
             and not elsewhere
         ):
             request.patience_us = min(settings.patience_us, session.max_patience_us or settings.patience_us)
-        now, full = self.hub.now(), self.core.at_capacity()
+        now, is_ordered = self.hub.now(), self.core.is_ordered(request)
         if not request.patience_us or self.closing:
             then(self.try_admit(session, request, open_requests))
             return None
-        queued = QueuedRequest(session, settings.name, len(request.data), request, then)
-        if self.admission.admit_or_queue(now, queued, full):
+        queued = QueuedRequest(
+            session, settings.name, len(request.data), request, then, is_ordered=is_ordered
+        )
+        if self.admission.admit_or_queue(now, queued, self._must_queue(is_ordered)):
             self._counted[request] = session, queued.size
             then(None)
             return None
@@ -295,6 +304,7 @@
                 self.release(request)  # it may have just been admitted
                 raise
             finally:
+                self._resuming.pop(queued, None)
                 stream.watch_end(None)
         if decisions[0] is CLIENT_LEFT:
             raise StreamClosed("the client left")
@@ -319,6 +329,8 @@
         for queued in self.admission.admit_waiting(self.hub.now(), free):
             assert isinstance(queued, QueuedRequest)
             self._counted[queued.request] = queued.connection, queued.size
+            if queued.is_ordered:
+                self._resuming[queued] = None
             self._decide_queued(queued, None)
 
     def close(self) -> None:
--- a/tests/endings/test_gateway_order.py
+++ b/tests/endings/test_gateway_order.py
@@ -75,6 +75,26 @@
     play(test, True, classes=ORDERED, nvme=NVME)
 
 
+def test_writes_that_wait_for_room_are_not_overtaken():
+    """Guards against a later write that runs first because an earlier one waits at its connection's bound."""
+
+    def test(site):
+        clients, replies = [site.client("shared", contexts=()) for _ in range(4)], []
+        for shelf in site.shelves:
+            shelf.pause(300_000)
+        for blocks in (1, 2, 3):  # the third is over the bound of its connection
+            clients[0].start(Command.WRITE, 0, 0, bytes(512 * blocks), replies.append)
+        for blocks, client in enumerate(clients[1:], 4):
+            site.hub.sleep(10_000)
+            client.start(Command.WRITE, 0, 0, bytes(512 * blocks), replies.append)
+        while len(replies) < 6:
+            site.hub.sleep(1_000)
+        assert [reply.error for reply in replies] == [0] * 6
+        assert lengths_run(site) == [512 * blocks for blocks in range(1, 7)]
+
+    play(test, classes=ORDERED, limits=LimitSettings(in_flight=2))
+
+
 def test_a_client_that_waits_for_room_holds_up_no_other():
     def test(site):
         stuck, other, replies = site.client("shared", contexts=()), site.client("shared"), []
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -26,6 +26,21 @@
     assert [found.connection for found in one.admit_waiting(0, 10)] == ["x"] and len(one) == 0
 
 
+def test_ordered_requests_of_a_volume_never_overtake_one_that_waits():
+    """Guards against a later write that runs first because an earlier one waits for its connection's bound."""
+
+    def ask(connection):
+        return one.admit_or_queue(0, WaitingRequest(connection, "a", 0, is_ordered=True), False)
+
+    one = admission(requests=1)
+    assert ask("x") and not ask("x") and not ask("y") and not ask("z")
+    assert one.admit_or_queue(0, WaitingRequest("u", "b", 0, is_ordered=True), False)  # of another volume
+    assert one.try_admit(0, "v", "a", 0, is_ordered=True) and not one.try_admit(0, "v", "a", 0)
+    assert one.admit_waiting(0, 10) == []
+    one.release("x", "a", 0)
+    assert [found.connection for found in one.admit_waiting(0, 10)] == ["x", "y", "z"] and not len(one)
+
+
 def test_bytes_are_bounded_and_one_request_always_fits():
     one = admission(request_bytes=1000, held_bytes=10_000)
     assert one.admit_or_queue(0, WaitingRequest("x", "a", 5000), False)  # larger than the bound, but alone
