A replaced link delivers no change after its answer: it is reset before the answer is given

Cause: the read beside it was called off first and the link replaced, but kept open for the write; the write's own call-off looked the link up by node and volume, and did not find it. Its bytes stayed in an open connection for up to 30 s.

Change: an attempt knows its link. A replaced link that may still deliver a change whose part is over is reset, at call-offs and before each answer.

--- a/harriertrack/decisions/link_lifecycle.py
+++ b/harriertrack/decisions/link_lifecycle.py
@@ -90,8 +90,14 @@
 
     @property
     def can_close(self) -> bool:
-        """Whether the link was replaced and no answer over it is needed any more: it can be closed."""
-        return self.retired and not any(attempt.answer_needed for attempt in self._sent.values())
+        """Whether the link was replaced, and no answer over it is needed any more, or none may be awaited.
+
+        A change that was given up may still be on its way to the node. Later changes go over another link, so
+        it would run behind them: the link is closed with a reset, whatever else is open over it.
+        """
+        sent = self._sent.values()
+        is_harmful = any(attempt.is_abandoned_change for attempt in sent)
+        return self.retired and (is_harmful or not any(attempt.answer_needed for attempt in sent))
 
     def close(self) -> list[tuple[Attempt, Result]]:
         """Close the link; return what that proves of each attempt.
--- a/harriertrack/decisions/requests/model.py
+++ b/harriertrack/decisions/requests/model.py
@@ -165,6 +165,12 @@
     write_number: int = 0
     times_out_at: int = 0  # when the module stops waiting for it
     begin_before: int = 0  # its last byte is sent before this time, or never
+    carrier: object = None  # the connection that it was handed to: of use to that connection's owner alone
+
+    @property
+    def is_abandoned_change(self) -> bool:
+        """Whether it may change data though its part is over: its connection must not deliver it any more."""
+        return self.part.state.is_final and self.part.request.kind in MODIFYING_KINDS
 
     @property
     def answer_needed(self) -> bool:
--- a/harriertrack/gateway/head.py
+++ b/harriertrack/gateway/head.py
@@ -364,7 +364,8 @@
         self._links.call_off(attempt)
 
     def answer(self, request: ClientRequest) -> None:
-        """Deliver a final answer to the requester."""
+        """Deliver a final answer to the requester; nothing of the request is delivered to a node after it."""
+        self._links.request_over(request)
         self.reception.release(request)
         if self._answer_counter is not None:
             self._answer_counter.count_answer(self.hub.now(), request)
--- a/harriertrack/gateway/links.py
+++ b/harriertrack/gateway/links.py
@@ -10,7 +10,7 @@
 from harriertrack.decisions import interface as api
 from harriertrack.decisions.epochs import Epochs
 from harriertrack.decisions.link_lifecycle import LinkLifecycle
-from harriertrack.decisions.requests import Attempt
+from harriertrack.decisions.requests import Attempt, ClientRequest
 from harriertrack.decisions.splitting import Kind
 from harriertrack.gateway.parts import HeadParts
 from harriertrack.protocol.nbd.client import (
@@ -79,9 +79,13 @@
         self.lifecycle.retired = True
         self._close_or_check_again()
 
-    def _close_or_check_again(self) -> None:
+    def close_if_spent(self) -> None:
+        """Close if the link was replaced, and no answer over it is needed, or none may be awaited."""
         if not self.lifecycle.closed:
             self._close_if_spent()
+
+    def _close_or_check_again(self) -> None:
+        self.close_if_spent()
         if not self.lifecycle.closed:  # links are not notified when a client leaves, so check again
             self._hub.at(self._hub.now() + self._links.settings.limits.idle_us, self._close_or_check_again)
 
@@ -258,6 +262,7 @@
             link = None
         if link is None or link.lifecycle.closed:
             link = self._links[key] = self.open(*key, epoch)
+        attempt.carrier = link
         link.send(attempt)
 
     def open(self, node: str, volume: str, epoch: int) -> BaseLink:
@@ -299,10 +304,17 @@
             link.retire()
 
     def call_off(self, attempt: Attempt) -> None:
-        """Pass a cancel on to the attempt's link."""
-        link = self._links.get((attempt.member.entry.node, attempt.volume))
-        if link is not None:
-            link.call_off(attempt)
+        """Pass a cancel on to the attempt's link, which may have been replaced since."""
+        if isinstance(attempt.carrier, BaseLink):
+            attempt.carrier.call_off(attempt)
+
+    def request_over(self, request: ClientRequest) -> None:
+        """Close the replaced links that might still deliver a change of a request that is over."""
+        for part in request.parts:
+            for attempt in part.attempts:
+                link = attempt.carrier
+                if isinstance(link, BaseLink) and link.lifecycle.retired:
+                    link.close_if_spent()
 
     def forget(self, link: BaseLink) -> None:
         """Let the next attempt open a new link."""
--- a/harriertrack/lab/interleaving/scenarios/links.py
+++ b/harriertrack/lab/interleaving/scenarios/links.py
@@ -36,6 +36,8 @@
     sent: int = 0
     cancelled_before_send: bool = False  # cancelled before it was sent
     ends: list[Result] = field(default_factory=list)
+    carrier: object = None
+    is_abandoned_change: bool = False  # both are reads
     member: Any = field(default_factory=lambda: SimpleNamespace(entry=SimpleNamespace(node=NODE)))
 
     @property
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -31,7 +31,7 @@
 from harriertrack.protocol.nbd.wire import BASE_ALLOCATION, Command, CommandFlags, Errno
 from harriertrack.rules import recording as rec
 from harriertrack.runtime.hub import Event, Hub
-from harriertrack.runtime.memory_streams import MemoryNetwork
+from harriertrack.runtime.memory_streams import MemoryNetwork, MemoryStream
 from harriertrack.runtime.streams import SocketNetwork
 from harriertrack.standin.list_service import ListService
 from harriertrack.standin.node import UsageMeter, ShardStorage
@@ -379,6 +379,38 @@
     play(test, classes=(CLASSES[0], write))
 
 
+def test_a_write_that_was_answered_as_failed_never_runs_over_a_later_one(monkeypatch):
+    """Guards against a replaced link that delivers a write after its answer, as the read beside it ended first."""
+    held, cut, arrive = [], [], MemoryStream._arrive
+
+    def arrive_unless_cut(stream, data):
+        if cut and stream.peer == "head":  # what the head sends to a node
+            held.append((stream, data))
+        else:
+            arrive(stream, data)
+
+    monkeypatch.setattr(MemoryStream, "_arrive", arrive_unless_cut)
+
+    def test(site):
+        client, replies = site.client("shared"), []
+        assert client.call(Command.WRITE, 0, data=b"old!").error == 0
+        cut.append(True)
+        client.start(Command.READ, 0, 4, b"", replies.append)
+        client.start(Command.WRITE, 0, 0, b"late", replies.append)
+        site.hub.sleep(4_000_000)
+        assert sorted(reply.error for reply in replies) == [Errno.EIO, Errno.ENOMEM]
+        cut.clear()
+        while client.call(Command.WRITE, 0, data=b"new").error:
+            site.hub.sleep(100_000)
+        for stream, data in held:  # what was sent before goes on last, as after TCP's backoff
+            arrive(stream, data)
+        site.hub.sleep(1_000_000)
+        assert client.call(Command.READ, 0, 4).data == b"new!"
+
+    write = msgspec.structs.replace(CLASSES[1], deadline_us=2_500_000)
+    play(test, classes=(CLASSES[0], write))
+
+
 HANGING_US = 60_000_000  # longer than a stopping head waits
 
 
--- a/tests/test_link_lifecycle.py
+++ b/tests/test_link_lifecycle.py
@@ -14,11 +14,16 @@
 class FakeAttempt:
     sent_at: int
     reported: bool = False
+    changes: bool = False
 
     @property
     def answer_needed(self):
         return not self.reported
 
+    @property
+    def is_abandoned_change(self):
+        return self.reported and self.changes
+
 
 def attempt(sent_at=0):
     return FakeAttempt(sent_at)
@@ -65,6 +70,17 @@
     assert link.match_reply(2) is second and link.can_close
 
 
+def test_a_replaced_link_that_may_deliver_an_abandoned_change_is_closed_whatever_else_is_open():
+    """Guards against a change that was answered as failed and runs behind a later one."""
+    link, read, write = LinkLifecycle(8), attempt(100), FakeAttempt(100, changes=True)
+    link.complete_handshake()
+    link.add_attempt(1, write)
+    link.add_attempt(2, read)
+    write.reported = True
+    assert not link.can_close  # not replaced: a later change goes the same way, behind this one
+    assert link.call_off(1) and link.retired and link.can_close
+
+
 def test_a_responsive_link_stays_until_too_many_attempts_are_cancelled():
     link = LinkLifecycle(2)
     link.complete_handshake()
