The gateway's connections share how they read and how they end

The loop over slices, giving up, parting and quietness stood in the NBD and in the NVMe front. A drain that the NVMe front did before it looked whether the connection had ended comes after it, as in the NBD front.

--- a/harriertrack/gateway/front.py
+++ b/harriertrack/gateway/front.py
@@ -12,11 +12,12 @@
 from itertools import islice
 
 from harriertrack.config.settings import HeadSettings
-from harriertrack.decisions.command_turns import CommandTurn, slices_of
+from harriertrack.decisions.command_turns import CommandTurn
 from harriertrack.decisions.requests import ClientRequest, Origin, Part
 from harriertrack.decisions.splitting import Kind, Outcome, merge_runs, split_at_extents
+from harriertrack.gateway.connection import FrontConnection
 from harriertrack.gateway.links import COMMANDS
-from harriertrack.gateway.reception import CLOSING, HALF_SENT, Reception, Rejection
+from harriertrack.gateway.reception import CLOSING, Reception, Rejection
 from harriertrack.gateway.regional import CLOSED, digest_of
 from harriertrack.protocol.nbd.extension import (
     COPY_CONTEXT,
@@ -120,16 +121,15 @@
         self.session.answer_digest(self.cookie, request)
 
 
-class Session:
+class Session(FrontConnection):
     """One client's connection."""
 
     def __init__(self, front: NbdFront, stream: Stream) -> None:
-        self._front, self._stream = front.reception, stream
+        super().__init__(front.reception, stream)
         self._nbd = ServerConnection(front.exports)
         self._open: dict[ClientRequest, int] = {}  # unanswered requests and their cookies
         self._answered = Waiters(front.reception.hub)
         self._turn = CommandTurn()
-        self._parting = False
         self.volume = ""
         self.origin, self._epoch, self._generation = Origin.CLIENT, 0, 0
         self.chosen = self.counted = False  # it has a volume; it counts towards its cell's connections
@@ -137,7 +137,7 @@
 
     def run(self) -> None:
         """Serve the connection until it ends (the session's task)."""
-        front = self._front
+        front = self._reception
         try:
             self._serve()
         except (ProtocolViolation, DeadlineExceeded) as error:
@@ -152,20 +152,12 @@
 
     def _serve(self) -> None:
         """Handle what the client sends, until either side ends the connection."""
-        front = self._front
+        front = self._reception
         self._push()
         deadline = front.hub.now() + front.settings.limits.handshake_us
         while data := self._read(deadline):
-            if self._nbd.state is ServerState.TRANSMISSION:
-                front.take_turn(self, self._stream)
-            unparsed = len(data)
-            for piece in slices_of(data):
-                unparsed -= len(piece)
-                if not self._receive(piece, unparsed):
-                    return
-                # Stop reading from a client that does not read its answers.
-                front.drain(self, self._stream)
-            front.pass_on(self)
+            if not self._handle_read(data, self._nbd.state is ServerState.TRANSMISSION):
+                return
             if pause := front.shares.read_pause_us(self.volume, front.hub.now()):
                 front.hub.sleep(pause)
 
@@ -174,13 +166,7 @@
         return self._stream.read(None if opened else handshake_deadline)
 
     def _receive(self, data: memoryview, unparsed: int) -> bool:
-        """Parse bytes and handle what they contain; return whether the connection goes on.
-
-        `unparsed` bytes behind them are held meanwhile: requests may have to wait.
-        """
-        if self._parting:
-            return True
-        front = self._front
+        front = self._reception
         events = self._nbd.receive(data)
         replies = self._push()  # error replies, which come without an event
         if not front.count_partial(self, self._nbd.partial_bytes + unparsed):
@@ -210,7 +196,7 @@
         return True
 
     def _open_export(self, event: ExportOpened) -> bool:
-        front = self._front
+        front = self._reception
         self.volume = event.export.name
         if not self._identify(event.contexts):
             return False
@@ -222,20 +208,6 @@
                    hears_hints=self.supports_hints)  # fmt: skip
         return True
 
-    def give_up(self) -> None:
-        """Break the connection, whose incomplete request takes too much memory."""
-        self._front.note("client closed", peer=self._stream.peer, why=HALF_SENT)
-        self._stream.abort()
-
-    def is_quiet(self) -> bool:
-        """Whether all its answers have been sent, and all that has arrived was read."""
-        return not self._stream.buffered and self._stream.silent()
-
-    def part(self) -> None:
-        """Send no more, and discard what arrives until the client closes too."""
-        self._parting = True
-        self._stream.shut_sending()
-
     def _push(self) -> int:
         """Write what is to be sent; return in how many pieces."""
         outgoing = self._nbd.take_outgoing()
@@ -245,7 +217,7 @@
 
     def _finish_open(self) -> None:
         """After DISC, answer requests in flight before the connection closes (spec: NBD_CMD_DISC)."""
-        self._front.pass_on(self)
+        self._reception.pass_on(self)
         while self._open:
             self._answered.wait()
         self._stream.drain()
@@ -259,14 +231,14 @@
                 self.origin, self._generation = Origin.RELAY, generation_of(context)
             elif identity := identity_of(context, COPY_CONTEXT):
                 self.origin, self._epoch = Origin.COPY, identity[1]
-                regional = self._front.regional
+                regional = self._reception.regional
                 return regional is not None and regional.copy_opened(
                     self.volume, self._epoch, generation_of(context), self
                 )
         return True
 
     def _peer_command(self, event: Request) -> None:
-        regional, report = self._front.regional, None
+        regional, report = self._reception.regional, None
         if regional is None or self.origin is not Origin.RELAY:
             self._reject(event, Errno.EINVAL, "only the other region's head may say so")
             return
@@ -282,13 +254,13 @@
 
     def _digest(self, event: Request) -> None:
         """Read a range as for a client, but reply with its digest."""
-        volume = self._front.core.volumes[self.volume]
+        volume = self._reception.core.volumes[self.volume]
         export = self._nbd.export
         if not event.length or export is None or event.offset + event.length > export.size:
             self._reject(event, Errno.EINVAL, "not a range of the volume")
             return
         requester = DigestRequester(self, event.cookie)
-        self._front.submit(
+        self._reception.submit(
             ClientRequest(
                 volume,
                 Kind.READ,
@@ -314,7 +286,7 @@
         self._push()
 
     def _request(self, event: Request) -> None:
-        front = self._front
+        front = self._reception
         if (
             event.command is Command.BLOCK_STATUS
             and self.origin is Origin.RELAY
@@ -354,9 +326,9 @@
 
     def _status(self, event: Request) -> Iterable[tuple[int, int]]:
         """Return the allocation status; extents that were never written are holes."""
-        core, hole = self._front.core, int(ExtentFlags.HOLE | ExtentFlags.ZERO)
+        core, hole = self._reception.core, int(ExtentFlags.HOLE | ExtentFlags.ZERO)
         volume = core.volumes[self.volume]
-        pieces = split_at_extents(event.offset, event.length, self._front.settings.extent_bytes)
+        pieces = split_at_extents(event.offset, event.length, self._reception.settings.extent_bytes)
         runs = merge_runs(
             (length, hole if core.shard_of(volume, at) is None else 0) for at, _, length in pieces
         )
--- a/harriertrack/gateway/nvme.py
+++ b/harriertrack/gateway/nvme.py
@@ -14,11 +14,12 @@
 from importlib.metadata import version
 
 from harriertrack.config.settings import Digest, NvmeSettings, VolumeSettings
-from harriertrack.decisions.command_turns import CommandTurn, slices_of
+from harriertrack.decisions.command_turns import CommandTurn
 from harriertrack.decisions.regions import Route
 from harriertrack.decisions.requests import MODIFYING_KINDS, ClientRequest, Origin
 from harriertrack.decisions.splitting import Kind, Outcome
-from harriertrack.gateway.reception import CLOSING, HALF_SENT, Reception
+from harriertrack.gateway.connection import FrontConnection
+from harriertrack.gateway.reception import CLOSING, Reception
 from harriertrack.gateway.regional import NOT_HOLDER
 from harriertrack.protocol.nbd.wire import CommandFlags
 from harriertrack.protocol.nvme.admin import (
@@ -106,11 +107,12 @@
             self.queue.finish_command(self, request)
 
 
-class Queue:
+class Queue(FrontConnection):
     """One connection, which is one queue."""
 
     def __init__(self, front: NvmeFront, stream: Stream) -> None:
-        self._front, self._stream = front, stream
+        super().__init__(front.reception, stream)
+        self._front = front
         self._nvme = ControllerConnection(front.limits, front.requested_bytes)
         self.controller: Controller | None = None
         self.number = -1
@@ -118,7 +120,6 @@
         self.multipath, self.max_patience_us = True, front.patience_us
         self._commands: dict[int, _Command] = {}
         self._turn = CommandTurn()
-        self._parting = False
 
     @property
     def supports_hints(self) -> bool:
@@ -131,14 +132,8 @@
         try:
             deadline = front.hub.now() + front.reception.settings.limits.handshake_us
             while data := self._stream.read(None if self.controller else deadline):
-                if self.controller is not None:
-                    front.reception.take_turn(self, self._stream)
-                unparsed = len(data)
-                for piece in slices_of(data):
-                    unparsed -= len(piece)
-                    if not self._receive(piece, unparsed):
-                        return
-                front.reception.pass_on(self)
+                if not self._handle_read(data, self.controller is not None):
+                    return
         except DeadlineExceeded:
             front.note("client closed", peer=self._stream.peer, why="too slow a handshake")
         except OSError as error:
@@ -150,12 +145,6 @@
             self._stream.close()
 
     def _receive(self, data: memoryview, unparsed: int) -> bool:
-        """Parse bytes and handle the commands in them; return whether the connection goes on.
-
-        `unparsed` bytes behind them are held meanwhile: commands may have to wait.
-        """
-        if self._parting:
-            return True
         front = self._front
         events = self._nvme.receive(data)
         if not front.reception.count_partial(self, self._nvme.partial_bytes + unparsed):
@@ -167,27 +156,12 @@
                 case ConnectionTerminated():
                     front.note("client closed", peer=self._stream.peer, why=event.reason)
         self.push()
-        front.reception.drain(self, self._stream)
         if self._nvme.state is ConnectionState.CLOSED:
             return False
         if self._turn.is_over(len(events)):
             front.hub.sleep(0)
         return True
 
-    def give_up(self) -> None:
-        """Break the connection, whose incomplete request takes too much memory."""
-        self._front.note("client closed", peer=self._stream.peer, why=HALF_SENT)
-        self._stream.abort()
-
-    def is_quiet(self) -> bool:
-        """Whether all its completions have been sent, and all that has arrived was read."""
-        return not self._stream.buffered and self._stream.silent()
-
-    def part(self) -> None:
-        """Send no more, and discard what arrives until the host closes too."""
-        self._parting = True
-        self._stream.shut_sending()
-
     def close(self) -> None:
         """End the connection, and drop its open commands without completions."""
         self._leave()
--- a/harriertrack/gateway/reception.py
+++ b/harriertrack/gateway/reception.py
@@ -17,7 +17,7 @@
 from harriertrack.decisions.requests import ANSWER_TICKS, ClientRequest, Core, Origin
 from harriertrack.decisions.retry_queue import waits_in_head
 from harriertrack.decisions.shares import ShareLimits, Shares
-from harriertrack.gateway.ordered_reads import OrderedReads
+from harriertrack.gateway.ordered_reads import OrderedReads, Reader
 from harriertrack.gateway.regional import Regional
 from harriertrack.gateway.regional_retries import RegionalRetries
 from harriertrack.runtime.hub import Hub, Scope, Timer, Waiters
@@ -202,17 +202,17 @@
 
     # -- the order of reads
 
-    def take_turn(self, session: FrontSession, stream: Stream) -> None:
+    def take_turn(self, session: Reader, stream: Stream) -> None:
         """Wait until a connection may handle its last read: in order of arrival if a class asks for it."""
         if self._ordered_reads is not None:
             self._ordered_reads.take_turn(session, stream.last_byte_at)
 
-    def pass_on(self, session: FrontSession) -> None:
+    def pass_on(self, session: Reader) -> None:
         """Let other connections handle theirs: this one has handled its read, or has to wait."""
         if self._ordered_reads is not None:
             self._ordered_reads.pass_on(session)
 
-    def drain(self, session: FrontSession, stream: Stream) -> None:
+    def drain(self, session: Reader, stream: Stream) -> None:
         """Wait until a client has read enough of its answers for its requests to be handled."""
         if stream.buffered >= HIGH_WATER:
             self.pass_on(session)
