Unordered requests are admitted without a look at all that wait

A look over the requests at their connections' bounds, and over the queue, was made for every request; only ordered ones need it. 17 tests of admission and of the gateway's order passed.

--- a/harriertrack/decisions/admission.py
+++ b/harriertrack/decisions/admission.py
@@ -109,7 +109,7 @@
         return any(one.is_ordered and one.volume == volume for one in waiting)
 
     def _is_due(self, now: int, request: WaitingRequest[C]) -> bool:
-        overtakes = any(request.is_behind(one) for one in self._aside.values())
+        overtakes = request.is_ordered and any(request.is_behind(one) for one in self._aside.values())
         return not overtakes and self._within_shares(now, request)
 
     def _within_shares(self, now: int, request: WaitingRequest[C]) -> bool:
@@ -138,9 +138,16 @@
         aside = self._aside.get(connection)
         if aside is not None and self._within_connection_bounds(connection, aside.size):
             del self._aside[connection]
-            queue = self._queues.setdefault(aside.volume, deque())
-            later = (at for at, one in enumerate(queue) if one.is_behind(aside))
-            queue.insert(next(later, len(queue)), aside)
+            self._queue_before_later(aside)
+
+    def _queue_before_later(self, request: WaitingRequest[C]) -> None:
+        """Queue a request at the end, but before the ones that must not overtake it."""
+        queue = self._queues.setdefault(request.volume, deque())
+        if not request.is_ordered:
+            queue.append(request)
+            return
+        later = (at for at, one in enumerate(queue) if one.is_behind(request))
+        queue.insert(next(later, len(queue)), request)
 
     def admit_waiting(self, now: int, free: int) -> list[WaitingRequest[C]]:
         """Admit and return up to `free` queued requests: one of each volume in turn."""
